--- /dev/null
+++ b/scripts/run_tests.mjs
@@ -0,0 +1,65 @@
+/**
+ * `npm test`: installs what is missing, compiles, and runs all tests.
+ * With `--accept` it rewrites the reviewed baselines instead of comparing.
+ * Other arguments pick test files by part of their path.
+ */
+
+import {spawnSync} from 'node:child_process';
+import {existsSync, readdirSync, rmSync, statSync} from 'node:fs';
+import path from 'node:path';
+import {compile, root} from './toolchain.mjs';
+
+const TEST_SUFFIX = '_test.js';
+const CONCURRENCY = 6;
+
+function findTests(folder) {
+  return readdirSync(folder, {withFileTypes: true})
+    .flatMap(entry => {
+      const full = path.join(folder, entry.name);
+      if (entry.isDirectory()) return findTests(full);
+      return entry.name.endsWith(TEST_SUFFIX) ? [full] : [];
+    })
+    .sort();
+}
+
+/** Drops compiled tests whose source is gone, so that none runs twice. */
+function dropStale(tests) {
+  return tests.filter(file => {
+    const source = path
+      .relative(path.join(root, 'build'), file)
+      .replace(/\.js$/, '.ts');
+    if (existsSync(path.join(root, source))) return true;
+    rmSync(file);
+    return false;
+  });
+}
+
+const accept = process.argv.includes('--accept');
+const wanted = process.argv.slice(2).filter(arg => !arg.startsWith('--'));
+
+compile();
+const all = dropStale(findTests(path.join(root, 'build', 'tests')));
+const tests = all.filter(
+  file =>
+    statSync(file).isFile() &&
+    (wanted.length === 0 || wanted.some(part => file.includes(part))),
+);
+if (tests.length === 0) {
+  console.error('run_tests: no test file matches.');
+  process.exit(2);
+}
+const result = spawnSync(
+  process.execPath,
+  [
+    '--enable-source-maps',
+    '--test',
+    `--test-concurrency=${CONCURRENCY}`,
+    ...tests,
+  ],
+  {
+    cwd: root,
+    stdio: 'inherit',
+    env: {...process.env, CORIANDERBEND_ACCEPT: accept ? '1' : ''},
+  },
+);
+process.exit(result.status ?? 1);
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,5 @@
+/** The program `corianderbend`. */
+
+import {version} from './version.js';
+
+process.stdout.write(`corianderbend ${version}\n`);
--- /dev/null
+++ b/src/ports/datagram.ts
@@ -0,0 +1,8 @@
+/** Datagrams between our own processes; UDP outside tests. */
+
+export interface DatagramPort {
+  /** One-way and unreliable. `address` is `ip:port`. */
+  send(address: string, payload: Uint8Array): void;
+  onReceive(handler: (fromAddress: string, payload: Uint8Array) => void): void;
+  close(): void;
+}
