--- /dev/null
+++ b/src/core/scheduling/engine_pool.ts
@@ -0,0 +1,113 @@
+/** The engines of one shard, with all that its home knows of each. */
+
+import type {EngineRole} from '../../ports/engine.js';
+import {
+  createEngineBook,
+  type EngineBook,
+  type EngineDescription,
+} from './engine_book.js';
+import {createLinkSchedule, type LinkSchedule} from './link_schedule.js';
+import {createPrefillBacklog, type PrefillBacklog} from './prefill_backlog.js';
+
+export interface PoolEngine {
+  description: EngineDescription;
+  readonly book: EngineBook;
+  readonly link: LinkSchedule;
+  readonly backlog: PrefillBacklog;
+  isLeaving: boolean;
+  /** Smoothed time between tokens of an answer; 0 when not known. */
+  intervalMs: number;
+  /** Slots that keep the pace target; at most the engine's own number. */
+  paceSlots: number;
+  /** Slots that may be in use now, after pace, ramp and rebuilding. */
+  slotLimit: number;
+  /** Share of its speed to count on now; 0 keeps all new work away. */
+  share: number;
+  /** Answers that end in each millisecond, forecast. */
+  endsPerMs: number;
+}
+
+export interface EnginePool {
+  readonly prefill: readonly PoolEngine[];
+  readonly decode: readonly PoolEngine[];
+  get(engineId: string): PoolEngine | undefined;
+  all(): IterableIterator<PoolEngine>;
+  /** Returns ids of engines that are new and of those that went. */
+  set(descriptions: readonly EngineDescription[]): {
+    readonly added: readonly string[];
+    readonly removed: readonly string[];
+  };
+  remove(engineId: string): PoolEngine | undefined;
+}
+
+function newEngine(description: EngineDescription): PoolEngine {
+  return {
+    description,
+    book: createEngineBook(description.slots, description.kvBytes),
+    link: createLinkSchedule(),
+    backlog: createPrefillBacklog(),
+    isLeaving: false,
+    intervalMs: 0,
+    paceSlots: description.slots,
+    slotLimit: description.slots,
+    share: 1,
+    endsPerMs: 0,
+  };
+}
+
+export function createEnginePool(): EnginePool {
+  const engines = new Map<string, PoolEngine>();
+  const byRole: Readonly<Record<EngineRole, PoolEngine[]>> = {
+    prefill: [],
+    decode: [],
+  };
+
+  function reindex(): void {
+    byRole.prefill.length = 0;
+    byRole.decode.length = 0;
+    for (const engine of engines.values()) {
+      byRole[engine.description.role].push(engine);
+    }
+  }
+
+  function remove(engineId: string): PoolEngine | undefined {
+    const engine = engines.get(engineId);
+    engines.delete(engineId);
+    reindex();
+    return engine;
+  }
+
+  function isSameEngine(a: EngineDescription, b: EngineDescription): boolean {
+    return a.role === b.role && a.address === b.address;
+  }
+
+  return {
+    prefill: byRole.prefill,
+    decode: byRole.decode,
+    get: engineId => engines.get(engineId),
+    all: () => engines.values(),
+    set(descriptions) {
+      const added: string[] = [];
+      const removed: string[] = [];
+      const wanted = new Set(descriptions.map(each => each.engineId));
+      for (const engineId of [...engines.keys()]) {
+        if (wanted.has(engineId)) continue;
+        engines.delete(engineId);
+        removed.push(engineId);
+      }
+      for (const description of descriptions) {
+        const known = engines.get(description.engineId);
+        if (known && isSameEngine(known.description, description)) {
+          known.description = description;
+          continue;
+        }
+        if (known) removed.push(description.engineId);
+        engines.set(description.engineId, newEngine(description));
+        added.push(description.engineId);
+      }
+      reindex();
+      return {added, removed};
+    },
+    remove,
+  };
+}
--- /dev/null
+++ b/src/core/scheduling/placement.ts
@@ -0,0 +1,194 @@
+/**
+ * Which prefill engine and which decode engine a request gets, and when its
+ * transfer has the links, or what it must wait for.
+ */
+
+import type {PoolEngine} from './engine_pool.js';
+import type {SchedulingPolicy} from './policy.js';
+
+/** What a request needs, as the home estimates it. */
+export interface Demand {
+  readonly promptKvBytes: number;
+  readonly decodeKvBytes: number;
+  readonly prefillMsOn: (engine: PoolEngine) => number;
+}
+
+export interface Placement {
+  readonly kind: 'placed';
+  readonly prefill: PoolEngine;
+  readonly decode: PoolEngine;
+  readonly prefillMs: number;
+  readonly prefillEndMs: number;
+  readonly transferStartMs: number;
+  readonly transferMs: number;
+  /** The slot or its memory is still in use and forecast to be free. */
+  readonly isFromForecast: boolean;
+}
+
+export interface Blocked {
+  readonly kind: 'blocked';
+  readonly by: 'no-engine' | 'prefill' | 'decode' | 'link';
+  /** The decode engine that will have room first. */
+  readonly waitFor?: PoolEngine;
+}
+
+/** Milliseconds that a full engine counts as against an empty one. */
+const OCCUPANCY_WEIGHT_MS = 60;
+const CROSS_DOMAIN_MS = 3;
+
+function choosePrefill(
+  engines: readonly PoolEngine[],
+  demand: Demand,
+  policy: SchedulingPolicy,
+  nowMs: number,
+): {engine: PoolEngine; prefillMs: number; endMs: number} | Blocked {
+  let best: PoolEngine | undefined;
+  let bestMs = 0;
+  let bestEndMs = Number.POSITIVE_INFINITY;
+  let slowestMs = 0;
+  let hasEngine = false;
+  for (const engine of engines) {
+    if (engine.isLeaving || engine.share <= 0) continue;
+    hasEngine = true;
+    const prefillMs = demand.prefillMsOn(engine);
+    slowestMs = Math.max(slowestMs, prefillMs);
+    if (engine.book.freeSlots() < 1) continue;
+    if (engine.book.freeKvBytes() < demand.promptKvBytes) continue;
+    const endMs = engine.backlog.freeAtMs(nowMs) + prefillMs / engine.share;
+    if (endMs >= bestEndMs) continue;
+    best = engine;
+    bestMs = prefillMs;
+    bestEndMs = endMs;
+  }
+  if (!best) return {kind: 'blocked', by: hasEngine ? 'prefill' : 'no-engine'};
+  // An engine that has the prefix cached may be worth a wait, but no longer
+  // than the cache saves; so no engine gets hot.
+  const allowedMs = policy.prefillAheadMs + (slowestMs - bestMs);
+  const backlogMs = best.backlog.freeAtMs(nowMs) - nowMs;
+  if (backlogMs > allowedMs) return {kind: 'blocked', by: 'prefill'};
+  return {engine: best, prefillMs: bestMs, endMs: bestEndMs};
+}
+
+/** Chance that a Poisson count with this mean is at least `atLeast`. */
+export function poissonAtLeast(mean: number, atLeast: number): number {
+  let term = Math.exp(-mean);
+  let below = 0;
+  for (let k = 0; k < atLeast; k++) {
+    below += term;
+    term *= mean / (k + 1);
+  }
+  return 1 - below;
+}
+
+type Room = 'free' | 'forecast' | 'none';
+
+function roomAt(
+  engine: PoolEngine,
+  demand: Demand,
+  policy: SchedulingPolicy,
+  horizonMs: number,
+): Room {
+  const {book, description} = engine;
+  const hiddenSlots = description.slots - engine.slotLimit;
+  const freeSlots = book.freeSlots() - hiddenSlots;
+  const freeKvBytes = book.freeKvBytes();
+  if (freeSlots >= 1 && freeKvBytes >= demand.decodeKvBytes) return 'free';
+  if (!policy.promiseFromForecast || engine.share < 1) return 'none';
+  const used = book.usedSlots();
+  if (used === 0) return 'none';
+  const missingSlots = 1 - freeSlots;
+  const meanKvBytes = book.usedKvBytes() / used;
+  const missingKv = (demand.decodeKvBytes - freeKvBytes) / meanKvBytes;
+  const needed = Math.max(missingSlots, Math.ceil(missingKv));
+  const chance = poissonAtLeast(engine.endsPerMs * horizonMs, needed);
+  return chance >= policy.forecastConfidence ? 'forecast' : 'none';
+}
+
+/** Finds the pair whose first token comes first, at a fair load. */
+export function place(
+  prefillEngines: readonly PoolEngine[],
+  decodeEngines: readonly PoolEngine[],
+  demand: Demand,
+  policy: SchedulingPolicy,
+  nowMs: number,
+  heldEngine?: PoolEngine,
+): Placement | Blocked {
+  const prefill = choosePrefill(prefillEngines, demand, policy, nowMs);
+  if ('kind' in prefill) return prefill;
+  const source = prefill.engine;
+  const horizonMs = prefill.endMs - nowMs;
+  let best: Placement | undefined;
+  let bestScore = Number.POSITIVE_INFINITY;
+  let waitFor: PoolEngine | undefined;
+  let hasEngine = false;
+  let isLinkBlocked = false;
+  for (const engine of decodeEngines) {
+    if (engine.isLeaving || engine.share <= 0) continue;
+    hasEngine = true;
+    if (engine === heldEngine) continue;
+    if (!waitFor || engine.book.freeKvBytes() > waitFor.book.freeKvBytes()) {
+      waitFor = engine;
+    }
+    const room = roomAt(engine, demand, policy, horizonMs);
+    if (room === 'none') continue;
+    const rate = Math.min(
+      source.description.linkBytesPerMs,
+      engine.description.linkBytesPerMs,
+    );
+    const transferMs = demand.promptKvBytes / rate;
+    const startMs = policy.scheduleLinks
+      ? earliestCommonStart(source, engine, prefill.endMs, transferMs)
+      : prefill.endMs;
+    const linkWaitMs = startMs - prefill.endMs;
+    if (linkWaitMs > policy.resultWaitMs) {
+      isLinkBlocked = true;
+      continue;
+    }
+    const {book, description} = engine;
+    const occupancy = Math.max(
+      book.usedSlots() / description.slots,
+      book.usedKvBytes() / description.kvBytes,
+    );
+    const isAway =
+      description.failureDomain !== source.description.failureDomain;
+    const score =
+      linkWaitMs +
+      transferMs +
+      OCCUPANCY_WEIGHT_MS * occupancy +
+      (isAway ? CROSS_DOMAIN_MS : 0) +
+      (room === 'forecast' ? OCCUPANCY_WEIGHT_MS : 0);
+    if (score >= bestScore) continue;
+    bestScore = score;
+    best = {
+      kind: 'placed',
+      prefill: source,
+      decode: engine,
+      prefillMs: prefill.prefillMs,
+      prefillEndMs: prefill.endMs,
+      transferStartMs: startMs,
+      transferMs,
+      isFromForecast: room === 'forecast',
+    };
+  }
+  if (best) return best;
+  if (!hasEngine) return {kind: 'blocked', by: 'no-engine'};
+  return {kind: 'blocked', by: isLinkBlocked ? 'link' : 'decode', waitFor};
+}
+
+const COMMON_START_TRIES = 4;
+
+function earliestCommonStart(
+  a: PoolEngine,
+  b: PoolEngine,
+  fromMs: number,
+  durationMs: number,
+): number {
+  let startMs = fromMs;
+  for (let i = 0; i < COMMON_START_TRIES; i++) {
+    const atA = a.link.earliestStartMs(startMs, durationMs);
+    const atB = b.link.earliestStartMs(atA, durationMs);
+    if (atA === atB) return atA;
+    startMs = atB;
+  }
+  return startMs;
+}
--- /dev/null
+++ b/src/scheduling/shard_home.ts
@@ -0,0 +1,117 @@
+/**
+ * The home of one shard of engines: the dispatcher behind the grant port that
+ * entries call, in their own process or over the wire.
+ */
+
+import type {CacheEvent, EngineLoadReport} from '../ports/engine.js';
+import type {
+  Grant,
+  GrantPort,
+  GrantRefusal,
+  GrantRequest,
+} from '../ports/grants.js';
+import type {Logger} from '../ports/log.js';
+import type {AccountLimits} from '../core/scheduling/account_shares.js';
+import type {EngineDescription} from '../core/scheduling/engine_book.js';
+import type {LatencyTargets} from '../core/settings_types.js';
+import {
+  createDispatcher,
+  type AnnouncedGrant,
+  type DispatcherHost,
+  type DispatcherOptions,
+  type EngineBookView,
+  type ShardSummary,
+} from './dispatcher.js';
+
+export type {AnnouncedGrant, EngineBookView, ShardSummary};
+
+export interface ShardHomeHost extends DispatcherHost {
+  readonly log: Logger;
+}
+
+export type ShardHomeOptions = DispatcherOptions;
+
+export interface ShardHome extends GrantPort {
+  /** The engines of this shard; those not named are forgotten. */
+  setEngines(engines: readonly EngineDescription[]): void;
+  /** After a change of configuration. */
+  setTuning(
+    targets: LatencyTargets,
+    wasteWeight: number,
+    accounts: ReadonlyMap<string, AccountLimits>,
+  ): void;
+  applyLoadReport(report: EngineLoadReport): void;
+  applyCacheEvents(engineId: string, events: readonly CacheEvent[]): void;
+  /** No new grants from now on; those given go on. */
+  markLeaving(engineId: string): void;
+  engineGone(engineId: string): void;
+  /** Frees the grants and queue places of an entry that died. */
+  entryGone(entryTag: string): void;
+  /** Takes over a grant of an earlier home, as its entry announces it. */
+  adopt(announced: AnnouncedGrant): void;
+  summary(): ShardSummary;
+  books(): readonly EngineBookView[];
+  /** Refuses what waits with `home-moved`; running grants go on. */
+  stop(): void;
+}
+
+const CANCELLED: GrantRefusal = {
+  kind: 'refused',
+  reason: 'cancelled',
+  retryAfterMs: 0,
+};
+
+export function createShardHome(
+  host: ShardHomeHost,
+  options: ShardHomeOptions,
+): ShardHome {
+  const {log} = host;
+  const dispatcher = createDispatcher(host, options);
+
+  function request(
+    wanted: GrantRequest,
+    signal: AbortSignal,
+  ): Promise<Grant | GrantRefusal> {
+    if (signal.aborted) return Promise.resolve(CANCELLED);
+    return new Promise(resolve => {
+      let isDone = false;
+      const ticket = dispatcher.ask(wanted, outcome => {
+        isDone = true;
+        signal.removeEventListener('abort', onAbort);
+        resolve(outcome);
+      });
+      function onAbort(): void {
+        ticket.cancel();
+        resolve(CANCELLED);
+      }
+      if (!isDone) signal.addEventListener('abort', onAbort, {once: true});
+    });
+  }
+
+  return {
+    request,
+    report: (grant, progress) => dispatcher.report(grant.grantId, progress),
+    setEngines: engines => dispatcher.setEngines(engines),
+    setTuning: (targets, wasteWeight, accounts) =>
+      dispatcher.setTuning(targets, wasteWeight, accounts),
+    applyLoadReport: report => dispatcher.applyLoadReport(report),
+    applyCacheEvents: (engineId, events) =>
+      dispatcher.applyCacheEvents(engineId, events),
+    markLeaving(engineId) {
+      log.info('Engine is leaving.', {engineId});
+      dispatcher.markLeaving(engineId);
+    },
+    engineGone(engineId) {
+      log.warn('Engine is gone.', {engineId});
+      dispatcher.engineGone(engineId);
+    },
+    entryGone(entryTag) {
+      log.info('Entry is gone; its grants are freed.', {entryTag});
+      dispatcher.entryGone(entryTag);
+    },
+    adopt: announced => dispatcher.adopt(announced),
+    summary: () => dispatcher.summary(),
+    books: () => dispatcher.books(),
+    stop: () => dispatcher.stop(),
+  };
+}
--- /dev/null
+++ b/tests/scheduling/shard_home_test.ts
@@ -0,0 +1,207 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {EngineDescription} from '../../src/core/scheduling/engine_book.js';
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import type {
+  Grant,
+  GrantRefusal,
+  GrantRequest,
+} from '../../src/ports/grants.js';
+import {
+  createShardHome,
+  type ShardHome,
+} from '../../src/scheduling/shard_home.js';
+
+const KV_BYTES = 20_000;
+const silentLog = {error() {}, warn() {}, info() {}, debug() {}};
+
+function engine(
+  engineId: string,
+  role: 'prefill' | 'decode',
+  slots: number,
+): EngineDescription {
+  return {
+    engineId,
+    address: `${engineId}:1`,
+    role,
+    failureDomain: 'annelinn-saal',
+    models: ['m'],
+    slots,
+    kvBytes: KV_BYTES,
+    linkBytesPerMs: 1_000,
+  };
+}
+
+function makeHome(slots = 2, changes = {}) {
+  const clock = createVirtualClock();
+  const home = createShardHome(
+    {clock, random: createSeededRandom(1), log: silentLog},
+    {
+      shardId: 's1',
+      homeEpoch: 1,
+      service: 'aruande-koostaja',
+      targets: {ttftMs: 1_000, tokenIntervalMs: 60, waitMs: 60_000},
+      wasteWeight: 1,
+      maxQueued: 100,
+      guesses: {kvBytesPerToken: 10},
+      ...changes,
+    },
+  );
+  home.setEngines([engine('p1', 'prefill', 8), engine('d1', 'decode', slots)]);
+  return {clock, home};
+}
+
+let requestCount = 0;
+function request(changes: Partial<GrantRequest> = {}): GrantRequest {
+  requestCount++;
+  return {
+    owner: {
+      entry: 'e1#1',
+      requestId: `r${requestCount}`,
+      attemptId: `a${requestCount}`,
+    },
+    service: 'aruande-koostaja',
+    account: 'kirikukoor',
+    requestClass: 'interactive',
+    promptTokenCount: 100,
+    maxTokens: 100,
+    prefixHashes: [],
+    ttftLeftMs: 1_000_000,
+    waitLeftMs: 2_000_000,
+    resumeOffset: 0,
+    ...changes,
+  };
+}
+
+const never = () => new AbortController().signal;
+
+function ended(grant: Grant) {
+  return {
+    kind: 'ended' as const,
+    result: 'whole' as const,
+    tokensDelivered: 10,
+    prefillWasted: false,
+    grantId: grant.grantId,
+  };
+}
+
+test('a decode slot is promised once and given on when it is returned', async () => {
+  const {clock, home} = makeHome(1);
+  const first = await home.request(request(), never());
+  assert.equal(first.kind, 'granted');
+  const answers: (Grant | GrantRefusal)[] = [];
+  void home.request(request(), never()).then(answer => answers.push(answer));
+  await clock.advance(500);
+  assert.equal(answers.length, 0);
+  home.report(first as Grant, ended(first as Grant));
+  await clock.advance(50);
+  assert.equal(answers[0]?.kind, 'granted');
+  home.stop();
+});
+
+function prefillDone(home: ShardHome, grant: Grant, kvSizeBytes: number) {
+  home.report(grant, {kind: 'prefill-started'});
+  home.report(grant, {kind: 'prefill-done', kvSizeBytes, cachedTokens: 0});
+  home.report(grant, {kind: 'decode-started'});
+}
+
+test('memory is never promised beyond what the engine has', async () => {
+  const {clock, home} = makeHome(20);
+  for (let i = 0; i < 20; i++) {
+    void home
+      .request(request({promptTokenCount: 300}), never())
+      .then(answer => {
+        if (answer.kind === 'granted') prefillDone(home, answer, 3_000);
+      });
+  }
+  await clock.advance(2_000);
+  const decode = home.books().find(book => book.engineId === 'd1')!;
+  assert.ok(decode.usedKvBytes <= KV_BYTES);
+  assert.equal(decode.usedSlots, 5);
+  home.stop();
+});
+
+test('what cannot start in time is refused at once with a time to return', async () => {
+  // A caller would otherwise wait out its whole time for a refusal: the one
+  // slot is taken for long, so the second request cannot start in time.
+  const {home} = makeHome(1);
+  await home.request(request(), never());
+  const answer = await home.request(request({ttftLeftMs: 300}), never());
+  assert.equal(answer.kind, 'refused');
+  assert.equal((answer as GrantRefusal).reason, 'not-feasible');
+  assert.ok((answer as GrantRefusal).retryAfterMs > 300);
+  home.stop();
+});
+
+test('the grants of an entry that died are freed', async () => {
+  // An entry dies with all slots in its hands. Others must get them soon,
+  // though no end is ever reported.
+  const {clock, home} = makeHome(1);
+  await home.request(request(), never());
+  home.entryGone('e1#1');
+  await clock.advance(1_100);
+  const owner = {entry: 'e2#1', requestId: 'x', attemptId: 'x'};
+  const answer = await home.request(request({owner}), never());
+  assert.equal(answer.kind, 'granted');
+  home.stop();
+});
+
+test('a grant of which nothing is heard lapses', async () => {
+  const {clock, home} = makeHome(1);
+  await home.request(request(), never());
+  await clock.advance(7_000);
+  const next = await home.request(request(), never());
+  assert.equal(next.kind, 'granted');
+  home.stop();
+});
+
+test('a cancelled wait leaves no place in the queue', async () => {
+  const {clock, home} = makeHome(1);
+  await home.request(request(), never());
+  const controller = new AbortController();
+  const waiting = home.request(request(), controller.signal);
+  controller.abort();
+  assert.equal(((await waiting) as GrantRefusal).reason, 'cancelled');
+  assert.equal(home.summary().queued, 0);
+  await clock.advance(100);
+  home.stop();
+});
+
+test('a new home uses engines only after their own report and half of the rest', async () => {
+  // The old home may be paused rather than dead, and still give grants. The
+  // new one must not add more than half of what engines show free.
+  const {clock, home} = makeHome(20, {rebuildMs: 2_000});
+  const answers: (Grant | GrantRefusal)[] = [];
+  for (let i = 0; i < 10; i++) {
+    const small = request({promptTokenCount: 10, maxTokens: 10});
+    void home.request(small, never()).then(each => answers.push(each));
+  }
+  await clock.advance(300);
+  assert.equal(answers.length, 0);
+  const report = {
+    models: [],
+    sequence: 1,
+    kvTotalBytes: KV_BYTES,
+    kvUsedBytes: 0,
+    queuedTokens: 0,
+    leaving: false,
+  };
+  home.applyLoadReport({
+    ...report,
+    engineId: 'p1',
+    role: 'prefill',
+    slotsTotal: 8,
+    slotsUsed: 0,
+  });
+  home.applyLoadReport({
+    ...report,
+    engineId: 'd1',
+    role: 'decode',
+    slotsTotal: 20,
+    slotsUsed: 16,
+  });
+  await clock.advance(500);
+  assert.equal(answers.length, 2);
+  home.stop();
+});
