--- /dev/null
+++ b/src/entry/problem.ts
@@ -0,0 +1,62 @@
+/**
+ * Refusals and failures as problem documents (RFC 9457). Every one says by
+ * number what happened and whether the request was run.
+ */
+
+import type {ServerResponse} from 'node:http';
+import {errorAnswers, type RequestError} from '../core/error_kinds.js';
+
+const MS_PER_SECOND = 1000;
+
+export interface ProblemDocument {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly code: string;
+  /** `not-run`, `may-have-run` or `ran`. */
+  readonly runState: string;
+  readonly requestId: string;
+  readonly retryAfterMs?: number;
+}
+
+/** The document for `error`. */
+export function createProblem(
+  error: RequestError,
+  requestId: string,
+): ProblemDocument {
+  const answer = errorAnswers[error.kind];
+  return {
+    type: `urn:corianderbend:error:${error.kind}`,
+    title: answer.title,
+    status: answer.status,
+    detail: error.detail,
+    code: `CB${answer.code}`,
+    runState: answer.runState,
+    requestId,
+    ...(answer.retryable && error.retryAfterMs !== undefined
+      ? {retryAfterMs: Math.ceil(error.retryAfterMs)}
+      : {}),
+  };
+}
+
+/** Answers with the problem document; the response must not have begun. */
+export function writeProblem(
+  response: ServerResponse,
+  error: RequestError,
+  requestId: string,
+): void {
+  const problem = createProblem(error, requestId);
+  const body = JSON.stringify(problem);
+  response.statusCode = problem.status;
+  response.setHeader('content-type', 'application/problem+json');
+  response.setHeader('x-run-state', problem.runState);
+  if (problem.retryAfterMs !== undefined) {
+    const seconds = Math.max(
+      1,
+      Math.ceil(problem.retryAfterMs / MS_PER_SECOND),
+    );
+    response.setHeader('retry-after', String(seconds));
+  }
+  response.end(body);
+}
