--- /dev/null
+++ b/stand_ins/answer_text.ts
@@ -0,0 +1,53 @@
+/**
+ * What a stand-in engine answers: a pure function of the prompt and the
+ * offset, so that a reader can check a resumed stream token by token.
+ */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** The answer to one prompt. */
+export interface ExpectedAnswer {
+  /** How many tokens the engine gives when it is not limited. */
+  readonly naturalTokenCount: number;
+  textAt(offset: number): string;
+}
+
+const WORD_RANGE = 46_656;
+
+/** Mixes one 32-bit number into an FNV-1a hash. */
+function mixHash(hash: number, value: number): number {
+  let mixed = hash;
+  for (let shift = 0; shift < 32; shift += 8) {
+    mixed = Math.imul(mixed ^ ((value >>> shift) & 0xff), FNV_PRIME);
+  }
+  return mixed >>> 0;
+}
+
+/** One number for the whole prompt. */
+export function hashPrompt(tokens: readonly number[]): number {
+  return tokens.reduce(mixHash, FNV_OFFSET);
+}
+
+/** The natural length lies between half and one and a half of the mean. */
+export function expectAnswer(
+  promptTokens: readonly number[],
+  meanTokenCount: number,
+): ExpectedAnswer {
+  return expectAnswerByHash(hashPrompt(promptTokens), meanTokenCount);
+}
+
+/** As `expectAnswer`, from the hash that travels with exported KV. */
+export function expectAnswerByHash(
+  promptHash: number,
+  meanTokenCount: number,
+): ExpectedAnswer {
+  const shortest = Math.max(1, Math.floor(meanTokenCount / 2));
+  return {
+    naturalTokenCount: shortest + (promptHash % (meanTokenCount + 1)),
+    textAt(offset) {
+      const word = mixHash(promptHash, offset) % WORD_RANGE;
+      return ` ${word.toString(36)}`;
+    },
+  };
+}
--- /dev/null
+++ b/stand_ins/decode_batch.ts
@@ -0,0 +1,275 @@
+/**
+ * Decode half of a stand-in engine: continuous batching in steps. In one step
+ * each running sequence advances by one token.
+ */
+
+import type {Clock} from '../src/ports/clock.js';
+import type {
+  DecodeCall,
+  DecodeEvent,
+  EngineFailure,
+  EngineSession,
+  ImportCall,
+  ImportResult,
+  OwnerTag,
+} from '../src/ports/engine.js';
+import type {Random} from '../src/ports/random.js';
+import {expectAnswerByHash, type ExpectedAnswer} from './answer_text.js';
+import type {RunningBooks} from './engine_books.js';
+import {
+  failure,
+  isSameOwner,
+  type EngineOptions,
+  type KvExport,
+} from './engine_types.js';
+
+export interface DecodeHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly books: RunningBooks;
+  whenThawed(action: () => void): void;
+  slowFactor(): number;
+  crash(): void;
+  /** Pulls KV cache from the prefill engine at `address`. */
+  pullKv(
+    address: string,
+    kvHandle: string,
+    timeoutMs: number,
+  ): Promise<KvExport | EngineFailure>;
+}
+
+export type DecodeSink = (event: DecodeEvent) => void;
+
+export interface DecodeBatch {
+  importKv(call: ImportCall): Promise<ImportResult | EngineFailure>;
+  /** Takes over a session that is imported, queued or running. */
+  decode(call: DecodeCall, sink: DecodeSink): void;
+  cancel(owner: OwnerTag): void;
+  sessions(): readonly EngineSession[];
+  slotsUsed(): number;
+  clear(): void;
+}
+
+interface Session {
+  readonly sessionId: string;
+  readonly importedAtMs: number;
+  readonly kv: KvExport | undefined;
+  owner: OwnerTag;
+  kvSizeBytes: number;
+  state: 'importing' | 'imported' | 'queued' | 'running';
+  decode: RunningDecode | undefined;
+}
+
+interface RunningDecode {
+  readonly call: DecodeCall;
+  readonly answer: ExpectedAnswer;
+  readonly endOffset: number;
+  readonly sink: DecodeSink;
+  nextOffset: number;
+}
+
+export function createDecodeBatch(
+  host: DecodeHost,
+  options: EngineOptions,
+): DecodeBatch {
+  const {clock, books} = host;
+  const sessions = new Map<string, Session>();
+  let queue: Session[] = [];
+  let running: Session[] = [];
+  let isStepping = false;
+  let generation = 0;
+
+  function release(session: Session): void {
+    if (!sessions.delete(session.sessionId)) return;
+    queue = queue.filter(other => other !== session);
+    running = running.filter(other => other !== session);
+    books.freeKv(session.kvSizeBytes);
+  }
+
+  function cut(session: Session, reason: EngineFailure): void {
+    const decode = session.decode;
+    if (!decode) return;
+    const {requestId, attemptId} = decode.call.owner;
+    session.decode = undefined;
+    decode.sink({kind: 'cut', requestId, attemptId, failure: reason});
+  }
+
+  function admitQueued(): void {
+    while (queue.length > 0 && running.length < options.slots) {
+      const best = queue.reduce((a, b) =>
+        b.decode!.call.priority > a.decode!.call.priority ? b : a,
+      );
+      queue = queue.filter(other => other !== best);
+      best.state = 'running';
+      running.push(best);
+    }
+  }
+
+  /** Makes room for one more token by giving up the least urgent sequence. */
+  function growKv(session: Session): boolean {
+    while (!books.takeKv(options.kvBytesPerToken)) {
+      const victim = running.reduce((a, b) =>
+        b.decode!.call.priority <= a.decode!.call.priority ? b : a,
+      );
+      release(victim);
+      cut(victim, failure('no-capacity', 'preempted for lack of KV memory'));
+      if (victim === session) return false;
+    }
+    session.kvSizeBytes += options.kvBytesPerToken;
+    return true;
+  }
+
+  function advance(session: Session): void {
+    const decode = session.decode;
+    if (!decode) return;
+    if (session.kv?.hasDecodeMarker) {
+      host.crash();
+      return;
+    }
+    const {requestId, attemptId} = decode.call.owner;
+    if (decode.nextOffset < decode.endOffset) {
+      if (!growKv(session)) return;
+      const offset = decode.nextOffset++;
+      books.tokenMade(session.owner);
+      const texts = [decode.answer.textAt(offset)];
+      decode.sink({kind: 'tokens', requestId, attemptId, offset, texts});
+    }
+    if (decode.nextOffset >= decode.endOffset) finish(session, decode);
+  }
+
+  function finish(session: Session, decode: RunningDecode): void {
+    const {requestId, attemptId} = decode.call.owner;
+    release(session);
+    session.decode = undefined;
+    const isWhole = decode.endOffset >= decode.answer.naturalTokenCount;
+    decode.sink({
+      kind: 'end',
+      requestId,
+      attemptId,
+      tokenCount: decode.endOffset,
+      finishReason: isWhole ? 'stop' : 'length',
+    });
+  }
+
+  function scheduleStep(): void {
+    if (isStepping || running.length + queue.length === 0) return;
+    isStepping = true;
+    const born = generation;
+    clock.setTimer(options.stepMs * host.slowFactor(), () =>
+      host.whenThawed(() => {
+        if (born !== generation) return;
+        isStepping = false;
+        admitQueued();
+        for (const session of [...running]) advance(session);
+        scheduleStep();
+      }),
+    );
+  }
+
+  function refuseDecode(call: DecodeCall, sink: DecodeSink): void {
+    const {requestId, attemptId} = call.owner;
+    const reason = failure('expired', 'no such session');
+    sink({kind: 'cut', requestId, attemptId, failure: reason});
+  }
+
+  /** A repeat at another entry takes the running stream over. */
+  function takeOver(session: Session): void {
+    cut(session, failure('cancelled', 'taken over by another attempt'));
+  }
+
+  async function importKv(
+    call: ImportCall,
+  ): Promise<ImportResult | EngineFailure> {
+    if (!books.takeKv(call.kvSizeBytes)) {
+      return failure('no-capacity', 'no KV memory for the import');
+    }
+    const born = generation;
+    const sessionId = host.random.nextId();
+    const session: Session = {
+      sessionId,
+      importedAtMs: clock.nowMs(),
+      kv: undefined,
+      owner: call.owner,
+      kvSizeBytes: call.kvSizeBytes,
+      state: 'importing',
+      decode: undefined,
+    };
+    sessions.set(sessionId, session);
+    const kv = await host.pullKv(
+      call.fromAddress,
+      call.kvHandle,
+      call.timeoutMs,
+    );
+    if (born !== generation) return failure('broken', 'the engine restarted');
+    if (kv.kind === 'failed') {
+      release(session);
+      return kv;
+    }
+    if (!sessions.has(sessionId)) {
+      books.prefillWasted(kv.promptTokenCount);
+      return failure('cancelled', 'cancelled during the import');
+    }
+    sessions.set(sessionId, {...session, kv, state: 'imported'});
+    return {kind: 'imported', sessionId};
+  }
+
+  return {
+    importKv,
+    decode(call, sink) {
+      const session = sessions.get(call.sessionId);
+      if (!session?.kv) {
+        refuseDecode(call, sink);
+        return;
+      }
+      takeOver(session);
+      const answer = expectAnswerByHash(
+        session.kv.promptHash,
+        options.answerTokens,
+      );
+      session.owner = call.owner;
+      session.decode = {
+        call,
+        answer,
+        sink,
+        nextOffset: call.fromOffset,
+        endOffset: Math.min(call.maxTokens, answer.naturalTokenCount),
+      };
+      books.decodeStarted(call.owner);
+      if (session.state === 'imported') {
+        session.state = 'queued';
+        queue.push(session);
+      }
+      scheduleStep();
+    },
+    cancel(owner) {
+      const owned = [...sessions.values()].filter(session =>
+        isSameOwner(session.owner, owner),
+      );
+      for (const session of owned) {
+        const isUnused = session.state === 'imported' && session.kv;
+        if (isUnused) books.prefillWasted(session.kv!.promptTokenCount);
+        release(session);
+        cut(session, failure('cancelled', 'cancelled by its owner'));
+      }
+    },
+    sessions: () =>
+      [...sessions.values()].map(session => ({
+        owner: session.owner,
+        kind: session.decode ? 'decode' : 'import',
+        kvSizeBytes: session.kvSizeBytes,
+        ageMs: clock.nowMs() - session.importedAtMs,
+      })),
+    slotsUsed: () => sessions.size,
+    clear() {
+      generation++;
+      isStepping = false;
+      const gone = [...sessions.values()];
+      sessions.clear();
+      queue = [];
+      running = [];
+      for (const session of gone) {
+        cut(session, failure('broken', 'the engine died'));
+      }
+    },
+  };
+}
