--- /dev/null
+++ b/src/coordination/table_client.ts
@@ -0,0 +1,284 @@
+/**
+ * The one way to the platform's table: a budget, a circuit, retries with
+ * jitter, and read-back of writes whose answer was lost.
+ *
+ * A write ends `applied`, `rejected`, `refused` or `unknown`. An `unknown`
+ * write may still be applied later, so reading "not there" proves nothing by
+ * itself; see `transactSettled`.
+ */
+
+import type {Clock} from '../ports/clock.js';
+import type {Random} from '../ports/random.js';
+import type {
+  ReadOutcome,
+  TablePort,
+  TableRow,
+  TableTransaction,
+  WriteOutcome,
+} from '../ports/table.js';
+import {createCircuit, type CircuitState} from './circuit.js';
+import {createRateBudget, type TablePriority} from './table_budget.js';
+
+export interface TableClientHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly table: TablePort;
+}
+
+export interface TableClientOptions {
+  /** Hosts that share the fleet's budget now, at least 1. */
+  hostCount(): number;
+  /**
+   * This host's part of the write budget, 0 to 1; an even share by default.
+   * A host that owns journal partitions has more.
+   */
+  writeShare?(): number;
+  /** Writes a second for the whole fleet. */
+  readonly fleetWritesPerSecond: number;
+  /** Reads and scans a second for the whole fleet. */
+  readonly fleetReadsPerSecond: number;
+  /** Limit of one call to the table. */
+  readonly callTimeoutMs: number;
+}
+
+/** Who asks, and how long it may take with all retries. */
+export interface TableUse {
+  readonly priority: TablePriority;
+  readonly timeoutMs: number;
+}
+
+/** What rows read back say of a write whose answer was lost. */
+export type ReadBackVerdict =
+  /** Its effect is in the table. */
+  | 'applied'
+  /** It did not apply, and its conditions can never hold again. */
+  | 'not-applied'
+  /** It may still apply. */
+  | 'undecided';
+
+/** How to find out what became of an unknown write. */
+export interface ReadBack {
+  readonly keys: readonly string[];
+  judge(rows: ReadonlyMap<string, TableRow>): ReadBackVerdict;
+}
+
+export interface TableClientState {
+  readonly circuit: CircuitState;
+  readonly reads: number;
+  readonly writes: number;
+  readonly unknownWrites: number;
+  readonly budgetRefusals: number;
+}
+
+export interface TableClient {
+  read(
+    keys: readonly string[],
+    use: TableUse,
+  ): Promise<ReadOutcome<readonly TableRow[]>>;
+  scan(
+    prefix: string,
+    options: {readonly afterKey?: string; readonly limit: number},
+    use: TableUse,
+  ): Promise<ReadOutcome<readonly TableRow[]>>;
+  /** Retries refusals within the time; hands `unknown` back at once. */
+  transact(transaction: TableTransaction, use: TableUse): Promise<WriteOutcome>;
+  /**
+   * As `transact`, and finds out what became of an unknown write. Only for a
+   * transaction whose conditions fail once it has applied (a version or an
+   * absent row that it writes itself): it is sent again while undecided.
+   */
+  transactSettled(
+    transaction: TableTransaction,
+    readBack: ReadBack,
+    use: TableUse,
+  ): Promise<WriteOutcome>;
+  /** One read-back of an unknown write; `undecided` if it cannot be read. */
+  resolveUnknown(readBack: ReadBack, use: TableUse): Promise<ReadBackVerdict>;
+  state(): TableClientState;
+}
+
+const FAILURE_LIMIT = 3;
+const MIN_OPEN_MS = 500;
+const MAX_OPEN_MS = 5_000;
+const MIN_BACKOFF_MS = 50;
+const MAX_BACKOFF_MS = 2_000;
+const BURST_SECONDS = 4;
+const MIN_WRITE_BURST = 8;
+const MIN_READ_BURST = 16;
+
+export function toRowMap(
+  rows: readonly TableRow[],
+): ReadonlyMap<string, TableRow> {
+  return new Map(rows.map(row => [row.key, row]));
+}
+
+export function createTableClient(
+  host: TableClientHost,
+  options: TableClientOptions,
+): TableClient {
+  const {clock, random, table} = host;
+  const getEvenShare = () => 1 / Math.max(1, options.hostCount());
+  const getWriteShare = options.writeShare ?? getEvenShare;
+  const writeBudget = createRateBudget(clock, {
+    ratePerSecond: () => options.fleetWritesPerSecond * getWriteShare(),
+    burstSeconds: BURST_SECONDS,
+    minBurst: MIN_WRITE_BURST,
+  });
+  const readBudget = createRateBudget(clock, {
+    ratePerSecond: () => options.fleetReadsPerSecond * getEvenShare(),
+    burstSeconds: BURST_SECONDS,
+    minBurst: MIN_READ_BURST,
+  });
+  const circuit = createCircuit(clock, random, {
+    failureLimit: FAILURE_LIMIT,
+    minOpenMs: MIN_OPEN_MS,
+    maxOpenMs: MAX_OPEN_MS,
+  });
+  const counts = {reads: 0, writes: 0, unknownWrites: 0, budgetRefusals: 0};
+
+  const wait = (delayMs: number) =>
+    new Promise<void>(resolve => {
+      clock.setTimer(delayMs, resolve);
+    });
+
+  function getBackoffMs(attempt: number): number {
+    const ceilingMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** attempt);
+    return ceilingMs * (0.5 + random.nextFloat() / 2);
+  }
+
+  function limitMs(deadlineMs: number): number {
+    return Math.max(
+      1,
+      Math.min(options.callTimeoutMs, deadlineMs - clock.nowMs()),
+    );
+  }
+
+  async function readOnce<T>(
+    use: TableUse,
+    deadlineMs: number,
+    call: (timeoutMs: number) => Promise<ReadOutcome<T>>,
+  ): Promise<{outcome: ReadOutcome<T>; retryAfterMs: number}> {
+    const closedMs = circuit.admit();
+    if (closedMs > 0) {
+      const reason = 'The platform is not answering.';
+      return {outcome: {kind: 'failed', reason}, retryAfterMs: closedMs};
+    }
+    const waitMs = readBudget.take(use.priority);
+    if (waitMs > 0) {
+      counts.budgetRefusals++;
+      const reason = 'The read budget of this host is used up.';
+      return {outcome: {kind: 'failed', reason}, retryAfterMs: waitMs};
+    }
+    counts.reads++;
+    const outcome = await call(limitMs(deadlineMs));
+    if (outcome.kind === 'read') circuit.succeeded();
+    else circuit.failed();
+    return {outcome, retryAfterMs: 0};
+  }
+
+  async function readWithRetries<T>(
+    use: TableUse,
+    call: (timeoutMs: number) => Promise<ReadOutcome<T>>,
+  ): Promise<ReadOutcome<T>> {
+    const deadlineMs = clock.nowMs() + use.timeoutMs;
+    for (let attempt = 0; ; attempt++) {
+      const {outcome, retryAfterMs} = await readOnce(use, deadlineMs, call);
+      if (outcome.kind === 'read') return outcome;
+      const delayMs = Math.max(retryAfterMs, getBackoffMs(attempt));
+      if (clock.nowMs() + delayMs >= deadlineMs) return outcome;
+      await wait(delayMs);
+    }
+  }
+
+  async function writeOnce(
+    transaction: TableTransaction,
+    use: TableUse,
+    deadlineMs: number,
+  ): Promise<WriteOutcome> {
+    const closedMs = circuit.admit();
+    if (closedMs > 0) {
+      return {kind: 'refused', reason: 'unavailable', retryAfterMs: closedMs};
+    }
+    const waitMs = writeBudget.take(use.priority);
+    if (waitMs > 0) {
+      counts.budgetRefusals++;
+      return {kind: 'refused', reason: 'budget', retryAfterMs: waitMs};
+    }
+    counts.writes++;
+    const outcome = await table.transact(transaction, limitMs(deadlineMs));
+    recordWrite(outcome);
+    return outcome;
+  }
+
+  function recordWrite(outcome: WriteOutcome): void {
+    if (outcome.kind === 'unknown') counts.unknownWrites++;
+    const isFailure =
+      outcome.kind === 'unknown' ||
+      (outcome.kind === 'refused' && outcome.reason === 'unavailable');
+    if (isFailure) circuit.failed();
+    else circuit.succeeded();
+  }
+
+  async function transactUntil(
+    transaction: TableTransaction,
+    use: TableUse,
+    deadlineMs: number,
+  ): Promise<WriteOutcome> {
+    for (let attempt = 0; ; attempt++) {
+      const outcome = await writeOnce(transaction, use, deadlineMs);
+      if (outcome.kind !== 'refused') return outcome;
+      const delayMs = Math.max(outcome.retryAfterMs, getBackoffMs(attempt));
+      if (clock.nowMs() + delayMs >= deadlineMs) return outcome;
+      await wait(delayMs);
+    }
+  }
+
+  async function resolveUnknown(
+    readBack: ReadBack,
+    use: TableUse,
+  ): Promise<ReadBackVerdict> {
+    const outcome = await readWithRetries(use, timeoutMs =>
+      table.read(readBack.keys, timeoutMs),
+    );
+    if (outcome.kind === 'failed') return 'undecided';
+    return readBack.judge(toRowMap(outcome.value));
+  }
+
+  return {
+    read: (keys, use) =>
+      readWithRetries(use, timeoutMs => table.read(keys, timeoutMs)),
+    scan: (prefix, scanOptions, use) =>
+      readWithRetries(use, timeoutMs =>
+        table.scan(prefix, scanOptions, timeoutMs),
+      ),
+    transact: (transaction, use) =>
+      transactUntil(transaction, use, clock.nowMs() + use.timeoutMs),
+    resolveUnknown,
+    async transactSettled(transaction, readBack, use) {
+      const deadlineMs = clock.nowMs() + use.timeoutMs;
+      let outcome = await transactUntil(transaction, use, deadlineMs);
+      if (outcome.kind !== 'unknown') return outcome;
+      const unknown = outcome;
+      for (let attempt = 0; clock.nowMs() < deadlineMs; attempt++) {
+        await wait(getBackoffMs(attempt));
+        const leftMs = deadlineMs - clock.nowMs();
+        if (leftMs <= 0) break;
+        const verdict = await resolveUnknown(readBack, {
+          ...use,
+          timeoutMs: leftMs,
+        });
+        if (verdict === 'applied') return {kind: 'applied'};
+        if (verdict === 'not-applied') {
+          return {kind: 'rejected', failedKeys: readBack.keys};
+        }
+        if (clock.nowMs() >= deadlineMs) break;
+        outcome = await transactUntil(transaction, use, deadlineMs);
+        if (outcome.kind === 'applied') return outcome;
+        // Any other end says nothing of the first send: a rejection may come
+        // from that one having applied. Only the read-back can tell.
+      }
+      return unknown;
+    },
+    state: () => ({circuit: circuit.state(), ...counts}),
+  };
+}
