--- a/src/core/settings_types.ts
+++ b/src/core/settings_types.ts
@@ -114,6 +114,8 @@
 /** What a process learns from its host file or flags. */
 export interface HostSettings {
   readonly hostId: string;
+  /** The site that the host stands in. */
+  readonly site: string;
   readonly failureDomain: string;
   /** Address callers connect to, `ip:port`. */
   readonly callerAddress: string;
--- /dev/null
+++ b/src/core/settings_yaml.ts
@@ -0,0 +1,337 @@
+/** YAML text as a tree in which each node knows its place in the text. */
+
+import {
+  isAlias,
+  isMap,
+  isScalar,
+  isSeq,
+  LineCounter,
+  parseAllDocuments,
+  type Document,
+  type YAMLMap,
+} from 'yaml';
+import {
+  createDiagnostic,
+  diagnosticMessages,
+  type Diagnostic,
+  type SourcePosition,
+} from './diagnostics.js';
+
+/** A text and the name under which diagnostics show it. */
+export interface SourceText {
+  readonly file: string;
+  readonly text: string;
+}
+
+export type ScalarValue = string | number | boolean | null;
+
+export interface LocatedScalar {
+  readonly kind: 'scalar';
+  readonly position: SourcePosition;
+  readonly value: ScalarValue;
+}
+
+export interface LocatedEntry {
+  readonly keyPosition: SourcePosition;
+  readonly value: LocatedNode;
+}
+
+export interface LocatedMap {
+  readonly kind: 'map';
+  readonly position: SourcePosition;
+  readonly entries: ReadonlyMap<string, LocatedEntry>;
+}
+
+export interface LocatedList {
+  readonly kind: 'list';
+  readonly position: SourcePosition;
+  readonly items: readonly LocatedNode[];
+}
+
+export type LocatedNode = LocatedScalar | LocatedMap | LocatedList;
+
+export interface LocatedResult {
+  /** Absent when the text could not be read as a mapping. */
+  readonly root?: LocatedMap;
+  readonly diagnostics: readonly Diagnostic[];
+}
+
+/** Bounds the memory that one text can take. */
+const MAX_TEXT_CHARS = 8 * 1024 * 1024;
+/** Deeper texts could exhaust the stack of the recursive readers. */
+const MAX_DEPTH = 64;
+
+export function readLocatedYaml(source: SourceText): LocatedResult {
+  const start: SourcePosition = {file: source.file, line: 1, column: 1};
+  if (source.text.length > MAX_TEXT_CHARS) {
+    return failed(
+      createDiagnostic(start, diagnosticMessages.yamlTooLarge, MAX_TEXT_CHARS),
+    );
+  }
+  const tooDeep = findTooDeep(source);
+  if (tooDeep) return failed(tooDeep);
+  const lines = new LineCounter();
+  const documents = parseAllDocuments(source.text, {
+    lineCounter: lines,
+    prettyErrors: false,
+    uniqueKeys: false,
+    logLevel: 'silent',
+  });
+  const locate = (offset: number): SourcePosition => {
+    const {line, col} = lines.linePos(offset);
+    return {
+      file: source.file,
+      line: Math.max(1, line),
+      column: Math.max(1, col),
+    };
+  };
+  if (!Array.isArray(documents) || documents.length === 0) {
+    return failed(createDiagnostic(start, diagnosticMessages.yamlEmpty));
+  }
+  if (documents.length > 1) {
+    const second = locate(documents[1].range[0]);
+    return failed(
+      createDiagnostic(second, diagnosticMessages.yamlSeveralDocuments),
+    );
+  }
+  return convertDocument(documents[0], locate, start);
+}
+
+function failed(diagnostic: Diagnostic): LocatedResult {
+  return {diagnostics: [diagnostic]};
+}
+
+/**
+ * Refuses flow collections and indents nested past the bound before the
+ * recursive parser sees them: a text of a million brackets would end the
+ * process by exhausting its stack.
+ */
+function findTooDeep(source: SourceText): Diagnostic | undefined {
+  let depth = 0;
+  let line = 1;
+  let lineStart = 0;
+  for (let i = 0; i < source.text.length; i++) {
+    const char = source.text[i];
+    if (char === '\n') {
+      line++;
+      lineStart = i + 1;
+    } else if (char === '[' || char === '{') {
+      depth++;
+    } else if (char === ']' || char === '}') {
+      depth = Math.max(0, depth - 1);
+    }
+    if (depth > MAX_DEPTH || isDeepBlock(source.text, i, lineStart)) {
+      return createDiagnostic(
+        {file: source.file, line, column: i - lineStart + 1},
+        diagnosticMessages.yamlTooDeep,
+        MAX_DEPTH,
+      );
+    }
+  }
+  return undefined;
+}
+
+/** True past the bound of `- - - -` and of `? ? ? ?` on one line. */
+function isDeepBlock(text: string, index: number, lineStart: number): boolean {
+  const columns = index - lineStart;
+  return (
+    columns === 4 * MAX_DEPTH &&
+    /^[\s?:-]*$/.test(text.slice(lineStart, index + 1))
+  );
+}
+
+function convertDocument(
+  document: Document.Parsed,
+  locate: (offset: number) => SourcePosition,
+  start: SourcePosition,
+): LocatedResult {
+  const diagnostics: Diagnostic[] = [];
+  for (const problem of [...document.errors, ...document.warnings]) {
+    diagnostics.push(
+      createDiagnostic(
+        locate(problem.pos[0]),
+        diagnosticMessages.yamlSyntax,
+        firstLine(problem.message),
+      ),
+    );
+  }
+  if (diagnostics.length > 0) return {diagnostics};
+  const contents: unknown = document.contents;
+  if (contents === null || (isScalar(contents) && contents.value === null)) {
+    return failed(createDiagnostic(start, diagnosticMessages.yamlEmpty));
+  }
+  const root = convertNode(contents, start, {locate, diagnostics});
+  if (root.kind !== 'map') {
+    diagnostics.push(
+      createDiagnostic(
+        root.position,
+        diagnosticMessages.wrongType,
+        'a mapping',
+        describeNode(root),
+      ),
+    );
+    return {diagnostics};
+  }
+  return {root, diagnostics};
+}
+
+interface ConvertContext {
+  readonly locate: (offset: number) => SourcePosition;
+  readonly diagnostics: Diagnostic[];
+}
+
+function convertNode(
+  node: unknown,
+  fallback: SourcePosition,
+  context: ConvertContext,
+): LocatedNode {
+  const position = findPosition(node, fallback, context);
+  if (isMap(node)) return convertMap(node, position, context);
+  if (isSeq(node)) {
+    const items = node.items.map(item => convertNode(item, position, context));
+    return {kind: 'list', position, items};
+  }
+  if (isAlias(node) || (isScalar(node) && node.anchor !== undefined)) {
+    context.diagnostics.push(
+      createDiagnostic(position, diagnosticMessages.yamlAlias),
+    );
+    return {kind: 'scalar', position, value: null};
+  }
+  return {kind: 'scalar', position, value: getScalarValue(node)};
+}
+
+function convertMap(
+  map: YAMLMap,
+  position: SourcePosition,
+  context: ConvertContext,
+): LocatedMap {
+  const entries = new Map<string, LocatedEntry>();
+  for (const pair of map.items) {
+    const keyPosition = findPosition(pair.key, position, context);
+    if (!isScalar(pair.key)) {
+      context.diagnostics.push(
+        createDiagnostic(keyPosition, diagnosticMessages.yamlKeyNotScalar),
+      );
+      continue;
+    }
+    const key = String(pair.key.value);
+    if (entries.has(key)) {
+      context.diagnostics.push(
+        createDiagnostic(keyPosition, diagnosticMessages.yamlDuplicateKey, key),
+      );
+      continue;
+    }
+    const value = convertNode(pair.value, keyPosition, context);
+    entries.set(key, {keyPosition, value});
+  }
+  return {kind: 'map', position, entries};
+}
+
+function findPosition(
+  node: unknown,
+  fallback: SourcePosition,
+  context: ConvertContext,
+): SourcePosition {
+  if (typeof node !== 'object' || node === null) return fallback;
+  const range = 'range' in node ? node.range : undefined;
+  return Array.isArray(range) ? context.locate(Number(range[0])) : fallback;
+}
+
+function getScalarValue(node: unknown): ScalarValue {
+  if (!isScalar(node)) return null;
+  const value = node.value;
+  switch (typeof value) {
+    case 'string':
+    case 'number':
+    case 'boolean':
+      return value;
+    default:
+      return value === null || value === undefined ? null : String(value);
+  }
+}
+
+function firstLine(text: string): string {
+  return text.split('\n', 1)[0];
+}
+
+/** The node as plain data. */
+export function toPlainData(node: LocatedNode): unknown {
+  switch (node.kind) {
+    case 'scalar':
+      return node.value;
+    case 'list':
+      return node.items.map(toPlainData);
+    case 'map':
+      return Object.fromEntries(
+        [...node.entries].map(([key, entry]) => [
+          key,
+          toPlainData(entry.value),
+        ]),
+      );
+  }
+}
+
+const MAX_SHOWN_CHARS = 40;
+
+/** What was found, for a diagnostic. */
+export function describeNode(node: LocatedNode): string {
+  switch (node.kind) {
+    case 'map':
+      return 'a mapping';
+    case 'list':
+      return 'a list';
+    case 'scalar':
+      return describeScalar(node.value);
+  }
+}
+
+function describeScalar(value: ScalarValue): string {
+  if (value === null) return 'nothing';
+  if (typeof value !== 'string') return String(value);
+  const text = JSON.stringify(value);
+  return text.length <= MAX_SHOWN_CHARS
+    ? text
+    : `${text.slice(0, MAX_SHOWN_CHARS)}…`;
+}
+
+/** One step from a node to a child. */
+export type PathPart = string | number;
+
+/** The node at a path, or undefined. */
+export function findNode(
+  root: LocatedNode,
+  path: readonly PathPart[],
+): LocatedNode | undefined {
+  let node: LocatedNode | undefined = root;
+  for (const part of path) {
+    if (node?.kind === 'map') node = node.entries.get(String(part))?.value;
+    else if (node?.kind === 'list') node = node.items[Number(part)];
+    else return undefined;
+  }
+  return node;
+}
+
+/** Where the value at a path stands, or else its nearest ancestor. */
+export function locateValue(
+  root: LocatedNode,
+  path: readonly PathPart[],
+): SourcePosition {
+  for (let length = path.length; length > 0; length--) {
+    const node = findNode(root, path.slice(0, length));
+    if (node) return node.position;
+  }
+  return root.position;
+}
+
+/** Where the key at the end of a path stands, or else its value. */
+export function locateKey(
+  root: LocatedNode,
+  path: readonly PathPart[],
+): SourcePosition {
+  const parent = findNode(root, path.slice(0, -1));
+  const entry =
+    parent?.kind === 'map'
+      ? parent.entries.get(String(path[path.length - 1]))
+      : undefined;
+  return entry?.keyPosition ?? locateValue(root, path);
+}
