--- a/src/entry/http_front.ts
+++ b/src/entry/http_front.ts
@@ -10,6 +10,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {Duplex} from 'node:stream';
+import {listenOn} from '../adapters/listen.js';
 import type {RequestError} from '../core/error_kinds.js';
 import type {AccountSettings} from '../core/settings_types.js';
 import type {FrontHost, FrontSettings} from './front_host.js';
@@ -52,13 +53,6 @@
 type Handler = (exchange: Exchange) => Promise<void>;
 type CallerRoute = (call: RouteCall) => RouteOutcome;
 
-/** Splits `ip:port`. */
-function splitAddress(address: string): {host: string; port: number} {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  return {host, port: Number(address.slice(colon + 1))};
-}
-
 export function createHttpFront(
   host: FrontHost,
   options: HttpFrontOptions = {},
@@ -285,16 +279,7 @@
 
   return {
     server,
-    listen(address) {
-      const {host: ip, port} = splitAddress(address);
-      return new Promise((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(port, ip, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      });
-    },
+    listen: address => listenOn(server, address),
     close() {
       return new Promise(resolve => {
         server.close(() => resolve());
--- a/src/ports/table.ts
+++ b/src/ports/table.ts
@@ -117,6 +117,8 @@
   readonly role: 'router' | 'engine' | 'plain-service';
   /** For upstreams: the service it belongs to. */
   readonly service?: string;
+  /** For engines: the role, as the list shows it. */
+  readonly engineRole?: 'prefill' | 'decode';
   readonly state: 'live' | 'leaving';
 }
 
