Measure scheduling in virtual time; mend slow-engine detection

Change: npm run bench -- policy drives the real dispatcher against engine fakes with seeded arrivals, baselines and faults; a closed book is asserted. Ejected engines are tried again by single requests and outliers no longer teach the pool's models.

--- /dev/null
+++ b/bench/policy.ts
@@ -0,0 +1,52 @@
+/**
+ * `npm run bench -- policy [--seeds N] [--quick] [--plots FOLDER]`: measures
+ * scheduling in virtual time against small engine fakes.
+ */
+
+import {parseArgs} from 'node:util';
+import {bestSplit, splits} from './policy/capacity_bound.js';
+import {runBars, runFaultBars} from './policy/bars.js';
+import {runIdeas} from './policy/ideas.js';
+import {SHAPES} from './policy/workload.js';
+
+const DEFAULT_SEEDS = 10;
+
+function printSplits(): void {
+  for (const shape of Object.values(SHAPES)) {
+    const best = bestSplit(shape);
+    console.log(
+      `\n${shape.name}: requests/s that ${shape.engines} engines carry`,
+    );
+    console.log('prefill+decode  by prefill  by slots  by memory  by links');
+    for (const split of splits(shape)) {
+      if (Math.abs(split.prefillEngines - best.prefillEngines) > 2) continue;
+      const mark = split.prefillEngines === best.prefillEngines ? ' <' : '';
+      console.log(
+        `${split.prefillEngines}+${split.decodeEngines}`.padEnd(16) +
+          [split.byPrefill, split.bySlots, split.byMemory, split.byLinks]
+            .map(each => each.toFixed(1).padStart(9))
+            .join(' ') +
+          mark,
+      );
+    }
+  }
+}
+
+/** Parts of the bench by name. */
+const parts: Readonly<Record<string, (seeds: number) => void>> = {
+  splits: printSplits,
+  bars: runBars,
+  ideas: runIdeas,
+  faults: runFaultBars,
+};
+
+export async function run(args: readonly string[]): Promise<void> {
+  const {values, positionals} = parseArgs({
+    args: [...args],
+    allowPositionals: true,
+    options: {seeds: {type: 'string'}},
+  });
+  const seeds = Number(values.seeds ?? DEFAULT_SEEDS);
+  const wanted = positionals.length > 0 ? positionals : Object.keys(parts);
+  for (const name of wanted) parts[name](seeds);
+}
--- /dev/null
+++ b/bench/policy/bars.ts
@@ -0,0 +1,213 @@
+/** The bars of the policy: load without faults, and each fault's shape. */
+
+import {
+  domainLost,
+  engineDeaths,
+  FAULT_FROM_MS,
+  FAULT_UNTIL_MS,
+  NO_FAULT,
+  slowEngine,
+  type FaultPlan,
+} from './faults.js';
+import type {RunResult} from './metrics.js';
+import {BASELINES, WHOLE, type SchedulerFactory} from './scheduler.js';
+import {DEFAULT_PLAN, runOnce, type RunPlan} from './simulation.js';
+import {percent, printHeader, printRow} from './table.js';
+import {SHAPES, type Shape} from './workload.js';
+
+const LOADS = [0.9, 1.3, 2.0] as const;
+const FIRST_SEED = 100;
+
+export function runSeeds(
+  shape: Shape,
+  factory: SchedulerFactory,
+  seeds: number,
+  changes: Partial<RunPlan>,
+): readonly RunResult[] {
+  const results: RunResult[] = [];
+  for (let i = 0; i < seeds; i++) {
+    const plan: RunPlan = {
+      ...DEFAULT_PLAN,
+      shape,
+      seed: FIRST_SEED + i,
+      load: 1,
+      faults: NO_FAULT,
+      ...changes,
+    };
+    results.push(runOnce(plan, factory));
+  }
+  assertClosed(results);
+  return results;
+}
+
+/** A request in no queue, with no grant and no answer is a fault of ours. */
+function assertClosed(results: readonly RunResult[]): void {
+  for (const result of results) {
+    if (result.lost !== 0 || result.openBooks !== 0) {
+      throw new Error(
+        `Closed book broken: ${result.lost} requests lost, ` +
+          `${result.openBooks} engines with open books.`,
+      );
+    }
+  }
+}
+
+interface Verdict {
+  readonly name: string;
+  readonly isMet: boolean;
+  readonly figure: string;
+}
+
+function printVerdicts(verdicts: readonly Verdict[]): void {
+  for (const verdict of verdicts) {
+    const mark = verdict.isMet ? 'met ' : 'MISSED';
+    console.log(`  ${mark} ${verdict.name}: ${verdict.figure}`);
+  }
+}
+
+function atLeast(
+  name: string,
+  runs: readonly RunResult[],
+  share: number,
+): Verdict {
+  const worst = Math.min(...runs.map(run => run.goodShare));
+  return {
+    name: `${name} goodput at least ${percent(share)} of the bound, each seed`,
+    isMet: worst >= share,
+    figure: `worst seed ${percent(worst)}`,
+  };
+}
+
+function wasteAtMost(
+  name: string,
+  runs: readonly RunResult[],
+  share: number,
+): Verdict {
+  const worst = Math.max(...runs.map(run => run.wastedShare));
+  const total =
+    runs.reduce((sum, run) => sum + run.wastedPrefills, 0) /
+    runs.reduce((sum, run) => sum + run.prefills, 0);
+  return {
+    name: `${name} wasted prefills at most ${percent(share)}`,
+    isMet: total <= share,
+    figure: `all seeds ${percent(total)}, worst seed ${percent(worst)}`,
+  };
+}
+
+/** Goodput at the three loads, against the baselines on the same seeds. */
+export function runBars(seeds: number): void {
+  for (const shape of Object.values(SHAPES)) {
+    const verdicts: Verdict[] = [];
+    for (const load of LOADS) {
+      printHeader(`${shape.name} at ${load} of capacity, ${seeds} seeds`);
+      const whole = runSeeds(shape, WHOLE, seeds, {load});
+      printRow('corianderbend', whole);
+      verdicts.push(atLeast(`${load}`, whole, load < 1 ? 0.95 : 0.9));
+      if (load === 1.3) verdicts.push(wasteAtMost('1.3', whole, 0.01));
+      for (const [name, factory] of BASELINES) {
+        const runs = runSeeds(shape, factory, seeds, {load});
+        printRow(name, runs);
+        if (load < 1) continue;
+        const beaten = runs.filter((run, i) => whole[i].good > run.good);
+        verdicts.push({
+          name: `${load} better than ${name} on each seed`,
+          isMet: beaten.length === runs.length,
+          figure: `${beaten.length} of ${runs.length} seeds`,
+        });
+      }
+    }
+    console.log(`\n${shape.name}`);
+    printVerdicts(verdicts);
+  }
+}
+
+const SETTLE_MS = 5_000;
+
+/** Goodput against the bound in the part of the run the fault concerns. */
+function windowShare(run: RunResult, fromMs: number, untilMs: number): number {
+  let good = 0;
+  let offered = 0;
+  let capacity = 0;
+  const first = Math.ceil(fromMs / 1_000);
+  const last = Math.floor(untilMs / 1_000);
+  for (let second = first; second < last; second++) {
+    good += run.goodBySecond[second];
+    offered += run.offeredBySecond[second];
+    capacity += run.capacityBySecond[second];
+  }
+  return good / Math.min(offered, capacity);
+}
+
+interface FaultCase {
+  readonly name: string;
+  readonly changes: Partial<RunPlan>;
+}
+
+function faultCases(shape: Shape): readonly FaultCase[] {
+  const [domain] = shape.domains.slice(-1);
+  const fault = (name: string, faults: FaultPlan) => ({
+    name,
+    changes: {faults},
+  });
+  return [
+    {name: 'reports 0.1 s late', changes: {reportLagMs: 100}},
+    {name: 'reports 1 s late', changes: {reportLagMs: 1_000}},
+    {name: 'reports 5 s late', changes: {reportLagMs: 5_000}},
+    {name: '30% events lost', changes: {cacheLossShare: 0.3}},
+    fault('decode 5x slow', slowEngine('decode', 5)),
+    fault('prefill 5x slow', slowEngine('prefill', 5)),
+    fault('domain lost', domainLost(domain)),
+  ];
+}
+
+const FAULT_LOADS = [0.9, 1.3] as const;
+const DEATH_EVERY_MS = 10_000;
+const CANCEL_SHARE = 0.05;
+
+/** Each fault's shape: goodput from 5 s after it, and after its end. */
+export function runFaultBars(seeds: number): void {
+  for (const shape of Object.values(SHAPES)) {
+    const verdicts: Verdict[] = [];
+    for (const load of FAULT_LOADS) {
+      printHeader(`${shape.name} at ${load} with faults, ${seeds} seeds`);
+      for (const each of faultCases(shape)) {
+        const runs = runSeeds(shape, WHOLE, seeds, {load, ...each.changes});
+        printRow(each.name, runs);
+        const during = runs.map(run =>
+          windowShare(run, FAULT_FROM_MS + SETTLE_MS, FAULT_UNTIL_MS),
+        );
+        const after = runs.map(run =>
+          windowShare(
+            run,
+            FAULT_UNTIL_MS + SETTLE_MS,
+            DEFAULT_PLAN.warmUpMs + DEFAULT_PLAN.durationMs,
+          ),
+        );
+        const mean = (all: readonly number[]) =>
+          all.reduce((a, b) => a + b, 0) / all.length;
+        verdicts.push({
+          name: `${load} ${each.name}: at least 85% within 5 s`,
+          isMet: mean(during) >= 0.85 && mean(after) >= 0.85,
+          figure:
+            `during ${percent(mean(during))} (worst ${percent(Math.min(...during))}), ` +
+            `after ${percent(mean(after))} (worst ${percent(Math.min(...after))})`,
+        });
+      }
+    }
+    const untilMs = DEFAULT_PLAN.warmUpMs + DEFAULT_PLAN.durationMs;
+    const changes = {
+      load: 1.3,
+      cancelShare: CANCEL_SHARE,
+      faults: engineDeaths(DEATH_EVERY_MS, untilMs),
+    };
+    printHeader(`${shape.name} at 1.3, a death each 10 s and 5% cancels`);
+    const whole = runSeeds(shape, WHOLE, seeds, changes);
+    printRow('corianderbend', whole);
+    verdicts.push(wasteAtMost('deaths and cancels:', whole, 0.03));
+    for (const [name, factory] of BASELINES) {
+      printRow(name, runSeeds(shape, factory, seeds, changes));
+    }
+    console.log(`\n${shape.name}`);
+    printVerdicts(verdicts);
+  }
+}
--- /dev/null
+++ b/bench/policy/capacity_bound.ts
@@ -0,0 +1,121 @@
+/**
+ * What the engines could do at most, computed from means: the bound that
+ * goodput is compared with, and the split into prefill and decode engines.
+ */
+
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import {ENGINE} from './engine_fakes.js';
+import {drawAnswerTokens, drawPromptTokens, type Shape} from './workload.js';
+
+export interface Capacity {
+  readonly prefillEngines: number;
+  readonly decodeEngines: number;
+  /** Memory of one decode engine: about twenty requests, nearly full. */
+  readonly decodeKvBytes: number;
+  /** Requests each second that each resource could carry. */
+  readonly byPrefill: number;
+  readonly bySlots: number;
+  readonly byMemory: number;
+  readonly byLinks: number;
+  /** The least of them. */
+  readonly ratePerSecond: number;
+}
+
+const SAMPLES = 200_000;
+const SAMPLE_SEED = 4711;
+/** Memory over that of twenty mean requests. */
+const MEMORY_FACTOR = 1.2;
+const MS_PER_SECOND = 1_000;
+
+interface Means {
+  readonly prefillMs: number;
+  readonly holdMs: number;
+  readonly kvBytes: number;
+  /** Memory times the time it is held. */
+  readonly kvBytesMs: number;
+  readonly promptKvBytes: number;
+}
+
+/** Step time of a full batch: the pace at which capacity is counted. */
+const FULL_STEP_MS =
+  ENGINE.stepBaseMs + ENGINE.stepPerRequestMs * ENGINE.decodeSlots;
+
+function measureMeans(shape: Shape): Means {
+  const random = createSeededRandom(SAMPLE_SEED);
+  let prefillMs = 0;
+  let holdMs = 0;
+  let kvBytes = 0;
+  let kvBytesMs = 0;
+  let promptKvBytes = 0;
+  for (let i = 0; i < SAMPLES; i++) {
+    const prompt = drawPromptTokens(shape, random);
+    const answer = drawAnswerTokens(shape, random);
+    const promptBytes = prompt * ENGINE.kvBytesPerToken;
+    const transferMs = promptBytes / ENGINE.linkBytesPerMs;
+    const held = transferMs + answer * FULL_STEP_MS;
+    const bytes = (prompt + shape.maxTokens) * ENGINE.kvBytesPerToken;
+    prefillMs += ENGINE.prefillOverheadMs + prompt / ENGINE.prefillTokensPerMs;
+    holdMs += held;
+    kvBytes += bytes;
+    kvBytesMs += bytes * held;
+    promptKvBytes += promptBytes;
+  }
+  return {
+    prefillMs: prefillMs / SAMPLES,
+    holdMs: holdMs / SAMPLES,
+    kvBytes: kvBytes / SAMPLES,
+    kvBytesMs: kvBytesMs / SAMPLES,
+    promptKvBytes: promptKvBytes / SAMPLES,
+  };
+}
+
+function capacityOf(
+  means: Means,
+  prefillEngines: number,
+  decodeEngines: number,
+): Capacity {
+  const decodeKvBytes = ENGINE.decodeSlots * means.kvBytes * MEMORY_FACTOR;
+  const byPrefill = (prefillEngines * MS_PER_SECOND) / means.prefillMs;
+  const bySlots =
+    (decodeEngines * ENGINE.decodeSlots * MS_PER_SECOND) / means.holdMs;
+  const byMemory =
+    (decodeEngines * decodeKvBytes * MS_PER_SECOND) / means.kvBytesMs;
+  const byLinks =
+    (Math.min(prefillEngines, decodeEngines) *
+      ENGINE.linkBytesPerMs *
+      MS_PER_SECOND) /
+    means.promptKvBytes;
+  return {
+    prefillEngines,
+    decodeEngines,
+    decodeKvBytes,
+    byPrefill,
+    bySlots,
+    byMemory,
+    byLinks,
+    ratePerSecond: Math.min(byPrefill, bySlots, byMemory, byLinks),
+  };
+}
+
+/** All splits of the shape's engines, in order of prefill engines. */
+export function splits(shape: Shape): readonly Capacity[] {
+  const means = measureMeans(shape);
+  const result: Capacity[] = [];
+  for (let prefill = 1; prefill < shape.engines; prefill++) {
+    result.push(capacityOf(means, prefill, shape.engines - prefill));
+  }
+  return result;
+}
+
+const bestByName = new Map<string, Capacity>();
+
+export function bestSplit(shape: Shape): Capacity {
+  let best = bestByName.get(shape.name);
+  if (!best) {
+    best = splits(shape).reduce((a, b) =>
+      b.ratePerSecond > a.ratePerSecond ? b : a,
+    );
+    bestByName.set(shape.name, best);
+  }
+  return best;
+}
--- a/src/core/scheduling/engine_health.ts
+++ b/src/core/scheduling/engine_health.ts
@@ -1,7 +1,8 @@
 /**
  * Which engines to trust: ejects those that fail or are much slower than
- * their pool without saying so, lets cold and returned ones in by a ramp,
- * and never ejects so many that a bad signal could empty a pool.
+ * their pool without saying so, tries them again with single requests, lets
+ * them and cold ones in by a ramp, and never ejects so many that a bad signal
+ * could empty a pool.
  */
 
 export interface HealthOptions {
@@ -10,7 +11,11 @@
   /** Samples before slowness counts. */
   readonly minSamples: number;
   readonly failuresToEject: number;
+  /** First ejection; each in a row doubles it up to the most. */
   readonly ejectMs: number;
+  readonly mostEjectMs: number;
+  /** Between two single requests to an engine that is tried again. */
+  readonly tryEveryMs: number;
   /** Time from first use to full share. */
   readonly rampMs: number;
   /** At least this share of a pool stays in use. */
@@ -21,24 +26,29 @@
   slowFactor: 2,
   minSamples: 3,
   failuresToEject: 3,
-  ejectMs: 10_000,
+  ejectMs: 1_500,
+  mostEjectMs: 3_000,
+  tryEveryMs: 2_000,
   rampMs: 3_000,
   floorShare: 0.5,
 };
 
 const SMOOTHING = 0.4;
-/** Share of its slots that a cold engine gets at once. */
+/** Share of its capacity that a cold engine gets at once. */
 const RAMP_START = 0.25;
-const MAX_EJECT_FACTOR = 6;
 
 interface EngineRecord {
   readonly pool: string;
+  /** Start of the ramp. */
   admittedAtMs: number;
   slowness: number;
   samples: number;
   failures: number;
   ejectedUntilMs: number;
-  ejections: number;
+  nextEjectMs: number;
+  /** Ejected before and not proven good since. */
+  isOnTrial: boolean;
+  lastTryMs: number;
 }
 
 export interface EngineHealth {
@@ -47,8 +57,12 @@
   /** `cost` is a time per unit of work, comparable within the pool. */
   sample(engineId: string, cost: number, nowMs: number): void;
   failure(engineId: string, nowMs: number): void;
-  success(engineId: string): void;
+  success(engineId: string, nowMs: number): void;
   isUsable(engineId: string, nowMs: number): boolean;
+  /** True while its samples say nothing about the pool as a whole. */
+  isOutlier(engineId: string): boolean;
+  /** Notes that the engine got a request; it matters while on trial. */
+  noteUse(engineId: string, nowMs: number): void;
   /** Share of its capacity that the engine may use now, 0 to 1. */
   share(engineId: string, nowMs: number): number;
   ejectedCount(nowMs: number): number;
@@ -57,18 +71,23 @@
 export function createEngineHealth(options: HealthOptions): EngineHealth {
   const records = new Map<string, EngineRecord>();
 
-  function medianSlowness(pool: string, except: EngineRecord): number {
+  /** 0 when nothing is known of the others. */
+  function medianSlowness(except: EngineRecord): number {
     const known: number[] = [];
     for (const record of records.values()) {
-      if (record.pool === pool && record !== except && record.samples > 0) {
-        known.push(record.slowness);
-      }
+      const isPeer = record.pool === except.pool && record !== except;
+      if (isPeer && record.samples > 0) known.push(record.slowness);
     }
     if (known.length === 0) return 0;
     known.sort((a, b) => a - b);
     return known[(known.length - 1) >> 1];
   }
 
+  function isSlow(record: EngineRecord): boolean {
+    const median = medianSlowness(record);
+    return median > 0 && record.slowness > options.slowFactor * median;
+  }
+
   /** True unless the pool would fall below its floor. */
   function mayEject(pool: string, nowMs: number): boolean {
     let total = 0;
@@ -84,11 +103,19 @@
   function eject(record: EngineRecord, nowMs: number): void {
     if (record.ejectedUntilMs > nowMs) return;
     if (!mayEject(record.pool, nowMs)) return;
-    record.ejections = Math.min(MAX_EJECT_FACTOR, record.ejections + 1);
-    record.ejectedUntilMs = nowMs + options.ejectMs * record.ejections;
-    record.admittedAtMs = record.ejectedUntilMs;
+    record.ejectedUntilMs = nowMs + record.nextEjectMs;
+    record.nextEjectMs = Math.min(options.mostEjectMs, record.nextEjectMs * 2);
     record.failures = 0;
     record.samples = 0;
+    record.isOnTrial = true;
+    record.lastTryMs = Number.NEGATIVE_INFINITY;
+  }
+
+  function admit(record: EngineRecord, nowMs: number): void {
+    if (!record.isOnTrial || record.ejectedUntilMs > nowMs) return;
+    record.isOnTrial = false;
+    record.admittedAtMs = nowMs;
+    record.nextEjectMs = options.ejectMs;
   }
 
   return {
@@ -100,7 +127,9 @@
         samples: 0,
         failures: 0,
         ejectedUntilMs: 0,
-        ejections: 0,
+        nextEjectMs: options.ejectMs,
+        isOnTrial: false,
+        lastTryMs: Number.NEGATIVE_INFINITY,
       });
     },
     remove(engineId) {
@@ -108,38 +137,50 @@
     },
     sample(engineId, cost, nowMs) {
       const record = records.get(engineId);
-      if (!record) return;
+      // What an ejected engine still runs was given to it before.
+      if (!record || record.ejectedUntilMs > nowMs) return;
       record.slowness =
         record.samples === 0
           ? cost
           : record.slowness + SMOOTHING * (cost - record.slowness);
       record.samples++;
-      if (record.samples < options.minSamples) return;
-      const median = medianSlowness(record.pool, record);
-      const isSlow =
-        median > 0 && record.slowness > options.slowFactor * median;
-      if (isSlow) eject(record, nowMs);
-      else if (record.ejections > 0 && record.ejectedUntilMs <= nowMs) {
-        record.ejections -= SMOOTHING * record.ejections;
-      }
+      const needed = record.isOnTrial ? 1 : options.minSamples;
+      if (record.samples < needed) return;
+      if (isSlow(record)) eject(record, nowMs);
+      else admit(record, nowMs);
     },
     failure(engineId, nowMs) {
       const record = records.get(engineId);
       if (!record) return;
       record.failures++;
-      if (record.failures >= options.failuresToEject) eject(record, nowMs);
+      const needed = record.isOnTrial ? 1 : options.failuresToEject;
+      if (record.failures >= needed) eject(record, nowMs);
     },
-    success(engineId) {
+    success(engineId, nowMs) {
       const record = records.get(engineId);
-      if (record) record.failures = 0;
+      if (!record) return;
+      record.failures = 0;
+      if (!isSlow(record)) admit(record, nowMs);
     },
     isUsable(engineId, nowMs) {
       const record = records.get(engineId);
       return record !== undefined && record.ejectedUntilMs <= nowMs;
     },
+    isOutlier(engineId) {
+      const record = records.get(engineId);
+      return record !== undefined && (record.isOnTrial || isSlow(record));
+    },
+    noteUse(engineId, nowMs) {
+      const record = records.get(engineId);
+      if (record) record.lastTryMs = nowMs;
+    },
     share(engineId, nowMs) {
       const record = records.get(engineId);
       if (!record || record.ejectedUntilMs > nowMs) return 0;
+      if (record.isOnTrial) {
+        const mayTry = nowMs - record.lastTryMs >= options.tryEveryMs;
+        return mayTry ? RAMP_START : 0;
+      }
       const ageMs = nowMs - record.admittedAtMs;
       if (ageMs >= options.rampMs) return 1;
       return RAMP_START + (1 - RAMP_START) * (ageMs / options.rampMs);
--- a/src/core/scheduling/wait_queue.ts
+++ b/src/core/scheduling/wait_queue.ts
@@ -1,13 +1,13 @@
 /**
- * Requests waiting for a grant, by the time at which each must start at the
- * latest, with running sums of the work that is due before a given time.
+ * Requests waiting for a grant in order of urgency, with running sums of the
+ * work that goes before a given place.
  */
 
 /** What the queue needs to know of a waiting request. */
 export interface QueueItem {
   readonly account: string;
-  /** Later than this the first token would be late. */
-  readonly latestStartMs: number;
+  /** Smaller goes first: the latest start, or the arrival. */
+  readonly orderMs: number;
   readonly prefillMs: number;
   readonly kvBytes: number;
 }
@@ -24,8 +24,8 @@
   remove(item: T): boolean;
   size(): number;
   at(index: number): T;
-  /** What must start no later than `latestStartMs`. */
-  workBefore(latestStartMs: number): WorkAhead;
+  /** What goes before, or with, `orderMs`. */
+  workBefore(orderMs: number): WorkAhead;
   /** Waiting requests of one account, in order of arrival. */
   ofAccount(account: string): readonly T[];
   accounts(): IterableIterator<string>;
@@ -77,20 +77,20 @@
   const kvs = createBinSums();
   const binOf = new Map<T, number>();
 
-  /** Index of the first item due later than `latestStartMs`. */
-  function upperBound(latestStartMs: number): number {
+  /** Index of the first item that goes after `orderMs`. */
+  function upperBound(orderMs: number): number {
     let low = 0;
     let high = order.length;
     while (low < high) {
       const middle = (low + high) >> 1;
-      if (order[middle].latestStartMs <= latestStartMs) low = middle + 1;
+      if (order[middle].orderMs <= orderMs) low = middle + 1;
       else high = middle;
     }
     return low;
   }
 
-  function binFor(latestStartMs: number): number {
-    return Math.max(0, Math.floor(latestStartMs / BIN_MS));
+  function binFor(orderMs: number): number {
+    return Math.max(0, Math.floor(orderMs / BIN_MS));
   }
 
   function addSums(item: T, bin: number, sign: 1 | -1): void {
@@ -101,8 +101,8 @@
 
   return {
     add(item) {
-      order.splice(upperBound(item.latestStartMs), 0, item);
-      const bin = binFor(item.latestStartMs) % BINS;
+      order.splice(upperBound(item.orderMs), 0, item);
+      const bin = binFor(item.orderMs) % BINS;
       binOf.set(item, bin);
       addSums(item, bin, 1);
       const own = byAccount.get(item.account);
@@ -114,7 +114,7 @@
       if (bin === undefined) return false;
       binOf.delete(item);
       addSums(item, bin, -1);
-      let index = upperBound(item.latestStartMs) - 1;
+      let index = upperBound(item.orderMs) - 1;
       while (order[index] !== item) index--;
       order.splice(index, 1);
       const own = byAccount.get(item.account)!;
@@ -124,10 +124,10 @@
     },
     size: () => order.length,
     at: index => order[index],
-    workBefore(latestStartMs) {
+    workBefore(orderMs) {
       if (order.length === 0) return {count: 0, prefillMs: 0, kvBytes: 0};
-      const first = binFor(order[0].latestStartMs);
-      const last = Math.min(binFor(latestStartMs), first + BINS - 1);
+      const first = binFor(order[0].orderMs);
+      const last = Math.min(binFor(orderMs), first + BINS - 1);
       return {
         count: Math.round(counts.between(first, last)),
         prefillMs: Math.max(0, prefills.between(first, last)),
--- a/src/scheduling/dispatcher.ts
+++ b/src/scheduling/dispatcher.ts
@@ -150,6 +150,7 @@
 /** A waiting request is dropped once its forecast is late by this much. */
 const DROP_LATE_SHARE = 0.25;
 const FORECAST_HORIZON_MS = 500;
+const PACE_SMOOTHING = 0.2;
 const PACE_HIGH = 0.98;
 const PACE_LOW = 0.85;
 const PACE_STEP_MS = 500;
@@ -158,7 +159,9 @@
   readonly request: GrantRequest;
   readonly account: string;
   readonly reply: GrantReply;
+  /** Later than this the first token, or the whole, would be late. */
   readonly latestStartMs: number;
+  readonly orderMs: number;
   readonly prefillMs: number;
   readonly kvBytes: number;
   readonly promptKvBytes: number;
@@ -240,14 +243,16 @@
     const queueMs =
       slackMs > 0 ? slackMs : request.ttftLeftMs * LONG_PROMPT_QUEUE_SHARE;
     const wholeMs = request.waitLeftMs - ownMs - answerMs;
+    const isDropped = policy.refuseEarly || policy.order === 'deadline';
+    const latestStartMs = isDropped
+      ? nowMs + Math.min(queueMs, wholeMs)
+      : nowMs + request.waitLeftMs;
     return {
       request,
       account: request.account,
       reply,
-      latestStartMs:
-        policy.order === 'deadline' || policy.refuseEarly
-          ? nowMs + Math.min(queueMs, wholeMs)
-          : nowMs + request.waitLeftMs,
+      latestStartMs,
+      orderMs: policy.order === 'deadline' ? latestStartMs : nowMs,
       prefillMs,
       kvBytes: Math.min(wantedKv, largest),
       promptKvBytes,
@@ -311,6 +316,8 @@
     decode.book.reserve(grantId, waiting.kvBytes, nowMs);
     bookLinks(grantId, prefill, decode, placement);
     shares.charge(request.account, costMs(waiting), nowMs);
+    noteUse(prefill);
+    noteUse(decode);
     ledger.add({
       grant,
       request,
@@ -332,6 +339,14 @@
     waiting.reply(grant);
   }
 
+  /** An engine that is tried again gets no second request at once. */
+  function noteUse(engine: PoolEngine): void {
+    const nowMs = clock.nowMs();
+    const {engineId} = engine.description;
+    health.noteUse(engineId, nowMs);
+    if (policy.watchHealth) engine.share = health.share(engineId, nowMs);
+  }
+
   function bookLinks(
     grantId: string,
     prefill: PoolEngine,
@@ -452,7 +467,7 @@
       dropWaiting(victim, 'queue-full', model.meanHoldMs());
     }
     if (policy.refuseEarly && !isRebuilding()) {
-      const lateMs = lateMsOf(waiting, queue.workBefore(waiting.latestStartMs));
+      const lateMs = lateMsOf(waiting, queue.workBefore(waiting.orderMs));
       if (lateMs > 0) {
         const victim = policy.isFair
           ? findDisplaceable(waiting.account)
@@ -567,13 +582,11 @@
     const sampleMs = isWarm
       ? Math.min(tookMs, expectedMs * MAX_PREFILL_SAMPLE_FACTOR)
       : tookMs;
+    const ratio = tookMs / Math.max(1, expectedMs);
+    const {engineId} = engine.description;
+    if (isWarm) health.sample(engineId, ratio, clock.nowMs());
+    if (health.isOutlier(engineId)) return;
     model.prefill.learn(Math.max(1, tokens), sampleMs);
-    if (!policy.watchHealth || !isWarm) return;
-    health.sample(
-      engine.description.engineId,
-      tookMs / Math.max(1, expectedMs),
-      clock.nowMs(),
-    );
   }
 
   function noteTokens(held: HeldGrant, tokensDelivered: number): void {
@@ -582,14 +595,14 @@
     const engine = held.decode;
     if (tokens >= MIN_TOKENS_FOR_PACE && engine && held.phase === 'decoding') {
       const intervalMs = (nowMs - held.tokensAtMs) / tokens;
-      model.learnInterval(intervalMs);
+      const {engineId} = engine.description;
+      health.sample(engineId, intervalMs, nowMs);
+      if (!health.isOutlier(engineId)) model.learnInterval(intervalMs);
       engine.intervalMs =
         engine.intervalMs === 0
           ? intervalMs
-          : engine.intervalMs + 0.2 * (intervalMs - engine.intervalMs);
-      if (policy.watchHealth) {
-        health.sample(engine.description.engineId, intervalMs, nowMs);
-      }
+          : engine.intervalMs +
+            PACE_SMOOTHING * (intervalMs - engine.intervalMs);
     }
     if (tokens > 0 || held.phase !== 'decoding') {
       held.tokensDelivered = Math.max(held.tokensDelivered, tokensDelivered);
@@ -607,11 +620,15 @@
     noteTokens(held, progress.tokensDelivered);
     if (progress.result === 'whole') {
       model.lengths(held.request.requestClass).record(progress.tokensDelivered);
-      model.noteHold(nowMs - held.grantedAtMs);
-      if (held.prefill) health.success(held.prefill.description.engineId);
-      if (held.decode) health.success(held.decode.description.engineId);
+      const decodeId = held.decode?.description.engineId;
+      if (decodeId === undefined || !health.isOutlier(decodeId)) {
+        model.noteHold(nowMs - held.grantedAtMs);
+      }
+      if (held.prefill)
+        health.success(held.prefill.description.engineId, nowMs);
+      if (held.decode) health.success(held.decode.description.engineId, nowMs);
     }
-    if (progress.failedEngineId && policy.watchHealth) {
+    if (progress.failedEngineId) {
       health.failure(progress.failedEngineId, nowMs);
       refreshLimits();
     }
--- a/src/scheduling/plain_balancer.ts
+++ b/src/scheduling/plain_balancer.ts
@@ -147,7 +147,7 @@
       const nowMs = clock.nowMs();
       state.latencyMs += SMOOTHING * (latencyMs - state.latencyMs);
       if (result === 'ok') {
-        pool.health.success(upstreamId);
+        pool.health.success(upstreamId, nowMs);
         pool.health.sample(upstreamId, latencyMs + SLOWNESS_GRAIN_MS, nowMs);
       } else {
         pool.health.failure(upstreamId, nowMs);
