--- /dev/null
+++ b/src/adapters/udp_datagram.ts
@@ -0,0 +1,46 @@
+/** Datagrams over UDP. */
+
+import {createSocket} from 'node:dgram';
+import type {DatagramPort} from '../ports/datagram.js';
+
+function splitAddress(address: string): {ip: string; port: number} {
+  const colon = address.lastIndexOf(':');
+  const ip = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return {ip, port: Number(address.slice(colon + 1))};
+}
+
+/** Binds `address` (`ip:port`); rejects when that is not possible. */
+export async function createUdpDatagramPort(
+  address: string,
+  onError: (error: Error) => void,
+): Promise<DatagramPort> {
+  const {ip, port} = splitAddress(address);
+  const socket = createSocket(ip.includes(':') ? 'udp6' : 'udp4');
+  await new Promise<void>((resolve, reject) => {
+    socket.once('error', reject);
+    socket.bind(port, ip, () => {
+      socket.off('error', reject);
+      resolve();
+    });
+  });
+  socket.on('error', onError);
+  let isClosed = false;
+  return {
+    send(toAddress, payload) {
+      if (isClosed) return;
+      const to = splitAddress(toAddress);
+      // An unreachable host shows as a probe without an answer.
+      socket.send(payload, to.port, to.ip, () => undefined);
+    },
+    onReceive(handler) {
+      socket.on('message', (payload, from) =>
+        handler(`${from.address}:${from.port}`, payload),
+      );
+    },
+    close() {
+      if (isClosed) return;
+      isClosed = true;
+      socket.close();
+    },
+  };
+}
