--- a/src/coordination/facts.ts
+++ b/src/coordination/facts.ts
@@ -61,7 +61,11 @@
 const MAX_BODY_BYTES = 256;
 const MAX_TTL_MS = 3_600_000;
 
-export function createFactSpread(clock: Clock): FactSpread {
+/** `onOwnNews` is called when a relayed fact of this host is new to it. */
+export function createFactSpread(
+  clock: Clock,
+  onOwnNews: () => void,
+): FactSpread {
   const own = new Map<string, SentFact>();
   const heard = new Map<string, StoredFact>();
   const relays = createGossipQueue<string>();
@@ -128,7 +132,9 @@
       const fact = {key, version, body, ttlMs, isRelayed};
       own.set(key, fact);
       const isNews = store(fact, '');
-      if (isNews && isRelayed) relays.add(key, key, getFactSizeBytes(fact));
+      if (!isNews || !isRelayed) return;
+      relays.add(key, key, getFactSizeBytes(fact));
+      onOwnNews();
     },
     withdraw(key) {
       own.delete(key);
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -89,6 +89,8 @@
 const MAX_PAGE_BYTES = 1_000;
 const MEMBERS_PER_BUCKET = 8;
 const FAREWELL_FANOUT = 24;
+/** Members told at once of a new fact to be relayed. */
+const NEWS_FANOUT = 8;
 const RELAY_MEMORY = 256;
 const PAGE_INTERVAL_MS = 100;
 const PAGE_TIMEOUT_MS = 500;
@@ -121,7 +123,7 @@
     refutation: 0,
     state: 'alive',
   });
-  const facts = createFactSpread(clock);
+  const facts = createFactSpread(clock, () => announce(NEWS_FANOUT));
   /** Changes of state go before joins, which the host list shows as well. */
   const stateNews = createGossipQueue<string>();
   const joinNews = createGossipQueue<string>();
@@ -386,11 +388,11 @@
   }
 
   /** Tells some members at once what all will hear. */
-  function announce(): void {
+  function announce(fanout: number): void {
     const others = rotate(members.running()).filter(
       member => member.hostId !== options.hostId,
     );
-    for (const member of others.slice(0, FAREWELL_FANOUT)) {
+    for (const member of others.slice(0, fanout)) {
       send(member.address, 'ping', {});
     }
   }
@@ -434,12 +436,12 @@
     facts,
     leave() {
       members.setSelfState('leaving');
-      announce();
+      announce(FAREWELL_FANOUT);
     },
     stop() {
       if (members.self().state === 'leaving') {
         members.setSelfState('left');
-        announce();
+        announce(FAREWELL_FANOUT);
       }
       isStopped = true;
       detector.stop();
