--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,27 @@
+/** The table of commands, in the order that help shows. */
+
+import type {Command} from './command.js';
+import {configCheck, configRender} from './commands/config_commands.js';
+import {bench, showVersion} from './commands/other_commands.js';
+import {drain, status} from './commands/process_commands.js';
+import {
+  configApply,
+  configHistory,
+  configRollback,
+  configShow,
+} from './commands/revision_commands.js';
+import {serve} from './commands/serve_command.js';
+
+export const commands: readonly Command[] = [
+  serve,
+  configCheck,
+  configRender,
+  configApply,
+  configShow,
+  configHistory,
+  configRollback,
+  status,
+  drain,
+  bench,
+  showVersion,
+];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,17 @@
 /** The program `corianderbend`. */
 
-import {version} from './version.js';
+import {runCommandLine} from './command_line.js';
+import {commands} from './commands.js';
+import {createProcessHost} from './process_host.js';
 
-process.stdout.write(`corianderbend ${version}\n`);
+/** A pipe that the reader closed, as in `corianderbend help | head -1`. */
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+  if (error.code !== 'EPIPE') throw error;
+  process.exit(0);
+});
+
+void runCommandLine(process.argv.slice(2), commands, createProcessHost()).then(
+  code => {
+    process.exitCode = code;
+  },
+);
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -50,7 +50,7 @@
   invalid: error(2007, 'The value is not valid: {0}'),
   nothingToRemove: error(2008, "Nothing named '{0}' is there to remove."),
   removeOutsideOverlay: error(2009, "'remove' is only for items of overlays."),
-  tooFewItems: error(2010, 'Expected at least {0} items, found {1}.'),
+  tooFewItems: error(2010, 'Too few items: expected at least {0}, found {1}.'),
   unknownSite: error(3001, "No site is named '{0}'.{1}"),
   duplicateName: error(3002, "The {0} '{1}' is defined twice."),
   unknownFailureDomain: error(
--- a/src/core/settings_yaml.ts
+++ b/src/core/settings_yaml.ts
@@ -3,6 +3,7 @@
 import {
   isAlias,
   isMap,
+  isNode,
   isScalar,
   isSeq,
   LineCounter,
@@ -16,6 +17,7 @@
   type Diagnostic,
   type SourcePosition,
 } from './diagnostics.js';
+import {findTooDeep, MAX_YAML_DEPTH} from './yaml_depth.js';
 
 /** A text and the name under which diagnostics show it. */
 export interface SourceText {
@@ -58,8 +60,6 @@
 
 /** Bounds the memory that one text can take. */
 const MAX_TEXT_CHARS = 8 * 1024 * 1024;
-/** Deeper texts could exhaust the stack of the recursive readers. */
-const MAX_DEPTH = 64;
 
 export function readLocatedYaml(source: SourceText): LocatedResult {
   const start: SourcePosition = {file: source.file, line: 1, column: 1};
@@ -68,8 +68,16 @@
       createDiagnostic(start, diagnosticMessages.yamlTooLarge, MAX_TEXT_CHARS),
     );
   }
-  const tooDeep = findTooDeep(source);
-  if (tooDeep) return failed(tooDeep);
+  const tooDeep = findTooDeep(source.text);
+  if (tooDeep) {
+    return failed(
+      createDiagnostic(
+        {file: source.file, ...tooDeep},
+        diagnosticMessages.yamlTooDeep,
+        MAX_YAML_DEPTH,
+      ),
+    );
+  }
   const lines = new LineCounter();
   const documents = parseAllDocuments(source.text, {
     lineCounter: lines,
@@ -101,45 +109,6 @@
   return {diagnostics: [diagnostic]};
 }
 
-/**
- * Refuses flow collections and indents nested past the bound before the
- * recursive parser sees them: a text of a million brackets would end the
- * process by exhausting its stack.
- */
-function findTooDeep(source: SourceText): Diagnostic | undefined {
-  let depth = 0;
-  let line = 1;
-  let lineStart = 0;
-  for (let i = 0; i < source.text.length; i++) {
-    const char = source.text[i];
-    if (char === '\n') {
-      line++;
-      lineStart = i + 1;
-    } else if (char === '[' || char === '{') {
-      depth++;
-    } else if (char === ']' || char === '}') {
-      depth = Math.max(0, depth - 1);
-    }
-    if (depth > MAX_DEPTH || isDeepBlock(source.text, i, lineStart)) {
-      return createDiagnostic(
-        {file: source.file, line, column: i - lineStart + 1},
-        diagnosticMessages.yamlTooDeep,
-        MAX_DEPTH,
-      );
-    }
-  }
-  return undefined;
-}
-
-/** True past the bound of `- - - -` and of `? ? ? ?` on one line. */
-function isDeepBlock(text: string, index: number, lineStart: number): boolean {
-  const columns = index - lineStart;
-  return (
-    columns === 4 * MAX_DEPTH &&
-    /^[\s?:-]*$/.test(text.slice(lineStart, index + 1))
-  );
-}
-
 function convertDocument(
   document: Document.Parsed,
   locate: (offset: number) => SourcePosition,
@@ -186,17 +155,16 @@
   context: ConvertContext,
 ): LocatedNode {
   const position = findPosition(node, fallback, context);
+  if (isAlias(node) || (isNode(node) && node.anchor !== undefined)) {
+    context.diagnostics.push(
+      createDiagnostic(position, diagnosticMessages.yamlAlias),
+    );
+  }
   if (isMap(node)) return convertMap(node, position, context);
   if (isSeq(node)) {
     const items = node.items.map(item => convertNode(item, position, context));
     return {kind: 'list', position, items};
   }
-  if (isAlias(node) || (isScalar(node) && node.anchor !== undefined)) {
-    context.diagnostics.push(
-      createDiagnostic(position, diagnosticMessages.yamlAlias),
-    );
-    return {kind: 'scalar', position, value: null};
-  }
   return {kind: 'scalar', position, value: getScalarValue(node)};
 }
 
