--- /dev/null
+++ b/tests/settings/settings_reference_test.ts
@@ -0,0 +1,11 @@
+import path from 'node:path';
+import {test} from 'node:test';
+import {renderSettingsReference} from '../../src/core/settings_reference.js';
+import {assertSourceFile} from '../support/baseline.js';
+
+test('the settings reference is what the schema says', async () => {
+  await assertSourceFile(
+    path.join('docs', 'operators', 'settings_reference.md'),
+    renderSettingsReference(),
+  );
+});
