--- /dev/null
+++ b/src/request/journal_owner.ts
@@ -0,0 +1,396 @@
+/**
+ * The journal of one key partition, at the process that holds its lease.
+ *
+ * Gathers intents and ends into group commits, refuses quickly while the
+ * platform does not answer, and takes back intents whose askers were refused.
+ */
+
+import {
+  journalPrefix,
+  journalRowKey,
+  parseJournalRow,
+  type RowAnswer,
+} from '../core/request/journal_rows.js';
+import type {Clock, TimerHandle} from '../ports/clock.js';
+import type {
+  IntentOutcome,
+  IntentRequest,
+  JournalEnd,
+  JournalPort,
+  StoredAnswer,
+} from '../ports/journal.js';
+import type {Logger} from '../ports/log.js';
+import type {Random} from '../ports/random.js';
+import type {ObjectStorePort, TablePort} from '../ports/table.js';
+import {
+  createJournalCommitter,
+  type PartitionFence,
+  type RoundResult,
+} from './journal_committer.js';
+import type {BeginOp, EndOp, JournalOp} from './journal_ops.js';
+
+export interface JournalOwnerHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly table: TablePort;
+  readonly objectStore: ObjectStorePort;
+  /** Undefined while this process does not hold the partition's lease. */
+  fence(): PartitionFence | undefined;
+  /** False only when that incarnation of the entry is known to be gone. */
+  isEntryAlive(entry: string): boolean;
+  /** Told of each transaction, for metrics. */
+  onTransaction?(opCount: number): void;
+}
+
+export interface JournalOwnerOptions {
+  readonly partition: number;
+  /** Shortest gathering time of a group commit. */
+  readonly flushMs: number;
+  /** This partition's share of the platform's writes. */
+  readonly maxWritesPerSecond: number;
+  readonly maxBatch: number;
+  readonly maxQueued: number;
+  /** Longest time before a `begin` is refused. */
+  readonly beginTimeoutMs: number;
+  /** In trouble for this long: new intents are refused at once. */
+  readonly refuseAfterMs: number;
+  readonly readTimeoutMs: number;
+  readonly writeTimeoutMs: number;
+  /** Larger answers go to the object store. */
+  readonly maxInlineBytes: number;
+  readonly runningRetryMs: number;
+  /** Expired rows are looked for this often. */
+  readonly purgeIntervalMs: number;
+  retentionMs(service: string): number;
+}
+
+export const defaultJournalOwnerOptions: Omit<
+  JournalOwnerOptions,
+  'partition' | 'retentionMs'
+> = {
+  flushMs: 5,
+  maxWritesPerSecond: 12,
+  maxBatch: 200,
+  maxQueued: 4_000,
+  beginTimeoutMs: 1_000,
+  refuseAfterMs: 300,
+  readTimeoutMs: 400,
+  writeTimeoutMs: 400,
+  maxInlineBytes: 16_384,
+  runningRetryMs: 50,
+  purgeIntervalMs: 30_000,
+};
+
+export interface JournalOwner extends JournalPort {
+  /** Operations that wait for a transaction. */
+  queuedCount(): number;
+  /** Stops the timers; what waits is refused. */
+  close(): void;
+}
+
+const MAX_KNOWN_ROWS = 20_000;
+const RELEASED_MEMORY_MS = 60_000;
+const PURGE_PAGE = 200;
+const PLATFORM_RETRY_AFTER_MS = 1_000;
+const NOT_OWNER_RETRY_AFTER_MS = 200;
+const IN_DOUBT_PROBE_MS = 500;
+
+function refused(
+  reason: 'platform' | 'not-owner' | 'overloaded',
+  retryAfterMs: number,
+): IntentOutcome {
+  return {kind: 'refused', reason, retryAfterMs};
+}
+
+const platformRefusal = refused('platform', PLATFORM_RETRY_AFTER_MS);
+const ownerRefusal = refused('not-owner', NOT_OWNER_RETRY_AFTER_MS);
+
+export function createJournalOwner(
+  host: JournalOwnerHost,
+  options: JournalOwnerOptions,
+): JournalOwner {
+  const {clock} = host;
+  const writeIntervalMs = 1_000 / options.maxWritesPerSecond;
+  let queue: JournalOp[] = [];
+  let roundTimer: TimerHandle | undefined;
+  let isInRound = false;
+  let isClosed = false;
+  let nextWriteAtMs = 0;
+  let troubledSinceMs: number | undefined;
+  let purgeAfterKey: string | undefined;
+  /** Attempts that were set free, so that a late intent is not written. */
+  const released = new Map<string, number>();
+
+  const committer = createJournalCommitter(
+    {
+      clock,
+      random: host.random,
+      table: host.table,
+      fence: () => host.fence(),
+      beginFacts: () => ({
+        nowWallMs: clock.wallMs(),
+        runningRetryMs: options.runningRetryMs,
+        isEntryAlive: entry => host.isEntryAlive(entry),
+      }),
+      retentionMs: service => options.retentionMs(service),
+      replay: (op, answer, attemptId) => void replay(op, answer, attemptId),
+      isReleased: attemptId => released.has(attemptId),
+      takeOps,
+      requeue(ops) {
+        queue = [...ops, ...queue];
+      },
+      onNotOwner,
+      onApplied,
+      onTransaction: opCount => host.onTransaction?.(opCount),
+    },
+    {
+      partition: options.partition,
+      maxBatch: options.maxBatch,
+      readTimeoutMs: options.readTimeoutMs,
+      writeTimeoutMs: options.writeTimeoutMs,
+      maxKnownRows: MAX_KNOWN_ROWS,
+    },
+  );
+
+  function takeOps(limit: number): readonly JournalOp[] {
+    const live = queue.flatMap(withoutWithdrawn);
+    queue = live.slice(limit);
+    return live.slice(0, limit);
+  }
+
+  /**
+   * Leaves out what nobody waits for. An intent that was sent once may have
+   * applied, though: it is taken back instead, or its key would stay blocked.
+   */
+  function withoutWithdrawn(op: JournalOp): readonly JournalOp[] {
+    if (!op.isWithdrawn) return [op];
+    const isMaybeApplied = op.kind === 'begin' && op.wasSent;
+    return isMaybeApplied ? [releaseOp(op.request, op.rowKey)] : [];
+  }
+
+  function onNotOwner(ops: readonly JournalOp[]): void {
+    const waiting = [...ops, ...queue];
+    queue = [];
+    for (const op of waiting) {
+      if (op.kind === 'begin') op.resolve(ownerRefusal);
+      else if (op.kind === 'end') op.resolve(false);
+    }
+  }
+
+  function onApplied(ops: readonly JournalOp[]): void {
+    for (const op of ops) {
+      if (op.kind === 'end') op.resolve(true);
+      if (op.kind !== 'begin') continue;
+      // Its asker was refused while the write was in doubt. The intent did
+      // apply, so it is taken back, or the key would stay blocked.
+      if (op.isWithdrawn) queue.push(releaseOp(op.request, op.rowKey));
+      else op.resolve({kind: 'proceed'});
+    }
+  }
+
+  function releaseOp(request: IntentRequest, rowKey: string): EndOp {
+    noteReleased(request.attemptId);
+    return {
+      kind: 'end',
+      rowKey,
+      request,
+      end: {kind: 'released'},
+      resolve() {},
+      isWithdrawn: false,
+    };
+  }
+
+  function noteReleased(attemptId: string): void {
+    released.set(attemptId, clock.nowMs());
+    for (const [oldest, atMs] of released) {
+      if (clock.nowMs() - atMs < RELEASED_MEMORY_MS) break;
+      released.delete(oldest);
+    }
+  }
+
+  async function replay(
+    op: BeginOp,
+    answer: RowAnswer,
+    attemptId: string,
+  ): Promise<void> {
+    const {status, headers, body, objectKey} = answer;
+    if (objectKey === undefined) {
+      const bytes = Buffer.from(body ?? '', 'base64');
+      op.resolve({kind: 'answered', answer: {status, headers, body: bytes}});
+      return;
+    }
+    const read = await host.objectStore.get(objectKey, options.readTimeoutMs);
+    if (read.kind === 'failed') {
+      // The call did run, so its repeat may not be refused as not run.
+      op.resolve({kind: 'running', retryAfterMs: options.runningRetryMs});
+    } else if (!read.value) {
+      op.resolve({kind: 'outcome-unknown', attemptId});
+    } else {
+      const stored: StoredAnswer = {status, headers, body: read.value};
+      op.resolve({kind: 'answered', answer: stored});
+    }
+  }
+
+  function schedule(delayMs: number): void {
+    if (roundTimer || isInRound || isClosed) return;
+    const budgetMs = nextWriteAtMs - clock.nowMs();
+    roundTimer = clock.setTimer(Math.max(delayMs, budgetMs), () => {
+      roundTimer = undefined;
+      void runRound();
+    });
+  }
+
+  async function runRound(): Promise<void> {
+    isInRound = true;
+    nextWriteAtMs = clock.nowMs() + writeIntervalMs;
+    const isProbe = troubledSinceMs !== undefined || committer.isInDoubt();
+    const result = await committer
+      .round(isProbe)
+      .catch((cause: unknown): RoundResult => {
+        host.log.error('A journal round failed.', {cause: String(cause)});
+        return {kind: 'trouble', retryAfterMs: IN_DOUBT_PROBE_MS};
+      });
+    isInRound = false;
+    afterRound(result);
+  }
+
+  function afterRound(result: RoundResult): void {
+    if (result.kind === 'trouble') {
+      troubledSinceMs ??= clock.nowMs();
+      const hasWork = queue.some(op => !op.isWithdrawn);
+      schedule(hasWork ? result.retryAfterMs : IN_DOUBT_PROBE_MS);
+      return;
+    }
+    troubledSinceMs = undefined;
+    if (result.kind === 'ok' && committer.isInDoubt()) {
+      schedule(IN_DOUBT_PROBE_MS);
+    } else if (queue.length > 0) schedule(options.flushMs);
+  }
+
+  function isRefusing(): boolean {
+    if (troubledSinceMs === undefined) return false;
+    return clock.nowMs() - troubledSinceMs >= options.refuseAfterMs;
+  }
+
+  function begin(request: IntentRequest): Promise<IntentOutcome> {
+    if (isClosed || !host.fence()) return Promise.resolve(ownerRefusal);
+    if (isRefusing()) return Promise.resolve(platformRefusal);
+    if (queue.length >= options.maxQueued) {
+      return Promise.resolve(refused('overloaded', PLATFORM_RETRY_AFTER_MS));
+    }
+    return new Promise(resolve => {
+      const timeoutMs = Math.min(request.timeoutMs, options.beginTimeoutMs);
+      const timer = clock.setTimer(timeoutMs, () => {
+        op.isWithdrawn = true;
+        noteReleased(request.attemptId);
+        resolve(platformRefusal);
+      });
+      const op: BeginOp = {
+        kind: 'begin',
+        rowKey: journalRowKey(options.partition, request),
+        request,
+        isWithdrawn: false,
+        wasSent: false,
+        resolve(outcome) {
+          clock.clearTimer(timer);
+          resolve(outcome);
+        },
+      };
+      queue.push(op);
+      schedule(options.flushMs);
+    });
+  }
+
+  async function storeLarge(
+    request: IntentRequest,
+    answer: StoredAnswer,
+  ): Promise<string | undefined> {
+    const objectKey = `journal/${request.attemptId}`;
+    const stored = await host.objectStore.put(
+      objectKey,
+      answer.body,
+      options.writeTimeoutMs,
+    );
+    return stored === 'stored' ? objectKey : undefined;
+  }
+
+  async function end(
+    request: IntentRequest,
+    ending: JournalEnd,
+  ): Promise<boolean> {
+    if (isClosed || !host.fence()) return false;
+    if (ending.kind === 'released') noteReleased(request.attemptId);
+    const isLarge =
+      ending.kind === 'answered' &&
+      ending.answer.body.length > options.maxInlineBytes;
+    const objectKey = isLarge
+      ? await storeLarge(request, ending.answer)
+      : undefined;
+    if (isLarge && objectKey === undefined) return false;
+    return new Promise(resolve => {
+      const timer = clock.setTimer(request.timeoutMs, () => {
+        op.isWithdrawn = true;
+        resolve(false);
+      });
+      const op: EndOp = {
+        kind: 'end',
+        rowKey: journalRowKey(options.partition, request),
+        request,
+        end: ending,
+        objectKey,
+        isWithdrawn: false,
+        resolve(isDurable) {
+          clock.clearTimer(timer);
+          resolve(isDurable);
+        },
+      };
+      queue.push(op);
+      schedule(options.flushMs);
+    });
+  }
+
+  /** Looks at one page of rows and queues what has expired. */
+  async function purge(): Promise<void> {
+    const isDue = host.fence() && troubledSinceMs === undefined;
+    const page = isDue
+      ? await host.table.scan(
+          journalPrefix(options.partition),
+          {afterKey: purgeAfterKey, limit: PURGE_PAGE},
+          options.readTimeoutMs,
+        )
+      : undefined;
+    if (page?.kind === 'read') {
+      for (const row of page.value) queuePurge(row.key, row.value);
+      const isLast = page.value.length < PURGE_PAGE;
+      purgeAfterKey = isLast ? undefined : page.value.at(-1)?.key;
+    }
+    if (!isClosed) clock.setTimer(options.purgeIntervalMs, () => void purge());
+  }
+
+  function queuePurge(
+    rowKey: string,
+    value: Parameters<typeof parseJournalRow>[0],
+  ): void {
+    const row = parseJournalRow(value);
+    if (!row || row.expiresAtWallMs > clock.wallMs()) return;
+    const isStored = row.state === 'answered' && row.answer.objectKey;
+    if (isStored) {
+      void host.objectStore.remove(isStored, options.writeTimeoutMs);
+    }
+    queue.push({kind: 'purge', rowKey, isWithdrawn: false});
+    schedule(options.flushMs);
+  }
+
+  clock.setTimer(options.purgeIntervalMs, () => void purge());
+  return {
+    begin,
+    end,
+    queuedCount: () => queue.length,
+    close() {
+      isClosed = true;
+      if (roundTimer) clock.clearTimer(roundTimer);
+      onNotOwner([]);
+    },
+  };
+}
--- /dev/null
+++ b/src/request/kept_answers.ts
@@ -0,0 +1,311 @@
+/**
+ * Answers of keyed model requests, for callers who ask again.
+ *
+ * A repeat at this entry follows the running answer or gets the finished one.
+ * At another entry it is found through the index; a patient caller's finished
+ * answer also lies in the platform's object store for the stated retention, so
+ * that the death of an entry loses no finished draft.
+ */
+
+import {z} from 'zod';
+import type {ModelRequest} from '../ports/answer_sink.js';
+import type {Clock} from '../ports/clock.js';
+import type {
+  AnswerIndexPort,
+  AnswerKey,
+  AnswerPart,
+  AnswerPeerPort,
+  AnswerPlace,
+} from '../ports/kept_answers.js';
+import type {Logger} from '../ports/log.js';
+import type {ObjectStorePort} from '../ports/table.js';
+import {
+  createLiveAnswer,
+  type FinishedAnswer,
+  type LiveAnswer,
+} from './live_answer.js';
+
+export interface KeptAnswersHost {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly objectStore: ObjectStorePort;
+  readonly index?: AnswerIndexPort;
+  readonly peers?: AnswerPeerPort;
+  /** Where other entries reach this one, `ip:port`. */
+  readonly peerAddress: string;
+}
+
+export interface KeptAnswersOptions {
+  /** Memory for finished answers at this entry. */
+  readonly maxLocalBytes: number;
+  readonly indexTimeoutMs: number;
+  readonly storeTimeoutMs: number;
+  readonly announceIntervalMs: number;
+  readonly storeRetryMs: number;
+  retentionMs(service: string): number;
+}
+
+export type LookUpOutcome =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'conflict'}
+  | {readonly kind: 'finished'; readonly answer: FinishedAnswer}
+  | {readonly kind: 'running'; readonly address: string};
+
+export interface KeptAnswers {
+  /** The answer under this key at this entry, running or finished. */
+  find(key: AnswerKey): LiveAnswer | undefined;
+  /** Registers a new running answer. */
+  open(request: ModelRequest): LiveAnswer;
+  /** To be called once when the answer has ended, whole or not. */
+  close(request: ModelRequest, answer: LiveAnswer): void;
+  /** Whether another entry or the object store has it. */
+  lookUp(request: ModelRequest): Promise<LookUpOutcome>;
+  /** Reads on at the entry that runs it. */
+  readPeer(
+    address: string,
+    key: AnswerKey,
+    fromOffset: number,
+    waitMs: number,
+  ): Promise<AnswerPart>;
+  /** Serves another entry's `readPeer`. */
+  serveRead(
+    key: AnswerKey,
+    fromOffset: number,
+    waitMs: number,
+  ): Promise<AnswerPart>;
+}
+
+const storedSchema = z.object({
+  fingerprint: z.string(),
+  expiresAtWallMs: z.number(),
+  finishReason: z.enum(['stop', 'length']),
+  texts: z.array(z.string()),
+});
+
+interface Entry {
+  readonly answer: LiveAnswer;
+  sizeBytes: number;
+  expiresAtMs: number;
+}
+
+export function answerKeyOf(request: ModelRequest): AnswerKey | undefined {
+  const {service, account, idempotencyKey} = request;
+  if (idempotencyKey === undefined) return undefined;
+  return {service, account, idempotencyKey};
+}
+
+function keyText(key: AnswerKey): string {
+  return [key.account, key.service, key.idempotencyKey]
+    .map(encodeURIComponent)
+    .join('/');
+}
+
+/** Key of a kept answer in the object store. */
+export function answerObjectKey(key: AnswerKey): string {
+  return `answers/${keyText(key)}`;
+}
+
+export function createKeptAnswers(
+  host: KeptAnswersHost,
+  options: KeptAnswersOptions,
+): KeptAnswers {
+  const entries = new Map<string, Entry>();
+  let localBytes = 0;
+
+  function drop(text: string): void {
+    const entry = entries.get(text);
+    if (!entry) return;
+    localBytes -= entry.sizeBytes;
+    entries.delete(text);
+  }
+
+  function isLive(entry: Entry): boolean {
+    return !entry.answer.finished() && !entry.answer.hasFailed();
+  }
+
+  function find(key: AnswerKey): LiveAnswer | undefined {
+    const text = keyText(key);
+    const entry = entries.get(text);
+    if (!entry) return undefined;
+    if (isLive(entry) || host.clock.nowMs() < entry.expiresAtMs) {
+      return entry.answer;
+    }
+    drop(text);
+    return undefined;
+  }
+
+  function announce(key: AnswerKey, place: AnswerPlace): void {
+    host.index?.announce(key, place);
+  }
+
+  /** A new index owner learns of a running answer from the repetition. */
+  function announceWhileLive(key: AnswerKey, entry: Entry): void {
+    if (!host.index || !isLive(entry)) return;
+    announce(key, {
+      kind: 'running',
+      fingerprint: entry.answer.fingerprint,
+      address: host.peerAddress,
+    });
+    host.clock.setTimer(options.announceIntervalMs, () =>
+      announceWhileLive(key, entry),
+    );
+  }
+
+  function makeRoom(): void {
+    for (const [text, entry] of entries) {
+      if (localBytes <= options.maxLocalBytes) return;
+      if (!isLive(entry)) drop(text);
+    }
+  }
+
+  async function store(
+    key: AnswerKey,
+    answer: FinishedAnswer,
+    expiresAtWallMs: number,
+  ): Promise<void> {
+    const leftMs = expiresAtWallMs - host.clock.wallMs();
+    if (leftMs <= 0) return;
+    const body = Buffer.from(JSON.stringify({...answer, expiresAtWallMs}));
+    const outcome = await host.objectStore.put(
+      answerObjectKey(key),
+      body,
+      options.storeTimeoutMs,
+    );
+    if (outcome === 'stored') {
+      announce(key, {kind: 'stored', fingerprint: answer.fingerprint});
+      host.clock.setTimer(
+        leftMs,
+        () =>
+          void host.objectStore.remove(
+            answerObjectKey(key),
+            options.storeTimeoutMs,
+          ),
+      );
+      return;
+    }
+    host.clock.setTimer(
+      options.storeRetryMs,
+      () => void store(key, answer, expiresAtWallMs),
+    );
+  }
+
+  async function readStored(
+    request: ModelRequest,
+    key: AnswerKey,
+  ): Promise<LookUpOutcome> {
+    const outcome = await host.objectStore.get(
+      answerObjectKey(key),
+      options.storeTimeoutMs,
+    );
+    if (outcome.kind === 'failed' || !outcome.value) return {kind: 'none'};
+    const stored = parseStored(outcome.value);
+    if (!stored || stored.expiresAtWallMs <= host.clock.wallMs()) {
+      return {kind: 'none'};
+    }
+    return stored.fingerprint === request.fingerprint
+      ? {kind: 'finished', answer: stored}
+      : {kind: 'conflict'};
+  }
+
+  function parseStored(body: Uint8Array) {
+    try {
+      const json: unknown = JSON.parse(Buffer.from(body).toString('utf8'));
+      return storedSchema.parse(json);
+    } catch {
+      host.log.warn('A kept answer could not be read.');
+      return undefined;
+    }
+  }
+
+  async function serveRead(
+    key: AnswerKey,
+    fromOffset: number,
+    waitMs: number,
+  ): Promise<AnswerPart> {
+    const answer = find(key);
+    if (!answer || answer.hasFailed()) return {kind: 'absent'};
+    const isBehind = answer.tokenCount() > fromOffset;
+    if (!isBehind && !answer.finished() && waitMs > 0) {
+      await new Promise<void>(resolve => {
+        const timer = host.clock.setTimer(waitMs, resolve);
+        answer.onNextChange(() => {
+          host.clock.clearTimer(timer);
+          resolve();
+        });
+      });
+      return serveRead(key, fromOffset, 0);
+    }
+    const finished = answer.finished();
+    return {
+      kind: 'part',
+      texts: answer.textsFrom(fromOffset),
+      end: finished && {
+        finishReason: finished.finishReason,
+        tokenCount: finished.texts.length,
+      },
+    };
+  }
+
+  return {
+    find,
+    open(request) {
+      const key = answerKeyOf(request)!;
+      const answer = createLiveAnswer(request.fingerprint);
+      const entry: Entry = {answer, sizeBytes: 0, expiresAtMs: Infinity};
+      drop(keyText(key));
+      entries.set(keyText(key), entry);
+      return answer;
+    },
+    close(request, answer) {
+      const key = answerKeyOf(request)!;
+      const entry = entries.get(keyText(key));
+      if (entry?.answer !== answer) return;
+      const finished = answer.finished();
+      if (!finished) {
+        drop(keyText(key));
+        announce(key, {kind: 'none'});
+        return;
+      }
+      const retentionMs = options.retentionMs(request.service);
+      entry.expiresAtMs = host.clock.nowMs() + retentionMs;
+      entry.sizeBytes = finished.texts.reduce(
+        (size, text) => size + 2 * text.length,
+        0,
+      );
+      localBytes += entry.sizeBytes;
+      makeRoom();
+      if (request.requestClass !== 'patient') return;
+      void store(key, finished, host.clock.wallMs() + retentionMs);
+    },
+    async lookUp(request) {
+      const key = answerKeyOf(request)!;
+      const entry = entries.get(keyText(key));
+      const place = host.index
+        ? await host.index.find(key, options.indexTimeoutMs)
+        : ({kind: 'unsure'} as const);
+      if (entry) announceWhileLive(key, entry);
+      switch (place.kind) {
+        case 'none':
+          return {kind: 'none'};
+        case 'running':
+          if (place.address === host.peerAddress) return {kind: 'none'};
+          return place.fingerprint === request.fingerprint
+            ? {kind: 'running', address: place.address}
+            : {kind: 'conflict'};
+        case 'stored':
+          return readStored(request, key);
+        case 'unsure':
+          // Interactive answers are not in the store; a read for each would
+          // use up the platform's reads.
+          return request.requestClass === 'patient'
+            ? readStored(request, key)
+            : {kind: 'none'};
+      }
+    },
+    async readPeer(address, key, fromOffset, waitMs) {
+      if (!host.peers) return {kind: 'failed'};
+      return host.peers.read(address, key, fromOffset, waitMs);
+    },
+    serveRead,
+  };
+}
--- /dev/null
+++ b/src/request/plain_calls.ts
@@ -0,0 +1,138 @@
+/**
+ * The calls of one plain request: picks upstreams, sends calls, and keeps the
+ * picker's books of what was started and ended.
+ */
+
+import type {OpenCall, PlainCallEvent} from '../core/request/plain_types.js';
+import type {PlainRequest} from '../ports/answer_sink.js';
+import type {StoredAnswer} from '../ports/journal.js';
+import type {PlainAnswer, PlainFailure} from '../ports/plain_service.js';
+import type {PlainCallResult} from '../ports/plain_upstreams.js';
+import type {RequestHost, RequestRunnerOptions} from './request_host.js';
+
+export interface PlainCalls {
+  pick(attempt: number, excludeIds: readonly string[]): void;
+  call(call: OpenCall): void;
+  abort(attempt: number): void;
+  /** Tries a fresh connection; a dead upstream counts against the request. */
+  probe(call: OpenCall): Promise<void>;
+  askRetry(): void;
+}
+
+const resultOfFailure: Readonly<
+  Record<PlainFailure['reason'], PlainCallResult>
+> = {
+  unreachable: 'unreachable',
+  broken: 'broken',
+  timeout: 'broken',
+  cancelled: 'cancelled',
+  'too-large': 'answered',
+};
+
+/** The one header form that callers and the journal get. */
+export function storedAnswerOf(answer: PlainAnswer): StoredAnswer {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(answer.headers)) {
+    if (value === undefined) continue;
+    headers[name] = typeof value === 'string' ? value : value.join(', ');
+  }
+  return {status: answer.status, headers, body: answer.body};
+}
+
+export function createPlainCalls(
+  host: RequestHost,
+  options: RequestRunnerOptions,
+  request: PlainRequest,
+  send: (event: PlainCallEvent) => void,
+): PlainCalls {
+  const {clock} = host;
+  const aborts = new Map<number, AbortController>();
+
+  async function run(call: OpenCall, signal: AbortSignal): Promise<void> {
+    const startedAtMs = clock.nowMs();
+    host.plainBalancer.started(call.upstreamId);
+    const outcome = await host
+      .plainPort(call.address)
+      .call(
+        {
+          requestId: request.requestId,
+          attemptId: `${request.requestId}.${call.attempt}`,
+          method: request.method,
+          path: request.path,
+          headers: request.headers,
+          body: request.body,
+          timeoutMs: callTimeoutMs(),
+          connectionProvenWithinMs: request.repeatable
+            ? 0
+            : options.connectionProvenWithinMs,
+        },
+        signal,
+      )
+      .catch((cause: unknown): PlainFailure => ({
+        kind: 'failed',
+        mayHaveRun: true,
+        reason: 'broken',
+        detail: String(cause),
+      }));
+    aborts.delete(call.attempt);
+    host.plainBalancer.ended(
+      call.upstreamId,
+      outcome.kind === 'answered'
+        ? 'answered'
+        : resultOfFailure[outcome.reason],
+      clock.nowMs() - startedAtMs,
+    );
+    send(
+      outcome.kind === 'answered'
+        ? {kind: 'answered', attempt: call.attempt, answer: outcome}
+        : {kind: 'call-failed', attempt: call.attempt, failure: outcome},
+    );
+  }
+
+  /**
+   * A call that may not be repeated goes on after its caller's deadline, since
+   * only its answer tells whether it ran.
+   */
+  function callTimeoutMs(): number {
+    const leftMs = Math.max(1, request.deadlineAtMs - clock.nowMs());
+    return request.repeatable
+      ? Math.min(options.plain.callTimeoutMs, leftMs)
+      : leftMs + options.plain.lingerMs;
+  }
+
+  return {
+    pick(attempt, excludeIds) {
+      const upstream = host.plainBalancer.pick(request.service, excludeIds);
+      send({kind: 'picked', attempt, upstream});
+    },
+    call(call) {
+      const abort = new AbortController();
+      aborts.set(call.attempt, abort);
+      void run(call, abort.signal);
+    },
+    abort: attempt => aborts.get(attempt)?.abort(),
+    async probe(call) {
+      const isAlive = await host
+        .plainPort(call.address)
+        .probe(options.probeTimeoutMs)
+        .catch(() => false);
+      if (isAlive) return;
+      host.observer?.onEngineBlamed?.(request.service, call.upstreamId);
+      host.quarantine.blame(request.fingerprint, call.upstreamId);
+    },
+    askRetry() {
+      const isQuarantined =
+        host.quarantine.verdict(request.fingerprint) === 'quarantined';
+      if (isQuarantined || !host.retryBudget.tryTake(request.service)) {
+        host.observer?.onRetryDenied?.(
+          request.service,
+          isQuarantined ? 'quarantined' : 'budget',
+        );
+        send({kind: 'retry-denied'});
+        return;
+      }
+      host.observer?.onRetry?.(request.service);
+      send({kind: 'retry-allowed', nowMs: clock.nowMs()});
+    },
+  };
+}
