--- a/src/request/plain_calls.ts
+++ b/src/request/plain_calls.ts
@@ -29,6 +29,22 @@
   'too-large': 'answered',
 };
 
+const leavingFailure: PlainFailure = {
+  kind: 'failed',
+  mayHaveRun: false,
+  reason: 'unreachable',
+  detail: 'The upstream is leaving and did not run the call.',
+};
+
+const NOT_RUN_STATUS = 503;
+
+/** An upstream that is leaving says so, and that it did not run the call. */
+function isRefusedAsLeaving(answer: PlainAnswer): boolean {
+  return (
+    answer.status === NOT_RUN_STATUS && answer.headers['x-not-run'] === 'true'
+  );
+}
+
 /** The one header form that callers and the journal get. */
 export function storedAnswerOf(answer: PlainAnswer): StoredAnswer {
   const headers: Record<string, string> = {};
@@ -75,12 +91,19 @@
         detail: String(cause),
       }));
     aborts.delete(call.attempt);
+    const latencyMs = clock.nowMs() - startedAtMs;
+    if (outcome.kind === 'answered' && isRefusedAsLeaving(outcome)) {
+      host.plainBalancer.ended(call.upstreamId, 'leaving', latencyMs);
+      const {attempt} = call;
+      send({kind: 'call-failed', attempt, failure: leavingFailure});
+      return;
+    }
     host.plainBalancer.ended(
       call.upstreamId,
       outcome.kind === 'answered'
         ? 'answered'
         : resultOfFailure[outcome.reason],
-      clock.nowMs() - startedAtMs,
+      latencyMs,
     );
     send(
       outcome.kind === 'answered'
