--- a/src/core/scheduling/placement.ts
+++ b/src/core/scheduling/placement.ts
@@ -10,6 +10,8 @@
 export interface Demand {
   readonly promptKvBytes: number;
   readonly decodeKvBytes: number;
+  /** Without any cached prefix. */
+  readonly prefillMs: number;
   readonly prefillMsOn: (engine: PoolEngine) => number;
 }
 
@@ -104,6 +106,32 @@
   return chance >= policy.forecastConfidence ? 'forecast' : 'none';
 }
 
+/** A cheap look before the search: is there room on any engine? */
+function findNoRoom(
+  engines: readonly PoolEngine[],
+  demand: Demand,
+  policy: SchedulingPolicy,
+  heldEngine: PoolEngine | undefined,
+): Blocked | undefined {
+  const horizonMs = demand.prefillMs + policy.slotWaitMs;
+  let waitFor: PoolEngine | undefined;
+  let mostFreeKvBytes = Number.NEGATIVE_INFINITY;
+  let hasEngine = false;
+  for (const engine of engines) {
+    if (engine.isLeaving || engine.share <= 0) continue;
+    hasEngine = true;
+    if (engine === heldEngine) continue;
+    if (roomAt(engine, demand, policy, horizonMs) !== 'none') return undefined;
+    const freeKvBytes = engine.book.freeKvBytes();
+    if (freeKvBytes <= mostFreeKvBytes) continue;
+    mostFreeKvBytes = freeKvBytes;
+    waitFor = engine;
+  }
+  return hasEngine
+    ? {kind: 'blocked', by: 'decode', waitFor}
+    : {kind: 'blocked', by: 'no-engine'};
+}
+
 /** Finds the pair whose first token comes first, at a fair load. */
 export function place(
   prefillEngines: readonly PoolEngine[],
@@ -113,22 +141,19 @@
   nowMs: number,
   heldEngine?: PoolEngine,
 ): Placement | Blocked {
+  const noRoom = findNoRoom(decodeEngines, demand, policy, heldEngine);
+  if (noRoom) return noRoom;
   const prefill = choosePrefill(prefillEngines, demand, policy, nowMs);
   if ('kind' in prefill) return prefill;
   const source = prefill.engine;
-  const horizonMs = prefill.endMs - nowMs;
+  // The import may wait for room for as long as the result is kept.
+  const horizonMs = prefill.endMs - nowMs + policy.slotWaitMs;
   let best: Placement | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
-  let waitFor: PoolEngine | undefined;
-  let hasEngine = false;
   let isLinkBlocked = false;
   for (const engine of decodeEngines) {
     if (engine.isLeaving || engine.share <= 0) continue;
-    hasEngine = true;
     if (engine === heldEngine) continue;
-    if (!waitFor || engine.book.freeKvBytes() > waitFor.book.freeKvBytes()) {
-      waitFor = engine;
-    }
     const room = roomAt(engine, demand, policy, horizonMs);
     if (room === 'none') continue;
     const rate = Math.min(
@@ -171,8 +196,7 @@
     };
   }
   if (best) return best;
-  if (!hasEngine) return {kind: 'blocked', by: 'no-engine'};
-  return {kind: 'blocked', by: isLinkBlocked ? 'link' : 'decode', waitFor};
+  return {kind: 'blocked', by: isLinkBlocked ? 'link' : 'decode'};
 }
 
 const COMMON_START_TRIES = 4;
--- a/src/core/scheduling/policy.ts
+++ b/src/core/scheduling/policy.ts
@@ -26,12 +26,15 @@
   readonly prefillAheadMs: number;
   /** Longest that a prefill's result may wait for its transfer. */
   readonly resultWaitMs: number;
+  /** Time after the prefill in which a forecast slot must get free. */
+  readonly slotWaitMs: number;
   /** Waiting requests tried past one that does not fit now. */
   readonly scanLimit: number;
 }
 
-/** Waste weight below which slots are promised from a forecast. */
-const FORECAST_WASTE_WEIGHT = 0.6;
+/** At a waste weight above this no slot is promised from a forecast. */
+const FORECAST_WASTE_WEIGHT = 0.95;
+const LEAST_CONFIDENCE = 0.93;
 
 /** @param wasteWeight 0: only goodput counts; 1: only wasted prefill. */
 export function createPolicy(
@@ -42,15 +45,16 @@
     order: 'deadline',
     refuseEarly: true,
     isFair: true,
-    promiseFromForecast: wasteWeight < FORECAST_WASTE_WEIGHT,
+    promiseFromForecast: wasteWeight <= FORECAST_WASTE_WEIGHT,
     scheduleLinks: true,
     usePrefixCache: true,
     watchHealth: true,
     limitPace: true,
-    forecastConfidence: 0.97 + 0.03 * wasteWeight,
+    forecastConfidence: LEAST_CONFIDENCE + (1 - LEAST_CONFIDENCE) * wasteWeight,
     admissionMargin: 0.05 + 0.15 * wasteWeight,
     prefillAheadMs: 15,
     resultWaitMs: 300,
+    slotWaitMs: 600,
     scanLimit: 16,
     ...changes,
   };
--- a/src/scheduling/dispatcher.ts
+++ b/src/scheduling/dispatcher.ts
@@ -367,6 +367,7 @@
       {
         promptKvBytes: waiting.promptKvBytes,
         decodeKvBytes: waiting.kvBytes,
+        prefillMs: waiting.prefillMs,
         prefillMsOn: engine => prefillMsOn(waiting.request, engine),
       },
       policy,
