--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -7,6 +7,8 @@
 import {bestSplit, splits} from './policy/capacity_bound.js';
 import {runBars, runFaultBars} from './policy/bars.js';
 import {runIdeas} from './policy/ideas.js';
+import {runReturns, runWeights} from './policy/knobs.js';
+import {runTakeovers} from './policy/takeover.js';
 import {SHAPES} from './policy/workload.js';
 
 const DEFAULT_SEEDS = 10;
@@ -38,6 +40,9 @@
   bars: runBars,
   ideas: runIdeas,
   faults: runFaultBars,
+  weights: runWeights,
+  returns: runReturns,
+  takeover: runTakeovers,
 };
 
 export async function run(args: readonly string[]): Promise<void> {
--- a/bench/policy/bars.ts
+++ b/bench/policy/bars.ts
@@ -124,7 +124,11 @@
 const SETTLE_MS = 5_000;
 
 /** Goodput against the bound in the part of the run the fault concerns. */
-function windowShare(run: RunResult, fromMs: number, untilMs: number): number {
+export function windowShare(
+  run: RunResult,
+  fromMs: number,
+  untilMs: number,
+): number {
   let good = 0;
   let offered = 0;
   let capacity = 0;
--- a/bench/policy/metrics.ts
+++ b/bench/policy/metrics.ts
@@ -46,6 +46,9 @@
   readonly goodBySecond: readonly number[];
   readonly offeredBySecond: readonly number[];
   readonly capacityBySecond: readonly number[];
+  /** Refused callers that came back, and those of them then served. */
+  readonly returned: number;
+  readonly returnedServed: number;
   readonly goodShareByClass: Readonly<Record<RequestClass, number>>;
 }
 
@@ -115,6 +118,8 @@
   const offeredByAccount = new Map<string, number>();
   const goodByClass = {interactive: 0, patient: 0};
   const offeredByClass = {interactive: 0, patient: 0};
+  let returned = 0;
+  let returnedServed = 0;
   let offered = 0;
   let offeredTokens = 0;
   let good = 0;
@@ -145,6 +150,9 @@
   }
 
   return {
+    started(arrival: Arrival): void {
+      if (isMeasured(arrival) && arrival.returnCount > 0) returned++;
+    },
     ended(end: RequestEnd): void {
       endedCount++;
       const {arrival} = end;
@@ -163,6 +171,7 @@
       offeredByClass[arrival.requestClass]++;
       add(offeredByAccount, arrival.account);
       if (!isWhole) return;
+      if (arrival.returnCount > 0) returnedServed++;
       const verdict = judge(end);
       if (verdict === 'late-first') lateFirst++;
       if (verdict === 'late-pace') latePace++;
@@ -240,6 +249,8 @@
         goodBySecond,
         offeredBySecond,
         capacityBySecond,
+        returned,
+        returnedServed,
         goodShareByClass: {
           interactive: goodByClass.interactive / offeredByClass.interactive,
           patient: goodByClass.patient / offeredByClass.patient,
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -35,6 +35,8 @@
   readonly reportLagMs: number;
   readonly cacheLossShare: number;
   readonly cancelShare: number;
+  /** How often a refused caller comes back, at the time it was told. */
+  readonly returns: number;
   readonly faults: FaultPlan;
 }
 
@@ -44,6 +46,7 @@
   reportLagMs: 1_000,
   cacheLossShare: 0.05,
   cancelShare: 0,
+  returns: 0,
 } as const;
 
 const ENTRY_TO_HOME_MS = 1.5;
@@ -184,7 +187,9 @@
   ): void {
     const isStale = request.step === 'ended' || request.attempt !== attempt;
     if (outcome.kind === 'refused') {
-      if (!isStale) finish(request, `refused:${outcome.reason}`);
+      if (isStale) return;
+      finish(request, `refused:${outcome.reason}`);
+      comeBack(request, outcome.retryAfterMs);
       return;
     }
     if (isStale) {
@@ -199,6 +204,22 @@
     );
   }
 
+  /** A refused caller asks anew, with fresh targets, when it was told to. */
+  function comeBack(request: Running, retryAfterMs: number): void {
+    const {arrival} = request;
+    const atMs = clock.nowMs() + retryAfterMs;
+    const lastMs = plan.warmUpMs + plan.durationMs;
+    if (arrival.returnCount >= plan.returns || atMs >= lastMs) return;
+    later(retryAfterMs, () =>
+      start({
+        ...arrival,
+        id: nextId++,
+        atMs,
+        returnCount: arrival.returnCount + 1,
+      }),
+    );
+  }
+
   function reportEnd(
     grant: Grant,
     result: 'whole' | 'cancelled' | 'failed',
@@ -403,6 +424,7 @@
   }
 
   function start(arrival: Arrival): void {
+    metrics.started(arrival);
     const request: Running = {
       arrival,
       step: 'asking',
@@ -480,6 +502,7 @@
     },
     random,
   );
+  let nextId = arrivals.length;
   for (const arrival of arrivals) later(arrival.atMs, () => start(arrival));
   publishReports(1);
   noteCapacity();
@@ -491,5 +514,5 @@
     .books()
     .filter(book => book.usedSlots > 0 || Math.abs(book.usedKvBytes) > 1);
   scheduler.stop();
-  return metrics.result(arrivals.length, live.size, openBooks.length, cluster);
+  return metrics.result(nextId, live.size, openBooks.length, cluster);
 }
--- a/bench/policy/workload.ts
+++ b/bench/policy/workload.ts
@@ -84,6 +84,8 @@
   readonly waitMs: number;
   /** The caller hangs up then, if the answer is not whole yet. */
   readonly cancelAtMs: number | undefined;
+  /** How often this caller was refused before. */
+  readonly returnCount: number;
 }
 
 export function drawNormal(random: Random): number {
@@ -168,6 +170,7 @@
       ttftMs: shape.ttftMs[requestClass],
       waitMs: shape.waitMs[requestClass],
       cancelAtMs: isCancelled ? atMs + cancelAfterMs : undefined,
+      returnCount: 0,
     });
   }
 }
