--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -10,6 +10,7 @@
   configRollback,
   configShow,
 } from './commands/revision_commands.js';
+import {scenarioRun} from './commands/scenario_command.js';
 import {serve} from './commands/serve_command.js';
 
 export const commands: readonly Command[] = [
@@ -23,5 +24,6 @@
   status,
   drain,
   bench,
+  scenarioRun,
   showVersion,
 ];
--- a/src/core/diagnostics.ts
+++ b/src/core/diagnostics.ts
@@ -91,6 +91,19 @@
     3013,
     'suspicionMs ({0}) must be more than probeIntervalMs ({1}).',
   ),
+  scenarioCharacter: error(4001, "Unexpected character '{0}'."),
+  scenarioStatement: error(4002, "Unknown statement '{0}'.{1}"),
+  scenarioExpected: error(4003, "Expected {0}, found '{1}'.{2}"),
+  scenarioMissing: error(4004, 'Expected {0}, found the end of the line.'),
+  scenarioExtra: error(4005, "Unexpected '{0}'.{1}"),
+  scenarioUnknownName: error(4006, "No {0} is named '{1}'.{2}"),
+  scenarioDuplicateName: error(4007, "The name '{0}' is taken."),
+  scenarioStory: error(
+    4008,
+    'The file must begin with a story of {0} to {1} comment lines.',
+  ),
+  scenarioGuard: error(4009, 'The file names no guard.'),
+  scenarioRepeated: error(4010, "The option '{0}' is given twice."),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
 
 const PLACEHOLDER = /\{(\d+)\}/g;
--- /dev/null
+++ b/src/scenario/scenario_expectations.ts
@@ -0,0 +1,154 @@
+/** What `expect` can say; each looks at callers and at stand-ins' books. */
+
+import type {StatementArguments} from './scenario_parser.js';
+import {findHeldSessions, isAnswerRight} from './scenario_promises.js';
+import type {CallerView} from './scenario_requests.js';
+import type {World} from './scenario_world.js';
+import {parseShape, type StatementShape} from './statement_shape.js';
+
+export interface ExpectationFailure {
+  readonly reason: string;
+}
+
+export interface ExpectationDefinition {
+  readonly shape: StatementShape;
+  run(args: StatementArguments, world: World): ExpectationFailure | void;
+}
+
+const define = (
+  pattern: string,
+  check: (args: StatementArguments, world: World) => string | undefined,
+): ExpectationDefinition => ({
+  shape: parseShape(`expect ${pattern}`),
+  run(args, world) {
+    const reason = check(args, world);
+    return reason === undefined ? undefined : {reason};
+  },
+});
+
+function getRequest(
+  args: StatementArguments,
+  world: World,
+  index = 0,
+): CallerView {
+  return world.requests.get(args.getText(index))!;
+}
+
+function describe({outcome, tokens}: CallerView): string {
+  switch (outcome?.kind) {
+    case undefined:
+      return `no end yet, ${tokens.length} tokens`;
+    case 'whole':
+      return `whole, ${outcome.tokenCount} tokens`;
+    case 'answered':
+      return `answered ${outcome.answer.status}`;
+    case 'refused':
+      return `refused, ${outcome.error.kind}`;
+  }
+}
+
+const unless = (holds: boolean, found: string): string | undefined =>
+  holds ? undefined : `found: ${found}`;
+
+function textOf(view: CallerView): string | undefined {
+  const {outcome, tokens} = view;
+  if (outcome?.kind === 'whole') return tokens.join('');
+  if (outcome?.kind !== 'answered') return undefined;
+  return new TextDecoder().decode(outcome.answer.body);
+}
+
+function sumRuns(world: World, key: string): number {
+  return [...world.ledgers.values()].reduce(
+    (sum, ledger) => sum + (ledger.books().runsByKey[key] ?? 0),
+    0,
+  );
+}
+
+export const expectationDefinitions: readonly ExpectationDefinition[] = [
+  define('<request> whole', (args, world) => {
+    const view = getRequest(args, world);
+    const isWhole = view.outcome?.kind === 'whole';
+    return unless(isWhole && isAnswerRight(view, world), describe(view));
+  }),
+  define('<request> answered <count>', (args, world) => {
+    const view = getRequest(args, world);
+    const {outcome} = view;
+    const status = outcome?.kind === 'answered' && outcome.answer.status;
+    return unless(status === args.getCount(1), describe(view));
+  }),
+  define('<request> refused <error>', (args, world) => {
+    const view = getRequest(args, world);
+    const {outcome} = view;
+    const kind = outcome?.kind === 'refused' && outcome.error.kind;
+    return unless(kind === args.getText(1), describe(view));
+  }),
+  define('<request> open', (args, world) => {
+    const view = getRequest(args, world);
+    return unless(view.outcome === undefined, describe(view));
+  }),
+  define('<request> within <duration>', (args, world) => {
+    const view = getRequest(args, world);
+    const endedAtMs = view.endedAtMs ?? Number.POSITIVE_INFINITY;
+    const tookMs = endedAtMs - view.request.arrivedAtMs;
+    return unless(tookMs <= args.getDurationMs(1), `${tookMs} ms`);
+  }),
+  define('<request> same as <request>', (args, world) => {
+    const first = textOf(getRequest(args, world));
+    const second = textOf(getRequest(args, world, 1));
+    return unless(
+      first !== undefined && first === second,
+      `${first ?? 'nothing'} and ${second ?? 'nothing'}`,
+    );
+  }),
+  define('<request> told to come back', (args, world) => {
+    const view = getRequest(args, world);
+    const {outcome} = view;
+    const retryAfterMs =
+      outcome?.kind === 'refused' ? outcome.error.retryAfterMs : undefined;
+    return unless(retryAfterMs !== undefined, describe(view));
+  }),
+  define('key <name> run <count>', (args, world) => {
+    const runs = sumRuns(world, args.getText(0));
+    return unless(runs === args.getCount(1), `${runs} runs`);
+  }),
+  define('<ledger> run <count>', (args, world) => {
+    const runs = world.ledgers.get(args.getText(0))!.books().runCount;
+    return unless(runs === args.getCount(1), `${runs} runs`);
+  }),
+  define('<engine> prefills <count>', (args, world) => {
+    const {prefillsFinished} = world.engines.get(args.getText(0))!.books();
+    const isRight = prefillsFinished === args.getCount(1);
+    return unless(isRight, `${prefillsFinished} prefills`);
+  }),
+  define('<engine> decodes <count>', (args, world) => {
+    const {runs} = world.engines.get(args.getText(0))!.books();
+    const decodes = runs.reduce((sum, run) => sum + run.decodesStarted, 0);
+    return unless(decodes === args.getCount(1), `${decodes} decodes`);
+  }),
+  define('<engine> crashes <count>', (args, world) => {
+    const {crashes} = world.engines.get(args.getText(0))!.books();
+    return unless(crashes === args.getCount(1), `${crashes} crashes`);
+  }),
+  define('crashes at most <count>', (args, world) => {
+    const crashes = [...world.engines.values()].reduce(
+      (sum, engine) => sum + engine.books().crashes,
+      0,
+    );
+    return unless(crashes <= args.getCount(0), `${crashes} crashes`);
+  }),
+  define('wasted prefills <count>', (args, world) => {
+    const wasted = [...world.engines.values()].reduce(
+      (sum, engine) => sum + engine.books().prefillsWasted,
+      0,
+    );
+    return unless(wasted === args.getCount(0), `${wasted} wasted`);
+  }),
+  define('nothing held', (_, world) => {
+    const held = findHeldSessions(world);
+    return unless(held.length === 0, held.join(', '));
+  }),
+  define('<entry> active <count>', (args, world) => {
+    const active = world.entries.get(args.getText(0))!.runner.activeCount();
+    return unless(active === args.getCount(1), `${active} active`);
+  }),
+];
--- /dev/null
+++ b/src/scenario/scenario_home.ts
@@ -0,0 +1,173 @@
+/** The shard home of a scenario, and its watch over the engines. */
+
+import {createSeededRandom} from '../core/seeded_random.js';
+import type {EngineDescription} from '../core/scheduling/engine_book.js';
+import type {Clock} from '../ports/clock.js';
+import type {GrantPort, GrantRefusal} from '../ports/grants.js';
+import type {Logger} from '../ports/log.js';
+import {createShardHome, type ShardHome} from '../scheduling/shard_home.js';
+import type {EngineCore} from '../../stand_ins/engine_core.js';
+import {fenceEngine} from './fenced_ports.js';
+import {createProcessFence, type ProcessFence} from './process_fence.js';
+import {
+  FAILURE_DOMAIN,
+  MODEL_SERVICE,
+  MODEL_TARGETS,
+  PEER_LATENCY_MS,
+} from './scenario_names.js';
+
+export interface ScenarioHome extends GrantPort {
+  addEngine(address: string, engine: EngineCore): void;
+  entryGone(entryTag: string): void;
+  crash(): void;
+  /** Another process takes the shard over. */
+  restart(): void;
+  pause(): void;
+  resume(): void;
+}
+
+const POLL_MS = 500;
+const POLL_TIMEOUT_MS = 300;
+const FAILURES_UNTIL_GONE = 2;
+const REBUILD_MS = 1_000;
+const MAX_QUEUED = 100;
+
+const UNREACHABLE: GrantRefusal = {
+  kind: 'refused',
+  reason: 'unreachable',
+  retryAfterMs: 200,
+};
+
+interface Incarnation {
+  readonly home: ShardHome;
+  readonly fence: ProcessFence;
+}
+
+export function createScenarioHome(
+  clock: Clock,
+  seed: number,
+  log: Logger,
+): ScenarioHome {
+  const engines = new Map<string, EngineCore>();
+  const gone = new Set<string>();
+  let epoch = 0;
+  let current = start();
+
+  function start(): Incarnation {
+    epoch++;
+    const fence = createProcessFence(clock);
+    const home = createShardHome(
+      {clock: fence.clock, random: createSeededRandom(seed), log},
+      {
+        shardId: `${MODEL_SERVICE}/1`,
+        homeEpoch: epoch,
+        service: MODEL_SERVICE,
+        targets: MODEL_TARGETS,
+        wasteWeight: 0.5,
+        maxQueued: MAX_QUEUED,
+        rebuildMs: epoch > 1 ? REBUILD_MS : 0,
+      },
+    );
+    const incarnation = {home, fence};
+    for (const [address, engine] of engines) {
+      void poll(incarnation, address, engine, 0);
+    }
+    return incarnation;
+  }
+
+  function describe(address: string, engine: EngineCore): EngineDescription {
+    const {engineId, models, slots, kvTotalBytes, linkBytesPerMs} =
+      engine.options;
+    return {
+      engineId,
+      address,
+      role: engine.options.role,
+      failureDomain: FAILURE_DOMAIN,
+      models,
+      slots,
+      kvBytes: kvTotalBytes,
+      linkBytesPerMs,
+    };
+  }
+
+  function updateEngines({home}: Incarnation): void {
+    const present = [...engines].filter(([address]) => !gone.has(address));
+    home.setEngines(present.map(([address, core]) => describe(address, core)));
+  }
+
+  async function poll(
+    incarnation: Incarnation,
+    address: string,
+    engine: EngineCore,
+    failures: number,
+  ): Promise<void> {
+    const {home, fence} = incarnation;
+    const report = await fenceEngine(engine, fence).load(POLL_TIMEOUT_MS);
+    let nextFailures = 0;
+    if ('kind' in report) {
+      nextFailures = failures + 1;
+      if (nextFailures === FAILURES_UNTIL_GONE) {
+        gone.add(address);
+        home.engineGone(engine.options.engineId);
+      }
+    } else {
+      if (gone.delete(address)) updateEngines(incarnation);
+      if (report.leaving) home.markLeaving(report.engineId);
+      home.applyLoadReport(report);
+    }
+    fence.clock.setTimer(
+      POLL_MS,
+      () => void poll(incarnation, address, engine, nextFailures),
+    );
+  }
+
+  function after(delayMs: number): Promise<void> {
+    return new Promise(resolve => clock.setTimer(delayMs, resolve));
+  }
+
+  return {
+    async request(request, signal) {
+      await after(PEER_LATENCY_MS);
+      const {home, fence} = current;
+      if (fence.isDead()) return UNREACHABLE;
+      const answered = fence.admit(home.request(request, signal));
+      // A caller sees a home that died as a broken connection.
+      const broken = new Promise<GrantRefusal>(resolve =>
+        watchDeath(fence, () => resolve(UNREACHABLE)),
+      );
+      const outcome = await Promise.race([answered, broken]);
+      await after(PEER_LATENCY_MS);
+      return outcome;
+    },
+    report(grant, progress) {
+      clock.setTimer(PEER_LATENCY_MS, () => {
+        const {home, fence} = current;
+        fence.deliver(() => home.report(grant, progress));
+      });
+    },
+    addEngine(address, engine) {
+      engines.set(address, engine);
+      updateEngines(current);
+      void poll(current, address, engine, 0);
+    },
+    entryGone(entryTag) {
+      const {home, fence} = current;
+      fence.deliver(() => home.entryGone(entryTag));
+    },
+    crash: () => current.fence.kill(),
+    restart() {
+      current.fence.kill();
+      current = start();
+      updateEngines(current);
+    },
+    pause: () => current.fence.pause(),
+    resume: () => current.fence.resume(),
+  };
+
+  function watchDeath(fence: ProcessFence, onDeath: () => void): void {
+    if (fence.isDead()) onDeath();
+    else clock.setTimer(DEATH_CHECK_MS, () => watchDeath(fence, onDeath));
+  }
+}
+
+const DEATH_CHECK_MS = 50;
--- /dev/null
+++ b/src/scenario/scenario_runner.ts
@@ -0,0 +1,58 @@
+/** Runs one scenario in virtual time; the same text gives the same trace. */
+
+import {formatDiagnostics, type Diagnostic} from '../core/diagnostics.js';
+import type {SourceText} from '../core/settings_yaml.js';
+import {parseScenario} from './scenario_parser.js';
+import {findBrokenPromises} from './scenario_promises.js';
+import {GUARD_WORD, statementDefinitions} from './scenario_statements.js';
+import {createWorld, type World} from './scenario_world.js';
+
+export interface ScenarioResult {
+  readonly isPassed: boolean;
+  /** The story, then one line an event, then the verdict. */
+  readonly trace: string;
+  readonly diagnostics: readonly Diagnostic[];
+}
+
+const SEED = 1;
+/** In this time all that a gone request held must be free. */
+const SETTLE_MS = 15_000;
+
+export async function runScenario(source: SourceText): Promise<ScenarioResult> {
+  const parsed = parseScenario(source, statementDefinitions, GUARD_WORD);
+  if (parsed.diagnostics.length > 0) {
+    const trace = formatDiagnostics(parsed.diagnostics);
+    return {isPassed: false, trace, diagnostics: parsed.diagnostics};
+  }
+  const world = createWorld(SEED);
+  const failures: string[] = [];
+  for (const {definition, args, line, text} of parsed.statements) {
+    const failure = await definition.run(args, world);
+    if (!failure) continue;
+    failures.push(`line ${line}: ${text}: ${failure.reason}`);
+  }
+  await world.clock.advance(SETTLE_MS);
+  failures.push(...findBrokenPromises(world));
+  return {
+    isPassed: failures.length === 0,
+    trace: formatTrace(parsed.story, world, failures),
+    diagnostics: [],
+  };
+}
+
+function formatTrace(
+  story: readonly string[],
+  world: World,
+  failures: readonly string[],
+): string {
+  const verdict =
+    failures.length === 0
+      ? ['passed']
+      : failures.map(failure => `FAILED ${failure}`);
+  return [
+    ...story.map(line => `# ${line}`),
+    ...world.traceLines,
+    ...verdict,
+    '',
+  ].join('\n');
+}
--- /dev/null
+++ b/src/scenario/scenario_statements.ts
@@ -0,0 +1,314 @@
+/** The statements of the language: a table of shapes and what each does. */
+
+import type {EngineOptions} from '../../stand_ins/engine_types.js';
+import {
+  expectationDefinitions,
+  type ExpectationFailure,
+} from './scenario_expectations.js';
+import type {StatementArguments} from './scenario_parser.js';
+import {conditionDefinitions} from './scenario_conditions.js';
+import type {World} from './scenario_world.js';
+import {parseShape, type StatementShape} from './statement_shape.js';
+
+export interface StatementDefinitionWithRun {
+  readonly shape: StatementShape;
+  /** The result, if any, says why the scenario fails here. */
+  run(
+    args: StatementArguments,
+    world: World,
+  ): ExpectationFailure | void | Promise<ExpectationFailure | void>;
+}
+
+export const GUARD_WORD = 'guard';
+
+const define = (
+  pattern: string,
+  run: StatementDefinitionWithRun['run'],
+): StatementDefinitionWithRun => ({shape: parseShape(pattern), run});
+
+const ENGINE_OPTIONS =
+  '[slots <count>] [answer <count>] [step <duration>] [restart <duration>] ' +
+  '[prefill-life <duration>] [crash-at-decode]';
+
+const setup: readonly StatementDefinitionWithRun[] = [
+  // Which code the scenario guards, with the text to take out; see
+  // scripts/check_guards.mjs.
+  define('guard <name> <text> <text>', () => undefined),
+  define('entry <+entry>', (args, world) => world.addEntry(args.getText(0))),
+  define(`prefill <+engine> ${ENGINE_OPTIONS}`, (args, world) =>
+    world.addEngine(args.getText(0), {...readEngine(args), role: 'prefill'}),
+  ),
+  define(`decode <+engine> ${ENGINE_OPTIONS}`, (args, world) =>
+    world.addEngine(args.getText(0), {...readEngine(args), role: 'decode'}),
+  ),
+  define('ledger <+ledger> [run <duration>]', (args, world) =>
+    world.addLedger(args.getText(0), args.findDurationMs('run')),
+  ),
+];
+
+function readEngine(args: StatementArguments): Partial<EngineOptions> {
+  const options: Record<string, unknown> = {
+    slots: args.findCount('slots'),
+    answerTokens: args.findCount('answer'),
+    stepMs: args.findDurationMs('step'),
+    restartMs: args.findDurationMs('restart'),
+    prefillLifeMs: args.findDurationMs('prefill-life'),
+    crashAt: args.hasOption('crash-at-decode') ? 'decode' : undefined,
+  };
+  return Object.fromEntries(
+    Object.entries(options).filter(([, value]) => value !== undefined),
+  );
+}
+
+const requests: readonly StatementDefinitionWithRun[] = [
+  define(
+    'model <+request> at <entry> prompt <count> tokens <count> ' +
+      '[key <name>] [patient] [wait <duration>] [poison]',
+    (args, world) =>
+      world.startModel({
+        name: args.getText(0),
+        entry: args.getText(1),
+        promptTokenCount: args.getCount(2),
+        maxTokens: args.getCount(3),
+        key: args.findOption('key'),
+        requestClass: args.hasOption('patient') ? 'patient' : 'interactive',
+        waitMs: args.findDurationMs('wait'),
+        isPoison: args.hasOption('poison'),
+      }),
+  ),
+  define(
+    'model <+request> at <entry> like <request> ' +
+      '[key <name>] [patient] [wait <duration>]',
+    (args, world) =>
+      world.startModel({
+        name: args.getText(0),
+        entry: args.getText(1),
+        promptTokenCount: 0,
+        maxTokens: 0,
+        key: args.findOption('key'),
+        requestClass: args.hasOption('patient') ? 'patient' : 'interactive',
+        waitMs: args.findDurationMs('wait'),
+        isPoison: false,
+        like: args.getText(2),
+      }),
+  ),
+  define(
+    'post <+request> at <entry> body <text> [key <name>] [wait <duration>]',
+    (args, world) => startPlain(args, world, false),
+  ),
+  define(
+    'get <+request> at <entry> body <text> [wait <duration>]',
+    (args, world) => startPlain(args, world, true),
+  ),
+  define('hang-up <request>', (args, world) =>
+    world.requests.get(args.getText(0))!.hangUp(),
+  ),
+];
+
+function startPlain(
+  args: StatementArguments,
+  world: World,
+  isRepeatable: boolean,
+): void {
+  world.startPlain({
+    name: args.getText(0),
+    entry: args.getText(1),
+    key: args.findOption('key'),
+    body: args.getText(2),
+    waitMs: args.findDurationMs('wait'),
+    isRepeatable,
+  });
+}
+
+/** What can be done to a process, whatever it is. */
+interface NodeActions {
+  crash(): void;
+  restart(): void | Promise<void>;
+  pause(): void;
+  resume(): void;
+}
+
+function findNode(name: string, world: World): NodeActions {
+  const {home, platform} = world;
+  if (name === 'home') return home;
+  const entry = world.entries.get(name);
+  if (entry) {
+    return {
+      crash: () => world.killEntry(name),
+      restart: () => world.replaceEntry(name),
+      pause: () => entry.fence.pause(),
+      resume: () => entry.fence.resume(),
+    };
+  }
+  const core = world.engines.get(name) ?? world.ledgers.get(name) ?? platform;
+  return {
+    crash: () => core.crash(),
+    restart: () => core.restart(),
+    pause: () => core.gate.freeze(),
+    resume: () => core.gate.thaw(),
+  };
+}
+
+const traced = (
+  pattern: string,
+  run: (args: StatementArguments, world: World) => void | Promise<void>,
+  describe: (args: StatementArguments) => string,
+): StatementDefinitionWithRun =>
+  define(pattern, (args, world) => {
+    world.trace(`* ${describe(args)}`);
+    return run(args, world);
+  });
+
+const onNode = (
+  word: string,
+  act: (node: NodeActions) => void | Promise<void>,
+) =>
+  traced(
+    `${word} <node>`,
+    (args, world) => act(findNode(args.getText(0), world)),
+    args => `${word} ${args.getText(0)}`,
+  );
+
+const faults: readonly StatementDefinitionWithRun[] = [
+  onNode('crash', node => node.crash()),
+  onNode('restart', node => node.restart()),
+  onNode('pause', node => node.pause()),
+  onNode('resume', node => node.resume()),
+  traced(
+    'silence <node> [connections <count>]',
+    (args, world) => {
+      const name = args.getText(0);
+      const core = world.engines.get(name) ?? world.ledgers.get(name);
+      core?.gate.silence(args.findCount('connections') ?? 1);
+    },
+    args => `the connections to ${args.getText(0)} go silent`,
+  ),
+  traced(
+    'leave <node>',
+    (args, world) => {
+      const name = args.getText(0);
+      const core = world.engines.get(name) ?? world.ledgers.get(name);
+      core?.setLeaving(true);
+    },
+    args => `${args.getText(0)} is leaving`,
+  ),
+  traced(
+    'stall transfers from <engine>',
+    (args, world) =>
+      world.engines.get(args.getText(0))!.setFaults({stallTransfers: true}),
+    args => `transfers from ${args.getText(0)} stall`,
+  ),
+  traced(
+    'slow <node> by <count>',
+    (args, world) => {
+      const name = args.getText(0);
+      const slowFactor = args.getCount(1);
+      world.engines.get(name)?.setFaults({slowFactor});
+      world.ledgers.get(name)?.setFaults({slowFactor});
+    },
+    args => `${args.getText(0)} is ${args.getCount(1)} times slower`,
+  ),
+  traced(
+    'repeat <percent> of frames of <engine>',
+    (args, world) =>
+      world.engines
+        .get(args.getText(1))!
+        .setFaults({staleFrameShare: args.getShare(0)}),
+    args => `${args.getText(1)} sends frames again, late`,
+  ),
+  traced(
+    'delay answers of <node> up to <duration>',
+    (args, world) => {
+      const name = args.getText(0);
+      const answerDelayMs = args.getDurationMs(1);
+      world.engines.get(name)?.setFaults({answerDelayMs});
+      world.ledgers.get(name)?.setFaults({answerDelayMs});
+    },
+    args => `answers of ${args.getText(0)} are late and cross`,
+  ),
+  traced(
+    'lose <percent> of answers of <ledger>',
+    (args, world) =>
+      world.ledgers
+        .get(args.getText(1))!
+        .setFaults({answerLostShare: args.getShare(0)}),
+    args => `${args.getText(1)} loses answers`,
+  ),
+  traced(
+    'platform down',
+    (_, world) => world.platform.setFaults({isDown: true}),
+    () => 'the platform is down',
+  ),
+  traced(
+    'platform normal',
+    (_, world) =>
+      world.platform.setFaults({
+        isDown: false,
+        slowMs: 0,
+        answerLostShare: 0,
+        lateShare: 0,
+        lateMs: 0,
+        readLostShare: 0,
+      }),
+    () => 'the platform works again',
+  ),
+  traced(
+    'platform slow by <duration>',
+    (args, world) => world.platform.setFaults({slowMs: args.getDurationMs(0)}),
+    () => 'the platform is slow',
+  ),
+  traced(
+    'platform loses <percent> of answers',
+    (args, world) =>
+      world.platform.setFaults({answerLostShare: args.getShare(0)}),
+    () => 'the platform writes and loses the answers',
+  ),
+  traced(
+    'platform applies <percent> of writes late by <duration>',
+    (args, world) =>
+      world.platform.setFaults({
+        lateShare: args.getShare(0),
+        lateMs: args.getDurationMs(1),
+      }),
+    () => 'the platform writes late and loses the answers',
+  ),
+  traced(
+    'journal moves to <entry>',
+    async (args, world) => {
+      const name = args.getText(0);
+      const {fence} = world.entries.get(name)!;
+      const done = world.journal.takeOver(name, fence);
+      await world.clock.advance(LEASE_STEP_MS);
+      await done;
+    },
+    args => `${args.getText(0)} takes the journal over`,
+  ),
+];
+
+const LEASE_STEP_MS = 20;
+const UNTIL_STEP_MS = 1;
+const UNTIL_BOUND_MS = 120_000;
+
+const time: readonly StatementDefinitionWithRun[] = [
+  define('wait <duration>', (args, world) =>
+    world.clock.advance(args.getDurationMs(0)),
+  ),
+  ...conditionDefinitions.map(({pattern, holds}) =>
+    define(`until ${pattern}`, async (args, world) => {
+      const boundMs = world.clock.nowMs() + UNTIL_BOUND_MS;
+      while (!holds(args, world)) {
+        if (world.clock.nowMs() >= boundMs) return {reason: 'it never came'};
+        await world.clock.advance(UNTIL_STEP_MS);
+      }
+      return undefined;
+    }),
+  ),
+];
+
+export const statementDefinitions: readonly StatementDefinitionWithRun[] = [
+  ...setup,
+  ...requests,
+  ...faults,
+  ...time,
+  ...expectationDefinitions,
+];
