--- a/src/core/request/model_machine.ts
+++ b/src/core/request/model_machine.ts
@@ -214,6 +214,7 @@
       timer: 'step',
       delayMs: facts.policy.prefillTimeoutMs,
     },
+    {kind: 'set-timer', timer: 'renew', delayMs: facts.policy.renewIntervalMs},
   );
 }
 
@@ -672,6 +673,26 @@
     if (state.step === 'ended' || !state.isAbandoned) return stay(state);
     return giveUp(state, hungUp(state));
   },
+  'renew-due'(facts, state) {
+    const isRunning =
+      state.step === 'prefilling' ||
+      state.step === 'importing' ||
+      state.step === 'decoding';
+    if (!isRunning) return stay(state);
+    return stay(
+      state,
+      {
+        kind: 'report',
+        grant: state.grant!,
+        progress: {kind: 'renew', tokensDelivered: state.deliveredTokens},
+      },
+      {
+        kind: 'set-timer',
+        timer: 'renew',
+        delayMs: facts.policy.renewIntervalMs,
+      },
+    );
+  },
   deadline(facts, state) {
     if (state.step === 'ended' || state.isAbandoned) return stay(state);
     const isStreaming = state.step === 'decoding' || state.step === 'adopted';
--- a/src/core/request/model_types.ts
+++ b/src/core/request/model_types.ts
@@ -11,6 +11,8 @@
   readonly maxGrantAsks: number;
   readonly prefillTimeoutMs: number;
   readonly importTimeoutMs: number;
+  /** A running grant is renewed this often, or it lapses at its home. */
+  readonly renewIntervalMs: number;
   /** Longest silence of a decode stream. */
   readonly tokenProgressMs: number;
   /** Less time left than this: a prefill would be thrown away. */
@@ -148,10 +150,12 @@
   | {readonly kind: 'caller-gone'}
   | {readonly kind: 'caller-back'}
   | {readonly kind: 'keep-bound'}
+  | {readonly kind: 'renew-due'}
   | {readonly kind: 'deadline'}
   | {readonly kind: 'overrun'};
 
-export type ModelTimer = 'step' | 'start' | 'retry' | 'keep' | 'overrun';
+export type ModelTimer =
+  'step' | 'start' | 'retry' | 'keep' | 'overrun' | 'renew';
 
 export type ModelEffect =
   | {readonly kind: 'look-up'}
--- a/src/request/model_task.ts
+++ b/src/request/model_task.ts
@@ -72,9 +72,10 @@
   let stream: DecodeHandle | undefined;
   let isEnded = false;
 
+  const step = host.machines?.stepModel ?? stepModel;
   const driver = createMachineDriver<ModelState, ModelEvent, ModelEffect>(
     initialModelState,
-    (state, event) => stepModel(facts, state, event),
+    (state, event) => step(facts, state, event),
     effect => perform(effect),
     settle,
   );
@@ -296,6 +297,7 @@
     retry: () => ({kind: 'retry-due', nowMs: clock.nowMs()}),
     keep: () => ({kind: 'keep-bound'}),
     overrun: () => ({kind: 'overrun'}),
+    renew: () => ({kind: 'renew-due'}),
   };
 
   const effects: EffectHandlers = {
--- a/src/request/plain_task.ts
+++ b/src/request/plain_task.ts
@@ -42,9 +42,10 @@
   const timers = createNamedTimers<'deadline' | 'hedge'>(clock);
   let isEnded = false;
 
+  const step = host.machines?.stepPlain ?? stepPlain;
   const driver = createMachineDriver<PlainState, PlainEvent, PlainEffect>(
     initialPlainState,
-    (state, event) => stepPlain(facts, state, event),
+    (state, event) => step(facts, state, event),
     effect => perform(effect),
     settle,
   );
--- a/src/request/request_host.ts
+++ b/src/request/request_host.ts
@@ -1,6 +1,9 @@
 /** What the request tasks need from the process around them. */
 
 import type {ErrorKind} from '../core/error_kinds.js';
+import type {stepModel} from '../core/request/model_machine.js';
+import type {stepPlain} from '../core/request/plain_machine.js';
+import type {stepSingleRun} from '../core/request/single_run_machine.js';
 import type {ModelPolicy} from '../core/request/model_types.js';
 import type {PlainPolicy} from '../core/request/plain_types.js';
 import type {RequestClass} from '../ports/grants.js';
@@ -25,7 +28,15 @@
   onRequestEnded?(service: string, result: 'answered' | ErrorKind): void;
 }
 
+/** The machines that the tasks drive; the fault harness swaps in broken ones. */
+export interface RequestMachines {
+  readonly stepModel: typeof stepModel;
+  readonly stepPlain: typeof stepPlain;
+  readonly stepSingleRun: typeof stepSingleRun;
+}
+
 export interface RequestHost {
+  readonly machines?: Partial<RequestMachines>;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
@@ -64,6 +75,7 @@
     maxGrantAsks: 6,
     prefillTimeoutMs: 8_000,
     importTimeoutMs: 3_000,
+    renewIntervalMs: 2_000,
     tokenProgressMs: 3_000,
     minServeMs: 100,
     streamOverrunMs: 30_000,
--- a/src/request/request_runner.ts
+++ b/src/request/request_runner.ts
@@ -60,14 +60,34 @@
   };
 }
 
+/** The runner, as the sweep of engine sessions sees it. */
+export interface SweptRequestRunner extends RequestRunner {
+  /** Whether the request has not ended here. */
+  isRunning(requestId: string): boolean;
+}
+
 export function createRequestRunner(
   host: RequestHost,
   options: RequestRunnerOptions = defaultRequestRunnerOptions,
-): RequestRunner {
+): SweptRequestRunner {
   const releaser = createReleaser(host);
   const keyedTasks = new Map<LiveAnswer, ModelTask>();
+  /** By request id; a caller may give the same id to several. */
+  const runningIds = new Map<string, number>();
   let activeCount = 0;
 
+  function noteStarted(requestId: string): void {
+    activeCount++;
+    runningIds.set(requestId, (runningIds.get(requestId) ?? 0) + 1);
+  }
+
+  function noteEnded(requestId: string): void {
+    activeCount--;
+    const left = runningIds.get(requestId)! - 1;
+    if (left > 0) runningIds.set(requestId, left);
+    else runningIds.delete(requestId);
+  }
+
   function isQuarantined(fingerprint: string): boolean {
     return host.quarantine.verdict(fingerprint) === 'quarantined';
   }
@@ -76,14 +96,14 @@
     request: ModelRequest,
     sink: ModelAnswerSink,
   ): RunningRequest {
-    activeCount++;
+    noteStarted(request.requestId);
     return createModelTask(
       host,
       options,
       releaser,
       request,
       directOutput(sink),
-      () => activeCount--,
+      () => noteEnded(request.requestId),
     );
   }
 
@@ -108,7 +128,7 @@
     const live = host.keptAnswers.open(request);
     const running = follow(live, sink);
     let hasEnded = false;
-    activeCount++;
+    noteStarted(request.requestId);
     const task = createModelTask(
       host,
       options,
@@ -117,7 +137,7 @@
       liveOutput(live),
       () => {
         hasEnded = true;
-        activeCount--;
+        noteEnded(request.requestId);
         keyedTasks.delete(live);
         host.keptAnswers.close(request, live);
       },
@@ -154,10 +174,13 @@
         sink.fail(quarantinedError);
         return ended;
       }
-      activeCount++;
+      noteStarted(request.requestId);
       const create = request.repeatable ? createPlainTask : createSingleRunTask;
-      return create(host, options, request, sink, () => activeCount--);
+      return create(host, options, request, sink, () =>
+        noteEnded(request.requestId),
+      );
     },
     activeCount: () => activeCount,
+    isRunning: requestId => runningIds.has(requestId),
   };
 }
--- a/src/request/single_run_task.ts
+++ b/src/request/single_run_task.ts
@@ -58,13 +58,14 @@
   const timers = createNamedTimers<'deadline' | 'ask' | 'linger'>(clock);
   let isEnded = false;
 
+  const step = host.machines?.stepSingleRun ?? stepSingleRun;
   const driver = createMachineDriver<
     SingleRunState,
     SingleRunEvent,
     SingleRunEffect
   >(
     initialSingleRunState,
-    (state, event) => stepSingleRun(facts, state, event),
+    (state, event) => step(facts, state, event),
     effect => perform(effect),
     settle,
   );
