Fuzz the life of a request with seeded faults in virtual time

Cause: the request modules had no proof. Change: a small site with the real modules in three processes around the stand-ins, an observer that reads the stand-ins' books, random schedules of up to three faults, and deliberate defects.

--- /dev/null
+++ b/bench/fuzz_mutants.ts
@@ -0,0 +1,54 @@
+/**
+ * Shows that the harness bites: each deliberate defect must be caught.
+ * `npm run fuzz:mutants -- --runs 3000 --seed 1`
+ */
+
+import {parseArgs} from 'node:util';
+import {makeSchedule, runSchedule, type Schedule} from './support/fault_run.js';
+import type {Mutant} from './support/site_entry.js';
+import {mutants} from './support/mutants.js';
+
+const {values} = parseArgs({
+  options: {
+    runs: {type: 'string', default: '3000'},
+    seed: {type: 'string', default: '1'},
+  },
+});
+const runs = Number(values.runs);
+const firstSeed = Number(values.seed);
+let missed = 0;
+
+function hasEntryFault({faults}: Schedule): boolean {
+  return faults.some(
+    ({kind}) => kind.startsWith('entry') || kind.startsWith('partition'),
+  );
+}
+
+/** The defect itself must be to blame, not the missing sweep. */
+async function isCleanWithout(
+  mutant: Mutant,
+  schedule: Schedule,
+): Promise<boolean> {
+  if (!mutant.needsLivingEntries) return true;
+  const control: Mutant = {name: 'control', hasNoSweep: true};
+  return (await runSchedule(schedule, control)).violations.length === 0;
+}
+
+for (const mutant of mutants) {
+  let caught: string | undefined;
+  let tried = 0;
+  while (!caught && tried < runs) {
+    const seed = firstSeed + tried++;
+    const schedule = makeSchedule(seed);
+    if (mutant.needsLivingEntries && hasEntryFault(schedule)) continue;
+    const {violations} = await runSchedule(schedule, mutant);
+    const first = violations[0];
+    if (first && (await isCleanWithout(mutant, schedule)))
+      caught = `seed ${seed}: ${first.promise}: ${first.what}`;
+  }
+  if (!caught) missed++;
+  console.log(`${caught ? 'caught' : 'MISSED'}  ${mutant.name}`);
+  console.log(`        ${caught ?? `not in ${tried} schedules`}`);
+}
+console.log(`${mutants.length - missed} of ${mutants.length} defects caught`);
+process.exit(missed > 0 ? 1 : 0);
--- /dev/null
+++ b/bench/support/site_entry.ts
@@ -0,0 +1,236 @@
+/** One entry process of the fault harness, with the real request modules. */
+
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import type {Clock} from '../../src/ports/clock.js';
+import type {EnginePort, EnginePortFactory} from '../../src/ports/engine.js';
+import type {GrantPort} from '../../src/ports/grants.js';
+import type {JournalPort} from '../../src/ports/journal.js';
+import type {
+  AnswerIndexPort,
+  AnswerPeerPort,
+} from '../../src/ports/kept_answers.js';
+import type {Logger} from '../../src/ports/log.js';
+import type {
+  PlainServicePort,
+  PlainServicePortFactory,
+} from '../../src/ports/plain_service.js';
+import type {PlainUpstreamPicker} from '../../src/ports/plain_upstreams.js';
+import type {ObjectStorePort, TablePort} from '../../src/ports/table.js';
+import {
+  createJournalOwner,
+  defaultJournalOwnerOptions,
+  type JournalOwner,
+} from '../../src/request/journal_owner.js';
+import type {PartitionFence} from '../../src/request/journal_committer.js';
+import {
+  createKeptAnswers,
+  type KeptAnswers,
+} from '../../src/request/kept_answers.js';
+import {
+  createQuarantine,
+  type LossFact,
+  type Quarantine,
+} from '../../src/request/quarantine.js';
+import {
+  defaultRequestRunnerOptions,
+  type RequestMachines,
+  type RequestRunnerOptions,
+} from '../../src/request/request_host.js';
+import {
+  createRequestRunner,
+  type SweptRequestRunner,
+} from '../../src/request/request_runner.js';
+import {createRetryBudget} from '../../src/request/retry_budget.js';
+import {createProcessShell, type ProcessShell} from './process_shell.js';
+
+/** What a deliberate defect changes; the empty one changes nothing. */
+export interface Mutant {
+  readonly name: string;
+  readonly machines?: Partial<RequestMachines>;
+  wrapTable?(table: TablePort): TablePort;
+  wrapJournal?(journal: JournalPort): JournalPort;
+  wrapEngines?(engines: EnginePortFactory): EnginePortFactory;
+  wrapQuarantine?(quarantine: Quarantine): Quarantine;
+  wrapGrants?(grants: GrantPort): GrantPort;
+  /** Turns the sweep off, which would hide a forgotten release. */
+  readonly hasNoSweep?: boolean;
+  /** Only schedules in which no entry dies or pauses. */
+  readonly needsLivingEntries?: boolean;
+}
+
+export interface SiteEntryHost {
+  readonly world: Clock;
+  readonly mutant: Mutant;
+  readonly table: TablePort;
+  readonly objects: ObjectStorePort;
+  readonly grants: GrantPort;
+  readonly index: AnswerIndexPort;
+  readonly peers: AnswerPeerPort;
+  enginePort(address: string): EnginePort;
+  plainPort(address: string): PlainServicePort;
+  readonly picker: PlainUpstreamPicker;
+  journalFor(entry: SiteEntry): JournalPort;
+  spread(from: SiteEntry, fact: LossFact): void;
+  isEntryAlive(tag: string): boolean;
+  onNote(note: string): void;
+}
+
+export interface SiteEntry {
+  readonly index: number;
+  readonly tag: string;
+  readonly address: string;
+  readonly shell: ProcessShell;
+  readonly runner: SweptRequestRunner;
+  readonly kept: KeptAnswers;
+  readonly quarantine: Quarantine;
+  /** Leases that the process believes in. */
+  readonly fences: Map<number, PartitionFence>;
+  journalOwner(partition: number): JournalOwner;
+  isDraining: boolean;
+}
+
+const KEEP_MS = 60_000;
+
+const runnerOptions: RequestRunnerOptions = {
+  ...defaultRequestRunnerOptions,
+  model: {
+    ...defaultRequestRunnerOptions.model,
+    prefillTimeoutMs: 600,
+    importTimeoutMs: 400,
+    tokenProgressMs: 500,
+    streamOverrunMs: 2_000,
+    keepRunningMs: 4_000,
+  },
+  plain: {
+    ...defaultRequestRunnerOptions.plain,
+    callTimeoutMs: 500,
+    hedgeAfterMs: 150,
+    lingerMs: 1_500,
+  },
+  probeTimeoutMs: 100,
+  peerReadWaitMs: 200,
+};
+
+function noteLogger(onNote: (note: string) => void): Logger {
+  const write = (sentence: string) => onNote(sentence);
+  return {error: write, warn: write, info() {}, debug() {}};
+}
+
+export function createSiteEntry(
+  host: SiteEntryHost,
+  index: number,
+  incarnation: number,
+): SiteEntry {
+  const {mutant} = host;
+  const shell = createProcessShell(host.world);
+  const random = createSeededRandom(1 + index * 1_000 + incarnation);
+  const tag = `entry${index}#${incarnation}`;
+  const address = `10.9.0.${index}:${incarnation}`;
+  const log = noteLogger(note => host.onNote(`${tag}: ${note}`));
+  const table = shell.port(mutant.wrapTable?.(host.table) ?? host.table);
+  const objects = shell.port(host.objects);
+  const fences = new Map<number, PartitionFence>();
+  const owners = new Map<number, JournalOwner>();
+
+  const enginePort: EnginePortFactory = target => {
+    const engine = host.enginePort(target);
+    const port = shell.port(engine);
+    return {
+      ...port,
+      prefill: call => port.prefill(call),
+      importKv: call => port.importKv(call),
+      cancel: (owner, timeoutMs) => port.cancel(owner, timeoutMs),
+      probe: timeoutMs => port.probe(timeoutMs),
+      decode: (call, sink) =>
+        port.decode(call, event => shell.inside(() => sink(event))),
+    };
+  };
+  const plainPort: PlainServicePortFactory = target =>
+    shell.port(host.plainPort(target));
+  const quarantine = createQuarantine({
+    clock: shell.clock,
+    spread: fact => host.spread(entry, fact),
+  });
+  const kept = createKeptAnswers(
+    {
+      clock: shell.clock,
+      log,
+      objectStore: objects,
+      index: shell.port(host.index),
+      peers: shell.port(host.peers),
+      peerAddress: address,
+    },
+    {
+      maxLocalBytes: 1_000_000,
+      indexTimeoutMs: 100,
+      storeTimeoutMs: 300,
+      announceIntervalMs: 1_000,
+      storeRetryMs: 500,
+      retentionMs: () => KEEP_MS,
+    },
+  );
+
+  function journalOwner(partition: number): JournalOwner {
+    const known = owners.get(partition);
+    if (known) return known;
+    const owner = createJournalOwner(
+      {
+        clock: shell.clock,
+        random,
+        log,
+        table,
+        objectStore: objects,
+        fence: () => fences.get(partition),
+        isEntryAlive: host.isEntryAlive,
+      },
+      {
+        ...defaultJournalOwnerOptions,
+        partition,
+        maxWritesPerSecond: 50,
+        beginTimeoutMs: 600,
+        readTimeoutMs: 150,
+        writeTimeoutMs: 150,
+        maxInlineBytes: 100,
+        retentionMs: () => KEEP_MS,
+      },
+    );
+    owners.set(partition, owner);
+    return owner;
+  }
+
+  const entry: SiteEntry = {
+    index,
+    tag,
+    address,
+    shell,
+    kept,
+    quarantine,
+    fences,
+    journalOwner,
+    isDraining: false,
+    get runner() {
+      return runner;
+    },
+  };
+  const journal = shell.port(host.journalFor(entry));
+  const grants = shell.port(mutant.wrapGrants?.(host.grants) ?? host.grants);
+  const runner = createRequestRunner(
+    {
+      machines: mutant.machines,
+      clock: shell.clock,
+      random,
+      log,
+      entry: tag,
+      enginePort: mutant.wrapEngines?.(enginePort) ?? enginePort,
+      plainPort,
+      grants,
+      journal: mutant.wrapJournal?.(journal) ?? journal,
+      plainBalancer: host.picker,
+      quarantine: mutant.wrapQuarantine?.(quarantine) ?? quarantine,
+      keptAnswers: kept,
+      retryBudget: createRetryBudget({burst: 20, ratioOf: () => 0.2}),
+    },
+    runnerOptions,
+  );
+  return entry;
+}
--- /dev/null
+++ b/bench/support/site_observer.ts
@@ -0,0 +1,215 @@
+/**
+ * Checks the promises of the product after a run of the fault harness. What
+ * ran is taken from the stand-ins' own books, what was said from what the
+ * callers got; nothing is asked of the router.
+ */
+
+import {errorAnswers} from '../../src/core/error_kinds.js';
+import {expectAnswer} from '../../stand_ins/answer_text.js';
+import {ANSWER_TOKENS, type RequestSite} from './request_site.js';
+import {bodyOf, promptOf, type SendRecord} from './site_callers.js';
+
+/** The promises, in the order of the brief. */
+export const promises = [
+  'nothing held by the gone',
+  'answered once',
+  'whole and own answer',
+  'not run is true',
+  'at most once',
+  'leaving gets no new work',
+  'shutdown cuts nothing',
+  'configuration in force',
+] as const;
+
+export type Promised = (typeof promises)[number] | 'site recovers';
+
+export interface Violation {
+  readonly promise: Promised;
+  readonly what: string;
+}
+
+/** After this long, an upstream that is leaving may get no new work. */
+const LEAVING_GRACE_MS = 2_000;
+/** Slack on the final answer of a request. */
+const ANSWER_SLACK_MS = 2_600;
+
+export interface ObservedFaults {
+  /** Entries were killed or paused. */
+  readonly hadEntryFaults: boolean;
+  /** No fault outlives this. */
+  readonly healedAtMs: number;
+}
+
+function checkMemory(site: RequestSite): readonly Violation[] {
+  const held = [...site.prefill, ...site.decode].flatMap(engine => {
+    const books = engine.books();
+    const isClean = books.sessions.length === 0 && books.kvUsedBytes === 0;
+    const owners = books.sessions.map(session => session.owner.attemptId);
+    return isClean
+      ? []
+      : [`${books.engineId} holds ${books.kvUsedBytes} B for ${owners}`];
+  });
+  if (site.home.openGrants() > 0) held.push('grants stay open');
+  if (site.home.lapsedGrants() > 0) held.push('grants lapsed unreported');
+  return held.map(what => ({promise: 'nothing held by the gone', what}));
+}
+
+function checkAnswer(record: SendRecord): readonly Violation[] {
+  const {spec, requestId} = record;
+  const outcome = record.outcomes[0];
+  const wrong = (what: string): readonly Violation[] => [
+    {promise: 'whole and own answer', what: `${requestId}: ${what}`},
+  ];
+  const expectedTexts = expectAnswer(promptOf(spec), ANSWER_TOKENS);
+  const isCrossed = record.texts.some(
+    (text, offset) => text !== expectedTexts.textAt(offset),
+  );
+  if (isCrossed) return wrong('a token is not of its own answer');
+  if (!outcome || outcome.kind === 'failed') return [];
+  if (outcome.kind === 'whole') {
+    const count = expectedTexts.naturalTokenCount;
+    const isOwn =
+      outcome.tokenCount === count && outcome.texts.length === count;
+    return isOwn ? [] : wrong(`got ${outcome.texts.length} of ${count} tokens`);
+  }
+  const body = Buffer.from(outcome.answer.body).toString('utf8');
+  const isOwn =
+    body.includes(`"echo":"${bodyOf(spec)}"`) &&
+    body.includes(`"key":${spec.key ? `"${spec.key}"` : 'null'}`);
+  return isOwn ? [] : wrong(`got ${body}`);
+}
+
+/** Whether any upstream's books show a run of the request. */
+function hasRun(site: RequestSite, requestId: string): boolean {
+  const engines = [...site.prefill, ...site.decode];
+  const onEngine = engines.some(engine =>
+    engine
+      .books()
+      .runs.some(
+        run =>
+          run.requestId === requestId &&
+          run.prefillsStarted + run.decodesStarted > 0,
+      ),
+  );
+  return (
+    onEngine ||
+    site.services.some(
+      service => (service.books().runsByRequest[requestId] ?? 0) > 0,
+    )
+  );
+}
+
+function checkNotRun(
+  site: RequestSite,
+  record: SendRecord,
+): readonly Violation[] {
+  const outcome = record.outcomes[0];
+  if (outcome?.kind !== 'failed' || record.hasHungUp) return [];
+  const isClaimed = errorAnswers[outcome.error.kind].runState === 'not-run';
+  if (!isClaimed || !hasRun(site, record.requestId)) return [];
+  return [
+    {
+      promise: 'not run is true',
+      what: `${record.requestId}: ${outcome.error.kind}, and it ran`,
+    },
+  ];
+}
+
+function checkOnce(
+  site: RequestSite,
+  records: readonly SendRecord[],
+): readonly Violation[] {
+  const runs = new Map<string, number>();
+  for (const service of site.services) {
+    for (const run of service.books().runs) {
+      if (run.method !== 'POST') continue;
+      const name = run.idempotencyKey ?? run.requestId;
+      runs.set(name, (runs.get(name) ?? 0) + 1);
+    }
+  }
+  const doubled = [...runs].filter(([, count]) => count > 1);
+  const bodies = new Map<string, string>();
+  const differing = records.filter(({spec, outcomes}) => {
+    const outcome = outcomes[0];
+    if (spec.kind !== 'single' || !spec.key) return false;
+    if (outcome?.kind !== 'answered') return false;
+    const body = Buffer.from(outcome.answer.body).toString('utf8');
+    const first = bodies.get(spec.key) ?? body;
+    bodies.set(spec.key, first);
+    return first !== body;
+  });
+  return [
+    ...doubled.map(([name, count]) => ({
+      promise: 'at most once' as const,
+      what: `${name} ran ${count} times`,
+    })),
+    ...differing.map(({requestId}) => ({
+      promise: 'answered once' as const,
+      what: `${requestId}: a repeat got another answer`,
+    })),
+  ];
+}
+
+/** Each caller that stays on a living entry gets a final answer in time. */
+function checkFinal(record: SendRecord): readonly Violation[] {
+  const found: Violation[] = record.violations.map(what => ({
+    promise: 'answered once',
+    what: `${record.requestId}: ${what}`,
+  }));
+  const {entry, arrivedAtMs, endedAtMs, spec} = record;
+  if (record.hasHungUp || !entry.shell.isAlive()) return found;
+  if (arrivedAtMs === undefined) return found;
+  const tookMs = (endedAtMs ?? Infinity) - arrivedAtMs;
+  if (tookMs > spec.waitMs + ANSWER_SLACK_MS) {
+    found.push({
+      promise: 'answered once',
+      what: `${record.requestId}: no final answer within its wait`,
+    });
+  }
+  return found;
+}
+
+function checkLeaving(site: RequestSite): readonly Violation[] {
+  const books = [
+    ...[...site.prefill, ...site.decode].map(engine => engine.books()),
+    ...site.services.map(service => service.books()),
+  ];
+  return books
+    .filter(({workAfterLeavingMs}) =>
+      workAfterLeavingMs.some(lateMs => lateMs > LEAVING_GRACE_MS),
+    )
+    .map(() => ({
+      promise: 'leaving gets no new work',
+      what: 'an upstream was offered work long after it began to leave',
+    }));
+}
+
+/** Calls sent after all faults have healed must succeed. */
+function checkRecovery(
+  records: readonly SendRecord[],
+  healedAtMs: number,
+): readonly Violation[] {
+  return records
+    .filter(({spec}) => spec.atMs >= healedAtMs && !spec.isPoison)
+    .filter(({outcomes}) => outcomes[0]?.kind === 'failed')
+    .map(({requestId, outcomes}) => ({
+      promise: 'site recovers',
+      what: `${requestId}: ${JSON.stringify(outcomes[0])}`,
+    }));
+}
+
+export function observeSite(
+  site: RequestSite,
+  records: readonly SendRecord[],
+  faults: ObservedFaults,
+): readonly Violation[] {
+  return [
+    ...checkMemory(site),
+    ...records.flatMap(checkAnswer),
+    ...records.flatMap(record => checkNotRun(site, record)),
+    ...checkOnce(site, records),
+    ...records.flatMap(checkFinal),
+    ...checkLeaving(site),
+    ...checkRecovery(records, faults.healedAtMs),
+  ];
+}
--- a/src/core/request/journal_rows.ts
+++ b/src/core/request/journal_rows.ts
@@ -98,7 +98,9 @@
       return done({kind: 'outcome-unknown', attemptId: row.attemptId});
     case 'intended':
       // The reply to the first asking may have been lost on the way.
-      if (row.attemptId === request.attemptId) return done({kind: 'proceed'});
+      if (row.attemptId === request.attemptId && row.entry === request.entry) {
+        return done({kind: 'proceed'});
+      }
       return facts.isEntryAlive(row.entry)
         ? done({kind: 'running', retryAfterMs: facts.runningRetryMs})
         : done({kind: 'outcome-unknown', attemptId: row.attemptId});
--- a/src/core/request/plain_machine.ts
+++ b/src/core/request/plain_machine.ts
@@ -27,7 +27,11 @@
 export type PlainEvent =
   | PlainCallEvent
   | {readonly kind: 'hedge-due'}
-  | {readonly kind: 'probed'; readonly attempt: number};
+  | {
+      readonly kind: 'probed';
+      readonly upstreamId: string;
+      readonly isAlive: boolean;
+    };
 
 export type PlainEffect =
   | PlainCallEffect
@@ -154,10 +158,15 @@
     return stay({...next, step: 'probing'}, {kind: 'probe', call});
   },
   probed(_facts, state, event) {
-    if (state.step !== 'probing' || event.attempt !== state.attempts) {
-      return stay(state);
-    }
-    return stay({...state, step: 'asking-retry'}, {kind: 'ask-retry'});
+    if (state.step !== 'probing') return stay(state);
+    // Only the connection was dead: the upstream itself may be tried again.
+    const triedIds = event.isAlive
+      ? state.triedIds.filter(id => id !== event.upstreamId)
+      : state.triedIds;
+    return stay(
+      {...state, step: 'asking-retry', triedIds},
+      {kind: 'ask-retry'},
+    );
   },
   'retry-allowed'(facts, state, event) {
     const isLate = event.nowMs + facts.policy.minServeMs > facts.deadlineAtMs;
--- a/src/request/model_task.ts
+++ b/src/request/model_task.ts
@@ -56,6 +56,9 @@
 ): ModelTask {
   const {clock} = host;
   const {requestId, service} = request;
+  // Request ids may come from callers, who may use one twice at a time: the
+  // release of one request must not free what the other holds.
+  const runId = host.random.nextId();
   const facts: ModelFacts = {
     requestId,
     deadlineAtMs: request.deadlineAtMs,
@@ -92,7 +95,7 @@
     return {
       entry: host.entry,
       requestId,
-      attemptId: `${requestId}.${attempt}`,
+      attemptId: `${runId}.${attempt}`,
     };
   }
 
--- a/src/request/plain_calls.ts
+++ b/src/request/plain_calls.ts
@@ -15,7 +15,7 @@
   call(call: OpenCall): void;
   abort(attempt: number): void;
   /** Tries a fresh connection; a dead upstream counts against the request. */
-  probe(call: OpenCall): Promise<void>;
+  probe(call: OpenCall): Promise<boolean>;
   askRetry(): void;
 }
 
@@ -78,9 +78,11 @@
           headers: request.headers,
           body: request.body,
           timeoutMs: callTimeoutMs(),
-          connectionProvenWithinMs: request.repeatable
-            ? 0
-            : options.connectionProvenWithinMs,
+          // A repeat may not meet the same silent connection again.
+          connectionProvenWithinMs:
+            request.repeatable && call.attempt === 1
+              ? 0
+              : options.connectionProvenWithinMs,
         },
         signal,
       )
@@ -139,9 +141,10 @@
         .plainPort(call.address)
         .probe(options.probeTimeoutMs)
         .catch(() => false);
-      if (isAlive) return;
+      if (isAlive) return true;
       host.observer?.onEngineBlamed?.(request.service, call.upstreamId);
       host.quarantine.blame(request.fingerprint, call.upstreamId);
+      return false;
     },
     askRetry() {
       const isQuarantined =
--- a/src/request/plain_task.ts
+++ b/src/request/plain_task.ts
@@ -70,11 +70,13 @@
         driver.send({kind: 'hedge-due'}),
       ),
     probe: effect =>
-      void calls
-        .probe(effect.call)
-        .then(() =>
-          driver.send({kind: 'probed', attempt: effect.call.attempt}),
-        ),
+      void calls.probe(effect.call).then(isAlive =>
+        driver.send({
+          kind: 'probed',
+          upstreamId: effect.call.upstreamId,
+          isAlive,
+        }),
+      ),
     answer(effect) {
       host.quarantine.clear(request.fingerprint);
       host.observer?.onRequestEnded?.(service, 'answered');
--- a/src/request/single_run_task.ts
+++ b/src/request/single_run_task.ts
@@ -55,6 +55,9 @@
     isKeyed: request.idempotencyKey !== undefined,
     policy: options.plain,
   };
+  // Request ids may come from callers. A repeat with the id of an earlier call
+  // must not pass for that call's own question, or it would run again.
+  const attemptId = host.random.nextId();
   const timers = createNamedTimers<'deadline' | 'ask' | 'linger'>(clock);
   let isEnded = false;
 
@@ -86,7 +89,7 @@
       account: request.account,
       idempotencyKey: request.idempotencyKey!,
       fingerprint: request.fingerprint,
-      attemptId: request.requestId,
+      attemptId,
       entry: host.entry,
       timeoutMs,
     };
