Give the stand-ins HTTP fronts and the product its adapters

The path has to run on real sockets. Each stand-in core gets a thin HTTP front; the adapters meet them with undici. Decodes of one process share one stream per engine, one line and one write a step. Calls that may not be repeated go over a connection proven alive or just opened, and failures say whether the call may have run.

--- /dev/null
+++ b/src/adapters/http_engine_stream.ts
@@ -0,0 +1,290 @@
+/**
+ * The one long-lived stream on which an engine brings the tokens of all the
+ * decodes that this process runs there: one line an engine step.
+ *
+ * Guards against a stream that went silent: engines send a heartbeat each
+ * second, so a stream without a line for `silenceMs` is dead even if its
+ * socket is open. All its decodes are cut then, and the next one opens anew.
+ */
+
+import {Client} from 'undici';
+import type {Clock, TimerHandle} from '../ports/clock.js';
+import type {
+  DecodeCall,
+  DecodeEvent,
+  DecodeHandle,
+  EngineFailure,
+} from '../ports/engine.js';
+import type {Random} from '../ports/random.js';
+import {isConnectError} from './http_caller.js';
+import {engineFailureSchema} from './http_engine_schema.js';
+
+export interface EngineStreamHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Asks the engine to start; `'no-stream'` if it does not know the stream. */
+  startDecode(
+    call: DecodeCall,
+    stream: string,
+    streamId: number,
+  ): Promise<'started' | 'no-stream' | EngineFailure>;
+  /** Frees what the engine holds for the decode. */
+  release(call: DecodeCall): void;
+}
+
+export interface EngineStreamOptions {
+  /** `http://ip:port`. */
+  readonly origin: string;
+  readonly silenceMs: number;
+  readonly connectTimeoutMs: number;
+  /** An unused stream is closed after this long. */
+  readonly idleMs: number;
+}
+
+export interface EngineStream {
+  decode(call: DecodeCall, sink: (event: DecodeEvent) => void): DecodeHandle;
+  close(): void;
+}
+
+interface RunningDecode {
+  readonly call: DecodeCall;
+  readonly sink: (event: DecodeEvent) => void;
+}
+
+/** One connection of the stream; a new one has a new name. */
+interface Connection {
+  readonly name: string;
+  readonly client: Client;
+  readonly running: Map<number, RunningDecode>;
+  /** Undefined once open; why not, otherwise. */
+  readonly opened: Promise<EngineFailure | undefined>;
+  heardAtMs: number;
+  remainder: Buffer | undefined;
+  watch: TimerHandle | undefined;
+  idleTimer: TimerHandle | undefined;
+  isClosed: boolean;
+}
+
+const NEWLINE = 0x0a;
+const MAX_LINE_BYTES = 4 * 1024 * 1024;
+const CHECKS_PER_SILENCE = 4;
+
+function failed(
+  reason: EngineFailure['reason'],
+  detail: string,
+): EngineFailure {
+  return {kind: 'failed', reason, detail};
+}
+
+/** Makes an event of one item of a line; undefined if it is malformed. */
+function toEvent(item: unknown, call: DecodeCall): DecodeEvent | undefined {
+  const [, second, third, fourth] = item as readonly unknown[];
+  const {requestId, attemptId} = call.owner;
+  if (typeof second === 'number') {
+    const texts = (item as readonly unknown[]).slice(2);
+    if (!texts.every(text => typeof text === 'string')) return undefined;
+    return {kind: 'tokens', requestId, attemptId, offset: second, texts};
+  }
+  if (second === 'end' && typeof third === 'number') {
+    const finishReason = fourth === 'length' ? 'length' : 'stop';
+    return {kind: 'end', requestId, attemptId, tokenCount: third, finishReason};
+  }
+  const failure = engineFailureSchema.safeParse(third);
+  if (second !== 'cut' || !failure.success) return undefined;
+  return {kind: 'cut', requestId, attemptId, failure: failure.data};
+}
+
+export function createEngineStream(
+  host: EngineStreamHost,
+  options: EngineStreamOptions,
+): EngineStream {
+  const {clock} = host;
+  let connection: Connection | undefined;
+  let nextStreamId = 1;
+
+  function closeConnection(closed: Connection, reason: EngineFailure): void {
+    if (closed.isClosed) return;
+    closed.isClosed = true;
+    if (connection === closed) connection = undefined;
+    if (closed.watch) clock.clearTimer(closed.watch);
+    if (closed.idleTimer) clock.clearTimer(closed.idleTimer);
+    closed.client.destroy().catch(() => undefined);
+    const cut = [...closed.running.values()];
+    closed.running.clear();
+    for (const {call, sink} of cut) {
+      const {requestId, attemptId} = call.owner;
+      sink({kind: 'cut', requestId, attemptId, failure: reason});
+    }
+  }
+
+  function watchSilence(watched: Connection): void {
+    watched.watch = clock.setTimer(
+      options.silenceMs / CHECKS_PER_SILENCE,
+      () => {
+        const quietMs = clock.nowMs() - watched.heardAtMs;
+        if (quietMs > options.silenceMs) {
+          closeConnection(watched, failed('broken', 'the stream went silent'));
+        } else {
+          watchSilence(watched);
+        }
+      },
+    );
+  }
+
+  function closeWhenIdle(idle: Connection): void {
+    if (idle.running.size > 0) return;
+    if (idle.idleTimer) clock.clearTimer(idle.idleTimer);
+    idle.idleTimer = clock.setTimer(options.idleMs, () => {
+      if (idle.running.size > 0) return;
+      closeConnection(idle, failed('cancelled', 'the stream is not used'));
+    });
+  }
+
+  function takeItem(from: Connection, item: unknown): void {
+    const streamId = Array.isArray(item) ? item[0] : undefined;
+    const running = from.running.get(streamId);
+    // A frame that is late or crossed belongs to no running decode: dropped.
+    if (!running) return;
+    const event = toEvent(item, running.call);
+    if (!event) {
+      closeConnection(from, failed('broken', 'malformed frame'));
+      return;
+    }
+    if (event.kind !== 'tokens') {
+      from.running.delete(streamId);
+      closeWhenIdle(from);
+    }
+    running.sink(event);
+  }
+
+  function takeLine(from: Connection, line: string): void {
+    if (line.length <= 2) return;
+    let items: unknown;
+    try {
+      items = JSON.parse(line);
+    } catch {
+      items = undefined;
+    }
+    if (!Array.isArray(items)) {
+      closeConnection(from, failed('broken', 'malformed line'));
+      return;
+    }
+    for (const item of items) takeItem(from, item);
+  }
+
+  function takeBytes(from: Connection, chunk: Buffer): void {
+    from.heardAtMs = clock.nowMs();
+    const bytes = from.remainder
+      ? Buffer.concat([from.remainder, chunk])
+      : chunk;
+    const end = bytes.lastIndexOf(NEWLINE) + 1;
+    from.remainder = end < bytes.length ? bytes.subarray(end) : undefined;
+    if ((from.remainder?.length ?? 0) > MAX_LINE_BYTES) {
+      closeConnection(from, failed('broken', 'the line is too long'));
+      return;
+    }
+    const lines = bytes.toString('utf8', 0, end).split('\n');
+    for (const line of lines) takeLine(from, line);
+  }
+
+  async function open(opening: () => Connection): Promise<undefined> {
+    const {client, name} = opening();
+    const response = await client.request({
+      method: 'GET',
+      path: `/stream?name=${name}`,
+      headersTimeout: options.connectTimeoutMs,
+      bodyTimeout: 0,
+    });
+    response.body.on('data', chunk => takeBytes(opening(), chunk as Buffer));
+    response.body.on('error', () => undefined);
+    response.body.on('close', () =>
+      closeConnection(opening(), failed('broken', 'the stream ended')),
+    );
+    return undefined;
+  }
+
+  function connect(): Connection {
+    const client = new Client(options.origin, {
+      connectTimeout: options.connectTimeoutMs,
+      pipelining: 1,
+    });
+    const made: Connection = {
+      name: host.random.nextId(),
+      client,
+      running: new Map(),
+      opened: Promise.resolve()
+        .then(() => open(() => made))
+        .catch((error: unknown) => {
+          const reason = isConnectError(error) ? 'unreachable' : 'broken';
+          const failure = failed(reason, 'the stream did not open');
+          closeConnection(made, failure);
+          return failure;
+        }),
+      heardAtMs: clock.nowMs(),
+      remainder: undefined,
+      watch: undefined,
+      idleTimer: undefined,
+      isClosed: false,
+    };
+    watchSilence(made);
+    return made;
+  }
+
+  /** Starts a decode; once more if the engine did not know the stream. */
+  async function start(
+    running: RunningDecode,
+    streamId: number,
+    triesLeft: number,
+  ): Promise<void> {
+    connection ??= connect();
+    const used = connection;
+    used.running.set(streamId, running);
+    await used.opened;
+    if (!used.running.has(streamId)) return;
+    const {call} = running;
+    const outcome = await host.startDecode(call, used.name, streamId);
+    if (outcome === 'started' || !used.running.has(streamId)) return;
+    used.running.delete(streamId);
+    if (outcome === 'no-stream' && triesLeft > 0) {
+      closeConnection(used, failed('broken', 'the engine forgot the stream'));
+      await start(running, streamId, triesLeft - 1);
+      return;
+    }
+    // The engine may have started it although its answer did not come.
+    if (outcome !== 'no-stream') host.release(call);
+    const failure =
+      outcome === 'no-stream' ? failed('broken', 'no stream') : outcome;
+    const {requestId, attemptId} = call.owner;
+    running.sink({kind: 'cut', requestId, attemptId, failure});
+  }
+
+  return {
+    decode(call, sink) {
+      const streamId = nextStreamId++;
+      let isOver = false;
+      const running: RunningDecode = {
+        call,
+        sink(event) {
+          if (isOver) return;
+          isOver = event.kind !== 'tokens';
+          sink(event);
+        },
+      };
+      void start(running, streamId, 1);
+      return {
+        cancel() {
+          if (isOver) return;
+          connection?.running.delete(streamId);
+          host.release(call);
+          const {requestId, attemptId} = call.owner;
+          const failure = failed('cancelled', 'cancelled by its reader');
+          running.sink({kind: 'cut', requestId, attemptId, failure});
+        },
+      };
+    },
+    close() {
+      if (!connection) return;
+      closeConnection(connection, failed('cancelled', 'the process ends'));
+    },
+  };
+}
--- /dev/null
+++ b/stand_ins/command.ts
@@ -0,0 +1,244 @@
+/** `corianderbend stand-in platform|engine|service`. */
+
+import {parseArgs, type ParseArgsConfig} from 'node:util';
+import {createSystemClock} from '../src/adapters/system_clock.js';
+import {createSystemRandom} from '../src/adapters/system_random.js';
+import {tokenizePrompt} from '../src/core/prompt_tokens.js';
+import type {EngineRole} from '../src/ports/engine.js';
+import type {ListedHost} from '../src/ports/table.js';
+import {createEngineCore} from './engine_core.js';
+import {createEngineServer} from './engine_server.js';
+import {defaultEngineOptions} from './engine_types.js';
+import {createHttpKvSource} from './http_kv_source.js';
+import {createPlatformCore, defaultPlatformOptions} from './platform_core.js';
+import {createPlatformServer} from './platform_server.js';
+import {createServiceCore, defaultServiceOptions} from './service_core.js';
+import {createServiceServer} from './service_server.js';
+
+export type StandInKind = 'platform' | 'engine' | 'service';
+
+const GIBIBYTE = 1024 ** 3;
+/** As a shell shows a process that was killed. */
+const CRASH_EXIT_CODE = 137;
+
+type Flags = Readonly<Record<string, string | boolean | undefined>>;
+
+const commonFlags = {
+  address: {type: 'string', default: '127.0.0.1:0'},
+  id: {type: 'string'},
+  platform: {type: 'string'},
+  service: {type: 'string'},
+  domain: {type: 'string', default: 'local'},
+} as const satisfies ParseArgsConfig['options'];
+
+const platformFlags = {
+  address: {type: 'string', default: '127.0.0.1:0'},
+  'writes-per-second': {type: 'string'},
+  'reads-per-second': {type: 'string'},
+  'host-list-lag-ms': {type: 'string'},
+} as const satisfies ParseArgsConfig['options'];
+
+const engineFlags = {
+  ...commonFlags,
+  role: {type: 'string', default: 'decode'},
+  models: {type: 'string', default: 'default'},
+  slots: {type: 'string'},
+  'step-ms': {type: 'string'},
+  'kv-gib': {type: 'string'},
+  'kv-bytes-per-token': {type: 'string'},
+  'answer-tokens': {type: 'string'},
+  'prefill-ms-per-token': {type: 'string'},
+  'prefill-base-ms': {type: 'string'},
+  'link-bytes-per-ms': {type: 'string'},
+  'load-lag-ms': {type: 'string'},
+  'crash-on': {type: 'string'},
+  'crash-at': {type: 'string', default: 'prefill'},
+  'ignores-fences': {type: 'boolean', default: false},
+} as const satisfies ParseArgsConfig['options'];
+
+const serviceFlags = {
+  ...commonFlags,
+  'run-ms': {type: 'string'},
+  'crash-on': {type: 'string'},
+} as const satisfies ParseArgsConfig['options'];
+
+/** A flag that is not one of the stand-in's, or has a value it cannot take. */
+export class StandInUsageError extends Error {
+  override readonly name = 'StandInUsageError';
+}
+
+function parse(
+  args: readonly string[],
+  options: ParseArgsConfig['options'],
+): Flags {
+  try {
+    return parseArgs({args: [...args], options, strict: true}).values as Flags;
+  } catch (error) {
+    throw new StandInUsageError((error as Error).message);
+  }
+}
+
+function textOf(flags: Flags, name: string, fallback: string): string {
+  const value = flags[name];
+  return typeof value === 'string' ? value : fallback;
+}
+
+function numberOf(flags: Flags, name: string, fallback: number): number {
+  const value = flags[name];
+  if (value === undefined) return fallback;
+  const number = Number(value);
+  if (Number.isFinite(number) && number >= 0) return number;
+  throw new StandInUsageError(`--${name} needs a number, not '${value}'.`);
+}
+
+function roleOf(flags: Flags, name: string): EngineRole {
+  const value = flags[name];
+  if (value === 'prefill' || value === 'decode') return value;
+  throw new StandInUsageError(
+    `--${name} is 'prefill' or 'decode', not '${value}'.`,
+  );
+}
+
+/** The marker counts as a word at the start of a prompt and inside it. */
+function markerTokens(marker: string): readonly number[] {
+  if (!marker) return [];
+  return [...tokenizePrompt(marker), ...tokenizePrompt(` ${marker}`)];
+}
+
+/** Tells the stand-in platform of this upstream, as a machine room would. */
+async function enlist(
+  flags: Flags,
+  role: ListedHost['role'],
+  hostId: string,
+  address: string,
+): Promise<void> {
+  const platform = textOf(flags, 'platform', '');
+  if (!platform) return;
+  const host: ListedHost = {
+    hostId,
+    failureDomain: textOf(flags, 'domain', 'local'),
+    address,
+    role,
+    service: textOf(flags, 'service', 'default'),
+    state: 'live',
+  };
+  await fetch(`${platform}/hosts/${encodeURIComponent(hostId)}`, {
+    method: 'PUT',
+    body: JSON.stringify(host),
+  });
+}
+
+function dieOnCrash(gate: {
+  onBreak(handler: (what: string) => void): void;
+}): void {
+  gate.onBreak(what => {
+    if (what === 'crash') process.exit(CRASH_EXIT_CODE);
+  });
+}
+
+async function startPlatform(args: readonly string[]): Promise<string> {
+  const flags = parse(args, platformFlags);
+  const defaults = defaultPlatformOptions;
+  const core = createPlatformCore(createHost(), {
+    writesPerSecond: numberOf(
+      flags,
+      'writes-per-second',
+      defaults.writesPerSecond,
+    ),
+    readsPerSecond: numberOf(
+      flags,
+      'reads-per-second',
+      defaults.readsPerSecond,
+    ),
+    hostListLagMs: numberOf(flags, 'host-list-lag-ms', defaults.hostListLagMs),
+  });
+  dieOnCrash(core.gate);
+  const address = textOf(flags, 'address', '');
+  return (await createPlatformServer(core, address)).address;
+}
+
+async function startEngine(args: readonly string[]): Promise<string> {
+  const flags = parse(args, engineFlags);
+  const defaults = defaultEngineOptions;
+  const address = textOf(flags, 'address', '');
+  const engineId = textOf(flags, 'id', `engine-${address}`);
+  const core = createEngineCore(
+    {...createHost(), kvSource: createHttpKvSource},
+    {
+      engineId,
+      role: roleOf(flags, 'role'),
+      models: textOf(flags, 'models', 'default').split(','),
+      slots: numberOf(flags, 'slots', defaults.slots),
+      stepMs: numberOf(flags, 'step-ms', defaults.stepMs),
+      kvTotalBytes:
+        numberOf(flags, 'kv-gib', defaults.kvTotalBytes / GIBIBYTE) * GIBIBYTE,
+      kvBytesPerToken: numberOf(
+        flags,
+        'kv-bytes-per-token',
+        defaults.kvBytesPerToken,
+      ),
+      answerTokens: numberOf(flags, 'answer-tokens', defaults.answerTokens),
+      prefillMsPerToken: numberOf(
+        flags,
+        'prefill-ms-per-token',
+        defaults.prefillMsPerToken,
+      ),
+      prefillBaseMs: numberOf(flags, 'prefill-base-ms', defaults.prefillBaseMs),
+      linkBytesPerMs: numberOf(
+        flags,
+        'link-bytes-per-ms',
+        defaults.linkBytesPerMs,
+      ),
+      loadLagMs: numberOf(flags, 'load-lag-ms', defaults.loadLagMs),
+      checksFences: !flags['ignores-fences'],
+      crashOnTokens: markerTokens(textOf(flags, 'crash-on', '')),
+      crashAt: roleOf(flags, 'crash-at'),
+    },
+  );
+  dieOnCrash(core.gate);
+  const front = await createEngineServer(core, address);
+  await enlist(flags, 'engine', engineId, front.address);
+  return front.address;
+}
+
+async function startService(args: readonly string[]): Promise<string> {
+  const flags = parse(args, serviceFlags);
+  const address = textOf(flags, 'address', '');
+  const serviceId = textOf(flags, 'id', `service-${address}`);
+  const marker = textOf(flags, 'crash-on', '');
+  const core = createServiceCore(createHost(), {
+    serviceId,
+    runMs: numberOf(flags, 'run-ms', defaultServiceOptions.runMs),
+    crashOnTexts: marker ? [marker] : [],
+  });
+  dieOnCrash(core.gate);
+  const front = await createServiceServer(core, address);
+  await enlist(flags, 'plain-service', serviceId, front.address);
+  return front.address;
+}
+
+function createHost() {
+  return {clock: createSystemClock(), random: createSystemRandom()};
+}
+
+const starters: Readonly<
+  Record<StandInKind, (args: readonly string[]) => Promise<string>>
+> = {
+  platform: startPlatform,
+  engine: startEngine,
+  service: startService,
+};
+
+/** Runs until SIGTERM or SIGINT. Throws `StandInUsageError` for bad flags. */
+export async function runStandIn(
+  kind: StandInKind,
+  args: readonly string[],
+): Promise<void> {
+  const address = await starters[kind](args);
+  process.stdout.write(`stand-in: ${kind} listens on ${address}\n`);
+  await new Promise<void>(resolve => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+  process.exit(0);
+}
--- a/stand_ins/fault_gate.ts
+++ b/stand_ins/fault_gate.ts
@@ -20,6 +20,7 @@
 }
 
 export interface GateCall<T, F> {
+  /** Infinity: the call waits for its answer for good. */
   readonly timeoutMs: number;
   /** Opens a connection of its own, so that a silent pooled one is avoided. */
   readonly isFresh?: boolean;
@@ -86,12 +87,12 @@
         fail: reason => finish(request.failed(reason)),
       };
       if (flight.isSilent) silentPooled--;
-      const timer = clock.setTimer(request.timeoutMs, () =>
-        flight.fail('timeout'),
-      );
+      const timer = Number.isFinite(request.timeoutMs)
+        ? clock.setTimer(request.timeoutMs, () => flight.fail('timeout'))
+        : undefined;
       function finish(value: T | F): void {
         if (!flights.delete(flight)) return;
-        clock.clearTimer(timer);
+        if (timer) clock.clearTimer(timer);
         resolve(value);
       }
       function answer(value: T): void {
--- /dev/null
+++ b/tests/stand_ins/adapters_test.ts
@@ -0,0 +1,257 @@
+/** The adapters against the stand-ins' HTTP fronts, over loopback. */
+
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createHttpEngineFactory} from '../../src/adapters/http_engine.js';
+import {createHttpHostList} from '../../src/adapters/http_host_list.js';
+import {createHttpObjectStore} from '../../src/adapters/http_object_store.js';
+import {createHttpPlainServiceFactory} from '../../src/adapters/http_plain_service.js';
+import {createHttpTable} from '../../src/adapters/http_table.js';
+import {createSystemClock} from '../../src/adapters/system_clock.js';
+import {createSystemRandom} from '../../src/adapters/system_random.js';
+import {tokenizePrompt} from '../../src/core/prompt_tokens.js';
+import type {
+  DecodeEvent,
+  EnginePort,
+  OwnerTag,
+} from '../../src/ports/engine.js';
+import type {PlainCall} from '../../src/ports/plain_service.js';
+import {expectAnswer} from '../../stand_ins/answer_text.js';
+import {createEngineCore} from '../../stand_ins/engine_core.js';
+import {createEngineServer} from '../../stand_ins/engine_server.js';
+import type {EngineOptions} from '../../stand_ins/engine_types.js';
+import {createHttpKvSource} from '../../stand_ins/http_kv_source.js';
+import {createPlatformCore} from '../../stand_ins/platform_core.js';
+import {createPlatformServer} from '../../stand_ins/platform_server.js';
+import {createServiceCore} from '../../stand_ins/service_core.js';
+import {createServiceServer} from '../../stand_ins/service_server.js';
+
+const host = {clock: createSystemClock(), random: createSystemRandom()};
+const PROMPT = tokenizePrompt('Neutral brief of a case file');
+const LONG_MS = 20_000;
+const SHORT_MS = 150;
+const owner: OwnerTag = {entry: 'e#1', requestId: 'r1', attemptId: 'r1-1'};
+
+async function startEngines(patch: Partial<EngineOptions> = {}) {
+  const engineHost = {...host, kvSource: createHttpKvSource};
+  const common = {stepMs: 1, prefillLifeMs: LONG_MS, ...patch};
+  const prefillCore = createEngineCore(engineHost, {
+    ...common,
+    role: 'prefill',
+  });
+  const decodeCore = createEngineCore(engineHost, {...common, role: 'decode'});
+  const prefillFront = await createEngineServer(prefillCore, '127.0.0.1:0');
+  const decodeFront = await createEngineServer(decodeCore, '127.0.0.1:0');
+  const factory = createHttpEngineFactory(host, {streamSilenceMs: 400});
+  return {
+    prefillCore,
+    decodeCore,
+    prefillFront,
+    decodeFront,
+    prefill: factory(prefillFront.address),
+    decode: factory(decodeFront.address),
+    close: () => Promise.all([prefillFront.close(), decodeFront.close()]),
+  };
+}
+
+type Engines = Awaited<ReturnType<typeof startEngines>>;
+
+async function importPrompt(engines: Engines): Promise<string> {
+  const made = await engines.prefill.prefill({
+    owner,
+    model: 'default',
+    promptTokens: PROMPT,
+    priority: 0,
+    timeoutMs: LONG_MS,
+  });
+  if (made.kind === 'failed') throw new Error(made.detail);
+  const imported = await engines.decode.importKv({
+    owner,
+    fromAddress: engines.prefillFront.address,
+    kvHandle: made.kvHandle,
+    kvSizeBytes: made.kvSizeBytes,
+    timeoutMs: LONG_MS,
+  });
+  if (imported.kind === 'failed') throw new Error(imported.detail);
+  return imported.sessionId;
+}
+
+/** Decodes to the end; `onEvent` sees each event as it comes. */
+function decodeWhole(
+  port: EnginePort,
+  sessionId: string,
+  onEvent: (event: DecodeEvent) => void = () => undefined,
+): Promise<readonly DecodeEvent[]> {
+  const events: DecodeEvent[] = [];
+  return new Promise(resolve => {
+    const call = {owner, sessionId, maxTokens: 9_999, fromOffset: 0};
+    port.decode({...call, priority: 0}, event => {
+      events.push(event);
+      onEvent(event);
+      if (event.kind !== 'tokens') resolve(events);
+    });
+  });
+}
+
+test('prefill, import and decode over HTTP give the whole expected answer', async () => {
+  const engines = await startEngines({answerTokens: 30});
+  const events = await decodeWhole(engines.decode, await importPrompt(engines));
+  const answer = expectAnswer(PROMPT, 30);
+  assert.deepEqual(
+    events.flatMap(event => (event.kind === 'tokens' ? event.texts : [])),
+    Array.from({length: answer.naturalTokenCount}, (_, at) =>
+      answer.textAt(at),
+    ),
+  );
+  assert.equal(events.at(-1)?.kind, 'end');
+  const load = await engines.decode.load(LONG_MS);
+  assert.equal('slotsUsed' in load && load.slotsUsed, 0);
+  assert.equal(await engines.decode.probe(LONG_MS), 'alive');
+  await engines.close();
+});
+
+test('a decode stream that goes silent is cut, and the next one works', async () => {
+  // Between two tokens the network forgets the connection. No error shows on
+  // the socket; only the heartbeats stop. The engine decodes on and holds its
+  // memory until the owner cancels over a new connection.
+  const engines = await startEngines({answerTokens: 9_999, stepMs: 5});
+  const sessionId = await importPrompt(engines);
+  let tokens = 0;
+  const events = await decodeWhole(engines.decode, sessionId, event => {
+    if (event.kind === 'tokens' && ++tokens === 3) {
+      engines.decodeFront.silenceConnections();
+    }
+  });
+  const last = events.at(-1);
+  assert.equal(last?.kind === 'cut' && last.failure.reason, 'broken');
+  assert.equal(engines.decodeCore.books().sessions.length, 1);
+  assert.equal(await engines.decode.probe(LONG_MS), 'alive');
+  // The pooled connection of the control calls is silent too: one call fails.
+  const first = await engines.decode.cancel(owner, SHORT_MS);
+  assert.equal(typeof first !== 'string' && first.reason, 'timeout');
+  assert.equal(await engines.decode.cancel(owner, LONG_MS), 'released');
+  assert.equal(engines.decodeCore.books().kvUsedBytes, 0);
+  await engines.close();
+});
+
+test('a crash cuts the stream, and later calls find nobody', async () => {
+  const engines = await startEngines({answerTokens: 9_999});
+  const sessionId = await importPrompt(engines);
+  const events = await decodeWhole(engines.decode, sessionId, event => {
+    if (event.kind === 'tokens') engines.decodeCore.crash();
+  });
+  assert.equal(events.at(-1)?.kind, 'cut');
+  const load = await engines.decode.load(LONG_MS);
+  assert.equal('kind' in load && load.reason, 'unreachable');
+  await engines.close();
+});
+
+test('the platform over HTTP: applied, rejected, refused and unknown', async () => {
+  const core = createPlatformCore(host, {hostListLagMs: 0});
+  const front = await createPlatformServer(core, '127.0.0.1:0');
+  const options = {baseUrl: `http://${front.address}`};
+  const table = createHttpTable(host, options);
+  const put = (attemptId: string, timeoutMs: number) =>
+    table.transact(
+      {
+        attemptId,
+        conditions: [{kind: 'absent', key: 'k/1'}],
+        writes: [{kind: 'put', key: 'k/1', value: {by: attemptId}}],
+      },
+      timeoutMs,
+    );
+  core.setFaults({answerLostShare: 1});
+  assert.equal((await put('a1', SHORT_MS)).kind, 'unknown');
+  core.setFaults({answerLostShare: 0});
+  assert.deepEqual(await put('a2', LONG_MS), {
+    kind: 'rejected',
+    failedKeys: ['k/1'],
+  });
+  const rows = await table.scan('k/', {limit: 10}, LONG_MS);
+  assert.equal(rows.kind === 'read' && rows.value[0].value['by'], 'a1');
+  core.setFaults({isDown: true});
+  const refused = await put('a3', LONG_MS);
+  assert.equal(refused.kind === 'refused' && refused.reason, 'unavailable');
+  core.setFaults({isDown: false});
+
+  const objects = createHttpObjectStore(host, options);
+  const body = Buffer.from([0, 255, 10]);
+  assert.equal(await objects.put('a/b c', body, LONG_MS), 'stored');
+  const found = await objects.get('a/b c', LONG_MS);
+  assert.deepEqual(found.kind === 'read' && Buffer.from(found.value!), body);
+  await objects.remove('a/b c', LONG_MS);
+  const gone = await objects.get('a/b c', LONG_MS);
+  assert.deepEqual(gone, {kind: 'read', value: undefined});
+
+  core.setHosts([
+    {
+      hostId: 'h1',
+      failureDomain: 'kontor-kelder',
+      address: '127.0.0.1:1',
+      role: 'router',
+      state: 'live',
+    },
+  ]);
+  const list = await createHttpHostList(host, options).list(LONG_MS);
+  assert.equal(list.kind === 'read' && list.value[0].hostId, 'h1');
+  await front.close();
+  // A pooled connection may break under the first write: nobody can tell then.
+  assert.notEqual((await put('a4', LONG_MS)).kind, 'applied');
+  assert.equal((await put('a5', LONG_MS)).kind, 'refused');
+});
+
+function posting(patch: Partial<PlainCall> = {}): PlainCall {
+  return {
+    requestId: 'r1',
+    attemptId: 'r1-1',
+    method: 'POST',
+    path: '/postings?year=2026',
+    headers: {'idempotency-key': 'k1', connection: 'close'},
+    body: Buffer.from('{"amount":1}'),
+    timeoutMs: LONG_MS,
+    connectionProvenWithinMs: 0,
+    ...patch,
+  };
+}
+
+test('a posting avoids a connection that went silent while idle', async () => {
+  // A bookkeeper posts; the reused connection has been dropped by the network
+  // in between. The posting would be neither run nor refused. It must go over
+  // a connection that is known to work.
+  const core = createServiceCore(host);
+  const front = await createServiceServer(core, '127.0.0.1:0');
+  const service = createHttpPlainServiceFactory(host)(front.address);
+  const {signal} = new AbortController();
+  const first = await service.call(posting(), signal);
+  assert.equal(first.kind === 'answered' && first.status, 200);
+  assert.equal(core.books().runs[0].path, '/postings?year=2026');
+  const strict = posting({connectionProvenWithinMs: 0.001});
+  assert.equal((await service.call(strict, signal)).kind, 'answered');
+  front.silenceConnections();
+  assert.equal((await service.call(strict, signal)).kind, 'answered');
+  const pooled = await service.call(posting({timeoutMs: SHORT_MS}), signal);
+  assert.equal(pooled.kind === 'failed' && pooled.mayHaveRun, true);
+  assert.deepEqual(core.books().runsByKey, {k1: 3});
+  await front.close();
+});
+
+test('whether a failed call may have run is told truthfully', async () => {
+  const core = createServiceCore(host);
+  const front = await createServiceServer(core, '127.0.0.1:0');
+  const service = createHttpPlainServiceFactory(host)(front.address);
+  const {signal} = new AbortController();
+  const strict = {connectionProvenWithinMs: 1_000};
+  core.setFaults({answerLostShare: 1});
+  const lost = await service.call(
+    posting({...strict, timeoutMs: SHORT_MS}),
+    signal,
+  );
+  assert.equal(lost.kind === 'failed' && lost.mayHaveRun, true);
+  assert.equal(core.books().runCount, 1);
+  const gaveUp = await service.call(posting(strict), AbortSignal.abort());
+  assert.equal(gaveUp.kind === 'failed' && gaveUp.mayHaveRun, false);
+  await front.close();
+  const refused = await service.call(posting(strict), signal);
+  assert.equal(refused.kind === 'failed' && refused.mayHaveRun, false);
+  assert.equal(core.books().runCount, 1);
+});
