Keep the order of events in scenario baselines, not their times

A change of the scheduling policy moved times in four traces whose stories still held. scenario run prints the times; baselines have the order, and expect-within states the bounds that matter.

--- a/src/cli/commands/scenario_command.ts
+++ b/src/cli/commands/scenario_command.ts
@@ -15,7 +15,10 @@
     let code: number = exitCodes.done;
     for (const file of args.positionals) {
       const text = host.readFile(file);
-      const {isPassed, trace, diagnostics} = await runScenario({file, text});
+      const {isPassed, trace, diagnostics} = await runScenario(
+        {file, text},
+        {hasTimes: true},
+      );
       if (!isPassed) code = exitCodes.refused;
       if (args.isSet('json')) {
         const result = {file, isPassed, trace, diagnostics};
--- a/src/scenario/scenario_runner.ts
+++ b/src/scenario/scenario_runner.ts
@@ -18,7 +18,18 @@
 /** In this time all that a gone request held must be free. */
 const SETTLE_MS = 15_000;
 
-export async function runScenario(source: SourceText): Promise<ScenarioResult> {
+export interface ScenarioOptions {
+  /**
+   * Baselines have the order of events only: the times follow each change of
+   * a policy, and `expect … within` states those that matter.
+   */
+  readonly hasTimes: boolean;
+}
+
+export async function runScenario(
+  source: SourceText,
+  options: ScenarioOptions,
+): Promise<ScenarioResult> {
   const parsed = parseScenario(source, statementDefinitions, GUARD_WORD);
   if (parsed.diagnostics.length > 0) {
     const trace = formatDiagnostics(parsed.diagnostics);
@@ -35,7 +46,7 @@
   failures.push(...findBrokenPromises(world));
   return {
     isPassed: failures.length === 0,
-    trace: formatTrace(parsed.story, world, failures),
+    trace: formatTrace(parsed.story, world, failures, options),
     diagnostics: [],
   };
 }
@@ -44,6 +55,7 @@
   story: readonly string[],
   world: World,
   failures: readonly string[],
+  {hasTimes}: ScenarioOptions,
 ): string {
   const verdict =
     failures.length === 0
@@ -51,8 +63,19 @@
       : failures.map(failure => `FAILED ${failure}`);
   return [
     ...story.map(line => `# ${line}`),
-    ...world.traceLines,
+    ...world.traceLines.map(({atMs, text}) =>
+      hasTimes ? `${formatSeconds(atMs)}  ${text}` : `  ${text}`,
+    ),
     ...verdict,
     '',
   ].join('\n');
 }
+
+const TIME_DIGITS = 3;
+const TIME_WIDTH = 8;
+const MS_PER_SECOND = 1_000;
+
+function formatSeconds(atMs: number): string {
+  const seconds = (atMs / MS_PER_SECOND).toFixed(TIME_DIGITS);
+  return `${seconds.padStart(TIME_WIDTH)}s`;
+}
