--- a/stand_ins/command.ts
+++ b/stand_ins/command.ts
@@ -8,7 +8,7 @@
 import type {ListedHost} from '../src/ports/table.js';
 import {createEngineCore} from './engine_core.js';
 import {createEngineServer} from './engine_server.js';
-import {defaultEngineOptions} from './engine_types.js';
+import {defaultEngineOptions, type EngineOptions} from './engine_types.js';
 import {createHttpKvSource} from './http_kv_source.js';
 import {createPlatformCore, defaultPlatformOptions} from './platform_core.js';
 import {createPlatformServer} from './platform_server.js';
@@ -40,6 +40,7 @@
 
 const engineFlags = {
   ...commonFlags,
+  count: {type: 'string'},
   role: {type: 'string', default: 'decode'},
   models: {type: 'string', default: 'default'},
   slots: {type: 'string'},
@@ -157,43 +158,36 @@
   return (await createPlatformServer(core, address)).address;
 }
 
-async function startEngine(args: readonly string[]): Promise<string> {
+/** Several engines in one process listen on ports that follow each other. */
+async function startEngines(args: readonly string[]): Promise<string> {
   const flags = parse(args, engineFlags);
-  const defaults = defaultEngineOptions;
-  const address = textOf(flags, 'address', '');
-  const engineId = textOf(flags, 'id', `engine-${address}`);
-  const core = createEngineCore(
-    {...createHost(), kvSource: createHttpKvSource},
-    {
-      engineId,
-      role: roleOf(flags, 'role'),
-      models: textOf(flags, 'models', 'default').split(','),
-      slots: numberOf(flags, 'slots', defaults.slots),
-      stepMs: numberOf(flags, 'step-ms', defaults.stepMs),
-      kvTotalBytes:
-        numberOf(flags, 'kv-gib', defaults.kvTotalBytes / GIBIBYTE) * GIBIBYTE,
-      kvBytesPerToken: numberOf(
-        flags,
-        'kv-bytes-per-token',
-        defaults.kvBytesPerToken,
-      ),
-      answerTokens: numberOf(flags, 'answer-tokens', defaults.answerTokens),
-      prefillMsPerToken: numberOf(
-        flags,
-        'prefill-ms-per-token',
-        defaults.prefillMsPerToken,
-      ),
-      prefillBaseMs: numberOf(flags, 'prefill-base-ms', defaults.prefillBaseMs),
-      linkBytesPerMs: numberOf(
+  const first = textOf(flags, 'address', '');
+  const count = numberOf(flags, 'count', 1);
+  const colon = first.lastIndexOf(':');
+  const firstPort = Number(first.slice(colon + 1));
+  const addresses: string[] = [];
+  for (let i = 0; i < count; i++) {
+    const port = firstPort === 0 ? 0 : firstPort + i;
+    const id = textOf(flags, 'id', `engine-${first}`);
+    addresses.push(
+      await startEngine(
         flags,
-        'link-bytes-per-ms',
-        defaults.linkBytesPerMs,
+        `${first.slice(0, colon)}:${port}`,
+        count === 1 ? id : `${id}-${i + 1}`,
       ),
-      loadLagMs: numberOf(flags, 'load-lag-ms', defaults.loadLagMs),
-      checksFences: !flags['ignores-fences'],
-      crashOnTokens: markerTokens(textOf(flags, 'crash-on', '')),
-      crashAt: roleOf(flags, 'crash-at'),
-    },
+    );
+  }
+  return addresses.join(' ');
+}
+
+async function startEngine(
+  flags: Flags,
+  address: string,
+  engineId: string,
+): Promise<string> {
+  const core = createEngineCore(
+    {...createHost(), kvSource: createHttpKvSource},
+    {engineId, ...engineOptionsOf(flags)},
   );
   dieOnCrash(core.gate);
   const front = await createEngineServer(core, address);
@@ -201,6 +195,32 @@
   return front.address;
 }
 
+function engineOptionsOf(flags: Flags): Partial<EngineOptions> {
+  const defaults = defaultEngineOptions;
+  const number = (name: string, fallback: number) =>
+    numberOf(flags, name, fallback);
+  const kvGib = number('kv-gib', defaults.kvTotalBytes / GIBIBYTE);
+  return {
+    role: roleOf(flags, 'role'),
+    models: textOf(flags, 'models', 'default').split(','),
+    slots: number('slots', defaults.slots),
+    stepMs: number('step-ms', defaults.stepMs),
+    kvTotalBytes: kvGib * GIBIBYTE,
+    kvBytesPerToken: number('kv-bytes-per-token', defaults.kvBytesPerToken),
+    answerTokens: number('answer-tokens', defaults.answerTokens),
+    prefillMsPerToken: number(
+      'prefill-ms-per-token',
+      defaults.prefillMsPerToken,
+    ),
+    prefillBaseMs: number('prefill-base-ms', defaults.prefillBaseMs),
+    linkBytesPerMs: number('link-bytes-per-ms', defaults.linkBytesPerMs),
+    loadLagMs: number('load-lag-ms', defaults.loadLagMs),
+    checksFences: !flags['ignores-fences'],
+    crashOnTokens: markerTokens(textOf(flags, 'crash-on', '')),
+    crashAt: roleOf(flags, 'crash-at'),
+  };
+}
+
 async function startService(args: readonly string[]): Promise<string> {
   const flags = parse(args, serviceFlags);
   const address = textOf(flags, 'address', '');
@@ -225,7 +245,7 @@
   Record<StandInKind, (args: readonly string[]) => Promise<string>>
 > = {
   platform: startPlatform,
-  engine: startEngine,
+  engine: startEngines,
   service: startService,
 };
 
