--- a/src/request/model_task.ts
+++ b/src/request/model_task.ts
@@ -56,6 +56,9 @@
 ): ModelTask {
   const {clock} = host;
   const {requestId, service} = request;
+  // Request ids may come from callers, who may use one twice at a time: the
+  // release of one request must not free what the other holds.
+  const runId = host.random.nextId();
   const facts: ModelFacts = {
     requestId,
     deadlineAtMs: request.deadlineAtMs,
@@ -72,9 +75,10 @@
   let stream: DecodeHandle | undefined;
   let isEnded = false;
 
+  const step = host.machines?.stepModel ?? stepModel;
   const driver = createMachineDriver<ModelState, ModelEvent, ModelEffect>(
     initialModelState,
-    (state, event) => stepModel(facts, state, event),
+    (state, event) => step(facts, state, event),
     effect => perform(effect),
     settle,
   );
@@ -91,7 +95,7 @@
     return {
       entry: host.entry,
       requestId,
-      attemptId: `${requestId}.${attempt}`,
+      attemptId: `${runId}.${attempt}`,
     };
   }
 
@@ -296,6 +300,7 @@
     retry: () => ({kind: 'retry-due', nowMs: clock.nowMs()}),
     keep: () => ({kind: 'keep-bound'}),
     overrun: () => ({kind: 'overrun'}),
+    renew: () => ({kind: 'renew-due'}),
   };
 
   const effects: EffectHandlers = {
