Split the dispatcher into small modules; scan less of the queue

Change: state, estimates, queue, giver, follower and limits are modules of their own; at most 8 places that do not fit are tried in one round.

--- a/bench/policy/scheduler.ts
+++ b/bench/policy/scheduler.ts
@@ -9,13 +9,13 @@
   createPolicy,
   type SchedulingPolicy,
 } from '../../src/core/scheduling/policy.js';
-import {
-  createDispatcher,
-  type DispatcherOptions,
-  type EngineBookView,
-  type GrantReply,
-  type GrantTicket,
-} from '../../src/scheduling/dispatcher.js';
+import {createDispatcher} from '../../src/scheduling/dispatcher.js';
+import type {
+  DispatcherOptions,
+  EngineBookView,
+  GrantReply,
+  GrantTicket,
+} from '../../src/scheduling/dispatcher_types.js';
 import {ENGINE} from './engine_fakes.js';
 import type {Shape} from './workload.js';
 
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -11,7 +11,7 @@
   GrantRefusal,
   GrantRequest,
 } from '../../src/ports/grants.js';
-import type {GrantTicket} from '../../src/scheduling/dispatcher.js';
+import type {GrantTicket} from '../../src/scheduling/dispatcher_types.js';
 import {bestSplit, type Capacity} from './capacity_bound.js';
 import {
   createDecodeFake,
@@ -316,7 +316,8 @@
       return;
     }
     const requestId = `r${request.arrival.id}`;
-    const answerBytes = request.arrival.maxTokens * ENGINE.kvBytesPerToken;
+    const answerBytes =
+      (request.arrival.maxTokens - request.tokens) * ENGINE.kvBytesPerToken;
     if (!target.reserve(requestId, kvSizeBytes + answerBytes)) {
       if (scheduler.repick)
         request.decodeId = scheduler.repick(target.engineId);
--- a/bench/policy/takeover.ts
+++ b/bench/policy/takeover.ts
@@ -10,7 +10,7 @@
   Dispatcher,
   GrantReply,
   GrantTicket,
-} from '../../src/scheduling/dispatcher.js';
+} from '../../src/scheduling/dispatcher_types.js';
 import {bestSplit} from './capacity_bound.js';
 import {ENGINE} from './engine_fakes.js';
 import {FAULT_FROM_MS} from './faults.js';
--- a/src/core/scheduling/policy.ts
+++ b/src/core/scheduling/policy.ts
@@ -55,7 +55,7 @@
     prefillAheadMs: 15,
     resultWaitMs: 300,
     slotWaitMs: 600,
-    scanLimit: 16,
+    scanLimit: 8,
     ...changes,
   };
 }
--- a/src/scheduling/shard_choice.ts
+++ b/src/scheduling/shard_choice.ts
@@ -18,7 +18,7 @@
 } from '../ports/grants.js';
 import type {Logger} from '../ports/log.js';
 import type {Random} from '../ports/random.js';
-import type {AnnouncedGrant, ShardSummary} from './dispatcher.js';
+import type {AnnouncedGrant, ShardSummary} from './dispatcher_types.js';
 
 export interface ShardChoiceHost {
   readonly clock: Clock;
--- a/src/scheduling/shard_home.ts
+++ b/src/scheduling/shard_home.ts
@@ -14,14 +14,14 @@
 import type {AccountLimits} from '../core/scheduling/account_shares.js';
 import type {EngineDescription} from '../core/scheduling/engine_book.js';
 import type {LatencyTargets} from '../core/settings_types.js';
-import {
-  createDispatcher,
-  type AnnouncedGrant,
-  type DispatcherHost,
-  type DispatcherOptions,
-  type EngineBookView,
-  type ShardSummary,
-} from './dispatcher.js';
+import {createDispatcher} from './dispatcher.js';
+import type {
+  AnnouncedGrant,
+  DispatcherHost,
+  DispatcherOptions,
+  EngineBookView,
+  ShardSummary,
+} from './dispatcher_types.js';
 
 export type {AnnouncedGrant, EngineBookView, ShardSummary};
 
--- /dev/null
+++ b/src/scheduling/shard_state.ts
@@ -0,0 +1,107 @@
+/** The state that the parts of one shard's dispatcher share. */
+
+import {
+  createAccountShares,
+  type AccountShares,
+} from '../core/scheduling/account_shares.js';
+import {
+  createEngineHealth,
+  DEFAULT_HEALTH,
+  type EngineHealth,
+} from '../core/scheduling/engine_health.js';
+import {
+  createEnginePool,
+  type EnginePool,
+} from '../core/scheduling/engine_pool.js';
+import {
+  createPolicy,
+  type SchedulingPolicy,
+} from '../core/scheduling/policy.js';
+import {
+  createPrefixIndex,
+  type PrefixIndex,
+} from '../core/scheduling/prefix_index.js';
+import {
+  createServiceModel,
+  DEFAULT_GUESSES,
+  type ServiceModel,
+} from '../core/scheduling/service_model.js';
+import {
+  createWaitQueue,
+  type WaitQueue,
+} from '../core/scheduling/wait_queue.js';
+import type {LatencyTargets} from '../core/settings_types.js';
+import type {Clock} from '../ports/clock.js';
+import type {GrantRequest} from '../ports/grants.js';
+import type {Random} from '../ports/random.js';
+import type {
+  DispatcherHost,
+  DispatcherOptions,
+  GrantReply,
+} from './dispatcher_types.js';
+import {createGrantLedger, type GrantLedger} from './grant_ledger.js';
+
+/** A request in the queue, with the home's estimates of it. */
+export interface Waiting {
+  readonly request: GrantRequest;
+  readonly account: string;
+  readonly reply: GrantReply;
+  /** Later than this the first token, or the whole, would be late. */
+  readonly latestStartMs: number;
+  readonly orderMs: number;
+  readonly prefillMs: number;
+  readonly kvBytes: number;
+  readonly promptKvBytes: number;
+}
+
+export interface ShardState {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly options: DispatcherOptions;
+  readonly pool: EnginePool;
+  readonly model: ServiceModel;
+  readonly prefixes: PrefixIndex;
+  readonly health: EngineHealth;
+  readonly shares: AccountShares;
+  readonly queue: WaitQueue<Waiting>;
+  readonly ledger: GrantLedger;
+  readonly lifeMs: number;
+  /** Until then the home admits conservatively. */
+  readonly rebuildUntilMs: number;
+  targets: LatencyTargets;
+  policy: SchedulingPolicy;
+}
+
+const DEFAULT_GRANT_LIFE_MS = 5_000;
+const SHARE_HALF_LIFE_MS = 20_000;
+
+export function createShardState(
+  host: DispatcherHost,
+  options: DispatcherOptions,
+): ShardState {
+  const {clock, random} = host;
+  const pool = createEnginePool();
+  const shares = createAccountShares(SHARE_HALF_LIFE_MS);
+  if (options.accounts) shares.setLimits(options.accounts);
+  return {
+    clock,
+    random,
+    options,
+    pool,
+    model: createServiceModel({...DEFAULT_GUESSES, ...options.guesses}, pool),
+    prefixes: createPrefixIndex(),
+    health: createEngineHealth({...DEFAULT_HEALTH, ...options.health}),
+    shares,
+    queue: createWaitQueue<Waiting>(),
+    ledger: createGrantLedger(),
+    lifeMs: options.grantLifeMs ?? DEFAULT_GRANT_LIFE_MS,
+    rebuildUntilMs: clock.nowMs() + (options.rebuildMs ?? 0),
+    targets: options.targets,
+    policy: createPolicy(options.wasteWeight, options.policy),
+  };
+}
+
+/** A new home cannot tell yet what is feasible; it lets requests wait. */
+export function isRebuilding(state: ShardState): boolean {
+  return state.clock.nowMs() < state.rebuildUntilMs;
+}
