--- /dev/null
+++ b/src/coordination/byte_budget.ts
@@ -0,0 +1,43 @@
+/** A token bucket of bytes that may go into debt and then pays it back. */
+
+import type {Clock} from '../ports/clock.js';
+
+export interface ByteBudget {
+  /** Negative while in debt. */
+  left(): number;
+  mayTake(): boolean;
+  take(sizeBytes: number): void;
+}
+
+const BURST_SECONDS = 1.5;
+
+export function createByteBudget(
+  clock: Clock,
+  bytesPerSecond: number,
+): ByteBudget {
+  const capacity = bytesPerSecond * BURST_SECONDS;
+  let tokens = capacity;
+  let filledAtMs = clock.nowMs();
+
+  function refill(): void {
+    const nowMs = clock.nowMs();
+    const gained = ((nowMs - filledAtMs) / 1_000) * bytesPerSecond;
+    tokens = Math.min(capacity, tokens + gained);
+    filledAtMs = nowMs;
+  }
+
+  return {
+    left() {
+      refill();
+      return tokens;
+    },
+    mayTake() {
+      refill();
+      return tokens > 0;
+    },
+    take(sizeBytes) {
+      refill();
+      tokens -= sizeBytes;
+    },
+  };
+}
--- a/src/coordination/facts.ts
+++ b/src/coordination/facts.ts
@@ -61,11 +61,8 @@
 const MAX_BODY_BYTES = 256;
 const MAX_TTL_MS = 3_600_000;
 
-/** `onOwnNews` is called when a relayed fact of this host is new to it. */
-export function createFactSpread(
-  clock: Clock,
-  onOwnNews: () => void,
-): FactSpread {
+/** `onNews` is called when there is a new fact to pass on. */
+export function createFactSpread(clock: Clock, onNews: () => void): FactSpread {
   const own = new Map<string, SentFact>();
   const heard = new Map<string, StoredFact>();
   const relays = createGossipQueue<string>();
@@ -99,6 +96,11 @@
     return isNews;
   }
 
+  function passOn(fact: SentFact): void {
+    relays.add(fact.key, fact.key, getFactSizeBytes(fact));
+    onNews();
+  }
+
   /** Own facts go on every datagram, in turn when they do not all fit. */
   function takeOwn(roomBytes: number): SentFact[] {
     const facts = [...own.values()];
@@ -132,9 +134,7 @@
       const fact = {key, version, body, ttlMs, isRelayed};
       own.set(key, fact);
       const isNews = store(fact, '');
-      if (!isNews || !isRelayed) return;
-      relays.add(key, key, getFactSizeBytes(fact));
-      onOwnNews();
+      if (isNews && isRelayed) passOn(fact);
     },
     withdraw(key) {
       own.delete(key);
@@ -158,9 +158,7 @@
     receive(fact, fromHostId) {
       if (fact.body.length > MAX_BODY_BYTES) return;
       const isNews = store(fact, fromHostId);
-      if (isNews && fact.isRelayed) {
-        relays.add(fact.key, fact.key, getFactSizeBytes(fact));
-      }
+      if (isNews && fact.isRelayed) passOn(fact);
     },
   };
 }
--- a/src/coordination/failure_detector.ts
+++ b/src/coordination/failure_detector.ts
@@ -47,7 +47,7 @@
 /** Pings sent to a member while we suspect it. */
 const PINGS_PER_SUSPICION = 5;
 /** Who only heard of a suspicion waits longer: the finder decides first. */
-const HEARD_FACTOR = 4;
+const HEARD_FACTOR = 2.5;
 const PROBE_MEMORY_INTERVALS = 10;
 const INTERVAL_JITTER = 0.2;
 
--- a/src/coordination/gossip_queue.ts
+++ b/src/coordination/gossip_queue.ts
@@ -9,6 +9,8 @@
   add(key: string, update: T, sizeBytes: number): void;
   /** Takes updates, the least sent first, that fit into `roomBytes`. */
   take(roomBytes: number, memberCount: number): readonly T[];
+  /** Others spread it too, so this host may stop sooner. */
+  heardAgain(key: string): void;
   size(): number;
 }
 
@@ -20,6 +22,8 @@
 
 /** Sends beyond the natural logarithm of the member count, against loss. */
 const EXTRA_SENDS = 3;
+/** Sends that hearing an update back from another saves. */
+const SENDS_SAVED_BY_ECHO = 1;
 /** Entries looked at for each datagram; bounds the work of a long queue. */
 const MAX_SCAN = 64;
 
@@ -57,6 +61,10 @@
         return entry.update;
       });
     },
+    heardAgain(key) {
+      const entry = entries.get(key);
+      if (entry) entry.sentCount += SENDS_SAVED_BY_ECHO;
+    },
     size: () => entries.size,
   };
 }
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -12,6 +12,7 @@
 import type {DatagramPort} from '../ports/datagram.js';
 import type {Random} from '../ports/random.js';
 import type {ListedHost} from '../ports/table.js';
+import {createByteBudget} from './byte_budget.js';
 import type {ChangeChannel} from './change_channel.js';
 import {createDatagramSealer} from './datagram_seal.js';
 import {createFactSpread, type FactStore} from './facts.js';
@@ -27,7 +28,13 @@
   type SentFact,
 } from './membership_codec.js';
 import {createMemberTable, type MemberChange} from './member_table.js';
-import {isRunning, type Bucket, type Member} from './member_records.js';
+import {
+  isNewer,
+  isRunning,
+  type Bucket,
+  type Member,
+} from './member_records.js';
+import {createPageReader} from './page_reader.js';
 
 export type {Member, MemberState} from './member_records.js';
 export type {MemberChange} from './member_table.js';
@@ -81,7 +88,10 @@
 /** IP and UDP headers. */
 const HEADER_BYTES = 28;
 const DEFAULT_BUDGET_BYTES_PER_SECOND = 900;
-const BUDGET_BURST_SECONDS = 4;
+/** For pages, which only hosts that start ask for. */
+const PAGE_BUDGET_BYTES_PER_SECOND = 2_000;
+/** After this a host counts as settled whatever it lacks. */
+const SETTLE_MS = 60_000;
 const MAX_PIGGYBACK_BYTES = 380;
 /** Part of the room that facts to pass on may take before members. */
 const RELAYED_FACTS_SHARE = 0.4;
@@ -89,11 +99,13 @@
 const MAX_PAGE_BYTES = 1_000;
 const MEMBERS_PER_BUCKET = 8;
 const FAREWELL_FANOUT = 24;
-/** Members told at once of a new fact to be relayed. */
-const NEWS_FANOUT = 8;
+/** Members told soon after this host hears news, beside the regular pings. */
+const NEWS_FANOUT = 4;
+/** News that come together go together. */
+const NEWS_DELAY_MS = 20;
+/** Part of a second of the budget that must be left for it. */
+const NEWS_BUDGET_SHARE = 0.75;
 const RELAY_MEMORY = 256;
-const PAGE_INTERVAL_MS = 100;
-const PAGE_TIMEOUT_MS = 500;
 /** How often a member thought gone is pinged, so that a split heals. */
 const RECONTACT_MS = 2_000;
 const FORGET_GONE_MS = 600_000;
@@ -123,7 +135,7 @@
     refutation: 0,
     state: 'alive',
   });
-  const facts = createFactSpread(clock, () => announce(NEWS_FANOUT));
+  const facts = createFactSpread(clock, () => scheduleNews());
   /** Changes of state go before joins, which the host list shows as well. */
   const stateNews = createGossipQueue<string>();
   const joinNews = createGossipQueue<string>();
@@ -135,14 +147,17 @@
     receivedDatagrams: 0,
     refusedDatagrams: 0,
   };
-  const budget =
+  const budgetBytes =
     options.sendBudgetBytesPerSecond ?? DEFAULT_BUDGET_BYTES_PER_SECOND;
-  let tokenBytes = budget * BUDGET_BURST_SECONDS;
-  let filledAtMs = clock.nowMs();
+  const budget = createByteBudget(clock, budgetBytes);
+  const pageBudget = createByteBudget(clock, PAGE_BUDGET_BYTES_PER_SECOND);
+  const startedAtMs = clock.nowMs();
   let relaySequence = random.nextInt(2 ** 30) + 2 ** 31;
   let bucketTurn = random.nextInt(2 ** 16);
-  let cursor: string | undefined = '';
   let isStopped = false;
+  let isNewsScheduled = false;
+  /** What a page says is known to others already and not passed on. */
+  let isReadingPage = false;
   const timers = new Set<TimerHandle>();
 
   const detector = createFailureDetector(
@@ -160,6 +175,15 @@
     options,
   );
 
+  const pages = createPageReader({
+    later: (delayMs, act) => later(delayMs, act),
+    running: () => members.running(),
+    request(cursor) {
+      const peer = pickOther(members.running());
+      if (peer) send(peer.address, 'page-request', {cursor});
+    },
+  });
+
   members.changes.listen(({before, member}) => {
     const isNews =
       !before ||
@@ -170,16 +194,26 @@
     if (!isNews || member.incarnation === 0) return;
     const {hostId} = member;
     const isJoin = member.state === 'alive' && member.refutation === 0;
+    const isOwn = hostId === options.hostId;
+    if (isJoin && !isOwn && (isReadingPage || !isSettled())) return;
+    // A suspicion is not urgent: its finder decides, and tells the suspect.
+    if (member.state !== 'suspect') scheduleNews();
     if (isJoin) joinNews.add(hostId, hostId, getMemberSizeBytes(member));
     else
       stateNews.add(hostId, hostId, getMemberSizeBytes(withoutDetails(member)));
   });
 
-  function refillBudget(): void {
-    const nowMs = clock.nowMs();
-    const gained = ((nowMs - filledAtMs) / 1_000) * budget;
-    tokenBytes = Math.min(budget * BUDGET_BURST_SECONDS, tokenBytes + gained);
-    filledAtMs = nowMs;
+  /**
+   * A host that starts learns the others from pages. Were it to pass them on
+   * as news too, a mass start would fill every datagram for minutes.
+   */
+  const isSettled = () =>
+    pages.hasAll() || clock.nowMs() - startedAtMs > SETTLE_MS;
+
+  /** Those that a new host meets first learn its addresses from itself. */
+  function getOwnSender(): Member {
+    const isNew = clock.nowMs() - startedAtMs < SETTLE_MS / 2;
+    return isNew ? members.self() : withoutDetails(members.self());
   }
 
   function takeNews(roomBytes: number): readonly Member[] {
@@ -227,24 +261,24 @@
 
   function send(address: string, kind: DatagramName, extra: SendExtra): void {
     if (address === '' || isStopped) return;
-    refillBudget();
     const given = extra.members ?? [];
     const roomBytes =
-      Math.min(MAX_PIGGYBACK_BYTES, tokenBytes) - sumBytes(given);
+      Math.min(MAX_PIGGYBACK_BYTES, budget.left()) - sumBytes(given);
     const riders = takeRiders(roomBytes, extra.sender === undefined);
     const datagram = codec.encode({
       kind,
       sequence: extra.sequence ?? 0,
-      sender: extra.sender ?? withoutDetails(members.self()),
+      sender: extra.sender ?? getOwnSender(),
       targetAddress: extra.targetAddress,
       digest: extra.digest,
       cursor: extra.cursor,
       members: [...given, ...riders.members],
       facts: riders.facts,
     });
+    const sizeBytes = datagram.length + HEADER_BYTES;
     counts.sentDatagrams++;
-    counts.sentBytes += datagram.length + HEADER_BYTES;
-    tokenBytes -= datagram.length + HEADER_BYTES;
+    counts.sentBytes += sizeBytes;
+    (kind === 'page' ? pageBudget : budget).take(sizeBytes);
     datagrams.send(address, datagram);
   }
 
@@ -270,8 +304,7 @@
   function getRepair(message: MembershipMessage): readonly Member[] {
     const digest = message.digest;
     if (!digest || members.digest(digest.of) === digest.value) return [];
-    refillBudget();
-    const roomBytes = Math.min(MAX_REPAIR_BYTES, tokenBytes);
+    const roomBytes = Math.min(MAX_REPAIR_BYTES, budget.left());
     const found = [...members.inBucket(digest.of)];
     return fill(rotate(found), roomBytes);
   }
@@ -320,25 +353,34 @@
       send(message.targetAddress ?? '', 'ping', {sequence: relaySequence});
     },
     'page-request'(fromAddress, message) {
-      refillBudget();
       // Over budget: the asker times out and asks another.
-      if (tokenBytes < 0) return;
-      const after = message.cursor ?? '';
+      if (!pageBudget.mayTake()) return;
+      const from = message.cursor ?? '';
       const rest = [...members.running()]
-        .filter(member => member.hostId > after)
+        .filter(member => member.hostId >= from)
         .sort((a, b) => (a.hostId < b.hostId ? -1 : 1));
       const page = fill(rest, MAX_PAGE_BYTES);
-      const last = page.length < rest.length ? page.at(-1)!.hostId : '';
-      send(fromAddress, 'page', {cursor: last, members: page});
+      const next = rest.at(page.length)?.hostId ?? '';
+      send(fromAddress, 'page', {cursor: next, members: page});
     },
     page(_fromAddress, message) {
-      if (cursor === undefined) return;
-      const next = message.cursor ?? '';
-      if (next === '') cursor = undefined;
-      else if (next > cursor) cursor = next;
+      pages.received(message.cursor ?? '');
     },
+    news() {},
   };
 
+  function hear(record: Member): void {
+    const before = members.get(record.hostId);
+    members.apply(record);
+    const isEcho =
+      before !== undefined &&
+      before === members.get(record.hostId) &&
+      !isNewer(before, record);
+    if (!isEcho) return;
+    joinNews.heardAgain(record.hostId);
+    stateNews.heardAgain(record.hostId);
+  }
+
   function receive(fromAddress: string, datagram: Uint8Array): void {
     if (isStopped) return;
     counts.receivedDatagrams++;
@@ -349,7 +391,9 @@
       return;
     }
     members.apply(message.sender);
-    message.members.forEach(members.apply);
+    isReadingPage = message.kind === 'page';
+    message.members.forEach(hear);
+    isReadingPage = false;
     for (const fact of message.facts) {
       facts.receive(fact, message.sender.hostId);
     }
@@ -369,17 +413,6 @@
     return others[random.nextInt(Math.max(1, others.length))];
   }
 
-  /** Reads the members from others, page by page, after the start. */
-  function readPages(askedFor: string | undefined): void {
-    if (cursor === undefined) return;
-    const peer = pickOther(members.running());
-    const hasMoved = askedFor !== cursor;
-    if (peer) send(peer.address, 'page-request', {cursor});
-    const asked = cursor;
-    const delayMs = hasMoved ? PAGE_INTERVAL_MS : PAGE_TIMEOUT_MS;
-    later(delayMs, () => readPages(asked));
-  }
-
   function recontact(): void {
     members.forgetGone(FORGET_GONE_MS);
     const peer = pickOther(members.gone());
@@ -387,6 +420,23 @@
     later(RECONTACT_MS * (0.5 + random.nextFloat()), recontact);
   }
 
+  /**
+   * Passes news on within a few round trips. Under a burst the budget is used
+   * up, and news then only ride on the regular pings.
+   */
+  function scheduleNews(): void {
+    if (isNewsScheduled) return;
+    isNewsScheduled = true;
+    later(NEWS_DELAY_MS * (0.5 + random.nextFloat()), () => {
+      isNewsScheduled = false;
+      if (budget.left() < budgetBytes * NEWS_BUDGET_SHARE) return;
+      for (let i = 0; i < NEWS_FANOUT; i++) {
+        const peer = pickOther(members.running());
+        if (peer) send(peer.address, 'news', {});
+      }
+    });
+  }
+
   /** Tells some members at once what all will hear. */
   function announce(fanout: number): void {
     const others = rotate(members.running()).filter(
@@ -417,7 +467,7 @@
       joinNews.add(self.hostId, self.hostId, getMemberSizeBytes(self));
       detector.start();
       later(RECONTACT_MS * random.nextFloat(), recontact);
-      later(PAGE_INTERVAL_MS * random.nextFloat(), () => readPages(undefined));
+      pages.start();
     },
     applyHostList(hosts) {
       for (const listed of hosts) {
--- a/src/coordination/membership_codec.ts
+++ b/src/coordination/membership_codec.ts
@@ -11,7 +11,7 @@
 import type {Bucket, Member, MemberState} from './member_records.js';
 
 export type DatagramName =
-  'ping' | 'ack' | 'ping-request' | 'page-request' | 'page';
+  'ping' | 'ack' | 'ping-request' | 'page-request' | 'page' | 'news';
 
 /** A fact as it travels; see `facts.ts`. */
 export interface SentFact {
@@ -41,6 +41,7 @@
   'ping-request': DatagramKind.PING_REQUEST,
   'page-request': DatagramKind.PAGE_REQUEST,
   page: DatagramKind.PAGE,
+  news: DatagramKind.NEWS,
 };
 const kindNames = new Map(
   (Object.keys(wireKinds) as DatagramName[]).map(name => [
--- a/src/coordination/table_budget.ts
+++ b/src/coordination/table_budget.ts
@@ -37,7 +37,8 @@
 ): RateBudget {
   const getCapacity = () =>
     Math.max(options.minBurst, options.ratePerSecond() * options.burstSeconds);
-  let tokens = getCapacity();
+  /** Full at the first use; the rate may not be known before. */
+  let tokens = Infinity;
   let filledAtMs = clock.nowMs();
 
   function refill(): void {
