--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,6 +33,8 @@
     files: ['scripts/**/*.mjs'],
     languageOptions: {
       globals: {
+        clearTimeout: 'readonly',
+        TextDecoder: 'readonly',
         process: 'readonly',
         console: 'readonly',
         fetch: 'readonly',
--- a/scripts/run_compiled.mjs
+++ b/scripts/run_compiled.mjs
@@ -1,10 +1,10 @@
 /** Compiles, then runs one compiled file: `run_compiled.mjs FILE [ARG...]`. */
 
 import path from 'node:path';
-import {compile, root, runOrExit} from './toolchain.mjs';
+import {ensureCompiled, root, runOrExit} from './toolchain.mjs';
 
 const [file, ...args] = process.argv.slice(2);
-compile();
+ensureCompiled();
 runOrExit(process.execPath, [
   '--enable-source-maps',
   path.join(root, 'build', file),
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -7,7 +7,7 @@
 import {spawnSync} from 'node:child_process';
 import {existsSync, readdirSync, rmSync, statSync} from 'node:fs';
 import path from 'node:path';
-import {compile, root} from './toolchain.mjs';
+import {ensureCompiled, root} from './toolchain.mjs';
 
 const TEST_SUFFIX = '_test.js';
 const CONCURRENCY = 6;
@@ -37,7 +37,7 @@
 const accept = process.argv.includes('--accept');
 const wanted = process.argv.slice(2).filter(arg => !arg.startsWith('--'));
 
-compile();
+ensureCompiled();
 const all = dropStale(findTests(path.join(root, 'build', 'tests')));
 const tests = all.filter(
   file =>
--- a/scripts/toolchain.mjs
+++ b/scripts/toolchain.mjs
@@ -1,6 +1,6 @@
 /** Steps that the other scripts share: install, compile, run. */
 
-import {spawnSync} from 'node:child_process';
+import {spawn, spawnSync} from 'node:child_process';
 import {existsSync} from 'node:fs';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -20,7 +20,7 @@
 }
 
 /** Compiles all TypeScript into `build/`; only what changed. */
-export function compile() {
+export function ensureCompiled() {
   ensureInstalled();
   runOrExit(process.execPath, [
     path.join(root, 'node_modules', 'typescript', 'bin', 'tsc'),
@@ -28,3 +28,52 @@
     root,
   ]);
 }
+
+const STOP_TIMEOUT_MS = 10_000;
+const children = new Set();
+
+/**
+ * Starts the compiled program with `args`. Output is shown with the name
+ * before each line, or kept for `output()` when `quiet`.
+ */
+export function startProcess(name, args, {env = {}, quiet = false} = {}) {
+  const main = path.join(root, 'build', 'src', 'cli', 'main.js');
+  const child = spawn(process.execPath, [main, ...args], {
+    cwd: root,
+    env: {...process.env, ...env},
+    stdio: ['ignore', 'pipe', 'pipe'],
+    // Ctrl-C reaches the whole group of the terminal; the script stops its
+    // processes itself, in order, so they stand in groups of their own.
+    detached: true,
+  });
+  let output = '';
+  const show = chunk => {
+    output += chunk;
+    if (!quiet)
+      process.stdout.write(String(chunk).replace(/^(?=.)/gm, `[${name}] `));
+  };
+  child.stdout.on('data', show);
+  child.stderr.on('data', show);
+  children.add(child);
+  const ended = new Promise(resolve => {
+    child.once('exit', code => {
+      children.delete(child);
+      resolve(code);
+    });
+  });
+  return {child, ended, output: () => output};
+}
+
+/** Ends every process that `startProcess` started and that still runs. */
+export async function stopProcesses() {
+  const exits = [...children].map(child => {
+    const exit = new Promise(resolve => child.once('exit', resolve));
+    child.kill('SIGTERM');
+    return exit;
+  });
+  const timer = setTimeout(() => {
+    for (const child of children) child.kill('SIGKILL');
+  }, STOP_TIMEOUT_MS);
+  await Promise.all(exits);
+  clearTimeout(timer);
+}
--- a/src/adapters/peer_grants.ts
+++ b/src/adapters/peer_grants.ts
@@ -10,6 +10,7 @@
 import type {MessageInitShape} from '@bufbuild/protobuf';
 import {
   Home,
+  type AnnouncedGrant as AnnouncedGrantMessage,
   type GrantReply,
   type GrantReplySchema,
   type GrantReport,
@@ -18,6 +19,7 @@
   type GrantRequestSchema,
 } from '../generated/corianderbend/peer_pb.js';
 import type {Clock} from '../ports/clock.js';
+import type {AnnouncedGrant} from '../scheduling/dispatcher.js';
 import type {
   Grant,
   GrantPort,
@@ -157,7 +159,7 @@
   host: {readonly clock: Clock},
   transport: Transport,
   shardId: string,
-): GrantPort {
+): HomePort {
   const client = createClient(Home, transport);
   let pending: MessageInitShape<typeof GrantReportSchema>[] = [];
   let isScheduled = false;
@@ -197,11 +199,44 @@
       isScheduled = true;
       host.clock.setTimer(REPORT_WINDOW_MS, () => void flush());
     },
+    adopt({grant, request, isDecoding, tokensDelivered}) {
+      const message = {
+        grant,
+        request: encodeRequest(shardId, request),
+        isDecoding,
+        tokensDelivered,
+      };
+      // A lost one leaves the new home to learn from the next `renew`.
+      client
+        .adoptGrants(
+          {shardId, grants: [message]},
+          {timeoutMs: REPORT_TIMEOUT_MS},
+        )
+        .catch(() => {});
+    },
   };
 }
 
+/** A home as its peers see it. */
+export interface HomePort extends GrantPort {
+  /** Tells a new home of a grant that an earlier one gave. */
+  adopt(announced: AnnouncedGrant): void;
+}
+
 /** Finds the home of a shard, if it is in this process. */
-export type FindHome = (shardId: string) => GrantPort | undefined;
+export type FindHome = (shardId: string) => HomePort | undefined;
+
+function decodeAnnounced(
+  message: AnnouncedGrantMessage,
+): AnnouncedGrant | undefined {
+  if (!message.grant || !message.request) return undefined;
+  return {
+    grant: {...message.grant, kind: 'granted'},
+    request: decodeRequest(message.request),
+    isDecoding: message.isDecoding,
+    tokensDelivered: message.tokensDelivered,
+  };
+}
 
 /** Serves `Home` from the homes in this process. */
 export function createHomeService(
@@ -224,5 +259,13 @@
       }
       return {};
     },
+    adoptGrants(message) {
+      const home = findHome(message.shardId);
+      for (const item of message.grants) {
+        const announced = decodeAnnounced(item);
+        if (announced) home?.adopt(announced);
+      }
+      return {};
+    },
   };
 }
--- /dev/null
+++ b/src/serve/home_host.ts
@@ -0,0 +1,230 @@
+/**
+ * The shard homes that run in this process: starts a home when a shard falls
+ * to this process, stops it when the shard moves on, and feeds it with what
+ * its engines report.
+ */
+
+import type {AccountLimits} from '../core/scheduling/account_shares.js';
+import type {EngineDescription} from '../core/scheduling/engine_book.js';
+import type {ModelServiceSettings, Settings} from '../core/settings_types.js';
+import type {Shard, ShardEngine} from '../core/shard_map.js';
+import type {Clock} from '../ports/clock.js';
+import type {EngineLoadReport, EnginePortFactory} from '../ports/engine.js';
+import type {Logger} from '../ports/log.js';
+import type {Random} from '../ports/random.js';
+import {
+  createShardHome,
+  type ShardHome,
+  type ShardSummary,
+} from '../scheduling/shard_home.js';
+import {startEnginePoll, type EnginePoll} from './engine_poll.js';
+
+const POLL = {intervalMs: 500, timeoutMs: 1000, failureLimit: 2} as const;
+/** Until the first report of an engine tells better. */
+const DEFAULT_LINK_BYTES_PER_MS = 10_000_000;
+/** A new home admits with care until entries have told what they hold. */
+const REBUILD_MS = 1000;
+const MS_PER_SECOND = 1000;
+
+export interface HomeHostPorts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly enginePort: EnginePortFactory;
+  /** The engine says by itself that it is leaving. */
+  onEngineLeaving(engineId: string): void;
+}
+
+export interface HomeHost {
+  /** Follows a change of shards, owners, leaving engines or settings. */
+  update(plan: HomePlan): void;
+  find(shardId: string): ShardHome | undefined;
+  summaries(): readonly ShardSummary[];
+  /** An entry died: its grants and queue places are freed everywhere. */
+  entryGone(entryTag: string): void;
+  stop(): void;
+}
+
+/** What should run here. */
+export interface HomePlan {
+  readonly settings: Settings;
+  readonly ownShards: readonly Shard[];
+  readonly leavingEngineIds: ReadonlySet<string>;
+}
+
+interface RunningEngine {
+  readonly engine: ShardEngine;
+  readonly poll: EnginePoll;
+  report: EngineLoadReport | undefined;
+}
+
+interface RunningHome {
+  readonly home: ShardHome;
+  readonly engines: Map<string, RunningEngine>;
+}
+
+function findModelService(
+  settings: Settings,
+  name: string,
+): ModelServiceSettings | undefined {
+  const service = settings.services.find(item => item.name === name);
+  return service?.kind === 'model' ? service : undefined;
+}
+
+function createAccountLimitMap(
+  settings: Settings,
+): ReadonlyMap<string, AccountLimits> {
+  return new Map(
+    settings.accounts.map(({name, weight, maxConcurrent}) => [
+      name,
+      {weight, maxConcurrent},
+    ]),
+  );
+}
+
+function describe(
+  engine: ShardEngine,
+  report: EngineLoadReport,
+): EngineDescription {
+  return {
+    engineId: engine.engineId,
+    address: engine.address,
+    role: report.role,
+    failureDomain: engine.failureDomain,
+    models: report.models,
+    slots: report.slotsTotal,
+    kvBytes: report.kvTotalBytes,
+    linkBytesPerMs: DEFAULT_LINK_BYTES_PER_MS,
+  };
+}
+
+export function createHomeHost(ports: HomeHostPorts): HomeHost {
+  const {clock, random, log} = ports;
+  const homes = new Map<string, RunningHome>();
+
+  function startHome(
+    shard: Shard,
+    settings: Settings,
+  ): RunningHome | undefined {
+    const service = findModelService(settings, shard.service);
+    if (!service) return undefined;
+    const home = createShardHome(
+      {clock, random, log},
+      {
+        shardId: shard.shardId,
+        homeEpoch: Math.floor(clock.wallMs() / MS_PER_SECOND),
+        service: service.name,
+        targets: service.targets,
+        wasteWeight: service.wasteWeight,
+        maxQueued: service.maxQueued,
+        accounts: createAccountLimitMap(settings),
+        rebuildMs: REBUILD_MS,
+      },
+    );
+    log.info('Home of a shard started.', {shardId: shard.shardId});
+    const running = {home, engines: new Map<string, RunningEngine>()};
+    homes.set(shard.shardId, running);
+    return running;
+  }
+
+  /** Engines whose size is known; an engine is used from its first report. */
+  function publishEngines({home, engines}: RunningHome): void {
+    const known: EngineDescription[] = [];
+    for (const {engine, report} of engines.values()) {
+      if (report) known.push(describe(engine, report));
+    }
+    home.setEngines(known);
+  }
+
+  function onLoad(
+    running: RunningHome,
+    entry: RunningEngine,
+    report: EngineLoadReport,
+  ): void {
+    const before = entry.report;
+    entry.report = report;
+    const isChanged =
+      before?.role !== report.role || before?.slotsTotal !== report.slotsTotal;
+    if (isChanged) publishEngines(running);
+    running.home.applyLoadReport(report);
+    if (report.leaving) {
+      running.home.markLeaving(report.engineId);
+      ports.onEngineLeaving(report.engineId);
+    }
+  }
+
+  function startEngine(running: RunningHome, engine: ShardEngine): void {
+    const {engineId, address} = engine;
+    const poll = startEnginePoll(
+      {
+        clock,
+        engine: ports.enginePort(address),
+        onLoad: report => onLoad(running, entry, {...report, engineId}),
+        onCacheEvents: events =>
+          running.home.applyCacheEvents(engineId, events),
+        onGone() {
+          if (!entry.report) return;
+          entry.report = undefined;
+          running.home.engineGone(engineId);
+        },
+      },
+      POLL,
+    );
+    const entry: RunningEngine = {engine, poll, report: undefined};
+    running.engines.set(engineId, entry);
+  }
+
+  function syncEngines(running: RunningHome, shard: Shard): void {
+    const wanted = new Map(shard.engines.map(item => [item.engineId, item]));
+    for (const [engineId, {poll, engine}] of running.engines) {
+      if (wanted.get(engineId)?.address === engine.address) continue;
+      poll.stop();
+      running.engines.delete(engineId);
+    }
+    for (const engine of shard.engines) {
+      if (!running.engines.has(engine.engineId)) startEngine(running, engine);
+    }
+    publishEngines(running);
+  }
+
+  function stopHome(shardId: string, running: RunningHome): void {
+    for (const {poll} of running.engines.values()) poll.stop();
+    running.home.stop();
+    homes.delete(shardId);
+    log.info('Home of a shard stopped.', {shardId});
+  }
+
+  function updateShard(shard: Shard, plan: HomePlan): void {
+    const running = homes.get(shard.shardId) ?? startHome(shard, plan.settings);
+    if (!running) return;
+    const service = findModelService(plan.settings, shard.service);
+    if (service) {
+      const {targets, wasteWeight} = service;
+      const limits = createAccountLimitMap(plan.settings);
+      running.home.setTuning(targets, wasteWeight, limits);
+    }
+    syncEngines(running, shard);
+    for (const {engineId} of shard.engines) {
+      if (plan.leavingEngineIds.has(engineId))
+        running.home.markLeaving(engineId);
+    }
+  }
+
+  return {
+    update(plan) {
+      const wanted = new Set(plan.ownShards.map(shard => shard.shardId));
+      for (const [shardId, running] of homes) {
+        if (!wanted.has(shardId)) stopHome(shardId, running);
+      }
+      for (const shard of plan.ownShards) updateShard(shard, plan);
+    },
+    find: shardId => homes.get(shardId)?.home,
+    summaries: () => [...homes.values()].map(({home}) => home.summary()),
+    entryGone(entryTag) {
+      for (const {home} of homes.values()) home.entryGone(entryTag);
+    },
+    stop() {
+      for (const [shardId, running] of homes) stopHome(shardId, running);
+    },
+  };
+}
--- /dev/null
+++ b/src/serve/summary_codec.ts
@@ -0,0 +1,24 @@
+/** Summaries of shards as bodies of facts. */
+
+import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
+import {ShardSummarySchema} from '../generated/corianderbend/peer_pb.js';
+import type {ShardSummary} from '../scheduling/dispatcher.js';
+
+const KEY_PREFIX = 'shard/';
+
+export function getSummaryKey(shardId: string): string {
+  return KEY_PREFIX + shardId;
+}
+
+export function encodeSummary(summary: ShardSummary): Uint8Array {
+  return toBinary(ShardSummarySchema, create(ShardSummarySchema, summary));
+}
+
+/** Undefined for a body that is not a summary. */
+export function decodeSummary(body: Uint8Array): ShardSummary | undefined {
+  try {
+    return fromBinary(ShardSummarySchema, body);
+  } catch {
+    return undefined;
+  }
+}
