--- a/src/entry/front_host.ts
+++ b/src/entry/front_host.ts
@@ -1,5 +1,6 @@
 /** What the HTTP front needs of the process it runs in. */
 
+import type {Metrics} from '../adapters/metrics.js';
 import type {AccountLimits} from '../core/account_limits.js';
 import type {AccountSettings, Settings} from '../core/settings_types.js';
 import type {RequestRunner} from '../ports/answer_sink.js';
@@ -26,25 +27,18 @@
   readonly auth: CallerAuth;
 }
 
-/** Records of the front for the metrics. */
-export interface FrontMetrics {
-  requestRefused(errorKind: string, account: string): void;
-}
-
 export interface FrontHost {
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
   readonly runner: RequestRunner;
   readonly limits: AccountLimits;
-  readonly metrics: FrontMetrics;
+  readonly metrics: Metrics;
   /** Undefined until a configuration has been read. */
   getSettings(): FrontSettings | undefined;
   getEntries(): EntriesAnswer;
   /** True once this entry drains. */
   isLeaving(): boolean;
-  /** Text for `/metrics`. */
-  readMetrics(): Promise<string>;
 }
 
 /** An admitted caller. */
--- a/src/entry/http_front.ts
+++ b/src/entry/http_front.ts
@@ -60,7 +60,8 @@
   let openCount = 0;
 
   function refuse(exchange: Exchange, error: RequestError, account = ''): void {
-    host.metrics.requestRefused(error.kind, account);
+    const labels = {service: '', account, requestClass: 'interactive'} as const;
+    host.metrics.recordRefusal(labels, error.kind);
     writeProblem(exchange.response, error, exchange.requestId);
   }
 
@@ -174,8 +175,8 @@
   }
 
   async function handleMetrics({response}: Exchange): Promise<void> {
-    response.setHeader('content-type', 'text/plain; version=0.0.4');
-    response.end(await host.readMetrics());
+    response.setHeader('content-type', host.metrics.contentType);
+    response.end(await host.metrics.render());
   }
 
   const routes: ReadonlyMap<string, {method: string; handler: Handler}> =
--- a/src/entry/model_route.ts
+++ b/src/entry/model_route.ts
@@ -8,6 +8,7 @@
 import type {ModelRequest, RunningRequest} from '../ports/answer_sink.js';
 import {readIdempotencyKey, readWaitMs} from './caller_headers.js';
 import type {Caller, FrontHost} from './front_host.js';
+import {meterModelSink} from './metered_sink.js';
 import {createStreamSink, createWholeSink} from './openai_answer.js';
 import {
   parseCompletionBody,
@@ -104,6 +105,20 @@
     promptTokenCount: promptTokens.length,
   };
   const createSink = body.isStream ? createStreamSink : createWholeSink;
-  const sink = createSink(call.response, context);
+  const {requestClass} = caller.account;
+  const metering = {
+    labels: {
+      service: service.name,
+      account: caller.account.name,
+      requestClass,
+    },
+    targets: service.targets,
+    arrivedAtMs,
+  };
+  const sink = meterModelSink(
+    host,
+    metering,
+    createSink(call.response, context),
+  );
   return {kind: 'running', running: host.runner.runModel(request, sink)};
 }
--- a/src/entry/plain_route.ts
+++ b/src/entry/plain_route.ts
@@ -9,6 +9,7 @@
 import type {PlainAnswerSink, PlainRequest} from '../ports/answer_sink.js';
 import {readIdempotencyKey, readWaitMs} from './caller_headers.js';
 import type {FrontHost} from './front_host.js';
+import {meterPlainSink} from './metered_sink.js';
 import type {RouteCall, RouteOutcome} from './model_route.js';
 import {writeProblem} from './problem.js';
 
@@ -137,6 +138,20 @@
       arrivedAtMs +
       Math.min(service.targets.waitMs, wait.value ?? service.targets.waitMs),
   };
-  const sink = createPlainSink(call.response, requestId);
+  const {account} = caller;
+  const metering = {
+    labels: {
+      service: service.name,
+      account: account.name,
+      requestClass: account.requestClass,
+    },
+    targets: service.targets,
+    arrivedAtMs,
+  };
+  const sink = meterPlainSink(
+    host,
+    metering,
+    createPlainSink(call.response, requestId),
+  );
   return {kind: 'running', running: host.runner.runPlain(plain, sink)};
 }
