--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -100,6 +100,23 @@
   return child.output().trim();
 }
 
+/** Puts the entry hosts on the platform's list, as a machine room would. */
+async function enlistHosts() {
+  for (const [index, domain] of HOSTS.entries()) {
+    const hostId = `${domain}-1`;
+    await fetch(`${PLATFORM}/hosts/${hostId}`, {
+      method: 'PUT',
+      body: JSON.stringify({
+        hostId,
+        failureDomain: domain,
+        address: `127.0.0.1:${7901 + index}`,
+        role: 'router',
+        state: 'live',
+      }),
+    });
+  }
+}
+
 async function applyConfiguration() {
   const args = ['config', 'apply', '--peer', PEER];
   args.push('--base', path.join(EXAMPLE, 'base.yaml'));
@@ -215,6 +232,7 @@
   ensureCompiled();
   startStandIns();
   await waitUntilUp([`${PLATFORM}/healthz`]);
+  await enlistHosts();
   startHosts();
   await waitUntilUp(ENTRIES.map(entry => `http://${entry}/healthz`));
   await applyConfiguration();
--- /dev/null
+++ b/src/serve/configuration_host.ts
@@ -0,0 +1,157 @@
+/** The configuration in force, parsed for this host's site. */
+
+import {
+  createClient,
+  type ServiceImpl,
+  type Transport,
+} from '@connectrpc/connect';
+import {createCallerAuth} from '../entry/caller_auth.js';
+import type {FrontSettings} from '../entry/front_host.js';
+import {formatDiagnostic} from '../core/diagnostics.js';
+import {
+  checkSettingsDocument,
+  parseSettingsDocument,
+  readStoredSettings,
+} from '../core/settings_document.js';
+import type {Settings} from '../core/settings_types.js';
+import {
+  createConfigurationKeeper,
+  type ConfigurationKeeper,
+  type ConfigurationRevision,
+} from '../coordination/configuration.js';
+import type {FactStore} from '../coordination/facts.js';
+import type {Membership} from '../coordination/membership.js';
+import type {TableClient} from '../coordination/table_client.js';
+import {ConfigurationPeer} from '../generated/corianderbend/peer_pb.js';
+import type {ConfigurationRevision as RevisionMessage} from '../generated/corianderbend/peer_pb.js';
+import type {Clock} from '../ports/clock.js';
+import type {Logger} from '../ports/log.js';
+import type {Random} from '../ports/random.js';
+
+export interface ConfigurationHostPorts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly table: TableClient;
+  readonly facts: FactStore;
+  readonly membership: Membership;
+  readonly hostId: string;
+  readonly site: string;
+  getTransport(address: string): Transport;
+}
+
+export interface ConfigurationHost {
+  readonly keeper: ConfigurationKeeper;
+  /** Undefined until a revision is in force. */
+  getSettings(): Settings | undefined;
+  getFrontSettings(): FrontSettings | undefined;
+  onChange(listener: (settings: Settings) => void): void;
+}
+
+/** Problems of a stored body, at every site; none when it can be in force. */
+function checkBody(body: string): readonly string[] {
+  const {document, diagnostics} = parseSettingsDocument(body);
+  const all = document ? checkSettingsDocument(document) : diagnostics;
+  return all.map(formatDiagnostic);
+}
+
+export function createConfigurationHost(
+  ports: ConfigurationHostPorts,
+): ConfigurationHost {
+  const {clock, random, table, facts, log, membership, hostId} = ports;
+  const listeners: ((settings: Settings) => void)[] = [];
+  let front: FrontSettings | undefined;
+
+  async function fetchFromPeer(
+    peerId: string,
+    revision: number,
+    timeoutMs: number,
+  ): Promise<ConfigurationRevision | undefined> {
+    const address = membership.get(peerId)?.address;
+    if (!address) return undefined;
+    try {
+      const transport = ports.getTransport(address);
+      const client = createClient(ConfigurationPeer, transport);
+      const reply = await client.get({revision}, {timeoutMs});
+      return reply.found ? reply.revision : undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  const keeper = createConfigurationKeeper(
+    {
+      clock,
+      random,
+      table,
+      facts,
+      log,
+      peers: () =>
+        membership
+          .members()
+          .map(member => member.hostId)
+          .filter(id => id !== hostId),
+      fetchFromPeer,
+      check: checkBody,
+    },
+    {hostId},
+  );
+
+  function adopt(revision: ConfigurationRevision): void {
+    const {settings, diagnostics} = readStoredSettings(
+      revision.body,
+      ports.site,
+    );
+    if (!settings) {
+      log.error('The accepted revision has no settings for this site.', {
+        revision: revision.revision,
+        site: ports.site,
+        reason: diagnostics.map(formatDiagnostic).join('; '),
+      });
+      return;
+    }
+    front = {settings, auth: createCallerAuth(settings)};
+    log.info('A revision is in force.', {revision: revision.revision});
+    for (const listener of listeners) listener(settings);
+  }
+
+  keeper.changes.listen(adopt);
+
+  return {
+    keeper,
+    getSettings: () => front?.settings,
+    getFrontSettings: () => front,
+    onChange: listener => listeners.push(listener),
+  };
+}
+
+/** A revision as a message, without what peers don't need. */
+export function encodeRevision(
+  revision: ConfigurationRevision,
+): Omit<RevisionMessage, '$typeName'> {
+  const {changeId, author, appliedAtMs, body, comment} = revision;
+  return {
+    revision: revision.revision,
+    changeId,
+    author,
+    appliedAtMs,
+    body,
+    comment,
+  };
+}
+
+/** Gives peers the revision that is in force here. */
+export function createConfigurationPeerService(
+  keeper: Pick<ConfigurationKeeper, 'current'>,
+): ServiceImpl<typeof ConfigurationPeer> {
+  return {
+    get(request) {
+      const current = keeper.current();
+      const isWanted =
+        current !== undefined &&
+        (request.revision === 0 || request.revision === current.revision);
+      if (!isWanted) return {found: false};
+      return {found: true, revision: encodeRevision(current)};
+    },
+  };
+}
--- a/src/serve/journal_router.ts
+++ b/src/serve/journal_router.ts
@@ -26,7 +26,7 @@
 /** The partition that keeps a request's key. */
 export function partitionOf(
   host: Pick<JournalRouterHost, 'hash' | 'partitionCount'>,
-  request: IntentRequest,
+  request: Pick<IntentRequest, 'account' | 'service' | 'idempotencyKey'>,
 ): number {
   const {account, service, idempotencyKey} = request;
   const text = JSON.stringify([account, service, idempotencyKey]);
