--- /dev/null
+++ b/tests/entry/openai_client_test.ts
@@ -0,0 +1,206 @@
+import assert from 'node:assert/strict';
+import type {AddressInfo} from 'node:net';
+import {afterEach, test} from 'node:test';
+import OpenAI from 'openai';
+import {Registry} from 'prom-client';
+import {createMetrics} from '../../src/adapters/metrics.js';
+import {createSystemClock} from '../../src/adapters/system_clock.js';
+import {createAccountLimits} from '../../src/core/account_limits.js';
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import type {Settings} from '../../src/core/settings_types.js';
+import {createCallerAuth, hashCallerKey} from '../../src/entry/caller_auth.js';
+import {createHttpFront, type HttpFront} from '../../src/entry/http_front.js';
+import type {
+  ModelAnswerSink,
+  ModelRequest,
+  RequestRunner,
+} from '../../src/ports/answer_sink.js';
+
+const KEY = 'caller-key';
+const WORDS = ['Members', ' met', ' four', ' times.'];
+
+const settings: Settings = {
+  site: 'tartu-piirkond',
+  failureDomains: [{name: 'ylikool-saal'}],
+  services: [
+    {
+      kind: 'model',
+      name: 'aruande-koostaja',
+      models: ['aruande-koostaja'],
+      targets: {ttftMs: 5000, tokenIntervalMs: 100, waitMs: 60_000},
+      upstreams: [],
+      upstreamsFromHostList: true,
+      wasteWeight: 0.8,
+      maxQueued: 100,
+      retryBudget: 0.1,
+      enginesCheckFences: true,
+      keepAnswersMs: 0,
+    },
+  ],
+  accounts: [
+    {
+      name: 'raamatupidajad',
+      keySha256: [hashCallerKey(KEY)],
+      services: ['aruande-koostaja'],
+      requestsPerSecond: 100,
+      maxConcurrent: 10,
+      weight: 1,
+      requestClass: 'interactive',
+    },
+  ],
+  limits: {
+    maxBodyBytes: 10_000,
+    maxHeaderBytes: 8192,
+    maxConnections: 100,
+    maxStreams: 100,
+    bodyTimeoutMs: 5000,
+  },
+  coordination: {
+    leaseMs: 5000,
+    clockRateError: 0.01,
+    probeIntervalMs: 1000,
+    suspicionMs: 2000,
+    journalPartitions: 1,
+    journalFlushMs: 5,
+    tableWritesPerSecond: 300,
+    tableReadsPerSecond: 2000,
+    directoryTtlMs: 10_000,
+  },
+};
+
+type RunModel = (request: ModelRequest, sink: ModelAnswerSink) => void;
+
+let front: HttpFront | undefined;
+
+afterEach(async () => {
+  front?.server.closeAllConnections();
+  await front?.close();
+  front = undefined;
+});
+
+async function startFront(runModel: RunModel): Promise<string> {
+  const clock = createSystemClock();
+  const silent = () => {};
+  const runner: RequestRunner = {
+    runModel(request, sink) {
+      runModel(request, sink);
+      return {callerGone: silent};
+    },
+    runPlain: () => ({callerGone: silent}),
+    activeCount: () => 0,
+  };
+  front = createHttpFront({
+    clock,
+    random: createSeededRandom(1),
+    log: {error: silent, warn: silent, info: silent, debug: silent},
+    runner,
+    limits: createAccountLimits({clock, entryCount: () => 1}),
+    metrics: createMetrics(new Registry()),
+    getSettings: () => ({settings, auth: createCallerAuth(settings)}),
+    getEntries: () => ({entries: [], ttlMs: 1000}),
+    isLeaving: () => false,
+  });
+  await front.listen('127.0.0.1:0');
+  const {port} = front.server.address() as AddressInfo;
+  return `http://127.0.0.1:${port}`;
+}
+
+function createCaller(origin: string): OpenAI {
+  return new OpenAI({
+    apiKey: KEY,
+    baseURL: `${origin}/v1`,
+    maxRetries: 0,
+  });
+}
+
+const answerWhole: RunModel = (_request, sink) => {
+  WORDS.forEach((word, offset) => sink.tokens(offset, [word]));
+  sink.end('stop', WORDS.length);
+};
+
+const question = {
+  model: 'aruande-koostaja',
+  messages: [{role: 'user' as const, content: 'Draft the report.'}],
+};
+
+test('a stock client streams an answer', async () => {
+  const caller = createCaller(await startFront(answerWhole));
+  const stream = await caller.chat.completions.create({
+    ...question,
+    stream: true,
+  });
+  const texts: string[] = [];
+  let finishReason: string | null = null;
+  for await (const chunk of stream) {
+    texts.push(chunk.choices[0].delta.content ?? '');
+    finishReason = chunk.choices[0].finish_reason;
+  }
+  assert.equal(texts.join(''), WORDS.join(''));
+  assert.equal(finishReason, 'stop');
+});
+
+test('a stock client gets a whole answer and its usage', async () => {
+  const caller = createCaller(await startFront(answerWhole));
+  const answer = await caller.chat.completions.create(question);
+  assert.equal(answer.choices[0].message.content, WORDS.join(''));
+  assert.equal(answer.usage?.completion_tokens, WORDS.length);
+});
+
+test('a cut stream is an error to a stock client, never a short answer', async () => {
+  // A bookkeeper would see a draft that just stops, and file it as whole.
+  // The engine dies after two tokens and the stream cannot be resumed; the
+  // stream must then close with an error event and without its end mark.
+  const caller = createCaller(
+    await startFront((_request, sink) => {
+      sink.tokens(0, WORDS.slice(0, 2));
+      sink.fail({kind: 'answer-cut', detail: 'The engine is gone.'});
+    }),
+  );
+  const stream = await caller.chat.completions.create({
+    ...question,
+    stream: true,
+  });
+  await assert.rejects(async () => {
+    for await (const chunk of stream) void chunk;
+  });
+});
+
+test('refusals are problem documents that say whether the request was run', async () => {
+  const origin = await startFront((_request, sink) =>
+    sink.fail({kind: 'overloaded', detail: 'Full.', retryAfterMs: 1500}),
+  );
+  const send = (path: string, body: unknown, key = KEY) =>
+    fetch(`${origin}${path}`, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${key}`},
+      body: JSON.stringify(body),
+    });
+  const cases = [
+    {path: '/v1/chat/completions', body: question, status: 503, code: 'CB2002'},
+    {path: '/v1/chat/completions', body: {}, status: 400, code: 'CB1001'},
+    {
+      path: '/v1/chat/completions',
+      body: {...question, model: 'other'},
+      status: 404,
+      code: 'CB1004',
+    },
+    {path: '/v1/nothing', body: {}, status: 404, code: 'CB1005'},
+    {
+      path: '/v1/chat/completions',
+      body: {...question, padding: 'x'.repeat(20_000)},
+      status: 413,
+      code: 'CB1007',
+    },
+  ];
+  for (const {path, body, status, code} of cases) {
+    const response = await send(path, body);
+    const problem = (await response.json()) as Record<string, unknown>;
+    assert.equal(response.status, status, code);
+    assert.equal(problem.code, code);
+    assert.equal(problem.runState, 'not-run');
+  }
+  const refused = await send('/v1/chat/completions', question, 'wrong-key');
+  assert.equal(refused.status, 401);
+  const overloaded = await send('/v1/chat/completions', question);
+  assert.equal(overloaded.headers.get('retry-after'), '2');
+});
