Send whole milliseconds as limits of calls between processes

Cause: with three processes every model request was refused as having no usable engine. The home was up; its entry sent a fraction of a millisecond as connect's timeout, which takes whole ones, and each call was refused. Ruled out: a moved home (a call by hand was granted at once).

--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -35,7 +35,7 @@
   {id: 'engine-5', port: 7105, role: 'decode', domain: 'annelinn-saal'},
 ];
 const EXAMPLE = path.join(root, 'examples', 'loopback');
-const READY_TIMEOUT_MS = 30_000;
+const READY_TIMEOUT_MS = 20_000;
 const POLL_MS = 100;
 
 const say = text => console.log(text);
@@ -66,9 +66,19 @@
 function startHosts() {
   for (const host of HOSTS) {
     const file = path.join(EXAMPLE, 'hosts', `${host}.yaml`);
-    startProcess(host, ['serve', '--host-file', file, '--log-level', 'warn'], {
-      env: KEYS,
-    });
+    startProcess(
+      host,
+      [
+        'serve',
+        '--host-file',
+        file,
+        '--log-level',
+        process.env.DEMO_LOG ?? 'warn',
+      ],
+      {
+        env: KEYS,
+      },
+    );
   }
 }
 
@@ -199,7 +209,9 @@
   const key = randomUUID();
   const first = await post(ENTRIES[1], key);
   const second = await post(ENTRIES[2], key);
-  const books = await (await fetch('http://127.0.0.1:7201/books')).json();
+  const books = await (
+    await fetch('http://127.0.0.1:7201/stand-in/books')
+  ).json();
   const runs = books.runsByKey?.[key];
   say('\nA ledger posting, sent twice with one key, to two entries:');
   say(`  ${ENTRIES[1]}: ${first.status} ${first.text}`);
@@ -231,7 +243,7 @@
 async function main() {
   ensureCompiled();
   startStandIns();
-  await waitUntilUp([`${PLATFORM}/healthz`]);
+  await waitUntilUp([`${PLATFORM}/hosts`]);
   await enlistHosts();
   startHosts();
   await waitUntilUp(ENTRIES.map(entry => `http://${entry}/healthz`));
@@ -241,15 +253,18 @@
   await showPosting();
   if (process.argv.includes('--once')) return;
   showNextSteps();
-  await new Promise(resolve => {
-    process.once('SIGINT', resolve);
-    process.once('SIGTERM', resolve);
-  });
-  say('\nStopping.');
+  await stopSignal;
 }
 
+// Listened to from the start: a signal that came while the processes start
+// would otherwise end this script and leave them behind.
+const stopSignal = new Promise(resolve => {
+  process.once('SIGINT', resolve);
+  process.once('SIGTERM', resolve);
+}).then(() => say('\nStopping.'));
+
 try {
-  await main();
+  await Promise.race([main(), stopSignal]);
 } catch (error) {
   console.error(`npm start: ${error.message}`);
   process.exitCode = 1;
--- a/src/adapters/peer_answers.ts
+++ b/src/adapters/peer_answers.ts
@@ -12,6 +12,7 @@
   type AnswerPart as AnswerPartMessage,
   type AnswerPlace as AnswerPlaceMessage,
 } from '../generated/corianderbend/peer_pb.js';
+import {toCallTimeoutMs} from './peer_connection.js';
 import type {
   AnswerIndexPort,
   AnswerKey,
@@ -66,7 +67,9 @@
   return {
     async find(key, timeoutMs) {
       try {
-        return decodePlace(await client.find({key}, {timeoutMs}));
+        return decodePlace(
+          await client.find({key}, {timeoutMs: toCallTimeoutMs(timeoutMs)}),
+        );
       } catch {
         return UNSURE;
       }
@@ -106,7 +109,7 @@
     async read(address, key, fromOffset, waitMs) {
       try {
         const client = createClient(AnswerPeer, getTransport(address));
-        const options = {timeoutMs: waitMs + READ_SLACK_MS};
+        const options = {timeoutMs: toCallTimeoutMs(waitMs + READ_SLACK_MS)};
         const request = {key, fromOffset, waitMs};
         return decodePart(await client.read(request, options));
       } catch {
--- a/src/adapters/peer_connection.ts
+++ b/src/adapters/peer_connection.ts
@@ -39,6 +39,14 @@
   });
 }
 
+/**
+ * A time limit as connect can send it: its header takes whole milliseconds
+ * only, and a peer refuses every call that has a fraction.
+ */
+export function toCallTimeoutMs(timeoutMs: number): number {
+  return Math.max(1, Math.ceil(timeoutMs));
+}
+
 /** Keeps one transport for each address. */
 export interface PeerTransports {
   get(address: string): Transport;
--- a/src/adapters/peer_grants.ts
+++ b/src/adapters/peer_grants.ts
@@ -18,6 +18,7 @@
   type GrantRequest as GrantRequestMessage,
   type GrantRequestSchema,
 } from '../generated/corianderbend/peer_pb.js';
+import {toCallTimeoutMs} from './peer_connection.js';
 import type {Clock} from '../ports/clock.js';
 import type {AnnouncedGrant} from '../scheduling/dispatcher.js';
 import type {
@@ -180,7 +181,9 @@
     async request(request, signal) {
       if (signal.aborted) return refusal('cancelled', 0);
       try {
-        const timeoutMs = request.waitLeftMs + REQUEST_SLACK_MS;
+        const timeoutMs = toCallTimeoutMs(
+          request.waitLeftMs + REQUEST_SLACK_MS,
+        );
         const reply = await client.requestGrant(
           encodeRequest(shardId, request),
           {signal, timeoutMs},
--- a/src/adapters/peer_journal.ts
+++ b/src/adapters/peer_journal.ts
@@ -12,6 +12,7 @@
   IntentReply,
   StoredAnswer as StoredAnswerMessage,
 } from '../generated/corianderbend/peer_pb.js';
+import {toCallTimeoutMs} from './peer_connection.js';
 import type {
   IntentOutcome,
   IntentRequest,
@@ -97,7 +98,7 @@
   return {
     async begin(request) {
       try {
-        const timeoutMs = request.timeoutMs + CALL_SLACK_MS;
+        const timeoutMs = toCallTimeoutMs(request.timeoutMs + CALL_SLACK_MS);
         const reply = await client.begin(request, {timeoutMs});
         const decode = outcomeDecoders[reply.kind];
         if (decode) return decode(reply);
@@ -112,7 +113,7 @@
     },
     async end(request, end) {
       try {
-        const timeoutMs = request.timeoutMs + CALL_SLACK_MS;
+        const timeoutMs = toCallTimeoutMs(request.timeoutMs + CALL_SLACK_MS);
         const answer = end.kind === 'answered' ? end.answer : undefined;
         const reply = await client.end(
           {intent: request, kind: end.kind, answer},
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -11,6 +11,7 @@
   configShow,
 } from './commands/revision_commands.js';
 import {serve} from './commands/serve_command.js';
+import {standInCommands} from './commands/stand_in_command.js';
 
 export const commands: readonly Command[] = [
   serve,
@@ -22,6 +23,7 @@
   configRollback,
   status,
   drain,
+  ...standInCommands,
   bench,
   showVersion,
 ];
--- a/src/serve/configuration_host.ts
+++ b/src/serve/configuration_host.ts
@@ -5,6 +5,7 @@
   type ServiceImpl,
   type Transport,
 } from '@connectrpc/connect';
+import {toCallTimeoutMs} from '../adapters/peer_connection.js';
 import {createCallerAuth} from '../entry/caller_auth.js';
 import type {FrontSettings} from '../entry/front_host.js';
 import {formatDiagnostic} from '../core/diagnostics.js';
@@ -72,7 +73,10 @@
     try {
       const transport = ports.getTransport(address);
       const client = createClient(ConfigurationPeer, transport);
-      const reply = await client.get({revision}, {timeoutMs});
+      const reply = await client.get(
+        {revision},
+        {timeoutMs: toCallTimeoutMs(timeoutMs)},
+      );
       return reply.found ? reply.revision : undefined;
     } catch {
       return undefined;
