Answer callers by the directory, own by the ownership part, obey settings

Cause: the serve process had its own short versions of both, and constants where the configuration has settings. Change: the coordination parts do it, owners are kept until members change, leases and budgets follow the settings.

--- a/src/coordination/failure_detector.ts
+++ b/src/coordination/failure_detector.ts
@@ -56,7 +56,6 @@
   options: FailureDetectorOptions,
 ): FailureDetector {
   const {clock, random, members} = host;
-  const {probeIntervalMs, suspicionMs} = options;
   const probes = new Map<number, Probe>();
   const suspicions = new Map<string, Suspicion>();
   const answeredAtMs = new Map<string, number>();
@@ -74,7 +73,8 @@
     const dueMs = clock.nowMs() + delayMs;
     return clock.setTimer(delayMs, () => {
       if (isStopped) return;
-      const isLate = clock.nowMs() - dueMs > probeIntervalMs * DIRECT_WAIT;
+      const isLate =
+        clock.nowMs() - dueMs > options.probeIntervalMs * DIRECT_WAIT;
       if (isLate) startOver();
       else act();
     });
@@ -117,12 +117,12 @@
 
   function probe(target: Member): void {
     const sent = sendProbe(target);
-    after(probeIntervalMs * DIRECT_WAIT, () => {
+    after(options.probeIntervalMs * DIRECT_WAIT, () => {
       if (!probes.has(sent)) return;
       for (const relay of pickRelays(target)) {
         host.requestPing(relay, target, sent);
       }
-      after(probeIntervalMs * INDIRECT_WAIT, () => {
+      after(options.probeIntervalMs * INDIRECT_WAIT, () => {
         if (probes.delete(sent)) suspect(target.hostId);
       });
     });
@@ -158,7 +158,7 @@
     suspicion.isOwn = true;
     restartSuspicion(hostId);
     for (let i = 1; i <= PINGS_PER_SUSPICION; i++) {
-      after((suspicionMs * i) / (PINGS_PER_SUSPICION + 1), () => {
+      after((options.suspicionMs * i) / (PINGS_PER_SUSPICION + 1), () => {
         const member = members.get(hostId);
         if (member?.state === 'suspect') sendProbe(member);
       });
@@ -171,7 +171,7 @@
     if (suspicion.timer) clock.clearTimer(suspicion.timer);
     suspicion.startedAtMs = clock.nowMs();
     const factor = suspicion.isOwn ? 1 : HEARD_FACTOR;
-    suspicion.timer = after(suspicionMs * factor, () =>
+    suspicion.timer = after(options.suspicionMs * factor, () =>
       endSuspicion(hostId, suspicion),
     );
   }
@@ -209,7 +209,8 @@
   });
 
   function forgetOldProbes(): void {
-    const beforeMs = clock.nowMs() - probeIntervalMs * PROBE_MEMORY_INTERVALS;
+    const beforeMs =
+      clock.nowMs() - options.probeIntervalMs * PROBE_MEMORY_INTERVALS;
     for (const [sent, {sentAtMs}] of probes) {
       if (sentAtMs >= beforeMs) break;
       probes.delete(sent);
@@ -219,7 +220,7 @@
   function tick(): void {
     if (isStopped) return;
     const jitter = 1 + INTERVAL_JITTER * (random.nextFloat() - 0.5);
-    tickTimer = clock.setTimer(probeIntervalMs * jitter, tick);
+    tickTimer = clock.setTimer(options.probeIntervalMs * jitter, tick);
     forgetOldProbes();
     const target = pickFromRing();
     if (target) probe(target);
@@ -227,7 +228,7 @@
 
   return {
     start() {
-      const delayMs = probeIntervalMs * random.nextFloat();
+      const delayMs = options.probeIntervalMs * random.nextFloat();
       tickTimer = clock.setTimer(delayMs, tick);
     },
     stop() {
--- a/src/entry/front_host.ts
+++ b/src/entry/front_host.ts
@@ -12,7 +12,6 @@
 /** One address that callers may use, best first. */
 export interface EntryAddress {
   readonly address: string;
-  readonly failureDomain: string;
 }
 
 export interface EntriesAnswer {
--- a/src/serve/journal_host.ts
+++ b/src/serve/journal_host.ts
@@ -38,7 +38,8 @@
   readonly tablePort: TablePort;
   readonly tableClient: TableClient;
   readonly objectStore: ObjectStorePort;
-  readonly leases: LeaseKeeper;
+  /** Undefined until a configuration says how long leases are. */
+  getLeases(): LeaseKeeper | undefined;
   readonly membership: Membership;
   readonly hostId: string;
   getSettings(): Settings | undefined;
@@ -71,7 +72,7 @@
 }
 
 export function createJournalHost(ports: JournalHostPorts): JournalHost {
-  const {clock, random, log, leases, membership, hostId} = ports;
+  const {clock, random, log, getLeases, membership, hostId} = ports;
   const owners = new Map<number, JournalOwner>();
   const peers = new Map<string, JournalPort>();
 
@@ -97,7 +98,7 @@
         log,
         table: ports.tablePort,
         objectStore: ports.objectStore,
-        fence: () => leases.currentFence(leaseName(partition)),
+        fence: () => getLeases()?.currentFence(leaseName(partition)),
         isEntryAlive: ports.isEntryAlive,
         onTransaction: ports.onTransaction,
       },
@@ -116,11 +117,11 @@
     const isOwn = successor === hostId;
     if (isOwn && !owners.has(partition)) {
       owners.set(partition, createOwner(partition));
-      leases.want(leaseName(partition));
+      getLeases()?.want(leaseName(partition));
     } else if (!isOwn && owners.has(partition)) {
       owners.get(partition)?.close();
       owners.delete(partition);
-      void leases.release(leaseName(partition), successor);
+      void getLeases()?.release(leaseName(partition), successor);
       log.info('A journal partition moves on.', {partition, successor});
     }
   }
@@ -172,7 +173,7 @@
       await Promise.all(
         partitions.map(partition => {
           const name = leaseName(partition);
-          return leases.release(name, ports.guessOwner(name));
+          return getLeases()?.release(name, ports.guessOwner(name));
         }),
       );
     },
--- a/src/serve/serve.ts
+++ b/src/serve/serve.ts
@@ -22,13 +22,16 @@
 import {createSystemClock} from '../adapters/system_clock.js';
 import {createSystemRandom} from '../adapters/system_random.js';
 import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
-import {createLeaseKeeper} from '../coordination/lease.js';
+import {createLeaseKeeper, type LeaseKeeper} from '../coordination/lease.js';
 import {isUsable} from '../coordination/member_records.js';
 import {createMembership} from '../coordination/membership.js';
 import {createTableClient} from '../coordination/table_client.js';
 import {createAccountLimits} from '../core/account_limits.js';
 import {hashPrefixes} from '../core/prompt_tokens.js';
-import type {HostSettings} from '../core/settings_types.js';
+import type {
+  CoordinationSettings,
+  HostSettings,
+} from '../core/settings_types.js';
 import {createHttpFront} from '../entry/http_front.js';
 import {
   AnswerIndex,
@@ -51,6 +54,7 @@
   createConfigurationPeerService,
 } from './configuration_host.js';
 import {createDrain} from './drain.js';
+import {createEntryDirectory} from './entry_directory.js';
 import {createEntryLiveness} from './entry_liveness.js';
 import {createGrantsHost} from './grants_host.js';
 import {createJournalHost} from './journal_host.js';
@@ -60,7 +64,7 @@
 import {createPlainUpstreams} from './plain_upstreams.js';
 import {rememberByAddress} from './port_cache.js';
 import {createQuarantineFacts} from './quarantine_facts.js';
-import {startup} from './startup_settings.js';
+import {startup, type StartupCoordination} from './startup_settings.js';
 import {createUpstreamWatch} from './upstream_watch.js';
 
 export interface ServeOptions {
@@ -86,6 +90,9 @@
   const transports = createPeerTransports(host.peerKey);
   const getTransport = (address: string) => transports.get(address);
 
+  // Used before there is a configuration, and replaced by it.
+  let coordination: StartupCoordination = startup.coordination;
+
   // The platform, and what a host may ask of it.
   const platform = {baseUrl: host.platformUrl};
   const tablePort = createHttpTable({clock}, platform);
@@ -102,8 +109,12 @@
       address: peerAddress,
       callerAddress,
       peerKey: host.peerKey,
-      probeIntervalMs: startup.probeIntervalMs,
-      suspicionMs: startup.suspicionMs,
+      get probeIntervalMs() {
+        return coordination.probeIntervalMs;
+      },
+      get suspicionMs() {
+        return coordination.suspicionMs;
+      },
     },
   );
   const {facts} = membership;
@@ -112,12 +123,16 @@
     {clock, random, table: tablePort},
     {
       hostCount: countUsable,
-      fleetWritesPerSecond: startup.tableWritesPerSecond,
-      fleetReadsPerSecond: startup.tableReadsPerSecond,
+      get fleetWritesPerSecond() {
+        return coordination.tableWritesPerSecond;
+      },
+      get fleetReadsPerSecond() {
+        return coordination.tableReadsPerSecond;
+      },
       callTimeoutMs: startup.tableCallTimeoutMs,
     },
   );
-  const owners = createOwners(membership);
+  const owners = createOwners(clock, membership);
   const guessOwner = owners.ownerOf;
   const liveness = createEntryLiveness(membership);
 
@@ -164,15 +179,17 @@
     getTransport,
   });
 
-  // What must not run twice.
-  const leases = createLeaseKeeper(
-    {clock, random, table: tableClient, log: createLogger('lease')},
-    {
-      hostId,
-      leaseMs: startup.leaseMs,
-      clockRateError: startup.clockRateError,
-    },
-  );
+  // What must not run twice. The first configuration says how long leases are;
+  // a later change of that takes force when a process starts again.
+  let leases: LeaseKeeper | undefined;
+  function startLeases({leaseMs, clockRateError}: CoordinationSettings): void {
+    if (leases) return;
+    leases = createLeaseKeeper(
+      {clock, random, table: tableClient, log: createLogger('lease')},
+      {hostId, leaseMs, clockRateError},
+    );
+    leases.start();
+  }
   const journal = createJournalHost({
     clock,
     random,
@@ -180,7 +197,7 @@
     tablePort,
     tableClient,
     objectStore,
-    leases,
+    getLeases: () => leases,
     membership,
     hostId,
     getSettings,
@@ -252,6 +269,15 @@
       updateAll();
     },
   });
+  const directory = createEntryDirectory({
+    clock,
+    random,
+    membership,
+    hostId,
+    callerAddress,
+    getSettings,
+    openCount: () => front.openCount(),
+  });
   const front = createHttpFront({
     clock,
     random,
@@ -260,16 +286,7 @@
     limits: createAccountLimits({clock, entryCount: countUsable}),
     metrics,
     getSettings: configuration.getFrontSettings,
-    getEntries: () => ({
-      entries: membership
-        .members()
-        .filter(isUsable)
-        .map(member => ({
-          address: member.callerAddress,
-          failureDomain: member.failureDomain,
-        })),
-      ttlMs: getSettings()?.coordination.directoryTtlMs ?? 0,
-    }),
+    getEntries: directory.answer,
     isLeaving: drain.isLeaving,
   });
 
@@ -303,6 +320,7 @@
   });
 
   function updateAll(): void {
+    owners.refresh();
     plainBalancer.update(upstreams.upstreams());
     grants.update();
     journal.update();
@@ -321,12 +339,15 @@
       upstreams: upstreams.upstreams(),
       homes: grants.homes.summaries(),
       journalPartitions: journal.ownedPartitions(),
-      leases: leases.held(),
+      leases: leases?.held() ?? [],
+      ownership: owners.history(),
       table: tableClient.state(),
     };
   }
 
   configuration.onChange(settings => {
+    coordination = settings.coordination;
+    startLeases(settings.coordination);
     metrics.setKnownNames(
       settings.services.map(service => service.name),
       settings.accounts.map(account => account.name),
@@ -349,10 +370,10 @@
   await front.listen(callerAddress);
   membership.start();
   const stopSeeding = startup.startSeeding(clock, hostList, membership);
-  leases.start();
   configuration.keeper.start();
   upstreams.start();
   grants.start();
+  directory.start();
   log.info('Serving.', {hostId, callerAddress, peerAddress});
 
   const stopSignals = startup.listenToSignals(
@@ -366,8 +387,9 @@
   if (cutCount > 0) log.error('Requests were cut.', {count: cutCount});
   upstreams.stop();
   grants.stop();
+  directory.stop();
   await journal.stop();
-  await leases.stop();
+  await leases?.stop();
   configuration.keeper.stop();
   stopSeeding();
   front.server.closeAllConnections();
--- a/src/serve/startup_settings.ts
+++ b/src/serve/startup_settings.ts
@@ -3,6 +3,7 @@
  * loops that begin with it.
  */
 
+import type {CoordinationSettings} from '../core/settings_types.js';
 import type {Membership} from '../coordination/membership.js';
 import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {Logger} from '../ports/log.js';
@@ -67,14 +68,25 @@
   };
 }
 
-export const startup = {
-  probeIntervalMs: 1000,
+export type StartupCoordination = Pick<
+  CoordinationSettings,
+  | 'probeIntervalMs'
+  | 'suspicionMs'
+  | 'tableWritesPerSecond'
+  | 'tableReadsPerSecond'
+>;
+
+/** Used until a configuration has been read. */
+const coordination: StartupCoordination = {
+  probeIntervalMs: 500,
   suspicionMs: 2000,
   tableWritesPerSecond: 300,
-  tableReadsPerSecond: 2000,
+  tableReadsPerSecond: 1500,
+};
+
+export const startup = {
+  coordination,
   tableCallTimeoutMs: 500,
-  leaseMs: 5000,
-  clockRateError: 0.01,
   retryBurst: 20,
   maxPrefixBlocks: 64,
   keptAnswers: {
