--- a/src/serve/configuration_host.ts
+++ b/src/serve/configuration_host.ts
@@ -1,10 +1,6 @@
 /** The configuration in force, parsed for this host's site. */
 
-import {
-  createClient,
-  type ServiceImpl,
-  type Transport,
-} from '@connectrpc/connect';
+import {createClient, type ServiceImpl} from '@connectrpc/connect';
 import {toCallTimeoutMs} from '../adapters/peer_connection.js';
 import {createCallerAuth} from '../entry/caller_auth.js';
 import type {FrontSettings} from '../entry/front_host.js';
@@ -20,26 +16,10 @@
   type ConfigurationKeeper,
   type ConfigurationRevision,
 } from '../coordination/configuration.js';
-import type {FactStore} from '../coordination/facts.js';
-import type {Membership} from '../coordination/membership.js';
-import type {TableClient} from '../coordination/table_client.js';
 import {ConfigurationPeer} from '../generated/corianderbend/peer_pb.js';
 import type {ConfigurationRevision as RevisionMessage} from '../generated/corianderbend/peer_pb.js';
-import type {Clock} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {Random} from '../ports/random.js';
-
-export interface ConfigurationHostPorts {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly log: Logger;
-  readonly table: TableClient;
-  readonly facts: FactStore;
-  readonly membership: Membership;
-  readonly hostId: string;
-  readonly site: string;
-  getTransport(address: string): Transport;
-}
+import type {Fleet} from './fleet.js';
+import type {World} from './world.js';
 
 export interface ConfigurationHost {
   readonly keeper: ConfigurationKeeper;
@@ -57,12 +37,31 @@
 }
 
 export function createConfigurationHost(
-  ports: ConfigurationHostPorts,
+  world: World,
+  {table, membership}: Fleet,
 ): ConfigurationHost {
-  const {clock, random, table, facts, log, membership, hostId} = ports;
+  const {clock, random, getTransport} = world;
+  const {hostId, site} = world.host;
+  const log = world.createLogger('configuration');
   const listeners: ((settings: Settings) => void)[] = [];
   let front: FrontSettings | undefined;
 
+  /**
+   * Another number of partitions would put keys where no record of them is,
+   * and a posting could run twice; so it may not change under a running fleet.
+   */
+  function checkPartitions(body: string): readonly string[] {
+    const before = front?.settings.coordination.journalPartitions;
+    const {settings} = readStoredSettings(body, site);
+    const after = settings?.coordination.journalPartitions;
+    if (before === undefined || after === undefined || before === after) {
+      return [];
+    }
+    return [
+      `coordination.journalPartitions is ${before} and cannot become ${after} while processes run.`,
+    ];
+  }
+
   async function fetchFromPeer(
     peerId: string,
     revision: number,
@@ -71,7 +70,7 @@
     const address = membership.get(peerId)?.address;
     if (!address) return undefined;
     try {
-      const transport = ports.getTransport(address);
+      const transport = getTransport(address);
       const client = createClient(ConfigurationPeer, transport);
       const reply = await client.get(
         {revision},
@@ -88,7 +87,7 @@
       clock,
       random,
       table,
-      facts,
+      facts: membership.facts,
       log,
       peers: () =>
         membership
@@ -96,26 +95,22 @@
           .map(member => member.hostId)
           .filter(id => id !== hostId),
       fetchFromPeer,
-      check: checkBody,
+      check: body => [...checkBody(body), ...checkPartitions(body)],
     },
     {hostId},
   );
 
   function adopt(revision: ConfigurationRevision): void {
-    const {settings, diagnostics} = readStoredSettings(
-      revision.body,
-      ports.site,
-    );
+    const {settings, diagnostics} = readStoredSettings(revision.body, site);
     if (!settings) {
       log.error('The accepted revision has no settings for this site.', {
         revision: revision.revision,
-        site: ports.site,
+        site,
         reason: diagnostics.map(formatDiagnostic).join('; '),
       });
       return;
     }
     front = {settings, auth: createCallerAuth(settings)};
-    log.info('A revision is in force.', {revision: revision.revision});
     for (const listener of listeners) listener(settings);
   }
 
--- a/src/serve/entry_directory.ts
+++ b/src/serve/entry_directory.ts
@@ -4,8 +4,8 @@
 import {createDirectory} from '../coordination/directory.js';
 import type {Membership} from '../coordination/membership.js';
 import type {EntriesAnswer} from '../entry/front_host.js';
-import type {Clock, TimerHandle} from '../ports/clock.js';
-import type {Random} from '../ports/random.js';
+import type {TimerHandle} from '../ports/clock.js';
+import type {World} from './world.js';
 
 const KEY_PREFIX = 'load/';
 const PUBLISH_INTERVAL_MS = 2000;
@@ -17,11 +17,6 @@
 const UINT32_RANGE = 2 ** 32;
 
 export interface EntryDirectoryPorts {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly membership: Membership;
-  readonly hostId: string;
-  readonly callerAddress: string;
   getSettings(): Settings | undefined;
   /** Requests open at this entry. */
   openCount(): number;
@@ -34,9 +29,11 @@
 }
 
 export function createEntryDirectory(
+  {clock, random, host}: Pick<World, 'clock' | 'random' | 'host'>,
+  membership: Membership,
   ports: EntryDirectoryPorts,
 ): EntryDirectory {
-  const {clock, random, membership, hostId, callerAddress} = ports;
+  const {hostId, callerAddress} = host;
   const {facts} = membership;
   let timer: TimerHandle | undefined;
   // Counts on over a restart, so that a new process's loads are newer.
--- a/src/serve/grants_host.ts
+++ b/src/serve/grants_host.ts
@@ -3,7 +3,6 @@
  * among the homes of all processes.
  */
 
-import type {Transport} from '@connectrpc/connect';
 import {createPeerGrants, type HomePort} from '../adapters/peer_grants.js';
 import type {Settings} from '../core/settings_types.js';
 import {
@@ -12,40 +11,26 @@
   type ShardEngine,
 } from '../core/shard_map.js';
 import type {Upstream} from '../core/upstream_list.js';
-import type {FactStore} from '../coordination/facts.js';
-import type {Membership} from '../coordination/membership.js';
-import type {Clock, TimerHandle} from '../ports/clock.js';
-import type {EnginePortFactory} from '../ports/engine.js';
-import type {Logger} from '../ports/log.js';
-import type {Random} from '../ports/random.js';
+import type {TimerHandle} from '../ports/clock.js';
 import {
   createShardChoice,
   type ShardChoice,
   type ShardView,
 } from '../scheduling/shard_choice.js';
 import type {ShardSummary} from '../scheduling/shard_home.js';
+import type {Fleet} from './fleet.js';
 import {createHomeHost, type HomeHost} from './home_host.js';
 import {decodeSummary, encodeSummary, getSummaryKey} from './summary_codec.js';
+import type {World} from './world.js';
 
 const PUBLISH_INTERVAL_MS = 1000;
 const SUMMARY_TTL_MS = 10_000;
 const UINT32_RANGE = 2 ** 32;
 
 export interface GrantsHostPorts {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly log: Logger;
-  readonly enginePort: EnginePortFactory;
-  readonly facts: FactStore;
-  readonly membership: Membership;
-  readonly hostId: string;
-  readonly failureDomain: string;
   getSettings(): Settings | undefined;
   getUpstreams(): readonly Upstream[];
-  /** Host that should be home to a shard, by the members in sight. */
-  guessOwner(key: string, failureDomain?: string): string | undefined;
   onEngineLeaving(engineId: string): void;
-  getTransport(address: string): Transport;
 }
 
 export interface GrantsHost {
@@ -70,8 +55,15 @@
   return upstream.kind === 'model' && upstream.role !== undefined;
 }
 
-export function createGrantsHost(ports: GrantsHostPorts): GrantsHost {
-  const {clock, random, log, hostId, membership, facts} = ports;
+export function createGrantsHost(
+  world: World,
+  {membership, owners}: Fleet,
+  ports: GrantsHostPorts,
+): GrantsHost {
+  const {clock, random, enginePort} = world;
+  const {hostId, failureDomain: ownFailureDomain} = world.host;
+  const {facts} = membership;
+  const log = world.createLogger('grants');
   const heard = new Map<string, HeardSummary>();
   const peers = new Map<string, HomePort>();
   const homeIds = new Map<string, string>();
@@ -83,12 +75,12 @@
     clock,
     random,
     log,
-    enginePort: ports.enginePort,
+    enginePort,
     onEngineLeaving: ports.onEngineLeaving,
   });
 
   function homeIdOf(shard: Shard): string | undefined {
-    return ports.guessOwner(getSummaryKey(shard.shardId), shard.failureDomain);
+    return owners.ownerOf(getSummaryKey(shard.shardId), shard.failureDomain);
   }
 
   function homePort(shard: Shard): HomePort | undefined {
@@ -100,7 +92,7 @@
     const key = `${address} ${shard.shardId}`;
     let peer = peers.get(key);
     if (!peer) {
-      const transport = ports.getTransport(address);
+      const transport = world.getTransport(address);
       peer = createPeerGrants({clock}, transport, shard.shardId);
       peers.set(key, peer);
     }
@@ -111,7 +103,7 @@
     const grantPort = homePort(shard);
     if (!grantPort) return [];
     const {shardId} = shard;
-    const failureDomain = shard.failureDomain ?? ports.failureDomain;
+    const failureDomain = shard.failureDomain ?? ownFailureDomain;
     const own = homes.find(shardId)?.summary();
     if (own) {
       return [{shardId, failureDomain, grantPort, summary: own, ageMs: 0}];
@@ -126,7 +118,7 @@
   const choice = createShardChoice(
     {clock, random, log},
     {
-      ownFailureDomain: ports.failureDomain,
+      ownFailureDomain,
       shards: service =>
         shards.filter(shard => shard.service === service).flatMap(viewOf),
     },
--- a/src/serve/journal_host.ts
+++ b/src/serve/journal_host.ts
@@ -6,60 +6,34 @@
  * every write carries the lease's epoch as a condition.
  */
 
-import type {Transport} from '@connectrpc/connect';
 import {createPeerJournal} from '../adapters/peer_journal.js';
 import type {Settings} from '../core/settings_types.js';
-import type {LeaseKeeper} from '../coordination/lease.js';
 import {getLeaseKey} from '../coordination/lease_rules.js';
-import type {Membership} from '../coordination/membership.js';
-import type {TableClient} from '../coordination/table_client.js';
-import type {Clock} from '../ports/clock.js';
 import type {JournalPort} from '../ports/journal.js';
-import type {Logger} from '../ports/log.js';
-import type {Random} from '../ports/random.js';
-import type {ObjectStorePort, TablePort} from '../ports/table.js';
+import type {AnswerKey} from '../ports/kept_answers.js';
 import {
   createJournalOwner,
   defaultJournalOwnerOptions,
   type JournalOwner,
 } from '../request/journal_owner.js';
 import {hashText} from '../coordination/member_records.js';
+import type {Fleet} from './fleet.js';
 import {createJournalRouter, partitionOf} from './journal_router.js';
+import type {World} from './world.js';
 
 const HOLDER_READ = {priority: 'lease', timeoutMs: 500} as const;
 /** Share of the platform's writes that journals may use. */
 const JOURNAL_WRITE_SHARE = 0.7;
 const DEFAULT_RETENTION_MS = 24 * 3_600_000;
 
-export interface JournalHostPorts {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly log: Logger;
-  readonly tablePort: TablePort;
-  readonly tableClient: TableClient;
-  readonly objectStore: ObjectStorePort;
-  /** Undefined until a configuration says how long leases are. */
-  getLeases(): LeaseKeeper | undefined;
-  readonly membership: Membership;
-  readonly hostId: string;
-  getSettings(): Settings | undefined;
-  /** Host that should own a partition, by the members in sight. */
-  guessOwner(key: string): string | undefined;
-  isEntryAlive(entry: string): boolean;
-  getTransport(address: string): Transport;
-  onTransaction(opCount: number): void;
-}
-
 export interface JournalHost {
   /** The journal as an entry uses it, whoever owns the key. */
   readonly journal: JournalPort;
   /** The owner in this process, for calls of peers. */
   findOwner(partition: number): JournalPort | undefined;
-  partitionOf(key: {
-    readonly account: string;
-    readonly service: string;
-    readonly idempotencyKey: string;
-  }): number;
+  partitionOf(key: AnswerKey): number;
+  /** Host that should own a key's partition, by the members in sight. */
+  guessOwner(key: AnswerKey): string | undefined;
   ownedPartitions(): readonly number[];
   /** Follows a change of members or settings. */
   update(): void;
@@ -71,24 +45,35 @@
   return `journal/${partition}`;
 }
 
-export function createJournalHost(ports: JournalHostPorts): JournalHost {
-  const {clock, random, log, getLeases, membership, hostId} = ports;
+export function createJournalHost(
+  world: World,
+  fleet: Fleet,
+  getSettings: () => Settings | undefined,
+): JournalHost {
+  const {clock, random, objectStore, metrics, getTransport} = world;
+  const {hostId} = world.host;
+  const {membership, getLeases} = fleet;
+  const log = world.createLogger('journal');
   const owners = new Map<number, JournalOwner>();
   const peers = new Map<string, JournalPort>();
 
+  function guessOwner(partition: number): string | undefined {
+    return fleet.owners.ownerOf(leaseName(partition));
+  }
+
   function partitionCount(): number {
-    return ports.getSettings()?.coordination.journalPartitions ?? 1;
+    return getSettings()?.coordination.journalPartitions ?? 1;
   }
 
   function retentionMs(serviceName: string): number {
-    const service = ports
-      .getSettings()
-      ?.services.find(item => item.name === serviceName);
+    const service = getSettings()?.services.find(
+      item => item.name === serviceName,
+    );
     return service?.keepAnswersMs ?? DEFAULT_RETENTION_MS;
   }
 
   function createOwner(partition: number): JournalOwner {
-    const settings = ports.getSettings()?.coordination;
+    const settings = getSettings()?.coordination;
     const writesPerSecond = settings?.tableWritesPerSecond ?? 0;
     const share = (writesPerSecond * JOURNAL_WRITE_SHARE) / partitionCount();
     return createJournalOwner(
@@ -96,11 +81,11 @@
         clock,
         random,
         log,
-        table: ports.tablePort,
-        objectStore: ports.objectStore,
+        table: world.table,
+        objectStore,
         fence: () => getLeases()?.currentFence(leaseName(partition)),
-        isEntryAlive: ports.isEntryAlive,
-        onTransaction: ports.onTransaction,
+        isEntryAlive: fleet.liveness.isAlive,
+        onTransaction: metrics.recordJournalBatch,
       },
       {
         ...defaultJournalOwnerOptions,
@@ -113,7 +98,7 @@
   }
 
   function updatePartition(partition: number): void {
-    const successor = ports.guessOwner(leaseName(partition));
+    const successor = guessOwner(partition);
     const isOwn = successor === hostId;
     if (isOwn && !owners.has(partition)) {
       owners.set(partition, createOwner(partition));
@@ -131,7 +116,7 @@
     if (!address) return undefined;
     let peer = peers.get(address);
     if (!peer) {
-      peer = createPeerJournal(ports.getTransport(address));
+      peer = createPeerJournal(getTransport(address));
       peers.set(address, peer);
     }
     return peer;
@@ -139,7 +124,7 @@
 
   async function readHolder(partition: number): Promise<string | undefined> {
     const key = getLeaseKey(leaseName(partition));
-    const outcome = await ports.tableClient.read([key], HOLDER_READ);
+    const outcome = await fleet.table.read([key], HOLDER_READ);
     if (outcome.kind !== 'read') return undefined;
     const holder = outcome.value[0]?.value.holder;
     return typeof holder === 'string' && holder !== '' ? holder : undefined;
@@ -148,7 +133,7 @@
   const routerHost = {
     partitionCount,
     hash: hashText,
-    guessOwner: (partition: number) => ports.guessOwner(leaseName(partition)),
+    guessOwner,
     readHolder,
     journalAt: (peerId: string, partition: number) =>
       peerId === hostId ? owners.get(partition) : peerJournal(peerId),
@@ -158,10 +143,11 @@
     journal: createJournalRouter(routerHost),
     findOwner: partition => owners.get(partition),
     partitionOf: key => partitionOf(routerHost, key),
+    guessOwner: key => guessOwner(partitionOf(routerHost, key)),
     ownedPartitions: () => [...owners.keys()],
     update() {
       const count = partitionCount();
-      if (!ports.getSettings()) return;
+      if (!getSettings()) return;
       for (let partition = 0; partition < count; partition++) {
         updatePartition(partition);
       }
@@ -173,7 +159,7 @@
       await Promise.all(
         partitions.map(partition => {
           const name = leaseName(partition);
-          return getLeases()?.release(name, ports.guessOwner(name));
+          return getLeases()?.release(name, guessOwner(partition));
         }),
       );
     },
--- a/src/serve/serve.ts
+++ b/src/serve/serve.ts
@@ -1,78 +1,40 @@
 /**
- * One process of the system, put together: the pipeline from the platform, the
- * members and the configuration to the callers, as calls in order.
+ * One process of the system, put together: from the platform and the members
+ * over the configuration and the upstreams to the callers, as calls in order.
  */
 
-import {Registry} from 'prom-client';
-import {createHttpEngineFactory} from '../adapters/http_engine.js';
-import {createHttpHostList} from '../adapters/http_host_list.js';
-import {createHttpObjectStore} from '../adapters/http_object_store.js';
-import {createHttpPlainServiceFactory} from '../adapters/http_plain_service.js';
-import {createHttpTable} from '../adapters/http_table.js';
-import {createMetrics} from '../adapters/metrics.js';
-import {
-  createAnswerIndexService,
-  createAnswerPeers,
-  createAnswerPeerService,
-  createPeerAnswerIndex,
-} from '../adapters/peer_answers.js';
-import {createPeerTransports} from '../adapters/peer_connection.js';
-import {createHomeService} from '../adapters/peer_grants.js';
-import {createJournalService} from '../adapters/peer_journal.js';
-import {createSystemClock} from '../adapters/system_clock.js';
-import {createSystemRandom} from '../adapters/system_random.js';
-import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
-import {createLeaseKeeper, type LeaseKeeper} from '../coordination/lease.js';
-import {isUsable} from '../coordination/member_records.js';
-import {createMembership} from '../coordination/membership.js';
-import {createTableClient} from '../coordination/table_client.js';
 import {createAccountLimits} from '../core/account_limits.js';
 import {hashPrefixes} from '../core/prompt_tokens.js';
-import type {
-  CoordinationSettings,
-  HostSettings,
-} from '../core/settings_types.js';
+import type {HostSettings, Settings} from '../core/settings_types.js';
 import {createHttpFront} from '../entry/http_front.js';
-import {
-  AnswerIndex,
-  AnswerPeer,
-  ConfigurationPeer,
-  Home,
-  Journal,
-  Operator,
-} from '../generated/corianderbend/peer_pb.js';
-import type {AnswerIndexPort, AnswerKey} from '../ports/kept_answers.js';
 import type {Logger} from '../ports/log.js';
-import {createAnswerIndex} from '../request/answer_index.js';
-import {createKeptAnswers} from '../request/kept_answers.js';
 import {createQuarantine} from '../request/quarantine.js';
 import {createRequestRunner} from '../request/request_runner.js';
 import {createRetryBudget} from '../request/retry_budget.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
-import {
-  createConfigurationHost,
-  createConfigurationPeerService,
-} from './configuration_host.js';
+import {createAnswersHost} from './answers_host.js';
+import {createConfigurationHost} from './configuration_host.js';
 import {createDrain} from './drain.js';
 import {createEntryDirectory} from './entry_directory.js';
-import {createEntryLiveness} from './entry_liveness.js';
+import {createFleet} from './fleet.js';
 import {createGrantsHost} from './grants_host.js';
 import {createJournalHost} from './journal_host.js';
-import {createOperatorService} from './operator_service.js';
-import {createOwners} from './owners.js';
+import {addPeerServices} from './peer_services.js';
 import {createPeerServer} from './peer_server.js';
 import {createPlainUpstreams} from './plain_upstreams.js';
-import {rememberByAddress} from './port_cache.js';
 import {createQuarantineFacts} from './quarantine_facts.js';
-import {startup, type StartupCoordination} from './startup_settings.js';
+import {getHostListIntervalMs, listenToSignals} from './startup.js';
 import {createUpstreamWatch} from './upstream_watch.js';
+import {createWorld} from './world.js';
 
 export interface ServeOptions {
   /** Makes the logger of a part, with its level and format. */
   readonly createLogger: (part: string) => Logger;
 }
 
-const DEFAULT_DRAIN_BOUND_MS = 600_000;
+const DRAIN_BOUND_MS = 600_000;
+const RETRY_BURST = 20;
+const MAX_PREFIX_BLOCKS = 64;
 const EXIT_DONE = 0;
 const EXIT_CUT = 1;
 
@@ -81,257 +43,115 @@
   host: HostSettings,
   options: ServeOptions,
 ): Promise<number> {
-  const {hostId, failureDomain, peerAddress, callerAddress} = host;
-  const {createLogger} = options;
+  const world = await createWorld(host, options.createLogger);
+  const {clock, metrics, createLogger} = world;
   const log = createLogger('serve');
-  const clock = createSystemClock();
-  const random = createSystemRandom();
-  const metrics = createMetrics(new Registry());
-  const transports = createPeerTransports(host.peerKey);
-  const getTransport = (address: string) => transports.get(address);
-
-  // Used before there is a configuration, and replaced by it.
-  let coordination: StartupCoordination = startup.coordination;
-
-  // The platform, and what a host may ask of it.
-  const platform = {baseUrl: host.platformUrl};
-  const tablePort = createHttpTable({clock}, platform);
-  const objectStore = createHttpObjectStore({clock}, platform);
-  const hostList = createHttpHostList({clock}, platform);
-  const datagrams = await createUdpDatagramPort(peerAddress, error =>
-    log.warn('The datagram socket failed.', {reason: error.message}),
-  );
-  const membership = createMembership(
-    {clock, random, datagrams},
-    {
-      hostId,
-      failureDomain,
-      address: peerAddress,
-      callerAddress,
-      peerKey: host.peerKey,
-      get probeIntervalMs() {
-        return coordination.probeIntervalMs;
-      },
-      get suspicionMs() {
-        return coordination.suspicionMs;
-      },
-    },
-  );
+  const fleet = createFleet(world);
+  const {membership, owners, liveness} = fleet;
   const {facts} = membership;
-  const countUsable = () => membership.members().filter(isUsable).length;
-  const tableClient = createTableClient(
-    {clock, random, table: tablePort},
-    {
-      hostCount: countUsable,
-      get fleetWritesPerSecond() {
-        return coordination.tableWritesPerSecond;
-      },
-      get fleetReadsPerSecond() {
-        return coordination.tableReadsPerSecond;
-      },
-      callTimeoutMs: startup.tableCallTimeoutMs,
-    },
-  );
-  const owners = createOwners(clock, membership);
-  const guessOwner = owners.ownerOf;
-  const liveness = createEntryLiveness(membership);
 
-  // The configuration in force.
-  const configuration = createConfigurationHost({
-    clock,
-    random,
-    log: createLogger('configuration'),
-    table: tableClient,
-    facts,
-    membership,
-    hostId,
-    site: host.site,
-    getTransport,
-  });
+  const configuration = createConfigurationHost(world, fleet);
   const {getSettings} = configuration;
+  const findService = (name: string) =>
+    getSettings()?.services.find(service => service.name === name);
 
-  // Upstreams, and who hands them out.
-  const enginePort = rememberByAddress(
-    createHttpEngineFactory({clock, random}),
-  );
-  const plainPort = rememberByAddress(createHttpPlainServiceFactory({clock}));
   const upstreams = createUpstreamWatch(
-    {clock, log: createLogger('upstreams'), hostList, getSettings},
-    {readIntervalMs: () => startup.getHostListIntervalMs(countUsable())},
+    {...world, log: createLogger('upstreams'), getSettings},
+    {readIntervalMs: () => getHostListIntervalMs(fleet.countUsable())},
   );
   const plainBalancer = createPlainUpstreams(
-    createPlainBalancer({clock, random}, {ownFailureDomain: failureDomain}),
+    createPlainBalancer(world, {ownFailureDomain: host.failureDomain}),
     upstreams.markLeaving,
   );
-  const grants = createGrantsHost({
-    clock,
-    random,
-    log: createLogger('grants'),
-    enginePort,
-    facts,
-    membership,
-    hostId,
-    failureDomain,
+  const grants = createGrantsHost(world, fleet, {
     getSettings,
     getUpstreams: upstreams.upstreams,
-    guessOwner,
     onEngineLeaving: upstreams.markLeaving,
-    getTransport,
-  });
-
-  // What must not run twice. The first configuration says how long leases are;
-  // a later change of that takes force when a process starts again.
-  let leases: LeaseKeeper | undefined;
-  function startLeases({leaseMs, clockRateError}: CoordinationSettings): void {
-    if (leases) return;
-    leases = createLeaseKeeper(
-      {clock, random, table: tableClient, log: createLogger('lease')},
-      {hostId, leaseMs, clockRateError},
-    );
-    leases.start();
-  }
-  const journal = createJournalHost({
-    clock,
-    random,
-    log: createLogger('journal'),
-    tablePort,
-    tableClient,
-    objectStore,
-    getLeases: () => leases,
-    membership,
-    hostId,
-    getSettings,
-    guessOwner,
-    isEntryAlive: liveness.isAlive,
-    getTransport,
-    onTransaction: metrics.recordJournalBatch,
   });
+  const journal = createJournalHost(world, fleet, getSettings);
+  const answers = createAnswersHost(world, fleet, getSettings, key =>
+    journal.guessOwner(key),
+  );
 
-  // Requests.
-  const quarantineFacts = createQuarantineFacts(facts, hostId);
+  const quarantineFacts = createQuarantineFacts(facts, host.hostId);
   const quarantine = createQuarantine({clock, spread: quarantineFacts.spread});
   quarantineFacts.connect(quarantine);
-  const ownIndex = createAnswerIndex({clock});
-  const findIndex = (key: AnswerKey): AnswerIndexPort | undefined => {
-    const owner = guessOwner(`journal/${journal.partitionOf(key)}`);
-    if (owner === undefined || owner === hostId) return ownIndex;
-    const address = membership.get(owner)?.address;
-    return address ? createPeerAnswerIndex(getTransport(address)) : undefined;
-  };
-  const findService = (name: string) =>
-    getSettings()?.services.find(service => service.name === name);
-  const keptAnswers = createKeptAnswers(
-    {
-      clock,
-      log: createLogger('answers'),
-      objectStore,
-      index: {
-        find: async (key, timeoutMs) =>
-          (await findIndex(key)?.find(key, timeoutMs)) ?? {kind: 'unsure'},
-        announce: (key, place) => findIndex(key)?.announce(key, place),
-      },
-      peers: createAnswerPeers(getTransport),
-      peerAddress,
-    },
-    {
-      ...startup.keptAnswers,
-      retentionMs: name => findService(name)?.keepAnswersMs ?? 0,
-    },
-  );
   const runner = createRequestRunner({
-    clock,
-    random,
+    ...world,
     log: createLogger('request'),
     entry: liveness.selfTag(),
-    enginePort,
-    plainPort,
     grants: grants.choice,
     journal: journal.journal,
     plainBalancer,
     quarantine,
-    keptAnswers,
+    keptAnswers: answers.kept,
     retryBudget: createRetryBudget({
-      burst: startup.retryBurst,
+      burst: RETRY_BURST,
       ratioOf: name => findService(name)?.retryBudget ?? 0,
     }),
-    prefixHashes: tokens => hashPrefixes(tokens, startup.maxPrefixBlocks),
+    prefixHashes: tokens => hashPrefixes(tokens, MAX_PREFIX_BLOCKS),
     ttftTargetMs: name => findService(name)?.targets.ttftMs,
   });
 
-  // Callers.
   const drain = createDrain({
     clock,
     log,
     directoryTtlMs: () => getSettings()?.coordination.directoryTtlMs ?? 0,
-    activeCount: () => runner.activeCount() + front.openCount(),
+    activeCount: () => Math.max(runner.activeCount(), front.openCount()),
     announceLeaving() {
       membership.leave();
-      updateAll();
+      update();
     },
   });
-  const directory = createEntryDirectory({
-    clock,
-    random,
-    membership,
-    hostId,
-    callerAddress,
+  const directory = createEntryDirectory(world, membership, {
     getSettings,
     openCount: () => front.openCount(),
   });
   const front = createHttpFront({
-    clock,
-    random,
+    ...world,
     log: createLogger('entry'),
     runner,
-    limits: createAccountLimits({clock, entryCount: countUsable}),
-    metrics,
+    limits: createAccountLimits({clock, entryCount: fleet.countUsable}),
     getSettings: configuration.getFrontSettings,
     getEntries: directory.answer,
     isLeaving: drain.isLeaving,
   });
+  const peerServer = createPeerServer(host, router =>
+    addPeerServices(router, {
+      answers,
+      configuration,
+      grants,
+      journal,
+      readStatus,
+      startDrain: drain.start,
+    }),
+  );
 
-  // Peers and operators.
-  const peerServer = createPeerServer(host, router => {
-    router
-      .service(Home, createHomeService(grants.homes.find))
-      .service(
-        Journal,
-        createJournalService(request =>
-          journal.findOwner(journal.partitionOf(request)),
-        ),
-      )
-      .service(
-        AnswerIndex,
-        createAnswerIndexService(() => ownIndex),
-      )
-      .service(AnswerPeer, createAnswerPeerService(keptAnswers.serveRead))
-      .service(
-        ConfigurationPeer,
-        createConfigurationPeerService(configuration.keeper),
-      )
-      .service(
-        Operator,
-        createOperatorService({
-          keeper: configuration.keeper,
-          readStatus,
-          startDrain: drain.start,
-        }),
-      );
-  });
-
-  function updateAll(): void {
+  function update(): void {
     owners.refresh();
     plainBalancer.update(upstreams.upstreams());
     grants.update();
     journal.update();
-    metrics.setMembersAlive(countUsable());
+    metrics.setMembersAlive(fleet.countUsable());
+  }
+
+  function applySettings(settings: Settings): void {
+    fleet.applySettings(settings.coordination);
+    metrics.setKnownNames(
+      settings.services.map(service => service.name),
+      settings.accounts.map(account => account.name),
+    );
+    const {inForceRevision} = configuration.keeper.status();
+    metrics.setConfigurationRevision(inForceRevision);
+    upstreams.refresh();
+    update();
   }
 
   function readStatus() {
     return {
-      hostId,
+      hostId: host.hostId,
       site: host.site,
-      failureDomain,
+      failureDomain: host.failureDomain,
       leaving: drain.isLeaving(),
       activeRequests: runner.activeCount(),
       configuration: configuration.keeper.status(),
@@ -339,64 +159,46 @@
       upstreams: upstreams.upstreams(),
       homes: grants.homes.summaries(),
       journalPartitions: journal.ownedPartitions(),
-      leases: leases?.held() ?? [],
+      leases: fleet.getLeases()?.held() ?? [],
       ownership: owners.history(),
-      table: tableClient.state(),
+      table: fleet.table.state(),
     };
   }
 
-  configuration.onChange(settings => {
-    coordination = settings.coordination;
-    startLeases(settings.coordination);
-    metrics.setKnownNames(
-      settings.services.map(service => service.name),
-      settings.accounts.map(account => account.name),
-    );
-    metrics.setConfigurationRevision(
-      configuration.keeper.current()?.revision ?? 0,
-    );
-    upstreams.refresh();
-    updateAll();
-  });
-  upstreams.onChange(updateAll);
+  configuration.onChange(applySettings);
+  upstreams.onChange(update);
   membership.changes.listen(change => {
     for (const entry of liveness.applyChange(change)) {
       grants.homes.entryGone(entry);
     }
-    updateAll();
+    update();
   });
 
-  await peerServer.listen(peerAddress);
-  await front.listen(callerAddress);
-  membership.start();
-  const stopSeeding = startup.startSeeding(clock, hostList, membership);
+  await peerServer.listen(host.peerAddress);
+  await front.listen(host.callerAddress);
+  fleet.start();
   configuration.keeper.start();
   upstreams.start();
   grants.start();
   directory.start();
+  const {hostId, callerAddress, peerAddress} = host;
   log.info('Serving.', {hostId, callerAddress, peerAddress});
 
-  const stopSignals = startup.listenToSignals(
-    log,
-    drain,
-    DEFAULT_DRAIN_BOUND_MS,
-  );
+  const stopSignals = listenToSignals(log, drain, DRAIN_BOUND_MS);
   const cutCount = await drain.ended;
-
   stopSignals();
   if (cutCount > 0) log.error('Requests were cut.', {count: cutCount});
+
   upstreams.stop();
   grants.stop();
   directory.stop();
   await journal.stop();
-  await leases?.stop();
   configuration.keeper.stop();
-  stopSeeding();
+  await fleet.stop();
   front.server.closeAllConnections();
   await front.close();
   await peerServer.close();
-  membership.stop();
-  datagrams.close();
+  world.datagrams.close();
   log.info('Stopped.', {hostId});
   return cutCount > 0 ? EXIT_CUT : EXIT_DONE;
 }
--- /dev/null
+++ b/src/serve/world.ts
@@ -0,0 +1,68 @@
+/** Everything outside the process, each through its adapter. */
+
+import type {Transport} from '@connectrpc/connect';
+import {Registry} from 'prom-client';
+import {createHttpEngineFactory} from '../adapters/http_engine.js';
+import {createHttpHostList} from '../adapters/http_host_list.js';
+import {createHttpObjectStore} from '../adapters/http_object_store.js';
+import {createHttpPlainServiceFactory} from '../adapters/http_plain_service.js';
+import {createHttpTable} from '../adapters/http_table.js';
+import {createMetrics, type Metrics} from '../adapters/metrics.js';
+import {createPeerTransports} from '../adapters/peer_connection.js';
+import {createSystemClock} from '../adapters/system_clock.js';
+import {createSystemRandom} from '../adapters/system_random.js';
+import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
+import type {HostSettings} from '../core/settings_types.js';
+import type {Clock} from '../ports/clock.js';
+import type {DatagramPort} from '../ports/datagram.js';
+import type {EnginePortFactory} from '../ports/engine.js';
+import type {Logger} from '../ports/log.js';
+import type {PlainServicePortFactory} from '../ports/plain_service.js';
+import type {Random} from '../ports/random.js';
+import type {HostListPort, ObjectStorePort, TablePort} from '../ports/table.js';
+import {rememberByAddress} from './port_cache.js';
+
+export interface World {
+  readonly host: HostSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly metrics: Metrics;
+  readonly table: TablePort;
+  readonly objectStore: ObjectStorePort;
+  readonly hostList: HostListPort;
+  readonly datagrams: DatagramPort;
+  readonly enginePort: EnginePortFactory;
+  readonly plainPort: PlainServicePortFactory;
+  /** Makes the logger of a part. */
+  createLogger(part: string): Logger;
+  /** Transport to the process at a peer address. */
+  getTransport(address: string): Transport;
+}
+
+/** Binds the datagram socket; rejects if the address is taken. */
+export async function createWorld(
+  host: HostSettings,
+  createLogger: (part: string) => Logger,
+): Promise<World> {
+  const clock = createSystemClock();
+  const random = createSystemRandom();
+  const platform = {baseUrl: host.platformUrl};
+  const log = createLogger('datagram');
+  const datagrams = await createUdpDatagramPort(host.peerAddress, error =>
+    log.warn('The datagram socket failed.', {reason: error.message}),
+  );
+  return {
+    host,
+    clock,
+    random,
+    createLogger,
+    datagrams,
+    metrics: createMetrics(new Registry()),
+    table: createHttpTable({clock}, platform),
+    objectStore: createHttpObjectStore({clock}, platform),
+    hostList: createHttpHostList({clock}, platform),
+    enginePort: rememberByAddress(createHttpEngineFactory({clock, random})),
+    plainPort: rememberByAddress(createHttpPlainServiceFactory({clock})),
+    getTransport: createPeerTransports(host.peerKey).get,
+  };
+}
