--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -10,6 +10,7 @@
   configRollback,
   configShow,
 } from './commands/revision_commands.js';
+import {scenarioRun} from './commands/scenario_command.js';
 import {serve} from './commands/serve_command.js';
 import {standInCommands} from './commands/stand_in_command.js';
 
@@ -25,5 +26,6 @@
   drain,
   ...standInCommands,
   bench,
+  scenarioRun,
   showVersion,
 ];
