--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -12,6 +12,7 @@
 } from './commands/revision_commands.js';
 import {scenarioRun} from './commands/scenario_command.js';
 import {serve} from './commands/serve_command.js';
+import {standInCommands} from './commands/stand_in_command.js';
 
 export const commands: readonly Command[] = [
   serve,
@@ -23,6 +24,7 @@
   configRollback,
   status,
   drain,
+  ...standInCommands,
   bench,
   scenarioRun,
   showVersion,
