--- a/src/core/scheduling/prefix_index.ts
+++ b/src/core/scheduling/prefix_index.ts
@@ -14,16 +14,18 @@
 
 export interface PrefixIndex {
   apply(events: readonly CacheEvent[]): void;
-  /** Notes that an engine has just computed these prefixes. */
-  noteComputed(engineId: string, prefixHashes: readonly string[]): void;
+  /** Notes that an engine has just computed these sampled prefixes. */
+  noteComputed(engineId: string, sampled: readonly string[]): void;
   /**
    * Tokens expected in the engine's cache, scaled by how often its hints
    * came true.
+   *
+   * @param blockTokens Tokens in one block of the prompt.
    */
   expectedCachedTokens(
     engineId: string,
-    prefixHashes: readonly string[],
-    promptTokens: number,
+    sampled: readonly string[],
+    blockTokens: number,
   ): number;
   /** Compares a hint with what the engine found. */
   learn(engineId: string, expectedTokens: number, foundTokens: number): void;
@@ -31,6 +33,30 @@
   entryCount(): number;
 }
 
+/**
+ * Keeps prefixes of 1, 2, 3, 4, 6, 8, 12, 16, 24 ... blocks: enough to know a
+ * shared length within a third, at two entries for each doubling. Long
+ * prompts would otherwise fill the index and cost microseconds each.
+ */
+export function samplePrefixes(hashes: readonly string[]): readonly string[] {
+  const sampled: string[] = [];
+  for (let blocks = 1; blocks <= hashes.length; blocks *= 2) {
+    sampled.push(hashes[blocks - 1]);
+    const between = blocks * 1.5;
+    if (blocks > 1 && between <= hashes.length) {
+      sampled.push(hashes[between - 1]);
+    }
+  }
+  return sampled;
+}
+
+/** Blocks in the first `held` sampled prefixes. */
+function sampledBlocks(held: number): number {
+  if (held <= 1) return held;
+  const doublings = Math.floor(held / 2);
+  return held % 2 === 0 ? 2 ** doublings : 1.5 * 2 ** doublings;
+}
+
 interface EngineEntries {
   /** Insertion order is age. */
   readonly hashes: Set<string>;
@@ -102,16 +128,15 @@
         handlers[event.kind](entries, event.prefixHashes);
       }
     },
-    noteComputed(engineId, prefixHashes) {
-      insert(entriesOf(engineId), prefixHashes);
+    noteComputed(engineId, sampled) {
+      insert(entriesOf(engineId), sampled);
     },
-    expectedCachedTokens(engineId, prefixHashes, promptTokens) {
-      if (prefixHashes.length === 0) return 0;
+    expectedCachedTokens(engineId, sampled, blockTokens) {
+      if (sampled.length === 0) return 0;
       const entries = engines.get(engineId);
       if (!entries || entries.hashes.size === 0) return 0;
-      const held = longestHeld(entries.hashes, prefixHashes);
-      const share = held / prefixHashes.length;
-      return share * promptTokens * entries.confidence;
+      const held = longestHeld(entries.hashes, sampled);
+      return sampledBlocks(held) * blockTokens * entries.confidence;
     },
     learn(engineId, expectedTokens, foundTokens) {
       if (expectedTokens <= 0) return;
--- a/src/scheduling/dispatcher.ts
+++ b/src/scheduling/dispatcher.ts
@@ -27,6 +27,8 @@
   type ShardState,
 } from './shard_state.js';
 
+export type {AnnouncedGrant, ShardSummary} from './dispatcher_types.js';
+
 const SWEEP_MS = 100;
 const PACE_EVERY_SWEEPS = 5;
 const NO_ENGINE_RETRY_MS = 1_000;
--- a/src/scheduling/grant_giver.ts
+++ b/src/scheduling/grant_giver.ts
@@ -33,7 +33,7 @@
       lifeMs: Math.round(state.lifeMs + 2 * (placement.prefillEndMs - nowMs)),
       startInMs: Math.round(startInMs),
     };
-    const cached = cachedTokens(state, request, prefill);
+    const cached = cachedTokens(state, waiting, prefill);
     prefill.book.reserve(grantId, waiting.promptKvBytes, nowMs);
     prefill.backlog.add(grantId, placement.prefillMs, nowMs);
     decode.book.reserve(grantId, waiting.kvBytes, nowMs);
--- a/src/scheduling/grant_queue.ts
+++ b/src/scheduling/grant_queue.ts
@@ -72,7 +72,7 @@
         promptKvBytes: waiting.promptKvBytes,
         decodeKvBytes: waiting.kvBytes,
         prefillMs: waiting.prefillMs,
-        prefillMsOn: engine => prefillMsOn(state, waiting.request, engine),
+        prefillMsOn: engine => prefillMsOn(state, waiting, engine),
       },
       state.policy,
       state.clock.nowMs(),
--- a/src/scheduling/request_estimates.ts
+++ b/src/scheduling/request_estimates.ts
@@ -1,10 +1,14 @@
 /** What one home expects a request to need. */
 
 import type {PoolEngine} from '../core/scheduling/engine_pool.js';
+import {samplePrefixes} from '../core/scheduling/prefix_index.js';
 import type {GrantRequest} from '../ports/grants.js';
 import type {GrantReply} from './dispatcher_types.js';
 import type {ShardState, Waiting} from './shard_state.js';
 
+/** A request with its sampled prefixes. */
+type PrefixOwner = Pick<Waiting, 'request' | 'sampledPrefixes'>;
+
 /** Share of its first-token time that a too long prompt may queue. */
 const LONG_PROMPT_QUEUE_SHARE = 0.25;
 
@@ -16,23 +20,25 @@
 /** Tokens of the prompt expected in an engine's prefix cache. */
 export function cachedTokens(
   state: ShardState,
-  request: GrantRequest,
+  waiting: PrefixOwner,
   engine: PoolEngine,
 ): number {
   if (!state.policy.usePrefixCache) return 0;
+  const {promptTokenCount, prefixHashes} = waiting.request;
   return state.prefixes.expectedCachedTokens(
     engine.description.engineId,
-    request.prefixHashes,
-    request.promptTokenCount,
+    waiting.sampledPrefixes,
+    promptTokenCount / Math.max(1, prefixHashes.length),
   );
 }
 
 export function prefillMsOn(
   state: ShardState,
-  request: GrantRequest,
+  waiting: PrefixOwner,
   engine: PoolEngine,
 ): number {
-  const tokens = prefillTokens(request) - cachedTokens(state, request, engine);
+  const cached = cachedTokens(state, waiting, engine);
+  const tokens = prefillTokens(waiting.request) - cached;
   return state.model.prefill.estimateMs(Math.max(1, tokens));
 }
 
@@ -85,6 +91,7 @@
     prefillMs,
     kvBytes: Math.min(wantedKv, largest),
     promptKvBytes,
+    sampledPrefixes: samplePrefixes(request.prefixHashes),
   };
 }
 
--- a/src/scheduling/shard_state.ts
+++ b/src/scheduling/shard_state.ts
@@ -52,6 +52,7 @@
   readonly prefillMs: number;
   readonly kvBytes: number;
   readonly promptKvBytes: number;
+  readonly sampledPrefixes: readonly string[];
 }
 
 export interface ShardState {
