--- a/bench/decision.ts
+++ b/bench/decision.ts
@@ -179,13 +179,16 @@
     .join('');
 }
 
-export async function run(): Promise<void> {
+/** @param args Sizes to run, as positions in the list; none: all. */
+export async function run(args: readonly string[]): Promise<void> {
+  const wanted =
+    args.length > 0 ? args.map(each => SIZES[Number(each)]) : SIZES;
   console.log('Microseconds: p50, p95, p99; and the mean a request in all.');
   console.log(
     'engines  waiting              ask               ' +
       'end and grant             timers    mean  grants at an end',
   );
-  for (const size of SIZES) {
+  for (const size of wanted) {
     const {ask, end, timers, grantsAtEnd} = measure(size);
     const mean = (ask.mean + end.mean + timers.mean) / NS_PER_US;
     console.log(
--- a/src/core/scheduling/engine_health.ts
+++ b/src/core/scheduling/engine_health.ts
@@ -34,6 +34,7 @@
 };
 
 const SMOOTHING = 0.4;
+const MEDIAN_EVERY_MS = 50;
 /** Share of its capacity that a cold engine gets at once. */
 const RAMP_START = 0.25;
 
@@ -71,21 +72,30 @@
 export function createEngineHealth(options: HealthOptions): EngineHealth {
   const records = new Map<string, EngineRecord>();
 
-  /** 0 when nothing is known of the others. */
-  function medianSlowness(except: EngineRecord): number {
+  const medians = new Map<string, {slowness: number; atMs: number}>();
+
+  /** Slowness of the middle engine; 0 when nothing is known. */
+  function refreshMedian(pool: string, nowMs: number): void {
+    const last = medians.get(pool);
+    if (last && nowMs - last.atMs < MEDIAN_EVERY_MS) return;
     const known: number[] = [];
     for (const record of records.values()) {
-      const isPeer = record.pool === except.pool && record !== except;
-      if (isPeer && record.samples > 0) known.push(record.slowness);
+      if (record.pool === pool && record.samples > 0) {
+        known.push(record.slowness);
+      }
     }
-    if (known.length === 0) return 0;
     known.sort((a, b) => a - b);
-    return known[(known.length - 1) >> 1];
+    const slowness = known.length > 0 ? known[(known.length - 1) >> 1] : 0;
+    medians.set(pool, {slowness, atMs: nowMs});
   }
 
   function isSlow(record: EngineRecord): boolean {
-    const median = medianSlowness(record);
-    return median > 0 && record.slowness > options.slowFactor * median;
+    const median = medians.get(record.pool)?.slowness ?? 0;
+    return (
+      median > 0 &&
+      record.samples > 0 &&
+      record.slowness > options.slowFactor * median
+    );
   }
 
   /** True unless the pool would fall below its floor. */
@@ -144,6 +154,7 @@
           ? cost
           : record.slowness + SMOOTHING * (cost - record.slowness);
       record.samples++;
+      refreshMedian(record.pool, nowMs);
       const needed = record.isOnTrial ? 1 : options.minSamples;
       if (record.samples < needed) return;
       if (isSlow(record)) eject(record, nowMs);
--- a/src/core/scheduling/prefix_index.ts
+++ b/src/core/scheduling/prefix_index.ts
@@ -85,6 +85,7 @@
       entries.hashes.delete(hashes[i]);
       entries.hashes.add(hashes[i]);
     }
+    if (entries.hashes.size <= entriesPerEngine) return;
     for (const oldest of entries.hashes) {
       if (entries.hashes.size <= entriesPerEngine) break;
       entries.hashes.delete(oldest);
