--- a/src/coordination/facts.ts
+++ b/src/coordination/facts.ts
@@ -59,6 +59,8 @@
 /** Bounds memory against a publisher of ever new keys. */
 const MAX_FACTS = 20_000;
 const MAX_BODY_BYTES = 256;
+/** Beyond the first, own facts on a datagram stay within this. */
+const OWN_BYTES = 90;
 const MAX_TTL_MS = 3_600_000;
 
 /** `onNews` is called when there is a new fact to pass on. */
@@ -101,21 +103,23 @@
     onNews();
   }
 
-  /** Own facts go on every datagram, in turn when they do not all fit. */
+  /**
+   * Own facts take turns on the datagrams: one on each, and more while they
+   * are small, so that news always finds room in the budget.
+   */
   function takeOwn(roomBytes: number): SentFact[] {
     const facts = [...own.values()];
     const taken: SentFact[] = [];
-    let leftBytes = roomBytes;
+    let usedBytes = 0;
     for (let i = 0; i < facts.length; i++) {
       const fact = facts[(nextOwn + i) % facts.length];
-      const sizeBytes = getFactSizeBytes(fact);
-      if (sizeBytes > leftBytes) {
-        nextOwn = (nextOwn + i) % facts.length;
-        break;
-      }
-      leftBytes -= sizeBytes;
+      const sizeBytes = usedBytes + getFactSizeBytes(fact);
+      const limitBytes = taken.length === 0 ? roomBytes : OWN_BYTES;
+      if (sizeBytes > Math.min(roomBytes, limitBytes)) break;
+      usedBytes = sizeBytes;
       taken.push(fact);
     }
+    nextOwn = (nextOwn + taken.length) % Math.max(1, facts.length);
     return taken;
   }
 
--- a/src/coordination/lease.ts
+++ b/src/coordination/lease.ts
@@ -59,7 +59,12 @@
   start(): void;
   /** Takes the lease as soon as the rules let it, and keeps it. */
   want(name: string): void;
-  /** Stops wanting it; gives it up if held. Resolves once tried. */
+  /**
+   * Observes a lease that this host is next in line for, without taking it,
+   * so that a later `want` need not wait a whole lease again.
+   */
+  watch(name: string): void;
+  /** Stops wanting or watching it; gives it up if held. Resolves once tried. */
   release(name: string, successor?: string): Promise<void>;
   /** Looks at the lease now: news came that it is free or its holder dead. */
   nudge(name: string): void;
@@ -73,6 +78,7 @@
 
 interface LeaseState {
   readonly name: string;
+  isWanted: boolean;
   observation: LeaseObservation | undefined;
   held: HeldRow | undefined;
   heldUntilMs: number;
@@ -261,11 +267,12 @@
   ): Promise<void> {
     if (state.held || state.isBusy || states.get(state.name) !== state) return;
     if (!row) {
-      await take(state, undefined);
+      if (state.isWanted) await take(state, undefined);
       return;
     }
     const nowMs = clock.nowMs();
     state.observation = observe(state.observation, row.version, nowMs);
+    if (!state.isWanted) return;
     const record = parseLeaseRow(row);
     const atMs = getTakeableAtMs(record, state.observation, hostId, options);
     if (nowMs >= atMs) {
@@ -319,6 +326,22 @@
     return {name, version: row.version, record};
   }
 
+  function getState(name: string): LeaseState {
+    const known = states.get(name);
+    if (known) return known;
+    const state: LeaseState = {
+      name,
+      isWanted: false,
+      observation: undefined,
+      held: undefined,
+      heldUntilMs: 0,
+      expiry: undefined,
+      isBusy: false,
+    };
+    states.set(name, state);
+    return state;
+  }
+
   async function release(name: string, successor = ''): Promise<void> {
     const state = states.get(name);
     if (!state) return;
@@ -329,17 +352,13 @@
   return {
     start: scheduleTick,
     want(name) {
-      if (states.has(name) || isStopped) return;
-      states.set(name, {
-        name,
-        observation: undefined,
-        held: undefined,
-        heldUntilMs: 0,
-        expiry: undefined,
-        isBusy: false,
-      });
+      if (isStopped || states.get(name)?.isWanted) return;
+      getState(name).isWanted = true;
       void look([name]);
     },
+    watch(name) {
+      if (!isStopped) getState(name);
+    },
     release,
     nudge(name) {
       void look([name]);
--- a/tests/coordination/lease_test.ts
+++ b/tests/coordination/lease_test.ts
@@ -151,6 +151,24 @@
   assert.equal(b.currentFence('p0')?.epoch, fence.epoch + 2);
 });
 
+test('a watcher takes at once when the holder has long been silent', async () => {
+  const clock = createVirtualClock();
+  const table = createFakeTable();
+  const first = createPausableClock(clock);
+  const a = createKeeper('a', 1, first, table);
+  const b = createKeeper('b', 2, clock, table);
+  a.want('p0');
+  b.watch('p0');
+  await clock.advance(10_000);
+  assert.equal(a.currentFence('p0')?.epoch, 1);
+  first.pause();
+  await clock.advance(LEASE_MS + 1_100);
+  assert.equal(b.currentFence('p0'), undefined);
+  b.want('p0');
+  await clock.advance(10);
+  assert.equal(b.currentFence('p0')?.epoch, 2);
+});
+
 test('renewals of many leases are one write each time', async () => {
   const clock = createVirtualClock();
   const table = createFakeTable();
