--- a/src/scenario/scenario_expectations.ts
+++ b/src/scenario/scenario_expectations.ts
@@ -64,6 +64,9 @@
   );
 }
 
+/** A leaving upstream gets no new work later than this. */
+const LEAVING_BOUND_MS = 2_000;
+
 export const expectationDefinitions: readonly ExpectationDefinition[] = [
   define('<request> whole', (args, world) => {
     const view = getRequest(args, world);
@@ -129,6 +132,11 @@
     const {crashes} = world.engines.get(args.getText(0))!.books();
     return unless(crashes === args.getCount(1), `${crashes} crashes`);
   }),
+  define('<engine> asked late <count>', (args, world) => {
+    const {workAfterLeavingMs} = world.engines.get(args.getText(0))!.books();
+    const late = workAfterLeavingMs.filter(ms => ms > LEAVING_BOUND_MS).length;
+    return unless(late === args.getCount(1), `${late} times`);
+  }),
   define('crashes at most <count>', (args, world) => {
     const crashes = [...world.engines.values()].reduce(
       (sum, engine) => sum + engine.books().crashes,
--- a/src/scenario/scenario_home.ts
+++ b/src/scenario/scenario_home.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '../ports/clock.js';
 import type {GrantPort, GrantRefusal} from '../ports/grants.js';
 import type {Logger} from '../ports/log.js';
+import {createSweep} from '../request/sweep.js';
 import {createShardHome, type ShardHome} from '../scheduling/shard_home.js';
 import type {EngineCore} from '../../stand_ins/engine_core.js';
 import {fenceEngine} from './fenced_ports.js';
@@ -43,10 +44,15 @@
   readonly fence: ProcessFence;
 }
 
+export interface ScenarioHomeHost {
+  readonly clock: Clock;
+  readonly log: Logger;
+  isEntryAlive(entryTag: string): boolean;
+}
+
 export function createScenarioHome(
-  clock: Clock,
+  {clock, log, isEntryAlive}: ScenarioHomeHost,
   seed: number,
-  log: Logger,
 ): ScenarioHome {
   const engines = new Map<string, EngineCore>();
   const gone = new Set<string>();
@@ -69,6 +75,13 @@
         rebuildMs: epoch > 1 ? REBUILD_MS : 0,
       },
     );
+    createSweep({
+      clock: fence.clock,
+      log,
+      enginePort: address => fenceEngine(engines.get(address)!, fence),
+      addresses: () => [...engines.keys()],
+      ownerState: ({entry}) => (isEntryAlive(entry) ? 'running' : 'gone'),
+    });
     const incarnation = {home, fence};
     for (const [address, engine] of engines) {
       void poll(incarnation, address, engine, 0);
@@ -113,7 +126,6 @@
       }
     } else {
       if (gone.delete(address)) updateEngines(incarnation);
-      if (report.leaving) home.markLeaving(report.engineId);
       home.applyLoadReport(report);
     }
     fence.clock.setTimer(
--- a/src/scenario/scenario_world.ts
+++ b/src/scenario/scenario_world.ts
@@ -120,14 +120,13 @@
   let nextSeed = seed;
 
   const platform = createPlatformCore(standInHost(), {latencyMs: 1});
-  const home = createScenarioHome(clock, nextSeed++, silentLog);
+  const isEntryAlive = (tag: string) => !goneTags.has(tag);
+  const home = createScenarioHome(
+    {clock, log: silentLog, isEntryAlive},
+    nextSeed++,
+  );
   const journal = createScenarioJournal(
-    {
-      clock,
-      log: silentLog,
-      platform,
-      isEntryAlive: tag => !goneTags.has(tag),
-    },
+    {clock, log: silentLog, platform, isEntryAlive},
     nextSeed++,
   );
 
