Plan roles with hysteresis; wait for a home that moves

Cause: nothing decided when an engine should change its role, and a shard without a home for a second refused callers though its engines were fine. Change: planRoles and planModelLoads decide, orders stay with coordination; the entry asks again within half of the time to first token when a home moved or is silent, and at most two busy homes.

--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -1,6 +1,7 @@
 /**
- * `npm run bench -- policy [--seeds N] [--quick] [--plots FOLDER]`: measures
- * scheduling in virtual time against small engine fakes.
+ * `npm run bench -- policy [PART...] [--seeds N]`: measures scheduling in
+ * virtual time against small engine fakes. Parts: splits, bars, ideas, faults,
+ * weights, returns, takeover, plots (writes docs/operators/plots); all if none.
  */
 
 import {parseArgs} from 'node:util';
@@ -8,6 +9,7 @@
 import {runBars, runFaultBars} from './policy/bars.js';
 import {runIdeas} from './policy/ideas.js';
 import {runReturns, runWeights} from './policy/knobs.js';
+import {runPlots} from './policy/plots.js';
 import {runTakeovers} from './policy/takeover.js';
 import {SHAPES} from './policy/workload.js';
 
@@ -43,6 +45,7 @@
   weights: runWeights,
   returns: runReturns,
   takeover: runTakeovers,
+  plots: runPlots,
 };
 
 export async function run(args: readonly string[]): Promise<void> {
--- a/src/scheduling/shard_choice.ts
+++ b/src/scheduling/shard_choice.ts
@@ -42,8 +42,10 @@
   /** The shards of the service, as known now. */
   readonly shards: (service: string) => readonly ShardView[];
   readonly weights?: Partial<ShardWeights>;
-  /** Homes asked for one request at most. */
+  /** Asks and waits for one request at most. */
   readonly maxAsks?: number;
+  /** Busy homes that one request asks at most. */
+  readonly maxBusy?: number;
   /** Wait above which shards of other failure domains are looked at. */
   readonly spillMs?: number;
 }
@@ -53,7 +55,8 @@
   heldGrants(shardId: string): readonly AnnouncedGrant[];
 }
 
-const DEFAULT_MAX_ASKS = 3;
+const DEFAULT_MAX_ASKS = 6;
+const DEFAULT_MAX_BUSY = 2;
 const DEFAULT_SPILL_MS = 30;
 const SUSPECT_MS = 2_000;
 const MAX_PREFIXES = 4_096;
@@ -76,6 +79,21 @@
   cancelled: false,
 };
 
+/** Refusals that a new home of the same shard would not repeat. */
+const comesBack: Readonly<Record<GrantRefusal['reason'], boolean>> = {
+  'home-moved': true,
+  unreachable: true,
+  'not-feasible': false,
+  'queue-full': false,
+  'no-engine': false,
+  'account-limit': false,
+  cancelled: false,
+};
+
+const HOME_RETRY_MS = 300;
+/** Share of the time to first token spent on waiting for a home. */
+const HOME_WAIT_SHARE = 0.5;
+
 interface HeldGrant {
   readonly shardId: string;
   readonly grant: Grant;
@@ -98,6 +116,7 @@
   const {clock, random, log} = host;
   const weights = {...DEFAULT_SHARD_WEIGHTS, ...options.weights};
   const maxAsks = options.maxAsks ?? DEFAULT_MAX_ASKS;
+  const maxBusy = options.maxBusy ?? DEFAULT_MAX_BUSY;
   const spillMs = options.spillMs ?? DEFAULT_SPILL_MS;
   const records = new Map<string, ShardRecord>();
   const held = new Map<string, HeldGrant>();
@@ -278,6 +297,25 @@
     if (progress.kind === 'ended') held.delete(own.grant.grantId);
   }
 
+  /**
+   * Waits a little when all that was asked is a home that moved or is gone:
+   * its shard's engines are fine, and a new home is on its way. False when
+   * the request has no time for that.
+   */
+  async function waitForHome(
+    request: GrantRequest,
+    startedAtMs: number,
+    refusal: GrantRefusal,
+  ): Promise<boolean> {
+    if (!comesBack[refusal.reason]) return false;
+    const usedMs = clock.nowMs() - startedAtMs + HOME_RETRY_MS;
+    if (usedMs > request.ttftLeftMs * HOME_WAIT_SHARE) return false;
+    await new Promise<void>(resolve => {
+      clock.setTimer(HOME_RETRY_MS, resolve);
+    });
+    return true;
+  }
+
   /** The request as it stands after `usedMs` spent on earlier asks. */
   function lessTime(request: GrantRequest, usedMs: number): GrantRequest {
     return {
@@ -296,13 +334,19 @@
         reason: 'no-engine',
         retryAfterMs: UNREACHABLE_RETRY_MS,
       };
-      while (asked.size < maxAsks) {
+      let asks = 0;
+      let busyCount = 0;
+      while (asks++ < maxAsks) {
         if (signal.aborted) return cancelled();
         const shard = choose(request, asked);
-        if (!shard) break;
+        if (!shard) {
+          if (!(await waitForHome(request, startedAtMs, refusal))) break;
+          asked.clear();
+          continue;
+        }
         asked.add(shard.shardId);
         const current = lessTime(request, clock.nowMs() - startedAtMs);
-        if (current.ttftLeftMs <= 0 && asked.size > 1) break;
+        if (current.ttftLeftMs <= 0 && asks > 1) break;
         const outcome = await askHome(shard, current, signal);
         if (outcome.kind === 'granted') {
           noteGrant(shard, outcome, request);
@@ -311,11 +355,13 @@
         if (outcome.reason === 'unreachable') {
           recordOf(shard.shardId).suspectUntilMs = clock.nowMs() + SUSPECT_MS;
         }
-        const isFirst = asked.size === 1;
-        if (isFirst || outcome.retryAfterMs < refusal.retryAfterMs) {
+        if (asks === 1 || outcome.retryAfterMs < refusal.retryAfterMs) {
           refusal = outcome;
         }
         if (!asksElsewhere[outcome.reason]) return outcome;
+        // Under overload every home refuses; asking them all would multiply
+        // the load on homes just when they have least time.
+        if (!comesBack[outcome.reason] && ++busyCount >= maxBusy) break;
       }
       return refusal;
     },
--- /dev/null
+++ b/tests/scheduling/role_plan_test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  FIRST_ROLE_PLAN_STATE,
+  planModelLoads,
+  planRoles,
+  type PlannedEngine,
+  type RoleChange,
+  type RoleDemand,
+} from '../../src/core/scheduling/role_plan.js';
+
+function engines(prefill: number, decode: number): PlannedEngine[] {
+  return Array.from({length: prefill + decode}, (_, i) => ({
+    engineId: `e${i}`,
+    role: i < prefill ? ('prefill' as const) : ('decode' as const),
+    failureDomain: `domain-${i % 4}`,
+    models: ['base'],
+    usedSlots: i,
+    isLeaving: false,
+    isChanging: false,
+  }));
+}
+
+/** Looks each second for `seconds` and carries each change out at once. */
+function watch(
+  start: readonly PlannedEngine[],
+  demandAt: (second: number) => RoleDemand,
+  seconds: number,
+): RoleChange[] {
+  let pool = [...start];
+  let state = FIRST_ROLE_PLAN_STATE;
+  const changes: RoleChange[] = [];
+  for (let second = 0; second < seconds; second++) {
+    const step = planRoles(state, pool, demandAt(second), second * 1_000);
+    state = step.state;
+    const {change} = step;
+    if (!change) continue;
+    changes.push(change);
+    pool = pool.map(each =>
+      each.engineId === change.engineId ? {...each, role: change.role} : each,
+    );
+  }
+  return changes;
+}
+
+test('a pool that stays short gets an engine of the other, once', () => {
+  const changes = watch(
+    engines(2, 11),
+    () => ({prefillEngines: 2.1, decodeEngines: 7}),
+    200,
+  );
+  assert.equal(changes.length, 1);
+  assert.equal(changes[0].role, 'prefill');
+});
+
+test('a demand that swings each half minute changes no role', () => {
+  // Mornings of long books and short briefs in turn would otherwise have
+  // engines drain and load weights all day, and serve nobody meanwhile.
+  const changes = watch(
+    engines(3, 10),
+    second =>
+      Math.floor(second / 30) % 2 === 0
+        ? {prefillEngines: 3.2, decodeEngines: 7}
+        : {prefillEngines: 1, decodeEngines: 10.5},
+    3_600,
+  );
+  assert.deepEqual(changes, []);
+});
+
+test('no engine is taken from a pool that would then be short', () => {
+  const changes = watch(
+    engines(2, 11),
+    () => ({prefillEngines: 2.1, decodeEngines: 10.2}),
+    3_600,
+  );
+  assert.deepEqual(changes, []);
+});
+
+test('loads of models keep to the number allowed at once', () => {
+  const demand = new Map([
+    ['base', 4],
+    ['aruanne-v2', 3],
+    ['unused', 0],
+  ]);
+  const loads = planModelLoads(engines(2, 4), demand, 2);
+  assert.equal(loads.length, 2);
+  assert.ok(loads.every(load => load.model === 'aruanne-v2'));
+});
--- a/tests/scheduling/shard_choice_test.ts
+++ b/tests/scheduling/shard_choice_test.ts
@@ -161,3 +161,26 @@
   const answer = await choice.request(REQUEST, never());
   assert.equal((answer as GrantRefusal).retryAfterMs, 400);
 });
+
+test('a home that moved is waited for, within half the time to first token', async () => {
+  // A router host is replaced. Its shard has no home for a second though all
+  // engines are fine; callers should not be refused for that.
+  let isBack = false;
+  const moving: GrantPort = {
+    async request() {
+      if (isBack) return grantOf('near');
+      return {kind: 'refused', reason: 'home-moved', retryAfterMs: 250};
+    },
+    report() {},
+  };
+  const {clock, choice} = makeChoice([view('near', 'bp-angyal', moving)]);
+  const answer = choice.request({...REQUEST, ttftLeftMs: 4_000}, never());
+  await clock.advance(500);
+  isBack = true;
+  await clock.advance(400);
+  assert.equal((await answer).kind, 'granted');
+  isBack = false;
+  const short = choice.request({...REQUEST, ttftLeftMs: 400}, never());
+  await clock.advance(1);
+  assert.equal((await short).kind, 'refused');
+});
