--- a/bench/support/request_site.ts
+++ b/bench/support/request_site.ts
@@ -64,6 +64,8 @@
   entries(): readonly SiteEntry[];
   killEntry(index: number): void;
   pauseEntry(index: number, durationMs: number): void;
+  /** The other processes cannot reach the entry, nor it them. */
+  cutOff(index: number, durationMs: number): void;
   /** Tells the home and the pickers that an upstream leaves. */
   leaveEngine(engine: EngineCore): void;
   leaveService(service: ServiceCore): void;
@@ -89,6 +91,7 @@
   const incarnations = Array.from({length: ENTRY_COUNT}, () => 1);
   const downUntilMs = new Map<string, number>();
   const leavingIds = new Set<string>();
+  const cutOff = new Set<number>();
   let turn = 0;
 
   function addEngine(role: 'prefill' | 'decode', index: number): EngineCore {
@@ -193,6 +196,7 @@
           resolve(failed('unreachable'));
           return;
         }
+        if (cutOff.has(target.index)) return;
         target.shell.inside(
           () =>
             void action(target).then(value =>
@@ -214,10 +218,18 @@
     return entries.find(entry => entry.tag === holder);
   }
 
-  const journalFor = (): JournalPort => ({
+  /** Nobody, for a process that is cut off from the others. */
+  function reachable(
+    from: SiteEntry,
+    target: SiteEntry | undefined,
+  ): SiteEntry | undefined {
+    return cutOff.has(from.index) && target !== from ? undefined : target;
+  }
+
+  const journalFor = (from: SiteEntry): JournalPort => ({
     begin: request =>
       ask<IntentOutcome>(
-        ownerOf(request),
+        reachable(from, ownerOf(request)),
         request.timeoutMs,
         owner => owner.journalOwner(partitionOf(request)).begin(request),
         reason => ({
@@ -228,7 +240,7 @@
       ),
     end: (request, end) =>
       ask<boolean>(
-        ownerOf(request),
+        reachable(from, ownerOf(request)),
         request.timeoutMs,
         owner => owner.journalOwner(partitionOf(request)).end(request, end),
         () => false,
@@ -354,6 +366,10 @@
         entry.shell.resume();
       });
     },
+    cutOff(position, durationMs) {
+      cutOff.add(position);
+      after(durationMs, () => cutOff.delete(position));
+    },
     leaveEngine(engine) {
       engine.setLeaving(true);
       after(DETECT_MS, () => home.markLeaving(engine.options.engineId));
--- a/bench/support/site_entry.ts
+++ b/bench/support/site_entry.ts
@@ -87,6 +87,8 @@
   readonly fences: Map<number, PartitionFence>;
   journalOwner(partition: number): JournalOwner;
   isDraining: boolean;
+  /** It ended by itself after a drain. */
+  hasDrained: boolean;
 }
 
 const KEEP_MS = 60_000;
@@ -208,6 +210,7 @@
     fences,
     journalOwner,
     isDraining: false,
+    hasDrained: false,
     get runner() {
       return runner;
     },
--- a/bench/support/site_leases.ts
+++ b/bench/support/site_leases.ts
@@ -25,6 +25,7 @@
 
 const ROUND_MS = 250;
 const TIMEOUT_MS = 200;
+const ROUNDS_A_CHECK = 4;
 /** How long a paused holder believes in its lease after it wakes. */
 const STALE_BELIEF_MS = 300;
 
@@ -32,15 +33,18 @@
   const {clock} = host;
   const holders = new Map<number, string>();
   const epochs = new Map<number, number>();
+  let rounds = 0;
 
   function note(partition: number, entry: SiteEntry, epoch: number): void {
+    const epochNow = () => epochs.get(partition);
     const before = host
       .entries()
       .find(other => other.tag === holders.get(partition));
     if (before && before !== entry) {
-      before.shell.clock.setTimer(STALE_BELIEF_MS, () =>
-        before.fences.delete(partition),
-      );
+      before.shell.clock.setTimer(STALE_BELIEF_MS, () => {
+        const isStale = before.fences.get(partition)?.epoch !== epochNow();
+        if (isStale) before.fences.delete(partition);
+      });
     }
     holders.set(partition, entry.tag);
     epochs.set(partition, epoch);
@@ -82,14 +86,23 @@
     if (outcome.kind === 'applied') note(partition, entry, epoch + 1);
   }
 
+  /** A takeover whose answer was lost has moved the row all the same. */
+  async function isHeldInTable(partition: number): Promise<boolean> {
+    if (rounds % ROUNDS_A_CHECK !== 0) return true;
+    const read = await host.table.read([`lease/${partition}`], TIMEOUT_MS);
+    if (read.kind === 'failed') return true;
+    return read.value[0]?.value['epoch'] === epochs.get(partition);
+  }
+
   async function round(): Promise<void> {
+    rounds++;
     for (let partition = 0; partition < host.partitionCount; partition++) {
       const holder = holders.get(partition);
       const isHeld =
         holder !== undefined &&
         host.isEntryAlive(holder) &&
         host.entries().some(entry => entry.tag === holder);
-      if (isHeld) continue;
+      if (isHeld && (await isHeldInTable(partition))) continue;
       const usable = host
         .entries()
         .filter(entry => entry.shell.isAlive() && !entry.shell.isPaused());
--- a/bench/support/site_observer.ts
+++ b/bench/support/site_observer.ts
@@ -28,14 +28,18 @@
   readonly what: string;
 }
 
+/** Memory of a request that has ended is free after this long. */
+const RELEASE_WITHIN_MS = 50;
 /** After this long, an upstream that is leaving may get no new work. */
 const LEAVING_GRACE_MS = 2_000;
 /** Slack on the final answer of a request. */
 const ANSWER_SLACK_MS = 2_600;
 
 export interface ObservedFaults {
-  /** Entries were killed or paused. */
-  readonly hadEntryFaults: boolean;
+  /** Ends may have gone unrecorded, or calls may have been sent in vain. */
+  readonly mayLeaveUnknown: boolean;
+  /** Held by requests that had ended, while no link was at fault. */
+  readonly heldAfterEnd: readonly string[];
   /** No fault outlives this. */
   readonly healedAtMs: number;
 }
@@ -184,6 +188,15 @@
     }));
 }
 
+/** A process that ended by its drain has left nobody without an answer. */
+function checkDrain(record: SendRecord): readonly Violation[] {
+  const isCut = record.entry.hasDrained && record.wasLost;
+  if (!isCut || record.arrivedAtMs === undefined) return [];
+  return [
+    {promise: 'shutdown cuts nothing', what: `${record.requestId} was cut`},
+  ];
+}
+
 /** Calls sent after all faults have healed must succeed. */
 function checkRecovery(
   records: readonly SendRecord[],
@@ -198,6 +211,50 @@
     }));
 }
 
+/**
+ * A repeat after all is healed gets the stored answer, or runs if nothing ever
+ * ran: its key is not blocked.
+ */
+function checkRepeats(
+  site: RequestSite,
+  records: readonly SendRecord[],
+  mayLeaveUnknown: boolean,
+): readonly Violation[] {
+  return records.flatMap(record => {
+    const {spec, outcomes, requestId} = record;
+    const outcome = outcomes[0];
+    if (!spec.isRepeat || outcome?.kind === 'answered') return [];
+    const others = records.filter(
+      other => other !== record && other.spec.key === spec.key,
+    );
+    // The entry that has answered and lives on has also recorded the answer.
+    const wasRecorded = others.some(
+      other =>
+        other.outcomes[0]?.kind === 'answered' && other.entry.shell.isAlive(),
+    );
+    const hasEverRun = others.some(other => hasRun(site, other.requestId));
+    if (!wasRecorded && (hasEverRun || mayLeaveUnknown)) return [];
+    const what = `${requestId}: the key is blocked: ${JSON.stringify(outcome)}`;
+    return [{promise: 'answered once', what}];
+  });
+}
+
+/** Calls back with what engines hold for a request just after its end. */
+export function watchRelease(
+  site: RequestSite,
+  requestId: string,
+  onHeld: (what: string) => void,
+): void {
+  site.clock.setTimer(RELEASE_WITHIN_MS, () => {
+    for (const engine of [...site.prefill, ...site.decode]) {
+      const {sessions, engineId, isUp} = engine.books();
+      const isHeld =
+        isUp && sessions.some(({owner}) => owner.requestId === requestId);
+      if (isHeld) onHeld(`${engineId} holds memory of ended ${requestId}`);
+    }
+  });
+}
+
 export function observeSite(
   site: RequestSite,
   records: readonly SendRecord[],
@@ -209,7 +266,13 @@
     ...records.flatMap(record => checkNotRun(site, record)),
     ...checkOnce(site, records),
     ...records.flatMap(checkFinal),
+    ...records.flatMap(checkDrain),
     ...checkLeaving(site),
+    ...checkRepeats(site, records, faults.mayLeaveUnknown),
+    ...faults.heldAfterEnd.map(what => ({
+      promise: 'nothing held by the gone' as const,
+      what,
+    })),
     ...checkRecovery(records, faults.healedAtMs),
   ];
 }
--- a/src/core/request/model_machine.ts
+++ b/src/core/request/model_machine.ts
@@ -489,6 +489,14 @@
   },
   'start-due'(facts, state, event) {
     if (!isCurrent(state, event.attempt, 'awaiting-start')) return stay(state);
+    if (event.isStale) {
+      const asked = askGrant(state);
+      return stay(
+        asked.state,
+        ...endGrant(state, 'cancelled'),
+        ...asked.effects,
+      );
+    }
     if (!canServe(facts, state, event.nowMs)) {
       return giveUp(state, waitOver(facts, state));
     }
--- a/src/core/request/model_types.ts
+++ b/src/core/request/model_types.ts
@@ -109,6 +109,8 @@
       readonly kind: 'start-due';
       readonly attempt: number;
       readonly nowMs: number;
+      /** The process was paused meanwhile, so the grant may have lapsed. */
+      readonly isStale: boolean;
     }
   | {
       readonly kind: 'prefill-done';
--- a/src/request/journal_owner.ts
+++ b/src/request/journal_owner.ts
@@ -95,6 +95,8 @@
 const PLATFORM_RETRY_AFTER_MS = 1_000;
 const NOT_OWNER_RETRY_AFTER_MS = 200;
 const IN_DOUBT_PROBE_MS = 500;
+/** Writes that may be ahead of the rate, so that a lone call need not wait. */
+const WRITE_BURST = 3;
 
 function refused(
   reason: 'platform' | 'not-owner' | 'overloaded',
@@ -234,7 +236,8 @@
 
   function schedule(delayMs: number): void {
     if (roundTimer || isInRound || isClosed) return;
-    const budgetMs = nextWriteAtMs - clock.nowMs();
+    const budgetMs =
+      nextWriteAtMs - WRITE_BURST * writeIntervalMs - clock.nowMs();
     roundTimer = clock.setTimer(Math.max(delayMs, budgetMs), () => {
       roundTimer = undefined;
       void runRound();
@@ -243,7 +246,7 @@
 
   async function runRound(): Promise<void> {
     isInRound = true;
-    nextWriteAtMs = clock.nowMs() + writeIntervalMs;
+    nextWriteAtMs = Math.max(nextWriteAtMs, clock.nowMs()) + writeIntervalMs;
     const isProbe = troubledSinceMs !== undefined || committer.isInDoubt();
     const result = await committer
       .round(isProbe)
--- a/src/request/request_runner.ts
+++ b/src/request/request_runner.ts
@@ -15,6 +15,7 @@
   type ModelTask,
 } from './model_task.js';
 import {createPlainTask} from './plain_task.js';
+import {createPauseWatch} from './pause_watch.js';
 import {createReleaser} from './releaser.js';
 import {
   defaultRequestRunnerOptions,
@@ -71,6 +72,7 @@
   options: RequestRunnerOptions = defaultRequestRunnerOptions,
 ): SweptRequestRunner {
   const releaser = createReleaser(host);
+  const pauseWatch = createPauseWatch(host.clock);
   const keyedTasks = new Map<LiveAnswer, ModelTask>();
   /** By request id; a caller may give the same id to several. */
   const runningIds = new Map<string, number>();
@@ -101,6 +103,7 @@
       host,
       options,
       releaser,
+      pauseWatch,
       request,
       directOutput(sink),
       () => noteEnded(request.requestId),
@@ -133,6 +136,7 @@
       host,
       options,
       releaser,
+      pauseWatch,
       request,
       liveOutput(live),
       () => {
