--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -10,7 +10,9 @@
   configRollback,
   configShow,
 } from './commands/revision_commands.js';
+import {scenarioRun} from './commands/scenario_command.js';
 import {serve} from './commands/serve_command.js';
+import {standInCommands} from './commands/stand_in_command.js';
 
 export const commands: readonly Command[] = [
   serve,
@@ -22,6 +24,8 @@
   configRollback,
   status,
   drain,
+  ...standInCommands,
   bench,
+  scenarioRun,
   showVersion,
 ];
