--- a/bench/support/request_site.ts
+++ b/bench/support/request_site.ts
@@ -35,6 +35,7 @@
 } from '../../stand_ins/service_core.js';
 import {createSiteEntry, type Mutant, type SiteEntry} from './site_entry.js';
 import {createSiteLeases, type SiteLeases} from './site_leases.js';
+import {createDispatcherHome} from './dispatcher_home.js';
 import {createSmallHome, type SmallHome} from './small_home.js';
 
 export const ENTRY_COUNT = 3;
@@ -135,18 +136,20 @@
   const decode = [0, 1, 2].map(index => addEngine('decode', index));
   const plain = [0, 1].map(addService);
   const enginePort = (address: string) => engines.get(address)!;
-  const home = createSmallHome({
-    clock,
-    enginePort,
-    prefill: prefill.map((_, index) => ({
-      engineId: `prefill-${index}`,
-      address: addressOf('prefill', index),
-    })),
-    decode: decode.map((_, index) => ({
-      engineId: `decode-${index}`,
-      address: addressOf('decode', index),
-    })),
-  });
+  const home = mutant.hasRealHome
+    ? createDispatcherHome({clock, enginePort, engines})
+    : createSmallHome({
+        clock,
+        enginePort,
+        prefill: prefill.map((_, index) => ({
+          engineId: `prefill-${index}`,
+          address: addressOf('prefill', index),
+        })),
+        decode: decode.map((_, index) => ({
+          engineId: `decode-${index}`,
+          address: addressOf('decode', index),
+        })),
+      });
 
   const picker: PlainUpstreamPicker = {
     pick(_service, excludeIds): PickedUpstream | undefined {
--- a/bench/support/site_entry.ts
+++ b/bench/support/site_entry.ts
@@ -54,6 +54,8 @@
   wrapGrants?(grants: GrantPort): GrantPort;
   /** Turns the sweep off, which would hide a forgotten release. */
   readonly hasNoSweep?: boolean;
+  /** The real shard home in place of the small one. */
+  readonly hasRealHome?: boolean;
   /** Only schedules in which no entry dies or pauses. */
   readonly needsLivingEntries?: boolean;
 }
@@ -134,7 +136,13 @@
   const fences = new Map<number, PartitionFence>();
   const owners = new Map<number, JournalOwner>();
 
+  const enginePorts = new Map<string, EnginePort>();
   const enginePort: EnginePortFactory = target => {
+    const known = enginePorts.get(target) ?? connect(target);
+    enginePorts.set(target, known);
+    return known;
+  };
+  function connect(target: string): EnginePort {
     const engine = host.enginePort(target);
     const port = shell.port(engine);
     return {
@@ -146,7 +154,7 @@
       decode: (call, sink) =>
         port.decode(call, event => shell.inside(() => sink(event))),
     };
-  };
+  }
   const plainPort: PlainServicePortFactory = target =>
     shell.port(host.plainPort(target));
   const quarantine = createQuarantine({
--- /dev/null
+++ b/tests/request/quarantine_test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import {
+  createQuarantine,
+  type Quarantine,
+} from '../../src/request/quarantine.js';
+
+/** Entries whose facts reach each other at once. */
+function createEntries(count: number) {
+  const clock = createVirtualClock();
+  const entries: Quarantine[] = [];
+  for (let i = 0; i < count; i++) {
+    entries.push(
+      createQuarantine({
+        clock,
+        spread(fact) {
+          entries.forEach((other, j) => {
+            if (j !== i) other.learn(fact);
+          });
+        },
+      }),
+    );
+  }
+  return {clock, entries};
+}
+
+// A request kills the engine that runs it. Its caller sends it again, each
+// time to another entry. The third sending must be refused everywhere.
+test('a lone poisonous request costs two engines, whatever entry it asks', () => {
+  const {clock, entries} = createEntries(3);
+  assert.equal(entries[0].blame('poison', 'engine-1'), 'suspect');
+  clock.advanceSync(20_000);
+  assert.equal(entries[1].blame('poison', 'engine-2'), 'quarantined');
+  assert.equal(entries[2].verdict('poison'), 'quarantined');
+  assert.equal(entries[2].verdict('other'), 'clear');
+  clock.advanceSync(700_000);
+  assert.equal(entries[2].verdict('poison'), 'clear');
+});
+
+// Two requests run in one engine when it dies, and only one is to blame. Tried
+// again one after the other, the innocent one ends whole and is cleared.
+test('of two suspects only the poisonous one stays refused', () => {
+  const {clock, entries} = createEntries(1);
+  const [quarantine] = entries;
+  quarantine.blame('poison', 'engine-1');
+  quarantine.blame('innocent', 'engine-1');
+  const turns: string[] = [];
+  quarantine.enterTrial('poison', 'r1', () => turns.push('poison'));
+  quarantine.enterTrial('innocent', 'r2', () => turns.push('innocent'));
+  assert.deepEqual(turns, ['poison']);
+  clock.advanceSync(1_000);
+  quarantine.blame('poison', 'engine-2');
+  quarantine.leaveTrial('r1');
+  assert.deepEqual(turns, ['poison', 'innocent']);
+  quarantine.clear('innocent');
+  assert.equal(quarantine.verdict('innocent'), 'clear');
+  assert.equal(quarantine.verdict('poison'), 'quarantined');
+});
+
+test('two reports of one death are one loss', () => {
+  const {clock, entries} = createEntries(2);
+  clock.advanceSync(9_990);
+  entries[0].blame('f', 'engine-1');
+  clock.advanceSync(20);
+  assert.equal(entries[1].blame('f', 'engine-1'), 'suspect');
+});
