--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -27,6 +27,11 @@
 
 const STEP_MS = 50;
 const CONCURRENT = 100;
+/** More than a round of the relay comparison takes. */
+const RELAY_TOKENS = 4_000;
+const LATENCY_STEP_MS = 10;
+const LATENCY_TOKENS = 100;
+const ANSWER_MS = LATENCY_STEP_MS * LATENCY_TOKENS;
 const PIPE_MODULE = new URL('./overhead_pipe.js', import.meta.url);
 const WARM_UP_MS = 2_000;
 const MS_PER_SECOND = 1_000;
@@ -62,7 +67,8 @@
   const timings: Timing[] = [];
   let failures = 0;
   async function worker(): Promise<void> {
-    await sleep(Math.random() * STEP_MS);
+    // Spread over one answer's time, so that arrivals do not come in herds.
+    await sleep(Math.random() * ANSWER_MS);
     while (performance.now() < endMs) {
       const timing = await one();
       if (timing) timings.push(timing);
@@ -139,14 +145,15 @@
 }
 
 async function measureLatency(rounds: number, seconds: number): Promise<void> {
-  const maxTokens = 100;
+  const maxTokens = LATENCY_TOKENS;
   const fleet = await startFleet({
     hostCount: 1,
-    prefillCount: 1,
+    prefillCount: 8,
     decodeCount: 8,
     serviceCount: 1,
     engineFlags: [
-      ...['--step-ms', '10', '--answer-tokens', '400', '--kv-gib', '1000'],
+      ...['--step-ms', String(LATENCY_STEP_MS), '--answer-tokens', '400'],
+      ...['--kv-gib', '1000'],
       ...['--prefill-base-ms', '1', '--prefill-ms-per-token', '0'],
       ...['--link-bytes-per-ms', '1000000000'],
     ],
@@ -155,17 +162,18 @@
     clock: createSystemClock(),
     random: createSystemRandom(),
   });
-  const [prefillAddress] = fleet.prefillAddresses;
-  const prefill = factory(prefillAddress);
+  const prefills = fleet.prefillAddresses.map(factory);
   const decodes = fleet.decodeAddresses.map(factory);
   let turn = 0;
-  const direct = () =>
-    callDirectly(
-      prefill,
-      prefillAddress,
-      decodes[turn++ % decodes.length],
+  const direct = () => {
+    const index = turn++ % decodes.length;
+    return callDirectly(
+      prefills[index],
+      fleet.prefillAddresses[index],
+      decodes[index],
       maxTokens,
     );
+  };
   const [{callerAddress}] = fleet.hosts;
   const routed = () => callThroughRouter(callerAddress, maxTokens);
   await runClosedLoop(WARM_UP_MS, direct);
@@ -253,7 +261,8 @@
   const url = `http://${host.callerAddress}/v1/chat/completions`;
   return {
     child: host.child,
-    start: () => streamAnswer(url, headers, chatBody(nextPrompt(), 100_000)),
+    start: () =>
+      streamAnswer(url, headers, chatBody(nextPrompt(), RELAY_TOKENS)),
   };
 }
 
