Send each streamed token as one chunk in one write

Relaying cost most in writev: response.write passes a chunk's size, text and end apart. The event stream now writes one string a token to the socket once the head is out.

--- a/src/entry/openai_answer.ts
+++ b/src/entry/openai_answer.ts
@@ -8,6 +8,7 @@
 import type {ServerResponse} from 'node:http';
 import type {RequestError} from '../core/error_kinds.js';
 import type {ModelAnswerSink} from '../ports/answer_sink.js';
+import {createEventStream, type EventStream} from './event_stream.js';
 import type {CompletionApi} from './openai_request.js';
 import {createProblem, writeProblem} from './problem.js';
 
@@ -82,31 +83,28 @@
   context: AnswerContext,
 ): ModelAnswerSink {
   const head = createHead(context);
-  const [frameStart, frameEnd] = choiceFrames[context.api];
-  const prefix = head + frameStart;
-  let isBegun = false;
+  const [frameStart, suffix] = choiceFrames[context.api];
+  let stream: EventStream | undefined;
 
-  function begin(): void {
-    isBegun = true;
-    response.writeHead(200, {
-      'content-type': 'text/event-stream',
-      'cache-control': 'no-store',
+  function begin(): EventStream {
+    stream ??= createEventStream(response, {
+      prefix: head + frameStart,
+      suffix,
     });
+    return stream;
   }
 
   return {
     tokens(_offset, texts) {
-      if (!isBegun) begin();
       const text = texts.length === 1 ? texts[0] : texts.join('');
-      response.write(prefix + JSON.stringify(text) + frameEnd);
+      begin().write(JSON.stringify(text));
     },
     end(finishReason) {
-      if (!isBegun) begin();
       const last = head + finalChoices[context.api](finishReason);
-      response.end(`${last}data: [DONE]\n\n`);
+      begin().end(`${last}data: [DONE]\n\n`);
     },
     fail(error: RequestError) {
-      if (!isBegun) {
+      if (!stream) {
         writeProblem(response, error, context.requestId);
         return;
       }
@@ -114,7 +112,7 @@
       const data = JSON.stringify({
         error: {...problem, message: problem.title},
       });
-      response.end(`event: error\ndata: ${data}\n\n`);
+      stream.end(`event: error\ndata: ${data}\n\n`);
     },
   };
 }
