--- a/bench/support/fleet.ts
+++ b/bench/support/fleet.ts
@@ -12,12 +12,13 @@
 export const MODEL_SERVICE = 'aruande-koostaja';
 export const PLAIN_SERVICE = 'uus-pearaamat';
 export const CALLER_KEY = 'bench-caller-key-0123';
+export const OPERATOR_KEY = 'bench-operator-key-0123456789';
 const KEYS = {
   CORIANDERBEND_PEER_KEY: 'bench-peer-key-0123456789',
-  CORIANDERBEND_OPERATOR_KEY: 'bench-operator-key-0123456789',
+  CORIANDERBEND_OPERATOR_KEY: OPERATOR_KEY,
 };
 const DOMAINS = ['ylikool-saal', 'annelinn-saal', 'raadi-ruum'];
-const READY_TIMEOUT_MS = 30_000;
+const READY_TIMEOUT_MS = 15_000;
 const POLL_MS = 100;
 
 export interface FleetOptions {
