--- a/src/coordination/facts.ts
+++ b/src/coordination/facts.ts
@@ -59,13 +59,12 @@
 /** Bounds memory against a publisher of ever new keys. */
 const MAX_FACTS = 20_000;
 const MAX_BODY_BYTES = 256;
+/** Beyond the first, own facts on a datagram stay within this. */
+const OWN_BYTES = 90;
 const MAX_TTL_MS = 3_600_000;
 
-/** `onOwnNews` is called when a relayed fact of this host is new to it. */
-export function createFactSpread(
-  clock: Clock,
-  onOwnNews: () => void,
-): FactSpread {
+/** `onNews` is called when there is a new fact to pass on. */
+export function createFactSpread(clock: Clock, onNews: () => void): FactSpread {
   const own = new Map<string, SentFact>();
   const heard = new Map<string, StoredFact>();
   const relays = createGossipQueue<string>();
@@ -99,21 +98,28 @@
     return isNews;
   }
 
-  /** Own facts go on every datagram, in turn when they do not all fit. */
+  function passOn(fact: SentFact): void {
+    relays.add(fact.key, fact.key, getFactSizeBytes(fact));
+    onNews();
+  }
+
+  /**
+   * Own facts take turns on the datagrams: one on each, and more while they
+   * are small, so that news always finds room in the budget.
+   */
   function takeOwn(roomBytes: number): SentFact[] {
     const facts = [...own.values()];
     const taken: SentFact[] = [];
-    let leftBytes = roomBytes;
+    let usedBytes = 0;
     for (let i = 0; i < facts.length; i++) {
       const fact = facts[(nextOwn + i) % facts.length];
-      const sizeBytes = getFactSizeBytes(fact);
-      if (sizeBytes > leftBytes) {
-        nextOwn = (nextOwn + i) % facts.length;
-        break;
-      }
-      leftBytes -= sizeBytes;
+      const sizeBytes = usedBytes + getFactSizeBytes(fact);
+      const limitBytes = taken.length === 0 ? roomBytes : OWN_BYTES;
+      if (sizeBytes > Math.min(roomBytes, limitBytes)) break;
+      usedBytes = sizeBytes;
       taken.push(fact);
     }
+    nextOwn = (nextOwn + taken.length) % Math.max(1, facts.length);
     return taken;
   }
 
@@ -132,9 +138,7 @@
       const fact = {key, version, body, ttlMs, isRelayed};
       own.set(key, fact);
       const isNews = store(fact, '');
-      if (!isNews || !isRelayed) return;
-      relays.add(key, key, getFactSizeBytes(fact));
-      onOwnNews();
+      if (isNews && isRelayed) passOn(fact);
     },
     withdraw(key) {
       own.delete(key);
@@ -158,9 +162,7 @@
     receive(fact, fromHostId) {
       if (fact.body.length > MAX_BODY_BYTES) return;
       const isNews = store(fact, fromHostId);
-      if (isNews && fact.isRelayed) {
-        relays.add(fact.key, fact.key, getFactSizeBytes(fact));
-      }
+      if (isNews && fact.isRelayed) passOn(fact);
     },
   };
 }
