--- a/src/serve/entry_liveness.ts
+++ b/src/serve/entry_liveness.ts
@@ -9,6 +9,19 @@
   return `${hostId}${SEPARATOR}${incarnation}`;
 }
 
+export interface SplitEntryTag {
+  readonly hostId: string;
+  readonly incarnation: number;
+}
+
+export function splitEntryTag(entry: string): SplitEntryTag {
+  const split = entry.lastIndexOf(SEPARATOR);
+  return {
+    hostId: entry.slice(0, split),
+    incarnation: Number(entry.slice(split + 1)),
+  };
+}
+
 export interface EntryLiveness {
   /** Tag of this process. */
   selfTag(): string;
@@ -25,9 +38,8 @@
       return createEntryTag(hostId, incarnation);
     },
     isAlive(entry) {
-      const split = entry.lastIndexOf(SEPARATOR);
-      const member = membership.get(entry.slice(0, split));
-      const incarnation = Number(entry.slice(split + 1));
+      const {hostId, incarnation} = splitEntryTag(entry);
+      const member = membership.get(hostId);
       // A member that was never heard of may be new: not known to be gone.
       if (!member || member.incarnation < incarnation) return true;
       if (member.incarnation > incarnation) return false;
--- a/src/serve/home_host.ts
+++ b/src/serve/home_host.ts
@@ -40,6 +40,8 @@
   update(plan: HomePlan): void;
   find(shardId: string): ShardHome | undefined;
   summaries(): readonly ShardSummary[];
+  /** Addresses of the engines of all homes here. */
+  engineAddresses(): readonly string[];
   /** An entry died: its grants and queue places are freed everywhere. */
   entryGone(entryTag: string): void;
   stop(): void;
@@ -220,6 +222,10 @@
     },
     find: shardId => homes.get(shardId)?.home,
     summaries: () => [...homes.values()].map(({home}) => home.summary()),
+    engineAddresses: () =>
+      [...homes.values()].flatMap(({engines}) =>
+        [...engines.values()].map(({engine}) => engine.address),
+      ),
     entryGone(entryTag) {
       for (const {home} of homes.values()) home.entryGone(entryTag);
     },
--- a/src/serve/peer_services.ts
+++ b/src/serve/peer_services.ts
@@ -14,6 +14,7 @@
   Home,
   Journal,
   Operator,
+  RequestPeer,
 } from '../generated/corianderbend/peer_pb.js';
 import type {AnswersHost} from './answers_host.js';
 import {
@@ -22,6 +23,7 @@
 } from './configuration_host.js';
 import type {GrantsHost} from './grants_host.js';
 import type {JournalHost} from './journal_host.js';
+import {createRequestPeerService} from './owner_inquiry.js';
 import {createOperatorService} from './operator_service.js';
 
 export interface PeerServiceParts {
@@ -29,6 +31,7 @@
   readonly configuration: ConfigurationHost;
   readonly grants: GrantsHost;
   readonly journal: JournalHost;
+  isRequestRunning(requestId: string): boolean;
   readStatus(): unknown;
   startDrain(boundMs: number): void;
 }
@@ -51,6 +54,7 @@
     createAnswerIndexService(() => answers.ownIndex),
   );
   router.service(AnswerPeer, createAnswerPeerService(answers.kept.serveRead));
+  router.service(RequestPeer, createRequestPeerService(parts.isRequestRunning));
   router.service(ConfigurationPeer, createConfigurationPeerService(keeper));
   router.service(Operator, createOperatorService({...parts, keeper}));
 }
--- a/src/serve/serve.ts
+++ b/src/serve/serve.ts
@@ -11,6 +11,7 @@
 import {createQuarantine} from '../request/quarantine.js';
 import {createRequestRunner} from '../request/request_runner.js';
 import {createRetryBudget} from '../request/retry_budget.js';
+import {createSweep} from '../request/sweep.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {createAnswersHost} from './answers_host.js';
 import {createConfigurationHost} from './configuration_host.js';
@@ -19,6 +20,7 @@
 import {createFleet} from './fleet.js';
 import {createGrantsHost} from './grants_host.js';
 import {createJournalHost} from './journal_host.js';
+import {createOwnerInquiry} from './owner_inquiry.js';
 import {addPeerServices} from './peer_services.js';
 import {createPeerServer} from './peer_server.js';
 import {createPlainUpstreams} from './plain_upstreams.js';
@@ -93,6 +95,15 @@
     ttftTargetMs: name => findService(name)?.targets.ttftMs,
   });
 
+  // What its owner no longer knows of is freed by the engine's home.
+  const inquiry = createOwnerInquiry(world, fleet, runner.isRunning);
+  const sweep = createSweep({
+    ...world,
+    log: createLogger('sweep'),
+    addresses: grants.homes.engineAddresses,
+    ownerState: inquiry.ownerState,
+  });
+
   const drain = createDrain({
     clock,
     log,
@@ -122,6 +133,7 @@
       configuration,
       grants,
       journal,
+      isRequestRunning: runner.isRunning,
       readStatus,
       startDrain: drain.start,
     }),
@@ -189,6 +201,7 @@
   stopSignals();
   if (cutCount > 0) log.error('Requests were cut.', {count: cutCount});
 
+  sweep.stop();
   upstreams.stop();
   grants.stop();
   directory.stop();
