--- a/scripts/check_guards.mjs
+++ b/scripts/check_guards.mjs
@@ -14,7 +14,7 @@
   writeFileSync,
 } from 'node:fs';
 import path from 'node:path';
-import {compile, root} from './toolchain.mjs';
+import {ensureCompiled, root} from './toolchain.mjs';
 
 const PARALLEL = 2;
 const TIMEOUT_MS = 120_000;
@@ -83,7 +83,7 @@
   }
 }
 
-compile();
+ensureCompiled();
 const {default: ts} = await import('typescript');
 rmSync(workFolder, {recursive: true, force: true});
 const queue = readGuards(process.argv.slice(2));
--- a/src/scenario/scenario_expectations.ts
+++ b/src/scenario/scenario_expectations.ts
@@ -151,6 +151,14 @@
     );
     return unless(wasted === args.getCount(0), `${wasted} wasted`);
   }),
+  define('<engine> free', (args, world) => {
+    const {sessions} = world.engines.get(args.getText(0))!.books();
+    return unless(sessions.length === 0, `${sessions.length} sessions`);
+  }),
+  define('home queues <count>', (args, world) => {
+    const queued = world.home.queuedCount();
+    return unless(queued === args.getCount(0), `${queued} requests`);
+  }),
   define('nothing held', (_, world) => {
     const held = findHeldSessions(world);
     return unless(held.length === 0, held.join(', '));
--- a/src/scenario/scenario_home.ts
+++ b/src/scenario/scenario_home.ts
@@ -20,6 +20,8 @@
 export interface ScenarioHome extends GrantPort {
   addEngine(address: string, engine: EngineCore): void;
   entryGone(entryTag: string): void;
+  /** Requests that wait for a grant. */
+  queuedCount(): number;
   crash(): void;
   /** Another process takes the shard over. */
   restart(): void;
@@ -174,6 +176,7 @@
       const {home, fence} = current;
       fence.deliver(() => home.entryGone(entryTag));
     },
+    queuedCount: () => current.home.summary().queued,
     crash: () => current.fence.kill(),
     restart() {
       current.fence.kill();
