--- a/src/core/settings_issues.ts
+++ b/src/core/settings_issues.ts
@@ -93,7 +93,7 @@
   context: IssueContext,
 ): Diagnostic {
   const position = locateValue(context.root, context.path);
-  const shown = describeNode(found);
+  const shown = describeShown(found, context.path);
   switch (issue.code) {
     case 'invalid_type':
       return createDiagnostic(
@@ -131,6 +131,14 @@
   }
 }
 
+/** A secret that was written wrongly must not reach a terminal or a log. */
+function describeShown(found: LocatedNode, path: readonly PathPart[]): string {
+  const isSecret = SECRET_NAME.test(String(path[path.length - 1]));
+  return isSecret ? 'another value' : describeNode(found);
+}
+
+const SECRET_NAME = /Key$/;
+
 type BoundIssue = Extract<Issue, {code: 'too_big' | 'too_small'}>;
 
 function describeBound(
--- a/src/scenario/scenario_expectations.ts
+++ b/src/scenario/scenario_expectations.ts
@@ -11,6 +11,7 @@
 }
 
 export interface ExpectationDefinition {
+  readonly pattern: string;
   readonly shape: StatementShape;
   run(args: StatementArguments, world: World): ExpectationFailure | void;
 }
@@ -19,6 +20,7 @@
   pattern: string,
   check: (args: StatementArguments, world: World) => string | undefined,
 ): ExpectationDefinition => ({
+  pattern: `expect ${pattern}`,
   shape: parseShape(`expect ${pattern}`),
   run(args, world) {
     const reason = check(args, world);
--- a/src/scenario/scenario_statements.ts
+++ b/src/scenario/scenario_statements.ts
@@ -12,6 +12,8 @@
 import {parseShape, type StatementShape} from './statement_shape.js';
 
 export interface StatementDefinitionWithRun {
+  /** As the reference shows it. */
+  readonly pattern: string;
   readonly shape: StatementShape;
   /** The result, if any, says why the scenario fails here. */
   run(
@@ -25,7 +27,11 @@
 const define = (
   pattern: string,
   run: StatementDefinitionWithRun['run'],
-): StatementDefinitionWithRun => ({shape: parseShape(pattern), run});
+): StatementDefinitionWithRun => ({
+  pattern,
+  shape: parseShape(pattern),
+  run,
+});
 
 const ENGINE_OPTIONS =
   '[slots <count>] [answer <count>] [step <duration>] [restart <duration>] ' +
@@ -321,10 +327,19 @@
   ),
 ];
 
-export const statementDefinitions: readonly StatementDefinitionWithRun[] = [
-  ...setup,
-  ...requests,
-  ...faults,
-  ...time,
-  ...expectationDefinitions,
+/** Statements of one kind, under the heading of the reference. */
+export interface StatementGroup {
+  readonly title: string;
+  readonly definitions: readonly StatementDefinitionWithRun[];
+}
+
+export const statementGroups: readonly StatementGroup[] = [
+  {title: 'Set up', definitions: setup},
+  {title: 'Requests', definitions: requests},
+  {title: 'Faults', definitions: faults},
+  {title: 'Time', definitions: time},
+  {title: 'Expectations', definitions: expectationDefinitions},
 ];
+
+export const statementDefinitions: readonly StatementDefinitionWithRun[] =
+  statementGroups.flatMap(group => group.definitions);
--- a/tests/settings/settings_reader_test.ts
+++ b/tests/settings/settings_reader_test.ts
@@ -107,6 +107,15 @@
   ]);
 });
 
+test('a secret that is no text is not shown', () => {
+  const {diagnostics} = readHostSettings({
+    source: {file: 'host.yaml', text: 'peerKey: 1234567890123456\n'},
+  });
+  const lines = diagnostics.map(formatDiagnostic).join('\n');
+  assert.match(lines, /host\.yaml\(1,10\): error CB2003: Expected a text/);
+  assert.doesNotMatch(lines, /1234567890/);
+});
+
 /** The same example with pieces of its text moved, cut and doubled. */
 function arbitraryText(): fc.Arbitrary<string> {
   const text = readExample('tammeoja/base.yaml').text;
