Record queueing, prefills, retries and table calls

Cause: metrics were declared that nothing fed. Change: grants, the table and the request tasks are metered on their way; frame drops are named as the machines name them.

--- a/src/adapters/metrics.ts
+++ b/src/adapters/metrics.ts
@@ -32,6 +32,9 @@
   /** A late or crossed frame that was dropped. */
   recordFrameDropped(reason: FrameDropReason): void;
   recordResume(labels: RequestLabels): void;
+  recordRetry(service: string, decision: RetryDecision): void;
+  /** An upstream was lost or failed while it ran a request. */
+  recordUpstreamBlamed(service: string): void;
   recordTableWrite(outcome: TableOutcome): void;
   recordTableRead(outcome: TableOutcome): void;
   recordJournalBatch(intentCount: number): void;
@@ -43,7 +46,9 @@
   readonly contentType: string;
 }
 
-export type FrameDropReason = 'other-attempt' | 'repeated' | 'gap';
+export type FrameDropReason = 'late' | 'crossed' | 'repeated';
+/** Whether a retry was made, or why not. */
+export type RetryDecision = 'made' | 'budget' | 'quarantined';
 export type TableOutcome =
   'applied' | 'rejected' | 'refused' | 'unknown' | 'read' | 'failed';
 
@@ -138,6 +143,16 @@
     'Streams resumed on another engine.',
     REQUEST_LABELS,
   );
+  const retries = counter(
+    'retries_total',
+    'Retries made, and retries that were denied and why.',
+    ['service', 'decision'],
+  );
+  const blamed = counter(
+    'upstreams_blamed_total',
+    'Upstreams that failed while they ran a request.',
+    ['service'],
+  );
   const tableWrites = counter(
     'table_writes_total',
     "Transactions on the platform's table.",
@@ -164,8 +179,9 @@
   let services: ReadonlySet<string> = new Set();
   let accounts: ReadonlySet<string> = new Set();
   // A caller could otherwise make a time series of each name it invents.
+  const boundService = (name: string) => (services.has(name) ? name : OTHER);
   const bound = (labels: RequestLabels) => ({
-    service: services.has(labels.service) ? labels.service : OTHER,
+    service: boundService(labels.service),
     account: accounts.has(labels.account) ? labels.account : OTHER,
     class: labels.requestClass,
   });
@@ -200,6 +216,10 @@
     },
     recordFrameDropped: reason => frames.inc({reason}),
     recordResume: labels => resumes.inc(bound(labels)),
+    recordRetry: (service, decision) =>
+      retries.inc({service: boundService(service), decision}),
+    recordUpstreamBlamed: service =>
+      blamed.inc({service: boundService(service)}),
     recordTableWrite: outcome => tableWrites.inc({outcome}),
     recordTableRead: outcome => tableReads.inc({outcome}),
     recordJournalBatch: intentCount => journalBatch.observe(intentCount),
--- a/src/serve/serve.ts
+++ b/src/serve/serve.ts
@@ -21,6 +21,7 @@
 import {createGrantsHost} from './grants_host.js';
 import {createJournalHost} from './journal_host.js';
 import {createOwnerInquiry} from './owner_inquiry.js';
+import {createRequestObserver, meterGrants} from './metered_requests.js';
 import {addPeerServices} from './peer_services.js';
 import {createPeerServer} from './peer_server.js';
 import {createPlainUpstreams} from './plain_upstreams.js';
@@ -82,11 +83,12 @@
     ...world,
     log: createLogger('request'),
     entry: liveness.selfTag(),
-    grants: grants.choice,
+    grants: meterGrants(world, grants.choice),
     journal: journal.journal,
     plainBalancer,
     quarantine,
     keptAnswers: answers.kept,
+    observer: createRequestObserver(metrics),
     retryBudget: createRetryBudget({
       burst: RETRY_BURST,
       ratioOf: name => findService(name)?.retryBudget ?? 0,
--- a/src/serve/world.ts
+++ b/src/serve/world.ts
@@ -8,6 +8,7 @@
 import {createHttpPlainServiceFactory} from '../adapters/http_plain_service.js';
 import {createHttpTable} from '../adapters/http_table.js';
 import {createMetrics, type Metrics} from '../adapters/metrics.js';
+import {meterTable} from '../adapters/metered_table.js';
 import {createPeerTransports} from '../adapters/peer_connection.js';
 import {createSystemClock} from '../adapters/system_clock.js';
 import {createSystemRandom} from '../adapters/system_random.js';
@@ -47,6 +48,7 @@
   const clock = createSystemClock();
   const random = createSystemRandom();
   const platform = {baseUrl: host.platformUrl};
+  const metrics = createMetrics(new Registry());
   const log = createLogger('datagram');
   const datagrams = await createUdpDatagramPort(host.peerAddress, error =>
     log.warn('The datagram socket failed.', {reason: error.message}),
@@ -57,8 +59,8 @@
     random,
     createLogger,
     datagrams,
-    metrics: createMetrics(new Registry()),
-    table: createHttpTable({clock}, platform),
+    metrics,
+    table: meterTable(metrics, createHttpTable({clock}, platform)),
     objectStore: createHttpObjectStore({clock}, platform),
     hostList: createHttpHostList({clock}, platform),
     enginePort: rememberByAddress(createHttpEngineFactory({clock, random})),
