--- a/src/serve/serve.ts
+++ b/src/serve/serve.ts
@@ -11,6 +11,7 @@
 import {createQuarantine} from '../request/quarantine.js';
 import {createRequestRunner} from '../request/request_runner.js';
 import {createRetryBudget} from '../request/retry_budget.js';
+import {createSweep} from '../request/sweep.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {createAnswersHost} from './answers_host.js';
 import {createConfigurationHost} from './configuration_host.js';
@@ -19,6 +20,8 @@
 import {createFleet} from './fleet.js';
 import {createGrantsHost} from './grants_host.js';
 import {createJournalHost} from './journal_host.js';
+import {createOwnerInquiry} from './owner_inquiry.js';
+import {createRequestObserver, meterGrants} from './metered_requests.js';
 import {addPeerServices} from './peer_services.js';
 import {createPeerServer} from './peer_server.js';
 import {createPlainUpstreams} from './plain_upstreams.js';
@@ -80,11 +83,12 @@
     ...world,
     log: createLogger('request'),
     entry: liveness.selfTag(),
-    grants: grants.choice,
+    grants: meterGrants(world, grants.choice),
     journal: journal.journal,
     plainBalancer,
     quarantine,
     keptAnswers: answers.kept,
+    observer: createRequestObserver(metrics),
     retryBudget: createRetryBudget({
       burst: RETRY_BURST,
       ratioOf: name => findService(name)?.retryBudget ?? 0,
@@ -93,6 +97,15 @@
     ttftTargetMs: name => findService(name)?.targets.ttftMs,
   });
 
+  // What its owner no longer knows of is freed by the engine's home.
+  const inquiry = createOwnerInquiry(world, fleet, runner.isRunning);
+  const sweep = createSweep({
+    ...world,
+    log: createLogger('sweep'),
+    addresses: grants.homes.engineAddresses,
+    ownerState: inquiry.ownerState,
+  });
+
   const drain = createDrain({
     clock,
     log,
@@ -122,6 +135,7 @@
       configuration,
       grants,
       journal,
+      isRequestRunning: runner.isRunning,
       readStatus,
       startDrain: drain.start,
     }),
@@ -189,6 +203,7 @@
   stopSignals();
   if (cutCount > 0) log.error('Requests were cut.', {count: cutCount});
 
+  sweep.stop();
   upstreams.stop();
   grants.stop();
   directory.stop();
