Measure the choice between shards

Cause: spill and two choices over lagging summaries had no row. Change: npm run bench -- policy shards runs four homes and four entries.

--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -1,7 +1,7 @@
 /**
  * `npm run bench -- policy [PART...] [--seeds N]`: measures scheduling in
  * virtual time against small engine fakes. Parts: splits, bars, ideas, faults,
- * weights, returns, takeover, plots (writes docs/operators/plots); all if none.
+ * weights, returns, takeover, shards, plots (writes docs/operators/plots); all if none.
  */
 
 import {parseArgs} from 'node:util';
@@ -10,6 +10,7 @@
 import {runIdeas} from './policy/ideas.js';
 import {runReturns, runWeights} from './policy/knobs.js';
 import {runPlots} from './policy/plots.js';
+import {runShards} from './policy/shards.js';
 import {runTakeovers} from './policy/takeover.js';
 import {SHAPES} from './policy/workload.js';
 
@@ -37,16 +38,18 @@
 }
 
 /** Parts of the bench by name. */
-const parts: Readonly<Record<string, (seeds: number) => void>> = {
-  splits: printSplits,
-  bars: runBars,
-  ideas: runIdeas,
-  faults: runFaultBars,
-  weights: runWeights,
-  returns: runReturns,
-  takeover: runTakeovers,
-  plots: runPlots,
-};
+const parts: Readonly<Record<string, (seeds: number) => void | Promise<void>>> =
+  {
+    splits: printSplits,
+    bars: runBars,
+    ideas: runIdeas,
+    faults: runFaultBars,
+    weights: runWeights,
+    returns: runReturns,
+    takeover: runTakeovers,
+    shards: runShards,
+    plots: runPlots,
+  };
 
 export async function run(args: readonly string[]): Promise<void> {
   const {values, positionals} = parseArgs({
@@ -56,5 +59,5 @@
   });
   const seeds = Number(values.seeds ?? DEFAULT_SEEDS);
   const wanted = positionals.length > 0 ? positionals : Object.keys(parts);
-  for (const name of wanted) parts[name](seeds);
+  for (const name of wanted) await parts[name](seeds);
 }
--- a/bench/policy/bars.ts
+++ b/bench/policy/bars.ts
@@ -21,7 +21,7 @@
 import {SHAPES, type Shape} from './workload.js';
 
 const LOADS = [0.9, 1.3, 2.0] as const;
-const FIRST_SEED = 100;
+export const FIRST_SEED = 100;
 
 export function runSeeds(
   shape: Shape,
--- a/bench/policy/capacity_bound.ts
+++ b/bench/policy/capacity_bound.ts
@@ -102,6 +102,7 @@
   const means = measureMeans(shape);
   const result: Capacity[] = [];
   for (let prefill = 1; prefill < shape.engines; prefill++) {
+    if (prefill % (shape.prefillStep ?? 1) !== 0) continue;
     result.push(capacityOf(means, prefill, shape.engines - prefill));
   }
   return result;
@@ -110,12 +111,13 @@
 const bestByName = new Map<string, Capacity>();
 
 export function bestSplit(shape: Shape): Capacity {
-  let best = bestByName.get(shape.name);
+  const key = `${shape.name}/${shape.engines}`;
+  let best = bestByName.get(key);
   if (!best) {
     best = splits(shape).reduce((a, b) =>
       b.ratePerSecond > a.ratePerSecond ? b : a,
     );
-    bestByName.set(shape.name, best);
+    bestByName.set(key, best);
   }
   return best;
 }
--- a/bench/policy/scheduler.ts
+++ b/bench/policy/scheduler.ts
@@ -39,7 +39,7 @@
 ) => Scheduler;
 
 /** First guesses near the truth, as an operator would set them. */
-const GUESSES = {
+export const GUESSES = {
   prefillOverheadMs: ENGINE.prefillOverheadMs,
   prefillMsPerToken: 1 / ENGINE.prefillTokensPerMs,
   kvBytesPerToken: ENGINE.kvBytesPerToken,
@@ -195,7 +195,10 @@
       ['+deadline order', {order: 'deadline'}],
       ['+refuse early', {refuseEarly: true}],
       ['+refuse, fair', {refuseEarly: true, isFair: true}],
-      ['+forecast slots', {promiseFromForecast: true}],
+      [
+        '+forecast slots',
+        {promiseFromForecast: true, forecastConfidence: 0.95},
+      ],
       ['+link timetable', {scheduleLinks: true}],
       ['+prefix cache', {usePrefixCache: true}],
       ['+health', {watchHealth: true}],
--- /dev/null
+++ b/bench/policy/shards.ts
@@ -0,0 +1,193 @@
+/**
+ * Four shards, one in each failure domain, and entries that choose among
+ * their homes from summaries that lag. Most callers come to one entry.
+ */
+
+import type {ShardWeights} from '../../src/core/scheduling/shard_score.js';
+import {
+  createShardHome,
+  type ShardHome,
+} from '../../src/scheduling/shard_home.js';
+import {
+  createShardChoice,
+  type ShardChoice,
+  type ShardView,
+} from '../../src/scheduling/shard_choice.js';
+import type {ShardSummary} from '../../src/scheduling/dispatcher_types.js';
+import {FIRST_SEED} from './bars.js';
+import {NO_FAULT} from './faults.js';
+import type {RunResult} from './metrics.js';
+import {GUESSES, type SchedulerFactory} from './scheduler.js';
+import {DEFAULT_PLAN, runOnceAsync} from './simulation.js';
+import {percent, printHeader, printRow} from './table.js';
+import {SHAPES, type Shape} from './workload.js';
+
+const SHARDS = 4;
+const SUMMARY_EVERY_MS = 1_000;
+const SUMMARY_LAG_MS = 500;
+/** Share of all callers that use the first entry. */
+const FIRST_ENTRY_SHARE = 0.55;
+const DURATION_MS = 60_000;
+const silentLog = {error() {}, warn() {}, info() {}, debug() {}};
+
+const SHAPE: Shape = {
+  ...SHAPES.bekejel,
+  engines: SHARDS * SHAPES.bekejel.engines,
+  prefillStep: SHARDS,
+};
+
+interface ChoiceCase {
+  readonly name: string;
+  readonly weights?: Partial<ShardWeights>;
+  readonly spillMs?: number;
+  readonly maxBusy?: number;
+  /** Shards that an entry looks at. */
+  readonly sees: (view: ShardView, ownDomain: string) => boolean;
+}
+
+const all = () => true;
+
+const CASES: readonly ChoiceCase[] = [
+  {name: 'as it ships', sees: all},
+  {name: 'own domain only', sees: (view, own) => view.failureDomain === own},
+  {name: 'summaries alone', weights: {shortSlotMs: 0}, sees: all},
+  {name: 'no preference', weights: {awayMs: 0}, spillMs: -1e6, sees: all},
+  {name: 'one ask', maxBusy: 1, sees: all},
+  {name: 'four asks', maxBusy: 4, sees: all},
+];
+
+interface Published {
+  readonly summary: ShardSummary;
+  readonly atMs: number;
+}
+
+function makeFactory(choiceCase: ChoiceCase): SchedulerFactory {
+  return (clock, random, shape) => {
+    const host = {clock, random, log: silentLog};
+    const homes: ShardHome[] = shape.domains.map(domain =>
+      createShardHome(host, {
+        shardId: domain,
+        homeEpoch: 1,
+        service: shape.service,
+        targets: {
+          ttftMs: shape.ttftMs.interactive,
+          tokenIntervalMs: shape.tokenIntervalMs,
+          waitMs: shape.waitMs.patient,
+        },
+        wasteWeight: shape.wasteWeight,
+        maxQueued: 2_000,
+        guesses: GUESSES,
+      }),
+    );
+    const published = new Map<string, Published>();
+    const publish = () => {
+      homes.forEach((home, i) => {
+        const summary = home.summary();
+        const atMs = clock.nowMs();
+        clock.setTimer(SUMMARY_LAG_MS, () =>
+          published.set(shape.domains[i], {summary, atMs}),
+        );
+      });
+      if (clock.nowMs() < DEFAULT_PLAN.warmUpMs + DURATION_MS) {
+        clock.setTimer(SUMMARY_EVERY_MS, publish);
+      }
+    };
+    publish();
+
+    const views = (): ShardView[] =>
+      homes.map((home, i) => {
+        const domain = shape.domains[i];
+        const known = published.get(domain);
+        return {
+          shardId: domain,
+          failureDomain: domain,
+          grantPort: home,
+          summary: known?.summary,
+          ageMs: known ? clock.nowMs() - known.atMs : 0,
+        };
+      });
+    const entries: ShardChoice[] = shape.domains.map(ownFailureDomain =>
+      createShardChoice(host, {
+        ownFailureDomain,
+        shards: () =>
+          views().filter(view => choiceCase.sees(view, ownFailureDomain)),
+        weights: choiceCase.weights,
+        spillMs: choiceCase.spillMs,
+        maxBusy: choiceCase.maxBusy,
+      }),
+    );
+    const grantOwners = new Map<string, Parameters<ShardChoice['report']>[0]>();
+    const entryOf = new Map<string, ShardChoice>();
+
+    function pickEntry(): ShardChoice {
+      if (random.nextFloat() < FIRST_ENTRY_SHARE) return entries[0];
+      return entries[1 + random.nextInt(entries.length - 1)];
+    }
+
+    return {
+      ask(request, reply) {
+        const controller = new AbortController();
+        const entry = pickEntry();
+        void entry.request(request, controller.signal).then(outcome => {
+          if (outcome.kind === 'granted') {
+            grantOwners.set(outcome.grantId, outcome);
+            entryOf.set(outcome.grantId, entry);
+          }
+          reply(outcome);
+        });
+        return {cancel: () => controller.abort()};
+      },
+      report(grantId, progress) {
+        const grant = grantOwners.get(grantId);
+        if (!grant) return;
+        entryOf.get(grantId)!.report(grant, progress);
+        if (progress.kind !== 'ended') return;
+        grantOwners.delete(grantId);
+        entryOf.delete(grantId);
+      },
+      setEngines(engines) {
+        homes.forEach((home, i) =>
+          home.setEngines(
+            engines.filter(each => each.failureDomain === shape.domains[i]),
+          ),
+        );
+      },
+      applyLoadReport(report) {
+        for (const home of homes) home.applyLoadReport(report);
+      },
+      applyCacheEvents(engineId, events) {
+        for (const home of homes) home.applyCacheEvents(engineId, events);
+      },
+      engineGone(engineId) {
+        for (const home of homes) home.engineGone(engineId);
+      },
+      books: () => homes.flatMap(home => home.books()),
+      stop() {
+        for (const home of homes) home.stop();
+      },
+    };
+  };
+}
+
+export async function runShards(seeds: number): Promise<void> {
+  for (const load of [0.9, 1.3]) {
+    printHeader(
+      `4 shards of 13 engines at ${load}, ${percent(FIRST_ENTRY_SHARE)} of callers at one entry`,
+    );
+    for (const each of CASES) {
+      const runs: RunResult[] = [];
+      for (let i = 0; i < seeds; i++) {
+        const plan = {
+          ...DEFAULT_PLAN,
+          durationMs: DURATION_MS,
+          shape: SHAPE,
+          seed: FIRST_SEED + i,
+          load,
+          faults: NO_FAULT,
+        };
+        runs.push(await runOnceAsync(plan, makeFactory(each)));
+      }
+      printRow(each.name, runs);
+    }
+  }
+}
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -4,7 +4,10 @@
  */
 
 import {createSeededRandom} from '../../src/core/seeded_random.js';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import {
+  createVirtualClock,
+  type VirtualClock,
+} from '../../src/core/virtual_clock.js';
 import type {EngineDescription} from '../../src/core/scheduling/engine_book.js';
 import type {
   Grant,
@@ -117,7 +120,41 @@
   attempt: number;
 }
 
+/** One run, set up and not yet started. */
+interface PreparedRun {
+  readonly clock: VirtualClock;
+  readonly totalMs: number;
+  hasLive(): boolean;
+  result(): RunResult;
+}
+
+/** Runs at full speed; for policies that answer without promises. */
 export function runOnce(plan: RunPlan, factory: SchedulerFactory): RunResult {
+  const run = prepareRun(plan, factory);
+  run.clock.advanceSync(run.totalMs);
+  // Lets everything end; the books may close a moment after the last answer.
+  for (let ms = 0; ms < DRAIN_MS && run.hasLive(); ms += DRAIN_STEP_MS) {
+    run.clock.advanceSync(DRAIN_STEP_MS);
+  }
+  run.clock.advanceSync(2 * DRAIN_STEP_MS);
+  return run.result();
+}
+
+/** As `runOnce`, letting promises settle after each timer. */
+export async function runOnceAsync(
+  plan: RunPlan,
+  factory: SchedulerFactory,
+): Promise<RunResult> {
+  const run = prepareRun(plan, factory);
+  await run.clock.advance(run.totalMs);
+  for (let ms = 0; ms < DRAIN_MS && run.hasLive(); ms += DRAIN_STEP_MS) {
+    await run.clock.advance(DRAIN_STEP_MS);
+  }
+  await run.clock.advance(2 * DRAIN_STEP_MS);
+  return run.result();
+}
+
+function prepareRun(plan: RunPlan, factory: SchedulerFactory): PreparedRun {
   const {shape} = plan;
   const clock = createVirtualClock();
   const random = createSeededRandom(plan.seed);
@@ -510,15 +547,18 @@
   noteCapacity();
   publishCacheEvents();
   plan.faults.schedule({clock, cluster, scheduler, random});
-  clock.advanceSync(plan.warmUpMs + plan.durationMs);
-  // Lets everything end; the books may close a moment after the last answer.
-  for (let ms = 0; ms < DRAIN_MS && live.size > 0; ms += DRAIN_STEP_MS) {
-    clock.advanceSync(DRAIN_STEP_MS);
+  function result(): RunResult {
+    const openBooks = scheduler
+      .books()
+      .filter(book => book.usedSlots > 0 || Math.abs(book.usedKvBytes) > 1);
+    scheduler.stop();
+    return metrics.result(nextId, live.size, openBooks.length, cluster);
   }
-  clock.advanceSync(2 * DRAIN_STEP_MS);
-  const openBooks = scheduler
-    .books()
-    .filter(book => book.usedSlots > 0 || Math.abs(book.usedKvBytes) > 1);
-  scheduler.stop();
-  return metrics.result(nextId, live.size, openBooks.length, cluster);
+
+  return {
+    clock,
+    totalMs: plan.warmUpMs + plan.durationMs,
+    hasLive: () => live.size > 0,
+    result,
+  };
 }
--- a/bench/policy/workload.ts
+++ b/bench/policy/workload.ts
@@ -8,6 +8,8 @@
   readonly service: string;
   readonly domains: readonly string[];
   readonly engines: number;
+  /** Prefill engines come in multiples of this; one for each shard. */
+  readonly prefillStep?: number;
   readonly wasteWeight: number;
   /** Prompt lengths are log-normal, cut off on both sides. */
   readonly medianPromptTokens: number;
--- a/src/core/scheduling/prefix_index.ts
+++ b/src/core/scheduling/prefix_index.ts
@@ -81,7 +81,10 @@
   function insert(entries: EngineEntries, hashes: readonly string[]): void {
     // Longest first, so that the shortest prefixes, which serve the most
     // prompts, are the youngest and stay longest.
+    const isRoomy = entries.hashes.size < entriesPerEngine / 2;
     for (let i = hashes.length - 1; i >= 0; i--) {
+      // Age matters only once something has to go.
+      if (isRoomy && entries.hashes.has(hashes[i])) continue;
       entries.hashes.delete(hashes[i]);
       entries.hashes.add(hashes[i]);
     }
