--- a/bench/process_faults.ts
+++ b/bench/process_faults.ts
@@ -244,8 +244,9 @@
   };
 }
 
-function startSite(): Promise<Fleet> {
+function startSite(logLevel?: string): Promise<Fleet> {
   return startFleet({
+    logLevel,
     hostCount: HOSTS,
     prefillCount: 2,
     decodeCount: 8,
@@ -277,14 +278,14 @@
       only: {type: 'string'},
       seconds: {type: 'string', default: '15'},
       lost: {type: 'string', default: String(LOST_SHARE)},
-      log: {type: 'boolean', default: false},
+      log: {type: 'string'},
     },
   });
   const names = values.only?.split(',') ?? Object.keys(trials);
   const answerLostShare = Number(values.lost);
   let badCount = 0;
   for (const name of names) {
-    const fleet = await startSite();
+    const fleet = await startSite(values.log);
     await putJson(`${fleet.platformUrl}/faults`, {answerLostShare});
     const verdict = await trials[name](fleet, Number(values.seconds));
     if (!verdict.isGood) badCount++;
--- a/bench/support/fleet.ts
+++ b/bench/support/fleet.ts
@@ -31,6 +31,7 @@
   readonly platformFlags?: readonly string[];
   readonly serviceFlags?: readonly string[];
   readonly coordination?: Readonly<Record<string, number>>;
+  readonly logLevel?: string;
   readonly modelTargets?: Readonly<Record<string, number>>;
 }
 
@@ -222,11 +223,12 @@
   const serviceAddresses = services.map(one => one.addresses[0]);
 
   const ports = await findFreePorts(options.hostCount * 2);
+  const logLevel = options.logLevel ?? 'warn';
   function startHost(index: number): Child {
     const file = path.join(folder, `host-${index + 1}.yaml`);
     return startProgram(
       `host-${index + 1}`,
-      ['serve', '--host-file', file, '--log-level', 'warn'],
+      ['serve', '--host-file', file, '--log-level', logLevel],
       KEYS,
     );
   }
--- a/src/coordination/circuit.ts
+++ b/src/coordination/circuit.ts
@@ -20,6 +20,8 @@
   state(): CircuitState;
   /** 0 when a call may go now, else how long to wait. */
   admit(): number;
+  /** An admitted call was not made after all; another may go at once. */
+  withdrawn(): void;
   succeeded(): void;
   failed(): void;
 }
@@ -55,6 +57,11 @@
       probeUntilMs = nowMs + options.maxOpenMs;
       return 0;
     },
+    withdrawn() {
+      if (state !== 'half-open') return;
+      state = 'open';
+      openUntilMs = clock.nowMs();
+    },
     succeeded() {
       state = 'closed';
       failures = 0;
--- a/src/coordination/table_client.ts
+++ b/src/coordination/table_client.ts
@@ -165,6 +165,9 @@
     }
     const waitMs = readBudget.take(use.priority);
     if (waitMs > 0) {
+      // Else the probe that lets the circuit close would be waited for in
+      // vain, and nothing would go out for seconds.
+      circuit.withdrawn();
       counts.budgetRefusals++;
       const reason = 'The read budget of this host is used up.';
       return {outcome: {kind: 'failed', reason}, retryAfterMs: waitMs};
@@ -201,6 +204,9 @@
     }
     const waitMs = writeBudget.take(use.priority);
     if (waitMs > 0) {
+      // Else the probe that lets the circuit close would be waited for in
+      // vain, and nothing would go out for seconds.
+      circuit.withdrawn();
       counts.budgetRefusals++;
       return {kind: 'refused', reason: 'budget', retryAfterMs: waitMs};
     }
--- a/src/serve/journal_host.ts
+++ b/src/serve/journal_host.ts
@@ -21,11 +21,18 @@
 import {createJournalRouter, partitionOf} from './journal_router.js';
 import type {World} from './world.js';
 
-const HOLDER_READ = {priority: 'lease', timeoutMs: 500} as const;
+const HOLDER_READ = {priority: 'background', timeoutMs: 500} as const;
+/** How long one look at a partition's holder serves all that ask. */
+const HOLDER_FRESH_MS = 300;
 /** Share of the platform's writes that journals may use. */
 const JOURNAL_WRITE_SHARE = 0.7;
 const DEFAULT_RETENTION_MS = 24 * 3_600_000;
 
+interface HolderRead {
+  readonly startedAtMs: number;
+  readonly holder: Promise<string | undefined>;
+}
+
 export interface JournalHost {
   /** The journal as an entry uses it, whoever owns the key. */
   readonly journal: JournalPort;
@@ -56,6 +63,7 @@
   const log = world.createLogger('journal');
   const owners = new Map<number, JournalOwner>();
   const peers = new Map<string, JournalPort>();
+  const holderReads = new Map<number, HolderRead>();
 
   function guessOwner(partition: number): string | undefined {
     return fleet.owners.ownerOf(leaseName(partition));
@@ -122,7 +130,7 @@
     return peer;
   }
 
-  async function readHolder(partition: number): Promise<string | undefined> {
+  async function readHolderRow(partition: number): Promise<string | undefined> {
     const key = getLeaseKey(leaseName(partition));
     const outcome = await fleet.table.read([key], HOLDER_READ);
     if (outcome.kind !== 'read') return undefined;
@@ -130,6 +138,23 @@
     return typeof holder === 'string' && holder !== '' ? holder : undefined;
   }
 
+  /**
+   * While a partition has no owner, each call for it asks who holds it. One
+   * read serves all that ask within a short time: reads for each call used up
+   * the budget, the renewals of this host's own leases found none left, and
+   * so the death of one owner cost every other one its leases too.
+   */
+  function readHolder(partition: number): Promise<string | undefined> {
+    const known = holderReads.get(partition);
+    const nowMs = clock.nowMs();
+    if (known && nowMs - known.startedAtMs < HOLDER_FRESH_MS) {
+      return known.holder;
+    }
+    const holder = readHolderRow(partition);
+    holderReads.set(partition, {startedAtMs: nowMs, holder});
+    return holder;
+  }
+
   const routerHost = {
     partitionCount,
     hash: hashText,
