--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -1,7 +1,8 @@
 /**
  * What coordination costs each host, by the number of hosts:
- * `npm run bench -- slopes [COUNT...]`; `--deaths` adds the failure of a
- * domain, `--loss` the search for false deaths at 5% loss.
+ * `npm run bench -- slopes [COUNT...]`. `--together` leaves out the steps part
+ * by part, `--deaths` measures deaths of hosts and of a domain instead, and
+ * `--loss` counts false deaths at 5% loss.
  *
  * Bytes are those of datagrams sent and received, with UDP and IP headers.
  * CPU is this process's, transport and table included, for each host and
@@ -26,7 +27,13 @@
 const BODY_LINES = 400;
 const FLEET = {seed: 1, probeIntervalMs: 500, suspicionMs: 1_500};
 
-const steps: readonly {readonly name: string; readonly parts: FleetParts}[] = [
+interface Step {
+  readonly name: string;
+  readonly parts: FleetParts;
+}
+
+/** Each step adds one part. */
+const allSteps: readonly Step[] = [
   {
     name: 'membership',
     parts: {hasSummaries: false, hasConfiguration: false, hasLeases: false},
@@ -132,7 +139,10 @@
   process.stdout.write(line + '\n');
 }
 
-async function measureSlopes(counts: readonly number[]): Promise<void> {
+async function measureSlopes(
+  counts: readonly number[],
+  steps: readonly Step[],
+): Promise<void> {
   print(
     '| hosts | parts | B/s | CPU % of a core | memory MB | table writes/s | table reads/s | slowest change ms |',
   );
@@ -155,7 +165,7 @@
   }
 }
 
-const ALL_PARTS = steps[steps.length - 1].parts;
+const ALL_PARTS = allSteps[allSteps.length - 1].parts;
 const MAX_DEATH_WAIT_MS = 120_000;
 
 /** One domain of twelve dies at once: how long, and how many bytes. */
@@ -189,7 +199,7 @@
 
 /** Single deaths one after another: time until out of every view. */
 async function measureSingleDeaths(count: number): Promise<void> {
-  const options: FleetOptions = {...FLEET, count, parts: steps[0].parts};
+  const options: FleetOptions = {...FLEET, count, parts: allSteps[0].parts};
   const fleet = createFleet(options);
   await fleet.advance(getWarmUpMs(count));
   const times: number[] = [];
@@ -216,7 +226,7 @@
 const LOSS_MS = 600_000;
 
 async function measureLoss(count: number): Promise<void> {
-  const fleet = createFleet({...FLEET, count, parts: steps[0].parts});
+  const fleet = createFleet({...FLEET, count, parts: allSteps[0].parts});
   await fleet.advance(getWarmUpMs(count));
   fleet.network.loss = 0.05;
   const seen = {deaths: 0, suspicions: 0};
@@ -237,8 +247,9 @@
 export async function run(args: readonly string[]): Promise<void> {
   const given = args.filter(arg => /^\d+$/.test(arg)).map(Number);
   const counts = given.length > 0 ? given : DEFAULT_COUNTS;
-  const hasFlag = args.some(arg => arg.startsWith('--'));
-  if (!hasFlag) await measureSlopes(counts);
+  const isOther = args.includes('--deaths') || args.includes('--loss');
+  const steps = args.includes('--together') ? allSteps.slice(-1) : allSteps;
+  if (!isOther) await measureSlopes(counts, steps);
   for (const count of counts) {
     if (args.includes('--deaths')) {
       await measureSingleDeaths(count);
