--- a/bench/policy/scheduler.ts
+++ b/bench/policy/scheduler.ts
@@ -9,13 +9,13 @@
   createPolicy,
   type SchedulingPolicy,
 } from '../../src/core/scheduling/policy.js';
-import {
-  createDispatcher,
-  type DispatcherOptions,
-  type EngineBookView,
-  type GrantReply,
-  type GrantTicket,
-} from '../../src/scheduling/dispatcher.js';
+import {createDispatcher} from '../../src/scheduling/dispatcher.js';
+import type {
+  DispatcherOptions,
+  EngineBookView,
+  GrantReply,
+  GrantTicket,
+} from '../../src/scheduling/dispatcher_types.js';
 import {ENGINE} from './engine_fakes.js';
 import type {Shape} from './workload.js';
 
@@ -207,6 +207,12 @@
 /** The whole policy, and the whole without one idea. */
 export const WHOLE: SchedulerFactory = homeFactory({});
 
+/** As `WHOLE`, when entries repeat imports that find no room. */
+export const WITH_FORECAST: SchedulerFactory = homeFactory(
+  {},
+  {importsWait: true},
+);
+
 export const WITHOUT_ONE: ReadonlyMap<string, SchedulerFactory> = new Map(
   (
     [
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -11,7 +11,7 @@
   GrantRefusal,
   GrantRequest,
 } from '../../src/ports/grants.js';
-import type {GrantTicket} from '../../src/scheduling/dispatcher.js';
+import type {GrantTicket} from '../../src/scheduling/dispatcher_types.js';
 import {bestSplit, type Capacity} from './capacity_bound.js';
 import {
   createDecodeFake,
@@ -60,6 +60,7 @@
 const RENEW_MS = 1_000;
 const MAX_ASKS = 3;
 const DRAIN_MS = 400_000;
+const DRAIN_STEP_MS = 5_000;
 const PREFILL_KV_BYTES = 40_000_000_000;
 
 /** Where one request stands; the closed book counts these. */
@@ -316,7 +317,8 @@
       return;
     }
     const requestId = `r${request.arrival.id}`;
-    const answerBytes = request.arrival.maxTokens * ENGINE.kvBytesPerToken;
+    const answerBytes =
+      (request.arrival.maxTokens - request.tokens) * ENGINE.kvBytesPerToken;
     if (!target.reserve(requestId, kvSizeBytes + answerBytes)) {
       if (scheduler.repick)
         request.decodeId = scheduler.repick(target.engineId);
@@ -509,7 +511,11 @@
   publishCacheEvents();
   plan.faults.schedule({clock, cluster, scheduler, random});
   clock.advanceSync(plan.warmUpMs + plan.durationMs);
-  clock.advanceSync(DRAIN_MS);
+  // Lets everything end; the books may close a moment after the last answer.
+  for (let ms = 0; ms < DRAIN_MS && live.size > 0; ms += DRAIN_STEP_MS) {
+    clock.advanceSync(DRAIN_STEP_MS);
+  }
+  clock.advanceSync(2 * DRAIN_STEP_MS);
   const openBooks = scheduler
     .books()
     .filter(book => book.usedSlots > 0 || Math.abs(book.usedKvBytes) > 1);
--- a/bench/support/request_site.ts
+++ b/bench/support/request_site.ts
@@ -35,6 +35,7 @@
 } from '../../stand_ins/service_core.js';
 import {createSiteEntry, type Mutant, type SiteEntry} from './site_entry.js';
 import {createSiteLeases, type SiteLeases} from './site_leases.js';
+import {createDispatcherHome} from './dispatcher_home.js';
 import {createSmallHome, type SmallHome} from './small_home.js';
 
 export const ENTRY_COUNT = 3;
@@ -64,6 +65,8 @@
   entries(): readonly SiteEntry[];
   killEntry(index: number): void;
   pauseEntry(index: number, durationMs: number): void;
+  /** The other processes cannot reach the entry, nor it them. */
+  cutOff(index: number, durationMs: number): void;
   /** Tells the home and the pickers that an upstream leaves. */
   leaveEngine(engine: EngineCore): void;
   leaveService(service: ServiceCore): void;
@@ -89,6 +92,7 @@
   const incarnations = Array.from({length: ENTRY_COUNT}, () => 1);
   const downUntilMs = new Map<string, number>();
   const leavingIds = new Set<string>();
+  const cutOff = new Set<number>();
   let turn = 0;
 
   function addEngine(role: 'prefill' | 'decode', index: number): EngineCore {
@@ -132,18 +136,20 @@
   const decode = [0, 1, 2].map(index => addEngine('decode', index));
   const plain = [0, 1].map(addService);
   const enginePort = (address: string) => engines.get(address)!;
-  const home = createSmallHome({
-    clock,
-    enginePort,
-    prefill: prefill.map((_, index) => ({
-      engineId: `prefill-${index}`,
-      address: addressOf('prefill', index),
-    })),
-    decode: decode.map((_, index) => ({
-      engineId: `decode-${index}`,
-      address: addressOf('decode', index),
-    })),
-  });
+  const home = mutant.hasRealHome
+    ? createDispatcherHome({clock, enginePort, engines})
+    : createSmallHome({
+        clock,
+        enginePort,
+        prefill: prefill.map((_, index) => ({
+          engineId: `prefill-${index}`,
+          address: addressOf('prefill', index),
+        })),
+        decode: decode.map((_, index) => ({
+          engineId: `decode-${index}`,
+          address: addressOf('decode', index),
+        })),
+      });
 
   const picker: PlainUpstreamPicker = {
     pick(_service, excludeIds): PickedUpstream | undefined {
@@ -193,6 +199,7 @@
           resolve(failed('unreachable'));
           return;
         }
+        if (cutOff.has(target.index)) return;
         target.shell.inside(
           () =>
             void action(target).then(value =>
@@ -214,10 +221,18 @@
     return entries.find(entry => entry.tag === holder);
   }
 
-  const journalFor = (): JournalPort => ({
+  /** Nobody, for a process that is cut off from the others. */
+  function reachable(
+    from: SiteEntry,
+    target: SiteEntry | undefined,
+  ): SiteEntry | undefined {
+    return cutOff.has(from.index) && target !== from ? undefined : target;
+  }
+
+  const journalFor = (from: SiteEntry): JournalPort => ({
     begin: request =>
       ask<IntentOutcome>(
-        ownerOf(request),
+        reachable(from, ownerOf(request)),
         request.timeoutMs,
         owner => owner.journalOwner(partitionOf(request)).begin(request),
         reason => ({
@@ -228,7 +243,7 @@
       ),
     end: (request, end) =>
       ask<boolean>(
-        ownerOf(request),
+        reachable(from, ownerOf(request)),
         request.timeoutMs,
         owner => owner.journalOwner(partitionOf(request)).end(request, end),
         () => false,
@@ -354,6 +369,10 @@
         entry.shell.resume();
       });
     },
+    cutOff(position, durationMs) {
+      cutOff.add(position);
+      after(durationMs, () => cutOff.delete(position));
+    },
     leaveEngine(engine) {
       engine.setLeaving(true);
       after(DETECT_MS, () => home.markLeaving(engine.options.engineId));
--- a/src/scenario/scenario_expectations.ts
+++ b/src/scenario/scenario_expectations.ts
@@ -11,6 +11,7 @@
 }
 
 export interface ExpectationDefinition {
+  readonly pattern: string;
   readonly shape: StatementShape;
   run(args: StatementArguments, world: World): ExpectationFailure | void;
 }
@@ -19,6 +20,7 @@
   pattern: string,
   check: (args: StatementArguments, world: World) => string | undefined,
 ): ExpectationDefinition => ({
+  pattern: `expect ${pattern}`,
   shape: parseShape(`expect ${pattern}`),
   run(args, world) {
     const reason = check(args, world);
@@ -151,6 +153,14 @@
     );
     return unless(wasted === args.getCount(0), `${wasted} wasted`);
   }),
+  define('<engine> free', (args, world) => {
+    const {sessions} = world.engines.get(args.getText(0))!.books();
+    return unless(sessions.length === 0, `${sessions.length} sessions`);
+  }),
+  define('home queues <count>', (args, world) => {
+    const queued = world.home.queuedCount();
+    return unless(queued === args.getCount(0), `${queued} requests`);
+  }),
   define('nothing held', (_, world) => {
     const held = findHeldSessions(world);
     return unless(held.length === 0, held.join(', '));
