--- a/src/core/request/model_machine.ts
+++ b/src/core/request/model_machine.ts
@@ -1,25 +1,33 @@
 /**
  * The life of one model request as a pure state machine: from the state and
  * an event to the next state and the effects that a task must carry out.
- *
- * What an engine or a home holds for the request is given back on each way out
- * of a step; `heldEffects` is the one place that says what each step holds.
  */
 
-import type {EngineFailure} from '../../ports/engine.js';
-import type {Grant, GrantRefusal} from '../../ports/grants.js';
-import type {ErrorKind, RequestError} from '../error_kinds.js';
+import {hungUp, lastError, waitOver} from './model_errors.js';
+import {endGrant} from './model_held.js';
+import {
+  askGrant,
+  askRetry,
+  certainRefusals,
+  decodeFailed,
+  deliver,
+  ended,
+  giveUp,
+  grantRefused,
+  lostAdoption,
+  onTokens,
+  runFailed,
+  startPrefill,
+  stay,
+  type ModelTransition,
+} from './model_runs.js';
 import type {
   ModelEffect,
   ModelEvent,
   ModelFacts,
   ModelState,
-  RunFailure,
 } from './model_types.js';
-import {applyHandler, type Handlers, type Transition} from './transition.js';
-
-type Step = Transition<ModelState, ModelEffect>;
-type Frame = Extract<ModelEvent, {kind: 'frame'}>;
+import {applyHandler, type Handlers} from './transition.js';
 
 export const initialModelState: ModelState = {
   step: 'new',
@@ -32,375 +40,6 @@
   isAbandoned: false,
 };
 
-/** Failures after which the engine certainly holds and ran nothing. */
-const certainRefusals: ReadonlySet<EngineFailure['reason']> = new Set([
-  'refused',
-  'no-capacity',
-  'leaving',
-  'unreachable',
-]);
-
-/** Failures that may mean a dead engine, or only a dead connection. */
-const doubtfulReasons: ReadonlySet<EngineFailure['reason']> = new Set([
-  'broken',
-  'timeout',
-  'unreachable',
-]);
-
-const refusalKinds: Readonly<Record<GrantRefusal['reason'], ErrorKind>> = {
-  'not-feasible': 'overloaded',
-  'account-limit': 'account-limit',
-  'queue-full': 'queue-full',
-  'no-engine': 'no-upstream',
-  'home-moved': 'overloaded',
-  unreachable: 'no-upstream',
-  cancelled: 'overloaded',
-};
-
-function stay(state: ModelState, ...effects: ModelEffect[]): Step {
-  return {state, effects};
-}
-
-/** Whether an upstream may have computed something for this request. */
-export function hasModelRun(state: ModelState): boolean {
-  switch (state.step) {
-    case 'prefilling':
-    case 'importing':
-    case 'decoding':
-      return true;
-    default:
-      return state.mayHaveRun;
-  }
-}
-
-function isWaste(state: ModelState): boolean {
-  if (state.step === 'importing') return true;
-  return (
-    state.step === 'decoding' && state.deliveredTokens === state.runStartTokens
-  );
-}
-
-/** Gives back what the current step holds at engines. */
-function engineReleases(state: ModelState): readonly ModelEffect[] {
-  const {step, grant, attempt} = state;
-  if (!grant) return [];
-  const prefill = {
-    kind: 'release',
-    attempt,
-    address: grant.prefillAddress,
-  } as const;
-  const decode = {
-    kind: 'release',
-    attempt,
-    address: grant.decodeAddress,
-  } as const;
-  switch (step) {
-    case 'prefilling':
-      return [prefill];
-    case 'importing':
-      return [prefill, decode];
-    case 'decoding':
-      return [{kind: 'stop-stream'}, decode];
-    default:
-      return [];
-  }
-}
-
-function endGrant(
-  state: ModelState,
-  result: 'whole' | 'cancelled' | 'failed',
-  failure?: {readonly engineId?: string; readonly isWasted: boolean},
-): readonly ModelEffect[] {
-  if (!state.grant) return [];
-  return [
-    {
-      kind: 'report',
-      grant: state.grant,
-      progress: {
-        kind: 'ended',
-        result,
-        failedEngineId: failure?.engineId,
-        tokensDelivered: state.deliveredTokens,
-        prefillWasted: failure?.isWasted ?? false,
-      },
-    },
-  ];
-}
-
-/** Everything held in the current step: queue place, engines, grant. */
-function heldEffects(
-  state: ModelState,
-  result: 'cancelled' | 'failed',
-): readonly ModelEffect[] {
-  const waiting: readonly ModelEffect[] =
-    state.step === 'awaiting-grant' ? [{kind: 'abandon-grant-request'}] : [];
-  const isWasted = state.failure?.wasPrefillWasted ?? isWaste(state);
-  return [
-    ...waiting,
-    ...engineReleases(state),
-    ...endGrant(state, result, {isWasted}),
-  ];
-}
-
-function ended(state: ModelState): ModelState {
-  return {...state, step: 'ended', grant: undefined, failure: undefined};
-}
-
-function giveUp(state: ModelState, error: RequestError): Step {
-  return stay(ended(state), ...heldEffects(state, 'cancelled'), {
-    kind: 'fail',
-    error,
-  });
-}
-
-/** The honest answer for a request that will not be tried again. */
-function lastError(
-  facts: ModelFacts,
-  state: ModelState,
-  notRun: RequestError,
-): RequestError {
-  const retryAfterMs = notRun.retryAfterMs ?? facts.policy.defaultRetryAfterMs;
-  if (state.deliveredTokens > 0) {
-    return {
-      kind: 'answer-cut',
-      detail: 'The stream broke and could not be resumed.',
-      retryAfterMs,
-    };
-  }
-  if (hasModelRun(state)) {
-    return {
-      kind: 'upstream-failed',
-      detail: 'The engines that ran the request failed.',
-      retryAfterMs,
-    };
-  }
-  return {...notRun, retryAfterMs};
-}
-
-function askGrant(state: ModelState): Step {
-  const next: ModelState = {
-    ...state,
-    step: 'awaiting-grant',
-    attempt: state.attempt + 1,
-    runStartTokens: state.deliveredTokens,
-    grant: undefined,
-    failure: undefined,
-  };
-  return stay(next, {
-    kind: 'request-grant',
-    attempt: next.attempt,
-    resumeOffset: next.deliveredTokens,
-  });
-}
-
-function startPrefill(
-  facts: ModelFacts,
-  state: ModelState,
-  grant: Grant,
-): Step {
-  const next: ModelState = {
-    ...state,
-    step: 'prefilling',
-    grant,
-    grantAsks: 0,
-    runs: state.runs + 1,
-  };
-  return stay(
-    next,
-    {kind: 'report', grant, progress: {kind: 'prefill-started'}},
-    {kind: 'prefill', attempt: state.attempt, grant},
-    {
-      kind: 'set-timer',
-      timer: 'step',
-      delayMs: facts.policy.prefillTimeoutMs,
-    },
-    {kind: 'set-timer', timer: 'renew', delayMs: facts.policy.renewIntervalMs},
-  );
-}
-
-/**
- * A run failed. The engines are told at once to free what they hold. When the
- * failure may be that of a connection only, a fresh one is tried before the
- * engine is blamed: a connection that a device between the hosts has forgotten
- * looks just like a dead host, and blaming the host would take good capacity
- * away.
- */
-function runFailed(
-  state: ModelState,
-  at: {readonly engineId: string; readonly address: string},
-  reason: EngineFailure['reason'],
-): Step {
-  const failure: RunFailure = {
-    engineId: at.engineId,
-    address: at.address,
-    reason,
-    wasPrefillWasted: isWaste(state),
-  };
-  const isCertain = state.step === 'prefilling' && certainRefusals.has(reason);
-  const next: ModelState = {
-    ...state,
-    mayHaveRun: state.mayHaveRun || !isCertain,
-    failure,
-  };
-  const releases: readonly ModelEffect[] = [
-    {kind: 'clear-timer', timer: 'step'},
-    ...engineReleases(state),
-  ];
-  if (!doubtfulReasons.has(reason)) {
-    return askRetry(next, releases, reason === 'leaving');
-  }
-  return stay({...next, step: 'probing'}, ...releases, {
-    kind: 'probe',
-    attempt: state.attempt,
-    address: at.address,
-  });
-}
-
-function askRetry(
-  state: ModelState,
-  before: readonly ModelEffect[],
-  isEngineToBlame: boolean,
-): Step {
-  const failure = state.failure;
-  return stay(
-    {...state, step: 'asking-retry', grant: undefined},
-    ...before,
-    ...endGrant(state, 'failed', {
-      engineId: isEngineToBlame ? failure?.engineId : undefined,
-      isWasted: failure?.wasPrefillWasted ?? false,
-    }),
-    {kind: 'ask-retry'},
-  );
-}
-
-function decodeFailed(state: ModelState, reason: EngineFailure['reason']) {
-  const grant = state.grant!;
-  return runFailed(
-    state,
-    {engineId: grant.decodeEngineId, address: grant.decodeAddress},
-    reason,
-  );
-}
-
-function deliver(
-  facts: ModelFacts,
-  state: ModelState,
-  offset: number,
-  texts: readonly string[],
-): Step {
-  const known = state.deliveredTokens - offset;
-  if (known >= texts.length && texts.length > 0) {
-    return stay(state, {kind: 'drop', what: 'repeated'});
-  }
-  // A gap means that a frame was lost: to go on would hand over an answer
-  // with a hole. The stream is cut here and resumed from what was delivered.
-  if (known < 0) {
-    return state.step === 'decoding'
-      ? decodeFailed(state, 'broken')
-      : lostAdoption(state);
-  }
-  const fresh = known === 0 ? texts : texts.slice(known);
-  const next = {
-    ...state,
-    deliveredTokens: state.deliveredTokens + fresh.length,
-  };
-  const delivery: ModelEffect = {
-    kind: 'deliver',
-    offset: state.deliveredTokens,
-    texts: fresh,
-  };
-  const timer: ModelEffect = {
-    kind: 'set-timer',
-    timer: 'step',
-    delayMs: facts.policy.tokenProgressMs,
-  };
-  return stay(next, delivery, timer);
-}
-
-function lostAdoption(state: ModelState): Step {
-  const asked = askGrant(state);
-  return stay(
-    asked.state,
-    {kind: 'clear-timer', timer: 'step'},
-    ...asked.effects,
-  );
-}
-
-function onTokens(facts: ModelFacts, state: ModelState, event: Frame): Step {
-  const frame = event.frame;
-  if (frame.kind === 'tokens') {
-    return deliver(facts, state, frame.offset, frame.texts);
-  }
-  if (frame.kind === 'cut') return decodeFailed(state, frame.failure.reason);
-  // An end that names another length than was delivered hides a lost frame.
-  if (frame.tokenCount !== state.deliveredTokens) {
-    return decodeFailed(state, 'broken');
-  }
-  return stay(
-    ended(state),
-    {kind: 'clear-timer', timer: 'step'},
-    ...endGrant(state, 'whole'),
-    {
-      kind: 'finish',
-      finishReason: frame.finishReason,
-      tokenCount: frame.tokenCount,
-    },
-  );
-}
-
-function grantRefused(
-  facts: ModelFacts,
-  state: ModelState,
-  refusal: GrantRefusal,
-): Step {
-  const grantAsks = state.grantAsks + 1;
-  const isHomeLost =
-    refusal.reason === 'home-moved' || refusal.reason === 'unreachable';
-  // A stream that has begun is worth waiting for a place to resume it.
-  const isWorthAsking = isHomeLost || state.deliveredTokens > 0;
-  if (isWorthAsking && grantAsks < facts.policy.maxGrantAsks) {
-    return stay(
-      {...state, step: 'backing-off', grantAsks},
-      {kind: 'set-timer', timer: 'retry', delayMs: refusal.retryAfterMs},
-    );
-  }
-  const error = lastError(facts, state, {
-    kind: refusalKinds[refusal.reason],
-    detail: 'No engine could be promised within the wait.',
-    retryAfterMs: refusal.retryAfterMs,
-  });
-  return stay(ended(state), {kind: 'fail', error});
-}
-
-function waitOver(facts: ModelFacts, state: ModelState): RequestError {
-  const retryAfterMs = facts.policy.defaultRetryAfterMs;
-  if (state.deliveredTokens > 0) {
-    return {
-      kind: 'answer-cut',
-      detail: 'The wait ended while the stream was broken.',
-      retryAfterMs,
-    };
-  }
-  return hasModelRun(state)
-    ? {
-        kind: 'deadline-passed',
-        detail: 'No token came within the wait.',
-        retryAfterMs,
-      }
-    : {
-        kind: 'deadline-not-run',
-        detail: 'No engine was free within the wait.',
-        retryAfterMs,
-      };
-}
-
-function hungUp(state: ModelState): RequestError {
-  return {
-    kind: hasModelRun(state) ? 'deadline-passed' : 'deadline-not-run',
-    detail: 'The caller hung up.',
-  };
-}
-
 function isCurrent(
   state: ModelState,
   attempt: number,
@@ -725,6 +364,6 @@
   facts: ModelFacts,
   state: ModelState,
   event: ModelEvent,
-): Step {
+): ModelTransition {
   return applyHandler(handlers, facts, state, event);
 }
--- a/src/request/journal_owner.ts
+++ b/src/request/journal_owner.ts
@@ -5,12 +5,7 @@
  * platform does not answer, and takes back intents whose askers were refused.
  */
 
-import {
-  JOURNAL_PREFIX,
-  journalRowKey,
-  parseJournalRow,
-  type RowAnswer,
-} from '../core/request/journal_rows.js';
+import {journalRowKey, type RowAnswer} from '../core/request/journal_rows.js';
 import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {
   IntentOutcome,
@@ -28,6 +23,7 @@
   type RoundResult,
 } from './journal_committer.js';
 import type {BeginOp, EndOp, JournalOp} from './journal_ops.js';
+import {createJournalPurge} from './journal_purge.js';
 
 export interface JournalOwnerHost {
   readonly clock: Clock;
@@ -91,9 +87,6 @@
 
 const MAX_KNOWN_ROWS = 20_000;
 const RELEASED_MEMORY_MS = 60_000;
-const PURGE_PAGE = 200;
-/** While pages are full of expired rows. */
-const PURGE_NEXT_PAGE_MS = 1_000;
 const PLATFORM_RETRY_AFTER_MS = 1_000;
 const NOT_OWNER_RETRY_AFTER_MS = 200;
 const IN_DOUBT_PROBE_MS = 500;
@@ -122,7 +115,6 @@
   let isClosed = false;
   let nextWriteAtMs = 0;
   let troubledSinceMs: number | undefined;
-  let purgeAfterKey: string | undefined;
   /** Attempts that were set free, so that a late intent is not written. */
   const released = new Map<string, number>();
 
@@ -355,51 +347,27 @@
     });
   }
 
-  /** Looks at one page of rows and queues what has expired. */
-  async function purge(): Promise<void> {
-    let hasMore = false;
-    const isDue = host.fence() && troubledSinceMs === undefined;
-    const page = isDue
-      ? await host.table.scan(
-          JOURNAL_PREFIX,
-          {afterKey: purgeAfterKey, limit: PURGE_PAGE},
-          options.readTimeoutMs,
-        )
-      : undefined;
-    if (page?.kind === 'read') {
-      const expired = page.value.filter(({key, value}) =>
-        queuePurge(key, value),
-      );
-      hasMore = expired.length > page.value.length / 2;
-      const isLast = page.value.length < PURGE_PAGE;
-      purgeAfterKey = isLast ? undefined : page.value.at(-1)?.key;
-    }
-    const delayMs = hasMore ? PURGE_NEXT_PAGE_MS : options.purgeIntervalMs;
-    if (!isClosed) clock.setTimer(delayMs, () => void purge());
-  }
-
-  function queuePurge(
-    rowKey: string,
-    value: Parameters<typeof parseJournalRow>[0],
-  ): boolean {
-    const row = parseJournalRow(value);
-    if (!row || row.expiresAtWallMs > clock.wallMs()) return false;
-    const isStored = row.state === 'answered' && row.answer.objectKey;
-    if (isStored) {
-      void host.objectStore.remove(isStored, options.writeTimeoutMs);
-    }
-    queue.push({kind: 'purge', rowKey, isWithdrawn: false});
-    schedule(options.flushMs);
-    return true;
-  }
+  const purge = createJournalPurge(
+    {
+      clock,
+      table: host.table,
+      objectStore: host.objectStore,
+      isDue: () => host.fence() !== undefined && troubledSinceMs === undefined,
+      queue(rowKey) {
+        queue.push({kind: 'purge', rowKey, isWithdrawn: false});
+        schedule(options.flushMs);
+      },
+    },
+    options,
+  );
 
-  clock.setTimer(options.purgeIntervalMs, () => void purge());
   return {
     begin,
     end,
     queuedCount: () => queue.length,
     close() {
       isClosed = true;
+      purge.stop();
       if (roundTimer) clock.clearTimer(roundTimer);
       onNotOwner([]);
     },
--- /dev/null
+++ b/src/request/journal_purge.ts
@@ -0,0 +1,84 @@
+/** Finds rows of the journal that have outlived their retention. */
+
+import {JOURNAL_PREFIX, parseJournalRow} from '../core/request/journal_rows.js';
+import type {Clock} from '../ports/clock.js';
+import type {ObjectStorePort, TablePort, TableRow} from '../ports/table.js';
+
+export interface JournalPurgeHost {
+  readonly clock: Clock;
+  readonly table: TablePort;
+  readonly objectStore: ObjectStorePort;
+  /** Whether this process owns the partition and the platform answers. */
+  isDue(): boolean;
+  /** Has the row deleted with the next transaction, if it is still expired. */
+  queue(rowKey: string): void;
+}
+
+export interface JournalPurgeOptions {
+  readonly purgeIntervalMs: number;
+  readonly readTimeoutMs: number;
+  readonly writeTimeoutMs: number;
+}
+
+export interface JournalPurge {
+  stop(): void;
+}
+
+const PAGE_ROWS = 200;
+/** While pages are full of expired rows. */
+const NEXT_PAGE_MS = 1_000;
+
+export function createJournalPurge(
+  host: JournalPurgeHost,
+  options: JournalPurgeOptions,
+): JournalPurge {
+  const {clock} = host;
+  let afterKey: string | undefined;
+  let isStopped = false;
+
+  /** Looks at one page; true when most of it had expired. */
+  async function readPage(): Promise<boolean> {
+    const page = await host.table.scan(
+      JOURNAL_PREFIX,
+      {afterKey, limit: PAGE_ROWS},
+      options.readTimeoutMs,
+    );
+    if (page.kind === 'failed') return false;
+    const expired = page.value.filter(isExpired);
+    expired.forEach(drop);
+    const isLast = page.value.length < PAGE_ROWS;
+    afterKey = isLast ? undefined : page.value.at(-1)?.key;
+    return expired.length > page.value.length / 2;
+  }
+
+  function isExpired({value}: TableRow): boolean {
+    const row = parseJournalRow(value);
+    return row !== undefined && row.expiresAtWallMs <= clock.wallMs();
+  }
+
+  function drop({key, value}: TableRow): void {
+    const row = parseJournalRow(value);
+    const objectKey =
+      row?.state === 'answered' ? row.answer.objectKey : undefined;
+    if (objectKey !== undefined) {
+      void host.objectStore.remove(objectKey, options.writeTimeoutMs);
+    }
+    host.queue(key);
+  }
+
+  async function round(): Promise<void> {
+    const hasMore = host.isDue() && (await readPage());
+    if (!isStopped) schedule(hasMore ? NEXT_PAGE_MS : options.purgeIntervalMs);
+  }
+
+  function schedule(delayMs: number): void {
+    clock.setTimer(delayMs, () => void round());
+  }
+
+  schedule(options.purgeIntervalMs);
+  return {
+    stop() {
+      isStopped = true;
+    },
+  };
+}
--- a/tests/request/journal_owner_test.ts
+++ b/tests/request/journal_owner_test.ts
@@ -225,3 +225,15 @@
   const kinds = (await Promise.all(begun)).map(({kind}) => kind).sort();
   assert.deepEqual(kinds, ['proceed', 'running']);
 });
+
+test('rows are deleted when their retention is over', async () => {
+  const {clock, platform, createOwner} = await createBed();
+  const owner = createOwner(1);
+  void owner.begin(intent());
+  await clock.advance(100);
+  void owner.end(intent(), {kind: 'answered', answer});
+  await clock.advance(100);
+  const rowsBefore = platform.books().rowCount;
+  await clock.advance(120_000);
+  assert.equal(platform.books().rowCount, rowsBefore - 1);
+});
