--- a/src/core/request/journal_rows.ts
+++ b/src/core/request/journal_rows.ts
@@ -83,6 +83,10 @@
   return {kind: 'done', outcome};
 }
 
+function isOwnIntent(row: JournalRow, request: IntentRequest): boolean {
+  return row.attemptId === request.attemptId && row.entry === request.entry;
+}
+
 /** Whether a call may start, given what its key's row says. */
 export function decideBegin(
   row: JournalRow | undefined,
@@ -100,9 +104,7 @@
       return done({kind: 'outcome-unknown', attemptId: row.attemptId});
     case 'intended':
       // The reply to the first asking may have been lost on the way.
-      if (row.attemptId === request.attemptId && row.entry === request.entry) {
-        return done({kind: 'proceed'});
-      }
+      if (isOwnIntent(row, request)) return done({kind: 'proceed'});
       return facts.isEntryAlive(row.entry)
         ? done({kind: 'running', retryAfterMs: facts.runningRetryMs})
         : done({kind: 'outcome-unknown', attemptId: row.attemptId});
--- a/src/request/journal_committer.ts
+++ b/src/request/journal_committer.ts
@@ -197,6 +197,18 @@
     return trouble;
   }
 
+  /** Lease, head and rows must be as they were when the batch was planned. */
+  function conditionsOf(
+    batch: JournalBatch,
+    fence: PartitionFence,
+    version: number,
+  ): readonly TableCondition[] {
+    const rowConditions = [...batch.rows.keys()].map(key =>
+      hasVersion(key, rows.get(key)?.version ?? ABSENT),
+    );
+    return [fence.condition, hasVersion(headKey, version), ...rowConditions];
+  }
+
   async function write(
     batch: JournalBatch,
     fence: PartitionFence,
@@ -207,13 +219,7 @@
     const outcome = await host.table.transact(
       {
         attemptId: batch.attemptId,
-        conditions: [
-          fence.condition,
-          hasVersion(headKey, version),
-          ...[...batch.rows.keys()].map(key =>
-            hasVersion(key, rows.get(key)?.version ?? ABSENT),
-          ),
-        ],
+        conditions: conditionsOf(batch, fence, version),
         writes: [
           {
             kind: 'put',
