--- a/src/coordination/byte_budget.ts
+++ b/src/coordination/byte_budget.ts
@@ -9,7 +9,7 @@
   take(sizeBytes: number): void;
 }
 
-const BURST_SECONDS = 1.5;
+const BURST_SECONDS = 0.8;
 
 export function createByteBudget(
   clock: Clock,
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -104,7 +104,7 @@
 /** News that come together go together. */
 const NEWS_DELAY_MS = 20;
 /** Part of a second of the budget that must be left for it. */
-const NEWS_BUDGET_SHARE = 0.75;
+const NEWS_BUDGET_SHARE = 0.4;
 const RELAY_MEMORY = 256;
 /** How often a member thought gone is pinged, so that a split heals. */
 const RECONTACT_MS = 2_000;
