Eject an engine at its first failure, for a short time

Cause: a dead engine is idle, so it drew three of four attempts of a request to itself before it was ejected. Change: one failure ejects a model engine for 1.5 s; plain services keep three.

--- a/src/core/scheduling/engine_health.ts
+++ b/src/core/scheduling/engine_health.ts
@@ -25,7 +25,9 @@
 export const DEFAULT_HEALTH: HealthOptions = {
   slowFactor: 2,
   minSamples: 3,
-  failuresToEject: 3,
+  // One is enough: the ejection is short and a single good request ends it,
+  // while an engine that died is idle and would draw each retry to itself.
+  failuresToEject: 1,
   ejectMs: 1_500,
   mostEjectMs: 3_000,
   tryEveryMs: 2_000,
--- a/src/scheduling/plain_balancer.ts
+++ b/src/scheduling/plain_balancer.ts
@@ -70,7 +70,11 @@
 const SMOOTHING = 0.2;
 const POOL = 'plain';
 /** Quick calls vary by more than engines do. */
-const PLAIN_HEALTH: Partial<HealthOptions> = {slowFactor: 4, minSamples: 8};
+const PLAIN_HEALTH: Partial<HealthOptions> = {
+  slowFactor: 4,
+  minSamples: 8,
+  failuresToEject: 3,
+};
 /** Differences below this are noise to the slowness check. */
 const SLOWNESS_GRAIN_MS = 5;
 
