--- a/src/request/sweep.ts
+++ b/src/request/sweep.ts
@@ -3,7 +3,7 @@
  * owns: sessions of entries that died, and sessions that a lost release left.
  */
 
-import type {Clock} from '../ports/clock.js';
+import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {
   EnginePortFactory,
   EngineSession,
@@ -17,14 +17,18 @@
   readonly enginePort: EnginePortFactory;
   /** Addresses of the engines that this process sweeps. */
   addresses(): readonly string[];
-  /** `unknown` while it cannot be told; such sessions are left alone. */
-  ownerState(owner: OwnerTag): 'running' | 'gone' | 'unknown';
+  /**
+   * `gone`: the entry lives and does not know the request. `dead`: the entry
+   * itself is gone. `unknown` while it cannot be told; such sessions are left
+   * alone.
+   */
+  ownerState(owner: OwnerTag): 'running' | 'gone' | 'dead' | 'unknown';
   onReaped?(owner: OwnerTag): void;
 }
 
 export interface SweepOptions {
   readonly intervalMs: number;
-  /** A session is freed when its owner was gone for this long. */
+  /** A session is freed when its living entry did not know it for this long. */
   readonly graceMs: number;
   readonly timeoutMs: number;
 }
@@ -36,6 +40,8 @@
 };
 
 export interface Sweep {
+  /** Looks now: an entry was found dead. */
+  nudge(): void;
   stop(): void;
 }
 
@@ -47,15 +53,19 @@
   /** When a session was first seen without an owner. */
   const orphanSinceMs = new Map<string, number>();
   let isStopped = false;
+  let isInRound = false;
+  let timer: TimerHandle | undefined;
 
   async function sweepEngine(address: string): Promise<readonly string[]> {
     const engine = host.enginePort(address);
     const sessions = await engine.sessions(options.timeoutMs);
     if ('kind' in sessions) return [];
-    const orphans = (sessions as readonly EngineSession[]).filter(
-      session => host.ownerState(session.owner) === 'gone',
+    const orphans = (sessions as readonly EngineSession[])
+      .map(({owner}) => ({owner, state: host.ownerState(owner)}))
+      .filter(({state}) => state === 'gone' || state === 'dead');
+    await Promise.all(
+      orphans.map(({owner, state}) => reap(address, owner, state === 'dead')),
     );
-    for (const {owner} of orphans) await reap(address, owner);
     return orphans.map(({owner}) => orphanName(address, owner));
   }
 
@@ -65,13 +75,20 @@
 
   /**
    * Waits a grace first: a session may be seen in the moment between the
-   * engine's making it and its owner's hearing of it.
+   * engine's making it and its owner's hearing of it. A dead entry hears of
+   * nothing, and its suspicion was grace enough: waiting once more kept the
+   * memory of its requests held for over six seconds.
    */
-  async function reap(address: string, owner: OwnerTag): Promise<void> {
+  async function reap(
+    address: string,
+    owner: OwnerTag,
+    isEntryDead: boolean,
+  ): Promise<void> {
     const name = orphanName(address, owner);
     const sinceMs = orphanSinceMs.get(name) ?? clock.nowMs();
     orphanSinceMs.set(name, sinceMs);
-    if (clock.nowMs() - sinceMs < options.graceMs) return;
+    const isInGrace = clock.nowMs() - sinceMs < options.graceMs;
+    if (isInGrace && !isEntryDead) return;
     const outcome = await host
       .enginePort(address)
       .cancel(owner, options.timeoutMs);
@@ -83,6 +100,9 @@
   }
 
   async function round(): Promise<void> {
+    if (isInRound) return;
+    isInRound = true;
+    if (timer) clock.clearTimer(timer);
     const seen = await Promise.all(
       host.addresses().map(address => sweepEngine(address).catch(() => [])),
     );
@@ -90,18 +110,23 @@
     for (const name of orphanSinceMs.keys()) {
       if (!orphans.has(name)) orphanSinceMs.delete(name);
     }
+    isInRound = false;
     schedule();
   }
 
   function schedule(): void {
     if (isStopped) return;
-    clock.setTimer(options.intervalMs, () => void round());
+    timer = clock.setTimer(options.intervalMs, () => void round());
   }
 
   schedule();
   return {
+    nudge() {
+      if (!isStopped) void round();
+    },
     stop() {
       isStopped = true;
+      if (timer) clock.clearTimer(timer);
     },
   };
 }
--- a/src/serve/owner_inquiry.ts
+++ b/src/serve/owner_inquiry.ts
@@ -18,7 +18,7 @@
 const ASK_TIMEOUT_MS = 1000;
 const MAX_KNOWN = 20_000;
 
-export type OwnerState = 'running' | 'gone' | 'unknown';
+export type OwnerState = 'running' | 'gone' | 'dead' | 'unknown';
 
 export interface OwnerInquiry {
   /** What is known now; asks the owner when that is old. */
@@ -83,7 +83,7 @@
 
   return {
     ownerState(owner) {
-      if (!liveness.isAlive(owner.entry)) return 'gone';
+      if (!liveness.isAlive(owner.entry)) return 'dead';
       if (owner.entry !== liveness.selfTag()) return findRemote(owner);
       return isRunningHere(owner.requestId) ? 'running' : 'gone';
     },
--- a/src/serve/serve.ts
+++ b/src/serve/serve.ts
@@ -182,10 +182,11 @@
   configuration.onChange(applySettings);
   upstreams.onChange(update);
   membership.changes.listen(change => {
-    for (const entry of liveness.applyChange(change)) {
-      grants.homes.entryGone(entry);
-    }
+    const goneEntries = liveness.applyChange(change);
+    for (const entry of goneEntries) grants.homes.entryGone(entry);
+    // First the homes that fall to this process, then a look at their engines.
     update();
+    if (goneEntries.length > 0) sweep.nudge();
   });
 
   await peerServer.listen(host.peerAddress);
