Keep news going until all have them

Cause: the echo of eager news ended their spread with one or two members of a hundred still without them; a death took up to 8.8 s to leave every view at 100 hosts. Change: two more sends, and an echo saves half a one.

--- a/src/coordination/gossip_queue.ts
+++ b/src/coordination/gossip_queue.ts
@@ -21,9 +21,9 @@
 }
 
 /** Sends beyond the natural logarithm of the member count, against loss. */
-const EXTRA_SENDS = 3;
+const EXTRA_SENDS = 5;
 /** Sends that hearing an update back from another saves. */
-const SENDS_SAVED_BY_ECHO = 1;
+const SENDS_SAVED_BY_ECHO = 0.5;
 /** Entries looked at for each datagram; bounds the work of a long queue. */
 const MAX_SCAN = 64;
 
