--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -266,7 +266,8 @@
 try {
   await Promise.race([main(), stopSignal]);
 } catch (error) {
-  console.error(`npm start: ${error.message}`);
+  const cause = error.cause ? ` (${error.cause.message})` : '';
+  console.error(`npm start: ${error.message}${cause}`);
   process.exitCode = 1;
 } finally {
   await stopProcesses();
