--- a/src/adapters/peer_grants.ts
+++ b/src/adapters/peer_grants.ts
@@ -58,12 +58,13 @@
   shardId: string,
   request: GrantRequest,
 ): MessageInitShape<typeof GrantRequestSchema> {
-  const {requestClass, prefixHashes, ...rest} = request;
+  const {requestClass, prefixHashes, avoidEngineIds = [], ...rest} = request;
   return {
     ...rest,
     shardId,
     patient: requestClass === 'patient',
     prefixHashes: [...prefixHashes],
+    avoidEngineIds: [...avoidEngineIds],
   };
 }
 
--- a/src/core/request/model_machine.ts
+++ b/src/core/request/model_machine.ts
@@ -25,6 +25,7 @@
   step: 'new',
   attempt: 0,
   runs: 0,
+  failedEngineIds: [],
   grantAsks: 0,
   deliveredTokens: 0,
   runStartTokens: 0,
@@ -218,6 +219,20 @@
   );
 }
 
+/**
+ * Engines that the next run should avoid. An import that fails or stalls may
+ * be the fault of the engine that exports, so that one is avoided as well.
+ */
+function getSuspects(
+  state: ModelState,
+  at: {readonly engineId: string},
+): readonly string[] {
+  const source = state.grant?.prefillEngineId;
+  return state.step === 'importing' && source !== undefined
+    ? [at.engineId, source]
+    : [at.engineId];
+}
+
 /**
  * A run failed. The engines are told at once to free what they hold. When the
  * failure may be that of a connection only, a fresh one is tried before the
@@ -241,6 +256,7 @@
     ...state,
     mayHaveRun: state.mayHaveRun || !isCertain,
     failure,
+    failedEngineIds: [...state.failedEngineIds, ...getSuspects(state, at)],
   };
   const releases: readonly ModelEffect[] = [
     {kind: 'clear-timer', timer: 'step'},
--- a/src/core/request/model_types.ts
+++ b/src/core/request/model_types.ts
@@ -64,6 +64,8 @@
   readonly attempt: number;
   /** Runs that reached an engine. */
   readonly runs: number;
+  /** Engines where runs of this request failed. */
+  readonly failedEngineIds: readonly string[];
   /** Refused or lost grant requests since the last run. */
   readonly grantAsks: number;
   readonly grant?: Grant;
--- a/src/core/scheduling/engine_pool.ts
+++ b/src/core/scheduling/engine_pool.ts
@@ -27,6 +27,11 @@
   endsPerMs: number;
 }
 
+/** Whether new grants may name the engine. */
+export function takesNewWork(engine: PoolEngine): boolean {
+  return !engine.isLeaving && engine.share > 0;
+}
+
 export interface EnginePool {
   readonly prefill: readonly PoolEngine[];
   readonly decode: readonly PoolEngine[];
--- a/src/core/scheduling/placement.ts
+++ b/src/core/scheduling/placement.ts
@@ -3,7 +3,7 @@
  * transfer has the links, or what it must wait for.
  */
 
-import type {PoolEngine} from './engine_pool.js';
+import {takesNewWork, type PoolEngine} from './engine_pool.js';
 import type {SchedulingPolicy} from './policy.js';
 
 /** What a request needs, as the home estimates it. */
@@ -50,7 +50,7 @@
   let slowestMs = 0;
   let hasEngine = false;
   for (const engine of engines) {
-    if (engine.isLeaving || engine.share <= 0) continue;
+    if (!takesNewWork(engine)) continue;
     hasEngine = true;
     const prefillMs = demand.prefillMsOn(engine);
     slowestMs = Math.max(slowestMs, prefillMs);
--- a/src/ports/grants.ts
+++ b/src/ports/grants.ts
@@ -22,6 +22,11 @@
   readonly waitLeftMs: number;
   /** Tokens already delivered, when a cut stream is resumed. */
   readonly resumeOffset: number;
+  /**
+   * Engines where an earlier run of this request failed; given again only
+   * when there is no other.
+   */
+  readonly avoidEngineIds?: readonly string[];
 }
 
 /** Both engines are promised from the moment the grant is given. */
--- a/src/scheduling/grant_queue.ts
+++ b/src/scheduling/grant_queue.ts
@@ -8,11 +8,11 @@
   readCapacity,
   retryAfter,
 } from '../core/scheduling/admission.js';
-import type {PoolEngine} from '../core/scheduling/engine_pool.js';
+import {takesNewWork, type PoolEngine} from '../core/scheduling/engine_pool.js';
 import {place} from '../core/scheduling/placement.js';
 import type {WorkAhead} from '../core/scheduling/wait_queue.js';
 import type {TimerHandle} from '../ports/clock.js';
-import type {GrantRefusal} from '../ports/grants.js';
+import type {GrantRefusal, GrantRequest} from '../ports/grants.js';
 import type {GrantReply} from './dispatcher_types.js';
 import type {GrantGiver} from './grant_giver.js';
 import {prefillMsOn} from './request_estimates.js';
@@ -64,10 +64,22 @@
     if (state.queue.remove(waiting)) refuse(waiting.reply, reason, lateMs);
   }
 
+  /** Without the engines that failed the request, while there are others. */
+  function withoutFailed(
+    engines: readonly PoolEngine[],
+    {avoidEngineIds = []}: GrantRequest,
+  ): readonly PoolEngine[] {
+    if (avoidEngineIds.length === 0) return engines;
+    const others = engines.filter(
+      engine => !avoidEngineIds.includes(engine.description.engineId),
+    );
+    return others.some(takesNewWork) ? others : engines;
+  }
+
   function tryPlace(waiting: Waiting, held?: PoolEngine) {
     return place(
-      state.pool.prefill,
-      state.pool.decode,
+      withoutFailed(state.pool.prefill, waiting.request),
+      withoutFailed(state.pool.decode, waiting.request),
       {
         promptKvBytes: waiting.promptKvBytes,
         decodeKvBytes: waiting.kvBytes,
