--- a/tests/serve/owner_inquiry_test.ts
+++ b/tests/serve/owner_inquiry_test.ts
@@ -60,7 +60,7 @@
 
 test('dead incarnations and own requests are known without asking', () => {
   const {askedIds, stateOf} = createInquiry(new Set());
-  assert.equal(stateOf(GONE, 'any'), 'gone');
+  assert.equal(stateOf(GONE, 'any'), 'dead');
   assert.equal(stateOf(SELF, 'own-running'), 'running');
   assert.equal(stateOf(SELF, 'own-ended'), 'gone');
   assert.deepEqual(askedIds, []);
