--- a/src/core/request/model_machine.ts
+++ b/src/core/request/model_machine.ts
@@ -33,6 +33,7 @@
   step: 'new',
   attempt: 0,
   runs: 0,
+  failedEngineIds: [],
   grantAsks: 0,
   deliveredTokens: 0,
   runStartTokens: 0,
