Count homes of a shard in milliseconds

Cause: the epoch of a home came from wall seconds; two takeovers within one second would give grants of the same ids. Measured: nothing; found by reading.

--- a/src/serve/home_host.ts
+++ b/src/serve/home_host.ts
@@ -24,7 +24,6 @@
 const DEFAULT_LINK_BYTES_PER_MS = 10_000_000;
 /** A new home admits with care until entries have told what they hold. */
 const REBUILD_MS = 1000;
-const MS_PER_SECOND = 1000;
 
 export interface HomeHostPorts {
   readonly clock: Clock;
@@ -114,7 +113,9 @@
       {clock, random, log},
       {
         shardId: shard.shardId,
-        homeEpoch: Math.floor(clock.wallMs() / MS_PER_SECOND),
+        // In milliseconds: two takeovers within one second would otherwise give
+        // grants of the same ids, and one home would free the other's.
+        homeEpoch: Math.floor(clock.wallMs()),
         service: service.name,
         targets: service.targets,
         wasteWeight: service.wasteWeight,
