--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -22,6 +22,7 @@
 const ENTRIES = ['127.0.0.1:8081', '127.0.0.1:8082', '127.0.0.1:8083'];
 const PEER = '127.0.0.1:7901';
 const PLATFORM = 'http://127.0.0.1:7000';
+const LEDGER_BOOKS = 'http://127.0.0.1:7201/stand-in/books';
 const CALLER_KEY = 'loopback-caller-key';
 const KEYS = {
   CORIANDERBEND_PEER_KEY: 'loopback-peer-key',
@@ -40,12 +41,16 @@
 
 const say = text => console.log(text);
 
-function startStandIns() {
-  const start = (kind, ...args) =>
-    startProcess(`stand-in ${kind}`, ['stand-in', kind, ...args], {
-      quiet: true,
-    });
+function startStandIn(kind, ...args) {
+  const name = `stand-in ${kind}`;
+  startProcess(name, ['stand-in', kind, ...args], {quiet: true});
+}
+
+/** The others put themselves on the platform's list, so it comes first. */
+async function startStandIns() {
+  const start = startStandIn;
   start('platform', '--address', '127.0.0.1:7000');
+  await waitUntilUp([`${PLATFORM}/hosts`]);
   for (const {id, port, role, domain} of ENGINES) {
     start(
       'engine',
@@ -61,6 +66,8 @@
     ...['--domain', 'ylikool-saal', '--service', 'uus-pearaamat'],
     ...['--platform', PLATFORM],
   );
+  const engineUrls = ENGINES.map(({port}) => `http://127.0.0.1:${port}/load`);
+  await waitUntilUp([...engineUrls, LEDGER_BOOKS]);
 }
 
 function startHosts() {
@@ -209,9 +216,7 @@
   const key = randomUUID();
   const first = await post(ENTRIES[1], key);
   const second = await post(ENTRIES[2], key);
-  const books = await (
-    await fetch('http://127.0.0.1:7201/stand-in/books')
-  ).json();
+  const books = await (await fetch(LEDGER_BOOKS)).json();
   const runs = books.runsByKey?.[key];
   say('\nA ledger posting, sent twice with one key, to two entries:');
   say(`  ${ENTRIES[1]}: ${first.status} ${first.text}`);
@@ -242,8 +247,7 @@
 
 async function main() {
   ensureCompiled();
-  startStandIns();
-  await waitUntilUp([`${PLATFORM}/hosts`]);
+  await startStandIns();
   await enlistHosts();
   startHosts();
   await waitUntilUp(ENTRIES.map(entry => `http://${entry}/healthz`));
@@ -266,7 +270,8 @@
 try {
   await Promise.race([main(), stopSignal]);
 } catch (error) {
-  console.error(`npm start: ${error.message}`);
+  const cause = error.cause ? ` (${error.cause.message})` : '';
+  console.error(`npm start: ${error.message}${cause}`);
   process.exitCode = 1;
 } finally {
   await stopProcesses();
--- a/scripts/toolchain.mjs
+++ b/scripts/toolchain.mjs
@@ -31,6 +31,7 @@
 
 const STOP_TIMEOUT_MS = 10_000;
 const children = new Set();
+let isStopping = false;
 
 /**
  * Starts the compiled program with `args`. Output is shown with the name
@@ -58,6 +59,8 @@
   const ended = new Promise(resolve => {
     child.once('exit', code => {
       children.delete(child);
+      const isFailure = code !== 0 && !isStopping;
+      if (quiet && isFailure) console.error(`[${name}] ended:\n${output}`);
       resolve(code);
     });
   });
@@ -66,6 +69,7 @@
 
 /** Ends every process that `startProcess` started and that still runs. */
 export async function stopProcesses() {
+  isStopping = true;
   const exits = [...children].map(child => {
     const exit = new Promise(resolve => child.once('exit', resolve));
     child.kill('SIGTERM');
