Give a failed run its whole wait, and count stalled transfers on their source

Cause: after the death of an engine the first-token target was often past, so the home refused a request whose wait went on; and the source of a stalled transfer answers probes, so nothing counted against it and each further run there cost a prefill. Change: later runs ask with the wait that is left; an import that fails while its importer lives counts on the source.

--- a/src/core/request/model_machine.ts
+++ b/src/core/request/model_machine.ts
@@ -53,6 +53,18 @@
   return nowMs + facts.policy.minServeMs <= facts.deadlineAtMs;
 }
 
+/**
+ * Only the connection was dead, or the import waited for its source. A source
+ * whose transfers stall answers probes, so nothing else would ever count
+ * against it, and each run sent there would cost a prefill.
+ */
+function importerAlive(state: ModelState): ModelTransition {
+  const source = state.failure?.sourceEngineId;
+  if (source === undefined) return askRetry(state, [], false);
+  const failure = {...state.failure!, engineId: source};
+  return askRetry({...state, failure}, [], true);
+}
+
 const handlers: Handlers<ModelFacts, ModelState, ModelEvent, ModelEffect> = {
   started(facts, state) {
     return facts.isKeyed
@@ -252,7 +264,7 @@
   },
   probed(_facts, state, event) {
     if (!isCurrent(state, event.attempt, 'probing')) return stay(state);
-    if (event.isAlive) return askRetry(state, [], false);
+    if (event.isAlive) return importerAlive(state);
     const failure = state.failure!;
     // An engine that was never reached cannot have died of this request.
     const isSuspect = failure.reason !== 'unreachable';
--- a/src/core/request/model_runs.ts
+++ b/src/core/request/model_runs.ts
@@ -110,6 +110,8 @@
     engineId: at.engineId,
     address: at.address,
     reason,
+    sourceEngineId:
+      state.step === 'importing' ? state.grant?.prefillEngineId : undefined,
     wasPrefillWasted: isWaste(state),
   };
   const isCertain = state.step === 'prefilling' && certainRefusals.has(reason);
--- a/src/core/request/model_types.ts
+++ b/src/core/request/model_types.ts
@@ -55,6 +55,8 @@
   readonly engineId: string;
   readonly address: string;
   readonly reason: EngineFailure['reason'];
+  /** The engine that the KV cache came from, when an import failed. */
+  readonly sourceEngineId?: string;
   readonly wasPrefillWasted: boolean;
 }
 
--- a/src/request/model_task.ts
+++ b/src/request/model_task.ts
@@ -148,7 +148,10 @@
   function ttftLeftMs(): number {
     const targetMs = host.ttftTargetMs?.(service);
     const waitLeftMs = request.deadlineAtMs - clock.nowMs();
-    if (targetMs === undefined || driver.state().deliveredTokens > 0) {
+    // After a failed run the target is often past while the wait goes on; the
+    // home would refuse a request that can still be served within its wait.
+    const {deliveredTokens, runs} = driver.state();
+    if (targetMs === undefined || deliveredTokens > 0 || runs > 0) {
       return waitLeftMs;
     }
     return Math.min(waitLeftMs, request.arrivedAtMs + targetMs - clock.nowMs());
