--- a/src/core/request/model_types.ts
+++ b/src/core/request/model_types.ts
@@ -55,8 +55,6 @@
   readonly engineId: string;
   readonly address: string;
   readonly reason: EngineFailure['reason'];
-  /** The engine that the KV cache came from, when an import failed. */
-  readonly sourceEngineId?: string;
   readonly wasPrefillWasted: boolean;
 }
 
@@ -66,6 +64,8 @@
   readonly attempt: number;
   /** Runs that reached an engine. */
   readonly runs: number;
+  /** Engines where runs of this request failed. */
+  readonly failedEngineIds: readonly string[];
   /** Refused or lost grant requests since the last run. */
   readonly grantAsks: number;
   readonly grant?: Grant;
--- a/src/request/model_task.ts
+++ b/src/request/model_task.ts
@@ -145,11 +145,14 @@
     }
   }
 
+  /**
+   * Time left for the first token. Once a run has failed only the whole wait
+   * counts: the target is as good as missed, and a home that held the request
+   * to it would refuse a caller who is still waiting.
+   */
   function ttftLeftMs(): number {
     const targetMs = host.ttftTargetMs?.(service);
     const waitLeftMs = request.deadlineAtMs - clock.nowMs();
-    // After a failed run the target is often past while the wait goes on; the
-    // home would refuse a request that can still be served within its wait.
     const {deliveredTokens, runs} = driver.state();
     if (targetMs === undefined || deliveredTokens > 0 || runs > 0) {
       return waitLeftMs;
@@ -176,6 +179,7 @@
           ttftLeftMs: ttftLeftMs(),
           waitLeftMs: request.deadlineAtMs - clock.nowMs(),
           resumeOffset,
+          avoidEngineIds: driver.state().failedEngineIds,
         },
         place.signal,
       )
