--- a/src/core/settings_schema.ts
+++ b/src/core/settings_schema.ts
@@ -237,8 +237,10 @@
     .default(2 * SECOND_MS)
     .describe('How long a silent process may still refute its death.'),
   journalPartitions: count(1, 4096)
-    .default(32)
-    .describe('Partitions of idempotency keys; do not change while running.'),
+    .default(8)
+    .describe(
+      'Partitions of idempotency keys; do not change while running. Each has its even part of the journal writes, so many make each call wait longer.',
+    ),
   journalFlushMs: durationMs(0, SECOND_MS)
     .default(5)
     .describe('How long a journal write waits for others to join it.'),
