--- a/src/core/settings_schema.ts
+++ b/src/core/settings_schema.ts
@@ -234,7 +234,7 @@
     .default(500)
     .describe('Between two probes of another process.'),
   suspicionMs: durationMs(100, 10 * MINUTE_MS)
-    .default(2 * SECOND_MS)
+    .default(1500)
     .describe('How long a silent process may still refute its death.'),
   journalPartitions: count(1, 4096)
     .default(8)
--- a/src/serve/fleet.ts
+++ b/src/serve/fleet.ts
@@ -41,7 +41,7 @@
 /** In force until a configuration has been read. */
 const earlySettings: EarlySettings = {
   probeIntervalMs: 500,
-  suspicionMs: 2000,
+  suspicionMs: 1500,
   tableWritesPerSecond: 300,
   tableReadsPerSecond: 1500,
 };
