Say once what dispatcher and home, and both routes, share

Cause: the home's interface repeated the dispatcher's, and both routes built the same metering. Change: one interface and one factory. Behaviour as before.

--- a/src/entry/metered_sink.ts
+++ b/src/entry/metered_sink.ts
@@ -1,7 +1,11 @@
 /** Records how an answer came, on its way to the caller. */
 
 import type {Metrics, RequestLabels} from '../adapters/metrics.js';
-import type {LatencyTargets} from '../core/settings_types.js';
+import type {
+  AccountSettings,
+  LatencyTargets,
+  ServiceSettings,
+} from '../core/settings_types.js';
 import type {RequestError} from '../core/error_kinds.js';
 import type {ModelAnswerSink, PlainAnswerSink} from '../ports/answer_sink.js';
 import type {Clock} from '../ports/clock.js';
@@ -17,6 +21,19 @@
   readonly arrivedAtMs: number;
 }
 
+export function createMetering(
+  account: AccountSettings,
+  service: ServiceSettings,
+  arrivedAtMs: number,
+): Metering {
+  const labels = {
+    service: service.name,
+    account: account.name,
+    requestClass: account.requestClass,
+  };
+  return {labels, targets: service.targets, arrivedAtMs};
+}
+
 function recordFailure(
   host: MeterHost,
   {labels, arrivedAtMs}: Metering,
--- a/src/entry/model_route.ts
+++ b/src/entry/model_route.ts
@@ -8,7 +8,7 @@
 import type {ModelRequest, RunningRequest} from '../ports/answer_sink.js';
 import {readIdempotencyKey, readWaitMs} from './caller_headers.js';
 import type {Caller, FrontHost} from './front_host.js';
-import {meterModelSink} from './metered_sink.js';
+import {createMetering, meterModelSink} from './metered_sink.js';
 import {createStreamSink, createWholeSink} from './openai_answer.js';
 import {
   parseCompletionBody,
@@ -105,16 +105,7 @@
     promptTokenCount: promptTokens.length,
   };
   const createSink = body.isStream ? createStreamSink : createWholeSink;
-  const {requestClass} = caller.account;
-  const metering = {
-    labels: {
-      service: service.name,
-      account: caller.account.name,
-      requestClass,
-    },
-    targets: service.targets,
-    arrivedAtMs,
-  };
+  const metering = createMetering(caller.account, service, arrivedAtMs);
   const sink = meterModelSink(
     host,
     metering,
--- a/src/entry/plain_route.ts
+++ b/src/entry/plain_route.ts
@@ -9,7 +9,7 @@
 import type {PlainAnswerSink, PlainRequest} from '../ports/answer_sink.js';
 import {readIdempotencyKey, readWaitMs} from './caller_headers.js';
 import type {FrontHost} from './front_host.js';
-import {meterPlainSink} from './metered_sink.js';
+import {createMetering, meterPlainSink} from './metered_sink.js';
 import type {RouteCall, RouteOutcome} from './model_route.js';
 import {writeProblem} from './problem.js';
 
@@ -138,16 +138,7 @@
       arrivedAtMs +
       Math.min(service.targets.waitMs, wait.value ?? service.targets.waitMs),
   };
-  const {account} = caller;
-  const metering = {
-    labels: {
-      service: service.name,
-      account: account.name,
-      requestClass: account.requestClass,
-    },
-    targets: service.targets,
-    arrivedAtMs,
-  };
+  const metering = createMetering(caller.account, service, arrivedAtMs);
   const sink = meterPlainSink(
     host,
     metering,
--- a/src/scheduling/dispatcher_types.ts
+++ b/src/scheduling/dispatcher_types.ts
@@ -80,7 +80,9 @@
 export interface Dispatcher {
   ask(request: GrantRequest, reply: GrantReply): GrantTicket;
   report(grantId: string, progress: GrantProgress): void;
+  /** The engines of this shard; those not named are forgotten. */
   setEngines(engines: readonly EngineDescription[]): void;
+  /** After a change of configuration. */
   setTuning(
     targets: LatencyTargets,
     wasteWeight: number,
@@ -88,14 +90,17 @@
   ): void;
   applyLoadReport(report: EngineLoadReport): void;
   applyCacheEvents(engineId: string, events: readonly CacheEvent[]): void;
+  /** No new grants from now on; those given go on. */
   markLeaving(engineId: string): void;
   engineGone(engineId: string): void;
+  /** Frees the grants and queue places of an entry that died. */
   entryGone(entryTag: string): void;
+  /** Takes over a grant of an earlier home, as its entry announces it. */
   adopt(announced: AnnouncedGrant): void;
   summary(): ShardSummary;
   /** Promises that each engine carries, for checks and status pages. */
   books(): readonly EngineBookView[];
-  /** Refuses all that wait and stops the timers. */
+  /** Refuses what waits with `home-moved`; running grants go on. */
   stop(): void;
 }
 
--- a/src/scheduling/shard_home.ts
+++ b/src/scheduling/shard_home.ts
@@ -3,7 +3,6 @@
  * entries call, in their own process or over the wire.
  */
 
-import type {CacheEvent, EngineLoadReport} from '../ports/engine.js';
 import type {
   Grant,
   GrantPort,
@@ -11,12 +10,10 @@
   GrantRequest,
 } from '../ports/grants.js';
 import type {Logger} from '../ports/log.js';
-import type {AccountLimits} from '../core/scheduling/account_shares.js';
-import type {EngineDescription} from '../core/scheduling/engine_book.js';
-import type {LatencyTargets} from '../core/settings_types.js';
 import {createDispatcher} from './dispatcher.js';
 import type {
   AnnouncedGrant,
+  Dispatcher,
   DispatcherHost,
   DispatcherOptions,
   EngineBookView,
@@ -31,29 +28,9 @@
 
 export type ShardHomeOptions = DispatcherOptions;
 
-export interface ShardHome extends GrantPort {
-  /** The engines of this shard; those not named are forgotten. */
-  setEngines(engines: readonly EngineDescription[]): void;
-  /** After a change of configuration. */
-  setTuning(
-    targets: LatencyTargets,
-    wasteWeight: number,
-    accounts: ReadonlyMap<string, AccountLimits>,
-  ): void;
-  applyLoadReport(report: EngineLoadReport): void;
-  applyCacheEvents(engineId: string, events: readonly CacheEvent[]): void;
-  /** No new grants from now on; those given go on. */
-  markLeaving(engineId: string): void;
-  engineGone(engineId: string): void;
-  /** Frees the grants and queue places of an entry that died. */
-  entryGone(entryTag: string): void;
-  /** Takes over a grant of an earlier home, as its entry announces it. */
-  adopt(announced: AnnouncedGrant): void;
-  summary(): ShardSummary;
-  books(): readonly EngineBookView[];
-  /** Refuses what waits with `home-moved`; running grants go on. */
-  stop(): void;
-}
+/** The dispatcher, with grants asked for through the port. */
+export interface ShardHome
+  extends GrantPort, Omit<Dispatcher, 'ask' | 'report'> {}
 
 const CANCELLED: GrantRefusal = {
   kind: 'refused',
