--- a/src/entry/front_host.ts
+++ b/src/entry/front_host.ts
@@ -36,6 +36,8 @@
   /** Undefined until a configuration has been read. */
   getSettings(): FrontSettings | undefined;
   getEntries(): EntriesAnswer;
+  /** Whether an `Authorization` header shows the operators' key. */
+  isOperator(authorization: string | undefined): boolean;
   /** True once this entry drains. */
   isLeaving(): boolean;
 }
--- a/src/entry/http_front.ts
+++ b/src/entry/http_front.ts
@@ -174,7 +174,14 @@
     writeJson(response, isReady ? 200 : 503, {ready: isReady});
   }
 
-  async function handleMetrics({response}: Exchange): Promise<void> {
+  /** The labels name client accounts, which are not for every caller. */
+  async function handleMetrics(exchange: Exchange): Promise<void> {
+    const {request, response} = exchange;
+    if (!host.isOperator(request.headers.authorization)) {
+      const detail = 'Send the operator key as "Authorization: Bearer KEY".';
+      refuse(exchange, {kind: 'unauthenticated', detail});
+      return;
+    }
     response.setHeader('content-type', host.metrics.contentType);
     response.end(await host.metrics.render());
   }
--- a/src/serve/serve.ts
+++ b/src/serve/serve.ts
@@ -3,6 +3,7 @@
  * over the configuration and the upstreams to the callers, as calls in order.
  */
 
+import {isKeyShown} from '../adapters/peer_connection.js';
 import {createAccountLimits} from '../core/account_limits.js';
 import {hashPrefixes} from '../core/prompt_tokens.js';
 import type {HostSettings, Settings} from '../core/settings_types.js';
@@ -127,6 +128,8 @@
     limits: createAccountLimits({clock, entryCount: fleet.countUsable}),
     getSettings: configuration.getFrontSettings,
     getEntries: directory.answer,
+    isOperator: authorization =>
+      isKeyShown(authorization ?? null, host.operatorKey),
     isLeaving: drain.isLeaving,
   });
   const peerServer = createPeerServer(host, router =>
--- a/tests/entry/openai_client_test.ts
+++ b/tests/entry/openai_client_test.ts
@@ -17,6 +17,7 @@
 } from '../../src/ports/answer_sink.js';
 
 const KEY = 'caller-key';
+const OPERATOR_KEY = 'operator-key';
 const WORDS = ['Members', ' met', ' four', ' times.'];
 
 const settings: Settings = {
@@ -98,6 +99,7 @@
     metrics: createMetrics(new Registry()),
     getSettings: () => ({settings, auth: createCallerAuth(settings)}),
     getEntries: () => ({entries: [], ttlMs: 1000}),
+    isOperator: authorization => authorization === `Bearer ${OPERATOR_KEY}`,
     isLeaving: () => false,
   });
   await front.listen('127.0.0.1:0');
@@ -165,6 +167,16 @@
   });
 });
 
+test('metrics are for operators, since their labels name client accounts', async () => {
+  const origin = await startFront(answerWhole);
+  const read = (key: string) =>
+    fetch(`${origin}/metrics`, {headers: {authorization: `Bearer ${key}`}});
+  assert.equal((await read(KEY)).status, 401);
+  const answer = await read(OPERATOR_KEY);
+  assert.equal(answer.status, 200);
+  assert.match(await answer.text(), /corianderbend_refusals_total/);
+});
+
 test('refusals are problem documents that say whether the request was run', async () => {
   const origin = await startFront((_request, sink) =>
     sink.fail({kind: 'overloaded', detail: 'Full.', retryAfterMs: 1500}),
