Read the host list once; say addresses and hop headers in one place

The splitting of ip:port stood again in the UDP adapter, and the hop-by-hop headers in two files; a version was kept with each heard summary and never read. Change: the upstream watch is the one reader and hands each list to the membership; splitAddress and hopHeaders are shared; the dead field is gone. Behaviour as before, but for half the reads of the host list.

--- a/src/adapters/http_plain_service.ts
+++ b/src/adapters/http_plain_service.ts
@@ -9,6 +9,7 @@
  */
 
 import {Client} from 'undici';
+import {hopHeaders} from '../core/hop_headers.js';
 import type {
   PlainAnswer,
   PlainCall,
@@ -38,21 +39,6 @@
 const PROBE_PATH = '/stand-in/alive';
 const ERROR_STATUS = 500;
 
-/** Headers that belong to one connection, not to the call. */
-const HOP_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 const NEVER_SENT: PlainFailure = {
   kind: 'failed',
   mayHaveRun: false,
@@ -70,7 +56,7 @@
   headers: Readonly<Record<string, T>>,
 ): Record<string, T> {
   const kept = Object.entries(headers).filter(
-    ([name]) => !HOP_HEADERS.has(name.toLowerCase()),
+    ([name]) => !hopHeaders.has(name.toLowerCase()),
   );
   return Object.fromEntries(kept);
 }
--- a/src/adapters/udp_datagram.ts
+++ b/src/adapters/udp_datagram.ts
@@ -2,12 +2,7 @@
 
 import {createSocket} from 'node:dgram';
 import type {DatagramPort} from '../ports/datagram.js';
-
-function splitAddress(address: string): {ip: string; port: number} {
-  const colon = address.lastIndexOf(':');
-  const ip = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  return {ip, port: Number(address.slice(colon + 1))};
-}
+import {splitAddress} from './listen.js';
 
 /** Binds `address` (`ip:port`); rejects when that is not possible. */
 export async function createUdpDatagramPort(
--- a/src/entry/plain_route.ts
+++ b/src/entry/plain_route.ts
@@ -2,6 +2,7 @@
 
 import {createHash} from 'node:crypto';
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import {hopHeaders} from '../core/hop_headers.js';
 import type {
   CallPattern,
   PlainServiceSettings,
@@ -16,20 +17,10 @@
 const PLAIN_PATH = /^\/services\/([^/?]+)(\/[^]*|\?[^]*)?$/;
 
 /** Headers that belong to one connection, or hold the caller's secret. */
-const NOT_FORWARDED = new Set([
+const NOT_FORWARDED: ReadonlySet<string> = new Set([
+  ...hopHeaders,
   'authorization',
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
   'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
 ]);
 
 /** Copies headers that may cross the router. */
--- a/src/serve/fleet.ts
+++ b/src/serve/fleet.ts
@@ -8,9 +8,9 @@
   type TableClient,
 } from '../coordination/table_client.js';
 import type {CoordinationSettings} from '../core/settings_types.js';
+import type {ListedHost} from '../ports/table.js';
 import {createEntryLiveness, type EntryLiveness} from './entry_liveness.js';
 import {createOwners, type Owners} from './owners.js';
-import {startHostListReads} from './startup.js';
 import type {World} from './world.js';
 
 const TABLE_CALL_TIMEOUT_MS = 500;
@@ -26,6 +26,8 @@
   getLeases(): LeaseKeeper | undefined;
   /** Follows the settings; the length of leases only the first time. */
   applySettings(settings: CoordinationSettings): void;
+  /** Members to begin with, from the platform's list of all hosts. */
+  applyHostList(hosts: readonly ListedHost[]): void;
   start(): void;
   stop(): Promise<void>;
 }
@@ -50,7 +52,6 @@
   const {clock, random, host, createLogger} = world;
   let settings: EarlySettings = earlySettings;
   let leases: LeaseKeeper | undefined;
-  let stopReads = () => {};
 
   const membership = createMembership(
     {clock, random, datagrams: world.datagrams},
@@ -102,12 +103,10 @@
       settings = next;
       if (!leases) startLeases(next);
     },
-    start() {
-      membership.start();
-      stopReads = startHostListReads(world, membership);
-    },
+    applyHostList: hosts =>
+      membership.applyHostList(hosts.filter(({role}) => role === 'router')),
+    start: membership.start,
     async stop() {
-      stopReads();
       await leases?.stop();
       membership.stop();
     },
--- a/src/serve/grants_host.ts
+++ b/src/serve/grants_host.ts
@@ -46,7 +46,6 @@
 interface HeardSummary {
   readonly summary: ShardSummary;
   readonly atMs: number;
-  readonly version: number;
 }
 
 function isShardEngine(
@@ -160,7 +159,7 @@
     const summary = decodeSummary(fact.body);
     if (!summary) return;
     const atMs = clock.nowMs();
-    heard.set(summary.shardId, {summary, atMs, version: fact.version});
+    heard.set(summary.shardId, {summary, atMs});
   });
 
   function update(): void {
--- a/src/serve/serve.ts
+++ b/src/serve/serve.ts
@@ -60,7 +60,12 @@
     getSettings()?.services.find(service => service.name === name);
 
   const upstreams = createUpstreamWatch(
-    {...world, log: createLogger('upstreams'), getSettings},
+    {
+      ...world,
+      log: createLogger('upstreams'),
+      getSettings,
+      onHostsRead: fleet.applyHostList,
+    },
     {readIntervalMs: () => getHostListIntervalMs(fleet.countUsable())},
   );
   const plainBalancer = createPlainUpstreams(
--- a/src/serve/startup.ts
+++ b/src/serve/startup.ts
@@ -1,12 +1,8 @@
-/** Small loops that begin with the process. */
+/** What begins with the process. */
 
-import type {Membership} from '../coordination/membership.js';
 import type {Logger} from '../ports/log.js';
-import type {TimerHandle} from '../ports/clock.js';
 import type {Drain} from './drain.js';
-import type {World} from './world.js';
 
-const READ_TIMEOUT_MS = 2000;
 const MIN_READ_INTERVAL_MS = 1000;
 /** Reads of the host list a second by the whole fleet. */
 const FLEET_READS_PER_SECOND = 200;
@@ -18,32 +14,6 @@
   return Math.max(MIN_READ_INTERVAL_MS, perHostMs);
 }
 
-/** Gives the membership the platform's list of routers, again and again. */
-export function startHostListReads(
-  {clock, hostList}: Pick<World, 'clock' | 'hostList'>,
-  membership: Membership,
-): () => void {
-  let timer: TimerHandle | undefined;
-  let isStopped = false;
-
-  async function run(): Promise<void> {
-    const outcome = await hostList.list(READ_TIMEOUT_MS);
-    if (isStopped) return;
-    if (outcome.kind === 'read') {
-      const routers = outcome.value.filter(host => host.role === 'router');
-      membership.applyHostList(routers);
-    }
-    const intervalMs = getHostListIntervalMs(membership.members().length);
-    timer = clock.setTimer(intervalMs, () => void run());
-  }
-
-  void run();
-  return () => {
-    isStopped = true;
-    if (timer) clock.clearTimer(timer);
-  };
-}
-
 /** SIGTERM or SIGINT drains; a second one ends the drain. */
 export function listenToSignals(
   log: Logger,
--- a/src/serve/upstream_watch.ts
+++ b/src/serve/upstream_watch.ts
@@ -19,6 +19,8 @@
   readonly log: Logger;
   readonly hostList: HostListPort;
   getSettings(): Settings | undefined;
+  /** Told of each list that was read; the members are seeded from it. */
+  onHostsRead(hosts: readonly ListedHost[]): void;
 }
 
 export interface UpstreamWatchOptions {
@@ -74,8 +76,10 @@
 
   async function readHosts(): Promise<void> {
     const outcome = await host.hostList.list(READ_TIMEOUT_MS);
+    if (isStopped) return;
     if (outcome.kind === 'read') {
       hosts = outcome.value;
+      host.onHostsRead(hosts);
     } else {
       // The last list stands: an outage of the platform takes no upstream away.
       host.log.debug('The host list could not be read.', {
