--- /dev/null
+++ b/scripts/build_bundle.mjs
@@ -0,0 +1,26 @@
+/**
+ * Bundles the program with esbuild into the folder given, in parts: each
+ * command loads only the parts it needs.
+ */
+
+import path from 'node:path';
+import {root} from './toolchain.mjs';
+
+const outdir = path.resolve(root, process.argv[2] ?? 'target');
+const {build} = await import('esbuild');
+
+await build({
+  entryPoints: [path.join(root, 'src', 'cli', 'main.ts')],
+  outdir,
+  outExtension: {'.js': '.mjs'},
+  bundle: true,
+  splitting: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  // Some libraries are CommonJS and ask for Node's own modules at run time.
+  banner: {
+    js: "import {createRequire as nodeRequire} from 'node:module'; const require = nodeRequire(import.meta.url);",
+  },
+  logLevel: 'warning',
+});
--- /dev/null
+++ b/src/adapters/http_exchange.ts
@@ -0,0 +1,270 @@
+/**
+ * One HTTP/1.1 call to an upstream over Node's client, with a verdict on how
+ * much of it may have had an effect.
+ *
+ * Guards of the connection pool:
+ * - An upstream may send a second answer after a whole one. Bytes that arrive
+ *   on an idle connection end it, so that they never meet the next request.
+ * - A connection may go silent while it lies idle. A call that must not be
+ *   lost opens its own; others use only those that were used a moment ago.
+ * - An upstream may answer before it has read the whole request. Node keeps
+ *   such a connection only once the request is written out.
+ */
+
+import http from 'node:http';
+import type {Socket} from 'node:net';
+import type {Clock} from '../ports/clock.js';
+import type {AnswerBody, Cancellation, RawHeaders} from '../ports/relay.js';
+import {splitAddress} from './listen.js';
+
+export interface HttpExchangeHost {
+  readonly clock: Clock;
+  /** A connection was opened. */
+  onConnect?(): void;
+}
+
+export interface HttpExchangeCall {
+  readonly address: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: RawHeaders;
+  readonly body?: Buffer;
+  readonly connectTimeoutMs: number;
+  /** From the start to the head of the answer. */
+  readonly headTimeoutMs: number;
+  readonly mayReuseConnection: boolean;
+}
+
+export interface HttpHead {
+  readonly kind: 'answered';
+  readonly status: number;
+  readonly headers: RawHeaders;
+  /** First value of a header; the name in lower case. */
+  get(name: string): string | undefined;
+  readonly body: AnswerBody;
+}
+
+export type HttpExchangeFailure =
+  | {readonly kind: 'unreachable'; readonly detail: string}
+  | {readonly kind: 'broken'; readonly detail: string}
+  | {readonly kind: 'cancelled'};
+
+export interface HttpExchange {
+  start(
+    call: HttpExchangeCall,
+    cancellation?: Cancellation,
+  ): Promise<HttpHead | HttpExchangeFailure>;
+  close(): void;
+}
+
+/** An idle connection older than this is not trusted with another call. */
+const MAX_IDLE_MS = 2_000;
+const MAX_IDLE_PER_UPSTREAM = 4;
+
+interface PooledSocket extends Socket {
+  idleSinceMs?: number;
+  endOnData?: () => void;
+}
+
+/** Keeps connections that end themselves on bytes nobody asked for. */
+class GuardedAgent extends http.Agent {
+  constructor(private readonly clock: Clock) {
+    super({
+      keepAlive: true,
+      maxFreeSockets: MAX_IDLE_PER_UPSTREAM,
+      scheduling: 'lifo',
+    });
+  }
+
+  // `keepSocketAlive` and `reuseSocket` are the documented points at which a
+  // connection enters and leaves the pool.
+  override keepSocketAlive(socket: PooledSocket): boolean {
+    const isKept = Boolean(super.keepSocketAlive(socket));
+    if (!isKept) return false;
+    socket.idleSinceMs = this.clock.nowMs();
+    socket.endOnData = () => socket.destroy();
+    socket.once('data', socket.endOnData);
+    return true;
+  }
+
+  override reuseSocket(
+    socket: PooledSocket,
+    request: http.ClientRequest,
+  ): void {
+    if (socket.endOnData) socket.off('data', socket.endOnData);
+    socket.endOnData = undefined;
+    super.reuseSocket(socket, request);
+  }
+
+  /** Ends connections to an address that lay idle for too long. */
+  dropStale(ip: string, port: number): void {
+    const idle = this.freeSockets[`${ip}:${port}:`] ?? [];
+    for (const socket of [...idle] as PooledSocket[]) {
+      const idleMs = this.clock.nowMs() - (socket.idleSinceMs ?? 0);
+      if (idleMs > MAX_IDLE_MS) socket.destroy();
+    }
+  }
+}
+
+function findHeader(headers: RawHeaders, name: string): string | undefined {
+  for (let i = 0; i < headers.length; i += 2) {
+    if (headers[i].toLowerCase() === name) return headers[i + 1];
+  }
+  return undefined;
+}
+
+function toAnswerBody(answer: http.IncomingMessage): AnswerBody {
+  let hasEnded = false;
+  return {
+    read(sink) {
+      const fail = (detail: string) => {
+        if (hasEnded) return;
+        hasEnded = true;
+        sink.broken(detail);
+      };
+      answer.on('data', (bytes: Buffer) => sink.chunk(bytes));
+      answer.on('end', () => {
+        if (hasEnded) return;
+        // Node ends a body at a lost connection, too, and says so here.
+        if (!answer.complete) return fail('the answer ended early');
+        hasEnded = true;
+        sink.end();
+      });
+      answer.on('error', error => fail(error.message));
+      answer.on('close', () => fail('the connection closed'));
+    },
+    pause: () => void answer.pause(),
+    resume: () => void answer.resume(),
+    destroy() {
+      hasEnded = true;
+      answer.on('error', () => undefined);
+      answer.destroy();
+    },
+  };
+}
+
+export function createHttpExchange(host: HttpExchangeHost): HttpExchange {
+  const {clock} = host;
+  const agent = new GuardedAgent(clock);
+
+  function buildRequest(call: HttpExchangeCall): http.ClientRequest {
+    const {ip, port} = splitAddress(call.address);
+    agent.dropStale(ip, port);
+    const framing =
+      call.body && call.body.length > 0
+        ? ['Content-Length', String(call.body.length)]
+        : needsLength(call.method)
+          ? ['Content-Length', '0']
+          : [];
+    const connection = call.mayReuseConnection ? 'keep-alive' : 'close';
+    return http.request({
+      host: ip,
+      port,
+      method: call.method,
+      path: call.target,
+      headers: [
+        ...call.headers,
+        ...framing,
+        'Connection',
+        connection,
+      ] as unknown as http.OutgoingHttpHeaders,
+      agent: call.mayReuseConnection ? agent : false,
+      setHost: false,
+    });
+  }
+
+  function start(
+    call: HttpExchangeCall,
+    cancellation?: Cancellation,
+  ): Promise<HttpHead | HttpExchangeFailure> {
+    if (cancellation?.isCancelled) {
+      return Promise.resolve({kind: 'cancelled'});
+    }
+    return new Promise(resolve => {
+      const request = buildRequest(call);
+      let isConnected = false;
+      let isSettled = false;
+      const settle = (outcome: HttpHead | HttpExchangeFailure) => {
+        if (isSettled) return;
+        isSettled = true;
+        clock.clearTimer(connectTimer);
+        clock.clearTimer(headTimer);
+        resolve(outcome);
+      };
+      const fail = (detail: string) => {
+        settle({kind: isConnected ? 'broken' : 'unreachable', detail});
+        request.destroy();
+      };
+      const connectTimer = clock.setTimer(call.connectTimeoutMs, () => {
+        if (!isConnected) fail('no connection in time');
+      });
+      const headTimer = clock.setTimer(call.headTimeoutMs, () =>
+        fail('no answer in time'),
+      );
+      cancellation?.onCancel(() => {
+        settle({kind: 'cancelled'});
+        request.destroy();
+      });
+      request.on('socket', socket => {
+        socket.setNoDelay(true);
+        const connected = () => {
+          isConnected = true;
+        };
+        if (socket.connecting) {
+          host.onConnect?.();
+          socket.once('connect', connected);
+        } else {
+          connected();
+        }
+      });
+      request.on('error', error => fail(error.message));
+      request.on('response', answer => {
+        const headers = answer.rawHeaders;
+        settle({
+          kind: 'answered',
+          status: answer.statusCode ?? 0,
+          headers,
+          get: name => findHeader(headers, name),
+          body: toAnswerBody(answer),
+        });
+        // A head that came too late has nobody to read its body.
+        if (request.destroyed) answer.destroy();
+      });
+      request.end(call.body);
+    });
+  }
+
+  return {
+    start,
+    close: () => agent.destroy(),
+  };
+}
+
+/** Methods whose empty body is stated, as servers expect. */
+function needsLength(method: string): boolean {
+  return method === 'POST' || method === 'PUT' || method === 'PATCH';
+}
+
+/** Reads a body to its end; undefined if it breaks or grows too large. */
+export function readWhole(
+  body: AnswerBody,
+  maxBytes: number,
+): Promise<Buffer | undefined> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    body.read({
+      chunk(bytes) {
+        size += bytes.length;
+        if (size > maxBytes) {
+          body.destroy();
+          resolve(undefined);
+          return;
+        }
+        chunks.push(bytes);
+      },
+      end: () => resolve(Buffer.concat(chunks)),
+      broken: () => resolve(undefined),
+    });
+  });
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,9 +1,5 @@
 /** The program `corianderbend`. */
 
-import {runCommandLine} from './command_line.js';
-import {commands} from './commands.js';
-import {createProcessHost} from './process_host.js';
-
 /**
  * A command that has ended may leave pooled connections and their timers,
  * which would keep the process alive for half a minute. What it has written
@@ -17,9 +13,22 @@
   process.exit(0);
 });
 
-void runCommandLine(process.argv.slice(2), commands, createProcessHost()).then(
-  code => {
-    process.exitCode = code;
-    setTimeout(() => process.exit(), EXIT_GRACE_MS).unref();
-  },
-);
+/**
+ * The relay loads only what it serves with; all other commands, with their
+ * parsers and checkers, load when one of them is called.
+ */
+async function run(words: readonly string[]): Promise<number> {
+  if (words[0] === 'relay') {
+    const {runRelayCommand} = await import('./commands/relay_command.js');
+    return runRelayCommand(words.slice(1));
+  }
+  const {runCommandLine} = await import('./command_line.js');
+  const {commands} = await import('./commands.js');
+  const {createProcessHost} = await import('./process_host.js');
+  return runCommandLine(words, commands, createProcessHost());
+}
+
+void run(process.argv.slice(2)).then(code => {
+  process.exitCode = code;
+  setTimeout(() => process.exit(), EXIT_GRACE_MS).unref();
+});
--- /dev/null
+++ b/src/relay/cancellation.ts
@@ -0,0 +1,28 @@
+/** A cancellation that its owner triggers, once. */
+
+import type {Cancellation} from '../ports/relay.js';
+
+export interface CancellationSource extends Cancellation {
+  cancel(): void;
+}
+
+export function createCancellation(): CancellationSource {
+  let isCancelled = false;
+  let listeners: Array<() => void> = [];
+  return {
+    get isCancelled() {
+      return isCancelled;
+    },
+    onCancel(listener) {
+      if (isCancelled) listener();
+      else listeners.push(listener);
+    },
+    cancel() {
+      if (isCancelled) return;
+      isCancelled = true;
+      const called = listeners;
+      listeners = [];
+      for (const listener of called) listener();
+    },
+  };
+}
--- /dev/null
+++ b/src/relay/engine_scheduler.ts
@@ -0,0 +1,381 @@
+/**
+ * Gives each stream its decode and prefill engine, or lets it wait, or refuses
+ * it. Books are shared with the peers by their announcements, so that each
+ * host decides by itself and no host is a bottleneck or missed when it dies.
+ */
+
+import type {RequestError} from '../core/error_kinds.js';
+import {
+  createEngineHealth,
+  DEFAULT_HEALTH,
+} from '../core/scheduling/engine_health.js';
+import type {Clock, TimerHandle} from '../ports/clock.js';
+import type {Logger} from '../ports/log.js';
+import type {Random} from '../ports/random.js';
+import type {Cancellation} from '../ports/relay.js';
+import type {DecodeRun, EngineBooks} from './engine_books.js';
+import {
+  countRoom,
+  pickDecode,
+  pickPrefill,
+  type TokenNeed,
+} from './placement_rules.js';
+import type {EngineTraits, Service} from './routing.js';
+import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import {
+  compareWaiting,
+  findRetryAfterMs,
+  forecastWaitMs,
+  spreadRetryAfterMs,
+  type Waiting,
+} from './wait_rules.js';
+
+export interface EngineSchedulerHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly registry: UpstreamRegistry;
+  readonly books: EngineBooks;
+  /** Requests that wait at the peers, and engines that failed them. */
+  readonly peers: PeerView;
+  /** Something that the peers should hear of has changed. */
+  onChange(): void;
+}
+
+/** What the peers announced, on this host's clock. */
+export interface PeerView {
+  waiting(service: string): readonly Waiting[];
+  isSuspect(engineId: string): boolean;
+}
+
+export interface StreamNeed extends TokenNeed {
+  readonly requestId: string;
+  readonly service: Service;
+  readonly waiting: Waiting;
+  /** How long the caller will still be there. */
+  readonly callerLeftMs: number;
+}
+
+export interface Placement {
+  readonly kind: 'placed';
+  readonly decode: Upstream;
+  /** Absent when the decode engine prefills by itself. */
+  readonly prefill?: Upstream;
+  readonly run: DecodeRun;
+}
+
+export type PlacementOutcome =
+  | Placement
+  | {readonly kind: 'refused'; readonly error: RequestError}
+  | {readonly kind: 'cancelled'};
+
+/** One waiting request as it is announced: its age and how it stands. */
+export interface WaitingAnnouncement {
+  readonly service: string;
+  readonly waiting: Waiting;
+}
+
+export interface EngineScheduler {
+  place(need: StreamNeed, cancellation: Cancellation): Promise<PlacementOutcome>;
+  /** Another decode engine at once, or none; for a request under way. */
+  placeAgain(
+    need: StreamNeed,
+    avoid: ReadonlySet<string>,
+  ): Placement | undefined;
+  /** Another prefill engine for a request under way. */
+  prefillAgain(
+    need: StreamNeed,
+    decode: Upstream,
+    avoid: ReadonlySet<string>,
+  ): Upstream | undefined;
+  /** The run ended; its memory is free. `ranMs` where it ran to its end. */
+  release(run: DecodeRun, ranMs?: number): void;
+  noteFailure(engineId: string): void;
+  noteSuccess(engineId: string): void;
+  /** The engine refused a request for lack of room. */
+  noteFull(engineId: string): void;
+  /** From placement to the first event. */
+  noteStart(durationMs: number): void;
+  startEstimateMs(): number;
+  /** Looks whether somebody who waits can go now. */
+  pump(): void;
+  announcements(): readonly WaitingAnnouncement[];
+  suspects(): readonly string[];
+}
+
+interface Waiter {
+  readonly need: StreamNeed;
+  readonly resolve: (outcome: PlacementOutcome) => void;
+}
+
+const POOL = 'engines';
+/** How often those who wait are looked at without any news. */
+const PUMP_EVERY_MS = 50;
+/** After a refusal for lack of room the books are wrong for about this long. */
+const FULL_FOR_MS = 250;
+/**
+ * A prefill engine reads some 33 tokens a ms. Beyond 0.4 s of backlog a
+ * request keeps decode memory reserved for longer than it would wait.
+ */
+const MAX_PREFILL_BACKLOG_TOKENS = 13_000;
+const SMOOTHING = 0.1;
+/** Until runs have ended here; of the order of the streams' lengths. */
+const FIRST_MEAN_RUN_MS = 3_000;
+const FIRST_START_MS = 250;
+/** A refusal without any engine: they are listed again within seconds. */
+const NO_ENGINE_RETRY_MS = 1_000;
+
+export function createEngineScheduler(
+  host: EngineSchedulerHost,
+): EngineScheduler {
+  const {clock, random, registry, books, peers} = host;
+  const health = createEngineHealth(DEFAULT_HEALTH);
+  const known = new Set<string>();
+  const fullUntil = new Map<string, number>();
+  let waiters: Waiter[] = [];
+  let timer: TimerHandle | undefined;
+  let meanRunMs = FIRST_MEAN_RUN_MS;
+  let startMs = FIRST_START_MS;
+
+  function learnEngines(engines: readonly Upstream[]): void {
+    for (const {id} of engines) {
+      if (known.has(id)) continue;
+      known.add(id);
+      health.add(id, POOL, clock.nowMs(), true);
+    }
+    for (const id of known) {
+      if (registry.get(id)) continue;
+      known.delete(id);
+      fullUntil.delete(id);
+      health.remove(id);
+    }
+  }
+
+  /** Engines of a role; those that failed only if there are no others. */
+  function usable(service: string, role: 'prefill' | 'decode'): Upstream[] {
+    const nowMs = clock.nowMs();
+    const ofRole = registry.open(service).filter(each => each.role === role);
+    learnEngines(ofRole);
+    const sound = ofRole.filter(
+      ({id}) => health.isUsable(id, nowMs) && !peers.isSuspect(id),
+    );
+    return sound.length > 0 ? sound : ofRole;
+  }
+
+  function withRoom(service: string): Upstream[] {
+    const nowMs = clock.nowMs();
+    return usable(service, 'decode').filter(
+      ({id}) => (fullUntil.get(id) ?? 0) <= nowMs,
+    );
+  }
+
+  function book(
+    need: StreamNeed,
+    decode: Upstream,
+    prefill: Upstream | undefined,
+  ): Placement {
+    const run = books.startRun({
+      engineId: decode.id,
+      promptTokens: need.promptTokens,
+      expectedOutputTokens: need.expectedOutputTokens,
+    });
+    return {kind: 'placed', decode, prefill, run};
+  }
+
+  function tryPlace(
+    need: StreamNeed,
+    traits: EngineTraits,
+    ahead: number,
+  ): Placement | undefined {
+    const engines = withRoom(need.service.name);
+    if (ahead > 0 && countRoom(engines, books, traits, need) <= ahead) {
+      return undefined;
+    }
+    const decode = pickDecode(engines, books, traits, need);
+    if (!decode) return undefined;
+    const prefillEngines = usable(need.service.name, 'prefill');
+    const prefill = pickPrefill(prefillEngines, books, decode);
+    if (prefill && prefill.backlogTokens > MAX_PREFILL_BACKLOG_TOKENS) {
+      return undefined;
+    }
+    return book(need, decode, prefill?.engine);
+  }
+
+  /** Requests at the peers that go before this one. */
+  function aheadAtPeers(need: StreamNeed): number {
+    const nowMs = clock.nowMs();
+    return peers
+      .waiting(need.service.name)
+      .filter(other => compareWaiting(other, need.waiting, nowMs) < 0).length;
+  }
+
+  function aheadHere(need: StreamNeed): number {
+    const nowMs = clock.nowMs();
+    return waiters.filter(
+      ({need: other}) =>
+        other.service.name === need.service.name &&
+        compareWaiting(other.waiting, need.waiting, nowMs) < 0,
+    ).length;
+  }
+
+  function countRuns(service: string): number {
+    return registry
+      .open(service)
+      .filter(each => each.role === 'decode')
+      .reduce((sum, {id}) => sum + books.decodeLoad(id).runs, 0);
+  }
+
+  function refuse(need: StreamNeed, waitMs: number): PlacementOutcome {
+    const retryAfterMs = spreadRetryAfterMs(
+      waitMs,
+      need.callerLeftMs,
+      random.nextFloat(),
+    );
+    return {
+      kind: 'refused',
+      error: {
+        kind: 'overloaded',
+        detail: `Room is expected in ${Math.round(waitMs)} ms.`,
+        retryAfterMs,
+      },
+    };
+  }
+
+  function forecast(need: StreamNeed): number {
+    return forecastWaitMs(aheadHere(need) + aheadAtPeers(need), {
+      runs: countRuns(need.service.name),
+      meanRunMs,
+    });
+  }
+
+  function isEmptyHanded(service: string): boolean {
+    return !registry.open(service).some(each => each.role === 'decode');
+  }
+
+  function remove(waiter: Waiter): void {
+    waiters = waiters.filter(each => each !== waiter);
+  }
+
+  function settle(waiter: Waiter, outcome: PlacementOutcome): void {
+    remove(waiter);
+    waiter.resolve(outcome);
+    host.onChange();
+  }
+
+  function expire(nowMs: number): void {
+    for (const waiter of [...waiters]) {
+      if (nowMs <= waiter.need.waiting.giveUpAtMs) continue;
+      settle(waiter, refuse(waiter.need, forecast(waiter.need)));
+    }
+  }
+
+  function pump(): void {
+    if (timer) clock.clearTimer(timer);
+    timer = undefined;
+    const nowMs = clock.nowMs();
+    expire(nowMs);
+    const inOrder = [...waiters].sort((a, b) =>
+      compareWaiting(a.need.waiting, b.need.waiting, nowMs),
+    );
+    const blocked = new Set<string>();
+    for (const waiter of inOrder) {
+      const {name, engine} = waiter.need.service;
+      if (!engine || blocked.has(name)) continue;
+      const placed = tryPlace(waiter.need, engine, aheadAtPeers(waiter.need));
+      if (placed) settle(waiter, placed);
+      else blocked.add(name);
+    }
+    if (waiters.length > 0) timer = clock.setTimer(PUMP_EVERY_MS, pump);
+  }
+
+  function enqueue(
+    need: StreamNeed,
+    cancellation: Cancellation,
+  ): Promise<PlacementOutcome> {
+    return new Promise(resolve => {
+      const waiter: Waiter = {need, resolve};
+      waiters.push(waiter);
+      cancellation.onCancel(() => {
+        if (waiters.includes(waiter)) settle(waiter, {kind: 'cancelled'});
+      });
+      host.onChange();
+      timer ??= clock.setTimer(PUMP_EVERY_MS, pump);
+    });
+  }
+
+  return {
+    async place(need, cancellation) {
+      const traits = need.service.engine;
+      if (!traits || isEmptyHanded(need.service.name)) {
+        return {
+          kind: 'refused',
+          error: {
+            kind: 'no-upstream',
+            detail: 'No decode engine is listed.',
+            retryAfterMs: NO_ENGINE_RETRY_MS,
+          },
+        };
+      }
+      const ahead = aheadHere(need) + aheadAtPeers(need);
+      const placed = tryPlace(need, traits, ahead);
+      if (placed) {
+        host.onChange();
+        return placed;
+      }
+      const waitMs = forecast(need);
+      const nowMs = clock.nowMs();
+      const retryAfterMs = findRetryAfterMs(need.waiting, waitMs, nowMs);
+      if (retryAfterMs !== undefined) return refuse(need, retryAfterMs);
+      return enqueue(need, cancellation);
+    },
+    placeAgain(need, avoid) {
+      const traits = need.service.engine;
+      if (!traits) return undefined;
+      const engines = withRoom(need.service.name).filter(
+        ({id}) => !avoid.has(id),
+      );
+      const decode = pickDecode(engines, books, traits, need);
+      if (!decode) return undefined;
+      const placed = book(need, decode, undefined);
+      host.onChange();
+      return placed;
+    },
+    prefillAgain(need, decode, avoid) {
+      const engines = usable(need.service.name, 'prefill').filter(
+        ({id}) => !avoid.has(id),
+      );
+      return pickPrefill(engines, books, decode)?.engine;
+    },
+    release(run, ranMs) {
+      books.endRun(run);
+      if (ranMs !== undefined) meanRunMs += SMOOTHING * (ranMs - meanRunMs);
+      host.onChange();
+      if (waiters.length > 0) pump();
+    },
+    noteFailure(engineId) {
+      health.failure(engineId, clock.nowMs());
+      host.onChange();
+    },
+    noteSuccess(engineId) {
+      health.success(engineId, clock.nowMs());
+    },
+    noteFull(engineId) {
+      fullUntil.set(engineId, clock.nowMs() + FULL_FOR_MS);
+    },
+    noteStart(durationMs) {
+      startMs += SMOOTHING * (durationMs - startMs);
+    },
+    startEstimateMs: () => startMs,
+    pump,
+    announcements: () =>
+      waiters.map(({need}) => ({
+        service: need.service.name,
+        waiting: need.waiting,
+      })),
+    suspects() {
+      const nowMs = clock.nowMs();
+      return [...known].filter(id => !health.isUsable(id, nowMs));
+    },
+  };
+}
+
--- /dev/null
+++ b/src/relay/peer_view.ts
@@ -0,0 +1,60 @@
+/** What the peers announced, as the scheduler asks for it. */
+
+import type {Clock} from '../ports/clock.js';
+import type {EngineBooks} from './engine_books.js';
+import type {PeerView, WaitingAnnouncement} from './engine_scheduler.js';
+import {toLocalWaiting, type Peer, type WaitingRecord} from './peer_exchange.js';
+import type {Waiting} from './wait_rules.js';
+
+export interface PeerViewKeeper extends PeerView {
+  heard(peer: Peer): void;
+  gone(hostId: string): void;
+  /** This host's own waiting requests, for the peers. */
+  toRecords(waiting: readonly WaitingAnnouncement[]): readonly WaitingRecord[];
+}
+
+/** One suspicion of a peer may be a fault of its own path to the engine. */
+const SUSPICIONS_NEEDED = 2;
+
+export function createPeerView(
+  clock: Clock,
+  books: EngineBooks,
+): PeerViewKeeper {
+  const peers = new Map<string, Peer>();
+  return {
+    heard(peer) {
+      peers.set(peer.hostId, peer);
+      books.setPeer(peer.hostId, peer.load);
+    },
+    gone(hostId) {
+      peers.delete(hostId);
+      books.setPeer(hostId, undefined);
+    },
+    waiting(service) {
+      const waiting: Waiting[] = [];
+      for (const peer of peers.values()) {
+        for (const record of peer.waiting) {
+          if (record.service !== service) continue;
+          waiting.push(toLocalWaiting(record, peer.heardAtMs));
+        }
+      }
+      return waiting;
+    },
+    isSuspect(engineId) {
+      let count = 0;
+      for (const peer of peers.values()) {
+        if (peer.suspects.includes(engineId)) count++;
+      }
+      return count >= SUSPICIONS_NEEDED;
+    },
+    toRecords(waiting) {
+      const nowMs = clock.nowMs();
+      return waiting.map(({service, waiting: each}) => ({
+        service,
+        ageMs: Math.round(nowMs - each.arrivedAtMs),
+        onTimeMs: Math.round(each.onTimeUntilMs - nowMs),
+        giveUpMs: Math.round(each.giveUpAtMs - nowMs),
+      }));
+    },
+  };
+}
--- /dev/null
+++ b/src/relay/plain_relay.ts
@@ -0,0 +1,285 @@
+/**
+ * One call to a plain service: picks an upstream, sends, and decides whether
+ * another may be tried.
+ *
+ * A call that is not idempotent is sent again only after an upstream said that
+ * it did not run it, or when nothing was sent; so it runs at most once.
+ */
+
+import type {RequestError} from '../core/error_kinds.js';
+import type {Clock} from '../ports/clock.js';
+import type {
+  SendFailure,
+  UpstreamAnswer,
+  UpstreamPort,
+} from '../ports/relay.js';
+import type {RetryBudget} from '../request/retry_budget.js';
+import type {
+  PlainBalancer,
+  PlainCallResult,
+} from '../scheduling/plain_balancer.js';
+import {collectAnswer, type CollectedAnswer} from './answer_collector.js';
+import {deliverCollected, passThrough} from './answer_delivery.js';
+import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
+import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+
+export interface PlainRelayHost {
+  readonly clock: Clock;
+  readonly upstreamPort: UpstreamPort;
+  readonly balancer: PlainBalancer;
+  readonly registry: UpstreamRegistry;
+  readonly retryBudget: RetryBudget;
+}
+
+export interface PlainRelay {
+  run(job: RelayJob): Promise<JobOutcome>;
+}
+
+/** A connection within a region is made in some 10 ms; more is a dark host. */
+const CONNECT_TIMEOUT_MS = 300;
+/**
+ * An idempotent call that has another attempt left waits this many times its
+ * latency goal for the first: long enough for a slow run, short enough that
+ * the second may still be of use to the caller.
+ */
+const FIRST_ATTEMPT_GOALS = 2.5;
+const MIN_FIRST_ATTEMPT_MS = 150;
+/** The upstream ends a run at its deadline by itself and says so. */
+const DEADLINE_SLACK_MS = 60;
+const SERVER_ERROR = 500;
+/** Without these an upstream's refusal is not known to be not-run. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+/** Tries that reached nobody cost no upstream anything; this bounds the time. */
+const MAX_SENDS = 5;
+
+interface Progress {
+  readonly tried: Set<string>;
+  readonly ran: string[];
+  sends: number;
+  failure: RequestError;
+  /** An answer of an upstream that failed, handed on if no other is had. */
+  fallback?: CollectedAnswer;
+}
+
+type Step = 'done' | 'again' | 'stop';
+
+export function createPlainRelay(host: PlainRelayHost): PlainRelay {
+  const {clock, upstreamPort, balancer, registry, retryBudget} = host;
+
+  function pick(job: RelayJob, progress: Progress): Upstream | undefined {
+    const {service} = job;
+    const picked = balancer.pick(service.name, progress.tried);
+    return picked && registry.get(picked.upstreamId);
+  }
+
+  /** True while a run more is allowed by the route. */
+  function mayRunAgain(job: RelayJob, progress: Progress): boolean {
+    const isRepeatable = job.route.kind === 'idempotent';
+    return isRepeatable && progress.ran.length < job.route.maxAttempts;
+  }
+
+  function headTimeoutMs(job: RelayJob, progress: Progress): number {
+    const untilDeadlineMs = leftMs(job.deadlineAtMs, clock.nowMs());
+    const isLast =
+      job.route.kind !== 'idempotent' ||
+      progress.ran.length + 1 >= job.route.maxAttempts;
+    if (isLast) return untilDeadlineMs + DEADLINE_SLACK_MS;
+    const firstMs = Math.max(
+      MIN_FIRST_ATTEMPT_MS,
+      job.route.goalMs * FIRST_ATTEMPT_GOALS,
+    );
+    return Math.min(untilDeadlineMs, firstMs);
+  }
+
+  async function sendOnce(
+    job: RelayJob,
+    progress: Progress,
+    upstream: Upstream,
+  ): Promise<Step> {
+    const {service, request, cancellation} = job;
+    const startedAtMs = clock.nowMs();
+    progress.sends++;
+    balancer.started(service.name, upstream.id);
+    const outcome = await upstreamPort.send(
+      request,
+      {
+        upstream,
+        leftMs: leftMs(job.deadlineAtMs, startedAtMs),
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        headTimeoutMs: headTimeoutMs(job, progress),
+        mayReuseConnection: job.route.kind === 'idempotent',
+      },
+      cancellation,
+    );
+    const report = (result: PlainCallResult) =>
+      balancer.ended(
+        service.name,
+        upstream.id,
+        result,
+        clock.nowMs() - startedAtMs,
+      );
+    if (outcome.kind !== 'answered') {
+      report(toResult(outcome));
+      return takeFailure(job, progress, upstream, outcome);
+    }
+    progress.ran.push(upstream.id);
+    return takeAnswer(job, progress, outcome, report);
+  }
+
+  function takeFailure(
+    job: RelayJob,
+    progress: Progress,
+    upstream: Upstream,
+    failure: SendFailure,
+  ): Step {
+    progress.tried.add(upstream.id);
+    switch (failure.kind) {
+      case 'unreachable':
+        progress.failure = {kind: 'no-upstream', detail: failure.detail};
+        return 'again';
+      case 'rejected':
+        if (failure.reason === 'other-instance') registry.markGone(upstream.id);
+        progress.failure = {kind: 'overloaded', detail: failure.detail};
+        return retryBudget.tryTake(job.service.name) ? 'again' : 'stop';
+      case 'broken':
+        progress.ran.push(upstream.id);
+        progress.failure = {kind: 'upstream-failed', detail: failure.detail};
+        return mayRunAgain(job, progress) &&
+          retryBudget.tryTake(job.service.name)
+          ? 'again'
+          : 'stop';
+      case 'cancelled':
+        return 'stop';
+    }
+  }
+
+  async function takeAnswer(
+    job: RelayJob,
+    progress: Progress,
+    answer: UpstreamAnswer,
+    report: (result: PlainCallResult) => void,
+  ): Promise<Step> {
+    if (!isGenuine(answer)) {
+      answer.body.destroy();
+      report('failed');
+      progress.failure = {
+        kind: 'upstream-failed',
+        detail: `status ${answer.status} without proof`,
+      };
+      return mayRunAgain(job, progress) && retryBudget.tryTake(job.service.name)
+        ? 'again'
+        : 'stop';
+    }
+    if (job.route.kind === 'stream') {
+      report('ok');
+      await passThrough(job, answer);
+      return 'done';
+    }
+    const collected = await collectAnswer(answer);
+    if (collected.kind === 'large') {
+      report('ok');
+      await passThrough(job, collected.answer, collected.begun);
+      return 'done';
+    }
+    return takeCollected(job, progress, collected, report);
+  }
+
+  function takeCollected(
+    job: RelayJob,
+    progress: Progress,
+    collected: CollectedAnswer | {readonly kind: 'broken'; detail: string},
+    report: (result: PlainCallResult) => void,
+  ): Step {
+    const isFailure =
+      collected.kind === 'broken' || collected.status >= SERVER_ERROR;
+    report(isFailure ? 'failed' : 'ok');
+    if (!isFailure) {
+      deliverCollected(job.caller, collected);
+      return 'done';
+    }
+    if (collected.kind === 'broken') {
+      progress.failure = {kind: 'upstream-failed', detail: collected.detail};
+    } else {
+      progress.fallback = collected;
+    }
+    return mayRunAgain(job, progress) && retryBudget.tryTake(job.service.name)
+      ? 'again'
+      : 'stop';
+  }
+
+  function endWithout(job: RelayJob, progress: Progress): JobOutcome {
+    const {caller} = job;
+    if (job.cancellation.isCancelled) {
+      return {end: 'caller-gone', upstreams: progress.ran};
+    }
+    if (progress.fallback) {
+      deliverCollected(caller, progress.fallback);
+      const {status} = progress.fallback;
+      return {end: 'answered', status, upstreams: progress.ran};
+    }
+    const hasRun = progress.ran.length > 0;
+    const isLate = clock.nowMs() >= job.deadlineAtMs;
+    const error: RequestError =
+      hasRun && isLate
+        ? {kind: 'deadline-passed', detail: progress.failure.detail}
+        : progress.failure;
+    caller.refuse(error);
+    return {
+      end: hasRun ? 'failed' : 'refused',
+      reason: `${error.kind}: ${error.detail}`,
+      upstreams: progress.ran,
+    };
+  }
+
+  return {
+    async run(job) {
+      const progress: Progress = {
+        tried: new Set(),
+        ran: [],
+        sends: 0,
+        failure: {
+          kind: 'no-upstream',
+          detail: 'No upstream is listed.',
+          retryAfterMs: 500,
+        },
+      };
+      retryBudget.requestStarted(job.service.name);
+      while (
+        progress.sends < MAX_SENDS &&
+        clock.nowMs() < job.deadlineAtMs &&
+        !job.cancellation.isCancelled
+      ) {
+        const upstream = pick(job, progress);
+        if (!upstream || progress.tried.has(upstream.id)) break;
+        const step = await sendOnce(job, progress, upstream);
+        progress.tried.add(upstream.id);
+        if (step === 'done') {
+          return {end: 'answered', upstreams: progress.ran};
+        }
+        if (step === 'stop') break;
+      }
+      return endWithout(job, progress);
+    },
+  };
+}
+
+function toResult(failure: SendFailure): PlainCallResult {
+  switch (failure.kind) {
+    case 'unreachable':
+    case 'broken':
+      return 'failed';
+    case 'rejected':
+      return failure.reason === 'full' ? 'cancelled' : 'failed';
+    case 'cancelled':
+      return 'cancelled';
+  }
+}
+
+/**
+ * A success without the upstream's signature may be anybody's bytes; a status
+ * that promises "not run" without the upstream's own word may be a lie.
+ */
+export function isGenuine(answer: UpstreamAnswer): boolean {
+  if (PROMISING_STATUSES.has(answer.status)) return false;
+  return answer.hasSignature;
+}
--- /dev/null
+++ b/src/relay/relay.ts
@@ -0,0 +1,140 @@
+/**
+ * The way of a caller's request, as calls in order: configuration, route,
+ * deadline, service, and the task that runs it.
+ */
+
+import type {RequestError} from '../core/error_kinds.js';
+import type {Clock} from '../ports/clock.js';
+import type {Logger} from '../ports/log.js';
+import type {Random} from '../ports/random.js';
+import type {RelayRequest} from '../ports/relay.js';
+import type {Caller} from './caller.js';
+import {createCancellation} from './cancellation.js';
+import type {PlainRelay} from './plain_relay.js';
+import type {RelayMetrics} from './relay_metrics.js';
+import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
+import {chooseService, type Route} from './routing.js';
+import type {RoutingState} from './routing_state.js';
+import type {StreamRelay} from './stream_relay.js';
+
+export interface RelayHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly metrics: RelayMetrics;
+  readonly routing: RoutingState;
+  readonly plain: PlainRelay;
+  readonly streams: StreamRelay;
+  /** Undefined while requests of this length may begin. */
+  refuseForLeaving(route: Route): RequestError | undefined;
+}
+
+export interface Relay {
+  /** Resolves once the request has ended. */
+  handle(request: RelayRequest, caller: Caller): Promise<void>;
+  activeCount(): number;
+}
+
+/** A process learns the configuration within this time of its start. */
+const NO_CONFIGURATION_RETRY_MS = 500;
+
+export function createRelay(host: RelayHost): Relay {
+  const {clock, random, log, metrics, routing, plain, streams} = host;
+  let activeCount = 0;
+
+  function admit(
+    request: RelayRequest,
+    caller: Caller,
+  ): RelayJob | RequestError {
+    if (!routing.current()) {
+      return {
+        kind: 'configuration-missing',
+        detail: 'Ask again in a moment.',
+        retryAfterMs: NO_CONFIGURATION_RETRY_MS,
+      };
+    }
+    const path = request.target.split('?', 1)[0];
+    const route = routing.match(request.host, path);
+    if (!route) return {kind: 'unknown-route', detail: path.slice(0, 80)};
+    const leaving = host.refuseForLeaving(route);
+    if (leaving) return leaving;
+    const name = chooseService(route, random);
+    const service = routing.service(name);
+    if (!service) return {kind: 'no-upstream', detail: 'No such service.'};
+    const waitMs = Math.min(request.waitMs, route.timeoutMs);
+    const cancellation = createCancellation();
+    caller.onGone(() => cancellation.cancel());
+    return {
+      request,
+      route,
+      service,
+      caller,
+      cancellation,
+      deadlineAtMs: request.arrivedAtMs + waitMs,
+    };
+  }
+
+  function run(job: RelayJob): Promise<JobOutcome> {
+    return job.service.engine ? streams.run(job) : plain.run(job);
+  }
+
+  function logOutcome(
+    request: RelayRequest,
+    job: RelayJob | undefined,
+    outcome: JobOutcome,
+  ): void {
+    const durationMs = Math.round(clock.nowMs() - request.arrivedAtMs);
+    const fields = {
+      request: request.requestId,
+      route: job?.route.name,
+      service: job?.service.name,
+      end: outcome.end,
+      status: outcome.status,
+      reason: outcome.reason,
+      upstreams: outcome.upstreams.join(',') || undefined,
+      waitedMs: round(outcome.waitedMs),
+      firstByteMs: round(outcome.firstByteMs),
+      events: outcome.events,
+      durationMs,
+      leftMs: job && Math.round(leftMs(job.deadlineAtMs, clock.nowMs())),
+      configuration: routing.version(),
+    };
+    if (outcome.end === 'answered') log.info('Request answered.', fields);
+    else log.warn('Request not answered.', fields);
+    metrics.requestEnded(job?.service.name, job?.route.kind, outcome, durationMs);
+  }
+
+  return {
+    async handle(request, caller) {
+      const admitted = admit(request, caller);
+      if ('kind' in admitted) {
+        caller.refuse(admitted);
+        logOutcome(request, undefined, {
+          end: 'refused',
+          reason: admitted.kind,
+          upstreams: [],
+        });
+        return;
+      }
+      activeCount++;
+      try {
+        logOutcome(request, admitted, await run(admitted));
+      } catch (error) {
+        // A fault of ours must not leave a caller waiting to its deadline.
+        log.error('A request failed in the router.', {
+          request: request.requestId,
+          reason: error instanceof Error ? error.stack : String(error),
+        });
+        if (caller.hasBegun) caller.cut();
+        else caller.refuse({kind: 'internal', detail: 'See the log.'});
+      } finally {
+        activeCount--;
+      }
+    },
+    activeCount: () => activeCount,
+  };
+}
+
+function round(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
--- /dev/null
+++ b/src/relay/relay_front.ts
@@ -0,0 +1,184 @@
+/**
+ * The HTTP front towards callers: reads requests whole, hands them to the
+ * relay, and writes answers byte for byte.
+ */
+
+import http from 'node:http';
+import {listenOn} from '../adapters/listen.js';
+import {errorAnswers, type RequestError} from '../core/error_kinds.js';
+import {createProblem} from '../entry/problem.js';
+import type {Clock} from '../ports/clock.js';
+import type {Logger} from '../ports/log.js';
+import type {RawHeaders, RequestReader} from '../ports/relay.js';
+import type {Caller} from './caller.js';
+import type {Relay} from './relay.js';
+import type {CallerLimits} from './routing.js';
+
+export interface RelayFrontHost {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly reader: RequestReader;
+  readonly relay: Relay;
+  limits(): CallerLimits | undefined;
+  /** Callers are told to take their next request elsewhere. */
+  isLeaving(): boolean;
+}
+
+export interface RelayFront {
+  listen(address: string): Promise<void>;
+  applyLimits(limits: CallerLimits): void;
+  /** Requests being read, run or answered. */
+  openCount(): number;
+  /** When the last request began. */
+  lastRequestAtMs(): number;
+  closeIdle(): void;
+  close(): void;
+}
+
+/** Before a configuration says otherwise. */
+const FIRST_MAX_HEADER_BYTES = 64 * 1024;
+const FIRST_MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** A caller that does not say how long it waits. */
+const DEFAULT_WAIT_MS = 600_000;
+const MS_PER_SECOND = 1_000;
+
+interface ReadBody {
+  readonly bytes?: Buffer;
+  readonly error?: RequestError;
+}
+
+export function createRelayFront(host: RelayFrontHost): RelayFront {
+  const {clock, log, reader, relay} = host;
+  let openCount = 0;
+  let lastRequestAtMs = Number.NEGATIVE_INFINITY;
+
+  function readBody(message: http.IncomingMessage): Promise<ReadBody> {
+    const maxBytes = host.limits()?.maxBodyBytes ?? FIRST_MAX_BODY_BYTES;
+    return new Promise(resolve => {
+      const chunks: Buffer[] = [];
+      let size = 0;
+      message.on('data', (bytes: Buffer) => {
+        size += bytes.length;
+        if (size > maxBytes) {
+          resolve({error: {kind: 'body-too-large', detail: `${maxBytes} bytes`}});
+          return;
+        }
+        chunks.push(bytes);
+      });
+      message.on('end', () => resolve({bytes: Buffer.concat(chunks)}));
+      message.on('error', () => resolve({}));
+      message.on('close', () => resolve({}));
+    });
+  }
+
+  async function handle(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const arrivedAtMs = clock.nowMs();
+    lastRequestAtMs = arrivedAtMs;
+    const facts = reader.read(message.rawHeaders);
+    const caller = createHttpCaller(response, facts.requestId, host.isLeaving);
+    const body = await readBody(message);
+    if (body.error) return caller.refuse(body.error);
+    // The caller left before its request was whole: nobody to answer.
+    if (!body.bytes) return;
+    await relay.handle(
+      {
+        requestId: facts.requestId,
+        method: message.method ?? 'GET',
+        target: message.url ?? '/',
+        host: message.headers.host ?? '',
+        headers: facts.forwarded,
+        body: body.bytes,
+        arrivedAtMs,
+        waitMs: facts.waitMs ?? DEFAULT_WAIT_MS,
+        prompt: facts.prompt,
+        lastEventId: facts.lastEventId,
+      },
+      caller,
+    );
+  }
+
+  const server = http.createServer(
+    {maxHeaderSize: FIRST_MAX_HEADER_BYTES, requestTimeout: 0},
+    (message, response) => {
+      openCount++;
+      response.once('close', () => {
+        openCount--;
+      });
+      handle(message, response).catch(error => {
+        log.error('The front failed.', {reason: String(error)});
+        response.destroy();
+      });
+    },
+  );
+  server.on('connection', socket => socket.setNoDelay(true));
+
+  return {
+    listen: address => listenOn(server, address),
+    applyLimits(limits) {
+      server.keepAliveTimeout = limits.idleTimeoutMs;
+      server.headersTimeout = limits.headerTimeoutMs;
+    },
+    openCount: () => openCount,
+    lastRequestAtMs: () => lastRequestAtMs,
+    closeIdle: () => server.closeIdleConnections(),
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
+
+function createHttpCaller(
+  response: http.ServerResponse,
+  requestId: string,
+  isLeaving: () => boolean,
+): Caller {
+  const endsConnection = (): string[] =>
+    isLeaving() ? ['Connection', 'close'] : [];
+
+  function begin(
+    status: number,
+    headers: RawHeaders,
+    bodyLength?: number,
+  ): void {
+    const length =
+      bodyLength === undefined ? [] : ['Content-Length', String(bodyLength)];
+    response.writeHead(status, [...headers, ...length, ...endsConnection()]);
+  }
+
+  return {
+    get hasBegun() {
+      return response.headersSent;
+    },
+    begin,
+    write: bytes => response.write(bytes),
+    end: () => void response.end(),
+    cut: () => void response.destroy(),
+    refuse(error) {
+      if (response.headersSent || response.destroyed) return;
+      const problem = createProblem(error, requestId);
+      const body = Buffer.from(JSON.stringify(problem));
+      begin(
+        errorAnswers[error.kind].status,
+        ['Content-Type', 'application/problem+json', ...retryAfter(error)],
+        body.length,
+      );
+      response.end(body);
+    },
+    onGone(listener) {
+      response.once('close', () => {
+        if (!response.writableFinished) listener();
+      });
+    },
+    onWritable: listener => void response.on('drain', listener),
+  };
+}
+
+/** In seconds with a fraction: rooms open within tenths of a second. */
+function retryAfter(error: RequestError): readonly string[] {
+  if (error.retryAfterMs === undefined) return [];
+  return ['Retry-After', (error.retryAfterMs / MS_PER_SECOND).toFixed(3)];
+}
--- /dev/null
+++ b/src/relay/relay_metrics.ts
@@ -0,0 +1,130 @@
+/**
+ * Counters and latency histograms of the relay as text in Prometheus' format.
+ * Written here since the usual library takes 13 MB, more than all the rest of
+ * the serving path, and this path needs only counters and fixed buckets.
+ */
+
+import type {JobOutcome} from './relay_types.js';
+import type {RouteKind} from './routing.js';
+
+export interface RelayMetrics {
+  requestEnded(
+    service: string | undefined,
+    kind: RouteKind | undefined,
+    outcome: JobOutcome,
+    durationMs: number,
+  ): void;
+  count(name: CounterName, labels?: string): void;
+  /** Read at each scrape. */
+  gauge(name: string, help: string, read: () => number): void;
+  render(): string;
+}
+
+/** Every counter with its help text; labels are bounded by the caller. */
+const COUNTERS = {
+  requests: 'Requests that ended, by service, kind and end.',
+  upstream_connections: 'Connections opened to upstreams and the store.',
+  store_calls: 'Calls to the platform store, by call and outcome.',
+  log_lines_dropped: 'Log lines that were left out.',
+  role_orders: 'Orders to engines to change their role, by outcome.',
+} as const;
+
+export type CounterName = keyof typeof COUNTERS;
+
+const PREFIX = 'corianderbend_relay_';
+/** Upper bounds in ms, from a plain call to the longest stream. */
+const BUCKETS_MS = [
+  10, 25, 50, 100, 250, 500, 900, 2_000, 5_000, 15_000,
+] as const;
+/** Labels beyond this share one series: names come from configurations. */
+const MAX_SERIES = 200;
+
+interface Histogram {
+  readonly counts: number[];
+  sumMs: number;
+  total: number;
+}
+
+export function createRelayMetrics(): RelayMetrics {
+  const counters = new Map<CounterName, Map<string, number>>();
+  const histograms = new Map<string, Histogram>();
+  const gauges: Array<{name: string; help: string; read: () => number}> = [];
+
+  function count(name: CounterName, labels = ''): void {
+    const series = counters.get(name) ?? new Map<string, number>();
+    counters.set(name, series);
+    const isKnown = series.has(labels) || series.size < MAX_SERIES;
+    const key = isKnown ? labels : 'overflow="true"';
+    series.set(key, (series.get(key) ?? 0) + 1);
+  }
+
+  function observe(labels: string, valueMs: number): void {
+    const known = histograms.get(labels);
+    if (!known && histograms.size >= MAX_SERIES) return;
+    const histogram = known ?? {
+      counts: BUCKETS_MS.map(() => 0),
+      sumMs: 0,
+      total: 0,
+    };
+    histograms.set(labels, histogram);
+    histogram.total++;
+    histogram.sumMs += valueMs;
+    const index = BUCKETS_MS.findIndex(bound => valueMs <= bound);
+    if (index >= 0) histogram.counts[index]++;
+  }
+
+  function renderHistogram(labels: string, histogram: Histogram): string[] {
+    const name = `${PREFIX}duration_ms`;
+    let below = 0;
+    const lines = BUCKETS_MS.map((bound, index) => {
+      below += histogram.counts[index];
+      return `${name}_bucket{${labels},le="${bound}"} ${below}`;
+    });
+    return [
+      ...lines,
+      `${name}_bucket{${labels},le="+Inf"} ${histogram.total}`,
+      `${name}_sum{${labels}} ${histogram.sumMs}`,
+      `${name}_count{${labels}} ${histogram.total}`,
+    ];
+  }
+
+  function renderCounter(name: CounterName): string[] {
+    const series = [...(counters.get(name) ?? [])];
+    return [
+      `# HELP ${PREFIX}${name}_total ${COUNTERS[name]}`,
+      `# TYPE ${PREFIX}${name}_total counter`,
+      ...series.map(([labels, value]) => {
+        const braces = labels ? `{${labels}}` : '';
+        return `${PREFIX}${name}_total${braces} ${value}`;
+      }),
+    ];
+  }
+
+  return {
+    requestEnded(service, kind, outcome, durationMs) {
+      const labels = `service="${service ?? ''}",kind="${kind ?? ''}",end="${outcome.end}"`;
+      count('requests', labels);
+      observe(labels, durationMs);
+    },
+    count,
+    gauge(name, help, read) {
+      gauges.push({name, help, read});
+    },
+    render() {
+      const names = Object.keys(COUNTERS) as CounterName[];
+      const lines = names.flatMap(renderCounter);
+      lines.push(`# TYPE ${PREFIX}duration_ms histogram`);
+      for (const [labels, histogram] of histograms) {
+        lines.push(...renderHistogram(labels, histogram));
+      }
+      for (const {name, help, read} of gauges) {
+        lines.push(
+          `# HELP ${PREFIX}${name} ${help}`,
+          `# TYPE ${PREFIX}${name} gauge`,
+          `${PREFIX}${name} ${read()}`,
+        );
+      }
+      return `${lines.join('\n')}\n`;
+    },
+  };
+}
--- /dev/null
+++ b/src/relay/relay_process.ts
@@ -0,0 +1,295 @@
+/**
+ * One relay process, put together: from the store and the peers over the
+ * configuration and the upstreams to the callers, as calls in order.
+ */
+
+import {createHttpExchange, type HttpExchange} from '../adapters/http_exchange.js';
+import {splitAddress} from '../adapters/listen.js';
+import {createSystemClock} from '../adapters/system_clock.js';
+import {createSystemRandom} from '../adapters/system_random.js';
+import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
+import type {Logger} from '../ports/log.js';
+import type {
+  HostRegistry,
+  RequestReader,
+  RoutingSource,
+  UpstreamPort,
+  UpstreamSource,
+} from '../ports/relay.js';
+import {createRetryBudget} from '../request/retry_budget.js';
+import {createPlainBalancer} from '../scheduling/plain_balancer.js';
+import {createEngineBooks} from './engine_books.js';
+import {createEngineScheduler} from './engine_scheduler.js';
+import {answerDirectory, type EntryAnswer} from './host_directory.js';
+import {createLeaving} from './leaving.js';
+import {createPeerExchange, type HostState} from './peer_exchange.js';
+import {createPeerView} from './peer_view.js';
+import {createPlainRelay} from './plain_relay.js';
+import {createRelay} from './relay.js';
+import {createRelayFront} from './relay_front.js';
+import type {RelayMetrics} from './relay_metrics.js';
+import type {RelaySettings} from './relay_settings.js';
+import {createRoutingState} from './routing_state.js';
+import {createSideServer, type SideHandler} from './side_server.js';
+import {createStoreWatch} from './store_watch.js';
+import {createStreamRelay} from './stream_relay.js';
+import {createUpstreamRegistry} from './upstream_registry.js';
+
+/** What the platform's calls to this process ask for. */
+export interface SideFacts {
+  isReady(): boolean;
+  entries(): EntryAnswer | undefined;
+}
+
+/** A platform's own names and formats, behind the product's ports. */
+export interface RelayAdapters {
+  readonly reader: RequestReader;
+  createUpstreamPort(exchange: HttpExchange): UpstreamPort;
+  createSources(host: {
+    readonly exchange: HttpExchange;
+    readonly storeAddress: string;
+    readonly log: Logger;
+  }): RelaySources;
+  createSideHandler(facts: SideFacts): SideHandler;
+}
+
+export interface RelaySources {
+  readonly routingSource: RoutingSource;
+  readonly upstreamSource: UpstreamSource;
+  readonly hostRegistry: HostRegistry;
+}
+
+export interface RelayProcessOptions {
+  readonly settings: RelaySettings;
+  readonly adapters: RelayAdapters;
+  readonly metrics: RelayMetrics;
+  readonly createLogger: (part: string) => Logger;
+}
+
+export interface RelayProcess {
+  leave(): void;
+  /** Resolves with the number of requests that were cut, 0 as a rule. */
+  readonly ended: Promise<number>;
+}
+
+/** Retries that one host may take at once of those that all may. */
+function retryBurst(settings: RelaySettings): number {
+  return Math.max(1, settings.retrySlack / HOSTS_SHARING_RETRIES);
+}
+
+/** The slack is for all hosts; it is shared as if this many used it up. */
+const HOSTS_SHARING_RETRIES = 12;
+
+/** Resolves once the process serves. */
+export async function startRelay(
+  options: RelayProcessOptions,
+): Promise<RelayProcess> {
+  const {settings, adapters, metrics, createLogger} = options;
+  const clock = createSystemClock();
+  const random = createSystemRandom();
+  const log = createLogger('relay');
+  const exchange = createHttpExchange({
+    clock,
+    onConnect: () => metrics.count('upstream_connections'),
+  });
+  const datagrams = await createUdpDatagramPort(settings.peerAddress, error =>
+    log.warn('The datagram socket failed.', {reason: error.message}),
+  );
+
+  const routing = createRoutingState(createLogger('configuration'));
+  const registry = createUpstreamRegistry({
+    clock,
+    log: createLogger('upstreams'),
+  });
+  const sources = adapters.createSources({
+    exchange,
+    storeAddress: settings.storeAddress,
+    log: createLogger('store'),
+  });
+  const {port: peerPort} = splitAddress(settings.peerAddress);
+  const watch = createStoreWatch(
+    {
+      clock,
+      random,
+      log: createLogger('store'),
+      metrics,
+      ...sources,
+      routing,
+      registry,
+      onHosts: records =>
+        peers.addAddresses(records.map(({peerAddress}) => peerAddress)),
+    },
+    {hostId: settings.hostId, peerAddress: settings.peerAddress},
+  );
+
+  const books = createEngineBooks();
+  const view = createPeerView(clock, books);
+  const scheduler = createEngineScheduler({
+    clock,
+    random,
+    log: createLogger('scheduler'),
+    registry,
+    books,
+    peers: view,
+    onChange: () => peers.changed(),
+  });
+  const peers = createPeerExchange(
+    {
+      clock,
+      log: createLogger('peers'),
+      datagrams,
+      announcement: () => ({
+        state: hostState(),
+        callerAddress: settings.callerAddress,
+        failureDomain: settings.failureDomain,
+        routingVersion: routing.version(),
+        upstreamRevision: registry.revision(),
+        upstreamAgeMs: Math.round(watch.upstreamAgeMs()),
+        load: books.own(),
+        waiting: view.toRecords(scheduler.announcements()),
+        suspects: scheduler.suspects(),
+        losses: [],
+      }),
+      onPeer(peer) {
+        view.heard(peer);
+        scheduler.pump();
+      },
+      onPeerGone(hostId) {
+        view.gone(hostId);
+        scheduler.pump();
+      },
+    },
+    {
+      hostId: settings.hostId,
+      incarnation: random.nextId(),
+      peerAddress: settings.peerAddress,
+      // Ports are the same on all hosts; a seed may name that of another use.
+      seedAddresses: settings.seedAddresses.map(
+        seed => `${splitAddress(seed).ip}:${peerPort}`,
+      ),
+    },
+  );
+
+  const balancer = createPlainBalancer(
+    {clock, random},
+    {ownFailureDomain: settings.failureDomain},
+  );
+  const retryBudget = createRetryBudget({
+    burst: retryBurst(settings),
+    ratioOf: () => settings.retryRatio,
+  });
+  const upstreamPort = adapters.createUpstreamPort(exchange);
+  const shared = {clock, upstreamPort, registry, retryBudget};
+  const leaving = createLeaving(
+    {
+      clock,
+      log,
+      openCount: () => front.openCount(),
+      lastRequestAtMs: () => front.lastRequestAtMs(),
+      onLeave: () => peers.changed(),
+    },
+    {graceMs: settings.leaveGraceMs},
+  );
+  const relay = createRelay({
+    clock,
+    random,
+    log: createLogger('request'),
+    metrics,
+    routing,
+    plain: createPlainRelay({...shared, balancer}),
+    streams: createStreamRelay({...shared, scheduler, books}),
+    refuseForLeaving: leaving.refuse,
+  });
+  const front = createRelayFront({
+    clock,
+    log: createLogger('front'),
+    reader: adapters.reader,
+    relay,
+    limits: () => routing.current()?.limits,
+    isLeaving: leaving.isLeaving,
+  });
+
+  function hostState(): HostState {
+    if (leaving.isLeaving()) return 'leaving';
+    const isServing = routing.current() !== undefined && registry.isKnown();
+    return isServing ? 'ready' : 'starting';
+  }
+
+  const sideHandler = adapters.createSideHandler({
+    isReady: () => hostState() === 'ready',
+    entries: () =>
+      answerDirectory({
+        callerAddress: settings.callerAddress,
+        isReady: () => hostState() === 'ready',
+        peers: peers.alive,
+      }),
+  });
+  const sideServers = [
+    {address: settings.readyAddress, handler: sideHandler},
+    {address: settings.directoryAddress, handler: sideHandler},
+    {
+      address: settings.metricsAddress,
+      handler: () => ({
+        status: 200,
+        contentType: 'text/plain; version=0.0.4',
+        body: metrics.render(),
+      }),
+    },
+  ].map(({address, handler}) => ({address, server: createSideServer(handler)}));
+
+  function applyUpstreams(): void {
+    for (const service of routing.current()?.services ?? []) {
+      if (service.engine) continue;
+      balancer.setUpstreams(
+        service.name,
+        registry.open(service.name).map(({id, address, failureDomain}) => ({
+          upstreamId: id,
+          address,
+          failureDomain,
+        })),
+      );
+    }
+  }
+
+  routing.onChange(({limits}) => {
+    front.applyLimits(limits);
+    applyUpstreams();
+    peers.changed();
+  });
+  registry.onChange(() => {
+    applyUpstreams();
+    scheduler.pump();
+  });
+
+  metrics.gauge('active_requests', 'Requests that run.', relay.activeCount);
+  metrics.gauge('peers_alive', 'Live peers.', () => peers.alive().length);
+  metrics.gauge('configuration_version', 'In force.', routing.version);
+  metrics.gauge('upstream_list_age_ms', 'Age of the list.', () =>
+    Math.round(watch.upstreamAgeMs()),
+  );
+  metrics.gauge(
+    'waiting_streams',
+    'Streams that wait for engines.',
+    () => scheduler.announcements().length,
+  );
+
+  await front.listen(settings.callerAddress);
+  for (const {address, server} of sideServers) await server.listen(address);
+  peers.start();
+  watch.start();
+  const {hostId, callerAddress, peerAddress} = settings;
+  log.info('Serving.', {hostId, callerAddress, peerAddress});
+
+  async function stop(openCount: number): Promise<number> {
+    await watch.stop();
+    peers.stop();
+    front.close();
+    for (const {server} of sideServers) server.close();
+    exchange.close();
+    datagrams.close();
+    log.info('Stopped.', {hostId, openRequests: openCount});
+    return openCount;
+  }
+
+  return {leave: leaving.start, ended: leaving.ended.then(stop)};
+}
--- /dev/null
+++ b/src/relay/relay_types.ts
@@ -0,0 +1,36 @@
+/** What the tasks of the relay share. */
+
+import type {Cancellation, RelayRequest} from '../ports/relay.js';
+import type {Caller, RequestEnd} from './caller.js';
+import type {Route, Service} from './routing.js';
+
+/** One admitted request on its way. */
+export interface RelayJob {
+  readonly request: RelayRequest;
+  readonly route: Route;
+  readonly service: Service;
+  readonly caller: Caller;
+  /** Ends when the caller has gone. */
+  readonly cancellation: Cancellation;
+  /** When the caller or the route stops waiting, whichever is first. */
+  readonly deadlineAtMs: number;
+}
+
+/** What became of a job; one log line is written from it. */
+export interface JobOutcome {
+  readonly end: RequestEnd;
+  /** Status towards the caller, where one was sent. */
+  readonly status?: number;
+  /** Why it was refused, failed or cut. */
+  readonly reason?: string;
+  /** Upstreams that may have run it, in order. */
+  readonly upstreams: readonly string[];
+  readonly waitedMs?: number;
+  readonly firstByteMs?: number;
+  readonly events?: number;
+}
+
+/** Time left until `atMs`, never negative. */
+export function leftMs(atMs: number, nowMs: number): number {
+  return Math.max(0, atMs - nowMs);
+}
--- /dev/null
+++ b/src/relay/routing_state.ts
@@ -0,0 +1,60 @@
+/**
+ * The configuration in force in this process.
+ *
+ * Guards against going back: an older version may arrive after a newer one,
+ * from a slow read or a peer that lags. A process that acted on a version
+ * never takes an older one for as long as it lives.
+ */
+
+import type {Logger} from '../ports/log.js';
+import {
+  createRouteTable,
+  type Route,
+  type Routing,
+  type Service,
+} from './routing.js';
+
+/** Where a version came from, for the log. */
+export type RoutingOrigin = 'store' | 'peer';
+
+export interface RoutingState {
+  current(): Routing | undefined;
+  /** 0 while none is known. */
+  version(): number;
+  match(host: string, path: string): Route | undefined;
+  service(name: string): Service | undefined;
+  /** False for a version that is not newer than the one in force. */
+  offer(routing: Routing, origin: RoutingOrigin): boolean;
+  /** Calls `listener` after each change. */
+  onChange(listener: (routing: Routing) => void): void;
+}
+
+export function createRoutingState(log: Logger): RoutingState {
+  let current: Routing | undefined;
+  let table = createRouteTable([]);
+  let services: ReadonlyMap<string, Service> = new Map();
+  const listeners: Array<(routing: Routing) => void> = [];
+  return {
+    current: () => current,
+    version: () => current?.version ?? 0,
+    match: (host, path) => table.match(host, path),
+    service: name => services.get(name),
+    offer(routing, origin) {
+      if (current && routing.version <= current.version) return false;
+      current = routing;
+      table = createRouteTable(routing.routes);
+      services = new Map(routing.services.map(each => [each.name, each]));
+      log.info('Configuration in force.', {
+        version: routing.version,
+        origin,
+        routes: routing.routes.length,
+        services: routing.services.length,
+      });
+      for (const listener of listeners) listener(routing);
+      return true;
+    },
+    onChange(listener) {
+      listeners.push(listener);
+    },
+  };
+}
