See a reset as the end of an unframed answer for what it is

Cause: Node takes a reset for the end of a body without a length and calls it complete; the answer was handed on with a length of ours. Ruled out: answers with a length (their early end was seen before, too). The test fails without the guard.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -113,7 +113,15 @@
   return undefined;
 }
 
-function toAnswerBody(answer: http.IncomingMessage): AnswerBody {
+/**
+ * Guards against an answer without a length that its upstream breaks off: Node
+ * takes a reset for the end of such a body and says that it is complete. The
+ * error of the request comes first, and tells.
+ */
+function toAnswerBody(
+  answer: http.IncomingMessage,
+  hasFailed: () => boolean,
+): AnswerBody {
   let hasEnded = false;
   return {
     read(sink) {
@@ -126,7 +134,9 @@
       answer.on('end', () => {
         if (hasEnded) return;
         // Node ends a body at a lost connection, too, and says so here.
-        if (!answer.complete) return fail('the answer ended early');
+        if (!answer.complete || hasFailed()) {
+          return fail('the answer ended early');
+        }
         hasEnded = true;
         sink.end();
       });
@@ -183,6 +193,7 @@
     return new Promise(resolve => {
       const request = buildRequest(call);
       let isConnected = false;
+      let hasFailed = false;
       let isSettled = false;
       const settle = (outcome: HttpHead | HttpExchangeFailure) => {
         if (isSettled) return;
@@ -217,7 +228,10 @@
           connected();
         }
       });
-      request.on('error', error => fail(error.message));
+      request.on('error', error => {
+        hasFailed = true;
+        fail(error.message);
+      });
       request.on('response', answer => {
         const headers = answer.rawHeaders;
         settle({
@@ -225,7 +239,7 @@
           status: answer.statusCode ?? 0,
           headers,
           get: name => findHeader(headers, name),
-          body: toAnswerBody(answer),
+          body: toAnswerBody(answer, () => hasFailed),
         });
         // A head that came too late has nobody to read its body.
         if (request.destroyed) answer.destroy();
--- a/src/adapters/line_logger.ts
+++ b/src/adapters/line_logger.ts
@@ -120,11 +120,10 @@
   }
 
   return part => {
-    const at =
-      (level: LogLevel) => (sentence: string, fields?: LogFields) => {
-        if (RANK[level] > RANK[options.level]) return;
-        write(level, part, sentence, fields);
-      };
+    const at = (level: LogLevel) => (sentence: string, fields?: LogFields) => {
+      if (RANK[level] > RANK[options.level]) return;
+      write(level, part, sentence, fields);
+    };
     return {
       error: at('error'),
       warn: at('warn'),
--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -14,7 +14,8 @@
 } from '../../relay/relay_settings.js';
 
 export const RELAY_SUMMARY = 'Run one relay process on the platform.';
-const USAGE = 'Usage: corianderbend relay --host-file FILE [--log-level LEVEL]\n';
+const USAGE =
+  'Usage: corianderbend relay --host-file FILE [--log-level LEVEL]\n';
 const EXIT_DONE = 0;
 const EXIT_CUT = 1;
 const EXIT_USAGE = 2;
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -5,7 +5,11 @@
  */
 
 import type {Routing} from '../relay/routing.js';
-import type {Upstream, UpstreamRole, UpstreamSnapshot} from '../relay/upstream_registry.js';
+import type {
+  Upstream,
+  UpstreamRole,
+  UpstreamSnapshot,
+} from '../relay/upstream_registry.js';
 
 /** Names and values in turn, as they stand in the message. */
 export type RawHeaders = readonly string[];
@@ -122,8 +126,7 @@
 }
 
 export type PrefillOutcome =
-  | {readonly kind: 'prefilled'; readonly handle: string}
-  | SendFailure;
+  {readonly kind: 'prefilled'; readonly handle: string} | SendFailure;
 
 /** Lets the holder of a running call end it. */
 export interface Cancellation {
--- a/src/relay/answer_collector.ts
+++ b/src/relay/answer_collector.ts
@@ -3,7 +3,11 @@
  * can still be replaced by another attempt. Large ones are not kept back.
  */
 
-import type {AnswerBodySink, RawHeaders, UpstreamAnswer} from '../ports/relay.js';
+import type {
+  AnswerBodySink,
+  RawHeaders,
+  UpstreamAnswer,
+} from '../ports/relay.js';
 
 /** Answers of plain services are a few kB; more than this is passed through. */
 const MAX_COLLECTED_BYTES = 256 * 1024;
--- a/src/relay/caller.ts
+++ b/src/relay/caller.ts
@@ -22,8 +22,4 @@
 
 /** How a request ended, for logs and metrics. */
 export type RequestEnd =
-  | 'answered'
-  | 'refused'
-  | 'failed'
-  | 'cut'
-  | 'caller-gone';
+  'answered' | 'refused' | 'failed' | 'cut' | 'caller-gone';
--- a/src/relay/engine_scheduler.ts
+++ b/src/relay/engine_scheduler.ts
@@ -76,7 +76,10 @@
 }
 
 export interface EngineScheduler {
-  place(need: StreamNeed, cancellation: Cancellation): Promise<PlacementOutcome>;
+  place(
+    need: StreamNeed,
+    cancellation: Cancellation,
+  ): Promise<PlacementOutcome>;
   /** Another decode engine at once, or none; for a request under way. */
   placeAgain(
     need: StreamNeed,
@@ -378,4 +381,3 @@
     },
   };
 }
-
--- a/src/relay/leaving.ts
+++ b/src/relay/leaving.ts
@@ -87,7 +87,8 @@
     },
     isLeaving: () => startedAtMs !== undefined,
     refuse(route) {
-      if (startedAtMs === undefined || route.kind !== 'stream') return undefined;
+      if (startedAtMs === undefined || route.kind !== 'stream')
+        return undefined;
       if (clock.nowMs() - startedAtMs <= STREAMS_UNTIL_MS) return undefined;
       return {
         kind: 'shutting-down',
--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -127,8 +127,7 @@
   let repeatTimer: TimerHandle | undefined;
   let isStopped = false;
 
-  const repeatMs = () =>
-    Math.max(REPEAT_MS, REPEAT_PER_PEER_MS * records.size);
+  const repeatMs = () => Math.max(REPEAT_MS, REPEAT_PER_PEER_MS * records.size);
 
   function addAddress(address: string): void {
     if (address === options.peerAddress || addresses.has(address)) return;
--- a/src/relay/peer_view.ts
+++ b/src/relay/peer_view.ts
@@ -3,7 +3,11 @@
 import type {Clock} from '../ports/clock.js';
 import type {EngineBooks} from './engine_books.js';
 import type {PeerView, WaitingAnnouncement} from './engine_scheduler.js';
-import {toLocalWaiting, type Peer, type WaitingRecord} from './peer_exchange.js';
+import {
+  toLocalWaiting,
+  type Peer,
+  type WaitingRecord,
+} from './peer_exchange.js';
 import type {Waiting} from './wait_rules.js';
 
 export interface PeerViewKeeper extends PeerView {
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -101,7 +101,12 @@
     };
     if (outcome.end === 'answered') log.info('Request answered.', fields);
     else log.warn('Request not answered.', fields);
-    metrics.requestEnded(job?.service.name, job?.route.kind, outcome, durationMs);
+    metrics.requestEnded(
+      job?.service.name,
+      job?.route.kind,
+      outcome,
+      durationMs,
+    );
   }
 
   return {
--- a/src/relay/relay_front.ts
+++ b/src/relay/relay_front.ts
@@ -60,7 +60,9 @@
       message.on('data', (bytes: Buffer) => {
         size += bytes.length;
         if (size > maxBytes) {
-          resolve({error: {kind: 'body-too-large', detail: `${maxBytes} bytes`}});
+          resolve({
+            error: {kind: 'body-too-large', detail: `${maxBytes} bytes`},
+          });
           return;
         }
         chunks.push(bytes);
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -3,7 +3,10 @@
  * configuration and the upstreams to the callers, as calls in order.
  */
 
-import {createHttpExchange, type HttpExchange} from '../adapters/http_exchange.js';
+import {
+  createHttpExchange,
+  type HttpExchange,
+} from '../adapters/http_exchange.js';
 import {splitAddress} from '../adapters/listen.js';
 import {createSystemClock} from '../adapters/system_clock.js';
 import {createSystemRandom} from '../adapters/system_random.js';
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -240,7 +240,9 @@
       if (job.cancellation.isCancelled) return {kind: 'cancelled'};
       const {decode} = state.placement;
       // Draining may have begun while the prompt was read.
-      const isOpen = registry.open(job.service.name).some(each => each.id === decode.id);
+      const isOpen = registry
+        .open(job.service.name)
+        .some(each => each.id === decode.id);
       const outcome: UpstreamAnswer | SendFailure = isOpen
         ? await sendDecode(state)
         : {kind: 'unreachable', detail: 'the engine leaves'};
@@ -290,7 +292,10 @@
     };
   }
 
-  function relay(state: StreamState, answer: UpstreamAnswer): Promise<StreamEnd> {
+  function relay(
+    state: StreamState,
+    answer: UpstreamAnswer,
+  ): Promise<StreamEnd> {
     const {job, placement} = state;
     const tokensPerEvent = job.service.engine?.tokensPerEvent ?? 1;
     if (!job.caller.hasBegun) job.caller.begin(answer.status, answer.headers);
@@ -344,7 +349,9 @@
     const isLate = clock.nowMs() >= state.job.deadlineAtMs;
     const hasRun = state.ran.length > 0;
     caller.refuse(
-      hasRun && isLate ? {kind: 'deadline-passed', detail: error.detail} : error,
+      hasRun && isLate
+        ? {kind: 'deadline-passed', detail: error.detail}
+        : error,
     );
     return {end: hasRun ? 'failed' : 'refused', reason, upstreams: state.ran};
   }
@@ -387,7 +394,11 @@
             events: state.events,
           };
         case 'caller-gone':
-          return {end: 'caller-gone', upstreams: state.ran, events: state.events};
+          return {
+            end: 'caller-gone',
+            upstreams: state.ran,
+            events: state.events,
+          };
         case 'timeout':
           return refuse(state, {kind: 'deadline-passed', detail: end.detail});
         case 'broken':
--- /dev/null
+++ b/tests/adapters/http_exchange_test.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import {afterEach, test} from 'node:test';
+import {
+  createHttpExchange,
+  readWhole,
+  type HttpExchange,
+  type HttpExchangeCall,
+} from '../../src/adapters/http_exchange.js';
+import {createSystemClock} from '../../src/adapters/system_clock.js';
+
+type Behaviour = (socket: net.Socket, request: string) => void;
+
+const servers: net.Server[] = [];
+const exchanges: HttpExchange[] = [];
+
+afterEach(() => {
+  for (const server of servers.splice(0)) server.close();
+  for (const exchange of exchanges.splice(0)) exchange.close();
+});
+
+/** A server that answers each request on a connection as told. */
+async function listen(behaviour: Behaviour): Promise<string> {
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.on('data', bytes => behaviour(socket, bytes.toString('latin1')));
+  });
+  servers.push(server);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+}
+
+function makeExchange(): HttpExchange {
+  const exchange = createHttpExchange({clock: createSystemClock()});
+  exchanges.push(exchange);
+  return exchange;
+}
+
+function makeCall(
+  address: string,
+  changes: Partial<HttpExchangeCall> = {},
+): HttpExchangeCall {
+  return {
+    address,
+    method: 'GET',
+    target: '/',
+    headers: ['Host', address],
+    connectTimeoutMs: 1_000,
+    headTimeoutMs: 2_000,
+    mayReuseConnection: false,
+    ...changes,
+  };
+}
+
+async function readBody(exchange: HttpExchange, call: HttpExchangeCall) {
+  const head = await exchange.start(call);
+  if (head.kind !== 'answered') return head.kind;
+  const bytes = await readWhole(head.body, 1_000);
+  return bytes?.toString() ?? 'broken';
+}
+
+test('an answer without a length that is reset is not whole', async () => {
+  // A caller gets half of an answer that looks complete: the upstream sends a
+  // body that ends with its connection, and crashes on the way. The reset
+  // reads like the end of such a body.
+  const address = await listen(socket => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+    setTimeout(() => socket.resetAndDestroy(), 30);
+  });
+  assert.equal(await readBody(makeExchange(), makeCall(address)), 'broken');
+});
+
+test('an answer without a length that ends is whole', async () => {
+  const address = await listen(socket => {
+    socket.end('HTTP/1.1 200 OK\r\n\r\nall of it');
+  });
+  assert.equal(await readBody(makeExchange(), makeCall(address)), 'all of it');
+});
+
+test('an answer shorter than its length is not whole', async () => {
+  const address = await listen(socket => {
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf');
+  });
+  assert.equal(await readBody(makeExchange(), makeCall(address)), 'broken');
+});
+
+test('a second answer on a kept connection never meets the next call', async () => {
+  // A caller gets the answer to somebody else's request: the upstream sends an
+  // extra answer after a whole one, and it is read as that of the next call
+  // on the same connection.
+  let connections = 0;
+  const address = await listen((socket, request) => {
+    if (request.includes('/first')) {
+      connections++;
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none');
+      setTimeout(
+        () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra'),
+        20,
+      );
+    } else {
+      connections++;
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo');
+    }
+  });
+  const exchange = makeExchange();
+  const reuse = {mayReuseConnection: true};
+  const first = makeCall(address, {...reuse, target: '/first'});
+  assert.equal(await readBody(exchange, first), 'one');
+  await new Promise(resolve => setTimeout(resolve, 60));
+  const second = makeCall(address, {...reuse, target: '/second'});
+  assert.equal(await readBody(exchange, second), 'two');
+  assert.equal(connections, 2);
+});
+
+test('no listener means that nothing was sent', async () => {
+  const address = await listen(() => undefined);
+  const server = servers.pop()!;
+  await new Promise(resolve => server.close(resolve));
+  assert.equal(
+    (await makeExchange().start(makeCall(address))).kind,
+    'unreachable',
+  );
+});
+
+test('a reset after the request was sent may have run it', async () => {
+  const address = await listen(socket => socket.resetAndDestroy());
+  assert.equal((await makeExchange().start(makeCall(address))).kind, 'broken');
+});
+
+test('silence ends with the time for the head, and the connection with it', async () => {
+  let closed = false;
+  const address = await listen(socket => {
+    socket.on('close', () => {
+      closed = true;
+    });
+  });
+  const call = makeCall(address, {headTimeoutMs: 50});
+  assert.equal((await makeExchange().start(call)).kind, 'broken');
+  await new Promise(resolve => setTimeout(resolve, 30));
+  assert.equal(closed, true);
+});
