Divide engines by the work's ratio; book prefills as they are placed

Change: role orders under a short lease; prefills booked with the placement; room left to those ahead at the peers; unreachable engines left out until their next heartbeat; prompts read anew by a prefill engine, not by decode.

--- a/src/relay/engine_scheduler.ts
+++ b/src/relay/engine_scheduler.ts
@@ -15,13 +15,18 @@
 import type {Cancellation} from '../ports/relay.js';
 import type {DecodeRun, EngineBooks} from './engine_books.js';
 import {
+  countPrefillRoom,
   countRoom,
   pickDecode,
   pickPrefill,
   type TokenNeed,
 } from './placement_rules.js';
 import type {EngineTraits, Service} from './routing.js';
-import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import type {
+  Upstream,
+  UpstreamRegistry,
+  UpstreamRole,
+} from './upstream_registry.js';
 import {
   compareWaiting,
   findRetryAfterMs,
@@ -38,6 +43,8 @@
   readonly books: EngineBooks;
   /** Requests that wait at the peers, and engines that failed them. */
   readonly peers: PeerView;
+  /** This host told the engine to change its role. */
+  isChanging(engineId: string): boolean;
   /** Something that the peers should hear of has changed. */
   onChange(): void;
 }
@@ -46,6 +53,8 @@
 export interface PeerView {
   waiting(service: string): readonly Waiting[];
   isSuspect(engineId: string): boolean;
+  /** It was told to change its role and takes no new work. */
+  isChanging(engineId: string): boolean;
 }
 
 export interface StreamNeed extends TokenNeed {
@@ -62,6 +71,17 @@
   /** Absent when the decode engine prefills by itself. */
   readonly prefill?: Upstream;
   readonly run: DecodeRun;
+  /** The booked prefill, until it has ended. */
+  readonly prefillBooking: PrefillBooking;
+}
+
+/** The place of one prompt in the backlog of an engine. */
+export interface PrefillBooking {
+  readonly engineId: string;
+  /** The engine had nothing else to read. */
+  readonly isAlone: boolean;
+  /** Frees the place; calls after the first do nothing. */
+  end(): void;
 }
 
 export type PlacementOutcome =
@@ -80,17 +100,21 @@
     need: StreamNeed,
     cancellation: Cancellation,
   ): Promise<PlacementOutcome>;
-  /** Another decode engine at once, or none; for a request under way. */
+  /**
+   * Another decode engine at once, or none; for a request under way. With
+   * `wantsPrefill` a prefill engine is booked, too, if there is one.
+   */
   placeAgain(
     need: StreamNeed,
     avoid: ReadonlySet<string>,
+    wantsPrefill: boolean,
   ): Placement | undefined;
   /** Another prefill engine for a request under way. */
   prefillAgain(
     need: StreamNeed,
     decode: Upstream,
     avoid: ReadonlySet<string>,
-  ): Upstream | undefined;
+  ): {readonly engine: Upstream; readonly booking: PrefillBooking} | undefined;
   /** The run ended; its memory is free. `ranMs` where it ran to its end. */
   release(run: DecodeRun, ranMs?: number): void;
   noteFailure(engineId: string): void;
@@ -111,7 +135,6 @@
   readonly resolve: (outcome: PlacementOutcome) => void;
 }
 
-const POOL = 'engines';
 /** How often those who wait are looked at without any news. */
 const PUMP_EVERY_MS = 50;
 /** After a refusal for lack of room the books are wrong for about this long. */
@@ -133,7 +156,8 @@
 ): EngineScheduler {
   const {clock, random, registry, books, peers} = host;
   const health = createEngineHealth(DEFAULT_HEALTH);
-  const known = new Set<string>();
+  /** The role in which an engine is compared with others. */
+  const known = new Map<string, UpstreamRole>();
   const fullUntil = new Map<string, number>();
   let waiters: Waiter[] = [];
   let timer: TimerHandle | undefined;
@@ -141,12 +165,13 @@
   let startMs = FIRST_START_MS;
 
   function learnEngines(engines: readonly Upstream[]): void {
-    for (const {id} of engines) {
-      if (known.has(id)) continue;
-      known.add(id);
-      health.add(id, POOL, clock.nowMs(), true);
+    for (const {id, role} of engines) {
+      if (!role || known.get(id) === role) continue;
+      known.set(id, role);
+      health.remove(id);
+      health.add(id, role, clock.nowMs(), true);
     }
-    for (const id of known) {
+    for (const id of known.keys()) {
       if (registry.get(id)) continue;
       known.delete(id);
       fullUntil.delete(id);
@@ -154,10 +179,15 @@
     }
   }
 
+  const isChanging = (engineId: string) =>
+    peers.isChanging(engineId) || host.isChanging(engineId);
+
   /** Engines of a role; those that failed only if there are no others. */
   function usable(service: string, role: 'prefill' | 'decode'): Upstream[] {
     const nowMs = clock.nowMs();
-    const ofRole = registry.open(service).filter(each => each.role === role);
+    const ofRole = registry
+      .open(service)
+      .filter(each => each.role === role && !isChanging(each.id));
     learnEngines(ofRole);
     const sound = ofRole.filter(
       ({id}) => health.isUsable(id, nowMs) && !peers.isSuspect(id),
@@ -177,12 +207,43 @@
     decode: Upstream,
     prefill: Upstream | undefined,
   ): Placement {
+    const {runs, tokensNow, tokensAtEnd} = books.decodeLoad(decode.id);
+    host.log.info('Placed.', {
+      request: need.requestId,
+      upstream: decode.id,
+      prefill: prefill?.id,
+      promptTokens: need.promptTokens,
+      expectedTokens: Math.round(need.expectedOutputTokens),
+      ageMs: Math.round(clock.nowMs() - need.waiting.arrivedAtMs),
+      bookedRuns: runs,
+      bookedTokens: Math.round(tokensNow),
+      bookedAtEnd: Math.round(tokensAtEnd),
+      waitingHere: waiters.length,
+    });
     const run = books.startRun({
       engineId: decode.id,
       promptTokens: need.promptTokens,
       expectedOutputTokens: need.expectedOutputTokens,
     });
-    return {kind: 'placed', decode, prefill, run};
+    const reader = prefill ?? decode;
+    const prefillBooking = bookPrefill(reader.id, need.promptTokens);
+    return {kind: 'placed', decode, prefill, run, prefillBooking};
+  }
+
+  function bookPrefill(engineId: string, tokens: number): PrefillBooking {
+    const isAlone = books.prefillLoad(engineId).prompts === 0;
+    let isOpen = true;
+    books.startPrefill(engineId, tokens);
+    return {
+      engineId,
+      isAlone,
+      end() {
+        if (!isOpen) return;
+        isOpen = false;
+        books.endPrefill(engineId, tokens);
+        host.onChange();
+      },
+    };
   }
 
   function tryPlace(
@@ -191,17 +252,23 @@
     ahead: number,
   ): Placement | undefined {
     const engines = withRoom(need.service.name);
-    if (ahead > 0 && countRoom(engines, books, traits, need) <= ahead) {
-      return undefined;
+    const prefillEngines = usable(need.service.name, 'prefill');
+    if (ahead > 0) {
+      // Room for those ahead is theirs: without this all hosts would take the
+      // same room at the moment it shows.
+      const room = Math.min(
+        countRoom(engines, books, traits, need),
+        countPrefillRoom(prefillEngines, books, MAX_PREFILL_BACKLOG_TOKENS),
+      );
+      if (room <= ahead) return undefined;
     }
     const decode = pickDecode(engines, books, traits, need);
     if (!decode) return undefined;
-    const prefillEngines = usable(need.service.name, 'prefill');
     const prefill = pickPrefill(prefillEngines, books, decode);
-    if (prefill && prefill.backlogTokens > MAX_PREFILL_BACKLOG_TOKENS) {
-      return undefined;
-    }
-    return book(need, decode, prefill?.engine);
+    if (!prefill) return book(need, decode, undefined);
+    return prefill.backlogTokens <= MAX_PREFILL_BACKLOG_TOKENS
+      ? book(need, decode, prefill.engine)
+      : undefined;
   }
 
   /** Requests at the peers that go before this one. */
@@ -331,7 +398,7 @@
       if (retryAfterMs !== undefined) return refuse(need, retryAfterMs);
       return enqueue(need, cancellation);
     },
-    placeAgain(need, avoid) {
+    placeAgain(need, avoid, wantsPrefill) {
       const traits = need.service.engine;
       if (!traits) return undefined;
       const engines = withRoom(need.service.name).filter(
@@ -339,7 +406,11 @@
       );
       const decode = pickDecode(engines, books, traits, need);
       if (!decode) return undefined;
-      const placed = book(need, decode, undefined);
+      const prefillEngines = wantsPrefill
+        ? usable(need.service.name, 'prefill')
+        : [];
+      const prefill = pickPrefill(prefillEngines, books, decode);
+      const placed = book(need, decode, prefill?.engine);
       host.onChange();
       return placed;
     },
@@ -347,7 +418,13 @@
       const engines = usable(need.service.name, 'prefill').filter(
         ({id}) => !avoid.has(id),
       );
-      return pickPrefill(engines, books, decode)?.engine;
+      const picked = pickPrefill(engines, books, decode);
+      return (
+        picked && {
+          engine: picked.engine,
+          booking: bookPrefill(picked.engine.id, need.promptTokens),
+        }
+      );
     },
     release(run, ranMs) {
       books.endRun(run);
@@ -377,7 +454,10 @@
       })),
     suspects() {
       const nowMs = clock.nowMs();
-      return [...known].filter(id => !health.isUsable(id, nowMs));
+      const ejected = [...known.keys()].filter(
+        id => !health.isUsable(id, nowMs),
+      );
+      return [...new Set([...ejected, ...registry.unreachable()])];
     },
   };
 }
--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -45,6 +45,8 @@
   readonly waiting: readonly WaitingRecord[];
   /** Engines that fail this host now. */
   readonly suspects: readonly string[];
+  /** Engines that this host told to change their role. */
+  readonly changing: readonly string[];
   readonly losses: readonly LossRecord[];
 }
 
--- a/src/relay/peer_view.ts
+++ b/src/relay/peer_view.ts
@@ -17,8 +17,8 @@
   toRecords(waiting: readonly WaitingAnnouncement[]): readonly WaitingRecord[];
 }
 
-/** One suspicion of a peer may be a fault of its own path to the engine. */
-const SUSPICIONS_NEEDED = 2;
+/** A peer that suspects more engines than this is likely cut off itself. */
+const MOST_SUSPECTS = 5;
 
 export function createPeerView(
   clock: Clock,
@@ -45,11 +45,17 @@
       return waiting;
     },
     isSuspect(engineId) {
-      let count = 0;
+      for (const {suspects} of peers.values()) {
+        if (suspects.length > MOST_SUSPECTS) continue;
+        if (suspects.includes(engineId)) return true;
+      }
+      return false;
+    },
+    isChanging(engineId) {
       for (const peer of peers.values()) {
-        if (peer.suspects.includes(engineId)) count++;
+        if (peer.changing.includes(engineId)) return true;
       }
-      return count >= SUSPICIONS_NEEDED;
+      return false;
     },
     toRecords(waiting) {
       const nowMs = clock.nowMs();
--- a/src/relay/placement_rules.ts
+++ b/src/relay/placement_rules.ts
@@ -53,6 +53,24 @@
   return count;
 }
 
+/** Prompts that may join the backlogs before all are too long. */
+export function countPrefillRoom(
+  engines: readonly Upstream[],
+  books: EngineBooks,
+  maxBacklogTokens: number,
+): number {
+  // Without a prefill engine the decode engines read the prompts.
+  if (engines.length === 0) return Number.POSITIVE_INFINITY;
+  let count = 0;
+  for (const {id} of engines) {
+    const {tokens, prompts} = books.prefillLoad(id);
+    const meanTokens = prompts > 0 ? tokens / prompts : maxBacklogTokens / 4;
+    const left = Math.max(0, maxBacklogTokens - tokens);
+    count += Math.ceil(left / Math.max(1, meanTokens));
+  }
+  return count;
+}
+
 /** The decode engine with most room, if the request fits there. */
 export function pickDecode(
   engines: readonly Upstream[],
--- a/src/relay/plain_relay.ts
+++ b/src/relay/plain_relay.ts
@@ -46,6 +46,9 @@
 const MIN_FIRST_ATTEMPT_MS = 150;
 /** The upstream ends a run at its deadline by itself and says so. */
 const DEADLINE_SLACK_MS = 60;
+/** A refused call may come back when a few calls have ended. */
+const FULL_RETRY_MS = 100;
+const UNREACHABLE_RETRY_MS = 300;
 const SERVER_ERROR = 500;
 /** Without these an upstream's refusal is not known to be not-run. */
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -135,11 +138,20 @@
     progress.tried.add(upstream.id);
     switch (failure.kind) {
       case 'unreachable':
-        progress.failure = {kind: 'no-upstream', detail: failure.detail};
+        registry.markUnreachable(upstream.id);
+        progress.failure = {
+          kind: 'no-upstream',
+          detail: failure.detail,
+          retryAfterMs: UNREACHABLE_RETRY_MS,
+        };
         return 'again';
       case 'rejected':
         if (failure.reason === 'other-instance') registry.markGone(upstream.id);
-        progress.failure = {kind: 'overloaded', detail: failure.detail};
+        progress.failure = {
+          kind: 'overloaded',
+          detail: failure.detail,
+          retryAfterMs: FULL_RETRY_MS,
+        };
         return retryBudget.tryTake(job.service.name) ? 'again' : 'stop';
       case 'broken':
         progress.ran.push(upstream.id);
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -11,6 +11,7 @@
 import {createSystemClock} from '../adapters/system_clock.js';
 import {createSystemRandom} from '../adapters/system_random.js';
 import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
+import {createShortLease} from '../coordination/short_lease.js';
 import type {Logger} from '../ports/log.js';
 import type {
   HostRegistry,
@@ -19,20 +20,28 @@
   UpstreamPort,
   UpstreamSource,
 } from '../ports/relay.js';
+import type {TablePort} from '../ports/table.js';
 import {createRetryBudget} from '../request/retry_budget.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {createEngineBooks} from './engine_books.js';
 import {createEngineScheduler} from './engine_scheduler.js';
 import {answerDirectory, type EntryAnswer} from './host_directory.js';
 import {createLeaving} from './leaving.js';
-import {createPeerExchange, type HostState} from './peer_exchange.js';
+import {
+  createPeerExchange,
+  type HostState,
+  type Peer,
+} from './peer_exchange.js';
 import {createPeerView} from './peer_view.js';
 import {createPlainRelay} from './plain_relay.js';
 import {createRelay} from './relay.js';
 import {createRelayFront} from './relay_front.js';
 import type {RelayMetrics} from './relay_metrics.js';
+import {createRoleDemandMeter} from './role_demand.js';
+import {createRoleOrders} from './role_orders.js';
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
+import {createSuspensionWatch} from './suspension_watch.js';
 import {createSideServer, type SideHandler} from './side_server.js';
 import {createStoreWatch} from './store_watch.js';
 import {createStreamRelay} from './stream_relay.js';
@@ -60,6 +69,8 @@
   readonly routingSource: RoutingSource;
   readonly upstreamSource: UpstreamSource;
   readonly hostRegistry: HostRegistry;
+  /** Where leases lie. */
+  readonly leaseTable: TablePort;
 }
 
 export interface RelayProcessOptions {
@@ -83,6 +94,21 @@
 /** The slack is for all hosts; it is shared as if this many used it up. */
 const HOSTS_SHARING_RETRIES = 12;
 
+const ORDERS_LEASE = 'orders';
+/** Bound on the difference of clock rates between hosts. */
+const CLOCK_RATE_ERROR = 0.01;
+/**
+ * Orders go out in the first part of a lease; the rest of its time covers a
+ * suspension too short to be noticed.
+ */
+const ORDER_TIME_SHARE = 0.3;
+const LEASE_CALL_TIMEOUT_MS = 600;
+
+/** Exactly one of the hosts that see each other is the first. */
+function isFirstByName(hostId: string, peers: readonly Peer[]): boolean {
+  return peers.every(peer => peer.state !== 'ready' || hostId < peer.hostId);
+}
+
 /** Resolves once the process serves. */
 export async function startRelay(
   options: RelayProcessOptions,
@@ -134,6 +160,7 @@
     registry,
     books,
     peers: view,
+    isChanging: engineId => roleOrders.changing().includes(engineId),
     onChange: () => peers.changed(),
   });
   const peers = createPeerExchange(
@@ -151,6 +178,7 @@
         load: books.own(),
         waiting: view.toRecords(scheduler.announcements()),
         suspects: scheduler.suspects(),
+        changing: roleOrders.changing(),
         losses: [],
       }),
       onPeer(peer) {
@@ -183,6 +211,42 @@
   });
   const upstreamPort = adapters.createUpstreamPort(exchange);
   const shared = {clock, upstreamPort, registry, retryBudget};
+  const demand = createRoleDemandMeter();
+  const suspension = createSuspensionWatch(clock);
+  const roleOrders = createRoleOrders(
+    {
+      clock,
+      log: createLogger('orders'),
+      metrics,
+      registry,
+      books,
+      upstreamPort,
+      demand,
+      lease: createShortLease(
+        {
+          clock,
+          random,
+          table: sources.leaseTable,
+          log: createLogger('orders'),
+        },
+        {
+          hostId: settings.hostId,
+          name: ORDERS_LEASE,
+          leaseMs: settings.leaseMs,
+          clockRateError: CLOCK_RATE_ERROR,
+          useMs: settings.leaseMs * ORDER_TIME_SHARE,
+          callTimeoutMs: LEASE_CALL_TIMEOUT_MS,
+        },
+      ),
+      services: () => routing.current()?.services ?? [],
+      isPlanner: () =>
+        hostState() === 'ready' &&
+        isFirstByName(settings.hostId, peers.alive()),
+      wasSuspended: suspension.wasSuspended,
+      onChange: () => peers.changed(),
+    },
+    {hostId: settings.hostId},
+  );
   const leaving = createLeaving(
     {
       clock,
@@ -200,7 +264,13 @@
     metrics,
     routing,
     plain: createPlainRelay({...shared, balancer}),
-    streams: createStreamRelay({...shared, scheduler, books}),
+    streams: createStreamRelay({
+      ...shared,
+      log: createLogger('stream'),
+      scheduler,
+      books,
+      demand,
+    }),
     refuseForLeaving: leaving.refuse,
   });
   const front = createRelayFront({
@@ -280,10 +350,12 @@
   for (const {address, server} of sideServers) await server.listen(address);
   peers.start();
   watch.start();
+  roleOrders.start();
   const {hostId, callerAddress, peerAddress} = settings;
   log.info('Serving.', {hostId, callerAddress, peerAddress});
 
   async function stop(openCount: number): Promise<number> {
+    roleOrders.stop();
     await watch.stop();
     peers.stop();
     front.close();
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -8,6 +8,7 @@
 
 import type {RequestError} from '../core/error_kinds.js';
 import type {Clock} from '../ports/clock.js';
+import type {Logger} from '../ports/log.js';
 import type {
   PrefillResultPlace,
   SendFailure,
@@ -19,9 +20,11 @@
 import type {
   EngineScheduler,
   Placement,
+  PrefillBooking,
   StreamNeed,
 } from './engine_scheduler.js';
 import type {EngineBooks} from './engine_books.js';
+import type {RoleDemandMeter} from './role_demand.js';
 import {isGenuine} from './plain_relay.js';
 import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
@@ -30,11 +33,13 @@
 
 export interface StreamRelayHost {
   readonly clock: Clock;
+  readonly log: Logger;
   readonly upstreamPort: UpstreamPort;
   readonly scheduler: EngineScheduler;
   readonly books: EngineBooks;
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryBudget;
+  readonly demand: RoleDemandMeter;
 }
 
 export interface StreamRelay {
@@ -124,9 +129,10 @@
   async function prefillAt(
     state: StreamState,
     engine: Upstream,
+    booking: PrefillBooking,
   ): Promise<PrefillResultPlace | SendFailure> {
     const {job, need} = state;
-    books.startPrefill(engine.id, need.promptTokens);
+    const startedAtMs = clock.nowMs();
     const outcome = await upstreamPort.prefill(
       job.request,
       {
@@ -138,18 +144,50 @@
       },
       job.cancellation,
     );
-    books.endPrefill(engine.id, need.promptTokens);
+    booking.end();
     if (outcome.kind === 'prefilled') {
       scheduler.noteSuccess(engine.id);
+      if (booking.isAlone) {
+        host.demand.notePrefill(need.promptTokens, clock.nowMs() - startedAtMs);
+      }
       return {address: engine.address, handle: outcome.handle};
     }
     noteSendFailure(engine, outcome);
+    logFailure('Prefill failed.', state, engine, outcome);
     return outcome;
   }
 
+  function logFailure(
+    sentence: string,
+    state: StreamState,
+    engine: Upstream,
+    failure: SendFailure,
+  ): void {
+    if (failure.kind === 'cancelled') return;
+    const {job, need, placement} = state;
+    const {runs, tokensNow, tokensAtEnd} = books.decodeLoad(
+      placement.decode.id,
+    );
+    host.log.info(sentence, {
+      request: job.request.requestId,
+      upstream: engine.id,
+      failure: failure.kind,
+      reason: failure.detail,
+      promptTokens: need.promptTokens,
+      hasPrefill: state.source !== undefined,
+      bookedRuns: runs,
+      bookedTokens: Math.round(tokensNow),
+      bookedAtEnd: Math.round(tokensAtEnd),
+      bookedPrefill: books.prefillLoad(engine.id).tokens,
+      ageMs: Math.round(clock.nowMs() - job.request.arrivedAtMs),
+    });
+  }
+
   function noteSendFailure(engine: Upstream, failure: SendFailure): void {
     switch (failure.kind) {
       case 'unreachable':
+        registry.markUnreachable(engine.id);
+        return;
       case 'broken':
         scheduler.noteFailure(engine.id);
         return;
@@ -168,13 +206,16 @@
     const {job, need, placement} = state;
     const tried = new Set<string>();
     let engine = placement.prefill;
+    let booking = placement.prefillBooking;
     for (let i = 0; engine && i < MAX_PREFILL_TRIES; i++) {
-      const outcome = await prefillAt(state, engine);
+      const outcome = await prefillAt(state, engine, booking);
       if ('handle' in outcome) return outcome;
       if (job.cancellation.isCancelled) return undefined;
       tried.add(engine.id);
       if (outcome.kind !== 'unreachable' && !takeRetry(state)) return undefined;
-      engine = scheduler.prefillAgain(need, placement.decode, tried);
+      const next = scheduler.prefillAgain(need, placement.decode, tried);
+      if (!next) return undefined;
+      ({engine, booking} = next);
     }
     return undefined;
   }
@@ -208,19 +249,29 @@
     return isResumable && state.ran.length + 1 < maxAttempts;
   }
 
-  /** Moves the request to another decode engine; false if none has room. */
+  /**
+   * Moves the request to another decode engine; false if none has room.
+   * Without a prefill result one is made anew: a decode engine that reads a
+   * long prompt itself holds up all of its runs beyond their pace.
+   */
   function moveOn(state: StreamState): boolean {
-    const next = scheduler.placeAgain(state.need, state.avoid);
+    const wantsPrefill = state.source === undefined;
+    const next = scheduler.placeAgain(state.need, state.avoid, wantsPrefill);
     if (!next) return false;
-    scheduler.release(state.placement.run);
+    release(state);
     state.placement = next;
     return true;
   }
 
+  function release(state: StreamState, ranMs?: number): void {
+    state.placement.prefillBooking.end();
+    scheduler.release(state.placement.run, ranMs);
+  }
+
   /**
    * The engine did not take the request. It may be full, or the prefill
    * result may be gone; it does not say which. First another engine is asked
-   * with the same result, then one without it.
+   * with the same result, then the prompt is read again.
    */
   function afterRejection(state: StreamState, tries: number): boolean {
     const {placement} = state;
@@ -238,6 +289,10 @@
     let failure: RequestError = {kind: 'no-upstream', detail: 'None had room.'};
     for (let tries = 1; tries <= MAX_DECODE_TRIES; tries++) {
       if (job.cancellation.isCancelled) return {kind: 'cancelled'};
+      if (!state.source && state.placement.prefill) {
+        state.source = await prefill(state);
+        if (job.cancellation.isCancelled) return {kind: 'cancelled'};
+      }
       const {decode} = state.placement;
       // Draining may have begun while the prompt was read.
       const isOpen = registry
@@ -246,6 +301,9 @@
       const outcome: UpstreamAnswer | SendFailure = isOpen
         ? await sendDecode(state)
         : {kind: 'unreachable', detail: 'the engine leaves'};
+      if (outcome.kind !== 'answered') {
+        logFailure('Send failed.', state, decode, outcome);
+      }
       switch (outcome.kind) {
         case 'answered':
           return takeHead(state, outcome);
@@ -257,7 +315,7 @@
           failure = {kind: 'upstream-failed', detail: outcome.detail};
           return {kind: 'failed', error: failure, mayHaveRun: true};
         case 'unreachable':
-          scheduler.noteFailure(decode.id);
+          if (isOpen) noteSendFailure(decode, outcome);
           state.avoid.add(decode.id);
           failure = {kind: 'no-upstream', detail: outcome.detail};
           if (!moveOn(state)) return notRun(failure);
@@ -314,6 +372,7 @@
           eventsOfRun++;
           state.lastEventId = event.id ?? state.lastEventId;
           books.grow(placement.run, eventsOfRun * tokensPerEvent);
+          placement.prefillBooking.end();
           if (state.firstByteAtMs !== undefined) return;
           state.firstByteAtMs = clock.nowMs();
         },
@@ -360,7 +419,6 @@
   async function runPlaced(state: StreamState): Promise<JobOutcome> {
     const {job} = state;
     const placedAtMs = clock.nowMs();
-    if (state.placement.prefill) state.source = await prefill(state);
     for (;;) {
       const started = await start(state);
       if (started.kind === 'cancelled') {
@@ -387,6 +445,12 @@
         case 'whole':
           scheduler.noteSuccess(state.placement.decode.id);
           learn(state, job.service.engine?.tokensPerEvent ?? 1);
+          host.demand.noteRun({
+            promptTokens: state.need.promptTokens,
+            outputTokens: state.placement.run.outputTokens,
+            durationMs: clock.nowMs() - placedAtMs,
+            kvTokens: job.service.engine?.kvTokens ?? 0,
+          });
           return {
             end: 'answered',
             status: answer.status,
@@ -403,6 +467,7 @@
           return refuse(state, {kind: 'deadline-passed', detail: end.detail});
         case 'broken':
           scheduler.noteFailure(state.placement.decode.id);
+          logFailure('Stream broke.', state, state.placement.decode, end);
           if (prepareNextRun(state)) continue;
           return refuse(state, {kind: 'answer-cut', detail: end.detail});
       }
@@ -460,7 +525,7 @@
       const outcome = await runPlaced(state);
       const ranMs =
         outcome.end === 'answered' ? clock.nowMs() - startedAtMs : undefined;
-      scheduler.release(state.placement.run, ranMs);
+      release(state, ranMs);
       return {
         ...outcome,
         waitedMs: startedAtMs - placedFrom,
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/upstream_registry.ts
@@ -22,6 +22,8 @@
   readonly failureDomain: string;
   readonly slots: number;
   readonly isDraining: boolean;
+  /** Changes with each sign of life that the upstream gives the list. */
+  readonly heartbeat: number;
   /** Present for model engines. */
   readonly role?: UpstreamRole;
 }
@@ -43,8 +45,11 @@
   apply(snapshot: UpstreamSnapshot): void;
   /** The list could not be read, or heartbeats are known not to arrive. */
   noteOutage(): void;
-  /** New work must not go there: it said so, or it cannot be reached. */
+  /** New work must not go there: another instance has its address. */
   markGone(id: string): void;
+  /** No connection could be made; left out until it gives a sign of life. */
+  markUnreachable(id: string): void;
+  unreachable(): readonly string[];
   revision(): number;
   isKnown(): boolean;
   /** Upstreams of a service that take new work. */
@@ -61,6 +66,11 @@
  * the rest is the age that a list read here may have.
  */
 const REGISTER_AGAIN_MS = 2_300;
+/**
+ * An upstream that lives shows it within a heartbeat of about a second and the
+ * list's own age; a dead one leaves the list after three of them.
+ */
+const UNREACHABLE_FOR_MS = 4_000;
 /** Failed reads closer together than this are one outage. */
 const OUTAGE_MEMORY_MS = 1_500;
 
@@ -72,6 +82,8 @@
   /** Missing entries that may come back, with the time they are given up. */
   const lapsed = new Map<string, number>();
   const gone = new Set<string>();
+  /** Upstreams that could not be reached, as they were listed then. */
+  const silent = new Map<string, {heartbeat: number; untilMs: number}>();
   const listeners: Array<() => void> = [];
   let last: UpstreamSnapshot | undefined;
   let byService = new Map<string, Upstream[]>();
@@ -83,17 +95,47 @@
     byService = new Map();
     for (const upstream of entries.values()) {
       if (upstream.isDraining || gone.has(upstream.id)) continue;
+      if (isSilent(upstream)) continue;
       const known = byService.get(upstream.service);
       if (known) known.push(upstream);
       else byService.set(upstream.service, [upstream]);
     }
+    addSilentServices();
     for (const listener of listeners) listener();
   }
 
+  function isSilent({id, heartbeat}: Upstream): boolean {
+    const record = silent.get(id);
+    if (!record) return false;
+    if (record.heartbeat === heartbeat && clock.nowMs() < record.untilMs) {
+      return true;
+    }
+    silent.delete(id);
+    return false;
+  }
+
+  /**
+   * When all upstreams of a service seem unreachable, the fault is more likely
+   * on this side; then all are tried.
+   */
+  function addSilentServices(): void {
+    const unserved = new Map<string, Upstream[]>();
+    for (const upstream of entries.values()) {
+      if (byService.has(upstream.service)) continue;
+      if (upstream.isDraining || gone.has(upstream.id)) continue;
+      const known = unserved.get(upstream.service) ?? [];
+      unserved.set(upstream.service, [...known, upstream]);
+    }
+    for (const [service, upstreams] of unserved) {
+      byService.set(service, upstreams);
+    }
+  }
+
   function drop(id: string, reason: string): void {
     entries.delete(id);
     lapsed.delete(id);
     gone.delete(id);
+    silent.delete(id);
     log.info('Upstream left.', {upstream: id, reason});
   }
 
@@ -154,6 +196,17 @@
       log.info('Upstream taken out.', {upstream: id});
       rebuild();
     },
+    markUnreachable(id) {
+      const upstream = entries.get(id);
+      if (!upstream || silent.has(id)) return;
+      silent.set(id, {
+        heartbeat: upstream.heartbeat,
+        untilMs: clock.nowMs() + UNREACHABLE_FOR_MS,
+      });
+      log.info('Upstream unreachable.', {upstream: id});
+      rebuild();
+    },
+    unreachable: () => [...silent.keys()],
     revision: () => last?.revision ?? 0,
     isKnown: () => last !== undefined,
     open: service => byService.get(service) ?? [],
--- /dev/null
+++ b/tests/relay/engine_scheduler_test.ts
@@ -0,0 +1,239 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import {createCancellation} from '../../src/relay/cancellation.js';
+import {createEngineBooks} from '../../src/relay/engine_books.js';
+import {
+  createEngineScheduler,
+  type PeerView,
+  type PlacementOutcome,
+  type StreamNeed,
+} from '../../src/relay/engine_scheduler.js';
+import type {Service} from '../../src/relay/routing.js';
+import {
+  createUpstreamRegistry,
+  type Upstream,
+} from '../../src/relay/upstream_registry.js';
+import type {Waiting} from '../../src/relay/wait_rules.js';
+import {silentLog} from '../support/silent_log.js';
+
+const SERVICE = 'aruande-koostaja';
+const KV_TOKENS = 10_000;
+
+const service: Service = {
+  name: SERVICE,
+  healthPath: '/healthz',
+  maxConnections: 100,
+  engine: {
+    slots: 48,
+    kvTokens: KV_TOKENS,
+    tokensPerEvent: 18,
+    prefillLifeMs: 500,
+    roleChangeMs: 6_000,
+  },
+};
+
+function makeEngine(id: string, role: 'prefill' | 'decode'): Upstream {
+  return {
+    id,
+    service: SERVICE,
+    address: `10.0.0.1:${7000 + id.charCodeAt(1)}`,
+    failureDomain: 'annelinn-saal',
+    slots: 48,
+    isDraining: false,
+    heartbeat: 1,
+    role,
+  };
+}
+
+function makeScheduler(ids: readonly string[]) {
+  const clock = createVirtualClock(1_000);
+  const random = createSeededRandom(7);
+  const registry = createUpstreamRegistry({clock, log: silentLog});
+  registry.apply({
+    revision: 1,
+    upstreams: ids.map(id =>
+      makeEngine(id, id.startsWith('p') ? 'prefill' : 'decode'),
+    ),
+  });
+  const books = createEngineBooks();
+  let waitingAtPeers: readonly Waiting[] = [];
+  const peers: PeerView = {
+    waiting: () => waitingAtPeers,
+    isSuspect: () => false,
+    isChanging: () => false,
+  };
+  const scheduler = createEngineScheduler({
+    clock,
+    random,
+    log: silentLog,
+    registry,
+    books,
+    peers,
+    isChanging: () => false,
+    onChange: () => undefined,
+  });
+  return {
+    clock,
+    books,
+    registry,
+    scheduler,
+    setPeers(waiting: readonly Waiting[]) {
+      waitingAtPeers = waiting;
+    },
+  };
+}
+
+function makeNeed(
+  nowMs: number,
+  changes: Partial<StreamNeed> = {},
+): StreamNeed {
+  return {
+    requestId: 'r',
+    service,
+    promptTokens: 3_000,
+    expectedOutputTokens: 1_000,
+    waiting: {
+      arrivedAtMs: nowMs,
+      onTimeUntilMs: nowMs + 600,
+      giveUpAtMs: nowMs + 3_000,
+    },
+    callerLeftMs: 14_000,
+    ...changes,
+  };
+}
+
+const alive = createCancellation();
+
+function placedOn(outcome: PlacementOutcome): string {
+  return outcome.kind === 'placed'
+    ? `${outcome.prefill?.id ?? '-'}>${outcome.decode.id}`
+    : outcome.kind;
+}
+
+test('prompts placed in one moment go to different prefill engines', async () => {
+  // Streams start late though other prefill engines are idle: several
+  // requests are placed in one turn, and each saw the backlog as it was before
+  // the first, for prompts were booked only once their call had begun.
+  const {clock, scheduler} = makeScheduler(['p1', 'p2', 'p3', 'd1', 'd2']);
+  const need = makeNeed(clock.nowMs());
+  const outcomes = await Promise.all(
+    [1, 2, 3].map(() => scheduler.place(need, alive)),
+  );
+  const prefills = outcomes.map(outcome => placedOn(outcome).slice(0, 2));
+  assert.deepEqual([...prefills].sort(), ['p1', 'p2', 'p3']);
+});
+
+test('room that shows to all hosts is left to those who came first', async () => {
+  // Engines get three times what they hold: memory becomes free, every host
+  // sees it at once, and each gives it to the first of its own queue.
+  const {clock, books, scheduler, setPeers} = makeScheduler(['p1', 'd1']);
+  const nowMs = clock.nowMs();
+  const run = books.startRun({
+    engineId: 'd1',
+    promptTokens: 8_000,
+    expectedOutputTokens: 500,
+  });
+  const outcome = scheduler.place(makeNeed(nowMs), alive);
+  setPeers([
+    {
+      arrivedAtMs: nowMs - 100,
+      onTimeUntilMs: nowMs + 500,
+      giveUpAtMs: nowMs + 2_900,
+    },
+    {
+      arrivedAtMs: nowMs - 50,
+      onTimeUntilMs: nowMs + 550,
+      giveUpAtMs: nowMs + 2_950,
+    },
+  ]);
+  scheduler.release(run);
+  await clock.advance(60);
+  assert.equal(scheduler.announcements().length, 1);
+  setPeers([]);
+  await clock.advance(60);
+  assert.equal(placedOn(await outcome), 'p1>d1');
+});
+
+test('a request whose turn would come too late is refused at once', async () => {
+  // A caller waits until it leaves, and only then learns that there was no
+  // room: its turn could be forecast when it came.
+  const {clock, books, scheduler, setPeers} = makeScheduler(['p1', 'd1']);
+  const nowMs = clock.nowMs();
+  books.startRun({
+    engineId: 'd1',
+    promptTokens: 8_000,
+    expectedOutputTokens: 500,
+  });
+  setPeers(
+    Array.from({length: 10}, () => ({
+      arrivedAtMs: nowMs - 10,
+      onTimeUntilMs: nowMs + 500,
+      giveUpAtMs: nowMs + 2_900,
+    })),
+  );
+  const outcome = await scheduler.place(makeNeed(nowMs), alive);
+  assert.equal(outcome.kind, 'refused');
+  if (outcome.kind !== 'refused') return;
+  assert.equal(outcome.error.kind, 'overloaded');
+  assert.ok((outcome.error.retryAfterMs ?? 0) > 3_000);
+  assert.ok((outcome.error.retryAfterMs ?? 0) <= 14_000 / 3);
+});
+
+test('those who can still be on time go before those who are late', async () => {
+  const {clock, books, scheduler} = makeScheduler(['p1', 'd1']);
+  const nowMs = clock.nowMs();
+  const run = books.startRun({
+    engineId: 'd1',
+    promptTokens: 8_000,
+    expectedOutputTokens: 500,
+  });
+  const late = scheduler.place(
+    makeNeed(nowMs, {
+      waiting: {
+        arrivedAtMs: nowMs - 1_500,
+        onTimeUntilMs: nowMs - 900,
+        giveUpAtMs: nowMs + 3_900,
+      },
+      promptTokens: 6_000,
+    }),
+    alive,
+  );
+  const fresh = scheduler.place(makeNeed(nowMs, {promptTokens: 6_000}), alive);
+  scheduler.release(run);
+  await clock.advance(10);
+  assert.equal((await fresh).kind, 'placed');
+  assert.equal(scheduler.announcements().length, 1);
+  await clock.advance(4_000);
+  assert.equal((await late).kind, 'refused');
+});
+
+test('a request that waits is given up before its caller leaves', async () => {
+  const {clock, books, scheduler} = makeScheduler(['p1', 'd1']);
+  books.startRun({
+    engineId: 'd1',
+    promptTokens: 8_000,
+    expectedOutputTokens: 500,
+  });
+  const need = makeNeed(clock.nowMs());
+  const outcome = scheduler.place(need, alive);
+  await clock.advance(3_100);
+  assert.equal((await outcome).kind, 'refused');
+  assert.equal(scheduler.announcements().length, 0);
+});
+
+test('a caller that leaves gives its place up', async () => {
+  const {clock, books, scheduler} = makeScheduler(['p1', 'd1']);
+  books.startRun({
+    engineId: 'd1',
+    promptTokens: 8_000,
+    expectedOutputTokens: 500,
+  });
+  const cancellation = createCancellation();
+  const outcome = scheduler.place(makeNeed(clock.nowMs()), cancellation);
+  await clock.advance(10);
+  cancellation.cancel();
+  assert.equal((await outcome).kind, 'cancelled');
+  assert.equal(scheduler.announcements().length, 0);
+});
--- /dev/null
+++ b/tests/relay/upstream_registry_test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import {
+  createUpstreamRegistry,
+  type Upstream,
+} from '../../src/relay/upstream_registry.js';
+import {silentLog} from '../support/silent_log.js';
+
+const SERVICE = 'uus-pearaamat';
+
+function makeUpstream(id: string, changes: Partial<Upstream> = {}): Upstream {
+  return {
+    id,
+    service: SERVICE,
+    address: `10.0.0.1:${id.length}`,
+    failureDomain: 'raadi-ruum',
+    slots: 6,
+    isDraining: false,
+    heartbeat: 1,
+    ...changes,
+  };
+}
+
+function makeRegistry() {
+  const clock = createVirtualClock(1_000);
+  const registry = createUpstreamRegistry({clock, log: silentLog});
+  let revision = 0;
+  return {
+    clock,
+    registry,
+    list(...upstreams: readonly Upstream[]) {
+      registry.apply({revision: ++revision, upstreams});
+    },
+    open: () => registry.open(SERVICE).map(({id}) => id),
+  };
+}
+
+test('an upstream that is no longer listed gets nothing more', () => {
+  const {list, open} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  list(makeUpstream('b'));
+  assert.deepEqual(open(), ['b']);
+});
+
+test('a draining upstream gets nothing more', () => {
+  const {list, open} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  list(makeUpstream('a', {isDraining: true}), makeUpstream('b'));
+  assert.deepEqual(open(), ['b']);
+});
+
+test('upstreams that lapsed in an outage are kept until they had time to return', async () => {
+  // Callers are refused though all upstreams live: the store was away for some
+  // seconds, heartbeats could not arrive, and its first list is empty.
+  const {clock, registry, list, open} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  registry.noteOutage();
+  await clock.advance(5_000);
+  list();
+  assert.deepEqual(open(), ['a', 'b']);
+  await clock.advance(1_000);
+  list(makeUpstream('b', {heartbeat: 2}));
+  assert.deepEqual(open(), ['a', 'b']);
+  await clock.advance(1_500);
+  list(makeUpstream('b', {heartbeat: 3}));
+  assert.deepEqual(open(), ['b'], 'what is still missing has left');
+});
+
+test('an unreachable upstream is left out until it shows a sign of life', async () => {
+  // Each request loses the time of a connection attempt to a dark host, on
+  // every host again, for as long as the list still has it.
+  const {registry, list, open} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  registry.markUnreachable('a');
+  assert.deepEqual(open(), ['b']);
+  list(makeUpstream('a'), makeUpstream('b', {heartbeat: 2}));
+  assert.deepEqual(open(), ['b'], 'no heartbeat since');
+  list(makeUpstream('a', {heartbeat: 2}), makeUpstream('b', {heartbeat: 2}));
+  assert.deepEqual(open(), ['a', 'b']);
+});
+
+test('when none can be reached all are tried', () => {
+  // The host's own link was harmed for a moment; with none left it would
+  // refuse its callers for seconds after.
+  const {registry, list, open} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  registry.markUnreachable('a');
+  registry.markUnreachable('b');
+  assert.deepEqual(open(), ['a', 'b']);
+});
+
+test('an older list is left out', () => {
+  const {registry, open} = makeRegistry();
+  registry.apply({revision: 5, upstreams: [makeUpstream('a')]});
+  registry.apply({revision: 4, upstreams: [makeUpstream('old')]});
+  assert.deepEqual(open(), ['a']);
+});
