See a reset that arrives together with the last bytes

Cause: when data and reset arrive in one turn, the event loop reports a plain end and no error, so an unframed answer that broke off was taken as whole. A connection that was reset has no peer any more; that is asked first. Ruled out: kept connections (fresh ones did it, too), a late error event. The test fails without the guard.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -116,7 +116,7 @@
 /**
  * Guards against an answer without a length that its upstream breaks off: Node
  * takes a reset for the end of such a body and says that it is complete. The
- * error of the request comes first, and tells.
+ * error of the request, or the state of the connection, comes first and tells.
  */
 function toAnswerBody(
   answer: http.IncomingMessage,
@@ -218,6 +218,9 @@
       });
       request.on('socket', socket => {
         socket.setNoDelay(true);
+        socket.prependOnceListener('end', () => {
+          if (isReset(socket)) hasFailed = true;
+        });
         const connected = () => {
           isConnected = true;
         };
@@ -254,6 +257,16 @@
   };
 }
 
+/**
+ * Whether a connection that reads as ended was in fact reset. When the last
+ * bytes and the reset arrive together, the event loop reports the plain end
+ * and no error; but a connection that was reset has no peer any more, while
+ * one that was ended by its peer still has.
+ */
+function isReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
 /** Methods whose empty body is stated, as servers expect. */
 function needsLength(method: string): boolean {
   return method === 'POST' || method === 'PUT' || method === 'PATCH';
--- a/tests/adapters/http_exchange_test.ts
+++ b/tests/adapters/http_exchange_test.ts
@@ -139,3 +139,35 @@
   await new Promise(resolve => setTimeout(resolve, 30));
   assert.equal(closed, true);
 });
+
+test('an answer without a length that is reset is not whole on a kept connection either', async () => {
+  const address = await listen((socket, request) => {
+    if (request.includes('/first')) {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none');
+      return;
+    }
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+    setTimeout(() => socket.resetAndDestroy(), 30);
+  });
+  const exchange = makeExchange();
+  const reuse = {mayReuseConnection: true};
+  const first = makeCall(address, {...reuse, target: '/first'});
+  assert.equal(await readBody(exchange, first), 'one');
+  const second = makeCall(address, {...reuse, target: '/second'});
+  assert.equal(await readBody(exchange, second), 'broken');
+});
+
+test('a reset that arrives together with the last bytes is seen', async () => {
+  // As above, but the reset comes at once: the event loop then reports an
+  // ordinary end and no error.
+  const address = await listen(socket => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf', () => {
+      socket.resetAndDestroy();
+    });
+    const until = Date.now() + 30;
+    while (Date.now() < until);
+  });
+  for (let i = 0; i < 5; i++) {
+    assert.equal(await readBody(makeExchange(), makeCall(address)), 'broken');
+  }
+});
