Hand configuration and upstreams to hosts cut off from the store; refuse crashing requests

Peers fetch from a live one what the store does not give them; a request whose upstreams could not be reached right after is quarantined on all hosts.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -166,6 +166,8 @@
   ): Promise<PrefillOutcome>;
   /** Frees a prefill result that nobody will take. */
   releasePrefill(upstream: Upstream, handle: string): void;
+  /** Whether a connection can be made and the upstream answers. */
+  isReachable(upstream: Upstream): Promise<boolean>;
   report(upstream: Upstream): Promise<EngineReport | undefined>;
   order(upstream: Upstream, order: RoleOrder): Promise<RoleOrderOutcome>;
 }
--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -11,6 +11,7 @@
 import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {DatagramPort} from '../ports/datagram.js';
 import type {Logger} from '../ports/log.js';
+import type {LossFact} from '../request/quarantine.js';
 import type {HostLoad} from './engine_books.js';
 import type {Waiting} from './wait_rules.js';
 
@@ -25,13 +26,6 @@
   readonly giveUpMs: number;
 }
 
-/** A request that crashed engines, by fingerprint, with the losses known. */
-export interface LossRecord {
-  readonly fingerprint: string;
-  readonly lossIds: readonly string[];
-  readonly clearedCount: number;
-}
-
 /** The part of a datagram that the relay fills in. */
 export interface Announcement {
   readonly state: HostState;
@@ -47,7 +41,8 @@
   readonly suspects: readonly string[];
   /** Engines that this host told to change their role. */
   readonly changing: readonly string[];
-  readonly losses: readonly LossRecord[];
+  /** Requests that crashed engines. */
+  readonly losses: readonly LossFact[];
 }
 
 /** One peer as it is known here. */
--- a/src/relay/plain_relay.ts
+++ b/src/relay/plain_relay.ts
@@ -29,6 +29,8 @@
   readonly balancer: PlainBalancer;
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryBudget;
+  /** A run broke off. */
+  onBroken(job: RelayJob, upstream: Upstream): void;
 }
 
 export interface PlainRelay {
@@ -155,6 +157,7 @@
         return retryBudget.tryTake(job.service.name) ? 'again' : 'stop';
       case 'broken':
         progress.ran.push(upstream.id);
+        host.onBroken(job, upstream);
         progress.failure = {kind: 'upstream-failed', detail: failure.detail};
         return mayRunAgain(job, progress) &&
           retryBudget.tryTake(job.service.name)
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -10,6 +10,7 @@
 import type {RelayRequest} from '../ports/relay.js';
 import type {Caller} from './caller.js';
 import {createCancellation} from './cancellation.js';
+import type {CrashWatch} from './crash_watch.js';
 import type {PlainRelay} from './plain_relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
 import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
@@ -25,6 +26,7 @@
   readonly routing: RoutingState;
   readonly plain: PlainRelay;
   readonly streams: StreamRelay;
+  readonly crashes: CrashWatch;
   /** Undefined while requests of this length may begin. */
   refuseForLeaving(route: Route): RequestError | undefined;
 }
@@ -56,6 +58,9 @@
     const path = request.target.split('?', 1)[0];
     const route = routing.match(request.host, path);
     if (!route) return {kind: 'unknown-route', detail: path.slice(0, 80)};
+    if (host.crashes.isQuarantined(request)) {
+      return {kind: 'quarantined', detail: 'It is not run again.'};
+    }
     const leaving = host.refuseForLeaving(route);
     if (leaving) return leaving;
     const name = chooseService(route, random);
@@ -123,7 +128,9 @@
       }
       activeCount++;
       try {
-        logOutcome(request, admitted, await run(admitted));
+        const outcome = await run(admitted);
+        if (outcome.end === 'answered') host.crashes.noteWhole(request);
+        logOutcome(request, admitted, outcome);
       } catch (error) {
         // A fault of ours must not leave a caller waiting to its deadline.
         log.error('A request failed in the router.', {
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -21,8 +21,10 @@
   UpstreamSource,
 } from '../ports/relay.js';
 import type {TablePort} from '../ports/table.js';
+import {createQuarantine} from '../request/quarantine.js';
 import {createRetryBudget} from '../request/retry_budget.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
+import {createCrashWatch} from './crash_watch.js';
 import {createEngineBooks} from './engine_books.js';
 import {createEngineScheduler} from './engine_scheduler.js';
 import {answerDirectory, type EntryAnswer} from './host_directory.js';
@@ -32,6 +34,7 @@
   type HostState,
   type Peer,
 } from './peer_exchange.js';
+import {createPeerHandover} from './peer_handover.js';
 import {createPeerView} from './peer_view.js';
 import {createPlainRelay} from './plain_relay.js';
 import {createRelay} from './relay.js';
@@ -45,7 +48,8 @@
 import {createSideServer, type SideHandler} from './side_server.js';
 import {createStoreWatch} from './store_watch.js';
 import {createStreamRelay} from './stream_relay.js';
-import {createUpstreamRegistry} from './upstream_registry.js';
+import type {RelayJob} from './relay_types.js';
+import {createUpstreamRegistry, type Upstream} from './upstream_registry.js';
 
 /** What the platform's calls to this process ask for. */
 export interface SideFacts {
@@ -179,10 +183,11 @@
         waiting: view.toRecords(scheduler.announcements()),
         suspects: scheduler.suspects(),
         changing: roleOrders.changing(),
-        losses: [],
+        losses: crashes.facts(),
       }),
       onPeer(peer) {
         view.heard(peer);
+        crashes.learn(peer.losses);
         scheduler.pump();
       },
       onPeerGone(hostId) {
@@ -201,6 +206,18 @@
     },
   );
 
+  const handover = createPeerHandover({
+    clock,
+    log: createLogger('handover'),
+    exchange,
+    routing,
+    routingSource: sources.routingSource,
+    registry,
+    peers: peers.alive,
+    upstreamAgeMs: watch.upstreamAgeMs,
+    onUpstreams: watch.noteHandedList,
+  });
+
   const balancer = createPlainBalancer(
     {clock, random},
     {ownFailureDomain: settings.failureDomain},
@@ -210,7 +227,20 @@
     ratioOf: () => settings.retryRatio,
   });
   const upstreamPort = adapters.createUpstreamPort(exchange);
-  const shared = {clock, upstreamPort, registry, retryBudget};
+  const crashes = createCrashWatch({
+    clock,
+    log: createLogger('crashes'),
+    upstreamPort,
+    quarantine: createQuarantine({
+      clock,
+      spread: () => peers.changed(),
+      // An upstream has a new id with each start, so an id dies once.
+      lossIdOf: upstreamId => upstreamId,
+    }),
+  });
+  const onBroken = (job: RelayJob, upstream: Upstream) =>
+    crashes.noteBroken(job.request, upstream);
+  const shared = {clock, upstreamPort, registry, retryBudget, onBroken};
   const demand = createRoleDemandMeter();
   const suspension = createSuspensionWatch(clock);
   const roleOrders = createRoleOrders(
@@ -271,6 +301,7 @@
       books,
       demand,
     }),
+    crashes,
     refuseForLeaving: leaving.refuse,
   });
   const front = createRelayFront({
@@ -300,6 +331,7 @@
   const sideServers = [
     {address: settings.readyAddress, handler: sideHandler},
     {address: settings.directoryAddress, handler: sideHandler},
+    {address: settings.peerAddress, handler: handover.handler},
     {
       address: settings.metricsAddress,
       handler: () => ({
@@ -350,11 +382,13 @@
   for (const {address, server} of sideServers) await server.listen(address);
   peers.start();
   watch.start();
+  handover.start();
   roleOrders.start();
   const {hostId, callerAddress, peerAddress} = settings;
   log.info('Serving.', {hostId, callerAddress, peerAddress});
 
   async function stop(openCount: number): Promise<number> {
+    handover.stop();
     roleOrders.stop();
     await watch.stop();
     peers.stop();
--- a/src/relay/store_watch.ts
+++ b/src/relay/store_watch.ts
@@ -41,6 +41,8 @@
   stop(): Promise<void>;
   /** Age of the list of upstreams. */
   upstreamAgeMs(): number;
+  /** A peer handed its list over, as old as this. */
+  noteHandedList(ageMs: number): void;
 }
 
 /**
@@ -163,5 +165,8 @@
       }
     },
     upstreamAgeMs: () => clock.nowMs() - listReadAtMs,
+    noteHandedList(ageMs) {
+      listReadAtMs = Math.max(listReadAtMs, clock.nowMs() - ageMs);
+    },
   };
 }
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -40,6 +40,8 @@
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryBudget;
   readonly demand: RoleDemandMeter;
+  /** A run broke off. */
+  onBroken(job: RelayJob, upstream: Upstream): void;
 }
 
 export interface StreamRelay {
@@ -311,6 +313,7 @@
           return outcome;
         case 'broken':
           state.ran.push(decode.id);
+          host.onBroken(job, decode);
           noteSendFailure(decode, outcome);
           failure = {kind: 'upstream-failed', detail: outcome.detail};
           return {kind: 'failed', error: failure, mayHaveRun: true};
@@ -467,6 +470,7 @@
           return refuse(state, {kind: 'deadline-passed', detail: end.detail});
         case 'broken':
           scheduler.noteFailure(state.placement.decode.id);
+          host.onBroken(job, state.placement.decode);
           logFailure('Stream broke.', state, state.placement.decode, end);
           if (prepareNextRun(state)) continue;
           return refuse(state, {kind: 'answer-cut', detail: end.detail});
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/upstream_registry.ts
@@ -35,14 +35,20 @@
   readonly upstreams: readonly Upstream[];
 }
 
+/** Where a list was read. */
+export type UpstreamOrigin = 'store' | 'peer';
+
 export interface UpstreamRegistryHost {
   readonly clock: Clock;
   readonly log: Logger;
 }
 
 export interface UpstreamRegistry {
-  /** Takes a list over; an older one than the last is left out. */
-  apply(snapshot: UpstreamSnapshot): void;
+  /**
+   * Takes a list over; an older one than the last is left out. A peer's list
+   * already has what the peer still waits for after an outage.
+   */
+  apply(snapshot: UpstreamSnapshot, origin?: UpstreamOrigin): void;
   /** The list could not be read, or heartbeats are known not to arrive. */
   noteOutage(): void;
   /** New work must not go there: another instance has its address. */
@@ -56,7 +62,7 @@
   open(service: string): readonly Upstream[];
   /** Any upstream of the list that has not left, draining ones too. */
   get(id: string): Upstream | undefined;
-  /** The last list as it was read, for peers. */
+  /** The list as this host goes by it, for peers. */
   snapshot(): UpstreamSnapshot | undefined;
   onChange(listener: () => void): void;
 }
@@ -139,10 +145,14 @@
     log.info('Upstream left.', {upstream: id, reason});
   }
 
-  function takeMissing(listed: ReadonlySet<string>, nowMs: number): void {
+  function takeMissing(
+    listed: ReadonlySet<string>,
+    nowMs: number,
+    origin: UpstreamOrigin,
+  ): void {
     for (const id of [...entries.keys()]) {
       if (listed.has(id)) continue;
-      if (nowMs >= graceUntilMs) {
+      if (origin === 'peer' || nowMs >= graceUntilMs) {
         drop(id, 'no longer listed');
       } else if (!lapsed.has(id)) {
         lapsed.set(id, graceUntilMs);
@@ -168,16 +178,17 @@
   }
 
   return {
-    apply(snapshot) {
+    apply(snapshot, origin = 'store') {
       if (last && snapshot.revision < last.revision) return;
       const nowMs = clock.nowMs();
-      if (isOutage) {
+      if (isOutage && origin === 'store') {
         isOutage = false;
         graceUntilMs = nowMs + REGISTER_AGAIN_MS;
       }
       last = snapshot;
       for (const upstream of snapshot.upstreams) takeListed(upstream);
-      takeMissing(new Set(snapshot.upstreams.map(({id}) => id)), nowMs);
+      const listed = new Set(snapshot.upstreams.map(({id}) => id));
+      takeMissing(listed, nowMs, origin);
       rebuild();
     },
     noteOutage() {
@@ -211,7 +222,8 @@
     isKnown: () => last !== undefined,
     open: service => byService.get(service) ?? [],
     get: id => entries.get(id),
-    snapshot: () => last,
+    snapshot: () =>
+      last && {revision: last.revision, upstreams: [...entries.values()]},
     onChange(listener) {
       listeners.push(listener);
     },
--- a/src/request/quarantine.ts
+++ b/src/request/quarantine.ts
@@ -45,6 +45,11 @@
   readonly clock: Clock;
   /** Hands a fact to whatever spreads it to the other entries. */
   spread(fact: LossFact): void;
+  /**
+   * Names one death of an engine. Not needed where engines keep their ids
+   * over a restart; there the time of the death is part of its name.
+   */
+  lossIdOf?(engineId: string): string;
 }
 
 export interface Quarantine {
@@ -130,6 +135,7 @@
 
   /** A death seen just after a window's end belongs to the one before. */
   function lossIdOf(engineId: string): string {
+    if (host.lossIdOf) return host.lossIdOf(engineId);
     const window = Math.floor(host.clock.wallMs() / LOSS_WINDOW_MS);
     const before = `${engineId}@${window - 1}`;
     const isEarly = host.clock.wallMs() % LOSS_WINDOW_MS < LOSS_WINDOW_MS / 10;
--- /dev/null
+++ b/tests/platform/relay_path_test.ts
@@ -0,0 +1,370 @@
+import assert from 'node:assert/strict';
+import type http from 'node:http';
+import {afterEach, beforeEach, test} from 'node:test';
+import {
+  createSite,
+  makeConfiguration,
+  PROMPT_HEADERS,
+  until,
+  untilReady,
+  type Entry,
+  type Site,
+} from './relay_site.js';
+
+let site: Site;
+
+beforeEach(async () => {
+  site = await createSite();
+});
+
+afterEach(() => site.close());
+
+async function startEntry(): Promise<Entry> {
+  site.configure(makeConfiguration());
+  const entry = await site.addEntry();
+  await untilReady(site, entry);
+  return entry;
+}
+
+function eventIds(body: string): readonly number[] {
+  return [...body.matchAll(/^id: (\d+)\ndata: token-\1\n\n/gm)].map(match =>
+    Number(match[1]),
+  );
+}
+
+const post = {method: 'POST', body: 'rida=1'};
+const draft = {...post, headers: PROMPT_HEADERS};
+
+test('an answer is handed on byte for byte, with its signature and id', async () => {
+  const upstream = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  const answer = await site.call(entry, '/makse/a%20b?c=d', {
+    ...post,
+    headers: {'X-Request-Id': 'q1', 'X-Own': 'kept', 'X-Kv-Hold': 'forged'},
+  });
+  assert.equal(answer.status, 200);
+  assert.equal(answer.body, 'answer of i-1');
+  assert.equal(answer.headers['x-engine-stamp'], 'signed-by-i-1');
+  assert.equal(answer.headers['x-request-id'], 'q1');
+  const [run] = upstream.runs;
+  assert.equal(run.method, 'POST');
+  assert.equal(run.target, '/makse/a%20b?c=d');
+  assert.equal(run.body, 'rida=1');
+  assert.equal(run.headers['x-own'], 'kept');
+  assert.equal(run.headers['x-kv-hold'], undefined);
+  assert.equal(run.headers['x-expect-instance'], 'i-1');
+  assert.ok(Number(run.headers['x-deadline-ms']) <= 5_000);
+});
+
+test('a body in chunks arrives whole and cannot carry a second request', async () => {
+  // Somebody's request is run that nobody sent: a body that looks like a
+  // request follows one whose end the two sides see in different places.
+  const upstream = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  const inner = 'POST /makse/y HTTP/1.1\r\nHost: x\r\nX-Request-Id: z\r\n\r\n';
+  await site.call(entry, '/makse/x', {
+    method: 'POST',
+    body: inner,
+    headers: {'Transfer-Encoding': 'chunked'},
+  });
+  assert.equal(upstream.runs.length, 1);
+  assert.equal(upstream.runs[0].body, inner);
+});
+
+test('an idempotent call is run once more after a failure, elsewhere', async () => {
+  const first = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const second = await site.addUpstream({id: 'i-2', service: 'ledger'});
+  const entry = await startEntry();
+  for (const upstream of [first, second]) {
+    first.setBehaviour('answer');
+    second.setBehaviour('answer');
+    upstream.setBehaviour('fail');
+    const answer = await site.call(entry, '/saldo/1');
+    assert.equal(answer.status, 200);
+  }
+});
+
+test('the failure of the last attempt is handed on as it is', async () => {
+  const upstream = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  upstream.setBehaviour('fail');
+  const answer = await site.call(entry, '/saldo/1');
+  assert.equal(answer.status, 500);
+  assert.equal(answer.body, 'own failure');
+  assert.equal(answer.headers['x-engine-stamp'], 'signed-by-i-1');
+});
+
+test('a posting whose answer is lost runs once and is not called not-run', async () => {
+  // A payment is posted twice: the upstream ran it, its answer was lost, and
+  // the router sent it again or told the caller that it had not run.
+  const first = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const second = await site.addUpstream({id: 'i-2', service: 'ledger'});
+  const entry = await startEntry();
+  first.setBehaviour('lose-answer');
+  second.setBehaviour('lose-answer');
+  const answer = await site.call(entry, '/makse/1', post);
+  assert.equal(answer.status, 502);
+  assert.equal(first.runs.length + second.runs.length, 1);
+});
+
+test('a posting that an upstream refused runs at another', async () => {
+  const first = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const second = await site.addUpstream({id: 'i-2', service: 'ledger'});
+  const entry = await startEntry();
+  first.setBehaviour('full');
+  for (let i = 0; i < 4; i++) {
+    assert.equal((await site.call(entry, '/makse/1', post)).status, 200);
+  }
+  assert.equal(first.runs.length, 0);
+  assert.equal(second.runs.length, 4);
+});
+
+test('when all upstreams refuse, the refusal says when to come back', async () => {
+  const upstream = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  upstream.setBehaviour('full');
+  const answer = await site.call(entry, '/makse/1', post);
+  assert.equal(answer.status, 503);
+  assert.ok(Number(answer.headers['retry-after']) > 0);
+  assert.equal(upstream.runs.length, 0);
+});
+
+test('an answer to another request never reaches the caller', async () => {
+  // A bookkeeper sees the balance of another client: an answer that came late
+  // or twice was taken for the answer to the next request.
+  const upstream = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  upstream.setBehaviour('wrong-id');
+  const answer = await site.call(entry, '/makse/1', post);
+  assert.equal(answer.status, 502);
+  assert.ok(!answer.body.includes('answer of'));
+});
+
+test('a success without a signature is not handed on', async () => {
+  const upstream = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  upstream.setBehaviour('unsigned');
+  assert.equal((await site.call(entry, '/makse/1', post)).status, 502);
+});
+
+test('an address that another upstream took over gets nothing to run', async () => {
+  // A request runs at a service that it was never meant for: its upstream is
+  // gone, and another one started at its address.
+  const upstream = await site.addUpstream({id: 'i-new', service: 'other'});
+  site.store.put('servers', 'i-old', {...upstream.row(), service: 'ledger'});
+  const entry = await startEntry();
+  const answer = await site.call(entry, '/makse/1', post);
+  assert.equal(answer.status, 503);
+  assert.equal(upstream.runs.length, 0);
+});
+
+test('a body over the limit is refused', async () => {
+  await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  const body = 'x'.repeat(5_000);
+  const answer = await site.call(entry, '/makse/1', {method: 'POST', body});
+  assert.equal(answer.status, 413);
+});
+
+test('a stream is prefilled apart, decoded, and whole', async () => {
+  const prefill = await site.addUpstream({
+    id: 'p-1',
+    service: 'drafts',
+    role: 'prefill',
+  });
+  const decode = await site.addUpstream({
+    id: 'd-1',
+    service: 'drafts',
+    role: 'decode',
+  });
+  const entry = await startEntry();
+  const answer = await site.call(entry, '/mustand/1', draft);
+  assert.deepEqual(eventIds(answer.body), [1, 2, 3, 4, 5]);
+  assert.equal(answer.isCut, false);
+  assert.equal(prefill.runs[0].stage, 'prefill');
+  assert.equal(decode.runs[0].stage, 'decode');
+  assert.equal(decode.runs[0].headers['x-kv-source'], `${prefill.address}/h1`);
+});
+
+test('a resumable stream goes on at another engine, each event once', async () => {
+  // A draft stops in the middle: its engine crashed within an event. The rest
+  // comes from another engine, and the torn event is not seen.
+  await site.addUpstream({id: 'p-1', service: 'drafts', role: 'prefill'});
+  const engines = await Promise.all(
+    ['d-1', 'd-2'].map(id =>
+      site.addUpstream({id, service: 'drafts', role: 'decode', eventCount: 8}),
+    ),
+  );
+  const entry = await startEntry();
+  for (const engine of engines) engine.crashAfterEvents(3);
+  const running = site.call(entry, '/lisa/1', draft);
+  await until('the first run', () =>
+    engines.some(each => each.runs.length > 0),
+  );
+  for (const engine of engines) {
+    if (engine.runs.length === 0) engine.crashAfterEvents(100);
+  }
+  const answer = await running;
+  assert.deepEqual(eventIds(answer.body), [1, 2, 3, 4, 5, 6, 7, 8]);
+  assert.equal(answer.isCut, false);
+  assert.ok(!/data: to\n|data: toid/.test(answer.body));
+});
+
+test('a stream that may not be resumed runs once and shows that it was cut', async () => {
+  await site.addUpstream({id: 'p-1', service: 'drafts', role: 'prefill'});
+  const engines = await Promise.all(
+    ['d-1', 'd-2'].map(id =>
+      site.addUpstream({id, service: 'drafts', role: 'decode'}),
+    ),
+  );
+  const entry = await startEntry();
+  for (const engine of engines) engine.crashAfterEvents(2);
+  const answer = await site.call(entry, '/mustand/1', draft);
+  assert.equal(answer.isCut, true);
+  assert.equal(engines[0].runs.length + engines[1].runs.length, 1);
+});
+
+test('an engine stops when the caller leaves', async () => {
+  // Engines work on for callers that have gone, and their memory is missing
+  // to those who wait.
+  await site.addUpstream({id: 'p-1', service: 'drafts', role: 'prefill'});
+  const decode = await site.addUpstream({
+    id: 'd-1',
+    service: 'drafts',
+    role: 'decode',
+    eventCount: 1_000,
+  });
+  const entry = await startEntry();
+  let caller: http.ClientRequest | undefined;
+  const running = site.call(entry, '/mustand/1', {
+    ...draft,
+    onStart(request) {
+      caller = request;
+    },
+  });
+  await until('the run', () => decode.runs.length === 1);
+  caller?.destroy();
+  // It broke off before or after the head, as the time fell.
+  await running.catch(() => undefined);
+  await until('the end of the run', () => decode.runs[0].wasLeft);
+});
+
+test('unknown hosts and paths are 404; without a configuration all is 503', async () => {
+  const entry = await site.addEntry();
+  assert.equal((await site.call(entry, '/saldo/1')).status, 503);
+  site.configure(makeConfiguration());
+  await until('the configuration', async () => {
+    const answer = await site.call(entry, '/none/1');
+    return answer.status === 404;
+  });
+});
+
+test('a new version is in force soon, and an older one never again', async () => {
+  await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  assert.equal((await site.call(entry, '/saldo/1')).status, 200);
+  const version = site.configure(makeConfiguration({routes: []}));
+  await until('the new version', async () => {
+    return (await site.call(entry, '/saldo/1')).status === 404;
+  });
+  const older = {version: version - 1, ...makeConfiguration()};
+  site.store.put('op', 'config', older);
+  await new Promise(resolve => setTimeout(resolve, 300));
+  assert.equal((await site.call(entry, '/saldo/1')).status, 404);
+});
+
+test('a feed whose history is gone is read anew', async () => {
+  await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  site.store.setMode('busy');
+  await new Promise(resolve => setTimeout(resolve, 1_200));
+  site.configure(makeConfiguration({routes: []}));
+  site.store.dropHistory();
+  site.store.setMode('serving');
+  await until('the new version', async () => {
+    return (await site.call(entry, '/saldo/1')).status === 404;
+  });
+});
+
+test('an upstream that drains or leaves gets nothing more', async () => {
+  const first = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const second = await site.addUpstream({id: 'i-2', service: 'ledger'});
+  const entry = await startEntry();
+  site.list(first, 'draining');
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  const before = first.runs.length;
+  for (let i = 0; i < 6; i++) await site.call(entry, '/saldo/1');
+  assert.equal(first.runs.length, before);
+  assert.equal(second.runs.length, 6);
+});
+
+test('callers are served while the store is away', async () => {
+  await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  site.store.setMode('silent');
+  await new Promise(resolve => setTimeout(resolve, 2_500));
+  assert.equal((await site.call(entry, '/saldo/1')).status, 200);
+  site.store.setMode('serving');
+});
+
+test('a host that cannot read the store learns from a peer', async () => {
+  // A host has just started, the store turns it away and serves the others:
+  // it refuses every caller though its peers know all that it needs.
+  await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const entry = await startEntry();
+  const peer = await site.addEntry({
+    storeAddress: '127.0.0.1:9',
+    seedAddresses: [entry.settings.peerAddress],
+    peerAddress: entry.settings.peerAddress.replace('127.0.0.1', '127.0.0.2'),
+  });
+  await untilReady(site, peer);
+  assert.equal((await site.call(peer, '/saldo/1')).status, 200);
+});
+
+test('an entry that leaves is out of the answers and ends what it has', async () => {
+  await site.addUpstream({id: 'p-1', service: 'drafts', role: 'prefill'});
+  await site.addUpstream({
+    id: 'd-1',
+    service: 'drafts',
+    role: 'decode',
+    eventCount: 30,
+    eventEveryMs: 30,
+  });
+  const entry = await startEntry();
+  const peer = await site.addEntry({
+    seedAddresses: [entry.settings.peerAddress],
+    peerAddress: entry.settings.peerAddress.replace('127.0.0.1', '127.0.0.2'),
+  });
+  await untilReady(site, peer);
+  const resolve = async () => {
+    const path = '/corianderbend/resolve?name=x&region=r&zone=z';
+    const answer = await site.ask(peer.settings.directoryAddress, path);
+    return (JSON.parse(answer.body) as {addresses: string[]}).addresses;
+  };
+  await until('both', async () => (await resolve()).length === 2);
+  const running = site.call(entry, '/mustand/1', draft);
+  await new Promise(done => setTimeout(done, 150));
+  entry.process.leave();
+  const ready = await site.ask(
+    entry.settings.readyAddress,
+    '/corianderbend/readyz',
+  );
+  assert.equal(ready.status, 503);
+  await until('one', async () => (await resolve()).length === 1);
+  assert.deepEqual(await resolve(), [peer.settings.callerAddress]);
+  assert.equal(eventIds((await running).body).length, 30);
+  assert.equal(await entry.process.ended, 0);
+});
+
+test('engines change their role by fenced orders of one host', async () => {
+  const engines = await Promise.all(
+    [1, 2, 3, 4, 5].map(i =>
+      site.addUpstream({id: `e-${i}`, service: 'drafts', role: 'prefill'}),
+    ),
+  );
+  await startEntry();
+  await until('an order', () => engines.some(each => each.orders.length > 0));
+  const orders = engines.flatMap(each => each.orders);
+  assert.equal(orders[0].stage, 'decode');
+  assert.ok(orders[0].fence >= 1);
+});
--- a/tests/relay/upstream_registry_test.ts
+++ b/tests/relay/upstream_registry_test.ts
@@ -96,3 +96,27 @@
   registry.apply({revision: 4, upstreams: [makeUpstream('old')]});
   assert.deepEqual(open(), ['a']);
 });
+
+test('a list from a peer counts though the store is away for this host', async () => {
+  // A host that the store turns away sends to upstreams that left seconds ago:
+  // its own failed reads look like an outage in which entries lapse, but the
+  // peers still read the list.
+  const {clock, registry, list, open} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  registry.noteOutage();
+  await clock.advance(2_000);
+  registry.apply({revision: 9, upstreams: [makeUpstream('b')]}, 'peer');
+  assert.deepEqual(open(), ['b']);
+});
+
+test('peers are handed what is still waited for after an outage', async () => {
+  const {clock, registry, list} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  registry.noteOutage();
+  await clock.advance(3_000);
+  list();
+  assert.deepEqual(
+    registry.snapshot()?.upstreams.map(({id}) => id),
+    ['a', 'b'],
+  );
+});
