--- a/src/relay/engine_scheduler.ts
+++ b/src/relay/engine_scheduler.ts
@@ -454,10 +454,7 @@
       })),
     suspects() {
       const nowMs = clock.nowMs();
-      const ejected = [...known.keys()].filter(
-        id => !health.isUsable(id, nowMs),
-      );
-      return [...new Set([...ejected, ...registry.unreachable()])];
+      return [...known.keys()].filter(id => !health.isUsable(id, nowMs));
     },
   };
 }
--- a/src/relay/leaving.ts
+++ b/src/relay/leaving.ts
@@ -42,7 +42,7 @@
 const QUIET_MS = 400;
 const CHECK_MS = 50;
 /** The end comes this long before the kill. */
-const KILL_MARGIN_MS = 500;
+const KILL_MARGIN_MS = 250;
 /**
  * A stream takes some 4 s; one that begins later than this after the signal
  * might not end in time.
--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -39,6 +39,8 @@
   readonly waiting: readonly WaitingRecord[];
   /** Engines that fail this host now. */
   readonly suspects: readonly string[];
+  /** Upstreams to which this host could not connect. */
+  readonly unreachable: readonly string[];
   /** Engines that this host told to change their role. */
   readonly changing: readonly string[];
   /** Requests that crashed engines. */
--- a/src/relay/peer_view.ts
+++ b/src/relay/peer_view.ts
@@ -17,8 +17,8 @@
   toRecords(waiting: readonly WaitingAnnouncement[]): readonly WaitingRecord[];
 }
 
-/** A peer that suspects more engines than this is likely cut off itself. */
-const MOST_SUSPECTS = 5;
+/** A peer that blames more upstreams than this is likely cut off itself. */
+export const MOST_SUSPECTS = 5;
 
 export function createPeerView(
   clock: Clock,
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -35,7 +35,7 @@
   type Peer,
 } from './peer_exchange.js';
 import {createPeerHandover} from './peer_handover.js';
-import {createPeerView} from './peer_view.js';
+import {createPeerView, MOST_SUSPECTS} from './peer_view.js';
 import {createPlainRelay} from './plain_relay.js';
 import {createRelay} from './relay.js';
 import {createRelayFront} from './relay_front.js';
@@ -182,12 +182,14 @@
         load: books.own(),
         waiting: view.toRecords(scheduler.announcements()),
         suspects: scheduler.suspects(),
+        unreachable: registry.unreachable(),
         changing: roleOrders.changing(),
         losses: crashes.facts(),
       }),
       onPeer(peer) {
         view.heard(peer);
         crashes.learn(peer.losses);
+        learnUnreachable(peer);
         scheduler.pump();
       },
       onPeerGone(hostId) {
@@ -283,7 +285,10 @@
       log,
       openCount: () => front.openCount(),
       lastRequestAtMs: () => front.lastRequestAtMs(),
-      onLeave: () => peers.changed(),
+      onLeave() {
+        peers.changed();
+        watch.unregister();
+      },
     },
     {graceMs: settings.leaveGraceMs},
   );
@@ -313,6 +318,12 @@
     isLeaving: leaving.isLeaving,
   });
 
+  /** What one host found out need not cost each other host a request. */
+  function learnUnreachable({unreachable}: Peer): void {
+    if (unreachable.length > MOST_SUSPECTS) return;
+    for (const id of unreachable) registry.markUnreachable(id, 'peer');
+  }
+
   function hostState(): HostState {
     if (leaving.isLeaving()) return 'leaving';
     const isServing = routing.current() !== undefined && registry.isKnown();
@@ -390,7 +401,7 @@
   async function stop(openCount: number): Promise<number> {
     handover.stop();
     roleOrders.stop();
-    await watch.stop();
+    watch.stop();
     peers.stop();
     front.close();
     for (const {server} of sideServers) server.close();
--- a/src/relay/store_watch.ts
+++ b/src/relay/store_watch.ts
@@ -37,8 +37,9 @@
 
 export interface StoreWatch {
   start(): void;
-  /** Takes this host out of the registry. */
-  stop(): Promise<void>;
+  /** Takes this host out of the registry; it goes on reading. */
+  unregister(): void;
+  stop(): void;
   /** Age of the list of upstreams. */
   upstreamAgeMs(): number;
   /** A peer handed its list over, as old as this. */
@@ -68,6 +69,7 @@
   const {clock, random, log, metrics, routing, registry} = host;
   const timers = new Set<TimerHandle>();
   let isStopped = false;
+  let isLeaving = false;
   let cursor: number | undefined;
   let isRegistered = false;
   let listReadAtMs = Number.NEGATIVE_INFINITY;
@@ -85,6 +87,8 @@
   const retryMs = () => RETRY_MS + RETRY_SPREAD_MS * random.nextFloat();
 
   function note(call: string, read: StoreRead<unknown>): void {
+    // The calls that end with the process are no loss of the store.
+    if (isStopped) return;
     metrics.count('store_calls', `call="${call}",outcome="${read.kind}"`);
     const isLost = read.kind === 'failed';
     if (isLost === isStoreLost) return;
@@ -139,7 +143,7 @@
   }
 
   async function keepRegistered(): Promise<void> {
-    if (!isRegistered) {
+    if (!isRegistered && !isLeaving) {
       const {hostRegistry} = host;
       isRegistered = await hostRegistry.register(self, REGISTER_TIMEOUT_MS);
       metrics.count('store_calls', `call="register",outcome="${isRegistered}"`);
@@ -157,12 +161,14 @@
       void pollUpstreams();
       void keepRegistered();
     },
-    async stop() {
+    unregister() {
+      isLeaving = true;
+      if (!isRegistered) return;
+      void host.hostRegistry.remove(self.hostId, REGISTER_TIMEOUT_MS);
+    },
+    stop() {
       isStopped = true;
       for (const timer of timers) clock.clearTimer(timer);
-      if (isRegistered) {
-        await host.hostRegistry.remove(self.hostId, REGISTER_TIMEOUT_MS);
-      }
     },
     upstreamAgeMs: () => clock.nowMs() - listReadAtMs,
     noteHandedList(ageMs) {
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/upstream_registry.ts
@@ -38,6 +38,9 @@
 /** Where a list was read. */
 export type UpstreamOrigin = 'store' | 'peer';
 
+/** Who could not connect. */
+export type UnreachableFinder = 'self' | 'peer';
+
 export interface UpstreamRegistryHost {
   readonly clock: Clock;
   readonly log: Logger;
@@ -53,8 +56,12 @@
   noteOutage(): void;
   /** New work must not go there: another instance has its address. */
   markGone(id: string): void;
-  /** No connection could be made; left out until it gives a sign of life. */
-  markUnreachable(id: string): void;
+  /**
+   * No connection could be made, from here or from a peer; it is left out
+   * until it gives a sign of life.
+   */
+  markUnreachable(id: string, finder?: UnreachableFinder): void;
+  /** Those that this host found by itself, for the peers. */
   unreachable(): readonly string[];
   revision(): number;
   isKnown(): boolean;
@@ -80,6 +87,12 @@
 /** Failed reads closer together than this are one outage. */
 const OUTAGE_MEMORY_MS = 1_500;
 
+interface SilentRecord {
+  readonly heartbeat: number;
+  readonly untilMs: number;
+  readonly finder: UnreachableFinder;
+}
+
 export function createUpstreamRegistry(
   host: UpstreamRegistryHost,
 ): UpstreamRegistry {
@@ -89,7 +102,7 @@
   const lapsed = new Map<string, number>();
   const gone = new Set<string>();
   /** Upstreams that could not be reached, as they were listed then. */
-  const silent = new Map<string, {heartbeat: number; untilMs: number}>();
+  const silent = new Map<string, SilentRecord>();
   const listeners: Array<() => void> = [];
   let last: UpstreamSnapshot | undefined;
   let byService = new Map<string, Upstream[]>();
@@ -207,17 +220,21 @@
       log.info('Upstream taken out.', {upstream: id});
       rebuild();
     },
-    markUnreachable(id) {
+    markUnreachable(id, finder = 'self') {
       const upstream = entries.get(id);
       if (!upstream || silent.has(id)) return;
       silent.set(id, {
         heartbeat: upstream.heartbeat,
         untilMs: clock.nowMs() + UNREACHABLE_FOR_MS,
+        finder,
       });
-      log.info('Upstream unreachable.', {upstream: id});
+      log.info('Upstream unreachable.', {upstream: id, finder});
       rebuild();
     },
-    unreachable: () => [...silent.keys()],
+    unreachable: () =>
+      [...silent]
+        .filter(([, each]) => each.finder === 'self')
+        .map(([id]) => id),
     revision: () => last?.revision ?? 0,
     isKnown: () => last !== undefined,
     open: service => byService.get(service) ?? [],
--- a/tests/relay/upstream_registry_test.ts
+++ b/tests/relay/upstream_registry_test.ts
@@ -120,3 +120,13 @@
     ['a', 'b'],
   );
 });
+
+test('what a peer could not reach is left out here, and not told on', () => {
+  // Each host in turn loses a request to the same dark upstream; and what
+  // hosts told each other would go round for ever.
+  const {registry, list, open} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  registry.markUnreachable('a', 'peer');
+  assert.deepEqual(open(), ['b']);
+  assert.deepEqual(registry.unreachable(), []);
+});
