Explain a request from the logs of many hosts; pages for the relay

docs/design/platform.md, OPERATIONS.md, QUESTIONS.md, glossary; a linter rule keeps the platform's names inside platform/ and its stand-ins. Baselines of the command line: two commands more.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -52,6 +52,7 @@
   {
     files: ['src/ports/**/*.ts', 'src/core/**/*.ts'],
     rules: forbid(
+      '**/platform/**',
       '**/adapters/**',
       '**/coordination/**',
       '**/cli/**',
@@ -66,6 +67,7 @@
   {
     files: ['src/coordination/**/*.ts'],
     rules: forbid(
+      '**/platform/**',
       '**/adapters/**',
       '**/cli/**',
       '**/entry/**',
@@ -76,6 +78,29 @@
       'node:fs',
     ),
   },
+  {
+    // The users' platform is known in platform/ and in its stand-ins only.
+    files: ['src/**/*.ts', 'bench/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {selector: 'ExportDefaultDeclaration', message: 'Use a named export.'},
+        {
+          selector:
+            'Literal[value=/^\\/corianderbend\\/|X-Kv-|X-Stage|X-Engine-Stamp|X-Deadline-Ms|X-Expect-Instance|X-Token-Count|X-Prompt-Prefix|kv_handle|rows-tx|rows-get|rows-feed/i]',
+          message: "Names of the users' platform belong into platform/.",
+        },
+        {
+          selector: "Literal[value='X-Not-Run']",
+          message: "Names of the users' platform belong into platform/.",
+        },
+      ],
+    },
+  },
+  {
+    files: ['src/relay/**/*.ts'],
+    rules: forbid('**/cli/**', '**/stand_ins/**', '**/platform/**'),
+  },
   {
     files: ['src/adapters/**/*.ts', 'src/entry/**/*.ts'],
     rules: forbid('**/cli/**', '**/stand_ins/**'),
--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -10,12 +10,15 @@
   configRollback,
   configShow,
 } from './commands/revision_commands.js';
+import {explain, relay} from './commands/relay_commands.js';
 import {scenarioRun} from './commands/scenario_command.js';
 import {serve} from './commands/serve_command.js';
 import {standInCommands} from './commands/stand_in_command.js';
 
 export const commands: readonly Command[] = [
   serve,
+  relay,
+  explain,
   configCheck,
   configRender,
   configApply,
