--- a/src/adapters/line_logger.ts
+++ b/src/adapters/line_logger.ts
@@ -82,14 +82,15 @@
     for (const line of lines) push(line);
   });
 
-  function push(line: string): void {
+  /** False when there is no room for the line. */
+  function push(line: string): boolean {
     if (!isBehind) {
       isBehind = !sink.write(line);
-    } else if (waiting.length < MAX_WAITING_LINES) {
-      waiting.push(line);
-    } else {
-      drop();
+      return true;
     }
+    if (waiting.length >= MAX_WAITING_LINES) return false;
+    waiting.push(line);
+    return true;
   }
 
   function drop(): void {
@@ -115,8 +116,9 @@
       ...fields,
       ...(dropped > 0 ? {linesLeftOut: dropped} : {}),
     };
-    dropped = 0;
-    push(`${JSON.stringify(line)}\n`);
+    // The count stays until a line that says it has been taken.
+    if (push(`${JSON.stringify(line)}\n`)) dropped = 0;
+    else drop();
   }
 
   return part => {
--- /dev/null
+++ b/tests/relay/crash_watch_test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import type {RelayRequest, UpstreamPort} from '../../src/ports/relay.js';
+import {createCrashWatch} from '../../src/relay/crash_watch.js';
+import {createSuspensionWatch} from '../../src/relay/suspension_watch.js';
+import type {Upstream} from '../../src/relay/upstream_registry.js';
+import {createQuarantine} from '../../src/request/quarantine.js';
+import {silentLog} from '../support/silent_log.js';
+
+function makeRequest(target: string): RelayRequest {
+  return {
+    requestId: target,
+    method: 'POST',
+    target,
+    host: 'raamatud.example',
+    headers: [],
+    body: Buffer.from('rida=1'),
+    arrivedAtMs: 0,
+    waitMs: 1_000,
+  };
+}
+
+function makeUpstream(id: string): Upstream {
+  return {
+    id,
+    service: 's',
+    address: `${id}:1`,
+    failureDomain: 'd',
+    slots: 1,
+    isDraining: false,
+    heartbeat: 1,
+  };
+}
+
+function makeWatch(isReachable: () => boolean) {
+  const clock = createVirtualClock(1_000);
+  const upstreamPort = {
+    isReachable: () => Promise.resolve(isReachable()),
+  } as Partial<UpstreamPort> as UpstreamPort;
+  const quarantine = createQuarantine({
+    clock,
+    spread: () => undefined,
+    lossIdOf: id => id,
+  });
+  const watch = createCrashWatch({
+    clock,
+    log: silentLog,
+    upstreamPort,
+    quarantine,
+  });
+  return {clock, watch};
+}
+
+test('a request that crashes upstreams is refused, at the peers, too', async () => {
+  // One request takes down each engine that runs it, and its caller sends it
+  // again at any entry, until no engine is left.
+  const {clock, watch} = makeWatch(() => false);
+  const poison = makeRequest('/poison');
+  for (const id of ['e1', 'e2']) {
+    watch.noteBroken(poison, makeUpstream(id));
+    await clock.advance(100);
+  }
+  assert.equal(watch.isQuarantined(poison), true);
+  assert.equal(watch.isQuarantined(makeRequest('/harmless')), false);
+  const peer = makeWatch(() => true);
+  peer.watch.learn(watch.facts());
+  assert.equal(peer.watch.isQuarantined(poison), true);
+});
+
+test('answers that get lost while the upstream lives blame nobody', async () => {
+  const {clock, watch} = makeWatch(() => true);
+  const request = makeRequest('/unlucky');
+  for (const id of ['e1', 'e2', 'e3']) {
+    watch.noteBroken(request, makeUpstream(id));
+    await clock.advance(100);
+  }
+  assert.equal(watch.isQuarantined(request), false);
+});
+
+test('a suspension is noticed by the time since boot, a step of the day is not', async () => {
+  // A host that was suspended gives an order under a lease that is another's
+  // by now: its steady clock stood still, so the lease seemed to last.
+  const clock = createVirtualClock(1_000);
+  let suspendedMs = 0;
+  const watch = createSuspensionWatch(
+    clock,
+    () => Math.floor((clock.nowMs() + suspendedMs) / 1_000) * 1_000,
+  );
+  for (let i = 0; i < 20; i++) {
+    await clock.advance(333);
+    assert.equal(watch.wasSuspended(), false);
+  }
+  suspendedMs = 3_000;
+  assert.equal(watch.wasSuspended(), true);
+  await clock.advance(6_000);
+  assert.equal(watch.wasSuspended(), false);
+});
--- /dev/null
+++ b/tests/relay/peer_exchange_test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import type {DatagramPort} from '../../src/ports/datagram.js';
+import {answerDirectory} from '../../src/relay/host_directory.js';
+import {
+  createPeerExchange,
+  type Announcement,
+  type HostState,
+} from '../../src/relay/peer_exchange.js';
+import {silentLog} from '../support/silent_log.js';
+
+type Handler = (from: string, payload: Uint8Array) => void;
+
+/** Hosts on one virtual network, whose datagrams take 2 ms. */
+function makeNetwork() {
+  const clock = createVirtualClock(1_000);
+  const handlers = new Map<string, Handler>();
+  const cut = new Set<string>();
+
+  function port(address: string): DatagramPort {
+    return {
+      send(to, payload) {
+        if (cut.has(address) || cut.has(to)) return;
+        clock.setTimer(2, () => handlers.get(to)?.(address, payload));
+      },
+      onReceive: handler => void handlers.set(address, handler),
+      close: () => void handlers.delete(address),
+    };
+  }
+
+  function addHost(name: string, seedAddresses: readonly string[]) {
+    const address = `${name}:1`;
+    let state: HostState = 'ready';
+    const exchange = createPeerExchange(
+      {
+        clock,
+        log: silentLog,
+        datagrams: port(address),
+        announcement: (): Announcement => ({
+          state,
+          callerAddress: `${name}:80`,
+          failureDomain: 'raadi-ruum',
+          routingVersion: 1,
+          upstreamRevision: 1,
+          upstreamAgeMs: 0,
+          load: {decode: {}, prefill: {}},
+          waiting: [],
+          suspects: [],
+          unreachable: [],
+          changing: [],
+          losses: [],
+        }),
+        onPeer: () => undefined,
+        onPeerGone: () => undefined,
+      },
+      {
+        hostId: name,
+        incarnation: `${name}#1`,
+        peerAddress: address,
+        seedAddresses,
+      },
+    );
+    exchange.start();
+    return {
+      address,
+      exchange,
+      setState(next: HostState) {
+        state = next;
+        exchange.changed();
+      },
+      entries: () =>
+        answerDirectory({
+          callerAddress: `${name}:80`,
+          isReady: () => state === 'ready',
+          peers: exchange.alive,
+        })?.addresses,
+    };
+  }
+
+  return {clock, cut, addHost};
+}
+
+test('hosts find each other by one seed, though another is stale', async () => {
+  const {clock, addHost} = makeNetwork();
+  const a = addHost('a', []);
+  const b = addHost('b', ['gone:1', a.address]);
+  const c = addHost('c', [a.address]);
+  await clock.advance(1_500);
+  assert.deepEqual([...b.entries()!].sort(), ['a:80', 'b:80', 'c:80']);
+  assert.deepEqual([...c.entries()!].sort(), ['a:80', 'b:80', 'c:80']);
+});
+
+test('a dead host is out of the answers within a second, and back when it lives', async () => {
+  // Callers lose a second each to an entry that is dark: the answers still
+  // name it long after it died.
+  const {clock, cut, addHost} = makeNetwork();
+  const a = addHost('a', []);
+  const b = addHost('b', [a.address]);
+  await clock.advance(1_000);
+  cut.add(a.address);
+  await clock.advance(1_200);
+  assert.deepEqual(b.entries(), ['b:80']);
+  cut.delete(a.address);
+  await clock.advance(1_500);
+  assert.deepEqual([...b.entries()!].sort(), ['a:80', 'b:80']);
+});
+
+test('a host that leaves is out of the answers at once', async () => {
+  const {clock, addHost} = makeNetwork();
+  const a = addHost('a', []);
+  const b = addHost('b', [a.address]);
+  await clock.advance(1_000);
+  a.setState('leaving');
+  await clock.advance(10);
+  assert.deepEqual(b.entries(), ['b:80']);
+  assert.deepEqual(a.entries(), ['b:80'], 'it names others, not itself');
+});
+
+test('an answer is never empty while an entry lives', async () => {
+  const {clock, cut, addHost} = makeNetwork();
+  const a = addHost('a', []);
+  addHost('b', [a.address]);
+  await clock.advance(1_000);
+  cut.add(a.address);
+  await clock.advance(5_000);
+  assert.deepEqual(a.entries(), ['a:80']);
+  a.setState('starting');
+  assert.equal(a.entries(), undefined);
+});
+
+test('a datagram that was overtaken does not bring an old state back', async () => {
+  const {clock, addHost} = makeNetwork();
+  const received: Handler[] = [];
+  const a = addHost('a', []);
+  const b = addHost('b', [a.address]);
+  await clock.advance(600);
+  a.setState('leaving');
+  await clock.advance(10);
+  assert.equal(received.length, 0);
+  assert.deepEqual(b.entries(), ['b:80']);
+  await clock.advance(400);
+  assert.deepEqual(b.entries(), ['b:80']);
+});
