--- /dev/null
+++ b/tests/relay/burst_load.ts
@@ -0,0 +1,262 @@
+/**
+ * A burst of streams played in virtual time: several hosts with their own
+ * schedulers, and a small model of the engines. It tells what callers get.
+ *
+ * The figures of the engines are those of the users' sheets: a prompt is read
+ * at 33 tokens a ms, one after another; a run makes a token each 2.8 ms and
+ * holds its prompt and what it has made.
+ */
+
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import {createCancellation} from '../../src/relay/cancellation.js';
+import {createEngineBooks} from '../../src/relay/engine_books.js';
+import {
+  createEngineScheduler,
+  type EngineScheduler,
+  type Placement,
+} from '../../src/relay/engine_scheduler.js';
+import type {Peer} from '../../src/relay/peer_exchange.js';
+import {createPeerView} from '../../src/relay/peer_view.js';
+import type {Route, Service} from '../../src/relay/routing.js';
+import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
+import {toWaiting} from '../../src/relay/wait_rules.js';
+import {silentLog} from '../support/silent_log.js';
+
+export interface BurstOptions {
+  readonly seed: number;
+  readonly hostCount: number;
+  readonly prefillEngines: number;
+  readonly decodeEngines: number;
+  /** Streams a second before and after the burst, and in it. */
+  readonly calmPerS: number;
+  readonly burstPerS: number;
+  readonly burstMs: number;
+}
+
+export interface BurstResult {
+  readonly onTime: number;
+  readonly late: number;
+  readonly refused: number;
+  /** Most that any engine held, as a share of its memory. */
+  readonly highestUse: number;
+  /** Longest that a request was held and then refused. */
+  readonly longestHeldMs: number;
+}
+
+const KV_TOKENS = 35_962;
+const READ_TOKENS_PER_MS = 33;
+const TOKEN_MS = 2.8;
+const FIRST_EVENT_MS = 110;
+const CALM_MS = 3_000;
+const DRAIN_MS = 16_000;
+const ANNOUNCE_MS = 6;
+const GOAL_MS = 900;
+const TOKENS_PER_EVENT = 18;
+
+const service: Service = {
+  name: 'drafts',
+  healthPath: '/healthz',
+  maxConnections: 300,
+  engine: {
+    slots: 48,
+    kvTokens: KV_TOKENS,
+    tokensPerEvent: TOKENS_PER_EVENT,
+    prefillLifeMs: 500,
+    roleChangeMs: 6_000,
+  },
+};
+
+const route: Route = {
+  name: 'draft',
+  host: 'raamatud.example',
+  prefix: '/mustand/',
+  kind: 'stream',
+  targets: [{service: 'drafts', weight: 1}],
+  maxAttempts: 1,
+  timeoutMs: 14_000,
+  goalMs: GOAL_MS,
+  gapGoalMs: 300,
+  priority: 1,
+  isResumable: false,
+};
+
+export async function playBurst(options: BurstOptions): Promise<BurstResult> {
+  const clock = createVirtualClock(10_000);
+  const random = createSeededRandom(options.seed);
+  const held = new Map<string, number>();
+  const readerFreeAtMs = new Map<string, number>();
+  const result = {
+    onTime: 0,
+    late: 0,
+    refused: 0,
+    highestUse: 0,
+    longestHeldMs: 0,
+  };
+
+  const upstreams = [
+    ...Array.from({length: options.prefillEngines}, (_, i) => `p${i}`),
+    ...Array.from({length: options.decodeEngines}, (_, i) => `d${i}`),
+  ].map(id => ({
+    id,
+    service: 'drafts',
+    address: `${id}:1`,
+    failureDomain: `domain-${id.length % 2}`,
+    slots: 48,
+    isDraining: false,
+    heartbeat: 1,
+    role: id.startsWith('p') ? ('prefill' as const) : ('decode' as const),
+  }));
+
+  const hosts = Array.from({length: options.hostCount}, (_, i) =>
+    makeHost(`host-${i}`),
+  );
+
+  function makeHost(hostId: string) {
+    const registry = createUpstreamRegistry({clock, log: silentLog});
+    registry.apply({revision: 1, upstreams});
+    const books = createEngineBooks();
+    const view = createPeerView(clock, books);
+    let isAnnouncing = false;
+    const scheduler: EngineScheduler = createEngineScheduler({
+      clock,
+      random,
+      log: silentLog,
+      registry,
+      books,
+      peers: view,
+      isChanging: () => false,
+      onChange() {
+        if (isAnnouncing) return;
+        isAnnouncing = true;
+        clock.setTimer(ANNOUNCE_MS, () => {
+          isAnnouncing = false;
+          announce();
+        });
+      },
+    });
+
+    function announce(): void {
+      const peer: Peer = {
+        hostId,
+        peerAddress: `${hostId}:1`,
+        incarnation: '1',
+        heardAtMs: clock.nowMs(),
+        state: 'ready',
+        callerAddress: `${hostId}:80`,
+        failureDomain: 'domain-0',
+        routingVersion: 1,
+        upstreamRevision: 1,
+        upstreamAgeMs: 0,
+        load: books.own(),
+        waiting: view.toRecords(scheduler.announcements()),
+        suspects: [],
+        unreachable: [],
+        changing: [],
+        losses: [],
+      };
+      for (const other of hosts) {
+        if (other.hostId === hostId) continue;
+        other.view.heard(peer);
+        other.scheduler.pump();
+      }
+    }
+
+    return {hostId, books, view, scheduler};
+  }
+
+  const wait = (durationMs: number) =>
+    new Promise<void>(resolve => {
+      clock.setTimer(durationMs, resolve);
+    });
+
+  /** Reads the prompt behind those that came before it. */
+  async function read(engineId: string, tokens: number): Promise<void> {
+    const nowMs = clock.nowMs();
+    const startMs = Math.max(nowMs, readerFreeAtMs.get(engineId) ?? 0);
+    const endMs = startMs + tokens / READ_TOKENS_PER_MS;
+    readerFreeAtMs.set(engineId, endMs);
+    await wait(endMs - nowMs);
+  }
+
+  function hold(engineId: string, tokens: number): void {
+    const total = (held.get(engineId) ?? 0) + tokens;
+    held.set(engineId, total);
+    result.highestUse = Math.max(result.highestUse, total / KV_TOKENS);
+  }
+
+  async function decode(
+    host: (typeof hosts)[number],
+    placement: Placement,
+    promptTokens: number,
+    outputTokens: number,
+    arrivedAtMs: number,
+  ): Promise<void> {
+    const {decode: engine, run} = placement;
+    hold(engine.id, promptTokens);
+    await wait(FIRST_EVENT_MS);
+    const firstMs = clock.nowMs() - arrivedAtMs;
+    if (firstMs <= GOAL_MS) result.onTime++;
+    else result.late++;
+    const startedAtMs = clock.nowMs();
+    for (let made = 0; made < outputTokens; made += TOKENS_PER_EVENT) {
+      await wait(TOKENS_PER_EVENT * TOKEN_MS);
+      hold(engine.id, TOKENS_PER_EVENT);
+      host.books.grow(run, made + TOKENS_PER_EVENT);
+    }
+    const made = Math.ceil(outputTokens / TOKENS_PER_EVENT) * TOKENS_PER_EVENT;
+    hold(engine.id, -(promptTokens + made));
+    host.scheduler.release(run, clock.nowMs() - startedAtMs);
+  }
+
+  async function request(): Promise<void> {
+    const host = hosts[random.nextInt(hosts.length)];
+    const arrivedAtMs = clock.nowMs();
+    const spread = (mean: number, width: number) =>
+      mean * (1 - width + 2 * width * random.nextFloat());
+    const promptTokens = spread(3_200, 0.6);
+    const outputTokens = spread(1_278, 0.7);
+    const placement = await host.scheduler.place(
+      {
+        requestId: String(arrivedAtMs),
+        service,
+        promptTokens,
+        expectedOutputTokens: outputTokens * spread(1, 0.4),
+        waiting: toWaiting({
+          route,
+          arrivedAtMs,
+          deadlineAtMs: arrivedAtMs + route.timeoutMs,
+          startMs: host.scheduler.startEstimateMs(),
+        }),
+        callerLeftMs: route.timeoutMs,
+      },
+      createCancellation(),
+    );
+    if (placement.kind !== 'placed') {
+      result.refused++;
+      const heldMs = clock.nowMs() - arrivedAtMs;
+      result.longestHeldMs = Math.max(result.longestHeldMs, heldMs);
+      return;
+    }
+    await read(placement.prefillBooking.engineId, promptTokens);
+    placement.prefillBooking.end();
+    await decode(host, placement, promptTokens, outputTokens, arrivedAtMs);
+  }
+
+  async function offer(perS: number, durationMs: number): Promise<void> {
+    const endMs = clock.nowMs() + durationMs;
+    while (clock.nowMs() < endMs) {
+      void request();
+      await wait((-Math.log(1 - random.nextFloat()) * 1_000) / perS);
+    }
+  }
+
+  const done = (async () => {
+    await offer(options.calmPerS, CALM_MS);
+    await offer(options.burstPerS, options.burstMs);
+    await offer(options.calmPerS, CALM_MS);
+  })();
+  await clock.advance(2 * CALM_MS + options.burstMs + DRAIN_MS);
+  await done;
+  return result;
+}
