--- a/src/relay/plain_relay.ts
+++ b/src/relay/plain_relay.ts
@@ -20,6 +20,7 @@
 } from '../scheduling/plain_balancer.js';
 import {collectAnswer, type CollectedAnswer} from './answer_collector.js';
 import {deliverCollected, passThrough} from './answer_delivery.js';
+import {isGenuine} from './answer_rules.js';
 import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
 import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
 
@@ -52,8 +53,6 @@
 const FULL_RETRY_MS = 100;
 const UNREACHABLE_RETRY_MS = 300;
 const SERVER_ERROR = 500;
-/** Without these an upstream's refusal is not known to be not-run. */
-const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Tries that reached nobody cost no upstream anything; this bounds the time. */
 const MAX_SENDS = 5;
 
@@ -289,12 +288,3 @@
       return 'cancelled';
   }
 }
-
-/**
- * A success without the upstream's signature may be anybody's bytes; a status
- * that promises "not run" without the upstream's own word may be a lie.
- */
-export function isGenuine(answer: UpstreamAnswer): boolean {
-  if (PROMISING_STATUSES.has(answer.status)) return false;
-  return answer.hasSignature;
-}
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -10,24 +10,22 @@
 import type {Clock} from '../ports/clock.js';
 import type {Logger} from '../ports/log.js';
 import type {
-  PrefillResultPlace,
   SendFailure,
   UpstreamAnswer,
   UpstreamPort,
 } from '../ports/relay.js';
 import type {RetryBudget} from '../request/retry_budget.js';
 import {passThrough} from './answer_delivery.js';
-import type {
-  EngineScheduler,
-  Placement,
-  PrefillBooking,
-  StreamNeed,
-} from './engine_scheduler.js';
+import {isGenuine} from './answer_rules.js';
+import {createEngineFailures} from './engine_failures.js';
+import type {EngineScheduler, StreamNeed} from './engine_scheduler.js';
 import type {EngineBooks} from './engine_books.js';
 import type {RoleDemandMeter} from './role_demand.js';
-import {isGenuine} from './plain_relay.js';
+import {createOutputForecast} from './output_forecast.js';
+import {createPrefillStep} from './prefill_step.js';
 import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
+import {CONNECT_TIMEOUT_MS, type StreamState} from './stream_state.js';
 import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
 import {toWaiting} from './wait_rules.js';
 
@@ -48,13 +46,8 @@
   run(job: RelayJob): Promise<JobOutcome>;
 }
 
-const CONNECT_TIMEOUT_MS = 300;
-/** Prefill engines that one request may ask, one after another. */
-const MAX_PREFILL_TRIES = 3;
 /** Sends of a request that no engine has run yet. */
 const MAX_DECODE_TRIES = 4;
-/** A prompt is read in some 100 ms; several may be ahead of it. */
-const PREFILL_TIMEOUT_MS = 1_500;
 /**
  * A resumable stream that shows nothing for this long goes on elsewhere. An
  * engine under preemption may pause for most of a second.
@@ -62,22 +55,6 @@
 const SILENCE_MS = 1_300;
 const DEADLINE_SLACK_MS = 60;
 const STATUS_OK = 200;
-/** Output of a request that gives no estimate, until some have ended. */
-const FIRST_OUTPUT_TOKENS = 800;
-const SMOOTHING = 0.1;
-
-/** What one request has been through so far. */
-interface StreamState {
-  readonly job: RelayJob;
-  readonly need: StreamNeed;
-  placement: Placement;
-  readonly ran: string[];
-  readonly avoid: Set<string>;
-  source?: PrefillResultPlace;
-  lastEventId?: string;
-  events: number;
-  firstByteAtMs?: number;
-}
 
 type Start =
   | {readonly kind: 'streaming'; readonly answer: UpstreamAnswer}
@@ -91,15 +68,9 @@
 
 export function createStreamRelay(host: StreamRelayHost): StreamRelay {
   const {clock, upstreamPort, scheduler, books, registry, retryBudget} = host;
-  const meanOutput = new Map<string, number>();
-
-  function expectedOutputTokens(job: RelayJob): number {
-    const {prompt} = job.request;
-    const mean = meanOutput.get(job.service.name) ?? FIRST_OUTPUT_TOKENS;
-    const expected = prompt?.expectedOutputTokens ?? mean;
-    const most = prompt?.maxOutputTokens ?? expected;
-    return most > 0 ? Math.min(expected, most) : expected;
-  }
+  const forecast = createOutputForecast();
+  const failures = createEngineFailures(host);
+  const prefillStep = createPrefillStep({...host, failures});
 
   function toNeed(job: RelayJob): StreamNeed {
     const {request, route, service, deadlineAtMs} = job;
@@ -107,7 +78,7 @@
       requestId: request.requestId,
       service,
       promptTokens: request.prompt?.promptTokens ?? 0,
-      expectedOutputTokens: expectedOutputTokens(job),
+      expectedOutputTokens: forecast.expectedTokens(job),
       waiting: toWaiting({
         route,
         arrivedAtMs: request.arrivedAtMs,
@@ -118,110 +89,9 @@
     };
   }
 
-  function learn(state: StreamState, traitsTokens: number): void {
-    const {name} = state.job.service;
-    const before = meanOutput.get(name) ?? FIRST_OUTPUT_TOKENS;
-    const made = state.events * traitsTokens;
-    meanOutput.set(name, before + SMOOTHING * (made - before));
-  }
-
   const takeRetry = (state: StreamState) =>
     retryBudget.tryTake(state.job.service.name);
 
-  async function prefillAt(
-    state: StreamState,
-    engine: Upstream,
-    booking: PrefillBooking,
-  ): Promise<PrefillResultPlace | SendFailure> {
-    const {job, need} = state;
-    const startedAtMs = clock.nowMs();
-    const outcome = await upstreamPort.prefill(
-      job.request,
-      {
-        upstream: engine,
-        leftMs: leftMs(job.deadlineAtMs, clock.nowMs()),
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        headTimeoutMs: PREFILL_TIMEOUT_MS,
-        mayReuseConnection: false,
-      },
-      job.cancellation,
-    );
-    booking.end();
-    if (outcome.kind === 'prefilled') {
-      scheduler.noteSuccess(engine.id);
-      if (booking.isAlone) {
-        host.demand.notePrefill(need.promptTokens, clock.nowMs() - startedAtMs);
-      }
-      return {address: engine.address, handle: outcome.handle};
-    }
-    noteSendFailure(engine, outcome);
-    logFailure('Prefill failed.', state, engine, outcome);
-    return outcome;
-  }
-
-  function logFailure(
-    sentence: string,
-    state: StreamState,
-    engine: Upstream,
-    failure: SendFailure,
-  ): void {
-    if (failure.kind === 'cancelled') return;
-    const {job, need, placement} = state;
-    const {runs, tokensNow, tokensAtEnd} = books.decodeLoad(
-      placement.decode.id,
-    );
-    host.log.info(sentence, {
-      request: job.request.requestId,
-      upstream: engine.id,
-      failure: failure.kind,
-      reason: failure.detail,
-      promptTokens: need.promptTokens,
-      hasPrefill: state.source !== undefined,
-      bookedRuns: runs,
-      bookedTokens: Math.round(tokensNow),
-      bookedAtEnd: Math.round(tokensAtEnd),
-      bookedPrefill: books.prefillLoad(engine.id).tokens,
-      ageMs: Math.round(clock.nowMs() - job.request.arrivedAtMs),
-    });
-  }
-
-  function noteSendFailure(engine: Upstream, failure: SendFailure): void {
-    switch (failure.kind) {
-      case 'unreachable':
-        registry.markUnreachable(engine.id);
-        return;
-      case 'broken':
-        scheduler.noteFailure(engine.id);
-        return;
-      case 'rejected':
-        if (failure.reason === 'other-instance') registry.markGone(engine.id);
-        return;
-      case 'cancelled':
-        return;
-    }
-  }
-
-  /** A prefill result, or none when the decode engine is to do it itself. */
-  async function prefill(
-    state: StreamState,
-  ): Promise<PrefillResultPlace | undefined> {
-    const {job, need, placement} = state;
-    const tried = new Set<string>();
-    let engine = placement.prefill;
-    let booking = placement.prefillBooking;
-    for (let i = 0; engine && i < MAX_PREFILL_TRIES; i++) {
-      const outcome = await prefillAt(state, engine, booking);
-      if ('handle' in outcome) return outcome;
-      if (job.cancellation.isCancelled) return undefined;
-      tried.add(engine.id);
-      if (outcome.kind !== 'unreachable' && !takeRetry(state)) return undefined;
-      const next = scheduler.prefillAgain(need, placement.decode, tried);
-      if (!next) return undefined;
-      ({engine, booking} = next);
-    }
-    return undefined;
-  }
-
   function sendDecode(
     state: StreamState,
   ): Promise<UpstreamAnswer | SendFailure> {
@@ -292,7 +162,7 @@
     for (let tries = 1; tries <= MAX_DECODE_TRIES; tries++) {
       if (job.cancellation.isCancelled) return {kind: 'cancelled'};
       if (!state.source && state.placement.prefill) {
-        state.source = await prefill(state);
+        state.source = await prefillStep.run(state);
         if (job.cancellation.isCancelled) return {kind: 'cancelled'};
       }
       const {decode} = state.placement;
@@ -304,7 +174,7 @@
         ? await sendDecode(state)
         : {kind: 'unreachable', detail: 'the engine leaves'};
       if (outcome.kind !== 'answered') {
-        logFailure('Send failed.', state, decode, outcome);
+        failures.write('Send failed.', state, decode, outcome);
       }
       switch (outcome.kind) {
         case 'answered':
@@ -314,17 +184,17 @@
         case 'broken':
           state.ran.push(decode.id);
           host.onBroken(job, decode);
-          noteSendFailure(decode, outcome);
+          failures.note(decode, outcome);
           failure = {kind: 'upstream-failed', detail: outcome.detail};
           return {kind: 'failed', error: failure, mayHaveRun: true};
         case 'unreachable':
-          if (isOpen) noteSendFailure(decode, outcome);
+          if (isOpen) failures.note(decode, outcome);
           state.avoid.add(decode.id);
           failure = {kind: 'no-upstream', detail: outcome.detail};
           if (!moveOn(state)) return notRun(failure);
           break;
         case 'rejected':
-          noteSendFailure(decode, outcome);
+          failures.note(decode, outcome);
           failure = {kind: 'overloaded', detail: outcome.detail};
           if (!afterRejection(state, tries)) return notRun(failure);
           break;
@@ -447,7 +317,10 @@
       switch (end.kind) {
         case 'whole':
           scheduler.noteSuccess(state.placement.decode.id);
-          learn(state, job.service.engine?.tokensPerEvent ?? 1);
+          forecast.learn(
+            job.service.name,
+            state.events * (job.service.engine?.tokensPerEvent ?? 1),
+          );
           host.demand.noteRun({
             promptTokens: state.need.promptTokens,
             outputTokens: state.placement.run.outputTokens,
@@ -471,7 +344,7 @@
         case 'broken':
           scheduler.noteFailure(state.placement.decode.id);
           host.onBroken(job, state.placement.decode);
-          logFailure('Stream broke.', state, state.placement.decode, end);
+          failures.write('Stream broke.', state, state.placement.decode, end);
           if (prepareNextRun(state)) continue;
           return refuse(state, {kind: 'answer-cut', detail: end.detail});
       }
--- /dev/null
+++ b/src/relay/stream_state.ts
@@ -0,0 +1,23 @@
+/** What one stream has been through so far, shared by the steps that run it. */
+
+import type {PrefillResultPlace} from '../ports/relay.js';
+import type {Placement, StreamNeed} from './engine_scheduler.js';
+import type {RelayJob} from './relay_types.js';
+
+export interface StreamState {
+  readonly job: RelayJob;
+  readonly need: StreamNeed;
+  placement: Placement;
+  /** Engines that may have run it, in order. */
+  readonly ran: string[];
+  /** Engines not to be asked again. */
+  readonly avoid: Set<string>;
+  /** The prompt as a prefill engine read it, until it is used. */
+  source?: PrefillResultPlace;
+  lastEventId?: string;
+  events: number;
+  firstByteAtMs?: number;
+}
+
+/** A connection within a region is made in some 10 ms; more is a dark host. */
+export const CONNECT_TIMEOUT_MS = 300;
