--- a/src/relay/engine_scheduler.ts
+++ b/src/relay/engine_scheduler.ts
@@ -5,15 +5,12 @@
  */
 
 import type {RequestError} from '../core/error_kinds.js';
-import {
-  createEngineHealth,
-  DEFAULT_HEALTH,
-} from '../core/scheduling/engine_health.js';
 import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {Logger} from '../ports/log.js';
 import type {Random} from '../ports/random.js';
 import type {Cancellation} from '../ports/relay.js';
 import type {DecodeRun, EngineBooks} from './engine_books.js';
+import {createEngineCandidates} from './engine_candidates.js';
 import {
   countPrefillRoom,
   countRoom,
@@ -22,11 +19,7 @@
   type TokenNeed,
 } from './placement_rules.js';
 import type {EngineTraits, Service} from './routing.js';
-import type {
-  Upstream,
-  UpstreamRegistry,
-  UpstreamRole,
-} from './upstream_registry.js';
+import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
 import {
   compareWaiting,
   findRetryAfterMs,
@@ -137,8 +130,6 @@
 
 /** How often those who wait are looked at without any news. */
 const PUMP_EVERY_MS = 50;
-/** After a refusal for lack of room the books are wrong for about this long. */
-const FULL_FOR_MS = 250;
 /**
  * A prefill engine reads some 33 tokens a ms. Beyond 0.4 s of backlog a
  * request keeps decode memory reserved for longer than it would wait.
@@ -155,53 +146,17 @@
   host: EngineSchedulerHost,
 ): EngineScheduler {
   const {clock, random, registry, books, peers} = host;
-  const health = createEngineHealth(DEFAULT_HEALTH);
-  /** The role in which an engine is compared with others. */
-  const known = new Map<string, UpstreamRole>();
-  const fullUntil = new Map<string, number>();
+  const candidates = createEngineCandidates({
+    clock,
+    registry,
+    isSuspect: peers.isSuspect,
+    isChanging: id => peers.isChanging(id) || host.isChanging(id),
+  });
   let waiters: Waiter[] = [];
   let timer: TimerHandle | undefined;
   let meanRunMs = FIRST_MEAN_RUN_MS;
   let startMs = FIRST_START_MS;
 
-  function learnEngines(engines: readonly Upstream[]): void {
-    for (const {id, role} of engines) {
-      if (!role || known.get(id) === role) continue;
-      known.set(id, role);
-      health.remove(id);
-      health.add(id, role, clock.nowMs(), true);
-    }
-    for (const id of known.keys()) {
-      if (registry.get(id)) continue;
-      known.delete(id);
-      fullUntil.delete(id);
-      health.remove(id);
-    }
-  }
-
-  const isChanging = (engineId: string) =>
-    peers.isChanging(engineId) || host.isChanging(engineId);
-
-  /** Engines of a role; those that failed only if there are no others. */
-  function usable(service: string, role: 'prefill' | 'decode'): Upstream[] {
-    const nowMs = clock.nowMs();
-    const ofRole = registry
-      .open(service)
-      .filter(each => each.role === role && !isChanging(each.id));
-    learnEngines(ofRole);
-    const sound = ofRole.filter(
-      ({id}) => health.isUsable(id, nowMs) && !peers.isSuspect(id),
-    );
-    return sound.length > 0 ? sound : ofRole;
-  }
-
-  function withRoom(service: string): Upstream[] {
-    const nowMs = clock.nowMs();
-    return usable(service, 'decode').filter(
-      ({id}) => (fullUntil.get(id) ?? 0) <= nowMs,
-    );
-  }
-
   function book(
     need: StreamNeed,
     decode: Upstream,
@@ -251,8 +206,8 @@
     traits: EngineTraits,
     ahead: number,
   ): Placement | undefined {
-    const engines = withRoom(need.service.name);
-    const prefillEngines = usable(need.service.name, 'prefill');
+    const engines = candidates.decodeWithRoom(need.service.name);
+    const prefillEngines = candidates.ofRole(need.service.name, 'prefill');
     if (ahead > 0) {
       // Room for those ahead is theirs: without this all hosts would take the
       // same room at the moment it shows.
@@ -401,13 +356,13 @@
     placeAgain(need, avoid, wantsPrefill) {
       const traits = need.service.engine;
       if (!traits) return undefined;
-      const engines = withRoom(need.service.name).filter(
-        ({id}) => !avoid.has(id),
-      );
+      const engines = candidates
+        .decodeWithRoom(need.service.name)
+        .filter(({id}) => !avoid.has(id));
       const decode = pickDecode(engines, books, traits, need);
       if (!decode) return undefined;
       const prefillEngines = wantsPrefill
-        ? usable(need.service.name, 'prefill')
+        ? candidates.ofRole(need.service.name, 'prefill')
         : [];
       const prefill = pickPrefill(prefillEngines, books, decode);
       const placed = book(need, decode, prefill?.engine);
@@ -415,9 +370,9 @@
       return placed;
     },
     prefillAgain(need, decode, avoid) {
-      const engines = usable(need.service.name, 'prefill').filter(
-        ({id}) => !avoid.has(id),
-      );
+      const engines = candidates
+        .ofRole(need.service.name, 'prefill')
+        .filter(({id}) => !avoid.has(id));
       const picked = pickPrefill(engines, books, decode);
       return (
         picked && {
@@ -433,15 +388,11 @@
       if (waiters.length > 0) pump();
     },
     noteFailure(engineId) {
-      health.failure(engineId, clock.nowMs());
+      candidates.noteFailure(engineId);
       host.onChange();
     },
-    noteSuccess(engineId) {
-      health.success(engineId, clock.nowMs());
-    },
-    noteFull(engineId) {
-      fullUntil.set(engineId, clock.nowMs() + FULL_FOR_MS);
-    },
+    noteSuccess: candidates.noteSuccess,
+    noteFull: candidates.noteFull,
     noteStart(durationMs) {
       startMs += SMOOTHING * (durationMs - startMs);
     },
@@ -452,9 +403,6 @@
         service: need.service.name,
         waiting: need.waiting,
       })),
-    suspects() {
-      const nowMs = clock.nowMs();
-      return [...known.keys()].filter(id => !health.isUsable(id, nowMs));
-    },
+    suspects: candidates.suspects,
   };
 }
