--- a/src/relay/engine_candidates.ts
+++ b/src/relay/engine_candidates.ts
@@ -25,6 +25,8 @@
   ofRole(service: string, role: UpstreamRole): readonly Upstream[];
   /** Decode engines that did not refuse a request a moment ago. */
   decodeWithRoom(service: string): readonly Upstream[];
+  /** As above, with those that failed a request lately. */
+  decodeInNeed(service: string): readonly Upstream[];
   noteFailure(engineId: string): void;
   noteSuccess(engineId: string): void;
   noteFull(engineId: string): void;
@@ -59,12 +61,22 @@
     }
   }
 
-  function ofRole(service: string, role: UpstreamRole): readonly Upstream[] {
-    const nowMs = clock.nowMs();
+  function listed(service: string, role: UpstreamRole): readonly Upstream[] {
     const all = registry
       .open(service)
       .filter(each => each.role === role && !host.isChanging(each.id));
     learn(all);
+    return all;
+  }
+
+  function withoutFull(engines: readonly Upstream[]): readonly Upstream[] {
+    const nowMs = clock.nowMs();
+    return engines.filter(({id}) => (fullUntil.get(id) ?? 0) <= nowMs);
+  }
+
+  function ofRole(service: string, role: UpstreamRole): readonly Upstream[] {
+    const nowMs = clock.nowMs();
+    const all = listed(service, role);
     const sound = all.filter(
       ({id}) => health.isUsable(id, nowMs) && !host.isSuspect(id),
     );
@@ -73,12 +85,8 @@
 
   return {
     ofRole,
-    decodeWithRoom(service) {
-      const nowMs = clock.nowMs();
-      return ofRole(service, 'decode').filter(
-        ({id}) => (fullUntil.get(id) ?? 0) <= nowMs,
-      );
-    },
+    decodeWithRoom: service => withoutFull(ofRole(service, 'decode')),
+    decodeInNeed: service => withoutFull(listed(service, 'decode')),
     noteFailure: id => health.failure(id, clock.nowMs()),
     noteSuccess: id => health.success(id, clock.nowMs()),
     noteFull: id => void fullUntil.set(id, clock.nowMs() + FULL_FOR_MS),
--- a/src/relay/engine_scheduler.ts
+++ b/src/relay/engine_scheduler.ts
@@ -217,7 +217,16 @@
       );
       if (room <= ahead) return undefined;
     }
-    const decode = pickDecode(engines, books, traits, need);
+    // An engine that loses some answers still serves most; left out while the
+    // sound ones are full, it makes callers wait or leave that it could serve.
+    const decode =
+      pickDecode(engines, books, traits, need) ??
+      pickDecode(
+        candidates.decodeInNeed(need.service.name),
+        books,
+        traits,
+        need,
+      );
     if (!decode) return undefined;
     const prefill = pickPrefill(prefillEngines, books, decode);
     if (!prefill) return book(need, decode, undefined);
--- a/tests/relay/engine_scheduler_test.ts
+++ b/tests/relay/engine_scheduler_test.ts
@@ -237,3 +237,19 @@
   assert.equal((await outcome).kind, 'cancelled');
   assert.equal(scheduler.announcements().length, 0);
 });
+
+test('an engine that failed a request is used once the sound ones are full', async () => {
+  // Callers wait and leave in a burst though an engine has room: it lost one
+  // answer a moment ago, and is left out like one that loses all.
+  const {clock, books, scheduler} = makeScheduler(['p1', 'd1', 'd2']);
+  const place = () => scheduler.place(makeNeed(clock.nowMs()), alive);
+  assert.equal((await place()).kind, 'placed');
+  scheduler.noteFailure('d2');
+  assert.equal(placedOn(await place()), 'p1>d1', 'while the sound has room');
+  books.startRun({
+    engineId: 'd1',
+    promptTokens: 4_000,
+    expectedOutputTokens: 500,
+  });
+  assert.equal(placedOn(await place()), 'p1>d2');
+});
