Share the allowance of retries among as many hosts as there are

Ruled out: the ratio by requests, which is counted on each host's own. After: a host takes the part of 14 hosts or of as many as it ever heard of.

--- a/bench/support/site_entry.ts
+++ b/bench/support/site_entry.ts
@@ -239,7 +239,7 @@
       plainBalancer: host.picker,
       quarantine: mutant.wrapQuarantine?.(quarantine) ?? quarantine,
       keptAnswers: kept,
-      retryBudget: createRetryBudget({burst: 20, ratioOf: () => 0.2}),
+      retryBudget: createRetryBudget({burst: () => 20, ratioOf: () => 0.2}),
     },
     runnerOptions,
   );
--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -81,6 +81,8 @@
   addAddresses(addresses: readonly string[]): void;
   /** Peers heard of within the time that a live one needs at most. */
   alive(): readonly Peer[];
+  /** Peers ever heard of, dead ones too. */
+  knownCount(): number;
 }
 
 /** The state is repeated this often; at 9 hosts that is 32 datagrams a second. */
@@ -269,6 +271,7 @@
     addAddresses(added) {
       for (const address of added) addAddress(address);
     },
+    knownCount: () => records.size,
     alive() {
       checkSilent();
       return [...records.values()]
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -90,13 +90,11 @@
   readonly ended: Promise<number>;
 }
 
-/** Retries that one host may take at once of those that all may. */
-function retryBurst(settings: RelaySettings): number {
-  return Math.max(1, settings.retrySlack / HOSTS_SHARING_RETRIES);
-}
-
-/** The slack is for all hosts; it is shared as if this many used it up. */
-const HOSTS_SHARING_RETRIES = 12;
+/**
+ * The slack of retries is for all hosts together. A host that has just started
+ * or is cut off hears of few others, and must not take their part.
+ */
+const FEWEST_HOSTS = 14;
 
 const ORDERS_LEASE = 'orders';
 /** Bound on the difference of clock rates between hosts. */
@@ -225,7 +223,10 @@
     {ownFailureDomain: settings.failureDomain},
   );
   const retryBudget = createRetryBudget({
-    burst: retryBurst(settings),
+    burst() {
+      const hostCount = Math.max(FEWEST_HOSTS, peers.knownCount() + 1);
+      return Math.max(1, settings.retrySlack / hostCount);
+    },
     ratioOf: () => settings.retryRatio,
   });
   const upstreamPort = adapters.createUpstreamPort(exchange);
--- a/src/request/retry_budget.ts
+++ b/src/request/retry_budget.ts
@@ -5,8 +5,11 @@
  */
 
 export interface RetryBudgetOptions {
-  /** Retries that are allowed however few requests there were. */
-  readonly burst: number;
+  /**
+   * Retries that are allowed however few requests there were. Where hosts
+   * share an allowance this is one host's part, and changes with their number.
+   */
+  burst(): number;
   /** Retries allowed for each request of a service, for example 0.1. */
   ratioOf(service: string): number;
 }
@@ -20,11 +23,12 @@
 
 export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
   const tokens = new Map<string, number>();
-  const left = (service: string) => tokens.get(service) ?? options.burst;
+  const left = (service: string) =>
+    Math.min(options.burst(), tokens.get(service) ?? Infinity);
   return {
     requestStarted(service) {
       const grown = left(service) + options.ratioOf(service);
-      tokens.set(service, Math.min(options.burst, grown));
+      tokens.set(service, Math.min(options.burst(), grown));
     },
     tryTake(service) {
       if (left(service) < 1) return false;
--- a/src/scenario/scenario_entry.ts
+++ b/src/scenario/scenario_entry.ts
@@ -127,7 +127,7 @@
     quarantine,
     keptAnswers,
     retryBudget: createRetryBudget({
-      burst: RETRY_BURST,
+      burst: () => RETRY_BURST,
       ratioOf: () => RETRY_SHARE,
     }),
     prefixHashes: tokens => hashPrefixes(tokens, MAX_PREFIX_BLOCKS),
--- a/src/serve/serve.ts
+++ b/src/serve/serve.ts
@@ -96,7 +96,7 @@
     keptAnswers: answers.kept,
     observer: createRequestObserver(metrics),
     retryBudget: createRetryBudget({
-      burst: RETRY_BURST,
+      burst: () => RETRY_BURST,
       ratioOf: name => findService(name)?.retryBudget ?? 0,
     }),
     prefixHashes: tokens => hashPrefixes(tokens, MAX_PREFIX_BLOCKS),
