Never call a request not-run that an upstream may have run

Cause, found by reading: after a run whose answer was lost, the refusal of the next upstream became the caller's answer, 503 and not-run. Only requests that may be repeated are sent again, so nothing was doubled; but it was not true. Ruled out: calls that may not be repeated (they end at the first broken run). The test fails without. The overtaken datagram has a real test now, too.

--- a/src/relay/plain_relay.ts
+++ b/src/relay/plain_relay.ts
@@ -20,7 +20,7 @@
 } from '../scheduling/plain_balancer.js';
 import {collectAnswer, type CollectedAnswer} from './answer_collector.js';
 import {deliverCollected, passThrough} from './answer_delivery.js';
-import {isGenuine} from './answer_rules.js';
+import {isGenuine, toTrueError} from './answer_rules.js';
 import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
 import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
 
@@ -233,10 +233,7 @@
     }
     const hasRun = progress.ran.length > 0;
     const isLate = clock.nowMs() >= job.deadlineAtMs;
-    const error: RequestError =
-      hasRun && isLate
-        ? {kind: 'deadline-passed', detail: progress.failure.detail}
-        : progress.failure;
+    const error = toTrueError(progress.failure, hasRun, isLate);
     caller.refuse(error);
     return {
       end: hasRun ? 'failed' : 'refused',
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -16,7 +16,7 @@
 } from '../ports/relay.js';
 import type {RetryBudget} from '../request/retry_budget.js';
 import {passThrough} from './answer_delivery.js';
-import {isGenuine} from './answer_rules.js';
+import {isGenuine, toTrueError} from './answer_rules.js';
 import {createEngineFailures} from './engine_failures.js';
 import type {EngineScheduler, StreamNeed} from './engine_scheduler.js';
 import type {EngineBooks} from './engine_books.js';
@@ -280,11 +280,7 @@
     }
     const isLate = clock.nowMs() >= state.job.deadlineAtMs;
     const hasRun = state.ran.length > 0;
-    caller.refuse(
-      hasRun && isLate
-        ? {kind: 'deadline-passed', detail: error.detail}
-        : error,
-    );
+    caller.refuse(toTrueError(error, hasRun, isLate));
     return {end: hasRun ? 'failed' : 'refused', reason, upstreams: state.ran};
   }
 
--- a/tests/platform/relay_path_test.ts
+++ b/tests/platform/relay_path_test.ts
@@ -368,3 +368,23 @@
   assert.equal(orders[0].stage, 'decode');
   assert.ok(orders[0].fence >= 1);
 });
+
+test('a call that ran is never called not-run, though the next try was refused', async () => {
+  // A caller is told that its call never ran: the first upstream ran it and
+  // lost the answer, and the second one refused it for lack of room.
+  const first = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const second = await site.addUpstream({id: 'i-2', service: 'ledger'});
+  const entry = await startEntry();
+  for (const [loses, refuses] of [
+    [first, second],
+    [second, first],
+  ]) {
+    loses.setBehaviour('lose-answer');
+    refuses.setBehaviour('full');
+    const before = loses.runs.length;
+    const answer = await site.call(entry, '/saldo/1');
+    const hasRun = loses.runs.length > before;
+    assert.equal(answer.status, hasRun ? 502 : 503);
+  }
+  assert.ok(first.runs.length + second.runs.length > 0);
+});
--- a/tests/relay/peer_exchange_test.ts
+++ b/tests/relay/peer_exchange_test.ts
@@ -18,11 +18,13 @@
   const handlers = new Map<string, Handler>();
   const cut = new Set<string>();
   const sent = new Map<string, number>();
+  const payloads = new Map<string, Uint8Array>();
 
   function port(address: string): DatagramPort {
     return {
       send(to, payload) {
         sent.set(address, (sent.get(address) ?? 0) + 1);
+        payloads.set(`${address}>${to}`, payload);
         if (cut.has(address) || cut.has(to)) return;
         clock.setTimer(2, () => handlers.get(to)?.(address, payload));
       },
@@ -85,6 +87,14 @@
     cut,
     addHost,
     sentBy: (address: string) => sent.get(address) ?? 0,
+    lastPayload(from: string, to: string): Uint8Array {
+      const payload = payloads.get(`${from}>${to}`);
+      assert.ok(payload, 'nothing was sent');
+      return payload;
+    },
+    deliver(from: string, to: string, payload: Uint8Array) {
+      handlers.get(to)?.(from, payload);
+    },
   };
 }
 
@@ -153,15 +163,16 @@
 });
 
 test('a datagram that was overtaken does not bring an old state back', async () => {
-  const {clock, addHost} = makeNetwork();
-  const received: Handler[] = [];
+  // Callers are sent to an entry that has left: a datagram from before it
+  // began to leave took longer than the one that said so.
+  const {clock, addHost, lastPayload, deliver} = makeNetwork();
   const a = addHost('a', []);
   const b = addHost('b', [a.address]);
   await clock.advance(600);
+  const older = lastPayload(a.address, b.address);
   a.setState('leaving');
   await clock.advance(10);
-  assert.equal(received.length, 0);
   assert.deepEqual(b.entries(), ['b:80']);
-  await clock.advance(400);
+  deliver(a.address, b.address, older);
   assert.deepEqual(b.entries(), ['b:80']);
 });
