--- a/bench/check_model_explorer.ts
+++ b/bench/check_model_explorer.ts
@@ -7,6 +7,8 @@
  * a million states).
  */
 
+import {FNV_OFFSET, FNV_PRIME} from '../src/core/hash_text.js';
+
 export interface Transition<State> {
   readonly label: string;
   readonly next: State;
@@ -39,11 +41,10 @@
   readonly parent: Node<State> | undefined;
 }
 
-const FNV_PRIME = 0x01000193;
 const LOW_BITS = 21;
 
 function hashKey(text: string): number {
-  let a = 0x811c9dc5;
+  let a = FNV_OFFSET;
   let b = 0x9747b28c;
   for (let i = 0; i < text.length; i++) {
     const code = text.charCodeAt(i);
--- a/src/coordination/member_records.ts
+++ b/src/coordination/member_records.ts
@@ -3,6 +3,8 @@
  * an order, so that they may arrive late, twice and in any order.
  */
 
+import {hashText} from '../core/hash_text.js';
+
 export type MemberState = 'alive' | 'leaving' | 'suspect' | 'dead' | 'left';
 
 export interface Member {
@@ -66,20 +68,6 @@
   return member.state !== 'dead' && member.state !== 'left';
 }
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** 32-bit FNV-1a with a final mix, for buckets and digests. */
-export function hashText(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let i = 0; i < text.length; i++) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
-}
-
 /** A part of the members: those whose hash begins with `bucket`. */
 export interface Bucket {
   readonly bits: number;
--- a/src/coordination/member_table.ts
+++ b/src/coordination/member_table.ts
@@ -1,10 +1,10 @@
 /** The records of all members that this host knows, itself included. */
 
+import {hashText} from '../core/hash_text.js';
 import type {Clock} from '../ports/clock.js';
 import {createChangeChannel, type ChangeChannel} from './change_channel.js';
 import {
   digestMembers,
-  hashText,
   isInBucket,
   isNewer,
   isRunning,
--- a/src/coordination/ownership.ts
+++ b/src/coordination/ownership.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Clock} from '../ports/clock.js';
-import {hashText} from './member_records.js';
+import {hashText} from '../core/hash_text.js';
 
 export interface OwnerCandidate {
   readonly hostId: string;
--- a/src/core/prompt_tokens.ts
+++ b/src/core/prompt_tokens.ts
@@ -5,24 +5,16 @@
  * token here is one word with the white space before it.
  */
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+import {FNV_OFFSET, FNV_PRIME, hashFnv1a} from './hash_text.js';
+
 const WORD = /\s*\S+/g;
 
 /** Tokens in one block of the prefix cache. */
 export const BLOCK_TOKENS = 16;
 
-function hashText(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let i = 0; i < text.length; i++) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
-  }
-  return hash >>> 0;
-}
-
 /** One number a word. */
 export function tokenizePrompt(text: string): readonly number[] {
-  return (text.match(WORD) ?? []).map(hashText);
+  return (text.match(WORD) ?? []).map(hashFnv1a);
 }
 
 /**
--- a/src/serve/journal_host.ts
+++ b/src/serve/journal_host.ts
@@ -16,7 +16,7 @@
   defaultJournalOwnerOptions,
   type JournalOwner,
 } from '../request/journal_owner.js';
-import {hashText} from '../coordination/member_records.js';
+import {hashText} from '../core/hash_text.js';
 import type {Fleet} from './fleet.js';
 import {createJournalRouter, partitionOf} from './journal_router.js';
 import type {World} from './world.js';
--- a/stand_ins/answer_text.ts
+++ b/stand_ins/answer_text.ts
@@ -3,8 +3,7 @@
  * offset, so that a reader can check a resumed stream token by token.
  */
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+import {FNV_OFFSET, FNV_PRIME} from '../src/core/hash_text.js';
 
 /** The answer to one prompt. */
 export interface ExpectedAnswer {
