Keep signals that come while a process starts

The process had no handler for SIGTERM yet, ended by the signal and so with a failure's code; a SIGHUP, which only says that settings changed, would have ended it as well. Change: the first thing that the relay command does is to hold signals; they are handed on once the process serves.

--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -5,6 +5,7 @@
 import {createPlatformAdapters} from '../../../platform/platform_adapters.js';
 import {createLineLoggers, type LineSink} from '../../adapters/line_logger.js';
 import {createSystemClock} from '../../adapters/system_clock.js';
+import type {HeldSignals} from '../held_signals.js';
 import type {Logger, LogLevel} from '../../ports/log.js';
 import {createRelayMetrics} from '../../relay/relay_metrics.js';
 import {startRelay} from '../../relay/relay_process.js';
@@ -24,6 +25,7 @@
 /** Runs until the process has left; the result is the exit code. */
 export async function runRelayCommand(
   words: readonly string[],
+  signals: HeldSignals,
 ): Promise<number> {
   const {values} = parseArgs({
     args: [...words],
@@ -42,7 +44,7 @@
     return EXIT_USAGE;
   }
   const settings = await readSettings(file);
-  return settings ? run(settings, file, level) : EXIT_USAGE;
+  return settings ? run(settings, file, level, signals) : EXIT_USAGE;
 }
 
 function isLevel(text: string): text is LogLevel {
@@ -66,6 +68,7 @@
   settings: RelaySettings,
   file: string,
   level: LogLevel,
+  signals: HeldSignals,
 ): Promise<number> {
   const metrics = createRelayMetrics();
   const createLogger = createLineLoggers(
@@ -84,9 +87,11 @@
     metrics,
     createLogger,
   });
-  process.on('SIGTERM', relay.leave);
-  process.on('SIGINT', relay.leave);
-  process.on('SIGHUP', () => void reload(file, settings, log));
+  signals.handTo({
+    SIGTERM: relay.leave,
+    SIGINT: relay.leave,
+    SIGHUP: () => void reload(file, settings, log),
+  });
   const cutCount = await relay.ended;
   return cutCount > 0 ? EXIT_CUT : EXIT_DONE;
 }
--- a/src/cli/commands/relay_commands.ts
+++ b/src/cli/commands/relay_commands.ts
@@ -2,6 +2,7 @@
 
 import {exitCodes, UsageError, type Command} from '../command.js';
 import {findStory, formatStory, parseLogLine} from '../request_story.js';
+import {holdSignals} from '../held_signals.js';
 import {RELAY_SUMMARY, runRelayCommand} from './relay_command.js';
 
 /** Its words are parsed by the command itself, which `main` also calls. */
@@ -11,7 +12,7 @@
   positionals: '--host-file FILE',
   flags: {},
   takesRawArguments: true,
-  run: args => runRelayCommand(args.positionals),
+  run: args => runRelayCommand(args.positionals, holdSignals(process)),
 };
 
 export const explain: Command = {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,7 @@
 /** The program `corianderbend`. */
 
+import {holdSignals} from './held_signals.js';
+
 /**
  * A command that has ended may leave pooled connections and their timers,
  * which would keep the process alive for half a minute. What it has written
@@ -19,8 +21,9 @@
  */
 async function run(words: readonly string[]): Promise<number> {
   if (words[0] === 'relay') {
+    const signals = holdSignals(process);
     const {runRelayCommand} = await import('./commands/relay_command.js');
-    return runRelayCommand(words.slice(1));
+    return runRelayCommand(words.slice(1), signals);
   }
   const {runCommandLine} = await import('./command_line.js');
   const {commands} = await import('./commands.js');
