Ask the retry budget last

A rejected request took a retry of the budget before it was known whether another engine or upstream had room; with none it was taken for nothing.

--- a/src/relay/plain_relay.ts
+++ b/src/relay/plain_relay.ts
@@ -85,6 +85,13 @@
     return isRepeatable && progress.ran.length < job.route.maxAttempts;
   }
 
+  /** Takes nothing of the budget where no upstream is left to try. */
+  function takeRetry(job: RelayJob, progress: Progress): boolean {
+    const next = pick(job, progress);
+    if (!next || progress.tried.has(next.id)) return false;
+    return retryBudget.tryTake(job.service.name);
+  }
+
   function headTimeoutMs(job: RelayJob, progress: Progress): number {
     const untilDeadlineMs = leftMs(job.deadlineAtMs, clock.nowMs());
     const isLast =
@@ -157,13 +164,12 @@
           detail: failure.detail,
           retryAfterMs: FULL_RETRY_MS,
         };
-        return retryBudget.tryTake(job.service.name) ? 'again' : 'stop';
+        return takeRetry(job, progress) ? 'again' : 'stop';
       case 'broken':
         progress.ran.push(upstream.id);
         host.onBroken(job, upstream);
         progress.failure = {kind: 'upstream-failed', detail: failure.detail};
-        return mayRunAgain(job, progress) &&
-          retryBudget.tryTake(job.service.name)
+        return mayRunAgain(job, progress) && takeRetry(job, progress)
           ? 'again'
           : 'stop';
       case 'cancelled':
@@ -184,7 +190,7 @@
         kind: 'upstream-failed',
         detail: `status ${answer.status} without proof`,
       };
-      return mayRunAgain(job, progress) && retryBudget.tryTake(job.service.name)
+      return mayRunAgain(job, progress) && takeRetry(job, progress)
         ? 'again'
         : 'stop';
     }
@@ -220,7 +226,7 @@
     } else {
       progress.fallback = collected;
     }
-    return mayRunAgain(job, progress) && retryBudget.tryTake(job.service.name)
+    return mayRunAgain(job, progress) && takeRetry(job, progress)
       ? 'again'
       : 'stop';
   }
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -168,7 +168,8 @@
       if (placement.prefill) scheduler.noteFailure(placement.prefill.id);
       state.source = undefined;
     }
-    return takeRetry(state) && moveOn(state);
+    // Asked last: where no engine has room, nothing is taken of the budget.
+    return moveOn(state) && takeRetry(state);
   }
 
   async function start(state: StreamState): Promise<Start> {
@@ -277,11 +278,11 @@
   /** Places the request for a run that goes on after its last event. */
   function prepareNextRun(state: StreamState): boolean {
     const {decode, run} = state.placement;
-    if (!canResumeAfter(state) || !takeRetry(state)) return false;
+    if (!canResumeAfter(state)) return false;
     state.avoid.add(decode.id);
     state.source = undefined;
     const madeTokens = run.outputTokens;
-    if (!moveOn(state)) return false;
+    if (!moveOn(state) || !takeRetry(state)) return false;
     books.grow(state.placement.run, madeTokens);
     return true;
   }
