--- /dev/null
+++ b/bench/placer_slopes.ts
@@ -0,0 +1,204 @@
+/**
+ * What placing for others costs one host: `npm run bench -- placer_slopes`.
+ *
+ * One placer in virtual time serves entries that ask, announce what they
+ * booked and end their streams; its share of a core is the time that its own
+ * handlers take. Bytes are those of the messages as JSON.
+ */
+
+import {performance} from 'node:perf_hooks';
+import {createSeededRandom} from '../src/core/seeded_random.js';
+import {createVirtualClock} from '../src/core/virtual_clock.js';
+import {createEngineBooks} from '../src/relay/engine_books.js';
+import {createEngineScheduler} from '../src/relay/engine_scheduler.js';
+import {createPlacementDesk} from '../src/relay/placement_desk.js';
+import type {
+  PlacementAnswer,
+  PlacementAsk,
+} from '../src/relay/placement_messages.js';
+import type {Service} from '../src/relay/routing.js';
+import {createUpstreamRegistry} from '../src/relay/upstream_registry.js';
+
+const HOST_COUNTS: readonly number[] = [20, 79, 128];
+/** Of the grown sites: streams a second and host, engines a host. */
+const STREAMS_PER_HOST_S = 0.6;
+const ENGINES_PER_HOST = 0.6;
+const PREFILL_SHARE = 0.23;
+const RUN_MS = 3_600;
+const PREFILL_MS = 100;
+const PLAYED_MS = 60_000;
+const KV_TOKENS = 25_865;
+
+const log = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+const service: Service = {
+  name: 'drafts',
+  healthPath: '/healthz',
+  maxConnections: 100,
+  engine: {
+    slots: 48,
+    kvTokens: KV_TOKENS,
+    tokensPerEvent: 18,
+    prefillLifeMs: 500,
+    roleChangeMs: 6_000,
+  },
+};
+
+interface Figures {
+  readonly streamsPerS: number;
+  readonly messagesPerS: number;
+  readonly kilobytesPerS: number;
+  readonly corePercent: number;
+}
+
+async function play(hostCount: number): Promise<Figures> {
+  const clock = createVirtualClock(1_000);
+  const random = createSeededRandom(hostCount);
+  const registry = createUpstreamRegistry({clock, log});
+  const engineCount = Math.round(hostCount * ENGINES_PER_HOST);
+  registry.apply({
+    revision: 1,
+    upstreams: Array.from({length: engineCount}, (_, i) => ({
+      id: `engine-${i}`,
+      service: service.name,
+      address: `10.0.0.${i}:1`,
+      failureDomain: `domain-${i % 4}`,
+      slots: 48,
+      isDraining: false,
+      heartbeat: 1,
+      role: i < engineCount * PREFILL_SHARE ? 'prefill' : 'decode',
+    })),
+  });
+  const books = createEngineBooks();
+  const scheduler = createEngineScheduler({
+    clock,
+    random,
+    log,
+    registry,
+    books,
+    groups: {
+      placers: () => ['placer'],
+      isNear: () => false,
+      isMate: () => true,
+      isOwn: () => true,
+      isOwnOf: () => true,
+      refresh: () => undefined,
+    },
+    peers: {
+      waiting: () => [],
+      isSuspect: () => false,
+      isChanging: () => false,
+      isAwaited: () => false,
+    },
+    isChanging: () => false,
+    onChange: () => undefined,
+  });
+  let busyMs = 0;
+  let messages = 0;
+  let bytes = 0;
+
+  /** Runs a part of the placer's work and counts its time. */
+  function charge(message: object, work: () => void): void {
+    const text = JSON.stringify(message);
+    messages++;
+    bytes += text.length;
+    const startedAtMs = performance.now();
+    JSON.parse(text);
+    work();
+    busyMs += performance.now() - startedAtMs;
+  }
+
+  const entries = Array.from({length: hostCount}, (_, i) => ({
+    hostId: `host-${i}`,
+    books: createEngineBooks(),
+    asks: new Map<number, PlacementAsk>(),
+  }));
+  const byId = new Map(entries.map(entry => [entry.hostId, entry]));
+  const desk = createPlacementDesk({
+    clock,
+    scheduler,
+    findService: () => service,
+    tell(hostId, message) {
+      messages++;
+      bytes += JSON.stringify(message).length;
+      clock.setTimer(1, () => adopt(hostId, message as PlacementAnswer));
+    },
+  });
+
+  function announce(hostId: string, adopted: readonly number[]): void {
+    const load = byId.get(hostId)!.books.own();
+    charge({load, adopted, from: hostId}, () => {
+      books.setPeer(hostId, load);
+      desk.adopted(hostId, adopted);
+      scheduler.pumpSoon();
+    });
+  }
+
+  function adopt(hostId: string, answer: PlacementAnswer): void {
+    const entry = byId.get(hostId)!;
+    const ask = entry.asks.get(answer.askId);
+    if (answer.kind !== 'placed' || !ask) return;
+    entry.asks.delete(answer.askId);
+    const run = entry.books.startRun({
+      engineId: answer.decode,
+      promptTokens: ask.promptTokens,
+      expectedOutputTokens: ask.expectedOutputTokens,
+    });
+    announce(hostId, [answer.askId]);
+    clock.setTimer(PREFILL_MS, () => announce(hostId, []));
+    clock.setTimer(RUN_MS, () => {
+      entry.books.endRun(run);
+      announce(hostId, []);
+    });
+  }
+
+  let askId = 1;
+  function offer(): void {
+    const entry = entries[random.nextInt(entries.length)];
+    const ask: PlacementAsk = {
+      kind: 'ask',
+      askId: askId++,
+      requestId: `request-${askId}`,
+      service: service.name,
+      promptTokens: 1_500 + random.nextInt(3_400),
+      expectedOutputTokens: 600 + random.nextInt(1_300),
+      ageMs: 2,
+      onTimeMs: 600,
+      giveUpMs: 3_100,
+      callerLeftMs: 14_000,
+    };
+    entry.asks.set(ask.askId, ask);
+    charge(ask, () => desk.receive(entry.hostId, ask));
+    const gapMs = 1_000 / (STREAMS_PER_HOST_S * hostCount);
+    clock.setTimer(-Math.log(1 - random.nextFloat()) * gapMs, offer);
+  }
+
+  offer();
+  await clock.advance(PLAYED_MS);
+  const seconds = PLAYED_MS / 1_000;
+  return {
+    streamsPerS: askId / seconds,
+    messagesPerS: messages / seconds,
+    kilobytesPerS: bytes / seconds / 1_000,
+    corePercent: (100 * busyMs) / PLAYED_MS,
+  };
+}
+
+export async function run(): Promise<void> {
+  for (const hostCount of HOST_COUNTS) {
+    const figures = await play(hostCount);
+    const columns = [
+      `${hostCount} hosts`,
+      `${figures.streamsPerS.toFixed(1)} streams/s`,
+      `${figures.messagesPerS.toFixed(0)} messages/s`,
+      `${figures.kilobytesPerS.toFixed(1)} kB/s`,
+      `${figures.corePercent.toFixed(2)} % of a core`,
+    ];
+    process.stdout.write(`${columns.join(', ')}\n`);
+  }
+}
