--- a/src/relay/host_directory.ts
+++ b/src/relay/host_directory.ts
@@ -3,7 +3,7 @@
  * them. Pure but for what it reads from its host.
  */
 
-import type {Peer} from './peer_exchange.js';
+import type {Peer} from './peer_datagrams.js';
 
 export interface EntryAnswer {
   /** `ip:port`, in no order. */
--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -11,50 +11,14 @@
 import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {DatagramPort} from '../ports/datagram.js';
 import type {Logger} from '../ports/log.js';
-import type {LossFact} from '../request/quarantine.js';
-import type {HostLoad} from './engine_books.js';
+import {
+  parseDatagram,
+  type Announcement,
+  type Letter,
+  type Peer,
+  type StateDatagram,
+} from './peer_datagrams.js';
 import type {PlacementMessage} from './placement_messages.js';
-import type {StoreKnowledge} from './store_readers.js';
-import type {Waiting} from './wait_rules.js';
-
-export type HostState = 'starting' | 'ready' | 'leaving';
-
-/** Who waits at a host: ages when the datagram was sent. */
-export interface WaitingRecord {
-  readonly service: string;
-  readonly ageMs: number;
-  /** Until the first event would be late; negative once it is. */
-  readonly onTimeMs: number;
-  readonly giveUpMs: number;
-}
-
-/** The part of a datagram that the relay fills in. */
-export interface Announcement extends StoreKnowledge {
-  readonly state: HostState;
-  readonly callerAddress: string;
-  readonly failureDomain: string;
-  readonly load: HostLoad;
-  readonly waiting: readonly WaitingRecord[];
-  /** Engines that fail this host now. */
-  readonly suspects: readonly string[];
-  /** Upstreams to which this host could not connect. */
-  readonly unreachable: readonly string[];
-  /** Engines that this host told to change their role. */
-  readonly changing: readonly string[];
-  /** Requests that crashed engines. */
-  readonly losses: readonly LossFact[];
-  /** What this host asked the receiver for and has booked by now. */
-  readonly adoptedAskIds: readonly number[];
-}
-
-/** One peer as it is known here. */
-export interface Peer extends Announcement {
-  readonly hostId: string;
-  readonly peerAddress: string;
-  /** Differs for each start of the process. */
-  readonly incarnation: string;
-  readonly heardAtMs: number;
-}
 
 export type ChangeReach = 'near' | 'all';
 
@@ -131,24 +95,6 @@
 /** Addresses named in one datagram; they take turns. */
 const MAX_NAMED = 8;
 
-interface Datagram extends Announcement {
-  readonly from: string;
-  readonly incarnation: string;
-  readonly sequence: number;
-  /** The receiver hears again within this time. */
-  readonly nextWithinMs: number;
-  /** Other live hosts, so that a new one finds all by any. */
-  readonly known: readonly string[];
-  /** Peers that were lost a moment ago. */
-  readonly lost: readonly string[];
-}
-
-/** A message to one peer. */
-interface Letter {
-  readonly from: string;
-  readonly message: PlacementMessage;
-}
-
 interface PeerRecord {
   peer: Peer;
   sequence: number;
@@ -292,7 +238,7 @@
       if (!REACHED[distance](reach) && !isDue(address, nowMs)) continue;
       let payload = payloads.get(nextWithinMs);
       if (!payload) {
-        const datagram: Datagram = {...state, nextWithinMs};
+        const datagram: StateDatagram = {...state, nextWithinMs};
         payload = Buffer.from(JSON.stringify(datagram));
         payloads.set(nextWithinMs, payload);
       }
@@ -351,21 +297,8 @@
     }
   }
 
-  function parse(payload: Uint8Array): Datagram | Letter | undefined {
-    try {
-      const text = Buffer.from(payload).toString('utf8');
-      const value: unknown = JSON.parse(text);
-      const isDatagram =
-        typeof value === 'object' && value !== null && 'from' in value;
-      return isDatagram ? (value as Datagram | Letter) : undefined;
-    } catch {
-      // Anything may arrive at an open port; it is not from a peer.
-      return undefined;
-    }
-  }
-
   function receive(fromAddress: string, payload: Uint8Array): void {
-    const datagram = parse(payload);
+    const datagram = parseDatagram(payload);
     if (!datagram || datagram.from === options.hostId || isStopped) return;
     if ('message' in datagram) {
       host.onMessage(datagram.from, datagram.message);
@@ -442,15 +375,3 @@
     },
   };
 }
-
-/** Puts a peer's waiting requests on this host's clock. */
-export function toLocalWaiting(
-  record: WaitingRecord,
-  heardAtMs: number,
-): Waiting {
-  return {
-    arrivedAtMs: heardAtMs - record.ageMs,
-    onTimeUntilMs: heardAtMs + record.onTimeMs,
-    giveUpAtMs: heardAtMs + record.giveUpMs,
-  };
-}
--- a/src/relay/peer_handover.ts
+++ b/src/relay/peer_handover.ts
@@ -11,7 +11,7 @@
 import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {Logger} from '../ports/log.js';
 import type {RoutingSource} from '../ports/relay.js';
-import type {Peer} from './peer_exchange.js';
+import type {Peer} from './peer_datagrams.js';
 import type {RoutingState} from './routing_state.js';
 import type {SideHandler} from './side_server.js';
 import type {UpstreamRegistry, UpstreamSnapshot} from './upstream_registry.js';
--- a/src/relay/peer_view.ts
+++ b/src/relay/peer_view.ts
@@ -7,7 +7,7 @@
   toLocalWaiting,
   type Peer,
   type WaitingRecord,
-} from './peer_exchange.js';
+} from './peer_datagrams.js';
 import type {GroupMember, PlacementGroups} from './placement_groups.js';
 import type {Waiting} from './wait_rules.js';
 
--- a/src/relay/relay_placement.ts
+++ b/src/relay/relay_placement.ts
@@ -11,7 +11,7 @@
   createEngineScheduler,
   type EngineScheduler,
 } from './engine_scheduler.js';
-import type {Peer} from './peer_exchange.js';
+import type {Peer, WaitingRecord} from './peer_datagrams.js';
 import {createPeerView} from './peer_view.js';
 import {
   createPlacementClient,
@@ -20,7 +20,6 @@
 import {createPlacementDesk} from './placement_desk.js';
 import {createPlacementGroups} from './placement_groups.js';
 import type {PlacementMessage} from './placement_messages.js';
-import type {WaitingRecord} from './peer_exchange.js';
 import type {RoutingState} from './routing_state.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
 
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -27,11 +27,8 @@
 import {createCrashWatch} from './crash_watch.js';
 import {answerDirectory, type EntryAnswer} from './host_directory.js';
 import {createLeaving} from './leaving.js';
-import {
-  createPeerExchange,
-  type HostState,
-  type Peer,
-} from './peer_exchange.js';
+import type {HostState, Peer} from './peer_datagrams.js';
+import {createPeerExchange} from './peer_exchange.js';
 import {createPeerHandover} from './peer_handover.js';
 import {MOST_SUSPECTS} from './peer_view.js';
 import {createPlainRelay} from './plain_relay.js';
--- a/tests/relay/burst_load.ts
+++ b/tests/relay/burst_load.ts
@@ -16,7 +16,7 @@
   type EngineScheduler,
   type Placement,
 } from '../../src/relay/engine_scheduler.js';
-import type {Peer} from '../../src/relay/peer_exchange.js';
+import type {Peer} from '../../src/relay/peer_datagrams.js';
 import {createPlacementClient} from '../../src/relay/placement_client.js';
 import {createPlacementDesk} from '../../src/relay/placement_desk.js';
 import type {PlacementMessage} from '../../src/relay/placement_messages.js';
--- a/tests/relay/peer_exchange_test.ts
+++ b/tests/relay/peer_exchange_test.ts
@@ -3,11 +3,8 @@
 import {createVirtualClock} from '../../src/core/virtual_clock.js';
 import type {DatagramPort} from '../../src/ports/datagram.js';
 import {answerDirectory} from '../../src/relay/host_directory.js';
-import {
-  createPeerExchange,
-  type Announcement,
-  type HostState,
-} from '../../src/relay/peer_exchange.js';
+import type {Announcement, HostState} from '../../src/relay/peer_datagrams.js';
+import {createPeerExchange} from '../../src/relay/peer_exchange.js';
 import {silentLog} from '../support/silent_log.js';
 
 type Handler = (from: string, payload: Uint8Array) => void;
@@ -271,3 +268,13 @@
   assert.ok(Math.max(...lost) <= 1, lost.join());
   assert.ok(hosts.every(({exchange}) => exchange.alive().length === 59));
 });
+
+test('what is not from a peer changes nothing', async () => {
+  const {clock, addHost, deliver} = makeNetwork();
+  const a = addHost('a', []);
+  await clock.advance(300);
+  const odd = ['', '{', 'null', '{"from":"x"}', '{"from":"x","message":1}'];
+  for (const text of odd) deliver('x:1', a.address, Buffer.from(text));
+  await clock.advance(300);
+  assert.deepEqual(a.entries(), ['a:80']);
+});
