Spread repeats over their interval; free prefill results that nobody takes

Ruled out: the placer's books (where one placed, they agree with the runs in the logs), lost asks. Change: repeats to far peers are drawn over the last third of their interval; a placer has 250 ms to acknowledge, not 130, since sound ones of a third of a core were passed over in bursts.

A prefill result that no decode engine took lay in its engine's memory until it lapsed, and others waited; now it is freed at once. Starting a stream stands in a module of its own.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -165,7 +165,7 @@
     cancellation: Cancellation,
   ): Promise<PrefillOutcome>;
   /** Frees a prefill result that nobody will take. */
-  releasePrefill(upstream: Upstream, handle: string): void;
+  releasePrefill(place: PrefillResultPlace): void;
   /** Whether a connection can be made and the upstream answers. */
   isReachable(upstream: Upstream): Promise<boolean>;
   report(upstream: Upstream): Promise<EngineReport | undefined>;
--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -8,6 +8,7 @@
  * every few milliseconds, and the state is repeated while nothing changes.
  */
 
+import {hashText} from '../core/hash_text.js';
 import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {DatagramPort} from '../ports/datagram.js';
 import type {Logger} from '../ports/log.js';
@@ -77,6 +78,9 @@
  */
 const FEW_PEERS = 32;
 const GATHER_PER_PEER_MS = 4;
+/** Repeats are spread over this part of their interval. */
+const SPREAD_SHARE = 0.35;
+const UINT32_RANGE = 2 ** 32;
 /** Three repeats in a row lost, or the peer is dead, frozen or cut off. */
 const SILENT_REPEATS = 3.6;
 /**
@@ -118,10 +122,10 @@
   unknown: () => false,
 };
 
-/** What was last sent to an address. */
+/** What an address was told last. */
 interface SentRecord {
-  readonly atMs: number;
-  readonly nextWithinMs: number;
+  /** When the next one goes there at the latest. */
+  readonly dueAtMs: number;
 }
 
 export function createPeerExchange(
@@ -188,8 +192,20 @@
   /** A host that was told to expect more by then must get it. */
   function isDue(address: string, nowMs: number): boolean {
     const last = sent.get(address);
+    return !last || nowMs >= last.dueAtMs;
+  }
+
+  /**
+   * Some time before the receiver expects it. Those that are far get theirs at
+   * different times: 78 datagrams in one moment overflow a small host's link,
+   * the same ones each time, and peers lose a host that lives.
+   */
+  function dueAtMs(address: string, nowMs: number, intervalMs: number): number {
     // Timers fire a little early or late; a tick is worth half an interval.
-    return !last || nowMs - last.atMs + REPEAT_MS / 2 >= last.nextWithinMs;
+    const atMs = nowMs + intervalMs - REPEAT_MS / 2;
+    if (intervalMs <= REPEAT_MS) return atMs;
+    const draw = hashText(`${address}|${sequence}`) / UINT32_RANGE;
+    return atMs - draw * SPREAD_SHARE * intervalMs;
   }
 
   /** The next few live peers, so that all are named in turn. */
@@ -242,7 +258,7 @@
         payload = Buffer.from(JSON.stringify(datagram));
         payloads.set(nextWithinMs, payload);
       }
-      sent.set(address, {atMs: nowMs, nextWithinMs});
+      sent.set(address, {dueAtMs: dueAtMs(address, nowMs, nextWithinMs)});
       datagrams.send(address, payload);
     }
   }
--- a/src/relay/placement_client.ts
+++ b/src/relay/placement_client.ts
@@ -52,10 +52,16 @@
   adopted(): readonly number[];
 }
 
-/** Two zones are 3 ms apart; a lost datagram is sent again after this. */
-const ASK_AGAIN_MS = 40;
-/** A placer that has acknowledged nothing for this long is passed over. */
-const SILENT_MS = 130;
+/**
+ * Two zones are 3 ms apart, and a small host with a burst on its hands answers
+ * within some 60 ms; a lost datagram is sent again after this.
+ */
+const ASK_AGAIN_MS = 80;
+/**
+ * A placer that has acknowledged nothing for this long is passed over. With
+ * 130 ms sound ones of a third of a core were passed over in bursts.
+ */
+const SILENT_MS = 250;
 /** One in the queue shows that it still waits, and asks whether it does. */
 const STILL_THERE_MS = 300;
 /** A placer that was passed over is not asked for this long. */
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -11,13 +11,12 @@
 import type {Logger} from '../ports/log.js';
 import type {
   Cancellation,
-  SendFailure,
   UpstreamAnswer,
   UpstreamPort,
 } from '../ports/relay.js';
 import type {RetryBudget} from '../request/retry_budget.js';
 import {passThrough} from './answer_delivery.js';
-import {isGenuine, toTrueError} from './answer_rules.js';
+import {toTrueError} from './answer_rules.js';
 import {createEngineFailures} from './engine_failures.js';
 import type {
   EngineScheduler,
@@ -27,14 +26,9 @@
 import type {EngineBooks} from './engine_books.js';
 import type {RoleDemandMeter} from './role_demand.js';
 import {createOutputForecast} from './output_forecast.js';
-import {createPrefillStep} from './prefill_step.js';
-import {
-  CONNECT_TIMEOUT_MS,
-  leftMs,
-  type JobOutcome,
-  type RelayJob,
-} from './relay_types.js';
+import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
+import {createStreamStart, SILENCE_MS} from './stream_start.js';
 import type {StreamState} from './stream_state.js';
 import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
 import {toWaiting} from './wait_rules.js';
@@ -61,31 +55,16 @@
   run(job: RelayJob): Promise<JobOutcome>;
 }
 
-/** Sends of a request that no engine has run yet. */
-const MAX_DECODE_TRIES = 4;
-/**
- * A resumable stream that shows nothing for this long goes on elsewhere. An
- * engine under preemption may pause for most of a second.
- */
-const SILENCE_MS = 1_300;
-const DEADLINE_SLACK_MS = 60;
 const STATUS_OK = 200;
 
-type Start =
-  | {readonly kind: 'streaming'; readonly answer: UpstreamAnswer}
-  | {
-      readonly kind: 'failed';
-      readonly error: RequestError;
-      /** Whether an engine may have run the request. */
-      readonly mayHaveRun: boolean;
-    }
-  | {readonly kind: 'cancelled'};
-
 export function createStreamRelay(host: StreamRelayHost): StreamRelay {
-  const {clock, upstreamPort, scheduler, books, registry, retryBudget} = host;
+  const {clock, scheduler, books, retryBudget} = host;
   const forecast = createOutputForecast();
   const failures = createEngineFailures(host);
-  const prefillStep = createPrefillStep({...host, failures});
+  const {start, moveOn, takeRetry, dropSource, release} = createStreamStart({
+    ...host,
+    failures,
+  });
 
   function toNeed(job: RelayJob): StreamNeed {
     const {request, route, service, deadlineAtMs} = job;
@@ -104,141 +83,6 @@
     };
   }
 
-  const takeRetry = (state: StreamState) =>
-    retryBudget.tryTake(state.job.service.name);
-
-  function sendDecode(
-    state: StreamState,
-  ): Promise<UpstreamAnswer | SendFailure> {
-    const {job, placement} = state;
-    const untilDeadlineMs = leftMs(job.deadlineAtMs, clock.nowMs());
-    const headTimeoutMs = mayRunAgain(state)
-      ? Math.min(SILENCE_MS, untilDeadlineMs)
-      : untilDeadlineMs + DEADLINE_SLACK_MS;
-    return upstreamPort.send(
-      job.request,
-      {
-        upstream: placement.decode,
-        leftMs: untilDeadlineMs,
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        headTimeoutMs,
-        mayReuseConnection: false,
-        prefill: state.source,
-        resumeAfterEvent: state.ran.length > 0 ? state.lastEventId : undefined,
-      },
-      job.cancellation,
-    );
-  }
-
-  /** Whether a run more may follow the one that is about to start. */
-  function mayRunAgain(state: StreamState): boolean {
-    const {isResumable, maxAttempts} = state.job.route;
-    return isResumable && state.ran.length + 1 < maxAttempts;
-  }
-
-  /**
-   * Moves the request to another decode engine; false if none has room.
-   * Without a prefill result one is made anew: a decode engine that reads a
-   * long prompt itself holds up all of its runs beyond their pace.
-   */
-  function moveOn(state: StreamState): boolean {
-    const wantsPrefill = state.source === undefined;
-    const next = scheduler.placeAgain(state.need, state.avoid, wantsPrefill);
-    if (!next) return false;
-    release(state);
-    state.placement = next;
-    return true;
-  }
-
-  function release(state: StreamState, ranMs?: number): void {
-    state.placement.prefillBooking.end();
-    scheduler.release(state.placement.run, ranMs);
-  }
-
-  /**
-   * The engine did not take the request. It may be full, or the prefill
-   * result may be gone; it does not say which. First another engine is asked
-   * with the same result, then the prompt is read again.
-   */
-  function afterRejection(state: StreamState, tries: number): boolean {
-    const {placement} = state;
-    scheduler.noteFull(placement.decode.id);
-    state.avoid.add(placement.decode.id);
-    if (tries > 1 && state.source) {
-      if (placement.prefill) scheduler.noteFailure(placement.prefill.id);
-      state.source = undefined;
-    }
-    // Asked last: where no engine has room, nothing is taken of the budget.
-    return moveOn(state) && takeRetry(state);
-  }
-
-  async function start(state: StreamState): Promise<Start> {
-    const {job} = state;
-    let failure: RequestError = {kind: 'no-upstream', detail: 'None had room.'};
-    for (let tries = 1; tries <= MAX_DECODE_TRIES; tries++) {
-      if (job.cancellation.isCancelled) return {kind: 'cancelled'};
-      if (!state.source && state.placement.prefill) {
-        state.source = await prefillStep.run(state);
-        if (job.cancellation.isCancelled) return {kind: 'cancelled'};
-      }
-      const {decode} = state.placement;
-      // Draining may have begun while the prompt was read.
-      const isOpen = registry
-        .open(job.service.name)
-        .some(each => each.id === decode.id);
-      const outcome: UpstreamAnswer | SendFailure = isOpen
-        ? await sendDecode(state)
-        : {kind: 'unreachable', detail: 'the engine leaves'};
-      if (outcome.kind !== 'answered') {
-        failures.write('Send failed.', state, decode, outcome);
-      }
-      switch (outcome.kind) {
-        case 'answered':
-          return takeHead(state, outcome);
-        case 'cancelled':
-          return outcome;
-        case 'broken':
-          state.ran.push(decode.id);
-          host.onBroken(job, decode);
-          failures.note(decode, outcome);
-          failure = {kind: 'upstream-failed', detail: outcome.detail};
-          return {kind: 'failed', error: failure, mayHaveRun: true};
-        case 'unreachable':
-          if (isOpen) failures.note(decode, outcome);
-          state.avoid.add(decode.id);
-          failure = {kind: 'no-upstream', detail: outcome.detail};
-          if (!moveOn(state)) return notRun(failure);
-          break;
-        case 'rejected':
-          failures.note(decode, outcome);
-          failure = {kind: 'overloaded', detail: outcome.detail};
-          if (!afterRejection(state, tries)) return notRun(failure);
-          break;
-      }
-    }
-    return notRun(failure);
-  }
-
-  function notRun(error: RequestError): Start {
-    return {kind: 'failed', error, mayHaveRun: false};
-  }
-
-  function takeHead(state: StreamState, answer: UpstreamAnswer): Start {
-    const {decode} = state.placement;
-    state.ran.push(decode.id);
-    if (isGenuine(answer)) return {kind: 'streaming', answer};
-    answer.body.destroy();
-    scheduler.noteFailure(decode.id);
-    return {
-      kind: 'failed',
-      error: {
-        kind: 'upstream-failed',
-        detail: `status ${answer.status} without proof`,
-      },
-      mayHaveRun: true,
-    };
-  }
-
   function relay(
     state: StreamState,
     answer: UpstreamAnswer,
@@ -412,6 +256,8 @@
       };
       const startedAtMs = clock.nowMs();
       const outcome = await runPlaced(state);
+      // Until its engine drops it by itself, others wait for that memory.
+      dropSource(state);
       const ranMs =
         outcome.end === 'answered' ? clock.nowMs() - startedAtMs : undefined;
       release(state, ranMs);
--- a/tests/platform/relay_path_test.ts
+++ b/tests/platform/relay_path_test.ts
@@ -388,3 +388,24 @@
   }
   assert.ok(first.runs.length + second.runs.length > 0);
 });
+
+test('a prefill result that no decode engine takes is freed', async () => {
+  // Prompts of others wait for memory: a request was refused by every decode
+  // engine after its prompt had been read, and the result lay there unused.
+  const reader = await site.addUpstream({
+    id: 'p-1',
+    service: 'drafts',
+    role: 'prefill',
+  });
+  const decode = await site.addUpstream({
+    id: 'd-1',
+    service: 'drafts',
+    role: 'decode',
+  });
+  decode.setBehaviour('full');
+  const entry = await startEntry();
+  const answer = await site.call(entry, '/mustand/1', draft);
+  assert.equal(answer.status, 503);
+  assert.ok(reader.runs.length > 0);
+  await until('freed', () => reader.heldResults() === 0);
+});
--- a/tests/relay/peer_exchange_test.ts
+++ b/tests/relay/peer_exchange_test.ts
@@ -278,3 +278,21 @@
   await clock.advance(300);
   assert.deepEqual(a.entries(), ['a:80']);
 });
+
+test('repeats to many far peers do not go out in one moment', async () => {
+  // Hosts that live are lost all the time: 78 datagrams at once overflow a
+  // small host's link, and the same peers miss theirs each time.
+  const {clock, addHost, sentBy} = makeNetwork();
+  const names = Array.from({length: 60}, (_, i) => `h${i}`);
+  const hosts = names.map(name => addHost(name, ['h0:1']));
+  for (const host of hosts) host.setFar(new Set(names));
+  await clock.advance(8_000);
+  let most = 0;
+  for (let i = 0; i < 40; i++) {
+    const before = sentBy('h7:1');
+    await clock.advance(50);
+    most = Math.max(most, sentBy('h7:1') - before);
+  }
+  assert.ok(most <= 40, `${most} at once`);
+  assert.ok(hosts.every(({exchange}) => exchange.alive().length === 59));
+});
