End a process that cannot start; play seed 1016 of the soak again

Cause: seed 1016 hung. Two faults that waited for one host's end both started it again (the soak's own fault); the second process found its port taken, was kept alive by its datagram socket, held SIGTERM for ever and served nobody. Change: a start that fails ends the process with code 1, so that it is started again; the soak starts a host once.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,6 +8,7 @@
  * gets this long to go out.
  */
 const EXIT_GRACE_MS = 300;
+const EXIT_FAILED = 1;
 
 /** A pipe that the reader closed, as in `corianderbend help | head -1`. */
 process.stdout.on('error', (error: NodeJS.ErrnoException) => {
@@ -31,7 +32,15 @@
   return runCommandLine(words, commands, createProcessHost());
 }
 
-void run(process.argv.slice(2)).then(code => {
+function end(code: number): void {
   process.exitCode = code;
   setTimeout(() => process.exit(), EXIT_GRACE_MS).unref();
+}
+
+run(process.argv.slice(2)).then(end, (error: unknown) => {
+  // One that could not start must end, so that it is started again: with open
+  // sockets it would live on and serve nobody.
+  const reason = error instanceof Error ? error.stack : String(error);
+  process.stderr.write(`corianderbend: ${reason}\n`);
+  process.exit(EXIT_FAILED);
 });
--- a/tests/soak/relay_child.ts
+++ b/tests/soak/relay_child.ts
@@ -14,6 +14,7 @@
 export interface RelayChild {
   readonly settings: RelaySettings;
   isRunning(): boolean;
+  /** Does nothing while a process runs. */
   start(): void;
   /** Sends a signal to the process that `start` made, and to no other. */
   signal(name: NodeJS.Signals): void;
@@ -42,6 +43,8 @@
     settings,
     isRunning: () => child !== undefined,
     start() {
+      // Two faults may wait for the same end, and both start it again.
+      if (child) return;
       const started = spawn(
         process.execPath,
         [program, 'relay', '--host-file', hostFile],
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -24,9 +24,12 @@
  * Each seed that ever broke a promise, with its cause:
  * 109: a SIGTERM met a process that had just started and had no handler yet,
  *      so it ended by the signal; a SIGHUP would have ended it as well.
+ * 1016: two faults that waited for one host's end both started it again; the
+ *      second process found its port taken, lived on and ignored SIGTERM.
  */
 const REGRESSIONS: readonly SoakOptions[] = [
   {...short, seed: 109, durationMs: 10_000, hostCount: 4, callerCount: 12},
+  {...short, seed: 1016, durationMs: 8_000, hostCount: 4, callerCount: 12},
 ];
 
 for (const options of [short, ...REGRESSIONS]) {
