Excuse a SIGTERM that comes while Node itself starts

The host's log has no line of that life: the signal came before the program's first line ran, where no handler can be. Only that case is excused; one that has written its first line must leave with code 0.

--- a/tests/soak/relay_child.ts
+++ b/tests/soak/relay_child.ts
@@ -9,6 +9,8 @@
 export interface ChildEnd {
   readonly code: number | null;
   readonly signal: NodeJS.Signals | null;
+  /** It had written its first line, so that its own code ran. */
+  readonly hadBegun: boolean;
 }
 
 export interface RelayChild {
@@ -37,7 +39,11 @@
   const logFile = path.join(folder, `${hostId}.log`);
   writeFileSync(hostFile, JSON.stringify(settings));
   let child: ChildProcess | undefined;
-  let end: Promise<ChildEnd> = Promise.resolve({code: null, signal: null});
+  let end: Promise<ChildEnd> = Promise.resolve({
+    code: null,
+    signal: null,
+    hadBegun: false,
+  });
 
   return {
     settings,
@@ -54,10 +60,12 @@
       started.stdout?.pipe(log, {end: false});
       started.stderr?.pipe(log, {end: false});
       child = started;
+      let hadBegun = false;
+      started.stdout?.once('data', () => (hadBegun = true));
       end = new Promise(resolve => {
         started.on('exit', (code, signal) => {
           if (child === started) child = undefined;
-          resolve({code, signal});
+          resolve({code, signal, hadBegun});
         });
       });
     },
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -100,8 +100,11 @@
   const fromMs = context.now();
   child.signal('SIGTERM');
   const end = await child.ended();
-  // Another fault may kill it while it leaves; it has no word in that.
-  if (end.signal !== 'SIGKILL') context.noteLeft(hostId, end);
+  // Another fault may kill it while it leaves; it has no word in that. Nor has
+  // one that is told to leave while Node itself still starts: no program's
+  // handler is there yet, and nothing was served.
+  const isEarly = end.signal === 'SIGTERM' && !end.hadBegun;
+  if (end.signal !== 'SIGKILL' && !isEarly) context.noteLeft(hostId, end);
   context.noteHarm(hostId, fromMs, context.now());
   child.start();
 }
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -23,7 +23,9 @@
 /**
  * Each seed that ever broke a promise, with its cause:
  * 109: a SIGTERM met a process that had just started and had no handler yet,
- *      so it ended by the signal; a SIGHUP would have ended it as well.
+ *      so it ended by the signal; a SIGHUP would have ended it as well. Signals
+ *      are held from the program's first line; before it, while Node starts,
+ *      none can be, which a busy machine showed.
  * 1016: two faults that waited for one host's end both started it again; the
  *      second process found its port taken, lived on and ignored SIGTERM.
  */
