--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -4,8 +4,9 @@
  * they have.
  *
  * Each datagram holds the whole state of its sender, so that a lost one is
- * made good by the next. A change is sent at once, but not more often than
- * every few milliseconds, and the state is repeated while nothing changes.
+ * made good by the next. Near peers hear a change at once; all others hear the
+ * state with the next repeat, less often the more of them there are. Beside
+ * that, one peer may be told something that is meant for it alone.
  */
 
 import {hashText} from '../core/hash_text.js';
--- a/src/relay/store_watch.ts
+++ b/src/relay/store_watch.ts
@@ -62,8 +62,9 @@
 const UPSTREAMS_EVERY_MS = 700;
 const READ_TIMEOUT_MS = 600;
 /**
- * What nobody has confirmed for this long is read anew. A failed read and a
- * second one still end within the 2 s in which a change is to be in force.
+ * What nobody has confirmed for this long is read anew. A read that times out
+ * still ends within the 2 s in which a change is to be in force; by then a
+ * peer has been asked to hand its own over.
  */
 const LIST_CONFIRMED_MS = 1_000;
 const ROUTING_CONFIRMED_MS = 1_300;
