Know each life of an upstream; leave out entries of other writers

An engine may start again under its name. What is known of an upstream was kept by that name: books, suspicion, prefill results, losses. Its id here is now the name with the time of its start, so that all of it is void with the old id; the list drops the old life at once, also in the grace after an outage of the store, and no order goes by an earlier life's report.

A row with a field missing or mistyped, an unknown state or role, or bytes that cannot be read is no upstream. Each such row is named once in the log, with its field.

--- a/bench/placer_slopes.ts
+++ b/bench/placer_slopes.ts
@@ -65,6 +65,7 @@
     revision: 1,
     upstreams: Array.from({length: engineCount}, (_, i) => ({
       id: `engine-${i}`,
+      name: `engine-${i}`,
       service: service.name,
       address: `10.0.0.${i}:1`,
       failureDomain: `domain-${i % 4}`,
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -140,6 +140,8 @@
   readonly isChanging: boolean;
   /** Orders that the engine accepted since its start. */
   readonly orderCount: number;
+  /** Unix time of that start, where engines tell. */
+  readonly startedAtMs?: number;
 }
 
 export interface RoleOrder {
--- a/src/relay/role_orders.ts
+++ b/src/relay/role_orders.ts
@@ -85,6 +85,12 @@
   readonly report: EngineReport;
 }
 
+/** The list lags: the engine may have started again since it was read. */
+function isSameLife(engine: Upstream, report: EngineReport): boolean {
+  const times = [engine.startedAtMs, report.startedAtMs];
+  return times.includes(undefined) || times[0] === times[1];
+}
+
 export function createRoleOrders(
   host: RoleOrdersHost,
   options: RoleOrdersOptions,
@@ -153,6 +159,7 @@
     if (!engine) return undefined;
     const report = await upstreamPort.report(engine);
     if (!report) holdBack([change], 'no report');
+    else if (!isSameLife(engine, report)) holdBack([change], 'started again');
     else if (report.isChanging) holdBack([change], 'another order runs');
     else if (report.role === change.role) holdBack([change], 'has the role');
     else return {change, engine, report};
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/upstream_registry.ts
@@ -15,8 +15,12 @@
 
 /** One upstream as the list shows it. */
 export interface Upstream {
-  /** New with each start of the upstream. */
+  /** New with each start of the upstream: names one of its lives. */
   readonly id: string;
+  /** What the upstream calls itself; it may keep that over a restart. */
+  readonly name: string;
+  /** Unix time of its start, where upstreams tell. */
+  readonly startedAtMs?: number;
   readonly service: string;
   /** `ip:port`; may be used again by another upstream later. */
   readonly address: string;
@@ -174,14 +178,23 @@
     log.info('Upstream left.', {upstream: id, reason});
   }
 
+  /**
+   * An upstream that started again under its name has lost all that its
+   * earlier life knew and held: nothing of that life may be used any more,
+   * though entries that are missing are kept after an outage.
+   */
   function takeMissing(
-    listed: ReadonlySet<string>,
+    upstreams: readonly Upstream[],
     nowMs: number,
     origin: UpstreamOrigin,
   ): void {
-    for (const id of [...entries.keys()]) {
+    const listed = new Set(upstreams.map(({id}) => id));
+    const names = new Set(upstreams.map(({name}) => name));
+    for (const {id, name} of [...entries.values()]) {
       if (listed.has(id)) continue;
-      if (origin === 'peer' || nowMs >= graceUntilMs) {
+      if (names.has(name)) {
+        drop(id, 'started again');
+      } else if (origin === 'peer' || nowMs >= graceUntilMs) {
         drop(id, 'no longer listed');
       } else if (!lapsed.has(id)) {
         lapsed.set(id, graceUntilMs);
@@ -216,8 +229,7 @@
       }
       last = snapshot;
       for (const upstream of snapshot.upstreams) takeListed(upstream);
-      const listed = new Set(snapshot.upstreams.map(({id}) => id));
-      takeMissing(listed, nowMs, origin);
+      takeMissing(snapshot.upstreams, nowMs, origin);
       digest = digestEntries();
       rebuild();
     },
--- a/tests/platform/store_sources_test.ts
+++ b/tests/platform/store_sources_test.ts
@@ -6,7 +6,11 @@
   type StoreClient,
   type WireRow,
 } from '../../platform/store_client.js';
-import {createRoutingSource} from '../../platform/store_sources.js';
+import {
+  createRoutingSource,
+  createUpstreamSource,
+} from '../../platform/store_sources.js';
+import type {Logger} from '../../src/ports/log.js';
 import type {StoreRead} from '../../src/ports/relay.js';
 import {silentLog} from '../support/silent_log.js';
 
@@ -39,3 +43,86 @@
   assert.equal(read.value.routing?.version, 14);
   assert.equal(read.value.cursor, 121);
 });
+
+const GOOD = {
+  service: 'drafts',
+  address: '10.0.0.1:8080',
+  zone: 'raadi-ruum',
+  version: 'v1',
+  slots: 16,
+  state: 'ready',
+  cold_left_ms: 0,
+  stage: 'decode',
+  seq: 4,
+  born: 1_790_000_000_000,
+};
+
+function upstreamRow(key: string, value: unknown): WireRow {
+  const text = value === undefined ? '%%%' : encodeValue(value);
+  return {table: 'servers', part: '', key, value: text, ver: 5};
+}
+
+async function readUpstreams(rows: readonly WireRow[], log: Logger) {
+  const store = makeStore({rows, ver: 9, now_ms: 0});
+  const source = createUpstreamSource({store, log});
+  await source.readNow(600);
+  const read = await source.readNow(600);
+  assert.equal(read.kind, 'read');
+  return read.kind === 'read' ? read.value.upstreams : [];
+}
+
+test('entries from another writer name no upstream and hide none', async () => {
+  // Another program writes to the table in which engines register. Requests go
+  // to an address that is none, or all engines vanish since one entry cannot
+  // be read; the log is full of the same line.
+  const warnings: unknown[] = [];
+  const log = {
+    ...silentLog,
+    warn: (_text: string, fields?: object) => void warnings.push(fields),
+  };
+  const bad: ReadonlyArray<[string, unknown]> = [
+    ['value', undefined],
+    ['value', 'a text'],
+    ['value', [GOOD]],
+    ['value', null],
+    ['service', {...GOOD, service: 7}],
+    ['service', {...GOOD, service: undefined}],
+    ['address', {...GOOD, address: '10.0.0.1'}],
+    ['address', {...GOOD, address: 'engine-7.example:8080'}],
+    ['address', {...GOOD, address: ['10.0.0.1', 8080]}],
+    ['address', {...GOOD, address: '10.0.0.1:99999'}],
+    ['zone', {...GOOD, zone: null}],
+    ['slots', {...GOOD, slots: '16'}],
+    ['slots', {...GOOD, slots: 0}],
+    ['state', {...GOOD, state: 'warming'}],
+    ['state', {...GOOD, state: undefined}],
+    ['stage', {...GOOD, stage: 'both'}],
+    ['born', {...GOOD, born: '1790000000000'}],
+    ['born', {...GOOD, born: 0.5}],
+  ];
+  const rows = bad.map(([, value], i) => upstreamRow(`bad-${i}`, value));
+  const all = [upstreamRow('a', GOOD), ...rows, upstreamRow('z', GOOD)];
+  const upstreams = await readUpstreams(all, log);
+  assert.deepEqual(
+    upstreams.map(({name}) => name),
+    ['a', 'z'],
+  );
+  assert.deepEqual(
+    warnings,
+    bad.map(([field], i) => ({rowKey: `bad-${i}`, field})),
+    'each is named once, with its field, though it was read twice',
+  );
+});
+
+test('a start of an upstream under its name is a life of its own', async () => {
+  // An engine starts again under its name. Its books, suspicion and prefill
+  // results were kept by that name, and belonged to the life before.
+  const again = {...GOOD, born: GOOD.born + 8_000};
+  const [first] = await readUpstreams([upstreamRow('a', GOOD)], silentLog);
+  const [second] = await readUpstreams([upstreamRow('a', again)], silentLog);
+  assert.equal(first.name, second.name);
+  assert.notEqual(first.id, second.id);
+  const {born: _, ...untold} = GOOD;
+  const [third] = await readUpstreams([upstreamRow('a', untold)], silentLog);
+  assert.equal(third.id, 'a', 'where upstreams do not tell, the name is all');
+});
--- a/tests/relay/burst_load.ts
+++ b/tests/relay/burst_load.ts
@@ -132,6 +132,7 @@
     id,
     service: 'drafts',
     address: `${id}:1`,
+    name: id,
     failureDomain: `domain-${id.length % 2}`,
     slots: 48,
     isDraining: false,
--- a/tests/relay/crash_watch_test.ts
+++ b/tests/relay/crash_watch_test.ts
@@ -23,6 +23,7 @@
 function makeUpstream(id: string): Upstream {
   return {
     id,
+    name: id,
     service: 's',
     address: `${id}:1`,
     failureDomain: 'd',
--- a/tests/relay/engine_scheduler_test.ts
+++ b/tests/relay/engine_scheduler_test.ts
@@ -38,6 +38,7 @@
 function makeEngine(id: string, role: 'prefill' | 'decode'): Upstream {
   return {
     id,
+    name: id,
     service: SERVICE,
     address: `10.0.0.1:${7000 + id.charCodeAt(1)}`,
     failureDomain: 'annelinn-saal',
--- a/tests/relay/placement_client_test.ts
+++ b/tests/relay/placement_client_test.ts
@@ -38,6 +38,7 @@
 function makeEngine(id: string): Upstream {
   return {
     id,
+    name: id,
     service: service.name,
     address: `${id}:1`,
     failureDomain: 'bp-obuda',
--- a/tests/relay/role_orders_test.ts
+++ b/tests/relay/role_orders_test.ts
@@ -38,8 +38,12 @@
   check: TermCheck;
   hasLease: boolean;
   outcome: RoleOrderOutcome;
+  /** Start of the engines' present lives. */
+  startedAtMs: number;
 }
 
+const FIRST_LIFE_MS = 1_790_000_000_000;
+
 function makeOrders(
   prefillCount: number,
   decodeCount: number,
@@ -55,12 +59,14 @@
     revision: 1,
     upstreams: roles.map((role, i) => ({
       id: `e${i}`,
+      name: `e${i}`,
       service: 'drafts',
       address: `e${i}:1`,
       failureDomain: `d${i % 4}`,
       slots: 48,
       isDraining: false,
       heartbeat: 1,
+      startedAtMs: FIRST_LIFE_MS,
       role,
     })),
   });
@@ -69,6 +75,7 @@
     check: 'valid',
     hasLease: true,
     outcome: 'accepted',
+    startedAtMs: FIRST_LIFE_MS,
   };
   const given: Array<RoleOrder & {readonly engineId: string}> = [];
   let epoch = 0;
@@ -87,7 +94,12 @@
   };
   const upstreamPort = {
     report: () =>
-      Promise.resolve({role: 'prefill', isChanging: false, orderCount: 4}),
+      Promise.resolve({
+        role: 'prefill',
+        isChanging: false,
+        orderCount: 4,
+        startedAtMs: switches.startedAtMs,
+      }),
     order(upstream: {id: string}, order: RoleOrder) {
       given.push({...order, engineId: upstream.id});
       return Promise.resolve(switches.outcome);
@@ -191,3 +203,12 @@
   await clock.advance(2_500);
   assert.ok(lines.some(line => line.includes('"reason":"no lease"')));
 });
+
+test('no order goes by what an earlier life of the engine said', async () => {
+  // An engine crashes and starts again under its name. The list still shows
+  // its old life; an order meant for that would change the new one.
+  const {clock, given, switches} = makeOrders(5, 8);
+  switches.startedAtMs = FIRST_LIFE_MS + 9_000;
+  await clock.advance(5_000);
+  assert.equal(given.length, 0);
+});
--- a/tests/relay/store_watch_test.ts
+++ b/tests/relay/store_watch_test.ts
@@ -24,6 +24,7 @@
 function makeUpstream(id: string): Upstream {
   return {
     id,
+    name: id,
     service: 'uus-pearaamat',
     address: `${id}:1`,
     failureDomain: 'raadi-ruum',
--- a/tests/relay/upstream_registry_test.ts
+++ b/tests/relay/upstream_registry_test.ts
@@ -12,6 +12,7 @@
 function makeUpstream(id: string, changes: Partial<Upstream> = {}): Upstream {
   return {
     id,
+    name: id,
     service: SERVICE,
     address: `10.0.0.1:${id.length}`,
     failureDomain: 'raadi-ruum',
@@ -130,3 +131,19 @@
   assert.deepEqual(open(), ['b']);
   assert.deepEqual(registry.unreachable(), []);
 });
+
+test('an upstream that started again under its name is another one', async () => {
+  // An engine crashes and is back under its name within a second, while the
+  // store is just back from an outage. The list has its new life; the old one
+  // is missing, like entries that may still return, and would be kept.
+  const {clock, registry, list, open} = makeRegistry();
+  const before = makeUpstream('a~1', {name: 'a'});
+  list(before, makeUpstream('b'));
+  registry.markUnreachable('a~1');
+  registry.noteOutage();
+  await clock.advance(1_000);
+  list(makeUpstream('a~2', {name: 'a', heartbeat: 1}), makeUpstream('b'));
+  assert.deepEqual(open(), ['b', 'a~2']);
+  assert.equal(registry.get('a~1'), undefined);
+  assert.equal(registry.hasUnreachable(), false);
+});
