--- a/tests/platform/store_sources_test.ts
+++ b/tests/platform/store_sources_test.ts
@@ -122,7 +122,7 @@
   const [second] = await readUpstreams([upstreamRow('a', again)], silentLog);
   assert.equal(first.name, second.name);
   assert.notEqual(first.id, second.id);
-  const {born: _, ...untold} = GOOD;
+  const untold = {...GOOD, born: undefined};
   const [third] = await readUpstreams([upstreamRow('a', untold)], silentLog);
   assert.equal(third.id, 'a', 'where upstreams do not tell, the name is all');
 });
