Tell changes of the list of upstreams from those that read it

Readers now tell what changed, from which list to which; a host whose list is the one before takes it over, any other reads after 0.4 s. The hosts that place are the first to read, so that few hosts are told everything at once.

--- /dev/null
+++ b/src/relay/list_deltas.ts
@@ -0,0 +1,89 @@
+/**
+ * What changed from one list of upstreams to the next, so that one host that
+ * read the list can tell the others.
+ *
+ * Guards the store against a call by each host for each change: 65 of 68 hosts
+ * do not read the list themselves, and read it once more whenever they heard
+ * that theirs was behind. A host whose list is not the one that the change
+ * starts from, or that missed a change, reads the store as before.
+ */
+
+import {hashText} from '../core/hash_text.js';
+import type {Clock} from '../ports/clock.js';
+import type {Upstream} from './upstream_registry.js';
+
+export interface ListDelta {
+  readonly fromDigest: number;
+  readonly toDigest: number;
+  /** The store's counter at the list that has the change. */
+  readonly revision: number;
+  /** Upstreams that are new or listed otherwise than before. */
+  readonly changed: readonly Upstream[];
+  /** Ids of those that are no longer there. */
+  readonly left: readonly string[];
+}
+
+/** The list by upstream id. */
+export type UpstreamEntries = ReadonlyMap<string, Upstream>;
+
+export interface DeltaLog {
+  /** The list has changed, or was read again as it was. */
+  note(before: UpstreamEntries, after: UpstreamEntries, revision: number): void;
+  /** The changes of the last moments, oldest first. */
+  recent(): readonly ListDelta[];
+}
+
+/** Long enough for each peer to hear of it twice, also where there are many. */
+const TOLD_FOR_MS = 1_800;
+/**
+ * Larger changes come with an outage of the store or a mass restart; a change
+ * in a datagram takes some 200 bytes for each upstream.
+ */
+const MOST_UPSTREAMS_TOLD = 12;
+
+/** All of an upstream that a list must have right; not its signs of life. */
+function describe({id, address, isDraining, role}: Upstream): string {
+  return [id, address, isDraining, role].join('|');
+}
+
+/** The same for lists that differ in nothing but signs of life. */
+export function digestList(entries: UpstreamEntries): number {
+  const texts = [...entries.values()].map(describe);
+  return hashText(texts.sort().join(' '));
+}
+
+/** The list after the change. */
+export function applyDelta(
+  entries: UpstreamEntries,
+  delta: ListDelta,
+): readonly Upstream[] {
+  const next = new Map(entries);
+  for (const id of delta.left) next.delete(id);
+  for (const upstream of delta.changed) next.set(upstream.id, upstream);
+  return [...next.values()];
+}
+
+export function createDeltaLog(clock: Clock): DeltaLog {
+  let told: ReadonlyArray<{readonly delta: ListDelta; readonly atMs: number}> =
+    [];
+  return {
+    note(before, after, revision) {
+      const fromDigest = digestList(before);
+      const toDigest = digestList(after);
+      if (fromDigest === toDigest || before.size === 0) return;
+      const changed = [...after.values()].filter(each => {
+        const known = before.get(each.id);
+        return !known || describe(known) !== describe(each);
+      });
+      const left = [...before.keys()].filter(id => !after.has(id));
+      if (changed.length + left.length > MOST_UPSTREAMS_TOLD) return;
+      const delta = {fromDigest, toDigest, revision, changed, left};
+      told = [...told, {delta, atMs: clock.nowMs()}];
+    },
+    recent() {
+      const nowMs = clock.nowMs();
+      told = told.filter(({atMs}) => nowMs - atMs < TOLD_FOR_MS);
+      return told.map(({delta}) => delta);
+    },
+  };
+}
--- a/src/relay/placement_groups.ts
+++ b/src/relay/placement_groups.ts
@@ -140,13 +140,21 @@
   return places;
 }
 
+/**
+ * Order in which hosts take over work for all: the first ones place, and the
+ * same ones read the store, so that few hosts are told everything at once.
+ */
+export function rankHost(hostId: string): number {
+  return hashText(`placer|${hostId}`);
+}
+
 function choosePlacers(
   members: readonly GroupMember[],
   groupOfHost: ReadonlyMap<string, number>,
 ): ReadonlyMap<number, readonly string[]> {
   const ranked = members
     .filter(({isReady}) => isReady)
-    .map(({hostId}) => ({hostId, rank: hashText(`placer|${hostId}`)}))
+    .map(({hostId}) => ({hostId, rank: rankHost(hostId)}))
     .sort((a, b) => a.rank - b.rank);
   const placers = new Map<number, string[]>();
   for (const {hostId} of ranked) {
--- a/src/relay/relay_placement.ts
+++ b/src/relay/relay_placement.ts
@@ -56,6 +56,8 @@
   adoptedAskIds(): readonly number[];
   /** Whether this host places for others now. */
   isPlacer(): boolean;
+  /** Whether this host chooses engines, for itself or for others. */
+  isPlacing(): boolean;
 }
 
 /** The first ask of a life is drawn from this many numbers. */
@@ -139,5 +141,9 @@
     waitingRecords: () => view.toRecords(scheduler.announcements()),
     adoptedAskIds: client.adopted,
     isPlacer: () => groups.placers()[0] === hostId,
+    isPlacing() {
+      const placers = groups.placers();
+      return placers.length === 0 || placers.includes(hostId);
+    },
   };
 }
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -147,7 +147,7 @@
   const readers = createStoreReaders({
     hostId: settings.hostId,
     peers: () => peers.alive(),
-    isStoreReachable: () => watch.knowledge().isStoreReachable,
+    isStoreReachable: () => watch.isStoreReachable(),
   });
   const watch = createStoreWatch(
     {
@@ -159,6 +159,7 @@
       routing,
       registry,
       isReader: readers.isReader,
+      isPlacing: () => placement.isPlacing(),
       onHosts: records =>
         peers.addAddresses(records.map(({peerAddress}) => peerAddress)),
     },
@@ -285,7 +286,7 @@
       services: () => routing.current()?.services ?? [],
       isPlanner: () =>
         hostState() === 'ready' &&
-        watch.knowledge().isStoreReachable &&
+        watch.isStoreReachable() &&
         isFirstByName(settings.hostId, peers.alive()),
       onChange: () => peers.changed('all'),
     },
@@ -387,9 +388,13 @@
     applyUpstreams();
     peers.changed('all');
   });
+  let announcedDigest: number | undefined;
   registry.onChange(() => {
     applyUpstreams();
     placement.upstreamsRead();
+    if (registry.digest() === announcedDigest) return;
+    announcedDigest = registry.digest();
+    if (readers.isReader()) peers.changed('all');
   });
 
   metrics.gauge('active_requests', 'Requests that run.', relay.activeCount);
--- a/src/relay/store_readers.ts
+++ b/src/relay/store_readers.ts
@@ -7,7 +7,8 @@
  * when something has changed or nobody has confirmed it for too long.
  */
 
-import {hashText} from '../core/hash_text.js';
+import type {ListDelta} from './list_deltas.js';
+import {rankHost} from './placement_groups.js';
 
 /** What a host knows of the store, as it announces it. */
 export interface StoreKnowledge {
@@ -18,6 +19,8 @@
   /** The same for lists that differ in nothing but signs of life. */
   readonly upstreamDigest: number;
   readonly upstreamAgeMs: number;
+  /** Changes of the list that a reader saw a moment ago. */
+  readonly listDeltas: readonly ListDelta[];
   /** Whether its own last call to the store was answered. */
   readonly isStoreReachable: boolean;
 }
@@ -40,17 +43,18 @@
 
 /** Two may fail at once, and the others still hear each 0.7 s. */
 const READER_COUNT = 3;
+
 export function createStoreReaders(host: StoreReadersHost): StoreReaders {
   return {
     isReader() {
       // The store may turn some hosts away; these go by what the others read.
       if (!host.isStoreReachable()) return false;
-      const ownRank = hashText(host.hostId);
+      const ownRank = rankHost(host.hostId);
       const before = host
         .peers()
         .filter(
           ({hostId, isStoreReachable}) =>
-            isStoreReachable && hashText(hostId) < ownRank,
+            isStoreReachable && rankHost(hostId) < ownRank,
         );
       return before.length < READER_COUNT;
     },
--- a/src/relay/store_watch.ts
+++ b/src/relay/store_watch.ts
@@ -36,6 +36,8 @@
   readonly registry: UpstreamRegistry;
   /** Whether this host reads for all. */
   isReader(): boolean;
+  /** Whether this host chooses engines, for itself or for others. */
+  isPlacing(): boolean;
   onHosts(records: readonly HostRecord[]): void;
 }
 
@@ -46,6 +48,8 @@
   stop(): void;
   /** What is known, and since when the store has confirmed it. */
   knowledge(): StoreKnowledge;
+  /** Whether the last call to the store was answered. */
+  isStoreReachable(): boolean;
   /** A peer confirms what is known here, or has something newer. */
   hear(peer: StoreKnowledge): void;
   /** A peer handed its list over, as old as this. */
@@ -70,6 +74,11 @@
 const ROUTING_CONFIRMED_MS = 1_300;
 /** Changes that follow each other closely are read once in this time. */
 const READ_SPACING_MS = 100;
+/**
+ * A list that is behind is read if no peer has told the change by then: its
+ * word is lost now and then, and three readers tell it twice.
+ */
+const TOLD_WITHIN_MS = 400;
 /** Stands for "never" in announcements, which carry finite numbers only. */
 const MAX_AGE_MS = 3_600_000;
 /** Ages in announcements are rounded, and datagrams take some ms. */
@@ -79,6 +88,8 @@
 /** Registering is done once; hosts hear of each other by any of them. */
 const REGISTER_TIMEOUT_MS = 800;
 const HOSTS_EVERY_MS = 10_000;
+/** Those that do not read for all hear of new hosts by the ones that do. */
+const HOSTS_SELDOM_MS = 60_000;
 const HOSTS_RETRY_MS = 1_000;
 
 export function createStoreWatch(
@@ -95,6 +106,7 @@
   let routingConfirmedAtMs = Number.NEGATIVE_INFINITY;
   /** A peer has a newer list or configuration. */
   let isListBehind = false;
+  let listBehindSinceMs = 0;
   let isRoutingBehind = false;
   let listReadAtMs = Number.NEGATIVE_INFINITY;
   let routingReadAtMs = Number.NEGATIVE_INFINITY;
@@ -157,9 +169,13 @@
   function listRestMs(): number {
     const sinceReadMs = clock.nowMs() - listReadAtMs;
     noteReader(host.isReader());
-    if (isListBehind) return READ_SPACING_MS - sinceReadMs;
+    if (isListBehind) {
+      const behindMs = clock.nowMs() - listBehindSinceMs;
+      return Math.max(TOLD_WITHIN_MS - behindMs, READ_SPACING_MS - sinceReadMs);
+    }
     // Only the list itself shows that an unreachable upstream lives again.
-    const isNeeded = isReader || registry.hasUnreachable();
+    const isNeeded =
+      isReader || (host.isPlacing() && registry.hasUnreachable());
     if (isNeeded) return UPSTREAMS_EVERY_MS - sinceReadMs;
     return LIST_CONFIRMED_MS - listAgeMs();
   }
@@ -256,12 +272,15 @@
 
   function hearUpstreams(peer: StoreKnowledge): void {
     if (peer.upstreamRevision < registry.revision()) return;
+    for (const delta of peer.listDeltas) registry.applyDelta(delta);
     if (peer.upstreamDigest === registry.digest()) {
       const atMs = clock.nowMs() - peer.upstreamAgeMs;
       listConfirmedAtMs = Math.max(listConfirmedAtMs, atMs);
       registry.confirm(peer.upstreamRevision);
-    } else {
+      isListBehind = false;
+    } else if (!isListBehind) {
       isListBehind = true;
+      listBehindSinceMs = clock.nowMs();
       wakeUpstreams();
     }
   }
@@ -276,7 +295,9 @@
     note('hosts', read);
     if (read.kind === 'read') host.onHosts(read.value);
     const isDone = isRegistered && read.kind === 'read';
-    later(isDone ? HOSTS_EVERY_MS : HOSTS_RETRY_MS, keepRegistered);
+    if (!isDone) later(HOSTS_RETRY_MS, keepRegistered);
+    else
+      later(host.isReader() ? HOSTS_EVERY_MS : HOSTS_SELDOM_MS, keepRegistered);
   }
 
   return {
@@ -294,12 +315,14 @@
       isStopped = true;
       for (const timer of timers) clock.clearTimer(timer);
     },
+    isStoreReachable: () => !isStoreLost,
     knowledge: () => ({
       routingVersion: routing.version(),
       routingAgeMs: Math.round(routingAgeMs()),
       upstreamRevision: registry.revision(),
       upstreamDigest: registry.digest(),
       upstreamAgeMs: Math.round(listAgeMs()),
+      listDeltas: host.isReader() ? registry.deltas() : [],
       isStoreReachable: !isStoreLost,
     }),
     hear(peer) {
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/upstream_registry.ts
@@ -7,9 +7,14 @@
  * kept until their upstreams have had time to register again.
  */
 
-import {hashText} from '../core/hash_text.js';
 import type {Clock} from '../ports/clock.js';
 import type {Logger} from '../ports/log.js';
+import {
+  applyDelta,
+  createDeltaLog,
+  digestList,
+  type ListDelta,
+} from './list_deltas.js';
 
 export type UpstreamRole = 'prefill' | 'decode';
 
@@ -57,6 +62,10 @@
    * already has what the peer still waits for after an outage.
    */
   apply(snapshot: UpstreamSnapshot, origin?: UpstreamOrigin): void;
+  /** Takes over a change that a peer read, if it starts from this list. */
+  applyDelta(delta: ListDelta): void;
+  /** Changes of the last moments, for the peers. */
+  deltas(): readonly ListDelta[];
   /** The list could not be read, or heartbeats are known not to arrive. */
   noteOutage(): void;
   /** New work must not go there: another instance has its address. */
@@ -121,6 +130,7 @@
   let graceUntilMs = Number.NEGATIVE_INFINITY;
   let isOutage = false;
   let digest = 0;
+  const deltas = createDeltaLog(clock);
 
   function rebuild(): void {
     byService = new Map();
@@ -162,14 +172,6 @@
     }
   }
 
-  /** Of the entries as they are used here, lapsed ones too. */
-  function digestEntries(): number {
-    const texts = [...entries.values()].map(each =>
-      [each.id, each.address, each.isDraining, each.role].join('|'),
-    );
-    return hashText(texts.sort().join(' '));
-  }
-
   function drop(id: string, reason: string): void {
     entries.delete(id);
     lapsed.delete(id);
@@ -219,7 +221,7 @@
     }
   }
 
-  return {
+  const registry: UpstreamRegistry = {
     apply(snapshot, origin = 'store') {
       if (last && snapshot.revision < last.revision) return;
       const nowMs = clock.nowMs();
@@ -228,11 +230,19 @@
         graceUntilMs = nowMs + REGISTER_AGAIN_MS;
       }
       last = snapshot;
+      const before = new Map(entries);
       for (const upstream of snapshot.upstreams) takeListed(upstream);
       takeMissing(snapshot.upstreams, nowMs, origin);
-      digest = digestEntries();
+      deltas.note(before, entries, snapshot.revision);
+      digest = digestList(entries);
       rebuild();
     },
+    applyDelta(delta) {
+      if (delta.fromDigest !== digest || delta.toDigest === digest) return;
+      const upstreams = applyDelta(entries, delta);
+      registry.apply({revision: delta.revision, upstreams}, 'peer');
+    },
+    deltas: deltas.recent,
     noteOutage() {
       const nowMs = clock.nowMs();
       if (nowMs - outageAtMs > OUTAGE_MEMORY_MS && !isOutage) {
@@ -279,4 +289,5 @@
       listeners.push(listener);
     },
   };
+  return registry;
 }
--- a/tests/relay/burst_load.ts
+++ b/tests/relay/burst_load.ts
@@ -226,6 +226,7 @@
         upstreamRevision: 1,
         upstreamAgeMs: 0,
         upstreamDigest: 0,
+        listDeltas: [],
         routingAgeMs: 0,
         isStoreReachable: true,
         load: books.own(),
--- a/tests/relay/peer_exchange_test.ts
+++ b/tests/relay/peer_exchange_test.ts
@@ -51,6 +51,7 @@
           upstreamRevision: 1,
           upstreamAgeMs: 0,
           upstreamDigest: 0,
+          listDeltas: [],
           routingAgeMs: 0,
           isStoreReachable: true,
           load: {decode: {}, prefill: {}},
--- a/tests/relay/store_watch_test.ts
+++ b/tests/relay/store_watch_test.ts
@@ -77,7 +77,7 @@
     const readers = createStoreReaders({
       hostId,
       peers: () => [...heard.values()],
-      isStoreReachable: () => watch.knowledge().isStoreReachable,
+      isStoreReachable: () => watch.isStoreReachable(),
     });
     const watch = createStoreWatch(
       {
@@ -88,6 +88,7 @@
         routing,
         registry,
         isReader: readers.isReader,
+        isPlacing: () => false,
         onHosts: () => undefined,
         routingSource: {
           readNow: () => answer(hostId, readRouting),
@@ -244,3 +245,36 @@
     assert.equal(registry.open('uus-pearaamat').length, 1);
   }
 });
+
+test('a change of the list costs the calls of the readers only', async () => {
+  // Engines come and go each second on a bad day. Each of 65 hosts that heard
+  // that its list was behind read it once more: 5,000 calls to the store a day.
+  const {clock, store, hosts, setUpstreams} = makeSite(30);
+  await clock.advance(3_000);
+  const before = store.calls;
+  for (let i = 0; i < 10; i++) {
+    setUpstreams([makeUpstream('a'), makeUpstream(`b${i}`)]);
+    await clock.advance(1_000);
+    for (const {registry} of hosts) {
+      const ids = registry.open('uus-pearaamat').map(({id}) => id);
+      assert.deepEqual(ids.sort(), ['a', `b${i}`]);
+    }
+  }
+  const perSecond = (store.calls - before) / 10;
+  assert.ok(perSecond < 12, `${perSecond} calls a second`);
+});
+
+test('a host that missed a change reads the list itself', async () => {
+  // The datagram with one of two changes was lost; the next change starts from
+  // a list that this host never had.
+  const {clock, hosts, setUpstreams} = makeSite(30);
+  await clock.advance(3_000);
+  const reader = hosts.find(each => each.readers.isReader());
+  const other = hosts.find(each => !each.readers.isReader());
+  assert.ok(reader && other);
+  other.registry.apply({revision: 1, upstreams: [makeUpstream('odd')]}, 'peer');
+  setUpstreams([makeUpstream('b')]);
+  await clock.advance(1_700);
+  const ids = other.registry.open('uus-pearaamat').map(({id}) => id);
+  assert.deepEqual(ids, ['b']);
+});
