Keep the slots of plain services for all of many hosts

One host of the group keeps the slots of a service: gives them out by latest start, lets calls wait that are of use, refuses others at once, and learns how the upstreams answer all hosts.

--- a/bench/placer_slopes.ts
+++ b/bench/placer_slopes.ts
@@ -84,6 +84,8 @@
     books,
     groups: {
       placers: () => ['placer'],
+      keepers: () => [],
+      groupCount: () => 1,
       isNear: () => false,
       isMate: () => true,
       isOwn: () => true,
--- a/src/relay/peer_datagrams.ts
+++ b/src/relay/peer_datagrams.ts
@@ -3,6 +3,7 @@
 import type {LossFact} from '../request/quarantine.js';
 import type {HostLoad} from './engine_books.js';
 import type {PlacementMessage} from './placement_messages.js';
+import type {SlotMessage} from './slot_messages.js';
 import type {StoreKnowledge} from './store_readers.js';
 import type {Waiting} from './wait_rules.js';
 
@@ -58,10 +59,13 @@
   readonly lost: readonly string[];
 }
 
+/** What one host tells another that is meant for it alone. */
+export type PeerMessage = PlacementMessage | SlotMessage;
+
 /** A message to one peer. */
 export interface Letter {
   readonly from: string;
-  readonly message: PlacementMessage;
+  readonly message: PeerMessage;
 }
 
 function isObject(value: unknown): value is Record<string, unknown> {
--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -18,9 +18,9 @@
   type Announcement,
   type Letter,
   type Peer,
+  type PeerMessage,
   type StateDatagram,
 } from './peer_datagrams.js';
-import type {PlacementMessage} from './placement_messages.js';
 
 export type ChangeReach = 'near' | 'all';
 
@@ -34,7 +34,7 @@
   /** Whether the peer is to hear of each change at once. */
   isNear(hostId: string): boolean;
   /** A peer told this host something that is meant for it alone. */
-  onMessage(fromHostId: string, message: PlacementMessage): void;
+  onMessage(fromHostId: string, message: PeerMessage): void;
 }
 
 export interface PeerExchangeOptions {
@@ -53,7 +53,7 @@
    */
   changed(reach?: ChangeReach): void;
   /** Tells one peer something; it may be lost, as all datagrams. */
-  tell(hostId: string, message: PlacementMessage): void;
+  tell(hostId: string, message: PeerMessage): void;
   /** Other hosts to talk to, for example from the registry. */
   addAddresses(addresses: readonly string[]): void;
   /** Peers heard of within the time that a live one needs at most. */
--- a/src/relay/placement_groups.ts
+++ b/src/relay/placement_groups.ts
@@ -46,6 +46,13 @@
    * each host places by itself.
    */
   placers(): readonly string[];
+  /**
+   * The hosts that keep the slots of a plain service for this host's group,
+   * first choice first; none where each host chooses by itself.
+   */
+  keepers(service: string): readonly string[];
+  /** Groups that the hosts are divided into. */
+  groupCount(): number;
   /** Whether the peer decides about an engine that this host uses. */
   isNear(peerId: string): boolean;
   /** Whether the peer uses the same engines first. */
@@ -70,6 +77,8 @@
 const MOST_HOSTS = 128;
 /** The one that places, and a standby that has heard the same. */
 const PLACER_COUNT = 2;
+/** The one that keeps slots, and one that takes over where it is silent. */
+const KEEPER_COUNT = 2;
 /**
  * Fewest decode engines of a group: with less, groups are full by chance while
  * others have room.
@@ -113,6 +122,8 @@
 interface Division {
   /** Whether each host places by itself. */
   readonly isSmall: boolean;
+  readonly groupCount: number;
+  readonly readyIds: readonly string[];
   readonly groupOfHost: ReadonlyMap<string, number>;
   readonly placeOfEngine: ReadonlyMap<string, EnginePlace>;
   /** By group: the hosts that place for it. */
@@ -177,6 +188,8 @@
   const isSmall = members.length <= FEW_HOSTS;
   return {
     isSmall,
+    groupCount,
+    readyIds: members.filter(each => each.isReady).map(each => each.hostId),
     groupOfHost,
     placeOfEngine: placeEngines(engines, groupCount),
     placers: isSmall ? new Map() : choosePlacers(members, groupOfHost),
@@ -187,6 +200,7 @@
   host: PlacementGroupsHost,
 ): PlacementGroups {
   let current: Division | undefined;
+  const keepersOf = new Map<string, readonly string[]>();
 
   function division(): Division {
     const self = {hostId: host.hostId, isReady: host.isReady()};
@@ -214,7 +228,25 @@
     return division().placers.get(group)?.includes(peerId) ?? false;
   }
 
+  /** Another host for each service, so that no host carries all of them. */
+  function chooseKeepers(service: string): readonly string[] {
+    const {isSmall, readyIds, groupOfHost} = division();
+    if (isSmall) return [];
+    return readyIds
+      .filter(id => groupOfHost.get(id) === ownGroup())
+      .map(id => ({id, rank: hashText(`keeper|${service}|${id}`)}))
+      .sort((a, b) => a.rank - b.rank)
+      .slice(0, KEEPER_COUNT)
+      .map(({id}) => id);
+  }
+
   return {
+    keepers(service) {
+      const known = keepersOf.get(service) ?? chooseKeepers(service);
+      keepersOf.set(service, known);
+      return known;
+    },
+    groupCount: () => division().groupCount,
     placers: () => division().placers.get(ownGroup()) ?? [],
     isNear(peerId) {
       const {isSmall, groupOfHost} = division();
@@ -231,6 +263,7 @@
     isOwn: engineId => isOwnOf(host.hostId, engineId),
     isOwnOf,
     refresh() {
+      keepersOf.clear();
       current = undefined;
     },
   };
--- /dev/null
+++ b/src/relay/plain_placement.ts
@@ -0,0 +1,85 @@
+/** Both sides of keeping slots of plain services, put together. */
+
+import type {Clock} from '../ports/clock.js';
+import type {Logger} from '../ports/log.js';
+import type {Random} from '../ports/random.js';
+import type {PlainBalancer} from '../scheduling/plain_balancer.js';
+import {createSlotClient, type SlotClient} from './slot_client.js';
+import {createSlotDesk} from './slot_desk.js';
+import type {SlotMessage} from './slot_messages.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
+
+export interface PlainPlacementHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly hostId: string;
+  readonly registry: UpstreamRegistry;
+  readonly balancer: PlainBalancer;
+  /** Who keeps the slots, first choice first; none where hosts are few. */
+  keepers(service: string): readonly string[];
+  /** Hosts that keep slots of the same upstreams. */
+  keeperCount(): number;
+  tell(hostId: string, message: SlotMessage): void;
+}
+
+export interface PlainPlacement {
+  readonly slots: SlotClient;
+  receive(fromHostId: string, message: SlotMessage): void;
+  gone(hostId: string): void;
+  /** Calls that run or wait by this host's word. */
+  keptCount(): number;
+}
+
+/** The first ask of a life is drawn from this many numbers. */
+const FIRST_ASK_IDS = 2 ** 31;
+
+export function createPlainPlacement(host: PlainPlacementHost): PlainPlacement {
+  const {clock, random, hostId, registry, balancer} = host;
+
+  /** A host that keeps the slots itself is told without a datagram. */
+  function tell(toHostId: string, message: SlotMessage): void {
+    if (toHostId === hostId) receive(hostId, message);
+    else host.tell(toHostId, message);
+  }
+
+  const desk = createSlotDesk({
+    clock,
+    random,
+    balancer,
+    open: registry.open,
+    keeperCount: host.keeperCount,
+    tell,
+  });
+  const slots = createSlotClient({
+    clock,
+    log: host.log,
+    firstAskId: random.nextInt(FIRST_ASK_IDS),
+    registry,
+    balancer,
+    keepers: host.keepers,
+    tell,
+  });
+
+  function receive(fromHostId: string, message: SlotMessage): void {
+    switch (message.kind) {
+      case 'slot-ask':
+      case 'slot-end':
+        return desk.receive(fromHostId, message);
+      case 'slot-queued':
+      case 'slot-given':
+      case 'slot-refused':
+        return slots.receive(fromHostId, message);
+    }
+  }
+
+  return {
+    slots,
+    receive,
+    gone(goneHostId) {
+      desk.forget(goneHostId);
+      slots.forget(goneHostId);
+    },
+    keptCount: desk.openCount,
+  };
+}
--- a/src/relay/plain_relay.ts
+++ b/src/relay/plain_relay.ts
@@ -14,10 +14,7 @@
   UpstreamPort,
 } from '../ports/relay.js';
 import type {RetryBudget} from '../request/retry_budget.js';
-import type {
-  PlainBalancer,
-  PlainCallResult,
-} from '../scheduling/plain_balancer.js';
+import type {PlainCallResult} from '../scheduling/plain_balancer.js';
 import {collectAnswer, type CollectedAnswer} from './answer_collector.js';
 import {deliverCollected, passThrough} from './answer_delivery.js';
 import {isGenuine, toTrueError} from './answer_rules.js';
@@ -27,12 +24,14 @@
   type JobOutcome,
   type RelayJob,
 } from './relay_types.js';
+import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
+import {toCallWaiting} from './slot_rules.js';
 import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
 
 export interface PlainRelayHost {
   readonly clock: Clock;
   readonly upstreamPort: UpstreamPort;
-  readonly balancer: PlainBalancer;
+  readonly slots: SlotClient;
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryBudget;
   /** A run broke off. */
@@ -71,12 +70,19 @@
 type Step = 'done' | 'again' | 'stop';
 
 export function createPlainRelay(host: PlainRelayHost): PlainRelay {
-  const {clock, upstreamPort, balancer, registry, retryBudget} = host;
+  const {clock, upstreamPort, slots, registry, retryBudget} = host;
 
-  function pick(job: RelayJob, progress: Progress): Upstream | undefined {
-    const {service} = job;
-    const picked = balancer.pick(service.name, progress.tried);
-    return picked && registry.get(picked.upstreamId);
+  function toNeed({request, route, service, deadlineAtMs}: RelayJob): SlotNeed {
+    return {
+      requestId: request.requestId,
+      service: service.name,
+      waiting: toCallWaiting({
+        arrivedAtMs: request.arrivedAtMs,
+        goalMs: route.goalMs,
+        deadlineAtMs,
+        meanCallMs: slots.meanCallMs(service.name),
+      }),
+    };
   }
 
   /** True while a run more is allowed by the route. */
@@ -87,8 +93,7 @@
 
   /** Takes nothing of the budget where no upstream is left to try. */
   function takeRetry(job: RelayJob, progress: Progress): boolean {
-    const next = pick(job, progress);
-    if (!next || progress.tried.has(next.id)) return false;
+    if (!slots.hasOther(job.service.name, progress.tried)) return false;
     return retryBudget.tryTake(job.service.name);
   }
 
@@ -108,12 +113,11 @@
   async function sendOnce(
     job: RelayJob,
     progress: Progress,
-    upstream: Upstream,
+    {upstream, end}: Slot,
   ): Promise<Step> {
-    const {service, request, cancellation} = job;
+    const {request, cancellation} = job;
     const startedAtMs = clock.nowMs();
     progress.sends++;
-    balancer.started(service.name, upstream.id);
     const outcome = await upstreamPort.send(
       request,
       {
@@ -125,20 +129,13 @@
       },
       cancellation,
     );
-    const report = (result: PlainCallResult) =>
-      balancer.ended(
-        service.name,
-        upstream.id,
-        result,
-        clock.nowMs() - startedAtMs,
-      );
     if (outcome.kind !== 'answered') {
-      report(toResult(outcome));
+      end(toResult(outcome));
       return takeFailure(job, progress, upstream, outcome);
     }
     progress.ran.push(upstream.id);
     progress.tried.add(upstream.id);
-    return takeAnswer(job, progress, outcome, report);
+    return takeAnswer(job, progress, outcome, end);
   }
 
   function takeFailure(
@@ -270,9 +267,14 @@
         clock.nowMs() < job.deadlineAtMs &&
         !job.cancellation.isCancelled
       ) {
-        const upstream = pick(job, progress);
-        if (!upstream || progress.tried.has(upstream.id)) break;
-        const step = await sendOnce(job, progress, upstream);
+        const slot = await slots.take(
+          toNeed(job),
+          progress.tried,
+          job.cancellation,
+        );
+        if (slot.kind === 'refused') progress.failure = slot.error;
+        if (slot.kind !== 'slot') break;
+        const step = await sendOnce(job, progress, slot);
         if (step === 'done') {
           return {end: 'answered', upstreams: progress.ran};
         }
--- a/src/relay/relay_placement.ts
+++ b/src/relay/relay_placement.ts
@@ -44,6 +44,9 @@
   readonly scheduler: EngineScheduler;
   readonly place: PlacementClient['place'];
   isNear(hostId: string): boolean;
+  /** Who keeps the slots of a plain service; none where hosts are few. */
+  keepers(service: string): readonly string[];
+  groupCount(): number;
   receive(fromHostId: string, message: PlacementMessage): void;
   heard(peer: Peer): void;
   gone(hostId: string): void;
@@ -111,6 +114,8 @@
     scheduler,
     place: client.place,
     isNear: groups.isNear,
+    keepers: groups.keepers,
+    groupCount: groups.groupCount,
     receive(fromHostId, message) {
       if (message.kind === 'ask' || message.kind === 'withdraw') {
         desk.receive(fromHostId, message);
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -31,6 +31,7 @@
 import {createPeerExchange} from './peer_exchange.js';
 import {createPeerHandover} from './peer_handover.js';
 import {MOST_SUSPECTS} from './peer_view.js';
+import {createPlainPlacement} from './plain_placement.js';
 import {createPlainRelay} from './plain_relay.js';
 import {createRelay} from './relay.js';
 import {createRelayPlacement} from './relay_placement.js';
@@ -41,6 +42,7 @@
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
 import {createSideServer, type SideHandler} from './side_server.js';
+import {isSlotMessage} from './slot_messages.js';
 import {createStoreReaders} from './store_readers.js';
 import {createStoreWatch} from './store_watch.js';
 import {createStreamRelay} from './stream_relay.js';
@@ -204,8 +206,14 @@
         learnUnreachable(peer);
       },
       isNear: placement.isNear,
-      onMessage: placement.receive,
-      onPeerGone: placement.gone,
+      onMessage(fromHostId, message) {
+        if (isSlotMessage(message)) plainPlaces.receive(fromHostId, message);
+        else placement.receive(fromHostId, message);
+      },
+      onPeerGone(hostId) {
+        placement.gone(hostId);
+        plainPlaces.gone(hostId);
+      },
     },
     {
       hostId: settings.hostId,
@@ -234,6 +242,17 @@
     {clock, random},
     {ownFailureDomain: settings.failureDomain},
   );
+  const plainPlaces = createPlainPlacement({
+    clock,
+    random,
+    log: createLogger('slots'),
+    hostId: settings.hostId,
+    registry,
+    balancer,
+    keepers: placement.keepers,
+    keeperCount: placement.groupCount,
+    tell: (hostId, message) => peers.tell(hostId, message),
+  });
   const retryBudget = createRetryBudget({
     burst() {
       const hostCount = Math.max(FEWEST_HOSTS, peers.knownCount() + 1);
@@ -312,7 +331,7 @@
     log: createLogger('request'),
     metrics,
     routing,
-    plain: createPlainRelay({...shared, balancer}),
+    plain: createPlainRelay({...shared, slots: plainPlaces.slots}),
     streams: createStreamRelay({
       ...shared,
       log: createLogger('stream'),
@@ -406,6 +425,11 @@
   metrics.gauge('is_placer', 'Places for other hosts, 0 or 1.', () =>
     Number(placement.isPlacer()),
   );
+  metrics.gauge(
+    'kept_calls',
+    'Calls that run or wait by the word of this host.',
+    plainPlaces.keptCount,
+  );
   metrics.gauge(
     'waiting_streams',
     'Streams that wait for engines.',
--- a/tests/relay/one_group.ts
+++ b/tests/relay/one_group.ts
@@ -4,6 +4,8 @@
 
 export const oneGroup: PlacementGroups = {
   placers: () => [],
+  keepers: () => [],
+  groupCount: () => 1,
   isNear: () => true,
   isMate: () => true,
   isOwn: () => true,
--- /dev/null
+++ b/tests/relay/slot_load.ts
@@ -0,0 +1,185 @@
+/**
+ * Plays calls of many hosts to a few upstreams of a plain service, in virtual
+ * time: datagrams take 1 ms, and an upstream with a long queue works at half
+ * its speed and turns calls away.
+ */
+
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import {createCancellation} from '../../src/relay/cancellation.js';
+import {createPlainPlacement} from '../../src/relay/plain_placement.js';
+import type {SlotMessage} from '../../src/relay/slot_messages.js';
+import {toCallWaiting} from '../../src/relay/slot_rules.js';
+import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
+import {createPlainBalancer} from '../../src/scheduling/plain_balancer.js';
+import {silentLog} from '../support/silent_log.js';
+
+export interface SlotLoadOptions {
+  readonly seed: number;
+  readonly hasKeepers: boolean;
+  /** Calls a second in the burst, which takes the middle third. */
+  readonly burstPerS: number;
+  readonly basePerS: number;
+  /** The first keeper says nothing from here to the end. */
+  readonly keeperDiesAtMs?: number;
+  /** Share of datagrams that are lost. */
+  readonly lossShare?: number;
+}
+
+export interface SlotLoadFigures {
+  readonly asked: number;
+  readonly onTime: number;
+  readonly late: number;
+  readonly refused: number;
+  readonly turnedAway: number;
+  /** Most calls at one upstream at once. */
+  readonly mostAtOnce: number;
+}
+
+const HOSTS = 68;
+const UPSTREAMS = 3;
+const SLOTS = 6;
+const QUEUE = 24;
+const WORK_MS = 43;
+const GOAL_MS = 195;
+const DEADLINE_MS = 1_000;
+const PLAY_MS = 12_000;
+const HOP_MS = 1;
+const SERVICE = 'storas-app';
+
+interface UpstreamModel {
+  running: number;
+  readonly queue: Array<() => void>;
+}
+
+export async function playSlotLoad(
+  options: SlotLoadOptions,
+): Promise<SlotLoadFigures> {
+  const clock = createVirtualClock(1_000);
+  const random = createSeededRandom(options.seed);
+  const models = new Map<string, UpstreamModel>();
+  const ids = Array.from({length: UPSTREAMS}, (_, i) => `u${i}`);
+  for (const id of ids) models.set(id, {running: 0, queue: []});
+  const figures = {
+    asked: 0,
+    onTime: 0,
+    late: 0,
+    refused: 0,
+    turnedAway: 0,
+    mostAtOnce: 0,
+  };
+  const hostIds = Array.from({length: HOSTS}, (_, i) => `host-${i}`);
+  const keepers = options.hasKeepers ? hostIds.slice(0, 2) : [];
+  const startMs = clock.nowMs();
+  const isDead = (hostId: string) =>
+    hostId === keepers[0] &&
+    clock.nowMs() - startMs >= (options.keeperDiesAtMs ?? Infinity);
+
+  const hosts = new Map(hostIds.map(hostId => [hostId, makeHost(hostId)]));
+
+  function makeHost(hostId: string) {
+    const registry = createUpstreamRegistry({clock, log: silentLog});
+    const balancer = createPlainBalancer(
+      {clock, random},
+      {ownFailureDomain: 'd0'},
+    );
+    registry.apply({
+      revision: 1,
+      upstreams: ids.map((id, i) => ({
+        id,
+        name: id,
+        service: SERVICE,
+        address: `10.0.0.${i}:80`,
+        failureDomain: `d${i}`,
+        slots: SLOTS,
+        isDraining: false,
+        heartbeat: 1,
+      })),
+    });
+    balancer.setUpstreams(
+      SERVICE,
+      registry.open(SERVICE).map(({id, address, failureDomain}) => ({
+        upstreamId: id,
+        address,
+        failureDomain,
+      })),
+    );
+    return createPlainPlacement({
+      clock,
+      random,
+      log: silentLog,
+      hostId,
+      registry,
+      balancer,
+      keepers: () => keepers,
+      keeperCount: () => 1,
+      tell(toHostId: string, message: SlotMessage) {
+        if (random.nextFloat() < (options.lossShare ?? 0)) return;
+        clock.setTimer(HOP_MS, () => {
+          if (isDead(hostId) || isDead(toHostId)) return;
+          hosts.get(toHostId)?.receive(hostId, message);
+        });
+      },
+    });
+  }
+
+  /** Undefined when the upstream turns the call away. */
+  function work(id: string): Promise<void> | undefined {
+    const model = models.get(id)!;
+    const {queue} = model;
+    if (queue.length >= QUEUE) return undefined;
+    return new Promise(resolve => {
+      const run = () => {
+        model.running++;
+        const factor = queue.length > QUEUE / 4 ? 2 : 1;
+        const workMs = WORK_MS * factor * (0.5 + random.nextFloat());
+        clock.setTimer(workMs, () => {
+          model.running--;
+          resolve();
+          queue.shift()?.();
+        });
+      };
+      if (model.running < SLOTS) run();
+      else queue.push(run);
+      const atOnce = model.running + queue.length;
+      figures.mostAtOnce = Math.max(figures.mostAtOnce, atOnce);
+    });
+  }
+
+  async function call(hostId: string): Promise<void> {
+    const arrivedAtMs = clock.nowMs();
+    const {slots} = hosts.get(hostId)!;
+    const waiting = toCallWaiting({
+      arrivedAtMs,
+      goalMs: GOAL_MS,
+      deadlineAtMs: arrivedAtMs + DEADLINE_MS,
+      meanCallMs: slots.meanCallMs(SERVICE),
+    });
+    const need = {requestId: 'r', service: SERVICE, waiting};
+    const slot = await slots.take(need, new Set(), createCancellation());
+    if (slot.kind !== 'slot') {
+      figures.refused++;
+      return;
+    }
+    const running = work(slot.upstream.id);
+    if (!running) {
+      figures.turnedAway++;
+      slot.end('cancelled');
+      return;
+    }
+    await running;
+    slot.end('ok');
+    if (clock.nowMs() - arrivedAtMs <= GOAL_MS) figures.onTime++;
+    else figures.late++;
+  }
+
+  while (clock.nowMs() - startMs < PLAY_MS) {
+    const part = Math.floor(((clock.nowMs() - startMs) * 3) / PLAY_MS);
+    const perS = part === 1 ? options.burstPerS : options.basePerS;
+    figures.asked++;
+    void call(hostIds[random.nextInt(HOSTS)]);
+    await clock.advance((2 * random.nextFloat() * 1_000) / perS);
+  }
+  await clock.advance(3_000);
+  return figures;
+}
