--- a/bench/placer_slopes.ts
+++ b/bench/placer_slopes.ts
@@ -17,6 +17,7 @@
   PlacementAsk,
 } from '../src/relay/placement_messages.js';
 import type {Service} from '../src/relay/routing.js';
+import {createSharedLearning} from '../src/relay/shared_learning.js';
 import {createUpstreamRegistry} from '../src/relay/upstream_registry.js';
 
 const HOST_COUNTS: readonly number[] = [20, 79, 128];
@@ -76,12 +77,14 @@
     })),
   });
   const books = createEngineBooks();
+  const learning = createSharedLearning({clock});
   const scheduler = createEngineScheduler({
     clock,
     random,
     log,
     registry,
     books,
+    learning,
     groups: {
       placers: () => ['placer'],
       keepers: () => [],
@@ -125,6 +128,7 @@
   const desk = createPlacementDesk({
     clock,
     scheduler,
+    learning,
     findService: () => service,
     tell(hostId, message) {
       messages++;
@@ -173,6 +177,7 @@
       ageMs: 2,
       onTimeMs: 600,
       giveUpMs: 3_100,
+      startMs: 250,
       callerLeftMs: 14_000,
     };
     entry.asks.set(ask.askId, ask);
--- a/src/relay/engine_scheduler.ts
+++ b/src/relay/engine_scheduler.ts
@@ -15,6 +15,7 @@
 import type {PlacementGroups} from './placement_groups.js';
 import type {TokenNeed} from './placement_rules.js';
 import type {Service} from './routing.js';
+import type {SharedLearning} from './shared_learning.js';
 import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
 import {
   compareWaiting,
@@ -30,6 +31,7 @@
   readonly log: Logger;
   readonly registry: UpstreamRegistry;
   readonly books: EngineBooks;
+  readonly learning: SharedLearning;
   /** Requests that wait at the peers, and engines that failed them. */
   readonly peers: PeerView;
   /** Which engines this host uses first. */
@@ -54,6 +56,8 @@
   readonly requestId: string;
   readonly service: Service;
   readonly waiting: Waiting;
+  /** What `waiting` allows for the start on the engines. */
+  readonly startMs: number;
   /** How long the caller will still be there. */
   readonly callerLeftMs: number;
 }
@@ -110,15 +114,12 @@
     decode: Upstream,
     avoid: ReadonlySet<string>,
   ): {readonly engine: Upstream; readonly booking: PrefillBooking} | undefined;
-  /** The run ended; its memory is free. `ranMs` where it ran to its end. */
-  release(run: DecodeRun, ranMs?: number): void;
+  /** The run ended; its memory is free. */
+  release(run: DecodeRun): void;
   noteFailure(engineId: string): void;
   noteSuccess(engineId: string): void;
   /** The engine refused a request for lack of room. */
   noteFull(engineId: string): void;
-  /** From placement to the first event. */
-  noteStart(durationMs: number): void;
-  startEstimateMs(): number;
   /** Looks whether somebody who waits can go now. */
   pump(): void;
   /** As above, a moment later, with what else comes in until then. */
@@ -139,10 +140,6 @@
  * for each took 4 in 100 of a core of the smallest hosts while many waited.
  */
 const PUMP_SOON_MS = 6;
-const SMOOTHING = 0.1;
-/** Until runs have ended here; of the order of the streams' lengths. */
-const FIRST_MEAN_RUN_MS = 3_000;
-const FIRST_START_MS = 250;
 /** A refusal without any engine: they are listed again within seconds. */
 const NO_ENGINE_RETRY_MS = 1_000;
 
@@ -167,8 +164,6 @@
   let waiters: Waiter[] = [];
   let timer: TimerHandle | undefined;
   let soonTimer: TimerHandle | undefined;
-  let meanRunMs = FIRST_MEAN_RUN_MS;
-  let startMs = FIRST_START_MS;
 
   function book(need: StreamNeed, chosen: ChosenEngines): Placement {
     const {decode, prefill} = chosen;
@@ -253,7 +248,7 @@
   function forecast(need: StreamNeed): number {
     return forecastWaitMs(aheadHere(need) + aheadAtPeers(need), {
       runs: engines.countRuns(need.service.name),
-      meanRunMs,
+      meanRunMs: host.learning.meanRunMs(),
     });
   }
 
@@ -359,9 +354,8 @@
         engine && {engine, booking: bookPrefill(engine.id, need.promptTokens)}
       );
     },
-    release(run, ranMs) {
+    release(run) {
       books.endRun(run);
-      if (ranMs !== undefined) meanRunMs += SMOOTHING * (ranMs - meanRunMs);
       host.onChange();
       if (waiters.length > 0) pump();
     },
@@ -371,10 +365,6 @@
     },
     noteSuccess: candidates.noteSuccess,
     noteFull: candidates.noteFull,
-    noteStart(durationMs) {
-      startMs += SMOOTHING * (durationMs - startMs);
-    },
-    startEstimateMs: () => startMs,
     pump,
     pumpSoon,
     announcements: () =>
--- a/src/relay/peer_datagrams.ts
+++ b/src/relay/peer_datagrams.ts
@@ -2,7 +2,9 @@
 
 import type {LossFact} from '../request/quarantine.js';
 import type {HostLoad} from './engine_books.js';
+import {decodeDatagram} from './peer_codec.js';
 import type {PlacementMessage} from './placement_messages.js';
+import type {LearnedSums} from './shared_learning.js';
 import type {SlotMessage} from './slot_messages.js';
 import type {StoreKnowledge} from './store_readers.js';
 import type {Waiting} from './wait_rules.js';
@@ -31,6 +33,8 @@
   readonly unreachable: readonly string[];
   /** Engines that this host told to change their role. */
   readonly changing: readonly string[];
+  /** What this host has seen of how engines work. */
+  readonly learned: LearnedSums;
   /** Requests that crashed engines. */
   readonly losses: readonly LossFact[];
   /** What this host asked the receiver for and has booked by now. */
@@ -77,10 +81,15 @@
 }
 
 function isState(value: Record<string, unknown>): boolean {
-  const {known, lost, adoptedAskIds, sequence, load} = value;
+  const {known, lost, adoptedAskIds, sequence, load, learned} = value;
   const lists = [known, lost, adoptedAskIds];
   const hasLists = lists.every(list => Array.isArray(list));
-  return hasLists && typeof sequence === 'number' && isObject(load);
+  return (
+    hasLists &&
+    typeof sequence === 'number' &&
+    isObject(load) &&
+    isObject(learned)
+  );
 }
 
 /**
@@ -91,13 +100,12 @@
   payload: Uint8Array,
 ): StateDatagram | Letter | undefined {
   try {
-    const text = Buffer.from(payload).toString('utf8');
-    const value: unknown = JSON.parse(text);
+    const value = decodeDatagram(payload);
     if (!isObject(value) || typeof value['from'] !== 'string') return undefined;
     const isKnown = isLetter(value) || isState(value);
     return isKnown ? (value as unknown as StateDatagram | Letter) : undefined;
   } catch {
-    // Not JSON, so not from a peer.
+    // Neither of our formats, so not from a peer.
     return undefined;
   }
 }
--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -13,6 +13,7 @@
 import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {DatagramPort} from '../ports/datagram.js';
 import type {Logger} from '../ports/log.js';
+import {encodeDatagram} from './peer_codec.js';
 import {
   parseDatagram,
   type Announcement,
@@ -33,6 +34,8 @@
   onPeerGone(hostId: string): void;
   /** Whether the peer is to hear of each change at once. */
   isNear(hostId: string): boolean;
+  /** Whether others go by what this host tells: it places or reads for them. */
+  isHub(): boolean;
   /** A peer told this host something that is meant for it alone. */
   onMessage(fromHostId: string, message: PeerMessage): void;
 }
@@ -69,7 +72,9 @@
  * and of 79 hosts each takes 80 a second for these repeats.
  */
 const NEAR_REPEAT_PER_PEER_MS = 6;
-const FAR_REPEAT_PER_PEER_MS = 12;
+const FAR_REPEAT_PER_PEER_MS = 24;
+/** Hosts that place or read for all tell their state to all more often. */
+const HUB_REPEAT_PER_PEER_MS = 12;
 /** Changes closer together than this go out as one. */
 const GATHER_MS = 4;
 /**
@@ -175,7 +180,9 @@
       case 'near':
         return repeatMs(NEAR_REPEAT_PER_PEER_MS);
       case 'far':
-        return repeatMs(FAR_REPEAT_PER_PEER_MS);
+        return repeatMs(
+          host.isHub() ? HUB_REPEAT_PER_PEER_MS : FAR_REPEAT_PER_PEER_MS,
+        );
       case 'unknown':
         return PROBE_MS;
     }
@@ -256,7 +263,7 @@
       let payload = payloads.get(nextWithinMs);
       if (!payload) {
         const datagram: StateDatagram = {...state, nextWithinMs};
-        payload = Buffer.from(JSON.stringify(datagram));
+        payload = encodeDatagram(datagram);
         payloads.set(nextWithinMs, payload);
       }
       sent.set(address, {dueAtMs: dueAtMs(address, nowMs, nextWithinMs)});
@@ -379,7 +386,7 @@
       const record = records.get(hostId);
       if (!record || isStopped) return;
       const letter: Letter = {from: options.hostId, message};
-      const payload = Buffer.from(JSON.stringify(letter));
+      const payload = encodeDatagram(letter);
       datagrams.send(record.peer.peerAddress, payload);
     },
     addAddresses(added) {
--- a/src/relay/placement_client.ts
+++ b/src/relay/placement_client.ts
@@ -102,6 +102,7 @@
       ageMs: Math.round(nowMs - waiting.arrivedAtMs),
       onTimeMs: Math.round(waiting.onTimeUntilMs - nowMs),
       giveUpMs: Math.round(waiting.giveUpAtMs - nowMs),
+      startMs: Math.round(need.startMs),
       callerLeftMs: Math.round(need.callerLeftMs),
     };
   }
--- a/src/relay/placement_desk.ts
+++ b/src/relay/placement_desk.ts
@@ -21,10 +21,12 @@
   PlacementWithdrawal,
 } from './placement_messages.js';
 import type {Service} from './routing.js';
+import type {SharedLearning} from './shared_learning.js';
 
 export interface PlacementDeskHost {
   readonly clock: Clock;
   readonly scheduler: EngineScheduler;
+  readonly learning: SharedLearning;
   findService(name: string): Service | undefined;
   tell(hostId: string, message: PlacementMessage): void;
 }
@@ -93,6 +95,9 @@
     // A configuration that has not come here yet: the asking host goes on.
     if (!service) return;
     const nowMs = clock.nowMs();
+    // The host that places hears soonest how long starts take by now.
+    const startMs = host.learning.startEstimateMs();
+    const slackMs = ask.startMs - startMs;
     const entry: DeskEntry = {
       cancellation: createCancellation(),
       answer: {kind: 'queued', askId},
@@ -105,10 +110,11 @@
         service,
         promptTokens: ask.promptTokens,
         expectedOutputTokens: ask.expectedOutputTokens,
+        startMs,
         waiting: {
           arrivedAtMs: nowMs - ask.ageMs,
-          onTimeUntilMs: nowMs + ask.onTimeMs,
-          giveUpAtMs: nowMs + ask.giveUpMs,
+          onTimeUntilMs: nowMs + ask.onTimeMs + slackMs,
+          giveUpAtMs: nowMs + ask.giveUpMs + slackMs,
         },
         callerLeftMs: ask.callerLeftMs,
       },
--- a/src/relay/placement_messages.ts
+++ b/src/relay/placement_messages.ts
@@ -12,6 +12,8 @@
   readonly ageMs: number;
   readonly onTimeMs: number;
   readonly giveUpMs: number;
+  /** What the two times above allow for the start on the engines. */
+  readonly startMs: number;
   readonly callerLeftMs: number;
 }
 
--- a/src/relay/prefill_step.ts
+++ b/src/relay/prefill_step.ts
@@ -10,7 +10,7 @@
 import type {EngineFailures} from './engine_failures.js';
 import type {EngineScheduler, PrefillBooking} from './engine_scheduler.js';
 import {CONNECT_TIMEOUT_MS, leftMs} from './relay_types.js';
-import type {RoleDemandMeter} from './role_demand.js';
+import type {SharedLearning} from './shared_learning.js';
 import type {StreamState} from './stream_state.js';
 import type {Upstream} from './upstream_registry.js';
 
@@ -20,7 +20,7 @@
   readonly scheduler: EngineScheduler;
   readonly failures: EngineFailures;
   readonly retryBudget: RetryBudget;
-  readonly demand: RoleDemandMeter;
+  readonly learning: SharedLearning;
 }
 
 export interface PrefillStep {
@@ -63,7 +63,7 @@
     scheduler.noteSuccess(engine.id);
     if (booking.isAlone) {
       const durationMs = clock.nowMs() - startedAtMs;
-      host.demand.notePrefill(need.promptTokens, durationMs);
+      host.learning.notePrefill(need.promptTokens, durationMs);
     }
     return {address: engine.address, handle: outcome.handle};
   }
--- a/src/relay/relay_placement.ts
+++ b/src/relay/relay_placement.ts
@@ -21,6 +21,7 @@
 import {createPlacementGroups} from './placement_groups.js';
 import type {PlacementMessage} from './placement_messages.js';
 import type {RoutingState} from './routing_state.js';
+import {createSharedLearning, type SharedLearning} from './shared_learning.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface RelayPlacementHost {
@@ -41,6 +42,7 @@
 
 export interface RelayPlacement {
   readonly books: EngineBooks;
+  readonly learning: SharedLearning;
   readonly scheduler: EngineScheduler;
   readonly place: PlacementClient['place'];
   isNear(hostId: string): boolean;
@@ -69,6 +71,7 @@
 export function createRelayPlacement(host: RelayPlacementHost): RelayPlacement {
   const {clock, random, createLogger, hostId, routing, registry} = host;
   const books = createEngineBooks();
+  const learning = createSharedLearning({clock});
   const groups = createPlacementGroups({
     hostId,
     isReady: host.isReady,
@@ -86,6 +89,7 @@
     log: createLogger('scheduler'),
     registry,
     books,
+    learning,
     peers: view,
     groups,
     isChanging: host.isChanging,
@@ -104,6 +108,7 @@
   const desk = createPlacementDesk({
     clock,
     scheduler,
+    learning,
     findService: routing.service,
     tell: host.tell,
   });
@@ -111,6 +116,7 @@
 
   return {
     books,
+    learning,
     scheduler,
     place: client.place,
     isNear: groups.isNear,
@@ -125,6 +131,7 @@
     },
     heard(peer) {
       view.heard(peer);
+      learning.hear(peer.hostId, peer.learned);
       desk.adopted(peer.hostId, peer.adoptedAskIds);
       // A placer hears many; a few hosts go on at once.
       if (groups.placers().length > 0) scheduler.pumpSoon();
@@ -132,6 +139,7 @@
     },
     gone(goneHostId) {
       view.gone(goneHostId);
+      learning.forget(goneHostId);
       desk.forget(goneHostId);
       client.forget(goneHostId);
       scheduler.pump();
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -37,7 +37,6 @@
 import {createRelayPlacement} from './relay_placement.js';
 import {createRelayFront} from './relay_front.js';
 import type {RelayMetrics} from './relay_metrics.js';
-import {createRoleDemandMeter} from './role_demand.js';
 import {createRoleOrders} from './role_orders.js';
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
@@ -180,7 +179,7 @@
     tell: (hostId, message) => peers.tell(hostId, message),
     onChange: () => peers.changed(),
   });
-  const {books, scheduler} = placement;
+  const {books, learning, scheduler} = placement;
   const peers = createPeerExchange(
     {
       clock,
@@ -192,6 +191,7 @@
         failureDomain: settings.failureDomain,
         ...watch.knowledge(),
         load: books.own(),
+        learned: learning.own(),
         waiting: placement.waitingRecords(),
         suspects: scheduler.suspects(),
         unreachable: registry.unreachable(),
@@ -206,6 +206,7 @@
         learnUnreachable(peer);
       },
       isNear: placement.isNear,
+      isHub: () => placement.isPlacing() || readers.isReader(),
       onMessage(fromHostId, message) {
         if (isSlotMessage(message)) plainPlaces.receive(fromHostId, message);
         else placement.receive(fromHostId, message);
@@ -275,7 +276,6 @@
   const onBroken = (job: RelayJob, upstream: Upstream) =>
     crashes.noteBroken(job.request, upstream);
   const shared = {clock, upstreamPort, registry, retryBudget, onBroken};
-  const demand = createRoleDemandMeter();
   const roleOrders = createRoleOrders(
     {
       clock,
@@ -284,7 +284,7 @@
       registry,
       books,
       upstreamPort,
-      demand,
+      learning,
       lease: createShortLease(
         {
           clock,
@@ -338,7 +338,7 @@
       scheduler,
       place: placement.place,
       books,
-      demand,
+      learning,
     }),
     crashes,
     refuseForLeaving: leaving.refuse,
--- a/src/relay/role_orders.ts
+++ b/src/relay/role_orders.ts
@@ -20,8 +20,9 @@
 import type {EngineReport, UpstreamPort} from '../ports/relay.js';
 import type {EngineBooks} from './engine_books.js';
 import type {RelayMetrics} from './relay_metrics.js';
-import type {RoleDemandMeter} from './role_demand.js';
+import {divideEngines} from './role_demand.js';
 import type {Service} from './routing.js';
+import type {SharedLearning} from './shared_learning.js';
 import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
 
 export interface RoleOrdersHost {
@@ -32,7 +33,7 @@
   readonly books: EngineBooks;
   readonly upstreamPort: UpstreamPort;
   readonly lease: ShortLease;
-  readonly demand: RoleDemandMeter;
+  readonly learning: SharedLearning;
   services(): readonly Service[];
   /** Whether this host is the one to plan. */
   isPlanner(): boolean;
@@ -95,7 +96,7 @@
   host: RoleOrdersHost,
   options: RoleOrdersOptions,
 ): RoleOrders {
-  const {clock, log, registry, books, upstreamPort, demand} = host;
+  const {clock, log, registry, books, upstreamPort, learning} = host;
   const sent = new Map<string, SentOrder>();
   const plans = new Map<string, RolePlanState>();
   let timer: TimerHandle | undefined;
@@ -130,7 +131,7 @@
     const step = planRoles(
       plans.get(service.name) ?? FIRST_ROLE_PLAN_STATE,
       engines.map(toPlanned),
-      demand.divide(engines.length),
+      divideEngines(learning, engines.length),
       clock.nowMs(),
       {
         ...PLAN,
--- /dev/null
+++ b/src/relay/shared_learning.ts
@@ -0,0 +1,128 @@
+/** What the hosts learn together of how the model engines work. */
+
+import type {Clock} from '../ports/clock.js';
+import {
+  createPooledMeans,
+  type FadingSums,
+  type PooledMeans,
+} from './pooled_means.js';
+
+/** What one host has seen, as it tells its peers. */
+export type LearnedSums = Readonly<Record<LearnedKind, FadingSums>>;
+
+type LearnedKind = 'starts' | 'runs' | 'prefills';
+
+/** A run that came to its end. */
+export interface FinishedRun {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  readonly durationMs: number;
+  /** Memory of the engine, in tokens. */
+  readonly kvTokens: number;
+}
+
+export interface SharedLearning {
+  /** From the placement of a stream to its first event. */
+  noteStart(durationMs: number): void;
+  /** A time within which most streams start once they are placed. */
+  startEstimateMs(): number;
+  noteRun(run: FinishedRun): void;
+  meanRunMs(): number;
+  /** Time of a whole decode engine that a run takes, on the mean. */
+  meanDecodeMs(): number;
+  meanPromptTokens(): number;
+  /** A prompt was read by an engine that had nothing else to read. */
+  notePrefill(tokens: number, durationMs: number): void;
+  tokensPerMs(): number;
+  own(): LearnedSums;
+  hear(hostId: string, sums: LearnedSums): void;
+  forget(hostId: string): void;
+}
+
+/**
+ * Before anything has run: engines of the users' first deployments read a
+ * prompt of 3,000 tokens in some 95 ms, a run holds a tenth of an engine for
+ * some 3.5 s, and starts a quarter of a second after it was placed.
+ */
+const FIRST = {
+  startMs: 230,
+  startDeviationMs: 12.5,
+  decodeMs: 365,
+  promptTokens: 3_200,
+  runMs: 3_000,
+  tokensPerMs: 33,
+};
+/** Starts change with the backlogs of a burst; what engines do, hardly. */
+const START_FADE_MS = 3_000;
+const RUN_FADE_MS = 20_000;
+const START_FIRST_WEIGHT = 2;
+const RUN_FIRST_WEIGHT = 10;
+const PREFILL_FIRST_WEIGHT = 3;
+/**
+ * Mean deviations beyond the mean within which most starts lie, nine in ten
+ * where they spread evenly to both sides. A request whose latest start counts
+ * on the mean is late as often as not, after it took the room of another.
+ */
+const MOST_STARTS_DEVIATIONS = 1.6;
+
+export function createSharedLearning(host: {
+  readonly clock: Clock;
+}): SharedLearning {
+  const starts = createPooledMeans(host, {
+    first: [FIRST.startMs, FIRST.startDeviationMs],
+    firstWeight: START_FIRST_WEIGHT,
+    fadeMs: START_FADE_MS,
+  });
+  const runs = createPooledMeans(host, {
+    first: [FIRST.decodeMs, FIRST.promptTokens, FIRST.runMs],
+    firstWeight: RUN_FIRST_WEIGHT,
+    fadeMs: RUN_FADE_MS,
+  });
+  const prefills = createPooledMeans(host, {
+    first: [FIRST.tokensPerMs],
+    firstWeight: PREFILL_FIRST_WEIGHT,
+    fadeMs: RUN_FADE_MS,
+  });
+  const pools: Readonly<Record<LearnedKind, PooledMeans>> = {
+    starts,
+    runs,
+    prefills,
+  };
+  const each = Object.entries(pools) as ReadonlyArray<
+    readonly [LearnedKind, PooledMeans]
+  >;
+
+  return {
+    noteStart(durationMs) {
+      const [meanMs] = starts.means();
+      starts.note([durationMs, Math.abs(durationMs - meanMs)]);
+    },
+    startEstimateMs() {
+      const [meanMs, deviationMs] = starts.means();
+      return meanMs + MOST_STARTS_DEVIATIONS * deviationMs;
+    },
+    noteRun({promptTokens, outputTokens, durationMs, kvTokens}) {
+      const meanTokens = promptTokens + outputTokens / 2;
+      const share = kvTokens > 0 ? meanTokens / kvTokens : 1;
+      runs.note([share * durationMs, promptTokens, durationMs]);
+    },
+    meanDecodeMs: () => runs.means()[0],
+    meanPromptTokens: () => runs.means()[1],
+    meanRunMs: () => runs.means()[2],
+    notePrefill(tokens, durationMs) {
+      if (durationMs > 0 && tokens > 0) prefills.note([tokens / durationMs]);
+    },
+    tokensPerMs: () => prefills.means()[0],
+    own: () => ({
+      starts: starts.own(),
+      runs: runs.own(),
+      prefills: prefills.own(),
+    }),
+    hear(hostId, sums) {
+      for (const [kind, pool] of each) pool.hear(hostId, sums[kind]);
+    },
+    forget(hostId) {
+      for (const [, pool] of each) pool.forget(hostId);
+    },
+  };
+}
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -24,7 +24,7 @@
   StreamNeed,
 } from './engine_scheduler.js';
 import type {EngineBooks} from './engine_books.js';
-import type {RoleDemandMeter} from './role_demand.js';
+import type {SharedLearning} from './shared_learning.js';
 import {createOutputForecast} from './output_forecast.js';
 import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
@@ -46,7 +46,7 @@
   readonly books: EngineBooks;
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryBudget;
-  readonly demand: RoleDemandMeter;
+  readonly learning: SharedLearning;
   /** A run broke off. */
   onBroken(job: RelayJob, upstream: Upstream): void;
 }
@@ -68,6 +68,7 @@
 
   function toNeed(job: RelayJob): StreamNeed {
     const {request, route, service, deadlineAtMs} = job;
+    const startMs = host.learning.startEstimateMs();
     return {
       requestId: request.requestId,
       service,
@@ -77,8 +78,9 @@
         route,
         arrivedAtMs: request.arrivedAtMs,
         deadlineAtMs,
-        startMs: scheduler.startEstimateMs(),
+        startMs,
       }),
+      startMs,
       callerLeftMs: leftMs(deadlineAtMs, clock.nowMs()),
     };
   }
@@ -168,7 +170,7 @@
       }
       const end = await relay(state, answer);
       if (state.firstByteAtMs !== undefined && state.ran.length === 1) {
-        scheduler.noteStart(state.firstByteAtMs - placedAtMs);
+        host.learning.noteStart(state.firstByteAtMs - placedAtMs);
       }
       switch (end.kind) {
         case 'whole':
@@ -177,7 +179,7 @@
             job.service.name,
             state.events * (job.service.engine?.tokensPerEvent ?? 1),
           );
-          host.demand.noteRun({
+          host.learning.noteRun({
             promptTokens: state.need.promptTokens,
             outputTokens: state.placement.run.outputTokens,
             durationMs: clock.nowMs() - placedAtMs,
@@ -258,9 +260,7 @@
       const outcome = await runPlaced(state);
       // Until its engine drops it by itself, others wait for that memory.
       dropSource(state);
-      const ranMs =
-        outcome.end === 'answered' ? clock.nowMs() - startedAtMs : undefined;
-      release(state, ranMs);
+      release(state);
       return {
         ...outcome,
         waitedMs: startedAtMs - placedFrom,
--- a/src/relay/stream_start.ts
+++ b/src/relay/stream_start.ts
@@ -16,7 +16,7 @@
 import type {EngineScheduler} from './engine_scheduler.js';
 import {createPrefillStep} from './prefill_step.js';
 import {CONNECT_TIMEOUT_MS, leftMs, type RelayJob} from './relay_types.js';
-import type {RoleDemandMeter} from './role_demand.js';
+import type {SharedLearning} from './shared_learning.js';
 import type {StreamState} from './stream_state.js';
 import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
 
@@ -26,7 +26,7 @@
   readonly scheduler: EngineScheduler;
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryBudget;
-  readonly demand: RoleDemandMeter;
+  readonly learning: SharedLearning;
   readonly failures: EngineFailures;
   /** A run broke off. */
   onBroken(job: RelayJob, upstream: Upstream): void;
@@ -39,8 +39,8 @@
   takeRetry(state: StreamState): boolean;
   /** Has a prefill result that nobody will take freed at its engine. */
   dropSource(state: StreamState): void;
-  /** Frees what is booked. `ranMs` where the run came to its end. */
-  release(state: StreamState, ranMs?: number): void;
+  /** Frees what is booked. */
+  release(state: StreamState): void;
 }
 
 /** How far a stream came. */
@@ -119,9 +119,9 @@
     state.source = undefined;
   }
 
-  function release(state: StreamState, ranMs?: number): void {
+  function release(state: StreamState): void {
     state.placement.prefillBooking.end();
-    scheduler.release(state.placement.run, ranMs);
+    scheduler.release(state.placement.run);
   }
 
   /**
--- a/tests/relay/burst_load.ts
+++ b/tests/relay/burst_load.ts
@@ -24,6 +24,7 @@
 import {createPeerView} from '../../src/relay/peer_view.js';
 import type {Route, Service} from '../../src/relay/routing.js';
 import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
+import {createSharedLearning} from '../../src/relay/shared_learning.js';
 import {toWaiting} from '../../src/relay/wait_rules.js';
 import {silentLog} from '../support/silent_log.js';
 import {oneGroup} from './one_group.js';
@@ -148,6 +149,7 @@
     const registry = createUpstreamRegistry({clock, log: silentLog});
     registry.apply({revision: 1, upstreams});
     const books = createEngineBooks();
+    const learning = createSharedLearning({clock});
     const groups =
       options.hasGroups === false
         ? oneGroup
@@ -166,6 +168,7 @@
       log: silentLog,
       registry,
       books,
+      learning,
       peers: view,
       groups,
       isChanging: () => false,
@@ -204,6 +207,7 @@
     const desk = createPlacementDesk({
       clock,
       scheduler,
+      learning,
       findService: name => (name === service.name ? service : undefined),
       tell,
     });
@@ -234,6 +238,7 @@
         suspects: [],
         unreachable: [],
         changing: [],
+        learned: learning.own(),
         losses: [],
         adoptedAskIds: client.adopted(),
       };
@@ -247,7 +252,7 @@
     }
 
     clock.setTimer(Number(hostId.slice('host-'.length)), repeat);
-    return {hostId, books, groups, view, scheduler, client, desk};
+    return {hostId, books, learning, groups, view, scheduler, client, desk};
   }
 
   const wait = (durationMs: number) =>
@@ -283,7 +288,6 @@
     const firstMs = clock.nowMs() - arrivedAtMs;
     if (firstMs <= GOAL_MS) result.onTime++;
     else result.late++;
-    const startedAtMs = clock.nowMs();
     for (let made = 0; made < outputTokens; made += TOKENS_PER_EVENT) {
       await wait(TOKENS_PER_EVENT * TOKEN_MS);
       hold(engine.id, TOKENS_PER_EVENT);
@@ -291,7 +295,7 @@
     }
     const made = Math.ceil(outputTokens / TOKENS_PER_EVENT) * TOKENS_PER_EVENT;
     hold(engine.id, -(promptTokens + made));
-    host.scheduler.release(run, clock.nowMs() - startedAtMs);
+    host.scheduler.release(run);
   }
 
   async function request(): Promise<void> {
@@ -301,6 +305,7 @@
       mean * (1 - width + 2 * width * random.nextFloat());
     const promptTokens = spread(3_200, 0.6);
     const outputTokens = spread(1_278, 0.7);
+    const startMs = host.learning.startEstimateMs();
     const placement = await host.client.place(
       {
         requestId: String(arrivedAtMs),
@@ -311,8 +316,9 @@
           route,
           arrivedAtMs,
           deadlineAtMs: arrivedAtMs + route.timeoutMs,
-          startMs: host.scheduler.startEstimateMs(),
+          startMs,
         }),
+        startMs,
         callerLeftMs: route.timeoutMs,
       },
       createCancellation(),
--- a/tests/relay/engine_scheduler_test.ts
+++ b/tests/relay/engine_scheduler_test.ts
@@ -11,6 +11,7 @@
   type StreamNeed,
 } from '../../src/relay/engine_scheduler.js';
 import type {Service} from '../../src/relay/routing.js';
+import {createSharedLearning} from '../../src/relay/shared_learning.js';
 import {
   createUpstreamRegistry,
   type Upstream,
@@ -73,6 +74,7 @@
     log: silentLog,
     registry,
     books,
+    learning: createSharedLearning({clock}),
     peers,
     groups: oneGroup,
     isChanging: () => false,
@@ -103,6 +105,7 @@
       onTimeUntilMs: nowMs + 600,
       giveUpAtMs: nowMs + 3_000,
     },
+    startMs: 250,
     callerLeftMs: 14_000,
     ...changes,
   };
--- a/tests/relay/peer_exchange_test.ts
+++ b/tests/relay/peer_exchange_test.ts
@@ -7,6 +7,13 @@
 import {createPeerExchange} from '../../src/relay/peer_exchange.js';
 import {silentLog} from '../support/silent_log.js';
 
+const NOTHING = {weight: 0, sums: []};
+const NOTHING_LEARNED = {
+  starts: NOTHING,
+  runs: NOTHING,
+  prefills: NOTHING,
+};
+
 type Handler = (from: string, payload: Uint8Array) => void;
 
 /** Hosts on one virtual network, whose datagrams take 2 ms. */
@@ -60,6 +67,7 @@
           unreachable: [],
           changing: [],
           losses: [],
+          learned: NOTHING_LEARNED,
           adoptedAskIds: [],
         }),
         onPeer: () => undefined,
@@ -70,6 +78,7 @@
           lostCount++;
         },
         isNear: hostId => !ownFar.has(hostId),
+        isHub: () => true,
       },
       {
         hostId: name,
--- a/tests/relay/placement_client_test.ts
+++ b/tests/relay/placement_client_test.ts
@@ -13,6 +13,7 @@
 import {createPlacementDesk} from '../../src/relay/placement_desk.js';
 import type {PlacementMessage} from '../../src/relay/placement_messages.js';
 import type {Service} from '../../src/relay/routing.js';
+import {createSharedLearning} from '../../src/relay/shared_learning.js';
 import {
   createUpstreamRegistry,
   type Upstream,
@@ -60,12 +61,14 @@
     const registry = createUpstreamRegistry({clock, log: silentLog});
     registry.apply({revision: 1, upstreams: engineIds.map(makeEngine)});
     const books = createEngineBooks();
+    const learning = createSharedLearning({clock});
     const scheduler = createEngineScheduler({
       clock,
       random: createSeededRandom(3),
       log: silentLog,
       registry,
       books,
+      learning,
       groups: oneGroup,
       peers: {
         waiting: () => [],
@@ -91,6 +94,7 @@
     const desk = createPlacementDesk({
       clock,
       scheduler,
+      learning,
       findService: () => service,
       tell,
     });
@@ -136,6 +140,7 @@
     service,
     promptTokens: 6_000,
     expectedOutputTokens: 1_000,
+    startMs: 250,
     waiting: {
       arrivedAtMs: nowMs,
       onTimeUntilMs: nowMs + 600,
--- a/tests/relay/role_orders_test.ts
+++ b/tests/relay/role_orders_test.ts
@@ -14,9 +14,9 @@
 } from '../../src/ports/relay.js';
 import {createEngineBooks} from '../../src/relay/engine_books.js';
 import {createRelayMetrics} from '../../src/relay/relay_metrics.js';
-import {createRoleDemandMeter} from '../../src/relay/role_demand.js';
 import {createRoleOrders} from '../../src/relay/role_orders.js';
 import type {Service} from '../../src/relay/routing.js';
+import {createSharedLearning} from '../../src/relay/shared_learning.js';
 import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
 import {silentLog} from '../support/silent_log.js';
 
@@ -114,7 +114,7 @@
       books: createEngineBooks(),
       upstreamPort,
       lease,
-      demand: createRoleDemandMeter(),
+      learning: createSharedLearning({clock}),
       services: () => [service],
       isPlanner: () => switches.isPlanner,
       onChange: () => undefined,
