Give each test process a loopback address of its own

A port that was found free by listening and closing was taken by another test file, or by a connection that some process opened, before the relay listened on it (EADDRINUSE once in four runs beside load). Ports of one address are now one process's, and none is named twice.

--- a/tests/platform/relay_path_test.ts
+++ b/tests/platform/relay_path_test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import type http from 'node:http';
 import {afterEach, beforeEach, test} from 'node:test';
+import {onSecondLoopback} from '../support/free_address.js';
 import {
   createSite,
   makeConfiguration,
@@ -315,7 +316,7 @@
   const peer = await site.addEntry({
     storeAddress: '127.0.0.1:9',
     seedAddresses: [entry.settings.peerAddress],
-    peerAddress: entry.settings.peerAddress.replace('127.0.0.1', '127.0.0.2'),
+    peerAddress: onSecondLoopback(entry.settings.peerAddress),
   });
   await untilReady(site, peer);
   assert.equal((await site.call(peer, '/saldo/1')).status, 200);
@@ -333,7 +334,7 @@
   const entry = await startEntry();
   const peer = await site.addEntry({
     seedAddresses: [entry.settings.peerAddress],
-    peerAddress: entry.settings.peerAddress.replace('127.0.0.1', '127.0.0.2'),
+    peerAddress: onSecondLoopback(entry.settings.peerAddress),
   });
   await untilReady(site, peer);
   const resolve = async () => {
--- a/tests/platform/relay_site.ts
+++ b/tests/platform/relay_site.ts
@@ -1,7 +1,6 @@
 /** A small deployment over loopback: store, upstreams and relay processes. */
 
 import http from 'node:http';
-import net from 'node:net';
 import {createPlatformAdapters} from '../../platform/platform_adapters.js';
 import {createRelayMetrics} from '../../src/relay/relay_metrics.js';
 import {startRelay, type RelayProcess} from '../../src/relay/relay_process.js';
@@ -15,6 +14,7 @@
   createStoreStandIn,
   type StoreStandIn,
 } from '../../stand_ins/users_platform/store_stand_in.js';
+import {findFreeAddress} from '../support/free_address.js';
 import {silentLog} from '../support/silent_log.js';
 
 export const HOST = 'raamatud.example';
@@ -57,15 +57,6 @@
 
 let nextRequest = 1;
 
-/** A port that nobody listens on now. */
-async function findFreePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address() as net.AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
-
 function exchange(
   address: string,
   path: string,
@@ -121,15 +112,14 @@
   async function makeSettings(
     changes: Partial<RelaySettings>,
   ): Promise<RelaySettings> {
-    const free = async () => `127.0.0.1:${await findFreePort()}`;
     return {
       hostId: `host-${entries.length + 1}`,
       failureDomain: 'ylikool-saal',
-      callerAddress: await free(),
-      readyAddress: await free(),
-      directoryAddress: await free(),
-      metricsAddress: await free(),
-      peerAddress: await free(),
+      callerAddress: await findFreeAddress(),
+      readyAddress: await findFreeAddress(),
+      directoryAddress: await findFreeAddress(),
+      metricsAddress: await findFreeAddress(),
+      peerAddress: await findFreeAddress(),
       seedAddresses: [],
       storeAddress: store.address,
       retryRatio: 0.2,
--- a/tests/serve/peer_calls_test.ts
+++ b/tests/serve/peer_calls_test.ts
@@ -1,6 +1,4 @@
 import assert from 'node:assert/strict';
-import type {AddressInfo} from 'node:net';
-import {createServer} from 'node:net';
 import {afterEach, test} from 'node:test';
 import {createPeerTransport} from '../../src/adapters/peer_connection.js';
 import {
@@ -20,6 +18,7 @@
   createPeerServer,
   type PeerServer,
 } from '../../src/serve/peer_server.js';
+import {findFreeAddress} from '../support/free_address.js';
 
 const KEYS = {peerKey: 'peer-key-1', operatorKey: 'operator-key-1'};
 const SHARD = 'aruande-koostaja/all/0';
@@ -66,17 +65,8 @@
   server = undefined;
 });
 
-function findFreePort(): Promise<number> {
-  return new Promise(resolve => {
-    const probe = createServer().listen(0, '127.0.0.1', () => {
-      const {port} = probe.address() as AddressInfo;
-      probe.close(() => resolve(port));
-    });
-  });
-}
-
 async function startServer(home: HomePort, journal: JournalPort) {
-  const address = `127.0.0.1:${await findFreePort()}`;
+  const address = await findFreeAddress();
   server = createPeerServer(KEYS, router =>
     router
       .service(
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -3,7 +3,6 @@
  * store and the upstreams are stand-ins that live in this process.
  */
 
-import net from 'node:net';
 import {
   createEngineStandIn,
   type EngineStandIn,
@@ -13,6 +12,7 @@
   type StoreStandIn,
 } from '../../stand_ins/users_platform/store_stand_in.js';
 import {makeConfiguration} from '../platform/relay_site.js';
+import {findFreeAddress} from '../support/free_address.js';
 import {createFaultProxy, type FaultProxy} from './fault_proxy.js';
 import {createRelayChild, type RelayChild} from './relay_child.js';
 
@@ -59,16 +59,6 @@
 /** Path prefix of the routes that a configuration may add. */
 export const EXTRA_PREFIX = '/extra-';
 
-async function findFreePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address() as net.AddressInfo;
-  await new Promise(resolve => server.close(resolve));
-  return port;
-}
-
-const freeAddress = async () => `127.0.0.1:${await findFreePort()}`;
-
 export async function createSoakSite(
   options: SoakSiteOptions,
 ): Promise<SoakSite> {
@@ -131,11 +121,11 @@
       settings: {
         hostId: `host-${index}`,
         failureDomain: 'raadi-ruum',
-        callerAddress: await freeAddress(),
-        readyAddress: await freeAddress(),
-        directoryAddress: await freeAddress(),
-        metricsAddress: await freeAddress(),
-        peerAddress: await freeAddress(),
+        callerAddress: await findFreeAddress(),
+        readyAddress: await findFreeAddress(),
+        directoryAddress: await findFreeAddress(),
+        metricsAddress: await findFreeAddress(),
+        peerAddress: await findFreeAddress(),
         seedAddresses: seed ? [seed] : [],
         storeAddress: storeLink.address,
         retryRatio: 0.2,
