--- a/src/relay/peer_codec.ts
+++ b/src/relay/peer_codec.ts
@@ -17,7 +17,7 @@
     '"upstreamDigest":1000000000,"upstreamAgeMs":100,"listDeltas":[],' +
     '"isStoreReachable":true,"load":{"decode":{"i-":[1,3200,3600]},' +
     '"prefill":{}},"waiting":[],"suspects":[],"full":[],"unreachable":[],' +
-    '"changing":[],"learned":{"starts":{"weight":0,"sums":[0,0]},' +
+    '"changing":[],"learned":{"starts":{"weight":0,"sums":[0]},' +
     '"runs":{"weight":0,"sums":[0,0,0]},"prefills":{"weight":0,"sums":[0]}},' +
     '"losses":[],"adoptedAskIds":[],"from":"front-","incarnation":"",' +
     '"sequence":100,"known":["10.1.0.1:7380","10.2.0.1:7380"],"lost":[],' +
--- a/src/relay/placement_desk.ts
+++ b/src/relay/placement_desk.ts
@@ -96,7 +96,7 @@
     if (!service) return;
     const nowMs = clock.nowMs();
     // The host that places hears soonest how long starts take by now.
-    const startMs = host.learning.startEstimateMs();
+    const startMs = host.learning.meanStartMs();
     const slackMs = ask.startMs - startMs;
     const entry: DeskEntry = {
       cancellation: createCancellation(),
--- a/src/relay/shared_learning.ts
+++ b/src/relay/shared_learning.ts
@@ -25,8 +25,8 @@
 export interface SharedLearning {
   /** From the placement of a stream to its first event. */
   noteStart(durationMs: number): void;
-  /** A time within which most streams start once they are placed. */
-  startEstimateMs(): number;
+  /** From the placement of a stream to its first event, on the mean. */
+  meanStartMs(): number;
   noteRun(run: FinishedRun): void;
   meanRunMs(): number;
   /** Time of a whole decode engine that a run takes, on the mean. */
@@ -46,8 +46,7 @@
  * some 3.5 s, and starts a quarter of a second after it was placed.
  */
 const FIRST = {
-  startMs: 230,
-  startDeviationMs: 12.5,
+  startMs: 250,
   decodeMs: 365,
   promptTokens: 3_200,
   runMs: 3_000,
@@ -63,18 +62,11 @@
  */
 const RUN_FIRST_WEIGHT = 60;
 const PREFILL_FIRST_WEIGHT = 3;
-/**
- * Mean deviations beyond the mean within which most starts lie, nine in ten
- * where they spread evenly to both sides. A request whose latest start counts
- * on the mean is late as often as not, after it took the room of another.
- */
-const MOST_STARTS_DEVIATIONS = 1.6;
-
 export function createSharedLearning(host: {
   readonly clock: Clock;
 }): SharedLearning {
   const starts = createPooledMeans(host, {
-    first: [FIRST.startMs, FIRST.startDeviationMs],
+    first: [FIRST.startMs],
     firstWeight: START_FIRST_WEIGHT,
     fadeMs: START_FADE_MS,
   });
@@ -98,14 +90,8 @@
   >;
 
   return {
-    noteStart(durationMs) {
-      const [meanMs] = starts.means();
-      starts.note([durationMs, Math.abs(durationMs - meanMs)]);
-    },
-    startEstimateMs() {
-      const [meanMs, deviationMs] = starts.means();
-      return meanMs + MOST_STARTS_DEVIATIONS * deviationMs;
-    },
+    noteStart: durationMs => starts.note([durationMs]),
+    meanStartMs: () => starts.means()[0],
     noteRun({promptTokens, outputTokens, durationMs, kvTokens}) {
       // As admission counts it: by the mean of what it holds a decode engine
       // seemed to take a fifth more runs than it is given.
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -68,7 +68,7 @@
 
   function toNeed(job: RelayJob): StreamNeed {
     const {request, route, service, deadlineAtMs} = job;
-    const startMs = host.learning.startEstimateMs();
+    const startMs = host.learning.meanStartMs();
     return {
       requestId: request.requestId,
       service,
