End an outage of the store by what any host reads, not by the own next read

Cause: a failed read marked the list as not kept up, and only an own read of the list took the mark off and began the 2.3 s in which missing entries are kept. A host that goes by what its peers read makes none for minutes, so that the time of grace began with the very change that should have ended the use of an upstream. The class: what only an act of one's own can clear, where that act has been left to others. The same cause elsewhere, mended with it: a host that had been handed the configuration went on asking the store for it four times a second, and stayed known as turned away; both now follow from what is known.

Now the store's outage is the time in which it served no host, known from own reads and from the ages that peers announce (list_outage.ts).

Two faults found on the way: hosts that missed the same change confirmed each other's old list and put off their own reading without end (a peer's word now counts only from the revision of the change on); and ages lost the time of each hop, so that hosts under load took a list that nobody read for fresh for over 2 s (an age is told on once at most).

Ruled out for the report: two failed reads in a row (no failed call in those seconds is needed, one before is enough), a call that waited after its upstream was chosen, a keeper of slots.

--- /dev/null
+++ b/src/relay/list_outage.ts
@@ -0,0 +1,59 @@
+/**
+ * Tells when entries of the list of upstreams may be missing though their
+ * upstreams live: for some time after an outage in which heartbeats could not
+ * reach the store.
+ *
+ * What counts is whether the store served any host, not whether it served this
+ * one. A host that the store turned away took the first read of its own, which
+ * may come long after, for the end of an outage, and kept sending to an
+ * upstream that left meanwhile, for up to 2.3 s more than its peers.
+ */
+
+/**
+ * Live upstreams are listed again about two seconds after the store's return;
+ * the rest is the age that a list read here may have.
+ */
+const REGISTER_AGAIN_MS = 2_300;
+/**
+ * Entries lapse after three heartbeats of 1.2 s, one and a half of which may
+ * lie before the outage. One read that timed out is no outage: reads follow
+ * each other within 1.6 s then.
+ */
+const SHORTEST_OUTAGE_MS = 1_800;
+
+/** Times are of this host's steady clock. */
+export interface ListOutage {
+  /** A read of this host failed. */
+  readFailed(atMs: number): void;
+  /** The store answered a read of the list, of this host or of a peer. */
+  served(atMs: number): void;
+  /** Whether missing entries may still come back. */
+  isKeeping(atMs: number): boolean;
+  /** Until when missing entries are kept. */
+  keepUntilMs(): number;
+  /** When a read of this host failed last. */
+  lastFailureAtMs(): number;
+}
+
+export function createListOutage(): ListOutage {
+  let servedAtMs = Number.NEGATIVE_INFINITY;
+  let failedAtMs = Number.NEGATIVE_INFINITY;
+  let keepUntilMs = Number.NEGATIVE_INFINITY;
+
+  return {
+    readFailed(atMs) {
+      failedAtMs = atMs;
+    },
+    served(atMs) {
+      if (atMs <= servedAtMs) return;
+      // Without a failure nobody asked: this host was suspended, or alone.
+      const hasFailed = Number.isFinite(failedAtMs) && failedAtMs >= servedAtMs;
+      const wasAway = hasFailed && atMs - servedAtMs >= SHORTEST_OUTAGE_MS;
+      if (wasAway) keepUntilMs = atMs + REGISTER_AGAIN_MS;
+      servedAtMs = atMs;
+    },
+    isKeeping: atMs => atMs < keepUntilMs,
+    keepUntilMs: () => keepUntilMs,
+    lastFailureAtMs: () => failedAtMs,
+  };
+}
--- a/src/relay/peer_codec.ts
+++ b/src/relay/peer_codec.ts
@@ -13,8 +13,9 @@
  */
 const DICTIONARY = Buffer.from(
   '{"state":"ready","callerAddress":"10.","failureDomain":"",' +
-    '"routingVersion":1,"routingAgeMs":1000,"upstreamRevision":1000,' +
-    '"upstreamDigest":1000000000,"upstreamAgeMs":100,"listDeltas":[],' +
+    '"routingVersion":1,"routingAges":{"readAgeMs":1000,"ageMs":1000},' +
+    '"upstreamRevision":1000,"upstreamDigest":1000000000,' +
+    '"upstreamAges":{"readAgeMs":1000,"ageMs":100},"listDeltas":[],' +
     '"isStoreReachable":true,"load":{"decode":{"i-":[1,3200,3600]},' +
     '"prefill":{}},"waiting":[],"suspects":[],"full":[],"unreachable":[],' +
     '"changing":[],"learned":{"starts":{"weight":0,"sums":[0]},' +
@@ -24,7 +25,7 @@
     '"nextWithinMs":1000}',
 );
 /** First byte of a compressed datagram; others are JSON and begin with `{`. */
-const FORMAT = 1;
+const FORMAT = 2;
 /** Below this, a datagram is sent as it is. */
 const SMALL_BYTES = 300;
 const MOST_BYTES = 256 * 1024;
--- a/src/relay/peer_datagrams.ts
+++ b/src/relay/peer_datagrams.ts
@@ -83,15 +83,12 @@
 }
 
 function isState(value: Record<string, unknown>): boolean {
-  const {known, lost, full, adoptedAskIds, sequence, load, learned} = value;
+  const {known, lost, full, adoptedAskIds, sequence} = value;
+  const {load, learned, routingAges, upstreamAges} = value;
   const lists = [known, lost, full, adoptedAskIds];
   const hasLists = lists.every(list => Array.isArray(list));
-  return (
-    hasLists &&
-    typeof sequence === 'number' &&
-    isObject(load) &&
-    isObject(learned)
-  );
+  const hasObjects = [load, learned, routingAges, upstreamAges].every(isObject);
+  return hasLists && hasObjects && typeof sequence === 'number';
 }
 
 /**
--- a/src/relay/peer_handover.ts
+++ b/src/relay/peer_handover.ts
@@ -104,7 +104,7 @@
     if (ownAgeMs < STALE_MS) return;
     const freshest = host
       .peers()
-      .filter(peer => peer.upstreamAgeMs < Math.min(STALE_MS, ownAgeMs))
+      .filter(peer => peer.upstreamAges.ageMs < Math.min(STALE_MS, ownAgeMs))
       .sort((a, b) => b.upstreamRevision - a.upstreamRevision)
       .at(0);
     if (!freshest) return;
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -236,7 +236,7 @@
     routingSource: sources.routingSource,
     registry,
     peers: peers.alive,
-    upstreamAgeMs: () => watch.knowledge().upstreamAgeMs,
+    upstreamAgeMs: () => watch.listAgeMs(),
     onUpstreams: watch.noteHandedList,
   });
 
@@ -420,9 +420,7 @@
   metrics.gauge('active_requests', 'Requests that run.', relay.activeCount);
   metrics.gauge('peers_alive', 'Live peers.', () => peers.alive().length);
   metrics.gauge('configuration_version', 'In force.', routing.version);
-  metrics.gauge('upstream_list_age_ms', 'Age of the list.', () =>
-    Math.round(watch.knowledge().upstreamAgeMs),
-  );
+  metrics.gauge('upstream_list_age_ms', 'Age of the list.', watch.listAgeMs);
   metrics.gauge(
     'kept_upstreams',
     'Missing entries of the list that may come back.',
--- a/src/relay/store_readers.ts
+++ b/src/relay/store_readers.ts
@@ -9,16 +9,16 @@
 
 import type {ListDelta} from './list_deltas.js';
 import {rankHost} from './placement_groups.js';
+import type {ConfirmedAges} from './store_confirmation.js';
 
 /** What a host knows of the store, as it announces it. */
 export interface StoreKnowledge {
   readonly routingVersion: number;
-  /** Since the store last confirmed that version. */
-  readonly routingAgeMs: number;
+  readonly routingAges: ConfirmedAges;
   readonly upstreamRevision: number;
   /** The same for lists that differ in nothing but signs of life. */
   readonly upstreamDigest: number;
-  readonly upstreamAgeMs: number;
+  readonly upstreamAges: ConfirmedAges;
   /** Changes of the list that a reader saw a moment ago. */
   readonly listDeltas: readonly ListDelta[];
   /** Whether its own last call to the store was answered. */
--- a/src/relay/store_watch.ts
+++ b/src/relay/store_watch.ts
@@ -21,6 +21,7 @@
 } from '../ports/relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
 import type {RoutingState} from './routing_state.js';
+import {createStoreConfirmation} from './store_confirmation.js';
 import type {StoreKnowledge} from './store_readers.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
 
@@ -48,6 +49,8 @@
   stop(): void;
   /** What is known, and since when the store has confirmed it. */
   knowledge(): StoreKnowledge;
+  /** Since the store confirmed the list, as far as this host can tell. */
+  listAgeMs(): number;
   /** Whether the last call to the store was answered. */
   isStoreReachable(): boolean;
   /** A peer confirms what is known here, or has something newer. */
@@ -79,8 +82,13 @@
  * word is lost now and then, and three readers tell it twice.
  */
 const TOLD_WITHIN_MS = 400;
-/** Stands for "never" in announcements, which carry finite numbers only. */
-const MAX_AGE_MS = 3_600_000;
+/**
+ * A host whose last call to the store failed looks again this often, though
+ * its peers tell it all: it may read for others, and plan, only once it knows
+ * that the store serves it. Looking four times a second cost 30 calls for a
+ * host that was turned away for 8 s.
+ */
+const LOST_STORE_LOOK_MS = 2_000;
 /** Ages in announcements are rounded, and datagrams take some ms. */
 const SHORTEST_LOOK_MS = 20;
 const RETRY_MS = 200;
@@ -102,12 +110,12 @@
   let isLeaving = false;
   let cursor: number | undefined;
   let isRegistered = false;
-  let listConfirmedAtMs = Number.NEGATIVE_INFINITY;
-  let routingConfirmedAtMs = Number.NEGATIVE_INFINITY;
-  /** A peer has a newer list or configuration. */
-  let isListBehind = false;
+  const listConfirmation = createStoreConfirmation(clock);
+  const routingConfirmation = createStoreConfirmation(clock);
+  /** The newest that a peer had and this host had not. */
+  let otherListRevision = 0;
+  let otherRoutingVersion = 0;
   let listBehindSinceMs = 0;
-  let isRoutingBehind = false;
   let listReadAtMs = Number.NEGATIVE_INFINITY;
   let routingReadAtMs = Number.NEGATIVE_INFINITY;
   let isStoreLost = false;
@@ -140,19 +148,22 @@
 
   function takeRouting(update: RoutingUpdate): void {
     cursor = update.cursor;
-    isRoutingBehind = false;
-    routingConfirmedAtMs = clock.nowMs();
+    routingConfirmation.noteRead(clock.nowMs());
     if (update.routing) routing.offer(update.routing, 'store');
   }
 
-  const ageOf = (atMs: number) => Math.min(clock.nowMs() - atMs, MAX_AGE_MS);
-  const routingAgeMs = () => ageOf(routingConfirmedAtMs);
-  const listAgeMs = () => ageOf(listConfirmedAtMs);
+  /*
+   * Whether this host is behind follows from what it has, however it came by
+   * it. As marks that only an own read took off, they made a host that had
+   * been handed the newer one ask the store for it four times a second.
+   */
+  const isListBehind = () => otherListRevision > registry.revision();
+  const isRoutingBehind = () => otherRoutingVersion > routing.version();
 
   function noteReader(isNow: boolean): void {
     if (isNow === isReader) return;
     isReader = isNow;
-    const ageMs = Math.round(listAgeMs());
+    const ageMs = listConfirmation.ageMs();
     if (isReader) log.info('Reading the store for all.', {ageMs});
     else log.info('Going by what others read.', {ageMs});
   }
@@ -160,24 +171,28 @@
   /** How long the configuration may go unread; 0 to read now. */
   function routingRestMs(): number {
     if (host.isReader()) return 0;
-    if (isRoutingBehind) {
+    if (isRoutingBehind()) {
       return READ_SPACING_MS - (clock.nowMs() - routingReadAtMs);
     }
-    return ROUTING_CONFIRMED_MS - routingAgeMs();
+    return ROUTING_CONFIRMED_MS - routingConfirmation.ageMs();
   }
 
   function listRestMs(): number {
     const sinceReadMs = clock.nowMs() - listReadAtMs;
     noteReader(host.isReader());
-    if (isListBehind) {
+    const confirmedRestMs = LIST_CONFIRMED_MS - listConfirmation.ageMs();
+    if (isListBehind()) {
       const behindMs = clock.nowMs() - listBehindSinceMs;
-      return Math.max(TOLD_WITHIN_MS - behindMs, READ_SPACING_MS - sinceReadMs);
+      const toldRestMs = TOLD_WITHIN_MS - behindMs;
+      const restMs = Math.min(toldRestMs, confirmedRestMs);
+      return Math.max(restMs, READ_SPACING_MS - sinceReadMs);
     }
     // Only the list itself shows that an unreachable upstream lives again.
     const isNeeded =
       isReader || (host.isPlacing() && registry.hasUnreachable());
     if (isNeeded) return UPSTREAMS_EVERY_MS - sinceReadMs;
-    return LIST_CONFIRMED_MS - listAgeMs();
+    if (!isStoreLost) return confirmedRestMs;
+    return Math.min(confirmedRestMs, LOST_STORE_LOOK_MS - sinceReadMs);
   }
 
   async function followRouting(): Promise<void> {
@@ -226,16 +241,15 @@
     listTimer = undefined;
     const sentAtMs = clock.nowMs();
     listReadAtMs = sentAtMs;
-    isListBehind = false;
     const read = await host.upstreamSource.readNow(READ_TIMEOUT_MS);
     note('upstreams', read);
     if (read.kind !== 'read') {
-      registry.noteOutage();
+      registry.noteReadFailed();
       later(retryMs(), followUpstreams);
       return;
     }
     // The list is as old as its request at most.
-    listConfirmedAtMs = sentAtMs;
+    listConfirmation.noteRead(sentAtMs);
     registry.apply(read.value);
     listTimer = later(0, followUpstreams);
   }
@@ -262,27 +276,29 @@
 
   function hearRouting(peer: StoreKnowledge): void {
     if (peer.routingVersion === routing.version()) {
-      const atMs = clock.nowMs() - peer.routingAgeMs;
-      routingConfirmedAtMs = Math.max(routingConfirmedAtMs, atMs);
+      routingConfirmation.notePeer(peer.routingAges);
     } else if (peer.routingVersion > routing.version()) {
-      isRoutingBehind = true;
+      otherRoutingVersion = Math.max(otherRoutingVersion, peer.routingVersion);
       wakeRouting();
     }
   }
 
   function hearUpstreams(peer: StoreKnowledge): void {
-    if (peer.upstreamRevision < registry.revision()) return;
+    registry.noteServed(clock.nowMs() - peer.upstreamAges.ageMs);
+    const {upstreamRevision} = peer;
+    if (upstreamRevision < registry.revision()) return;
     for (const delta of peer.listDeltas) registry.applyDelta(delta);
-    if (peer.upstreamDigest === registry.digest()) {
-      const atMs = clock.nowMs() - peer.upstreamAgeMs;
-      listConfirmedAtMs = Math.max(listConfirmedAtMs, atMs);
-      registry.confirm(peer.upstreamRevision);
-      isListBehind = false;
-    } else if (!isListBehind) {
-      isListBehind = true;
-      listBehindSinceMs = clock.nowMs();
+    if (peer.upstreamDigest !== registry.digest()) {
+      if (!isListBehind()) listBehindSinceMs = clock.nowMs();
+      otherListRevision = Math.max(otherListRevision, upstreamRevision);
       wakeUpstreams();
+      return;
     }
+    // A peer that missed the same change as this host has the same old list;
+    // hosts that took its word kept upstreams that had left, all together.
+    if (upstreamRevision < otherListRevision) return;
+    listConfirmation.notePeer(peer.upstreamAges);
+    registry.confirm(upstreamRevision);
   }
 
   async function keepRegistered(): Promise<void> {
@@ -316,12 +332,13 @@
       for (const timer of timers) clock.clearTimer(timer);
     },
     isStoreReachable: () => !isStoreLost,
+    listAgeMs: listConfirmation.ageMs,
     knowledge: () => ({
       routingVersion: routing.version(),
-      routingAgeMs: Math.round(routingAgeMs()),
+      routingAges: routingConfirmation.announced(),
       upstreamRevision: registry.revision(),
       upstreamDigest: registry.digest(),
-      upstreamAgeMs: Math.round(listAgeMs()),
+      upstreamAges: listConfirmation.announced(),
       listDeltas: host.isReader() ? registry.deltas() : [],
       isStoreReachable: !isStoreLost,
     }),
@@ -329,9 +346,6 @@
       hearRouting(peer);
       hearUpstreams(peer);
     },
-    noteHandedList(ageMs) {
-      const atMs = clock.nowMs() - ageMs;
-      listConfirmedAtMs = Math.max(listConfirmedAtMs, atMs);
-    },
+    noteHandedList: listConfirmation.noteHanded,
   };
 }
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/upstream_registry.ts
@@ -15,6 +15,7 @@
   digestList,
   type ListDelta,
 } from './list_deltas.js';
+import {createListOutage} from './list_outage.js';
 
 export type UpstreamRole = 'prefill' | 'decode';
 
@@ -66,8 +67,10 @@
   applyDelta(delta: ListDelta): void;
   /** Changes of the last moments, for the peers. */
   deltas(): readonly ListDelta[];
-  /** The list could not be read, or heartbeats are known not to arrive. */
-  noteOutage(): void;
+  /** This host could not read the list. */
+  noteReadFailed(): void;
+  /** The store answered a read of the list, of this host or of a peer. */
+  noteServed(atMs: number): void;
   /** New work must not go there: another instance has its address. */
   markGone(id: string): void;
   /**
@@ -96,18 +99,13 @@
   onChange(listener: () => void): void;
 }
 
-/**
- * Live upstreams are listed again about two seconds after the store's return;
- * the rest is the age that a list read here may have.
- */
-const REGISTER_AGAIN_MS = 2_300;
 /**
  * An upstream that lives shows it within a heartbeat of about a second and the
  * list's own age; a dead one leaves the list after three of them.
  */
 const UNREACHABLE_FOR_MS = 4_000;
-/** Failed reads closer together than this are one outage. */
-const OUTAGE_MEMORY_MS = 1_500;
+/** Failed reads closer together than this are told once. */
+const SAME_FAILURE_MS = 1_500;
 
 interface SilentRecord {
   readonly heartbeat: number;
@@ -120,17 +118,15 @@
 ): UpstreamRegistry {
   const {clock, log} = host;
   const entries = new Map<string, Upstream>();
-  /** Missing entries that may come back, with the time they are given up. */
-  const lapsed = new Map<string, number>();
+  /** Missing entries that may come back. */
+  const lapsed = new Set<string>();
   const gone = new Set<string>();
   /** Upstreams that could not be reached, as they were listed then. */
   const silent = new Map<string, SilentRecord>();
   const listeners: Array<() => void> = [];
   let last: UpstreamSnapshot | undefined;
   let byService = new Map<string, Upstream[]>();
-  let outageAtMs = Number.NEGATIVE_INFINITY;
-  let graceUntilMs = Number.NEGATIVE_INFINITY;
-  let isOutage = false;
+  const outage = createListOutage();
   let digest = 0;
   const deltas = createDeltaLog(clock);
 
@@ -199,14 +195,14 @@
       if (listed.has(id)) continue;
       if (names.has(name)) {
         drop(id, 'started again', origin);
-      } else if (origin === 'peer' || nowMs >= graceUntilMs) {
+      } else if (origin === 'peer' || !outage.isKeeping(nowMs)) {
         drop(id, 'no longer listed', origin);
       } else if (!lapsed.has(id)) {
-        lapsed.set(id, graceUntilMs);
+        lapsed.add(id);
         log.info('Upstream missing after an outage.', {
           upstream: id,
-          keptMs: Math.round(graceUntilMs - nowMs),
-          lastFailedReadAgoMs: Math.round(nowMs - outageAtMs),
+          keptMs: Math.round(outage.keepUntilMs() - nowMs),
+          lastFailedReadAgoMs: Math.round(nowMs - outage.lastFailureAtMs()),
           revision: last?.revision,
         });
       }
@@ -233,10 +229,7 @@
     apply(snapshot, origin = 'store') {
       if (last && snapshot.revision < last.revision) return;
       const nowMs = clock.nowMs();
-      if (isOutage && origin === 'store') {
-        isOutage = false;
-        graceUntilMs = nowMs + REGISTER_AGAIN_MS;
-      }
+      if (origin === 'store') outage.served(nowMs);
       last = snapshot;
       const before = new Map(entries);
       for (const upstream of snapshot.upstreams) takeListed(upstream);
@@ -251,16 +244,16 @@
       registry.apply({revision: delta.revision, upstreams}, 'peer');
     },
     deltas: deltas.recent,
-    noteOutage() {
+    noteReadFailed() {
       const nowMs = clock.nowMs();
-      if (nowMs - outageAtMs > OUTAGE_MEMORY_MS && !isOutage) {
+      if (nowMs - outage.lastFailureAtMs() > SAME_FAILURE_MS) {
         log.warn('The list of upstreams cannot be read.', {
           revision: last?.revision,
         });
       }
-      outageAtMs = nowMs;
-      isOutage = true;
+      outage.readFailed(nowMs);
     },
+    noteServed: outage.served,
     markGone(id) {
       if (!entries.has(id) || gone.has(id)) return;
       gone.add(id);
