Use nothing that another host chose if it is known here to leave

Cause: an upstream or engine that another host chose was taken if the list here had it at all, also as draining or with its address given to another. Where one host keeps slots or places for all, its older list then counted for more than the newer one of the host that sends. Tests fail without it.

--- a/src/relay/placement_client.ts
+++ b/src/relay/placement_client.ts
@@ -71,10 +71,16 @@
 /** Announcements repeat an adopted ask for this long, should one be lost. */
 const ADOPTED_FOR_MS = 1_200;
 
+/**
+ * What came of asking one placer: `silent` when it does not acknowledge,
+ * `unknown` when it chose engines that take no work as far as this host knows.
+ */
+type PlacerOutcome = PlacementOutcome | 'silent' | 'unknown';
+
 interface OpenAsk {
   readonly need: StreamNeed;
   readonly placer: string;
-  readonly resolve: (outcome: PlacementOutcome | 'silent') => void;
+  readonly resolve: (outcome: PlacerOutcome) => void;
   heardAtMs: number;
   isQueued: boolean;
 }
@@ -107,16 +113,15 @@
     };
   }
 
-  /** Resolves 'silent' when the placer does not acknowledge. */
   function askPlacer(
     placer: string,
     need: StreamNeed,
     cancellation: Cancellation,
-  ): Promise<PlacementOutcome | 'silent'> {
+  ): Promise<PlacerOutcome> {
     const askId = nextAskId++;
     return new Promise(resolve => {
       let timer: TimerHandle | undefined;
-      const finish = (outcome: PlacementOutcome | 'silent') => {
+      const finish = (outcome: PlacerOutcome) => {
         if (!open.delete(askId)) return;
         if (timer) clock.clearTimer(timer);
         resolve(outcome);
@@ -165,15 +170,16 @@
     return (passedOverUntilMs.get(placer) ?? 0) > clock.nowMs();
   }
 
-  /** Books what the placer chose, unless the engines are not known here. */
+  /** Books what the placer chose, unless the engines take no work here. */
   function adopt(
     answer: Extract<PlacementAnswer, {kind: 'placed'}>,
     need: StreamNeed,
-  ): PlacementOutcome | 'silent' {
-    const decode = registry.get(answer.decode);
-    const prefill = answer.prefill ? registry.get(answer.prefill) : undefined;
-    const isKnown = decode && (prefill || !answer.prefill);
-    if (!isKnown) return 'silent';
+  ): PlacementOutcome | 'unknown' {
+    const {decode: decodeId, prefill: prefillId} = answer;
+    const decode = registry.getOpen(decodeId);
+    const prefill = prefillId ? registry.getOpen(prefillId) : undefined;
+    const isKnown = decode && (prefill || !prefillId);
+    if (!isKnown) return 'unknown';
     adoptedAtMs.set(answer.askId, clock.nowMs());
     return scheduler.bookChosen(need, {decode, prefill});
   }
@@ -193,6 +199,8 @@
         if (placer === host.hostId) break;
         if (isPassedOver(placer)) continue;
         const outcome = await askPlacer(placer, need, cancellation);
+        // The lists differ; the placer itself is well, and asked again next.
+        if (outcome === 'unknown') break;
         if (outcome !== 'silent') return outcome;
         passOver(placer, need);
       }
--- a/src/relay/slot_client.ts
+++ b/src/relay/slot_client.ts
@@ -181,10 +181,10 @@
         heardAtMs: clock.nowMs(),
         isQueued: false,
         give(upstreamId) {
-          const upstream = registry.get(upstreamId);
+          const upstream = registry.getOpen(upstreamId);
           if (upstream) inUse.add(askId);
           else giveBack('cancelled', 0);
-          // Its list is newer than this host's; this host chooses by its own.
+          // Its list is another than this host's, which chooses by its own.
           finish(upstream ? toSlot(upstream, giveBack) : 'unknown');
         },
       };
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/upstream_registry.ts
@@ -94,6 +94,12 @@
   open(service: string): readonly Upstream[];
   /** Any upstream of the list that has not left, draining ones too. */
   get(id: string): Upstream | undefined;
+  /**
+   * The same, unless it drains or has left. For what another host chose: its
+   * list may be older than this one's, and the upstream get new work long
+   * after this host learned that it leaves.
+   */
+  getOpen(id: string): Upstream | undefined;
   /** The list as this host goes by it, for peers. */
   snapshot(): UpstreamSnapshot | undefined;
   onChange(listener: () => void): void;
@@ -133,7 +139,7 @@
   function rebuild(): void {
     byService = new Map();
     for (const upstream of entries.values()) {
-      if (upstream.isDraining || gone.has(upstream.id)) continue;
+      if (isLeaving(upstream)) continue;
       if (isSilent(upstream)) continue;
       const known = byService.get(upstream.service);
       if (known) known.push(upstream);
@@ -143,6 +149,8 @@
     for (const listener of listeners) listener();
   }
 
+  const isLeaving = ({id, isDraining}: Upstream) => isDraining || gone.has(id);
+
   function isSilent({id, heartbeat}: Upstream): boolean {
     const record = silent.get(id);
     if (!record) return false;
@@ -161,7 +169,7 @@
     const unserved = new Map<string, Upstream[]>();
     for (const upstream of entries.values()) {
       if (byService.has(upstream.service)) continue;
-      if (upstream.isDraining || gone.has(upstream.id)) continue;
+      if (isLeaving(upstream)) continue;
       const known = unserved.get(upstream.service) ?? [];
       unserved.set(upstream.service, [...known, upstream]);
     }
@@ -285,6 +293,10 @@
     isKnown: () => last !== undefined,
     open: service => byService.get(service) ?? [],
     get: id => entries.get(id),
+    getOpen(id) {
+      const upstream = entries.get(id);
+      return upstream && !isLeaving(upstream) ? upstream : undefined;
+    },
     snapshot: () =>
       last && {revision: last.revision, upstreams: [...entries.values()]},
     onChange(listener) {
--- a/tests/relay/placement_client_test.ts
+++ b/tests/relay/placement_client_test.ts
@@ -99,7 +99,7 @@
       findService: () => service,
       tell,
     });
-    return {hostId, books, scheduler, client, desk};
+    return {hostId, registry, books, scheduler, client, desk};
   }
 
   const hosts = ['entry', 'first', 'standby'].map(makeHost);
@@ -202,6 +202,28 @@
   assert.equal(sent[0].to, 'standby');
 });
 
+test('an engine that leaves is not used on the word of a placer', async () => {
+  // Prompts reach an engine that leaves, from a host that knows it: the host
+  // that places for all has an older list.
+  const {clock, entry} = makeGroup(['p1', 'p2', 'd1']);
+  for (const leaving of ['p1', 'p2']) {
+    const upstreams = ['p1', 'p2', 'd1'].map(id => ({
+      ...makeEngine(id),
+      isDraining: id === leaving,
+    }));
+    entry.registry.apply({revision: 2, upstreams});
+    const need = makeNeed(clock.nowMs());
+    const asked = watch(entry.client.place(need, createCancellation()));
+    await clock.advance(900);
+    const {outcome} = asked;
+    assert.ok(outcome?.kind === 'placed');
+    assert.notEqual(outcome.prefill?.id, leaving);
+    outcome.prefillBooking.end();
+    entry.scheduler.release(outcome.run);
+    await clock.advance(1_100);
+  }
+});
+
 test('with no placer that answers the entry decides by itself', async () => {
   const {clock, entry, silent} = makeGroup();
   silent.add('first').add('standby');
--- /dev/null
+++ b/tests/relay/slot_client_test.ts
@@ -0,0 +1,85 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import {createCancellation} from '../../src/relay/cancellation.js';
+import {createSlotClient} from '../../src/relay/slot_client.js';
+import type {SlotMessage} from '../../src/relay/slot_messages.js';
+import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
+import {createPlainBalancer} from '../../src/scheduling/plain_balancer.js';
+import {silentLog} from '../support/silent_log.js';
+import {makeUpstream} from './store_site.js';
+
+const SERVICE = 'uus-pearaamat';
+const KEEPER = 'keeper';
+
+/** An entry whose keeper gives whatever slot it is asked for. */
+function makeEntry(given: string) {
+  const clock = createVirtualClock(1_000);
+  const registry = createUpstreamRegistry({clock, log: silentLog});
+  const random = createSeededRandom(1);
+  const balancer = createPlainBalancer(
+    {clock, random},
+    {ownFailureDomain: 'raadi-ruum'},
+  );
+  registry.onChange(() =>
+    balancer.setUpstreams(
+      SERVICE,
+      registry.open(SERVICE).map(({id, address, failureDomain}) => ({
+        upstreamId: id,
+        address,
+        failureDomain,
+      })),
+    ),
+  );
+  const told: SlotMessage[] = [];
+  const slots = createSlotClient({
+    clock,
+    log: silentLog,
+    firstAskId: 1,
+    registry,
+    balancer,
+    keepers: () => [KEEPER],
+    tell(_, message) {
+      told.push(message);
+      if (message.kind !== 'slot-ask') return;
+      const {askId} = message;
+      clock.setTimer(1, () =>
+        slots.receive(KEEPER, {kind: 'slot-given', askId, upstream: given}),
+      );
+    },
+  });
+  return {clock, registry, slots, told};
+}
+
+for (const [state, isDraining] of [
+  ['drains', true],
+  ['has left', undefined],
+] as const) {
+  test(`a slot of an upstream that ${state} is not used`, async () => {
+    // Calls reach an upstream that leaves, from a host that knows it: one that
+    // keeps the slots for all has an older list and gives slots of it.
+    const {clock, registry, slots, told} = makeEntry('a');
+    const a = makeUpstream('a');
+    const b = makeUpstream('b');
+    registry.apply({revision: 1, upstreams: [a, b]});
+    registry.apply({
+      revision: 2,
+      upstreams: isDraining ? [{...a, isDraining}, b] : [b],
+    });
+    const nowMs = clock.nowMs();
+    const waiting = {
+      arrivedAtMs: nowMs,
+      onTimeUntilMs: nowMs + 100,
+      giveUpAtMs: nowMs + 500,
+    };
+    const need = {requestId: 'r', service: SERVICE, waiting};
+    const taking = slots.take(need, new Set(), createCancellation());
+    await clock.advance(20);
+    const slot = await taking;
+    assert.equal(slot.kind, 'slot');
+    assert.equal(slot.kind === 'slot' && slot.upstream.id, 'b');
+    // The keeper hears that its slot is free.
+    assert.equal(told.at(-1)?.kind, 'slot-end');
+  });
+}
