Work out once a state whether this host reads for others, not for each receiver

Cause (CPU profile of 68 idle relay processes): for each of 67 receivers of a state the sender asked whether it reads or places for others, which ranked all peers by a hash anew; 12% of all time. Hypothesis: idle control of 68 hosts falls by as much.

The test counts the questions: 944 to 16 for 405 datagrams.

--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -174,18 +174,19 @@
     return [...records.values()].filter(({isAlive}) => isAlive);
   }
 
-  /** Within which time the address is to hear again. */
-  function intervalOf(distance: Distance): number {
-    switch (distance) {
-      case 'near':
-        return repeatMs(NEAR_REPEAT_PER_PEER_MS);
-      case 'far':
-        return repeatMs(
-          host.isHub() ? HUB_REPEAT_PER_PEER_MS : FAR_REPEAT_PER_PEER_MS,
-        );
-      case 'unknown':
-        return PROBE_MS;
-    }
+  /**
+   * Within which time an address is to hear again. Worked out once for all
+   * that are sent to: whether this host is a hub takes a look at all peers.
+   */
+  function findIntervals(): Readonly<Record<Distance, number>> {
+    const farPerPeerMs = host.isHub()
+      ? HUB_REPEAT_PER_PEER_MS
+      : FAR_REPEAT_PER_PEER_MS;
+    return {
+      near: repeatMs(NEAR_REPEAT_PER_PEER_MS),
+      far: repeatMs(farPerPeerMs),
+      unknown: PROBE_MS,
+    };
   }
 
   function distanceOf(live: PeerRecord | undefined): Distance {
@@ -253,11 +254,12 @@
     const liveByAddress = new Map(
       listLive().map(record => [record.peer.peerAddress, record]),
     );
+    const intervalsMs = findIntervals();
     const payloads = new Map<number, Buffer>();
     nearCount = 0;
     for (const address of addresses.keys()) {
       const distance = distanceOf(liveByAddress.get(address));
-      const nextWithinMs = intervalOf(distance);
+      const nextWithinMs = intervalsMs[distance];
       if (distance === 'near') nearCount++;
       if (!REACHED[distance](reach) && !isDue(address, nowMs)) continue;
       let payload = payloads.get(nextWithinMs);
--- a/src/relay/store_readers.ts
+++ b/src/relay/store_readers.ts
@@ -45,18 +45,29 @@
 const READER_COUNT = 3;
 
 export function createStoreReaders(host: StoreReadersHost): StoreReaders {
+  /**
+   * Ranks never change, and this is asked with each datagram: hashing 67 names
+   * each time was 8% of what a host of 68 spent on control (CPU profile).
+   */
+  const ranks = new Map<string, number>();
+
+  function rankOf(hostId: string): number {
+    const rank = ranks.get(hostId) ?? rankHost(hostId);
+    ranks.set(hostId, rank);
+    return rank;
+  }
+
   return {
     isReader() {
       // The store may turn some hosts away; these go by what the others read.
       if (!host.isStoreReachable()) return false;
-      const ownRank = rankHost(host.hostId);
-      const before = host
-        .peers()
-        .filter(
-          ({hostId, isStoreReachable}) =>
-            isStoreReachable && rankHost(hostId) < ownRank,
-        );
-      return before.length < READER_COUNT;
+      const ownRank = rankOf(host.hostId);
+      let before = 0;
+      for (const {hostId, isStoreReachable} of host.peers()) {
+        if (isStoreReachable && rankOf(hostId) < ownRank) before++;
+        if (before === READER_COUNT) return false;
+      }
+      return true;
     },
   };
 }
--- a/tests/relay/peer_exchange_test.ts
+++ b/tests/relay/peer_exchange_test.ts
@@ -45,6 +45,7 @@
     let state: HostState = 'ready';
     let ownFar: ReadonlySet<string> = far;
     let lostCount = 0;
+    let hubAskCount = 0;
     const exchange = createPeerExchange(
       {
         clock,
@@ -79,7 +80,10 @@
           lostCount++;
         },
         isNear: hostId => !ownFar.has(hostId),
-        isHub: () => true,
+        isHub() {
+          hubAskCount++;
+          return true;
+        },
       },
       {
         hostId: name,
@@ -93,6 +97,7 @@
       address,
       exchange,
       lostCount: () => lostCount,
+      hubAskCount: () => hubAskCount,
       setFar(hostIds: ReadonlySet<string>) {
         ownFar = hostIds;
       },
@@ -307,3 +312,21 @@
   assert.ok(most <= 40, `${most} at once`);
   assert.ok(hosts.every(({exchange}) => exchange.alive().length === 59));
 });
+
+test('a state to many peers asks once what this host is to them', async () => {
+  // Hosts of a large site spend most of their time on telling each other that
+  // nothing has changed: for each of 67 receivers the sender ranked all peers
+  // anew to find whether it reads the store for them.
+  const {clock, addHost, sentBy} = makeNetwork();
+  const names = Array.from({length: 60}, (_, i) => `h${i}`);
+  const hosts = names.map(name => addHost(name, ['h0:1']));
+  for (const host of hosts) host.setFar(new Set(names));
+  await clock.advance(8_000);
+  const before = {sent: sentBy('h7:1'), asks: hosts[7].hubAskCount()};
+  await clock.advance(4_000);
+  const sent = sentBy('h7:1') - before.sent;
+  const asks = hosts[7].hubAskCount() - before.asks;
+  const repeats = 4_000 / 250;
+  assert.ok(sent > 5 * repeats, String(sent));
+  assert.ok(asks <= repeats, `${asks} times for ${sent} datagrams`);
+});
