Put the types of upstreams and of a host's load below those that use them

upstream_registry and list_deltas, engine_books and peer_loads named each other's types. A list read computes its digest once instead of three times. No change of behaviour.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -9,7 +9,7 @@
   Upstream,
   UpstreamRole,
   UpstreamSnapshot,
-} from '../relay/upstream_registry.js';
+} from '../relay/upstream.js';
 
 /** Names and values in turn, as they stand in the message. */
 export type RawHeaders = readonly string[];
--- a/src/relay/engine_books.ts
+++ b/src/relay/engine_books.ts
@@ -9,6 +9,7 @@
  * forecast to hold at its end.
  */
 
+import type {HostLoad} from './host_load.js';
 import {createPeerLoads} from './peer_loads.js';
 
 /** Use of one decode engine, in tokens of KV cache. */
@@ -26,14 +27,6 @@
   readonly tokens: number;
 }
 
-/** What one host has promised, as it announces it to its peers. */
-export interface HostLoad {
-  /** By upstream id: runs, tokens now, tokens at the end. */
-  readonly decode: Readonly<Record<string, readonly [number, number, number]>>;
-  /** By upstream id: prompts, tokens. */
-  readonly prefill: Readonly<Record<string, readonly [number, number]>>;
-}
-
 export interface DecodeRun {
   readonly engineId: string;
   readonly promptTokens: number;
--- a/src/relay/engine_candidates.ts
+++ b/src/relay/engine_candidates.ts
@@ -5,11 +5,8 @@
   DEFAULT_HEALTH,
 } from '../core/scheduling/engine_health.js';
 import type {Clock} from '../ports/clock.js';
-import type {
-  Upstream,
-  UpstreamRegistry,
-  UpstreamRole,
-} from './upstream_registry.js';
+import type {Upstream, UpstreamRole} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface EngineCandidatesHost {
   readonly clock: Clock;
--- a/src/relay/engine_choice.ts
+++ b/src/relay/engine_choice.ts
@@ -16,7 +16,8 @@
 } from './placement_rules.js';
 import type {PlacementGroups} from './placement_groups.js';
 import type {EngineTraits} from './routing.js';
-import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface EngineChoiceHost {
   readonly random: Random;
--- a/src/relay/engine_failures.ts
+++ b/src/relay/engine_failures.ts
@@ -6,7 +6,8 @@
 import type {EngineBooks} from './engine_books.js';
 import type {EngineScheduler} from './engine_scheduler.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface EngineFailuresHost {
   readonly clock: Clock;
--- a/src/relay/engine_scheduler.ts
+++ b/src/relay/engine_scheduler.ts
@@ -16,7 +16,8 @@
 import type {TokenNeed} from './placement_rules.js';
 import type {Service} from './routing.js';
 import type {SharedLearning} from './shared_learning.js';
-import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 import {
   compareWaiting,
   findRetryAfterMs,
--- a/src/relay/list_deltas.ts
+++ b/src/relay/list_deltas.ts
@@ -10,7 +10,7 @@
 
 import {hashText} from '../core/hash_text.js';
 import type {Clock} from '../ports/clock.js';
-import type {Upstream} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
 
 export interface ListDelta {
   readonly fromDigest: number;
@@ -26,9 +26,15 @@
 /** The list by upstream id. */
 export type UpstreamEntries = ReadonlyMap<string, Upstream>;
 
+/** A list with its digest. */
+export interface DigestedList {
+  readonly entries: UpstreamEntries;
+  readonly digest: number;
+}
+
 export interface DeltaLog {
   /** The list has changed, or was read again as it was. */
-  note(before: UpstreamEntries, after: UpstreamEntries, revision: number): void;
+  note(before: DigestedList, after: DigestedList, revision: number): void;
   /** The changes of the last moments, oldest first. */
   recent(): readonly ListDelta[];
 }
@@ -68,16 +74,22 @@
     [];
   return {
     note(before, after, revision) {
-      const fromDigest = digestList(before);
-      const toDigest = digestList(after);
-      if (fromDigest === toDigest || before.size === 0) return;
-      const changed = [...after.values()].filter(each => {
-        const known = before.get(each.id);
+      if (before.digest === after.digest || before.entries.size === 0) return;
+      const changed = [...after.entries.values()].filter(each => {
+        const known = before.entries.get(each.id);
         return !known || describe(known) !== describe(each);
       });
-      const left = [...before.keys()].filter(id => !after.has(id));
+      const left = [...before.entries.keys()].filter(
+        id => !after.entries.has(id),
+      );
       if (changed.length + left.length > MOST_UPSTREAMS_TOLD) return;
-      const delta = {fromDigest, toDigest, revision, changed, left};
+      const delta = {
+        fromDigest: before.digest,
+        toDigest: after.digest,
+        revision,
+        changed,
+        left,
+      };
       told = [...told, {delta, atMs: clock.nowMs()}];
     },
     recent() {
--- a/src/relay/peer_datagrams.ts
+++ b/src/relay/peer_datagrams.ts
@@ -1,7 +1,7 @@
 /** What goes between the relays of a deployment, and how it is read. */
 
 import type {LossFact} from '../request/quarantine.js';
-import type {HostLoad} from './engine_books.js';
+import type {HostLoad} from './host_load.js';
 import {decodeDatagram} from './peer_codec.js';
 import type {PlacementMessage} from './placement_messages.js';
 import type {LearnedSums} from './shared_learning.js';
--- a/src/relay/peer_handover.ts
+++ b/src/relay/peer_handover.ts
@@ -14,7 +14,8 @@
 import type {Peer} from './peer_datagrams.js';
 import type {RoutingState} from './routing_state.js';
 import type {SideHandler} from './side_server.js';
-import type {UpstreamRegistry, UpstreamSnapshot} from './upstream_registry.js';
+import type {UpstreamSnapshot} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface PeerHandoverHost {
   readonly clock: Clock;
--- a/src/relay/peer_loads.ts
+++ b/src/relay/peer_loads.ts
@@ -4,7 +4,7 @@
  * takes more processor time than the request itself.
  */
 
-import type {HostLoad} from './engine_books.js';
+import type {HostLoad} from './host_load.js';
 
 type Sums = readonly number[];
 
--- a/src/relay/placement_groups.ts
+++ b/src/relay/placement_groups.ts
@@ -14,7 +14,7 @@
  */
 
 import {hashText} from '../core/hash_text.js';
-import type {UpstreamRole} from './upstream_registry.js';
+import type {UpstreamRole} from './upstream.js';
 
 /** An engine of one of the model services. */
 export interface GroupedEngine {
--- a/src/relay/placement_rules.ts
+++ b/src/relay/placement_rules.ts
@@ -5,7 +5,7 @@
 
 import type {DecodeLoad, EngineBooks} from './engine_books.js';
 import type {EngineTraits} from './routing.js';
-import type {Upstream} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
 
 /** Tokens that a request needs at a decode engine. */
 export interface TokenNeed {
--- a/src/relay/plain_relay.ts
+++ b/src/relay/plain_relay.ts
@@ -26,7 +26,8 @@
 } from './relay_types.js';
 import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
 import {toCallWaiting} from './slot_rules.js';
-import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface PlainRelayHost {
   readonly clock: Clock;
--- a/src/relay/prefill_step.ts
+++ b/src/relay/prefill_step.ts
@@ -12,7 +12,7 @@
 import {CONNECT_TIMEOUT_MS, leftMs} from './relay_types.js';
 import type {SharedLearning} from './shared_learning.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
 
 export interface PrefillStepHost {
   readonly clock: Clock;
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -46,7 +46,8 @@
 import {createStoreWatch} from './store_watch.js';
 import {createStreamRelay} from './stream_relay.js';
 import type {RelayJob} from './relay_types.js';
-import {createUpstreamRegistry, type Upstream} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
+import {createUpstreamRegistry} from './upstream_registry.js';
 
 /** What the platform's calls to this process ask for. */
 export interface SideFacts {
--- a/src/relay/role_orders.ts
+++ b/src/relay/role_orders.ts
@@ -23,7 +23,8 @@
 import {divideEngines} from './role_demand.js';
 import type {Service} from './routing.js';
 import type {SharedLearning} from './shared_learning.js';
-import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface RoleOrdersHost {
   readonly clock: Clock;
--- a/src/relay/slot_client.ts
+++ b/src/relay/slot_client.ts
@@ -15,7 +15,8 @@
   PlainCallResult,
 } from '../scheduling/plain_balancer.js';
 import type {SlotAnswer, SlotAsk, SlotEnd} from './slot_messages.js';
-import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 import type {Waiting} from './wait_rules.js';
 
 export interface SlotClientHost {
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -30,7 +30,8 @@
 import {relayEvents, type StreamEnd} from './stream_events.js';
 import {createStreamStart, SILENCE_MS} from './stream_start.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 import {toWaiting} from './wait_rules.js';
 
 export interface StreamRelayHost {
--- a/src/relay/stream_start.ts
+++ b/src/relay/stream_start.ts
@@ -18,7 +18,8 @@
 import {CONNECT_TIMEOUT_MS, leftMs, type RelayJob} from './relay_types.js';
 import type {SharedLearning} from './shared_learning.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream, UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from './upstream.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface StreamStartHost {
   readonly clock: Clock;
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/upstream_registry.ts
@@ -16,35 +16,7 @@
   type ListDelta,
 } from './list_deltas.js';
 import {createListOutage} from './list_outage.js';
-
-export type UpstreamRole = 'prefill' | 'decode';
-
-/** One upstream as the list shows it. */
-export interface Upstream {
-  /** New with each start of the upstream: names one of its lives. */
-  readonly id: string;
-  /** What the upstream calls itself; it may keep that over a restart. */
-  readonly name: string;
-  /** Unix time of its start, where upstreams tell. */
-  readonly startedAtMs?: number;
-  readonly service: string;
-  /** `ip:port`; may be used again by another upstream later. */
-  readonly address: string;
-  readonly failureDomain: string;
-  readonly slots: number;
-  readonly isDraining: boolean;
-  /** Changes with each sign of life that the upstream gives the list. */
-  readonly heartbeat: number;
-  /** Present for model engines. */
-  readonly role?: UpstreamRole;
-}
-
-/** The whole list as of one moment of the store. */
-export interface UpstreamSnapshot {
-  /** The store's counter; a smaller one is an older list. */
-  readonly revision: number;
-  readonly upstreams: readonly Upstream[];
-}
+import type {Upstream, UpstreamSnapshot} from './upstream.js';
 
 /** Where a list was read. */
 export type UpstreamOrigin = 'store' | 'peer';
@@ -239,11 +211,11 @@
       const nowMs = clock.nowMs();
       if (origin === 'store') outage.served(nowMs);
       last = snapshot;
-      const before = new Map(entries);
+      const before = {entries: new Map(entries), digest};
       for (const upstream of snapshot.upstreams) takeListed(upstream);
       takeMissing(snapshot.upstreams, nowMs, origin);
-      deltas.note(before, entries, snapshot.revision);
       digest = digestList(entries);
+      deltas.note(before, {entries, digest}, snapshot.revision);
       rebuild();
     },
     applyDelta(delta) {
--- a/tests/relay/engine_scheduler_test.ts
+++ b/tests/relay/engine_scheduler_test.ts
@@ -12,10 +12,8 @@
 } from '../../src/relay/engine_scheduler.js';
 import type {Service} from '../../src/relay/routing.js';
 import {createSharedLearning} from '../../src/relay/shared_learning.js';
-import {
-  createUpstreamRegistry,
-  type Upstream,
-} from '../../src/relay/upstream_registry.js';
+import type {Upstream} from '../../src/relay/upstream.js';
+import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
 import type {Waiting} from '../../src/relay/wait_rules.js';
 import {silentLog} from '../support/silent_log.js';
 import {oneGroup} from './one_group.js';
--- a/tests/relay/placement_client_test.ts
+++ b/tests/relay/placement_client_test.ts
@@ -14,10 +14,8 @@
 import type {PlacementMessage} from '../../src/relay/placement_messages.js';
 import type {Service} from '../../src/relay/routing.js';
 import {createSharedLearning} from '../../src/relay/shared_learning.js';
-import {
-  createUpstreamRegistry,
-  type Upstream,
-} from '../../src/relay/upstream_registry.js';
+import type {Upstream} from '../../src/relay/upstream.js';
+import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
 import {silentLog} from '../support/silent_log.js';
 import {oneGroup} from './one_group.js';
 
--- a/tests/relay/store_site.ts
+++ b/tests/relay/store_site.ts
@@ -14,10 +14,8 @@
   type ReadingPeer,
 } from '../../src/relay/store_readers.js';
 import {createStoreWatch} from '../../src/relay/store_watch.js';
-import {
-  createUpstreamRegistry,
-  type Upstream,
-} from '../../src/relay/upstream_registry.js';
+import type {Upstream} from '../../src/relay/upstream.js';
+import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
 import {silentLog} from '../support/silent_log.js';
 
 const ANSWER_MS = 4;
