Let far hosts tell each other less often, and all readers hear everyone often

Cause: nine tenths of the datagrams of 68 hosts are states that far hosts repeat to each other each 1.6 s; sending and reading them is most of what an idle host does. What they are needed for is liveness, and that two hosts (those that place) tell for all. Hypothesis: with a third that hears everyone often, far states may be rarer by half without a dead entry being named for longer.

Change: the third reader of the store hears all hosts as often as those that place; far repeats go from 24 to 36 ms a host.

Test: a host that dies beside one of the three is out everywhere within 3.5 s; it fails without the third.

--- a/src/relay/peer_exchange.ts
+++ b/src/relay/peer_exchange.ts
@@ -36,6 +36,8 @@
   isNear(hostId: string): boolean;
   /** Whether others go by what this host tells: it places or reads for them. */
   isHub(): boolean;
+  /** Peers that hear all hosts often, and tell the others who fell silent. */
+  watcherIds(): ReadonlySet<string>;
   /** A peer told this host something that is meant for it alone. */
   onMessage(fromHostId: string, message: PeerMessage): void;
 }
@@ -68,11 +70,12 @@
 /** Few peers hear the state this often; 9 hosts send 32 datagrams a second each. */
 const REPEAT_MS = 250;
 /**
- * Many hear it less often: taking a datagram costs a small host some 0.1 ms,
- * and of 79 hosts each takes 80 a second for these repeats.
+ * Many hear it less often: taking a datagram costs a small host some 0.1 ms.
+ * Whom a host does not hear often it takes for alive until those that do tell
+ * otherwise, so that 68 hosts may leave 2.4 s between two of these datagrams.
  */
 const NEAR_REPEAT_PER_PEER_MS = 6;
-const FAR_REPEAT_PER_PEER_MS = 24;
+const FAR_REPEAT_PER_PEER_MS = 36;
 /** Hosts that place or read for all tell their state to all more often. */
 const HUB_REPEAT_PER_PEER_MS = 12;
 /** Changes closer together than this go out as one. */
@@ -117,13 +120,14 @@
 }
 
 /** How a peer stands to this host; unknown while it is not heard. */
-type Distance = 'near' | 'far' | 'unknown';
+type Distance = 'near' | 'watcher' | 'far' | 'unknown';
 
 /** Whether a change goes there before the next repeat. */
 const REACHED: Readonly<
   Record<Distance, (reach: ChangeReach | undefined) => boolean>
 > = {
   near: reach => reach !== undefined,
+  watcher: reach => reach === 'all',
   far: reach => reach === 'all',
   unknown: () => false,
 };
@@ -182,16 +186,23 @@
     const farPerPeerMs = host.isHub()
       ? HUB_REPEAT_PER_PEER_MS
       : FAR_REPEAT_PER_PEER_MS;
+    const nearMs = repeatMs(NEAR_REPEAT_PER_PEER_MS);
     return {
-      near: repeatMs(NEAR_REPEAT_PER_PEER_MS),
+      near: nearMs,
+      watcher: nearMs,
       far: repeatMs(farPerPeerMs),
       unknown: PROBE_MS,
     };
   }
 
-  function distanceOf(live: PeerRecord | undefined): Distance {
+  function distanceOf(
+    live: PeerRecord | undefined,
+    watcherIds: ReadonlySet<string>,
+  ): Distance {
     if (!live) return 'unknown';
-    return host.isNear(live.peer.hostId) ? 'near' : 'far';
+    const {hostId} = live.peer;
+    if (host.isNear(hostId)) return 'near';
+    return watcherIds.has(hostId) ? 'watcher' : 'far';
   }
 
   function gatherMs(): number {
@@ -255,10 +266,11 @@
       listLive().map(record => [record.peer.peerAddress, record]),
     );
     const intervalsMs = findIntervals();
+    const watcherIds = host.watcherIds();
     const payloads = new Map<number, Buffer>();
     nearCount = 0;
     for (const address of addresses.keys()) {
-      const distance = distanceOf(liveByAddress.get(address));
+      const distance = distanceOf(liveByAddress.get(address), watcherIds);
       const nextWithinMs = intervalsMs[distance];
       if (distance === 'near') nearCount++;
       if (!REACHED[distance](reach) && !isDue(address, nowMs)) continue;
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -209,6 +209,7 @@
       },
       isNear: placement.isNear,
       isHub: () => placement.isPlacing() || readers.isReader(),
+      watcherIds: readers.readerIds,
       onMessage(fromHostId, message) {
         if (isSlotMessage(message)) plainPlaces.receive(fromHostId, message);
         else placement.receive(fromHostId, message);
--- a/src/relay/store_readers.ts
+++ b/src/relay/store_readers.ts
@@ -39,6 +39,8 @@
 export interface StoreReaders {
   /** Whether this host is one of those that read for all. */
   isReader(): boolean;
+  /** Hosts that read for all, as far as this host can tell. */
+  readerIds(): ReadonlySet<string>;
 }
 
 /** Two may fail at once, and the others still hear each 0.7 s. */
@@ -57,17 +59,19 @@
     return rank;
   }
 
+  /** The store may turn some hosts away; these go by what the others read. */
+  function findReaders(): readonly string[] {
+    const candidates = host.isStoreReachable() ? [host.hostId] : [];
+    for (const peer of host.peers()) {
+      if (peer.isStoreReachable) candidates.push(peer.hostId);
+    }
+    return candidates
+      .sort((a, b) => rankOf(a) - rankOf(b))
+      .slice(0, READER_COUNT);
+  }
+
   return {
-    isReader() {
-      // The store may turn some hosts away; these go by what the others read.
-      if (!host.isStoreReachable()) return false;
-      const ownRank = rankOf(host.hostId);
-      let before = 0;
-      for (const {hostId, isStoreReachable} of host.peers()) {
-        if (isStoreReachable && rankOf(hostId) < ownRank) before++;
-        if (before === READER_COUNT) return false;
-      }
-      return true;
-    },
+    isReader: () => findReaders().includes(host.hostId),
+    readerIds: () => new Set(findReaders()),
   };
 }
--- a/tests/relay/peer_exchange_test.ts
+++ b/tests/relay/peer_exchange_test.ts
@@ -21,6 +21,8 @@
   const clock = createVirtualClock(1_000);
   const handlers = new Map<string, Handler>();
   const cut = new Set<string>();
+  /** Hosts that hear all others often. */
+  const watchers = new Set<string>();
   /** Hosts that no other host has to tell each change. */
   const far = new Set<string>();
   const sent = new Map<string, number>();
@@ -80,9 +82,10 @@
           lostCount++;
         },
         isNear: hostId => !ownFar.has(hostId),
+        watcherIds: () => watchers,
         isHub() {
           hubAskCount++;
-          return true;
+          return watchers.size === 0 || watchers.has(name);
         },
       },
       {
@@ -118,6 +121,7 @@
     clock,
     cut,
     far,
+    watchers,
     messages,
     addHost,
     sentBy: (address: string) => sent.get(address) ?? 0,
@@ -246,6 +250,24 @@
   assert.equal(far.size, 0);
 });
 
+test('a far host that dies beside one of its watchers is out soon', async () => {
+  // Callers are sent to dead entries: a host of 60 died, and one of the three
+  // that hear all hosts often died with it, so that two are left to tell.
+  const {clock, cut, watchers, addHost} = makeNetwork();
+  const names = Array.from({length: 60}, (_, i) => `h${i}`);
+  const hosts = names.map(name => addHost(name, ['h0:1']));
+  for (const host of hosts) host.setFar(new Set(names));
+  for (const hostId of ['h1', 'h2', 'h3']) watchers.add(hostId);
+  await clock.advance(8_000);
+  cut.add('h59:1').add('h1:1');
+  await clock.advance(3_500);
+  for (const {address, exchange} of hosts) {
+    if (cut.has(address)) continue;
+    const alive = exchange.alive().map(({hostId}) => hostId);
+    assert.equal(alive.includes('h59'), false, address);
+  }
+});
+
 test('a message reaches the peer that it is meant for, and no other', async () => {
   const {clock, messages, addHost} = makeNetwork();
   const a = addHost('a', []);
