--- a/tests/soak/relay_child.ts
+++ b/tests/soak/relay_child.ts
@@ -16,6 +16,8 @@
 export interface RelayChild {
   readonly settings: RelaySettings;
   isRunning(): boolean;
+  /** Of the process that runs now. */
+  processId(): number | undefined;
   /** Does nothing while a process runs. */
   start(): void;
   /** Sends a signal to the process that `start` made, and to no other. */
@@ -48,6 +50,7 @@
   return {
     settings,
     isRunning: () => child !== undefined,
+    processId: () => child?.pid,
     start() {
       // Two faults may wait for the same end, and both start it again.
       if (child) return;
