Reset no link whose end is under way; take the soak off the known red

A socket that is reset after its end was begun is refused with EINVAL and still taken for closing. The proxies and engines of the soak did so; the product resets no socket. The soak test's own way out after 10 s goes, with the reason for it.

--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -37,7 +37,9 @@
 
 /** Paths of test sources that fail for a known fault. */
 function readKnownRed() {
-  const text = readFileSync(path.join(root, 'KNOWN-RED.txt'), 'utf8');
+  const list = path.join(root, 'KNOWN-RED.txt');
+  if (!existsSync(list)) return [];
+  const text = readFileSync(list, 'utf8');
   return [...text.matchAll(/^(\S+_test\.ts) \(not run\)/gm)].map(
     ([, source]) => source,
   );
--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -7,6 +7,7 @@
 import http from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {resetSocket} from '../reset_socket.js';
 
 /** What the upstream does with the next requests. */
 export type EngineBehaviour =
@@ -92,7 +93,7 @@
 
   function crash(): void {
     server.close();
-    for (const socket of sockets) socket.resetAndDestroy();
+    for (const socket of sockets) resetSocket(socket);
   }
 
   function note(
@@ -200,7 +201,7 @@
       case 'hang':
         return;
       case 'lose-answer':
-        message.socket.resetAndDestroy();
+        resetSocket(message.socket);
         return;
       case 'fail':
         response.writeHead(500, headersFor(run));
--- a/tests/soak/fault_proxy.ts
+++ b/tests/soak/fault_proxy.ts
@@ -4,6 +4,7 @@
  */
 
 import net from 'node:net';
+import {resetSocket} from '../../stand_ins/reset_socket.js';
 
 export type ProxyMode =
   | 'pass'
@@ -58,7 +59,7 @@
     from.on('end', () => {
       if (!isBlocked(isAnswer)) setTimeout(() => to.end(), delayMs());
     });
-    from.on('error', () => to.resetAndDestroy());
+    from.on('error', () => resetSocket(to));
     from.on('close', hadError => {
       if (hadError) return;
       setTimeout(() => to.end(), delayMs());
@@ -68,7 +69,7 @@
   const listener = net.createServer({allowHalfOpen: true}, client => {
     if (mode === 'reset') {
       client.on('error', () => undefined);
-      client.resetAndDestroy();
+      resetSocket(client);
       return;
     }
     const server = net.connect({host, port: targetPort, allowHalfOpen: true});
@@ -85,8 +86,8 @@
 
   function resetAll(): void {
     for (const {client, server} of pairs) {
-      client.resetAndDestroy();
-      server.resetAndDestroy();
+      resetSocket(client);
+      resetSocket(server);
     }
   }
 
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {execFileSync} from 'node:child_process';
 import path from 'node:path';
-import {after, before, test} from 'node:test';
+import {before, test} from 'node:test';
 import {runSoak, type SoakOptions} from './soak_run.js';
 
 const folder = path.resolve('build', 'soak');
@@ -20,22 +20,6 @@
   execFileSync(process.execPath, ['scripts/build_bundle.mjs', bundle]);
 });
 
-/** What the sites left is gone within a second, as a rule. */
-const LINGER_MS = 10_000;
-
-/**
- * Once of six runs the process did not end after its tests, at 80% of a core,
- * beside load. Until the cause is known it says what is still open and ends.
- */
-after(() => {
-  const timer = setTimeout(() => {
-    const open = process.getActiveResourcesInfo().join(', ');
-    console.error(`The soak left behind: ${open}`);
-    process.exit();
-  }, LINGER_MS);
-  timer.unref();
-});
-
 /**
  * Each seed that ever broke a promise, with its cause:
  * 109: a SIGTERM met a process that had just started and had no handler yet,
