--- a/tests/request/retry_budget_test.ts
+++ b/tests/request/retry_budget_test.ts
@@ -40,3 +40,14 @@
   assert.equal(budget.tryTake('drafts'), true);
   assert.equal(budget.tryTake('drafts'), false);
 });
+
+test('a retry that is given back can be taken again, and none beyond', () => {
+  const budget = createRetryBudget({burst: () => 2, ratioOf: () => 0});
+  assert.equal(budget.hasLeft('drafts', 2), true);
+  assert.equal(budget.tryTake('drafts'), true);
+  assert.equal(budget.hasLeft('drafts', 2), false);
+  budget.giveBack('drafts');
+  budget.giveBack('drafts');
+  assert.equal(budget.hasLeft('drafts', 2), true);
+  assert.equal(budget.hasLeft('drafts', 3), false);
+});
