--- a/stand_ins/users_platform/store_stand_in.ts
+++ b/stand_ins/users_platform/store_stand_in.ts
@@ -92,7 +92,11 @@
       history.filter(row => row.table === table && row.ver > after);
     if (changed().length > 0) return send(response, 200, page(changed()));
     const timer = setTimeout(
-      () => send(response, 200, page(changed())),
+      () => {
+        // Else each write looks at all feeds that ever waited in vain.
+        waiters = waiters.filter(each => each !== waiter);
+        send(response, 200, page(changed()));
+      },
       Number(query.get('wait_ms')),
     );
     const waiter: Waiter = {
