--- /dev/null
+++ b/tests/relay/lone_scheduler.ts
@@ -0,0 +1,68 @@
+/** A host's own scheduler, in virtual time, that hears nothing of peers. */
+
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import type {Clock} from '../../src/ports/clock.js';
+import {createEngineBooks} from '../../src/relay/engine_books.js';
+import {createEngineScheduler} from '../../src/relay/engine_scheduler.js';
+import type {Service} from '../../src/relay/routing.js';
+import {createSharedLearning} from '../../src/relay/shared_learning.js';
+import type {Upstream} from '../../src/relay/upstream.js';
+import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
+import {silentLog} from '../support/silent_log.js';
+import {oneGroup} from './one_group.js';
+
+export function makeService(kvTokens: number): Service {
+  return {
+    name: 'brief-llm',
+    healthPath: '/healthz',
+    maxConnections: 100,
+    engine: {
+      slots: 48,
+      kvTokens,
+      tokensPerEvent: 12,
+      prefillLifeMs: 500,
+      roleChangeMs: 6_000,
+    },
+  };
+}
+
+/** An engine whose role shows in its id: `p1` reads prompts, `d1` decodes. */
+export function makeEngine(id: string): Upstream {
+  return {
+    id,
+    name: id,
+    service: 'brief-llm',
+    address: `${id}:1`,
+    failureDomain: 'bp-obuda',
+    slots: 48,
+    isDraining: false,
+    heartbeat: 1,
+    role: id.startsWith('p') ? 'prefill' : 'decode',
+  };
+}
+
+export function makeLoneScheduler(clock: Clock, engineIds: readonly string[]) {
+  const registry = createUpstreamRegistry({clock, log: silentLog});
+  registry.apply({revision: 1, upstreams: engineIds.map(makeEngine)});
+  const books = createEngineBooks();
+  const learning = createSharedLearning({clock});
+  const scheduler = createEngineScheduler({
+    clock,
+    random: createSeededRandom(3),
+    log: silentLog,
+    registry,
+    books,
+    learning,
+    groups: oneGroup,
+    peers: {
+      waiting: () => [],
+      isSuspect: () => false,
+      isFull: () => false,
+      isChanging: () => false,
+      isAwaited: () => false,
+    },
+    isChanging: () => false,
+    onChange: () => undefined,
+  });
+  return {registry, books, learning, scheduler};
+}
--- a/tests/relay/placement_client_test.ts
+++ b/tests/relay/placement_client_test.ts
@@ -1,53 +1,21 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createSeededRandom} from '../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../src/core/virtual_clock.js';
 import {createCancellation} from '../../src/relay/cancellation.js';
-import {createEngineBooks} from '../../src/relay/engine_books.js';
-import {
-  createEngineScheduler,
-  type PlacementOutcome,
-  type StreamNeed,
+import type {
+  PlacementOutcome,
+  StreamNeed,
 } from '../../src/relay/engine_scheduler.js';
 import {createPlacementClient} from '../../src/relay/placement_client.js';
 import {createPlacementDesk} from '../../src/relay/placement_desk.js';
 import type {PlacementMessage} from '../../src/relay/placement_messages.js';
-import type {Service} from '../../src/relay/routing.js';
-import {createSharedLearning} from '../../src/relay/shared_learning.js';
-import type {Upstream} from '../../src/relay/upstream.js';
-import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
 import {silentLog} from '../support/silent_log.js';
-import {oneGroup} from './one_group.js';
+import {makeEngine, makeLoneScheduler, makeService} from './lone_scheduler.js';
 
-const service: Service = {
-  name: 'brief-llm',
-  healthPath: '/healthz',
-  maxConnections: 100,
-  engine: {
-    slots: 48,
-    kvTokens: 10_000,
-    tokensPerEvent: 12,
-    prefillLifeMs: 500,
-    roleChangeMs: 6_000,
-  },
-};
+const service = makeService(10_000);
 
 const MESSAGE_MS = 3;
 
-function makeEngine(id: string): Upstream {
-  return {
-    id,
-    name: id,
-    service: service.name,
-    address: `${id}:1`,
-    failureDomain: 'bp-obuda',
-    slots: 48,
-    isDraining: false,
-    heartbeat: 1,
-    role: id.startsWith('p') ? 'prefill' : 'decode',
-  };
-}
-
 /** An entry and two placers whose messages take 3 ms or are lost. */
 function makeGroup(engineIds: readonly string[] = ['p1', 'd1']) {
   const clock = createVirtualClock(1_000);
@@ -56,28 +24,10 @@
   let lostAnswers = 0;
 
   function makeHost(hostId: string) {
-    const registry = createUpstreamRegistry({clock, log: silentLog});
-    registry.apply({revision: 1, upstreams: engineIds.map(makeEngine)});
-    const books = createEngineBooks();
-    const learning = createSharedLearning({clock});
-    const scheduler = createEngineScheduler({
+    const {registry, books, learning, scheduler} = makeLoneScheduler(
       clock,
-      random: createSeededRandom(3),
-      log: silentLog,
-      registry,
-      books,
-      learning,
-      groups: oneGroup,
-      peers: {
-        waiting: () => [],
-        isSuspect: () => false,
-        isFull: () => false,
-        isChanging: () => false,
-        isAwaited: () => false,
-      },
-      isChanging: () => false,
-      onChange: () => undefined,
-    });
+      engineIds,
+    );
     const tell = (to: string, message: PlacementMessage) =>
       deliver(hostId, to, message);
     const client = createPlacementClient({
--- a/tests/relay/prefill_step_test.ts
+++ b/tests/relay/prefill_step_test.ts
@@ -1,79 +1,28 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createSeededRandom} from '../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../src/core/virtual_clock.js';
 import type {PrefillOutcome, UpstreamPort} from '../../src/ports/relay.js';
 import {createCancellation} from '../../src/relay/cancellation.js';
 import {createCountedCalls} from '../../src/relay/counted_calls.js';
-import {createEngineBooks} from '../../src/relay/engine_books.js';
 import {createEngineFailures} from '../../src/relay/engine_failures.js';
-import {createEngineScheduler} from '../../src/relay/engine_scheduler.js';
 import {createPrefillStep} from '../../src/relay/prefill_step.js';
 import type {RelayJob} from '../../src/relay/relay_types.js';
-import type {Service} from '../../src/relay/routing.js';
-import {createSharedLearning} from '../../src/relay/shared_learning.js';
 import type {StreamState} from '../../src/relay/stream_state.js';
-import type {Upstream} from '../../src/relay/upstream.js';
-import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
 import {createRetryBudget} from '../../src/request/retry_budget.js';
 import {silentLog} from '../support/silent_log.js';
-import {oneGroup} from './one_group.js';
+import {makeLoneScheduler, makeService} from './lone_scheduler.js';
 
-const service: Service = {
-  name: 'brief-llm',
-  healthPath: '/healthz',
-  maxConnections: 100,
-  engine: {
-    slots: 48,
-    kvTokens: 30_000,
-    tokensPerEvent: 12,
-    prefillLifeMs: 500,
-    roleChangeMs: 6_000,
-  },
-};
+const service = makeService(30_000);
 
 const READERS = ['p1', 'p2', 'p3', 'p4', 'p5'];
 
-function makeEngine(id: string): Upstream {
-  return {
-    id,
-    name: id,
-    service: service.name,
-    address: `${id}:1`,
-    failureDomain: 'bp-obuda',
-    slots: 48,
-    isDraining: false,
-    heartbeat: 1,
-    role: id.startsWith('p') ? 'prefill' : 'decode',
-  };
-}
-
 /** Prefill engines that all end a call in the same way. */
 async function playPrefill(end: PrefillOutcome, retries: number) {
   const clock = createVirtualClock(1_000);
-  const registry = createUpstreamRegistry({clock, log: silentLog});
-  const upstreams = [...READERS, 'd1'].map(makeEngine);
-  registry.apply({revision: 1, upstreams});
-  const books = createEngineBooks();
-  const learning = createSharedLearning({clock});
-  const scheduler = createEngineScheduler({
-    clock,
-    random: createSeededRandom(3),
-    log: silentLog,
-    registry,
-    books,
-    learning,
-    groups: oneGroup,
-    peers: {
-      waiting: () => [],
-      isSuspect: () => false,
-      isFull: () => false,
-      isChanging: () => false,
-      isAwaited: () => false,
-    },
-    isChanging: () => false,
-    onChange: () => undefined,
-  });
+  const {registry, books, learning, scheduler} = makeLoneScheduler(clock, [
+    ...READERS,
+    'd1',
+  ]);
   const cancellation = createCancellation();
   const need = {
     requestId: 'r',
