--- a/src/relay/engine_books.ts
+++ b/src/relay/engine_books.ts
@@ -45,6 +45,8 @@
   prefillLoad(engineId: string): PrefillLoad;
   /** Own promises, for the peers. */
   own(): HostLoad;
+  /** All promises, for those that do not hear the others. */
+  total(): HostLoad;
   /**
    * Engines that the last `own()` names, and those that it no longer names:
    * who uses these has to hear that they are free again.
@@ -66,6 +68,11 @@
   return Math.max(left, run.outputTokens * OVERRUN_SHARE);
 }
 
+interface MutableHostLoad {
+  readonly decode: Record<string, readonly [number, number, number]>;
+  readonly prefill: Record<string, readonly [number, number]>;
+}
+
 interface MutableLoad {
   runs: number;
   now: number;
@@ -90,6 +97,25 @@
     return load;
   }
 
+  function decodeLoad(engineId: string): DecodeLoad {
+    const load = ownDecode(engineId);
+    const [count, now, end] = peers.decode(engineId);
+    return {
+      runs: load.runs + count,
+      tokensNow: load.now + now,
+      tokensAtEnd: load.end + end,
+    };
+  }
+
+  function prefillLoad(engineId: string): PrefillLoad {
+    const own = prefills.get(engineId);
+    const [count, more] = peers.prefill(engineId);
+    return {
+      prompts: (own?.prompts ?? 0) + count,
+      tokens: (own?.tokens ?? 0) + more,
+    };
+  }
+
   return {
     startRun(start) {
       const run: DecodeRun = {...start, outputTokens: 0};
@@ -119,22 +145,24 @@
       load.tokens -= tokens;
       if (load.prompts <= 0) prefills.delete(engineId);
     },
-    decodeLoad(engineId) {
-      const load = ownDecode(engineId);
-      const [count, now, end] = peers.decode(engineId);
-      return {
-        runs: load.runs + count,
-        tokensNow: load.now + now,
-        tokensAtEnd: load.end + end,
-      };
-    },
-    prefillLoad(engineId) {
-      const own = prefills.get(engineId);
-      const [count, more] = peers.prefill(engineId);
-      return {
-        prompts: (own?.prompts ?? 0) + count,
-        tokens: (own?.tokens ?? 0) + more,
-      };
+    decodeLoad,
+    prefillLoad,
+    total() {
+      const named = [...runs.keys(), ...prefills.keys()];
+      const load: MutableHostLoad = {decode: {}, prefill: {}};
+      for (const engineId of new Set([...named, ...peers.engineIds()])) {
+        const run = decodeLoad(engineId);
+        const {prompts, tokens} = prefillLoad(engineId);
+        if (run.runs > 0) {
+          const sums = [run.runs, run.tokensNow, run.tokensAtEnd] as const;
+          const [count, now, end] = sums.map(Math.round);
+          load.decode[engineId] = [count, now, end];
+        }
+        if (prompts > 0) {
+          load.prefill[engineId] = [prompts, Math.round(tokens)];
+        }
+      }
+      return load;
     },
     own() {
       const decode: Record<string, readonly [number, number, number]> = {};
--- a/src/relay/peer_codec.ts
+++ b/src/relay/fleet/peer_codec.ts
@@ -12,20 +12,25 @@
  * wrong, but nothing at all.
  */
 const DICTIONARY = Buffer.from(
-  '{"state":"ready","callerAddress":"10.","failureDomain":"",' +
-    '"routingVersion":1,"routingAges":{"readAgeMs":1000,"ageMs":1000},' +
+  '{"kind":"up","member":{"hostId":"front-","incarnation":"",' +
+    '"peerAddress":"10.1.0.1:7380","callerAddress":"10.2.0.1:",' +
+    '"failureDomain":"","state":"leaving","isStoreReachable":false}}' +
+    '{"kind":"down","hostId":"front-"},' +
+    '{"routingVersion":1,"routingAges":{"readAgeMs":1000,"ageMs":1000},' +
     '"upstreamRevision":1000,"upstreamDigest":1000000000,' +
     '"upstreamAges":{"readAgeMs":1000,"ageMs":100},"listDeltas":[],' +
-    '"isStoreReachable":true,"load":{"decode":{"i-":[1,3200,3600]},' +
-    '"prefill":{}},"waiting":[],"suspects":[],"full":[],"unreachable":[],' +
+    '"isStoreReachable":true,"state":"ready","callerAddress":"10.",' +
+    '"failureDomain":"","load":{"decode":{"i-":[1,3200,3600]},' +
+    '"prefill":{}},"waiting":[],"suspects":[],"unreachable":[],' +
     '"changing":[],"learned":{"starts":{"weight":0,"sums":[0]},' +
     '"runs":{"weight":0,"sums":[0,0,0]},"prefills":{"weight":0,"sums":[0]}},' +
-    '"losses":[],"adoptedAskIds":[],"from":"front-","incarnation":"",' +
-    '"sequence":100,"known":["10.1.0.1:7380","10.2.0.1:7380"],"lost":[],' +
-    '"nextWithinMs":1000}',
+    '"losses":[],"full":[],"adoptedAskIds":[],"membersDigest":1000000000,' +
+    '"memberChanges":[],"kind":"state","from":"front-","incarnation":"",' +
+    '"sequence":100,"nextWithinMs":700,"known":[],"missedIds":[]}' +
+    '"isSettled":true,"wants":"view"}',
 );
 /** First byte of a compressed datagram; others are JSON and begin with `{`. */
-const FORMAT = 2;
+const FORMAT = 3;
 /** Below this, a datagram is sent as it is. */
 const SMALL_BYTES = 300;
 const MOST_BYTES = 256 * 1024;
--- a/src/relay/peer_handover.ts
+++ b/src/relay/fleet/peer_handover.ts
@@ -7,15 +7,16 @@
  * nothing and refuse every caller.
  */
 
-import {readWhole, type HttpExchange} from '../adapters/http_exchange.js';
-import type {Clock, TimerHandle} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {RoutingSource} from '../ports/relay.js';
-import type {Peer} from './peer_datagrams.js';
-import type {RoutingState} from './routing_state.js';
-import type {SideHandler} from './side_server.js';
-import type {UpstreamSnapshot} from './upstream.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import {readWhole, type HttpExchange} from '../../adapters/http_exchange.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {RoutingSource} from '../../ports/relay.js';
+import type {Member} from './members.js';
+import type {KnowingPeer} from './peer_datagrams.js';
+import type {RoutingState} from '../routing_state.js';
+import type {SideHandler} from '../side_server.js';
+import type {UpstreamSnapshot} from '../upstream.js';
+import type {UpstreamRegistry} from '../upstream_registry.js';
 
 export interface PeerHandoverHost {
   readonly clock: Clock;
@@ -24,7 +25,10 @@
   readonly routing: RoutingState;
   readonly routingSource: RoutingSource;
   readonly registry: UpstreamRegistry;
-  peers(): readonly Peer[];
+  /** Live peers that this host hears itself. */
+  peers(): readonly KnowingPeer[];
+  /** Live hosts, this one among them. */
+  members(): readonly Member[];
   /** Age of this host's list of upstreams. */
   upstreamAgeMs(): number;
   /** The list came from a peer, as old as this. */
@@ -34,12 +38,15 @@
 export interface PeerHandover {
   start(): void;
   stop(): void;
+  /** The live hosts that the peer knows; undefined if it does not answer. */
+  fetchMembers(from: Member): Promise<readonly Member[] | undefined>;
   /** Answers peers that ask. */
   readonly handler: SideHandler;
 }
 
 const ROUTING_PATH = '/peer/routing';
 const UPSTREAMS_PATH = '/peer/upstreams';
+const MEMBERS_PATH = '/peer/members';
 const LOOK_EVERY_MS = 200;
 /** The store is read every 0.7 s; a list older than this is not being read. */
 const STALE_MS = 1_300;
@@ -61,7 +68,7 @@
   let behindSinceMs: number | undefined;
 
   async function fetch(
-    peer: Peer,
+    peer: {readonly peerAddress: string},
     target: string,
   ): Promise<string | undefined> {
     const head = await exchange.start({
@@ -81,7 +88,7 @@
   async function fetchRouting(): Promise<void> {
     const newest = host
       .peers()
-      .reduce<Peer | undefined>(
+      .reduce<KnowingPeer | undefined>(
         (best, peer) =>
           peer.routingVersion > (best?.routingVersion ?? routing.version())
             ? peer
@@ -110,17 +117,17 @@
       .at(0);
     if (!freshest) return;
     const text = await fetch(freshest, UPSTREAMS_PATH);
-    const handed = text ? parseUpstreams(text) : undefined;
+    const handed = text ? parseHanded<HandedUpstreams>(text) : undefined;
     if (!handed) return;
     host.onUpstreams(handed.ageMs);
     registry.apply(handed.snapshot, 'peer');
   }
 
-  function parseUpstreams(text: string): HandedUpstreams | undefined {
+  function parseHanded<T>(text: string): T | undefined {
     try {
-      return JSON.parse(text) as HandedUpstreams;
+      return JSON.parse(text) as T;
     } catch (error) {
-      log.warn('A peer sent a list that cannot be read.', {
+      log.warn('A peer sent what cannot be read.', {
         reason: String(error),
       });
       return undefined;
@@ -139,9 +146,17 @@
       isStopped = true;
       if (timer) clock.clearTimer(timer);
     },
+    async fetchMembers(from) {
+      const text = await fetch(from, MEMBERS_PATH);
+      return text ? parseHanded<readonly Member[]>(text) : undefined;
+    },
     handler(method, target) {
       if (method !== 'GET') return undefined;
       const contentType = 'application/json';
+      if (target === MEMBERS_PATH) {
+        const body = JSON.stringify(host.members());
+        return {status: 200, contentType, body};
+      }
       const current = routing.current();
       if (target === ROUTING_PATH && current) {
         const body = host.routingSource.encode(current);
--- a/src/relay/host_directory.ts
+++ b/src/relay/host_directory.ts
@@ -3,7 +3,8 @@
  * them. Pure but for what it reads from its host.
  */
 
-import type {Peer} from './peer_datagrams.js';
+import type {Random} from '../ports/random.js';
+import type {Member} from './fleet/members.js';
 
 export interface EntryAnswer {
   /** `ip:port`, in no order. */
@@ -15,7 +16,8 @@
 export interface HostDirectoryHost {
   readonly callerAddress: string;
   isReady(): boolean;
-  peers(): readonly Peer[];
+  readonly random: Random;
+  peers(): readonly Member[];
 }
 
 /**
@@ -25,7 +27,21 @@
 const TTL_S = 1.5;
 const MAX_ADDRESSES = 64;
 
-/** Undefined when no entry is ready. */
+/** Some of the list, drawn at random; all if there are no more. */
+function draw<T>(list: readonly T[], count: number, random: Random): T[] {
+  const drawn = [...list];
+  const last = Math.min(count, list.length - 1);
+  for (let i = 0; i < last; i++) {
+    const other = i + random.nextInt(drawn.length - i);
+    [drawn[i], drawn[other]] = [drawn[other], drawn[i]];
+  }
+  return drawn.slice(0, count);
+}
+
+/**
+ * Undefined when no entry is ready. Of more entries than an answer holds each
+ * answer names others, so that all get their part of the callers.
+ */
 export function answerDirectory(
   host: HostDirectoryHost,
 ): EntryAnswer | undefined {
@@ -33,7 +49,8 @@
     .peers()
     .filter(peer => peer.state === 'ready')
     .map(peer => peer.callerAddress);
-  const addresses = host.isReady() ? [host.callerAddress, ...ready] : ready;
-  if (addresses.length === 0) return undefined;
-  return {addresses: addresses.slice(0, MAX_ADDRESSES), ttlS: TTL_S};
+  const own = host.isReady() ? [host.callerAddress] : [];
+  const others = draw(ready, MAX_ADDRESSES - own.length, host.random);
+  const addresses = [...own, ...others];
+  return addresses.length > 0 ? {addresses, ttlS: TTL_S} : undefined;
 }
--- a/src/relay/list_deltas.ts
+++ b/src/relay/list_deltas.ts
@@ -4,8 +4,8 @@
  *
  * Guards the store against a call by each host for each change: 65 of 68 hosts
  * do not read the list themselves, and read it once more whenever they heard
- * that theirs was behind. A host whose list is not the one that the change
- * starts from, or that missed a change, reads the store as before.
+ * that theirs was behind. A host that does not come to the same list by the
+ * change, since it missed another, reads the store as before.
  */
 
 import {hashText} from '../core/hash_text.js';
--- a/src/relay/peer_loads.ts
+++ b/src/relay/peer_loads.ts
@@ -15,6 +15,8 @@
   decode(engineId: string): readonly [number, number, number];
   /** Prompts, tokens. */
   prefill(engineId: string): readonly [number, number];
+  /** Engines of which a peer has promised something. */
+  engineIds(): ReadonlySet<string>;
 }
 
 function addTo(
@@ -59,5 +61,6 @@
       const [prompts = 0, tokens = 0] = prefill.get(engineId) ?? [];
       return [prompts, tokens];
     },
+    engineIds: () => new Set([...decode.keys(), ...prefill.keys()]),
   };
 }
--- a/src/relay/peer_view.ts
+++ b/src/relay/peer_view.ts
@@ -6,19 +6,30 @@
 import {
   toLocalWaiting,
   type Peer,
+  type UpstreamFindings,
   type WaitingRecord,
-} from './peer_datagrams.js';
-import type {GroupMember, PlacementGroups} from './placement_groups.js';
+} from './fleet/peer_datagrams.js';
+import type {PlacementGroups} from './placement_groups.js';
 import type {Waiting} from './wait_rules.js';
 
 export interface PeerViewKeeper extends PeerView {
   heard(peer: Peer): void;
-  gone(hostId: string): void;
-  members(): readonly GroupMember[];
+  /** A coordinator told what all hosts found out. */
+  told(fromHostId: string, findings: FoundUpstreams): void;
+  /** What the host told is no longer so. */
+  forget(hostId: string): void;
+  /** What this host and the peers that it hears found out. */
+  found(own: FoundUpstreams): FoundUpstreams;
   /** This host's own waiting requests, for the peers. */
   toRecords(waiting: readonly WaitingAnnouncement[]): readonly WaitingRecord[];
 }
 
+/** The lists of what was found out. */
+export type FoundUpstreams = Pick<
+  UpstreamFindings,
+  'suspects' | 'unreachable' | 'changing'
+>;
+
 /** A peer that blames more upstreams than this is likely cut off itself. */
 export const MOST_SUSPECTS = 5;
 
@@ -34,9 +45,14 @@
 export function createPeerView(host: PeerViewHost): PeerViewKeeper {
   const {clock, books, groups} = host;
   const peers = new Map<string, Peer>();
+  /** By coordinator; all say much the same. */
+  const summaries = new Map<string, FoundUpstreams>();
   const suspects = createTally();
+  const unreachable = createTally();
   const changing = createTally();
   const full = createTally();
+  const toldSuspects = createTally();
+  const toldChanging = createTally();
   /** Peers with requests that wait; few as a rule. */
   const awaiting = new Map<string, Peer>();
 
@@ -44,34 +60,53 @@
     if (peer.suspects.length <= MOST_SUSPECTS) {
       suspects.add(peer.suspects, sign);
     }
+    if (peer.unreachable.length <= MOST_SUSPECTS) {
+      unreachable.add(peer.unreachable, sign);
+    }
     changing.add(peer.changing, sign);
     full.add(peer.full, sign);
   }
 
+  function countTold(summary: FoundUpstreams, sign: 1 | -1): void {
+    toldSuspects.add(summary.suspects, sign);
+    toldChanging.add(summary.changing, sign);
+  }
+
+  function forgetTold(fromHostId: string): void {
+    const before = summaries.get(fromHostId);
+    if (before) countTold(before, -1);
+    summaries.delete(fromHostId);
+  }
+
   return {
     heard(peer) {
       const before = peers.get(peer.hostId);
       if (before) countBlame(before, -1);
-      if (before?.state !== peer.state) groups.refresh();
       peers.set(peer.hostId, peer);
       countBlame(peer, 1);
       if (peer.waiting.length > 0) awaiting.set(peer.hostId, peer);
       else awaiting.delete(peer.hostId);
       books.setPeer(peer.hostId, peer.load);
     },
-    gone(hostId) {
+    told(fromHostId, {suspects: ids, unreachable, changing}) {
+      forgetTold(fromHostId);
+      const summary = {suspects: ids, unreachable, changing};
+      summaries.set(fromHostId, summary);
+      countTold(summary, 1);
+    },
+    forget(hostId) {
       const before = peers.get(hostId);
       if (before) countBlame(before, -1);
+      forgetTold(hostId);
       peers.delete(hostId);
       awaiting.delete(hostId);
-      groups.refresh();
       books.setPeer(hostId, undefined);
     },
-    members: () =>
-      [...peers.values()].map(({hostId, state}) => ({
-        hostId,
-        isReady: state === 'ready',
-      })),
+    found: own => ({
+      suspects: suspects.with(own.suspects),
+      unreachable: unreachable.with(own.unreachable),
+      changing: changing.with(own.changing),
+    }),
     waiting(service) {
       const waiting: Waiting[] = [];
       for (const peer of awaiting.values()) {
@@ -84,9 +119,9 @@
       }
       return waiting;
     },
-    isSuspect: suspects.has,
+    isSuspect: id => suspects.has(id) || toldSuspects.has(id),
     isFull: full.has,
-    isChanging: changing.has,
+    isChanging: id => changing.has(id) || toldChanging.has(id),
     isAwaited(engineId) {
       for (const hostId of awaiting.keys()) {
         if (groups.isOwnOf(hostId, engineId)) return true;
@@ -109,6 +144,8 @@
 interface Tally {
   add(ids: readonly string[], sign: 1 | -1): void;
   has(id: string): boolean;
+  /** These ids and those that peers name. */
+  with(ids: readonly string[]): readonly string[];
 }
 
 function createTally(): Tally {
@@ -122,5 +159,6 @@
       }
     },
     has: id => counts.has(id),
+    with: ids => [...new Set([...ids, ...counts.keys()])],
   };
 }
--- a/src/relay/placement_groups.ts
+++ b/src/relay/placement_groups.ts
@@ -14,6 +14,7 @@
  */
 
 import {hashText} from '../core/hash_text.js';
+import {isMeshOf, rankHost} from './fleet/coordinators.js';
 import type {UpstreamRole} from './upstream.js';
 
 /** An engine of one of the model services. */
@@ -65,11 +66,6 @@
   refresh(): void;
 }
 
-/**
- * Up to this many hosts each place by themselves: they gave the same memory
- * away in 3 of 524 placements, and nobody is missed when it dies.
- */
-const FEW_HOSTS = 16;
 /**
  * Most hosts of a group. Its placer takes five datagrams for each stream; with
  * 0.6 streams a second and host that is some 400 a second.
@@ -151,14 +147,6 @@
   return places;
 }
 
-/**
- * Order in which hosts take over work for all: the first ones place, and the
- * same ones read the store, so that few hosts are told everything at once.
- */
-export function rankHost(hostId: string): number {
-  return hashText(`placer|${hostId}`);
-}
-
 function choosePlacers(
   members: readonly GroupMember[],
   groupOfHost: ReadonlyMap<string, number>,
@@ -185,7 +173,7 @@
   const groupCount = Math.ceil(members.length / MOST_HOSTS);
   const hostIds = members.map(({hostId}) => hostId);
   const groupOfHost = dealOut(hostIds, groupCount);
-  const isSmall = members.length <= FEW_HOSTS;
+  const isSmall = isMeshOf(members.length);
   return {
     isSmall,
     groupCount,
--- a/src/relay/pooled_means.ts
+++ b/src/relay/pooled_means.ts
@@ -27,6 +27,8 @@
   means(): readonly number[];
   /** What this host saw, for the others. */
   own(): FadingSums;
+  /** What all hosts saw. */
+  total(): FadingSums;
   hear(hostId: string, sums: FadingSums): void;
   forget(hostId: string): void;
 }
@@ -57,6 +59,19 @@
     };
   }
 
+  function addUp(): FadingSums {
+    const all = [seen, ...peers.values()].map(faded);
+    return {
+      weight: all.reduce((sum, each) => sum + each.weight, 0),
+      sums: first.map((_, i) => all.reduce((sum, {sums}) => sum + sums[i], 0)),
+    };
+  }
+
+  const toRounded = ({weight, sums}: FadingSums): FadingSums => ({
+    weight: round(weight),
+    sums: sums.map(round),
+  });
+
   return {
     note(values) {
       const {weight, sums, atMs} = faded(seen);
@@ -67,17 +82,13 @@
       };
     },
     means() {
-      const all = [seen, ...peers.values()].map(faded);
-      const weight = all.reduce((sum, each) => sum + each.weight, firstWeight);
-      return first.map((value, i) => {
-        const start = value * firstWeight;
-        return all.reduce((sum, {sums}) => sum + sums[i], start) / weight;
-      });
-    },
-    own() {
-      const {weight, sums} = faded(seen);
-      return {weight: round(weight), sums: sums.map(round)};
+      const {weight, sums} = addUp();
+      return first.map(
+        (value, i) => (value * firstWeight + sums[i]) / (firstWeight + weight),
+      );
     },
+    own: () => toRounded(faded(seen)),
+    total: () => toRounded(addUp()),
     hear(hostId, {weight, sums}) {
       if (weight > 0) peers.set(hostId, {weight, sums, atMs: clock.nowMs()});
       else peers.delete(hostId);
--- /dev/null
+++ b/src/relay/relay_gauges.ts
@@ -0,0 +1,98 @@
+/** What a relay process shows of its state, as gauges. */
+
+import type {PeerExchange} from './fleet/peer_exchange.js';
+import type {StoreReaders} from './fleet/store_readers.js';
+import type {PlainPlacement} from './plain_placement.js';
+import type {Relay} from './relay.js';
+import type {RelayMetrics} from './relay_metrics.js';
+import type {RelayPlacement} from './relay_placement.js';
+import type {RoutingState} from './routing_state.js';
+import type {StoreWatch} from './store_watch.js';
+import type {UpstreamRegistry} from './upstream_registry.js';
+
+/** Parts of the process whose state is shown. */
+export interface GaugeSources {
+  readonly relay: Relay;
+  readonly peers: PeerExchange;
+  readonly readers: StoreReaders;
+  readonly routing: RoutingState;
+  readonly watch: StoreWatch;
+  readonly registry: UpstreamRegistry;
+  readonly placement: RelayPlacement;
+  readonly plainPlaces: PlainPlacement;
+}
+
+interface Gauge {
+  readonly name: string;
+  readonly help: string;
+  read(sources: GaugeSources): number;
+}
+
+const GAUGES: readonly Gauge[] = [
+  {
+    name: 'active_requests',
+    help: 'Requests that run.',
+    read: ({relay}) => relay.activeCount(),
+  },
+  {
+    name: 'peers_alive',
+    help: 'Live hosts but this one.',
+    read: ({peers}) => peers.alive().length,
+  },
+  {
+    name: 'peers_heard',
+    help: 'Live hosts that this one hears itself.',
+    read: ({peers}) => peers.heard().length,
+  },
+  {
+    name: 'is_coordinator',
+    help: 'Hears all hosts and tells them who lives, 0 or 1.',
+    read: ({peers}) => Number(peers.isCoordinator()),
+  },
+  {
+    name: 'is_following',
+    help: 'Is told who lives by a coordinator that hears all, 0 or 1.',
+    read: ({peers}) => Number(peers.isFollowing()),
+  },
+  {
+    name: 'is_reader',
+    help: 'Reads the store for other hosts, 0 or 1.',
+    read: ({readers}) => Number(readers.isReader()),
+  },
+  {
+    name: 'is_placer',
+    help: 'Places for other hosts, 0 or 1.',
+    read: ({placement}) => Number(placement.isPlacer()),
+  },
+  {
+    name: 'configuration_version',
+    help: 'In force.',
+    read: ({routing}) => routing.version(),
+  },
+  {
+    name: 'upstream_list_age_ms',
+    help: 'Age of the list.',
+    read: ({watch}) => watch.listAgeMs(),
+  },
+  {
+    name: 'kept_upstreams',
+    help: 'Missing entries of the list that may come back.',
+    read: ({registry}) => registry.keptCount(),
+  },
+  {
+    name: 'kept_calls',
+    help: 'Calls that run or wait by the word of this host.',
+    read: ({plainPlaces}) => plainPlaces.keptCount(),
+  },
+  {
+    name: 'waiting_streams',
+    help: 'Streams that wait for engines.',
+    read: ({placement}) => placement.scheduler.announcements().length,
+  },
+];
+
+export function showGauges(metrics: RelayMetrics, sources: GaugeSources): void {
+  for (const {name, help, read} of GAUGES) {
+    metrics.gauge(name, help, () => read(sources));
+  }
+}
--- a/src/relay/relay_placement.ts
+++ b/src/relay/relay_placement.ts
@@ -11,8 +11,9 @@
   createEngineScheduler,
   type EngineScheduler,
 } from './engine_scheduler.js';
-import type {Peer, WaitingRecord} from './peer_datagrams.js';
-import {createPeerView} from './peer_view.js';
+import type {Member} from './fleet/members.js';
+import type {Peer, Summary, WaitingRecord} from './fleet/peer_datagrams.js';
+import {createPeerView, type FoundUpstreams} from './peer_view.js';
 import {
   createPlacementClient,
   type PlacementClient,
@@ -33,6 +34,8 @@
   readonly registry: UpstreamRegistry;
   /** This host serves and is not about to leave. */
   isReady(): boolean;
+  /** Live hosts, this one left out. */
+  members(): readonly Member[];
   /** This host told the engine to change its role. */
   isChanging(engineId: string): boolean;
   tell(hostId: string, message: PlacementMessage): void;
@@ -51,8 +54,14 @@
   groupCount(): number;
   receive(fromHostId: string, message: PlacementMessage): void;
   heard(peer: Peer): void;
+  /** A coordinator told what all hosts know. */
+  told(fromHostId: string, summary: Summary): void;
   gone(hostId: string): void;
-  /** This host's own state or the configuration has changed. */
+  /** The peer tells this host nothing any more. */
+  unheard(hostId: string): void;
+  /** What this host and the peers that it hears found out. */
+  found(own: FoundUpstreams): FoundUpstreams;
+  /** This host's state, the live hosts or the configuration have changed. */
   refresh(): void;
   /** The list of upstreams was read. */
   upstreamsRead(): void;
@@ -65,6 +74,14 @@
   isPlacing(): boolean;
 }
 
+/** What coordinators tell stands under this name beside the peers. */
+const ALL_HOSTS = '*';
+/**
+ * A host that hears the others itself from now on counts what it was told of
+ * them until they all have told it themselves.
+ */
+const TOLD_LOAD_VALID_MS = 3_000;
+
 /** The first ask of a life is drawn from this many numbers. */
 const FIRST_ASK_IDS = 2 ** 31;
 
@@ -75,7 +92,11 @@
   const groups = createPlacementGroups({
     hostId,
     isReady: host.isReady,
-    peers: () => view.members(),
+    peers: () =>
+      host.members().map(({hostId: id, state}) => ({
+        hostId: id,
+        isReady: state === 'ready',
+      })),
     engines: () =>
       (routing.current()?.services ?? [])
         .filter(({engine}) => engine)
@@ -113,6 +134,25 @@
     tell: host.tell,
   });
   let groupedDigest: number | undefined;
+  let toldLoadAtMs: number | undefined;
+
+  function isPlacing(): boolean {
+    const placers = groups.placers();
+    return placers.length === 0 || placers.includes(hostId);
+  }
+
+  function unheard(peerId: string): void {
+    view.forget(peerId);
+    learning.forget(peerId);
+  }
+
+  function dropOldLoad(): void {
+    if (toldLoadAtMs === undefined) return;
+    if (clock.nowMs() - toldLoadAtMs < TOLD_LOAD_VALID_MS) return;
+    toldLoadAtMs = undefined;
+    books.setPeer(ALL_HOSTS, undefined);
+    learning.forget(ALL_HOSTS);
+  }
 
   return {
     books,
@@ -130,6 +170,7 @@
       }
     },
     heard(peer) {
+      dropOldLoad();
       view.heard(peer);
       learning.hear(peer.hostId, peer.learned);
       desk.adopted(peer.hostId, peer.adoptedAskIds);
@@ -137,9 +178,18 @@
       if (groups.placers().length > 0) scheduler.pumpSoon();
       else scheduler.pump();
     },
+    told(fromHostId, summary) {
+      view.told(fromHostId, summary);
+      // Who places hears by itself what the others promised.
+      if (isPlacing() || !summary.load) return;
+      toldLoadAtMs = clock.nowMs();
+      books.setPeer(ALL_HOSTS, summary.load);
+      learning.hear(ALL_HOSTS, summary.learned);
+    },
+    found: view.found,
+    unheard,
     gone(goneHostId) {
-      view.gone(goneHostId);
-      learning.forget(goneHostId);
+      unheard(goneHostId);
       desk.forget(goneHostId);
       client.forget(goneHostId);
       scheduler.pump();
@@ -154,9 +204,6 @@
     waitingRecords: () => view.toRecords(scheduler.announcements()),
     adoptedAskIds: client.adopted,
     isPlacer: () => groups.placers()[0] === hostId,
-    isPlacing() {
-      const placers = groups.placers();
-      return placers.length === 0 || placers.includes(hostId);
-    },
+    isPlacing,
   };
 }
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -27,13 +27,14 @@
 import {createCrashWatch} from './crash_watch.js';
 import {answerDirectory, type EntryAnswer} from './host_directory.js';
 import {createLeaving} from './leaving.js';
-import type {HostState, Peer} from './peer_datagrams.js';
-import {createPeerExchange} from './peer_exchange.js';
-import {createPeerHandover} from './peer_handover.js';
-import {MOST_SUSPECTS} from './peer_view.js';
+import type {HostState} from './fleet/members.js';
+import {createPeerExchange, type OwnState} from './fleet/peer_exchange.js';
+import {createPeerHandover} from './fleet/peer_handover.js';
+import {MOST_SUSPECTS, type FoundUpstreams} from './peer_view.js';
 import {createPlainPlacement} from './plain_placement.js';
 import {createPlainRelay} from './plain_relay.js';
 import {createRelay} from './relay.js';
+import {showGauges} from './relay_gauges.js';
 import {createRelayPlacement} from './relay_placement.js';
 import {createRelayFront} from './relay_front.js';
 import type {RelayMetrics} from './relay_metrics.js';
@@ -42,7 +43,7 @@
 import {createRoutingState} from './routing_state.js';
 import {createSideServer, type SideHandler} from './side_server.js';
 import {isSlotMessage} from './slot_messages.js';
-import {createStoreReaders} from './store_readers.js';
+import {createStoreReaders} from './fleet/store_readers.js';
 import {createStoreWatch} from './store_watch.js';
 import {createStreamRelay} from './stream_relay.js';
 import type {RelayJob} from './relay_types.js';
@@ -106,19 +107,6 @@
 const ORDER_SETTLE_MS = 800;
 const LEASE_CALL_TIMEOUT_MS = 600;
 
-/**
- * Exactly one of the hosts that see each other is the first. One that the
- * store turns away gets no lease; as the planner it would leave the engines
- * divided as they are while others could change them.
- */
-function isFirstByName(hostId: string, peers: readonly Peer[]): boolean {
-  return peers
-    .filter(
-      ({state, isStoreReachable}) => state === 'ready' && isStoreReachable,
-    )
-    .every(peer => hostId < peer.hostId);
-}
-
 /** Resolves once the process serves. */
 export async function startRelay(
   options: RelayProcessOptions,
@@ -162,6 +150,8 @@
       registry,
       isReader: readers.isReader,
       isPlacing: () => placement.isPlacing(),
+      isSought: () => peers.isMesh() || peers.isCoordinator(),
+      isAlone: () => peers.alive().length === 0,
       onHosts: records =>
         peers.addAddresses(records.map(({peerAddress}) => peerAddress)),
     },
@@ -178,6 +168,7 @@
     isReady: () => hostState() === 'ready',
     isChanging: engineId => roleOrders.changing().includes(engineId),
     tell: (hostId, message) => peers.tell(hostId, message),
+    members: () => peers.alive(),
     onChange: () => peers.changed(),
   });
   const {books, learning, scheduler} = placement;
@@ -186,34 +177,48 @@
       clock,
       log: createLogger('peers'),
       datagrams,
+      ownState,
       announcement: () => ({
-        state: hostState(),
-        callerAddress: settings.callerAddress,
-        failureDomain: settings.failureDomain,
         ...watch.knowledge(),
+        ...ownState(),
         load: books.own(),
         learned: learning.own(),
         waiting: placement.waitingRecords(),
-        suspects: scheduler.suspects(),
+        ...ownFindings(),
         full: scheduler.full(),
-        unreachable: registry.unreachable(),
-        changing: roleOrders.changing(),
         losses: crashes.facts(),
         adoptedAskIds: placement.adoptedAskIds(),
       }),
+      summary: hasLoad => ({
+        ...watch.knowledge(),
+        isStoreReachable: ownState().isStoreReachable,
+        ...placement.found(ownFindings()),
+        learned: learning.total(),
+        losses: crashes.facts(),
+        load: hasLoad ? books.total() : undefined,
+      }),
       onPeer(peer) {
         placement.heard(peer);
         watch.hear(peer);
         crashes.learn(peer.losses);
-        learnUnreachable(peer);
+        if (peer.unreachable.length > MOST_SUSPECTS) return;
+        learnUnreachable(peer.unreachable);
+      },
+      onSummary(fromHostId, summary) {
+        placement.told(fromHostId, summary);
+        watch.hear(summary);
+        crashes.learn(summary.losses);
+        learnUnreachable(summary.unreachable);
       },
+      onMembers: placement.refresh,
       isNear: placement.isNear,
-      isHub: () => placement.isPlacing() || readers.isReader(),
-      watcherIds: readers.readerIds,
+      isReader: readers.isReader,
+      fetchMembers: from => handover.fetchMembers(from),
       onMessage(fromHostId, message) {
         if (isSlotMessage(message)) plainPlaces.receive(fromHostId, message);
         else placement.receive(fromHostId, message);
       },
+      onPeerUnheard: placement.unheard,
       onPeerGone(hostId) {
         placement.gone(hostId);
         plainPlaces.gone(hostId);
@@ -237,7 +242,8 @@
     routing,
     routingSource: sources.routingSource,
     registry,
-    peers: peers.alive,
+    peers: peers.heard,
+    members: peers.members,
     upstreamAgeMs: () => watch.listAgeMs(),
     onUpstreams: watch.noteHandedList,
   });
@@ -271,7 +277,7 @@
     upstreamPort,
     quarantine: createQuarantine({
       clock,
-      spread: () => peers.changed('all'),
+      spread: () => peers.changed('coordinators'),
       // An upstream has a new id with each start, so an id dies once.
       lossIdOf: upstreamId => upstreamId,
     }),
@@ -309,8 +315,8 @@
       isPlanner: () =>
         hostState() === 'ready' &&
         watch.isStoreReachable() &&
-        isFirstByName(settings.hostId, peers.alive()),
-      onChange: () => peers.changed('all'),
+        findPlanner() === settings.hostId,
+      onChange: () => peers.changed('coordinators'),
     },
     {hostId: settings.hostId},
   );
@@ -322,7 +328,7 @@
       lastRequestAtMs: () => front.lastRequestAtMs(),
       onLeave() {
         placement.refresh();
-        peers.changed('all');
+        peers.changed('coordinators');
         watch.unregister();
       },
     },
@@ -356,11 +362,42 @@
   });
 
   /** What one host found out need not cost each other host a request. */
-  function learnUnreachable({unreachable}: Peer): void {
-    if (unreachable.length > MOST_SUSPECTS) return;
+  function learnUnreachable(unreachable: readonly string[]): void {
     for (const id of unreachable) registry.markUnreachable(id, 'peer');
   }
 
+  /**
+   * A host that the store serves, for it gets the lease, and that hears all.
+   * The last of these: the first ones place for others as a rule.
+   */
+  function findPlanner(): string | undefined {
+    const ready = new Set([settings.hostId]);
+    for (const {hostId, state} of peers.alive()) {
+      if (state === 'ready') ready.add(hostId);
+    }
+    return readers
+      .readerIds()
+      .filter(hostId => ready.has(hostId))
+      .at(-1);
+  }
+
+  function ownFindings(): FoundUpstreams {
+    return {
+      suspects: scheduler.suspects(),
+      unreachable: registry.unreachable(),
+      changing: roleOrders.changing(),
+    };
+  }
+
+  function ownState(): OwnState {
+    return {
+      state: hostState(),
+      callerAddress: settings.callerAddress,
+      failureDomain: settings.failureDomain,
+      isStoreReachable: watch.isStoreReachable() || !readers.isCandidate(),
+    };
+  }
+
   function hostState(): HostState {
     if (leaving.isLeaving()) return 'leaving';
     const isServing = routing.current() !== undefined && registry.isKnown();
@@ -373,6 +410,7 @@
       answerDirectory({
         callerAddress: settings.callerAddress,
         isReady: () => hostState() === 'ready',
+        random,
         peers: peers.alive,
       }),
   });
@@ -408,7 +446,8 @@
     front.applyLimits(limits);
     placement.refresh();
     applyUpstreams();
-    peers.changed('all');
+    // Many hosts take it over at once; the coordinators have it before them.
+    peers.changed(readers.isReader() ? 'all' : 'near');
   });
   let announcedDigest: number | undefined;
   registry.onChange(() => {
@@ -416,31 +455,19 @@
     placement.upstreamsRead();
     if (registry.digest() === announcedDigest) return;
     announcedDigest = registry.digest();
-    if (readers.isReader()) peers.changed('all');
+    if (readers.isReader()) peers.changed('coordinators');
   });
 
-  metrics.gauge('active_requests', 'Requests that run.', relay.activeCount);
-  metrics.gauge('peers_alive', 'Live peers.', () => peers.alive().length);
-  metrics.gauge('configuration_version', 'In force.', routing.version);
-  metrics.gauge('upstream_list_age_ms', 'Age of the list.', watch.listAgeMs);
-  metrics.gauge(
-    'kept_upstreams',
-    'Missing entries of the list that may come back.',
-    registry.keptCount,
-  );
-  metrics.gauge('is_placer', 'Places for other hosts, 0 or 1.', () =>
-    Number(placement.isPlacer()),
-  );
-  metrics.gauge(
-    'kept_calls',
-    'Calls that run or wait by the word of this host.',
-    plainPlaces.keptCount,
-  );
-  metrics.gauge(
-    'waiting_streams',
-    'Streams that wait for engines.',
-    () => scheduler.announcements().length,
-  );
+  showGauges(metrics, {
+    relay,
+    peers,
+    readers,
+    routing,
+    watch,
+    registry,
+    placement,
+    plainPlaces,
+  });
 
   await front.listen(settings.callerAddress);
   for (const {address, server} of sideServers) await server.listen(address);
--- a/src/relay/role_orders.ts
+++ b/src/relay/role_orders.ts
@@ -2,8 +2,8 @@
  * Keeps the engines of the model services divided between prefill and decode
  * as the requests need it, by orders under a short lease.
  *
- * One host plans: the first by name among the live ones. The lease and the
- * engines' fences hold when two believe that they are the first.
+ * One host plans: one of those that read the store for all. The lease and the
+ * engines' fences hold when two believe that it is their turn.
  */
 
 import type {ShortLease, ShortTerm} from '../coordination/short_lease.js';
--- a/src/relay/shared_learning.ts
+++ b/src/relay/shared_learning.ts
@@ -36,6 +36,8 @@
   notePrefill(tokens: number, durationMs: number): void;
   tokensPerMs(): number;
   own(): LearnedSums;
+  /** What all hosts have seen, for those that do not hear them. */
+  total(): LearnedSums;
   hear(hostId: string, sums: LearnedSums): void;
   forget(hostId: string): void;
 }
@@ -112,6 +114,11 @@
       runs: runs.own(),
       prefills: prefills.own(),
     }),
+    total: () => ({
+      starts: starts.total(),
+      runs: runs.total(),
+      prefills: prefills.total(),
+    }),
     hear(hostId, sums) {
       for (const [kind, pool] of each) pool.hear(hostId, sums[kind]);
     },
--- a/src/relay/store_watch.ts
+++ b/src/relay/store_watch.ts
@@ -22,7 +22,7 @@
 import type {RelayMetrics} from './relay_metrics.js';
 import type {RoutingState} from './routing_state.js';
 import {createStoreConfirmation} from './store_confirmation.js';
-import type {StoreKnowledge} from './store_readers.js';
+import type {StoreKnowledge} from './fleet/store_readers.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface StoreWatchHost {
@@ -39,6 +39,10 @@
   isReader(): boolean;
   /** Whether this host chooses engines, for itself or for others. */
   isPlacing(): boolean;
+  /** Whether others have to find this host by the registry of hosts. */
+  isSought(): boolean;
+  /** Whether this host knows no other. */
+  isAlone(): boolean;
   onHosts(records: readonly HostRecord[]): void;
 }
 
@@ -66,15 +70,15 @@
 const FEED_WAIT_MS = 1_000;
 const FEED_TIMEOUT_MS = 1_500;
 /** The list is read so often that two failed reads still leave the bound. */
-const UPSTREAMS_EVERY_MS = 700;
+export const UPSTREAMS_EVERY_MS = 700;
 const READ_TIMEOUT_MS = 600;
 /**
  * What nobody has confirmed for this long is read anew. A read that times out
  * still ends within the 2 s in which a change is to be in force; by then a
  * peer has been asked to hand its own over.
  */
-const LIST_CONFIRMED_MS = 1_000;
-const ROUTING_CONFIRMED_MS = 1_300;
+export const LIST_CONFIRMED_MS = 1_000;
+export const ROUTING_CONFIRMED_MS = 1_300;
 /** Changes that follow each other closely are read once in this time. */
 const READ_SPACING_MS = 100;
 /**
@@ -93,11 +97,10 @@
 const SHORTEST_LOOK_MS = 20;
 const RETRY_MS = 200;
 const RETRY_SPREAD_MS = 100;
-/** Registering is done once; hosts hear of each other by any of them. */
 const REGISTER_TIMEOUT_MS = 800;
+/** By then a host that has a right address in its settings knows others. */
+const REGISTER_AFTER_MS = 1_000;
 const HOSTS_EVERY_MS = 10_000;
-/** Those that do not read for all hear of new hosts by the ones that do. */
-const HOSTS_SELDOM_MS = 60_000;
 const HOSTS_RETRY_MS = 1_000;
 
 export function createStoreWatch(
@@ -301,8 +304,17 @@
     registry.confirm(upstreamRevision);
   }
 
+  /**
+   * The registry is for hosts whose settings name no live one, and for hosts
+   * that a cut parted. Of many only those are in it that all others know of.
+   */
   async function keepRegistered(): Promise<void> {
-    if (!isRegistered && !isLeaving) {
+    const isSought = host.isSought();
+    if (!isSought && !host.isAlone()) {
+      later(HOSTS_EVERY_MS, keepRegistered);
+      return;
+    }
+    if (isSought && !isRegistered && !isLeaving) {
       const {hostRegistry} = host;
       isRegistered = await hostRegistry.register(self, REGISTER_TIMEOUT_MS);
       metrics.count('store_calls', `call="register",outcome="${isRegistered}"`);
@@ -310,17 +322,16 @@
     const read = await host.hostRegistry.readAll(READ_TIMEOUT_MS);
     note('hosts', read);
     if (read.kind === 'read') host.onHosts(read.value);
-    const isDone = isRegistered && read.kind === 'read';
-    if (!isDone) later(HOSTS_RETRY_MS, keepRegistered);
-    else
-      later(host.isReader() ? HOSTS_EVERY_MS : HOSTS_SELDOM_MS, keepRegistered);
+    const isDone = (isRegistered || !isSought) && read.kind === 'read';
+    const isFound = isDone && !host.isAlone();
+    later(isFound ? HOSTS_EVERY_MS : HOSTS_RETRY_MS, keepRegistered);
   }
 
   return {
     start() {
       void followRouting();
       void followUpstreams();
-      void keepRegistered();
+      later(REGISTER_AFTER_MS, keepRegistered);
     },
     unregister() {
       isLeaving = true;
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/upstream_registry.ts
@@ -35,7 +35,7 @@
    * already has what the peer still waits for after an outage.
    */
   apply(snapshot: UpstreamSnapshot, origin?: UpstreamOrigin): void;
-  /** Takes over a change that a peer read, if it starts from this list. */
+  /** Takes over a change that a peer read, if it leads to the peer's list. */
   applyDelta(delta: ListDelta): void;
   /** Changes of the last moments, for the peers. */
   deltas(): readonly ListDelta[];
@@ -82,9 +82,14 @@
  * list's own age; a dead one leaves the list after three of them.
  */
 const UNREACHABLE_FOR_MS = 4_000;
+/** A timer may fire this much early by the clock that is read. */
+const TIMER_EARLY_MS = 5;
 /** Failed reads closer together than this are told once. */
 const SAME_FAILURE_MS = 1_500;
 
+const digestOf = (upstreams: readonly Upstream[]) =>
+  digestList(new Map(upstreams.map(each => [each.id, each])));
+
 interface SilentRecord {
   readonly heartbeat: number;
   readonly untilMs: number;
@@ -219,9 +224,13 @@
       rebuild();
     },
     applyDelta(delta) {
-      if (delta.fromDigest !== digest || delta.toDigest === digest) return;
+      const {fromDigest, toDigest, revision} = delta;
+      if (toDigest === digest || revision < registry.revision()) return;
       const upstreams = applyDelta(entries, delta);
-      registry.apply({revision: delta.revision, upstreams}, 'peer');
+      // Readers see a series of changes in different steps. A step from
+      // another list than this one is right if it leads to the reader's.
+      const isStep = fromDigest === digest || digestOf(upstreams) === toDigest;
+      if (isStep) registry.apply({revision, upstreams}, 'peer');
     },
     deltas: deltas.recent,
     noteReadFailed() {
@@ -250,6 +259,8 @@
       });
       log.info('Upstream unreachable.', {upstream: id, finder});
       rebuild();
+      // A host that goes by what others read sees no sign of life itself.
+      clock.setTimer(UNREACHABLE_FOR_MS + TIMER_EARLY_MS, rebuild);
     },
     unreachable: () =>
       [...silent]
--- a/tests/relay/burst_load.ts
+++ b/tests/relay/burst_load.ts
@@ -16,7 +16,7 @@
   type EngineScheduler,
   type Placement,
 } from '../../src/relay/engine_scheduler.js';
-import type {Peer} from '../../src/relay/peer_datagrams.js';
+import type {Peer} from '../../src/relay/fleet/peer_datagrams.js';
 import {createPlacementClient} from '../../src/relay/placement_client.js';
 import {createPlacementDesk} from '../../src/relay/placement_desk.js';
 import type {PlacementMessage} from '../../src/relay/placement_messages.js';
@@ -156,7 +156,10 @@
         : createPlacementGroups({
             hostId,
             isReady: () => true,
-            peers: () => view.members(),
+            peers: () =>
+              Array.from({length: options.hostCount}, (_, i) => `host-${i}`)
+                .filter(id => id !== hostId)
+                .map(id => ({hostId: id, isReady: true})),
             engines: () => upstreams,
             usedEngineIds: books.usedEngineIds,
           });
--- /dev/null
+++ b/tests/relay/fleet/fleet_network.ts
@@ -0,0 +1,304 @@
+/**
+ * Hosts that tell each other who lives, on one network in virtual time. Links
+ * may be cut, hosts may freeze or be killed, and datagrams may be lost, by seed.
+ */
+
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {
+  createVirtualClock,
+  type VirtualClock,
+} from '../../../src/core/virtual_clock.js';
+import type {Clock, TimerHandle} from '../../../src/ports/clock.js';
+import type {DatagramPort} from '../../../src/ports/datagram.js';
+import type {HostState} from '../../../src/relay/fleet/members.js';
+import type {
+  Announcement,
+  Summary,
+} from '../../../src/relay/fleet/peer_datagrams.js';
+import {
+  createPeerExchange,
+  type ChangeReach,
+  type PeerExchange,
+} from '../../../src/relay/fleet/peer_exchange.js';
+import {createStoreReaders} from '../../../src/relay/fleet/store_readers.js';
+import {answerDirectory} from '../../../src/relay/host_directory.js';
+import {
+  createStoreConfirmation,
+  type ConfirmedAges,
+} from '../../../src/relay/store_confirmation.js';
+import {UPSTREAMS_EVERY_MS} from '../../../src/relay/store_watch.js';
+import {silentLog} from '../../support/silent_log.js';
+
+/** One way, between hosts. */
+const LINK_MS = 2;
+const FETCH_MS = 30;
+const NOTHING = {weight: 0, sums: []};
+const NOTHING_LEARNED = {starts: NOTHING, runs: NOTHING, prefills: NOTHING};
+
+const NO_FINDINGS = {
+  suspects: [],
+  unreachable: [],
+  changing: [],
+  losses: [],
+  learned: NOTHING_LEARNED,
+};
+
+export interface FleetHost {
+  readonly name: string;
+  readonly address: string;
+  readonly exchange: PeerExchange;
+  /** Names of the entries that callers are told, sorted. */
+  entries(): readonly string[];
+  lostCount(): number;
+  announcedCount(): number;
+  /** Since the store last confirmed what this host knows. */
+  confirmedAgeMs(): number;
+  setState(state: HostState): void;
+  /** The hosts that place for this one, which hear its changes at once. */
+  setNear(hostIds: readonly string[]): void;
+  freeze(durationMs: number): void;
+}
+
+/** Datagrams of one host, and their bytes in both directions. */
+interface Traffic {
+  readonly sent: number;
+  readonly bytes: number;
+  readonly heard: number;
+}
+
+const NO_TRAFFIC: Traffic = {sent: 0, bytes: 0, heard: 0};
+
+type Receive = (from: string, payload: Uint8Array) => void;
+
+/** A process that stands still runs its timers when it wakes. */
+function createStoppableClock(clock: VirtualClock) {
+  let stoppedUntilMs = 0;
+  const host: Clock = {
+    nowMs: clock.nowMs,
+    wallMs: clock.wallMs,
+    setTimer(delayMs, callback): TimerHandle {
+      const run = () => {
+        const restMs = stoppedUntilMs - clock.nowMs();
+        if (restMs > 0) clock.setTimer(restMs, run);
+        else callback();
+      };
+      return clock.setTimer(delayMs, run);
+    },
+    clearTimer: clock.clearTimer,
+  };
+  return {
+    host,
+    stop(durationMs: number) {
+      stoppedUntilMs = clock.nowMs() + durationMs;
+    },
+    isStopped: () => clock.nowMs() < stoppedUntilMs,
+  };
+}
+
+export function makeFleet(seed = 1) {
+  const clock = createVirtualClock(1_000);
+  const random = createSeededRandom(seed);
+  const hosts = new Map<string, FleetHost>();
+  const receivers = new Map<string, Receive>();
+  const isDown = new Map<string, () => boolean>();
+  const messages: Array<{to: string; from: string; message: unknown}> = [];
+  const traffic = new Map<string, Traffic>();
+  const lastPayloads = new Map<string, Uint8Array>();
+  const dead = new Set<string>();
+  let lossShare = 0;
+  /** Whether two addresses cannot reach each other. */
+  let isCut: (from: string, to: string) => boolean = () => false;
+
+  function count(address: string, more: Traffic): void {
+    const before = traffic.get(address) ?? NO_TRAFFIC;
+    traffic.set(address, {
+      sent: before.sent + more.sent,
+      bytes: before.bytes + more.bytes,
+      heard: before.heard + more.heard,
+    });
+  }
+
+  const isReached = (from: string, to: string) =>
+    !dead.has(from) && !dead.has(to) && !isCut(from, to);
+
+  function makePort(address: string): DatagramPort {
+    return {
+      send(to, payload) {
+        count(address, {sent: 1, bytes: payload.length, heard: 0});
+        count(to, {sent: 0, bytes: payload.length, heard: 1});
+        lastPayloads.set(`${address}>${to}`, payload);
+        if (!isReached(address, to) || random.nextFloat() < lossShare) return;
+        clock.setTimer(LINK_MS, () => {
+          if (!dead.has(to) && !isDown.get(to)?.()) {
+            receivers.get(to)?.(address, payload);
+          }
+        });
+      },
+      onReceive: handler => void receivers.set(address, handler),
+      close: () => void receivers.delete(address),
+    };
+  }
+
+  function start(name: string, seeds: readonly string[], life = 1): FleetHost {
+    const address = `${name}:1`;
+    const ownClock = createStoppableClock(clock);
+    const confirmation = createStoreConfirmation(clock);
+    let state: HostState = 'ready';
+    let near: ReadonlySet<string> = new Set();
+    let lostCount = 0;
+    let announcedCount = 0;
+
+    const readers = createStoreReaders({
+      hostId: name,
+      peers: () => exchange.alive(),
+      isStoreReachable: () => true,
+    });
+    const knowledge = () => ({
+      routingVersion: 1,
+      routingAges: confirmation.announced(),
+      upstreamRevision: 1,
+      upstreamDigest: 0,
+      upstreamAges: confirmation.announced(),
+      listDeltas: [],
+      isStoreReachable: true,
+    });
+    const ownState = () => ({
+      state,
+      callerAddress: `${name}:80`,
+      failureDomain: 'raadi-ruum',
+      isStoreReachable: true,
+    });
+    const hear = ({upstreamAges}: {readonly upstreamAges: ConfirmedAges}) =>
+      confirmation.notePeer(upstreamAges);
+
+    const exchange = createPeerExchange(
+      {
+        clock: ownClock.host,
+        log: silentLog,
+        datagrams: makePort(address),
+        ownState,
+        announcement(): Announcement {
+          announcedCount++;
+          return {
+            ...knowledge(),
+            ...ownState(),
+            ...NO_FINDINGS,
+            load: {decode: {}, prefill: {}},
+            waiting: [],
+            full: [],
+            adoptedAskIds: [],
+          };
+        },
+        summary: (): Summary => ({...knowledge(), ...NO_FINDINGS}),
+        onPeer: hear,
+        onSummary: (_, summary) => hear(summary),
+        onPeerGone() {
+          lostCount++;
+        },
+        onPeerUnheard: () => undefined,
+        onMembers: () => undefined,
+        isNear: hostId => exchange.isMesh() || near.has(hostId),
+        isReader: readers.isReader,
+        onMessage: (from, message) => {
+          messages.push({to: name, from, message});
+        },
+        fetchMembers: from =>
+          new Promise(resolve => {
+            clock.setTimer(FETCH_MS, () => {
+              const isServed = isReached(address, from.peerAddress);
+              const peer = hosts.get(from.hostId);
+              resolve(isServed ? peer?.exchange.members() : undefined);
+            });
+          }),
+      },
+      {
+        hostId: name,
+        incarnation: `${name}#${life}`,
+        peerAddress: address,
+        seedAddresses: seeds,
+      },
+    );
+
+    function readStore(): void {
+      if (readers.isReader()) confirmation.noteRead(clock.nowMs());
+      ownClock.host.setTimer(UPSTREAMS_EVERY_MS, readStore);
+    }
+
+    const host: FleetHost = {
+      name,
+      address,
+      exchange,
+      entries: () =>
+        [
+          ...(answerDirectory({
+            callerAddress: `${name}:80`,
+            random,
+            isReady: () => state === 'ready',
+            peers: exchange.alive,
+          })?.addresses ?? []),
+        ].sort(),
+      lostCount: () => lostCount,
+      announcedCount: () => announcedCount,
+      confirmedAgeMs: confirmation.ageMs,
+      setState(next) {
+        state = next;
+        exchange.changed('coordinators');
+      },
+      setNear(hostIds) {
+        near = new Set(hostIds);
+      },
+      freeze: ownClock.stop,
+    };
+    dead.delete(address);
+    hosts.set(name, host);
+    isDown.set(address, ownClock.isStopped);
+    exchange.start();
+    clock.setTimer(random.nextInt(UPSTREAMS_EVERY_MS), readStore);
+    return host;
+  }
+
+  return {
+    clock,
+    messages,
+    start,
+    /** Starts many at about the same time; the first three are seeds. */
+    async startMany(count: number): Promise<readonly FleetHost[]> {
+      const names = Array.from({length: count}, (_, i) => `h${i}`);
+      const seeds = names.slice(0, 3).map(name => `${name}:1`);
+      const started: FleetHost[] = [];
+      for (const name of names) {
+        started.push(start(name, seeds));
+        await clock.advance(300 / count);
+      }
+      return started;
+    },
+    kill(names: readonly string[]) {
+      for (const name of names) {
+        dead.add(`${name}:1`);
+        hosts.get(name)?.exchange.stop();
+      }
+    },
+    live: () => [...hosts.values()].filter(({address}) => !dead.has(address)),
+    lose(share: number) {
+      lossShare = share;
+    },
+    /** Parts those for which the two answers differ. */
+    cutBetween(isThere: (address: string) => boolean) {
+      isCut = (from, to) => isThere(from) !== isThere(to);
+    },
+    heal() {
+      isCut = () => false;
+    },
+    trafficOf: (name: string) => traffic.get(`${name}:1`) ?? NO_TRAFFIC,
+    change(host: FleetHost, reach?: ChangeReach) {
+      host.exchange.changed(reach);
+    },
+    lastPayload: (from: FleetHost, to: FleetHost) =>
+      lastPayloads.get(`${from.address}>${to.address}`),
+    deliver(from: string, to: FleetHost, payload: Uint8Array) {
+      receivers.get(to.address)?.(from, payload);
+    },
+  };
+}
+
+export type Fleet = ReturnType<typeof makeFleet>;
--- a/tests/relay/store_site.ts
+++ b/tests/relay/store_site.ts
@@ -11,8 +11,8 @@
 import {createRoutingState} from '../../src/relay/routing_state.js';
 import {
   createStoreReaders,
-  type ReadingPeer,
-} from '../../src/relay/store_readers.js';
+  type StoreKnowledge,
+} from '../../src/relay/fleet/store_readers.js';
 import {createStoreWatch} from '../../src/relay/store_watch.js';
 import type {Upstream} from '../../src/relay/upstream.js';
 import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
@@ -85,7 +85,7 @@
   function makeHost(hostId: string) {
     const routing = createRoutingState(silentLog);
     const registry = createUpstreamRegistry({clock, log: silentLog});
-    const heard = new Map<string, ReadingPeer>();
+    const heard = new Map<string, {hostId: string} & StoreKnowledge>();
     const readers = createStoreReaders({
       hostId,
       peers: () => [...heard.values()],
@@ -101,6 +101,8 @@
         registry,
         isReader: readers.isReader,
         isPlacing: () => false,
+        isSought: () => true,
+        isAlone: () => false,
         onHosts: () => undefined,
         routingSource: {
           readNow: () => answer(hostId, readRouting),
--- a/tests/relay/upstream_registry_test.ts
+++ b/tests/relay/upstream_registry_test.ts
@@ -169,3 +169,52 @@
   assert.equal(registry.get('a~1'), undefined);
   assert.equal(registry.hasUnreachable(), false);
 });
+
+test('a host that reads no list tries an unreachable upstream again by itself', async () => {
+  // One connection failed, and the upstream lives. Only readers of the list see
+  // its signs of life; a host that goes by their word left it out until the
+  // list changed, for minutes where nothing else happened.
+  const {clock, registry, list, open} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  registry.markUnreachable('a');
+  assert.deepEqual(open(), ['b']);
+  await clock.advance(4_500);
+  assert.deepEqual(open(), ['a', 'b']);
+  assert.equal(registry.hasUnreachable(), false);
+});
+
+test('a change that another reader saw in fewer steps is taken over, too', async () => {
+  // Engines are replaced one after the other. Three hosts read the list at
+  // different times and tell what changed for them: what one saw in two steps
+  // is one for the next. A host that had the first step knew its list to be
+  // behind with the word of the second reader, and read the store itself; so
+  // did hundreds, with each change.
+  const [first, second, host] = [
+    makeRegistry(),
+    makeRegistry(),
+    makeRegistry(),
+  ];
+  const before = [makeUpstream('a'), makeUpstream('b'), makeUpstream('c')];
+  for (const each of [first, second, host]) each.list(...before);
+  const draining = makeUpstream('a', {isDraining: true});
+  first.list(draining, makeUpstream('b'), makeUpstream('c'));
+  const after = {revision: 3, upstreams: [draining, makeUpstream('c')]};
+  second.registry.apply(after);
+  for (const reader of [first, second]) {
+    for (const delta of reader.registry.deltas()) {
+      host.registry.applyDelta(delta);
+    }
+  }
+  assert.equal(host.registry.digest(), second.registry.digest());
+  assert.deepEqual(host.open(), ['c']);
+});
+
+test('a change that leads elsewhere from this list is left alone', async () => {
+  const [reader, host] = [makeRegistry(), makeRegistry()];
+  reader.list(makeUpstream('a'), makeUpstream('b'));
+  reader.list(makeUpstream('b'));
+  host.list(makeUpstream('a'), makeUpstream('b'), makeUpstream('missed'));
+  const digest = host.registry.digest();
+  for (const delta of reader.registry.deltas()) host.registry.applyDelta(delta);
+  assert.equal(host.registry.digest(), digest);
+});
