Call a store that is away less often on hosts that never read it for others

Cause: each of hundreds of hosts called it four times a second for the list and as often for the configuration for as long as it was away. Few hosts call as before.

--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -149,6 +149,7 @@
       routing,
       registry,
       isReader: readers.isReader,
+      isCandidate: readers.isCandidate,
       isPlacing: () => placement.isPlacing(),
       isSought: () => peers.isMesh() || peers.isCoordinator(),
       isAlone: () => peers.alive().length === 0,
--- a/src/relay/store_watch.ts
+++ b/src/relay/store_watch.ts
@@ -37,6 +37,8 @@
   readonly registry: UpstreamRegistry;
   /** Whether this host reads for all. */
   isReader(): boolean;
+  /** Whether this host would read for all if others could not. */
+  isCandidate(): boolean;
   /** Whether this host chooses engines, for itself or for others. */
   isPlacing(): boolean;
   /** Whether others have to find this host by the registry of hosts. */
@@ -123,6 +125,9 @@
   let routingReadAtMs = Number.NEGATIVE_INFINITY;
   let isStoreLost = false;
   let isReader = true;
+  /** Reads that failed one after the other. */
+  let routingFailures = 0;
+  let listFailures = 0;
   /** Set while the next look waits; a running read has none. */
   let routingTimer: TimerHandle | undefined;
   let listTimer: TimerHandle | undefined;
@@ -136,7 +141,16 @@
     return timer;
   }
 
-  const retryMs = () => RETRY_MS + RETRY_SPREAD_MS * random.nextFloat();
+  /**
+   * Guards the store and its price against an outage in which hundreds of
+   * hosts call four times a second. Those that never read for others hear
+   * that it is over; a second try soon covers a connection gone silent.
+   */
+  function retryMs(failures: number): number {
+    const firstMs = RETRY_MS + RETRY_SPREAD_MS * random.nextFloat();
+    if (host.isCandidate()) return firstMs;
+    return Math.min(firstMs * 2 ** (failures - 1), LOST_STORE_LOOK_MS);
+  }
 
   function note(call: string, read: StoreRead<unknown>): void {
     // The calls that end with the process are no loss of the store.
@@ -194,7 +208,7 @@
     const isNeeded =
       isReader || (host.isPlacing() && registry.hasUnreachable());
     if (isNeeded) return UPSTREAMS_EVERY_MS - sinceReadMs;
-    if (!isStoreLost) return confirmedRestMs;
+    if (!isStoreLost || !host.isCandidate()) return confirmedRestMs;
     return Math.min(confirmedRestMs, LOST_STORE_LOOK_MS - sinceReadMs);
   }
 
@@ -218,6 +232,7 @@
             FEED_TIMEOUT_MS,
           );
     note(isNew ? 'configuration' : 'configuration-feed', read);
+    routingFailures = read.kind === 'failed' ? routingFailures + 1 : 0;
     switch (read.kind) {
       case 'read':
         takeRouting(read.value);
@@ -231,7 +246,7 @@
         return;
       case 'failed':
         // The cursor stays: a feed can be resumed after any outage.
-        later(retryMs(), followRouting);
+        later(retryMs(routingFailures), followRouting);
     }
   }
 
@@ -246,9 +261,10 @@
     listReadAtMs = sentAtMs;
     const read = await host.upstreamSource.readNow(READ_TIMEOUT_MS);
     note('upstreams', read);
+    listFailures = read.kind === 'read' ? 0 : listFailures + 1;
     if (read.kind !== 'read') {
       registry.noteReadFailed();
-      later(retryMs(), followUpstreams);
+      later(retryMs(listFailures), followUpstreams);
       return;
     }
     // The list is as old as its request at most.
--- a/tests/relay/store_site.ts
+++ b/tests/relay/store_site.ts
@@ -100,6 +100,7 @@
         routing,
         registry,
         isReader: readers.isReader,
+        isCandidate: readers.isCandidate,
         isPlacing: () => false,
         isSought: () => true,
         isAlone: () => false,
--- a/tests/relay/store_watch_test.ts
+++ b/tests/relay/store_watch_test.ts
@@ -106,3 +106,28 @@
   const ids = other.registry.open('uus-pearaamat').map(({id}) => id);
   assert.deepEqual(ids, ['b']);
 });
+
+test('an outage of the store costs those that do not read for others few calls', async () => {
+  // The store is away for eight seconds. Hundreds of hosts each called it four
+  // times a second for the list and as often for the configuration, though
+  // three would have found that it is back, and told them.
+  const {clock, store, hosts, callsOf, setUpstreams} = makeSite(30);
+  await clock.advance(3_000);
+  const others = hosts
+    .filter(each => !each.readers.isCandidate())
+    .map(({hostId}) => hostId);
+  const before = callsOf(others);
+  store.isDown = true;
+  await clock.advance(8_000);
+  const perHost = (callsOf(others) - before) / others.length;
+  assert.ok(perHost <= 16, `${perHost} calls a host`);
+  store.isDown = false;
+  // Entries that lapsed with the store may come back until then.
+  await clock.advance(3_000);
+  setUpstreams([makeUpstream('b')]);
+  await clock.advance(1_700);
+  for (const {hostId, registry} of hosts) {
+    const ids = registry.open('uus-pearaamat').map(({id}) => id);
+    assert.deepEqual(ids, ['b'], hostId);
+  }
+});
