--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -66,7 +66,7 @@
 }
 
 /** What a host that knows too little wants from the receiver, at once. */
-export type Wish = 'state' | 'view';
+export type WantedReply = 'state' | 'view';
 
 interface DatagramHead {
   readonly from: string;
@@ -84,7 +84,7 @@
   readonly known: readonly string[];
   /** Members that this coordinator has not heard when it should have. */
   readonly missedIds: readonly string[];
-  readonly wants?: Wish;
+  readonly wants?: WantedReply;
 }
 
 /** What one host knows of all, for those that go by its word. */
--- a/src/relay/fleet/peer_exchange.ts
+++ b/src/relay/fleet/peer_exchange.ts
@@ -28,7 +28,7 @@
   type StateDatagram,
   type Summary,
   type ViewDatagram,
-  type Wish,
+  type WantedReply,
 } from './peer_datagrams.js';
 import {createProbeAddresses} from './probe_addresses.js';
 import {createSendSchedule} from './send_schedule.js';
@@ -208,7 +208,7 @@
     return host.isReader() && !isCoordinator() ? MESH_STATE_MS : STATE_MS;
   }
 
-  function wish(): Wish | undefined {
+  function wantedReply(): WantedReply | undefined {
     const knowsAll = isCoordinator()
       ? membership.isSettled()
       : membership.isFollowing();
@@ -216,11 +216,11 @@
   }
 
   /** Encodes the state once for all that get the same. */
-  function createStateSender(): (address: string, wants?: Wish) => void {
+  function createStateSender(): (address: string, wants?: WantedReply) => void {
     const nextWithinMs = stateIntervalMs();
-    const payloads = new Map<Wish | undefined, Buffer>();
+    const payloads = new Map<WantedReply | undefined, Buffer>();
     let state: StateDatagram | undefined;
-    return (address, wants = wish()) => {
+    return (address, wants = wantedReply()) => {
       state ??= {
         ...host.announcement(),
         kind: 'state',
