--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -1,6 +1,6 @@
 /** What a relay process shows of its state, as gauges. */
 
-import type {PeerExchange} from './fleet/peer_exchange.js';
+import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
 import type {PlainPlacement} from './plain_placement.js';
 import type {Relay} from './relay.js';
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -15,11 +15,11 @@
   Announcement,
   Summary,
 } from '../../../src/relay/fleet/peer_datagrams.js';
-import {
-  createPeerExchange,
-  type ChangeReach,
-  type PeerExchange,
-} from '../../../src/relay/fleet/peer_exchange.js';
+import {createPeerExchange} from '../../../src/relay/fleet/peer_exchange.js';
+import type {
+  ChangeReach,
+  PeerExchange,
+} from '../../../src/relay/fleet/peer_exchange_types.js';
 import {createStoreReaders} from '../../../src/relay/fleet/store_readers.js';
 import {answerDirectory} from '../../../src/relay/host_directory.js';
 import {
