Hold client accounts to their keys, withdrawals and limits over all hosts

- Keys: from digest to account by the configuration in force; upstreams see the account's name and never the key.
A key that is not known waits for word that the configuration is complete up to now, then 401; without that word 503.
- Withdrawal: every host knows up to which time of the store's clock its configuration is complete, from the store or from peers, and takes no key once that is older than the bound.
Ages that count from the receipt of a datagram were ruled out: word that lay in a socket of a frozen host is not fresh.
Suspensions and steps of the time of day make it older, never younger.
- Limits: hosts tell running totals to the coordinators with their states; these tell who is near the limit with their views; each host lets the same share through.
A host that nobody tells goes by an even share.

--- a/src/core/error_kinds.ts
+++ b/src/core/error_kinds.ts
@@ -163,6 +163,13 @@
     title: 'No accepted configuration has been read yet.',
     retryable: true,
   },
+  'configuration-unconfirmed': {
+    code: 2011,
+    status: 503,
+    runState: 'not-run',
+    title: 'The configuration here may be too old for a key.',
+    retryable: true,
+  },
   'outcome-unknown': {
     code: 3001,
     status: 504,
--- a/src/entry/caller_auth.ts
+++ b/src/entry/caller_auth.ts
@@ -1,20 +1,13 @@
 /** From a caller's key to its client account. Keys are kept as hashes only. */
 
-import {createHash} from 'node:crypto';
+import {readKeyDigest} from '../core/caller_key.js';
 import type {AccountSettings, Settings} from '../core/settings_types.js';
 
-const BEARER = /^Bearer +(\S+)$/i;
-
 /** Finds accounts by the `Authorization` header. */
 export interface CallerAuth {
   findAccount(authorization: string | undefined): AccountSettings | undefined;
 }
 
-/** Hash under which the settings keep a caller key. */
-export function hashCallerKey(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
-}
-
 export function createCallerAuth(settings: Settings): CallerAuth {
   const byHash = new Map<string, AccountSettings>();
   for (const account of settings.accounts) {
@@ -24,8 +17,8 @@
   }
   return {
     findAccount(authorization) {
-      const key = BEARER.exec(authorization ?? '')?.[1];
-      return key === undefined ? undefined : byHash.get(hashCallerKey(key));
+      const digest = readKeyDigest(authorization);
+      return digest === undefined ? undefined : byHash.get(digest);
     },
   };
 }
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -31,8 +31,15 @@
   /** Path and query as sent. */
   readonly target: string;
   readonly host: string;
-  /** Without hop headers and without those that only the system sets. */
+  /**
+   * Without hop headers, without the caller's key, and without those that only
+   * the system sets.
+   */
   readonly headers: RawHeaders;
+  /** Digest of the caller's key. */
+  readonly keyDigest?: string;
+  /** The client account it runs for, as upstreams are to see it. */
+  readonly accountName?: string;
   readonly body: Buffer;
   readonly arrivedAtMs: number;
   /** How long the caller waits, from the arrival. */
@@ -53,6 +60,8 @@
   readonly waitMs?: number;
   readonly prompt?: PromptDescription;
   readonly lastEventId?: string;
+  /** Digest of the caller's key. */
+  readonly keyDigest?: string;
   /** Headers to hand on. */
   readonly forwarded: RawHeaders;
 }
@@ -184,8 +193,12 @@
 export interface RoutingUpdate {
   /** Resume the feed from here. */
   readonly cursor: number;
+  /** The store's clock when it answered. */
+  readonly storeNowMs: number;
   /** Absent when nothing changed. */
   readonly routing?: Routing;
+  /** A version was there that cannot be read. */
+  readonly isUnreadable?: boolean;
 }
 
 /** What the operator wrote. */
--- /dev/null
+++ b/src/relay/accounts/account_limiter.ts
@@ -0,0 +1,206 @@
+/**
+ * Holds client accounts to their rate limits, which count what all hosts
+ * together let through. Nothing waits for a place in a bucket: a request is let
+ * through or refused at once, by what this host knows of all of them.
+ */
+
+import type {Clock} from '../../ports/clock.js';
+import type {Random} from '../../ports/random.js';
+import type {AccountQuota} from './client_account.js';
+import {
+  fittingShare,
+  quotaRetryAfterMs,
+  type AccountLevel,
+} from './quota_rules.js';
+import type {
+  SpendingHost,
+  SpendingLedger,
+  SpendingRecord,
+} from './spending_ledger.js';
+
+/** What a refusal goes by, for the log. */
+export type LimitSource = 'ledger' | 'coordinator' | 'own-share';
+
+export type LimitVerdict =
+  | {readonly kind: 'allowed'}
+  | {
+      readonly kind: 'limited';
+      readonly retryAfterMs: number;
+      readonly levelUnits: number;
+      readonly source: LimitSource;
+      /** Since a coordinator told the level. */
+      readonly ageMs: number;
+    };
+
+export interface AccountLimiter {
+  /** Takes the cost from the account's bucket, unless it is limited. */
+  take(account: string, quota: AccountQuota, costUnits: number): LimitVerdict;
+  /** The request went to no upstream after all. */
+  giveBack(account: string, costUnits: number): void;
+  /** What this host did, for its peers. */
+  spending(): readonly SpendingRecord[];
+  /** A coordinator told which accounts are near their limit. */
+  hear(coordinatorId: string, levels: readonly AccountLevel[]): void;
+}
+
+export interface AccountLimiterHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly ledger: SpendingLedger;
+  readonly self: SpendingHost;
+  /** Whether this host hears what all others let through. */
+  isHearingAll(): boolean;
+  /** Hosts that share the limits, this one among them. */
+  hostCount(): number;
+}
+
+/** Coordinators repeat their word twice a second; some of it is lost. */
+const WORD_VALID_MS = 2_000;
+const MS_PER_SECOND = 1_000;
+
+interface OwnTotals {
+  offeredUnits: number;
+  admittedUnits: number;
+}
+
+interface OwnShare {
+  levelUnits: number;
+  updatedAtMs: number;
+}
+
+interface Word {
+  readonly levels: ReadonlyMap<string, AccountLevel>;
+  readonly heardAtMs: number;
+}
+
+/** What this host knows of an account's bucket. */
+interface KnownLevel {
+  /** Undefined where the account is far from its limit. */
+  readonly level?: AccountLevel;
+  readonly source: LimitSource;
+  readonly ageMs: number;
+}
+
+export function createAccountLimiter(host: AccountLimiterHost): AccountLimiter {
+  const {clock, random, ledger} = host;
+  const totals = new Map<string, OwnTotals>();
+  const ownShares = new Map<string, OwnShare>();
+  const words = new Map<string, Word>();
+
+  function totalsOf(account: string): OwnTotals {
+    const known = totals.get(account) ?? {offeredUnits: 0, admittedUnits: 0};
+    totals.set(account, known);
+    return known;
+  }
+
+  const spending = (): readonly SpendingRecord[] =>
+    [...totals].map(([account, {offeredUnits, admittedUnits}]) => ({
+      account,
+      offeredUnits: Math.round(offeredUnits),
+      admittedUnits: Math.round(admittedUnits),
+    }));
+
+  /** The strictest of what coordinators say: one may not have heard all yet. */
+  function findTold(
+    account: string,
+    quota: AccountQuota,
+  ): KnownLevel | undefined {
+    const nowMs = clock.nowMs();
+    const source = 'coordinator';
+    let told: KnownLevel | undefined;
+    for (const [coordinatorId, {levels, heardAtMs}] of words) {
+      const ageMs = nowMs - heardAtMs;
+      if (ageMs >= WORD_VALID_MS) {
+        words.delete(coordinatorId);
+        continue;
+      }
+      const level = levels.get(account);
+      const isStricter =
+        level &&
+        (!told?.level ||
+          fittingShare(level, quota) < fittingShare(told.level, quota));
+      if (!told || isStricter) told = {level, source, ageMs};
+    }
+    return told;
+  }
+
+  /** For a host that nobody tells the level: an even share of the limit. */
+  function takeOwnShare(
+    account: string,
+    quota: AccountQuota,
+    costUnits: number,
+  ): LimitVerdict {
+    const nowMs = clock.nowMs();
+    const unitsPerS = quota.unitsPerS / host.hostCount();
+    const mostUnits = quota.burstUnits / host.hostCount();
+    const share = ownShares.get(account) ?? {
+      levelUnits: mostUnits,
+      updatedAtMs: nowMs,
+    };
+    ownShares.set(account, share);
+    const elapsedMs = nowMs - share.updatedAtMs;
+    share.levelUnits = Math.min(
+      mostUnits,
+      share.levelUnits + (unitsPerS * elapsedMs) / MS_PER_SECOND,
+    );
+    share.updatedAtMs = nowMs;
+    // A share of a burst is often less than one request: it may be overdrawn.
+    if (share.levelUnits > 0) {
+      share.levelUnits -= costUnits;
+      return {kind: 'allowed'};
+    }
+    const ownQuota = {...quota, unitsPerS};
+    return refuse(share.levelUnits, 'own-share', 0, ownQuota, costUnits);
+  }
+
+  function refuse(
+    levelUnits: number,
+    source: LimitSource,
+    ageMs: number,
+    quota: AccountQuota,
+    costUnits: number,
+  ): LimitVerdict {
+    const draw = random.nextFloat();
+    const retryAfterMs = quotaRetryAfterMs(levelUnits, costUnits, quota, draw);
+    return {kind: 'limited', retryAfterMs, levelUnits, source, ageMs};
+  }
+
+  function decide(
+    account: string,
+    quota: AccountQuota,
+    costUnits: number,
+  ): LimitVerdict {
+    const known: KnownLevel | undefined = host.isHearingAll()
+      ? {level: ledger.level(account), source: 'ledger', ageMs: 0}
+      : findTold(account, quota);
+    if (!known) return takeOwnShare(account, quota, costUnits);
+    const {level, source, ageMs} = known;
+    if (!level) return {kind: 'allowed'};
+    const share = fittingShare(level, quota);
+    if (share >= 1 || random.nextFloat() < share) return {kind: 'allowed'};
+    return refuse(level.levelUnits, source, ageMs, quota, costUnits);
+  }
+
+  return {
+    take(account, quota, costUnits) {
+      const own = totalsOf(account);
+      own.offeredUnits += costUnits;
+      ledger.hear(host.self, spending());
+      const verdict = decide(account, quota, costUnits);
+      if (verdict.kind === 'allowed') own.admittedUnits += costUnits;
+      return verdict;
+    },
+    giveBack(account, costUnits) {
+      totalsOf(account).admittedUnits -= costUnits;
+      const share = ownShares.get(account);
+      if (share) share.levelUnits += costUnits;
+    },
+    spending,
+    hear(coordinatorId, levels) {
+      words.set(coordinatorId, {
+        levels: new Map(levels.map(level => [level.account, level])),
+        heardAtMs: clock.nowMs(),
+      });
+    },
+  };
+}
--- a/src/relay/fleet/peer_codec.ts
+++ b/src/relay/fleet/peer_codec.ts
@@ -22,6 +22,10 @@
     '"isStoreReachable":true,"state":"ready","callerAddress":"10.",' +
     '"failureDomain":"","load":{"decode":{"i-":[1,3200,3600]},' +
     '"prefill":{}},"waiting":[],"suspects":[],"unreachable":[],' +
+    '"spending":[{"account":"","offeredUnits":10000,' +
+    '"admittedUnits":10000},],"routingCompleteUntilMs":100000,' +
+    '"accountLevels":[{"account":"","levelUnits":-1000,' +
+    '"offeredUnitsPerS":10000}],' +
     '"changing":[],"learned":{"starts":{"weight":0,"sums":[0]},' +
     '"runs":{"weight":0,"sums":[0,0,0]},"prefills":{"weight":0,"sums":[0]}},' +
     '"losses":[],"full":[],"adoptedAskIds":[],"membersDigest":1000000000,' +
@@ -30,7 +34,7 @@
     '"isSettled":true,"wants":"view"}',
 );
 /** First byte of a compressed datagram; others are JSON and begin with `{`. */
-const FORMAT = 3;
+const FORMAT = 4;
 /** Below this, a datagram is sent as it is. */
 const SMALL_BYTES = 300;
 const MOST_BYTES = 256 * 1024;
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -2,6 +2,8 @@
 
 import type {LossFact} from '../../request/quarantine.js';
 import type {HostLoad} from '../host_load.js';
+import type {AccountLevel} from '../accounts/quota_rules.js';
+import type {SpendingRecord} from '../accounts/spending_ledger.js';
 import type {PlacementMessage} from '../placement_messages.js';
 import type {FadingSums} from '../pooled_means.js';
 import type {LearnedSums} from '../shared_learning.js';
@@ -46,12 +48,16 @@
   readonly full: readonly string[];
   /** What this host asked the receiver for and has booked by now. */
   readonly adoptedAskIds: readonly number[];
+  /** What this host let through for client accounts. */
+  readonly spending: readonly SpendingRecord[];
 }
 
 /** What a coordinator tells all hosts, of itself and of all. */
 export interface Summary extends StoreKnowledge, UpstreamFindings {
   /** What all hosts have promised of the engines; not in each view. */
   readonly load?: HostLoad;
+  /** Client accounts near their limit. */
+  readonly accountLevels: readonly AccountLevel[];
 }
 
 /** One peer as it is known here. */
@@ -120,21 +126,28 @@
 function hasFindings(value: Record<string, unknown>): boolean {
   const {suspects, unreachable, changing, losses, learned} = value;
   const {routingAges, upstreamAges, listDeltas, sequence} = value;
+  const {routingCompleteUntilMs} = value;
   const lists = [suspects, unreachable, changing, losses, listDeltas];
   const hasLists = lists.every(list => Array.isArray(list));
   const hasAges = isObject(routingAges) && isObject(upstreamAges);
   const hasLearned = isObject(learned) && Object.values(learned).every(isSums);
-  return hasLists && hasAges && hasLearned && typeof sequence === 'number';
+  const hasNumbers = [sequence, routingCompleteUntilMs].every(Number.isFinite);
+  return hasLists && hasAges && hasLearned && hasNumbers;
 }
 
 const CHECKS: Readonly<
   Record<PeerDatagram['kind'], (value: Record<string, unknown>) => boolean>
 > = {
   letter: ({message}) => isObject(message),
-  view: value => hasFindings(value) && Array.isArray(value['memberChanges']),
+  view(value) {
+    const {memberChanges, accountLevels} = value;
+    const lists = [memberChanges, accountLevels];
+    return lists.every(list => Array.isArray(list)) && hasFindings(value);
+  },
   state(value) {
     const {known, missedIds, full, waiting, adoptedAskIds, load} = value;
-    const lists = [known, missedIds, full, waiting, adoptedAskIds];
+    const {spending} = value;
+    const lists = [known, missedIds, full, waiting, adoptedAskIds, spending];
     const hasLists = lists.every(list => Array.isArray(list));
     return hasLists && isObject(load) && hasFindings(value);
   },
--- a/src/relay/fleet/peer_handover.ts
+++ b/src/relay/fleet/peer_handover.ts
@@ -17,6 +17,7 @@
 import type {SideHandler} from '../side_server.js';
 import type {UpstreamSnapshot} from '../upstream.js';
 import type {UpstreamRegistry} from '../upstream_registry.js';
+import type {StoreTime} from '../accounts/store_time.js';
 
 export interface PeerHandoverHost {
   readonly clock: Clock;
@@ -25,6 +26,7 @@
   readonly routing: RoutingState;
   readonly routingSource: RoutingSource;
   readonly registry: UpstreamRegistry;
+  readonly storeTime: StoreTime;
   /** Live peers that this host hears itself. */
   peers(): readonly KnowingPeer[];
   /** Live hosts, this one among them. */
@@ -59,6 +61,8 @@
 interface HandedUpstreams {
   readonly ageMs: number;
   readonly snapshot: UpstreamSnapshot;
+  /** No earlier than the store's clock; absent where that is not known. */
+  readonly storeNowMs?: number;
 }
 
 export function createPeerHandover(host: PeerHandoverHost): PeerHandover {
@@ -116,9 +120,13 @@
       .sort((a, b) => b.upstreamRevision - a.upstreamRevision)
       .at(0);
     if (!freshest) return;
+    const sentAt = host.storeTime.now();
     const text = await fetch(freshest, UPSTREAMS_PATH);
     const handed = text ? parseHanded<HandedUpstreams>(text) : undefined;
     if (!handed) return;
+    if (handed.storeNowMs !== undefined) {
+      host.storeTime.note(sentAt, handed.storeNowMs);
+    }
     host.onUpstreams(handed.ageMs);
     registry.apply(handed.snapshot, 'peer');
   }
@@ -167,6 +175,7 @@
       const handed: HandedUpstreams = {
         ageMs: Math.round(host.upstreamAgeMs()),
         snapshot,
+        storeNowMs: host.storeTime.latestMs(),
       };
       return {status: 200, contentType, body: JSON.stringify(handed)};
     },
--- a/src/relay/fleet/store_readers.ts
+++ b/src/relay/fleet/store_readers.ts
@@ -15,6 +15,8 @@
 export interface StoreKnowledge {
   readonly routingVersion: number;
   readonly routingAges: ConfirmedAges;
+  /** Every version before this time of the store is in force there. */
+  readonly routingCompleteUntilMs: number;
   readonly upstreamRevision: number;
   /** The same for lists that differ in nothing but signs of life. */
   readonly upstreamDigest: number;
--- a/src/relay/plain_relay.ts
+++ b/src/relay/plain_relay.ts
@@ -22,6 +22,7 @@
   CONNECT_TIMEOUT_MS,
   leftMs,
   type JobOutcome,
+  KEY_WITHDRAWN,
   type RelayJob,
 } from './relay_types.js';
 import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
@@ -268,6 +269,10 @@
         clock.nowMs() < job.deadlineAtMs &&
         !job.cancellation.isCancelled
       ) {
+        if (progress.sends === 0 && job.admitted.isWithdrawn()) {
+          progress.failure = KEY_WITHDRAWN;
+          break;
+        }
         const slot = await slots.take(
           toNeed(job),
           progress.tried,
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '../ports/log.js';
 import type {Random} from '../ports/random.js';
 import type {RelayRequest} from '../ports/relay.js';
+import type {AccountAdmission} from './accounts/account_admission.js';
 import type {Caller} from './caller.js';
 import {createCancellation} from './cancellation.js';
 import type {CrashWatch} from './crash_watch.js';
@@ -27,6 +28,7 @@
   readonly plain: PlainRelay;
   readonly streams: StreamRelay;
   readonly crashes: CrashWatch;
+  readonly accounts: AccountAdmission;
   /** Undefined while requests of this length may begin. */
   refuseForLeaving(route: Route): RequestError | undefined;
 }
@@ -44,10 +46,10 @@
   const {clock, random, log, metrics, routing, plain, streams} = host;
   let activeCount = 0;
 
-  function admit(
-    request: RelayRequest,
+  async function admit(
+    received: RelayRequest,
     caller: Caller,
-  ): RelayJob | RequestError {
+  ): Promise<RelayJob | RequestError> {
     if (!routing.current()) {
       return {
         kind: 'configuration-missing',
@@ -55,10 +57,10 @@
         retryAfterMs: NO_CONFIGURATION_RETRY_MS,
       };
     }
-    const path = request.target.split('?', 1)[0];
-    const route = routing.match(request.host, path);
+    const path = received.target.split('?', 1)[0];
+    const route = routing.match(received.host, path);
     if (!route) return {kind: 'unknown-route', detail: path.slice(0, 80)};
-    if (host.crashes.isQuarantined(request)) {
+    if (host.crashes.isQuarantined(received)) {
       return {kind: 'quarantined', detail: 'It is not run again.'};
     }
     const leaving = host.refuseForLeaving(route);
@@ -66,21 +68,30 @@
     const name = chooseService(route, random);
     const service = routing.service(name);
     if (!service) return {kind: 'no-upstream', detail: 'No such service.'};
-    const waitMs = Math.min(request.waitMs, route.timeoutMs);
     const cancellation = createCancellation();
     caller.onGone(() => cancellation.cancel());
+    // The last check: what passes it has taken from the account's limit.
+    const admitted = await host.accounts.admit(received, route);
+    if (admitted.kind === 'refused') return admitted.error;
+    const waitMs = Math.min(received.waitMs, route.timeoutMs);
     return {
-      request,
+      request: {...received, accountName: admitted.account?.name},
       route,
       service,
       caller,
       cancellation,
-      deadlineAtMs: request.arrivedAtMs + waitMs,
+      deadlineAtMs: received.arrivedAtMs + waitMs,
+      admitted,
     };
   }
 
-  function run(job: RelayJob): Promise<JobOutcome> {
-    return job.service.engine ? streams.run(job) : plain.run(job);
+  async function run(job: RelayJob): Promise<JobOutcome> {
+    const outcome = await (job.service.engine
+      ? streams.run(job)
+      : plain.run(job));
+    const wasSent = outcome.upstreams.length > 0 || outcome.wasRead;
+    if (outcome.end !== 'answered' && !wasSent) job.admitted.giveBack();
+    return outcome;
   }
 
   function logOutcome(
@@ -91,6 +102,7 @@
     const durationMs = Math.round(clock.nowMs() - request.arrivedAtMs);
     const fields = {
       request: request.requestId,
+      account: job?.request.accountName,
       route: job?.route.name,
       service: job?.service.name,
       end: outcome.end,
@@ -116,7 +128,7 @@
 
   return {
     async handle(request, caller) {
-      const admitted = admit(request, caller);
+      const admitted = await admit(request, caller);
       if ('kind' in admitted) {
         caller.refuse(admitted);
         logOutcome(request, undefined, {
--- a/src/relay/relay_front.ts
+++ b/src/relay/relay_front.ts
@@ -92,6 +92,7 @@
         target: message.url ?? '/',
         host: message.headers.host ?? '',
         headers: facts.forwarded,
+        keyDigest: facts.keyDigest,
         body: body.bytes,
         arrivedAtMs,
         waitMs: facts.waitMs ?? DEFAULT_WAIT_MS,
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -26,6 +26,7 @@
   upstream_connections: 'Connections opened to upstreams and the store.',
   store_calls: 'Calls to the platform store, by call and outcome.',
   log_lines_dropped: 'Log lines that were left out.',
+  account_refusals: 'Requests refused for their key or limit, by reason.',
   role_orders: 'Orders to engines to change their role, by outcome.',
 } as const;
 
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -24,6 +24,7 @@
 import {createQuarantine} from '../request/quarantine.js';
 import {createRetryBudget} from '../request/retry_budget.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
+import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createCrashWatch} from './crash_watch.js';
 import {answerDirectory, type EntryAnswer} from './host_directory.js';
 import {createLeaving} from './leaving.js';
@@ -135,6 +136,20 @@
     log: createLogger('store'),
   });
   const {port: peerPort} = splitAddress(settings.peerAddress);
+  const self = {hostId: settings.hostId, incarnation: random.nextId()};
+  const accounts = createRelayAccounts(
+    {
+      clock,
+      random,
+      createLogger,
+      metrics,
+      routing,
+      self,
+      isHearingAll: () => peers.isMesh() || peers.isCoordinator(),
+      hostCount: () => peers.knownCount() + 1,
+    },
+    settings,
+  );
   const readers = createStoreReaders({
     hostId: settings.hostId,
     peers: () => peers.alive(),
@@ -149,6 +164,8 @@
       ...sources,
       routing,
       registry,
+      storeTime: accounts.storeTime,
+      freshness: accounts.freshness,
       isReader: readers.isReader,
       isCandidate: readers.isCandidate,
       isPlacing: () => placement.isPlacing(),
@@ -190,6 +207,7 @@
         full: scheduler.full(),
         losses: crashes.facts(),
         adoptedAskIds: placement.adoptedAskIds(),
+        spending: accounts.spending(),
       }),
       summary: hasLoad => ({
         ...watch.knowledge(),
@@ -198,9 +216,11 @@
         learned: learning.total(),
         losses: crashes.facts(),
         load: hasLoad ? books.total() : undefined,
+        accountLevels: accounts.nearLimit(),
       }),
       onPeer(peer) {
         placement.heard(peer);
+        accounts.heard(peer);
         watch.hear(peer);
         crashes.learn(peer.losses);
         if (peer.unreachable.length > MOST_SUSPECTS) return;
@@ -208,6 +228,7 @@
       },
       onSummary(fromHostId, summary) {
         placement.told(fromHostId, summary);
+        accounts.told(fromHostId, summary);
         watch.hear(summary);
         crashes.learn(summary.losses);
         learnUnreachable(summary.unreachable);
@@ -227,8 +248,7 @@
       },
     },
     {
-      hostId: settings.hostId,
-      incarnation: random.nextId(),
+      ...self,
       peerAddress: settings.peerAddress,
       // Ports are the same on all hosts; a seed may name that of another use.
       seedAddresses: settings.seedAddresses.map(
@@ -244,6 +264,7 @@
     routing,
     routingSource: sources.routingSource,
     registry,
+    storeTime: accounts.storeTime,
     peers: peers.heard,
     members: peers.members,
     upstreamAgeMs: () => watch.listAgeMs(),
@@ -352,6 +373,7 @@
       learning,
     }),
     crashes,
+    accounts: accounts.admission,
     refuseForLeaving: leaving.refuse,
   });
   const front = createRelayFront({
--- a/src/relay/relay_settings.ts
+++ b/src/relay/relay_settings.ts
@@ -30,6 +30,11 @@
   readonly leaveGraceMs: number;
   /** How long the holder of a lease may act without renewing it. */
   readonly leaseMs: number;
+  /**
+   * A withdrawn key works nowhere later than this after its withdrawal; absent
+   * where hosts out of touch may go on.
+   */
+  readonly keyWithdrawalMs?: number;
 }
 
 type FieldCheck = (value: unknown) => boolean;
@@ -39,6 +44,8 @@
   typeof value === 'string' && /^.+:\d{1,5}$/.test(value);
 const isAmount: FieldCheck = value =>
   typeof value === 'number' && Number.isFinite(value) && value >= 0;
+const isAmountOrAbsent: FieldCheck = value =>
+  value === undefined || isAmount(value);
 const isAddressList: FieldCheck = value =>
   Array.isArray(value) && value.every(isAddress);
 
@@ -56,6 +63,7 @@
   retrySlack: isAmount,
   leaveGraceMs: isAmount,
   leaseMs: isAmount,
+  keyWithdrawalMs: isAmountOrAbsent,
 };
 
 /** Undefined when the text is not complete, well-typed JSON. */
--- a/src/relay/relay_settings_reader.ts
+++ b/src/relay/relay_settings_reader.ts
@@ -30,6 +30,9 @@
   retrySlack: amount.describe('Retries allowed beside, for all hosts.'),
   leaveGraceMs: amount.describe('From the signal to leave until the kill.'),
   leaseMs: amount.describe('Life of a lease that is not renewed.'),
+  keyWithdrawalMs: amount
+    .optional()
+    .describe('Longest time that a withdrawn key works anywhere.'),
 });
 
 export interface RelaySettingsResult {
--- a/src/relay/routing.ts
+++ b/src/relay/routing.ts
@@ -4,6 +4,7 @@
  */
 
 import type {Random} from '../ports/random.js';
+import type {ClientAccount} from './accounts/client_account.js';
 
 /** What may be done again when the outcome of a send is not known. */
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'stream';
@@ -34,6 +35,8 @@
   readonly priority: number;
   /** A stream may go on at another engine after its last whole event. */
   readonly isResumable: boolean;
+  /** No key is asked for. */
+  readonly isPublic: boolean;
 }
 
 /** What the engines of a model service have in common. */
@@ -72,6 +75,8 @@
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
   readonly limits: CallerLimits;
+  /** Without any, no key is asked for. */
+  readonly accounts: readonly ClientAccount[];
 }
 
 /** Routes made ready for look-ups. */
--- a/src/relay/routing_state.ts
+++ b/src/relay/routing_state.ts
@@ -7,6 +7,10 @@
  */
 
 import type {Logger} from '../ports/log.js';
+import {
+  createAccountTable,
+  type AccountTable,
+} from './accounts/client_account.js';
 import {
   createRouteTable,
   type Route,
@@ -23,6 +27,7 @@
   version(): number;
   match(host: string, path: string): Route | undefined;
   service(name: string): Service | undefined;
+  accounts(): AccountTable;
   /** False for a version that is not newer than the one in force. */
   offer(routing: Routing, origin: RoutingOrigin): boolean;
   /** Calls `listener` after each change. */
@@ -33,22 +38,26 @@
   let current: Routing | undefined;
   let table = createRouteTable([]);
   let services: ReadonlyMap<string, Service> = new Map();
+  let accounts = createAccountTable([]);
   const listeners: Array<(routing: Routing) => void> = [];
   return {
     current: () => current,
     version: () => current?.version ?? 0,
     match: (host, path) => table.match(host, path),
     service: name => services.get(name),
+    accounts: () => accounts,
     offer(routing, origin) {
       if (current && routing.version <= current.version) return false;
       current = routing;
       table = createRouteTable(routing.routes);
       services = new Map(routing.services.map(each => [each.name, each]));
+      accounts = createAccountTable(routing.accounts);
       log.info('Configuration in force.', {
         version: routing.version,
         origin,
         routes: routing.routes.length,
         services: routing.services.length,
+        accounts: routing.accounts.length,
       });
       for (const listener of listeners) listener(routing);
       return true;
--- a/src/relay/store_watch.ts
+++ b/src/relay/store_watch.ts
@@ -19,6 +19,8 @@
   StoreRead,
   UpstreamSource,
 } from '../ports/relay.js';
+import type {ConfigurationFreshness} from './accounts/configuration_freshness.js';
+import type {StoreTime} from './accounts/store_time.js';
 import type {RelayMetrics} from './relay_metrics.js';
 import type {RoutingState} from './routing_state.js';
 import {createStoreConfirmation} from './store_confirmation.js';
@@ -35,6 +37,8 @@
   readonly hostRegistry: HostRegistry;
   readonly routing: RoutingState;
   readonly registry: UpstreamRegistry;
+  readonly storeTime: StoreTime;
+  readonly freshness: ConfigurationFreshness;
   /** Whether this host reads for all. */
   isReader(): boolean;
   /** Whether this host would read for all if others could not. */
@@ -110,10 +114,13 @@
   self: HostRecord,
 ): StoreWatch {
   const {clock, random, log, metrics, routing, registry} = host;
+  const {freshness, storeTime} = host;
   const timers = new Set<TimerHandle>();
   let isStopped = false;
   let isLeaving = false;
   let cursor: number | undefined;
+  /** The newest version of which own reads have told, if it can be read. */
+  let readVersion: number | undefined;
   let isRegistered = false;
   const listConfirmation = createStoreConfirmation(clock);
   const routingConfirmation = createStoreConfirmation(clock);
@@ -167,6 +174,12 @@
     cursor = update.cursor;
     routingConfirmation.noteRead(clock.nowMs());
     if (update.routing) routing.offer(update.routing, 'store');
+    readVersion = update.isUnreadable
+      ? undefined
+      : (update.routing?.version ?? readVersion);
+    if (readVersion !== undefined && readVersion <= routing.version()) {
+      freshness.noteCompleteUntil(update.storeNowMs);
+    }
   }
 
   /*
@@ -223,6 +236,7 @@
     routingTimer = undefined;
     routingReadAtMs = clock.nowMs();
     const isNew = cursor === undefined;
+    const sentAt = storeTime.now();
     const read =
       cursor === undefined
         ? await host.routingSource.readNow(READ_TIMEOUT_MS)
@@ -235,6 +249,7 @@
     routingFailures = read.kind === 'failed' ? routingFailures + 1 : 0;
     switch (read.kind) {
       case 'read':
+        storeTime.note(sentAt, read.value.storeNowMs);
         takeRouting(read.value);
         // Until there is a first version, the feed wakes for it.
         routingTimer = later(0, followRouting);
@@ -294,6 +309,9 @@
   }
 
   function hearRouting(peer: StoreKnowledge): void {
+    if (peer.routingVersion <= routing.version()) {
+      freshness.noteCompleteUntil(peer.routingCompleteUntilMs);
+    }
     if (peer.routingVersion === routing.version()) {
       routingConfirmation.notePeer(peer.routingAges);
     } else if (peer.routingVersion > routing.version()) {
@@ -363,6 +381,7 @@
     knowledge: () => ({
       routingVersion: routing.version(),
       routingAges: routingConfirmation.announced(),
+      routingCompleteUntilMs: freshness.completeUntilMs(),
       upstreamRevision: registry.revision(),
       upstreamDigest: registry.digest(),
       upstreamAges: listConfirmation.announced(),
--- a/src/relay/stream_relay.ts
+++ b/src/relay/stream_relay.ts
@@ -269,6 +269,7 @@
       release(state);
       return {
         ...outcome,
+        wasRead: state.wasRead,
         waitedMs: startedAtMs - placedFrom,
         firstByteMs:
           state.firstByteAtMs === undefined
--- a/src/relay/stream_start.ts
+++ b/src/relay/stream_start.ts
@@ -16,7 +16,12 @@
 import type {EngineFailures} from './engine_failures.js';
 import type {EngineScheduler} from './engine_scheduler.js';
 import {createPrefillStep} from './prefill_step.js';
-import {CONNECT_TIMEOUT_MS, leftMs, type RelayJob} from './relay_types.js';
+import {
+  CONNECT_TIMEOUT_MS,
+  KEY_WITHDRAWN,
+  leftMs,
+  type RelayJob,
+} from './relay_types.js';
 import type {SharedLearning} from './shared_learning.js';
 import type {StreamState} from './stream_state.js';
 import type {Upstream} from './upstream.js';
@@ -141,6 +146,10 @@
     let failure: RequestError = {kind: 'no-upstream', detail: 'None had room.'};
     for (let tries = 1; tries <= MAX_DECODE_TRIES; tries++) {
       if (job.cancellation.isCancelled) return {kind: 'cancelled'};
+      // A run that began before the withdrawal may be gone on with.
+      if (state.ran.length === 0 && job.admitted.isWithdrawn()) {
+        return notRun(KEY_WITHDRAWN);
+      }
       if (!state.source && state.placement.prefill) {
         const read = await prefillStep.run(state);
         if (job.cancellation.isCancelled) return {kind: 'cancelled'};
--- a/tests/entry/openai_client_test.ts
+++ b/tests/entry/openai_client_test.ts
@@ -8,7 +8,8 @@
 import {createAccountLimits} from '../../src/core/account_limits.js';
 import {createSeededRandom} from '../../src/core/seeded_random.js';
 import type {Settings} from '../../src/core/settings_types.js';
-import {createCallerAuth, hashCallerKey} from '../../src/entry/caller_auth.js';
+import {digestCallerKey} from '../../src/core/caller_key.js';
+import {createCallerAuth} from '../../src/entry/caller_auth.js';
 import {createHttpFront, type HttpFront} from '../../src/entry/http_front.js';
 import type {
   ModelAnswerSink,
@@ -41,7 +42,7 @@
   accounts: [
     {
       name: 'raamatupidajad',
-      keySha256: [hashCallerKey(KEY)],
+      keySha256: [digestCallerKey(KEY)],
       services: ['aruande-koostaja'],
       requestsPerSecond: 100,
       maxConcurrent: 10,
--- /dev/null
+++ b/tests/relay/accounts/configuration_freshness_test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createConfigurationFreshness} from '../../../src/relay/accounts/configuration_freshness.js';
+import {createStoreTime} from '../../../src/relay/accounts/store_time.js';
+import {makeSite} from '../store_site.js';
+
+const SEEDS = Array.from({length: 20}, (_, i) => i + 1);
+
+function makeHost() {
+  const clock = createVirtualClock(1_000);
+  let suspendedMs = 0;
+  let wallStepMs = 0;
+  const host = {
+    ...clock,
+    // The steady clock leaves out a suspension; the time of day does not.
+    nowMs: () => clock.nowMs() - suspendedMs,
+    wallMs: () => clock.nowMs() + wallStepMs,
+  };
+  const storeTime = createStoreTime(host);
+  const freshness = createConfigurationFreshness({clock: host, storeTime});
+  return {
+    clock,
+    storeTime,
+    freshness,
+    async suspend(durationMs: number) {
+      await clock.advance(durationMs);
+      suspendedMs += durationMs;
+    },
+    stepWall(byMs: number) {
+      wallStepMs += byMs;
+    },
+    readStore() {
+      const sentAt = storeTime.now();
+      storeTime.note(sentAt, clock.nowMs());
+      freshness.noteCompleteUntil(clock.nowMs());
+    },
+  };
+}
+
+test('word that lay in a socket while the host was frozen is no fresh word', async () => {
+  // Guards against an age that counts from the receipt of a datagram.
+  const {clock, freshness, readStore} = makeHost();
+  readStore();
+  const completeUntilMs = clock.nowMs();
+  await clock.advance(6_000);
+  freshness.noteCompleteUntil(completeUntilMs + 200);
+  assert.equal(freshness.ageMs(), 5_800);
+});
+
+test('a suspension counts towards the age', async () => {
+  // Guards against a steady clock that stands still while the host does.
+  const {freshness, readStore, suspend} = makeHost();
+  readStore();
+  await suspend(7_000);
+  assert.equal(freshness.ageMs(), 7_000);
+});
+
+test('a time of day that jumps back makes nothing younger', async () => {
+  const {clock, freshness, readStore, stepWall} = makeHost();
+  readStore();
+  stepWall(-60_000);
+  await clock.advance(3_000);
+  assert.equal(freshness.ageMs(), 3_000);
+});
+
+test('a time of day that jumps forward is made good by the next read', async () => {
+  const {clock, freshness, readStore, stepWall} = makeHost();
+  readStore();
+  stepWall(60_000);
+  assert.ok(freshness.ageMs() >= 60_000);
+  await clock.advance(500);
+  readStore();
+  assert.equal(freshness.ageMs(), 0);
+});
+
+test('a host that has not heard of the store is sure of nothing', async () => {
+  const {clock, freshness} = makeHost();
+  assert.equal(freshness.ageMs(), Number.POSITIVE_INFINITY);
+  const confirmed = freshness.confirmNow(500);
+  await clock.advance(600);
+  assert.equal(await confirmed, false);
+});
+
+test('what a host is sure of is never more than it has', async () => {
+  // Guards against a withdrawn key at any host: cut off from the store or from
+  // changes, handed a version by a peer, or told with any delay.
+  for (const seed of SEEDS) {
+    const random = createSeededRandom(seed);
+    const hearMs = 3 + random.nextInt(900);
+    const site = makeSite(8, {hearMs, announceEveryMs: 250});
+    const {clock, hosts, store, cut, hearsNoChanges} = site;
+    const acknowledged = [{version: 1, atMs: 0}];
+    for (let step = 0; step < 40; step++) {
+      await clock.advance(50 + random.nextInt(500));
+      const host = hosts[random.nextInt(hosts.length)];
+      switch (random.nextInt(6)) {
+        case 0:
+          site.configure();
+          acknowledged.push({version: store.version, atMs: clock.nowMs()});
+          break;
+        case 1:
+          cut.add(host.hostId);
+          break;
+        case 2:
+          cut.clear();
+          break;
+        case 3:
+          hearsNoChanges.add(host.hostId);
+          break;
+        case 4:
+          store.isDown = !store.isDown;
+          break;
+        case 5:
+          site.handOver(host.hostId);
+          break;
+      }
+      for (const {hostId, routing, freshness} of hosts) {
+        const untilMs = freshness.completeUntilMs();
+        const newest = acknowledged.filter(({atMs}) => atMs < untilMs).at(-1);
+        const isComplete = routing.version() >= (newest?.version ?? 0);
+        assert.ok(isComplete, `seed ${seed}, ${hostId} at ${clock.nowMs()}`);
+      }
+    }
+  }
+});
+
+test('hosts that the store turns away stay sure by the word of the others', async () => {
+  // Guards against refusing all callers of an outage that is not one for all.
+  const {clock, hosts, cut} = makeSite(9);
+  await clock.advance(3_000);
+  for (const {hostId} of hosts.slice(0, 3)) cut.add(hostId);
+  for (let i = 0; i < 20; i++) {
+    await clock.advance(500);
+    for (const {freshness} of hosts) {
+      assert.ok(freshness.ageMs() < 3_000, `${freshness.ageMs()}`);
+    }
+  }
+});
--- a/tests/relay/burst_load.ts
+++ b/tests/relay/burst_load.ts
@@ -95,6 +95,7 @@
   gapGoalMs: 300,
   priority: 1,
   isResumable: false,
+  isPublic: false,
 };
 
 /** The host that places for the others, which a test may silence. */
@@ -245,6 +246,8 @@
         learned: learning.own(),
         losses: [],
         adoptedAskIds: client.adopted(),
+        spending: [],
+        routingCompleteUntilMs: 0,
       };
       for (const other of hosts) {
         if (other.hostId === hostId || !isReached(other.hostId)) continue;
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -156,6 +156,7 @@
     const knowledge = () => ({
       routingVersion: 1,
       routingAges: confirmation.announced(),
+      routingCompleteUntilMs: 0,
       upstreamRevision: 1,
       upstreamDigest: 0,
       upstreamAges: confirmation.announced(),
@@ -187,9 +188,14 @@
             waiting: [],
             full: [],
             adoptedAskIds: [],
+            spending: [],
           };
         },
-        summary: (): Summary => ({...knowledge(), ...NO_FINDINGS}),
+        summary: (): Summary => ({
+          ...knowledge(),
+          ...NO_FINDINGS,
+          accountLevels: [],
+        }),
         onPeer: hear,
         onSummary: (_, summary) => hear(summary),
         onPeerGone() {
--- a/tests/relay/store_site.ts
+++ b/tests/relay/store_site.ts
@@ -7,6 +7,8 @@
 import {createVirtualClock} from '../../src/core/virtual_clock.js';
 import type {StoreRead} from '../../src/ports/relay.js';
 import {createRelayMetrics} from '../../src/relay/relay_metrics.js';
+import {createConfigurationFreshness} from '../../src/relay/accounts/configuration_freshness.js';
+import {createStoreTime} from '../../src/relay/accounts/store_time.js';
 import type {Routing} from '../../src/relay/routing.js';
 import {createRoutingState} from '../../src/relay/routing_state.js';
 import {
@@ -69,6 +71,7 @@
 
   const readRouting = () => ({
     cursor: store.version,
+    storeNowMs: clock.nowMs(),
     routing: {
       version: store.version,
       routes: [],
@@ -79,12 +82,15 @@
         headerTimeoutMs: 1,
         idleTimeoutMs: 1,
       },
+      accounts: [],
     } satisfies Routing,
   });
 
   function makeHost(hostId: string) {
     const routing = createRoutingState(silentLog);
     const registry = createUpstreamRegistry({clock, log: silentLog});
+    const storeTime = createStoreTime(clock);
+    const freshness = createConfigurationFreshness({clock, storeTime});
     const heard = new Map<string, {hostId: string} & StoreKnowledge>();
     const readers = createStoreReaders({
       hostId,
@@ -99,6 +105,8 @@
         metrics: createRelayMetrics(),
         routing,
         registry,
+        storeTime,
+        freshness,
         isReader: readers.isReader,
         isCandidate: readers.isCandidate,
         isPlacing: () => false,
@@ -134,7 +142,7 @@
       },
       {hostId, peerAddress: `${hostId}:1`},
     );
-    const host = {hostId, routing, registry, watch, heard, readers};
+    const host = {hostId, routing, registry, watch, heard, readers, freshness};
     watch.start();
     return host;
   }
