--- a/src/relay/accounts/account_admission.ts
+++ b/src/relay/accounts/account_admission.ts
@@ -9,7 +9,7 @@
 import type {RelayRequest} from '../../ports/relay.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {Route} from '../routing.js';
-import type {AccountLimiter} from './account_limiter.js';
+import type {AccountLimiter, LimitVerdict} from './account_limiter.js';
 import {
   costOf,
   type AccountTable,
@@ -123,7 +123,7 @@
   function admitKnown(
     request: RelayRequest,
     account: ClientAccount,
-  ): AccountAdmissionOutcome {
+  ): AccountAdmissionOutcome | Promise<AccountAdmissionOutcome> {
     if (!(freshness.ageMs() <= mostAgeMs)) {
       return unconfirmed(request, account);
     }
@@ -133,23 +133,35 @@
       return {kind: 'admitted', account, giveBack: doNothing, isWithdrawn};
     }
     const costUnits = costOf(quota, request.prompt);
+    const settle = (verdict: LimitVerdict): AccountAdmissionOutcome => {
+      if (verdict.kind === 'limited') {
+        return refuseOver(request, account, costUnits, verdict);
+      }
+      const giveBack = () => limiter.giveBack(name, costUnits);
+      return {kind: 'admitted', account, giveBack, isWithdrawn};
+    };
     const verdict = limiter.take(name, quota, costUnits);
-    if (verdict.kind === 'limited') {
-      const {retryAfterMs, levelUnits, source, ageMs} = verdict;
-      log.info('Over the limit of the account.', {
-        request: request.requestId,
-        account: name,
-        costUnits,
-        levelUnits: Math.round(levelUnits),
-        source,
-        ageMs: Math.round(ageMs),
-        retryAfterMs: Math.round(retryAfterMs),
-      });
-      const detail = 'The account has used up its limit.';
-      return refuse({kind: 'account-limit', detail, retryAfterMs}, account);
-    }
-    const giveBack = () => limiter.giveBack(name, costUnits);
-    return {kind: 'admitted', account, giveBack, isWithdrawn};
+    return verdict instanceof Promise ? verdict.then(settle) : settle(verdict);
+  }
+
+  function refuseOver(
+    request: RelayRequest,
+    account: ClientAccount,
+    costUnits: number,
+    verdict: Extract<LimitVerdict, {kind: 'limited'}>,
+  ): RefusedAccount {
+    const {retryAfterMs, levelUnits, source, ageMs} = verdict;
+    log.info('Over the limit of the account.', {
+      request: request.requestId,
+      account: account.name,
+      costUnits,
+      levelUnits: Math.round(levelUnits),
+      source,
+      ageMs: Math.round(ageMs),
+      retryAfterMs: Math.round(retryAfterMs),
+    });
+    const detail = 'The account has used up its limit.';
+    return refuse({kind: 'account-limit', detail, retryAfterMs}, account);
   }
 
   return {
--- a/src/relay/accounts/account_limiter.ts
+++ b/src/relay/accounts/account_limiter.ts
@@ -7,6 +7,7 @@
 import type {Clock} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
 import type {AccountQuota} from './client_account.js';
+import type {QuotaClient} from './quota_client.js';
 import {
   fittingShare,
   quotaRetryAfterMs,
@@ -19,7 +20,7 @@
 } from './spending_ledger.js';
 
 /** What a refusal goes by, for the log. */
-export type LimitSource = 'ledger' | 'coordinator' | 'own-share';
+export type LimitSource = 'owner' | 'ledger' | 'coordinator' | 'own-share';
 
 export type LimitVerdict =
   | {readonly kind: 'allowed'}
@@ -34,7 +35,11 @@
 
 export interface AccountLimiter {
   /** Takes the cost from the account's bucket, unless it is limited. */
-  take(account: string, quota: AccountQuota, costUnits: number): LimitVerdict;
+  take(
+    account: string,
+    quota: AccountQuota,
+    costUnits: number,
+  ): LimitVerdict | Promise<LimitVerdict>;
   /** The request went to no upstream after all. */
   giveBack(account: string, costUnits: number): void;
   /** What this host did, for its peers. */
@@ -47,7 +52,10 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly ledger: SpendingLedger;
-  readonly self: SpendingHost;
+  self(): SpendingHost;
+  readonly client: Pick<QuotaClient, 'ask'>;
+  /** The host that keeps the account's bucket, if one is known. */
+  ownerOf(account: string): string | undefined;
   /** Whether this host hears what all others let through. */
   isHearingAll(): boolean;
   /** Hosts that share the limits, this one among them. */
@@ -165,30 +173,74 @@
     return {kind: 'limited', retryAfterMs, levelUnits, source, ageMs};
   }
 
-  function decide(
-    account: string,
+  /** By the share of all requests that fits, for want of the owner's word. */
+  function decideByShare(
+    {level, source, ageMs}: KnownLevel,
     quota: AccountQuota,
     costUnits: number,
   ): LimitVerdict {
-    const known: KnownLevel | undefined = host.isHearingAll()
-      ? {level: ledger.level(account), source: 'ledger', ageMs: 0}
-      : findTold(account, quota);
-    if (!known) return takeOwnShare(account, quota, costUnits);
-    const {level, source, ageMs} = known;
     if (!level) return {kind: 'allowed'};
     const share = fittingShare(level, quota);
     if (share >= 1 || random.nextFloat() < share) return {kind: 'allowed'};
     return refuse(level.levelUnits, source, ageMs, quota, costUnits);
   }
 
+  async function askOwner(
+    owner: string,
+    account: string,
+    quota: AccountQuota,
+    costUnits: number,
+    known: KnownLevel,
+  ): Promise<LimitVerdict> {
+    const answer = await host.client.ask(owner, account, costUnits);
+    if (!answer) return decideByShare(known, quota, costUnits);
+    if (answer.isGranted) return {kind: 'allowed'};
+    return refuse(answer.levelUnits, 'owner', 0, quota, costUnits);
+  }
+
+  /** Undefined where nobody tells this host anything. */
+  function findLevel(
+    account: string,
+    quota: AccountQuota,
+  ): KnownLevel | undefined {
+    if (!host.isHearingAll()) return findTold(account, quota);
+    const isNear = ledger.isNearLimit(account);
+    const level = isNear ? ledger.level(account) : undefined;
+    return {level, source: 'ledger', ageMs: 0};
+  }
+
+  function decide(
+    account: string,
+    quota: AccountQuota,
+    costUnits: number,
+  ): LimitVerdict | Promise<LimitVerdict> {
+    const known = findLevel(account, quota);
+    if (!known) return takeOwnShare(account, quota, costUnits);
+    if (!known.level) return {kind: 'allowed'};
+    const owner = host.ownerOf(account);
+    return owner === undefined
+      ? decideByShare(known, quota, costUnits)
+      : askOwner(owner, account, quota, costUnits, known);
+  }
+
+  function count(
+    verdict: LimitVerdict,
+    own: OwnTotals,
+    costUnits: number,
+  ): LimitVerdict {
+    if (verdict.kind === 'allowed') own.admittedUnits += costUnits;
+    return verdict;
+  }
+
   return {
     take(account, quota, costUnits) {
       const own = totalsOf(account);
       own.offeredUnits += costUnits;
-      ledger.hear(host.self, spending());
+      ledger.hear(host.self(), spending());
       const verdict = decide(account, quota, costUnits);
-      if (verdict.kind === 'allowed') own.admittedUnits += costUnits;
-      return verdict;
+      return verdict instanceof Promise
+        ? verdict.then(each => count(each, own, costUnits))
+        : count(verdict, own, costUnits);
     },
     giveBack(account, costUnits) {
       totalsOf(account).admittedUnits -= costUnits;
--- a/src/relay/accounts/quota_rules.ts
+++ b/src/relay/accounts/quota_rules.ts
@@ -28,6 +28,9 @@
  * and what seems too much in one second fits the next.
  */
 const FREE_LEVEL = 0.25;
+/** Parts of a full bucket and of the rate from which an account is near it. */
+const NEAR_LEVEL = 0.5;
+const NEAR_RATE = 0.9;
 const MIN_RETRY_AFTER_MS = 200;
 /** Refused callers return over this share of the wait, not all at once. */
 const RETURN_SPREAD = 0.5;
@@ -44,6 +47,16 @@
   return Math.max(0, roomPerS / offeredUnitsPerS);
 }
 
+/**
+ * Whether requests of the account have to be counted one by one: the bucket is
+ * low, or what is asked for now would soon empty it.
+ */
+export function isNearLimit(level: AccountLevel, quota: AccountQuota): boolean {
+  const {levelUnits, offeredUnitsPerS} = level;
+  const isLow = levelUnits < quota.burstUnits * NEAR_LEVEL;
+  return isLow || offeredUnitsPerS > quota.unitsPerS * NEAR_RATE;
+}
+
 /** When the bucket will have as much, with callers spread by `draw`, 0 to 1. */
 export function quotaRetryAfterMs(
   levelUnits: number,
--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -1,5 +1,6 @@
 /** What holds client accounts to their keys and limits, put together. */
 
+import {hashText} from '../../core/hash_text.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
@@ -12,6 +13,9 @@
   type AccountAdmissionOptions,
 } from './account_admission.js';
 import {createAccountLimiter} from './account_limiter.js';
+import {createQuotaClient} from './quota_client.js';
+import type {QuotaMessage} from './quota_messages.js';
+import {createQuotaOwner} from './quota_owner.js';
 import {
   createConfigurationFreshness,
   type ConfigurationFreshness,
@@ -30,41 +34,77 @@
   readonly createLogger: (part: string) => Logger;
   readonly metrics: RelayMetrics;
   readonly routing: RoutingState;
-  readonly self: SpendingHost;
+  readonly self: Omit<SpendingHost, 'aliveMs'>;
   /** Whether this host hears what all others let through. */
   isHearingAll(): boolean;
   /** Hosts known, this one among them. */
   hostCount(): number;
+  /** Hosts that hear what all let through, in any order. */
+  hearingAll(): readonly string[];
+  tell(hostId: string, message: QuotaMessage): void;
 }
 
 export interface RelayAccounts {
   readonly admission: AccountAdmission;
   readonly storeTime: StoreTime;
   readonly freshness: ConfigurationFreshness;
+  /** Since this process began. */
+  aliveMs(): number;
   /** What this host let through, for its peers. */
   spending(): readonly SpendingRecord[];
   /** As a coordinator: accounts near their limit, for all. */
   nearLimit(): readonly AccountLevel[];
   heard(peer: Peer): void;
   told(fromHostId: string, summary: Summary): void;
+  receive(fromHostId: string, message: QuotaMessage): void;
 }
 
+/** The first ask of a life is drawn from this many numbers. */
+const FIRST_ASK_IDS = 2 ** 31;
+
 export function createRelayAccounts(
   host: RelayAccountsHost,
   options: AccountAdmissionOptions,
 ): RelayAccounts {
   const {clock, random, createLogger, metrics, routing, self} = host;
+  const startedAtMs = clock.nowMs();
+  const aliveMs = () => Math.round(clock.nowMs() - startedAtMs);
   const storeTime = createStoreTime(clock);
   const freshness = createConfigurationFreshness({clock, storeTime});
   const ledger = createSpendingLedger({
     clock,
     quotaOf: account => routing.accounts().get(account)?.quota,
   });
+  /** A host that owns the bucket itself is told without a datagram. */
+  function tell(toHostId: string, message: QuotaMessage): void {
+    if (toHostId === self.hostId) receive(self.hostId, message);
+    else host.tell(toHostId, message);
+  }
+
+  function receive(fromHostId: string, message: QuotaMessage): void {
+    if (message.kind === 'quota-ask') owner.receive(fromHostId, message);
+    else client.receive(fromHostId, message);
+  }
+
+  /** The same at all hosts that know the same ones. */
+  function ownerOf(account: string): string | undefined {
+    const ranked = host
+      .hearingAll()
+      .map(hostId => ({hostId, rank: hashText(`quota|${account}|${hostId}`)}))
+      .sort((a, b) => a.rank - b.rank);
+    return ranked.at(0)?.hostId;
+  }
+
+  const firstAskId = random.nextInt(FIRST_ASK_IDS);
+  const client = createQuotaClient({clock, firstAskId, tell});
+  const owner = createQuotaOwner({clock, ledger, tell});
   const limiter = createAccountLimiter({
     clock,
     random,
     ledger,
-    self,
+    self: () => ({...self, aliveMs: aliveMs()}),
+    client,
+    ownerOf,
     isHearingAll: host.isHearingAll,
     hostCount: host.hostCount,
   });
@@ -83,9 +123,11 @@
     storeTime,
     freshness,
     spending: limiter.spending,
+    aliveMs,
     nearLimit: ledger.nearLimit,
     heard: peer => ledger.hear(peer, peer.spending),
     told: (fromHostId, {accountLevels}) =>
       limiter.hear(fromHostId, accountLevels),
+    receive,
   };
 }
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -3,6 +3,7 @@
 import type {LossFact} from '../../request/quarantine.js';
 import type {HostLoad} from '../host_load.js';
 import type {AccountLevel} from '../accounts/quota_rules.js';
+import type {QuotaMessage} from '../accounts/quota_messages.js';
 import type {SpendingRecord} from '../accounts/spending_ledger.js';
 import type {PlacementMessage} from '../placement_messages.js';
 import type {FadingSums} from '../pooled_means.js';
@@ -50,6 +51,8 @@
   readonly adoptedAskIds: readonly number[];
   /** What this host let through for client accounts. */
   readonly spending: readonly SpendingRecord[];
+  /** Since its process began. */
+  readonly aliveMs: number;
 }
 
 /** What a coordinator tells all hosts, of itself and of all. */
@@ -104,7 +107,7 @@
 }
 
 /** What one host tells another that is meant for it alone. */
-export type PeerMessage = PlacementMessage | SlotMessage;
+export type PeerMessage = PlacementMessage | SlotMessage | QuotaMessage;
 
 /** A message to one peer. */
 export interface Letter {
@@ -146,7 +149,8 @@
   },
   state(value) {
     const {known, missedIds, full, waiting, adoptedAskIds, load} = value;
-    const {spending} = value;
+    const {spending, aliveMs} = value;
+    if (!Number.isFinite(aliveMs)) return false;
     const lists = [known, missedIds, full, waiting, adoptedAskIds, spending];
     const hasLists = lists.every(list => Array.isArray(list));
     return hasLists && isObject(load) && hasFindings(value);
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -24,6 +24,7 @@
 import {createQuarantine} from '../request/quarantine.js';
 import {createRetryBudget} from '../request/retry_budget.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
+import {isQuotaMessage} from './accounts/quota_messages.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createCrashWatch} from './crash_watch.js';
 import {answerDirectory, type EntryAnswer} from './host_directory.js';
@@ -147,6 +148,11 @@
       self,
       isHearingAll: () => peers.isMesh() || peers.isCoordinator(),
       hostCount: () => peers.knownCount() + 1,
+      hearingAll: () =>
+        peers.isMesh()
+          ? peers.members().map(({hostId}) => hostId)
+          : peers.coordinatorIds(),
+      tell: (hostId, message) => peers.tell(hostId, message),
     },
     settings,
   );
@@ -208,6 +214,7 @@
         losses: crashes.facts(),
         adoptedAskIds: placement.adoptedAskIds(),
         spending: accounts.spending(),
+        aliveMs: accounts.aliveMs(),
       }),
       summary: hasLoad => ({
         ...watch.knowledge(),
@@ -239,6 +246,7 @@
       fetchMembers: from => handover.fetchMembers(from),
       onMessage(fromHostId, message) {
         if (isSlotMessage(message)) plainPlaces.receive(fromHostId, message);
+        else if (isQuotaMessage(message)) accounts.receive(fromHostId, message);
         else placement.receive(fromHostId, message);
       },
       onPeerUnheard: placement.unheard,
--- a/tests/relay/accounts/account_limiter_test.ts
+++ b/tests/relay/accounts/account_limiter_test.ts
@@ -100,3 +100,18 @@
     assert.ok(tokens <= allowedTokens(), `seed ${seed}: ${tokens}`);
   }
 });
+
+test('an account within its limit is not refused when others coordinate', async () => {
+  // Guards against a host that begins to coordinate and takes what others let
+  // through since their start for what they let through just now.
+  let share = 0;
+  for (const seed of SEEDS) {
+    const fleet = makeQuotaFleet(HOSTS, seed);
+    await fleet.offer(USUAL, 8_000);
+    fleet.changeCoordinators();
+    const fromMs = fleet.clock.nowMs();
+    await fleet.offer(USUAL, 6_000);
+    share += fleet.allowedShareSince(fromMs) / SEEDS.length;
+  }
+  assert.ok(share > 0.99, `${share}`);
+});
--- a/tests/relay/accounts/quota_fleet.ts
+++ b/tests/relay/accounts/quota_fleet.ts
@@ -13,8 +13,12 @@
   type AccountLimiter,
 } from '../../../src/relay/accounts/account_limiter.js';
 import type {AccountQuota} from '../../../src/relay/accounts/client_account.js';
+import {createQuotaClient} from '../../../src/relay/accounts/quota_client.js';
+import type {QuotaMessage} from '../../../src/relay/accounts/quota_messages.js';
+import {createQuotaOwner} from '../../../src/relay/accounts/quota_owner.js';
 import {
   createSpendingLedger,
+  type SpendingHost,
   type SpendingLedger,
 } from '../../../src/relay/accounts/spending_ledger.js';
 
@@ -37,6 +41,8 @@
   readonly hostId: string;
   readonly limiter: AccountLimiter;
   readonly ledger: SpendingLedger;
+  self(): SpendingHost;
+  receive(fromHostId: string, message: QuotaMessage): void;
 }
 
 /** A request that was let through or refused. */
@@ -52,6 +58,8 @@
   offer(streamsPerS: number, durationMs: number): Promise<void>;
   setQuota(quota: AccountQuota): void;
   restart(hostIndexes: readonly number[]): void;
+  /** Three others coordinate from now on. */
+  changeCoordinators(): void;
   /** Hosts that hear and tell nothing. */
   cut(hostIndexes: readonly number[]): void;
   lose(share: number): void;
@@ -63,7 +71,11 @@
   exactShareSince(sinceMs: number): number;
 }
 
-export function makeQuotaFleet(hostCount: number, seed: number): QuotaFleet {
+export function makeQuotaFleet(
+  hostCount: number,
+  seed: number,
+  isOwned = true,
+): QuotaFleet {
   const clock = createVirtualClock(1_000);
   const random = createSeededRandom(seed);
   const arrivals: Arrival[] = [];
@@ -71,23 +83,52 @@
   let quota = QUOTA;
   let lossShare = 0;
   let lives = 0;
+  let firstCoordinator = 0;
 
   function makeHost(index: number): QuotaHost {
     const hostId = `host-${index}`;
+    const incarnation = `life-${lives++}`;
+    const bornAtMs = clock.nowMs();
+    const self = () => ({
+      hostId,
+      incarnation,
+      aliveMs: clock.nowMs() - bornAtMs,
+    });
     const ledger = createSpendingLedger({clock, quotaOf: () => quota});
+    const tell = (toHostId: string, message: QuotaMessage) => {
+      const to = hosts.findIndex(each => each.hostId === toHostId);
+      deliver(index, to, () => hosts[to].receive(hostId, message));
+    };
+    const firstAskId = lives * 1_000_000;
+    const client = createQuotaClient({clock, firstAskId, tell});
+    const owner = createQuotaOwner({clock, ledger, tell});
     const limiter = createAccountLimiter({
       clock,
       random,
       ledger,
-      self: {hostId, incarnation: `life-${lives++}`},
-      isHearingAll: () => index < COORDINATOR_COUNT,
+      self,
+      isHearingAll: () => coordinators().includes(index),
       hostCount: () => hostCount,
+      client,
+      ownerOf: () => (isOwned ? hosts[firstCoordinator].hostId : undefined),
     });
-    return {hostId, limiter, ledger};
+    return {
+      hostId,
+      limiter,
+      ledger,
+      self,
+      receive(fromHostId, message) {
+        if (message.kind === 'quota-ask') owner.receive(fromHostId, message);
+        else client.receive(fromHostId, message);
+      },
+    };
   }
 
-  const hosts = Array.from({length: hostCount}, (_, i) => makeHost(i));
-  const incarnations = hosts.map((_, i) => `${i}`);
+  const hosts: QuotaHost[] = [];
+  for (let i = 0; i < hostCount; i++) hosts.push(makeHost(i));
+
+  const coordinators = () =>
+    Array.from({length: COORDINATOR_COUNT}, (_, i) => firstCoordinator + i);
 
   function deliver(from: number, to: number, action: () => void): void {
     if (isCut.has(from) || isCut.has(to)) return;
@@ -97,24 +138,23 @@
 
   function tellState(from: number): void {
     const records = hosts[from].limiter.spending();
-    const incarnation = incarnations[from];
-    for (let to = 0; to < COORDINATOR_COUNT; to++) {
+    const self = hosts[from].self();
+    for (const to of coordinators()) {
       if (to === from) continue;
-      const {hostId} = hosts[from];
-      deliver(from, to, () =>
-        hosts[to].ledger.hear({hostId, incarnation}, records),
-      );
+      deliver(from, to, () => hosts[to].ledger.hear(self, records));
     }
     clock.setTimer(STATE_EVERY_MS, () => tellState(from));
   }
 
-  function tellView(from: number): void {
+  function tellView(nth: number): void {
+    const from = coordinators()[nth];
     const levels = hosts[from].ledger.nearLimit();
     const {hostId} = hosts[from];
-    for (let to = COORDINATOR_COUNT; to < hostCount; to++) {
+    for (let to = 0; to < hostCount; to++) {
+      if (coordinators().includes(to)) continue;
       deliver(from, to, () => hosts[to].limiter.hear(hostId, levels));
     }
-    clock.setTimer(VIEW_EVERY_MS, () => tellView(from));
+    clock.setTimer(VIEW_EVERY_MS, () => tellView(nth));
   }
 
   for (let i = 0; i < hostCount; i++) {
@@ -124,11 +164,12 @@
     clock.setTimer(random.nextInt(VIEW_EVERY_MS), () => tellView(i));
   }
 
-  function arrive(): void {
+  async function arrive(): Promise<void> {
     const {limiter} = hosts[random.nextInt(hostCount)];
-    const verdict = limiter.take(ACCOUNT, quota, STREAM_TOKENS);
-    const isAllowed = verdict.kind === 'allowed';
-    arrivals.push({atMs: clock.nowMs(), isAllowed});
+    const arrival = {atMs: clock.nowMs(), isAllowed: false};
+    arrivals.push(arrival);
+    const verdict = await limiter.take(ACCOUNT, quota, STREAM_TOKENS);
+    arrival.isAllowed = verdict.kind === 'allowed';
   }
 
   return {
@@ -139,8 +180,8 @@
       for (;;) {
         const gapMs = (-Math.log(1 - random.nextFloat()) * 1_000) / streamsPerS;
         if (clock.nowMs() + gapMs >= endAtMs) break;
-        clock.advanceSync(gapMs);
-        arrive();
+        await clock.advance(gapMs);
+        void arrive();
       }
       await clock.advance(Math.max(0, endAtMs - clock.nowMs()));
     },
@@ -150,9 +191,11 @@
     restart(hostIndexes) {
       for (const index of hostIndexes) {
         hosts[index] = makeHost(index);
-        incarnations[index] = `${index}-${lives}`;
       }
     },
+    changeCoordinators() {
+      firstCoordinator += COORDINATOR_COUNT;
+    },
     cut(hostIndexes) {
       isCut.clear();
       for (const index of hostIndexes) isCut.add(index);
--- a/tests/relay/burst_load.ts
+++ b/tests/relay/burst_load.ts
@@ -247,6 +247,7 @@
         losses: [],
         adoptedAskIds: client.adopted(),
         spending: [],
+        aliveMs: 0,
         routingCompleteUntilMs: 0,
       };
       for (const other of hosts) {
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -189,6 +189,7 @@
             full: [],
             adoptedAskIds: [],
             spending: [],
+            aliveMs: 0,
           };
         },
         summary: (): Summary => ({
