--- a/src/relay/engine_choice.ts
+++ b/src/relay/engine_choice.ts
@@ -25,6 +25,8 @@
   readonly books: EngineBooks;
   readonly candidates: EngineCandidates;
   readonly groups: PlacementGroups;
+  /** How fast a prefill engine reads, as all hosts learned. */
+  tokensPerMs(): number;
   /** Requests wait at hosts that use the engine first. */
   isAwaited(engineId: string): boolean;
 }
@@ -66,10 +68,10 @@
 }
 
 /**
- * A prefill engine reads some 33 tokens a ms. Beyond 0.4 s of backlog a
- * request keeps decode memory reserved for longer than it would wait.
+ * Beyond this backlog of a prefill engine a request keeps decode memory
+ * reserved for longer than it would wait.
  */
-const MAX_PREFILL_BACKLOG_TOKENS = 13_000;
+const MAX_PREFILL_BACKLOG_MS = 400;
 /**
  * What is known of another group's engine is up to a second old, and others
  * look at the same old news. In a burst played on 90 hosts in groups of 16,
@@ -87,6 +89,7 @@
   const {random, registry, books, candidates, groups} = host;
 
   const isOwn = ({id}: Upstream) => groups.isOwn(id);
+  const maxBacklogTokens = () => MAX_PREFILL_BACKLOG_MS * host.tokensPerMs();
 
   /** Those of the own group, or all where it has none. */
   function ownOf(engines: readonly Upstream[]): readonly Upstream[] {
@@ -108,7 +111,7 @@
     decode: Upstream,
   ): Upstream | undefined {
     const picked = pickPrefill(engines, books, decode);
-    if (!picked || picked.backlogTokens > MAX_PREFILL_BACKLOG_TOKENS) {
+    if (!picked || picked.backlogTokens > maxBacklogTokens()) {
       return undefined;
     }
     return picked.engine;
@@ -154,7 +157,7 @@
       // same room at the moment it shows.
       const room = Math.min(
         countRoom(engines, books, traits, need),
-        countPrefillRoom(inNeed, books, MAX_PREFILL_BACKLOG_TOKENS),
+        countPrefillRoom(inNeed, books, maxBacklogTokens()),
       );
       if (room <= ahead) return undefined;
     }
--- a/src/relay/engine_scheduler.ts
+++ b/src/relay/engine_scheduler.ts
@@ -171,6 +171,7 @@
     books,
     candidates,
     groups,
+    tokensPerMs: host.learning.tokensPerMs,
     isAwaited: peers.isAwaited,
   });
   let waiters: Waiter[] = [];
