--- a/src/relay/engine_choice.ts
+++ b/src/relay/engine_choice.ts
@@ -91,10 +91,20 @@
   const isOwn = ({id}: Upstream) => groups.isOwn(id);
   const maxBacklogTokens = () => MAX_PREFILL_BACKLOG_MS * host.tokensPerMs();
 
+  /**
+   * Begins at a drawn engine, for the first of several equal ones is taken:
+   * hosts whose books are empty would all take the same one.
+   */
+  function rotate(engines: readonly Upstream[]): readonly Upstream[] {
+    if (engines.length < 2) return engines;
+    const first = random.nextInt(engines.length);
+    return [...engines.slice(first), ...engines.slice(0, first)];
+  }
+
   /** Those of the own group, or all where it has none. */
   function ownOf(engines: readonly Upstream[]): readonly Upstream[] {
     const own = engines.filter(isOwn);
-    return own.length > 0 ? own : engines;
+    return rotate(own.length > 0 ? own : engines);
   }
 
   function draw(engines: readonly Upstream[]): readonly Upstream[] {
--- a/tests/relay/lone_scheduler.ts
+++ b/tests/relay/lone_scheduler.ts
@@ -41,14 +41,18 @@
   };
 }
 
-export function makeLoneScheduler(clock: Clock, engineIds: readonly string[]) {
+export function makeLoneScheduler(
+  clock: Clock,
+  engineIds: readonly string[],
+  random = createSeededRandom(3),
+) {
   const registry = createUpstreamRegistry({clock, log: silentLog});
   registry.apply({revision: 1, upstreams: engineIds.map(makeEngine)});
   const books = createEngineBooks();
   const learning = createSharedLearning({clock});
   const scheduler = createEngineScheduler({
     clock,
-    random: createSeededRandom(3),
+    random,
     log: silentLog,
     registry,
     books,
