--- a/src/relay/engine_scheduler.ts
+++ b/src/relay/engine_scheduler.ts
@@ -80,6 +80,8 @@
   readonly engineId: string;
   /** The engine has had nothing else to read, as far as the books tell. */
   isAlone(): boolean;
+  /** What the engine has to read, this prompt among it. */
+  backlogTokens(): number;
   /** Frees the place; calls after the first do nothing. */
   end(): void;
 }
@@ -213,6 +215,7 @@
       engineId,
       // Peers may have sent theirs at the same moment; their word comes later.
       isAlone: () => wasAlone && books.prefillLoad(engineId).prompts === 1,
+      backlogTokens: () => books.prefillLoad(engineId).tokens,
       end() {
         if (!isOpen) return;
         isOpen = false;
--- a/src/relay/prefill_step.ts
+++ b/src/relay/prefill_step.ts
@@ -36,8 +36,13 @@
 
 /** Prefill engines that one request may ask, one after another. */
 const MAX_TRIES = 3;
-/** A prompt is read in some 100 ms; several may be ahead of it. */
+/** An engine with nothing else to do answers well within this time. */
 const PREFILL_TIMEOUT_MS = 1_500;
+/**
+ * An engine with a long backlog gets so many times as long as it should take:
+ * a prompt that is given up is read for nobody, and once more elsewhere.
+ */
+const BACKLOG_FACTOR = 2;
 
 export function createPrefillStep(host: PrefillStepHost): PrefillStep {
   const {clock, upstreamPort, scheduler, failures, calls} = host;
@@ -49,11 +54,12 @@
   ): Promise<PrefillEnd | SendFailure> {
     const {job, need} = state;
     const startedAtMs = clock.nowMs();
+    const backlogMs = booking.backlogTokens() / host.learning.tokensPerMs();
     const options: SendOptions = {
       upstream: engine,
       leftMs: leftMs(job.deadlineAtMs, startedAtMs),
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      headTimeoutMs: PREFILL_TIMEOUT_MS,
+      headTimeoutMs: Math.max(PREFILL_TIMEOUT_MS, BACKLOG_FACTOR * backlogMs),
       mayReuseConnection: false,
     };
     const outcome = await calls.prefill(state, () =>
