--- a/bench/placer_slopes.ts
+++ b/bench/placer_slopes.ts
@@ -9,16 +9,16 @@
 import {performance} from 'node:perf_hooks';
 import {createSeededRandom} from '../src/core/seeded_random.js';
 import {createVirtualClock} from '../src/core/virtual_clock.js';
-import {createEngineBooks} from '../src/relay/engine_books.js';
-import {createEngineScheduler} from '../src/relay/engine_scheduler.js';
-import {createPlacementDesk} from '../src/relay/placement_desk.js';
+import {createEngineBooks} from '../src/relay/placement/engine_books.js';
+import {createEngineScheduler} from '../src/relay/placement/engine_scheduler.js';
+import {createPlacementDesk} from '../src/relay/placement/placement_desk.js';
 import type {
   PlacementAnswer,
   PlacementAsk,
-} from '../src/relay/placement_messages.js';
+} from '../src/relay/placement/placement_messages.js';
 import type {Service} from '../src/relay/routing.js';
-import {createSharedLearning} from '../src/relay/shared_learning.js';
-import {createUpstreamRegistry} from '../src/relay/upstream_registry.js';
+import {createSharedLearning} from '../src/relay/placement/shared_learning.js';
+import {createUpstreamRegistry} from '../src/relay/store/upstream_registry.js';
 
 const HOST_COUNTS: readonly number[] = [20, 79, 128];
 /** Of the grown sites: streams a second and host, engines a host. */
--- a/src/relay/answer_collector.ts
+++ b/src/relay/answers/answer_collector.ts
@@ -7,7 +7,7 @@
   AnswerBodySink,
   RawHeaders,
   UpstreamAnswer,
-} from '../ports/relay.js';
+} from '../../ports/relay.js';
 
 /** Answers of plain services are a few kB; more than this is passed through. */
 const MAX_COLLECTED_BYTES = 256 * 1024;
--- a/src/relay/answer_delivery.ts
+++ b/src/relay/answers/answer_delivery.ts
@@ -1,9 +1,9 @@
 /** Hands an upstream's answer on to the caller, unchanged. */
 
-import type {AnswerBodySink, UpstreamAnswer} from '../ports/relay.js';
+import type {AnswerBodySink, UpstreamAnswer} from '../../ports/relay.js';
 import type {BegunAnswer, CollectedAnswer} from './answer_collector.js';
-import type {Caller} from './caller.js';
-import type {RelayJob} from './relay_types.js';
+import type {Caller} from '../front/caller.js';
+import type {RelayJob} from '../relay_types.js';
 
 export function deliverCollected(
   caller: Caller,
--- a/src/relay/answer_rules.ts
+++ b/src/relay/answers/answer_rules.ts
@@ -1,7 +1,7 @@
 /** Which answers may be handed on, and what may be said without one. */
 
-import {errorAnswers, type RequestError} from '../core/error_kinds.js';
-import type {UpstreamAnswer} from '../ports/relay.js';
+import {errorAnswers, type RequestError} from '../../core/error_kinds.js';
+import type {UpstreamAnswer} from '../../ports/relay.js';
 
 /** Each of these promises that the request was not run. */
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -1,15 +1,15 @@
 /** What goes between the relays of a deployment, and how it is read. */
 
 import type {LossFact} from '../../request/quarantine.js';
-import type {HostLoad} from '../host_load.js';
+import type {HostLoad} from '../placement/host_load.js';
 import type {AccountLevel} from '../accounts/quota_rules.js';
 import type {QuotaMessage} from '../accounts/quota_messages.js';
 import type {SpendingRecord} from '../accounts/spending_ledger.js';
-import type {PlacementMessage} from '../placement_messages.js';
-import type {FadingSums} from '../pooled_means.js';
-import type {LearnedSums} from '../shared_learning.js';
-import type {SlotMessage} from '../slot_messages.js';
-import type {Waiting} from '../wait_rules.js';
+import type {PlacementMessage} from '../placement/placement_messages.js';
+import type {FadingSums} from '../placement/pooled_means.js';
+import type {LearnedSums} from '../placement/shared_learning.js';
+import type {SlotMessage} from '../plain/slot_messages.js';
+import type {Waiting} from '../placement/wait_rules.js';
 import type {MembersView} from './followed_members.js';
 import type {HostState, Member} from './members.js';
 import {decodeDatagram} from './peer_codec.js';
--- a/src/relay/fleet/peer_handover.ts
+++ b/src/relay/fleet/peer_handover.ts
@@ -14,9 +14,9 @@
 import type {Member} from './members.js';
 import type {KnowingPeer} from './peer_datagrams.js';
 import type {RoutingState} from '../routing_state.js';
-import type {SideHandler} from '../side_server.js';
+import type {SideHandler} from '../front/side_server.js';
 import type {UpstreamSnapshot} from '../upstream.js';
-import type {UpstreamRegistry} from '../upstream_registry.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {StoreTime} from '../accounts/store_time.js';
 
 export interface PeerHandoverHost {
--- a/src/relay/fleet/store_readers.ts
+++ b/src/relay/fleet/store_readers.ts
@@ -7,8 +7,8 @@
  * when something has changed or nobody has confirmed it for too long.
  */
 
-import type {ListDelta} from '../list_deltas.js';
-import type {ConfirmedAges} from '../store_confirmation.js';
+import type {ListDelta} from '../store/list_deltas.js';
+import type {ConfirmedAges} from '../store/store_confirmation.js';
 import {createHostRanks} from './coordinators.js';
 
 /** What a host knows of the store, as it announces it. */
--- a/src/relay/caller.ts
+++ b/src/relay/front/caller.ts
@@ -1,7 +1,7 @@
 /** The caller's side of one request, as the tasks that run it see it. */
 
-import type {RequestError} from '../core/error_kinds.js';
-import type {RawHeaders} from '../ports/relay.js';
+import type {RequestError} from '../../core/error_kinds.js';
+import type {RawHeaders} from '../../ports/relay.js';
 
 export interface Caller {
   /** Begins the answer of an upstream. */
--- a/src/relay/cancellation.ts
+++ b/src/relay/front/cancellation.ts
@@ -1,6 +1,6 @@
 /** A cancellation that its owner triggers, once. */
 
-import type {Cancellation} from '../ports/relay.js';
+import type {Cancellation} from '../../ports/relay.js';
 
 export interface CancellationSource extends Cancellation {
   cancel(): void;
--- a/src/relay/host_directory.ts
+++ b/src/relay/front/host_directory.ts
@@ -3,8 +3,8 @@
  * them. Pure but for what it reads from its host.
  */
 
-import type {Random} from '../ports/random.js';
-import type {Member} from './fleet/members.js';
+import type {Random} from '../../ports/random.js';
+import type {Member} from '../fleet/members.js';
 
 export interface EntryAnswer {
   /** `ip:port`, in no order. */
--- a/src/relay/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -4,15 +4,15 @@
  */
 
 import http from 'node:http';
-import {listenOn} from '../adapters/listen.js';
-import {errorAnswers, type RequestError} from '../core/error_kinds.js';
-import {createProblem} from '../entry/problem.js';
-import type {Clock} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {RawHeaders, RequestReader} from '../ports/relay.js';
+import {listenOn} from '../../adapters/listen.js';
+import {errorAnswers, type RequestError} from '../../core/error_kinds.js';
+import {createProblem} from '../../entry/problem.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {RawHeaders, RequestReader} from '../../ports/relay.js';
 import type {Caller} from './caller.js';
-import type {Relay} from './relay.js';
-import type {CallerLimits} from './routing.js';
+import type {Relay} from '../relay.js';
+import type {CallerLimits} from '../routing.js';
 
 export interface RelayFrontHost {
   readonly clock: Clock;
--- a/src/relay/side_server.ts
+++ b/src/relay/front/side_server.ts
@@ -1,7 +1,7 @@
 /** Small HTTP servers beside the front: readiness, directory, metrics. */
 
 import http from 'node:http';
-import {listenOn} from '../adapters/listen.js';
+import {listenOn} from '../../adapters/listen.js';
 
 export interface SideAnswer {
   readonly status: number;
--- a/src/relay/engine_candidates.ts
+++ b/src/relay/placement/engine_candidates.ts
@@ -3,11 +3,11 @@
 import {
   createEngineHealth,
   DEFAULT_HEALTH,
-} from '../core/scheduling/engine_health.js';
-import type {Clock} from '../ports/clock.js';
+} from '../../core/scheduling/engine_health.js';
+import type {Clock} from '../../ports/clock.js';
 import {createEngineProbation, type EngineTrouble} from './engine_probation.js';
-import type {Upstream, UpstreamRole} from './upstream.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream, UpstreamRole} from '../upstream.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface EngineCandidatesHost {
   readonly clock: Clock;
--- a/src/relay/engine_choice.ts
+++ b/src/relay/placement/engine_choice.ts
@@ -3,7 +3,7 @@
  * host's own group by its exact books, else those of others with room to spare.
  */
 
-import type {Random} from '../ports/random.js';
+import type {Random} from '../../ports/random.js';
 import type {EngineBooks} from './engine_books.js';
 import type {EngineCandidates} from './engine_candidates.js';
 import {
@@ -15,9 +15,9 @@
   type TokenNeed,
 } from './placement_rules.js';
 import type {PlacementGroups} from './placement_groups.js';
-import type {EngineTraits} from './routing.js';
-import type {Upstream} from './upstream.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {EngineTraits} from '../routing.js';
+import type {Upstream} from '../upstream.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface EngineChoiceHost {
   readonly random: Random;
--- a/src/relay/engine_probation.ts
+++ b/src/relay/placement/engine_probation.ts
@@ -9,7 +9,7 @@
  * tries it.
  */
 
-import type {Clock} from '../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 
 /** What hosts report of an engine now. */
 export type EngineTrouble = 'none' | 'full' | 'failing';
--- a/src/relay/peer_view.ts
+++ b/src/relay/placement/peer_view.ts
@@ -1,6 +1,6 @@
 /** What the peers announced, as the scheduler asks for it. */
 
-import type {Clock} from '../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 import type {EngineBooks} from './engine_books.js';
 import type {PeerView, WaitingAnnouncement} from './engine_scheduler.js';
 import {
@@ -8,7 +8,7 @@
   type Peer,
   type UpstreamFindings,
   type WaitingRecord,
-} from './fleet/peer_datagrams.js';
+} from '../fleet/peer_datagrams.js';
 import type {PlacementGroups} from './placement_groups.js';
 import type {Waiting} from './wait_rules.js';
 
--- a/src/relay/placement_client.ts
+++ b/src/relay/placement/placement_client.ts
@@ -12,9 +12,9 @@
  * which hears the same news, then for this host's own, older books.
  */
 
-import type {Clock, TimerHandle} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {Cancellation} from '../ports/relay.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Cancellation} from '../../ports/relay.js';
 import type {
   EngineScheduler,
   PlacementOutcome,
@@ -25,7 +25,7 @@
   PlacementAsk,
   PlacementMessage,
 } from './placement_messages.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface PlacementClientHost {
   readonly clock: Clock;
--- a/src/relay/placement_desk.ts
+++ b/src/relay/placement/placement_desk.ts
@@ -7,8 +7,11 @@
  * or its word may be lost.
  */
 
-import type {Clock} from '../ports/clock.js';
-import {createCancellation, type CancellationSource} from './cancellation.js';
+import type {Clock} from '../../ports/clock.js';
+import {
+  createCancellation,
+  type CancellationSource,
+} from '../front/cancellation.js';
 import type {
   EngineScheduler,
   Placement,
@@ -20,7 +23,7 @@
   PlacementMessage,
   PlacementWithdrawal,
 } from './placement_messages.js';
-import type {Service} from './routing.js';
+import type {Service} from '../routing.js';
 import type {SharedLearning} from './shared_learning.js';
 
 export interface PlacementDeskHost {
--- a/src/relay/placement_groups.ts
+++ b/src/relay/placement/placement_groups.ts
@@ -13,9 +13,9 @@
  * moment cost some exactness, nothing else: an engine admits by itself.
  */
 
-import {hashText} from '../core/hash_text.js';
-import {isMeshOf, rankHost} from './fleet/coordinators.js';
-import type {UpstreamRole} from './upstream.js';
+import {hashText} from '../../core/hash_text.js';
+import {isMeshOf, rankHost} from '../fleet/coordinators.js';
+import type {UpstreamRole} from '../upstream.js';
 
 /** An engine of one of the model services. */
 export interface GroupedEngine {
--- a/src/relay/placement_rules.ts
+++ b/src/relay/placement/placement_rules.ts
@@ -4,8 +4,8 @@
  */
 
 import type {DecodeLoad, EngineBooks} from './engine_books.js';
-import type {EngineTraits} from './routing.js';
-import type {Upstream} from './upstream.js';
+import type {EngineTraits} from '../routing.js';
+import type {Upstream} from '../upstream.js';
 
 /** Tokens that a request needs at a decode engine. */
 export interface TokenNeed {
--- a/src/relay/pooled_means.ts
+++ b/src/relay/placement/pooled_means.ts
@@ -4,7 +4,7 @@
  * and would learn for most of a minute what they know together in one second.
  */
 
-import type {Clock} from '../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 
 /** What one host tells: how much it saw, and the sum of each value. */
 export interface FadingSums {
--- a/src/relay/relay_placement.ts
+++ b/src/relay/placement/relay_placement.ts
@@ -3,16 +3,16 @@
  * scheduler, and the way to and from the host that places for others.
  */
 
-import type {Clock} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {Random} from '../ports/random.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Random} from '../../ports/random.js';
 import {createEngineBooks, type EngineBooks} from './engine_books.js';
 import {
   createEngineScheduler,
   type EngineScheduler,
 } from './engine_scheduler.js';
-import type {Member} from './fleet/members.js';
-import type {Peer, Summary, WaitingRecord} from './fleet/peer_datagrams.js';
+import type {Member} from '../fleet/members.js';
+import type {Peer, Summary, WaitingRecord} from '../fleet/peer_datagrams.js';
 import {createPeerView, type FoundUpstreams} from './peer_view.js';
 import {
   createPlacementClient,
@@ -21,9 +21,9 @@
 import {createPlacementDesk} from './placement_desk.js';
 import {createPlacementGroups} from './placement_groups.js';
 import type {PlacementMessage} from './placement_messages.js';
-import type {RoutingState} from './routing_state.js';
+import type {RoutingState} from '../routing_state.js';
 import {createSharedLearning, type SharedLearning} from './shared_learning.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface RelayPlacementHost {
   readonly clock: Clock;
--- a/src/relay/shared_learning.ts
+++ b/src/relay/placement/shared_learning.ts
@@ -1,6 +1,6 @@
 /** What the hosts learn together of how the model engines work. */
 
-import type {Clock} from '../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 import {plannedTokens, USABLE_SHARE} from './placement_rules.js';
 import {
   createPooledMeans,
--- a/src/relay/call_limit.ts
+++ b/src/relay/plain/call_limit.ts
@@ -8,7 +8,7 @@
  * number of slots cannot know that.
  */
 
-import type {Clock} from '../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 
 export interface CallLimit {
   /** A call took this long that began as one of `atOnce` at its upstream. */
--- a/src/relay/plain_placement.ts
+++ b/src/relay/plain/plain_placement.ts
@@ -1,13 +1,13 @@
 /** Both sides of keeping slots of plain services, put together. */
 
-import type {Clock} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {Random} from '../ports/random.js';
-import type {PlainBalancer} from '../scheduling/plain_balancer.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Random} from '../../ports/random.js';
+import type {PlainBalancer} from '../../scheduling/plain_balancer.js';
 import {createSlotClient, type SlotClient} from './slot_client.js';
 import {createSlotDesk} from './slot_desk.js';
 import type {SlotMessage} from './slot_messages.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface PlainPlacementHost {
   readonly clock: Clock;
--- a/src/relay/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -6,29 +6,32 @@
  * it did not run it, or when nothing was sent; so it runs at most once.
  */
 
-import type {RequestError} from '../core/error_kinds.js';
-import type {Clock} from '../ports/clock.js';
+import type {RequestError} from '../../core/error_kinds.js';
+import type {Clock} from '../../ports/clock.js';
 import type {
   SendFailure,
   UpstreamAnswer,
   UpstreamPort,
-} from '../ports/relay.js';
-import type {RetryBudget} from '../request/retry_budget.js';
-import type {PlainCallResult} from '../scheduling/plain_balancer.js';
-import {collectAnswer, type CollectedAnswer} from './answer_collector.js';
-import {deliverCollected, passThrough} from './answer_delivery.js';
-import {isGenuine, toTrueError} from './answer_rules.js';
+} from '../../ports/relay.js';
+import type {RetryBudget} from '../../request/retry_budget.js';
+import type {PlainCallResult} from '../../scheduling/plain_balancer.js';
+import {
+  collectAnswer,
+  type CollectedAnswer,
+} from '../answers/answer_collector.js';
+import {deliverCollected, passThrough} from '../answers/answer_delivery.js';
+import {isGenuine, toTrueError} from '../answers/answer_rules.js';
 import {
   CONNECT_TIMEOUT_MS,
   leftMs,
   type JobOutcome,
   KEY_WITHDRAWN,
   type RelayJob,
-} from './relay_types.js';
+} from '../relay_types.js';
 import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
 import {toCallWaiting} from './slot_rules.js';
-import type {Upstream} from './upstream.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from '../upstream.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface PlainRelayHost {
   readonly clock: Clock;
--- a/src/relay/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -6,18 +6,18 @@
  * or is passed over, first for the second one, then for this host's own choice.
  */
 
-import type {RequestError} from '../core/error_kinds.js';
-import type {Clock, TimerHandle} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {Cancellation} from '../ports/relay.js';
+import type {RequestError} from '../../core/error_kinds.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Cancellation} from '../../ports/relay.js';
 import type {
   PlainBalancer,
   PlainCallResult,
-} from '../scheduling/plain_balancer.js';
+} from '../../scheduling/plain_balancer.js';
 import type {SlotAnswer, SlotAsk, SlotEnd} from './slot_messages.js';
-import type {Upstream} from './upstream.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
-import type {Waiting} from './wait_rules.js';
+import type {Upstream} from '../upstream.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
+import type {Waiting} from '../placement/wait_rules.js';
 
 export interface SlotClientHost {
   readonly clock: Clock;
--- a/src/relay/slot_desk.ts
+++ b/src/relay/plain/slot_desk.ts
@@ -7,22 +7,22 @@
  * died, frees its slot after a few times the usual duration of a call.
  */
 
-import type {Clock, TimerHandle} from '../ports/clock.js';
-import type {Random} from '../ports/random.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Random} from '../../ports/random.js';
 import type {
   PlainBalancer,
   PlainCallResult,
-} from '../scheduling/plain_balancer.js';
+} from '../../scheduling/plain_balancer.js';
 import {createCallLimit, type CallLimit} from './call_limit.js';
 import type {SlotAnswer, SlotAsk, SlotEnd} from './slot_messages.js';
 import {forecastSlotMs, mostCalls} from './slot_rules.js';
-import type {Upstream} from './upstream.js';
+import type {Upstream} from '../upstream.js';
 import {
   compareWaiting,
   findRetryAfterMs,
   spreadRetryAfterMs,
   type Waiting,
-} from './wait_rules.js';
+} from '../placement/wait_rules.js';
 
 export interface SlotDeskHost {
   readonly clock: Clock;
--- a/src/relay/slot_messages.ts
+++ b/src/relay/plain/slot_messages.ts
@@ -3,7 +3,7 @@
  * other. Times count from when the message was sent.
  */
 
-import type {PlainCallResult} from '../scheduling/plain_balancer.js';
+import type {PlainCallResult} from '../../scheduling/plain_balancer.js';
 
 /** A call that needs a slot. */
 export interface SlotAsk {
--- a/src/relay/slot_rules.ts
+++ b/src/relay/plain/slot_rules.ts
@@ -8,7 +8,7 @@
  * slots ran 195 calls a second where they run 270 with short queues.
  */
 
-import type {Waiting} from './wait_rules.js';
+import type {Waiting} from '../placement/wait_rules.js';
 
 /**
  * Calls at once, as a multiple of the slots: the next call is there when one
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -9,15 +9,15 @@
 import type {Random} from '../ports/random.js';
 import type {RelayRequest} from '../ports/relay.js';
 import type {AccountAdmission} from './accounts/account_admission.js';
-import type {Caller} from './caller.js';
-import {createCancellation} from './cancellation.js';
+import type {Caller} from './front/caller.js';
+import {createCancellation} from './front/cancellation.js';
 import type {CrashWatch} from './crash_watch.js';
-import type {PlainRelay} from './plain_relay.js';
+import type {PlainRelay} from './plain/plain_relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
 import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
 import {chooseService, type Route} from './routing.js';
 import type {RoutingState} from './routing_state.js';
-import type {StreamRelay} from './stream_relay.js';
+import type {StreamRelay} from './streams/stream_relay.js';
 
 export interface RelayHost {
   readonly clock: Clock;
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -2,13 +2,13 @@
 
 import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
-import type {PlainPlacement} from './plain_placement.js';
+import type {PlainPlacement} from './plain/plain_placement.js';
 import type {Relay} from './relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
-import type {RelayPlacement} from './relay_placement.js';
+import type {RelayPlacement} from './placement/relay_placement.js';
 import type {RoutingState} from './routing_state.js';
-import type {StoreWatch} from './store_watch.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {StoreWatch} from './store/store_watch.js';
+import type {UpstreamRegistry} from './store/upstream_registry.js';
 
 /** Parts of the process whose state is shown. */
 export interface GaugeSources {
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -3,81 +3,46 @@
  * configuration and the upstreams to the callers, as calls in order.
  */
 
-import {
-  createHttpExchange,
-  type HttpExchange,
-} from '../adapters/http_exchange.js';
+import {createHttpExchange} from '../adapters/http_exchange.js';
 import {splitAddress} from '../adapters/listen.js';
 import {createSystemClock} from '../adapters/system_clock.js';
 import {createSystemRandom} from '../adapters/system_random.js';
 import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
-import {createShortLease} from '../coordination/short_lease.js';
 import type {Logger} from '../ports/log.js';
-import type {
-  HostRegistry,
-  RequestReader,
-  RoutingSource,
-  UpstreamPort,
-  UpstreamSource,
-} from '../ports/relay.js';
-import type {TablePort} from '../ports/table.js';
 import {createQuarantine} from '../request/quarantine.js';
 import {createRetryBudget} from '../request/retry_budget.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {isQuotaMessage} from './accounts/quota_messages.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createCrashWatch} from './crash_watch.js';
-import {answerDirectory, type EntryAnswer} from './host_directory.js';
-import {createLeaving} from './leaving.js';
+import {answerDirectory} from './front/host_directory.js';
+import {createLeaving} from './front/leaving.js';
 import type {HostState} from './fleet/members.js';
 import {createPeerExchange} from './fleet/peer_exchange.js';
 import type {OwnState} from './fleet/peer_exchange_types.js';
 import {createPeerHandover} from './fleet/peer_handover.js';
-import {MOST_SUSPECTS, type FoundUpstreams} from './peer_view.js';
-import {createPlainPlacement} from './plain_placement.js';
-import {createPlainRelay} from './plain_relay.js';
+import {MOST_SUSPECTS, type FoundUpstreams} from './placement/peer_view.js';
+import {createPlainPlacement} from './plain/plain_placement.js';
+import {createPlainRelay} from './plain/plain_relay.js';
+import {applyPlainUpstreams} from './plain/plain_upstreams.js';
 import {createRelay} from './relay.js';
+import type {RelayAdapters} from './relay_adapters.js';
 import {showGauges} from './relay_gauges.js';
-import {createRelayPlacement} from './relay_placement.js';
-import {createRelayFront} from './relay_front.js';
+import {createRelayPlacement} from './placement/relay_placement.js';
+import {createRelayFront} from './front/relay_front.js';
 import type {RelayMetrics} from './relay_metrics.js';
-import {createRoleOrders} from './role_orders.js';
+import {createOrdersLease} from './roles/orders_lease.js';
+import {createRoleOrders} from './roles/role_orders.js';
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
-import {createSideServer, type SideHandler} from './side_server.js';
-import {isSlotMessage} from './slot_messages.js';
+import {createSideServer} from './front/side_server.js';
+import {isSlotMessage} from './plain/slot_messages.js';
 import {createStoreReaders} from './fleet/store_readers.js';
-import {createStoreWatch} from './store_watch.js';
-import {createStreamRelay} from './stream_relay.js';
+import {createStoreWatch} from './store/store_watch.js';
+import {createStreamRelay} from './streams/stream_relay.js';
 import type {RelayJob} from './relay_types.js';
 import type {Upstream} from './upstream.js';
-import {createUpstreamRegistry} from './upstream_registry.js';
-
-/** What the platform's calls to this process ask for. */
-export interface SideFacts {
-  isReady(): boolean;
-  entries(): EntryAnswer | undefined;
-}
-
-/** A platform's own names and formats, behind the product's ports. */
-export interface RelayAdapters {
-  readonly reader: RequestReader;
-  createUpstreamPort(exchange: HttpExchange): UpstreamPort;
-  createSources(host: {
-    readonly exchange: HttpExchange;
-    readonly storeAddress: string;
-    readonly log: Logger;
-  }): RelaySources;
-  createSideHandler(facts: SideFacts): SideHandler;
-}
-
-export interface RelaySources {
-  readonly routingSource: RoutingSource;
-  readonly upstreamSource: UpstreamSource;
-  readonly hostRegistry: HostRegistry;
-  /** Where leases lie. */
-  readonly leaseTable: TablePort;
-}
+import {createUpstreamRegistry} from './store/upstream_registry.js';
 
 export interface RelayProcessOptions {
   readonly settings: RelaySettings;
@@ -98,18 +63,6 @@
  */
 const FEWEST_HOSTS = 14;
 
-const ORDERS_LEASE = 'orders';
-/** Bound on the difference of clock rates between hosts. */
-const CLOCK_RATE_ERROR = 0.01;
-/**
- * Orders go out in the first part of a lease; the rest of its time covers a
- * suspension too short to be noticed.
- */
-const ORDER_TIME_SHARE = 0.3;
-/** An order is on its way for as long as its call may take. */
-const ORDER_SETTLE_MS = 800;
-const LEASE_CALL_TIMEOUT_MS = 600;
-
 /** Resolves once the process serves. */
 export async function startRelay(
   options: RelayProcessOptions,
@@ -325,22 +278,14 @@
       books,
       upstreamPort,
       learning,
-      lease: createShortLease(
+      lease: createOrdersLease(
         {
           clock,
           random,
           table: sources.leaseTable,
           log: createLogger('orders'),
         },
-        {
-          hostId: settings.hostId,
-          name: ORDERS_LEASE,
-          leaseMs: settings.leaseMs,
-          clockRateError: CLOCK_RATE_ERROR,
-          useMs: settings.leaseMs * ORDER_TIME_SHARE,
-          settleMs: ORDER_SETTLE_MS,
-          callTimeoutMs: LEASE_CALL_TIMEOUT_MS,
-        },
+        settings,
       ),
       services: () => routing.current()?.services ?? [],
       isPlanner: () =>
@@ -460,19 +405,8 @@
     },
   ].map(({address, handler}) => ({address, server: createSideServer(handler)}));
 
-  function applyUpstreams(): void {
-    for (const service of routing.current()?.services ?? []) {
-      if (service.engine) continue;
-      balancer.setUpstreams(
-        service.name,
-        registry.open(service.name).map(({id, address, failureDomain}) => ({
-          upstreamId: id,
-          address,
-          failureDomain,
-        })),
-      );
-    }
-  }
+  const applyUpstreams = () =>
+    applyPlainUpstreams({routing, registry, balancer});
 
   routing.onChange(({limits}) => {
     front.applyLimits(limits);
--- a/src/relay/relay_types.ts
+++ b/src/relay/relay_types.ts
@@ -3,7 +3,7 @@
 import type {RequestError} from '../core/error_kinds.js';
 import type {Cancellation, RelayRequest} from '../ports/relay.js';
 import type {AdmittedAccount} from './accounts/account_admission.js';
-import type {Caller, RequestEnd} from './caller.js';
+import type {Caller, RequestEnd} from './front/caller.js';
 import type {Route, Service} from './routing.js';
 
 /** One admitted request on its way. */
--- a/src/relay/role_demand.ts
+++ b/src/relay/roles/role_demand.ts
@@ -8,8 +8,8 @@
  * the ratio of the two, whatever the load.
  */
 
-import type {RoleDemand} from '../core/scheduling/role_plan.js';
-import type {SharedLearning} from './shared_learning.js';
+import type {RoleDemand} from '../../core/scheduling/role_plan.js';
+import type {SharedLearning} from '../placement/shared_learning.js';
 
 /** Engines of each role that `engineCount` engines are best divided into. */
 export function divideEngines(
--- a/src/relay/role_orders.ts
+++ b/src/relay/roles/role_orders.ts
@@ -6,7 +6,7 @@
  * engines' fences hold when two believe that it is their turn.
  */
 
-import type {ShortLease, ShortTerm} from '../coordination/short_lease.js';
+import type {ShortLease, ShortTerm} from '../../coordination/short_lease.js';
 import {
   FIRST_ROLE_PLAN_STATE,
   planRoles,
@@ -14,17 +14,17 @@
   type RoleChange,
   type RolePlanOptions,
   type RolePlanState,
-} from '../core/scheduling/role_plan.js';
-import type {Clock, TimerHandle} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {EngineReport, UpstreamPort} from '../ports/relay.js';
-import type {EngineBooks} from './engine_books.js';
-import type {RelayMetrics} from './relay_metrics.js';
+} from '../../core/scheduling/role_plan.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {EngineReport, UpstreamPort} from '../../ports/relay.js';
+import type {EngineBooks} from '../placement/engine_books.js';
+import type {RelayMetrics} from '../relay_metrics.js';
 import {divideEngines} from './role_demand.js';
-import type {Service} from './routing.js';
-import type {SharedLearning} from './shared_learning.js';
-import type {Upstream} from './upstream.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {Service} from '../routing.js';
+import type {SharedLearning} from '../placement/shared_learning.js';
+import type {Upstream} from '../upstream.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface RoleOrdersHost {
   readonly clock: Clock;
--- a/src/relay/list_deltas.ts
+++ b/src/relay/store/list_deltas.ts
@@ -8,9 +8,9 @@
  * change, since it missed another, reads the store as before.
  */
 
-import {hashText} from '../core/hash_text.js';
-import type {Clock} from '../ports/clock.js';
-import type {Upstream} from './upstream.js';
+import {hashText} from '../../core/hash_text.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Upstream} from '../upstream.js';
 
 export interface ListDelta {
   readonly fromDigest: number;
--- a/src/relay/store_confirmation.ts
+++ b/src/relay/store/store_confirmation.ts
@@ -8,7 +8,7 @@
  * So an age is told on once at most, and is too young by two hops at most.
  */
 
-import type {Clock} from '../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 
 /** What a host announces of one thing that it knows from the store. */
 export interface ConfirmedAges {
--- a/src/relay/store_watch.ts
+++ b/src/relay/store/store_watch.ts
@@ -8,9 +8,9 @@
  * again soon, on another connection.
  */
 
-import type {Clock, TimerHandle} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {Random} from '../ports/random.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Random} from '../../ports/random.js';
 import type {
   HostRecord,
   HostRegistry,
@@ -18,13 +18,13 @@
   RoutingUpdate,
   StoreRead,
   UpstreamSource,
-} from '../ports/relay.js';
-import type {ConfigurationFreshness} from './accounts/configuration_freshness.js';
-import type {StoreTime} from './accounts/store_time.js';
-import type {RelayMetrics} from './relay_metrics.js';
-import type {RoutingState} from './routing_state.js';
+} from '../../ports/relay.js';
+import type {ConfigurationFreshness} from '../accounts/configuration_freshness.js';
+import type {StoreTime} from '../accounts/store_time.js';
+import type {RelayMetrics} from '../relay_metrics.js';
+import type {RoutingState} from '../routing_state.js';
 import {createStoreConfirmation} from './store_confirmation.js';
-import type {StoreKnowledge} from './fleet/store_readers.js';
+import type {StoreKnowledge} from '../fleet/store_readers.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface StoreWatchHost {
--- a/src/relay/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -7,8 +7,8 @@
  * kept until their upstreams have had time to register again.
  */
 
-import type {Clock} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
 import {
   applyDelta,
   createDeltaLog,
@@ -16,7 +16,7 @@
   type ListDelta,
 } from './list_deltas.js';
 import {createListOutage} from './list_outage.js';
-import type {Upstream, UpstreamSnapshot} from './upstream.js';
+import type {Upstream, UpstreamSnapshot} from '../upstream.js';
 
 /** Where a list was read. */
 export type UpstreamOrigin = 'store' | 'peer';
--- a/src/relay/counted_calls.ts
+++ b/src/relay/streams/counted_calls.ts
@@ -9,8 +9,8 @@
  * 10 s reached engines for 170 requests, where 92 may come.
  */
 
-import type {PrefillOutcome, SendFailure} from '../ports/relay.js';
-import type {RetryBudget} from '../request/retry_budget.js';
+import type {PrefillOutcome, SendFailure} from '../../ports/relay.js';
+import type {RetryBudget} from '../../request/retry_budget.js';
 import type {StreamState} from './stream_state.js';
 
 /** There is no retry left for the call. */
--- a/src/relay/engine_failures.ts
+++ b/src/relay/streams/engine_failures.ts
@@ -1,13 +1,13 @@
 /** What follows from a send that an engine did not answer, and its log line. */
 
-import type {Clock} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {SendFailure} from '../ports/relay.js';
-import type {EngineBooks} from './engine_books.js';
-import type {EngineScheduler} from './engine_scheduler.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {SendFailure} from '../../ports/relay.js';
+import type {EngineBooks} from '../placement/engine_books.js';
+import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from './upstream.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from '../upstream.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface EngineFailuresHost {
   readonly clock: Clock;
--- a/src/relay/output_forecast.ts
+++ b/src/relay/streams/output_forecast.ts
@@ -1,6 +1,6 @@
 /** How many tokens a stream will make, by its caller or by those before it. */
 
-import type {RelayJob} from './relay_types.js';
+import type {RelayJob} from '../relay_types.js';
 
 export interface OutputForecast {
   expectedTokens(job: RelayJob): number;
--- a/src/relay/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -1,19 +1,22 @@
 /** Has the prompt of a stream read by a prefill engine. */
 
-import type {Clock} from '../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 import type {
   PrefillResultPlace,
   SendFailure,
   SendOptions,
   UpstreamPort,
-} from '../ports/relay.js';
+} from '../../ports/relay.js';
 import type {CountedCalls, Spent} from './counted_calls.js';
 import type {EngineFailures} from './engine_failures.js';
-import type {EngineScheduler, PrefillBooking} from './engine_scheduler.js';
-import {CONNECT_TIMEOUT_MS, leftMs} from './relay_types.js';
-import type {SharedLearning} from './shared_learning.js';
+import type {
+  EngineScheduler,
+  PrefillBooking,
+} from '../placement/engine_scheduler.js';
+import {CONNECT_TIMEOUT_MS, leftMs} from '../relay_types.js';
+import type {SharedLearning} from '../placement/shared_learning.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from './upstream.js';
+import type {Upstream} from '../upstream.js';
 
 export interface PrefillStepHost {
   readonly clock: Clock;
--- a/src/relay/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -1,8 +1,8 @@
 /** Hands the events of one run on to the caller, and watches its pace. */
 
-import type {Clock, TimerHandle} from '../ports/clock.js';
-import type {Cancellation, UpstreamAnswer} from '../ports/relay.js';
-import type {Caller} from './caller.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Cancellation, UpstreamAnswer} from '../../ports/relay.js';
+import type {Caller} from '../front/caller.js';
 import {createEventFramer, type StreamEvent} from './event_framer.js';
 
 export type StreamEnd =
--- a/src/relay/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -6,34 +6,34 @@
  * goes on at another engine after its last whole event.
  */
 
-import type {RequestError} from '../core/error_kinds.js';
-import type {Clock} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
+import type {RequestError} from '../../core/error_kinds.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
 import type {
   Cancellation,
   UpstreamAnswer,
   UpstreamPort,
-} from '../ports/relay.js';
-import type {RetryBudget} from '../request/retry_budget.js';
-import {passThrough} from './answer_delivery.js';
-import {toTrueError} from './answer_rules.js';
+} from '../../ports/relay.js';
+import type {RetryBudget} from '../../request/retry_budget.js';
+import {passThrough} from '../answers/answer_delivery.js';
+import {toTrueError} from '../answers/answer_rules.js';
 import {createCountedCalls} from './counted_calls.js';
 import {createEngineFailures} from './engine_failures.js';
 import type {
   EngineScheduler,
   PlacementOutcome,
   StreamNeed,
-} from './engine_scheduler.js';
-import type {EngineBooks} from './engine_books.js';
-import type {SharedLearning} from './shared_learning.js';
+} from '../placement/engine_scheduler.js';
+import type {EngineBooks} from '../placement/engine_books.js';
+import type {SharedLearning} from '../placement/shared_learning.js';
 import {createOutputForecast} from './output_forecast.js';
-import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
+import {leftMs, type JobOutcome, type RelayJob} from '../relay_types.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
 import {createStreamStart, SILENCE_MS} from './stream_start.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from './upstream.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
-import {toWaiting} from './wait_rules.js';
+import type {Upstream} from '../upstream.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
+import {toWaiting} from '../placement/wait_rules.js';
 
 export interface StreamRelayHost {
   readonly clock: Clock;
--- a/src/relay/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -3,29 +3,29 @@
  * prefill engine, then the decode engine is asked, and others if it refuses.
  */
 
-import type {RequestError} from '../core/error_kinds.js';
-import type {Clock} from '../ports/clock.js';
+import type {RequestError} from '../../core/error_kinds.js';
+import type {Clock} from '../../ports/clock.js';
 import type {
   SendFailure,
   SendOptions,
   UpstreamAnswer,
   UpstreamPort,
-} from '../ports/relay.js';
-import {isGenuine} from './answer_rules.js';
+} from '../../ports/relay.js';
+import {isGenuine} from '../answers/answer_rules.js';
 import type {CountedCalls, Spent} from './counted_calls.js';
 import type {EngineFailures} from './engine_failures.js';
-import type {EngineScheduler} from './engine_scheduler.js';
+import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import {createPrefillStep} from './prefill_step.js';
 import {
   CONNECT_TIMEOUT_MS,
   KEY_WITHDRAWN,
   leftMs,
   type RelayJob,
-} from './relay_types.js';
-import type {SharedLearning} from './shared_learning.js';
+} from '../relay_types.js';
+import type {SharedLearning} from '../placement/shared_learning.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from './upstream.js';
-import type {UpstreamRegistry} from './upstream_registry.js';
+import type {Upstream} from '../upstream.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface StreamStartHost {
   readonly clock: Clock;
--- a/src/relay/stream_state.ts
+++ b/src/relay/streams/stream_state.ts
@@ -1,8 +1,8 @@
 /** What one stream has been through so far, shared by the steps that run it. */
 
-import type {PrefillResultPlace} from '../ports/relay.js';
-import type {Placement, StreamNeed} from './engine_scheduler.js';
-import type {RelayJob} from './relay_types.js';
+import type {PrefillResultPlace} from '../../ports/relay.js';
+import type {Placement, StreamNeed} from '../placement/engine_scheduler.js';
+import type {RelayJob} from '../relay_types.js';
 
 export interface StreamState {
   readonly job: RelayJob;
--- a/tests/relay/accounts/configuration_freshness_test.ts
+++ b/tests/relay/accounts/configuration_freshness_test.ts
@@ -4,7 +4,7 @@
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createConfigurationFreshness} from '../../../src/relay/accounts/configuration_freshness.js';
 import {createStoreTime} from '../../../src/relay/accounts/store_time.js';
-import {makeSite} from '../store_site.js';
+import {makeSite} from '../store/store_site.js';
 
 const SEEDS = Array.from({length: 20}, (_, i) => i + 1);
 
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -21,12 +21,12 @@
   PeerExchange,
 } from '../../../src/relay/fleet/peer_exchange_types.js';
 import {createStoreReaders} from '../../../src/relay/fleet/store_readers.js';
-import {answerDirectory} from '../../../src/relay/host_directory.js';
+import {answerDirectory} from '../../../src/relay/front/host_directory.js';
 import {
   createStoreConfirmation,
   type ConfirmedAges,
-} from '../../../src/relay/store_confirmation.js';
-import {UPSTREAMS_EVERY_MS} from '../../../src/relay/store_watch.js';
+} from '../../../src/relay/store/store_confirmation.js';
+import {UPSTREAMS_EVERY_MS} from '../../../src/relay/store/store_watch.js';
 import {silentLog} from '../../support/silent_log.js';
 
 /** One way, between hosts. */
--- a/tests/relay/fleet/many_hosts_test.ts
+++ b/tests/relay/fleet/many_hosts_test.ts
@@ -5,7 +5,7 @@
 import {
   LIST_CONFIRMED_MS,
   ROUTING_CONFIRMED_MS,
-} from '../../../src/relay/store_watch.js';
+} from '../../../src/relay/store/store_watch.js';
 import {makeFleet, type Fleet, type FleetHost} from './fleet_network.js';
 
 /** All have started and coordinators have heard everyone. */
--- a/tests/relay/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -7,26 +7,26 @@
  * holds its prompt and what it has made.
  */
 
-import {createSeededRandom} from '../../src/core/seeded_random.js';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import {createCancellation} from '../../src/relay/cancellation.js';
-import {createEngineBooks} from '../../src/relay/engine_books.js';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {createEngineBooks} from '../../../src/relay/placement/engine_books.js';
 import {
   createEngineScheduler,
   type EngineScheduler,
   type Placement,
-} from '../../src/relay/engine_scheduler.js';
-import type {Peer} from '../../src/relay/fleet/peer_datagrams.js';
-import {createPlacementClient} from '../../src/relay/placement_client.js';
-import {createPlacementDesk} from '../../src/relay/placement_desk.js';
-import type {PlacementMessage} from '../../src/relay/placement_messages.js';
-import {createPlacementGroups} from '../../src/relay/placement_groups.js';
-import {createPeerView} from '../../src/relay/peer_view.js';
-import type {Route, Service} from '../../src/relay/routing.js';
-import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
-import {createSharedLearning} from '../../src/relay/shared_learning.js';
-import {toWaiting} from '../../src/relay/wait_rules.js';
-import {silentLog} from '../support/silent_log.js';
+} from '../../../src/relay/placement/engine_scheduler.js';
+import type {Peer} from '../../../src/relay/fleet/peer_datagrams.js';
+import {createPlacementClient} from '../../../src/relay/placement/placement_client.js';
+import {createPlacementDesk} from '../../../src/relay/placement/placement_desk.js';
+import type {PlacementMessage} from '../../../src/relay/placement/placement_messages.js';
+import {createPlacementGroups} from '../../../src/relay/placement/placement_groups.js';
+import {createPeerView} from '../../../src/relay/placement/peer_view.js';
+import type {Route, Service} from '../../../src/relay/routing.js';
+import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {createSharedLearning} from '../../../src/relay/placement/shared_learning.js';
+import {toWaiting} from '../../../src/relay/placement/wait_rules.js';
+import {silentLog} from '../../support/silent_log.js';
 import {oneGroup} from './one_group.js';
 
 export interface BurstOptions {
--- a/tests/relay/engine_probation_test.ts
+++ b/tests/relay/placement/engine_probation_test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import {createCancellation} from '../../src/relay/cancellation.js';
-import {createEngineProbation} from '../../src/relay/engine_probation.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {createEngineProbation} from '../../../src/relay/placement/engine_probation.js';
 import {makeLoneScheduler, makeService} from './lone_scheduler.js';
 
 const KV_TOKENS = 40_000;
--- a/tests/relay/engine_scheduler_test.ts
+++ b/tests/relay/placement/engine_scheduler_test.ts
@@ -1,21 +1,21 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createSeededRandom} from '../../src/core/seeded_random.js';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import {createCancellation} from '../../src/relay/cancellation.js';
-import {createEngineBooks} from '../../src/relay/engine_books.js';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {createEngineBooks} from '../../../src/relay/placement/engine_books.js';
 import {
   createEngineScheduler,
   type PeerView,
   type PlacementOutcome,
   type StreamNeed,
-} from '../../src/relay/engine_scheduler.js';
-import type {Service} from '../../src/relay/routing.js';
-import {createSharedLearning} from '../../src/relay/shared_learning.js';
-import type {Upstream} from '../../src/relay/upstream.js';
-import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
-import type {Waiting} from '../../src/relay/wait_rules.js';
-import {silentLog} from '../support/silent_log.js';
+} from '../../../src/relay/placement/engine_scheduler.js';
+import type {Service} from '../../../src/relay/routing.js';
+import {createSharedLearning} from '../../../src/relay/placement/shared_learning.js';
+import type {Upstream} from '../../../src/relay/upstream.js';
+import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import type {Waiting} from '../../../src/relay/placement/wait_rules.js';
+import {silentLog} from '../../support/silent_log.js';
 import {oneGroup} from './one_group.js';
 
 const SERVICE = 'aruande-koostaja';
--- a/tests/relay/fresh_hosts_test.ts
+++ b/tests/relay/placement/fresh_hosts_test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createSeededRandom} from '../../src/core/seeded_random.js';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import {createCancellation} from '../../src/relay/cancellation.js';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
 import {makeLoneScheduler, makeService} from './lone_scheduler.js';
 
 const HOSTS = 40;
--- a/tests/relay/one_group.ts
+++ b/tests/relay/placement/one_group.ts
@@ -1,6 +1,6 @@
 /** All hosts share all engines, as in a deployment of few hosts. */
 
-import type {PlacementGroups} from '../../src/relay/placement_groups.js';
+import type {PlacementGroups} from '../../../src/relay/placement/placement_groups.js';
 
 export const oneGroup: PlacementGroups = {
   placers: () => [],
--- a/tests/relay/placement_client_test.ts
+++ b/tests/relay/placement/placement_client_test.ts
@@ -1,15 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import {createCancellation} from '../../src/relay/cancellation.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
 import type {
   PlacementOutcome,
   StreamNeed,
-} from '../../src/relay/engine_scheduler.js';
-import {createPlacementClient} from '../../src/relay/placement_client.js';
-import {createPlacementDesk} from '../../src/relay/placement_desk.js';
-import type {PlacementMessage} from '../../src/relay/placement_messages.js';
-import {silentLog} from '../support/silent_log.js';
+} from '../../../src/relay/placement/engine_scheduler.js';
+import {createPlacementClient} from '../../../src/relay/placement/placement_client.js';
+import {createPlacementDesk} from '../../../src/relay/placement/placement_desk.js';
+import type {PlacementMessage} from '../../../src/relay/placement/placement_messages.js';
+import {silentLog} from '../../support/silent_log.js';
 import {makeEngine, makeLoneScheduler, makeService} from './lone_scheduler.js';
 
 const service = makeService(10_000);
--- a/tests/relay/placement_groups_test.ts
+++ b/tests/relay/placement/placement_groups_test.ts
@@ -4,7 +4,7 @@
   createPlacementGroups,
   dealOut,
   type GroupedEngine,
-} from '../../src/relay/placement_groups.js';
+} from '../../../src/relay/placement/placement_groups.js';
 
 function makeIds(prefix: string, count: number): readonly string[] {
   return Array.from({length: count}, (_, i) => `${prefix}-${i}`);
--- a/tests/relay/shared_learning_test.ts
+++ b/tests/relay/placement/shared_learning_test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import {divideEngines} from '../../src/relay/role_demand.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {divideEngines} from '../../../src/relay/roles/role_demand.js';
 import {
   createSharedLearning,
   type SharedLearning,
-} from '../../src/relay/shared_learning.js';
+} from '../../../src/relay/placement/shared_learning.js';
 
 /** Hosts that see streams in turn and tell each other each second. */
 async function play(
--- a/tests/relay/slot_client_test.ts
+++ b/tests/relay/plain/slot_client_test.ts
@@ -1,14 +1,14 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createSeededRandom} from '../../src/core/seeded_random.js';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import {createCancellation} from '../../src/relay/cancellation.js';
-import {createSlotClient} from '../../src/relay/slot_client.js';
-import type {SlotMessage} from '../../src/relay/slot_messages.js';
-import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
-import {createPlainBalancer} from '../../src/scheduling/plain_balancer.js';
-import {silentLog} from '../support/silent_log.js';
-import {makeUpstream} from './store_site.js';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {createSlotClient} from '../../../src/relay/plain/slot_client.js';
+import type {SlotMessage} from '../../../src/relay/plain/slot_messages.js';
+import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {createPlainBalancer} from '../../../src/scheduling/plain_balancer.js';
+import {silentLog} from '../../support/silent_log.js';
+import {makeUpstream} from '../store/store_site.js';
 
 const SERVICE = 'uus-pearaamat';
 const KEEPER = 'keeper';
--- a/tests/relay/slot_desk_test.ts
+++ b/tests/relay/plain/slot_desk_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import {createCallLimit} from '../../src/relay/call_limit.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCallLimit} from '../../../src/relay/plain/call_limit.js';
 import {playSlotLoad} from './slot_load.js';
 
 const BURST = {basePerS: 200, burstPerS: 560};
--- a/tests/relay/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -4,15 +4,15 @@
  * its speed and turns calls away.
  */
 
-import {createSeededRandom} from '../../src/core/seeded_random.js';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import {createCancellation} from '../../src/relay/cancellation.js';
-import {createPlainPlacement} from '../../src/relay/plain_placement.js';
-import type {SlotMessage} from '../../src/relay/slot_messages.js';
-import {toCallWaiting} from '../../src/relay/slot_rules.js';
-import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
-import {createPlainBalancer} from '../../src/scheduling/plain_balancer.js';
-import {silentLog} from '../support/silent_log.js';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {createPlainPlacement} from '../../../src/relay/plain/plain_placement.js';
+import type {SlotMessage} from '../../../src/relay/plain/slot_messages.js';
+import {toCallWaiting} from '../../../src/relay/plain/slot_rules.js';
+import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {createPlainBalancer} from '../../../src/scheduling/plain_balancer.js';
+import {silentLog} from '../../support/silent_log.js';
 
 export interface SlotLoadOptions {
   readonly seed: number;
--- a/tests/relay/role_orders_test.ts
+++ b/tests/relay/roles/role_orders_test.ts
@@ -1,24 +1,24 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createFence} from '../../src/coordination/lease_rules.js';
+import {createFence} from '../../../src/coordination/lease_rules.js';
 import type {
   ShortLease,
   TermCheck,
-} from '../../src/coordination/short_lease.js';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import type {Logger} from '../../src/ports/log.js';
+} from '../../../src/coordination/short_lease.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import type {Logger} from '../../../src/ports/log.js';
 import type {
   RoleOrder,
   RoleOrderOutcome,
   UpstreamPort,
-} from '../../src/ports/relay.js';
-import {createEngineBooks} from '../../src/relay/engine_books.js';
-import {createRelayMetrics} from '../../src/relay/relay_metrics.js';
-import {createRoleOrders} from '../../src/relay/role_orders.js';
-import type {Service} from '../../src/relay/routing.js';
-import {createSharedLearning} from '../../src/relay/shared_learning.js';
-import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
-import {silentLog} from '../support/silent_log.js';
+} from '../../../src/ports/relay.js';
+import {createEngineBooks} from '../../../src/relay/placement/engine_books.js';
+import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
+import {createRoleOrders} from '../../../src/relay/roles/role_orders.js';
+import type {Service} from '../../../src/relay/routing.js';
+import {createSharedLearning} from '../../../src/relay/placement/shared_learning.js';
+import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {silentLog} from '../../support/silent_log.js';
 
 const service: Service = {
   name: 'drafts',
--- a/tests/relay/upstream_registry_test.ts
+++ b/tests/relay/store/upstream_registry_test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import type {Upstream} from '../../src/relay/upstream.js';
-import {createUpstreamRegistry} from '../../src/relay/upstream_registry.js';
-import {silentLog} from '../support/silent_log.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import type {Upstream} from '../../../src/relay/upstream.js';
+import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {silentLog} from '../../support/silent_log.js';
 
 const SERVICE = 'uus-pearaamat';
 
--- a/tests/relay/prefill_step_test.ts
+++ b/tests/relay/streams/prefill_step_test.ts
@@ -1,16 +1,16 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import type {PrefillOutcome, UpstreamPort} from '../../src/ports/relay.js';
-import {createCancellation} from '../../src/relay/cancellation.js';
-import {createCountedCalls} from '../../src/relay/counted_calls.js';
-import {createEngineFailures} from '../../src/relay/engine_failures.js';
-import {createPrefillStep} from '../../src/relay/prefill_step.js';
-import type {RelayJob} from '../../src/relay/relay_types.js';
-import type {StreamState} from '../../src/relay/stream_state.js';
-import {createRetryBudget} from '../../src/request/retry_budget.js';
-import {silentLog} from '../support/silent_log.js';
-import {makeLoneScheduler, makeService} from './lone_scheduler.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import type {PrefillOutcome, UpstreamPort} from '../../../src/ports/relay.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {createCountedCalls} from '../../../src/relay/streams/counted_calls.js';
+import {createEngineFailures} from '../../../src/relay/streams/engine_failures.js';
+import {createPrefillStep} from '../../../src/relay/streams/prefill_step.js';
+import type {RelayJob} from '../../../src/relay/relay_types.js';
+import type {StreamState} from '../../../src/relay/streams/stream_state.js';
+import {createRetryBudget} from '../../../src/request/retry_budget.js';
+import {silentLog} from '../../support/silent_log.js';
+import {makeLoneScheduler, makeService} from '../placement/lone_scheduler.js';
 
 const service = makeService(30_000);
 
