--- a/src/relay/fleet/peer_codec.ts
+++ b/src/relay/fleet/peer_codec.ts
@@ -1,7 +1,6 @@
 /**
  * Datagrams between relays, made small: most of a state is names of fields and
- * values that hardly change. With 68 hosts the states that each tells all
- * others were nine tenths of what went over the wire between failure domains.
+ * values that hardly change.
  */
 
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
--- a/src/relay/placement/engine_candidates.ts
+++ b/src/relay/placement/engine_candidates.ts
@@ -64,9 +64,8 @@
 const FULL_FOR_MS = 250;
 /**
  * An engine that goes on refusing is left out twice as long each time. One
- * that changes its role refuses all for some six seconds while the list and
- * the books show it as empty: each stream of all hosts was sent there first,
- * and a third of all prompts was read in vain.
+ * that changes its role refuses all for seconds, while the list and the books
+ * show it as empty, so that each stream would be sent there first.
  */
 const MOST_FULL_MS = 2_000;
 /**
--- a/src/relay/placement/engine_choice.ts
+++ b/src/relay/placement/engine_choice.ts
@@ -74,9 +74,8 @@
 const MAX_PREFILL_BACKLOG_MS = 400;
 /**
  * What is known of another group's engine is up to a second old, and others
- * look at the same old news. In a burst played on 90 hosts in groups of 16,
- * engines were promised 1.13 of their memory with four times the need left
- * free, 2.1 with twice, and with none taken twice as many streams were late.
+ * look at the same old news. An engine of theirs is used only while so many
+ * times the need is free, or all groups promise the same memory.
  */
 const OTHER_GROUP_NEEDS = 4;
 /**
--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -148,10 +148,7 @@
 
 /** How often those who wait are looked at without any news. */
 const PUMP_EVERY_MS = 50;
-/**
- * News of 30 peers come each few milliseconds, and a look takes 0.2 ms; one
- * for each took 4 in 100 of a core of the smallest hosts while many waited.
- */
+/** News of many peers come in each millisecond; one look serves them all. */
 const PUMP_SOON_MS = 6;
 /** A refusal without any engine: they are listed again within seconds. */
 const NO_ENGINE_RETRY_MS = 1_000;
--- a/src/relay/placement/placement_client.ts
+++ b/src/relay/placement/placement_client.ts
@@ -2,10 +2,8 @@
  * An entry's way to engines where many hosts share them: it asks the host that
  * places for its group, which knows exactly what is promised and who waits.
  *
- * In a burst beyond the engines' room, played on 79 hosts, 0.68 of the streams
- * start on time when each host decides by news that goes out each 0.3 s, 0.85
- * when it goes out at once, which small hosts cannot bear, and 0.88 when one
- * decides (`burst_load_test.ts`); a single host alone would reach 0.89.
+ * Hosts that decide by old news give the same room away, and small hosts
+ * cannot bear to hear each change of all others at once.
  *
  * Guards against a placer that is dead, frozen or cut off before anyone has
  * noticed: it acknowledges at once or is passed over, first for the standby,
@@ -53,14 +51,11 @@
 }
 
 /**
- * Two zones are 3 ms apart, and a small host with a burst on its hands answers
- * within some 60 ms; a lost datagram is sent again after this.
+ * A small host with a burst on its hands answers within this time; after it a
+ * datagram is taken for lost and sent again.
  */
 const ASK_AGAIN_MS = 80;
-/**
- * A placer that has acknowledged nothing for this long is passed over. With
- * 130 ms sound ones of a third of a core were passed over in bursts.
- */
+/** A placer that has acknowledged nothing for this long is passed over. */
 const SILENT_MS = 250;
 /** One in the queue shows that it still waits, and asks whether it does. */
 const STILL_THERE_MS = 300;
--- a/src/relay/placement/pooled_means.ts
+++ b/src/relay/placement/pooled_means.ts
@@ -1,7 +1,7 @@
 /**
  * Means of what all hosts saw lately. Each host tells sums that fade with time,
- * and adds up those of all: of 68 hosts each sees one stream in two seconds,
- * and would learn for most of a minute what they know together in one second.
+ * and adds up those of all: one of many hosts sees too few streams to learn
+ * anything by itself.
  */
 
 import type {Clock} from '../../ports/clock.js';
--- a/src/relay/placement/shared_learning.ts
+++ b/src/relay/placement/shared_learning.ts
@@ -42,11 +42,7 @@
   forget(hostId: string): void;
 }
 
-/**
- * Before anything has run: engines of the users' first deployments read a
- * prompt of 3,000 tokens in some 95 ms, a run holds a tenth of an engine for
- * some 3.5 s, and starts a quarter of a second after it was placed.
- */
+/** Assumed before anything has run; what is seen takes its place. */
 const FIRST = {
   startMs: 250,
   decodeMs: 365,
@@ -58,12 +54,10 @@
 const START_FADE_MS = 3_000;
 const RUN_FADE_MS = 60_000;
 const START_FIRST_WEIGHT = 2;
-/**
- * Short runs end first, so that the first ones to end tell too little: with a
- * weight of 10 a decode engine too many was taken away within five seconds.
- */
+/** Short runs end first, so that the first ones to end tell too little. */
 const RUN_FIRST_WEIGHT = 60;
 const PREFILL_FIRST_WEIGHT = 3;
+
 export function createSharedLearning(host: {
   readonly clock: Clock;
 }): SharedLearning {
--- a/src/relay/placement/wait_rules.ts
+++ b/src/relay/placement/wait_rules.ts
@@ -64,8 +64,8 @@
 
 /**
  * Order of service: on time before late; those on time by their latest start,
- * the late ones by age. By age alone calls with a goal of 150 ms fell behind
- * others with 200 as soon as they were late, and were refused twice as often.
+ * the late ones by age. By age alone calls with a short goal would fall behind
+ * those with a longer one as soon as they are late.
  */
 export function compareWaiting(a: Waiting, b: Waiting, nowMs: number): number {
   const isLateA = !isOnTime(a, nowMs);
--- a/src/relay/plain/call_limit.ts
+++ b/src/relay/plain/call_limit.ts
@@ -2,10 +2,8 @@
  * How many calls an upstream of a service works best with at once, learned
  * from how long calls took by how many there were. Pure.
  *
- * Answers upstreams that slow down when they are nearly full: three of six
- * slots each ran some 230 calls a second while eight were always given to
- * each, and 270 on a day on which they were hardly ever full. A limit from the
- * number of slots cannot know that.
+ * Answers upstreams that slow down when they are nearly full, which a limit
+ * from the number of slots cannot know.
  */
 
 import type {Clock} from '../../ports/clock.js';
--- a/src/relay/plain/slot_rules.ts
+++ b/src/relay/plain/slot_rules.ts
@@ -4,16 +4,15 @@
  *
  * Answers the load of bursts beyond the slots of few upstreams before many
  * hosts: an upstream whose queue is full works more slowly and turns calls
- * away. With 68 hosts that did not know of one another, three upstreams of six
- * slots ran 195 calls a second where they run 270 with short queues.
+ * away.
  */
 
 import type {Waiting} from '../placement/wait_rules.js';
 
 /**
  * Calls at once, as a multiple of the slots: the next call is there when one
- * ends. Its slot would be idle for some 8 of 43 ms otherwise, while the word
- * of the end goes to the keeper and that of the slot to the next entry.
+ * ends. Its slot would be idle otherwise, while the word of the end goes to the
+ * keeper and that of the slot to the next entry.
  */
 const CALLS_PER_SLOT = 4 / 3;
 /** Of the time in which the first event is on time, kept for a slow call. */
--- a/src/relay/roles/role_orders.ts
+++ b/src/relay/roles/role_orders.ts
@@ -54,11 +54,9 @@
 
 const LOOK_EVERY_MS = 500;
 /**
- * A change costs an engine for some six seconds, a wrong division costs every
- * burst; what lasts longer than this is no passing crash. What was learned is
- * right within some 8 in 100: with 1.02 engines changed back and forth in the
- * middle of bursts (worth 0.644 and 0.673 of two days, 0.686 and 0.708 where
- * they did not).
+ * A change takes an engine away for seconds, a wrong division costs every
+ * burst; what lasts longer than this is no passing crash. The use has to be
+ * higher than what was learned is wrong by, or engines change back and forth.
  */
 const PLAN: RolePlanOptions = {
   highUse: 1.08,
@@ -70,22 +68,20 @@
   mostAtOnce: 1,
 };
 /**
- * Engines that change together. One by one, eight of 34 took 20 s to change
- * while streams waited for the decode memory that they were to bring.
+ * Engines that change together: one by one, many would take longer than the
+ * burst lasts that asks for them.
  */
 const AT_ONCE_SHARE = 1 / 8;
 /**
  * An engine starts to read prompts only where prompts wait for longer than
- * this, on the mean. In a burst decode memory is short as well; two orders
- * that only the learned ratio asked for cost 0.07 to 0.1 of a day's worth.
+ * this, on the mean: in a burst decode memory is short as well.
  */
 const PROMPTS_WAIT_MS = 150;
 /** On top of the time that a change takes: the list lags by a heartbeat. */
 const SEEN_AFTER_MS = 4_000;
 /**
  * An order without an answer may be carried out seconds later. Another engine
- * that is changed meanwhile is one too many: with 3 s two of ten changed where
- * one was to.
+ * that is changed meanwhile is one too many.
  */
 const UNKNOWN_FOR_MS = 8_000;
 
--- a/src/relay/store/list_deltas.ts
+++ b/src/relay/store/list_deltas.ts
@@ -2,10 +2,10 @@
  * What changed from one list of upstreams to the next, so that one host that
  * read the list can tell the others.
  *
- * Guards the store against a call by each host for each change: 65 of 68 hosts
- * do not read the list themselves, and read it once more whenever they heard
- * that theirs was behind. A host that does not come to the same list by the
- * change, since it missed another, reads the store as before.
+ * Guards the store against a call by each host for each change: most hosts do
+ * not read the list themselves, and would whenever they hear that theirs is
+ * behind. A host that does not come to the same list by the change, since it
+ * missed another, reads the store.
  */
 
 import {hashText} from '../../core/hash_text.js';
--- a/src/relay/store/list_outage.ts
+++ b/src/relay/store/list_outage.ts
@@ -4,9 +4,9 @@
  * reach the store.
  *
  * What counts is whether the store served any host, not whether it served this
- * one. A host that the store turned away took the first read of its own, which
- * may come long after, for the end of an outage, and kept sending to an
- * upstream that left meanwhile, for up to 2.3 s more than its peers.
+ * one. The first read of a host that the store turned away may come long after
+ * the end of the outage, and upstreams that left meanwhile are not to be kept
+ * from then on.
  */
 
 /**
--- a/src/relay/store/store_confirmation.ts
+++ b/src/relay/store/store_confirmation.ts
@@ -3,9 +3,9 @@
  * word has come.
  *
  * An age loses the time that its datagram takes on the way. Hosts that told on
- * whatever they heard kept each other's age young though nobody read the
- * store: at 30 ms a hop, upstreams that had left were used for over 2 s more.
- * So an age is told on once at most, and is too young by two hops at most.
+ * whatever they hear would keep each other's age young though nobody reads the
+ * store. So an age is told on once at most, and is too young by two hops at
+ * most.
  */
 
 import type {Clock} from '../../ports/clock.js';
--- a/src/relay/store/store_watch.ts
+++ b/src/relay/store/store_watch.ts
@@ -95,8 +95,7 @@
 /**
  * A host whose last call to the store failed looks again this often, though
  * its peers tell it all: it may read for others, and plan, only once it knows
- * that the store serves it. Looking four times a second cost 30 calls for a
- * host that was turned away for 8 s.
+ * that the store serves it.
  */
 const LOST_STORE_LOOK_MS = 2_000;
 /** Ages in announcements are rounded, and datagrams take some ms. */
--- a/src/relay/streams/counted_calls.ts
+++ b/src/relay/streams/counted_calls.ts
@@ -3,10 +3,9 @@
  * request takes a retry of the budget, whatever it is made for.
  *
  * Guards against a service that gets half of its load again when it can carry
- * least. Retries that were taken where a failure was handled missed what
- * follows: a prompt that a prefill engine had refused still went to a decode
- * engine, and a stream that went on had its prompt read once more. 99 calls in
- * 10 s reached engines for 170 requests, where 92 may come.
+ * least. Retries taken where a failure is handled would miss what follows: a
+ * prompt that a prefill engine refused still goes to a decode engine, and a
+ * stream that goes on has its prompt read once more.
  */
 
 import type {PrefillOutcome, SendFailure} from '../../ports/relay.js';
