Give back to a bucket what its owner had granted; test the check before a send

Cause: a host's running total of what it let through shrank by what was returned, so that a grant and its return cancelled before the owner heard of either, and the owner's charge stayed. Returned units are a total of their own now. The test had 429 where no upstream had run anything.

The test of a key that is withdrawn while its request waits fails with the check before the send taken out.

--- a/src/relay/accounts/account_limiter.ts
+++ b/src/relay/accounts/account_limiter.ts
@@ -69,6 +69,7 @@
 interface OwnTotals {
   offeredUnits: number;
   admittedUnits: number;
+  returnedUnits: number;
 }
 
 interface OwnShare {
@@ -96,16 +97,21 @@
   const words = new Map<string, Word>();
 
   function totalsOf(account: string): OwnTotals {
-    const known = totals.get(account) ?? {offeredUnits: 0, admittedUnits: 0};
+    const known = totals.get(account) ?? {
+      offeredUnits: 0,
+      admittedUnits: 0,
+      returnedUnits: 0,
+    };
     totals.set(account, known);
     return known;
   }
 
   const spending = (): readonly SpendingRecord[] =>
-    [...totals].map(([account, {offeredUnits, admittedUnits}]) => ({
+    [...totals].map(([account, own]) => ({
       account,
-      offeredUnits: Math.round(offeredUnits),
-      admittedUnits: Math.round(admittedUnits),
+      offeredUnits: Math.round(own.offeredUnits),
+      admittedUnits: Math.round(own.admittedUnits),
+      returnedUnits: Math.round(own.returnedUnits),
     }));
 
   /** The strictest of what coordinators say: one may not have heard all yet. */
@@ -243,7 +249,7 @@
         : count(verdict, own, costUnits);
     },
     giveBack(account, costUnits) {
-      totalsOf(account).admittedUnits -= costUnits;
+      totalsOf(account).returnedUnits += costUnits;
       const share = ownShares.get(account);
       if (share) share.levelUnits += costUnits;
     },
--- a/src/relay/accounts/spending_ledger.ts
+++ b/src/relay/accounts/spending_ledger.ts
@@ -16,8 +16,10 @@
   readonly account: string;
   /** Units of all requests, those refused among them. */
   readonly offeredUnits: number;
-  /** Units of the requests that went to an upstream. */
+  /** Units of the requests that were let through. */
   readonly admittedUnits: number;
+  /** Of these, units of requests that went to no upstream after all. */
+  readonly returnedUnits: number;
 }
 
 /** One life of a host. */
@@ -75,6 +77,7 @@
 const NOTHING: Omit<SpendingRecord, 'account'> = {
   offeredUnits: 0,
   admittedUnits: 0,
+  returnedUnits: 0,
 };
 
 export function createSpendingLedger(host: SpendingLedgerHost): SpendingLedger {
@@ -122,7 +125,8 @@
     const grantedUnits = granted.get(account) ?? 0;
     const chargedBefore = Math.max(0, Math.min(grantedUnits, admittedUnits));
     granted.set(account, grantedUnits - chargedBefore);
-    bucket.levelUnits -= admittedUnits - chargedBefore;
+    const returnedUnits = record.returnedUnits - before.returnedUnits;
+    bucket.levelUnits += returnedUnits + chargedBefore - admittedUnits;
     bucket.offeredUnits += record.offeredUnits - before.offeredUnits;
   }
 
--- a/tests/platform/relay_accounts_test.ts
+++ b/tests/platform/relay_accounts_test.ts
@@ -179,3 +179,56 @@
   const other = await site.call(entry, '/saldo/1', withKey(OTHER_KEY));
   assert.equal(other.status, 200);
 });
+
+test('a request that waits while its key is withdrawn does not run', async () => {
+  // Guards against a check of the key only when a request is taken.
+  await site.addUpstream({id: 'i-2', service: 'drafts', role: 'prefill'});
+  const writer = await site.addUpstream({
+    id: 'i-3',
+    service: 'drafts',
+    role: 'decode',
+    eventEveryMs: 500,
+  });
+  const configure = (tenants: readonly object[]) => {
+    const configuration = makeConfiguration({tenants});
+    const {routes} = configuration as {routes: readonly object[]};
+    // Callers wait for eight times the longest pause.
+    const patient = routes.map(each => ({...each, gap_goal_ms: 1_000}));
+    site.configure({...configuration, routes: patient});
+  };
+  configure([tenant('rmtp', [KEY]), tenant('sgky', [OTHER_KEY])]);
+  const entry = await site.addEntry();
+  await untilReady(site, entry);
+  const draft = (key: string) =>
+    site.call(entry, '/mustand/1', {
+      method: 'POST',
+      body: 'rida=1',
+      ...withKey(key, {...PROMPT_HEADERS, 'X-Token-Count': '20000,200'}),
+    });
+  const first = draft(OTHER_KEY);
+  await until('the engine is taken', () => writer.runs.length === 1);
+  const second = draft(KEY);
+  await until('the second waits', async () => {
+    const page = await site.ask(entry.settings.metricsAddress, '/metrics');
+    return page.body.includes('waiting_streams 1\n');
+  });
+  configure([tenant('sgky', [OTHER_KEY])]);
+  assert.equal((await first).status, 200);
+  assert.equal((await second).status, 401);
+  assert.equal(writer.runs.length, 1);
+});
+
+test('a request that no upstream ran costs its account nothing', async () => {
+  // Guards against an account that is refused for what it did not get.
+  const upstream = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const limit = {rate_per_s: 200, burst: 2_000};
+  const entry = await startEntry([tenant('rmtp', [KEY], limit)]);
+  upstream.setBehaviour('full');
+  for (let i = 0; i < 15; i++) {
+    const answer = await site.call(entry, '/saldo/1', withKey(KEY));
+    assert.equal(answer.status, 503);
+  }
+  upstream.setBehaviour('answer');
+  const answer = await site.call(entry, '/saldo/1', withKey(KEY));
+  assert.equal(answer.status, 200);
+});
