--- a/src/relay/placement/engine_candidates.ts
+++ b/src/relay/placement/engine_candidates.ts
@@ -135,7 +135,7 @@
     return isFull(id) || host.isFullAtPeer(id) ? 'full' : 'none';
   }
 
-  /** Fails or refuses whatever it gets; others may be slow, it is no use. */
+  /** Failed again when it was tried: not used while others are full, either. */
   const isHopeless = (id: string) =>
     !probation.mayUse(id, troubleOf(id)) && probation.isRepeating(id);
 
