Log and count the limits that upstreams name in their answers

The logs could not tell whether hosts ignore a limit or each keep to it alone: nothing read the header. An answer's head is now read for it, a line is written when a limit begins, changes or ends, and a counter and a gauge show it. No decision depends on it yet. An answer to a request that was sent before the limit was named does not end it: answers overtake each other.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -163,6 +163,17 @@
 
 export type RoleOrderOutcome = 'accepted' | 'fenced' | 'refused' | 'unknown';
 
+/** What an upstream says of itself beside an answer. */
+export interface UpstreamSignals {
+  /** Requests a second that it takes from all hosts together. */
+  readonly limitPerS?: number;
+}
+
+/** Told of each answer that an upstream gave to a request of this host. */
+export interface UpstreamSignalListener {
+  heard(upstream: Upstream, signals: UpstreamSignals, sentAtMs: number): void;
+}
+
 export interface UpstreamPort {
   send(
     request: RelayRequest,
--- a/src/relay/relay_adapters.ts
+++ b/src/relay/relay_adapters.ts
@@ -1,12 +1,14 @@
 /** A platform's own names and formats, behind the product's ports. */
 
 import type {HttpExchange} from '../adapters/http_exchange.js';
+import type {Clock} from '../ports/clock.js';
 import type {Logger} from '../ports/log.js';
 import type {
   HostRegistry,
   RequestReader,
   RoutingSource,
   UpstreamPort,
+  UpstreamSignalListener,
   UpstreamSource,
 } from '../ports/relay.js';
 import type {TablePort} from '../ports/table.js';
@@ -21,7 +23,11 @@
 
 export interface RelayAdapters {
   readonly reader: RequestReader;
-  createUpstreamPort(exchange: HttpExchange): UpstreamPort;
+  createUpstreamPort(host: {
+    readonly clock: Clock;
+    readonly exchange: HttpExchange;
+    readonly signals: UpstreamSignalListener;
+  }): UpstreamPort;
   createSources(host: {
     readonly exchange: HttpExchange;
     readonly storeAddress: string;
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -1,5 +1,6 @@
 /** What a relay process shows of its state, as gauges. */
 
+import type {UpstreamLimits} from './backpressure/upstream_limits.js';
 import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
 import type {PlainPlacement} from './plain/plain_placement.js';
@@ -20,6 +21,7 @@
   readonly registry: UpstreamRegistry;
   readonly placement: RelayPlacement;
   readonly plainPlaces: PlainPlacement;
+  readonly limits: UpstreamLimits;
 }
 
 interface Gauge {
@@ -84,6 +86,11 @@
     help: 'Calls that run or wait by the word of this host.',
     read: ({plainPlaces}) => plainPlaces.keptCount(),
   },
+  {
+    name: 'limited_upstreams',
+    help: 'Upstreams that name a limit in their answers.',
+    read: ({limits}) => limits.limitedCount(),
+  },
   {
     name: 'waiting_streams',
     help: 'Streams that wait for engines.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -14,6 +14,7 @@
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {isQuotaMessage} from './accounts/quota_messages.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
+import {createUpstreamLimits} from './backpressure/upstream_limits.js';
 import {createCrashWatch} from './crash_watch.js';
 import {answerDirectory} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
@@ -254,7 +255,20 @@
     },
     ratioOf: () => settings.retryRatio,
   });
-  const upstreamPort = adapters.createUpstreamPort(exchange);
+  const limits = createUpstreamLimits({
+    clock,
+    log: createLogger('backpressure'),
+  });
+  const upstreamPort = adapters.createUpstreamPort({
+    clock,
+    exchange,
+    signals: {
+      heard({id}, {limitPerS}, sentAtMs) {
+        if (limitPerS !== undefined) metrics.count('limits_named');
+        limits.noteAnswer(id, limitPerS, sentAtMs);
+      },
+    },
+  });
   const crashes = createCrashWatch({
     clock,
     log: createLogger('crashes'),
@@ -408,6 +422,8 @@
   const applyUpstreams = () =>
     applyPlainUpstreams({routing, registry, balancer});
 
+  registry.onLeft(limits.forget);
+
   routing.onChange(({limits}) => {
     front.applyLimits(limits);
     placement.refresh();
@@ -433,6 +449,7 @@
     registry,
     placement,
     plainPlaces,
+    limits,
   });
 
   await front.listen(settings.callerAddress);
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -75,6 +75,8 @@
   /** The list as this host goes by it, for peers. */
   snapshot(): UpstreamSnapshot | undefined;
   onChange(listener: () => void): void;
+  /** An upstream is not in use any more. */
+  onLeft(listener: (id: string) => void): void;
 }
 
 /**
@@ -107,6 +109,7 @@
   /** Upstreams that could not be reached, as they were listed then. */
   const silent = new Map<string, SilentRecord>();
   const listeners: Array<() => void> = [];
+  const leftListeners: Array<(id: string) => void> = [];
   let last: UpstreamSnapshot | undefined;
   let byService = new Map<string, Upstream[]>();
   const outage = createListOutage();
@@ -162,6 +165,7 @@
     silent.delete(id);
     const revision = last?.revision;
     log.info('Upstream left.', {upstream: id, reason, origin, revision});
+    for (const listener of leftListeners) listener(id);
   }
 
   /**
@@ -285,6 +289,9 @@
     onChange(listener) {
       listeners.push(listener);
     },
+    onLeft(listener) {
+      leftListeners.push(listener);
+    },
   };
   return registry;
 }
