A test that fails: upstreams get more than the limits that they name

Three hosts over loopback, two upstreams, one of which names 2 requests a second. It gets 80 and more in a window of 4 s where 17 are allowed, as a plain service, as decode and prefill engine, and where it refuses.

--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -40,6 +40,12 @@
   leftAtMs?: number;
 }
 
+/** A request that reached it, on the steady clock of this process. */
+export interface EngineArrival {
+  readonly requestId: string;
+  readonly atMs: number;
+}
+
 export interface EngineOptions {
   readonly id: string;
   readonly service: string;
@@ -54,6 +60,8 @@
   /** The value of its row in the store. */
   row(state?: 'ready' | 'draining'): object;
   readonly runs: EngineRun[];
+  /** Each request for it, those that it refused among them. */
+  readonly arrivals: readonly EngineArrival[];
   /** Requests that it refused. */
   refusalCount(): number;
   /** Prefill results that it keeps; those that a decode engine took, too. */
@@ -64,6 +72,8 @@
     readonly fence: number;
   }>;
   setBehaviour(behaviour: EngineBehaviour): void;
+  /** Names the limit in all answers; undefined: in none. */
+  setLimit(perS: number | undefined): void;
   /** After this many events of a stream the engine crashes. */
   crashAfterEvents(count: number): void;
   /** After this many events a stream says nothing more, and stays open. */
@@ -80,6 +90,7 @@
 ): Promise<EngineStandIn> {
   const {id, service, eventCount = 5, eventEveryMs = 10} = options;
   const runs: EngineRun[] = [];
+  const arrivals: EngineArrival[] = [];
   const orders: Array<{stage: string; fence: number}> = [];
   const sockets = new Set<Socket>();
   const handles = new Set<string>();
@@ -90,6 +101,7 @@
   let highestFence = 0;
   let heartbeat = 0;
   let refusals = 0;
+  let limitPerS: number | undefined;
 
   function crash(): void {
     server.close();
@@ -120,9 +132,15 @@
     run.leftAtMs ??= performance.now();
   }
 
+  /** What it says of itself in every answer. */
+  function signals(): Record<string, string> {
+    return limitPerS === undefined ? {} : {'Server-Limit': String(limitPerS)};
+  }
+
   function headersFor(run: EngineRun): Record<string, string> {
     const requestId = behaviour === 'wrong-id' ? 'another' : run.requestId;
     return {
+      ...signals(),
       'X-Request-Id': requestId,
       ...(behaviour === 'unsigned' ? {} : {[SIGNATURE]: `signed-by-${id}`}),
     };
@@ -135,6 +153,7 @@
   ): void {
     refusals++;
     response.writeHead(status, {
+      ...signals(),
       'X-Request-Id': String(message.headers['x-request-id']),
       'X-Not-Run': '1',
       'X-Instance-Id': id,
@@ -179,6 +198,8 @@
     body: string,
     response: http.ServerResponse,
   ): void {
+    const requestId = String(message.headers['x-request-id']);
+    arrivals.push({requestId, atMs: performance.now()});
     const expected = message.headers['x-expect-instance'];
     if (expected !== undefined && expected !== id) {
       return refuse(message, response, 421);
@@ -269,6 +290,7 @@
     id,
     address,
     runs,
+    arrivals,
     orders,
     refusalCount: () => refusals,
     heldResults: () => handles.size,
@@ -284,6 +306,9 @@
     setBehaviour(next) {
       behaviour = next;
     },
+    setLimit(perS) {
+      limitPerS = perS;
+    },
     crashAfterEvents(count) {
       crashAfter = count;
     },
--- /dev/null
+++ b/tests/platform/upstream_limit_test.ts
@@ -0,0 +1,138 @@
+/** Upstreams that name a limit in their answers, before several hosts. */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, test} from 'node:test';
+import type {EngineStandIn} from '../../stand_ins/users_platform/engine_stand_in.js';
+import {
+  createSite,
+  makeConfiguration,
+  PROMPT_HEADERS,
+  untilReady,
+  type Entry,
+  type RequestOptions,
+  type Site,
+  type SiteAnswer,
+} from './relay_site.js';
+
+const WINDOW_MS = 4_000;
+const LIMIT_PER_S = 2;
+/** What all hosts that were told may send an upstream in a window. */
+const MOST_IN_WINDOW = 1.5 * LIMIT_PER_S * (WINDOW_MS / 1_000) + 5;
+/** A host has this long to act on an answer that it passed on. */
+const TOLD_MS = 500;
+const HOSTS = 3;
+const CALL_EVERY_MS = 25;
+
+let site: Site;
+let entries: Entry[];
+
+beforeEach(async () => {
+  site = await createSite();
+  entries = [];
+});
+
+afterEach(() => site.close());
+
+async function startEntries(): Promise<void> {
+  site.configure(makeConfiguration());
+  for (let i = 0; i < HOSTS; i++) {
+    const seeds = entries.map(each => each.settings.peerAddress);
+    entries.push(await site.addEntry({seedAddresses: seeds}));
+  }
+  for (const entry of entries) await untilReady(site, entry);
+}
+
+const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** Calls the hosts in turn for so long; resolves with all answers. */
+async function callFor(
+  durationMs: number,
+  path: string,
+  options: RequestOptions,
+): Promise<readonly SiteAnswer[]> {
+  const running: Array<Promise<SiteAnswer>> = [];
+  for (let i = 0; i < durationMs / CALL_EVERY_MS; i++) {
+    running.push(site.call(entries[i % HOSTS], path, options));
+    await wait(CALL_EVERY_MS);
+  }
+  return Promise.all(running);
+}
+
+/** Has each host pass on an answer of each upstream. */
+async function tellAll(
+  upstreams: readonly EngineStandIn[],
+  path: string,
+  options: RequestOptions,
+): Promise<void> {
+  await callFor(1_000, path, options);
+  for (const upstream of upstreams) assert.ok(upstream.arrivals.length > 0);
+  await wait(TOLD_MS);
+}
+
+function mostInWindow({arrivals}: EngineStandIn, sinceMs: number): number {
+  const times = arrivals
+    .map(({atMs}) => atMs)
+    .filter(atMs => atMs >= sinceMs)
+    .sort((a, b) => a - b);
+  return Math.max(
+    0,
+    ...times.map(
+      fromMs =>
+        times.filter(atMs => atMs >= fromMs && atMs < fromMs + WINDOW_MS)
+          .length,
+    ),
+  );
+}
+
+const post = {method: 'POST', body: 'rida=1'};
+const draft = {...post, headers: PROMPT_HEADERS};
+
+test('an upstream gets no more calls than the limit that it names to all hosts', async () => {
+  // Guards against hosts that take no notice of the limit, or each of it alone.
+  const limited = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  const other = await site.addUpstream({id: 'i-2', service: 'ledger'});
+  limited.setLimit(LIMIT_PER_S);
+  await startEntries();
+  await tellAll([limited, other], '/makse/1', post);
+  const sinceMs = performance.now();
+  const answers = await callFor(6_000, '/makse/1', post);
+  const most = mostInWindow(limited, sinceMs);
+  assert.ok(most <= MOST_IN_WINDOW, `${most} in a window`);
+  // The other upstream has room for all of them.
+  assert.ok(answers.every(({status}) => status === 200));
+});
+
+test('engines get no more streams and prompts than the limits that they name', async () => {
+  // Guards against a limit that holds for calls of plain services only.
+  const engines = await Promise.all([
+    site.addUpstream({id: 'p-1', service: 'drafts', role: 'prefill'}),
+    site.addUpstream({id: 'd-1', service: 'drafts', role: 'decode'}),
+  ]);
+  const others = await Promise.all([
+    site.addUpstream({id: 'p-2', service: 'drafts', role: 'prefill'}),
+    site.addUpstream({id: 'd-2', service: 'drafts', role: 'decode'}),
+  ]);
+  for (const engine of engines) engine.setLimit(LIMIT_PER_S);
+  await startEntries();
+  await tellAll([...engines, ...others], '/lisa/1', draft);
+  const sinceMs = performance.now();
+  await callFor(6_000, '/lisa/1', draft);
+  for (const engine of engines) {
+    const most = mostInWindow(engine, sinceMs);
+    assert.ok(most <= MOST_IN_WINDOW, `${most} at ${engine.id} in a window`);
+  }
+});
+
+test('an upstream that refuses with its limit in the refusal is held to it', async () => {
+  // Guards against a limit that is read from answers of success only.
+  const limited = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  await site.addUpstream({id: 'i-2', service: 'ledger'});
+  limited.setLimit(LIMIT_PER_S);
+  limited.setBehaviour('full');
+  await startEntries();
+  await tellAll([limited], '/saldo/1', {});
+  const sinceMs = performance.now();
+  await callFor(6_000, '/saldo/1', {});
+  const most = mostInWindow(limited, sinceMs);
+  assert.ok(most <= MOST_IN_WINDOW, `${most} in a window`);
+});
