Ask one host for its decision: the asking of quotas becomes a part of its own

The limits of upstreams will be decided by one host each, as the buckets of client accounts are. What asks, repeats a lost datagram and gives a repeated ask the same answer is the same for both; what is decided is not. No behaviour changes.

--- a/src/relay/accounts/account_limiter.ts
+++ b/src/relay/accounts/account_limiter.ts
@@ -7,7 +7,8 @@
 import type {Clock} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
 import type {AccountQuota} from './client_account.js';
-import type {QuotaClient} from './quota_client.js';
+import type {AskClient} from '../fleet/ask_client.js';
+import type {QuotaAnswer, QuotaAsk} from './quota_messages.js';
 import {
   fittingShare,
   quotaRetryAfterMs,
@@ -53,7 +54,7 @@
   readonly random: Random;
   readonly ledger: SpendingLedger;
   self(): SpendingHost;
-  readonly client: Pick<QuotaClient, 'ask'>;
+  readonly client: Pick<AskClient<QuotaAsk, QuotaAnswer>, 'ask'>;
   /** The host that keeps the account's bucket, if one is known. */
   ownerOf(account: string): string | undefined;
   /** Whether this host hears what all others let through. */
@@ -198,7 +199,8 @@
     costUnits: number,
     known: KnownLevel,
   ): Promise<LimitVerdict> {
-    const answer = await host.client.ask(owner, account, costUnits);
+    const kind = 'quota-ask';
+    const answer = await host.client.ask(owner, {kind, account, costUnits});
     if (!answer) return decideByShare(known, quota, costUnits);
     if (answer.isGranted) return {kind: 'allowed'};
     return refuse(answer.levelUnits, 'owner', 0, quota, costUnits);
--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -1,9 +1,11 @@
 /** What holds client accounts to their keys and limits, put together. */
 
-import {hashText} from '../../core/hash_text.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
+import {createAskClient, FIRST_ASK_IDS} from '../fleet/ask_client.js';
+import {createAskDesk} from '../fleet/ask_desk.js';
+import {rankOwners} from '../fleet/owners.js';
 import type {Peer, Summary} from '../fleet/peer_datagrams.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {RoutingState} from '../routing_state.js';
@@ -13,9 +15,8 @@
   type AccountAdmissionOptions,
 } from './account_admission.js';
 import {createAccountLimiter} from './account_limiter.js';
-import {createQuotaClient} from './quota_client.js';
-import type {QuotaMessage} from './quota_messages.js';
-import {createQuotaOwner} from './quota_owner.js';
+import {answerQuotaAsk} from './quota_desk.js';
+import type {QuotaAnswer, QuotaAsk, QuotaMessage} from './quota_messages.js';
 import {
   createConfigurationFreshness,
   type ConfigurationFreshness,
@@ -59,9 +60,6 @@
   receive(fromHostId: string, message: QuotaMessage): void;
 }
 
-/** The first ask of a life is drawn from this many numbers. */
-const FIRST_ASK_IDS = 2 ** 31;
-
 export function createRelayAccounts(
   host: RelayAccountsHost,
   options: AccountAdmissionOptions,
@@ -82,22 +80,25 @@
   }
 
   function receive(fromHostId: string, message: QuotaMessage): void {
-    if (message.kind === 'quota-ask') owner.receive(fromHostId, message);
+    if (message.kind === 'quota-ask') desk.receive(fromHostId, message);
     else client.receive(fromHostId, message);
   }
 
   /** The same at all hosts that know the same ones. */
-  function ownerOf(account: string): string | undefined {
-    const ranked = host
-      .hearingAll()
-      .map(hostId => ({hostId, rank: hashText(`quota|${account}|${hostId}`)}))
-      .sort((a, b) => a.rank - b.rank);
-    return ranked.at(0)?.hostId;
-  }
+  const ownerOf = (account: string) =>
+    rankOwners('quota', account, host.hearingAll()).at(0);
 
   const firstAskId = random.nextInt(FIRST_ASK_IDS);
-  const client = createQuotaClient({clock, firstAskId, tell});
-  const owner = createQuotaOwner({clock, ledger, tell});
+  const client = createAskClient<QuotaAsk, QuotaAnswer>({
+    clock,
+    firstAskId,
+    tell,
+  });
+  const desk = createAskDesk<QuotaAsk, QuotaAnswer>({
+    clock,
+    decide: (fromHostId, ask) => answerQuotaAsk(ledger, fromHostId, ask),
+    tell,
+  });
   const limiter = createAccountLimiter({
     clock,
     random,
--- a/src/relay/placement/relay_placement.ts
+++ b/src/relay/placement/relay_placement.ts
@@ -11,6 +11,7 @@
   createEngineScheduler,
   type EngineScheduler,
 } from './engine_scheduler.js';
+import {FIRST_ASK_IDS} from '../fleet/ask_client.js';
 import type {Member} from '../fleet/members.js';
 import type {Peer, Summary, WaitingRecord} from '../fleet/peer_datagrams.js';
 import {createPeerView, type FoundUpstreams} from './peer_view.js';
@@ -82,9 +83,6 @@
  */
 const TOLD_LOAD_VALID_MS = 3_000;
 
-/** The first ask of a life is drawn from this many numbers. */
-const FIRST_ASK_IDS = 2 ** 31;
-
 export function createRelayPlacement(host: RelayPlacementHost): RelayPlacement {
   const {clock, random, createLogger, hostId, routing, registry} = host;
   const books = createEngineBooks();
--- a/src/relay/plain/plain_placement.ts
+++ b/src/relay/plain/plain_placement.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
 import type {PlainBalancer} from '../../scheduling/plain_balancer.js';
+import {FIRST_ASK_IDS} from '../fleet/ask_client.js';
 import {createSlotClient, type SlotClient} from './slot_client.js';
 import {createSlotDesk} from './slot_desk.js';
 import type {SlotMessage} from './slot_messages.js';
@@ -31,9 +32,6 @@
   keptCount(): number;
 }
 
-/** The first ask of a life is drawn from this many numbers. */
-const FIRST_ASK_IDS = 2 ** 31;
-
 export function createPlainPlacement(host: PlainPlacementHost): PlainPlacement {
   const {clock, random, hostId, registry, balancer} = host;
 
--- a/tests/relay/accounts/quota_fleet.ts
+++ b/tests/relay/accounts/quota_fleet.ts
@@ -13,14 +13,19 @@
   type AccountLimiter,
 } from '../../../src/relay/accounts/account_limiter.js';
 import type {AccountQuota} from '../../../src/relay/accounts/client_account.js';
-import {createQuotaClient} from '../../../src/relay/accounts/quota_client.js';
-import type {QuotaMessage} from '../../../src/relay/accounts/quota_messages.js';
-import {createQuotaOwner} from '../../../src/relay/accounts/quota_owner.js';
+import {answerQuotaAsk} from '../../../src/relay/accounts/quota_desk.js';
+import type {
+  QuotaAnswer,
+  QuotaAsk,
+  QuotaMessage,
+} from '../../../src/relay/accounts/quota_messages.js';
 import {
   createSpendingLedger,
   type SpendingHost,
   type SpendingLedger,
 } from '../../../src/relay/accounts/spending_ledger.js';
+import {createAskClient} from '../../../src/relay/fleet/ask_client.js';
+import {createAskDesk} from '../../../src/relay/fleet/ask_desk.js';
 
 export const ACCOUNT = 'rmtp';
 /** A small account: about seven streams a second fit. */
@@ -100,8 +105,16 @@
       deliver(index, to, () => hosts[to].receive(hostId, message));
     };
     const firstAskId = lives * 1_000_000;
-    const client = createQuotaClient({clock, firstAskId, tell});
-    const owner = createQuotaOwner({clock, ledger, tell});
+    const client = createAskClient<QuotaAsk, QuotaAnswer>({
+      clock,
+      firstAskId,
+      tell,
+    });
+    const desk = createAskDesk<QuotaAsk, QuotaAnswer>({
+      clock,
+      decide: (from, ask) => answerQuotaAsk(ledger, from, ask),
+      tell,
+    });
     const limiter = createAccountLimiter({
       clock,
       random,
@@ -118,7 +131,7 @@
       ledger,
       self,
       receive(fromHostId, message) {
-        if (message.kind === 'quota-ask') owner.receive(fromHostId, message);
+        if (message.kind === 'quota-ask') desk.receive(fromHostId, message);
         else client.receive(fromHostId, message);
       },
     };
