Keep to the limits that upstreams name, over all hosts together

What callers and upstreams saw: an upstream in need named 2 requests a second and got its usual share, 44 in 4 s where 19 are allowed.

A limit that each host keeps to by itself (2) would have come next: nine hosts with 2 a second are 18. Calls under way (3) are ruled out: the excess went on for seconds.

Class: a bound for all hosts together that no single host can see. All sends and prefills go through one port, so that streams, prefill engines and retries are held, too. A call that finds no upstream that takes more waits for a place for a while, or is refused at once with the time of the next one.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -70,6 +70,12 @@
 export type SendFailure =
   /** No connection was made, or it ended before a byte was written. */
   | {readonly kind: 'unreachable'; readonly detail: string}
+  /** Nothing was sent: the upstream asks for fewer requests. */
+  | {
+      readonly kind: 'withheld';
+      readonly detail: string;
+      readonly retryAfterMs: number;
+    }
   /** The upstream says that it did not run the request. */
   | {
       readonly kind: 'rejected';
@@ -124,6 +130,8 @@
   readonly prefill?: PrefillResultPlace;
   /** Go on after this event of an earlier run. */
   readonly resumeAfterEvent?: string;
+  /** Longest wait for a place within a limit that the upstream names. */
+  readonly permitWaitMs?: number;
   /** Rank among waiting requests of an engine, 0 first; 5 when absent. */
   readonly enginePriority?: number;
 }
--- /dev/null
+++ b/src/relay/backpressure/gated_upstream_port.ts
@@ -0,0 +1,105 @@
+/** Sends only what the upstreams ask for, whoever sends. */
+
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Random} from '../../ports/random.js';
+import type {
+  Cancellation,
+  RelayRequest,
+  SendFailure,
+  SendOptions,
+  UpstreamPort,
+} from '../../ports/relay.js';
+import type {RelayMetrics} from '../relay_metrics.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
+import type {GateVerdict, LimitGate} from './limit_gate.js';
+
+export interface GatedUpstreamPortHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly metrics: Pick<RelayMetrics, 'count'>;
+  readonly port: UpstreamPort;
+  readonly gate: LimitGate;
+  readonly registry: Pick<UpstreamRegistry, 'getOpen'>;
+}
+
+/** Callers that were refused return over this part of the wait. */
+const RETURN_SPREAD = 0.5;
+const MIN_RETRY_AFTER_MS = 150;
+
+const LEAVING = {kind: 'withheld', waitMs: 0, by: 'leaving'} as const;
+
+type Send<Outcome> = (
+  request: RelayRequest,
+  options: SendOptions,
+  cancellation: Cancellation,
+) => Promise<Outcome | SendFailure>;
+
+export function createGatedUpstreamPort(
+  host: GatedUpstreamPortHost,
+): UpstreamPort {
+  const {clock, random, log, metrics, port, gate, registry} = host;
+
+  function withhold(
+    request: RelayRequest,
+    {upstream}: SendOptions,
+    {waitMs, by}: Extract<GateVerdict, {kind: 'withheld'}>,
+  ): SendFailure {
+    metrics.count('sends_withheld', `by="${by}"`);
+    log.info('Request held back.', {
+      request: request.requestId,
+      upstream: upstream.id,
+      by,
+      waitMs: Math.round(waitMs),
+    });
+    const spreadMs = waitMs * (1 + RETURN_SPREAD * random.nextFloat());
+    return {
+      kind: 'withheld',
+      detail: 'The upstream takes no more for now.',
+      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, spreadMs),
+    };
+  }
+
+  /** Resolves early when the caller leaves. */
+  function pause(waitMs: number, cancellation: Cancellation): Promise<void> {
+    if (waitMs <= 0) return Promise.resolve();
+    return new Promise(resolve => {
+      const timer = clock.setTimer(waitMs, resolve);
+      cancellation.onCancel(() => {
+        clock.clearTimer(timer);
+        resolve();
+      });
+    });
+  }
+
+  const gated =
+    <Outcome>(send: Send<Outcome>): Send<Outcome> =>
+    async (request, options, cancellation) => {
+      const {upstream, permitWaitMs = 0} = options;
+      const askedAtMs = clock.nowMs();
+      const verdict = await gate.admit(upstream.id, permitWaitMs);
+      if (verdict.kind === 'withheld') {
+        return withhold(request, options, verdict);
+      }
+      await pause(verdict.waitMs, cancellation);
+      if (cancellation.isCancelled) return {kind: 'cancelled'};
+      const waitedMs = clock.nowMs() - askedAtMs;
+      // It may have begun to leave meanwhile.
+      if (waitedMs > 0 && !registry.getOpen(upstream.id)) {
+        return withhold(request, options, LEAVING);
+      }
+      const {leftMs, headTimeoutMs} = options;
+      return send(
+        request,
+        {
+          ...options,
+          leftMs: Math.max(0, leftMs - waitedMs),
+          headTimeoutMs: Math.max(0, headTimeoutMs - waitedMs),
+        },
+        cancellation,
+      );
+    };
+
+  return {...port, send: gated(port.send), prefill: gated(port.prefill)};
+}
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -1,5 +1,7 @@
 /** What goes between the relays of a deployment, and how it is read. */
 
+import type {PermitMessage} from '../backpressure/permit_messages.js';
+import type {LimitRecord} from '../backpressure/upstream_limits.js';
 import type {LossFact} from '../../request/quarantine.js';
 import type {HostLoad} from '../placement/host_load.js';
 import type {AccountLevel} from '../accounts/quota_rules.js';
@@ -36,6 +38,8 @@
   readonly learned: LearnedSums;
   /** Requests that crashed engines. */
   readonly losses: readonly LossFact[];
+  /** Limits that upstreams name; absent from hosts of an earlier version. */
+  readonly limits?: readonly LimitRecord[];
 }
 
 /** The part of a datagram that the relay fills in. */
@@ -107,7 +111,8 @@
 }
 
 /** What one host tells another that is meant for it alone. */
-export type PeerMessage = PlacementMessage | SlotMessage | QuotaMessage;
+export type PeerMessage =
+  PlacementMessage | SlotMessage | QuotaMessage | PermitMessage;
 
 /** A message to one peer. */
 export interface Letter {
@@ -129,8 +134,8 @@
 function hasFindings(value: Record<string, unknown>): boolean {
   const {suspects, unreachable, changing, losses, learned} = value;
   const {routingAges, upstreamAges, listDeltas, sequence} = value;
-  const {routingCompleteUntilMs} = value;
-  const lists = [suspects, unreachable, changing, losses, listDeltas];
+  const {routingCompleteUntilMs, limits = []} = value;
+  const lists = [suspects, unreachable, changing, losses, listDeltas, limits];
   const hasLists = lists.every(list => Array.isArray(list));
   const hasAges = isObject(routingAges) && isObject(upstreamAges);
   const hasLearned = isObject(learned) && Object.values(learned).every(isSums);
--- a/src/relay/placement/engine_candidates.ts
+++ b/src/relay/placement/engine_candidates.ts
@@ -44,8 +44,8 @@
   prefillInNeed(service: string): readonly Upstream[];
   noteFailure(engineId: string): void;
   noteSuccess(engineId: string): void;
-  /** The engine refused a request. */
-  noteFull(engineId: string): void;
+  /** The engine refused a request; it is left out for `forMs` if it says so. */
+  noteFull(engineId: string, forMs?: number): void;
   /** The engine took a request. */
   noteTaken(engineId: string): void;
   /** The engine refused a request that is for the other role. */
@@ -147,10 +147,16 @@
     return open.length > 0 ? open : engines;
   }
 
-  function noteFull(id: string): void {
-    const count = (refusals.get(id)?.count ?? 0) + 1;
+  function noteFull(id: string, forMs?: number): void {
+    const before = refusals.get(id)?.count ?? 0;
+    const nowMs = clock.nowMs();
+    if (forMs !== undefined) {
+      refusals.set(id, {count: before, untilMs: nowMs + forMs});
+      return;
+    }
+    const count = before + 1;
     const durationMs = Math.min(FULL_FOR_MS * 2 ** (count - 1), MOST_FULL_MS);
-    refusals.set(id, {count, untilMs: clock.nowMs() + durationMs});
+    refusals.set(id, {count, untilMs: nowMs + durationMs});
   }
 
   /** A full engine is left out elsewhere, where that is asked for. */
--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -123,8 +123,11 @@
   release(run: DecodeRun): void;
   noteFailure(engineId: string): void;
   noteSuccess(engineId: string): void;
-  /** The engine refused a request, for lack of room as a rule. */
-  noteFull(engineId: string): void;
+  /**
+   * The engine refused a request, for lack of room as a rule; it is left out
+   * for `forMs` if it says so.
+   */
+  noteFull(engineId: string, forMs?: number): void;
   /** The engine took a request. */
   noteTaken(engineId: string): void;
   /** The engine refused a request that is for the other role. */
@@ -380,8 +383,8 @@
       host.onChange();
     },
     noteSuccess: candidates.noteSuccess,
-    noteFull(engineId) {
-      candidates.noteFull(engineId);
+    noteFull(engineId, forMs) {
+      candidates.noteFull(engineId, forMs);
       host.onChange();
     },
     noteTaken: candidates.noteTaken,
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -39,6 +39,8 @@
   readonly slots: SlotClient;
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryBudget;
+  /** How long an upstream takes nothing more from this host; 0: it may. */
+  heldMs(upstreamId: string): number;
   /** A run broke off. */
   onBroken(job: RelayJob, upstream: Upstream): void;
 }
@@ -60,6 +62,11 @@
 const FULL_RETRY_MS = 100;
 const UNREACHABLE_RETRY_MS = 300;
 const SERVER_ERROR = 500;
+/**
+ * Part of a caller's patience that its call may wait for a place within an
+ * upstream's limit. A longer queue would make all that wait in it late.
+ */
+const PERMIT_WAIT_SHARE = 0.5;
 /** Tries that reached nobody cost no upstream anything; this bounds the time. */
 const MAX_SENDS = 5;
 
@@ -74,6 +81,12 @@
 
 type Step = 'done' | 'again' | 'stop';
 
+interface Choice {
+  /** Upstreams that are not to be used. */
+  readonly avoid: ReadonlySet<string>;
+  readonly permitWaitMs: number;
+}
+
 export function createPlainRelay(host: PlainRelayHost): PlainRelay {
   const {clock, upstreamPort, slots, registry, retryBudget} = host;
 
@@ -102,6 +115,24 @@
     return retryBudget.tryTake(job.service.name);
   }
 
+  /**
+   * Upstreams that take nothing more for now are left out while others are
+   * there; without any other the call waits for one of them for a while.
+   */
+  function findChoice(
+    job: RelayJob,
+    progress: Progress,
+    {waiting}: SlotNeed,
+  ): Choice {
+    const {name} = job.service;
+    const {tried} = progress;
+    const held = registry.open(name).filter(({id}) => host.heldMs(id) > 0);
+    const avoid = new Set([...tried, ...held.map(({id}) => id)]);
+    if (slots.hasOther(name, avoid)) return {avoid, permitWaitMs: 0};
+    const leftMs = Math.max(0, waiting.giveUpAtMs - clock.nowMs());
+    return {avoid: tried, permitWaitMs: leftMs * PERMIT_WAIT_SHARE};
+  }
+
   function headTimeoutMs(job: RelayJob, progress: Progress): number {
     const untilDeadlineMs = leftMs(job.deadlineAtMs, clock.nowMs());
     const isLast =
@@ -119,6 +150,7 @@
     job: RelayJob,
     progress: Progress,
     {upstream, end}: Slot,
+    permitWaitMs: number,
   ): Promise<Step> {
     const {request, cancellation} = job;
     const startedAtMs = clock.nowMs();
@@ -131,6 +163,7 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         headTimeoutMs: headTimeoutMs(job, progress),
         mayReuseConnection: job.route.kind === 'idempotent',
+        permitWaitMs,
       },
       cancellation,
     );
@@ -159,6 +192,9 @@
           retryAfterMs: UNREACHABLE_RETRY_MS,
         };
         return 'again';
+      case 'withheld':
+        progress.failure = toOverload(progress.failure, failure);
+        return 'again';
       case 'rejected':
         if (failure.reason === 'other-instance') registry.markGone(upstream.id);
         progress.failure = {
@@ -272,18 +308,18 @@
         clock.nowMs() < job.deadlineAtMs &&
         !job.cancellation.isCancelled
       ) {
-        if (progress.sends === 0 && job.admitted.isWithdrawn()) {
+        if (progress.ran.length === 0 && job.admitted.isWithdrawn()) {
           progress.failure = KEY_WITHDRAWN;
           break;
         }
-        const slot = await slots.take(
-          toNeed(job),
-          progress.tried,
-          job.cancellation,
-        );
+        const need = toNeed(job);
+        const {avoid, permitWaitMs} = findChoice(job, progress, need);
+        // A keeper of slots would let the call wait for upstreams it avoids.
+        if (!slots.hasOther(job.service.name, avoid)) break;
+        const slot = await slots.take(need, avoid, job.cancellation);
         if (slot.kind === 'refused') progress.failure = slot.error;
         if (slot.kind !== 'slot') break;
-        const step = await sendOnce(job, progress, slot);
+        const step = await sendOnce(job, progress, slot, permitWaitMs);
         if (step === 'done') {
           return {end: 'answered', upstreams: progress.ran};
         }
@@ -294,6 +330,20 @@
   };
 }
 
+/** The caller is to come back when the first upstream takes another call. */
+function toOverload(
+  before: RequestError,
+  {detail, retryAfterMs}: Extract<SendFailure, {kind: 'withheld'}>,
+): RequestError {
+  const earlierMs =
+    before.kind === 'overloaded' ? before.retryAfterMs : undefined;
+  return {
+    kind: 'overloaded',
+    detail,
+    retryAfterMs: Math.min(retryAfterMs, earlierMs ?? retryAfterMs),
+  };
+}
+
 function toResult(failure: SendFailure): PlainCallResult {
   switch (failure.kind) {
     case 'unreachable':
@@ -301,6 +351,7 @@
       return 'failed';
     case 'rejected':
       return failure.reason === 'full' ? 'cancelled' : 'failed';
+    case 'withheld':
     case 'cancelled':
       return 'cancelled';
   }
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -14,7 +14,9 @@
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {isQuotaMessage} from './accounts/quota_messages.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
-import {createUpstreamLimits} from './backpressure/upstream_limits.js';
+import {createBackpressure} from './backpressure/backpressure.js';
+import {createGatedUpstreamPort} from './backpressure/gated_upstream_port.js';
+import {isPermitMessage} from './backpressure/permit_messages.js';
 import {createCrashWatch} from './crash_watch.js';
 import {answerDirectory} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
@@ -110,6 +112,21 @@
     },
     settings,
   );
+  const backpressure = createBackpressure({
+    clock,
+    random,
+    log: createLogger('backpressure'),
+    metrics,
+    hostId: settings.hostId,
+    registry,
+    hostIds: () =>
+      peers
+        .members()
+        .filter(({state}) => state !== 'leaving')
+        .map(({hostId}) => hostId),
+    tell: (hostId, message) => peers.tell(hostId, message),
+    onChange: () => peers.changed('coordinators'),
+  });
   const readers = createStoreReaders({
     hostId: settings.hostId,
     peers: () => peers.alive(),
@@ -166,6 +183,7 @@
         ...ownFindings(),
         full: scheduler.full(),
         losses: crashes.facts(),
+        limits: backpressure.limits.own(),
         adoptedAskIds: placement.adoptedAskIds(),
         spending: accounts.spending(),
         aliveMs: accounts.aliveMs(),
@@ -176,6 +194,7 @@
         ...placement.found(ownFindings()),
         learned: learning.total(),
         losses: crashes.facts(),
+        limits: backpressure.limits.found(),
         load: hasLoad ? books.total() : undefined,
         accountLevels: accounts.nearLimit(),
       }),
@@ -184,6 +203,7 @@
         accounts.heard(peer);
         watch.hear(peer);
         crashes.learn(peer.losses);
+        backpressure.limits.hear(peer.limits ?? [], 'peer');
         if (peer.unreachable.length > MOST_SUSPECTS) return;
         learnUnreachable(peer.unreachable);
       },
@@ -192,6 +212,7 @@
         accounts.told(fromHostId, summary);
         watch.hear(summary);
         crashes.learn(summary.losses);
+        backpressure.limits.hear(summary.limits ?? [], 'relayed');
         learnUnreachable(summary.unreachable);
       },
       onMembers: placement.refresh,
@@ -201,7 +222,9 @@
       onMessage(fromHostId, message) {
         if (isSlotMessage(message)) plainPlaces.receive(fromHostId, message);
         else if (isQuotaMessage(message)) accounts.receive(fromHostId, message);
-        else placement.receive(fromHostId, message);
+        else if (isPermitMessage(message)) {
+          backpressure.receive(fromHostId, message);
+        } else placement.receive(fromHostId, message);
       },
       onPeerUnheard: placement.unheard,
       onPeerGone(hostId) {
@@ -255,19 +278,19 @@
     },
     ratioOf: () => settings.retryRatio,
   });
-  const limits = createUpstreamLimits({
+  const {gate} = backpressure;
+  const upstreamPort = createGatedUpstreamPort({
     clock,
+    random,
     log: createLogger('backpressure'),
-  });
-  const upstreamPort = adapters.createUpstreamPort({
-    clock,
-    exchange,
-    signals: {
-      heard({id}, {limitPerS}, sentAtMs) {
-        if (limitPerS !== undefined) metrics.count('limits_named');
-        limits.noteAnswer(id, limitPerS, sentAtMs);
-      },
-    },
+    metrics,
+    port: adapters.createUpstreamPort({
+      clock,
+      exchange,
+      signals: backpressure.signals,
+    }),
+    gate,
+    registry,
   });
   const crashes = createCrashWatch({
     clock,
@@ -330,7 +353,11 @@
     log: createLogger('request'),
     metrics,
     routing,
-    plain: createPlainRelay({...shared, slots: plainPlaces.slots}),
+    plain: createPlainRelay({
+      ...shared,
+      slots: plainPlaces.slots,
+      heldMs: gate.heldMs,
+    }),
     streams: createStreamRelay({
       ...shared,
       log: createLogger('stream'),
@@ -422,8 +449,6 @@
   const applyUpstreams = () =>
     applyPlainUpstreams({routing, registry, balancer});
 
-  registry.onLeft(limits.forget);
-
   routing.onChange(({limits}) => {
     front.applyLimits(limits);
     placement.refresh();
@@ -449,7 +474,7 @@
     registry,
     placement,
     plainPlaces,
-    limits,
+    limits: backpressure.limits,
   });
 
   await front.listen(settings.callerAddress);
--- a/src/relay/streams/counted_calls.ts
+++ b/src/relay/streams/counted_calls.ts
@@ -33,6 +33,10 @@
   kind: 'spent',
   detail: 'The retries of the service are used up.',
 };
+const NOT_SENT: ReadonlySet<string> = new Set<SendFailure['kind']>([
+  'unreachable',
+  'withheld',
+]);
 /** A prompt that is read once more, and the run itself. */
 const CALLS_OF_A_RUN = 2;
 
@@ -46,8 +50,8 @@
     const isExtra = state.countedCalls > 0;
     if (isExtra && !budget.tryTake(service)) return SPENT;
     const outcome = await call();
-    // A connection that was never made cost no engine anything.
-    if (outcome.kind !== 'unreachable' && isCounted(outcome)) {
+    // What was never sent cost no engine anything.
+    if (!NOT_SENT.has(outcome.kind) && isCounted(outcome)) {
       state.countedCalls++;
     } else if (isExtra) {
       budget.giveBack(service);
--- a/src/relay/streams/engine_failures.ts
+++ b/src/relay/streams/engine_failures.ts
@@ -60,6 +60,9 @@
         case 'rejected':
           REJECTIONS[failure.reason]?.(host, engine.id);
           return;
+        case 'withheld':
+          scheduler.noteFull(engine.id, failure.retryAfterMs);
+          return;
         case 'cancelled':
           return;
       }
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -186,6 +186,14 @@
           failure = {kind: 'no-upstream', detail: outcome.detail};
           if (!moveOn(state)) return notRun(failure);
           break;
+        case 'withheld': {
+          const {detail, retryAfterMs} = outcome;
+          failures.note(decode, outcome);
+          state.avoid.add(decode.id);
+          failure = {kind: 'overloaded', detail, retryAfterMs};
+          if (!moveOn(state)) return notRun(failure);
+          break;
+        }
         case 'rejected':
           failures.note(decode, outcome);
           failure = {kind: 'overloaded', detail: outcome.detail};
--- a/tests/relay/backpressure/upstream_limits_test.ts
+++ b/tests/relay/backpressure/upstream_limits_test.ts
@@ -6,7 +6,13 @@
 
 function makeLimits() {
   const clock = createVirtualClock(1_000);
-  return {clock, limits: createUpstreamLimits({clock, log: silentLog})};
+  const limits = createUpstreamLimits({
+    clock,
+    log: silentLog,
+    isKnown: () => true,
+    onChange: () => undefined,
+  });
+  return {clock, limits};
 }
 
 test('an answer that overtakes the one that names the limit does not end it', async () => {
