Log and count upstreams that say that they leave or ask for rest

The logs could not tell whether hosts never learn it or lose it: no line had what the answers say. Each new word of an upstream is a line now, and one counter has all of them by kind. No decision depends on it yet.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -175,6 +175,10 @@
 export interface UpstreamSignals {
   /** Requests a second that it takes from all hosts together. */
   readonly limitPerS?: number;
+  /** It leaves and is to get no new work. */
+  readonly isLeaving?: true;
+  /** It refused, and wants nothing from this host for so long. */
+  readonly restMs?: number;
 }
 
 /** Told of each answer that an upstream gave to a request of this host. */
--- a/src/relay/backpressure/backpressure.ts
+++ b/src/relay/backpressure/backpressure.ts
@@ -16,6 +16,7 @@
   PermitMessage,
 } from './permit_messages.js';
 import {createPermitSchedule} from './permit_schedule.js';
+import {createSignalLog} from './signal_log.js';
 import {createUpstreamLimits, type UpstreamLimits} from './upstream_limits.js';
 
 export interface BackpressureHost {
@@ -54,6 +55,7 @@
     firstAskId: random.nextInt(FIRST_ASK_IDS),
     tell: host.tell,
   });
+  const signalLog = createSignalLog({clock, log, metrics});
   const owners = (id: string) => rankOwners('limit', id, host.hostIds());
   const schedule = createPermitSchedule({clock});
   const gate = createLimitGate({
@@ -71,6 +73,7 @@
   });
   registry.onLeft(id => {
     limits.forget(id);
+    signalLog.forget(id);
     gate.forget(id);
   });
 
@@ -79,9 +82,9 @@
     limits,
     owners,
     signals: {
-      heard({id}, {limitPerS}, sentAtMs) {
-        if (limitPerS !== undefined) metrics.count('limits_named');
-        limits.noteAnswer(id, limitPerS, sentAtMs);
+      heard({id}, signals, sentAtMs) {
+        signalLog.note(id, signals);
+        limits.noteAnswer(id, signals.limitPerS, sentAtMs);
       },
     },
     receive(fromHostId, message) {
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -27,7 +27,7 @@
   store_calls: 'Calls to the platform store, by call and outcome.',
   log_lines_dropped: 'Log lines that were left out.',
   account_refusals: 'Requests refused for their key or limit, by reason.',
-  limits_named: 'Answers in which upstreams name a limit.',
+  upstream_signals: 'Answers in which upstreams say something of themselves.',
   sends_withheld: 'Sends held back as upstreams ask for less, by reason.',
   role_orders: 'Orders to engines to change their role, by outcome.',
 } as const;
