--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -74,6 +74,10 @@
   setBehaviour(behaviour: EngineBehaviour): void;
   /** Names the limit in all answers; undefined: in none. */
   setLimit(perS: number | undefined): void;
+  /** Says in all answers that it leaves. */
+  setLeaving(): void;
+  /** Asks for so much rest in each refusal for lack of room. */
+  setRest(seconds: number | undefined): void;
   /** After this many events of a stream the engine crashes. */
   crashAfterEvents(count: number): void;
   /** After this many events a stream says nothing more, and stays open. */
@@ -102,6 +106,8 @@
   let heartbeat = 0;
   let refusals = 0;
   let limitPerS: number | undefined;
+  let isLeaving = false;
+  let restSeconds: number | undefined;
 
   function crash(): void {
     server.close();
@@ -134,7 +140,10 @@
 
   /** What it says of itself in every answer. */
   function signals(): Record<string, string> {
-    return limitPerS === undefined ? {} : {'Server-Limit': String(limitPerS)};
+    return {
+      ...(limitPerS === undefined ? {} : {'Server-Limit': String(limitPerS)}),
+      ...(isLeaving ? {'Server-Leaving': '1'} : {}),
+    };
   }
 
   function headersFor(run: EngineRun): Record<string, string> {
@@ -152,8 +161,10 @@
     status: number,
   ): void {
     refusals++;
+    const isResting = status === 503 && restSeconds !== undefined;
     response.writeHead(status, {
       ...signals(),
+      ...(isResting ? {'Retry-After': String(restSeconds)} : {}),
       'X-Request-Id': String(message.headers['x-request-id']),
       'X-Not-Run': '1',
       'X-Instance-Id': id,
@@ -309,6 +320,12 @@
     setLimit(perS) {
       limitPerS = perS;
     },
+    setLeaving() {
+      isLeaving = true;
+    },
+    setRest(seconds) {
+      restSeconds = seconds;
+    },
     crashAfterEvents(count) {
       crashAfter = count;
     },
--- a/tests/platform/relay_site.ts
+++ b/tests/platform/relay_site.ts
@@ -56,6 +56,7 @@
 }
 
 let nextRequest = 1;
+const CALL_EVERY_MS = 25;
 
 function exchange(
   address: string,
@@ -180,6 +181,26 @@
   return site;
 }
 
+export const wait = (ms: number) =>
+  new Promise<void>(resolve => setTimeout(resolve, ms));
+
+/** Calls the entries in turn for so long; resolves with all answers. */
+export async function callFor(
+  site: Site,
+  entries: readonly Entry[],
+  durationMs: number,
+  path: string,
+  options: RequestOptions = {},
+): Promise<readonly SiteAnswer[]> {
+  const endAtMs = performance.now() + durationMs;
+  const running: Array<Promise<SiteAnswer>> = [];
+  for (let i = 0; performance.now() < endAtMs; i++) {
+    running.push(site.call(entries[i % entries.length], path, options));
+    await wait(CALL_EVERY_MS);
+  }
+  return Promise.all(running);
+}
+
 /** A configuration with one plain and one model service. */
 export function makeConfiguration(changes: object = {}): object {
   const route = (prefix: string, kind: string, service: string, more = {}) => ({
--- a/tests/platform/upstream_limit_test.ts
+++ b/tests/platform/upstream_limit_test.ts
@@ -4,14 +4,15 @@
 import {afterEach, beforeEach, test} from 'node:test';
 import type {EngineStandIn} from '../../stand_ins/users_platform/engine_stand_in.js';
 import {
+  callFor,
   createSite,
   makeConfiguration,
   PROMPT_HEADERS,
   untilReady,
+  wait,
   type Entry,
   type RequestOptions,
   type Site,
-  type SiteAnswer,
 } from './relay_site.js';
 
 const WINDOW_MS = 4_000;
@@ -21,7 +22,6 @@
 /** A host has this long to act on an answer that it passed on. */
 const TOLD_MS = 500;
 const HOSTS = 3;
-const CALL_EVERY_MS = 25;
 
 let site: Site;
 let entries: Entry[];
@@ -42,29 +42,13 @@
   for (const entry of entries) await untilReady(site, entry);
 }
 
-const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
-
-/** Calls the hosts in turn for so long; resolves with all answers. */
-async function callFor(
-  durationMs: number,
-  path: string,
-  options: RequestOptions,
-): Promise<readonly SiteAnswer[]> {
-  const running: Array<Promise<SiteAnswer>> = [];
-  for (let i = 0; i < durationMs / CALL_EVERY_MS; i++) {
-    running.push(site.call(entries[i % HOSTS], path, options));
-    await wait(CALL_EVERY_MS);
-  }
-  return Promise.all(running);
-}
-
 /** Has each host pass on an answer of each upstream. */
 async function tellAll(
   upstreams: readonly EngineStandIn[],
   path: string,
   options: RequestOptions,
 ): Promise<void> {
-  await callFor(1_000, path, options);
+  await callFor(site, entries, 1_000, path, options);
   for (const upstream of upstreams) assert.ok(upstream.arrivals.length > 0);
   await wait(TOLD_MS);
 }
@@ -95,7 +79,7 @@
   await startEntries();
   await tellAll([limited, other], '/makse/1', post);
   const sinceMs = performance.now();
-  const answers = await callFor(6_000, '/makse/1', post);
+  const answers = await callFor(site, entries, 6_000, '/makse/1', post);
   const most = mostInWindow(limited, sinceMs);
   assert.ok(most <= MOST_IN_WINDOW, `${most} in a window`);
   // The other upstream has room for all of them.
@@ -116,7 +100,7 @@
   await startEntries();
   await tellAll([...engines, ...others], '/lisa/1', draft);
   const sinceMs = performance.now();
-  await callFor(6_000, '/lisa/1', draft);
+  await callFor(site, entries, 6_000, '/lisa/1', draft);
   for (const engine of engines) {
     const most = mostInWindow(engine, sinceMs);
     assert.ok(most <= MOST_IN_WINDOW, `${most} at ${engine.id} in a window`);
@@ -132,7 +116,7 @@
   await startEntries();
   await tellAll([limited], '/saldo/1', {});
   const sinceMs = performance.now();
-  await callFor(6_000, '/saldo/1', {});
+  await callFor(site, entries, 6_000, '/saldo/1', {});
   const most = mostInWindow(limited, sinceMs);
   assert.ok(most <= MOST_IN_WINDOW, `${most} in a window`);
 });
