Send nothing to an upstream whose answers say that it leaves

What upstreams saw: 2.2 to 2.9 s after a host had passed on an answer that said so, it still sent calls; 2 s are allowed, also while the store is away.

Cause: only the store's list told who leaves; nothing read it in answers (hypothesis 1: hosts went on at the usual rate until the store was back). Ruled out: calls that waited (sent within 12 ms of their arrival); a mark that is lost (there was none), though one that another instance's refusal leaves does go with the entry, so the new one does not.

Class: knowledge that is taken from one source though a nearer one has it, and a check at the choice only. The word holds for the upstream's life, peers are told, and every send looks once more whether the upstream takes work: prefills did not.

--- a/src/relay/backpressure/backpressure.ts
+++ b/src/relay/backpressure/backpressure.ts
@@ -25,7 +25,7 @@
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly hostId: string;
-  readonly registry: Pick<UpstreamRegistry, 'get' | 'onLeft'>;
+  readonly registry: Pick<UpstreamRegistry, 'get' | 'markLeaving' | 'onLeft'>;
   /** Live hosts that are not about to leave, this one among them. */
   hostIds(): readonly string[];
   tell(hostId: string, message: PermitMessage): void;
@@ -84,6 +84,7 @@
     signals: {
       heard({id}, signals, sentAtMs) {
         signalLog.note(id, signals);
+        if (signals.isLeaving) registry.markLeaving(id);
         limits.noteAnswer(id, signals.limitPerS, sentAtMs);
       },
     },
--- a/src/relay/backpressure/gated_upstream_port.ts
+++ b/src/relay/backpressure/gated_upstream_port.ts
@@ -85,8 +85,8 @@
       await pause(verdict.waitMs, cancellation);
       if (cancellation.isCancelled) return {kind: 'cancelled'};
       const waitedMs = clock.nowMs() - askedAtMs;
-      // It may have begun to leave meanwhile.
-      if (waitedMs > 0 && !registry.getOpen(upstream.id)) {
+      // It may have begun to leave since it was chosen, here or elsewhere.
+      if (!registry.getOpen(upstream.id)) {
         return withhold(request, options, LEAVING);
       }
       const {leftMs, headTimeoutMs} = options;
--- a/src/relay/backpressure/signal_log.ts
+++ b/src/relay/backpressure/signal_log.ts
@@ -26,15 +26,8 @@
 
 export function createSignalLog(host: SignalLogHost): SignalLog {
   const {clock, log, metrics} = host;
-  const leaving = new Set<string>();
   const restUntilMs = new Map<string, number>();
 
-  function noteLeaving(upstream: string): void {
-    if (leaving.has(upstream)) return;
-    leaving.add(upstream);
-    log.info('Upstream says that it leaves.', {upstream});
-  }
-
   /** One line for each time of rest, not for each refusal in it. */
   function noteRest(upstream: string, restMs: number): void {
     const nowMs = clock.nowMs();
@@ -45,16 +38,14 @@
 
   return {
     note(upstream, signals) {
-      const {isLeaving, restMs} = signals;
+      const {restMs} = signals;
       for (const kind of KINDS) {
         if (signals[kind] === undefined) continue;
         metrics.count('upstream_signals', LABELS[kind]);
       }
-      if (isLeaving) noteLeaving(upstream);
       if (restMs !== undefined) noteRest(upstream, restMs);
     },
     forget(upstream) {
-      leaving.delete(upstream);
       restUntilMs.delete(upstream);
     },
   };
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -40,6 +40,8 @@
   readonly losses: readonly LossFact[];
   /** Limits that upstreams name; absent from hosts of an earlier version. */
   readonly limits?: readonly LimitRecord[];
+  /** Upstreams that said that they leave; absent likewise. */
+  readonly leaving?: readonly string[];
 }
 
 /** The part of a datagram that the relay fills in. */
@@ -134,8 +136,9 @@
 function hasFindings(value: Record<string, unknown>): boolean {
   const {suspects, unreachable, changing, losses, learned} = value;
   const {routingAges, upstreamAges, listDeltas, sequence} = value;
-  const {routingCompleteUntilMs, limits = []} = value;
-  const lists = [suspects, unreachable, changing, losses, listDeltas, limits];
+  const {routingCompleteUntilMs, limits = [], leaving = []} = value;
+  const required = [suspects, unreachable, changing, losses, listDeltas];
+  const lists = [...required, limits, leaving];
   const hasLists = lists.every(list => Array.isArray(list));
   const hasAges = isObject(routingAges) && isObject(upstreamAges);
   const hasLearned = isObject(learned) && Object.values(learned).every(isSums);
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -23,6 +23,7 @@
 import type {HostState} from './fleet/members.js';
 import {createPeerExchange} from './fleet/peer_exchange.js';
 import type {OwnState} from './fleet/peer_exchange_types.js';
+import type {UpstreamFindings} from './fleet/peer_datagrams.js';
 import {createPeerHandover} from './fleet/peer_handover.js';
 import {MOST_SUSPECTS, type FoundUpstreams} from './placement/peer_view.js';
 import {createPlainPlacement} from './plain/plain_placement.js';
@@ -184,6 +185,7 @@
         full: scheduler.full(),
         losses: crashes.facts(),
         limits: backpressure.limits.own(),
+        leaving: registry.leaving('self'),
         adoptedAskIds: placement.adoptedAskIds(),
         spending: accounts.spending(),
         aliveMs: accounts.aliveMs(),
@@ -195,6 +197,7 @@
         learned: learning.total(),
         losses: crashes.facts(),
         limits: backpressure.limits.found(),
+        leaving: registry.leaving('any'),
         load: hasLoad ? books.total() : undefined,
         accountLevels: accounts.nearLimit(),
       }),
@@ -204,6 +207,7 @@
         watch.hear(peer);
         crashes.learn(peer.losses);
         backpressure.limits.hear(peer.limits ?? [], 'peer');
+        learnLeaving(peer);
         if (peer.unreachable.length > MOST_SUSPECTS) return;
         learnUnreachable(peer.unreachable);
       },
@@ -213,6 +217,7 @@
         watch.hear(summary);
         crashes.learn(summary.losses);
         backpressure.limits.hear(summary.limits ?? [], 'relayed');
+        learnLeaving(summary);
         learnUnreachable(summary.unreachable);
       },
       onMembers: placement.refresh,
@@ -384,6 +389,11 @@
     for (const id of unreachable) registry.markUnreachable(id, 'peer');
   }
 
+  /** In an outage of the store the list does not show who leaves. */
+  function learnLeaving({leaving: ids = []}: UpstreamFindings): void {
+    for (const id of ids) registry.markLeaving(id, 'peer');
+  }
+
   /**
    * A host that the store serves, for it gets the lease, and that hears all.
    * The last of these: the first ones place for others as a rule.
@@ -457,9 +467,13 @@
     peers.changed(readers.isReader() ? 'all' : 'near');
   });
   let announcedDigest: number | undefined;
+  let announcedLeaving = 0;
   registry.onChange(() => {
     applyUpstreams();
     placement.upstreamsRead();
+    const leavingCount = registry.leaving('self').length;
+    if (leavingCount > announcedLeaving) peers.changed('coordinators');
+    announcedLeaving = leavingCount;
     if (registry.digest() === announcedDigest) return;
     announcedDigest = registry.digest();
     if (readers.isReader()) peers.changed('coordinators');
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -21,8 +21,8 @@
 /** Where a list was read. */
 export type UpstreamOrigin = 'store' | 'peer';
 
-/** Who could not connect. */
-export type UnreachableFinder = 'self' | 'peer';
+/** Who found something out about an upstream. */
+export type UpstreamFinder = 'self' | 'peer';
 
 export interface UpstreamRegistryHost {
   readonly clock: Clock;
@@ -45,11 +45,18 @@
   noteServed(atMs: number): void;
   /** New work must not go there: another instance has its address. */
   markGone(id: string): void;
+  /**
+   * The upstream said that it leaves, whatever the list says of it. That holds
+   * for its life: the list may lose it and have it as ready again.
+   */
+  markLeaving(id: string, finder?: UpstreamFinder): void;
+  /** Those that said so lately: to this host, or to any that it hears. */
+  leaving(finder: UpstreamFinder | 'any'): readonly string[];
   /**
    * No connection could be made, from here or from a peer; it is left out
    * until it gives a sign of life.
    */
-  markUnreachable(id: string, finder?: UnreachableFinder): void;
+  markUnreachable(id: string, finder?: UpstreamFinder): void;
   /** Those that this host found by itself, for the peers. */
   unreachable(): readonly string[];
   /** Whether any is left out since it could not be reached. */
@@ -84,6 +91,11 @@
  * list's own age; a dead one leaves the list after three of them.
  */
 const UNREACHABLE_FOR_MS = 4_000;
+/** Peers are told for this long that an upstream leaves, of the latest ones. */
+const TELL_LEAVING_MS = 10_000;
+const MOST_TOLD = 64;
+/** Remembered at most, the latest ones; an id is never used again. */
+const MOST_LEAVING = 4_096;
 /** A timer may fire this much early by the clock that is read. */
 const TIMER_EARLY_MS = 5;
 /** Failed reads closer together than this are told once. */
@@ -92,10 +104,15 @@
 const digestOf = (upstreams: readonly Upstream[]) =>
   digestList(new Map(upstreams.map(each => [each.id, each])));
 
+interface LeavingRecord {
+  readonly finder: UpstreamFinder;
+  readonly saidAtMs: number;
+}
+
 interface SilentRecord {
   readonly heartbeat: number;
   readonly untilMs: number;
-  readonly finder: UnreachableFinder;
+  readonly finder: UpstreamFinder;
 }
 
 export function createUpstreamRegistry(
@@ -106,6 +123,8 @@
   /** Missing entries that may come back. */
   const lapsed = new Set<string>();
   const gone = new Set<string>();
+  /** Upstreams that said that they leave; kept beyond their entries. */
+  const saidLeaving = new Map<string, LeavingRecord>();
   /** Upstreams that could not be reached, as they were listed then. */
   const silent = new Map<string, SilentRecord>();
   const listeners: Array<() => void> = [];
@@ -129,7 +148,8 @@
     for (const listener of listeners) listener();
   }
 
-  const isLeaving = ({id, isDraining}: Upstream) => isDraining || gone.has(id);
+  const isLeaving = ({id, isDraining}: Upstream) =>
+    isDraining || gone.has(id) || saidLeaving.has(id);
 
   function isSilent({id, heartbeat}: Upstream): boolean {
     const record = silent.get(id);
@@ -253,6 +273,20 @@
       log.info('Upstream taken out.', {upstream: id});
       rebuild();
     },
+    markLeaving(id, finder = 'self') {
+      if (saidLeaving.has(id)) return;
+      saidLeaving.set(id, {finder, saidAtMs: clock.nowMs()});
+      const [oldest] = saidLeaving.keys();
+      if (saidLeaving.size > MOST_LEAVING) saidLeaving.delete(oldest);
+      log.info('Upstream says that it leaves.', {upstream: id, finder});
+      rebuild();
+    },
+    leaving: wanted =>
+      [...saidLeaving]
+        .filter(([, {finder}]) => wanted === 'any' || finder === wanted)
+        .filter(([, {saidAtMs}]) => clock.nowMs() - saidAtMs < TELL_LEAVING_MS)
+        .map(([id]) => id)
+        .slice(-MOST_TOLD),
     markUnreachable(id, finder = 'self') {
       const upstream = entries.get(id);
       if (!upstream || silent.has(id)) return;
--- a/tests/relay/backpressure/limit_fleet.ts
+++ b/tests/relay/backpressure/limit_fleet.ts
@@ -133,7 +133,11 @@
       log: silentLog,
       metrics: {count: () => undefined},
       hostId,
-      registry: {get: id => byId.get(id), onLeft: () => undefined},
+      registry: {
+        get: id => byId.get(id),
+        markLeaving: () => undefined,
+        onLeft: () => undefined,
+      },
       hostIds: knownIds,
       tell(toHostId, message: PermitMessage) {
         const to = hosts.findIndex(each => each.hostId === toHostId);
--- a/tests/relay/store/upstream_registry_test.ts
+++ b/tests/relay/store/upstream_registry_test.ts
@@ -218,3 +218,32 @@
   for (const delta of reader.registry.deltas()) host.registry.applyDelta(delta);
   assert.equal(host.registry.digest(), digest);
 });
+
+test('an upstream that said that it leaves stays out while its entry comes and goes', () => {
+  // Guards against a word that is forgotten with the entry of the list.
+  const {registry, list, open} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  registry.markLeaving('a');
+  assert.deepEqual(open(), ['b']);
+  list(makeUpstream('b'));
+  list(makeUpstream('a'), makeUpstream('b'));
+  assert.deepEqual(open(), ['b']);
+  assert.equal(registry.getOpen('a'), undefined);
+});
+
+test('upstreams that leave are not used when no other is left', () => {
+  // Guards against a service without sound upstreams that uses all it has.
+  const {registry, list, open} = makeRegistry();
+  list(makeUpstream('a'));
+  registry.markLeaving('a');
+  assert.deepEqual(open(), []);
+});
+
+test('peers are told who leaves by the host that was told, and by those that tell all', () => {
+  const {registry, list} = makeRegistry();
+  list(makeUpstream('a'), makeUpstream('b'));
+  registry.markLeaving('a');
+  registry.markLeaving('b', 'peer');
+  assert.deepEqual(registry.leaving('self'), ['a']);
+  assert.deepEqual(registry.leaving('any'), ['a', 'b']);
+});
