Give upstreams the rest that they ask a host for

What callers and upstreams saw: an upstream that turned a host away for 3 s got up to 5 requests from it in that time (2 allowed), and ten callers were refused in 4 s though three other upstreams were sound.

A refusal leaves no call outstanding, no slow answer and no failure, so that the upstream that refuses is as good a choice as any a moment later: it got as many calls as the sound ones, or more, from all hosts alike. Ruled out: second attempts alone (first ones were among them), a rest that is kept for too short (there was none).

Class: a refusal that costs whoever refuses nothing. The rest now holds for all that this host sends there, reports and orders, too; others are chosen meanwhile, and where all rest callers are refused at once until the first is back. Refusals without Retry-After are as before.

--- a/bench/placer_slopes.ts
+++ b/bench/placer_slopes.ts
@@ -103,6 +103,7 @@
       isAwaited: () => false,
     },
     isChanging: () => false,
+    isHeld: () => false,
     onChange: () => undefined,
   });
   let busyMs = 0;
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -74,6 +74,8 @@
   | {
       readonly kind: 'withheld';
       readonly detail: string;
+      /** Whom the upstream asked for it. */
+      readonly scope: 'this-host' | 'all-hosts';
       readonly retryAfterMs: number;
     }
   /** The upstream says that it did not run the request. */
@@ -137,6 +139,7 @@
 }
 
 export interface PrefillResultPlace {
+  readonly engineId: string;
   /** Address of the engine that made it. */
   readonly address: string;
   readonly handle: string;
--- a/src/relay/backpressure/backpressure.ts
+++ b/src/relay/backpressure/backpressure.ts
@@ -9,15 +9,17 @@
 import {rankOwners} from '../fleet/owners.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
-import {createLimitGate, type LimitGate} from './limit_gate.js';
+import {createLimitGate} from './limit_gate.js';
 import type {
   PermitAnswer,
   PermitAsk,
   PermitMessage,
 } from './permit_messages.js';
 import {createPermitSchedule} from './permit_schedule.js';
-import {createSignalLog} from './signal_log.js';
+import {createSendGate, type SendGate} from './send_gate.js';
+import {countSignals} from './signal_counts.js';
 import {createUpstreamLimits, type UpstreamLimits} from './upstream_limits.js';
+import {createUpstreamRests} from './upstream_rests.js';
 
 export interface BackpressureHost {
   readonly clock: Clock;
@@ -25,7 +27,10 @@
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly hostId: string;
-  readonly registry: Pick<UpstreamRegistry, 'get' | 'markLeaving' | 'onLeft'>;
+  readonly registry: Pick<
+    UpstreamRegistry,
+    'get' | 'getOpen' | 'markLeaving' | 'onLeft'
+  >;
   /** Live hosts that are not about to leave, this one among them. */
   hostIds(): readonly string[];
   tell(hostId: string, message: PermitMessage): void;
@@ -34,7 +39,7 @@
 }
 
 export interface Backpressure {
-  readonly gate: LimitGate;
+  readonly gate: SendGate;
   readonly limits: UpstreamLimits;
   readonly signals: UpstreamSignalListener;
   /** Who owns the upstream's limit, first choice first. */
@@ -55,10 +60,10 @@
     firstAskId: random.nextInt(FIRST_ASK_IDS),
     tell: host.tell,
   });
-  const signalLog = createSignalLog({clock, log, metrics});
+  const rests = createUpstreamRests({clock, log});
   const owners = (id: string) => rankOwners('limit', id, host.hostIds());
   const schedule = createPermitSchedule({clock});
-  const gate = createLimitGate({
+  const limitGate = createLimitGate({
     clock,
     hostId,
     limits,
@@ -68,23 +73,25 @@
   });
   const desk = createAskDesk<PermitAsk, PermitAnswer>({
     clock,
-    decide: gate.decide,
+    decide: limitGate.decide,
     tell: host.tell,
   });
   registry.onLeft(id => {
     limits.forget(id);
-    signalLog.forget(id);
-    gate.forget(id);
+    rests.forget(id);
+    limitGate.forget(id);
   });
 
   return {
-    gate,
+    gate: createSendGate({registry, rests, limitGate}),
     limits,
     owners,
     signals: {
       heard({id}, signals, sentAtMs) {
-        signalLog.note(id, signals);
-        if (signals.isLeaving) registry.markLeaving(id);
+        countSignals(metrics, signals);
+        const {isLeaving, restMs} = signals;
+        if (isLeaving) registry.markLeaving(id);
+        if (restMs !== undefined) rests.note(id, restMs);
         limits.noteAnswer(id, signals.limitPerS, sentAtMs);
       },
     },
--- a/src/relay/backpressure/gated_upstream_port.ts
+++ b/src/relay/backpressure/gated_upstream_port.ts
@@ -11,8 +11,8 @@
   UpstreamPort,
 } from '../../ports/relay.js';
 import type {RelayMetrics} from '../relay_metrics.js';
-import type {UpstreamRegistry} from '../store/upstream_registry.js';
-import type {GateVerdict, LimitGate} from './limit_gate.js';
+import type {Withheld} from './limit_gate.js';
+import type {SendGate} from './send_gate.js';
 
 export interface GatedUpstreamPortHost {
   readonly clock: Clock;
@@ -20,16 +20,13 @@
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly port: UpstreamPort;
-  readonly gate: LimitGate;
-  readonly registry: Pick<UpstreamRegistry, 'getOpen'>;
+  readonly gate: SendGate;
 }
 
 /** Callers that were refused return over this part of the wait. */
 const RETURN_SPREAD = 0.5;
 const MIN_RETRY_AFTER_MS = 150;
 
-const LEAVING = {kind: 'withheld', waitMs: 0, by: 'leaving'} as const;
-
 type Send<Outcome> = (
   request: RelayRequest,
   options: SendOptions,
@@ -39,12 +36,12 @@
 export function createGatedUpstreamPort(
   host: GatedUpstreamPortHost,
 ): UpstreamPort {
-  const {clock, random, log, metrics, port, gate, registry} = host;
+  const {clock, random, log, metrics, port, gate} = host;
 
   function withhold(
     request: RelayRequest,
     {upstream}: SendOptions,
-    {waitMs, by}: Extract<GateVerdict, {kind: 'withheld'}>,
+    {waitMs, by}: Withheld,
   ): SendFailure {
     metrics.count('sends_withheld', `by="${by}"`);
     log.info('Request held back.', {
@@ -57,6 +54,7 @@
     return {
       kind: 'withheld',
       detail: 'The upstream takes no more for now.',
+      scope: by === 'rest' ? 'this-host' : 'all-hosts',
       retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, spreadMs),
     };
   }
@@ -85,10 +83,8 @@
       await pause(verdict.waitMs, cancellation);
       if (cancellation.isCancelled) return {kind: 'cancelled'};
       const waitedMs = clock.nowMs() - askedAtMs;
-      // It may have begun to leave since it was chosen, here or elsewhere.
-      if (!registry.getOpen(upstream.id)) {
-        return withhold(request, options, LEAVING);
-      }
+      const blocked = gate.blocked(upstream.id);
+      if (blocked) return withhold(request, options, blocked);
       const {leftMs, headTimeoutMs} = options;
       return send(
         request,
@@ -101,5 +97,20 @@
       );
     };
 
-  return {...port, send: gated(port.send), prefill: gated(port.prefill)};
+  // An upstream that rests wants no calls of any kind.
+  return {
+    ...port,
+    send: gated(port.send),
+    prefill: gated(port.prefill),
+    releasePrefill(place) {
+      if (!gate.isResting(place.engineId)) port.releasePrefill(place);
+    },
+    // It answered a moment ago.
+    isReachable: async upstream =>
+      gate.isResting(upstream.id) || port.isReachable(upstream),
+    report: async upstream =>
+      gate.isResting(upstream.id) ? undefined : port.report(upstream),
+    order: async (upstream, order) =>
+      gate.isResting(upstream.id) ? 'refused' : port.order(upstream, order),
+  };
 }
--- a/src/relay/backpressure/limit_gate.ts
+++ b/src/relay/backpressure/limit_gate.ts
@@ -14,17 +14,19 @@
 import type {UpstreamLimits} from './upstream_limits.js';
 
 /** Why a request is held back; the first three are about a limit. */
-export type WithheldBy = 'owner' | 'earlier-answer' | 'no-owner' | 'leaving';
+export type WithheldBy =
+  'owner' | 'earlier-answer' | 'no-owner' | 'rest' | 'leaving';
+
+export interface Withheld {
+  readonly kind: 'withheld';
+  /** Until the next request could be sent. */
+  readonly waitMs: number;
+  readonly by: WithheldBy;
+}
 
 export type GateVerdict =
   /** It may be sent after this long. */
-  | {readonly kind: 'open'; readonly waitMs: number}
-  | {
-      readonly kind: 'withheld';
-      /** Until the next request could be sent. */
-      readonly waitMs: number;
-      readonly by: WithheldBy;
-    };
+  {readonly kind: 'open'; readonly waitMs: number} | Withheld;
 
 export interface LimitGate {
   admit(
--- a/src/relay/placement/engine_candidates.ts
+++ b/src/relay/placement/engine_candidates.ts
@@ -18,6 +18,8 @@
   isFullAtPeer(engineId: string): boolean;
   /** It was told to change its role. */
   isChanging(engineId: string): boolean;
+  /** It takes nothing from this host for now. */
+  isHeld(engineId: string): boolean;
 }
 
 /** An engine that turned out not to have its listed role. */
@@ -120,9 +122,11 @@
     return false;
   }
 
-  const isFull = (id: string) =>
+  const hasRefused = (id: string) =>
     (refusals.get(id)?.untilMs ?? 0) > clock.nowMs();
 
+  const isFull = (id: string) => hasRefused(id) || host.isHeld(id);
+
   function withoutFull(engines: readonly Upstream[]): readonly Upstream[] {
     return engines.filter(
       ({id}) => !isFull(id) && !host.isFullAtPeer(id) && !isHopeless(id),
@@ -193,7 +197,7 @@
     },
     notePlaced: probation.notePlaced,
     inOtherRole: () => [...otherRole.keys()].filter(isInOtherRole),
-    full: () => [...refusals.keys()].filter(isFull),
+    full: () => [...refusals.keys()].filter(hasRefused),
     suspects() {
       const nowMs = clock.nowMs();
       return [...known.keys()].filter(id => !health.isUsable(id, nowMs));
--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -39,6 +39,8 @@
   readonly groups: PlacementGroups;
   /** This host told the engine to change its role. */
   isChanging(engineId: string): boolean;
+  /** The engine takes nothing from this host for now. */
+  isHeld(engineId: string): boolean;
   /** Something that the peers should hear of has changed. */
   onChange(): void;
 }
@@ -166,6 +168,7 @@
     isSuspect: peers.isSuspect,
     isFullAtPeer: peers.isFull,
     isChanging: id => peers.isChanging(id) || host.isChanging(id),
+    isHeld: host.isHeld,
   });
   const engines = createEngineChoice({
     random,
--- a/src/relay/placement/relay_placement.ts
+++ b/src/relay/placement/relay_placement.ts
@@ -39,6 +39,8 @@
   members(): readonly Member[];
   /** This host told the engine to change its role. */
   isChanging(engineId: string): boolean;
+  /** The engine takes nothing from this host for now. */
+  isHeld(engineId: string): boolean;
   tell(hostId: string, message: PlacementMessage): void;
   /** The peers should hear of a change. */
   onChange(): void;
@@ -112,6 +114,7 @@
     peers: view,
     groups,
     isChanging: host.isChanging,
+    isHeld: host.isHeld,
     onChange: host.onChange,
   });
   const client = createPlacementClient({
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -269,6 +269,14 @@
       : 'stop';
   }
 
+  /** While no upstream takes a call, nobody is to come back. */
+  function untilAnyTakes(error: RequestError, service: string): RequestError {
+    if (error.retryAfterMs === undefined) return error;
+    const heldMs = registry.open(service).map(({id}) => host.heldMs(id));
+    const leastMs = heldMs.length > 0 ? Math.min(...heldMs) : 0;
+    return {...error, retryAfterMs: Math.max(error.retryAfterMs, leastMs)};
+  }
+
   function endWithout(job: RelayJob, progress: Progress): JobOutcome {
     const {caller} = job;
     if (job.cancellation.isCancelled) {
@@ -282,7 +290,7 @@
     const hasRun = progress.ran.length > 0;
     const isLate = clock.nowMs() >= job.deadlineAtMs;
     const error = toTrueError(progress.failure, hasRun, isLate);
-    caller.refuse(error);
+    caller.refuse(untilAnyTakes(error, job.service.name));
     return {
       end: hasRun ? 'failed' : 'refused',
       reason: `${error.kind}: ${error.detail}`,
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -164,6 +164,7 @@
     registry,
     isReady: () => hostState() === 'ready',
     isChanging: engineId => roleOrders.changing().includes(engineId),
+    isHeld: engineId => backpressure.gate.heldMs(engineId) > 0,
     tell: (hostId, message) => peers.tell(hostId, message),
     members: () => peers.alive(),
     onChange: () => peers.changed(),
@@ -295,7 +296,6 @@
       signals: backpressure.signals,
     }),
     gate,
-    registry,
   });
   const crashes = createCrashWatch({
     clock,
--- a/src/relay/streams/engine_failures.ts
+++ b/src/relay/streams/engine_failures.ts
@@ -48,6 +48,15 @@
 
 export function createEngineFailures(host: EngineFailuresHost): EngineFailures {
   const {clock, log, scheduler, books, registry} = host;
+
+  /** Who places for this host does not know that the engine rests for it. */
+  function noteWithheld(
+    {id}: Upstream,
+    {scope, retryAfterMs}: Extract<SendFailure, {kind: 'withheld'}>,
+  ): void {
+    scheduler.noteFull(id, scope === 'all-hosts' ? retryAfterMs : undefined);
+  }
+
   return {
     note(engine, failure) {
       switch (failure.kind) {
@@ -61,7 +70,7 @@
           REJECTIONS[failure.reason]?.(host, engine.id);
           return;
         case 'withheld':
-          scheduler.noteFull(engine.id, failure.retryAfterMs);
+          noteWithheld(engine, failure);
           return;
         case 'cancelled':
           return;
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -84,7 +84,8 @@
       host.learning.notePrefill(need.promptTokens, durationMs);
     }
     const {handle} = outcome;
-    return {kind: 'read', source: {address: engine.address, handle}};
+    const {id: engineId, address} = engine;
+    return {kind: 'read', source: {engineId, address, handle}};
   }
 
   return {
--- a/tests/relay/backpressure/limit_fleet.ts
+++ b/tests/relay/backpressure/limit_fleet.ts
@@ -135,6 +135,7 @@
       hostId,
       registry: {
         get: id => byId.get(id),
+        getOpen: id => byId.get(id),
         markLeaving: () => undefined,
         onLeft: () => undefined,
       },
--- a/tests/relay/placement/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -176,6 +176,7 @@
       peers: view,
       groups,
       isChanging: () => false,
+      isHeld: () => false,
       onChange() {
         if (isAnnouncing) return;
         isAnnouncing = true;
--- a/tests/relay/placement/engine_scheduler_test.ts
+++ b/tests/relay/placement/engine_scheduler_test.ts
@@ -78,6 +78,7 @@
     peers,
     groups: oneGroup,
     isChanging: () => false,
+    isHeld: () => false,
     onChange: () => undefined,
   });
   return {
--- a/tests/relay/placement/lone_scheduler.ts
+++ b/tests/relay/placement/lone_scheduler.ts
@@ -66,6 +66,7 @@
       isAwaited: () => false,
     },
     isChanging: () => false,
+    isHeld: () => false,
     onChange: () => undefined,
   });
   return {registry, books, learning, scheduler};
