Let a kept connection forget the calls that it carried

Each call on a kept connection left a listener on its socket, with the request and its body, until the connection ended; Node warned at the eleventh. It showed in the output of the limit tests. The listener goes with its request now. The test failed before.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -218,9 +218,12 @@
       });
       request.on('socket', socket => {
         socket.setNoDelay(true);
-        socket.prependOnceListener('end', () => {
+        const noteEnd = () => {
           if (isReset(socket)) hasFailed = true;
-        });
+        };
+        socket.prependOnceListener('end', noteEnd);
+        // A kept connection carries many calls and outlives each of them.
+        request.once('close', () => socket.off('end', noteEnd));
         const connected = () => {
           isConnected = true;
         };
--- a/tests/adapters/http_exchange_test.ts
+++ b/tests/adapters/http_exchange_test.ts
@@ -171,3 +171,20 @@
     assert.equal(await readBody(makeExchange(), makeCall(address)), 'broken');
   }
 });
+
+test('a kept connection holds nothing of the calls that it carried', async () => {
+  // Guards against memory that grows with each call of a connection.
+  const warnings: string[] = [];
+  const note = ({name}: Error) => void warnings.push(name);
+  process.on('warning', note);
+  const address = await listen(socket => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok');
+  });
+  const exchange = makeExchange();
+  const call = makeCall(address, {mayReuseConnection: true});
+  for (let i = 0; i < 30; i++) {
+    assert.equal(await readBody(exchange, call), 'ok');
+  }
+  process.off('warning', note);
+  assert.deepEqual(warnings, []);
+});
