Keep what upstreams asked for while their entries lapse and return

In an outage of the store an upstream may lapse and be listed again; its limit and its rest went with the entry, though a host that was told is held to both. What is remembered is bounded by number instead.

--- a/src/relay/backpressure/backpressure.ts
+++ b/src/relay/backpressure/backpressure.ts
@@ -27,10 +27,7 @@
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly hostId: string;
-  readonly registry: Pick<
-    UpstreamRegistry,
-    'get' | 'getOpen' | 'markLeaving' | 'onLeft'
-  >;
+  readonly registry: Pick<UpstreamRegistry, 'get' | 'getOpen' | 'markLeaving'>;
   /** Live hosts that are not about to leave, this one among them. */
   hostIds(): readonly string[];
   tell(hostId: string, message: PermitMessage): void;
@@ -76,11 +73,6 @@
     decide: limitGate.decide,
     tell: host.tell,
   });
-  registry.onLeft(id => {
-    limits.forget(id);
-    rests.forget(id);
-    limitGate.forget(id);
-  });
 
   return {
     gate: createSendGate({registry, rests, limitGate}),
--- a/src/relay/backpressure/limit_gate.ts
+++ b/src/relay/backpressure/limit_gate.ts
@@ -7,8 +7,10 @@
  * first send many times as much, the second less than one request each.
  */
 
+import {createBoundedMap} from '../../core/bounded_map.js';
 import type {Clock} from '../../ports/clock.js';
 import type {AskClient} from '../fleet/ask_client.js';
+import {MOST_REMEMBERED} from '../upstream.js';
 import type {PermitAnswer, PermitAsk} from './permit_messages.js';
 import type {PermitSchedule} from './permit_schedule.js';
 import type {UpstreamLimits} from './upstream_limits.js';
@@ -37,7 +39,6 @@
   heldMs(upstreamId: string): number;
   /** As the owner of an upstream's limit. */
   decide(fromHostId: string, ask: PermitAsk): PermitAnswer;
-  forget(upstreamId: string): void;
 }
 
 export interface LimitGateHost {
@@ -60,7 +61,7 @@
 
 export function createLimitGate(host: LimitGateHost): LimitGate {
   const {clock, hostId: ownId, limits, schedule} = host;
-  const heldUntilMs = new Map<string, number>();
+  const heldUntilMs = createBoundedMap<number>(MOST_REMEMBERED);
   const passedOverUntilMs = new Map<string, number>();
 
   const heldMs = (upstreamId: string) =>
@@ -141,9 +142,5 @@
     },
     heldMs,
     decide,
-    forget(upstreamId) {
-      heldUntilMs.delete(upstreamId);
-      schedule.forget(upstreamId);
-    },
   };
 }
--- a/src/relay/backpressure/permit_schedule.ts
+++ b/src/relay/backpressure/permit_schedule.ts
@@ -7,7 +7,9 @@
  * only stands in for another keeps to a part of the rate.
  */
 
+import {createBoundedMap} from '../../core/bounded_map.js';
 import type {Clock} from '../../ports/clock.js';
+import {MOST_REMEMBERED} from '../upstream.js';
 
 export interface PermitNeed {
   readonly upstream: string;
@@ -26,7 +28,6 @@
 
 export interface PermitSchedule {
   take(need: PermitNeed): Permit;
-  forget(upstream: string): void;
 }
 
 /** Requests come in lumps; what was not used lately may be used now. */
@@ -42,7 +43,7 @@
 }): PermitSchedule {
   const {clock} = host;
   /** When the latest permit was due. */
-  const lastAtMs = new Map<string, number>();
+  const lastAtMs = createBoundedMap<number>(MOST_REMEMBERED);
 
   return {
     take({upstream, limitPerS, mostWaitMs, isStandIn}) {
@@ -56,6 +57,5 @@
       lastAtMs.set(upstream, isGranted ? dueAtMs : last);
       return {isGranted, waitMs};
     },
-    forget: upstream => void lastAtMs.delete(upstream),
   };
 }
--- a/src/relay/backpressure/upstream_limits.ts
+++ b/src/relay/backpressure/upstream_limits.ts
@@ -7,8 +7,10 @@
  * upstream would never learn it.
  */
 
+import {createBoundedMap} from '../../core/bounded_map.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
+import {MOST_REMEMBERED} from '../upstream.js';
 
 /** What a host knows of an upstream's limit, for its peers. */
 export interface LimitRecord {
@@ -49,13 +51,12 @@
   /** What this host and the peers that it hears were told. */
   found(): readonly LimitRecord[];
   limitedCount(): number;
-  /** The upstream has left. */
-  forget(upstreamId: string): void;
 }
 
 export interface UpstreamLimitsHost {
   readonly clock: Clock;
   readonly log: Logger;
+  /** Whether the upstream is listed now. */
   isKnown(upstreamId: string): boolean;
   /** An answer to this host told of another limit than was known. */
   onChange(): void;
@@ -77,7 +78,7 @@
 
 export function createUpstreamLimits(host: UpstreamLimitsHost): UpstreamLimits {
   const {clock, log} = host;
-  const limits = new Map<string, KnownLimit>();
+  const limits = createBoundedMap<KnownLimit>(MOST_REMEMBERED);
 
   function set(upstreamId: string, next: KnownLimit): void {
     const before = limits.get(upstreamId);
@@ -127,9 +128,10 @@
   function tellable(
     isTold: (origin: LimitOrigin) => boolean,
   ): readonly LimitRecord[] {
-    if (limits.size === 0) return [];
-    return [...limits]
-      .filter(([, {origin}]) => isTold(origin))
+    return [...limits.entries()]
+      .filter(
+        ([upstream, {origin}]) => isTold(origin) && host.isKnown(upstream),
+      )
       .map(([upstream, known]) => toRecord(upstream, known))
       .filter(each => each.limitPerS !== null || each.ageMs < TELL_END_MS)
       .sort((a, b) => a.ageMs - b.ageMs)
@@ -154,7 +156,9 @@
     own: () => tellable(origin => origin === 'own'),
     found: () => tellable(origin => origin !== 'relayed'),
     limitedCount: () =>
-      [...limits.values()].filter(each => each.limitPerS !== undefined).length,
-    forget: upstreamId => void limits.delete(upstreamId),
+      [...limits.entries()].filter(
+        ([upstream, {limitPerS}]) =>
+          limitPerS !== undefined && host.isKnown(upstream),
+      ).length,
   };
 }
--- a/src/relay/backpressure/upstream_rests.ts
+++ b/src/relay/backpressure/upstream_rests.ts
@@ -7,15 +7,15 @@
  * looks like the best choice.
  */
 
+import {createBoundedMap} from '../../core/bounded_map.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
+import {MOST_REMEMBERED} from '../upstream.js';
 
 export interface UpstreamRests {
   note(upstreamId: string, restMs: number): void;
   /** What is left of it; 0: the upstream does not rest. */
   leftMs(upstreamId: string): number;
-  /** The upstream has left. */
-  forget(upstreamId: string): void;
 }
 
 export interface UpstreamRestsHost {
@@ -25,7 +25,7 @@
 
 export function createUpstreamRests(host: UpstreamRestsHost): UpstreamRests {
   const {clock, log} = host;
-  const untilMs = new Map<string, number>();
+  const untilMs = createBoundedMap<number>(MOST_REMEMBERED);
 
   const leftMs = (upstreamId: string) =>
     Math.max(0, (untilMs.get(upstreamId) ?? 0) - clock.nowMs());
@@ -40,6 +40,5 @@
       log.info('Upstream asks for rest.', {upstream: upstreamId, restMs});
     },
     leftMs,
-    forget: upstreamId => void untilMs.delete(upstreamId),
   };
 }
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -38,9 +38,9 @@
   readonly learned: LearnedSums;
   /** Requests that crashed engines. */
   readonly losses: readonly LossFact[];
-  /** Limits that upstreams name; absent from hosts of an earlier version. */
+  /** Limits that upstreams name; absent where there are none. */
   readonly limits?: readonly LimitRecord[];
-  /** Upstreams that said that they leave; absent likewise. */
+  /** Upstreams that said that they leave; absent where there are none. */
   readonly leaving?: readonly string[];
 }
 
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -67,6 +67,11 @@
  */
 const FEWEST_HOSTS = 14;
 
+/** What is empty as a rule costs no byte of a datagram. */
+function unlessEmpty<T>(list: readonly T[]): readonly T[] | undefined {
+  return list.length > 0 ? list : undefined;
+}
+
 /** Resolves once the process serves. */
 export async function startRelay(
   options: RelayProcessOptions,
@@ -185,8 +190,8 @@
         ...ownFindings(),
         full: scheduler.full(),
         losses: crashes.facts(),
-        limits: backpressure.limits.own(),
-        leaving: registry.leaving('self'),
+        limits: unlessEmpty(backpressure.limits.own()),
+        leaving: unlessEmpty(registry.leaving('self')),
         adoptedAskIds: placement.adoptedAskIds(),
         spending: accounts.spending(),
         aliveMs: accounts.aliveMs(),
@@ -197,8 +202,8 @@
         ...placement.found(ownFindings()),
         learned: learning.total(),
         losses: crashes.facts(),
-        limits: backpressure.limits.found(),
-        leaving: registry.leaving('any'),
+        limits: unlessEmpty(backpressure.limits.found()),
+        leaving: unlessEmpty(registry.leaving('any')),
         load: hasLoad ? books.total() : undefined,
         accountLevels: accounts.nearLimit(),
       }),
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -7,6 +7,7 @@
  * kept until their upstreams have had time to register again.
  */
 
+import {createBoundedMap} from '../../core/bounded_map.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import {
@@ -16,7 +17,11 @@
   type ListDelta,
 } from './list_deltas.js';
 import {createListOutage} from './list_outage.js';
-import type {Upstream, UpstreamSnapshot} from '../upstream.js';
+import {
+  MOST_REMEMBERED,
+  type Upstream,
+  type UpstreamSnapshot,
+} from '../upstream.js';
 
 /** Where a list was read. */
 export type UpstreamOrigin = 'store' | 'peer';
@@ -82,8 +87,6 @@
   /** The list as this host goes by it, for peers. */
   snapshot(): UpstreamSnapshot | undefined;
   onChange(listener: () => void): void;
-  /** An upstream is not in use any more. */
-  onLeft(listener: (id: string) => void): void;
 }
 
 /**
@@ -94,8 +97,6 @@
 /** Peers are told for this long that an upstream leaves, of the latest ones. */
 const TELL_LEAVING_MS = 10_000;
 const MOST_TOLD = 64;
-/** Remembered at most, the latest ones; an id is never used again. */
-const MOST_LEAVING = 4_096;
 /** A timer may fire this much early by the clock that is read. */
 const TIMER_EARLY_MS = 5;
 /** Failed reads closer together than this are told once. */
@@ -124,11 +125,10 @@
   const lapsed = new Set<string>();
   const gone = new Set<string>();
   /** Upstreams that said that they leave; kept beyond their entries. */
-  const saidLeaving = new Map<string, LeavingRecord>();
+  const saidLeaving = createBoundedMap<LeavingRecord>(MOST_REMEMBERED);
   /** Upstreams that could not be reached, as they were listed then. */
   const silent = new Map<string, SilentRecord>();
   const listeners: Array<() => void> = [];
-  const leftListeners: Array<(id: string) => void> = [];
   let last: UpstreamSnapshot | undefined;
   let byService = new Map<string, Upstream[]>();
   const outage = createListOutage();
@@ -185,7 +185,6 @@
     silent.delete(id);
     const revision = last?.revision;
     log.info('Upstream left.', {upstream: id, reason, origin, revision});
-    for (const listener of leftListeners) listener(id);
   }
 
   /**
@@ -276,13 +275,11 @@
     markLeaving(id, finder = 'self') {
       if (saidLeaving.has(id)) return;
       saidLeaving.set(id, {finder, saidAtMs: clock.nowMs()});
-      const [oldest] = saidLeaving.keys();
-      if (saidLeaving.size > MOST_LEAVING) saidLeaving.delete(oldest);
       log.info('Upstream says that it leaves.', {upstream: id, finder});
       rebuild();
     },
     leaving: wanted =>
-      [...saidLeaving]
+      [...saidLeaving.entries()]
         .filter(([, {finder}]) => wanted === 'any' || finder === wanted)
         .filter(([, {saidAtMs}]) => clock.nowMs() - saidAtMs < TELL_LEAVING_MS)
         .map(([id]) => id)
@@ -323,9 +320,6 @@
     onChange(listener) {
       listeners.push(listener);
     },
-    onLeft(listener) {
-      leftListeners.push(listener);
-    },
   };
   return registry;
 }
--- a/src/relay/upstream.ts
+++ b/src/relay/upstream.ts
@@ -2,6 +2,12 @@
 
 export type UpstreamRole = 'prefill' | 'decode';
 
+/**
+ * Upstreams of which a host keeps what they said, the latest ones. It outlives
+ * their entries, which may lapse and return; an id is never used again.
+ */
+export const MOST_REMEMBERED = 4_096;
+
 /** One upstream as the list shows it. */
 export interface Upstream {
   /** New with each start of the upstream: names one of its lives. */
--- /dev/null
+++ b/tests/relay/backpressure/backpressure_test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createBackpressure} from '../../../src/relay/backpressure/backpressure.js';
+import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import type {Upstream} from '../../../src/relay/upstream.js';
+import {silentLog} from '../../support/silent_log.js';
+
+const UPSTREAM: Upstream = {
+  id: 'i-1',
+  name: 'i-1',
+  service: 'ledger',
+  address: '10.0.0.1:80',
+  failureDomain: 'd0',
+  slots: 6,
+  isDraining: false,
+  heartbeat: 1,
+};
+
+/** A host that knows one other, which does not answer. */
+function makeHost() {
+  const clock = createVirtualClock(1_000);
+  const registry = createUpstreamRegistry({clock, log: silentLog});
+  const backpressure = createBackpressure({
+    clock,
+    random: createSeededRandom(1),
+    log: silentLog,
+    metrics: {count: () => undefined},
+    hostId: 'host-1',
+    registry,
+    hostIds: () => ['host-1'],
+    tell: () => undefined,
+    onChange: () => undefined,
+  });
+  let revision = 0;
+  return {
+    clock,
+    ...backpressure,
+    list(...upstreams: readonly Upstream[]) {
+      registry.apply({revision: ++revision, upstreams});
+    },
+  };
+}
+
+test('a limit and a rest outlive the entry of their upstream', async () => {
+  // Guards against an outage of the store in which an upstream in need lapses
+  // and is listed again.
+  const {clock, gate, limits, signals, list} = makeHost();
+  list(UPSTREAM);
+  signals.heard(UPSTREAM, {limitPerS: 2, restMs: 3_000}, clock.nowMs());
+  list();
+  await clock.advance(500);
+  list(UPSTREAM);
+  assert.equal(limits.limitPerS('i-1'), 2);
+  assert.equal(gate.heldMs('i-1'), 2_500);
+});
+
+test('an upstream that rests is not asked for until the end of the rest', async () => {
+  const {clock, gate, signals, list} = makeHost();
+  list(UPSTREAM);
+  signals.heard(UPSTREAM, {restMs: 3_000}, clock.nowMs());
+  await clock.advance(1_000);
+  // A second refusal with a shorter rest does not end the first one.
+  signals.heard(UPSTREAM, {restMs: 500}, clock.nowMs());
+  const verdict = await gate.admit('i-1', 10_000);
+  assert.deepEqual(verdict, {kind: 'withheld', waitMs: 2_000, by: 'rest'});
+  await clock.advance(2_000);
+  assert.equal((await gate.admit('i-1', 0)).kind, 'open');
+});
+
+test('an upstream that leaves gets nothing that was chosen before', async () => {
+  const {clock, gate, signals, list} = makeHost();
+  list(UPSTREAM);
+  signals.heard(UPSTREAM, {isLeaving: true}, clock.nowMs());
+  const verdict = await gate.admit('i-1', 0);
+  assert.deepEqual(verdict, {kind: 'withheld', waitMs: 0, by: 'leaving'});
+});
+
+test('a limit of a departed upstream is told to nobody', async () => {
+  const {clock, limits, signals, list} = makeHost();
+  list(UPSTREAM);
+  signals.heard(UPSTREAM, {limitPerS: 2}, clock.nowMs());
+  assert.equal(limits.own().length, 1);
+  list();
+  assert.equal(limits.own().length, 0);
+  assert.equal(limits.limitedCount(), 0);
+});
--- a/tests/relay/backpressure/limit_fleet.ts
+++ b/tests/relay/backpressure/limit_fleet.ts
@@ -137,7 +137,6 @@
         get: id => byId.get(id),
         getOpen: id => byId.get(id),
         markLeaving: () => undefined,
-        onLeft: () => undefined,
       },
       hostIds: knownIds,
       tell(toHostId, message: PermitMessage) {
