Soak: upstreams that name limits, say that they leave, or ask for rest

Seeds that earlier faults left keep the list of kinds that they were drawn from. An upstream now asks for one thing at a time.

--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,7 +1,11 @@
-/** `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]`. */
+/**
+ * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
+ * [--asks]`; the last draws mostly upstreams that ask for fewer requests.
+ */
 
 import path from 'node:path';
 import {parseArgs} from 'node:util';
+import {ALL_KINDS, ASK_SOAK_KINDS} from './soak_faults.js';
 import {runSoak} from './soak_run.js';
 
 const {values} = parseArgs({
@@ -12,6 +16,7 @@
     hosts: {type: 'string', default: '4'},
     callers: {type: 'string', default: '12'},
     folder: {type: 'string', default: 'build/soak'},
+    asks: {type: 'boolean', default: false},
   },
 });
 
@@ -23,6 +28,7 @@
     durationMs: Number(values.seconds) * 1_000,
     hostCount: Number(values.hosts),
     callerCount: Number(values.callers),
+    kinds: values.asks ? ASK_SOAK_KINDS : ALL_KINDS,
     program: path.resolve('target/main.mjs'),
     folder: values.folder,
   });
--- a/tests/soak/soak_checks.ts
+++ b/tests/soak/soak_checks.ts
@@ -1,5 +1,6 @@
 /** What must hold of a soak, from what callers and upstreams saw. */
 
+import {findIgnoredAsks} from './backpressure_checks.js';
 import type {ChildEnd} from './relay_child.js';
 import type {CallRecord} from './soak_callers.js';
 import type {HarmSpan} from './soak_faults.js';
@@ -122,6 +123,7 @@
   for (const upstream of upstreams) {
     broken.push(...checkDraining(upstream, byId, harm));
   }
+  broken.push(...findIgnoredAsks(upstreams, byId, harm));
   for (const {hostId, end} of left) {
     if (end.code === 0) continue;
     broken.push(`${hostId}: left with code ${end.code}, signal ${end.signal}`);
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -3,7 +3,7 @@
 import type {Random} from '../../src/ports/random.js';
 import type {ProxyMode} from './fault_proxy.js';
 import type {ChildEnd, RelayChild} from './relay_child.js';
-import type {SoakHost, SoakSite, SoakUpstream} from './soak_site.js';
+import type {Ask, SoakHost, SoakSite, SoakUpstream} from './soak_site.js';
 
 export const FAULT_KINDS = [
   'kill',
@@ -24,7 +24,19 @@
   'configure',
 ] as const;
 
-export type FaultKind = (typeof FAULT_KINDS)[number];
+/** Upstreams that ask for fewer requests. */
+export const ASK_KINDS = ['names-limit', 'says-leaving', 'asks-rest'] as const;
+
+export type FaultKind =
+  (typeof FAULT_KINDS)[number] | (typeof ASK_KINDS)[number];
+
+export const ALL_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...ASK_KINDS];
+/** Upstreams that ask, beside what makes hosts forget or hear nothing. */
+export const ASK_SOAK_KINDS: readonly FaultKind[] = [
+  ...ASK_KINDS,
+  'kill',
+  'store-down',
+];
 
 export interface PlannedFault {
   readonly kind: FaultKind;
@@ -37,13 +49,15 @@
   readonly hostId: string;
   readonly fromMs: number;
   toMs: number;
+  /** Its process was stopped or started, and may have forgotten things. */
+  readonly isOfProcess: boolean;
 }
 
 export interface FaultContext {
   readonly site: SoakSite;
   readonly random: Random;
   now(): number;
-  noteHarm(hostId: string, fromMs: number, toMs: number): void;
+  noteHarm(span: HarmSpan): void;
   /** A process that was asked to leave did so. */
   noteLeft(hostId: string, end: ChildEnd): void;
 }
@@ -52,15 +66,20 @@
 export function planFaults(
   random: Random,
   durationMs: number,
+  kinds: readonly FaultKind[],
 ): readonly PlannedFault[] {
   const count = 3 + random.nextInt(6);
   return Array.from({length: count}, () => ({
-    kind: FAULT_KINDS[random.nextInt(FAULT_KINDS.length)],
+    kind: kinds[random.nextInt(kinds.length)],
     atMs: random.nextInt(durationMs * 0.7),
     forMs: 300 + random.nextInt(durationMs * 0.25),
   })).sort((a, b) => a.atMs - b.atMs);
 }
 
+/** From an upstream's first word that it leaves until the store has it. */
+const LEAVE_AFTER_MS = 4_500;
+const REST_S = 2;
+
 const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 function pick<T>(random: Random, items: readonly T[]): T {
@@ -78,6 +97,10 @@
   );
 }
 
+/** An upstream asks for one thing at a time, so that its end is one, too. */
+const isAsking = ({asks}: SoakUpstream) =>
+  asks.some(({toMs}) => toMs === Infinity);
+
 /** Leaves at least two upstreams of each service and role. */
 function pickSpare(context: FaultContext): SoakUpstream | undefined {
   const ready = context.site.upstreams.filter(({state}) => state === 'ready');
@@ -105,7 +128,7 @@
   // handler is there yet, and nothing was served.
   const isEarly = end.signal === 'SIGTERM' && !end.hadBegun;
   if (end.signal !== 'SIGKILL' && !isEarly) context.noteLeft(hostId, end);
-  context.noteHarm(hostId, fromMs, context.now());
+  context.noteHarm({hostId, fromMs, toMs: context.now(), isOfProcess: true});
   child.start();
 }
 
@@ -132,6 +155,19 @@
   await context.site.addUpstream(upstream.service, stage);
 }
 
+/** An upstream asks for something, and takes it back later. */
+async function askFor(
+  context: FaultContext,
+  upstream: SoakUpstream,
+  ask: Omit<Ask, 'fromMs' | 'toMs'>,
+  forMs: number,
+): Promise<void> {
+  const span = {...ask, fromMs: context.now(), toMs: Infinity};
+  upstream.asks.push(span);
+  await wait(forMs);
+  span.toMs = context.now();
+}
+
 type FaultHandler = (
   context: FaultContext,
   fault: PlannedFault,
@@ -146,7 +182,8 @@
     await child.ended();
     await wait(forMs);
     if (!child.isRunning()) child.start();
-    context.noteHarm(child.settings.hostId, fromMs, context.now());
+    const {hostId} = child.settings;
+    context.noteHarm({hostId, fromMs, toMs: context.now(), isOfProcess: true});
   },
   async freeze(context, {forMs}) {
     const {child} = pickHost(context);
@@ -154,7 +191,8 @@
     child.signal('SIGSTOP');
     await wait(forMs);
     child.signal('SIGCONT');
-    context.noteHarm(child.settings.hostId, fromMs, context.now());
+    const {hostId} = child.settings;
+    context.noteHarm({hostId, fromMs, toMs: context.now(), isOfProcess: true});
   },
   terminate: context => terminate(context, pickHost(context).child),
   async roll(context) {
@@ -170,7 +208,8 @@
     await wait(forMs);
     storeLink.setMode('pass');
     storeLink.resetAll();
-    context.noteHarm(child.settings.hostId, fromMs, context.now());
+    const {hostId} = child.settings;
+    context.noteHarm({hostId, fromMs, toMs: context.now(), isOfProcess: false});
   },
   async 'store-down'(context, {forMs}) {
     const {site} = context;
@@ -179,7 +218,9 @@
     await wait(forMs);
     site.store.setMode('serving');
     for (const {child} of site.hosts) {
-      context.noteHarm(child.settings.hostId, fromMs, context.now());
+      const {hostId} = child.settings;
+      const toMs = context.now();
+      context.noteHarm({hostId, fromMs, toMs, isOfProcess: false});
     }
   },
   async 'store-lossy'({site}, {forMs}) {
@@ -234,6 +275,34 @@
     await wait(forMs);
     standIn.setBehaviour('answer');
   },
+  async 'names-limit'(context, {forMs}) {
+    const upstream = pickUpstream(context);
+    if (isAsking(upstream)) return;
+    const perS = 1 + context.random.nextInt(5);
+    upstream.standIn.setLimit(perS);
+    await askFor(context, upstream, {kind: 'limit', value: perS}, 3 * forMs);
+    upstream.standIn.setLimit(undefined);
+  },
+  async 'says-leaving'(context) {
+    const upstream = pickSpare(context);
+    if (!upstream || isAsking(upstream)) return;
+    upstream.state = 'leaving';
+    upstream.standIn.setLeaving();
+    await replaceUpstream(context, upstream);
+    const ask = {kind: 'leaving', value: 0} as const;
+    await askFor(context, upstream, ask, LEAVE_AFTER_MS);
+    upstream.state = 'draining';
+  },
+  async 'asks-rest'(context, {forMs}) {
+    const upstream = pickSpare(context);
+    if (!upstream || isAsking(upstream)) return;
+    upstream.standIn.setRest(REST_S);
+    upstream.standIn.setBehaviour('full');
+    const ask = {kind: 'rest', value: REST_S} as const;
+    await askFor(context, upstream, ask, 2 * forMs);
+    upstream.standIn.setBehaviour('answer');
+    upstream.standIn.setRest(undefined);
+  },
   async configure(context) {
     context.site.configure(context.random.nextInt(2));
   },
--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -15,6 +15,7 @@
   FAULT_HANDLERS,
   planFaults,
   type FaultContext,
+  type FaultKind,
   type HarmSpan,
   type PlannedFault,
 } from './soak_faults.js';
@@ -25,6 +26,8 @@
   readonly durationMs: number;
   readonly hostCount: number;
   readonly callerCount: number;
+  /** Faults to draw from. */
+  readonly kinds: readonly FaultKind[];
   /** The bundle's entry point. */
   readonly program: string;
   /** Logs of the processes go here, in a folder for the seed. */
@@ -82,7 +85,7 @@
 
 async function play(site: SoakSite, options: SoakOptions): Promise<SoakResult> {
   const random = createSeededRandom(options.seed);
-  const faults = planFaults(random, options.durationMs);
+  const faults = planFaults(random, options.durationMs, options.kinds);
   const now = () => performance.now();
   const harm: HarmSpan[] = [];
   const left: LeftProcess[] = [];
@@ -96,7 +99,7 @@
     site,
     random,
     now,
-    noteHarm: (hostId, fromMs, toMs) => harm.push({hostId, fromMs, toMs}),
+    noteHarm: span => harm.push(span),
     noteLeft: (hostId, end) => left.push({hostId, end}),
   });
   await wait(Math.max(0, options.durationMs - (now() - startedAtMs)));
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -22,12 +22,23 @@
   readonly storeLink: FaultProxy;
 }
 
+/** What an upstream asked for in its answers, and when. */
+export interface Ask {
+  readonly kind: 'limit' | 'leaving' | 'rest';
+  /** Requests a second, or seconds of rest. */
+  readonly value: number;
+  readonly fromMs: number;
+  toMs: number;
+}
+
 export interface SoakUpstream {
   readonly standIn: EngineStandIn;
   /** All hosts' way to the upstream. */
   readonly link: FaultProxy;
   readonly service: string;
-  state: 'ready' | 'draining' | 'gone';
+  readonly asks: Ask[];
+  /** One that is leaving says so in its answers, and not yet to the store. */
+  state: 'ready' | 'leaving' | 'draining' | 'gone';
   /** When the store took the news that it leaves. */
   leftAtMs?: number;
 }
@@ -69,8 +80,9 @@
 
   function writeRow(upstream: SoakUpstream): void {
     if (upstream.state === 'gone') return;
+    const listed = upstream.state === 'draining' ? 'draining' : 'ready';
     store.put('servers', upstream.standIn.id, {
-      ...upstream.standIn.row(upstream.state),
+      ...upstream.standIn.row(listed),
       address: upstream.link.address,
     });
   }
@@ -91,7 +103,13 @@
       eventEveryMs: EVENT_EVERY_MS,
     });
     const link = await createFaultProxy(standIn.address);
-    const upstream: SoakUpstream = {standIn, link, service, state: 'ready'};
+    const upstream: SoakUpstream = {
+      standIn,
+      link,
+      service,
+      asks: [],
+      state: 'ready',
+    };
     upstreams.push(upstream);
     writeRow(upstream);
     return upstream;
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -2,6 +2,7 @@
 import {execFileSync} from 'node:child_process';
 import path from 'node:path';
 import {before, test} from 'node:test';
+import {ASK_SOAK_KINDS, FAULT_KINDS} from './soak_faults.js';
 import {runSoak, type SoakOptions} from './soak_run.js';
 
 const folder = path.resolve('build', 'soak');
@@ -11,6 +12,7 @@
   durationMs: 5_000,
   hostCount: 3,
   callerCount: 6,
+  kinds: FAULT_KINDS,
   program: path.join(folder, 'bundle', 'main.mjs'),
   folder,
 };
@@ -34,7 +36,14 @@
   {...short, seed: 1016, durationMs: 8_000, hostCount: 4, callerCount: 12},
 ];
 
-for (const options of [short, ...REGRESSIONS]) {
+const asking: SoakOptions = {
+  ...short,
+  seed: 3,
+  durationMs: 8_000,
+  kinds: ASK_SOAK_KINDS,
+};
+
+for (const options of [short, ...REGRESSIONS, asking]) {
   test(`real processes keep the promises under faults, seed ${options.seed}`, async () => {
     // Processes are stopped, frozen, killed and rolled, links go silent and
     // are reset, and the store and the upstreams misbehave, at overlapping
