Put the records of routing and upstreams below the ports

src/ports/relay.ts imported src/relay/routing.ts: the one arrow from the lowest floor to the highest, and a circle by way of client_account.ts.

--- a/bench/placer_slopes.ts
+++ b/bench/placer_slopes.ts
@@ -7,6 +7,7 @@
  */
 
 import {performance} from 'node:perf_hooks';
+import type {Service} from '../src/core/routing_types.js';
 import {createSeededRandom} from '../src/core/seeded_random.js';
 import {createVirtualClock} from '../src/core/virtual_clock.js';
 import {createEngineBooks} from '../src/relay/placement/engine_books.js';
@@ -16,7 +17,6 @@
   PlacementAnswer,
   PlacementAsk,
 } from '../src/relay/placement/placement_messages.js';
-import type {Service} from '../src/relay/routing.js';
 import {createSharedLearning} from '../src/relay/placement/shared_learning.js';
 import {createUpstreamRegistry} from '../src/relay/store/upstream_registry.js';
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -52,6 +52,7 @@
   {
     files: ['src/ports/**/*.ts', 'src/core/**/*.ts'],
     rules: forbid(
+      '**/relay/**',
       '**/platform/**',
       '**/adapters/**',
       '**/coordination/**',
@@ -87,7 +88,7 @@
         {selector: 'ExportDefaultDeclaration', message: 'Use a named export.'},
         {
           selector:
-            'Literal[value=/^\\/corianderbend\\/|X-Kv-|X-Stage|X-Engine-Stamp|X-Deadline-Ms|X-Expect-Instance|X-Token-Count|X-Prompt-Prefix|kv_handle|rows-tx|rows-get|rows-feed/i]',
+            'Literal[value=/^\\/corianderbend\\/|X-Kv-|X-Stage|X-Engine-Stamp|X-Deadline-Ms|X-Expect-Instance|X-Token-Count|X-Prompt-Prefix|Server-Limit|Server-Leaving|kv_handle|rows-tx|rows-get|rows-feed/i]',
           message: "Names of the users' platform belong into platform/.",
         },
         {
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -4,12 +4,12 @@
  * Adapters meet a platform's own names and formats behind these.
  */
 
-import type {Routing} from '../relay/routing.js';
+import type {Routing} from '../core/routing_types.js';
 import type {
   Upstream,
   UpstreamRole,
   UpstreamSnapshot,
-} from '../relay/upstream.js';
+} from '../core/upstream.js';
 
 /** Names and values in turn, as they stand in the message. */
 export type RawHeaders = readonly string[];
--- a/src/relay/accounts/account_admission.ts
+++ b/src/relay/accounts/account_admission.ts
@@ -4,17 +4,13 @@
  * the account must not be over its rate limit.
  */
 
+import type {ClientAccount, Route} from '../../core/routing_types.js';
 import type {RequestError} from '../../core/error_kinds.js';
 import type {Logger} from '../../ports/log.js';
 import type {RelayRequest} from '../../ports/relay.js';
 import type {RelayMetrics} from '../relay_metrics.js';
-import type {Route} from '../routing.js';
 import type {AccountLimiter, LimitVerdict} from './account_limiter.js';
-import {
-  costOf,
-  type AccountTable,
-  type ClientAccount,
-} from './client_account.js';
+import {costOf, type AccountTable} from './client_account.js';
 import type {ConfigurationFreshness} from './configuration_freshness.js';
 
 export interface AccountAdmissionHost {
--- a/src/relay/accounts/account_limiter.ts
+++ b/src/relay/accounts/account_limiter.ts
@@ -4,9 +4,9 @@
  * through or refused at once, by what this host knows of all of them.
  */
 
+import type {AccountQuota} from '../../core/routing_types.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
-import type {AccountQuota} from './client_account.js';
 import type {AskClient} from '../fleet/ask_client.js';
 import type {QuotaAnswer, QuotaAsk} from './quota_messages.js';
 import {
--- a/src/relay/accounts/client_account.ts
+++ b/src/relay/accounts/client_account.ts
@@ -1,30 +1,8 @@
-/** Client accounts as the configuration names them, and look-ups by key. */
+/** Look-ups of client accounts, and what their requests cost. */
 
+import type {AccountQuota, ClientAccount} from '../../core/routing_types.js';
 import type {PromptDescription} from '../../ports/relay.js';
 
-/** What the rate limit of an account counts. */
-export type QuotaUnit = 'requests' | 'tokens';
-
-/** A token bucket that all hosts share. */
-export interface AccountQuota {
-  readonly unit: QuotaUnit;
-  /** Units that the bucket gains in a second. */
-  readonly unitsPerS: number;
-  /** Units that a full bucket holds. */
-  readonly burstUnits: number;
-  /** Cost of a request that does not say how many tokens it takes. */
-  readonly tokensOfPlainRequest: number;
-}
-
-export interface ClientAccount {
-  readonly name: string;
-  readonly keyDigests: readonly string[];
-  /** Goes before the priority of the route; 0 is the most urgent. */
-  readonly priority?: number;
-  /** Absent where nothing limits the account. */
-  readonly quota?: AccountQuota;
-}
-
 /** Accounts made ready for look-ups. */
 export interface AccountTable {
   /** Without accounts no key is asked for. */
--- a/src/relay/accounts/quota_rules.ts
+++ b/src/relay/accounts/quota_rules.ts
@@ -7,7 +7,7 @@
  * through, such that all of them together bring the level to zero smoothly.
  */
 
-import type {AccountQuota} from './client_account.js';
+import type {AccountQuota} from '../../core/routing_types.js';
 
 /** The bucket of one account, as all hosts together see it. */
 export interface AccountLevel {
--- a/src/relay/accounts/spending_ledger.ts
+++ b/src/relay/accounts/spending_ledger.ts
@@ -7,8 +7,8 @@
  * which would refuse accounts that keep to their rate.
  */
 
+import type {AccountQuota} from '../../core/routing_types.js';
 import type {Clock} from '../../ports/clock.js';
-import type {AccountQuota} from './client_account.js';
 import {isNearLimit, type AccountLevel} from './quota_rules.js';
 
 /** What one host did for one account in its present life. */
--- a/src/relay/backpressure/limit_gate.ts
+++ b/src/relay/backpressure/limit_gate.ts
@@ -10,7 +10,7 @@
 import {createBoundedMap} from '../../core/bounded_map.js';
 import type {Clock} from '../../ports/clock.js';
 import type {AskClient} from '../fleet/ask_client.js';
-import {MOST_REMEMBERED} from '../upstream.js';
+import {MOST_REMEMBERED} from '../../core/upstream.js';
 import type {PermitAnswer, PermitAsk} from './permit_messages.js';
 import type {PermitSchedule} from './permit_schedule.js';
 import type {UpstreamLimits} from './upstream_limits.js';
--- a/src/relay/backpressure/permit_schedule.ts
+++ b/src/relay/backpressure/permit_schedule.ts
@@ -9,7 +9,7 @@
 
 import {createBoundedMap} from '../../core/bounded_map.js';
 import type {Clock} from '../../ports/clock.js';
-import {MOST_REMEMBERED} from '../upstream.js';
+import {MOST_REMEMBERED} from '../../core/upstream.js';
 
 export interface PermitNeed {
   readonly upstream: string;
--- a/src/relay/backpressure/upstream_limits.ts
+++ b/src/relay/backpressure/upstream_limits.ts
@@ -10,7 +10,7 @@
 import {createBoundedMap} from '../../core/bounded_map.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
-import {MOST_REMEMBERED} from '../upstream.js';
+import {MOST_REMEMBERED} from '../../core/upstream.js';
 
 /** What a host knows of an upstream's limit, for its peers. */
 export interface LimitRecord {
--- a/src/relay/backpressure/upstream_rests.ts
+++ b/src/relay/backpressure/upstream_rests.ts
@@ -10,7 +10,7 @@
 import {createBoundedMap} from '../../core/bounded_map.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
-import {MOST_REMEMBERED} from '../upstream.js';
+import {MOST_REMEMBERED} from '../../core/upstream.js';
 
 export interface UpstreamRests {
   note(upstreamId: string, restMs: number): void;
--- a/src/relay/crash_watch.ts
+++ b/src/relay/crash_watch.ts
@@ -11,7 +11,7 @@
 import type {Logger} from '../ports/log.js';
 import type {RelayRequest, UpstreamPort} from '../ports/relay.js';
 import type {LossFact, Quarantine} from '../request/quarantine.js';
-import type {Upstream} from './upstream.js';
+import type {Upstream} from '../core/upstream.js';
 
 export interface CrashWatchHost {
   readonly clock: Clock;
--- a/src/relay/fleet/peer_handover.ts
+++ b/src/relay/fleet/peer_handover.ts
@@ -15,7 +15,7 @@
 import type {KnowingPeer} from './peer_datagrams.js';
 import type {RoutingState} from '../routing_state.js';
 import type {SideHandler} from '../front/side_server.js';
-import type {UpstreamSnapshot} from '../upstream.js';
+import type {UpstreamSnapshot} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {StoreTime} from '../accounts/store_time.js';
 
--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -7,10 +7,10 @@
  * elsewhere at once, and nothing is ended before its time.
  */
 
+import type {Route} from '../../core/routing_types.js';
 import type {RequestError} from '../../core/error_kinds.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
-import type {Route} from '../routing.js';
 
 export interface LeavingHost {
   readonly clock: Clock;
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -4,6 +4,7 @@
  */
 
 import http from 'node:http';
+import type {CallerLimits} from '../../core/routing_types.js';
 import {listenOn} from '../../adapters/listen.js';
 import {errorAnswers, type RequestError} from '../../core/error_kinds.js';
 import {createProblem} from '../../entry/problem.js';
@@ -12,7 +13,6 @@
 import type {RawHeaders, RequestReader} from '../../ports/relay.js';
 import type {Caller} from './caller.js';
 import type {Relay} from '../relay.js';
-import type {CallerLimits} from '../routing.js';
 
 export interface RelayFrontHost {
   readonly clock: Clock;
--- a/src/relay/placement/engine_candidates.ts
+++ b/src/relay/placement/engine_candidates.ts
@@ -6,7 +6,7 @@
 } from '../../core/scheduling/engine_health.js';
 import type {Clock} from '../../ports/clock.js';
 import {createEngineProbation, type EngineTrouble} from './engine_probation.js';
-import type {Upstream, UpstreamRole} from '../upstream.js';
+import type {Upstream, UpstreamRole} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface EngineCandidatesHost {
--- a/src/relay/placement/engine_choice.ts
+++ b/src/relay/placement/engine_choice.ts
@@ -3,6 +3,7 @@
  * host's own group by its exact books, else those of others with room to spare.
  */
 
+import type {EngineTraits} from '../../core/routing_types.js';
 import type {Random} from '../../ports/random.js';
 import type {EngineBooks} from './engine_books.js';
 import type {EngineCandidates} from './engine_candidates.js';
@@ -15,8 +16,7 @@
   type TokenNeed,
 } from './placement_rules.js';
 import type {PlacementGroups} from './placement_groups.js';
-import type {EngineTraits} from '../routing.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface EngineChoiceHost {
--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -4,6 +4,7 @@
  * host decides by itself and no host is a bottleneck or missed when it dies.
  */
 
+import type {Service} from '../../core/routing_types.js';
 import type {RequestError} from '../../core/error_kinds.js';
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
@@ -14,9 +15,8 @@
 import {createEngineChoice, type ChosenEngines} from './engine_choice.js';
 import type {PlacementGroups} from './placement_groups.js';
 import type {TokenNeed} from './placement_rules.js';
-import type {Service} from '../routing.js';
 import type {SharedLearning} from './shared_learning.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {
   compareWaiting,
--- a/src/relay/placement/placement_desk.ts
+++ b/src/relay/placement/placement_desk.ts
@@ -7,6 +7,7 @@
  * or its word may be lost.
  */
 
+import type {Service} from '../../core/routing_types.js';
 import type {Clock} from '../../ports/clock.js';
 import {
   createCancellation,
@@ -23,7 +24,6 @@
   PlacementMessage,
   PlacementWithdrawal,
 } from './placement_messages.js';
-import type {Service} from '../routing.js';
 import type {SharedLearning} from './shared_learning.js';
 
 export interface PlacementDeskHost {
--- a/src/relay/placement/placement_groups.ts
+++ b/src/relay/placement/placement_groups.ts
@@ -15,7 +15,7 @@
 
 import {hashText} from '../../core/hash_text.js';
 import {isMeshOf, rankHost} from '../fleet/coordinators.js';
-import type {UpstreamRole} from '../upstream.js';
+import type {UpstreamRole} from '../../core/upstream.js';
 
 /** An engine of one of the model services. */
 export interface GroupedEngine {
--- a/src/relay/placement/placement_rules.ts
+++ b/src/relay/placement/placement_rules.ts
@@ -3,9 +3,9 @@
  * Pure; answers the load in which decode memory binds and prefill is light.
  */
 
+import type {EngineTraits} from '../../core/routing_types.js';
 import type {DecodeLoad, EngineBooks} from './engine_books.js';
-import type {EngineTraits} from '../routing.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 
 /** Tokens that a request needs at a decode engine. */
 export interface TokenNeed {
--- a/src/relay/placement/wait_rules.ts
+++ b/src/relay/placement/wait_rules.ts
@@ -8,7 +8,7 @@
  * with the time at which there should be room.
  */
 
-import type {Route} from '../routing.js';
+import type {Route} from '../../core/routing_types.js';
 
 /** A waiting request as all hosts see it. */
 export interface Waiting {
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -30,7 +30,7 @@
 } from '../relay_types.js';
 import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
 import {toCallWaiting} from './slot_rules.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface PlainRelayHost {
--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -15,7 +15,7 @@
   PlainCallResult,
 } from '../../scheduling/plain_balancer.js';
 import type {SlotAnswer, SlotAsk, SlotEnd} from './slot_messages.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {Waiting} from '../placement/wait_rules.js';
 
--- a/src/relay/plain/slot_desk.ts
+++ b/src/relay/plain/slot_desk.ts
@@ -16,7 +16,7 @@
 import {createCallLimit, type CallLimit} from './call_limit.js';
 import type {SlotAnswer, SlotAsk, SlotEnd} from './slot_messages.js';
 import {forecastSlotMs, mostCalls} from './slot_rules.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 import {
   compareWaiting,
   findRetryAfterMs,
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -3,6 +3,7 @@
  * deadline, service, and the task that runs it.
  */
 
+import type {Route} from '../core/routing_types.js';
 import type {RequestError} from '../core/error_kinds.js';
 import type {Clock} from '../ports/clock.js';
 import type {Logger} from '../ports/log.js';
@@ -15,7 +16,7 @@
 import type {PlainRelay} from './plain/plain_relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
 import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
-import {chooseService, type Route} from './routing.js';
+import {chooseService} from './routing.js';
 import type {RoutingState} from './routing_state.js';
 import type {StreamRelay} from './streams/stream_relay.js';
 
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -4,8 +4,8 @@
  * the serving path, and this path needs only counters and fixed buckets.
  */
 
+import type {RouteKind} from '../core/routing_types.js';
 import type {JobOutcome} from './relay_types.js';
-import type {RouteKind} from './routing.js';
 
 export interface RelayMetrics {
   requestEnded(
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -45,7 +45,7 @@
 import {createStoreWatch} from './store/store_watch.js';
 import {createStreamRelay} from './streams/stream_relay.js';
 import type {RelayJob} from './relay_types.js';
-import type {Upstream} from './upstream.js';
+import type {Upstream} from '../core/upstream.js';
 import {createUpstreamRegistry} from './store/upstream_registry.js';
 
 export interface RelayProcessOptions {
--- a/src/relay/relay_types.ts
+++ b/src/relay/relay_types.ts
@@ -1,10 +1,10 @@
 /** What the tasks of the relay share. */
 
+import type {Route, Service} from '../core/routing_types.js';
 import type {RequestError} from '../core/error_kinds.js';
 import type {Cancellation, RelayRequest} from '../ports/relay.js';
 import type {AdmittedAccount} from './accounts/account_admission.js';
 import type {Caller, RequestEnd} from './front/caller.js';
-import type {Route, Service} from './routing.js';
 
 /** One admitted request on its way. */
 export interface RelayJob {
--- a/src/relay/roles/role_orders.ts
+++ b/src/relay/roles/role_orders.ts
@@ -6,6 +6,7 @@
  * engines' fences hold when two believe that it is their turn.
  */
 
+import type {Service} from '../../core/routing_types.js';
 import type {ShortLease, ShortTerm} from '../../coordination/short_lease.js';
 import {
   FIRST_ROLE_PLAN_STATE,
@@ -21,9 +22,8 @@
 import type {EngineBooks} from '../placement/engine_books.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import {divideEngines} from './role_demand.js';
-import type {Service} from '../routing.js';
 import type {SharedLearning} from '../placement/shared_learning.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface RoleOrdersHost {
--- a/src/relay/routing_state.ts
+++ b/src/relay/routing_state.ts
@@ -6,17 +6,13 @@
  * never takes an older one for as long as it lives.
  */
 
+import type {Route, Routing, Service} from '../core/routing_types.js';
 import type {Logger} from '../ports/log.js';
 import {
   createAccountTable,
   type AccountTable,
 } from './accounts/client_account.js';
-import {
-  createRouteTable,
-  type Route,
-  type Routing,
-  type Service,
-} from './routing.js';
+import {createRouteTable} from './routing.js';
 
 /** Where a version came from, for the log. */
 export type RoutingOrigin = 'store' | 'peer';
--- a/src/relay/store/list_deltas.ts
+++ b/src/relay/store/list_deltas.ts
@@ -10,7 +10,7 @@
 
 import {hashText} from '../../core/hash_text.js';
 import type {Clock} from '../../ports/clock.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 
 export interface ListDelta {
   readonly fromDigest: number;
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -21,7 +21,7 @@
   MOST_REMEMBERED,
   type Upstream,
   type UpstreamSnapshot,
-} from '../upstream.js';
+} from '../../core/upstream.js';
 
 /** Where a list was read. */
 export type UpstreamOrigin = 'store' | 'peer';
--- a/src/relay/streams/engine_failures.ts
+++ b/src/relay/streams/engine_failures.ts
@@ -6,7 +6,7 @@
 import type {EngineBooks} from '../placement/engine_books.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface EngineFailuresHost {
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -16,7 +16,7 @@
 import {CONNECT_TIMEOUT_MS, leftMs} from '../relay_types.js';
 import type {SharedLearning} from '../placement/shared_learning.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 
 export interface PrefillStepHost {
   readonly clock: Clock;
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -31,7 +31,7 @@
 import {relayEvents, type StreamEnd} from './stream_events.js';
 import {createStreamStart, SILENCE_MS} from './stream_start.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {toWaiting} from '../placement/wait_rules.js';
 
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -24,7 +24,7 @@
 } from '../relay_types.js';
 import type {SharedLearning} from '../placement/shared_learning.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from '../upstream.js';
+import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface StreamStartHost {
--- a/tests/relay/accounts/quota_fleet.ts
+++ b/tests/relay/accounts/quota_fleet.ts
@@ -3,6 +3,7 @@
  * them coordinate, datagrams take time and may be lost, and hosts may restart.
  */
 
+import type {AccountQuota} from '../../../src/core/routing_types.js';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {
   createVirtualClock,
@@ -12,7 +13,6 @@
   createAccountLimiter,
   type AccountLimiter,
 } from '../../../src/relay/accounts/account_limiter.js';
-import type {AccountQuota} from '../../../src/relay/accounts/client_account.js';
 import {answerQuotaAsk} from '../../../src/relay/accounts/quota_desk.js';
 import type {
   QuotaAnswer,
--- a/tests/relay/backpressure/backpressure_test.ts
+++ b/tests/relay/backpressure/backpressure_test.ts
@@ -4,7 +4,7 @@
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createBackpressure} from '../../../src/relay/backpressure/backpressure.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
-import type {Upstream} from '../../../src/relay/upstream.js';
+import type {Upstream} from '../../../src/core/upstream.js';
 import {silentLog} from '../../support/silent_log.js';
 
 const UPSTREAM: Upstream = {
--- a/tests/relay/backpressure/limit_fleet.ts
+++ b/tests/relay/backpressure/limit_fleet.ts
@@ -15,7 +15,7 @@
 import type {LimitRecord} from '../../../src/relay/backpressure/upstream_limits.js';
 import type {PermitMessage} from '../../../src/relay/backpressure/permit_messages.js';
 import {isMeshOf} from '../../../src/relay/fleet/coordinators.js';
-import type {Upstream} from '../../../src/relay/upstream.js';
+import type {Upstream} from '../../../src/core/upstream.js';
 import {silentLog} from '../../support/silent_log.js';
 
 const LINK_MS = 3;
--- a/tests/relay/crash_watch_test.ts
+++ b/tests/relay/crash_watch_test.ts
@@ -3,7 +3,7 @@
 import {createVirtualClock} from '../../src/core/virtual_clock.js';
 import type {RelayRequest, UpstreamPort} from '../../src/ports/relay.js';
 import {createCrashWatch} from '../../src/relay/crash_watch.js';
-import type {Upstream} from '../../src/relay/upstream.js';
+import type {Upstream} from '../../src/core/upstream.js';
 import {createQuarantine} from '../../src/request/quarantine.js';
 import {silentLog} from '../support/silent_log.js';
 
--- a/tests/relay/placement/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -7,6 +7,7 @@
  * holds its prompt and what it has made.
  */
 
+import type {Route, Service} from '../../../src/core/routing_types.js';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
@@ -22,7 +23,6 @@
 import type {PlacementMessage} from '../../../src/relay/placement/placement_messages.js';
 import {createPlacementGroups} from '../../../src/relay/placement/placement_groups.js';
 import {createPeerView} from '../../../src/relay/placement/peer_view.js';
-import type {Route, Service} from '../../../src/relay/routing.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {createSharedLearning} from '../../../src/relay/placement/shared_learning.js';
 import {toWaiting} from '../../../src/relay/placement/wait_rules.js';
--- a/tests/relay/placement/engine_scheduler_test.ts
+++ b/tests/relay/placement/engine_scheduler_test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {Service} from '../../../src/core/routing_types.js';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
@@ -10,9 +11,8 @@
   type PlacementOutcome,
   type StreamNeed,
 } from '../../../src/relay/placement/engine_scheduler.js';
-import type {Service} from '../../../src/relay/routing.js';
 import {createSharedLearning} from '../../../src/relay/placement/shared_learning.js';
-import type {Upstream} from '../../../src/relay/upstream.js';
+import type {Upstream} from '../../../src/core/upstream.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import type {Waiting} from '../../../src/relay/placement/wait_rules.js';
 import {silentLog} from '../../support/silent_log.js';
--- a/tests/relay/placement/lone_scheduler.ts
+++ b/tests/relay/placement/lone_scheduler.ts
@@ -1,12 +1,12 @@
 /** A host's own scheduler, in virtual time, that hears nothing of peers. */
 
+import type {Service} from '../../../src/core/routing_types.js';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import type {Clock} from '../../../src/ports/clock.js';
 import {createEngineBooks} from '../../../src/relay/placement/engine_books.js';
 import {createEngineScheduler} from '../../../src/relay/placement/engine_scheduler.js';
-import type {Service} from '../../../src/relay/routing.js';
 import {createSharedLearning} from '../../../src/relay/placement/shared_learning.js';
-import type {Upstream} from '../../../src/relay/upstream.js';
+import type {Upstream} from '../../../src/core/upstream.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
 import {oneGroup} from './one_group.js';
--- a/tests/relay/roles/role_orders_test.ts
+++ b/tests/relay/roles/role_orders_test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import type {Service} from '../../../src/core/routing_types.js';
 import {createFence} from '../../../src/coordination/lease_rules.js';
 import type {
   ShortLease,
@@ -15,7 +16,6 @@
 import {createEngineBooks} from '../../../src/relay/placement/engine_books.js';
 import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
 import {createRoleOrders} from '../../../src/relay/roles/role_orders.js';
-import type {Service} from '../../../src/relay/routing.js';
 import {createSharedLearning} from '../../../src/relay/placement/shared_learning.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -3,20 +3,20 @@
  * time.
  */
 
+import type {Routing} from '../../../src/core/routing_types.js';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import type {StoreRead} from '../../../src/ports/relay.js';
 import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
 import {createConfigurationFreshness} from '../../../src/relay/accounts/configuration_freshness.js';
 import {createStoreTime} from '../../../src/relay/accounts/store_time.js';
-import type {Routing} from '../../../src/relay/routing.js';
 import {createRoutingState} from '../../../src/relay/routing_state.js';
 import {
   createStoreReaders,
   type StoreKnowledge,
 } from '../../../src/relay/fleet/store_readers.js';
 import {createStoreWatch} from '../../../src/relay/store/store_watch.js';
-import type {Upstream} from '../../../src/relay/upstream.js';
+import type {Upstream} from '../../../src/core/upstream.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
 
--- a/tests/relay/store/upstream_registry_test.ts
+++ b/tests/relay/store/upstream_registry_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
-import type {Upstream} from '../../../src/relay/upstream.js';
+import type {Upstream} from '../../../src/core/upstream.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
 
