Work out who owns a limit once for each change of the hosts

Each ask ranked all hosts twice, at the host that asks and at the owner: 0.26 ms at 300 hosts and 1.2 ms at 1,300, against 48 ms of processor time a second for all control. Orders are kept while the hosts are the same.

A host that is about to leave no longer owns a limit for itself: it would have given the whole rate to its own last requests, beside the next owner.

--- a/src/relay/backpressure/backpressure.ts
+++ b/src/relay/backpressure/backpressure.ts
@@ -6,7 +6,7 @@
 import type {UpstreamSignalListener} from '../../ports/relay.js';
 import {createAskClient, FIRST_ASK_IDS} from '../fleet/ask_client.js';
 import {createAskDesk} from '../fleet/ask_desk.js';
-import {rankOwners} from '../fleet/owners.js';
+import {createOwnerRanking} from '../fleet/owners.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {createLimitGate} from './limit_gate.js';
@@ -28,7 +28,10 @@
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly hostId: string;
   readonly registry: Pick<UpstreamRegistry, 'get' | 'getOpen' | 'markLeaving'>;
-  /** Live hosts that are not about to leave, this one among them. */
+  /**
+   * Live hosts that are not about to leave, this one among them; the same array
+   * until one changes.
+   */
   hostIds(): readonly string[];
   tell(hostId: string, message: PermitMessage): void;
   /** Peers should hear of a change at once. */
@@ -58,7 +61,7 @@
     tell: host.tell,
   });
   const rests = createUpstreamRests({clock, log});
-  const owners = (id: string) => rankOwners('limit', id, host.hostIds());
+  const owners = createOwnerRanking('limit', {candidates: host.hostIds});
   const schedule = createPermitSchedule({clock});
   const limitGate = createLimitGate({
     clock,
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -8,6 +8,7 @@
 import {createSystemClock} from '../adapters/system_clock.js';
 import {createSystemRandom} from '../adapters/system_random.js';
 import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
+import {createDerivedList} from '../core/derived_list.js';
 import type {Logger} from '../ports/log.js';
 import {createQuarantine} from '../request/quarantine.js';
 import {createRetryBudget} from '../request/retry_budget.js';
@@ -118,6 +119,15 @@
     },
     settings,
   );
+  const stayingPeerIds = createDerivedList(
+    () => peers.alive(),
+    alive =>
+      alive.filter(({state}) => state !== 'leaving').map(({hostId}) => hostId),
+  );
+  const stayingIds = createDerivedList(stayingPeerIds, ids => [
+    settings.hostId,
+    ...ids,
+  ]);
   const backpressure = createBackpressure({
     clock,
     random,
@@ -125,11 +135,8 @@
     metrics,
     hostId: settings.hostId,
     registry,
-    hostIds: () =>
-      peers
-        .members()
-        .filter(({state}) => state !== 'leaving')
-        .map(({hostId}) => hostId),
+    // A host that leaves gives its limits away, its own needs among them.
+    hostIds: () => (leaving.isLeaving() ? stayingPeerIds() : stayingIds()),
     tell: (hostId, message) => peers.tell(hostId, message),
     onChange: () => peers.changed('coordinators'),
   });
--- a/tests/relay/backpressure/backpressure_test.ts
+++ b/tests/relay/backpressure/backpressure_test.ts
@@ -18,6 +18,8 @@
   heartbeat: 1,
 };
 
+const HOSTS = ['host-1'];
+
 /** A host that knows one other, which does not answer. */
 function makeHost() {
   const clock = createVirtualClock(1_000);
@@ -29,7 +31,7 @@
     metrics: {count: () => undefined},
     hostId: 'host-1',
     registry,
-    hostIds: () => ['host-1'],
+    hostIds: () => HOSTS,
     tell: () => undefined,
     onChange: () => undefined,
   });
--- a/tests/relay/backpressure/limit_fleet.ts
+++ b/tests/relay/backpressure/limit_fleet.ts
@@ -114,10 +114,13 @@
     });
   }
 
-  /** As the host knows them: the dead are missed after a while. */
-  function knownIds(): readonly string[] {
+  /** The same array until somebody is missed. */
+  let knownIds: readonly string[] = [];
+
+  /** The dead are missed after a while. */
+  function findKnownIds(): void {
     const nowMs = clock.nowMs();
-    return hosts
+    knownIds = hosts
       .filter(({index}) => {
         const diedAtMs = deadSinceMs.get(index);
         return diedAtMs === undefined || nowMs - diedAtMs < DETECT_MS;
@@ -138,7 +141,7 @@
         getOpen: id => byId.get(id),
         markLeaving: () => undefined,
       },
-      hostIds: knownIds,
+      hostIds: () => knownIds,
       tell(toHostId, message: PermitMessage) {
         const to = hosts.findIndex(each => each.hostId === toHostId);
         const receive = () => hosts[to].backpressure.receive(hostId, message);
@@ -157,6 +160,7 @@
 
   const hosts: FleetHost[] = [];
   for (let i = 0; i < hostCount; i++) hosts.push(makeHost(i));
+  findKnownIds();
 
   function tellAll(
     from: number,
@@ -252,9 +256,13 @@
       }
       await clock.advance(Math.max(0, endAtMs - clock.nowMs()));
     },
-    kill: index => void deadSinceMs.set(index, clock.nowMs()),
+    kill(index) {
+      deadSinceMs.set(index, clock.nowMs());
+      clock.setTimer(DETECT_MS, findKnownIds);
+    },
     restart(index) {
       deadSinceMs.delete(index);
+      findKnownIds();
       hosts[index] = makeHost(index);
       hosts[index].excusedUntilMs = clock.nowMs() + DETECT_MS;
     },
