--- a/tests/platform/upstream_limit_test.ts
+++ b/tests/platform/upstream_limit_test.ts
@@ -21,7 +21,9 @@
 const MOST_IN_WINDOW = 1.5 * LIMIT_PER_S * (WINDOW_MS / 1_000) + 5;
 /** A host has this long to act on an answer that it passed on. */
 const TOLD_MS = 500;
-const HOSTS = 3;
+const FEW_HOSTS = 3;
+/** Too many to hear each other all: some coordinate, place and keep slots. */
+const MANY_HOSTS = 18;
 
 let site: Site;
 let entries: Entry[];
@@ -33,10 +35,10 @@
 
 afterEach(() => site.close());
 
-async function startEntries(): Promise<void> {
+async function startEntries(hostCount = FEW_HOSTS): Promise<void> {
   site.configure(makeConfiguration());
-  for (let i = 0; i < HOSTS; i++) {
-    const seeds = entries.map(each => each.settings.peerAddress);
+  for (let i = 0; i < hostCount; i++) {
+    const seeds = entries.slice(0, 3).map(each => each.settings.peerAddress);
     entries.push(await site.addEntry({seedAddresses: seeds}));
   }
   for (const entry of entries) await untilReady(site, entry);
@@ -120,3 +122,18 @@
   const most = mostInWindow(limited, sinceMs);
   assert.ok(most <= MOST_IN_WINDOW, `${most} in a window`);
 });
+
+test('many hosts, few of which coordinate, keep to a limit', async () => {
+  // Guards against owners that a host which hears few others cannot ask.
+  const limited = await site.addUpstream({id: 'i-1', service: 'ledger'});
+  await site.addUpstream({id: 'i-2', service: 'ledger'});
+  limited.setLimit(LIMIT_PER_S);
+  await startEntries(MANY_HOSTS);
+  await tellAll([limited], '/makse/1', post);
+  const sinceMs = performance.now();
+  const answers = await callFor(site, entries, 5_000, '/makse/1', post);
+  const most = mostInWindow(limited, sinceMs);
+  assert.ok(most <= MOST_IN_WINDOW, `${most} in a window`);
+  assert.ok(most >= LIMIT_PER_S, `${most} in a window`);
+  assert.ok(answers.every(({status}) => status === 200));
+});
