Tell peers at once only where a limit begins or ends

An upstream whose limit changes with each answer would have had each change told to the coordinators at once; the value goes with each ask. Also: messages from peers are handed on in one form, and a test of all upstreams limited at once.

--- a/src/relay/backpressure/limit_gate.ts
+++ b/src/relay/backpressure/limit_gate.ts
@@ -8,9 +8,9 @@
  */
 
 import {createBoundedMap} from '../../core/bounded_map.js';
+import {MOST_REMEMBERED} from '../../core/upstream.js';
 import type {Clock} from '../../ports/clock.js';
 import type {AskClient} from '../fleet/ask_client.js';
-import {MOST_REMEMBERED} from '../../core/upstream.js';
 import type {PermitAnswer, PermitAsk} from './permit_messages.js';
 import type {PermitSchedule} from './permit_schedule.js';
 import type {UpstreamLimits} from './upstream_limits.js';
--- a/src/relay/backpressure/permit_schedule.ts
+++ b/src/relay/backpressure/permit_schedule.ts
@@ -8,8 +8,8 @@
  */
 
 import {createBoundedMap} from '../../core/bounded_map.js';
-import type {Clock} from '../../ports/clock.js';
 import {MOST_REMEMBERED} from '../../core/upstream.js';
+import type {Clock} from '../../ports/clock.js';
 
 export interface PermitNeed {
   readonly upstream: string;
--- a/src/relay/backpressure/upstream_limits.ts
+++ b/src/relay/backpressure/upstream_limits.ts
@@ -8,9 +8,9 @@
  */
 
 import {createBoundedMap} from '../../core/bounded_map.js';
+import {MOST_REMEMBERED} from '../../core/upstream.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
-import {MOST_REMEMBERED} from '../../core/upstream.js';
 
 /** What a host knows of an upstream's limit, for its peers. */
 export interface LimitRecord {
@@ -58,7 +58,7 @@
   readonly log: Logger;
   /** Whether the upstream is listed now. */
   isKnown(upstreamId: string): boolean;
-  /** An answer to this host told of another limit than was known. */
+  /** By an answer to this host a limit began or ended. */
   onChange(): void;
 }
 
@@ -85,7 +85,8 @@
     limits.set(upstreamId, next);
     if (before?.limitPerS === next.limitPerS) return;
     const {limitPerS, origin} = next;
-    if (origin === 'own') host.onChange();
+    const isOther = before?.limitPerS === undefined || limitPerS === undefined;
+    if (origin === 'own' && isOther) host.onChange();
     const fields = {upstream: upstreamId, limitPerS, origin};
     if (limitPerS !== undefined) {
       log.info('Upstream names a limit.', fields);
--- a/src/relay/backpressure/upstream_rests.ts
+++ b/src/relay/backpressure/upstream_rests.ts
@@ -8,9 +8,9 @@
  */
 
 import {createBoundedMap} from '../../core/bounded_map.js';
+import {MOST_REMEMBERED} from '../../core/upstream.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
-import {MOST_REMEMBERED} from '../../core/upstream.js';
 
 export interface UpstreamRests {
   note(upstreamId: string, restMs: number): void;
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -238,11 +238,15 @@
       isReader: readers.isReader,
       fetchMembers: from => handover.fetchMembers(from),
       onMessage(fromHostId, message) {
-        if (isSlotMessage(message)) plainPlaces.receive(fromHostId, message);
-        else if (isQuotaMessage(message)) accounts.receive(fromHostId, message);
-        else if (isPermitMessage(message)) {
+        if (isSlotMessage(message)) {
+          plainPlaces.receive(fromHostId, message);
+        } else if (isQuotaMessage(message)) {
+          accounts.receive(fromHostId, message);
+        } else if (isPermitMessage(message)) {
           backpressure.receive(fromHostId, message);
-        } else placement.receive(fromHostId, message);
+        } else {
+          placement.receive(fromHostId, message);
+        }
       },
       onPeerUnheard: placement.unheard,
       onPeerGone(hostId) {
--- a/tests/platform/upstream_limit_test.ts
+++ b/tests/platform/upstream_limit_test.ts
@@ -137,3 +137,27 @@
   assert.ok(most >= LIMIT_PER_S, `${most} in a window`);
   assert.ok(answers.every(({status}) => status === 200));
 });
+
+test('when all upstreams name limits, calls beyond them are told when to come back', async () => {
+  // Guards against calls that go past the limit as nobody else is there.
+  const upstreams = await Promise.all([
+    site.addUpstream({id: 'i-1', service: 'ledger'}),
+    site.addUpstream({id: 'i-2', service: 'ledger'}),
+  ]);
+  for (const each of upstreams) each.setLimit(LIMIT_PER_S);
+  await startEntries();
+  await tellAll(upstreams, '/makse/1', post);
+  const sinceMs = performance.now();
+  const answers = await callFor(site, entries, 5_000, '/makse/1', post);
+  for (const each of upstreams) {
+    const most = mostInWindow(each, sinceMs);
+    assert.ok(most <= MOST_IN_WINDOW, `${most} at ${each.id} in a window`);
+    assert.ok(most >= LIMIT_PER_S, `${most} at ${each.id} in a window`);
+  }
+  const refused = answers.filter(({status}) => status !== 200);
+  assert.ok(refused.length > 0);
+  for (const {status, headers} of refused) {
+    assert.equal(status, 503);
+    assert.ok(Number(headers['retry-after']) > 0);
+  }
+});
