Spread callers that were held back with the function that refusals already use

The port that holds sends back had its own copy of the spread and of the shortest time to come back; spreadRetryAfterMs of wait_rules.ts has both. Behaviour is the same.

--- a/src/relay/backpressure/gated_upstream_port.ts
+++ b/src/relay/backpressure/gated_upstream_port.ts
@@ -10,6 +10,7 @@
   SendOptions,
   UpstreamPort,
 } from '../../ports/relay.js';
+import {spreadRetryAfterMs} from '../placement/wait_rules.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {Withheld} from './limit_gate.js';
 import type {SendGate} from './send_gate.js';
@@ -23,10 +24,6 @@
   readonly gate: SendGate;
 }
 
-/** Callers that were refused return over this part of the wait. */
-const RETURN_SPREAD = 0.5;
-const MIN_RETRY_AFTER_MS = 150;
-
 type Send<Outcome> = (
   request: RelayRequest,
   options: SendOptions,
@@ -50,12 +47,11 @@
       by,
       waitMs: Math.round(waitMs),
     });
-    const spreadMs = waitMs * (1 + RETURN_SPREAD * random.nextFloat());
     return {
       kind: 'withheld',
       detail: 'The upstream takes no more for now.',
       scope: by === 'rest' ? 'this-host' : 'all-hosts',
-      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, spreadMs),
+      retryAfterMs: spreadRetryAfterMs(waitMs, Infinity, random.nextFloat()),
     };
   }
 
