Log and count lists of upstreams that are left out, and the store's era

A list that is read and not taken wrote no line, so that the logs of an incident could not tell whether hosts read nothing, kept missing entries, or left out what they read. Each such list now counts and is logged, at most once a second, with the revision read and the one known. The era that the store names in its answers is logged when it changes, and shown as a gauge. Nothing else changes.

--- a/src/relay/relay_adapters.ts
+++ b/src/relay/relay_adapters.ts
@@ -32,6 +32,8 @@
     readonly exchange: HttpExchange;
     readonly storeAddress: string;
     readonly log: Logger;
+    /** Told of the era that an answer of the store names. */
+    readonly onEra: (era: number) => void;
   }): RelaySources;
   createSideHandler(facts: SideFacts): SideHandler;
 }
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -8,6 +8,7 @@
 import type {RelayMetrics} from './relay_metrics.js';
 import type {RelayPlacement} from './placement/relay_placement.js';
 import type {RoutingState} from './routing_state.js';
+import type {StoreEra} from './store/store_era.js';
 import type {StoreWatch} from './store/store_watch.js';
 import type {UpstreamRegistry} from './store/upstream_registry.js';
 
@@ -17,6 +18,7 @@
   readonly peers: PeerExchange;
   readonly readers: StoreReaders;
   readonly routing: RoutingState;
+  readonly storeEra: StoreEra;
   readonly watch: StoreWatch;
   readonly registry: UpstreamRegistry;
   readonly placement: RelayPlacement;
@@ -71,6 +73,21 @@
     help: 'In force.',
     read: ({routing}) => routing.version(),
   },
+  {
+    name: 'store_era',
+    help: 'How often the store came back from an older copy, as it says.',
+    read: ({storeEra}) => storeEra.current(),
+  },
+  {
+    name: 'upstream_list_revision',
+    help: 'The number of the store at the list that is gone by.',
+    read: ({registry}) => registry.revision(),
+  },
+  {
+    name: 'lists_left_out',
+    help: 'Lists of upstreams that were read and not taken.',
+    read: ({registry}) => registry.leftOutCount(),
+  },
   {
     name: 'upstream_list_age_ms',
     help: 'Age of the list.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -43,6 +43,7 @@
 import {createSideServer} from './front/side_server.js';
 import {isSlotMessage} from './plain/slot_messages.js';
 import {createStoreReaders} from './fleet/store_readers.js';
+import {createStoreEra} from './store/store_era.js';
 import {createStoreWatch} from './store/store_watch.js';
 import {createStreamRelay} from './streams/stream_relay.js';
 import type {RelayJob} from './relay_types.js';
@@ -94,10 +95,12 @@
     clock,
     log: createLogger('upstreams'),
   });
+  const storeEra = createStoreEra({clock, log: createLogger('store')});
   const sources = adapters.createSources({
     exchange,
     storeAddress: settings.storeAddress,
     log: createLogger('store'),
+    onEra: storeEra.note,
   });
   const {port: peerPort} = splitAddress(settings.peerAddress);
   const self = {hostId: settings.hostId, incarnation: random.nextId()};
@@ -500,6 +503,7 @@
     peers,
     readers,
     routing,
+    storeEra,
     watch,
     registry,
     placement,
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -66,6 +66,8 @@
   unreachable(): readonly string[];
   /** Whether any is left out since it could not be reached. */
   hasUnreachable(): boolean;
+  /** Lists that were not taken, as older than the one gone by. */
+  leftOutCount(): number;
   /** Missing entries that are kept, as their upstreams may return. */
   keptCount(): number;
   revision(): number;
@@ -101,6 +103,8 @@
 const TIMER_EARLY_MS = 5;
 /** Failed reads closer together than this are told once. */
 const SAME_FAILURE_MS = 1_500;
+/** Lists that are left out closer together than this are told once. */
+const SAME_LEFT_OUT_MS = 1_000;
 
 const digestOf = (upstreams: readonly Upstream[]) =>
   digestList(new Map(upstreams.map(each => [each.id, each])));
@@ -133,6 +137,8 @@
   let byService = new Map<string, Upstream[]>();
   const outage = createListOutage();
   let digest = 0;
+  let leftOutCount = 0;
+  let leftOutLoggedAtMs = Number.NEGATIVE_INFINITY;
   const deltas = createDeltaLog(clock);
 
   function rebuild(): void {
@@ -217,6 +223,19 @@
     }
   }
 
+  function noteLeftOut(revision: number, origin: UpstreamOrigin): void {
+    leftOutCount++;
+    const nowMs = clock.nowMs();
+    if (nowMs - leftOutLoggedAtMs < SAME_LEFT_OUT_MS) return;
+    leftOutLoggedAtMs = nowMs;
+    log.warn('List of upstreams left out.', {
+      revision,
+      known: last?.revision,
+      origin,
+      leftOut: leftOutCount,
+    });
+  }
+
   function takeListed(upstream: Upstream): void {
     const known = entries.get(upstream.id);
     lapsed.delete(upstream.id);
@@ -235,7 +254,10 @@
 
   const registry: UpstreamRegistry = {
     apply(snapshot, origin = 'store') {
-      if (last && snapshot.revision < last.revision) return;
+      if (last && snapshot.revision < last.revision) {
+        noteLeftOut(snapshot.revision, origin);
+        return;
+      }
       const nowMs = clock.nowMs();
       if (origin === 'store') outage.served(nowMs);
       last = snapshot;
@@ -302,6 +324,7 @@
         .filter(([, each]) => each.finder === 'self')
         .map(([id]) => id),
     hasUnreachable: () => silent.size > 0,
+    leftOutCount: () => leftOutCount,
     keptCount: () => lapsed.size,
     revision: () => last?.revision ?? 0,
     digest: () => digest,
