A test that fails: calls to upstreams that leave after the store lost writes

The store of the tests comes back from an older copy: what was written since is gone, its numbers go back, and an era begins.

--- a/stand_ins/users_platform/store_stand_in.ts
+++ b/stand_ins/users_platform/store_stand_in.ts
@@ -25,6 +25,13 @@
   /** Carries writes out and loses the answers. */
   | 'answers-lost';
 
+/** All that the store had acknowledged at one moment. */
+export interface StoreCopy {
+  readonly rows: readonly Row[];
+  readonly history: readonly Row[];
+  readonly version: number;
+}
+
 export interface StoreStandIn {
   /** `ip:port`. */
   readonly address: string;
@@ -33,6 +40,12 @@
   remove(table: string, key: string): void;
   get(table: string, key: string): unknown;
   setMode(mode: StoreMode): void;
+  copy(): StoreCopy;
+  /**
+   * Comes back from an older copy: what was written since is gone, its
+   * versions are given out again, and an era begins.
+   */
+  restore(copy: StoreCopy): void;
   /** Drops the history that feeds resume from. */
   dropHistory(): void;
   callCount(): number;
@@ -54,6 +67,7 @@
   let historyFrom = 0;
   let mode: StoreMode = 'serving';
   let calls = 0;
+  let era = 1;
   let waiters: Waiter[] = [];
 
   const idOf = (table: string, key: string) => `${table}\u0000${key}`;
@@ -87,7 +101,7 @@
   function feed(query: URLSearchParams, response: http.ServerResponse): void {
     const after = Number(query.get('after'));
     const table = query.get('table') ?? '';
-    if (after < historyFrom) return send(response, 410, {});
+    if (after < historyFrom || after > version) return send(response, 410, {});
     const changed = () =>
       history.filter(row => row.table === table && row.ver > after);
     if (changed().length > 0) return send(response, 200, page(changed()));
@@ -139,6 +153,7 @@
     response: http.ServerResponse,
   ): void {
     calls++;
+    response.setHeader('Store-Era', era);
     if (mode === 'silent') return;
     if (mode === 'busy') return send(response, 503, {});
     const url = new URL(message.url ?? '/', 'http://store');
@@ -187,6 +202,21 @@
     setMode(next) {
       mode = next;
     },
+    copy: () => ({
+      rows: [...rows.values()],
+      history: [...history],
+      version,
+    }),
+    restore(copy) {
+      rows.clear();
+      for (const row of copy.rows) rows.set(idOf(row.table, row.key), row);
+      history = [...copy.history];
+      version = copy.version;
+      era++;
+      // A store that was away has no open calls.
+      waiters = [];
+      server.closeAllConnections();
+    },
     dropHistory() {
       history = [];
       historyFrom = version + 1;
--- /dev/null
+++ b/tests/platform/store_older_copy_test.ts
@@ -0,0 +1,78 @@
+/** A store that comes back from a copy some seconds old. */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, test} from 'node:test';
+import type {EngineStandIn} from '../../stand_ins/users_platform/engine_stand_in.js';
+import {
+  callFor,
+  createSite,
+  makeConfiguration,
+  untilReady,
+  wait,
+  type Entry,
+  type Site,
+} from './relay_site.js';
+
+/** From the store's word that an upstream leaves to the last new work. */
+const DRAIN_MS = 2_000;
+const PLAY_MS = 4_000;
+/** Writes that are lost, so that numbers go back far. */
+const LOST_WRITES = 12;
+
+let site: Site;
+
+beforeEach(async () => {
+  site = await createSite();
+});
+
+afterEach(() => site.close());
+
+async function startEntries(count: number): Promise<readonly Entry[]> {
+  const first = await site.addEntry();
+  const seedAddresses = [first.settings.peerAddress];
+  const entries = [first];
+  while (entries.length < count) {
+    entries.push(await site.addEntry({seedAddresses}));
+  }
+  for (const entry of entries) await untilReady(site, entry);
+  return entries;
+}
+
+/** Comes back as it is now, after writes that are lost. */
+async function loseWrites(): Promise<void> {
+  const copy = site.store.copy();
+  for (let i = 0; i < LOST_WRITES; i++) {
+    site.configure(makeConfiguration());
+    await wait(50);
+  }
+  await wait(1_000);
+  site.store.setMode('busy');
+  await wait(500);
+  site.store.restore(copy);
+  site.store.setMode('serving');
+}
+
+async function countLate(
+  entries: readonly Entry[],
+  leaving: EngineStandIn,
+): Promise<number> {
+  const leftAtMs = performance.now();
+  const answers = await callFor(site, entries, PLAY_MS, '/saldo/1');
+  assert.ok(answers.every(({status}) => status === 200));
+  const late = leaving.arrivals.filter(({atMs}) => atMs > leftAtMs + DRAIN_MS);
+  return late.length;
+}
+
+for (const count of [1, 3]) {
+  test(`an upstream that leaves after the store lost writes gets nothing more from ${count} hosts`, async () => {
+    // Guards against lists that are left out since the store's numbers went back.
+    const leaving = await site.addUpstream({id: 'i-1', service: 'ledger'});
+    await site.addUpstream({id: 'i-2', service: 'ledger'});
+    site.configure(makeConfiguration());
+    const entries = await startEntries(count);
+    await loseWrites();
+    await wait(1_500);
+    site.list(leaving, 'draining');
+    assert.equal(await countLate(entries, leaving), 0);
+  });
+}
