Order lists of upstreams by the era of the store, then by its counter

Callers' requests reached upstreams over 2 s after the store had acknowledged that they leave. The store had come back from an older copy: its counter was smaller than before, and hosts took each list that they read for an older one. They left all of them out until the counter reached the old value again, here 5.8 s later. As each left-out list still counted as a confirmation, the age of the list stayed below a second and no host asked another.

In virtual time the same fails at 9 and at 300 hosts when numbers are compared without their era. That a number is given out again did no harm there before, as the digest of the list differs; that test passes without the change and stays as a guard.

A revision of the store is now a pair of era and counter, everywhere: lists, changes that peers tell, confirmations, handed lists. A newer era is newer whatever its counter says, and word of an older era is old. A host that learns of an era, from any answer of the store or from a peer, knows that its list is behind. Only a list that is taken confirms.

--- a/bench/placer_slopes.ts
+++ b/bench/placer_slopes.ts
@@ -63,7 +63,7 @@
   const registry = createUpstreamRegistry({clock, log});
   const engineCount = Math.round(hostCount * ENGINES_PER_HOST);
   registry.apply({
-    revision: 1,
+    revision: {era: 0, counter: 1},
     upstreams: Array.from({length: engineCount}, (_, i) => ({
       id: `engine-${i}`,
       name: `engine-${i}`,
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -1,5 +1,7 @@
 /** What the platform's list says of engines and plain services. */
 
+import type {StoreRevision} from './store_revision.js';
+
 export type UpstreamRole = 'prefill' | 'decode';
 
 /**
@@ -30,7 +32,6 @@
 
 /** The whole list as of one moment of the store. */
 export interface UpstreamSnapshot {
-  /** The store's counter; a smaller one is an older list. */
-  readonly revision: number;
+  readonly revision: StoreRevision;
   readonly upstreams: readonly Upstream[];
 }
--- a/src/relay/fleet/peer_codec.ts
+++ b/src/relay/fleet/peer_codec.ts
@@ -16,7 +16,8 @@
     '"failureDomain":"","state":"leaving","isStoreReachable":false}}' +
     '{"kind":"down","hostId":"front-"},' +
     '{"routingVersion":1,"routingAges":{"readAgeMs":1000,"ageMs":1000},' +
-    '"upstreamRevision":1000,"upstreamDigest":1000000000,' +
+    '"upstreamRevision":{"era":0,"counter":1000},' +
+    '"upstreamDigest":1000000000,' +
     '"upstreamAges":{"readAgeMs":1000,"ageMs":100},"listDeltas":[],' +
     '"isStoreReachable":true,"state":"ready","callerAddress":"10.",' +
     '"failureDomain":"","load":{"decode":{"i-":[1,3200,3600]},' +
@@ -33,7 +34,7 @@
     '"isSettled":true,"wants":"view"}',
 );
 /** First byte of a compressed datagram; others are JSON and begin with `{`. */
-const FORMAT = 5;
+const FORMAT = 6;
 /** Below this, a datagram is sent as it is. */
 const SMALL_BYTES = 300;
 const MOST_BYTES = 256 * 1024;
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -2,6 +2,7 @@
 
 import type {PermitMessage} from '../backpressure/permit_messages.js';
 import type {LimitRecord} from '../backpressure/upstream_limits.js';
+import type {StoreRevision} from '../../core/store_revision.js';
 import type {LossFact} from '../../request/quarantine.js';
 import type {HostLoad} from '../placement/host_load.js';
 import type {AccountLevel} from '../accounts/quota_rules.js';
@@ -133,9 +134,18 @@
   return isObject(value) && Array.isArray(value['sums']);
 }
 
+function isRevision(value: unknown): value is StoreRevision {
+  return (
+    isObject(value) &&
+    Number.isFinite(value['era']) &&
+    Number.isFinite(value['counter'])
+  );
+}
+
 function hasFindings(value: Record<string, unknown>): boolean {
   const {suspects, unreachable, changing, losses, learned} = value;
   const {routingAges, upstreamAges, listDeltas, sequence} = value;
+  const {upstreamRevision} = value;
   const {routingCompleteUntilMs, limits = [], leaving = []} = value;
   const required = [suspects, unreachable, changing, losses, listDeltas];
   const lists = [...required, limits, leaving];
@@ -143,7 +153,8 @@
   const hasAges = isObject(routingAges) && isObject(upstreamAges);
   const hasLearned = isObject(learned) && Object.values(learned).every(isSums);
   const hasNumbers = [sequence, routingCompleteUntilMs].every(Number.isFinite);
-  return hasLists && hasAges && hasLearned && hasNumbers;
+  const hasRevision = isRevision(upstreamRevision);
+  return hasLists && hasAges && hasLearned && hasNumbers && hasRevision;
 }
 
 const CHECKS: Readonly<
--- a/src/relay/fleet/peer_handover.ts
+++ b/src/relay/fleet/peer_handover.ts
@@ -8,6 +8,7 @@
  */
 
 import {readWhole, type HttpExchange} from '../../adapters/http_exchange.js';
+import {compareRevisions} from '../../core/store_revision.js';
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {RoutingSource} from '../../ports/relay.js';
@@ -117,7 +118,7 @@
     const freshest = host
       .peers()
       .filter(peer => peer.upstreamAges.ageMs < Math.min(STALE_MS, ownAgeMs))
-      .sort((a, b) => b.upstreamRevision - a.upstreamRevision)
+      .sort((a, b) => compareRevisions(b.upstreamRevision, a.upstreamRevision))
       .at(0);
     if (!freshest) return;
     const sentAt = host.storeTime.now();
@@ -127,8 +128,8 @@
     if (handed.storeNowMs !== undefined) {
       host.storeTime.note(sentAt, handed.storeNowMs);
     }
-    host.onUpstreams(handed.ageMs);
-    registry.apply(handed.snapshot, 'peer');
+    const isTaken = registry.apply(handed.snapshot, 'peer');
+    if (isTaken) host.onUpstreams(handed.ageMs);
   }
 
   function parseHanded<T>(text: string): T | undefined {
--- a/src/relay/fleet/store_readers.ts
+++ b/src/relay/fleet/store_readers.ts
@@ -7,6 +7,7 @@
  * when something has changed or nobody has confirmed it for too long.
  */
 
+import type {StoreRevision} from '../../core/store_revision.js';
 import type {ListDelta} from '../store/list_deltas.js';
 import type {ConfirmedAges} from '../store/store_confirmation.js';
 import {createHostRanks} from './coordinators.js';
@@ -17,7 +18,7 @@
   readonly routingAges: ConfirmedAges;
   /** Every version before this time of the store is in force there. */
   readonly routingCompleteUntilMs: number;
-  readonly upstreamRevision: number;
+  readonly upstreamRevision: StoreRevision;
   /** The same for lists that differ in nothing but signs of life. */
   readonly upstreamDigest: number;
   readonly upstreamAges: ConfirmedAges;
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -81,7 +81,7 @@
   {
     name: 'upstream_list_revision',
     help: 'The number of the store at the list that is gone by.',
-    read: ({registry}) => registry.revision(),
+    read: ({registry}) => registry.revision().counter,
   },
   {
     name: 'lists_left_out',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -157,6 +157,7 @@
       ...sources,
       routing,
       registry,
+      storeEra,
       storeTime: accounts.storeTime,
       freshness: accounts.freshness,
       isReader: readers.isReader,
--- a/src/relay/store/list_deltas.ts
+++ b/src/relay/store/list_deltas.ts
@@ -10,13 +10,14 @@
 
 import {hashText} from '../../core/hash_text.js';
 import type {Clock} from '../../ports/clock.js';
+import type {StoreRevision} from '../../core/store_revision.js';
 import type {Upstream} from '../../core/upstream.js';
 
 export interface ListDelta {
   readonly fromDigest: number;
   readonly toDigest: number;
-  /** The store's counter at the list that has the change. */
-  readonly revision: number;
+  /** Of the list that has the change. */
+  readonly revision: StoreRevision;
   /** Upstreams that are new or listed otherwise than before. */
   readonly changed: readonly Upstream[];
   /** Ids of those that are no longer there. */
@@ -34,7 +35,11 @@
 
 export interface DeltaLog {
   /** The list has changed, or was read again as it was. */
-  note(before: DigestedList, after: DigestedList, revision: number): void;
+  note(
+    before: DigestedList,
+    after: DigestedList,
+    revision: StoreRevision,
+  ): void;
   /** The changes of the last moments, oldest first. */
   recent(): readonly ListDelta[];
 }
--- a/src/relay/store/store_watch.ts
+++ b/src/relay/store/store_watch.ts
@@ -8,6 +8,12 @@
  * again soon, on another connection.
  */
 
+import {
+  compareRevisions,
+  isNewerRevision,
+  NO_REVISION,
+  type StoreRevision,
+} from '../../core/store_revision.js';
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
@@ -25,6 +31,7 @@
 import type {RoutingState} from '../routing_state.js';
 import {createStoreConfirmation} from './store_confirmation.js';
 import type {StoreKnowledge} from '../fleet/store_readers.js';
+import type {StoreEra} from './store_era.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
 
 export interface StoreWatchHost {
@@ -37,6 +44,7 @@
   readonly hostRegistry: HostRegistry;
   readonly routing: RoutingState;
   readonly registry: UpstreamRegistry;
+  readonly storeEra: StoreEra;
   readonly storeTime: StoreTime;
   readonly freshness: ConfigurationFreshness;
   /** Whether this host reads for all. */
@@ -112,7 +120,7 @@
   host: StoreWatchHost,
   self: HostRecord,
 ): StoreWatch {
-  const {clock, random, log, metrics, routing, registry} = host;
+  const {clock, random, log, metrics, routing, registry, storeEra} = host;
   const {freshness, storeTime} = host;
   const timers = new Set<TimerHandle>();
   let isStopped = false;
@@ -124,7 +132,7 @@
   const listConfirmation = createStoreConfirmation(clock);
   const routingConfirmation = createStoreConfirmation(clock);
   /** The newest that a peer had and this host had not. */
-  let otherListRevision = 0;
+  let otherListRevision = NO_REVISION;
   let otherRoutingVersion = 0;
   let listBehindSinceMs = 0;
   let listReadAtMs = Number.NEGATIVE_INFINITY;
@@ -186,7 +194,8 @@
    * it. As marks that only an own read took off, they made a host that had
    * been handed the newer one ask the store for it four times a second.
    */
-  const isListBehind = () => otherListRevision > registry.revision();
+  const isListBehind = () =>
+    isNewerRevision(otherListRevision, registry.revision());
   const isRoutingBehind = () => otherRoutingVersion > routing.version();
 
   function noteReader(isNow: boolean): void {
@@ -282,8 +291,7 @@
       return;
     }
     // The list is as old as its request at most.
-    listConfirmation.noteRead(sentAtMs);
-    registry.apply(read.value);
+    if (registry.apply(read.value)) listConfirmation.noteRead(sentAtMs);
     listTimer = later(0, followUpstreams);
   }
 
@@ -319,20 +327,28 @@
     }
   }
 
+  /** Others have, or there must be, a newer list than the one known here. */
+  function noteOtherList(revision: StoreRevision): void {
+    if (!isListBehind()) listBehindSinceMs = clock.nowMs();
+    if (isNewerRevision(revision, otherListRevision)) {
+      otherListRevision = revision;
+    }
+    wakeUpstreams();
+  }
+
   function hearUpstreams(peer: StoreKnowledge): void {
     registry.noteServed(clock.nowMs() - peer.upstreamAges.ageMs);
     const {upstreamRevision} = peer;
-    if (upstreamRevision < registry.revision()) return;
+    storeEra.note(upstreamRevision.era);
+    if (isNewerRevision(registry.revision(), upstreamRevision)) return;
     for (const delta of peer.listDeltas) registry.applyDelta(delta);
     if (peer.upstreamDigest !== registry.digest()) {
-      if (!isListBehind()) listBehindSinceMs = clock.nowMs();
-      otherListRevision = Math.max(otherListRevision, upstreamRevision);
-      wakeUpstreams();
+      noteOtherList(upstreamRevision);
       return;
     }
     // A peer that missed the same change as this host has the same old list;
     // hosts that took its word kept upstreams that had left, all together.
-    if (upstreamRevision < otherListRevision) return;
+    if (compareRevisions(upstreamRevision, otherListRevision) < 0) return;
     listConfirmation.notePeer(peer.upstreamAges);
     registry.confirm(upstreamRevision);
   }
@@ -362,6 +378,7 @@
 
   return {
     start() {
+      storeEra.onChange(era => noteOtherList({...NO_REVISION, era}));
       void followRouting();
       void followUpstreams();
       later(REGISTER_AFTER_MS, keepRegistered);
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -8,6 +8,13 @@
  */
 
 import {createBoundedMap} from '../../core/bounded_map.js';
+import {
+  compareRevisions,
+  formatRevision,
+  isNewerRevision,
+  NO_REVISION,
+  type StoreRevision,
+} from '../../core/store_revision.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import {
@@ -36,10 +43,10 @@
 
 export interface UpstreamRegistry {
   /**
-   * Takes a list over; an older one than the last is left out. A peer's list
-   * already has what the peer still waits for after an outage.
+   * Takes a list over; false for one that is older than the last. A peer's
+   * list already has what the peer still waits for after an outage.
    */
-  apply(snapshot: UpstreamSnapshot, origin?: UpstreamOrigin): void;
+  apply(snapshot: UpstreamSnapshot, origin?: UpstreamOrigin): boolean;
   /** Takes over a change that a peer read, if it leads to the peer's list. */
   applyDelta(delta: ListDelta): void;
   /** Changes of the last moments, for the peers. */
@@ -70,11 +77,11 @@
   leftOutCount(): number;
   /** Missing entries that are kept, as their upstreams may return. */
   keptCount(): number;
-  revision(): number;
+  revision(): StoreRevision;
   /** The same for lists that differ in nothing but signs of life. */
   digest(): number;
   /** The store had the same list at a later revision. */
-  confirm(revision: number): void;
+  confirm(revision: StoreRevision): void;
   isKnown(): boolean;
   /** Upstreams of a service that take new work. */
   open(service: string): readonly Upstream[];
@@ -189,7 +196,7 @@
     lapsed.delete(id);
     gone.delete(id);
     silent.delete(id);
-    const revision = last?.revision;
+    const revision = formatRevision(registry.revision());
     log.info('Upstream left.', {upstream: id, reason, origin, revision});
   }
 
@@ -217,20 +224,20 @@
           upstream: id,
           keptMs: Math.round(outage.keepUntilMs() - nowMs),
           lastFailedReadAgoMs: Math.round(nowMs - outage.lastFailureAtMs()),
-          revision: last?.revision,
+          revision: formatRevision(registry.revision()),
         });
       }
     }
   }
 
-  function noteLeftOut(revision: number, origin: UpstreamOrigin): void {
+  function noteLeftOut(revision: StoreRevision, origin: UpstreamOrigin): void {
     leftOutCount++;
     const nowMs = clock.nowMs();
     if (nowMs - leftOutLoggedAtMs < SAME_LEFT_OUT_MS) return;
     leftOutLoggedAtMs = nowMs;
     log.warn('List of upstreams left out.', {
-      revision,
-      known: last?.revision,
+      revision: formatRevision(revision),
+      known: formatRevision(registry.revision()),
       origin,
       leftOut: leftOutCount,
     });
@@ -254,9 +261,9 @@
 
   const registry: UpstreamRegistry = {
     apply(snapshot, origin = 'store') {
-      if (last && snapshot.revision < last.revision) {
+      if (last && isNewerRevision(last.revision, snapshot.revision)) {
         noteLeftOut(snapshot.revision, origin);
-        return;
+        return false;
       }
       const nowMs = clock.nowMs();
       if (origin === 'store') outage.served(nowMs);
@@ -267,10 +274,12 @@
       digest = digestList(entries);
       deltas.note(before, {entries, digest}, snapshot.revision);
       rebuild();
+      return true;
     },
     applyDelta(delta) {
       const {fromDigest, toDigest, revision} = delta;
-      if (toDigest === digest || revision < registry.revision()) return;
+      const isOld = compareRevisions(revision, registry.revision()) < 0;
+      if (toDigest === digest || isOld) return;
       const upstreams = applyDelta(entries, delta);
       // Readers see a series of changes in different steps. A step from
       // another list than this one is right if it leads to the reader's.
@@ -282,7 +291,7 @@
       const nowMs = clock.nowMs();
       if (nowMs - outage.lastFailureAtMs() > SAME_FAILURE_MS) {
         log.warn('The list of upstreams cannot be read.', {
-          revision: last?.revision,
+          revision: formatRevision(registry.revision()),
         });
       }
       outage.readFailed(nowMs);
@@ -326,10 +335,12 @@
     hasUnreachable: () => silent.size > 0,
     leftOutCount: () => leftOutCount,
     keptCount: () => lapsed.size,
-    revision: () => last?.revision ?? 0,
+    revision: () => last?.revision ?? NO_REVISION,
     digest: () => digest,
     confirm(revision) {
-      if (last && revision > last.revision) last = {...last, revision};
+      if (last && isNewerRevision(revision, last.revision)) {
+        last = {...last, revision};
+      }
     },
     isKnown: () => last !== undefined,
     open: service => byService.get(service) ?? [],
--- a/tests/platform/store_sources_test.ts
+++ b/tests/platform/store_sources_test.ts
@@ -35,7 +35,7 @@
   // two changes. The feed brings a row once for each change, in order, and
   // the first was taken while the cursor moved past them all.
   const rows = [configurationRow(7, 100), configurationRow(14, 120)];
-  const store = makeStore({rows, ver: 121, now_ms: 0});
+  const store = makeStore({rows, era: 1, ver: 121, now_ms: 0});
   const source = createRoutingSource({store, log: silentLog});
   const read = await source.readNext(90, 1_000, 1_500);
   assert.equal(read.kind, 'read');
@@ -63,7 +63,7 @@
 }
 
 async function readUpstreams(rows: readonly WireRow[], log: Logger) {
-  const store = makeStore({rows, ver: 9, now_ms: 0});
+  const store = makeStore({rows, era: 1, ver: 9, now_ms: 0});
   const source = createUpstreamSource({store, log});
   await source.readNow(600);
   const read = await source.readNow(600);
--- a/tests/relay/backpressure/backpressure_test.ts
+++ b/tests/relay/backpressure/backpressure_test.ts
@@ -6,6 +6,7 @@
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import type {Upstream} from '../../../src/core/upstream.js';
 import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 const UPSTREAM: Upstream = {
   id: 'i-1',
@@ -40,7 +41,7 @@
     clock,
     ...backpressure,
     list(...upstreams: readonly Upstream[]) {
-      registry.apply({revision: ++revision, upstreams});
+      registry.apply({revision: revisionAt(++revision), upstreams});
     },
   };
 }
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -28,6 +28,7 @@
 } from '../../../src/relay/store/store_confirmation.js';
 import {UPSTREAMS_EVERY_MS} from '../../../src/relay/store/store_watch.js';
 import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 /** One way, between hosts. */
 const LINK_MS = 2;
@@ -157,7 +158,7 @@
       routingVersion: 1,
       routingAges: confirmation.announced(),
       routingCompleteUntilMs: 0,
-      upstreamRevision: 1,
+      upstreamRevision: revisionAt(1),
       upstreamDigest: 0,
       upstreamAges: confirmation.announced(),
       listDeltas: [],
--- a/tests/relay/placement/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -28,6 +28,7 @@
 import {toWaiting} from '../../../src/relay/placement/wait_rules.js';
 import {silentLog} from '../../support/silent_log.js';
 import {oneGroup} from './one_group.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 export interface BurstOptions {
   readonly seed: number;
@@ -148,7 +149,7 @@
 
   function makeHost(hostId: string) {
     const registry = createUpstreamRegistry({clock, log: silentLog});
-    registry.apply({revision: 1, upstreams});
+    registry.apply({revision: revisionAt(1), upstreams});
     const books = createEngineBooks();
     const learning = createSharedLearning({clock});
     const groups =
@@ -232,7 +233,7 @@
         callerAddress: `${hostId}:80`,
         failureDomain: 'domain-0',
         routingVersion: 1,
-        upstreamRevision: 1,
+        upstreamRevision: revisionAt(1),
         upstreamAges: {readAgeMs: 0, ageMs: 0},
         upstreamDigest: 0,
         listDeltas: [],
--- a/tests/relay/placement/engine_probation_test.ts
+++ b/tests/relay/placement/engine_probation_test.ts
@@ -4,6 +4,7 @@
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
 import {createEngineProbation} from '../../../src/relay/placement/engine_probation.js';
 import {makeLoneScheduler, makeService} from './lone_scheduler.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 const KV_TOKENS = 40_000;
 const FAILS_AFTER_MS = 150;
@@ -122,7 +123,7 @@
     ...registry.get(id)!,
     role: id === 'd2' ? ('decode' as const) : ('prefill' as const),
   }));
-  registry.apply({revision: 2, upstreams});
+  registry.apply({revision: revisionAt(2), upstreams});
   assert.deepEqual(scheduler.inOtherRole(), []);
 });
 
--- a/tests/relay/placement/engine_scheduler_test.ts
+++ b/tests/relay/placement/engine_scheduler_test.ts
@@ -17,6 +17,7 @@
 import type {Waiting} from '../../../src/relay/placement/wait_rules.js';
 import {silentLog} from '../../support/silent_log.js';
 import {oneGroup} from './one_group.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 const SERVICE = 'aruande-koostaja';
 const KV_TOKENS = 10_000;
@@ -53,7 +54,7 @@
   const random = createSeededRandom(7);
   const registry = createUpstreamRegistry({clock, log: silentLog});
   registry.apply({
-    revision: 1,
+    revision: revisionAt(1),
     upstreams: ids.map(id =>
       makeEngine(id, id.startsWith('p') ? 'prefill' : 'decode'),
     ),
--- a/tests/relay/placement/lone_scheduler.ts
+++ b/tests/relay/placement/lone_scheduler.ts
@@ -10,6 +10,7 @@
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
 import {oneGroup} from './one_group.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 export function makeService(kvTokens: number): Service {
   return {
@@ -47,7 +48,10 @@
   random = createSeededRandom(3),
 ) {
   const registry = createUpstreamRegistry({clock, log: silentLog});
-  registry.apply({revision: 1, upstreams: engineIds.map(makeEngine)});
+  registry.apply({
+    revision: revisionAt(1),
+    upstreams: engineIds.map(makeEngine),
+  });
   const books = createEngineBooks();
   const learning = createSharedLearning({clock});
   const scheduler = createEngineScheduler({
--- a/tests/relay/placement/placement_client_test.ts
+++ b/tests/relay/placement/placement_client_test.ts
@@ -11,6 +11,7 @@
 import type {PlacementMessage} from '../../../src/relay/placement/placement_messages.js';
 import {silentLog} from '../../support/silent_log.js';
 import {makeEngine, makeLoneScheduler, makeService} from './lone_scheduler.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 const service = makeService(10_000);
 
@@ -159,7 +160,7 @@
       ...makeEngine(id),
       isDraining: id === leaving,
     }));
-    entry.registry.apply({revision: 2, upstreams});
+    entry.registry.apply({revision: revisionAt(2), upstreams});
     const need = makeNeed(clock.nowMs());
     const asked = watch(entry.client.place(need, createCancellation()));
     await clock.advance(900);
--- a/tests/relay/plain/slot_client_test.ts
+++ b/tests/relay/plain/slot_client_test.ts
@@ -9,6 +9,7 @@
 import {createPlainBalancer} from '../../../src/scheduling/plain_balancer.js';
 import {silentLog} from '../../support/silent_log.js';
 import {makeUpstream} from '../store/store_site.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 const SERVICE = 'uus-pearaamat';
 const KEEPER = 'keeper';
@@ -62,9 +63,9 @@
     const {clock, registry, slots, told} = makeEntry('a');
     const a = makeUpstream('a');
     const b = makeUpstream('b');
-    registry.apply({revision: 1, upstreams: [a, b]});
+    registry.apply({revision: revisionAt(1), upstreams: [a, b]});
     registry.apply({
-      revision: 2,
+      revision: revisionAt(2),
       upstreams: isDraining ? [{...a, isDraining}, b] : [b],
     });
     const nowMs = clock.nowMs();
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -13,6 +13,7 @@
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {createPlainBalancer} from '../../../src/scheduling/plain_balancer.js';
 import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 export interface SlotLoadOptions {
   readonly seed: number;
@@ -84,7 +85,7 @@
       {ownFailureDomain: 'd0'},
     );
     registry.apply({
-      revision: 1,
+      revision: revisionAt(1),
       upstreams: ids.map((id, i) => ({
         id,
         name: id,
--- a/tests/relay/roles/role_orders_test.ts
+++ b/tests/relay/roles/role_orders_test.ts
@@ -19,6 +19,7 @@
 import {createSharedLearning} from '../../../src/relay/placement/shared_learning.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 const service: Service = {
   name: 'drafts',
@@ -56,7 +57,7 @@
     ...Array.from({length: decodeCount}, () => 'decode' as const),
   ];
   registry.apply({
-    revision: 1,
+    revision: revisionAt(1),
     upstreams: roles.map((role, i) => ({
       id: `e${i}`,
       name: `e${i}`,
--- /dev/null
+++ b/tests/relay/store/older_copy_test.ts
@@ -0,0 +1,80 @@
+/** Hosts before a store that comes back from a copy some seconds old. */
+
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {makeSite, makeUpstream, OF_MANY} from './store_site.js';
+
+/** After the store's word, an upstream gets nothing more from then on. */
+const LEAVING_BOUND_MS = 2_000;
+/** By then each host has read the registry of hosts twice. */
+const SETTLED_MS = 12_000;
+const AWAY_MS = 500;
+/** Hosts are held to bounds once the store has served them for so long. */
+const SERVED_AGAIN_MS = 1_500;
+
+const SERVICE = 'uus-pearaamat';
+const upstreams = ['u0', 'u1', 'u2'].map(makeUpstream);
+
+const SIZES = [
+  {hostCount: 9, chatter: undefined},
+  {hostCount: 300, chatter: OF_MANY},
+] as const;
+
+type Site = ReturnType<typeof makeSite>;
+
+async function startSite({
+  hostCount,
+  chatter,
+}: (typeof SIZES)[number]): Promise<Site> {
+  const site = makeSite(hostCount, chatter);
+  site.setUpstreams(upstreams);
+  await site.clock.advance(SETTLED_MS);
+  return site;
+}
+
+/** The store is away for a moment and comes back as of `copy`. */
+async function comeBack(
+  site: Site,
+  copy: ReturnType<Site['copy']>,
+): Promise<void> {
+  site.store.isDown = true;
+  await site.clock.advance(AWAY_MS);
+  site.restore(copy);
+  site.store.isDown = false;
+}
+
+function assertOpen(site: Site, expected: readonly string[]): void {
+  for (const {hostId, registry} of site.live()) {
+    const open = registry.open(SERVICE).map(({id}) => id);
+    assert.deepEqual(open.sort(), expected, hostId);
+  }
+}
+
+for (const size of SIZES) {
+  test(`${size.hostCount} hosts take the lists of a store that lost writes`, async () => {
+    // Guards against lists that are left out until numbers are as high as before.
+    const site = await startSite(size);
+    const copy = site.copy();
+    site.write(100);
+    await site.clock.advance(3_000);
+    await comeBack(site, copy);
+    await site.clock.advance(SERVED_AGAIN_MS);
+    site.setUpstreams(upstreams.slice(1));
+    await site.clock.advance(LEAVING_BOUND_MS);
+    assertOpen(site, ['u1', 'u2']);
+  });
+
+  test(`${size.hostCount} hosts take a list that has a number which was given out before`, async () => {
+    // Guards against another list that hosts take for the one they have.
+    const site = await startSite(size);
+    const copy = site.copy();
+    site.setUpstreams([...upstreams, makeUpstream('lost')]);
+    await site.clock.advance(3_000);
+    await comeBack(site, copy);
+    await site.clock.advance(SERVED_AGAIN_MS);
+    site.setUpstreams(upstreams.slice(1));
+    assert.equal(site.store.revision, copy.revision + 1);
+    await site.clock.advance(LEAVING_BOUND_MS + AWAY_MS);
+    assertOpen(site, ['u1', 'u2']);
+  });
+}
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -9,6 +9,7 @@
 import type {StoreRead} from '../../../src/ports/relay.js';
 import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
 import {createConfigurationFreshness} from '../../../src/relay/accounts/configuration_freshness.js';
+import {createStoreEra} from '../../../src/relay/store/store_era.js';
 import {createStoreTime} from '../../../src/relay/accounts/store_time.js';
 import {createRoutingState} from '../../../src/relay/routing_state.js';
 import {
@@ -19,6 +20,7 @@
 import type {Upstream} from '../../../src/core/upstream.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 const ANSWER_MS = 4;
 
@@ -30,6 +32,9 @@
 }
 
 const CALM: Chatter = {hearMs: 3, announceEveryMs: 250};
+/** Of many, few tell all; the others tell these. */
+export const OF_MANY: Chatter = {hearMs: 3, announceEveryMs: 500};
+const MOST_IN_MESH = 16;
 
 export function makeUpstream(id: string): Upstream {
   return {
@@ -44,9 +49,26 @@
   };
 }
 
+/** All that the store had at one moment. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly version: number;
+  readonly configuredAt: number;
+  readonly upstreams: Upstream[];
+}
+
 export function makeSite(hostCount: number, chatter = CALM) {
   const clock = createVirtualClock(1_000);
-  const store = {revision: 1, version: 1, calls: 0, isDown: false};
+  const store = {
+    era: 0,
+    /** The counter of all writes. */
+    revision: 1,
+    /** The operator's number of the configuration, and when it was written. */
+    version: 1,
+    configuredAt: 1,
+    calls: 0,
+    isDown: false,
+  };
   let upstreams = [makeUpstream('a'), makeUpstream('b')];
   /** Hosts that the store turns away. */
   const cut = new Set<string>();
@@ -54,6 +76,12 @@
   const hearsNoChanges = new Set<string>();
   const calls = new Map<string, number>();
   const wakers = new Set<() => void>();
+  const isMesh = hostCount <= MOST_IN_MESH;
+  /** Where hosts are many, what all of them know of each other. */
+  let known: ReadonlyArray<{
+    readonly hostId: string;
+    readonly isStoreReachable: boolean;
+  }> = [];
 
   function answer<T>(hostId: string, value: () => T): Promise<StoreRead<T>> {
     store.calls++;
@@ -69,8 +97,12 @@
     });
   }
 
+  /** The store does not have the history that was asked for. */
+  const answerLost = (): Promise<StoreRead<never>> =>
+    Promise.resolve({kind: 'history-lost'});
+
   const readRouting = () => ({
-    cursor: store.version,
+    cursor: store.revision,
     storeNowMs: clock.nowMs(),
     routing: {
       version: store.version,
@@ -89,12 +121,13 @@
   function makeHost(hostId: string) {
     const routing = createRoutingState(silentLog);
     const registry = createUpstreamRegistry({clock, log: silentLog});
+    const storeEra = createStoreEra({clock, log: silentLog});
     const storeTime = createStoreTime(clock);
     const freshness = createConfigurationFreshness({clock, storeTime});
     const heard = new Map<string, {hostId: string} & StoreKnowledge>();
     const readers = createStoreReaders({
       hostId,
-      peers: () => [...heard.values()],
+      peers: () => (isMesh ? [...heard.values()] : known),
       isStoreReachable: () => watch.isStoreReachable(),
     });
     const watch = createStoreWatch(
@@ -105,6 +138,7 @@
         metrics: createRelayMetrics(),
         routing,
         registry,
+        storeEra,
         storeTime,
         freshness,
         isReader: readers.isReader,
@@ -116,7 +150,8 @@
         routingSource: {
           readNow: () => answer(hostId, readRouting),
           readNext(cursor, waitMs) {
-            if (cursor !== store.version) return answer(hostId, readRouting);
+            if (cursor > store.revision) return answerLost();
+            if (cursor < store.configuredAt) return answer(hostId, readRouting);
             return new Promise(resolve => {
               const wake = () => {
                 wakers.delete(wake);
@@ -132,7 +167,11 @@
         },
         upstreamSource: {
           readNow: () =>
-            answer(hostId, () => ({revision: store.revision, upstreams})),
+            answer(hostId, () => {
+              storeEra.note(store.era);
+              const revision = revisionAt(store.revision, store.era);
+              return {revision, upstreams};
+            }),
         },
         hostRegistry: {
           register: () => Promise.resolve(true),
@@ -148,17 +187,30 @@
   }
 
   const dead = new Set<string>();
+  const live = () => hosts.filter(({hostId}) => !dead.has(hostId));
   const hosts = Array.from({length: hostCount}, (_, i) =>
     makeHost(`host-${i}`),
   );
 
+  function noteMembers(): void {
+    known = live().map(({hostId, watch}) => ({
+      hostId,
+      isStoreReachable: watch.isStoreReachable(),
+    }));
+  }
+
+  const doesTell = (fromHostId: string, toHostId: string) =>
+    isMesh || tellers.includes(fromHostId) || tellers.includes(toHostId);
+
   function announce(): void {
+    noteMembers();
     for (const from of hosts) {
       if (dead.has(from.hostId)) continue;
       const knowledge = {hostId: from.hostId, ...from.watch.knowledge()};
       clock.setTimer(chatter.hearMs, () => {
         for (const to of hosts) {
           if (to === from || dead.has(to.hostId)) continue;
+          if (!doesTell(from.hostId, to.hostId)) continue;
           const heard = hearsNoChanges.has(to.hostId)
             ? {...knowledge, listDeltas: []}
             : knowledge;
@@ -169,6 +221,9 @@
     }
     clock.setTimer(chatter.announceEveryMs, announce);
   }
+  noteMembers();
+  /** They hear all and tell all. */
+  const tellers = isMesh ? [] : hosts[0].readers.readerIds();
   clock.setTimer(10, announce);
 
   return {
@@ -194,7 +249,7 @@
       hosts.find(each => each.hostId === hostId)?.watch.stop();
       for (const each of hosts) each.heard.delete(hostId);
     },
-    live: () => hosts.filter(({hostId}) => !dead.has(hostId)),
+    live,
     setUpstreams(next: Upstream[]) {
       upstreams = next;
       store.revision++;
@@ -206,8 +261,25 @@
       }));
       store.revision++;
     },
+    /** Writes of others, which change neither list nor configuration. */
+    write(count: number) {
+      store.revision += count;
+    },
+    copy: () => ({
+      revision: store.revision,
+      version: store.version,
+      configuredAt: store.configuredAt,
+      upstreams,
+    }),
+    /** The store comes back from an older copy. */
+    restore({upstreams: listed, ...numbers}: StoreCopy) {
+      Object.assign(store, numbers);
+      upstreams = listed;
+      store.era++;
+    },
     configure() {
       store.version++;
+      store.configuredAt = ++store.revision;
       for (const wake of [...wakers]) wake();
     },
   };
--- a/tests/relay/store/store_watch_test.ts
+++ b/tests/relay/store/store_watch_test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {makeSite, makeUpstream} from './store_site.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 test('of many hosts three read the store, and all stay fresh', async () => {
   // Each call to the store costs as much as a fifth of a posting; 90 hosts
@@ -100,7 +101,10 @@
   const reader = hosts.find(each => each.readers.isReader());
   const other = hosts.find(each => !each.readers.isReader());
   assert.ok(reader && other);
-  other.registry.apply({revision: 1, upstreams: [makeUpstream('odd')]}, 'peer');
+  other.registry.apply(
+    {revision: revisionAt(1), upstreams: [makeUpstream('odd')]},
+    'peer',
+  );
   setUpstreams([makeUpstream('b')]);
   await clock.advance(1_700);
   const ids = other.registry.open('uus-pearaamat').map(({id}) => id);
--- a/tests/relay/store/upstream_registry_test.ts
+++ b/tests/relay/store/upstream_registry_test.ts
@@ -4,6 +4,7 @@
 import type {Upstream} from '../../../src/core/upstream.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 const SERVICE = 'uus-pearaamat';
 
@@ -29,7 +30,7 @@
     clock,
     registry,
     list(...upstreams: readonly Upstream[]) {
-      registry.apply({revision: ++revision, upstreams});
+      registry.apply({revision: revisionAt(++revision), upstreams});
     },
     open: () => registry.open(SERVICE).map(({id}) => id),
   };
@@ -115,8 +116,8 @@
 
 test('an older list is left out', () => {
   const {registry, open} = makeRegistry();
-  registry.apply({revision: 5, upstreams: [makeUpstream('a')]});
-  registry.apply({revision: 4, upstreams: [makeUpstream('old')]});
+  registry.apply({revision: revisionAt(5), upstreams: [makeUpstream('a')]});
+  registry.apply({revision: revisionAt(4), upstreams: [makeUpstream('old')]});
   assert.deepEqual(open(), ['a']);
 });
 
@@ -128,7 +129,10 @@
   list(makeUpstream('a'), makeUpstream('b'));
   registry.noteReadFailed();
   await clock.advance(2_000);
-  registry.apply({revision: 9, upstreams: [makeUpstream('b')]}, 'peer');
+  registry.apply(
+    {revision: revisionAt(9), upstreams: [makeUpstream('b')]},
+    'peer',
+  );
   assert.deepEqual(open(), ['b']);
 });
 
@@ -198,7 +202,10 @@
   for (const each of [first, second, host]) each.list(...before);
   const draining = makeUpstream('a', {isDraining: true});
   first.list(draining, makeUpstream('b'), makeUpstream('c'));
-  const after = {revision: 3, upstreams: [draining, makeUpstream('c')]};
+  const after = {
+    revision: revisionAt(3),
+    upstreams: [draining, makeUpstream('c')],
+  };
   second.registry.apply(after);
   for (const reader of [first, second]) {
     for (const delta of reader.registry.deltas()) {
--- /dev/null
+++ b/tests/support/store_revisions.ts
@@ -0,0 +1,7 @@
+/** Moments of a store, for tests. */
+
+import type {StoreRevision} from '../../src/core/store_revision.js';
+
+export function revisionAt(counter: number, era = 0): StoreRevision {
+  return {era, counter};
+}
