Read the configuration anew when a feed answers from another era

A configuration could stay unknown: a reader follows the operator's table from the counter of its last answer. If the store comes back from an older copy and passes that counter before the next answer, no 410 comes, and what the operator wrote meanwhile lies behind the cursor. Hosts that go by what readers know miss it, too.

An outage that makes calls fail hid it, since a reader that lost the store drops its cursor.

A cursor now carries the era that gave it out. It is dropped when the host knows of another one, and after an answer from another one.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -5,6 +5,7 @@
  */
 
 import type {Routing} from '../core/routing_types.js';
+import type {StoreRevision} from '../core/store_revision.js';
 import type {
   Upstream,
   UpstreamRole,
@@ -217,8 +218,8 @@
   | {readonly kind: 'failed'; readonly detail: string};
 
 export interface RoutingUpdate {
-  /** Resume the feed from here. */
-  readonly cursor: number;
+  /** Resume the feed from here; of the era that answered. */
+  readonly cursor: StoreRevision;
   /** The store's clock when it answered. */
   readonly storeNowMs: number;
   /** Absent when nothing changed. */
@@ -232,7 +233,7 @@
   readNow(timeoutMs: number): Promise<StoreRead<RoutingUpdate>>;
   /** Waits up to `waitMs` for a change after `cursor`. */
   readNext(
-    cursor: number,
+    cursor: StoreRevision,
     waitMs: number,
     timeoutMs: number,
   ): Promise<StoreRead<RoutingUpdate>>;
--- a/src/relay/store/store_watch.ts
+++ b/src/relay/store/store_watch.ts
@@ -125,7 +125,7 @@
   const timers = new Set<TimerHandle>();
   let isStopped = false;
   let isLeaving = false;
-  let cursor: number | undefined;
+  let cursor: StoreRevision | undefined;
   /** The newest version of which own reads have told, if it can be read. */
   let readVersion: number | undefined;
   let isRegistered = false;
@@ -243,22 +243,20 @@
     }
     routingTimer = undefined;
     routingReadAtMs = clock.nowMs();
-    const isNew = cursor === undefined;
+    if (cursor?.era !== storeEra.current()) cursor = undefined;
+    const from = cursor;
     const sentAt = storeTime.now();
-    const read =
-      cursor === undefined
-        ? await host.routingSource.readNow(READ_TIMEOUT_MS)
-        : await host.routingSource.readNext(
-            cursor,
-            FEED_WAIT_MS,
-            FEED_TIMEOUT_MS,
-          );
-    note(isNew ? 'configuration' : 'configuration-feed', read);
+    const read = from
+      ? await host.routingSource.readNext(from, FEED_WAIT_MS, FEED_TIMEOUT_MS)
+      : await host.routingSource.readNow(READ_TIMEOUT_MS);
+    note(from ? 'configuration-feed' : 'configuration', read);
     routingFailures = read.kind === 'failed' ? routingFailures + 1 : 0;
     switch (read.kind) {
       case 'read':
         storeTime.note(sentAt, read.value.storeNowMs);
         takeRouting(read.value);
+        // The feed passes over what was written before its cursor's number.
+        if (from && from.era !== read.value.cursor.era) cursor = undefined;
         // Until there is a first version, the feed wakes for it.
         routingTimer = later(0, followRouting);
         return;
--- a/tests/platform/store_sources_test.ts
+++ b/tests/platform/store_sources_test.ts
@@ -13,6 +13,7 @@
 import type {Logger} from '../../src/ports/log.js';
 import type {StoreRead} from '../../src/ports/relay.js';
 import {silentLog} from '../support/silent_log.js';
+import {revisionAt} from '../support/store_revisions.js';
 
 function makeStore(page: RowPage): StoreClient {
   const read = (): Promise<StoreRead<RowPage>> =>
@@ -37,11 +38,11 @@
   const rows = [configurationRow(7, 100), configurationRow(14, 120)];
   const store = makeStore({rows, era: 1, ver: 121, now_ms: 0});
   const source = createRoutingSource({store, log: silentLog});
-  const read = await source.readNext(90, 1_000, 1_500);
+  const read = await source.readNext(revisionAt(90, 1), 1_000, 1_500);
   assert.equal(read.kind, 'read');
   if (read.kind !== 'read') return;
   assert.equal(read.value.routing?.version, 14);
-  assert.equal(read.value.cursor, 121);
+  assert.deepEqual(read.value.cursor, revisionAt(121, 1));
 });
 
 const GOOD = {
--- a/tests/relay/store/older_copy_test.ts
+++ b/tests/relay/store/older_copy_test.ts
@@ -32,14 +32,20 @@
   return site;
 }
 
-/** The store is away for a moment and comes back as of `copy`. */
+/**
+ * The store is away for a moment, too short for any call to fail where that is
+ * 0, and comes back as of `copy`. What `writeFirst`
+ * writes is there before any host is served.
+ */
 async function comeBack(
   site: Site,
   copy: ReturnType<Site['copy']>,
+  {awayMs = AWAY_MS, writeFirst = () => {}} = {},
 ): Promise<void> {
   site.store.isDown = true;
-  await site.clock.advance(AWAY_MS);
+  await site.clock.advance(awayMs);
   site.restore(copy);
+  writeFirst();
   site.store.isDown = false;
 }
 
@@ -77,4 +83,21 @@
     await site.clock.advance(LEAVING_BOUND_MS + AWAY_MS);
     assertOpen(site, ['u1', 'u2']);
   });
+
+  test(`${size.hostCount} hosts get a configuration that the store has below their cursor`, async () => {
+    // Guards against a feed that goes on behind a version written after the copy.
+    const site = await startSite(size);
+    const copy = site.copy();
+    site.write(100);
+    await site.clock.advance(3_000);
+    const writeFirst = () => {
+      site.configure();
+      site.write(200);
+    };
+    await comeBack(site, copy, {awayMs: 0, writeFirst});
+    await site.clock.advance(SERVED_AGAIN_MS);
+    for (const {hostId, routing} of site.live()) {
+      assert.equal(routing.version(), site.store.version, hostId);
+    }
+  });
 }
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -101,8 +101,10 @@
   const answerLost = (): Promise<StoreRead<never>> =>
     Promise.resolve({kind: 'history-lost'});
 
+  const cursorNow = () => revisionAt(store.revision, store.era);
+
   const readRouting = () => ({
-    cursor: store.revision,
+    cursor: cursorNow(),
     storeNowMs: clock.nowMs(),
     routing: {
       version: store.version,
@@ -118,6 +120,11 @@
     } satisfies Routing,
   });
 
+  const readNothing = () => ({
+    cursor: cursorNow(),
+    storeNowMs: clock.nowMs(),
+  });
+
   function makeHost(hostId: string) {
     const routing = createRoutingState(silentLog);
     const registry = createUpstreamRegistry({clock, log: silentLog});
@@ -150,13 +157,22 @@
         routingSource: {
           readNow: () => answer(hostId, readRouting),
           readNext(cursor, waitMs) {
-            if (cursor > store.revision) return answerLost();
-            if (cursor < store.configuredAt) return answer(hostId, readRouting);
+            const {counter} = cursor;
+            if (counter > store.revision) return answerLost();
+            if (counter < store.configuredAt) {
+              return answer(hostId, readRouting);
+            }
             return new Promise(resolve => {
               const wake = () => {
                 wakers.delete(wake);
                 clock.clearTimer(timer);
-                resolve(answer(hostId, readRouting));
+                resolve(
+                  answer(hostId, () =>
+                    counter < store.configuredAt
+                      ? readRouting()
+                      : readNothing(),
+                  ),
+                );
               };
               const timer = clock.setTimer(waitMs, wake);
               wakers.add(wake);
