Keep upstreams that the older copy of the store lacks until they can register

Callers were refused, or their requests went to fewer upstreams: those that had registered after the copy was taken are missing from the first list, and were dropped at once, as an outage shorter than 1.8 s lets no entry lapse.

Evidence: in virtual time 9 and 300 hosts drop such an upstream with their first list after the store came back; both tests fail without the change.

The first list of a new era, read or heard of, begins the time in which missing entries are kept, as the end of an outage does.

--- a/src/relay/store/list_outage.ts
+++ b/src/relay/store/list_outage.ts
@@ -1,7 +1,7 @@
 /**
  * Tells when entries of the list of upstreams may be missing though their
  * upstreams live: for some time after an outage in which heartbeats could not
- * reach the store.
+ * reach the store, or after the store came back from a copy without them.
  *
  * What counts is whether the store served any host, not whether it served this
  * one. The first read of a host that the store turned away may come long after
@@ -27,6 +27,8 @@
   readFailed(atMs: number): void;
   /** The store answered a read of the list, of this host or of a peer. */
   served(atMs: number): void;
+  /** The store came back from an older copy. */
+  cameBack(atMs: number): void;
   /** Whether missing entries may still come back. */
   isKeeping(atMs: number): boolean;
   /** Until when missing entries are kept. */
@@ -52,6 +54,9 @@
       if (wasAway) keepUntilMs = atMs + REGISTER_AGAIN_MS;
       servedAtMs = atMs;
     },
+    cameBack(atMs) {
+      keepUntilMs = atMs + REGISTER_AGAIN_MS;
+    },
     isKeeping: atMs => atMs < keepUntilMs,
     keepUntilMs: () => keepUntilMs,
     lastFailureAtMs: () => failedAtMs,
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -230,6 +230,10 @@
     }
   }
 
+  function noteEra({era}: StoreRevision, nowMs: number): void {
+    if (last && era > last.revision.era) outage.cameBack(nowMs);
+  }
+
   function noteLeftOut(revision: StoreRevision, origin: UpstreamOrigin): void {
     leftOutCount++;
     const nowMs = clock.nowMs();
@@ -267,6 +271,7 @@
       }
       const nowMs = clock.nowMs();
       if (origin === 'store') outage.served(nowMs);
+      noteEra(snapshot.revision, nowMs);
       last = snapshot;
       const before = {entries: new Map(entries), digest};
       for (const upstream of snapshot.upstreams) takeListed(upstream);
@@ -339,6 +344,7 @@
     digest: () => digest,
     confirm(revision) {
       if (last && isNewerRevision(revision, last.revision)) {
+        noteEra(revision, clock.nowMs());
         last = {...last, revision};
       }
     },
--- a/tests/relay/store/older_copy_test.ts
+++ b/tests/relay/store/older_copy_test.ts
@@ -12,6 +12,9 @@
 /** Hosts are held to bounds once the store has served them for so long. */
 const SERVED_AGAIN_MS = 1_500;
 
+/** What has not come back by then is taken for gone. */
+const FORGOTTEN_MS = 2_500;
+
 const SERVICE = 'uus-pearaamat';
 const upstreams = ['u0', 'u1', 'u2'].map(makeUpstream);
 
@@ -100,4 +103,17 @@
       assert.equal(routing.version(), site.store.version, hostId);
     }
   });
+
+  test(`${size.hostCount} hosts keep upstreams that are newer than the copy`, async () => {
+    // Guards against callers that are refused until live upstreams register again.
+    const site = await startSite(size);
+    const copy = site.copy();
+    site.setUpstreams([...upstreams, makeUpstream('new')]);
+    await site.clock.advance(3_000);
+    await comeBack(site, copy);
+    await site.clock.advance(SERVED_AGAIN_MS);
+    assertOpen(site, ['new', 'u0', 'u1', 'u2']);
+    await site.clock.advance(FORGOTTEN_MS);
+    assertOpen(site, ['u0', 'u1', 'u2']);
+  });
 }
