Hold back upstreams that an older copy of the store lists as before

Requests could reach upstreams that had left, whose addresses may be others' by now, and upstreams that had said that they leave: the older copy has them as ready, and a list of a newer era is the newest there is. The same for a life of an upstream that had ended: it replaced the one that runs.

An upstream that is listed again in the same era is used at once, before and after.

That an upstream drains now holds for its life, whatever a later list says; the host that finds such an entry as ready tells its peers, as it does for what answers say. One that the list had lost is held back for 5 s, in which the store drops it if it is silent, and told to peers as unreachable, so that hosts that never knew it as lost leave it out as well. Ruled out: leaving it out for good, since entries lapse in outages of upstreams that live.

--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -23,6 +23,7 @@
   digestList,
   type ListDelta,
 } from './list_deltas.js';
+import {createDepartures, HOLD_BACK_MS} from './departures.js';
 import {createListOutage} from './list_outage.js';
 import {
   MOST_REMEMBERED,
@@ -147,6 +148,7 @@
   let leftOutCount = 0;
   let leftOutLoggedAtMs = Number.NEGATIVE_INFINITY;
   const deltas = createDeltaLog(clock);
+  const departures = createDepartures(clock);
 
   function rebuild(): void {
     byService = new Map();
@@ -162,7 +164,10 @@
   }
 
   const isLeaving = ({id, isDraining}: Upstream) =>
-    isDraining || gone.has(id) || saidLeaving.has(id);
+    isDraining ||
+    gone.has(id) ||
+    saidLeaving.has(id) ||
+    departures.isHeldBack(id);
 
   function isSilent({id, heartbeat}: Upstream): boolean {
     const record = silent.get(id);
@@ -196,6 +201,7 @@
     lapsed.delete(id);
     gone.delete(id);
     silent.delete(id);
+    departures.noteLeft(id, registry.revision().era);
     const revision = formatRevision(registry.revision());
     log.info('Upstream left.', {upstream: id, reason, origin, revision});
   }
@@ -211,7 +217,11 @@
     origin: UpstreamOrigin,
   ): void {
     const listed = new Set(upstreams.map(({id}) => id));
-    const names = new Set(upstreams.map(({name}) => name));
+    const names = new Set(
+      upstreams
+        .filter(({id}) => !departures.isHeldBack(id))
+        .map(({name}) => name),
+    );
     for (const {id, name} of [...entries.values()]) {
       if (listed.has(id)) continue;
       if (names.has(name)) {
@@ -247,10 +257,52 @@
     });
   }
 
-  function takeListed(upstream: Upstream): void {
-    const known = entries.get(upstream.id);
-    lapsed.delete(upstream.id);
-    entries.set(upstream.id, upstream);
+  /** False if it was known. */
+  function noteLeaving(id: string, finder: UpstreamFinder): boolean {
+    if (saidLeaving.has(id)) return false;
+    saidLeaving.set(id, {finder, saidAtMs: clock.nowMs()});
+    log.info('Upstream says that it leaves.', {upstream: id, finder});
+    return true;
+  }
+
+  /** Those of which a later life under the same name is known. */
+  function findEarlierLives(
+    upstreams: readonly Upstream[],
+  ): ReadonlySet<string> {
+    const starts = new Map<string, number>();
+    for (const {name, startedAtMs = 0} of entries.values()) {
+      starts.set(name, Math.max(startedAtMs, starts.get(name) ?? 0));
+    }
+    const isEarlier = ({name, startedAtMs = 0}: Upstream) =>
+      startedAtMs < (starts.get(name) ?? 0);
+    return new Set(upstreams.filter(isEarlier).map(({id}) => id));
+  }
+
+  function holdBack(id: string, revision: StoreRevision): void {
+    departures.holdBack(id);
+    log.info('Upstream held back: listed by an older copy of the store.', {
+      upstream: id,
+      revision: formatRevision(revision),
+    });
+    clock.setTimer(HOLD_BACK_MS + TIMER_EARLY_MS, rebuild);
+  }
+
+  function takeListed(
+    upstream: Upstream,
+    revision: StoreRevision,
+    isEarlierLife: boolean,
+  ): void {
+    const {id} = upstream;
+    const known = entries.get(id);
+    if (upstream.isDraining) departures.noteDraining(id);
+    // The store has lost its word; hosts that start now never had it.
+    else if (departures.hasDrained(id)) noteLeaving(id, 'self');
+    const isOfOlderCopy = departures.isOfOlderCopy(id, revision.era);
+    if (!known && (isOfOlderCopy || isEarlierLife)) {
+      holdBack(id, revision);
+    }
+    lapsed.delete(id);
+    entries.set(id, upstream);
     if (!known) {
       log.info('Upstream listed.', {
         upstream: upstream.id,
@@ -274,7 +326,11 @@
       noteEra(snapshot.revision, nowMs);
       last = snapshot;
       const before = {entries: new Map(entries), digest};
-      for (const upstream of snapshot.upstreams) takeListed(upstream);
+      const earlierLives = findEarlierLives(snapshot.upstreams);
+      for (const upstream of snapshot.upstreams) {
+        const isEarlierLife = earlierLives.has(upstream.id);
+        takeListed(upstream, snapshot.revision, isEarlierLife);
+      }
       takeMissing(snapshot.upstreams, nowMs, origin);
       digest = digestList(entries);
       deltas.note(before, {entries, digest}, snapshot.revision);
@@ -309,10 +365,7 @@
       rebuild();
     },
     markLeaving(id, finder = 'self') {
-      if (saidLeaving.has(id)) return;
-      saidLeaving.set(id, {finder, saidAtMs: clock.nowMs()});
-      log.info('Upstream says that it leaves.', {upstream: id, finder});
-      rebuild();
+      if (noteLeaving(id, finder)) rebuild();
     },
     leaving: wanted =>
       [...saidLeaving.entries()]
@@ -333,10 +386,13 @@
       // A host that goes by what others read sees no sign of life itself.
       clock.setTimer(UNREACHABLE_FOR_MS + TIMER_EARLY_MS, rebuild);
     },
-    unreachable: () =>
-      [...silent]
+    unreachable: () => [
+      ...[...silent]
         .filter(([, each]) => each.finder === 'self')
         .map(([id]) => id),
+      // Hosts that do not know them as lost leave them out by this.
+      ...departures.heldBack(),
+    ],
     hasUnreachable: () => silent.size > 0,
     leftOutCount: () => leftOutCount,
     keptCount: () => lapsed.size,
--- a/tests/relay/store/older_copy_test.ts
+++ b/tests/relay/store/older_copy_test.ts
@@ -116,4 +116,27 @@
     await site.clock.advance(FORGOTTEN_MS);
     assertOpen(site, ['u0', 'u1', 'u2']);
   });
+
+  test(`${size.hostCount} hosts leave out what left and comes back with the copy`, async () => {
+    // Guards against calls to addresses that may be another upstream's by now.
+    const site = await startSite(size);
+    const copy = site.copy();
+    site.setUpstreams(upstreams.slice(1));
+    await site.clock.advance(3_000);
+    await comeBack(site, copy);
+    await site.clock.advance(SERVED_AGAIN_MS);
+    assertOpen(site, ['u1', 'u2']);
+  });
+
+  test(`${size.hostCount} hosts leave out what drains though the copy has it as ready`, async () => {
+    // Guards against an upstream whose word that it leaves the store has lost.
+    const site = await startSite(size);
+    const copy = site.copy();
+    const draining = {...upstreams[0], isDraining: true};
+    site.setUpstreams([draining, ...upstreams.slice(1)]);
+    await site.clock.advance(3_000);
+    await comeBack(site, copy);
+    await site.clock.advance(SERVED_AGAIN_MS);
+    assertOpen(site, ['u1', 'u2']);
+  });
 }
--- a/tests/relay/store/upstream_registry_test.ts
+++ b/tests/relay/store/upstream_registry_test.ts
@@ -254,3 +254,58 @@
   assert.deepEqual(registry.leaving('self'), ['a']);
   assert.deepEqual(registry.leaving('any'), ['a', 'b']);
 });
+
+test('an upstream that comes back with an older copy is used once the store has had time to drop it', async () => {
+  // Guards against a live upstream that is left out for good.
+  const {clock, registry, list, open} = makeRegistry();
+  const [a, b] = [makeUpstream('a'), makeUpstream('b')];
+  list(a, b);
+  list(b);
+  registry.apply({revision: revisionAt(1, 1), upstreams: [a, b]});
+  assert.deepEqual(open(), ['b']);
+  assert.deepEqual(registry.unreachable(), ['a']);
+  await clock.advance(6_000);
+  assert.deepEqual(open().sort(), ['a', 'b']);
+  assert.deepEqual(registry.unreachable(), []);
+});
+
+test('an upstream that is listed again in the same era is used at once', () => {
+  const {list, open} = makeRegistry();
+  const [a, b] = [makeUpstream('a'), makeUpstream('b')];
+  list(a, b);
+  list(b);
+  list(a, b);
+  assert.deepEqual(open().sort(), ['a', 'b']);
+});
+
+test('peers are told who leaves where an older copy has it as ready', () => {
+  // Guards against a host that started after the store lost the word.
+  const {registry, list, open} = makeRegistry();
+  const [a, b] = [makeUpstream('a'), makeUpstream('b')];
+  list({...a, isDraining: true}, b);
+  assert.deepEqual(registry.leaving('self'), []);
+  registry.apply({revision: revisionAt(1, 1), upstreams: [a, b]});
+  assert.deepEqual(open(), ['b']);
+  assert.deepEqual(registry.leaving('self'), ['a']);
+});
+
+test('an earlier life that an older copy lists does not replace the present one', () => {
+  // Guards against calls to a life that ended, and none to the one that runs.
+  const {registry, list, open} = makeRegistry();
+  const first = makeUpstream('a~1', {name: 'a', startedAtMs: 1});
+  const second = makeUpstream('a~2', {name: 'a', startedAtMs: 2});
+  list(first);
+  list(second);
+  registry.apply({revision: revisionAt(1, 1), upstreams: [first]});
+  assert.deepEqual(open(), ['a~2']);
+});
+
+test('an earlier life is held back by a host that never knew it', () => {
+  // Guards against a host that started after the earlier life had ended.
+  const {registry, list, open} = makeRegistry();
+  const second = makeUpstream('a~2', {name: 'a', startedAtMs: 2});
+  const first = makeUpstream('a~1', {name: 'a', startedAtMs: 1});
+  list(second);
+  registry.apply({revision: revisionAt(1, 1), upstreams: [first]});
+  assert.deepEqual(open(), ['a~2']);
+});
