Take no older copy of an entry for a sign of life

An upstream that could not be reached got requests again at once after the store came back from an older copy: its entry has another number then, which counted as a sign of life.

Evidence: the test fails with the comparison as it was.

The number of an entry now carries its era. A change of the era alone is no sign of life; the next change within that era is.

--- a/bench/placer_slopes.ts
+++ b/bench/placer_slopes.ts
@@ -72,7 +72,7 @@
       failureDomain: `domain-${i % 4}`,
       slots: 48,
       isDraining: false,
-      heartbeat: 1,
+      heartbeat: {era: 0, counter: 1},
       role: i < engineCount * PREFILL_SHARE ? 'prefill' : 'decode',
     })),
   });
--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -24,8 +24,11 @@
   readonly failureDomain: string;
   readonly slots: number;
   readonly isDraining: boolean;
-  /** Changes with each sign of life that the upstream gives the list. */
-  readonly heartbeat: number;
+  /**
+   * Changes with each sign of life that the upstream gives the list; with a
+   * change of the era alone it gives none.
+   */
+  readonly heartbeat: StoreRevision;
   /** Present for model engines. */
   readonly role?: UpstreamRole;
 }
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -123,7 +123,7 @@
 }
 
 interface SilentRecord {
-  readonly heartbeat: number;
+  readonly heartbeat: StoreRevision;
   readonly untilMs: number;
   readonly finder: UpstreamFinder;
 }
@@ -172,9 +172,11 @@
   function isSilent({id, heartbeat}: Upstream): boolean {
     const record = silent.get(id);
     if (!record) return false;
-    if (record.heartbeat === heartbeat && clock.nowMs() < record.untilMs) {
-      return true;
-    }
+    // An entry of another era has another number without a sign of life.
+    const isOtherEra = record.heartbeat.era !== heartbeat.era;
+    if (isOtherEra) silent.set(id, {...record, heartbeat});
+    const isSame = isOtherEra || record.heartbeat.counter === heartbeat.counter;
+    if (isSame && clock.nowMs() < record.untilMs) return true;
     silent.delete(id);
     return false;
   }
--- a/tests/relay/backpressure/backpressure_test.ts
+++ b/tests/relay/backpressure/backpressure_test.ts
@@ -16,7 +16,7 @@
   failureDomain: 'd0',
   slots: 6,
   isDraining: false,
-  heartbeat: 1,
+  heartbeat: revisionAt(1),
 };
 
 const HOSTS = ['host-1'];
--- a/tests/relay/backpressure/limit_fleet.ts
+++ b/tests/relay/backpressure/limit_fleet.ts
@@ -17,6 +17,7 @@
 import {isMeshOf} from '../../../src/relay/fleet/coordinators.js';
 import type {Upstream} from '../../../src/core/upstream.js';
 import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
 
 const LINK_MS = 3;
 const WORK_MS = 20;
@@ -99,7 +100,7 @@
     failureDomain: 'd0',
     slots: 6,
     isDraining: false,
-    heartbeat: 1,
+    heartbeat: revisionAt(1),
   }));
   const byId = new Map(upstreams.map(each => [each.id, each]));
 
--- a/tests/relay/crash_watch_test.ts
+++ b/tests/relay/crash_watch_test.ts
@@ -6,6 +6,7 @@
 import type {Upstream} from '../../src/core/upstream.js';
 import {createQuarantine} from '../../src/request/quarantine.js';
 import {silentLog} from '../support/silent_log.js';
+import {revisionAt} from '../support/store_revisions.js';
 
 function makeRequest(target: string): RelayRequest {
   return {
@@ -29,7 +30,7 @@
     failureDomain: 'd',
     slots: 1,
     isDraining: false,
-    heartbeat: 1,
+    heartbeat: revisionAt(1),
   };
 }
 
--- a/tests/relay/placement/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -139,7 +139,7 @@
     failureDomain: `domain-${id.length % 2}`,
     slots: 48,
     isDraining: false,
-    heartbeat: 1,
+    heartbeat: revisionAt(1),
     role: id.startsWith('p') ? ('prefill' as const) : ('decode' as const),
   }));
 
--- a/tests/relay/placement/engine_scheduler_test.ts
+++ b/tests/relay/placement/engine_scheduler_test.ts
@@ -44,7 +44,7 @@
     failureDomain: 'annelinn-saal',
     slots: 48,
     isDraining: false,
-    heartbeat: 1,
+    heartbeat: revisionAt(1),
     role,
   };
 }
--- a/tests/relay/placement/lone_scheduler.ts
+++ b/tests/relay/placement/lone_scheduler.ts
@@ -37,7 +37,7 @@
     failureDomain: 'bp-obuda',
     slots: 48,
     isDraining: false,
-    heartbeat: 1,
+    heartbeat: revisionAt(1),
     role: id.startsWith('p') ? 'prefill' : 'decode',
   };
 }
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -94,7 +94,7 @@
         failureDomain: `d${i}`,
         slots: SLOTS,
         isDraining: false,
-        heartbeat: 1,
+        heartbeat: revisionAt(1),
       })),
     });
     balancer.setUpstreams(
--- a/tests/relay/roles/role_orders_test.ts
+++ b/tests/relay/roles/role_orders_test.ts
@@ -66,7 +66,7 @@
       failureDomain: `d${i % 4}`,
       slots: 48,
       isDraining: false,
-      heartbeat: 1,
+      heartbeat: revisionAt(1),
       startedAtMs: FIRST_LIFE_MS,
       role,
     })),
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -45,7 +45,7 @@
     failureDomain: 'raadi-ruum',
     slots: 6,
     isDraining: false,
-    heartbeat: 1,
+    heartbeat: revisionAt(1),
   };
 }
 
@@ -273,7 +273,7 @@
     beat() {
       upstreams = upstreams.map(each => ({
         ...each,
-        heartbeat: each.heartbeat + 1,
+        heartbeat: revisionAt(each.heartbeat.counter + 1, store.era),
       }));
       store.revision++;
     },
--- a/tests/relay/store/upstream_registry_test.ts
+++ b/tests/relay/store/upstream_registry_test.ts
@@ -17,7 +17,7 @@
     failureDomain: 'raadi-ruum',
     slots: 6,
     isDraining: false,
-    heartbeat: 1,
+    heartbeat: revisionAt(1),
     ...changes,
   };
 }
@@ -60,10 +60,10 @@
   list();
   assert.deepEqual(open(), ['a', 'b']);
   await clock.advance(1_000);
-  list(makeUpstream('b', {heartbeat: 2}));
+  list(makeUpstream('b', {heartbeat: revisionAt(2)}));
   assert.deepEqual(open(), ['a', 'b']);
   await clock.advance(1_500);
-  list(makeUpstream('b', {heartbeat: 3}));
+  list(makeUpstream('b', {heartbeat: revisionAt(3)}));
   assert.deepEqual(open(), ['b'], 'what is still missing has left');
 });
 
@@ -98,9 +98,12 @@
   list(makeUpstream('a'), makeUpstream('b'));
   registry.markUnreachable('a');
   assert.deepEqual(open(), ['b']);
-  list(makeUpstream('a'), makeUpstream('b', {heartbeat: 2}));
+  list(makeUpstream('a'), makeUpstream('b', {heartbeat: revisionAt(2)}));
   assert.deepEqual(open(), ['b'], 'no heartbeat since');
-  list(makeUpstream('a', {heartbeat: 2}), makeUpstream('b', {heartbeat: 2}));
+  list(
+    makeUpstream('a', {heartbeat: revisionAt(2)}),
+    makeUpstream('b', {heartbeat: revisionAt(2)}),
+  );
   assert.deepEqual(open(), ['a', 'b']);
 });
 
@@ -168,7 +171,10 @@
   registry.markUnreachable('a~1');
   registry.noteReadFailed();
   await clock.advance(3_000);
-  list(makeUpstream('a~2', {name: 'a', heartbeat: 1}), makeUpstream('b'));
+  list(
+    makeUpstream('a~2', {name: 'a', heartbeat: revisionAt(1)}),
+    makeUpstream('b'),
+  );
   assert.deepEqual(open(), ['b', 'a~2']);
   assert.equal(registry.get('a~1'), undefined);
   assert.equal(registry.hasUnreachable(), false);
@@ -309,3 +315,18 @@
   registry.apply({revision: revisionAt(1, 1), upstreams: [first]});
   assert.deepEqual(open(), ['a~2']);
 });
+
+test('an older copy is no sign of life of an upstream that cannot be reached', () => {
+  // Guards against the number of a row that goes back and looks like a change.
+  const {registry, list, open} = makeRegistry();
+  const a = makeUpstream('a', {heartbeat: revisionAt(7)});
+  list(a, makeUpstream('b'));
+  registry.markUnreachable('a');
+  const copied = {...a, heartbeat: revisionAt(3, 1)};
+  const b = makeUpstream('b', {heartbeat: revisionAt(3, 1)});
+  registry.apply({revision: revisionAt(1, 1), upstreams: [copied, b]});
+  assert.deepEqual(open(), ['b']);
+  const alive = {...a, heartbeat: revisionAt(7, 1)};
+  registry.apply({revision: revisionAt(7, 1), upstreams: [alive, b]});
+  assert.deepEqual(open().sort(), ['a', 'b']);
+});
