Be sure of a configuration only once lost versions can have been written again

A key that was withdrawn could work on: the older copy of the store lacks the version that withdrew it, and a host that started in between, or had not read it, took the newest version of the copy for the newest there is. Where the store's own clock went back with it, an age counted as 0 for as long as the clock had gone back.

On the code before, the age of what a host is sure of was 0 ms rather than 2,000 ms after the clock went back.

Times of the store carry their era, and are compared on the clock of that era only. A read proves a version to be the newest once the era has been known for 2.3 s. A host that starts cannot tell how long the era lasts: it is sure by the word of a peer, or after that time; until then callers with keys are told to come back. An era of 0, where the store never came back, is as before.

The stand-in's eras begin at 0, as the tests of keys start hosts that are alone.

--- a/src/core/store_revision.ts
+++ b/src/core/store_revision.ts
@@ -11,6 +11,12 @@
   readonly counter: number;
 }
 
+/** A time of the store's own steady clock, which an era may set back. */
+export interface StoreMoment {
+  readonly era: number;
+  readonly storeMs: number;
+}
+
 /** Before all that a store tells. */
 export const NO_REVISION: StoreRevision = {era: 0, counter: 0};
 
@@ -23,6 +29,11 @@
   return compareRevisions(a, b) > 0;
 }
 
+/** Whether `a` is later; each moment of an era is later than all before it. */
+export function isLaterMoment(a: StoreMoment, b: StoreMoment): boolean {
+  return (a.era - b.era || a.storeMs - b.storeMs) > 0;
+}
+
 /** For log lines. */
 export function formatRevision({era, counter}: StoreRevision): string {
   return `${era}.${counter}`;
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -5,7 +5,7 @@
  */
 
 import type {Routing} from '../core/routing_types.js';
-import type {StoreRevision} from '../core/store_revision.js';
+import type {StoreMoment, StoreRevision} from '../core/store_revision.js';
 import type {
   Upstream,
   UpstreamRole,
@@ -220,8 +220,8 @@
 export interface RoutingUpdate {
   /** Resume the feed from here; of the era that answered. */
   readonly cursor: StoreRevision;
-  /** The store's clock when it answered. */
-  readonly storeNowMs: number;
+  /** When the store answered. */
+  readonly storeNow: StoreMoment;
   /** Absent when nothing changed. */
   readonly routing?: Routing;
   /** A version was there that cannot be read. */
--- a/src/relay/accounts/configuration_freshness.ts
+++ b/src/relay/accounts/configuration_freshness.ts
@@ -8,6 +8,7 @@
  * certainty is older than the bound on a withdrawal.
  */
 
+import {isLaterMoment, type StoreMoment} from '../../core/store_revision.js';
 import type {Clock} from '../../ports/clock.js';
 import type {StoreTime} from './store_time.js';
 
@@ -21,9 +22,9 @@
    * Every version acknowledged before this time of the store is in force here;
    * the store or a peer with no newer version said so.
    */
-  noteCompleteUntil(storeMs: number): void;
-  /** On the store's clock, for peers; 0 while nothing is known. */
-  completeUntilMs(): number;
+  noteCompleteUntil(moment: StoreMoment): void;
+  /** For peers; undefined while nothing is known. */
+  completeUntil(): StoreMoment | undefined;
   /** For how long versions may have been missed; infinite if not known. */
   ageMs(): number;
   /**
@@ -40,37 +41,35 @@
   host: ConfigurationFreshnessHost,
 ): ConfigurationFreshness {
   const {clock, storeTime} = host;
-  let completeUntilMs = 0;
+  let completeUntil: StoreMoment | undefined;
 
   function confirm(
-    wantedMs: number | undefined,
+    wanted: StoreMoment | undefined,
     giveUpAtMs: number,
     resolve: (isConfirmed: boolean) => void,
   ): void {
     // A host that has just started learns the store's time meanwhile.
-    const untilMs = wantedMs ?? storeTime.latestMs();
-    if (untilMs !== undefined && completeUntilMs >= untilMs) {
+    const until = wanted ?? storeTime.latest();
+    if (until && completeUntil && !isLaterMoment(until, completeUntil)) {
       return resolve(true);
     }
     if (clock.nowMs() >= giveUpAtMs) return resolve(false);
-    clock.setTimer(LOOK_EVERY_MS, () => confirm(untilMs, giveUpAtMs, resolve));
+    clock.setTimer(LOOK_EVERY_MS, () => confirm(until, giveUpAtMs, resolve));
   }
 
   return {
-    noteCompleteUntil(storeMs) {
-      completeUntilMs = Math.max(completeUntilMs, storeMs);
+    noteCompleteUntil(moment) {
+      if (completeUntil && !isLaterMoment(moment, completeUntil)) return;
+      completeUntil = moment;
     },
-    completeUntilMs: () => completeUntilMs,
+    completeUntil: () => completeUntil,
     ageMs() {
-      const latestMs = storeTime.latestMs();
-      if (latestMs === undefined || completeUntilMs === 0) {
-        return Number.POSITIVE_INFINITY;
-      }
-      return Math.max(0, latestMs - completeUntilMs);
+      const ageMs = completeUntil && storeTime.ageMs(completeUntil);
+      return ageMs ?? Number.POSITIVE_INFINITY;
     },
     confirmNow: timeoutMs =>
       new Promise(resolve =>
-        confirm(storeTime.latestMs(), clock.nowMs() + timeoutMs, resolve),
+        confirm(storeTime.latest(), clock.nowMs() + timeoutMs, resolve),
       ),
   };
 }
--- a/src/relay/accounts/store_time.ts
+++ b/src/relay/accounts/store_time.ts
@@ -6,13 +6,22 @@
  * that was, and an age that counts from its receipt is then too young.
  */
 
+import type {StoreMoment} from '../../core/store_revision.js';
 import type {Clock} from '../../ports/clock.js';
 
 export interface StoreTime {
   /** The store told its time in answer to a call sent at `sentAt`. */
-  note(sentAt: LocalInstant, storeNowMs: number): void;
-  /** Undefined until the store, or a peer for it, has told its time. */
-  latestMs(): number | undefined;
+  note(sentAt: LocalInstant, storeNow: StoreMoment): void;
+  /**
+   * The present at the latest, on the clock of the newest era; undefined until
+   * the store, or a peer for it, has told its time.
+   */
+  latest(): StoreMoment | undefined;
+  /**
+   * How long ago that was at most; undefined for a moment of an era in which
+   * this host has not heard the time.
+   */
+  ageMs(moment: StoreMoment): number | undefined;
   /** The present, to be handed to `note` with the answer to a call. */
   now(): LocalInstant;
 }
@@ -33,7 +42,9 @@
 }
 
 export function createStoreTime(clock: Clock): StoreTime {
-  let calibration: Calibration | undefined;
+  /** By era, since the clocks of two eras have nothing in common. */
+  const calibrations = new Map<number, Calibration>();
+  let newestEra = 0;
 
   const now = (): LocalInstant => ({
     steadyMs: clock.nowMs(),
@@ -52,13 +63,22 @@
 
   return {
     now,
-    note(sentAt, storeNowMs) {
+    note(sentAt, {era, storeMs: storeNowMs}) {
       const fresh = {sentAt, storeNowMs};
-      const knownMs = calibration && latestBy(calibration);
+      const known = calibrations.get(era);
+      const knownMs = known && latestBy(known);
       const isTighter = knownMs === undefined || latestBy(fresh) < knownMs;
       const isRefuted = knownMs !== undefined && knownMs < storeNowMs;
-      if (isTighter || isRefuted) calibration = fresh;
+      if (isTighter || isRefuted) calibrations.set(era, fresh);
+      newestEra = Math.max(newestEra, era);
+    },
+    latest() {
+      const calibration = calibrations.get(newestEra);
+      return calibration && {era: newestEra, storeMs: latestBy(calibration)};
+    },
+    ageMs({era, storeMs}) {
+      const calibration = calibrations.get(era);
+      return calibration && Math.max(0, latestBy(calibration) - storeMs);
     },
-    latestMs: () => calibration && latestBy(calibration),
   };
 }
--- a/src/relay/fleet/peer_codec.ts
+++ b/src/relay/fleet/peer_codec.ts
@@ -23,7 +23,8 @@
     '"failureDomain":"","load":{"decode":{"i-":[1,3200,3600]},' +
     '"prefill":{}},"waiting":[],"suspects":[],"unreachable":[],' +
     '"spending":[{"account":"","offeredUnits":10000,' +
-    '"admittedUnits":10000,"returnedUnits":0},],"routingCompleteUntilMs":100000,' +
+    '"admittedUnits":10000,"returnedUnits":0},],"routingCompleteUntil":' +
+    '{"era":0,"storeMs":100000},' +
     '"accountLevels":[{"account":"","levelUnits":-1000,' +
     '"offeredUnitsPerS":10000}],' +
     '"changing":[],"learned":{"starts":{"weight":0,"sums":[0]},' +
@@ -34,7 +35,7 @@
     '"isSettled":true,"wants":"view"}',
 );
 /** First byte of a compressed datagram; others are JSON and begin with `{`. */
-const FORMAT = 6;
+const FORMAT = 7;
 /** Below this, a datagram is sent as it is. */
 const SMALL_BYTES = 300;
 const MOST_BYTES = 256 * 1024;
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -2,7 +2,7 @@
 
 import type {PermitMessage} from '../backpressure/permit_messages.js';
 import type {LimitRecord} from '../backpressure/upstream_limits.js';
-import type {StoreRevision} from '../../core/store_revision.js';
+import type {StoreMoment, StoreRevision} from '../../core/store_revision.js';
 import type {LossFact} from '../../request/quarantine.js';
 import type {HostLoad} from '../placement/host_load.js';
 import type {AccountLevel} from '../accounts/quota_rules.js';
@@ -142,19 +142,30 @@
   );
 }
 
+function isMoment(value: unknown): value is StoreMoment {
+  return (
+    isObject(value) &&
+    Number.isFinite(value['era']) &&
+    Number.isFinite(value['storeMs'])
+  );
+}
+
 function hasFindings(value: Record<string, unknown>): boolean {
   const {suspects, unreachable, changing, losses, learned} = value;
   const {routingAges, upstreamAges, listDeltas, sequence} = value;
   const {upstreamRevision} = value;
-  const {routingCompleteUntilMs, limits = [], leaving = []} = value;
+  const {routingCompleteUntil, limits = [], leaving = []} = value;
   const required = [suspects, unreachable, changing, losses, listDeltas];
   const lists = [...required, limits, leaving];
   const hasLists = lists.every(list => Array.isArray(list));
   const hasAges = isObject(routingAges) && isObject(upstreamAges);
   const hasLearned = isObject(learned) && Object.values(learned).every(isSums);
-  const hasNumbers = [sequence, routingCompleteUntilMs].every(Number.isFinite);
-  const hasRevision = isRevision(upstreamRevision);
-  return hasLists && hasAges && hasLearned && hasNumbers && hasRevision;
+  const isOfStore =
+    isRevision(upstreamRevision) &&
+    (routingCompleteUntil === undefined || isMoment(routingCompleteUntil));
+  return (
+    hasLists && hasAges && hasLearned && isOfStore && Number.isFinite(sequence)
+  );
 }
 
 const CHECKS: Readonly<
--- a/src/relay/fleet/peer_handover.ts
+++ b/src/relay/fleet/peer_handover.ts
@@ -8,7 +8,7 @@
  */
 
 import {readWhole, type HttpExchange} from '../../adapters/http_exchange.js';
-import {compareRevisions} from '../../core/store_revision.js';
+import {compareRevisions, type StoreMoment} from '../../core/store_revision.js';
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {RoutingSource} from '../../ports/relay.js';
@@ -63,7 +63,7 @@
   readonly ageMs: number;
   readonly snapshot: UpstreamSnapshot;
   /** No earlier than the store's clock; absent where that is not known. */
-  readonly storeNowMs?: number;
+  readonly storeNow?: StoreMoment;
 }
 
 export function createPeerHandover(host: PeerHandoverHost): PeerHandover {
@@ -125,9 +125,7 @@
     const text = await fetch(freshest, UPSTREAMS_PATH);
     const handed = text ? parseHanded<HandedUpstreams>(text) : undefined;
     if (!handed) return;
-    if (handed.storeNowMs !== undefined) {
-      host.storeTime.note(sentAt, handed.storeNowMs);
-    }
+    if (handed.storeNow) host.storeTime.note(sentAt, handed.storeNow);
     const isTaken = registry.apply(handed.snapshot, 'peer');
     if (isTaken) host.onUpstreams(handed.ageMs);
   }
@@ -176,7 +174,7 @@
       const handed: HandedUpstreams = {
         ageMs: Math.round(host.upstreamAgeMs()),
         snapshot,
-        storeNowMs: host.storeTime.latestMs(),
+        storeNow: host.storeTime.latest(),
       };
       return {status: 200, contentType, body: JSON.stringify(handed)};
     },
--- a/src/relay/fleet/store_readers.ts
+++ b/src/relay/fleet/store_readers.ts
@@ -7,7 +7,7 @@
  * when something has changed or nobody has confirmed it for too long.
  */
 
-import type {StoreRevision} from '../../core/store_revision.js';
+import type {StoreMoment, StoreRevision} from '../../core/store_revision.js';
 import type {ListDelta} from '../store/list_deltas.js';
 import type {ConfirmedAges} from '../store/store_confirmation.js';
 import {createHostRanks} from './coordinators.js';
@@ -16,8 +16,11 @@
 export interface StoreKnowledge {
   readonly routingVersion: number;
   readonly routingAges: ConfirmedAges;
-  /** Every version before this time of the store is in force there. */
-  readonly routingCompleteUntilMs: number;
+  /**
+   * Every version before this is in force there; absent where that is not
+   * known.
+   */
+  readonly routingCompleteUntil?: StoreMoment;
   readonly upstreamRevision: StoreRevision;
   /** The same for lists that differ in nothing but signs of life. */
   readonly upstreamDigest: number;
--- a/src/relay/store/list_outage.ts
+++ b/src/relay/store/list_outage.ts
@@ -9,11 +9,8 @@
  * from then on.
  */
 
-/**
- * Live upstreams are listed again about two seconds after the store's return;
- * the rest is the age that a list read here may have.
- */
-const REGISTER_AGAIN_MS = 2_300;
+import {WRITTEN_AGAIN_MS} from './store_era.js';
+
 /**
  * Entries lapse after three heartbeats of 1.2 s, one and a half of which may
  * lie before the outage. One read that timed out is no outage: reads follow
@@ -51,11 +48,11 @@
       // Without a failure nobody asked: this host was suspended, or alone.
       const hasFailed = Number.isFinite(failedAtMs) && failedAtMs >= servedAtMs;
       const wasAway = hasFailed && atMs - servedAtMs >= SHORTEST_OUTAGE_MS;
-      if (wasAway) keepUntilMs = atMs + REGISTER_AGAIN_MS;
+      if (wasAway) keepUntilMs = atMs + WRITTEN_AGAIN_MS;
       servedAtMs = atMs;
     },
     cameBack(atMs) {
-      keepUntilMs = atMs + REGISTER_AGAIN_MS;
+      keepUntilMs = atMs + WRITTEN_AGAIN_MS;
     },
     isKeeping: atMs => atMs < keepUntilMs,
     keepUntilMs: () => keepUntilMs,
--- a/src/relay/store/store_era.ts
+++ b/src/relay/store/store_era.ts
@@ -19,10 +19,21 @@
   note(era: number): void;
   /** 0 while the store has told none. */
   current(): number;
+  /**
+   * Whether those whose writes were lost have had time to write again. A host
+   * that has just started cannot tell for how long the era lasts.
+   */
+  isSettled(): boolean;
   /** Calls `listener` after each change. */
   onChange(listener: (era: number) => void): void;
 }
 
+/**
+ * The operator and the upstreams write again what was lost within about two
+ * seconds of the store's return; the rest is the age that a read may have.
+ */
+export const WRITTEN_AGAIN_MS = 2_300;
+
 export function createStoreEra(host: StoreEraHost): StoreEra {
   const {clock, log} = host;
   const listeners: Array<(era: number) => void> = [];
@@ -40,6 +51,8 @@
       for (const listener of listeners) listener(era);
     },
     current: () => current,
+    isSettled: () =>
+      current === 0 || clock.nowMs() - sinceMs >= WRITTEN_AGAIN_MS,
     onChange(listener) {
       listeners.push(listener);
     },
--- a/src/relay/store/store_watch.ts
+++ b/src/relay/store/store_watch.ts
@@ -184,8 +184,11 @@
     readVersion = update.isUnreadable
       ? undefined
       : (update.routing?.version ?? readVersion);
-    if (readVersion !== undefined && readVersion <= routing.version()) {
-      freshness.noteCompleteUntil(update.storeNowMs);
+    const isNewest =
+      readVersion !== undefined && readVersion <= routing.version();
+    // A version that the store lost may be missing until it is written again.
+    if (isNewest && storeEra.isSettled()) {
+      freshness.noteCompleteUntil(update.storeNow);
     }
   }
 
@@ -253,7 +256,7 @@
     routingFailures = read.kind === 'failed' ? routingFailures + 1 : 0;
     switch (read.kind) {
       case 'read':
-        storeTime.note(sentAt, read.value.storeNowMs);
+        storeTime.note(sentAt, read.value.storeNow);
         takeRouting(read.value);
         // The feed passes over what was written before its cursor's number.
         if (from && from.era !== read.value.cursor.era) cursor = undefined;
@@ -314,8 +317,9 @@
   }
 
   function hearRouting(peer: StoreKnowledge): void {
-    if (peer.routingVersion <= routing.version()) {
-      freshness.noteCompleteUntil(peer.routingCompleteUntilMs);
+    const {routingCompleteUntil} = peer;
+    if (routingCompleteUntil && peer.routingVersion <= routing.version()) {
+      freshness.noteCompleteUntil(routingCompleteUntil);
     }
     if (peer.routingVersion === routing.version()) {
       routingConfirmation.notePeer(peer.routingAges);
@@ -395,7 +399,7 @@
     knowledge: () => ({
       routingVersion: routing.version(),
       routingAges: routingConfirmation.announced(),
-      routingCompleteUntilMs: freshness.completeUntilMs(),
+      routingCompleteUntil: freshness.completeUntil(),
       upstreamRevision: registry.revision(),
       upstreamDigest: registry.digest(),
       upstreamAges: listConfirmation.announced(),
--- a/stand_ins/users_platform/store_stand_in.ts
+++ b/stand_ins/users_platform/store_stand_in.ts
@@ -67,7 +67,7 @@
   let historyFrom = 0;
   let mode: StoreMode = 'serving';
   let calls = 0;
-  let era = 1;
+  let era = 0;
   let waiters: Waiter[] = [];
 
   const idOf = (table: string, key: string) => `${table}\u0000${key}`;
--- a/tests/relay/accounts/configuration_freshness_test.ts
+++ b/tests/relay/accounts/configuration_freshness_test.ts
@@ -8,6 +8,11 @@
 
 const SEEDS = Array.from({length: 20}, (_, i) => i + 1);
 
+/** What was lost is written again within this time of the store's return. */
+const REWRITTEN_MS = 2_000;
+
+const storeAt = (storeMs: number, era = 0) => ({era, storeMs});
+
 function makeHost() {
   const clock = createVirtualClock(1_000);
   let suspendedMs = 0;
@@ -33,8 +38,8 @@
     },
     readStore() {
       const sentAt = storeTime.now();
-      storeTime.note(sentAt, clock.nowMs());
-      freshness.noteCompleteUntil(clock.nowMs());
+      storeTime.note(sentAt, storeAt(clock.nowMs()));
+      freshness.noteCompleteUntil(storeAt(clock.nowMs()));
     },
   };
 }
@@ -45,7 +50,7 @@
   readStore();
   const completeUntilMs = clock.nowMs();
   await clock.advance(6_000);
-  freshness.noteCompleteUntil(completeUntilMs + 200);
+  freshness.noteCompleteUntil(storeAt(completeUntilMs + 200));
   assert.equal(freshness.ageMs(), 5_800);
 });
 
@@ -117,7 +122,7 @@
           break;
       }
       for (const {hostId, routing, freshness} of hosts) {
-        const untilMs = freshness.completeUntilMs();
+        const untilMs = freshness.completeUntil()?.storeMs ?? 0;
         const newest = acknowledged.filter(({atMs}) => atMs < untilMs).at(-1);
         const isComplete = routing.version() >= (newest?.version ?? 0);
         assert.ok(isComplete, `seed ${seed}, ${hostId} at ${clock.nowMs()}`);
@@ -138,3 +143,68 @@
     }
   }
 });
+
+test('what a host is sure of keeps its age where the clock of the store goes back', async () => {
+  // Guards against a withdrawn key that works for as long as the clock went back.
+  const {clock, storeTime, freshness, readStore} = makeHost();
+  readStore();
+  await clock.advance(2_000);
+  storeTime.note(storeTime.now(), storeAt(10, 1));
+  assert.equal(freshness.ageMs(), 2_000);
+  await clock.advance(500);
+  assert.equal(freshness.ageMs(), 2_500);
+});
+
+test('what a host is sure of is never more than it has though the store loses versions', async () => {
+  // Guards against a withdrawn key that the older copy of the store still has.
+  for (const seed of SEEDS) {
+    const random = createSeededRandom(seed);
+    const site = makeSite(5, {hearMs: 3, announceEveryMs: 250});
+    const {clock, hosts, store, cut} = site;
+    const shifts = [0];
+    const acknowledged = [{version: 1, atMs: 0}];
+    let copy = site.copy();
+    for (let step = 0; step < 60; step++) {
+      await clock.advance(50 + random.nextInt(500));
+      const newest = acknowledged.at(-1)!.version;
+      switch (random.nextInt(6)) {
+        case 0:
+          site.configure(newest + 1);
+          acknowledged.push({version: newest + 1, atMs: clock.nowMs()});
+          break;
+        case 1:
+          copy = site.copy();
+          break;
+        case 2:
+          store.isDown = true;
+          await clock.advance(random.nextInt(1_500));
+          store.clockShiftMs =
+            shifts[shifts.length - 1] - random.nextInt(9_000);
+          shifts.push(store.clockShiftMs);
+          site.restore(copy);
+          store.isDown = false;
+          // The operator finds its version lost and writes it again.
+          clock.setTimer(random.nextInt(REWRITTEN_MS), () =>
+            site.configure(acknowledged.at(-1)!.version),
+          );
+          break;
+        case 3:
+          cut.add(hosts[random.nextInt(hosts.length)].hostId);
+          break;
+        case 4:
+          cut.clear();
+          break;
+        case 5:
+          if (hosts.length < 9) site.join(`late-${hosts.length}`);
+          break;
+      }
+      for (const {hostId, routing, freshness} of hosts) {
+        const until = freshness.completeUntil() ?? storeAt(0);
+        const untilMs = until.storeMs - shifts[until.era];
+        const known = acknowledged.filter(({atMs}) => atMs < untilMs).at(-1);
+        const isComplete = routing.version() >= (known?.version ?? 0);
+        assert.ok(isComplete, `seed ${seed}, ${hostId} at ${clock.nowMs()}`);
+      }
+    }
+  }
+});
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -157,7 +157,6 @@
     const knowledge = () => ({
       routingVersion: 1,
       routingAges: confirmation.announced(),
-      routingCompleteUntilMs: 0,
       upstreamRevision: revisionAt(1),
       upstreamDigest: 0,
       upstreamAges: confirmation.announced(),
--- a/tests/relay/placement/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -250,7 +250,6 @@
         adoptedAskIds: client.adopted(),
         spending: [],
         aliveMs: 0,
-        routingCompleteUntilMs: 0,
       };
       for (const other of hosts) {
         if (other.hostId === hostId || !isReached(other.hostId)) continue;
--- a/tests/relay/store/older_copy_test.ts
+++ b/tests/relay/store/older_copy_test.ts
@@ -2,6 +2,7 @@
 
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {WRITTEN_AGAIN_MS} from '../../../src/relay/store/store_era.js';
 import {makeSite, makeUpstream, OF_MANY} from './store_site.js';
 
 /** After the store's word, an upstream gets nothing more from then on. */
@@ -140,3 +141,30 @@
     assertOpen(site, ['u1', 'u2']);
   });
 }
+
+test('a host that starts after the store came back is sure by the word of others, or after a while', async () => {
+  // Guards against a host that takes the older copy's configuration for the newest.
+  const site = await startSite(SIZES[0]);
+  const copy = site.copy();
+  site.configure();
+  await site.clock.advance(3_000);
+  await comeBack(site, copy);
+  const late = site.join('late');
+  await site.clock.advance(200);
+  assert.equal(late.routing.version(), copy.version);
+  assert.equal(late.freshness.ageMs(), Number.POSITIVE_INFINITY);
+  site.configure(copy.version + 1);
+  await site.clock.advance(WRITTEN_AGAIN_MS + SERVED_AGAIN_MS);
+  assert.equal(late.routing.version(), copy.version + 1);
+  assert.ok(late.freshness.ageMs() < SERVED_AGAIN_MS);
+});
+
+test('a host that joins others is sure as soon as one of them tells it', async () => {
+  // Guards against waiting in an era that has lasted for long.
+  const site = await startSite(SIZES[0]);
+  await comeBack(site, site.copy());
+  await site.clock.advance(SETTLED_MS);
+  const late = site.join('late');
+  await site.clock.advance(500);
+  assert.ok(late.freshness.ageMs() < SERVED_AGAIN_MS);
+});
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -9,7 +9,10 @@
 import type {StoreRead} from '../../../src/ports/relay.js';
 import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
 import {createConfigurationFreshness} from '../../../src/relay/accounts/configuration_freshness.js';
-import {createStoreEra} from '../../../src/relay/store/store_era.js';
+import {
+  createStoreEra,
+  type StoreEra,
+} from '../../../src/relay/store/store_era.js';
 import {createStoreTime} from '../../../src/relay/accounts/store_time.js';
 import {createRoutingState} from '../../../src/relay/routing_state.js';
 import {
@@ -68,6 +71,8 @@
     configuredAt: 1,
     calls: 0,
     isDown: false,
+    /** Of the store's steady clock, against that of the hosts. */
+    clockShiftMs: 0,
   };
   let upstreams = [makeUpstream('a'), makeUpstream('b')];
   /** Hosts that the store turns away. */
@@ -75,6 +80,8 @@
   /** Hosts to which the datagrams that tell a change are lost. */
   const hearsNoChanges = new Set<string>();
   const calls = new Map<string, number>();
+  /** Told of the era by each answer, by host. */
+  const eras = new Map<string, StoreEra>();
   const wakers = new Set<() => void>();
   const isMesh = hostCount <= MOST_IN_MESH;
   /** Where hosts are many, what all of them know of each other. */
@@ -87,13 +94,14 @@
     store.calls++;
     calls.set(hostId, (calls.get(hostId) ?? 0) + 1);
     return new Promise(resolve => {
-      clock.setTimer(ANSWER_MS, () =>
-        resolve(
-          store.isDown || cut.has(hostId)
-            ? {kind: 'failed', detail: 'down'}
-            : {kind: 'read', value: value()},
-        ),
-      );
+      clock.setTimer(ANSWER_MS, () => {
+        if (store.isDown || cut.has(hostId)) {
+          resolve({kind: 'failed', detail: 'down'});
+          return;
+        }
+        eras.get(hostId)?.note(store.era);
+        resolve({kind: 'read', value: value()});
+      });
     });
   }
 
@@ -101,11 +109,16 @@
   const answerLost = (): Promise<StoreRead<never>> =>
     Promise.resolve({kind: 'history-lost'});
 
+  const storeNow = () => ({
+    era: store.era,
+    storeMs: clock.nowMs() + store.clockShiftMs,
+  });
+
   const cursorNow = () => revisionAt(store.revision, store.era);
 
   const readRouting = () => ({
     cursor: cursorNow(),
-    storeNowMs: clock.nowMs(),
+    storeNow: storeNow(),
     routing: {
       version: store.version,
       routes: [],
@@ -122,13 +135,14 @@
 
   const readNothing = () => ({
     cursor: cursorNow(),
-    storeNowMs: clock.nowMs(),
+    storeNow: storeNow(),
   });
 
   function makeHost(hostId: string) {
     const routing = createRoutingState(silentLog);
     const registry = createUpstreamRegistry({clock, log: silentLog});
     const storeEra = createStoreEra({clock, log: silentLog});
+    eras.set(hostId, storeEra);
     const storeTime = createStoreTime(clock);
     const freshness = createConfigurationFreshness({clock, storeTime});
     const heard = new Map<string, {hostId: string} & StoreKnowledge>();
@@ -184,7 +198,6 @@
         upstreamSource: {
           readNow: () =>
             answer(hostId, () => {
-              storeEra.note(store.era);
               const revision = revisionAt(store.revision, store.era);
               return {revision, upstreams};
             }),
@@ -250,6 +263,12 @@
     hearsNoChanges,
     callsOf: (hostIds: readonly string[]) =>
       hostIds.reduce((sum, hostId) => sum + (calls.get(hostId) ?? 0), 0),
+    /** Another host, or one that starts anew, joins. */
+    join(hostId: string) {
+      const host = makeHost(hostId);
+      hosts.push(host);
+      return host;
+    },
     /** A peer that the store serves hands over what it has. */
     handOver(hostId: string) {
       const host = hosts.find(each => each.hostId === hostId);
@@ -293,8 +312,9 @@
       upstreams = listed;
       store.era++;
     },
-    configure() {
-      store.version++;
+    /** The operator writes its newest version, or one that was lost again. */
+    configure(version = store.version + 1) {
+      store.version = version;
       store.configuredAt = ++store.revision;
       for (const wake of [...wakers]) wake();
     },
