--- a/src/coordination/lease_rules.ts
+++ b/src/coordination/lease_rules.ts
@@ -58,6 +58,11 @@
 }
 
 const MAX_TERMS = 8;
+/**
+ * A take a second for half a year. Engines may keep fences in 32 bits, which
+ * leaves room for 127 eras.
+ */
+const EPOCHS_PER_ERA = 2 ** 24;
 const KEY_PREFIX = 'lease/';
 
 export function getLeaseKey(name: string): string {
@@ -118,6 +123,16 @@
   return observation.firstSeenMs + timing.leaseMs * (1 + timing.clockRateError);
 }
 
+/**
+ * The epoch of the next term. Where the table came back from an older copy, its
+ * row has a lower epoch than fences that were given out before; each era has
+ * its own range of epochs, above those of all earlier ones.
+ */
+export function getNextEpoch(row: TableRow | undefined, tableEra = 0): number {
+  const epoch = row ? parseLeaseRow(row).epoch : 0;
+  return Math.max(epoch, tableEra * EPOCHS_PER_ERA) + 1;
+}
+
 /** A write that takes the lease from `row`, or creates it. */
 export function buildTake(
   name: string,
@@ -125,10 +140,11 @@
   holder: string,
   attemptId: string,
   wallMs: number,
+  tableEra = 0,
 ): TableTransaction {
   const key = getLeaseKey(name);
   const before = row && parseLeaseRow(row);
-  const epoch = (before?.epoch ?? 0) + 1;
+  const epoch = getNextEpoch(row, tableEra);
   const term = {holder, epoch, fromWallMs: wallMs};
   const terms = [...(before?.terms ?? []), term].slice(-MAX_TERMS);
   const record = {holder, epoch, successor: '', attemptId, terms};
--- a/src/coordination/short_lease.ts
+++ b/src/coordination/short_lease.ts
@@ -13,6 +13,7 @@
   buildTake,
   createFence,
   getLeaseKey,
+  getNextEpoch,
   getTakeableAtMs,
   observe,
   parseLeaseRow,
@@ -49,6 +50,7 @@
   readonly attemptId: string;
   /** The table's clock when the term began, where it tells. */
   readonly tableSinceMs?: number;
+  readonly tableEra: number;
 }
 
 /** Whether a holder may act now; if not, why. */
@@ -79,6 +81,23 @@
   const {hostId, name, callTimeoutMs} = options;
   const key = getLeaseKey(name);
   let observation: LeaseObservation | undefined;
+  let knownEra = -1;
+  /** No row of the known era is taken before. */
+  let eraTakeableAtMs = Number.NEGATIVE_INFINITY;
+  /** An act of a holder may still arrive so long after its term began. */
+  const actsEndMs = options.useMs + options.settleMs;
+
+  /**
+   * Guards against two holders where the table came back from an older copy:
+   * it has lost who holds the lease, and a host that has just started cannot
+   * tell how long ago that was.
+   */
+  function noteEra(era: number): void {
+    if (era <= knownEra) return;
+    knownEra = era;
+    observation = undefined;
+    if (era > 0) eraTakeableAtMs = clock.nowMs() + options.leaseMs + actsEndMs;
+  }
 
   function isTakeable(row: TableRow): boolean {
     const nowMs = clock.nowMs();
@@ -88,7 +107,6 @@
     const atMs = getTakeableAtMs(record, observation, hostId, options);
     // A lease that was given up is free, but its last holder's orders may
     // still arrive: it is treated like one that has to lapse.
-    const actsEndMs = options.useMs + options.settleMs;
     const lapsedAtMs = observation.firstSeenMs + options.leaseMs + actsEndMs;
     return nowMs >= Math.max(atMs, lapsedAtMs);
   }
@@ -96,15 +114,24 @@
   interface Readback {
     readonly isOurs: boolean;
     readonly tableNowMs?: number;
+    readonly tableEra: number;
   }
 
-  /** Whether the row that is there now is the one this attempt wrote. */
-  async function readBack(attemptId: string): Promise<Readback | undefined> {
+  async function readRow() {
     const read = await table.read([key], callTimeoutMs);
     if (read.kind !== 'read') return undefined;
-    const row = read.value.at(0);
+    const {tableNowMs, tableEra = 0} = read;
+    noteEra(tableEra);
+    return {row: read.value.at(0), tableNowMs, tableEra};
+  }
+
+  /** Whether the row that is there now is the one this attempt wrote. */
+  async function readBack(attemptId: string): Promise<Readback | undefined> {
+    const read = await readRow();
+    if (!read) return undefined;
+    const {row, tableNowMs, tableEra} = read;
     const isOurs = !!row && parseLeaseRow(row).attemptId === attemptId;
-    return {isOurs, tableNowMs: read.tableNowMs};
+    return {isOurs, tableNowMs, tableEra};
   }
 
   async function write(
@@ -113,18 +140,21 @@
   ): Promise<Readback> {
     const outcome = await table.transact(transaction, callTimeoutMs);
     if (outcome.kind === 'applied') {
-      return {isOurs: true, tableNowMs: outcome.tableNowMs};
+      const {tableNowMs, tableEra = 0} = outcome;
+      noteEra(tableEra);
+      return {isOurs: true, tableNowMs, tableEra};
     }
     const readback =
       outcome.kind === 'unknown' ? await readBack(attemptId) : undefined;
-    return readback ?? {isOurs: false};
+    return readback ?? {isOurs: false, tableEra: knownEra};
   }
 
   return {
     async acquire() {
-      const read = await table.read([key], callTimeoutMs);
-      if (read.kind !== 'read') return undefined;
-      const row = read.value.at(0);
+      const read = await readRow();
+      if (!read) return undefined;
+      const {row, tableEra} = read;
+      if (clock.nowMs() < eraTakeableAtMs) return undefined;
       if (row && !isTakeable(row)) return undefined;
       const attemptId = random.nextId();
       const transaction = buildTake(
@@ -133,12 +163,14 @@
         hostId,
         attemptId,
         clock.wallMs(),
+        tableEra,
       );
       // Counted from before the write: the row may be as old as that.
       const sentAtMs = clock.nowMs();
-      const {isOurs, tableNowMs} = await write(transaction, attemptId);
-      if (!isOurs) return undefined;
-      const epoch = (row ? parseLeaseRow(row).epoch : 0) + 1;
+      const written = await write(transaction, attemptId);
+      // A version may be given out again, and the write fit another row.
+      if (!written.isOurs || written.tableEra !== tableEra) return undefined;
+      const epoch = getNextEpoch(row, tableEra);
       const untilMs = sentAtMs + options.useMs;
       log.info('Lease taken.', {lease: name, epoch});
       return {
@@ -146,7 +178,8 @@
         untilMs,
         attemptId,
         // The table may have written it as early as the first read.
-        tableSinceMs: read.tableNowMs ?? tableNowMs,
+        tableSinceMs: read.tableNowMs ?? written.tableNowMs,
+        tableEra,
       };
     },
     async confirm(term) {
@@ -154,7 +187,8 @@
       const askedAtMs = clock.nowMs();
       const readback = await readBack(term.attemptId);
       if (!readback) return 'unconfirmed';
-      if (!readback.isOurs) return 'lost';
+      const isOfEra = readback.tableEra === term.tableEra;
+      if (!readback.isOurs || !isOfEra) return 'lost';
       const {tableNowMs} = readback;
       if (tableNowMs !== undefined && term.tableSinceMs !== undefined) {
         const heldMs = tableNowMs - term.tableSinceMs;
--- a/src/ports/table.ts
+++ b/src/ports/table.ts
@@ -53,6 +53,8 @@
       readonly kind: 'applied';
       /** The table's own steady clock at the write, where it tells. */
       readonly tableNowMs?: number;
+      /** How often the table came back from an older copy, where it tells. */
+      readonly tableEra?: number;
     }
   | {
       /** Certainly not applied, because a condition did not hold. */
@@ -79,6 +81,8 @@
       readonly value: T;
       /** The table's own steady clock at the read, where it tells. */
       readonly tableNowMs?: number;
+      /** How often the table came back from an older copy, where it tells. */
+      readonly tableEra?: number;
     }
   | {readonly kind: 'failed'; readonly reason: string};
 
--- a/tests/coordination/short_lease_test.ts
+++ b/tests/coordination/short_lease_test.ts
@@ -10,6 +10,7 @@
 function makeTable(tableNowMs: () => number) {
   const rows = new Map<string, TableRow>();
   let version = 10;
+  let era = 0;
   let losesAnswers = false;
   let whileReading = () => undefined as void;
   const table: TablePort = {
@@ -18,6 +19,7 @@
         kind: 'read',
         value: keys.flatMap(key => rows.get(key) ?? []),
         tableNowMs: tableNowMs(),
+        tableEra: era,
       } as const;
       whileReading();
       return Promise.resolve(outcome);
@@ -40,12 +42,20 @@
       return Promise.resolve(
         losesAnswers
           ? {kind: 'unknown', reason: 'lost'}
-          : {kind: 'applied', tableNowMs: tableNowMs()},
+          : {kind: 'applied', tableNowMs: tableNowMs(), tableEra: era},
       );
     },
   };
   return {
     table,
+    copy: () => ({rows: new Map(rows), version}),
+    /** Comes back from an older copy; its numbers are given out again. */
+    restore(copy: {rows: Map<string, TableRow>; version: number}) {
+      rows.clear();
+      for (const [key, row] of copy.rows) rows.set(key, row);
+      version = copy.version;
+      era++;
+    },
     loseAnswers() {
       losesAnswers = true;
     },
@@ -179,3 +189,64 @@
   assert.ok(await b.acquire());
   assert.equal(await a.confirm(term), 'lost');
 });
+
+/** From the first act of a holder until another host may act. */
+const TURN_MS = 4_800;
+
+test('a lease that the table lost is not taken while its holder may act', async () => {
+  // Guards against two hosts that give orders at once.
+  const {clock, store, a, b} = makeHosts();
+  const empty = store.copy();
+  assert.ok(await a.acquire());
+  store.restore(empty);
+  assert.equal(await b.acquire(), undefined);
+  await clock.advance(TURN_MS - 300);
+  assert.equal(await b.acquire(), undefined);
+  await clock.advance(300);
+  assert.ok(await b.acquire());
+});
+
+test('an older row of its own does not let a host take what another has', async () => {
+  // Guards against a host that was the last holder as of the older copy.
+  const {clock, store, a, b} = makeHosts();
+  assert.ok(await b.acquire());
+  const copy = store.copy();
+  await a.acquire();
+  await clock.advance(TURN_MS);
+  assert.ok(await a.acquire());
+  store.restore(copy);
+  assert.equal(await b.acquire(), undefined);
+  await clock.advance(TURN_MS);
+  assert.ok(await b.acquire());
+});
+
+test('a holder stops where the table comes back from an older copy', async () => {
+  // Guards against orders under a lease that nobody else can see.
+  const {store, a} = makeHosts();
+  const empty = store.copy();
+  const term = await a.acquire();
+  assert.ok(term);
+  const copy = store.copy();
+  store.restore(empty);
+  assert.equal(await a.confirm(term), 'lost');
+  store.restore(copy);
+  assert.equal(await a.confirm(term), 'lost');
+});
+
+test('fences rise though the table goes back', async () => {
+  // Guards against engines that refuse all orders, having seen a higher fence.
+  const {clock, store, a} = makeHosts();
+  assert.ok(await a.acquire());
+  const copy = store.copy();
+  let highest = 0;
+  for (let i = 0; i < 5; i++) {
+    highest = (await a.acquire())?.fence.epoch ?? 0;
+  }
+  assert.equal(highest, 6);
+  store.restore(copy);
+  await a.acquire();
+  await clock.advance(TURN_MS);
+  const next = (await a.acquire())?.fence.epoch ?? 0;
+  assert.ok(next > highest, `${next}`);
+  assert.equal((await a.acquire())?.fence.epoch, next + 1);
+});
--- a/tests/relay/roles/role_orders_test.ts
+++ b/tests/relay/roles/role_orders_test.ts
@@ -89,6 +89,7 @@
               fence: createFence('orders', ++epoch),
               untilMs: clock.nowMs() + 900,
               attemptId: `attempt-${epoch}`,
+              tableEra: 0,
             }
           : undefined,
       ),
