Register again where the store has lost the entry of this host

Hosts whose settings name no live address found nobody: a host that had registered believed in it for good, and the older copy of the store lacks it. A host that had taken itself out came back with the copy.

Evidence: both tests fail without the change: none of nine hosts registers again, and the one that left is listed until a person removes it.

Whether a host is registered is now what it reads in the registry; a new era makes it look within a second, spread at random, since its coordinators all hear of it at once. A host that leaves takes itself out again.

--- a/src/relay/store/store_watch.ts
+++ b/src/relay/store/store_watch.ts
@@ -128,7 +128,10 @@
   let cursor: StoreRevision | undefined;
   /** The newest version of which own reads have told, if it can be read. */
   let readVersion: number | undefined;
+  /** As of the last read of the registry, or the last write. */
   let isRegistered = false;
+  /** Ever, so that a row of this host may be there. */
+  let hasRegistered = false;
   const listConfirmation = createStoreConfirmation(clock);
   const routingConfirmation = createStoreConfirmation(clock);
   /** The newest that a peer had and this host had not. */
@@ -145,6 +148,7 @@
   /** Set while the next look waits; a running read has none. */
   let routingTimer: TimerHandle | undefined;
   let listTimer: TimerHandle | undefined;
+  let hostsTimer: TimerHandle | undefined;
 
   function later(delayMs: number, action: () => Promise<void>): TimerHandle {
     const timer = clock.setTimer(Math.max(0, delayMs), () => {
@@ -360,35 +364,57 @@
    * that a cut parted. Of many only those are in it that all others know of.
    */
   async function keepRegistered(): Promise<void> {
+    hostsTimer = undefined;
     const isSought = host.isSought();
     if (!isSought && !host.isAlone()) {
-      later(HOSTS_EVERY_MS, keepRegistered);
+      hostsTimer = later(HOSTS_EVERY_MS, keepRegistered);
       return;
     }
     if (isSought && !isRegistered && !isLeaving) {
       const {hostRegistry} = host;
       isRegistered = await hostRegistry.register(self, REGISTER_TIMEOUT_MS);
+      hasRegistered ||= isRegistered;
       metrics.count('store_calls', `call="register",outcome="${isRegistered}"`);
     }
     const read = await host.hostRegistry.readAll(READ_TIMEOUT_MS);
     note('hosts', read);
-    if (read.kind === 'read') host.onHosts(read.value);
+    if (read.kind === 'read') {
+      host.onHosts(read.value);
+      isRegistered = read.value.some(isSelf);
+    }
     const isDone = (isRegistered || !isSought) && read.kind === 'read';
     const isFound = isDone && !host.isAlone();
-    later(isFound ? HOSTS_EVERY_MS : HOSTS_RETRY_MS, keepRegistered);
+    const restMs = isFound ? HOSTS_EVERY_MS : HOSTS_RETRY_MS;
+    hostsTimer = later(restMs, keepRegistered);
+  }
+
+  const isSelf = ({hostId, peerAddress}: HostRecord) =>
+    hostId === self.hostId && peerAddress === self.peerAddress;
+
+  function takeOut(): void {
+    if (!hasRegistered) return;
+    void host.hostRegistry.remove(self.hostId, REGISTER_TIMEOUT_MS);
+  }
+
+  /** What this host wrote to the store may be lost, or be back. */
+  function noteEra(era: number): void {
+    noteOtherList({...NO_REVISION, era});
+    if (isLeaving) return takeOut();
+    if (!hostsTimer || !isRegistered) return;
+    cancel(hostsTimer);
+    hostsTimer = later(HOSTS_RETRY_MS * random.nextFloat(), keepRegistered);
   }
 
   return {
     start() {
-      storeEra.onChange(era => noteOtherList({...NO_REVISION, era}));
+      storeEra.onChange(noteEra);
       void followRouting();
       void followUpstreams();
-      later(REGISTER_AFTER_MS, keepRegistered);
+      hostsTimer = later(REGISTER_AFTER_MS, keepRegistered);
     },
     unregister() {
       isLeaving = true;
-      if (!isRegistered) return;
-      void host.hostRegistry.remove(self.hostId, REGISTER_TIMEOUT_MS);
+      takeOut();
     },
     stop() {
       isStopped = true;
--- a/tests/relay/store/older_copy_test.ts
+++ b/tests/relay/store/older_copy_test.ts
@@ -168,3 +168,26 @@
   await site.clock.advance(500);
   assert.ok(late.freshness.ageMs() < SERVED_AGAIN_MS);
 });
+
+test('hosts that the older copy lacks register again', async () => {
+  // Guards against hosts that no host finds which knows a stale address only.
+  const site = makeSite(9);
+  const empty = site.copy();
+  await site.clock.advance(SETTLED_MS);
+  assert.equal(site.registeredIds().length, 9);
+  await comeBack(site, empty);
+  await site.clock.advance(LEAVING_BOUND_MS + SERVED_AGAIN_MS);
+  assert.equal(site.registeredIds().length, 9);
+});
+
+test('a host that leaves takes itself out again where the copy has it', async () => {
+  // Guards against probes of addresses at which nobody is any more.
+  const site = await startSite(SIZES[0]);
+  const copy = site.copy();
+  site.hosts[4].watch.unregister();
+  await site.clock.advance(1_000);
+  assert.equal(site.registeredIds().length, 8);
+  await comeBack(site, copy);
+  await site.clock.advance(SERVED_AGAIN_MS);
+  assert.equal(site.registeredIds().length, 8);
+});
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -6,7 +6,7 @@
 import type {Routing} from '../../../src/core/routing_types.js';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
-import type {StoreRead} from '../../../src/ports/relay.js';
+import type {HostRecord, StoreRead} from '../../../src/ports/relay.js';
 import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
 import {createConfigurationFreshness} from '../../../src/relay/accounts/configuration_freshness.js';
 import {
@@ -58,6 +58,7 @@
   readonly version: number;
   readonly configuredAt: number;
   readonly upstreams: Upstream[];
+  readonly registered: readonly HostRecord[];
 }
 
 export function makeSite(hostCount: number, chatter = CALM) {
@@ -75,6 +76,8 @@
     clockShiftMs: 0,
   };
   let upstreams = [makeUpstream('a'), makeUpstream('b')];
+  /** The registry of hosts. */
+  const registered = new Map<string, HostRecord>();
   /** Hosts that the store turns away. */
   const cut = new Set<string>();
   /** Hosts to which the datagrams that tell a change are lost. */
@@ -203,9 +206,15 @@
             }),
         },
         hostRegistry: {
-          register: () => Promise.resolve(true),
-          readAll: () => answer(hostId, () => []),
-          remove: () => Promise.resolve(true),
+          async register(record) {
+            const write = () => void registered.set(record.hostId, record);
+            return (await answer(hostId, write)).kind === 'read';
+          },
+          readAll: () => answer(hostId, () => [...registered.values()]),
+          async remove(id) {
+            const write = () => registered.delete(id);
+            return (await answer(hostId, write)).kind === 'read';
+          },
         },
       },
       {hostId, peerAddress: `${hostId}:1`},
@@ -258,6 +267,7 @@
   return {
     clock,
     store,
+    registeredIds: () => [...registered.keys()],
     hosts,
     cut,
     hearsNoChanges,
@@ -305,10 +315,13 @@
       version: store.version,
       configuredAt: store.configuredAt,
       upstreams,
+      registered: [...registered.values()],
     }),
     /** The store comes back from an older copy. */
-    restore({upstreams: listed, ...numbers}: StoreCopy) {
+    restore({upstreams: listed, registered: known, ...numbers}: StoreCopy) {
       Object.assign(store, numbers);
+      registered.clear();
+      for (const each of known) registered.set(each.hostId, each);
       upstreams = listed;
       store.era++;
     },
