Tests: what hosts hear and call when the store begins an era

Both hold without a change and stay as guards: 9 and 300 hosts learn of an era from the few that read, without a call of each, and a host that the store turns away learns it from its peers. In the site of the tests only the hosts that are sought are in the registry where hosts are many, as in the program.

--- a/tests/relay/store/older_copy_test.ts
+++ b/tests/relay/store/older_copy_test.ts
@@ -16,6 +16,8 @@
 /** What has not come back by then is taken for gone. */
 const FORGOTTEN_MS = 2_500;
 
+const CALLS_COUNTED_MS = 3_000;
+
 const SERVICE = 'uus-pearaamat';
 const upstreams = ['u0', 'u1', 'u2'].map(makeUpstream);
 
@@ -53,6 +55,12 @@
   site.store.isDown = false;
 }
 
+async function countCalls(site: Site): Promise<number> {
+  const before = site.store.calls;
+  await site.clock.advance(CALLS_COUNTED_MS);
+  return site.store.calls - before;
+}
+
 function assertOpen(site: Site, expected: readonly string[]): void {
   for (const {hostId, registry} of site.live()) {
     const open = registry.open(SERVICE).map(({id}) => id);
@@ -191,3 +199,34 @@
   await site.clock.advance(SERVED_AGAIN_MS);
   assert.equal(site.registeredIds().length, 8);
 });
+
+for (const size of SIZES) {
+  test(`${size.hostCount} hosts hear of an era without calling the store each`, async () => {
+    // Guards the store, just back, against a call of each host at once.
+    const site = await startSite(size);
+    const copy = site.copy();
+    site.write(100);
+    const quiet = await countCalls(site);
+    await comeBack(site, copy, {awayMs: 0});
+    const busy = await countCalls(site);
+    assert.ok(busy - quiet <= size.hostCount / 4 + 12, `${quiet}, ${busy}`);
+    for (const {hostId, registry} of site.live()) {
+      assert.equal(registry.revision().era, 1, hostId);
+    }
+  });
+}
+
+test('a host that the store turns away goes by the era of its peers', async () => {
+  // Guards against a host that takes its peers' lists for older than its own.
+  const site = await startSite(SIZES[0]);
+  const [away] = site.hosts;
+  const copy = site.copy();
+  site.write(100);
+  await site.clock.advance(3_000);
+  site.cut.add(away.hostId);
+  await comeBack(site, copy);
+  await site.clock.advance(SERVED_AGAIN_MS);
+  site.setUpstreams(upstreams.slice(1));
+  await site.clock.advance(LEAVING_BOUND_MS);
+  assertOpen(site, ['u1', 'u2']);
+});
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -35,8 +35,11 @@
 }
 
 const CALM: Chatter = {hearMs: 3, announceEveryMs: 250};
-/** Of many, few tell all; the others tell these. */
-export const OF_MANY: Chatter = {hearMs: 3, announceEveryMs: 500};
+/**
+ * Of many, three tell all, each twice a second and not at the same time; the
+ * others tell these.
+ */
+export const OF_MANY: Chatter = {hearMs: 3, announceEveryMs: 200};
 const MOST_IN_MESH = 16;
 
 export function makeUpstream(id: string): Upstream {
@@ -168,7 +171,7 @@
         isReader: readers.isReader,
         isCandidate: readers.isCandidate,
         isPlacing: () => false,
-        isSought: () => true,
+        isSought: () => isMesh || tellers.includes(hostId),
         isAlone: () => false,
         onHosts: () => undefined,
         routingSource: {
