Soak: stores that come back from older copies

A kind of fault of its own, so that the seeds of the other kinds draw what they always drew: the store loses the writes of some moments, other tables' among them, is away for up to 0.8 s and gives its numbers out again. The operator and live upstreams write again what was lost, other entries lapse.

--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,11 +1,17 @@
 /**
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
- * [--asks]`; the last draws mostly upstreams that ask for fewer requests.
+ * [--asks | --copies]`; these draw mostly upstreams that ask for fewer requests,
+ * or stores that come back from older copies.
  */
 
 import path from 'node:path';
 import {parseArgs} from 'node:util';
-import {ALL_KINDS, ASK_SOAK_KINDS} from './soak_faults.js';
+import {
+  ALL_KINDS,
+  ASK_SOAK_KINDS,
+  COPY_SOAK_KINDS,
+  type FaultKind,
+} from './soak_faults.js';
 import {runSoak} from './soak_run.js';
 
 const {values} = parseArgs({
@@ -17,9 +23,15 @@
     callers: {type: 'string', default: '12'},
     folder: {type: 'string', default: 'build/soak'},
     asks: {type: 'boolean', default: false},
+    copies: {type: 'boolean', default: false},
   },
 });
 
+function chooseKinds(): readonly FaultKind[] {
+  if (values.copies) return COPY_SOAK_KINDS;
+  return values.asks ? ASK_SOAK_KINDS : ALL_KINDS;
+}
+
 const first = Number(values.first ?? Date.now() % 1_000_000);
 let failures = 0;
 for (let i = 0; i < Number(values.seeds); i++) {
@@ -28,7 +40,7 @@
     durationMs: Number(values.seconds) * 1_000,
     hostCount: Number(values.hosts),
     callerCount: Number(values.callers),
-    kinds: values.asks ? ASK_SOAK_KINDS : ALL_KINDS,
+    kinds: chooseKinds(),
     program: path.resolve('target/main.mjs'),
     folder: values.folder,
   });
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -27,10 +27,29 @@
 /** Upstreams that ask for fewer requests. */
 export const ASK_KINDS = ['names-limit', 'says-leaving', 'asks-rest'] as const;
 
+/** Apart from the others, so that their seeds draw what they always drew. */
+export const COPY_KIND = 'store-older-copy';
+
 export type FaultKind =
-  (typeof FAULT_KINDS)[number] | (typeof ASK_KINDS)[number];
+  (typeof FAULT_KINDS)[number] | (typeof ASK_KINDS)[number] | typeof COPY_KIND;
 
-export const ALL_KINDS: readonly FaultKind[] = [...FAULT_KINDS, ...ASK_KINDS];
+export const ALL_KINDS: readonly FaultKind[] = [
+  ...FAULT_KINDS,
+  ...ASK_KINDS,
+  COPY_KIND,
+];
+/** A store that loses writes, beside what the lost writes were about. */
+export const COPY_SOAK_KINDS: readonly FaultKind[] = [
+  COPY_KIND,
+  COPY_KIND,
+  'upstream-leaves',
+  'upstream-leaves',
+  'upstream-leaves',
+  'upstream-crash',
+  'configure',
+  'kill',
+  'store-cut',
+];
 /** Upstreams that ask, beside what makes hosts forget or hear nothing. */
 export const ASK_SOAK_KINDS: readonly FaultKind[] = [
   ...ASK_KINDS,
@@ -79,6 +98,10 @@
 /** From an upstream's first word that it leaves until the store has it. */
 const LEAVE_AFTER_MS = 4_500;
 const REST_S = 2;
+/** A store that comes back from an older copy is away for a moment. */
+const MOST_AWAY_MS = 800;
+/** Beside what the fault is about, so that numbers go back far. */
+const LOST_WRITES = 200;
 
 const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -228,6 +251,17 @@
     await wait(forMs);
     site.store.setMode('serving');
   },
+  async [COPY_KIND](context, {forMs}) {
+    const {site, random} = context;
+    const copy = site.store.copy();
+    for (let i = 0; i < LOST_WRITES; i++) site.store.put('others', `${i}`, {});
+    await wait(forMs);
+    const awayAtMs = context.now();
+    site.store.setMode('busy');
+    await wait(random.nextInt(MOST_AWAY_MS));
+    site.comeBack(copy, awayAtMs, context.now());
+    site.store.setMode('serving');
+  },
   async 'history-lost'({site}) {
     site.store.dropHistory();
   },
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -9,6 +9,7 @@
 } from '../../stand_ins/users_platform/engine_stand_in.js';
 import {
   createStoreStandIn,
+  type StoreCopy,
   type StoreStandIn,
 } from '../../stand_ins/users_platform/store_stand_in.js';
 import {makeConfiguration} from '../platform/relay_site.js';
@@ -52,6 +53,11 @@
     service: string,
     role?: 'prefill' | 'decode',
   ): Promise<SoakUpstream>;
+  /**
+   * The store comes back from an older copy. The operator writes its newest
+   * version again, and live upstreams their rows; others lapse.
+   */
+  comeBack(copy: StoreCopy, awayAtMs: number, backAtMs: number): void;
   /** The next version of the configuration, with this many extra routes. */
   configure(extraRoutes: number): number;
   close(): Promise<void>;
@@ -66,6 +72,11 @@
 export const STREAM_EVENTS = 20;
 const EVENT_EVERY_MS = 25;
 const HEARTBEAT_MS = 600;
+/** The store drops an entry after three heartbeats without one. */
+const LAPSE_MS = 3 * HEARTBEAT_MS;
+const WRITTEN_AGAIN_MS = 1_000;
+/** Hosts have a list of the store within this time. */
+const LIST_READ_MS = 1_500;
 const GRACE_MS = 4_000;
 /** Path prefix of the routes that a configuration may add. */
 export const EXTRA_PREFIX = '/extra-';
@@ -77,6 +88,7 @@
   const upstreams: SoakUpstream[] = [];
   const hosts: SoakHost[] = [];
   let version = 0;
+  let newest: object = {};
 
   function writeRow(upstream: SoakUpstream): void {
     if (upstream.state === 'gone') return;
@@ -123,14 +135,27 @@
       prefix: `${EXTRA_PREFIX}${i}/`,
     }));
     version += 3;
-    store.put('op', 'config', {
-      ...base,
-      version,
-      routes: [...base.routes, ...extra],
-    });
+    newest = {...base, version, routes: [...base.routes, ...extra]};
+    store.put('op', 'config', newest);
     return version;
   }
 
+  function comeBack(copy: StoreCopy, awayAtMs: number, backAtMs: number): void {
+    store.restore(copy);
+    setTimeout(() => store.put('op', 'config', newest), WRITTEN_AGAIN_MS);
+    setTimeout(() => {
+      for (const {state, standIn} of upstreams) {
+        if (state === 'gone') store.remove('servers', standIn.id);
+      }
+    }, LAPSE_MS);
+    for (const upstream of upstreams) {
+      // No host may have read that it leaves; it says so again.
+      const {leftAtMs = 0} = upstream;
+      const isUnread = leftAtMs > awayAtMs - LIST_READ_MS;
+      if (isUnread) upstream.leftAtMs = backAtMs + HEARTBEAT_MS;
+    }
+  }
+
   async function addHost(index: number, seed?: string): Promise<SoakHost> {
     const storeLink = await createFaultProxy(store.address);
     const child = createRelayChild({
@@ -172,6 +197,7 @@
     upstreams,
     addUpstream,
     configure,
+    comeBack,
     async close() {
       clearInterval(heartbeat);
       for (const {child} of hosts) {
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -2,7 +2,7 @@
 import {execFileSync} from 'node:child_process';
 import path from 'node:path';
 import {before, test} from 'node:test';
-import {ASK_SOAK_KINDS, FAULT_KINDS} from './soak_faults.js';
+import {ASK_SOAK_KINDS, COPY_SOAK_KINDS, FAULT_KINDS} from './soak_faults.js';
 import {runSoak, type SoakOptions} from './soak_run.js';
 
 const folder = path.resolve('build', 'soak');
@@ -43,7 +43,15 @@
   kinds: ASK_SOAK_KINDS,
 };
 
-for (const options of [short, ...REGRESSIONS, asking]) {
+const copies: SoakOptions = {
+  ...short,
+  seed: 8,
+  durationMs: 10_000,
+  callerCount: 12,
+  kinds: COPY_SOAK_KINDS,
+};
+
+for (const options of [short, ...REGRESSIONS, asking, copies]) {
   test(`real processes keep the promises under faults, seed ${options.seed}`, async () => {
     // Processes are stopped, frozen, killed and rolled, links go silent and
     // are reset, and the store and the upstreams misbehave, at overlapping
