Count the wait for a place within a limit as the caller's time, not the upstream's

Callers got 502 for calls that their upstream had run and answered at once, and half of what an upstream in need gave was thrown away. A first attempt of a call that may be repeated has a timeout for the head of its answer; the wait for a place within the upstream's limit was taken off it, and was often longer: the call was sent and cut in the same moment.

The timeout now counts from the send, and ends at the same moment after the caller's deadline as before.

--- a/src/relay/backpressure/gated_upstream_port.ts
+++ b/src/relay/backpressure/gated_upstream_port.ts
@@ -30,6 +30,21 @@
   cancellation: Cancellation,
 ) => Promise<Outcome | SendFailure>;
 
+/**
+ * What is left after a wait. The wait is the caller's time and not the
+ * upstream's: a call may take as long for its head as if it had been sent at
+ * once, up to the same moment after its deadline.
+ */
+function afterWait(options: SendOptions, waitedMs: number): SendOptions {
+  const leftMs = Math.max(0, options.leftMs - waitedMs);
+  const beyondMs = Math.max(0, options.headTimeoutMs - options.leftMs);
+  return {
+    ...options,
+    leftMs,
+    headTimeoutMs: Math.min(options.headTimeoutMs, leftMs + beyondMs),
+  };
+}
+
 export function createGatedUpstreamPort(
   host: GatedUpstreamPortHost,
 ): UpstreamPort {
@@ -81,16 +96,7 @@
       const waitedMs = clock.nowMs() - askedAtMs;
       const blocked = gate.blocked(upstream.id);
       if (blocked) return withhold(request, options, blocked);
-      const {leftMs, headTimeoutMs} = options;
-      return send(
-        request,
-        {
-          ...options,
-          leftMs: Math.max(0, leftMs - waitedMs),
-          headTimeoutMs: Math.max(0, headTimeoutMs - waitedMs),
-        },
-        cancellation,
-      );
+      return send(request, afterWait(options, waitedMs), cancellation);
     };
 
   // An upstream that rests wants no calls of any kind.
--- a/tests/platform/upstream_limit_test.ts
+++ b/tests/platform/upstream_limit_test.ts
@@ -161,3 +161,18 @@
     assert.ok(Number(headers['retry-after']) > 0);
   }
 });
+
+test('a call that waited for its place within a limit gets the answer', async () => {
+  // Guards against calls that are sent and cut in the same moment.
+  const upstreams = await Promise.all([
+    site.addUpstream({id: 'i-1', service: 'ledger'}),
+    site.addUpstream({id: 'i-2', service: 'ledger'}),
+  ]);
+  upstreams[0].setLimit(3);
+  upstreams[1].setLimit(0.7);
+  await startEntries();
+  await tellAll(upstreams, '/saldo/1', {});
+  const answers = await callFor(site, entries, 8_000, '/saldo/1');
+  const failed = answers.filter(({status}) => status !== 200 && status !== 503);
+  assert.deepEqual(failed, []);
+});
