--- a/src/relay/store/store_watch.ts
+++ b/src/relay/store/store_watch.ts
@@ -29,6 +29,7 @@
 import type {StoreTime} from '../accounts/store_time.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {RoutingState} from '../routing_state.js';
+import {createHostRegistration} from './host_registration.js';
 import {createStoreConfirmation} from './store_confirmation.js';
 import type {StoreKnowledge} from '../fleet/store_readers.js';
 import type {StoreEra} from './store_era.js';
@@ -110,11 +111,6 @@
 const SHORTEST_LOOK_MS = 20;
 const RETRY_MS = 200;
 const RETRY_SPREAD_MS = 100;
-const REGISTER_TIMEOUT_MS = 800;
-/** By then a host that has a right address in its settings knows others. */
-const REGISTER_AFTER_MS = 1_000;
-const HOSTS_EVERY_MS = 10_000;
-const HOSTS_RETRY_MS = 1_000;
 
 export function createStoreWatch(
   host: StoreWatchHost,
@@ -124,14 +120,9 @@
   const {freshness, storeTime} = host;
   const timers = new Set<TimerHandle>();
   let isStopped = false;
-  let isLeaving = false;
   let cursor: StoreRevision | undefined;
   /** The newest version of which own reads have told, if it can be read. */
   let readVersion: number | undefined;
-  /** As of the last read of the registry, or the last write. */
-  let isRegistered = false;
-  /** Ever, so that a row of this host may be there. */
-  let hasRegistered = false;
   const listConfirmation = createStoreConfirmation(clock);
   const routingConfirmation = createStoreConfirmation(clock);
   /** The newest that a peer had and this host had not. */
@@ -148,7 +139,10 @@
   /** Set while the next look waits; a running read has none. */
   let routingTimer: TimerHandle | undefined;
   let listTimer: TimerHandle | undefined;
-  let hostsTimer: TimerHandle | undefined;
+  const registration = createHostRegistration(
+    {...host, onRead: read => note('hosts', read)},
+    self,
+  );
 
   function later(delayMs: number, action: () => Promise<void>): TimerHandle {
     const timer = clock.setTimer(Math.max(0, delayMs), () => {
@@ -359,50 +353,9 @@
     registry.confirm(upstreamRevision);
   }
 
-  /**
-   * The registry is for hosts whose settings name no live one, and for hosts
-   * that a cut parted. Of many only those are in it that all others know of.
-   */
-  async function keepRegistered(): Promise<void> {
-    hostsTimer = undefined;
-    const isSought = host.isSought();
-    if (!isSought && !host.isAlone()) {
-      hostsTimer = later(HOSTS_EVERY_MS, keepRegistered);
-      return;
-    }
-    if (isSought && !isRegistered && !isLeaving) {
-      const {hostRegistry} = host;
-      isRegistered = await hostRegistry.register(self, REGISTER_TIMEOUT_MS);
-      hasRegistered ||= isRegistered;
-      metrics.count('store_calls', `call="register",outcome="${isRegistered}"`);
-    }
-    const read = await host.hostRegistry.readAll(READ_TIMEOUT_MS);
-    note('hosts', read);
-    if (read.kind === 'read') {
-      host.onHosts(read.value);
-      isRegistered = read.value.some(isSelf);
-    }
-    const isDone = (isRegistered || !isSought) && read.kind === 'read';
-    const isFound = isDone && !host.isAlone();
-    const restMs = isFound ? HOSTS_EVERY_MS : HOSTS_RETRY_MS;
-    hostsTimer = later(restMs, keepRegistered);
-  }
-
-  const isSelf = ({hostId, peerAddress}: HostRecord) =>
-    hostId === self.hostId && peerAddress === self.peerAddress;
-
-  function takeOut(): void {
-    if (!hasRegistered) return;
-    void host.hostRegistry.remove(self.hostId, REGISTER_TIMEOUT_MS);
-  }
-
-  /** What this host wrote to the store may be lost, or be back. */
   function noteEra(era: number): void {
     noteOtherList({...NO_REVISION, era});
-    if (isLeaving) return takeOut();
-    if (!hostsTimer || !isRegistered) return;
-    cancel(hostsTimer);
-    hostsTimer = later(HOSTS_RETRY_MS * random.nextFloat(), keepRegistered);
+    registration.noteEra();
   }
 
   return {
@@ -410,14 +363,12 @@
       storeEra.onChange(noteEra);
       void followRouting();
       void followUpstreams();
-      hostsTimer = later(REGISTER_AFTER_MS, keepRegistered);
-    },
-    unregister() {
-      isLeaving = true;
-      takeOut();
+      registration.start();
     },
+    unregister: registration.leave,
     stop() {
       isStopped = true;
+      registration.stop();
       for (const timer of timers) clock.clearTimer(timer);
     },
     isStoreReachable: () => !isStoreLost,
