Know the time of the store again in each era

Callers with keys would have been refused for good by most hosts: those that go by what others read had the word of their peers, on the clock of the new era, and no answer of the store in it to tell its age by.

Longer outages hid it, as every host reads by itself then.

Where accounts have keys, each host asks the store once in a new era, spread over 1.5 s; word of an era whose clock a host does not know leaves the last age to grow. A store that answers from an earlier era than was known is not read again at once.

--- a/src/relay/accounts/configuration_freshness.ts
+++ b/src/relay/accounts/configuration_freshness.ts
@@ -60,6 +60,8 @@
   return {
     noteCompleteUntil(moment) {
       if (completeUntil && !isLaterMoment(moment, completeUntil)) return;
+      // Of an era whose clock is not known here no age can be told.
+      if (storeTime.ageMs(moment) === undefined) return;
       completeUntil = moment;
     },
     completeUntil: () => completeUntil,
--- a/src/relay/store/store_watch.ts
+++ b/src/relay/store/store_watch.ts
@@ -109,6 +109,11 @@
 const LOST_STORE_LOOK_MS = 2_000;
 /** Ages in announcements are rounded, and datagrams take some ms. */
 const SHORTEST_LOOK_MS = 20;
+/**
+ * Hosts that go by what others read need one answer in each era for the time of
+ * the store; all at once would be hundreds of calls.
+ */
+const TIME_READ_SPREAD_MS = 1_500;
 const RETRY_MS = 200;
 const RETRY_SPREAD_MS = 100;
 
@@ -133,6 +138,8 @@
   let routingReadAtMs = Number.NEGATIVE_INFINITY;
   let isStoreLost = false;
   let isReader = true;
+  /** When the time of the store is to be known again, where an era began. */
+  let timeDueAtMs = Number.NEGATIVE_INFINITY;
   /** Reads that failed one after the other. */
   let routingFailures = 0;
   let listFailures = 0;
@@ -207,13 +214,20 @@
     else log.info('Going by what others read.', {ageMs});
   }
 
+  /** Whether the time of the store in the present era is wanted for keys. */
+  const isTimeMissing = () =>
+    !routing.accounts().isEmpty &&
+    storeTime.latest()?.era !== storeEra.current();
+
   /** How long the configuration may go unread; 0 to read now. */
   function routingRestMs(): number {
     if (host.isReader()) return 0;
     if (isRoutingBehind()) {
       return READ_SPACING_MS - (clock.nowMs() - routingReadAtMs);
     }
-    return ROUTING_CONFIRMED_MS - routingConfirmation.ageMs();
+    const restMs = ROUTING_CONFIRMED_MS - routingConfirmation.ageMs();
+    const timeRestMs = timeDueAtMs - clock.nowMs();
+    return isTimeMissing() ? Math.min(restMs, timeRestMs) : restMs;
   }
 
   function listRestMs(): number {
@@ -234,6 +248,10 @@
     return Math.min(confirmedRestMs, LOST_STORE_LOOK_MS - sinceReadMs);
   }
 
+  /** A store that goes back to an earlier era must not be read without rest. */
+  const isOutdated = ({cursor: {era}}: RoutingUpdate) =>
+    era < storeEra.current();
+
   async function followRouting(): Promise<void> {
     const restMs = routingRestMs();
     if (restMs > 0) {
@@ -259,7 +277,10 @@
         // The feed passes over what was written before its cursor's number.
         if (from && from.era !== read.value.cursor.era) cursor = undefined;
         // Until there is a first version, the feed wakes for it.
-        routingTimer = later(0, followRouting);
+        routingTimer = later(
+          isOutdated(read.value) ? READ_SPACING_MS : 0,
+          followRouting,
+        );
         return;
       case 'history-lost':
         log.info('The history of the configuration is gone; reading anew.');
@@ -355,6 +376,8 @@
 
   function noteEra(era: number): void {
     noteOtherList({...NO_REVISION, era});
+    timeDueAtMs = clock.nowMs() + TIME_READ_SPREAD_MS * random.nextFloat();
+    wakeRouting();
     registration.noteEra();
   }
 
--- a/tests/relay/store/older_copy_test.ts
+++ b/tests/relay/store/older_copy_test.ts
@@ -16,6 +16,8 @@
 /** What has not come back by then is taken for gone. */
 const FORGOTTEN_MS = 2_500;
 
+/** A key may work for so long after its withdrawal. */
+const MOST_UNSURE_MS = 5_000;
 const CALLS_COUNTED_MS = 3_000;
 
 const SERVICE = 'uus-pearaamat';
@@ -177,6 +179,23 @@
   assert.ok(late.freshness.ageMs() < SERVED_AGAIN_MS);
 });
 
+for (const size of SIZES) {
+  test(`${size.hostCount} hosts stay sure of their configuration over an era`, async () => {
+    // Guards against callers with keys who are refused for good by most hosts.
+    const site = await startSite(size);
+    site.setAccounts([{name: 'rmtp', keyDigests: ['k'], priority: 1}]);
+    site.configure();
+    await site.clock.advance(3_000);
+    await comeBack(site, site.copy(), {awayMs: 0});
+    for (let i = 0; i < 20; i++) {
+      await site.clock.advance(500);
+      for (const {hostId, freshness} of site.live()) {
+        assert.ok(freshness.ageMs() < MOST_UNSURE_MS, `${hostId} at ${i}`);
+      }
+    }
+  });
+}
+
 test('hosts that the older copy lacks register again', async () => {
   // Guards against hosts that no host finds which knows a stale address only.
   const site = makeSite(9);
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -79,6 +79,7 @@
     clockShiftMs: 0,
   };
   let upstreams = [makeUpstream('a'), makeUpstream('b')];
+  let accounts: Routing['accounts'] = [];
   /** The registry of hosts. */
   const registered = new Map<string, HostRecord>();
   /** Hosts that the store turns away. */
@@ -135,7 +136,7 @@
         headerTimeoutMs: 1,
         idleTimeoutMs: 1,
       },
-      accounts: [],
+      accounts,
     } satisfies Routing,
   });
 
@@ -309,6 +310,9 @@
       }));
       store.revision++;
     },
+    setAccounts(next: Routing['accounts']) {
+      accounts = next;
+    },
     /** Writes of others, which change neither list nor configuration. */
     write(count: number) {
       store.revision += count;
