Move the exchange of state with peers out of relay_process.ts

Change: peer_state.ts builds announcements and summaries and passes on what peers send. No behaviour changes.

--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -13,20 +13,17 @@
 import {createQuarantine} from '../request/quarantine.js';
 import {createRetryBudget} from '../request/retry_budget.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
-import {isQuotaMessage} from './accounts/quota_messages.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createBackpressure} from './backpressure/backpressure.js';
 import {createGatedUpstreamPort} from './backpressure/gated_upstream_port.js';
-import {isPermitMessage} from './backpressure/permit_messages.js';
 import {createCrashWatch} from './crash_watch.js';
 import {listEntries} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
 import type {HostState} from './fleet/members.js';
 import {createPeerExchange} from './fleet/peer_exchange.js';
 import type {OwnState} from './fleet/peer_exchange_types.js';
-import type {UpstreamFindings} from './fleet/peer_datagrams.js';
 import {createPeerSync} from './fleet/peer_sync.js';
-import {MAX_SUSPECTS, type UpstreamIssues} from './placement/peer_view.js';
+import {createPeerState} from './peer_state.js';
 import {createPlainPlacement} from './plain/plain_placement.js';
 import {createPlainRelay} from './plain/plain_relay.js';
 import {applyPlainUpstreams} from './plain/plain_upstreams.js';
@@ -41,7 +38,6 @@
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
 import {createAuxiliaryServer} from './front/auxiliary_server.js';
-import {isSlotMessage} from './plain/slot_messages.js';
 import {createStoreReaders} from './fleet/store_readers.js';
 import {createStoreEra} from './store/store_era.js';
 import {createStoreWatch} from './store/store_watch.js';
@@ -70,11 +66,6 @@
  */
 const MIN_HOST_COUNT = 14;
 
-/** Saves space in datagrams for lists that are usually empty. */
-function undefinedIfEmpty<T>(list: readonly T[]): readonly T[] | undefined {
-  return list.length > 0 ? list : undefined;
-}
-
 /** Resolves when the process accepts requests. */
 export async function startRelay(
   options: RelayProcessOptions,
@@ -194,66 +185,23 @@
       log: createLogger('peers'),
       datagrams,
       ownState,
-      announcement: () => ({
-        ...watch.syncState(),
-        ...ownState(),
-        load: engineLoads.ownLoad(),
-        learned: statistics.ownSums(),
-        waiting: placement.waitingRecords(),
-        ...ownFindings(),
-        full: scheduler.full(),
-        losses: crashes.facts(),
-        limits: undefinedIfEmpty(backpressure.limits.ownRecords()),
-        leaving: undefinedIfEmpty(registry.leaving('self')),
-        adoptedAskIds: placement.adoptedAskIds(),
-        spending: accounts.spending(),
-        aliveMs: accounts.aliveMs(),
+      ...createPeerState({
+        ownState,
+        parts: () => ({
+          watch,
+          placement,
+          plainPlaces,
+          accounts,
+          backpressure,
+          crashes,
+          registry,
+          roleOrders,
+        }),
       }),
-      summary: hasLoad => ({
-        ...watch.syncState(),
-        isStoreReachable: ownState().isStoreReachable,
-        ...placement.found(ownFindings()),
-        learned: statistics.totalSums(),
-        losses: crashes.facts(),
-        limits: undefinedIfEmpty(backpressure.limits.found()),
-        leaving: undefinedIfEmpty(registry.leaving('any')),
-        load: hasLoad ? engineLoads.totalLoad() : undefined,
-        accountLevels: accounts.nearLimit(),
-      }),
-      onPeerState(peer) {
-        placement.applyPeer(peer);
-        accounts.applyPeerState(peer);
-        watch.receivePeerState(peer);
-        crashes.applyFacts(peer.losses);
-        backpressure.limits.applyRecords(peer.limits ?? [], 'peer');
-        markLeaving(peer);
-        if (peer.unreachable.length > MAX_SUSPECTS) return;
-        markUnreachable(peer.unreachable);
-      },
-      onSummary(fromHostId, summary) {
-        placement.applySummary(fromHostId, summary);
-        accounts.applySummary(fromHostId, summary);
-        watch.receivePeerState(summary);
-        crashes.applyFacts(summary.losses);
-        backpressure.limits.applyRecords(summary.limits ?? [], 'relayed');
-        markLeaving(summary);
-        markUnreachable(summary.unreachable);
-      },
       onMembersChange: placement.refresh,
       isNear: placement.isUpdatedAtOnce,
       isReader: readers.isReader,
       fetchMembers: from => handover.fetchMembers(from),
-      onMessage(fromHostId, message) {
-        if (isSlotMessage(message)) {
-          plainPlaces.receive(fromHostId, message);
-        } else if (isQuotaMessage(message)) {
-          accounts.receive(fromHostId, message);
-        } else if (isPermitMessage(message)) {
-          backpressure.receive(fromHostId, message);
-        } else {
-          placement.receive(fromHostId, message);
-        }
-      },
       onPeerSilent: placement.forgetPeer,
       onPeerGone(hostId) {
         placement.removeHost(hostId);
@@ -406,18 +354,6 @@
     isLeaving: leaving.isLeaving,
   });
 
-  /** Applies the peers' findings, so that they cost this host no request. */
-  function markUnreachable(unreachable: readonly string[]): void {
-    for (const id of unreachable) registry.markUnreachable(id, 'peer');
-  }
-
-  /**
-   * Applies what peers found, since the list isn't updated in a store outage.
-   */
-  function markLeaving({leaving: ids = []}: UpstreamFindings): void {
-    for (const id of ids) registry.markLeaving(id, 'peer');
-  }
-
   /**
    * Returns the host that plans role orders. It must be a store reader: it
    * needs the store for the lease, and readers receive the state of all hosts.
@@ -435,14 +371,6 @@
       .at(-1);
   }
 
-  function ownFindings(): UpstreamIssues {
-    return {
-      suspects: scheduler.suspects(),
-      unreachable: registry.unreachable(),
-      changing: [...roleOrders.changing(), ...scheduler.roleMismatches()],
-    };
-  }
-
   function ownState(): OwnState {
     return {
       state: hostState(),
