Choose placers, slot keepers and entries by the capacity of hosts

Cause: hosts differ by 5 times in cores and 20 times in link rate. A slot keeper with a 7 Mbit/s link collapsed under repeated requests, and the smallest host got as many callers as the largest. Change: optional settings linkMbps, cpuShare, coreCount and memoryMb, announced as capacity in states, members and views, with a digest of their own for hosts that learn of members from a coordinator. Placers and keepers are chosen among hosts with a quarter of the largest link rate and half of the largest core count. Directory answers list each host for a share of a 20 s cycle. Equal or unknown capacities give the same choices as before.

--- a/src/relay/fleet/members.ts
+++ b/src/relay/fleet/members.ts
@@ -1,6 +1,7 @@
 /** The hosts of a deployment, and the table of members that each host keeps. */
 
 import {hashText} from '../../core/hash_text.js';
+import type {HostCapacity} from './host_capacity.js';
 
 export type HostState = 'starting' | 'ready' | 'leaving';
 
@@ -16,6 +17,11 @@
   readonly state: HostState;
   /** Whether this host's last call to the store was answered. */
   readonly isStoreReachable: boolean;
+  /**
+   * Absent if not known: the host's settings or its build lack it, or the
+   * record came by way of a host whose build lacks it.
+   */
+  readonly capacity?: HostCapacity;
 }
 
 export type MemberChange =
@@ -34,6 +40,8 @@
   count(): number;
   /** Equal for tables with equal members, regardless of insertion order. */
   digest(): number;
+  /** The same for the known capacities; 0 if none is known. */
+  capacityDigest(): number;
 }
 
 export function digestMember(member: Member): number {
@@ -41,25 +49,71 @@
   return hashText(`${hostId}|${incarnation}|${state}|${isStoreReachable}`);
 }
 
+/**
+ * Capacities have a digest of their own, since hosts of earlier builds compute
+ * the one of the members without them.
+ */
+export function digestCapacity(member: Member): number {
+  const {hostId, incarnation, capacity} = member;
+  if (!capacity) return 0;
+  return hashText(`capacity|${hostId}|${incarnation}|${capacity.join('|')}`);
+}
+
+interface TableEntry {
+  readonly member: Member;
+  readonly digest: number;
+  readonly capacityDigest: number;
+}
+
+const NO_DIGESTS = {digest: 0, capacityDigest: 0};
+
 export function createMemberTable(): MemberTable {
-  const entries = new Map<string, {member: Member; digest: number}>();
+  const entries = new Map<string, TableEntry>();
   let digest = 0;
+  let capacityDigest = 0;
   let list: readonly Member[] | undefined;
 
+  function toggleDigests(entry: typeof NO_DIGESTS): void {
+    digest ^= entry.digest;
+    capacityDigest ^= entry.capacityDigest;
+  }
+
+  /**
+   * A record that came by way of a host whose build knows no capacities doesn't
+   * remove the one that is known of the same start.
+   */
+  function withKnownCapacity(member: Member): Member {
+    const before = entries.get(member.hostId)?.member;
+    const isKnown =
+      !member.capacity &&
+      before?.capacity &&
+      before.incarnation === member.incarnation;
+    return isKnown ? {...member, capacity: before.capacity} : member;
+  }
+
   return {
-    set(member) {
-      const before = entries.get(member.hostId);
-      const newDigest = digestMember(member);
-      if (before?.digest === newDigest) return false;
-      digest ^= (before?.digest ?? 0) ^ newDigest;
-      entries.set(member.hostId, {member, digest: newDigest});
+    set(record) {
+      const before = entries.get(record.hostId);
+      const member = withKnownCapacity(record);
+      const entry: TableEntry = {
+        member,
+        digest: digestMember(member),
+        capacityDigest: digestCapacity(member),
+      };
+      const isKnown =
+        before?.digest === entry.digest &&
+        before.capacityDigest === entry.capacityDigest;
+      if (isKnown) return false;
+      toggleDigests(before ?? NO_DIGESTS);
+      toggleDigests(entry);
+      entries.set(member.hostId, entry);
       list = undefined;
       return true;
     },
     delete(hostId) {
       const before = entries.get(hostId);
       if (!before) return false;
-      digest ^= before.digest;
+      toggleDigests(before);
       entries.delete(hostId);
       list = undefined;
       return true;
@@ -67,6 +121,7 @@
     clear() {
       entries.clear();
       digest = 0;
+      capacityDigest = 0;
       list = undefined;
     },
     get: hostId => entries.get(hostId)?.member,
@@ -76,5 +131,6 @@
     },
     count: () => entries.size,
     digest: () => digest >>> 0,
+    capacityDigest: () => capacityDigest >>> 0,
   };
 }
--- a/src/relay/fleet/membership.ts
+++ b/src/relay/fleet/membership.ts
@@ -24,6 +24,7 @@
 import {createMemberLog} from './member_log.js';
 import {
   createMemberTable,
+  digestCapacity,
   digestMember,
   type Member,
   type MemberChange,
@@ -364,8 +365,14 @@
     },
     view() {
       const memberChanges = recentChanges();
-      const ownDigest = digestMember(host.self());
-      return {membersDigest: (live.digest() ^ ownDigest) >>> 0, memberChanges};
+      const self = host.self();
+      const capacityDigest = live.capacityDigest() ^ digestCapacity(self);
+      return {
+        membersDigest: (live.digest() ^ digestMember(self)) >>> 0,
+        // Absent as in earlier builds if no capacity is known.
+        capacityDigest: capacityDigest >>> 0 || undefined,
+        memberChanges,
+      };
     },
   };
 }
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -14,7 +14,8 @@
 import type {SlotMessage} from '../plain/slot_messages.js';
 import type {Waiting} from '../placement/wait_rules.js';
 import type {MembersView} from './reported_members.js';
-import type {HostState, Member} from './members.js';
+import {withValidCapacity, type HostCapacity} from './host_capacity.js';
+import type {HostState, Member, MemberChange} from './members.js';
 import {decodeDatagram} from './peer_codec.js';
 import type {StoreSyncState} from './store_readers.js';
 
@@ -65,6 +66,8 @@
   readonly spending: readonly SpendingRecord[];
   /** Time since the process started. */
   readonly aliveMs: number;
+  /** Absent if not known. */
+  readonly capacity?: HostCapacity;
 }
 
 /**
@@ -119,6 +122,7 @@
   readonly state: HostState;
   readonly callerAddress: string;
   readonly failureDomain: string;
+  readonly capacity?: HostCapacity;
   /** Every live member has had time to send its state to the sender. */
   readonly isSettled: boolean;
 }
@@ -204,6 +208,25 @@
   return VALIDATORS[kind as PeerDatagram['kind']](value);
 }
 
+function withValidMember(change: MemberChange): MemberChange {
+  if (change?.kind !== 'up' || !isObject(change.member)) return change;
+  return {...change, member: withValidCapacity(change.member)};
+}
+
+/** Removes invalid capacities; the rest of the datagram is of use. */
+function withValidCapacities(datagram: PeerDatagram): PeerDatagram {
+  switch (datagram.kind) {
+    case 'letter':
+      return datagram;
+    case 'state':
+      return withValidCapacity(datagram);
+    case 'view': {
+      const memberChanges = datagram.memberChanges.map(withValidMember);
+      return withValidCapacity({...datagram, memberChanges});
+    }
+  }
+}
+
 /**
  * Decodes and validates a datagram. Returns undefined for anything invalid: the
  * port is open to any sender, and other versions of the program may use other
@@ -213,7 +236,8 @@
   try {
     const value = decodeDatagram(payload);
     if (!isObject(value) || typeof value['from'] !== 'string') return undefined;
-    return isDatagram(value) ? (value as unknown as PeerDatagram) : undefined;
+    if (!isDatagram(value)) return undefined;
+    return withValidCapacities(value as unknown as PeerDatagram);
   } catch {
     // Neither of the two formats, so it is not from a peer.
     return undefined;
--- a/src/relay/fleet/peer_exchange.ts
+++ b/src/relay/fleet/peer_exchange.ts
@@ -173,7 +173,7 @@
   }
 
   function createView(): ViewDatagram {
-    const {state, callerAddress, failureDomain} = host.ownState();
+    const {isStoreReachable: _, ...own} = host.ownState();
     return {
       ...host.summary(viewTicks % LOAD_INTERVAL_TICKS === 0),
       ...membership.view(),
@@ -182,9 +182,7 @@
       incarnation,
       sequence: ++sequence,
       nextWithinMs: VIEW_INTERVAL_MS,
-      state,
-      callerAddress,
-      failureDomain,
+      ...own,
       isSettled: membership.isSettled(),
     };
   }
@@ -309,6 +307,7 @@
         failureDomain,
         state,
         isStoreReachable: datagram.isStoreReachable,
+        capacity: datagram.capacity,
       },
       syncState: {...datagram, hostId: from, peerAddress: address},
       sequence: datagram.sequence,
@@ -384,6 +383,7 @@
     },
     addAddresses: probes.add,
     alive: membership.list,
+    self,
     members: () => [self(), ...membership.list()],
     peerSyncStates: membership.peerSyncStates,
     coordinatorIds: () => (isMesh() ? [] : membership.coordinatorIds()),
--- a/src/relay/fleet/peer_exchange_types.ts
+++ b/src/relay/fleet/peer_exchange_types.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '../../ports/clock.js';
 import type {DatagramPort} from '../../ports/datagram.js';
 import type {Logger} from '../../ports/log.js';
+import type {HostCapacity} from './host_capacity.js';
 import type {HostState, Member} from './members.js';
 import type {
   Announcement,
@@ -25,6 +26,7 @@
   readonly callerAddress: string;
   readonly failureDomain: string;
   readonly isStoreReachable: boolean;
+  readonly capacity?: HostCapacity;
 }
 
 export interface PeerExchangeHost {
@@ -78,6 +80,8 @@
   addAddresses(addresses: readonly string[]): void;
   /** Live hosts except this one; the same array until something changes. */
   alive(): readonly Member[];
+  /** This host's own record. */
+  self(): Member;
   /** Live hosts including this one. */
   members(): readonly Member[];
   /** Live peers that send datagrams to this host. */
--- a/src/relay/fleet/peer_sync.ts
+++ b/src/relay/fleet/peer_sync.ts
@@ -12,6 +12,7 @@
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {RoutingSource} from '../../ports/relay.js';
+import {withValidCapacity} from './host_capacity.js';
 import type {Member} from './members.js';
 import type {PeerSyncState} from './peer_datagrams.js';
 import type {RoutingState} from '../routing_state.js';
@@ -161,7 +162,8 @@
     },
     async fetchMembers(from) {
       const text = await fetch(from, MEMBERS_PATH);
-      return text ? parseResponse<readonly Member[]>(text) : undefined;
+      const members = text && parseResponse<readonly Member[]>(text);
+      return members ? members.map(withValidCapacity) : undefined;
     },
     handler(method, target) {
       if (method !== 'GET') return undefined;
--- a/src/relay/fleet/reported_members.ts
+++ b/src/relay/fleet/reported_members.ts
@@ -12,6 +12,11 @@
 /** The part of a view that describes the members. */
 export interface MembersView {
   readonly membersDigest: number;
+  /**
+   * Digest of the known capacities; absent if none is known, or from a host of
+   * an earlier build.
+   */
+  readonly capacityDigest?: number;
   readonly memberChanges: readonly MemberChange[];
 }
 
@@ -63,6 +68,14 @@
     if (table.set(member)) host.onChange(member.hostId);
   }
 
+  function isEqualTo(view: MembersView): boolean {
+    const {membersDigest, capacityDigest = table.capacityDigest()} = view;
+    return (
+      table.digest() === membersDigest &&
+      table.capacityDigest() === capacityDigest
+    );
+  }
+
   function remove(hostId: string): void {
     if (table.delete(hostId)) host.onChange(hostId);
   }
@@ -101,7 +114,7 @@
       confirmedAtMs = clock.nowMs();
       for (const change of view.memberChanges)
         applyChange(change, isAuthoritative);
-      if (table.digest() === view.membersDigest) {
+      if (isEqualTo(view)) {
         differsSinceMs = undefined;
         return;
       }
--- a/src/relay/placement/placement_groups.ts
+++ b/src/relay/placement/placement_groups.ts
@@ -17,6 +17,7 @@
  */
 
 import {hashText} from '../../core/hash_text.js';
+import {createSuitability, type HostCapacity} from '../fleet/host_capacity.js';
 import {isMeshSize, rankHost} from '../fleet/coordinators.js';
 import type {UpstreamRole} from '../../core/upstream.js';
 
@@ -32,11 +33,15 @@
   readonly hostId: string;
   /** The host serves and is not about to leave. */
   readonly isReady: boolean;
+  /** Absent if not known. */
+  readonly capacity?: HostCapacity;
 }
 
 export interface PlacementGroupsHost {
   readonly hostId: string;
   isReady(): boolean;
+  /** Undefined if not known. */
+  capacity?(): HostCapacity | undefined;
   /** Live hosts except this one. */
   peers(): readonly GroupMember[];
   engines(): readonly GroupedEngine[];
@@ -128,11 +133,17 @@
   readonly groupCount: number;
 }
 
+/** A ready host, and how suitable it is to decide for others, 0 to 1. */
+interface RatedHost {
+  readonly hostId: string;
+  readonly suitability: number;
+}
+
 interface Grouping {
   /** Whether there are so few hosts that each places by itself. */
   readonly isSmall: boolean;
   readonly groupCount: number;
-  readonly readyIds: readonly string[];
+  readonly readyHosts: readonly RatedHost[];
   readonly hostGroups: ReadonlyMap<string, number>;
   readonly engineGroups: ReadonlyMap<string, EngineGroup>;
   /** The placer and standby of each group. */
@@ -162,16 +173,35 @@
   return engineGroups;
 }
 
+function rateReadyHosts(members: readonly GroupMember[]): readonly RatedHost[] {
+  const ready = members.filter(({isReady}) => isReady);
+  const suitabilityOf = createSuitability(ready);
+  return ready.map(each => ({
+    hostId: each.hostId,
+    suitability: suitabilityOf(each),
+  }));
+}
+
+/**
+ * Orders hosts by rank, the suitable ones first. The others follow by how close
+ * they come, as a group may have fewer suitable hosts than it needs.
+ */
+function orderBySuitability(
+  hosts: readonly RatedHost[],
+  rankOf: (hostId: string) => number,
+): readonly string[] {
+  return hosts
+    .map(host => ({...host, rank: rankOf(host.hostId)}))
+    .sort((a, b) => b.suitability - a.suitability || a.rank - b.rank)
+    .map(({hostId}) => hostId);
+}
+
 function choosePlacers(
-  members: readonly GroupMember[],
+  readyHosts: readonly RatedHost[],
   hostGroups: ReadonlyMap<string, number>,
 ): ReadonlyMap<number, readonly string[]> {
-  const ranked = members
-    .filter(({isReady}) => isReady)
-    .map(({hostId}) => ({hostId, rank: rankHost(hostId)}))
-    .sort((a, b) => a.rank - b.rank);
   const placers = new Map<number, string[]>();
-  for (const {hostId} of ranked) {
+  for (const hostId of orderBySuitability(readyHosts, rankHost)) {
     const group = hostGroups.get(hostId) ?? 0;
     const chosen = placers.get(group) ?? [];
     if (chosen.length < PLACER_COUNT) {
@@ -189,13 +219,14 @@
   const hostIds = members.map(({hostId}) => hostId);
   const hostGroups = assignToGroups(hostIds, groupCount);
   const isSmall = isMeshSize(members.length);
+  const readyHosts = rateReadyHosts(members);
   return {
     isSmall,
     groupCount,
-    readyIds: members.filter(each => each.isReady).map(each => each.hostId),
+    readyHosts,
     hostGroups,
     engineGroups: assignEngines(engines, groupCount),
-    placers: isSmall ? new Map() : choosePlacers(members, hostGroups),
+    placers: isSmall ? new Map() : choosePlacers(readyHosts, hostGroups),
   };
 }
 
@@ -206,8 +237,17 @@
   const keepersByService = new Map<string, readonly string[]>();
 
   function grouping(): Grouping {
-    const self = {hostId: host.hostId, isReady: host.isReady()};
-    current ??= computeGrouping([self, ...host.peers()], host.engines());
+    current ??= computeGrouping(
+      [
+        {
+          hostId: host.hostId,
+          isReady: host.isReady(),
+          capacity: host.capacity?.(),
+        },
+        ...host.peers(),
+      ],
+      host.engines(),
+    );
     return current;
   }
 
@@ -241,14 +281,14 @@
    * slots of all of them.
    */
   function chooseKeepers(service: string): readonly string[] {
-    const {isSmall, readyIds, hostGroups} = grouping();
+    const {isSmall, readyHosts, hostGroups} = grouping();
     if (isSmall) return [];
-    return readyIds
-      .filter(id => hostGroups.get(id) === ownGroup())
-      .map(id => ({id, rank: hashText(`keeper|${service}|${id}`)}))
-      .sort((a, b) => a.rank - b.rank)
-      .slice(0, KEEPER_COUNT)
-      .map(({id}) => id);
+    const candidates = readyHosts.filter(
+      ({hostId}) => hostGroups.get(hostId) === ownGroup(),
+    );
+    return orderBySuitability(candidates, id =>
+      hashText(`keeper|${service}|${id}`),
+    ).slice(0, KEEPER_COUNT);
   }
 
   return {
--- a/src/relay/placement/relay_placement.ts
+++ b/src/relay/placement/relay_placement.ts
@@ -12,6 +12,7 @@
   type EngineScheduler,
 } from './engine_scheduler.js';
 import {FIRST_ASK_ID_RANGE} from '../fleet/peer_request_client.js';
+import type {HostCapacity} from '../fleet/host_capacity.js';
 import type {Member} from '../fleet/members.js';
 import type {Peer, Summary, WaitingRecord} from '../fleet/peer_datagrams.js';
 import {createPeerView, type UpstreamIssues} from './peer_view.js';
@@ -36,6 +37,8 @@
   readonly hostId: string;
   readonly routing: RoutingState;
   readonly registry: UpstreamRegistry;
+  /** Undefined if not known. */
+  capacity?(): HostCapacity | undefined;
   /** This host serves and is not about to leave. */
   isReady(): boolean;
   /** Live hosts except this one. */
@@ -103,10 +106,12 @@
     hostId,
     isReady: host.isReady,
     peers: () =>
-      host.members().map(({hostId: id, state}) => ({
+      host.members().map(({hostId: id, state, capacity}) => ({
         hostId: id,
         isReady: state === 'ready',
+        capacity,
       })),
+    capacity: host.capacity,
     engines: () =>
       (routing.current()?.services ?? [])
         .filter(({engine}) => engine)
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -19,6 +19,7 @@
 import {createCrashWatch} from './crash_watch.js';
 import {listEntries} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
+import {toHostCapacity} from './fleet/host_capacity.js';
 import type {HostState} from './fleet/members.js';
 import {createPeerExchange} from './fleet/peer_exchange.js';
 import type {OwnState} from './fleet/peer_exchange_types.js';
@@ -169,6 +170,7 @@
     random,
     createLogger,
     hostId: settings.hostId,
+    capacity: () => ownState().capacity,
     routing,
     registry,
     isReady: () => hostState() === 'ready',
@@ -377,6 +379,7 @@
       callerAddress: settings.callerAddress,
       failureDomain: settings.failureDomain,
       isStoreReachable: watch.isStoreReachable() || !readers.isCandidate(),
+      capacity: toHostCapacity(settings),
     };
   }
 
@@ -389,12 +392,7 @@
   const auxiliaryHandler = adapters.createAuxiliaryHandler({
     isReady: () => hostState() === 'ready',
     entries: () =>
-      listEntries({
-        callerAddress: settings.callerAddress,
-        isReady: () => hostState() === 'ready',
-        random,
-        peers: peers.alive,
-      }),
+      listEntries({clock, random, self: peers.self, peers: peers.alive}),
   });
   const auxiliaryServers = [
     {address: settings.readyAddress, handler: auxiliaryHandler},
--- a/src/relay/relay_settings.ts
+++ b/src/relay/relay_settings.ts
@@ -35,6 +35,12 @@
    * if hosts without a current configuration may go on accepting keys.
    */
   readonly keyWithdrawalMs?: number;
+  /** Rate of the host's link; absent if not known, as the following. */
+  readonly linkMbps?: number;
+  /** Share of each of the host's cores that this process may use. */
+  readonly cpuShare?: number;
+  readonly coreCount?: number;
+  readonly memoryMb?: number;
 }
 
 type FieldCheck = (value: unknown) => boolean;
@@ -64,6 +70,10 @@
   leaveGraceMs: isAmount,
   leaseMs: isAmount,
   keyWithdrawalMs: isAmountOrAbsent,
+  linkMbps: isAmountOrAbsent,
+  cpuShare: isAmountOrAbsent,
+  coreCount: isAmountOrAbsent,
+  memoryMb: isAmountOrAbsent,
 };
 
 /** Returns undefined if the text isn't JSON with all fields of valid types. */
--- a/src/relay/relay_settings_reader.ts
+++ b/src/relay/relay_settings_reader.ts
@@ -40,6 +40,10 @@
   keyWithdrawalMs: amount
     .optional()
     .describe('Longest time that a withdrawn key works anywhere.'),
+  linkMbps: amount.optional().describe("Rate of the host's link."),
+  cpuShare: amount.optional().describe('Share of each core for the process.'),
+  coreCount: amount.optional().describe('Cores of the host.'),
+  memoryMb: amount.optional().describe('Memory for the process.'),
 });
 
 export interface RelaySettingsResult {
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -11,6 +11,7 @@
 } from '../../../src/core/virtual_clock.js';
 import type {Clock, TimerHandle} from '../../../src/ports/clock.js';
 import type {DatagramPort} from '../../../src/ports/datagram.js';
+import type {HostCapacity} from '../../../src/relay/fleet/host_capacity.js';
 import type {HostState} from '../../../src/relay/fleet/members.js';
 import type {
   Announcement,
@@ -143,7 +144,12 @@
     };
   }
 
-  function start(name: string, seeds: readonly string[], life = 1): FleetHost {
+  function start(
+    name: string,
+    seeds: readonly string[],
+    life = 1,
+    capacity?: HostCapacity,
+  ): FleetHost {
     const address = `${name}:1`;
     const ownClock = createFreezableClock(clock);
     const confirmation = createStoreConfirmation(clock);
@@ -171,6 +177,7 @@
       callerAddress: `${name}:80`,
       failureDomain: 'raadi-ruum',
       isStoreReachable: true,
+      capacity,
     });
     const confirm = ({upstreamAges}: {readonly upstreamAges: ConfirmedAges}) =>
       confirmation.notePeer(upstreamAges);
@@ -241,9 +248,9 @@
       entries: () =>
         [
           ...(listEntries({
-            callerAddress: `${name}:80`,
+            clock,
             random,
-            isReady: () => state === 'ready',
+            self: exchange.self,
             peers: exchange.alive,
           })?.addresses ?? []),
         ].sort(),
@@ -272,12 +279,15 @@
     messages,
     start,
     /** Starts hosts at about the same time; the first three are the seeds. */
-    async startMany(count: number): Promise<readonly FleetHost[]> {
+    async startMany(
+      count: number,
+      capacityOf: (name: string) => HostCapacity | undefined = () => undefined,
+    ): Promise<readonly FleetHost[]> {
       const names = Array.from({length: count}, (_, i) => `h${i}`);
       const seeds = names.slice(0, 3).map(name => `${name}:1`);
       const started: FleetHost[] = [];
       for (const name of names) {
-        started.push(start(name, seeds));
+        started.push(start(name, seeds, 1, capacityOf(name)));
         await clock.advance(300 / count);
       }
       return started;
--- a/tests/relay/placement/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -18,6 +18,7 @@
   type EngineScheduler,
   type Placement,
 } from '../../../src/relay/placement/engine_scheduler.js';
+import type {HostCapacity} from '../../../src/relay/fleet/host_capacity.js';
 import type {Peer} from '../../../src/relay/fleet/peer_datagrams.js';
 import {createPlacementClient} from '../../../src/relay/placement/placement_client.js';
 import {createPlacementServer} from '../../../src/relay/placement/placement_server.js';
@@ -46,6 +47,10 @@
   readonly announceMs?: number;
   /** Hosts that do not answer requests. */
   readonly silentHosts?: readonly string[];
+  /** What a host knows of another's capacity, or of its own. */
+  capacityOf?(knownBy: string, hostId: string): HostCapacity | undefined;
+  /** From this time on, every host knows what `host-0` knows. */
+  readonly agreeAfterMs?: number;
 }
 
 export interface BurstResult {
@@ -56,6 +61,8 @@
   readonly highestUse: number;
   /** Longest time that a request waited before it was refused. */
   readonly longestHeldMs: number;
+  /** Engines on which any host still reserves anything at the end. */
+  readonly usedAtEnd: number;
 }
 
 const KV_TOKENS = 35_962;
@@ -129,7 +136,14 @@
     refused: 0,
     highestUse: 0,
     longestHeldMs: 0,
+    usedAtEnd: 0,
   };
+  const agreeAtMs = clock.nowMs() + (options.agreeAfterMs ?? 0);
+  const capacityOf = (knownBy: string, hostId: string) =>
+    options.capacityOf?.(
+      clock.nowMs() < agreeAtMs ? knownBy : 'host-0',
+      hostId,
+    );
 
   const upstreams = [
     ...Array.from({length: options.prefillEngines}, (_, i) => `p${i}`),
@@ -161,13 +175,21 @@
         : createPlacementGroups({
             hostId,
             isReady: () => true,
+            capacity: () => capacityOf(hostId, hostId),
             peers: () =>
               Array.from({length: options.hostCount}, (_, i) => `host-${i}`)
                 .filter(id => id !== hostId)
-                .map(id => ({hostId: id, isReady: true})),
+                .map(id => ({
+                  hostId: id,
+                  isReady: true,
+                  capacity: capacityOf(hostId, id),
+                })),
             engines: () => upstreams,
             usedEngineIds: engineLoads.usedEngineIds,
           });
+    if ('refresh' in groups) {
+      clock.setTimer(options.agreeAfterMs ?? 0, groups.refresh);
+    }
     const view = createPeerView({clock, engineLoads, groups});
     let isAnnouncing = false;
     const scheduler: EngineScheduler = createEngineScheduler({
@@ -371,5 +393,6 @@
   })();
   await clock.advance(2 * CALM_MS + options.burstMs + DRAIN_MS);
   await done;
-  return result;
+  const used = hosts.flatMap(each => each.engineLoads.usedEngineIds());
+  return {...result, usedAtEnd: new Set(used).size};
 }
