Share the retries of a service among all hosts

Change: one host per service grants what the own parts leave, by retry-ask and retry-answer; hosts report what they leave unused. Plain calls and streams wait for the owner's answer, 50 ms at most.

--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -11,6 +11,7 @@
 import type {PlacementMessage} from '../placement/placement_messages.js';
 import type {DecayingSums} from '../placement/pooled_means.js';
 import type {StatisticsSums} from '../placement/shared_statistics.js';
+import type {RetryMessage, UnusedRetries} from '../retries/retry_messages.js';
 import type {SlotMessage} from '../plain/slot_messages.js';
 import type {Waiting} from '../placement/wait_rules.js';
 import type {MembersView} from './reported_members.js';
@@ -68,6 +69,8 @@
   readonly aliveMs: number;
   /** Absent if not known. */
   readonly capacity?: HostCapacity;
+  /** Retries that this host leaves to others; absent if known or not shared. */
+  readonly unusedRetries?: readonly UnusedRetries[];
 }
 
 /**
@@ -129,7 +132,7 @@
 
 /** A message addressed to one host alone. */
 export type PeerMessage =
-  PlacementMessage | SlotMessage | QuotaMessage | PermitMessage;
+  PlacementMessage | SlotMessage | QuotaMessage | PermitMessage | RetryMessage;
 
 /** A datagram with a message to one peer. */
 export interface MessageDatagram {
--- a/src/relay/fleet/peer_request_client.ts
+++ b/src/relay/fleet/peer_request_client.ts
@@ -21,6 +21,8 @@
    * ignored.
    */
   readonly firstAskId: number;
+  /** How often a request is sent until it counts as unanswered; 3 if absent. */
+  readonly maxAttempts?: number;
   tell(hostId: string, request: Request): void;
 }
 
@@ -40,7 +42,7 @@
 export const FIRST_ASK_ID_RANGE = 2 ** 31;
 /** An unanswered request is sent again after this. */
 const RETRY_INTERVAL_MS = 25;
-const MAX_ATTEMPTS = 3;
+const DEFAULT_MAX_ATTEMPTS = 3;
 
 interface PendingRequest<Answer> {
   readonly hostId: string;
@@ -52,7 +54,7 @@
   Request extends CorrelatedMessage,
   Answer extends CorrelatedMessage,
 >(host: PeerRequestClientHost<Request>): PeerRequestClient<Request, Answer> {
-  const {clock} = host;
+  const {clock, maxAttempts = DEFAULT_MAX_ATTEMPTS} = host;
   const pending = new Map<number, PendingRequest<Answer>>();
   let nextAskId = host.firstAskId;
 
@@ -71,7 +73,7 @@
         pending.set(askId, entry);
         let attempts = 0;
         const send = () => {
-          if (attempts++ === MAX_ATTEMPTS) return finish(askId, undefined);
+          if (attempts++ === maxAttempts) return finish(askId, undefined);
           entry.timer = clock.setTimer(RETRY_INTERVAL_MS, send);
           host.tell(hostId, {...request, askId} as Request);
         };
--- a/src/relay/peer_state.ts
+++ b/src/relay/peer_state.ts
@@ -14,6 +14,8 @@
 import type {RelayPlacement} from './placement/relay_placement.js';
 import type {PlainPlacement} from './plain/plain_placement.js';
 import {isSlotMessage} from './plain/slot_messages.js';
+import type {RelayRetries} from './retries/relay_retries.js';
+import {isRetryMessage} from './retries/retry_messages.js';
 import type {RoleOrders} from './roles/role_orders.js';
 import type {StoreWatch} from './store/store_watch.js';
 import type {UpstreamRegistry} from './store/upstream_registry.js';
@@ -28,6 +30,7 @@
   readonly crashes: CrashWatch;
   readonly registry: UpstreamRegistry;
   readonly roleOrders: RoleOrders;
+  readonly retries: RelayRetries;
 }
 
 export interface PeerStateHost {
@@ -89,6 +92,7 @@
         adoptedAskIds: placement.adoptedAskIds(),
         spending: accounts.spending(),
         aliveMs: accounts.aliveMs(),
+        unusedRetries: parts().retries.report(),
       };
     },
     summary(hasLoad) {
@@ -110,6 +114,7 @@
       const {watch, placement, accounts, backpressure, crashes} = parts();
       placement.applyPeer(peer);
       accounts.applyPeerState(peer);
+      parts().retries.applyPeerState(peer);
       watch.receivePeerState(peer);
       crashes.applyFacts(peer.losses);
       backpressure.limits.applyRecords(peer.limits ?? [], 'peer');
@@ -131,7 +136,9 @@
       const {placement, plainPlaces, accounts, backpressure} = parts();
       if (isSlotMessage(message)) plainPlaces.receive(fromHostId, message);
       else if (isQuotaMessage(message)) accounts.receive(fromHostId, message);
-      else if (isPermitMessage(message)) {
+      else if (isRetryMessage(message)) {
+        parts().retries.receive(fromHostId, message);
+      } else if (isPermitMessage(message)) {
         backpressure.receive(fromHostId, message);
       } else placement.receive(fromHostId, message);
     },
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -13,7 +13,6 @@
   UpstreamAnswer,
   UpstreamPort,
 } from '../../ports/relay.js';
-import type {RetryBudget} from '../../request/retry_budget.js';
 import type {PlainCallResult} from '../../scheduling/plain_balancer.js';
 import {
   collectAnswer,
@@ -28,6 +27,7 @@
   KEY_WITHDRAWN,
   type RelayJob,
 } from '../relay_types.js';
+import type {RetryAllowance} from '../retries/shared_retries.js';
 import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
 import {toCallWaiting} from './slot_rules.js';
 import type {Upstream} from '../../core/upstream.js';
@@ -38,7 +38,7 @@
   readonly upstreamPort: UpstreamPort;
   readonly slots: SlotClient;
   readonly registry: UpstreamRegistry;
-  readonly retryBudget: RetryBudget;
+  readonly retryBudget: RetryAllowance;
   /**
    * How long the upstream takes no more calls from this host; 0 if it takes
    * them.
@@ -116,9 +116,25 @@
   }
 
   /** Takes a retry from the budget, unless no other upstream is left to try. */
-  function consumeRetry(job: RelayJob, progress: Progress): boolean {
+  async function consumeRetry(
+    job: RelayJob,
+    progress: Progress,
+  ): Promise<boolean> {
     if (!slots.hasOther(job.service.name, progress.tried)) return false;
-    return retryBudget.tryTake(job.service.name);
+    return retryBudget.tryTake(job.service.name, job.request.requestId);
+  }
+
+  /** The next step if the call may be sent again. */
+  async function nextStep(job: RelayJob, progress: Progress): Promise<Step> {
+    return (await consumeRetry(job, progress)) ? 'again' : 'stop';
+  }
+
+  /** The next step after a run, which the route may not allow to repeat. */
+  async function nextStepAfterRun(
+    job: RelayJob,
+    progress: Progress,
+  ): Promise<Step> {
+    return mayRunAgain(job, progress) ? nextStep(job, progress) : 'stop';
   }
 
   /**
@@ -182,12 +198,12 @@
     return handleAnswer(job, progress, outcome, end);
   }
 
-  function handleFailure(
+  async function handleFailure(
     job: RelayJob,
     progress: Progress,
     upstream: Upstream,
     failure: SendFailure,
-  ): Step {
+  ): Promise<Step> {
     progress.tried.add(upstream.id);
     switch (failure.kind) {
       case 'unreachable':
@@ -209,14 +225,12 @@
           detail: failure.detail,
           retryAfterMs: REJECTED_RETRY_MS,
         };
-        return consumeRetry(job, progress) ? 'again' : 'stop';
+        return nextStep(job, progress);
       case 'broken':
         progress.ran.push(upstream.id);
         host.onBroken(job, upstream);
         progress.failure = {kind: 'upstream-failed', detail: failure.detail};
-        return mayRunAgain(job, progress) && consumeRetry(job, progress)
-          ? 'again'
-          : 'stop';
+        return nextStepAfterRun(job, progress);
       case 'cancelled':
         return 'stop';
     }
@@ -235,9 +249,7 @@
         kind: 'upstream-failed',
         detail: `status ${answer.status} without proof`,
       };
-      return mayRunAgain(job, progress) && consumeRetry(job, progress)
-        ? 'again'
-        : 'stop';
+      return nextStepAfterRun(job, progress);
     }
     if (job.route.kind === 'stream') {
       report('ok');
@@ -258,7 +270,7 @@
     progress: Progress,
     collected: CollectedAnswer | {readonly kind: 'broken'; detail: string},
     report: (result: PlainCallResult) => void,
-  ): Step {
+  ): Step | Promise<Step> {
     const isFailure =
       collected.kind === 'broken' || collected.status >= SERVER_ERROR;
     report(isFailure ? 'failed' : 'ok');
@@ -271,9 +283,7 @@
     } else {
       progress.fallback = collected;
     }
-    return mayRunAgain(job, progress) && consumeRetry(job, progress)
-      ? 'again'
-      : 'stop';
+    return nextStepAfterRun(job, progress);
   }
 
   /**
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -30,6 +30,8 @@
   upstream_signals: 'Answers in which upstreams say something of themselves.',
   sends_withheld: 'Sends held back as upstreams ask for less, by reason.',
   role_orders: 'Orders to engines to change their role, by outcome.',
+  retries: 'Retries that were allowed, by service and by whom.',
+  retries_denied: 'Retries that were denied, by service and cause.',
 } as const;
 
 export type CounterName = keyof typeof COUNTERS;
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -11,7 +11,6 @@
 import {createDerivedList} from '../core/derived_list.js';
 import type {Logger} from '../ports/log.js';
 import {createQuarantine} from '../request/quarantine.js';
-import {createRetryBudget} from '../request/retry_budget.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createBackpressure} from './backpressure/backpressure.js';
@@ -34,6 +33,7 @@
 import {createRelayPlacement} from './placement/relay_placement.js';
 import {createRelayFront} from './front/relay_front.js';
 import type {RelayMetrics} from './relay_metrics.js';
+import {createRelayRetries} from './retries/relay_retries.js';
 import {createOrdersLease} from './roles/orders_lease.js';
 import {createRoleOrders} from './roles/role_orders.js';
 import type {RelaySettings} from './relay_settings.js';
@@ -60,13 +60,6 @@
   readonly ended: Promise<number>;
 }
 
-/**
- * Minimum host count for this host's share of `retrySlack`, which is for all
- * hosts together. A host that has just started or is partitioned knows few
- * other hosts and must not use their shares.
- */
-const MIN_HOST_COUNT = 14;
-
 /** Resolves when the process accepts requests. */
 export async function startRelay(
   options: RelayProcessOptions,
@@ -198,6 +191,7 @@
           crashes,
           registry,
           roleOrders,
+          retries,
         }),
       }),
       onMembersChange: placement.refresh,
@@ -249,13 +243,10 @@
     keeperCount: placement.groupCount,
     send: (hostId, message) => peers.sendMessage(hostId, message),
   });
-  const retryBudget = createRetryBudget({
-    burst() {
-      const hostCount = Math.max(MIN_HOST_COUNT, peers.knownCount() + 1);
-      return Math.max(1, settings.retrySlack / hostCount);
-    },
-    ratioOf: () => settings.retryRatio,
-  });
+  const retries = createRelayRetries(
+    {clock, random, createLogger, metrics, self, peers, routing},
+    settings,
+  );
   const {gate} = backpressure;
   const upstreamPort = createGatedUpstreamPort({
     clock,
@@ -282,6 +273,7 @@
   });
   const onBroken = (job: RelayJob, upstream: Upstream) =>
     crashes.recordFailure(job.request, upstream);
+  const retryBudget = retries.allowance;
   const shared = {clock, upstreamPort, registry, retryBudget, onBroken};
   const roleOrders = createRoleOrders(
     {
--- /dev/null
+++ b/src/relay/retries/retry_owner.ts
@@ -0,0 +1,131 @@
+/**
+ * Grants retries of the services that this host owns, from what all hosts
+ * report that they leave unused.
+ */
+
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import {toOwnerTag, type UnusedRetries} from './retry_messages.js';
+import {ownerPart, reportValidMs} from './retry_rules.js';
+import {createRetryWindow, type RetryWindow} from './retry_window.js';
+
+/** One start of a host. */
+export interface ReportingHost {
+  readonly hostId: string;
+  readonly incarnation: string;
+}
+
+export interface RetryOwnerHost {
+  readonly hostId: string;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly retrySlack: number;
+  /** Hosts ever seen, including this one. */
+  knownCount(): number;
+  /** Whether the configuration has the service. */
+  hasService(service: string): boolean;
+  /** Whether this host owns the service's retries, as it knows the hosts. */
+  isOwner(service: string): boolean;
+}
+
+export interface RetryOwner {
+  /** Records what a host left unused, this one included. */
+  record(from: ReportingHost, unused: readonly UnusedRetries[]): void;
+  /** Grants the host one retry, unless none is left. */
+  grant(toHostId: string, service: string): boolean;
+}
+
+/** A host with 1,000 requests a second leaves fewer unused in 8 s. */
+const MAX_ADDED = 1_000;
+
+interface Report {
+  readonly incarnation: string;
+  readonly heardAtMs: number;
+  readonly entries: ReadonlyMap<string, UnusedRetries>;
+}
+
+interface OwnedService {
+  readonly window: RetryWindow;
+  /** Undefined while another host owns it. */
+  ownedSinceMs?: number;
+}
+
+export function createRetryOwner(host: RetryOwnerHost): RetryOwner {
+  const {clock, log, retrySlack} = host;
+  const reports = new Map<string, Report>();
+  const services = new Map<string, OwnedService>();
+  const ownTag = toOwnerTag(host.hostId);
+
+  /** Begins without credits when this host becomes the owner. */
+  function find(service: string): OwnedService {
+    const owned = services.get(service) ?? {window: createRetryWindow(clock)};
+    services.set(service, owned);
+    if (!host.isOwner(service)) {
+      owned.ownedSinceMs = undefined;
+    } else if (owned.ownedSinceMs === undefined) {
+      owned.ownedSinceMs = clock.nowMs();
+      owned.window.clearCredits();
+    }
+    return owned;
+  }
+
+  function dropOldReports(): void {
+    const validMs = reportValidMs({knownCount: host.knownCount()});
+    for (const [hostId, {heardAtMs}] of reports) {
+      if (clock.nowMs() - heardAtMs >= validMs) reports.delete(hostId);
+    }
+  }
+
+  /** Adds what the host left to this owner between its last two reports. */
+  function recordService(
+    [service, total, tag]: UnusedRetries,
+    before: Report | undefined,
+  ): void {
+    if (!host.hasService(service)) return;
+    const {window, ownedSinceMs} = find(service);
+    // The first report to this owner shows only where the total begins.
+    if (!before || ownedSinceMs === undefined || tag !== ownTag) return;
+    const [, totalBefore = 0, tagBefore = ownTag] =
+      before.entries.get(service) ?? [];
+    if (tagBefore !== ownTag) return;
+    const added = total - totalBefore;
+    const sinceMs = Math.max(before.heardAtMs, ownedSinceMs);
+    if (added <= 0) return;
+    window.credit(Math.min(added, MAX_ADDED), sinceMs);
+  }
+
+  return {
+    record({hostId, incarnation}, unused) {
+      dropOldReports();
+      const last = reports.get(hostId);
+      const before = last?.incarnation === incarnation ? last : undefined;
+      for (const entry of unused) recordService(entry, before);
+      reports.set(hostId, {
+        incarnation,
+        heardAtMs: clock.nowMs(),
+        entries: new Map(unused.map(entry => [entry[0], entry])),
+      });
+    },
+    grant(toHostId, service) {
+      dropOldReports();
+      if (!host.hasService(service)) return false;
+      const {window, ownedSinceMs} = find(service);
+      if (ownedSinceMs === undefined) return false;
+      const ownedMs = clock.nowMs() - ownedSinceMs;
+      const reportingCount = reports.size;
+      const knownCount = host.knownCount();
+      const situation = {knownCount, reportingCount, ownedMs};
+      const constant = ownerPart(retrySlack, situation);
+      if (window.tryGrant(constant)) return true;
+      log.info('No retry is left to grant.', {
+        service,
+        peer: toHostId,
+        granted: window.grantCount(),
+        constant: Number(constant.toFixed(1)),
+        reportingCount,
+        ownedMs: Math.round(ownedMs),
+      });
+      return false;
+    },
+  };
+}
--- a/src/relay/streams/budgeted_calls.ts
+++ b/src/relay/streams/budgeted_calls.ts
@@ -9,7 +9,7 @@
  */
 
 import type {PrefillOutcome, SendFailure} from '../../ports/relay.js';
-import type {RetryBudget} from '../../request/retry_budget.js';
+import type {RetryAllowance} from '../retries/shared_retries.js';
 import type {StreamState} from './stream_state.js';
 
 /** The call wasn't made, since the retry budget is used up. */
@@ -44,15 +44,18 @@
 /** The prefill and the run itself. */
 const CALLS_PER_RUN = 2;
 
-export function createBudgetedCalls(budget: RetryBudget): BudgetedCalls {
+export function createBudgetedCalls(budget: RetryAllowance): BudgetedCalls {
   async function callWithinBudget<Outcome extends {readonly kind: string}>(
     state: StreamState,
     call: () => Promise<Outcome>,
     isCounted: (outcome: Outcome) => boolean,
   ): Promise<Outcome | NoRetries> {
+    const {request} = state.job;
     const service = state.job.service.name;
     const isRetry = state.countedCalls > 0;
-    if (isRetry && !budget.tryTake(service)) return NO_RETRIES;
+    if (isRetry && !(await budget.tryTake(service, request.requestId))) {
+      return NO_RETRIES;
+    }
     const outcome = await call();
     // A call that was never sent costs the engines nothing.
     if (!NOT_SENT_KINDS.has(outcome.kind) && isCounted(outcome)) {
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -14,7 +14,6 @@
   UpstreamAnswer,
   UpstreamPort,
 } from '../../ports/relay.js';
-import type {RetryBudget} from '../../request/retry_budget.js';
 import {passThrough} from '../answers/answer_delivery.js';
 import {toCallerError} from '../answers/answer_rules.js';
 import {createBudgetedCalls} from './budgeted_calls.js';
@@ -27,6 +26,7 @@
 import type {EngineLoads} from '../placement/engine_loads.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import {createOutputForecast} from './output_forecast.js';
+import type {RetryAllowance} from '../retries/shared_retries.js';
 import {leftMs, type JobOutcome, type RelayJob} from '../relay_types.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
 import {createStreamStart, STALL_TIMEOUT_MS} from './stream_start.js';
@@ -47,7 +47,7 @@
   ): Promise<PlacementOutcome>;
   readonly engineLoads: EngineLoads;
   readonly registry: UpstreamRegistry;
-  readonly retryBudget: RetryBudget;
+  readonly retryBudget: RetryAllowance;
   readonly statistics: SharedStatistics;
   /** Called when a run breaks off. */
   onBroken(job: RelayJob, upstream: Upstream): void;
--- a/src/request/retry_budget.ts
+++ b/src/request/retry_budget.ts
@@ -11,6 +11,8 @@
   burst(): number;
   /** Retries allowed for each request of a service, for example 0.1. */
   ratioOf(service: string): number;
+  /** A request allowed retries for which the budget had no room. */
+  onOverflow?(service: string, count: number): void;
 }
 
 export interface RetryBudget {
@@ -36,7 +38,12 @@
   }
 
   return {
-    requestStarted: service => add(service, options.ratioOf(service)),
+    requestStarted(service) {
+      const count = options.ratioOf(service);
+      const excess = availableTokens(service) + count - options.burst();
+      add(service, count);
+      if (excess > 0) options.onOverflow?.(service, Math.min(excess, count));
+    },
     giveBack: service => add(service, 1),
     hasLeft: (service, count) => availableTokens(service) >= count,
     tryTake(service) {
