--- a/tests/relay/retries/retry_fleet.ts
+++ b/tests/relay/retries/retry_fleet.ts
@@ -8,6 +8,7 @@
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import type {Service} from '../../../src/core/routing_types.js';
+import {rankOwners} from '../../../src/relay/fleet/owners.js';
 import {createRelayRetries} from '../../../src/relay/retries/relay_retries.js';
 import type {RetryMessage} from '../../../src/relay/retries/retry_messages.js';
 import type {RetryAllowance} from '../../../src/relay/retries/shared_retries.js';
@@ -48,8 +49,12 @@
   readonly longestAskMs: number;
 }
 
-export const RATIO = 0.1;
+const RATIO = 0.1;
 const SERVICE = 'drafts';
+/** The owner while all hosts are alive: the first three coordinate. */
+export const OWNER = Number(
+  rankOwners('retries', SERVICE, ['h0', 'h1', 'h2'])[0].slice(1),
+);
 const LINK_MS = 2;
 /** The rest of a message's datagram. */
 const MESSAGE_FRAME_BYTES = 40;
@@ -68,7 +73,9 @@
 ): Promise<RetryFigures> {
   const {seed, way, hostCount, retrySlack} = options;
   const clock = createVirtualClock(5_000);
+  /** Draws for the requests, which are the same for each way. */
   const random = createSeededRandom(seed);
+  const networkRandom = createSeededRandom(seed + 1_000);
   const startMs = clock.nowMs();
   const elapsedMs = () => clock.nowMs() - startMs;
   const indices = Array.from({length: hostCount}, (_, i) => i);
@@ -101,7 +108,7 @@
     const size = JSON.stringify(message).length + frameBytes;
     for (const each of [from, to])
       bytes.set(each, (bytes.get(each) ?? 0) + size);
-    return isLinked(from, to) && random.nextFloat() >= LOSS_SHARE;
+    return isLinked(from, to) && networkRandom.nextFloat() >= LOSS_SHARE;
   }
 
   const hosts = indices.map(makeHost);
@@ -119,7 +126,7 @@
     const retries = createRelayRetries(
       {
         clock,
-        random,
+        random: networkRandom,
         createLogger: () => silentLog,
         metrics: {count: () => undefined},
         self,
@@ -162,8 +169,9 @@
     const {allowance} = hosts[index];
     requestTimes.push(clock.nowMs());
     allowance.requestStarted(SERVICE);
-    for (let i = 0; i < MAX_RETRIES; i++) {
-      if (random.nextFloat() >= options.failShare(elapsedMs())) return;
+    const draws = Array.from({length: MAX_RETRIES}, random.nextFloat);
+    for (const draw of draws) {
+      if (draw >= options.failShare(elapsedMs())) return;
       const askedAtMs = clock.nowMs();
       const isAllowed = await allowance.tryTake(SERVICE);
       longestAskMs = Math.max(longestAskMs, clock.nowMs() - askedAtMs);
@@ -182,7 +190,7 @@
   }
 
   for (const index of indices) {
-    clock.setTimer(random.nextInt(STATE_MS), () => announce(index));
+    clock.setTimer(networkRandom.nextInt(STATE_MS), () => announce(index));
   }
   while (elapsedMs() < PLAY_MS) {
     const index = pickHost();
