--- a/src/relay/fleet/peer_exchange.ts
+++ b/src/relay/fleet/peer_exchange.ts
@@ -173,8 +173,8 @@
   }
 
   function createView(): ViewDatagram {
-    const {state, callerAddress, failureDomain} = host.ownState();
     return {
+      ...host.ownState(),
       ...host.summary(viewTicks % LOAD_INTERVAL_TICKS === 0),
       ...membership.view(),
       kind: 'view',
@@ -182,9 +182,6 @@
       incarnation,
       sequence: ++sequence,
       nextWithinMs: VIEW_INTERVAL_MS,
-      state,
-      callerAddress,
-      failureDomain,
       isSettled: membership.isSettled(),
     };
   }
@@ -309,6 +306,7 @@
         failureDomain,
         state,
         isStoreReachable: datagram.isStoreReachable,
+        capacity: datagram.capacity,
       },
       syncState: {...datagram, hostId: from, peerAddress: address},
       sequence: datagram.sequence,
@@ -384,6 +382,7 @@
     },
     addAddresses: probes.add,
     alive: membership.list,
+    self,
     members: () => [self(), ...membership.list()],
     peerSyncStates: membership.peerSyncStates,
     coordinatorIds: () => (isMesh() ? [] : membership.coordinatorIds()),
