Compare waiting requests by priority and share first

Cause: no decision about waiting requests considers priorities or shares of accounts. Change: Waiting gets the optional fields priority and isOverShare, which compareWaiting compares before the times. Without them the order is as before; nothing sets them yet.

--- a/src/relay/placement/wait_rules.ts
+++ b/src/relay/placement/wait_rules.ts
@@ -18,6 +18,13 @@
   readonly onTimeUntilMs: number;
   /** Latest start for which the caller is still waiting. */
   readonly giveUpAtMs: number;
+  /**
+   * 0 is the most urgent. Absent where the routes of the service have the same
+   * priority, and in records of hosts that do not send it.
+   */
+  readonly priority?: number;
+  /** The client account uses more than its share of the service. */
+  readonly isOverShare?: boolean;
 }
 
 /**
@@ -69,11 +76,29 @@
 }
 
 /**
- * Order of service: requests that can be on time before late ones, the former
- * by their latest start and the latter by age. By age alone, late calls with a
- * short goal would fall behind calls with a longer one.
+ * Compares by priority alone; negative if `a` is more urgent. A request without
+ * a priority is the least urgent.
+ */
+export function compareUrgency(a: Waiting, b: Waiting): number {
+  const [first, second] = [a, b].map(each => each.priority ?? Infinity);
+  return first === second ? 0 : first - second;
+}
+
+/**
+ * Order of service: more urgent requests first; within a priority, accounts
+ * within their share before those over it; then requests that can be on time
+ * before late ones, the former by their latest start and the latter by age. By
+ * age alone, late calls with a short goal would fall behind calls with a longer
+ * one.
  */
 export function compareWaiting(a: Waiting, b: Waiting, nowMs: number): number {
+  const urgency = compareUrgency(a, b);
+  if (urgency !== 0) return urgency;
+  const share = Number(a.isOverShare ?? false) - Number(b.isOverShare ?? false);
+  return share !== 0 ? share : compareTimes(a, b, nowMs);
+}
+
+function compareTimes(a: Waiting, b: Waiting, nowMs: number): number {
   const isLateA = !isOnTime(a, nowMs);
   const rank = Number(isLateA) - Number(!isOnTime(b, nowMs));
   if (rank !== 0) return rank;
