Queue streams per service by priority, share, memory and time

Cause: no decision considers priorities; the wait forecast counts requests, not memory; a waiting request is refused only when its time is up; callers refused together return together.

The forecast divides the memory ahead by the rate at which runs release it (wait_forecast.ts, queue_forecasts.ts). Retries are scheduled one after another (retry_schedule.ts). Nothing sets priorities or shares yet.

--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -6,7 +6,7 @@
 
 import type {Service} from '../../core/routing_types.js';
 import type {RequestError} from '../../core/error_kinds.js';
-import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
 import type {Cancellation} from '../../ports/relay.js';
@@ -18,13 +18,9 @@
 import type {SharedStatistics} from './shared_statistics.js';
 import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
-import {
-  compareWaiting,
-  findRetryAfterMs,
-  forecastWaitMs,
-  spreadRetryAfterMs,
-  type Waiting,
-} from './wait_rules.js';
+import {createStreamQueue, type QueueCounts} from './stream_queue.js';
+import type {RunningMemory} from './wait_forecast.js';
+import type {Waiting} from './wait_rules.js';
 
 export interface EngineSchedulerHost {
   readonly clock: Clock;
@@ -41,6 +37,18 @@
   isChanging(engineId: string): boolean;
   /** The engine takes no requests from this host for now. */
   isPaused(engineId: string): boolean;
+  /**
+   * The least urgent priority of the service's routes; undefined, as when
+   * absent, where all routes have the same priority.
+   */
+  leastUrgentPriority?(service: string): number | undefined;
+  /**
+   * The client account uses more than its share of the service. Absent where no
+   * account is over its share.
+   */
+  isOverShare?(service: string, account: string): boolean;
+  /** A request of the account was placed here and takes this much memory. */
+  onPlaced?(service: string, account: string, tokens: number): void;
   /** Something that is announced to the peers has changed. */
   onChange(): void;
 }
@@ -61,6 +69,8 @@
   readonly requestId: string;
   readonly service: Service;
   readonly waiting: Waiting;
+  /** Client account of the caller. */
+  readonly account?: string;
   /**
    * Expected time from the placement to the first event. The latest starts in
    * `waiting` are earlier by this time.
@@ -153,20 +163,9 @@
   suspects(): readonly string[];
   /** Engines that refused requests of this host a moment ago. */
   full(): readonly string[];
+  queueCounts(): QueueCounts;
 }
 
-interface Waiter {
-  readonly need: StreamNeed;
-  readonly resolve: (outcome: PlacementOutcome) => void;
-}
-
-/** How often the queue is checked without any update. */
-const QUEUE_CHECK_MS = 50;
-/**
- * With many peers an update arrives each millisecond; one check serves several
- * of them.
- */
-const QUEUE_CHECK_DELAY_MS = 6;
 /**
  * Retry delay when no engine is listed; engines are listed again within
  * seconds.
@@ -194,9 +193,35 @@
     tokensPerMs: host.statistics.tokensPerMs,
     hasWaiters: peers.hasWaiters,
   });
-  let waiters: Waiter[] = [];
-  let timer: TimerHandle | undefined;
-  let soonTimer: TimerHandle | undefined;
+  const queue = createStreamQueue({
+    clock,
+    log: host.log,
+    queueHost: service => ({
+      waitingAtPeers: () => peers.waiting(service),
+      runningMemory: () => readRunningMemory(service),
+      leastUrgentPriority: () => host.leastUrgentPriority?.(service),
+      isOverShare: account => host.isOverShare?.(service, account) ?? false,
+      onPlaced: (account, tokens) => host.onPlaced?.(service, account, tokens),
+      // Hosts that place by themselves do not know each other's schedules.
+      retrySpread: () =>
+        groups.placers().length === 0 ? random.nextFloat() : 0,
+      tryPlace,
+    }),
+    onChange: host.onChange,
+  });
+
+  /** The runs on the decode engines that this host's group prefers. */
+  function readRunningMemory(service: string): RunningMemory {
+    let runs = 0;
+    let tokensAtEnd = 0;
+    for (const {id, role} of registry.open(service)) {
+      if (role !== 'decode' || !groups.isPreferred(id)) continue;
+      const load = engineLoads.decodeLoad(id);
+      runs += load.runs;
+      tokensAtEnd += load.tokensAtEnd;
+    }
+    return {runs, tokensAtEnd, meanRunMs: host.statistics.meanRunMs()};
+  }
 
   function reserve(need: StreamNeed, chosen: ChosenEngines): Placement {
     const {decode, prefill} = chosen;
@@ -211,7 +236,8 @@
       bookedRuns: runs,
       bookedTokens: Math.round(tokensNow),
       bookedAtEnd: Math.round(tokensAtEnd),
-      waitingHere: waiters.length,
+      priority: need.waiting.priority,
+      waitingHere: queue.size(),
     });
     candidates.recordPlacement(decode.id);
     const run = engineLoads.startRun({
@@ -257,105 +283,6 @@
     return chosen && reserve(need, chosen);
   }
 
-  /** Counts the requests at the peers that come before this one. */
-  function countAheadAtPeers(need: StreamNeed): number {
-    const nowMs = clock.nowMs();
-    return peers
-      .waiting(need.service.name)
-      .filter(other => compareWaiting(other, need.waiting, nowMs) < 0).length;
-  }
-
-  function countAheadHere(need: StreamNeed): number {
-    const nowMs = clock.nowMs();
-    return waiters.filter(
-      ({need: other}) =>
-        other.service.name === need.service.name &&
-        compareWaiting(other.waiting, need.waiting, nowMs) < 0,
-    ).length;
-  }
-
-  function refuse(need: StreamNeed, waitMs: number): PlacementOutcome {
-    const retryAfterMs = spreadRetryAfterMs(
-      waitMs,
-      need.callerLeftMs,
-      random.nextFloat(),
-    );
-    return {
-      kind: 'refused',
-      error: {
-        kind: 'overloaded',
-        detail: `Room is expected in ${Math.round(waitMs)} ms.`,
-        retryAfterMs,
-      },
-    };
-  }
-
-  function forecastMs(need: StreamNeed): number {
-    return forecastWaitMs(countAheadHere(need) + countAheadAtPeers(need), {
-      runs: engines.countRuns(need.service.name),
-      meanRunMs: host.statistics.meanRunMs(),
-    });
-  }
-
-  function remove(waiter: Waiter): void {
-    waiters = waiters.filter(each => each !== waiter);
-  }
-
-  function settle(waiter: Waiter, outcome: PlacementOutcome): void {
-    remove(waiter);
-    waiter.resolve(outcome);
-    host.onChange();
-  }
-
-  function refuseExpired(nowMs: number): void {
-    for (const waiter of [...waiters]) {
-      if (nowMs <= waiter.need.waiting.giveUpAtMs) continue;
-      settle(waiter, refuse(waiter.need, forecastMs(waiter.need)));
-    }
-  }
-
-  function processQueueSoon(): void {
-    if (waiters.length === 0) return;
-    soonTimer ??= clock.setTimer(QUEUE_CHECK_DELAY_MS, processQueue);
-  }
-
-  function processQueue(): void {
-    for (const each of [timer, soonTimer]) if (each) clock.clearTimer(each);
-    timer = undefined;
-    soonTimer = undefined;
-    if (waiters.length === 0) return;
-    const nowMs = clock.nowMs();
-    refuseExpired(nowMs);
-    const inOrder = [...waiters].sort((a, b) =>
-      compareWaiting(a.need.waiting, b.need.waiting, nowMs),
-    );
-    const blocked = new Set<string>();
-    for (const waiter of inOrder) {
-      const {name} = waiter.need.service;
-      if (blocked.has(name)) continue;
-      const placed = tryPlace(waiter.need, countAheadAtPeers(waiter.need));
-      if (placed) settle(waiter, placed);
-      else blocked.add(name);
-    }
-    if (waiters.length > 0)
-      timer = clock.setTimer(QUEUE_CHECK_MS, processQueue);
-  }
-
-  function enqueue(
-    need: StreamNeed,
-    cancellation: Cancellation,
-  ): Promise<PlacementOutcome> {
-    return new Promise(resolve => {
-      const waiter: Waiter = {need, resolve};
-      waiters.push(waiter);
-      cancellation.onCancel(() => {
-        if (waiters.includes(waiter)) settle(waiter, {kind: 'cancelled'});
-      });
-      host.onChange();
-      timer ??= clock.setTimer(QUEUE_CHECK_MS, processQueue);
-    });
-  }
-
   return {
     async place(need, cancellation) {
       if (!engines.hasDecode(need.service.name)) {
@@ -368,17 +295,7 @@
           },
         };
       }
-      const ahead = countAheadHere(need) + countAheadAtPeers(need);
-      const placed = tryPlace(need, ahead);
-      if (placed) {
-        host.onChange();
-        return placed;
-      }
-      const waitMs = forecastMs(need);
-      const nowMs = clock.nowMs();
-      const retryAfterMs = findRetryAfterMs(need.waiting, waitMs, nowMs);
-      if (retryAfterMs !== undefined) return refuse(need, retryAfterMs);
-      return enqueue(need, cancellation);
+      return queue.place(need, cancellation);
     },
     reserveChosen(need, chosen) {
       const placed = reserve(need, chosen);
@@ -406,7 +323,7 @@
     release(run) {
       engineLoads.endRun(run);
       host.onChange();
-      if (waiters.length > 0) processQueue();
+      queue.process();
     },
     recordFailure(engineId) {
       candidates.recordFailure(engineId);
@@ -423,14 +340,11 @@
       host.onChange();
     },
     roleMismatches: candidates.roleMismatches,
-    processQueue,
-    processQueueSoon,
-    waitingRequests: () =>
-      waiters.map(({need}) => ({
-        service: need.service.name,
-        waiting: need.waiting,
-      })),
+    processQueue: queue.process,
+    processQueueSoon: queue.processSoon,
+    waitingRequests: queue.waitingRequests,
     suspects: candidates.suspects,
     full: candidates.full,
+    queueCounts: queue.counts,
   };
 }
--- a/src/relay/placement/wait_rules.ts
+++ b/src/relay/placement/wait_rules.ts
@@ -107,17 +107,6 @@
     : a.onTimeUntilMs - b.onTimeUntilMs;
 }
 
-export interface ServiceRate {
-  /** Streams running on all engines. */
-  readonly runs: number;
-  readonly meanRunMs: number;
-}
-
-/** Forecasts when a request behind `ahead` others will find room. */
-export function forecastWaitMs(ahead: number, rate: ServiceRate): number {
-  return ((ahead + 1) * rate.meanRunMs) / Math.max(1, rate.runs);
-}
-
 /**
  * Undefined if the request may wait; otherwise the delay after which it should
  * be retried.
