Send priorities and accounts with requests for engines

Cause: the placer must order streams by priority and account, and engines admit by the priority header. Change: the ask message carries priority and account, records of waiting requests carry the priority; invalid values are ignored, and an absent priority is the least urgent of the service's routes. Streams send SendOptions.enginePriority where the routes of a service differ in priority. isOverShare and onPlaced are optional host members of createRelayPlacement. Gauges scheduled_retries and early_refusals.

--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -12,6 +12,7 @@
 import type {DecayingSums} from '../placement/pooled_means.js';
 import type {StatisticsSums} from '../placement/shared_statistics.js';
 import type {SlotMessage} from '../plain/slot_messages.js';
+import {toPriority} from '../placement/request_priority.js';
 import type {Waiting} from '../placement/wait_rules.js';
 import type {MembersView} from './reported_members.js';
 import type {HostState, Member} from './members.js';
@@ -25,6 +26,8 @@
   /** Time left until the first event would be late; negative once it is. */
   readonly onTimeMs: number;
   readonly giveUpMs: number;
+  /** Absent if it is the least urgent of the service's routes, or unknown. */
+  readonly priority?: number;
 }
 
 /** What one host, or all hosts together, found out about the upstreams. */
@@ -229,5 +232,6 @@
     arrivedAtMs: heardAtMs - record.ageMs,
     onTimeUntilMs: heardAtMs + record.onTimeMs,
     giveUpAtMs: heardAtMs + record.giveUpMs,
+    priority: toPriority(record.priority),
   };
 }
--- a/src/relay/placement/peer_view.ts
+++ b/src/relay/placement/peer_view.ts
@@ -142,6 +142,7 @@
           ageMs: Math.round(nowMs - each.arrivedAtMs),
           onTimeMs: Math.round(each.onTimeUntilMs - nowMs),
           giveUpMs: Math.round(each.giveUpAtMs - nowMs),
+          priority: each.priority,
         }));
     },
   };
--- a/src/relay/placement/placement_client.ts
+++ b/src/relay/placement/placement_client.ts
@@ -123,6 +123,8 @@
       giveUpMs: Math.round(waiting.giveUpAtMs - nowMs),
       startMs: Math.round(need.startMs),
       callerLeftMs: Math.round(need.callerLeftMs),
+      priority: waiting.priority,
+      account: need.account,
     };
   }
 
--- a/src/relay/placement/placement_messages.ts
+++ b/src/relay/placement/placement_messages.ts
@@ -21,6 +21,13 @@
    */
   readonly startMs: number;
   readonly callerLeftMs: number;
+  /**
+   * 0 is the most urgent. Absent if it is the least urgent of the service's
+   * routes, or the sender does not know priorities.
+   */
+  readonly priority?: number;
+  /** Client account of the caller. */
+  readonly account?: string;
 }
 
 export type PlacementAnswer =
--- a/src/relay/placement/placement_server.ts
+++ b/src/relay/placement/placement_server.ts
@@ -24,6 +24,7 @@
   PlacementMessage,
   PlacementWithdrawal,
 } from './placement_messages.js';
+import {toPriority} from './request_priority.js';
 import type {SharedStatistics} from './shared_statistics.js';
 
 export interface PlacementServerHost {
@@ -60,6 +61,11 @@
   placement?: Placement;
 }
 
+/** The account that a host named, if it is one. */
+function toAccount(value: unknown): string | undefined {
+  return typeof value === 'string' ? value : undefined;
+}
+
 export function createPlacementServer(
   host: PlacementServerHost,
 ): PlacementServer {
@@ -129,7 +135,9 @@
           arrivedAtMs: nowMs - request.ageMs,
           onTimeUntilMs: nowMs + request.onTimeMs + slackMs,
           giveUpAtMs: nowMs + request.giveUpMs + slackMs,
+          priority: toPriority(request.priority),
         },
+        account: toAccount(request.account),
         callerLeftMs: request.callerLeftMs,
       },
       entry.cancellation,
--- a/src/relay/placement/relay_placement.ts
+++ b/src/relay/placement/relay_placement.ts
@@ -22,6 +22,10 @@
 import {createPlacementServer} from './placement_server.js';
 import {createPlacementGroups} from './placement_groups.js';
 import type {PlacementMessage} from './placement_messages.js';
+import {
+  createRequestPriorities,
+  type RequestPriorities,
+} from './request_priority.js';
 import type {RoutingState} from '../routing_state.js';
 import {
   createSharedStatistics,
@@ -45,6 +49,10 @@
   /** The engine takes no requests from this host for now. */
   isPaused(engineId: string): boolean;
   send(hostId: string, message: PlacementMessage): void;
+  /** The account uses more than its share of the service; absent for never. */
+  isOverShare?(service: string, account: string): boolean;
+  /** This host has placed a request of the account. */
+  onPlaced?(service: string, account: string, tokens: number): void;
   /** Something that is announced to the peers has changed. */
   onChange(): void;
 }
@@ -53,6 +61,7 @@
   readonly engineLoads: EngineLoads;
   readonly statistics: SharedStatistics;
   readonly scheduler: EngineScheduler;
+  readonly priorities: RequestPriorities;
   readonly place: PlacementClient['place'];
   isUpdatedAtOnce(hostId: string): boolean;
   /**
@@ -113,6 +122,7 @@
         .flatMap(({name}) => registry.open(name)),
     usedEngineIds: engineLoads.usedEngineIds,
   });
+  const priorities = createRequestPriorities({routing: routing.current});
   const view = createPeerView({clock, engineLoads, groups});
   const scheduler = createEngineScheduler({
     clock,
@@ -125,6 +135,9 @@
     groups,
     isChanging: host.isChanging,
     isPaused: host.isPaused,
+    leastUrgentPriority: priorities.leastUrgent,
+    isOverShare: host.isOverShare,
+    onPlaced: host.onPlaced,
     onChange: host.onChange,
   });
   const client = createPlacementClient({
@@ -169,6 +182,7 @@
     engineLoads,
     statistics,
     scheduler,
+    priorities,
     place: client.place,
     isUpdatedAtOnce: groups.isUpdatedAtOnce,
     keepers: groups.keepers,
--- a/src/relay/placement/request_priority.ts
+++ b/src/relay/placement/request_priority.ts
@@ -9,7 +9,8 @@
 export interface RequestPriorities {
   /**
    * The priority of a request: that of its account if it has one, else of its
-   * route. 0 is the most urgent.
+   * route. 0 is the most urgent. Undefined stands for the least urgent of the
+   * service's routes, so that most messages need not state it.
    */
   ofRequest(
     service: string,
@@ -22,6 +23,13 @@
   forEngine(service: string, priority: number | undefined): number | undefined;
 }
 
+/** A priority that a peer sent; undefined if it is not a valid one. */
+export function toPriority(value: unknown): number | undefined {
+  const isValid =
+    typeof value === 'number' && Number.isFinite(value) && value >= 0;
+  return isValid ? value : undefined;
+}
+
 /** Engines assume this priority for requests without one. */
 const LEAST_URGENT_FOR_ENGINES = 5;
 
@@ -56,8 +64,10 @@
 
   return {
     ofRequest(service, route, account) {
-      if (levelsOf(service).length === 0) return undefined;
-      return account?.priority ?? route.priority;
+      const levels = levelsOf(service);
+      if (levels.length === 0) return undefined;
+      const priority = account?.priority ?? route.priority;
+      return priority === levels.at(-1) ? undefined : priority;
     },
     leastUrgent: service => levelsOf(service).at(-1),
     forEngine(service, priority) {
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -113,6 +113,16 @@
     help: 'Streams that wait for engines.',
     read: ({placement}) => placement.scheduler.waitingRequests().length,
   },
+  {
+    name: 'scheduled_retries',
+    help: 'Refused streams that are expected to return.',
+    read: ({placement}) => placement.scheduler.queueCounts().scheduledRetries,
+  },
+  {
+    name: 'early_refusals',
+    help: 'Waiting streams refused before their time was up, since the start.',
+    read: ({placement}) => placement.scheduler.queueCounts().earlyRefusals,
+  },
 ];
 
 export function registerGauges(
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -338,6 +338,7 @@
       log: createLogger('stream'),
       scheduler,
       place: placement.place,
+      priorities: placement.priorities,
       engineLoads,
       statistics,
     }),
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -65,6 +65,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       headTimeoutMs: Math.max(PREFILL_TIMEOUT_MS, BACKLOG_FACTOR * backlogMs),
       mayReuseConnection: false,
+      enginePriority: state.enginePriority,
     };
     const outcome = await calls.prefill(state, () =>
       upstreamPort.prefill(job.request, options, job.cancellation),
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -25,6 +25,7 @@
   StreamNeed,
 } from '../placement/engine_scheduler.js';
 import type {EngineLoads} from '../placement/engine_loads.js';
+import type {RequestPriorities} from '../placement/request_priority.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import {createOutputForecast} from './output_forecast.js';
 import {leftMs, type JobOutcome, type RelayJob} from '../relay_types.js';
@@ -45,6 +46,7 @@
     need: StreamNeed,
     cancellation: Cancellation,
   ): Promise<PlacementOutcome>;
+  readonly priorities: RequestPriorities;
   readonly engineLoads: EngineLoads;
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryBudget;
@@ -72,19 +74,27 @@
     });
 
   function toNeed(job: RelayJob): StreamNeed {
-    const {request, route, service, deadlineAtMs} = job;
+    const {request, route, service, deadlineAtMs, admitted} = job;
     const startMs = host.statistics.meanStartMs();
     return {
       requestId: request.requestId,
       service,
       promptTokens: request.prompt?.promptTokens ?? 0,
       expectedOutputTokens: forecast.expectedTokens(job),
-      waiting: toWaiting({
-        route,
-        arrivedAtMs: request.arrivedAtMs,
-        deadlineAtMs,
-        startMs,
-      }),
+      waiting: {
+        ...toWaiting({
+          route,
+          arrivedAtMs: request.arrivedAtMs,
+          deadlineAtMs,
+          startMs,
+        }),
+        priority: host.priorities.ofRequest(
+          service.name,
+          route,
+          admitted.account,
+        ),
+      },
+      account: admitted.account?.name,
       startMs,
       callerLeftMs: leftMs(deadlineAtMs, clock.nowMs()),
     };
@@ -263,6 +273,10 @@
       const state: StreamState = {
         job,
         need,
+        enginePriority: host.priorities.forEngine(
+          job.service.name,
+          need.waiting.priority,
+        ),
         placement,
         ran: [],
         avoid: new Set(),
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -89,6 +89,7 @@
       headTimeoutMs,
       mayReuseConnection: false,
       prefill: state.source,
+      enginePriority: state.enginePriority,
       resumeAfterEvent: state.ran.length > 0 ? state.lastEventId : undefined,
     };
     return calls.run(state, () =>
--- a/src/relay/streams/stream_state.ts
+++ b/src/relay/streams/stream_state.ts
@@ -7,6 +7,8 @@
 export interface StreamState {
   readonly job: RelayJob;
   readonly need: StreamNeed;
+  /** Sent with its prefill and its run; absent if engines need none. */
+  readonly enginePriority?: number;
   placement: Placement;
   /** Engines that may have run the request, in order. */
   readonly ran: string[];
