Test the queue under failures; give successive retry times from the least one on

Cause: retries due before the least retry time of 150 ms were not counted, so callers refused together got the same time (queue_failures_test.ts, 150 four times).

--- a/src/relay/placement/peer_view.ts
+++ b/src/relay/placement/peer_view.ts
@@ -10,7 +10,7 @@
   type WaitingRecord,
 } from '../fleet/peer_datagrams.js';
 import type {PlacementGroups} from './placement_groups.js';
-import type {Waiting} from './wait_rules.js';
+import {compareUrgency, type Waiting} from './wait_rules.js';
 
 export interface MutablePeerView extends PeerView {
   applyPeer(peer: Peer): void;
@@ -40,6 +40,11 @@
  * more than fits into a datagram.
  */
 const MAX_WAITING_RECORDS = 32;
+/**
+ * The same limit for records with priorities. Two records take as many bytes as
+ * the priorities of all, so that no announcement becomes larger at the limit.
+ */
+const MAX_PRIORITY_RECORDS = 30;
 
 export interface PeerViewHost {
   readonly clock: Clock;
@@ -135,19 +140,29 @@
     },
     toWaitingRecords(waiting) {
       const nowMs = clock.nowMs();
-      return waiting
-        .slice(0, MAX_WAITING_RECORDS)
-        .map(({service, waiting: each}) => ({
-          service,
-          ageMs: Math.round(nowMs - each.arrivedAtMs),
-          onTimeMs: Math.round(each.onTimeUntilMs - nowMs),
-          giveUpMs: Math.round(each.giveUpAtMs - nowMs),
-          priority: each.priority,
-        }));
+      return selectToAnnounce(waiting).map(({service, waiting: each}) => ({
+        service,
+        ageMs: Math.round(nowMs - each.arrivedAtMs),
+        onTimeMs: Math.round(each.onTimeUntilMs - nowMs),
+        giveUpMs: Math.round(each.giveUpAtMs - nowMs),
+        priority: each.priority,
+      }));
     },
   };
 }
 
+/** The most urgent first, which also compresses better; else by arrival. */
+function selectToAnnounce(
+  waiting: readonly WaitingRequest[],
+): readonly WaitingRequest[] {
+  if (waiting.every(each => each.waiting.priority === undefined)) {
+    return waiting.slice(0, MAX_WAITING_RECORDS);
+  }
+  return [...waiting]
+    .sort((a, b) => compareUrgency(a.waiting, b.waiting))
+    .slice(0, MAX_PRIORITY_RECORDS);
+}
+
 /** Counts how many peers report each id. */
 interface Tally {
   add(ids: readonly string[], sign: 1 | -1): void;
--- a/src/relay/placement/placement_client.ts
+++ b/src/relay/placement/placement_client.ts
@@ -108,7 +108,10 @@
   let lastPlacer: string | undefined;
   let nextAskId = host.firstAskId;
 
-  function toRequest(askId: number, need: StreamNeed): PlacementRequest {
+  function toRequest(
+    askId: number,
+    {need, isQueued}: PendingRequest,
+  ): PlacementRequest {
     const {waiting} = need;
     const nowMs = clock.nowMs();
     return {
@@ -124,7 +127,9 @@
       startMs: Math.round(need.startMs),
       callerLeftMs: Math.round(need.callerLeftMs),
       priority: waiting.priority,
-      account: need.account,
+      // Saves bytes in the repeats of a queued request; a placer that has lost
+      // it has lost the shares of the accounts, too.
+      account: isQueued ? undefined : need.account,
     };
   }
 
@@ -156,7 +161,7 @@
           host.send(placer, {kind: 'withdraw', askId});
           return finish('silent');
         }
-        host.send(placer, toRequest(askId, need));
+        host.send(placer, toRequest(askId, request));
         timer = clock.setTimer(graceMs(request) + RESEND_MS, check);
       };
       pending.set(askId, request);
--- a/src/relay/placement/service_queue.ts
+++ b/src/relay/placement/service_queue.ts
@@ -22,6 +22,7 @@
 import {
   compareUrgency,
   findRetryAfterMs,
+  MIN_RETRY_AFTER_MS,
   spreadRetryAfterMs,
   type Waiting,
 } from './wait_rules.js';
@@ -187,9 +188,10 @@
     const memory = host.runningMemory();
     const scheduledRetries = retries.count(nowMs);
     const waitMs = retries.extendWaitMs(forecastedMs, waiting, nowMs);
+    const soonestMs = Math.max(forecastedMs, MIN_RETRY_AFTER_MS);
     const callerLeftMs = need.callerLeftMs - (nowMs - sinceMs);
     const retryAfterMs = spreadRetryAfterMs(
-      waitMs,
+      retries.extendWaitMs(soonestMs, waiting, nowMs),
       callerLeftMs,
       host.retrySpread(),
     );
--- a/src/relay/placement/wait_rules.ts
+++ b/src/relay/placement/wait_rules.ts
@@ -38,7 +38,7 @@
 const PATIENCE_MARGIN_MS = 250;
 /** Each retry delay exceeds the wait by a random part of this share of it. */
 const RETRY_SPREAD = 0.5;
-const MIN_RETRY_AFTER_MS = 150;
+export const MIN_RETRY_AFTER_MS = 150;
 /**
  * Limit of the retry delay, as a share of the time that the caller still waits.
  */
--- a/tests/relay/placement/placement_client_test.ts
+++ b/tests/relay/placement/placement_client_test.ts
@@ -214,6 +214,43 @@
   assert.equal(request.outcome?.kind, 'placed');
 });
 
+test('the standby orders requests of a dead placer by age and priority', async () => {
+  // Guards against urgent requests that lose their place when the placer dies.
+  const {clock, entry, first, standby, silent} = makeGroup();
+  const load = {engineId: 'd1', promptTokens: 8_000, expectedOutputTokens: 500};
+  for (const {engineLoads} of [first, standby]) engineLoads.startRun(load);
+  const need = makeNeed(clock.nowMs());
+  const waiting = {...need.waiting, priority: 0};
+  const urgent = {...need, waiting, promptTokens: 3_000};
+  void entry.client.place(urgent, createCancellation());
+  await clock.advance(400);
+  silent.add('first');
+  await clock.advance(700);
+  const [moved] = standby.scheduler.waitingRequests();
+  assert.equal(moved.waiting.priority, 0);
+  assert.ok(Math.abs(moved.waiting.arrivedAtMs - need.waiting.arrivedAtMs) < 5);
+  const counts = {scheduledRetries: 0, earlyRefusals: 0};
+  assert.deepEqual(standby.scheduler.queueCounts(), counts);
+});
+
+test('invalid fields of a request cost it its priority and nothing else', async () => {
+  // Guards against requests that are lost because another build fills in the
+  // new fields otherwise; a host of the older build sends none.
+  const {clock, entry, first, sent} = makeGroup();
+  const {promptTokens, expectedOutputTokens, startMs, callerLeftMs} = makeNeed(
+    clock.nowMs(),
+  );
+  first.server.receive('entry', {
+    ...{kind: 'ask', askId: 7, requestId: 'r', service: service.name},
+    ...{promptTokens, expectedOutputTokens, startMs, callerLeftMs},
+    ...{ageMs: 0, onTimeMs: 600, giveUpMs: 3_000},
+    ...{priority: 'high' as unknown as number, account: 5 as unknown as string},
+  });
+  await clock.advance(10);
+  assert.ok(sent.some(({kind, to}) => kind === 'placed' && to === 'entry'));
+  assert.equal(entry.scheduler.waitingRequests().length, 0);
+});
+
 test('a caller that leaves takes its request out of the placer’s queue', async () => {
   const {clock, entry, first} = makeGroup();
   first.engineLoads.startRun({
--- /dev/null
+++ b/tests/relay/placement/queue_failures_test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {Route, Routing} from '../../../src/core/routing_types.js';
+import {toLocalWaiting} from '../../../src/relay/fleet/peer_datagrams.js';
+import type {
+  Placement,
+  StreamNeed,
+} from '../../../src/relay/placement/engine_scheduler.js';
+import {createRequestPriorities} from '../../../src/relay/placement/request_priority.js';
+import {createServiceQueue} from '../../../src/relay/placement/service_queue.js';
+import {createStartOrder} from '../../../src/relay/placement/start_order.js';
+import type {Waiting} from '../../../src/relay/placement/wait_rules.js';
+import {makeService} from './lone_scheduler.js';
+
+/** A queue at time 0 in front of engines that complete a run each 100 ms. */
+function makeQueue(canWait = true) {
+  const state = {meanRunMs: 1_000, hasRoom: false, atPeers: [] as Waiting[]};
+  const queue = createServiceQueue({
+    order: createStartOrder(),
+    waitingAtPeers: () => state.atPeers,
+    runningMemory: () => ({
+      runs: 10,
+      tokensAtEnd: 40_000,
+      meanRunMs: state.meanRunMs,
+    }),
+    leastUrgentPriority: () => 2,
+    isOverShare: () => false,
+    onPlaced: () => undefined,
+    retrySpread: () => 0,
+    // Room for one request, as seen by every host.
+    tryPlace: (_, ahead) =>
+      state.hasRoom && ahead === 0
+        ? ({kind: 'placed'} as Placement)
+        : undefined,
+  });
+  const add = (priority?: number) =>
+    queue.add(makeNeed(canWait ? 1_000 : 50, priority), 0);
+  return {queue, state, add};
+}
+
+function makeNeed(giveUpAtMs: number, priority?: number): StreamNeed {
+  return {
+    requestId: 'r',
+    service: makeService(10_000),
+    promptTokens: 3_000,
+    expectedOutputTokens: 1_000,
+    startMs: 250,
+    callerLeftMs: 14_000,
+    waiting: {arrivedAtMs: 0, onTimeUntilMs: 600, giveUpAtMs, priority},
+  };
+}
+
+test('a forecast that is wrong for a moment refuses no waiting request', () => {
+  // Guards against callers sent away by one announcement that shows fewer runs
+  // than there are.
+  const {queue, state, add} = makeQueue();
+  for (let i = 0; i < 3; i++) assert.equal(add().kind, 'waiting');
+  const refusedAt = (nowMs: number) =>
+    queue.process(nowMs).map(({outcome}) => outcome.kind).length;
+  state.meanRunMs = 9_000;
+  assert.equal(refusedAt(100), 0);
+  state.meanRunMs = 1_000;
+  assert.equal(refusedAt(160), 0);
+  state.meanRunMs = 9_000;
+  assert.equal(refusedAt(220), 0);
+  assert.equal(refusedAt(270), 0);
+  // The first request is kept: the next run that ends may make room for it.
+  assert.equal(refusedAt(320), 2);
+  assert.equal(queue.waiters().length, 1);
+});
+
+test('a less urgent request starts although peers hold more urgent ones', () => {
+  // Guards against less urgent requests that starve on a host that has no
+  // urgent ones, so that it never counts a start that passes them over.
+  const {queue, state, add} = makeQueue();
+  state.atPeers = Array.from({length: 4}, () => ({
+    ...makeNeed(3_000, 0).waiting,
+  }));
+  assert.equal(add(1).kind, 'waiting');
+  state.hasRoom = true;
+  assert.equal(queue.process(50).length, 0);
+  assert.equal(queue.process(840).length, 0);
+  assert.equal(queue.process(851)[0].outcome.kind, 'started');
+});
+
+test('refused callers get successive times, and urgent ones the first', () => {
+  const {queue, add} = makeQueue(false);
+  const times = [1, 1, 0, undefined].map(priority => {
+    const outcome = add(priority);
+    return outcome.kind === 'refused' ? outcome.refusal.retryAfterMs : -1;
+  });
+  // Retries are at least 150 ms away.
+  assert.deepEqual(times, [150, 250, 150, 450]);
+  assert.equal(queue.scheduledRetries(200), 2);
+  assert.equal(queue.scheduledRetries(1_000), 0);
+});
+
+test('records without a valid priority are the least urgent', () => {
+  // Guards against announcements that are lost, or requests that come first,
+  // because of a field that an older or faulty host filled in otherwise.
+  const record = {service: 's', ageMs: 10, onTimeMs: 500, giveUpMs: 900};
+  for (const value of [undefined, 'first', Number.NaN, -1, null]) {
+    const received = {...record, priority: value as number};
+    const waiting = toLocalWaiting(received, 100);
+    assert.equal(waiting.priority, undefined);
+    assert.equal(waiting.arrivedAtMs, 90);
+  }
+  assert.equal(toLocalWaiting({...record, priority: 0}, 100).priority, 0);
+});
+
+test('only services with routes of unequal priority have priorities', () => {
+  // Guards against headers and an order that change where nothing calls for it.
+  const route = (service: string, priority: number) =>
+    ({priority, targets: [{service, weight: 1}]}) as unknown as Route;
+  const routes = [
+    ...[route('equal', 1), route('equal', 1)],
+    ...[route('mixed', 0), route('mixed', 2), route('mixed', 7)],
+  ];
+  const routing = {routes} as unknown as Routing;
+  const priorities = createRequestPriorities({routing: () => routing});
+  const account = {name: 'a', keyDigests: [], priority: 0};
+  assert.equal(priorities.ofRequest('equal', routes[0], account), undefined);
+  assert.equal(priorities.forEngine('equal', undefined), undefined);
+  assert.equal(priorities.ofRequest('mixed', routes[3], undefined), 2);
+  assert.equal(priorities.ofRequest('mixed', routes[4], undefined), undefined);
+  assert.equal(priorities.ofRequest('mixed', routes[4], account), 0);
+  const sent = [0, 2, undefined].map(each =>
+    priorities.forEngine('mixed', each),
+  );
+  assert.deepEqual(sent, [3, 4, 5]);
+});
