Bound the requests that hosts send to slot keepers

Cause: each waiting call repeated its request every 100 ms. Several hundred of them filled the keeper's link of 7 Mbit/s, the answers came after the time-out of 70 ms, and every host then chose upstreams on its own.

Change: keeper_traffic.ts decides for all requests of a host to one keeper. Only the oldest is repeated every 100 ms, others every second; any answer shows that the keeper lives; at most 16 new requests are unanswered at a time; repeats of all hosts are limited to 1,200 a second; a silent keeper is tried again by one call. One log line names the calls of a silent keeper. The keeper does not try waiting calls one by one while all slots are taken.

--- a/src/relay/plain/plain_placement.ts
+++ b/src/relay/plain/plain_placement.ts
@@ -24,6 +24,8 @@
   keepers(service: string): readonly string[];
   /** Number of hosts that keep slots of the same upstreams. */
   keeperCount(): number;
+  /** Number of hosts that serve callers, including this one. */
+  hostCount(): number;
   send(hostId: string, message: SlotMessage): void;
 }
 
@@ -59,6 +61,7 @@
     registry,
     balancer,
     keepers: host.keepers,
+    hostCount: host.hostCount,
     send,
   });
 
--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -8,13 +8,14 @@
  */
 
 import type {RequestError} from '../../core/error_kinds.js';
-import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Cancellation} from '../../ports/relay.js';
 import type {
   PlainBalancer,
   PlainCallResult,
 } from '../../scheduling/plain_balancer.js';
+import {createKeeperTraffic} from './keeper_traffic.js';
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
 import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
@@ -35,6 +36,8 @@
    * are few.
    */
   keepers(service: string): readonly string[];
+  /** Number of hosts that may share the keepers, including this one. */
+  hostCount(): number;
   send(hostId: string, message: SlotRequest | SlotEnd): void;
 }
 
@@ -74,22 +77,8 @@
   forget(hostId: string): void;
 }
 
-/**
- * Two hops take some 4 ms; after this time the datagram is assumed lost and
- * sent again.
- */
-const RESEND_MS = 25;
-/**
- * A call takes some 40 ms and is on time within 120; a keeper that does not
- * answer may use up about half of that.
- */
-const SILENCE_TIMEOUT_MS = 70;
-/**
- * A queued request is sent again this often, to check that it is still queued.
- */
-const QUEUED_RESEND_MS = 100;
-/** A skipped keeper gets no requests for this long. */
-const SKIP_MS = 600;
+/** Request ids in one log line. */
+const MAX_LOGGED_IDS = 8;
 /** Assumed until calls of the service have ended at this host. */
 const INITIAL_CALL_MS = 40;
 const SMOOTHING = 0.1;
@@ -102,10 +91,9 @@
 
 interface PendingRequest {
   readonly keeper: string;
+  readonly need: SlotNeed;
   readonly resolve: (outcome: KeeperOutcome) => void;
   readonly grant: (upstreamId: string) => void;
-  heardAtMs: number;
-  isQueued: boolean;
 }
 
 export function createSlotClient(host: SlotClientHost): SlotClient {
@@ -116,7 +104,12 @@
    * release its slot.
    */
   const askIdsInUse = new Set<number>();
-  const skippedUntilMs = new Map<string, number>();
+  const traffic = createKeeperTraffic({
+    clock,
+    hostCount: host.hostCount,
+    send: host.send,
+    onSilent: handleSilence,
+  });
   const meanMsByService = new Map<string, number>();
   let nextAskId = host.firstAskId;
 
@@ -195,17 +188,16 @@
       });
     };
     return new Promise(resolve => {
-      let timer: TimerHandle | undefined;
       const finish = (outcome: KeeperOutcome) => {
         if (!pending.delete(askId)) return;
-        if (timer) clock.clearTimer(timer);
+        traffic.remove(keeper, askId);
+        if (outcome === 'silent') releaseSlot('cancelled', 0);
         resolve(outcome);
       };
-      const request: PendingRequest = {
+      pending.set(askId, {
         keeper,
+        need,
         resolve: finish,
-        heardAtMs: clock.nowMs(),
-        isQueued: false,
         grant(upstreamId) {
           const upstream = registry.getOpen(upstreamId);
           if (upstream) askIdsInUse.add(askId);
@@ -213,48 +205,39 @@
           // The keeper's list differs, so this host chooses by its own.
           finish(upstream ? toSlot(upstream, releaseSlot) : 'unknown');
         },
-      };
-      const check = () => {
-        const graceMs = request.isQueued ? QUEUED_RESEND_MS : 0;
-        if (clock.nowMs() - request.heardAtMs >= SILENCE_TIMEOUT_MS + graceMs) {
-          releaseSlot('cancelled', 0);
-          return finish('silent');
-        }
-        host.send(keeper, toRequest(askId, need, tried));
-        if (pending.has(askId)) {
-          timer = clock.setTimer(graceMs + RESEND_MS, check);
-        }
-      };
-      pending.set(askId, request);
+      });
       cancellation.onCancel(() => {
         if (pending.has(askId)) releaseSlot('cancelled', 0);
         finish({kind: 'cancelled'});
       });
-      if (pending.has(askId)) check();
+      if (!pending.has(askId)) return;
+      traffic.add(keeper, askId, () => toRequest(askId, need, tried));
     });
   }
 
-  function skip(keeper: string, need: SlotNeed): void {
-    skippedUntilMs.set(keeper, clock.nowMs() + SKIP_MS);
+  function handleSilence(keeper: string, askIds: readonly number[]): void {
+    const requests = askIds.flatMap(askId => pending.get(askId) ?? []);
+    const needs = requests.map(({need}) => need);
+    const [oldest, ...others] = needs;
+    const otherIds = others.slice(0, MAX_LOGGED_IDS);
     log.warn('Slot keeper does not answer.', {
-      request: need.requestId,
+      request: oldest?.requestId,
       keeper,
-      ageMs: Math.round(clock.nowMs() - need.waiting.arrivedAtMs),
+      ageMs: oldest && Math.round(clock.nowMs() - oldest.waiting.arrivedAtMs),
+      waiting: needs.length,
+      others: otherIds.map(({requestId}) => requestId).join(' '),
     });
+    for (const request of requests) request.resolve('silent');
   }
 
-  const isSkipped = (keeper: string) =>
-    (skippedUntilMs.get(keeper) ?? 0) > clock.nowMs();
-
   return {
     async acquire(need, tried, cancellation) {
       for (const keeper of host.keepers(need.service)) {
         if (cancellation.isCancelled) return {kind: 'cancelled'};
-        if (isSkipped(keeper)) continue;
+        if (!traffic.tryUse(keeper)) continue;
         const outcome = await requestFrom(keeper, need, tried, cancellation);
         if (outcome === 'unknown') break;
         if (outcome !== 'silent') return outcome;
-        skip(keeper, need);
       }
       return chooseLocally(need.service, tried);
     },
@@ -263,6 +246,7 @@
     meanCallMs,
     receive(fromHostId, answer) {
       const request = pending.get(answer.askId);
+      traffic.noteAnswer(fromHostId, answer.askId);
       if (!request || request.keeper !== fromHostId) {
         if (answer.kind !== 'slot-given' || askIdsInUse.has(answer.askId))
           return;
@@ -273,10 +257,8 @@
         host.send(fromHostId, {kind: 'slot-end', askId, result, durationMs: 0});
         return;
       }
-      request.heardAtMs = clock.nowMs();
       switch (answer.kind) {
         case 'slot-queued':
-          request.isQueued = true;
           return;
         case 'slot-given':
           request.grant(answer.upstream);
@@ -294,6 +276,7 @@
       for (const request of [...pending.values()]) {
         if (request.keeper === hostId) request.resolve('silent');
       }
+      traffic.forget(hostId);
     },
   };
 }
--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -104,6 +104,10 @@
     return (state.runs.get(upstream.id) ?? 0) >= maxCallsAt(state, upstream);
   }
 
+  /** Without room, the calls of a long queue need not be tried one by one. */
+  const hasRoom = (service: string, state: ServiceState) =>
+    host.open(service).some(upstream => !isFull(state, upstream));
+
   function sendAnswer(call: OpenCall): void {
     const {fromHostId, askId, upstreamId} = call;
     host.send(
@@ -180,7 +184,7 @@
     return forecastSlotMs(ahead, {maxCalls, meanCallMs: state.meanCallMs});
   }
 
-  function processQueue(state: ServiceState): void {
+  function processQueue(service: string, state: ServiceState): void {
     const nowMs = clock.nowMs();
     const inOrder = [...state.queue].sort((a, b) =>
       compareWaiting(a.waiting, b.waiting, nowMs),
@@ -189,7 +193,7 @@
       if (nowMs > call.waiting.giveUpAtMs) {
         state.queue = state.queue.filter(each => each !== call);
         refuse(call, forecastMs(call));
-      } else if (assignSlot(call)) {
+      } else if (hasRoom(service, state) && assignSlot(call)) {
         state.queue = state.queue.filter(each => each !== call);
       }
     }
@@ -199,8 +203,8 @@
     if (timer) clock.clearTimer(timer);
     timer = undefined;
     let isWaiting = false;
-    for (const state of services.values()) {
-      if (state.queue.length > 0) processQueue(state);
+    for (const [service, state] of services) {
+      if (state.queue.length > 0) processQueue(service, state);
       isWaiting ||= state.queue.length > 0;
     }
     if (isWaiting) timer = clock.setTimer(QUEUE_CHECK_MS, processQueues);
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -245,6 +245,7 @@
     balancer,
     keepers: placement.keepers,
     keeperCount: placement.groupCount,
+    hostCount: () => remainingHostIds().length,
     send: (hostId, message) => peers.sendMessage(hostId, message),
   });
   const retryBudget = createRetryBudget({
--- a/tests/relay/plain/slot_client_test.ts
+++ b/tests/relay/plain/slot_client_test.ts
@@ -41,6 +41,7 @@
     registry,
     balancer,
     keepers: () => [KEEPER],
+    hostCount: () => 20,
     send(_, message) {
       sent.push(message);
       if (message.kind !== 'slot-ask') return;
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -7,6 +7,7 @@
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {encodeDatagram} from '../../../src/relay/fleet/peer_codec.js';
 import {createPlainPlacement} from '../../../src/relay/plain/plain_placement.js';
 import type {SlotMessage} from '../../../src/relay/plain/slot_messages.js';
 import {toCallWaiting} from '../../../src/relay/plain/slot_rules.js';
@@ -25,6 +26,12 @@
   readonly keeperDiesAtMs?: number;
   /** Share of datagrams that are lost. */
   readonly lossShare?: number;
+  /** Both keepers are cut off from all other hosts from this time on. */
+  readonly keepersCutOffAtMs?: number;
+  /** Rate of each keeper's link, for both directions together. */
+  readonly linkBytesPerS?: number;
+  /** Refused callers come back once, at the time that they were told. */
+  readonly callersRetry?: boolean;
 }
 
 export interface SlotLoadFigures {
@@ -35,9 +42,17 @@
   readonly rejected: number;
   /** Most concurrent calls at one upstream. */
   readonly maxConcurrency: number;
+  /** Longest delay of a datagram on a keeper's link. */
+  readonly maxLinkDelayMs: number;
+  /** How often a host found a keeper silent. */
+  readonly silences: number;
+  /** Most datagrams that one host sent to a keeper within a second. */
+  readonly maxSentPerS: number;
 }
 
 const HOSTS = 68;
+/** Headers of UDP and IP. */
+const HEADER_BYTES = 28;
 const UPSTREAMS = 3;
 const SLOTS = 6;
 const QUEUE = 24;
@@ -68,7 +83,18 @@
     refused: 0,
     rejected: 0,
     maxConcurrency: 0,
+    maxLinkDelayMs: 0,
+    silences: 0,
+    maxSentPerS: 0,
   };
+  const log = {
+    ...silentLog,
+    warn(message: string) {
+      if (message === 'Slot keeper does not answer.') figures.silences++;
+    },
+  };
+  const linkFreeAtMs = new Map<string, number>();
+  const sentInSecond = new Map<string, number>();
   const hostIds = Array.from({length: HOSTS}, (_, i) => `host-${i}`);
   const keepers = options.hasKeepers ? hostIds.slice(0, 2) : [];
   const startMs = clock.nowMs();
@@ -76,6 +102,29 @@
     hostId === keepers[0] &&
     clock.nowMs() - startMs >= (options.keeperDiesAtMs ?? Infinity);
 
+  const isCutOff = (hostId: string) =>
+    keepers.includes(hostId) &&
+    clock.nowMs() - startMs >= (options.keepersCutOffAtMs ?? Infinity);
+
+  /** Delay of a datagram on the link of a keeper, behind earlier ones. */
+  function linkDelayMs(hostId: string, bytes: number): number {
+    if (!options.linkBytesPerS || !keepers.includes(hostId)) return 0;
+    const nowMs = clock.nowMs();
+    const freeAtMs = Math.max(nowMs, linkFreeAtMs.get(hostId) ?? 0);
+    const sentAtMs = freeAtMs + (bytes * 1_000) / options.linkBytesPerS;
+    linkFreeAtMs.set(hostId, sentAtMs);
+    figures.maxLinkDelayMs = Math.max(figures.maxLinkDelayMs, sentAtMs - nowMs);
+    return sentAtMs - nowMs;
+  }
+
+  function countSent(hostId: string, toHostId: string): void {
+    if (!keepers.includes(toHostId)) return;
+    const key = `${hostId} ${toHostId} ${Math.floor(clock.nowMs() / 1_000)}`;
+    const count = (sentInSecond.get(key) ?? 0) + 1;
+    sentInSecond.set(key, count);
+    figures.maxSentPerS = Math.max(figures.maxSentPerS, count);
+  }
+
   const hosts = new Map(hostIds.map(hostId => [hostId, makeHost(hostId)]));
 
   function makeHost(hostId: string) {
@@ -108,16 +157,23 @@
     return createPlainPlacement({
       clock,
       random,
-      log: silentLog,
+      log,
       hostId,
       registry,
       balancer,
       keepers: () => keepers,
       keeperCount: () => 1,
+      hostCount: () => HOSTS,
       send(toHostId: string, message: SlotMessage) {
+        countSent(hostId, toHostId);
         if (random.nextFloat() < (options.lossShare ?? 0)) return;
-        clock.setTimer(HOP_MS, () => {
+        const datagram = {kind: 'letter', from: hostId, message};
+        const bytes = encodeDatagram(datagram).length + HEADER_BYTES;
+        const delayMs =
+          linkDelayMs(hostId, bytes) + linkDelayMs(toHostId, bytes);
+        clock.setTimer(HOP_MS + delayMs, () => {
           if (isDead(hostId) || isDead(toHostId)) return;
+          if (isCutOff(hostId) || isCutOff(toHostId)) return;
           hosts.get(toHostId)?.receive(hostId, message);
         });
       },
@@ -147,18 +203,31 @@
     });
   }
 
-  async function call(hostId: string): Promise<void> {
-    const arrivedAtMs = clock.nowMs();
+  async function call(
+    hostId: string,
+    deadlineAtMs = clock.nowMs() + DEADLINE_MS,
+    arrivedAtMs = clock.nowMs(),
+    isRetry = false,
+  ): Promise<void> {
     const {slots} = hosts.get(hostId)!;
     const waiting = toCallWaiting({
       arrivedAtMs,
       goalMs: GOAL_MS,
-      deadlineAtMs: arrivedAtMs + DEADLINE_MS,
+      deadlineAtMs,
       meanCallMs: slots.meanCallMs(SERVICE),
     });
     const need = {requestId: 'r', service: SERVICE, waiting};
     const slot = await slots.acquire(need, new Set(), createCancellation());
     if (slot.kind !== 'slot') {
+      const leftMs = deadlineAtMs - clock.nowMs();
+      const afterMs =
+        slot.kind === 'refused' ? (slot.error.retryAfterMs ?? 0) : Infinity;
+      if (options.callersRetry && !isRetry && afterMs <= leftMs / 3) {
+        const otherId = hostIds[random.nextInt(HOSTS)];
+        const retry = () => void call(otherId, deadlineAtMs, arrivedAtMs, true);
+        clock.setTimer(afterMs, retry);
+        return;
+      }
       figures.refused++;
       return;
     }
