--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -241,6 +241,7 @@
     balancer,
     keepers: placement.keepers,
     keeperCount: placement.groupCount,
+    hostCount: () => remainingHostIds().length,
     send: (hostId, message) => peers.sendMessage(hostId, message),
   });
   const retries = createRelayRetries(
