Serve urgent requests of an account first within its limit

The owner of a bucket learns which part of the account's units each priority uses and keeps what more urgent requests are expected to use until the bucket refills, at most half of it. Hosts estimate the same from their own requests and send it in quota-ask; it applies while the owner has no history. Without an owner, the admissible share goes to urgent requests first. Nothing changes where the priorities of a service's routes are equal or the account has one.

--- a/src/relay/accounts/account_admission.ts
+++ b/src/relay/accounts/account_admission.ts
@@ -9,15 +9,17 @@
 import type {Logger} from '../../ports/log.js';
 import type {RelayRequest} from '../../ports/relay.js';
 import type {RelayMetrics} from '../relay_metrics.js';
-import type {AccountLimiter, LimitVerdict} from './account_limiter.js';
+import type {AccountLimiter, Charge, LimitVerdict} from './account_limiter.js';
 import {costOf, type AccountTable} from './client_account.js';
 import type {ConfigurationFreshness} from './configuration_freshness.js';
+import type {RequestPriorities} from './request_priorities.js';
 
 export interface AccountAdmissionHost {
   readonly log: Logger;
   readonly metrics: RelayMetrics;
   readonly freshness: ConfigurationFreshness;
   readonly limiter: AccountLimiter;
+  readonly priorities: RequestPriorities;
   /** Returns the accounts of the configuration in force. */
   accounts(): AccountTable;
 }
@@ -111,10 +113,11 @@
   /** Waits for a newer configuration version, which may contain the key. */
   async function admitUnknown(
     request: RelayRequest,
+    route: Route,
   ): Promise<AccountAdmissionOutcome> {
     const isConfirmed = await freshness.confirmNow(CONFIRM_TIMEOUT_MS);
     const account = findAccount(request);
-    if (account) return admitKnown(request, account);
+    if (account) return admitKnown(request, route, account);
     if (!isConfirmed) return refuseUnconfirmed(request);
     const detail = 'No client account has this key.';
     return refuse({kind: 'unauthenticated', detail});
@@ -122,6 +125,7 @@
 
   function admitKnown(
     request: RelayRequest,
+    route: Route,
     account: ClientAccount,
   ): AccountAdmissionOutcome | Promise<AccountAdmissionOutcome> {
     if (!(freshness.ageMs() <= maxAgeMs)) {
@@ -133,14 +137,16 @@
       return {kind: 'admitted', account, refund: doNothing, isWithdrawn};
     }
     const costUnits = costOf(quota, request.prompt);
+    const priority = host.priorities.of(account, route);
+    const charge: Charge = {account: name, quota, costUnits, priority};
     const toOutcome = (verdict: LimitVerdict): AccountAdmissionOutcome => {
       if (verdict.kind === 'limited') {
-        return refuseOverLimit(request, account, costUnits, verdict);
+        return refuseOverLimit(request, charge, verdict, account);
       }
       const refund = () => limiter.refund(name, costUnits);
       return {kind: 'admitted', account, refund, isWithdrawn};
     };
-    const verdict = limiter.take(name, quota, costUnits);
+    const verdict = limiter.take(charge);
     return verdict instanceof Promise
       ? verdict.then(toOutcome)
       : toOutcome(verdict);
@@ -148,16 +154,21 @@
 
   function refuseOverLimit(
     request: RelayRequest,
-    account: ClientAccount,
-    costUnits: number,
+    {costUnits, priority}: Charge,
     verdict: Extract<LimitVerdict, {kind: 'limited'}>,
+    account: ClientAccount,
   ): RefusedAccount {
-    const {retryAfterMs, levelUnits, source, ageMs} = verdict;
+    const {retryAfterMs, levelUnits, reserveUnits, source, ageMs} = verdict;
+    if (priority !== undefined) {
+      metrics.count('limit_refusals', `priority="${priority}"`);
+    }
     log.info('Over the limit of the account.', {
       request: request.requestId,
       account: account.name,
+      priority,
       costUnits,
       levelUnits: Math.round(levelUnits),
+      reserveUnits: Math.round(reserveUnits),
       source,
       ageMs: Math.round(ageMs),
       retryAfterMs: Math.round(retryAfterMs),
@@ -174,7 +185,9 @@
         const isWithdrawn = () => false;
         return {kind: 'admitted', account, refund: doNothing, isWithdrawn};
       }
-      return account ? admitKnown(request, account) : admitUnknown(request);
+      return account
+        ? admitKnown(request, route, account)
+        : admitUnknown(request, route);
     },
   };
 }
--- a/src/relay/accounts/account_limiter.ts
+++ b/src/relay/accounts/account_limiter.ts
@@ -9,11 +9,13 @@
 import type {Random} from '../../ports/random.js';
 import type {PeerRequestClient} from '../fleet/peer_request_client.js';
 import type {QuotaReply, QuotaRequest} from './quota_messages.js';
+import {createPriorityMix} from './priority_mix.js';
 import {
   admissibleShare,
   quotaRetryAfterMs,
   type AccountLevel,
 } from './quota_rules.js';
+import {admissibleShareOf, reserveUnitsFor} from './reserve_rules.js';
 import type {
   HostIncarnation,
   SpendingLedger,
@@ -32,15 +34,25 @@
       readonly source: LimitSource;
       /** Time since a coordinator sent the level. */
       readonly ageMs: number;
+      /** Units kept for more urgent requests of the account. */
+      readonly reserveUnits: number;
     };
 
+/** A request to be charged to its account. */
+export interface Charge {
+  readonly account: string;
+  readonly quota: AccountQuota;
+  readonly costUnits: number;
+  /**
+   * 0 is the most urgent. Undefined if all requests of the account are equally
+   * urgent.
+   */
+  readonly priority?: number;
+}
+
 export interface AccountLimiter {
   /** Takes the cost from the account's bucket, unless it is limited. */
-  take(
-    account: string,
-    quota: AccountQuota,
-    costUnits: number,
-  ): LimitVerdict | Promise<LimitVerdict>;
+  take(charge: Charge): LimitVerdict | Promise<LimitVerdict>;
   /** Returns the cost of a request that was sent to no upstream. */
   refund(account: string, costUnits: number): void;
   /** Returns the totals of this host, which its peers need. */
@@ -65,6 +77,11 @@
 
 /** Coordinators send the levels twice a second; some datagrams are lost. */
 const LEVELS_VALID_MS = 2_000;
+/**
+ * Time constant of this host's mix of priorities. One of 70 hosts gets a few
+ * requests of an account near its limit in this time.
+ */
+const MIX_DECAY_MS = 20_000;
 const MS_PER_SECOND = 1_000;
 
 interface OwnTotals {
@@ -93,6 +110,7 @@
 
 export function createAccountLimiter(host: AccountLimiterHost): AccountLimiter {
   const {clock, random, ledger} = host;
+  const mix = createPriorityMix(clock, MIX_DECAY_MS);
   const totals = new Map<string, OwnTotals>();
   const ownShares = new Map<string, OwnShare>();
   const levelsByCoordinator = new Map<string, ReportedLevels>();
@@ -147,96 +165,123 @@
    * Applies an even share of the limit, for a host that has no level from the
    * ledger or from a coordinator.
    */
-  function takeFromOwnShare(
-    account: string,
-    quota: AccountQuota,
-    costUnits: number,
-  ): LimitVerdict {
+  function takeFromOwnShare(charge: Charge): LimitVerdict {
+    const {account, costUnits, priority} = charge;
     const nowMs = clock.nowMs();
-    const unitsPerS = quota.unitsPerS / host.hostCount();
-    const capacityUnits = quota.burstUnits / host.hostCount();
+    const quota = {
+      ...charge.quota,
+      unitsPerS: charge.quota.unitsPerS / host.hostCount(),
+      burstUnits: charge.quota.burstUnits / host.hostCount(),
+    };
     const share = ownShares.get(account) ?? {
-      levelUnits: capacityUnits,
+      levelUnits: quota.burstUnits,
       updatedAtMs: nowMs,
     };
     ownShares.set(account, share);
     const elapsedMs = nowMs - share.updatedAtMs;
     share.levelUnits = Math.min(
-      capacityUnits,
-      share.levelUnits + (unitsPerS * elapsedMs) / MS_PER_SECOND,
+      quota.burstUnits,
+      share.levelUnits + (quota.unitsPerS * elapsedMs) / MS_PER_SECOND,
     );
     share.updatedAtMs = nowMs;
+    const {levelUnits} = share;
+    const offeredUnitsPerS = mix.of(account)?.unitsPerS ?? 0;
+    const level = {account, levelUnits, offeredUnitsPerS};
     // The share of a burst is often smaller than one request, so the bucket may
-    // go below zero.
-    if (share.levelUnits > 0) {
+    // go below zero, and a request needs no room besides the reserve.
+    const own = {account, quota, costUnits: 0, priority};
+    const reserveUnits = reserveOf(own, level);
+    if (levelUnits > reserveUnits) {
       share.levelUnits -= costUnits;
       return {kind: 'allowed'};
     }
-    const ownQuota = {...quota, unitsPerS};
-    return refuse(share.levelUnits, 'own-share', 0, ownQuota, costUnits);
+    const known = {level, source: 'own-share' as const, ageMs: 0};
+    return refuse({...charge, quota}, known, reserveUnits);
+  }
+
+  /** Returns the units to keep for more urgent requests of the account. */
+  function reserveOf(charge: Charge, level: AccountLevel): number {
+    const {account, quota, costUnits, priority} = charge;
+    const known = priority === undefined ? undefined : mix.of(account);
+    if (priority === undefined || !known) return 0;
+    return reserveUnitsFor(priority, known, level, quota, costUnits);
   }
 
   function refuse(
-    levelUnits: number,
-    source: LimitSource,
-    ageMs: number,
-    quota: AccountQuota,
-    costUnits: number,
+    {quota, costUnits}: Charge,
+    {level, source, ageMs}: Required<KnownLevel>,
+    reserveUnits: number,
   ): LimitVerdict {
+    const {levelUnits} = level;
+    const neededUnits = costUnits + reserveUnits;
     const draw = random.nextFloat();
-    const retryAfterMs = quotaRetryAfterMs(levelUnits, costUnits, quota, draw);
-    return {kind: 'limited', retryAfterMs, levelUnits, source, ageMs};
+    const retryAfterMs = quotaRetryAfterMs(
+      levelUnits,
+      neededUnits,
+      quota,
+      draw,
+    );
+    const kind = 'limited';
+    return {kind, retryAfterMs, levelUnits, source, ageMs, reserveUnits};
   }
 
-  /** Admits a random share of the requests when no owner has decided. */
+  /**
+   * Admits a random share of the requests when no owner has decided, the share
+   * of urgent requests first.
+   */
   function admitByShare(
-    {level, source, ageMs}: KnownLevel,
-    quota: AccountQuota,
-    costUnits: number,
+    charge: Charge,
+    known: Required<KnownLevel>,
   ): LimitVerdict {
-    if (!level) return {kind: 'allowed'};
-    const share = admissibleShare(level, quota);
+    const {account, quota, priority} = charge;
+    const shareOfAll = admissibleShare(known.level, quota);
+    const knownMix = priority === undefined ? undefined : mix.of(account);
+    const share =
+      priority === undefined || !knownMix
+        ? shareOfAll
+        : admissibleShareOf(priority, knownMix, shareOfAll);
     if (share >= 1 || random.nextFloat() < share) return {kind: 'allowed'};
-    return refuse(level.levelUnits, source, ageMs, quota, costUnits);
+    return refuse(charge, known, 0);
   }
 
   async function requestFromOwner(
     owner: string,
-    account: string,
-    quota: AccountQuota,
-    costUnits: number,
-    known: KnownLevel,
+    charge: Charge,
+    known: Required<KnownLevel>,
   ): Promise<LimitVerdict> {
-    const kind = 'quota-ask';
-    const answer = await host.client.ask(owner, {kind, account, costUnits});
-    if (!answer) return admitByShare(known, quota, costUnits);
+    const {account, costUnits, priority} = charge;
+    const reserveUnits = Math.round(reserveOf(charge, known.level));
+    const answer = await host.client.ask(owner, {
+      kind: 'quota-ask',
+      account,
+      costUnits,
+      ...(priority !== undefined && {priority, reserveUnits}),
+    });
+    if (!answer) return admitByShare(charge, known);
     if (answer.isGranted) return {kind: 'allowed'};
-    return refuse(answer.levelUnits, 'owner', 0, quota, costUnits);
+    const level = {...known.level, levelUnits: answer.levelUnits};
+    const applied = answer.reserveUnits ?? 0;
+    return refuse(charge, {level, source: 'owner', ageMs: 0}, applied);
   }
 
   /** Returns undefined if this host has no current information. */
-  function findLevel(
-    account: string,
-    quota: AccountQuota,
-  ): KnownLevel | undefined {
+  function findLevel({account, quota}: Charge): KnownLevel | undefined {
     if (!host.hasAllSpending()) return findReportedLevel(account, quota);
     const isNear = ledger.isNearLimit(account);
     const level = isNear ? ledger.level(account) : undefined;
     return {level, source: 'ledger', ageMs: 0};
   }
 
-  function decide(
-    account: string,
-    quota: AccountQuota,
-    costUnits: number,
-  ): LimitVerdict | Promise<LimitVerdict> {
-    const known = findLevel(account, quota);
-    if (!known) return takeFromOwnShare(account, quota, costUnits);
-    if (!known.level) return {kind: 'allowed'};
-    const owner = host.ownerOf(account);
+  function decide(charge: Charge): LimitVerdict | Promise<LimitVerdict> {
+    const known = findLevel(charge);
+    if (!known) return takeFromOwnShare(charge);
+    const {level} = known;
+    if (!level) return {kind: 'allowed'};
+    const near = {...known, level};
+    const owner = host.ownerOf(charge.account);
     return owner === undefined
-      ? admitByShare(known, quota, costUnits)
-      : requestFromOwner(owner, account, quota, costUnits, known);
+      ? admitByShare(charge, near)
+      : requestFromOwner(owner, charge, near);
   }
 
   function countAdmitted(
@@ -249,11 +294,13 @@
   }
 
   return {
-    take(account, quota, costUnits) {
+    take(charge) {
+      const {account, costUnits, priority} = charge;
       const own = totalsOf(account);
       own.offeredUnits += costUnits;
+      mix.record(account, priority, costUnits);
       ledger.record(host.self(), spending());
-      const verdict = decide(account, quota, costUnits);
+      const verdict = decide(charge);
       return verdict instanceof Promise
         ? verdict.then(each => countAdmitted(each, own, costUnits))
         : countAdmitted(verdict, own, costUnits);
--- a/src/relay/accounts/quota_messages.ts
+++ b/src/relay/accounts/quota_messages.ts
@@ -7,6 +7,17 @@
   readonly askId: number;
   readonly account: string;
   readonly costUnits: number;
+  /**
+   * 0 is the most urgent. Absent if all requests of the account are equally
+   * urgent, and from hosts of the build before priorities.
+   */
+  readonly priority?: number;
+  /**
+   * Units that must stay in the bucket for more urgent requests of the account,
+   * as estimated by the sender; 0 if absent. The owner's own estimate takes
+   * precedence once it has one.
+   */
+  readonly reserveUnits?: number;
 }
 
 export interface QuotaReply {
@@ -15,6 +26,8 @@
   readonly isGranted: boolean;
   /** Level of the bucket after this grant. */
   readonly levelUnits: number;
+  /** Units that had to stay in the bucket; 0 if absent. */
+  readonly reserveUnits?: number;
 }
 
 export type QuotaMessage = QuotaRequest | QuotaReply;
--- a/src/relay/accounts/quota_owner.ts
+++ b/src/relay/accounts/quota_owner.ts
@@ -1,15 +1,76 @@
 /** Handles quota requests for buckets that this host owns. */
 
+import type {AccountQuota} from '../../core/routing_types.js';
+import type {Clock} from '../../ports/clock.js';
+import {createPriorityMix} from './priority_mix.js';
 import type {QuotaReply, QuotaRequest} from './quota_messages.js';
+import {reserveUnitsFor} from './reserve_rules.js';
 import type {SpendingLedger} from './spending_ledger.js';
 
-export function handleQuotaRequest(
-  ledger: SpendingLedger,
-  fromHostId: string,
-  request: QuotaRequest,
-): QuotaReply {
-  const {askId, account, costUnits} = request;
-  const isGranted = ledger.grant(fromHostId, account, costUnits);
-  const levelUnits = Math.round(ledger.level(account)?.levelUnits ?? 0);
-  return {kind: 'quota-answer', askId, isGranted, levelUnits};
+export interface QuotaOwnerHost {
+  readonly clock: Clock;
+  readonly ledger: Pick<SpendingLedger, 'grant' | 'level'>;
+  quotaOf(account: string): AccountQuota | undefined;
+}
+
+export interface QuotaOwner {
+  handle(fromHostId: string, request: QuotaRequest): QuotaReply;
+}
+
+/**
+ * Time constant of the owner's mix of priorities. The owner is asked for all
+ * requests of an account near its limit, a few per second or more, so this
+ * suffices for an estimate and follows a caller that changes its routes.
+ */
+const MIX_DECAY_MS = 4_000;
+/**
+ * With fewer requests, the estimate of the asking host is used: a new owner has
+ * no history, and the hosts know their own.
+ */
+const MIN_MIX_REQUESTS = 8;
+
+export function createQuotaOwner(host: QuotaOwnerHost): QuotaOwner {
+  const {clock, ledger} = host;
+  const mix = createPriorityMix(clock, MIX_DECAY_MS);
+
+  function findReserve(request: QuotaRequest): number {
+    const {account, costUnits} = request;
+    const priority = readCount(request.priority);
+    mix.record(account, priority, costUnits);
+    const known = mix.of(account);
+    const level = ledger.level(account);
+    const quota = host.quotaOf(account);
+    if (priority === undefined || !level || !quota) return 0;
+    if (!known || known.requestCount < MIN_MIX_REQUESTS) {
+      return readCount(request.reserveUnits) ?? 0;
+    }
+    return reserveUnitsFor(priority, known, level, quota, costUnits);
+  }
+
+  return {
+    handle(fromHostId, request) {
+      const {askId, account, costUnits} = request;
+      const reserveUnits = Math.round(findReserve(request));
+      const isGranted = ledger.grant(
+        fromHostId,
+        account,
+        costUnits,
+        reserveUnits,
+      );
+      const levelUnits = Math.round(ledger.level(account)?.levelUnits ?? 0);
+      return {
+        kind: 'quota-answer',
+        askId,
+        isGranted,
+        levelUnits,
+        ...(reserveUnits > 0 && {reserveUnits}),
+      };
+    },
+  };
+}
+
+/** Returns undefined if the field of a datagram is absent or invalid. */
+function readCount(value: number | undefined): number | undefined {
+  const isValid = Number.isFinite(value) && Number(value) >= 0;
+  return isValid ? value : undefined;
 }
--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -1,5 +1,6 @@
 /** Creates and connects the parts that check account keys and rate limits. */
 
+import type {Route} from '../../core/routing_types.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
@@ -18,13 +19,14 @@
   type AccountAdmissionOptions,
 } from './account_admission.js';
 import {createAccountLimiter} from './account_limiter.js';
-import {handleQuotaRequest} from './quota_owner.js';
+import {createQuotaOwner} from './quota_owner.js';
 import type {QuotaReply, QuotaRequest, QuotaMessage} from './quota_messages.js';
 import {
   createConfigurationFreshness,
   type ConfigurationFreshness,
 } from './configuration_freshness.js';
 import type {AccountLevel} from './quota_rules.js';
+import {createRequestPriorities} from './request_priorities.js';
 import {
   createSpendingLedger,
   type HostIncarnation,
@@ -65,6 +67,8 @@
   receive(fromHostId: string, message: QuotaMessage): void;
 }
 
+const NO_ROUTES: readonly Route[] = [];
+
 export function createRelayAccounts(
   host: RelayAccountsHost,
   options: AccountAdmissionOptions,
@@ -74,10 +78,9 @@
   const aliveMs = () => Math.round(clock.nowMs() - startedAtMs);
   const storeTime = createStoreTime(clock);
   const freshness = createConfigurationFreshness({clock, storeTime});
-  const ledger = createSpendingLedger({
-    clock,
-    quotaOf: account => routing.accounts().get(account)?.quota,
-  });
+  const quotaOf = (account: string) => routing.accounts().get(account)?.quota;
+  const ledger = createSpendingLedger({clock, quotaOf});
+  const owner = createQuotaOwner({clock, ledger, quotaOf});
   /** Delivers a message without a datagram if this host is the receiver. */
   function tell(toHostId: string, message: QuotaMessage): void {
     if (toHostId === self.hostId) receive(self.hostId, message);
@@ -101,8 +104,7 @@
   });
   const server = createPeerRequestServer<QuotaRequest, QuotaReply>({
     clock,
-    decide: (fromHostId, request) =>
-      handleQuotaRequest(ledger, fromHostId, request),
+    decide: owner.handle,
     tell,
   });
   const limiter = createAccountLimiter({
@@ -121,6 +123,9 @@
       metrics,
       freshness,
       limiter,
+      priorities: createRequestPriorities(
+        () => routing.current()?.routes ?? NO_ROUTES,
+      ),
       accounts: routing.accounts,
     },
     options,
--- a/src/relay/accounts/spending_ledger.ts
+++ b/src/relay/accounts/spending_ledger.ts
@@ -10,6 +10,7 @@
 import type {AccountQuota} from '../../core/routing_types.js';
 import type {Clock} from '../../ports/clock.js';
 import {isNearLimit, type AccountLevel} from './quota_rules.js';
+import {maxReserveUnits} from './reserve_rules.js';
 
 /** Totals of one incarnation of a host for one account. */
 export interface SpendingRecord {
@@ -39,11 +40,16 @@
   /** Charges the buckets for the totals that a host reports. */
   record(host: HostIncarnation, records: readonly SpendingRecord[]): void;
   /**
-   * Charges the bucket for one request of the host, if it holds enough units.
-   * The host's totals include the request later and aren't charged for it
-   * again.
+   * Charges the bucket for one request of the host, if it holds enough units
+   * and `reserveUnits` stay in it. The host's totals include the request later
+   * and aren't charged for it again.
    */
-  grant(hostId: string, account: string, costUnits: number): boolean;
+  grant(
+    hostId: string,
+    account: string,
+    costUnits: number,
+    reserveUnits?: number,
+  ): boolean;
   /** Returns undefined for an account without a limit. */
   level(account: string): AccountLevel | undefined;
   isNearLimit(account: string): boolean;
@@ -171,11 +177,15 @@
         byAccount.set(record.account, record);
       }
     },
-    grant(hostId, account, costUnits) {
+    grant(hostId, account, costUnits, reserveUnits = 0) {
       const quota = host.quotaOf(account);
       if (!quota) return true;
       const bucket = refill(account, quota);
-      if (bucket.levelUnits < costUnits) return false;
+      const keptUnits = Math.min(
+        reserveUnits,
+        maxReserveUnits(quota, costUnits),
+      );
+      if (bucket.levelUnits < costUnits + keptUnits) return false;
       bucket.levelUnits -= costUnits;
       const granted = totals.get(hostId)?.granted;
       granted?.set(account, (granted.get(account) ?? 0) + costUnits);
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -27,6 +27,7 @@
   store_calls: 'Calls to the platform store, by call and outcome.',
   log_lines_dropped: 'Log lines that were left out.',
   account_refusals: 'Requests refused for their key or limit, by reason.',
+  limit_refusals: 'Requests over the limit of their account, by priority.',
   upstream_signals: 'Answers in which upstreams say something of themselves.',
   sends_withheld: 'Sends held back as upstreams ask for less, by reason.',
   role_orders: 'Orders to engines to change their role, by outcome.',
--- a/tests/relay/accounts/quota_fleet.ts
+++ b/tests/relay/accounts/quota_fleet.ts
@@ -14,7 +14,10 @@
   createAccountLimiter,
   type AccountLimiter,
 } from '../../../src/relay/accounts/account_limiter.js';
-import {handleQuotaRequest} from '../../../src/relay/accounts/quota_owner.js';
+import {
+  createQuotaOwner,
+  type QuotaOwner,
+} from '../../../src/relay/accounts/quota_owner.js';
 import type {
   QuotaReply,
   QuotaRequest,
@@ -55,6 +58,18 @@
 export interface Arrival {
   readonly atMs: number;
   readonly isAllowed: boolean;
+  readonly priority?: number;
+}
+
+export interface QuotaFleetOptions {
+  /** Whether hosts ask an owner; true if absent. */
+  readonly isOwned?: boolean;
+  /** Shares of the priorities 0, 1, … of the streams; none if absent. */
+  readonly priorityShares?: readonly number[];
+  /** Replaces the reserve that the owner learned, to compare other rules. */
+  readonly reserveOf?: (request: QuotaRequest) => number;
+  /** Hosts with smaller indexes are of the build without priorities. */
+  readonly oldHostCount?: number;
 }
 
 export interface QuotaFleet {
@@ -69,27 +84,52 @@
   /** Partitions these hosts from all others; replaces earlier partitions. */
   cut(hostIndexes: readonly number[]): void;
   setLossShare(share: number): void;
+  /** Lets every second host regard another coordinator as the owner. */
+  setTwoOwners(hasTwo: boolean): void;
   /** Returns the maximum of tokens admitted in any window of this length. */
   maxTokensInWindow(windowMs: number): number;
   /** Returns the share of the streams since `sinceMs` that were admitted. */
   allowedShareSince(sinceMs: number): number;
+  /** Like `allowedShareSince`, for the streams of one priority. */
+  allowedShareOf(priority: number, sinceMs: number): number;
   /** Returns the share that a single bucket without delay would admit. */
   idealShareSince(sinceMs: number): number;
 }
 
+function createOwnerWith(
+  ledger: SpendingLedger,
+  reserveOf: (request: QuotaRequest) => number,
+): QuotaOwner {
+  return {
+    handle(from, request) {
+      const {askId, account, costUnits} = request;
+      const kept = reserveOf(request);
+      const isGranted = ledger.grant(from, account, costUnits, kept);
+      const levelUnits = ledger.level(account)?.levelUnits ?? 0;
+      return {kind: 'quota-answer', askId, isGranted, levelUnits};
+    },
+  };
+}
+
 export function makeQuotaFleet(
   hostCount: number,
   seed: number,
-  isOwned = true,
+  options: QuotaFleetOptions = {},
 ): QuotaFleet {
+  const {isOwned = true, priorityShares = [], oldHostCount = 0} = options;
   const clock = createVirtualClock(1_000);
   const random = createSeededRandom(seed);
+  /** Separate, so that all rules for priorities get the same load. */
+  const loadRandom =
+    priorityShares.length > 0 ? createSeededRandom(seed + 1_000) : random;
   const arrivals: Arrival[] = [];
   const cutHosts = new Set<number>();
   let quota = QUOTA;
   let lossShare = 0;
   let incarnationCount = 0;
   let firstCoordinator = 0;
+  let hasTwoOwners = false;
+  let askPriority: number | undefined;
 
   function makeHost(index: number): QuotaHost {
     const hostId = `host-${index}`;
@@ -101,6 +141,10 @@
       aliveMs: clock.nowMs() - bornAtMs,
     });
     const ledger = createSpendingLedger({clock, quotaOf: () => quota});
+    const quotaOf = () => quota;
+    const owner = options.reserveOf
+      ? createOwnerWith(ledger, options.reserveOf)
+      : createQuotaOwner({clock, ledger, quotaOf});
     const tell = (toHostId: string, message: QuotaMessage) => {
       const to = hosts.findIndex(each => each.hostId === toHostId);
       deliver(index, to, () => hosts[to].receive(hostId, message));
@@ -113,7 +157,11 @@
     });
     const server = createPeerRequestServer<QuotaRequest, QuotaReply>({
       clock,
-      decide: (from, request) => handleQuotaRequest(ledger, from, request),
+      decide(from, {priority, reserveUnits, ...request}) {
+        const isOld = index < oldHostCount;
+        const news = isOld ? {} : {priority, reserveUnits};
+        return owner.handle(from, {...request, ...news});
+      },
       tell,
     });
     const limiter = createAccountLimiter({
@@ -124,7 +172,7 @@
       hasAllSpending: () => coordinators().includes(index),
       hostCount: () => hostCount,
       client,
-      ownerOf: () => (isOwned ? hosts[firstCoordinator].hostId : undefined),
+      ownerOf: () => (isOwned ? hosts[ownerIndex(index)].hostId : undefined),
     });
     return {
       hostId,
@@ -144,6 +192,9 @@
   const coordinators = () =>
     Array.from({length: COORDINATOR_COUNT}, (_, i) => firstCoordinator + i);
 
+  const ownerIndex = (asker: number) =>
+    firstCoordinator + (hasTwoOwners ? asker % 2 : 0);
+
   function deliver(from: number, to: number, action: () => void): void {
     if (cutHosts.has(from) || cutHosts.has(to)) return;
     if (random.nextFloat() < lossShare) return;
@@ -178,11 +229,27 @@
     clock.setTimer(random.nextInt(LEVELS_INTERVAL_MS), () => sendLevels(i));
   }
 
+  /** Draws the priority of a stream, if there are priorities. */
+  function drawPriority(): number | undefined {
+    if (priorityShares.length === 0) return undefined;
+    let draw = loadRandom.nextFloat();
+    const found = priorityShares.findIndex(share => (draw -= share) < 0);
+    return found < 0 ? priorityShares.length - 1 : found;
+  }
+
   async function arrive(): Promise<void> {
-    const {limiter} = hosts[random.nextInt(hostCount)];
-    const arrival = {atMs: clock.nowMs(), isAllowed: false};
+    const index = loadRandom.nextInt(hostCount);
+    const {limiter} = hosts[index];
+    const priority = drawPriority();
+    askPriority = index < oldHostCount ? undefined : priority;
+    const arrival = {atMs: clock.nowMs(), isAllowed: false, priority};
     arrivals.push(arrival);
-    const verdict = await limiter.take(ACCOUNT, quota, STREAM_TOKENS);
+    const verdict = await limiter.take({
+      account: ACCOUNT,
+      quota,
+      costUnits: STREAM_TOKENS,
+      priority: askPriority,
+    });
     arrival.isAllowed = verdict.kind === 'allowed';
   }
 
@@ -192,7 +259,8 @@
     async offer(streamsPerS, durationMs) {
       const endAtMs = clock.nowMs() + durationMs;
       for (;;) {
-        const gapMs = (-Math.log(1 - random.nextFloat()) * 1_000) / streamsPerS;
+        const gapMs =
+          (-Math.log(1 - loadRandom.nextFloat()) * 1_000) / streamsPerS;
         if (clock.nowMs() + gapMs >= endAtMs) break;
         await clock.advance(gapMs);
         void arrive();
@@ -217,6 +285,9 @@
     setLossShare(share) {
       lossShare = share;
     },
+    setTwoOwners(hasTwo) {
+      hasTwoOwners = hasTwo;
+    },
     maxTokensInWindow(windowMs) {
       const allowed = arrivals.filter(each => each.isAllowed);
       let most = 0;
@@ -244,6 +315,12 @@
       }
       return allowed / offered;
     },
+    allowedShareOf(priority, sinceMs) {
+      const since = arrivals.filter(
+        each => each.atMs >= sinceMs && each.priority === priority,
+      );
+      return since.filter(({isAllowed}) => isAllowed).length / since.length;
+    },
     allowedShareSince(sinceMs) {
       const since = arrivals.filter(({atMs}) => atMs >= sinceMs);
       const allowed = since.filter(({isAllowed}) => isAllowed);
