Determine which accounts use more than their share of a service

While requests wait for engines, nothing tells an account that sends several times its usual rate from the others, so its backlog delays all.

account_shares.ts sums the tokens placed for each account in the last 8 s and divides them by weight (the rate of the limit, or 1). An account is over its share beyond the variation of random arrivals, and remains so until its use is within the share. RelayAccounts exposes it as `shares`; the gauge accounts_over_share shows the count.

--- /dev/null
+++ b/src/relay/accounts/recent_use.ts
@@ -0,0 +1,50 @@
+/** Sums the tokens of requests over the last 8 s, in slots of one second. */
+
+export interface RecentUse {
+  add(tokens: number, nowMs: number): void;
+  sums(nowMs: number): UseSums;
+}
+
+export interface UseSums {
+  readonly tokens: number;
+  /** Sum of the squares of the requests' tokens. */
+  readonly tokensSquared: number;
+}
+
+const SLOT_MS = 1_000;
+/** The current slot and those before it: 8 s, of which the last is partial. */
+const SLOT_COUNT = 8;
+
+export function createRecentUse(): RecentUse {
+  const tokens = new Float64Array(SLOT_COUNT);
+  const tokensSquared = new Float64Array(SLOT_COUNT);
+  let lastSlot = Number.NEGATIVE_INFINITY;
+
+  /** Clears the slots that were left since the last call. */
+  function advance(nowMs: number): number {
+    const slot = Math.floor(nowMs / SLOT_MS);
+    const first = Math.max(lastSlot + 1, slot - SLOT_COUNT + 1);
+    for (let each = first; each <= slot; each++) {
+      tokens[each % SLOT_COUNT] = 0;
+      tokensSquared[each % SLOT_COUNT] = 0;
+    }
+    lastSlot = Math.max(lastSlot, slot);
+    return lastSlot % SLOT_COUNT;
+  }
+
+  return {
+    add(requestTokens, nowMs) {
+      const index = advance(nowMs);
+      tokens[index] += requestTokens;
+      tokensSquared[index] += requestTokens ** 2;
+    },
+    sums(nowMs) {
+      advance(nowMs);
+      return {tokens: sum(tokens), tokensSquared: sum(tokensSquared)};
+    },
+  };
+}
+
+function sum(values: Float64Array): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -18,6 +18,7 @@
   type AccountAdmission,
   type AccountAdmissionOptions,
 } from './account_admission.js';
+import {createAccountShares, type AccountShares} from './account_shares.js';
 import {createAccountLimiter} from './account_limiter.js';
 import {createQuotaOwner} from './quota_owner.js';
 import type {QuotaReply, QuotaRequest, QuotaMessage} from './quota_messages.js';
@@ -52,6 +53,8 @@
 
 export interface RelayAccounts {
   readonly admission: AccountAdmission;
+  /** The accounts' use of services, for the order of waiting requests. */
+  readonly shares: AccountShares;
   readonly storeTime: StoreTime;
   readonly freshness: ConfigurationFreshness;
   /** Returns the time since this process started. */
@@ -130,8 +133,18 @@
     },
     options,
   );
+  const shares = createAccountShares({
+    clock,
+    weightOf: account => quotaOf(account)?.unitsPerS ?? 1,
+  });
+  metrics.gauge(
+    'accounts_over_share',
+    'Accounts that use more than their share of a service.',
+    shares.overShareCount,
+  );
   return {
     admission,
+    shares,
     storeTime,
     freshness,
     spending: limiter.spending,
