Measure the speeds of engines and place streams by them

Cause: a run takes 2.4 times as long on a decode engine of speed 0.7 as on one of 1.7, and a prompt goes to the prefill engine with the fewest tokens whatever its speed. Change: hosts measure the pace of events and of prompts that were alone at their engine, and announce a few factors (`speeds`), at most 60 per second over all hosts. Placers combine them by a median over hosts. Prefill backlogs, their bound and the time-out of a prompt are measured in time; decode engines are chosen by free memory times the square of the speed; an engine at less than 0.45 of the mean of the others is used last. If all factors are within 15 % of 1, they count as 1.

--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -10,6 +10,7 @@
 import type {SpendingRecord} from '../accounts/spending_ledger.js';
 import type {PlacementMessage} from '../placement/placement_messages.js';
 import type {DecayingSums} from '../placement/pooled_means.js';
+import type {SpeedRecord} from '../placement/speed_records.js';
 import type {StatisticsSums} from '../placement/shared_statistics.js';
 import type {SlotMessage} from '../plain/slot_messages.js';
 import type {Waiting} from '../placement/wait_rules.js';
@@ -54,6 +55,12 @@
   readonly failureDomain: string;
   readonly load: HostLoad;
   readonly waiting: readonly WaitingRecord[];
+  /**
+   * Speeds of engines that this host measured recently. Absent if there is
+   * nothing new; earlier records stay in force. Each record is checked where it
+   * is used.
+   */
+  readonly speeds?: readonly SpeedRecord[];
   /** Engines that recently refused requests of this host. */
   readonly full: readonly string[];
   /**
--- a/src/relay/peer_state.ts
+++ b/src/relay/peer_state.ts
@@ -84,6 +84,7 @@
         ...ownFindings(),
         full: placement.scheduler.full(),
         losses: crashes.facts(),
+        speeds: undefinedIfEmpty(placement.statistics.speeds.takeRecords()),
         limits: undefinedIfEmpty(backpressure.limits.ownRecords()),
         leaving: undefinedIfEmpty(registry.leaving('self')),
         adoptedAskIds: placement.adoptedAskIds(),
--- a/src/relay/placement/engine_choice.ts
+++ b/src/relay/placement/engine_choice.ts
@@ -8,12 +8,15 @@
 import type {Random} from '../../ports/random.js';
 import type {EngineLoads} from './engine_loads.js';
 import type {EngineCandidates} from './engine_candidates.js';
+import {EVEN_SPEEDS, type SpeedFactors} from './engine_speeds.js';
 import {
   countPrefillRoom,
   countRoom,
   pickDecode,
   pickPrefill,
   plannedTokens,
+  withoutSlowed,
+  type EngineState,
   type TokenNeed,
 } from './placement_rules.js';
 import type {PlacementGroups} from './placement_groups.js';
@@ -28,6 +31,8 @@
   readonly groups: PlacementGroups;
   /** Prefill speed of an engine, averaged over all hosts. */
   tokensPerMs(): number;
+  /** Relative speeds of the engines; equal if absent. */
+  readonly speeds?: SpeedFactors;
   /** Requests are waiting at hosts that prefer the engine. */
   hasWaiters(engineId: string): boolean;
 }
@@ -62,7 +67,7 @@
   ): ChosenEngines | undefined;
   /** Chooses another prefill engine for a request that has already started. */
   choosePrefill(
-    service: string,
+    need: ChoiceNeed,
     decode: Upstream,
     avoid: ReadonlySet<string>,
   ): Upstream | undefined;
@@ -71,6 +76,9 @@
   countRuns(service: string): number;
 }
 
+/** Leaves out some engines. */
+type EngineSelection = (engines: readonly Upstream[]) => readonly Upstream[];
+
 /**
  * Prefill engines with a longer backlog get no new request. It would reserve
  * decode memory while it waits there, for longer than it would have waited in
@@ -92,8 +100,12 @@
 
 export function createEngineChoice(host: EngineChoiceHost): EngineChoice {
   const {random, registry, engineLoads, candidates, groups} = host;
+  const {speeds = EVEN_SPEEDS} = host;
+  const state: EngineState = {loads: engineLoads, speeds};
 
   const isPreferred = ({id}: Upstream) => groups.isPreferred(id);
+  /** Engines that have slowed down get no work while others have room. */
+  const usual: EngineSelection = engines => withoutSlowed(engines, speeds);
   const maxBacklogTokens = () => MAX_PREFILL_BACKLOG_MS * host.tokensPerMs();
 
   /**
@@ -124,22 +136,24 @@
   }
 
   /**
-   * The engine that will finish its backlog first, if the backlog is short
+   * The engine that will finish the prompt first, if its backlog is short
    * enough.
    */
   function pickShortBacklog(
     engines: readonly Upstream[],
     decode: Upstream,
+    {promptTokens}: TokenNeed,
   ): Upstream | undefined {
-    const picked = pickPrefill(engines, engineLoads, decode);
-    if (!picked || picked.backlogTokens > maxBacklogTokens()) {
-      return undefined;
-    }
-    return picked.engine;
+    return pickPrefill(engines, state, {
+      promptTokens,
+      decode,
+      maxBacklogTokens: maxBacklogTokens(),
+    });
   }
 
   /** Adds a prefill engine; undefined when all backlogs are too long. */
   function withPrefill(
+    need: TokenNeed,
     decode: Upstream,
     prefillEngines: readonly Upstream[],
     includingFailed: readonly Upstream[],
@@ -150,8 +164,8 @@
     // engines were excluded, the only other one prefilled 13 prompts a second
     // in a burst of 28 a second, and the decode engines stayed half empty.
     const prefill =
-      pickShortBacklog(prefillEngines, decode) ??
-      pickShortBacklog(includingFailed, decode);
+      pickShortBacklog(prefillEngines, decode, need) ??
+      pickShortBacklog(includingFailed, decode, need);
     return prefill && {decode, prefill};
   }
 
@@ -159,35 +173,41 @@
     need: ChoiceNeed,
     traits: EngineTraits,
     ahead: number,
+    select: EngineSelection,
   ): ChosenEngines | undefined {
     const {name} = need.service;
-    const engines = preferredOf(candidates.decodeWithRoom(name));
+    const engines = select(preferredOf(candidates.decodeWithRoom(name)));
     // An engine that loses some answers still serves most requests. If it were
     // excluded while the healthy engines are full, callers that it could serve
     // would wait or leave.
     const decode =
-      pickDecode(engines, engineLoads, traits, need) ??
+      pickDecode(engines, state, traits, need) ??
       pickDecode(
-        candidates.decodeIncludingFailed(name).filter(isPreferred),
-        engineLoads,
+        select(candidates.decodeIncludingFailed(name).filter(isPreferred)),
+        state,
         traits,
         need,
       );
     if (!decode) return undefined;
-    const prefillEngines = preferredOf(candidates.prefill(name));
-    const includingFailed = preferredOf(
-      candidates.prefillIncludingFailed(name),
+    const prefillEngines = select(preferredOf(candidates.prefill(name)));
+    const includingFailed = select(
+      preferredOf(candidates.prefillIncludingFailed(name)),
     );
     if (ahead > 0) {
       // Leaves room for the requests ahead. Otherwise all hosts would take the
       // same room at the moment it becomes free.
       const room = Math.min(
         countRoom(engines, engineLoads, traits, need),
-        countPrefillRoom(includingFailed, engineLoads, maxBacklogTokens()),
+        countPrefillRoom(
+          includingFailed,
+          engineLoads,
+          speeds,
+          maxBacklogTokens(),
+        ),
       );
       if (room <= ahead) return undefined;
     }
-    return withPrefill(decode, prefillEngines, includingFailed);
+    return withPrefill(need, decode, prefillEngines, includingFailed);
   }
 
   function chooseOther(
@@ -198,39 +218,52 @@
     const all = candidates.decodeWithRoom(name);
     // Old data shows room that waiting requests have already taken. Without
     // this check all groups would send to the engine that last showed room.
-    const others = all.filter(
+    const others = usual(all).filter(
       engine => !isPreferred(engine) && !host.hasWaiters(engine.id),
     );
     const spare = plannedTokens(need) * (OTHER_GROUP_FREE_FACTOR - 1);
-    const decode = pickDecode(sample(others), engineLoads, traits, need, spare);
+    const decode = pickDecode(sample(others), state, traits, need, spare);
     if (!decode) return undefined;
-    const prefillEngines = candidates.prefill(name);
-    return withPrefill(decode, sample(prefillEngines), []);
+    const prefillEngines = usual(candidates.prefill(name));
+    return withPrefill(need, decode, sample(prefillEngines), []);
   }
 
   return {
-    choose: (need, traits, ahead) =>
-      choosePreferred(need, traits, ahead) ?? chooseOther(need, traits),
+    choose(need, traits, ahead) {
+      const chosen =
+        choosePreferred(need, traits, ahead, usual) ??
+        chooseOther(need, traits);
+      if (chosen || !speeds.hasSlowed()) return chosen;
+      return choosePreferred(need, traits, ahead, all => all);
+    },
     chooseAgain(need, traits, avoid, wantsPrefill) {
       const {name} = need.service;
+      const {promptTokens} = need;
       const engines = candidates
         .decodeWithRoom(name)
         .filter(({id}) => !avoid.has(id));
       const decode =
-        pickDecode(engines.filter(isPreferred), engineLoads, traits, need) ??
-        pickDecode(engines, engineLoads, traits, need);
+        pickDecode(usual(engines).filter(isPreferred), state, traits, need) ??
+        pickDecode(usual(engines), state, traits, need) ??
+        pickDecode(engines, state, traits, need);
       if (!decode) return undefined;
       const prefillEngines = wantsPrefill
-        ? preferredOf(candidates.prefill(name))
+        ? usual(preferredOf(candidates.prefill(name)))
         : [];
-      const prefill = pickPrefill(prefillEngines, engineLoads, decode)?.engine;
+      const prefill = pickPrefill(prefillEngines, state, {
+        promptTokens,
+        decode,
+      });
       return {decode, prefill};
     },
-    choosePrefill(service, decode, avoid) {
+    choosePrefill({service, promptTokens}, decode, avoid) {
       const engines = candidates
-        .prefill(service)
+        .prefill(service.name)
         .filter(({id}) => !avoid.has(id));
-      return pickPrefill(preferredOf(engines), engineLoads, decode)?.engine;
+      return pickPrefill(usual(preferredOf(engines)), state, {
+        promptTokens,
+        decode,
+      });
     },
     hasDecode: service =>
       registry.open(service).some(({role}) => role === 'decode'),
--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -192,6 +192,7 @@
     candidates,
     groups,
     tokensPerMs: host.statistics.tokensPerMs,
+    speeds: host.statistics.speeds,
     hasWaiters: peers.hasWaiters,
   });
   let waiters: Waiter[] = [];
@@ -395,7 +396,7 @@
       return placed;
     },
     prefillAgain(need, decode, avoid) {
-      const engine = engines.choosePrefill(need.service.name, decode, avoid);
+      const engine = engines.choosePrefill(need, decode, avoid);
       return (
         engine && {
           engine,
--- a/src/relay/placement/placement_rules.ts
+++ b/src/relay/placement/placement_rules.ts
@@ -6,6 +6,7 @@
 
 import type {EngineTraits} from '../../core/routing_types.js';
 import type {DecodeLoad, EngineLoads} from './engine_loads.js';
+import type {SpeedFactors} from './engine_speeds.js';
 import type {Upstream} from '../../core/upstream.js';
 
 /** Tokens that a request needs on a decode engine. */
@@ -63,10 +64,14 @@
   return count;
 }
 
-/** How many prompts can join the backlogs before all of them are too long. */
+/**
+ * How many prompts can join the backlogs before all of them are too long.
+ * `maxBacklogTokens` is the limit of an engine of mean speed.
+ */
 export function countPrefillRoom(
   engines: readonly Upstream[],
   engineLoads: EngineLoads,
+  speeds: SpeedFactors,
   maxBacklogTokens: number,
 ): number {
   // Without prefill engines the decode engines prefill the prompts.
@@ -75,49 +80,100 @@
   for (const {id} of engines) {
     const {tokens, prompts} = engineLoads.prefillLoad(id);
     const meanTokens = prompts > 0 ? tokens / prompts : maxBacklogTokens / 4;
-    const left = Math.max(0, maxBacklogTokens - tokens);
+    const maxTokens = maxBacklogTokens * speeds.factorOf(id);
+    const left = Math.max(0, maxTokens - tokens);
     count += Math.ceil(left / Math.max(1, meanTokens));
   }
   return count;
 }
 
+/** What a choice among engines is based on. */
+export interface EngineState {
+  readonly loads: EngineLoads;
+  readonly speeds: SpeedFactors;
+}
+
+/**
+ * Free memory is weighted by this power of the speed. With speeds of 0.7, 0.7
+ * and 1.7, the power 2 gave shorter runs than 1, and served more on time than
+ * the fastest engine first where the pace of runs depends on their number
+ * (figures in docs/design/engine_speeds.md).
+ */
+const DECODE_SPEED_POWER = 2;
+
 /**
- * The decode engine with the most room, if the request fits there and leaves
- * `spareTokens` free.
+ * The decode engine with the most room weighted by its speed, if the request
+ * fits there and leaves `spareTokens` free. By free memory alone, slow and fast
+ * engines would be filled alike, although a run takes longer on a slow one.
  */
 export function pickDecode(
   engines: readonly Upstream[],
-  engineLoads: EngineLoads,
+  {loads, speeds}: EngineState,
   traits: EngineTraits,
   need: TokenNeed,
   spareTokens = 0,
 ): Upstream | undefined {
+  const neededTokens = plannedTokens(need) + spareTokens;
   let best: Upstream | undefined;
-  let bestFree = plannedTokens(need) + spareTokens;
+  let bestScore = 0;
   for (const engine of engines) {
-    const free = freeTokens(engineLoads.decodeLoad(engine.id), traits);
-    if (free < bestFree) continue;
+    const free = freeTokens(loads.decodeLoad(engine.id), traits);
+    const score = free * speeds.factorOf(engine.id) ** DECODE_SPEED_POWER;
+    if (free < neededTokens || (best && score < bestScore)) continue;
     best = engine;
-    bestFree = free;
+    bestScore = score;
   }
   return best;
 }
 
-/** The prefill engine that will be done first, and its backlog in tokens. */
+/** Limits of a choice among prefill engines. */
+export interface PrefillNeed {
+  readonly promptTokens: number;
+  readonly decode: Upstream;
+  /**
+   * The longest backlog, as tokens of an engine of mean speed; absent if any is
+   * accepted.
+   */
+  readonly maxBacklogTokens?: number;
+}
+
+/**
+ * The prefill engine that will finish the prompt first, among those with a
+ * backlog that is short enough. Times are expressed as the tokens that an engine
+ * of mean speed prefills in them.
+ */
 export function pickPrefill(
   engines: readonly Upstream[],
-  engineLoads: EngineLoads,
-  decode: Upstream,
-): {readonly engine: Upstream; readonly backlogTokens: number} | undefined {
+  {loads, speeds}: EngineState,
+  need: PrefillNeed,
+): Upstream | undefined {
+  const {promptTokens, decode} = need;
+  const maxTokens = need.maxBacklogTokens ?? Number.POSITIVE_INFINITY;
   let best: Upstream | undefined;
   let bestTokens = Number.POSITIVE_INFINITY;
   for (const engine of engines) {
-    const {tokens} = engineLoads.prefillLoad(engine.id);
+    const factor = speeds.factorOf(engine.id);
     const isCrossDomain = engine.failureDomain !== decode.failureDomain;
-    const cost = tokens + (isCrossDomain ? CROSS_DOMAIN_PREFILL_TOKENS : 0);
-    if (cost >= bestTokens) continue;
+    const waitTokens =
+      loads.prefillLoad(engine.id).tokens / factor +
+      (isCrossDomain ? CROSS_DOMAIN_PREFILL_TOKENS : 0);
+    // Relative to an engine of mean speed, so that with equal speeds the prompt
+    // itself does not count.
+    const ownTokens = promptTokens * (1 / factor - 1);
+    const endTokens = waitTokens + ownTokens;
+    if (waitTokens > maxTokens || endTokens >= bestTokens) continue;
     best = engine;
-    bestTokens = cost;
+    bestTokens = endTokens;
   }
-  return best && {engine: best, backlogTokens: bestTokens};
+  return best;
+}
+
+/** Leaves out engines that have slowed down, unless there are no others. */
+export function withoutSlowed(
+  engines: readonly Upstream[],
+  speeds: SpeedFactors,
+): readonly Upstream[] {
+  if (!speeds.hasSlowed()) return engines;
+  const others = engines.filter(({id}) => !speeds.isSlowed(id));
+  return others.length > 0 ? others : engines;
 }
--- a/src/relay/placement/relay_placement.ts
+++ b/src/relay/placement/relay_placement.ts
@@ -98,7 +98,16 @@
 export function createRelayPlacement(host: RelayPlacementHost): RelayPlacement {
   const {clock, random, createLogger, hostId, routing, registry} = host;
   const engineLoads = createEngineLoads();
-  const statistics = createSharedStatistics({clock});
+  const engines = () =>
+    (routing.current()?.services ?? [])
+      .filter(({engine}) => engine)
+      .flatMap(({name}) => registry.open(name));
+  const statistics = createSharedStatistics({
+    clock,
+    engines,
+    hostCount: () => host.members().length + 1,
+    log: createLogger('speeds'),
+  });
   const groups = createPlacementGroups({
     hostId,
     isReady: host.isReady,
@@ -107,10 +116,7 @@
         hostId: id,
         isReady: state === 'ready',
       })),
-    engines: () =>
-      (routing.current()?.services ?? [])
-        .filter(({engine}) => engine)
-        .flatMap(({name}) => registry.open(name)),
+    engines,
     usedEngineIds: engineLoads.usedEngineIds,
   });
   const view = createPeerView({clock, engineLoads, groups});
@@ -184,6 +190,7 @@
       dropStaleSummary();
       view.applyPeer(peer);
       statistics.setPeer(peer.hostId, peer.learned);
+      statistics.speeds.applyPeer(peer.hostId, peer.speeds);
       server.releaseAdopted(peer.hostId, peer.adoptedAskIds);
       // A placer receives announcements from many hosts and batches them; with
       // few hosts the queue is processed at once.
--- a/src/relay/placement/shared_statistics.ts
+++ b/src/relay/placement/shared_statistics.ts
@@ -1,6 +1,9 @@
 /** Statistics on the model engines that all hosts gather together. */
 
 import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Upstream} from '../../core/upstream.js';
+import {createEngineSpeeds, type EngineSpeeds} from './engine_speeds.js';
 import {plannedTokens, USABLE_KV_SHARE} from './placement_rules.js';
 import {
   createPooledMeans,
@@ -22,7 +25,18 @@
   readonly kvTokens: number;
 }
 
+export interface SharedStatisticsHost {
+  readonly clock: Clock;
+  /** Listed engines of all model services; speeds are measured for these. */
+  engines?(): readonly Upstream[];
+  /** Number of live hosts, this one included. */
+  hostCount?(): number;
+  readonly log?: Logger;
+}
+
 export interface SharedStatistics {
+  /** Relative speeds of the engines. */
+  readonly speeds: EngineSpeeds;
   /** Records the time from the placement of a stream to its first event. */
   recordStart(durationMs: number): void;
   /** Mean time from the placement of a stream to its first event. */
@@ -66,9 +80,9 @@
 const RUN_INITIAL_WEIGHT = 60;
 const PREFILL_INITIAL_WEIGHT = 3;
 
-export function createSharedStatistics(host: {
-  readonly clock: Clock;
-}): SharedStatistics {
+export function createSharedStatistics(
+  host: SharedStatisticsHost,
+): SharedStatistics {
   const starts = createPooledMeans(host, {
     initialMeans: [INITIAL.startMs],
     initialWeight: START_INITIAL_WEIGHT,
@@ -92,8 +106,17 @@
   const each = Object.entries(pools) as ReadonlyArray<
     readonly [StatisticKind, PooledMeans]
   >;
+  const tokensPerMs = () => prefills.means()[0];
+  const speeds = createEngineSpeeds({
+    clock: host.clock,
+    tokensPerMs,
+    engines: host.engines ?? (() => []),
+    hostCount: host.hostCount ?? (() => 1),
+    log: host.log,
+  });
 
   return {
+    speeds,
     recordStart: durationMs => starts.add([durationMs]),
     meanStartMs: () => starts.means()[0],
     recordRun({promptTokens, outputTokens, durationMs, kvTokens}) {
@@ -111,7 +134,7 @@
     recordPrefill(tokens, durationMs) {
       if (durationMs > 0 && tokens > 0) prefills.add([tokens / durationMs]);
     },
-    tokensPerMs: () => prefills.means()[0],
+    tokensPerMs,
     ownSums: () => ({
       starts: starts.ownSums(),
       runs: runs.ownSums(),
@@ -127,6 +150,7 @@
     },
     removePeer(hostId) {
       for (const [, pool] of each) pool.removePeer(hostId);
+      speeds.removePeer(hostId);
     },
   };
 }
--- /dev/null
+++ b/src/relay/placement/speed_pool.ts
@@ -0,0 +1,193 @@
+/**
+ * Combines the speeds that hosts report into one factor for each engine. Does
+ * no I/O.
+ *
+ * The median over hosts bounds the effect of one host, and recent reports count
+ * more than older ones. A host that has seen few engines reports factors
+ * relative to their mean, which may differ from the mean of all; this offset
+ * shows in all its reports and is removed. Without reports for some time a factor returns to 1, so
+ * that an engine that was slow is tried again.
+ */
+
+import type {Clock} from '../../ports/clock.js';
+
+export interface SpeedReport {
+  readonly weight: number;
+  readonly factor: number;
+  readonly measuredAtMs: number;
+}
+
+export interface SpeedPool {
+  set(hostId: string, engineId: string, report: SpeedReport): void;
+  removeHost(hostId: string): void;
+  /** Keeps only the engines for which `isListed` returns true. */
+  retain(isListed: (engineId: string) => boolean): void;
+  /** The factors of the engines with recent reports. */
+  factors(): ReadonlyMap<string, number>;
+  /** Number of hosts that reported the engine recently. */
+  reportCount(engineId: string): number;
+}
+
+export interface SpeedPoolHost {
+  readonly clock: Clock;
+  /** Number of live hosts, this one included. */
+  hostCount(): number;
+}
+
+/**
+ * The weight of a report falls to a third in this time. An engine in use gets
+ * several reports per second, so after a sudden change most of the weight is of
+ * new reports within about a second.
+ */
+const REPORT_DECAY_MS = 1_000;
+/** Without reports, a factor returns to 1 over a small multiple of this time. */
+const FORGET_MS = 20_000;
+const MAX_AGE_MS = 60_000;
+/** Weight of the factor 1; small, so that one host's own reports suffice. */
+const INITIAL_WEIGHT = 0.05;
+/** Reports of more hosts on one engine do not change the median noticeably. */
+const MAX_REPORTS_PER_ENGINE = 24;
+/**
+ * With reports of fewer hosts there is no majority against a wrong one, so the
+ * factor is kept within the bounds below.
+ */
+const MIN_HOSTS_FOR_MEDIAN = 3;
+const FEW_HOSTS_MIN = 0.5;
+const FEW_HOSTS_MAX = 2;
+
+/**
+ * Offsets and factors are computed from each other in turn; they hardly change
+ * after this many rounds.
+ */
+const ROUNDS = 3;
+
+interface Weighted {
+  readonly weight: number;
+  readonly value: number;
+}
+
+function weightedMedian(values: readonly Weighted[]): number {
+  const sorted = [...values].sort((a, b) => a.value - b.value);
+  const half = sorted.reduce((sum, {weight}) => sum + weight, 0) / 2;
+  let below = 0;
+  for (const [index, {value, weight}] of sorted.entries()) {
+    below += weight;
+    if (below > half) return value;
+    // Two equal halves have no middle value.
+    if (below === half) return (value + sorted[index + 1].value) / 2;
+  }
+  return sorted[sorted.length - 1].value;
+}
+
+export function createSpeedPool(host: SpeedPoolHost): SpeedPool {
+  const {clock} = host;
+  /** By engine and host. */
+  const reports = new Map<string, Map<string, SpeedReport>>();
+
+  const ageMs = ({measuredAtMs}: SpeedReport) =>
+    Math.max(0, clock.nowMs() - measuredAtMs);
+
+  function dropOldest(byHost: Map<string, SpeedReport>): void {
+    let oldest: string | undefined;
+    for (const [hostId, report] of byHost) {
+      const before = oldest === undefined ? undefined : byHost.get(oldest);
+      if (!before || report.measuredAtMs < before.measuredAtMs) oldest = hostId;
+    }
+    if (oldest !== undefined) byHost.delete(oldest);
+  }
+
+  function dropOld(): void {
+    for (const [engineId, byHost] of reports) {
+      for (const [hostId, report] of byHost) {
+        if (ageMs(report) > MAX_AGE_MS) byHost.delete(hostId);
+      }
+      if (byHost.size === 0) reports.delete(engineId);
+    }
+  }
+
+  /** Logarithms of the factors, given the offset of each host. */
+  function engineMedians(
+    offsets: ReadonlyMap<string, number>,
+  ): ReadonlyMap<string, number> {
+    const logs = new Map<string, number>();
+    for (const [engineId, byHost] of reports) {
+      const values = [...byHost].map(([hostId, report]) => ({
+        weight: report.weight * Math.exp(-ageMs(report) / REPORT_DECAY_MS),
+        value: Math.log(report.factor) - (offsets.get(hostId) ?? 0),
+      }));
+      logs.set(engineId, weightedMedian(values));
+    }
+    return logs;
+  }
+
+  /** By how much all reports of a host differ from those of the others. */
+  function hostOffsets(
+    logs: ReadonlyMap<string, number>,
+  ): ReadonlyMap<string, number> {
+    const differences = new Map<string, Weighted[]>();
+    for (const [engineId, byHost] of reports) {
+      for (const [hostId, {factor, weight}] of byHost) {
+        const value = Math.log(factor) - (logs.get(engineId) ?? 0);
+        const known = differences.get(hostId) ?? [];
+        known.push({weight, value});
+        differences.set(hostId, known);
+      }
+    }
+    const offsets = new Map<string, number>();
+    for (const [hostId, known] of differences) {
+      // A single report shows the engine as much as the offset.
+      const share = (known.length - 1) / known.length;
+      offsets.set(hostId, weightedMedian(known) * share);
+    }
+    return offsets;
+  }
+
+  function medians(): ReadonlyMap<string, number> {
+    let logs = engineMedians(new Map());
+    for (let round = 1; round < ROUNDS; round++) {
+      logs = engineMedians(hostOffsets(logs));
+    }
+    return logs;
+  }
+
+  return {
+    set(hostId, engineId, report) {
+      const byHost = reports.get(engineId) ?? new Map<string, SpeedReport>();
+      reports.set(engineId, byHost);
+      byHost.set(hostId, {...report, weight: Math.min(1, report.weight)});
+      if (byHost.size > MAX_REPORTS_PER_ENGINE) dropOldest(byHost);
+    },
+    removeHost(hostId) {
+      for (const byHost of reports.values()) byHost.delete(hostId);
+    },
+    retain(isListed) {
+      for (const engineId of reports.keys()) {
+        if (!isListed(engineId)) reports.delete(engineId);
+      }
+    },
+    factors() {
+      dropOld();
+      const logs = medians();
+      const factors = new Map<string, number>();
+      for (const [engineId, log] of logs) {
+        const known = [...(reports.get(engineId)?.values() ?? [])];
+        const weight = known.reduce(
+          (sum, report) =>
+            sum + report.weight * Math.exp(-ageMs(report) / FORGET_MS),
+          0,
+        );
+        const factor = Math.exp((log * weight) / (weight + INITIAL_WEIGHT));
+        const needed = Math.min(MIN_HOSTS_FOR_MEDIAN, host.hostCount());
+        const isBounded = known.length < needed;
+        factors.set(
+          engineId,
+          isBounded
+            ? Math.min(FEW_HOSTS_MAX, Math.max(FEW_HOSTS_MIN, factor))
+            : factor,
+        );
+      }
+      return factors;
+    },
+    reportCount: engineId => reports.get(engineId)?.size ?? 0,
+  };
+}
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -57,8 +57,9 @@
   ): Promise<PrefillStepOutcome | SendFailure> {
     const {job, need} = state;
     const startedAtMs = clock.nowMs();
-    const backlogMs =
-      reservation.backlogTokens() / host.statistics.tokensPerMs();
+    const {speeds, tokensPerMs} = host.statistics;
+    const engineTokensPerMs = tokensPerMs() * speeds.factorOf(engine.id);
+    const backlogMs = reservation.backlogTokens() / engineTokensPerMs;
     const options: SendOptions = {
       upstream: engine,
       leftMs: leftMs(job.deadlineAtMs, startedAtMs),
@@ -83,6 +84,9 @@
     if (wasAlone) {
       const durationMs = clock.nowMs() - startedAtMs;
       host.statistics.recordPrefill(need.promptTokens, durationMs);
+      if (durationMs > 0) {
+        speeds.recordPrompt(engine, need.promptTokens / durationMs);
+      }
     }
     const {handle} = outcome;
     const {id: engineId, address} = engine;
--- /dev/null
+++ b/src/relay/streams/run_pace.ts
@@ -0,0 +1,52 @@
+/** Measures how fast the events of one run arrive. */
+
+import type {Clock} from '../../ports/clock.js';
+
+export interface RunPaceHost {
+  readonly clock: Clock;
+  /** Called for each stretch of events, with the mean time between them. */
+  onMeasured(msPerEvent: number, durationMs: number): void;
+}
+
+export interface RunPaceMeter {
+  noteEvent(): void;
+  /**
+   * Starts a new stretch after a pause that was not the engine's: events that
+   * wait for a slow caller would make the engine look slow.
+   */
+  restart(): void;
+}
+
+/**
+ * Several events may arrive in one packet, so single gaps are not used. A
+ * stretch of this length has a few events, and several of them fit into the
+ * second in which a sudden change must show.
+ */
+const MIN_STRETCH_MS = 200;
+
+export function createRunPaceMeter(host: RunPaceHost): RunPaceMeter {
+  const {clock} = host;
+  /** When the first event of the stretch arrived; it counts only as its start. */
+  let startedAtMs: number | undefined;
+  let events = 0;
+
+  return {
+    noteEvent() {
+      const nowMs = clock.nowMs();
+      if (startedAtMs === undefined) {
+        startedAtMs = nowMs;
+        events = 0;
+        return;
+      }
+      events++;
+      const durationMs = nowMs - startedAtMs;
+      if (durationMs < MIN_STRETCH_MS) return;
+      host.onMeasured(durationMs / events, durationMs);
+      startedAtMs = nowMs;
+      events = 0;
+    },
+    restart() {
+      startedAtMs = undefined;
+    },
+  };
+}
--- a/src/relay/streams/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -24,6 +24,11 @@
   readonly stallTimeoutMs?: number;
   readonly deadlineAtMs: number;
   onEvent(event: StreamEvent): void;
+  /**
+   * Reading from the engine continues after a pause for a caller that reads
+   * slowly.
+   */
+  onResume(): void;
 }
 
 export function relayEvents(
@@ -60,7 +65,10 @@
     const write = (bytes: Buffer) => {
       if (!caller.write(bytes)) body.pause();
     };
-    caller.onWritable(() => body.resume());
+    caller.onWritable(() => {
+      options.onResume();
+      body.resume();
+    });
     restartStallTimer();
     body.read({
       chunk(bytes) {
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -28,6 +28,7 @@
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import {createOutputForecast} from './output_forecast.js';
 import {leftMs, type JobOutcome, type RelayJob} from '../relay_types.js';
+import {createRunPaceMeter} from './run_pace.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
 import {createStreamStart, STALL_TIMEOUT_MS} from './stream_start.js';
 import type {StreamState} from './stream_state.js';
@@ -98,6 +99,17 @@
     const tokensPerEvent = job.service.engine?.tokensPerEvent ?? 1;
     if (!job.caller.hasBegun) job.caller.begin(answer.status, answer.headers);
     let eventsOfRun = 0;
+    const {decode} = placement;
+    const pace = createRunPaceMeter({
+      clock,
+      onMeasured: (msPerEvent, durationMs) =>
+        host.statistics.speeds.recordEvents({
+          engine: decode,
+          runs: engineLoads.decodeLoad(decode.id).runs,
+          msPerToken: msPerEvent / tokensPerEvent,
+          durationMs,
+        }),
+    });
     return relayEvents(
       {clock},
       {
@@ -107,7 +119,9 @@
         wholeEventsOnly: job.route.isResumable,
         stallTimeoutMs: canResumeAfter(state) ? STALL_TIMEOUT_MS : undefined,
         deadlineAtMs: job.deadlineAtMs,
+        onResume: pace.restart,
         onEvent(event) {
+          pace.noteEvent();
           state.events++;
           eventsOfRun++;
           state.lastEventId = event.id ?? state.lastEventId;
