--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -191,6 +191,7 @@
     candidates,
     groups,
     tokensPerMs: host.statistics.tokensPerMs,
+    speeds: host.statistics.speeds,
     hasWaiters: peers.hasWaiters,
   });
   const queue = createStreamQueue({
@@ -312,7 +313,7 @@
       return placed;
     },
     prefillAgain(need, decode, avoid) {
-      const engine = engines.choosePrefill(need.service.name, decode, avoid);
+      const engine = engines.choosePrefill(need, decode, avoid);
       return (
         engine && {
           engine,
