Order waiting streams by the shares of their accounts

Cause: the scheduler asks whether an account is over its share, and the module that knows it was not connected. Change: the relay passes placements to AccountShares and asks it.

--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -171,6 +171,8 @@
     isPaused: engineId => backpressure.gate.blockedForMs(engineId) > 0,
     send: (hostId, message) => peers.sendMessage(hostId, message),
     members: () => peers.alive(),
+    isOverShare: accounts.shares.isOverShare,
+    onPlaced: accounts.shares.record,
     onChange: () => peers.changed(),
   });
   const {engineLoads, statistics, scheduler} = placement;
