Bound what is held for slow callers, and let owners of retries count credits when they arrive

Cause: many callers that read slowly fill the memory of a small host, and a run that this host paused for its caller counted as stalled after 1.3 s. An owner of retries dated credits back by the delay of reports, so it granted less than allowed. The owner's constant is reduced by the credits on their way instead.

--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -12,6 +12,7 @@
 import type {Logger} from '../../ports/log.js';
 import type {RawHeaders, RequestReader} from '../../ports/relay.js';
 import type {Caller} from './caller.js';
+import type {CallerBuffers, CallerConnection} from './caller_buffers.js';
 import type {Relay} from '../relay.js';
 
 export interface RelayFrontHost {
@@ -19,6 +20,7 @@
   readonly log: Logger;
   readonly reader: RequestReader;
   readonly relay: Relay;
+  readonly buffers: CallerBuffers;
   limits(): CallerLimits | undefined;
   /** Returns whether connections are closed after the next answer. */
   isLeaving(): boolean;
@@ -83,7 +85,7 @@
     const arrivedAtMs = clock.nowMs();
     lastRequestAtMs = arrivedAtMs;
     const facts = reader.read(message.rawHeaders);
-    const caller = createHttpCaller(response, facts.requestId, host.isLeaving);
+    const caller = createHttpCaller(response, facts.requestId, host);
     const body = await readBody(message);
     if (body.error) return caller.refuse(body.error);
     // The caller disconnected before it had sent the whole request.
@@ -140,16 +142,32 @@
 function createHttpCaller(
   response: http.ServerResponse,
   requestId: string,
-  isLeaving: () => boolean,
+  {isLeaving, buffers}: Pick<RelayFrontHost, 'isLeaving' | 'buffers'>,
 ): Caller {
+  let hasLength = false;
+  const connection: CallerConnection = {
+    requestId,
+    isStream: () => !hasLength,
+    bufferedBytes: () => response.writableLength,
+    close: () => void response.destroy(),
+  };
   const connectionHeader = (): string[] =>
     isLeaving() ? ['Connection', 'close'] : [];
+  response.on('drain', () => buffers.noteFree(connection));
+  response.once('close', () => buffers.noteFree(connection));
+
+  function write(bytes: Buffer): boolean {
+    const isTaken = response.write(bytes);
+    if (!isTaken && !response.destroyed) buffers.noteBlocked(connection);
+    return isTaken;
+  }
 
   function begin(
     status: number,
     headers: RawHeaders,
     bodyLength?: number,
   ): void {
+    hasLength = bodyLength !== undefined;
     const length =
       bodyLength === undefined ? [] : ['Content-Length', String(bodyLength)];
     response.writeHead(status, [...headers, ...length, ...connectionHeader()]);
@@ -160,7 +178,7 @@
       return response.headersSent;
     },
     begin,
-    write: bytes => response.write(bytes),
+    write,
     end: () => void response.end(),
     cut: () => void response.destroy(),
     refuse(error) {
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -1,6 +1,7 @@
 /** Gauges that show the state of a relay process. */
 
 import type {UpstreamLimits} from './backpressure/upstream_limits.js';
+import type {CallerBuffers} from './front/caller_buffers.js';
 import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
 import type {PlainPlacement} from './plain/plain_placement.js';
@@ -24,6 +25,7 @@
   readonly placement: RelayPlacement;
   readonly plainPlaces: PlainPlacement;
   readonly limits: UpstreamLimits;
+  readonly callerBuffers: CallerBuffers;
 }
 
 interface Gauge {
@@ -108,6 +110,11 @@
     help: 'Upstreams that name a limit in their answers.',
     read: ({limits}) => limits.limitedCount(),
   },
+  {
+    name: 'caller_buffer_bytes',
+    help: 'Bytes held for callers that read slowly.',
+    read: ({callerBuffers}) => callerBuffers.bufferedBytes(),
+  },
   {
     name: 'waiting_streams',
     help: 'Streams that wait for engines.',
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -31,6 +31,8 @@
   sends_withheld: 'Sends held back as upstreams ask for less, by reason.',
   role_orders: 'Orders to engines to change their role, by outcome.',
   retries: 'Retries that were allowed, by service and by whom.',
+  slow_callers_closed:
+    'Callers disconnected as they read too slowly, by cause.',
   retries_denied: 'Retries that were denied, by service and cause.',
 } as const;
 
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -16,6 +16,7 @@
 import {createBackpressure} from './backpressure/backpressure.js';
 import {createGatedUpstreamPort} from './backpressure/gated_upstream_port.js';
 import {createCrashWatch} from './crash_watch.js';
+import {createCallerBuffers} from './front/caller_buffers.js';
 import {listEntries} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
 import {toHostCapacity} from './fleet/host_capacity.js';
@@ -339,8 +340,13 @@
     accounts: accounts.admission,
     refuseForLeaving: leaving.refuse,
   });
+  const callerBuffers = createCallerBuffers(
+    {clock, log: createLogger('front'), metrics},
+    settings,
+  );
   const front = createRelayFront({
     clock,
+    buffers: callerBuffers,
     log: createLogger('front'),
     reader: adapters.reader,
     relay,
@@ -439,6 +445,7 @@
     placement,
     plainPlaces,
     limits: backpressure.limits,
+    callerBuffers,
   });
 
   await front.listen(settings.callerAddress);
--- a/src/relay/retries/retry_owner.ts
+++ b/src/relay/retries/retry_owner.ts
@@ -6,7 +6,14 @@
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import {toOwnerTag, type UnusedRetries} from './retry_messages.js';
-import {ownerPart, reportValidMs} from './retry_rules.js';
+import {
+  MAX_ON_WAY_SHARE,
+  MAX_OWNERS,
+  ownedShare,
+  ownersPart,
+  reportDelayMs,
+  reportValidMs,
+} from './retry_rules.js';
 import {createRetryWindow, type RetryWindow} from './retry_window.js';
 
 /** One start of a host. */
@@ -35,9 +42,6 @@
   grant(toHostId: string, service: string): boolean;
 }
 
-/** A host with 1,000 requests a second leaves fewer unused in 8 s. */
-const MAX_ADDED = 1_000;
-
 interface Report {
   readonly incarnation: string;
   readonly heardAtMs: number;
@@ -55,10 +59,15 @@
   const reports = new Map<string, Report>();
   const services = new Map<string, OwnedService>();
   const ownTag = toOwnerTag(host.hostId);
+  const hosts = () => ({knownCount: host.knownCount()});
+  const delayMs = () => reportDelayMs(hosts());
+  const part = () => ownersPart(retrySlack, hosts(), reports.size);
 
   /** Begins without credits when this host becomes the owner. */
   function find(service: string): OwnedService {
-    const owned = services.get(service) ?? {window: createRetryWindow(clock)};
+    const owned = services.get(service) ?? {
+      window: createRetryWindow({clock, delayMs}),
+    };
     services.set(service, owned);
     if (!host.isOwner(service)) {
       owned.ownedSinceMs = undefined;
@@ -70,7 +79,7 @@
   }
 
   function dropOldReports(): void {
-    const validMs = reportValidMs({knownCount: host.knownCount()});
+    const validMs = reportValidMs(hosts());
     for (const [hostId, {heardAtMs}] of reports) {
       if (clock.nowMs() - heardAtMs >= validMs) reports.delete(hostId);
     }
@@ -89,9 +98,9 @@
       before.entries.get(service) ?? [];
     if (tagBefore !== ownTag) return;
     const added = total - totalBefore;
-    const sinceMs = Math.max(before.heardAtMs, ownedSinceMs);
-    if (added <= 0) return;
-    window.credit(Math.min(added, MAX_ADDED), sinceMs);
+    // After a lost report it is not known what belongs to the last 10 s.
+    const isLate = clock.nowMs() - before.heardAtMs > delayMs();
+    if (added > 0 && !isLate) window.credit(added, part() * MAX_ON_WAY_SHARE);
   }
 
   return {
@@ -111,19 +120,18 @@
       if (!host.hasService(service)) return false;
       const {window, ownedSinceMs} = find(service);
       if (ownedSinceMs === undefined) return false;
-      const ownedMs = clock.nowMs() - ownedSinceMs;
-      const reportingCount = reports.size;
-      const knownCount = host.knownCount();
-      const situation = {knownCount, reportingCount, ownedMs};
-      const constant = ownerPart(retrySlack, situation);
-      if (window.tryGrant(constant)) return true;
+      const limit = {
+        restRetries: part(),
+        ownerCount: MAX_OWNERS,
+        ownedShare: ownedShare(clock.nowMs() - ownedSinceMs),
+      };
+      if (window.tryGrant(limit)) return true;
       log.info('No retry is left to grant.', {
         service,
         peer: toHostId,
-        granted: window.grantCount(),
-        constant: Number(constant.toFixed(1)),
-        reportingCount,
-        ownedMs: Math.round(ownedMs),
+        reportingCount: reports.size,
+        ...limit,
+        ...window.counts(),
       });
       return false;
     },
--- a/src/relay/retries/retry_rules.ts
+++ b/src/relay/retries/retry_rules.ts
@@ -18,7 +18,12 @@
  */
 const MIN_SHARED_SLACK = 4;
 /** There may be two owners for a moment, so each grants at most half. */
-const MAX_OWNERS = 2;
+export const MAX_OWNERS = 2;
+/**
+ * Of what owners may grant, the part that may be on its way to them in reports
+ * (see `retry_window.ts`): the rest is enough for bursts of failures.
+ */
+export const MAX_ON_WAY_SHARE = 1 / 2;
 
 export interface RetryHosts {
   /** Hosts ever seen, including this one. */
@@ -43,38 +48,36 @@
   return part >= 1 ? part : 0;
 }
 
-export interface OwnerSituation extends RetryHosts {
-  /** Hosts whose reports the owner receives, including itself. */
-  readonly reportingCount: number;
-  /** Time since this host became the owner. */
-  readonly ownedMs: number;
-}
-
 /**
- * Additional retries that an owner may grant in any 10 s.
+ * Additional retries that owners may grant in any 10 s.
  *
- * It counts only the hosts that report to it: the others use their whole part
- * alone (earlier builds) or ask another owner (partitions). A new owner does
- * not know what the one before it granted, so its part grows from zero until
- * that no longer counts.
+ * Only the hosts that report to this owner count: the others use their whole
+ * part alone (earlier builds) or ask another owner (partitions).
  */
-export function ownerPart(
+export function ownersPart(
   retrySlack: number,
-  situation: OwnerSituation,
+  hosts: RetryHosts,
+  reportingCount: number,
 ): number {
-  const {reportingCount, ownedMs} = situation;
-  const count = hostCount(situation);
-  const restPerHost = retrySlack / count - ownPart(retrySlack, situation);
-  const rest = restPerHost * Math.min(count, reportingCount);
-  return (rest / MAX_OWNERS) * Math.min(1, ownedMs / WINDOW_MS);
+  const count = hostCount(hosts);
+  const restPerHost = retrySlack / count - ownPart(retrySlack, hosts);
+  return restPerHost * Math.min(count, reportingCount);
 }
 
 /**
- * A report takes some 30 bytes of a compressed state: with 22 a second, a host
- * that receives those of all others gets less than 1 KB a second.
+ * A new owner does not know what the one before it granted, so its part grows
+ * from zero until that no longer counts.
  */
-const REPORT_INTERVAL_PER_HOST_MS = 45;
-const MIN_REPORT_INTERVAL_MS = 3_000;
+export function ownedShare(ownedMs: number): number {
+  return Math.min(1, ownedMs / WINDOW_MS);
+}
+
+/**
+ * A report takes some 30 bytes of a compressed state: with 40 a second, a host
+ * that receives those of all others gets 1.2 KB a second.
+ */
+const REPORT_INTERVAL_PER_HOST_MS = 30;
+const MIN_REPORT_INTERVAL_MS = 2_000;
 /** What is reported later than the window is long is of no use. */
 const MAX_REPORT_INTERVAL_MS = 8_000;
 
@@ -86,6 +89,13 @@
   );
 }
 
+/** A report follows the one before within the interval and one state more. */
+const REPORT_DELAY_MARGIN_MS = 700;
+
+export function reportDelayMs(hosts: RetryHosts): number {
+  return reportIntervalMs(hosts) + REPORT_DELAY_MARGIN_MS;
+}
+
 /** One report may be lost before its host no longer counts. */
 const REPORT_VALID_INTERVALS = 2.2;
 
--- a/src/relay/retries/retry_window.ts
+++ b/src/relay/retries/retry_window.ts
@@ -2,23 +2,41 @@
  * Counts the retries of one service that an owner grants, so that in any 10 s
  * they stay within a constant plus what the requests of that time allowed.
  *
- * It checks each span of time that ends now and is at most that long. The times
- * are rounded such that the sum can only be smaller than allowed: a grant may
- * be used a little later than it was given, and a host reports what its
- * requests allowed a little later than they arrived.
+ * It checks each span of time that ends now and is at most that long. The owner
+ * learns what requests allowed (credits) with a delay, so credits that it
+ * counts in a span may belong to the time before. The constant is therefore
+ * reduced by the most credits that were ever on their way.
  */
 
 import type {Clock} from '../../ports/clock.js';
 
+export interface GrantLimit {
+  /** What all owners together may grant in any 10 s beside the credits. */
+  readonly restRetries: number;
+  /** Number of owners that there may be at a time. */
+  readonly ownerCount: number;
+  /** Share of its part that a new owner may grant already. */
+  readonly ownedShare: number;
+}
+
 export interface RetryWindow {
-  /** Adds retries that requests allowed, all of them after `sinceMs`. */
-  credit(count: number, sinceMs: number): void;
-  /** Grants a retry, unless that would exceed `constant` plus the credits. */
-  tryGrant(constant: number): boolean;
+  /**
+   * Adds retries that requests allowed within the delay before now, as far as
+   * credits on their way stay within `maxOnWay`.
+   */
+  credit(count: number, maxOnWay: number): void;
+  /** Grants a retry if the limit leaves one. */
+  tryGrant(limit: GrantLimit): boolean;
   /** Forgets the credits, but not the grants. */
   clearCredits(): void;
-  /** Grants within the last 10 s, for logs. */
-  grantCount(): number;
+  /** Grants and credits within the last 10 s, for logs. */
+  counts(): {readonly grants: number; readonly credits: number};
+}
+
+export interface RetryWindowHost {
+  readonly clock: Clock;
+  /** Longest time until a credit is reported. */
+  delayMs(): number;
 }
 
 /** The bound holds for any period of this length. */
@@ -28,64 +46,93 @@
 /** A grant is used or dropped within a slot, so one more slot is counted. */
 export const GRANT_VALID_MS = SLOT_MS;
 const SLOT_COUNT = WINDOW_MS / SLOT_MS + 2;
-/** For a slot of delay of a report, and one until a grant is used. */
-const CREDIT_MARGIN_SLOTS = 2;
+/** A grant is used within a slot, and a span begins within another. */
+const DELAY_MARGIN_SLOTS = 2;
 
 interface Slot {
   grants: number;
   credits: number;
 }
 
-export function createRetryWindow(clock: Clock): RetryWindow {
+const EMPTY_SLOT: Slot = {grants: 0, credits: 0};
+
+export function createRetryWindow(host: RetryWindowHost): RetryWindow {
+  const {clock} = host;
   /** By number of the slot since the start of the clock. */
   const slots = new Map<number, Slot>();
-  const slotAt = (timeMs: number) => Math.floor(timeMs / SLOT_MS);
+  const nowSlot = () => Math.floor(clock.nowMs() / SLOT_MS);
+  const delaySlots = () =>
+    Math.ceil(host.delayMs() / SLOT_MS) + DELAY_MARGIN_SLOTS;
 
   function dropOld(): void {
-    const oldest = slotAt(clock.nowMs()) - SLOT_COUNT;
+    const oldest = nowSlot() - SLOT_COUNT;
     for (const index of slots.keys()) {
       if (index <= oldest) slots.delete(index);
     }
   }
 
-  function slotOf(index: number): Slot {
-    const slot = slots.get(index) ?? {grants: 0, credits: 0};
-    slots.set(index, slot);
+  /** The slots of the window, from the newest to the oldest. */
+  function recent(): readonly Slot[] {
+    const newest = nowSlot();
+    return Array.from(
+      {length: SLOT_COUNT},
+      (_, age) => slots.get(newest - age) ?? EMPTY_SLOT,
+    );
+  }
+
+  function currentSlot(): Slot {
+    dropOld();
+    const slot = slots.get(nowSlot()) ?? {grants: 0, credits: 0};
+    slots.set(nowSlot(), slot);
     return slot;
   }
 
-  /** How many more grants every span that ends now allows beside the constant. */
-  function leastRoom(): number {
-    const newest = slotAt(clock.nowMs());
-    let room = 0;
+  /** Most credits within the delay at any time of the window. */
+  function mostOnWay(): number {
+    const list = recent();
+    const length = delaySlots();
+    let sum = 0;
+    let most = 0;
+    list.forEach(({credits}, index) => {
+      sum += credits - (list[index - length]?.credits ?? 0);
+      most = Math.max(most, sum);
+    });
+    return most;
+  }
+
+  /** Credits minus grants of the span that has least of it. */
+  function leastBalance(): number {
+    let balance = 0;
     let least = Infinity;
-    for (let index = newest; index > newest - SLOT_COUNT; index--) {
-      const {grants = 0, credits = 0} = slots.get(index) ?? {};
-      // A span that begins within this slot has all its grants, but perhaps
-      // none of its credits.
-      least = Math.min(least, room - grants);
-      room += credits - grants;
+    for (const {credits, grants} of recent()) {
+      balance += credits - grants;
+      least = Math.min(least, balance);
     }
     return least;
   }
 
   return {
-    credit(count, sinceMs) {
-      dropOld();
-      slotOf(slotAt(sinceMs) - CREDIT_MARGIN_SLOTS).credits += count;
+    credit(count, maxOnWay) {
+      const slot = currentSlot();
+      const onWay = recent()
+        .slice(0, delaySlots())
+        .reduce((sum, {credits}) => sum + credits, 0);
+      slot.credits += Math.max(0, Math.min(count, maxOnWay - onWay));
     },
-    tryGrant(constant) {
-      dropOld();
-      if (constant + leastRoom() < 1) return false;
-      slotOf(slotAt(clock.nowMs())).grants++;
+    tryGrant({restRetries, ownerCount, ownedShare}) {
+      const slot = currentSlot();
+      const constant = ((restRetries - mostOnWay()) / ownerCount) * ownedShare;
+      if (constant + leastBalance() < 1) return false;
+      slot.grants++;
       return true;
     },
     clearCredits() {
       for (const slot of slots.values()) slot.credits = 0;
     },
-    grantCount() {
-      dropOld();
-      return [...slots.values()].reduce((sum, {grants}) => sum + grants, 0);
-    },
+    counts: () =>
+      recent().reduce((sum, {grants, credits}) => ({
+        grants: sum.grants + grants,
+        credits: sum.credits + credits,
+      })),
   };
 }
--- a/src/relay/streams/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -26,6 +26,9 @@
   onEvent(event: StreamEvent): void;
 }
 
+/** An event of 18 tokens takes a few hundred bytes; one that never ends grows. */
+const MAX_EVENT_BYTES = 256 * 1024;
+
 export function relayEvents(
   host: {readonly clock: Clock},
   options: StreamEventsOptions,
@@ -46,7 +49,7 @@
       resolve(end);
     };
     const restartStallTimer = () => {
-      if (stallTimeoutMs === undefined) return;
+      if (stallTimeoutMs === undefined || isPaused) return;
       if (stallTimer) clock.clearTimer(stallTimer);
       stallTimer = clock.setTimer(stallTimeoutMs, () =>
         finish({kind: 'broken', detail: `silent for ${stallTimeoutMs} ms`}),
@@ -57,10 +60,21 @@
       () => finish({kind: 'timeout', detail: 'the wait is over'}),
     );
     cancellation.onCancel(() => finish({kind: 'caller-gone'}));
+    // While the caller reads nothing, the run sends nothing either, and must
+    // not count as stalled.
+    let isPaused = false;
     const write = (bytes: Buffer) => {
-      if (!caller.write(bytes)) body.pause();
+      if (caller.write(bytes) || isDone) return;
+      isPaused = true;
+      if (stallTimer) clock.clearTimer(stallTimer);
+      body.pause();
     };
-    caller.onWritable(() => body.resume());
+    caller.onWritable(() => {
+      if (isDone || !isPaused) return;
+      isPaused = false;
+      restartStallTimer();
+      body.resume();
+    });
     restartStallTimer();
     body.read({
       chunk(bytes) {
@@ -72,6 +86,9 @@
           if (options.wholeEventsOnly) write(event.bytes);
           options.onEvent(event);
         }
+        if (framer.rest().length <= MAX_EVENT_BYTES) return;
+        const detail = `an event of over ${MAX_EVENT_BYTES} bytes`;
+        finish({kind: 'broken', detail});
       },
       end() {
         if (isDone) return;
