Keep retries of small deployments at their hosts, and hold refused hosts briefly at first

Change: the slack is divided by what remains to share: half, one retry, or, with many hosts, none of it stays at each host; below 16 nothing is shared. The time without asking starts at 10 ms x hosts and doubles to 150 ms x hosts.

--- a/src/relay/retries/relay_retries.ts
+++ b/src/relay/retries/relay_retries.ts
@@ -124,8 +124,9 @@
   return {
     allowance: shared,
     report() {
-      if (!isShared(options.retrySlack)) return undefined;
-      const intervalMs = reportIntervalMs({knownCount: knownCount()});
+      const hosts = {knownCount: knownCount()};
+      if (!isShared(options.retrySlack, hosts)) return undefined;
+      const intervalMs = reportIntervalMs(hosts);
       const isDue = clock.nowMs() % intervalMs < REPORTED_FOR_MS;
       return isDue ? shared.unused() : undefined;
     },
--- a/src/relay/retries/retry_rules.ts
+++ b/src/relay/retries/retry_rules.ts
@@ -3,6 +3,7 @@
  * hosts and the owner that grants the rest.
  */
 
+import {isMeshSize} from '../fleet/coordinators.js';
 import {WINDOW_MS} from './retry_window.js';
 
 /**
@@ -10,20 +11,13 @@
  * not use their shares, so it counts at least this many.
  */
 const MIN_HOST_COUNT = 14;
-/** Of the additional retries, what the own parts of all hosts may use. */
-const OWN_SHARE = 1 / 2;
-/**
- * With fewer additional retries, the half of what an owner may grant is below
- * two, so that each host uses its part alone as before.
- */
-const MIN_SHARED_SLACK = 4;
 /** There may be two owners for a moment, so each grants at most half. */
 export const MAX_OWNERS = 2;
 /**
  * Of what owners may grant, the part that may be on its way to them in reports
  * (see `retry_window.ts`): the rest is enough for bursts of failures.
  */
-export const MAX_ON_WAY_SHARE = 1 / 2;
+export const MAX_ON_WAY_SHARE = 3 / 4;
 
 export interface RetryHosts {
   /** Hosts ever seen, including this one. */
@@ -33,19 +27,45 @@
 const hostCount = ({knownCount}: RetryHosts) =>
   Math.max(MIN_HOST_COUNT, knownCount);
 
-export function isShared(retrySlack: number): boolean {
-  return retrySlack >= MIN_SHARED_SLACK;
+/**
+ * With less to share, an owner's half, less what is on its way, would be below
+ * two retries, which serves no burst of failures.
+ */
+const MIN_SHARED = 16;
+
+interface Division {
+  /** Additional retries that a host may use without asking. */
+  readonly ownPart: number;
+  /** What a host leaves to the owners. */
+  readonly leftPerHost: number;
 }
 
 /**
- * Additional retries that a host may use without asking. A part below one
- * retry would be of no use, so the owner grants all of them there.
+ * Divides the additional retries. A part below one retry could never be used,
+ * so hosts have at least one or none. Few hosts always have one: they lose more
+ * by asking than they gain.
  */
+function divide(retrySlack: number, hosts: RetryHosts): Division {
+  const count = hostCount(hosts);
+  const evenPart = retrySlack / count;
+  const ownParts = [evenPart / 2, 1, 0].filter(
+    part => part >= 1 || (part === 0 && !isMeshSize(count)),
+  );
+  const ownPart = ownParts.find(
+    part => (evenPart - part) * count >= MIN_SHARED,
+  );
+  return ownPart === undefined
+    ? {ownPart: Math.max(1, evenPart), leftPerHost: 0}
+    : {ownPart, leftPerHost: evenPart - ownPart};
+}
+
 export function ownPart(retrySlack: number, hosts: RetryHosts): number {
-  const evenPart = retrySlack / hostCount(hosts);
-  if (!isShared(retrySlack)) return Math.max(1, evenPart);
-  const part = evenPart * OWN_SHARE;
-  return part >= 1 ? part : 0;
+  return divide(retrySlack, hosts).ownPart;
+}
+
+/** Whether there is an owner; else each host has its part alone. */
+export function isShared(retrySlack: number, hosts: RetryHosts): boolean {
+  return divide(retrySlack, hosts).leftPerHost > 0;
 }
 
 /**
@@ -59,9 +79,8 @@
   hosts: RetryHosts,
   reportingCount: number,
 ): number {
-  const count = hostCount(hosts);
-  const restPerHost = retrySlack / count - ownPart(retrySlack, hosts);
-  return restPerHost * Math.min(count, reportingCount);
+  const {leftPerHost} = divide(retrySlack, hosts);
+  return leftPerHost * Math.min(hostCount(hosts), reportingCount);
 }
 
 /**
@@ -104,12 +123,19 @@
 }
 
 /**
- * After a refusal a host asks no more for this time. If all hosts go on asking,
- * the owner gets seven requests of some 100 bytes a second, which with the
- * answers stays within 1.5 KB a second.
+ * After a refusal a host asks no more for a while, which doubles with each
+ * refusal in a row. If all hosts go on asking at the longest interval, the
+ * owner gets seven requests of some 100 bytes a second, which with the answers
+ * stays within 1.5 KB a second.
  */
-const REFUSED_HOLD_PER_HOST_MS = 150;
+const MIN_HOLD_PER_HOST_MS = 10;
+const MAX_HOLD_PER_HOST_MS = 150;
 
-export function refusedHoldMs(hosts: RetryHosts): number {
-  return Math.min(WINDOW_MS, REFUSED_HOLD_PER_HOST_MS * hosts.knownCount);
+/** `refusals` counts those in a row, this one included. */
+export function refusedHoldMs(hosts: RetryHosts, refusals: number): number {
+  const perHostMs = MIN_HOLD_PER_HOST_MS * 2 ** (refusals - 1);
+  return Math.min(
+    WINDOW_MS,
+    Math.min(MAX_HOLD_PER_HOST_MS, perHostMs) * hosts.knownCount,
+  );
 }
--- a/src/relay/retries/shared_retries.ts
+++ b/src/relay/retries/shared_retries.ts
@@ -67,6 +67,7 @@
   const {clock, log, metrics} = host;
   const unused = new Map<string, number>();
   const heldUntilMs = new Map<string, number>();
+  const refusalsInARow = new Map<string, number>();
   /** By service: until when retries that were not used may be used. */
   const returnedUntilMs = new Map<string, number[]>();
   const hosts = () => ({knownCount: host.knownCount()});
@@ -121,14 +122,20 @@
     const answer = await host.client.ask(owner, {kind: 'retry-ask', service});
     const fields = {request, owner};
     if (!answer) return hold(service, 'no-answer', SILENT_HOLD_MS, fields);
-    if (answer.isGranted) return allow(service, 'owner');
-    return hold(service, 'refused', refusedHoldMs(hosts()), fields);
+    if (answer.isGranted) {
+      refusalsInARow.delete(service);
+      return allow(service, 'owner');
+    }
+    const refusals = (refusalsInARow.get(service) ?? 0) + 1;
+    refusalsInARow.set(service, refusals);
+    return hold(service, 'refused', refusedHoldMs(hosts(), refusals), fields);
   }
 
   return {
     requestStarted: own.requestStarted,
     hasLeft: (service, count) =>
-      own.hasLeft(service, count) || (isShared(retrySlack) && !isHeld(service)),
+      own.hasLeft(service, count) ||
+      (isShared(retrySlack, hosts()) && !isHeld(service)),
     giveBack(service) {
       if (ownPartNow() >= 1) return own.giveBack(service);
       const untilMs = clock.nowMs() + GRANT_VALID_MS;
@@ -138,7 +145,7 @@
     tryTake(service, requestId) {
       if (own.tryTake(service)) return allow(service, 'own-part');
       if (takeReturned(service)) return allow(service, 'returned');
-      if (!isShared(retrySlack) || isHeld(service))
+      if (!isShared(retrySlack, hosts()) || isHeld(service))
         return deny(service, 'held');
       const owner = host.ownerOf(service);
       if (owner === undefined) return deny(service, 'no-answer');
--- a/tests/relay/retries/retry_fleet_test.ts
+++ b/tests/relay/retries/retry_fleet_test.ts
@@ -114,10 +114,13 @@
   await assertBounded({...fleet, retrySlack: 90, isOlder});
 });
 
-test('few retries for all hosts are divided evenly, as before', async () => {
-  // Guards against an owner whose half is less than one retry.
-  const load = {...fleet, retrySlack: 2, failShare: inBursts};
-  const even = await simulateRetries({...load, way: 'even-split'});
-  const shared = await simulateRetries(load);
-  assert.equal(shared.allowed, even.allowed);
+test('few retries or few hosts are served as by the even split', async () => {
+  // Guards against an owner that has less than a burst of failures needs, and
+  // against few hosts that ask each other for what each had by itself.
+  for (const small of [{retrySlack: 8}, {retrySlack: 14, hostCount: 12}]) {
+    const load = {...fleet, ...small, failShare: inBursts};
+    const even = await simulateRetries({...load, way: 'even-split'});
+    const shared = await simulateRetries(load);
+    assert.equal(shared.allowed, even.allowed);
+  }
 });
