Count engines by their speed when roles change; gauges for speeds

Cause: the planner counted each engine as one, whatever its speed. Sudden changes were hidden at hosts that had used few engines, because the slow one lowered the mean with which it was compared. Change: role plans add up speeds and pick donors that come closest to what is missing. Invalid records are counted.

--- a/src/core/scheduling/role_plan.ts
+++ b/src/core/scheduling/role_plan.ts
@@ -16,9 +16,14 @@
   readonly isLeaving: boolean;
   /** An order to the engine is still in progress. */
   readonly isChanging: boolean;
+  /**
+   * Speed relative to the mean of the engines of its role; 1 if absent. An
+   * engine counts for this many engines.
+   */
+  readonly speed?: number;
 }
 
-/** Recent load of each role, in number of fully used engines. */
+/** Recent load of each role, in number of fully used engines of mean speed. */
 export interface RoleDemand {
   readonly prefillEngines: number;
   readonly decodeEngines: number;
@@ -72,6 +77,9 @@
   readonly changes: readonly RoleChange[];
 }
 
+/** Covers rounding when speeds are added up. */
+const SPARE_TOLERANCE = 1e-9;
+
 interface Pools {
   readonly prefill: readonly PlannedEngine[];
   readonly decode: readonly PlannedEngine[];
@@ -85,83 +93,142 @@
   };
 }
 
+function speedOf({speed = 1}: PlannedEngine): number {
+  return speed;
+}
+
+/** Capacity of a pool in engines of mean speed. */
+function capacityOf(pool: readonly PlannedEngine[]): number {
+  return pool.reduce((sum, engine) => sum + speedOf(engine), 0);
+}
+
+/** Returns whether a pool can do without its slowest engine. */
+function canSpare(
+  pool: readonly PlannedEngine[],
+  demand: number,
+  minEngines: number,
+  {safeUse}: RolePlanOptions,
+): boolean {
+  const slowest = Math.min(...pool.map(speedOf));
+  return (
+    pool.length > minEngines && demand <= (capacityOf(pool) - slowest) * safeUse
+  );
+}
+
 /** Returns the role that is short while the other can spare an engine. */
 function findShortRole(
-  pools: Pools,
+  {prefill, decode}: Pools,
   demand: RoleDemand,
   options: RolePlanOptions,
 ): EngineRole | undefined {
-  const prefillCount = pools.prefill.length;
-  const decodeCount = pools.decode.length;
-  const prefillUse = demand.prefillEngines / Math.max(1, prefillCount);
-  const decodeUse = demand.decodeEngines / Math.max(1, decodeCount);
-  const canSparePrefill =
-    prefillCount > options.minPrefill &&
-    demand.prefillEngines <= (prefillCount - 1) * options.safeUse;
-  const canSpareDecode =
-    decodeCount > options.minDecode &&
-    demand.decodeEngines <= (decodeCount - 1) * options.safeUse;
-  if (prefillUse > options.highUse && canSpareDecode) return 'prefill';
-  if (decodeUse > options.highUse && canSparePrefill) return 'decode';
+  const {prefillEngines, decodeEngines} = demand;
+  const {highUse, minPrefill, minDecode} = options;
+  // A pool has some capacity even if all its engines are slow.
+  const useOf = (pool: readonly PlannedEngine[], needed: number) =>
+    needed / (pool.length === 0 ? 1 : capacityOf(pool));
+  const canSparePrefill = canSpare(
+    prefill,
+    prefillEngines,
+    minPrefill,
+    options,
+  );
+  const canSpareDecode = canSpare(decode, decodeEngines, minDecode, options);
+  if (useOf(prefill, prefillEngines) > highUse && canSpareDecode) {
+    return 'prefill';
+  }
+  if (useOf(decode, decodeEngines) > highUse && canSparePrefill) {
+    return 'decode';
+  }
   return undefined;
 }
 
-/**
- * Returns the number of engines to move: enough to end the shortage, as far as
- * the other pool can spare them.
- */
-function countChanges(
-  pools: Pools,
+/** A move of engines from one pool to the other. */
+interface Move {
+  readonly donors: readonly PlannedEngine[];
+  readonly recipients: readonly PlannedEngine[];
+  readonly donorDemand: number;
+  readonly recipientDemand: number;
+  readonly minDonors: number;
+}
+
+function toMove(
+  {prefill, decode}: Pools,
   shortRole: EngineRole,
-  demand: RoleDemand,
-  options: RolePlanOptions,
-): number {
-  const isPrefill = shortRole === 'prefill';
-  const [donorCount, recipientCount] = isPrefill
-    ? [pools.decode.length, pools.prefill.length]
-    : [pools.prefill.length, pools.decode.length];
-  const [donorDemand, recipientDemand] = isPrefill
-    ? [demand.decodeEngines, demand.prefillEngines]
-    : [demand.prefillEngines, demand.decodeEngines];
-  const minDonors = isPrefill ? options.minDecode : options.minPrefill;
-  const kept = Math.max(minDonors, Math.ceil(donorDemand / options.safeUse));
-  const spare = donorCount - kept;
-  const missing = Math.ceil(recipientDemand / options.safeUse) - recipientCount;
-  return Math.max(1, Math.min(spare, missing, options.maxChangesAtOnce));
+  {prefillEngines, decodeEngines}: RoleDemand,
+  {minPrefill, minDecode}: RolePlanOptions,
+): Move {
+  return shortRole === 'prefill'
+    ? {
+        donors: decode,
+        recipients: prefill,
+        donorDemand: decodeEngines,
+        recipientDemand: prefillEngines,
+        minDonors: minDecode,
+      }
+    : {
+        donors: prefill,
+        recipients: decode,
+        donorDemand: prefillEngines,
+        recipientDemand: decodeEngines,
+        minDonors: minPrefill,
+      };
 }
 
-/** Picks engines one by one, each time without those already picked. */
+/**
+ * Picks engines one by one, each time without those already picked: at least
+ * one, and as many as end the shortage, as far as the donors can spare them.
+ */
 function pickDonors(
-  donors: readonly PlannedEngine[],
-  count: number,
+  {donors, recipients, donorDemand, recipientDemand, minDonors}: Move,
+  {safeUse, maxChangesAtOnce}: RolePlanOptions,
 ): readonly PlannedEngine[] {
   const picked: PlannedEngine[] = [];
   let left = donors;
-  while (picked.length < count) {
-    const next = pickDonor(left);
+  let donorCapacity = capacityOf(donors);
+  let missing = recipientDemand / safeUse - capacityOf(recipients);
+  while (picked.length < maxChangesAtOnce && left.length > minDonors) {
+    if (picked.length > 0 && missing <= 0) break;
+    const next = pickDonor(
+      left,
+      donorCapacity - donorDemand / safeUse,
+      missing,
+    );
     if (!next) break;
     picked.push(next);
     left = left.filter(each => each !== next);
+    donorCapacity -= speedOf(next);
+    missing -= speedOf(next);
   }
   return picked;
 }
 
-/** Picks from the largest failure domain the engine with the fewest slots used. */
+/**
+ * Picks an engine that the donors can spare: from the largest failure domain,
+ * the one whose speed is closest to what is missing, then the one with the
+ * fewest slots used.
+ */
 function pickDonor(
   donors: readonly PlannedEngine[],
+  spare: number,
+  missing: number,
 ): PlannedEngine | undefined {
   const countByDomain = new Map<string, number>();
   for (const engine of donors) {
     const count = countByDomain.get(engine.failureDomain) ?? 0;
     countByDomain.set(engine.failureDomain, count + 1);
   }
-  return [...donors].sort(
-    (a, b) =>
-      countByDomain.get(b.failureDomain)! -
-        countByDomain.get(a.failureDomain)! ||
-      a.usedSlots - b.usedSlots ||
-      (a.engineId < b.engineId ? -1 : 1),
-  )[0];
+  const distance = (engine: PlannedEngine) =>
+    Math.abs(speedOf(engine) - missing);
+  return donors
+    .filter(engine => speedOf(engine) <= spare + SPARE_TOLERANCE)
+    .sort(
+      (a, b) =>
+        countByDomain.get(b.failureDomain)! -
+          countByDomain.get(a.failureDomain)! ||
+        distance(a) - distance(b) ||
+        a.usedSlots - b.usedSlots ||
+        (a.engineId < b.engineId ? -1 : 1),
+    )[0];
 }
 
 /**
@@ -196,9 +263,8 @@
   if (nowMs - state.shortSinceMs < options.minShortageMs) {
     return {state, changes: []};
   }
-  const donors = shortRole === 'prefill' ? pools.decode : pools.prefill;
-  const count = countChanges(pools, shortRole, demand, options);
-  const picked = pickDonors(donors, count);
+  const move = toMove(pools, shortRole, demand, options);
+  const picked = pickDonors(move, options);
   if (picked.length === 0) return {state, changes: []};
   return {
     state: {
--- a/src/relay/placement/engine_speeds.ts
+++ b/src/relay/placement/engine_speeds.ts
@@ -196,7 +196,7 @@
     );
     return {
       byEngine: new Map(relative.flat()),
-      slowedIds: new Set(relative.flatMap(findSlowed)),
+      slowedIds: new Set(relative.flatMap(findSlowed).filter(pool.hasMajority)),
       computedAtMs: clock.nowMs(),
     };
   }
@@ -284,6 +284,9 @@
       for (const [engineId, weight, factor] of records) {
         pool.set(hostId, engineId, {weight, factor, measuredAtMs});
       }
+      // Drops reports on engines that have left, also at a host that places
+      // nothing.
+      if (records.length > 0) current();
     },
     removePeer: pool.removeHost,
     factorOf: engineId => current().byEngine.get(engineId) ?? 1,
--- a/src/relay/placement/speed_pool.ts
+++ b/src/relay/placement/speed_pool.ts
@@ -26,6 +26,8 @@
   factors(): ReadonlyMap<string, number>;
   /** Number of hosts that reported the engine recently. */
   reportCount(engineId: string): number;
+  /** Whether so many hosts reported the engine that no one decides alone. */
+  hasMajority(engineId: string): boolean;
 }
 
 export interface SpeedPoolHost {
@@ -37,9 +39,10 @@
 /**
  * The weight of a report falls to a third in this time. An engine in use gets
  * several reports per second, so after a sudden change most of the weight is of
- * new reports within about a second.
+ * new reports within a second. With 400 ms, errors grew by a half where the
+ * pace of runs depends on their number.
  */
-const REPORT_DECAY_MS = 1_000;
+const REPORT_DECAY_MS = 600;
 /** Without reports, a factor returns to 1 over a small multiple of this time. */
 const FORGET_MS = 20_000;
 const MAX_AGE_MS = 60_000;
@@ -96,6 +99,11 @@
     if (oldest !== undefined) byHost.delete(oldest);
   }
 
+  function hasMajority(engineId: string): boolean {
+    const count = reports.get(engineId)?.size ?? 0;
+    return count >= Math.min(MIN_HOSTS_FOR_MEDIAN, host.hostCount());
+  }
+
   function dropOld(): void {
     for (const [engineId, byHost] of reports) {
       for (const [hostId, report] of byHost) {
@@ -177,17 +185,15 @@
           0,
         );
         const factor = Math.exp((log * weight) / (weight + INITIAL_WEIGHT));
-        const needed = Math.min(MIN_HOSTS_FOR_MEDIAN, host.hostCount());
-        const isBounded = known.length < needed;
-        factors.set(
-          engineId,
-          isBounded
-            ? Math.min(FEW_HOSTS_MAX, Math.max(FEW_HOSTS_MIN, factor))
-            : factor,
+        const bounded = Math.min(
+          FEW_HOSTS_MAX,
+          Math.max(FEW_HOSTS_MIN, factor),
         );
+        factors.set(engineId, hasMajority(engineId) ? factor : bounded);
       }
       return factors;
     },
+    hasMajority,
     reportCount: engineId => reports.get(engineId)?.size ?? 0,
   };
 }
--- a/src/relay/placement/speed_samples.ts
+++ b/src/relay/placement/speed_samples.ts
@@ -102,7 +102,7 @@
   /** Logarithm of the number of runs; 0 for prompts. */
   readonly logRuns: number;
   readonly weight: number;
-  /** Slow means, for the load exponent. */
+  /** Slow means, for the load exponent and the mean of the pool. */
   readonly slowLogSpeed: number;
   readonly slowLogRuns: number;
   readonly measuredAtMs: number;
@@ -159,16 +159,20 @@
     return [...samples.entries()].filter(([, sample]) => isRecent(sample));
   }
 
-  /** Logarithms of the normalised speeds of events, by pool. */
+  /**
+   * Mean logarithms of the normalised speeds of events, by pool. They are based
+   * on the slow means: an engine that slows down suddenly must not lower the
+   * mean with which it is compared.
+   */
   function meansByPool(
     entries: ReadonlyArray<readonly [string, Sample]>,
     exponent: number,
   ): ReadonlyMap<string, number> {
     const speeds = new Map<string, number[]>();
-    for (const [, {kind, pool, logSpeed, logRuns}] of entries) {
+    for (const [, {kind, pool, slowLogSpeed, slowLogRuns}] of entries) {
       if (kind !== 'events') continue;
       const known = speeds.get(pool) ?? [];
-      known.push(logSpeed + exponent * logRuns);
+      known.push(slowLogSpeed + exponent * slowLogRuns);
       speeds.set(pool, known);
     }
     const means = new Map<string, number>();
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -108,6 +108,16 @@
     help: 'Upstreams that name a limit in their answers.',
     read: ({limits}) => limits.limitedCount(),
   },
+  {
+    name: 'uneven_engines',
+    help: 'Engines whose measured speed is not that of the others.',
+    read: ({placement}) => placement.statistics.speeds.unevenCount(),
+  },
+  {
+    name: 'speed_records_ignored',
+    help: 'Invalid speeds of engines in announcements of peers.',
+    read: ({placement}) => placement.statistics.speeds.rejectedCount(),
+  },
   {
     name: 'waiting_streams',
     help: 'Streams that wait for engines.',
--- a/src/relay/roles/role_demand.ts
+++ b/src/relay/roles/role_demand.ts
@@ -11,7 +11,10 @@
 import type {RoleDemand} from '../../core/scheduling/role_plan.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 
-/** The best number of engines of each role, out of `engineCount`. */
+/**
+ * The best number of engines of each role, out of `engineCount`. The statistics
+ * are means over the engines of a role, so these are engines of mean speed.
+ */
 export function divideEngines(
   statistics: SharedStatistics,
   engineCount: number,
--- a/src/relay/roles/role_orders.ts
+++ b/src/relay/roles/role_orders.ts
@@ -137,6 +137,7 @@
       usedSlots: engineLoads.decodeLoad(engine.id).runs,
       isLeaving: false,
       isChanging: false,
+      speed: statistics.speeds.factorOf(engine.id),
     };
   }
 
@@ -223,6 +224,7 @@
     log.info('Order given.', {
       upstream: engine.id,
       role: change.role,
+      speed: Math.round(statistics.speeds.factorOf(engine.id) * 100) / 100,
       fence: fence.epoch,
       expectedOrderCount: report.orderCount,
       outcome,
--- a/tests/scheduling/role_plan_test.ts
+++ b/tests/scheduling/role_plan_test.ts
@@ -53,6 +53,43 @@
   assert.equal(changes[0].role, 'prefill');
 });
 
+test('slow engines count for less than one when roles change', () => {
+  // Guards against a shortage that lasts because slow engines were counted as
+  // whole ones, and against one of decode because it lost its fastest engines.
+  const plan = (speedOf: (index: number) => number) => {
+    const engines = createEngines(2, 12).map((engine, i) => ({
+      ...engine,
+      failureDomain: 'a',
+      speed: i < 2 ? 1 : speedOf(i),
+    }));
+    const {changes} = planRoles(
+      {shortRole: 'prefill', shortSinceMs: 0, cooldownUntilMs: 0},
+      engines,
+      {prefillEngines: 4, decodeEngines: 8.4},
+      1_000,
+      {
+        ...{highUse: 1.08, safeUse: 1, minShortageMs: 0, restMs: 0},
+        ...{minPrefill: 1, minDecode: 1, maxChangesAtOnce: 8},
+      },
+    );
+    return changes.map(({engineId}) => engineId);
+  };
+  // Two engines are missing, and decode can spare 3.6.
+  assert.equal(plan(() => 1).length, 2);
+  // One of speed 1.5 and one of 0.5 make two of mean speed.
+  const uneven = plan(i => (i < 8 ? 0.5 : 1.5));
+  assert.deepEqual(uneven, ['e8', 'e2']);
+  // One of speed 2 is enough.
+  assert.deepEqual(
+    plan(i => (i < 10 ? 0.5 : 2)),
+    ['e10'],
+  );
+  // An engine of speed 3.75 is more than can be spared, so five of speed 0.45
+  // are needed.
+  const slow = plan(i => (i < 12 ? 0.45 : 3.75));
+  assert.deepEqual(slow, ['e2', 'e3', 'e4', 'e5', 'e6']);
+});
+
 test('a demand that alternates every 30 s changes no role', () => {
   // If roles followed an alternation of long prompts and long answers, engines
   // would drain and load weights all the time and serve no requests meanwhile.
