--- a/src/relay/placement/engine_speeds.ts
+++ b/src/relay/placement/engine_speeds.ts
@@ -169,7 +169,7 @@
     }
     const sum = known.reduce((total, [, factor]) => total + factor, 0);
     const relative = known.map(
-      ([id, factor]) => [id, (factor * known.length) / sum] as const,
+      ([id, factor]) => [id, round((factor * known.length) / sum)] as const,
     );
     const isEven = relative.every(
       ([, factor]) => Math.abs(factor - 1) <= EVEN_MARGIN,
@@ -196,7 +196,7 @@
     );
     return {
       byEngine: new Map(relative.flat()),
-      slowedIds: new Set(relative.flatMap(findSlowed)),
+      slowedIds: new Set(relative.flatMap(findSlowed).filter(pool.hasMajority)),
       computedAtMs: clock.nowMs(),
     };
   }
@@ -209,7 +209,7 @@
       const text = isSlowed ? 'Engine is slow.' : 'Engine is no longer slow.';
       host.log?.info(text, {
         upstream: id,
-        speed: round(after.byEngine.get(id) ?? 1),
+        speed: after.byEngine.get(id) ?? 1,
         reportingHosts: pool.reportCount(id),
         loadExponent: round(samples.loadExponent()),
       });
@@ -284,6 +284,9 @@
       for (const [engineId, weight, factor] of records) {
         pool.set(hostId, engineId, {weight, factor, measuredAtMs});
       }
+      // Drops reports on engines that have left, also at a host that places
+      // nothing.
+      if (records.length > 0) current();
     },
     removePeer: pool.removeHost,
     factorOf: engineId => current().byEngine.get(engineId) ?? 1,
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -114,6 +114,14 @@
     name: 'caller_buffer_bytes',
     help: 'Bytes held for callers that read slowly.',
     read: ({callerBuffers}) => callerBuffers.bufferedBytes(),
+    name: 'uneven_engines',
+    help: 'Engines whose measured speed is not that of the others.',
+    read: ({placement}) => placement.statistics.speeds.unevenCount(),
+  },
+  {
+    name: 'speed_records_ignored',
+    help: 'Invalid speeds of engines in announcements of peers.',
+    read: ({placement}) => placement.statistics.speeds.rejectedCount(),
   },
   {
     name: 'waiting_streams',
