--- a/src/relay/accounts/account_admission.ts
+++ b/src/relay/accounts/account_admission.ts
@@ -168,7 +168,8 @@
       priority,
       costUnits,
       levelUnits: Math.round(levelUnits),
-      reserveUnits: Math.round(reserveUnits),
+      reserveUnits:
+        priority === undefined ? undefined : Math.round(reserveUnits),
       source,
       ageMs: Math.round(ageMs),
       retryAfterMs: Math.round(retryAfterMs),
--- a/src/relay/accounts/priority_mix.ts
+++ b/src/relay/accounts/priority_mix.ts
@@ -44,6 +44,10 @@
 const VALID_DECAYS = 3;
 /** Accounts with the longest time since their last request are evicted. */
 const MAX_ACCOUNTS = 1_024;
+/** Requests of further priorities of an account count in the total only. */
+const MAX_PRIORITIES = 16;
+/** A priority with fewer units is forgotten. */
+const MIN_UNITS = 0.01;
 const MS_PER_SECOND = 1_000;
 
 interface DecayingMix {
@@ -69,7 +73,8 @@
   function decay(mix: DecayingMix, nowMs: number): void {
     const kept = Math.exp(-(nowMs - mix.updatedAtMs) / decayMs);
     for (const [priority, units] of mix.unitsByPriority) {
-      mix.unitsByPriority.set(priority, units * kept);
+      if (units * kept < MIN_UNITS) mix.unitsByPriority.delete(priority);
+      else mix.unitsByPriority.set(priority, units * kept);
     }
     mix.totalUnits *= kept;
     mix.requestCount *= kept;
@@ -93,7 +98,9 @@
       mix.totalUnits += costUnits;
       mix.requestCount++;
       if (priority === undefined) return;
+      const {size} = mix.unitsByPriority;
       const units = mix.unitsByPriority.get(priority) ?? 0;
+      if (units === 0 && size >= MAX_PRIORITIES) return;
       mix.unitsByPriority.set(priority, units + costUnits);
     },
     of(account) {
--- a/src/relay/accounts/quota_owner.ts
+++ b/src/relay/accounts/quota_owner.ts
@@ -4,13 +4,15 @@
 import type {Clock} from '../../ports/clock.js';
 import {createPriorityMix} from './priority_mix.js';
 import type {QuotaReply, QuotaRequest} from './quota_messages.js';
-import {reserveUnitsFor} from './reserve_rules.js';
+import {maxReserveUnits, reserveUnitsFor} from './reserve_rules.js';
 import type {SpendingLedger} from './spending_ledger.js';
 
 export interface QuotaOwnerHost {
   readonly clock: Clock;
   readonly ledger: Pick<SpendingLedger, 'grant' | 'level'>;
   quotaOf(account: string): AccountQuota | undefined;
+  /** Called for each invalid field of a request, which is then ignored. */
+  onInvalidField(): void;
 }
 
 export interface QuotaOwner {
@@ -33,16 +35,27 @@
   const {clock, ledger} = host;
   const mix = createPriorityMix(clock, MIX_DECAY_MS);
 
+  /** Returns undefined if the field of a datagram is absent or invalid. */
+  function readCount(value: number | undefined): number | undefined {
+    if (value === undefined) return undefined;
+    if (Number.isFinite(value) && value >= 0) return value;
+    host.onInvalidField();
+    return undefined;
+  }
+
+  /** Returns the units that must stay in the bucket. */
   function findReserve(request: QuotaRequest): number {
     const {account, costUnits} = request;
     const priority = readCount(request.priority);
+    const askedUnits = readCount(request.reserveUnits) ?? 0;
     mix.record(account, priority, costUnits);
     const known = mix.of(account);
     const level = ledger.level(account);
     const quota = host.quotaOf(account);
     if (priority === undefined || !level || !quota) return 0;
-    if (!known || known.requestCount < MIN_MIX_REQUESTS) {
-      return readCount(request.reserveUnits) ?? 0;
+    const isLearned = known && known.requestCount >= MIN_MIX_REQUESTS;
+    if (!isLearned) {
+      return Math.min(askedUnits, maxReserveUnits(quota, costUnits));
     }
     return reserveUnitsFor(priority, known, level, quota, costUnits);
   }
@@ -50,6 +63,11 @@
   return {
     handle(fromHostId, request) {
       const {askId, account, costUnits} = request;
+      const kind = 'quota-answer';
+      // An invalid cost would make the level of the bucket no number.
+      if (readCount(costUnits) === undefined) {
+        return {kind, askId, isGranted: false, levelUnits: 0};
+      }
       const reserveUnits = Math.round(findReserve(request));
       const isGranted = ledger.grant(
         fromHostId,
@@ -59,7 +77,7 @@
       );
       const levelUnits = Math.round(ledger.level(account)?.levelUnits ?? 0);
       return {
-        kind: 'quota-answer',
+        kind,
         askId,
         isGranted,
         levelUnits,
@@ -68,9 +86,3 @@
     },
   };
 }
-
-/** Returns undefined if the field of a datagram is absent or invalid. */
-function readCount(value: number | undefined): number | undefined {
-  const isValid = Number.isFinite(value) && Number(value) >= 0;
-  return isValid ? value : undefined;
-}
--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -83,7 +83,12 @@
   const freshness = createConfigurationFreshness({clock, storeTime});
   const quotaOf = (account: string) => routing.accounts().get(account)?.quota;
   const ledger = createSpendingLedger({clock, quotaOf});
-  const owner = createQuotaOwner({clock, ledger, quotaOf});
+  const owner = createQuotaOwner({
+    clock,
+    ledger,
+    quotaOf,
+    onInvalidField: () => metrics.count('quota_fields_ignored'),
+  });
   /** Delivers a message without a datagram if this host is the receiver. */
   function tell(toHostId: string, message: QuotaMessage): void {
     if (toHostId === self.hostId) receive(self.hostId, message);
--- a/src/relay/accounts/spending_ledger.ts
+++ b/src/relay/accounts/spending_ledger.ts
@@ -10,7 +10,6 @@
 import type {AccountQuota} from '../../core/routing_types.js';
 import type {Clock} from '../../ports/clock.js';
 import {isNearLimit, type AccountLevel} from './quota_rules.js';
-import {maxReserveUnits} from './reserve_rules.js';
 
 /** Totals of one incarnation of a host for one account. */
 export interface SpendingRecord {
@@ -181,11 +180,7 @@
       const quota = host.quotaOf(account);
       if (!quota) return true;
       const bucket = refill(account, quota);
-      const keptUnits = Math.min(
-        reserveUnits,
-        maxReserveUnits(quota, costUnits),
-      );
-      if (bucket.levelUnits < costUnits + keptUnits) return false;
+      if (bucket.levelUnits < costUnits + reserveUnits) return false;
       bucket.levelUnits -= costUnits;
       const granted = totals.get(hostId)?.granted;
       granted?.set(account, (granted.get(account) ?? 0) + costUnits);
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -28,6 +28,7 @@
   log_lines_dropped: 'Log lines that were left out.',
   account_refusals: 'Requests refused for their key or limit, by reason.',
   limit_refusals: 'Requests over the limit of their account, by priority.',
+  quota_fields_ignored: 'Invalid fields in messages on limits of accounts.',
   upstream_signals: 'Answers in which upstreams say something of themselves.',
   sends_withheld: 'Sends held back as upstreams ask for less, by reason.',
   role_orders: 'Orders to engines to change their role, by outcome.',
--- a/tests/relay/accounts/quota_fleet.ts
+++ b/tests/relay/accounts/quota_fleet.ts
@@ -144,7 +144,12 @@
     const quotaOf = () => quota;
     const owner = options.reserveOf
       ? createOwnerWith(ledger, options.reserveOf)
-      : createQuotaOwner({clock, ledger, quotaOf});
+      : createQuotaOwner({
+          clock,
+          ledger,
+          quotaOf,
+          onInvalidField: () => undefined,
+        });
     const tell = (toHostId: string, message: QuotaMessage) => {
       const to = hosts.findIndex(each => each.hostId === toHostId);
       deliver(index, to, () => hosts[to].receive(hostId, message));
