--- a/src/relay/accounts/account_limiter.ts
+++ b/src/relay/accounts/account_limiter.ts
@@ -255,7 +255,8 @@
       kind: 'quota-ask',
       account,
       costUnits,
-      ...(priority !== undefined && {priority, reserveUnits}),
+      ...(priority !== undefined && {priority}),
+      ...(reserveUnits > 0 && {reserveUnits}),
     });
     if (!answer) return admitByShare(charge, known);
     if (answer.isGranted) return {kind: 'allowed'};
--- a/src/relay/accounts/quota_messages.ts
+++ b/src/relay/accounts/quota_messages.ts
@@ -26,7 +26,7 @@
   readonly isGranted: boolean;
   /** Level of the bucket after this grant. */
   readonly levelUnits: number;
-  /** Units that had to stay in the bucket; 0 if absent. */
+  /** Of a refusal: units that had to stay in the bucket; 0 if absent. */
   readonly reserveUnits?: number;
 }
 
--- a/src/relay/accounts/quota_owner.ts
+++ b/src/relay/accounts/quota_owner.ts
@@ -81,7 +81,7 @@
         askId,
         isGranted,
         levelUnits,
-        ...(reserveUnits > 0 && {reserveUnits}),
+        ...(!isGranted && reserveUnits > 0 && {reserveUnits}),
       };
     },
   };
