Charge a bucket's owner only for recent spending after a partition

An owner that was cut off for 6 s was charged at once for all that the others had admitted meanwhile, though its bucket had been full and lost the refill.

Of a report that covers more than 3 s, only the units of the time in which the bucket refills are charged. The checks of the order now require that urgent requests are served 1.5 times as often and that 0.2 of all are admitted.

--- a/src/relay/accounts/spending_ledger.ts
+++ b/src/relay/accounts/spending_ledger.ts
@@ -62,6 +62,11 @@
 const OFFERED_DECAY_MS = 1_000;
 /** All totals of a host that started within this time are recent. */
 const NEW_HOST_MS = 3_000;
+/**
+ * A report that covers more time follows a partition or a suspension. Shorter
+ * gaps are lost datagrams.
+ */
+const LONG_GAP_MS = 3_000;
 /** Mean time from the admission of a request to its host's report. */
 const MEAN_REPORT_DELAY_MS = 300;
 const MS_PER_SECOND = 1_000;
@@ -75,6 +80,8 @@
 
 interface HostTotals {
   readonly incarnation: string;
+  /** Age of the host's process at its last report. */
+  aliveMs: number;
   readonly byAccount: Map<string, SpendingRecord>;
   /** Units granted per account that the host's totals don't include yet. */
   readonly granted: Map<string, number>;
@@ -125,10 +132,23 @@
     return bucket;
   }
 
+  /**
+   * Returns the share of a report's units that is charged. A bucket that heard
+   * nothing for a long time was full at most, and lost the refill for earlier
+   * requests. Charged for all of them at once, it would refuse the account for
+   * as long as the gap lasted.
+   */
+  function chargeableShare(spanMs: number, quota: AccountQuota): number {
+    const refillMs = (quota.burstUnits / quota.unitsPerS) * MS_PER_SECOND;
+    return spanMs <= LONG_GAP_MS ? 1 : Math.min(1, refillMs / spanMs);
+  }
+
+  /** @param spanMs Time that the totals cover since those before. */
   function charge(
     record: SpendingRecord,
     before: typeof ZERO_TOTALS,
     {granted}: HostTotals,
+    spanMs: number,
   ): void {
     const {account} = record;
     const quota = host.quotaOf(account);
@@ -142,8 +162,11 @@
     );
     granted.set(account, grantedUnits - alreadyChargedUnits);
     const returnedUnits = record.returnedUnits - before.returnedUnits;
-    bucket.levelUnits += returnedUnits + alreadyChargedUnits - admittedUnits;
-    bucket.offeredUnits += record.offeredUnits - before.offeredUnits;
+    const share = chargeableShare(spanMs, quota);
+    const unchargedUnits = admittedUnits - alreadyChargedUnits - returnedUnits;
+    const offeredUnits = record.offeredUnits - before.offeredUnits;
+    bucket.levelUnits -= unchargedUnits * share;
+    bucket.offeredUnits += offeredUnits * share;
   }
 
   function level(account: string): AccountLevel | undefined {
@@ -165,14 +188,16 @@
       const isKnown = known?.incarnation === incarnation;
       const ofHost: HostTotals = isKnown
         ? known
-        : {incarnation, byAccount: new Map(), granted: new Map()};
+        : {incarnation, aliveMs: 0, byAccount: new Map(), granted: new Map()};
       const {byAccount} = ofHost;
+      const spanMs = aliveMs - ofHost.aliveMs;
+      ofHost.aliveMs = aliveMs;
       totals.set(hostId, ofHost);
       // The first totals of a host may cover hours of spending.
       const isRecent = isKnown || aliveMs < NEW_HOST_MS;
       for (const record of records) {
         const before = byAccount.get(record.account);
-        if (isRecent) charge(record, before ?? ZERO_TOTALS, ofHost);
+        if (isRecent) charge(record, before ?? ZERO_TOTALS, ofHost, spanMs);
         byAccount.set(record.account, record);
       }
     },
--- a/tests/relay/accounts/account_reserve_test.ts
+++ b/tests/relay/accounts/account_reserve_test.ts
@@ -57,13 +57,22 @@
   assert.ok(mostTokens <= ALLOWED_TOKENS, `${mostTokens}`);
 }
 
+/** For accounts that send 4 times their limit. */
+function assertUrgentFirst(served: Served): void {
+  assertInOrder(served);
+  const {shares, all} = served;
+  assert.ok(shares[0] > 1.5 * shares[1], `${shares}`);
+  // A single bucket without delay admits 0.265.
+  assert.ok(all > 0.2, `${all}`);
+}
+
 const withoutReserve: QuotaFleetOptions = {reserveOf: () => 0};
 
 test('urgent requests come first within a limit that is exceeded 4 times', async () => {
   // Guards against refusing urgent and less urgent requests alike.
   const alike = await serve(4, withoutReserve);
   const served = await serve(4);
-  assertInOrder(served);
+  assertUrgentFirst(served);
   assert.ok(served.shares[0] > 0.7, `${served.shares}`);
   assert.ok(served.all > 0.96 * alike.all, `${served.all}, ${alike.all}`);
 });
@@ -80,7 +89,7 @@
 
 test('hosts without an owner admit urgent requests first', async () => {
   // Guards against a reserve that holds only while the owner answers.
-  assertInOrder(await serve(4, {isOwned: false}));
+  assertUrgentFirst(await serve(4, {isOwned: false}));
 });
 
 test('requests of a single priority are decided as without priorities', async () => {
@@ -98,19 +107,20 @@
 
 test('the order holds when the owner dies and when it returns', async () => {
   // Guards against a successor without history that reserves nothing, and
-  // against an owner that returns with an outdated level.
+  // against an owner that returns, is charged at once for all that was admitted
+  // meanwhile, and refuses nearly everything for as long.
   const die = async (fleet: QuotaFleet) => {
     fleet.cut([0]);
     await fleet.offer(FITTING * 4, 2_000);
     fleet.changeCoordinators();
   };
-  assertInOrder(await serve(4, {}, die, 4_000));
+  assertUrgentFirst(await serve(4, {}, die, 4_000));
   const comeBack = async (fleet: QuotaFleet) => {
     fleet.cut([0]);
     await fleet.offer(FITTING * 4, 6_000);
     fleet.cut([]);
   };
-  assertInOrder(await serve(4, {}, comeBack, 6_000));
+  assertUrgentFirst(await serve(4, {}, comeBack, 6_000));
 });
 
 test('the order holds on both sides of a partition and with lost datagrams', async () => {
@@ -118,20 +128,20 @@
   // The partition is that of `account_limiter_test.ts`.
   const cut = (fleet: QuotaFleet) =>
     fleet.cut(Array.from({length: 14}, (_, i) => 20 + i));
-  assertInOrder(await serve(4, {}, cut));
-  assertInOrder(await serve(4, {}, fleet => fleet.setLossShare(0.2)));
+  assertUrgentFirst(await serve(4, {}, cut));
+  assertUrgentFirst(await serve(4, {}, fleet => fleet.setLossShare(0.2)));
 });
 
 test('the limit and the order hold with two owners', async () => {
   // Guards against each of two owners granting the full limit.
-  assertInOrder(await serve(4, {}, fleet => fleet.setTwoOwners(true)));
+  assertUrgentFirst(await serve(4, {}, fleet => fleet.setTwoOwners(true)));
 });
 
 test('the order holds after all hosts restart at once', async () => {
   // Guards against a reserve that needs a long history.
   const restart = (fleet: QuotaFleet) =>
     fleet.restart(Array.from({length: HOSTS}, (_, i) => i));
-  assertInOrder(await serve(4, {}, restart, 8_000));
+  assertUrgentFirst(await serve(4, {}, restart, 8_000));
 });
 
 test('hosts of the previous build keep to the limit beside newer ones', async () => {
