--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -114,6 +114,8 @@
     name: 'caller_buffer_bytes',
     help: 'Bytes held for callers that read slowly.',
     read: ({callerBuffers}) => callerBuffers.bufferedBytes(),
+  },
+  {
     name: 'uneven_engines',
     help: 'Engines whose measured speed is not that of the others.',
     read: ({placement}) => placement.statistics.speeds.unevenCount(),
