Bound the calls of a host to plain services while no keeper answers

Cause: a host whose keepers were silent chose upstreams freely. 68 hosts sent all calls of a burst at once, upstreams rejected or reset what exceeded their queues. A silent keeper was tried again with a call that waited for 70 ms; with few calls on each host that was a third of all calls.

Change: such a host queues its calls like a keeper and uses its own part of the slots (own_part.ts). The part is a share of the time if it is below one call, grows while calls take their usual time, up to one call at each upstream, and shrinks when they slow down. Silent keepers are probed with a request that no call waits for. A call counts as late for the order of service if less than twice the mean duration is left. Gauge own_part_calls.

--- a/src/relay/plain/keeper_traffic.ts
+++ b/src/relay/plain/keeper_traffic.ts
@@ -20,11 +20,10 @@
 }
 
 export interface KeeperTraffic {
-  /**
-   * Whether a request may be sent to the keeper. A keeper that was silent is
-   * tried again by one request.
-   */
-  tryUse(keeper: string): boolean;
+  /** Whether the keeper may get requests; not if it was silent. */
+  isUsable(keeper: string): boolean;
+  /** Whether it is time to ask a silent keeper for a sign of life. */
+  isProbeDue(keeper: string): boolean;
   /** Sends the request, and repeats it until it is removed. */
   add(keeper: string, askId: number, build: () => SlotRequest): void;
   remove(keeper: string, askId: number): void;
@@ -53,8 +52,8 @@
  * call whose answer was lost is soon the oldest and is repeated earlier.
  */
 const QUEUED_REPEAT_MS = 1_000;
-/** A silent keeper gets no requests for this long. */
-const SKIP_MS = 600;
+/** A silent keeper is asked for a sign of life this often. */
+const PROBE_INTERVAL_MS = 300;
 /**
  * Repeats from all hosts to a keeper. With the answers to them they take less
  * than half of a link of 7 Mbit/s.
@@ -85,7 +84,8 @@
   unansweredSinceMs?: number;
   /** The keeper was given more time, as this host itself was late. */
   hasExtended: boolean;
-  skippedUntilMs?: number;
+  /** Set while the keeper is not used, because it was silent. */
+  probeAtMs?: number;
   repeats: number;
   repeatsAtMs: number;
   timer?: {readonly handle: TimerHandle; readonly dueMs: number};
@@ -198,7 +198,7 @@
       const askIds = [...state.requests.keys()];
       state.requests.clear();
       clearUnanswered(state);
-      state.skippedUntilMs = clock.nowMs() + SKIP_MS;
+      state.probeAtMs = clock.nowMs() + PROBE_INTERVAL_MS;
       host.onSilent(keeper, askIds);
       return;
     }
@@ -232,13 +232,11 @@
   }
 
   return {
-    tryUse(keeper) {
-      const state = stateOf(keeper);
-      const {skippedUntilMs} = state;
-      if (skippedUntilMs === undefined) return true;
-      if (clock.nowMs() < skippedUntilMs) return false;
-      state.skippedUntilMs = clock.nowMs() + SKIP_MS;
-      return true;
+    isUsable: keeper => stateOf(keeper).probeAtMs === undefined,
+    isProbeDue(keeper) {
+      const {probeAtMs, requests} = stateOf(keeper);
+      const isDue = probeAtMs !== undefined && clock.nowMs() >= probeAtMs;
+      return isDue && requests.size === 0;
     },
     add(keeper, askId, build) {
       const state = stateOf(keeper);
@@ -264,8 +262,8 @@
       const request = state.requests.get(askId);
       if (!request) return;
       request.isQueued = true;
-      // Late answers to earlier requests do not end the time without requests.
-      state.skippedUntilMs = undefined;
+      // Late answers to earlier requests do not make the keeper usable.
+      state.probeAtMs = undefined;
       sendNew(keeper, state);
       planCheck(keeper, state);
     },
--- a/src/relay/plain/plain_placement.ts
+++ b/src/relay/plain/plain_placement.ts
@@ -5,8 +5,10 @@
 import type {Random} from '../../ports/random.js';
 import type {PlainBalancer} from '../../scheduling/plain_balancer.js';
 import {FIRST_ASK_ID_RANGE} from '../fleet/peer_request_client.js';
-import {createSlotClient, type SlotClient} from './slot_client.js';
+import {createSlotClient, OWN_PART, type SlotClient} from './slot_client.js';
 import {createSlotServer} from './slot_server.js';
+import {createOwnPart} from './own_part.js';
+import {maxCallsPerKeeper} from './slot_rules.js';
 import type {SlotMessage} from './slot_messages.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
@@ -35,6 +37,8 @@
   removeHost(hostId: string): void;
   /** Calls that run or wait in the slots kept by this host. */
   openCallCount(): number;
+  /** Calls that run or wait in the part that this host uses without keepers. */
+  ownPartCallCount(): number;
 }
 
 export function createPlainPlacement(host: PlainPlacementHost): PlainPlacement {
@@ -46,14 +50,23 @@
     else host.send(toHostId, message);
   }
 
+  const shared = {clock, random, balancer, open: registry.open};
   const server = createSlotServer({
-    clock,
-    random,
-    balancer,
-    open: registry.open,
-    keeperCount: host.keeperCount,
+    ...shared,
+    maxCallsAt: ({slots: count}) =>
+      maxCallsPerKeeper(count, host.keeperCount()),
     send,
   });
+  const ownPart = createSlotServer({
+    ...shared,
+    maxCallsAt: ({slots: count}) => maxCallsPerKeeper(count, 1),
+    part: createOwnPart({
+      clock,
+      open: registry.open,
+      hostCount: host.hostCount,
+    }),
+    send: (_, answer) => slots.receive(OWN_PART, answer),
+  });
   const slots = createSlotClient({
     clock,
     log: host.log,
@@ -63,6 +76,7 @@
     keepers: host.keepers,
     hostCount: host.hostCount,
     send,
+    sendToOwnPart: message => ownPart.receive(hostId, message),
   });
 
   function receive(fromHostId: string, message: SlotMessage): void {
@@ -85,5 +99,6 @@
       slots.forget(goneHostId);
     },
     openCallCount: server.openCount,
+    ownPartCallCount: ownPart.openCount,
   };
 }
--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -4,7 +4,8 @@
  * the slots for all.
  *
  * A keeper may be dead, frozen or cut off. It must answer at once; otherwise
- * the second keeper is asked, and then this host chooses by itself.
+ * the second keeper is asked, and then this host uses its own part of the
+ * slots, with a queue of its own.
  */
 
 import type {RequestError} from '../../core/error_kinds.js';
@@ -39,20 +40,28 @@
   /** Number of hosts that may share the keepers, including this one. */
   hostCount(): number;
   send(hostId: string, message: SlotRequest | SlotEnd): void;
+  /** Asks for a slot of the part that this host uses when no keeper answers. */
+  sendToOwnPart(message: SlotRequest | SlotEnd): void;
 }
 
+/** Stands for a keeper's id in answers from the part of this host. */
+export const OWN_PART = '*own-part';
+
 export interface SlotNeed {
   readonly requestId: string;
   readonly service: string;
   readonly waiting: Waiting;
 }
 
+/** What else the end of a call showed about its upstream. */
+export type EndNotes = Pick<SlotEnd, 'isFull'>;
+
 /** A reservation for one call at an upstream. */
 export interface Slot {
   readonly kind: 'slot';
   readonly upstream: Upstream;
   /** Releases the slot when the call has ended; later calls do nothing. */
-  end(result: PlainCallResult): void;
+  end(result: PlainCallResult, notes?: EndNotes): void;
 }
 
 export type SlotOutcome =
@@ -89,6 +98,12 @@
  */
 type KeeperOutcome = SlotOutcome | 'silent' | 'unknown';
 
+type ReleaseSlot = (
+  result: PlainCallResult,
+  durationMs: number,
+  notes?: EndNotes,
+) => void;
+
 interface PendingRequest {
   readonly keeper: string;
   readonly need: SlotNeed;
@@ -134,21 +149,18 @@
     );
   }
 
-  function toSlot(
-    upstream: Upstream,
-    onEnd: (result: PlainCallResult, durationMs: number) => void,
-  ): Slot {
+  function toSlot(upstream: Upstream, onEnd: ReleaseSlot): Slot {
     const startedAtMs = clock.nowMs();
     let isOpen = true;
     return {
       kind: 'slot',
       upstream,
-      end(result) {
+      end(result, notes) {
         if (!isOpen) return;
         isOpen = false;
         const durationMs = clock.nowMs() - startedAtMs;
         if (result === 'ok') recordDuration(upstream.service, durationMs);
-        onEnd(result, durationMs);
+        onEnd(result, durationMs, notes);
       },
     };
   }
@@ -171,6 +183,11 @@
     };
   }
 
+  function sendTo(keeper: string, message: SlotEnd): void {
+    if (keeper === OWN_PART) host.sendToOwnPart(message);
+    else host.send(keeper, message);
+  }
+
   function requestFrom(
     keeper: string,
     need: SlotNeed,
@@ -178,13 +195,14 @@
     cancellation: Cancellation,
   ): Promise<KeeperOutcome> {
     const askId = nextAskId++;
-    const releaseSlot = (result: PlainCallResult, durationMs: number) => {
+    const releaseSlot: ReleaseSlot = (result, durationMs, notes) => {
       askIdsInUse.delete(askId);
-      host.send(keeper, {
+      sendTo(keeper, {
         kind: 'slot-end',
         askId,
         result,
         durationMs: Math.round(durationMs),
+        ...notes,
       });
     };
     return new Promise(resolve => {
@@ -211,19 +229,45 @@
         finish({kind: 'cancelled'});
       });
       if (!pending.has(askId)) return;
-      traffic.add(keeper, askId, () => toRequest(askId, need, tried));
+      const build = () => toRequest(askId, need, tried);
+      if (keeper === OWN_PART) host.sendToOwnPart(build());
+      else traffic.add(keeper, askId, build);
     });
   }
 
+  /**
+   * Asks a silent keeper for a slot that it cannot give, so that no call waits
+   * for it: it avoids all upstreams and is refused at once.
+   */
+  function probe(keeper: string, {service}: SlotNeed): void {
+    const askId = nextAskId++;
+    traffic.add(keeper, askId, () => ({
+      kind: 'slot-ask',
+      askId,
+      service,
+      avoid: registry.open(service).map(({id}) => id),
+      ageMs: 0,
+      onTimeMs: -1,
+      giveUpMs: -1,
+    }));
+  }
+
+  function isUsable(keeper: string, need: SlotNeed): boolean {
+    if (traffic.isUsable(keeper)) return true;
+    if (traffic.isProbeDue(keeper)) probe(keeper, need);
+    return false;
+  }
+
   function handleSilence(keeper: string, askIds: readonly number[]): void {
     const requests = askIds.flatMap(askId => pending.get(askId) ?? []);
     const needs = requests.map(({need}) => need);
     const [oldest, ...others] = needs;
+    if (!oldest) return;
     const otherIds = others.slice(0, MAX_LOGGED_IDS);
     log.warn('Slot keeper does not answer.', {
-      request: oldest?.requestId,
+      request: oldest.requestId,
       keeper,
-      ageMs: oldest && Math.round(clock.nowMs() - oldest.waiting.arrivedAtMs),
+      ageMs: Math.round(clock.nowMs() - oldest.waiting.arrivedAtMs),
       waiting: needs.length,
       others: otherIds.map(({requestId}) => requestId).join(' '),
     });
@@ -232,9 +276,11 @@
 
   return {
     async acquire(need, tried, cancellation) {
-      for (const keeper of host.keepers(need.service)) {
+      const keepers = host.keepers(need.service);
+      if (keepers.length === 0) return chooseLocally(need.service, tried);
+      for (const keeper of [...keepers, OWN_PART]) {
         if (cancellation.isCancelled) return {kind: 'cancelled'};
-        if (!traffic.tryUse(keeper)) continue;
+        if (keeper !== OWN_PART && !isUsable(keeper, need)) continue;
         const outcome = await requestFrom(keeper, need, tried, cancellation);
         if (outcome === 'unknown') break;
         if (outcome !== 'silent') return outcome;
@@ -248,13 +294,14 @@
       const request = pending.get(answer.askId);
       traffic.noteAnswer(fromHostId, answer.askId);
       if (!request || request.keeper !== fromHostId) {
+        traffic.remove(fromHostId, answer.askId);
         if (answer.kind !== 'slot-given' || askIdsInUse.has(answer.askId))
           return;
         // No request waits for this answer any more, so the keeper can free the
         // slot.
         const {askId} = answer;
         const result = 'cancelled';
-        host.send(fromHostId, {kind: 'slot-end', askId, result, durationMs: 0});
+        sendTo(fromHostId, {kind: 'slot-end', askId, result, durationMs: 0});
         return;
       }
       switch (answer.kind) {
--- a/src/relay/plain/slot_messages.ts
+++ b/src/relay/plain/slot_messages.ts
@@ -38,6 +38,8 @@
   readonly askId: number;
   readonly result: PlainCallResult;
   readonly durationMs: number;
+  /** The upstream did not run the call, because it was full. */
+  readonly isFull?: boolean;
 }
 
 export type SlotMessage = SlotRequest | SlotAnswer | SlotEnd;
--- a/src/relay/plain/slot_rules.ts
+++ b/src/relay/plain/slot_rules.ts
@@ -16,6 +16,14 @@
 const CALLS_PER_SLOT = 4 / 3;
 /** Reserves time for a call that is slower than the mean. */
 const SLOW_CALL_FACTOR = 1.25;
+/**
+ * A call that starts later is served after those that can still be on time.
+ * With 1.25, half of the calls of an overload started at the last moment and
+ * were late: 0.68 on time instead of 0.80.
+ */
+const ON_TIME_CALL_FACTOR = 2;
+/** The time reserved for slow calls leaves this share of the goal for waiting. */
+const MIN_WAIT_SHARE = 1 / 2;
 
 /**
  * Concurrent calls that each of `keeperCount` keepers may assign to an
@@ -26,14 +34,14 @@
 }
 
 export interface SlotLoad {
-  /** Calls that may run at once. */
+  /** Calls that may run at once; below one, a share of the time. */
   readonly maxCalls: number;
   readonly meanCallMs: number;
 }
 
 /** Forecasts when a call behind `ahead` others will get a slot. */
 export function forecastSlotMs(ahead: number, load: SlotLoad): number {
-  return ((ahead + 1) * load.meanCallMs) / Math.max(1, load.maxCalls);
+  return ((ahead + 1) * load.meanCallMs) / (load.maxCalls || 1);
 }
 
 export interface CallBounds {
@@ -50,9 +58,13 @@
 export function toCallWaiting(bounds: CallBounds): Waiting {
   const {arrivedAtMs, goalMs, deadlineAtMs, meanCallMs} = bounds;
   const workMs = meanCallMs * SLOW_CALL_FACTOR;
+  const slowWorkMs = Math.min(
+    meanCallMs * ON_TIME_CALL_FACTOR,
+    goalMs * (1 - MIN_WAIT_SHARE),
+  );
   return {
     arrivedAtMs,
-    onTimeUntilMs: arrivedAtMs + goalMs - workMs,
+    onTimeUntilMs: arrivedAtMs + goalMs - Math.max(workMs, slowWorkMs),
     giveUpAtMs: deadlineAtMs - workMs,
   };
 }
--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -15,8 +15,9 @@
   PlainCallResult,
 } from '../../scheduling/plain_balancer.js';
 import {createCallLimit, type CallLimit} from './call_limit.js';
+import type {OwnPart} from './own_part.js';
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
-import {forecastSlotMs, maxCallsPerKeeper} from './slot_rules.js';
+import {forecastSlotMs} from './slot_rules.js';
 import type {Upstream} from '../../core/upstream.js';
 import {
   compareWaiting,
@@ -31,10 +32,13 @@
   readonly balancer: PlainBalancer;
   /** Upstreams of a service that take new calls. */
   open(service: string): readonly Upstream[];
+  /** Calls that may run at the upstream at once. */
+  maxCallsAt(upstream: Upstream): number;
   /**
-   * Number of hosts that keep slots of the same upstreams, including this one.
+   * Bounds the calls to all upstreams of a service together. Only for the calls
+   * of this host itself, whose ends are never lost.
    */
-  keeperCount(): number;
+  readonly part?: OwnPart;
   send(hostId: string, answer: SlotAnswer): void;
 }
 
@@ -76,7 +80,7 @@
 const QUEUE_CHECK_MS = 25;
 
 export function createSlotServer(host: SlotServerHost): SlotServer {
-  const {clock, random, balancer} = host;
+  const {clock, random, balancer, part} = host;
   const calls = new Map<string, OpenCall>();
   const services = new Map<string, ServiceState>();
   let timer: TimerHandle | undefined;
@@ -97,16 +101,19 @@
     return state;
   }
 
-  const maxCallsAt = ({limit}: ServiceState, {slots}: Upstream) =>
-    limit.limit(maxCallsPerKeeper(slots, host.keeperCount()));
+  const maxCallsAt = ({limit}: ServiceState, upstream: Upstream) =>
+    limit.limit(host.maxCallsAt(upstream));
 
   function isFull(state: ServiceState, upstream: Upstream): boolean {
     return (state.runs.get(upstream.id) ?? 0) >= maxCallsAt(state, upstream);
   }
 
   /** Without room, the calls of a long queue need not be tried one by one. */
-  const hasRoom = (service: string, state: ServiceState) =>
-    host.open(service).some(upstream => !isFull(state, upstream));
+  function hasRoom(service: string, state: ServiceState): boolean {
+    const runs = [...state.runs.values()].reduce((sum, n) => sum + n, 0);
+    if (part && !part.mayStart(service, runs)) return false;
+    return host.open(service).some(upstream => !isFull(state, upstream));
+  }
 
   function sendAnswer(call: OpenCall): void {
     const {fromHostId, askId, upstreamId} = call;
@@ -139,13 +146,14 @@
     if (!picked) return false;
     call.upstreamId = picked.upstreamId;
     balancer.started(call.service, picked.upstreamId);
+    part?.noteStart(call.service);
     call.concurrency = (state.runs.get(picked.upstreamId) ?? 0) + 1;
     state.runs.set(picked.upstreamId, call.concurrency);
-    const expiryMs = Math.max(
-      MIN_EXPIRY_MS,
-      EXPIRY_CALL_FACTOR * state.meanCallMs,
-    );
-    call.expiry = clock.setTimer(expiryMs, () => end(call, 'cancelled', 0));
+    if (!part) {
+      const usualMs = EXPIRY_CALL_FACTOR * state.meanCallMs;
+      const expiryMs = Math.max(MIN_EXPIRY_MS, usualMs);
+      call.expiry = clock.setTimer(expiryMs, () => end(call, 'cancelled', 0));
+    }
     sendAnswer(call);
     return true;
   }
@@ -154,6 +162,7 @@
     call: OpenCall,
     result: PlainCallResult,
     durationMs: number,
+    isFull = false,
   ): void {
     const state = stateOf(call.service);
     calls.delete(keyOf(call.fromHostId, call.askId));
@@ -167,7 +176,9 @@
       if (result === 'ok') {
         state.meanCallMs += SMOOTHING * (durationMs - state.meanCallMs);
         state.limit.record(call.concurrency, durationMs);
+        part?.noteEnd(call.service, {kind: 'ok', durationMs});
       }
+      if (isFull) part?.noteEnd(call.service, {kind: 'full'});
     }
     processQueues();
   }
@@ -178,9 +189,12 @@
     const ahead = state.queue.filter(
       each => compareWaiting(each.waiting, call.waiting, nowMs) < 0,
     ).length;
-    const maxCalls = host
-      .open(call.service)
-      .reduce((sum, each) => sum + maxCallsAt(state, each), 0);
+    const maxCalls = Math.min(
+      part?.maxCalls(call.service) ?? Infinity,
+      host
+        .open(call.service)
+        .reduce((sum, each) => sum + maxCallsAt(state, each), 0),
+    );
     return forecastSlotMs(ahead, {maxCalls, meanCallMs: state.meanCallMs});
   }
 
@@ -227,7 +241,8 @@
     calls.set(keyOf(fromHostId, request.askId), call);
     const state = stateOf(request.service);
     // Queued calls come first; they are assigned slots when other calls end.
-    if (state.queue.length === 0 && assignSlot(call)) return;
+    const isFirst = state.queue.length === 0;
+    if (isFirst && hasRoom(call.service, state) && assignSlot(call)) return;
     const waitMs = forecastMs(call);
     const retryAfterMs = findRetryAfterMs(call.waiting, waitMs, nowMs);
     if (retryAfterMs !== undefined) return refuse(call, retryAfterMs);
@@ -245,7 +260,8 @@
           else admit(fromHostId, message);
           return;
         case 'slot-end':
-          if (known) end(known, message.result, message.durationMs);
+          if (!known) return;
+          end(known, message.result, message.durationMs, message.isFull);
           return;
       }
     },
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -103,6 +103,11 @@
     help: 'Calls that run or wait by the word of this host.',
     read: ({plainPlaces}) => plainPlaces.openCallCount(),
   },
+  {
+    name: 'own_part_calls',
+    help: 'Calls that run or wait in the part used when no keeper answers.',
+    read: ({plainPlaces}) => plainPlaces.ownPartCallCount(),
+  },
   {
     name: 'limited_upstreams',
     help: 'Upstreams that name a limit in their answers.',
--- a/tests/relay/plain/keeper_traffic_test.ts
+++ b/tests/relay/plain/keeper_traffic_test.ts
@@ -62,19 +62,22 @@
   assert.deepEqual(counts, [11]);
 });
 
-test('a silent keeper is tried again by one call', async () => {
-  // Guards against bursts of calls that each wait for a dead keeper whenever
-  // the time without requests has ended.
+test('a silent keeper is probed until it answers', async () => {
+  // Guards against calls that each wait for a dead keeper whenever it is tried
+  // again: that was a third of the calls of 68 hosts.
   const {clock, traffic, add} = makeTraffic();
   add(1);
   await clock.advance(100);
-  assert.ok(!traffic.tryUse('k'));
-  await clock.advance(600);
-  assert.ok(traffic.tryUse('k'));
-  assert.ok(!traffic.tryUse('k'));
+  assert.ok(!traffic.isUsable('k'));
+  assert.ok(!traffic.isProbeDue('k'));
+  await clock.advance(300);
+  assert.ok(traffic.isProbeDue('k'));
   add(2);
+  assert.ok(!traffic.isProbeDue('k'));
+  traffic.noteAnswer('k', 1);
+  assert.ok(!traffic.isUsable('k'), 'a late answer');
   traffic.noteAnswer('k', 2);
-  assert.ok(traffic.tryUse('k'));
+  assert.ok(traffic.isUsable('k'));
 });
 
 test('a keeper that answers late gets no more new requests than it can answer', async () => {
--- a/tests/relay/plain/slot_client_test.ts
+++ b/tests/relay/plain/slot_client_test.ts
@@ -42,6 +42,7 @@
     balancer,
     keepers: () => [KEEPER],
     hostCount: () => 20,
+    sendToOwnPart: () => undefined,
     send(_, message) {
       sent.push(message);
       if (message.kind !== 'slot-ask') return;
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -32,6 +32,8 @@
   readonly linkBytesPerS?: number;
   /** Refused callers come back once, at the time that they were told. */
   readonly callersRetry?: boolean;
+  /** Some hosts get several times as many calls as others. */
+  readonly isUneven?: boolean;
 }
 
 export interface SlotLoadFigures {
@@ -125,14 +127,13 @@
     figures.maxSentPerS = Math.max(figures.maxSentPerS, count);
   }
 
-  const hosts = new Map(hostIds.map(hostId => [hostId, makeHost(hostId)]));
+  const hosts = new Map(
+    hostIds.map((hostId, i) => [hostId, makeHost(hostId, `d${i % 3}`)]),
+  );
 
-  function makeHost(hostId: string) {
+  function makeHost(hostId: string, ownFailureDomain: string) {
     const registry = createUpstreamRegistry({clock, log: silentLog});
-    const balancer = createPlainBalancer(
-      {clock, random},
-      {ownFailureDomain: 'd0'},
-    );
+    const balancer = createPlainBalancer({clock, random}, {ownFailureDomain});
     registry.apply({
       revision: revisionAt(1),
       upstreams: ids.map((id, i) => ({
@@ -234,7 +235,7 @@
     const running = work(slot.upstream.id);
     if (!running) {
       figures.rejected++;
-      slot.end('cancelled');
+      slot.end('cancelled', {isFull: true});
       return;
     }
     await running;
@@ -247,7 +248,9 @@
     const part = Math.floor(((clock.nowMs() - startMs) * 3) / PLAY_MS);
     const perS = part === 1 ? options.burstPerS : options.basePerS;
     figures.calls++;
-    void call(hostIds[random.nextInt(HOSTS)]);
+    const exponent = options.isUneven ? 2 : 1;
+    const index = Math.floor(HOSTS * random.nextFloat() ** exponent);
+    void call(hostIds[index]);
     await clock.advance((2 * random.nextFloat() * 1_000) / perS);
   }
   await clock.advance(3_000);
