Queue calls again that upstreams refuse, and refuse hopeless calls early

Upstreams reset connections beyond their queue after the call was written, so it had to be reported as perhaps run. Waiting calls were refused only when their time was up. A keeper that takes over assumed that nothing runs.

Change: refused calls that can still be on time return to the queue, and the upstream gets none for one mean duration (slot-end.isFull). A call whose forecast start is too late for 100 ms is refused. Refused callers get successive retry times. A keeper without requests for 1 s takes the upstreams for half full for 1 s. The queue is sorted only when a slot is free.

A connection that the peer resets is reported as unsent with the wait and as perhaps run without it (test).

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -33,6 +33,11 @@
   /** From the start of the call to the head of the answer. */
   readonly headTimeoutMs: number;
   readonly mayReuseConnection: boolean;
+  /**
+   * How long to wait after connecting before the first byte is sent, on a new
+   * connection. If the connection closes meanwhile, nothing was sent.
+   */
+  readonly firstByteDelayMs?: number;
 }
 
 export interface HttpHead {
@@ -45,8 +50,18 @@
 }
 
 export type HttpExchangeFailure =
-  | {readonly kind: 'unreachable'; readonly detail: string}
-  | {readonly kind: 'broken'; readonly detail: string}
+  | {
+      readonly kind: 'unreachable';
+      readonly detail: string;
+      /** A connection was made, but it closed before a byte was sent. */
+      readonly wasConnected?: boolean;
+    }
+  | {
+      readonly kind: 'broken';
+      readonly detail: string;
+      /** The new connection closed without an answer. */
+      readonly wasReset?: boolean;
+    }
   | {readonly kind: 'cancelled'};
 
 export interface HttpExchange {
@@ -192,7 +207,10 @@
     }
     return new Promise(resolve => {
       const request = buildRequest(call);
+      const delayMs = call.mayReuseConnection ? 0 : call.firstByteDelayMs;
       let isConnected = false;
+      let isNew = false;
+      let mayHaveSent = false;
       let hasFailed = false;
       let isSettled = false;
       const settle = (outcome: HttpHead | HttpExchangeFailure) => {
@@ -202,10 +220,23 @@
         clock.clearTimer(headTimer);
         resolve(outcome);
       };
-      const fail = (detail: string) => {
-        settle({kind: isConnected ? 'broken' : 'unreachable', detail});
+      const fail = (detail: string, wasReset = false) => {
+        settle(
+          mayHaveSent
+            ? {kind: 'broken', detail, ...(wasReset && {wasReset})}
+            : {
+                kind: 'unreachable',
+                detail,
+                ...((isConnected || wasReset) && {wasConnected: true}),
+              },
+        );
         request.destroy();
       };
+      const sendRequest = () => {
+        if (isSettled) return;
+        mayHaveSent = isConnected;
+        request.end(call.body);
+      };
       const connectTimer = clock.setTimer(call.connectTimeoutMs, () => {
         if (!isConnected) fail('no connection in time');
       });
@@ -226,8 +257,11 @@
         request.once('close', () => socket.off('end', markIfReset));
         const markConnected = () => {
           isConnected = true;
+          if (delayMs) clock.setTimer(delayMs, sendRequest);
+          else mayHaveSent = true;
         };
         if (socket.connecting) {
+          isNew = true;
           host.onConnect?.();
           socket.once('connect', markConnected);
         } else {
@@ -236,7 +270,7 @@
       });
       request.on('error', error => {
         hasFailed = true;
-        fail(error.message);
+        fail(error.message, isNew && isResetError(error));
       });
       request.on('response', answer => {
         const headers = answer.rawHeaders;
@@ -250,7 +284,7 @@
         // Nobody reads the body of an answer that came after the timeout.
         if (request.destroyed) answer.destroy();
       });
-      request.end(call.body);
+      if (!delayMs) sendRequest();
     });
   }
 
@@ -270,6 +304,11 @@
   return socket.remoteAddress === undefined;
 }
 
+/** Node reports a connection that closed without an answer as reset, too. */
+function isResetError(error: NodeJS.ErrnoException): boolean {
+  return error.code === 'ECONNRESET';
+}
+
 /** Whether servers expect a `Content-Length` for an empty body. */
 function needsLength(method: string): boolean {
   return method === 'POST' || method === 'PUT' || method === 'PATCH';
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -70,7 +70,12 @@
 /** Why a send failed, which also tells whether the request may have run. */
 export type SendFailure =
   /** No connection was made, or it closed before a byte was written. */
-  | {readonly kind: 'unreachable'; readonly detail: string}
+  | {
+      readonly kind: 'unreachable';
+      readonly detail: string;
+      /** A connection was made, but it closed before a byte was sent. */
+      readonly wasConnected?: boolean;
+    }
   /** Nothing was sent, because the upstream asked for fewer requests. */
   | {
       readonly kind: 'withheld';
@@ -86,7 +91,12 @@
       readonly detail: string;
     }
   /** The request may have run, but no answer arrived. */
-  | {readonly kind: 'broken'; readonly detail: string}
+  | {
+      readonly kind: 'broken';
+      readonly detail: string;
+      /** The connection closed without an answer. */
+      readonly wasReset?: boolean;
+    }
   | {readonly kind: 'cancelled'};
 
 /** The head of an upstream's answer to a request. */
@@ -134,6 +144,8 @@
   readonly prefill?: PrefillResultPlace;
   /** The event of an earlier run after which to continue. */
   readonly resumeAfterEvent?: string;
+  /** How long to wait after connecting before the first byte is sent. */
+  readonly firstByteDelayMs?: number;
   /** Longest wait for a permit under the rate limit of the upstream. */
   readonly permitWaitMs?: number;
   /** Priority in the queue of an engine; 0 is first, and 5 the default. */
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -28,6 +28,7 @@
   KEY_WITHDRAWN,
   type RelayJob,
 } from '../relay_types.js';
+import {isFullNow, toNotes, toOverload, toResult} from './plain_outcomes.js';
 import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
 import {toCallWaiting} from './slot_rules.js';
 import type {Upstream} from '../../core/upstream.js';
@@ -64,6 +65,11 @@
 /** A few calls will have ended after this time. */
 const REJECTED_RETRY_MS = 100;
 const UNREACHABLE_RETRY_MS = 300;
+/**
+ * An upstream that resets connections does so when it accepts them, one hop
+ * after connecting and one back: some 4 ms.
+ */
+const FIRST_BYTE_DELAY_MS = 6;
 const SERVER_ERROR = 500;
 /**
  * Share of the time left to a call that it may wait for a place within an
@@ -93,6 +99,16 @@
   readonly permitWaitMs: number;
 }
 
+/** Only calls that must run at most once wait, at upstreams that reset some. */
+function firstByteDelayMs({route}: RelayJob, slot: Slot): number | undefined {
+  const mustWait = route.kind !== 'idempotent' && slot.isResetting;
+  return mustWait ? FIRST_BYTE_DELAY_MS : undefined;
+}
+
+function toRejected(detail: string): RequestError {
+  return {kind: 'overloaded', detail, retryAfterMs: REJECTED_RETRY_MS};
+}
+
 export function createPlainRelay(host: PlainRelayHost): PlainRelay {
   const {clock, upstreamPort, slots, registry, retryBudget} = host;
 
@@ -155,9 +171,10 @@
   async function sendOnce(
     job: RelayJob,
     progress: Progress,
-    {upstream, end}: Slot,
+    slot: Slot,
     permitWaitMs: number,
   ): Promise<Step> {
+    const {upstream, end} = slot;
     const {request, cancellation} = job;
     const startedAtMs = clock.nowMs();
     progress.sendCount++;
@@ -169,28 +186,44 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         headTimeoutMs: headTimeoutMs(job, progress),
         mayReuseConnection: job.route.kind === 'idempotent',
+        firstByteDelayMs: firstByteDelayMs(job, slot),
         permitWaitMs,
       },
       cancellation,
     );
     if (outcome.kind !== 'answered') {
-      end(toResult(outcome));
-      return handleFailure(job, progress, upstream, outcome);
+      end(toResult(outcome), toNotes(outcome));
+      return handleFailure(job, progress, slot, outcome);
     }
     progress.ran.push(upstream.id);
     progress.tried.add(upstream.id);
     return handleAnswer(job, progress, outcome, end);
   }
 
+  /**
+   * Whether a call that an upstream did not run returns to the queue of its
+   * slot: it does if it can still be on time.
+   */
+  function mayQueueAgain(job: RelayJob, {hasQueue}: Slot): boolean {
+    return hasQueue && clock.nowMs() <= toNeed(job).waiting.onTimeUntilMs;
+  }
+
   function handleFailure(
     job: RelayJob,
     progress: Progress,
-    upstream: Upstream,
+    slot: Slot,
     failure: SendFailure,
   ): Step {
-    progress.tried.add(upstream.id);
+    const {upstream} = slot;
+    // The queue gives the call the next slot, also of the same upstream.
+    const isQueuedAgain = isFullNow(failure) && mayQueueAgain(job, slot);
+    if (!isQueuedAgain) progress.tried.add(upstream.id);
     switch (failure.kind) {
       case 'unreachable':
+        if (failure.wasConnected) {
+          progress.failure = toRejected(failure.detail);
+          return 'again';
+        }
         registry.markUnreachable(upstream.id);
         progress.failure = {
           kind: 'no-upstream',
@@ -204,11 +237,7 @@
       case 'rejected':
         if (failure.reason === 'other-instance')
           registry.markReplaced(upstream.id);
-        progress.failure = {
-          kind: 'overloaded',
-          detail: failure.detail,
-          retryAfterMs: REJECTED_RETRY_MS,
-        };
+        progress.failure = toRejected(failure.detail);
         return consumeRetry(job, progress) ? 'again' : 'stop';
       case 'broken':
         progress.ran.push(upstream.id);
@@ -350,33 +379,3 @@
     },
   };
 }
-
-/**
- * Sets the retry delay to the time at which the first upstream takes calls
- * again.
- */
-function toOverload(
-  before: RequestError,
-  {detail, retryAfterMs}: Extract<SendFailure, {kind: 'withheld'}>,
-): RequestError {
-  const earlierMs =
-    before.kind === 'overloaded' ? before.retryAfterMs : undefined;
-  return {
-    kind: 'overloaded',
-    detail,
-    retryAfterMs: Math.min(retryAfterMs, earlierMs ?? retryAfterMs),
-  };
-}
-
-function toResult(failure: SendFailure): PlainCallResult {
-  switch (failure.kind) {
-    case 'unreachable':
-    case 'broken':
-      return 'failed';
-    case 'rejected':
-      return failure.reason === 'full' ? 'cancelled' : 'failed';
-    case 'withheld':
-    case 'cancelled':
-      return 'cancelled';
-  }
-}
--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -17,6 +17,7 @@
   PlainCallResult,
 } from '../../scheduling/plain_balancer.js';
 import {createKeeperTraffic} from './keeper_traffic.js';
+import {createResetMemory} from './reset_memory.js';
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
 import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
@@ -54,12 +55,16 @@
 }
 
 /** What else the end of a call showed about its upstream. */
-export type EndNotes = Pick<SlotEnd, 'isFull'>;
+export type EndNotes = Pick<SlotEnd, 'isFull' | 'wasReset'>;
 
 /** A reservation for one call at an upstream. */
 export interface Slot {
   readonly kind: 'slot';
   readonly upstream: Upstream;
+  /** A keeper, or the part of this host, queues the calls of the service. */
+  readonly hasQueue: boolean;
+  /** The upstream resets connections at present. */
+  readonly isResetting: boolean;
   /** Releases the slot when the call has ended; later calls do nothing. */
   end(result: PlainCallResult, notes?: EndNotes): void;
 }
@@ -108,7 +113,7 @@
   readonly keeper: string;
   readonly need: SlotNeed;
   readonly resolve: (outcome: KeeperOutcome) => void;
-  readonly grant: (upstreamId: string) => void;
+  readonly grant: (upstreamId: string, isResetting: boolean) => void;
 }
 
 export function createSlotClient(host: SlotClientHost): SlotClient {
@@ -125,6 +130,7 @@
     send: host.send,
     onSilent: handleSilence,
   });
+  const resets = createResetMemory({clock});
   const meanMsByService = new Map<string, number>();
   let nextAskId = host.firstAskId;
 
@@ -144,21 +150,29 @@
     const upstream = picked && registry.get(picked.upstreamId);
     if (!upstream) return {kind: 'none'};
     balancer.started(service, upstream.id);
-    return toSlot(upstream, (result, durationMs) =>
+    const origin = {hasQueue: false, isResetting: false};
+    return toSlot(upstream, origin, (result, durationMs) =>
       balancer.ended(service, upstream.id, result, durationMs),
     );
   }
 
-  function toSlot(upstream: Upstream, onEnd: ReleaseSlot): Slot {
+  function toSlot(
+    upstream: Upstream,
+    origin: Pick<Slot, 'hasQueue' | 'isResetting'>,
+    onEnd: ReleaseSlot,
+  ): Slot {
     const startedAtMs = clock.nowMs();
     let isOpen = true;
     return {
       kind: 'slot',
       upstream,
+      hasQueue: origin.hasQueue,
+      isResetting: origin.isResetting || resets.isResetting(upstream.id),
       end(result, notes) {
         if (!isOpen) return;
         isOpen = false;
         const durationMs = clock.nowMs() - startedAtMs;
+        if (notes?.wasReset) resets.note(upstream.id);
         if (result === 'ok') recordDuration(upstream.service, durationMs);
         onEnd(result, durationMs, notes);
       },
@@ -216,12 +230,13 @@
         keeper,
         need,
         resolve: finish,
-        grant(upstreamId) {
+        grant(upstreamId, isResetting) {
           const upstream = registry.getOpen(upstreamId);
           if (upstream) askIdsInUse.add(askId);
           else releaseSlot('cancelled', 0);
           // The keeper's list differs, so this host chooses by its own.
-          finish(upstream ? toSlot(upstream, releaseSlot) : 'unknown');
+          const origin = {hasQueue: true, isResetting};
+          finish(upstream ? toSlot(upstream, origin, releaseSlot) : 'unknown');
         },
       });
       cancellation.onCancel(() => {
@@ -308,7 +323,7 @@
         case 'slot-queued':
           return;
         case 'slot-given':
-          request.grant(answer.upstream);
+          request.grant(answer.upstream, answer.isResetting === true);
           return;
         case 'slot-refused': {
           const {retryAfterMs} = answer;
--- a/src/relay/plain/slot_messages.ts
+++ b/src/relay/plain/slot_messages.ts
@@ -25,6 +25,8 @@
       readonly kind: 'slot-given';
       readonly askId: number;
       readonly upstream: string;
+      /** The upstream resets connections at present. */
+      readonly isResetting?: boolean;
     }
   | {
       readonly kind: 'slot-refused';
@@ -40,6 +42,8 @@
   readonly durationMs: number;
   /** The upstream did not run the call, because it was full. */
   readonly isFull?: boolean;
+  /** The upstream closed a new connection without an answer. */
+  readonly wasReset?: boolean;
 }
 
 export type SlotMessage = SlotRequest | SlotAnswer | SlotEnd;
--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -10,19 +10,17 @@
 
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
-import type {
-  PlainBalancer,
-  PlainCallResult,
-} from '../../scheduling/plain_balancer.js';
+import type {PlainBalancer} from '../../scheduling/plain_balancer.js';
 import {createCallLimit, type CallLimit} from './call_limit.js';
 import type {OwnPart} from './own_part.js';
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
-import {forecastSlotMs} from './slot_rules.js';
+import {createResetMemory} from './reset_memory.js';
+import {createRetrySchedule, type RetrySchedule} from './retry_schedule.js';
+import {forecastSlotMs, type SlotLoad} from './slot_rules.js';
 import type {Upstream} from '../../core/upstream.js';
 import {
   compareWaiting,
   findRetryAfterMs,
-  spreadRetryAfterMs,
   type Waiting,
 } from '../placement/wait_rules.js';
 
@@ -61,6 +59,8 @@
   /** Calls at the upstream when this one began, including itself. */
   concurrency: number;
   expiry?: TimerHandle;
+  /** Since when the forecast says that the call cannot start in time. */
+  hopelessSinceMs?: number;
 }
 
 interface ServiceState {
@@ -68,8 +68,17 @@
   queue: OpenCall[];
   readonly runs: Map<string, number>;
   readonly limit: CallLimit;
+  readonly retries: RetrySchedule;
+  /** Upstreams that refused a call get none until these times. */
+  readonly fullUntilMs: Map<string, number>;
+  lastRequestAtMs: number;
+  /** Until then, upstreams may run calls that this keeper does not know. */
+  unknownUntilMs: number;
 }
 
+type CallEnd = Omit<SlotEnd, 'kind' | 'askId'>;
+
+const CANCELLED: CallEnd = {result: 'cancelled', durationMs: 0};
 /** Assumed until calls have ended here. */
 const INITIAL_CALL_MS = 40;
 const SMOOTHING = 0.05;
@@ -78,11 +87,24 @@
 const MIN_EXPIRY_MS = 250;
 /** How often the queues are checked without any update. */
 const QUEUE_CHECK_MS = 25;
+/**
+ * How long an upstream that refused gets no calls, in mean durations: its six
+ * or so slots have then become free once.
+ */
+const FULL_CALLS = 1;
+/** A forecast that is wrong for a moment must not cause a refusal. */
+const HOPELESS_MS = 100;
+/**
+ * A keeper without requests for this long was not the keeper, or has started.
+ * Other calls may run, and nearly all of them end within this time.
+ */
+const UNKNOWN_CALLS_MS = 1_000;
 
 export function createSlotServer(host: SlotServerHost): SlotServer {
   const {clock, random, balancer, part} = host;
   const calls = new Map<string, OpenCall>();
   const services = new Map<string, ServiceState>();
+  const resets = createResetMemory({clock});
   let timer: TimerHandle | undefined;
 
   const keyOf = (hostId: string, askId: number) => `${hostId}/${askId}`;
@@ -95,20 +117,27 @@
         queue: [],
         runs: new Map(),
         limit: createCallLimit({clock}),
+        retries: createRetrySchedule({clock, random}),
+        fullUntilMs: new Map(),
+        lastRequestAtMs: -Infinity,
+        unknownUntilMs: -Infinity,
       };
       services.set(service, state);
     }
     return state;
   }
 
-  const maxCallsAt = ({limit}: ServiceState, upstream: Upstream) =>
-    limit.limit(host.maxCallsAt(upstream));
+  function maxCallsAt(state: ServiceState, upstream: Upstream): number {
+    const maxCalls = state.limit.limit(host.maxCallsAt(upstream));
+    const isHalf = clock.nowMs() < state.unknownUntilMs;
+    return isHalf ? Math.max(1, Math.floor(maxCalls / 2)) : maxCalls;
+  }
 
   function isFull(state: ServiceState, upstream: Upstream): boolean {
+    if (clock.nowMs() < (state.fullUntilMs.get(upstream.id) ?? 0)) return true;
     return (state.runs.get(upstream.id) ?? 0) >= maxCallsAt(state, upstream);
   }
 
-  /** Without room, the calls of a long queue need not be tried one by one. */
   function hasRoom(service: string, state: ServiceState): boolean {
     const runs = [...state.runs.values()].reduce((sum, n) => sum + n, 0);
     if (part && !part.mayStart(service, runs)) return false;
@@ -116,21 +145,23 @@
   }
 
   function sendAnswer(call: OpenCall): void {
-    const {fromHostId, askId, upstreamId} = call;
-    host.send(
-      fromHostId,
-      upstreamId === undefined
-        ? {kind: 'slot-queued', askId}
-        : {kind: 'slot-given', askId, upstream: upstreamId},
-    );
+    const {fromHostId, askId, upstreamId: upstream} = call;
+    if (upstream === undefined) {
+      host.send(fromHostId, {kind: 'slot-queued', askId});
+      return;
+    }
+    const isResetting = resets.isResetting(upstream) || undefined;
+    host.send(fromHostId, {kind: 'slot-given', askId, upstream, isResetting});
   }
 
   function refuse(call: OpenCall, waitMs: number): void {
-    const {fromHostId, askId, waiting} = call;
+    const {fromHostId, askId, waiting, service} = call;
     calls.delete(keyOf(fromHostId, askId));
     const leftMs = Math.max(0, waiting.giveUpAtMs - clock.nowMs());
+    const state = stateOf(service);
+    const intervalMs = forecastSlotMs(0, loadOf(service, state));
     const retryAfterMs = Math.round(
-      spreadRetryAfterMs(waitMs, leftMs, random.nextFloat()),
+      state.retries.add({waitMs, leftMs, intervalMs}),
     );
     host.send(fromHostId, {kind: 'slot-refused', askId, retryAfterMs});
   }
@@ -152,18 +183,14 @@
     if (!part) {
       const usualMs = EXPIRY_CALL_FACTOR * state.meanCallMs;
       const expiryMs = Math.max(MIN_EXPIRY_MS, usualMs);
-      call.expiry = clock.setTimer(expiryMs, () => end(call, 'cancelled', 0));
+      call.expiry = clock.setTimer(expiryMs, () => end(call, CANCELLED));
     }
     sendAnswer(call);
     return true;
   }
 
-  function end(
-    call: OpenCall,
-    result: PlainCallResult,
-    durationMs: number,
-    isFull = false,
-  ): void {
+  function end(call: OpenCall, message: CallEnd): void {
+    const {result, durationMs} = message;
     const state = stateOf(call.service);
     calls.delete(keyOf(call.fromHostId, call.askId));
     state.queue = state.queue.filter(each => each !== call);
@@ -178,50 +205,102 @@
         state.limit.record(call.concurrency, durationMs);
         part?.noteEnd(call.service, {kind: 'ok', durationMs});
       }
-      if (isFull) part?.noteEnd(call.service, {kind: 'full'});
+      if (message.isFull === true) noteFull(call.service, call.upstreamId);
+      if (message.wasReset === true) resets.note(call.upstreamId);
     }
-    processQueues();
+    startAll();
   }
 
-  function forecastMs(call: OpenCall): number {
-    const state = stateOf(call.service);
-    const nowMs = clock.nowMs();
-    const ahead = state.queue.filter(
-      each => compareWaiting(each.waiting, call.waiting, nowMs) < 0,
-    ).length;
+  function noteFull(service: string, upstreamId: string): void {
+    const state = stateOf(service);
+    const untilMs = clock.nowMs() + FULL_CALLS * state.meanCallMs;
+    state.fullUntilMs.set(upstreamId, untilMs);
+    part?.noteEnd(service, {kind: 'full'});
+  }
+
+  function loadOf(service: string, state: ServiceState): SlotLoad {
     const maxCalls = Math.min(
-      part?.maxCalls(call.service) ?? Infinity,
+      part?.maxCalls(service) ?? Infinity,
       host
-        .open(call.service)
+        .open(service)
         .reduce((sum, each) => sum + maxCallsAt(state, each), 0),
     );
-    return forecastSlotMs(ahead, {maxCalls, meanCallMs: state.meanCallMs});
+    return {maxCalls, meanCallMs: state.meanCallMs};
+  }
+
+  /** Forecasts when a new call would get a slot, after due retries of others. */
+  function forecastMs({service, waiting}: OpenCall): number {
+    const state = stateOf(service);
+    const nowMs = clock.nowMs();
+    const ahead = state.queue.filter(
+      each => compareWaiting(each.waiting, waiting, nowMs) < 0,
+    ).length;
+    const load = loadOf(service, state);
+    const retries = state.retries.countDue(forecastSlotMs(ahead, load));
+    return forecastSlotMs(ahead + retries, load);
   }
 
-  function processQueue(service: string, state: ServiceState): void {
+  const inOrder = (queue: readonly OpenCall[]) => {
     const nowMs = clock.nowMs();
-    const inOrder = [...state.queue].sort((a, b) =>
+    return [...queue].sort((a, b) =>
       compareWaiting(a.waiting, b.waiting, nowMs),
     );
-    for (const call of inOrder) {
-      if (nowMs > call.waiting.giveUpAtMs) {
-        state.queue = state.queue.filter(each => each !== call);
-        refuse(call, forecastMs(call));
-      } else if (hasRoom(service, state) && assignSlot(call)) {
-        state.queue = state.queue.filter(each => each !== call);
+  };
+
+  function startCalls(service: string, state: ServiceState): void {
+    // Without room, the calls of a long queue need not be sorted.
+    if (state.queue.length === 0 || !hasRoom(service, state)) return;
+    const started = new Set<OpenCall>();
+    for (const call of inOrder(state.queue)) {
+      if (!hasRoom(service, state)) break;
+      if (clock.nowMs() > call.waiting.giveUpAtMs) continue;
+      if (assignSlot(call)) started.add(call);
+    }
+    state.queue = state.queue.filter(each => !started.has(each));
+  }
+
+  /** Whether the call cannot start in time, by forecasts of some time. */
+  function isHopeless(call: OpenCall, waitMs: number): boolean {
+    const nowMs = clock.nowMs();
+    const {giveUpAtMs} = call.waiting;
+    if (nowMs > giveUpAtMs) return true;
+    if (nowMs + waitMs <= giveUpAtMs) call.hopelessSinceMs = undefined;
+    else call.hopelessSinceMs ??= nowMs;
+    const {hopelessSinceMs = Infinity} = call;
+    return nowMs - hopelessSinceMs >= HOPELESS_MS;
+  }
+
+  function refuseHopeless(service: string, state: ServiceState): void {
+    const load = loadOf(service, state);
+    const refused = new Set<OpenCall>();
+    let ahead = 0;
+    for (const call of inOrder(state.queue)) {
+      const waitMs = forecastSlotMs(ahead, load);
+      if (isHopeless(call, waitMs)) {
+        refused.add(call);
+        refuse(call, waitMs);
+      } else {
+        ahead++;
       }
     }
+    state.queue = state.queue.filter(each => !refused.has(each));
   }
 
-  function processQueues(): void {
-    if (timer) clock.clearTimer(timer);
+  function startAll(): void {
+    for (const [service, state] of services) startCalls(service, state);
+  }
+
+  function checkQueues(): void {
     timer = undefined;
-    let isWaiting = false;
     for (const [service, state] of services) {
-      if (state.queue.length > 0) processQueue(service, state);
-      isWaiting ||= state.queue.length > 0;
+      startCalls(service, state);
+      if (state.queue.length > 0) refuseHopeless(service, state);
+      if (state.queue.length > 0) planCheck();
     }
-    if (isWaiting) timer = clock.setTimer(QUEUE_CHECK_MS, processQueues);
+  }
+
+  function planCheck(): void {
+    timer ??= clock.setTimer(QUEUE_CHECK_MS, checkQueues);
   }
 
   function admit(fromHostId: string, request: SlotRequest): void {
@@ -240,6 +319,9 @@
     };
     calls.set(keyOf(fromHostId, request.askId), call);
     const state = stateOf(request.service);
+    if (!part && nowMs - state.lastRequestAtMs > UNKNOWN_CALLS_MS)
+      state.unknownUntilMs = nowMs + UNKNOWN_CALLS_MS;
+    state.lastRequestAtMs = nowMs;
     // Queued calls come first; they are assigned slots when other calls end.
     const isFirst = state.queue.length === 0;
     if (isFirst && hasRoom(call.service, state) && assignSlot(call)) return;
@@ -248,7 +330,7 @@
     if (retryAfterMs !== undefined) return refuse(call, retryAfterMs);
     state.queue.push(call);
     sendAnswer(call);
-    timer ??= clock.setTimer(QUEUE_CHECK_MS, processQueues);
+    planCheck();
   }
 
   return {
@@ -260,14 +342,13 @@
           else admit(fromHostId, message);
           return;
         case 'slot-end':
-          if (!known) return;
-          end(known, message.result, message.durationMs, message.isFull);
+          if (known) end(known, message);
           return;
       }
     },
     forget(hostId) {
       for (const call of [...calls.values()]) {
-        if (call.fromHostId === hostId) end(call, 'cancelled', 0);
+        if (call.fromHostId === hostId) end(call, CANCELLED);
       }
     },
     openCount: () => calls.size,
--- a/tests/adapters/http_exchange_test.ts
+++ b/tests/adapters/http_exchange_test.ts
@@ -187,3 +187,34 @@
   process.off('warning', note);
   assert.deepEqual(warnings, []);
 });
+
+test('a connection that is reset before the first byte was never used', async () => {
+  // Guards against reporting that a call may have run although an upstream with
+  // a full queue resets connections as soon as it accepts them.
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  servers.push(server);
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+  const changes = {method: 'POST', body: Buffer.from('once')};
+  const exchange = makeExchange();
+  const waits = makeCall(address, {...changes, firstByteDelayMs: 100});
+  const outcome = await exchange.start(waits);
+  assert.equal(outcome.kind, 'unreachable');
+  assert.ok(outcome.kind === 'unreachable' && outcome.wasConnected);
+  const sends = await exchange.start(makeCall(address, changes));
+  assert.ok(sends.kind === 'broken' && sends.wasReset);
+});
+
+test('a call whose first byte waits is sent whole', async () => {
+  const address = await listen((socket, request) => {
+    const length = String(request.endsWith('once') ? 4 : 0);
+    socket.end(`HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\n\r\ngood`);
+  });
+  const body = Buffer.from('once');
+  const changes = {method: 'POST', body, firstByteDelayMs: 5};
+  const call = makeCall(address, changes);
+  assert.equal(await readBody(makeExchange(), call), 'good');
+});
--- /dev/null
+++ b/tests/relay/plain/slot_queue_test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import type {SlotAnswer} from '../../../src/relay/plain/slot_messages.js';
+import {createSlotServer} from '../../../src/relay/plain/slot_server.js';
+import {createPlainBalancer} from '../../../src/scheduling/plain_balancer.js';
+import {makeUpstream} from '../store/store_site.js';
+
+const UPSTREAMS = ['a', 'b'].map(id => makeUpstream(id));
+const SERVICE = UPSTREAMS[0].service;
+
+/** A keeper of two upstreams with two calls each. */
+function makeKeeper() {
+  const clock = createVirtualClock(10_000);
+  const random = createSeededRandom(1);
+  const balancer = createPlainBalancer(
+    {clock, random},
+    {ownFailureDomain: 'd'},
+  );
+  balancer.setUpstreams(
+    SERVICE,
+    UPSTREAMS.map(each => ({...each, upstreamId: each.id})),
+  );
+  const answers: SlotAnswer[] = [];
+  const server = createSlotServer({
+    clock,
+    random,
+    balancer,
+    open: () => UPSTREAMS,
+    maxCallsAt: () => 2,
+    send: (_, answer) => answers.push(answer),
+  });
+  let nextAskId = 1;
+  const ask = (giveUpMs: number) => {
+    const askId = nextAskId++;
+    const avoid: string[] = [];
+    const times = {ageMs: 0, onTimeMs: giveUpMs / 2 + askId / 100, giveUpMs};
+    const message = {kind: 'slot-ask', askId, service: SERVICE, avoid} as const;
+    server.receive('h', {...message, ...times});
+    return askId;
+  };
+  const end = (askId: number, isFull?: boolean) =>
+    server.receive('h', {
+      kind: 'slot-end',
+      askId,
+      result: isFull ? 'cancelled' : 'ok',
+      durationMs: 40,
+      isFull,
+    });
+  const kinds = () => answers.map(({kind}) => kind);
+  return {clock, answers, ask, end, kinds};
+}
+
+test('a keeper that has just started takes the upstreams for half full', async () => {
+  // Guards against twice the calls that upstreams can run when a keeper starts
+  // or takes over while the calls of its predecessor still run.
+  const {clock, ask, kinds} = makeKeeper();
+  for (let i = 0; i < 4; i++) ask(2_000);
+  const started = ['slot-given', 'slot-given', 'slot-queued', 'slot-queued'];
+  assert.deepEqual(kinds(), started);
+  await clock.advance(1_030);
+  assert.deepEqual(kinds().slice(4), ['slot-given', 'slot-given']);
+});
+
+test('an upstream that refused a call gets none for a moment', async () => {
+  // Guards against calls that go round between a full upstream and the queue.
+  const {clock, answers, ask, end} = makeKeeper();
+  end(ask(2_000), true);
+  const [refused] = answers;
+  const fullId = refused.kind === 'slot-given' && refused.upstream;
+  ask(2_000);
+  ask(2_000);
+  const given = answers.slice(1).filter(each => each.kind === 'slot-given');
+  assert.equal(given.length, 1);
+  assert.notEqual(given[0].upstream, fullId);
+  await clock.advance(80);
+  const last = answers.at(-1);
+  assert.equal(last?.kind === 'slot-given' && last.upstream, fullId);
+});
+
+test('a waiting call is refused as soon as it cannot start in time', async () => {
+  // Guards against calls that wait until their time is up although no slot can
+  // become free for them: 756 units of value in one day.
+  const {clock, answers, ask, kinds} = makeKeeper();
+  for (let i = 0; i < 2; i++) ask(2_000);
+  for (let i = 0; i < 4; i++) ask(200);
+  assert.ok(!kinds().includes('slot-refused'));
+  // More urgent calls arrive, so the last ones cannot start in 200 ms.
+  for (let i = 0; i < 8; i++) ask(150);
+  await clock.advance(60);
+  assert.equal(answers.at(-1)?.kind, 'slot-refused');
+});
+
+test('refused callers come back one after the other', () => {
+  // Guards against refused calls that all return at the same time.
+  const {answers, ask} = makeKeeper();
+  for (let i = 0; i < 200; i++) ask(1_200);
+  const delays = answers.flatMap(each =>
+    each.kind === 'slot-refused' ? [each.retryAfterMs] : [],
+  );
+  assert.ok(delays.length > 4, String(delays.length));
+  assert.ok(
+    delays.every(each => each >= 150 && each <= 400),
+    String(delays),
+  );
+});
