--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -10,18 +10,18 @@
 
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
-import type {
-  PlainBalancer,
-  PlainCallResult,
-} from '../../scheduling/plain_balancer.js';
+import type {PlainBalancer} from '../../scheduling/plain_balancer.js';
 import {createCallLimit, type CallLimit} from './call_limit.js';
+import type {OwnPart} from './own_part.js';
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
-import {forecastSlotMs, maxCallsPerKeeper} from './slot_rules.js';
+import {createResetMemory} from './reset_memory.js';
+import {createRetrySchedule, type RetrySchedule} from './retry_schedule.js';
+import {forecastSlotMs, isTooSlowFor, type SlotLoad} from './slot_rules.js';
+import {createSlowUpstreams, type SlowUpstreams} from './slow_upstreams.js';
 import type {Upstream} from '../../core/upstream.js';
 import {
   compareWaiting,
   findRetryAfterMs,
-  spreadRetryAfterMs,
   type Waiting,
 } from '../placement/wait_rules.js';
 
@@ -31,10 +31,13 @@
   readonly balancer: PlainBalancer;
   /** Upstreams of a service that take new calls. */
   open(service: string): readonly Upstream[];
+  /** Calls that may run at the upstream at once. */
+  maxCallsAt(upstream: Upstream): number;
   /**
-   * Number of hosts that keep slots of the same upstreams, including this one.
+   * Bounds the calls to all upstreams of a service together. Only for the calls
+   * of this host itself, whose ends are never lost.
    */
-  keeperCount(): number;
+  readonly part?: OwnPart;
   send(hostId: string, answer: SlotAnswer): void;
 }
 
@@ -57,6 +60,8 @@
   /** Calls at the upstream when this one began, including itself. */
   concurrency: number;
   expiry?: TimerHandle;
+  /** Since when the forecast says that the call cannot start in time. */
+  hopelessSinceMs?: number;
 }
 
 interface ServiceState {
@@ -64,8 +69,18 @@
   queue: OpenCall[];
   readonly runs: Map<string, number>;
   readonly limit: CallLimit;
+  readonly slow: SlowUpstreams;
+  readonly retries: RetrySchedule;
+  /** Upstreams that refused a call get none until these times. */
+  readonly fullUntilMs: Map<string, number>;
+  lastRequestAtMs: number;
+  /** Until then, upstreams may run calls that this keeper does not know. */
+  unknownUntilMs: number;
 }
 
+type CallEnd = Omit<SlotEnd, 'kind' | 'askId'>;
+
+const CANCELLED: CallEnd = {result: 'cancelled', durationMs: 0};
 /** Assumed until calls have ended here. */
 const INITIAL_CALL_MS = 40;
 const SMOOTHING = 0.05;
@@ -74,11 +89,24 @@
 const MIN_EXPIRY_MS = 250;
 /** How often the queues are checked without any update. */
 const QUEUE_CHECK_MS = 25;
+/**
+ * How long an upstream that refused gets no calls, in mean durations: its six
+ * or so slots have then become free once.
+ */
+const FULL_CALLS = 1;
+/** A forecast that is wrong for a moment must not cause a refusal. */
+const HOPELESS_MS = 100;
+/**
+ * A keeper without requests for this long was not the keeper, or has started.
+ * Other calls may run, and nearly all of them end within this time.
+ */
+const UNKNOWN_CALLS_MS = 1_000;
 
 export function createSlotServer(host: SlotServerHost): SlotServer {
-  const {clock, random, balancer} = host;
+  const {clock, random, balancer, part} = host;
   const calls = new Map<string, OpenCall>();
   const services = new Map<string, ServiceState>();
+  const resets = createResetMemory({clock});
   let timer: TimerHandle | undefined;
 
   const keyOf = (hostId: string, askId: number) => `${hostId}/${askId}`;
@@ -91,70 +119,95 @@
         queue: [],
         runs: new Map(),
         limit: createCallLimit({clock}),
+        slow: createSlowUpstreams({clock}),
+        retries: createRetrySchedule({clock, random}),
+        fullUntilMs: new Map(),
+        lastRequestAtMs: -Infinity,
+        unknownUntilMs: -Infinity,
       };
       services.set(service, state);
     }
     return state;
   }
 
-  const maxCallsAt = ({limit}: ServiceState, {slots}: Upstream) =>
-    limit.limit(maxCallsPerKeeper(slots, host.keeperCount()));
+  function maxCallsAt(state: ServiceState, upstream: Upstream): number {
+    const maxCalls = state.slow.limit(
+      upstream.id,
+      state.limit.limit(host.maxCallsAt(upstream)),
+    );
+    const isHalf = clock.nowMs() < state.unknownUntilMs;
+    return isHalf ? Math.max(1, Math.floor(maxCalls / 2)) : maxCalls;
+  }
 
   function isFull(state: ServiceState, upstream: Upstream): boolean {
+    if (clock.nowMs() < (state.fullUntilMs.get(upstream.id) ?? 0)) return true;
     return (state.runs.get(upstream.id) ?? 0) >= maxCallsAt(state, upstream);
   }
 
-  /** Without room, the calls of a long queue need not be tried one by one. */
-  const hasRoom = (service: string, state: ServiceState) =>
-    host.open(service).some(upstream => !isFull(state, upstream));
+  function hasRoom(service: string, state: ServiceState): boolean {
+    const runs = [...state.runs.values()].reduce((sum, n) => sum + n, 0);
+    if (part && !part.mayStart(service, runs)) return false;
+    return host.open(service).some(upstream => !isFull(state, upstream));
+  }
 
   function sendAnswer(call: OpenCall): void {
-    const {fromHostId, askId, upstreamId} = call;
-    host.send(
-      fromHostId,
-      upstreamId === undefined
-        ? {kind: 'slot-queued', askId}
-        : {kind: 'slot-given', askId, upstream: upstreamId},
-    );
+    const {fromHostId, askId, upstreamId: upstream} = call;
+    if (upstream === undefined) {
+      host.send(fromHostId, {kind: 'slot-queued', askId});
+      return;
+    }
+    const isResetting = resets.isResetting(upstream) || undefined;
+    host.send(fromHostId, {kind: 'slot-given', askId, upstream, isResetting});
   }
 
   function refuse(call: OpenCall, waitMs: number): void {
-    const {fromHostId, askId, waiting} = call;
+    const {fromHostId, askId, waiting, service} = call;
     calls.delete(keyOf(fromHostId, askId));
     const leftMs = Math.max(0, waiting.giveUpAtMs - clock.nowMs());
+    const state = stateOf(service);
+    const intervalMs = forecastSlotMs(0, loadOf(service, state));
     const retryAfterMs = Math.round(
-      spreadRetryAfterMs(waitMs, leftMs, random.nextFloat()),
+      state.retries.add({waitMs, leftMs, intervalMs}),
     );
     host.send(fromHostId, {kind: 'slot-refused', askId, retryAfterMs});
   }
 
+  function isTooSlow(call: OpenCall, state: ServiceState, {id}: Upstream) {
+    const slowdown = state.slow.slowdown(id);
+    const nowMs = clock.nowMs();
+    return isTooSlowFor(call.waiting, nowMs, slowdown, state.meanCallMs);
+  }
+
   /** Assigns a slot to the call if an upstream has one. */
   function assignSlot(call: OpenCall): boolean {
     const state = stateOf(call.service);
     const excluded = host
       .open(call.service)
-      .filter(each => call.avoid.has(each.id) || isFull(state, each))
+      .filter(
+        each =>
+          call.avoid.has(each.id) ||
+          isFull(state, each) ||
+          isTooSlow(call, state, each),
+      )
       .map(({id}) => id);
     const picked = balancer.pick(call.service, new Set(excluded));
     if (!picked) return false;
     call.upstreamId = picked.upstreamId;
     balancer.started(call.service, picked.upstreamId);
+    part?.noteStart(call.service);
     call.concurrency = (state.runs.get(picked.upstreamId) ?? 0) + 1;
     state.runs.set(picked.upstreamId, call.concurrency);
-    const expiryMs = Math.max(
-      MIN_EXPIRY_MS,
-      EXPIRY_CALL_FACTOR * state.meanCallMs,
-    );
-    call.expiry = clock.setTimer(expiryMs, () => end(call, 'cancelled', 0));
+    if (!part) {
+      const usualMs = EXPIRY_CALL_FACTOR * state.meanCallMs;
+      const expiryMs = Math.max(MIN_EXPIRY_MS, usualMs);
+      call.expiry = clock.setTimer(expiryMs, () => end(call, CANCELLED));
+    }
     sendAnswer(call);
     return true;
   }
 
-  function end(
-    call: OpenCall,
-    result: PlainCallResult,
-    durationMs: number,
-  ): void {
+  function end(call: OpenCall, message: CallEnd): void {
+    const {result, durationMs} = message;
     const state = stateOf(call.service);
     calls.delete(keyOf(call.fromHostId, call.askId));
     state.queue = state.queue.filter(each => each !== call);
@@ -164,50 +217,116 @@
       if (left > 0) state.runs.set(call.upstreamId, left);
       else state.runs.delete(call.upstreamId);
       balancer.ended(call.service, call.upstreamId, result, durationMs);
-      if (result === 'ok') {
+      if (result === 'ok' && Number.isFinite(durationMs)) {
         state.meanCallMs += SMOOTHING * (durationMs - state.meanCallMs);
         state.limit.record(call.concurrency, durationMs);
+        state.slow.record(call.upstreamId, durationMs);
+        part?.noteEnd(call.service, {kind: 'ok', durationMs});
       }
+      if (message.isFull === true) noteFull(call.service, call.upstreamId);
+      if (message.wasReset === true) resets.note(call.upstreamId);
     }
-    processQueues();
+    startAll();
   }
 
-  function forecastMs(call: OpenCall): number {
-    const state = stateOf(call.service);
+  function noteFull(service: string, upstreamId: string): void {
+    const state = stateOf(service);
+    const untilMs = clock.nowMs() + FULL_CALLS * state.meanCallMs;
+    state.fullUntilMs.set(upstreamId, untilMs);
+    part?.noteEnd(service, {kind: 'full'});
+  }
+
+  function loadOf(service: string, state: ServiceState): SlotLoad {
+    const maxCalls = Math.min(
+      part?.maxCalls(service) ?? Infinity,
+      host
+        .open(service)
+        .reduce((sum, each) => sum + maxCallsAt(state, each), 0),
+    );
+    return {maxCalls, meanCallMs: state.meanCallMs};
+  }
+
+  /** Forecasts when a new call would get a slot, after due retries of others. */
+  function forecastMs({service, waiting}: OpenCall): number {
+    const state = stateOf(service);
     const nowMs = clock.nowMs();
     const ahead = state.queue.filter(
-      each => compareWaiting(each.waiting, call.waiting, nowMs) < 0,
+      each => compareWaiting(each.waiting, waiting, nowMs) < 0,
     ).length;
-    const maxCalls = host
-      .open(call.service)
-      .reduce((sum, each) => sum + maxCallsAt(state, each), 0);
-    return forecastSlotMs(ahead, {maxCalls, meanCallMs: state.meanCallMs});
+    const load = loadOf(service, state);
+    const retries = state.retries.countDue(forecastSlotMs(ahead, load));
+    return forecastSlotMs(ahead + retries, load);
   }
 
-  function processQueue(service: string, state: ServiceState): void {
+  const inOrder = (queue: readonly OpenCall[]) => {
     const nowMs = clock.nowMs();
-    const inOrder = [...state.queue].sort((a, b) =>
+    return [...queue].sort((a, b) =>
       compareWaiting(a.waiting, b.waiting, nowMs),
     );
-    for (const call of inOrder) {
-      if (nowMs > call.waiting.giveUpAtMs) {
-        state.queue = state.queue.filter(each => each !== call);
-        refuse(call, forecastMs(call));
-      } else if (hasRoom(service, state) && assignSlot(call)) {
-        state.queue = state.queue.filter(each => each !== call);
+  };
+
+  function startCalls(service: string, state: ServiceState): void {
+    // Without room, the calls of a long queue need not be sorted.
+    if (state.queue.length === 0 || !hasRoom(service, state)) return;
+    const started = new Set<OpenCall>();
+    for (const call of inOrder(state.queue)) {
+      if (!hasRoom(service, state)) break;
+      if (clock.nowMs() > call.waiting.giveUpAtMs) continue;
+      if (assignSlot(call)) started.add(call);
+    }
+    state.queue = state.queue.filter(each => !started.has(each));
+  }
+
+  /** Whether the call cannot start in time, by forecasts of some time. */
+  function isHopeless(call: OpenCall, waitMs: number): boolean {
+    const nowMs = clock.nowMs();
+    const {giveUpAtMs} = call.waiting;
+    if (nowMs > giveUpAtMs) return true;
+    if (nowMs + waitMs <= giveUpAtMs) call.hopelessSinceMs = undefined;
+    else call.hopelessSinceMs ??= nowMs;
+    const {hopelessSinceMs = Infinity} = call;
+    return nowMs - hopelessSinceMs >= HOPELESS_MS;
+  }
+
+  function refuseHopeless(service: string, state: ServiceState): void {
+    const load = loadOf(service, state);
+    const refused = new Set<OpenCall>();
+    let ahead = 0;
+    for (const call of inOrder(state.queue)) {
+      const waitMs = forecastSlotMs(ahead, load);
+      if (isHopeless(call, waitMs)) {
+        refused.add(call);
+        refuse(call, waitMs);
+      } else {
+        ahead++;
       }
     }
+    state.queue = state.queue.filter(each => !refused.has(each));
   }
 
-  function processQueues(): void {
-    if (timer) clock.clearTimer(timer);
+  function startAll(): void {
+    for (const [service, state] of services) startCalls(service, state);
+  }
+
+  function checkQueues(): void {
     timer = undefined;
-    let isWaiting = false;
     for (const [service, state] of services) {
-      if (state.queue.length > 0) processQueue(service, state);
-      isWaiting ||= state.queue.length > 0;
+      startCalls(service, state);
+      if (state.queue.length > 0) refuseHopeless(service, state);
+      if (state.queue.length > 0) planCheck();
     }
-    if (isWaiting) timer = clock.setTimer(QUEUE_CHECK_MS, processQueues);
+  }
+
+  function planCheck(): void {
+    timer ??= clock.setTimer(QUEUE_CHECK_MS, checkQueues);
+  }
+
+  /** Probes are not counted: hosts send them to a keeper that they do not use. */
+  function noteRequest(state: ServiceState): void {
+    const nowMs = clock.nowMs();
+    if (!part && nowMs - state.lastRequestAtMs > UNKNOWN_CALLS_MS)
+      state.unknownUntilMs = nowMs + UNKNOWN_CALLS_MS;
+    state.lastRequestAtMs = nowMs;
   }
 
   function admit(fromHostId: string, request: SlotRequest): void {
@@ -226,14 +345,16 @@
     };
     calls.set(keyOf(fromHostId, request.askId), call);
     const state = stateOf(request.service);
+    if (request.giveUpMs >= 0) noteRequest(state);
     // Queued calls come first; they are assigned slots when other calls end.
-    if (state.queue.length === 0 && assignSlot(call)) return;
+    const isFirst = state.queue.length === 0;
+    if (isFirst && hasRoom(call.service, state) && assignSlot(call)) return;
     const waitMs = forecastMs(call);
     const retryAfterMs = findRetryAfterMs(call.waiting, waitMs, nowMs);
     if (retryAfterMs !== undefined) return refuse(call, retryAfterMs);
     state.queue.push(call);
     sendAnswer(call);
-    timer ??= clock.setTimer(QUEUE_CHECK_MS, processQueues);
+    planCheck();
   }
 
   return {
@@ -245,13 +366,13 @@
           else admit(fromHostId, message);
           return;
         case 'slot-end':
-          if (known) end(known, message.result, message.durationMs);
+          if (known) end(known, message);
           return;
       }
     },
     forget(hostId) {
       for (const call of [...calls.values()]) {
-        if (call.fromHostId === hostId) end(call, 'cancelled', 0);
+        if (call.fromHostId === hostId) end(call, CANCELLED);
       }
     },
     openCount: () => calls.size,
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -28,10 +28,16 @@
   readonly lossShare?: number;
   /** Both keepers are cut off from all other hosts from this time on. */
   readonly keepersCutOffAtMs?: number;
+  /** The keepers are reachable again from this time on. */
+  readonly keepersReturnAtMs?: number;
   /** Rate of each keeper's link, for both directions together. */
   readonly linkBytesPerS?: number;
   /** Refused callers come back once, at the time that they were told. */
   readonly callersRetry?: boolean;
+  /** Some hosts get several times as many calls as others. */
+  readonly isUneven?: boolean;
+  /** Share of the seconds in which calls at an upstream take 2.5 times as long. */
+  readonly slowShare?: number;
 }
 
 export interface SlotLoadFigures {
@@ -57,6 +63,7 @@
 const SLOTS = 6;
 const QUEUE = 24;
 const WORK_MS = 43;
+const SLOW_FACTOR = 2.5;
 const GOAL_MS = 195;
 const DEADLINE_MS = 1_000;
 const PLAY_MS = 12_000;
@@ -104,7 +111,8 @@
 
   const isCutOff = (hostId: string) =>
     keepers.includes(hostId) &&
-    clock.nowMs() - startMs >= (options.keepersCutOffAtMs ?? Infinity);
+    clock.nowMs() - startMs >= (options.keepersCutOffAtMs ?? Infinity) &&
+    clock.nowMs() - startMs < (options.keepersReturnAtMs ?? Infinity);
 
   /** Delay of a datagram on the link of a keeper, behind earlier ones. */
   function linkDelayMs(hostId: string, bytes: number): number {
@@ -125,14 +133,13 @@
     figures.maxSentPerS = Math.max(figures.maxSentPerS, count);
   }
 
-  const hosts = new Map(hostIds.map(hostId => [hostId, makeHost(hostId)]));
+  const hosts = new Map(
+    hostIds.map((hostId, i) => [hostId, makeHost(hostId, `d${i % 3}`)]),
+  );
 
-  function makeHost(hostId: string) {
+  function makeHost(hostId: string, ownFailureDomain: string) {
     const registry = createUpstreamRegistry({clock, log: silentLog});
-    const balancer = createPlainBalancer(
-      {clock, random},
-      {ownFailureDomain: 'd0'},
-    );
+    const balancer = createPlainBalancer({clock, random}, {ownFailureDomain});
     registry.apply({
       revision: revisionAt(1),
       upstreams: ids.map((id, i) => ({
@@ -180,6 +187,16 @@
     });
   }
 
+  const slowRandom = createSeededRandom(options.seed + 1_000);
+  const slowSeconds = new Map<string, boolean>();
+  function slowFactor(id: string): number {
+    const key = `${id} ${Math.floor(clock.nowMs() / 1_000)}`;
+    const isSlow =
+      slowSeconds.get(key) ?? slowRandom.nextFloat() < (options.slowShare ?? 0);
+    slowSeconds.set(key, isSlow);
+    return isSlow ? SLOW_FACTOR : 1;
+  }
+
   /** Undefined when the upstream rejects the call. */
   function work(id: string): Promise<void> | undefined {
     const model = models.get(id)!;
@@ -189,7 +206,8 @@
       const run = () => {
         model.running++;
         const factor = queue.length > QUEUE / 4 ? 2 : 1;
-        const workMs = WORK_MS * factor * (0.5 + random.nextFloat());
+        const workMs =
+          WORK_MS * slowFactor(id) * factor * (0.5 + random.nextFloat());
         clock.setTimer(workMs, () => {
           model.running--;
           resolve();
@@ -234,7 +252,7 @@
     const running = work(slot.upstream.id);
     if (!running) {
       figures.rejected++;
-      slot.end('cancelled');
+      slot.end('cancelled', {isFull: true});
       return;
     }
     await running;
@@ -247,7 +265,9 @@
     const part = Math.floor(((clock.nowMs() - startMs) * 3) / PLAY_MS);
     const perS = part === 1 ? options.burstPerS : options.basePerS;
     figures.calls++;
-    void call(hostIds[random.nextInt(HOSTS)]);
+    const exponent = options.isUneven ? 2 : 1;
+    const index = Math.floor(HOSTS * random.nextFloat() ** exponent);
+    void call(hostIds[index]);
     await clock.advance((2 * random.nextFloat() * 1_000) / perS);
   }
   await clock.advance(3_000);
