--- a/tests/relay/placement/order_comparison.ts
+++ b/tests/relay/placement/order_comparison.ts
@@ -49,10 +49,19 @@
   });
 }
 
+/** As by priority, but late requests of all priorities come last. */
+function createOnTimeFirstOrder(): StartOrder {
+  return orderBy((a, b, nowMs) => {
+    const rank = Number(!isOnTime(a, nowMs)) - Number(!isOnTime(b, nowMs));
+    return rank !== 0 ? rank : compareWaiting(a, b, nowMs);
+  });
+}
+
 export const ORDERS: Readonly<Record<string, () => StartOrder>> = {
   'by time alone': () => createShiftedOrder(0),
   'latest start + 300 ms a level': () => createShiftedOrder(300),
   'latest start + 1,000 ms a level': () => createShiftedOrder(1_000),
+  'on time first, then priority': createOnTimeFirstOrder,
   'strict priority': () => orderBy(compareWaiting),
   'priority, one of 8 to less urgent': createStartOrder,
 };
