Reduce the work per check of a waiting queue

Cause: with 400 waiting streams an arrival took 0.48 ms and refusing all took 14 ms, mostly in object spreads; starts with 960 records of peers took 55 ms.

Change: no spread per request and check, peers' records are sorted once and visited once per check, and retries keep their rank as a number.

--- a/src/relay/placement/queue_forecasts.ts
+++ b/src/relay/placement/queue_forecasts.ts
@@ -20,12 +20,8 @@
   readonly waiting: Waiting;
 }
 
-export interface QueueForecastsHost {
-  readonly compare: CompareWaiting;
-  readonly memory: RunningMemory;
-  readonly atPeers: readonly Waiting[];
-  readonly nowMs: number;
-}
+/** Counts the requests of peers that come before a request. */
+export type PeersAhead = (waiting: Waiting) => number;
 
 export interface Forecast {
   readonly waitMs: number;
@@ -36,34 +32,46 @@
 export interface QueueForecasts {
   /** The request comes before those that are forecast after this call. */
   pass(request: QueuedRequest): void;
-  /**
-   * Forecasts a request behind the passed ones and those of peers. The requests
-   * must be given in the order of service.
-   */
+  /** Forecasts a request behind the passed ones and those of peers. */
   forecast(request: QueuedRequest): Forecast;
 }
 
-export function createQueueForecasts(host: QueueForecastsHost): QueueForecasts {
-  const {compare, memory, nowMs} = host;
-  const atPeers = [...host.atPeers].sort((a, b) => compare(a, b, nowMs));
-  let tokens = 0;
-  let requests = 0;
+/**
+ * `atPeers` must be in the order of service, and the requests must be given in
+ * this order, so that each of both is visited once.
+ */
+export function createPeersAhead(
+  compare: CompareWaiting,
+  atPeers: readonly Waiting[],
+  nowMs: number,
+): PeersAhead {
+  let count = 0;
+  return waiting => {
+    while (
+      count < atPeers.length &&
+      compare(atPeers[count], waiting, nowMs) < 0
+    ) {
+      count++;
+    }
+    return count;
+  };
+}
 
+/** The requests must be given in the order of service. */
+export function createQueueForecasts(
+  memory: RunningMemory,
+  peersAhead: PeersAhead,
+): QueueForecasts {
+  let tokens = 0;
   return {
     pass({need}) {
       tokens += tokensAtEnd(need);
     },
     forecast({need, waiting}) {
-      while (
-        requests < atPeers.length &&
-        compare(atPeers[requests], waiting, nowMs) < 0
-      ) {
-        requests++;
-      }
-      const ahead = {tokens, requests};
+      const ahead = {tokens, requests: peersAhead(waiting)};
       return {
         waitMs: forecastWaitMs(ahead, tokensAtEnd(need), memory),
-        hasAhead: tokens > 0 || requests > 0,
+        hasAhead: tokens > 0 || ahead.requests > 0,
       };
     },
   };
--- a/src/relay/placement/retry_schedule.ts
+++ b/src/relay/placement/retry_schedule.ts
@@ -5,7 +5,7 @@
  * I/O. The schedule is lost with the process and starts empty.
  */
 
-import {compareStanding, type Waiting} from './wait_rules.js';
+import {standingOf, type Waiting} from './wait_rules.js';
 
 export interface RetrySchedule {
   /**
@@ -26,6 +26,10 @@
   readonly durationMs: number;
 }
 
+interface Retry extends Omit<ScheduledRetry, 'waiting'> {
+  readonly standing: number;
+}
+
 /**
  * Bounds the memory of the schedule. A burst of 80 streams a second that are
  * all refused for 5 s, each with the longest retry time, is below it.
@@ -34,7 +38,7 @@
 
 export function createRetrySchedule(): RetrySchedule {
   /** By time. */
-  let retries: ScheduledRetry[] = [];
+  let retries: Retry[] = [];
 
   /** A caller that is due is in the queue again, or does not return. */
   function dropDue(nowMs: number): void {
@@ -46,18 +50,19 @@
     extendWaitMs(waitMs, waiting, nowMs) {
       dropDue(nowMs);
       let endMs = nowMs + waitMs;
+      const standing = standingOf(waiting);
       for (const retry of retries) {
         if (retry.atMs > endMs) break;
-        if (compareStanding(retry.waiting, waiting) > 0) continue;
-        endMs += retry.durationMs;
+        if (retry.standing <= standing) endMs += retry.durationMs;
       }
       return endMs - nowMs;
     },
     add(retry) {
       if (retries.length >= MAX_RETRIES) return;
-      const index = retries.findIndex(({atMs}) => atMs > retry.atMs);
-      const at = index < 0 ? retries.length : index;
-      retries.splice(at, 0, retry);
+      const {atMs, durationMs} = retry;
+      const standing = standingOf(retry.waiting);
+      const before = retries.findLastIndex(each => each.atMs <= atMs);
+      retries.splice(before + 1, 0, {atMs, durationMs, standing});
     },
     count(nowMs) {
       dropDue(nowMs);
--- a/src/relay/placement/service_queue.ts
+++ b/src/relay/placement/service_queue.ts
@@ -7,6 +7,7 @@
 import type {Placement, StreamNeed} from './engine_scheduler.js';
 import {plannedTokens} from './placement_rules.js';
 import {
+  createPeersAhead,
   createQueueForecasts,
   type CompareWaiting,
   type Forecast,
@@ -139,14 +140,18 @@
       overShare.set(account, isOver);
       return isOver;
     };
-    return ({waiting, account}) => ({
-      ...waiting,
-      priority: waiting.priority ?? leastUrgent,
-      isOverShare: account !== undefined && isOverShare(account),
-    });
+    return ({waiting, account}) =>
+      // Without a spread, which takes most of the time of a check.
+      ({
+        arrivedAtMs: waiting.arrivedAtMs,
+        onTimeUntilMs: waiting.onTimeUntilMs,
+        giveUpAtMs: waiting.giveUpAtMs,
+        priority: waiting.priority ?? leastUrgent,
+        isOverShare: account !== undefined && isOverShare(account),
+      });
   }
 
-  function readWaitingAtPeers(): readonly Waiting[] {
+  function readWaitingAtPeers(): Waiting[] {
     const leastUrgent = host.leastUrgentPriority();
     return host
       .waitingAtPeers()
@@ -205,10 +210,10 @@
     nowMs: number,
   ): readonly EndedWait[] {
     const started: EndedWait[] = [];
+    const peersAhead = createPeersAhead(compare, atPeers, nowMs);
     for (const {waiter, need, waiting} of inOrder) {
       if (isExpired(need, nowMs)) continue;
-      const ahead = atPeers.filter(each => compare(each, waiting, nowMs) < 0);
-      const placement = host.tryPlace(need, ahead.length);
+      const placement = host.tryPlace(need, peersAhead(waiting));
       if (!placement) break;
       waiters.delete(waiter);
       recordStart(need);
@@ -248,7 +253,10 @@
       const isRefused = isForecastDue && isHopeless(queued, forecast, nowMs);
       return isRefused ? 'forecast' : undefined;
     };
-    const forecasts = createQueueForecasts({compare, ...check});
+    const forecasts = createQueueForecasts(
+      check.memory,
+      createPeersAhead(compare, check.atPeers, nowMs),
+    );
     const refused: EndedWait[] = [];
     for (const queued of inOrder) {
       const {waiter} = queued;
@@ -304,7 +312,7 @@
       return {kind: 'waiting', waiter};
     },
     process(nowMs) {
-      const atPeers = readWaitingAtPeers();
+      const atPeers = readWaitingAtPeers().sort((a, b) => compare(a, b, nowMs));
       const inOrder = readQueue(createWaitingReader()).sort((a, b) =>
         compare(a.waiting, b.waiting, nowMs),
       );
--- a/src/relay/placement/wait_rules.ts
+++ b/src/relay/placement/wait_rules.ts
@@ -104,11 +104,12 @@
 }
 
 /**
- * Compares without regard to time: accounts within their share before those
- * over it, then by priority.
+ * Rank without regard to time: accounts within their share before those over it,
+ * then by priority. Less is served first.
  */
-export function compareStanding(a: Waiting, b: Waiting): number {
-  return compareShares(a, b) || compareUrgency(a, b);
+export function standingOf(waiting: Waiting): number {
+  const levels = LEAST_URGENT_LEVEL + 1;
+  return (waiting.isOverShare ? levels : 0) + levelOf(waiting);
 }
 
 /**
