--- a/tests/relay/front/caller_buffers_test.ts
+++ b/tests/relay/front/caller_buffers_test.ts
@@ -93,6 +93,7 @@
       stallTimeoutMs: 1_300,
       deadlineAtMs: 60_000,
       onEvent: () => {},
+      onResume: () => {},
     },
   ).then(given => void (end = given));
   return {
