Send the priority of plain calls to their keeper

slot-ask gets the optional field priority (of the account, else of the route), and the keeper and the own part of a host put it into the Waiting objects that compareWaiting orders. Invalid priorities are ignored.

--- a/src/relay/placement/wait_rules.ts
+++ b/src/relay/placement/wait_rules.ts
@@ -18,6 +18,7 @@
   readonly onTimeUntilMs: number;
   /** Latest start for which the caller is still waiting. */
   readonly giveUpAtMs: number;
+  readonly priority?: number;
 }
 
 /**
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -112,7 +112,8 @@
 export function createPlainRelay(host: PlainRelayHost): PlainRelay {
   const {clock, upstreamPort, slots, registry, retryBudget} = host;
 
-  function toNeed({request, route, service, deadlineAtMs}: RelayJob): SlotNeed {
+  function toNeed(job: RelayJob): SlotNeed {
+    const {request, route, service, deadlineAtMs, admitted} = job;
     return {
       requestId: request.requestId,
       service: service.name,
@@ -121,6 +122,7 @@
         goalMs: route.goalMs,
         deadlineAtMs,
         meanCallMs: slots.meanCallMs(service.name),
+        priority: admitted.account?.priority ?? route.priority,
       }),
     };
   }
--- a/src/relay/plain/retry_schedule.ts
+++ b/src/relay/plain/retry_schedule.ts
@@ -19,13 +19,26 @@
   readonly leftMs: number;
   /** Mean time between two calls that end. */
   readonly intervalMs: number;
+  readonly priority?: number;
 }
 
 export interface RetrySchedule {
   /** Reserves a time for the retry and returns the delay until then. */
   add(refused: RefusedCall): number;
-  /** Retries that are due within this time and have not been due yet. */
-  countDue(withinMs: number): number;
+  /**
+   * Retries that are due within this time, have not been due yet, and are not
+   * less urgent than a call of this priority.
+   */
+  countDue(withinMs: number, priority?: number): number;
+}
+
+interface Retry {
+  readonly atMs: number;
+  readonly priority?: number;
+}
+
+function isLessUrgent(retry: Retry, priority: number | undefined): boolean {
+  return (retry.priority ?? Infinity) > (priority ?? Infinity);
 }
 
 /** Callers ignore a longer delay, as a share of the time they still wait. */
@@ -38,31 +51,33 @@
 export function createRetrySchedule(host: RetryScheduleHost): RetrySchedule {
   const {clock, random} = host;
   /** In order of time. */
-  let dueAtMs: number[] = [];
+  let due: Retry[] = [];
 
   function dropPast(): void {
     const nowMs = clock.nowMs();
-    if (dueAtMs.length > 0 && dueAtMs[0] <= nowMs)
-      dueAtMs = dueAtMs.filter(each => each > nowMs);
+    if (due.length > 0 && due[0].atMs <= nowMs)
+      due = due.filter(({atMs}) => atMs > nowMs);
   }
 
   return {
-    add({waitMs, leftMs, intervalMs}) {
+    add({waitMs, leftMs, intervalMs, priority}) {
       dropPast();
       const nowMs = clock.nowMs();
-      const afterLastMs = (dueAtMs.at(-1) ?? 0) + intervalMs - nowMs;
+      const afterLastMs = (due.at(-1)?.atMs ?? 0) + intervalMs - nowMs;
       const delayMs = Math.max(MIN_RETRY_AFTER_MS, waitMs, afterLastMs);
       const isKept = delayMs <= leftMs * MAX_RETRY_SHARE;
       // No time is left in the order, so the caller comes back at random.
-      if (!isKept || dueAtMs.length >= MAX_SCHEDULED)
+      if (!isKept || due.length >= MAX_SCHEDULED)
         return spreadRetryAfterMs(waitMs, leftMs, random.nextFloat());
-      dueAtMs.push(nowMs + delayMs);
+      due.push({atMs: nowMs + delayMs, priority});
       return delayMs;
     },
-    countDue(withinMs) {
+    countDue(withinMs, priority) {
       dropPast();
       const untilMs = clock.nowMs() + withinMs;
-      return dueAtMs.filter(each => each <= untilMs).length;
+      return due.filter(
+        each => each.atMs <= untilMs && !isLessUrgent(each, priority),
+      ).length;
     },
   };
 }
--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -194,6 +194,7 @@
       ageMs: Math.round(nowMs - waiting.arrivedAtMs),
       onTimeMs: Math.round(waiting.onTimeUntilMs - nowMs),
       giveUpMs: Math.round(waiting.giveUpAtMs - nowMs),
+      priority: waiting.priority,
     };
   }
 
--- a/src/relay/plain/slot_messages.ts
+++ b/src/relay/plain/slot_messages.ts
@@ -16,6 +16,8 @@
   readonly ageMs: number;
   readonly onTimeMs: number;
   readonly giveUpMs: number;
+  /** 0 is the most urgent; absent if it is not known. */
+  readonly priority?: number;
 }
 
 export type SlotAnswer =
--- a/src/relay/plain/slot_rules.ts
+++ b/src/relay/plain/slot_rules.ts
@@ -53,6 +53,13 @@
   return nowMs + extraMs > onTimeUntilMs;
 }
 
+/** The priority in a peer's message, if it is a valid one. */
+export function readPriority(value: unknown): number | undefined {
+  return typeof value === 'number' && Number.isInteger(value) && value >= 0
+    ? value
+    : undefined;
+}
+
 export interface SlotLoad {
   /** Calls that may run at once; below one, a share of the time. */
   readonly maxCalls: number;
@@ -69,6 +76,7 @@
   readonly goalMs: number;
   readonly deadlineAtMs: number;
   readonly meanCallMs: number;
+  readonly priority?: number;
 }
 
 /**
@@ -86,5 +94,6 @@
     arrivedAtMs,
     onTimeUntilMs: arrivedAtMs + goalMs - Math.max(workMs, slowWorkMs),
     giveUpAtMs: deadlineAtMs - workMs,
+    priority: bounds.priority,
   };
 }
--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -16,7 +16,12 @@
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
 import {createResetMemory} from './reset_memory.js';
 import {createRetrySchedule, type RetrySchedule} from './retry_schedule.js';
-import {forecastSlotMs, isTooSlowFor, type SlotLoad} from './slot_rules.js';
+import {
+  forecastSlotMs,
+  isTooSlowFor,
+  readPriority,
+  type SlotLoad,
+} from './slot_rules.js';
 import {createSlowUpstreams, type SlowUpstreams} from './slow_upstreams.js';
 import type {Upstream} from '../../core/upstream.js';
 import {
@@ -167,7 +172,12 @@
     const state = stateOf(service);
     const intervalMs = forecastSlotMs(0, loadOf(service, state));
     const retryAfterMs = Math.round(
-      state.retries.add({waitMs, leftMs, intervalMs}),
+      state.retries.add({
+        waitMs,
+        leftMs,
+        intervalMs,
+        priority: waiting.priority,
+      }),
     );
     host.send(fromHostId, {kind: 'slot-refused', askId, retryAfterMs});
   }
@@ -254,7 +264,8 @@
       each => compareWaiting(each.waiting, waiting, nowMs) < 0,
     ).length;
     const load = loadOf(service, state);
-    const retries = state.retries.countDue(forecastSlotMs(ahead, load));
+    const untilMs = forecastSlotMs(ahead, load);
+    const retries = state.retries.countDue(untilMs, waiting.priority);
     return forecastSlotMs(ahead + retries, load);
   }
 
@@ -341,6 +352,7 @@
         arrivedAtMs: nowMs - request.ageMs,
         onTimeUntilMs: nowMs + request.onTimeMs,
         giveUpAtMs: nowMs + request.giveUpMs,
+        priority: readPriority(request.priority),
       },
     };
     calls.set(keyOf(fromHostId, request.askId), call);
--- a/tests/relay/plain/slot_queue_test.ts
+++ b/tests/relay/plain/slot_queue_test.ts
@@ -3,6 +3,8 @@
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import type {SlotAnswer} from '../../../src/relay/plain/slot_messages.js';
+import {createRetrySchedule} from '../../../src/relay/plain/retry_schedule.js';
+import {readPriority} from '../../../src/relay/plain/slot_rules.js';
 import {createSlotServer} from '../../../src/relay/plain/slot_server.js';
 import {createPlainBalancer} from '../../../src/scheduling/plain_balancer.js';
 import {makeUpstream} from '../store/store_site.js';
@@ -114,3 +116,19 @@
     String(delays),
   );
 });
+
+test('retries of less urgent calls are not ahead of a new call', () => {
+  // Guards against urgent calls that are refused for the sake of others.
+  const clock = createVirtualClock(10_000);
+  const retries = createRetrySchedule({clock, random: createSeededRandom(1)});
+  const refused = {waitMs: 200, leftMs: 900, intervalMs: 10};
+  for (const priority of [0, 1, 2, undefined])
+    retries.add({...refused, priority});
+  assert.equal(retries.countDue(500, 0), 1);
+  assert.equal(retries.countDue(500, 1), 2);
+  assert.equal(retries.countDue(500), 4);
+  // Invalid priorities of peers are ignored without losing the request.
+  assert.deepEqual([-1, NaN, 0.5, '0', null].map(readPriority), [
+    ...new Array<undefined>(5),
+  ]);
+});
