Order plain calls by the shares of accounts; rank routes within accounts

Cause: accounts with a priority of their own hid the priorities of routes, so that the reserve within a limit never applied. An account that sends many times its usual made the plain calls of all others late. Change: the priority of the account precedes that of the route, which decides among requests of equal accounts and within the limit of one account. Keepers count the calls of accounts and queue those over their share last.

--- a/src/relay/accounts/account_admission.ts
+++ b/src/relay/accounts/account_admission.ts
@@ -137,7 +137,7 @@
       return {kind: 'admitted', account, refund: doNothing, isWithdrawn};
     }
     const costUnits = costOf(quota, request.prompt);
-    const priority = host.priorities.of(account, route);
+    const priority = host.priorities.of(route);
     const charge: Charge = {account: name, quota, costUnits, priority};
     const toOutcome = (verdict: LimitVerdict): AccountAdmissionOutcome => {
       if (verdict.kind === 'limited') {
--- a/src/relay/accounts/request_priorities.ts
+++ b/src/relay/accounts/request_priorities.ts
@@ -1,16 +1,17 @@
 /**
  * Determines the priority of requests among the requests of their account,
- * where the configuration has more than one.
+ * where the routes of a service differ in priority. The priority of the account
+ * plays no part: it is the same for all of them.
  */
 
-import type {ClientAccount, Route} from '../../core/routing_types.js';
+import type {Route} from '../../core/routing_types.js';
 
 export interface RequestPriorities {
   /**
    * Returns undefined if all requests of the account to the route's services
    * are equally urgent.
    */
-  of(account: ClientAccount, route: Route): number | undefined;
+  of(route: Route): number | undefined;
 }
 
 /** @param routes Returns the same array until the configuration changes. */
@@ -30,10 +31,7 @@
   }
 
   return {
-    of(account, route) {
-      // The priority of an account precedes that of the route, so all its
-      // requests are equally urgent.
-      if (account.priority !== undefined) return undefined;
+    of(route) {
       const uneven = findUnevenServices();
       const isUneven = route.targets.some(({service}) => uneven.has(service));
       return isUneven ? route.priority : undefined;
--- a/src/relay/placement/request_priority.ts
+++ b/src/relay/placement/request_priority.ts
@@ -8,19 +8,20 @@
 
 export interface RequestPriorities {
   /**
-   * The priority of a request: that of its account if it has one, else of its
-   * route. 0 is the most urgent. Undefined stands for the least urgent of the
-   * service's routes, so that most messages need not state it.
+   * The level of urgency of a request among those of its service; 0 is the most
+   * urgent. The priority of the account precedes that of the route, which
+   * decides among accounts of the same priority. Undefined stands for the least
+   * urgent level, so that most messages need not state it.
    */
   ofRequest(
     service: string,
     route: Route,
     account: ClientAccount | undefined,
   ): number | undefined;
-  /** Assumed for requests whose host did not state a priority. */
+  /** Assumed for requests whose host did not state a level. */
   leastUrgent(service: string): number | undefined;
-  /** The priority to send to an engine with a request of this priority. */
-  forEngine(service: string, priority: number | undefined): number | undefined;
+  /** The priority to send to an engine with a request of this level. */
+  forEngine(service: string, level: number | undefined): number | undefined;
 }
 
 /** A priority that a peer sent; undefined if it is not a valid one. */
@@ -33,12 +34,28 @@
 /** Engines assume this priority for requests without one. */
 const LEAST_URGENT_FOR_ENGINES = 5;
 
-/** The distinct priorities of the routes of a service, most urgent first. */
-function findLevels(routing: Routing, service: string): readonly number[] {
-  const priorities = routing.routes
-    .filter(({targets}) => targets.some(each => each.service === service))
-    .map(({priority}) => priority);
-  return [...new Set(priorities)].sort((a, b) => a - b);
+/** Greater than any priority of a configuration. */
+const MAX_PRIORITY = 1_000;
+
+/** Orders requests by the priority of their account, then of their route. */
+function rankOf(route: Route, account: ClientAccount | undefined): number {
+  return (account?.priority ?? route.priority) * MAX_PRIORITY + route.priority;
+}
+
+/**
+ * The ranks that requests of a service can have, most urgent first. Empty where
+ * all its routes have the same priority.
+ */
+function findRanks(routing: Routing, service: string): readonly number[] {
+  const routes = routing.routes.filter(({targets}) =>
+    targets.some(each => each.service === service),
+  );
+  if (new Set(routes.map(({priority}) => priority)).size < 2) return [];
+  const accounts = routing.accounts.length > 0 ? routing.accounts : [undefined];
+  const ranks = routes.flatMap(route =>
+    accounts.map(account => rankOf(route, account)),
+  );
+  return [...new Set(ranks)].sort((a, b) => a - b);
 }
 
 export function createRequestPriorities(host: {
@@ -46,37 +63,38 @@
   routing(): Routing | undefined;
 }): RequestPriorities {
   let known: Routing | undefined;
-  const levelsByService = new Map<string, readonly number[]>();
+  const ranksByService = new Map<string, readonly number[]>();
 
-  /** Empty where all routes of the service have the same priority. */
-  function levelsOf(service: string): readonly number[] {
+  function ranksOf(service: string): readonly number[] {
     const routing = host.routing();
-    if (routing !== known) levelsByService.clear();
+    if (routing !== known) ranksByService.clear();
     known = routing;
-    let levels = levelsByService.get(service);
-    if (!levels) {
-      levels = routing ? findLevels(routing, service) : [];
-      if (levels.length < 2) levels = [];
-      levelsByService.set(service, levels);
+    let ranks = ranksByService.get(service);
+    if (!ranks) {
+      ranks = routing ? findRanks(routing, service) : [];
+      ranksByService.set(service, ranks);
     }
-    return levels;
+    return ranks;
+  }
+
+  function leastUrgent(service: string): number | undefined {
+    const ranks = ranksOf(service);
+    return ranks.length > 0 ? ranks.length - 1 : undefined;
   }
 
   return {
     ofRequest(service, route, account) {
-      const levels = levelsOf(service);
-      if (levels.length === 0) return undefined;
-      const priority = account?.priority ?? route.priority;
-      return priority === levels.at(-1) ? undefined : priority;
+      const least = leastUrgent(service);
+      if (least === undefined) return undefined;
+      const rank = rankOf(route, account);
+      const level = ranksOf(service).findIndex(each => rank <= each);
+      return level < 0 || level === least ? undefined : level;
     },
-    leastUrgent: service => levelsOf(service).at(-1),
-    forEngine(service, priority) {
-      const levels = levelsOf(service);
-      if (levels.length === 0) return undefined;
-      const lessUrgent = levels.filter(
-        level => level > (priority ?? Number.POSITIVE_INFINITY),
-      );
-      return Math.max(0, LEAST_URGENT_FOR_ENGINES - lessUrgent.length);
+    leastUrgent,
+    forEngine(service, level) {
+      const least = leastUrgent(service);
+      if (least === undefined) return undefined;
+      return Math.max(0, LEAST_URGENT_FOR_ENGINES - least + (level ?? least));
     },
   };
 }
--- a/src/relay/plain/plain_placement.ts
+++ b/src/relay/plain/plain_placement.ts
@@ -7,6 +7,7 @@
 import {FIRST_ASK_ID_RANGE} from '../fleet/peer_request_client.js';
 import {createSlotClient, OWN_PART, type SlotClient} from './slot_client.js';
 import {createSlotServer} from './slot_server.js';
+import type {AccountShares} from '../accounts/account_shares.js';
 import {createOwnPart} from './own_part.js';
 import {maxCallsPerKeeper} from './slot_rules.js';
 import type {SlotMessage} from './slot_messages.js';
@@ -28,6 +29,8 @@
   keeperCount(): number;
   /** Number of hosts that serve callers, including this one. */
   hostCount(): number;
+  /** The use of plain services by client accounts, in calls. */
+  readonly shares: AccountShares;
   send(hostId: string, message: SlotMessage): void;
 }
 
@@ -55,6 +58,8 @@
     ...shared,
     maxCallsAt: ({slots: count}) =>
       maxCallsPerKeeper(count, host.keeperCount()),
+    isOverShare: host.shares.isOverShare,
+    onStarted: (service, account) => host.shares.record(service, account, 1),
     send,
   });
   const ownPart = createSlotServer({
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -20,6 +20,7 @@
 } from '../answers/answer_collector.js';
 import {deliverCollected, passThrough} from '../answers/answer_delivery.js';
 import {isGenuine, toCallerError} from '../answers/answer_rules.js';
+import type {RequestPriorities} from '../placement/request_priority.js';
 import {
   CONNECT_TIMEOUT_MS,
   leftMs,
@@ -40,6 +41,7 @@
   readonly slots: SlotClient;
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryAllowance;
+  readonly priorities: RequestPriorities;
   /**
    * How long the upstream takes no more calls from this host; 0 if it takes
    * them.
@@ -112,15 +114,22 @@
 export function createPlainRelay(host: PlainRelayHost): PlainRelay {
   const {clock, upstreamPort, slots, registry, retryBudget} = host;
 
-  function toNeed({request, route, service, deadlineAtMs}: RelayJob): SlotNeed {
+  function toNeed(job: RelayJob): SlotNeed {
+    const {request, route, service, deadlineAtMs, admitted} = job;
     return {
       requestId: request.requestId,
       service: service.name,
+      account: admitted.account?.name,
       waiting: toCallWaiting({
         arrivedAtMs: request.arrivedAtMs,
         goalMs: route.goalMs,
         deadlineAtMs,
         meanCallMs: slots.meanCallMs(service.name),
+        priority: host.priorities.ofRequest(
+          service.name,
+          route,
+          admitted.account,
+        ),
       }),
     };
   }
--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -51,6 +51,8 @@
 export interface SlotNeed {
   readonly requestId: string;
   readonly service: string;
+  /** The client account, if callers have one. */
+  readonly account?: string;
   readonly waiting: Waiting;
 }
 
@@ -184,7 +186,7 @@
     need: SlotNeed,
     tried: ReadonlySet<string>,
   ): SlotRequest {
-    const {service, waiting} = need;
+    const {service, account, waiting} = need;
     const nowMs = clock.nowMs();
     return {
       kind: 'slot-ask',
@@ -194,6 +196,8 @@
       ageMs: Math.round(nowMs - waiting.arrivedAtMs),
       onTimeMs: Math.round(waiting.onTimeUntilMs - nowMs),
       giveUpMs: Math.round(waiting.giveUpAtMs - nowMs),
+      priority: waiting.priority,
+      account,
     };
   }
 
--- a/src/relay/plain/slot_messages.ts
+++ b/src/relay/plain/slot_messages.ts
@@ -16,6 +16,10 @@
   readonly ageMs: number;
   readonly onTimeMs: number;
   readonly giveUpMs: number;
+  /** 0 is the most urgent; absent if it is not known. */
+  readonly priority?: number;
+  /** The client account, if the caller has one. */
+  readonly account?: string;
 }
 
 export type SlotAnswer =
--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -16,7 +16,13 @@
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
 import {createResetMemory} from './reset_memory.js';
 import {createRetrySchedule, type RetrySchedule} from './retry_schedule.js';
-import {forecastSlotMs, isTooSlowFor, type SlotLoad} from './slot_rules.js';
+import {
+  forecastSlotMs,
+  isTooSlowFor,
+  readAccount,
+  readPriority,
+  type SlotLoad,
+} from './slot_rules.js';
 import {createSlowUpstreams, type SlowUpstreams} from './slow_upstreams.js';
 import type {Upstream} from '../../core/upstream.js';
 import {
@@ -38,6 +44,10 @@
    * of this host itself, whose ends are never lost.
    */
   readonly part?: OwnPart;
+  /** The account uses more than its share of the service; absent for never. */
+  isOverShare?(service: string, account: string): boolean;
+  /** A call of the account was given a slot. */
+  onStarted?(service: string, account: string): void;
   send(hostId: string, answer: SlotAnswer): void;
 }
 
@@ -54,7 +64,8 @@
   readonly askId: number;
   readonly service: string;
   readonly avoid: ReadonlySet<string>;
-  readonly waiting: Waiting;
+  readonly account?: string;
+  waiting: Waiting;
   /** Set once the call has a slot. */
   upstreamId?: string;
   /** Calls at the upstream when this one began, including itself. */
@@ -167,7 +178,12 @@
     const state = stateOf(service);
     const intervalMs = forecastSlotMs(0, loadOf(service, state));
     const retryAfterMs = Math.round(
-      state.retries.add({waitMs, leftMs, intervalMs}),
+      state.retries.add({
+        waitMs,
+        leftMs,
+        intervalMs,
+        priority: waiting.priority,
+      }),
     );
     host.send(fromHostId, {kind: 'slot-refused', askId, retryAfterMs});
   }
@@ -195,6 +211,8 @@
     call.upstreamId = picked.upstreamId;
     balancer.started(call.service, picked.upstreamId);
     part?.noteStart(call.service);
+    if (call.account !== undefined)
+      host.onStarted?.(call.service, call.account);
     call.concurrency = (state.runs.get(picked.upstreamId) ?? 0) + 1;
     state.runs.set(picked.upstreamId, call.concurrency);
     if (!part) {
@@ -254,12 +272,23 @@
       each => compareWaiting(each.waiting, waiting, nowMs) < 0,
     ).length;
     const load = loadOf(service, state);
-    const retries = state.retries.countDue(forecastSlotMs(ahead, load));
+    const untilMs = forecastSlotMs(ahead, load);
+    const retries = state.retries.countDue(untilMs, waiting.priority);
     return forecastSlotMs(ahead + retries, load);
   }
 
+  /** Shares change while calls wait. */
+  function updateShare(call: OpenCall): void {
+    const {service, account, waiting} = call;
+    if (account === undefined || !host.isOverShare) return;
+    const isOverShare = host.isOverShare(service, account);
+    if (isOverShare === (waiting.isOverShare ?? false)) return;
+    call.waiting = {...waiting, isOverShare};
+  }
+
   const inOrder = (queue: readonly OpenCall[]) => {
     const nowMs = clock.nowMs();
+    queue.forEach(updateShare);
     return [...queue].sort((a, b) =>
       compareWaiting(a.waiting, b.waiting, nowMs),
     );
@@ -337,12 +366,15 @@
       concurrency: 0,
       service: request.service,
       avoid: new Set(request.avoid),
+      account: readAccount(request.account),
       waiting: {
         arrivedAtMs: nowMs - request.ageMs,
         onTimeUntilMs: nowMs + request.onTimeMs,
         giveUpAtMs: nowMs + request.giveUpMs,
+        priority: readPriority(request.priority),
       },
     };
+    updateShare(call);
     calls.set(keyOf(fromHostId, request.askId), call);
     const state = stateOf(request.service);
     if (request.giveUpMs >= 0) noteRequest(state);
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -245,6 +245,7 @@
     keepers: placement.keepers,
     keeperCount: placement.groupCount,
     hostCount: () => remainingHostIds().length,
+    shares: accounts.shares,
     send: (hostId, message) => peers.sendMessage(hostId, message),
   });
   const retries = createRelayRetries(
@@ -328,6 +329,7 @@
     routing,
     plain: createPlainRelay({
       ...shared,
+      priorities: placement.priorities,
       slots: plainPlaces.slots,
       pausedMs: gate.blockedForMs,
     }),
--- a/tests/relay/plain/plain_relay_test.ts
+++ b/tests/relay/plain/plain_relay_test.ts
@@ -8,6 +8,7 @@
   UpstreamPort,
 } from '../../../src/ports/relay.js';
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {createRequestPriorities} from '../../../src/relay/placement/request_priority.js';
 import {createPlainRelay} from '../../../src/relay/plain/plain_relay.js';
 import type {EndNotes, Slot} from '../../../src/relay/plain/slot_client.js';
 import type {RelayJob} from '../../../src/relay/relay_types.js';
@@ -55,6 +56,7 @@
     upstreamPort: port as UpstreamPort,
     registry,
     retryBudget: createRetryBudget({burst: () => 9, ratioOf: () => 0}),
+    priorities: createRequestPriorities({routing: () => undefined}),
     pausedMs: () => 0,
     onBroken: () => undefined,
     slots: {
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -4,6 +4,7 @@
  * half speed and rejects calls.
  */
 
+import {createAccountShares} from '../../../src/relay/accounts/account_shares.js';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
@@ -171,6 +172,7 @@
       keepers: () => keepers,
       keeperCount: () => 1,
       hostCount: () => HOSTS,
+      shares: createAccountShares({clock, weightOf: () => 1}),
       send(toHostId: string, message: SlotMessage) {
         countSent(hostId, toHostId);
         if (random.nextFloat() < (options.lossShare ?? 0)) return;
