--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -178,7 +178,7 @@
     members: () => peers.alive(),
     onChange: () => peers.changed(),
   });
-  const {engineLoads, statistics, scheduler} = placement;
+  const {engineLoads, statistics} = placement;
   const peers = createPeerExchange(
     {
       clock,
@@ -334,13 +334,9 @@
       pausedMs: gate.blockedForMs,
     }),
     streams: createStreamRelay({
+      ...placement,
       ...shared,
       log: createLogger('stream'),
-      scheduler,
-      place: placement.place,
-      priorities: placement.priorities,
-      engineLoads,
-      statistics,
     }),
     crashes,
     accounts: accounts.admission,
