Count latency goals from the first attempt of a request

Cause: under overload refused callers return, and their second attempts, which are late in any case, took slots of requests that could still be on time.

--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -122,6 +122,7 @@
       account: admitted.account?.name,
       waiting: toCallWaiting({
         arrivedAtMs: request.arrivedAtMs,
+        firstSentAtMs: job.firstSentAtMs,
         goalMs: route.goalMs,
         deadlineAtMs,
         meanCallMs: slots.meanCallMs(service.name),
--- a/src/relay/plain/slot_rules.ts
+++ b/src/relay/plain/slot_rules.ts
@@ -78,6 +78,8 @@
 
 export interface CallBounds {
   readonly arrivedAtMs: number;
+  /** The latency goal counts from then. */
+  readonly firstSentAtMs: number;
   readonly goalMs: number;
   readonly deadlineAtMs: number;
   readonly meanCallMs: number;
@@ -89,7 +91,8 @@
  * the deadline.
  */
 export function toCallWaiting(bounds: CallBounds): Waiting {
-  const {arrivedAtMs, goalMs, deadlineAtMs, meanCallMs} = bounds;
+  const {arrivedAtMs, firstSentAtMs, goalMs} = bounds;
+  const {deadlineAtMs, meanCallMs} = bounds;
   const workMs = meanCallMs * SLOW_CALL_FACTOR;
   const slowWorkMs = Math.min(
     meanCallMs * ON_TIME_CALL_FACTOR,
@@ -97,7 +100,7 @@
   );
   return {
     arrivedAtMs,
-    onTimeUntilMs: arrivedAtMs + goalMs - Math.max(workMs, slowWorkMs),
+    onTimeUntilMs: firstSentAtMs + goalMs - Math.max(workMs, slowWorkMs),
     giveUpAtMs: deadlineAtMs - workMs,
     priority: bounds.priority,
   };
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -86,6 +86,7 @@
         ...toWaiting({
           route,
           arrivedAtMs: request.arrivedAtMs,
+          firstSentAtMs: job.firstSentAtMs,
           deadlineAtMs,
           startMs,
         }),
--- a/tests/relay/placement/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -359,6 +359,7 @@
         waiting: toWaiting({
           route,
           arrivedAtMs,
+          firstSentAtMs: arrivedAtMs,
           deadlineAtMs: arrivedAtMs + route.timeoutMs,
           startMs,
         }),
