--- a/tests/relay/plain/plain_relay_test.ts
+++ b/tests/relay/plain/plain_relay_test.ts
@@ -83,6 +83,7 @@
     service: {name: upstream.service},
     caller: {refuse: (error: {kind: string}) => refusals.push(error.kind)},
     cancellation: createCancellation(),
+    firstSentAtMs: 1_000,
     deadlineAtMs: 2_000,
     admitted: {isWithdrawn: () => false},
   } as unknown as RelayJob;
