--- a/src/relay/accounts/recent_use.ts
+++ b/src/relay/accounts/recent_use.ts
@@ -40,11 +40,14 @@
     },
     sums(nowMs) {
       advance(nowMs);
-      return {tokens: sum(tokens), tokensSquared: sum(tokensSquared)};
+      // A loop, since this runs for each account of a service at once.
+      let sum = 0;
+      let sumOfSquares = 0;
+      for (let i = 0; i < SLOT_COUNT; i++) {
+        sum += tokens[i];
+        sumOfSquares += tokensSquared[i];
+      }
+      return {tokens: sum, tokensSquared: sumOfSquares};
     },
   };
 }
-
-function sum(values: Float64Array): number {
-  return values.reduce((total, value) => total + value, 0);
-}
