Keep one host from deciding the speed of an engine by reporting often

The offset of a host was taken from its runs and prompts together, although they are compared with different means. Change: the weight of one host is at most half of that of all others; offsets are computed for each service and role, from three reports on. All hosts together send 50 records per second instead of 60, as a long engine id takes 34 bytes.

--- a/src/relay/placement/engine_speeds.ts
+++ b/src/relay/placement/engine_speeds.ts
@@ -85,11 +85,11 @@
 /** Factors are computed at most this often, and looked up for each choice. */
 const REFRESH_MS = 200;
 /**
- * Records that all hosts together announce per second. A record takes some 28
- * bytes, so a host that receives the announcements of all gets 1.7 KB per
- * second more.
+ * Records that all hosts together announce per second. A record takes 18 to 34
+ * bytes, so a host that receives the announcements of all gets at most 1.7 KB
+ * per second more.
  */
-const RECORDS_PER_S = 60;
+const RECORDS_PER_S = 50;
 /** Records are selected at most this often. */
 const SELECT_MS = 200;
 /**
@@ -158,15 +158,8 @@
   }
 
   /** Factors of the engines of a pool relative to their mean. */
-  function relativeFactors(
-    engineIds: readonly string[],
-    pooled: ReadonlyMap<string, number>,
-  ): RelativeFactors {
-    const known: Array<readonly [string, number]> = [];
-    for (const id of engineIds) {
-      const factor = pooled.get(id);
-      if (factor !== undefined) known.push([id, factor]);
-    }
+  function relativeFactors(engineIds: readonly string[]): RelativeFactors {
+    const known = [...pool.factors(engineIds)];
     const sum = known.reduce((total, [, factor]) => total + factor, 0);
     const relative = known.map(
       ([id, factor]) => [id, round((factor * known.length) / sum)] as const,
@@ -190,10 +183,7 @@
     for (const id of announced.keys()) {
       if (!listedIds.has(id)) announced.delete(id);
     }
-    const pooled = pool.factors();
-    const relative = [...idsByPool.values()].map(ids =>
-      relativeFactors(ids, pooled),
-    );
+    const relative = [...idsByPool.values()].map(relativeFactors);
     return {
       byEngine: new Map(relative.flat()),
       slowedIds: new Set(relative.flatMap(findSlowed).filter(pool.hasMajority)),
--- a/src/relay/placement/speed_pool.ts
+++ b/src/relay/placement/speed_pool.ts
@@ -22,8 +22,12 @@
   removeHost(hostId: string): void;
   /** Keeps only the engines for which `isListed` returns true. */
   retain(isListed: (engineId: string) => boolean): void;
-  /** The factors of the engines with recent reports. */
-  factors(): ReadonlyMap<string, number>;
+  /**
+   * The factors of those of the given engines that have recent reports. The
+   * engines must be of one service and role, because a host's offset is
+   * different for prompts and runs.
+   */
+  factors(engineIds: readonly string[]): ReadonlyMap<string, number>;
   /** Number of hosts that reported the engine recently. */
   reportCount(engineId: string): number;
   /** Whether so many hosts reported the engine that no one decides alone. */
@@ -58,6 +62,12 @@
  * factor is kept within the bounds below.
  */
 const MIN_HOSTS_FOR_MEDIAN = 3;
+const MAX_SHARE_OF_OTHERS = 0.5;
+/**
+ * With fewer reports of a host, one engine that slowed down would look like an
+ * offset of the host.
+ */
+const MIN_REPORTS_FOR_OFFSET = 3;
 const FEW_HOSTS_MIN = 0.5;
 const FEW_HOSTS_MAX = 2;
 
@@ -90,6 +100,21 @@
   return sorted[sorted.length - 1].value;
 }
 
+/**
+ * Limits the recent weight of each host to half of that of all
+ * others, so that no host decides alone because it reports more often: the
+ * median is always between reports of others. Two reports cannot be
+ * limited in this way; the bounds for few hosts apply to them.
+ */
+function limitHosts(entries: readonly Entry[]): readonly Entry[] {
+  if (entries.length < MIN_HOSTS_FOR_MEDIAN) return entries;
+  const total = entries.reduce((sum, each) => sum + each.recentWeight, 0);
+  return entries.map(entry => {
+    const most = (total - entry.recentWeight) * MAX_SHARE_OF_OTHERS;
+    return {...entry, recentWeight: Math.min(entry.recentWeight, most)};
+  });
+}
+
 /** Logarithms of the factors, given the offset of each host. */
 function engineMedians(
   entries: EntriesByEngine,
@@ -121,7 +146,7 @@
   }
   const offsets = new Map<string, number>();
   for (const [hostId, ofHost] of differences) {
-    // A single report shows the engine as much as the offset.
+    if (ofHost.length < MIN_REPORTS_FOR_OFFSET) continue;
     const share = (ofHost.length - 1) / ofHost.length;
     offsets.set(hostId, weightedMedian(ofHost) * share);
   }
@@ -159,9 +184,11 @@
     }
   }
 
-  function prepare(): EntriesByEngine {
+  function prepare(engineIds: readonly string[]): EntriesByEngine {
     const entries = new Map<string, readonly Entry[]>();
-    for (const [engineId, byHost] of reports) {
+    for (const engineId of engineIds) {
+      const byHost = reports.get(engineId);
+      if (!byHost) continue;
       const prepared: Entry[] = [];
       for (const [hostId, report] of byHost) {
         const {weight, factor} = report;
@@ -169,7 +196,7 @@
           weight * Math.exp(-ageMs(report) / REPORT_DECAY_MS);
         prepared.push({hostId, log: Math.log(factor), weight, recentWeight});
       }
-      entries.set(engineId, prepared);
+      entries.set(engineId, limitHosts(prepared));
     }
     return entries;
   }
@@ -189,9 +216,9 @@
         if (!isListed(engineId)) reports.delete(engineId);
       }
     },
-    factors() {
+    factors(engineIds) {
       dropOld();
-      const entries = prepare();
+      const entries = prepare(engineIds);
       const offsets = hostOffsets(entries, engineMedians(entries, new Map()));
       const logs = engineMedians(entries, offsets);
       const factors = new Map<string, number>();
