Mend what the reviews found in slots, retries and speeds

Change: retry times of plain calls follow one another within what callers honor; a host's own part of the slots no longer blocks when no upstream is open; a time-out is no reset; one burst of refusals counts once; invalid times and paces are ignored; a request without a priority is the least urgent of its service; a keeper assumes unknown calls only at its first request. Decode engines are chosen by free memory alone again.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -227,7 +227,7 @@
             : {
                 kind: 'unreachable',
                 detail,
-                ...((isConnected || wasReset) && {wasConnected: true}),
+                ...(wasReset && {wasConnected: true}),
               },
         );
         request.destroy();
--- a/src/relay/placement/placement_rules.ts
+++ b/src/relay/placement/placement_rules.ts
@@ -94,34 +94,25 @@
 }
 
 /**
- * Free memory is weighted by this power of the speed. With speeds of 0.7, 0.7
- * and 1.7, the power 2 gave shorter runs than 1, and served more on time than
- * the fastest engine first where the pace of runs depends on their number
- * (figures in docs/design/engine_speeds.md).
- */
-const DECODE_SPEED_POWER = 2;
-
-/**
- * The decode engine with the most room weighted by its speed, if the request
- * fits there and leaves `spareTokens` free. By free memory alone, slow and fast
- * engines would be filled alike, although a run takes longer on a slow one.
+ * The decode engine with the most room, if the request fits there and leaves
+ * `spareTokens` free. Weighting the room by speed fills fast engines until they
+ * preempt runs, and served fewer streams on played days
+ * (docs/design/engine_speeds.md).
  */
 export function pickDecode(
   engines: readonly Upstream[],
-  {loads, speeds}: EngineState,
+  {loads}: EngineState,
   traits: EngineTraits,
   need: TokenNeed,
   spareTokens = 0,
 ): Upstream | undefined {
-  const neededTokens = plannedTokens(need) + spareTokens;
   let best: Upstream | undefined;
-  let bestScore = 0;
+  let bestFree = plannedTokens(need) + spareTokens;
   for (const engine of engines) {
     const free = freeTokens(loads.decodeLoad(engine.id), traits);
-    const score = free * speeds.factorOf(engine.id) ** DECODE_SPEED_POWER;
-    if (free < neededTokens || (best && score < bestScore)) continue;
+    if (free < bestFree) continue;
     best = engine;
-    bestScore = score;
+    bestFree = free;
   }
   return best;
 }
--- a/src/relay/placement/speed_samples.ts
+++ b/src/relay/placement/speed_samples.ts
@@ -186,7 +186,8 @@
   return {
     recordEvents(pace) {
       const {engineId, pool, runs, msPerToken, durationMs} = pace;
-      if (!(msPerToken > 0) || !(durationMs > 0) || !(runs >= 1)) return;
+      if (!Number.isFinite(msPerToken) || msPerToken <= 0) return;
+      if (!(durationMs > 0) || !(runs >= 1)) return;
       const logSpeed = -Math.log(msPerToken);
       const logRuns = Math.log(runs);
       const before = sampleBefore(engineId, pool, 'events');
--- a/src/relay/plain/own_part.ts
+++ b/src/relay/plain/own_part.ts
@@ -100,12 +100,14 @@
 
   function scale(service: string, state: PartState, factor: number): void {
     const most = maxPart(service);
+    if (host.open(service).length === 0) return;
     const least = Math.min(most, MIN_PARTS * evenPart(service));
     state.calls = Math.max(least, Math.min(most, state.calls * factor));
   }
 
   return {
     mayStart(service, runningCount) {
+      if (host.open(service).length === 0) return false;
       const {calls, nextStartAtMs} = stateOf(service);
       const isWithin = runningCount < Math.max(1, Math.floor(calls));
       return isWithin && (calls >= 1 || clock.nowMs() >= nextStartAtMs);
--- a/src/relay/plain/plain_placement.ts
+++ b/src/relay/plain/plain_placement.ts
@@ -31,6 +31,8 @@
   hostCount(): number;
   /** The use of plain services by client accounts, in calls. */
   readonly shares: AccountShares;
+  /** Priority of a request whose host did not state one. */
+  leastUrgent(service: string): number | undefined;
   send(hostId: string, message: SlotMessage): void;
 }
 
@@ -53,7 +55,13 @@
     else host.send(toHostId, message);
   }
 
-  const shared = {clock, random, balancer, open: registry.open};
+  const shared = {
+    clock,
+    random,
+    balancer,
+    open: registry.open,
+    leastUrgent: host.leastUrgent,
+  };
   const server = createSlotServer({
     ...shared,
     maxCallsAt: ({slots: count}) =>
--- a/src/relay/plain/retry_schedule.ts
+++ b/src/relay/plain/retry_schedule.ts
@@ -5,7 +5,6 @@
 
 import type {Clock} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
-import {spreadRetryAfterMs} from '../placement/wait_rules.js';
 
 export interface RetryScheduleHost {
   readonly clock: Clock;
@@ -64,11 +63,15 @@
       dropPast();
       const nowMs = clock.nowMs();
       const afterLastMs = (due.at(-1)?.atMs ?? 0) + intervalMs - nowMs;
-      const delayMs = Math.max(MIN_RETRY_AFTER_MS, waitMs, afterLastMs);
-      const isKept = delayMs <= leftMs * MAX_RETRY_SHARE;
-      // No time is left in the order, so the caller comes back at random.
-      if (!isKept || due.length >= MAX_SCHEDULED)
-        return spreadRetryAfterMs(waitMs, leftMs, random.nextFloat());
+      const mostMs = Math.max(MIN_RETRY_AFTER_MS, leftMs * MAX_RETRY_SHARE);
+      const soonestMs = Math.min(Math.max(MIN_RETRY_AFTER_MS, waitMs), mostMs);
+      const delayMs = Math.max(soonestMs, afterLastMs);
+      // No scheduled time is early enough for this caller, so a random one is
+      // used.
+      if (delayMs > mostMs || due.length >= MAX_SCHEDULED) {
+        const rangeMs = mostMs - MIN_RETRY_AFTER_MS;
+        return MIN_RETRY_AFTER_MS + random.nextFloat() * rangeMs;
+      }
       due.push({atMs: nowMs + delayMs, priority});
       return delayMs;
     },
--- a/src/relay/plain/slot_rules.ts
+++ b/src/relay/plain/slot_rules.ts
@@ -6,7 +6,9 @@
  * upstream with a full queue works more slowly and rejects calls.
  */
 
+import {toPriority} from '../placement/request_priority.js';
 import type {Waiting} from '../placement/wait_rules.js';
+import type {SlotRequest} from './slot_messages.js';
 
 /**
  * Concurrent calls, as a multiple of the slots, so that the next call is
@@ -53,11 +55,23 @@
   return nowMs + extraMs > onTimeUntilMs;
 }
 
-/** The priority in a peer's message, if it is a valid one. */
-export function readPriority(value: unknown): number | undefined {
-  return typeof value === 'number' && Number.isInteger(value) && value >= 0
-    ? value
-    : undefined;
+/**
+ * The waiting times in a peer's message, on this host's clock; undefined if they
+ * are invalid. Hosts of older builds send no priority.
+ */
+export function readCallWaiting(
+  request: SlotRequest,
+  nowMs: number,
+  leastUrgent: number | undefined,
+): Waiting | undefined {
+  const {ageMs, onTimeMs, giveUpMs} = request;
+  if (![ageMs, onTimeMs, giveUpMs].every(Number.isFinite)) return undefined;
+  return {
+    arrivedAtMs: nowMs - ageMs,
+    onTimeUntilMs: nowMs + onTimeMs,
+    giveUpAtMs: nowMs + giveUpMs,
+    priority: toPriority(request.priority) ?? leastUrgent,
+  };
 }
 
 /** The account in a peer's message, if it is a valid one. */
--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -20,7 +20,7 @@
   forecastSlotMs,
   isTooSlowFor,
   readAccount,
-  readPriority,
+  readCallWaiting,
   type SlotLoad,
 } from './slot_rules.js';
 import {createSlowUpstreams, type SlowUpstreams} from './slow_upstreams.js';
@@ -44,6 +44,8 @@
    * of this host itself, whose ends are never lost.
    */
   readonly part?: OwnPart;
+  /** Priority of a request whose host did not state one. */
+  leastUrgent?(service: string): number | undefined;
   /** The account uses more than its share of the service; absent for never. */
   isOverShare?(service: string, account: string): boolean;
   /** A call of the account was given a slot. */
@@ -84,7 +86,6 @@
   readonly retries: RetrySchedule;
   /** Upstreams that refused a call get none until these times. */
   readonly fullUntilMs: Map<string, number>;
-  lastRequestAtMs: number;
   /** Until then, upstreams may run calls that this keeper does not know. */
   unknownUntilMs: number;
 }
@@ -108,8 +109,8 @@
 /** A forecast that is wrong for a moment must not cause a refusal. */
 const HOPELESS_MS = 100;
 /**
- * A keeper without requests for this long was not the keeper, or has started.
- * Other calls may run, and nearly all of them end within this time.
+ * Calls that another keeper has started, or this host before a restart, may run
+ * when the first request arrives. Nearly all of them end within this time.
  */
 const UNKNOWN_CALLS_MS = 1_000;
 
@@ -133,7 +134,6 @@
         slow: createSlowUpstreams({clock}),
         retries: createRetrySchedule({clock, random}),
         fullUntilMs: new Map(),
-        lastRequestAtMs: -Infinity,
         unknownUntilMs: -Infinity,
       };
       services.set(service, state);
@@ -249,8 +249,10 @@
 
   function noteFull(service: string, upstreamId: string): void {
     const state = stateOf(service);
-    const untilMs = clock.nowMs() + FULL_CALLS * state.meanCallMs;
-    state.fullUntilMs.set(upstreamId, untilMs);
+    const nowMs = clock.nowMs();
+    for (const [id, untilMs] of state.fullUntilMs)
+      if (untilMs <= nowMs) state.fullUntilMs.delete(id);
+    state.fullUntilMs.set(upstreamId, nowMs + FULL_CALLS * state.meanCallMs);
     part?.noteEnd(service, {kind: 'full'});
   }
 
@@ -353,13 +355,15 @@
   /** Probes are not counted: hosts send them to a keeper that they do not use. */
   function noteRequest(state: ServiceState): void {
     const nowMs = clock.nowMs();
-    if (!part && nowMs - state.lastRequestAtMs > UNKNOWN_CALLS_MS)
-      state.unknownUntilMs = nowMs + UNKNOWN_CALLS_MS;
-    state.lastRequestAtMs = nowMs;
+    if (part || state.unknownUntilMs > -Infinity) return;
+    state.unknownUntilMs = nowMs + UNKNOWN_CALLS_MS;
   }
 
   function admit(fromHostId: string, request: SlotRequest): void {
     const nowMs = clock.nowMs();
+    const leastUrgent = host.leastUrgent?.(request.service);
+    const waiting = readCallWaiting(request, nowMs, leastUrgent);
+    if (!waiting) return;
     const call: OpenCall = {
       fromHostId,
       askId: request.askId,
@@ -367,12 +371,7 @@
       service: request.service,
       avoid: new Set(request.avoid),
       account: readAccount(request.account),
-      waiting: {
-        arrivedAtMs: nowMs - request.ageMs,
-        onTimeUntilMs: nowMs + request.onTimeMs,
-        giveUpAtMs: nowMs + request.giveUpMs,
-        priority: readPriority(request.priority),
-      },
+      waiting,
     };
     updateShare(call);
     calls.set(keyOf(fromHostId, request.askId), call);
@@ -398,7 +397,7 @@
           else admit(fromHostId, message);
           return;
         case 'slot-end':
-          if (known) end(known, message);
+          if (known && message.durationMs >= 0) end(known, message);
           return;
       }
     },
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -246,6 +246,7 @@
     keeperCount: placement.groupCount,
     hostCount: () => remainingHostIds().length,
     shares: accounts.shares,
+    leastUrgent: placement.priorities.leastUrgent,
     send: (hostId, message) => peers.sendMessage(hostId, message),
   });
   const retries = createRelayRetries(
--- a/src/relay/retries/shared_retries.ts
+++ b/src/relay/retries/shared_retries.ts
@@ -126,6 +126,8 @@
       refusalsInARow.delete(service);
       return allow(service, 'owner');
     }
+    // Requests of one burst are refused together and count once.
+    if (isHeld(service)) return deny(service, 'refused');
     const refusals = (refusalsInARow.get(service) ?? 0) + 1;
     refusalsInARow.set(service, refusals);
     return hold(service, 'refused', refusedHoldMs(hosts(), refusals), fields);
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -173,6 +173,7 @@
       keeperCount: () => 1,
       hostCount: () => HOSTS,
       shares: createAccountShares({clock, weightOf: () => 1}),
+      leastUrgent: () => undefined,
       send(toHostId: string, message: SlotMessage) {
         countSent(hostId, toHostId);
         if (random.nextFloat() < (options.lossShare ?? 0)) return;
