--- a/src/relay/placement/wait_rules.ts
+++ b/src/relay/placement/wait_rules.ts
@@ -70,19 +70,17 @@
 export interface WaitBounds {
   readonly route: Route;
   readonly arrivedAtMs: number;
-  /** The latency goal counts from then. */
-  readonly firstSentAtMs: number;
   readonly deadlineAtMs: number;
   /** From the placement on engines to the first event. */
   readonly startMs: number;
 }
 
 export function toWaiting(bounds: WaitBounds): Waiting {
-  const {route, arrivedAtMs, firstSentAtMs, deadlineAtMs, startMs} = bounds;
+  const {route, arrivedAtMs, deadlineAtMs, startMs} = bounds;
   const leavesAtMs = Math.min(deadlineAtMs, arrivedAtMs + patienceMs(route));
   return {
     arrivedAtMs,
-    onTimeUntilMs: firstSentAtMs + route.goalMs - startMs,
+    onTimeUntilMs: arrivedAtMs + route.goalMs - startMs,
     giveUpAtMs: leavesAtMs - startMs - PATIENCE_MARGIN_MS,
   };
 }
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -122,7 +122,6 @@
       account: admitted.account?.name,
       waiting: toCallWaiting({
         arrivedAtMs: request.arrivedAtMs,
-        firstSentAtMs: job.firstSentAtMs,
         goalMs: route.goalMs,
         deadlineAtMs,
         meanCallMs: slots.meanCallMs(service.name),
--- a/src/relay/plain/slot_rules.ts
+++ b/src/relay/plain/slot_rules.ts
@@ -92,8 +92,6 @@
 
 export interface CallBounds {
   readonly arrivedAtMs: number;
-  /** The latency goal counts from then. */
-  readonly firstSentAtMs: number;
   readonly goalMs: number;
   readonly deadlineAtMs: number;
   readonly meanCallMs: number;
@@ -105,8 +103,7 @@
  * the deadline.
  */
 export function toCallWaiting(bounds: CallBounds): Waiting {
-  const {arrivedAtMs, firstSentAtMs, goalMs} = bounds;
-  const {deadlineAtMs, meanCallMs} = bounds;
+  const {arrivedAtMs, goalMs, deadlineAtMs, meanCallMs} = bounds;
   const workMs = meanCallMs * SLOW_CALL_FACTOR;
   const slowWorkMs = Math.min(
     meanCallMs * ON_TIME_CALL_FACTOR,
@@ -114,7 +111,7 @@
   );
   return {
     arrivedAtMs,
-    onTimeUntilMs: firstSentAtMs + goalMs - Math.max(workMs, slowWorkMs),
+    onTimeUntilMs: arrivedAtMs + goalMs - Math.max(workMs, slowWorkMs),
     giveUpAtMs: deadlineAtMs - workMs,
     priority: bounds.priority,
   };
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -11,7 +11,6 @@
 import type {RelayRequest} from '../ports/relay.js';
 import type {AccountAdmission} from './accounts/account_admission.js';
 import type {Caller} from './front/caller.js';
-import {createAttemptAges} from './attempt_ages.js';
 import {createCancellation} from './front/cancellation.js';
 import type {CrashWatch} from './crash_watch.js';
 import type {PlainRelay} from './plain/plain_relay.js';
@@ -46,7 +45,6 @@
 
 export function createRelay(host: RelayHost): Relay {
   const {clock, random, log, metrics, routing, plain, streams} = host;
-  const attemptAges = createAttemptAges();
   let activeCount = 0;
 
   async function admit(
@@ -77,14 +75,12 @@
     const admitted = await host.accounts.admit(received, route);
     if (admitted.kind === 'refused') return admitted.error;
     const waitMs = Math.min(received.waitMs, route.timeoutMs);
-    const elapsedMs = attemptAges.elapsedMs(route.name, received.waitMs);
     return {
       request: {...received, accountName: admitted.account?.name},
       route,
       service,
       caller,
       cancellation,
-      firstSentAtMs: received.arrivedAtMs - elapsedMs,
       deadlineAtMs: received.arrivedAtMs + waitMs,
       admitted,
     };
@@ -118,7 +114,6 @@
       firstByteMs: round(outcome.firstByteMs),
       events: outcome.events,
       durationMs,
-      retriedAfterMs: toRetriedAfterMs(job),
       leftMs: job && Math.round(leftMs(job.deadlineAtMs, clock.nowMs())),
       configuration: routing.version(),
     };
@@ -169,9 +164,3 @@
 function round(value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value);
 }
-
-/** Time between the first and this attempt, if it is a later one. */
-function toRetriedAfterMs(job: RelayJob | undefined): number | undefined {
-  const elapsedMs = job ? job.request.arrivedAtMs - job.firstSentAtMs : 0;
-  return elapsedMs > 0 ? Math.round(elapsedMs) : undefined;
-}
--- a/src/relay/relay_types.ts
+++ b/src/relay/relay_types.ts
@@ -12,11 +12,6 @@
   readonly route: Route;
   readonly service: Service;
   readonly caller: Caller;
-  /**
-   * When the caller sent its first attempt of the request, as far as its stated
-   * wait shows; latency goals count from then.
-   */
-  readonly firstSentAtMs: number;
   /** Triggered when the caller disconnects. */
   readonly cancellation: Cancellation;
   /** Earlier of the caller's and the route's deadline. */
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -86,7 +86,6 @@
         ...toWaiting({
           route,
           arrivedAtMs: request.arrivedAtMs,
-          firstSentAtMs: job.firstSentAtMs,
           deadlineAtMs,
           startMs,
         }),
--- a/tests/relay/placement/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -359,7 +359,6 @@
         waiting: toWaiting({
           route,
           arrivedAtMs,
-          firstSentAtMs: arrivedAtMs,
           deadlineAtMs: arrivedAtMs + route.timeoutMs,
           startMs,
         }),
--- a/tests/relay/placement/priority_load.ts
+++ b/tests/relay/placement/priority_load.ts
@@ -182,13 +182,7 @@
     const {priority, account} = routes[index];
     const route = makeRoute(routes[index]);
     const startMs = START_MS;
-    const waiting = toWaiting({
-      route,
-      arrivedAtMs,
-      firstSentAtMs: arrivedAtMs,
-      deadlineAtMs,
-      startMs,
-    });
+    const waiting = toWaiting({route, arrivedAtMs, deadlineAtMs, startMs});
     const need: StreamNeed = {
       requestId: String(nextId++),
       service,
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -233,7 +233,6 @@
     const {slots} = hosts.get(hostId)!;
     const waiting = toCallWaiting({
       arrivedAtMs,
-      firstSentAtMs: arrivedAtMs,
       goalMs: GOAL_MS,
       deadlineAtMs,
       meanCallMs: slots.meanCallMs(SERVICE),
--- a/tests/relay/streams/engine_priority_test.ts
+++ b/tests/relay/streams/engine_priority_test.ts
@@ -79,7 +79,6 @@
     service,
     caller: caller as RelayJob['caller'],
     cancellation: createCancellation(),
-    firstSentAtMs: 0,
     deadlineAtMs: 15_000,
     admitted: {
       kind: 'admitted',
