--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -11,11 +11,14 @@
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
 import type {PlainBalancer} from '../../scheduling/plain_balancer.js';
-import {createCallLimit, type CallLimit} from './call_limit.js';
 import type {OwnPart} from './own_part.js';
+import {
+  createServiceState,
+  type OpenCall,
+  type ServiceState,
+} from './service_state.js';
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
 import {createResetMemory} from './reset_memory.js';
-import {createRetrySchedule, type RetrySchedule} from './retry_schedule.js';
 import {
   forecastSlotMs,
   isTooSlowFor,
@@ -23,13 +26,8 @@
   readCallWaiting,
   type SlotLoad,
 } from './slot_rules.js';
-import {createSlowUpstreams, type SlowUpstreams} from './slow_upstreams.js';
 import type {Upstream} from '../../core/upstream.js';
-import {
-  compareWaiting,
-  findRetryAfterMs,
-  type Waiting,
-} from '../placement/wait_rules.js';
+import {compareWaiting, findRetryAfterMs} from '../placement/wait_rules.js';
 
 export interface SlotServerHost {
   readonly clock: Clock;
@@ -61,40 +59,9 @@
   openCount(): number;
 }
 
-interface OpenCall {
-  readonly fromHostId: string;
-  readonly askId: number;
-  readonly service: string;
-  readonly avoid: ReadonlySet<string>;
-  readonly account?: string;
-  waiting: Waiting;
-  /** Set once the call has a slot. */
-  upstreamId?: string;
-  /** Calls at the upstream when this one began, including itself. */
-  concurrency: number;
-  expiry?: TimerHandle;
-  /** Since when the forecast says that the call cannot start in time. */
-  hopelessSinceMs?: number;
-}
-
-interface ServiceState {
-  meanCallMs: number;
-  queue: OpenCall[];
-  readonly runs: Map<string, number>;
-  readonly limit: CallLimit;
-  readonly slow: SlowUpstreams;
-  readonly retries: RetrySchedule;
-  /** Upstreams that refused a call get none until these times. */
-  readonly fullUntilMs: Map<string, number>;
-  /** Until then, upstreams may run calls that this keeper does not know. */
-  unknownUntilMs: number;
-}
-
 type CallEnd = Omit<SlotEnd, 'kind' | 'askId'>;
 
 const CANCELLED: CallEnd = {result: 'cancelled', durationMs: 0};
-/** Assumed until calls have ended here. */
-const INITIAL_CALL_MS = 40;
 const SMOOTHING = 0.05;
 /** One call in a hundred takes five times as long as the mean. */
 const EXPIRY_CALL_FACTOR = 6;
@@ -115,7 +82,7 @@
 const UNKNOWN_CALLS_MS = 1_000;
 
 export function createSlotServer(host: SlotServerHost): SlotServer {
-  const {clock, random, balancer, part} = host;
+  const {clock, balancer, part} = host;
   const calls = new Map<string, OpenCall>();
   const services = new Map<string, ServiceState>();
   const resets = createResetMemory({clock});
@@ -124,20 +91,8 @@
   const keyOf = (hostId: string, askId: number) => `${hostId}/${askId}`;
 
   function stateOf(service: string): ServiceState {
-    let state = services.get(service);
-    if (!state) {
-      state = {
-        meanCallMs: INITIAL_CALL_MS,
-        queue: [],
-        runs: new Map(),
-        limit: createCallLimit({clock}),
-        slow: createSlowUpstreams({clock}),
-        retries: createRetrySchedule({clock, random}),
-        fullUntilMs: new Map(),
-        unknownUntilMs: -Infinity,
-      };
-      services.set(service, state);
-    }
+    const state = services.get(service) ?? createServiceState(host);
+    services.set(service, state);
     return state;
   }
 
