--- a/tests/relay/placement/speed_load.ts
+++ b/tests/relay/placement/speed_load.ts
@@ -28,12 +28,6 @@
 
 export interface SpeedLoad {
   readonly seed: number;
-  /**
-   * Decode engines are chosen by free memory times this power of the factor: 0
-   * ignores speed, 40 amounts to the fastest engine with room first. By default
-   * the power of the placement rules.
-   */
-  readonly speedPower?: number;
   /** Whether the placer goes without measurements. */
   readonly ignoresSpeeds?: boolean;
   /** True speed of an engine at a time since the start. */
@@ -74,8 +68,6 @@
 const MS_PER_TOKEN = 2.7;
 /** The load at which runs have the pace above if it depends on load. */
 const USUAL_RUNS = 4;
-/** The power that the placement rules use. */
-const USED_POWER = 2;
 const BURST_FROM_MS = 6_000;
 const BURST_TO_MS = 11_000;
 const DRAIN_MS = 8_000;
@@ -148,9 +140,7 @@
   };
 
   function factorOf(engineId: string): number {
-    const factor = placer.speeds.factorOf(engineId);
-    if (engineId.startsWith('p')) return factor;
-    return factor ** ((options.speedPower ?? USED_POWER) / USED_POWER);
+    return placer.speeds.factorOf(engineId);
   }
 
   const sinceStartMs = () => clock.nowMs() - START_MS;
