--- a/src/relay/accounts/account_admission.ts
+++ b/src/relay/accounts/account_admission.ts
@@ -12,14 +12,14 @@
 import type {AccountLimiter, Charge, LimitVerdict} from './account_limiter.js';
 import {costOf, type AccountTable} from './client_account.js';
 import type {ConfigurationFreshness} from './configuration_freshness.js';
-import type {RequestPriorities} from './request_priorities.js';
+import type {RoutePriorities} from './route_priorities.js';
 
 export interface AccountAdmissionHost {
   readonly log: Logger;
   readonly metrics: RelayMetrics;
   readonly freshness: ConfigurationFreshness;
   readonly limiter: AccountLimiter;
-  readonly priorities: RequestPriorities;
+  readonly priorities: RoutePriorities;
   /** Returns the accounts of the configuration in force. */
   accounts(): AccountTable;
 }
--- a/src/relay/accounts/account_shares.ts
+++ b/src/relay/accounts/account_shares.ts
@@ -2,10 +2,10 @@
  * Determines which accounts use more than their share of a service, from the
  * tokens that were placed for each account in the last seconds.
  *
- * The share of an account is its weighted part of all use. What an account does
- * not need goes to the others: it is taken to need at most a few times what
- * it got. With the part of an idle account reserved for it, all others would be over
- * their share, and those at their usual rate could not be told from the rest.
+ * The share of an account is its weighted part of all use. Each account's need
+ * is taken as at most four times its recent use; what it does not need is
+ * divided among the others. Reserving the part of idle accounts would put every
+ * active account over its share.
  */
 
 import {createBoundedMap, type BoundedMap} from '../../core/bounded_map.js';
--- a/src/relay/accounts/recent_use.ts
+++ b/src/relay/accounts/recent_use.ts
@@ -12,7 +12,7 @@
 }
 
 const SLOT_MS = 1_000;
-/** The current slot and those before it: 8 s, of which the last is partial. */
+/** The current, partial second and the seven before it: 7 to 8 s. */
 const SLOT_COUNT = 8;
 
 export function createRecentUse(): RecentUse {
--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -27,7 +27,7 @@
   type ConfigurationFreshness,
 } from './configuration_freshness.js';
 import type {AccountLevel} from './quota_rules.js';
-import {createRequestPriorities} from './request_priorities.js';
+import {createRoutePriorities} from './route_priorities.js';
 import {
   createSpendingLedger,
   type HostIncarnation,
@@ -131,7 +131,7 @@
       metrics,
       freshness,
       limiter,
-      priorities: createRequestPriorities(
+      priorities: createRoutePriorities(
         () => routing.current()?.routes ?? NO_ROUTES,
       ),
       accounts: routing.accounts,
--- a/src/relay/accounts/request_priorities.ts
+++ b/src/relay/accounts/route_priorities.ts
@@ -6,7 +6,7 @@
 
 import type {Route} from '../../core/routing_types.js';
 
-export interface RequestPriorities {
+export interface RoutePriorities {
   /**
    * Returns undefined if all requests of the account to the route's services
    * are equally urgent.
@@ -15,9 +15,9 @@
 }
 
 /** @param routes Returns the same array until the configuration changes. */
-export function createRequestPriorities(
+export function createRoutePriorities(
   routes: () => readonly Route[],
-): RequestPriorities {
+): RoutePriorities {
   let readFrom: readonly Route[] | undefined;
   let unevenServices: ReadonlySet<string> = new Set();
 
--- a/src/relay/accounts/share_rules.ts
+++ b/src/relay/accounts/share_rules.ts
@@ -45,8 +45,8 @@
 
 /**
  * An account that was over its share remains so until its use is within the
- * share itself. With one threshold, it would take its tolerance again and again
- * from the others.
+ * share itself. With a single threshold, it could exceed its share by the
+ * tolerance again and again.
  */
 export function isUseOverShare(
   use: AccountUse,
--- a/src/relay/fleet/host_capacity.ts
+++ b/src/relay/fleet/host_capacity.ts
@@ -1,6 +1,6 @@
 /**
- * What a host can do, as its settings state it. Hosts tell it to each other, so
- * that work for others goes to hosts that can do it.
+ * Capacity of a host, from its settings. Hosts announce it so that work for
+ * others goes to hosts that can handle it.
  */
 
 import type {RelaySettings} from '../relay_settings.js';
--- a/src/relay/front/entry_rotation.ts
+++ b/src/relay/front/entry_rotation.ts
@@ -42,8 +42,8 @@
 const MIN_WEIGHT = 0.001;
 
 /**
- * Returns the caller addresses to list. Hosts whose time has not come are added
- * only where there would be too few.
+ * Returns the caller addresses to list. If fewer than `MIN_ENTRIES` hosts are
+ * due, the next ones are added.
  */
 export function selectEntries(
   entries: readonly WeightedEntry[],
--- a/src/relay/placement/speed_pool.ts
+++ b/src/relay/placement/speed_pool.ts
@@ -5,8 +5,8 @@
  * The median over hosts bounds the effect of one host, and recent reports count
  * more than older ones. A host that has seen few engines reports factors
  * relative to their mean, which may differ from the mean of all; this offset
- * shows in all its reports and is removed. Without reports for some time a factor returns to 1, so
- * that an engine that was slow is tried again.
+ * shows in all its reports and is removed. Without reports for 60 s an engine's
+ * factor is 1 again, so that an engine that was slow is tried again.
  */
 
 import type {Clock} from '../../ports/clock.js';
@@ -47,7 +47,7 @@
  * pace of runs depends on their number.
  */
 const REPORT_DECAY_MS = 600;
-/** Without reports, a factor returns to 1 over a small multiple of this time. */
+/** Time in which the weight of old reports falls to a third. */
 const FORGET_MS = 20_000;
 const MAX_AGE_MS = 60_000;
 /** Weight of the factor 1; small, so that one host's own reports suffice. */
@@ -101,10 +101,9 @@
 }
 
 /**
- * Limits the recent weight of each host to half of that of all
- * others, so that no host decides alone because it reports more often: the
- * median is always between reports of others. Two reports cannot be
- * limited in this way; the bounds for few hosts apply to them.
+ * Limits the recent weight of a host to half of the sum of the others, so that
+ * one host cannot set the median by reporting often. With two reports the
+ * bounds for few hosts apply instead.
  */
 function limitHosts(entries: readonly Entry[]): readonly Entry[] {
   if (entries.length < MIN_HOSTS_FOR_MEDIAN) return entries;
--- a/src/relay/plain/keeper_traffic.ts
+++ b/src/relay/plain/keeper_traffic.ts
@@ -22,7 +22,7 @@
 export interface KeeperTraffic {
   /** Whether the keeper may get requests; not if it was silent. */
   isUsable(keeper: string): boolean;
-  /** Whether it is time to ask a silent keeper for a sign of life. */
+  /** Whether a silent keeper is due for a probe. */
   isProbeDue(keeper: string): boolean;
   /** Sends the request, and repeats it until it is removed. */
   add(keeper: string, askId: number, build: () => SlotRequest): void;
@@ -52,7 +52,7 @@
  * call whose answer was lost is soon the oldest and is repeated earlier.
  */
 const QUEUED_REPEAT_MS = 1_000;
-/** A silent keeper is asked for a sign of life this often. */
+/** Interval between probes of a silent keeper. */
 const PROBE_INTERVAL_MS = 300;
 /**
  * Repeats from all hosts to a keeper. With the answers to them they take less
--- a/src/relay/plain/own_part.ts
+++ b/src/relay/plain/own_part.ts
@@ -19,7 +19,7 @@
   hostCount(): number;
 }
 
-/** How a call ended that had a slot of the part. */
+/** Result of a call that used this host's part of the slots. */
 export type PartResult =
   | {readonly kind: 'ok'; readonly durationMs: number}
   /** The upstream did not run the call, because it was full. */
@@ -55,9 +55,9 @@
  * A part begins as this multiple of the even part. Hosts that began with one
  * call at each upstream filled the queues of the upstreams within 0.5 s.
  */
-const INITIAL_PARTS = 2;
+const INITIAL_EVEN_PARTS = 2;
 /** Smallest part, as a share of the even part, so that full queues drain. */
-const MIN_PARTS = 0.6;
+const MIN_EVEN_PARTS = 0.6;
 /**
  * Mean slowdown at which the part neither grows nor shrinks. Calls take 1.6
  * times as long when half as many wait as run, so upstreams are busy.
@@ -88,7 +88,10 @@
     let state = states.get(service);
     if (!state) {
       state = {
-        calls: Math.min(maxPart(service), INITIAL_PARTS * evenPart(service)),
+        calls: Math.min(
+          maxPart(service),
+          INITIAL_EVEN_PARTS * evenPart(service),
+        ),
         meanCallMs: INITIAL_CALL_MS,
         usualCallMs: INITIAL_CALL_MS,
         nextStartAtMs: 0,
@@ -101,7 +104,7 @@
   function scale(service: string, state: PartState, factor: number): void {
     const most = maxPart(service);
     if (host.open(service).length === 0) return;
-    const least = Math.min(most, MIN_PARTS * evenPart(service));
+    const least = Math.min(most, MIN_EVEN_PARTS * evenPart(service));
     state.calls = Math.max(least, Math.min(most, state.calls * factor));
   }
 
--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -45,7 +45,7 @@
   sendToOwnPart(message: SlotRequest | SlotEnd): void;
 }
 
-/** Stands for a keeper's id in answers from the part of this host. */
+/** Sender id of answers from this host's own part of the slots. */
 export const OWN_PART = '*own-part';
 
 export interface SlotNeed {
--- a/src/relay/retries/relay_retries.ts
+++ b/src/relay/retries/relay_retries.ts
@@ -82,7 +82,7 @@
   const knownCount = () => peers.knownCount() + 1;
 
   /** Delivers a message without a datagram if this host is the receiver. */
-  function tell(toHostId: string, message: RetryMessage): void {
+  function deliver(toHostId: string, message: RetryMessage): void {
     if (toHostId === self.hostId) receive(self.hostId, message);
     else peers.sendMessage(toHostId, message);
   }
@@ -91,7 +91,7 @@
     clock,
     firstAskId: host.random.nextInt(FIRST_ASK_ID_RANGE),
     maxAttempts: MAX_ATTEMPTS,
-    tell,
+    tell: deliver,
   });
   const shared = createSharedRetries(
     {clock, log, metrics: host.metrics, client, knownCount, ownerOf},
@@ -113,7 +113,7 @@
       const isGranted = owner.grant(fromHostId, service);
       return {kind: 'retry-answer', askId, isGranted};
     },
-    tell,
+    tell: deliver,
   });
 
   function receive(fromHostId: string, message: RetryMessage): void {
--- a/src/relay/retries/retry_rules.ts
+++ b/src/relay/retries/retry_rules.ts
@@ -14,8 +14,8 @@
 /** There may be two owners for a moment, so each grants at most half. */
 export const MAX_OWNERS = 2;
 /**
- * Of what owners may grant, the part that may be on its way to them in reports
- * (see `retry_window.ts`): the rest is enough for bursts of failures.
+ * Largest share of the owners' part that credits in transit may take (see
+ * `retry_window.ts`); the rest serves bursts of failures.
  */
 export const MAX_ON_WAY_SHARE = 3 / 4;
 
--- a/src/relay/retries/retry_window.ts
+++ b/src/relay/retries/retry_window.ts
@@ -5,7 +5,7 @@
  * It checks each span of time that ends now and is at most that long. The owner
  * learns what requests allowed (credits) with a delay, so credits that it
  * counts in a span may belong to the time before. The constant is therefore
- * reduced by the most credits that were ever on their way.
+ * reduced by the most credits that were in transit at any time of the window.
  */
 
 import type {Clock} from '../../ports/clock.js';
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -56,21 +56,26 @@
     reservation: PrefillReservation,
   ): Promise<PrefillStepOutcome | SendFailure> {
     const {job, need} = state;
-    const startedAtMs = clock.nowMs();
+    let startedAtMs = clock.nowMs();
     const {speeds, tokensPerMs} = host.statistics;
     const engineTokensPerMs = tokensPerMs() * speeds.factorOf(engine.id);
     const backlogMs = reservation.backlogTokens() / engineTokensPerMs;
-    const options: SendOptions = {
+    const options: Omit<SendOptions, 'leftMs'> = {
       upstream: engine,
-      leftMs: leftMs(job.deadlineAtMs, startedAtMs),
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       headTimeoutMs: Math.max(PREFILL_TIMEOUT_MS, BACKLOG_FACTOR * backlogMs),
       mayReuseConnection: false,
       enginePriority: state.enginePriority,
     };
-    const outcome = await calls.prefill(state, () =>
-      upstreamPort.prefill(job.request, options, job.cancellation),
-    );
+    const outcome = await calls.prefill(state, () => {
+      // A retry may have waited for its owner, which is no prefill time.
+      startedAtMs = clock.nowMs();
+      return upstreamPort.prefill(
+        job.request,
+        {...options, leftMs: leftMs(job.deadlineAtMs, startedAtMs)},
+        job.cancellation,
+      );
+    });
     const wasAlone = reservation.isUncontended();
     reservation.end();
     if (outcome.kind === 'no-retries') return outcome;
--- a/tests/relay/accounts/quota_owner_test.ts
+++ b/tests/relay/accounts/quota_owner_test.ts
@@ -3,7 +3,7 @@
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import type {QuotaRequest} from '../../../src/relay/accounts/quota_messages.js';
 import {createQuotaOwner} from '../../../src/relay/accounts/quota_owner.js';
-import {createRequestPriorities} from '../../../src/relay/accounts/request_priorities.js';
+import {createRoutePriorities} from '../../../src/relay/accounts/route_priorities.js';
 import {reserveUnitsFor} from '../../../src/relay/accounts/reserve_rules.js';
 import {createSpendingLedger} from '../../../src/relay/accounts/spending_ledger.js';
 import {ACCOUNT, QUOTA} from './quota_fleet.js';
@@ -101,7 +101,7 @@
     route('read', 'ledger', 1),
     route('write', 'ledger', 1),
   ];
-  const priorities = createRequestPriorities(() => routes);
+  const priorities = createRoutePriorities(() => routes);
   const all = () => routes.map(each => priorities.of(each));
   assert.deepEqual(all(), [0, 2, undefined, undefined]);
   routes = [route('chat', 'drafts', 1), route('batch', 'drafts', 1)];
