Hold no plain calls back for urgent streams of an account

Change: only requests with a prompt have a priority within a limit. Result: account_admission_test.ts (fails without the change); 39 of 39 tests of the accounts folder.

--- a/src/relay/accounts/account_admission.ts
+++ b/src/relay/accounts/account_admission.ts
@@ -137,7 +137,9 @@
       return {kind: 'admitted', account, refund: doNothing, isWithdrawn};
     }
     const costUnits = costOf(quota, request.prompt);
-    const priority = host.priorities.of(route);
+    // Calls without a prompt cost next to nothing of a limit in tokens, so holding
+    // them back would free no room for urgent requests.
+    const priority = request.prompt && host.priorities.of(route);
     const charge: Charge = {account: name, quota, costUnits, priority};
     const toOutcome = (verdict: LimitVerdict): AccountAdmissionOutcome => {
       if (verdict.kind === 'limited') {
