Remove an unused count of runs and a copy of two constants

Cause: the queue reads the running memory itself, so nothing calls countRuns; the retry times of plain calls repeated two constants of wait_rules.ts. Change: countRuns is gone; retry_schedule.ts imports the constants. No behaviour changes.

--- a/src/relay/placement/engine_choice.ts
+++ b/src/relay/placement/engine_choice.ts
@@ -72,8 +72,6 @@
     avoid: ReadonlySet<string>,
   ): Upstream | undefined;
   hasDecode(service: string): boolean;
-  /** Counts the runs on the engines that this host's group prefers. */
-  countRuns(service: string): number;
 }
 
 /** Leaves out some engines. */
@@ -267,10 +265,5 @@
     },
     hasDecode: service =>
       registry.open(service).some(({role}) => role === 'decode'),
-    countRuns: service =>
-      registry
-        .open(service)
-        .filter(engine => engine.role === 'decode' && isPreferred(engine))
-        .reduce((sum, {id}) => sum + engineLoads.decodeLoad(id).runs, 0),
   };
 }
--- a/src/relay/placement/wait_rules.ts
+++ b/src/relay/placement/wait_rules.ts
@@ -42,7 +42,7 @@
 /**
  * Limit of the retry delay, as a share of the time that the caller still waits.
  */
-const MAX_RETRY_SHARE = 1 / 3;
+export const MAX_RETRY_SHARE = 1 / 3;
 
 /**
  * A request goes before one of the next level that could start this much
--- a/src/relay/plain/retry_schedule.ts
+++ b/src/relay/plain/retry_schedule.ts
@@ -5,6 +5,7 @@
 
 import type {Clock} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
+import {MAX_RETRY_SHARE, MIN_RETRY_AFTER_MS} from '../placement/wait_rules.js';
 
 export interface RetryScheduleHost {
   readonly clock: Clock;
@@ -40,10 +41,6 @@
   return (retry.priority ?? Infinity) > (priority ?? Infinity);
 }
 
-/** Callers ignore a longer delay, as a share of the time they still wait. */
-const MAX_RETRY_SHARE = 1 / 3;
-/** Some calls will have ended after this time. */
-const MIN_RETRY_AFTER_MS = 150;
 /** Later retries are not counted; 1,000 are due within some seconds. */
 const MAX_SCHEDULED = 1_000;
 
