Log and count what a host knows of requests that crash upstreams

Cause: the logs of the incident cannot tell whether losses of a request did not reach a host, were never recorded, or were cleared. Change: lines for a look that finds the upstream reachable, for a quarantine on a peer's word, and for cleared losses; gauges crash_suspects and quarantined_requests. No decision changes.

--- a/src/relay/crash_watch.ts
+++ b/src/relay/crash_watch.ts
@@ -34,6 +34,9 @@
   facts(): readonly LossFact[];
   /** Applies losses that a peer sent. */
   applyFacts(facts: readonly LossFact[]): void;
+  /** Number of requests with losses, whether quarantined or not. */
+  suspectCount(): number;
+  quarantinedCount(): number;
 }
 
 /** A crashed upstream has closed its port by then and restarts in seconds. */
@@ -54,12 +57,22 @@
 export function createCrashWatch(host: CrashWatchHost): CrashWatch {
   const {clock, log, upstreamPort, quarantine} = host;
 
+  const isQuarantined = (fingerprint: string) =>
+    quarantine.verdict(fingerprint) === 'quarantined';
+
   async function blameIfUnreachable(
     request: RelayRequest,
     upstream: Upstream,
   ): Promise<void> {
-    if (await upstreamPort.isReachable(upstream)) return;
     const fingerprint = fingerprintOf(request);
+    if (await upstreamPort.isReachable(upstream)) {
+      log.info('Upstream reachable after a failed request.', {
+        request: request.requestId,
+        upstream: upstream.id,
+        fingerprint,
+      });
+      return;
+    }
     const verdict = quarantine.recordLoss(fingerprint, upstream.id);
     log.warn('Upstream became unreachable during a request.', {
       request: request.requestId,
@@ -71,6 +84,17 @@
 
   const hasSuspects = () => quarantine.facts().length > 0;
 
+  function applyFact(fact: LossFact): void {
+    const {fingerprint} = fact;
+    const wasQuarantined = isQuarantined(fingerprint);
+    quarantine.mergeFact(fact);
+    if (wasQuarantined || !isQuarantined(fingerprint)) return;
+    log.info('Request quarantined by a peer.', {
+      fingerprint,
+      upstreams: fact.lossIds.join(','),
+    });
+  }
+
   return {
     recordFailure(request, upstream) {
       clock.setTimer(
@@ -79,15 +103,25 @@
       );
     },
     recordSuccess(request) {
-      if (hasSuspects()) quarantine.clear(fingerprintOf(request));
+      if (!hasSuspects()) return;
+      const fingerprint = fingerprintOf(request);
+      if (quarantine.verdict(fingerprint) === 'clear') return;
+      quarantine.clear(fingerprint);
+      log.info('Losses cleared by a complete run.', {
+        request: request.requestId,
+        fingerprint,
+      });
     },
     isQuarantined(request) {
       if (!hasSuspects()) return false;
-      return quarantine.verdict(fingerprintOf(request)) === 'quarantined';
+      return isQuarantined(fingerprintOf(request));
     },
     facts: () => quarantine.facts().slice(-MAX_FACTS),
     applyFacts(facts) {
-      for (const fact of facts) quarantine.mergeFact(fact);
+      for (const fact of facts) applyFact(fact);
     },
+    suspectCount: () => quarantine.facts().length,
+    quarantinedCount: () =>
+      quarantine.facts().filter(each => isQuarantined(each.fingerprint)).length,
   };
 }
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -1,6 +1,7 @@
 /** Gauges that show the state of a relay process. */
 
 import type {UpstreamLimits} from './backpressure/upstream_limits.js';
+import type {CrashWatch} from './crash_watch.js';
 import type {CallerBuffers} from './front/caller_buffers.js';
 import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
@@ -26,6 +27,7 @@
   readonly plainPlaces: PlainPlacement;
   readonly limits: UpstreamLimits;
   readonly callerBuffers: CallerBuffers;
+  readonly crashes: CrashWatch;
 }
 
 interface Gauge {
@@ -35,6 +37,16 @@
 }
 
 const GAUGES: readonly Gauge[] = [
+  {
+    name: 'crash_suspects',
+    help: 'Requests under which upstreams ended, as known to this host.',
+    read: ({crashes}) => crashes.suspectCount(),
+  },
+  {
+    name: 'quarantined_requests',
+    help: 'Requests that this host refuses since they crash upstreams.',
+    read: ({crashes}) => crashes.quarantinedCount(),
+  },
   {
     name: 'active_requests',
     help: 'Requests that run.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -449,6 +449,7 @@
     plainPlaces,
     limits: backpressure.limits,
     callerBuffers,
+    crashes,
   });
 
   await front.listen(settings.callerAddress);
