--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -11,6 +11,7 @@
 } from '../../../src/core/virtual_clock.js';
 import type {Clock, TimerHandle} from '../../../src/ports/clock.js';
 import type {DatagramPort} from '../../../src/ports/datagram.js';
+import type {LossFact} from '../../../src/request/quarantine.js';
 import type {HostCapacity} from '../../../src/relay/fleet/host_capacity.js';
 import type {HostState} from '../../../src/relay/fleet/members.js';
 import type {
@@ -46,6 +47,12 @@
   learned: NO_LEARNED,
 };
 
+/** What a test exchanges between hosts beside their states. */
+export interface FleetFindings {
+  losses(): readonly LossFact[];
+  applyLosses(losses: readonly LossFact[]): void;
+}
+
 export interface FleetHost {
   readonly name: string;
   readonly address: string;
@@ -60,6 +67,7 @@
   /** Sets the placers of this host, which receive its changes immediately. */
   setNear(hostIds: readonly string[]): void;
   freeze(durationMs: number): void;
+  setFindings(findings: FleetFindings): void;
 }
 
 /**
@@ -157,6 +165,7 @@
     let near: ReadonlySet<string> = new Set();
     let lostCount = 0;
     let announcedCount = 0;
+    let findings: FleetFindings | undefined;
 
     const readers = createStoreReaders({
       hostId: name,
@@ -194,6 +203,7 @@
             ...knowledge(),
             ...ownState(),
             ...NO_FINDINGS,
+            losses: findings?.losses() ?? [],
             load: {decode: {}, prefill: {}},
             waiting: [],
             full: [],
@@ -205,10 +215,17 @@
         summary: (): Summary => ({
           ...knowledge(),
           ...NO_FINDINGS,
+          losses: findings?.losses() ?? [],
           accountLevels: [],
         }),
-        onPeerState: confirm,
-        onSummary: (_, summary) => confirm(summary),
+        onPeerState(peer) {
+          confirm(peer);
+          findings?.applyLosses(peer.losses);
+        },
+        onSummary(_, summary) {
+          confirm(summary);
+          findings?.applyLosses(summary.losses);
+        },
         onPeerGone() {
           lostCount++;
         },
@@ -265,6 +282,9 @@
         near = new Set(hostIds);
       },
       freeze: ownClock.stop,
+      setFindings(next) {
+        findings = next;
+      },
     };
     dead.delete(address);
     hosts.set(name, host);
