Send all losses of requests to peers in turn, recent changes first

What callers saw: a request that had crashed three engines was sent on by hosts that did not know its losses, and engines ended under it for as long as it came. Cause: a datagram held the last 16 suspects of a host, and merging a peer's datagram moved the peer's 16 to the end. With more than 16 suspects a new loss left the last 16 of its own host with the next datagram that arrived, often before it was sent once. A merge also renewed the age of a suspect, so none ever expired while hosts repeated it to each other. Merging moves nothing that is not news. Losses carry their age and expire one by one. Invalid losses of peers are counted and ignored.

--- a/src/relay/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -8,17 +8,25 @@
  */
 
 import {createHash} from 'node:crypto';
-import type {Clock} from '../ports/clock.js';
-import type {Logger} from '../ports/log.js';
-import type {RelayRequest, UpstreamPort} from '../ports/relay.js';
-import type {LossFact, Quarantine} from '../request/quarantine.js';
-import type {Upstream} from '../core/upstream.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {RelayRequest, UpstreamPort} from '../../ports/relay.js';
+import {
+  createQuarantine,
+  defaultQuarantineOptions,
+  type LossFact,
+} from '../../request/quarantine.js';
+import type {Upstream} from '../../core/upstream.js';
+import type {RelayMetrics} from '../relay_metrics.js';
+import {createLossReports, isLossFact} from './loss_reports.js';
 
 export interface CrashWatchHost {
   readonly clock: Clock;
   readonly log: Logger;
-  readonly upstreamPort: UpstreamPort;
-  readonly quarantine: Quarantine;
+  readonly metrics: Pick<RelayMetrics, 'count'>;
+  readonly upstreamPort: Pick<UpstreamPort, 'isReachable'>;
+  /** Called when there are losses that peers need to know. */
+  onChange(): void;
 }
 
 export interface CrashWatch {
@@ -30,10 +38,10 @@
    * Returns whether the request has crashed too many upstreams to run again.
    */
   isQuarantined(request: RelayRequest): boolean;
-  /** Returns losses of upstreams, to send to peers. */
-  facts(): readonly LossFact[];
-  /** Applies losses that a peer sent. */
-  applyFacts(facts: readonly LossFact[]): void;
+  /** Returns losses of upstreams for the next datagram to peers. */
+  takeFacts(): readonly LossFact[];
+  /** Applies losses that a peer sent; ignores invalid ones. */
+  applyFacts(facts: readonly unknown[]): void;
   /** Number of requests with losses, whether quarantined or not. */
   suspectCount(): number;
   quarantinedCount(): number;
@@ -41,8 +49,7 @@
 
 /** A crashed upstream has closed its port by then and restarts in seconds. */
 const PROBE_DELAY_MS = 50;
-/** Maximum number in a datagram; more suspects at once aren't expected. */
-const MAX_FACTS = 16;
+const MAX_FINGERPRINTS = 1_000;
 const FINGERPRINT_DIGITS = 24;
 
 /** Returns a fingerprint that is the same each time the request is sent. */
@@ -55,7 +62,18 @@
 }
 
 export function createCrashWatch(host: CrashWatchHost): CrashWatch {
-  const {clock, log, upstreamPort, quarantine} = host;
+  const {clock, log, metrics, upstreamPort} = host;
+  const quarantine = createQuarantine(
+    {
+      clock,
+      broadcast: host.onChange,
+      onChange: fingerprint => reports.noteChange(fingerprint),
+      // An upstream gets a new id at each start, so each id is lost only once.
+      lossIdOf: upstreamId => upstreamId,
+    },
+    {...defaultQuarantineOptions, maxFingerprints: MAX_FINGERPRINTS},
+  );
+  const reports = createLossReports({clock, quarantine});
 
   const isQuarantined = (fingerprint: string) =>
     quarantine.verdict(fingerprint) === 'quarantined';
@@ -82,8 +100,6 @@
     });
   }
 
-  const hasSuspects = () => quarantine.facts().length > 0;
-
   function applyFact(fact: LossFact): void {
     const {fingerprint} = fact;
     const wasQuarantined = isQuarantined(fingerprint);
@@ -103,7 +119,7 @@
       );
     },
     recordSuccess(request) {
-      if (!hasSuspects()) return;
+      if (!quarantine.hasSuspects()) return;
       const fingerprint = fingerprintOf(request);
       if (quarantine.verdict(fingerprint) === 'clear') return;
       quarantine.clear(fingerprint);
@@ -113,15 +129,18 @@
       });
     },
     isQuarantined(request) {
-      if (!hasSuspects()) return false;
+      if (!quarantine.hasSuspects()) return false;
       return isQuarantined(fingerprintOf(request));
     },
-    facts: () => quarantine.facts().slice(-MAX_FACTS),
+    takeFacts: reports.take,
     applyFacts(facts) {
-      for (const fact of facts) applyFact(fact);
+      for (const fact of facts) {
+        if (isLossFact(fact)) applyFact(fact);
+        else metrics.count('loss_facts_ignored');
+      }
     },
-    suspectCount: () => quarantine.facts().length,
+    suspectCount: () => quarantine.fingerprints().length,
     quarantinedCount: () =>
-      quarantine.facts().filter(each => isQuarantined(each.fingerprint)).length,
+      quarantine.fingerprints().filter(isQuarantined).length,
   };
 }
--- a/src/relay/peer_state.ts
+++ b/src/relay/peer_state.ts
@@ -7,7 +7,7 @@
 import {isQuotaMessage} from './accounts/quota_messages.js';
 import type {Backpressure} from './backpressure/backpressure.js';
 import {isPermitMessage} from './backpressure/permit_messages.js';
-import type {CrashWatch} from './crash_watch.js';
+import type {CrashWatch} from './crashes/crash_watch.js';
 import type {OwnState, PeerExchangeHost} from './fleet/peer_exchange_types.js';
 import type {UpstreamFindings} from './fleet/peer_datagrams.js';
 import {MAX_SUSPECTS, type UpstreamIssues} from './placement/peer_view.js';
@@ -86,7 +86,7 @@
         waiting: placement.waitingRecords(),
         ...ownFindings(),
         full: placement.scheduler.full(),
-        losses: crashes.facts(),
+        losses: crashes.takeFacts(),
         speeds: undefinedIfEmpty(placement.statistics.speeds.takeRecords()),
         limits: undefinedIfEmpty(backpressure.limits.ownRecords()),
         leaving: undefinedIfEmpty(registry.leaving('self')),
@@ -104,7 +104,7 @@
         isStoreReachable: ownState().isStoreReachable,
         ...placement.found(ownFindings()),
         learned: placement.statistics.totalSums(),
-        losses: crashes.facts(),
+        losses: crashes.takeFacts(),
         limits: undefinedIfEmpty(backpressure.limits.found()),
         leaving: undefinedIfEmpty(registry.leaving('any')),
         load: hasLoad ? placement.engineLoads.totalLoad() : undefined,
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -12,7 +12,7 @@
 import type {AccountAdmission} from './accounts/account_admission.js';
 import type {Caller} from './front/caller.js';
 import {createCancellation} from './front/cancellation.js';
-import type {CrashWatch} from './crash_watch.js';
+import type {CrashWatch} from './crashes/crash_watch.js';
 import type {PlainRelay} from './plain/plain_relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
 import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -1,7 +1,7 @@
 /** Gauges that show the state of a relay process. */
 
 import type {UpstreamLimits} from './backpressure/upstream_limits.js';
-import type {CrashWatch} from './crash_watch.js';
+import type {CrashWatch} from './crashes/crash_watch.js';
 import type {CallerBuffers} from './front/caller_buffers.js';
 import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -29,6 +29,7 @@
   account_refusals: 'Requests refused for their key or limit, by reason.',
   limit_refusals: 'Requests over the limit of their account, by priority.',
   quota_fields_ignored: 'Invalid fields in messages on limits of accounts.',
+  loss_facts_ignored: 'Invalid losses of requests in datagrams of peers.',
   upstream_signals: 'Answers in which upstreams say something of themselves.',
   sends_withheld: 'Sends held back as upstreams ask for less, by reason.',
   role_orders: 'Orders to engines to change their role, by outcome.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -10,12 +10,11 @@
 import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
 import {createDerivedList} from '../core/derived_list.js';
 import type {Logger} from '../ports/log.js';
-import {createQuarantine} from '../request/quarantine.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createBackpressure} from './backpressure/backpressure.js';
 import {createGatedUpstreamPort} from './backpressure/gated_upstream_port.js';
-import {createCrashWatch} from './crash_watch.js';
+import {createCrashWatch} from './crashes/crash_watch.js';
 import {createCallerBuffers} from './front/caller_buffers.js';
 import {listEntries} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
@@ -269,13 +268,9 @@
   const crashes = createCrashWatch({
     clock,
     log: createLogger('crashes'),
+    metrics,
     upstreamPort,
-    quarantine: createQuarantine({
-      clock,
-      broadcast: () => peers.changed('coordinators'),
-      // An upstream gets a new id at each start, so each id is lost only once.
-      lossIdOf: upstreamId => upstreamId,
-    }),
+    onChange: () => peers.changed('coordinators'),
   });
   const onBroken = (job: RelayJob, upstream: Upstream) =>
     crashes.recordFailure(job.request, upstream);
--- a/src/request/quarantine.ts
+++ b/src/request/quarantine.ts
@@ -15,15 +15,23 @@
 import type {Clock} from '../ports/clock.js';
 
 /**
- * The losses of one fingerprint. Losses are only added and `clearedCount` only
- * rises, so facts can be merged in any order.
+ * The losses of one fingerprint. Losses are only added and never become
+ * uncleared again, so facts can be merged in any order.
  */
 export interface LossFact {
   readonly fingerprint: string;
-  /** Each identifies one engine death, equally at every entry that saw it. */
+  /**
+   * Each identifies one engine death, equally at every entry that saw it.
+   * Cleared losses come first.
+   */
   readonly lossIds: readonly string[];
-  /** Number of losses when a run of the fingerprint last completed. */
+  /** Number of losses that no longer count, since a run completed later. */
   readonly clearedCount: number;
+  /**
+   * Time since each loss. Absent where losses count from their arrival, as in
+   * facts of earlier builds.
+   */
+  readonly lossAgesMs?: readonly number[];
 }
 
 export type QuarantineVerdict = 'clear' | 'suspect' | 'quarantined';
@@ -31,7 +39,7 @@
 export interface QuarantineOptions {
   readonly aloneLosses: number;
   readonly sharedLosses: number;
-  /** A fingerprint without a new loss for this long is removed. */
+  /** A loss that is older is removed. */
   readonly forgetAfterMs: number;
   /** How long a suspect waits at most for the trial of another. */
   readonly trialWaitMs: number;
@@ -50,6 +58,8 @@
   readonly clock: Clock;
   /** Sends a fact to the other entries. */
   broadcast(fact: LossFact): void;
+  /** Called when a fact has changed, here or by a fact of another entry. */
+  onChange?(fingerprint: string): void;
   /**
    * Id of the present death of an engine. Absent where engines keep their ids
    * across restarts; the time of the death then becomes part of the id.
@@ -65,7 +75,11 @@
   clear(fingerprint: string): void;
   /** Merges a fact of another entry. */
   mergeFact(fact: LossFact): void;
-  facts(): readonly LossFact[];
+  /** Returns undefined if the fingerprint has no losses. */
+  fact(fingerprint: string): LossFact | undefined;
+  /** Fingerprints with losses, those that changed longest ago first. */
+  fingerprints(): readonly string[];
+  hasSuspects(): boolean;
   /**
    * Calls `onTurn` once no other suspect of the same loss is on trial, or after
    * `trialWaitMs`.
@@ -78,12 +92,14 @@
 /** Deaths of one engine within this time count as one loss. */
 const LOSS_WINDOW_MS = 10_000;
 
-interface Suspect {
-  readonly lossIds: Set<string>;
-  clearedCount: number;
-  touchedAtMs: number;
+interface Loss {
+  readonly lostAtMs: number;
+  readonly isCleared: boolean;
 }
 
+/** Losses by id. */
+type Suspect = Map<string, Loss>;
+
 interface Trial {
   readonly fingerprint: string;
   readonly requestId: string;
@@ -99,46 +115,58 @@
   const fingerprintsByLoss = new Map<string, Set<string>>();
   let trials: readonly Trial[] = [];
 
-  function removeSuspect(fingerprint: string, suspect: Suspect): void {
-    suspects.delete(fingerprint);
-    for (const lossId of suspect.lossIds) {
-      const fingerprints = fingerprintsByLoss.get(lossId);
-      fingerprints?.delete(fingerprint);
-      if (fingerprints?.size === 0) fingerprintsByLoss.delete(lossId);
-    }
+  function removeLoss(
+    fingerprint: string,
+    suspect: Suspect,
+    lossId: string,
+  ): void {
+    suspect.delete(lossId);
+    const fingerprints = fingerprintsByLoss.get(lossId);
+    fingerprints?.delete(fingerprint);
+    if (fingerprints?.size === 0) fingerprintsByLoss.delete(lossId);
+    if (suspect.size === 0) suspects.delete(fingerprint);
   }
 
   function findSuspect(fingerprint: string): Suspect | undefined {
     const suspect = suspects.get(fingerprint);
     if (!suspect) return undefined;
-    const ageMs = host.clock.nowMs() - suspect.touchedAtMs;
-    if (ageMs < options.forgetAfterMs) return suspect;
-    removeSuspect(fingerprint, suspect);
-    return undefined;
+    const oldestMs = host.clock.nowMs() - options.forgetAfterMs;
+    for (const [lossId, {lostAtMs}] of suspect) {
+      if (lostAtMs <= oldestMs) removeLoss(fingerprint, suspect, lossId);
+    }
+    return suspect.size > 0 ? suspect : undefined;
   }
 
-  /** Moves a suspect to the end of the map, which is in order of use. */
-  function touchSuspect(fingerprint: string): Suspect {
-    const suspect = findSuspect(fingerprint) ?? {
-      lossIds: new Set<string>(),
-      clearedCount: 0,
-      touchedAtMs: 0,
-    };
-    suspect.touchedAtMs = host.clock.nowMs();
+  /** Moves a suspect to the end of the map, which is in order of change. */
+  function noteChange(fingerprint: string, suspect: Suspect): void {
     suspects.delete(fingerprint);
     suspects.set(fingerprint, suspect);
     if (suspects.size > options.maxFingerprints) {
-      const [oldest, oldestSuspect] = suspects.entries().next().value!;
-      removeSuspect(oldest, oldestSuspect);
+      const [[oldest, oldestSuspect]] = suspects;
+      for (const lossId of [...oldestSuspect.keys()]) {
+        removeLoss(oldest, oldestSuspect, lossId);
+      }
     }
-    return suspect;
+    host.onChange?.(fingerprint);
   }
 
-  function addLoss(fingerprint: string, suspect: Suspect, lossId: string) {
-    suspect.lossIds.add(lossId);
+  /** Returns whether this is news. */
+  function setLoss(
+    fingerprint: string,
+    suspect: Suspect,
+    lossId: string,
+    loss: Loss,
+  ): boolean {
+    const known = suspect.get(lossId);
+    if (known && (known.isCleared || !loss.isCleared)) return false;
+    suspect.set(lossId, {
+      lostAtMs: known?.lostAtMs ?? loss.lostAtMs,
+      isCleared: loss.isCleared,
+    });
     const fingerprints = fingerprintsByLoss.get(lossId) ?? new Set<string>();
     fingerprints.add(fingerprint);
     fingerprintsByLoss.set(lossId, fingerprints);
+    return true;
   }
 
   /**
@@ -156,31 +184,37 @@
   }
 
   function verdict(fingerprint: string): QuarantineVerdict {
-    const suspect = findSuspect(fingerprint);
-    const losses = suspect ? suspect.lossIds.size - suspect.clearedCount : 0;
-    if (!suspect || losses <= 0) return 'clear';
-    const wasAlone = [...suspect.lossIds].some(
+    const counted = [...(findSuspect(fingerprint) ?? [])]
+      .filter(([, {isCleared}]) => !isCleared)
+      .map(([lossId]) => lossId);
+    if (counted.length === 0) return 'clear';
+    const wasAlone = counted.some(
       lossId => fingerprintsByLoss.get(lossId)?.size === 1,
     );
     const bound = wasAlone ? options.aloneLosses : options.sharedLosses;
-    return losses >= bound ? 'quarantined' : 'suspect';
+    return counted.length >= bound ? 'quarantined' : 'suspect';
   }
 
-  function factOf(fingerprint: string, suspect: Suspect): LossFact {
+  function toFact(fingerprint: string, suspect: Suspect): LossFact {
+    const nowMs = host.clock.nowMs();
+    const losses = [...suspect].sort(
+      ([, a], [, b]) => Number(b.isCleared) - Number(a.isCleared),
+    );
     return {
       fingerprint,
-      lossIds: [...suspect.lossIds],
-      clearedCount: suspect.clearedCount,
+      lossIds: losses.map(([lossId]) => lossId),
+      clearedCount: losses.filter(([, {isCleared}]) => isCleared).length,
+      lossAgesMs: losses.map(([, {lostAtMs}]) => Math.round(nowMs - lostAtMs)),
     };
   }
 
   function isBlocked(trial: Trial): boolean {
-    const losses = findSuspect(trial.fingerprint)?.lossIds ?? new Set<string>();
+    const losses = findSuspect(trial.fingerprint) ?? new Map<string, Loss>();
     return trials.some(
       other =>
         other.hasTurn &&
         other !== trial &&
-        [...(findSuspect(other.fingerprint)?.lossIds ?? [])].some(lossId =>
+        [...(findSuspect(other.fingerprint)?.keys() ?? [])].some(lossId =>
           losses.has(lossId),
         ),
     );
@@ -201,28 +235,41 @@
   return {
     verdict,
     recordLoss(fingerprint, engineId) {
-      const suspect = touchSuspect(fingerprint);
-      addLoss(fingerprint, suspect, lossIdOf(engineId));
-      host.broadcast(factOf(fingerprint, suspect));
+      const suspect = findSuspect(fingerprint) ?? new Map<string, Loss>();
+      const loss = {lostAtMs: host.clock.nowMs(), isCleared: false};
+      const isNew = setLoss(fingerprint, suspect, lossIdOf(engineId), loss);
+      if (isNew) noteChange(fingerprint, suspect);
+      host.broadcast(toFact(fingerprint, suspect));
       return verdict(fingerprint);
     },
     clear(fingerprint) {
       const suspect = findSuspect(fingerprint);
-      if (!suspect || suspect.clearedCount === suspect.lossIds.size) return;
-      suspect.clearedCount = suspect.lossIds.size;
-      host.broadcast(factOf(fingerprint, suspect));
-    },
-    mergeFact(fact) {
-      const suspect = touchSuspect(fact.fingerprint);
-      for (const lossId of fact.lossIds) {
-        addLoss(fact.fingerprint, suspect, lossId);
+      if (!suspect || verdict(fingerprint) === 'clear') return;
+      for (const [lossId, loss] of suspect) {
+        suspect.set(lossId, {...loss, isCleared: true});
       }
-      suspect.clearedCount = Math.max(suspect.clearedCount, fact.clearedCount);
+      noteChange(fingerprint, suspect);
+      host.broadcast(toFact(fingerprint, suspect));
+    },
+    mergeFact({fingerprint, lossIds, clearedCount, lossAgesMs = []}) {
+      const suspect = findSuspect(fingerprint) ?? new Map<string, Loss>();
+      const nowMs = host.clock.nowMs();
+      const news = lossIds.filter((lossId, i) => {
+        const ageMs = lossAgesMs[i] ?? 0;
+        if (ageMs >= options.forgetAfterMs) return false;
+        const isCleared = i < clearedCount;
+        const loss = {lostAtMs: nowMs - ageMs, isCleared};
+        return setLoss(fingerprint, suspect, lossId, loss);
+      });
+      if (news.length > 0) noteChange(fingerprint, suspect);
+    },
+    fact(fingerprint) {
+      const suspect = findSuspect(fingerprint);
+      return suspect && toFact(fingerprint, suspect);
     },
-    facts: () =>
-      [...suspects].map(([fingerprint, suspect]) =>
-        factOf(fingerprint, suspect),
-      ),
+    fingerprints: () =>
+      [...suspects.keys()].filter(each => findSuspect(each) !== undefined),
+    hasSuspects: () => suspects.size > 0,
     enterTrial(fingerprint, requestId, onTurn) {
       const existing = trials.find(trial => trial.requestId === requestId);
       if (existing) {
--- a/src/serve/quarantine_facts.ts
+++ b/src/serve/quarantine_facts.ts
@@ -33,8 +33,13 @@
   return {
     publish(fact) {
       version++;
-      const lossIds = fact.lossIds.slice(-MAX_LOSS_IDS);
-      const message = create(LossFactSchema, {...fact, lossIds});
+      const omitted = Math.max(0, fact.lossIds.length - MAX_LOSS_IDS);
+      const message = create(LossFactSchema, {
+        fingerprint: fact.fingerprint,
+        lossIds: fact.lossIds.slice(omitted),
+        // Cleared losses come first.
+        clearedCount: Math.max(0, fact.clearedCount - omitted),
+      });
       facts.publish({
         key: `${KEY_PREFIX}${fact.fingerprint.slice(0, KEY_DIGITS)}/${hostId}`,
         version,
--- a/tests/relay/crashes/crash_spread_test.ts
+++ b/tests/relay/crashes/crash_spread_test.ts
@@ -1,12 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
-import type {UpstreamPort} from '../../../src/ports/relay.js';
 import {
   createCrashWatch,
   type CrashWatch,
-} from '../../../src/relay/crash_watch.js';
-import {createQuarantine} from '../../../src/request/quarantine.js';
+} from '../../../src/relay/crashes/crash_watch.js';
+import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
 import {silentLog} from '../../support/silent_log.js';
 import {makeFleet, type FleetHost} from '../fleet/fleet_network.js';
 import {makeUpstream} from '../store/store_site.js';
@@ -26,16 +25,11 @@
     const watch = createCrashWatch({
       clock,
       log: silentLog,
-      upstreamPort: {
-        isReachable: () => Promise.resolve(false),
-      } as Partial<UpstreamPort> as UpstreamPort,
-      quarantine: createQuarantine({
-        clock,
-        broadcast: () => host.exchange.changed('coordinators'),
-        lossIdOf: id => id,
-      }),
+      metrics: createRelayMetrics(),
+      upstreamPort: {isReachable: () => Promise.resolve(false)},
+      onChange: () => host.exchange.changed('coordinators'),
     });
-    host.setFindings({losses: watch.facts, applyLosses: watch.applyFacts});
+    host.setFindings({losses: watch.takeFacts, applyLosses: watch.applyFacts});
     return {host, watch};
   });
   /** Placements are announced at once, several a second by each host. */
--- a/tests/relay/crash_watch_test.ts
+++ b/tests/relay/crashes/crash_watch_test.ts
@@ -1,54 +1,20 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createVirtualClock} from '../../src/core/virtual_clock.js';
-import type {RelayRequest, UpstreamPort} from '../../src/ports/relay.js';
-import {createCrashWatch} from '../../src/relay/crash_watch.js';
-import type {Upstream} from '../../src/core/upstream.js';
-import {createQuarantine} from '../../src/request/quarantine.js';
-import {silentLog} from '../support/silent_log.js';
-import {revisionAt} from '../support/store_revisions.js';
-
-function makeRequest(target: string): RelayRequest {
-  return {
-    requestId: target,
-    method: 'POST',
-    target,
-    host: 'raamatud.example',
-    headers: [],
-    body: Buffer.from('rida=1'),
-    arrivedAtMs: 0,
-    waitMs: 1_000,
-  };
-}
-
-function makeUpstream(id: string): Upstream {
-  return {
-    id,
-    name: id,
-    service: 's',
-    address: `${id}:1`,
-    failureDomain: 'd',
-    slots: 1,
-    isDraining: false,
-    heartbeat: revisionAt(1),
-  };
-}
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCrashWatch} from '../../../src/relay/crashes/crash_watch.js';
+import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
+import {silentLog} from '../../support/silent_log.js';
+import {makeUpstream} from '../store/store_site.js';
+import {makeRequest} from './crash_site.js';
 
 function makeWatch(isReachable: () => boolean) {
   const clock = createVirtualClock(1_000);
-  const upstreamPort = {
-    isReachable: () => Promise.resolve(isReachable()),
-  } as Partial<UpstreamPort> as UpstreamPort;
-  const quarantine = createQuarantine({
-    clock,
-    broadcast: () => undefined,
-    lossIdOf: id => id,
-  });
   const watch = createCrashWatch({
     clock,
     log: silentLog,
-    upstreamPort,
-    quarantine,
+    metrics: createRelayMetrics(),
+    upstreamPort: {isReachable: () => Promise.resolve(isReachable())},
+    onChange: () => undefined,
   });
   return {clock, watch};
 }
@@ -65,7 +31,7 @@
   assert.equal(watch.isQuarantined(poison), true);
   assert.equal(watch.isQuarantined(makeRequest('/harmless')), false);
   const peer = makeWatch(() => true);
-  peer.watch.applyFacts(watch.facts());
+  peer.watch.applyFacts(watch.takeFacts());
   assert.equal(peer.watch.isQuarantined(poison), true);
 });
 
--- /dev/null
+++ b/tests/relay/crashes/loss_reports_test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {createCrashWatch} from '../../../src/relay/crashes/crash_watch.js';
+import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
+import {silentLog} from '../../support/silent_log.js';
+import {makeUpstream} from '../store/store_site.js';
+import {makeRequest} from './crash_site.js';
+
+function makeHosts() {
+  const clock = createVirtualClock(1_000);
+  const metrics = createRelayMetrics();
+  const makeWatch = () =>
+    createCrashWatch({
+      clock,
+      log: silentLog,
+      metrics,
+      upstreamPort: {isReachable: () => Promise.resolve(false)},
+      onChange: () => undefined,
+    });
+  return {clock, metrics, hosts: [makeWatch(), makeWatch()]};
+}
+
+test('a host that has just started learns all losses, not only the latest', async () => {
+  // Guards against a restarted host that runs requests quarantined elsewhere.
+  const {clock, hosts} = makeHosts();
+  const [host, restarted] = hosts;
+  const targets = Array.from({length: 100}, (_, i) => `/t${i}`);
+  for (const target of targets) {
+    for (const id of ['a', 'b']) {
+      host.recordFailure(makeRequest(target), makeUpstream(`${target}${id}`));
+    }
+    await clock.advance(60);
+  }
+  for (let i = 0; i < 16; i++) restarted.applyFacts(host.takeFacts());
+  const unknown = targets.filter(
+    target => !restarted.isQuarantined(makeRequest(target)),
+  );
+  assert.deepEqual(unknown, []);
+});
+
+test('losses expire though hosts repeat them to each other', async () => {
+  // Guards against suspects that are kept forever, since each message renews
+  // them at its receiver.
+  const {clock, hosts} = makeHosts();
+  const [first, second] = hosts;
+  first.recordFailure(makeRequest('/t'), makeUpstream('a'));
+  for (let i = 0; i < 700; i++) {
+    await clock.advance(1_000);
+    second.applyFacts(first.takeFacts());
+    first.applyFacts(second.takeFacts());
+  }
+  assert.deepEqual([first.suspectCount(), second.suspectCount()], [0, 0]);
+});
+
+test('invalid losses of a peer are ignored', () => {
+  const {metrics, hosts} = makeHosts();
+  const valid = {fingerprint: 'f', lossIds: ['a'], clearedCount: 0};
+  hosts[0].applyFacts([
+    null,
+    'f',
+    {...valid, fingerprint: 1},
+    {...valid, lossIds: 'a'},
+    {...valid, lossIds: [1]},
+    {...valid, clearedCount: 0.5},
+    {...valid, lossAgesMs: ['1']},
+    valid,
+  ]);
+  assert.equal(hosts[0].suspectCount(), 1);
+  assert.match(metrics.render(), /loss_facts_ignored_total 7/);
+});
