--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -49,15 +49,36 @@
   readonly atMs: number;
 }
 
+/** What is left of an upstream after a request has crashed it. */
+export type CrashedPort =
+  /** Connections are refused. */
+  | 'closed'
+  /** Connections are reset once a request has arrived. */
+  | 'resetting'
+  /** Connections are accepted and never answered. */
+  | 'silent';
+
+/** How a request crashes the upstream that begins to run it. */
+export interface Crash {
+  readonly port: CrashedPort;
+  /** Whether the head and the first bytes of an answer are sent before. */
+  readonly answersFirst?: boolean;
+}
+
 export interface EngineOptions {
   readonly id: string;
   readonly service: string;
   readonly role?: 'prefill' | 'decode';
   readonly eventCount?: number;
   readonly eventEveryMs?: number;
+  /** Returns how the run crashes the upstream, if it does. */
+  readonly crashOf?: (run: EngineRun) => Crash | undefined;
+  /** A run has crashed the upstream. */
+  readonly onCrash?: (upstream: EngineStandIn) => void;
 }
 
 export interface EngineStandIn {
+  /** Id of the present instance; new with each start. */
   readonly id: string;
   readonly address: string;
   /** Returns the value of the upstream's row in the store. */
@@ -88,7 +109,9 @@
   crashAfterEvents(count: number): void;
   /** Makes a stream stall, but stay open, after this many events. */
   stallAfterEvents(count: number): void;
-  crash(): void;
+  crash(port?: CrashedPort): void;
+  /** Starts another instance at the same address. */
+  restart(newId: string): Promise<void>;
   close(): void;
 }
 
@@ -98,7 +121,9 @@
 export async function createEngineStandIn(
   options: EngineOptions,
 ): Promise<EngineStandIn> {
-  const {id, service, eventCount = 5, eventEveryMs = 10} = options;
+  const {service, eventCount = 5, eventEveryMs = 10} = options;
+  let {id} = options;
+  let crashedPort: CrashedPort | undefined;
   const runs: EngineRun[] = [];
   const arrivals: EngineArrival[] = [];
   const orders: Array<{stage: string; fence: number}> = [];
@@ -115,11 +140,30 @@
   let isLeaving = false;
   let retryAfterSeconds: number | undefined;
 
-  function crash(): void {
-    server.close();
+  function crash(port: CrashedPort = 'closed'): void {
+    crashedPort = port;
+    if (port === 'silent') return;
+    if (port === 'closed') server.close();
     for (const socket of sockets) resetSocket(socket);
   }
 
+  /** Returns whether the run crashed the upstream. */
+  function crashOn(run: EngineRun, response: http.ServerResponse): boolean {
+    const how = options.crashOf?.(run);
+    if (!how) return false;
+    const end = () => {
+      crash(how.port);
+      options.onCrash?.(standIn);
+    };
+    if (how.answersFirst) {
+      response.writeHead(200, {...headersFor(run), 'Content-Length': '1000'});
+      response.write('id: 1\ndata: to', end);
+    } else {
+      end();
+    }
+    return true;
+  }
+
   function recordRun(
     message: http.IncomingMessage,
     body: string,
@@ -194,7 +238,7 @@
       }
       if (sentCount >= crashAfter) {
         clearInterval(timer);
-        response.write(`id: ${next}\ndata: to`, crash);
+        response.write(`id: ${next}\ndata: to`, () => crash());
         return;
       }
       response.write(`id: ${next}\ndata: token-${next}\n\n`);
@@ -237,6 +281,7 @@
     response.on('close', () => {
       if (!response.writableFinished) markDisconnected(run);
     });
+    if (crashOn(run, response)) return;
     switch (behaviour) {
       case 'hang':
         return;
@@ -279,6 +324,8 @@
     const chunks: Buffer[] = [];
     message.on('data', (bytes: Buffer) => chunks.push(bytes));
     message.on('end', () => {
+      if (crashedPort === 'resetting') resetSocket(message.socket);
+      if (crashedPort) return;
       const body = Buffer.concat(chunks).toString();
       const handle = message.url?.split(HANDLE_PATH)[1];
       if (handle !== undefined) {
@@ -305,8 +352,10 @@
   const {port} = server.address() as AddressInfo;
   const address = `127.0.0.1:${port}`;
 
-  return {
-    id,
+  const standIn: EngineStandIn = {
+    get id() {
+      return id;
+    },
     address,
     runs,
     arrivals,
@@ -341,9 +390,20 @@
       stallAfter = count;
     },
     crash,
+    async restart(newId) {
+      for (const socket of sockets) resetSocket(socket);
+      id = newId;
+      if (crashedPort === 'closed') {
+        await new Promise<void>(resolve =>
+          server.listen(port, '127.0.0.1', resolve),
+        );
+      }
+      crashedPort = undefined;
+    },
     close() {
       server.close();
       server.closeAllConnections();
     },
   };
+  return standIn;
 }
