Observe the end of every run at the port that sends it

What callers saw: a request that ends its engines after the answer has begun was sent on without end; so was one whose runs also fail with status 500 now and then. Cause: each part of the relay had to report the runs that broke off, and answers of plain calls that broke off while they were collected or passed through were not reported. Any request that ended 'answered' cleared its losses: one answered with the engine's own 500, and one whose answer broke off on its way to the caller. Change: a wrapper of the upstream port sees each send, prefill and body to its end. Only a whole, genuine answer below 500 clears losses. onBroken is gone.

--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -19,6 +19,7 @@
 import type {Upstream} from '../../core/upstream.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import {createLossReports, isLossFact} from './loss_reports.js';
+import type {WatchedRun} from './watched_upstream_port.js';
 
 export interface CrashWatchHost {
   readonly clock: Clock;
@@ -30,10 +31,8 @@
 }
 
 export interface CrashWatch {
-  /** Records that a run broke off at the upstream. */
-  recordFailure(request: RelayRequest, upstream: Upstream): void;
-  /** Records that a run completed, so the request is harmless. */
-  recordSuccess(request: RelayRequest): void;
+  /** Watches a run from its send on. */
+  startRun(request: RelayRequest, upstream: Upstream): WatchedRun;
   /**
    * Returns whether the request has crashed too many upstreams to run again.
    */
@@ -100,6 +99,17 @@
     });
   }
 
+  function clearLosses(request: RelayRequest): void {
+    if (!quarantine.hasSuspects()) return;
+    const fingerprint = fingerprintOf(request);
+    if (quarantine.verdict(fingerprint) === 'clear') return;
+    quarantine.clear(fingerprint);
+    log.info('Losses cleared by a complete run.', {
+      request: request.requestId,
+      fingerprint,
+    });
+  }
+
   function applyFact(fact: LossFact): void {
     const {fingerprint} = fact;
     const wasQuarantined = isQuarantined(fingerprint);
@@ -112,21 +122,20 @@
   }
 
   return {
-    recordFailure(request, upstream) {
-      clock.setTimer(
-        PROBE_DELAY_MS,
-        () => void blameIfUnreachable(request, upstream),
-      );
-    },
-    recordSuccess(request) {
-      if (!quarantine.hasSuspects()) return;
-      const fingerprint = fingerprintOf(request);
-      if (quarantine.verdict(fingerprint) === 'clear') return;
-      quarantine.clear(fingerprint);
-      log.info('Losses cleared by a complete run.', {
-        request: request.requestId,
-        fingerprint,
-      });
+    startRun(request, upstream) {
+      let hasEnded = false;
+      return {
+        end(how) {
+          if (hasEnded) return;
+          hasEnded = true;
+          if (how === 'complete') clearLosses(request);
+          if (how !== 'broken') return;
+          clock.setTimer(
+            PROBE_DELAY_MS,
+            () => void blameIfUnreachable(request, upstream),
+          );
+        },
+      };
     },
     isQuarantined(request) {
       if (!quarantine.hasSuspects()) return false;
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -32,7 +32,6 @@
 import {isFullNow, toNotes, toOverload, toResult} from './plain_outcomes.js';
 import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
 import {toCallWaiting} from './slot_rules.js';
-import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface PlainRelayHost {
@@ -47,8 +46,6 @@
    * them.
    */
   pausedMs(upstreamId: string): number;
-  /** An upstream failed while it ran the call. */
-  onBroken(job: RelayJob, upstream: Upstream): void;
 }
 
 export interface PlainRelay {
@@ -266,7 +263,6 @@
         return nextStep(job, progress);
       case 'broken':
         progress.ran.push(upstream.id);
-        host.onBroken(job, upstream);
         progress.failure = {kind: 'upstream-failed', detail: failure.detail};
         return nextStepAfterRun(job, progress);
       case 'cancelled':
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -142,7 +142,6 @@
       activeCount++;
       try {
         const outcome = await run(admitted);
-        if (outcome.end === 'answered') host.crashes.recordSuccess(request);
         logOutcome(request, admitted, outcome);
       } catch (error) {
         // An internal error must not leave the caller waiting until its
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -15,6 +15,7 @@
 import {createBackpressure} from './backpressure/backpressure.js';
 import {createGatedUpstreamPort} from './backpressure/gated_upstream_port.js';
 import {createCrashWatch} from './crashes/crash_watch.js';
+import {createWatchedUpstreamPort} from './crashes/watched_upstream_port.js';
 import {createCallerBuffers} from './front/caller_buffers.js';
 import {listEntries} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
@@ -43,8 +44,6 @@
 import {createStoreEra} from './store/store_era.js';
 import {createStoreWatch} from './store/store_watch.js';
 import {createStreamRelay} from './streams/stream_relay.js';
-import type {RelayJob} from './relay_types.js';
-import type {Upstream} from '../core/upstream.js';
 import {createUpstreamRegistry} from './store/upstream_registry.js';
 
 export interface RelayProcessOptions {
@@ -258,10 +257,13 @@
     random,
     log: createLogger('backpressure'),
     metrics,
-    port: adapters.createUpstreamPort({
-      clock,
-      exchange,
-      signals: backpressure.signals,
+    port: createWatchedUpstreamPort({
+      port: adapters.createUpstreamPort({
+        clock,
+        exchange,
+        signals: backpressure.signals,
+      }),
+      startRun: (request, upstream) => crashes.startRun(request, upstream),
     }),
     gate,
   });
@@ -272,10 +274,8 @@
     upstreamPort,
     onChange: () => peers.changed('coordinators'),
   });
-  const onBroken = (job: RelayJob, upstream: Upstream) =>
-    crashes.recordFailure(job.request, upstream);
   const retryBudget = retries.allowance;
-  const shared = {clock, upstreamPort, registry, retryBudget, onBroken};
+  const shared = {clock, upstreamPort, registry, retryBudget};
   const roleOrders = createRoleOrders(
     {
       clock,
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -33,7 +33,6 @@
 import {relayEvents, type StreamEnd} from './stream_events.js';
 import {createStreamStart, STALL_TIMEOUT_MS} from './stream_start.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {toWaiting} from '../placement/wait_rules.js';
 
@@ -52,8 +51,6 @@
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryAllowance;
   readonly statistics: SharedStatistics;
-  /** Called when a run breaks off. */
-  onBroken(job: RelayJob, upstream: Upstream): void;
 }
 
 export interface StreamRelay {
@@ -233,7 +230,6 @@
           return refuse(state, {kind: 'deadline-passed', detail: end.detail});
         case 'broken':
           scheduler.recordFailure(state.placement.decode.id);
-          host.onBroken(job, state.placement.decode);
           failures.logFailure(
             'Stream broke.',
             state,
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -17,15 +17,9 @@
 import type {EngineFailures} from './engine_failures.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import {createPrefillStep} from './prefill_step.js';
-import {
-  CONNECT_TIMEOUT_MS,
-  KEY_WITHDRAWN,
-  leftMs,
-  type RelayJob,
-} from '../relay_types.js';
+import {CONNECT_TIMEOUT_MS, KEY_WITHDRAWN, leftMs} from '../relay_types.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import type {StreamState} from './stream_state.js';
-import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface StreamStartHost {
@@ -36,8 +30,6 @@
   readonly calls: BudgetedCalls;
   readonly statistics: SharedStatistics;
   readonly failures: EngineFailures;
-  /** Called when a run breaks off. */
-  onBroken(job: RelayJob, upstream: Upstream): void;
 }
 
 export interface StreamStart {
@@ -179,7 +171,6 @@
           return outcome;
         case 'broken':
           state.ran.push(decode.id);
-          host.onBroken(job, decode);
           failures.record(decode, outcome);
           failure = {kind: 'upstream-failed', detail: outcome.detail};
           return {kind: 'failed', error: failure, mayHaveRun: true};
--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -71,8 +71,8 @@
   readonly role?: 'prefill' | 'decode';
   readonly eventCount?: number;
   readonly eventEveryMs?: number;
-  /** Returns how the run crashes the upstream, if it does. */
-  readonly crashOf?: (run: EngineRun) => Crash | undefined;
+  /** Returns how the run crashes the upstream, or that it fails, if it does. */
+  readonly crashOf?: (run: EngineRun) => Crash | 'fail' | undefined;
   /** A run has crashed the upstream. */
   readonly onCrash?: (upstream: EngineStandIn) => void;
 }
@@ -147,10 +147,19 @@
     for (const socket of sockets) resetSocket(socket);
   }
 
-  /** Returns whether the run crashed the upstream. */
+  function fail(run: EngineRun, response: http.ServerResponse): void {
+    response.writeHead(500, headersFor(run));
+    response.end('own failure');
+  }
+
+  /** Returns whether the run ended without a success. */
   function crashOn(run: EngineRun, response: http.ServerResponse): boolean {
     const how = options.crashOf?.(run);
     if (!how) return false;
+    if (how === 'fail') {
+      fail(run, response);
+      return true;
+    }
     const end = () => {
       crash(how.port);
       options.onCrash?.(standIn);
@@ -289,8 +298,7 @@
         resetSocket(message.socket);
         return;
       case 'fail':
-        response.writeHead(500, headersFor(run));
-        response.end('own failure');
+        fail(run, response);
         return;
       default:
         if (role) return stream(run, response);
--- a/tests/platform/crashing_site.ts
+++ b/tests/platform/crashing_site.ts
@@ -28,6 +28,8 @@
   readonly restartMs?: number;
   /** The caller disconnects after this time. */
   readonly patienceMs?: number;
+  /** Every nth run fails with status 500 and leaves its upstream alive. */
+  readonly failsEvery?: number;
 }
 
 export interface CrashResult {
@@ -43,6 +45,8 @@
 
 const HEARTBEAT_MS = 600;
 const ROW_EXPIRY_MS = 3 * HEARTBEAT_MS;
+/** All entries have found each other. */
+const PEERS_FOUND_MS = 1_500;
 const RESTART_MS = 1_200;
 const DURATION_MS = 8_000;
 const POISON_INTERVAL_MS = 250;
@@ -73,6 +77,7 @@
   const crashTimes: number[] = [];
   const endedIds = new Set<string>();
   let startCount = 0;
+  let runCount = 0;
 
   async function restart(upstream: EngineStandIn): Promise<void> {
     const endedId = upstream.id;
@@ -89,8 +94,13 @@
     const upstream = await site.addUpstream({
       ...options,
       id: `i-${++startCount}`,
-      crashOf: run =>
-        isPoison(run) && run.stage !== 'prefill' ? scenario.crash : undefined,
+      crashOf(run) {
+        if (!isPoison(run) || run.stage === 'prefill') return undefined;
+        runCount++;
+        const {failsEvery} = scenario;
+        const fails = failsEvery !== undefined && runCount % failsEvery === 0;
+        return fails ? 'fail' : scenario.crash;
+      },
       onCrash(ended) {
         crashTimes.push(performance.now());
         void restart(ended);
@@ -118,6 +128,7 @@
     entries.push(await site.addEntry({seedAddresses}));
   }
   for (const entry of entries) await untilReady(site, entry);
+  await wait(PEERS_FOUND_MS);
   return {
     site,
     entries,
--- a/tests/relay/crashes/crash_spread_test.ts
+++ b/tests/relay/crashes/crash_spread_test.ts
@@ -45,7 +45,9 @@
     const first = random.nextInt(hosts.length);
     targets.forEach((target, i) => {
       const {watch} = hosts[(first + i) % hosts.length];
-      watch.recordFailure(makeRequest(target), makeUpstream(upstreamId));
+      watch
+        .startRun(makeRequest(target), makeUpstream(upstreamId))
+        .end('broken');
     });
   }
   return {clock, fleet, hosts, crash};
--- a/tests/relay/crashes/crash_watch_test.ts
+++ b/tests/relay/crashes/crash_watch_test.ts
@@ -25,7 +25,7 @@
   const {clock, watch} = makeWatch(() => false);
   const poison = makeRequest('/poison');
   for (const id of ['e1', 'e2']) {
-    watch.recordFailure(poison, makeUpstream(id));
+    watch.startRun(poison, makeUpstream(id)).end('broken');
     await clock.advance(100);
   }
   assert.equal(watch.isQuarantined(poison), true);
@@ -39,7 +39,7 @@
   const {clock, watch} = makeWatch(() => true);
   const request = makeRequest('/unlucky');
   for (const id of ['e1', 'e2', 'e3']) {
-    watch.recordFailure(request, makeUpstream(id));
+    watch.startRun(request, makeUpstream(id)).end('broken');
     await clock.advance(100);
   }
   assert.equal(watch.isQuarantined(request), false);
--- a/tests/relay/crashes/loss_reports_test.ts
+++ b/tests/relay/crashes/loss_reports_test.ts
@@ -28,7 +28,9 @@
   const targets = Array.from({length: 100}, (_, i) => `/t${i}`);
   for (const target of targets) {
     for (const id of ['a', 'b']) {
-      host.recordFailure(makeRequest(target), makeUpstream(`${target}${id}`));
+      host
+        .startRun(makeRequest(target), makeUpstream(`${target}${id}`))
+        .end('broken');
     }
     await clock.advance(60);
   }
@@ -44,7 +46,7 @@
   // them at its receiver.
   const {clock, hosts} = makeHosts();
   const [first, second] = hosts;
-  first.recordFailure(makeRequest('/t'), makeUpstream('a'));
+  first.startRun(makeRequest('/t'), makeUpstream('a')).end('broken');
   for (let i = 0; i < 700; i++) {
     await clock.advance(1_000);
     second.applyFacts(first.takeFacts());
--- a/tests/relay/plain/plain_relay_test.ts
+++ b/tests/relay/plain/plain_relay_test.ts
@@ -58,7 +58,6 @@
     retryBudget: createRetryBudget({burst: () => 9, ratioOf: () => 0}),
     priorities: createRequestPriorities({routing: () => undefined}),
     pausedMs: () => 0,
-    onBroken: () => undefined,
     slots: {
       acquire(_, tried) {
         avoided.push([...tried]);
--- a/tests/relay/streams/engine_priority_test.ts
+++ b/tests/relay/streams/engine_priority_test.ts
@@ -62,7 +62,6 @@
     place: lone.scheduler.place,
     priorities: createRequestPriorities({routing: () => routing as Routing}),
     retryBudget: createRetryBudget({burst: () => 0, ratioOf: () => 0}),
-    onBroken: () => undefined,
   });
   const request: Partial<RelayJob['request']> = {
     requestId: 'r',
