Check for quarantine before each send, and refuse waiting requests at once

Cause: a request was checked once, on arrival. Change: the port that sends checks before each run and prefill; a send that is held back for it costs no retry. A request that waits and was never sent is refused as soon as its losses are known, rather than when its turn comes.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -4,6 +4,7 @@
  * for the names and formats of a platform.
  */
 
+import type {RequestError} from '../core/error_kinds.js';
 import type {Routing} from '../core/routing_types.js';
 import type {StoreMoment, StoreRevision} from '../core/store_revision.js';
 import type {
@@ -84,6 +85,12 @@
       readonly scope: 'this-host' | 'all-hosts';
       readonly retryAfterMs: number;
     }
+  /** Nothing was sent, because the request may crash upstreams. */
+  | {
+      readonly kind: 'quarantined';
+      readonly detail: string;
+      readonly error: RequestError;
+    }
   /** The upstream answered that it didn't run the request. */
   | {
       readonly kind: 'rejected';
--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -50,6 +50,14 @@
    * again.
    */
   findRefusal(request: RelayRequest): RequestError | undefined;
+  /**
+   * Calls `onRefusal` if the request is found to crash upstreams before it was
+   * sent to any. The returned function ends this.
+   */
+  watchWaiting(
+    request: RelayRequest,
+    onRefusal: (error: RequestError) => void,
+  ): () => void;
   /** Returns losses of upstreams for the next datagram to peers. */
   takeFacts(): readonly LossFact[];
   /** Applies losses that a peer sent; ignores invalid ones. */
@@ -86,7 +94,10 @@
     {
       clock,
       broadcast: host.onChange,
-      onChange: fingerprint => reports.noteChange(fingerprint),
+      onChange(fingerprint) {
+        reports.noteChange(fingerprint);
+        refuseWaiting(fingerprint);
+      },
       // An upstream gets a new id at each start, so each id is lost only once.
       lossIdOf: upstreamId => upstreamId,
     },
@@ -109,9 +120,38 @@
     onAlive: upstreamId => noteAlive(upstreamId, clock.nowMs()),
   });
 
+  /** Admitted requests that were not sent yet. */
+  const waiting = new Map<RelayRequest, (error: RequestError) => void>();
+
   const isQuarantined = (fingerprint: string) =>
     quarantine.verdict(fingerprint) === 'quarantined';
 
+  function findRefusal(request: RelayRequest): RequestError | undefined {
+    if (!quarantine.hasSuspects()) return undefined;
+    const fingerprint = fingerprintOf(request);
+    if (!isQuarantined(fingerprint)) return undefined;
+    const confirmedInMs =
+      quarantine.latestLossMs(fingerprint) + CONFIRMATION_MS - clock.nowMs();
+    if (confirmedInMs <= 0) {
+      return {kind: 'quarantined', detail: 'It is not run again.'};
+    }
+    return {
+      kind: 'suspected',
+      detail: 'It is not known yet whether it crashed them.',
+      retryAfterMs: confirmedInMs,
+    };
+  }
+
+  function refuseWaiting(fingerprint: string): void {
+    if (!isQuarantined(fingerprint)) return;
+    for (const [request, onRefusal] of [...waiting]) {
+      const error = findRefusal(request);
+      if (!error) continue;
+      waiting.delete(request);
+      onRefusal(error);
+    }
+  }
+
   function findSuspects(
     upstreamId: string,
     evidence: EndEvidence,
@@ -243,6 +283,7 @@
 
   return {
     startRun(request, upstream) {
+      waiting.delete(request);
       const run = runs.start(request, upstream);
       startSilenceTimer();
       let hasEnded = false;
@@ -257,20 +298,10 @@
       };
     },
     noteList: list.update,
-    findRefusal(request) {
-      if (!quarantine.hasSuspects()) return undefined;
-      const fingerprint = fingerprintOf(request);
-      if (!isQuarantined(fingerprint)) return undefined;
-      const confirmedInMs =
-        quarantine.latestLossMs(fingerprint) + CONFIRMATION_MS - clock.nowMs();
-      if (confirmedInMs <= 0) {
-        return {kind: 'quarantined', detail: 'It is not run again.'};
-      }
-      return {
-        kind: 'suspected',
-        detail: 'It is not known yet whether it crashed them.',
-        retryAfterMs: confirmedInMs,
-      };
+    findRefusal,
+    watchWaiting(request, onRefusal) {
+      waiting.set(request, onRefusal);
+      return () => void waiting.delete(request);
     },
     takeFacts: reports.take,
     applyFacts(facts) {
--- a/src/relay/crashes/watched_upstream_port.ts
+++ b/src/relay/crashes/watched_upstream_port.ts
@@ -1,8 +1,10 @@
 /**
  * Wraps an upstream port to observe how every run ends, whichever part of the
- * relay sent it and whether its answer was read to the end.
+ * relay sent it and whether its answer was read to the end, and to send nothing
+ * that is known to crash upstreams.
  */
 
+import type {RequestError} from '../../core/error_kinds.js';
 import {isGenuine} from '../answers/answer_rules.js';
 import type {
   AnswerBody,
@@ -44,6 +46,8 @@
   readonly port: UpstreamPort;
   /** Called before a request is sent. */
   startRun(request: RelayRequest, upstream: Upstream): WatchedRun;
+  /** Returns an error if the request must not be sent. */
+  findRefusal(request: RelayRequest): RequestError | undefined;
 }
 
 const SERVER_ERROR = 500;
@@ -52,6 +56,7 @@
   switch (failure.kind) {
     case 'unreachable':
     case 'withheld':
+    case 'quarantined':
       return 'not-run';
     case 'rejected':
       return failure.reason === 'other-instance' ? 'replaced' : 'rejected';
@@ -104,9 +109,16 @@
 ): UpstreamPort {
   const {port} = host;
 
+  function findQuarantine(request: RelayRequest): SendFailure | undefined {
+    const error = host.findRefusal(request);
+    return error && {kind: 'quarantined', detail: error.detail, error};
+  }
+
   return {
     ...port,
     async send(request, options, cancellation) {
+      const quarantine = findQuarantine(request);
+      if (quarantine) return quarantine;
       const run = host.startRun(request, options.upstream);
       const outcome = await port.send(request, options, cancellation);
       if (outcome.kind === 'answered') return watchAnswer(outcome, run);
@@ -114,6 +126,8 @@
       return outcome;
     },
     async prefill(request, options, cancellation): Promise<PrefillOutcome> {
+      const quarantine = findQuarantine(request);
+      if (quarantine) return quarantine;
       const run = host.startRun(request, options.upstream);
       const outcome = await port.prefill(request, options, cancellation);
       if (outcome.kind === 'prefilled') {
--- a/src/relay/plain/plain_outcomes.ts
+++ b/src/relay/plain/plain_outcomes.ts
@@ -34,6 +34,7 @@
       return failure.wasConnected === true;
     case 'broken':
     case 'withheld':
+    case 'quarantined':
     case 'cancelled':
       return false;
   }
@@ -48,6 +49,7 @@
     case 'rejected':
       return failure.reason === 'full' ? 'cancelled' : 'failed';
     case 'withheld':
+    case 'quarantined':
     case 'cancelled':
       return 'cancelled';
   }
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -265,6 +265,9 @@
         progress.ran.push(upstream.id);
         progress.failure = {kind: 'upstream-failed', detail: failure.detail};
         return nextStepAfterRun(job, progress);
+      case 'quarantined':
+        progress.failure = failure.error;
+        return 'stop';
       case 'cancelled':
         return 'stop';
     }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -11,7 +11,10 @@
 import type {RelayRequest} from '../ports/relay.js';
 import type {AccountAdmission} from './accounts/account_admission.js';
 import type {Caller} from './front/caller.js';
-import {createCancellation} from './front/cancellation.js';
+import {
+  createCancellation,
+  type CancellationSource,
+} from './front/cancellation.js';
 import type {CrashWatch} from './crashes/crash_watch.js';
 import type {PlainRelay} from './plain/plain_relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
@@ -40,6 +43,10 @@
   activeCount(): number;
 }
 
+interface AdmittedJob extends RelayJob {
+  readonly cancellation: CancellationSource;
+}
+
 /** A process receives the configuration within this time after its start. */
 const NO_CONFIGURATION_RETRY_MS = 500;
 
@@ -50,7 +57,7 @@
   async function admit(
     received: RelayRequest,
     caller: Caller,
-  ): Promise<RelayJob | RequestError> {
+  ): Promise<AdmittedJob | RequestError> {
     if (!routing.current()) {
       return {
         kind: 'configuration-missing',
@@ -85,13 +92,22 @@
     };
   }
 
-  async function run(job: RelayJob): Promise<JobOutcome> {
+  async function run(job: AdmittedJob): Promise<JobOutcome> {
+    let refusal: RequestError | undefined;
+    const endWatch = host.crashes.watchWaiting(job.request, error => {
+      refusal = error;
+      job.caller.refuse(error);
+      job.cancellation.cancel();
+    });
     const outcome = await (job.service.engine
       ? streams.run(job)
       : plain.run(job));
+    endWatch();
     const wasSent = outcome.upstreams.length > 0 || outcome.wasPrefilled;
     if (outcome.end !== 'answered' && !wasSent) job.admitted.refund();
-    return outcome;
+    return refusal
+      ? {...outcome, end: 'refused', reason: refusal.kind}
+      : outcome;
   }
 
   function logOutcome(
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -264,6 +264,7 @@
         signals: backpressure.signals,
       }),
       startRun: (request, upstream) => crashes.startRun(request, upstream),
+      findRefusal: request => crashes.findRefusal(request),
     }),
     gate,
   });
--- a/src/relay/streams/budgeted_calls.ts
+++ b/src/relay/streams/budgeted_calls.ts
@@ -40,6 +40,7 @@
 const NOT_SENT_KINDS: ReadonlySet<string> = new Set<SendFailure['kind']>([
   'unreachable',
   'withheld',
+  'quarantined',
 ]);
 /** The prefill and the run itself. */
 const CALLS_PER_RUN = 2;
--- a/src/relay/streams/engine_failures.ts
+++ b/src/relay/streams/engine_failures.ts
@@ -78,6 +78,7 @@
         case 'withheld':
           recordWithheld(engine, failure);
           return;
+        case 'quarantined':
         case 'cancelled':
           return;
       }
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -31,6 +31,7 @@
   | {readonly kind: 'read'; readonly source: PrefillResultPlace}
   /** The decode engine has to prefill the prompt itself. */
   | {readonly kind: 'not-read'}
+  | Extract<SendFailure, {kind: 'quarantined'}>
   | NoRetries;
 
 export interface PrefillStep {
@@ -99,6 +100,14 @@
     return {kind: 'read', source: {engineId, address, handle}};
   }
 
+  /** Whether no other engine is to be tried. */
+  function isFinal(
+    outcome: PrefillStepOutcome | SendFailure,
+  ): outcome is PrefillStepOutcome {
+    const {kind} = outcome;
+    return kind === 'read' || kind === 'no-retries' || kind === 'quarantined';
+  }
+
   return {
     async run(state) {
       const {job, need, placement} = state;
@@ -107,7 +116,7 @@
       let reservation = placement.prefillReservation;
       while (engine) {
         const end = await prefillAt(state, engine, reservation);
-        if (end.kind === 'read' || end.kind === 'no-retries') return end;
+        if (isFinal(end)) return end;
         tried.add(engine.id);
         // An engine that is booked below must be called: a booking that is
         // never ended makes the engine look busy forever.
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -6,7 +6,7 @@
  * stream continues on another engine after its last whole event.
  */
 
-import type {RequestError} from '../../core/error_kinds.js';
+import {errorAnswers, type RequestError} from '../../core/error_kinds.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {
@@ -243,6 +243,7 @@
   }
 
   function withRetryAfter(error: RequestError): RequestError {
+    if (!errorAnswers[error.kind].retryable) return error;
     return {...error, retryAfterMs: error.retryAfterMs ?? REJECTION_RETRY_MS};
   }
 
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -149,6 +149,7 @@
         const prefill = await prefillStep.run(state);
         if (job.cancellation.isCancelled) return {kind: 'cancelled'};
         if (prefill.kind === 'no-retries') return notRun(toOverload(prefill));
+        if (prefill.kind === 'quarantined') return notRun(prefill.error);
         if (prefill.kind === 'read') state.source = prefill.source;
       }
       const {decode} = state.placement;
@@ -169,6 +170,8 @@
           return acceptAnswer(state, outcome);
         case 'cancelled':
           return outcome;
+        case 'quarantined':
+          return notRun(outcome.error);
         case 'broken':
           state.ran.push(decode.id);
           failures.record(decode, outcome);
