Soak: requests that crash upstreams, whatever port these leave

One request, plain or stream, ends each upstream that runs it and comes five times a second beside kills, freezes, broken links and lost answers; upstreams leave a port that is closed, resets or is silent, and may begin an answer before. Checked: at most 3 runs later than 3 s after the third crash, and no other request is refused for it.

--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,7 +1,8 @@
 /**
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
- * [--asks | --copies]`; the last two draw mostly backpressure of upstreams,
- * or restores of the store from older copies.
+ * [--asks | --copies | --crashes]`; the last three draw mostly backpressure of
+ * upstreams, restores of the store from older copies, or requests that crash
+ * upstreams.
  */
 
 import path from 'node:path';
@@ -9,9 +10,10 @@
 import {
   ALL_KINDS,
   BACKPRESSURE_SOAK_KINDS,
+  CRASH_SOAK_KINDS,
   OLDER_COPY_SOAK_KINDS,
   type FaultKind,
-} from './soak_faults.js';
+} from './fault_kinds.js';
 import {runSoak} from './soak_run.js';
 
 const {values} = parseArgs({
@@ -24,11 +26,13 @@
     folder: {type: 'string', default: 'build/soak'},
     asks: {type: 'boolean', default: false},
     copies: {type: 'boolean', default: false},
+    crashes: {type: 'boolean', default: false},
   },
 });
 
 function chooseKinds(): readonly FaultKind[] {
   if (values.copies) return OLDER_COPY_SOAK_KINDS;
+  if (values.crashes) return CRASH_SOAK_KINDS;
   return values.asks ? BACKPRESSURE_SOAK_KINDS : ALL_KINDS;
 }
 
--- a/tests/soak/soak_callers.ts
+++ b/tests/soak/soak_callers.ts
@@ -5,10 +5,18 @@
 import http from 'node:http';
 import type {Random} from '../../src/ports/random.js';
 import {HOST, PROMPT_HEADERS} from '../platform/relay_site.js';
-import {EXTRA_PREFIX, type SoakSite} from './soak_site.js';
+import {CRASHING_SUFFIX, EXTRA_PREFIX, type SoakSite} from './soak_site.js';
 
 /** Kinds of calls, by the retry rules of the site's routes. */
-export type CallKind = 'idempotent' | 'once' | 'stream' | 'resumable' | 'extra';
+export type CallKind =
+  | 'idempotent'
+  | 'once'
+  | 'stream'
+  | 'resumable'
+  | 'extra'
+  /** Ends each upstream that runs it; idempotent and resumable. */
+  | 'crashing'
+  | 'crashing-stream';
 
 /** One request as its caller saw it. */
 export interface CallRecord {
@@ -39,7 +47,19 @@
   stream: '/mustand/1',
   resumable: '/lisa/1',
   extra: `${EXTRA_PREFIX}0/1`,
+  crashing: `/saldo${CRASHING_SUFFIX}`,
+  'crashing-stream': `/lisa${CRASHING_SUFFIX}`,
 };
+const MODEL_KINDS: ReadonlySet<CallKind> = new Set<CallKind>([
+  'stream',
+  'resumable',
+  'crashing-stream',
+]);
+const GET_KINDS: ReadonlySet<CallKind> = new Set<CallKind>([
+  'idempotent',
+  'extra',
+  'crashing',
+]);
 const CALL_MIX: readonly CallKind[] = [
   'idempotent',
   'idempotent',
@@ -123,8 +143,9 @@
       hasDisconnected: false,
     };
     records.push(record);
-    const isModel = kind === 'stream' || kind === 'resumable';
-    const isGet = kind === 'idempotent' || kind === 'extra';
+    const isModel = MODEL_KINDS.has(kind);
+    const isGet = GET_KINDS.has(kind);
+    const body = kind === 'crashing-stream' ? 'crash' : `body of ${record.id}`;
     const disconnectsEarly = random.nextInt(DISCONNECT_ONE_IN) === 0;
     return new Promise(resolve => {
       const finish = (isCut: boolean) => {
@@ -159,7 +180,7 @@
         response.on('error', () => finish(true));
         response.on('end', () => finish(!response.complete));
       });
-      request.end(isGet ? undefined : `body of ${record.id}`);
+      request.end(isGet ? undefined : body);
     });
   }
 
--- a/tests/soak/soak_checks.ts
+++ b/tests/soak/soak_checks.ts
@@ -3,6 +3,7 @@
  */
 
 import {findIgnoredSignals} from './backpressure_checks.js';
+import {findUnstoppedCrashes, type RecordedCrash} from './crashing_requests.js';
 import type {ChildExit} from './relay_child.js';
 import type {CallRecord} from './soak_callers.js';
 import type {DisruptedSpan} from './soak_faults.js';
@@ -16,6 +17,7 @@
 export interface SoakEvidence {
   readonly records: readonly CallRecord[];
   readonly upstreams: readonly SoakUpstream[];
+  readonly crashes: readonly RecordedCrash[];
   readonly disruptions: readonly DisruptedSpan[];
   /** Exits of processes that received SIGTERM. */
   readonly left: readonly ExitedProcess[];
@@ -128,6 +130,7 @@
     violations.push(...checkDraining(upstream, byId, disruptions));
   }
   violations.push(...findIgnoredSignals(upstreams, byId, disruptions));
+  violations.push(...findUnstoppedCrashes(evidence));
   for (const {hostId, end} of left) {
     if (end.code === 0) continue;
     violations.push(
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -1,8 +1,11 @@
 /** Faults drawn from a seed, and the handlers that inject and revert them. */
 
 import type {Random} from '../../src/ports/random.js';
+import {sendCrashingRequests} from './crashing_requests.js';
+import {CRASHING_KIND, OLDER_COPY_KIND, type FaultKind} from './fault_kinds.js';
 import type {ProxyMode} from './fault_proxy.js';
 import type {ChildExit, RelayChild} from './relay_child.js';
+import type {CallKind} from './soak_callers.js';
 import type {
   BackpressureSignal,
   SoakHost,
@@ -10,68 +13,6 @@
   SoakUpstream,
 } from './soak_site.js';
 
-export const FAULT_KINDS = [
-  'kill',
-  'freeze',
-  'terminate',
-  'roll',
-  'hang-up',
-  'store-cut',
-  'store-down',
-  'store-lossy',
-  'history-lost',
-  'upstream-crash',
-  'upstream-leaves',
-  'upstream-link',
-  'connections-reset',
-  'answers-lost',
-  'refusals',
-  'configure',
-] as const;
-
-/** Upstreams that signal backpressure. */
-export const BACKPRESSURE_KINDS = [
-  'names-limit',
-  'says-leaving',
-  'asks-rest',
-] as const;
-
-/** Not in `FAULT_KINDS`, so that existing seeds still draw the same faults. */
-export const OLDER_COPY_KIND = 'store-older-copy';
-
-export type FaultKind =
-  | (typeof FAULT_KINDS)[number]
-  | (typeof BACKPRESSURE_KINDS)[number]
-  | typeof OLDER_COPY_KIND;
-
-export const ALL_KINDS: readonly FaultKind[] = [
-  ...FAULT_KINDS,
-  ...BACKPRESSURE_KINDS,
-  OLDER_COPY_KIND,
-];
-/**
- * Restores from an older copy, with faults whose writes the restore may lose.
- */
-export const OLDER_COPY_SOAK_KINDS: readonly FaultKind[] = [
-  OLDER_COPY_KIND,
-  OLDER_COPY_KIND,
-  'upstream-leaves',
-  'upstream-leaves',
-  'upstream-leaves',
-  'upstream-crash',
-  'configure',
-  'kill',
-  'store-cut',
-];
-/**
- * Backpressure, with faults in which hosts lose their state or miss updates.
- */
-export const BACKPRESSURE_SOAK_KINDS: readonly FaultKind[] = [
-  ...BACKPRESSURE_KINDS,
-  'kill',
-  'store-down',
-];
-
 export interface PlannedFault {
   readonly kind: FaultKind;
   readonly atMs: number;
@@ -91,6 +32,8 @@
   readonly site: SoakSite;
   readonly random: Random;
   now(): number;
+  /** Sends one request and resolves at its end. */
+  call(kind: CallKind): Promise<unknown>;
   recordDisruption(span: DisruptedSpan): void;
   /** Records the exit of a process that received SIGTERM. */
   recordExit(hostId: string, exit: ChildExit): void;
@@ -301,6 +244,7 @@
     site.restoreStore(copy, awayAtMs, context.now());
     site.store.setMode('serving');
   },
+  [CRASHING_KIND]: sendCrashingRequests,
   async 'history-lost'({site}) {
     site.store.dropHistory();
   },
--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -4,6 +4,7 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import {createSeededRandom} from '../../src/core/seeded_random.js';
+import type {FaultKind} from './fault_kinds.js';
 import {
   createSoakCallers,
   type CallKind,
@@ -15,7 +16,6 @@
   FAULT_HANDLERS,
   planFaults,
   type FaultContext,
-  type FaultKind,
   type DisruptedSpan,
   type PlannedFault,
 } from './soak_faults.js';
@@ -102,6 +102,7 @@
     site,
     random,
     now,
+    call: callers.call,
     recordDisruption: span => disruptions.push(span),
     recordExit: (hostId, end) => left.push({hostId, end}),
   });
@@ -114,6 +115,7 @@
   const violations = findViolations({
     records,
     upstreams: site.upstreams,
+    crashes: site.crashes,
     disruptions,
     left,
   });
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -5,6 +5,7 @@
 
 import {
   createEngineStandIn,
+  type Crash,
   type EngineStandIn,
 } from '../../stand_ins/users_platform/engine_stand_in.js';
 import {
@@ -14,6 +15,7 @@
 } from '../../stand_ins/users_platform/store_stand_in.js';
 import {makeConfiguration} from '../platform/relay_site.js';
 import {findFreeAddress} from '../support/free_address.js';
+import type {RecordedCrash} from './crashing_requests.js';
 import {createFaultProxy, type FaultProxy} from './fault_proxy.js';
 import {createRelayChild, type RelayChild} from './relay_child.js';
 
@@ -49,7 +51,15 @@
   drainingSinceMs?: number;
 }
 
+/** How runs of the crashing request end their upstreams. */
+export interface SoakCrash extends Crash {
+  onCrash(upstream: SoakUpstream): void;
+}
+
 export interface SoakSite {
+  /** Undefined while no request crashes upstreams. */
+  crash?: SoakCrash;
+  readonly crashes: RecordedCrash[];
   readonly store: StoreStandIn;
   readonly hosts: readonly SoakHost[];
   /** All upstreams so far, including those that are gone. */
@@ -87,6 +97,8 @@
 const LEAVE_GRACE_MS = 4_000;
 /** Path prefix of the routes that a configuration may add. */
 export const EXTRA_PREFIX = '/extra-';
+/** Last part of the paths of requests that crash upstreams. */
+export const CRASHING_SUFFIX = '/crash';
 
 export async function createSoakSite(
   options: SoakSiteOptions,
@@ -120,6 +132,11 @@
       role,
       eventCount: STREAM_EVENTS,
       eventEveryMs: EVENT_EVERY_MS,
+      crashOf({target, stage}) {
+        const isCrashing = target.endsWith(CRASHING_SUFFIX);
+        return isCrashing && stage !== 'prefill' ? site.crash : undefined;
+      },
+      onCrash: () => site.crash?.onCrash(upstream),
     });
     const link = await createFaultProxy(standIn.address);
     const upstream: SoakUpstream = {
@@ -193,16 +210,8 @@
     return host;
   }
 
-  publishConfiguration(0);
-  for (let i = 0; i < 3; i++) await addUpstream('ledger');
-  for (let i = 0; i < 4; i++) await addUpstream('drafts', 'decode');
-  for (let i = 0; i < 2; i++) await addUpstream('drafts', 'prefill');
-  for (let i = 0; i < options.hostCount; i++) {
-    const {child} = await addHost(i, hosts[0]?.child.settings.peerAddress);
-    child.start();
-  }
-
-  return {
+  const site: SoakSite = {
+    crashes: [],
     store,
     hosts,
     upstreams,
@@ -224,4 +233,14 @@
       store.close();
     },
   };
+
+  publishConfiguration(0);
+  for (let i = 0; i < 3; i++) await addUpstream('ledger');
+  for (let i = 0; i < 4; i++) await addUpstream('drafts', 'decode');
+  for (let i = 0; i < 2; i++) await addUpstream('drafts', 'prefill');
+  for (let i = 0; i < options.hostCount; i++) {
+    const {child} = await addHost(i, hosts[0]?.child.settings.peerAddress);
+    child.start();
+  }
+  return site;
 }
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -4,9 +4,10 @@
 import {before, test} from 'node:test';
 import {
   BACKPRESSURE_SOAK_KINDS,
+  CRASH_SOAK_KINDS,
   OLDER_COPY_SOAK_KINDS,
   FAULT_KINDS,
-} from './soak_faults.js';
+} from './fault_kinds.js';
 import {runSoak, type SoakOptions} from './soak_run.js';
 
 const folder = path.resolve('build', 'soak');
@@ -54,7 +55,17 @@
   kinds: OLDER_COPY_SOAK_KINDS,
 };
 
-for (const options of [short, ...REGRESSIONS, backpressure, olderCopies]) {
+const crashes: SoakOptions = {
+  ...short,
+  seed: 2,
+  durationMs: 10_000,
+  callerCount: 8,
+  kinds: CRASH_SOAK_KINDS,
+};
+
+const RUNS = [short, ...REGRESSIONS, backpressure, olderCopies, crashes];
+
+for (const options of RUNS) {
   test(`relay processes keep their guarantees under faults, seed ${options.seed}`, async () => {
     // Processes are stopped, frozen, killed and restarted one by one, links go
     // silent or are reset, and the store and the upstreams fail, at overlapping
