Mark upstreams as unreachable only for silence

A refused connection costs the next call nothing, and the registry knows of the other ends itself; only a port that never answers costs each call a time-out.

--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -175,7 +175,8 @@
       log.info('Upstream left during requests.', fields);
       return;
     }
-    if (evidence !== 'peer') registry.markUnreachable(id);
+    // Other ends cost the next call no time, or are known to the registry.
+    if (evidence === 'no-answer') registry.markUnreachable(id);
     for (const {fingerprint} of suspects) {
       quarantine.recordLoss(fingerprint, id, endedAtMs);
     }
