--- a/tests/soak/crashing_requests.ts
+++ b/tests/soak/crashing_requests.ts
@@ -6,10 +6,22 @@
 import type {
   Crash,
   CrashedPort,
+  EngineRun,
 } from '../../stand_ins/users_platform/engine_stand_in.js';
 import type {CallKind, CallRecord} from './soak_callers.js';
 import type {DisruptedSpan, FaultContext} from './soak_faults.js';
-import type {SoakSite, SoakUpstream} from './soak_site.js';
+import {CRASHING_SUFFIX, type SoakUpstream} from './soak_site.js';
+
+export interface CrashScenario extends Crash {
+  /** Absent if upstreams end for other reasons. */
+  readonly kind?: CallKind;
+  /** How long an upstream is away; another instance then has its address. */
+  readonly restartMs?: number;
+  /** Callers disconnect after this time. */
+  readonly patienceMs?: number;
+  /** Every nth run fails with status 500 and leaves its upstream alive. */
+  readonly failsEvery?: number;
+}
 
 /** An upstream ended while it ran the request. */
 export interface RecordedCrash {
@@ -18,59 +30,93 @@
 }
 
 const PORTS: readonly CrashedPort[] = ['closed', 'resetting', 'silent'];
-const CRASHING_KINDS: readonly CallKind[] = ['crashing', 'crashing-stream'];
+const CRASHING_KINDS: readonly CallKind[] = [
+  'crashing',
+  'crashing-once',
+  'crashing-stream',
+];
 const CALL_INTERVAL_MS = 200;
-const DURATION_MS = 7_000;
-const RESTART_MS = 1_000;
+const DURATION_MS = 8_000;
+const RESTART_MS = 1_200;
+/** The store drops a row after three missed heartbeats. */
+const ROW_EXPIRY_MS = 1_800;
 /** A host knows a request as crashing upstreams this long after the third. */
 const CONTACT_MS = 3_000;
-/** Allows for delays on a busy machine. */
-const SLACK_MS = 500;
 const MAX_LATE_RUNS = 3;
 /** The codes of the errors `quarantined` and `suspected`. */
 const REFUSED_FOR_CRASHES = /"CB20(07|12)"/;
 
 const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
-/** Replaces an upstream that a run has crashed. */
-async function replaceCrashed(
-  site: SoakSite,
+function drawScenario({random}: FaultContext): CrashScenario {
+  return {
+    kind: CRASHING_KINDS[random.nextInt(CRASHING_KINDS.length)],
+    port: PORTS[random.nextInt(PORTS.length)],
+    answersFirst: random.nextInt(2) === 0,
+  };
+}
+
+/** Another instance starts at the address of an upstream that has ended. */
+async function restart(
+  {site}: FaultContext,
   upstream: SoakUpstream,
+  {port, restartMs = RESTART_MS}: CrashScenario,
 ): Promise<void> {
+  const {standIn, link} = upstream;
+  const endedId = standIn.id;
   upstream.state = 'gone';
-  const {id} = upstream.standIn;
-  const {stage} = upstream.standIn.row() as {stage?: 'prefill' | 'decode'};
-  await wait(RESTART_MS);
-  await site.addUpstream(upstream.service, stage);
-  await wait(RESTART_MS);
-  site.store.remove('servers', id);
+  if (port === 'closed') link.setListening(false);
+  setTimeout(() => site.store.remove('servers', endedId), ROW_EXPIRY_MS);
+  await wait(restartMs);
+  await standIn.restart(site.nextUpstreamId());
+  link.setListening(true);
+  upstream.state = 'ready';
+  site.writeRow(upstream);
+}
+
+/** Ends one upstream after the other, each with another kind of port. */
+async function endUpstreams(
+  context: FaultContext,
+  endAtMs: number,
+): Promise<void> {
+  const {upstreams} = context.site;
+  for (let i = 0; context.now() < endAtMs; i++) {
+    const port = PORTS[i % PORTS.length];
+    const upstream = upstreams[(5 * i) % upstreams.length];
+    upstream.standIn.crash(port);
+    await restart(context, upstream, {port});
+  }
 }
 
 export async function sendCrashingRequests(
   context: FaultContext,
+  scenario: CrashScenario = drawScenario(context),
 ): Promise<void> {
-  const {site, random, now} = context;
+  const {site, now} = context;
+  const {kind, failsEvery, patienceMs} = scenario;
+  const endAtMs = now() + DURATION_MS;
+  if (!kind) return endUpstreams(context, endAtMs);
   if (site.crash) return;
-  const kind = CRASHING_KINDS[random.nextInt(CRASHING_KINDS.length)];
-  const crash: Crash = {
-    port: PORTS[random.nextInt(PORTS.length)],
-    answersFirst: random.nextInt(2) === 0,
-  };
-  const replacing: Array<Promise<void>> = [];
+  const restarting: Array<Promise<void>> = [];
+  let runCount = 0;
   site.crash = {
-    ...crash,
+    crashOf({target, stage}: EngineRun) {
+      if (!target.endsWith(CRASHING_SUFFIX) || stage === 'prefill') return;
+      runCount++;
+      const fails = failsEvery !== undefined && runCount % failsEvery === 0;
+      return fails ? 'fail' : scenario;
+    },
     onCrash(upstream) {
       site.crashes.push({kind, atMs: now()});
-      replacing.push(replaceCrashed(site, upstream));
+      restarting.push(restart(context, upstream, scenario));
     },
   };
-  const endAtMs = now() + DURATION_MS;
   while (now() < endAtMs) {
-    void context.call(kind);
+    void context.call(kind, patienceMs);
     await wait(CALL_INTERVAL_MS);
   }
   site.crash = undefined;
-  await Promise.all(replacing);
+  await Promise.all(restarting);
 }
 
 export interface CrashEvidence {
@@ -80,33 +126,41 @@
   readonly disruptions: readonly DisruptedSpan[];
 }
 
+/** Runs of a request that came late, by hosts that were not disrupted. */
+function findLateRuns(
+  {records, upstreams, disruptions}: CrashEvidence,
+  kind: CallKind,
+  fromMs: number,
+): readonly EngineRun[] {
+  const byId = new Map(records.map(record => [record.id, record]));
+  return upstreams
+    .flatMap(({standIn}) => standIn.runs)
+    .filter(({requestId, startedAtMs}) => {
+      const record = byId.get(requestId);
+      const isExcused = disruptions.some(
+        span =>
+          span.hostId === record?.hostId &&
+          span.fromMs <= startedAtMs &&
+          startedAtMs <= span.toMs + CONTACT_MS,
+      );
+      return record?.kind === kind && startedAtMs > fromMs && !isExcused;
+    });
+}
+
 /** Returns one line for each violated guarantee. */
 export function findUnstoppedCrashes(
   evidence: CrashEvidence,
 ): readonly string[] {
-  const {records, upstreams, crashes, disruptions} = evidence;
-  const byId = new Map(records.map(record => [record.id, record]));
+  const {records, crashes} = evidence;
   const unstopped = CRASHING_KINDS.flatMap(kind => {
     const third = crashes.filter(each => each.kind === kind)[2];
     if (!third) return [];
-    const lateFromMs = third.atMs + CONTACT_MS + SLACK_MS;
-    const late = upstreams
-      .flatMap(({standIn}) => standIn.runs)
-      .filter(({stage, startedAtMs}) => {
-        return stage !== 'prefill' && startedAtMs > lateFromMs;
-      })
-      .filter(({requestId, startedAtMs}) => {
-        const record = byId.get(requestId);
-        const isCalm = !disruptions.some(
-          span =>
-            span.hostId === record?.hostId &&
-            span.fromMs <= startedAtMs &&
-            startedAtMs <= span.toMs + CONTACT_MS,
-        );
-        return record?.kind === kind && isCalm;
-      });
-    if (late.length <= MAX_LATE_RUNS) return [];
-    return [`${kind}: sent ${late.length} times after its third crash`];
+    const late = findLateRuns(evidence, kind, third.atMs + CONTACT_MS);
+    const prefills = late.filter(({stage}) => stage === 'prefill').length;
+    const runs = late.length - prefills;
+    return Math.max(runs, prefills) <= MAX_LATE_RUNS
+      ? []
+      : [`${kind}: ${runs} runs, ${prefills} prefills after its third crash`];
   });
   const refused = records
     .filter(({kind}) => !CRASHING_KINDS.includes(kind))
--- a/tests/soak/fault_proxy.ts
+++ b/tests/soak/fault_proxy.ts
@@ -21,6 +21,8 @@
   /** `ip:port` that the proxy listens on. */
   readonly address: string;
   setMode(mode: ProxyMode): void;
+  /** Refuses new connections, or accepts them again. */
+  setListening(isListening: boolean): void;
   /** Resets all open connections. */
   resetAll(): void;
   close(): void;
@@ -96,6 +98,11 @@
     setMode(next) {
       mode = next;
     },
+    setListening(isListening) {
+      if (isListening === listener.listening) return;
+      if (isListening) listener.listen(port, '127.0.0.1');
+      else listener.close();
+    },
     resetAll,
     close() {
       listener.close();
--- a/tests/soak/soak_callers.ts
+++ b/tests/soak/soak_callers.ts
@@ -14,8 +14,9 @@
   | 'stream'
   | 'resumable'
   | 'extra'
-  /** Ends each upstream that runs it; idempotent and resumable. */
+  /** These end each upstream that runs them, in some scenarios. */
   | 'crashing'
+  | 'crashing-once'
   | 'crashing-stream';
 
 /** One request as its caller saw it. */
@@ -37,8 +38,11 @@
 export interface SoakCallers {
   readonly records: readonly CallRecord[];
   stop(): Promise<void>;
-  /** Sends one request and waits for its end. */
-  call(kind: CallKind): Promise<CallRecord>;
+  /**
+   * Sends one request and waits for its end. The caller disconnects after
+   * `patienceMs`.
+   */
+  call(kind: CallKind, patienceMs?: number): Promise<CallRecord>;
 }
 
 const PATHS: Readonly<Record<CallKind, string>> = {
@@ -48,6 +52,7 @@
   resumable: '/lisa/1',
   extra: `${EXTRA_PREFIX}0/1`,
   crashing: `/saldo${CRASHING_SUFFIX}`,
+  'crashing-once': `/makse${CRASHING_SUFFIX}`,
   'crashing-stream': `/lisa${CRASHING_SUFFIX}`,
 };
 const MODEL_KINDS: ReadonlySet<CallKind> = new Set<CallKind>([
@@ -129,7 +134,11 @@
     return cachedAddresses;
   }
 
-  function send(kind: CallKind, address: string): Promise<CallRecord> {
+  function send(
+    kind: CallKind,
+    address: string,
+    patienceMs?: number,
+  ): Promise<CallRecord> {
     const owner = site.hosts.find(
       ({child}) => child.settings.callerAddress === address,
     );
@@ -145,8 +154,10 @@
     records.push(record);
     const isModel = MODEL_KINDS.has(kind);
     const isGet = GET_KINDS.has(kind);
-    const body = kind === 'crashing-stream' ? 'crash' : `body of ${record.id}`;
+    const body = kind.startsWith('crashing') ? 'crash' : `body of ${record.id}`;
     const disconnectsEarly = random.nextInt(DISCONNECT_ONE_IN) === 0;
+    const leavesAfterMs =
+      patienceMs ?? (disconnectsEarly ? DISCONNECT_AFTER_MS : undefined);
     return new Promise(resolve => {
       const finish = (isCut: boolean) => {
         if (record.endedAtMs !== undefined) return;
@@ -171,7 +182,7 @@
         request.destroy();
       };
       const deadline = setTimeout(disconnect, DEADLINE_MS + 1_000);
-      if (disconnectsEarly) setTimeout(disconnect, DISCONNECT_AFTER_MS);
+      if (leavesAfterMs) setTimeout(disconnect, leavesAfterMs);
       request.on('error', () => finish(true));
       request.on('close', () => finish(true));
       request.on('response', response => {
@@ -184,10 +195,14 @@
     });
   }
 
-  async function call(kind: CallKind): Promise<CallRecord> {
+  async function call(
+    kind: CallKind,
+    patienceMs?: number,
+  ): Promise<CallRecord> {
     const addresses = await findAddresses();
     const address = addresses[random.nextInt(addresses.length)];
-    return send(kind, address ?? site.hosts[0].child.settings.callerAddress);
+    const {callerAddress} = site.hosts[0].child.settings;
+    return send(kind, address ?? callerAddress, patienceMs);
   }
 
   async function sendUntilStopped(): Promise<void> {
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -1,7 +1,7 @@
 /** Faults drawn from a seed, and the handlers that inject and revert them. */
 
 import type {Random} from '../../src/ports/random.js';
-import {sendCrashingRequests} from './crashing_requests.js';
+import {sendCrashingRequests, type CrashScenario} from './crashing_requests.js';
 import {CRASHING_KIND, OLDER_COPY_KIND, type FaultKind} from './fault_kinds.js';
 import type {ProxyMode} from './fault_proxy.js';
 import type {ChildExit, RelayChild} from './relay_child.js';
@@ -17,6 +17,8 @@
   readonly kind: FaultKind;
   readonly atMs: number;
   readonly forMs: number;
+  /** Only for requests that crash upstreams; drawn if absent. */
+  readonly crash?: CrashScenario;
 }
 
 /** A span in which a host was disrupted; checks excuse such hosts. */
@@ -33,7 +35,7 @@
   readonly random: Random;
   now(): number;
   /** Sends one request and resolves at its end. */
-  call(kind: CallKind): Promise<unknown>;
+  call(kind: CallKind, patienceMs?: number): Promise<unknown>;
   recordDisruption(span: DisruptedSpan): void;
   /** Records the exit of a process that received SIGTERM. */
   recordExit(hostId: string, exit: ChildExit): void;
@@ -244,7 +246,7 @@
     site.restoreStore(copy, awayAtMs, context.now());
     site.store.setMode('serving');
   },
-  [CRASHING_KIND]: sendCrashingRequests,
+  [CRASHING_KIND]: (context, {crash}) => sendCrashingRequests(context, crash),
   async 'history-lost'({site}) {
     site.store.dropHistory();
   },
--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -28,6 +28,8 @@
   readonly callerCount: number;
   /** Faults to draw from. */
   readonly kinds: readonly FaultKind[];
+  /** Instead of drawn ones. */
+  readonly faults?: readonly PlannedFault[];
   /** The bundle's entry point. */
   readonly program: string;
   /** Process logs are written here, in a subfolder for each seed. */
@@ -88,7 +90,8 @@
   options: SoakOptions,
 ): Promise<SoakResult> {
   const random = createSeededRandom(options.seed);
-  const faults = planFaults(random, options.durationMs, options.kinds);
+  const {durationMs, kinds} = options;
+  const faults = options.faults ?? planFaults(random, durationMs, kinds);
   const now = () => performance.now();
   const disruptions: DisruptedSpan[] = [];
   const left: ExitedProcess[] = [];
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -5,7 +5,7 @@
 
 import {
   createEngineStandIn,
-  type Crash,
+  type EngineOptions,
   type EngineStandIn,
 } from '../../stand_ins/users_platform/engine_stand_in.js';
 import {
@@ -52,7 +52,8 @@
 }
 
 /** How runs of the crashing request end their upstreams. */
-export interface SoakCrash extends Crash {
+export interface SoakCrash {
+  crashOf: EngineOptions['crashOf'];
   onCrash(upstream: SoakUpstream): void;
 }
 
@@ -77,6 +78,9 @@
    * Writes the next configuration version, with this many additional routes.
    */
   publishConfiguration(extraRoutes: number): number;
+  nextUpstreamId(): string;
+  /** Writes the upstream's row, as each heartbeat does. */
+  writeRow(upstream: SoakUpstream): void;
   close(): Promise<void>;
 }
 
@@ -108,6 +112,9 @@
   const hosts: SoakHost[] = [];
   let version = 0;
   let newest: object = {};
+  let startCount = 0;
+
+  const nextUpstreamId = () => `i-${++startCount}`;
 
   function writeRow(upstream: SoakUpstream): void {
     if (upstream.state === 'gone') return;
@@ -127,15 +134,12 @@
     role?: 'prefill' | 'decode',
   ): Promise<SoakUpstream> {
     const standIn = await createEngineStandIn({
-      id: `i-${upstreams.length + 1}`,
+      id: nextUpstreamId(),
       service,
       role,
       eventCount: STREAM_EVENTS,
       eventEveryMs: EVENT_EVERY_MS,
-      crashOf({target, stage}) {
-        const isCrashing = target.endsWith(CRASHING_SUFFIX);
-        return isCrashing && stage !== 'prefill' ? site.crash : undefined;
-      },
+      crashOf: run => site.crash?.crashOf?.(run),
       onCrash: () => site.crash?.onCrash(upstream),
     });
     const link = await createFaultProxy(standIn.address);
@@ -217,6 +221,8 @@
     upstreams,
     addUpstream,
     publishConfiguration,
+    nextUpstreamId,
+    writeRow,
     restoreStore,
     async close() {
       clearInterval(heartbeat);
