Break the circles between modules; one name for one file

Shapes that several modules share are in files of their own: placement_types, job_outcome, run_plan of the policy bench, call_kinds and fault_kinds of the soak. The shares of accounts at the relay are service_shares, beside account_shares of the product's own scheduling. No import circle is left; no code changes.

--- a/bench/policy/bars.ts
+++ b/bench/policy/bars.ts
@@ -10,7 +10,6 @@
   FAULT_UNTIL_MS,
   NO_FAULT,
   slowEngine,
-  type FaultPlan,
 } from './faults.js';
 import type {RunResult} from './metrics.js';
 import {
@@ -19,7 +18,8 @@
   FULL_POLICY_WITH_IMPORT_RETRIES,
   type SchedulerFactory,
 } from './scheduler.js';
-import {DEFAULT_PLAN, runOnce, type RunPlan} from './simulation.js';
+import type {FaultPlan, RunPlan} from './run_plan.js';
+import {DEFAULT_PLAN, runOnce} from './simulation.js';
 import {percent, printHeader, printRow} from './table.js';
 import {SHAPES, type Shape} from './workload.js';
 
--- a/bench/policy/faults.ts
+++ b/bench/policy/faults.ts
@@ -1,21 +1,6 @@
 /** Faults of simulated runs; each schedules changes to the fake engines. */
 
-import type {VirtualClock} from '../../src/core/virtual_clock.js';
-import type {Random} from '../../src/ports/random.js';
-import type {Scheduler} from './scheduler.js';
-import type {Cluster} from './simulation.js';
-
-export interface FaultContext {
-  readonly clock: VirtualClock;
-  readonly cluster: Cluster;
-  readonly scheduler: Scheduler;
-  readonly random: Random;
-}
-
-export interface FaultPlan {
-  readonly name: string;
-  schedule(context: FaultContext): void;
-}
+import type {FaultContext, FaultPlan} from './run_plan.js';
 
 export const NO_FAULT: FaultPlan = {
   name: 'none',
--- a/bench/policy/metrics.ts
+++ b/bench/policy/metrics.ts
@@ -3,7 +3,7 @@
 import {build, type Histogram} from 'hdr-histogram-js';
 import type {RequestClass} from '../../src/ports/grants.js';
 import type {Capacity} from './capacity_bound.js';
-import type {Cluster, RunPlan} from './simulation.js';
+import type {Cluster, RunPlan} from './run_plan.js';
 import {ACCOUNT_DEMAND, type Arrival} from './workload.js';
 
 export interface RequestEnd {
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -23,26 +23,11 @@
   type DecodeFake,
   type PrefillFake,
 } from './engine_fakes.js';
-import type {FaultPlan} from './faults.js';
+import type {Cluster, RunPlan} from './run_plan.js';
 import {createMetrics, type RunResult} from './metrics.js';
 import type {Scheduler, SchedulerFactory} from './scheduler.js';
 import {drawArrivals, type Arrival, type Shape} from './workload.js';
 
-export interface RunPlan {
-  readonly shape: Shape;
-  readonly seed: number;
-  /** Offered rate as a multiple of capacity. */
-  readonly load: number;
-  readonly durationMs: number;
-  readonly warmUpMs: number;
-  readonly reportLagMs: number;
-  readonly cacheLossShare: number;
-  readonly cancelShare: number;
-  /** How often a refused caller retries, at the time advised by the refusal. */
-  readonly returns: number;
-  readonly faults: FaultPlan;
-}
-
 export const DEFAULT_PLAN = {
   durationMs: 120_000,
   warmUpMs: 30_000,
@@ -69,12 +54,6 @@
 /** The stage that a request has reached. */
 type Step = 'asking' | 'prefilling' | 'importing' | 'decoding' | 'ended';
 
-export interface Cluster {
-  readonly prefills: ReadonlyMap<string, PrefillFake>;
-  readonly decodes: ReadonlyMap<string, DecodeFake>;
-  readonly descriptions: readonly EngineDescription[];
-}
-
 function createCluster(
   clock: ReturnType<typeof createVirtualClock>,
   shape: Shape,
--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -18,7 +18,7 @@
   type AccountAdmission,
   type AccountAdmissionOptions,
 } from './account_admission.js';
-import {createAccountShares, type AccountShares} from './account_shares.js';
+import {createServiceShares, type ServiceShares} from './service_shares.js';
 import {createAccountLimiter} from './account_limiter.js';
 import {createQuotaOwner} from './quota_owner.js';
 import type {QuotaReply, QuotaRequest, QuotaMessage} from './quota_messages.js';
@@ -54,7 +54,7 @@
 export interface RelayAccounts {
   readonly admission: AccountAdmission;
   /** The accounts' use of services, for the order of waiting requests. */
-  readonly shares: AccountShares;
+  readonly shares: ServiceShares;
   readonly storeTime: StoreTime;
   readonly freshness: ConfigurationFreshness;
   /** Returns the time since this process started. */
@@ -138,7 +138,7 @@
     },
     options,
   );
-  const shares = createAccountShares({
+  const shares = createServiceShares({
     clock,
     weightOf: account => quotaOf(account)?.unitsPerS ?? 1,
   });
--- a/src/relay/accounts/account_shares.ts
+++ b/src/relay/accounts/service_shares.ts
@@ -17,13 +17,13 @@
   type AccountUse,
 } from './share_rules.js';
 
-export interface AccountSharesHost {
+export interface ServiceSharesHost {
   readonly clock: Clock;
   /** Returns the weight of an account relative to the others. */
   weightOf(account: string): number;
 }
 
-export interface AccountShares {
+export interface ServiceShares {
   /** Records the tokens of a request that was placed. */
   record(service: string, account: string, tokens: number): void;
   isOverShare(service: string, account: string): boolean;
@@ -48,7 +48,7 @@
   computedAtMs?: number;
 }
 
-export function createAccountShares(host: AccountSharesHost): AccountShares {
+export function createServiceShares(host: ServiceSharesHost): ServiceShares {
   const {clock} = host;
   const services = createBoundedMap<ServiceUse>(MAX_SERVICES);
 
--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -4,8 +4,6 @@
  * itself and none is a bottleneck or a single point of failure.
  */
 
-import type {Service} from '../../core/routing_types.js';
-import type {RequestError} from '../../core/error_kinds.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
@@ -13,8 +11,14 @@
 import type {DecodeRun, EngineLoads} from './engine_loads.js';
 import {createEngineCandidates} from './engine_candidates.js';
 import {createEngineChoice, type ChosenEngines} from './engine_choice.js';
+import type {
+  StreamNeed,
+  Placement,
+  PrefillReservation,
+  PlacementOutcome,
+  WaitingRequest,
+} from './placement_types.js';
 import type {PlacementGroups} from './placement_groups.js';
-import type {TokenNeed} from './placement_rules.js';
 import type {SharedStatistics} from './shared_statistics.js';
 import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
@@ -65,56 +69,6 @@
   hasWaiters(engineId: string): boolean;
 }
 
-export interface StreamNeed extends TokenNeed {
-  readonly requestId: string;
-  readonly service: Service;
-  readonly waiting: Waiting;
-  /** Client account of the caller. */
-  readonly account?: string;
-  /**
-   * Expected time from the placement to the first event. The latest starts in
-   * `waiting` are earlier by this time.
-   */
-  readonly startMs: number;
-  /** How much longer the caller will wait. */
-  readonly callerLeftMs: number;
-}
-
-export interface Placement {
-  readonly kind: 'placed';
-  readonly decode: Upstream;
-  /** Absent when the decode engine prefills the prompt itself. */
-  readonly prefill?: Upstream;
-  readonly run: DecodeRun;
-  /** Counts the prompt in the backlog of its prefill engine until it ends. */
-  readonly prefillReservation: PrefillReservation;
-}
-
-/** The reservation of one prompt in the backlog of an engine. */
-export interface PrefillReservation {
-  readonly engineId: string;
-  /**
-   * Whether the engine has had no other prompt since the reservation, as far as
-   * is known.
-   */
-  isUncontended(): boolean;
-  /** Tokens in the backlog of the engine, this prompt included. */
-  backlogTokens(): number;
-  /** Ends the reservation; later calls do nothing. */
-  end(): void;
-}
-
-export type PlacementOutcome =
-  | Placement
-  | {readonly kind: 'refused'; readonly error: RequestError}
-  | {readonly kind: 'cancelled'};
-
-/** A waiting request as it is announced to the peers. */
-export interface WaitingRequest {
-  readonly service: string;
-  readonly waiting: Waiting;
-}
-
 export interface EngineScheduler {
   place(
     need: StreamNeed,
--- a/src/relay/placement/peer_view.ts
+++ b/src/relay/placement/peer_view.ts
@@ -2,7 +2,8 @@
 
 import type {Clock} from '../../ports/clock.js';
 import type {EngineLoads} from './engine_loads.js';
-import type {PeerView, WaitingRequest} from './engine_scheduler.js';
+import type {PeerView} from './engine_scheduler.js';
+import type {WaitingRequest} from './placement_types.js';
 import {
   toLocalWaiting,
   type Peer,
--- a/src/relay/placement/placement_client.ts
+++ b/src/relay/placement/placement_client.ts
@@ -15,11 +15,8 @@
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Cancellation} from '../../ports/relay.js';
-import type {
-  EngineScheduler,
-  PlacementOutcome,
-  StreamNeed,
-} from './engine_scheduler.js';
+import type {EngineScheduler} from './engine_scheduler.js';
+import type {PlacementOutcome, StreamNeed} from './placement_types.js';
 import type {
   PlacementAnswer,
   PlacementRequest,
--- a/src/relay/placement/placement_server.ts
+++ b/src/relay/placement/placement_server.ts
@@ -13,11 +13,8 @@
   createCancellation,
   type CancellationSource,
 } from '../front/cancellation.js';
-import type {
-  EngineScheduler,
-  Placement,
-  PlacementOutcome,
-} from './engine_scheduler.js';
+import type {EngineScheduler} from './engine_scheduler.js';
+import type {Placement, PlacementOutcome} from './placement_types.js';
 import type {
   PlacementAnswer,
   PlacementRequest,
--- a/src/relay/placement/service_queue.ts
+++ b/src/relay/placement/service_queue.ts
@@ -4,7 +4,7 @@
  * passes the time.
  */
 
-import type {Placement, StreamNeed} from './engine_scheduler.js';
+import type {Placement, StreamNeed} from './placement_types.js';
 import {plannedTokens} from './placement_rules.js';
 import {
   createPeersAhead,
--- a/src/relay/placement/stream_queue.ts
+++ b/src/relay/placement/stream_queue.ts
@@ -11,7 +11,7 @@
   PlacementOutcome,
   StreamNeed,
   WaitingRequest,
-} from './engine_scheduler.js';
+} from './placement_types.js';
 import {
   createServiceQueue,
   type QueueOutcome,
--- a/src/relay/plain/plain_placement.ts
+++ b/src/relay/plain/plain_placement.ts
@@ -7,7 +7,7 @@
 import {FIRST_ASK_ID_RANGE} from '../fleet/peer_request_client.js';
 import {createSlotClient, OWN_PART, type SlotClient} from './slot_client.js';
 import {createSlotServer} from './slot_server.js';
-import type {AccountShares} from '../accounts/account_shares.js';
+import type {ServiceShares} from '../accounts/service_shares.js';
 import {createOwnPart} from './own_part.js';
 import {maxCallsPerKeeper} from './slot_rules.js';
 import type {SlotMessage} from './slot_messages.js';
@@ -30,7 +30,7 @@
   /** Number of hosts that serve callers, including this one. */
   hostCount(): number;
   /** The use of plain services by client accounts, in calls. */
-  readonly shares: AccountShares;
+  readonly shares: ServiceShares;
   /** Priority of a request whose host did not state one. */
   leastUrgent(service: string): number | undefined;
   send(hostId: string, message: SlotMessage): void;
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -24,10 +24,10 @@
 import {
   CONNECT_TIMEOUT_MS,
   leftMs,
-  type JobOutcome,
   KEY_WITHDRAWN,
   type RelayJob,
 } from '../relay_types.js';
+import type {JobOutcome} from '../job_outcome.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
 import {isFullNow, toNotes, toOverload, toResult} from './plain_outcomes.js';
 import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -18,7 +18,8 @@
 import type {CrashWatch} from './crashes/crash_watch.js';
 import type {PlainRelay} from './plain/plain_relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
-import {leftMs, type JobOutcome, type RelayJob} from './relay_types.js';
+import {leftMs, type RelayJob} from './relay_types.js';
+import type {JobOutcome} from './job_outcome.js';
 import {chooseService} from './routing.js';
 import type {RoutingState} from './routing_state.js';
 import type {StreamRelay} from './streams/stream_relay.js';
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -5,7 +5,7 @@
  */
 
 import type {RouteKind} from '../core/routing_types.js';
-import type {JobOutcome} from './relay_types.js';
+import type {JobOutcome} from './job_outcome.js';
 
 export interface RelayMetrics {
   requestEnded(
--- a/src/relay/relay_types.ts
+++ b/src/relay/relay_types.ts
@@ -4,7 +4,7 @@
 import type {RequestError} from '../core/error_kinds.js';
 import type {Cancellation, RelayRequest} from '../ports/relay.js';
 import type {AdmittedAccount} from './accounts/account_admission.js';
-import type {Caller, RequestEnd} from './front/caller.js';
+import type {Caller} from './front/caller.js';
 
 /** An admitted request that is being run. */
 export interface RelayJob {
@@ -19,22 +19,6 @@
   readonly admitted: AdmittedAccount;
 }
 
-/** Outcome of a job, from which one log line is written. */
-export interface JobOutcome {
-  readonly end: RequestEnd;
-  /** Status sent to the caller, if any. */
-  readonly status?: number;
-  /** Why the request was refused, failed or broken off. */
-  readonly reason?: string;
-  /** Upstreams that may have run the request, in order. */
-  readonly upstreams: readonly string[];
-  readonly waitedMs?: number;
-  readonly firstByteMs?: number;
-  readonly events?: number;
-  /** Whether a prefill engine has computed the prompt. */
-  readonly wasPrefilled?: boolean;
-}
-
 /**
  * Connecting within a region takes about 10 ms; a slower host is taken as down.
  */
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -9,10 +9,8 @@
 } from '../../ports/relay.js';
 import type {BudgetedCalls, NoRetries} from './budgeted_calls.js';
 import type {EngineFailures} from './engine_failures.js';
-import type {
-  EngineScheduler,
-  PrefillReservation,
-} from '../placement/engine_scheduler.js';
+import type {EngineScheduler} from '../placement/engine_scheduler.js';
+import type {PrefillReservation} from '../placement/placement_types.js';
 import {CONNECT_TIMEOUT_MS, leftMs} from '../relay_types.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import type {StreamState} from './stream_state.js';
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -18,17 +18,18 @@
 import {toCallerError} from '../answers/answer_rules.js';
 import {createBudgetedCalls} from './budgeted_calls.js';
 import {createEngineFailures} from './engine_failures.js';
+import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {
-  EngineScheduler,
   PlacementOutcome,
   StreamNeed,
-} from '../placement/engine_scheduler.js';
+} from '../placement/placement_types.js';
 import type {EngineLoads} from '../placement/engine_loads.js';
 import type {RequestPriorities} from '../placement/request_priority.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import {createOutputForecast} from './output_forecast.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
-import {leftMs, type JobOutcome, type RelayJob} from '../relay_types.js';
+import {leftMs, type RelayJob} from '../relay_types.js';
+import type {JobOutcome} from '../job_outcome.js';
 import {createRunPaceMeter} from './run_pace.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
 import {createStreamStart, STALL_TIMEOUT_MS} from './stream_start.js';
--- a/src/relay/streams/stream_state.ts
+++ b/src/relay/streams/stream_state.ts
@@ -1,7 +1,7 @@
 /** State of one stream, shared by the steps that run it. */
 
 import type {PrefillResultPlace} from '../../ports/relay.js';
-import type {Placement, StreamNeed} from '../placement/engine_scheduler.js';
+import type {Placement, StreamNeed} from '../placement/placement_types.js';
 import type {RelayJob} from '../relay_types.js';
 
 export interface StreamState {
--- a/tests/relay/accounts/account_shares_test.ts
+++ b/tests/relay/accounts/service_shares_test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
-import {createAccountShares} from '../../../src/relay/accounts/account_shares.js';
+import {createServiceShares} from '../../../src/relay/accounts/service_shares.js';
 
 const TOKENS = 3_400;
 const SEEDS = [1, 2, 3, 4, 5, 6];
@@ -37,7 +37,7 @@
   for (const seed of SEEDS) {
     const clock = createVirtualClock(1_000);
     const random = createSeededRandom(seed);
-    const shares = createAccountShares({
+    const shares = createServiceShares({
       clock,
       weightOf: account => USUAL[Number(account)] * 1.8 * TOKENS,
     });
@@ -114,7 +114,7 @@
 function createShares(weights: Readonly<Record<string, number>> = {}) {
   const clock = createVirtualClock(1_000);
   const weightOf = (account: string) => weights[account] ?? 1;
-  const shares = createAccountShares({clock, weightOf});
+  const shares = createServiceShares({clock, weightOf});
   const record = (counts: Readonly<Record<string, number>>) => {
     for (const [account, count] of Object.entries(counts)) {
       for (let i = 0; i < count; i++) shares.record('drafts', account, TOKENS);
--- a/tests/relay/placement/burst_load.ts
+++ b/tests/relay/placement/burst_load.ts
@@ -16,8 +16,8 @@
 import {
   createEngineScheduler,
   type EngineScheduler,
-  type Placement,
 } from '../../../src/relay/placement/engine_scheduler.js';
+import type {Placement} from '../../../src/relay/placement/placement_types.js';
 import type {HostCapacity} from '../../../src/relay/fleet/host_capacity.js';
 import type {Peer} from '../../../src/relay/fleet/peer_datagrams.js';
 import {createPlacementClient} from '../../../src/relay/placement/placement_client.js';
--- a/tests/relay/placement/engine_scheduler_test.ts
+++ b/tests/relay/placement/engine_scheduler_test.ts
@@ -8,9 +8,11 @@
 import {
   createEngineScheduler,
   type PeerView,
-  type PlacementOutcome,
-  type StreamNeed,
 } from '../../../src/relay/placement/engine_scheduler.js';
+import type {
+  PlacementOutcome,
+  StreamNeed,
+} from '../../../src/relay/placement/placement_types.js';
 import {createSharedStatistics} from '../../../src/relay/placement/shared_statistics.js';
 import type {Upstream} from '../../../src/core/upstream.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
--- a/tests/relay/placement/placement_client_test.ts
+++ b/tests/relay/placement/placement_client_test.ts
@@ -5,7 +5,7 @@
 import type {
   PlacementOutcome,
   StreamNeed,
-} from '../../../src/relay/placement/engine_scheduler.js';
+} from '../../../src/relay/placement/placement_types.js';
 import {createPlacementClient} from '../../../src/relay/placement/placement_client.js';
 import {createPlacementServer} from '../../../src/relay/placement/placement_server.js';
 import type {PlacementMessage} from '../../../src/relay/placement/placement_messages.js';
--- a/tests/relay/placement/priority_load.ts
+++ b/tests/relay/placement/priority_load.ts
@@ -11,7 +11,7 @@
 import type {
   Placement,
   StreamNeed,
-} from '../../../src/relay/placement/engine_scheduler.js';
+} from '../../../src/relay/placement/placement_types.js';
 import {plannedTokens} from '../../../src/relay/placement/placement_rules.js';
 import {
   createServiceQueue,
--- a/tests/relay/placement/queue_failures_test.ts
+++ b/tests/relay/placement/queue_failures_test.ts
@@ -5,7 +5,7 @@
 import type {
   Placement,
   StreamNeed,
-} from '../../../src/relay/placement/engine_scheduler.js';
+} from '../../../src/relay/placement/placement_types.js';
 import {createRequestPriorities} from '../../../src/relay/placement/request_priority.js';
 import {createServiceQueue} from '../../../src/relay/placement/service_queue.js';
 import {
--- a/tests/relay/placement/speed_load.ts
+++ b/tests/relay/placement/speed_load.ts
@@ -12,10 +12,8 @@
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
 import {createEngineLoads} from '../../../src/relay/placement/engine_loads.js';
-import {
-  createEngineScheduler,
-  type Placement,
-} from '../../../src/relay/placement/engine_scheduler.js';
+import {createEngineScheduler} from '../../../src/relay/placement/engine_scheduler.js';
+import type {Placement} from '../../../src/relay/placement/placement_types.js';
 import {EVEN_SPEEDS} from '../../../src/relay/placement/engine_speeds.js';
 import type {SpeedRecord} from '../../../src/relay/placement/speed_records.js';
 import {createSharedStatistics} from '../../../src/relay/placement/shared_statistics.js';
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -4,7 +4,7 @@
  * half speed and rejects calls.
  */
 
-import {createAccountShares} from '../../../src/relay/accounts/account_shares.js';
+import {createServiceShares} from '../../../src/relay/accounts/service_shares.js';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
@@ -172,7 +172,7 @@
       keepers: () => keepers,
       keeperCount: () => 1,
       hostCount: () => HOSTS,
-      shares: createAccountShares({clock, weightOf: () => 1}),
+      shares: createServiceShares({clock, weightOf: () => 1}),
       leastUrgent: () => undefined,
       send(toHostId: string, message: SlotMessage) {
         countSent(hostId, toHostId);
--- a/tests/relay/plain/slot_shares_test.ts
+++ b/tests/relay/plain/slot_shares_test.ts
@@ -3,7 +3,7 @@
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import type {Upstream} from '../../../src/core/upstream.js';
-import {createAccountShares} from '../../../src/relay/accounts/account_shares.js';
+import {createServiceShares} from '../../../src/relay/accounts/service_shares.js';
 import {createSlotServer} from '../../../src/relay/plain/slot_server.js';
 import {createPlainBalancer} from '../../../src/scheduling/plain_balancer.js';
 import {revisionAt} from '../../support/store_revisions.js';
@@ -37,7 +37,7 @@
     SERVICE,
     upstreams.map(each => ({...each, upstreamId: each.id})),
   );
-  const shares = createAccountShares({clock, weightOf: () => 1});
+  const shares = createServiceShares({clock, weightOf: () => 1});
   const sentAtMs = new Map<number, number>();
   const usualIds = new Set<number>();
   let onTime = 0;
--- a/tests/soak/backpressure_checks.ts
+++ b/tests/soak/backpressure_checks.ts
@@ -1,7 +1,7 @@
 /** Checks that hosts obey the backpressure signals of upstreams. */
 
 import type {CallRecord} from './soak_callers.js';
-import type {DisruptedSpan} from './soak_faults.js';
+import type {DisruptedSpan} from './fault_kinds.js';
 import type {BackpressureSignal, SoakUpstream} from './soak_site.js';
 
 /** A request that reached an upstream, and the host that sent it. */
--- /dev/null
+++ b/tests/soak/call_kinds.ts
@@ -0,0 +1,18 @@
+/** Kinds of calls of the soak, and what marks their paths. */
+
+/** By the retry rules of the site's routes. */
+export type CallKind =
+  | 'idempotent'
+  | 'once'
+  | 'stream'
+  | 'resumable'
+  | 'extra'
+  /** These end each upstream that runs them, in some scenarios. */
+  | 'crashing'
+  | 'crashing-once'
+  | 'crashing-stream';
+
+/** Path prefix of the routes that a configuration may add. */
+export const EXTRA_PREFIX = '/extra-';
+/** Last part of the paths of requests that crash upstreams. */
+export const CRASHING_SUFFIX = '/crash';
--- a/tests/soak/crashing_requests.ts
+++ b/tests/soak/crashing_requests.ts
@@ -4,30 +4,17 @@
  */
 
 import type {
-  Crash,
   CrashedPort,
   EngineRun,
 } from '../../stand_ins/users_platform/engine_stand_in.js';
-import type {CallKind, CallRecord} from './soak_callers.js';
-import type {DisruptedSpan, FaultContext} from './soak_faults.js';
-import {CRASHING_SUFFIX, type SoakUpstream} from './soak_site.js';
-
-export interface CrashScenario extends Crash {
-  /** Absent if upstreams end for other reasons. */
-  readonly kind?: CallKind;
-  /** How long an upstream is away; another instance then has its address. */
-  readonly restartMs?: number;
-  /** Callers disconnect after this time. */
-  readonly patienceMs?: number;
-  /** Every nth run fails with status 500 and leaves its upstream alive. */
-  readonly failsEvery?: number;
-}
-
-/** An upstream ended while it ran the request. */
-export interface RecordedCrash {
-  readonly kind: CallKind;
-  readonly atMs: number;
-}
+import {CRASHING_SUFFIX, type CallKind} from './call_kinds.js';
+import type {
+  CrashScenario,
+  DisruptedSpan,
+  FaultContext,
+} from './fault_kinds.js';
+import type {CallRecord} from './soak_callers.js';
+import type {RecordedCrash, SoakUpstream} from './soak_site.js';
 
 const PORTS: readonly CrashedPort[] = ['closed', 'resetting', 'silent'];
 const CRASHING_KINDS: readonly CallKind[] = [
--- a/tests/soak/crashing_requests_test.ts
+++ b/tests/soak/crashing_requests_test.ts
@@ -2,8 +2,7 @@
 import {execFileSync} from 'node:child_process';
 import path from 'node:path';
 import {before, describe, test} from 'node:test';
-import type {CrashScenario} from './crashing_requests.js';
-import {CRASHING_KIND} from './fault_kinds.js';
+import {CRASHING_KIND, type CrashScenario} from './fault_kinds.js';
 import {runSoak} from './soak_run.js';
 
 /**
--- a/tests/soak/fault_kinds.ts
+++ b/tests/soak/fault_kinds.ts
@@ -1,4 +1,10 @@
-/** Kinds of faults of the soak, and the mixes that are drawn from. */
+/** Kinds of faults of the soak, the mixes to draw from, and their context. */
+
+import type {Random} from '../../src/ports/random.js';
+import type {Crash} from '../../stand_ins/users_platform/engine_stand_in.js';
+import type {CallKind} from './call_kinds.js';
+import type {ChildExit} from './relay_child.js';
+import type {SoakSite} from './soak_site.js';
 
 export const FAULT_KINDS = [
   'kill',
@@ -78,3 +84,42 @@
   'answers-lost',
   'store-cut',
 ];
+
+export interface CrashScenario extends Crash {
+  /** Absent if upstreams end for other reasons. */
+  readonly kind?: CallKind;
+  /** How long an upstream is away; another instance then has its address. */
+  readonly restartMs?: number;
+  /** Callers disconnect after this time. */
+  readonly patienceMs?: number;
+  /** Every nth run fails with status 500 and leaves its upstream alive. */
+  readonly failsEvery?: number;
+}
+
+export interface PlannedFault {
+  readonly kind: FaultKind;
+  readonly atMs: number;
+  readonly forMs: number;
+  /** Only for requests that crash upstreams; drawn if absent. */
+  readonly crash?: CrashScenario;
+}
+
+/** A span in which a host was disrupted; checks excuse such hosts. */
+export interface DisruptedSpan {
+  readonly hostId: string;
+  readonly fromMs: number;
+  toMs: number;
+  /** Its process was stopped or started, and may have lost state. */
+  readonly isOfProcess: boolean;
+}
+
+export interface FaultContext {
+  readonly site: SoakSite;
+  readonly random: Random;
+  now(): number;
+  /** Sends one request and resolves at its end. */
+  call(kind: CallKind, patienceMs?: number): Promise<unknown>;
+  recordDisruption(span: DisruptedSpan): void;
+  /** Records the exit of a process that received SIGTERM. */
+  recordExit(hostId: string, exit: ChildExit): void;
+}
--- a/tests/soak/soak_callers.ts
+++ b/tests/soak/soak_callers.ts
@@ -5,19 +5,8 @@
 import http from 'node:http';
 import type {Random} from '../../src/ports/random.js';
 import {HOST, PROMPT_HEADERS} from '../platform/relay_site.js';
-import {CRASHING_SUFFIX, EXTRA_PREFIX, type SoakSite} from './soak_site.js';
-
-/** Kinds of calls, by the retry rules of the site's routes. */
-export type CallKind =
-  | 'idempotent'
-  | 'once'
-  | 'stream'
-  | 'resumable'
-  | 'extra'
-  /** These end each upstream that runs them, in some scenarios. */
-  | 'crashing'
-  | 'crashing-once'
-  | 'crashing-stream';
+import {CRASHING_SUFFIX, EXTRA_PREFIX, type CallKind} from './call_kinds.js';
+import type {SoakSite} from './soak_site.js';
 
 /** One request as its caller saw it. */
 export interface CallRecord {
--- a/tests/soak/soak_checks.ts
+++ b/tests/soak/soak_checks.ts
@@ -3,11 +3,15 @@
  */
 
 import {findIgnoredSignals} from './backpressure_checks.js';
-import {findUnstoppedCrashes, type RecordedCrash} from './crashing_requests.js';
+import {findUnstoppedCrashes} from './crashing_requests.js';
 import type {ChildExit} from './relay_child.js';
 import type {CallRecord} from './soak_callers.js';
-import type {DisruptedSpan} from './soak_faults.js';
-import {STREAM_EVENTS, type SoakUpstream} from './soak_site.js';
+import type {DisruptedSpan} from './fault_kinds.js';
+import {
+  STREAM_EVENTS,
+  type RecordedCrash,
+  type SoakUpstream,
+} from './soak_site.js';
 
 export interface ExitedProcess {
   readonly hostId: string;
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -1,45 +1,17 @@
 /** Faults drawn from a seed, and the handlers that inject and revert them. */
 
 import type {Random} from '../../src/ports/random.js';
-import {sendCrashingRequests, type CrashScenario} from './crashing_requests.js';
-import {CRASHING_KIND, OLDER_COPY_KIND, type FaultKind} from './fault_kinds.js';
+import {sendCrashingRequests} from './crashing_requests.js';
+import {
+  CRASHING_KIND,
+  OLDER_COPY_KIND,
+  type FaultContext,
+  type FaultKind,
+  type PlannedFault,
+} from './fault_kinds.js';
 import type {ProxyMode} from './fault_proxy.js';
-import type {ChildExit, RelayChild} from './relay_child.js';
-import type {CallKind} from './soak_callers.js';
-import type {
-  BackpressureSignal,
-  SoakHost,
-  SoakSite,
-  SoakUpstream,
-} from './soak_site.js';
-
-export interface PlannedFault {
-  readonly kind: FaultKind;
-  readonly atMs: number;
-  readonly forMs: number;
-  /** Only for requests that crash upstreams; drawn if absent. */
-  readonly crash?: CrashScenario;
-}
-
-/** A span in which a host was disrupted; checks excuse such hosts. */
-export interface DisruptedSpan {
-  readonly hostId: string;
-  readonly fromMs: number;
-  toMs: number;
-  /** Its process was stopped or started, and may have lost state. */
-  readonly isOfProcess: boolean;
-}
-
-export interface FaultContext {
-  readonly site: SoakSite;
-  readonly random: Random;
-  now(): number;
-  /** Sends one request and resolves at its end. */
-  call(kind: CallKind, patienceMs?: number): Promise<unknown>;
-  recordDisruption(span: DisruptedSpan): void;
-  /** Records the exit of a process that received SIGTERM. */
-  recordExit(hostId: string, exit: ChildExit): void;
-}
+import type {RelayChild} from './relay_child.js';
+import type {BackpressureSignal, SoakHost, SoakUpstream} from './soak_site.js';
 
 /**
  * Plans 3 to 8 faults that may overlap; none starts in the last 30 % of the
--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -4,21 +4,20 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import {createSeededRandom} from '../../src/core/seeded_random.js';
-import type {FaultKind} from './fault_kinds.js';
+import type {
+  DisruptedSpan,
+  FaultContext,
+  FaultKind,
+  PlannedFault,
+} from './fault_kinds.js';
 import {
   createSoakCallers,
-  type CallKind,
   type CallRecord,
   type SoakCallers,
 } from './soak_callers.js';
+import type {CallKind} from './call_kinds.js';
 import {findViolations, type ExitedProcess} from './soak_checks.js';
-import {
-  FAULT_HANDLERS,
-  planFaults,
-  type FaultContext,
-  type DisruptedSpan,
-  type PlannedFault,
-} from './soak_faults.js';
+import {FAULT_HANDLERS, planFaults} from './soak_faults.js';
 import {createSoakSite, type SoakSite} from './soak_site.js';
 
 export interface SoakOptions {
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -15,7 +15,7 @@
 } from '../../stand_ins/users_platform/store_stand_in.js';
 import {makeConfiguration} from '../platform/relay_site.js';
 import {findFreeAddress} from '../support/free_address.js';
-import type {RecordedCrash} from './crashing_requests.js';
+import {EXTRA_PREFIX, type CallKind} from './call_kinds.js';
 import {createFaultProxy, type FaultProxy} from './fault_proxy.js';
 import {createRelayChild, type RelayChild} from './relay_child.js';
 
@@ -51,6 +51,12 @@
   drainingSinceMs?: number;
 }
 
+/** An upstream ended while it ran the request. */
+export interface RecordedCrash {
+  readonly kind: CallKind;
+  readonly atMs: number;
+}
+
 /** How runs of the crashing request end their upstreams. */
 export interface SoakCrash {
   crashOf: EngineOptions['crashOf'];
@@ -99,10 +105,6 @@
 /** Hosts have read a change in the store within this time. */
 const LIST_REFRESH_MS = 1_500;
 const LEAVE_GRACE_MS = 4_000;
-/** Path prefix of the routes that a configuration may add. */
-export const EXTRA_PREFIX = '/extra-';
-/** Last part of the paths of requests that crash upstreams. */
-export const CRASHING_SUFFIX = '/crash';
 
 export async function createSoakSite(
   options: SoakSiteOptions,
