Return sound requests from quarantine, and do not forget that they completed

Cause: completions were noted only while upstreams were suspect, so none was known. And a quarantined request runs nowhere, so that nothing can clear it. Change: completions are always noted. One host lets single quarantined requests through, 20 s after the third loss and four times as long after each further one. Evidence: 'a request that completed before its upstreams ended' failed before.

--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -25,6 +25,7 @@
 import {createLossReports, isLossFact} from './loss_reports.js';
 import {fingerprintOf} from './request_fingerprint.js';
 import {createRunLog, type Run, type Suspect} from './run_log.js';
+import {createTrials} from './trials.js';
 import type {RunEnd, WatchedRun} from './watched_upstream_port.js';
 
 export interface CrashWatchHost {
@@ -36,6 +37,8 @@
     UpstreamRegistry,
     'get' | 'leaving' | 'snapshot' | 'markUnreachable'
   >;
+  /** Whether this host decides on trials of a quarantined request. */
+  isTrialOwner(fingerprint: string): boolean;
   /** Called when there are losses that peers need to know. */
   onChange(): void;
 }
@@ -111,6 +114,7 @@
     onEnded: blame,
     onAnswered: ({id}) => log.info('Upstream answers a probe.', {upstream: id}),
   });
+  const trials = createTrials({clock, isOwner: host.isTrialOwner});
   const list = createListEvidence({
     clock,
     registry,
@@ -130,8 +134,9 @@
     if (!quarantine.hasSuspects()) return undefined;
     const fingerprint = fingerprintOf(request);
     if (!isQuarantined(fingerprint)) return undefined;
-    const confirmedInMs =
-      quarantine.latestLossMs(fingerprint) + CONFIRMATION_MS - clock.nowMs();
+    const losses = quarantine.countedLosses(fingerprint);
+    if (trials.admit(fingerprint, request.requestId, losses)) return undefined;
+    const confirmedInMs = losses.latestAtMs + CONFIRMATION_MS - clock.nowMs();
     if (confirmedInMs <= 0) {
       return {kind: 'quarantined', detail: 'It is not run again.'};
     }
@@ -206,10 +211,9 @@
   }
 
   function noteComplete(request: RelayRequest): void {
-    // Saves the fingerprints of most requests.
-    if (!quarantine.hasSuspects() && !ends.isInvestigating()) return;
     const fingerprint = fingerprintOf(request);
     completedAtMs.set(fingerprint, clock.nowMs());
+    if (!quarantine.hasSuspects()) return;
     if (quarantine.verdict(fingerprint) === 'clear') return;
     quarantine.clear(fingerprint);
     log.info('Losses cleared by a complete run.', {
@@ -223,6 +227,13 @@
     noteAlive(run.upstream.id, run.startedAtMs);
   }
 
+  function cut(run: Run): void {
+    runs.cut(run);
+    const {request} = run;
+    if (!quarantine.hasSuspects()) return;
+    trials.end(fingerprintOf(request), request.requestId);
+  }
+
   function checkSilence(): void {
     silenceTimer = undefined;
     for (const {upstream, sinceMs} of runs.silent(SILENCE_MS)) {
@@ -251,10 +262,10 @@
       ends.conclude(run.upstream, 'address-taken');
     },
     broken(run) {
-      runs.cut(run);
+      cut(run);
       ends.investigate(run.upstream, clock.nowMs());
     },
-    abandoned: runs.cut,
+    abandoned: cut,
   };
 
   function applyFact(fact: LossFact): void {
--- a/src/relay/crashes/end_detector.ts
+++ b/src/relay/crashes/end_detector.ts
@@ -39,7 +39,6 @@
   investigate(upstream: Upstream, sinceMs: number): void;
   /** Other evidence shows that it has ended. */
   conclude(upstream: Upstream, evidence: EndEvidence): void;
-  isInvestigating(): boolean;
 }
 
 /** A crashed upstream has closed its port by then and restarts in seconds. */
@@ -134,6 +133,5 @@
     },
     conclude: (upstream, evidence) =>
       conclude(upstream, evidence, clock.nowMs()),
-    isInvestigating: () => investigations.size > 0,
   };
 }
--- a/src/relay/crashes/run_log.ts
+++ b/src/relay/crashes/run_log.ts
@@ -75,6 +75,8 @@
  * after three missed heartbeats.
  */
 const CUT_KEPT_MS = 6_000;
+/** Saves work for streams that send many events a second. */
+const SEEN_RESOLUTION_MS = 100;
 const MAX_CUT_PER_UPSTREAM = 64;
 const NO_SIGNS: SignsOfLife = {
   answeredCallAtMs: Number.NEGATIVE_INFINITY,
@@ -141,8 +143,10 @@
       if (each && each.cut.length > 0) prune(each);
     },
     noteData({upstream}) {
-      const {answeredCallAtMs} = signsOf(upstream.id);
-      signs.set(upstream.id, {answeredCallAtMs, seenAtMs: clock.nowMs()});
+      const {answeredCallAtMs, seenAtMs} = signsOf(upstream.id);
+      const nowMs = clock.nowMs();
+      if (nowMs - seenAtMs < SEEN_RESOLUTION_MS) return;
+      signs.set(upstream.id, {answeredCallAtMs, seenAtMs: nowMs});
     },
     end: run => void end(run),
     cut(run) {
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -21,6 +21,7 @@
 import {createLeaving} from './front/leaving.js';
 import {toHostCapacity} from './fleet/host_capacity.js';
 import type {HostState} from './fleet/members.js';
+import {rankOwners} from './fleet/owners.js';
 import {createPeerExchange} from './fleet/peer_exchange.js';
 import type {OwnState} from './fleet/peer_exchange_types.js';
 import {createPeerSync} from './fleet/peer_sync.js';
@@ -274,6 +275,9 @@
     metrics,
     upstreamPort,
     registry,
+    isTrialOwner: fingerprint =>
+      rankOwners('trial', fingerprint, remainingHostIds()).at(0) ===
+      settings.hostId,
     onChange: () => peers.changed('coordinators'),
   });
   const retryBudget = retries.allowance;
--- a/src/request/quarantine.ts
+++ b/src/request/quarantine.ts
@@ -86,8 +86,11 @@
   mergeFact(fact: LossFact): readonly string[];
   /** When a loss that counts took place, as known to this entry. */
   lostAtMs(lossId: string): number | undefined;
-  /** When the latest loss that counts for the fingerprint took place. */
-  latestLossMs(fingerprint: string): number;
+  /** The losses that count for the fingerprint. */
+  countedLosses(fingerprint: string): {
+    readonly count: number;
+    readonly latestAtMs: number;
+  };
   /** Returns undefined if the fingerprint has no losses. */
   fact(fingerprint: string): LossFact | undefined;
   /** Fingerprints with losses, those that changed longest ago first. */
@@ -302,8 +305,10 @@
         .map(loss => loss?.lostAtMs ?? 0);
       return times.length > 0 ? Math.max(...times) : undefined;
     },
-    latestLossMs: fingerprint =>
-      Math.max(...findCounted(fingerprint).map(([, {lostAtMs}]) => lostAtMs)),
+    countedLosses(fingerprint) {
+      const times = findCounted(fingerprint).map(([, loss]) => loss.lostAtMs);
+      return {count: times.length, latestAtMs: Math.max(...times)};
+    },
     fact(fingerprint) {
       const suspect = findSuspect(fingerprint);
       return suspect && toFact(fingerprint, suspect);
--- a/tests/relay/crashes/crash_site.ts
+++ b/tests/relay/crashes/crash_site.ts
@@ -38,6 +38,7 @@
     metrics: createRelayMetrics(),
     upstreamPort: makeProbe(() => 'refused'),
     registry: createUpstreamRegistry({clock, log: silentLog}),
+    isTrialOwner: () => false,
     onChange: () => undefined,
     ...changes,
   });
--- a/tests/relay/crashes/crash_watch_test.ts
+++ b/tests/relay/crashes/crash_watch_test.ts
@@ -193,3 +193,43 @@
   watch.applyFacts(peer.takeFacts());
   assert.equal(watch.suspectCount(), 2);
 });
+
+test('a request that completed before its upstreams ended is not refused', async () => {
+  // Guards against requests that are sent often and are refused for good after
+  // all upstreams of a service ended at about the same time.
+  const clock = createVirtualClock(1_000);
+  const watch = makeWatch(clock);
+  answer(watch, '/often', 'e1');
+  await clock.advance(2_000);
+  for (const id of ['e1', 'e2', 'e3']) start(watch, '/often', id).end('broken');
+  await clock.advance(100);
+  assert.equal(isRefused(watch, '/often'), false);
+});
+
+test('a quarantined request is tried again, and costs one upstream each time', async () => {
+  // Guards against sound requests that are refused until their losses expire,
+  // and against trials that crash one upstream after the other.
+  const clock = createVirtualClock(1_000);
+  const other = makeWatch(clock);
+  const owner = makeWatch(clock, {isTrialOwner: () => true});
+  for (const id of ['e1', 'e2', 'e3']) start(owner, '/t', id).end('broken');
+  let trials = 0;
+  for (let second = 0; second < 110; second++) {
+    await clock.advance(1_000);
+    other.applyFacts(owner.takeFacts());
+    assert.equal(isRefused(other, '/t'), true);
+    const request = makeRequest('/t');
+    if (owner.findRefusal(request)) continue;
+    trials++;
+    assert.equal(isRefused(owner, '/t'), true, 'one request at a time');
+    owner.startRun(request, makeUpstream(`trial-${trials}`)).end('broken');
+    assert.ok(owner.findRefusal(request), 'no second run');
+  }
+  assert.equal(trials, 2);
+  await clock.advance(400_000);
+  const request = makeRequest('/t');
+  assert.equal(owner.findRefusal(request), undefined);
+  owner.startRun(request, makeUpstream('e9')).end('complete');
+  other.applyFacts(owner.takeFacts());
+  assert.equal(isRefused(other, '/t'), false);
+});
