Log how the answer of a stream was delimited and what followed its last event

Answer bodies now say whether they have neither a length nor chunks, and the line of a request has it together with the size of the rest.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -130,6 +130,11 @@
   return undefined;
 }
 
+function isUnframed({headers}: http.IncomingMessage): boolean {
+  const hasChunks = /\bchunked\b/i.test(headers['transfer-encoding'] ?? '');
+  return headers['content-length'] === undefined && !hasChunks;
+}
+
 /**
  * Detects when the upstream aborts an answer without a content length: Node
  * takes a reset for the end of such a body and reports it as complete. The
@@ -141,6 +146,7 @@
 ): AnswerBody {
   let hasEnded = false;
   return {
+    isUnframed: isUnframed(answer),
     read(sink) {
       const fail = (detail: string) => {
         if (hasEnded) return;
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -118,6 +118,11 @@
 
 /** The body of an answer, as a stream. */
 export interface AnswerBody {
+  /**
+   * Whether the body has neither a length nor chunks, so that it ends with its
+   * connection.
+   */
+  readonly isUnframed: boolean;
   /** Starts reading into `sink`. */
   read(sink: AnswerBodySink): void;
   pause(): void;
--- a/src/relay/job_outcome.ts
+++ b/src/relay/job_outcome.ts
@@ -14,6 +14,10 @@
   readonly waitedMs?: number;
   readonly firstByteMs?: number;
   readonly events?: number;
+  /** How the last answer of a stream was delimited. */
+  readonly framing?: 'framed' | 'unframed';
+  /** Size of what followed the last whole event of a stream. */
+  readonly restBytes?: number;
   /** Whether a prefill engine has computed the prompt. */
   readonly wasPrefilled?: boolean;
 }
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -129,6 +129,8 @@
       waitedMs: round(outcome.waitedMs),
       firstByteMs: round(outcome.firstByteMs),
       events: outcome.events,
+      framing: outcome.framing,
+      restBytes: outcome.restBytes || undefined,
       durationMs,
       leftMs: job && Math.round(leftMs(job.deadlineAtMs, clock.nowMs())),
       configuration: routing.version(),
--- a/src/relay/streams/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -7,7 +7,11 @@
 
 export type StreamEnd =
   /** The last event was forwarded. */
-  | {readonly kind: 'whole'}
+  | {
+      readonly kind: 'whole';
+      /** Size of what followed the last whole event. */
+      readonly restBytes: number;
+    }
   | {readonly kind: 'caller-gone'}
   /** The deadline of the request has passed. */
   | {readonly kind: 'timeout'; readonly detail: string}
@@ -102,7 +106,7 @@
           write(framer.rest());
         }
         caller.end();
-        finish({kind: 'whole'});
+        finish({kind: 'whole', restBytes: framer.rest().length});
       },
       broken: detail => finish({kind: 'broken', detail}),
     });
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -220,6 +220,8 @@
             status: answer.status,
             upstreams: state.ran,
             events: state.events,
+            framing: answer.body.isUnframed ? 'unframed' : 'framed',
+            restBytes: end.restBytes,
           };
         case 'caller-gone':
           return {
--- a/tests/relay/front/caller_buffers_test.ts
+++ b/tests/relay/front/caller_buffers_test.ts
@@ -72,6 +72,7 @@
     onWritable: listener => void (read = listener),
   };
   const body = {
+    isUnframed: false,
     read: (given: AnswerBodySink) => void (sink = given),
     pause: () => void (isPaused = true),
     resume: () => void (isPaused = false),
