--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -8,112 +8,15 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {resetSocket} from '../reset_socket.js';
-
-/** How the upstream handles the following requests. */
-export type EngineBehaviour =
-  | 'answer'
-  /** Answers with status 500 and its signature. */
-  | 'fail'
-  /** Refuses with status 503, without running the request. */
-  | 'full'
-  /** Runs the request and resets the connection. */
-  | 'lose-answer'
-  /** Answers with the id of another request. */
-  | 'wrong-id'
-  /** Answers without its signature. */
-  | 'unsigned'
-  /** Never answers. */
-  | 'hang';
-
-export interface EngineRun {
-  readonly requestId: string;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly method: string;
-  readonly target: string;
-  readonly body: string;
-  readonly stage: 'whole' | 'prefill' | 'decode';
-  /** On the monotonic clock of this process. */
-  readonly startedAtMs: number;
-  /** The caller's connection closed before the end of the answer. */
-  wasDisconnected: boolean;
-  /** When that connection closed, on the same clock. */
-  disconnectedAtMs?: number;
-}
-
-/**
- * A request that reached the upstream; the time is on the monotonic clock of
- * this process.
- */
-export interface EngineArrival {
-  readonly requestId: string;
-  readonly atMs: number;
-}
-
-/** What is left of an upstream after a request has crashed it. */
-export type CrashedPort =
-  /** Connections are refused. */
-  | 'closed'
-  /** Connections are reset once a request has arrived. */
-  | 'resetting'
-  /** Connections are accepted and never answered. */
-  | 'silent';
-
-/** How a request crashes the upstream that begins to run it. */
-export interface Crash {
-  readonly port: CrashedPort;
-  /** Whether the head and the first bytes of an answer are sent before. */
-  readonly answersFirst?: boolean;
-}
-
-export interface EngineOptions {
-  readonly id: string;
-  readonly service: string;
-  readonly role?: 'prefill' | 'decode';
-  readonly eventCount?: number;
-  readonly eventEveryMs?: number;
-  /** Returns how the run crashes the upstream, or that it fails, if it does. */
-  readonly crashOf?: (run: EngineRun) => Crash | 'fail' | undefined;
-  /** A run has crashed the upstream. */
-  readonly onCrash?: (upstream: EngineStandIn) => void;
-}
-
-export interface EngineStandIn {
-  /** Id of the present instance; new with each start. */
-  readonly id: string;
-  readonly address: string;
-  /** Returns the value of the upstream's row in the store. */
-  row(state?: 'ready' | 'draining'): object;
-  readonly runs: EngineRun[];
-  /** All requests that arrived, including refused ones. */
-  readonly arrivals: readonly EngineArrival[];
-  /** Number of refused requests. */
-  refusalCount(): number;
-  /**
-   * Number of prefill results not yet deleted, including those already used for
-   * a decode.
-   */
-  keptResultCount(): number;
-  /** Accepted orders, oldest first. */
-  readonly orders: ReadonlyArray<{
-    readonly stage: string;
-    readonly fence: number;
-  }>;
-  setBehaviour(behaviour: EngineBehaviour): void;
-  /** Sets the rate limit sent with every answer; undefined sends none. */
-  setLimit(perS: number | undefined): void;
-  /** Announces in every answer that the upstream is leaving. */
-  setLeaving(): void;
-  /** Sets the `Retry-After` of 503 answers; undefined sends none. */
-  setRetryAfter(seconds: number | undefined): void;
-  /** Makes the engine crash after this many events of a stream. */
-  crashAfterEvents(count: number): void;
-  /** Makes a stream stall, but stay open, after this many events. */
-  stallAfterEvents(count: number): void;
-  crash(port?: CrashedPort): void;
-  /** Starts another instance at the same address. */
-  restart(newId: string): Promise<void>;
-  close(): void;
-}
+import type {
+  CrashedPort,
+  EngineArrival,
+  EngineBehaviour,
+  EngineOptions,
+  EngineRun,
+  EngineStandIn,
+  StreamBreak,
+} from './engine_stand_in_types.js';
 
 const HANDLE_PATH = '/corianderbend/kv-handle/';
 const SIGNATURE = 'X-Engine-Stamp';
@@ -139,6 +42,8 @@
   let limitPerS: number | undefined;
   let isLeaving = false;
   let retryAfterSeconds: number | undefined;
+  let isUnframed = false;
+  let breakOff: StreamBreak | undefined;
 
   function crash(port: CrashedPort = 'closed'): void {
     crashedPort = port;
@@ -233,7 +138,24 @@
     response.end();
   }
 
+  /** Makes the answer end with its connection if answers are unframed. */
+  function frame(response: http.ServerResponse): void {
+    if (isUnframed) response.removeHeader('Transfer-Encoding');
+  }
+
+  function breakStream(
+    response: http.ServerResponse,
+    {rest, isReset}: StreamBreak,
+  ): void {
+    const {socket} = response;
+    response.write(rest, () => {
+      if (socket && isReset) resetSocket(socket);
+      else socket?.end();
+    });
+  }
+
   function stream(run: EngineRun, response: http.ServerResponse): void {
+    frame(response);
     response.writeHead(200, {
       ...headersFor(run),
       'Content-Type': 'text/event-stream',
@@ -245,6 +167,11 @@
         clearInterval(timer);
         return;
       }
+      if (breakOff && sentCount >= breakOff.afterEvents) {
+        clearInterval(timer);
+        breakStream(response, breakOff);
+        return;
+      }
       if (sentCount >= crashAfter) {
         clearInterval(timer);
         response.write(`id: ${next}\ndata: to`, () => crash());
@@ -302,6 +229,7 @@
         return;
       default:
         if (role) return stream(run, response);
+        frame(response);
         response.writeHead(200, headersFor(run));
         response.end(`answer of ${id}`);
     }
@@ -397,6 +325,12 @@
     stallAfterEvents(count) {
       stallAfter = count;
     },
+    setUnframed(unframed) {
+      isUnframed = unframed;
+    },
+    setBreakOff(how) {
+      breakOff = how;
+    },
     crash,
     async restart(newId) {
       for (const socket of sockets) resetSocket(socket);
--- /dev/null
+++ b/stand_ins/users_platform/engine_stand_in_types.ts
@@ -0,0 +1,125 @@
+/** Options, records and controls of the engine stand-in. */
+
+import type http from 'node:http';
+
+/** How the upstream handles the following requests. */
+export type EngineBehaviour =
+  | 'answer'
+  /** Answers with status 500 and its signature. */
+  | 'fail'
+  /** Refuses with status 503, without running the request. */
+  | 'full'
+  /** Runs the request and resets the connection. */
+  | 'lose-answer'
+  /** Answers with the id of another request. */
+  | 'wrong-id'
+  /** Answers without its signature. */
+  | 'unsigned'
+  /** Never answers. */
+  | 'hang';
+
+export interface EngineRun {
+  readonly requestId: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly method: string;
+  readonly target: string;
+  readonly body: string;
+  readonly stage: 'whole' | 'prefill' | 'decode';
+  /** On the monotonic clock of this process. */
+  readonly startedAtMs: number;
+  /** The caller's connection closed before the end of the answer. */
+  wasDisconnected: boolean;
+  /** When that connection closed, on the same clock. */
+  disconnectedAtMs?: number;
+}
+
+/**
+ * A request that reached the upstream; the time is on the monotonic clock of
+ * this process.
+ */
+export interface EngineArrival {
+  readonly requestId: string;
+  readonly atMs: number;
+}
+
+/** What is left of an upstream after a request has crashed it. */
+export type CrashedPort =
+  /** Connections are refused. */
+  | 'closed'
+  /** Connections are reset once a request has arrived. */
+  | 'resetting'
+  /** Connections are accepted and never answered. */
+  | 'silent';
+
+/** How a request crashes the upstream that begins to run it. */
+export interface Crash {
+  readonly port: CrashedPort;
+  /** Whether the head and the first bytes of an answer are sent before. */
+  readonly answersFirst?: boolean;
+}
+
+export interface EngineOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly role?: 'prefill' | 'decode';
+  readonly eventCount?: number;
+  readonly eventEveryMs?: number;
+  /** Returns how the run crashes the upstream, or that it fails, if it does. */
+  readonly crashOf?: (run: EngineRun) => Crash | 'fail' | undefined;
+  /** A run has crashed the upstream. */
+  readonly onCrash?: (upstream: EngineStandIn) => void;
+}
+
+/** How a stream breaks off. */
+export interface StreamBreak {
+  readonly afterEvents: number;
+  /** Sent after these events. */
+  readonly rest: string;
+  /** Resets the connection instead of closing it. */
+  readonly isReset?: boolean;
+}
+
+export interface EngineStandIn {
+  /** Id of the present instance; new with each start. */
+  readonly id: string;
+  readonly address: string;
+  /** Returns the value of the upstream's row in the store. */
+  row(state?: 'ready' | 'draining'): object;
+  readonly runs: EngineRun[];
+  /** All requests that arrived, including refused ones. */
+  readonly arrivals: readonly EngineArrival[];
+  /** Number of refused requests. */
+  refusalCount(): number;
+  /**
+   * Number of prefill results not yet deleted, including those already used for
+   * a decode.
+   */
+  keptResultCount(): number;
+  /** Accepted orders, oldest first. */
+  readonly orders: ReadonlyArray<{
+    readonly stage: string;
+    readonly fence: number;
+  }>;
+  setBehaviour(behaviour: EngineBehaviour): void;
+  /** Sets the rate limit sent with every answer; undefined sends none. */
+  setLimit(perS: number | undefined): void;
+  /** Announces in every answer that the upstream is leaving. */
+  setLeaving(): void;
+  /** Sets the `Retry-After` of 503 answers; undefined sends none. */
+  setRetryAfter(seconds: number | undefined): void;
+  /** Makes the engine crash after this many events of a stream. */
+  crashAfterEvents(count: number): void;
+  /** Makes a stream stall, but stay open, after this many events. */
+  stallAfterEvents(count: number): void;
+  /**
+   * Sends answers with neither a length nor chunks, which end with their
+   * connection, or frames them again.
+   */
+  setUnframed(isUnframed: boolean): void;
+  /** Makes all streams break off like this; undefined ends it. */
+  setBreakOff(how: StreamBreak | undefined): void;
+  crash(port?: CrashedPort): void;
+  /** Starts another instance at the same address. */
+  restart(newId: string): Promise<void>;
+  close(): void;
+}
--- a/tests/platform/relay_promises_test.ts
+++ b/tests/platform/relay_promises_test.ts
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
 import {afterEach, beforeEach, test} from 'node:test';
-import type {EngineStandIn} from '../../stand_ins/users_platform/engine_stand_in.js';
+import type {EngineStandIn} from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import {
   createSite,
   makeConfiguration,
--- a/tests/platform/relay_site.ts
+++ b/tests/platform/relay_site.ts
@@ -5,11 +5,11 @@
 import {createRelayMetrics} from '../../src/relay/relay_metrics.js';
 import {startRelay, type RelayProcess} from '../../src/relay/relay_process.js';
 import type {RelaySettings} from '../../src/relay/relay_settings.js';
-import {
-  createEngineStandIn,
-  type EngineOptions,
-  type EngineStandIn,
-} from '../../stand_ins/users_platform/engine_stand_in.js';
+import {createEngineStandIn} from '../../stand_ins/users_platform/engine_stand_in.js';
+import type {
+  EngineOptions,
+  EngineStandIn,
+} from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import {
   createStoreStandIn,
   type StoreStandIn,
--- a/tests/soak/crashing_requests.ts
+++ b/tests/soak/crashing_requests.ts
@@ -6,7 +6,7 @@
 import type {
   CrashedPort,
   EngineRun,
-} from '../../stand_ins/users_platform/engine_stand_in.js';
+} from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import {CRASHING_SUFFIX, type CallKind} from './call_kinds.js';
 import type {
   CrashScenario,
--- a/tests/soak/fault_kinds.ts
+++ b/tests/soak/fault_kinds.ts
@@ -1,7 +1,7 @@
 /** Kinds of faults of the soak, the mixes to draw from, and their context. */
 
 import type {Random} from '../../src/ports/random.js';
-import type {Crash} from '../../stand_ins/users_platform/engine_stand_in.js';
+import type {Crash} from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import type {CallKind} from './call_kinds.js';
 import type {ChildExit} from './relay_child.js';
 import type {SoakSite} from './soak_site.js';
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -3,11 +3,11 @@
  * fault proxies. The store and the upstreams are stand-ins in this process.
  */
 
-import {
-  createEngineStandIn,
-  type EngineOptions,
-  type EngineStandIn,
-} from '../../stand_ins/users_platform/engine_stand_in.js';
+import {createEngineStandIn} from '../../stand_ins/users_platform/engine_stand_in.js';
+import type {
+  EngineOptions,
+  EngineStandIn,
+} from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import {
   createStoreStandIn,
   type StoreCopy,
