--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -13,9 +13,6 @@
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createBackpressure} from './backpressure/backpressure.js';
-import {createGatedUpstreamPort} from './backpressure/gated_upstream_port.js';
-import {createCrashWatch} from './crashes/crash_watch.js';
-import {createWatchedUpstreamPort} from './crashes/watched_upstream_port.js';
 import {createCallerBuffers} from './front/caller_buffers.js';
 import {listEntries} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
@@ -30,6 +27,7 @@
 import {createPlainRelay} from './plain/plain_relay.js';
 import {applyPlainUpstreams} from './plain/plain_upstreams.js';
 import {createRelay} from './relay.js';
+import {createRelayUpstreamPort} from './relay_upstream_port.js';
 import type {RelayAdapters} from './relay_adapters.js';
 import {registerGauges} from './relay_gauges.js';
 import {createRelayPlacement} from './placement/relay_placement.js';
@@ -252,28 +250,14 @@
     {clock, random, createLogger, metrics, self, peers, routing},
     settings,
   );
-  const {gate} = backpressure;
-  const upstreamPort = createGatedUpstreamPort({
+  const {upstreamPort, crashes} = createRelayUpstreamPort({
     clock,
     random,
-    log: createLogger('backpressure'),
-    metrics,
-    port: createWatchedUpstreamPort({
-      port: adapters.createUpstreamPort({
-        clock,
-        exchange,
-        signals: backpressure.signals,
-      }),
-      startRun: (request, upstream) => crashes.startRun(request, upstream),
-      findRefusal: request => crashes.findRefusal(request),
-    }),
-    gate,
-  });
-  const crashes = createCrashWatch({
-    clock,
-    log: createLogger('crashes'),
+    createLogger,
     metrics,
-    upstreamPort,
+    exchange,
+    adapters,
+    backpressure,
     registry,
     isTrialOwner: fingerprint =>
       rankOwners('trial', fingerprint, remainingHostIds()).at(0) ===
@@ -333,7 +317,7 @@
       ...shared,
       priorities: placement.priorities,
       slots: plainPlaces.slots,
-      pausedMs: gate.blockedForMs,
+      pausedMs: backpressure.gate.blockedForMs,
     }),
     streams: createStreamRelay({
       ...placement,
--- /dev/null
+++ b/src/relay/relay_upstream_port.ts
@@ -0,0 +1,66 @@
+/**
+ * The chain of upstream ports that all requests of this host pass: limits and
+ * rest periods, crash watch, and the adapter of the platform.
+ */
+
+import type {HttpExchange} from '../adapters/http_exchange.js';
+import type {Clock} from '../ports/clock.js';
+import type {Logger} from '../ports/log.js';
+import type {Random} from '../ports/random.js';
+import type {UpstreamPort} from '../ports/relay.js';
+import type {Backpressure} from './backpressure/backpressure.js';
+import {createGatedUpstreamPort} from './backpressure/gated_upstream_port.js';
+import {
+  createCrashWatch,
+  type CrashWatch,
+  type CrashWatchHost,
+} from './crashes/crash_watch.js';
+import {createWatchedUpstreamPort} from './crashes/watched_upstream_port.js';
+import type {RelayAdapters} from './relay_adapters.js';
+
+export interface RelayUpstreamPortHost extends Pick<
+  CrashWatchHost,
+  'metrics' | 'registry' | 'isTrialOwner' | 'onChange'
+> {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly createLogger: (part: string) => Logger;
+  readonly exchange: HttpExchange;
+  readonly adapters: Pick<RelayAdapters, 'createUpstreamPort'>;
+  readonly backpressure: Backpressure;
+}
+
+export interface RelayUpstreamPort {
+  readonly upstreamPort: UpstreamPort;
+  readonly crashes: CrashWatch;
+}
+
+export function createRelayUpstreamPort(
+  host: RelayUpstreamPortHost,
+): RelayUpstreamPort {
+  const {clock, createLogger, metrics, backpressure} = host;
+  const upstreamPort = createGatedUpstreamPort({
+    ...host,
+    log: createLogger('backpressure'),
+    port: createWatchedUpstreamPort({
+      port: host.adapters.createUpstreamPort({
+        clock,
+        exchange: host.exchange,
+        signals: backpressure.signals,
+      }),
+      startRun: (request, upstream) => crashes.startRun(request, upstream),
+      findRefusal: request => crashes.findRefusal(request),
+    }),
+    gate: backpressure.gate,
+  });
+  const crashes = createCrashWatch({
+    clock,
+    log: createLogger('crashes'),
+    metrics,
+    upstreamPort,
+    registry: host.registry,
+    isTrialOwner: host.isTrialOwner,
+    onChange: host.onChange,
+  });
+  return {upstreamPort, crashes};
+}
