Take a stream without length that ends inside an event as broken off

Callers saw an answer framed as complete that was not. Its engine had crashed and closed the connection inside an event; the answer had neither a length nor chunks, so the end of the connection was taken for the end of the answer. The rest of the event was even forwarded on resumable routes, the engine counted as successful, and the crash watch cleared the losses of the request.

The check stands in the chain of upstream ports below the crash watch, so that every reader sees the same end: streams of engines, events that a plain service sends, and the watch. An answer that a length or chunks delimit is whole as before, whatever its last event looks like.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -162,6 +162,8 @@
   readonly permitWaitMs?: number;
   /** Priority in the queue of an engine; 0 is first, and 5 the default. */
   readonly enginePriority?: number;
+  /** Whether an answer without a content type is an event stream. */
+  readonly expectsEvents?: boolean;
 }
 
 export interface PrefillResultPlace {
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -93,7 +93,6 @@
 type Step = 'done' | 'again' | 'stop';
 
 interface UpstreamSelection {
-  /** Upstreams that must not be used. */
   readonly avoid: ReadonlySet<string>;
   readonly permitWaitMs: number;
 }
@@ -210,6 +209,7 @@
         mayReuseConnection: job.route.kind === 'idempotent',
         firstByteDelayMs: firstByteDelayMs(job, slot),
         permitWaitMs,
+        expectsEvents: job.route.kind === 'stream',
       },
       cancellation,
     );
--- a/src/relay/relay_upstream_port.ts
+++ b/src/relay/relay_upstream_port.ts
@@ -1,6 +1,7 @@
 /**
  * The chain of upstream ports that all requests of this host pass: limits and
- * rest periods, crash watch, and the adapter of the platform.
+ * rest periods, crash watch, the check for streams that broke off, and the
+ * adapter of the platform.
  */
 
 import type {HttpExchange} from '../adapters/http_exchange.js';
@@ -8,6 +9,7 @@
 import type {Logger} from '../ports/log.js';
 import type {Random} from '../ports/random.js';
 import type {UpstreamPort} from '../ports/relay.js';
+import {createStreamEndPort} from './answers/stream_end_port.js';
 import type {Backpressure} from './backpressure/backpressure.js';
 import {createGatedUpstreamPort} from './backpressure/gated_upstream_port.js';
 import {
@@ -43,11 +45,13 @@
     ...host,
     log: createLogger('backpressure'),
     port: createWatchedUpstreamPort({
-      port: host.adapters.createUpstreamPort({
-        clock,
-        exchange: host.exchange,
-        signals: backpressure.signals,
-      }),
+      port: createStreamEndPort(
+        host.adapters.createUpstreamPort({
+          clock,
+          exchange: host.exchange,
+          signals: backpressure.signals,
+        }),
+      ),
       startRun: (request, upstream) => crashes.startRun(request, upstream),
       findRefusal: request => crashes.findRefusal(request),
     }),
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -82,6 +82,7 @@
       mayReuseConnection: false,
       prefill: state.source,
       enginePriority: state.enginePriority,
+      expectsEvents: true,
       resumeAfterEvent: state.ran.length > 0 ? state.lastEventId : undefined,
     };
     return calls.run(state, () =>
