--- a/src/adapters/http_caller.ts
+++ b/src/adapters/http_caller.ts
@@ -9,6 +9,7 @@
 
 import {Pool, type Dispatcher} from 'undici';
 import type {Clock} from '../ports/clock.js';
+import {createResetAwareConnector} from './reset_aware_connector.js';
 
 export interface HttpCallerHost {
   readonly clock: Clock;
@@ -155,6 +156,7 @@
 ): HttpCaller {
   const createPool = (connections: number) =>
     new Pool(options.origin, {
+      connect: createResetAwareConnector(),
       connections,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
--- a/src/adapters/http_plain_service.ts
+++ b/src/adapters/http_plain_service.ts
@@ -25,6 +25,7 @@
   type HttpCallerHost,
   type HttpFailure,
 } from './http_caller.js';
+import {createResetAwareConnector} from './reset_aware_connector.js';
 
 export interface HttpPlainServiceOptions {
   readonly maxConnections?: number;
@@ -127,6 +128,7 @@
 
   function openConnection(): ProvenConnection {
     const client = new Client(callerOptions.origin, {
+      connect: createResetAwareConnector(),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
