--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -18,6 +18,8 @@
   StreamBreak,
 } from './engine_stand_in_types.js';
 
+const formatEvent = (id: number) => `id: ${id}\ndata: token-${id}\n\n`;
+
 const HANDLE_PATH = '/corianderbend/kv-handle/';
 const SIGNATURE = 'X-Engine-Stamp';
 
@@ -145,10 +147,11 @@
 
   function breakStream(
     response: http.ServerResponse,
-    {rest, isReset}: StreamBreak,
+    nextEvent: string,
+    {restBytes, isReset}: StreamBreak,
   ): void {
     const {socket} = response;
-    response.write(rest, () => {
+    response.write(nextEvent.slice(0, restBytes), () => {
       if (socket && isReset) resetSocket(socket);
       else socket?.end();
     });
@@ -169,7 +172,7 @@
       }
       if (breakOff && sentCount >= breakOff.afterEvents) {
         clearInterval(timer);
-        breakStream(response, breakOff);
+        breakStream(response, formatEvent(next), breakOff);
         return;
       }
       if (sentCount >= crashAfter) {
@@ -177,7 +180,7 @@
         response.write(`id: ${next}\ndata: to`, () => crash());
         return;
       }
-      response.write(`id: ${next}\ndata: token-${next}\n\n`);
+      response.write(formatEvent(next));
       sentCount++;
       // A caller may resume after the last event, when nothing is left to send.
       if (next >= eventCount) {
--- a/stand_ins/users_platform/engine_stand_in_types.ts
+++ b/stand_ins/users_platform/engine_stand_in_types.ts
@@ -73,8 +73,8 @@
 /** How a stream breaks off. */
 export interface StreamBreak {
   readonly afterEvents: number;
-  /** Sent after these events. */
-  readonly rest: string;
+  /** How much of the next event is sent; negative counts from its end. */
+  readonly restBytes: number;
   /** Resets the connection instead of closing it. */
   readonly isReset?: boolean;
 }
--- a/tests/platform/broken_streams_test.ts
+++ b/tests/platform/broken_streams_test.ts
@@ -26,20 +26,19 @@
 const draft = {method: 'POST', body: 'rida=1', headers: PROMPT_HEADERS};
 
 const formatEvent = (id: number) => `id: ${id}\ndata: token-${id}\n\n`;
-const NEXT_EVENT = formatEvent(AFTER_EVENTS + 1);
 const WHOLE_STREAM = Array.from({length: EVENT_COUNT}, (_, i) =>
   formatEvent(i + 1),
 ).join('');
 
 const BREAKS: Readonly<Record<string, StreamBreak>> = {
-  'inside a line': {afterEvents: AFTER_EVENTS, rest: NEXT_EVENT.slice(0, 12)},
+  'inside a line': {afterEvents: AFTER_EVENTS, restBytes: 12},
   'one line feed early': {
     afterEvents: AFTER_EVENTS,
-    rest: NEXT_EVENT.slice(0, -1),
+    restBytes: -1,
   },
   'inside an event, by a reset': {
     afterEvents: AFTER_EVENTS,
-    rest: NEXT_EVENT.slice(0, 12),
+    restBytes: 12,
     isReset: true,
   },
 };
--- a/tests/soak/fault_kinds.ts
+++ b/tests/soak/fault_kinds.ts
@@ -37,17 +37,22 @@
 
 export const CRASHING_KIND = 'crashing-requests';
 
+/** Answers without length, and streams that end inside an event. */
+export const BROKEN_STREAMS_KIND = 'broken-streams';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof BACKPRESSURE_KINDS)[number]
   | typeof OLDER_COPY_KIND
-  | typeof CRASHING_KIND;
+  | typeof CRASHING_KIND
+  | typeof BROKEN_STREAMS_KIND;
 
 export const ALL_KINDS: readonly FaultKind[] = [
   ...FAULT_KINDS,
   ...BACKPRESSURE_KINDS,
   OLDER_COPY_KIND,
   CRASHING_KIND,
+  BROKEN_STREAMS_KIND,
 ];
 /**
  * Restores from an older copy, with faults whose writes the restore may lose.
@@ -85,6 +90,17 @@
   'store-cut',
 ];
 
+/** Streams that break off, with faults that resets and resumptions add to. */
+export const BROKEN_STREAMS_SOAK_KINDS: readonly FaultKind[] = [
+  BROKEN_STREAMS_KIND,
+  BROKEN_STREAMS_KIND,
+  BROKEN_STREAMS_KIND,
+  'connections-reset',
+  'upstream-link',
+  'upstream-crash',
+  'freeze',
+];
+
 export interface CrashScenario extends Crash {
   /** Absent if upstreams end for other reasons. */
   readonly kind?: CallKind;
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,8 +1,8 @@
 /**
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
- * [--asks | --copies | --crashes]`; the last three draw mostly backpressure of
- * upstreams, restores of the store from older copies, or requests that crash
- * upstreams.
+ * [--asks | --copies | --crashes | --streams]`; the last four draw mostly
+ * backpressure of upstreams, restores of the store from older copies, requests
+ * that crash upstreams, or streams that break off.
  */
 
 import path from 'node:path';
@@ -10,6 +10,7 @@
 import {
   ALL_KINDS,
   BACKPRESSURE_SOAK_KINDS,
+  BROKEN_STREAMS_SOAK_KINDS,
   CRASH_SOAK_KINDS,
   OLDER_COPY_SOAK_KINDS,
   type FaultKind,
@@ -27,11 +28,13 @@
     asks: {type: 'boolean', default: false},
     copies: {type: 'boolean', default: false},
     crashes: {type: 'boolean', default: false},
+    streams: {type: 'boolean', default: false},
   },
 });
 
 function chooseKinds(): readonly FaultKind[] {
   if (values.copies) return OLDER_COPY_SOAK_KINDS;
+  if (values.streams) return BROKEN_STREAMS_SOAK_KINDS;
   if (values.crashes) return CRASH_SOAK_KINDS;
   return values.asks ? BACKPRESSURE_SOAK_KINDS : ALL_KINDS;
 }
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -3,6 +3,7 @@
 import type {Random} from '../../src/ports/random.js';
 import {sendCrashingRequests} from './crashing_requests.js';
 import {
+  BROKEN_STREAMS_KIND,
   CRASHING_KIND,
   OLDER_COPY_KIND,
   type FaultContext,
@@ -11,7 +12,12 @@
 } from './fault_kinds.js';
 import type {ProxyMode} from './fault_proxy.js';
 import type {RelayChild} from './relay_child.js';
-import type {BackpressureSignal, SoakHost, SoakUpstream} from './soak_site.js';
+import {
+  STREAM_EVENTS,
+  type BackpressureSignal,
+  type SoakHost,
+  type SoakUpstream,
+} from './soak_site.js';
 
 /**
  * Plans 3 to 8 faults that may overlap; none starts in the last 30 % of the
@@ -40,6 +46,9 @@
 /** Additional writes that are lost, so that the version numbers go back far. */
 const LOST_WRITES = 200;
 
+/** How much of its next event a stream sends before it breaks off. */
+const REST_BYTES = [1, 6, 12, -1];
+
 const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 function pick<T>(random: Random, items: readonly T[]): T {
@@ -219,6 +228,20 @@
     site.store.setMode('serving');
   },
   [CRASHING_KIND]: (context, {crash}) => sendCrashingRequests(context, crash),
+  async [BROKEN_STREAMS_KIND](context, {forMs}) {
+    const {standIn} = pickUpstream(context);
+    const {random} = context;
+    standIn.setUnframed(true);
+    standIn.setBreakOff({
+      afterEvents: random.nextInt(STREAM_EVENTS),
+      restBytes: pick(random, REST_BYTES),
+      isReset: random.nextInt(4) === 0,
+    });
+    await wait(3 * forMs);
+    standIn.setBreakOff(undefined);
+    await wait(forMs);
+    standIn.setUnframed(false);
+  },
   async 'history-lost'({site}) {
     site.store.dropHistory();
   },
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -4,6 +4,7 @@
 import {before, test} from 'node:test';
 import {
   BACKPRESSURE_SOAK_KINDS,
+  BROKEN_STREAMS_SOAK_KINDS,
   CRASH_SOAK_KINDS,
   OLDER_COPY_SOAK_KINDS,
   FAULT_KINDS,
@@ -63,7 +64,22 @@
   kinds: CRASH_SOAK_KINDS,
 };
 
-const RUNS = [short, ...REGRESSIONS, backpressure, olderCopies, crashes];
+const brokenStreams: SoakOptions = {
+  ...short,
+  seed: 5,
+  durationMs: 8_000,
+  callerCount: 8,
+  kinds: BROKEN_STREAMS_SOAK_KINDS,
+};
+
+const RUNS = [
+  short,
+  ...REGRESSIONS,
+  backpressure,
+  olderCopies,
+  crashes,
+  brokenStreams,
+];
 
 for (const options of RUNS) {
   test(`relay processes keep their guarantees under faults, seed ${options.seed}`, async () => {
