Soak: hosts cut off from all upstreams, and a test that fails on them

Five real processes, two or four of them cut off from all upstreams: links hang, are reset, or only new connections are refused; healed and cut again. First tries go to all hosts in turn, and from 3 s after the start of a cut on, those at cut hosts must be served at least two thirds as often as the others.

Each process connects from a loopback address of its own, by which the proxies of the upstreams tell hosts apart.

--- a/tests/soak/fault_kinds.ts
+++ b/tests/soak/fault_kinds.ts
@@ -3,6 +3,7 @@
 import type {Random} from '../../src/ports/random.js';
 import type {Crash} from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import type {CallKind} from './call_kinds.js';
+import type {CutScenario, HostCut} from './host_cuts.js';
 import type {ChildExit} from './relay_child.js';
 import type {SoakSite} from './soak_site.js';
 
@@ -40,12 +41,15 @@
 /** Answers without length, and streams that end inside an event. */
 export const BROKEN_STREAMS_KIND = 'broken-streams';
 
+export const HOST_CUT_KIND = 'host-cut';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof BACKPRESSURE_KINDS)[number]
   | typeof OLDER_COPY_KIND
   | typeof CRASHING_KIND
-  | typeof BROKEN_STREAMS_KIND;
+  | typeof BROKEN_STREAMS_KIND
+  | typeof HOST_CUT_KIND;
 
 export const ALL_KINDS: readonly FaultKind[] = [
   ...FAULT_KINDS,
@@ -53,6 +57,7 @@
   OLDER_COPY_KIND,
   CRASHING_KIND,
   BROKEN_STREAMS_KIND,
+  HOST_CUT_KIND,
 ];
 /**
  * Restores from an older copy, with faults whose writes the restore may lose.
@@ -101,6 +106,18 @@
   'freeze',
 ];
 
+/** Hosts without upstreams, with faults of those that serve for them. */
+export const HOST_CUT_SOAK_KINDS: readonly FaultKind[] = [
+  HOST_CUT_KIND,
+  HOST_CUT_KIND,
+  'kill',
+  'freeze',
+  'upstream-crash',
+  'upstream-link',
+  'answers-lost',
+  'configure',
+];
+
 export interface CrashScenario extends Crash {
   /** Absent if upstreams end for other reasons. */
   readonly kind?: CallKind;
@@ -118,6 +135,8 @@
   readonly forMs: number;
   /** Only for requests that crash upstreams; drawn if absent. */
   readonly crash?: CrashScenario;
+  /** Only for hosts that are cut off; drawn if absent. */
+  readonly cut?: CutScenario;
 }
 
 /** A span in which a host was disrupted; checks excuse such hosts. */
@@ -135,6 +154,9 @@
   now(): number;
   /** Sends one request and resolves at its end. */
   call(kind: CallKind, patienceMs?: number): Promise<unknown>;
+  /** Sends first tries of all kinds to all hosts in turn. */
+  callEachHost(durationMs: number): Promise<unknown>;
+  recordCut(cut: HostCut): void;
   recordDisruption(span: DisruptedSpan): void;
   /** Records the exit of a process that received SIGTERM. */
   recordExit(hostId: string, exit: ChildExit): void;
--- a/tests/soak/fault_proxy.ts
+++ b/tests/soak/fault_proxy.ts
@@ -17,12 +17,26 @@
   /** Resets new connections. */
   | 'reset';
 
+/** How the connections of some hosts are cut. */
+export type LinkCut =
+  /** All stay open, and no byte passes. */
+  | 'hang'
+  /** All are reset. */
+  | 'reset'
+  /** Open ones go on; new ones are reset. */
+  | 'refuse-new';
+
 export interface FaultProxy {
   /** `ip:port` that the proxy listens on. */
   readonly address: string;
   setMode(mode: ProxyMode): void;
   /** Refuses new connections, or accepts them again. */
   setListening(isListening: boolean): void;
+  /**
+   * Cuts the connections from these addresses; undefined restores them and
+   * resets those that have lost bytes.
+   */
+  cut(sources: ReadonlySet<string>, how: LinkCut | undefined): void;
   /** Resets all open connections. */
   resetAll(): void;
   close(): void;
@@ -31,6 +45,7 @@
 const DELAY_MS = 150;
 
 interface ProxiedConnection {
+  readonly source: string;
   readonly client: net.Socket;
   readonly server: net.Socket;
 }
@@ -43,14 +58,26 @@
   const connections = new Set<ProxiedConnection>();
   let mode: ProxyMode = 'pass';
 
-  function isBlocked(isAnswer: boolean): boolean {
-    return mode === 'silent' || (mode === 'one-way' && isAnswer);
+  /** By source address. */
+  const cuts = new Map<string, LinkCut>();
+
+  function isBlocked(source: string, isAnswer: boolean): boolean {
+    return (
+      mode === 'silent' ||
+      (mode === 'one-way' && isAnswer) ||
+      cuts.get(source) === 'hang'
+    );
   }
 
-  function forward(from: net.Socket, to: net.Socket, isAnswer: boolean): void {
+  function forward(
+    source: string,
+    from: net.Socket,
+    to: net.Socket,
+    isAnswer: boolean,
+  ): void {
     from.on('data', bytes => {
       // Dropped bytes are never sent, not even when the mode changes.
-      if (isBlocked(isAnswer)) return;
+      if (isBlocked(source, isAnswer)) return;
       const write = () => {
         if (to.writable) to.write(bytes);
       };
@@ -59,7 +86,7 @@
     });
     const delayMs = () => (mode === 'delay' ? DELAY_MS : 0);
     from.on('end', () => {
-      if (!isBlocked(isAnswer)) setTimeout(() => to.end(), delayMs());
+      if (!isBlocked(source, isAnswer)) setTimeout(() => to.end(), delayMs());
     });
     from.on('error', () => resetSocket(to));
     from.on('close', hadError => {
@@ -69,30 +96,35 @@
   }
 
   const listener = net.createServer({allowHalfOpen: true}, client => {
-    if (mode === 'reset') {
+    const source = client.remoteAddress ?? '';
+    const cutBy = cuts.get(source);
+    if (mode === 'reset' || cutBy === 'reset' || cutBy === 'refuse-new') {
       client.on('error', () => undefined);
       resetSocket(client);
       return;
     }
     const server = net.connect({host, port: targetPort, allowHalfOpen: true});
-    const connection: ProxiedConnection = {client, server};
+    const connection: ProxiedConnection = {source, client, server};
     connections.add(connection);
     client.on('close', () => connections.delete(connection));
     client.setNoDelay(true);
     server.setNoDelay(true);
-    forward(client, server, false);
-    forward(server, client, true);
+    forward(source, client, server, false);
+    forward(source, server, client, true);
   });
   await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve));
   const {port} = listener.address() as net.AddressInfo;
 
-  function resetAll(): void {
-    for (const {client, server} of connections) {
+  function resetFrom(isChosen: (source: string) => boolean): void {
+    for (const {source, client, server} of connections) {
+      if (!isChosen(source)) continue;
       resetSocket(client);
       resetSocket(server);
     }
   }
 
+  const resetAll = () => resetFrom(() => true);
+
   return {
     address: `127.0.0.1:${port}`,
     setMode(next) {
@@ -103,6 +135,17 @@
       if (isListening) listener.listen(port, '127.0.0.1');
       else listener.close();
     },
+    cut(sources, how) {
+      const hung = new Set(
+        [...sources].filter(source => cuts.get(source) === 'hang'),
+      );
+      for (const source of sources) {
+        if (how) cuts.set(source, how);
+        else cuts.delete(source);
+      }
+      resetFrom(source => hung.has(source));
+      if (how === 'reset') resetFrom(source => sources.has(source));
+    },
     resetAll,
     close() {
       listener.close();
--- /dev/null
+++ b/tests/soak/host_cuts.ts
@@ -0,0 +1,111 @@
+/**
+ * Hosts that are cut off from all upstreams, and the check that their callers
+ * are served nearly as well as those of the other hosts.
+ */
+
+import type {FaultContext} from './fault_kinds.js';
+import type {LinkCut} from './fault_proxy.js';
+import type {CallRecord} from './soak_callers.js';
+import type {SoakHost, SoakSite} from './soak_site.js';
+
+/** A span in which hosts were cut off from all upstreams. */
+export interface HostCut {
+  readonly hostIds: ReadonlySet<string>;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+const LINK_CUTS: readonly LinkCut[] = ['hang', 'reset', 'refuse-new'];
+/** The bound applies from this long after the start of a cut. */
+const CONTACT_MS = 3_000;
+const PAUSE_MS = 100;
+const MIN_SHARE = 2 / 3;
+const FREE_FAILURES = 10;
+const FREE_FAILURE_SHARE = 1 / 50;
+const STATUS_OK = 200;
+
+const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+export interface CutScenario {
+  readonly hostCount: number;
+  readonly how: LinkCut;
+  /** The cut heals and comes again at once. */
+  readonly isRepeated?: boolean;
+}
+
+async function cutOnce(
+  site: SoakSite,
+  hosts: readonly SoakHost[],
+  how: LinkCut,
+  forMs: number,
+): Promise<void> {
+  const sources = new Set(hosts.map(({sourceAddress}) => sourceAddress));
+  for (const {link} of site.upstreams) link.cut(sources, how);
+  await wait(forMs);
+  for (const {link} of site.upstreams) link.cut(sources, undefined);
+}
+
+/** Cuts hosts off, and sends first tries to all hosts in turn meanwhile. */
+export async function cutHosts(
+  context: FaultContext,
+  forMs: number,
+  scenario?: CutScenario,
+): Promise<void> {
+  const {site, random, now} = context;
+  const {
+    hostCount = 1 + random.nextInt(site.hosts.length - 1),
+    how = LINK_CUTS[random.nextInt(LINK_CUTS.length)],
+    isRepeated = random.nextInt(3) === 0,
+  } = scenario ?? {};
+  const first = random.nextInt(site.hosts.length);
+  const hosts = Array.from(
+    {length: hostCount},
+    (_, i) => site.hosts[(first + i) % site.hosts.length],
+  );
+  const hostIds = new Set(hosts.map(({child}) => child.settings.hostId));
+  const rounds = isRepeated ? 2 : 1;
+  const roundMs = CONTACT_MS + forMs;
+  const tries = context.callEachHost(rounds * (roundMs + PAUSE_MS));
+  for (let i = 0; i < rounds; i++) {
+    const fromMs = now();
+    await cutOnce(site, hosts, how, roundMs);
+    context.recordCut({hostIds, fromMs, toMs: now()});
+    await wait(PAUSE_MS);
+  }
+  await tries;
+}
+
+function countServed(records: readonly CallRecord[]) {
+  const served = records.filter(
+    ({status, isCut, hasDisconnected}) =>
+      hasDisconnected || (status === STATUS_OK && !isCut),
+  ).length;
+  return {sent: records.length, served};
+}
+
+/** Returns one line for each cut whose callers were served badly. */
+export function findUnservedCuts(
+  records: readonly CallRecord[],
+  cuts: readonly HostCut[],
+): readonly string[] {
+  return cuts.flatMap(({hostIds, fromMs, toMs}) => {
+    const during = records.filter(
+      ({kind, sentAtMs}) =>
+        kind !== 'extra' &&
+        !kind.startsWith('crashing') &&
+        sentAtMs >= fromMs + CONTACT_MS &&
+        sentAtMs < toMs,
+    );
+    const cut = countServed(during.filter(each => hostIds.has(each.hostId)));
+    const other = countServed(during.filter(each => !hostIds.has(each.hostId)));
+    if (cut.sent === 0 || other.sent === 0) return [];
+    const isBad =
+      cut.served / cut.sent < MIN_SHARE * (other.served / other.sent) &&
+      cut.sent - cut.served >
+        FREE_FAILURES + FREE_FAILURE_SHARE * during.length;
+    const counts =
+      `${cut.served} of ${cut.sent} first tries were served at hosts without ` +
+      `upstreams, ${other.served} of ${other.sent} at the others`;
+    return isBad ? [counts] : [];
+  });
+}
--- a/tests/soak/relay_child.ts
+++ b/tests/soak/relay_child.ts
@@ -4,6 +4,7 @@
 import {createWriteStream, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import type {RelaySettings} from '../../src/relay/relay_settings.js';
+import {SOURCE_ADDRESS_VARIABLE} from './source_address.js';
 
 /** How a process exited, by itself or by a signal. */
 export interface ChildExit {
@@ -34,10 +35,14 @@
   readonly program: string;
   /** Logs and the host file are written here. */
   readonly folder: string;
+  /** The process connects from this address. */
+  readonly sourceAddress: string;
 }
 
+const SOURCE_HOOK = new URL('./source_address.js', import.meta.url).href;
+
 export function createRelayChild(options: RelayChildOptions): RelayChild {
-  const {settings, program, folder} = options;
+  const {settings, program, folder, sourceAddress} = options;
   const {hostId} = settings;
   const hostFile = path.join(folder, `${hostId}.yaml`);
   const logFile = path.join(folder, `${hostId}.log`);
@@ -58,8 +63,11 @@
       if (child) return;
       const started = spawn(
         process.execPath,
-        [program, 'relay', '--host-file', hostFile],
-        {stdio: ['ignore', 'pipe', 'pipe']},
+        ['--import', SOURCE_HOOK, program, 'relay', '--host-file', hostFile],
+        {
+          stdio: ['ignore', 'pipe', 'pipe'],
+          env: {...process.env, [SOURCE_ADDRESS_VARIABLE]: sourceAddress},
+        },
       );
       const log = createWriteStream(logFile, {flags: 'a'});
       started.stdout?.pipe(log, {end: false});
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,8 +1,9 @@
 /**
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
- * [--asks | --copies | --crashes | --streams]`; the last four draw mostly
- * backpressure of upstreams, restores of the store from older copies, requests
- * that crash upstreams, or streams that break off.
+ * [--asks | --copies | --crashes | --streams | --cuts]`; the last five draw
+ * mostly backpressure of upstreams, restores of the store from older copies,
+ * requests that crash upstreams, streams that break off, or hosts that are cut
+ * off from all upstreams.
  */
 
 import path from 'node:path';
@@ -12,6 +13,7 @@
   BACKPRESSURE_SOAK_KINDS,
   BROKEN_STREAMS_SOAK_KINDS,
   CRASH_SOAK_KINDS,
+  HOST_CUT_SOAK_KINDS,
   OLDER_COPY_SOAK_KINDS,
   type FaultKind,
 } from './fault_kinds.js';
@@ -29,11 +31,13 @@
     copies: {type: 'boolean', default: false},
     crashes: {type: 'boolean', default: false},
     streams: {type: 'boolean', default: false},
+    cuts: {type: 'boolean', default: false},
   },
 });
 
 function chooseKinds(): readonly FaultKind[] {
   if (values.copies) return OLDER_COPY_SOAK_KINDS;
+  if (values.cuts) return HOST_CUT_SOAK_KINDS;
   if (values.streams) return BROKEN_STREAMS_SOAK_KINDS;
   if (values.crashes) return CRASH_SOAK_KINDS;
   return values.asks ? BACKPRESSURE_SOAK_KINDS : ALL_KINDS;
--- a/tests/soak/soak_callers.ts
+++ b/tests/soak/soak_callers.ts
@@ -32,6 +32,8 @@
    * `patienceMs`.
    */
   call(kind: CallKind, patienceMs?: number): Promise<CallRecord>;
+  /** Sends one request of each main kind in turn, to all hosts in turn. */
+  callEachHost(durationMs: number): Promise<unknown>;
 }
 
 const PATHS: Readonly<Record<CallKind, string>> = {
@@ -63,6 +65,8 @@
   'resumable',
   'extra',
 ];
+const MAIN_KINDS = ['idempotent', 'once', 'stream', 'resumable'] as const;
+const FIRST_TRY_INTERVAL_MS = 15;
 const DEADLINE_MS = 4_000;
 const LOOKUP_CACHE_MS = 1_500;
 const LOOKUP_TIMEOUT_MS = 1_000;
@@ -194,6 +198,18 @@
     return send(kind, address ?? callerAddress, patienceMs);
   }
 
+  async function callEachHost(durationMs: number): Promise<unknown> {
+    const endAtMs = now() + durationMs;
+    const running: Array<Promise<CallRecord>> = [];
+    for (let i = 0; now() < endAtMs; i++) {
+      const {child} = site.hosts[i % site.hosts.length];
+      const kind = MAIN_KINDS[Math.floor(i / site.hosts.length) % 4];
+      running.push(send(kind, child.settings.callerAddress));
+      await new Promise(resolve => setTimeout(resolve, FIRST_TRY_INTERVAL_MS));
+    }
+    return Promise.all(running);
+  }
+
   async function sendUntilStopped(): Promise<void> {
     while (!isStopped) {
       await call(CALL_MIX[random.nextInt(CALL_MIX.length)]);
@@ -206,6 +222,7 @@
   return {
     records,
     call,
+    callEachHost,
     async stop() {
       isStopped = true;
       await Promise.all(loops);
--- a/tests/soak/soak_checks.ts
+++ b/tests/soak/soak_checks.ts
@@ -4,6 +4,7 @@
 
 import {findIgnoredSignals} from './backpressure_checks.js';
 import {findUnstoppedCrashes} from './crashing_requests.js';
+import {findUnservedCuts, type HostCut} from './host_cuts.js';
 import type {ChildExit} from './relay_child.js';
 import type {CallRecord} from './soak_callers.js';
 import type {DisruptedSpan} from './fault_kinds.js';
@@ -23,6 +24,7 @@
   readonly upstreams: readonly SoakUpstream[];
   readonly crashes: readonly RecordedCrash[];
   readonly disruptions: readonly DisruptedSpan[];
+  readonly cuts: readonly HostCut[];
   /** Exits of processes that received SIGTERM. */
   readonly left: readonly ExitedProcess[];
 }
@@ -135,6 +137,7 @@
   }
   violations.push(...findIgnoredSignals(upstreams, byId, disruptions));
   violations.push(...findUnstoppedCrashes(evidence));
+  violations.push(...findUnservedCuts(records, evidence.cuts));
   for (const {hostId, end} of left) {
     if (end.code === 0) continue;
     violations.push(
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -5,11 +5,13 @@
 import {
   BROKEN_STREAMS_KIND,
   CRASHING_KIND,
+  HOST_CUT_KIND,
   OLDER_COPY_KIND,
   type FaultContext,
   type FaultKind,
   type PlannedFault,
 } from './fault_kinds.js';
+import {cutHosts} from './host_cuts.js';
 import type {ProxyMode} from './fault_proxy.js';
 import type {RelayChild} from './relay_child.js';
 import {
@@ -242,6 +244,7 @@
     await wait(forMs);
     standIn.setUnframed(false);
   },
+  [HOST_CUT_KIND]: (context, {forMs, cut}) => cutHosts(context, forMs, cut),
   async 'history-lost'({site}) {
     site.store.dropHistory();
   },
--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -16,6 +16,7 @@
   type SoakCallers,
 } from './soak_callers.js';
 import type {CallKind} from './call_kinds.js';
+import type {HostCut} from './host_cuts.js';
 import {findViolations, type ExitedProcess} from './soak_checks.js';
 import {FAULT_HANDLERS, planFaults} from './soak_faults.js';
 import {createSoakSite, type SoakSite} from './soak_site.js';
@@ -93,6 +94,7 @@
   const faults = options.faults ?? planFaults(random, durationMs, kinds);
   const now = () => performance.now();
   const disruptions: DisruptedSpan[] = [];
+  const cuts: HostCut[] = [];
   const left: ExitedProcess[] = [];
   const callers = createSoakCallers({site, random, now}, options.callerCount);
   const problems: Array<string | undefined> = [];
@@ -105,6 +107,8 @@
     random,
     now,
     call: callers.call,
+    callEachHost: callers.callEachHost,
+    recordCut: cut => cuts.push(cut),
     recordDisruption: span => disruptions.push(span),
     recordExit: (hostId, end) => left.push({hostId, end}),
   });
@@ -119,6 +123,7 @@
     upstreams: site.upstreams,
     crashes: site.crashes,
     disruptions,
+    cuts,
     left,
   });
   return {
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -21,6 +21,8 @@
 
 export interface SoakHost {
   readonly child: RelayChild;
+  /** The address that its connections come from. */
+  readonly sourceAddress: string;
   /** The proxy between this host and the store. */
   readonly storeLink: FaultProxy;
 }
@@ -192,9 +194,12 @@
 
   async function addHost(index: number, seed?: string): Promise<SoakHost> {
     const storeLink = await createFaultProxy(store.address);
+    const sourceAddress = `127.0.1.${index + 1}`;
+    const peerPort = (await findFreeAddress()).split(':')[1];
     const child = createRelayChild({
       program: options.program,
       folder: options.folder,
+      sourceAddress,
       settings: {
         hostId: `host-${index}`,
         failureDomain: 'raadi-ruum',
@@ -202,7 +207,8 @@
         readyAddress: await findFreeAddress(),
         directoryAddress: await findFreeAddress(),
         metricsAddress: await findFreeAddress(),
-        peerAddress: await findFreeAddress(),
+        // Peers recognize each other by the addresses that calls come from.
+        peerAddress: `${sourceAddress}:${peerPort}`,
         seedAddresses: seed ? [seed] : [],
         storeAddress: storeLink.address,
         retryRatio: 0.2,
@@ -211,7 +217,7 @@
         leaseMs: 3_000,
       },
     });
-    const host = {child, storeLink};
+    const host = {child, storeLink, sourceAddress};
     hosts.push(host);
     return host;
   }
--- /dev/null
+++ b/tests/soak/source_address.ts
@@ -0,0 +1,21 @@
+/**
+ * Preloaded into a relay process so that its connections come from an address
+ * of its own, by which a proxy tells the hosts apart.
+ */
+
+import net from 'node:net';
+
+export const SOURCE_ADDRESS_VARIABLE = 'SOAK_SOURCE_ADDRESS';
+
+const localAddress = process.env[SOURCE_ADDRESS_VARIABLE];
+type Connect = (this: net.Socket, ...args: unknown[]) => net.Socket;
+
+if (localAddress) {
+  const connect = net.Socket.prototype.connect as Connect;
+  net.Socket.prototype.connect = function (this: net.Socket, ...args) {
+    const [first] = args as unknown[];
+    const options = (Array.isArray(first) ? first[0] : first) as object;
+    Object.assign(options, {localAddress});
+    return connect.apply(this, args);
+  } as typeof net.Socket.prototype.connect;
+}
