Make calls to upstreams through a peer where this host's links are cut

Callers of hosts that had lost all upstreams were refused, 503 after a dozen failed connections, while the other hosts served: nothing but a host's own connections led to an upstream. Their word also took upstreams from the other hosts for 4 s each.

A call of which nothing was sent is now made by a peer. The request stays at its host: admission, placement, attempts, retries, limits, cancellation and resumption are as before, and only the port of upstreams is another. The answer comes in frames with an explicit end, so that a peer that dies half-way is told from an upstream that does, and neither counts as the other. A peer makes calls only for live hosts, only to upstreams of its own list that take new work, and never passes them on. That a peer reached what this host did not shows that the link is cut and not that the upstream has ended; two such links without any that works show an isolated host, which then asks peers first, names no upstreams to others, and probes its links until one is back. What a host saw itself of an upstream within a second counts for more than the word of a peer.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -103,6 +103,8 @@
       readonly detail: string;
       /** The connection closed without an answer. */
       readonly wasReset?: boolean;
+      /** A peer made the call, and the peer broke off. */
+      readonly isOfPeer?: boolean;
     }
   | {readonly kind: 'cancelled'};
 
@@ -131,13 +133,19 @@
   destroy(): void;
 }
 
+/** What is known of why a body broke off. */
+export interface BreakCause {
+  /** A peer made the call, and the peer broke off. */
+  readonly isOfPeer?: boolean;
+}
+
 /** Receives the body of an answer; `end` or `broken` is called exactly once. */
 export interface AnswerBodySink {
   chunk(bytes: Buffer): void;
   /** The body is complete. */
   end(): void;
   /** The connection broke before the body was complete. */
-  broken(detail: string): void;
+  broken(detail: string, cause?: BreakCause): void;
 }
 
 export interface SendOptions {
--- a/src/relay/answers/stream_end_port.ts
+++ b/src/relay/answers/stream_end_port.ts
@@ -50,7 +50,7 @@
             sink.end();
           }
         },
-        broken: detail => sink.broken(detail),
+        broken: (detail, cause) => sink.broken(detail, cause),
       });
     },
   };
--- a/src/relay/crashes/watched_upstream_port.ts
+++ b/src/relay/crashes/watched_upstream_port.ts
@@ -84,9 +84,9 @@
           run.end(atEnd);
           sink.end();
         },
-        broken(detail) {
+        broken(detail, cause) {
           run.end('broken');
-          sink.broken(detail);
+          sink.broken(detail, cause);
         },
       });
     },
--- /dev/null
+++ b/src/relay/forwarding/forward_client.ts
@@ -0,0 +1,267 @@
+/** Has peers make calls to upstreams that this host doesn't reach. */
+
+import type {HttpExchange, HttpHead} from '../../adapters/http_exchange.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {
+  AnswerBody,
+  AnswerBodySink,
+  Cancellation,
+} from '../../ports/relay.js';
+import type {Member} from '../fleet/members.js';
+import {
+  createFrameReader,
+  encodeCall,
+  type ForwardCall,
+  type ForwardOutcome,
+  type Frame,
+} from './forward_frames.js';
+import type {ForwardPeers} from './forward_peers.js';
+
+export interface ForwardClientHost {
+  readonly clock: Clock;
+  readonly exchange: HttpExchange;
+  readonly hostId: string;
+  readonly peers: ForwardPeers;
+  onCalled(result: Forwarded['kind']): void;
+}
+
+/** How a peer's call to an upstream ended. */
+export type Forwarded =
+  | {
+      readonly kind: 'outcome';
+      readonly outcome: ForwardOutcome;
+      /** Present if the upstream answered with a body. */
+      readonly body: AnswerBody;
+    }
+  /** No peer made the call. */
+  | {readonly kind: 'declined'}
+  /** The peer broke off; the upstream may have run the request. */
+  | {readonly kind: 'lost'; readonly detail: string}
+  | {readonly kind: 'cancelled'};
+
+export interface ForwardClient {
+  /**
+   * Asks peers in turn until one makes the call. The outcome must arrive within
+   * `timeoutMs`.
+   */
+  call(
+    call: ForwardCall,
+    requestBody: Buffer | undefined,
+    timeoutMs: number,
+    cancellation?: Cancellation,
+  ): Promise<Forwarded>;
+}
+
+export const FORWARD_PATH = '/peer/forward';
+/** Names the sender, which the peer looks up among the live hosts. */
+export const SENDER_HEADER = 'X-Peer-Host';
+const CONNECT_TIMEOUT_MS = 200;
+/** A peer accepts or declines a call as soon as it has read it. */
+const ACCEPT_TIMEOUT_MS = 400;
+/** For the way to the peer and back. */
+const OUTCOME_MARGIN_MS = 100;
+/** Each of them probes an upstream that may have ended. */
+const MAX_PROBING_PEERS = 2;
+const STATUS_ACCEPTED = 200;
+const PEER_BROKE_OFF = 'the peer that made the call broke off';
+
+/** Reads frames and holds back those of the body until it is read. */
+function createFramedAnswer(body: AnswerBody, onEnd: () => void) {
+  const reader = createFrameReader();
+  let queue: Frame[] = [];
+  let sink: AnswerBodySink | undefined;
+  let hasEnded = false;
+  let onOutcome: (outcome: ForwardOutcome | undefined) => void = () => {};
+
+  function end(notify: () => void): void {
+    if (hasEnded) return;
+    hasEnded = true;
+    onEnd();
+    onOutcome(undefined);
+    notify();
+  }
+
+  const breakOff = () =>
+    end(() => sink?.broken(PEER_BROKE_OFF, {isOfPeer: true}));
+
+  function deliver(frame: Frame): void {
+    switch (frame.kind) {
+      case 'outcome':
+        onOutcome(frame.outcome);
+        return;
+      case 'data':
+        if (!hasEnded) sink?.chunk(frame.bytes);
+        return;
+      case 'end':
+        return end(() => sink?.end());
+      case 'broken':
+        return end(() => sink?.broken(frame.detail));
+    }
+  }
+
+  function push(bytes: Buffer): void {
+    const frames = reader.push(bytes);
+    for (const frame of frames) {
+      if (sink || frame.kind === 'outcome') deliver(frame);
+      else queue.push(frame);
+    }
+    if (queue.length > 0) body.pause();
+  }
+
+  return {
+    /** Undefined if the peer broke off. */
+    readOutcome(): Promise<ForwardOutcome | undefined> {
+      const outcome = new Promise<ForwardOutcome | undefined>(resolve => {
+        onOutcome = resolve;
+      });
+      body.read({
+        chunk(bytes) {
+          try {
+            push(bytes);
+          } catch {
+            body.destroy();
+            breakOff();
+          }
+        },
+        end: breakOff,
+        broken: breakOff,
+      });
+      return outcome;
+    },
+    body: {
+      isUnframed: false,
+      read(given: AnswerBodySink) {
+        sink = given;
+        const held = queue;
+        queue = [];
+        for (const frame of held) deliver(frame);
+        if (hasEnded) return;
+        body.resume();
+      },
+      pause: () => body.pause(),
+      resume: () => body.resume(),
+      destroy() {
+        end(() => undefined);
+        body.destroy();
+      },
+    } satisfies AnswerBody,
+  };
+}
+
+/** Whether the upstream sent an answer to the peer. */
+export function hasReached(outcome: ForwardOutcome): boolean {
+  switch (outcome.kind) {
+    case 'answered':
+    case 'prefilled':
+    case 'rejected':
+      return true;
+    case 'probed':
+      return outcome.outcome === 'answered';
+    case 'unreachable':
+    case 'withheld':
+    case 'quarantined':
+    case 'broken':
+    case 'cancelled':
+      return false;
+  }
+}
+
+/** Whether another peer may make the call, since nothing was sent. */
+function isUnreached(forwarded: Forwarded): boolean {
+  if (forwarded.kind !== 'outcome') return false;
+  const {outcome} = forwarded;
+  if (outcome.kind === 'probed') return outcome.outcome !== 'answered';
+  return outcome.kind === 'unreachable';
+}
+
+export function createForwardClient(host: ForwardClientHost): ForwardClient {
+  const {clock, exchange, peers} = host;
+
+  async function readAnswer(
+    {hostId}: Member,
+    head: HttpHead,
+    timeoutMs: number,
+  ): Promise<Forwarded> {
+    peers.begin(hostId);
+    const answer = createFramedAnswer(head.body, () => peers.end(hostId));
+    let timer: TimerHandle | undefined;
+    const timeout = new Promise<undefined>(resolve => {
+      timer = clock.setTimer(timeoutMs + OUTCOME_MARGIN_MS, () =>
+        resolve(undefined),
+      );
+    });
+    const outcome = await Promise.race([answer.readOutcome(), timeout]);
+    if (timer) clock.clearTimer(timer);
+    if (!outcome) {
+      answer.body.destroy();
+      peers.noteFailed(hostId);
+      return {kind: 'lost', detail: PEER_BROKE_OFF};
+    }
+    return {kind: 'outcome', outcome, body: answer.body};
+  }
+
+  /** Undefined if the peer has not made the call and never will. */
+  async function callPeer(
+    peer: Member,
+    message: Buffer,
+    timeoutMs: number,
+    cancellation: Cancellation | undefined,
+  ): Promise<Forwarded | undefined> {
+    const head = await exchange.start(
+      {
+        address: peer.peerAddress,
+        method: 'POST',
+        target: FORWARD_PATH,
+        headers: ['Host', peer.peerAddress, SENDER_HEADER, host.hostId],
+        body: message,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        headTimeoutMs: ACCEPT_TIMEOUT_MS,
+        mayReuseConnection: false,
+      },
+      cancellation,
+    );
+    switch (head.kind) {
+      case 'cancelled':
+        return head;
+      case 'unreachable':
+        return undefined;
+      case 'broken':
+        return {kind: 'lost', detail: PEER_BROKE_OFF};
+      case 'answered':
+        if (head.status === STATUS_ACCEPTED) {
+          return readAnswer(peer, head, timeoutMs);
+        }
+        head.body.destroy();
+        return undefined;
+    }
+  }
+
+  function noteResult({hostId}: Member, forwarded?: Forwarded): void {
+    if (forwarded?.kind === 'cancelled') return;
+    if (forwarded?.kind !== 'outcome') peers.noteFailed(hostId);
+    else if (hasReached(forwarded.outcome)) peers.noteServed(hostId);
+    else peers.noteUnreached(hostId);
+  }
+
+  return {
+    async call(call, requestBody, timeoutMs, cancellation) {
+      const message = encodeCall(call, requestBody);
+      const candidates = peers.candidates();
+      const maxPeers = call.kind === 'probe' ? MAX_PROBING_PEERS : Infinity;
+      for (const peer of candidates.slice(0, maxPeers)) {
+        const forwarded = await callPeer(
+          peer,
+          message,
+          timeoutMs,
+          cancellation,
+        );
+        noteResult(peer, forwarded);
+        if (!forwarded || isUnreached(forwarded)) continue;
+        host.onCalled(forwarded.kind);
+        return forwarded;
+      }
+      host.onCalled('declined');
+      return {kind: 'declined'};
+    },
+  };
+}
--- /dev/null
+++ b/src/relay/forwarding/forwarding_port.ts
@@ -0,0 +1,213 @@
+/**
+ * Wraps an upstream port so that calls to upstreams that this host doesn't
+ * reach are made by a peer that does.
+ *
+ * Only a call of which nothing was sent moves from this host to a peer, or from
+ * one peer to the next, so that a request still runs at most once.
+ */
+
+import type {Upstream} from '../../core/upstream.js';
+import type {Clock} from '../../ports/clock.js';
+import type {
+  Cancellation,
+  PrefillOutcome,
+  RelayRequest,
+  SendFailure,
+  SendOptions,
+  UpstreamAnswer,
+  UpstreamPort,
+} from '../../ports/relay.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
+import {
+  hasReached,
+  type Forwarded,
+  type ForwardClient,
+} from './forward_client.js';
+import type {UpstreamLinks} from './upstream_links.js';
+
+export interface ForwardingPortHost {
+  readonly clock: Clock;
+  /** Makes calls over connections of this host. */
+  readonly direct: UpstreamPort;
+  readonly client: ForwardClient;
+  readonly links: UpstreamLinks;
+  readonly registry: Pick<UpstreamRegistry, 'get'>;
+}
+
+type Call = 'send' | 'prefill';
+type Outcome = UpstreamAnswer | PrefillOutcome | SendFailure;
+
+const PROBE_TIMEOUT_MS = 800;
+/** After this time without an answer, a peer is asked as well. */
+const PROBE_PATIENCE_MS = 400;
+/** An upstream that answered within this time is not probed. */
+const SILENT_MS = 1_000;
+const NO_PATH: SendFailure = {
+  kind: 'unreachable',
+  detail: 'neither this host nor a peer reaches the upstream',
+};
+
+/** The options with the time that has passed deducted. */
+function deductTime(options: SendOptions, passedMs: number): SendOptions {
+  return {
+    ...options,
+    leftMs: options.leftMs - passedMs,
+    headTimeoutMs: options.headTimeoutMs - passedMs,
+  };
+}
+
+export function createForwardingPort(host: ForwardingPortHost): UpstreamPort {
+  const {clock, direct, client, links, registry} = host;
+  const probing = new Set<string>();
+
+  function toOutcome(forwarded: Forwarded): Outcome | undefined {
+    switch (forwarded.kind) {
+      case 'declined':
+        return undefined;
+      case 'lost':
+        return {kind: 'broken', detail: forwarded.detail, isOfPeer: true};
+      case 'cancelled':
+        return forwarded;
+      case 'outcome': {
+        const {outcome, body} = forwarded;
+        if (outcome.kind === 'answered') return {...outcome, body};
+        if (outcome.kind === 'probed') return undefined;
+        return outcome;
+      }
+    }
+  }
+
+  /** Undefined if no peer made the call. */
+  async function forward(
+    call: Call,
+    request: RelayRequest,
+    options: SendOptions,
+    cancellation: Cancellation,
+  ): Promise<Outcome | undefined> {
+    const {upstream, ...forwarded} = options;
+    if (options.leftMs <= 0) return undefined;
+    const {body, ...head} = request;
+    const outcome = toOutcome(
+      await client.call(
+        {
+          kind: call,
+          upstreamId: upstream.id,
+          request: head,
+          options: forwarded,
+        },
+        body,
+        options.headTimeoutMs,
+        cancellation,
+      ),
+    );
+    if (outcome && hasReached(outcome)) links.noteReachedByPeer(upstream.id);
+    return outcome;
+  }
+
+  async function callDirectly<Result extends Outcome>(
+    options: SendOptions,
+    call: (options: SendOptions) => Promise<Result>,
+  ): Promise<Result> {
+    const sentAtMs = clock.nowMs();
+    const outcome = await call(options);
+    // An open connection may outlive the path for new ones.
+    const isNew = !options.mayReuseConnection;
+    if (isNew && hasReached(outcome)) {
+      links.noteReached(options.upstream.id, sentAtMs);
+    }
+    return outcome;
+  }
+
+  const forwarding =
+    <Result extends Outcome>(call: Call, send: SendTo<Result>) =>
+    async (
+      request: RelayRequest,
+      options: SendOptions,
+      cancellation: Cancellation,
+    ): Promise<Result | SendFailure> => {
+      const startedAtMs = clock.nowMs();
+      const left = () => deductTime(options, clock.nowMs() - startedAtMs);
+      const sendDirectly = () =>
+        callDirectly(left(), given => send(request, given, cancellation));
+      const sendByPeer = () =>
+        forward(call, request, left(), cancellation) as Promise<
+          Result | SendFailure | undefined
+        >;
+      switch (links.pathTo(options.upstream.id)) {
+        case 'peer':
+          return (await sendByPeer()) ?? NO_PATH;
+        case 'peer-first':
+          return (await sendByPeer()) ?? sendDirectly();
+        case 'direct': {
+          const outcome = await sendDirectly();
+          if (outcome.kind !== 'unreachable') return outcome;
+          // A live upstream also resets connections beyond its limit.
+          if (outcome.wasConnected || left().leftMs <= 0) {
+            probeIfSilent(options.upstream);
+            return outcome;
+          }
+          return (await sendByPeer()) ?? outcome;
+        }
+      }
+    };
+
+  async function probeByPeer(upstream: Upstream): Promise<boolean> {
+    const forwarded = await client.call(
+      {kind: 'probe', upstreamId: upstream.id},
+      undefined,
+      PROBE_TIMEOUT_MS,
+    );
+    return forwarded.kind === 'outcome' && hasReached(forwarded.outcome);
+  }
+
+  async function probe(upstream: Upstream) {
+    const sentAtMs = clock.nowMs();
+    let hasAnswered = false;
+    const own = direct.probe(upstream).then(outcome => {
+      hasAnswered = outcome === 'answered' || outcome === 'other-instance';
+      if (hasAnswered) links.noteReached(upstream.id, sentAtMs);
+      return outcome;
+    });
+    const patience = new Promise<undefined>(resolve => {
+      clock.setTimer(PROBE_PATIENCE_MS, () => resolve(undefined));
+    });
+    await Promise.race([own, patience]);
+    if (!hasAnswered && (await probeByPeer(upstream)) && !hasAnswered) {
+      links.noteReachedByPeer(upstream.id);
+      return 'answered';
+    }
+    return own;
+  }
+
+  function probeIfSilent(upstream: Upstream): void {
+    if (links.wasReachedWithin(upstream.id, SILENT_MS)) return;
+    if (probing.has(upstream.id)) return;
+    probing.add(upstream.id);
+    void probe(upstream).finally(() => probing.delete(upstream.id));
+  }
+
+  return {
+    ...direct,
+    send: forwarding('send', direct.send),
+    prefill: forwarding('prefill', direct.prefill),
+    probe,
+    releasePrefill(place) {
+      const upstream = registry.get(place.engineId);
+      if (!upstream || links.pathTo(upstream.id) === 'direct') {
+        direct.releasePrefill(place);
+        return;
+      }
+      void client.call(
+        {kind: 'release', upstreamId: upstream.id, place},
+        undefined,
+        PROBE_TIMEOUT_MS,
+      );
+    },
+  };
+}
+
+type SendTo<Result> = (
+  request: RelayRequest,
+  options: SendOptions,
+  cancellation: Cancellation,
+) => Promise<Result>;
--- a/src/relay/front/auxiliary_server.ts
+++ b/src/relay/front/auxiliary_server.ts
@@ -22,10 +22,18 @@
 
 const NOT_FOUND: AuxiliaryAnswer = {status: 404};
 
+/** Takes over a message and its response; returns false for any other. */
+export type MessageHandler = (
+  message: http.IncomingMessage,
+  response: http.ServerResponse,
+) => boolean;
+
 export function createAuxiliaryServer(
   handler: AuxiliaryHandler,
+  handleMessage: MessageHandler = () => false,
 ): AuxiliaryServer {
   const server = http.createServer((message, response) => {
+    if (handleMessage(message, response)) return;
     message.resume();
     const answer =
       handler(message.method ?? 'GET', message.url ?? '/') ?? NOT_FOUND;
--- a/src/relay/peer_state.ts
+++ b/src/relay/peer_state.ts
@@ -9,6 +9,7 @@
 import {isPermitMessage} from './backpressure/permit_messages.js';
 import type {CrashWatch} from './crashes/crash_watch.js';
 import type {OwnState, PeerExchangeHost} from './fleet/peer_exchange_types.js';
+import type {Forwarding} from './forwarding/forwarding.js';
 import type {UpstreamFindings} from './fleet/peer_datagrams.js';
 import {MAX_SUSPECTS, type UpstreamIssues} from './placement/peer_view.js';
 import type {RelayPlacement} from './placement/relay_placement.js';
@@ -28,6 +29,7 @@
   readonly accounts: RelayAccounts;
   readonly backpressure: Backpressure;
   readonly crashes: CrashWatch;
+  readonly forwarding: Forwarding;
   readonly registry: UpstreamRegistry;
   readonly roleOrders: RoleOrders;
   readonly retries: RelayRetries;
@@ -44,6 +46,12 @@
   'announcement' | 'summary' | 'onPeerState' | 'onSummary' | 'onMessage'
 >;
 
+/**
+ * A peer that doesn't reach an upstream may be cut off itself; what this host
+ * saw within this time counts for more.
+ */
+const REACHED_MS = 1_000;
+
 /** Saves space in datagrams for lists that are usually empty. */
 function undefinedIfEmpty<T>(list: readonly T[]): readonly T[] | undefined {
   return list.length > 0 ? list : undefined;
@@ -51,19 +59,23 @@
 
 export function createPeerState({ownState, parts}: PeerStateHost): PeerState {
   function ownFindings(): UpstreamIssues {
-    const {placement, registry, roleOrders} = parts();
+    const {placement, registry, roleOrders, forwarding} = parts();
     const {scheduler} = placement;
+    const isIsolated = forwarding.links.isIsolated();
     return {
-      suspects: scheduler.suspects(),
-      unreachable: registry.unreachable(),
+      suspects: isIsolated ? [] : scheduler.suspects(),
+      unreachable: isIsolated ? [] : registry.unreachable(),
       changing: [...roleOrders.changing(), ...scheduler.roleMismatches()],
     };
   }
 
   /** Applies the peers' findings, so that they cost this host no request. */
   function markUnreachable(unreachable: readonly string[]): void {
-    const {registry} = parts();
-    for (const id of unreachable) registry.markUnreachable(id, 'peer');
+    const {registry, forwarding} = parts();
+    for (const id of unreachable) {
+      if (forwarding.links.wasReachedWithin(id, REACHED_MS)) continue;
+      registry.markUnreachable(id, 'peer');
+    }
   }
 
   /**
--- a/src/relay/plain/plain_outcomes.ts
+++ b/src/relay/plain/plain_outcomes.ts
@@ -45,7 +45,7 @@
     case 'unreachable':
       return failure.wasConnected ? 'cancelled' : 'failed';
     case 'broken':
-      return 'failed';
+      return failure.isOfPeer ? 'cancelled' : 'failed';
     case 'rejected':
       return failure.reason === 'full' ? 'cancelled' : 'failed';
     case 'withheld':
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -3,6 +3,7 @@
 import type {UpstreamLimits} from './backpressure/upstream_limits.js';
 import type {CrashWatch} from './crashes/crash_watch.js';
 import type {CallerBuffers} from './front/caller_buffers.js';
+import type {Forwarding} from './forwarding/forwarding.js';
 import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
 import type {PlainPlacement} from './plain/plain_placement.js';
@@ -28,6 +29,7 @@
   readonly limits: UpstreamLimits;
   readonly callerBuffers: CallerBuffers;
   readonly crashes: CrashWatch;
+  readonly forwarding: Forwarding;
 }
 
 interface Gauge {
@@ -37,6 +39,21 @@
 }
 
 const GAUGES: readonly Gauge[] = [
+  {
+    name: 'cut_links',
+    help: 'Upstreams that this host reaches through peers only.',
+    read: ({forwarding}) => forwarding.links.cutCount(),
+  },
+  {
+    name: 'is_isolated',
+    help: 'Whether this host reaches no upstream directly.',
+    read: ({forwarding}) => Number(forwarding.links.isIsolated()),
+  },
+  {
+    name: 'calls_for_peers',
+    help: 'Calls to upstreams that this host makes for peers.',
+    read: ({forwarding}) => forwarding.server.activeCount(),
+  },
   {
     name: 'crash_suspects',
     help: 'Requests under which upstreams ended, as known to this host.',
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -36,6 +36,8 @@
   retries: 'Retries that were allowed, by service and by whom.',
   slow_callers_closed:
     'Callers disconnected as they read too slowly, by cause.',
+  forwarded_calls: 'Calls to upstreams that peers were asked to make, by end.',
+  served_calls: 'Calls to upstreams that peers asked for, by result.',
   retries_denied: 'Retries that were denied, by service and cause.',
 } as const;
 
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -189,6 +189,7 @@
           accounts,
           backpressure,
           crashes,
+          forwarding,
           registry,
           roleOrders,
           retries,
@@ -250,7 +251,7 @@
     {clock, random, createLogger, metrics, self, peers, routing},
     settings,
   );
-  const {upstreamPort, crashes} = createRelayUpstreamPort({
+  const {upstreamPort, crashes, forwarding} = createRelayUpstreamPort({
     clock,
     random,
     createLogger,
@@ -259,6 +260,9 @@
     adapters,
     backpressure,
     registry,
+    self: settings,
+    peers: () => peers.alive(),
+    isServing: () => hostState() === 'ready',
     isTrialOwner: fingerprint =>
       rankOwners('trial', fingerprint, remainingHostIds()).at(0) ===
       settings.hostId,
@@ -287,6 +291,7 @@
       services: () => routing.current()?.services ?? [],
       isPlanner: () =>
         hostState() === 'ready' &&
+        !forwarding.links.isIsolated() &&
         watch.isStoreReachable() &&
         findPlannerId() === settings.hostId,
       onChange: () => peers.changed('coordinators'),
@@ -383,7 +388,11 @@
   const auxiliaryServers = [
     {address: settings.readyAddress, handler: auxiliaryHandler},
     {address: settings.directoryAddress, handler: auxiliaryHandler},
-    {address: settings.peerAddress, handler: handover.handler},
+    {
+      address: settings.peerAddress,
+      handler: handover.handler,
+      handleMessage: forwarding.server.handle,
+    },
     {
       address: settings.metricsAddress,
       handler: () => ({
@@ -392,9 +401,9 @@
         body: metrics.render(),
       }),
     },
-  ].map(({address, handler}) => ({
+  ].map(({address, handler, handleMessage}) => ({
     address,
-    server: createAuxiliaryServer(handler),
+    server: createAuxiliaryServer(handler, handleMessage),
   }));
 
   const applyUpstreams = () =>
@@ -436,6 +445,7 @@
     limits: backpressure.limits,
     callerBuffers,
     crashes,
+    forwarding,
   });
 
   await front.listen(settings.callerAddress);
@@ -451,6 +461,7 @@
   async function stop(openCount: number): Promise<number> {
     handover.stop();
     roleOrders.stop();
+    forwarding.links.stop();
     watch.stop();
     peers.stop();
     front.close();
--- a/src/relay/relay_upstream_port.ts
+++ b/src/relay/relay_upstream_port.ts
@@ -1,7 +1,7 @@
 /**
  * The chain of upstream ports that all requests of this host pass: limits and
- * rest periods, crash watch, the check for streams that broke off, and the
- * adapter of the platform.
+ * rest periods, crash watch, the way through a peer, the check for streams that
+ * broke off, and the adapter of the platform.
  */
 
 import type {HttpExchange} from '../adapters/http_exchange.js';
@@ -18,12 +18,20 @@
   type CrashWatchHost,
 } from './crashes/crash_watch.js';
 import {createWatchedUpstreamPort} from './crashes/watched_upstream_port.js';
+import {
+  createForwarding,
+  type Forwarding,
+  type ForwardingHost,
+} from './forwarding/forwarding.js';
 import type {RelayAdapters} from './relay_adapters.js';
 
-export interface RelayUpstreamPortHost extends Pick<
-  CrashWatchHost,
-  'metrics' | 'registry' | 'isTrialOwner' | 'onChange'
-> {
+export interface RelayUpstreamPortHost
+  extends
+    Pick<CrashWatchHost, 'isTrialOwner' | 'onChange'>,
+    Pick<
+      ForwardingHost,
+      'metrics' | 'registry' | 'self' | 'peers' | 'isServing'
+    > {
   readonly clock: Clock;
   readonly random: Random;
   readonly createLogger: (part: string) => Logger;
@@ -35,23 +43,31 @@
 export interface RelayUpstreamPort {
   readonly upstreamPort: UpstreamPort;
   readonly crashes: CrashWatch;
+  readonly forwarding: Forwarding;
 }
 
 export function createRelayUpstreamPort(
   host: RelayUpstreamPortHost,
 ): RelayUpstreamPort {
   const {clock, createLogger, metrics, backpressure} = host;
+  const forwarding = createForwarding({
+    ...host,
+    log: createLogger('forwarding'),
+    direct: createStreamEndPort(
+      host.adapters.createUpstreamPort({
+        clock,
+        exchange: host.exchange,
+        signals: backpressure.signals,
+      }),
+    ),
+    isBlocked: upstreamId =>
+      backpressure.gate.findBlock(upstreamId) !== undefined,
+  });
   const upstreamPort = createGatedUpstreamPort({
     ...host,
     log: createLogger('backpressure'),
     port: createWatchedUpstreamPort({
-      port: createStreamEndPort(
-        host.adapters.createUpstreamPort({
-          clock,
-          exchange: host.exchange,
-          signals: backpressure.signals,
-        }),
-      ),
+      port: forwarding.port,
       startRun: (request, upstream) => crashes.startRun(request, upstream),
       findRefusal: request => crashes.findRefusal(request),
     }),
@@ -66,5 +82,5 @@
     isTrialOwner: host.isTrialOwner,
     onChange: host.onChange,
   });
-  return {upstreamPort, crashes};
+  return {upstreamPort, crashes, forwarding};
 }
--- a/src/relay/streams/engine_failures.ts
+++ b/src/relay/streams/engine_failures.ts
@@ -70,7 +70,7 @@
           registry.markUnreachable(engine.id);
           return;
         case 'broken':
-          scheduler.recordFailure(engine.id);
+          if (!failure.isOfPeer) scheduler.recordFailure(engine.id);
           return;
         case 'rejected':
           REJECTION_HANDLERS[failure.reason]?.(host, engine.id);
--- a/src/relay/streams/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -1,7 +1,11 @@
 /** Forwards the events of one run to the caller and detects a stalled run. */
 
 import type {Clock, TimerHandle} from '../../ports/clock.js';
-import type {Cancellation, UpstreamAnswer} from '../../ports/relay.js';
+import type {
+  BreakCause,
+  Cancellation,
+  UpstreamAnswer,
+} from '../../ports/relay.js';
 import type {Caller} from '../front/caller.js';
 import {createEventFramer, type StreamEvent} from './event_framer.js';
 
@@ -16,7 +20,7 @@
   /** The deadline of the request has passed. */
   | {readonly kind: 'timeout'; readonly detail: string}
   /** The run broke off or stalled; the caller is still connected. */
-  | {readonly kind: 'broken'; readonly detail: string};
+  | ({readonly kind: 'broken'; readonly detail: string} & BreakCause);
 
 export interface StreamEventsOptions {
   readonly answer: UpstreamAnswer;
@@ -108,7 +112,7 @@
         caller.end();
         finish({kind: 'whole', restBytes: framer.rest().length});
       },
-      broken: detail => finish({kind: 'broken', detail}),
+      broken: (detail, cause) => finish({kind: 'broken', detail, ...cause}),
     });
   });
 }
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -232,7 +232,9 @@
         case 'timeout':
           return refuse(state, {kind: 'deadline-passed', detail: end.detail});
         case 'broken':
-          scheduler.recordFailure(state.placement.decode.id);
+          if (!end.isOfPeer) {
+            scheduler.recordFailure(state.placement.decode.id);
+          }
           failures.logFailure(
             'Stream broke.',
             state,
