Test calls that peers make: at most once, half-way failures, no loops, who may ask

Found while writing them: a peer that declined a call for one upstream was passed over for all of them for a second; it is now only tried last.

--- a/src/relay/forwarding/forward_client.ts
+++ b/src/relay/forwarding/forward_client.ts
@@ -168,6 +168,7 @@
 
 /** Whether another peer may make the call, since nothing was sent. */
 function isUnreached(forwarded: Forwarded): boolean {
+  if (forwarded.kind === 'declined') return true;
   if (forwarded.kind !== 'outcome') return false;
   const {outcome} = forwarded;
   if (outcome.kind === 'probed') return outcome.outcome !== 'answered';
@@ -200,7 +201,7 @@
     return {kind: 'outcome', outcome, body: answer.body};
   }
 
-  /** Undefined if the peer has not made the call and never will. */
+  /** Undefined if the peer can't be reached. */
   async function callPeer(
     peer: Member,
     message: Buffer,
@@ -232,15 +233,23 @@
           return readAnswer(peer, head, timeoutMs);
         }
         head.body.destroy();
-        return undefined;
+        return {kind: 'declined'};
     }
   }
 
   function noteResult({hostId}: Member, forwarded?: Forwarded): void {
-    if (forwarded?.kind === 'cancelled') return;
-    if (forwarded?.kind !== 'outcome') peers.noteFailed(hostId);
-    else if (hasReached(forwarded.outcome)) peers.noteServed(hostId);
-    else peers.noteUnreached(hostId);
+    if (!forwarded) return peers.noteFailed(hostId);
+    switch (forwarded.kind) {
+      case 'cancelled':
+        return;
+      case 'lost':
+        return peers.noteFailed(hostId);
+      case 'declined':
+        return peers.noteUnreached(hostId);
+      case 'outcome':
+        if (hasReached(forwarded.outcome)) peers.noteServed(hostId);
+        else peers.noteUnreached(hostId);
+    }
   }
 
   return {
--- a/src/relay/forwarding/forward_peers.ts
+++ b/src/relay/forwarding/forward_peers.ts
@@ -22,9 +22,9 @@
   end(hostId: string): void;
   /** The peer reached an upstream. */
   noteServed(hostId: string): void;
-  /** The peer made a call and did not reach the upstream. */
+  /** The peer declined a call, or did not reach the upstream. */
   noteUnreached(hostId: string): void;
-  /** The peer declined a call or doesn't answer; it is skipped for a while. */
+  /** The peer doesn't answer; it is skipped for a while. */
   noteFailed(hostId: string): void;
 }
 
--- /dev/null
+++ b/tests/relay/forwarding/forwarding_site.ts
@@ -0,0 +1,211 @@
+/**
+ * Hosts that make calls to upstreams for each other over real sockets, in
+ * virtual time: no call times out because the machine is busy.
+ */
+
+import {createHttpExchange} from '../../../src/adapters/http_exchange.js';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {
+  createVirtualClock,
+  type VirtualClock,
+} from '../../../src/core/virtual_clock.js';
+import type {Upstream} from '../../../src/core/upstream.js';
+import type {
+  AnswerBodySink,
+  BreakCause,
+  Cancellation,
+  RelayRequest,
+  SendFailure,
+  SendOptions,
+  UpstreamAnswer,
+  UpstreamPort,
+} from '../../../src/ports/relay.js';
+import type {Member} from '../../../src/relay/fleet/members.js';
+import {
+  createForwarding,
+  type Forwarding,
+} from '../../../src/relay/forwarding/forwarding.js';
+import {createAuxiliaryServer} from '../../../src/relay/front/auxiliary_server.js';
+import type {UpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {findFreeAddress} from '../../support/free_address.js';
+import {silentLog} from '../../support/silent_log.js';
+
+/** How the connections of a host to upstreams behave. */
+export type DirectBehaviour =
+  | 'answer'
+  | 'refuse'
+  | 'lose'
+  /** Answers with the first bytes of a body that doesn't end. */
+  | 'begin'
+  /** Answers with the first bytes of a body, then breaks off. */
+  | 'break-off';
+
+export interface ForwardingHostStandIn {
+  readonly member: Member;
+  readonly forwarding: Forwarding;
+  behaviour: DirectBehaviour;
+  /** Upstreams that this host sends no new work to. */
+  readonly closed: Set<string>;
+  /** Ids of the requests that this host sent over its own connections. */
+  readonly sent: string[];
+  /** Requests whose connection to the upstream was closed by this host. */
+  readonly closedCalls: string[];
+  die(): void;
+}
+
+export interface ForwardingSite {
+  readonly clock: VirtualClock;
+  readonly hosts: readonly ForwardingHostStandIn[];
+  close(): void;
+}
+
+export const UPSTREAMS = ['u-1', 'u-2', 'u-3'].map(
+  id => ({id, name: id, service: 'ledger', address: `${id}:1`}) as Upstream,
+);
+
+export const makeRequest = (requestId: string): RelayRequest => ({
+  requestId,
+  method: 'POST',
+  target: '/makse/1',
+  host: 'raamatud.example',
+  headers: ['X-Request-Id', requestId],
+  body: Buffer.from('rida=1'),
+  arrivedAtMs: 0,
+  waitMs: 5_000,
+});
+
+export const makeOptions = (upstream = UPSTREAMS[0]): SendOptions => ({
+  upstream,
+  leftMs: 2_000,
+  connectTimeoutMs: 300,
+  headTimeoutMs: 2_000,
+  mayReuseConnection: false,
+});
+
+export const REFUSED: SendFailure = {kind: 'unreachable', detail: 'refused'};
+
+function createDirectPort(host: ForwardingHostStandIn): UpstreamPort {
+  const answer = (requestId: string): UpstreamAnswer => ({
+    kind: 'answered',
+    status: 200,
+    headers: ['X-Answer', 'yes'],
+    hasSignature: true,
+    body: {
+      isUnframed: true,
+      read(sink: AnswerBodySink) {
+        sink.chunk(Buffer.from('first '));
+        if (host.behaviour === 'begin') return;
+        if (host.behaviour === 'break-off') return sink.broken('it crashed');
+        sink.chunk(Buffer.from('last'));
+        sink.end();
+      },
+      pause: () => {},
+      resume: () => {},
+      destroy: () => void host.closedCalls.push(requestId),
+    },
+  });
+  return {
+    send({requestId}: RelayRequest) {
+      if (host.behaviour === 'refuse') return Promise.resolve(REFUSED);
+      host.sent.push(requestId);
+      if (host.behaviour === 'lose') {
+        return Promise.resolve({kind: 'broken', detail: 'no answer'});
+      }
+      return Promise.resolve(answer(requestId));
+    },
+    probe: () =>
+      Promise.resolve(host.behaviour === 'refuse' ? 'refused' : 'answered'),
+  } as Partial<UpstreamPort> as UpstreamPort;
+}
+
+export async function createForwardingSite(
+  hostCount: number,
+): Promise<ForwardingSite> {
+  const clock = createVirtualClock();
+  const exchange = createHttpExchange({clock});
+  const hosts: ForwardingHostStandIn[] = [];
+  const servers: Array<ReturnType<typeof createAuxiliaryServer>> = [];
+  for (let i = 0; i < hostCount; i++) {
+    // Peers recognize each other by the address that calls come from.
+    const [, port] = (await findFreeAddress()).split(':');
+    const peerAddress = `127.0.0.1:${port}`;
+    const member = {
+      hostId: `h-${i}`,
+      failureDomain: 'raadi-ruum',
+      peerAddress,
+      state: 'ready',
+    } as Member;
+    const closed = new Set<string>();
+    const get = (id: string) => UPSTREAMS.find(each => each.id === id);
+    const host = {
+      member,
+      behaviour: 'answer',
+      closed,
+      sent: [],
+      closedCalls: [],
+      die: () => servers[i].close(),
+    } as Partial<ForwardingHostStandIn> as ForwardingHostStandIn;
+    const forwarding = createForwarding({
+      clock,
+      random: createSeededRandom(i),
+      log: silentLog,
+      metrics: {count: () => {}},
+      exchange,
+      registry: {
+        get,
+        getOpen: (id: string) => (closed.has(id) ? undefined : get(id)),
+      } as Partial<UpstreamRegistry> as UpstreamRegistry,
+      direct: createDirectPort(host),
+      self: member,
+      peers: () => hosts.filter(each => each !== host).map(each => each.member),
+      isServing: () => true,
+      isBlocked: () => false,
+    });
+    hosts.push(Object.assign(host, {forwarding}));
+    const server = createAuxiliaryServer(
+      () => undefined,
+      forwarding.server.handle,
+    );
+    servers.push(server);
+    await server.listen(peerAddress);
+  }
+  return {
+    clock,
+    hosts,
+    close() {
+      for (const {forwarding} of hosts) forwarding.links.stop();
+      for (const server of servers) server.close();
+      exchange.close();
+    },
+  };
+}
+
+export interface ReadResult {
+  readonly text: string;
+  readonly end: 'whole' | 'broken' | 'cancelled';
+  readonly cause?: BreakCause;
+}
+
+/** Reads the body; `onData` is called with each part. */
+export function readAnswer(
+  outcome: UpstreamAnswer | SendFailure,
+  cancellation: Cancellation,
+  onData: () => void = () => {},
+): Promise<ReadResult | SendFailure> {
+  if (outcome.kind !== 'answered') return Promise.resolve(outcome);
+  return new Promise(resolve => {
+    let text = '';
+    cancellation.onCancel(() => {
+      outcome.body.destroy();
+      resolve({text, end: 'cancelled'});
+    });
+    outcome.body.read({
+      chunk(bytes) {
+        text += bytes.toString();
+        onData();
+      },
+      end: () => resolve({text, end: 'whole'}),
+      broken: (_detail, cause) => resolve({text, end: 'broken', cause}),
+    });
+  });
+}
--- /dev/null
+++ b/tests/relay/forwarding/forwarding_test.ts
@@ -0,0 +1,180 @@
+import assert from 'node:assert/strict';
+import {afterEach, test} from 'node:test';
+import http from 'node:http';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {
+  createForwardingSite,
+  makeOptions,
+  makeRequest,
+  readAnswer,
+  REFUSED,
+  UPSTREAMS,
+  type ForwardingHostStandIn,
+  type ForwardingSite,
+} from './forwarding_site.js';
+
+let site: ForwardingSite;
+
+afterEach(() => site.close());
+
+async function createHosts(
+  count: number,
+): Promise<readonly ForwardingHostStandIn[]> {
+  site = await createForwardingSite(count);
+  return site.hosts;
+}
+
+let nextId = 1;
+
+async function send(
+  {forwarding}: ForwardingHostStandIn,
+  {upstream = UPSTREAMS[0], onData = () => {}} = {},
+  cancellation = createCancellation(),
+) {
+  const request = makeRequest(`r-${nextId++}`);
+  const options = makeOptions(upstream);
+  const outcome = await forwarding.port.send(request, options, cancellation);
+  return readAnswer(outcome, cancellation, onData);
+}
+
+const WHOLE = {text: 'first last', end: 'whole'};
+
+test('a call that this host cannot connect is made once, by a peer', async () => {
+  // Guards against callers that are refused by a host whose links are cut.
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  assert.deepEqual(await send(cut), WHOLE);
+  assert.deepEqual(await send(cut), WHOLE);
+  assert.equal(peer.sent.length, 2);
+  assert.equal(cut.forwarding.links.pathTo('u-1'), 'peer');
+  assert.equal(peer.forwarding.server.activeCount(), 0);
+});
+
+test('a call that was sent is not made again by a peer', async () => {
+  // Guards against a posting that runs twice.
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'lose';
+  const outcome = await send(cut);
+  assert.deepEqual(outcome, {kind: 'broken', detail: 'no answer'});
+  assert.deepEqual(peer.sent, []);
+});
+
+test('a call that a peer has sent is not made by another peer', async () => {
+  // Guards against a posting that runs twice, once for each peer.
+  const [cut, ...peers] = await createHosts(3);
+  cut.behaviour = 'refuse';
+  for (const peer of peers) peer.behaviour = 'lose';
+  const outcome = await send(cut);
+  assert.deepEqual(outcome, {kind: 'broken', detail: 'no answer'});
+  assert.equal(peers.flatMap(({sent}) => sent).length, 1);
+});
+
+test('a peer that dies half-way is told from an upstream that breaks off', async () => {
+  // Guards against an answer that looks complete, or that counts against the
+  // upstream, since the peer that passed it on has died.
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  peer.behaviour = 'begin';
+  assert.deepEqual(await send(cut, {onData: peer.die}), {
+    text: 'first ',
+    end: 'broken',
+    cause: {isOfPeer: true},
+  });
+});
+
+test('an upstream that breaks off behind a peer is reported as such', async () => {
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  peer.behaviour = 'break-off';
+  const end = {text: 'first ', end: 'broken', cause: undefined};
+  assert.deepEqual(await send(cut), end);
+});
+
+test('a dead peer is passed over', async () => {
+  const [cut, dead, peer] = await createHosts(3);
+  cut.behaviour = 'refuse';
+  dead.die();
+  for (let i = 0; i < 4; i++) assert.deepEqual(await send(cut), WHOLE);
+  assert.equal(peer.sent.length, 4);
+});
+
+test('hosts that are all cut off do not pass calls on to each other', async () => {
+  // Guards against a call that goes round between hosts.
+  const hosts = await createHosts(3);
+  for (const host of hosts) host.behaviour = 'refuse';
+  for (const host of hosts) assert.deepEqual(await send(host), REFUSED);
+  for (const {forwarding, sent} of hosts) {
+    assert.deepEqual(sent, []);
+    assert.equal(forwarding.links.cutCount(), 0);
+  }
+});
+
+test('a peer makes no call to an upstream that takes no new work', async () => {
+  // Guards against requests to an upstream that leaves, past the word of the
+  // host that knows.
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  peer.closed.add('u-1');
+  assert.deepEqual(await send(cut), REFUSED);
+  assert.deepEqual(await send(cut, {upstream: UPSTREAMS[1]}), WHOLE);
+});
+
+test('a caller that leaves ends the call at the peer', async () => {
+  // Guards against an upstream that works for a caller that has gone.
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  peer.behaviour = 'begin';
+  const cancellation = createCancellation();
+  const onData = () => cancellation.cancel();
+  const result = await send(cut, {onData}, cancellation);
+  assert.deepEqual(result, {text: 'first ', end: 'cancelled'});
+  for (let i = 0; i < 50 && peer.closedCalls.length === 0; i++) {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  assert.deepEqual(peer.closedCalls, peer.sent);
+});
+
+test('a host that reaches no upstream asks peers first, until one answers it', async () => {
+  // Guards against a wait at each further upstream of a host that is cut off.
+  const [cut, peer] = await createHosts(2);
+  const {links} = cut.forwarding;
+  cut.behaviour = 'refuse';
+  await send(cut);
+  assert.ok(!links.isIsolated(), 'one upstream may have its own fault');
+  await send(cut, {upstream: UPSTREAMS[1]});
+  assert.ok(links.isIsolated());
+  assert.equal(links.pathTo('u-3'), 'peer-first');
+  cut.behaviour = 'answer';
+  await site.clock.advance(600);
+  assert.ok(!links.isIsolated());
+  assert.deepEqual(await send(cut), WHOLE);
+  assert.equal(cut.sent.length, 1);
+  assert.equal(peer.sent.length, 2);
+});
+
+test('a probe through a peer shows that the upstream is alive', async () => {
+  // Guards against a request that is blamed for an upstream that has not ended.
+  const [cut] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  assert.equal(await cut.forwarding.port.probe(UPSTREAMS[0]), 'answered');
+  assert.equal(cut.forwarding.links.pathTo('u-1'), 'peer');
+});
+
+test('calls are made only for live hosts', async () => {
+  // Guards against strangers who reach upstreams by way of the peer port.
+  const [{member, sent}] = await createHosts(1);
+  const status = await new Promise(resolve => {
+    http
+      .request(
+        `http://${member.peerAddress}/peer/forward`,
+        {method: 'POST', agent: false, headers: {'X-Peer-Host': 'h-9'}},
+        response => {
+          response.resume();
+          resolve(response.statusCode);
+        },
+      )
+      .end('x');
+  });
+  assert.equal(status, 403);
+  assert.deepEqual(sent, []);
+});
