Ask a peer only where this host, and not the upstream, seems to be at fault

A call to an upstream that has gone dark waited for its own connection and then for those of up to four peers, before another upstream got it. Where another upstream answered meanwhile, the call now goes on to it as before, and a probe through a peer finds out about the link; else at most two peers try, and four where the link is known to be cut. A peer has one second to accept a call, since a call that it has not accepted may have run.

--- a/src/relay/forwarding/forward_client.ts
+++ b/src/relay/forwarding/forward_client.ts
@@ -39,15 +39,22 @@
   | {readonly kind: 'lost'; readonly detail: string}
   | {readonly kind: 'cancelled'};
 
+export interface ForwardLimits {
+  /** How many peers may fail to reach the upstream; those that decline don't. */
+  readonly maxUnreached: number;
+  /** Within this time the outcome must arrive from a peer. */
+  readonly timeoutMs: number;
+}
+
 export interface ForwardClient {
   /**
-   * Asks peers in turn until one makes the call. The outcome must arrive within
-   * `timeoutMs`.
+   * Asks peers in turn until one reaches the upstream, or as many as given did
+   * not.
    */
   call(
     call: ForwardCall,
-    requestBody: Buffer | undefined,
-    timeoutMs: number,
+    limits: ForwardLimits,
+    requestBody?: Buffer,
     cancellation?: Cancellation,
   ): Promise<Forwarded>;
 }
@@ -57,11 +64,9 @@
 export const SENDER_HEADER = 'X-Peer-Host';
 const CONNECT_TIMEOUT_MS = 200;
 /** A peer accepts or declines a call as soon as it has read it. */
-const ACCEPT_TIMEOUT_MS = 400;
+const ACCEPT_TIMEOUT_MS = 1_000;
 /** For the way to the peer and back. */
 const OUTCOME_MARGIN_MS = 100;
-/** Each of them probes an upstream that may have ended. */
-const MAX_PROBING_PEERS = 2;
 const STATUS_ACCEPTED = 200;
 const PEER_BROKE_OFF = 'the peer that made the call broke off';
 
@@ -168,7 +173,6 @@
 
 /** Whether another peer may make the call, since nothing was sent. */
 function isUnreached(forwarded: Forwarded): boolean {
-  if (forwarded.kind === 'declined') return true;
   if (forwarded.kind !== 'outcome') return false;
   const {outcome} = forwarded;
   if (outcome.kind === 'probed') return outcome.outcome !== 'answered';
@@ -253,11 +257,12 @@
   }
 
   return {
-    async call(call, requestBody, timeoutMs, cancellation) {
+    async call(call, limits, requestBody, cancellation) {
+      const {maxUnreached, timeoutMs} = limits;
       const message = encodeCall(call, requestBody);
-      const candidates = peers.candidates();
-      const maxPeers = call.kind === 'probe' ? MAX_PROBING_PEERS : Infinity;
-      for (const peer of candidates.slice(0, maxPeers)) {
+      let unreachedCount = 0;
+      for (const peer of peers.candidates()) {
+        if (unreachedCount >= maxUnreached) break;
         const forwarded = await callPeer(
           peer,
           message,
@@ -265,7 +270,11 @@
           cancellation,
         );
         noteResult(peer, forwarded);
-        if (!forwarded || isUnreached(forwarded)) continue;
+        if (!forwarded || forwarded.kind === 'declined') continue;
+        if (isUnreached(forwarded)) {
+          unreachedCount++;
+          continue;
+        }
         host.onCalled(forwarded.kind);
         return forwarded;
       }
--- a/src/relay/forwarding/forwarding_port.ts
+++ b/src/relay/forwarding/forwarding_port.ts
@@ -40,6 +40,10 @@
 const PROBE_TIMEOUT_MS = 800;
 /** After this time without an answer, a peer is asked as well. */
 const PROBE_PATIENCE_MS = 400;
+/** How many peers try to reach an upstream behind a cut link. */
+const MAX_UNREACHED = 4;
+/** The same while the upstream may have ended. */
+const MAX_UNREACHED_IN_DOUBT = 2;
 /** An upstream that answered within this time is not probed. */
 const SILENT_MS = 1_000;
 const NO_PATH: SendFailure = {
@@ -82,6 +86,7 @@
     call: Call,
     request: RelayRequest,
     options: SendOptions,
+    maxUnreached: number,
     cancellation: Cancellation,
   ): Promise<Outcome | undefined> {
     const {upstream, ...forwarded} = options;
@@ -95,8 +100,8 @@
           request: head,
           options: forwarded,
         },
+        {maxUnreached, timeoutMs: options.headTimeoutMs},
         body,
-        options.headTimeoutMs,
         cancellation,
       ),
     );
@@ -129,24 +134,27 @@
       const left = () => deductTime(options, clock.nowMs() - startedAtMs);
       const sendDirectly = () =>
         callDirectly(left(), given => send(request, given, cancellation));
-      const sendByPeer = () =>
-        forward(call, request, left(), cancellation) as Promise<
+      const sendByPeer = (maxUnreached: number) =>
+        forward(call, request, left(), maxUnreached, cancellation) as Promise<
           Result | SendFailure | undefined
         >;
       switch (links.pathTo(options.upstream.id)) {
         case 'peer':
-          return (await sendByPeer()) ?? NO_PATH;
+          return (await sendByPeer(MAX_UNREACHED)) ?? NO_PATH;
         case 'peer-first':
-          return (await sendByPeer()) ?? sendDirectly();
+          return (await sendByPeer(MAX_UNREACHED)) ?? sendDirectly();
         case 'direct': {
           const outcome = await sendDirectly();
           if (outcome.kind !== 'unreachable') return outcome;
-          // A live upstream also resets connections beyond its limit.
-          if (outcome.wasConnected || left().leftMs <= 0) {
+          // A live upstream also resets connections beyond its limit. Where
+          // others have answered meanwhile, one of them takes the call sooner.
+          const isLikelyOfUpstream =
+            outcome.wasConnected || links.wasAnyReachedSince(startedAtMs);
+          if (isLikelyOfUpstream || left().leftMs <= 0) {
             probeIfSilent(options.upstream);
             return outcome;
           }
-          return (await sendByPeer()) ?? outcome;
+          return (await sendByPeer(MAX_UNREACHED_IN_DOUBT)) ?? outcome;
         }
       }
     };
@@ -154,8 +162,7 @@
   async function probeByPeer(upstream: Upstream): Promise<boolean> {
     const forwarded = await client.call(
       {kind: 'probe', upstreamId: upstream.id},
-      undefined,
-      PROBE_TIMEOUT_MS,
+      {maxUnreached: MAX_UNREACHED_IN_DOUBT, timeoutMs: PROBE_TIMEOUT_MS},
     );
     return forwarded.kind === 'outcome' && hasReached(forwarded.outcome);
   }
@@ -199,8 +206,7 @@
       }
       void client.call(
         {kind: 'release', upstreamId: upstream.id, place},
-        undefined,
-        PROBE_TIMEOUT_MS,
+        {maxUnreached: MAX_UNREACHED, timeoutMs: PROBE_TIMEOUT_MS},
       );
     },
   };
--- a/src/relay/forwarding/upstream_links.ts
+++ b/src/relay/forwarding/upstream_links.ts
@@ -36,6 +36,8 @@
   noteReachedByPeer(upstreamId: string): void;
   /** Whether a call sent within this time reached the upstream directly. */
   wasReachedWithin(upstreamId: string, durationMs: number): boolean;
+  /** Whether any upstream answered a direct call sent since then. */
+  wasAnyReachedSince(atMs: number): boolean;
   /** Whether this host seems to be cut off from all upstreams. */
   isIsolated(): boolean;
   cutCount(): number;
@@ -88,7 +90,7 @@
     if (isolatedSinceMs !== undefined && sentAtMs > isolatedSinceMs) {
       for (const id of [...cutAtMs.keys()]) restore(id);
     }
-    updateIsolation();
+    if (cutAtMs.size > 0 || isolatedSinceMs !== undefined) updateIsolation();
   }
 
   async function probe(upstreamId: string): Promise<void> {
@@ -137,6 +139,7 @@
     },
     wasReachedWithin: (upstreamId, durationMs) =>
       clock.nowMs() - (reachedAtMs.get(upstreamId) ?? -Infinity) < durationMs,
+    wasAnyReachedSince: atMs => lastReachedAtMs >= atMs,
     isIsolated: () => isolatedSinceMs !== undefined,
     cutCount: () => cutAtMs.size,
     stop() {
