Do not hold a caller that leaves against the peer, nor pass keys on

A peer counted as failed, and was passed over for a second, whenever a caller left before the peer's outcome had come. Calls for peers no longer carry the digest of the caller's key.

--- a/src/relay/forwarding/forward_client.ts
+++ b/src/relay/forwarding/forward_client.ts
@@ -186,6 +186,7 @@
     {hostId}: Member,
     head: HttpHead,
     timeoutMs: number,
+    cancellation: Cancellation | undefined,
   ): Promise<Forwarded> {
     peers.begin(hostId);
     const answer = createFramedAnswer(head.body, () => peers.end(hostId));
@@ -197,12 +198,11 @@
     });
     const outcome = await Promise.race([answer.readOutcome(), timeout]);
     if (timer) clock.clearTimer(timer);
-    if (!outcome) {
-      answer.body.destroy();
-      peers.noteFailed(hostId);
-      return {kind: 'lost', detail: PEER_BROKE_OFF};
-    }
-    return {kind: 'outcome', outcome, body: answer.body};
+    if (outcome) return {kind: 'outcome', outcome, body: answer.body};
+    answer.body.destroy();
+    return cancellation?.isCancelled
+      ? {kind: 'cancelled'}
+      : {kind: 'lost', detail: PEER_BROKE_OFF};
   }
 
   /** Undefined if the peer can't be reached. */
@@ -234,7 +234,7 @@
         return {kind: 'lost', detail: PEER_BROKE_OFF};
       case 'answered':
         if (head.status === STATUS_ACCEPTED) {
-          return readAnswer(peer, head, timeoutMs);
+          return readAnswer(peer, head, timeoutMs, cancellation);
         }
         head.body.destroy();
         return {kind: 'declined'};
--- a/src/relay/forwarding/forward_frames.ts
+++ b/src/relay/forwarding/forward_frames.ts
@@ -17,8 +17,8 @@
 
 /** Options of a send; the peer finds the upstream in its own list. */
 export type ForwardedOptions = Omit<SendOptions, 'upstream'>;
-/** The request without its body, which follows as bytes. */
-export type ForwardedRequest = Omit<RelayRequest, 'body'>;
+/** The request without its body, which follows as bytes, and without its key. */
+export type ForwardedRequest = Omit<RelayRequest, 'body' | 'keyDigest'>;
 
 export type ForwardCall = {readonly upstreamId: string} & (
   | {
--- a/src/relay/forwarding/forwarding_port.ts
+++ b/src/relay/forwarding/forwarding_port.ts
@@ -91,7 +91,9 @@
   ): Promise<Outcome | undefined> {
     const {upstream, ...forwarded} = options;
     if (options.leftMs <= 0) return undefined;
-    const {body, ...head} = request;
+    const {body, ...rest} = request;
+    // A key is known to the host that took the request only.
+    const head = {...rest, keyDigest: undefined};
     const outcome = toOutcome(
       await client.call(
         {
--- a/tests/relay/forwarding/forwarding_site.ts
+++ b/tests/relay/forwarding/forwarding_site.ts
@@ -25,9 +25,11 @@
   createForwarding,
   type Forwarding,
 } from '../../../src/relay/forwarding/forwarding.js';
-import {createAuxiliaryServer} from '../../../src/relay/front/auxiliary_server.js';
+import {
+  createAuxiliaryServer,
+  type AuxiliaryServer,
+} from '../../../src/relay/front/auxiliary_server.js';
 import type {UpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
-import {findFreeAddress} from '../../support/free_address.js';
 import {silentLog} from '../../support/silent_log.js';
 
 /** How the connections of a host to upstreams behave. */
@@ -35,6 +37,8 @@
   | 'answer'
   | 'refuse'
   | 'lose'
+  /** Sends the request and never gets an answer. */
+  | 'hang'
   /** Answers with the first bytes of a body that doesn't end. */
   | 'begin'
   /** Answers with the first bytes of a body, then breaks off. */
@@ -82,6 +86,9 @@
   mayReuseConnection: false,
 });
 
+const MIN_PORT = 20_000;
+const PORT_COUNT = 10_000;
+
 export const REFUSED: SendFailure = {kind: 'unreachable', detail: 'refused'};
 
 function createDirectPort(host: ForwardingHostStandIn): UpstreamPort {
@@ -108,6 +115,7 @@
     send({requestId}: RelayRequest) {
       if (host.behaviour === 'refuse') return Promise.resolve(REFUSED);
       host.sent.push(requestId);
+      if (host.behaviour === 'hang') return new Promise<never>(() => {});
       if (host.behaviour === 'lose') {
         return Promise.resolve({kind: 'broken', detail: 'no answer'});
       }
@@ -118,21 +126,34 @@
   } as Partial<UpstreamPort> as UpstreamPort;
 }
 
+/**
+ * Peers recognize each other by the address that calls come from, so that all
+ * listen on the default one, below the ports of outgoing connections.
+ */
+async function listenAnywhere(server: AuxiliaryServer): Promise<string> {
+  for (;;) {
+    const port = MIN_PORT + Math.floor(Math.random() * PORT_COUNT);
+    const address = `127.0.0.1:${port}`;
+    try {
+      await server.listen(address);
+      return address;
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw error;
+    }
+  }
+}
+
 export async function createForwardingSite(
   hostCount: number,
 ): Promise<ForwardingSite> {
   const clock = createVirtualClock();
   const exchange = createHttpExchange({clock});
   const hosts: ForwardingHostStandIn[] = [];
-  const servers: Array<ReturnType<typeof createAuxiliaryServer>> = [];
+  const servers: AuxiliaryServer[] = [];
   for (let i = 0; i < hostCount; i++) {
-    // Peers recognize each other by the address that calls come from.
-    const [, port] = (await findFreeAddress()).split(':');
-    const peerAddress = `127.0.0.1:${port}`;
     const member = {
       hostId: `h-${i}`,
       failureDomain: 'raadi-ruum',
-      peerAddress,
       state: 'ready',
     } as Member;
     const closed = new Set<string>();
@@ -167,7 +188,7 @@
       forwarding.server.handle,
     );
     servers.push(server);
-    await server.listen(peerAddress);
+    Object.assign(member, {peerAddress: await listenAnywhere(server)});
   }
   return {
     clock,
--- a/tests/relay/forwarding/forwarding_test.ts
+++ b/tests/relay/forwarding/forwarding_test.ts
@@ -37,6 +37,12 @@
   return readAnswer(outcome, cancellation, onData);
 }
 
+async function untilTrue(condition: () => boolean): Promise<void> {
+  for (let i = 0; i < 500 && !condition(); i++) {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+}
+
 const WHOLE = {text: 'first last', end: 'whole'};
 
 test('a call that this host cannot connect is made once, by a peer', async () => {
@@ -47,6 +53,7 @@
   assert.deepEqual(await send(cut), WHOLE);
   assert.equal(peer.sent.length, 2);
   assert.equal(cut.forwarding.links.pathTo('u-1'), 'peer');
+  await untilTrue(() => peer.forwarding.server.activeCount() === 0);
   assert.equal(peer.forwarding.server.activeCount(), 0);
 });
 
@@ -128,12 +135,24 @@
   const onData = () => cancellation.cancel();
   const result = await send(cut, {onData}, cancellation);
   assert.deepEqual(result, {text: 'first ', end: 'cancelled'});
-  for (let i = 0; i < 50 && peer.closedCalls.length === 0; i++) {
-    await new Promise(resolve => setTimeout(resolve, 10));
-  }
+  await untilTrue(() => peer.closedCalls.length > 0);
   assert.deepEqual(peer.closedCalls, peer.sent);
 });
 
+test('a caller that leaves before the answer is not held against the peer', async () => {
+  // Guards against a peer that is passed over whenever a caller leaves early.
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  peer.behaviour = 'hang';
+  const cancellation = createCancellation();
+  const waiting = send(cut, {}, cancellation);
+  await untilTrue(() => peer.sent.length > 0);
+  cancellation.cancel();
+  assert.deepEqual(await waiting, {kind: 'cancelled'});
+  peer.behaviour = 'answer';
+  assert.deepEqual(await send(cut), WHOLE);
+});
+
 test('a host that reaches no upstream asks peers first, until one answers it', async () => {
   // Guards against a wait at each further upstream of a host that is cut off.
   const [cut, peer] = await createHosts(2);
