--- a/stand_ins/users_platform/engine_stand_in_types.ts
+++ b/stand_ins/users_platform/engine_stand_in_types.ts
@@ -40,6 +40,8 @@
 export interface EngineArrival {
   readonly requestId: string;
   readonly atMs: number;
+  /** It was refused with a `Retry-After`. */
+  readonly wasAskedToRest: boolean;
 }
 
 /** What is left of an upstream after a request has crashed it. */
