--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -69,6 +69,8 @@
   /** Undefined while no request crashes upstreams. */
   crash?: SoakCrash;
   readonly crashes: RecordedCrash[];
+  /** Whether hosts are cut off from all upstreams. */
+  isCut: boolean;
   readonly store: StoreStandIn;
   readonly hosts: readonly SoakHost[];
   /** All upstreams so far, including those that are gone. */
@@ -238,6 +240,7 @@
 
   const site: SoakSite = {
     crashes: [],
+    isCut: false,
     store,
     hosts,
     upstreams,
