Finish the calls for peers before a host leaves

A host that was told to leave waited for its own callers' requests only; calls that it made for peers would have been broken off. No test of its own: cuts and rolls meet in the soak.

--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -302,7 +302,7 @@
     {
       clock,
       log,
-      openCount: () => front.openCount(),
+      openCount: () => front.openCount() + forwarding.server.activeCount(),
       lastRequestAtMs: () => front.lastRequestAtMs(),
       onLeave() {
         placement.refresh();
