Learn from calls for peers which upstreams this host reaches

A call for a peer that fails now has the host look at its own link; one that is answered counts as the host's own evidence.

--- a/src/relay/forwarding/forward_server.ts
+++ b/src/relay/forwarding/forward_server.ts
@@ -9,6 +9,7 @@
 import type http from 'node:http';
 import {splitAddress} from '../../adapters/listen.js';
 import type {Upstream} from '../../core/upstream.js';
+import type {Clock} from '../../ports/clock.js';
 import type {UpstreamPort} from '../../ports/relay.js';
 import type {Member} from '../fleet/members.js';
 import {createCancellation} from '../front/cancellation.js';
@@ -23,6 +24,7 @@
 } from './forward_frames.js';
 
 export interface ForwardServerHost {
+  readonly clock: Clock;
   readonly registry: Pick<UpstreamRegistry, 'get' | 'getOpen'>;
   /** Makes calls over connections of this host. */
   readonly port: UpstreamPort;
@@ -31,6 +33,11 @@
   /** Whether this host reaches the upstream and may send to it now. */
   mayCall(upstreamId: string): boolean;
   onServed(result: 'made' | 'declined'): void;
+  onOutcome(
+    upstream: Upstream,
+    sentAtMs: number,
+    outcome: ForwardOutcome,
+  ): void;
 }
 
 export interface ForwardServer {
@@ -93,14 +100,19 @@
   ): Promise<void> {
     const cancellation = createCancellation();
     response.once('close', () => cancellation.cancel());
+    const sentAtMs = host.clock.nowMs();
     const writeOutcome = (outcome: ForwardOutcome) =>
       void response.write(encodeFrame({kind: 'outcome', outcome}));
+    const handleOutcome = (outcome: ForwardOutcome) => {
+      host.onOutcome(upstream, sentAtMs, outcome);
+      writeOutcome(outcome);
+    };
     response.writeHead(200, {'Content-Type': 'application/octet-stream'});
     response.flushHeaders();
     switch (call.kind) {
       case 'probe': {
         const outcome = await port.probe(upstream);
-        writeOutcome({kind: 'probed', outcome});
+        handleOutcome({kind: 'probed', outcome});
         break;
       }
       case 'release':
@@ -109,7 +121,7 @@
         break;
       case 'prefill': {
         const {request, options} = call;
-        writeOutcome(
+        handleOutcome(
           await port.prefill(
             {...request, body},
             {...options, upstream},
@@ -126,13 +138,13 @@
           cancellation,
         );
         if (outcome.kind !== 'answered') {
-          writeOutcome(outcome);
+          handleOutcome(outcome);
           break;
         }
         const {body: answerBody, ...head} = outcome;
         cancellation.onCancel(() => answerBody.destroy());
         response.on('drain', () => answerBody.resume());
-        writeOutcome(head);
+        handleOutcome(head);
         writeBody(
           answerBody,
           bytes => response.write(bytes),
--- a/src/relay/forwarding/forwarding.ts
+++ b/src/relay/forwarding/forwarding.ts
@@ -60,7 +60,15 @@
     peers,
     onCalled: result => metrics.count('forwarded_calls', `end="${result}"`),
   });
+  const {port, noteDirect} = createForwardingPort({
+    clock,
+    direct,
+    client,
+    links,
+    registry,
+  });
   const server = createForwardServer({
+    clock,
     registry,
     port: direct,
     peers: host.peers,
@@ -69,7 +77,7 @@
       links.pathTo(upstreamId) === 'direct' &&
       !host.isBlocked(upstreamId),
     onServed: result => metrics.count('served_calls', `result="${result}"`),
+    onOutcome: noteDirect,
   });
-  const port = createForwardingPort({clock, direct, client, links, registry});
   return {port, server, links};
 }
--- a/src/relay/forwarding/forwarding_port.ts
+++ b/src/relay/forwarding/forwarding_port.ts
@@ -23,6 +23,7 @@
   type Forwarded,
   type ForwardClient,
 } from './forward_client.js';
+import type {ForwardOutcome} from './forward_frames.js';
 import type {UpstreamLinks} from './upstream_links.js';
 
 export interface ForwardingPortHost {
@@ -60,7 +61,17 @@
   };
 }
 
-export function createForwardingPort(host: ForwardingPortHost): UpstreamPort {
+export interface ForwardingPort {
+  readonly port: UpstreamPort;
+  /** A call that this host made directly had this outcome. */
+  noteDirect(
+    upstream: Upstream,
+    sentAtMs: number,
+    outcome: ForwardOutcome,
+  ): void;
+}
+
+export function createForwardingPort(host: ForwardingPortHost): ForwardingPort {
   const {clock, direct, client, links, registry} = host;
   const probing = new Set<string>();
 
@@ -195,7 +206,7 @@
     void probe(upstream).finally(() => probing.delete(upstream.id));
   }
 
-  return {
+  const port: UpstreamPort = {
     ...direct,
     send: forwarding('send', direct.send),
     prefill: forwarding('prefill', direct.prefill),
@@ -212,6 +223,17 @@
       );
     },
   };
+
+  return {
+    port,
+    noteDirect(upstream, sentAtMs, outcome) {
+      if (hasReached(outcome)) {
+        links.noteReached(upstream.id, sentAtMs);
+      } else if (outcome.kind === 'unreachable' || outcome.kind === 'broken') {
+        probeIfSilent(upstream);
+      }
+    },
+  };
 }
 
 type SendTo<Result> = (
--- a/tests/soak/host_cuts.ts
+++ b/tests/soak/host_cuts.ts
@@ -118,6 +118,19 @@
     const cut = countServed(during.filter(each => hostIds.has(each.hostId)));
     const other = countServed(during.filter(each => !hostIds.has(each.hostId)));
     if (cut.sent === 0 || other.sent === 0) return [];
+    // No host in touch is left to make calls for the others.
+    const isAnyLeft = [...new Set(records.map(({hostId}) => hostId))].some(
+      hostId =>
+        !hostIds.has(hostId) &&
+        !disruptions.some(
+          span =>
+            span.isOfProcess &&
+            span.hostId === hostId &&
+            span.fromMs <= toMs &&
+            fromMs <= span.toMs,
+        ),
+    );
+    if (!isAnyLeft) return [];
     const isBad =
       cut.served / cut.sent < MIN_SHARE * (other.served / other.sent) &&
       cut.sent - cut.served >
