End an answer whose peer died before it was read

The frames of an answer that had arrived before its reader were held, but not its end: a caller waited until its deadline. The end of an answer is now held like its data.

The new test failed before ('no end' after 1 s).

--- a/src/relay/forwarding/forward_client.ts
+++ b/src/relay/forwarding/forward_client.ts
@@ -70,86 +70,92 @@
 const STATUS_ACCEPTED = 200;
 const PEER_BROKE_OFF = 'the peer that made the call broke off';
 
+/** What arrives of an answer; `lost` if the peer broke off. */
+type AnswerEvent = Frame | {readonly kind: 'lost'};
+
+interface FramedAnswer {
+  /** Undefined if the peer broke off. */
+  readOutcome(): Promise<ForwardOutcome | undefined>;
+  readonly body: AnswerBody;
+}
+
+function deliver(
+  event: Exclude<AnswerEvent, {kind: 'outcome'}>,
+  sink: AnswerBodySink,
+): void {
+  switch (event.kind) {
+    case 'data':
+      return sink.chunk(event.bytes);
+    case 'end':
+      return sink.end();
+    case 'broken':
+      return sink.broken(event.detail);
+    case 'lost':
+      return sink.broken(PEER_BROKE_OFF, {isOfPeer: true});
+  }
+}
+
 /** Reads frames and holds back those of the body until it is read. */
-function createFramedAnswer(body: AnswerBody, onEnd: () => void) {
+function createFramedAnswer(body: AnswerBody, onEnd: () => void): FramedAnswer {
   const reader = createFrameReader();
-  let queue: Frame[] = [];
+  let held: Array<Exclude<AnswerEvent, {kind: 'outcome'}>> = [];
   let sink: AnswerBodySink | undefined;
   let hasEnded = false;
+  let isDestroyed = false;
   let onOutcome: (outcome: ForwardOutcome | undefined) => void = () => {};
 
-  function end(notify: () => void): void {
+  function end(): void {
     if (hasEnded) return;
     hasEnded = true;
     onEnd();
     onOutcome(undefined);
-    notify();
   }
 
-  const breakOff = () =>
-    end(() => sink?.broken(PEER_BROKE_OFF, {isOfPeer: true}));
-
-  function deliver(frame: Frame): void {
-    switch (frame.kind) {
-      case 'outcome':
-        onOutcome(frame.outcome);
-        return;
-      case 'data':
-        if (!hasEnded) sink?.chunk(frame.bytes);
-        return;
-      case 'end':
-        return end(() => sink?.end());
-      case 'broken':
-        return end(() => sink?.broken(frame.detail));
-    }
+  function receive(event: AnswerEvent): void {
+    if (hasEnded) return;
+    if (event.kind === 'outcome') return onOutcome(event.outcome);
+    if (event.kind !== 'data') end();
+    if (sink) deliver(event, sink);
+    else held.push(event);
   }
 
   function push(bytes: Buffer): void {
-    const frames = reader.push(bytes);
-    for (const frame of frames) {
-      if (sink || frame.kind === 'outcome') deliver(frame);
-      else queue.push(frame);
+    try {
+      for (const frame of reader.push(bytes)) receive(frame);
+    } catch {
+      body.destroy();
+      receive({kind: 'lost'});
     }
-    if (queue.length > 0) body.pause();
+    if (held.length > 0) body.pause();
   }
 
   return {
-    /** Undefined if the peer broke off. */
-    readOutcome(): Promise<ForwardOutcome | undefined> {
+    readOutcome() {
       const outcome = new Promise<ForwardOutcome | undefined>(resolve => {
         onOutcome = resolve;
       });
-      body.read({
-        chunk(bytes) {
-          try {
-            push(bytes);
-          } catch {
-            body.destroy();
-            breakOff();
-          }
-        },
-        end: breakOff,
-        broken: breakOff,
-      });
+      const lose = () => receive({kind: 'lost'});
+      body.read({chunk: push, end: lose, broken: lose});
       return outcome;
     },
     body: {
       isUnframed: false,
-      read(given: AnswerBodySink) {
+      read(given) {
         sink = given;
-        const held = queue;
-        queue = [];
-        for (const frame of held) deliver(frame);
-        if (hasEnded) return;
-        body.resume();
+        for (const event of held) {
+          if (!isDestroyed) deliver(event, given);
+        }
+        held = [];
+        if (!hasEnded) body.resume();
       },
       pause: () => body.pause(),
       resume: () => body.resume(),
       destroy() {
-        end(() => undefined);
+        isDestroyed = true;
+        end();
         body.destroy();
       },
-    } satisfies AnswerBody,
+    },
   };
 }
 
--- a/src/relay/forwarding/forwarding_port.ts
+++ b/src/relay/forwarding/forwarding_port.ts
@@ -39,8 +39,8 @@
 type Outcome = UpstreamAnswer | PrefillOutcome | SendFailure;
 
 const PROBE_TIMEOUT_MS = 800;
-/** After this time without an answer, a peer is asked as well. */
-const PROBE_PATIENCE_MS = 400;
+/** After this time without an answer, a peer probes as well. */
+const PEER_PROBE_DELAY_MS = 400;
 /** How many peers try to reach an upstream behind a cut link. */
 const MAX_UNREACHED = 4;
 /** The same while the upstream may have ended. */
@@ -188,10 +188,10 @@
       if (hasAnswered) links.noteReached(upstream.id, sentAtMs);
       return outcome;
     });
-    const patience = new Promise<undefined>(resolve => {
-      clock.setTimer(PROBE_PATIENCE_MS, () => resolve(undefined));
+    const delay = new Promise<undefined>(resolve => {
+      clock.setTimer(PEER_PROBE_DELAY_MS, () => resolve(undefined));
     });
-    await Promise.race([own, patience]);
+    await Promise.race([own, delay]);
     if (!hasAnswered && (await probeByPeer(upstream)) && !hasAnswered) {
       links.noteReachedByPeer(upstream.id);
       return 'answered';
--- a/tests/relay/forwarding/forwarding_test.ts
+++ b/tests/relay/forwarding/forwarding_test.ts
@@ -89,6 +89,27 @@
   });
 });
 
+test('a peer that dies before its answer is read ends the answer', async () => {
+  // Guards against a caller that waits until its deadline for an answer that
+  // has broken off unnoticed.
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  peer.behaviour = 'begin';
+  const cancellation = createCancellation();
+  const {port} = cut.forwarding;
+  const request = makeRequest('r-unread');
+  const outcome = await port.send(request, makeOptions(), cancellation);
+  peer.die();
+  await untilTrue(() => peer.closedCalls.length > 0);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  const result = await Promise.race([
+    readAnswer(outcome, cancellation),
+    new Promise(resolve => setTimeout(resolve, 1_000, 'no end')),
+  ]);
+  const end = {text: 'first ', end: 'broken', cause: {isOfPeer: true}};
+  assert.deepEqual(result, end);
+});
+
 test('an upstream that breaks off behind a peer is reported as such', async () => {
   const [cut, peer] = await createHosts(2);
   cut.behaviour = 'refuse';
