Read a call before it is declined

The connection of a call whose body was not read could be reset before its sender had the answer, who then took the call for one that may have run.

--- a/src/relay/forwarding/forward_server.ts
+++ b/src/relay/forwarding/forward_server.ts
@@ -166,10 +166,11 @@
     message: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    if (!isFromPeer(message)) return decline('sender-unknown', response);
-    if (activeCount >= MAX_ACTIVE_CALLS) return decline('too-many', response);
+    // An unread body would reset the connection before the answer is read.
     const bytes = await readBody(message);
     if (!bytes) return void response.destroy();
+    if (!isFromPeer(message)) return decline('sender-unknown', response);
+    if (activeCount >= MAX_ACTIVE_CALLS) return decline('too-many', response);
     const decoded = decodeCall(bytes);
     if (!decoded) return decline('invalid', response);
     const {call, body} = decoded;
