Log the versions of engines and what a caller resumes

The logs of the incident of two versions could not tell whether a stream changed its version within one answer or over its caller's attempts, as no line had a version and none connected two attempts.

The list of upstreams now has the version of an engine's software, also in its digest, so that all hosts learn of a change; the line of a listed upstream and of a request name versions, the line of a request also what Last-Event-Id and Resumes said. Nothing is decided by them yet.

--- a/src/core/upstream.ts
+++ b/src/core/upstream.ts
@@ -31,6 +31,11 @@
   readonly heartbeat: StoreRevision;
   /** Present for model engines. */
   readonly role?: UpstreamRole;
+  /**
+   * Version of its software; empty if it reports none. Absent if the list came
+   * from a host whose build doesn't read it.
+   */
+  readonly version?: string;
 }
 
 /** The complete list at one revision of the store. */
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -49,6 +49,8 @@
   readonly prompt?: PromptDescription;
   /** Set if the caller resumes a stream after this event. */
   readonly lastEventId?: string;
+  /** Id of the caller's attempt that brought the first event of that stream. */
+  readonly resumes?: string;
 }
 
 /** Reads the headers of callers' requests. */
@@ -62,6 +64,7 @@
   readonly waitMs?: number;
   readonly prompt?: PromptDescription;
   readonly lastEventId?: string;
+  readonly resumes?: string;
   /** Digest of the caller's key. */
   readonly keyDigest?: string;
   /** Headers to forward to the upstream. */
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -103,6 +103,7 @@
         waitMs: facts.waitMs ?? DEFAULT_WAIT_MS,
         prompt: facts.prompt,
         lastEventId: facts.lastEventId,
+        resumes: facts.resumes,
       },
       caller,
     );
--- a/src/relay/job_outcome.ts
+++ b/src/relay/job_outcome.ts
@@ -11,6 +11,8 @@
   readonly reason?: string;
   /** Upstreams that may have run the request, in order. */
   readonly upstreams: readonly string[];
+  /** Versions of the engines that may have run a stream, in order. */
+  readonly versions?: readonly string[];
   readonly waitedMs?: number;
   readonly firstByteMs?: number;
   readonly events?: number;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -126,6 +126,9 @@
       status: outcome.status,
       reason: outcome.reason,
       upstreams: outcome.upstreams.join(',') || undefined,
+      versions: outcome.versions?.join(',') || undefined,
+      lastEventId: toLogText(request.lastEventId),
+      resumes: toLogText(request.resumes),
       waitedMs: round(outcome.waitedMs),
       firstByteMs: round(outcome.firstByteMs),
       events: outcome.events,
@@ -178,6 +181,13 @@
   };
 }
 
+const MAX_LOG_TEXT = 64;
+
+/** A header of the caller, cut to a length that a log line can take. */
+function toLogText(value: string | undefined): string | undefined {
+  return value?.slice(0, MAX_LOG_TEXT);
+}
+
 function round(value: number | undefined): number | undefined {
   return value === undefined ? undefined : Math.round(value);
 }
--- a/src/relay/store/list_deltas.ts
+++ b/src/relay/store/list_deltas.ts
@@ -53,8 +53,9 @@
 const MAX_DELTA_UPSTREAMS = 12;
 
 /** The fields that must be equal on all hosts; heartbeats are not included. */
-function fingerprintOf({id, address, isDraining, role}: Upstream): string {
-  return [id, address, isDraining, role].join('|');
+function fingerprintOf(upstream: Upstream): string {
+  const {id, address, isDraining, role, version} = upstream;
+  return [id, address, isDraining, role, version].join('|');
 }
 
 /** Equal for lists that differ only in heartbeats. */
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -327,6 +327,7 @@
         service: upstream.service,
         address: upstream.address,
         role: upstream.role,
+        version: upstream.version,
       });
     } else if (upstream.isDraining && !known.isDraining) {
       log.info('Upstream draining.', {upstream: upstream.id});
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -295,6 +295,7 @@
         ),
         placement,
         ran: [],
+        ranVersions: [],
         avoid: new Set(),
         countedCalls: 0,
         wasPrefilled: false,
@@ -309,6 +310,7 @@
       releaseBookings(state);
       return {
         ...outcome,
+        versions: state.ranVersions,
         wasPrefilled: state.wasPrefilled,
         waitedMs: startedAtMs - placementStartedAtMs,
         firstByteMs:
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -174,7 +174,7 @@
         case 'quarantined':
           return notRun(outcome.error);
         case 'broken':
-          state.ran.push(decode.id);
+          recordRun(state);
           failures.record(decode, outcome);
           failure = {kind: 'upstream-failed', detail: outcome.detail};
           return {kind: 'failed', error: failure, mayHaveRun: true};
@@ -202,6 +202,11 @@
     return notRun(failure);
   }
 
+  function recordRun({placement, ran, ranVersions}: StreamState): void {
+    ran.push(placement.decode.id);
+    ranVersions.push(placement.decode.version ?? '');
+  }
+
   const toOverload = ({detail}: NoRetries): RequestError => ({
     kind: 'overloaded',
     detail,
@@ -216,7 +221,7 @@
     answer: UpstreamAnswer,
   ): StartOutcome {
     const {decode} = state.placement;
-    state.ran.push(decode.id);
+    recordRun(state);
     // The engine has taken over the prefill result with the request.
     state.source = undefined;
     if (isGenuine(answer)) return {kind: 'streaming', answer};
--- a/src/relay/streams/stream_state.ts
+++ b/src/relay/streams/stream_state.ts
@@ -12,6 +12,8 @@
   placement: Placement;
   /** Engines that may have run the request, in order. */
   readonly ran: string[];
+  /** Their versions, in the same order. */
+  readonly ranVersions: string[];
   /** Engines that must not be chosen again. */
   readonly avoid: Set<string>;
   /** The prefill result of the prompt, until a decode engine takes it over. */
--- a/tests/relay/streams/prefill_step_test.ts
+++ b/tests/relay/streams/prefill_step_test.ts
@@ -84,6 +84,7 @@
     need,
     placement,
     ran: [],
+    ranVersions: [],
     avoid: new Set(),
     countedCalls: 0,
     wasPrefilled: false,
