--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -18,7 +18,10 @@
   StreamBreak,
 } from './engine_stand_in_types.js';
 
-const formatEvent = (id: number) => `id: ${id}\ndata: token-${id}\n\n`;
+function formatEvent(id: number, version?: string): string {
+  const suffix = version === undefined ? '' : ` ${version}`;
+  return `id: ${id}\ndata: token-${id}${suffix}\n\n`;
+}
 
 const HANDLE_PATH = '/corianderbend/kv-handle/';
 const SIGNATURE = 'X-Engine-Stamp';
@@ -27,7 +30,7 @@
   options: EngineOptions,
 ): Promise<EngineStandIn> {
   const {service, eventCount = 5, eventEveryMs = 10} = options;
-  let {id} = options;
+  let {id, version} = options;
   let crashedPort: CrashedPort | undefined;
   const runs: EngineRun[] = [];
   const arrivals: EngineArrival[] = [];
@@ -163,16 +166,18 @@
       ...headersFor(run),
       'Content-Type': 'text/event-stream',
     });
-    let next = Number(run.headers['last-event-id'] ?? '0') + 1;
+    const lastEventId = run.headers['last-event-id'];
+    const canBreakOff = !breakOff?.isFirstRunOnly || lastEventId === undefined;
+    let next = Number(lastEventId ?? '0') + 1;
     let sentCount = 0;
     const timer = setInterval(() => {
       if (sentCount >= stallAfter) {
         clearInterval(timer);
         return;
       }
-      if (breakOff && sentCount >= breakOff.afterEvents) {
+      if (canBreakOff && breakOff && sentCount >= breakOff.afterEvents) {
         clearInterval(timer);
-        breakStream(response, formatEvent(next), breakOff);
+        breakStream(response, formatEvent(next, version), breakOff);
         return;
       }
       if (sentCount >= crashAfter) {
@@ -180,7 +185,7 @@
         response.write(`id: ${next}\ndata: to`, () => crash());
         return;
       }
-      response.write(formatEvent(next));
+      response.write(formatEvent(next, version));
       sentCount++;
       // A caller may resume after the last event, when nothing is left to send.
       if (next >= eventCount) {
@@ -300,6 +305,9 @@
       return id;
     },
     address,
+    get version() {
+      return version;
+    },
     runs,
     arrivals,
     orders,
@@ -312,6 +320,7 @@
       slots: 8,
       state,
       stage: role,
+      version,
       seq: ++heartbeatCount,
     }),
     setBehaviour(next) {
@@ -339,9 +348,10 @@
       breakOff = how;
     },
     crash,
-    async restart(newId) {
+    async restart(newId, newVersion = version) {
       for (const socket of sockets) resetSocket(socket);
       id = newId;
+      version = newVersion;
       if (crashedPort === 'closed') {
         await new Promise<void>(resolve =>
           server.listen(port, '127.0.0.1', resolve),
--- a/stand_ins/users_platform/engine_stand_in_types.ts
+++ b/stand_ins/users_platform/engine_stand_in_types.ts
@@ -66,6 +66,8 @@
   readonly role?: 'prefill' | 'decode';
   readonly eventCount?: number;
   readonly eventEveryMs?: number;
+  /** Version of the software, in the row and in every event; absent if none. */
+  readonly version?: string;
   /** Returns how the run crashes the upstream, or that it fails, if it does. */
   readonly crashOf?: (run: EngineRun) => Crash | 'fail' | undefined;
   /** A run has crashed the upstream. */
@@ -79,12 +81,15 @@
   readonly restBytes: number;
   /** Resets the connection instead of closing it. */
   readonly isReset?: boolean;
+  /** Runs that resume a stream are not broken off. */
+  readonly isFirstRunOnly?: boolean;
 }
 
 export interface EngineStandIn {
   /** Id of the present instance; new with each start. */
   readonly id: string;
   readonly address: string;
+  readonly version?: string;
   /** Returns the value of the upstream's row in the store. */
   row(state?: 'ready' | 'draining'): object;
   readonly runs: EngineRun[];
@@ -121,7 +126,7 @@
   /** Makes all streams break off like this; undefined ends it. */
   setBreakOff(how: StreamBreak | undefined): void;
   crash(port?: CrashedPort): void;
-  /** Starts another instance at the same address. */
-  restart(newId: string): Promise<void>;
+  /** Starts another instance, perhaps of another version, at the same address. */
+  restart(newId: string, newVersion?: string): Promise<void>;
   close(): void;
 }
