Keep a stream at one version of its engines within one answer

The placement of a next run knew which engines to avoid, and no version: any engine with room got it.

With its first event a stream is bound to the version of its engine. Next runs, the queue, the placer of a group and its answer go by it, and so does the choice of a prefill engine. If all engines of the version are full, the stream waits before new ones while its caller would; if none takes new work, the answer is broken off at once. Engines that ran it before serve if no other is left. New streams use versions with few decode engines last and leave a quarter of their memory free.

--- a/src/core/error_kinds.ts
+++ b/src/core/error_kinds.ts
@@ -177,6 +177,20 @@
     title: 'Upstreams ended during this request; the cause is being checked.',
     retryable: true,
   },
+  'stream-unknown': {
+    code: 2013,
+    status: 503,
+    runState: 'not-run',
+    title: 'It is not known which engines can go on with this stream.',
+    retryable: true,
+  },
+  'stream-version-gone': {
+    code: 2014,
+    status: 503,
+    runState: 'not-run',
+    title: 'The engines that can go on with this stream have gone.',
+    retryable: true,
+  },
   'outcome-unknown': {
     code: 3001,
     status: 504,
--- a/src/relay/placement/engine_candidates.ts
+++ b/src/relay/placement/engine_candidates.ts
@@ -41,20 +41,25 @@
 export interface EngineCandidates {
   /**
    * Includes engines that failed or refused requests only if there are no
-   * others.
+   * others. `version` restricts this and the following lists to engines of one
+   * software version.
    */
-  prefill(service: string): readonly Upstream[];
+  prefill(service: string, version?: string): readonly Upstream[];
   /**
    * Decode engines that have neither failed nor refused a request a moment ago.
+   * Of one version, those that failed are included if there are no others.
    */
-  decodeWithRoom(service: string): readonly Upstream[];
+  decodeWithRoom(service: string, version?: string): readonly Upstream[];
   /**
    * Same as `decodeWithRoom`, but includes engines that failed a request
    * recently.
    */
-  decodeIncludingFailed(service: string): readonly Upstream[];
+  decodeIncludingFailed(service: string, version?: string): readonly Upstream[];
   /** Same as `prefill`, but includes engines that failed a request recently. */
-  prefillIncludingFailed(service: string): readonly Upstream[];
+  prefillIncludingFailed(
+    service: string,
+    version?: string,
+  ): readonly Upstream[];
   recordFailure(engineId: string): void;
   recordSuccess(engineId: string): void;
   /**
@@ -124,13 +129,16 @@
   function listEngines(
     service: string,
     role: UpstreamRole,
+    version?: string,
   ): readonly Upstream[] {
     const all = registry
       .open(service)
       .filter(each => each.role === role && !host.isChanging(each.id))
       .filter(each => !hasRoleMismatch(each.id));
     trackRoles(all);
-    return all;
+    return version === undefined
+      ? all
+      : all.filter(each => each.version === version);
   }
 
   function hasRoleMismatch(id: string): boolean {
@@ -198,19 +206,33 @@
   function usableEngines(
     service: string,
     role: UpstreamRole,
+    version?: string,
   ): readonly Upstream[] {
-    const all = listEngines(service, role);
+    const all = listEngines(service, role, version);
     const usable = all.filter(({id}) => isUsable(id));
     return usable.length > 0 ? usable : all;
   }
 
+  function decodeWithRoom(
+    service: string,
+    version?: string,
+  ): readonly Upstream[] {
+    const open = excludeFull(usableEngines(service, 'decode', version));
+    if (open.length > 0 || version === undefined) return open;
+    // Nothing else can go on with the stream.
+    return listEngines(service, 'decode', version).filter(
+      ({id}) => !isFull(id) && !host.isFullAtPeer(id),
+    );
+  }
+
   return {
-    prefill: service => preferNotFull(usableEngines(service, 'prefill')),
-    decodeWithRoom: service => excludeFull(usableEngines(service, 'decode')),
-    decodeIncludingFailed: service =>
-      excludeFull(listEngines(service, 'decode')),
-    prefillIncludingFailed: service =>
-      preferNotFull(listEngines(service, 'prefill')),
+    prefill: (service, version) =>
+      preferNotFull(usableEngines(service, 'prefill', version)),
+    decodeWithRoom,
+    decodeIncludingFailed: (service, version) =>
+      excludeFull(listEngines(service, 'decode', version)),
+    prefillIncludingFailed: (service, version) =>
+      preferNotFull(listEngines(service, 'prefill', version)),
     recordFailure(id) {
       // A host for which a placer chooses the engines does not list them, so it
       // may not track their roles yet.
--- a/src/relay/placement/engine_choice.ts
+++ b/src/relay/placement/engine_choice.ts
@@ -22,6 +22,7 @@
 import type {PlacementGroups} from './placement_groups.js';
 import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
+import {findCommonVersions, type EngineFilter} from './engine_versions.js';
 
 export interface EngineChoiceHost {
   readonly random: Random;
@@ -40,6 +41,8 @@
 /** Requirements of a stream, and the service that it needs. */
 export interface ChoiceNeed extends TokenNeed {
   readonly service: {readonly name: string};
+  /** Set if only engines of this software version may run the stream. */
+  readonly version?: string;
 }
 
 export interface ChosenEngines {
@@ -74,6 +77,15 @@
   hasDecode(service: string): boolean;
 }
 
+/** Which engines of a role are chosen from. */
+interface ChoiceRules {
+  readonly select: EngineSelection;
+  /** Whether the stream may run at the decode engine. */
+  readonly mayRun: EngineFilter;
+  /** Tokens that must remain free at the decode engine. */
+  readonly spareTokens: number;
+}
+
 /** Leaves out some engines. */
 type EngineSelection = (engines: readonly Upstream[]) => readonly Upstream[];
 
@@ -95,6 +107,8 @@
  * old data do not all choose the same engine.
  */
 const SAMPLED_ENGINES = 2;
+/** Memory of scarce engines that new streams leave free, as a share. */
+const SCARCE_SPARE_SHARE = 0.25;
 
 export function createEngineChoice(host: EngineChoiceHost): EngineChoice {
   const {random, registry, engineLoads, candidates, groups} = host;
@@ -171,25 +185,35 @@
     need: ChoiceNeed,
     traits: EngineTraits,
     ahead: number,
-    select: EngineSelection,
+    {select, mayRun, spareTokens}: ChoiceRules,
   ): ChosenEngines | undefined {
+    const {version} = need;
     const {name} = need.service;
-    const engines = select(preferredOf(candidates.decodeWithRoom(name)));
+    const engines = select(
+      preferredOf(candidates.decodeWithRoom(name, version).filter(mayRun)),
+    );
     // An engine that loses some answers still serves most requests. If it were
     // excluded while the healthy engines are full, callers that it could serve
     // would wait or leave.
     const decode =
-      pickDecode(engines, state, traits, need) ??
+      pickDecode(engines, state, traits, need, spareTokens) ??
       pickDecode(
-        select(candidates.decodeIncludingFailed(name).filter(isPreferred)),
+        select(
+          candidates
+            .decodeIncludingFailed(name, version)
+            .filter(each => mayRun(each) && isPreferred(each)),
+        ),
         state,
         traits,
         need,
+        spareTokens,
       );
     if (!decode) return undefined;
-    const prefillEngines = select(preferredOf(candidates.prefill(name)));
+    const prefillEngines = select(
+      preferredOf(candidates.prefill(name, decode.version)),
+    );
     const includingFailed = select(
-      preferredOf(candidates.prefillIncludingFailed(name)),
+      preferredOf(candidates.prefillIncludingFailed(name, decode.version)),
     );
     if (ahead > 0) {
       // Leaves room for the requests ahead. Otherwise all hosts would take the
@@ -205,40 +229,74 @@
       );
       if (room <= ahead) return undefined;
     }
-    return withPrefill(need, decode, prefillEngines, includingFailed);
+    const chosen = withPrefill(need, decode, prefillEngines, includingFailed);
+    if (chosen || need.version !== undefined) return chosen;
+    // The prefill engines of this version are busy; those of another may not be.
+    const mayRunOther: EngineFilter = each =>
+      mayRun(each) && each.version !== decode.version;
+    if (!engines.some(mayRunOther)) return undefined;
+    const rules = {select, spareTokens, mayRun: mayRunOther};
+    return choosePreferred(need, traits, ahead, rules);
   }
 
   function chooseOther(
     need: ChoiceNeed,
     traits: EngineTraits,
+    {mayRun, spareTokens}: ChoiceRules,
   ): ChosenEngines | undefined {
     const {name} = need.service;
-    const all = candidates.decodeWithRoom(name);
+    const all = candidates.decodeWithRoom(name, need.version).filter(mayRun);
     // Old data shows room that waiting requests have already taken. Without
     // this check all groups would send to the engine that last showed room.
     const others = usual(all).filter(
       engine => !isPreferred(engine) && !host.hasWaiters(engine.id),
     );
-    const spare = plannedTokens(need) * (OTHER_GROUP_FREE_FACTOR - 1);
+    const spare =
+      plannedTokens(need) * (OTHER_GROUP_FREE_FACTOR - 1) + spareTokens;
     const decode = pickDecode(sample(others), state, traits, need, spare);
     if (!decode) return undefined;
-    const prefillEngines = usual(candidates.prefill(name));
+    const prefillEngines = usual(candidates.prefill(name, decode.version));
     return withPrefill(need, decode, sample(prefillEngines), []);
   }
 
+  function chooseBy(
+    need: ChoiceNeed,
+    traits: EngineTraits,
+    ahead: number,
+    rules: Omit<ChoiceRules, 'select'>,
+  ): ChosenEngines | undefined {
+    const chosen =
+      choosePreferred(need, traits, ahead, {...rules, select: usual}) ??
+      chooseOther(need, traits, {...rules, select: usual});
+    if (chosen || !speeds.hasSlowed()) return chosen;
+    return choosePreferred(need, traits, ahead, {...rules, select: all => all});
+  }
+
   return {
     choose(need, traits, ahead) {
-      const chosen =
-        choosePreferred(need, traits, ahead, usual) ??
-        chooseOther(need, traits);
-      if (chosen || !speeds.hasSlowed()) return chosen;
-      return choosePreferred(need, traits, ahead, all => all);
+      const isCommon =
+        need.version === undefined
+          ? findCommonVersions(registry.open(need.service.name))
+          : undefined;
+      if (!isCommon) {
+        return chooseBy(need, traits, ahead, {
+          mayRun: () => true,
+          spareTokens: 0,
+        });
+      }
+      return (
+        chooseBy(need, traits, ahead, {mayRun: isCommon, spareTokens: 0}) ??
+        chooseBy(need, traits, ahead, {
+          mayRun: each => !isCommon(each),
+          spareTokens: traits.kvTokens * SCARCE_SPARE_SHARE,
+        })
+      );
     },
     chooseAgain(need, traits, avoid, wantsPrefill) {
       const {name} = need.service;
       const {promptTokens} = need;
       const engines = candidates
-        .decodeWithRoom(name)
+        .decodeWithRoom(name, need.version)
         .filter(({id}) => !avoid.has(id));
       const decode =
         pickDecode(usual(engines).filter(isPreferred), state, traits, need) ??
@@ -246,7 +304,7 @@
         pickDecode(engines, state, traits, need);
       if (!decode) return undefined;
       const prefillEngines = wantsPrefill
-        ? usual(preferredOf(candidates.prefill(name)))
+        ? usual(preferredOf(candidates.prefill(name, decode.version)))
         : [];
       const prefill = pickPrefill(prefillEngines, state, {
         promptTokens,
@@ -256,7 +314,7 @@
     },
     choosePrefill({service, promptTokens}, decode, avoid) {
       const engines = candidates
-        .prefill(service.name)
+        .prefill(service.name, decode.version)
         .filter(({id}) => !avoid.has(id));
       return pickPrefill(usual(preferredOf(engines)), state, {
         promptTokens,
--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -18,6 +18,7 @@
   PlacementOutcome,
   WaitingRequest,
 } from './placement_types.js';
+import {VERSION_GONE} from './engine_versions.js';
 import type {PlacementGroups} from './placement_groups.js';
 import type {SharedStatistics} from './shared_statistics.js';
 import type {Upstream} from '../../core/upstream.js';
@@ -160,6 +161,7 @@
       // Hosts that place by themselves do not know each other's schedules.
       retrySpread: () =>
         groups.placers().length === 0 ? random.nextFloat() : 0,
+      isServed,
       tryPlace,
     }),
     onChange: host.onChange,
@@ -192,6 +194,7 @@
       bookedRuns: runs,
       bookedTokens: Math.round(tokensNow),
       bookedAtEnd: Math.round(tokensAtEnd),
+      version: decode.version,
       priority: need.waiting.priority,
       waitingHere: queue.size(),
     });
@@ -233,6 +236,14 @@
     };
   }
 
+  /** Whether a decode engine of the version takes new work, if one is set. */
+  function isServed({service, version}: StreamNeed): boolean {
+    if (version === undefined) return true;
+    return registry
+      .notLeaving(service.name)
+      .some(each => each.role === 'decode' && each.version === version);
+  }
+
   function tryPlace(need: StreamNeed, ahead: number): Placement | undefined {
     const traits = need.service.engine;
     const chosen = traits && engines.choose(need, traits, ahead);
@@ -251,6 +262,7 @@
           },
         };
       }
+      if (!isServed(need)) return {kind: 'refused', error: VERSION_GONE};
       return queue.place(need, cancellation);
     },
     reserveChosen(need, chosen) {
--- a/src/relay/placement/placement_client.ts
+++ b/src/relay/placement/placement_client.ts
@@ -127,6 +127,7 @@
       // Saves bytes in the repeats of a queued request; a placer that has lost
       // it has lost the shares of the accounts, too.
       account: isQueued ? undefined : need.account,
+      version: need.version,
     };
   }
 
@@ -204,6 +205,12 @@
     const prefill = prefillId ? registry.getOpen(prefillId) : undefined;
     const isKnown = decode && (prefill || !prefillId);
     if (!isKnown) return 'unknown';
+    // A placer of an earlier build knows no versions.
+    const {version = decode.version} = need;
+    const isOfVersion = decode.version === version;
+    if (!isOfVersion || (prefill && prefill.version !== version)) {
+      return 'unknown';
+    }
     adoptedAtMs.set(answer.askId, clock.nowMs());
     return scheduler.reserveChosen(need, {decode, prefill});
   }
--- a/src/relay/placement/placement_messages.ts
+++ b/src/relay/placement/placement_messages.ts
@@ -28,6 +28,8 @@
   readonly priority?: number;
   /** Client account of the caller. */
   readonly account?: string;
+  /** Set if only engines of this software version may run the stream. */
+  readonly version?: string;
 }
 
 export type PlacementAnswer =
--- a/src/relay/placement/placement_server.ts
+++ b/src/relay/placement/placement_server.ts
@@ -58,8 +58,8 @@
   placement?: Placement;
 }
 
-/** The account that a host named, if it is one. */
-function toAccount(value: unknown): string | undefined {
+/** An optional text of a host, if it is one. */
+function toText(value: unknown): string | undefined {
   return typeof value === 'string' ? value : undefined;
 }
 
@@ -134,7 +134,8 @@
           giveUpAtMs: nowMs + request.giveUpMs + slackMs,
           priority: toPriority(request.priority),
         },
-        account: toAccount(request.account),
+        account: toText(request.account),
+        version: toText(request.version),
         callerLeftMs: request.callerLeftMs,
       },
       entry.cancellation,
--- a/src/relay/placement/placement_types.ts
+++ b/src/relay/placement/placement_types.ts
@@ -13,6 +13,8 @@
   readonly waiting: Waiting;
   /** Client account of the caller. */
   readonly account?: string;
+  /** Set if only engines of this software version may run the stream. */
+  readonly version?: string;
   /**
    * Expected time from the placement to the first event. The latest starts in
    * `waiting` are earlier by this time.
--- a/src/relay/placement/service_queue.ts
+++ b/src/relay/placement/service_queue.ts
@@ -41,13 +41,15 @@
    * the retries of all hosts.
    */
   retrySpread(): number;
+  /** Whether an engine that may run the request takes new work. */
+  isServed(need: StreamNeed): boolean;
   /** Places the request if room is left for `ahead` others. */
   tryPlace(need: StreamNeed, ahead: number): Placement | undefined;
 }
 
 /** Why and for how long a request was refused, with the inputs for the log. */
 export interface StreamRefusal {
-  readonly reason: 'on-arrival' | 'forecast' | 'time-up';
+  readonly reason: 'on-arrival' | 'forecast' | 'time-up' | 'version-gone';
   readonly waiting: Waiting;
   /**
    * When room is expected, after the retries that are due before it; at least
@@ -214,6 +216,8 @@
     for (const {waiter, need, waiting} of inOrder) {
       if (isExpired(need, nowMs)) continue;
       const placement = host.tryPlace(need, peersAhead(waiting));
+      // Other versions may have room when the one of a begun stream has none.
+      if (!placement && isBegun(need)) continue;
       if (!placement) break;
       waiters.delete(waiter);
       recordStart(need);
@@ -250,6 +254,10 @@
     else if (!inOrder.some(({need}) => isExpired(need, nowMs))) return [];
     const findReason = (queued: Queued, forecast: Forecast) => {
       if (isExpired(queued.need, nowMs)) return 'time-up';
+      // The forecast is made for engines of all versions.
+      if (isBegun(queued.need)) {
+        return host.isServed(queued.need) ? undefined : 'version-gone';
+      }
       const isRefused = isForecastDue && isHopeless(queued, forecast, nowMs);
       return isRefused ? 'forecast' : undefined;
     };
@@ -283,7 +291,8 @@
       const here = readQueue(toWaiting).filter(each => isAhead(each.waiting));
       const atPeers = readWaitingAtPeers();
       const requests = atPeers.filter(isAhead).length;
-      const placement = host.tryPlace(need, here.length + requests);
+      const ahead = isBegun(need) ? 0 : here.length + requests;
+      const placement = host.tryPlace(need, ahead);
       if (placement) {
         recordStart(need);
         return {kind: 'started', placement};
@@ -299,7 +308,8 @@
         check.memory,
       );
       const extendedMs = retries.extendWaitMs(waitMs, waiting, nowMs);
-      if (findRetryAfterMs(waiting, extendedMs, nowMs) !== undefined) {
+      const isLate = findRetryAfterMs(waiting, extendedMs, nowMs) !== undefined;
+      if (isLate && !isBegun(need)) {
         const cause: RefusalCause = {
           reason: 'on-arrival',
           waitMs,
@@ -313,8 +323,10 @@
     },
     process(nowMs) {
       const atPeers = readWaitingAtPeers().sort((a, b) => compare(a, b, nowMs));
-      const inOrder = readQueue(createWaitingReader()).sort((a, b) =>
-        compare(a.waiting, b.waiting, nowMs),
+      const inOrder = readQueue(createWaitingReader()).sort(
+        (a, b) =>
+          Number(isBegun(b.need)) - Number(isBegun(a.need)) ||
+          compare(a.waiting, b.waiting, nowMs),
       );
       const started = startWaiters(inOrder, atPeers, nowMs);
       const stillWaiting = inOrder.filter(({waiter}) => waiters.has(waiter));
@@ -327,6 +339,9 @@
   };
 }
 
+/** The caller has events of the stream, and one version can go on with it. */
+const isBegun = ({version}: StreamNeed) => version !== undefined;
+
 function isExpired({waiting}: StreamNeed, nowMs: number): boolean {
   return nowMs > waiting.giveUpAtMs;
 }
--- a/src/relay/placement/stream_queue.ts
+++ b/src/relay/placement/stream_queue.ts
@@ -20,6 +20,7 @@
   type StreamRefusal,
   type Waiter,
 } from './service_queue.js';
+import {VERSION_GONE} from './engine_versions.js';
 import {compareWaiting} from './wait_rules.js';
 
 export interface StreamQueueHost {
@@ -111,6 +112,9 @@
     const {refusal} = outcome;
     if (refusal.reason === 'forecast') earlyRefusals++;
     logRefusal(need, refusal);
+    if (refusal.reason === 'version-gone') {
+      return {kind: 'refused', error: VERSION_GONE};
+    }
     return {
       kind: 'refused',
       error: {
--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -87,6 +87,8 @@
   isKnown(): boolean;
   /** Upstreams of a service that accept new work. */
   open(service: string): readonly Upstream[];
+  /** Same, but includes upstreams that are unreachable for now. */
+  notLeaving(service: string): readonly Upstream[];
   /** Any upstream that is listed or kept, including draining ones. */
   get(id: string): Upstream | undefined;
   /**
@@ -431,6 +433,10 @@
     },
     isKnown: () => last !== undefined,
     open: service => byService.get(service) ?? [],
+    notLeaving: service =>
+      [...entries.values()].filter(
+        each => each.service === service && !isLeaving(each),
+      ),
     get: id => entries.get(id),
     getOpen(id) {
       const upstream = entries.get(id);
--- a/src/relay/streams/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -97,8 +97,8 @@
         const events = framer.push(bytes);
         if (!options.wholeEventsOnly) write(bytes);
         for (const event of events) {
-          if (options.wholeEventsOnly) write(event.bytes);
           options.onEvent(event);
+          if (options.wholeEventsOnly) write(event.bytes);
         }
         if (framer.rest().length <= MAX_EVENT_BYTES) return;
         const detail = `an event of over ${MAX_EVENT_BYTES} bytes`;
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -59,13 +59,14 @@
 }
 
 const STATUS_OK = 200;
+const NO_ENGINES: ReadonlySet<string> = new Set();
 
 export function createStreamRelay(host: StreamRelayHost): StreamRelay {
   const {clock, scheduler, engineLoads, retryBudget} = host;
   const forecast = createOutputForecast();
   const failures = createEngineFailures(host);
   const calls = createBudgetedCalls(retryBudget);
-  const {start, placeElsewhere, releasePrefillResult, releaseBookings} =
+  const {start, placeElsewhere, moveTo, releasePrefillResult, releaseBookings} =
     createStreamStart({
       ...host,
       failures,
@@ -130,7 +131,9 @@
         onResume: pace.restart,
         onEvent(event) {
           pace.noteEvent();
+          if (state.events === 0) bindToVersion(state);
           state.events++;
+          state.lastEventAtMs = clock.nowMs();
           eventsOfRun++;
           state.lastEventId = event.id ?? state.lastEventId;
           engineLoads.setOutputTokens(
@@ -138,8 +141,7 @@
             eventsOfRun * tokensPerEvent,
           );
           placement.prefillReservation.end();
-          if (state.firstByteAtMs !== undefined) return;
-          state.firstByteAtMs = clock.nowMs();
+          state.firstByteAtMs ??= state.lastEventAtMs;
         },
       },
     );
@@ -151,18 +153,50 @@
     return isResumable && state.ran.length < maxAttempts;
   }
 
+  /** What one version has written, another can't go on with. */
+  function bindToVersion(state: StreamState): void {
+    const {version} = state.placement.decode;
+    state.need = {...state.need, version};
+  }
+
   /** Places the request for another run that resumes after its last event. */
-  function prepareNextRun(state: StreamState): boolean {
+  async function prepareNextRun(state: StreamState): Promise<boolean> {
     const {decode, run} = state.placement;
     if (!canResumeAfter(state) || !calls.canRetryRun(state)) return false;
+    const isBegun = state.events > 0;
+    if (isBegun && state.need.version === undefined) return false;
     state.avoid.add(decode.id);
     state.source = undefined;
     const outputTokens = run.outputTokens;
-    if (!placeElsewhere(state)) return false;
+    const isPlaced =
+      placeElsewhere(state) || (isBegun && (await placeBegun(state)));
+    if (!isPlaced) return false;
     engineLoads.setOutputTokens(state.placement.run, outputTokens);
     return true;
   }
 
+  /**
+   * Places a begun stream that no other engine of its version has room for: at
+   * one that ran it before, or at the first that has room while the caller
+   * waits for the next event.
+   */
+  async function placeBegun(state: StreamState): Promise<boolean> {
+    if (placeElsewhere(state, NO_ENGINES)) return true;
+    const {job, need} = state;
+    const {route, deadlineAtMs} = job;
+    releaseBookings(state);
+    const {startMs} = need;
+    const arrivedAtMs = state.lastEventAtMs;
+    const waiting = {
+      ...toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}),
+      priority: need.waiting.priority,
+    };
+    const placed = await host.place({...need, waiting}, job.cancellation);
+    if (placed.kind !== 'placed') return false;
+    moveTo(state, placed);
+    return true;
+  }
+
   function refuse(state: StreamState, error: RequestError): JobOutcome {
     const {caller} = state.job;
     const reason = `${error.kind}: ${error.detail}`;
@@ -186,13 +220,13 @@
         return {end: 'caller-gone', upstreams: state.ran};
       }
       if (started.kind === 'failed') {
-        if (started.mayHaveRun && prepareNextRun(state)) continue;
+        if (started.mayHaveRun && (await prepareNextRun(state))) continue;
         return refuse(state, withRetryAfter(started.error));
       }
       const {answer} = started;
       if (answer.status !== STATUS_OK) {
         // The engine's error is forwarded unless another run is allowed.
-        if (prepareNextRun(state)) {
+        if (await prepareNextRun(state)) {
           answer.body.destroy();
           continue;
         }
@@ -241,7 +275,7 @@
             state.placement.decode,
             end,
           );
-          if (prepareNextRun(state)) continue;
+          if (await prepareNextRun(state)) continue;
           return refuse(state, {kind: 'answer-cut', detail: end.detail});
       }
     }
@@ -301,6 +335,7 @@
         wasPrefilled: false,
         lastEventId: job.request.lastEventId,
         events: 0,
+        lastEventAtMs: clock.nowMs(),
       };
       const startedAtMs = clock.nowMs();
       const outcome = await runPlaced(state);
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -16,6 +16,7 @@
 import type {BudgetedCalls, NoRetries} from './budgeted_calls.js';
 import type {EngineFailures} from './engine_failures.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
+import type {Placement} from '../placement/placement_types.js';
 import {createPrefillStep} from './prefill_step.js';
 import {CONNECT_TIMEOUT_MS, KEY_WITHDRAWN, leftMs} from '../relay_types.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
@@ -35,8 +36,13 @@
 export interface StreamStart {
   /** Resolves when the head of an answer has arrived or the start failed. */
   start(state: StreamState): Promise<StartOutcome>;
-  /** Books other engines for the request; returns false if none has room. */
-  placeElsewhere(state: StreamState): boolean;
+  /**
+   * Books other engines for the request, none of those to avoid; returns false
+   * if none has room.
+   */
+  placeElsewhere(state: StreamState, avoid?: ReadonlySet<string>): boolean;
+  /** Replaces the booked engines. */
+  moveTo(state: StreamState, next: Placement): void;
   /** Has the prefill engine free a prefill result that isn't needed anymore. */
   releasePrefillResult(state: StreamState): void;
   /** Ends the bookings of the engines. */
@@ -101,13 +107,34 @@
    * result: a decode engine that prefills a long prompt itself delays the
    * tokens of all its runs too much.
    */
-  function placeElsewhere(state: StreamState): boolean {
-    const wantsPrefill = state.source === undefined;
-    const next = scheduler.placeAgain(state.need, state.avoid, wantsPrefill);
+  function placeElsewhere(
+    state: StreamState,
+    avoid: ReadonlySet<string> = state.avoid,
+  ): boolean {
+    const next =
+      placeWithSource(state, avoid) ??
+      scheduler.placeAgain(state.need, avoid, true);
     if (!next) return false;
+    moveTo(state, next);
+    return true;
+  }
+
+  /** Books a decode engine that can read the prefill result. */
+  function placeWithSource(
+    state: StreamState,
+    avoid: ReadonlySet<string>,
+  ): Placement | undefined {
+    if (!state.source) return undefined;
+    const {version} = state.placement.decode;
+    const need = {...state.need, version};
+    const next = scheduler.placeAgain(need, avoid, false);
+    if (!next) releasePrefillResult(state);
+    return next;
+  }
+
+  function moveTo(state: StreamState, next: Placement): void {
     releaseBookings(state);
     state.placement = next;
-    return true;
   }
 
   function releasePrefillResult(state: StreamState): void {
@@ -237,5 +264,11 @@
     };
   }
 
-  return {start, placeElsewhere, releasePrefillResult, releaseBookings};
+  return {
+    start,
+    placeElsewhere,
+    moveTo,
+    releasePrefillResult,
+    releaseBookings,
+  };
 }
--- a/src/relay/streams/stream_state.ts
+++ b/src/relay/streams/stream_state.ts
@@ -6,7 +6,8 @@
 
 export interface StreamState {
   readonly job: RelayJob;
-  readonly need: StreamNeed;
+  /** Gets the version of its engine with the first event, if it had none. */
+  need: StreamNeed;
   /** Sent with its prefill and its run; absent if engines need none. */
   readonly enginePriority?: number;
   placement: Placement;
@@ -24,5 +25,7 @@
   wasPrefilled: boolean;
   lastEventId?: string;
   events: number;
+  /** When the last event was forwarded, or the stream was placed. */
+  lastEventAtMs: number;
   firstByteAtMs?: number;
 }
--- a/tests/relay/placement/priority_load.ts
+++ b/tests/relay/placement/priority_load.ts
@@ -132,6 +132,7 @@
     isOverShare: account => load.overShare?.has(account) ?? false,
     onPlaced: () => undefined,
     retrySpread: () => 0,
+    isServed: () => true,
     tryPlace,
   });
 
--- a/tests/relay/placement/queue_failures_test.ts
+++ b/tests/relay/placement/queue_failures_test.ts
@@ -29,6 +29,7 @@
     isOverShare: account => account === 'heavy',
     onPlaced: () => undefined,
     retrySpread: () => 0,
+    isServed: () => true,
     // Room for one request, as seen by every host.
     tryPlace: (_, ahead) =>
       state.hasRoom && ahead === 0
--- a/tests/relay/streams/prefill_step_test.ts
+++ b/tests/relay/streams/prefill_step_test.ts
@@ -89,6 +89,7 @@
     countedCalls: 0,
     wasPrefilled: false,
     events: 0,
+    lastEventAtMs: 1_000,
   };
   const outcome = await step.run(state);
   const bookedTokens = PREFILL_ENGINE_IDS.reduce(
