Bind a stream to its version over the attempts of its caller

With its first event, a host keeps the origin of a stream and sends it to three hosts chosen from the id; the host that gets a take-up finds it there, then asks the others of a full mesh. Unknown streams, and those of another route or account, go on only if one version has been seen for longer than any stream lasts; else they are refused at once, as are those whose version has no engine left. No copies are sent while a service has had one version for that long.

--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -14,6 +14,7 @@
 import type {StatisticsSums} from '../placement/shared_statistics.js';
 import type {RetryMessage, UnusedRetries} from '../retries/retry_messages.js';
 import type {SlotMessage} from '../plain/slot_messages.js';
+import type {OriginMessage} from '../resumption/origin_messages.js';
 import {toPriority} from '../placement/request_priority.js';
 import type {Waiting} from '../placement/wait_rules.js';
 import type {MembersView} from './reported_members.js';
@@ -142,7 +143,12 @@
 
 /** A message addressed to one host alone. */
 export type PeerMessage =
-  PlacementMessage | SlotMessage | QuotaMessage | PermitMessage | RetryMessage;
+  | PlacementMessage
+  | SlotMessage
+  | QuotaMessage
+  | PermitMessage
+  | RetryMessage
+  | OriginMessage;
 
 /** A datagram with a message to one peer. */
 export interface MessageDatagram {
--- a/src/relay/peer_state.ts
+++ b/src/relay/peer_state.ts
@@ -16,6 +16,8 @@
 import type {PlainPlacement} from './plain/plain_placement.js';
 import {isSlotMessage} from './plain/slot_messages.js';
 import type {RelayRetries} from './retries/relay_retries.js';
+import {isOriginMessage} from './resumption/origin_messages.js';
+import type {Resumption} from './resumption/resumption.js';
 import {isRetryMessage} from './retries/retry_messages.js';
 import type {RoleOrders} from './roles/role_orders.js';
 import type {StoreWatch} from './store/store_watch.js';
@@ -33,6 +35,7 @@
   readonly registry: UpstreamRegistry;
   readonly roleOrders: RoleOrders;
   readonly retries: RelayRetries;
+  readonly resumption: Resumption;
 }
 
 export interface PeerStateHost {
@@ -153,6 +156,8 @@
         parts().retries.receive(fromHostId, message);
       } else if (isPermitMessage(message)) {
         backpressure.receive(fromHostId, message);
+      } else if (isOriginMessage(message)) {
+        parts().resumption.receive(fromHostId, message);
       } else placement.receive(fromHostId, message);
     },
   };
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -10,6 +10,7 @@
 import type {Relay} from './relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
 import type {RelayPlacement} from './placement/relay_placement.js';
+import type {Resumption} from './resumption/resumption.js';
 import type {RoutingState} from './routing_state.js';
 import type {StoreEra} from './store/store_era.js';
 import type {StoreWatch} from './store/store_watch.js';
@@ -30,6 +31,7 @@
   readonly callerBuffers: CallerBuffers;
   readonly crashes: CrashWatch;
   readonly forwarding: Forwarding;
+  readonly resumption: Resumption;
 }
 
 interface Gauge {
@@ -64,6 +66,11 @@
     help: 'Requests that this host refuses since they crash upstreams.',
     read: ({crashes}) => crashes.quarantinedCount(),
   },
+  {
+    name: 'known_streams',
+    help: 'Streams of which this host knows the version that began them.',
+    read: ({resumption}) => resumption.knownCount(),
+  },
   {
     name: 'active_requests',
     help: 'Requests that run.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -33,6 +33,7 @@
 import {createRelayPlacement} from './placement/relay_placement.js';
 import {createRelayFront} from './front/relay_front.js';
 import type {RelayMetrics} from './relay_metrics.js';
+import {createResumption} from './resumption/resumption.js';
 import {createRelayRetries} from './retries/relay_retries.js';
 import {createOrdersLease} from './roles/orders_lease.js';
 import {createRoleOrders} from './roles/role_orders.js';
@@ -193,6 +194,7 @@
           registry,
           roleOrders,
           retries,
+          resumption,
         }),
       }),
       onMembersChange: placement.refresh,
@@ -251,6 +253,19 @@
     {clock, random, createLogger, metrics, self, peers, routing},
     settings,
   );
+  const resumption = createResumption({
+    clock,
+    random,
+    log: createLogger('resumption'),
+    metrics,
+    hostId: settings.hostId,
+    registry,
+    routing,
+    peers: () => peers.alive(),
+    isMesh: () => peers.isMesh(),
+    listAgeMs: () => watch.listAgeMs(),
+    send: (hostId, message) => peers.sendMessage(hostId, message),
+  });
   const {upstreamPort, crashes, forwarding} = createRelayUpstreamPort({
     clock,
     random,
@@ -307,6 +322,7 @@
       onLeave() {
         placement.refresh();
         peers.changed('coordinators');
+        resumption.handOver();
         watch.unregister();
       },
     },
@@ -327,6 +343,7 @@
     streams: createStreamRelay({
       ...placement,
       ...shared,
+      resumption,
       log: createLogger('stream'),
     }),
     crashes,
@@ -423,6 +440,7 @@
   registry.onChange(() => {
     applyUpstreams();
     crashes.noteList();
+    resumption.noteList();
     placement.onUpstreamsRead();
     const leavingCount = registry.leaving('self').length;
     if (leavingCount > announcedLeaving) peers.changed('coordinators');
@@ -446,6 +464,7 @@
     callerBuffers,
     crashes,
     forwarding,
+    resumption,
   });
 
   await front.listen(settings.callerAddress);
--- /dev/null
+++ b/src/relay/resumption/origin_exchange.ts
@@ -0,0 +1,154 @@
+/**
+ * Keeps copies of the origins of streams at a few other hosts, and asks them
+ * when a caller takes a stream up here. Which hosts follows from the id of the
+ * stream, so that all hosts find the same ones.
+ */
+
+import type {Clock} from '../../ports/clock.js';
+import type {Member} from '../fleet/members.js';
+import {rankOwners} from '../fleet/owners.js';
+import {
+  createPeerRequestClient,
+  FIRST_ASK_ID_RANGE,
+} from '../fleet/peer_request_client.js';
+import {createPeerRequestServer} from '../fleet/peer_request_server.js';
+import type {Random} from '../../ports/random.js';
+import {
+  isValidOriginMessage,
+  MAX_COPIES,
+  type OriginMessage,
+  type OriginReply,
+  type OriginRequest,
+} from './origin_messages.js';
+import type {StreamOrigin, StreamOrigins} from './stream_origins.js';
+import type {SeenVersions, VersionHistory} from './version_history.js';
+
+export interface OriginExchangeHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly hostId: string;
+  readonly origins: StreamOrigins;
+  readonly history: VersionHistory;
+  /** Live hosts except this one. */
+  peers(): readonly Pick<Member, 'hostId' | 'state'>[];
+  /** Whether few enough hosts exist to ask all of them. */
+  isMesh(): boolean;
+  send(hostId: string, message: OriginMessage): void;
+}
+
+/** What the hosts that answered know. */
+export interface OriginFindings {
+  readonly origin?: StreamOrigin;
+  /** One entry for each host that answered. */
+  readonly seen: readonly SeenVersions[];
+}
+
+export interface OriginExchange {
+  /** Sends copies of the origins to the hosts that keep them. */
+  copy(origins: readonly StreamOrigin[]): void;
+  /** Asks hosts until one knows the origin or all have answered or timed out. */
+  ask(request: Omit<OriginRequest, 'kind' | 'askId'>): Promise<OriginFindings>;
+  receive(fromHostId: string, message: OriginMessage): void;
+}
+
+/** Two copies may be lost with their hosts at once. */
+const COPY_COUNT = 3;
+/** The host where the stream began may rank among those with copies. */
+const ASKED_COUNT = COPY_COUNT + 1;
+const RANKING_TOPIC = 'stream-origin';
+
+export function createOriginExchange(host: OriginExchangeHost): OriginExchange {
+  const {clock, hostId, origins, history} = host;
+  const client = createPeerRequestClient<OriginRequest, OriginReply>({
+    clock,
+    firstAskId: host.random.nextInt(FIRST_ASK_ID_RANGE),
+    tell: host.send,
+  });
+  const server = createPeerRequestServer<OriginRequest, OriginReply>({
+    clock,
+    decide: (_, {askId, requestId, service, windowMs}) => ({
+      kind: 'stream-origin-answer',
+      askId,
+      origin: origins.find(requestId),
+      seen: history.seenWithin(service, windowMs),
+    }),
+    tell: host.send,
+  });
+
+  function rank(requestId: string, hostIds: readonly string[]): string[] {
+    return rankOwners(RANKING_TOPIC, requestId, hostIds).filter(
+      each => each !== hostId,
+    );
+  }
+
+  /** Hosts that are to keep a copy; a host that leaves would soon lose it. */
+  function copyHolders(requestId: string): readonly string[] {
+    const staying = host.peers().filter(({state}) => state !== 'leaving');
+    const ids = staying.map(each => each.hostId);
+    return rank(requestId, ids).slice(0, COPY_COUNT);
+  }
+
+  async function askEach(
+    hostIds: readonly string[],
+    request: Omit<OriginRequest, 'askId'>,
+  ): Promise<OriginFindings> {
+    const seen: SeenVersions[] = [];
+    return new Promise(resolve => {
+      let openCount = hostIds.length;
+      if (openCount === 0) resolve({seen});
+      for (const each of hostIds) {
+        void client.ask(each, request).then(reply => {
+          openCount--;
+          if (reply) seen.push(reply.seen);
+          const {origin} = reply ?? {};
+          if (origin || openCount === 0) resolve({origin, seen});
+        });
+      }
+    });
+  }
+
+  return {
+    copy(copied) {
+      const byHolder = new Map<string, StreamOrigin[]>();
+      for (const origin of copied) {
+        for (const holder of copyHolders(origin.requestId)) {
+          const known = byHolder.get(holder);
+          if (known) known.push(origin);
+          else byHolder.set(holder, [origin]);
+        }
+      }
+      for (const [holder, ofHolder] of byHolder) {
+        for (let i = 0; i < ofHolder.length; i += MAX_COPIES) {
+          const part = ofHolder.slice(i, i + MAX_COPIES);
+          host.send(holder, {kind: 'stream-origins', origins: part});
+        }
+      }
+    },
+    async ask(query) {
+      const request = {kind: 'stream-origin-ask', ...query} as const;
+      const ids = host.peers().map(each => each.hostId);
+      const ranked = rank(query.requestId, [hostId, ...ids]);
+      const first = await askEach(ranked.slice(0, ASKED_COUNT), request);
+      if (first.origin || !host.isMesh()) return first;
+      const second = await askEach(ranked.slice(ASKED_COUNT), request);
+      return {
+        origin: second.origin,
+        seen: [...first.seen, ...second.seen],
+      };
+    },
+    receive(fromHostId, message) {
+      if (!isValidOriginMessage(message)) return;
+      switch (message.kind) {
+        case 'stream-origins':
+          for (const origin of message.origins) origins.add(origin, true);
+          return;
+        case 'stream-origin-ask':
+          server.receive(fromHostId, message);
+          return;
+        case 'stream-origin-answer':
+          client.receive(fromHostId, message);
+          return;
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/relay/resumption/resumption.ts
@@ -0,0 +1,125 @@
+/** Creates and connects the parts that let callers take up their streams. */
+
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Random} from '../../ports/random.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
+import type {Member} from '../fleet/members.js';
+import type {RelayMetrics} from '../relay_metrics.js';
+import {leftMs, type RelayJob} from '../relay_types.js';
+import type {RoutingState} from '../routing_state.js';
+import {createOriginExchange} from './origin_exchange.js';
+import type {OriginMessage} from './origin_messages.js';
+import {createStreamOrigins} from './stream_origins.js';
+import {createTakeUps, type TakeUps} from './take_ups.js';
+import {createVersionHistory} from './version_history.js';
+
+export interface ResumptionHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly metrics: Pick<RelayMetrics, 'count'>;
+  readonly hostId: string;
+  readonly registry: UpstreamRegistry;
+  readonly routing: RoutingState;
+  /** Live hosts except this one. */
+  peers(): readonly Pick<Member, 'hostId' | 'state'>[];
+  isMesh(): boolean;
+  listAgeMs(): number;
+  send(hostId: string, message: OriginMessage): void;
+}
+
+export interface Resumption {
+  readonly takeUps: TakeUps;
+  /** The stream of the job is about to get an event of this version. */
+  recordBegun(job: RelayJob, version: string | undefined): void;
+  receive(fromHostId: string, message: OriginMessage): void;
+  /** The list of upstreams was read. */
+  noteList(): void;
+  /** This host leaves: others keep what it knows. */
+  handOver(): void;
+  /** Number of streams whose version this host knows. */
+  knownCount(): number;
+}
+
+/**
+ * A caller may come back after the time-out of its first attempt, until its own
+ * deadline, which is not known.
+ */
+const MAX_AGE_FACTOR = 2;
+
+export function createResumption(host: ResumptionHost): Resumption {
+  const {clock, registry, routing} = host;
+  const origins = createStreamOrigins({clock});
+  const history = createVersionHistory({clock});
+  const exchange = createOriginExchange({...host, origins, history});
+  let ageVersion: number | undefined;
+  let maxAgesMs = new Map<string, number>();
+  /** Services of which the origins need no copies. */
+  let singleServices: ReadonlySet<string> = new Set();
+
+  function readMaxAges(): Map<string, number> {
+    const agesMs = new Map<string, number>();
+    for (const {targets, timeoutMs} of routing.current()?.routes ?? []) {
+      for (const {service} of targets) {
+        const ageMs = MAX_AGE_FACTOR * timeoutMs;
+        agesMs.set(service, Math.max(ageMs, agesMs.get(service) ?? 0));
+      }
+    }
+    return agesMs;
+  }
+
+  function maxStreamAgeMs(service: string): number {
+    if (ageVersion !== routing.version()) maxAgesMs = readMaxAges();
+    ageVersion = routing.version();
+    return maxAgesMs.get(service) ?? 0;
+  }
+
+  /** Whether any host can tell the version of any stream of the service. */
+  const isSingle = (service: string) =>
+    history.isSingle(service, maxStreamAgeMs(service));
+
+  const takeUps = createTakeUps({
+    ...host,
+    origins,
+    history,
+    exchange,
+    isAlone: () => host.peers().length === 0,
+    maxStreamAgeMs,
+  });
+
+  return {
+    takeUps,
+    recordBegun({request, route, service, admitted}, version) {
+      if (!route.isResumable || version === undefined) return;
+      const isTakeUp = Boolean(request.lastEventId);
+      const requestId = isTakeUp ? request.resumes : request.requestId;
+      if (!requestId) return;
+      const isShared = !isSingle(service.name);
+      const origin = {
+        requestId,
+        route: route.name,
+        account: admitted.account?.name,
+        service: service.name,
+        version,
+        leftMs: leftMs(request.arrivedAtMs + request.waitMs, clock.nowMs()),
+        ageMs: 0,
+      };
+      origins.add(origin, isShared);
+      if (isShared) exchange.copy([origin]);
+      else singleServices = new Set([...singleServices, service.name]);
+    },
+    receive: exchange.receive,
+    noteList() {
+      history.note(registry.snapshot()?.upstreams ?? []);
+      const stillSingle = new Set([...singleServices].filter(isSingle));
+      for (const service of singleServices) {
+        if (stillSingle.has(service)) continue;
+        exchange.copy(origins.takeUnshared(service));
+      }
+      singleServices = stillSingle;
+    },
+    handOver: () => exchange.copy(origins.list()),
+    knownCount: origins.count,
+  };
+}
--- /dev/null
+++ b/src/relay/resumption/take_ups.ts
@@ -0,0 +1,180 @@
+/**
+ * Decides whether and at which version a stream goes on that its caller takes
+ * up. A host that does not know where the stream began refuses it, unless no
+ * other version can have begun it.
+ */
+
+import type {RequestError} from '../../core/error_kinds.js';
+import type {Service} from '../../core/routing_types.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import {VERSION_GONE} from '../placement/engine_versions.js';
+import type {RelayMetrics} from '../relay_metrics.js';
+import type {RelayJob} from '../relay_types.js';
+import type {RoutingState} from '../routing_state.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
+import type {OriginExchange, OriginFindings} from './origin_exchange.js';
+import {MAX_ID_LENGTH} from './origin_messages.js';
+import type {StreamOrigin, StreamOrigins} from './stream_origins.js';
+import type {SeenVersions, VersionHistory} from './version_history.js';
+
+export interface TakeUpsHost {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: Pick<RelayMetrics, 'count'>;
+  readonly origins: StreamOrigins;
+  readonly history: VersionHistory;
+  readonly exchange: Pick<OriginExchange, 'ask'>;
+  readonly registry: Pick<UpstreamRegistry, 'notLeaving'>;
+  readonly routing: Pick<RoutingState, 'service'>;
+  /** Whether this host knows no other host. */
+  isAlone(): boolean;
+  /** Time since the store confirmed this host's list of upstreams. */
+  listAgeMs(): number;
+  /** No stream of the service is older. */
+  maxStreamAgeMs(service: string): number;
+}
+
+export type TakeUp =
+  /** The caller begins a stream. */
+  | {readonly kind: 'new'}
+  | {
+      readonly kind: 'resumed';
+      readonly version: string;
+      /** The service that began the stream. */
+      readonly service: Service;
+    }
+  | {readonly kind: 'refused'; readonly error: RequestError};
+
+export interface TakeUps {
+  decide(job: RelayJob): Promise<TakeUp>;
+}
+
+/** How a take-up was decided, for the log and the counter. */
+type Basis = 'own' | 'peer' | 'single-version' | 'gone' | 'unknown';
+
+/** A list that the store confirmed within this time is current. */
+const CURRENT_LIST_MS = 2_000;
+
+/** The caller gains nothing by waiting, so it may begin the stream anew now. */
+const UNKNOWN: RequestError = {
+  kind: 'stream-unknown',
+  detail: 'Begin the stream anew.',
+  retryAfterMs: 0,
+};
+
+/** The id that the caller names, if it may be one. */
+function toRequestId({request}: RelayJob): string {
+  const {resumes = ''} = request;
+  return resumes.length <= MAX_ID_LENGTH ? resumes : '';
+}
+
+function isOfCaller(
+  origin: StreamOrigin,
+  {route, admitted}: RelayJob,
+): boolean {
+  return (
+    origin.route === route.name && origin.account === admitted.account?.name
+  );
+}
+
+export function createTakeUps(host: TakeUpsHost): TakeUps {
+  const {log, origins, history, registry} = host;
+
+  /** The service that began the stream, if its route still leads there. */
+  function findService(
+    {service}: StreamOrigin,
+    {route}: RelayJob,
+  ): Service | undefined {
+    const isTarget = route.targets.some(each => each.service === service);
+    return isTarget ? host.routing.service(service) : undefined;
+  }
+
+  const isServed = (service: string, version: string) =>
+    registry
+      .notLeaving(service)
+      .some(each => each.role === 'decode' && each.version === version);
+
+  /**
+   * The version that began any stream of the service. "One version in the list
+   * now" does not show it, since another may just have ended.
+   */
+  function findSingleVersion(
+    service: string,
+    atPeers: readonly SeenVersions[],
+  ): string | undefined {
+    const windowMs = host.maxStreamAgeMs(service);
+    const seen = [history.seenWithin(service, windowMs), ...atPeers];
+    const versions = new Set(seen.flatMap(each => each.versions));
+    const isLongEnough = seen.some(({observedMs}) => observedMs >= windowMs);
+    // A host that is cut off knows no versions that came since.
+    const isInTouch =
+      atPeers.length > 0 ||
+      host.isAlone() ||
+      host.listAgeMs() <= CURRENT_LIST_MS;
+    if (versions.size !== 1 || !isLongEnough || !isInTouch) return undefined;
+    return [...versions][0];
+  }
+
+  async function ask(job: RelayJob): Promise<OriginFindings> {
+    const {name: service} = job.service;
+    const windowMs = host.maxStreamAgeMs(service);
+    return host.exchange.ask({
+      requestId: toRequestId(job),
+      service,
+      windowMs,
+    });
+  }
+
+  function record(
+    {request}: RelayJob,
+    basis: Basis,
+    origin: StreamOrigin | undefined,
+    answered: number,
+  ): void {
+    host.metrics.count('take_ups', `basis="${basis}"`);
+    log.info('Stream taken up.', {
+      request: request.requestId,
+      basis,
+      version: origin?.version,
+      ageMs: origin && Math.round(origin.ageMs),
+      answered,
+    });
+  }
+
+  function refuse(error: RequestError): TakeUp {
+    return {kind: 'refused', error};
+  }
+
+  return {
+    async decide(job) {
+      if (!job.request.lastEventId) return {kind: 'new'};
+      const own = origins.find(toRequestId(job));
+      const found: OriginFindings = own
+        ? {origin: own, seen: []}
+        : await ask(job);
+      const answered = found.seen.length;
+      const origin =
+        found.origin && isOfCaller(found.origin, job)
+          ? found.origin
+          : undefined;
+      const service = origin && findService(origin, job);
+      if (origin && service) {
+        const {version} = origin;
+        if (!isServed(service.name, version)) {
+          record(job, 'gone', origin, answered);
+          return refuse(VERSION_GONE);
+        }
+        record(job, own ? 'own' : 'peer', origin, answered);
+        return {kind: 'resumed', version, service};
+      }
+      const version = findSingleVersion(job.service.name, found.seen);
+      if (version === undefined) {
+        record(job, 'unknown', origin, answered);
+        return refuse(UNKNOWN);
+      }
+      record(job, 'single-version', origin, answered);
+      return {kind: 'resumed', version, service: job.service};
+    },
+  };
+}
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -27,6 +27,7 @@
 import type {RequestPriorities} from '../placement/request_priority.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import {createOutputForecast} from './output_forecast.js';
+import type {Resumption} from '../resumption/resumption.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
 import {leftMs, type RelayJob} from '../relay_types.js';
 import type {JobOutcome} from '../job_outcome.js';
@@ -52,6 +53,7 @@
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryAllowance;
   readonly statistics: SharedStatistics;
+  readonly resumption: Pick<Resumption, 'takeUps' | 'recordBegun'>;
 }
 
 export interface StreamRelay {
@@ -73,7 +75,7 @@
       calls,
     });
 
-  function toNeed(job: RelayJob): StreamNeed {
+  function toNeed(job: RelayJob, version?: string): StreamNeed {
     const {request, route, service, deadlineAtMs, admitted} = job;
     const startMs = host.statistics.meanStartMs();
     return {
@@ -95,6 +97,7 @@
         ),
       },
       account: admitted.account?.name,
+      version,
       startMs,
       callerLeftMs: leftMs(deadlineAtMs, clock.nowMs()),
     };
@@ -157,19 +160,20 @@
   function bindToVersion(state: StreamState): void {
     const {version} = state.placement.decode;
     state.need = {...state.need, version};
+    host.resumption.recordBegun(state.job, version);
   }
 
   /** Places the request for another run that resumes after its last event. */
   async function prepareNextRun(state: StreamState): Promise<boolean> {
     const {decode, run} = state.placement;
     if (!canResumeAfter(state) || !calls.canRetryRun(state)) return false;
-    const isBegun = state.events > 0;
-    if (isBegun && state.need.version === undefined) return false;
+    const isBound = state.need.version !== undefined;
+    if (state.events > 0 && !isBound) return false;
     state.avoid.add(decode.id);
     state.source = undefined;
     const outputTokens = run.outputTokens;
     const isPlaced =
-      placeElsewhere(state) || (isBegun && (await placeBegun(state)));
+      placeElsewhere(state) || (isBound && (await placeBegun(state)));
     if (!isPlaced) return false;
     engineLoads.setOutputTokens(state.placement.run, outputTokens);
     return true;
@@ -301,24 +305,34 @@
     return {end: 'answered', status: answer.status, upstreams: state.ran};
   }
 
+  function refuseNew(
+    {caller}: RelayJob,
+    error: RequestError,
+    waitedMs: number,
+  ): JobOutcome {
+    caller.refuse(error);
+    const reason = `${error.kind}: ${error.detail}`;
+    return {end: 'refused', reason, upstreams: [], waitedMs};
+  }
+
   return {
-    async run(job) {
+    async run(received) {
+      const startedWaitAtMs = clock.nowMs();
+      const waitedMs = () => clock.nowMs() - startedWaitAtMs;
+      const takeUp = await host.resumption.takeUps.decide(received);
+      if (takeUp.kind === 'refused') {
+        return refuseNew(received, takeUp.error, waitedMs());
+      }
+      const isResumed = takeUp.kind === 'resumed';
+      const job = isResumed ? {...received, service: takeUp.service} : received;
       retryBudget.requestStarted(job.service.name);
-      const need = toNeed(job);
-      const placementStartedAtMs = clock.nowMs();
+      const need = toNeed(job, isResumed ? takeUp.version : undefined);
       const placement = await host.place(need, job.cancellation);
       if (placement.kind === 'cancelled') {
         return {end: 'caller-gone', upstreams: []};
       }
       if (placement.kind === 'refused') {
-        job.caller.refuse(placement.error);
-        const {kind, detail} = placement.error;
-        return {
-          end: 'refused',
-          reason: `${kind}: ${detail}`,
-          upstreams: [],
-          waitedMs: clock.nowMs() - placementStartedAtMs,
-        };
+        return refuseNew(job, placement.error, waitedMs());
       }
       const state: StreamState = {
         job,
@@ -347,7 +361,7 @@
         ...outcome,
         versions: state.ranVersions,
         wasPrefilled: state.wasPrefilled,
-        waitedMs: startedAtMs - placementStartedAtMs,
+        waitedMs: startedAtMs - startedWaitAtMs,
         firstByteMs:
           state.firstByteAtMs === undefined
             ? undefined
--- a/tests/relay/streams/engine_priority_test.ts
+++ b/tests/relay/streams/engine_priority_test.ts
@@ -62,6 +62,10 @@
     place: lone.scheduler.place,
     priorities: createRequestPriorities({routing: () => routing as Routing}),
     retryBudget: createRetryBudget({burst: () => 0, ratioOf: () => 0}),
+    resumption: {
+      takeUps: {decide: () => Promise.resolve({kind: 'new'})},
+      recordBegun: () => undefined,
+    },
   });
   const request: Partial<RelayJob['request']> = {
     requestId: 'r',
