Keep the versions of each service in the store, for hosts that all start anew

After all hosts of a deployment were killed, none could show that a service had had a single version, and every stream that a caller took up was refused.

The host that plans for all writes the versions in the list to one row, only when they change; a host reads it only when a caller takes up a stream that no host knows. Versions that have ended keep the time at which they were last listed, in the store's time; a row of another era says nothing.

--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -264,6 +264,9 @@
     peers: () => peers.alive(),
     isMesh: () => peers.isMesh(),
     listAgeMs: () => watch.listAgeMs(),
+    table: sources.leaseTable,
+    storeEra: storeEra.current,
+    isWriter: () => isPlanner(),
     send: (hostId, message) => peers.sendMessage(hostId, message),
   });
   const {upstreamPort, crashes, forwarding} = createRelayUpstreamPort({
@@ -304,11 +307,7 @@
         settings,
       ),
       services: () => routing.current()?.services ?? [],
-      isPlanner: () =>
-        hostState() === 'ready' &&
-        !forwarding.links.isIsolated() &&
-        watch.isStoreReachable() &&
-        findPlannerId() === settings.hostId,
+      isPlanner: () => !forwarding.links.isIsolated() && isPlanner(),
       onChange: () => peers.changed('coordinators'),
     },
     {hostId: settings.hostId},
@@ -381,6 +380,15 @@
       .at(-1);
   }
 
+  /** Whether this host reads and writes the store on behalf of all. */
+  function isPlanner(): boolean {
+    return (
+      hostState() === 'ready' &&
+      watch.isStoreReachable() &&
+      findPlannerId() === settings.hostId
+    );
+  }
+
   function ownState(): OwnState {
     return {
       state: hostState(),
--- a/src/relay/resumption/resumption.ts
+++ b/src/relay/resumption/resumption.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
+import type {TablePort} from '../../ports/table.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {Member} from '../fleet/members.js';
 import type {RelayMetrics} from '../relay_metrics.js';
@@ -13,6 +14,7 @@
 import {createStreamOrigins} from './stream_origins.js';
 import {createTakeUps, type TakeUps} from './take_ups.js';
 import {createVersionHistory} from './version_history.js';
+import {createVersionLedger} from './version_ledger.js';
 
 export interface ResumptionHost {
   readonly clock: Clock;
@@ -26,6 +28,11 @@
   peers(): readonly Pick<Member, 'hostId' | 'state'>[];
   isMesh(): boolean;
   listAgeMs(): number;
+  /** The table of the store that the ledger of versions is kept in. */
+  readonly table: TablePort;
+  storeEra(): number;
+  /** Whether this host writes to the store for all. */
+  isWriter(): boolean;
   send(hostId: string, message: OriginMessage): void;
 }
 
@@ -53,6 +60,7 @@
   const origins = createStreamOrigins({clock});
   const history = createVersionHistory({clock});
   const exchange = createOriginExchange({...host, origins, history});
+  const ledger = createVersionLedger({...host, listed: listVersions});
   let ageVersion: number | undefined;
   let maxAgesMs = new Map<string, number>();
   /** Services of which the origins need no copies. */
@@ -75,6 +83,20 @@
     return maxAgesMs.get(service) ?? 0;
   }
 
+  /** The versions of each model service in the list, if all are known. */
+  function listVersions(): ReadonlyMap<string, readonly string[]> | undefined {
+    const services = new Map<string, Set<string>>();
+    for (const {service, role, version} of registry.snapshot()?.upstreams ??
+      []) {
+      if (!role) continue;
+      if (version === undefined) return undefined;
+      services.set(service, (services.get(service) ?? new Set()).add(version));
+    }
+    return new Map(
+      [...services].sort().map(([name, all]) => [name, [...all].sort()]),
+    );
+  }
+
   /** Whether any host can tell the version of any stream of the service. */
   const isSingle = (service: string) =>
     history.isSingle(service, maxStreamAgeMs(service));
@@ -84,6 +106,7 @@
     origins,
     history,
     exchange,
+    ledger,
     isAlone: () => host.peers().length === 0,
     maxStreamAgeMs,
   });
@@ -118,6 +141,7 @@
         exchange.copy(origins.takeUnshared(service));
       }
       singleServices = stillSingle;
+      if (host.isWriter()) void ledger.update();
     },
     handOver: () => exchange.copy(origins.list()),
     knownCount: origins.count,
--- a/src/relay/resumption/take_ups.ts
+++ b/src/relay/resumption/take_ups.ts
@@ -17,6 +17,7 @@
 import {MAX_ID_LENGTH} from './origin_messages.js';
 import type {StreamOrigin, StreamOrigins} from './stream_origins.js';
 import type {SeenVersions, VersionHistory} from './version_history.js';
+import type {VersionLedger} from './version_ledger.js';
 
 export interface TakeUpsHost {
   readonly clock: Clock;
@@ -25,6 +26,7 @@
   readonly origins: StreamOrigins;
   readonly history: VersionHistory;
   readonly exchange: Pick<OriginExchange, 'ask'>;
+  readonly ledger: Pick<VersionLedger, 'read'>;
   readonly registry: Pick<UpstreamRegistry, 'notLeaving'>;
   readonly routing: Pick<RoutingState, 'service'>;
   /** Whether this host knows no other host. */
@@ -97,23 +99,32 @@
 
   /**
    * The version that began any stream of the service. "One version in the list
-   * now" does not show it, since another may just have ended.
+   * now" does not show it, since another may just have ended. Hosts that have
+   * all started anew learn of earlier versions from the store.
    */
-  function findSingleVersion(
+  async function findSingleVersion(
     service: string,
     atPeers: readonly SeenVersions[],
-  ): string | undefined {
+  ): Promise<string | undefined> {
     const windowMs = host.maxStreamAgeMs(service);
-    const seen = [history.seenWithin(service, windowMs), ...atPeers];
+    const isLongEnough = ({observedMs}: SeenVersions) => observedMs >= windowMs;
+    const own = history.seenWithin(service, windowMs);
+    const seen = [own, ...atPeers];
     const versions = new Set(seen.flatMap(each => each.versions));
-    const isLongEnough = seen.some(({observedMs}) => observedMs >= windowMs);
+    if (versions.size !== 1) return undefined;
+    const [version] = versions;
     // A host that is cut off knows no versions that came since.
     const isInTouch =
       atPeers.length > 0 ||
       host.isAlone() ||
       host.listAgeMs() <= CURRENT_LIST_MS;
-    if (versions.size !== 1 || !isLongEnough || !isInTouch) return undefined;
-    return [...versions][0];
+    if (isInTouch && seen.some(isLongEnough)) return version;
+    const noted = await host.ledger.read(service, windowMs);
+    const isConfirmed =
+      noted !== undefined &&
+      isLongEnough(noted) &&
+      noted.versions.every(each => each === version);
+    return isConfirmed ? version : undefined;
   }
 
   async function ask(job: RelayJob): Promise<OriginFindings> {
@@ -168,7 +179,7 @@
         record(job, own ? 'own' : 'peer', origin, answered);
         return {kind: 'resumed', version, service};
       }
-      const version = findSingleVersion(job.service.name, found.seen);
+      const version = await findSingleVersion(job.service.name, found.seen);
       if (version === undefined) {
         record(job, 'unknown', origin, answered);
         return refuse(UNKNOWN);
--- /dev/null
+++ b/src/relay/resumption/version_ledger.ts
@@ -0,0 +1,187 @@
+/**
+ * Keeps in the store which software versions each service has had, so that
+ * hosts that have all started anew can tell whether a stream may have begun at
+ * another version. Written only when the versions in the list change, and read
+ * only when a caller takes up a stream that no host knows.
+ */
+
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Random} from '../../ports/random.js';
+import type {JsonRecord, TablePort, TableRow} from '../../ports/table.js';
+import type {SeenVersions} from './version_history.js';
+
+export interface VersionLedgerHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly table: TablePort;
+  /** Versions in the list, by service; undefined before a list is known. */
+  listed(): ReadonlyMap<string, readonly string[]> | undefined;
+  /** How often the store came back from an older copy. */
+  storeEra(): number;
+}
+
+export interface VersionLedger {
+  /** What the store knows of a service; undefined if it can't be read. */
+  read(service: string, windowMs: number): Promise<SeenVersions | undefined>;
+  /** Writes the versions in the list unless the store has them. */
+  update(): Promise<void>;
+}
+
+const ROW_KEY = 'versions';
+const CALL_TIMEOUT_MS = 600;
+/** Take-ups come in groups, and share one read. */
+const READ_VALID_MS = 1_000;
+/** Versions that ended longer ago are dropped; no stream lasts so long. */
+const KEPT_MS = 600_000;
+/** A version that is listed has no end. */
+const LISTED = -1;
+
+/** Times are those of the store's clock, in its era. */
+interface ServiceRecord {
+  readonly sinceMs: number;
+  /** When each version was last listed. */
+  readonly lastMs: Readonly<Record<string, number>>;
+}
+
+interface Ledger {
+  readonly era: number;
+  readonly nowMs: number;
+  readonly readAtMs: number;
+  readonly rowVersion: number;
+  readonly services: Readonly<Record<string, ServiceRecord>>;
+}
+
+const isNumber = (value: unknown): value is number => Number.isFinite(value);
+
+function toRecord(value: unknown): ServiceRecord | undefined {
+  if (typeof value !== 'object' || value === null) return undefined;
+  const {sinceMs, lastMs} = value as Partial<ServiceRecord>;
+  if (!isNumber(sinceMs)) return undefined;
+  if (typeof lastMs !== 'object' || lastMs === null) return undefined;
+  return Object.values(lastMs).every(isNumber) ? {sinceMs, lastMs} : undefined;
+}
+
+/** Another era's clock and contents say nothing about this one. */
+function readServices(
+  row: TableRow | undefined,
+  era: number,
+): Readonly<Record<string, ServiceRecord>> {
+  if (row?.value['era'] !== era) return {};
+  const services: Record<string, ServiceRecord> = {};
+  for (const [name, value] of Object.entries(row.value['services'] ?? {})) {
+    const record = toRecord(value);
+    if (record) services[name] = record;
+  }
+  return services;
+}
+
+function merge(
+  before: ServiceRecord | undefined,
+  versions: readonly string[],
+  nowMs: number,
+): ServiceRecord {
+  const lastMs: Record<string, number> = {};
+  for (const [version, atMs] of Object.entries(before?.lastMs ?? {})) {
+    const endedAtMs = atMs === LISTED ? nowMs : atMs;
+    if (nowMs - endedAtMs < KEPT_MS) lastMs[version] = endedAtMs;
+  }
+  for (const version of versions) lastMs[version] = LISTED;
+  return {sinceMs: before?.sinceMs ?? nowMs, lastMs};
+}
+
+export function createVersionLedger(host: VersionLedgerHost): VersionLedger {
+  const {clock, random, table} = host;
+  let pending: Promise<Ledger | undefined> | undefined;
+  let pendingAtMs = Number.NEGATIVE_INFINITY;
+  /** The list that the store is known to have. */
+  let writtenText: string | undefined;
+  let isUpdating = false;
+
+  async function readLedger(): Promise<Ledger | undefined> {
+    const read = await table.read([ROW_KEY], CALL_TIMEOUT_MS);
+    if (read.kind !== 'read' || read.tableNowMs === undefined) return undefined;
+    const row = read.value.find(({key}) => key === ROW_KEY);
+    const era = read.tableEra ?? 0;
+    return {
+      era,
+      nowMs: read.tableNowMs,
+      readAtMs: clock.nowMs(),
+      rowVersion: row?.version ?? 0,
+      services: readServices(row, era),
+    };
+  }
+
+  function readShared(): Promise<Ledger | undefined> {
+    const nowMs = clock.nowMs();
+    if (!pending || nowMs - pendingAtMs > READ_VALID_MS) {
+      pendingAtMs = nowMs;
+      pending = readLedger();
+    }
+    return pending;
+  }
+
+  function isCurrent(
+    services: Ledger['services'],
+    listed: ReadonlyMap<string, readonly string[]>,
+  ): boolean {
+    return [...listed].every(([service, versions]) => {
+      const {lastMs = {}} = services[service] ?? {};
+      const known = Object.keys(lastMs).filter(each => lastMs[each] === LISTED);
+      return known.sort().join('|') === [...versions].sort().join('|');
+    });
+  }
+
+  async function write(
+    {era, nowMs, rowVersion, services}: Ledger,
+    listed: ReadonlyMap<string, readonly string[]>,
+  ): Promise<boolean> {
+    const next: Record<string, JsonRecord> = {};
+    for (const [service, versions] of listed) {
+      next[service] = {...merge(services[service], versions, nowMs)};
+    }
+    const outcome = await table.transact(
+      {
+        attemptId: random.nextId(),
+        conditions: [
+          rowVersion === 0
+            ? {kind: 'absent', key: ROW_KEY}
+            : {kind: 'version', key: ROW_KEY, version: rowVersion},
+        ],
+        writes: [{kind: 'put', key: ROW_KEY, value: {era, services: next}}],
+      },
+      CALL_TIMEOUT_MS,
+    );
+    host.log.info('Versions of engines noted in the store.', {
+      outcome: outcome.kind,
+      versions: [...listed].map(each => each.join(' ')).join('; '),
+    });
+    return outcome.kind === 'applied';
+  }
+
+  return {
+    async read(service, windowMs) {
+      const ledger = await readShared();
+      const known = ledger?.services[service];
+      if (!ledger || !known) return undefined;
+      const nowMs = ledger.nowMs + clock.nowMs() - ledger.readAtMs;
+      const versions = Object.entries(known.lastMs)
+        .filter(([, atMs]) => atMs === LISTED || nowMs - atMs < windowMs)
+        .map(([version]) => version);
+      return {versions, observedMs: Math.min(nowMs - known.sinceMs, windowMs)};
+    },
+    async update() {
+      const listed = host.listed();
+      const text = listed && JSON.stringify([host.storeEra(), ...listed]);
+      if (!listed || text === writtenText || isUpdating) return;
+      isUpdating = true;
+      const ledger = await readLedger();
+      const isWritten =
+        ledger &&
+        (isCurrent(ledger.services, listed) || (await write(ledger, listed)));
+      isUpdating = false;
+      if (isWritten) writtenText = text;
+    },
+  };
+}
--- a/tests/soak/fault_kinds.ts
+++ b/tests/soak/fault_kinds.ts
@@ -43,13 +43,17 @@
 
 export const HOST_CUT_KIND = 'host-cut';
 
+/** Engines of several software versions in one service. */
+export const ENGINE_VERSIONS_KIND = 'engine-versions';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof BACKPRESSURE_KINDS)[number]
   | typeof OLDER_COPY_KIND
   | typeof CRASHING_KIND
   | typeof BROKEN_STREAMS_KIND
-  | typeof HOST_CUT_KIND;
+  | typeof HOST_CUT_KIND
+  | typeof ENGINE_VERSIONS_KIND;
 
 export const ALL_KINDS: readonly FaultKind[] = [
   ...FAULT_KINDS,
@@ -58,6 +62,7 @@
   CRASHING_KIND,
   BROKEN_STREAMS_KIND,
   HOST_CUT_KIND,
+  ENGINE_VERSIONS_KIND,
 ];
 /**
  * Restores from an older copy, with faults whose writes the restore may lose.
@@ -118,6 +123,21 @@
   'configure',
 ];
 
+/** Several versions, with faults in which hosts lose what they know. */
+export const ENGINE_VERSIONS_SOAK_KINDS: readonly FaultKind[] = [
+  ENGINE_VERSIONS_KIND,
+  ENGINE_VERSIONS_KIND,
+  ENGINE_VERSIONS_KIND,
+  'kill',
+  'kill',
+  'terminate',
+  'freeze',
+  'store-cut',
+  'upstream-crash',
+  'connections-reset',
+  HOST_CUT_KIND,
+];
+
 export interface CrashScenario extends Crash {
   /** Absent if upstreams end for other reasons. */
   readonly kind?: CallKind;
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,9 +1,9 @@
 /**
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
- * [--asks | --copies | --crashes | --streams | --cuts]`; the last five draw
- * mostly backpressure of upstreams, restores of the store from older copies,
- * requests that crash upstreams, streams that break off, or hosts that are cut
- * off from all upstreams.
+ * [--asks | --copies | --crashes | --streams | --cuts | --versions]`; the last
+ * six draw mostly backpressure of upstreams, restores of the store from older
+ * copies, requests that crash upstreams, streams that break off, hosts that are
+ * cut off from all upstreams, or engines of several versions.
  */
 
 import path from 'node:path';
@@ -13,6 +13,7 @@
   BACKPRESSURE_SOAK_KINDS,
   BROKEN_STREAMS_SOAK_KINDS,
   CRASH_SOAK_KINDS,
+  ENGINE_VERSIONS_SOAK_KINDS,
   HOST_CUT_SOAK_KINDS,
   OLDER_COPY_SOAK_KINDS,
   type FaultKind,
@@ -32,11 +33,13 @@
     crashes: {type: 'boolean', default: false},
     streams: {type: 'boolean', default: false},
     cuts: {type: 'boolean', default: false},
+    versions: {type: 'boolean', default: false},
   },
 });
 
 function chooseKinds(): readonly FaultKind[] {
   if (values.copies) return OLDER_COPY_SOAK_KINDS;
+  if (values.versions) return ENGINE_VERSIONS_SOAK_KINDS;
   if (values.cuts) return HOST_CUT_SOAK_KINDS;
   if (values.streams) return BROKEN_STREAMS_SOAK_KINDS;
   if (values.crashes) return CRASH_SOAK_KINDS;
--- a/tests/soak/soak_callers.ts
+++ b/tests/soak/soak_callers.ts
@@ -6,6 +6,11 @@
 import type {Random} from '../../src/ports/random.js';
 import {HOST, PROMPT_HEADERS} from '../platform/relay_site.js';
 import {CRASHING_SUFFIX, EXTRA_PREFIX, type CallKind} from './call_kinds.js';
+import {
+  readVersions,
+  toResumeHeaders,
+  toWholeEvents,
+} from './engine_versions.js';
 import type {SoakSite} from './soak_site.js';
 
 /** One request as its caller saw it. */
@@ -22,6 +27,18 @@
   isCut: boolean;
   /** The caller disconnected on its own. */
   hasDisconnected: boolean;
+  /** Set if it takes up a stream that broke off. */
+  readonly takeUp?: TakenUp;
+}
+
+/** A stream that its caller takes up at any host. */
+export interface TakenUp {
+  /** The attempt that brought its first event. */
+  readonly first: CallRecord;
+  /** All that its attempts have brought before. */
+  readonly bodyBefore: string;
+  /** Decode engines of its version that served when it was taken up. */
+  readonly engineCount: number;
 }
 
 export interface SoakCallers {
@@ -65,6 +82,9 @@
   'resumable',
   'extra',
 ];
+const MAX_TAKE_UPS = 3;
+/** Most callers are back at once, others late. */
+const DELAYS_MS = [3, 3, 50, 1_500];
 const MAIN_KINDS = ['idempotent', 'once', 'stream', 'resumable'] as const;
 const FIRST_TRY_INTERVAL_MS = 15;
 const DEADLINE_MS = 4_000;
@@ -131,6 +151,7 @@
     kind: CallKind,
     address: string,
     patienceMs?: number,
+    takeUp?: TakenUp,
   ): Promise<CallRecord> {
     const owner = site.hosts.find(
       ({child}) => child.settings.callerAddress === address,
@@ -143,11 +164,13 @@
       body: '',
       isCut: false,
       hasDisconnected: false,
+      takeUp,
     };
     records.push(record);
     const isModel = MODEL_KINDS.has(kind);
     const isGet = GET_KINDS.has(kind);
-    const body = kind.startsWith('crashing') ? 'crash' : `body of ${record.id}`;
+    const {id} = takeUp?.first ?? record;
+    const body = kind.startsWith('crashing') ? 'crash' : `body of ${id}`;
     const disconnectsEarly = random.nextInt(DISCONNECT_ONE_IN) === 0;
     const leavesAfterMs =
       patienceMs ?? (disconnectsEarly ? DISCONNECT_AFTER_MS : undefined);
@@ -167,6 +190,7 @@
           'X-Request-Id': record.id,
           'X-Deadline-Ms': String(DEADLINE_MS),
           ...(isModel ? PROMPT_HEADERS : {}),
+          ...(takeUp ? toResumeHeaders(takeUp) : {}),
         },
       });
       const disconnect = () => {
@@ -195,7 +219,35 @@
     const addresses = await findAddresses();
     const address = addresses[random.nextInt(addresses.length)];
     const {callerAddress} = site.hosts[0].child.settings;
-    return send(kind, address ?? callerAddress, patienceMs);
+    const record = await send(kind, address ?? callerAddress, patienceMs);
+    if (kind === 'resumable') await resume(record);
+    return record;
+  }
+
+  /** Takes a stream that broke off up at any hosts, at once or late. */
+  async function resume(first: CallRecord): Promise<void> {
+    let last = first;
+    let bodyBefore = '';
+    for (let tries = 0; tries < MAX_TAKE_UPS; tries++) {
+      bodyBefore += toWholeEvents(last.body);
+      const isOver = !last.isCut || last.hasDisconnected;
+      if (isOver || bodyBefore === '' || isStopped) return;
+      const delayMs = DELAYS_MS[random.nextInt(DELAYS_MS.length)];
+      await new Promise(resolve => setTimeout(resolve, delayMs));
+      const {child} = site.hosts[random.nextInt(site.hosts.length)];
+      const engineCount = countEngines(readVersions(bodyBefore)[0]);
+      const takeUp = {first, bodyBefore, engineCount};
+      const {callerAddress} = child.settings;
+      last = await send('resumable', callerAddress, undefined, takeUp);
+    }
+  }
+
+  function countEngines(version: string): number {
+    return site.upstreams.filter(({state, standIn}) => {
+      const {stage} = standIn.row() as {readonly stage?: string};
+      const isDecode = state === 'ready' && stage === 'decode';
+      return isDecode && standIn.version === version;
+    }).length;
   }
 
   async function callEachHost(durationMs: number): Promise<unknown> {
--- a/tests/soak/soak_checks.ts
+++ b/tests/soak/soak_checks.ts
@@ -4,6 +4,11 @@
 
 import {findIgnoredSignals} from './backpressure_checks.js';
 import {findUnstoppedCrashes} from './crashing_requests.js';
+import {
+  findLostTakeUps,
+  findMixedVersions,
+  withoutVersions,
+} from './engine_versions.js';
 import {findUnservedCuts, type HostCut} from './host_cuts.js';
 import type {ChildExit} from './relay_child.js';
 import type {CallRecord} from './soak_callers.js';
@@ -73,10 +78,12 @@
     const isWhole = /^answer of i-\d+$/.test(record.body);
     return isWhole || isBroken ? undefined : 'an answer is incomplete';
   }
-  if (!COMPLETE_STREAM.startsWith(record.body)) {
+  const {bodyBefore = ''} = record.takeUp ?? {};
+  const body = withoutVersions(bodyBefore + record.body);
+  if (!COMPLETE_STREAM.startsWith(body)) {
     return 'a stream has a gap, a repeat or bytes of another stream';
   }
-  const isWhole = record.body === COMPLETE_STREAM;
+  const isWhole = body === COMPLETE_STREAM;
   return isWhole || isBroken
     ? undefined
     : 'an incomplete stream ended as if it were complete';
@@ -129,6 +136,12 @@
   );
 }
 
+function toSpans(cuts: readonly HostCut[]): readonly DisruptedSpan[] {
+  return cuts.flatMap(({hostIds, fromMs, toMs}) =>
+    [...hostIds].map(hostId => ({hostId, fromMs, toMs, isOfProcess: false})),
+  );
+}
+
 /** Returns one line for each violated guarantee. */
 export function findViolations(evidence: SoakEvidence): readonly string[] {
   const {records, upstreams, disruptions, left} = evidence;
@@ -153,6 +166,10 @@
   violations.push(...findIgnoredSignals(upstreams, byId, disruptions));
   violations.push(...findUnstoppedCrashes(evidence));
   violations.push(...findUnservedCuts(records, evidence.cuts, disruptions));
+  violations.push(...findMixedVersions(records));
+  violations.push(
+    ...findLostTakeUps(records, [...disruptions, ...toSpans(evidence.cuts)]),
+  );
   for (const exit of left) {
     const {hostId, end} = exit;
     // Requests on links that hang may not end in time.
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -5,12 +5,14 @@
 import {
   BROKEN_STREAMS_KIND,
   CRASHING_KIND,
+  ENGINE_VERSIONS_KIND,
   HOST_CUT_KIND,
   OLDER_COPY_KIND,
   type FaultContext,
   type FaultKind,
   type PlannedFault,
 } from './fault_kinds.js';
+import {replaceEngines} from './engine_versions.js';
 import {cutHosts} from './host_cuts.js';
 import type {ProxyMode} from './fault_proxy.js';
 import type {RelayChild} from './relay_child.js';
@@ -242,6 +244,8 @@
     await wait(forMs);
     standIn.setUnframed(false);
   },
+  [ENGINE_VERSIONS_KIND]: (context, {forMs}) =>
+    replaceEngines(context, forMs, () => pickReplaceable(context)),
   [HOST_CUT_KIND]: (context, {forMs, cut}) => cutHosts(context, forMs, cut),
   async 'history-lost'({site}) {
     site.store.dropHistory();
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -78,7 +78,10 @@
   addUpstream(
     service: string,
     role?: 'prefill' | 'decode',
+    version?: string,
   ): Promise<SoakUpstream>;
+  /** Returns a software version that no engine has had. */
+  nextVersion(): string;
   /**
    * Restores the store from an older copy. The operator then writes the newest
    * configuration again and live upstreams write their rows; other rows expire.
@@ -135,6 +138,8 @@
   let newest: object = {};
   let startCount = 0;
 
+  let versionCount = 1;
+  const newestVersion = () => `v${versionCount}`;
   const nextUpstreamId = () => `i-${++startCount}`;
 
   function writeRow(upstream: SoakUpstream): void {
@@ -153,11 +158,13 @@
   async function addUpstream(
     service: string,
     role?: 'prefill' | 'decode',
+    version = role && newestVersion(),
   ): Promise<SoakUpstream> {
     const standIn = await createEngineStandIn({
       id: nextUpstreamId(),
       service,
       role,
+      version,
       eventCount: STREAM_EVENTS,
       eventEveryMs: EVENT_EVERY_MS,
       crashOf: run => site.crash?.crashOf?.(run),
@@ -247,6 +254,10 @@
     addUpstream,
     publishConfiguration,
     nextUpstreamId,
+    nextVersion() {
+      versionCount++;
+      return newestVersion();
+    },
     writeRow,
     restoreStore,
     async close() {
