--- a/src/relay/roles/role_orders.ts
+++ b/src/relay/roles/role_orders.ts
@@ -100,6 +100,19 @@
   readonly report: EngineReport;
 }
 
+/** Whether streams that began at the version could not go on any more. */
+function takesLastOfVersion(
+  engines: readonly Upstream[],
+  {engineId, role}: RoleChange,
+): boolean {
+  const taken = engines.find(({id}) => id === engineId);
+  if (!taken || role === 'decode') return false;
+  const isOther = ({version}: Upstream) => version !== taken.version;
+  const isLeft = (each: Upstream) =>
+    each.role === 'decode' && each.id !== engineId && !isOther(each);
+  return engines.some(isOther) && !engines.some(isLeft);
+}
+
 /** The list lags, so the engine may have restarted since it was read. */
 function isSameProcess(engine: Upstream, report: EngineReport): boolean {
   const times = [engine.startedAtMs, report.startedAtMs];
@@ -157,9 +170,9 @@
       },
     );
     plans.set(service.name, step.state);
-    const changes = step.changes.filter(
-      ({engineId}) => !pendingOrders.has(engineId),
-    );
+    const changes = step.changes
+      .filter(({engineId}) => !pendingOrders.has(engineId))
+      .filter(change => !takesLastOfVersion(engines, change));
     if (changes.at(0)?.role !== 'prefill' || hasWaitingPrompts(engines)) {
       return changes;
     }
