--- /dev/null
+++ b/tests/relay/resumption/resumption_fleet_test.ts
@@ -0,0 +1,208 @@
+/** Many hosts that keep each other's streams, in virtual time. */
+
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {Routing} from '../../../src/core/routing_types.js';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import type {TablePort} from '../../../src/ports/table.js';
+import {encodeDatagram} from '../../../src/relay/fleet/peer_codec.js';
+import type {OriginMessage} from '../../../src/relay/resumption/origin_messages.js';
+import {createResumption} from '../../../src/relay/resumption/resumption.js';
+import type {RelayJob} from '../../../src/relay/relay_types.js';
+import {createRoutingState} from '../../../src/relay/routing_state.js';
+import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {makeEngine, makeService} from '../placement/lone_scheduler.js';
+import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
+
+const service = makeService(30_000);
+const route: Routing['routes'][number] = {
+  name: 'briefs',
+  host: 'x.example',
+  prefix: '/',
+  kind: 'stream',
+  targets: [{service: service.name, weight: 1}],
+  maxAttempts: 2,
+  timeoutMs: 14_000,
+  goalMs: 900,
+  gapGoalMs: 300,
+  priority: 1,
+  isResumable: true,
+  isPublic: true,
+};
+const WINDOW_MS = 2 * route.timeoutMs;
+const TRANSIT_MS = 2;
+const UDP_HEADER_BYTES = 28;
+const MAX_MESH_HOSTS = 16;
+
+const unreadable: Partial<TablePort> = {
+  read: () => Promise.resolve({kind: 'failed', reason: 'away'}),
+};
+
+function makeFleet(hostCount: number, versions: readonly string[]) {
+  const clock = createVirtualClock(1_000);
+  const random = createSeededRandom(7);
+  const ids = Array.from({length: hostCount}, (_, i) => `host-${i}`);
+  const dead = new Set<string>();
+  const earlier = new Set<string>();
+  let sentBytes = 0;
+  let nextId = 1;
+
+  function makeHost(hostId: string) {
+    const registry = createUpstreamRegistry({clock, log: silentLog});
+    const routing = createRoutingState(silentLog);
+    const limits = {} as Routing['limits'];
+    const services = [service];
+    const current = {version: 1, routes: [route], services, limits};
+    routing.applyIfNewer({...current, accounts: []}, 'store');
+    const send = (to: string, message: OriginMessage) => {
+      sentBytes += encodeDatagram(message).length + UDP_HEADER_BYTES;
+      clock.setTimer(TRANSIT_MS, () => {
+        if (dead.has(to) || dead.has(hostId) || earlier.has(to)) return;
+        fleet.get(to)?.resumption.receive(hostId, message);
+      });
+    };
+    const resumption = createResumption({
+      clock,
+      random,
+      log: silentLog,
+      metrics: {count: () => undefined},
+      hostId,
+      registry,
+      routing,
+      peers: () =>
+        ids
+          .filter(each => each !== hostId && !dead.has(each))
+          .map(each => ({hostId: each, state: 'ready'})),
+      isMesh: () => hostCount <= MAX_MESH_HOSTS,
+      listAgeMs: () => 0,
+      table: unreadable as TablePort,
+      storeEra: () => 0,
+      isWriter: () => false,
+      send,
+    });
+    const list = (listed: readonly string[], revision: number) => {
+      const upstreams = listed.map((version, i) => ({
+        ...makeEngine(`d${i}`),
+        version,
+      }));
+      registry.apply({revision: revisionAt(revision), upstreams});
+      resumption.noteList();
+    };
+    list(versions, 1);
+    return {resumption, list};
+  }
+
+  const fleet = new Map(ids.map(id => [id, makeHost(id)]));
+  const hostAt = (hostId: string) => {
+    const host = fleet.get(hostId);
+    assert.ok(host);
+    return host;
+  };
+
+  const makeJob = (request: Partial<RelayJob['request']>, account?: string) =>
+    ({
+      request: {arrivedAtMs: clock.nowMs(), waitMs: 14_000, ...request},
+      route,
+      service,
+      admitted: {account: account && {name: account}},
+    }) as unknown as RelayJob;
+
+  return {
+    clock,
+    ids,
+    dead,
+    earlier,
+    hostAt,
+    sentBytes: () => sentBytes,
+    begin(hostId: string, version: string, account?: string): string {
+      const requestId = `${(nextId++).toString(16).padStart(16, '0')}`;
+      const job = makeJob({requestId}, account);
+      hostAt(hostId).resumption.recordBegun(job, version);
+      return requestId;
+    },
+    /** Returns the version at which the stream goes on, if it does. */
+    async takeUp(
+      hostId: string,
+      resumes: string,
+      account?: string,
+    ): Promise<string | undefined> {
+      const job = makeJob({lastEventId: '3', resumes}, account);
+      const decided = hostAt(hostId).resumption.takeUps.decide(job);
+      for (let i = 0; i < 50; i++) await clock.advance(5);
+      const takeUp = await decided;
+      return takeUp.kind === 'resumed' ? takeUp.version : undefined;
+    },
+    /** The host's process starts again, and knows nothing. */
+    restart(hostId: string): void {
+      dead.delete(hostId);
+      fleet.set(hostId, makeHost(hostId));
+    },
+  };
+}
+
+test('streams are known after three of nine hosts were killed and started again', async () => {
+  // Guards against refusing the callers of hosts that are killed, who are most
+  // of those that take up streams.
+  const fleet = makeFleet(9, ['v1', 'v2']);
+  const begun = fleet.ids
+    .flatMap(id => [id, id, id, id])
+    .map((id, i) => fleet.begin(id, `v${1 + (i % 2)}`));
+  await fleet.clock.advance(TRANSIT_MS);
+  const killed = fleet.ids.slice(0, 3);
+  for (const id of killed) fleet.dead.add(id);
+  for (const id of killed) fleet.restart(id);
+  let goOn = 0;
+  for (const [i, requestId] of begun.entries()) {
+    const version = await fleet.takeUp(fleet.ids[(i * 5) % 9], requestId);
+    assert.ok(version === undefined || version === `v${1 + (i % 2)}`);
+    if (version) goOn++;
+  }
+  assert.ok(goOn >= 0.9 * begun.length, `${goOn} of ${begun.length}`);
+});
+
+test('another account, and hosts that all started anew, do not go on with a stream', async () => {
+  const fleet = makeFleet(9, ['v1', 'v2']);
+  const requestId = fleet.begin('host-0', 'v1', 'a');
+  await fleet.clock.advance(TRANSIT_MS);
+  assert.equal(await fleet.takeUp('host-1', requestId, 'b'), undefined);
+  assert.equal(await fleet.takeUp('host-1', requestId, 'a'), 'v1');
+  for (const id of fleet.ids) fleet.restart(id);
+  // One version in the list does not show that the other did not begin it.
+  for (const id of fleet.ids) fleet.hostAt(id).list(['v1'], 2);
+  assert.equal(await fleet.takeUp('host-1', requestId, 'a'), undefined);
+});
+
+test('nothing is sent while a service has one version, and all once another appears', async () => {
+  const fleet = makeFleet(9, ['v1']);
+  await fleet.clock.advance(WINDOW_MS);
+  const requestId = fleet.begin('host-0', 'v1');
+  assert.equal(fleet.sentBytes(), 0);
+  for (const id of fleet.ids) fleet.hostAt(id).list(['v1', 'v2'], 2);
+  await fleet.clock.advance(TRANSIT_MS);
+  fleet.dead.add('host-0');
+  assert.equal(await fleet.takeUp('host-1', requestId), 'v1');
+});
+
+test('hosts of an earlier build, which do not answer, do not hold a caller up', async () => {
+  const fleet = makeFleet(9, ['v1', 'v2']);
+  const requestId = fleet.begin('host-0', 'v2');
+  for (const id of fleet.ids.slice(2)) fleet.earlier.add(id);
+  await fleet.clock.advance(TRANSIT_MS);
+  assert.equal(await fleet.takeUp('host-1', requestId), 'v2');
+});
+
+for (const hostCount of [9, 60, 300]) {
+  test(`copies take under 2 KB a second and host, ${hostCount} hosts`, async () => {
+    // Two streams a second at each host, while versions differ.
+    const fleet = makeFleet(hostCount, ['v1', 'v2']);
+    for (const id of fleet.ids) {
+      fleet.begin(id, 'v1');
+      fleet.begin(id, 'v2');
+    }
+    const bytes = fleet.sentBytes() / hostCount;
+    assert.ok(bytes < 2_000, `${bytes} bytes`);
+    console.log(`${hostCount} hosts: ${Math.round(bytes)} bytes a second each`);
+  });
+}
