--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -18,7 +18,7 @@
   PlacementOutcome,
   WaitingRequest,
 } from './placement_types.js';
-import {VERSION_GONE} from './engine_versions.js';
+import {hasDecodeEngine, VERSION_GONE} from './engine_versions.js';
 import type {PlacementGroups} from './placement_groups.js';
 import type {SharedStatistics} from './shared_statistics.js';
 import type {Upstream} from '../../core/upstream.js';
@@ -239,9 +239,7 @@
   /** Whether a decode engine of the version takes new work, if one is set. */
   function isServed({service, version}: StreamNeed): boolean {
     if (version === undefined) return true;
-    return registry
-      .notLeaving(service.name)
-      .some(each => each.role === 'decode' && each.version === version);
+    return hasDecodeEngine(registry.notLeaving(service.name), version);
   }
 
   function tryPlace(need: StreamNeed, ahead: number): Placement | undefined {
--- a/src/relay/placement/engine_versions.ts
+++ b/src/relay/placement/engine_versions.ts
@@ -3,6 +3,16 @@
 import type {RequestError} from '../../core/error_kinds.js';
 import type {Upstream} from '../../core/upstream.js';
 
+/** Whether one of the engines decodes, and is of the version. */
+export function hasDecodeEngine(
+  engines: readonly Upstream[],
+  version: string,
+): boolean {
+  return engines.some(
+    each => each.role === 'decode' && each.version === version,
+  );
+}
+
 export type EngineFilter = (engine: Upstream) => boolean;
 
 /** A version with at most this many decode engines is scarce. */
--- a/src/relay/resumption/take_ups.ts
+++ b/src/relay/resumption/take_ups.ts
@@ -8,7 +8,7 @@
 import type {Service} from '../../core/routing_types.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
-import {VERSION_GONE} from '../placement/engine_versions.js';
+import {hasDecodeEngine, VERSION_GONE} from '../placement/engine_versions.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {RelayJob} from '../relay_types.js';
 import type {RoutingState} from '../routing_state.js';
@@ -92,11 +92,6 @@
     return isTarget ? host.routing.service(service) : undefined;
   }
 
-  const isServed = (service: string, version: string) =>
-    registry
-      .notLeaving(service)
-      .some(each => each.role === 'decode' && each.version === version);
-
   /**
    * The version that began any stream of the service. "One version in the list
    * now" does not show it, since another may just have ended. Hosts that have
@@ -172,7 +167,7 @@
       const service = origin && findService(origin, job);
       if (origin && service) {
         const {version} = origin;
-        if (!isServed(service.name, version)) {
+        if (!hasDecodeEngine(registry.notLeaving(service.name), version)) {
           record(job, 'gone', origin, answered);
           return refuse(VERSION_GONE);
         }
--- a/src/relay/resumption/version_history.ts
+++ b/src/relay/resumption/version_history.ts
@@ -20,9 +20,8 @@
   isSingle(service: string, windowMs: number): boolean;
 }
 
-/** Times at which a version was seen. */
+/** A version, and when it was last seen. */
 interface Span {
-  readonly fromMs: number;
   untilMs: number;
   isListed: boolean;
 }
@@ -30,6 +29,8 @@
 const NEVER: SeenVersions = {versions: [], observedMs: 0};
 /** More versions of one service don't end within the life of a stream. */
 const MAX_VERSIONS = 32;
+/** No stream lasts so long. */
+const KEPT_MS = 600_000;
 
 export function createVersionHistory({
   clock,
@@ -51,7 +52,7 @@
       span.isListed = true;
       span.untilMs = nowMs;
     } else if (spans.size < MAX_VERSIONS) {
-      spans.set(version, {fromMs: nowMs, untilMs: nowMs, isListed: true});
+      spans.set(version, {untilMs: nowMs, isListed: true});
     } else {
       knownSinceMs.set(service, nowMs);
     }
@@ -59,9 +60,10 @@
 
   function endSpans(nowMs: number): void {
     for (const spans of services.values()) {
-      for (const span of spans.values()) {
+      for (const [version, span] of spans) {
         if (span.isListed) span.untilMs = nowMs;
         span.isListed = false;
+        if (nowMs - span.untilMs > KEPT_MS) spans.delete(version);
       }
     }
   }
@@ -74,7 +76,6 @@
     const versions: string[] = [];
     for (const [version, {isListed, untilMs}] of spans) {
       if (isListed || nowMs - untilMs < windowMs) versions.push(version);
-      else spans.delete(version);
     }
     return {versions, observedMs: Math.min(nowMs - sinceMs, windowMs)};
   }
