Reset the connection of a caller of HTTP/1.0 whose stream breaks off

The new test failed before (closed, not reset) and passes.

Host cuts: a single host, one service, one failure domain.

--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -174,6 +174,13 @@
     response.writeHead(status, [...headers, ...length, ...connectionHeader()]);
   }
 
+  function cut(): void {
+    // Without chunks, a connection that closes is the end of the answer.
+    const hasChunks = response.req.httpVersion !== '1.0';
+    if (!hasChunks && !hasLength) response.socket?.resetAndDestroy();
+    response.destroy();
+  }
+
   return {
     get hasBegun() {
       return response.headersSent;
@@ -181,7 +188,7 @@
     begin,
     write,
     end: () => void response.end(),
-    cut: () => void response.destroy(),
+    cut,
     refuse(error) {
       if (response.headersSent || response.destroyed) return;
       const problem = createProblem(error, requestId);
--- a/tests/platform/broken_streams_test.ts
+++ b/tests/platform/broken_streams_test.ts
@@ -2,6 +2,7 @@
 
 import assert from 'node:assert/strict';
 import type http from 'node:http';
+import net from 'node:net';
 import {afterEach, beforeEach, describe, test} from 'node:test';
 import type {
   EngineStandIn,
@@ -9,6 +10,7 @@
 } from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import {
   createSite,
+  HOST,
   makeConfiguration,
   PROMPT_HEADERS,
   untilReady,
@@ -132,3 +134,30 @@
     }
   });
 }
+
+/** Sends a call of HTTP/1.0; resolves with whether its connection was reset. */
+function isResetForOldCaller(): Promise<boolean> {
+  const [host, port] = entry.settings.callerAddress.split(':');
+  const socket = net.connect(Number(port), host);
+  const headers = Object.entries({
+    ...PROMPT_HEADERS,
+    Host: HOST,
+    'X-Request-Id': 'old-caller',
+    'X-Deadline-Ms': '5000',
+    'Content-Length': '0',
+  }).map(([name, value]) => `${name}: ${value}\r\n`);
+  socket.write(`POST ${ONCE} HTTP/1.0\r\n${headers.join('')}\r\n`);
+  socket.resume();
+  return new Promise(resolve => {
+    socket.on('error', () => resolve(true));
+    socket.on('end', () => resolve(false));
+  });
+}
+
+test('a caller of HTTP/1.0 sees a stream that broke off end by a reset', async () => {
+  // Guards against an answer that looks complete: without chunks, the end of
+  // the connection is the end of the answer.
+  assert.equal(await isResetForOldCaller(), false);
+  for (const engine of engines) engine.setBreakOff(BREAKS['inside a line']);
+  assert.equal(await isResetForOldCaller(), true);
+});
--- a/tests/soak/host_cuts_test.ts
+++ b/tests/soak/host_cuts_test.ts
@@ -11,6 +11,9 @@
  * has lost its links to all upstreams while other hosts reach them.
  */
 const SCENARIOS: Readonly<Record<string, CutScenario>> = {
+  'one, links hang': {hostCount: 1, how: 'hang'},
+  'some, from one service': {hostCount: 2, how: 'hang', part: 'service'},
+  'some, from one domain': {hostCount: 2, how: 'hang', part: 'domain'},
   'some, links hang': {hostCount: 2, how: 'hang'},
   'most, links hang': {hostCount: 4, how: 'hang'},
   'some, links are reset': {hostCount: 2, how: 'reset'},
