Do not count peers' requests ahead of a new stream by a begun one

Begun streams are served before new ones, whatever their times; the count of peers' requests ahead goes by the order of service and only grows. A begun stream with a late start put new streams behind requests of peers that come after them. The new test failed before (1 of 2 started) and passes.

A stream whose caller leaves while it waits for its version ends as caller-gone, not as cut.

--- a/src/relay/placement/service_queue.ts
+++ b/src/relay/placement/service_queue.ts
@@ -215,7 +215,8 @@
     const peersAhead = createPeersAhead(compare, atPeers, nowMs);
     for (const {waiter, need, waiting} of inOrder) {
       if (isExpired(need, nowMs)) continue;
-      const placement = host.tryPlace(need, peersAhead(waiting));
+      const ahead = isBegun(need) ? 0 : peersAhead(waiting);
+      const placement = host.tryPlace(need, ahead);
       // Other versions may have room when the one of a begun stream has none.
       if (!placement && isBegun(need)) continue;
       if (!placement) break;
@@ -254,7 +255,6 @@
     else if (!inOrder.some(({need}) => isExpired(need, nowMs))) return [];
     const findReason = (queued: Queued, forecast: Forecast) => {
       if (isExpired(queued.need, nowMs)) return 'time-up';
-      // The forecast is made for engines of all versions.
       if (isBegun(queued.need)) {
         return host.isServed(queued.need) ? undefined : 'version-gone';
       }
@@ -268,7 +268,9 @@
     const refused: EndedWait[] = [];
     for (const queued of inOrder) {
       const {waiter} = queued;
-      const forecast = forecasts.forecast(queued);
+      const forecast = isBegun(queued.need)
+        ? NO_FORECAST
+        : forecasts.forecast(queued);
       const reason = findReason(queued, forecast);
       if (!reason) {
         forecasts.pass(queued);
@@ -339,6 +341,9 @@
   };
 }
 
+/** Forecasts are made for engines of all versions, and for new streams. */
+const NO_FORECAST: Forecast = {waitMs: 0, hasAhead: false};
+
 /** The caller has events of the stream, and one version can go on with it. */
 const isBegun = ({version}: StreamNeed) => version !== undefined;
 
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -204,6 +204,9 @@
   function refuse(state: StreamState, error: RequestError): JobOutcome {
     const {caller} = state.job;
     const reason = `${error.kind}: ${error.detail}`;
+    if (state.job.cancellation.isCancelled) {
+      return {end: 'caller-gone', upstreams: state.ran, events: state.events};
+    }
     if (caller.hasBegun) {
       caller.cut();
       return {end: 'cut', reason, upstreams: state.ran, events: state.events};
--- a/tests/relay/placement/queue_failures_test.ts
+++ b/tests/relay/placement/queue_failures_test.ts
@@ -154,3 +154,16 @@
   const sent = levels.map(each => priorities.forEngine('mixed', each));
   assert.deepEqual(sent, [1, 2, 3, 1, 4, 5]);
 });
+
+test('a begun stream that is served first puts no new stream behind those of peers', () => {
+  // Guards against new streams that wait for requests of peers that come after
+  // them, as the begun stream does.
+  const {queue, state, add} = makeQueue();
+  const need = makeNeed(1_000);
+  const late = (onTimeUntilMs: number) => ({...need.waiting, onTimeUntilMs});
+  add();
+  queue.add({...need, version: 'v1', waiting: late(950)}, 0);
+  state.atPeers = [late(900)];
+  state.hasRoom = true;
+  assert.equal(queue.process(10).length, 2);
+});
