--- a/tests/soak/engine_versions.ts
+++ b/tests/soak/engine_versions.ts
@@ -46,8 +46,8 @@
 const stageOf = ({standIn}: SoakUpstream) =>
   (standIn.row() as {readonly stage?: 'prefill' | 'decode'}).stage;
 
-/** Another instance of the version starts at the address of the engine. */
-async function rebear(
+/** The engine crashes; another of the version starts at its address. */
+async function restartAt(
   {site}: FaultContext,
   engine: SoakUpstream,
   version: string,
@@ -90,7 +90,7 @@
     await wait((i * forMs) / 2);
     const engine = pickReplaceable();
     if (!engine || !stageOf(engine)) return;
-    const change = random.nextInt(2) === 0 ? rebear : replace;
+    const change = random.nextInt(2) === 0 ? restartAt : replace;
     await change(context, engine, version);
   });
   while (now() < endAtMs) {
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -6,6 +6,7 @@
   BACKPRESSURE_SOAK_KINDS,
   BROKEN_STREAMS_SOAK_KINDS,
   CRASH_SOAK_KINDS,
+  ENGINE_VERSIONS_SOAK_KINDS,
   OLDER_COPY_SOAK_KINDS,
   FAULT_KINDS,
 } from './fault_kinds.js';
@@ -72,6 +73,15 @@
   kinds: BROKEN_STREAMS_SOAK_KINDS,
 };
 
+const engineVersions: SoakOptions = {
+  ...short,
+  seed: 4,
+  durationMs: 8_000,
+  hostCount: 4,
+  callerCount: 10,
+  kinds: ENGINE_VERSIONS_SOAK_KINDS,
+};
+
 const RUNS = [
   short,
   ...REGRESSIONS,
@@ -79,6 +89,7 @@
   olderCopies,
   crashes,
   brokenStreams,
+  engineVersions,
 ];
 
 for (const options of RUNS) {
