Place a stream with a prefill result as before while versions are equal

Setting the version of a stream that has not begun also made engines that fail count as candidates for it, which is meant for begun streams only.

--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -126,8 +126,12 @@
   ): Placement | undefined {
     if (!state.source) return undefined;
     const {version} = state.placement.decode;
-    const need = {...state.need, version};
-    const next = scheduler.placeAgain(need, avoid, false);
+    const others = registry
+      .open(state.need.service.name)
+      .filter(each => each.version !== version)
+      .map(({id}) => id);
+    const excluded = new Set([...avoid, ...others]);
+    const next = scheduler.placeAgain(state.need, excluded, false);
     if (!next) releasePrefillResult(state);
     return next;
   }
