Share the bounds of version histories

The bound on versions and the time that ended ones are kept stood twice each, and a list that is sorted already was sorted again. No behaviour changes.

--- a/src/relay/resumption/origin_messages.ts
+++ b/src/relay/resumption/origin_messages.ts
@@ -1,6 +1,6 @@
 /** Messages about where streams began, and their validation. */
 
-import type {SeenVersions} from './version_history.js';
+import {MAX_VERSIONS, type SeenVersions} from './version_history.js';
 import type {StreamOrigin} from './stream_origins.js';
 
 /** Copies of origins that the receiver keeps. */
@@ -32,7 +32,6 @@
 /** Longer ids are not looked up. */
 export const MAX_ID_LENGTH = 128;
 const MAX_TEXT_LENGTH = 256;
-const MAX_VERSIONS = 32;
 /** As many as fit into a datagram on any link. */
 export const MAX_COPIES = 8;
 
--- a/src/relay/resumption/version_history.ts
+++ b/src/relay/resumption/version_history.ts
@@ -28,9 +28,9 @@
 
 const NEVER: SeenVersions = {versions: [], observedMs: 0};
 /** More versions of one service don't end within the life of a stream. */
-const MAX_VERSIONS = 32;
+export const MAX_VERSIONS = 32;
 /** No stream lasts so long. */
-const KEPT_MS = 600_000;
+export const KEPT_MS = 600_000;
 
 export function createVersionHistory({
   clock,
--- a/src/relay/resumption/version_ledger.ts
+++ b/src/relay/resumption/version_ledger.ts
@@ -9,14 +9,14 @@
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
 import type {JsonRecord, TablePort, TableRow} from '../../ports/table.js';
-import type {SeenVersions} from './version_history.js';
+import {KEPT_MS, type SeenVersions} from './version_history.js';
 
 export interface VersionLedgerHost {
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
   readonly table: TablePort;
-  /** Versions in the list, by service; undefined before a list is known. */
+  /** Sorted versions in the list, by service; undefined if not all are known. */
   listed(): ReadonlyMap<string, readonly string[]> | undefined;
   /** How often the store came back from an older copy. */
   storeEra(): number;
@@ -33,8 +33,6 @@
 const CALL_TIMEOUT_MS = 600;
 /** Take-ups come in groups, and share one read. */
 const READ_VALID_MS = 1_000;
-/** Versions that ended longer ago are dropped; no stream lasts so long. */
-const KEPT_MS = 600_000;
 /** A version that is listed has no end. */
 const LISTED = -1;
 
@@ -129,7 +127,7 @@
     return [...listed].every(([service, versions]) => {
       const {lastMs = {}} = services[service] ?? {};
       const known = Object.keys(lastMs).filter(each => lastMs[each] === LISTED);
-      return known.sort().join('|') === [...versions].sort().join('|');
+      return known.sort().join('|') === versions.join('|');
     });
   }
 
