--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -8,6 +8,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {resetSocket} from '../reset_socket.js';
+import {createPauseGate} from './pause_gate.js';
 import type {
   CrashedPort,
   EngineArrival,
@@ -49,6 +50,9 @@
   let retryAfterSeconds: number | undefined;
   let isUnframed = false;
   let breakOff: StreamBreak | undefined;
+  const gate = createPauseGate();
+  /** Open connections on which nothing is sent any more. */
+  const silenced = new WeakSet<Socket>();
 
   function crash(port: CrashedPort = 'closed'): void {
     crashedPort = port;
@@ -103,10 +107,15 @@
   }
 
   function markDisconnected(run: EngineRun): void {
-    run.wasDisconnected = true;
-    run.disconnectedAtMs ??= performance.now();
+    gate.run(() => {
+      run.wasDisconnected = true;
+      run.disconnectedAtMs ??= performance.now();
+    });
   }
 
+  const isHeldBack = ({socket}: http.ServerResponse) =>
+    gate.isPaused || (socket !== null && silenced.has(socket));
+
   /**
    * Headers sent with every answer: the rate limit, and whether it is leaving.
    */
@@ -171,6 +180,7 @@
     let next = Number(lastEventId ?? '0') + 1;
     let sentCount = 0;
     const timer = setInterval(() => {
+      if (isHeldBack(response)) return;
       if (sentCount >= stallAfter) {
         clearInterval(timer);
         return;
@@ -186,6 +196,7 @@
         return;
       }
       response.write(formatEvent(next, version));
+      run.lastEventAtMs = performance.now();
       sentCount++;
       // A caller may resume after the last event, when nothing is left to send.
       if (next >= eventCount) {
@@ -226,6 +237,8 @@
       return;
     }
     const run = recordRun(message, body, source ? 'decode' : 'whole');
+    // The caller may have left during a pause.
+    if (message.socket.destroyed) return markDisconnected(run);
     response.on('close', () => {
       if (!response.writableFinished) markDisconnected(run);
     });
@@ -268,27 +281,35 @@
     response.end();
   }
 
+  function takeMessage(
+    message: http.IncomingMessage,
+    body: string,
+    response: http.ServerResponse,
+  ): void {
+    if (crashedPort === 'resetting') resetSocket(message.socket);
+    if (crashedPort) return;
+    const handle = message.url?.split(HANDLE_PATH)[1];
+    if (handle !== undefined) {
+      response.writeHead(handles.delete(handle) ? 200 : 404);
+      response.end();
+    } else if (message.url === '/corianderbend/report') {
+      response.writeHead(200, {'Content-Type': 'application/json'});
+      response.end(
+        JSON.stringify({stage: role, busy: false, seq: orders.length}),
+      );
+    } else if (message.url === '/corianderbend/order') {
+      takeOrder(body, response);
+    } else {
+      runRequest(message, body, response);
+    }
+  }
+
   const server = http.createServer((message, response) => {
     const chunks: Buffer[] = [];
     message.on('data', (bytes: Buffer) => chunks.push(bytes));
     message.on('end', () => {
-      if (crashedPort === 'resetting') resetSocket(message.socket);
-      if (crashedPort) return;
       const body = Buffer.concat(chunks).toString();
-      const handle = message.url?.split(HANDLE_PATH)[1];
-      if (handle !== undefined) {
-        response.writeHead(handles.delete(handle) ? 200 : 404);
-        response.end();
-      } else if (message.url === '/corianderbend/report') {
-        response.writeHead(200, {'Content-Type': 'application/json'});
-        response.end(
-          JSON.stringify({stage: role, busy: false, seq: orders.length}),
-        );
-      } else if (message.url === '/corianderbend/order') {
-        takeOrder(body, response);
-      } else {
-        runRequest(message, body, response);
-      }
+      gate.run(() => takeMessage(message, body, response));
     });
   });
   server.on('connection', socket => {
@@ -347,6 +368,11 @@
     setBreakOff(how) {
       breakOff = how;
     },
+    pause: gate.pause,
+    resume: gate.resume,
+    silenceConnections() {
+      for (const socket of sockets) silenced.add(socket);
+    },
     crash,
     async restart(newId, newVersion = version) {
       for (const socket of sockets) resetSocket(socket);
--- a/stand_ins/users_platform/engine_stand_in_types.ts
+++ b/stand_ins/users_platform/engine_stand_in_types.ts
@@ -31,6 +31,8 @@
   wasDisconnected: boolean;
   /** When that connection closed, on the same clock. */
   disconnectedAtMs?: number;
+  /** When the latest event was sent, on the same clock. */
+  lastEventAtMs?: number;
 }
 
 /**
@@ -125,6 +127,14 @@
   setUnframed(isUnframed: boolean): void;
   /** Makes all streams break off like this; undefined ends it. */
   setBreakOff(how: StreamBreak | undefined): void;
+  /**
+   * Stands still: accepts connections, but reads and sends nothing until
+   * `resume`.
+   */
+  pause(): void;
+  resume(): void;
+  /** Sends nothing more on connections that are open, without closing them. */
+  silenceConnections(): void;
   crash(port?: CrashedPort): void;
   /** Starts another instance, perhaps of another version, at the same address. */
   restart(newId: string, newVersion?: string): Promise<void>;
