Wait for prefill engines that pause, and leave those that stay silent

Callers saw first events up to 3 s late, or 503, when their prefill engines paused: after 1.5 s of silence the call was ended and the prompt sent to the next of three engines, which paused as well. Each call counted as a failure of its engine and, from the second on, took a retry; without retries the stream was refused although its engine would have gone on.

Cause: the timeout ended a call before it was known that another engine would do better, and before a retry for it was granted.

Change: a call runs until the caller's deadline and is watched. From half a second before the old timeout on, the engine and others are asked over new connections; all calls of a host share these probes. The call moves to a prefill engine that has just answered, with a retry that was taken while the call still ran. If none answers it waits, and the decode engine reads the prompt before the caller's patience ends, if that engine answers.

Engines that hang and dead connections are left as before.

--- a/src/relay/placement/engine_scheduler.ts
+++ b/src/relay/placement/engine_scheduler.ts
@@ -87,6 +87,8 @@
     avoid: ReadonlySet<string>,
     wantsPrefill: boolean,
   ): Placement | undefined;
+  /** The prefill engines that can read a prompt for the decode engine. */
+  prefillEngines(need: StreamNeed, decode: Upstream): readonly Upstream[];
   /** Chooses another prefill engine for a request that has already started. */
   prefillAgain(
     need: StreamNeed,
@@ -277,6 +279,8 @@
       host.onChange();
       return placed;
     },
+    prefillEngines: ({service}, decode) =>
+      candidates.prefill(service.name, decode.version),
     prefillAgain(need, decode, avoid) {
       const engine = engines.choosePrefill(need, decode, avoid);
       return (
--- /dev/null
+++ b/src/relay/streams/prefill_watch.ts
@@ -0,0 +1,231 @@
+/**
+ * Decides when a prefill call that is silent is given up. A silent engine may
+ * have paused and go on, so its call ends only for an engine that answers.
+ *
+ * The engine is asked over a new connection, and so are those that could
+ * replace it:
+ * - It answers: the connection is dead, or the engine doesn't get on. Another
+ *   engine is called.
+ * - It doesn't, but another prefill engine does: that one is called.
+ * - No prefill engine answers: the call waits, and is given up for the decode
+ *   engine only when the caller's patience would end.
+ */
+
+import type {Upstream} from '../../core/upstream.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {EngineScheduler} from '../placement/engine_scheduler.js';
+import type {PrefillReservation} from '../placement/placement_types.js';
+import {toWaiting} from '../placement/wait_rules.js';
+import type {BudgetedCalls, TakenRetry} from './budgeted_calls.js';
+import type {EnginePulse} from './engine_pulse.js';
+import type {StreamState} from './stream_state.js';
+
+export interface PrefillWatchHost {
+  readonly clock: Clock;
+  readonly pulse: EnginePulse;
+  readonly scheduler: Pick<EngineScheduler, 'prefillEngines' | 'prefillAgain'>;
+  readonly calls: Pick<BudgetedCalls, 'takeRetry' | 'canRetryCall'>;
+}
+
+export interface WatchedCall {
+  readonly state: StreamState;
+  readonly engine: Upstream;
+  /** The engine answers within this time unless something is wrong. */
+  readonly timeoutMs: number;
+  /** Prefill engines that the call must not be moved to. */
+  readonly avoid: ReadonlySet<string>;
+  /** Whether it may be moved to another prefill engine at all. */
+  readonly mayMove: boolean;
+}
+
+/** The next prefill engine for the prompt, with its booking and its retry. */
+export interface NextPrefill {
+  readonly engine: Upstream;
+  readonly reservation: PrefillReservation;
+  readonly retry: TakenRetry;
+}
+
+/** Why and for what a call is given up. */
+export interface GivenUp {
+  readonly detail: string;
+  /** Whether the engine is at fault, and not all of them. */
+  readonly isOfEngine: boolean;
+  /** Absent if the decode engine is to read the prompt. */
+  readonly next?: NextPrefill;
+}
+
+export interface PrefillWatch {
+  /** Whether the engine has answered no probe for a while. */
+  wasSilent(): boolean;
+  /** The call has ended; it isn't given up any more. */
+  stop(): void;
+}
+
+/** How long before the timeout the engine is asked for the first time. */
+const ASK_AHEAD_MS = 500;
+const TICK_MS = 250;
+/**
+ * When engines that paused together go on, one of them is heard first. Another
+ * engine must have been awake for this time before it replaces a silent one.
+ */
+const CONFIRMATION_MS = 250;
+const ASKED_PER_TICK = 2;
+
+export function watchPrefill(
+  {clock, pulse, scheduler, calls}: PrefillWatchHost,
+  call: WatchedCall,
+  onGivenUp: (end: GivenUp) => void,
+): PrefillWatch {
+  const {state, engine, avoid} = call;
+  const timeoutMs = Math.round(call.timeoutMs);
+  const {need, placement} = state;
+  const startedAtMs = clock.nowMs();
+  const patienceEndMs = findPatienceEndMs(state);
+  let isStopped = false;
+  let tickCount = 0;
+  let wasSilent = false;
+  /** Since when the engine, and any other prefill engine, has been awake. */
+  let awakeSinceMs: number | undefined;
+  let othersAwakeSinceMs: number | undefined;
+
+  let timer: TimerHandle = clock.setTimer(
+    Math.max(0, timeoutMs - ASK_AHEAD_MS),
+    () => void tick(),
+  );
+
+  function findOthers(): readonly Upstream[] {
+    if (!call.mayMove) return [];
+    return scheduler
+      .prefillEngines(need, placement.decode)
+      .filter(({id}) => id !== engine.id && !avoid.has(id));
+  }
+
+  /** Asks those that were heard, or some of the others in turn. */
+  function ask(others: readonly Upstream[]): void {
+    pulse.ask(engine);
+    const awake = others.filter(({id}) => pulse.isAwake(id));
+    const first = (tickCount * ASKED_PER_TICK) % Math.max(1, others.length);
+    const asked =
+      awake.length > 0
+        ? awake
+        : [...others.slice(first), ...others.slice(0, first)];
+    for (const each of asked.slice(0, ASKED_PER_TICK)) pulse.ask(each);
+    if (awake.length === 0) pulse.ask(placement.decode);
+  }
+
+  /** Keeps since when this engine and the others have been awake. */
+  function update(others: readonly Upstream[]): void {
+    const nowMs = clock.nowMs();
+    if (pulse.isAwake(engine.id)) {
+      awakeSinceMs ??= wasSilent ? nowMs : startedAtMs;
+    } else {
+      awakeSinceMs = undefined;
+      wasSilent = true;
+    }
+    const isAnyAwake = others.some(({id}) => pulse.isAwake(id));
+    othersAwakeSinceMs = isAnyAwake ? (othersAwakeSinceMs ?? nowMs) : undefined;
+  }
+
+  const hasEnded = () => pulse.hasEndedSince(engine.id, startedAtMs);
+
+  /** Why the engine is not waited for; undefined if it still is. */
+  function findFault(): string | undefined {
+    const nowMs = clock.nowMs();
+    if (hasEnded()) return 'the engine has ended';
+    if (nowMs < startedAtMs + timeoutMs) return undefined;
+    if (awakeSinceMs !== undefined) {
+      // An engine that goes on after a pause gets the whole time once more.
+      const isOverdue = nowMs >= awakeSinceMs + timeoutMs;
+      return isOverdue ? 'the engine answers a probe' : undefined;
+    }
+    const isConfirmed =
+      othersAwakeSinceMs !== undefined &&
+      nowMs >= othersAwakeSinceMs + CONFIRMATION_MS;
+    return isConfirmed ? 'another engine answers a probe' : undefined;
+  }
+
+  async function takeNext(
+    others: readonly Upstream[],
+  ): Promise<NextPrefill | undefined> {
+    if (!others.some(({id}) => pulse.isAwake(id))) return undefined;
+    const retry = await calls.takeRetry(state);
+    if (!retry) return undefined;
+    const silent = others.filter(({id}) => !pulse.isAwake(id));
+    const passedOver = new Set([
+      ...avoid,
+      engine.id,
+      ...silent.map(({id}) => id),
+    ]);
+    const next = isStopped
+      ? undefined
+      : scheduler.prefillAgain(need, placement.decode, passedOver);
+    if (next) return {...next, retry};
+    retry.giveBack();
+    return undefined;
+  }
+
+  /** Whether the decode engine can read the prompt now. */
+  const canDecodeRead = () =>
+    pulse.isAwake(placement.decode.id) && calls.canRetryCall(state);
+
+  async function findEnd(
+    others: readonly Upstream[],
+  ): Promise<GivenUp | undefined> {
+    const silentMs = Math.round(clock.nowMs() - startedAtMs);
+    const toDetail = (cause: string) => `silent for ${silentMs} ms; ${cause}`;
+    const fault = findFault();
+    if (fault !== undefined) {
+      const next = await takeNext(others);
+      const end = {detail: toDetail(fault), isOfEngine: true};
+      if (next) return {...end, next};
+      if (hasEnded()) return end;
+      const isAnyAwake = others.some(({id}) => pulse.isAwake(id));
+      return isAnyAwake || !canDecodeRead() ? undefined : end;
+    }
+    const isPatienceOver = clock.nowMs() >= patienceEndMs;
+    const isAnyAwake = [engine, ...others].some(({id}) => pulse.isAwake(id));
+    if (!isPatienceOver || isAnyAwake || !canDecodeRead()) return undefined;
+    return {
+      detail: toDetail('no prefill engine answers a probe'),
+      isOfEngine: false,
+    };
+  }
+
+  async function tick(): Promise<void> {
+    const others = findOthers();
+    // The first tick only asks; a late timer of this host shows nothing.
+    if (tickCount > 0) update(others);
+    ask(others);
+    const end = tickCount > 0 ? await findEnd(others) : undefined;
+    if (isStopped) {
+      if (end?.next) releaseNext(end.next);
+      return;
+    }
+    tickCount++;
+    if (end) onGivenUp(end);
+    else timer = clock.setTimer(TICK_MS, () => void tick());
+  }
+
+  return {
+    wasSilent: () => wasSilent,
+    stop() {
+      isStopped = true;
+      clock.clearTimer(timer);
+    },
+  };
+}
+
+/** Gives back what was taken for a call that isn't needed any more. */
+export function releaseNext({reservation, retry}: NextPrefill): void {
+  reservation.end();
+  retry.giveBack();
+}
+
+/** When the prompt must be read elsewhere for the caller to be waiting still. */
+function findPatienceEndMs(state: StreamState): number {
+  const {job, need, events, lastEventAtMs} = state;
+  const {route, deadlineAtMs, request} = job;
+  const arrivedAtMs = events > 0 ? lastEventAtMs : request.arrivedAtMs;
+  const {startMs} = need;
+  return toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}).giveUpAtMs;
+}
