Blame no request for upstreams that pause

Callers that sent equal bodies again while upstreams paused for 2 to 5 s got 503 (suspected), and all paused upstreams were taken out of use.

Cause: an upstream that answered no probe for 1.5 s counted as ended if any upstream of any service answered meanwhile. Upstreams that pause together look like that at each host, and the losses spread to all.

Change: silence shows an end only if it can't be a pause. Upstreams that have ended send no heartbeats, so a host that reads the list waits until those of the silent one go on or are missing. If they are missing, or the host reads no list, nothing is concluded while most upstreams of the service fell silent together without a request that ran at all of them.

tests/relay/crashes/paused_upstreams_test.ts, two hosts, ten upstreams: before, pauses of 2, 3.5 and 5 s of all and of 6 of 10 ended in refusals, losses and exclusions; now in none. A request that leaves an upstream silent every 200, 500 and 1,000 ms ends 10, 6 and 5 of ten (10, 6 and 4 before) and none later than 3 s after the third. tests/soak/crashing_requests_test.ts passes unchanged.

--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -21,6 +21,7 @@
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {createEndDetector, type EndEvidence} from './end_detector.js';
+import type {HeartbeatState} from './heartbeat_log.js';
 import {createListEvidence} from './list_evidence.js';
 import {createLossReports, isLossFact} from './loss_reports.js';
 import {fingerprintOf} from './request_fingerprint.js';
@@ -111,6 +112,8 @@
     clock,
     upstreamPort,
     runs,
+    mayPause: (upstream, sinceMs) =>
+      pauseRules[list.heartbeatsSince(upstream, sinceMs)](upstream, sinceMs),
     onEnded: blame,
     onAnswered: ({id}) => log.info('Upstream answers a probe.', {upstream: id}),
   });
@@ -124,6 +127,16 @@
     onAlive: upstreamId => noteAlive(upstreamId, clock.nowMs()),
   });
 
+  /** Whether an upstream that answers nothing may pause, by its heartbeats. */
+  const pauseRules: Readonly<
+    Record<HeartbeatState, (upstream: Upstream, sinceMs: number) => boolean>
+  > = {
+    beating: () => true,
+    pending: () => true,
+    stopped: ({id}, sinceMs) => runs.isSilenceShared(id, sinceMs),
+    unknown: ({id}, sinceMs) => runs.isSilenceShared(id, sinceMs),
+  };
+
   /** Admitted requests that were not sent yet. */
   const waiting = new Map<RelayRequest, (error: RequestError) => void>();
 
--- a/src/relay/crashes/end_detector.ts
+++ b/src/relay/crashes/end_detector.ts
@@ -3,8 +3,8 @@
  *
  * A refused connection shows it at once. An upstream may also leave a port that
  * resets connections or never answers, which a live one does as well while it
- * is overloaded. It counts as ended if it answers no probe for a while although
- * other upstreams answer this host.
+ * is overloaded or pauses. It counts as ended if it answers no probe for a while
+ * although other upstreams answer this host, and nothing else shows a pause.
  */
 
 import {createBoundedMap} from '../../core/bounded_map.js';
@@ -28,6 +28,8 @@
   readonly clock: Clock;
   readonly upstreamPort: Pick<UpstreamPort, 'probe'>;
   readonly runs: RunLog;
+  /** Whether an upstream that is silent since then may be one that pauses. */
+  mayPause(upstream: Upstream, sinceMs: number): boolean;
   /** The upstream had ended at `endedAtMs`. */
   onEnded(upstream: Upstream, evidence: EndEvidence, endedAtMs: number): void;
   /** Something answers at its address. */
@@ -90,7 +92,8 @@
     // Without another upstream that answers, the fault may be on this side.
     const isDecided =
       silentMs >= NO_ANSWER_MS &&
-      runs.wereOthersAliveAfter(upstream.id, sinceMs);
+      runs.wereOthersAliveAfter(upstream.id, sinceMs) &&
+      !host.mayPause(upstream, sinceMs);
     if (isDecided) conclude(upstream, 'no-answer', each.firstFailureMs);
     else if (silentMs >= GIVE_UP_MS) close(each);
     else clock.setTimer(PROBE_INTERVAL_MS, () => void probe(each));
--- a/src/relay/crashes/list_evidence.ts
+++ b/src/relay/crashes/list_evidence.ts
@@ -8,6 +8,11 @@
 import type {Upstream} from '../../core/upstream.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {EndEvidence} from './end_detector.js';
+import {
+  createHeartbeatLog,
+  LIST_DELAY_MS,
+  type HeartbeatState,
+} from './heartbeat_log.js';
 
 export interface ListEvidenceHost {
   readonly clock: Clock;
@@ -26,13 +31,13 @@
   update(): void;
   /** Whether the upstream leaves, so that its end is no crash. */
   isLeaving(upstreamId: string): boolean;
+  /** Whether the upstream has sent heartbeats since then. */
+  heartbeatsSince(upstream: Upstream, sinceMs: number): HeartbeatState;
 }
 
-/** A list that is read this much later shows no heartbeat from before. */
-const LIST_DELAY_MS = 500;
-
 export function createListEvidence(host: ListEvidenceHost): ListEvidence {
   const {clock, registry} = host;
+  const heartbeatLog = createHeartbeatLog(host);
   let listedIds: ReadonlySet<string> = new Set();
   let leavingIds: ReadonlySet<string> = new Set();
   /** First heartbeats that were read after an upstream had ended. */
@@ -80,6 +85,7 @@
     update() {
       const upstreams = registry.snapshot()?.upstreams ?? [];
       leavingIds = findLeaving(upstreams);
+      heartbeatLog.update(upstreams);
       const added = upstreams.filter(({id}) => !listedIds.has(id));
       const ended = host
         .upstreamsWithRuns()
@@ -91,5 +97,6 @@
       for (const upstream of upstreams) checkHeartbeat(upstream);
     },
     isLeaving: upstreamId => leavingIds.has(upstreamId),
+    heartbeatsSince: heartbeatLog.stateSince,
   };
 }
--- a/src/relay/crashes/run_log.ts
+++ b/src/relay/crashes/run_log.ts
@@ -50,6 +50,11 @@
   inProgress(upstreamId: string): readonly Suspect[];
   /** Upstreams with runs that have sent nothing for `silenceMs`. */
   silent(silenceMs: number): readonly SilentUpstream[];
+  /**
+   * Whether most upstreams of the service fell silent together with this one at
+   * `sinceMs`, and no request ran at all of them.
+   */
+  isSilenceShared(upstreamId: string, sinceMs: number): boolean;
 }
 
 interface CutRun extends Suspect {
@@ -64,6 +69,7 @@
 }
 
 interface SignsOfLife {
+  readonly service: string;
   /** When the latest call that it answered was sent. */
   readonly answeredCallAtMs: number;
   /** When its latest bytes arrived. */
@@ -78,7 +84,12 @@
 /** Saves work for streams that send many events a second. */
 const SEEN_RESOLUTION_MS = 100;
 const MAX_CUT_PER_UPSTREAM = 64;
+/** An upstream with runs counts as silent beside another after this time. */
+const SHARED_SILENCE_MS = 500;
+/** The last data of upstreams that pause at once is at most this far apart. */
+const TOGETHER_MS = 300;
 const NO_SIGNS: SignsOfLife = {
+  service: '',
   answeredCallAtMs: Number.NEGATIVE_INFINITY,
   seenAtMs: Number.NEGATIVE_INFINITY,
 };
@@ -88,6 +99,10 @@
   fingerprint: fingerprintOf(request),
 });
 
+/** The requests that run or ran at an upstream since it was last alive. */
+const fingerprintsOf = ({open, cut}: UpstreamRuns): ReadonlySet<string> =>
+  new Set([...[...open].map(toSuspect), ...cut].map(each => each.fingerprint));
+
 export function createRunLog({clock}: {readonly clock: Clock}): RunLog {
   const runs = new Map<string, UpstreamRuns>();
   const signs = createBoundedMap<SignsOfLife>(MAX_REMEMBERED_UPSTREAMS);
@@ -136,6 +151,7 @@
     noteAnswer({upstream, startedAtMs}) {
       const {answeredCallAtMs} = signsOf(upstream.id);
       signs.set(upstream.id, {
+        service: upstream.service,
         answeredCallAtMs: Math.max(answeredCallAtMs, startedAtMs),
         seenAtMs: clock.nowMs(),
       });
@@ -146,7 +162,8 @@
       const {answeredCallAtMs, seenAtMs} = signsOf(upstream.id);
       const nowMs = clock.nowMs();
       if (nowMs - seenAtMs < SEEN_RESOLUTION_MS) return;
-      signs.set(upstream.id, {answeredCallAtMs, seenAtMs: nowMs});
+      const {service} = upstream;
+      signs.set(upstream.id, {service, answeredCallAtMs, seenAtMs: nowMs});
     },
     end: run => void end(run),
     cut(run) {
@@ -179,6 +196,31 @@
       dropIfEmpty(each);
       return cut;
     },
+    isSilenceShared(upstreamId, sinceMs) {
+      const own = runs.get(upstreamId);
+      if (!own) return false;
+      const {service} = own.upstream;
+      const spokeLater = new Set(
+        [...signs.entries()]
+          .filter(([, each]) => each.service === service)
+          .filter(([, {seenAtMs}]) => seenAtMs > sinceMs + TOGETHER_MS)
+          .map(([id]) => id),
+      );
+      const silentFromMs = clock.nowMs() - SHARED_SILENCE_MS;
+      const together = [...runs.values()].filter(
+        each =>
+          each !== own &&
+          each.upstream.service === service &&
+          !spokeLater.has(each.upstream.id) &&
+          silentSinceMs(each) <= silentFromMs,
+      );
+      if (together.length === 0) return false;
+      if (together.length + 1 < spokeLater.size) return false;
+      const others = together.map(fingerprintsOf);
+      return ![...fingerprintsOf(own)].some(each =>
+        others.every(other => other.has(each)),
+      );
+    },
     inProgress: upstreamId =>
       [...(runs.get(upstreamId)?.open ?? [])].map(toSuspect),
     silent(silenceMs) {
