Leave out no engine as failing while most seem to fail

After a pause of all or most engines of a service new streams waited or were refused for up to 6 s, though every engine was sound again.

Cause: a host never takes more than half of a role's engines out of use for its own failed requests, but any number for those of its peers, whose words add up. After two pauses within 10 s the breaker excludes each such engine even where no other has room.

Change: if more than half of the engines of a service and role have failed requests here or at peers, none is left out for it, and the breaker counts nothing.

--- a/src/relay/placement/engine_candidates.ts
+++ b/src/relay/placement/engine_candidates.ts
@@ -156,15 +156,34 @@
   const isFull = (id: string) => hasRefused(id) || host.isPaused(id);
 
   function excludeFull(engines: readonly Upstream[]): readonly Upstream[] {
+    if (engines.length === 0) return engines;
+    const failing = findFailing(engines[0]);
     return engines.filter(
       ({id}) =>
-        !isFull(id) && !host.isFullAtPeer(id) && !isRepeatedlyFailing(id),
+        !isFull(id) &&
+        !host.isFullAtPeer(id) &&
+        !isRepeatedlyFailing(id, failing),
     );
   }
 
-  function problemOf(id: string): EngineProblem {
-    const isFailing = !health.isUsable(id, clock.nowMs()) || host.isSuspect(id);
-    if (isFailing) return 'failing';
+  const isFailing = (id: string) =>
+    !health.isUsable(id, clock.nowMs()) || host.isSuspect(id);
+
+  /**
+   * The engines of a role that failed requests here or at a peer. If most seem
+   * to fail, they more likely paused together, and none is left out for it.
+   */
+  function findFailing({
+    service,
+    role,
+  }: Pick<Upstream, 'service' | 'role'>): ReadonlySet<string> {
+    const all = registry.open(service).filter(each => each.role === role);
+    const failing = all.map(({id}) => id).filter(isFailing);
+    return new Set(failing.length * 2 > all.length ? [] : failing);
+  }
+
+  function problemOf(id: string, failing: ReadonlySet<string>): EngineProblem {
+    if (failing.has(id)) return 'failing';
     return isFull(id) || host.isFullAtPeer(id) ? 'full' : 'none';
   }
 
@@ -172,8 +191,8 @@
    * Whether the engine failed again after being readmitted. Such engines are
    * not used even when all others are full.
    */
-  const isRepeatedlyFailing = (id: string) =>
-    !breaker.mayUse(id, problemOf(id)) && breaker.isRepeating(id);
+  const isRepeatedlyFailing = (id: string, failing: ReadonlySet<string>) =>
+    !breaker.mayUse(id, problemOf(id, failing)) && breaker.isRepeating(id);
 
   /** A prompt may wait at a full engine if there is no other. */
   function preferNotFull(engines: readonly Upstream[]): readonly Upstream[] {
@@ -197,8 +216,8 @@
   }
 
   /** Full engines count as usable here; callers that need room exclude them. */
-  function isUsable(id: string): boolean {
-    const problem = problemOf(id);
+  function isUsable(id: string, failing: ReadonlySet<string>): boolean {
+    const problem = problemOf(id, failing);
     const mayUse = breaker.mayUse(id, problem);
     return problem === 'full' || mayUse;
   }
@@ -209,7 +228,8 @@
     version?: string,
   ): readonly Upstream[] {
     const all = listEngines(service, role, version);
-    const usable = all.filter(({id}) => isUsable(id));
+    const failing = findFailing({service, role});
+    const usable = all.filter(({id}) => isUsable(id, failing));
     return usable.length > 0 ? usable : all;
   }
 
--- a/tests/relay/placement/lone_scheduler.ts
+++ b/tests/relay/placement/lone_scheduler.ts
@@ -4,7 +4,10 @@
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import type {Clock} from '../../../src/ports/clock.js';
 import {createEngineLoads} from '../../../src/relay/placement/engine_loads.js';
-import {createEngineScheduler} from '../../../src/relay/placement/engine_scheduler.js';
+import {
+  createEngineScheduler,
+  type PeerView,
+} from '../../../src/relay/placement/engine_scheduler.js';
 import {createSharedStatistics} from '../../../src/relay/placement/shared_statistics.js';
 import type {Upstream} from '../../../src/core/upstream.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
@@ -46,6 +49,7 @@
   clock: Clock,
   engineIds: readonly string[],
   random = createSeededRandom(3),
+  peers: Partial<PeerView> = {},
 ) {
   const registry = createUpstreamRegistry({clock, log: silentLog});
   registry.apply({
@@ -68,6 +72,7 @@
       isFull: () => false,
       isChanging: () => false,
       hasWaiters: () => false,
+      ...peers,
     },
     isChanging: () => false,
     isPaused: () => false,
