Try all engines of a role when none of it is reachable

While all decode engines of a service paused so that connections to them timed out, callers got 503 (no decode engine is listed) at once, for up to 4 s or until the next heartbeats, as long as a prefill engine was reachable.

Cause: unreachable upstreams are tried if none of their service is left, and decode and prefill engines are of one service.

Change: they are tried if none of their service and role is left. Prefill engines still need the whole service to be unreachable, since decode engines can read prompts.

--- a/src/relay/store/upstream_registry.ts
+++ b/src/relay/store/upstream_registry.ts
@@ -169,7 +169,7 @@
       if (known) known.push(upstream);
       else byService.set(upstream.service, [upstream]);
     }
-    addUnreachableServices();
+    addUnreachableRoles();
     for (const listener of listeners) listener();
   }
 
@@ -192,19 +192,21 @@
   }
 
   /**
-   * If all upstreams of a service seem unreachable, the fault is more likely on
-   * this host's side; then all of them are tried.
+   * If all upstreams of a service and role seem unreachable, the fault is more
+   * likely on this host's side, or they pause; then all of them are tried.
+   * Decode engines can do without prefill engines.
    */
-  function addUnreachableServices(): void {
-    const unserved = new Map<string, Upstream[]>();
-    for (const upstream of entries.values()) {
-      if (byService.has(upstream.service)) continue;
-      if (isLeaving(upstream)) continue;
-      const known = unserved.get(upstream.service) ?? [];
-      unserved.set(upstream.service, [...known, upstream]);
+  function addUnreachableRoles(): void {
+    const groupOf = ({service, role}: Upstream) =>
+      role === 'prefill' ? service : `${service}|${role ?? ''}`;
+    const served = new Set([...byService.keys()]);
+    for (const upstream of [...byService.values()].flat()) {
+      served.add(groupOf(upstream));
     }
-    for (const [service, upstreams] of unserved) {
-      byService.set(service, upstreams);
+    for (const upstream of entries.values()) {
+      if (isLeaving(upstream) || served.has(groupOf(upstream))) continue;
+      const {service} = upstream;
+      byService.set(service, [...(byService.get(service) ?? []), upstream]);
     }
   }
 
--- a/tests/relay/store/upstream_registry_test.ts
+++ b/tests/relay/store/upstream_registry_test.ts
@@ -117,6 +117,34 @@
   assert.deepEqual(open(), ['a', 'b']);
 });
 
+test('if no upstream of a role is reachable, all of the role are tried', () => {
+  // Guards against refusing all streams while the decode engines pause and take
+  // no connections, since the prefill engines do.
+  const {registry, list, open} = makeRegistry();
+  const [p, a, b] = ['p', 'a', 'b'].map(id =>
+    makeUpstream(id, {role: id === 'p' ? 'prefill' : 'decode'}),
+  );
+  list(p, a, b);
+  registry.markUnreachable('a');
+  assert.deepEqual(open(), ['p', 'b']);
+  registry.markUnreachable('b');
+  assert.deepEqual(open(), ['p', 'a', 'b']);
+  registry.markUnreachable('p');
+  assert.deepEqual(open(), ['p', 'a', 'b']);
+});
+
+test('unreachable prefill engines are not tried while decode engines are reachable', () => {
+  // Guards against prompts that lose the time of connection attempts although
+  // the decode engines can read them.
+  const {registry, list, open} = makeRegistry();
+  list(
+    makeUpstream('p', {role: 'prefill'}),
+    makeUpstream('d', {role: 'decode'}),
+  );
+  registry.markUnreachable('p');
+  assert.deepEqual(open(), ['d']);
+});
+
 test('an older list is rejected', () => {
   const {registry, open} = makeRegistry();
   registry.apply({revision: revisionAt(5), upstreams: [makeUpstream('a')]});
