Don't take a pause of an engine for its speed

After a pause an engine was avoided as slow, and the effect of load on speed was learned from it for a minute.

Cause: the time between two events is averaged over the stretch they are in, whatever its length: after a pause of 3 s an engine of 100 ms an event was measured at 1,550 ms.

Change: a stretch ends at a gap of more than 1 s, as it does where a caller pauses. An engine that slows down to 600 ms an event is still measured.

The new test in run_pace_test.ts failed before.

--- a/src/relay/streams/run_pace.ts
+++ b/src/relay/streams/run_pace.ts
@@ -23,17 +23,22 @@
  * second in which a sudden change must show.
  */
 const MIN_STRETCH_MS = 200;
+/** A longer time between two events is a pause, which shows no speed. */
+const MAX_GAP_MS = 1_000;
 
 export function createRunPaceMeter(host: RunPaceHost): RunPaceMeter {
   const {clock} = host;
   /** When the first event of the stretch arrived; it counts only as its start. */
   let startedAtMs: number | undefined;
+  let lastAtMs = 0;
   let events = 0;
 
   return {
     noteEvent() {
       const nowMs = clock.nowMs();
-      if (startedAtMs === undefined) {
+      const gapMs = nowMs - lastAtMs;
+      lastAtMs = nowMs;
+      if (startedAtMs === undefined || gapMs > MAX_GAP_MS) {
         startedAtMs = nowMs;
         events = 0;
         return;
--- a/tests/relay/streams/run_pace_test.ts
+++ b/tests/relay/streams/run_pace_test.ts
@@ -34,3 +34,12 @@
   // their streams paused.
   assert.deepEqual(measure([0, 40, 80, 'r', 3_000, 3_100, 3_200]), [100]);
 });
+
+test('a pause does not make the engine look slow', () => {
+  // Guards against engines that are avoided after a pause, since all of it
+  // counted as one slow event.
+  const events = [0, 100, 200, 300, 3_300, 3_400, 3_500];
+  assert.deepEqual(measure(events), [100, 100]);
+  // An engine that slows down to a sixth is still measured.
+  assert.deepEqual(measure([0, 600, 1_200]), [600, 600]);
+});
