Log what a next run of a stream lacks

The logs of the incident show that a run was ended for its silence, and not why no run followed: attempts, retries, the version or room. No logic has changed.

--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -60,6 +60,9 @@
   run(job: RelayJob): Promise<JobOutcome>;
 }
 
+/** What another run of a stream lacks. */
+type MissingForRun = 'attempt' | 'retry' | 'version' | 'room';
+
 const STATUS_OK = 200;
 const NO_ENGINES: ReadonlySet<string> = new Set();
 
@@ -165,18 +168,34 @@
 
   /** Places the request for another run that resumes after its last event. */
   async function prepareNextRun(state: StreamState): Promise<boolean> {
+    const missing = await placeNextRun(state);
+    if (missing === undefined) return true;
+    if (!state.job.route.isResumable) return false;
+    host.log.info('No next run.', {
+      request: state.job.request.requestId,
+      missing,
+      sinceEventMs: Math.round(clock.nowMs() - state.lastEventAtMs),
+    });
+    return false;
+  }
+
+  /** Returns what a next run lacks, or undefined once it is placed. */
+  async function placeNextRun(
+    state: StreamState,
+  ): Promise<MissingForRun | undefined> {
     const {decode, run} = state.placement;
-    if (!canResumeAfter(state) || !calls.canRetryRun(state)) return false;
+    if (!canResumeAfter(state)) return 'attempt';
+    if (!calls.canRetryRun(state)) return 'retry';
     const isBound = state.need.version !== undefined;
-    if (state.events > 0 && !isBound) return false;
+    if (state.events > 0 && !isBound) return 'version';
     state.avoid.add(decode.id);
     state.source = undefined;
     const outputTokens = run.outputTokens;
     const isPlaced =
       placeElsewhere(state) || (isBound && (await placeBegun(state)));
-    if (!isPlaced) return false;
+    if (!isPlaced) return 'room';
     engineLoads.setOutputTokens(state.placement.run, outputTokens);
-    return true;
+    return undefined;
   }
 
   /**
