Leave a silent run only for a successor that is ready

Callers saw streams of resumable routes cut in the middle, or 502, when their engines paused for over 1.3 s. The host closed the connection of the run after 1.3 s without a byte and only then asked for an attempt, a retry, an engine and the prompt; whatever was missing ended the answer, though the engine was sound.

A silent run now stays open while a successor is prepared: a retry, bookings at an engine that has just answered, the prefill result. It is left when the successor is ready and the run is still silent; if it goes on first, all is released. While most engines of a service are silent, nothing is prepared before the last start that would still reach the caller. A next run whose start fails is placed again until the deadline.

--- a/src/core/virtual_clock.ts
+++ b/src/core/virtual_clock.ts
@@ -14,6 +14,8 @@
   advance(durationMs: number): Promise<void>;
   /** Like `advance`, but promises do not settle between timers. */
   advanceSync(durationMs: number): void;
+  /** Lets time pass without running timers, which are late after it. */
+  standStill(durationMs: number): void;
   /** Returns the number of pending timers. */
   pendingCount(): number;
 }
@@ -116,6 +118,9 @@
       }
       nowMs = untilMs;
     },
+    standStill(durationMs) {
+      nowMs += durationMs;
+    },
     pendingCount: () => liveCount,
   };
 }
--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -24,7 +24,7 @@
 import {createListEvidence} from './list_evidence.js';
 import {createLossReports, isLossFact} from './loss_reports.js';
 import {fingerprintOf} from './request_fingerprint.js';
-import {createRunLog, type Run, type Suspect} from './run_log.js';
+import {createRunLog, type Run, type RunLog, type Suspect} from './run_log.js';
 import {createTrials} from './trials.js';
 import type {RunEnd, WatchedRun} from './watched_upstream_port.js';
 
@@ -46,6 +46,8 @@
 export interface CrashWatch {
   /** Watches a run from its send on. */
   startRun(request: RelayRequest, upstream: Upstream): WatchedRun;
+  /** What the runs of this host show of their upstreams. */
+  readonly runs: Pick<RunLog, 'lastSeenAtMs' | 'openSilences'>;
   /** The list of upstreams was read or has changed. */
   noteList(): void;
   /**
@@ -309,6 +311,7 @@
         },
       };
     },
+    runs,
     noteList: list.update,
     findRefusal,
     watchWaiting(request, onRefusal) {
--- a/src/relay/crashes/run_log.ts
+++ b/src/relay/crashes/run_log.ts
@@ -50,6 +50,10 @@
   inProgress(upstreamId: string): readonly Suspect[];
   /** Upstreams with runs that have sent nothing for `silenceMs`. */
   silent(silenceMs: number): readonly SilentUpstream[];
+  /** When its latest bytes arrived; `-Infinity` if none have. */
+  lastSeenAtMs(upstreamId: string): number;
+  /** How long each upstream with runs in progress has sent nothing. */
+  openSilences(): ReadonlyMap<string, number>;
 }
 
 interface CutRun extends Suspect {
@@ -115,10 +119,13 @@
     return each;
   }
 
-  /** Since when it has sent nothing although it had a run. */
-  function silentSinceMs({upstream, open, cut}: UpstreamRuns): number {
-    const starts = [...open, ...cut].map(({startedAtMs}) => startedAtMs);
-    return Math.max(Math.min(...starts), signsOf(upstream.id).seenAtMs);
+  /** Since when it has sent nothing although it had one of these runs. */
+  function silentSinceMs(
+    {id}: Upstream,
+    of: Iterable<{readonly startedAtMs: number}>,
+  ): number {
+    const starts = Array.from(of, ({startedAtMs}) => startedAtMs);
+    return Math.max(Math.min(...starts), signsOf(id).seenAtMs);
   }
 
   return {
@@ -186,9 +193,19 @@
       return [...runs.values()]
         .map(each => ({
           upstream: each.upstream,
-          sinceMs: silentSinceMs(each),
+          sinceMs: silentSinceMs(each.upstream, [...each.open, ...each.cut]),
         }))
         .filter(({sinceMs}) => sinceMs <= latestMs);
     },
+    lastSeenAtMs: upstreamId => signsOf(upstreamId).seenAtMs,
+    openSilences: () =>
+      new Map(
+        [...runs.values()]
+          .filter(({open}) => open.size > 0)
+          .map(({upstream, open}) => [
+            upstream.id,
+            clock.nowMs() - silentSinceMs(upstream, open),
+          ]),
+      ),
   };
 }
--- a/src/relay/front/cancellation.ts
+++ b/src/relay/front/cancellation.ts
@@ -26,3 +26,15 @@
     },
   };
 }
+
+/** A cancellation that is triggered by the first of the given ones. */
+export function joinCancellations(
+  first: Cancellation,
+  second: Cancellation | undefined,
+): Cancellation {
+  if (!second) return first;
+  const joined = createCancellation();
+  first.onCancel(joined.cancel);
+  second.onCancel(joined.cancel);
+  return joined;
+}
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -38,6 +38,8 @@
     'Callers disconnected as they read too slowly, by cause.',
   forwarded_calls: 'Calls to upstreams that peers were asked to make, by end.',
   served_calls: 'Calls to upstreams that peers asked for, by result.',
+  runs_left: 'Runs left for another engine as they were silent, by reason.',
+  runs_kept: 'Silent runs that went on while another was prepared.',
   take_ups: 'Streams that callers took up, by what the decision rests on.',
   retries_denied: 'Retries that were denied, by service and cause.',
 } as const;
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -40,6 +40,7 @@
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
 import {createAuxiliaryServer} from './front/auxiliary_server.js';
+import {createEngineSilence} from './silence/engine_silence.js';
 import {createStoreReaders} from './fleet/store_readers.js';
 import {createStoreEra} from './store/store_era.js';
 import {createStoreWatch} from './store/store_watch.js';
@@ -342,6 +343,13 @@
     streams: createStreamRelay({
       ...placement,
       ...shared,
+      metrics,
+      silence: createEngineSilence({
+        clock,
+        upstreamPort,
+        registry,
+        runs: crashes.runs,
+      }),
       resumption,
       log: createLogger('stream'),
     }),
--- a/src/relay/streams/budgeted_calls.ts
+++ b/src/relay/streams/budgeted_calls.ts
@@ -31,6 +31,10 @@
   ): Promise<Answer | SendFailure | NoRetries>;
   /** Returns whether the budget allows one more run and its prefill. */
   canRetryRun(state: StreamState): boolean;
+  /** Takes the retry for the next run; resolves to whether one was left. */
+  reserveRun(state: StreamState): Promise<boolean>;
+  /** Returns a reserved retry. */
+  giveBackRun(state: StreamState): void;
 }
 
 const NO_RETRIES: NoRetries = {
@@ -46,17 +50,25 @@
 const CALLS_PER_RUN = 2;
 
 export function createBudgetedCalls(budget: RetryAllowance): BudgetedCalls {
+  async function take({job}: StreamState): Promise<boolean> {
+    return budget.tryTake(job.service.name, job.request.requestId);
+  }
+
+  function takeReserved(state: StreamState): boolean {
+    const isReserved = state.hasReservedRun;
+    state.hasReservedRun = false;
+    return isReserved;
+  }
+
   async function callWithinBudget<Outcome extends {readonly kind: string}>(
     state: StreamState,
     call: () => Promise<Outcome>,
     isCounted: (outcome: Outcome) => boolean,
+    isReserved = false,
   ): Promise<Outcome | NoRetries> {
-    const {request} = state.job;
     const service = state.job.service.name;
     const isRetry = state.countedCalls > 0;
-    if (isRetry && !(await budget.tryTake(service, request.requestId))) {
-      return NO_RETRIES;
-    }
+    if (isRetry && !isReserved && !(await take(state))) return NO_RETRIES;
     const outcome = await call();
     // A call that was never sent costs the engines nothing.
     if (!NOT_SENT_KINDS.has(outcome.kind) && isCounted(outcome)) {
@@ -74,7 +86,10 @@
         if (kind === 'prefilled') state.wasPrefilled = true;
         return !isFirst;
       }),
-    run: (state, call) => callWithinBudget(state, call, () => true),
+    run: (state, call) =>
+      callWithinBudget(state, call, () => true, takeReserved(state)),
     canRetryRun: ({job}) => budget.hasLeft(job.service.name, CALLS_PER_RUN),
+    reserveRun: take,
+    giveBackRun: ({job}) => budget.giveBack(job.service.name),
   };
 }
--- /dev/null
+++ b/src/relay/streams/next_runs.ts
@@ -0,0 +1,157 @@
+/**
+ * Finds the run that follows one that has ended: after it broke off, after it
+ * was left for its silence, and after a start that reached no engine.
+ */
+
+import type {RequestError} from '../../core/error_kinds.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Cancellation} from '../../ports/relay.js';
+import type {EngineLoads} from '../placement/engine_loads.js';
+import type {EngineScheduler} from '../placement/engine_scheduler.js';
+import type {
+  PlacementOutcome,
+  StreamNeed,
+} from '../placement/placement_types.js';
+import {toWaiting} from '../placement/wait_rules.js';
+import type {RelayMetrics} from '../relay_metrics.js';
+import type {Departure} from '../silence/run_watch.js';
+import type {BudgetedCalls} from './budgeted_calls.js';
+import type {StreamStart} from './stream_start.js';
+import {mayResume, quietSinceMs, type StreamState} from './stream_state.js';
+import type {Successor, Successors} from './successors.js';
+
+export interface NextRunsHost {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: Pick<RelayMetrics, 'count'>;
+  readonly scheduler: EngineScheduler;
+  readonly engineLoads: EngineLoads;
+  readonly calls: BudgetedCalls;
+  readonly successors: Successors;
+  readonly start: Pick<
+    StreamStart,
+    'placeElsewhere' | 'moveTo' | 'releaseBookings'
+  >;
+  place(
+    need: StreamNeed,
+    cancellation: Cancellation,
+  ): Promise<PlacementOutcome>;
+}
+
+export interface NextRuns {
+  /** Places a run that resumes after the last event; false if none may. */
+  placeAfterBreak(state: StreamState): Promise<boolean>;
+  /** Goes on with the successor of a run that was left. */
+  leave(state: StreamState, departure: Departure<Successor>): void;
+  /**
+   * Places a run once more whose start has failed after the one before was left
+   * for its silence; waits a moment first.
+   */
+  placeAfterFailedStart(
+    state: StreamState,
+    error: RequestError,
+  ): Promise<boolean>;
+}
+
+/** What another run of a stream lacks. */
+type MissingForRun = 'attempt' | 'retry' | 'version' | 'room';
+
+const NO_ENGINES: ReadonlySet<string> = new Set();
+const START_RETRY_MS = 100;
+
+export function createNextRuns(host: NextRunsHost): NextRuns {
+  const {clock, scheduler, engineLoads, calls, start} = host;
+
+  /** Returns what a next run lacks, or undefined once it is placed. */
+  async function placeNextRun(
+    state: StreamState,
+  ): Promise<MissingForRun | undefined> {
+    const {decode} = state.placement;
+    if (!mayResume(state)) return 'attempt';
+    if (!calls.canRetryRun(state)) return 'retry';
+    if (state.events > 0 && state.need.version === undefined) return 'version';
+    state.avoid.add(decode.id);
+    state.source = undefined;
+    return (await placeAnywhere(state)) ? undefined : 'room';
+  }
+
+  async function placeAnywhere(state: StreamState): Promise<boolean> {
+    const {outputTokens} = state.placement.run;
+    const isBound = state.need.version !== undefined;
+    const isPlaced =
+      start.placeElsewhere(state) || (isBound && (await placeBegun(state)));
+    if (isPlaced)
+      engineLoads.setOutputTokens(state.placement.run, outputTokens);
+    return isPlaced;
+  }
+
+  /**
+   * Places a begun stream that no other engine of its version has room for: at
+   * one that ran it before, or at the first that has room while the caller
+   * waits for the next event.
+   */
+  async function placeBegun(state: StreamState): Promise<boolean> {
+    if (start.placeElsewhere(state, NO_ENGINES)) return true;
+    const {job, need} = state;
+    const {route, deadlineAtMs} = job;
+    start.releaseBookings(state);
+    const {startMs} = need;
+    const arrivedAtMs = quietSinceMs(state);
+    const waiting = {
+      ...toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}),
+      priority: need.waiting.priority,
+    };
+    const placed = await host.place({...need, waiting}, job.cancellation);
+    if (placed.kind !== 'placed') return false;
+    start.moveTo(state, placed);
+    return true;
+  }
+
+  const delay = (ms: number) =>
+    new Promise<void>(resolve => clock.setTimer(ms, resolve));
+
+  return {
+    async placeAfterBreak(state) {
+      const missing = await placeNextRun(state);
+      if (missing === undefined) return true;
+      if (!state.job.route.isResumable) return false;
+      host.log.info('No next run.', {
+        request: state.job.request.requestId,
+        missing,
+        sinceEventMs: Math.round(clock.nowMs() - state.lastEventAtMs),
+      });
+      return false;
+    },
+    leave(state, {reason, silentMs, successor}) {
+      const {decode} = state.placement;
+      const {placement, source} = successor.next;
+      host.metrics.count('runs_left', `reason="${reason}"`);
+      host.log.info('Run left.', {
+        request: state.job.request.requestId,
+        upstream: decode.id,
+        reason,
+        silentMs: Math.round(silentMs),
+        events: state.events,
+        nextUpstream: placement.decode.id,
+        prefill: source?.engineId,
+        promptTokens: state.need.promptTokens,
+      });
+      if (reason === 'silent-engine') scheduler.recordFailure(decode.id);
+      host.successors.adopt(state, successor);
+      state.wasLeft = true;
+    },
+    async placeAfterFailedStart(state, error) {
+      const {job} = state;
+      const isFinal =
+        error.kind !== 'overloaded' && error.kind !== 'no-upstream';
+      if (!state.wasLeft || isFinal) return false;
+      while (clock.nowMs() + START_RETRY_MS < job.deadlineAtMs) {
+        await delay(START_RETRY_MS);
+        if (job.cancellation.isCancelled) return false;
+        if (await placeAnywhere(state)) return true;
+      }
+      return false;
+    },
+  };
+}
--- a/src/relay/streams/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -1,12 +1,13 @@
-/** Forwards the events of one run to the caller and detects a stalled run. */
+/** Forwards the events of one run to the caller. */
 
-import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 import type {
   BreakCause,
   Cancellation,
   UpstreamAnswer,
 } from '../../ports/relay.js';
 import type {Caller} from '../front/caller.js';
+import type {RunWatch} from '../silence/run_watch.js';
 import {createEventFramer, type StreamEvent} from './event_framer.js';
 
 export type StreamEnd =
@@ -19,7 +20,9 @@
   | {readonly kind: 'caller-gone'}
   /** The deadline of the request has passed. */
   | {readonly kind: 'timeout'; readonly detail: string}
-  /** The run broke off or stalled; the caller is still connected. */
+  /** The run was left for its silence; another one is ready. */
+  | {readonly kind: 'left'}
+  /** The run broke off; the caller is still connected. */
   | ({readonly kind: 'broken'; readonly detail: string} & BreakCause);
 
 export interface StreamEventsOptions {
@@ -28,8 +31,11 @@
   readonly cancellation: Cancellation;
   /** Whether the bytes of an event are held back until it is complete. */
   readonly wholeEventsOnly: boolean;
-  /** Ends a run that sends nothing for this time; undefined disables this. */
-  readonly stallTimeoutMs?: number;
+  /** Absent if no other run may follow. */
+  readonly watch?: Pick<
+    RunWatch<unknown>,
+    'leaving' | 'noteData' | 'pause' | 'resume' | 'end'
+  >;
   readonly deadlineAtMs: number;
   onEvent(event: StreamEvent): void;
   /**
@@ -47,53 +53,43 @@
   options: StreamEventsOptions,
 ): Promise<StreamEnd> {
   const {clock} = host;
-  const {answer, caller, cancellation, stallTimeoutMs} = options;
+  const {answer, caller, cancellation, watch} = options;
   const {body} = answer;
   const framer = createEventFramer();
   return new Promise(resolve => {
-    let stallTimer: TimerHandle | undefined;
     let isDone = false;
     const finish = (end: StreamEnd) => {
       if (isDone) return;
       isDone = true;
-      if (stallTimer) clock.clearTimer(stallTimer);
+      watch?.end();
       clock.clearTimer(deadlineTimer);
       if (end.kind !== 'whole') body.destroy();
       resolve(end);
     };
-    const restartStallTimer = () => {
-      if (stallTimeoutMs === undefined || isPaused) return;
-      if (stallTimer) clock.clearTimer(stallTimer);
-      stallTimer = clock.setTimer(stallTimeoutMs, () =>
-        finish({kind: 'broken', detail: `silent for ${stallTimeoutMs} ms`}),
-      );
-    };
     const deadlineTimer = clock.setTimer(
       Math.max(0, options.deadlineAtMs - clock.nowMs()),
       () => finish({kind: 'timeout', detail: 'the wait is over'}),
     );
     cancellation.onCancel(() => finish({kind: 'caller-gone'}));
-    // While the caller reads nothing, the run sends nothing either, and must
-    // not count as stalled.
+    watch?.leaving.onCancel(() => finish({kind: 'left'}));
     let isPaused = false;
     const write = (bytes: Buffer) => {
       if (caller.write(bytes) || isDone) return;
       isPaused = true;
-      if (stallTimer) clock.clearTimer(stallTimer);
+      watch?.pause();
       body.pause();
     };
     caller.onWritable(() => {
       if (isDone || !isPaused) return;
       isPaused = false;
-      restartStallTimer();
+      watch?.resume();
       options.onResume();
       body.resume();
     });
-    restartStallTimer();
     body.read({
       chunk(bytes) {
         if (isDone) return;
-        restartStallTimer();
+        watch?.noteData();
         const events = framer.push(bytes);
         if (!options.wholeEventsOnly) write(bytes);
         for (const event of events) {
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -31,17 +31,25 @@
 import type {RetryAllowance} from '../retries/shared_retries.js';
 import {leftMs, type RelayJob} from '../relay_types.js';
 import type {JobOutcome} from '../job_outcome.js';
+import type {RelayMetrics} from '../relay_metrics.js';
+import type {EngineSilence} from '../silence/engine_silence.js';
+import {createRunWatch, type RunWatch} from '../silence/run_watch.js';
+import {createNextRuns} from './next_runs.js';
+import {createPrefillStep} from './prefill_step.js';
 import {createRunPaceMeter} from './run_pace.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
-import {createStreamStart, STALL_TIMEOUT_MS} from './stream_start.js';
-import type {StreamState} from './stream_state.js';
+import {createStreamStart} from './stream_start.js';
+import {quietSinceMs, type StreamState} from './stream_state.js';
+import {createSuccessors, type Successor} from './successors.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {toWaiting} from '../placement/wait_rules.js';
 
 export interface StreamRelayHost {
   readonly clock: Clock;
   readonly log: Logger;
+  readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly upstreamPort: UpstreamPort;
+  readonly silence: EngineSilence;
   readonly scheduler: EngineScheduler;
   /** Places a new stream, on this host or on the host that places for it. */
   place(
@@ -60,23 +68,52 @@
   run(job: RelayJob): Promise<JobOutcome>;
 }
 
-/** What another run of a stream lacks. */
-type MissingForRun = 'attempt' | 'retry' | 'version' | 'room';
-
 const STATUS_OK = 200;
-const NO_ENGINES: ReadonlySet<string> = new Set();
 
 export function createStreamRelay(host: StreamRelayHost): StreamRelay {
   const {clock, scheduler, engineLoads, retryBudget} = host;
   const forecast = createOutputForecast();
   const failures = createEngineFailures(host);
   const calls = createBudgetedCalls(retryBudget);
-  const {start, placeElsewhere, moveTo, releasePrefillResult, releaseBookings} =
-    createStreamStart({
-      ...host,
-      failures,
-      calls,
+  const prefillStep = createPrefillStep({...host, failures, calls});
+  const successors = createSuccessors({...host, calls, prefillStep});
+  const start = createStreamStart({
+    ...host,
+    failures,
+    calls,
+    prefillStep,
+    watchRun,
+  });
+  const nextRuns = createNextRuns({...host, calls, successors, start});
+
+  /** Watches a run for silence if another may follow it. */
+  function watchRun(state: StreamState): RunWatch<Successor> | undefined {
+    const {isResumable, maxAttempts} = state.job.route;
+    if (!isResumable || state.ran.length + 1 >= maxAttempts) return undefined;
+    return createRunWatch<Successor>(state.placement.decode, {
+      clock,
+      silence: host.silence,
+      lastStartAtMs: () => lastStartAtMs(state),
+      prepare: (reason, cancellation) =>
+        successors.prepare(state, reason, cancellation),
+      onKept(silentMs) {
+        host.metrics.count('runs_kept');
+        host.log.info('Silent run goes on.', {
+          request: state.job.request.requestId,
+          upstream: state.placement.decode.id,
+          silentMs: Math.round(silentMs),
+        });
+      },
     });
+  }
+
+  /** Latest start of another run after which the caller is still there. */
+  function lastStartAtMs(state: StreamState): number {
+    const {route, deadlineAtMs} = state.job;
+    const {startMs} = state.need;
+    const arrivedAtMs = quietSinceMs(state);
+    return toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}).giveUpAtMs;
+  }
 
   function toNeed(job: RelayJob, version?: string): StreamNeed {
     const {request, route, service, deadlineAtMs, admitted} = job;
@@ -109,6 +146,7 @@
   function relay(
     state: StreamState,
     answer: UpstreamAnswer,
+    watch: RunWatch<Successor> | undefined,
   ): Promise<StreamEnd> {
     const {job, placement} = state;
     const tokensPerEvent = job.service.engine?.tokensPerEvent ?? 1;
@@ -132,7 +170,7 @@
         caller: job.caller,
         cancellation: job.cancellation,
         wholeEventsOnly: job.route.isResumable,
-        stallTimeoutMs: canResumeAfter(state) ? STALL_TIMEOUT_MS : undefined,
+        watch,
         deadlineAtMs: job.deadlineAtMs,
         onResume: pace.restart,
         onEvent(event) {
@@ -153,12 +191,6 @@
     );
   }
 
-  /** Returns whether another run may follow the current one. */
-  function canResumeAfter(state: StreamState): boolean {
-    const {isResumable, maxAttempts} = state.job.route;
-    return isResumable && state.ran.length < maxAttempts;
-  }
-
   /** What one version has written, another can't go on with. */
   function bindToVersion(state: StreamState): void {
     const {version} = state.placement.decode;
@@ -166,60 +198,6 @@
     host.resumption.recordBegun(state.job, version);
   }
 
-  /** Places the request for another run that resumes after its last event. */
-  async function prepareNextRun(state: StreamState): Promise<boolean> {
-    const missing = await placeNextRun(state);
-    if (missing === undefined) return true;
-    if (!state.job.route.isResumable) return false;
-    host.log.info('No next run.', {
-      request: state.job.request.requestId,
-      missing,
-      sinceEventMs: Math.round(clock.nowMs() - state.lastEventAtMs),
-    });
-    return false;
-  }
-
-  /** Returns what a next run lacks, or undefined once it is placed. */
-  async function placeNextRun(
-    state: StreamState,
-  ): Promise<MissingForRun | undefined> {
-    const {decode, run} = state.placement;
-    if (!canResumeAfter(state)) return 'attempt';
-    if (!calls.canRetryRun(state)) return 'retry';
-    const isBound = state.need.version !== undefined;
-    if (state.events > 0 && !isBound) return 'version';
-    state.avoid.add(decode.id);
-    state.source = undefined;
-    const outputTokens = run.outputTokens;
-    const isPlaced =
-      placeElsewhere(state) || (isBound && (await placeBegun(state)));
-    if (!isPlaced) return 'room';
-    engineLoads.setOutputTokens(state.placement.run, outputTokens);
-    return undefined;
-  }
-
-  /**
-   * Places a begun stream that no other engine of its version has room for: at
-   * one that ran it before, or at the first that has room while the caller
-   * waits for the next event.
-   */
-  async function placeBegun(state: StreamState): Promise<boolean> {
-    if (placeElsewhere(state, NO_ENGINES)) return true;
-    const {job, need} = state;
-    const {route, deadlineAtMs} = job;
-    releaseBookings(state);
-    const {startMs} = need;
-    const arrivedAtMs = state.lastEventAtMs;
-    const waiting = {
-      ...toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}),
-      priority: need.waiting.priority,
-    };
-    const placed = await host.place({...need, waiting}, job.cancellation);
-    if (placed.kind !== 'placed') return false;
-    moveTo(state, placed);
-    return true;
-  }
-
   function refuse(state: StreamState, error: RequestError): JobOutcome {
     const {caller} = state.job;
     const reason = `${error.kind}: ${error.detail}`;
@@ -241,24 +219,32 @@
     const {job} = state;
     const placedAtMs = clock.nowMs();
     for (;;) {
-      const started = await start(state);
+      const started = await start.start(state);
       if (started.kind === 'cancelled') {
         return {end: 'caller-gone', upstreams: state.ran};
       }
+      if (started.kind === 'left') {
+        nextRuns.leave(state, started.departure);
+        continue;
+      }
       if (started.kind === 'failed') {
-        if (started.mayHaveRun && (await prepareNextRun(state))) continue;
+        const isPlaced = started.mayHaveRun
+          ? await nextRuns.placeAfterBreak(state)
+          : await nextRuns.placeAfterFailedStart(state, started.error);
+        if (isPlaced) continue;
         return refuse(state, withRetryAfter(started.error));
       }
-      const {answer} = started;
+      const {answer, watch} = started;
       if (answer.status !== STATUS_OK) {
+        watch?.end();
         // The engine's error is forwarded unless another run is allowed.
-        if (await prepareNextRun(state)) {
+        if (await nextRuns.placeAfterBreak(state)) {
           answer.body.destroy();
           continue;
         }
         return deliverFailure(state, answer);
       }
-      const end = await relay(state, answer);
+      const end = await relay(state, answer, watch);
       if (state.firstByteAtMs !== undefined && state.ran.length === 1) {
         host.statistics.recordStart(state.firstByteAtMs - placedAtMs);
       }
@@ -289,6 +275,12 @@
             upstreams: state.ran,
             events: state.events,
           };
+        case 'left':
+          if (!watch?.departure) {
+            throw new Error('A run was left without a successor.');
+          }
+          nextRuns.leave(state, watch.departure);
+          continue;
         case 'timeout':
           return refuse(state, {kind: 'deadline-passed', detail: end.detail});
         case 'broken':
@@ -301,7 +293,7 @@
             state.placement.decode,
             end,
           );
-          if (await prepareNextRun(state)) continue;
+          if (await nextRuns.placeAfterBreak(state)) continue;
           return refuse(state, {kind: 'answer-cut', detail: end.detail});
       }
     }
@@ -368,6 +360,8 @@
         ranVersions: [],
         avoid: new Set(),
         countedCalls: 0,
+        hasReservedRun: false,
+        wasLeft: false,
         wasPrefilled: false,
         lastEventId: job.request.lastEventId,
         events: 0,
@@ -377,8 +371,8 @@
       const outcome = await runPlaced(state);
       // Frees the prefill result now. Until its engine would drop it by itself,
       // other requests would wait for that memory.
-      releasePrefillResult(state);
-      releaseBookings(state);
+      start.releasePrefillResult(state);
+      start.releaseBookings(state);
       return {
         ...outcome,
         versions: state.ranVersions,
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -15,12 +15,14 @@
 import {isGenuine} from '../answers/answer_rules.js';
 import type {BudgetedCalls, NoRetries} from './budgeted_calls.js';
 import type {EngineFailures} from './engine_failures.js';
+import {joinCancellations} from '../front/cancellation.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {Placement} from '../placement/placement_types.js';
-import {createPrefillStep} from './prefill_step.js';
+import type {PrefillStep} from './prefill_step.js';
 import {CONNECT_TIMEOUT_MS, KEY_WITHDRAWN, leftMs} from '../relay_types.js';
-import type {SharedStatistics} from '../placement/shared_statistics.js';
+import type {Departure, RunWatch} from '../silence/run_watch.js';
 import type {StreamState} from './stream_state.js';
+import type {Successor} from './successors.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface StreamStartHost {
@@ -29,8 +31,10 @@
   readonly scheduler: EngineScheduler;
   readonly registry: UpstreamRegistry;
   readonly calls: BudgetedCalls;
-  readonly statistics: SharedStatistics;
   readonly failures: EngineFailures;
+  readonly prefillStep: PrefillStep;
+  /** Watches the run that is about to start; undefined if none may follow. */
+  watchRun(state: StreamState): RunWatch<Successor> | undefined;
 }
 
 export interface StreamStart {
@@ -50,7 +54,12 @@
 }
 
 export type StartOutcome =
-  | {readonly kind: 'streaming'; readonly answer: UpstreamAnswer}
+  | {
+      readonly kind: 'streaming';
+      readonly answer: UpstreamAnswer;
+      readonly watch?: RunWatch<Successor>;
+    }
+  | Left
   | {
       readonly kind: 'failed';
       readonly error: RequestError;
@@ -59,47 +68,60 @@
     }
   | {readonly kind: 'cancelled'};
 
+/** The run was left before the head of an answer. */
+interface Left {
+  readonly kind: 'left';
+  readonly departure: Departure<Successor>;
+}
+
+interface Answered {
+  readonly kind: 'answered';
+  readonly answer: UpstreamAnswer;
+  readonly watch?: RunWatch<Successor>;
+}
+
 /** Maximum number of sends in one start. */
 const MAX_DECODE_ATTEMPTS = 4;
-/**
- * A resumable stream without data for this time continues on another engine. An
- * engine under preemption may pause for most of a second.
- */
-export const STALL_TIMEOUT_MS = 1_300;
 const DEADLINE_SLACK_MS = 60;
 
 export function createStreamStart(host: StreamStartHost): StreamStart {
   const {clock, upstreamPort, scheduler, registry, failures, calls} = host;
-  const prefillStep = createPrefillStep(host);
 
-  function sendDecode(
+  async function sendDecode(
     state: StreamState,
-  ): Promise<UpstreamAnswer | SendFailure | NoRetries> {
+  ): Promise<Answered | Left | SendFailure | NoRetries> {
     const {job, placement} = state;
     const untilDeadlineMs = leftMs(job.deadlineAtMs, clock.nowMs());
-    const headTimeoutMs = mayRunAgain(state)
-      ? Math.min(STALL_TIMEOUT_MS, untilDeadlineMs)
-      : untilDeadlineMs + DEADLINE_SLACK_MS;
     const options: SendOptions = {
       upstream: placement.decode,
       leftMs: untilDeadlineMs,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      headTimeoutMs,
+      headTimeoutMs: untilDeadlineMs + DEADLINE_SLACK_MS,
       mayReuseConnection: false,
       prefill: state.source,
       enginePriority: state.enginePriority,
       expectsEvents: true,
       resumeAfterEvent: state.ran.length > 0 ? state.lastEventId : undefined,
     };
-    return calls.run(state, () =>
-      upstreamPort.send(job.request, options, job.cancellation),
-    );
-  }
-
-  /** Returns whether another run may follow the one that is about to start. */
-  function mayRunAgain(state: StreamState): boolean {
-    const {isResumable, maxAttempts} = state.job.route;
-    return isResumable && state.ran.length + 1 < maxAttempts;
+    let watch: RunWatch<Successor> | undefined;
+    const outcome = await calls.run(state, () => {
+      watch = host.watchRun(state);
+      return upstreamPort.send(
+        job.request,
+        options,
+        joinCancellations(job.cancellation, watch?.leaving),
+      );
+    });
+    if (watch?.departure) {
+      if (outcome.kind === 'answered') outcome.body.destroy();
+      return {kind: 'left', departure: watch.departure};
+    }
+    if (outcome.kind === 'answered') {
+      watch?.noteData();
+      return {kind: 'answered', answer: outcome, watch};
+    }
+    watch?.end();
+    return outcome;
   }
 
   /**
@@ -178,7 +200,7 @@
         return notRun(KEY_WITHDRAWN);
       }
       if (!state.source && state.placement.prefill) {
-        const prefill = await prefillStep.run(state);
+        const prefill = await host.prefillStep.run(state);
         if (job.cancellation.isCancelled) return {kind: 'cancelled'};
         if (prefill.kind === 'no-retries') return notRun(toOverload(prefill));
         if (prefill.kind === 'quarantined') return notRun(prefill.error);
@@ -189,17 +211,20 @@
       const isOpen = registry
         .open(job.service.name)
         .some(each => each.id === decode.id);
-      const outcome: UpstreamAnswer | SendFailure | NoRetries = isOpen
+      const outcome: Answered | Left | SendFailure | NoRetries = isOpen
         ? await sendDecode(state)
         : {kind: 'unreachable', detail: 'the engine leaves'};
       if (outcome.kind === 'no-retries') return notRun(toOverload(outcome));
-      if (outcome.kind !== 'answered') {
+      if (outcome.kind !== 'answered' && outcome.kind !== 'left') {
         failures.logFailure('Send failed.', state, decode, outcome);
       }
       switch (outcome.kind) {
         case 'answered':
           scheduler.recordAcceptance(decode.id);
           return acceptAnswer(state, outcome);
+        case 'left':
+          recordRun(state);
+          return outcome;
         case 'cancelled':
           return outcome;
         case 'quarantined':
@@ -249,13 +274,14 @@
 
   function acceptAnswer(
     state: StreamState,
-    answer: UpstreamAnswer,
+    {answer, watch}: Answered,
   ): StartOutcome {
     const {decode} = state.placement;
     recordRun(state);
     // The engine has taken over the prefill result with the request.
     state.source = undefined;
-    if (isGenuine(answer)) return {kind: 'streaming', answer};
+    if (isGenuine(answer)) return {kind: 'streaming', answer, watch};
+    watch?.end();
     answer.body.destroy();
     scheduler.recordFailure(decode.id);
     return {
--- a/src/relay/streams/stream_state.ts
+++ b/src/relay/streams/stream_state.ts
@@ -21,6 +21,10 @@
   source?: PrefillResultPlace;
   /** Calls that count towards the retry budget. */
   countedCalls: number;
+  /** A retry was taken for the next run. */
+  hasReservedRun: boolean;
+  /** A run was left for its silence, though it may have gone on. */
+  wasLeft: boolean;
   /** Whether a prefill engine has computed the prompt. */
   wasPrefilled: boolean;
   lastEventId?: string;
@@ -29,3 +33,14 @@
   lastEventAtMs: number;
   firstByteAtMs?: number;
 }
+
+/** Whether another run may follow the runs so far. */
+export function mayResume({job, ran}: StreamState): boolean {
+  const {isResumable, maxAttempts} = job.route;
+  return isResumable && ran.length < maxAttempts;
+}
+
+/** Since when the caller has waited for the next event. */
+export function quietSinceMs(state: StreamState): number {
+  return state.events > 0 ? state.lastEventAtMs : state.job.request.arrivedAtMs;
+}
--- /dev/null
+++ b/tests/relay/silence/fake_silence.ts
@@ -0,0 +1,15 @@
+/** What a host knows of silent engines, set by a test. */
+
+import type {EngineSilence} from '../../../src/relay/silence/engine_silence.js';
+
+export function makeFakeSilence(
+  changes: Partial<EngineSilence> = {},
+): EngineSilence {
+  return {
+    investigate: () => undefined,
+    wasAliveAfter: () => false,
+    isCommon: () => false,
+    answers: () => Promise.resolve(true),
+    ...changes,
+  };
+}
--- a/tests/relay/streams/engine_priority_test.ts
+++ b/tests/relay/streams/engine_priority_test.ts
@@ -10,6 +10,7 @@
 import {createRetryBudget} from '../../../src/request/retry_budget.js';
 import {silentLog} from '../../support/silent_log.js';
 import {makeLoneScheduler, makeService} from '../placement/lone_scheduler.js';
+import {makeFakeSilence} from '../silence/fake_silence.js';
 
 const service = makeService(30_000);
 
@@ -58,6 +59,8 @@
     ...lone,
     clock,
     log: silentLog,
+    metrics: {count: () => undefined},
+    silence: makeFakeSilence(),
     upstreamPort: upstreamPort as UpstreamPort,
     place: lone.scheduler.place,
     priorities: createRequestPriorities({routing: () => routing as Routing}),
--- a/tests/relay/streams/prefill_step_test.ts
+++ b/tests/relay/streams/prefill_step_test.ts
@@ -87,6 +87,8 @@
     ranVersions: [],
     avoid: new Set(),
     countedCalls: 0,
+    hasReservedRun: false,
+    wasLeft: false,
     wasPrefilled: false,
     events: 0,
     lastEventAtMs: 1_000,
