--- a/src/relay/streams/budgeted_calls.ts
+++ b/src/relay/streams/budgeted_calls.ts
@@ -18,26 +18,16 @@
   readonly detail: string;
 };
 
-/** A retry that was taken before the call that it pays for. */
-export interface TakenRetry {
-  giveBack(): void;
-}
-
 export interface BudgetedCalls {
   /**
-   * Makes a prefill call. The first one that an engine accepts is free. A call
-   * that follows one that was in progress when its retry was taken passes it.
+   * Makes a prefill call. The first one that an engine accepts is free. For a
+   * call that follows a silent one, the retry was reserved before that ended.
    */
   prefill(
     state: StreamState,
     call: () => Promise<PrefillOutcome>,
-    taken?: TakenRetry,
+    isReserved?: boolean,
   ): Promise<PrefillOutcome | NoRetries>;
-  /**
-   * Takes a retry while a call is still in progress, so that the call ends only
-   * if another may follow; undefined if none is left.
-   */
-  takeRetry(state: StreamState): Promise<TakenRetry | undefined>;
   /** Makes a call that runs the request at a decode engine. */
   run<Answer extends {readonly kind: 'answered'}>(
     state: StreamState,
@@ -47,6 +37,10 @@
   canRetryCall(state: StreamState): boolean;
   /** Returns whether the budget allows one more run and its prefill. */
   canRetryRun(state: StreamState): boolean;
+  /** Takes the retry for the next call; resolves to whether one was left. */
+  reserveRun(state: StreamState): Promise<boolean>;
+  /** Returns a reserved retry. */
+  giveBackRun(state: StreamState): void;
 }
 
 const NO_RETRIES: NoRetries = {
@@ -62,36 +56,37 @@
 const CALLS_PER_RUN = 2;
 
 export function createBudgetedCalls(budget: RetryAllowance): BudgetedCalls {
+  async function take({job}: StreamState): Promise<boolean> {
+    return budget.tryTake(job.service.name, job.request.requestId);
+  }
+
+  function takeReserved(state: StreamState): boolean {
+    const isReserved = state.hasReservedRun;
+    state.hasReservedRun = false;
+    return isReserved;
+  }
+
   async function callWithinBudget<Outcome extends {readonly kind: string}>(
     state: StreamState,
     call: () => Promise<Outcome>,
     isCounted: (outcome: Outcome) => boolean,
-    earlier?: TakenRetry,
+    isReserved = false,
   ): Promise<Outcome | NoRetries> {
-    const isRetry = state.countedCalls > 0;
-    const taken = earlier ?? (isRetry ? await takeRetry(state) : undefined);
-    if (isRetry && !taken) return NO_RETRIES;
+    const service = state.job.service.name;
+    const isRetry = isReserved || state.countedCalls > 0;
+    if (isRetry && !isReserved && !(await take(state))) return NO_RETRIES;
     const outcome = await call();
     // A call that was never sent costs the engines nothing.
     if (!NOT_SENT_KINDS.has(outcome.kind) && isCounted(outcome)) {
       state.countedCalls++;
-    } else {
-      taken?.giveBack();
+    } else if (isRetry) {
+      budget.giveBack(service);
     }
     return outcome;
   }
 
-  async function takeRetry({
-    job,
-  }: StreamState): Promise<TakenRetry | undefined> {
-    const service = job.service.name;
-    const isTaken = await budget.tryTake(service, job.request.requestId);
-    if (!isTaken) return undefined;
-    return {giveBack: () => budget.giveBack(service)};
-  }
-
   return {
-    prefill: (state, call, taken) =>
+    prefill: (state, call, isReserved) =>
       callWithinBudget(
         state,
         call,
@@ -100,11 +95,13 @@
           if (kind === 'prefilled') state.wasPrefilled = true;
           return !isFirst;
         },
-        taken,
+        isReserved,
       ),
-    run: (state, call) => callWithinBudget(state, call, () => true),
-    takeRetry,
+    run: (state, call) =>
+      callWithinBudget(state, call, () => true, takeReserved(state)),
     canRetryCall: ({job}) => budget.hasLeft(job.service.name, 1),
     canRetryRun: ({job}) => budget.hasLeft(job.service.name, CALLS_PER_RUN),
+    reserveRun: take,
+    giveBackRun: ({job}) => budget.giveBack(job.service.name),
   };
 }
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -8,12 +8,12 @@
   UpstreamPort,
 } from '../../ports/relay.js';
 import {createCancellation} from '../front/cancellation.js';
-import type {BudgetedCalls, NoRetries, TakenRetry} from './budgeted_calls.js';
+import type {BudgetedCalls, NoRetries} from './budgeted_calls.js';
 import type {EngineFailures} from './engine_failures.js';
 import {createEnginePulse} from './engine_pulse.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {PrefillReservation} from '../placement/placement_types.js';
-import {releaseNext, watchPrefill, type GivenUp} from './prefill_watch.js';
+import {watchPrefill, type GivenUp} from './prefill_watch.js';
 import {CONNECT_TIMEOUT_MS, leftMs} from '../relay_types.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import type {StreamState} from './stream_state.js';
@@ -53,8 +53,8 @@
 interface Attempt {
   readonly engine: Upstream;
   readonly reservation: PrefillReservation;
-  /** Taken already for a call that follows a silent one. */
-  readonly retry?: TakenRetry;
+  /** A retry was reserved for it, since it follows a silent call. */
+  readonly isReserved?: boolean;
 }
 
 /** How a call ended, and why if it was given up. */
@@ -126,7 +126,7 @@
     const wasSilent = watch.wasSilent();
     if (!givenUp) return {outcome, durationMs, wasSilent};
     if (outcome.kind === 'prefilled' || job.cancellation.isCancelled) {
-      if (givenUp.next) releaseNext(givenUp.next);
+      if (givenUp.next) watch.release(givenUp.next);
       return {outcome, durationMs, wasSilent};
     }
     const failure: SendFailure = {kind: 'broken', detail: givenUp.detail};
@@ -163,7 +163,7 @@
     attempt: Attempt,
     tried: ReadonlySet<string>,
   ): Promise<AttemptEnd> {
-    const {engine, reservation, retry} = attempt;
+    const {engine, reservation, isReserved} = attempt;
     const timeoutMs = timeoutMsOf(attempt);
     const ends: CallEnd[] = [];
     const outcome = await calls.prefill(
@@ -172,7 +172,7 @@
         ends.push(await call(state, engine, timeoutMs, tried));
         return ends[0].outcome;
       },
-      retry,
+      isReserved,
     );
     const wasAlone = reservation.isUncontended();
     reservation.end();
@@ -223,7 +223,9 @@
         // An engine that is booked below must be called: a booking that is
         // never ended makes the engine look busy forever.
         if (job.cancellation.isCancelled) break;
-        attempt = givenUp ? givenUp.next : findNext(state, tried);
+        attempt = givenUp
+          ? givenUp.next && {...givenUp.next, isReserved: true}
+          : findNext(state, tried);
       }
       return {kind: 'not-read'};
     },
--- a/src/relay/streams/prefill_watch.ts
+++ b/src/relay/streams/prefill_watch.ts
@@ -16,15 +16,18 @@
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {PrefillReservation} from '../placement/placement_types.js';
 import {toWaiting} from '../placement/wait_rules.js';
-import type {BudgetedCalls, TakenRetry} from './budgeted_calls.js';
+import type {BudgetedCalls} from './budgeted_calls.js';
 import type {EnginePulse} from './engine_pulse.js';
-import type {StreamState} from './stream_state.js';
+import {quietSinceMs, type StreamState} from './stream_state.js';
 
 export interface PrefillWatchHost {
   readonly clock: Clock;
   readonly pulse: EnginePulse;
   readonly scheduler: Pick<EngineScheduler, 'prefillEngines' | 'prefillAgain'>;
-  readonly calls: Pick<BudgetedCalls, 'takeRetry' | 'canRetryCall'>;
+  readonly calls: Pick<
+    BudgetedCalls,
+    'reserveRun' | 'giveBackRun' | 'canRetryCall'
+  >;
 }
 
 export interface WatchedCall {
@@ -38,11 +41,10 @@
   readonly mayMove: boolean;
 }
 
-/** The next prefill engine for the prompt, with its booking and its retry. */
+/** The next prefill engine for the prompt, for which a retry is reserved. */
 export interface NextPrefill {
   readonly engine: Upstream;
   readonly reservation: PrefillReservation;
-  readonly retry: TakenRetry;
 }
 
 /** Why and for what a call is given up. */
@@ -59,6 +61,8 @@
   wasSilent(): boolean;
   /** The call has ended; it isn't given up any more. */
   stop(): void;
+  /** Gives back what was reserved for a next call that isn't made. */
+  release(next: NextPrefill): void;
 }
 
 /** How long before the timeout the engine is asked for the first time. */
@@ -148,8 +152,7 @@
     others: readonly Upstream[],
   ): Promise<NextPrefill | undefined> {
     if (!others.some(({id}) => pulse.isAwake(id))) return undefined;
-    const retry = await calls.takeRetry(state);
-    if (!retry) return undefined;
+    if (!(await calls.reserveRun(state))) return undefined;
     const silent = others.filter(({id}) => !pulse.isAwake(id));
     const passedOver = new Set([
       ...avoid,
@@ -159,9 +162,8 @@
     const next = isStopped
       ? undefined
       : scheduler.prefillAgain(need, placement.decode, passedOver);
-    if (next) return {...next, retry};
-    retry.giveBack();
-    return undefined;
+    if (!next) calls.giveBackRun(state);
+    return next;
   }
 
   /** Whether the decode engine can read the prompt now. */
@@ -198,7 +200,7 @@
     ask(others);
     const end = tickCount > 0 ? await findEnd(others) : undefined;
     if (isStopped) {
-      if (end?.next) releaseNext(end.next);
+      if (end?.next) release(end.next);
       return;
     }
     tickCount++;
@@ -206,8 +208,14 @@
     else timer = clock.setTimer(TICK_MS, () => void tick());
   }
 
+  function release({reservation}: NextPrefill): void {
+    reservation.end();
+    calls.giveBackRun(state);
+  }
+
   return {
     wasSilent: () => wasSilent,
+    release,
     stop() {
       isStopped = true;
       clock.clearTimer(timer);
@@ -215,17 +223,10 @@
   };
 }
 
-/** Gives back what was taken for a call that isn't needed any more. */
-export function releaseNext({reservation, retry}: NextPrefill): void {
-  reservation.end();
-  retry.giveBack();
-}
-
 /** When the prompt must be read elsewhere for the caller to be waiting still. */
 function findPatienceEndMs(state: StreamState): number {
-  const {job, need, events, lastEventAtMs} = state;
-  const {route, deadlineAtMs, request} = job;
-  const arrivedAtMs = events > 0 ? lastEventAtMs : request.arrivedAtMs;
-  const {startMs} = need;
+  const {route, deadlineAtMs} = state.job;
+  const {startMs} = state.need;
+  const arrivedAtMs = quietSinceMs(state);
   return toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}).giveUpAtMs;
 }
--- a/tests/relay/streams/prefill_site.ts
+++ b/tests/relay/streams/prefill_site.ts
@@ -93,6 +93,8 @@
       ranVersions: [],
       avoid: new Set(),
       countedCalls: 0,
+      hasReservedRun: false,
+      wasLeft: false,
       wasPrefilled: false,
       events: 0,
       lastEventAtMs: START_MS,
