--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -80,13 +80,12 @@
   ): Promise<Missing | undefined> {
     if (!next.placement.prefill) return undefined;
     const outcome = await host.prefillStep.run(next);
-    // The calls were made, whatever becomes of the next run.
-    state.countedCalls = next.countedCalls;
     switch (outcome.kind) {
       case 'read':
         next.source = outcome.source;
         return undefined;
       case 'not-read':
+        next.placement = {...next.placement, prefill: undefined};
         return undefined;
       case 'no-retries':
         return 'retry';
@@ -106,6 +105,8 @@
       job: {...state.job, cancellation},
       placement,
       source: undefined,
+      // The silent run was sent, though its outcome may not be known yet.
+      countedCalls: Math.max(1, state.countedCalls),
       hasReservedRun: true,
     };
     engineLoads.setOutputTokens(
@@ -152,6 +153,8 @@
       state.avoid.add(state.placement.decode.id);
       state.placement = next.placement;
       state.source = next.source;
+      state.countedCalls = next.countedCalls;
+      state.wasPrefilled = next.wasPrefilled;
       state.hasReservedRun = true;
     },
   };
--- /dev/null
+++ b/tests/relay/streams/silent_run_test.ts
@@ -0,0 +1,248 @@
+import assert from 'node:assert/strict';
+import {describe, test} from 'node:test';
+import type {Route, Routing} from '../../../src/core/routing_types.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import type {
+  AnswerBodySink,
+  Cancellation,
+  SendFailure,
+  SendOptions,
+  UpstreamAnswer,
+  UpstreamPort,
+} from '../../../src/ports/relay.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import {createRequestPriorities} from '../../../src/relay/placement/request_priority.js';
+import type {RelayJob} from '../../../src/relay/relay_types.js';
+import {createStreamRelay} from '../../../src/relay/streams/stream_relay.js';
+import {createRetryBudget} from '../../../src/request/retry_budget.js';
+import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
+import {
+  makeEngine,
+  makeLoneScheduler,
+  makeService,
+} from '../placement/lone_scheduler.js';
+import {makeFakeSilence} from '../silence/fake_silence.js';
+
+const service = makeService(30_000);
+const route: Route = {
+  name: 'brief',
+  host: 'mesto.example',
+  prefix: '/',
+  kind: 'stream',
+  targets: [{service: service.name, weight: 1}],
+  maxAttempts: 2,
+  timeoutMs: 14_000,
+  goalMs: 900,
+  gapGoalMs: 300,
+  priority: 0,
+  isResumable: true,
+  isPublic: true,
+};
+const ENGINE_IDS = ['p1', 'p2', 'd1', 'd2', 'd3'];
+const RETRIES = 40;
+const PREFILL_MS = 100;
+const REJECTED: SendFailure = {kind: 'rejected', reason: 'full', detail: ''};
+
+/** A run as an engine sees it. */
+interface SentRun {
+  readonly options: SendOptions;
+  readonly cancellation: Cancellation;
+  readonly sink: {current?: AnswerBodySink};
+  isClosed: boolean;
+}
+
+interface Changes {
+  readonly isAlive?: boolean;
+  /** How many sends of the second run are rejected. */
+  readonly rejections?: number;
+  /** The first run gets no head. */
+  readonly hasNoHead?: boolean;
+}
+
+/** A stream of which the first run sends one event and falls silent. */
+async function startStream(changes: Changes = {}) {
+  const clock = createVirtualClock(1_000);
+  const lone = makeLoneScheduler(clock, ENGINE_IDS);
+  lone.registry.apply({
+    revision: revisionAt(2),
+    upstreams: ENGINE_IDS.map(id => ({...makeEngine(id), version: 'v1'})),
+  });
+  const runs: SentRun[] = [];
+  const log: string[] = [];
+  let rejections = changes.rejections ?? 0;
+  const budget = createRetryBudget({burst: () => RETRIES, ratioOf: () => 0});
+
+  function answer(run: SentRun): UpstreamAnswer {
+    const close = () => {
+      if (!run.isClosed) log.push(`close ${run.options.upstream.id}`);
+      run.isClosed = true;
+    };
+    run.cancellation.onCancel(close);
+    const body = {
+      isUnframed: false,
+      read: (sink: AnswerBodySink) => void (run.sink.current = sink),
+      pause: () => undefined,
+      resume: () => undefined,
+      destroy: close,
+    };
+    return {
+      kind: 'answered',
+      status: 200,
+      headers: [],
+      hasSignature: true,
+      body,
+    };
+  }
+
+  const upstreamPort: Partial<UpstreamPort> = {
+    async prefill(_, {upstream}) {
+      log.push(`read ${upstream.id}`);
+      await new Promise<void>(done => clock.setTimer(PREFILL_MS, done));
+      return {kind: 'prefilled', handle: 'h'};
+    },
+    send(_, options, cancellation) {
+      if (runs.length > 0 && rejections-- > 0) return Promise.resolve(REJECTED);
+      const run = {options, cancellation, sink: {}, isClosed: false};
+      runs.push(run);
+      log.push(`send ${options.upstream.id}`);
+      if (!changes.hasNoHead || runs.length > 1) {
+        return Promise.resolve(answer(run));
+      }
+      return new Promise(resolve => {
+        cancellation.onCancel(() => resolve({kind: 'cancelled'}));
+      });
+    },
+    releasePrefill: () => void log.push('release'),
+  };
+  const relay = createStreamRelay({
+    ...lone,
+    clock,
+    log: silentLog,
+    metrics: {count: () => undefined},
+    silence: makeFakeSilence({wasAliveAfter: () => changes.isAlive ?? false}),
+    upstreamPort: upstreamPort as UpstreamPort,
+    place: lone.scheduler.place,
+    priorities: createRequestPriorities({
+      routing: () =>
+        ({routes: [route], accounts: []}) as Partial<Routing> as Routing,
+    }),
+    retryBudget: budget,
+    resumption: {
+      takeUps: {decide: () => Promise.resolve({kind: 'new'})},
+      recordBegun: () => undefined,
+    },
+  });
+  const caller = {
+    hasBegun: false,
+    begin: () => void (caller.hasBegun = true),
+    write: (bytes: Buffer) => log.push(`event ${bytes.length}`) > 0,
+    end: () => void log.push('end'),
+    cut: () => void log.push('cut'),
+    refuse: () => void log.push('refuse'),
+    onDisconnect: () => undefined,
+    onWritable: () => undefined,
+  };
+  const outcome = relay.run({
+    request: {
+      requestId: 'r',
+      arrivedAtMs: 1_000,
+      prompt: {promptTokens: 3_000},
+    } as RelayJob['request'],
+    route,
+    service,
+    caller,
+    cancellation: createCancellation(),
+    deadlineAtMs: 15_000,
+    admitted: {
+      kind: 'admitted',
+      refund: () => undefined,
+      isWithdrawn: () => false,
+    },
+  });
+  const send = (run: SentRun, text: string) =>
+    run.sink.current?.chunk(Buffer.from(text));
+  await clock.advance(PREFILL_MS + 10);
+  send(runs[0], 'id: 1\ndata: a\n\n');
+  await clock.advance(1_290);
+  const retriesLeft = () =>
+    Array.from({length: RETRIES}, (_, i) => i + 1).filter(count =>
+      budget.hasLeft(service.name, count),
+    ).length;
+  const bookedRuns = () =>
+    ['d1', 'd2', 'd3'].reduce(
+      (sum, id) => sum + lone.engineLoads.decodeLoad(id).runs,
+      0,
+    );
+  return {clock, lone, runs, log, send, outcome, retriesLeft, bookedRuns};
+}
+
+describe('a silent run of a stream', () => {
+  test('is closed before the next one is sent, which resumes it', async () => {
+    const {clock, runs, log, send, outcome} = await startStream();
+    await clock.advance(PREFILL_MS + 200);
+    const first = runs[0].options.upstream.id;
+    const second = runs[1].options.upstream.id;
+    assert.notEqual(first, second);
+    assert.deepEqual(log.slice(-3), [
+      `read ${runs[1].options.prefill?.engineId}`,
+      `close ${first}`,
+      `send ${second}`,
+    ]);
+    assert.equal(runs[1].options.resumeAfterEvent, '1');
+    send(runs[1], 'id: 2\ndata: b\n\n');
+    runs[1].sink.current?.end();
+    assert.equal((await outcome).end, 'answered');
+  });
+
+  // Guards against retries, bookings and results that nothing releases.
+  test('that goes on gives back all that was prepared', async () => {
+    const stream = await startStream();
+    const {clock, runs, log, send} = stream;
+    await clock.advance(50);
+    assert.equal(stream.bookedRuns(), 2);
+    send(runs[0], 'id: 2\ndata: b\n\n');
+    await clock.advance(PREFILL_MS);
+    assert.equal(stream.bookedRuns(), 1);
+    assert.ok(log.includes('release'));
+    assert.equal(runs.length, 1);
+    // The prompt was read once more, and that call is spent.
+    assert.equal(stream.retriesLeft(), RETRIES - 1);
+    runs[0].sink.current?.end();
+    assert.equal((await stream.outcome).end, 'answered');
+    assert.equal(stream.bookedRuns(), 0);
+  });
+
+  // Guards against an answer that is cut since its next engine was just filled.
+  test('that was left goes on where there is room, however often refused', async () => {
+    const {clock, runs, log, send, outcome} = await startStream({
+      rejections: 9,
+    });
+    await clock.advance(8_000);
+    assert.equal(runs.length, 2, log.join());
+    send(runs[1], 'id: 2\ndata: b\n\n');
+    runs[1].sink.current?.end();
+    assert.equal((await outcome).end, 'answered');
+  });
+
+  // Guards against 502 for a stream whose engine paused before its first byte.
+  test('is left before its head as well', async () => {
+    const {clock, runs, send, outcome} = await startStream({hasNoHead: true});
+    await clock.advance(PREFILL_MS + 200);
+    assert.equal(runs.length, 2);
+    send(runs[1], 'id: 1\ndata: a\n\n');
+    runs[1].sink.current?.end();
+    assert.equal((await outcome).end, 'answered');
+  });
+
+  // Guards against excluding an engine for a connection that has died.
+  test('excludes its engine only if that gives no sign of life', async () => {
+    for (const isAlive of [true, false]) {
+      const {clock, runs, lone} = await startStream({isAlive});
+      await clock.advance(PREFILL_MS + 600);
+      assert.equal(runs.length, 2);
+      const {id} = runs[0].options.upstream;
+      assert.equal(lone.scheduler.suspects().includes(id), !isAlive);
+    }
+  });
+});
