Take a retry for a next run only once its engine has answered

While all engines of a service are silent, each silent run took a retry and gave it back each 0.25 s, which asks the owner of the retries in a large fleet. Engines that are known to be silent are not waited for.

--- a/src/relay/silence/engine_silence.ts
+++ b/src/relay/silence/engine_silence.ts
@@ -53,6 +53,8 @@
 const MIN_COMMON = 2;
 /** An engine seen within this time needs no probe before it gets a run. */
 const JUST_SEEN_MS = 250;
+/** Includes the way by a peer, which is asked if there is no answer at first. */
+const ANSWER_WAIT_MS = 600;
 /** Events of runs that share a step of the engine arrive this close together. */
 const SAME_STEP_MS = 150;
 const NOT_PROBED: ProbeRecord = {
@@ -153,11 +155,12 @@
     },
     async answers(engine) {
       if (wasSeenWithin(engine.id, JUST_SEEN_MS)) return true;
+      if (isSilent(engine.id, runs.openSilences())) return false;
       const soon = new Promise<void>(resolve => {
-        clock.setTimer(PROBE_SILENT_MS, resolve);
+        clock.setTimer(ANSWER_WAIT_MS, resolve);
       });
       await Promise.race([probe(engine), soon]);
-      return wasSeenWithin(engine.id, JUST_SEEN_MS + PROBE_SILENT_MS);
+      return wasSeenWithin(engine.id, ANSWER_WAIT_MS);
     },
   };
 }
--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -74,10 +74,7 @@
   }
 
   /** Reads the prompt for the next run; returns what is missing, if anything. */
-  async function readPrompt(
-    state: StreamState,
-    next: StreamState,
-  ): Promise<Missing | undefined> {
+  async function readPrompt(next: StreamState): Promise<Missing | undefined> {
     if (!next.placement.prefill) return undefined;
     const outcome = await host.prefillStep.run(next);
     switch (outcome.kind) {
@@ -94,12 +91,11 @@
     }
   }
 
-  async function prepareWithRetry(
+  async function prepareAt(
     state: StreamState,
+    placement: Placement,
     cancellation: Cancellation,
   ): Promise<Successor | Missing> {
-    const placement = await placeAtAnswering(state);
-    if (typeof placement === 'string') return placement;
     const next: StreamState = {
       ...state,
       job: {...state.job, cancellation},
@@ -113,28 +109,39 @@
       placement.run,
       state.placement.run.outputTokens,
     );
-    const missing = cancellation.isCancelled
-      ? 'cancelled'
-      : await readPrompt(state, next);
+    const missing = await readPrompt(next);
     if (missing === undefined && !cancellation.isCancelled) return {next};
-    endBookings(next.placement);
     if (next.source) host.upstreamPort.releasePrefill(next.source);
     return missing ?? 'cancelled';
   }
 
-  async function tryPrepare(
+  async function prepareWithRetry(
     state: StreamState,
+    placement: Placement,
     cancellation: Cancellation,
   ): Promise<Successor | Missing> {
-    if (state.events > 0 && state.need.version === undefined) return 'version';
+    if (cancellation.isCancelled) return 'cancelled';
     if (!(await calls.reserveRun(state))) return 'retry';
     const outcome = cancellation.isCancelled
       ? 'cancelled'
-      : await prepareWithRetry(state, cancellation);
+      : await prepareAt(state, placement, cancellation);
     if (typeof outcome === 'string') calls.giveBackRun(state);
     return outcome;
   }
 
+  async function tryPrepare(
+    state: StreamState,
+    cancellation: Cancellation,
+  ): Promise<Successor | Missing> {
+    if (state.events > 0 && state.need.version === undefined) return 'version';
+    if (!calls.canRetryRun(state)) return 'retry';
+    const placement = await placeAtAnswering(state);
+    if (typeof placement === 'string') return placement;
+    const outcome = await prepareWithRetry(state, placement, cancellation);
+    if (typeof outcome === 'string') endBookings(placement);
+    return outcome;
+  }
+
   return {
     async prepare(state, reason, cancellation) {
       const outcome = await tryPrepare(state, cancellation);
