Keep peers after a suspension of under a second

A host of a mesh that did not run for 0.7 to 1 s declared all its peers dead on waking: it dropped their loads and the requests that it placed for them, placed by its own bookings alone, and named only itself in directory answers, until each peer's next announcement.

Its tick runs before the datagrams that arrived meanwhile are read, peers of a mesh count as lost after 0.9 s, and a gap between two ticks was taken for a suspension from 1 s on only. Peers now get the time of every tick that is 100 ms late or more. The longer limit stays for coordinators, which have to settle again.

--- a/src/relay/fleet/direct_peers.ts
+++ b/src/relay/fleet/direct_peers.ts
@@ -62,8 +62,9 @@
       return declared;
     },
     noteSuspension(durationMs) {
+      const nowMs = clock.nowMs();
       for (const [hostId, peer] of records) {
-        const heardAtMs = peer.heardAtMs + durationMs;
+        const heardAtMs = Math.min(nowMs, peer.heardAtMs + durationMs);
         records.set(hostId, {...peer, heardAtMs});
       }
     },
--- a/src/relay/fleet/membership.ts
+++ b/src/relay/fleet/membership.ts
@@ -124,7 +124,12 @@
 const COORDINATOR_RETRY_MS = 20_000;
 /** How long a lost host is reported to the other coordinators. */
 const LOSS_REPORTED_FOR_MS = 5_000;
-/** A tick this late shows that the process was suspended. */
+/**
+ * A tick this late shows that the process did not run; what its peers sent
+ * meanwhile is still unread.
+ */
+const LATE_TICK_MS = 100;
+/** After such a gap, a coordinator has to hear from every live host again. */
 const MIN_SUSPENSION_MS = 1_000;
 const MAX_REPORTED_MISSED = 200;
 
@@ -267,11 +272,12 @@
     const nowMs = clock.nowMs();
     const suspendedMs = nowMs - (lastTickAtMs ?? nowMs) - tickMs;
     lastTickAtMs = nowMs;
+    if (suspendedMs < LATE_TICK_MS) return;
+    directPeers.noteSuspension(suspendedMs);
     if (suspendedMs < MIN_SUSPENSION_MS) return;
     log.warn('The process was suspended.', {
       durationMs: Math.round(suspendedMs),
     });
-    directPeers.noteSuspension(suspendedMs);
     reportedMembers.renew();
     if (coordinatorSinceMs !== undefined) coordinatorSinceMs = nowMs;
   }
--- a/tests/relay/fleet/few_hosts_test.ts
+++ b/tests/relay/fleet/few_hosts_test.ts
@@ -134,3 +134,17 @@
   await clock.advance(4_001);
   assert.equal(a.entries().length, 4);
 });
+
+test('a host that was suspended for less than a second does not declare all others dead', async () => {
+  // Guards against bookings, loads and entries that are dropped for hosts that
+  // were alive: three announcements of each are still unread.
+  for (const durationMs of [700, 850, 990]) {
+    const {clock, start} = makeFleet();
+    const a = start('a', []);
+    for (const name of ['b', 'c', 'd']) start(name, [a.address]);
+    await clock.advance(2_000);
+    a.freeze(durationMs);
+    await clock.advance(durationMs + 1);
+    assert.equal(a.lostCount(), 0, `suspended for ${durationMs} ms`);
+  }
+});
