Do not refuse requests of hosts that were only suspected

A host that was silent for 0.9 s (mesh) or some seconds was declared dead by its placer, which withdrew its waiting requests and told it that they were refused: callers got 503 ("It was withdrawn.") with time left, and with room free a moment later.

The placer answered requests that it had cancelled by itself. It sends nothing for them now. If the host is alive, it sends the request again, and waits in the queue with the same age.

The new test was refused before; it waits and is placed now.

--- a/src/relay/placement/placement_server.ts
+++ b/src/relay/placement/placement_server.ts
@@ -151,7 +151,9 @@
       if (entry.cancellation.isCancelled) releasePlacement(entry);
       clock.setTimer(UNCONFIRMED_HOLD_MS, () => releasePlacement(entry));
     }
-    host.send(fromHostId, entry.answer);
+    // A host that was declared dead may still be alive; its request, sent again,
+    // must not find that it was refused.
+    if (outcome.kind !== 'cancelled') host.send(fromHostId, entry.answer);
     clock.setTimer(ANSWER_RETENTION_MS, () => entries.delete(askId));
   }
 
--- a/tests/relay/placement/placement_client_test.ts
+++ b/tests/relay/placement/placement_client_test.ts
@@ -277,3 +277,25 @@
   await clock.advance(1_100);
   assert.equal(first.engineLoads.decodeLoad('d1').runs, 0);
 });
+
+test('a request of a host that was suspected is not refused by its placer', async () => {
+  // Guards against callers that are refused because their host was silent for
+  // a moment, though it went on and the request had time left.
+  const {clock, entry, first} = makeGroup();
+  const run = first.engineLoads.startRun({
+    engineId: 'd1',
+    promptTokens: 8_000,
+    expectedOutputTokens: 500,
+  });
+  const need = makeNeed(clock.nowMs());
+  const request = watch(entry.client.place(need, createCancellation()));
+  await clock.advance(100);
+  first.server.forget('entry');
+  await clock.advance(100);
+  assert.equal(kindOf(request), undefined);
+  await clock.advance(400);
+  assert.equal(first.scheduler.waitingRequests().length, 1);
+  first.scheduler.release(run);
+  await clock.advance(20);
+  assert.equal(kindOf(request), 'placed');
+});
