Wait for answers that arrived during a suspension

A host that did not run for a moment took the owner of a limit, of retries or of an account, or a holder of stream origins, for silent on waking: requests were denied a retry or held back for 0.3 s although the answer had arrived, and a request that was sent again after the owner had forgotten its answer was granted twice.

Due timers run before the datagrams that arrived meanwhile are read. A timer that is late by another interval now waits for that interval once more, at most once for each request.

--- a/src/relay/fleet/peer_request_client.ts
+++ b/src/relay/fleet/peer_request_client.ts
@@ -47,6 +47,8 @@
 interface PendingRequest<Answer> {
   readonly hostId: string;
   readonly resolve: (answer: Answer | undefined) => void;
+  /** Whether the request has waited longer since this host was suspended. */
+  hasExtended: boolean;
   timer?: TimerHandle;
 }
 
@@ -65,16 +67,34 @@
     request.resolve(answer);
   }
 
+  /**
+   * Continues after the interval. If this host was suspended meanwhile, the
+   * answer may not have been read yet, so it waits once more.
+   */
+  function wait(entry: PendingRequest<Answer>, next: () => void): void {
+    const dueMs = clock.nowMs() + RETRY_INTERVAL_MS;
+    entry.timer = clock.setTimer(RETRY_INTERVAL_MS, () => {
+      const isLate = clock.nowMs() - dueMs >= RETRY_INTERVAL_MS;
+      if (!isLate || entry.hasExtended) return next();
+      entry.hasExtended = true;
+      wait(entry, next);
+    });
+  }
+
   return {
     ask(hostId, request) {
       const askId = nextAskId++;
       return new Promise(resolve => {
-        const entry: PendingRequest<Answer> = {hostId, resolve};
+        const entry: PendingRequest<Answer> = {
+          hostId,
+          resolve,
+          hasExtended: false,
+        };
         pending.set(askId, entry);
         let attempts = 0;
         const send = () => {
           if (attempts++ === maxAttempts) return finish(askId, undefined);
-          entry.timer = clock.setTimer(RETRY_INTERVAL_MS, send);
+          wait(entry, send);
           host.tell(hostId, {...request, askId} as Request);
         };
         send();
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -84,7 +84,7 @@
 type Receive = (from: string, payload: Uint8Array) => void;
 
 /** A suspended process runs its due timers when it resumes. */
-function createFreezableClock(clock: VirtualClock) {
+export function createFreezableClock(clock: VirtualClock) {
   let stoppedUntilMs = 0;
   const host: Clock = {
     nowMs: clock.nowMs,
