Hand calls over only to peers that run

A host without links handed a call to a peer that was suspended at that moment for over a second: the caller got 502, since the peer might have run it, and the peer could make the call as it went on, late, and beside the next run of a call that may be repeated.

The client sent head and body at once and gave up a second later. It now sends the body when the peer has read the head (Expect: 100-continue, which peers of earlier builds answer as well). A peer that does not within 0.5 s was handed nothing, so the next one is asked, with the time that is left. A peer that has read the call keeps it for as long as the call may take; ending it after 1 s gained nothing, as it could not be made elsewhere.

Both new tests failed before: the call was lost after 1 s in each.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -38,6 +38,12 @@
    * connection. If the connection closes meanwhile, nothing was sent.
    */
   readonly firstByteDelayMs?: number;
+  /**
+   * If present, the body is sent only once the server has read the head, which
+   * it must within this time from the start of the call. Otherwise nothing was
+   * sent.
+   */
+  readonly continueTimeoutMs?: number;
 }
 
 export interface HttpHead {
@@ -190,6 +196,8 @@
           ? ['Content-Length', '0']
           : [];
     const connection = call.mayReuseConnection ? 'keep-alive' : 'close';
+    const expectation =
+      call.continueTimeoutMs === undefined ? [] : ['Expect', '100-continue'];
     return http.request({
       host: ip,
       port,
@@ -198,6 +206,7 @@
       headers: [
         ...call.headers,
         ...framing,
+        ...expectation,
         'Connection',
         connection,
       ] as unknown as http.OutgoingHttpHeaders,
@@ -216,6 +225,7 @@
     return new Promise(resolve => {
       const request = buildRequest(call);
       const delayMs = call.mayReuseConnection ? 0 : call.firstByteDelayMs;
+      const {continueTimeoutMs} = call;
       let isConnected = false;
       let isNew = false;
       let mayHaveSent = false;
@@ -226,6 +236,7 @@
         isSettled = true;
         clock.clearTimer(connectTimer);
         clock.clearTimer(headTimer);
+        if (continueTimer) clock.clearTimer(continueTimer);
         resolve(outcome);
       };
       const fail = (
@@ -255,6 +266,12 @@
       const headTimer = clock.setTimer(call.headTimeoutMs, () =>
         fail('no answer in time'),
       );
+      const continueTimer =
+        continueTimeoutMs === undefined
+          ? undefined
+          : clock.setTimer(continueTimeoutMs, () => {
+              if (!mayHaveSent) fail('the head was not read in time');
+            });
       cancellation?.onCancel(() => {
         settle({kind: 'cancelled'});
         request.destroy();
@@ -270,7 +287,7 @@
         const markConnected = () => {
           isConnected = true;
           if (delayMs) clock.setTimer(delayMs, sendRequest);
-          else mayHaveSent = true;
+          else mayHaveSent = continueTimeoutMs === undefined;
         };
         if (socket.connecting) {
           isNew = true;
@@ -299,7 +316,12 @@
         // Nobody reads the body of an answer that came after the timeout.
         if (request.destroyed) answer.destroy();
       });
-      if (!delayMs) sendRequest();
+      if (continueTimeoutMs !== undefined) {
+        request.once('continue', sendRequest);
+        request.flushHeaders();
+      } else if (!delayMs) {
+        sendRequest();
+      }
     });
   }
 
--- a/src/relay/forwarding/forward_client.ts
+++ b/src/relay/forwarding/forward_client.ts
@@ -12,6 +12,7 @@
   createFrameReader,
   encodeCall,
   type ForwardCall,
+  type ForwardedOptions,
   type ForwardOutcome,
   type Frame,
 } from './forward_frames.js';
@@ -59,12 +60,29 @@
   ): Promise<Forwarded>;
 }
 
+/** The options with the time that has passed deducted. */
+export function deductTime<Options extends ForwardedOptions>(
+  options: Options,
+  passedMs: number,
+): Options {
+  return {
+    ...options,
+    leftMs: options.leftMs - passedMs,
+    headTimeoutMs: options.headTimeoutMs - passedMs,
+  };
+}
+
+function deductTimeOf(call: ForwardCall, passedMs: number): ForwardCall {
+  if (call.kind === 'probe' || call.kind === 'release') return call;
+  return {...call, options: deductTime(call.options, passedMs)};
+}
+
 export const FORWARD_PATH = '/peer/forward';
 /** Names the sender, which the peer looks up among the live hosts. */
 export const SENDER_HEADER = 'X-Peer-Host';
 const CONNECT_TIMEOUT_MS = 200;
-/** A peer accepts or declines a call as soon as it has read it. */
-const ACCEPT_TIMEOUT_MS = 1_000;
+/** A peer that does not read the head of a call within this time is skipped. */
+const READ_TIMEOUT_MS = 500;
 /** For the way to the peer and back. */
 const OUTCOME_MARGIN_MS = 100;
 const STATUS_ACCEPTED = 200;
@@ -226,7 +244,9 @@
         headers: ['Host', peer.peerAddress, SENDER_HEADER, host.hostId],
         body: message,
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        headTimeoutMs: ACCEPT_TIMEOUT_MS,
+        // A suspended peer would make the call when it goes on.
+        continueTimeoutMs: READ_TIMEOUT_MS,
+        headTimeoutMs: READ_TIMEOUT_MS + timeoutMs + OUTCOME_MARGIN_MS,
         mayReuseConnection: false,
       },
       cancellation,
@@ -265,14 +285,15 @@
   return {
     async call(call, limits, requestBody, cancellation) {
       const {maxUnreached, timeoutMs} = limits;
-      const message = encodeCall(call, requestBody);
+      const startedAtMs = clock.nowMs();
       let unreachedCount = 0;
       for (const peer of peers.candidates()) {
-        if (unreachedCount >= maxUnreached) break;
+        const passedMs = clock.nowMs() - startedAtMs;
+        if (unreachedCount >= maxUnreached || passedMs >= timeoutMs) break;
         const forwarded = await callPeer(
           peer,
-          message,
-          timeoutMs,
+          encodeCall(deductTimeOf(call, passedMs), requestBody),
+          timeoutMs - passedMs,
           cancellation,
         );
         noteResult(peer, forwarded);
--- a/src/relay/forwarding/forwarding_port.ts
+++ b/src/relay/forwarding/forwarding_port.ts
@@ -19,6 +19,7 @@
 } from '../../ports/relay.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {
+  deductTime,
   hasReached,
   type Forwarded,
   type ForwardClient,
@@ -52,15 +53,6 @@
   detail: 'neither this host nor a peer reaches the upstream',
 };
 
-/** The options with the time that has passed deducted. */
-function deductTime(options: SendOptions, passedMs: number): SendOptions {
-  return {
-    ...options,
-    leftMs: options.leftMs - passedMs,
-    headTimeoutMs: options.headTimeoutMs - passedMs,
-  };
-}
-
 export interface ForwardingPort {
   readonly port: UpstreamPort;
   /** A call that this host made directly had this outcome. */
--- a/tests/relay/forwarding/forwarding_site.ts
+++ b/tests/relay/forwarding/forwarding_site.ts
@@ -52,6 +52,8 @@
   readonly closed: Set<string>;
   /** Ids of the requests that this host sent over its own connections. */
   readonly sent: string[];
+  /** The time that each of them had left. */
+  readonly sentLeftMs: number[];
   /** Requests whose connection to the upstream was closed by this host. */
   readonly closedCalls: string[];
   die(): void;
@@ -112,9 +114,10 @@
     },
   });
   return {
-    send({requestId}: RelayRequest) {
+    send({requestId}: RelayRequest, {leftMs}: SendOptions) {
       if (host.behaviour === 'refuse') return Promise.resolve(REFUSED);
       host.sent.push(requestId);
+      host.sentLeftMs.push(leftMs);
       if (host.behaviour === 'hang') return new Promise<never>(() => {});
       if (host.behaviour === 'lose') {
         return Promise.resolve({kind: 'broken', detail: 'no answer'});
@@ -163,6 +166,7 @@
       behaviour: 'answer',
       closed,
       sent: [],
+      sentLeftMs: [],
       closedCalls: [],
       die: () => servers[i].close(),
     } as Partial<ForwardingHostStandIn> as ForwardingHostStandIn;
--- a/tests/relay/forwarding/forwarding_test.ts
+++ b/tests/relay/forwarding/forwarding_test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
-import {afterEach, test} from 'node:test';
+import {afterEach, test, type TestContext} from 'node:test';
 import http from 'node:http';
+import net from 'node:net';
+import {encodeFrame} from '../../../src/relay/forwarding/forward_frames.js';
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
 import {
   createForwardingSite,
@@ -218,3 +220,56 @@
   assert.equal(status, 403);
   assert.deepEqual(sent, []);
 });
+
+/** Has another server take the calls to the peer, which is asked first. */
+async function replacePeer(
+  [, replaced, other]: readonly ForwardingHostStandIn[],
+  server: net.Server,
+  t: TestContext,
+): Promise<void> {
+  t.after(() => server.close());
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  Object.assign(replaced.member, {peerAddress: `127.0.0.1:${port}`});
+  Object.assign(other.member, {failureDomain: 'annelinn-saal'});
+}
+
+test('a call that a suspended peer has not read is made by the next peer', async t => {
+  // Guards against a posting that fails, or runs later beside its repeat,
+  // because a peer stood still as it was asked.
+  const hosts = await createHosts(3);
+  const [cut, , next] = hosts;
+  cut.behaviour = 'refuse';
+  let received = '';
+  const server = net.createServer(socket => {
+    t.after(() => socket.destroy());
+    socket.on('data', bytes => (received += bytes.toString()));
+  });
+  await replacePeer(hosts, server, t);
+  const answer = send(cut);
+  await untilTrue(() => received.includes('\r\n\r\n'));
+  await site.clock.advance(500);
+  await untilTrue(() => next.sent.length > 0);
+  assert.deepEqual(next.sentLeftMs, [1_500]);
+  assert.deepEqual(await answer, WHOLE);
+  assert.ok(!received.includes('rida=1'), received);
+});
+
+test('a call that a peer has read lasts while the peer is suspended', async t => {
+  // Guards against a posting that fails although the peer goes on in time.
+  const hosts = await createHosts(3);
+  const [cut, , next] = hosts;
+  cut.behaviour = 'refuse';
+  const held: http.ServerResponse[] = [];
+  const server = http.createServer((message, response) => {
+    message.resume().on('end', () => held.push(response));
+  });
+  await replacePeer(hosts, server, t);
+  const answer = send(cut);
+  await untilTrue(() => held.length > 0);
+  await site.clock.advance(1_500);
+  const outcome = {kind: 'broken', detail: 'no answer'} as const;
+  held[0].end(encodeFrame({kind: 'outcome', outcome}));
+  assert.deepEqual(await answer, outcome);
+  assert.deepEqual(next.sent, []);
+});
