Do not pass over placers for a suspension of the asking host

A host that did not run for a quarter of a second took its placer for silent on waking: it withdrew the requests that the placer had answered, asked the standby, and passed the placer over for 0.6 s; if the standby had been asked already, it placed by its own, older data.

The timer that looks for silence runs before the datagrams that arrived meanwhile are read. If it is late, the request gets that time back, and is looked at again 25 ms later.

The new test failed before: the standby was asked although the first placer had answered within 6 ms.

--- a/src/relay/placement/placement_client.ts
+++ b/src/relay/placement/placement_client.ts
@@ -60,6 +60,8 @@
  * is assumed lost and sent again.
  */
 const RESEND_MS = 80;
+/** How long datagrams that arrived during a suspension take to be read. */
+const READ_MS = 25;
 /** A placer that is silent for this long is skipped. */
 const SILENCE_TIMEOUT_MS = 250;
 /**
@@ -151,8 +153,14 @@
         heardAtMs: clock.nowMs(),
         isQueued: false,
       };
-      const check = () => {
+      const check = (dueMs: number) => {
         const nowMs = clock.nowMs();
+        const lateMs = nowMs - dueMs;
+        // This host was suspended; its timers run before it reads datagrams.
+        if (lateMs >= RESEND_MS) {
+          request.heardAtMs = Math.min(nowMs, request.heardAtMs + lateMs);
+          return checkIn(READ_MS);
+        }
         const isSilent =
           nowMs - request.heardAtMs >= SILENCE_TIMEOUT_MS + graceMs(request);
         if (isSilent || nowMs > need.waiting.giveUpAtMs + REFUSAL_MARGIN_MS) {
@@ -160,14 +168,18 @@
           return finish('silent');
         }
         host.send(placer, toRequest(askId, request));
-        timer = clock.setTimer(graceMs(request) + RESEND_MS, check);
+        checkIn(graceMs(request) + RESEND_MS);
+      };
+      const checkIn = (delayMs: number) => {
+        const dueMs = clock.nowMs() + delayMs;
+        timer = clock.setTimer(delayMs, () => check(dueMs));
       };
       pending.set(askId, request);
       cancellation.onCancel(() => {
         if (pending.has(askId)) host.send(placer, {kind: 'withdraw', askId});
         finish({kind: 'cancelled'});
       });
-      if (pending.has(askId)) check();
+      if (pending.has(askId)) check(clock.nowMs());
     });
   }
 
--- a/tests/relay/placement/placement_client_test.ts
+++ b/tests/relay/placement/placement_client_test.ts
@@ -10,6 +10,7 @@
 import {createPlacementServer} from '../../../src/relay/placement/placement_server.js';
 import type {PlacementMessage} from '../../../src/relay/placement/placement_messages.js';
 import {silentLog} from '../../support/silent_log.js';
+import {createFreezableClock} from '../fleet/fleet_network.js';
 import {makeEngine, makeLoneScheduler, makeService} from './lone_scheduler.js';
 import {revisionAt} from '../../support/store_revisions.js';
 
@@ -20,6 +21,7 @@
 /** A requesting host and two placers; messages take 3 ms or are lost. */
 function makeGroup(engineIds: readonly string[] = ['p1', 'd1']) {
   const clock = createVirtualClock(1_000);
+  const entryClock = createFreezableClock(clock);
   const silent = new Set<string>();
   const sent: Array<{from: string; to: string; kind: string}> = [];
   let lostAnswers = 0;
@@ -32,7 +34,7 @@
     const send = (to: string, message: PlacementMessage) =>
       deliver(hostId, to, message);
     const client = createPlacementClient({
-      clock,
+      clock: hostId === 'entry' ? entryClock.host : clock,
       log: silentLog,
       hostId,
       firstAskId: 100,
@@ -61,7 +63,11 @@
       lostAnswers--;
       return;
     }
-    clock.setTimer(MESSAGE_MS, () => {
+    clock.setTimer(MESSAGE_MS, function receive() {
+      if (to === 'entry' && entryClock.isStopped()) {
+        clock.setTimer(1, receive);
+        return;
+      }
       const host = hosts.find(each => each.hostId === to);
       if (message.kind === 'ask' || message.kind === 'withdraw') {
         host?.server.receive(from, message);
@@ -78,6 +84,7 @@
     standby,
     silent,
     sent,
+    suspendEntry: entryClock.stop,
     loseAnswers(count: number) {
       lostAnswers = count;
     },
@@ -299,3 +306,22 @@
   await clock.advance(20);
   assert.equal(kindOf(request), 'placed');
 });
+
+test('a host that was suspended takes the answers that arrived meanwhile', async () => {
+  // Guards against streams placed by old data, and placers passed over, since
+  // the asking host did not run.
+  for (const suspendedAtMs of [1, 200]) {
+    const {clock, entry, sent, suspendEntry, loseAnswers} = makeGroup();
+    if (suspendedAtMs > 1) loseAnswers(2);
+    const need = makeNeed(clock.nowMs());
+    const request = watch(entry.client.place(need, createCancellation()));
+    await clock.advance(suspendedAtMs);
+    suspendEntry(700);
+    await clock.advance(900);
+    assert.equal(kindOf(request), 'placed');
+    const others = sent.filter(
+      ({to, kind}) => to !== 'first' && kind === 'ask',
+    );
+    assert.deepEqual(others, [], `suspended at ${suspendedAtMs} ms`);
+  }
+});
