Do not plan role orders from before a suspension

A planner that was suspended for over 1.2 s ordered an engine to change its role on waking, as the shortage that it had seen once seemed to have lasted for that long. The engine is away for the time of a role change, some seconds, and the list of engines may have changed meanwhile.

The plan now starts anew when its timer is late by an interval or more, so a shortage has to be seen for 1.2 s after the suspension.

The new test failed before: the order was sent at once on waking.

--- a/src/relay/roles/role_orders.ts
+++ b/src/relay/roles/role_orders.ts
@@ -294,14 +294,18 @@
     }
   }
 
-  function tick(): void {
+  function tick(dueMs: number): void {
+    // A host that was suspended has not seen the shortage last.
+    if (clock.nowMs() - dueMs >= PLAN_INTERVAL_MS) plans.clear();
     void update().finally(() => {
-      if (!isStopped) timer = clock.setTimer(PLAN_INTERVAL_MS, tick);
+      if (isStopped) return;
+      const nextMs = clock.nowMs() + PLAN_INTERVAL_MS;
+      timer = clock.setTimer(PLAN_INTERVAL_MS, () => tick(nextMs));
     });
   }
 
   return {
-    start: tick,
+    start: () => tick(clock.nowMs()),
     stop() {
       isStopped = true;
       if (timer) clock.clearTimer(timer);
--- a/tests/relay/roles/role_orders_test.ts
+++ b/tests/relay/roles/role_orders_test.ts
@@ -19,6 +19,7 @@
 import {createSharedStatistics} from '../../../src/relay/placement/shared_statistics.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
+import {createFreezableClock} from '../fleet/fleet_network.js';
 import {revisionAt} from '../../support/store_revisions.js';
 
 const service: Service = {
@@ -51,6 +52,7 @@
   log: Logger = silentLog,
 ) {
   const clock = createVirtualClock(1_000);
+  const ownClock = createFreezableClock(clock);
   const registry = createUpstreamRegistry({clock, log: silentLog});
   const roles = [
     ...Array.from({length: prefillCount}, () => 'prefill' as const),
@@ -110,7 +112,7 @@
   } as Partial<UpstreamPort> as UpstreamPort;
   const orders = createRoleOrders(
     {
-      clock,
+      clock: ownClock.host,
       log,
       metrics: createRelayMetrics(),
       registry,
@@ -125,7 +127,10 @@
     {hostId: 'h1'},
   );
   orders.start();
-  return {clock, sentOrders, orders, switches, engineLoads};
+  return {
+    ...{clock, sentOrders, orders, switches, engineLoads},
+    suspend: ownClock.stop,
+  };
 }
 
 test('engines are divided according to demand, one order at a time', async () => {
@@ -230,3 +235,15 @@
   await clock.advance(5_000);
   assert.equal(sentOrders[0]?.role, 'prefill');
 });
+
+test('a planner that was suspended does not count that time as a shortage', async () => {
+  // Guards against an engine that is away for seconds because of what its
+  // planner had last seen before it was suspended.
+  const {clock, sentOrders, suspend} = makeOrders(5, 8);
+  await clock.advance(100);
+  suspend(2_000);
+  await clock.advance(3_000);
+  assert.equal(sentOrders.length, 0);
+  await clock.advance(1_000);
+  assert.equal(sentOrders.length, 1);
+});
