Count a leaving host's quiet time only while it runs

A host that was told to leave and was suspended ended as soon as it went on: it had seen no request for 0.4 s. Connections that callers had opened meanwhile were reset without being read, with seconds of its grace left.

A check that is 0.1 s late or more now begins the quiet time anew. The end of the grace period counts as before.

--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -43,6 +43,8 @@
  */
 const QUIET_MS = 400;
 const CHECK_INTERVAL_MS = 50;
+/** A check this late shows that the process did not run. */
+const LATE_CHECK_MS = 100;
 /** Leaving ends this long before the process is killed. */
 const KILL_MARGIN_MS = 250;
 /**
@@ -59,16 +61,19 @@
 ): Leaving {
   const {clock, log} = host;
   let startedAtMs: number | undefined;
+  /** Since when this host could read requests without a break. */
+  let runningSinceMs = clock.nowMs();
   let resolveEnded: (openCount: number) => void = () => undefined;
   const ended = new Promise<number>(resolve => {
     resolveEnded = resolve;
   });
 
-  function check(): void {
+  function check(dueMs: number): void {
     const nowMs = clock.nowMs();
     const sinceMs = nowMs - (startedAtMs ?? nowMs);
-    const isQuiet =
-      host.openCount() === 0 && nowMs - host.lastRequestAtMs() >= QUIET_MS;
+    if (nowMs - dueMs >= LATE_CHECK_MS) runningSinceMs = nowMs;
+    const quietSinceMs = Math.max(runningSinceMs, host.lastRequestAtMs());
+    const isQuiet = host.openCount() === 0 && nowMs - quietSinceMs >= QUIET_MS;
     const isDone = sinceMs >= MIN_LEAVE_MS && isQuiet;
     const isOutOfTime = sinceMs >= options.graceMs - KILL_MARGIN_MS;
     if (isDone || isOutOfTime) {
@@ -76,7 +81,8 @@
       resolveEnded(host.openCount());
       return;
     }
-    clock.setTimer(CHECK_INTERVAL_MS, check);
+    const nextMs = nowMs + CHECK_INTERVAL_MS;
+    clock.setTimer(CHECK_INTERVAL_MS, () => check(nextMs));
   }
 
   return {
@@ -85,7 +91,7 @@
       startedAtMs = clock.nowMs();
       log.info('Leaving.', {openRequests: host.openCount()});
       host.onLeave();
-      check();
+      check(startedAtMs);
     },
     isLeaving: () => startedAtMs !== undefined,
     refuse(route) {
