Ask silent peers again where a stream began

Peers were asked three times within 75 ms. Where those that answer don't know the stream, the silent ones are now asked again, until one knows it, all have answered or died, or 0.8 s (half of the time left, if that is less) are over. A caller that names no stream is refused at once, as before.

Both new tests of a 0.5 s silence failed before. Where no host knows the stream and peers stay silent, the refusal now comes after at most 1 s.

--- a/src/relay/resumption/origin_exchange.ts
+++ b/src/relay/resumption/origin_exchange.ts
@@ -41,13 +41,26 @@
   readonly origin?: StreamOrigin;
   /** One entry for each host that answered. */
   readonly seen: readonly SeenVersions[];
+  /** Hosts that did not answer in time. */
+  readonly silentIds: readonly string[];
 }
 
+type OriginQuery = Omit<OriginRequest, 'kind' | 'askId'>;
+
 export interface OriginExchange {
   /** Sends copies of the origins to the hosts that keep them. */
   copy(origins: readonly StreamOrigin[]): void;
   /** Asks hosts until one knows the origin or all have answered or timed out. */
-  ask(request: Omit<OriginRequest, 'kind' | 'askId'>): Promise<OriginFindings>;
+  ask(query: OriginQuery): Promise<OriginFindings>;
+  /**
+   * Asks the hosts that were silent until one knows the origin, or all have
+   * answered, died or used up the time.
+   */
+  askAgain(
+    query: OriginQuery,
+    before: OriginFindings,
+    timeoutMs: number,
+  ): Promise<OriginFindings>;
   receive(fromHostId: string, message: OriginMessage): void;
 }
 
@@ -57,6 +70,17 @@
 const ASKED_COUNT = COPY_COUNT + 1;
 const RANKING_TOPIC = 'stream-origin';
 
+const toRequest = (query: OriginQuery) =>
+  ({kind: 'stream-origin-ask', ...query}) as const;
+
+function add(before: OriginFindings, more: OriginFindings): OriginFindings {
+  return {
+    origin: more.origin,
+    seen: [...before.seen, ...more.seen],
+    silentIds: [...before.silentIds, ...more.silentIds],
+  };
+}
+
 export function createOriginExchange(host: OriginExchangeHost): OriginExchange {
   const {clock, hostId, origins, history} = host;
   const client = createPeerRequestClient<OriginRequest, OriginReply>({
@@ -93,15 +117,17 @@
     request: Omit<OriginRequest, 'askId'>,
   ): Promise<OriginFindings> {
     const seen: SeenVersions[] = [];
+    const silentIds: string[] = [];
     return new Promise(resolve => {
       let openCount = hostIds.length;
-      if (openCount === 0) resolve({seen});
+      if (openCount === 0) resolve({seen, silentIds});
       for (const each of hostIds) {
         void client.ask(each, request).then(reply => {
           openCount--;
           if (reply) seen.push(reply.seen);
+          else silentIds.push(each);
           const {origin} = reply ?? {};
-          if (origin || openCount === 0) resolve({origin, seen});
+          if (origin || openCount === 0) resolve({origin, seen, silentIds});
         });
       }
     });
@@ -125,16 +151,25 @@
       }
     },
     async ask(query) {
-      const request = {kind: 'stream-origin-ask', ...query} as const;
+      const request = toRequest(query);
       const ids = host.peers().map(each => each.hostId);
       const ranked = rank(query.requestId, [hostId, ...ids]);
       const first = await askEach(ranked.slice(0, ASKED_COUNT), request);
       if (first.origin || !host.isMesh()) return first;
       const second = await askEach(ranked.slice(ASKED_COUNT), request);
-      return {
-        origin: second.origin,
-        seen: [...first.seen, ...second.seen],
-      };
+      return add(first, second);
+    },
+    async askAgain(query, before, timeoutMs) {
+      const untilMs = clock.nowMs() + timeoutMs;
+      let found = before;
+      while (!found.origin && clock.nowMs() < untilMs) {
+        const alive = new Set(host.peers().map(each => each.hostId));
+        const silentIds = found.silentIds.filter(each => alive.has(each));
+        if (silentIds.length === 0) break;
+        const answers = await askEach(silentIds, toRequest(query));
+        found = add({...found, silentIds: []}, answers);
+      }
+      return found;
     },
     receive(fromHostId, message) {
       if (!isValidOriginMessage(message)) return;
--- a/src/relay/resumption/take_ups.ts
+++ b/src/relay/resumption/take_ups.ts
@@ -10,7 +10,7 @@
 import type {Logger} from '../../ports/log.js';
 import {hasDecodeEngine, VERSION_GONE} from '../placement/engine_versions.js';
 import type {RelayMetrics} from '../relay_metrics.js';
-import type {RelayJob} from '../relay_types.js';
+import {leftMs, type RelayJob} from '../relay_types.js';
 import type {RoutingState} from '../routing_state.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {OriginExchange, OriginFindings} from './origin_exchange.js';
@@ -25,7 +25,7 @@
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly origins: StreamOrigins;
   readonly history: VersionHistory;
-  readonly exchange: Pick<OriginExchange, 'ask'>;
+  readonly exchange: Pick<OriginExchange, 'ask' | 'askAgain'>;
   readonly ledger: Pick<VersionLedger, 'read'>;
   readonly registry: Pick<UpstreamRegistry, 'notLeaving'>;
   readonly routing: Pick<RoutingState, 'service'>;
@@ -57,6 +57,11 @@
 
 /** A list that the store confirmed within this time is current. */
 const CURRENT_LIST_MS = 2_000;
+/**
+ * Peers may be suspended for a moment. A caller that is refused begins its
+ * stream anew, which costs more than this wait.
+ */
+const SILENT_PEERS_MS = 800;
 
 /** The caller gains nothing by waiting, so it may begin the stream anew now. */
 const UNKNOWN: RequestError = {
@@ -122,16 +127,15 @@
     return isConfirmed ? version : undefined;
   }
 
-  async function ask(job: RelayJob): Promise<OriginFindings> {
+  function toQuery(job: RelayJob) {
     const {name: service} = job.service;
     const windowMs = host.maxStreamAgeMs(service);
-    return host.exchange.ask({
-      requestId: toRequestId(job),
-      service,
-      windowMs,
-    });
+    return {requestId: toRequestId(job), service, windowMs};
   }
 
+  const patienceMs = ({deadlineAtMs}: RelayJob) =>
+    Math.min(SILENT_PEERS_MS, leftMs(deadlineAtMs, host.clock.nowMs()) / 2);
+
   function record(
     {request}: RelayJob,
     basis: Basis,
@@ -152,35 +156,50 @@
     return {kind: 'refused', error};
   }
 
+  /** Undefined if the findings don't tell where the stream began. */
+  async function conclude(
+    job: RelayJob,
+    found: OriginFindings,
+    basis: 'own' | 'peer',
+  ): Promise<TakeUp | undefined> {
+    const answered = found.seen.length;
+    const origin =
+      found.origin && isOfCaller(found.origin, job) ? found.origin : undefined;
+    const service = origin && findService(origin, job);
+    if (origin && service) {
+      const {version} = origin;
+      if (!hasDecodeEngine(registry.notLeaving(service.name), version)) {
+        record(job, 'gone', origin, answered);
+        return refuse(VERSION_GONE);
+      }
+      record(job, basis, origin, answered);
+      return {kind: 'resumed', version, service};
+    }
+    const version = await findSingleVersion(job.service.name, found.seen);
+    if (version === undefined) return undefined;
+    record(job, 'single-version', origin, answered);
+    return {kind: 'resumed', version, service: job.service};
+  }
+
   return {
     async decide(job) {
       if (!job.request.lastEventId) return {kind: 'new'};
-      const own = origins.find(toRequestId(job));
-      const found: OriginFindings = own
-        ? {origin: own, seen: []}
-        : await ask(job);
-      const answered = found.seen.length;
-      const origin =
-        found.origin && isOfCaller(found.origin, job)
-          ? found.origin
-          : undefined;
-      const service = origin && findService(origin, job);
-      if (origin && service) {
-        const {version} = origin;
-        if (!hasDecodeEngine(registry.notLeaving(service.name), version)) {
-          record(job, 'gone', origin, answered);
-          return refuse(VERSION_GONE);
-        }
-        record(job, own ? 'own' : 'peer', origin, answered);
-        return {kind: 'resumed', version, service};
-      }
-      const version = await findSingleVersion(job.service.name, found.seen);
-      if (version === undefined) {
-        record(job, 'unknown', origin, answered);
-        return refuse(UNKNOWN);
-      }
-      record(job, 'single-version', origin, answered);
-      return {kind: 'resumed', version, service: job.service};
+      const query = toQuery(job);
+      const own = origins.find(query.requestId);
+      const basis = own ? 'own' : 'peer';
+      const first: OriginFindings = own
+        ? {origin: own, seen: [], silentIds: []}
+        : await host.exchange.ask(query);
+      const takeUp = await conclude(job, first, basis);
+      if (takeUp) return takeUp;
+      const all = query.requestId
+        ? await host.exchange.askAgain(query, first, patienceMs(job))
+        : first;
+      const hasMore = all.seen.length > first.seen.length;
+      const later = hasMore ? await conclude(job, all, basis) : undefined;
+      if (later) return later;
+      record(job, 'unknown', all.origin, all.seen.length);
+      return refuse(UNKNOWN);
     },
   };
 }
--- a/tests/relay/resumption/resumption_fleet_test.ts
+++ b/tests/relay/resumption/resumption_fleet_test.ts
@@ -46,6 +46,8 @@
   const ids = Array.from({length: hostCount}, (_, i) => `host-${i}`);
   const dead = new Set<string>();
   const earlier = new Set<string>();
+  /** Live hosts that neither send nor receive. */
+  const silent = new Set<string>();
   let sentBytes = 0;
   let nextId = 1;
 
@@ -60,6 +62,7 @@
       sentBytes += encodeDatagram(message).length + UDP_HEADER_BYTES;
       clock.setTimer(TRANSIT_MS, () => {
         if (dead.has(to) || dead.has(hostId) || earlier.has(to)) return;
+        if (silent.has(to) || silent.has(hostId)) return;
         fleet.get(to)?.resumption.receive(hostId, message);
       });
     };
@@ -104,6 +107,7 @@
   const makeJob = (request: Partial<RelayJob['request']>, account?: string) =>
     ({
       request: {arrivedAtMs: clock.nowMs(), waitMs: 14_000, ...request},
+      deadlineAtMs: clock.nowMs() + 14_000,
       route,
       service,
       admitted: {account: account && {name: account}},
@@ -114,6 +118,7 @@
     ids,
     dead,
     earlier,
+    silent,
     hostAt,
     sentBytes: () => sentBytes,
     begin(hostId: string, version: string, account?: string): string {
@@ -127,10 +132,12 @@
       hostId: string,
       resumes: string,
       account?: string,
+      {waitMs = 250, onDecided = (): unknown => undefined} = {},
     ): Promise<string | undefined> {
       const job = makeJob({lastEventId: '3', resumes}, account);
       const decided = hostAt(hostId).resumption.takeUps.decide(job);
-      for (let i = 0; i < 50; i++) await clock.advance(5);
+      void decided.then(onDecided);
+      for (let i = 0; i < waitMs / 5; i++) await clock.advance(5);
       const takeUp = await decided;
       return takeUp.kind === 'resumed' ? takeUp.version : undefined;
     },
@@ -193,6 +200,35 @@
   assert.equal(await fleet.takeUp('host-1', requestId), 'v2');
 });
 
+for (const hostCount of [9, 60]) {
+  test(`a stream goes on although the hosts that know it are silent for 0.5 s, ${hostCount} hosts`, async () => {
+    // Guards against callers that are told to begin anew, since the peers that
+    // could tell the version were suspended as they were asked.
+    const fleet = makeFleet(hostCount, ['v1', 'v2']);
+    const requestId = fleet.begin('host-0', 'v2');
+    await fleet.clock.advance(TRANSIT_MS);
+    const knows = (id: string) => fleet.hostAt(id).resumption.knownCount() > 0;
+    for (const id of fleet.ids.filter(knows)) fleet.silent.add(id);
+    fleet.clock.setTimer(500, () => fleet.silent.clear());
+    const asked = fleet.ids.find(id => !knows(id))!;
+    const wait = {waitMs: 1_000};
+    const version = await fleet.takeUp(asked, requestId, undefined, wait);
+    assert.equal(version, 'v2');
+  });
+}
+
+test('a caller does not wait for long where no host knows its stream', async () => {
+  const fleet = makeFleet(9, ['v1', 'v2']);
+  const atMs = fleet.clock.nowMs();
+  for (const id of fleet.ids.slice(2)) fleet.silent.add(id);
+  let endedAtMs = Infinity;
+  const onDecided = () => (endedAtMs = fleet.clock.nowMs());
+  const wait = {waitMs: 2_000, onDecided};
+  const takeUp = fleet.takeUp('host-0', 'unknown', undefined, wait);
+  assert.equal(await takeUp, undefined);
+  assert.ok(endedAtMs - atMs <= 1_000, `${endedAtMs - atMs} ms`);
+});
+
 for (const hostCount of [9, 60, 300]) {
   test(`copies take under 2 KB a second and host, ${hostCount} hosts`, async () => {
     // Two streams a second at each host, while versions differ.
