Probe again before a link counts as cut

When all engines of a service were silent for 0.8 to 1.2 s, hosts took their links to them for cut, and themselves for cut off from everything: calls went to peers, which declined as they thought the same of themselves, so that requests found no path; role orders stopped, and findings about engines were kept from peers, until the next probe half a second later.

A host's own probe is given up after 0.8 s, and that of the peer, begun 0.4 s later, was answered as the engines went on. The host now probes once more when a peer has reached an upstream that was silent here, and takes the link for cut only if that is not answered either. A refused connection still counts at once, and so does a call that only a peer could connect.

--- a/src/relay/forwarding/forwarding_port.ts
+++ b/src/relay/forwarding/forwarding_port.ts
@@ -11,6 +11,7 @@
 import type {
   Cancellation,
   PrefillOutcome,
+  ProbeOutcome,
   RelayRequest,
   SendFailure,
   SendOptions,
@@ -53,6 +54,9 @@
   detail: 'neither this host nor a peer reaches the upstream',
 };
 
+const isAnswer = (outcome: ProbeOutcome | undefined) =>
+  outcome === 'answered' || outcome === 'other-instance';
+
 export interface ForwardingPort {
   readonly port: UpstreamPort;
   /** A call that this host made directly had this outcome. */
@@ -172,23 +176,34 @@
     return forwarded.kind === 'outcome' && hasReached(forwarded.outcome);
   }
 
-  async function probe(upstream: Upstream) {
+  async function probeDirectly(upstream: Upstream): Promise<ProbeOutcome> {
     const sentAtMs = clock.nowMs();
-    let hasAnswered = false;
-    const own = direct.probe(upstream).then(outcome => {
-      hasAnswered = outcome === 'answered' || outcome === 'other-instance';
-      if (hasAnswered) links.noteReached(upstream.id, sentAtMs);
-      return outcome;
-    });
+    const outcome = await direct.probe(upstream);
+    if (isAnswer(outcome)) links.noteReached(upstream.id, sentAtMs);
+    return outcome;
+  }
+
+  /**
+   * A peer reached the upstream. One that was silent may have gone on since
+   * this host's probe, so it is probed again before its link counts as cut.
+   */
+  async function confirmCut(upstream: Upstream): Promise<void> {
+    const outcome = await probeDirectly(upstream);
+    if (!isAnswer(outcome)) links.noteReachedByPeer(upstream.id);
+  }
+
+  async function probe(upstream: Upstream) {
+    let outcome: ProbeOutcome | undefined;
+    const own = probeDirectly(upstream).then(each => (outcome = each));
     const delay = new Promise<undefined>(resolve => {
       clock.setTimer(PEER_PROBE_DELAY_MS, () => resolve(undefined));
     });
     await Promise.race([own, delay]);
-    if (!hasAnswered && (await probeByPeer(upstream)) && !hasAnswered) {
-      links.noteReachedByPeer(upstream.id);
-      return 'answered';
-    }
-    return own;
+    const isReachedByPeer = !isAnswer(outcome) && (await probeByPeer(upstream));
+    if (!isReachedByPeer || isAnswer(outcome)) return own;
+    if (outcome === 'refused') links.noteReachedByPeer(upstream.id);
+    else void confirmCut(upstream);
+    return 'answered';
   }
 
   function probeIfSilent(upstream: Upstream): void {
--- a/tests/relay/forwarding/forwarding_site.ts
+++ b/tests/relay/forwarding/forwarding_site.ts
@@ -10,6 +10,7 @@
   type VirtualClock,
 } from '../../../src/core/virtual_clock.js';
 import type {Upstream} from '../../../src/core/upstream.js';
+import type {Clock} from '../../../src/ports/clock.js';
 import type {
   AnswerBodySink,
   BreakCause,
@@ -61,6 +62,8 @@
 
 export interface ForwardingSite {
   readonly clock: VirtualClock;
+  /** Has all upstreams answer nothing until then. */
+  silenceUpstreams(durationMs: number): void;
   readonly hosts: readonly ForwardingHostStandIn[];
   close(): void;
 }
@@ -93,7 +96,13 @@
 
 export const REFUSED: SendFailure = {kind: 'unreachable', detail: 'refused'};
 
-function createDirectPort(host: ForwardingHostStandIn): UpstreamPort {
+const PROBE_TIMEOUT_MS = 800;
+
+function createDirectPort(
+  host: ForwardingHostStandIn,
+  clock: Clock,
+  silentUntilMs: () => number,
+): UpstreamPort {
   const answer = (requestId: string): UpstreamAnswer => ({
     kind: 'answered',
     status: 200,
@@ -124,8 +133,16 @@
       }
       return Promise.resolve(answer(requestId));
     },
-    probe: () =>
-      Promise.resolve(host.behaviour === 'refuse' ? 'refused' : 'answered'),
+    probe() {
+      if (host.behaviour === 'refuse') return Promise.resolve('refused');
+      const silentMs = silentUntilMs() - clock.nowMs();
+      if (silentMs <= 0) return Promise.resolve('answered');
+      return new Promise(resolve => {
+        clock.setTimer(Math.min(silentMs, PROBE_TIMEOUT_MS), () =>
+          resolve(silentMs > PROBE_TIMEOUT_MS ? 'no-answer' : 'answered'),
+        );
+      });
+    },
   } as Partial<UpstreamPort> as UpstreamPort;
 }
 
@@ -151,6 +168,7 @@
 ): Promise<ForwardingSite> {
   const clock = createVirtualClock();
   const exchange = createHttpExchange({clock});
+  let silentUntilMs = 0;
   const hosts: ForwardingHostStandIn[] = [];
   const servers: AuxiliaryServer[] = [];
   for (let i = 0; i < hostCount; i++) {
@@ -180,7 +198,7 @@
         get,
         getOpen: (id: string) => (closed.has(id) ? undefined : get(id)),
       } as Partial<UpstreamRegistry> as UpstreamRegistry,
-      direct: createDirectPort(host),
+      direct: createDirectPort(host, clock, () => silentUntilMs),
       self: member,
       peers: () => hosts.filter(each => each !== host).map(each => each.member),
       isServing: () => true,
@@ -197,6 +215,9 @@
   return {
     clock,
     hosts,
+    silenceUpstreams(durationMs) {
+      silentUntilMs = clock.nowMs() + durationMs;
+    },
     close() {
       for (const {forwarding} of hosts) forwarding.links.stop();
       for (const server of servers) server.close();
--- a/tests/relay/forwarding/forwarding_test.ts
+++ b/tests/relay/forwarding/forwarding_test.ts
@@ -202,6 +202,23 @@
   assert.equal(cut.forwarding.links.pathTo('u-1'), 'peer');
 });
 
+test('upstreams that are silent for a second are not taken for cut links', async () => {
+  // Guards against hosts that all pass calls on to each other, and decline
+  // them, since each gave its own probe up before the upstreams went on.
+  const [asking, peer] = await createHosts(2);
+  const {port, links} = asking.forwarding;
+  const {activeCount} = peer.forwarding.server;
+  site.silenceUpstreams(1_000);
+  const probes = Promise.all(UPSTREAMS.map(port.probe));
+  await site.clock.advance(400);
+  await untilTrue(() => activeCount() === UPSTREAMS.length);
+  await site.clock.advance(600);
+  assert.deepEqual(await probes, ['answered', 'answered', 'answered']);
+  await site.clock.advance(0);
+  assert.equal(links.cutCount(), 0);
+  assert.ok(!links.isIsolated());
+});
+
 test('calls are made only for live hosts', async () => {
   // Guards against strangers who reach upstreams by way of the peer port.
   const [{member, sent}] = await createHosts(1);
