Decide once on a request that is read after a suspension

An owner of a limit, of retries or of an account that was suspended for over a second between two copies of a request granted each copy. The second permit or retry was lost: nobody used it, and it counted against the limit of all hosts.

Answers to repeat were kept for a second, by timers, and these run before the copies that arrived meanwhile are read. The last 2,048 answers are now kept, however old they are, without a timer for each request.

--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -111,7 +111,6 @@
     tell,
   });
   const server = createPeerRequestServer<QuotaRequest, QuotaReply>({
-    clock,
     decide: owner.handle,
     tell,
   });
--- a/src/relay/backpressure/backpressure.ts
+++ b/src/relay/backpressure/backpressure.ts
@@ -75,7 +75,6 @@
     owners,
   });
   const server = createPeerRequestServer<PermitRequest, PermitReply>({
-    clock,
     decide: limitGate.handleRequest,
     tell: host.send,
   });
--- a/src/relay/fleet/peer_request_server.ts
+++ b/src/relay/fleet/peer_request_server.ts
@@ -4,14 +4,13 @@
  * decision.
  */
 
-import type {Clock} from '../../ports/clock.js';
+import {createBoundedMap} from '../../core/bounded_map.js';
 import type {CorrelatedMessage} from './peer_request_client.js';
 
 export interface PeerRequestServerHost<
   Request extends CorrelatedMessage,
   Answer extends CorrelatedMessage,
 > {
-  readonly clock: Clock;
   decide(fromHostId: string, request: Request): Answer;
   tell(hostId: string, answer: Answer): void;
 }
@@ -20,24 +19,23 @@
   receive(fromHostId: string, request: Request): void;
 }
 
-/** A request repeated within this time gets the same answer. */
-const ANSWER_KEPT_MS = 1_000;
+/**
+ * Answers are kept by number, not by time: after a suspension of this host, the
+ * copies of a request are read after all timers that came due.
+ */
+const MAX_ANSWERS = 2_048;
 
 export function createPeerRequestServer<
   Request extends CorrelatedMessage,
   Answer extends CorrelatedMessage,
 >(host: PeerRequestServerHost<Request, Answer>): PeerRequestServer<Request> {
-  const {clock} = host;
-  const answers = new Map<string, Answer>();
+  const answers = createBoundedMap<Answer>(MAX_ANSWERS);
 
   return {
     receive(fromHostId, request) {
       const key = `${fromHostId}/${request.askId}`;
       const answer = answers.get(key) ?? host.decide(fromHostId, request);
-      if (!answers.has(key)) {
-        answers.set(key, answer);
-        clock.setTimer(ANSWER_KEPT_MS, () => answers.delete(key));
-      }
+      if (!answers.has(key)) answers.set(key, answer);
       host.tell(fromHostId, answer);
     },
   };
--- a/src/relay/resumption/origin_exchange.ts
+++ b/src/relay/resumption/origin_exchange.ts
@@ -89,7 +89,6 @@
     tell: host.send,
   });
   const server = createPeerRequestServer<OriginRequest, OriginReply>({
-    clock,
     decide: (_, {askId, requestId, service, windowMs}) => ({
       kind: 'stream-origin-answer',
       askId,
--- a/src/relay/retries/relay_retries.ts
+++ b/src/relay/retries/relay_retries.ts
@@ -107,7 +107,6 @@
     isOwner: service => ownerOf(service) === self.hostId,
   });
   const server = createPeerRequestServer<RetryRequest, RetryReply>({
-    clock,
     decide(fromHostId, {askId, service}) {
       owner.record(self, shared.unused());
       const isGranted = owner.grant(fromHostId, service);
--- a/tests/relay/accounts/quota_fleet.ts
+++ b/tests/relay/accounts/quota_fleet.ts
@@ -147,7 +147,6 @@
       tell,
     });
     const server = createPeerRequestServer<QuotaRequest, QuotaReply>({
-      clock,
       decide(from, {priority, reserveUnits, ...request}) {
         asked = {...request, priority, reserveUnits};
         return owner.handle(from, index < oldHostCount ? request : asked);
--- a/tests/relay/fleet/peer_request_client_test.ts
+++ b/tests/relay/fleet/peer_request_client_test.ts
@@ -5,6 +5,7 @@
   createPeerRequestClient,
   type CorrelatedMessage,
 } from '../../../src/relay/fleet/peer_request_client.js';
+import {createPeerRequestServer} from '../../../src/relay/fleet/peer_request_server.js';
 import {createFreezableClock} from './fleet_network.js';
 
 test('an answer that arrived while the asking host was suspended counts', async () => {
@@ -50,3 +51,18 @@
   await clock.advance(1_030);
   assert.equal(await Promise.race([answer, 'waiting']), undefined);
 });
+
+test('an owner that was suspended decides once on a request that was sent again', () => {
+  // Guards against permits and retries that are lost, since each copy of a
+  // request is granted, however late it is read.
+  const answers: string[] = [];
+  let decided = 0;
+  const server = createPeerRequestServer<CorrelatedMessage, CorrelatedMessage>({
+    decide: (_, {askId}) => ({askId: askId + 100 * ++decided}),
+    tell: (_, {askId}) => void answers.push(`${askId}`),
+  });
+  server.receive('asking', {askId: 7});
+  server.receive('asking', {askId: 7});
+  server.receive('asking', {askId: 8});
+  assert.deepEqual(answers, ['107', '107', '208']);
+});
