--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -74,19 +74,15 @@
   }
 
   /** Reads the prompt for the next run; returns what is missing, if anything. */
-  async function readPrompt(
-    state: StreamState,
-    next: StreamState,
-  ): Promise<Missing | undefined> {
+  async function readPrompt(next: StreamState): Promise<Missing | undefined> {
     if (!next.placement.prefill) return undefined;
     const outcome = await host.prefillStep.run(next);
-    // The calls were made, whatever becomes of the next run.
-    state.countedCalls = next.countedCalls;
     switch (outcome.kind) {
       case 'read':
         next.source = outcome.source;
         return undefined;
       case 'not-read':
+        next.placement = {...next.placement, prefill: undefined};
         return undefined;
       case 'no-retries':
         return 'retry';
@@ -95,45 +91,57 @@
     }
   }
 
-  async function prepareWithRetry(
+  async function prepareAt(
     state: StreamState,
+    placement: Placement,
     cancellation: Cancellation,
   ): Promise<Successor | Missing> {
-    const placement = await placeAtAnswering(state);
-    if (typeof placement === 'string') return placement;
     const next: StreamState = {
       ...state,
       job: {...state.job, cancellation},
       placement,
       source: undefined,
+      // The silent run was sent, though its outcome may not be known yet.
+      countedCalls: Math.max(1, state.countedCalls),
       hasReservedRun: true,
     };
     engineLoads.setOutputTokens(
       placement.run,
       state.placement.run.outputTokens,
     );
-    const missing = cancellation.isCancelled
-      ? 'cancelled'
-      : await readPrompt(state, next);
+    const missing = await readPrompt(next);
     if (missing === undefined && !cancellation.isCancelled) return {next};
-    endBookings(next.placement);
     if (next.source) host.upstreamPort.releasePrefill(next.source);
     return missing ?? 'cancelled';
   }
 
-  async function tryPrepare(
+  async function prepareWithRetry(
     state: StreamState,
+    placement: Placement,
     cancellation: Cancellation,
   ): Promise<Successor | Missing> {
-    if (state.events > 0 && state.need.version === undefined) return 'version';
+    if (cancellation.isCancelled) return 'cancelled';
     if (!(await calls.reserveRun(state))) return 'retry';
     const outcome = cancellation.isCancelled
       ? 'cancelled'
-      : await prepareWithRetry(state, cancellation);
+      : await prepareAt(state, placement, cancellation);
     if (typeof outcome === 'string') calls.giveBackRun(state);
     return outcome;
   }
 
+  async function tryPrepare(
+    state: StreamState,
+    cancellation: Cancellation,
+  ): Promise<Successor | Missing> {
+    if (state.events > 0 && state.need.version === undefined) return 'version';
+    if (!calls.canRetryRun(state)) return 'retry';
+    const placement = await placeAtAnswering(state);
+    if (typeof placement === 'string') return placement;
+    const outcome = await prepareWithRetry(state, placement, cancellation);
+    if (typeof outcome === 'string') endBookings(placement);
+    return outcome;
+  }
+
   return {
     async prepare(state, reason, cancellation) {
       const outcome = await tryPrepare(state, cancellation);
@@ -152,6 +160,8 @@
       state.avoid.add(state.placement.decode.id);
       state.placement = next.placement;
       state.source = next.source;
+      state.countedCalls = next.countedCalls;
+      state.wasPrefilled = next.wasPrefilled;
       state.hasReservedRun = true;
     },
   };
