Count a run in the means only once those that began with it have ended

Engines are divided between the roles by the mean of finished runs.

A run now counts from twice the mean duration after its start.

--- a/src/relay/placement/shared_statistics.ts
+++ b/src/relay/placement/shared_statistics.ts
@@ -73,12 +73,19 @@
 const START_DECAY_MS = 3_000;
 const RUN_DECAY_MS = 60_000;
 const START_INITIAL_WEIGHT = 2;
-/**
- * High, because short runs end first, so the first runs to end are not
- * representative.
- */
 const RUN_INITIAL_WEIGHT = 60;
 const PREFILL_INITIAL_WEIGHT = 3;
+/**
+ * Of the runs that began together the short ones end first. A run counts from
+ * this many times the mean duration after its start, when nearly all have ended.
+ */
+const RUN_DELAY_FACTOR = 2;
+
+/** A run that has ended and doesn't count yet. */
+interface HeldRun {
+  readonly startedAtMs: number;
+  readonly values: readonly number[];
+}
 
 export function createSharedStatistics(
   host: SharedStatisticsHost,
@@ -107,6 +114,29 @@
     readonly [StatisticKind, PooledMeans]
   >;
   const tokensPerMs = () => prefills.means()[0];
+  /** In the order of their starts. */
+  const heldRuns: HeldRun[] = [];
+
+  function holdRun(run: HeldRun): void {
+    const later = heldRuns.findLastIndex(
+      ({startedAtMs}) => startedAtMs <= run.startedAtMs,
+    );
+    heldRuns.splice(later + 1, 0, run);
+  }
+
+  /** Counts the held runs that are due. */
+  function runMeans(): readonly number[] {
+    const nowMs = host.clock.nowMs();
+    for (;;) {
+      const means = runs.means();
+      const untilMs = nowMs - RUN_DELAY_FACTOR * means[2];
+      const [first] = heldRuns;
+      if (!first || first.startedAtMs > untilMs) return means;
+      heldRuns.shift();
+      runs.add(first.values);
+    }
+  }
+
   const speeds = createEngineSpeeds({
     clock: host.clock,
     tokensPerMs,
@@ -126,25 +156,34 @@
       const need = {promptTokens, expectedOutputTokens: outputTokens};
       const usable = kvTokens * USABLE_KV_SHARE;
       const share = usable > 0 ? plannedTokens(need) / usable : 1;
-      runs.add([share * durationMs, promptTokens, durationMs]);
+      holdRun({
+        startedAtMs: host.clock.nowMs() - durationMs,
+        values: [share * durationMs, promptTokens, durationMs],
+      });
     },
-    meanDecodeMs: () => runs.means()[0],
-    meanPromptTokens: () => runs.means()[1],
-    meanRunMs: () => runs.means()[2],
+    meanDecodeMs: () => runMeans()[0],
+    meanPromptTokens: () => runMeans()[1],
+    meanRunMs: () => runMeans()[2],
     recordPrefill(tokens, durationMs) {
       if (durationMs > 0 && tokens > 0) prefills.add([tokens / durationMs]);
     },
     tokensPerMs,
-    ownSums: () => ({
-      starts: starts.ownSums(),
-      runs: runs.ownSums(),
-      prefills: prefills.ownSums(),
-    }),
-    totalSums: () => ({
-      starts: starts.totalSums(),
-      runs: runs.totalSums(),
-      prefills: prefills.totalSums(),
-    }),
+    ownSums() {
+      runMeans();
+      return {
+        starts: starts.ownSums(),
+        runs: runs.ownSums(),
+        prefills: prefills.ownSums(),
+      };
+    },
+    totalSums() {
+      runMeans();
+      return {
+        starts: starts.totalSums(),
+        runs: runs.totalSums(),
+        prefills: prefills.totalSums(),
+      };
+    },
     setPeer(hostId, sums) {
       for (const [kind, pool] of each) pool.setPeer(hostId, sums[kind]);
     },
--- a/tests/relay/placement/shared_statistics_test.ts
+++ b/tests/relay/placement/shared_statistics_test.ts
@@ -72,3 +72,25 @@
   statistics.removePeer('other');
   assert.equal(statistics.meanStartMs(), first);
 });
+
+test('short runs, which end first, change no division of engines after a start', async () => {
+  // Guards against an engine that is away in the first burst, and sent back later.
+  const clock = createVirtualClock(1_000);
+  const statistics = createSharedStatistics({clock});
+  const before = divideEngines(statistics, 18).prefillEngines;
+  let most = before;
+  for (let index = 0; index < 150; index++) {
+    // Means 365 ms of an engine, as assumed before there are observations.
+    const outputTokens = 100 + 100 * ((index * 7) % 16);
+    const durationMs = 4 * outputTokens;
+    const run = {promptTokens: 3_200, outputTokens, durationMs};
+    clock.setTimer(durationMs, () =>
+      statistics.recordRun({...run, kvTokens: 36_900}),
+    );
+    await clock.advance(80);
+    most = Math.max(most, divideEngines(statistics, 18).prefillEngines);
+  }
+  assert.ok(most < 1.04 * before, JSON.stringify({before, most}));
+  const after = divideEngines(statistics, 18).prefillEngines;
+  assert.ok(after > 0.96 * before, JSON.stringify({before, after}));
+});
