Plan the roles of engines with those that crashed and may soon be back

The planner counted an engine that crashed as gone.

An engine that is gone without having left now counts for as long as a change of roles takes, unless it has started again, and is not ordered.

--- a/src/core/scheduling/role_plan.ts
+++ b/src/core/scheduling/role_plan.ts
@@ -16,6 +16,8 @@
   readonly isLeaving: boolean;
   /** An order to the engine is still in progress. */
   readonly isChanging: boolean;
+  /** Can't be reached, but is expected back: counts, and can't be ordered. */
+  readonly isLost?: boolean;
   /**
    * Speed relative to the mean of the engines of its role; 1 if absent. An
    * engine counts for this many engines.
@@ -102,6 +104,9 @@
   return pool.reduce((sum, engine) => sum + speedOf(engine), 0);
 }
 
+const withoutLost = (pool: readonly PlannedEngine[]) =>
+  pool.filter(({isLost}) => !isLost);
+
 /** Returns whether a pool can do without its slowest engine. */
 function canSpare(
   pool: readonly PlannedEngine[],
@@ -109,9 +114,11 @@
   minEngines: number,
   {safeUse}: RolePlanOptions,
 ): boolean {
-  const slowest = Math.min(...pool.map(speedOf));
+  const present = withoutLost(pool);
+  const slowest = Math.min(...present.map(speedOf));
   return (
-    pool.length > minEngines && demand <= (capacityOf(pool) - slowest) * safeUse
+    present.length > minEngines &&
+    demand <= (capacityOf(pool) - slowest) * safeUse
   );
 }
 
@@ -183,7 +190,7 @@
   {safeUse, maxChangesAtOnce}: RolePlanOptions,
 ): readonly PlannedEngine[] {
   const picked: PlannedEngine[] = [];
-  let left = donors;
+  let left = withoutLost(donors);
   let donorCapacity = capacityOf(donors);
   let missing = recipientDemand / safeUse - capacityOf(recipients);
   while (picked.length < maxChangesAtOnce && left.length > minDonors) {
--- a/src/relay/roles/role_orders.ts
+++ b/src/relay/roles/role_orders.ts
@@ -22,6 +22,7 @@
 import type {EngineReport, UpstreamPort} from '../../ports/relay.js';
 import type {EngineLoads} from '../placement/engine_loads.js';
 import type {RelayMetrics} from '../relay_metrics.js';
+import {createLostEngines} from './lost_engines.js';
 import {divideEngines} from './role_demand.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import type {Upstream} from '../../core/upstream.js';
@@ -56,8 +57,7 @@
 const PLAN_INTERVAL_MS = 500;
 /**
  * A change takes an engine away for seconds, and a wrong division costs every
- * burst. A shortage that lasts longer than the time below is no passing crash.
- * The threshold for high use must exceed the error of the statistics, or
+ * burst. The threshold for high use must exceed the error of the statistics, or
  * engines would change back and forth.
  */
 const PLAN: RolePlanOptions = {
@@ -126,6 +126,7 @@
   const {clock, log, registry, engineLoads, upstreamPort, statistics} = host;
   const pendingOrders = new Map<string, SentOrder>();
   const plans = new Map<string, RolePlanState>();
+  const lostEngines = createLostEngines(host);
   let timer: TimerHandle | undefined;
   let isStopped = false;
 
@@ -141,7 +142,7 @@
   }
 
   /** The engine as it will be once its order is carried out. */
-  function toPlanned(engine: Upstream): PlannedEngine {
+  function toPlanned(engine: Upstream, isLost: boolean): PlannedEngine {
     return {
       engineId: engine.id,
       role: pendingOrders.get(engine.id)?.role ?? engine.role ?? 'decode',
@@ -150,16 +151,25 @@
       usedSlots: engineLoads.decodeLoad(engine.id).runs,
       isLeaving: false,
       isChanging: false,
+      isLost,
       speed: statistics.speeds.factorOf(engine.id),
     };
   }
 
   function plan(service: Service): readonly RoleChange[] {
-    const engines = registry.open(service.name).filter(({role}) => role);
+    const hasRole = ({role}: Upstream) => role !== undefined;
+    const engines = registry.open(service.name).filter(hasRole);
+    // Engines that are back before a change is done need no replacement.
+    const lost = lostEngines
+      .find(service.name, service.engine?.roleChangeMs ?? 0)
+      .filter(hasRole);
     const step = planRoles(
       plans.get(service.name) ?? INITIAL_ROLE_PLAN_STATE,
-      engines.map(toPlanned),
-      divideEngines(statistics, engines.length),
+      [
+        ...engines.map(each => toPlanned(each, false)),
+        ...lost.map(each => toPlanned(each, true)),
+      ],
+      divideEngines(statistics, engines.length + lost.length),
       clock.nowMs(),
       {
         ...PLAN,
@@ -285,6 +295,7 @@
     dropCompletedOrders();
     if (!host.isPlanner()) {
       plans.clear();
+      lostEngines.clear();
       return;
     }
     for (const service of host.services()) {
--- a/tests/relay/roles/role_orders_test.ts
+++ b/tests/relay/roles/role_orders_test.ts
@@ -13,6 +13,7 @@
   RoleOrderOutcome,
   UpstreamPort,
 } from '../../../src/ports/relay.js';
+import type {Upstream} from '../../../src/core/upstream.js';
 import {createEngineLoads} from '../../../src/relay/placement/engine_loads.js';
 import {createRelayMetrics} from '../../../src/relay/relay_metrics.js';
 import {createRoleOrders} from '../../../src/relay/roles/role_orders.js';
@@ -56,21 +57,22 @@
     ...Array.from({length: prefillCount}, () => 'prefill' as const),
     ...Array.from({length: decodeCount}, () => 'decode' as const),
   ];
-  registry.apply({
-    revision: revisionAt(1),
-    upstreams: roles.map((role, i) => ({
-      id: `e${i}`,
-      name: `e${i}`,
-      service: 'drafts',
-      address: `e${i}:1`,
-      failureDomain: `d${i % 4}`,
-      slots: 48,
-      isDraining: false,
-      heartbeat: revisionAt(1),
-      startedAtMs: FIRST_START_MS,
-      role,
-    })),
-  });
+  const upstreams = roles.map((role, i) => ({
+    id: `e${i}`,
+    name: `e${i}`,
+    service: 'drafts',
+    address: `e${i}:1`,
+    failureDomain: `d${i % 4}`,
+    slots: 48,
+    isDraining: false,
+    heartbeat: revisionAt(1),
+    startedAtMs: FIRST_START_MS,
+    role,
+  }));
+  let revision = 0;
+  const list = (listed: readonly Upstream[]) =>
+    registry.apply({revision: revisionAt(++revision), upstreams: listed});
+  list(upstreams);
   const switches: Switches = {
     isPlanner: true,
     check: 'valid',
@@ -125,7 +127,16 @@
     {hostId: 'h1'},
   );
   orders.start();
-  return {clock, sentOrders, orders, switches, engineLoads};
+  return {
+    clock,
+    sentOrders,
+    orders,
+    switches,
+    engineLoads,
+    registry,
+    upstreams,
+    list,
+  };
 }
 
 test('engines are divided according to demand, one order at a time', async () => {
@@ -230,3 +241,48 @@
   await clock.advance(5_000);
   assert.equal(sentOrders[0]?.role, 'prefill');
 });
+
+test('no engine changes its role for others that crash and are soon back', async () => {
+  // Guards against a pool that is one short for long: the change takes 6 s, and
+  // the engines that it makes up for are back before it is done.
+  const {clock, sentOrders, registry, upstreams, list} = makeOrders(4, 13);
+  await clock.advance(2_000);
+  for (const id of ['e4', 'e5', 'e6', 'e7']) registry.markUnreachable(id);
+  await clock.advance(2_500);
+  list(upstreams.filter((_, i) => i < 4 || i > 7));
+  await clock.advance(2_000);
+  list(
+    upstreams.map((each, i) =>
+      i < 4 || i > 7 ? each : {...each, id: `f${i}`, name: `f${i}`},
+    ),
+  );
+  await clock.advance(10_000);
+  assert.equal(sentOrders.length, 0);
+});
+
+test('engines that are not back after the time of a change are replaced', async () => {
+  const {clock, sentOrders, upstreams, list} = makeOrders(4, 13);
+  await clock.advance(2_000);
+  list(upstreams.filter((_, i) => i < 4 || i > 7));
+  await clock.advance(5_500);
+  assert.equal(sentOrders.length, 0);
+  await clock.advance(3_000);
+  assert.equal(sentOrders[0]?.role, 'decode');
+});
+
+test('engines that leave are replaced at once', async () => {
+  const {clock, sentOrders, upstreams, list} = makeOrders(4, 13);
+  await clock.advance(2_000);
+  list(upstreams.map((each, i) => ({...each, isDraining: i >= 4 && i <= 7})));
+  await clock.advance(2_500);
+  assert.equal(sentOrders[0]?.role, 'decode');
+});
+
+test('no order is sent to an engine that crashed', async () => {
+  const {clock, sentOrders, registry} = makeOrders(6, 11);
+  await clock.advance(100);
+  for (const id of ['e0', 'e1', 'e2', 'e3']) registry.markUnreachable(id);
+  await clock.advance(3_500);
+  assert.ok(sentOrders.length > 0);
+  assert.ok(sentOrders.every(each => ['e4', 'e5'].includes(each.engineId)));
+});
