Go on with streams after the first start of a system

A caller that names no attempt is served only if one version has been seen for twice the longest time-out of a route.

Where the store has no row of versions and was never restored, no host has run before, so the row is written as if its versions had been listed for 10 min.

--- a/src/relay/resumption/version_ledger.ts
+++ b/src/relay/resumption/version_ledger.ts
@@ -44,6 +44,8 @@
 }
 
 interface Ledger {
+  /** Whether no host has written it, so that no stream can be older. */
+  readonly isNew: boolean;
   readonly era: number;
   readonly nowMs: number;
   readonly readAtMs: number;
@@ -76,17 +78,19 @@
 }
 
 function merge(
-  before: ServiceRecord | undefined,
+  {isNew, nowMs, services}: Ledger,
+  service: string,
   versions: readonly string[],
-  nowMs: number,
 ): ServiceRecord {
+  const before = services[service];
   const lastMs: Record<string, number> = {};
   for (const [version, atMs] of Object.entries(before?.lastMs ?? {})) {
     const endedAtMs = atMs === LISTED ? nowMs : atMs;
     if (nowMs - endedAtMs < KEPT_MS) lastMs[version] = endedAtMs;
   }
   for (const version of versions) lastMs[version] = LISTED;
-  return {sinceMs: before?.sinceMs ?? nowMs, lastMs};
+  const sinceMs = isNew ? nowMs - KEPT_MS : nowMs;
+  return {sinceMs: before?.sinceMs ?? sinceMs, lastMs};
 }
 
 export function createVersionLedger(host: VersionLedgerHost): VersionLedger {
@@ -103,6 +107,7 @@
     const row = read.value.find(({key}) => key === ROW_KEY);
     const era = read.tableEra ?? 0;
     return {
+      isNew: row === undefined && era === 0,
       era,
       nowMs: read.tableNowMs,
       readAtMs: clock.nowMs(),
@@ -132,12 +137,13 @@
   }
 
   async function write(
-    {era, nowMs, rowVersion, services}: Ledger,
+    ledger: Ledger,
     listed: ReadonlyMap<string, readonly string[]>,
   ): Promise<boolean> {
+    const {era, rowVersion} = ledger;
     const next: Record<string, JsonRecord> = {};
     for (const [service, versions] of listed) {
-      next[service] = {...merge(services[service], versions, nowMs)};
+      next[service] = {...merge(ledger, service, versions)};
     }
     const outcome = await table.transact(
       {
--- a/tests/relay/resumption/resumption_fleet_test.ts
+++ b/tests/relay/resumption/resumption_fleet_test.ts
@@ -14,6 +14,7 @@
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {makeEngine, makeService} from '../placement/lone_scheduler.js';
 import {silentLog} from '../../support/silent_log.js';
+import {createFakeTable} from '../../coordination/fake_table.js';
 import {revisionAt} from '../../support/store_revisions.js';
 
 const service = makeService(30_000);
@@ -40,7 +41,23 @@
   read: () => Promise.resolve({kind: 'failed', reason: 'away'}),
 };
 
-function makeFleet(hostCount: number, versions: readonly string[]) {
+/** An empty table that was restored this many times. */
+function makeTable(restoredCount: number): TablePort {
+  const table = createFakeTable();
+  return {
+    ...table,
+    async read(keys, timeoutMs) {
+      const outcome = await table.read(keys, timeoutMs);
+      return {...outcome, tableNowMs: 5_000, tableEra: restoredCount};
+    },
+  };
+}
+
+function makeFleet(
+  hostCount: number,
+  versions: readonly string[],
+  table = unreadable as TablePort,
+) {
   const clock = createVirtualClock(1_000);
   const random = createSeededRandom(7);
   const ids = Array.from({length: hostCount}, (_, i) => `host-${i}`);
@@ -77,9 +94,9 @@
           .map(each => ({hostId: each, state: 'ready'})),
       isMesh: () => hostCount <= MAX_MESH_HOSTS,
       listAgeMs: () => 0,
-      table: unreadable as TablePort,
+      table,
       storeEra: () => 0,
-      isWriter: () => false,
+      isWriter: () => hostId === 'host-0',
       send,
     });
     const list = (listed: readonly string[], revision: number) => {
@@ -174,6 +191,25 @@
   assert.equal(await fleet.takeUp('host-1', requestId, 'a'), undefined);
 });
 
+test('a stream goes on without `Resumes` after the first start of a system', async () => {
+  // Guards against refusing callers that name no attempt for half a minute.
+  const first = makeFleet(9, ['v1'], makeTable(0));
+  await first.clock.advance(TRANSIT_MS);
+  assert.equal(await first.takeUp('host-1', ''), 'v1');
+  for (const id of first.ids) first.hostAt(id).list(['v1', 'v2'], 2);
+  await first.clock.advance(TRANSIT_MS);
+  for (const id of first.ids) first.restart(id);
+  assert.equal(await first.takeUp('host-1', ''), undefined);
+});
+
+test('the versions of a store that lost its record are not known at once', async () => {
+  const restored = makeFleet(9, ['v1'], makeTable(1));
+  await restored.clock.advance(TRANSIT_MS);
+  assert.equal(await restored.takeUp('host-1', ''), undefined);
+  await restored.clock.advance(WINDOW_MS);
+  assert.equal(await restored.takeUp('host-1', ''), 'v1');
+});
+
 test('nothing is sent while a service has one version, and all once another appears', async () => {
   const fleet = makeFleet(9, ['v1']);
   await fleet.clock.advance(WINDOW_MS);
