Count waiting begun streams ahead of new ones

A begun stream waits before all new ones, but a new stream counted only those that come first by their times. Once the begun one was late, a smaller new stream took each room that the begun one waited for. It now leaves that room, as for any request ahead.

--- a/src/relay/placement/service_queue.ts
+++ b/src/relay/placement/service_queue.ts
@@ -213,12 +213,16 @@
   ): readonly EndedWait[] {
     const started: EndedWait[] = [];
     const peersAhead = createPeersAhead(compare, atPeers, nowMs);
+    let begunAhead = 0;
     for (const {waiter, need, waiting} of inOrder) {
       if (isExpired(need, nowMs)) continue;
-      const ahead = isBegun(need) ? 0 : peersAhead(waiting);
+      const ahead = isBegun(need) ? 0 : begunAhead + peersAhead(waiting);
       const placement = host.tryPlace(need, ahead);
-      // Other versions may have room when the one of a begun stream has none.
-      if (!placement && isBegun(need)) continue;
+      if (!placement && isBegun(need)) {
+        // Other versions may have room when the one of a begun stream has none.
+        begunAhead++;
+        continue;
+      }
       if (!placement) break;
       waiters.delete(waiter);
       recordStart(need);
@@ -290,7 +294,9 @@
       const toWaiting = createWaitingReader();
       const waiting = toWaiting(need);
       const isAhead = (other: Waiting) => compare(other, waiting, nowMs) < 0;
-      const here = readQueue(toWaiting).filter(each => isAhead(each.waiting));
+      const here = readQueue(toWaiting).filter(
+        each => isBegun(each.need) || isAhead(each.waiting),
+      );
       const atPeers = readWaitingAtPeers();
       const requests = atPeers.filter(isAhead).length;
       const ahead = isBegun(need) ? 0 : here.length + requests;
--- a/tests/relay/placement/engine_versions_test.ts
+++ b/tests/relay/placement/engine_versions_test.ts
@@ -19,11 +19,11 @@
     version: id.split('-')[1],
   }));
   site.registry.apply({revision: revisionAt(2), upstreams});
-  const place = (version?: string, promptTokens = 3_000) => {
+  const place = (version?: string, promptTokens = 3_000, onTimeMs = 600) => {
     const nowMs = clock.nowMs();
     const waiting = {
       arrivedAtMs: nowMs,
-      onTimeUntilMs: nowMs + 600,
+      onTimeUntilMs: nowMs + onTimeMs,
       giveUpAtMs: nowMs + 3_000,
     };
     const need: StreamNeed = {
@@ -54,6 +54,25 @@
   assert.ok(outcome.kind === 'placed' && outcome.decode.id === 'd1-v1');
 });
 
+test('no new stream takes the room that a late begun one waits for', async () => {
+  const {place, scheduler, clock} = makeSite(['d1-v1']);
+  const runs = [await place('v1', 2_000), await place('v1', 3_000)];
+  await place('v1', 4_000);
+  const begun = place('v1', 3_000, -1);
+  const release = async (i: number) => {
+    const run = runs[i];
+    assert.ok(run.kind === 'placed');
+    scheduler.release(run.run);
+    await clock.advance(60);
+  };
+  await release(0);
+  const fresh = place(undefined, 2_000);
+  await clock.advance(1);
+  assert.equal(await Promise.race([fresh, 'waits']), 'waits');
+  await release(1);
+  assert.equal((await begun).kind, 'placed');
+});
+
 test('new streams leave room at the last engines of a version', async () => {
   const engines = ['d1-v1', 'd2-v1', 'd3-v2', 'd4-v2', 'd5-v2'];
   const {place} = makeSite(engines);
