Stand-in engines: orders in a module of their own; runs say how they ended

The soak needs to tell runs that an engine broke off from those that a host left. A run now records when its engine broke it off (a crash, a lost answer, a stream that breaks off) and when an event was first withheld on a silenced connection; a request that a host had left before a paused engine read it counts as left at its start. Messages on silenced connections aren't read any more.

--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -8,6 +8,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {resetSocket} from '../reset_socket.js';
+import {createEngineOrders} from './engine_orders.js';
 import {createPauseGate} from './pause_gate.js';
 import type {
   CrashedPort,
@@ -35,14 +36,14 @@
   let crashedPort: CrashedPort | undefined;
   const runs: EngineRun[] = [];
   const arrivals: EngineArrival[] = [];
-  const orders: Array<{stage: string; fence: number}> = [];
   const sockets = new Set<Socket>();
+  const openRuns = new Set<EngineRun>();
   const handles = new Set<string>();
   let role = options.role;
+  const orders = createEngineOrders(stage => (role = stage));
   let behaviour: EngineBehaviour = 'answer';
   let crashAfter = Number.POSITIVE_INFINITY;
   let stallAfter = Number.POSITIVE_INFINITY;
-  let highestFence = 0;
   let heartbeatCount = 0;
   let refusals = 0;
   let limitPerS: number | undefined;
@@ -56,11 +57,16 @@
 
   function crash(port: CrashedPort = 'closed'): void {
     crashedPort = port;
+    for (const run of openRuns) markBrokenOff(run);
     if (port === 'silent') return;
     if (port === 'closed') server.close();
     for (const socket of sockets) resetSocket(socket);
   }
 
+  function markBrokenOff(run: EngineRun): void {
+    run.brokenOffAtMs ??= performance.now();
+  }
+
   function fail(run: EngineRun, response: http.ServerResponse): void {
     response.writeHead(500, headersFor(run));
     response.end('own failure');
@@ -113,8 +119,8 @@
     });
   }
 
-  const isHeldBack = ({socket}: http.ServerResponse) =>
-    gate.isPaused || (socket !== null && silenced.has(socket));
+  const isSilenced = ({socket}: http.ServerResponse) =>
+    socket !== null && silenced.has(socket);
 
   /**
    * Headers sent with every answer: the rate limit, and whether it is leaving.
@@ -180,13 +186,18 @@
     let next = Number(lastEventId ?? '0') + 1;
     let sentCount = 0;
     const timer = setInterval(() => {
-      if (isHeldBack(response)) return;
+      if (gate.isPaused) return;
+      if (isSilenced(response)) {
+        run.silencedAtMs ??= performance.now();
+        return;
+      }
       if (sentCount >= stallAfter) {
         clearInterval(timer);
         return;
       }
       if (canBreakOff && breakOff && sentCount >= breakOff.afterEvents) {
         clearInterval(timer);
+        markBrokenOff(run);
         breakStream(response, formatEvent(next, version), breakOff);
         return;
       }
@@ -238,8 +249,14 @@
     }
     const run = recordRun(message, body, source ? 'decode' : 'whole');
     // The caller may have left during a pause.
-    if (message.socket.destroyed) return markDisconnected(run);
+    if (message.socket.destroyed) {
+      run.wasDisconnected = true;
+      run.disconnectedAtMs = run.startedAtMs;
+      return;
+    }
+    openRuns.add(run);
     response.on('close', () => {
+      openRuns.delete(run);
       if (!response.writableFinished) markDisconnected(run);
     });
     if (crashOn(run, response)) return;
@@ -247,6 +264,7 @@
       case 'hang':
         return;
       case 'lose-answer':
+        markBrokenOff(run);
         resetSocket(message.socket);
         return;
       case 'fail':
@@ -260,34 +278,13 @@
     }
   }
 
-  function takeOrder(body: string, response: http.ServerResponse): void {
-    const order = JSON.parse(body) as {
-      stage: 'prefill' | 'decode';
-      fence: number;
-      expect_rev?: number;
-    };
-    const isFenced = order.fence < highestFence;
-    const isStale =
-      order.expect_rev !== undefined && order.expect_rev !== orders.length;
-    if (isFenced || isStale) {
-      response.writeHead(isFenced ? 412 : 409);
-      response.end();
-      return;
-    }
-    highestFence = order.fence;
-    orders.push({stage: order.stage, fence: order.fence});
-    role = order.stage;
-    response.writeHead(202);
-    response.end();
-  }
-
   function takeMessage(
     message: http.IncomingMessage,
     body: string,
     response: http.ServerResponse,
   ): void {
     if (crashedPort === 'resetting') resetSocket(message.socket);
-    if (crashedPort) return;
+    if (crashedPort || silenced.has(message.socket)) return;
     const handle = message.url?.split(HANDLE_PATH)[1];
     if (handle !== undefined) {
       response.writeHead(handles.delete(handle) ? 200 : 404);
@@ -295,10 +292,11 @@
     } else if (message.url === '/corianderbend/report') {
       response.writeHead(200, {'Content-Type': 'application/json'});
       response.end(
-        JSON.stringify({stage: role, busy: false, seq: orders.length}),
+        JSON.stringify({stage: role, busy: false, seq: orders.taken.length}),
       );
     } else if (message.url === '/corianderbend/order') {
-      takeOrder(body, response);
+      response.writeHead(orders.take(body));
+      response.end();
     } else {
       runRequest(message, body, response);
     }
@@ -331,7 +329,7 @@
     },
     runs,
     arrivals,
-    orders,
+    orders: orders.taken,
     refusalCount: () => refusals,
     keptResultCount: () => handles.size,
     row: (state = 'ready') => ({
--- a/stand_ins/users_platform/engine_stand_in_types.ts
+++ b/stand_ins/users_platform/engine_stand_in_types.ts
@@ -33,6 +33,10 @@
   disconnectedAtMs?: number;
   /** When the latest event was sent, on the same clock. */
   lastEventAtMs?: number;
+  /** When an event was first withheld on a silenced connection. */
+  silencedAtMs?: number;
+  /** When the engine itself broke its answer off. */
+  brokenOffAtMs?: number;
 }
 
 /**
@@ -133,7 +137,10 @@
    */
   pause(): void;
   resume(): void;
-  /** Sends nothing more on connections that are open, without closing them. */
+  /**
+   * Neither reads nor sends anything more on connections that are open, without
+   * closing them.
+   */
   silenceConnections(): void;
   crash(port?: CrashedPort): void;
   /** Starts another instance, perhaps of another version, at the same address. */
