Soak: engines that pause, and connections that are silent for good

New checks, from what callers and engines saw: no request is cut or gets a 5xx of the system's own other than 503 because its engine paused; no run sends events over 400 ms after the next one of its request has begun; no resumable stream stays for over 3.5 s on a connection silent for good while another engine has room and no retry is denied.

--- a/tests/soak/engine_versions.ts
+++ b/tests/soak/engine_versions.ts
@@ -3,6 +3,7 @@
  * and the checks that streams keep to one version and still go on.
  */
 
+import type {EngineStandIn} from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import type {DisruptedSpan, FaultContext} from './fault_kinds.js';
 import type {CallRecord, TakenUp} from './soak_callers.js';
 import type {SoakUpstream} from './soak_site.js';
@@ -43,8 +44,12 @@
   return {'Last-Event-Id': ids.at(-1)?.[1] ?? '', Resumes: first.id};
 }
 
-const stageOf = ({standIn}: SoakUpstream) =>
-  (standIn.row() as {readonly stage?: 'prefill' | 'decode'}).stage;
+/** Its present role; absent for plain upstreams. */
+export const stageOf = ({
+  standIn,
+}: {
+  readonly standIn: Pick<EngineStandIn, 'row'>;
+}) => (standIn.row() as {readonly stage?: 'prefill' | 'decode'}).stage;
 
 /** The engine crashes; another of the version starts at its address. */
 async function restartAt(
--- a/tests/soak/fault_kinds.ts
+++ b/tests/soak/fault_kinds.ts
@@ -3,6 +3,7 @@
 import type {Random} from '../../src/ports/random.js';
 import type {Crash} from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import type {CallKind} from './call_kinds.js';
+import type {PauseScenario} from './engine_pauses.js';
 import type {CutScenario, HostCut} from './host_cuts.js';
 import type {ExitedProcess} from './soak_checks.js';
 import type {SoakSite} from './soak_site.js';
@@ -46,6 +47,12 @@
 /** Engines of several software versions in one service. */
 export const ENGINE_VERSIONS_KIND = 'engine-versions';
 
+/** Sound engines stand still for a while. */
+export const ENGINE_PAUSE_KIND = 'engine-pause';
+
+/** Open connections fall silent for good, while new ones work. */
+export const SILENT_CONNECTIONS_KIND = 'silent-connections';
+
 export type FaultKind =
   | (typeof FAULT_KINDS)[number]
   | (typeof BACKPRESSURE_KINDS)[number]
@@ -53,7 +60,9 @@
   | typeof CRASHING_KIND
   | typeof BROKEN_STREAMS_KIND
   | typeof HOST_CUT_KIND
-  | typeof ENGINE_VERSIONS_KIND;
+  | typeof ENGINE_VERSIONS_KIND
+  | typeof ENGINE_PAUSE_KIND
+  | typeof SILENT_CONNECTIONS_KIND;
 
 export const ALL_KINDS: readonly FaultKind[] = [
   ...FAULT_KINDS,
@@ -63,6 +72,8 @@
   BROKEN_STREAMS_KIND,
   HOST_CUT_KIND,
   ENGINE_VERSIONS_KIND,
+  ENGINE_PAUSE_KIND,
+  SILENT_CONNECTIONS_KIND,
 ];
 /**
  * Restores from an older copy, with faults whose writes the restore may lose.
@@ -138,6 +149,24 @@
   HOST_CUT_KIND,
 ];
 
+/** Pauses, with faults that silence connections or take engines away. */
+export const ENGINE_PAUSE_SOAK_KINDS: readonly FaultKind[] = [
+  ENGINE_PAUSE_KIND,
+  ENGINE_PAUSE_KIND,
+  ENGINE_PAUSE_KIND,
+  ENGINE_PAUSE_KIND,
+  SILENT_CONNECTIONS_KIND,
+  SILENT_CONNECTIONS_KIND,
+  'configure',
+  'refusals',
+  'kill',
+  'freeze',
+  'store-cut',
+  'upstream-crash',
+  'upstream-leaves',
+  'connections-reset',
+];
+
 export interface CrashScenario extends Crash {
   /** Absent if upstreams end for other reasons. */
   readonly kind?: CallKind;
@@ -157,6 +186,8 @@
   readonly crash?: CrashScenario;
   /** Only for hosts that are cut off; drawn if absent. */
   readonly cut?: CutScenario;
+  /** Only for pauses of engines; drawn if absent. */
+  readonly pause?: PauseScenario;
 }
 
 /** A span in which a host was disrupted; checks excuse such hosts. */
--- a/tests/soak/fault_proxy.ts
+++ b/tests/soak/fault_proxy.ts
@@ -4,6 +4,7 @@
  */
 
 import net from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {resetSocket} from '../../stand_ins/reset_socket.js';
 
 export type ProxyMode =
@@ -26,9 +27,17 @@
   /** Open ones go on; new ones are reset. */
   | 'refuse-new';
 
+/** A time in which bytes were dropped or connections reset. */
+export interface LinkDisturbance {
+  readonly fromMs: number;
+  toMs: number;
+}
+
 export interface FaultProxy {
   /** `ip:port` that the proxy listens on. */
   readonly address: string;
+  /** Those that concern all hosts. */
+  readonly disturbances: readonly LinkDisturbance[];
   setMode(mode: ProxyMode): void;
   /** Refuses new connections, or accepts them again. */
   setListening(isListening: boolean): void;
@@ -43,6 +52,7 @@
 }
 
 const DELAY_MS = 150;
+const WHOLE_MODES: ReadonlySet<ProxyMode> = new Set(['pass', 'delay']);
 
 interface ProxiedConnection {
   readonly source: string;
@@ -56,6 +66,7 @@
   const host = target.slice(0, colon);
   const targetPort = Number(target.slice(colon + 1));
   const connections = new Set<ProxiedConnection>();
+  const disturbances: LinkDisturbance[] = [];
   let mode: ProxyMode = 'pass';
 
   /** By source address. */
@@ -123,11 +134,22 @@
     }
   }
 
-  const resetAll = () => resetFrom(() => true);
+  function resetAll(): void {
+    const nowMs = performance.now();
+    disturbances.push({fromMs: nowMs, toMs: nowMs});
+    resetFrom(() => true);
+  }
 
   return {
     address: `127.0.0.1:${port}`,
+    disturbances,
     setMode(next) {
+      const nowMs = performance.now();
+      const open = disturbances.find(({toMs}) => toMs === Infinity);
+      if (open) open.toMs = nowMs;
+      if (!WHOLE_MODES.has(next)) {
+        disturbances.push({fromMs: nowMs, toMs: Infinity});
+      }
       mode = next;
     },
     setListening(isListening) {
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,9 +1,10 @@
 /**
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
- * [--asks | --copies | --crashes | --streams | --cuts | --versions]`; the last
- * six draw mostly backpressure of upstreams, restores of the store from older
- * copies, requests that crash upstreams, streams that break off, hosts that are
- * cut off from all upstreams, or engines of several versions.
+ * [--asks | --copies | --crashes | --streams | --cuts | --versions | --pauses]`;
+ * the last seven draw mostly backpressure of upstreams, restores of the store
+ * from older copies, requests that crash upstreams, streams that break off,
+ * hosts that are cut off from all upstreams, engines of several versions, or
+ * engines that pause.
  */
 
 import path from 'node:path';
@@ -13,11 +14,13 @@
   BACKPRESSURE_SOAK_KINDS,
   BROKEN_STREAMS_SOAK_KINDS,
   CRASH_SOAK_KINDS,
+  ENGINE_PAUSE_SOAK_KINDS,
   ENGINE_VERSIONS_SOAK_KINDS,
   HOST_CUT_SOAK_KINDS,
   OLDER_COPY_SOAK_KINDS,
   type FaultKind,
 } from './fault_kinds.js';
+import {toPauseOptions} from './engine_pauses.js';
 import {runSoak} from './soak_run.js';
 
 const {values} = parseArgs({
@@ -34,10 +37,12 @@
     streams: {type: 'boolean', default: false},
     cuts: {type: 'boolean', default: false},
     versions: {type: 'boolean', default: false},
+    pauses: {type: 'boolean', default: false},
   },
 });
 
 function chooseKinds(): readonly FaultKind[] {
+  if (values.pauses) return ENGINE_PAUSE_SOAK_KINDS;
   if (values.copies) return OLDER_COPY_SOAK_KINDS;
   if (values.versions) return ENGINE_VERSIONS_SOAK_KINDS;
   if (values.cuts) return HOST_CUT_SOAK_KINDS;
@@ -55,6 +60,7 @@
     hostCount: Number(values.hosts),
     callerCount: Number(values.callers),
     kinds: chooseKinds(),
+    ...(values.pauses ? toPauseOptions(first + i) : {}),
     program: path.resolve('target/main.mjs'),
     folder: values.folder,
   });
--- a/tests/soak/soak_callers.ts
+++ b/tests/soak/soak_callers.ts
@@ -19,6 +19,8 @@
   readonly kind: CallKind;
   readonly hostId: string;
   readonly sentAtMs: number;
+  /** How long its caller waits for the whole answer. */
+  readonly deadlineMs: number;
   endedAtMs?: number;
   /** Undefined if the connection broke before an answer. */
   status?: number;
@@ -87,7 +89,6 @@
 const DELAYS_MS = [3, 3, 50, 1_500];
 const MAIN_KINDS = ['idempotent', 'once', 'stream', 'resumable'] as const;
 const FIRST_TRY_INTERVAL_MS = 15;
-const DEADLINE_MS = 4_000;
 const LOOKUP_CACHE_MS = 1_500;
 const LOOKUP_TIMEOUT_MS = 1_000;
 /** One request in this many is abandoned early by its caller. */
@@ -98,13 +99,14 @@
   readonly site: SoakSite;
   readonly random: Random;
   readonly now: () => number;
+  readonly deadlineMs: number;
 }
 
 export function createSoakCallers(
   host: SoakCallersHost,
   callerCount: number,
 ): SoakCallers {
-  const {site, random, now} = host;
+  const {site, random, now, deadlineMs} = host;
   const records: CallRecord[] = [];
   const agent = new http.Agent({keepAlive: true, maxFreeSockets: 4});
   let cachedAddresses: readonly string[] = [];
@@ -161,6 +163,7 @@
       kind,
       hostId: owner?.child.settings.hostId ?? address,
       sentAtMs: now(),
+      deadlineMs,
       body: '',
       isCut: false,
       hasDisconnected: false,
@@ -188,7 +191,7 @@
         headers: {
           Host: HOST,
           'X-Request-Id': record.id,
-          'X-Deadline-Ms': String(DEADLINE_MS),
+          'X-Deadline-Ms': String(deadlineMs),
           ...(isModel ? PROMPT_HEADERS : {}),
           ...(takeUp ? toResumeHeaders(takeUp) : {}),
         },
@@ -198,7 +201,7 @@
         record.hasDisconnected = true;
         request.destroy();
       };
-      const deadline = setTimeout(disconnect, DEADLINE_MS + 1_000);
+      const deadline = setTimeout(disconnect, deadlineMs + 1_000);
       if (leavesAfterMs) setTimeout(disconnect, leavesAfterMs);
       request.on('error', () => finish(true));
       request.on('close', () => finish(true));
--- a/tests/soak/soak_checks.ts
+++ b/tests/soak/soak_checks.ts
@@ -4,6 +4,7 @@
 
 import {findIgnoredSignals} from './backpressure_checks.js';
 import {findUnstoppedCrashes} from './crashing_requests.js';
+import {findPauseViolations} from './engine_pause_checks.js';
 import {
   findLostTakeUps,
   findMixedVersions,
@@ -33,6 +34,8 @@
   readonly crashes: readonly RecordedCrash[];
   readonly disruptions: readonly DisruptedSpan[];
   readonly cuts: readonly HostCut[];
+  /** Additional retries per service. */
+  readonly retrySlack: number;
   /** Exits of processes that received SIGTERM. */
   readonly left: readonly ExitedProcess[];
 }
@@ -166,6 +169,7 @@
   violations.push(...findIgnoredSignals(upstreams, byId, disruptions));
   violations.push(...findUnstoppedCrashes(evidence));
   violations.push(...findUnservedCuts(records, evidence.cuts, disruptions));
+  violations.push(...findPauseViolations(evidence));
   violations.push(...findMixedVersions(records));
   violations.push(
     ...findLostTakeUps(records, [...disruptions, ...toSpans(evidence.cuts)]),
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -5,13 +5,16 @@
 import {
   BROKEN_STREAMS_KIND,
   CRASHING_KIND,
+  ENGINE_PAUSE_KIND,
   ENGINE_VERSIONS_KIND,
   HOST_CUT_KIND,
   OLDER_COPY_KIND,
+  SILENT_CONNECTIONS_KIND,
   type FaultContext,
   type FaultKind,
   type PlannedFault,
 } from './fault_kinds.js';
+import {pauseEngines, silenceConnections} from './engine_pauses.js';
 import {replaceEngines} from './engine_versions.js';
 import {cutHosts} from './host_cuts.js';
 import type {ProxyMode} from './fault_proxy.js';
@@ -247,6 +250,8 @@
   [ENGINE_VERSIONS_KIND]: (context, {forMs}) =>
     replaceEngines(context, forMs, () => pickReplaceable(context)),
   [HOST_CUT_KIND]: (context, {forMs, cut}) => cutHosts(context, forMs, cut),
+  [ENGINE_PAUSE_KIND]: pauseEngines,
+  [SILENT_CONNECTIONS_KIND]: silenceConnections,
   async 'history-lost'({site}) {
     site.store.dropHistory();
   },
@@ -258,6 +263,7 @@
     upstream.link.resetAll();
     await wait(forMs);
     upstream.state = 'gone';
+    upstream.goneSinceMs = context.now();
     context.site.store.remove('servers', upstream.standIn.id);
     await replaceUpstream(context, upstream);
   },
--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -19,13 +19,16 @@
 import type {HostCut} from './host_cuts.js';
 import {findViolations, type ExitedProcess} from './soak_checks.js';
 import {FAULT_HANDLERS, planFaults} from './soak_faults.js';
-import {createSoakSite, type SoakSite} from './soak_site.js';
+import {createSoakSite, RETRY_SLACK, type SoakSite} from './soak_site.js';
 
 export interface SoakOptions {
   readonly seed: number;
   readonly durationMs: number;
   readonly hostCount: number;
   readonly callerCount: number;
+  /** How long callers wait for whole answers. */
+  readonly deadlineMs?: number;
+  readonly retrySlack?: number;
   /** Faults to draw from. */
   readonly kinds: readonly FaultKind[];
   /** Instead of drawn ones. */
@@ -55,6 +58,8 @@
   'resumable',
 ];
 const STATUS_OK = 200;
+const DEADLINE_MS = 4_000;
+const ROUTE_TIMEOUT_SLACK_MS = 1_000;
 
 const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -96,7 +101,11 @@
   const disruptions: DisruptedSpan[] = [];
   const cuts: HostCut[] = [];
   const left: ExitedProcess[] = [];
-  const callers = createSoakCallers({site, random, now}, options.callerCount);
+  const {callerCount, deadlineMs = DEADLINE_MS} = options;
+  const callers = createSoakCallers(
+    {site, random, now, deadlineMs},
+    callerCount,
+  );
   const problems: Array<string | undefined> = [];
   for (const kind of CHECKED_KINDS) {
     problems.push(await waitUntilServed(callers, kind, READY_WITHIN_MS));
@@ -124,6 +133,7 @@
     crashes: site.crashes,
     disruptions,
     cuts,
+    retrySlack: options.retrySlack ?? RETRY_SLACK,
     left,
   });
   return {
@@ -138,8 +148,14 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const folder = path.join(options.folder, `seed-${options.seed}`);
   mkdirSync(folder, {recursive: true});
-  const {hostCount, program} = options;
-  const site = await createSoakSite({hostCount, program, folder});
+  const {deadlineMs = DEADLINE_MS, retrySlack} = options;
+  const site = await createSoakSite({
+    hostCount: options.hostCount,
+    program: options.program,
+    folder,
+    routeTimeoutMs: deadlineMs + ROUTE_TIMEOUT_SLACK_MS,
+    retrySlack,
+  });
   try {
     return await runOnSite(site, options);
   } finally {
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -39,18 +39,27 @@
   toMs: number;
 }
 
+/** A time in which an upstream stood still; `toMs` is infinite till its end. */
+export interface EnginePause {
+  readonly fromMs: number;
+  toMs: number;
+}
+
 export interface SoakUpstream {
   readonly standIn: EngineStandIn;
   /** The proxy between all hosts and the upstream. */
   readonly link: FaultProxy;
   readonly service: string;
   readonly signals: BackpressureSignal[];
+  readonly pauses: EnginePause[];
   /**
    * `leaving` is announced only in answers; `draining` is also in the store.
    */
   state: 'ready' | 'leaving' | 'draining' | 'gone';
   /** When the store accepted its `draining` row. */
   drainingSinceMs?: number;
+  /** When its row was removed after a crash. */
+  goneSinceMs?: number;
 }
 
 /** An upstream ended while it ran the request. */
@@ -101,9 +110,13 @@
   readonly hostCount: number;
   readonly program: string;
   readonly folder: string;
+  readonly routeTimeoutMs?: number;
+  readonly retrySlack?: number;
 }
 
 export const STREAM_EVENTS = 20;
+export const RETRY_SLACK = 58;
+const ROUTE_TIMEOUT_MS = 5_000;
 const EVENT_EVERY_MS = 25;
 const HEARTBEAT_MS = 600;
 /** The store drops a row after three missed heartbeats. */
@@ -176,6 +189,7 @@
       link,
       service,
       signals: [],
+      pauses: [],
       state: 'ready',
     };
     upstreams.push(upstream);
@@ -184,14 +198,17 @@
   }
 
   function publishConfiguration(extraRoutes: number): number {
-    const base = makeConfiguration() as {readonly routes: readonly object[]};
+    const made = makeConfiguration() as {readonly routes: readonly object[]};
+    const {routeTimeoutMs: timeout_ms = ROUTE_TIMEOUT_MS} = options;
+    const routes = made.routes.map(each => ({...each, timeout_ms}));
+    const base = {...made, routes};
     const extra = Array.from({length: extraRoutes}, (_, i) => ({
       ...base.routes[0],
       name: `extra-${i}`,
       prefix: `${EXTRA_PREFIX}${i}/`,
     }));
     version += 3;
-    newest = {...base, version, routes: [...base.routes, ...extra]};
+    newest = {...base, version, routes: [...routes, ...extra]};
     store.put('op', 'config', newest);
     return version;
   }
@@ -235,7 +252,7 @@
         seedAddresses: seed ? [seed] : [],
         storeAddress: storeLink.address,
         retryRatio: 0.2,
-        retrySlack: 58,
+        retrySlack: options.retrySlack ?? RETRY_SLACK,
         leaveGraceMs: LEAVE_GRACE_MS,
         leaseMs: 3_000,
       },
