--- a/src/relay/streams/budgeted_calls.ts
+++ b/src/relay/streams/budgeted_calls.ts
@@ -19,18 +19,28 @@
 };
 
 export interface BudgetedCalls {
-  /** Makes a prefill call. The first one that an engine accepts is free. */
+  /**
+   * Makes a prefill call. The first one that an engine accepts is free. For a
+   * call that follows a silent one, the retry was reserved before that ended.
+   */
   prefill(
     state: StreamState,
     call: () => Promise<PrefillOutcome>,
+    isReserved?: boolean,
   ): Promise<PrefillOutcome | NoRetries>;
   /** Makes a call that runs the request at a decode engine. */
   run<Answer extends {readonly kind: 'answered'}>(
     state: StreamState,
     call: () => Promise<Answer | SendFailure>,
   ): Promise<Answer | SendFailure | NoRetries>;
+  /** Returns whether the budget allows one more call. */
+  canRetryCall(state: StreamState): boolean;
   /** Returns whether the budget allows one more run and its prefill. */
   canRetryRun(state: StreamState): boolean;
+  /** Takes the retry for the next call; resolves to whether one was left. */
+  reserveRun(state: StreamState): Promise<boolean>;
+  /** Returns a reserved retry. */
+  giveBackRun(state: StreamState): void;
 }
 
 const NO_RETRIES: NoRetries = {
@@ -46,17 +56,25 @@
 const CALLS_PER_RUN = 2;
 
 export function createBudgetedCalls(budget: RetryAllowance): BudgetedCalls {
+  async function take({job}: StreamState): Promise<boolean> {
+    return budget.tryTake(job.service.name, job.request.requestId);
+  }
+
+  function takeReserved(state: StreamState): boolean {
+    const isReserved = state.hasReservedRun;
+    state.hasReservedRun = false;
+    return isReserved;
+  }
+
   async function callWithinBudget<Outcome extends {readonly kind: string}>(
     state: StreamState,
     call: () => Promise<Outcome>,
     isCounted: (outcome: Outcome) => boolean,
+    isReserved = false,
   ): Promise<Outcome | NoRetries> {
-    const {request} = state.job;
     const service = state.job.service.name;
-    const isRetry = state.countedCalls > 0;
-    if (isRetry && !(await budget.tryTake(service, request.requestId))) {
-      return NO_RETRIES;
-    }
+    const isRetry = isReserved || state.countedCalls > 0;
+    if (isRetry && !isReserved && !(await take(state))) return NO_RETRIES;
     const outcome = await call();
     // A call that was never sent costs the engines nothing.
     if (!NOT_SENT_KINDS.has(outcome.kind) && isCounted(outcome)) {
@@ -68,13 +86,22 @@
   }
 
   return {
-    prefill: (state, call) =>
-      callWithinBudget(state, call, ({kind}) => {
-        const isFirst = kind === 'prefilled' && !state.wasPrefilled;
-        if (kind === 'prefilled') state.wasPrefilled = true;
-        return !isFirst;
-      }),
-    run: (state, call) => callWithinBudget(state, call, () => true),
+    prefill: (state, call, isReserved) =>
+      callWithinBudget(
+        state,
+        call,
+        ({kind}) => {
+          const isFirst = kind === 'prefilled' && !state.wasPrefilled;
+          if (kind === 'prefilled') state.wasPrefilled = true;
+          return !isFirst;
+        },
+        isReserved,
+      ),
+    run: (state, call) =>
+      callWithinBudget(state, call, () => true, takeReserved(state)),
+    canRetryCall: ({job}) => budget.hasLeft(job.service.name, 1),
     canRetryRun: ({job}) => budget.hasLeft(job.service.name, CALLS_PER_RUN),
+    reserveRun: take,
+    giveBackRun: ({job}) => budget.giveBack(job.service.name),
   };
 }
--- a/tests/relay/forwarding/forwarding_site.ts
+++ b/tests/relay/forwarding/forwarding_site.ts
@@ -10,6 +10,7 @@
   type VirtualClock,
 } from '../../../src/core/virtual_clock.js';
 import type {Upstream} from '../../../src/core/upstream.js';
+import type {Clock} from '../../../src/ports/clock.js';
 import type {
   AnswerBodySink,
   BreakCause,
@@ -52,6 +53,8 @@
   readonly closed: Set<string>;
   /** Ids of the requests that this host sent over its own connections. */
   readonly sent: string[];
+  /** The time that each of them had left. */
+  readonly sentLeftMs: number[];
   /** Requests whose connection to the upstream was closed by this host. */
   readonly closedCalls: string[];
   die(): void;
@@ -59,6 +62,8 @@
 
 export interface ForwardingSite {
   readonly clock: VirtualClock;
+  /** Has all upstreams answer nothing until then. */
+  silenceUpstreams(durationMs: number): void;
   readonly hosts: readonly ForwardingHostStandIn[];
   close(): void;
 }
@@ -91,7 +96,13 @@
 
 export const REFUSED: SendFailure = {kind: 'unreachable', detail: 'refused'};
 
-function createDirectPort(host: ForwardingHostStandIn): UpstreamPort {
+const PROBE_TIMEOUT_MS = 800;
+
+function createDirectPort(
+  host: ForwardingHostStandIn,
+  clock: Clock,
+  silentUntilMs: () => number,
+): UpstreamPort {
   const answer = (requestId: string): UpstreamAnswer => ({
     kind: 'answered',
     status: 200,
@@ -112,17 +123,26 @@
     },
   });
   return {
-    send({requestId}: RelayRequest) {
+    send({requestId}: RelayRequest, {leftMs}: SendOptions) {
       if (host.behaviour === 'refuse') return Promise.resolve(REFUSED);
       host.sent.push(requestId);
+      host.sentLeftMs.push(leftMs);
       if (host.behaviour === 'hang') return new Promise<never>(() => {});
       if (host.behaviour === 'lose') {
         return Promise.resolve({kind: 'broken', detail: 'no answer'});
       }
       return Promise.resolve(answer(requestId));
     },
-    probe: () =>
-      Promise.resolve(host.behaviour === 'refuse' ? 'refused' : 'answered'),
+    probe() {
+      if (host.behaviour === 'refuse') return Promise.resolve('refused');
+      const silentMs = silentUntilMs() - clock.nowMs();
+      if (silentMs <= 0) return Promise.resolve('answered');
+      return new Promise(resolve => {
+        clock.setTimer(Math.min(silentMs, PROBE_TIMEOUT_MS), () =>
+          resolve(silentMs > PROBE_TIMEOUT_MS ? 'no-answer' : 'answered'),
+        );
+      });
+    },
   } as Partial<UpstreamPort> as UpstreamPort;
 }
 
@@ -148,6 +168,7 @@
 ): Promise<ForwardingSite> {
   const clock = createVirtualClock();
   const exchange = createHttpExchange({clock});
+  let silentUntilMs = 0;
   const hosts: ForwardingHostStandIn[] = [];
   const servers: AuxiliaryServer[] = [];
   for (let i = 0; i < hostCount; i++) {
@@ -163,6 +184,7 @@
       behaviour: 'answer',
       closed,
       sent: [],
+      sentLeftMs: [],
       closedCalls: [],
       die: () => servers[i].close(),
     } as Partial<ForwardingHostStandIn> as ForwardingHostStandIn;
@@ -176,7 +198,7 @@
         get,
         getOpen: (id: string) => (closed.has(id) ? undefined : get(id)),
       } as Partial<UpstreamRegistry> as UpstreamRegistry,
-      direct: createDirectPort(host),
+      direct: createDirectPort(host, clock, () => silentUntilMs),
       self: member,
       peers: () => hosts.filter(each => each !== host).map(each => each.member),
       isServing: () => true,
@@ -193,6 +215,9 @@
   return {
     clock,
     hosts,
+    silenceUpstreams(durationMs) {
+      silentUntilMs = clock.nowMs() + durationMs;
+    },
     close() {
       for (const {forwarding} of hosts) forwarding.links.stop();
       for (const server of servers) server.close();
