--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -40,6 +40,7 @@
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
 import {createAuxiliaryServer} from './front/auxiliary_server.js';
+import {createEngineProbes} from './silence/engine_probes.js';
 import {createEngineSilence} from './silence/engine_silence.js';
 import {createStoreReaders} from './fleet/store_readers.js';
 import {createStoreEra} from './store/store_era.js';
@@ -287,6 +288,7 @@
       settings.hostId,
     onChange: () => peers.changed('coordinators'),
   });
+  const probes = createEngineProbes({clock, upstreamPort});
   const retryBudget = retries.allowance;
   const shared = {clock, upstreamPort, registry, retryBudget};
   const roleOrders = createRoleOrders(
@@ -344,9 +346,10 @@
       ...placement,
       ...shared,
       metrics,
+      probes,
       silence: createEngineSilence({
         clock,
-        upstreamPort,
+        probes,
         registry,
         runs: crashes.runs,
       }),
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -10,18 +10,19 @@
 import {createCancellation} from '../front/cancellation.js';
 import type {BudgetedCalls, NoRetries} from './budgeted_calls.js';
 import type {EngineFailures} from './engine_failures.js';
-import {createEnginePulse} from './engine_pulse.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {PrefillReservation} from '../placement/placement_types.js';
 import {watchPrefill, type GivenUp} from './prefill_watch.js';
 import {CONNECT_TIMEOUT_MS, leftMs} from '../relay_types.js';
+import type {EngineProbes} from '../silence/engine_probes.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import type {StreamState} from './stream_state.js';
 import type {Upstream} from '../../core/upstream.js';
 
 export interface PrefillStepHost {
   readonly clock: Clock;
-  readonly upstreamPort: Pick<UpstreamPort, 'prefill' | 'probe'>;
+  readonly upstreamPort: Pick<UpstreamPort, 'prefill'>;
+  readonly probes: EngineProbes;
   readonly scheduler: EngineScheduler;
   readonly failures: EngineFailures;
   readonly calls: BudgetedCalls;
@@ -72,8 +73,7 @@
 }
 
 export function createPrefillStep(host: PrefillStepHost): PrefillStep {
-  const {clock, upstreamPort, scheduler, failures, calls} = host;
-  const pulse = createEnginePulse(host);
+  const {clock, upstreamPort, probes, scheduler, failures, calls} = host;
 
   function timeoutMsOf({engine, reservation}: Attempt): number {
     const {speeds, tokensPerMs} = host.statistics;
@@ -96,7 +96,7 @@
     const untilDeadlineMs = leftMs(job.deadlineAtMs, startedAtMs);
     let givenUp: GivenUp | undefined;
     const watch = watchPrefill(
-      {clock, pulse, scheduler, calls},
+      {clock, probes, scheduler, calls},
       {
         state,
         engine,
--- a/src/relay/streams/prefill_watch.ts
+++ b/src/relay/streams/prefill_watch.ts
@@ -17,12 +17,12 @@
 import type {PrefillReservation} from '../placement/placement_types.js';
 import {toWaiting} from '../placement/wait_rules.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
-import type {EnginePulse} from './engine_pulse.js';
+import type {EngineProbes} from '../silence/engine_probes.js';
 import {quietSinceMs, type StreamState} from './stream_state.js';
 
 export interface PrefillWatchHost {
   readonly clock: Clock;
-  readonly pulse: EnginePulse;
+  readonly probes: EngineProbes;
   readonly scheduler: Pick<EngineScheduler, 'prefillEngines' | 'prefillAgain'>;
   readonly calls: Pick<
     BudgetedCalls,
@@ -74,9 +74,11 @@
  */
 const CONFIRMATION_MS = 250;
 const ASKED_PER_TICK = 2;
+/** An engine that is asked at each tick stays awake between two. */
+const AWAKE_MS = 500;
 
 export function watchPrefill(
-  {clock, pulse, scheduler, calls}: PrefillWatchHost,
+  {clock, probes, scheduler, calls}: PrefillWatchHost,
   call: WatchedCall,
   onGivenUp: (end: GivenUp) => void,
 ): PrefillWatch {
@@ -84,6 +86,8 @@
   const timeoutMs = Math.round(call.timeoutMs);
   const {need, placement} = state;
   const startedAtMs = clock.nowMs();
+  const isAwake = (engineId: string) =>
+    probes.hasAnsweredWithin(engineId, AWAKE_MS);
   const patienceEndMs = findPatienceEndMs(state);
   let isStopped = false;
   let tickCount = 0;
@@ -106,31 +110,31 @@
 
   /** Asks those that were heard, or some of the others in turn. */
   function ask(others: readonly Upstream[]): void {
-    pulse.ask(engine);
-    const awake = others.filter(({id}) => pulse.isAwake(id));
+    probes.ask(engine);
+    const awake = others.filter(({id}) => isAwake(id));
     const first = (tickCount * ASKED_PER_TICK) % Math.max(1, others.length);
     const asked =
       awake.length > 0
         ? awake
         : [...others.slice(first), ...others.slice(0, first)];
-    for (const each of asked.slice(0, ASKED_PER_TICK)) pulse.ask(each);
-    if (awake.length === 0) pulse.ask(placement.decode);
+    for (const each of asked.slice(0, ASKED_PER_TICK)) probes.ask(each);
+    if (awake.length === 0) probes.ask(placement.decode);
   }
 
   /** Keeps since when this engine and the others have been awake. */
   function update(others: readonly Upstream[]): void {
     const nowMs = clock.nowMs();
-    if (pulse.isAwake(engine.id)) {
+    if (isAwake(engine.id)) {
       awakeSinceMs ??= wasSilent ? nowMs : startedAtMs;
     } else {
       awakeSinceMs = undefined;
       wasSilent = true;
     }
-    const isAnyAwake = others.some(({id}) => pulse.isAwake(id));
+    const isAnyAwake = others.some(({id}) => isAwake(id));
     othersAwakeSinceMs = isAnyAwake ? (othersAwakeSinceMs ?? nowMs) : undefined;
   }
 
-  const hasEnded = () => pulse.hasEndedSince(engine.id, startedAtMs);
+  const hasEnded = () => probes.hasEndedSince(engine.id, startedAtMs);
 
   /** Why the engine is not waited for; undefined if it still is. */
   function findFault(): string | undefined {
@@ -151,9 +155,9 @@
   async function takeNext(
     others: readonly Upstream[],
   ): Promise<NextPrefill | undefined> {
-    if (!others.some(({id}) => pulse.isAwake(id))) return undefined;
+    if (!others.some(({id}) => isAwake(id))) return undefined;
     if (!(await calls.reserveRun(state))) return undefined;
-    const silent = others.filter(({id}) => !pulse.isAwake(id));
+    const silent = others.filter(({id}) => !isAwake(id));
     const passedOver = new Set([
       ...avoid,
       engine.id,
@@ -168,7 +172,7 @@
 
   /** Whether the decode engine can read the prompt now. */
   const canDecodeRead = () =>
-    pulse.isAwake(placement.decode.id) && calls.canRetryCall(state);
+    isAwake(placement.decode.id) && calls.canRetryCall(state);
 
   async function findEnd(
     others: readonly Upstream[],
@@ -181,11 +185,11 @@
       const end = {detail: toDetail(fault), isOfEngine: true};
       if (next) return {...end, next};
       if (hasEnded()) return end;
-      const isAnyAwake = others.some(({id}) => pulse.isAwake(id));
+      const isAnyAwake = others.some(({id}) => isAwake(id));
       return isAnyAwake || !canDecodeRead() ? undefined : end;
     }
     const isPatienceOver = clock.nowMs() >= patienceEndMs;
-    const isAnyAwake = [engine, ...others].some(({id}) => pulse.isAwake(id));
+    const isAnyAwake = [engine, ...others].some(({id}) => isAwake(id));
     if (!isPatienceOver || isAnyAwake || !canDecodeRead()) return undefined;
     return {
       detail: toDetail('no prefill engine answers a probe'),
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -32,6 +32,7 @@
 import {leftMs, type RelayJob} from '../relay_types.js';
 import type {JobOutcome} from '../job_outcome.js';
 import type {RelayMetrics} from '../relay_metrics.js';
+import type {EngineProbes} from '../silence/engine_probes.js';
 import type {EngineSilence} from '../silence/engine_silence.js';
 import {createRunWatch, type RunWatch} from '../silence/run_watch.js';
 import {createNextRuns} from './next_runs.js';
@@ -49,6 +50,7 @@
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly upstreamPort: UpstreamPort;
+  readonly probes: EngineProbes;
   readonly silence: EngineSilence;
   readonly scheduler: EngineScheduler;
   /** Places a new stream, on this host or on the host that places for it. */
--- a/tests/relay/silence/engine_silence_test.ts
+++ b/tests/relay/silence/engine_silence_test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
-import type {RelayRequest} from '../../../src/ports/relay.js';
+import type {RelayRequest, UpstreamPort} from '../../../src/ports/relay.js';
 import {createRunLog, type Run} from '../../../src/relay/crashes/run_log.js';
+import {createEngineProbes} from '../../../src/relay/silence/engine_probes.js';
 import {createEngineSilence} from '../../../src/relay/silence/engine_silence.js';
 import {makeEngine} from '../placement/lone_scheduler.js';
 
@@ -16,18 +17,17 @@
   const runLog = createRunLog({clock});
   const paused = new Set<string>();
   const probed: string[] = [];
+  const probe: UpstreamPort['probe'] = async ({id}) => {
+    probed.push(id);
+    if (!paused.has(id)) return 'answered';
+    await new Promise<void>(done => clock.setTimer(PROBE_TIMEOUT_MS, done));
+    return 'no-answer';
+  };
   const silence = createEngineSilence({
     clock,
     registry: {open: () => engines},
     runs: runLog,
-    upstreamPort: {
-      async probe({id}) {
-        probed.push(id);
-        if (!paused.has(id)) return 'answered';
-        await new Promise<void>(done => clock.setTimer(PROBE_TIMEOUT_MS, done));
-        return 'no-answer';
-      },
-    },
+    probes: createEngineProbes({clock, upstreamPort: {probe}}),
   });
   const startRun = (i: number): Run => {
     const request = {requestId: 'r', body: Buffer.alloc(0)} as RelayRequest;
--- a/tests/relay/streams/engine_priority_test.ts
+++ b/tests/relay/streams/engine_priority_test.ts
@@ -6,6 +6,7 @@
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
 import {createRequestPriorities} from '../../../src/relay/placement/request_priority.js';
 import type {RelayJob} from '../../../src/relay/relay_types.js';
+import {createEngineProbes} from '../../../src/relay/silence/engine_probes.js';
 import {createStreamRelay} from '../../../src/relay/streams/stream_relay.js';
 import {createRetryBudget} from '../../../src/request/retry_budget.js';
 import {silentLog} from '../../support/silent_log.js';
@@ -60,6 +61,10 @@
     clock,
     log: silentLog,
     metrics: {count: () => undefined},
+    probes: createEngineProbes({
+      clock,
+      upstreamPort: {probe: () => Promise.resolve('answered')},
+    }),
     silence: makeFakeSilence(),
     upstreamPort: upstreamPort as UpstreamPort,
     place: lone.scheduler.place,
--- a/tests/relay/streams/prefill_site.ts
+++ b/tests/relay/streams/prefill_site.ts
@@ -5,10 +5,9 @@
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
 import {createBudgetedCalls} from '../../../src/relay/streams/budgeted_calls.js';
 import {createEngineFailures} from '../../../src/relay/streams/engine_failures.js';
-import {
-  createPrefillStep,
-  type PrefillStepHost,
-} from '../../../src/relay/streams/prefill_step.js';
+import type {UpstreamPort} from '../../../src/ports/relay.js';
+import {createPrefillStep} from '../../../src/relay/streams/prefill_step.js';
+import {createEngineProbes} from '../../../src/relay/silence/engine_probes.js';
 import type {RelayJob} from '../../../src/relay/relay_types.js';
 import type {StreamState} from '../../../src/relay/streams/stream_state.js';
 import {createRetryBudget} from '../../../src/request/retry_budget.js';
@@ -22,7 +21,7 @@
 export const START_MS = 1_000;
 
 export interface PrefillSiteOptions {
-  readonly upstreamPort: PrefillStepHost['upstreamPort'];
+  readonly upstreamPort: Pick<UpstreamPort, 'prefill' | 'probe'>;
   readonly retries: number;
   /** Prompts that are read already where the request is placed. */
   readonly backlogTokens?: number;
@@ -42,6 +41,7 @@
   const step = createPrefillStep({
     clock,
     upstreamPort,
+    probes: createEngineProbes({clock, upstreamPort}),
     scheduler,
     statistics: {...statistics, speeds},
     calls: createBudgetedCalls(budget),
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -13,6 +13,7 @@
 import {createCancellation} from '../../../src/relay/front/cancellation.js';
 import {createRequestPriorities} from '../../../src/relay/placement/request_priority.js';
 import type {RelayJob} from '../../../src/relay/relay_types.js';
+import {createEngineProbes} from '../../../src/relay/silence/engine_probes.js';
 import {createStreamRelay} from '../../../src/relay/streams/stream_relay.js';
 import {createRetryBudget} from '../../../src/request/retry_budget.js';
 import {silentLog} from '../../support/silent_log.js';
@@ -120,6 +121,10 @@
     clock,
     log: silentLog,
     metrics: {count: () => undefined},
+    probes: createEngineProbes({
+      clock,
+      upstreamPort: {probe: () => Promise.resolve('answered')},
+    }),
     silence: makeFakeSilence({wasAliveAfter: () => changes.isAlive ?? false}),
     upstreamPort: upstreamPort as UpstreamPort,
     place: lone.scheduler.place,
