Wait for room when the next start of a broken stream is refused

Callers saw a begun stream cut when its engine broke off and the next one was full, and several of them sent back to the engine that had just broken off, as its bookings had ended. The stream waits in the queue as for its first next run, and the last engine is tried after all others. The new test failed before.

--- a/src/relay/streams/next_runs.ts
+++ b/src/relay/streams/next_runs.ts
@@ -13,11 +13,13 @@
   PlacementOutcome,
   StreamNeed,
 } from '../placement/placement_types.js';
-import {toWaiting} from '../placement/wait_rules.js';
+import {hasDecodeEngine} from '../placement/engine_versions.js';
+import {toWaiting, type Waiting} from '../placement/wait_rules.js';
 import type {RelayMetrics} from '../relay_metrics.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {Departure} from '../silence/run_watch.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
-import type {StreamStart} from './stream_start.js';
+import type {FailedStart, StreamStart} from './stream_start.js';
 import {mayResume, quietSinceMs, type StreamState} from './stream_state.js';
 import type {Successor, Successors} from './successors.js';
 
@@ -27,6 +29,7 @@
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly scheduler: EngineScheduler;
   readonly engineLoads: EngineLoads;
+  readonly registry: Pick<UpstreamRegistry, 'notLeaving'>;
   readonly calls: BudgetedCalls;
   readonly successors: Successors;
   readonly start: Pick<
@@ -45,12 +48,13 @@
   /** Goes on with the successor of a run that was left. */
   leave(state: StreamState, departure: Departure<Successor>): void;
   /**
-   * Places a run once more whose start has failed after the one before was left
-   * for its silence; waits a moment first.
+   * Places a run once more that no engine has begun. After a run that was left
+   * for its silence this is repeated up to the deadline, after one that broke
+   * off it waits for room once.
    */
   placeAfterFailedStart(
     state: StreamState,
-    error: RequestError,
+    start: FailedStart,
   ): Promise<boolean>;
 }
 
@@ -92,25 +96,50 @@
    * waits for the next event.
    */
   async function placeBegun(state: StreamState): Promise<boolean> {
+    const {job, need, placement} = state;
+    // The one that has just ended a run looks empty.
+    const last = new Set([placement.decode.id]);
+    if (start.placeElsewhere(state, last)) return true;
     if (start.placeElsewhere(state, NO_ENGINES)) return true;
+    const waiting = toWaitingAgain(state);
+    if (clock.nowMs() > waiting.giveUpAtMs) return false;
+    start.releaseBookings(state);
+    const placed = await host.place({...need, waiting}, job.cancellation);
+    if (placed.kind !== 'placed') return false;
+    start.moveTo(state, placed);
+    return true;
+  }
+
+  /** Waits from the last event on. */
+  function toWaitingAgain(state: StreamState): Waiting {
     const {job, need} = state;
     const {route, deadlineAtMs} = job;
-    start.releaseBookings(state);
     const {startMs} = need;
     const arrivedAtMs = quietSinceMs(state);
-    const waiting = {
+    return {
       ...toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}),
       priority: need.waiting.priority,
     };
-    const placed = await host.place({...need, waiting}, job.cancellation);
-    if (placed.kind !== 'placed') return false;
-    start.moveTo(state, placed);
-    return true;
   }
 
+  const isVersionGone = ({need}: StreamState) =>
+    need.version !== undefined &&
+    !hasDecodeEngine(host.registry.notLeaving(need.service.name), need.version);
+
   const delay = (ms: number) =>
     new Promise<void>(resolve => clock.setTimer(ms, resolve));
 
+  /** Places the request as soon as it finds room before the deadline. */
+  async function placeInTime(state: StreamState): Promise<boolean> {
+    const {cancellation, deadlineAtMs} = state.job;
+    while (clock.nowMs() + START_RETRY_MS < deadlineAtMs) {
+      await delay(START_RETRY_MS);
+      if (cancellation.isCancelled || isVersionGone(state)) return false;
+      if (await placeAnywhere(state)) return true;
+    }
+    return false;
+  }
+
   return {
     async placeAfterBreak(state) {
       const missing = await placeNextRun(state);
@@ -141,17 +170,15 @@
       host.successors.adopt(state, successor);
       state.wasLeft = true;
     },
-    async placeAfterFailedStart(state, error) {
-      const {job} = state;
-      const isFinal =
-        error.kind !== 'overloaded' && error.kind !== 'no-upstream';
-      if (!state.wasLeft || isFinal) return false;
-      while (clock.nowMs() + START_RETRY_MS < job.deadlineAtMs) {
-        await delay(START_RETRY_MS);
-        if (job.cancellation.isCancelled) return false;
-        if (await placeAnywhere(state)) return true;
-      }
-      return false;
+    async placeAfterFailedStart(state, {error, lacksRetry}) {
+      if (state.ran.length === 0 || !isPassing(error)) return false;
+      if (state.wasLeft) return placeInTime(state);
+      return state.events > 0 && !lacksRetry && placeBegun(state);
     },
   };
 }
+
+/** Whether another start may find what this one lacked. */
+function isPassing({kind}: RequestError): boolean {
+  return kind === 'overloaded' || kind === 'no-upstream';
+}
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -232,7 +232,7 @@
       if (started.kind === 'failed') {
         const isPlaced = started.mayHaveRun
           ? await nextRuns.placeAfterBreak(state)
-          : await nextRuns.placeAfterFailedStart(state, started.error);
+          : await nextRuns.placeAfterFailedStart(state, started);
         if (isPlaced) continue;
         return refuse(state, withRetryAfter(started.error));
       }
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -53,6 +53,8 @@
   releaseBookings(state: StreamState): void;
 }
 
+export type FailedStart = Extract<StartOutcome, {kind: 'failed'}>;
+
 export type StartOutcome =
   | {
       readonly kind: 'streaming';
@@ -65,6 +67,8 @@
       readonly error: RequestError;
       /** Whether an engine may have run the request. */
       readonly mayHaveRun: boolean;
+      /** The retries of the service are used up. */
+      readonly lacksRetry?: boolean;
     }
   | {readonly kind: 'cancelled'};
 
@@ -202,7 +206,7 @@
       if (!state.source && state.placement.prefill) {
         const prefill = await host.prefillStep.run(state);
         if (job.cancellation.isCancelled) return {kind: 'cancelled'};
-        if (prefill.kind === 'no-retries') return notRun(toOverload(prefill));
+        if (prefill.kind === 'no-retries') return withoutRetry(prefill);
         if (prefill.kind === 'quarantined') return notRun(prefill.error);
         if (prefill.kind === 'read') state.source = prefill.source;
       }
@@ -214,7 +218,7 @@
       const outcome: Answered | Left | SendFailure | NoRetries = isOpen
         ? await sendDecode(state)
         : {kind: 'unreachable', detail: 'the engine leaves'};
-      if (outcome.kind === 'no-retries') return notRun(toOverload(outcome));
+      if (outcome.kind === 'no-retries') return withoutRetry(outcome);
       if (outcome.kind !== 'answered' && outcome.kind !== 'left') {
         failures.logFailure('Send failed.', state, decode, outcome);
       }
@@ -263,9 +267,11 @@
     ranVersions.push(placement.decode.version ?? '');
   }
 
-  const toOverload = ({detail}: NoRetries): RequestError => ({
-    kind: 'overloaded',
-    detail,
+  const withoutRetry = ({detail}: NoRetries): StartOutcome => ({
+    kind: 'failed',
+    error: {kind: 'overloaded', detail},
+    mayHaveRun: false,
+    lacksRetry: true,
   });
 
   function notRun(error: RequestError): StartOutcome {
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -230,6 +230,17 @@
     assert.equal((await outcome).end, 'answered');
   });
 
+  // Guards against an answer that is cut since all engines are full at a break.
+  test('that breaks off waits for room when its next start is refused', async () => {
+    const {clock, runs, send, outcome} = await startStream({rejections: 4});
+    runs[0].sink.current?.broken('reset');
+    await clock.advance(2_500);
+    assert.equal(runs.length, 2);
+    send(runs[1], 'id: 2\ndata: b\n\n');
+    runs[1].sink.current?.end();
+    assert.equal((await outcome).end, 'answered');
+  });
+
   // Guards against 502 for a stream whose engine paused before its first byte.
   test('is left before its head as well', async () => {
     const {clock, runs, send, outcome} = await startStream({hasNoHead: true});
