Place a stream again that was left before its first event

Callers saw 502 at their deadline: a run was left before its head, the next start was rejected by each other engine once, and none was tried again. A stream without a version returned to no engine that it had avoided. The test failed before (one run instead of two); the placement after a failed start now returns to avoided engines whether or not an event was sent.

--- a/src/relay/streams/next_runs.ts
+++ b/src/relay/streams/next_runs.ts
@@ -73,25 +73,28 @@
     if (state.events > 0 && state.need.version === undefined) return 'version';
     state.avoid.add(decode.id);
     state.source = undefined;
-    return (await placeAnywhere(state)) ? undefined : 'room';
+    const isBound = state.need.version !== undefined;
+    return (await placeAnywhere(state, isBound)) ? undefined : 'room';
   }
 
-  async function placeAnywhere(state: StreamState): Promise<boolean> {
+  async function placeAnywhere(
+    state: StreamState,
+    mayReturn: boolean,
+  ): Promise<boolean> {
     const {outputTokens} = state.placement.run;
-    const isBound = state.need.version !== undefined;
     const isPlaced =
-      start.placeElsewhere(state) || (isBound && (await placeBegun(state)));
+      start.placeElsewhere(state) || (mayReturn && (await placeAgain(state)));
     if (isPlaced)
       engineLoads.setOutputTokens(state.placement.run, outputTokens);
     return isPlaced;
   }
 
   /**
-   * Places a begun stream that no other engine of its version has room for: at
-   * one that ran it before, or at the first that has room while the caller
-   * waits for the next event.
+   * Places a stream that no other engine has room for: at one that ran or
+   * refused it before, or at the first that has room while the caller waits for
+   * the next event.
    */
-  async function placeBegun(state: StreamState): Promise<boolean> {
+  async function placeAgain(state: StreamState): Promise<boolean> {
     if (start.placeElsewhere(state, NO_ENGINES)) return true;
     const {job, need} = state;
     const {route, deadlineAtMs} = job;
@@ -149,7 +152,7 @@
       while (clock.nowMs() + START_RETRY_MS < job.deadlineAtMs) {
         await delay(START_RETRY_MS);
         if (job.cancellation.isCancelled) return false;
-        if (await placeAnywhere(state)) return true;
+        if (await placeAnywhere(state, true)) return true;
       }
       return false;
     },
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -235,6 +235,19 @@
     assert.equal((await outcome).end, 'answered');
   });
 
+  // Guards against 502 once each other engine was full for a moment.
+  test('that was left before its head goes on where there is room', async () => {
+    const {clock, runs, log, send, outcome} = await startStream({
+      hasNoHead: true,
+      rejections: 9,
+    });
+    await clock.advance(8_000);
+    assert.equal(runs.length, 2, log.join());
+    send(runs[1], 'id: 1\ndata: a\n\n');
+    runs[1].sink.current?.end();
+    assert.equal((await outcome).end, 'answered');
+  });
+
   // Guards against excluding an engine for a connection that has died.
   test('excludes its engine only if that gives no sign of life', async () => {
     for (const isAlive of [true, false]) {
