Ask engines with silent runs before they count as silent

Where the connections of a host to its engines had died, each engine had a silent run and counted as silent, unasked: no run found a successor until the deadline, and a lone hung engine was taken for one of many that pause. Both tests failed before. Such engines are now probed, like those of which nothing is known; only a probe without an answer passes over one as a successor.

--- a/src/relay/silence/engine_silence.ts
+++ b/src/relay/silence/engine_silence.ts
@@ -107,6 +107,13 @@
     return pending;
   }
 
+  function isProbeSilent(engineId: string): boolean {
+    const record = recordOf(engineId);
+    const sinceMs = record.unansweredSinceMs ?? Number.POSITIVE_INFINITY;
+    const isUnanswered = clock.nowMs() - sinceMs >= PROBE_SILENT_MS;
+    return isCurrent(record) && isUnanswered;
+  }
+
   /** Undefined if nothing recent is known of the engine. */
   function isSilent(
     engineId: string,
@@ -114,10 +121,15 @@
   ): boolean | undefined {
     if (wasSeenWithin(engineId, SILENT_MS)) return false;
     if ((openSilences.get(engineId) ?? 0) >= SILENT_MS) return true;
-    const record = recordOf(engineId);
-    const sinceMs = record.unansweredSinceMs ?? Number.POSITIVE_INFINITY;
-    const isUnanswered = clock.nowMs() - sinceMs >= PROBE_SILENT_MS;
-    return isCurrent(record) && isUnanswered ? true : undefined;
+    return isProbeSilent(engineId) ? true : undefined;
+  }
+
+  /** Silent runs alone may be those of dead connections. */
+  function needsProbe(engineId: string, isSilent?: boolean): boolean {
+    if (isSilent === undefined) return true;
+    const {sentAtMs} = recordOf(engineId);
+    const wasAsked = clock.nowMs() - sentAtMs < SILENT_MS;
+    return isSilent && !isProbeSilent(engineId) && !wasAsked;
   }
 
   /** By engine; undefined where nothing recent is known. */
@@ -135,9 +147,11 @@
       const others = readDecodeEngines(engine.service).filter(
         each => each.engine.id !== engine.id,
       );
-      const unknown = others.filter(each => each.isSilent === undefined);
-      const wantedCount = MIN_KNOWN - (others.length - unknown.length);
-      unknown
+      const uncertain = others.filter(each =>
+        needsProbe(each.engine.id, each.isSilent),
+      );
+      const wantedCount = MIN_KNOWN - (others.length - uncertain.length);
+      uncertain
         .slice(0, Math.max(0, wantedCount))
         .forEach(each => void probe(each.engine));
     },
@@ -155,11 +169,13 @@
     },
     async answers(engine) {
       if (wasSeenWithin(engine.id, JUST_SEEN_MS)) return true;
-      if (isSilent(engine.id, runs.openSilences())) return false;
+      const isKnownSilent = isProbeSilent(engine.id);
+      const answer = probe(engine);
+      if (isKnownSilent) return false;
       const soon = new Promise<void>(resolve => {
         clock.setTimer(ANSWER_WAIT_MS, resolve);
       });
-      await Promise.race([probe(engine), soon]);
+      await Promise.race([answer, soon]);
       return wasSeenWithin(engine.id, ANSWER_WAIT_MS);
     },
   };
--- a/tests/relay/silence/engine_silence_test.ts
+++ b/tests/relay/silence/engine_silence_test.ts
@@ -100,3 +100,27 @@
   await clock.advance(600);
   assert.deepEqual(await Promise.all(answers), [true, false]);
 });
+
+test('an engine whose connections here have died is one to go over to', async () => {
+  // Guards against runs that are never left since every engine has dead runs.
+  const {clock, engines, silence, startRun} = makeEngines(2);
+  startRun(0);
+  startRun(1);
+  await clock.advance(2_000);
+  const answers = silence.answers(engines[1]);
+  await clock.advance(600);
+  assert.ok(await answers);
+});
+
+test('dead connections to engines that answer are no common silence', async () => {
+  // Guards against callers that wait for the last start at a lone dead engine.
+  const {clock, engines, paused, silence, startRun} = makeEngines(3);
+  for (const i of engines.keys()) startRun(i);
+  paused.add('d0');
+  await clock.advance(1_000);
+  for (let i = 0; i < 4; i++) {
+    silence.investigate(engines[0]);
+    await clock.advance(100);
+  }
+  assert.ok(!silence.isCommon(SERVICE));
+});
