Take no engine for a successor whose probe failed at once

An engine that had ended 250 to 600 ms after its last bytes counted as one that answers. The test failed before; only a sign of life since the question counts now.

--- a/src/relay/silence/engine_silence.ts
+++ b/src/relay/silence/engine_silence.ts
@@ -169,6 +169,7 @@
     },
     async answers(engine) {
       if (wasSeenWithin(engine.id, JUST_SEEN_MS)) return true;
+      const askedAtMs = clock.nowMs();
       const isKnownSilent = isProbeSilent(engine.id);
       const answer = probe(engine);
       if (isKnownSilent) return false;
@@ -176,7 +177,7 @@
         clock.setTimer(ANSWER_WAIT_MS, resolve);
       });
       await Promise.race([answer, soon]);
-      return wasSeenWithin(engine.id, ANSWER_WAIT_MS);
+      return seenAtMs(engine.id) >= askedAtMs;
     },
   };
 }
--- a/tests/relay/silence/engine_silence_test.ts
+++ b/tests/relay/silence/engine_silence_test.ts
@@ -15,6 +15,7 @@
   const engines = Array.from({length: count}, (_, i) => makeEngine(`d${i}`));
   const runLog = createRunLog({clock});
   const paused = new Set<string>();
+  const gone = new Set<string>();
   const probed: string[] = [];
   const silence = createEngineSilence({
     clock,
@@ -23,6 +24,7 @@
     upstreamPort: {
       async probe({id}) {
         probed.push(id);
+        if (gone.has(id)) return 'refused';
         if (!paused.has(id)) return 'answered';
         await new Promise<void>(done => clock.setTimer(PROBE_TIMEOUT_MS, done));
         return 'no-answer';
@@ -35,7 +37,7 @@
     runLog.noteAnswer(run);
     return run;
   };
-  return {clock, engines, runLog, paused, probed, silence, startRun};
+  return {clock, engines, runLog, paused, gone, probed, silence, startRun};
 }
 
 test('one silent engine among others is not a common silence', async () => {
@@ -124,3 +126,12 @@
   }
   assert.ok(!silence.isCommon(SERVICE));
 });
+
+test('an engine that has just ended is no engine to go over to', async () => {
+  // Guards against leaving a run for an engine that sent bytes before its end.
+  const {clock, engines, gone, silence, startRun} = makeEngines(1);
+  startRun(0);
+  await clock.advance(400);
+  gone.add('d0');
+  assert.ok(!(await silence.answers(engines[0])));
+});
