Take no sign of life from before a pause for a dead connection

A run whose last byte was more than 150 ms older than that of another run of its engine, or that was sent so long before a pause, was left after 1.3 s as one with a dead connection, though most engines were silent: prompts were read anew for pauses that end by themselves. The test failed before. A sign of life is now valid for 500 ms, and the engine is asked again before that.

--- a/src/relay/silence/run_watch.ts
+++ b/src/relay/silence/run_watch.ts
@@ -55,6 +55,10 @@
 /** The engine is probed when its run has been silent for this long. */
 const SUSPECT_MS = 900;
 const CHECK_INTERVAL_MS = 100;
+/** A sign of life is out of date after this time: the engine may have paused. */
+const ALIVE_VALID_MS = 500;
+/** Leaves time for an answer before the one before is out of date. */
+const PROBE_INTERVAL_MS = 250;
 /** Pause after a preparation that failed. */
 const RETRY_INTERVAL_MS = 250;
 /**
@@ -82,6 +86,12 @@
 
   const silentMs = () => clock.nowMs() - silentSinceMs;
 
+  /** Whether the engine has sent anything since, but not before the silence. */
+  function wasAliveWithin(durationMs: number): boolean {
+    const sinceMs = Math.max(silentSinceMs, clock.nowMs() - durationMs);
+    return silence.wasAliveAfter(engine.id, sinceMs);
+  }
+
   function arm(delayMs: number): void {
     armedAtMs = clock.nowMs();
     armedForMs = delayMs;
@@ -94,11 +104,9 @@
     if (passedMs - armedForMs >= LATE_TIMER_MS) silentSinceMs += passedMs;
     if (silentMs() < SUSPECT_MS) return arm(SUSPECT_MS - silentMs());
     arm(CHECK_INTERVAL_MS);
-    if (silence.wasAliveAfter(engine.id, silentSinceMs)) {
-      aliveSinceMs ??= clock.nowMs();
-    } else {
-      silence.investigate(engine);
-    }
+    if (!wasAliveWithin(PROBE_INTERVAL_MS)) silence.investigate(engine);
+    if (!wasAliveWithin(ALIVE_VALID_MS)) aliveSinceMs = undefined;
+    else aliveSinceMs ??= clock.nowMs();
     if (preparing || clock.nowMs() < nextTryAtMs) return;
     const reason = findLeaveReason({
       silentMs: silentMs(),
--- a/tests/relay/silence/run_watch_test.ts
+++ b/tests/relay/silence/run_watch_test.ts
@@ -92,6 +92,18 @@
     assert.equal(watch.departure?.reason, 'dead-connection');
   });
 
+  // Guards against taking bytes from before a pause for a dead connection.
+  test('is kept in a pause that begins after bytes of other runs', async () => {
+    const lastSeenAtMs = 250;
+    const silence = {
+      wasAliveAfter: (_: string, atMs: number) => lastSeenAtMs > atMs,
+      isCommon: () => true,
+    };
+    const {clock, prepared} = watchRun({silence});
+    await clock.advance(2_000);
+    assert.equal(prepared.length, 0);
+  });
+
   // Guards against a host that stood still itself and blames its engines.
   test('is not counted as silent while this host stood still', async () => {
     const {clock, prepared} = watchRun();
