Give back the retry of a next run that is never sent

Where the engine of a successor left before the next run was sent and the stream ended without another, the retry that was reserved for that run stayed taken. The test failed before (38 of 40 left instead of 39).

--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -369,6 +369,7 @@
       };
       const startedAtMs = clock.nowMs();
       const outcome = await runPlaced(state);
+      if (state.hasReservedRun) calls.giveBackRun(state);
       // Frees the prefill result now. Until its engine would drop it by itself,
       // other requests would wait for that memory.
       start.releasePrefillResult(state);
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -58,16 +58,20 @@
   readonly rejections?: number;
   /** The first run gets no head. */
   readonly hasNoHead?: boolean;
+  /** All engines leave when the first run is closed. */
+  readonly isLast?: boolean;
 }
 
 /** A stream of which the first run sends one event and falls silent. */
 async function startStream(changes: Changes = {}) {
   const clock = createVirtualClock(1_000);
   const lone = makeLoneScheduler(clock, ENGINE_IDS);
-  lone.registry.apply({
-    revision: revisionAt(2),
-    upstreams: ENGINE_IDS.map(id => ({...makeEngine(id), version: 'v1'})),
-  });
+  const applyList = (ids: readonly string[]) =>
+    lone.registry.apply({
+      revision: revisionAt(ids.length > 0 ? 2 : 3),
+      upstreams: ids.map(id => ({...makeEngine(id), version: 'v1'})),
+    });
+  applyList(ENGINE_IDS);
   const runs: SentRun[] = [];
   const log: string[] = [];
   let rejections = changes.rejections ?? 0;
@@ -76,6 +80,7 @@
   function answer(run: SentRun): UpstreamAnswer {
     const close = () => {
       if (!run.isClosed) log.push(`close ${run.options.upstream.id}`);
+      if (changes.isLast) applyList([]);
       run.isClosed = true;
     };
     run.cancellation.onCancel(close);
@@ -248,6 +253,16 @@
     assert.equal((await outcome).end, 'answered');
   });
 
+  // Guards against retries that a stream keeps which ends without its next run.
+  test('gives back the retry of a next run that is never sent', async () => {
+    const stream = await startStream({isLast: true});
+    await stream.clock.advance(14_000);
+    assert.equal((await stream.outcome).end, 'cut');
+    assert.equal(stream.runs.length, 1);
+    // The prompt was read once more, and that call is spent.
+    assert.equal(stream.retriesLeft(), RETRIES - 1);
+  });
+
   // Guards against excluding an engine for a connection that has died.
   test('excludes its engine only if that gives no sign of life', async () => {
     for (const isAlive of [true, false]) {
