Charge each prompt that is read for a next run in vain

Where the first prompt was read by the decode engine, every successor that was given up counted its prompt as the free first one.

--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -110,6 +110,8 @@
       state.placement.run.outputTokens,
     );
     const missing = await readPrompt(next);
+    // Only the first prompt that an engine reads is free, used or not.
+    state.wasPrefilled ||= next.wasPrefilled;
     if (missing === undefined && !cancellation.isCancelled) return {next};
     if (next.source) host.upstreamPort.releasePrefill(next.source);
     return missing ?? 'cancelled';
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -58,6 +58,8 @@
   readonly rejections?: number;
   /** The first run gets no head. */
   readonly hasNoHead?: boolean;
+  /** How many prefill calls are rejected. */
+  readonly prefillRejections?: number;
   /** All engines leave when the first run is closed. */
   readonly isLast?: boolean;
 }
@@ -75,6 +77,7 @@
   const runs: SentRun[] = [];
   const log: string[] = [];
   let rejections = changes.rejections ?? 0;
+  let prefillRejections = changes.prefillRejections ?? 0;
   const budget = createRetryBudget({burst: () => RETRIES, ratioOf: () => 0});
 
   function answer(run: SentRun): UpstreamAnswer {
@@ -102,6 +105,7 @@
 
   const upstreamPort: Partial<UpstreamPort> = {
     async prefill(_, {upstream}) {
+      if (prefillRejections-- > 0) return REJECTED;
       log.push(`read ${upstream.id}`);
       await new Promise<void>(done => clock.setTimer(PREFILL_MS, done));
       return {kind: 'prefilled', handle: 'h'};
@@ -253,6 +257,20 @@
     assert.equal((await outcome).end, 'answered');
   });
 
+  // Guards against several prefill calls that count as the free first one.
+  test('charges the prompts that are read for it in vain', async () => {
+    const stream = await startStream({prefillRejections: 2});
+    const {clock, runs, send, log} = stream;
+    const spent = RETRIES - stream.retriesLeft();
+    for (const text of ['id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']) {
+      await clock.advance(50);
+      send(runs[0], text);
+      await clock.advance(1_290);
+    }
+    assert.equal(log.filter(each => each.startsWith('read')).length, 2);
+    assert.equal(RETRIES - stream.retriesLeft(), spent + 1);
+  });
+
   // Guards against retries that a stream keeps which ends without its next run.
   test('gives back the retry of a next run that is never sent', async () => {
     const stream = await startStream({isLast: true});
