Release the prefill result of a run that was left before its head

Nothing read it any more, and it took memory of its engine until that dropped it by itself. The test failed before (no result was released).

--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -159,6 +159,7 @@
     },
     adopt(state, {next}) {
       endBookings(state.placement);
+      if (state.source) host.upstreamPort.releasePrefill(state.source);
       state.avoid.add(state.placement.decode.id);
       state.placement = next.placement;
       state.source = next.source;
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -244,6 +244,14 @@
     assert.equal((await outcome).end, 'answered');
   });
 
+  // Guards against results that take memory though nothing will read them.
+  test('that was left before its head releases its prefill result', async () => {
+    const {clock, runs, log} = await startStream({hasNoHead: true});
+    await clock.advance(PREFILL_MS + 200);
+    assert.equal(runs.length, 2);
+    assert.equal(log.filter(each => each === 'release').length, 1);
+  });
+
   // Guards against 502 once each other engine was full for a moment.
   test('that was left before its head goes on where there is room', async () => {
     const {clock, runs, log, send, outcome} = await startStream({
