--- a/tests/platform/silent_engines_test.ts
+++ b/tests/platform/silent_engines_test.ts
@@ -44,6 +44,15 @@
     silent.assertSound(await results);
   });
 
+  // Guards against runs that are left for engines that then refuse them.
+  test('of 3 s, of some engines, while the others refuse', async () => {
+    const {decodeEngines, streamOverPause} = silent;
+    const results = streamOverPause(decodeEngines.slice(0, 2), 3_000);
+    await silent.untilRunning(RUN_COUNT);
+    for (const engine of decodeEngines.slice(2)) engine.setBehaviour('full');
+    silent.assertSound(await results);
+  });
+
   test('of 3 s, of most engines, while the others have room', async () => {
     const some = silent.decodeEngines.slice(0, 3);
     silent.assertSound(await silent.streamOverPause(some, 3_000));
