--- a/src/relay/silence/engine_probes.ts
+++ b/src/relay/silence/engine_probes.ts
@@ -18,6 +18,8 @@
   probe(engine: Upstream): Promise<void>;
   /** Sends a probe unless one is in progress or was sent a moment ago. */
   ask(engine: Upstream): void;
+  /** Whether a probe was sent within this time. */
+  wasAskedWithin(engineId: string, durationMs: number): boolean;
   /** Whether an answer arrived within this time. */
   hasAnsweredWithin(engineId: string, durationMs: number): boolean;
   /** Whether a probe that was sent later than `atMs` has been answered. */
@@ -100,12 +102,15 @@
     return pending;
   }
 
+  const wasAskedWithin = (engineId: string, durationMs: number) =>
+    clock.nowMs() - recordOf(engineId).sentAtMs < durationMs;
+
   return {
     probe,
     ask(engine) {
-      const {sentAtMs} = recordOf(engine.id);
-      if (clock.nowMs() - sentAtMs >= ASK_INTERVAL_MS) void probe(engine);
+      if (!wasAskedWithin(engine.id, ASK_INTERVAL_MS)) void probe(engine);
     },
+    wasAskedWithin,
     hasAnsweredWithin: (engineId, durationMs) =>
       clock.nowMs() - recordOf(engineId).answeredAtMs < durationMs,
     hasAnsweredSince: (engineId, atMs) =>
--- a/src/relay/silence/engine_silence.ts
+++ b/src/relay/silence/engine_silence.ts
@@ -49,6 +49,9 @@
     clock.nowMs() - runs.lastSeenAtMs(engineId) < durationMs ||
     probes.hasAnsweredWithin(engineId, durationMs);
 
+  const isProbeSilent = (engineId: string) =>
+    (probes.unansweredMs(engineId) ?? 0) >= PROBE_SILENT_MS;
+
   /** Undefined if nothing recent is known of the engine. */
   function isSilent(
     engineId: string,
@@ -56,10 +59,16 @@
   ): boolean | undefined {
     if (wasSeenWithin(engineId, SILENT_MS)) return false;
     if ((openSilences.get(engineId) ?? 0) >= SILENT_MS) return true;
-    const unansweredMs = probes.unansweredMs(engineId) ?? 0;
-    return unansweredMs >= PROBE_SILENT_MS ? true : undefined;
+    return isProbeSilent(engineId) ? true : undefined;
   }
 
+  /** Silent runs alone may be those of dead connections. */
+  const needsProbe = (engineId: string, isSilent?: boolean) =>
+    isSilent === undefined ||
+    (isSilent &&
+      !isProbeSilent(engineId) &&
+      !probes.wasAskedWithin(engineId, SILENT_MS));
+
   /** By engine; undefined where nothing recent is known. */
   function readDecodeEngines(service: string) {
     const openSilences = runs.openSilences();
@@ -75,9 +84,11 @@
       const others = readDecodeEngines(engine.service).filter(
         each => each.engine.id !== engine.id,
       );
-      const unknown = others.filter(each => each.isSilent === undefined);
-      const wantedCount = MIN_KNOWN - (others.length - unknown.length);
-      unknown
+      const uncertain = others.filter(each =>
+        needsProbe(each.engine.id, each.isSilent),
+      );
+      const wantedCount = MIN_KNOWN - (others.length - uncertain.length);
+      uncertain
         .slice(0, Math.max(0, wantedCount))
         .forEach(each => void probes.probe(each.engine));
     },
@@ -93,12 +104,15 @@
     },
     async answers(engine) {
       if (wasSeenWithin(engine.id, JUST_SEEN_MS)) return true;
-      if (isSilent(engine.id, runs.openSilences())) return false;
+      const askedAtMs = clock.nowMs();
+      const isKnownSilent = isProbeSilent(engine.id);
+      const answer = probes.probe(engine);
+      if (isKnownSilent) return false;
       const soon = new Promise<void>(resolve => {
         clock.setTimer(ANSWER_WAIT_MS, resolve);
       });
-      await Promise.race([probes.probe(engine), soon]);
-      return wasSeenWithin(engine.id, ANSWER_WAIT_MS);
+      await Promise.race([answer, soon]);
+      return wasSeenWithin(engine.id, clock.nowMs() - askedAtMs + 1);
     },
   };
 }
--- a/src/relay/streams/next_runs.ts
+++ b/src/relay/streams/next_runs.ts
@@ -77,25 +77,28 @@
     if (state.events > 0 && state.need.version === undefined) return 'version';
     state.avoid.add(decode.id);
     state.source = undefined;
-    return (await placeAnywhere(state)) ? undefined : 'room';
+    const isBound = state.need.version !== undefined;
+    return (await placeAnywhere(state, isBound)) ? undefined : 'room';
   }
 
-  async function placeAnywhere(state: StreamState): Promise<boolean> {
+  async function placeAnywhere(
+    state: StreamState,
+    mayReturn: boolean,
+  ): Promise<boolean> {
     const {outputTokens} = state.placement.run;
-    const isBound = state.need.version !== undefined;
     const isPlaced =
-      start.placeElsewhere(state) || (isBound && (await placeBegun(state)));
+      start.placeElsewhere(state) || (mayReturn && (await placeAgain(state)));
     if (isPlaced)
       engineLoads.setOutputTokens(state.placement.run, outputTokens);
     return isPlaced;
   }
 
   /**
-   * Places a begun stream that no other engine of its version has room for: at
-   * one that ran it before, or at the first that has room while the caller
-   * waits for the next event.
+   * Places a stream that no other engine has room for: at one that ran or
+   * refused it before, or at the first that has room while the caller waits for
+   * the next event.
    */
-  async function placeBegun(state: StreamState): Promise<boolean> {
+  async function placeAgain(state: StreamState): Promise<boolean> {
     const {job, need, placement} = state;
     // The one that has just ended a run looks empty.
     const last = new Set([placement.decode.id]);
@@ -135,7 +138,7 @@
     while (clock.nowMs() + START_RETRY_MS < deadlineAtMs) {
       await delay(START_RETRY_MS);
       if (cancellation.isCancelled || isVersionGone(state)) return false;
-      if (await placeAnywhere(state)) return true;
+      if (await placeAnywhere(state, true)) return true;
     }
     return false;
   }
@@ -173,7 +176,7 @@
     async placeAfterFailedStart(state, {error, lacksRetry}) {
       if (state.ran.length === 0 || !isPassing(error)) return false;
       if (state.wasLeft) return placeInTime(state);
-      return state.events > 0 && !lacksRetry && placeBegun(state);
+      return state.events > 0 && !lacksRetry && placeAgain(state);
     },
   };
 }
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -59,24 +59,32 @@
   readonly rejections?: number;
   /** The first run gets no head. */
   readonly hasNoHead?: boolean;
+  /** How many prefill calls are rejected. */
+  readonly prefillRejections?: number;
+  /** All engines leave when the first run is closed. */
+  readonly isLast?: boolean;
 }
 
 /** A stream of which the first run sends one event and falls silent. */
 async function startStream(changes: Changes = {}) {
   const clock = createVirtualClock(1_000);
   const lone = makeLoneScheduler(clock, ENGINE_IDS);
-  lone.registry.apply({
-    revision: revisionAt(2),
-    upstreams: ENGINE_IDS.map(id => ({...makeEngine(id), version: 'v1'})),
-  });
+  const applyList = (ids: readonly string[]) =>
+    lone.registry.apply({
+      revision: revisionAt(ids.length > 0 ? 2 : 3),
+      upstreams: ids.map(id => ({...makeEngine(id), version: 'v1'})),
+    });
+  applyList(ENGINE_IDS);
   const runs: SentRun[] = [];
   const log: string[] = [];
   let rejections = changes.rejections ?? 0;
+  let prefillRejections = changes.prefillRejections ?? 0;
   const budget = createRetryBudget({burst: () => RETRIES, ratioOf: () => 0});
 
   function answer(run: SentRun): UpstreamAnswer {
     const close = () => {
       if (!run.isClosed) log.push(`close ${run.options.upstream.id}`);
+      if (changes.isLast) applyList([]);
       run.isClosed = true;
     };
     run.cancellation.onCancel(close);
@@ -98,6 +106,7 @@
 
   const upstreamPort: Partial<UpstreamPort> = {
     async prefill(_, {upstream}) {
+      if (prefillRejections-- > 0) return REJECTED;
       log.push(`read ${upstream.id}`);
       await new Promise<void>(done => clock.setTimer(PREFILL_MS, done));
       return {kind: 'prefilled', handle: 'h'};
@@ -251,6 +260,51 @@
     assert.equal((await outcome).end, 'answered');
   });
 
+  // Guards against results that take memory though nothing will read them.
+  test('that was left before its head releases its prefill result', async () => {
+    const {clock, runs, log} = await startStream({hasNoHead: true});
+    await clock.advance(PREFILL_MS + 200);
+    assert.equal(runs.length, 2);
+    assert.equal(log.filter(each => each === 'release').length, 1);
+  });
+
+  // Guards against 502 once each other engine was full for a moment.
+  test('that was left before its head goes on where there is room', async () => {
+    const {clock, runs, log, send, outcome} = await startStream({
+      hasNoHead: true,
+      rejections: 9,
+    });
+    await clock.advance(8_000);
+    assert.equal(runs.length, 2, log.join());
+    send(runs[1], 'id: 1\ndata: a\n\n');
+    runs[1].sink.current?.end();
+    assert.equal((await outcome).end, 'answered');
+  });
+
+  // Guards against several prefill calls that count as the free first one.
+  test('charges the prompts that are read for it in vain', async () => {
+    const stream = await startStream({prefillRejections: 2});
+    const {clock, runs, send, log} = stream;
+    const spent = RETRIES - stream.retriesLeft();
+    for (const text of ['id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n']) {
+      await clock.advance(50);
+      send(runs[0], text);
+      await clock.advance(1_290);
+    }
+    assert.equal(log.filter(each => each.startsWith('read')).length, 2);
+    assert.equal(RETRIES - stream.retriesLeft(), spent + 1);
+  });
+
+  // Guards against retries that a stream keeps which ends without its next run.
+  test('gives back the retry of a next run that is never sent', async () => {
+    const stream = await startStream({isLast: true});
+    await stream.clock.advance(14_000);
+    assert.equal((await stream.outcome).end, 'cut');
+    assert.equal(stream.runs.length, 1);
+    // The prompt was read once more, and that call is spent.
+    assert.equal(stream.retriesLeft(), RETRIES - 1);
+  });
+
   // Guards against excluding an engine for a connection that has died.
   test('excludes its engine only if that gives no sign of life', async () => {
     for (const isAlive of [true, false]) {
