Close a silent run only once an engine has accepted the next one

Callers of two streams of 30 were cut, and one got 502, when two of five engines paused for 3 s and the others answered probes but refused runs: a successor counted as ready before any engine had accepted it, and refusals used up the retries. The next run is now started while the silent one stays open. That is closed when an engine has answered the next one, or 0.25 s after a send that was not refused; if all refuse, it stays.

--- a/src/relay/streams/next_runs.ts
+++ b/src/relay/streams/next_runs.ts
@@ -45,8 +45,8 @@
 export interface NextRuns {
   /** Places a run that resumes after the last event; false if none may. */
   placeAfterBreak(state: StreamState): Promise<boolean>;
-  /** Goes on with the successor of a run that was left. */
-  leave(state: StreamState, departure: Departure<Successor>): void;
+  /** Ends the run that was left for its successor. */
+  leave(state: StreamState, departure: Departure<Successor>): Successor;
   /**
    * Places a run once more that no engine has begun. After a run that was left
    * for its silence this is repeated up to the deadline, after one that broke
@@ -157,7 +157,7 @@
     },
     leave(state, {reason, silentMs, successor}) {
       const {decode} = state.placement;
-      const {placement, source} = successor.next;
+      const {placement} = successor.next;
       host.metrics.count('runs_left', `reason="${reason}"`);
       host.log.info('Run left.', {
         request: state.job.request.requestId,
@@ -166,12 +166,12 @@
         silentMs: Math.round(silentMs),
         events: state.events,
         nextUpstream: placement.decode.id,
-        prefill: source?.engineId,
+        prefill: placement.prefill?.id,
         promptTokens: state.need.promptTokens,
       });
       if (reason === 'silent-engine') scheduler.recordFailure(decode.id);
-      host.successors.adopt(state, successor);
-      state.wasLeft = true;
+      host.successors.endLeft(state);
+      return successor;
     },
     async placeAfterFailedStart(state, {error, lacksRetry}) {
       if (state.ran.length === 0 || !isPassing(error)) return false;
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -34,13 +34,17 @@
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {EngineProbes} from '../silence/engine_probes.js';
 import type {EngineSilence} from '../silence/engine_silence.js';
-import {createRunWatch, type RunWatch} from '../silence/run_watch.js';
+import {
+  createRunWatch,
+  type Departure,
+  type RunWatch,
+} from '../silence/run_watch.js';
 import {createNextRuns} from './next_runs.js';
 import {createPrefillStep} from './prefill_step.js';
 import {createRunPaceMeter} from './run_pace.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
-import {createStreamStart} from './stream_start.js';
-import {quietSinceMs, type StreamState} from './stream_state.js';
+import {createStreamStart, type StartOutcome} from './stream_start.js';
+import {mayResume, quietSinceMs, type StreamState} from './stream_state.js';
 import {createSuccessors, type Successor} from './successors.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {toWaiting} from '../placement/wait_rules.js';
@@ -70,6 +74,19 @@
   run(job: RelayJob): Promise<JobOutcome>;
 }
 
+/** What follows a run. */
+type RunEnd =
+  | {readonly kind: 'ended'; readonly outcome: JobOutcome}
+  /** The stream was placed for another run. */
+  | {readonly kind: 'again'}
+  | {readonly kind: 'left'; readonly departure: Departure<Successor>};
+
+interface EndedStream {
+  /** The state of the last run. */
+  readonly state: StreamState;
+  readonly outcome: JobOutcome;
+}
+
 const STATUS_OK = 200;
 
 export function createStreamRelay(host: StreamRelayHost): StreamRelay {
@@ -78,7 +95,6 @@
   const failures = createEngineFailures(host);
   const calls = createBudgetedCalls(retryBudget);
   const prefillStep = createPrefillStep({...host, failures, calls});
-  const successors = createSuccessors({...host, calls, prefillStep});
   const start = createStreamStart({
     ...host,
     failures,
@@ -86,12 +102,12 @@
     prefillStep,
     watchRun,
   });
+  const successors = createSuccessors({...host, calls, start: start.start});
   const nextRuns = createNextRuns({...host, calls, successors, start});
 
   /** Watches a run for silence if another may follow it. */
   function watchRun(state: StreamState): RunWatch<Successor> | undefined {
-    const {isResumable, maxAttempts} = state.job.route;
-    if (!isResumable || state.ran.length + 1 >= maxAttempts) return undefined;
+    if (!mayResume(state)) return undefined;
     return createRunWatch<Successor>(state.placement.decode, {
       clock,
       silence: host.silence,
@@ -217,90 +233,117 @@
   }
 
   /** Runs until the stream is complete or no further run is allowed. */
-  async function runPlaced(state: StreamState): Promise<JobOutcome> {
-    const {job} = state;
+  async function runPlaced(first: StreamState): Promise<EndedStream> {
     const placedAtMs = clock.nowMs();
+    let run: Successor = {next: first, started: start.start(first)};
     for (;;) {
-      const started = await start.start(state);
-      if (started.kind === 'cancelled') {
-        return {end: 'caller-gone', upstreams: state.ran};
-      }
-      if (started.kind === 'left') {
-        nextRuns.leave(state, started.departure);
-        continue;
+      const {next: state} = run;
+      const end = await runOnce(state, await run.started, placedAtMs);
+      switch (end.kind) {
+        case 'ended':
+          return {state, outcome: end.outcome};
+        case 'again':
+          run = {next: state, started: start.start(state)};
+          break;
+        case 'left':
+          run = nextRuns.leave(state, end.departure);
+          break;
       }
-      if (started.kind === 'failed') {
+    }
+  }
+
+  /** Takes one run from its start to its end. */
+  async function runOnce(
+    state: StreamState,
+    started: StartOutcome,
+    placedAtMs: number,
+  ): Promise<RunEnd> {
+    const ended = (outcome: JobOutcome): RunEnd => ({kind: 'ended', outcome});
+    switch (started.kind) {
+      case 'cancelled':
+        return ended({end: 'caller-gone', upstreams: state.ran});
+      case 'left':
+        return started;
+      case 'failed': {
         const isPlaced = started.mayHaveRun
           ? await nextRuns.placeAfterBreak(state)
           : await nextRuns.placeAfterFailedStart(state, started);
-        if (isPlaced) continue;
-        return refuse(state, withRetryAfter(started.error));
-      }
-      const {answer, watch} = started;
-      if (answer.status !== STATUS_OK) {
-        watch?.end();
-        // The engine's error is forwarded unless another run is allowed.
-        if (await nextRuns.placeAfterBreak(state)) {
-          answer.body.destroy();
-          continue;
-        }
-        return deliverFailure(state, answer);
+        if (isPlaced) return {kind: 'again'};
+        return ended(refuse(state, withRetryAfter(started.error)));
       }
-      const end = await relay(state, answer, watch);
-      if (state.firstByteAtMs !== undefined && state.ran.length === 1) {
-        host.statistics.recordStart(state.firstByteAtMs - placedAtMs);
+      case 'streaming':
+        return relayRun(state, started, placedAtMs);
+    }
+  }
+
+  /** Forwards the answer of a run. */
+  async function relayRun(
+    state: StreamState,
+    {answer, watch}: Extract<StartOutcome, {kind: 'streaming'}>,
+    placedAtMs: number,
+  ): Promise<RunEnd> {
+    const ended = (outcome: JobOutcome): RunEnd => ({kind: 'ended', outcome});
+    if (answer.status !== STATUS_OK) {
+      watch?.end();
+      // The engine's error is forwarded unless another run is allowed.
+      if (!(await nextRuns.placeAfterBreak(state))) {
+        return ended(await deliverFailure(state, answer));
       }
-      switch (end.kind) {
-        case 'whole':
-          scheduler.recordSuccess(state.placement.decode.id);
-          forecast.recordOutput(
-            job.service.name,
-            state.events * (job.service.engine?.tokensPerEvent ?? 1),
-          );
-          host.statistics.recordRun({
-            promptTokens: state.need.promptTokens,
-            outputTokens: state.placement.run.outputTokens,
-            durationMs: clock.nowMs() - placedAtMs,
-            kvTokens: job.service.engine?.kvTokens ?? 0,
-          });
-          return {
-            end: 'answered',
-            status: answer.status,
-            upstreams: state.ran,
-            events: state.events,
-            framing: answer.body.isUnframed ? 'unframed' : 'framed',
-            restBytes: end.restBytes,
-          };
-        case 'caller-gone':
-          return {
-            end: 'caller-gone',
-            upstreams: state.ran,
-            events: state.events,
-          };
-        case 'left':
-          if (!watch?.departure) {
-            throw new Error('A run was left without a successor.');
-          }
-          nextRuns.leave(state, watch.departure);
-          continue;
-        case 'timeout':
-          return refuse(state, {kind: 'deadline-passed', detail: end.detail});
-        case 'broken':
-          if (!end.isOfPeer) {
-            scheduler.recordFailure(state.placement.decode.id);
-          }
-          failures.logFailure(
-            'Stream broke.',
-            state,
-            state.placement.decode,
-            end,
-          );
-          if (await nextRuns.placeAfterBreak(state)) continue;
-          return refuse(state, {kind: 'answer-cut', detail: end.detail});
+      answer.body.destroy();
+      return {kind: 'again'};
+    }
+    const end = await relay(state, answer, watch);
+    if (state.firstByteAtMs !== undefined && state.ran.length === 1) {
+      host.statistics.recordStart(state.firstByteAtMs - placedAtMs);
+    }
+    switch (end.kind) {
+      case 'whole':
+        recordWhole(state, placedAtMs);
+        return ended({
+          end: 'answered',
+          status: answer.status,
+          upstreams: state.ran,
+          events: state.events,
+          framing: answer.body.isUnframed ? 'unframed' : 'framed',
+          restBytes: end.restBytes,
+        });
+      case 'caller-gone':
+        return ended({
+          end: 'caller-gone',
+          upstreams: state.ran,
+          events: state.events,
+        });
+      case 'left':
+        if (!watch?.departure) {
+          throw new Error('A run was left without a successor.');
+        }
+        return {kind: 'left', departure: watch.departure};
+      case 'timeout':
+        return ended(
+          refuse(state, {kind: 'deadline-passed', detail: end.detail}),
+        );
+      case 'broken': {
+        const {decode} = state.placement;
+        if (!end.isOfPeer) scheduler.recordFailure(decode.id);
+        failures.logFailure('Stream broke.', state, decode, end);
+        if (await nextRuns.placeAfterBreak(state)) return {kind: 'again'};
+        return ended(refuse(state, {kind: 'answer-cut', detail: end.detail}));
       }
     }
   }
 
+  function recordWhole(state: StreamState, placedAtMs: number): void {
+    const {name, engine} = state.job.service;
+    scheduler.recordSuccess(state.placement.decode.id);
+    forecast.recordOutput(name, state.events * (engine?.tokensPerEvent ?? 1));
+    host.statistics.recordRun({
+      promptTokens: state.need.promptTokens,
+      outputTokens: state.placement.run.outputTokens,
+      durationMs: clock.nowMs() - placedAtMs,
+      kvTokens: engine?.kvTokens ?? 0,
+    });
+  }
+
   function withRetryAfter(error: RequestError): RequestError {
     if (!errorAnswers[error.kind].retryable) return error;
     return {...error, retryAfterMs: error.retryAfterMs ?? REJECTION_RETRY_MS};
@@ -350,7 +393,7 @@
       if (placement.kind === 'refused') {
         return refuseNew(job, placement.error, waitedMs());
       }
-      const state: StreamState = {
+      const placed: StreamState = {
         job,
         need,
         enginePriority: host.priorities.forEngine(
@@ -370,7 +413,7 @@
         lastEventAtMs: clock.nowMs(),
       };
       const startedAtMs = clock.nowMs();
-      const outcome = await runPlaced(state);
+      const {state, outcome} = await runPlaced(placed);
       if (state.hasReservedRun) calls.giveBackRun(state);
       // Frees the prefill result now. Until its engine would drop it by itself,
       // other requests would wait for that memory.
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -39,7 +39,7 @@
 
 export interface StreamStart {
   /** Resolves when the head of an answer has arrived or the start failed. */
-  start(state: StreamState): Promise<StartOutcome>;
+  start(state: StreamState, options?: StartOptions): Promise<StartOutcome>;
   /**
    * Books other engines for the request, none of those to avoid; returns false
    * if none has room.
@@ -84,8 +84,22 @@
   readonly watch?: RunWatch<Successor>;
 }
 
-/** Maximum number of sends in one start. */
-const MAX_DECODE_ATTEMPTS = 4;
+export interface StartOptions {
+  /** Maximum number of sends in one start. */
+  readonly maxSends?: number;
+  /** Called with each send. */
+  onSent?(): void;
+}
+
+const MAX_SENDS = 4;
+/** Outcomes of sends after which the engine isn't one that ran the request. */
+const NOT_RUN_KINDS: ReadonlySet<string> = new Set<SendFailure['kind']>([
+  'unreachable',
+  'withheld',
+  'quarantined',
+  'rejected',
+  'cancelled',
+]);
 const DEADLINE_SLACK_MS = 60;
 
 export function createStreamStart(host: StreamStartHost): StreamStart {
@@ -93,6 +107,7 @@
 
   async function sendDecode(
     state: StreamState,
+    onSent: () => void,
   ): Promise<Answered | Left | SendFailure | NoRetries> {
     const {job, placement} = state;
     const untilDeadlineMs = leftMs(job.deadlineAtMs, clock.nowMs());
@@ -109,7 +124,9 @@
     };
     let watch: RunWatch<Successor> | undefined;
     const outcome = await calls.run(state, () => {
+      recordRun(state);
       watch = host.watchRun(state);
+      onSent();
       return upstreamPort.send(
         job.request,
         options,
@@ -125,6 +142,7 @@
       return {kind: 'answered', answer: outcome, watch};
     }
     watch?.end();
+    if (NOT_RUN_KINDS.has(outcome.kind)) removeRun(state);
     return outcome;
   }
 
@@ -194,10 +212,13 @@
     return placeElsewhere(state);
   }
 
-  async function start(state: StreamState): Promise<StartOutcome> {
+  async function start(
+    state: StreamState,
+    {maxSends = MAX_SENDS, onSent = () => undefined}: StartOptions = {},
+  ): Promise<StartOutcome> {
     const {job} = state;
     let failure: RequestError = {kind: 'no-upstream', detail: 'None had room.'};
-    for (let attempt = 1; attempt <= MAX_DECODE_ATTEMPTS; attempt++) {
+    for (let attempt = 1; attempt <= maxSends; attempt++) {
       if (job.cancellation.isCancelled) return {kind: 'cancelled'};
       // A run that started before the withdrawal may be resumed.
       if (state.ran.length === 0 && job.admitted.isWithdrawn()) {
@@ -205,10 +226,10 @@
       }
       if (!state.source && state.placement.prefill) {
         const prefill = await host.prefillStep.run(state);
+        if (prefill.kind === 'read') state.source = prefill.source;
         if (job.cancellation.isCancelled) return {kind: 'cancelled'};
         if (prefill.kind === 'no-retries') return withoutRetry(prefill);
         if (prefill.kind === 'quarantined') return notRun(prefill.error);
-        if (prefill.kind === 'read') state.source = prefill.source;
       }
       const {decode} = state.placement;
       // The engine may have started to drain during the prefill.
@@ -216,7 +237,7 @@
         .open(job.service.name)
         .some(each => each.id === decode.id);
       const outcome: Answered | Left | SendFailure | NoRetries = isOpen
-        ? await sendDecode(state)
+        ? await sendDecode(state, onSent)
         : {kind: 'unreachable', detail: 'the engine leaves'};
       if (outcome.kind === 'no-retries') return withoutRetry(outcome);
       if (outcome.kind !== 'answered' && outcome.kind !== 'left') {
@@ -227,14 +248,11 @@
           scheduler.recordAcceptance(decode.id);
           return acceptAnswer(state, outcome);
         case 'left':
-          recordRun(state);
-          return outcome;
         case 'cancelled':
           return outcome;
         case 'quarantined':
           return notRun(outcome.error);
         case 'broken':
-          recordRun(state);
           failures.record(decode, outcome);
           failure = {kind: 'upstream-failed', detail: outcome.detail};
           return {kind: 'failed', error: failure, mayHaveRun: true};
@@ -267,6 +285,11 @@
     ranVersions.push(placement.decode.version ?? '');
   }
 
+  function removeRun({ran, ranVersions}: StreamState): void {
+    ran.pop();
+    ranVersions.pop();
+  }
+
   const withoutRetry = ({detail}: NoRetries): StartOutcome => ({
     kind: 'failed',
     error: {kind: 'overloaded', detail},
@@ -283,7 +306,6 @@
     {answer, watch}: Answered,
   ): StartOutcome {
     const {decode} = state.placement;
-    recordRun(state);
     // The engine has taken over the prefill result with the request.
     state.source = undefined;
     if (isGenuine(answer)) return {kind: 'streaming', answer, watch};
--- a/src/relay/streams/stream_state.ts
+++ b/src/relay/streams/stream_state.ts
@@ -24,7 +24,7 @@
   /** A retry was taken for the next run. */
   hasReservedRun: boolean;
   /** A run was left for its silence, though it may have gone on. */
-  wasLeft: boolean;
+  readonly wasLeft: boolean;
   /** Whether a prefill engine has computed the prompt. */
   wasPrefilled: boolean;
   lastEventId?: string;
--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -1,10 +1,12 @@
 /**
- * Prepares the run that is to follow a silent one: a retry, engines with room
- * that answer, and the prefill result of the prompt. Until the successor is
- * adopted, all of it can be given back.
+ * Prepares the run that is to follow a silent one: engines with room that
+ * answer, a retry, the prefill result of the prompt, and the start of the run.
+ * The silent run stays open until an engine has accepted the next one, so that
+ * there is one to go back to if all refuse it. Until then everything can be
+ * given back.
  */
 
-import type {Clock} from '../../ports/clock.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Cancellation, UpstreamPort} from '../../ports/relay.js';
 import type {EngineLoads} from '../placement/engine_loads.js';
@@ -12,8 +14,9 @@
 import type {Placement} from '../placement/placement_types.js';
 import type {EngineSilence} from '../silence/engine_silence.js';
 import type {LeaveReason} from '../silence/silence_rules.js';
+import {joinCancellations} from '../front/cancellation.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
-import type {PrefillStep} from './prefill_step.js';
+import type {StartOutcome, StreamStart} from './stream_start.js';
 import type {StreamState} from './stream_state.js';
 
 export interface SuccessorsHost {
@@ -24,17 +27,19 @@
   readonly engineLoads: EngineLoads;
   readonly silence: Pick<EngineSilence, 'answers'>;
   readonly calls: BudgetedCalls;
-  readonly prefillStep: PrefillStep;
+  start: StreamStart['start'];
 }
 
-/** The state of a stream as it is once its next run is sent. */
+/** A run that follows a silent one. */
 export interface Successor {
+  /** The state of the stream from now on. */
   readonly next: StreamState;
+  /** Settles when an engine has answered the run, or all have refused it. */
+  readonly started: Promise<StartOutcome>;
 }
 
 /** What the run lacks that is to follow. */
-type Missing =
-  'version' | 'retry' | 'room' | 'quarantine' | 'cancelled' | 'answer';
+type Missing = 'version' | 'retry' | 'room' | 'answer' | 'start' | 'cancelled';
 
 export interface Successors {
   /** Undefined if no run can follow now; then nothing stays reserved. */
@@ -43,15 +48,23 @@
     reason: LeaveReason,
     cancellation: Cancellation,
   ): Promise<Successor | undefined>;
-  /** Replaces the run of the stream, whose connection is closed. */
-  adopt(state: StreamState, successor: Successor): void;
+  /** Releases what the run of the stream has used that is left now. */
+  endLeft(state: StreamState): void;
 }
 
 /** How many decode engines are asked for an answer. */
 const MAX_TARGETS = 3;
+/** A prefill result is offered to two engines before the prompt is read anew. */
+const MAX_SENDS = 2;
+/**
+ * A refusal comes at once. After this time without one the silent run is closed,
+ * so that no request works at two engines for long.
+ */
+const REFUSAL_WAIT_MS = 250;
+const STATUS_OK = 200;
 
 export function createSuccessors(host: SuccessorsHost): Successors {
-  const {scheduler, engineLoads, calls} = host;
+  const {clock, scheduler, engineLoads, calls} = host;
 
   function endBookings({prefillReservation, run}: Placement): void {
     prefillReservation.end();
@@ -73,62 +86,85 @@
     return 'answer';
   }
 
-  /** Reads the prompt for the next run; returns what is missing, if anything. */
-  async function readPrompt(next: StreamState): Promise<Missing | undefined> {
-    if (!next.placement.prefill) return undefined;
-    const outcome = await host.prefillStep.run(next);
-    switch (outcome.kind) {
-      case 'read':
-        next.source = outcome.source;
-        return undefined;
-      case 'not-read':
-        next.placement = {...next.placement, prefill: undefined};
-        return undefined;
-      case 'no-retries':
-        return 'retry';
-      case 'quarantined':
-        return 'quarantine';
-    }
-  }
-
-  async function prepareAt(
+  function toNext(
     state: StreamState,
     placement: Placement,
     cancellation: Cancellation,
-  ): Promise<Successor | Missing> {
-    const next: StreamState = {
+  ): StreamState {
+    const {decode, run} = state.placement;
+    engineLoads.setOutputTokens(placement.run, run.outputTokens);
+    return {
       ...state,
-      job: {...state.job, cancellation},
+      job: {
+        ...state.job,
+        cancellation: joinCancellations(state.job.cancellation, cancellation),
+      },
       placement,
+      ran: [...state.ran],
+      ranVersions: [...state.ranVersions],
+      avoid: new Set([...state.avoid, decode.id]),
       source: undefined,
       // The silent run was sent, though its outcome may not be known yet.
       countedCalls: Math.max(1, state.countedCalls),
       hasReservedRun: true,
+      wasLeft: true,
     };
-    engineLoads.setOutputTokens(
-      placement.run,
-      state.placement.run.outputTokens,
-    );
-    const missing = await readPrompt(next);
+  }
+
+  /** Starts the run; undefined if no engine accepts it. */
+  async function tryStart(next: StreamState): Promise<Successor | undefined> {
+    let timer: TimerHandle | undefined;
+    let onAccepted: () => void = () => undefined;
+    const accepted = new Promise<undefined>(resolve => {
+      onAccepted = () => resolve(undefined);
+    });
+    const stopTimer = () => timer && clock.clearTimer(timer);
+    const started = host.start(next, {
+      maxSends: MAX_SENDS,
+      onSent() {
+        stopTimer();
+        timer = clock.setTimer(REFUSAL_WAIT_MS, onAccepted);
+      },
+    });
+    const outcome = await Promise.race([started, accepted]);
+    stopTimer();
+    if (!outcome) return {next, started};
+    if (outcome.kind !== 'streaming') return undefined;
+    if (outcome.answer.status === STATUS_OK) return {next, started};
+    outcome.watch?.end();
+    outcome.answer.body.destroy();
+    return undefined;
+  }
+
+  /** Gives back what a next run has reserved that isn't made. */
+  function release(state: StreamState, next: StreamState): void {
+    endBookings(next.placement);
+    if (next.source) host.upstreamPort.releasePrefill(next.source);
+    if (next.hasReservedRun) calls.giveBackRun(next);
     // Only the first prompt that an engine reads is free, used or not.
     state.wasPrefilled ||= next.wasPrefilled;
-    if (missing === undefined && !cancellation.isCancelled) return {next};
-    if (next.source) host.upstreamPort.releasePrefill(next.source);
-    return missing ?? 'cancelled';
+    // Engines that may have begun the run count towards the attempts.
+    const begunFrom = state.ran.length;
+    state.ran.push(...next.ran.slice(begunFrom));
+    state.ranVersions.push(...next.ranVersions.slice(begunFrom));
   }
 
-  async function prepareWithRetry(
+  async function prepareAt(
     state: StreamState,
     placement: Placement,
     cancellation: Cancellation,
   ): Promise<Successor | Missing> {
-    if (cancellation.isCancelled) return 'cancelled';
-    if (!(await calls.reserveRun(state))) return 'retry';
-    const outcome = cancellation.isCancelled
-      ? 'cancelled'
-      : await prepareAt(state, placement, cancellation);
-    if (typeof outcome === 'string') calls.giveBackRun(state);
-    return outcome;
+    if (cancellation.isCancelled || !(await calls.reserveRun(state))) {
+      endBookings(placement);
+      return cancellation.isCancelled ? 'cancelled' : 'retry';
+    }
+    const next = toNext(state, placement, cancellation);
+    const successor = cancellation.isCancelled
+      ? undefined
+      : await tryStart(next);
+    if (successor && !cancellation.isCancelled) return successor;
+    release(state, next);
+    return cancellation.isCancelled ? 'cancelled' : 'start';
   }
 
   async function tryPrepare(
@@ -139,9 +175,7 @@
     if (!calls.canRetryRun(state)) return 'retry';
     const placement = await placeAtAnswering(state);
     if (typeof placement === 'string') return placement;
-    const outcome = await prepareWithRetry(state, placement, cancellation);
-    if (typeof outcome === 'string') endBookings(placement);
-    return outcome;
+    return prepareAt(state, placement, cancellation);
   }
 
   return {
@@ -153,19 +187,13 @@
         upstream: state.placement.decode.id,
         reason,
         missing: outcome,
-        sinceEventMs: Math.round(host.clock.nowMs() - state.lastEventAtMs),
+        sinceEventMs: Math.round(clock.nowMs() - state.lastEventAtMs),
       });
       return undefined;
     },
-    adopt(state, {next}) {
+    endLeft(state) {
       endBookings(state.placement);
       if (state.source) host.upstreamPort.releasePrefill(state.source);
-      state.avoid.add(state.placement.decode.id);
-      state.placement = next.placement;
-      state.source = next.source;
-      state.countedCalls = next.countedCalls;
-      state.wasPrefilled = next.wasPrefilled;
-      state.hasReservedRun = true;
     },
   };
 }
