Compare silences of upstreams by role

Where only decode engines paused and prefill engines went on, a host that does not read the list still blamed requests: the prefill engines counted as those of the service that had spoken since.

Change: upstreams are compared with those of their service and role.

paused_upstreams_test.ts has prefill engines that go on now; its three pauses of 6 of 10 ended in refusals and losses before.

--- a/src/relay/crashes/run_log.ts
+++ b/src/relay/crashes/run_log.ts
@@ -51,8 +51,8 @@
   /** Upstreams with runs that have sent nothing for `silenceMs`. */
   silent(silenceMs: number): readonly SilentUpstream[];
   /**
-   * Whether most upstreams of the service fell silent together with this one at
-   * `sinceMs`, and no request ran at all of them.
+   * Whether most upstreams of its service and role fell silent together with
+   * this one at `sinceMs`, and no request ran at all of them.
    */
   isSilenceShared(upstreamId: string, sinceMs: number): boolean;
   /** When its latest bytes arrived; `-Infinity` if none have. */
@@ -73,7 +73,8 @@
 }
 
 interface SignsOfLife {
-  readonly service: string;
+  /** Service and role. */
+  readonly pool: string;
   /** When the latest call that it answered was sent. */
   readonly answeredCallAtMs: number;
   /** When its latest bytes arrived. */
@@ -93,7 +94,7 @@
 /** The last data of upstreams that pause at once is at most this far apart. */
 const TOGETHER_MS = 300;
 const NO_SIGNS: SignsOfLife = {
-  service: '',
+  pool: '',
   answeredCallAtMs: Number.NEGATIVE_INFINITY,
   seenAtMs: Number.NEGATIVE_INFINITY,
 };
@@ -103,6 +104,8 @@
   fingerprint: fingerprintOf(request),
 });
 
+const poolOf = ({service, role}: Upstream) => `${service}|${role ?? ''}`;
+
 /** The requests that run or ran at an upstream since it was last alive. */
 const fingerprintsOf = ({open, cut}: UpstreamRuns): ReadonlySet<string> =>
   new Set([...[...open].map(toSuspect), ...cut].map(each => each.fingerprint));
@@ -158,7 +161,7 @@
     noteAnswer({upstream, startedAtMs}) {
       const {answeredCallAtMs} = signsOf(upstream.id);
       signs.set(upstream.id, {
-        service: upstream.service,
+        pool: poolOf(upstream),
         answeredCallAtMs: Math.max(answeredCallAtMs, startedAtMs),
         seenAtMs: clock.nowMs(),
       });
@@ -169,8 +172,8 @@
       const {answeredCallAtMs, seenAtMs} = signsOf(upstream.id);
       const nowMs = clock.nowMs();
       if (nowMs - seenAtMs < SEEN_RESOLUTION_MS) return;
-      const {service} = upstream;
-      signs.set(upstream.id, {service, answeredCallAtMs, seenAtMs: nowMs});
+      const pool = poolOf(upstream);
+      signs.set(upstream.id, {pool, answeredCallAtMs, seenAtMs: nowMs});
     },
     end: run => void end(run),
     cut(run) {
@@ -206,10 +209,10 @@
     isSilenceShared(upstreamId, sinceMs) {
       const own = runs.get(upstreamId);
       if (!own) return false;
-      const {service} = own.upstream;
+      const pool = poolOf(own.upstream);
       const spokeLater = new Set(
         [...signs.entries()]
-          .filter(([, each]) => each.service === service)
+          .filter(([, each]) => each.pool === pool)
           .filter(([, {seenAtMs}]) => seenAtMs > sinceMs + TOGETHER_MS)
           .map(([id]) => id),
       );
@@ -217,7 +220,7 @@
       const together = [...runs.values()].filter(
         each =>
           each !== own &&
-          each.upstream.service === service &&
+          poolOf(each.upstream) === pool &&
           !spokeLater.has(each.upstream.id) &&
           silentSinceMs(each.upstream, [...each.open, ...each.cut]) <=
             silentFromMs,
--- a/tests/relay/crashes/paused_upstreams_test.ts
+++ b/tests/relay/crashes/paused_upstreams_test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import type {UpstreamRole} from '../../../src/core/upstream.js';
 import type {ProbeOutcome} from '../../../src/ports/relay.js';
 import type {CrashWatch} from '../../../src/relay/crashes/crash_watch.js';
 import type {WatchedRun} from '../../../src/relay/crashes/watched_upstream_port.js';
@@ -20,13 +21,19 @@
 const LIST_READ_MS = 700;
 const PROBE_TIMEOUT_MS = 800;
 const IDS = Array.from({length: 10}, (_, i) => `d${i}`);
-const OTHER_IDS = ['l0', 'l1', 'l2'];
+/** They never pause: prefill engines of the service, and another service. */
+const OTHER_IDS = ['p0', 'p1', 'p2', 'p3', 'p4', 'l0', 'l1', 'l2'];
+const ROLES: ReadonlyMap<string, UpstreamRole> = new Map([
+  ['d', 'decode'],
+  ['p', 'prefill'],
+]);
 /** Sent again and again while upstreams are silent. */
 const REPEATED = '/repeated';
 
 const toUpstream = (id: string, counter = 1) => ({
   ...makeUpstream(id),
-  service: id.startsWith('d') ? 'drafts' : 'ledger',
+  service: id.startsWith('l') ? 'ledger' : 'drafts',
+  role: ROLES.get(id[0]),
   heartbeat: revisionAt(counter),
 });
 
