Hold silent runs of the own front until another is ready

After 3 s without a frame the run was released at its engine, and only then were a grant, a prefill and an engine looked for; the engine stream was closed as well. The run is now held while its engine is probed and the next run is prepared, and ended when that one has imported its KV cache. A frame of the held run releases what was prepared. An engine that answers probes while the stream stays silent has lost the connection; it is left after 0.5 s more. The stream of the adapter and that of the stand-in follow the same rule. An engine is blamed for a silence only when its run is ended.

--- a/src/adapters/http_engine.ts
+++ b/src/adapters/http_engine.ts
@@ -46,6 +46,7 @@
 const MAX_CONNECTIONS = 64;
 const STREAM_SILENCE_MS = 3_000;
 const CONTROL_TIMEOUT_MS = 2_000;
+const PROBE_TIMEOUT_MS = 300;
 const STREAM_IDLE_MS = 30_000;
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const OK = 200;
@@ -112,6 +113,11 @@
     );
   }
 
+  async function probe(timeoutMs: number): Promise<'alive' | EngineFailure> {
+    const call: HttpCall = {method: 'GET', path: '/alive', timeoutMs};
+    return toResult(await caller.callOnNewConnection(call), aliveSchema);
+  }
+
   const stream = createEngineStream(
     {
       ...host,
@@ -126,6 +132,7 @@
         if ('kind' in result) return result;
         return result.isStarted ? 'started' : 'no-stream';
       },
+      isAlive: async () => (await probe(PROBE_TIMEOUT_MS)) === 'alive',
       release: ({owner}) =>
         void post('/cancel', owner, controlTimeoutMs, releasedSchema),
     },
@@ -148,10 +155,7 @@
     cacheEvents: (afterSequence, timeoutMs) =>
       get(`/cache-events?after=${afterSequence}`, timeoutMs, cacheEventsSchema),
     order: (order, timeoutMs) => post('/order', order, timeoutMs, orderSchema),
-    async probe(timeoutMs) {
-      const call = {method: 'GET', path: '/alive', timeoutMs};
-      return toResult(await caller.callOnNewConnection(call), aliveSchema);
-    },
+    probe,
   };
 }
 
--- a/src/adapters/http_engine_stream.ts
+++ b/src/adapters/http_engine_stream.ts
@@ -3,8 +3,10 @@
  * this process, one line per engine step.
  *
  * Engines send a heartbeat each second. A stream without a line for
- * `silenceMs` is therefore considered dead even if its socket is open: its
- * decodes are cut, and the next decode opens a new stream.
+ * `silenceMs`, whose engine answers on a new connection, is therefore considered
+ * dead even if its socket is open: its decodes are cut, and the next decode
+ * opens a new stream. An engine that answers nothing may go on, so its stream
+ * stays open; whoever reads a decode may cancel it.
  */
 
 import {Client} from 'undici';
@@ -28,6 +30,8 @@
     stream: string,
     streamId: number,
   ): Promise<'started' | 'no-stream' | EngineFailure>;
+  /** Whether the engine answers on a new connection. */
+  isAlive(): Promise<boolean>;
   /** Releases the resources that the engine holds for the decode. */
   release(call: DecodeCall): void;
 }
@@ -68,6 +72,8 @@
 const NEWLINE = 0x0a;
 const MAX_LINE_BYTES = 4 * 1024 * 1024;
 const CHECKS_PER_SILENCE = 4;
+/** Lines of an engine that answers again arrive within this time. */
+const LINE_GRACE_MS = 500;
 
 function failed(
   reason: EngineFailure['reason'],
@@ -118,17 +124,24 @@
   }
 
   function watchSilence(watched: Connection): void {
-    watched.watch = clock.setTimer(
+    const silentMs = clock.nowMs() - watched.heardAtMs;
+    const delayMs = Math.max(
+      options.silenceMs - silentMs,
       options.silenceMs / CHECKS_PER_SILENCE,
-      () => {
-        const silentMs = clock.nowMs() - watched.heardAtMs;
-        if (silentMs > options.silenceMs) {
-          closeConnection(watched, failed('broken', 'the stream went silent'));
-        } else {
-          watchSilence(watched);
-        }
-      },
     );
+    watched.watch = clock.setTimer(delayMs, () => void checkSilence(watched));
+  }
+
+  async function checkSilence(watched: Connection): Promise<void> {
+    const {heardAtMs} = watched;
+    const isSilent = clock.nowMs() - heardAtMs >= options.silenceMs;
+    const isAlive = isSilent && (await host.isAlive());
+    if (watched.isClosed) return;
+    if (!isAlive) return watchSilence(watched);
+    watched.watch = clock.setTimer(LINE_GRACE_MS, () => {
+      if (watched.heardAtMs > heardAtMs) return watchSilence(watched);
+      closeConnection(watched, failed('broken', 'the stream went silent'));
+    });
   }
 
   function closeWhenIdle(idle: Connection): void {
--- a/src/core/request/model_held.ts
+++ b/src/core/request/model_held.ts
@@ -6,6 +6,24 @@
 
 import type {ModelEffect, ModelState} from './model_types.js';
 
+/** Returns the effects that renew the grants of the current and held run. */
+export function getRenewals({
+  step,
+  grant,
+  held,
+  deliveredTokens: tokensDelivered,
+}: ModelState): readonly ModelEffect[] {
+  const isRunning =
+    step === 'prefilling' || step === 'importing' || step === 'decoding';
+  return [isRunning ? grant : undefined, held?.grant]
+    .filter(each => each !== undefined)
+    .map(each => ({
+      kind: 'report',
+      grant: each,
+      progress: {kind: 'renew', tokensDelivered},
+    }));
+}
+
 /** Whether an engine may have executed a part of this request. */
 export function hasModelRun(state: ModelState): boolean {
   switch (state.step) {
@@ -72,6 +90,36 @@
   ];
 }
 
+/** Returns the effects that end the held run, if there is one. */
+export function getHeldEnd(
+  {held, deliveredTokens}: ModelState,
+  result: 'cancelled' | 'failed' = 'failed',
+): readonly ModelEffect[] {
+  if (!held) return [];
+  const {attempt, grant, engine, runStartTokens} = held;
+  const {decodeEngineId, decodeAddress} = grant;
+  const isLost = result === 'failed' && engine === 'unreachable';
+  const blame: readonly ModelEffect[] = isLost
+    ? [{kind: 'blame', engineId: decodeEngineId}]
+    : [];
+  return [
+    {kind: 'stop-stream'},
+    {kind: 'release', attempt, address: decodeAddress},
+    {
+      kind: 'report',
+      grant,
+      progress: {
+        kind: 'ended',
+        result,
+        failedEngineId: isLost ? decodeEngineId : undefined,
+        tokensDelivered: deliveredTokens,
+        prefillWasted: deliveredTokens === runStartTokens,
+      },
+    },
+    ...blame,
+  ];
+}
+
 /**
  * Returns the effects that withdraw a waiting grant request, release the
  * resources at the engines and report the end of the grant.
@@ -87,5 +135,6 @@
     ...waiting,
     ...getEngineReleases(state),
     ...reportGrantEnd(state, result, {isWasted}),
+    ...getHeldEnd(state, 'cancelled'),
   ];
 }
--- a/src/core/request/model_machine.ts
+++ b/src/core/request/model_machine.ts
@@ -4,7 +4,7 @@
  */
 
 import {callerGoneError, finalError, deadlineError} from './model_errors.js';
-import {reportGrantEnd} from './model_held.js';
+import {getHeldEnd, getRenewals, reportGrantEnd} from './model_held.js';
 import {
   requestGrant,
   requestRetry,
@@ -21,6 +21,13 @@
   transitionTo,
   type ModelTransition,
 } from './model_runs.js';
+import {
+  heldFrame,
+  heldProbed,
+  holdRun,
+  keepHolding,
+  retryHeld,
+} from './model_silence.js';
 import type {
   ModelEffect,
   ModelEvent,
@@ -32,6 +39,7 @@
 export const initialModelState: ModelState = {
   step: 'new',
   attempt: 0,
+  lastAttempt: 0,
   runs: 0,
   failedEngineIds: [],
   failedGrantRequests: 0,
@@ -134,7 +142,9 @@
   'grant-refused'(facts, state, event) {
     if (!isCurrent(state, event.attempt, 'awaiting-grant'))
       return transitionTo(state);
-    return grantRefused(facts, state, event.refusal);
+    const refused = grantRefused(facts, state, event.refusal);
+    const isFinal = refused.state.step === 'ended';
+    return state.held && isFinal ? keepHolding(facts, state) : refused;
   },
   'start-due'(facts, state, event) {
     if (!isCurrent(state, event.attempt, 'awaiting-start'))
@@ -196,7 +206,8 @@
       );
     }
     return transitionTo(
-      {...state, step: 'decoding'},
+      {...state, step: 'decoding', held: undefined},
+      ...getHeldEnd(state),
       {kind: 'report', grant, progress: {kind: 'decode-started'}},
       {kind: 'release', attempt, address: grant.prefillAddress},
       {
@@ -234,6 +245,10 @@
       return transitionTo(state, {kind: 'drop', what: 'crossed'});
     }
     if (!isCurrent(state, event.attempt, 'decoding')) {
+      const {held} = state;
+      if (held?.attempt === event.attempt) {
+        return heldFrame(facts, state, held, event);
+      }
       // A `cut` frame is expected after each cancellation.
       return event.frame.kind === 'cut'
         ? transitionTo(state)
@@ -256,14 +271,18 @@
           'timeout',
         );
       case 'importing':
-      case 'decoding':
         return decodeFailed(state, 'timeout');
+      case 'decoding':
+        return holdRun(state);
       default:
         return transitionTo(state);
     }
   },
   probed(_facts, state, event) {
     if (!isCurrent(state, event.attempt, 'probing')) return transitionTo(state);
+    if (state.held && !state.grant) {
+      return heldProbed(state, state.held, event.isAlive);
+    }
     if (event.isAlive) return requestRetry(state, [], false);
     const failure = state.failure!;
     // A request that never reached the engine cannot have crashed it.
@@ -276,6 +295,7 @@
   'retry-allowed'(facts, state, event) {
     if (state.step !== 'asking-retry') return transitionTo(state);
     if (state.runs >= facts.policy.maxAttempts) {
+      if (state.held) return keepHolding(facts, state);
       return transitionTo(ended(state), {
         kind: 'fail',
         error: finalError(facts, state, {
@@ -291,6 +311,7 @@
   },
   'retry-denied'(facts, state) {
     if (state.step !== 'asking-retry') return transitionTo(state);
+    if (state.held) return keepHolding(facts, state);
     return transitionTo(ended(state), {
       kind: 'fail',
       error: finalError(facts, state, {
@@ -300,9 +321,11 @@
     });
   },
   'retry-due'(facts, state, event) {
+    if (state.step === 'holding') return retryHeld(state, state.held!);
     if (state.step !== 'backing-off') return transitionTo(state);
-    return hasTimeToServe(facts, state, event.nowMs)
-      ? requestGrant(state)
+    if (hasTimeToServe(facts, state, event.nowMs)) return requestGrant(state);
+    return state.held
+      ? keepHolding(facts, state)
       : giveUp(state, deadlineError(facts, state));
   },
   'caller-gone'(facts, state) {
@@ -334,24 +357,14 @@
     return giveUp(state, callerGoneError(state));
   },
   'renew-due'(facts, state) {
-    const isRunning =
-      state.step === 'prefilling' ||
-      state.step === 'importing' ||
-      state.step === 'decoding';
-    if (!isRunning) return transitionTo(state);
-    return transitionTo(
-      state,
-      {
-        kind: 'report',
-        grant: state.grant!,
-        progress: {kind: 'renew', tokensDelivered: state.deliveredTokens},
-      },
-      {
-        kind: 'set-timer',
-        timer: 'renew',
-        delayMs: facts.policy.renewIntervalMs,
-      },
-    );
+    const renewals = getRenewals(state);
+    if (renewals.length === 0) return transitionTo(state);
+    const delayMs = facts.policy.renewIntervalMs;
+    return transitionTo(state, ...renewals, {
+      kind: 'set-timer',
+      timer: 'renew',
+      delayMs,
+    });
   },
   deadline(facts, state) {
     if (state.step === 'ended' || state.isAbandoned) return transitionTo(state);
--- a/src/core/request/model_runs.ts
+++ b/src/core/request/model_runs.ts
@@ -45,7 +45,13 @@
 }
 
 export function ended(state: ModelState): ModelState {
-  return {...state, step: 'ended', grant: undefined, failure: undefined};
+  return {
+    ...state,
+    step: 'ended',
+    grant: undefined,
+    failure: undefined,
+    held: undefined,
+  };
 }
 
 export function giveUp(
@@ -62,7 +68,8 @@
   const next: ModelState = {
     ...state,
     step: 'awaiting-grant',
-    attempt: state.attempt + 1,
+    attempt: state.lastAttempt + 1,
+    lastAttempt: state.lastAttempt + 1,
     runStartTokens: state.deliveredTokens,
     grant: undefined,
     failure: undefined,
--- a/src/core/request/model_types.ts
+++ b/src/core/request/model_types.ts
@@ -54,6 +54,8 @@
   | 'probing'
   | 'asking-retry'
   | 'backing-off'
+  /** A silent run is held, and no other can be prepared now. */
+  | 'holding'
   | 'ended';
 
 /** The failure of the last run, until it is decided whether to retry. */
@@ -64,10 +66,23 @@
   readonly wasPrefillWasted: boolean;
 }
 
+/** A silent run that is still open while another is prepared. */
+export interface HeldRun {
+  readonly attempt: number;
+  readonly grant: Grant;
+  readonly runStartTokens: number;
+  /** Those before the engine of this run was added. */
+  readonly failedEngineIds: readonly string[];
+  /** The result of the last probe of its engine; `silent` before the first. */
+  readonly engine: 'silent' | 'alive' | 'unreachable';
+}
+
 export interface ModelState {
   readonly step: ModelStep;
   /** Number of the current grant request, from 1; each has an attempt id. */
   readonly attempt: number;
+  /** The highest number of a grant request. */
+  readonly lastAttempt: number;
   /** Number of runs started, each with a prefill. */
   readonly runs: number;
   /** Engines on which runs of this request failed. */
@@ -75,6 +90,7 @@
   /** Refused or unanswered grant requests since the last run. */
   readonly failedGrantRequests: number;
   readonly grant?: Grant;
+  readonly held?: HeldRun;
   /** Number of tokens delivered to the caller. */
   readonly deliveredTokens: number;
   /** `deliveredTokens` at the start of the current run. */
--- a/stand_ins/engine_core.ts
+++ b/stand_ins/engine_core.ts
@@ -115,7 +115,8 @@
     for (const stream of openStreams) {
       if (what !== 'freeze') stream.isSilent = true;
       if (what === 'crash') endStream(stream, failure('broken', 'engine died'));
-      else endWhenSilenceIsDetected(stream, what);
+      // A frozen engine answers no probe either, so its streams stay open.
+      if (what === 'silence') endWhenSilenceIsDetected(stream);
     }
   });
 
@@ -139,11 +140,12 @@
    * Ends the stream when its reader would miss the heartbeats; the engine keeps
    * decoding.
    */
-  function endWhenSilenceIsDetected(stream: OpenStream, what: string): void {
-    clock.setTimer(options.silenceDetectMs, () => {
-      if (what === 'freeze' && !gate.isFrozen()) return;
-      endStream(stream, failure('broken', `the stream is silent: ${what}`));
-    });
+  function endWhenSilenceIsDetected(stream: OpenStream): void {
+    clock.setTimer(options.silenceDetectMs, () =>
+      gate.whenThawed(() =>
+        endStream(stream, failure('broken', 'the stream is silent')),
+      ),
+    );
   }
 
   function endStream(stream: OpenStream, reason: EngineFailure): void {
--- a/stand_ins/engine_types.ts
+++ b/stand_ins/engine_types.ts
@@ -67,7 +67,10 @@
   readonly restartMs: number;
   /** One-way latency of in-process calls. */
   readonly latencyMs: number;
-  /** A stream that is silent for this long counts as broken. */
+  /**
+   * A stream that is silent for this long, while the engine answers on new
+   * connections, counts as broken.
+   */
   readonly silenceDetectMs: number;
 }
 
--- a/tests/stand_ins/adapters_test.ts
+++ b/tests/stand_ins/adapters_test.ts
@@ -134,6 +134,21 @@
   await engines.close();
 });
 
+test('a decode stream goes on after a pause of its engine', async () => {
+  // Guards against answers that are cut while their engine answers nothing.
+  const engines = await startEngines({answerTokens: 100});
+  const {gate} = engines.decodeCore;
+  const sessionId = await importPrompt(engines);
+  let tokens = 0;
+  const events = await decodeWhole(engines.decode, sessionId, event => {
+    if (event.kind !== 'tokens' || ++tokens !== 3) return;
+    gate.freeze();
+    setTimeout(gate.thaw, 1_500);
+  });
+  assert.equal(events.at(-1)?.kind, 'end');
+  await engines.close();
+});
+
 test('a crash cuts the stream, and later calls are unreachable', async () => {
   const engines = await startEngines({answerTokens: 9_999});
   const sessionId = await importPrompt(engines);
