Read what arrived before a late call timeout ends the call

A host that was suspended for longer than a call's timeout ended the call on waking, although the answer had arrived in time: streams were begun anew, calls that run once got 502, probes reported silence, and the upstreams were blamed.

The timers of a suspended process run before it reads its sockets.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -15,6 +15,7 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '../ports/clock.js';
 import type {AnswerBody, Cancellation, RawHeaders} from '../ports/relay.js';
+import {createCallTimeouts} from './call_timeouts.js';
 import {splitAddress} from './listen.js';
 
 export interface HttpExchangeHost {
@@ -234,9 +235,7 @@
       const settle = (outcome: HttpHead | HttpExchangeFailure) => {
         if (isSettled) return;
         isSettled = true;
-        clock.clearTimer(connectTimer);
-        clock.clearTimer(headTimer);
-        if (continueTimer) clock.clearTimer(continueTimer);
+        timeouts.clear();
         resolve(outcome);
       };
       const fail = (
@@ -260,18 +259,16 @@
         mayHaveSent = isConnected;
         request.end(call.body);
       };
-      const connectTimer = clock.setTimer(call.connectTimeoutMs, () => {
+      const timeouts = createCallTimeouts(clock);
+      timeouts.add(call.connectTimeoutMs, () => {
         if (!isConnected) fail('no connection in time');
       });
-      const headTimer = clock.setTimer(call.headTimeoutMs, () =>
-        fail('no answer in time'),
-      );
-      const continueTimer =
-        continueTimeoutMs === undefined
-          ? undefined
-          : clock.setTimer(continueTimeoutMs, () => {
-              if (!mayHaveSent) fail('the head was not read in time');
-            });
+      timeouts.add(call.headTimeoutMs, () => fail('no answer in time'));
+      if (continueTimeoutMs !== undefined) {
+        timeouts.add(continueTimeoutMs, () => {
+          if (!mayHaveSent) fail('the head was not read in time');
+        });
+      }
       cancellation?.onCancel(() => {
         settle({kind: 'cancelled'});
         request.destroy();
--- a/tests/adapters/http_exchange_test.ts
+++ b/tests/adapters/http_exchange_test.ts
@@ -140,6 +140,17 @@
   assert.equal(closed, true);
 });
 
+test('an answer that arrived while this process was suspended counts', async () => {
+  // Guards against calls that fail, and upstreams that are blamed, since the
+  // timers of this host ran before it read what had arrived in time.
+  const address = await listen(socket => {
+    socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none');
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1_500);
+  });
+  const call = makeCall(address, {headTimeoutMs: 1_000});
+  assert.equal(await readBody(makeExchange(), call), 'one');
+});
+
 test('an answer without a length that ends in a reset is not complete on a reused connection', async () => {
   const address = await listen((socket, request) => {
     if (request.includes('/first')) {
