Soak: tell a cut whose processes had no processors from a fault

The one host that is left makes the calls of all five and needs 0.3 to 0.4 of a core for it (150 to 230 ms in each 500 ms); beside 12 busy processes it ran for 25 to 70 ms and had work, but no processor, for 250 to 680 ms of each 500 to 600 ms, and so did the process of the callers and engines. Its answers to peers came later and later (0.15 to 1.3 s), their calls timed out, and the retries were used up. The check took that for a fault.

--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -70,6 +70,9 @@
     `seed ${result.seed}: ${verdict}, ${result.answered} of ${result.calls} answered; ${kinds}\n`,
   );
   for (const line of result.broken) process.stdout.write(`    ${line}\n`);
+  for (const line of result.unjudged) {
+    process.stdout.write(`    not judged: ${line}\n`);
+  }
   if (result.broken.length > 0) failures++;
 }
 process.stdout.write(`${failures} of ${values.seeds} seeds broke a promise.\n`);
