--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -32,6 +32,7 @@
 import {leftMs, type RelayJob} from '../relay_types.js';
 import type {JobOutcome} from '../job_outcome.js';
 import type {RelayMetrics} from '../relay_metrics.js';
+import type {EngineProbes} from '../silence/engine_probes.js';
 import type {EngineSilence} from '../silence/engine_silence.js';
 import {createRunWatch, type RunWatch} from '../silence/run_watch.js';
 import {createNextRuns} from './next_runs.js';
@@ -49,6 +50,7 @@
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly upstreamPort: UpstreamPort;
+  readonly probes: EngineProbes;
   readonly silence: EngineSilence;
   readonly scheduler: EngineScheduler;
   /** Places a new stream, on this host or on the host that places for it. */
@@ -230,7 +232,7 @@
       if (started.kind === 'failed') {
         const isPlaced = started.mayHaveRun
           ? await nextRuns.placeAfterBreak(state)
-          : await nextRuns.placeAfterFailedStart(state, started.error);
+          : await nextRuns.placeAfterFailedStart(state, started);
         if (isPlaced) continue;
         return refuse(state, withRetryAfter(started.error));
       }
@@ -369,6 +371,7 @@
       };
       const startedAtMs = clock.nowMs();
       const outcome = await runPlaced(state);
+      if (state.hasReservedRun) calls.giveBackRun(state);
       // Frees the prefill result now. Until its engine would drop it by itself,
       // other requests would wait for that memory.
       start.releasePrefillResult(state);
