Ask a late peer before those that decline

Under load, hosts that were cut off from all upstreams refused callers: the one host with links answered late, was passed over for a second, and the calls went to peers that are cut off as well and decline. A late peer now comes after the others and before those that decline.

--- a/src/relay/forwarding/forward_peers.ts
+++ b/src/relay/forwarding/forward_peers.ts
@@ -24,14 +24,14 @@
   noteServed(hostId: string): void;
   /** The peer declined a call, or did not reach the upstream. */
   noteUnreached(hostId: string): void;
-  /** The peer doesn't answer; it is skipped for a while. */
+  /** The peer doesn't answer; for a while, only peers that decline are worse. */
   noteFailed(hostId: string): void;
 }
 
 const MAX_CANDIDATES = 4;
-const SKIP_MS = 1_000;
+const DOUBT_MS = 1_000;
 const PROVEN_FOR_MS = 3_000;
-/** Puts a peer before or behind all others. */
+/** Puts a peer before or behind all others of another rank. */
 const RANK_COST = 1e6;
 /** Calls to another failure domain cost as much as this many more calls. */
 const OTHER_DOMAIN_CALLS = 2;
@@ -40,7 +40,7 @@
   activeCalls: number;
   servedAtMs: number;
   unreachedAtMs: number;
-  skippedUntilMs: number;
+  failedAtMs: number;
 }
 
 export function createForwardPeers(host: ForwardPeersHost): ForwardPeers {
@@ -54,7 +54,7 @@
       activeCalls: 0,
       servedAtMs: Number.NEGATIVE_INFINITY,
       unreachedAtMs: Number.NEGATIVE_INFINITY,
-      skippedUntilMs: Number.NEGATIVE_INFINITY,
+      failedAtMs: Number.NEGATIVE_INFINITY,
     };
     records.set(hostId, record);
     return record;
@@ -70,14 +70,17 @@
 
   /** The peer with the lowest cost is tried first. */
   function costOf(member: Member, nowMs: number): number {
-    const {activeCalls, servedAtMs, unreachedAtMs} = recordOf(member.hostId);
-    const isProven = nowMs - servedAtMs < PROVEN_FOR_MS;
-    const isDoubtful = nowMs - unreachedAtMs < SKIP_MS;
+    const record = recordOf(member.hostId);
+    const isProven = nowMs - record.servedAtMs < PROVEN_FOR_MS;
+    // A peer that is late may still reach the upstream.
+    const isLate = nowMs - record.failedAtMs < DOUBT_MS;
+    const isUnreached = nowMs - record.unreachedAtMs < DOUBT_MS;
     const isNear = member.failureDomain === failureDomain;
     return (
       (isProven ? -RANK_COST : 0) +
-      (isDoubtful ? RANK_COST : 0) +
-      activeCalls +
+      (isLate ? RANK_COST : 0) +
+      (isUnreached ? 2 * RANK_COST : 0) +
+      record.activeCalls +
       (isNear ? 0 : OTHER_DOMAIN_CALLS) +
       random.nextFloat()
     );
@@ -90,7 +93,6 @@
       forgetGone(peers);
       return peers
         .filter(({state}) => state === 'ready')
-        .filter(({hostId}) => recordOf(hostId).skippedUntilMs <= nowMs)
         .map(member => ({member, cost: costOf(member, nowMs)}))
         .sort((a, b) => a.cost - b.cost)
         .slice(0, MAX_CANDIDATES)
@@ -109,7 +111,7 @@
     noteFailed(hostId) {
       const record = recordOf(hostId);
       record.servedAtMs = Number.NEGATIVE_INFINITY;
-      record.skippedUntilMs = clock.nowMs() + SKIP_MS;
+      record.failedAtMs = clock.nowMs();
     },
   };
 }
