Plain calls: run the next attempt beside a silent one

Cause: the first attempt of an idempotent call was ended after 2.5 latency goals without an answer, and only then a retry, another upstream and a slot were looked for. If one was missing, the call ended with 502 although its upstream would have answered. A body that stopped for good was read without a limit.

Change: silence ends no attempt. A retry that sent nothing is returned to the budget.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -171,6 +171,8 @@
   readonly firstByteDelayMs?: number;
   /** Longest wait for a permit under the rate limit of the upstream. */
   readonly permitWaitMs?: number;
+  /** Called when the wait for the permit has ended, and the request is sent. */
+  readonly onPermitted?: () => void;
   /** Priority in the queue of an engine; 0 is first, and 5 the default. */
   readonly enginePriority?: number;
   /** Whether an answer without a content type is an event stream. */
--- a/src/relay/backpressure/gated_upstream_port.ts
+++ b/src/relay/backpressure/gated_upstream_port.ts
@@ -98,6 +98,7 @@
       const waitedMs = clock.nowMs() - startedAtMs;
       const block = gate.findBlock(upstream.id);
       if (block) return withhold(request, options, block);
+      options.onPermitted?.();
       return send(request, deductWait(options, waitedMs), cancellation);
     };
 
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -4,35 +4,34 @@
  *
  * A call that is not idempotent is sent again only if nothing was sent or the
  * upstream said that it did not run the call; so it runs at most once.
+ *
+ * An idempotent call whose upstream is silent is also sent to another, and gets
+ * the answer that comes first. The silent attempt goes on meanwhile: there may
+ * be no retry or no place for another, or the other may not run the call.
  */
 
 import type {RequestError} from '../../core/error_kinds.js';
 import type {Clock} from '../../ports/clock.js';
-import type {
-  SendFailure,
-  UpstreamAnswer,
-  UpstreamPort,
-} from '../../ports/relay.js';
-import type {PlainCallResult} from '../../scheduling/plain_balancer.js';
-import {
-  collectAnswer,
-  type CollectedAnswer,
-} from '../answers/answer_collector.js';
-import {deliverCollected, passThrough} from '../answers/answer_delivery.js';
-import {isGenuine, toCallerError} from '../answers/answer_rules.js';
-import type {RequestPriorities} from '../placement/request_priority.js';
-import {
-  CONNECT_TIMEOUT_MS,
-  leftMs,
-  KEY_WITHDRAWN,
-  type RelayJob,
-} from '../relay_types.js';
+import type {UpstreamPort} from '../../ports/relay.js';
+import {deliverCollected} from '../answers/answer_delivery.js';
+import {toCallerError} from '../answers/answer_rules.js';
 import type {JobOutcome} from '../job_outcome.js';
+import type {RequestPriorities} from '../placement/request_priority.js';
+import {KEY_WITHDRAWN, type RelayJob} from '../relay_types.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
-import {isFullNow, toNotes, toOverload, toResult} from './plain_outcomes.js';
-import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
-import {toCallWaiting} from './slot_rules.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
+import {
+  createAttemptRace,
+  type AttemptRace,
+  type RaceEntry,
+} from './attempt_race.js';
+import {
+  createPlainAttempts,
+  type AttemptEnd,
+  type Progress,
+} from './plain_attempt.js';
+import type {SlotClient, SlotNeed} from './slot_client.js';
+import {toCallWaiting} from './slot_rules.js';
 
 export interface PlainRelayHost {
   readonly clock: Clock;
@@ -52,24 +51,6 @@
   run(job: RelayJob): Promise<JobOutcome>;
 }
 
-/**
- * How long the first attempt of an idempotent call may take if another attempt
- * is left, in multiples of the latency goal: long enough for a slow run, short
- * enough that the second attempt can still be of use to the caller.
- */
-const FIRST_ATTEMPT_GOALS = 2.5;
-const MIN_FIRST_ATTEMPT_MS = 150;
-/** The upstream ends a run at its deadline itself and reports it. */
-const DEADLINE_SLACK_MS = 60;
-/** A few calls will have ended after this time. */
-const REJECTED_RETRY_MS = 100;
-const UNREACHABLE_RETRY_MS = 300;
-/**
- * An upstream that resets connections does so when it accepts them, one hop
- * after connecting and one back: some 4 ms.
- */
-const FIRST_BYTE_DELAY_MS = 6;
-const SERVER_ERROR = 500;
 /**
  * Share of the time left to a call that it may wait for a place within an
  * upstream's limit. In a longer queue all waiting calls would be late.
@@ -81,34 +62,26 @@
  */
 const MAX_SEND_COUNT = 5;
 
-interface Progress {
-  readonly tried: Set<string>;
-  readonly ran: string[];
-  sendCount: number;
-  failure: RequestError;
-  /** An upstream's error response, delivered if no other attempt succeeds. */
-  fallback?: CollectedAnswer;
+/** One call with its attempts. */
+interface PlainCall {
+  readonly job: RelayJob;
+  readonly progress: Progress;
+  readonly race: AttemptRace;
+  /** A retry is being asked for, beside a silent attempt. */
+  isRetryAsked: boolean;
 }
 
-type Step = 'done' | 'again' | 'stop';
-
 interface UpstreamSelection {
   readonly avoid: ReadonlySet<string>;
   readonly permitWaitMs: number;
 }
 
-/** Only calls that must run at most once wait, at upstreams that reset some. */
-function firstByteDelayMs({route}: RelayJob, slot: Slot): number | undefined {
-  const mustWait = route.kind !== 'idempotent' && slot.isResetting;
-  return mustWait ? FIRST_BYTE_DELAY_MS : undefined;
-}
-
-function toRejected(detail: string): RequestError {
-  return {kind: 'overloaded', detail, retryAfterMs: REJECTED_RETRY_MS};
-}
-
 export function createPlainRelay(host: PlainRelayHost): PlainRelay {
-  const {clock, upstreamPort, slots, registry, retryBudget} = host;
+  const {clock, slots, registry, retryBudget} = host;
+  const attempts = createPlainAttempts({
+    ...host,
+    canBeOnTime: job => clock.nowMs() <= toNeed(job).waiting.onTimeUntilMs,
+  });
 
   function toNeed(job: RelayJob): SlotNeed {
     const {request, route, service, deadlineAtMs, admitted} = job;
@@ -131,31 +104,44 @@
   }
 
   /** Whether the route allows another run of the call. */
-  function mayRunAgain(job: RelayJob, progress: Progress): boolean {
-    const isRepeatable = job.route.kind === 'idempotent';
-    return isRepeatable && progress.ran.length < job.route.maxAttempts;
+  function mayRunAgain({job: {route}, progress}: PlainCall): boolean {
+    return route.kind === 'idempotent' && progress.ran.size < route.maxAttempts;
   }
 
   /** Takes a retry from the budget, unless no other upstream is left to try. */
   async function consumeRetry(
-    job: RelayJob,
-    progress: Progress,
+    {service, request}: RelayJob,
+    tried: ReadonlySet<string>,
   ): Promise<boolean> {
-    if (!slots.hasOther(job.service.name, progress.tried)) return false;
-    return retryBudget.tryTake(job.service.name, job.request.requestId);
+    if (!slots.hasOther(service.name, tried)) return false;
+    return retryBudget.tryTake(service.name, request.requestId);
   }
 
-  /** The next step if the call may be sent again. */
-  async function nextStep(job: RelayJob, progress: Progress): Promise<Step> {
-    return (await consumeRetry(job, progress)) ? 'again' : 'stop';
+  /** Whether the entry goes on after an attempt that answered nothing. */
+  async function mayContinue(
+    call: PlainCall,
+    entry: RaceEntry,
+    tried: ReadonlySet<string>,
+    end: AttemptEnd,
+  ): Promise<boolean> {
+    // A later entry is the next attempt.
+    if (end === 'stop' || !entry.isLatest()) return false;
+    if (end === 'unsent') return true;
+    if (end === 'ran' && !mayRunAgain(call)) return false;
+    return consumeRetry(call.job, tried);
   }
 
-  /** The next step after a run, which the route may not allow to repeat. */
-  async function nextStepAfterRun(
-    job: RelayJob,
-    progress: Progress,
-  ): Promise<Step> {
-    return mayRunAgain(job, progress) ? nextStep(job, progress) : 'stop';
+  /** Runs another attempt beside one whose upstream is silent. */
+  async function runBeside(call: PlainCall, entry: RaceEntry): Promise<void> {
+    const {job, progress, race} = call;
+    const mayRun = mayRunAgain(call) && entry.isLatest();
+    if (!mayRun || call.isRetryAsked) return;
+    call.isRetryAsked = true;
+    const isTaken = await consumeRetry(job, progress.ran);
+    call.isRetryAsked = false;
+    if (!isTaken) return;
+    if (entry.isLatest()) race.enter(next => runEntry(call, next, true));
+    else retryBudget.giveBack(job.service.name);
   }
 
   /**
@@ -164,11 +150,10 @@
    */
   function selectUpstreams(
     job: RelayJob,
-    progress: Progress,
+    tried: ReadonlySet<string>,
     {waiting}: SlotNeed,
   ): UpstreamSelection {
     const {name} = job.service;
-    const {tried} = progress;
     const paused = registry.open(name).filter(({id}) => host.pausedMs(id) > 0);
     const avoid = new Set([...tried, ...paused.map(({id}) => id)]);
     if (slots.hasOther(name, avoid)) return {avoid, permitWaitMs: 0};
@@ -176,151 +161,53 @@
     return {avoid: tried, permitWaitMs: leftMs * PERMIT_WAIT_SHARE};
   }
 
-  function headTimeoutMs(job: RelayJob, progress: Progress): number {
-    const untilDeadlineMs = leftMs(job.deadlineAtMs, clock.nowMs());
-    const isLast =
-      job.route.kind !== 'idempotent' ||
-      progress.ran.length + 1 >= job.route.maxAttempts;
-    if (isLast) return untilDeadlineMs + DEADLINE_SLACK_MS;
-    const firstMs = Math.max(
-      MIN_FIRST_ATTEMPT_MS,
-      job.route.goalMs * FIRST_ATTEMPT_GOALS,
-    );
-    return Math.min(untilDeadlineMs, firstMs);
-  }
-
-  async function sendOnce(
-    job: RelayJob,
-    progress: Progress,
-    slot: Slot,
-    permitWaitMs: number,
-  ): Promise<Step> {
-    const {upstream, end} = slot;
-    const {request, cancellation} = job;
-    const startedAtMs = clock.nowMs();
-    progress.sendCount++;
-    const outcome = await upstreamPort.send(
-      request,
-      {
-        upstream,
-        leftMs: leftMs(job.deadlineAtMs, startedAtMs),
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        headTimeoutMs: headTimeoutMs(job, progress),
-        mayReuseConnection: job.route.kind === 'idempotent',
-        firstByteDelayMs: firstByteDelayMs(job, slot),
-        permitWaitMs,
-        expectsEvents: job.route.kind === 'stream',
-      },
-      cancellation,
-    );
-    if (outcome.kind !== 'answered') {
-      end(toResult(outcome), toNotes(outcome));
-      return handleFailure(job, progress, slot, outcome);
-    }
-    progress.ran.push(upstream.id);
-    progress.tried.add(upstream.id);
-    return handleAnswer(job, progress, outcome, end);
+  function maySend({job, progress}: PlainCall, entry: RaceEntry): boolean {
+    if (progress.sendCount >= MAX_SEND_COUNT) return false;
+    if (entry.cancellation.isCancelled) return false;
+    return clock.nowMs() < job.deadlineAtMs;
   }
 
   /**
-   * Whether a call that an upstream did not run returns to the queue of its
-   * slot: it does if it can still be on time.
+   * Sends the call to one upstream after another, and resolves to whether the
+   * caller has an answer. A retry that was taken for it is returned if it sends
+   * nothing.
    */
-  function mayQueueAgain(job: RelayJob, {hasQueue}: Slot): boolean {
-    return hasQueue && clock.nowMs() <= toNeed(job).waiting.onTimeUntilMs;
-  }
-
-  async function handleFailure(
-    job: RelayJob,
-    progress: Progress,
-    slot: Slot,
-    failure: SendFailure,
-  ): Promise<Step> {
-    const {upstream} = slot;
-    // The queue gives the call the next slot, also of the same upstream.
-    const isQueuedAgain = isFullNow(failure) && mayQueueAgain(job, slot);
-    if (!isQueuedAgain) progress.tried.add(upstream.id);
-    switch (failure.kind) {
-      case 'unreachable':
-        if (failure.wasConnected) {
-          progress.failure = toRejected(failure.detail);
-          return 'again';
-        }
-        registry.markUnreachable(upstream.id);
-        progress.failure = {
-          kind: 'no-upstream',
-          detail: failure.detail,
-          retryAfterMs: UNREACHABLE_RETRY_MS,
-        };
-        return 'again';
-      case 'withheld':
-        progress.failure = toOverload(progress.failure, failure);
-        return 'again';
-      case 'rejected':
-        if (failure.reason === 'other-instance')
-          registry.markReplaced(upstream.id);
-        progress.failure = toRejected(failure.detail);
-        return nextStep(job, progress);
-      case 'broken':
-        progress.ran.push(upstream.id);
-        progress.failure = {kind: 'upstream-failed', detail: failure.detail};
-        return nextStepAfterRun(job, progress);
-      case 'quarantined':
-        progress.failure = failure.error;
-        return 'stop';
-      case 'cancelled':
-        return 'stop';
-    }
-  }
-
-  async function handleAnswer(
-    job: RelayJob,
-    progress: Progress,
-    answer: UpstreamAnswer,
-    report: (result: PlainCallResult) => void,
-  ): Promise<Step> {
-    if (!isGenuine(answer)) {
-      answer.body.destroy();
-      report('failed');
-      progress.failure = {
-        kind: 'upstream-failed',
-        detail: `status ${answer.status} without proof`,
-      };
-      return nextStepAfterRun(job, progress);
-    }
-    if (job.route.kind === 'stream') {
-      report('ok');
-      await passThrough(job, answer);
-      return 'done';
-    }
-    const collected = await collectAnswer(answer);
-    if (collected.kind === 'large') {
-      report('ok');
-      await passThrough(job, collected.answer, collected.partial);
-      return 'done';
-    }
-    return handleCollected(job, progress, collected, report);
-  }
-
-  function handleCollected(
-    job: RelayJob,
-    progress: Progress,
-    collected: CollectedAnswer | {readonly kind: 'broken'; detail: string},
-    report: (result: PlainCallResult) => void,
-  ): Step | Promise<Step> {
-    const isFailure =
-      collected.kind === 'broken' || collected.status >= SERVER_ERROR;
-    report(isFailure ? 'failed' : 'ok');
-    if (!isFailure) {
-      deliverCollected(job.caller, collected);
-      return 'done';
-    }
-    if (collected.kind === 'broken') {
-      progress.failure = {kind: 'upstream-failed', detail: collected.detail};
-    } else {
-      progress.fallback = collected;
+  async function runEntry(
+    call: PlainCall,
+    entry: RaceEntry,
+    hasRetry: boolean,
+  ): Promise<boolean> {
+    const {progress} = call;
+    const job = {...call.job, cancellation: entry.cancellation};
+    const tried = new Set(progress.ran);
+    let isRetryUnused = hasRetry;
+    while (maySend(call, entry)) {
+      if (progress.ran.size === 0 && job.admitted.isWithdrawn()) {
+        progress.failure = KEY_WITHDRAWN;
+        break;
+      }
+      const need = toNeed(job);
+      const {avoid, permitWaitMs} = selectUpstreams(job, tried, need);
+      // A keeper would let the call wait for the upstreams that it avoids.
+      if (!slots.hasOther(job.service.name, avoid)) break;
+      const slot = await slots.acquire(need, avoid, entry.cancellation);
+      if (slot.kind === 'refused') progress.failure = slot.error;
+      if (slot.kind !== 'slot') break;
+      isRetryUnused = false;
+      const end = await attempts.send({
+        job,
+        progress,
+        entry,
+        tried,
+        slot,
+        permitWaitMs,
+        onSilent: () => void runBeside(call, entry),
+      });
+      if (end === 'done') return true;
+      if (!(await mayContinue(call, entry, tried, end))) break;
     }
-    return nextStepAfterRun(job, progress);
+    if (isRetryUnused) retryBudget.giveBack(job.service.name);
+    return false;
   }
 
   /**
@@ -337,32 +224,30 @@
     return {...error, retryAfterMs: Math.max(error.retryAfterMs, leastMs)};
   }
 
-  function finishUnanswered(job: RelayJob, progress: Progress): JobOutcome {
+  function finishUnanswered({job, progress}: PlainCall): JobOutcome {
     const {caller} = job;
-    if (job.cancellation.isCancelled) {
-      return {end: 'caller-gone', upstreams: progress.ran};
-    }
+    const upstreams = [...progress.ran];
+    if (job.cancellation.isCancelled) return {end: 'caller-gone', upstreams};
     if (progress.fallback) {
       deliverCollected(caller, progress.fallback);
       const {status} = progress.fallback;
-      return {end: 'answered', status, upstreams: progress.ran};
+      return {end: 'answered', status, upstreams};
     }
-    const hasRun = progress.ran.length > 0;
+    const hasRun = upstreams.length > 0;
     const isLate = clock.nowMs() >= job.deadlineAtMs;
     const error = toCallerError(progress.failure, hasRun, isLate);
     caller.refuse(extendRetryAfter(error, job.service.name));
     return {
       end: hasRun ? 'failed' : 'refused',
       reason: `${error.kind}: ${error.detail}`,
-      upstreams: progress.ran,
+      upstreams,
     };
   }
 
   return {
     async run(job) {
       const progress: Progress = {
-        tried: new Set(),
-        ran: [],
+        ran: new Set(),
         sendCount: 0,
         failure: {
           kind: 'no-upstream',
@@ -370,30 +255,12 @@
           retryAfterMs: 500,
         },
       };
+      const race = createAttemptRace(job.cancellation);
+      const call: PlainCall = {job, progress, race, isRetryAsked: false};
       retryBudget.requestStarted(job.service.name);
-      while (
-        progress.sendCount < MAX_SEND_COUNT &&
-        clock.nowMs() < job.deadlineAtMs &&
-        !job.cancellation.isCancelled
-      ) {
-        if (progress.ran.length === 0 && job.admitted.isWithdrawn()) {
-          progress.failure = KEY_WITHDRAWN;
-          break;
-        }
-        const need = toNeed(job);
-        const {avoid, permitWaitMs} = selectUpstreams(job, progress, need);
-        // A keeper would let the call wait for the upstreams that it avoids.
-        if (!slots.hasOther(job.service.name, avoid)) break;
-        const slot = await slots.acquire(need, avoid, job.cancellation);
-        if (slot.kind === 'refused') progress.failure = slot.error;
-        if (slot.kind !== 'slot') break;
-        const step = await sendOnce(job, progress, slot, permitWaitMs);
-        if (step === 'done') {
-          return {end: 'answered', upstreams: progress.ran};
-        }
-        if (step === 'stop') break;
-      }
-      return finishUnanswered(job, progress);
+      race.enter(entry => runEntry(call, entry, false));
+      if (!(await race.result)) return finishUnanswered(call);
+      return {end: 'answered', upstreams: [...progress.ran]};
     },
   };
 }
--- /dev/null
+++ b/tests/relay/plain/plain_site.ts
@@ -0,0 +1,179 @@
+/**
+ * One host and a few upstreams of a plain service that pause, hang or are full,
+ * in virtual time.
+ */
+
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
+import type {RouteKind} from '../../../src/core/routing_types.js';
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import type {
+  AnswerBody,
+  Cancellation,
+  SendFailure,
+  SendOptions,
+  UpstreamAnswer,
+  UpstreamPort,
+} from '../../../src/ports/relay.js';
+import {createCancellation} from '../../../src/relay/front/cancellation.js';
+import type {JobOutcome} from '../../../src/relay/job_outcome.js';
+import {createRequestPriorities} from '../../../src/relay/placement/request_priority.js';
+import {createPlainRelay} from '../../../src/relay/plain/plain_relay.js';
+import {createSlotClient} from '../../../src/relay/plain/slot_client.js';
+import type {RelayJob} from '../../../src/relay/relay_types.js';
+import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {createRetryBudget} from '../../../src/request/retry_budget.js';
+import {createPlainBalancer} from '../../../src/scheduling/plain_balancer.js';
+import {silentLog} from '../../support/silent_log.js';
+import {revisionAt} from '../../support/store_revisions.js';
+import {makeUpstream} from '../store/store_site.js';
+
+/** Times are relative to the start. */
+export interface UpstreamFaults {
+  /** Does nothing from the first time to the second. */
+  readonly pause?: readonly [number, number];
+  readonly isFull?: boolean;
+  /** Answers end in the middle, although the connections stay open. */
+  readonly bodyStalls?: boolean;
+}
+
+export interface PlainSiteOptions {
+  readonly upstreams: Readonly<Record<string, UpstreamFaults>>;
+  readonly retries?: number;
+}
+
+export interface CallOptions {
+  readonly kind?: RouteKind;
+  readonly maxAttempts?: number;
+  readonly deadlineMs?: number;
+}
+
+export interface CallEnd {
+  readonly outcome: JobOutcome;
+  readonly status?: number;
+  readonly refusal?: string;
+  readonly tookMs: number;
+}
+
+export const GOAL_MS = 200;
+const WORK_MS = 40;
+const START_MS = 1_000;
+
+export function createPlainSite(options: PlainSiteOptions) {
+  const clock = createVirtualClock(START_MS);
+  const random = createSeededRandom(1);
+  const registry = createUpstreamRegistry({clock, log: silentLog});
+  const listed = Object.keys(options.upstreams).map(makeUpstream);
+  registry.apply({revision: revisionAt(1), upstreams: listed});
+  const [{service}] = listed;
+  const balancer = createPlainBalancer({clock, random}, {ownFailureDomain: ''});
+  balancer.setUpstreams(
+    service,
+    listed.map(each => ({...each, upstreamId: each.id})),
+  );
+  const retryBudget = createRetryBudget({
+    burst: () => options.retries ?? 1_000,
+    ratioOf: () => 0,
+  });
+  const runs: string[] = [];
+  const faultsOf = (id: string) => options.upstreams[id];
+
+  /** Time from a send to its answer, without the queue of the upstream. */
+  function answerMs(id: string): number {
+    const nowMs = clock.nowMs() - START_MS;
+    const [fromMs, untilMs] = faultsOf(id).pause ?? [Infinity, Infinity];
+    const isPaused = nowMs + WORK_MS > fromMs && nowMs < untilMs;
+    return isPaused ? untilMs - nowMs + WORK_MS : WORK_MS;
+  }
+
+  function toBody(id: string): AnswerBody {
+    return {
+      isUnframed: false,
+      read(sink) {
+        sink.chunk(Buffer.from('half'));
+        if (!faultsOf(id).bodyStalls) sink.end();
+      },
+      pause: () => undefined,
+      resume: () => undefined,
+      destroy: () => undefined,
+    };
+  }
+
+  function send(
+    {upstream: {id}, headTimeoutMs}: SendOptions,
+    cancellation: Cancellation,
+  ): Promise<UpstreamAnswer | SendFailure> {
+    if (faultsOf(id).isFull) {
+      return Promise.resolve({kind: 'rejected', reason: 'full', detail: ''});
+    }
+    runs.push(id);
+    return new Promise(resolve => {
+      clock.setTimer(headTimeoutMs, () =>
+        resolve({kind: 'broken', detail: ''}),
+      );
+      cancellation.onCancel(() => resolve({kind: 'cancelled'}));
+      clock.setTimer(answerMs(id), () =>
+        resolve({
+          kind: 'answered',
+          status: 200,
+          headers: [],
+          hasSignature: true,
+          body: toBody(id),
+        }),
+      );
+    });
+  }
+
+  const port: Pick<UpstreamPort, 'send'> = {
+    send: (_, sendOptions, cancellation) => send(sendOptions, cancellation),
+  };
+  const relay = createPlainRelay({
+    clock,
+    upstreamPort: port as UpstreamPort,
+    registry,
+    retryBudget,
+    priorities: createRequestPriorities({routing: () => undefined}),
+    pausedMs: () => 0,
+    slots: createSlotClient({
+      clock,
+      log: silentLog,
+      firstAskId: 1,
+      registry,
+      balancer,
+      keepers: () => [],
+      hostCount: () => 1,
+      send: () => undefined,
+      sendToOwnPart: () => undefined,
+    }),
+  });
+
+  async function call(each: CallOptions = {}): Promise<CallEnd> {
+    const arrivedAtMs = clock.nowMs();
+    const {kind = 'idempotent', maxAttempts = 2, deadlineMs = 5_000} = each;
+    let status: number | undefined;
+    let refusal: string | undefined;
+    const job = {
+      request: {requestId: 'r', arrivedAtMs},
+      route: {kind, goalMs: GOAL_MS, maxAttempts},
+      service: {name: service},
+      caller: {
+        begin: (code: number) => (status = code),
+        write: () => true,
+        end: () => undefined,
+        cut: () => undefined,
+        refuse: (error: {kind: string}) => (refusal = error.kind),
+      },
+      cancellation: createCancellation(),
+      deadlineAtMs: arrivedAtMs + deadlineMs,
+      admitted: {isWithdrawn: () => false},
+    } as unknown as RelayJob;
+    const outcome = await relay.run(job);
+    return {outcome, status, refusal, tookMs: clock.nowMs() - arrivedAtMs};
+  }
+
+  return {
+    clock,
+    call,
+    runs,
+    retriesLeft: (count: number) => retryBudget.hasLeft(service, count),
+  };
+}
--- /dev/null
+++ b/tests/relay/plain/silent_upstreams_test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  createPlainSite,
+  GOAL_MS,
+  type CallEnd,
+  type CallOptions,
+  type PlainSiteOptions,
+  type UpstreamFaults,
+} from './plain_site.js';
+
+const PAUSED: UpstreamFaults = {pause: [100, 1_600]};
+const FOREVER: UpstreamFaults = {pause: [0, Infinity]};
+/** Calls arrive from shortly before the pause to its middle. */
+const CALLS = 20;
+const INTERVAL_MS = 40;
+
+async function play(options: PlainSiteOptions, each?: CallOptions) {
+  const site = createPlainSite(options);
+  const ends: CallEnd[] = [];
+  for (let i = 0; i < CALLS; i++) {
+    void site.call(each).then(end => ends.push(end));
+    await site.clock.advance(INTERVAL_MS);
+  }
+  await site.clock.advance(10_000);
+  const served = ends.filter(({status}) => status === 200);
+  return {site, ends, served};
+}
+
+test('a silence of all upstreams ends no call, with or without retries', async () => {
+  // Guards against calls ended after 2.5 goals before their next attempt is sure.
+  const upstreams = {a: PAUSED, b: PAUSED, c: PAUSED};
+  for (const retries of [0, 3, 1_000]) {
+    const {served} = await play({upstreams, retries});
+    assert.equal(served.length, CALLS, `${retries} retries`);
+  }
+});
+
+test('a silence of some upstreams ends no call while the others are full', async () => {
+  const full: UpstreamFaults = {isFull: true};
+  const {served} = await play({upstreams: {a: PAUSED, b: full, c: full}});
+  assert.equal(served.length, CALLS);
+});
+
+test('an attempt that is answered late makes no further attempt necessary', async () => {
+  // Guards against retries that were taken for an attempt that was not made.
+  const {site} = await play({upstreams: {a: PAUSED}, retries: 5});
+  assert.equal(site.runs.length, CALLS);
+  assert.ok(site.retriesLeft(5));
+});
+
+test('calls go on elsewhere when an upstream is silent for good', async () => {
+  const {site, ends, served} = await play({upstreams: {a: FOREVER, b: {}}});
+  assert.equal(served.length, CALLS);
+  const slowestMs = Math.max(...ends.map(({tookMs}) => tookMs));
+  assert.ok(slowestMs <= 2.5 * GOAL_MS + 100, `${slowestMs} ms`);
+  const silentRuns = site.runs.filter(id => id === 'a').length;
+  assert.ok(silentRuns <= 8, `${silentRuns} runs at the silent upstream`);
+});
+
+test('calls go on elsewhere when bodies stop for good', async () => {
+  // Guards against calls that end with their callers' patience.
+  const stalled: UpstreamFaults = {bodyStalls: true};
+  const {ends, served} = await play({upstreams: {a: stalled, b: {}}});
+  assert.equal(served.length, CALLS);
+  const slowestMs = Math.max(...ends.map(({tookMs}) => tookMs));
+  assert.ok(slowestMs <= 2.5 * GOAL_MS + 150, `${slowestMs} ms`);
+});
+
+test('a call runs at no more upstreams than its route allows', async () => {
+  const upstreams = {a: FOREVER, b: FOREVER, c: FOREVER, d: FOREVER};
+  const {ends, site} = await play({upstreams}, {maxAttempts: 3});
+  assert.ok(site.runs.length <= 3 * CALLS);
+  assert.ok(ends.every(({outcome}) => outcome.upstreams.length === 3));
+  assert.ok(ends.every(({refusal}) => refusal === 'deadline-passed'));
+});
+
+test('a call that must run once is sent to one upstream and waits for it', async () => {
+  const upstreams = {a: PAUSED, b: PAUSED, c: {}};
+  const {site, served} = await play({upstreams}, {kind: 'non-idempotent'});
+  assert.equal(served.length, CALLS);
+  assert.equal(site.runs.length, CALLS);
+});
