Bound the weight of one call in a host's mean duration

Cause: after a pause of its upstreams a host's mean duration of calls was up to a second. The latest start of each following call, which is computed from it, had passed on arrival, so sound calls were sorted last or refused.

Change: a call counts as at most twice the mean; a lasting change is still followed within some twenty calls.

Result: the new test failed before: after eight calls of 1.5 s the mean was 871 ms instead of 40, now 86.

--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -98,6 +98,11 @@
 /** Assumed until calls of the service have ended at this host. */
 const INITIAL_CALL_MS = 40;
 const SMOOTHING = 0.1;
+/**
+ * A call counts as at most this multiple of the mean: one that ran through a
+ * pause of its upstream must not make the next ones seem hopeless.
+ */
+const MAX_COUNTED_CALLS = 2;
 
 /**
  * Result of a request to one keeper: `silent` if it does not answer, `unknown`
@@ -141,7 +146,8 @@
 
   function recordDuration(service: string, durationMs: number): void {
     const before = meanCallMs(service);
-    meanMsByService.set(service, before + SMOOTHING * (durationMs - before));
+    const countedMs = Math.min(durationMs, MAX_COUNTED_CALLS * before);
+    meanMsByService.set(service, before + SMOOTHING * (countedMs - before));
   }
 
   function chooseLocally(
--- a/tests/relay/plain/slot_client_test.ts
+++ b/tests/relay/plain/slot_client_test.ts
@@ -105,3 +105,18 @@
   assert.equal(clock.nowMs(), nowMs);
   assert.equal(sent.length, 0);
 });
+
+test('calls that ran through a pause do not make the next ones hopeless', async () => {
+  // Guards against calls refused for a mean duration of seconds at sound upstreams.
+  const {clock, registry, slots} = makeSlotClient('a', []);
+  const upstreams = [makeUpstream('a')];
+  registry.apply({revision: revisionAt(1), upstreams});
+  const waiting = {arrivedAtMs: 0, onTimeUntilMs: 0, giveUpAtMs: 0};
+  const need = {requestId: 'r', service: SERVICE, waiting};
+  const acquire = () => slots.acquire(need, new Set(), createCancellation());
+  const usualMs = slots.meanCallMs(SERVICE);
+  const calls = await Promise.all(Array.from({length: 8}, acquire));
+  await clock.advance(1_500);
+  for (const slot of calls) if (slot.kind === 'slot') slot.end('ok');
+  assert.ok(slots.meanCallMs(SERVICE) < 2.5 * usualMs);
+});
