Hold calls back from plain upstreams that reset connections

Cause: an upstream that closes each new connection without an answer ends its calls within milliseconds, so it always has free slots. While the others are full, the keeper gives it every call that waits; the exclusion of unhealthy upstreams does not apply, as no other has room.

Forecasts leave it out unless all upstreams reset connections.

The new test failed before.

--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -16,6 +16,7 @@
   type ServiceState,
 } from './service_state.js';
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
+import {createResetBackoff} from './reset_backoff.js';
 import {createResetMemory} from './reset_memory.js';
 import {
   forecastSlotMs,
@@ -85,6 +86,7 @@
   const calls = new Map<string, OpenCall>();
   const services = new Map<string, ServiceState>();
   const resets = createResetMemory({clock});
+  const backoff = createResetBackoff({clock});
   const expiry = createSlotExpiry(host);
   let timer: TimerHandle | undefined;
 
@@ -107,7 +109,8 @@
 
   function isFull(state: ServiceState, upstream: Upstream): boolean {
     if (clock.nowMs() < (state.fullUntilMs.get(upstream.id) ?? 0)) return true;
-    return (state.runs.get(upstream.id) ?? 0) >= maxCallsAt(state, upstream);
+    const maxCalls = backoff.limit(upstream.id, maxCallsAt(state, upstream));
+    return (state.runs.get(upstream.id) ?? 0) >= maxCalls;
   }
 
   function hasRoom(service: string, state: ServiceState): boolean {
@@ -197,7 +200,10 @@
       if (left > 0) state.runs.set(call.upstreamId, left);
       else state.runs.delete(call.upstreamId);
       balancer.ended(call.service, call.upstreamId, result, durationMs);
-      if (result === 'ok') expiry.noteAnswer(call.upstreamId);
+      if (result === 'ok') {
+        expiry.noteAnswer(call.upstreamId);
+        backoff.noteAnswer(call.upstreamId);
+      }
       if (result === 'ok' && isMeasured(durationMs, state)) {
         state.meanCallMs += SMOOTHING * (durationMs - state.meanCallMs);
         state.limit.record(call.concurrency, durationMs);
@@ -205,7 +211,10 @@
         part?.noteEnd(call.service, {kind: 'ok', durationMs});
       }
       if (message.isFull === true) noteFull(call.service, call.upstreamId);
-      if (message.wasReset === true) resets.note(call.upstreamId);
+      if (message.wasReset === true) {
+        resets.note(call.upstreamId);
+        backoff.noteReset(call.upstreamId);
+      }
     }
     startAll();
   }
@@ -220,11 +229,13 @@
   }
 
   function loadOf(service: string, state: ServiceState): SlotLoad {
+    const open = host.open(service);
+    const sound = open.filter(({id}) => !backoff.isHeldBack(id));
+    // If all reset connections, any of them may go on within the wait.
+    const counted = sound.length > 0 ? sound : open;
     const maxCalls = Math.min(
       part?.maxCalls(service) ?? Infinity,
-      host
-        .open(service)
-        .reduce((sum, each) => sum + maxCallsAt(state, each), 0),
+      counted.reduce((sum, each) => sum + maxCallsAt(state, each), 0),
     );
     return {maxCalls, meanCallMs: state.meanCallMs};
   }
--- a/tests/relay/plain/slot_load.ts
+++ b/tests/relay/plain/slot_load.ts
@@ -53,7 +53,7 @@
   readonly late: number;
   readonly refused: number;
   readonly rejected: number;
-  /** Calls broken off by a lost upstream. */
+  /** Calls broken off by an upstream. */
   readonly broken: number;
   /**
    * Refused calls for which half of the slots became free while their callers
@@ -293,6 +293,9 @@
         case 'broken':
           figures.broken++;
           return slot.end('failed');
+        case 'reset':
+          figures.broken++;
+          return slot.end('failed', {wasReset: true});
         case 'ok':
           slot.end('ok');
           if (clock.nowMs() - first <= goalMs) figures.onTime++;
--- a/tests/relay/plain/slot_server_test.ts
+++ b/tests/relay/plain/slot_server_test.ts
@@ -148,3 +148,18 @@
     assert.ok(figures.onTime / figures.calls > share, text);
   }
 });
+
+test('an upstream that resets connections does not get the calls that wait', async () => {
+  // Guards against an upstream that ends calls at once, so that it always has
+  // free slots while the others are full.
+  const load = {basePerS: 130, burstPerS: 220, hasKeepers: true, workMs: 60};
+  for (const seed of [1, 2, 3]) {
+    const resetting = {count: 1, fromMs: 4_000, untilMs: 5_500};
+    const times = {goalMs: 300, deadlineMs: 1_500};
+    const figures = await simulateSlotLoad({
+      ...{...load, ...times, resetting, seed},
+    });
+    assert.ok(figures.broken <= 20, JSON.stringify(figures));
+    assert.ok(figures.onTime / figures.calls > 0.9, JSON.stringify(figures));
+  }
+});
--- a/tests/relay/plain/slot_upstreams.ts
+++ b/tests/relay/plain/slot_upstreams.ts
@@ -21,6 +21,8 @@
   readonly slowShare?: number;
   /** Do no work in this time; connections to them are accepted. */
   readonly paused?: UpstreamFault;
+  /** Close each new connection in this time, once the call was written. */
+  readonly resetting?: UpstreamFault;
   /** Break off their calls and refuse connections in this time. */
   readonly lost?: UpstreamFault;
 }
@@ -33,12 +35,14 @@
 }
 
 /** How a call ends at an upstream. */
-export type WorkEnd = 'ok' | 'full' | 'broken' | 'unreachable';
+export type WorkEnd = 'ok' | 'full' | 'broken' | 'reset' | 'unreachable';
 
 export const SLOTS = 6;
 const QUEUE = 24;
 const WORK_MS = 43;
 const SLOW_FACTOR = 2.5;
+/** Until a resetting upstream has closed a connection. */
+const RESET_MS = 10;
 
 interface UpstreamModel {
   running: number;
@@ -84,6 +88,10 @@
     if (isIn(options.paused, id)) return void held.push(() => enter(id, end));
     const model = models.get(id)!;
     const {queue} = model;
+    if (isIn(options.resetting, id)) {
+      clock.setTimer(RESET_MS, () => end('reset'));
+      return;
+    }
     if (queue.length >= QUEUE) return end('full');
     const finish = () => {
       if (isIn(options.paused, id)) return void held.push(finish);
