Forecast plain slots by the most calls of the last two seconds

Cause: when a service loses an upstream, or its limit falls for a moment, the forecast for all waiting calls grows at once, and calls are refused for which slots are free before they would have been given up.

Change: forecasts use the largest number of calls that could run at once in the last 2 s.

The new test failed before.

--- a/src/relay/plain/service_state.ts
+++ b/src/relay/plain/service_state.ts
@@ -4,6 +4,7 @@
 import type {Random} from '../../ports/random.js';
 import type {Waiting} from '../placement/wait_rules.js';
 import {createCallLimit, type CallLimit} from './call_limit.js';
+import {createRecentMaximum, type RecentMaximum} from './recent_maximum.js';
 import {createRetrySchedule, type RetrySchedule} from './retry_schedule.js';
 import type {Expiry} from './slot_expiry.js';
 import {createSlowUpstreams, type SlowUpstreams} from './slow_upstreams.js';
@@ -31,6 +32,8 @@
   readonly limit: CallLimit;
   readonly slow: SlowUpstreams;
   readonly retries: RetrySchedule;
+  /** Calls that may run at once. */
+  readonly capacity: RecentMaximum;
   /** Upstreams that refused a call get none until these times. */
   readonly fullUntilMs: Map<string, number>;
   /** Until then, upstreams may run calls that this keeper does not know. */
@@ -52,6 +55,7 @@
     limit: createCallLimit({clock}),
     slow: createSlowUpstreams({clock}),
     retries: createRetrySchedule({clock, random}),
+    capacity: createRecentMaximum({clock}),
     fullUntilMs: new Map(),
     unknownUntilMs: -Infinity,
   };
--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -233,9 +233,11 @@
     const sound = open.filter(({id}) => !backoff.isHeldBack(id));
     // If all reset connections, any of them may go on within the wait.
     const counted = sound.length > 0 ? sound : open;
+    const sum = counted.reduce((n, each) => n + maxCallsAt(state, each), 0);
+    // An upstream that was lost just now is often back while a call waits.
     const maxCalls = Math.min(
       part?.maxCalls(service) ?? Infinity,
-      counted.reduce((sum, each) => sum + maxCallsAt(state, each), 0),
+      state.capacity.update(sum),
     );
     return {maxCalls, meanCallMs: state.meanCallMs};
   }
--- a/tests/relay/plain/slot_queue_test.ts
+++ b/tests/relay/plain/slot_queue_test.ts
@@ -28,12 +28,13 @@
     UPSTREAMS.map(each => ({...each, upstreamId: each.id})),
   );
   const answers: SlotAnswer[] = [];
+  const open = [...UPSTREAMS];
   const server = createSlotServer({
     hostId: 'keeper',
     clock,
     random,
     balancer,
-    open: () => UPSTREAMS,
+    open: () => open,
     maxCallsAt: () => 2,
     send: (_, answer) => answers.push(answer),
   });
@@ -55,7 +56,7 @@
       isFull,
     });
   const kinds = () => answers.map(({kind}) => kind);
-  return {clock, answers, ask, end, kinds};
+  return {clock, answers, open, ask, end, kinds};
 }
 
 test('a keeper that has just started takes the upstreams for half full', async () => {
@@ -146,3 +147,16 @@
     assert.equal(read({onTimeMs}), undefined);
   }
 });
+
+test('calls do not count as hopeless as soon as an upstream is lost', async () => {
+  // Guards against calls refused by a forecast, and slots that are free soon after.
+  const {clock, open, ask, end, kinds} = makeKeeper();
+  end(ask(2_000));
+  await clock.advance(1_030);
+  for (let i = 0; i < 60; i++) ask(1_000);
+  open.pop();
+  await clock.advance(200);
+  assert.ok(!kinds().includes('slot-refused'));
+  await clock.advance(2_000);
+  assert.ok(kinds().includes('slot-refused'));
+});
