--- a/src/relay/streams/budgeted_calls.ts
+++ b/src/relay/streams/budgeted_calls.ts
@@ -19,19 +19,25 @@
 };
 
 export interface BudgetedCalls {
-  /** Makes a prefill call. The first one that an engine accepts is free. */
+  /**
+   * Makes a prefill call. The first one that an engine accepts is free. For a
+   * call that follows a silent one, the retry was reserved before that ended.
+   */
   prefill(
     state: StreamState,
     call: () => Promise<PrefillOutcome>,
+    isReserved?: boolean,
   ): Promise<PrefillOutcome | NoRetries>;
   /** Makes a call that runs the request at a decode engine. */
   run<Answer extends {readonly kind: 'answered'}>(
     state: StreamState,
     call: () => Promise<Answer | SendFailure>,
   ): Promise<Answer | SendFailure | NoRetries>;
+  /** Returns whether the budget allows one more call. */
+  canRetryCall(state: StreamState): boolean;
   /** Returns whether the budget allows one more run and its prefill. */
   canRetryRun(state: StreamState): boolean;
-  /** Takes the retry for the next run; resolves to whether one was left. */
+  /** Takes the retry for the next call; resolves to whether one was left. */
   reserveRun(state: StreamState): Promise<boolean>;
   /** Returns a reserved retry. */
   giveBackRun(state: StreamState): void;
@@ -67,7 +73,7 @@
     isReserved = false,
   ): Promise<Outcome | NoRetries> {
     const service = state.job.service.name;
-    const isRetry = state.countedCalls > 0;
+    const isRetry = isReserved || state.countedCalls > 0;
     if (isRetry && !isReserved && !(await take(state))) return NO_RETRIES;
     const outcome = await call();
     // A call that was never sent costs the engines nothing.
@@ -80,14 +86,20 @@
   }
 
   return {
-    prefill: (state, call) =>
-      callWithinBudget(state, call, ({kind}) => {
-        const isFirst = kind === 'prefilled' && !state.wasPrefilled;
-        if (kind === 'prefilled') state.wasPrefilled = true;
-        return !isFirst;
-      }),
+    prefill: (state, call, isReserved) =>
+      callWithinBudget(
+        state,
+        call,
+        ({kind}) => {
+          const isFirst = kind === 'prefilled' && !state.wasPrefilled;
+          if (kind === 'prefilled') state.wasPrefilled = true;
+          return !isFirst;
+        },
+        isReserved,
+      ),
     run: (state, call) =>
       callWithinBudget(state, call, () => true, takeReserved(state)),
+    canRetryCall: ({job}) => budget.hasLeft(job.service.name, 1),
     canRetryRun: ({job}) => budget.hasLeft(job.service.name, CALLS_PER_RUN),
     reserveRun: take,
     giveBackRun: ({job}) => budget.giveBack(job.service.name),
--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -110,6 +110,8 @@
       state.placement.run.outputTokens,
     );
     const missing = await readPrompt(next);
+    // Only the first prompt that an engine reads is free, used or not.
+    state.wasPrefilled ||= next.wasPrefilled;
     if (missing === undefined && !cancellation.isCancelled) return {next};
     if (next.source) host.upstreamPort.releasePrefill(next.source);
     return missing ?? 'cancelled';
@@ -157,6 +159,7 @@
     },
     adopt(state, {next}) {
       endBookings(state.placement);
+      if (state.source) host.upstreamPort.releasePrefill(state.source);
       state.avoid.add(state.placement.decode.id);
       state.placement = next.placement;
       state.source = next.source;
--- a/tests/relay/silence/engine_silence_test.ts
+++ b/tests/relay/silence/engine_silence_test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
-import type {RelayRequest} from '../../../src/ports/relay.js';
+import type {RelayRequest, UpstreamPort} from '../../../src/ports/relay.js';
 import {createRunLog, type Run} from '../../../src/relay/crashes/run_log.js';
+import {createEngineProbes} from '../../../src/relay/silence/engine_probes.js';
 import {createEngineSilence} from '../../../src/relay/silence/engine_silence.js';
 import {makeEngine} from '../placement/lone_scheduler.js';
 
@@ -15,19 +16,20 @@
   const engines = Array.from({length: count}, (_, i) => makeEngine(`d${i}`));
   const runLog = createRunLog({clock});
   const paused = new Set<string>();
+  const gone = new Set<string>();
   const probed: string[] = [];
+  const probe: UpstreamPort['probe'] = async ({id}) => {
+    probed.push(id);
+    if (gone.has(id)) return 'refused';
+    if (!paused.has(id)) return 'answered';
+    await new Promise<void>(done => clock.setTimer(PROBE_TIMEOUT_MS, done));
+    return 'no-answer';
+  };
   const silence = createEngineSilence({
     clock,
     registry: {open: () => engines},
     runs: runLog,
-    upstreamPort: {
-      async probe({id}) {
-        probed.push(id);
-        if (!paused.has(id)) return 'answered';
-        await new Promise<void>(done => clock.setTimer(PROBE_TIMEOUT_MS, done));
-        return 'no-answer';
-      },
-    },
+    probes: createEngineProbes({clock, upstreamPort: {probe}}),
   });
   const startRun = (i: number): Run => {
     const request = {requestId: 'r', body: Buffer.alloc(0)} as RelayRequest;
@@ -35,7 +37,7 @@
     runLog.noteAnswer(run);
     return run;
   };
-  return {clock, engines, runLog, paused, probed, silence, startRun};
+  return {clock, engines, runLog, paused, gone, probed, silence, startRun};
 }
 
 test('one silent engine among others is not a common silence', async () => {
@@ -100,3 +102,36 @@
   await clock.advance(600);
   assert.deepEqual(await Promise.all(answers), [true, false]);
 });
+
+test('an engine whose connections here have died is one to go over to', async () => {
+  // Guards against runs that are never left since every engine has dead runs.
+  const {clock, engines, silence, startRun} = makeEngines(2);
+  startRun(0);
+  startRun(1);
+  await clock.advance(2_000);
+  const answers = silence.answers(engines[1]);
+  await clock.advance(600);
+  assert.ok(await answers);
+});
+
+test('dead connections to engines that answer are no common silence', async () => {
+  // Guards against callers that wait for the last start at a lone dead engine.
+  const {clock, engines, paused, silence, startRun} = makeEngines(3);
+  for (const i of engines.keys()) startRun(i);
+  paused.add('d0');
+  await clock.advance(1_000);
+  for (let i = 0; i < 4; i++) {
+    silence.investigate(engines[0]);
+    await clock.advance(100);
+  }
+  assert.ok(!silence.isCommon(SERVICE));
+});
+
+test('an engine that has just ended is no engine to go over to', async () => {
+  // Guards against leaving a run for an engine that sent bytes before its end.
+  const {clock, engines, gone, silence, startRun} = makeEngines(1);
+  startRun(0);
+  await clock.advance(400);
+  gone.add('d0');
+  assert.ok(!(await silence.answers(engines[0])));
+});
