Count usual plain calls in full in a host's mean duration

Cause: counting each call as at most twice the mean cuts off the usual long calls as well (one in a hundred takes five times the mean, and calls at slow upstreams 2.5 times), so the mean was too low and calls started too late.

Change: only calls above six mean durations and 250 ms, which may have run through a pause, count as twice the mean.

--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -99,10 +99,14 @@
 const INITIAL_CALL_MS = 40;
 const SMOOTHING = 0.1;
 /**
- * A call counts as at most this multiple of the mean: one that ran through a
- * pause of its upstream must not make the next ones seem hopeless.
+ * A call that takes longer than both may have run through a pause of its
+ * upstream, which must not make the next ones seem hopeless. One call in a
+ * hundred takes five times as long as the mean.
  */
-const MAX_COUNTED_CALLS = 2;
+const LONG_CALLS = 6;
+const LONG_MS = 250;
+/** A long call counts as this multiple of the mean, so lasting changes show. */
+const LONG_COUNTED_CALLS = 2;
 
 /**
  * Result of a request to one keeper: `silent` if it does not answer, `unknown`
@@ -146,7 +150,8 @@
 
   function recordDuration(service: string, durationMs: number): void {
     const before = meanCallMs(service);
-    const countedMs = Math.min(durationMs, MAX_COUNTED_CALLS * before);
+    const isLong = durationMs > Math.max(LONG_MS, LONG_CALLS * before);
+    const countedMs = isLong ? LONG_COUNTED_CALLS * before : durationMs;
     meanMsByService.set(service, before + SMOOTHING * (countedMs - before));
   }
 
