End plain calls that are placed again at their deadline

Cause: the pause before a call is placed again did not end with its deadline.

Result: the new test failed before (1,000 ms with a deadline of 900).

--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -18,7 +18,7 @@
 import {toCallerError} from '../answers/answer_rules.js';
 import type {JobOutcome} from '../job_outcome.js';
 import type {RequestPriorities} from '../placement/request_priority.js';
-import {KEY_WITHDRAWN, type RelayJob} from '../relay_types.js';
+import {KEY_WITHDRAWN, leftMs, type RelayJob} from '../relay_types.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {createNextAttempts} from './next_attempts.js';
@@ -142,8 +142,9 @@
   async function waitToPlaceAgain({job, progress}: PlainCall) {
     const {tried} = progress;
     if (!slots.hasOther(job.service.name, tried)) tried.clear();
+    const untilDeadlineMs = leftMs(job.deadlineAtMs, clock.nowMs());
     await new Promise<void>(resolve => {
-      clock.setTimer(PLACE_AGAIN_MS, resolve);
+      clock.setTimer(Math.min(PLACE_AGAIN_MS, untilDeadlineMs), resolve);
       job.cancellation.onCancel(resolve);
     });
     return isOpen(job);
--- a/tests/relay/plain/silent_upstreams_test.ts
+++ b/tests/relay/plain/silent_upstreams_test.ts
@@ -50,6 +50,13 @@
   assert.equal(served.length, CALLS);
 });
 
+test('a call that is placed again ends at its deadline', async () => {
+  const full: UpstreamFaults = {isFull: true};
+  const upstreams = {a: FOREVER, b: full, c: full, d: full};
+  const {slowestMs} = await play({upstreams}, {deadlineMs: 900});
+  assert.ok(slowestMs <= 960, `${slowestMs} ms`);
+});
+
 test('a silence of all upstreams costs no run and no retry', async () => {
   const upstreams = {a: PAUSED, b: PAUSED, c: PAUSED};
   const {site} = await play({upstreams, retries: 5});
