--- /dev/null
+++ b/src/relay/plain/plain_attempt.ts
@@ -0,0 +1,320 @@
+/**
+ * Sends a call to one upstream and decides what its outcome means for the call.
+ *
+ * An upstream that is silent may be paused and answer later, so its attempt
+ * ends only when another is ready to follow.
+ */
+
+import type {RequestError} from '../../core/error_kinds.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {
+  SendFailure,
+  UpstreamAnswer,
+  UpstreamPort,
+} from '../../ports/relay.js';
+import {
+  collectAnswer,
+  type Collected,
+  type CollectedAnswer,
+} from '../answers/answer_collector.js';
+import {deliverCollected, passThrough} from '../answers/answer_delivery.js';
+import {isGenuine} from '../answers/answer_rules.js';
+import {joinCancellations} from '../front/cancellation.js';
+import {CONNECT_TIMEOUT_MS, leftMs, type RelayJob} from '../relay_types.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
+import {
+  createAttemptWatch,
+  type AttemptWatch,
+  type AttemptWatchHost,
+  type NextAttempt,
+  type UpstreamSilence,
+} from './attempt_watch.js';
+import {isFullNow, toNotes, toOverload, toResult} from './plain_outcomes.js';
+import type {Slot} from './slot_client.js';
+
+export interface PlainAttemptHost {
+  readonly clock: Clock;
+  readonly log: Pick<Logger, 'info'>;
+  readonly upstreamPort: Pick<UpstreamPort, 'send'>;
+  readonly registry: Pick<UpstreamRegistry, 'markReplaced' | 'markUnreachable'>;
+  readonly silence: UpstreamSilence;
+  /** Whether the call can still be on time if it starts now. */
+  canBeOnTime(job: RelayJob): boolean;
+}
+
+/** What the attempts of a call share. */
+export interface Progress {
+  /** Upstreams that may have run the call, in order. */
+  readonly ran: Set<string>;
+  /** Upstreams that are not chosen next. */
+  readonly tried: Set<string>;
+  sendCount: number;
+  /** An attempt was left for another although it could have been answered. */
+  hasLeft: boolean;
+  failure: RequestError;
+  /** An upstream's error response, delivered if no other attempt succeeds. */
+  fallback?: CollectedAnswer;
+}
+
+export interface PlainAttempt {
+  readonly job: RelayJob;
+  readonly progress: Progress;
+  readonly slot: Slot;
+  readonly permitWaitMs: number;
+  /** Prepares the attempt that follows if the upstream is silent. */
+  readonly prepareNext?: AttemptWatchHost['prepare'];
+}
+
+/** The end of an attempt. */
+export type AttemptEnd =
+  /** The caller has an answer. */
+  | 'done'
+  /** Nothing arrived at the upstream. */
+  | 'unsent'
+  /** The upstream did not run the call. */
+  | 'not-run'
+  /** The upstream may have run the call, without a usable answer. */
+  | 'ran'
+  /** The call must not be sent again. */
+  | 'stop'
+  /** The upstream was silent, and this attempt follows. */
+  | NextAttempt;
+
+export interface PlainAttempts {
+  send(attempt: PlainAttempt): Promise<AttemptEnd>;
+}
+
+/**
+ * When an attempt counts as silent, in multiples of the latency goal: long
+ * enough for a slow run, short enough that another attempt can still be of use
+ * to the caller.
+ */
+const SILENT_GOALS = 2.5;
+const MIN_SILENT_MS = 150;
+/** The upstream ends a run at its deadline itself and reports it. */
+const DEADLINE_SLACK_MS = 60;
+/** A few calls will have ended after this time. */
+const REJECTED_RETRY_MS = 100;
+const UNREACHABLE_RETRY_MS = 300;
+/**
+ * An upstream that resets connections does so when it accepts them, one hop
+ * after connecting and one back: some 4 ms.
+ */
+const FIRST_BYTE_DELAY_MS = 6;
+const SERVER_ERROR = 500;
+
+/** Only calls that must run at most once wait, at upstreams that reset some. */
+function firstByteDelayMs({route}: RelayJob, slot: Slot): number | undefined {
+  const mustWait = route.kind !== 'idempotent' && slot.isResetting;
+  return mustWait ? FIRST_BYTE_DELAY_MS : undefined;
+}
+
+function toRejected(detail: string): RequestError {
+  return {kind: 'overloaded', detail, retryAfterMs: REJECTED_RETRY_MS};
+}
+
+export function createPlainAttempts(host: PlainAttemptHost): PlainAttempts {
+  const {clock, upstreamPort, registry} = host;
+
+  const untilDeadlineMs = ({deadlineAtMs}: RelayJob) =>
+    leftMs(deadlineAtMs, clock.nowMs()) + DEADLINE_SLACK_MS;
+
+  /** Undefined if no other attempt may follow a silent one. */
+  function watch(attempt: PlainAttempt): AttemptWatch | undefined {
+    const {job, slot, prepareNext} = attempt;
+    if (!prepareNext) return undefined;
+    return createAttemptWatch({
+      clock,
+      silence: host.silence,
+      upstream: slot.upstream,
+      silentAfterMs: Math.max(MIN_SILENT_MS, job.route.goalMs * SILENT_GOALS),
+      prepare: prepareNext,
+    });
+  }
+
+  async function send(attempt: PlainAttempt): Promise<AttemptEnd> {
+    const watched = watch(attempt);
+    const cancellation = joinCancellations(
+      attempt.job.cancellation,
+      watched?.leaving,
+    );
+    const job = {...attempt.job, cancellation};
+    const end = await sendWatched({...attempt, job}, watched);
+    watched?.end();
+    return end;
+  }
+
+  async function sendWatched(
+    attempt: PlainAttempt,
+    watched: AttemptWatch | undefined,
+  ): Promise<AttemptEnd> {
+    const {job, progress, slot, permitWaitMs} = attempt;
+    const {request, cancellation, route} = job;
+    const {upstream} = slot;
+    progress.sendCount++;
+    if (permitWaitMs === 0) watched?.start();
+    const outcome = await upstreamPort.send(
+      request,
+      {
+        upstream,
+        leftMs: leftMs(job.deadlineAtMs, clock.nowMs()),
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        headTimeoutMs: untilDeadlineMs(job),
+        mayReuseConnection: route.kind === 'idempotent',
+        firstByteDelayMs: firstByteDelayMs(job, slot),
+        permitWaitMs,
+        onPermitted: watched?.start,
+        expectsEvents: route.kind === 'stream',
+      },
+      cancellation,
+    );
+    if (outcome.kind === 'answered') {
+      progress.ran.add(upstream.id);
+      progress.tried.add(upstream.id);
+      return handleAnswer(attempt, outcome, watched);
+    }
+    if (outcome.kind === 'cancelled') return abandon(attempt, watched);
+    slot.end(toResult(outcome), toNotes(outcome));
+    return handleFailure(attempt, outcome);
+  }
+
+  /** The caller has left, or another attempt follows. */
+  function abandon(
+    {job, slot, progress}: PlainAttempt,
+    watched: AttemptWatch | undefined,
+  ): AttemptEnd {
+    const next = watched?.next;
+    slot.end(next ? 'timeout' : 'cancelled');
+    if (!next) return 'stop';
+    progress.ran.add(slot.upstream.id);
+    // If the next attempt is not run, any upstream may be chosen again.
+    progress.tried.clear();
+    progress.hasLeft = true;
+    host.log.info('Silent attempt left.', {
+      request: job.request.requestId,
+      upstream: slot.upstream.id,
+      next: next.slot.upstream.id,
+      sinceArrivalMs: Math.round(clock.nowMs() - job.request.arrivedAtMs),
+    });
+    return next;
+  }
+
+  /**
+   * Whether a call that an upstream did not run returns to the queue of its
+   * slot: it does if it can still be on time.
+   */
+  function mayQueueAgain(job: RelayJob, {hasQueue}: Slot): boolean {
+    return hasQueue && host.canBeOnTime(job);
+  }
+
+  function handleFailure(
+    {job, progress, slot}: PlainAttempt,
+    failure: Exclude<SendFailure, {kind: 'cancelled'}>,
+  ): AttemptEnd {
+    const {id} = slot.upstream;
+    // The queue gives the call the next slot, also of the same upstream.
+    const isQueuedAgain = isFullNow(failure) && mayQueueAgain(job, slot);
+    if (!isQueuedAgain) progress.tried.add(id);
+    switch (failure.kind) {
+      case 'unreachable':
+        if (failure.wasConnected) {
+          progress.failure = toRejected(failure.detail);
+          return 'unsent';
+        }
+        registry.markUnreachable(id);
+        progress.failure = {
+          kind: 'no-upstream',
+          detail: failure.detail,
+          retryAfterMs: UNREACHABLE_RETRY_MS,
+        };
+        return 'unsent';
+      case 'withheld':
+        progress.failure = toOverload(progress.failure, failure);
+        return 'unsent';
+      case 'rejected':
+        if (failure.reason === 'other-instance') registry.markReplaced(id);
+        progress.failure = toRejected(failure.detail);
+        return 'not-run';
+      case 'broken':
+        progress.ran.add(id);
+        progress.failure = {kind: 'upstream-failed', detail: failure.detail};
+        return 'ran';
+      case 'quarantined':
+        progress.failure = failure.error;
+        return 'stop';
+    }
+  }
+
+  async function handleAnswer(
+    attempt: PlainAttempt,
+    answer: UpstreamAnswer,
+    watched: AttemptWatch | undefined,
+  ): Promise<AttemptEnd> {
+    const {job, progress, slot} = attempt;
+    if (!isGenuine(answer)) {
+      answer.body.destroy();
+      slot.end('failed');
+      const detail = `status ${answer.status} without proof`;
+      progress.failure = {kind: 'upstream-failed', detail};
+      return 'ran';
+    }
+    if (job.route.kind === 'stream') {
+      slot.end('ok');
+      await passThrough(job, answer);
+      return 'done';
+    }
+    const collected = await collect(job, answer);
+    if (collected === 'cancelled') return abandon(attempt, watched);
+    if (collected.kind === 'large') {
+      watched?.end();
+      slot.end('ok');
+      await passThrough(job, collected.answer, collected.partial);
+      return 'done';
+    }
+    return handleCollected(attempt, collected);
+  }
+
+  /** Collects an answer until the deadline or until nobody needs it. */
+  function collect(
+    job: RelayJob,
+    answer: UpstreamAnswer,
+  ): Promise<Collected | 'cancelled'> {
+    return new Promise(resolve => {
+      const timer = clock.setTimer(untilDeadlineMs(job), () => {
+        answer.body.destroy();
+        resolve({kind: 'broken', detail: 'no whole answer in time'});
+      });
+      job.cancellation.onCancel(() => {
+        clock.clearTimer(timer);
+        answer.body.destroy();
+        resolve('cancelled');
+      });
+      void collectAnswer(answer).then(collected => {
+        clock.clearTimer(timer);
+        resolve(collected);
+      });
+    });
+  }
+
+  function handleCollected(
+    {job, progress, slot}: PlainAttempt,
+    collected: Exclude<Collected, {kind: 'large'}>,
+  ): AttemptEnd {
+    const isFailure =
+      collected.kind === 'broken' || collected.status >= SERVER_ERROR;
+    slot.end(isFailure ? 'failed' : 'ok');
+    if (collected.kind === 'broken') {
+      progress.failure = {kind: 'upstream-failed', detail: collected.detail};
+      return 'ran';
+    }
+    if (isFailure) {
+      progress.fallback = collected;
+      return 'ran';
+    }
+    deliverCollected(job.caller, collected);
+    return 'done';
+  }
+
+  return {send};
+}
--- a/src/relay/plain/slot_client.ts
+++ b/src/relay/plain/slot_client.ts
@@ -98,6 +98,15 @@
 /** Assumed until calls of the service have ended at this host. */
 const INITIAL_CALL_MS = 40;
 const SMOOTHING = 0.1;
+/**
+ * A call that takes longer than both may have run through a pause of its
+ * upstream, which must not make the next ones seem hopeless. One call in a
+ * hundred takes five times as long as the mean.
+ */
+const LONG_CALLS = 6;
+const LONG_MS = 250;
+/** A long call counts as this multiple of the mean, so lasting changes show. */
+const LONG_COUNTED_CALLS = 2;
 
 /**
  * Result of a request to one keeper: `silent` if it does not answer, `unknown`
@@ -141,7 +150,9 @@
 
   function recordDuration(service: string, durationMs: number): void {
     const before = meanCallMs(service);
-    meanMsByService.set(service, before + SMOOTHING * (durationMs - before));
+    const isLong = durationMs > Math.max(LONG_MS, LONG_CALLS * before);
+    const countedMs = isLong ? LONG_COUNTED_CALLS * before : durationMs;
+    meanMsByService.set(service, before + SMOOTHING * (countedMs - before));
   }
 
   function chooseLocally(
--- a/src/relay/plain/slot_server.ts
+++ b/src/relay/plain/slot_server.ts
@@ -3,21 +3,20 @@
  * order, queues calls that can still be answered in time, and refuses others at
  * once. The balancer of this host thereby learns how the upstreams answer all
  * hosts.
- *
- * A slot whose end message was lost, or whose host died, expires after a few
- * times the usual duration of a call.
  */
 
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
 import type {PlainBalancer} from '../../scheduling/plain_balancer.js';
 import type {OwnPart} from './own_part.js';
+import {createSlotExpiry} from './slot_expiry.js';
 import {
   createServiceState,
   type OpenCall,
   type ServiceState,
 } from './service_state.js';
 import type {SlotAnswer, SlotRequest, SlotEnd} from './slot_messages.js';
+import {createResetBackoff} from './reset_backoff.js';
 import {createResetMemory} from './reset_memory.js';
 import {
   forecastSlotMs,
@@ -30,6 +29,7 @@
 import {compareWaiting, findRetryAfterMs} from '../placement/wait_rules.js';
 
 export interface SlotServerHost {
+  readonly hostId: string;
   readonly clock: Clock;
   readonly random: Random;
   readonly balancer: PlainBalancer;
@@ -86,6 +86,8 @@
   const calls = new Map<string, OpenCall>();
   const services = new Map<string, ServiceState>();
   const resets = createResetMemory({clock});
+  const backoff = createResetBackoff({clock});
+  const expiry = createSlotExpiry(host);
   let timer: TimerHandle | undefined;
 
   const keyOf = (hostId: string, askId: number) => `${hostId}/${askId}`;
@@ -107,7 +109,8 @@
 
   function isFull(state: ServiceState, upstream: Upstream): boolean {
     if (clock.nowMs() < (state.fullUntilMs.get(upstream.id) ?? 0)) return true;
-    return (state.runs.get(upstream.id) ?? 0) >= maxCallsAt(state, upstream);
+    const maxCalls = backoff.limit(upstream.id, maxCallsAt(state, upstream));
+    return (state.runs.get(upstream.id) ?? 0) >= maxCalls;
   }
 
   function hasRoom(service: string, state: ServiceState): boolean {
@@ -171,33 +174,47 @@
     call.concurrency = (state.runs.get(picked.upstreamId) ?? 0) + 1;
     state.runs.set(picked.upstreamId, call.concurrency);
     if (!part) {
-      const usualMs = EXPIRY_CALL_FACTOR * state.meanCallMs;
-      const expiryMs = Math.max(MIN_EXPIRY_MS, usualMs);
-      call.expiry = clock.setTimer(expiryMs, () => end(call, CANCELLED));
+      const {upstreamId} = picked;
+      const expire = () => end(call, CANCELLED);
+      call.expiry = expiry.start(upstreamId, () => expiryMs(state), expire);
     }
     sendAnswer(call);
     return true;
   }
 
+  const expiryMs = (state: ServiceState) =>
+    Math.max(MIN_EXPIRY_MS, EXPIRY_CALL_FACTOR * state.meanCallMs);
+
+  /** A call whose slot would have expired may have run through a pause. */
+  const isMeasured = (durationMs: number, state: ServiceState) =>
+    durationMs <= (part ? Number.MAX_VALUE : expiryMs(state));
+
   function end(call: OpenCall, message: CallEnd): void {
     const {result, durationMs} = message;
     const state = stateOf(call.service);
     calls.delete(keyOf(call.fromHostId, call.askId));
     state.queue = state.queue.filter(each => each !== call);
-    if (call.expiry) clock.clearTimer(call.expiry);
+    call.expiry?.stop();
     if (call.upstreamId !== undefined) {
       const left = (state.runs.get(call.upstreamId) ?? 1) - 1;
       if (left > 0) state.runs.set(call.upstreamId, left);
       else state.runs.delete(call.upstreamId);
       balancer.ended(call.service, call.upstreamId, result, durationMs);
-      if (result === 'ok' && Number.isFinite(durationMs)) {
+      if (result === 'ok') {
+        expiry.noteAnswer(call.upstreamId);
+        backoff.noteAnswer(call.upstreamId);
+      }
+      if (result === 'ok' && isMeasured(durationMs, state)) {
         state.meanCallMs += SMOOTHING * (durationMs - state.meanCallMs);
         state.limit.record(call.concurrency, durationMs);
         state.slow.record(call.upstreamId, durationMs);
         part?.noteEnd(call.service, {kind: 'ok', durationMs});
       }
       if (message.isFull === true) noteFull(call.service, call.upstreamId);
-      if (message.wasReset === true) resets.note(call.upstreamId);
+      if (message.wasReset === true) {
+        resets.note(call.upstreamId);
+        backoff.noteReset(call.upstreamId);
+      }
     }
     startAll();
   }
@@ -212,11 +229,15 @@
   }
 
   function loadOf(service: string, state: ServiceState): SlotLoad {
+    const open = host.open(service);
+    const sound = open.filter(({id}) => !backoff.isHeldBack(id));
+    // If all reset connections, any of them may go on within the wait.
+    const counted = sound.length > 0 ? sound : open;
+    const sum = counted.reduce((n, each) => n + maxCallsAt(state, each), 0);
+    // An upstream that was lost just now is often back while a call waits.
     const maxCalls = Math.min(
       part?.maxCalls(service) ?? Infinity,
-      host
-        .open(service)
-        .reduce((sum, each) => sum + maxCallsAt(state, each), 0),
+      state.capacity.update(sum),
     );
     return {maxCalls, meanCallMs: state.meanCallMs};
   }
@@ -345,6 +366,7 @@
 
   return {
     receive(fromHostId, message) {
+      expiry.noteMessage(fromHostId);
       const known = calls.get(keyOf(fromHostId, message.askId));
       switch (message.kind) {
         case 'slot-ask':
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -330,6 +330,12 @@
     },
     {graceMs: settings.leaveGraceMs},
   );
+  const silence = createEngineSilence({
+    clock,
+    probes,
+    registry,
+    runs: crashes.runs,
+  });
   const relay = createRelay({
     clock,
     random,
@@ -340,19 +346,16 @@
       ...shared,
       priorities: placement.priorities,
       slots: plainPlaces.slots,
+      log: createLogger('plain'),
       pausedMs: backpressure.gate.blockedForMs,
+      silence,
     }),
     streams: createStreamRelay({
       ...placement,
       ...shared,
       metrics,
       probes,
-      silence: createEngineSilence({
-        clock,
-        probes,
-        registry,
-        runs: crashes.runs,
-      }),
+      silence,
       resumption,
       log: createLogger('stream'),
     }),
