--- a/src/relay/streams/next_runs.ts
+++ b/src/relay/streams/next_runs.ts
@@ -14,13 +14,12 @@
   StreamNeed,
 } from '../placement/placement_types.js';
 import {hasDecodeEngine} from '../placement/engine_versions.js';
-import {toWaiting, type Waiting} from '../placement/wait_rules.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {Departure} from '../silence/run_watch.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
 import type {FailedStart, StreamStart} from './stream_start.js';
-import {mayResume, quietSinceMs, type StreamState} from './stream_state.js';
+import {mayResume, toWaitingForNext, type StreamState} from './stream_state.js';
 import type {Successor, Successors} from './successors.js';
 
 export interface NextRunsHost {
@@ -104,7 +103,7 @@
     const last = new Set([placement.decode.id]);
     if (start.placeElsewhere(state, last)) return true;
     if (start.placeElsewhere(state, NO_ENGINES)) return true;
-    const waiting = toWaitingAgain(state);
+    const waiting = toWaitingForNext(state);
     if (clock.nowMs() > waiting.giveUpAtMs) return false;
     start.releaseBookings(state);
     const placed = await host.place({...need, waiting}, job.cancellation);
@@ -113,18 +112,6 @@
     return true;
   }
 
-  /** Waits from the last event on. */
-  function toWaitingAgain(state: StreamState): Waiting {
-    const {job, need} = state;
-    const {route, deadlineAtMs} = job;
-    const {startMs} = need;
-    const arrivedAtMs = quietSinceMs(state);
-    return {
-      ...toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}),
-      priority: need.waiting.priority,
-    };
-  }
-
   const isVersionGone = ({need}: StreamState) =>
     need.version !== undefined &&
     !hasDecodeEngine(host.registry.notLeaving(need.service.name), need.version);
--- a/src/relay/streams/prefill_watch.ts
+++ b/src/relay/streams/prefill_watch.ts
@@ -15,10 +15,9 @@
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {PrefillReservation} from '../placement/placement_types.js';
-import {toWaiting} from '../placement/wait_rules.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
 import type {EngineProbes} from '../silence/engine_probes.js';
-import {quietSinceMs, type StreamState} from './stream_state.js';
+import {toWaitingForNext, type StreamState} from './stream_state.js';
 
 export interface PrefillWatchHost {
   readonly clock: Clock;
@@ -88,7 +87,7 @@
   const startedAtMs = clock.nowMs();
   const isAwake = (engineId: string) =>
     probes.hasAnsweredWithin(engineId, AWAKE_MS);
-  const patienceEndMs = findPatienceEndMs(state);
+  const patienceEndMs = toWaitingForNext(state).giveUpAtMs;
   let isStopped = false;
   let tickCount = 0;
   let wasSilent = false;
@@ -226,11 +225,3 @@
     },
   };
 }
-
-/** When the prompt must be read elsewhere for the caller to be waiting still. */
-function findPatienceEndMs(state: StreamState): number {
-  const {route, deadlineAtMs} = state.job;
-  const {startMs} = state.need;
-  const arrivedAtMs = quietSinceMs(state);
-  return toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}).giveUpAtMs;
-}
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -1,21 +1,12 @@
 /**
- * Runs a stream of a model service, from its placement to its last event.
- *
- * A stream that isn't resumable runs at most once: after a send that may have
- * reached an engine, its answer is forwarded or the request ends. A resumable
- * stream continues on another engine after its last whole event.
+ * Runs streams of model services: decides on take-ups, waits for a placement,
+ * and has the placed stream run to its end.
  */
 
-import {errorAnswers, type RequestError} from '../../core/error_kinds.js';
+import type {RequestError} from '../../core/error_kinds.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
-import type {
-  Cancellation,
-  UpstreamAnswer,
-  UpstreamPort,
-} from '../../ports/relay.js';
-import {passThrough} from '../answers/answer_delivery.js';
-import {toCallerError} from '../answers/answer_rules.js';
+import type {Cancellation, UpstreamPort} from '../../ports/relay.js';
 import {createBudgetedCalls} from './budgeted_calls.js';
 import {createEngineFailures} from './engine_failures.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
@@ -34,17 +25,12 @@
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {EngineProbes} from '../silence/engine_probes.js';
 import type {EngineSilence} from '../silence/engine_silence.js';
-import {
-  createRunWatch,
-  type Departure,
-  type RunWatch,
-} from '../silence/run_watch.js';
+import {createRunWatch, type RunWatch} from '../silence/run_watch.js';
 import {createNextRuns} from './next_runs.js';
 import {createPrefillStep} from './prefill_step.js';
-import {createRunPaceMeter} from './run_pace.js';
-import {relayEvents, type StreamEnd} from './stream_events.js';
-import {createStreamStart, type StartOutcome} from './stream_start.js';
-import {mayResume, quietSinceMs, type StreamState} from './stream_state.js';
+import {createPlacedStreams} from './placed_streams.js';
+import {createStreamStart} from './stream_start.js';
+import {mayResume, toWaitingForNext, type StreamState} from './stream_state.js';
 import {createSuccessors, type Successor} from './successors.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {toWaiting} from '../placement/wait_rules.js';
@@ -74,23 +60,8 @@
   run(job: RelayJob): Promise<JobOutcome>;
 }
 
-/** What follows a run. */
-type RunEnd =
-  | {readonly kind: 'ended'; readonly outcome: JobOutcome}
-  /** The stream was placed for another run. */
-  | {readonly kind: 'again'}
-  | {readonly kind: 'left'; readonly departure: Departure<Successor>};
-
-interface EndedStream {
-  /** The state of the last run. */
-  readonly state: StreamState;
-  readonly outcome: JobOutcome;
-}
-
-const STATUS_OK = 200;
-
 export function createStreamRelay(host: StreamRelayHost): StreamRelay {
-  const {clock, scheduler, engineLoads, retryBudget} = host;
+  const {clock, retryBudget} = host;
   const forecast = createOutputForecast();
   const failures = createEngineFailures(host);
   const calls = createBudgetedCalls(retryBudget);
@@ -103,7 +74,13 @@
     watchRun,
   });
   const successors = createSuccessors({...host, calls, start: start.start});
-  const nextRuns = createNextRuns({...host, calls, successors, start});
+  const placedStreams = createPlacedStreams({
+    ...host,
+    failures,
+    forecast,
+    nextRuns: createNextRuns({...host, calls, successors, start}),
+    start: start.start,
+  });
 
   /** Watches a run for silence if another may follow it. */
   function watchRun(state: StreamState): RunWatch<Successor> | undefined {
@@ -111,7 +88,7 @@
     return createRunWatch<Successor>(state.placement.decode, {
       clock,
       silence: host.silence,
-      lastStartAtMs: () => lastStartAtMs(state),
+      lastStartAtMs: () => toWaitingForNext(state).giveUpAtMs,
       prepare: (reason, cancellation) =>
         successors.prepare(state, reason, cancellation),
       onKept(silentMs) {
@@ -125,14 +102,6 @@
     });
   }
 
-  /** Latest start of another run after which the caller is still there. */
-  function lastStartAtMs(state: StreamState): number {
-    const {route, deadlineAtMs} = state.job;
-    const {startMs} = state.need;
-    const arrivedAtMs = quietSinceMs(state);
-    return toWaiting({route, arrivedAtMs, deadlineAtMs, startMs}).giveUpAtMs;
-  }
-
   function toNeed(job: RelayJob, version?: string): StreamNeed {
     const {request, route, service, deadlineAtMs, admitted} = job;
     const startMs = host.statistics.meanStartMs();
@@ -161,209 +130,6 @@
     };
   }
 
-  function relay(
-    state: StreamState,
-    answer: UpstreamAnswer,
-    watch: RunWatch<Successor> | undefined,
-  ): Promise<StreamEnd> {
-    const {job, placement} = state;
-    const tokensPerEvent = job.service.engine?.tokensPerEvent ?? 1;
-    if (!job.caller.hasBegun) job.caller.begin(answer.status, answer.headers);
-    let eventsOfRun = 0;
-    const {decode} = placement;
-    const pace = createRunPaceMeter({
-      clock,
-      onMeasured: (msPerEvent, durationMs) =>
-        host.statistics.speeds.recordEvents({
-          engine: decode,
-          runs: engineLoads.decodeLoad(decode.id).runs,
-          msPerToken: msPerEvent / tokensPerEvent,
-          durationMs,
-        }),
-    });
-    return relayEvents(
-      {clock},
-      {
-        answer,
-        caller: job.caller,
-        cancellation: job.cancellation,
-        wholeEventsOnly: job.route.isResumable,
-        watch,
-        deadlineAtMs: job.deadlineAtMs,
-        onResume: pace.restart,
-        onEvent(event) {
-          pace.noteEvent();
-          if (state.events === 0) bindToVersion(state);
-          state.events++;
-          state.lastEventAtMs = clock.nowMs();
-          eventsOfRun++;
-          state.lastEventId = event.id ?? state.lastEventId;
-          engineLoads.setOutputTokens(
-            placement.run,
-            eventsOfRun * tokensPerEvent,
-          );
-          placement.prefillReservation.end();
-          state.firstByteAtMs ??= state.lastEventAtMs;
-        },
-      },
-    );
-  }
-
-  /** What one version has written, another can't go on with. */
-  function bindToVersion(state: StreamState): void {
-    const {version} = state.placement.decode;
-    state.need = {...state.need, version};
-    host.resumption.recordBegun(state.job, version);
-  }
-
-  function refuse(state: StreamState, error: RequestError): JobOutcome {
-    const {caller} = state.job;
-    const reason = `${error.kind}: ${error.detail}`;
-    if (state.job.cancellation.isCancelled) {
-      return {end: 'caller-gone', upstreams: state.ran, events: state.events};
-    }
-    if (caller.hasBegun) {
-      caller.cut();
-      return {end: 'cut', reason, upstreams: state.ran, events: state.events};
-    }
-    const isLate = clock.nowMs() >= state.job.deadlineAtMs;
-    const hasRun = state.ran.length > 0;
-    caller.refuse(toCallerError(error, hasRun, isLate));
-    return {end: hasRun ? 'failed' : 'refused', reason, upstreams: state.ran};
-  }
-
-  /** Runs until the stream is complete or no further run is allowed. */
-  async function runPlaced(first: StreamState): Promise<EndedStream> {
-    const placedAtMs = clock.nowMs();
-    let run: Successor = {next: first, started: start.start(first)};
-    for (;;) {
-      const {next: state} = run;
-      const end = await runOnce(state, await run.started, placedAtMs);
-      switch (end.kind) {
-        case 'ended':
-          return {state, outcome: end.outcome};
-        case 'again':
-          run = {next: state, started: start.start(state)};
-          break;
-        case 'left':
-          run = nextRuns.leave(state, end.departure);
-          break;
-      }
-    }
-  }
-
-  /** Takes one run from its start to its end. */
-  async function runOnce(
-    state: StreamState,
-    started: StartOutcome,
-    placedAtMs: number,
-  ): Promise<RunEnd> {
-    const ended = (outcome: JobOutcome): RunEnd => ({kind: 'ended', outcome});
-    switch (started.kind) {
-      case 'cancelled':
-        return ended({end: 'caller-gone', upstreams: state.ran});
-      case 'left':
-        return started;
-      case 'failed': {
-        const isPlaced = started.mayHaveRun
-          ? await nextRuns.placeAfterBreak(state)
-          : await nextRuns.placeAfterFailedStart(state, started);
-        if (isPlaced) return {kind: 'again'};
-        return ended(refuse(state, withRetryAfter(started.error)));
-      }
-      case 'streaming':
-        return relayRun(state, started, placedAtMs);
-    }
-  }
-
-  /** Forwards the answer of a run. */
-  async function relayRun(
-    state: StreamState,
-    {answer, watch}: Extract<StartOutcome, {kind: 'streaming'}>,
-    placedAtMs: number,
-  ): Promise<RunEnd> {
-    const ended = (outcome: JobOutcome): RunEnd => ({kind: 'ended', outcome});
-    if (answer.status !== STATUS_OK) {
-      watch?.end();
-      // The engine's error is forwarded unless another run is allowed.
-      if (!(await nextRuns.placeAfterBreak(state))) {
-        return ended(await deliverFailure(state, answer));
-      }
-      answer.body.destroy();
-      return {kind: 'again'};
-    }
-    const end = await relay(state, answer, watch);
-    if (state.firstByteAtMs !== undefined && state.ran.length === 1) {
-      host.statistics.recordStart(state.firstByteAtMs - placedAtMs);
-    }
-    switch (end.kind) {
-      case 'whole':
-        recordWhole(state, placedAtMs);
-        return ended({
-          end: 'answered',
-          status: answer.status,
-          upstreams: state.ran,
-          events: state.events,
-          framing: answer.body.isUnframed ? 'unframed' : 'framed',
-          restBytes: end.restBytes,
-        });
-      case 'caller-gone':
-        return ended({
-          end: 'caller-gone',
-          upstreams: state.ran,
-          events: state.events,
-        });
-      case 'left':
-        if (!watch?.departure) {
-          throw new Error('A run was left without a successor.');
-        }
-        return {kind: 'left', departure: watch.departure};
-      case 'timeout':
-        return ended(
-          refuse(state, {kind: 'deadline-passed', detail: end.detail}),
-        );
-      case 'broken': {
-        const {decode} = state.placement;
-        if (!end.isOfPeer) scheduler.recordFailure(decode.id);
-        failures.logFailure('Stream broke.', state, decode, end);
-        if (await nextRuns.placeAfterBreak(state)) return {kind: 'again'};
-        return ended(refuse(state, {kind: 'answer-cut', detail: end.detail}));
-      }
-    }
-  }
-
-  function recordWhole(state: StreamState, placedAtMs: number): void {
-    const {name, engine} = state.job.service;
-    scheduler.recordSuccess(state.placement.decode.id);
-    forecast.recordOutput(name, state.events * (engine?.tokensPerEvent ?? 1));
-    host.statistics.recordRun({
-      promptTokens: state.need.promptTokens,
-      outputTokens: state.placement.run.outputTokens,
-      durationMs: clock.nowMs() - placedAtMs,
-      kvTokens: engine?.kvTokens ?? 0,
-    });
-  }
-
-  function withRetryAfter(error: RequestError): RequestError {
-    if (!errorAnswers[error.kind].retryable) return error;
-    return {...error, retryAfterMs: error.retryAfterMs ?? REJECTION_RETRY_MS};
-  }
-
-  async function deliverFailure(
-    state: StreamState,
-    answer: UpstreamAnswer,
-  ): Promise<JobOutcome> {
-    if (state.job.caller.hasBegun) {
-      answer.body.destroy();
-      return refuse(state, {
-        kind: 'answer-cut',
-        detail: `the next run ended with ${answer.status}`,
-      });
-    }
-    await passThrough(state.job, answer);
-    return {end: 'answered', status: answer.status, upstreams: state.ran};
-  }
-
   function refuseNew(
     {caller}: RelayJob,
     error: RequestError,
@@ -413,7 +179,7 @@
         lastEventAtMs: clock.nowMs(),
       };
       const startedAtMs = clock.nowMs();
-      const {state, outcome} = await runPlaced(placed);
+      const {state, outcome} = await placedStreams.run(placed);
       if (state.hasReservedRun) calls.giveBackRun(state);
       // Frees the prefill result now. Until its engine would drop it by itself,
       // other requests would wait for that memory.
@@ -432,6 +198,3 @@
     },
   };
 }
-
-/** Engines that rejected a request have capacity again within this time. */
-const REJECTION_RETRY_MS = 400;
--- a/src/relay/streams/stream_state.ts
+++ b/src/relay/streams/stream_state.ts
@@ -2,6 +2,7 @@
 
 import type {PrefillResultPlace} from '../../ports/relay.js';
 import type {Placement, StreamNeed} from '../placement/placement_types.js';
+import {toWaiting, type Waiting} from '../placement/wait_rules.js';
 import type {RelayJob} from '../relay_types.js';
 
 export interface StreamState {
@@ -40,7 +41,11 @@
   return isResumable && ran.length < maxAttempts;
 }
 
-/** Since when the caller has waited for the next event. */
-export function quietSinceMs(state: StreamState): number {
-  return state.events > 0 ? state.lastEventAtMs : state.job.request.arrivedAtMs;
+/** How long the caller waits for the first event of the next run. */
+export function toWaitingForNext(state: StreamState): Waiting {
+  const {job, need, events, lastEventAtMs} = state;
+  const {route, request, deadlineAtMs} = job;
+  const arrivedAtMs = events > 0 ? lastEventAtMs : request.arrivedAtMs;
+  const bounds = {route, arrivedAtMs, deadlineAtMs, startMs: need.startMs};
+  return {...toWaiting(bounds), priority: need.waiting.priority};
 }
