--- a/src/relay/plain/reset_backoff.ts
+++ b/src/relay/plain/reset_backoff.ts
@@ -29,7 +29,7 @@
 /** Single answers get lost at a sound upstream. */
 const MAX_RESETS = 3;
 const FIRST_BLOCK_MS = 100;
-const MAX_BLOCK_MS = 1_000;
+const MAX_BLOCK_MS = 400;
 const SOUND: ResetRecord = {count: 0, blockedUntilMs: -Infinity};
 
 export function createResetBackoff({
