Start no more next runs than the route allows attempts

A silent run stayed open while its next runs broke off or failed, and another was started each 0.25 s, at 8 engines in 3 s where the route allows two. The test failed before. Such runs count towards the attempts.

--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -17,7 +17,7 @@
 import {joinCancellations} from '../front/cancellation.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
 import type {StartOutcome, StreamStart} from './stream_start.js';
-import type {StreamState} from './stream_state.js';
+import {mayResume, type StreamState} from './stream_state.js';
 
 export interface SuccessorsHost {
   readonly clock: Clock;
@@ -39,7 +39,8 @@
 }
 
 /** What the run lacks that is to follow. */
-type Missing = 'version' | 'retry' | 'room' | 'answer' | 'start' | 'cancelled';
+type Missing =
+  'attempt' | 'version' | 'retry' | 'room' | 'answer' | 'start' | 'cancelled';
 
 export interface Successors {
   /** Undefined if no run can follow now; then nothing stays reserved. */
@@ -171,6 +172,7 @@
     state: StreamState,
     cancellation: Cancellation,
   ): Promise<Successor | Missing> {
+    if (!mayResume(state)) return 'attempt';
     if (state.events > 0 && state.need.version === undefined) return 'version';
     if (!calls.canRetryRun(state)) return 'retry';
     const placement = await placeAtAnswering(state);
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -59,6 +59,8 @@
   readonly rejections?: number;
   /** The first run gets no head. */
   readonly hasNoHead?: boolean;
+  /** Whether all sends of further runs break off. */
+  readonly isBreaking?: boolean;
   /** How many prefill calls are rejected. */
   readonly prefillRejections?: number;
   /** All engines leave when the prompt is read for the second run. */
@@ -114,6 +116,10 @@
     send(_, options, cancellation) {
       if (runs.length > 0 && rejections-- > 0) return Promise.resolve(REJECTED);
       const run = {options, cancellation, sink: {}, isClosed: false};
+      if (runs.length > 0 && changes.isBreaking) {
+        log.push(`break ${options.upstream.id}`);
+        return Promise.resolve({kind: 'broken', detail: 'reset'});
+      }
       runs.push(run);
       log.push(`send ${options.upstream.id}`);
       if (!changes.hasNoHead || runs.length > 1) {
@@ -295,6 +301,14 @@
     assert.equal(RETRIES - stream.retriesLeft(), spent + 1);
   });
 
+  // Guards against runs at more engines than the route allows.
+  test('gets no more next runs than attempts, if those break off', async () => {
+    const {clock, log} = await startStream({isBreaking: true});
+    await clock.advance(3_000);
+    const broken = log.filter(each => each.startsWith('break'));
+    assert.equal(broken.length, route.maxAttempts - 1, broken.join());
+  });
+
   // Guards against retries that a stream keeps which ends without its next run.
   test('gives back the retry of a next run that is never sent', async () => {
     const stream = await startStream({isLast: true});
