Count no silence from a time to come

After a late timer the silence of a run could begin up to 0.9 s in the future, if bytes had arrived since the timer was set, and the run was left so much later. The test failed before.

--- a/src/relay/silence/run_watch.ts
+++ b/src/relay/silence/run_watch.ts
@@ -100,8 +100,11 @@
 
   function check(): void {
     if (hasEnded || isPaused) return;
-    const passedMs = clock.nowMs() - armedAtMs;
-    if (passedMs - armedForMs >= LATE_TIMER_MS) silentSinceMs += passedMs;
+    const nowMs = clock.nowMs();
+    const passedMs = nowMs - armedAtMs;
+    if (passedMs - armedForMs >= LATE_TIMER_MS) {
+      silentSinceMs = Math.min(nowMs, silentSinceMs + passedMs);
+    }
     if (silentMs() < SUSPECT_MS) return arm(SUSPECT_MS - silentMs());
     arm(CHECK_INTERVAL_MS);
     if (!wasAliveWithin(PROBE_INTERVAL_MS)) silence.investigate(engine);
--- a/tests/relay/silence/run_watch_test.ts
+++ b/tests/relay/silence/run_watch_test.ts
@@ -115,6 +115,16 @@
     assert.equal(prepared.length, 1);
   });
 
+  // Guards against silences that seem to begin in the future.
+  test('is counted as silent from the end of the stand-still on', async () => {
+    const {clock, watch, prepared} = watchRun();
+    await clock.advance(850);
+    watch.noteData();
+    clock.standStill(300);
+    await clock.advance(1_450);
+    assert.equal(prepared.length, 1);
+  });
+
   test('is not watched after its end', async () => {
     const {clock, watch, prepared} = watchRun();
     await clock.advance(1_400);
