Close no silent run for a time in which this host stood still

A host that was suspended after it had sent the next run fired its timers first: the silent run was closed though its bytes, or the refusal of the next one, had arrived and were unread. The test failed before. A late timer now waits once more.

--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -62,6 +62,8 @@
  * so that no request works at two engines for long.
  */
 const REFUSAL_WAIT_MS = 250;
+/** A timer this late shows that this host stood still, and has bytes to read. */
+const LATE_TIMER_MS = 100;
 const STATUS_OK = 200;
 
 export function createSuccessors(host: SuccessorsHost): Successors {
@@ -120,12 +122,18 @@
       onAccepted = () => resolve(undefined);
     });
     const stopTimer = () => timer && clock.clearTimer(timer);
+    function waitForRefusal(): void {
+      stopTimer();
+      const dueMs = clock.nowMs() + REFUSAL_WAIT_MS;
+      timer = clock.setTimer(REFUSAL_WAIT_MS, () => {
+        const isLate = clock.nowMs() - dueMs >= LATE_TIMER_MS;
+        if (isLate) waitForRefusal();
+        else onAccepted();
+      });
+    }
     const started = host.start(next, {
       maxSends: MAX_SENDS,
-      onSent() {
-        stopTimer();
-        timer = clock.setTimer(REFUSAL_WAIT_MS, onAccepted);
-      },
+      onSent: waitForRefusal,
     });
     const outcome = await Promise.race([started, accepted]);
     stopTimer();
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -59,6 +59,8 @@
   readonly rejections?: number;
   /** The first run gets no head. */
   readonly hasNoHead?: boolean;
+  /** Further runs wait for their heads. */
+  readonly isQueued?: boolean;
   /** Whether all sends of further runs break off. */
   readonly isBreaking?: boolean;
   /** How many prefill calls are rejected. */
@@ -122,7 +124,8 @@
       }
       runs.push(run);
       log.push(`send ${options.upstream.id}`);
-      if (!changes.hasNoHead || runs.length > 1) {
+      const hasHead = runs.length > 1 ? !changes.isQueued : !changes.hasNoHead;
+      if (hasHead) {
         return Promise.resolve(answer(run));
       }
       return new Promise(resolve => {
@@ -301,6 +304,18 @@
     assert.equal(RETRIES - stream.retriesLeft(), spent + 1);
   });
 
+  // Guards against a run that is closed though its bytes wait to be read.
+  test('is not closed for a time in which this host stood still', async () => {
+    const {clock, runs, send} = await startStream({isQueued: true});
+    await clock.advance(PREFILL_MS + 50);
+    assert.equal(runs.length, 2);
+    clock.standStill(1_000);
+    await clock.advance(1);
+    send(runs[0], 'id: 2\ndata: b\n\n');
+    assert.ok(!runs[0].isClosed);
+    assert.ok(runs[1].cancellation.isCancelled);
+  });
+
   // Guards against runs at more engines than the route allows.
   test('gets no more next runs than attempts, if those break off', async () => {
     const {clock, log} = await startStream({isBreaking: true});
