Bound the starts of next runs that are refused; no start over a pause in the mean

From the review: a next run that breaks off or is cancelled after its send counts as an attempt; refused preparations are repeated after 0.25 s, doubled up to 1 s; a send counts as accepted only after the connect time-out.

--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -48,7 +48,10 @@
   /** Watches a run from its send on. */
   startRun(request: RelayRequest, upstream: Upstream): WatchedRun;
   /** What the runs of this host show of their upstreams. */
-  readonly runs: Pick<RunLog, 'lastSeenAtMs' | 'openSilences'>;
+  readonly runs: Pick<
+    RunLog,
+    'lastSeenAtMs' | 'openSilences' | 'wasSilentSince'
+  >;
   /** The list of upstreams was read or has changed. */
   noteList(): void;
   /**
--- a/src/relay/crashes/run_log.ts
+++ b/src/relay/crashes/run_log.ts
@@ -57,6 +57,8 @@
   isSilenceShared(upstreamId: string, sinceMs: number): boolean;
   /** When its latest bytes arrived; `-Infinity` if none have. */
   lastSeenAtMs(upstreamId: string): number;
+  /** Whether a silence of the upstream beside runs has ended since then. */
+  wasSilentSince(upstreamId: string, atMs: number): boolean;
   /** How long each upstream with runs in progress has sent nothing. */
   openSilences(): ReadonlyMap<string, number>;
 }
@@ -79,6 +81,8 @@
   readonly answeredCallAtMs: number;
   /** When its latest bytes arrived. */
   readonly seenAtMs: number;
+  /** When its latest long silence beside runs ended. */
+  readonly silenceEndedAtMs: number;
 }
 
 /**
@@ -86,6 +90,8 @@
  * after three missed heartbeats.
  */
 const CUT_KEPT_MS = 6_000;
+/** A silence this long is no work of a sound upstream. */
+const LONG_SILENCE_MS = 900;
 /** Saves work for streams that send many events a second. */
 const SEEN_RESOLUTION_MS = 100;
 const MAX_CUT_PER_UPSTREAM = 64;
@@ -97,6 +103,7 @@
   pool: '',
   answeredCallAtMs: Number.NEGATIVE_INFINITY,
   seenAtMs: Number.NEGATIVE_INFINITY,
+  silenceEndedAtMs: Number.NEGATIVE_INFINITY,
 };
 
 const toSuspect = ({request}: Run): Suspect => ({
@@ -146,6 +153,21 @@
     return Math.max(Math.min(...starts), signsOf(id).seenAtMs);
   }
 
+  /** Bytes arrived; the latest call that it answered may be another one now. */
+  function noteSeen(upstream: Upstream, answeredCallAtMs: number): void {
+    const before = signsOf(upstream.id);
+    const nowMs = clock.nowMs();
+    const open = runs.get(upstream.id)?.open ?? new Set<Run>();
+    const isLong =
+      open.size > 0 && nowMs - silentSinceMs(upstream, open) >= LONG_SILENCE_MS;
+    signs.set(upstream.id, {
+      pool: poolOf(upstream),
+      answeredCallAtMs: Math.max(before.answeredCallAtMs, answeredCallAtMs),
+      seenAtMs: nowMs,
+      silenceEndedAtMs: isLong ? nowMs : before.silenceEndedAtMs,
+    });
+  }
+
   return {
     start(request, upstream) {
       const run = {request, upstream, startedAtMs: clock.nowMs()};
@@ -159,21 +181,14 @@
       return run;
     },
     noteAnswer({upstream, startedAtMs}) {
-      const {answeredCallAtMs} = signsOf(upstream.id);
-      signs.set(upstream.id, {
-        pool: poolOf(upstream),
-        answeredCallAtMs: Math.max(answeredCallAtMs, startedAtMs),
-        seenAtMs: clock.nowMs(),
-      });
+      noteSeen(upstream, startedAtMs);
       const each = runs.get(upstream.id);
       if (each && each.cut.length > 0) prune(each);
     },
     noteData({upstream}) {
       const {answeredCallAtMs, seenAtMs} = signsOf(upstream.id);
-      const nowMs = clock.nowMs();
-      if (nowMs - seenAtMs < SEEN_RESOLUTION_MS) return;
-      const pool = poolOf(upstream);
-      signs.set(upstream.id, {pool, answeredCallAtMs, seenAtMs: nowMs});
+      if (clock.nowMs() - seenAtMs < SEEN_RESOLUTION_MS) return;
+      noteSeen(upstream, answeredCallAtMs);
     },
     end: run => void end(run),
     cut(run) {
@@ -243,6 +258,8 @@
         }))
         .filter(({sinceMs}) => sinceMs <= latestMs);
     },
+    wasSilentSince: (upstreamId, atMs) =>
+      signsOf(upstreamId).silenceEndedAtMs > atMs,
     lastSeenAtMs: upstreamId => signsOf(upstreamId).seenAtMs,
     openSilences: () =>
       new Map(
--- a/src/relay/silence/engine_silence.ts
+++ b/src/relay/silence/engine_silence.ts
@@ -14,7 +14,10 @@
   readonly clock: Clock;
   readonly probes: EngineProbes;
   readonly registry: Pick<UpstreamRegistry, 'open'>;
-  readonly runs: Pick<RunLog, 'lastSeenAtMs' | 'openSilences'>;
+  readonly runs: Pick<
+    RunLog,
+    'lastSeenAtMs' | 'openSilences' | 'wasSilentSince'
+  >;
 }
 
 export interface EngineSilence {
@@ -22,6 +25,8 @@
   investigate(engine: Upstream): void;
   /** Whether the engine has sent anything, on any connection, since then. */
   wasAliveAfter(engineId: string, atMs: number): boolean;
+  /** Whether a long silence of the engine has ended since then. */
+  wasSilentSince(engineId: string, atMs: number): boolean;
   /** Whether most decode engines of the service are silent. */
   isCommon(service: string): boolean;
   /** Resolves to whether the engine sends something or answers a probe. */
@@ -95,6 +100,7 @@
     wasAliveAfter: (engineId, atMs) =>
       probes.hasAnsweredSince(engineId, atMs) ||
       runs.lastSeenAtMs(engineId) > atMs + SAME_STEP_MS,
+    wasSilentSince: runs.wasSilentSince,
     isCommon(service) {
       const known = readDecodeEngines(service).filter(
         each => each.isSilent !== undefined,
--- a/src/relay/silence/run_watch.ts
+++ b/src/relay/silence/run_watch.ts
@@ -59,8 +59,9 @@
 const ALIVE_VALID_MS = 500;
 /** Leaves time for an answer before the one before is out of date. */
 const PROBE_INTERVAL_MS = 250;
-/** Pause after a preparation that failed. */
-const RETRY_INTERVAL_MS = 250;
+/** Pause after a preparation that failed; doubled each time. */
+const FIRST_RETRY_MS = 250;
+const MAX_RETRY_MS = 1_000;
 /**
  * A timer that is this late shows that this host itself stood still, perhaps
  * since it set the timer.
@@ -77,6 +78,7 @@
   let silentSinceMs = clock.nowMs();
   let aliveSinceMs: number | undefined;
   let nextTryAtMs = 0;
+  let retryMs = FIRST_RETRY_MS;
   let preparing: CancellationSource | undefined;
   let timer: TimerHandle | undefined;
   let armedAtMs = 0;
@@ -127,7 +129,8 @@
     const successor = await host.prepare(reason, cancellation);
     if (preparing === cancellation) preparing = undefined;
     if (!successor) {
-      nextTryAtMs = clock.nowMs() + RETRY_INTERVAL_MS;
+      nextTryAtMs = clock.nowMs() + retryMs;
+      retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
       return;
     }
     departure = {reason, silentMs: silentMs(), successor};
@@ -162,6 +165,7 @@
       keep();
       silentSinceMs = clock.nowMs();
       aliveSinceMs = undefined;
+      retryMs = FIRST_RETRY_MS;
     },
     pause() {
       isPaused = true;
--- a/src/relay/streams/placed_streams.ts
+++ b/src/relay/streams/placed_streams.ts
@@ -16,6 +16,7 @@
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import type {Resumption} from '../resumption/resumption.js';
+import type {EngineSilence} from '../silence/engine_silence.js';
 import type {Departure, RunWatch} from '../silence/run_watch.js';
 import type {EngineFailures} from './engine_failures.js';
 import type {NextRuns} from './next_runs.js';
@@ -31,6 +32,7 @@
   readonly scheduler: EngineScheduler;
   readonly engineLoads: EngineLoads;
   readonly statistics: SharedStatistics;
+  readonly silence: Pick<EngineSilence, 'wasSilentSince'>;
   readonly resumption: Pick<Resumption, 'recordBegun'>;
   readonly failures: EngineFailures;
   readonly forecast: OutputForecast;
@@ -175,9 +177,7 @@
       return {kind: 'again'};
     }
     const end = await relay(state, answer, watch);
-    if (state.firstByteAtMs !== undefined && state.ran.length === 1) {
-      host.statistics.recordStart(state.firstByteAtMs - placedAtMs);
-    }
+    recordStart(state, placedAtMs);
     switch (end.kind) {
       case 'whole':
         recordWhole(state, placedAtMs);
@@ -214,6 +214,19 @@
     }
   }
 
+  /** A start over a pause of an engine shows nothing of the next starts. */
+  function recordStart(
+    {firstByteAtMs, ran, placement}: StreamState,
+    placedAtMs: number,
+  ): void {
+    if (firstByteAtMs === undefined || ran.length !== 1) return;
+    const {decode, prefill = decode} = placement;
+    const hasPaused = [decode, prefill].some(({id}) =>
+      host.silence.wasSilentSince(id, placedAtMs),
+    );
+    if (!hasPaused) host.statistics.recordStart(firstByteAtMs - placedAtMs);
+  }
+
   function recordWhole(state: StreamState, placedAtMs: number): void {
     const {name, engine} = state.job.service;
     scheduler.recordSuccess(state.placement.decode.id);
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -98,7 +98,6 @@
   'withheld',
   'quarantined',
   'rejected',
-  'cancelled',
 ]);
 const DEADLINE_SLACK_MS = 60;
 
--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -61,7 +61,7 @@
  * A refusal comes at once. After this time without one the silent run is closed,
  * so that no request works at two engines for long.
  */
-const REFUSAL_WAIT_MS = 250;
+const REFUSAL_WAIT_MS = 350;
 /** A timer this late shows that this host stood still, and has bytes to read. */
 const LATE_TIMER_MS = 100;
 const STATUS_OK = 200;
@@ -138,22 +138,25 @@
     const outcome = await Promise.race([started, accepted]);
     stopTimer();
     if (!outcome) return {next, started};
-    if (outcome.kind !== 'streaming') return undefined;
-    if (outcome.answer.status === STATUS_OK) return {next, started};
-    outcome.watch?.end();
-    outcome.answer.body.destroy();
+    const isStreaming =
+      outcome.kind === 'streaming' && outcome.answer.status === STATUS_OK;
+    if (isStreaming) return {next, started};
+    endAnswer(outcome);
     return undefined;
   }
 
   /** Gives back what a next run has reserved that isn't made. */
-  function release(state: StreamState, next: StreamState): void {
+  function release(
+    state: StreamState,
+    next: StreamState,
+    begunFrom: number,
+  ): void {
     endBookings(next.placement);
     if (next.source) host.upstreamPort.releasePrefill(next.source);
     if (next.hasReservedRun) calls.giveBackRun(next);
     // Only the first prompt that an engine reads is free, used or not.
     state.wasPrefilled ||= next.wasPrefilled;
     // Engines that may have begun the run count towards the attempts.
-    const begunFrom = state.ran.length;
     state.ran.push(...next.ran.slice(begunFrom));
     state.ranVersions.push(...next.ranVersions.slice(begunFrom));
   }
@@ -168,11 +171,13 @@
       return cancellation.isCancelled ? 'cancelled' : 'retry';
     }
     const next = toNext(state, placement, cancellation);
+    const begunFrom = next.ran.length;
     const successor = cancellation.isCancelled
       ? undefined
       : await tryStart(next);
     if (successor && !cancellation.isCancelled) return successor;
-    release(state, next);
+    void successor?.started.then(endAnswer);
+    release(state, next, begunFrom);
     return cancellation.isCancelled ? 'cancelled' : 'start';
   }
 
@@ -207,3 +212,9 @@
     },
   };
 }
+
+function endAnswer(outcome: StartOutcome): void {
+  if (outcome.kind !== 'streaming') return;
+  outcome.watch?.end();
+  outcome.answer.body.destroy();
+}
