--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -47,6 +47,8 @@
   /** How long the caller waits from the arrival on. */
   readonly waitMs: number;
   readonly prompt?: PromptDescription;
+  /** Ids of the prompt's parts that other requests may have too. */
+  readonly sharedParts?: readonly string[];
   /** Set if the caller resumes a stream after this event. */
   readonly lastEventId?: string;
   /** Id of the caller's attempt that brought the first event of that stream. */
@@ -63,6 +65,7 @@
   /** Undefined if the caller sets no limit. */
   readonly waitMs?: number;
   readonly prompt?: PromptDescription;
+  readonly sharedParts?: readonly string[];
   readonly lastEventId?: string;
   readonly resumes?: string;
   /** Digest of the caller's key. */
--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -203,11 +203,12 @@
     for (const {fingerprint} of suspects) {
       quarantine.recordLoss(fingerprint, id, endedAtMs);
     }
-    for (const {requestId, fingerprint} of suspects) {
+    for (const {requestId, fingerprint, sharedParts} of suspects) {
       log.warn('Upstream ended during a request.', {
         ...fields,
         request: requestId,
         fingerprint,
+        sharedParts: sharedParts.join(',') || undefined,
         verdict: quarantine.verdict(fingerprint),
         suspects: suspects.length,
       });
--- a/src/relay/crashes/run_log.ts
+++ b/src/relay/crashes/run_log.ts
@@ -20,6 +20,7 @@
 export interface Suspect {
   readonly requestId: string;
   readonly fingerprint: string;
+  readonly sharedParts: readonly string[];
 }
 
 /** An upstream with runs that has sent nothing for a while. */
@@ -109,6 +110,7 @@
 const toSuspect = ({request}: Run): Suspect => ({
   requestId: request.requestId,
   fingerprint: fingerprintOf(request),
+  sharedParts: request.sharedParts ?? [],
 });
 
 const poolOf = ({service, role}: Upstream) => `${service}|${role ?? ''}`;
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -102,6 +102,7 @@
         arrivedAtMs,
         waitMs: facts.waitMs ?? DEFAULT_WAIT_MS,
         prompt: facts.prompt,
+        sharedParts: facts.sharedParts,
         lastEventId: facts.lastEventId,
         resumes: facts.resumes,
       },
