Test requests that are alike only in a part that crashes engines

Requests with such a part differ in target, body and last part, so the relay, which blames whole requests, never stops them.

--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -28,6 +28,14 @@
 const HANDLE_PATH = '/corianderbend/kv-handle/';
 const SIGNATURE = 'X-Engine-Stamp';
 
+/** Returns the ids of a list `ID:TOKENS,ID:TOKENS,...`. */
+function readPartIds({
+  'x-prompt-prefix': list,
+}: http.IncomingHttpHeaders): readonly string[] {
+  if (typeof list !== 'string') return [];
+  return list.split(',').map(part => part.split(':')[0].trim());
+}
+
 export async function createEngineStandIn(
   options: EngineOptions,
 ): Promise<EngineStandIn> {
@@ -104,6 +112,7 @@
       method: message.method ?? '',
       target: message.url ?? '',
       body,
+      parts: readPartIds(message.headers),
       stage,
       startedAtMs: performance.now(),
       wasDisconnected: false,
--- a/stand_ins/users_platform/engine_stand_in_types.ts
+++ b/stand_ins/users_platform/engine_stand_in_types.ts
@@ -24,6 +24,8 @@
   readonly method: string;
   readonly target: string;
   readonly body: string;
+  /** Ids of the parts of its prompt. */
+  readonly parts: readonly string[];
   readonly stage: 'whole' | 'prefill' | 'decode';
   /** On the monotonic clock of this process. */
   readonly startedAtMs: number;
--- a/tests/soak/call_kinds.ts
+++ b/tests/soak/call_kinds.ts
@@ -10,7 +10,10 @@
   /** These end each upstream that runs them, in some scenarios. */
   | 'crashing'
   | 'crashing-once'
-  | 'crashing-stream';
+  | 'crashing-stream'
+  /** These hold a part of a prompt that does so. */
+  | 'crashing-part'
+  | 'crashing-part-once';
 
 /** Path prefix of the routes that a configuration may add. */
 export const EXTRA_PREFIX = '/extra-';
--- a/tests/soak/crashing_requests.ts
+++ b/tests/soak/crashing_requests.ts
@@ -44,7 +44,7 @@
 }
 
 /** Another instance starts at the address of an upstream that has ended. */
-async function restart(
+export async function restart(
   {site}: FaultContext,
   upstream: SoakUpstream,
   {port, restartMs = RESTART_MS}: CrashScenario,
@@ -62,7 +62,7 @@
 }
 
 /** Ends one upstream after the other, each with another kind of port. */
-async function endUpstreams(
+export async function endUpstreams(
   context: FaultContext,
   endAtMs: number,
 ): Promise<void> {
@@ -70,6 +70,10 @@
   for (let i = 0; context.now() < endAtMs; i++) {
     const port = PORTS[i % PORTS.length];
     const upstream = upstreams[(5 * i) % upstreams.length];
+    if (upstream.state !== 'ready') {
+      await wait(CALL_INTERVAL_MS);
+      continue;
+    }
     upstream.standIn.crash(port);
     await restart(context, upstream, {port});
   }
@@ -150,7 +154,7 @@
       : [`${kind}: ${runs} runs, ${prefills} prefills after its third crash`];
   });
   const refused = records
-    .filter(({kind}) => !CRASHING_KINDS.includes(kind))
+    .filter(({kind}) => !kind.startsWith('crashing'))
     .filter(({body}) => REFUSED_FOR_CRASHES.test(body))
     .map(({id, kind}) => `${id} (${kind}): refused, but it crashes nothing`);
   return [...unstopped, ...refused];
--- a/tests/soak/engine_pause_checks_test.ts
+++ b/tests/soak/engine_pause_checks_test.ts
@@ -30,6 +30,7 @@
     method: 'POST',
     target: '/lisa/1',
     body: '',
+    parts: [],
     stage: 'decode',
     startedAtMs: 1_100,
     wasDisconnected: false,
--- a/tests/soak/fault_kinds.ts
+++ b/tests/soak/fault_kinds.ts
@@ -3,9 +3,11 @@
 import type {Random} from '../../src/ports/random.js';
 import type {Crash} from '../../stand_ins/users_platform/engine_stand_in_types.js';
 import type {CallKind} from './call_kinds.js';
+import type {PartScenario} from './crashing_parts.js';
 import type {PauseScenario} from './engine_pauses.js';
 import type {CutScenario, HostCut} from './host_cuts.js';
 import type {ExitedProcess} from './soak_checks.js';
+import type {SoakCallers} from './soak_callers.js';
 import type {SoakSite} from './soak_site.js';
 
 export const FAULT_KINDS = [
@@ -39,6 +41,9 @@
 
 export const CRASHING_KIND = 'crashing-requests';
 
+/** Requests whose only likeness is a part of their prompts. */
+export const CRASHING_PARTS_KIND = 'crashing-parts';
+
 /** Answers without length, and streams that end inside an event. */
 export const BROKEN_STREAMS_KIND = 'broken-streams';
 
@@ -58,6 +63,7 @@
   | (typeof BACKPRESSURE_KINDS)[number]
   | typeof OLDER_COPY_KIND
   | typeof CRASHING_KIND
+  | typeof CRASHING_PARTS_KIND
   | typeof BROKEN_STREAMS_KIND
   | typeof HOST_CUT_KIND
   | typeof ENGINE_VERSIONS_KIND
@@ -111,6 +117,19 @@
   'store-cut',
 ];
 
+/** Parts of prompts that crash upstreams, with faults that look like crashes. */
+export const PARTS_SOAK_KINDS: readonly FaultKind[] = [
+  CRASHING_PARTS_KIND,
+  CRASHING_PARTS_KIND,
+  CRASHING_PARTS_KIND,
+  'kill',
+  'freeze',
+  'upstream-crash',
+  'connections-reset',
+  'answers-lost',
+  'store-cut',
+];
+
 /** Streams that break off, with faults that resets and resumptions add to. */
 export const BROKEN_STREAMS_SOAK_KINDS: readonly FaultKind[] = [
   BROKEN_STREAMS_KIND,
@@ -184,6 +203,8 @@
   readonly forMs: number;
   /** Only for requests that crash upstreams; drawn if absent. */
   readonly crash?: CrashScenario;
+  /** Only for parts that crash upstreams; drawn if absent. */
+  readonly parts?: PartScenario;
   /** Only for hosts that are cut off; drawn if absent. */
   readonly cut?: CutScenario;
   /** Only for pauses of engines; drawn if absent. */
@@ -205,6 +226,7 @@
   now(): number;
   /** Sends one request and resolves at its end. */
   call(kind: CallKind, patienceMs?: number): Promise<unknown>;
+  callWithParts: SoakCallers['callWithParts'];
   /** Sends first tries of all kinds to all hosts in turn. */
   callEachHost(durationMs: number): Promise<unknown>;
   recordCut(cut: HostCut): void;
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,10 +1,11 @@
 /**
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
- * [--asks | --copies | --crashes | --streams | --cuts | --versions | --pauses]`;
- * the last seven draw mostly backpressure of upstreams, restores of the store
- * from older copies, requests that crash upstreams, streams that break off,
- * hosts that are cut off from all upstreams, engines of several versions, or
- * engines that pause.
+ * [--asks | --copies | --crashes | --parts | --streams | --cuts | --versions |
+ * --pauses | --part-table]`; of these, the first eight draw mostly backpressure of upstreams, restores of the store
+ * from older copies, requests that crash upstreams, parts of prompts that do
+ * so, streams that break off, hosts that are cut off from all upstreams,
+ * engines of several versions, or engines that pause. The last one plays the
+ * scenarios of such parts, each on its own, in turn by seed.
  */
 
 import path from 'node:path';
@@ -18,8 +19,10 @@
   ENGINE_VERSIONS_SOAK_KINDS,
   HOST_CUT_SOAK_KINDS,
   OLDER_COPY_SOAK_KINDS,
+  PARTS_SOAK_KINDS,
   type FaultKind,
 } from './fault_kinds.js';
+import {toPartOptions} from './part_scenarios.js';
 import {toPauseOptions} from './engine_pauses.js';
 import {runSoak} from './soak_run.js';
 
@@ -38,11 +41,14 @@
     cuts: {type: 'boolean', default: false},
     versions: {type: 'boolean', default: false},
     pauses: {type: 'boolean', default: false},
+    parts: {type: 'boolean', default: false},
+    'part-table': {type: 'boolean', default: false},
   },
 });
 
 function chooseKinds(): readonly FaultKind[] {
   if (values.pauses) return ENGINE_PAUSE_SOAK_KINDS;
+  if (values.parts) return PARTS_SOAK_KINDS;
   if (values.copies) return OLDER_COPY_SOAK_KINDS;
   if (values.versions) return ENGINE_VERSIONS_SOAK_KINDS;
   if (values.cuts) return HOST_CUT_SOAK_KINDS;
@@ -61,6 +67,7 @@
     callerCount: Number(values.callers),
     kinds: chooseKinds(),
     ...(values.pauses ? toPauseOptions(first + i) : {}),
+    ...(values['part-table'] ? toPartOptions(first + i) : {}),
     program: path.resolve('target/main.mjs'),
     folder: values.folder,
   });
@@ -69,7 +76,8 @@
   process.stdout.write(
     `seed ${result.seed}: ${verdict}, ${result.answered} of ${result.calls} answered; ${kinds}\n`,
   );
-  for (const line of result.broken) process.stdout.write(`    ${line}\n`);
+  for (const line of [...result.broken, ...result.measured])
+    process.stdout.write(`    ${line}\n`);
   if (result.broken.length > 0) failures++;
 }
 process.stdout.write(`${failures} of ${values.seeds} seeds broke a promise.\n`);
--- a/tests/soak/soak_callers.ts
+++ b/tests/soak/soak_callers.ts
@@ -31,6 +31,8 @@
   hasDisconnected: boolean;
   /** Set if it takes up a stream that broke off. */
   readonly takeUp?: TakenUp;
+  /** Ids of the shared parts of its prompt; absent for the usual prompt. */
+  readonly sharedParts?: readonly string[];
 }
 
 /** A stream that its caller takes up at any host. */
@@ -51,6 +53,14 @@
    * `patienceMs`.
    */
   call(kind: CallKind, patienceMs?: number): Promise<CallRecord>;
+  /**
+   * Sends one request to any host, unlike all others in its target, its body
+   * and the last part of its prompt; its caller waits for the end.
+   */
+  callWithParts(
+    kind: CallKind,
+    sharedParts: readonly string[],
+  ): Promise<CallRecord>;
   /** Sends one request of each main kind in turn, to all hosts in turn. */
   callEachHost(durationMs: number): Promise<unknown>;
 }
@@ -64,11 +74,20 @@
   crashing: `/saldo${CRASHING_SUFFIX}`,
   'crashing-once': `/makse${CRASHING_SUFFIX}`,
   'crashing-stream': `/lisa${CRASHING_SUFFIX}`,
+  'crashing-part': '/lisa/1',
+  'crashing-part-once': '/mustand/1',
 };
 const MODEL_KINDS: ReadonlySet<CallKind> = new Set<CallKind>([
   'stream',
   'resumable',
   'crashing-stream',
+  'crashing-part',
+  'crashing-part-once',
+]);
+const SENT_AGAIN_KINDS: ReadonlySet<CallKind> = new Set<CallKind>([
+  'crashing',
+  'crashing-once',
+  'crashing-stream',
 ]);
 const GET_KINDS: ReadonlySet<CallKind> = new Set<CallKind>([
   'idempotent',
@@ -84,6 +103,10 @@
   'resumable',
   'extra',
 ];
+const PROMPT_TOKENS = 1_000;
+const PART_TOKENS = 200;
+/** Ids of parts of single requests start here. */
+const OWN_PARTS = 0xe_0000;
 const MAX_TAKE_UPS = 3;
 /** Most callers are back at once, others late. */
 const DELAYS_MS = [3, 3, 50, 1_500];
@@ -102,6 +125,14 @@
   readonly deadlineMs: number;
 }
 
+/** Returns a prompt of as many tokens as the usual one. */
+function toPartHeaders(sharedParts: readonly string[], index: number) {
+  const shared = sharedParts.map(part => `${part}:${PART_TOKENS}`);
+  const ownTokens = PROMPT_TOKENS - PART_TOKENS * shared.length;
+  const own = `${(OWN_PARTS + index).toString(16)}:${ownTokens}`;
+  return {'X-Prompt-Prefix': [...shared, own].join()};
+}
+
 export function createSoakCallers(
   host: SoakCallersHost,
   callerCount: number,
@@ -153,7 +184,7 @@
     kind: CallKind,
     address: string,
     patienceMs?: number,
-    takeUp?: TakenUp,
+    {takeUp, sharedParts}: Pick<CallRecord, 'takeUp' | 'sharedParts'> = {},
   ): Promise<CallRecord> {
     const owner = site.hosts.find(
       ({child}) => child.settings.callerAddress === address,
@@ -168,13 +199,16 @@
       isCut: false,
       hasDisconnected: false,
       takeUp,
+      sharedParts,
     };
     records.push(record);
     const isModel = MODEL_KINDS.has(kind);
     const isGet = GET_KINDS.has(kind);
     const {id} = takeUp?.first ?? record;
-    const body = kind.startsWith('crashing') ? 'crash' : `body of ${id}`;
-    const disconnectsEarly = random.nextInt(DISCONNECT_ONE_IN) === 0;
+    const body = SENT_AGAIN_KINDS.has(kind) ? 'crash' : `body of ${id}`;
+    const target = sharedParts ? `${PATHS[kind]}-${id}` : PATHS[kind];
+    const disconnectsEarly =
+      !sharedParts && random.nextInt(DISCONNECT_ONE_IN) === 0;
     const leavesAfterMs =
       patienceMs ?? (disconnectsEarly ? DISCONNECT_AFTER_MS : undefined);
     return new Promise(resolve => {
@@ -185,7 +219,7 @@
         record.endedAtMs = now();
         resolve(record);
       };
-      const request = http.request(`http://${address}${PATHS[kind]}`, {
+      const request = http.request(`http://${address}${target}`, {
         method: isGet ? 'GET' : 'POST',
         agent,
         headers: {
@@ -193,6 +227,7 @@
           'X-Request-Id': record.id,
           'X-Deadline-Ms': String(deadlineMs),
           ...(isModel ? PROMPT_HEADERS : {}),
+          ...(sharedParts ? toPartHeaders(sharedParts, records.length) : {}),
           ...(takeUp ? toResumeHeaders(takeUp) : {}),
         },
       });
@@ -227,6 +262,15 @@
     return record;
   }
 
+  function callWithParts(
+    kind: CallKind,
+    sharedParts: readonly string[],
+  ): Promise<CallRecord> {
+    const {child} = site.hosts[random.nextInt(site.hosts.length)];
+    const {callerAddress} = child.settings;
+    return send(kind, callerAddress, undefined, {sharedParts});
+  }
+
   /** Takes a stream that broke off up at any hosts, at once or late. */
   async function resume(first: CallRecord): Promise<void> {
     let last = first;
@@ -241,7 +285,7 @@
       const engineCount = countEngines(readVersions(bodyBefore)[0]);
       const takeUp = {first, bodyBefore, engineCount};
       const {callerAddress} = child.settings;
-      last = await send('resumable', callerAddress, undefined, takeUp);
+      last = await send('resumable', callerAddress, undefined, {takeUp});
     }
   }
 
@@ -277,6 +321,7 @@
   return {
     records,
     call,
+    callWithParts,
     callEachHost,
     async stop() {
       isStopped = true;
--- a/tests/soak/soak_checks.ts
+++ b/tests/soak/soak_checks.ts
@@ -3,6 +3,7 @@
  */
 
 import {findIgnoredSignals} from './backpressure_checks.js';
+import {findUnstoppedParts, type PartFault} from './crashing_parts.js';
 import {findUnstoppedCrashes} from './crashing_requests.js';
 import {findPauseViolations} from './engine_pause_checks.js';
 import {
@@ -32,6 +33,7 @@
   readonly records: readonly CallRecord[];
   readonly upstreams: readonly SoakUpstream[];
   readonly crashes: readonly RecordedCrash[];
+  readonly partFaults: readonly PartFault[];
   readonly disruptions: readonly DisruptedSpan[];
   readonly cuts: readonly HostCut[];
   /** Additional retries per service. */
@@ -168,6 +170,7 @@
   }
   violations.push(...findIgnoredSignals(upstreams, byId, disruptions));
   violations.push(...findUnstoppedCrashes(evidence));
+  violations.push(...findUnstoppedParts(evidence));
   violations.push(...findUnservedCuts(records, evidence.cuts, disruptions));
   violations.push(...findPauseViolations(evidence));
   violations.push(...findMixedVersions(records));
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -1,10 +1,12 @@
 /** Faults drawn from a seed, and the handlers that inject and revert them. */
 
 import type {Random} from '../../src/ports/random.js';
+import {sendCrashingParts} from './crashing_parts.js';
 import {sendCrashingRequests} from './crashing_requests.js';
 import {
   BROKEN_STREAMS_KIND,
   CRASHING_KIND,
+  CRASHING_PARTS_KIND,
   ENGINE_PAUSE_KIND,
   ENGINE_VERSIONS_KIND,
   HOST_CUT_KIND,
@@ -233,6 +235,8 @@
     site.store.setMode('serving');
   },
   [CRASHING_KIND]: (context, {crash}) => sendCrashingRequests(context, crash),
+  [CRASHING_PARTS_KIND]: (context, {parts}) =>
+    sendCrashingParts(context, parts),
   async [BROKEN_STREAMS_KIND](context, {forMs}) {
     const {standIn} = pickUpstream(context);
     const {random} = context;
--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -16,16 +16,23 @@
   type SoakCallers,
 } from './soak_callers.js';
 import type {CallKind} from './call_kinds.js';
+import {describeParts} from './crashing_parts.js';
 import type {HostCut} from './host_cuts.js';
 import {findViolations, type ExitedProcess} from './soak_checks.js';
 import {FAULT_HANDLERS, planFaults} from './soak_faults.js';
-import {createSoakSite, RETRY_SLACK, type SoakSite} from './soak_site.js';
+import {
+  createSoakSite,
+  RETRY_SLACK,
+  type EngineCounts,
+  type SoakSite,
+} from './soak_site.js';
 
 export interface SoakOptions {
   readonly seed: number;
   readonly durationMs: number;
   readonly hostCount: number;
   readonly callerCount: number;
+  readonly engineCounts?: EngineCounts;
   /** How long callers wait for whole answers. */
   readonly deadlineMs?: number;
   readonly retrySlack?: number;
@@ -46,6 +53,8 @@
   readonly answered: number;
   /** One line for each violated guarantee. */
   readonly broken: readonly string[];
+  /** One line for each part of prompts that crashed upstreams. */
+  readonly measured: readonly string[];
 }
 
 const READY_WITHIN_MS = 15_000;
@@ -116,6 +125,7 @@
     random,
     now,
     call: callers.call,
+    callWithParts: callers.callWithParts,
     callEachHost: callers.callEachHost,
     recordCut: cut => cuts.push(cut),
     recordDisruption: span => disruptions.push(span),
@@ -127,21 +137,26 @@
   }
   await callers.stop();
   const {records} = callers;
-  const violations = findViolations({
+  const evidence = {
     records,
     upstreams: site.upstreams,
     crashes: site.crashes,
+    partFaults: site.partFaults,
     disruptions,
     cuts,
     retrySlack: options.retrySlack ?? RETRY_SLACK,
     left,
-  });
+  };
   return {
     seed: options.seed,
     faults,
     calls: records.length,
     answered: records.filter(({status}) => status === STATUS_OK).length,
-    broken: [...problems.filter(each => each !== undefined), ...violations],
+    broken: [
+      ...problems.filter(each => each !== undefined),
+      ...findViolations(evidence),
+    ],
+    measured: describeParts(evidence),
   };
 }
 
@@ -151,6 +166,7 @@
   const {deadlineMs = DEADLINE_MS, retrySlack} = options;
   const site = await createSoakSite({
     hostCount: options.hostCount,
+    engineCounts: options.engineCounts,
     program: options.program,
     folder,
     routeTimeoutMs: deadlineMs + ROUTE_TIMEOUT_SLACK_MS,
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -16,6 +16,7 @@
 import {makeConfiguration} from '../platform/relay_site.js';
 import {findFreeAddress} from '../support/free_address.js';
 import {EXTRA_PREFIX, type CallKind} from './call_kinds.js';
+import type {PartFault} from './crashing_parts.js';
 import {createFaultProxy, type FaultProxy} from './fault_proxy.js';
 import {createRelayChild, type RelayChild} from './relay_child.js';
 
@@ -66,6 +67,8 @@
 export interface RecordedCrash {
   readonly kind: CallKind;
   readonly atMs: number;
+  /** The part of the prompt that crashed it, if it was one. */
+  readonly part?: string;
 }
 
 /** How runs of the crashing request end their upstreams. */
@@ -78,6 +81,7 @@
   /** Undefined while no request crashes upstreams. */
   crash?: SoakCrash;
   readonly crashes: RecordedCrash[];
+  readonly partFaults: PartFault[];
   /** Whether hosts are cut off from all upstreams. */
   isCut: boolean;
   readonly store: StoreStandIn;
@@ -106,8 +110,14 @@
   close(): Promise<void>;
 }
 
+export interface EngineCounts {
+  readonly prefill: number;
+  readonly decode: number;
+}
+
 export interface SoakSiteOptions {
   readonly hostCount: number;
+  readonly engineCounts?: EngineCounts;
   readonly program: string;
   readonly folder: string;
   readonly routeTimeoutMs?: number;
@@ -116,6 +126,7 @@
 
 export const STREAM_EVENTS = 20;
 export const RETRY_SLACK = 58;
+const ENGINE_COUNTS: EngineCounts = {prefill: 2, decode: 4};
 const ROUTE_TIMEOUT_MS = 5_000;
 const EVENT_EVERY_MS = 25;
 const HEARTBEAT_MS = 600;
@@ -264,6 +275,7 @@
 
   const site: SoakSite = {
     crashes: [],
+    partFaults: [],
     isCut: false,
     store,
     hosts,
@@ -295,8 +307,9 @@
 
   publishConfiguration(0);
   for (let i = 0; i < 3; i++) await addUpstream('ledger');
-  for (let i = 0; i < 4; i++) await addUpstream('drafts', 'decode');
-  for (let i = 0; i < 2; i++) await addUpstream('drafts', 'prefill');
+  const {decode, prefill} = options.engineCounts ?? ENGINE_COUNTS;
+  for (let i = 0; i < decode; i++) await addUpstream('drafts', 'decode');
+  for (let i = 0; i < prefill; i++) await addUpstream('drafts', 'prefill');
   for (let i = 0; i < options.hostCount; i++) {
     const {child} = await addHost(i, hosts[0]?.child.settings.peerAddress);
     child.start();
