Quarantine the parts of prompts that crash engines

What callers saw: requests that share one part of their prompts ended engines one after the other, and sound streams were cut and refused beside it. Cause: what is blamed for an ended engine was one request, known by a digest of its bytes. Where the cause is a property that many requests share, no suspect ever has a second loss. Change: a suspect is a request or a shared part of a prompt, by one table of kinds. The verdict is taken over all losses at once: the smallest set of suspects that explains them is quarantined. Only a whole success acquits a part, and spreads. A run that has written for 2 s blames its request alone. Messages have suspects with several losses first, then parts; a suspect keeps 16 losses.

--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -1,13 +1,12 @@
 /**
- * Detects requests that crash their upstreams, and quarantines them before they
- * crash one upstream after another.
+ * Detects requests, and parts of prompts, that crash their upstreams, and
+ * quarantines them before they crash one upstream after another.
  *
  * A run that breaks off isn't enough evidence, since answers get lost and
  * connections are reset. It counts if its upstream turns out to have ended, and
  * no longer if the upstream turns out to be alive.
  */
 
-import {createBoundedMap} from '../../core/bounded_map.js';
 import type {RequestError} from '../../core/error_kinds.js';
 import type {Upstream} from '../../core/upstream.js';
 import type {Clock, TimerHandle} from '../../ports/clock.js';
@@ -18,13 +17,15 @@
   defaultQuarantineOptions,
   type LossFact,
 } from '../../request/quarantine.js';
+import {suspectKindOf, type SuspectKind} from '../../request/suspect_kinds.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {createEndDetector, type EndEvidence} from './end_detector.js';
 import type {HeartbeatState} from './heartbeat_log.js';
 import {createListEvidence} from './list_evidence.js';
 import {createLossReports, isLossFact} from './loss_reports.js';
-import {fingerprintOf} from './request_fingerprint.js';
+import {createCompletions} from './completions.js';
+import {fingerprintOf, suspectKeysOf} from './request_fingerprint.js';
 import {createRunLog, type Run, type RunLog, type Suspect} from './run_log.js';
 import {createTrials} from './trials.js';
 import type {RunEnd, WatchedRun} from './watched_upstream_port.js';
@@ -38,8 +39,8 @@
     UpstreamRegistry,
     'get' | 'leaving' | 'snapshot' | 'markUnreachable'
   >;
-  /** Whether this host decides on trials of a quarantined request. */
-  isTrialOwner(fingerprint: string): boolean;
+  /** Whether this host decides on trials of quarantined requests. */
+  isTrialOwner(key: string): boolean;
   /** Called when there are losses that peers need to know. */
   onChange(): void;
 }
@@ -71,9 +72,9 @@
   takeFacts(): readonly LossFact[];
   /** Applies losses that a peer sent; ignores invalid ones. */
   applyFacts(facts: readonly unknown[]): void;
-  /** Number of requests with losses, whether quarantined or not. */
-  suspectCount(): number;
-  quarantinedCount(): number;
+  /** Number of suspects of a kind, or of all, quarantined or not. */
+  suspectCount(kind?: SuspectKind): number;
+  quarantinedCount(kind?: SuspectKind): number;
 }
 
 const MAX_FINGERPRINTS = 1_000;
@@ -82,11 +83,6 @@
 const SILENCE_TICK_MS = 250;
 /** An answer to a call sent this much later shows that it has not ended. */
 const ALIVE_MARGIN_MS = 50;
-/**
- * A request that crashes upstreams never completes. Others that are sent often
- * have runs at most upstreams that end, and have completed elsewhere.
- */
-const HARMLESS_MS = 5_000;
 /**
  * Within this time, an upstream that is alive has been seen to be by other
  * hosts.
@@ -96,16 +92,19 @@
 export function createCrashWatch(host: CrashWatchHost): CrashWatch {
   const {clock, log, metrics, upstreamPort, registry} = host;
   let silenceTimer: TimerHandle | undefined;
-  /** When the latest complete run of a fingerprint ended. */
-  const completedAtMs = createBoundedMap<number>(MAX_FINGERPRINTS);
+  /** Losses have changed since they were last judged. */
+  let hasNewLosses = false;
+  /** The suspects of each quarantine that was logged and is in force. */
+  let knownCulprits: ReadonlySet<string> = new Set();
+  const completions = createCompletions(clock);
   const runs = createRunLog({clock});
   const quarantine = createQuarantine(
     {
       clock,
       broadcast: host.onChange,
-      onChange(fingerprint) {
-        reports.noteChange(fingerprint);
-        refuseWaiting(fingerprint);
+      onChange(key) {
+        reports.noteChange(key);
+        hasNewLosses = true;
       },
       // An upstream gets a new id at each start, so each id is lost only once.
       lossIdOf: upstreamId => upstreamId,
@@ -145,16 +144,14 @@
   /** Admitted requests that were not sent yet. */
   const waiting = new Map<RelayRequest, (error: RequestError) => void>();
 
-  const isQuarantined = (fingerprint: string) =>
-    quarantine.verdict(fingerprint) === 'quarantined';
-
   function findRefusal(request: RelayRequest): RequestError | undefined {
     if (!quarantine.hasSuspects()) return undefined;
-    const fingerprint = fingerprintOf(request);
-    if (!isQuarantined(fingerprint)) return undefined;
-    const losses = quarantine.countedLosses(fingerprint);
-    if (trials.admit(fingerprint, request.requestId, losses)) return undefined;
-    const confirmedInMs = losses.latestAtMs + CONFIRMATION_MS - clock.nowMs();
+    const culprit = quarantine.findCulprit(suspectKeysOf(request));
+    if (!culprit) return undefined;
+    if (trials.admit(culprit.keys[0], request.requestId, culprit)) {
+      return undefined;
+    }
+    const confirmedInMs = culprit.latestAtMs + CONFIRMATION_MS - clock.nowMs();
     if (confirmedInMs <= 0) {
       return {kind: 'quarantined', detail: 'It is not run again.'};
     }
@@ -165,8 +162,22 @@
     };
   }
 
-  function refuseWaiting(fingerprint: string): void {
-    if (!isQuarantined(fingerprint)) return;
+  /** Logs new quarantines and refuses the requests that wait. */
+  function judge(): void {
+    if (!hasNewLosses) return;
+    hasNewLosses = false;
+    const culprits = quarantine.culprits();
+    for (const {keys, count} of culprits) {
+      const suspects = keys.join(',');
+      if (knownCulprits.has(suspects)) continue;
+      log.warn('Suspects quarantined.', {
+        suspects,
+        losses: count,
+        upstreams: quarantine.fact(keys[0])?.lossIds.join(','),
+      });
+    }
+    knownCulprits = new Set(culprits.map(({keys}) => keys.join(',')));
+    if (culprits.length === 0) return;
     for (const [request, onRefusal] of [...waiting]) {
       const error = findRefusal(request);
       if (!error) continue;
@@ -182,9 +193,22 @@
     const cut = runs.takeCut(upstreamId);
     // A run may outlive a peer's connection to the upstream.
     const open = evidence === 'peer' ? [] : runs.inProgress(upstreamId);
-    return [...cut, ...open].filter(
-      ({fingerprint}) => !isHarmless(fingerprint),
-    );
+    return [...cut, ...open].map(({keys, ...suspect}) => ({
+      ...suspect,
+      keys: keys.filter(key => !completions.isRecent(key)),
+    }));
+  }
+
+  /** Records a loss of all suspects before any of them is judged. */
+  function recordLosses(
+    keys: ReadonlySet<string>,
+    upstreamId: string,
+    endedAtMs: number,
+  ): void {
+    for (const key of keys) {
+      quarantine.recordLoss(key, upstreamId, endedAtMs);
+      if (completions.has(key)) quarantine.noteCompleted(key);
+    }
   }
 
   function blame(
@@ -200,45 +224,46 @@
     }
     // Other ends cost the next call no time, or are known to the registry.
     if (evidence === 'no-answer') registry.markUnreachable(id);
-    for (const {fingerprint} of suspects) {
-      quarantine.recordLoss(fingerprint, id, endedAtMs);
-    }
-    for (const {requestId, fingerprint, sharedParts} of suspects) {
+    recordLosses(new Set(suspects.flatMap(({keys}) => keys)), id, endedAtMs);
+    judge();
+    for (const {requestId, fingerprint, keys} of suspects) {
       log.warn('Upstream ended during a request.', {
         ...fields,
         request: requestId,
         fingerprint,
-        sharedParts: sharedParts.join(',') || undefined,
-        verdict: quarantine.verdict(fingerprint),
-        suspects: suspects.length,
+        suspects: keys.map(describeSuspect).join(','),
+        verdict: quarantine.findCulprit(keys) ? 'quarantined' : 'suspect',
+        requests: suspects.length,
       });
     }
   }
 
+  /** The key with its number of losses that count. */
+  const describeSuspect = (key: string): string =>
+    `${key}(${quarantine.countedLosses(key)})`;
+
   /** The upstream was alive at that time. */
   function noteAlive(upstreamId: string, atMs: number): void {
     const endedAtMs = quarantine.lostAtMs(upstreamId);
     if (endedAtMs === undefined || atMs <= endedAtMs + ALIVE_MARGIN_MS) return;
     quarantine.clearLoss(upstreamId);
+    judge();
     log.info('Upstream counted as ended is alive.', {upstream: upstreamId});
   }
 
-  /** Whether a run of the request has completed recently. */
-  function isHarmless(fingerprint: string): boolean {
-    const atMs = completedAtMs.get(fingerprint);
-    return atMs !== undefined && clock.nowMs() - atMs < HARMLESS_MS;
-  }
-
-  function noteComplete(request: RelayRequest): void {
-    const fingerprint = fingerprintOf(request);
-    completedAtMs.set(fingerprint, clock.nowMs());
-    if (!quarantine.hasSuspects()) return;
-    if (quarantine.verdict(fingerprint) === 'clear') return;
-    quarantine.clear(fingerprint);
-    log.info('Losses cleared by a complete run.', {
-      request: request.requestId,
-      fingerprint,
-    });
+  /** The keys are of suspects that did no harm in a run. */
+  function noteHarmless(run: Run, keys: readonly string[]): void {
+    for (const key of keys) {
+      completions.note(key);
+      if (!quarantine.hasSuspects()) continue;
+      if (quarantine.verdict(key) === 'clear') continue;
+      quarantine.clear(key);
+      log.info('Losses cleared by a complete run.', {
+        request: run.request.requestId,
+        suspect: key,
+      });
+    }
+    judge();
   }
 
   function noteAnswer(run: Run): void {
@@ -250,7 +275,9 @@
     runs.cut(run);
     const {request} = run;
     if (!quarantine.hasSuspects()) return;
-    trials.end(fingerprintOf(request), request.requestId);
+    for (const key of suspectKeysOf(request)) {
+      trials.end(key, request.requestId);
+    }
   }
 
   function checkSilence(): void {
@@ -268,7 +295,11 @@
   const endHandlers: Readonly<Record<RunEnd, (run: Run) => void>> = {
     complete(run) {
       runs.end(run);
-      noteComplete(run.request);
+      noteHarmless(run, suspectKeysOf(run.request));
+    },
+    declined(run) {
+      runs.end(run);
+      noteHarmless(run, [fingerprintOf(run.request)]);
     },
     answered: runs.end,
     'not-run': runs.end,
@@ -288,16 +319,11 @@
   };
 
   function applyFact(fact: LossFact): void {
-    const {fingerprint} = fact;
-    const wasQuarantined = isQuarantined(fingerprint);
+    const {fingerprint: key} = fact;
     const newLossIds = quarantine.mergeFact(fact);
     for (const lossId of newLossIds) checkPeerLoss(lossId);
-    if (isHarmless(fingerprint)) quarantine.clear(fingerprint);
-    if (wasQuarantined || !isQuarantined(fingerprint)) return;
-    log.info('Request quarantined by a peer.', {
-      fingerprint,
-      upstreams: fact.lossIds.join(','),
-    });
+    if (completions.isRecent(key)) quarantine.clear(key);
+    else if (completions.has(key)) quarantine.noteCompleted(key);
   }
 
   /** Compares the word of a peer with what this host saw of the upstream. */
@@ -341,9 +367,16 @@
         if (isLossFact(fact)) applyFact(fact);
         else metrics.count('loss_facts_ignored');
       }
+      judge();
     },
-    suspectCount: () => quarantine.fingerprints().length,
-    quarantinedCount: () =>
-      quarantine.fingerprints().filter(isQuarantined).length,
+    suspectCount: kind => countOfKind(quarantine.fingerprints(), kind),
+    quarantinedCount: kind =>
+      countOfKind(
+        quarantine.culprits().flatMap(({keys}) => keys),
+        kind,
+      ),
   };
 }
+
+const countOfKind = (keys: readonly string[], kind?: SuspectKind): number =>
+  keys.filter(key => !kind || suspectKindOf(key) === kind).length;
--- a/src/relay/crashes/loss_reports.ts
+++ b/src/relay/crashes/loss_reports.ts
@@ -1,11 +1,13 @@
 /**
- * Chooses the losses of requests that a datagram to peers contains. All of them
+ * Chooses the losses of suspects that a datagram to peers contains. All of them
  * are sent in turn, since a datagram holds only a few, may be lost, and may go
- * to a host that has just started. Recent changes are sent again and again.
+ * to a host that has just started. Recent changes are sent again and again, first
+ * those that several losses or requests have in common.
  */
 
 import type {Clock} from '../../ports/clock.js';
 import type {LossFact, Quarantine} from '../../request/quarantine.js';
+import {suspectKindOf, type SuspectKind} from '../../request/suspect_kinds.js';
 
 export interface LossReports {
   /** Returns the facts for the next datagram. */
@@ -29,6 +31,10 @@
 /** More upstreams don't end under a request before it is quarantined. */
 const MAX_LOSSES = 64;
 
+/** A crash has many suspects with one loss, and few that have more. */
+const RANKS: Readonly<Record<SuspectKind, number>> = {part: 1, request: 2};
+const RANK_OF_SEVERAL_LOSSES = 0;
+
 const isList = (value: unknown, type: 'string' | 'number'): boolean =>
   Array.isArray(value) &&
   value.length <= MAX_LOSSES &&
@@ -37,13 +43,14 @@
 /** Checks a fact that a peer sent. */
 export function isLossFact(value: unknown): value is LossFact {
   if (typeof value !== 'object' || value === null) return false;
-  const {fingerprint, lossIds, clearedCount, lossAgesMs} =
+  const {fingerprint, lossIds, clearedCount, lossAgesMs, hasCompleted} =
     value as Partial<LossFact>;
   return (
     typeof fingerprint === 'string' &&
     isList(lossIds, 'string') &&
     Number.isInteger(clearedCount) &&
-    (lossAgesMs === undefined || isList(lossAgesMs, 'number'))
+    (lossAgesMs === undefined || isList(lossAgesMs, 'number')) &&
+    (hasCompleted === undefined || typeof hasCompleted === 'boolean')
   );
 }
 
@@ -52,13 +59,19 @@
   /** When each fact changed; those sent longest ago come first. */
   const changedAtMs = new Map<string, number>();
 
+  function rankOf(key: string): number {
+    const lossCount = quarantine.fact(key)?.lossIds.length ?? 0;
+    return lossCount > 1 ? RANK_OF_SEVERAL_LOSSES : RANKS[suspectKindOf(key)];
+  }
+
   function findRecent(): readonly string[] {
     const sinceMs = clock.nowMs() - RECENT_MS;
     return [...changedAtMs]
       .filter(([, atMs]) => atMs > sinceMs)
-      .sort(([, a], [, b]) => b - a)
+      .map(([key, atMs]) => ({key, atMs, rank: rankOf(key)}))
+      .sort((a, b) => a.rank - b.rank || b.atMs - a.atMs)
       .slice(0, MAX_RECENT_FACTS)
-      .map(([fingerprint]) => fingerprint);
+      .map(({key}) => key);
   }
 
   function choose(): readonly string[] {
--- a/src/relay/crashes/request_fingerprint.ts
+++ b/src/relay/crashes/request_fingerprint.ts
@@ -1,7 +1,8 @@
-/** Identifies a request that is sent again. */
+/** Identifies a request that is sent again, and what it shares with others. */
 
 import {createHash} from 'node:crypto';
 import type {RelayRequest} from '../../ports/relay.js';
+import {toPartKey} from '../../request/suspect_kinds.js';
 
 const FINGERPRINT_DIGITS = 24;
 const fingerprints = new WeakMap<RelayRequest, string>();
@@ -18,3 +19,9 @@
   fingerprints.set(request, fingerprint);
   return fingerprint;
 }
+
+/** Returns the keys of the suspects that a request has. */
+export const suspectKeysOf = (request: RelayRequest): readonly string[] => [
+  fingerprintOf(request),
+  ...(request.sharedParts ?? []).map(toPartKey),
+];
--- a/src/relay/crashes/run_log.ts
+++ b/src/relay/crashes/run_log.ts
@@ -8,19 +8,22 @@
 import {MAX_REMEMBERED_UPSTREAMS, type Upstream} from '../../core/upstream.js';
 import type {Clock} from '../../ports/clock.js';
 import type {RelayRequest} from '../../ports/relay.js';
-import {fingerprintOf} from './request_fingerprint.js';
+import {fingerprintOf, suspectKeysOf} from './request_fingerprint.js';
 
 export interface Run {
   readonly request: RelayRequest;
   readonly upstream: Upstream;
   readonly startedAtMs: number;
+  /** When the first and the latest bytes of its answer arrived. */
+  written?: {readonly fromMs: number; readonly toMs: number};
 }
 
 /** A request that ran at an upstream when that may have ended. */
 export interface Suspect {
   readonly requestId: string;
   readonly fingerprint: string;
-  readonly sharedParts: readonly string[];
+  /** The suspects that the request has. */
+  readonly keys: readonly string[];
 }
 
 /** An upstream with runs that has sent nothing for a while. */
@@ -95,6 +98,8 @@
 const LONG_SILENCE_MS = 900;
 /** Saves work for streams that send many events a second. */
 const SEEN_RESOLUTION_MS = 100;
+/** A part of a prompt crashes an upstream before it has written this long. */
+const BEGINNING_MS = 2_000;
 const MAX_CUT_PER_UPSTREAM = 64;
 /** An upstream with runs counts as silent beside another after this time. */
 const SHARED_SILENCE_MS = 500;
@@ -107,11 +112,16 @@
   silenceEndedAtMs: Number.NEGATIVE_INFINITY,
 };
 
-const toSuspect = ({request}: Run): Suspect => ({
-  requestId: request.requestId,
-  fingerprint: fingerprintOf(request),
-  sharedParts: request.sharedParts ?? [],
-});
+function toSuspect({request, written}: Run): Suspect {
+  const fingerprint = fingerprintOf(request);
+  const hasBegunWell =
+    written !== undefined && written.toMs - written.fromMs >= BEGINNING_MS;
+  return {
+    requestId: request.requestId,
+    fingerprint,
+    keys: hasBegunWell ? [fingerprint] : suspectKeysOf(request),
+  };
+}
 
 const poolOf = ({service, role}: Upstream) => `${service}|${role ?? ''}`;
 
@@ -172,7 +182,7 @@
 
   return {
     start(request, upstream) {
-      const run = {request, upstream, startedAtMs: clock.nowMs()};
+      const run: Run = {request, upstream, startedAtMs: clock.nowMs()};
       const each = runs.get(upstream.id) ?? {
         upstream,
         open: new Set<Run>(),
@@ -187,9 +197,12 @@
       const each = runs.get(upstream.id);
       if (each && each.cut.length > 0) prune(each);
     },
-    noteData({upstream}) {
+    noteData(run) {
+      const {upstream} = run;
+      const nowMs = clock.nowMs();
+      run.written = {fromMs: run.written?.fromMs ?? nowMs, toMs: nowMs};
       const {answeredCallAtMs, seenAtMs} = signsOf(upstream.id);
-      if (clock.nowMs() - seenAtMs < SEEN_RESOLUTION_MS) return;
+      if (nowMs - seenAtMs < SEEN_RESOLUTION_MS) return;
       noteSeen(upstream, answeredCallAtMs);
     },
     end: run => void end(run),
--- a/src/relay/crashes/watched_upstream_port.ts
+++ b/src/relay/crashes/watched_upstream_port.ts
@@ -18,8 +18,10 @@
 
 /** How a run ended, as its host saw it. */
 export type RunEnd =
-  /** The whole answer arrived: the request is harmless. */
+  /** A whole success arrived: the request and its parts are harmless. */
   | 'complete'
+  /** A whole answer to the caller's error arrived: the request is harmless. */
+  | 'declined'
   /** An answer arrived that doesn't show that the request ran to its end. */
   | 'answered'
   /** The request did not reach the upstream. */
@@ -50,8 +52,14 @@
   findRefusal(request: RelayRequest): RequestError | undefined;
 }
 
+const FIRST_ERROR = 400;
 const SERVER_ERROR = 500;
 
+function toEndOfWhole(answer: UpstreamAnswer): RunEnd {
+  if (!isGenuine(answer) || answer.status >= SERVER_ERROR) return 'answered';
+  return answer.status < FIRST_ERROR ? 'complete' : 'declined';
+}
+
 function toRunEnd(failure: SendFailure): RunEnd {
   switch (failure.kind) {
     case 'unreachable':
@@ -99,9 +107,7 @@
 
 function watchAnswer(answer: UpstreamAnswer, run: WatchedRun): UpstreamAnswer {
   run.noteAnswer();
-  const isSuccess = isGenuine(answer) && answer.status < SERVER_ERROR;
-  const atEnd = isSuccess ? 'complete' : 'answered';
-  return {...answer, body: watchBody(answer.body, run, atEnd)};
+  return {...answer, body: watchBody(answer.body, run, toEndOfWhole(answer))};
 }
 
 export function createWatchedUpstreamPort(
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -59,12 +59,22 @@
   {
     name: 'crash_suspects',
     help: 'Requests under which upstreams ended, as known to this host.',
-    read: ({crashes}) => crashes.suspectCount(),
+    read: ({crashes}) => crashes.suspectCount('request'),
+  },
+  {
+    name: 'crash_suspect_parts',
+    help: 'Parts of prompts under which upstreams ended, as known to this host.',
+    read: ({crashes}) => crashes.suspectCount('part'),
   },
   {
     name: 'quarantined_requests',
     help: 'Requests that this host refuses since they crash upstreams.',
-    read: ({crashes}) => crashes.quarantinedCount(),
+    read: ({crashes}) => crashes.quarantinedCount('request'),
+  },
+  {
+    name: 'quarantined_parts',
+    help: 'Parts of prompts that this host refuses since they crash upstreams.',
+    read: ({crashes}) => crashes.quarantinedCount('part'),
   },
   {
     name: 'known_streams',
--- a/src/request/quarantine.ts
+++ b/src/request/quarantine.ts
@@ -1,24 +1,32 @@
 /**
- * Detects requests whose runs repeatedly crash upstreams, by fingerprint, and
- * refuses them.
+ * Detects what repeatedly crashes engines, such as a request or a part that
+ * prompts share, from the losses of each suspect. `blame.ts` decides which
+ * suspects explain the losses; what has them is refused.
  *
- * A fingerprint that ran alone in one of its losses is refused after
- * `aloneLosses` engines, any other after `sharedLosses`. Each other entry may
- * lose one more engine to a run that started before the fact arrived there. A
- * complete run clears its fingerprint, since a poisonous request never
- * completes.
+ * Each other entry may lose one more engine to a run that started before the
+ * fact arrived there. A complete run clears its suspects, since what crashes
+ * engines never completes.
  *
  * When an engine dies with several requests, all of them are suspects. This
  * entry then retries them one at a time, so the next loss identifies the cause.
  */
 
 import type {Clock} from '../ports/clock.js';
+import {
+  findCulprits,
+  isRefusedBy,
+  type Accused,
+  type Culprit,
+} from './blame.js';
+import {suspectKindOf} from './suspect_kinds.js';
+import {createTrialTurns} from './trial_turns.js';
 
 /**
- * The losses of one fingerprint. Losses are only added and never become
+ * The losses of one suspect. Losses are only added and never become
  * uncleared again, so facts can be merged in any order.
  */
 export interface LossFact {
+  /** The key of the suspect; a request's is its fingerprint. */
   readonly fingerprint: string;
   /**
    * Each identifies one engine death, equally at every entry that saw it.
@@ -32,13 +40,13 @@
    * facts of earlier builds.
    */
   readonly lossAgesMs?: readonly number[];
+  /** Whether a run is known to have completed, before its losses or after. */
+  readonly hasCompleted?: boolean;
 }
 
 export type QuarantineVerdict = 'clear' | 'suspect' | 'quarantined';
 
 export interface QuarantineOptions {
-  readonly aloneLosses: number;
-  readonly sharedLosses: number;
   /** A loss that is older is removed. */
   readonly forgetAfterMs: number;
   /** How long a suspect waits at most for the trial of another. */
@@ -47,8 +55,6 @@
 }
 
 export const defaultQuarantineOptions: QuarantineOptions = {
-  aloneLosses: 2,
-  sharedLosses: 3,
   forgetAfterMs: 600_000,
   trialWaitMs: 5_000,
   maxFingerprints: 10_000,
@@ -77,6 +83,13 @@
   ): QuarantineVerdict;
   /** Records a complete run. */
   clear(fingerprint: string): void;
+  /** Records that a run had completed before the losses. */
+  noteCompleted(fingerprint: string): void;
+  /** Returns what quarantines a request that has these suspects. */
+  findCulprit(keys: readonly string[]): Culprit | undefined;
+  culprits(): readonly Culprit[];
+  /** Number of losses that count for the fingerprint. */
+  countedLosses(fingerprint: string): number;
   /** The engine turned out to be alive: the loss counts for no fingerprint. */
   clearLoss(lossId: string): void;
   /**
@@ -86,11 +99,6 @@
   mergeFact(fact: LossFact): readonly string[];
   /** When a loss that counts took place, as known to this entry. */
   lostAtMs(lossId: string): number | undefined;
-  /** The losses that count for the fingerprint. */
-  countedLosses(fingerprint: string): {
-    readonly count: number;
-    readonly latestAtMs: number;
-  };
   /** Returns undefined if the fingerprint has no losses. */
   fact(fingerprint: string): LossFact | undefined;
   /** Fingerprints with losses, those that changed longest ago first. */
@@ -113,59 +121,80 @@
   readonly isCleared: boolean;
 }
 
-/** Losses by id. */
-type Suspect = Map<string, Loss>;
-
-interface Trial {
-  readonly fingerprint: string;
-  readonly requestId: string;
-  hasTurn: boolean;
-  readonly onTurn: () => void;
+interface Suspect {
+  readonly losses: Map<string, Loss>;
+  hasCompleted: boolean;
 }
 
+/** Culprits are determined again after this time, as losses expire. */
+const CULPRITS_VALID_MS = 1_000;
+/** Older losses of a suspect are dropped; they add no information. */
+const MAX_LOSSES = 16;
+/** Bounds how often entries that drop different losses correct each other. */
+const AGE_TOLERANCE_MS = 1_000;
+
+const createSuspect = (): Suspect => ({losses: new Map(), hasCompleted: false});
+
 export function createQuarantine(
   host: QuarantineHost,
   options: QuarantineOptions = defaultQuarantineOptions,
 ): Quarantine {
   const suspects = new Map<string, Suspect>();
   const fingerprintsByLoss = new Map<string, Set<string>>();
-  let trials: readonly Trial[] = [];
+  let found: {readonly culprits: readonly Culprit[]; readonly atMs: number};
+  found = {culprits: [], atMs: Number.NEGATIVE_INFINITY};
 
   function removeLoss(
     fingerprint: string,
     suspect: Suspect,
     lossId: string,
   ): void {
-    suspect.delete(lossId);
+    suspect.losses.delete(lossId);
     const fingerprints = fingerprintsByLoss.get(lossId);
     fingerprints?.delete(fingerprint);
     if (fingerprints?.size === 0) fingerprintsByLoss.delete(lossId);
-    if (suspect.size === 0) suspects.delete(fingerprint);
+    if (suspect.losses.size === 0) suspects.delete(fingerprint);
   }
 
   function findSuspect(fingerprint: string): Suspect | undefined {
     const suspect = suspects.get(fingerprint);
     if (!suspect) return undefined;
     const oldestMs = host.clock.nowMs() - options.forgetAfterMs;
-    for (const [lossId, {lostAtMs}] of suspect) {
+    for (const [lossId, {lostAtMs}] of suspect.losses) {
       if (lostAtMs <= oldestMs) removeLoss(fingerprint, suspect, lossId);
     }
-    return suspect.size > 0 ? suspect : undefined;
+    return suspect.losses.size > 0 ? suspect : undefined;
   }
 
   /** Moves a suspect to the end of the map, which is in order of change. */
   function noteChange(fingerprint: string, suspect: Suspect): void {
+    found = {culprits: [], atMs: Number.NEGATIVE_INFINITY};
     suspects.delete(fingerprint);
     suspects.set(fingerprint, suspect);
     if (suspects.size > options.maxFingerprints) {
       const [[oldest, oldestSuspect]] = suspects;
-      for (const lossId of [...oldestSuspect.keys()]) {
+      for (const lossId of [...oldestSuspect.losses.keys()]) {
         removeLoss(oldest, oldestSuspect, lossId);
       }
     }
     host.onChange?.(fingerprint);
   }
 
+  /** Drops the oldest loss if there are too many; false for an older one. */
+  function makeRoom(
+    fingerprint: string,
+    suspect: Suspect,
+    {lostAtMs}: Loss,
+  ): boolean {
+    if (suspect.losses.size < MAX_LOSSES) return true;
+    const [[oldestId, oldest]] = [...suspect.losses].sort(
+      ([, a], [, b]) => a.lostAtMs - b.lostAtMs,
+    );
+    if (lostAtMs < oldest.lostAtMs + AGE_TOLERANCE_MS) return false;
+    removeLoss(fingerprint, suspect, oldestId);
+    return true;
+  }
+
   /** Returns whether this is news. */
   function setLoss(
     fingerprint: string,
@@ -173,9 +202,11 @@
     lossId: string,
     loss: Loss,
   ): boolean {
-    const known = suspect.get(lossId);
+    const {losses} = suspect;
+    const known = losses.get(lossId);
     if (known && (known.isCleared || !loss.isCleared)) return false;
-    suspect.set(lossId, {
+    if (!known && !makeRoom(fingerprint, suspect, loss)) return false;
+    losses.set(lossId, {
       lostAtMs: known?.lostAtMs ?? loss.lostAtMs,
       isCleared: loss.isCleared,
     });
@@ -199,38 +230,63 @@
       : `${engineId}@${window}`;
   }
 
-  /** Losses of the fingerprint that count, by id. */
-  function findCounted(
-    fingerprint: string,
-  ): ReadonlyArray<readonly [string, Loss]> {
-    const losses = [...(findSuspect(fingerprint) ?? [])];
-    return losses.filter(([, {isCleared}]) => !isCleared);
+  /** When each loss of the fingerprint that counts took place, by its id. */
+  function findCounted(fingerprint: string): ReadonlyMap<string, number> {
+    const losses = [...(findSuspect(fingerprint)?.losses ?? [])];
+    const counted = losses.filter(([, {isCleared}]) => !isCleared);
+    return new Map(counted.map(([lossId, {lostAtMs}]) => [lossId, lostAtMs]));
+  }
+
+  const findAccused = (): readonly Accused[] =>
+    [...suspects]
+      .map(([key, {hasCompleted}]) => {
+        return {key, lostAtMs: findCounted(key), hasCompleted};
+      })
+      .filter(({lostAtMs}) => lostAtMs.size > 0);
+
+  function isAlone(lossId: string): boolean {
+    const keys = [...(fingerprintsByLoss.get(lossId) ?? [])];
+    return keys.filter(key => suspectKindOf(key) === 'request').length === 1;
+  }
+
+  function culprits(): readonly Culprit[] {
+    if (suspects.size === 0) return [];
+    const nowMs = host.clock.nowMs();
+    if (nowMs - found.atMs >= CULPRITS_VALID_MS) {
+      found = {culprits: findCulprits(findAccused(), isAlone), atMs: nowMs};
+    }
+    return found.culprits;
   }
 
+  const findCulprit = (keys: readonly string[]) =>
+    culprits().find(culprit => isRefusedBy(culprit, keys));
+
   function verdict(fingerprint: string): QuarantineVerdict {
-    const counted = findCounted(fingerprint);
-    if (counted.length === 0) return 'clear';
-    const wasAlone = counted.some(
-      ([lossId]) => fingerprintsByLoss.get(lossId)?.size === 1,
-    );
-    const bound = wasAlone ? options.aloneLosses : options.sharedLosses;
-    return counted.length >= bound ? 'quarantined' : 'suspect';
+    if (findCounted(fingerprint).size === 0) return 'clear';
+    return findCulprit([fingerprint]) ? 'quarantined' : 'suspect';
   }
 
   function clearLosses(fingerprint: string, lossIds: readonly string[]): void {
     const suspect = findSuspect(fingerprint);
     if (!suspect || lossIds.length === 0) return;
     for (const lossId of lossIds) {
-      const {lostAtMs = 0} = suspect.get(lossId) ?? {};
-      suspect.set(lossId, {lostAtMs, isCleared: true});
+      const {lostAtMs = 0} = suspect.losses.get(lossId) ?? {};
+      suspect.losses.set(lossId, {lostAtMs, isCleared: true});
     }
     noteChange(fingerprint, suspect);
     host.broadcast(toFact(fingerprint, suspect));
   }
 
+  /** Returns whether this is news. */
+  function setCompleted(suspect: Suspect): boolean {
+    const isNews = !suspect.hasCompleted;
+    suspect.hasCompleted = true;
+    return isNews;
+  }
+
   function toFact(fingerprint: string, suspect: Suspect): LossFact {
     const nowMs = host.clock.nowMs();
-    const losses = [...suspect].sort(
+    const losses = [...suspect.losses].sort(
       ([, a], [, b]) => Number(b.isCleared) - Number(a.isCleared),
     );
     return {
@@ -238,37 +294,20 @@
       lossIds: losses.map(([lossId]) => lossId),
       clearedCount: losses.filter(([, {isCleared}]) => isCleared).length,
       lossAgesMs: losses.map(([, {lostAtMs}]) => Math.round(nowMs - lostAtMs)),
+      hasCompleted: suspect.hasCompleted || undefined,
     };
   }
 
-  function isBlocked(trial: Trial): boolean {
-    const losses = findSuspect(trial.fingerprint) ?? new Map<string, Loss>();
-    return trials.some(
-      other =>
-        other.hasTurn &&
-        other !== trial &&
-        [...(findSuspect(other.fingerprint)?.keys() ?? [])].some(lossId =>
-          losses.has(lossId),
-        ),
-    );
-  }
-
-  function giveTurns(): void {
-    for (const trial of trials) {
-      if (!trial.hasTurn && !isBlocked(trial)) giveTurn(trial);
-    }
-  }
-
-  function giveTurn(trial: Trial): void {
-    if (trial.hasTurn || !trials.includes(trial)) return;
-    trial.hasTurn = true;
-    trial.onTurn();
-  }
+  const turns = createTrialTurns({
+    clock: host.clock,
+    waitMs: options.trialWaitMs,
+    lossesOf: fingerprint => findSuspect(fingerprint)?.losses ?? new Map(),
+  });
 
   return {
     verdict,
     recordLoss(fingerprint, engineId, lostAtMs = host.clock.nowMs()) {
-      const suspect = findSuspect(fingerprint) ?? new Map<string, Loss>();
+      const suspect = findSuspect(fingerprint) ?? createSuspect();
       const loss = {lostAtMs, isCleared: false};
       const isNew = setLoss(fingerprint, suspect, lossIdOf(engineId), loss);
       if (isNew) noteChange(fingerprint, suspect);
@@ -276,17 +315,28 @@
       return verdict(fingerprint);
     },
     clear(fingerprint) {
-      const lossIds = findCounted(fingerprint).map(([lossId]) => lossId);
-      clearLosses(fingerprint, lossIds);
+      const suspect = findSuspect(fingerprint);
+      if (suspect) setCompleted(suspect);
+      clearLosses(fingerprint, [...findCounted(fingerprint).keys()]);
+    },
+    noteCompleted(fingerprint) {
+      const suspect = findSuspect(fingerprint);
+      if (!suspect || !setCompleted(suspect)) return;
+      noteChange(fingerprint, suspect);
+      host.broadcast(toFact(fingerprint, suspect));
     },
+    findCulprit,
+    culprits,
+    countedLosses: fingerprint => findCounted(fingerprint).size,
     clearLoss(lossId) {
       for (const fingerprint of [...(fingerprintsByLoss.get(lossId) ?? [])]) {
-        const counted = findCounted(fingerprint).map(([id]) => id);
-        if (counted.includes(lossId)) clearLosses(fingerprint, [lossId]);
+        if (findCounted(fingerprint).has(lossId))
+          clearLosses(fingerprint, [lossId]);
       }
     },
-    mergeFact({fingerprint, lossIds, clearedCount, lossAgesMs = []}) {
-      const suspect = findSuspect(fingerprint) ?? new Map<string, Loss>();
+    mergeFact(fact) {
+      const {fingerprint, lossIds, clearedCount, lossAgesMs = []} = fact;
+      const suspect = findSuspect(fingerprint) ?? createSuspect();
       const nowMs = host.clock.nowMs();
       const news = lossIds.filter((lossId, i) => {
         const ageMs = lossAgesMs[i] ?? 0;
@@ -295,20 +345,20 @@
         const loss = {lostAtMs: nowMs - ageMs, isCleared};
         return setLoss(fingerprint, suspect, lossId, loss);
       });
-      if (news.length > 0) noteChange(fingerprint, suspect);
-      return news.filter(lossId => suspect.get(lossId)?.isCleared === false);
+      const isProven = fact.hasCompleted === true && setCompleted(suspect);
+      if (suspect.losses.size === 0) return [];
+      if (news.length > 0 || isProven) noteChange(fingerprint, suspect);
+      return news.filter(
+        lossId => suspect.losses.get(lossId)?.isCleared === false,
+      );
     },
     lostAtMs(lossId) {
       const times = [...(fingerprintsByLoss.get(lossId) ?? [])]
-        .map(fingerprint => suspects.get(fingerprint)?.get(lossId))
+        .map(fingerprint => suspects.get(fingerprint)?.losses.get(lossId))
         .filter(loss => loss?.isCleared === false)
         .map(loss => loss?.lostAtMs ?? 0);
       return times.length > 0 ? Math.max(...times) : undefined;
     },
-    countedLosses(fingerprint) {
-      const times = findCounted(fingerprint).map(([, loss]) => loss.lostAtMs);
-      return {count: times.length, latestAtMs: Math.max(...times)};
-    },
     fact(fingerprint) {
       const suspect = findSuspect(fingerprint);
       return suspect && toFact(fingerprint, suspect);
@@ -316,22 +366,7 @@
     fingerprints: () =>
       [...suspects.keys()].filter(each => findSuspect(each) !== undefined),
     hasSuspects: () => suspects.size > 0,
-    enterTrial(fingerprint, requestId, onTurn) {
-      const existing = trials.find(trial => trial.requestId === requestId);
-      if (existing) {
-        onTurn();
-        return;
-      }
-      const trial: Trial = {fingerprint, requestId, hasTurn: false, onTurn};
-      trials = [...trials, trial];
-      host.clock.setTimer(options.trialWaitMs, () => giveTurn(trial));
-      giveTurns();
-    },
-    leaveTrial(requestId) {
-      const remaining = trials.filter(trial => trial.requestId !== requestId);
-      if (remaining.length === trials.length) return;
-      trials = remaining;
-      giveTurns();
-    },
+    enterTrial: turns.enter,
+    leaveTrial: turns.leave,
   };
 }
