--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -151,6 +151,11 @@
     if (trials.admit(culprit.keys[0], request.requestId, culprit)) {
       return undefined;
     }
+    log.info('Request refused for crashes.', {
+      request: request.requestId,
+      suspects: culprit.keys.join(','),
+      losses: culprit.count,
+    });
     const confirmedInMs = culprit.latestAtMs + CONFIRMATION_MS - clock.nowMs();
     if (confirmedInMs <= 0) {
       return {kind: 'quarantined', detail: 'It is not run again.'};
