Answer requests that a host fails to handle

Callers of a host that failed before a request was admitted got a closed connection. The front now answers with 500, or cuts an answer that has begun; one that is already complete stays as it is. The two tests of relay_front_test.ts failed before and pass; tests/relay/front 12 of 12.

--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -109,6 +109,14 @@
     );
   }
 
+  /** Ends a request that this host failed to handle. */
+  function endFailed(response: http.ServerResponse): void {
+    if (response.writableEnded) return;
+    const caller = createHttpCaller(response, '', host);
+    if (caller.hasBegun) caller.cut();
+    else caller.refuse({kind: 'internal', detail: 'See the log.'});
+  }
+
   const server = http.createServer(
     {maxHeaderSize: DEFAULT_MAX_HEADER_BYTES, requestTimeout: 0},
     (message, response) => {
@@ -118,7 +126,7 @@
       });
       handle(message, response).catch(error => {
         log.error('The request handler failed.', {reason: String(error)});
-        response.destroy();
+        endFailed(response);
       });
     },
   );
