Count all losses of a part for its trials

Losses within 300 ms counted once towards the time until a trial, so a part that had ended five engines quickly was tried again after 20 s. Each trial ends an engine with all that runs there.

--- a/src/request/blame.ts
+++ b/src/request/blame.ts
@@ -25,7 +25,7 @@
  */
 export interface Culprit {
   readonly keys: readonly string[];
-  /** Number of losses as they count for its kind. */
+  /** Number of losses that it explains. */
   readonly count: number;
   readonly latestAtMs: number;
 }
@@ -132,7 +132,7 @@
     const tied = remaining.filter(each => isSameLosses(each, leader));
     culprits.push({
       keys: tied.map(({key}) => key).sort(),
-      count: countLosses(leader),
+      count: leader.lostAtMs.size,
       latestAtMs: Math.max(...leader.lostAtMs.values()),
     });
     remaining = remaining.flatMap(
