--- a/tests/relay/plain/plain_site.ts
+++ b/tests/relay/plain/plain_site.ts
@@ -3,6 +3,7 @@
  * in virtual time.
  */
 
+import assert from 'node:assert/strict';
 import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import type {RouteKind} from '../../../src/core/routing_types.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
@@ -202,3 +203,22 @@
     retriesLeft: (count: number) => retryBudget.hasLeft(service, count),
   };
 }
+
+export const PAUSED: UpstreamFaults = {pause: [100, 1_600]};
+export const PLAYED_CALLS = 20;
+const INTERVAL_MS = 40;
+
+/** Calls arrive from shortly before the pause to its middle. */
+export async function play(options: PlainSiteOptions, each?: CallOptions) {
+  const site = createPlainSite(options);
+  const ends: CallEnd[] = [];
+  for (let i = 0; i < PLAYED_CALLS; i++) {
+    void site.call(each).then(end => ends.push(end));
+    await site.clock.advance(INTERVAL_MS);
+  }
+  await site.clock.advance(10_000);
+  assert.equal(site.overlapCount(), 0);
+  const served = ends.filter(({status}) => status === 200);
+  const slowestMs = Math.max(...ends.map(({tookMs}) => tookMs));
+  return {site, ends, served, slowestMs};
+}
--- a/tests/relay/plain/silent_upstreams_test.ts
+++ b/tests/relay/plain/silent_upstreams_test.ts
@@ -1,33 +1,14 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-  createPlainSite,
   GOAL_MS,
-  type CallEnd,
-  type CallOptions,
-  type PlainSiteOptions,
+  PAUSED,
+  play,
+  PLAYED_CALLS as CALLS,
   type UpstreamFaults,
 } from './plain_site.js';
 
-const PAUSED: UpstreamFaults = {pause: [100, 1_600]};
 const FOREVER: UpstreamFaults = {pause: [0, Infinity]};
-/** Calls arrive from shortly before the pause to its middle. */
-const CALLS = 20;
-const INTERVAL_MS = 40;
-
-async function play(options: PlainSiteOptions, each?: CallOptions) {
-  const site = createPlainSite(options);
-  const ends: CallEnd[] = [];
-  for (let i = 0; i < CALLS; i++) {
-    void site.call(each).then(end => ends.push(end));
-    await site.clock.advance(INTERVAL_MS);
-  }
-  await site.clock.advance(10_000);
-  assert.equal(site.overlapCount(), 0);
-  const served = ends.filter(({status}) => status === 200);
-  const slowestMs = Math.max(...ends.map(({tookMs}) => tookMs));
-  return {site, ends, served, slowestMs};
-}
 
 test('a silence of all upstreams ends no call, with or without retries', async () => {
   // Guards against calls ended after 2.5 goals before their next attempt is sure.
