Plain calls: leave a silent attempt once another upstream has accepted the call

Callers of idempotent calls got 504 at their deadline although the upstream at which their call was had only paused: the connection was closed before the call was sent to the next upstream, which answered probes and rejected calls. From then on each send took a retry, until none was left.

As for streams, the next attempt is now sent while the silent one stays open. That is closed when the other upstream has answered, or has not refused the call within 350 ms; a refused start is repeated after twice the pause.

--- a/src/relay/plain/attempt_watch.ts
+++ b/src/relay/plain/attempt_watch.ts
@@ -1,7 +1,7 @@
 /**
  * Watches an attempt that has no answer. While it stays open, another one is
- * prepared; it is left only when the other is ready, and kept if it is answered
- * before that.
+ * prepared and started; it is left only when an upstream has accepted the other,
+ * and kept if it is answered before that.
  */
 
 import type {Upstream} from '../../core/upstream.js';
@@ -12,11 +12,24 @@
   type CancellationSource,
 } from '../front/cancellation.js';
 import type {EngineSilence} from '../silence/engine_silence.js';
+import type {SendOutcome} from './plain_send.js';
 import type {Slot} from './slot_client.js';
 
-/** What the next attempt needs. */
+/** A call that was sent while an earlier attempt is silent. */
+export interface SentCall {
+  outcome(): Promise<SendOutcome>;
+  cancel(): void;
+}
+
+/** The attempt that is to follow. */
 export interface NextAttempt {
   readonly slot: Slot;
+  readonly sent: SentCall;
+  /**
+   * Sends the call; resolves to whether its upstream has accepted it. Otherwise
+   * nothing stays reserved.
+   */
+  start(): Promise<boolean>;
   /** It is not needed. */
   giveBack(): void;
 }
@@ -46,8 +59,9 @@
 
 /** After a pause, an upstream may answer a probe before earlier calls. */
 const ALIVE_CONFIRM_MS = 250;
-/** Pause after a preparation that failed. */
+/** Pause after a preparation that failed; doubled after each refused start. */
 const PREPARE_AGAIN_MS = 250;
+const MAX_PREPARE_AGAIN_MS = 1_000;
 
 export function createAttemptWatch(host: AttemptWatchHost): AttemptWatch {
   const {clock, upstream, silence, silentAfterMs} = host;
@@ -57,6 +71,7 @@
   let aliveSinceMs: number | undefined;
   let preparing: CancellationSource | undefined;
   let next: NextAttempt | undefined;
+  let againMs = PREPARE_AGAIN_MS;
   let hasEnded = false;
 
   function arm(delayMs: number, callback: () => void): void {
@@ -78,17 +93,27 @@
     return clock.nowMs() - aliveSinceMs < ALIVE_CONFIRM_MS;
   }
 
+  const tryAgain = () => arm(againMs, () => void tryLeave());
+
   async function tryLeave(): Promise<void> {
-    if (mayGoOn()) return arm(PREPARE_AGAIN_MS, () => void tryLeave());
+    if (mayGoOn()) return tryAgain();
     preparing = createCancellation();
     const prepared = await host.prepare(preparing);
     if (hasEnded) return prepared?.giveBack();
     if (!prepared || mayGoOn()) {
       prepared?.giveBack();
-      return arm(PREPARE_AGAIN_MS, () => void tryLeave());
+      return tryAgain();
+    }
+    const isAccepted = await prepared.start();
+    if (hasEnded) return isAccepted ? prepared.giveBack() : undefined;
+    if (!isAccepted) {
+      againMs = Math.min(MAX_PREPARE_AGAIN_MS, 2 * againMs);
+      return tryAgain();
     }
     next = prepared;
     hasEnded = true;
+    // From now on the next attempt ends with its own watch.
+    preparing = undefined;
     leaving.cancel();
   }
 
--- a/src/relay/plain/next_attempts.ts
+++ b/src/relay/plain/next_attempts.ts
@@ -1,35 +1,77 @@
 /**
  * Prepares the attempt that is to follow a silent one: an upstream that answers,
- * a slot there and a retry. Until it is sent, all of it can be given back.
+ * a slot there and a retry, all of which can be given back. Then it is started,
+ * while the silent one stays open until the upstream has accepted it.
  */
 
-import type {Cancellation} from '../../ports/relay.js';
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Cancellation, SendFailure} from '../../ports/relay.js';
+import {isGenuine} from '../answers/answer_rules.js';
+import {
+  createCancellation,
+  type CancellationSource,
+} from '../front/cancellation.js';
 import type {RelayJob} from '../relay_types.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
 import type {NextAttempt, UpstreamSilence} from './attempt_watch.js';
+import {noteUnusable, toNotes, toResult} from './plain_outcomes.js';
+import {
+  sendPlainCall,
+  type PlainSendHost,
+  type SendOutcome,
+} from './plain_send.js';
 import type {Slot, SlotClient, SlotNeed} from './slot_client.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
-export interface NextAttemptsHost {
+export interface NextAttemptsHost extends PlainSendHost {
+  readonly clock: Clock;
   readonly slots: SlotClient;
   readonly retryBudget: RetryAllowance;
+  readonly registry: Pick<UpstreamRegistry, 'markReplaced' | 'markUnreachable'>;
   readonly silence: UpstreamSilence;
 }
 
+export interface NextAttemptOptions {
+  readonly job: RelayJob;
+  readonly need: SlotNeed;
+  readonly avoid: ReadonlySet<string>;
+  /** An upstream may have run the call, without an answer of use. */
+  onRan(upstreamId: string): void;
+}
+
 export interface NextAttempts {
   /** Undefined if no attempt can follow now; then nothing stays reserved. */
   prepare(
-    job: RelayJob,
-    need: SlotNeed,
-    avoid: ReadonlySet<string>,
+    options: NextAttemptOptions,
     cancellation: Cancellation,
   ): Promise<NextAttempt | undefined>;
 }
 
 /** How many upstreams are asked for an answer. */
 const MAX_TARGETS = 3;
+/**
+ * A refusal comes at once, and a failed connection within the connect time-out.
+ * After this time without one the silent attempt is left, so that no call is at
+ * two upstreams for long.
+ */
+const REFUSAL_WAIT_MS = 350;
+/** A timer this late shows that this host stood still, and has bytes to read. */
+const LATE_TIMER_MS = 100;
+const SERVER_ERROR = 500;
+
+/** The failure as which an outcome counts; undefined if the call was accepted. */
+function toRefusal(outcome: SendOutcome): SendFailure | undefined {
+  if (outcome.kind !== 'answered') return outcome;
+  if (isGenuine(outcome) && outcome.status < SERVER_ERROR) return undefined;
+  outcome.body.destroy();
+  return {kind: 'broken', detail: `status ${outcome.status}`};
+}
+
+const wasSent = ({kind}: SendFailure) =>
+  kind === 'rejected' || kind === 'broken' || kind === 'cancelled';
 
 export function createNextAttempts(host: NextAttemptsHost): NextAttempts {
-  const {slots, retryBudget} = host;
+  const {clock, slots, retryBudget, registry} = host;
 
   /** Gets a slot of an upstream that answers. */
   async function acquireAnswering(
@@ -51,21 +93,81 @@
     return undefined;
   }
 
+  /** Resolves to the outcome, or to undefined if no refusal comes in time. */
+  async function waitForRefusal(
+    outcome: Promise<SendOutcome>,
+  ): Promise<SendOutcome | undefined> {
+    let timer: TimerHandle | undefined;
+    const isOver = new Promise<undefined>(resolve => {
+      const wait = () => {
+        const dueMs = clock.nowMs() + REFUSAL_WAIT_MS;
+        timer = clock.setTimer(REFUSAL_WAIT_MS, () => {
+          if (clock.nowMs() - dueMs >= LATE_TIMER_MS) wait();
+          else resolve(undefined);
+        });
+      };
+      wait();
+    });
+    const first = await Promise.race([outcome, isOver]);
+    if (timer) clock.clearTimer(timer);
+    return first;
+  }
+
+  function toNextAttempt(
+    {job, onRan}: NextAttemptOptions,
+    slot: Slot,
+    source: CancellationSource,
+  ): NextAttempt {
+    const {id} = slot.upstream;
+    const service = job.service.name;
+    let outcome: Promise<SendOutcome> | undefined;
+
+    function noteRefusal(failure: SendFailure): void {
+      slot.end(toResult(failure), toNotes(failure));
+      noteUnusable(registry, id, failure);
+      if (!wasSent(failure)) retryBudget.giveBack(service);
+      if (failure.kind === 'broken' || failure.kind === 'cancelled') onRan(id);
+    }
+
+    function send(): Promise<SendOutcome> {
+      outcome ??= sendPlainCall(host, job, slot, {permitWaitMs: 0}, source);
+      return outcome;
+    }
+
+    return {
+      slot,
+      sent: {outcome: send, cancel: source.cancel},
+      async start() {
+        const first = await waitForRefusal(send());
+        const refusal = first && toRefusal(first);
+        if (refusal) noteRefusal(refusal);
+        return !refusal;
+      },
+      giveBack() {
+        source.cancel();
+        slot.end('cancelled');
+        if (!outcome) return retryBudget.giveBack(service);
+        onRan(id);
+        void outcome.then(each => {
+          if (each.kind === 'answered') each.body.destroy();
+        });
+      },
+    };
+  }
+
   return {
-    async prepare({service, request}, need, avoid, cancellation) {
+    async prepare(options, cancellation) {
+      const {job, need, avoid} = options;
       const slot = await acquireAnswering(need, avoid, cancellation);
       if (!slot) return undefined;
-      if (!(await retryBudget.tryTake(service.name, request.requestId))) {
+      const {name} = job.service;
+      if (!(await retryBudget.tryTake(name, job.request.requestId))) {
         slot.end('cancelled');
         return undefined;
       }
-      return {
-        slot,
-        giveBack() {
-          slot.end('cancelled');
-          retryBudget.giveBack(service.name);
-        },
-      };
+      const source = createCancellation();
+      cancellation.onCancel(source.cancel);
+      return toNextAttempt(options, slot, source);
     },
   };
 }
--- a/src/relay/plain/plain_attempt.ts
+++ b/src/relay/plain/plain_attempt.ts
@@ -2,7 +2,7 @@
  * Sends a call to one upstream and decides what its outcome means for the call.
  *
  * An upstream that is silent may be paused and answer later, so its attempt
- * ends only when another is ready to follow.
+ * ends only when another upstream has accepted the call.
  */
 
 import type {RequestError} from '../../core/error_kinds.js';
@@ -21,16 +21,28 @@
 import {deliverCollected, passThrough} from '../answers/answer_delivery.js';
 import {isGenuine} from '../answers/answer_rules.js';
 import {joinCancellations} from '../front/cancellation.js';
-import {CONNECT_TIMEOUT_MS, leftMs, type RelayJob} from '../relay_types.js';
+import type {RelayJob} from '../relay_types.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {
   createAttemptWatch,
   type AttemptWatch,
   type AttemptWatchHost,
   type NextAttempt,
+  type SentCall,
   type UpstreamSilence,
 } from './attempt_watch.js';
-import {isFullNow, toNotes, toOverload, toResult} from './plain_outcomes.js';
+import {
+  isFullNow,
+  noteUnusable,
+  toNotes,
+  toOverload,
+  toResult,
+} from './plain_outcomes.js';
+import {
+  sendPlainCall,
+  untilDeadlineMs,
+  type SendOutcome,
+} from './plain_send.js';
 import type {Slot} from './slot_client.js';
 
 export interface PlainAttemptHost {
@@ -62,6 +74,8 @@
   readonly progress: Progress;
   readonly slot: Slot;
   readonly permitWaitMs: number;
+  /** Set if the call was sent already. */
+  readonly sent?: SentCall;
   /** Prepares the attempt that follows if the upstream is silent. */
   readonly prepareNext?: AttemptWatchHost['prepare'];
 }
@@ -78,7 +92,7 @@
   | 'ran'
   /** The call must not be sent again. */
   | 'stop'
-  /** The upstream was silent, and this attempt follows. */
+  /** The upstream was silent, and this attempt follows, which was sent. */
   | NextAttempt;
 
 export interface PlainAttempts {
@@ -92,33 +106,17 @@
  */
 const SILENT_GOALS = 2.5;
 const MIN_SILENT_MS = 150;
-/** The upstream ends a run at its deadline itself and reports it. */
-const DEADLINE_SLACK_MS = 60;
 /** A few calls will have ended after this time. */
 const REJECTED_RETRY_MS = 100;
 const UNREACHABLE_RETRY_MS = 300;
-/**
- * An upstream that resets connections does so when it accepts them, one hop
- * after connecting and one back: some 4 ms.
- */
-const FIRST_BYTE_DELAY_MS = 6;
 const SERVER_ERROR = 500;
 
-/** Only calls that must run at most once wait, at upstreams that reset some. */
-function firstByteDelayMs({route}: RelayJob, slot: Slot): number | undefined {
-  const mustWait = route.kind !== 'idempotent' && slot.isResetting;
-  return mustWait ? FIRST_BYTE_DELAY_MS : undefined;
-}
-
 function toRejected(detail: string): RequestError {
   return {kind: 'overloaded', detail, retryAfterMs: REJECTED_RETRY_MS};
 }
 
 export function createPlainAttempts(host: PlainAttemptHost): PlainAttempts {
-  const {clock, upstreamPort, registry} = host;
-
-  const untilDeadlineMs = ({deadlineAtMs}: RelayJob) =>
-    leftMs(deadlineAtMs, clock.nowMs()) + DEADLINE_SLACK_MS;
+  const {clock, registry} = host;
 
   /** Undefined if no other attempt may follow a silent one. */
   function watch(attempt: PlainAttempt): AttemptWatch | undefined {
@@ -145,30 +143,29 @@
     return end;
   }
 
+  /** Sends the call, unless it was sent while the one before was silent. */
+  function toOutcome(
+    {job, slot, permitWaitMs, sent}: PlainAttempt,
+    watched: AttemptWatch | undefined,
+  ): Promise<SendOutcome> {
+    const {cancellation} = job;
+    if (sent || permitWaitMs === 0) watched?.start();
+    if (!sent) {
+      const options = {permitWaitMs, onPermitted: watched?.start};
+      return sendPlainCall(host, job, slot, options, cancellation);
+    }
+    cancellation.onCancel(sent.cancel);
+    return sent.outcome();
+  }
+
   async function sendWatched(
     attempt: PlainAttempt,
     watched: AttemptWatch | undefined,
   ): Promise<AttemptEnd> {
-    const {job, progress, slot, permitWaitMs} = attempt;
-    const {request, cancellation, route} = job;
+    const {progress, slot} = attempt;
     const {upstream} = slot;
     progress.sendCount++;
-    if (permitWaitMs === 0) watched?.start();
-    const outcome = await upstreamPort.send(
-      request,
-      {
-        upstream,
-        leftMs: leftMs(job.deadlineAtMs, clock.nowMs()),
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        headTimeoutMs: untilDeadlineMs(job),
-        mayReuseConnection: route.kind === 'idempotent',
-        firstByteDelayMs: firstByteDelayMs(job, slot),
-        permitWaitMs,
-        onPermitted: watched?.start,
-        expectsEvents: route.kind === 'stream',
-      },
-      cancellation,
-    );
+    const outcome = await toOutcome(attempt, watched);
     if (outcome.kind === 'answered') {
       progress.ran.add(upstream.id);
       progress.tried.add(upstream.id);
@@ -216,13 +213,13 @@
     // The queue gives the call the next slot, also of the same upstream.
     const isQueuedAgain = isFullNow(failure) && mayQueueAgain(job, slot);
     if (!isQueuedAgain) progress.tried.add(id);
+    noteUnusable(registry, id, failure);
     switch (failure.kind) {
       case 'unreachable':
         if (failure.wasConnected) {
           progress.failure = toRejected(failure.detail);
           return 'unsent';
         }
-        registry.markUnreachable(id);
         progress.failure = {
           kind: 'no-upstream',
           detail: failure.detail,
@@ -233,7 +230,6 @@
         progress.failure = toOverload(progress.failure, failure);
         return 'unsent';
       case 'rejected':
-        if (failure.reason === 'other-instance') registry.markReplaced(id);
         progress.failure = toRejected(failure.detail);
         return 'not-run';
       case 'broken':
@@ -281,7 +277,7 @@
     answer: UpstreamAnswer,
   ): Promise<Collected | 'cancelled'> {
     return new Promise(resolve => {
-      const timer = clock.setTimer(untilDeadlineMs(job), () => {
+      const timer = clock.setTimer(untilDeadlineMs(job, clock.nowMs()), () => {
         answer.body.destroy();
         resolve({kind: 'broken', detail: 'no whole answer in time'});
       });
--- a/src/relay/plain/plain_outcomes.ts
+++ b/src/relay/plain/plain_outcomes.ts
@@ -3,6 +3,7 @@
 import type {RequestError} from '../../core/error_kinds.js';
 import type {SendFailure} from '../../ports/relay.js';
 import type {PlainCallResult} from '../../scheduling/plain_balancer.js';
+import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {EndNotes} from './slot_client.js';
 
 /**
@@ -65,3 +66,17 @@
     ...(wasReset && {wasReset}),
   };
 }
+
+/** Records a failure that shows that the upstream can't be used for now. */
+export function noteUnusable(
+  registry: Pick<UpstreamRegistry, 'markReplaced' | 'markUnreachable'>,
+  upstreamId: string,
+  failure: SendFailure,
+): void {
+  if (failure.kind === 'unreachable' && !failure.wasConnected) {
+    registry.markUnreachable(upstreamId);
+  }
+  if (failure.kind === 'rejected' && failure.reason === 'other-instance') {
+    registry.markReplaced(upstreamId);
+  }
+}
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -6,8 +6,9 @@
  * upstream said that it did not run the call; so it runs at most once.
  *
  * An attempt at an idempotent call whose upstream is silent is left as soon as
- * another is ready. If that one is not run, the call is placed again until its
- * deadline, since the silent attempt might have been answered.
+ * another upstream has accepted the call. If that one does not run it after all,
+ * the call is placed again until its deadline, since the silent attempt might
+ * have been answered.
  */
 
 import type {RequestError} from '../../core/error_kinds.js';
@@ -165,12 +166,16 @@
     {job, progress}: PlainCall,
     {upstream}: Slot,
   ): PlainAttempt['prepareNext'] {
-    const ran = new Set([...progress.ran, upstream.id]);
-    if (!mayRunAgain(job, ran)) return undefined;
-    return cancellation => {
+    const ranWith = () => new Set([...progress.ran, upstream.id]);
+    if (!mayRunAgain(job, ranWith())) return undefined;
+    return async cancellation => {
+      const ran = ranWith();
+      // Attempts that were started meanwhile count, too.
+      if (!mayRunAgain(job, ran)) return undefined;
       const need = toNeed(job);
       const {avoid} = selectUpstreams(job, ran, need);
-      return nextAttempts.prepare(job, need, avoid, cancellation);
+      const onRan = (upstreamId: string) => void progress.ran.add(upstreamId);
+      return nextAttempts.prepare({job, need, avoid, onRan}, cancellation);
     };
   }
 
@@ -220,6 +225,7 @@
       }
       const need = toNeed(job);
       const selection = selectUpstreams(job, progress.tried, need);
+      const sent = next?.sent;
       const slot = next?.slot ?? (await place(call, need, selection.avoid));
       next = undefined;
       if (!slot) {
@@ -231,6 +237,7 @@
         progress,
         slot,
         permitWaitMs: selection.permitWaitMs,
+        sent,
         prepareNext: toPrepareNext(call, slot),
       });
       if (end === 'done') return true;
