--- a/src/relay/plain/next_attempts.ts
+++ b/src/relay/plain/next_attempts.ts
@@ -4,7 +4,7 @@
  * while the silent one stays open until the upstream has accepted it.
  */
 
-import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 import type {Cancellation, SendFailure} from '../../ports/relay.js';
 import {isGenuine} from '../answers/answer_rules.js';
 import {
@@ -13,6 +13,7 @@
 } from '../front/cancellation.js';
 import type {RelayJob} from '../relay_types.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
+import {waitForRefusal} from '../silence/refusal_wait.js';
 import type {NextAttempt, UpstreamSilence} from './attempt_watch.js';
 import {noteUnusable, toNotes, toResult} from './plain_outcomes.js';
 import {
@@ -49,14 +50,6 @@
 
 /** How many upstreams are asked for an answer. */
 const MAX_TARGETS = 3;
-/**
- * A refusal comes at once, and a failed connection within the connect time-out.
- * After this time without one the silent attempt is left, so that no call is at
- * two upstreams for long.
- */
-const REFUSAL_WAIT_MS = 350;
-/** A timer this late shows that this host stood still, and has bytes to read. */
-const LATE_TIMER_MS = 100;
 const SERVER_ERROR = 500;
 
 /** The failure as which an outcome counts; undefined if the call was accepted. */
@@ -93,26 +86,6 @@
     return undefined;
   }
 
-  /** Resolves to the outcome, or to undefined if no refusal comes in time. */
-  async function waitForRefusal(
-    outcome: Promise<SendOutcome>,
-  ): Promise<SendOutcome | undefined> {
-    let timer: TimerHandle | undefined;
-    const isOver = new Promise<undefined>(resolve => {
-      const wait = () => {
-        const dueMs = clock.nowMs() + REFUSAL_WAIT_MS;
-        timer = clock.setTimer(REFUSAL_WAIT_MS, () => {
-          if (clock.nowMs() - dueMs >= LATE_TIMER_MS) wait();
-          else resolve(undefined);
-        });
-      };
-      wait();
-    });
-    const first = await Promise.race([outcome, isOver]);
-    if (timer) clock.clearTimer(timer);
-    return first;
-  }
-
   function toNextAttempt(
     {job, onRan}: NextAttemptOptions,
     slot: Slot,
@@ -138,7 +111,7 @@
       slot,
       sent: {outcome: send, cancel: source.cancel},
       async start() {
-        const first = await waitForRefusal(send());
+        const first = await waitForRefusal(clock, send());
         const refusal = first && toRefusal(first);
         if (refusal) noteRefusal(refusal);
         return !refusal;
