Prefill: leave a silent call once another engine has accepted the prompt

Streams were refused with 503, or had their prompts read by the decode engine, although their prefill engine went on: its call had been ended before the next engine was called, which answers probes but was full. One engine paused, the others refusing, with one retry: 'no-retries' after 1.5 s; with two and more the prompt was not read by a prefill engine.

The prompt is now sent to the next engine while the silent call stays open, as for runs and plain calls. If it is refused, the call stays, and that engine is not tried again. A result that nobody needs is released.

--- a/src/relay/streams/budgeted_calls.ts
+++ b/src/relay/streams/budgeted_calls.ts
@@ -19,15 +19,16 @@
 };
 
 export interface BudgetedCalls {
-  /**
-   * Makes a prefill call. The first one that an engine accepts is free. For a
-   * call that follows a silent one, the retry was reserved before that ended.
-   */
+  /** Makes a prefill call. The first one that an engine accepts is free. */
   prefill(
     state: StreamState,
     call: () => Promise<PrefillOutcome>,
-    isReserved?: boolean,
   ): Promise<PrefillOutcome | NoRetries>;
+  /** The same, with a retry that was reserved for it. */
+  reservedPrefill(
+    state: StreamState,
+    call: () => Promise<PrefillOutcome>,
+  ): Promise<PrefillOutcome>;
   /** Makes a call that runs the request at a decode engine. */
   run<Answer extends {readonly kind: 'answered'}>(
     state: StreamState,
@@ -72,31 +73,41 @@
     isCounted: (outcome: Outcome) => boolean,
     isReserved = false,
   ): Promise<Outcome | NoRetries> {
-    const service = state.job.service.name;
     const isRetry = isReserved || state.countedCalls > 0;
     if (isRetry && !isReserved && !(await take(state))) return NO_RETRIES;
     const outcome = await call();
-    // A call that was never sent costs the engines nothing.
-    if (!NOT_SENT_KINDS.has(outcome.kind) && isCounted(outcome)) {
-      state.countedCalls++;
-    } else if (isRetry) {
-      budget.giveBack(service);
-    }
+    charge(state, outcome, isCounted(outcome), isRetry);
     return outcome;
   }
 
+  function charge(
+    state: StreamState,
+    {kind}: {readonly kind: string},
+    isCounted: boolean,
+    isRetry: boolean,
+  ): void {
+    // A call that was never sent costs the engines nothing.
+    if (!NOT_SENT_KINDS.has(kind) && isCounted) state.countedCalls++;
+    else if (isRetry) budget.giveBack(state.job.service.name);
+  }
+
+  /** Whether a prefill call counts; the first that was accepted does not. */
+  function isPrefillCounted(state: StreamState, {kind}: PrefillOutcome) {
+    const isFirst = kind === 'prefilled' && !state.wasPrefilled;
+    if (kind === 'prefilled') state.wasPrefilled = true;
+    return !isFirst;
+  }
+
   return {
-    prefill: (state, call, isReserved) =>
-      callWithinBudget(
-        state,
-        call,
-        ({kind}) => {
-          const isFirst = kind === 'prefilled' && !state.wasPrefilled;
-          if (kind === 'prefilled') state.wasPrefilled = true;
-          return !isFirst;
-        },
-        isReserved,
+    prefill: (state, call) =>
+      callWithinBudget(state, call, outcome =>
+        isPrefillCounted(state, outcome),
       ),
+    async reservedPrefill(state, call) {
+      const outcome = await call();
+      charge(state, outcome, isPrefillCounted(state, outcome), true);
+      return outcome;
+    },
     run: (state, call) =>
       callWithinBudget(state, call, () => true, takeReserved(state)),
     canRetryCall: ({job}) => budget.hasLeft(job.service.name, 1),
--- a/src/relay/streams/prefill_step.ts
+++ b/src/relay/streams/prefill_step.ts
@@ -2,6 +2,7 @@
 
 import type {Clock} from '../../ports/clock.js';
 import type {
+  Cancellation,
   PrefillOutcome,
   PrefillResultPlace,
   SendFailure,
@@ -12,16 +13,22 @@
 import type {EngineFailures} from './engine_failures.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {PrefillReservation} from '../placement/placement_types.js';
-import {watchPrefill, type GivenUp} from './prefill_watch.js';
+import {
+  watchPrefill,
+  type GivenUp,
+  type NextPrefill,
+  type SentPrefill,
+} from './prefill_watch.js';
 import {CONNECT_TIMEOUT_MS, leftMs} from '../relay_types.js';
 import type {EngineProbes} from '../silence/engine_probes.js';
+import {waitForRefusal} from '../silence/refusal_wait.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import type {StreamState} from './stream_state.js';
 import type {Upstream} from '../../core/upstream.js';
 
 export interface PrefillStepHost {
   readonly clock: Clock;
-  readonly upstreamPort: Pick<UpstreamPort, 'prefill'>;
+  readonly upstreamPort: Pick<UpstreamPort, 'prefill' | 'releasePrefill'>;
   readonly probes: EngineProbes;
   readonly scheduler: EngineScheduler;
   readonly failures: EngineFailures;
@@ -56,6 +63,8 @@
   readonly reservation: PrefillReservation;
   /** A retry was reserved for it, since it follows a silent call. */
   readonly isReserved?: boolean;
+  /** It was sent while the call before was silent. */
+  readonly sent?: SentPrefill;
 }
 
 /** How a call ended, and why if it was given up. */
@@ -72,6 +81,13 @@
   readonly givenUp?: GivenUp;
 }
 
+function toSource(
+  {id: engineId, address}: Upstream,
+  handle: string,
+): PrefillResultPlace {
+  return {engineId, address, handle};
+}
+
 export function createPrefillStep(host: PrefillStepHost): PrefillStep {
   const {clock, upstreamPort, probes, scheduler, failures, calls} = host;
 
@@ -82,18 +98,66 @@
     return Math.max(PREFILL_TIMEOUT_MS, BACKLOG_FACTOR * backlogMs);
   }
 
+  function send(
+    {job, enginePriority}: StreamState,
+    engine: Upstream,
+    cancellation: Cancellation,
+  ): Promise<PrefillOutcome> {
+    const untilDeadlineMs = leftMs(job.deadlineAtMs, clock.nowMs());
+    return upstreamPort.prefill(
+      job.request,
+      {
+        upstream: engine,
+        leftMs: untilDeadlineMs,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        headTimeoutMs: untilDeadlineMs,
+        mayReuseConnection: false,
+        enginePriority,
+      },
+      cancellation,
+    );
+  }
+
+  /** Sends the prompt to the next engine while the call before is silent. */
+  async function startNext(
+    state: StreamState,
+    {engine, reservation}: NextPrefill,
+    cancellation: Cancellation,
+  ): Promise<SentPrefill | undefined> {
+    const source = createCancellation();
+    cancellation.onCancel(source.cancel);
+    const sentAtMs = clock.nowMs();
+    const outcome = calls.reservedPrefill(state, () =>
+      send(state, engine, source),
+    );
+    const first = await waitForRefusal(clock, outcome);
+    if (!first || first.kind === 'prefilled') {
+      const release = () => {
+        source.cancel();
+        void outcome.then(each => {
+          if (each.kind !== 'prefilled') return;
+          upstreamPort.releasePrefill(toSource(engine, each.handle));
+        });
+      };
+      return {sentAtMs, outcome, cancel: source.cancel, release};
+    }
+    reservation.end();
+    noteFailure(state, engine, first);
+    return undefined;
+  }
+
   /** Calls the engine until it answers or its call is given up. */
   async function call(
     state: StreamState,
-    engine: Upstream,
+    {engine, sent}: Attempt,
     timeoutMs: number,
     tried: ReadonlySet<string>,
   ): Promise<CallEnd> {
     const {job} = state;
     const cancellation = createCancellation();
     job.cancellation.onCancel(cancellation.cancel);
-    const startedAtMs = clock.nowMs();
-    const untilDeadlineMs = leftMs(job.deadlineAtMs, startedAtMs);
+    if (sent) cancellation.onCancel(sent.cancel);
+    const startedAtMs = sent?.sentAtMs ?? clock.nowMs();
     let givenUp: GivenUp | undefined;
     const watch = watchPrefill(
       {clock, probes, scheduler, calls},
@@ -102,25 +166,15 @@
         engine,
         timeoutMs,
         avoid: tried,
-        mayMove: tried.size + 1 < MAX_ATTEMPTS,
+        maxMoves: MAX_ATTEMPTS - 1 - tried.size,
+        start: (next, given) => startNext(state, next, given),
       },
       end => {
         givenUp = end;
         cancellation.cancel();
       },
     );
-    const outcome = await upstreamPort.prefill(
-      job.request,
-      {
-        upstream: engine,
-        leftMs: untilDeadlineMs,
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
-        headTimeoutMs: untilDeadlineMs,
-        mayReuseConnection: false,
-        enginePriority: state.enginePriority,
-      },
-      cancellation,
-    );
+    const outcome = await (sent?.outcome ?? send(state, engine, cancellation));
     watch.stop();
     const durationMs = clock.nowMs() - startedAtMs;
     const wasSilent = watch.wasSilent();
@@ -145,6 +199,16 @@
     speeds.recordPrompt(engine, need.promptTokens / durationMs);
   }
 
+  function noteFailure(
+    state: StreamState,
+    engine: Upstream,
+    failure: SendFailure,
+    givenUp?: GivenUp,
+  ): void {
+    if (failure.kind === 'rejected') scheduler.recordRefusal(engine.id);
+    recordFailure(state, engine, failure, givenUp);
+  }
+
   function recordFailure(
     state: StreamState,
     engine: Upstream,
@@ -163,32 +227,29 @@
     attempt: Attempt,
     tried: ReadonlySet<string>,
   ): Promise<AttemptEnd> {
-    const {engine, reservation, isReserved} = attempt;
+    const {engine, reservation, isReserved, sent} = attempt;
     const timeoutMs = timeoutMsOf(attempt);
     const ends: CallEnd[] = [];
-    const outcome = await calls.prefill(
-      state,
-      async () => {
-        ends.push(await call(state, engine, timeoutMs, tried));
-        return ends[0].outcome;
-      },
-      isReserved,
-    );
+    const run = async () => {
+      ends.push(await call(state, attempt, timeoutMs, tried));
+      return ends[0].outcome;
+    };
+    // A call that was sent has been charged.
+    const charged = isReserved ? calls.reservedPrefill : calls.prefill;
+    const outcome = await (sent ? run() : charged(state, run));
     const wasAlone = reservation.isUncontended();
     reservation.end();
     if (outcome.kind === 'no-retries') return {outcome};
     const {givenUp} = ends[0];
-    if (outcome.kind === 'rejected') scheduler.recordRefusal(engine.id);
     if (outcome.kind !== 'prefilled') {
-      recordFailure(state, engine, outcome, givenUp);
+      noteFailure(state, engine, outcome, givenUp);
       return {outcome, givenUp};
     }
     scheduler.recordSuccess(engine.id);
     scheduler.recordAcceptance(engine.id);
     if (wasAlone) recordSpeed(state, attempt, ends[0]);
-    const {handle} = outcome;
-    const {id: engineId, address} = engine;
-    return {outcome: {kind: 'read', source: {engineId, address, handle}}};
+    const source = toSource(engine, outcome.handle);
+    return {outcome: {kind: 'read', source}};
   }
 
   /** Whether no other engine is to be tried. */
--- a/src/relay/streams/prefill_watch.ts
+++ b/src/relay/streams/prefill_watch.ts
@@ -1,6 +1,7 @@
 /**
  * Decides when a prefill call that is silent is given up. A silent engine may
- * have paused and go on, so its call ends only for an engine that answers.
+ * have paused and go on, so its call ends only for an engine that has accepted
+ * the prompt.
  *
  * The engine is asked over a new connection, and so are those that could
  * replace it:
@@ -13,6 +14,11 @@
 
 import type {Upstream} from '../../core/upstream.js';
 import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Cancellation, PrefillOutcome} from '../../ports/relay.js';
+import {
+  createCancellation,
+  type CancellationSource,
+} from '../front/cancellation.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {PrefillReservation} from '../placement/placement_types.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
@@ -36,14 +42,33 @@
   readonly timeoutMs: number;
   /** Prefill engines that the call must not be moved to. */
   readonly avoid: ReadonlySet<string>;
-  /** Whether it may be moved to another prefill engine at all. */
-  readonly mayMove: boolean;
+  /** How many other prefill engines the call may be sent to. */
+  readonly maxMoves: number;
+  /**
+   * Sends the prompt to another engine as well; undefined if that refuses it,
+   * with nothing left reserved.
+   */
+  start(
+    next: NextPrefill,
+    cancellation: Cancellation,
+  ): Promise<SentPrefill | undefined>;
+}
+
+/** A call that was sent while the one before is silent. */
+export interface SentPrefill {
+  readonly sentAtMs: number;
+  readonly outcome: Promise<PrefillOutcome>;
+  cancel(): void;
+  /** Cancels it, and has the engine free its result if it has one. */
+  release(): void;
 }
 
 /** The next prefill engine for the prompt, for which a retry is reserved. */
 export interface NextPrefill {
   readonly engine: Upstream;
   readonly reservation: PrefillReservation;
+  /** Absent if the engine before has ended, so that nothing was to be kept. */
+  readonly sent?: SentPrefill;
 }
 
 /** Why and for what a call is given up. */
@@ -90,6 +115,8 @@
   const patienceEndMs = toWaitingForNext(state).giveUpAtMs;
   let isStopped = false;
   let tickCount = 0;
+  let starting: CancellationSource | undefined;
+  const refusing = new Set<string>();
   let wasSilent = false;
   /** Since when the engine, and any other prefill engine, has been awake. */
   let awakeSinceMs: number | undefined;
@@ -101,10 +128,12 @@
   );
 
   function findOthers(): readonly Upstream[] {
-    if (!call.mayMove) return [];
+    if (refusing.size >= call.maxMoves) return [];
     return scheduler
       .prefillEngines(need, placement.decode)
-      .filter(({id}) => id !== engine.id && !avoid.has(id));
+      .filter(
+        ({id}) => id !== engine.id && !avoid.has(id) && !refusing.has(id),
+      );
   }
 
   /** Asks those that were heard, or some of the others in turn. */
@@ -151,7 +180,8 @@
     return isConfirmed ? 'another engine answers a probe' : undefined;
   }
 
-  async function takeNext(
+  /** Books and reserves what the next call needs. */
+  async function reserveNext(
     others: readonly Upstream[],
   ): Promise<NextPrefill | undefined> {
     if (!others.some(({id}) => isAwake(id))) return undefined;
@@ -159,6 +189,7 @@
     const silent = others.filter(({id}) => !isAwake(id));
     const passedOver = new Set([
       ...avoid,
+      ...refusing,
       engine.id,
       ...silent.map(({id}) => id),
     ]);
@@ -169,6 +200,23 @@
     return next;
   }
 
+  /** Undefined if no other engine takes the prompt. */
+  async function takeNext(
+    others: readonly Upstream[],
+  ): Promise<NextPrefill | undefined> {
+    const next = await reserveNext(others);
+    if (!next || hasEnded()) return next;
+    const cancellation = createCancellation();
+    starting = cancellation;
+    const sent = await call.start(next, cancellation);
+    if (!sent) {
+      refusing.add(next.engine.id);
+      return undefined;
+    }
+    if (!isStopped) starting = undefined;
+    return {...next, sent};
+  }
+
   /** Whether the decode engine can read the prompt now. */
   const canDecodeRead = () =>
     isAwake(placement.decode.id) && calls.canRetryCall(state);
@@ -211,9 +259,10 @@
     else timer = clock.setTimer(TICK_MS, () => void tick());
   }
 
-  function release({reservation}: NextPrefill): void {
+  function release({reservation, sent}: NextPrefill): void {
     reservation.end();
-    calls.giveBackRun(state);
+    if (sent) sent.release();
+    else calls.giveBackRun(state);
   }
 
   return {
@@ -222,6 +271,7 @@
     stop() {
       isStopped = true;
       clock.clearTimer(timer);
+      starting?.cancel();
     },
   };
 }
--- a/tests/relay/streams/prefill_site.ts
+++ b/tests/relay/streams/prefill_site.ts
@@ -20,8 +20,11 @@
 /** When requests arrive. */
 export const START_MS = 1_000;
 
+export type PrefillPort = Pick<UpstreamPort, 'prefill' | 'probe'> &
+  Partial<Pick<UpstreamPort, 'releasePrefill'>>;
+
 export interface PrefillSiteOptions {
-  readonly upstreamPort: Pick<UpstreamPort, 'prefill' | 'probe'>;
+  readonly upstreamPort: PrefillPort;
   readonly retries: number;
   /** Prompts that are read already where the request is placed. */
   readonly backlogTokens?: number;
@@ -40,7 +43,7 @@
   const log = silentLog;
   const step = createPrefillStep({
     clock,
-    upstreamPort,
+    upstreamPort: {releasePrefill: () => undefined, ...upstreamPort},
     probes: createEngineProbes({clock, upstreamPort}),
     scheduler,
     statistics: {...statistics, speeds},
--- a/tests/relay/streams/silent_prefill_test.ts
+++ b/tests/relay/streams/silent_prefill_test.ts
@@ -18,6 +18,8 @@
   /** Only the connection of the first call is dead. */
   readonly isOfConnection?: boolean;
   readonly retries?: number;
+  /** The engines that are not silent answer probes and refuse the prompt. */
+  readonly othersRefuse?: boolean;
 }
 
 /** Sends a prompt to engines that fall silent just before. */
@@ -27,6 +29,7 @@
     untilMs = Infinity,
     isOfConnection,
     retries = 3,
+    othersRefuse,
   } = silence;
   const clock = createVirtualClock(START_MS);
   const called: string[] = [];
@@ -61,6 +64,9 @@
           silent.add(each);
         }
       }
+      if (othersRefuse && !silent.has(id)) {
+        return {kind: 'rejected', reason: 'full', detail: ''};
+      }
       const answer = awake(id, isDead ? Infinity : READ_MS, headTimeoutMs);
       const cancelled = new Promise<'cancelled'>(resolve =>
         cancellation.onCancel(() => resolve('cancelled')),
@@ -108,6 +114,23 @@
   });
 }
 
+for (const retries of [0, 1, 2, 10]) {
+  test(`a prompt stays at an engine that pauses while the others refuse it, with ${retries} retries`, async () => {
+    // Guards against a silent call that is given up before another is accepted.
+    const untilMs = 2_500;
+    const end = await readPrompt({
+      silentCount: 1,
+      untilMs,
+      retries,
+      othersRefuse: true,
+    });
+    assert.equal(end.kind, 'read');
+    assert.ok(end.endedAfterMs <= untilMs + 2 * READ_MS);
+    assert.equal(end.retriesTaken, Math.min(2, retries));
+    assert.equal(end.bookedTokens, 0);
+  });
+}
+
 test('the decode engine reads the prompt before the caller leaves', async () => {
   // Guards against prompts that wait for engines that pause for longer than
   // callers do.
