--- a/src/relay/streams/next_runs.ts
+++ b/src/relay/streams/next_runs.ts
@@ -18,9 +18,13 @@
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {Departure} from '../silence/run_watch.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
-import type {FailedStart, StreamStart} from './stream_start.js';
+import type {
+  FailedStart,
+  StreamStart,
+  Successor,
+} from './stream_start_types.js';
 import {mayResume, toWaitingForNext, type StreamState} from './stream_state.js';
-import type {Successor, Successors} from './successors.js';
+import type {Successors} from './successors.js';
 
 export interface NextRunsHost {
   readonly clock: Clock;
--- a/src/relay/streams/placed_streams.ts
+++ b/src/relay/streams/placed_streams.ts
@@ -23,9 +23,12 @@
 import type {OutputForecast} from './output_forecast.js';
 import {createRunPaceMeter} from './run_pace.js';
 import {relayEvents, type StreamEnd} from './stream_events.js';
-import type {StartOutcome, StreamStart} from './stream_start.js';
+import type {
+  StartOutcome,
+  StreamStart,
+  Successor,
+} from './stream_start_types.js';
 import type {StreamState} from './stream_state.js';
-import type {Successor} from './successors.js';
 
 export interface PlacedStreamsHost {
   readonly clock: Clock;
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -31,7 +31,8 @@
 import {createPlacedStreams} from './placed_streams.js';
 import {createStreamStart} from './stream_start.js';
 import {mayResume, toWaitingForNext, type StreamState} from './stream_state.js';
-import {createSuccessors, type Successor} from './successors.js';
+import type {Successor} from './stream_start_types.js';
+import {createSuccessors} from './successors.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {toWaiting} from '../placement/wait_rules.js';
 
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -20,9 +20,15 @@
 import type {Placement} from '../placement/placement_types.js';
 import type {PrefillStep} from './prefill_step.js';
 import {CONNECT_TIMEOUT_MS, KEY_WITHDRAWN, leftMs} from '../relay_types.js';
-import type {Departure, RunWatch} from '../silence/run_watch.js';
+import type {RunWatch} from '../silence/run_watch.js';
 import type {StreamState} from './stream_state.js';
-import type {Successor} from './successors.js';
+import type {
+  Left,
+  StartOptions,
+  StartOutcome,
+  StreamStart,
+  Successor,
+} from './stream_start_types.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 
 export interface StreamStartHost {
@@ -37,60 +43,12 @@
   watchRun(state: StreamState): RunWatch<Successor> | undefined;
 }
 
-export interface StreamStart {
-  /** Resolves when the head of an answer has arrived or the start failed. */
-  start(state: StreamState, options?: StartOptions): Promise<StartOutcome>;
-  /**
-   * Books other engines for the request, none of those to avoid; returns false
-   * if none has room.
-   */
-  placeElsewhere(state: StreamState, avoid?: ReadonlySet<string>): boolean;
-  /** Replaces the booked engines. */
-  moveTo(state: StreamState, next: Placement): void;
-  /** Has the prefill engine free a prefill result that isn't needed anymore. */
-  releasePrefillResult(state: StreamState): void;
-  /** Ends the bookings of the engines. */
-  releaseBookings(state: StreamState): void;
-}
-
-export type FailedStart = Extract<StartOutcome, {kind: 'failed'}>;
-
-export type StartOutcome =
-  | {
-      readonly kind: 'streaming';
-      readonly answer: UpstreamAnswer;
-      readonly watch?: RunWatch<Successor>;
-    }
-  | Left
-  | {
-      readonly kind: 'failed';
-      readonly error: RequestError;
-      /** Whether an engine may have run the request. */
-      readonly mayHaveRun: boolean;
-      /** The retries of the service are used up. */
-      readonly lacksRetry?: boolean;
-    }
-  | {readonly kind: 'cancelled'};
-
-/** The run was left before the head of an answer. */
-interface Left {
-  readonly kind: 'left';
-  readonly departure: Departure<Successor>;
-}
-
 interface Answered {
   readonly kind: 'answered';
   readonly answer: UpstreamAnswer;
   readonly watch?: RunWatch<Successor>;
 }
 
-export interface StartOptions {
-  /** Maximum number of sends in one start. */
-  readonly maxSends?: number;
-  /** Called with each send. */
-  onSent?(): void;
-}
-
 const MAX_SENDS = 4;
 /** Outcomes of sends after which the engine isn't one that ran the request. */
 const NOT_RUN_KINDS: ReadonlySet<string> = new Set<SendFailure['kind']>([
--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -16,7 +16,11 @@
 import type {LeaveReason} from '../silence/silence_rules.js';
 import {joinCancellations} from '../front/cancellation.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
-import type {StartOutcome, StreamStart} from './stream_start.js';
+import type {
+  StartOutcome,
+  StreamStart,
+  Successor,
+} from './stream_start_types.js';
 import {mayResume, type StreamState} from './stream_state.js';
 
 export interface SuccessorsHost {
@@ -30,14 +34,6 @@
   start: StreamStart['start'];
 }
 
-/** A run that follows a silent one. */
-export interface Successor {
-  /** The state of the stream from now on. */
-  readonly next: StreamState;
-  /** Settles when an engine has answered the run, or all have refused it. */
-  readonly started: Promise<StartOutcome>;
-}
-
 /** What the run lacks that is to follow. */
 type Missing =
   'attempt' | 'version' | 'retry' | 'room' | 'answer' | 'start' | 'cancelled';
