Failing test: judging suspects that have a single loss

Each verdict looks up all suspects of each loss for each suspect, although one with a single loss can't be quarantined. Fails: 500 look-ups, 0 expected.

--- a/tests/request/blame_test.ts
+++ b/tests/request/blame_test.ts
@@ -81,3 +81,14 @@
   assert.equal(isRefusedBy(together, ['r', 'part:x', 'part:y']), true);
   assert.equal(isRefusedBy({...together, count: 5}, ['r', 'part:x']), true);
 });
+
+test('suspects with a single loss cost next to nothing', () => {
+  // Guards against hosts that stand still while they judge hundreds of suspects.
+  const names = Array.from({length: 500}, (_, i) => [`r${i}`, 'abc'[i % 3]]);
+  let lookupCount = 0;
+  findCulprits(accuse(Object.fromEntries(names) as Losses), () => {
+    lookupCount++;
+    return false;
+  });
+  assert.equal(lookupCount, 0);
+});
