--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -210,8 +210,8 @@
     upstreamId: string,
     endedAtMs: number,
   ): void {
+    quarantine.recordLosses(keys, upstreamId, endedAtMs);
     for (const key of keys) {
-      quarantine.recordLoss(key, upstreamId, endedAtMs);
       if (completions.has(key)) quarantine.noteCompleted(key);
     }
   }
@@ -260,8 +260,7 @@
   function noteHarmless(run: Run, keys: readonly string[]): void {
     for (const key of keys) {
       completions.note(key);
-      if (!quarantine.hasSuspects()) continue;
-      if (quarantine.verdict(key) === 'clear') continue;
+      if (quarantine.countedLosses(key) === 0) continue;
       quarantine.clear(key);
       log.info('Losses cleared by a complete run.', {
         request: run.request.requestId,
--- a/src/request/blame.ts
+++ b/src/request/blame.ts
@@ -38,6 +38,11 @@
 /** An unproven part in this many losses explains them for those that are. */
 const EXPLAINING_LOSSES = 2;
 
+/** No kind of suspect is quarantined for fewer losses. */
+const MIN_LOSSES = Math.min(
+  ...Object.values(SUSPECT_RULES).map(({aloneLosses}) => aloneLosses),
+);
+
 interface Remaining extends Accused {
   readonly kind: SuspectKind;
 }
@@ -67,15 +72,16 @@
   return countMoments(lostAtMs.values(), SUSPECT_RULES[kind].momentMs);
 }
 
-/** Removes losses; undefined if none is left. */
+/** Removes losses; undefined if too few are left. */
 function withoutLosses(
   accused: Remaining,
-  isExplained: (lossId: string) => boolean,
+  explained: ReadonlySet<string> | ReadonlyMap<string, unknown>,
 ): Remaining | undefined {
-  const lostAtMs = new Map(
-    [...accused.lostAtMs].filter(([lossId]) => !isExplained(lossId)),
-  );
-  return lostAtMs.size > 0 ? {...accused, lostAtMs} : undefined;
+  const {lostAtMs} = accused;
+  const left = [...lostAtMs].filter(([lossId]) => !explained.has(lossId));
+  if (left.length === lostAtMs.size) return accused;
+  if (left.length < MIN_LOSSES) return undefined;
+  return {...accused, lostAtMs: new Map(left)};
 }
 
 /** The losses that parts without a complete run explain. */
@@ -112,18 +118,20 @@
   accused: readonly Accused[],
   isAlone: (lossId: string) => boolean,
 ): readonly Culprit[] {
-  const all = accused.map(each => ({...each, kind: suspectKindOf(each.key)}));
+  const all = accused
+    .filter(({lostAtMs}) => lostAtMs.size >= MIN_LOSSES)
+    .map(each => ({...each, kind: suspectKindOf(each.key)}));
   const explained = findExplained(all);
   let remaining: readonly Remaining[] = all.flatMap(
-    each =>
-      (each.hasCompleted
-        ? withoutLosses(each, lossId => explained.has(lossId))
-        : each) ?? [],
+    each => (each.hasCompleted ? withoutLosses(each, explained) : each) ?? [],
   );
   const isCulprit = (each: Remaining): boolean => {
     const {sharedLosses, aloneLosses} = SUSPECT_RULES[each.kind];
-    const wasAlone = [...each.lostAtMs.keys()].some(isAlone);
-    return countLosses(each) >= (wasAlone ? aloneLosses : sharedLosses);
+    const {lostAtMs} = each;
+    if (lostAtMs.size < aloneLosses) return false;
+    const count = countLosses(each);
+    if (count >= sharedLosses) return true;
+    return count >= aloneLosses && [...lostAtMs.keys()].some(isAlone);
   };
   const culprits: Culprit[] = [];
   for (;;) {
@@ -136,7 +144,7 @@
       latestAtMs: Math.max(...leader.lostAtMs.values()),
     });
     remaining = remaining.flatMap(
-      each => withoutLosses(each, lossId => leader.lostAtMs.has(lossId)) ?? [],
+      each => withoutLosses(each, leader.lostAtMs) ?? [],
     );
   }
 }
--- a/src/request/quarantine.ts
+++ b/src/request/quarantine.ts
@@ -81,6 +81,12 @@
     engineId: string,
     lostAtMs?: number,
   ): QuarantineVerdict;
+  /** Like `recordLoss` for several suspects, of which none is judged. */
+  recordLosses(
+    fingerprints: Iterable<string>,
+    engineId: string,
+    lostAtMs: number,
+  ): void;
   /** Records a complete run. */
   clear(fingerprint: string): void;
   /** Records that a run had completed before the losses. */
@@ -245,8 +251,11 @@
       .filter(({lostAtMs}) => lostAtMs.size > 0);
 
   function isAlone(lossId: string): boolean {
-    const keys = [...(fingerprintsByLoss.get(lossId) ?? [])];
-    return keys.filter(key => suspectKindOf(key) === 'request').length === 1;
+    let count = 0;
+    for (const key of fingerprintsByLoss.get(lossId) ?? []) {
+      if (suspectKindOf(key) === 'request' && ++count > 1) return false;
+    }
+    return count === 1;
   }
 
   function culprits(): readonly Culprit[] {
@@ -266,6 +275,18 @@
     return findCulprit([fingerprint]) ? 'quarantined' : 'suspect';
   }
 
+  function addLoss(
+    fingerprint: string,
+    engineId: string,
+    lostAtMs: number,
+  ): void {
+    const suspect = findSuspect(fingerprint) ?? createSuspect();
+    const loss = {lostAtMs, isCleared: false};
+    const isNew = setLoss(fingerprint, suspect, lossIdOf(engineId), loss);
+    if (isNew) noteChange(fingerprint, suspect);
+    host.broadcast(toFact(fingerprint, suspect));
+  }
+
   function clearLosses(fingerprint: string, lossIds: readonly string[]): void {
     const suspect = findSuspect(fingerprint);
     if (!suspect || lossIds.length === 0) return;
@@ -307,13 +328,12 @@
   return {
     verdict,
     recordLoss(fingerprint, engineId, lostAtMs = host.clock.nowMs()) {
-      const suspect = findSuspect(fingerprint) ?? createSuspect();
-      const loss = {lostAtMs, isCleared: false};
-      const isNew = setLoss(fingerprint, suspect, lossIdOf(engineId), loss);
-      if (isNew) noteChange(fingerprint, suspect);
-      host.broadcast(toFact(fingerprint, suspect));
+      addLoss(fingerprint, engineId, lostAtMs);
       return verdict(fingerprint);
     },
+    recordLosses(fingerprints, engineId, lostAtMs) {
+      for (const each of fingerprints) addLoss(each, engineId, lostAtMs);
+    },
     clear(fingerprint) {
       const suspect = findSuspect(fingerprint);
       if (suspect) setCompleted(suspect);
