Soak: a request whose engine crashed was not ended for a pause

Crashes that restart an upstream left no trace in the evidence. They are recorded now, and a request that ends within 0.5 s after one is excused; the test has the bound on both sides.

--- a/tests/soak/crashing_requests.ts
+++ b/tests/soak/crashing_requests.ts
@@ -45,13 +45,14 @@
 
 /** Another instance starts at the address of an upstream that has ended. */
 export async function restart(
-  {site}: FaultContext,
+  {site, now}: FaultContext,
   upstream: SoakUpstream,
   {port, restartMs = RESTART_MS}: CrashScenario,
 ): Promise<void> {
   const {standIn, link} = upstream;
   const endedId = standIn.id;
   upstream.state = 'gone';
+  upstream.crashedAtMs.push(now());
   if (port === 'closed') link.setListening(false);
   setTimeout(() => site.store.remove('servers', endedId), ROW_EXPIRY_MS);
   await wait(restartMs);
--- a/tests/soak/engine_pause_checks.ts
+++ b/tests/soak/engine_pause_checks.ts
@@ -17,7 +17,7 @@
 /** What the checks read of an upstream. */
 export interface PausedUpstream extends Pick<
   SoakUpstream,
-  'service' | 'state' | 'pauses' | 'goneSinceMs'
+  'service' | 'state' | 'pauses' | 'crashedAtMs' | 'goneSinceMs'
 > {
   readonly standIn: Pick<
     EngineStandIn,
@@ -56,6 +56,8 @@
 
 /** With so many, no retry is denied. */
 export const AMPLE_RETRIES = 100_000;
+/** A host ends requests this long after an engine with them has crashed. */
+const CRASH_REPORTED_MS = 500;
 /** A host is in touch again this long after a disruption. */
 const CONTACT_MS = 3_000;
 /** By the users' rules. */
@@ -115,6 +117,12 @@
       overlaps({fromMs, toMs: Math.min(toMs, goneSinceMs)}, span),
   );
 
+/** Whether a request that ended then may have been at it when it crashed. */
+const crashedBefore = ({crashedAtMs}: PausedUpstream, endedAtMs: number) =>
+  crashedAtMs.some(
+    atMs => atMs <= endedAtMs && endedAtMs - atMs <= CRASH_REPORTED_MS,
+  );
+
 function isLost({status = 0, body, isCut, hasDisconnected}: CallRecord) {
   const isOwnError =
     status >= SERVER_ERROR &&
@@ -141,7 +149,9 @@
   return (
     all.some(each => isAmong(each.upstream.link.disturbances, span)) ||
     evidence.upstreams.some(
-      each => each.service === upstream.service && mayLoseRequests(each, span),
+      each =>
+        each.service === upstream.service &&
+        (mayLoseRequests(each, span) || crashedBefore(each, endedAtMs)),
     )
   );
 }
--- a/tests/soak/engine_pause_checks_test.ts
+++ b/tests/soak/engine_pause_checks_test.ts
@@ -50,6 +50,7 @@
     service: 'drafts',
     state: 'ready',
     pauses: [],
+    crashedAtMs: [],
     standIn: {id, version, runs, arrivals: [], row},
     link: {disturbances: []},
     ...changes,
@@ -100,6 +101,12 @@
   const gone = {...crashed, goneSinceMs: 900};
   assert.equal(check({upstreams: [paused, crashed]}), 0);
   assert.equal(check({upstreams: [paused, gone]}), 1);
+  const crashedAt = (atMs: number) =>
+    upstreamOf('d3', [], {crashedAtMs: [atMs]});
+  const endedAtMs = cutStream.endedAtMs ?? 0;
+  assert.equal(check({upstreams: [paused, crashedAt(endedAtMs - 100)]}), 0);
+  assert.equal(check({upstreams: [paused, crashedAt(endedAtMs - 600)]}), 1);
+  assert.equal(check({upstreams: [paused, crashedAt(endedAtMs + 100)]}), 1);
 });
 
 test('events of a run long after the next has begun are found', () => {
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -53,6 +53,8 @@
   readonly service: string;
   readonly signals: BackpressureSignal[];
   readonly pauses: EnginePause[];
+  /** When requests crashed it, or it crashed beside them. */
+  readonly crashedAtMs: number[];
   /**
    * `leaving` is announced only in answers; `draining` is also in the store.
    */
@@ -201,6 +203,7 @@
       service,
       signals: [],
       pauses: [],
+      crashedAtMs: [],
       state: 'ready',
     };
     upstreams.push(upstream);
