--- a/tests/adapters/http_exchange_test.ts
+++ b/tests/adapters/http_exchange_test.ts
@@ -84,6 +84,27 @@
   assert.equal(await readBody(makeExchange(), makeCall(address)), 'broken');
 });
 
+test('an answer of its length is complete, whatever follows it', async () => {
+  // Guards against a body whose end is never reported: the bytes after it fail
+  // the connection before anything reads the body.
+  const address = await listen(socket => {
+    const head = 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n';
+    socket.write(`${head}all of itand more`);
+  });
+  assert.equal(await readBody(makeExchange(), makeCall(address)), 'all of it');
+});
+
+test('a body that breaks off before it is read is reported as broken', async () => {
+  // Guards against a reader that waits forever for an end that has passed.
+  const address = await listen(socket => {
+    socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf');
+  });
+  const head = await makeExchange().start(makeCall(address));
+  assert.ok(head.kind === 'answered');
+  await new Promise(resolve => setTimeout(resolve, 100));
+  assert.equal(await readWhole(head.body, 1_000), undefined);
+});
+
 test('a second answer on a reused connection is not taken for that of the next call', async () => {
   // Guards against giving a caller the answer to another request: the upstream
   // sends an extra answer, which is read as that of the next call on the same
