--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -17,6 +17,7 @@
 import type {AnswerBody, Cancellation, RawHeaders} from '../ports/relay.js';
 import {createCallTimeouts} from './call_timeouts.js';
 import {splitAddress} from './listen.js';
+import {createReceivedBody, type ReceivedBody} from './received_body.js';
 
 export interface HttpExchangeHost {
   readonly clock: Clock;
@@ -31,8 +32,8 @@
   readonly headers: RawHeaders;
   readonly body?: Buffer;
   readonly connectTimeoutMs: number;
-  /** From the start of the call to the head of the answer. */
-  readonly headTimeoutMs: number;
+  /** From the start of the call to the end of the answer. */
+  readonly answerTimeoutMs: number;
   readonly mayReuseConnection: boolean;
   /**
    * How long to wait after connecting before the first byte is sent, on a new
@@ -81,6 +82,9 @@
   close(): void;
 }
 
+/** A server that sends more informational answers is broken. */
+const MAX_INFORMATIONAL_ANSWERS = 32;
+
 /** A connection that has been idle for longer is not reused. */
 const MAX_IDLE_MS = 2_000;
 const MAX_IDLE_PER_UPSTREAM = 4;
@@ -137,52 +141,6 @@
   return undefined;
 }
 
-function isUnframed({headers}: http.IncomingMessage): boolean {
-  const hasChunks = /\bchunked\b/i.test(headers['transfer-encoding'] ?? '');
-  return headers['content-length'] === undefined && !hasChunks;
-}
-
-/**
- * Detects when the upstream aborts an answer without a content length: Node
- * takes a reset for the end of such a body and reports it as complete. The
- * error of the request or the state of the connection shows the reset first.
- */
-function toAnswerBody(
-  answer: http.IncomingMessage,
-  hasFailed: () => boolean,
-): AnswerBody {
-  let hasEnded = false;
-  return {
-    isUnframed: isUnframed(answer),
-    read(sink) {
-      const fail = (detail: string) => {
-        if (hasEnded) return;
-        hasEnded = true;
-        sink.broken(detail);
-      };
-      answer.on('data', (bytes: Buffer) => sink.chunk(bytes));
-      answer.on('end', () => {
-        if (hasEnded) return;
-        // Node also emits `end` when the connection is lost.
-        if (!answer.complete || hasFailed()) {
-          return fail('the answer ended early');
-        }
-        hasEnded = true;
-        sink.end();
-      });
-      answer.on('error', error => fail(error.message));
-      answer.on('close', () => fail('the connection closed'));
-    },
-    pause: () => void answer.pause(),
-    resume: () => void answer.resume(),
-    destroy() {
-      hasEnded = true;
-      answer.on('error', () => undefined);
-      answer.destroy();
-    },
-  };
-}
-
 export function createHttpExchange(host: HttpExchangeHost): HttpExchange {
   const {clock} = host;
   const agent = new GuardedAgent(clock);
@@ -232,16 +190,20 @@
       let mayHaveSent = false;
       let hasFailed = false;
       let isSettled = false;
+      let received: ReceivedBody | undefined;
       const settle = (outcome: HttpHead | HttpExchangeFailure) => {
         if (isSettled) return;
         isSettled = true;
-        timeouts.clear();
+        startTimeouts.clear();
+        if (outcome.kind !== 'answered') answerTimeout.clear();
         resolve(outcome);
       };
       const fail = (
         detail: string,
         {wasReset = false, wasRefused = false} = {},
       ) => {
+        // Node would discard what has arrived of the answer.
+        if (isSettled) return;
         settle(
           mayHaveSent
             ? {kind: 'broken', detail, ...(wasReset && {wasReset})}
@@ -259,13 +221,17 @@
         mayHaveSent = isConnected;
         request.end(call.body);
       };
-      const timeouts = createCallTimeouts(clock);
-      timeouts.add(call.connectTimeoutMs, () => {
+      const startTimeouts = createCallTimeouts(clock);
+      startTimeouts.add(call.connectTimeoutMs, () => {
         if (!isConnected) fail('no connection in time');
       });
-      timeouts.add(call.headTimeoutMs, () => fail('no answer in time'));
+      const answerTimeout = createCallTimeouts(clock);
+      answerTimeout.add(call.answerTimeoutMs, () => {
+        if (received) received.breakOff('no whole answer in time');
+        else fail('no answer in time');
+      });
       if (continueTimeoutMs !== undefined) {
-        timeouts.add(continueTimeoutMs, () => {
+        startTimeouts.add(continueTimeoutMs, () => {
           if (!mayHaveSent) fail('the head was not read in time');
         });
       }
@@ -301,17 +267,28 @@
           wasRefused: isRefusedError(error),
         });
       });
+      let informationalCount = 0;
+      request.on('information', () => {
+        informationalCount++;
+        if (informationalCount <= MAX_INFORMATIONAL_ANSWERS) return;
+        fail('too many informational answers');
+      });
       request.on('response', answer => {
         const headers = answer.rawHeaders;
+        received = createReceivedBody(
+          answer,
+          () => hasFailed,
+          answerTimeout.clear,
+        );
         settle({
           kind: 'answered',
           status: answer.statusCode ?? 0,
           headers,
           get: name => findHeader(headers, name),
-          body: toAnswerBody(answer, () => hasFailed),
+          body: received.body,
         });
         // Nobody reads the body of an answer that came after the timeout.
-        if (request.destroyed) answer.destroy();
+        if (request.destroyed) received.body.destroy();
       });
       if (continueTimeoutMs !== undefined) {
         request.once('continue', sendRequest);
--- a/src/relay/streams/placed_streams.ts
+++ b/src/relay/streams/placed_streams.ts
@@ -75,7 +75,6 @@
   ): Promise<StreamEnd> {
     const {job, placement} = state;
     const tokensPerEvent = job.service.engine?.tokensPerEvent ?? 1;
-    if (!job.caller.hasBegun) job.caller.begin(answer.status, answer.headers);
     let eventsOfRun = 0;
     const {decode} = placement;
     const pace = createRunPaceMeter({
@@ -258,7 +257,8 @@
         detail: `the next run ended with ${answer.status}`,
       });
     }
-    await passThrough(state.job, answer);
+    const end = await passThrough(host, state.job, answer);
+    if (end.kind === 'cut') return refuse(state, end.error);
     return {end: 'answered', status: answer.status, upstreams: state.ran};
   }
 
