Failing test: a part that turned bad beside parts of single sessions

Any parts without a complete run explain the losses of one that has completed before, however many it takes.

--- a/tests/request/blame_test.ts
+++ b/tests/request/blame_test.ts
@@ -46,6 +46,16 @@
     losses: {'+part:first': 'abcd', 'part:bad': 'bcd'},
     culprits: ['part:bad'],
   },
+  'a part that turned bad, beside parts of single sessions': {
+    losses: {
+      '+part:bad': 'abcdefgh',
+      'part:s1': 'ab',
+      'part:s2': 'cd',
+      'part:s3': 'ef',
+      'part:s4': 'gh',
+    },
+    culprits: ['+part:bad'],
+  },
   'a part of requests at engines that end together': {
     losses: {'part:first': 'abcdef'},
     everyMs: 40,
