Bound the whole answer of a call by its timeout, not only its head

The timeout of a call ended with the head of its answer. A body without end was read until the caller left: plain calls, the error of an engine and reports never ended, and the connections of discarded answers stayed open. The timeout now runs until the body has ended, for every call: to upstreams, also those made for a peer, to the store and to peers. The body is reported as broken, so that a begun answer is cut.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -14,14 +14,10 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '../ports/clock.js';
-import type {
-  AnswerBody,
-  AnswerBodySink,
-  Cancellation,
-  RawHeaders,
-} from '../ports/relay.js';
+import type {AnswerBody, Cancellation, RawHeaders} from '../ports/relay.js';
 import {createCallTimeouts} from './call_timeouts.js';
 import {splitAddress} from './listen.js';
+import {createReceivedBody, type ReceivedBody} from './received_body.js';
 
 export interface HttpExchangeHost {
   readonly clock: Clock;
@@ -36,8 +32,8 @@
   readonly headers: RawHeaders;
   readonly body?: Buffer;
   readonly connectTimeoutMs: number;
-  /** From the start of the call to the head of the answer. */
-  readonly headTimeoutMs: number;
+  /** From the start of the call to the end of the answer. */
+  readonly answerTimeoutMs: number;
   readonly mayReuseConnection: boolean;
   /**
    * How long to wait after connecting before the first byte is sent, on a new
@@ -142,57 +138,6 @@
   return undefined;
 }
 
-function isUnframed({headers}: http.IncomingMessage): boolean {
-  const hasChunks = /\bchunked\b/i.test(headers['transfer-encoding'] ?? '');
-  return headers['content-length'] === undefined && !hasChunks;
-}
-
-/**
- * Detects when the upstream aborts an answer without a content length: Node
- * takes a reset for the end of such a body and reports it as complete. The
- * error of the request or the state of the connection shows the reset first.
- * An answer with a length or chunks shows its end itself; what the connection
- * carries afterwards doesn't matter.
- */
-function toAnswerBody(
-  answer: http.IncomingMessage,
-  hasFailed: () => boolean,
-): AnswerBody {
-  const bodyIsUnframed = isUnframed(answer);
-  let sink: AnswerBodySink | undefined;
-  /** Set once the body has ended; the connection may close before it is read. */
-  let deliverEnd: ((sink: AnswerBodySink) => void) | undefined;
-  let isDestroyed = false;
-  const end = (deliver: (sink: AnswerBodySink) => void) => {
-    if (deliverEnd || isDestroyed) return;
-    deliverEnd = deliver;
-    if (sink) deliver(sink);
-  };
-  const fail = (detail: string) => end(given => given.broken(detail));
-  answer.on('end', () => {
-    // Node also emits `end` when the connection is lost.
-    const isWhole = answer.complete && !(bodyIsUnframed && hasFailed());
-    if (isWhole) end(given => given.end());
-    else fail('the answer ended early');
-  });
-  answer.on('error', error => fail(error.message));
-  answer.on('close', () => fail('the connection closed'));
-  return {
-    isUnframed: bodyIsUnframed,
-    read(given) {
-      sink = given;
-      if (deliverEnd) deliverEnd(given);
-      else answer.on('data', (bytes: Buffer) => given.chunk(bytes));
-    },
-    pause: () => void answer.pause(),
-    resume: () => void answer.resume(),
-    destroy() {
-      isDestroyed = true;
-      answer.destroy();
-    },
-  };
-}
-
 export function createHttpExchange(host: HttpExchangeHost): HttpExchange {
   const {clock} = host;
   const agent = new GuardedAgent(clock);
@@ -242,10 +187,12 @@
       let mayHaveSent = false;
       let hasFailed = false;
       let isSettled = false;
+      let received: ReceivedBody | undefined;
       const settle = (outcome: HttpHead | HttpExchangeFailure) => {
         if (isSettled) return;
         isSettled = true;
-        timeouts.clear();
+        startTimeouts.clear();
+        if (outcome.kind !== 'answered') answerTimeout.clear();
         resolve(outcome);
       };
       const fail = (
@@ -271,13 +218,17 @@
         mayHaveSent = isConnected;
         request.end(call.body);
       };
-      const timeouts = createCallTimeouts(clock);
-      timeouts.add(call.connectTimeoutMs, () => {
+      const startTimeouts = createCallTimeouts(clock);
+      startTimeouts.add(call.connectTimeoutMs, () => {
         if (!isConnected) fail('no connection in time');
       });
-      timeouts.add(call.headTimeoutMs, () => fail('no answer in time'));
+      const answerTimeout = createCallTimeouts(clock);
+      answerTimeout.add(call.answerTimeoutMs, () => {
+        if (received) received.breakOff('no whole answer in time');
+        else fail('no answer in time');
+      });
       if (continueTimeoutMs !== undefined) {
-        timeouts.add(continueTimeoutMs, () => {
+        startTimeouts.add(continueTimeoutMs, () => {
           if (!mayHaveSent) fail('the head was not read in time');
         });
       }
@@ -315,15 +266,20 @@
       });
       request.on('response', answer => {
         const headers = answer.rawHeaders;
+        received = createReceivedBody(
+          answer,
+          () => hasFailed,
+          answerTimeout.clear,
+        );
         settle({
           kind: 'answered',
           status: answer.statusCode ?? 0,
           headers,
           get: name => findHeader(headers, name),
-          body: toAnswerBody(answer, () => hasFailed),
+          body: received.body,
         });
         // Nobody reads the body of an answer that came after the timeout.
-        if (request.destroyed) answer.destroy();
+        if (request.destroyed) received.body.destroy();
       });
       if (continueTimeoutMs !== undefined) {
         request.once('continue', sendRequest);
--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -156,7 +156,10 @@
   /** Time that the upstream has for the request. */
   readonly leftMs: number;
   readonly connectTimeoutMs: number;
-  /** Timeout for the head of the answer. */
+  /**
+   * Timeout of the answer, up to its end. The name is part of the messages
+   * between hosts.
+   */
   readonly headTimeoutMs: number;
   /**
    * Whether the request may use a kept-alive connection. If that connection
--- a/src/relay/fleet/peer_sync.ts
+++ b/src/relay/fleet/peer_sync.ts
@@ -87,7 +87,7 @@
       target,
       headers: ['Host', peer.peerAddress],
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      headTimeoutMs: FETCH_TIMEOUT_MS,
+      answerTimeoutMs: FETCH_TIMEOUT_MS,
       mayReuseConnection: false,
     });
     if (head.kind !== 'answered') return undefined;
--- a/src/relay/forwarding/forward_client.ts
+++ b/src/relay/forwarding/forward_client.ts
@@ -246,7 +246,7 @@
         connectTimeoutMs: CONNECT_TIMEOUT_MS,
         // A suspended peer would make the call when it goes on.
         continueTimeoutMs: READ_TIMEOUT_MS,
-        headTimeoutMs: READ_TIMEOUT_MS + timeoutMs + OUTCOME_MARGIN_MS,
+        answerTimeoutMs: READ_TIMEOUT_MS + timeoutMs + OUTCOME_MARGIN_MS,
         mayReuseConnection: false,
       },
       cancellation,
--- a/tests/adapters/http_exchange_test.ts
+++ b/tests/adapters/http_exchange_test.ts
@@ -46,7 +46,7 @@
     target: '/',
     headers: ['Host', address],
     connectTimeoutMs: 1_000,
-    headTimeoutMs: 2_000,
+    answerTimeoutMs: 2_000,
     mayReuseConnection: false,
     ...changes,
   };
@@ -148,19 +148,40 @@
   assert.equal((await makeExchange().start(makeCall(address))).kind, 'broken');
 });
 
-test('a call without an answer ends at the head timeout and closes its connection', async () => {
+test('a call without an answer ends at its timeout and closes its connection', async () => {
   let closed = false;
   const address = await listen(socket => {
     socket.on('close', () => {
       closed = true;
     });
   });
-  const call = makeCall(address, {headTimeoutMs: 50});
+  const call = makeCall(address, {answerTimeoutMs: 50});
   assert.equal((await makeExchange().start(call)).kind, 'broken');
   await new Promise(resolve => setTimeout(resolve, 30));
   assert.equal(closed, true);
 });
 
+test('a body that never ends is broken off at the timeout of its call', async () => {
+  // Guards against calls without an end, whether or not the body is read.
+  let closedCount = 0;
+  const address = await listen(socket => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\n');
+    const timer = setInterval(() => socket.write('more'), 5);
+    socket.on('close', () => {
+      clearInterval(timer);
+      closedCount++;
+    });
+  });
+  const call = makeCall(address, {answerTimeoutMs: 200});
+  const exchange = makeExchange();
+  assert.equal(await readBody(exchange, call), 'broken');
+  assert.equal((await exchange.start(call)).kind, 'answered');
+  for (let i = 0; i < 500 && closedCount < 2; i++) {
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  assert.equal(closedCount, 2);
+});
+
 test('an answer that arrived while this process was suspended counts', async () => {
   // Guards against calls that fail, and upstreams that are blamed, since the
   // timers of this host ran before it read what had arrived in time.
@@ -168,7 +189,7 @@
     socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none');
     Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1_500);
   });
-  const call = makeCall(address, {headTimeoutMs: 1_000});
+  const call = makeCall(address, {answerTimeoutMs: 1_000});
   assert.equal(await readBody(makeExchange(), call), 'one');
 });
 
--- a/tests/relay/forwarding/forwarding_test.ts
+++ b/tests/relay/forwarding/forwarding_test.ts
@@ -112,6 +112,24 @@
   assert.deepEqual(result, end);
 });
 
+test('an answer without end that a peer passes on ends at the timeout', async () => {
+  // Guards against calls without an end at this host and at its peer.
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  peer.behaviour = 'begin';
+  let hasBegun = false;
+  const result = send(cut, {onData: () => (hasBegun = true)});
+  await untilTrue(() => hasBegun);
+  await site.clock.advance(3_000);
+  assert.deepEqual(await result, {
+    text: 'first ',
+    end: 'broken',
+    cause: {isOfPeer: true},
+  });
+  await untilTrue(() => peer.closedCalls.length > 0);
+  assert.deepEqual(peer.closedCalls, peer.sent);
+});
+
 test('an upstream that breaks off behind a peer is reported as such', async () => {
   const [cut, peer] = await createHosts(2);
   cut.behaviour = 'refuse';
