Treat an upstream that sends informational answers without end as broken

Each 1xx answer was read and skipped, so that a call ended only at its deadline, and a host that reads them at full speed served its other callers late. More than 32 before the answer now break the call off. In endless_answers_test calls and streams get 502 after 0.05 to 0.2 s (before: 504 at the deadline of 1 s), and a prefill moves on after 0.03 s (before 1 s).

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -82,6 +82,9 @@
   close(): void;
 }
 
+/** A server that sends more informational answers is broken. */
+const MAX_INFORMATIONAL_ANSWERS = 32;
+
 /** A connection that has been idle for longer is not reused. */
 const MAX_IDLE_MS = 2_000;
 const MAX_IDLE_PER_UPSTREAM = 4;
@@ -264,6 +267,12 @@
           wasRefused: isRefusedError(error),
         });
       });
+      let informationalCount = 0;
+      request.on('information', () => {
+        informationalCount++;
+        if (informationalCount <= MAX_INFORMATIONAL_ANSWERS) return;
+        fail('too many informational answers');
+      });
       request.on('response', answer => {
         const headers = answer.rawHeaders;
         received = createReceivedBody(
