Send the head of a stream with its first whole event

The head was begun when that of the engine had arrived. For a stream whose engine then sent no event, the host could only close the connection, for resumable streams without a head. The head is now sent with the first whole event; before it, the caller gets an error, and a next run may give its own head. In endless_answers_test five answers at decode engines end with 502 or, a few bytes at a time, with 504 (before: cut, or closed without a head).

--- a/src/relay/streams/placed_streams.ts
+++ b/src/relay/streams/placed_streams.ts
@@ -72,7 +72,6 @@
   ): Promise<StreamEnd> {
     const {job, placement} = state;
     const tokensPerEvent = job.service.engine?.tokensPerEvent ?? 1;
-    if (!job.caller.hasBegun) job.caller.begin(answer.status, answer.headers);
     let eventsOfRun = 0;
     const {decode} = placement;
     const pace = createRunPaceMeter({
--- a/src/relay/streams/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -48,6 +48,10 @@
 /** An event of 18 tokens takes a few hundred bytes; one that never ends grows. */
 const MAX_EVENT_BYTES = 256 * 1024;
 
+/**
+ * The head of the answer is sent with the first whole event: until then, an
+ * error can still be sent instead.
+ */
 export function relayEvents(
   host: {readonly clock: Clock},
   options: StreamEventsOptions,
@@ -73,7 +77,11 @@
     cancellation.onCancel(() => finish({kind: 'caller-gone'}));
     watch?.leaving.onCancel(() => finish({kind: 'left'}));
     let isPaused = false;
+    const begin = () => {
+      if (!caller.hasBegun) caller.begin(answer.status, answer.headers);
+    };
     const write = (bytes: Buffer) => {
+      begin();
       if (caller.write(bytes) || isDone) return;
       isPaused = true;
       watch?.pause();
@@ -90,8 +98,12 @@
       chunk(bytes) {
         if (isDone) return;
         watch?.noteData();
+        const held = framer.rest();
         const events = framer.push(bytes);
-        if (!options.wholeEventsOnly) write(bytes);
+        if (!options.wholeEventsOnly) {
+          if (caller.hasBegun) write(bytes);
+          else if (events.length > 0) write(Buffer.concat([held, bytes]));
+        }
         for (const event of events) {
           options.onEvent(event);
           if (options.wholeEventsOnly) write(event.bytes);
@@ -102,9 +114,9 @@
       },
       end() {
         if (isDone) return;
-        if (options.wholeEventsOnly && framer.rest().length > 0) {
-          write(framer.rest());
-        }
+        const isHeld = options.wholeEventsOnly || !caller.hasBegun;
+        if (isHeld && framer.rest().length > 0) write(framer.rest());
+        begin();
         caller.end();
         finish({kind: 'whole', restBytes: framer.rest().length});
       },
--- a/tests/relay/front/caller_buffers_test.ts
+++ b/tests/relay/front/caller_buffers_test.ts
@@ -71,6 +71,7 @@
   let isPaused = false;
   let end: StreamEnd | undefined;
   const caller: Partial<Caller> = {
+    hasBegun: true,
     write: () => false,
     onWritable: listener => void (read = listener),
   };
