--- a/tests/soak/crashing_parts.ts
+++ b/tests/soak/crashing_parts.ts
@@ -23,6 +23,8 @@
   readonly soundPerS?: number;
   /** Its requests share a part with only one in so many sound ones. */
   readonly companionOneIn?: number;
+  /** Time between its requests; 0.5 to 0.7 s if absent. */
+  readonly badEveryMs?: number;
   /** Upstreams end for other reasons as well. */
   readonly hasOtherEnds?: boolean;
   /** Fewest sound requests before and after to compare; absent to skip it. */
@@ -141,7 +143,10 @@
       );
     }
     fault.badToMs = now();
-    await wait(MIN_INTERVAL_MS + random.nextInt(INTERVAL_SPREAD_MS));
+    await wait(
+      fault.scenario.badEveryMs ??
+        MIN_INTERVAL_MS + random.nextInt(INTERVAL_SPREAD_MS),
+    );
   }
 }
 
--- a/tests/soak/part_scenarios.ts
+++ b/tests/soak/part_scenarios.ts
@@ -44,6 +44,20 @@
   'upstreams also end for other reasons': {...usual, hasOtherEnds: true},
   'streams that run once': {...usual, kind: 'crashing-part-once'},
   'an event comes first': {...usual, answersFirst: true},
+  'another instance has the port at once': {...usual, restartMs: 5},
+  'first part, two at once, upstreams also end for other reasons': {
+    ...usual,
+    places: [0],
+    partCount: 2,
+    hasOtherEnds: true,
+  },
+  'requests come often': {...usual, badEveryMs: 120},
+  'often, beside a rare part': {
+    ...usual,
+    places: [2],
+    companionOneIn: 100,
+    badEveryMs: 150,
+  },
 };
 
 export const MAIN_SCENARIO_COUNT = Object.keys(MAIN_SCENARIOS).length;
