Count a stream without any event as broken off

An answer to a request for a stream was passed on as whole if its length or its chunks showed its end, also with ten bytes that are no event.

--- a/src/relay/answers/event_boundary.ts
+++ b/src/relay/answers/event_boundary.ts
@@ -1,9 +1,14 @@
-/** Tracks whether the bytes of an event stream end inside an event. */
+/**
+ * Tracks whether the bytes of an event stream end inside an event, and whether
+ * they contain one at all.
+ */
 
 export interface EventBoundary {
   push(bytes: Buffer): void;
   /** Whether a line has begun, or an event that no blank line has ended. */
   isInsideEvent(): boolean;
+  /** Whether a whole line of an event has arrived. */
+  hasEvent(): boolean;
 }
 
 const LINE_FEED = 0x0a;
@@ -32,10 +37,11 @@
 
 export function createEventBoundary(): EventBoundary {
   let hasFields = false;
+  let hasEvent = false;
   let line: OpenLine = 'empty';
 
   function endLine(): void {
-    if (line === 'field') hasFields = true;
+    if (line === 'field') hasFields = hasEvent = true;
     else if (line !== 'comment') hasFields = false;
     line = 'empty';
   }
@@ -53,5 +59,6 @@
       }
     },
     isInsideEvent: () => hasFields || line !== 'empty',
+    hasEvent: () => hasEvent,
   };
 }
--- a/tests/relay/answers/stream_end_port_test.ts
+++ b/tests/relay/answers/stream_end_port_test.ts
@@ -20,6 +20,7 @@
   readonly contentType?: string | null;
   readonly isFramed?: true;
   readonly isRouteOfStreams?: true;
+  readonly resumeAfterEvent?: string;
 }
 
 const request = {requestId: 'r'} as RelayRequest;
@@ -60,7 +61,8 @@
     findRefusal: () => undefined,
   });
   const expectsEvents = more.isRouteOfStreams ?? false;
-  const options = {expectsEvents} as SendOptions;
+  const {resumeAfterEvent} = more;
+  const options = {expectsEvents, resumeAfterEvent} as SendOptions;
   const outcome = await port.send(request, options, createCancellation());
   assert.equal(outcome.kind, 'answered');
   const seen = await new Promise<string>(resolve => {
@@ -83,6 +85,11 @@
     text: 'data: a\n',
     isFramed: true,
   },
+  'without any event, after the last one of the run before': {
+    text: '',
+    isRouteOfStreams: true,
+    resumeAfterEvent: '7',
+  },
   'in an answer of another kind': {
     text: '{"error":"none"}',
     contentType: 'application/json',
@@ -105,6 +112,16 @@
     contentType: null,
     isRouteOfStreams: true,
   },
+  'without any event on a route of streams': {
+    text: ': comment\n\n',
+    isRouteOfStreams: true,
+  },
+  'in bytes that are no event, though their length shows the end': {
+    text: '0123456789',
+    contentType: null,
+    isFramed: true,
+    isRouteOfStreams: true,
+  },
   'with a parameter of the content type': {
     text: 'data: a\n',
     contentType: 'Text/Event-Stream; charset=utf-8',
