End a forwarded answer at the deadline, and log one that was cut as cut

An answer that is forwarded as it arrives had no deadline of its own. Behind a peer, the end of the upstream's answer stays unread while the caller reads nothing, so that only the call to the peer ended it, whose timeout is 0.6 s longer. The answer is now cut at the deadline. Plain calls whose answer was cut were logged and counted as answered; they now end as cut, with the reason.

--- a/src/relay/answers/answer_delivery.ts
+++ b/src/relay/answers/answer_delivery.ts
@@ -1,9 +1,11 @@
 /** Forwards an upstream's answer to the caller, unchanged. */
 
+import type {RequestError} from '../../core/error_kinds.js';
+import type {Clock} from '../../ports/clock.js';
 import type {AnswerBodySink, UpstreamAnswer} from '../../ports/relay.js';
 import type {PartialAnswer, CollectedAnswer} from './answer_collector.js';
 import type {Caller} from '../front/caller.js';
-import type {RelayJob} from '../relay_types.js';
+import {leftMs, type RelayJob} from '../relay_types.js';
 
 export function deliverCollected(
   caller: Caller,
@@ -14,36 +16,56 @@
   caller.end();
 }
 
+/** How the forwarding of a body ended. */
+export type PassEnd =
+  | {readonly kind: 'whole'}
+  | {readonly kind: 'caller-gone'}
+  /** The caller's connection was closed, as its answer is not whole. */
+  | {readonly kind: 'cut'; readonly error: RequestError};
+
 /**
- * Forwards a body as it arrives and resolves to whether it was complete. If the
- * body breaks off, the caller's connection is closed as well, so that the
- * answer doesn't look complete.
+ * Forwards a body as it arrives. If it breaks off, or has not ended by the
+ * deadline, the caller's connection is closed as well, so that the answer
+ * doesn't look complete.
  */
 export function passThrough(
+  {clock}: {readonly clock: Clock},
   job: RelayJob,
   answer: UpstreamAnswer,
   partial?: PartialAnswer,
-): Promise<boolean> {
-  const {caller, cancellation} = job;
+): Promise<PassEnd> {
+  const {caller, cancellation, deadlineAtMs} = job;
   const {body} = answer;
   return new Promise(resolve => {
+    const settle = (end: PassEnd) => {
+      clock.clearTimer(deadlineTimer);
+      resolve(end);
+    };
+    const cut = (error: RequestError) => {
+      caller.cut();
+      settle({kind: 'cut', error});
+    };
+    const deadlineTimer = clock.setTimer(
+      leftMs(deadlineAtMs, clock.nowMs()),
+      () => {
+        body.destroy();
+        cut({kind: 'deadline-passed', detail: 'no whole answer in time'});
+      },
+    );
     const sink: AnswerBodySink = {
       chunk(bytes) {
         if (!caller.write(bytes)) body.pause();
       },
       end() {
         caller.end();
-        resolve(true);
-      },
-      broken() {
-        caller.cut();
-        resolve(false);
+        settle({kind: 'whole'});
       },
+      broken: detail => cut({kind: 'answer-cut', detail}),
     };
     caller.onWritable(() => body.resume());
     cancellation.onCancel(() => {
       body.destroy();
-      resolve(false);
+      settle({kind: 'caller-gone'});
     });
     caller.begin(answer.status, answer.headers);
     if (partial) {
--- a/src/relay/plain/plain_attempt.ts
+++ b/src/relay/plain/plain_attempt.ts
@@ -17,6 +17,7 @@
   collectAnswer,
   type Collected,
   type CollectedAnswer,
+  type PartialAnswer,
 } from '../answers/answer_collector.js';
 import {deliverCollected, passThrough} from '../answers/answer_delivery.js';
 import {isGenuine} from '../answers/answer_rules.js';
@@ -261,20 +262,29 @@
     }
     if (job.route.kind === 'stream') {
       slot.end('ok');
-      await passThrough(job, answer);
-      return 'done';
+      return pass(attempt, answer);
     }
     const collected = await collect(job, answer);
     if (collected === 'cancelled') return abandon(attempt, watched);
     if (collected.kind === 'large') {
       watched?.end();
       slot.end('ok');
-      await passThrough(job, collected.answer, collected.partial);
-      return 'done';
+      return pass(attempt, collected.answer, collected.partial);
     }
     return handleCollected(attempt, collected);
   }
 
+  async function pass(
+    {job, progress}: PlainAttempt,
+    answer: UpstreamAnswer,
+    partial?: PartialAnswer,
+  ): Promise<AttemptEnd> {
+    const end = await passThrough(host, job, answer, partial);
+    if (end.kind === 'whole') return 'done';
+    if (end.kind === 'cut') progress.failure = end.error;
+    return 'stop';
+  }
+
   /** Collects an answer until the deadline or until nobody needs it. */
   function collect(
     job: RelayJob,
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -259,6 +259,10 @@
     const {caller} = job;
     const upstreams = [...progress.ran];
     if (job.cancellation.isCancelled) return {end: 'caller-gone', upstreams};
+    if (caller.hasBegun) {
+      const {kind, detail} = progress.failure;
+      return {end: 'cut', reason: `${kind}: ${detail}`, upstreams};
+    }
     if (progress.fallback) {
       deliverCollected(caller, progress.fallback);
       const {status} = progress.fallback;
--- a/src/relay/streams/placed_streams.ts
+++ b/src/relay/streams/placed_streams.ts
@@ -254,7 +254,8 @@
         detail: `the next run ended with ${answer.status}`,
       });
     }
-    await passThrough(state.job, answer);
+    const end = await passThrough(host, state.job, answer);
+    if (end.kind === 'cut') return refuse(state, end.error);
     return {end: 'answered', status: answer.status, upstreams: state.ran};
   }
 
