Let at most two parts explain the losses of one that has completed

Cause: any number of parts that had never completed a run explained the losses of one that had. Where a part turned bad and each session had a part of its own beside it, each of these had too few losses and the bad one none left, so it ended engines without bound. Change: at most the two that explain most of them do.

--- a/src/request/blame.ts
+++ b/src/request/blame.ts
@@ -38,6 +38,8 @@
 /** An unproven part in this many losses explains them for those that are. */
 const EXPLAINING_LOSSES = 2;
 
+/** One cause is more likely than several that explain the same losses. */
+const MAX_EXPLAINING = 2;
 /** No kind of suspect is quarantined for fewer losses. */
 const MIN_LOSSES = Math.min(
   ...Object.values(SUSPECT_RULES).map(({aloneLosses}) => aloneLosses),
@@ -75,7 +77,7 @@
 /** Removes losses; undefined if too few are left. */
 function withoutLosses(
   accused: Remaining,
-  explained: ReadonlySet<string> | ReadonlyMap<string, unknown>,
+  explained: ReadonlyMap<string, unknown>,
 ): Remaining | undefined {
   const {lostAtMs} = accused;
   const left = [...lostAtMs].filter(([lossId]) => !explained.has(lossId));
@@ -84,15 +86,24 @@
   return {...accused, lostAtMs: new Map(left)};
 }
 
-/** The losses that parts without a complete run explain. */
-function findExplained(accused: readonly Remaining[]): ReadonlySet<string> {
-  const unproven = accused.filter(
-    each =>
-      each.kind === 'part' &&
-      !each.hasCompleted &&
-      each.lostAtMs.size >= EXPLAINING_LOSSES,
-  );
-  return new Set(unproven.flatMap(({lostAtMs}) => [...lostAtMs.keys()]));
+const countShared = (a: Remaining, b: Remaining): number =>
+  [...a.lostAtMs.keys()].filter(lossId => b.lostAtMs.has(lossId)).length;
+
+/** Removes the losses that few parts without a complete run explain. */
+function withoutExplained(
+  accused: Remaining,
+  unproven: readonly Remaining[],
+): Remaining | undefined {
+  let left: Remaining | undefined = accused;
+  for (let i = 0; i < MAX_EXPLAINING && left; i++) {
+    const of: Remaining = left;
+    const [best] = unproven
+      .map(each => ({each, count: countShared(of, each)}))
+      .sort((a, b) => b.count - a.count || (a.each.key < b.each.key ? -1 : 1));
+    if (!best || best.count === 0) break;
+    left = withoutLosses(of, best.each.lostAtMs);
+  }
+  return left;
 }
 
 /** By losses; of those with equally many, unproven ones come first. */
@@ -121,9 +132,14 @@
   const all = accused
     .filter(({lostAtMs}) => lostAtMs.size >= MIN_LOSSES)
     .map(each => ({...each, kind: suspectKindOf(each.key)}));
-  const explained = findExplained(all);
+  const unproven = all.filter(
+    each =>
+      each.kind === 'part' &&
+      !each.hasCompleted &&
+      each.lostAtMs.size >= EXPLAINING_LOSSES,
+  );
   let remaining: readonly Remaining[] = all.flatMap(
-    each => (each.hasCompleted ? withoutLosses(each, explained) : each) ?? [],
+    each => (each.hasCompleted ? withoutExplained(each, unproven) : each) ?? [],
   );
   const isCulprit = (each: Remaining): boolean => {
     const {sharedLosses, aloneLosses} = SUSPECT_RULES[each.kind];
