Failing test: losses of a quarantined suspect are dropped for later ones

Of too many suspects the one that changed longest ago is dropped, which is the quarantined one, as it runs no more. Fails: clear, quarantined expected.

--- a/tests/request/quarantine_test.ts
+++ b/tests/request/quarantine_test.ts
@@ -3,23 +3,27 @@
 import {createVirtualClock} from '../../src/core/virtual_clock.js';
 import {
   createQuarantine,
+  defaultQuarantineOptions,
   type Quarantine,
 } from '../../src/request/quarantine.js';
 
 /** Creates entries that receive each other's facts at once. */
-function createEntries(count: number) {
+function createEntries(count: number, maxFingerprints = 10_000) {
   const clock = createVirtualClock();
   const entries: Quarantine[] = [];
   for (let i = 0; i < count; i++) {
     entries.push(
-      createQuarantine({
-        clock,
-        broadcast(fact) {
-          entries.forEach((other, j) => {
-            if (j !== i) other.mergeFact(fact);
-          });
+      createQuarantine(
+        {
+          clock,
+          broadcast(fact) {
+            entries.forEach((other, j) => {
+              if (j !== i) other.mergeFact(fact);
+            });
+          },
         },
-      }),
+        {...defaultQuarantineOptions, maxFingerprints},
+      ),
     );
   }
   return {clock, entries};
@@ -65,3 +69,18 @@
   clock.advanceSync(20);
   assert.equal(entries[1].recordLoss('f', 'engine-1'), 'suspect');
 });
+
+test('what is quarantined stays known beside many later suspects', () => {
+  // Guards against requests that crash engines again once other ends have
+  // brought in so many suspects that their losses are dropped.
+  const {clock, entries} = createEntries(1, 100);
+  const [quarantine] = entries;
+  for (const engine of ['e1', 'e2', 'e3']) {
+    quarantine.recordLoss('poison', engine);
+    clock.advanceSync(1_000);
+  }
+  for (let i = 0; i < 200; i++) quarantine.recordLoss(`once${i}`, 'e4');
+  assert.equal(quarantine.verdict('poison'), 'quarantined');
+  assert.equal(quarantine.fingerprints().length, 100);
+  assert.equal(quarantine.verdict('once0'), 'clear');
+});
