Drop suspects with the fewest losses first

Cause: a host keeps 1,000 suspects and dropped the one that changed longest ago. What is quarantined runs no more, so it doesn't change, and the suspects of some dozens of other ends pushed it out: it could crash engines again.

--- a/src/request/quarantine.ts
+++ b/src/request/quarantine.ts
@@ -19,6 +19,12 @@
   type Culprit,
 } from './blame.js';
 import {suspectKindOf} from './suspect_kinds.js';
+import {
+  createSuspect,
+  findLeastSuspect,
+  type Loss,
+  type Suspect,
+} from './suspect_losses.js';
 import {createTrialTurns} from './trial_turns.js';
 
 /**
@@ -122,16 +128,6 @@
 /** Deaths of one engine within this time count as one loss. */
 const LOSS_WINDOW_MS = 10_000;
 
-interface Loss {
-  readonly lostAtMs: number;
-  readonly isCleared: boolean;
-}
-
-interface Suspect {
-  readonly losses: Map<string, Loss>;
-  hasCompleted: boolean;
-}
-
 /** Culprits are determined again after this time, as losses expire. */
 const CULPRITS_VALID_MS = 1_000;
 /** Older losses of a suspect are dropped; they add no information. */
@@ -139,8 +135,6 @@
 /** Bounds how often entries that drop different losses correct each other. */
 const AGE_TOLERANCE_MS = 1_000;
 
-const createSuspect = (): Suspect => ({losses: new Map(), hasCompleted: false});
-
 export function createQuarantine(
   host: QuarantineHost,
   options: QuarantineOptions = defaultQuarantineOptions,
@@ -172,16 +166,20 @@
     return suspect.losses.size > 0 ? suspect : undefined;
   }
 
+  function removeSuspect(fingerprint: string, suspect: Suspect): void {
+    for (const lossId of [...suspect.losses.keys()]) {
+      removeLoss(fingerprint, suspect, lossId);
+    }
+  }
+
   /** Moves a suspect to the end of the map, which is in order of change. */
   function noteChange(fingerprint: string, suspect: Suspect): void {
     found = {culprits: [], atMs: Number.NEGATIVE_INFINITY};
     suspects.delete(fingerprint);
     suspects.set(fingerprint, suspect);
     if (suspects.size > options.maxFingerprints) {
-      const [[oldest, oldestSuspect]] = suspects;
-      for (const lossId of [...oldestSuspect.losses.keys()]) {
-        removeLoss(oldest, oldestSuspect, lossId);
-      }
+      const least = findLeastSuspect(suspects, fingerprint);
+      if (least) removeSuspect(...least);
     }
     host.onChange?.(fingerprint);
   }
