Count two losses of a part that are close together

Cause: losses of a part within 300 ms counted once, so requests that come two at once, or are placed again at once, cost twice the engines. Change: two of a moment count.

--- a/src/request/blame.ts
+++ b/src/request/blame.ts
@@ -58,22 +58,23 @@
     : keys.some(key => ownKeys.includes(key));
 }
 
-/** Number of losses, those within `momentMs` of the first counted once. */
-function countMoments(timesMs: Iterable<number>, momentMs: number): number {
+/** Number of losses, of which those of one moment count only in part. */
+function countLosses({kind, lostAtMs}: Remaining): number {
+  const {momentMs, maxLossesAMoment} = SUSPECT_RULES[kind];
   let count = 0;
-  let countedAtMs = Number.NEGATIVE_INFINITY;
-  for (const atMs of [...timesMs].sort((a, b) => a - b)) {
-    if (atMs - countedAtMs < momentMs) continue;
-    count++;
-    countedAtMs = atMs;
+  let countOfMoment = 0;
+  let momentFromMs = Number.NEGATIVE_INFINITY;
+  for (const atMs of [...lostAtMs.values()].sort((a, b) => a - b)) {
+    if (atMs - momentFromMs >= momentMs) {
+      momentFromMs = atMs;
+      countOfMoment = 0;
+    }
+    if (countOfMoment < maxLossesAMoment) count++;
+    countOfMoment++;
   }
   return count;
 }
 
-function countLosses({kind, lostAtMs}: Remaining): number {
-  return countMoments(lostAtMs.values(), SUSPECT_RULES[kind].momentMs);
-}
-
 /** Removes losses; undefined if too few are left. */
 function withoutLosses(
   accused: Remaining,
--- a/src/request/suspect_kinds.ts
+++ b/src/request/suspect_kinds.ts
@@ -10,14 +10,25 @@
   readonly sharedLosses: number;
   /** Losses if it was the only suspect of its kind in one of them. */
   readonly aloneLosses: number;
-  /** Losses within this time of each other count once. */
+  /** Of the losses within this time of each other, few count. */
   readonly momentMs: number;
+  readonly maxLossesAMoment: number;
 }
 
 export const SUSPECT_RULES: Readonly<Record<SuspectKind, SuspectRule>> = {
-  request: {sharedLosses: 3, aloneLosses: 2, momentMs: 0},
+  request: {
+    sharedLosses: 3,
+    aloneLosses: 2,
+    momentMs: 0,
+    maxLossesAMoment: 1,
+  },
   // Engines that end together say nothing about a part that ran at all of them.
-  part: {sharedLosses: 3, aloneLosses: 3, momentMs: 300},
+  part: {
+    sharedLosses: 3,
+    aloneLosses: 3,
+    momentMs: 300,
+    maxLossesAMoment: 2,
+  },
 };
 
 const PART_PREFIX = 'part:';
--- a/tests/request/blame_test.ts
+++ b/tests/request/blame_test.ts
@@ -56,6 +56,11 @@
     },
     culprits: ['+part:bad'],
   },
+  'a part of requests that come two at once': {
+    losses: {r1: 'a', r2: 'b', r3: 'p', r4: 'q', 'part:bad': 'abpq'},
+    everyMs: 100,
+    culprits: ['part:bad'],
+  },
   'a part of requests at engines that end together': {
     losses: {'part:first': 'abcdef'},
     everyMs: 40,
