Take the first heartbeat after an end only from a read of the list

Cause: a host that finds an engine unreachable, or applies a peer's new entry, updates its list without reading heartbeats. The stale heartbeat was kept as the first one after the end, so the last one from before the end, read later, cleared the loss on all hosts, and a quarantine lapsed. Change: the first one is kept only when the update brings a heartbeat.

--- a/src/relay/crashes/heartbeat_log.ts
+++ b/src/relay/crashes/heartbeat_log.ts
@@ -17,8 +17,11 @@
   | 'unknown';
 
 export interface HeartbeatLog {
-  /** The list was read or has changed. */
-  update(upstreams: readonly Upstream[]): void;
+  /**
+   * The list was read or has changed. Returns how many upstreams have sent
+   * another heartbeat.
+   */
+  update(upstreams: readonly Upstream[]): number;
   stateSince(upstream: Upstream, sinceMs: number): HeartbeatState;
 }
 
@@ -68,7 +71,12 @@
 
   return {
     update(upstreams) {
+      const before = records;
       records = new Map(upstreams.map(each => [each.id, toRecord(each)]));
+      return [...records].filter(
+        ([id, {latestAtMs}]) =>
+          latestAtMs > NEVER_MS && latestAtMs !== before.get(id)?.latestAtMs,
+      ).length;
     },
     stateSince({id}, sinceMs) {
       const nowMs = clock.nowMs();
--- a/src/relay/crashes/list_evidence.ts
+++ b/src/relay/crashes/list_evidence.ts
@@ -43,7 +43,7 @@
   /** First heartbeats that were read after an upstream had ended. */
   const heartbeats = new Map<string, StoreRevision>();
 
-  function checkHeartbeat({id, heartbeat}: Upstream): void {
+  function checkHeartbeat({id, heartbeat}: Upstream, isRead: boolean): void {
     const endedAtMs = host.endedAtMs(id);
     if (endedAtMs === undefined) {
       heartbeats.delete(id);
@@ -52,7 +52,8 @@
     if (clock.nowMs() < endedAtMs + LIST_DELAY_MS) return;
     const first = heartbeats.get(id);
     if (!first || first.era !== heartbeat.era) {
-      heartbeats.set(id, heartbeat);
+      // Other changes of the list show heartbeats as of an earlier read.
+      if (isRead) heartbeats.set(id, heartbeat);
     } else if (first.counter !== heartbeat.counter) {
       heartbeats.delete(id);
       host.onAlive(id);
@@ -85,7 +86,7 @@
     update() {
       const upstreams = registry.snapshot()?.upstreams ?? [];
       leavingIds = findLeaving(upstreams);
-      heartbeatLog.update(upstreams);
+      const beatCount = heartbeatLog.update(upstreams);
       const added = upstreams.filter(({id}) => !listedIds.has(id));
       const ended = host
         .upstreamsWithRuns()
@@ -94,7 +95,7 @@
       for (const {upstream, evidence} of ended) {
         if (evidence) host.onEnded(upstream, evidence);
       }
-      for (const upstream of upstreams) checkHeartbeat(upstream);
+      for (const upstream of upstreams) checkHeartbeat(upstream, beatCount > 0);
     },
     isLeaving: upstreamId => leavingIds.has(upstreamId),
     heartbeatsSince: heartbeatLog.stateSince,
--- a/tests/relay/crashes/crash_watch_test.ts
+++ b/tests/relay/crashes/crash_watch_test.ts
@@ -126,6 +126,18 @@
   assert.equal(isRefused(watch, '/t'), false);
 });
 
+test('a change of the list is no read of its heartbeats', async () => {
+  // Guards against losses that a heartbeat from before the end clears.
+  const {clock, watch, setList} = makeListedHost('refused');
+  setList(['e1']);
+  start(watch, '/t', 'e1').end('broken');
+  start(watch, '/t', 'e2').end('broken');
+  await clock.advance(700);
+  watch.noteList();
+  setList(['e1']);
+  assert.equal(isRefused(watch, '/t'), true);
+});
+
 test('an upstream that answers no probe counts as ended if others answer', async () => {
   // Guards against ports that reset connections or never answer.
   const clock = createVirtualClock(1_000);
