Refuse parts that can't be told apart only together

Cause: after five losses a request with any of the tied parts was refused. One of them may be sound; its requests never ran again, so nothing cleared it. Change: requests with some of the tied parts run, and their end tells the parts apart. Tied requests are refused one by one after five losses as before.

--- a/src/request/blame.ts
+++ b/src/request/blame.ts
@@ -30,10 +30,7 @@
   readonly latestAtMs: number;
 }
 
-/**
- * Suspects that can't be told apart are refused one by one after this many
- * losses; before, only requests that have all of them are.
- */
+/** Requests that can't be told apart are refused after this many losses. */
 const MAX_LOSSES_TOGETHER = 5;
 /** An unproven part in this many losses explains them for those that are. */
 const EXPLAINING_LOSSES = 2;
@@ -49,13 +46,20 @@
   readonly kind: SuspectKind;
 }
 
+/**
+ * Whether a request with these suspects is refused. One that has only some of
+ * several parts runs, as its end tells them apart. Nothing does so for requests
+ * that always run together.
+ */
 export function isRefusedBy(
   {keys, count}: Culprit,
   ownKeys: readonly string[],
 ): boolean {
-  return count < MAX_LOSSES_TOGETHER
-    ? keys.every(key => ownKeys.includes(key))
-    : keys.some(key => ownKeys.includes(key));
+  if (keys.every(key => ownKeys.includes(key))) return true;
+  const requests = keys.filter(key => suspectKindOf(key) === 'request');
+  return (
+    count >= MAX_LOSSES_TOGETHER && requests.some(key => ownKeys.includes(key))
+  );
 }
 
 /** Number of losses, of which those of one moment count only in part. */
