--- a/src/request/blame.ts
+++ b/src/request/blame.ts
@@ -32,7 +32,10 @@
 
 /** Requests that can't be told apart are refused after this many losses. */
 const MAX_LOSSES_TOGETHER = 5;
-/** An unproven part in this many losses explains them for those that are. */
+/**
+ * A part without a complete run explains its losses for those that have one
+ * from this many on.
+ */
 const EXPLAINING_LOSSES = 2;
 
 /** One cause is more likely than several that explain the same losses. */
--- a/src/request/quarantine.ts
+++ b/src/request/quarantine.ts
@@ -128,9 +128,15 @@
 /** Deaths of one engine within this time count as one loss. */
 const LOSS_WINDOW_MS = 10_000;
 
+interface Verdicts {
+  readonly culprits: readonly Culprit[];
+  readonly atMs: number;
+}
+
+const NOT_JUDGED: Verdicts = {culprits: [], atMs: Number.NEGATIVE_INFINITY};
 /** Culprits are determined again after this time, as losses expire. */
 const CULPRITS_VALID_MS = 1_000;
-/** Older losses of a suspect are dropped; they add no information. */
+/** Bounds the size of facts; older losses of a suspect are dropped. */
 const MAX_LOSSES = 16;
 /** Bounds how often entries that drop different losses correct each other. */
 const AGE_TOLERANCE_MS = 1_000;
@@ -141,8 +147,7 @@
 ): Quarantine {
   const suspects = new Map<string, Suspect>();
   const fingerprintsByLoss = new Map<string, Set<string>>();
-  let found: {readonly culprits: readonly Culprit[]; readonly atMs: number};
-  found = {culprits: [], atMs: Number.NEGATIVE_INFINITY};
+  let found: Verdicts = NOT_JUDGED;
 
   function removeLoss(
     fingerprint: string,
@@ -174,7 +179,7 @@
 
   /** Moves a suspect to the end of the map, which is in order of change. */
   function noteChange(fingerprint: string, suspect: Suspect): void {
-    found = {culprits: [], atMs: Number.NEGATIVE_INFINITY};
+    found = NOT_JUDGED;
     suspects.delete(fingerprint);
     suspects.set(fingerprint, suspect);
     if (suspects.size > options.maxFingerprints) {
