--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -29,9 +29,8 @@
 const SIGNATURE = 'X-Engine-Stamp';
 
 /** Returns the ids of a list `ID:TOKENS,ID:TOKENS,...`. */
-function readPartIds({
-  'x-prompt-prefix': list,
-}: http.IncomingHttpHeaders): readonly string[] {
+function readPartIds(headers: http.IncomingHttpHeaders): readonly string[] {
+  const list = headers['x-prompt-prefix'];
   if (typeof list !== 'string') return [];
   return list.split(',').map(part => part.split(':')[0].trim());
 }
