One timer for the wait for a refusal

Streams had the timer twice: successors.ts kept its own beside the one that plain and prefill calls share, with the same two constants. Both now use createRefusalTimer.

--- a/src/relay/silence/refusal_wait.ts
+++ b/src/relay/silence/refusal_wait.ts
@@ -14,23 +14,43 @@
 /** A timer this late shows that this host stood still, and has bytes to read. */
 const LATE_TIMER_MS = 100;
 
+export interface RefusalTimer {
+  /** Resolves once no refusal came in time. */
+  readonly over: Promise<undefined>;
+  /** The call was sent, perhaps again. */
+  restart(): void;
+  stop(): void;
+}
+
+export function createRefusalTimer(clock: Clock): RefusalTimer {
+  let timer: TimerHandle | undefined;
+  let onOver: () => void = () => undefined;
+  const over = new Promise<undefined>(resolve => {
+    onOver = () => resolve(undefined);
+  });
+  const stop = () => {
+    if (timer) clock.clearTimer(timer);
+  };
+  function restart(): void {
+    stop();
+    const dueMs = clock.nowMs() + REFUSAL_WAIT_MS;
+    timer = clock.setTimer(REFUSAL_WAIT_MS, () => {
+      const isLate = clock.nowMs() - dueMs >= LATE_TIMER_MS;
+      if (isLate) restart();
+      else onOver();
+    });
+  }
+  return {over, restart, stop};
+}
+
 /** Resolves to the outcome, or to undefined if there is none in time. */
 export async function waitForRefusal<Outcome>(
   clock: Clock,
   outcome: Promise<Outcome>,
 ): Promise<Outcome | undefined> {
-  let timer: TimerHandle | undefined;
-  const isOver = new Promise<undefined>(resolve => {
-    const wait = () => {
-      const dueMs = clock.nowMs() + REFUSAL_WAIT_MS;
-      timer = clock.setTimer(REFUSAL_WAIT_MS, () => {
-        if (clock.nowMs() - dueMs >= LATE_TIMER_MS) wait();
-        else resolve(undefined);
-      });
-    };
-    wait();
-  });
-  const first = await Promise.race([outcome, isOver]);
-  if (timer) clock.clearTimer(timer);
+  const timer = createRefusalTimer(clock);
+  timer.restart();
+  const first = await Promise.race([outcome, timer.over]);
+  timer.stop();
   return first;
 }
--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -6,13 +6,14 @@
  * given back.
  */
 
-import type {Clock, TimerHandle} from '../../ports/clock.js';
+import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Cancellation, UpstreamPort} from '../../ports/relay.js';
 import type {EngineLoads} from '../placement/engine_loads.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {Placement} from '../placement/placement_types.js';
 import type {EngineSilence} from '../silence/engine_silence.js';
+import {createRefusalTimer} from '../silence/refusal_wait.js';
 import type {LeaveReason} from '../silence/silence_rules.js';
 import {joinCancellations} from '../front/cancellation.js';
 import type {BudgetedCalls} from './budgeted_calls.js';
@@ -53,13 +54,6 @@
 const MAX_TARGETS = 3;
 /** A prefill result is offered to two engines before the prompt is read anew. */
 const MAX_SENDS = 2;
-/**
- * A refusal comes at once. After this time without one the silent run is closed,
- * so that no request works at two engines for long.
- */
-const REFUSAL_WAIT_MS = 350;
-/** A timer this late shows that this host stood still, and has bytes to read. */
-const LATE_TIMER_MS = 100;
 const STATUS_OK = 200;
 
 export function createSuccessors(host: SuccessorsHost): Successors {
@@ -112,27 +106,13 @@
 
   /** Starts the run; undefined if no engine accepts it. */
   async function tryStart(next: StreamState): Promise<Successor | undefined> {
-    let timer: TimerHandle | undefined;
-    let onAccepted: () => void = () => undefined;
-    const accepted = new Promise<undefined>(resolve => {
-      onAccepted = () => resolve(undefined);
-    });
-    const stopTimer = () => timer && clock.clearTimer(timer);
-    function waitForRefusal(): void {
-      stopTimer();
-      const dueMs = clock.nowMs() + REFUSAL_WAIT_MS;
-      timer = clock.setTimer(REFUSAL_WAIT_MS, () => {
-        const isLate = clock.nowMs() - dueMs >= LATE_TIMER_MS;
-        if (isLate) waitForRefusal();
-        else onAccepted();
-      });
-    }
+    const timer = createRefusalTimer(clock);
     const started = host.start(next, {
       maxSends: MAX_SENDS,
-      onSent: waitForRefusal,
+      onSent: timer.restart,
     });
-    const outcome = await Promise.race([started, accepted]);
-    stopTimer();
+    const outcome = await Promise.race([started, timer.over]);
+    timer.stop();
     if (!outcome) return {next, started};
     const isStreaming =
       outcome.kind === 'streaming' && outcome.answer.status === STATUS_OK;
