--- a/src/relay/plain/next_attempts.ts
+++ b/src/relay/plain/next_attempts.ts
@@ -13,6 +13,7 @@
 } from '../front/cancellation.js';
 import type {RelayJob} from '../relay_types.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
+import {wasSent} from '../send_failures.js';
 import {waitForRefusal} from '../silence/refusal_wait.js';
 import type {NextAttempt, UpstreamSilence} from './attempt_watch.js';
 import {noteUnusable, toNotes, toResult} from './plain_outcomes.js';
@@ -60,9 +61,6 @@
   return {kind: 'broken', detail: `status ${outcome.status}`};
 }
 
-const wasSent = ({kind}: SendFailure) =>
-  kind === 'rejected' || kind === 'broken' || kind === 'cancelled';
-
 export function createNextAttempts(host: NextAttemptsHost): NextAttempts {
   const {clock, slots, retryBudget, registry} = host;
 
--- a/src/relay/streams/budgeted_calls.ts
+++ b/src/relay/streams/budgeted_calls.ts
@@ -9,6 +9,7 @@
  */
 
 import type {PrefillOutcome, SendFailure} from '../../ports/relay.js';
+import {wasSent} from '../send_failures.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
 import type {StreamState} from './stream_state.js';
 
@@ -48,11 +49,6 @@
   kind: 'no-retries',
   detail: 'The retries of the service are used up.',
 };
-const NOT_SENT_KINDS: ReadonlySet<string> = new Set<SendFailure['kind']>([
-  'unreachable',
-  'withheld',
-  'quarantined',
-]);
 /** The prefill and the run itself. */
 const CALLS_PER_RUN = 2;
 
@@ -82,12 +78,12 @@
 
   function charge(
     state: StreamState,
-    {kind}: {readonly kind: string},
+    outcome: {readonly kind: string},
     isCounted: boolean,
     isRetry: boolean,
   ): void {
     // A call that was never sent costs the engines nothing.
-    if (!NOT_SENT_KINDS.has(kind) && isCounted) state.countedCalls++;
+    if (wasSent(outcome) && isCounted) state.countedCalls++;
     else if (isRetry) budget.giveBack(state.job.service.name);
   }
 
