Rank suspects for datagrams without building their facts

Each datagram built and sorted the whole fact of every suspect that changed in the last 2 s, only to count its losses, and once more for those it sends. The count is asked for instead. No change of behaviour.

--- a/src/relay/crashes/loss_reports.ts
+++ b/src/relay/crashes/loss_reports.ts
@@ -18,7 +18,7 @@
 
 export interface LossReportsHost {
   readonly clock: Clock;
-  readonly quarantine: Pick<Quarantine, 'fact'>;
+  readonly quarantine: Pick<Quarantine, 'fact' | 'lossCount'>;
 }
 
 /** Maximum number of facts in a datagram. */
@@ -60,8 +60,8 @@
   const changedAtMs = new Map<string, number>();
 
   function rankOf(key: string): number {
-    const lossCount = quarantine.fact(key)?.lossIds.length ?? 0;
-    return lossCount > 1 ? RANK_OF_SEVERAL_LOSSES : RANKS[suspectKindOf(key)];
+    const hasSeveral = quarantine.lossCount(key) > 1;
+    return hasSeveral ? RANK_OF_SEVERAL_LOSSES : RANKS[suspectKindOf(key)];
   }
 
   function findRecent(): readonly string[] {
--- a/src/request/quarantine.ts
+++ b/src/request/quarantine.ts
@@ -111,6 +111,8 @@
   mergeFact(fact: LossFact): readonly string[];
   /** When a loss that counts took place, as known to this entry. */
   lostAtMs(lossId: string): number | undefined;
+  /** Number of losses, cleared or not. */
+  lossCount(fingerprint: string): number;
   /** Returns undefined if the fingerprint has no losses. */
   fact(fingerprint: string): LossFact | undefined;
   /** Fingerprints with losses, those that changed longest ago first. */
@@ -382,6 +384,7 @@
         .map(loss => loss?.lostAtMs ?? 0);
       return times.length > 0 ? Math.max(...times) : undefined;
     },
+    lossCount: fingerprint => findSuspect(fingerprint)?.losses.size ?? 0,
     fact(fingerprint) {
       const suspect = findSuspect(fingerprint);
       return suspect && toFact(fingerprint, suspect);
