--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -281,9 +281,29 @@
         `${at(call.endedAtMs)} s`,
     );
   }
+  listCalls(services);
   return lost.length > 0 ? 1 : 0;
 }
 
+/** What was sent, run and answered, a line each. */
+function listCalls(services) {
+  const runs = new Map(
+    services.flatMap(each => each.runs.map(run => [run.id, {...run, each}])),
+  );
+  lines.push('All calls: id, method, entry, sent; engine, run; end:');
+  for (const {id, method, entry, sentAtMs, end, endedAtMs} of calls) {
+    const run = runs.get(id);
+    const ran = run
+      ? `${run.each.id} ${at(run.startedAtMs)} s to ` +
+        `${run.endedAtMs ? at(run.endedAtMs) : '-'} s`
+      : 'not run';
+    lines.push(
+      `  ${id} ${method} ${entry} ${at(sentAtMs)} s; ${ran}; ` +
+        `${end} ${endedAtMs ? at(endedAtMs) : '-'} s`,
+    );
+  }
+}
+
 let status = 2;
 try {
   status = await main();
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -210,9 +210,20 @@
         `${at(startedAtMs)} s for X-Tenant ${account ?? '(none)'}; ${end}`,
     );
   }
+  listCalls(runs);
   return broken.length > 0 ? 1 : 0;
 }
 
+/** What was sent, run and answered, a line each. */
+function listCalls(runs) {
+  lines.push('All calls: id, key, host, sent; run; end:');
+  for (const {id, who, host, sentAtMs, end} of calls) {
+    const run = runs.get(id);
+    const ran = run ? `run at ${at(run.startedAtMs)} s` : 'not run';
+    lines.push(`  ${id} ${who}, ${host} ${at(sentAtMs)} s; ${ran}; ${end}`);
+  }
+}
+
 let status = 2;
 try {
   status = await main();
--- a/review/standins/hosts.mjs
+++ b/review/standins/hosts.mjs
@@ -6,12 +6,35 @@
 
 const ROOT = path.resolve(import.meta.dirname, '../..');
 
-export async function freePort() {
-  const server = net.createServer();
-  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve));
-  const {port} = server.address();
-  await new Promise(resolve => server.close(resolve));
-  return port;
+/** Processes that are running; none may outlive the script. */
+const running = new Set();
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+  process.on(name, () => process.exit(2));
+}
+
+/** Below the range from which outgoing connections get their ports. */
+const FIRST_PORT = 20_000;
+const PORT_COUNT = 10_000;
+const givenPorts = new Set();
+
+function isFree(port) {
+  return new Promise(resolve => {
+    const server = net.createServer();
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
+  });
+}
+
+async function freePort() {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (givenPorts.has(port) || !(await isFree(port))) continue;
+    givenPorts.add(port);
+    return port;
+  }
 }
 
 /** The words of `run` in deploy/system.toml. */
@@ -66,8 +89,10 @@
       started.stdout.pipe(log, {end: false});
       started.stderr.pipe(log, {end: false});
       child = started;
+      running.add(started);
       ended = new Promise(resolve => {
         started.on('exit', (code, signal) => {
+          running.delete(started);
           if (child === started) child = undefined;
           resolve({code, signal});
         });
