Log what a refusal for an unknown route rests on

The line now has the age of the version's confirmation, who confirmed it (read, feed, peer or relayed), the newest version that a peer announced and for how long this host lacks it, and how late the event loop ran. No decision changes.

--- /dev/null
+++ b/src/relay/loop_lateness.ts
@@ -0,0 +1,49 @@
+/**
+ * Measures how late the event loop runs the timers of this process, which is
+ * also how late it reads its sockets.
+ */
+
+import type {Clock, TimerHandle} from '../ports/clock.js';
+
+export interface LoopLateness {
+  start(): void;
+  stop(): void;
+  /** The longest delay of a timer within the last two windows, in ms. */
+  recentMs(): number;
+}
+
+const TICK_MS = 100;
+const WINDOW_TICKS = 20;
+
+export function createLoopLateness(clock: Clock): LoopLateness {
+  let timer: TimerHandle | undefined;
+  let dueAtMs = Number.POSITIVE_INFINITY;
+  let ticks = 0;
+  let windowMs = 0;
+  let lastWindowMs = 0;
+
+  /** Positive if the next tick is overdue, as when a late loop has just run. */
+  const overdueMs = () => Math.max(0, clock.nowMs() - dueAtMs);
+
+  function schedule(): void {
+    dueAtMs = clock.nowMs() + TICK_MS;
+    timer = clock.setTimer(TICK_MS, tick);
+  }
+
+  function tick(): void {
+    windowMs = Math.max(windowMs, overdueMs());
+    if (++ticks % WINDOW_TICKS === 0) {
+      lastWindowMs = windowMs;
+      windowMs = 0;
+    }
+    schedule();
+  }
+
+  return {
+    start: schedule,
+    stop() {
+      if (timer) clock.clearTimer(timer);
+    },
+    recentMs: () => Math.round(Math.max(windowMs, lastWindowMs, overdueMs())),
+  };
+}
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -26,6 +26,7 @@
 import type {JobOutcome} from './job_outcome.js';
 import {chooseService} from './routing.js';
 import type {RoutingState} from './routing_state.js';
+import type {ConfigurationStatus} from './store/store_watch.js';
 import type {StreamRelay} from './streams/stream_relay.js';
 
 export interface RelayHost {
@@ -40,6 +41,9 @@
   readonly accounts: AccountAdmission;
   readonly durations: Pick<CallDurations, 'record'>;
   readonly openJobs: Pick<OpenJobs, 'open'>;
+  configurationStatus(): ConfigurationStatus;
+  /** How late the event loop ran its timers recently. */
+  loopLatenessMs(): number;
   /** Returns an error if this host is leaving and the request can't begin. */
   refuseForLeaving(request: BeginningRequest): RequestError | undefined;
 }
@@ -70,7 +74,7 @@
     }
     const path = received.target.split('?', 1)[0];
     const route = routing.match(received.host, path);
-    if (!route) return {kind: 'unknown-route', detail: path.slice(0, 80)};
+    if (!route) return refuseUnknownRoute(received, path.slice(0, 80));
     const refusal = host.crashes.findRefusal(received);
     if (refusal) return refusal;
     const name = chooseService(route, random);
@@ -92,6 +96,19 @@
     };
   }
 
+  /** Logs whether the configuration may be out of date. */
+  function refuseUnknownRoute(
+    {requestId}: RelayRequest,
+    detail: string,
+  ): RequestError {
+    log.info('No route matches the request.', {
+      request: requestId,
+      ...host.configurationStatus(),
+      loopLatenessMs: host.loopLatenessMs(),
+    });
+    return {kind: 'unknown-route', detail};
+  }
+
   /** The last check, since it charges the account's limit. */
   async function admit(
     pending: PendingJob,
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -6,6 +6,7 @@
 import type {Forwarding} from './forwarding/forwarding.js';
 import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
+import type {LoopLateness} from './loop_lateness.js';
 import type {PlainPlacement} from './plain/plain_placement.js';
 import type {Relay} from './relay.js';
 import type {RelayMetrics} from './relay_metrics.js';
@@ -19,6 +20,7 @@
 /** Parts of the process that the gauges read. */
 export interface GaugeSources {
   readonly relay: Relay;
+  readonly loopLateness: LoopLateness;
   readonly peers: PeerExchange;
   readonly readers: StoreReaders;
   readonly routing: RoutingState;
@@ -41,6 +43,21 @@
 }
 
 const GAUGES: readonly Gauge[] = [
+  {
+    name: 'configuration_age_ms',
+    help: 'Time since the store confirmed the configuration, as known to this host.',
+    read: ({watch}) => watch.configurationStatus().ageMs,
+  },
+  {
+    name: 'configuration_announced_version',
+    help: 'Newest version of the configuration that a peer announced.',
+    read: ({watch}) => watch.configurationStatus().announcedVersion,
+  },
+  {
+    name: 'loop_lateness_ms',
+    help: 'Longest recent delay of a timer of this process.',
+    read: ({loopLateness}) => loopLateness.recentMs(),
+  },
   {
     name: 'cut_links',
     help: 'Upstreams that this host reaches through peers only.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -17,6 +17,7 @@
 import {createCallerBuffers} from './front/caller_buffers.js';
 import {listEntries} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
+import {createLoopLateness} from './loop_lateness.js';
 import {toHostCapacity} from './fleet/host_capacity.js';
 import type {HostState} from './fleet/members.js';
 import {rankOwners} from './fleet/owners.js';
@@ -351,6 +352,7 @@
     registry,
     runs: crashes.runs,
   });
+  const loopLateness = createLoopLateness(clock);
   const relay = createRelay({
     clock,
     random,
@@ -378,6 +380,8 @@
     accounts: accounts.admission,
     durations,
     openJobs,
+    configurationStatus: watch.configurationStatus,
+    loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
   const callerBuffers = createCallerBuffers(
@@ -491,6 +495,7 @@
 
   registerGauges(metrics, {
     relay,
+    loopLateness,
     peers,
     readers,
     routing,
@@ -512,12 +517,14 @@
   peers.start();
   watch.start();
   handover.start();
+  loopLateness.start();
   roleOrders.start();
   const {hostId, callerAddress, peerAddress} = settings;
   log.info('Serving.', {hostId, callerAddress, peerAddress});
 
   async function stop(openCount: number): Promise<number> {
     handover.stop();
+    loopLateness.stop();
     roleOrders.stop();
     resumption.stop();
     forwarding.links.stop();
--- a/src/relay/store/store_confirmation.ts
+++ b/src/relay/store/store_confirmation.ts
@@ -19,15 +19,20 @@
   readonly ageMs: number;
 }
 
+/** Who confirmed the data last: this host's own calls, or a peer. */
+export type ConfirmedBy = 'read' | 'feed' | 'peer' | 'relayed' | 'none';
+
 export interface StoreConfirmation {
   /** The store confirmed the data to this host. */
-  noteRead(atMs: number): void;
+  noteRead(atMs: number, by?: 'read' | 'feed'): void;
   /** A peer with the same data announced these ages. */
   notePeer(ages: ConfirmedAges): void;
   /** Data of this age was fetched from a peer; the age is not passed on. */
   noteFetched(ageMs: number): void;
   /** The lowest known age, which this host's decisions are based on. */
   ageMs(): number;
+  /** Where the confirmation with that age came from. */
+  confirmedBy(): ConfirmedBy;
   /** The ages to announce to peers. */
   announcedAges(): ConfirmedAges;
 }
@@ -37,6 +42,7 @@
 
 export function createStoreConfirmation(clock: Clock): StoreConfirmation {
   let readAtMs = Number.NEGATIVE_INFINITY;
+  let readBy: 'read' | 'feed' = 'read';
   /** Confirmed by a read of the peer that announced it. */
   let readByPeerAtMs = Number.NEGATIVE_INFINITY;
   /** Confirmed through a peer that did not read the data itself. */
@@ -46,8 +52,10 @@
     Math.round(Math.min(clock.nowMs() - atMs, MAX_AGE_MS));
 
   return {
-    noteRead(atMs) {
-      readAtMs = Math.max(readAtMs, atMs);
+    noteRead(atMs, by = 'read') {
+      if (atMs < readAtMs) return;
+      readAtMs = atMs;
+      readBy = by;
     },
     notePeer({readAgeMs, ageMs}) {
       const nowMs = clock.nowMs();
@@ -58,6 +66,12 @@
       relayedAtMs = Math.max(relayedAtMs, clock.nowMs() - ageMs);
     },
     ageMs: () => ageOf(Math.max(readAtMs, readByPeerAtMs, relayedAtMs)),
+    confirmedBy() {
+      const atMs = Math.max(readAtMs, readByPeerAtMs, relayedAtMs);
+      if (atMs === Number.NEGATIVE_INFINITY) return 'none';
+      if (atMs === readAtMs) return readBy;
+      return atMs === readByPeerAtMs ? 'peer' : 'relayed';
+    },
     announcedAges: () => ({
       readAgeMs: ageOf(readAtMs),
       ageMs: ageOf(Math.max(readAtMs, readByPeerAtMs)),
--- a/src/relay/store/store_watch.ts
+++ b/src/relay/store/store_watch.ts
@@ -31,7 +31,10 @@
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {RoutingState} from '../routing_state.js';
 import {createHostRegistration} from './host_registration.js';
-import {createStoreConfirmation} from './store_confirmation.js';
+import {
+  createStoreConfirmation,
+  type ConfirmedBy,
+} from './store_confirmation.js';
 import type {StoreSyncState} from '../fleet/store_readers.js';
 import type {StoreEra} from './store_era.js';
 import type {UpstreamRegistry} from './upstream_registry.js';
@@ -62,6 +65,18 @@
   onHosts(records: readonly HostRecord[]): void;
 }
 
+/** What this host knows about the configuration in force, for logs. */
+export interface ConfigurationStatus {
+  readonly version: number;
+  /** Time since the store is known to have had no newer version. */
+  readonly ageMs: number;
+  readonly confirmedBy: ConfirmedBy;
+  /** The newest version that a peer announced; 0 without one. */
+  readonly announcedVersion: number;
+  /** Time since a peer announced a version newer than the one in force. */
+  readonly behindMs: number;
+}
+
 export interface StoreWatch {
   start(): void;
   /** Removes this host from the registry; reading continues. */
@@ -71,6 +86,7 @@
   syncState(): StoreSyncState;
   /** Time since the store confirmed the list, as known to this host. */
   listAgeMs(): number;
+  configurationStatus(): ConfigurationStatus;
   /** Whether the last call to the store was answered. */
   isStoreReachable(): boolean;
   /**
@@ -139,6 +155,7 @@
   /** The newest revision and version that peers announced. */
   let peerListRevision = NO_REVISION;
   let peerRoutingVersion = 0;
+  let routingBehindSinceMs = 0;
   let listBehindSinceMs = 0;
   let listReadAtMs = Number.NEGATIVE_INFINITY;
   let routingReadAtMs = Number.NEGATIVE_INFINITY;
@@ -191,9 +208,9 @@
     else log.info('The store is back.', {call});
   }
 
-  function applyRouting(update: RoutingUpdate): void {
+  function applyRouting(update: RoutingUpdate, by: 'read' | 'feed'): void {
     cursor = update.cursor;
-    routingConfirmation.noteRead(clock.nowMs());
+    routingConfirmation.noteRead(clock.nowMs(), by);
     if (update.routing) routing.applyIfNewer(update.routing, 'store');
     readVersion = update.isUnreadable
       ? undefined
@@ -289,7 +306,7 @@
     switch (read.kind) {
       case 'read':
         storeTime.note(sentAt, read.value.storeNow);
-        applyRouting(read.value);
+        applyRouting(read.value, from ? 'feed' : 'read');
         // A feed misses what was written before its cursor's revision number.
         if (from && from.era !== read.value.cursor.era) cursor = undefined;
         // Until a first version exists, the feed waits for it.
@@ -364,6 +381,7 @@
     if (peer.routingVersion === routing.version()) {
       routingConfirmation.notePeer(peer.routingAges);
     } else if (peer.routingVersion > routing.version()) {
+      if (!isRoutingBehind()) routingBehindSinceMs = clock.nowMs();
       peerRoutingVersion = Math.max(peerRoutingVersion, peer.routingVersion);
       checkRoutingNow();
     }
@@ -417,6 +435,15 @@
     },
     isStoreReachable: () => !isStoreLost,
     listAgeMs: listConfirmation.ageMs,
+    configurationStatus: () => ({
+      version: routing.version(),
+      ageMs: routingConfirmation.ageMs(),
+      confirmedBy: routingConfirmation.confirmedBy(),
+      announcedVersion: peerRoutingVersion,
+      behindMs: isRoutingBehind()
+        ? Math.round(clock.nowMs() - routingBehindSinceMs)
+        : 0,
+    }),
     syncState: () => ({
       routingVersion: routing.version(),
       routingAges: routingConfirmation.announcedAges(),
--- /dev/null
+++ b/tests/relay/loop_lateness_test.ts
@@ -0,0 +1,22 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createVirtualClock} from '../../src/core/virtual_clock.js';
+import {createLoopLateness} from '../../src/relay/loop_lateness.js';
+import {createFreezableClock} from './fleet/fleet_network.js';
+
+test('a process that stood still knows so before its timers have run', async () => {
+  // Guards against a refusal that can't be told from one of a host on time.
+  const clock = createVirtualClock(1_000);
+  const process = createFreezableClock(clock);
+  const lateness = createLoopLateness(process.host);
+  lateness.start();
+  await clock.advance(1_000);
+  assert.equal(lateness.recentMs(), 0);
+  process.stop(700);
+  await clock.advance(650);
+  assert.ok(lateness.recentMs() >= 500);
+  await clock.advance(1_000);
+  assert.ok(lateness.recentMs() >= 500);
+  await clock.advance(5_000);
+  assert.equal(lateness.recentMs(), 0);
+});
