Split the watch of the store into a loop for each kind of data

The loop is now read_loop.ts, and each kind of data says when a read is due and what an answer means. A read is a list of attempts, of which there is one so far, and a call to the store names its connection. No wait, interval or back-off changes.

The simulated store of the tests can be silent, answer late, and lose the open connections of hosts, and datagrams can wait in a host's socket.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -288,9 +288,18 @@
   readonly isUnreadable?: boolean;
 }
 
+/**
+ * The connection of a call to the store. A pooled one may have gone silent
+ * while it was idle.
+ */
+export type StoreConnection = 'pooled' | 'new';
+
 /** The routing that the operator writes to the store. */
 export interface RoutingSource {
-  readNow(timeoutMs: number): Promise<StoreRead<RoutingUpdate>>;
+  readNow(
+    timeoutMs: number,
+    connection?: StoreConnection,
+  ): Promise<StoreRead<RoutingUpdate>>;
   /** Waits up to `waitMs` for a change after `cursor`. */
   readNext(
     cursor: StoreRevision,
@@ -303,7 +312,10 @@
 }
 
 export interface UpstreamSource {
-  readNow(timeoutMs: number): Promise<StoreRead<UpstreamSnapshot>>;
+  readNow(
+    timeoutMs: number,
+    connection?: StoreConnection,
+  ): Promise<StoreRead<UpstreamSnapshot>>;
 }
 
 /** The registration of one process of the system. */
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -26,7 +26,7 @@
 import type {JobOutcome} from './job_outcome.js';
 import {chooseService} from './routing.js';
 import type {RoutingState} from './routing_state.js';
-import type {ConfigurationStatus} from './store/store_watch.js';
+import type {ConfigurationStatus} from './store/routing_watch.js';
 import type {StreamRelay} from './streams/stream_relay.js';
 
 export interface RelayHost {
--- /dev/null
+++ b/src/relay/store/hedged_call.ts
@@ -0,0 +1,66 @@
+/**
+ * Makes a call again, over another connection or to another host, while it is
+ * not answered. A connection that went silent then costs the start of the next
+ * attempt, and not the timeout of the call.
+ */
+
+import type {Clock, TimerHandle} from '../../ports/clock.js';
+
+export interface HedgeAttempt<T> {
+  /** Delay from the start of the call. */
+  readonly startAfterMs: number;
+  /** Resolves to undefined if the attempt failed. */
+  run(): Promise<T | undefined>;
+}
+
+export interface HedgedCall<T> {
+  /**
+   * The first answer, or undefined once all attempts that were started have
+   * failed. Attempts that are still open then run on, and their answers are
+   * dropped.
+   */
+  readonly answer: Promise<T | undefined>;
+}
+
+export function startHedgedCall<T>(
+  clock: Clock,
+  attempts: ReadonlyArray<HedgeAttempt<T>>,
+): HedgedCall<T> {
+  const startedAtMs = clock.nowMs();
+  let nextIndex = 0;
+  let openCount = 0;
+  let isSettled = false;
+  let timer: TimerHandle | undefined;
+  let settle: (answer: T | undefined) => void = () => undefined;
+  const answer = new Promise<T | undefined>(resolve => (settle = resolve));
+
+  function finish(value: T | undefined): void {
+    if (isSettled) return;
+    isSettled = true;
+    if (timer) clock.clearTimer(timer);
+    settle(value);
+  }
+
+  function startAt(atMs: number): void {
+    if (timer) clock.clearTimer(timer);
+    timer = clock.setTimer(Math.max(0, atMs - clock.nowMs()), startNext);
+  }
+
+  function startNext(): void {
+    const attempt = attempts[nextIndex++];
+    openCount++;
+    timer = undefined;
+    const next = attempts.at(nextIndex);
+    if (next) startAt(startedAtMs + next.startAfterMs);
+    void attempt.run().then(onEnd);
+  }
+
+  function onEnd(value: T | undefined): void {
+    openCount--;
+    if (value !== undefined) return finish(value);
+    if (openCount === 0) finish(undefined);
+  }
+
+  startNext();
+  return {answer};
+}
--- /dev/null
+++ b/src/relay/store/routing_watch.ts
@@ -0,0 +1,254 @@
+/**
+ * Reads the configuration from the platform's store. A reader follows the feed;
+ * any other host reads when a peer announces a newer version, or when the
+ * confirmation of its own version becomes too old.
+ */
+
+import type {StoreRevision} from '../../core/store_revision.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {Random} from '../../ports/random.js';
+import type {
+  RoutingSource,
+  RoutingUpdate,
+  StoreConnection,
+  StoreRead,
+} from '../../ports/relay.js';
+import type {ConfigurationFreshness} from '../accounts/configuration_freshness.js';
+import type {LocalInstant, StoreTime} from '../accounts/store_time.js';
+import type {StoreSyncState} from '../fleet/store_readers.js';
+import type {RoutingState} from '../routing_state.js';
+import {startHedgedCall, type HedgeAttempt} from './hedged_call.js';
+import {createReadLoop} from './read_loop.js';
+import type {StoreCalls} from './store_calls.js';
+import {
+  createStoreConfirmation,
+  type ConfirmedAges,
+  type ConfirmedBy,
+} from './store_confirmation.js';
+import type {StoreEra} from './store_era.js';
+
+export interface RoutingWatchHost {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly calls: StoreCalls;
+  readonly routingSource: RoutingSource;
+  readonly routing: RoutingState;
+  readonly storeEra: StoreEra;
+  readonly storeTime: StoreTime;
+  readonly freshness: ConfigurationFreshness;
+  /** Whether this host reads on behalf of all. */
+  isReader(): boolean;
+  /** Whether this host may become a reader if others cannot read. */
+  isCandidate(): boolean;
+}
+
+/** What this host knows about the configuration in force, for logs. */
+export interface ConfigurationStatus {
+  readonly version: number;
+  /** Time since the store is known to have had no newer version. */
+  readonly ageMs: number;
+  readonly confirmedBy: ConfirmedBy;
+  /** The newest version that a peer announced; 0 without one. */
+  readonly announcedVersion: number;
+  /** Time since a peer announced a version newer than the one in force. */
+  readonly behindMs: number;
+}
+
+export interface RoutingWatch {
+  start(): void;
+  stop(): void;
+  /** Processes a peer's announced state. */
+  receivePeerState(peer: StoreSyncState): void;
+  onNewEra(): void;
+  announcedAges(): ConfirmedAges;
+  status(): ConfigurationStatus;
+}
+
+const FEED_WAIT_MS = 1_000;
+const FEED_TIMEOUT_MS = 1_500;
+const READ_TIMEOUT_MS = 600;
+export const MAX_UNCONFIRMED_ROUTING_MS = 1_300;
+/** Minimum time between reads caused by successive changes. */
+const MIN_READ_INTERVAL_MS = 100;
+/**
+ * A host that is not a reader needs one answer per era to learn the store's
+ * time. Spreading these avoids hundreds of simultaneous calls.
+ */
+const TIME_READ_SPREAD_MS = 1_500;
+
+interface RoutingAnswer {
+  readonly read: Exclude<StoreRead<RoutingUpdate>, {kind: 'failed'}>;
+  /** The cursor that the feed was read from; undefined for a full read. */
+  readonly from?: StoreRevision;
+  readonly sentAt: LocalInstant;
+}
+
+export function createRoutingWatch(host: RoutingWatchHost): RoutingWatch {
+  const {clock, random, log, calls, routing, storeEra, storeTime} = host;
+  const {freshness, routingSource} = host;
+  const confirmation = createStoreConfirmation(clock);
+  /** Where to resume the feed; undefined if a full read has to come first. */
+  let cursor: StoreRevision | undefined;
+  /** The newest version this host has read; undefined if it was unreadable. */
+  let readVersion: number | undefined;
+  /** The newest version that peers announced. */
+  let peerVersion = 0;
+  let behindSinceMs = 0;
+  let readAtMs = Number.NEGATIVE_INFINITY;
+  /** The time by which to read the store's time after the era changed. */
+  let storeTimeDueAtMs = Number.NEGATIVE_INFINITY;
+
+  /*
+   * Whether this host is outdated is computed from its current data, whatever
+   * the data's source. As flags cleared only by this host's own reads, these
+   * made a host that had fetched the newer data from a peer call the store four
+   * times a second.
+   */
+  const isBehind = () => peerVersion > routing.version();
+
+  /**
+   * Whether keys are configured and the store's time in this era is unknown.
+   */
+  const isStoreTimeMissing = () =>
+    routing.accounts().requiresKey &&
+    storeTime.latest()?.era !== storeEra.current();
+
+  function delayMs(): number {
+    if (host.isReader()) return 0;
+    if (isBehind()) {
+      return MIN_READ_INTERVAL_MS - (clock.nowMs() - readAtMs);
+    }
+    const restMs = MAX_UNCONFIRMED_ROUTING_MS - confirmation.ageMs();
+    const timeRestMs = storeTimeDueAtMs - clock.nowMs();
+    return isStoreTimeMissing() ? Math.min(restMs, timeRestMs) : restMs;
+  }
+
+  function attemptRead(
+    startAfterMs: number,
+    connection: StoreConnection,
+    timeoutMs = READ_TIMEOUT_MS,
+  ): HedgeAttempt<RoutingAnswer> {
+    return {
+      startAfterMs,
+      async run() {
+        const sentAt = storeTime.now();
+        const read = await routingSource.readNow(timeoutMs, connection);
+        calls.count('configuration', read);
+        return read.kind === 'failed' ? undefined : {read, sentAt};
+      },
+    };
+  }
+
+  function attemptFeed(from: StoreRevision): HedgeAttempt<RoutingAnswer> {
+    return {
+      startAfterMs: 0,
+      async run() {
+        const sentAt = storeTime.now();
+        const read = await routingSource.readNext(
+          from,
+          FEED_WAIT_MS,
+          FEED_TIMEOUT_MS,
+        );
+        calls.count('configuration-feed', read);
+        return read.kind === 'failed' ? undefined : {read, from, sentAt};
+      },
+    };
+  }
+
+  function chooseAttempts(): ReadonlyArray<HedgeAttempt<RoutingAnswer>> {
+    const from = cursor?.era === storeEra.current() ? cursor : undefined;
+    return [from ? attemptFeed(from) : attemptRead(0, 'pooled')];
+  }
+
+  function applyUpdate(update: RoutingUpdate): void {
+    if (update.routing) routing.applyIfNewer(update.routing, 'store');
+    readVersion = update.isUnreadable
+      ? undefined
+      : (update.routing?.version ?? readVersion);
+    const isNewest =
+      readVersion !== undefined && readVersion <= routing.version();
+    // After a restore, a lost version may be missing until it is written again.
+    if (isNewest && storeEra.isSettled()) {
+      freshness.noteCompleteUntil(update.storeNow);
+    }
+  }
+
+  function onRead(answer: RoutingAnswer): number {
+    const {read, from, sentAt} = answer;
+    calls.noteOutcome('configuration', true);
+    if (read.kind === 'history-lost') {
+      log.debug(
+        'The history of the configuration is lost; reading it in full.',
+      );
+      cursor = undefined;
+      return 0;
+    }
+    const update = read.value;
+    storeTime.note(sentAt, update.storeNow);
+    confirmation.noteRead(clock.nowMs(), from ? 'feed' : 'read');
+    cursor = update.cursor;
+    applyUpdate(update);
+    // A feed misses what was written before its cursor's revision number.
+    if (from && from.era !== update.cursor.era) cursor = undefined;
+    // Avoids a busy loop if the store returns to an earlier era.
+    const isOfEarlierEra = update.cursor.era < storeEra.current();
+    // Until a first version exists, the feed waits for it.
+    return isOfEarlierEra ? MIN_READ_INTERVAL_MS : 0;
+  }
+
+  const loop = createReadLoop<RoutingAnswer>({
+    clock,
+    random,
+    isCandidate: host.isCandidate,
+    delayMs,
+    onRest() {
+      // After a pause, a full read replaces the feed.
+      cursor = undefined;
+    },
+    startRead() {
+      readAtMs = clock.nowMs();
+      return startHedgedCall(clock, chooseAttempts());
+    },
+    onRead,
+    onFailed() {
+      calls.noteOutcome('configuration', false);
+    },
+  });
+
+  function notePeerVersion(version: number): void {
+    if (!isBehind()) behindSinceMs = clock.nowMs();
+    peerVersion = Math.max(peerVersion, version);
+    loop.check();
+  }
+
+  return {
+    start: loop.start,
+    stop: loop.stop,
+    receivePeerState(peer) {
+      const {routingCompleteUntil, routingVersion} = peer;
+      if (routingCompleteUntil && routingVersion <= routing.version()) {
+        freshness.noteCompleteUntil(routingCompleteUntil);
+      }
+      if (routingVersion === routing.version()) {
+        confirmation.notePeer(peer.routingAges);
+      } else if (routingVersion > routing.version()) {
+        notePeerVersion(routingVersion);
+      }
+    },
+    onNewEra() {
+      storeTimeDueAtMs =
+        clock.nowMs() + TIME_READ_SPREAD_MS * random.nextFloat();
+      loop.check();
+    },
+    announcedAges: confirmation.announcedAges,
+    status: () => ({
+      version: routing.version(),
+      ageMs: confirmation.ageMs(),
+      confirmedBy: confirmation.confirmedBy(),
+      announcedVersion: peerVersion,
+      behindMs: isBehind() ? Math.round(clock.nowMs() - behindSinceMs) : 0,
+    }),
+  };
+}
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -29,7 +29,7 @@
   createStoreConfirmation,
   type ConfirmedAges,
 } from '../../../src/relay/store/store_confirmation.js';
-import {LIST_READ_INTERVAL_MS} from '../../../src/relay/store/store_watch.js';
+import {LIST_READ_INTERVAL_MS} from '../../../src/relay/store/list_watch.js';
 import {silentLog} from '../../support/silent_log.js';
 import {revisionAt} from '../../support/store_revisions.js';
 
--- a/tests/relay/fleet/many_hosts_test.ts
+++ b/tests/relay/fleet/many_hosts_test.ts
@@ -4,10 +4,8 @@
 
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {
-  MAX_UNCONFIRMED_LIST_MS,
-  MAX_UNCONFIRMED_ROUTING_MS,
-} from '../../../src/relay/store/store_watch.js';
+import {MAX_UNCONFIRMED_LIST_MS} from '../../../src/relay/store/list_watch.js';
+import {MAX_UNCONFIRMED_ROUTING_MS} from '../../../src/relay/store/routing_watch.js';
 import {makeFleet, type Fleet, type FleetHost} from './fleet_network.js';
 
 /** All hosts have started, and the coordinators have received all states. */
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -20,12 +20,12 @@
   type StoreSyncState,
 } from '../../../src/relay/fleet/store_readers.js';
 import {createStoreWatch} from '../../../src/relay/store/store_watch.js';
+import type {StoreRevision} from '../../../src/core/store_revision.js';
 import type {Upstream} from '../../../src/core/upstream.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {silentLog} from '../../support/silent_log.js';
 import {revisionAt} from '../../support/store_revisions.js';
-
-const ANSWER_MS = 4;
+import {createStoreLinks} from './store_links.js';
 
 /** The timing of announcements between hosts. */
 export interface AnnouncementTiming {
@@ -81,6 +81,10 @@
     configuredAt: 1,
     calls: 0,
     isDown: false,
+    /** The store gets no call, and no call gets its answer. */
+    isSilent: false,
+    /** How much later its answers arrive than they were made. */
+    lateMs: 0,
     /** Offset of the store's steady clock from that of the hosts. */
     clockShiftMs: 0,
   };
@@ -92,9 +96,12 @@
   const cut = new Set<string>();
   /** Hosts that do not receive any deltas. */
   const hearsNoChanges = new Set<string>();
-  const calls = new Map<string, number>();
+  /** By host: how long its incoming datagrams wait in its socket. */
+  const heldMs = new Map<string, number>();
   /** By host: the era tracker, updated by each answer. */
   const eras = new Map<string, StoreEra>();
+  const links = createStoreLinks({clock, store, cut, eras});
+  const {call} = links;
   const wakers = new Set<() => void>();
   const isMesh = hostCount <= MAX_MESH_HOSTS;
   /** In a large deployment: the list of members, known to all hosts. */
@@ -103,21 +110,6 @@
     readonly isStoreReachable: boolean;
   }> = [];
 
-  function answer<T>(hostId: string, value: () => T): Promise<StoreRead<T>> {
-    store.calls++;
-    calls.set(hostId, (calls.get(hostId) ?? 0) + 1);
-    return new Promise(resolve => {
-      clock.setTimer(ANSWER_MS, () => {
-        if (store.isDown || cut.has(hostId)) {
-          resolve({kind: 'failed', detail: 'down'});
-          return;
-        }
-        eras.get(hostId)?.note(store.era);
-        resolve({kind: 'read', value: value()});
-      });
-    });
-  }
-
   /** The store no longer has the history that was requested. */
   const answerLost = (): Promise<StoreRead<never>> =>
     Promise.resolve({kind: 'history-lost'});
@@ -146,11 +138,22 @@
     } satisfies Routing,
   });
 
-  const readNothing = () => ({
-    cursor: cursorNow(),
+  const readNothing = (from: StoreRevision) => ({
+    cursor: from,
     storeNow: storeNow(),
   });
 
+  /** Answers when the store wakes its feeds, or at the end of the wait. */
+  function waitForChange(waitMs: number, answer: () => void): void {
+    const wake = () => {
+      wakers.delete(wake);
+      clock.clearTimer(timer);
+      answer();
+    };
+    const timer = clock.setTimer(waitMs, wake);
+    wakers.add(wake);
+  }
+
   function makeHost(hostId: string) {
     const routing = createRoutingState(silentLog);
     const registry = createUpstreamRegistry({clock, log: silentLog});
@@ -182,48 +185,43 @@
         isAlone: () => false,
         onHosts: () => undefined,
         routingSource: {
-          readNow: () => answer(hostId, readRouting),
-          readNext(cursor, waitMs) {
+          readNow: (timeoutMs, connection) =>
+            call(hostId, readRouting, timeoutMs, connection),
+          readNext(cursor, waitMs, timeoutMs) {
             const {counter} = cursor;
             if (counter > store.revision) return answerLost();
-            if (counter < store.configuredAt) {
-              return answer(hostId, readRouting);
-            }
-            return new Promise(resolve => {
-              const wake = () => {
-                wakers.delete(wake);
-                clock.clearTimer(timer);
-                resolve(
-                  answer(hostId, () =>
-                    counter < store.configuredAt
-                      ? readRouting()
-                      : readNothing(),
-                  ),
-                );
-              };
-              const timer = clock.setTimer(waitMs, wake);
-              wakers.add(wake);
-            });
+            const isChanged = () => counter < store.configuredAt;
+            return call(
+              hostId,
+              () => (isChanged() ? readRouting() : readNothing(cursor)),
+              timeoutMs,
+              'pooled',
+              answer =>
+                isChanged() ? answer() : waitForChange(waitMs, answer),
+            );
           },
           encode: () => '',
           decode: () => undefined,
         },
         upstreamSource: {
-          readNow: () =>
-            answer(hostId, () => {
-              const revision = revisionAt(store.revision, store.era);
-              return {revision, upstreams};
-            }),
+          readNow: (timeoutMs, connection) =>
+            call(
+              hostId,
+              () => ({revision: cursorNow(), upstreams}),
+              timeoutMs,
+              connection,
+            ),
         },
         hostRegistry: {
-          async register(record) {
+          async register(record, timeoutMs) {
             const write = () => void registered.set(record.hostId, record);
-            return (await answer(hostId, write)).kind === 'read';
+            return (await call(hostId, write, timeoutMs)).kind === 'read';
           },
-          readAll: () => answer(hostId, () => [...registered.values()]),
-          async remove(id) {
+          readAll: timeoutMs =>
+            call(hostId, () => [...registered.values()], timeoutMs),
+          async remove(id, timeoutMs) {
             const write = () => registered.delete(id);
-            return (await answer(hostId, write)).kind === 'read';
+            return (await call(hostId, write, timeoutMs)).kind === 'read';
           },
         },
       },
@@ -264,8 +262,10 @@
           const heard = hearsNoChanges.has(to.hostId)
             ? {...knowledge, listDeltas: []}
             : knowledge;
-          to.heard.set(from.hostId, heard);
-          to.watch.receivePeerState(heard);
+          clock.setTimer(heldMs.get(to.hostId) ?? 0, () => {
+            to.heard.set(from.hostId, heard);
+            to.watch.receivePeerState(heard);
+          });
         }
       });
     }
@@ -283,8 +283,9 @@
     hosts,
     cut,
     hearsNoChanges,
-    callsOf: (hostIds: readonly string[]) =>
-      hostIds.reduce((sum, hostId) => sum + (calls.get(hostId) ?? 0), 0),
+    heldMs,
+    silenceConnections: links.silenceConnections,
+    callsOf: links.callsOf,
     /** Adds a host, or restarts one. */
     join(hostId: string) {
       const host = makeHost(hostId);
