Ask the store again on a new connection while a call has no answer

Cause: a connection that falls silent while it is idle or in use costs the whole timeout of the call, 600 ms or 1,500 ms for a feed, then a wait of up to 300 ms, and the next call takes the next connection of the same pool, which may be silent for the same reason. The comment allowed for one lost read.

Change: a call without an answer for 250 ms is made again on a new connection, and once more after another 250 ms; the first answer counts. After a failure, calls use new connections, and allow a slow store 1 s. The feed waits 700 ms and a version that is unconfirmed for 1,000 ms is read, as the list is, so the sum from the acknowledgement on is 1,500 ms and a transit with two lost calls. The same holds for the list of upstreams.

--- a/src/relay/store/hedged_call.ts
+++ b/src/relay/store/hedged_call.ts
@@ -7,8 +7,8 @@
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 
 export interface HedgeAttempt<T> {
-  /** Delay from the start of the call. */
-  readonly startAfterMs: number;
+  /** Delay from the start of the call; absent if it is started by news only. */
+  readonly startAfterMs?: number;
   /** Resolves to undefined if the attempt failed. */
   run(): Promise<T | undefined>;
 }
@@ -20,6 +20,8 @@
    * dropped.
    */
   readonly answer: Promise<T | undefined>;
+  /** Starts the next attempt within this time, if no answer arrives before. */
+  startNextWithin(delayMs: number): void;
 }
 
 export function startHedgedCall<T>(
@@ -31,6 +33,7 @@
   let openCount = 0;
   let isSettled = false;
   let timer: TimerHandle | undefined;
+  let timerAtMs = Number.POSITIVE_INFINITY;
   let settle: (answer: T | undefined) => void = () => undefined;
   const answer = new Promise<T | undefined>(resolve => (settle = resolve));
 
@@ -43,6 +46,7 @@
 
   function startAt(atMs: number): void {
     if (timer) clock.clearTimer(timer);
+    timerAtMs = atMs;
     timer = clock.setTimer(Math.max(0, atMs - clock.nowMs()), startNext);
   }
 
@@ -50,8 +54,11 @@
     const attempt = attempts[nextIndex++];
     openCount++;
     timer = undefined;
+    timerAtMs = Number.POSITIVE_INFINITY;
     const next = attempts.at(nextIndex);
-    if (next) startAt(startedAtMs + next.startAfterMs);
+    if (next?.startAfterMs !== undefined) {
+      startAt(startedAtMs + next.startAfterMs);
+    }
     void attempt.run().then(onEnd);
   }
 
@@ -62,5 +69,12 @@
   }
 
   startNext();
-  return {answer};
+  return {
+    answer,
+    startNextWithin(delayMs) {
+      const atMs = clock.nowMs() + delayMs;
+      if (isSettled || nextIndex === attempts.length) return;
+      if (atMs < timerAtMs) startAt(atMs);
+    },
+  };
 }
--- a/src/relay/store/list_watch.ts
+++ b/src/relay/store/list_watch.ts
@@ -59,6 +59,10 @@
 export const LIST_READ_INTERVAL_MS = 700;
 export const MAX_UNCONFIRMED_LIST_MS = 1_000;
 const READ_TIMEOUT_MS = 600;
+/** Allows for a slow store once reads have failed. */
+const RETRY_READ_TIMEOUT_MS = 1_000;
+/** Start of the next attempt if a call has no answer. */
+const HEDGE_DELAY_MS = 250;
 /** Minimum time between reads caused by successive changes. */
 const MIN_READ_INTERVAL_MS = 100;
 /**
@@ -131,9 +135,17 @@
   const loop = createReadLoop<ListAnswer>({
     ...host,
     delayMs,
-    startRead() {
+    startRead(failures) {
       readAtMs = clock.nowMs();
-      return startHedgedCall(clock, [attemptRead(0, 'pooled')]);
+      const attempts =
+        failures > 0
+          ? [attemptRead(0, 'new', RETRY_READ_TIMEOUT_MS)]
+          : [
+              attemptRead(0, 'pooled'),
+              attemptRead(HEDGE_DELAY_MS, 'new'),
+              attemptRead(2 * HEDGE_DELAY_MS, 'new'),
+            ];
+      return startHedgedCall(clock, attempts);
     },
     onRead({snapshot, sentAtMs}) {
       calls.noteOutcome('upstreams', true);
--- a/src/relay/store/read_loop.ts
+++ b/src/relay/store/read_loop.ts
@@ -1,4 +1,7 @@
-/** Reads one kind of data from the store, again and again. */
+/**
+ * Reads one kind of data from the store, again and again: when it is due, when
+ * there is news of a change, and after a failure.
+ */
 
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Random} from '../../ports/random.js';
@@ -25,6 +28,11 @@
   stop(): void;
   /** Checks again now, unless a read or its retry is in progress. */
   check(): void;
+  /**
+   * Reads now if a read is due, also before a retry is. An open read may have
+   * been answered before the news, so another one is started beside it soon.
+   */
+  readForNews(): void;
 }
 
 /**
@@ -39,12 +47,15 @@
 const MIN_CHECK_DELAY_MS = 20;
 const RETRY_MS = 200;
 const RETRY_SPREAD_MS = 100;
+/** By then, an open call has delivered the change that the news was of. */
+const NEWS_READ_DELAY_MS = 100;
 
 export function createReadLoop<T>(host: ReadLoopHost<T>): ReadLoop {
   const {clock, random} = host;
   let isStopped = false;
   /** The next check or retry; undefined during a read. */
   let timer: TimerHandle | undefined;
+  let openCall: HedgedCall<T> | undefined;
   /** Consecutive failed reads, while a read is due. */
   let failures = 0;
 
@@ -78,7 +89,9 @@
   }
 
   async function read(): Promise<void> {
-    const answer = await host.startRead(failures).answer;
+    openCall = host.startRead(failures);
+    const answer = await openCall.answer;
+    openCall = undefined;
     if (isStopped) return;
     if (answer !== undefined) {
       failures = 0;
@@ -105,5 +118,9 @@
     check() {
       if (failures === 0) followNow();
     },
+    readForNews() {
+      openCall?.startNextWithin(NEWS_READ_DELAY_MS);
+      followNow();
+    },
   };
 }
--- a/src/relay/store/routing_watch.ts
+++ b/src/relay/store/routing_watch.ts
@@ -66,10 +66,14 @@
   status(): ConfigurationStatus;
 }
 
-const FEED_WAIT_MS = 1_000;
-const FEED_TIMEOUT_MS = 1_500;
+const FEED_WAIT_MS = 700;
+const FEED_TIMEOUT_MS = 1_300;
 const READ_TIMEOUT_MS = 600;
-export const MAX_UNCONFIRMED_ROUTING_MS = 1_300;
+/** Allows for a slow store once reads have failed. */
+const RETRY_READ_TIMEOUT_MS = 1_000;
+/** Start of the next attempt if a call has no answer. */
+const HEDGE_DELAY_MS = 250;
+export const MAX_UNCONFIRMED_ROUTING_MS = 1_000;
 /** Minimum time between reads caused by successive changes. */
 const MIN_READ_INTERVAL_MS = 100;
 /**
@@ -157,9 +161,19 @@
     };
   }
 
-  function chooseAttempts(): ReadonlyArray<HedgeAttempt<RoutingAnswer>> {
+  function chooseAttempts(
+    failures: number,
+  ): ReadonlyArray<HedgeAttempt<RoutingAnswer>> {
+    if (failures > 0) {
+      return [attemptRead(0, 'new', RETRY_READ_TIMEOUT_MS)];
+    }
     const from = cursor?.era === storeEra.current() ? cursor : undefined;
-    return [from ? attemptFeed(from) : attemptRead(0, 'pooled')];
+    const firstDueMs = from ? FEED_WAIT_MS : 0;
+    return [
+      from ? attemptFeed(from) : attemptRead(0, 'pooled'),
+      attemptRead(firstDueMs + HEDGE_DELAY_MS, 'new'),
+      attemptRead(firstDueMs + 2 * HEDGE_DELAY_MS, 'new'),
+    ];
   }
 
   function applyUpdate(update: RoutingUpdate): void {
@@ -207,9 +221,9 @@
       // After a pause, a full read replaces the feed.
       cursor = undefined;
     },
-    startRead() {
+    startRead(failures) {
       readAtMs = clock.nowMs();
-      return startHedgedCall(clock, chooseAttempts());
+      return startHedgedCall(clock, chooseAttempts(failures));
     },
     onRead,
     onFailed() {
--- /dev/null
+++ b/tests/relay/store/configuration_reach_test.ts
@@ -0,0 +1,75 @@
+/**
+ * Tests of how soon each host has a configuration in force, beside connections,
+ * answers and datagrams that fail, and of what it says of its age.
+ */
+
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {LARGE_DEPLOYMENT_TIMING, makeSite} from './store_site.js';
+
+/** The tightest bound of the platforms, from the acknowledgement on. */
+const IN_FORCE_MS = 2_000;
+const SETTLED_MS = 5_000;
+const SIZES = [
+  {hostCount: 9, timing: undefined},
+  {hostCount: 68, timing: LARGE_DEPLOYMENT_TIMING},
+] as const;
+
+type Site = ReturnType<typeof makeSite>;
+
+async function startSite({hostCount, timing}: (typeof SIZES)[number]) {
+  const site = makeSite(hostCount, timing);
+  await site.clock.advance(SETTLED_MS);
+  return site;
+}
+
+const allIds = (site: Site) => site.hosts.map(({hostId}) => hostId);
+
+async function assertInForce(site: Site, context: string): Promise<void> {
+  site.configure();
+  await site.clock.advance(IN_FORCE_MS);
+  for (const {hostId, routing} of site.live()) {
+    assert.equal(routing.version(), site.store.version, `${hostId} ${context}`);
+  }
+}
+
+for (const size of SIZES) {
+  test(`${size.hostCount} hosts apply a version in time while open connections are silent`, async () => {
+    // Guards against one timeout after the other on connections of one pool.
+    for (let phaseMs = 0; phaseMs < 1_200; phaseMs += 300) {
+      const site = await startSite(size);
+      await site.clock.advance(phaseMs);
+      site.silenceConnections(allIds(site));
+      await assertInForce(site, `at ${phaseMs}`);
+    }
+  });
+
+  test(`${size.hostCount} hosts apply a version in time while connections fall silent one after the other`, async () => {
+    // Guards against retries on connections that may be silent too.
+    const site = await startSite(size);
+    for (let round = 0; round < 12; round++) {
+      site.silenceConnections(
+        allIds(site).filter((_, i) => i % 3 !== round % 3),
+      );
+      await site.clock.advance(170);
+      site.silenceConnections(
+        allIds(site).filter((_, i) => i % 3 === round % 3),
+      );
+      await assertInForce(site, `round ${round}`);
+    }
+  });
+}
+
+test('a list is in force in time while open connections are silent', async () => {
+  // Guards against one timeout after the other on connections of one pool.
+  for (let phaseMs = 0; phaseMs < 1_200; phaseMs += 300) {
+    const site = await startSite(SIZES[1]);
+    await site.clock.advance(phaseMs);
+    site.silenceConnections(allIds(site));
+    site.setUpstreams([]);
+    await site.clock.advance(IN_FORCE_MS);
+    for (const {hostId, registry} of site.live()) {
+      assert.equal(registry.open('uus-pearaamat').length, 0, hostId);
+    }
+  }
+});
