Let news of a version end a back-off and join an open read

Cause: news of a newer version did nothing while a read was open or its retry was due. Hosts that are no candidates for reading back off for up to 2 s, and a read that was sent before the store came back runs into its timeout first, so the host knew that it lacked a version for 1.3 s and more, and waited.

Change: a version that is announced for the first time ends the back-off, and starts another read beside an open one after 100 ms. Repeated announcements don't, so an outage costs no more calls. A list that peers announce does the same.

Evidence: '68 hosts apply a version in time after the store was away: isSilent' fails before (host-11 after 3,940 ms) and passes.

--- a/src/relay/store/list_watch.ts
+++ b/src/relay/store/list_watch.ts
@@ -115,7 +115,7 @@
   }
 
   function attemptRead(
-    startAfterMs: number,
+    startAfterMs: number | undefined,
     connection: StoreConnection,
     timeoutMs = READ_TIMEOUT_MS,
   ): HedgeAttempt<ListAnswer> {
@@ -139,7 +139,10 @@
       readAtMs = clock.nowMs();
       const attempts =
         failures > 0
-          ? [attemptRead(0, 'new', RETRY_READ_TIMEOUT_MS)]
+          ? [
+              attemptRead(0, 'new', RETRY_READ_TIMEOUT_MS),
+              attemptRead(undefined, 'new'),
+            ]
           : [
               attemptRead(0, 'pooled'),
               attemptRead(HEDGE_DELAY_MS, 'new'),
@@ -158,9 +161,11 @@
 
   /** Peers have a newer list, or the era changed, which implies one. */
   function noteNewerList(revision: StoreRevision): void {
-    if (!isBehind()) behindSinceMs = clock.nowMs();
+    const wasBehind = isBehind();
     if (isNewerRevision(revision, peerRevision)) peerRevision = revision;
-    loop.check();
+    if (wasBehind) return loop.check();
+    behindSinceMs = clock.nowMs();
+    loop.readForNews();
   }
 
   return {
--- a/src/relay/store/routing_watch.ts
+++ b/src/relay/store/routing_watch.ts
@@ -130,7 +130,7 @@
   }
 
   function attemptRead(
-    startAfterMs: number,
+    startAfterMs: number | undefined,
     connection: StoreConnection,
     timeoutMs = READ_TIMEOUT_MS,
   ): HedgeAttempt<RoutingAnswer> {
@@ -165,7 +165,10 @@
     failures: number,
   ): ReadonlyArray<HedgeAttempt<RoutingAnswer>> {
     if (failures > 0) {
-      return [attemptRead(0, 'new', RETRY_READ_TIMEOUT_MS)];
+      return [
+        attemptRead(0, 'new', RETRY_READ_TIMEOUT_MS),
+        attemptRead(undefined, 'new'),
+      ];
     }
     const from = cursor?.era === storeEra.current() ? cursor : undefined;
     const firstDueMs = from ? FEED_WAIT_MS : 0;
@@ -233,8 +236,10 @@
 
   function notePeerVersion(version: number): void {
     if (!isBehind()) behindSinceMs = clock.nowMs();
+    const isNews = version > peerVersion;
     peerVersion = Math.max(peerVersion, version);
-    loop.check();
+    if (isNews) loop.readForNews();
+    else loop.check();
   }
 
   return {
--- a/tests/relay/store/configuration_reach_test.ts
+++ b/tests/relay/store/configuration_reach_test.ts
@@ -10,6 +10,7 @@
 /** The tightest bound of the platforms, from the acknowledgement on. */
 const IN_FORCE_MS = 2_000;
 const SETTLED_MS = 5_000;
+const OUTAGES_MS = [700, 1_900, 3_940, 6_090];
 const SIZES = [
   {hostCount: 9, timing: undefined},
   {hostCount: 68, timing: LARGE_DEPLOYMENT_TIMING},
@@ -44,6 +45,19 @@
     }
   });
 
+  for (const kind of ['isDown', 'isSilent'] as const) {
+    test(`${size.hostCount} hosts apply a version in time after the store was away: ${kind}`, async () => {
+      // Guards against a back-off that outlasts the news of a newer version.
+      for (const outageMs of OUTAGES_MS) {
+        const site = await startSite(size);
+        site.store[kind] = true;
+        await site.clock.advance(outageMs);
+        site.store[kind] = false;
+        await assertInForce(site, `after ${outageMs}`);
+      }
+    });
+  }
+
   test(`${size.hostCount} hosts apply a version in time while connections fall silent one after the other`, async () => {
     // Guards against retries on connections that may be silent too.
     const site = await startSite(size);
