Count the age of a confirmation from when the store made its answer

Cause: an answer counted from its arrival, so one that is 0.6 s late confirmed for 0.6 s too long, and all hosts to which it was announced. A datagram counted from when it was read, however long it had lain in the socket of a host that stood still.

Change: an answer's age is bounded by the time since its call, less the wait of a feed, and by the store's clock. The age in a datagram is at least that of the store's time which it names as complete.

Evidence: 'a confirmation is no younger than the answer of the store' and '... than the datagram that brought it' fail before (age 0 at an answer that is 500 ms old; under 1,400 ms at a datagram of 1,500 ms) and pass.

--- a/src/relay/store/routing_watch.ts
+++ b/src/relay/store/routing_watch.ts
@@ -179,6 +179,20 @@
     ];
   }
 
+  /**
+   * An upper bound on the time since the store made its answer. An answer of
+   * the feed without a change was made at the end of the feed's wait.
+   */
+  function answerAgeMs({read, from, sentAt}: RoutingAnswer): number {
+    const elapsedMs = clock.nowMs() - sentAt.steadyMs;
+    if (read.kind !== 'read') return elapsedMs;
+    const {routing: changed, isUnreadable, storeNow} = read.value;
+    const isWaitOver = from && !changed && !isUnreadable;
+    const waitedMs = isWaitOver && elapsedMs >= FEED_WAIT_MS ? FEED_WAIT_MS : 0;
+    const storeAgeMs = storeTime.ageMs(storeNow) ?? Number.POSITIVE_INFINITY;
+    return Math.min(elapsedMs - waitedMs, storeAgeMs);
+  }
+
   function applyUpdate(update: RoutingUpdate): void {
     if (update.routing) routing.applyIfNewer(update.routing, 'store');
     readVersion = update.isUnreadable
@@ -204,7 +218,10 @@
     }
     const update = read.value;
     storeTime.note(sentAt, update.storeNow);
-    confirmation.noteRead(clock.nowMs(), from ? 'feed' : 'read');
+    confirmation.noteRead(
+      clock.nowMs() - answerAgeMs(answer),
+      from ? 'feed' : 'read',
+    );
     cursor = update.cursor;
     applyUpdate(update);
     // A feed misses what was written before its cursor's revision number.
@@ -242,6 +259,24 @@
     else loop.check();
   }
 
+  /**
+   * A datagram may lie in a socket, here or at a suspended peer. Its ages don't
+   * show that, but the store's time in it does.
+   */
+  function minimumAgeMs({routingCompleteUntil}: StoreSyncState): number {
+    if (!routingCompleteUntil || !storeEra.isSettled()) return 0;
+    return storeTime.ageMs(routingCompleteUntil) ?? 0;
+  }
+
+  function notePeerAges(peer: StoreSyncState): void {
+    const minimumMs = minimumAgeMs(peer);
+    const {readAgeMs, ageMs} = peer.routingAges;
+    confirmation.notePeer({
+      readAgeMs: Math.max(readAgeMs, minimumMs),
+      ageMs: Math.max(ageMs, minimumMs),
+    });
+  }
+
   return {
     start: loop.start,
     stop: loop.stop,
@@ -250,9 +285,8 @@
       if (routingCompleteUntil && routingVersion <= routing.version()) {
         freshness.noteCompleteUntil(routingCompleteUntil);
       }
-      if (routingVersion === routing.version()) {
-        confirmation.notePeer(peer.routingAges);
-      } else if (routingVersion > routing.version()) {
+      if (routingVersion === routing.version()) notePeerAges(peer);
+      else if (routingVersion > routing.version()) {
         notePeerVersion(routingVersion);
       }
     },
--- a/tests/relay/store/configuration_reach_test.ts
+++ b/tests/relay/store/configuration_reach_test.ts
@@ -74,6 +74,34 @@
   });
 }
 
+test('a confirmation is no younger than the answer of the store', async () => {
+  // Guards against an older version that late answers confirm as the newest.
+  const site = await startSite(SIZES[1]);
+  site.store.lateMs = 500;
+  await site.clock.advance(3_000);
+  for (let i = 0; i < 150; i++) {
+    await site.clock.advance(20);
+    for (const {hostId, watch} of site.hosts) {
+      const {ageMs} = watch.configurationStatus();
+      assert.ok(ageMs >= site.store.lateMs, `${hostId}: ${ageMs}`);
+    }
+  }
+});
+
+test('a confirmation is no younger than the datagram that brought it', async () => {
+  // Guards against an older version that datagrams confirm which lay in a socket.
+  const site = await startSite(SIZES[0]);
+  const host = site.hosts.find(each => !each.readers.isReader());
+  assert.ok(host);
+  site.cut.add(host.hostId);
+  site.heldMs.set(host.hostId, 1_500);
+  await site.clock.advance(4_000);
+  for (let i = 0; i < 50; i++) {
+    await site.clock.advance(20);
+    assert.ok(host.watch.configurationStatus().ageMs >= 1_400);
+  }
+});
+
 test('a list is in force in time while open connections are silent', async () => {
   // Guards against one timeout after the other on connections of one pool.
   for (let phaseMs = 0; phaseMs < 1_200; phaseMs += 300) {
