--- a/tests/platform/store_sources_test.ts
+++ b/tests/platform/store_sources_test.ts
@@ -45,6 +45,18 @@
   assert.deepEqual(read.value.cursor, revisionAt(121, 1));
 });
 
+test('an answer of the feed without a change skips none', async () => {
+  // Guards against a version that a feed never delivers, as the store answered
+  // with its newest revision before it delivered the change.
+  const store = makeStore({rows: [], era: 1, ver: 121, now_ms: 0});
+  const source = createRoutingSource({store, log: silentLog});
+  const from = revisionAt(90, 1);
+  const read = await source.readNext(from, 1_000, 1_500);
+  assert.equal(read.kind, 'read');
+  if (read.kind !== 'read') return;
+  assert.deepEqual(read.value.cursor, from);
+});
+
 const GOOD = {
   service: 'drafts',
   address: '10.0.0.1:8080',
