Ask peers for a version in rotation, and the next one soon

Cause: a host asked the first of the peers with the newest version, and the same one again if it didn't answer, 600 ms a try. A host that couldn't reach the store also waited 400 ms for its own feed.

Change: up to three peers are asked 150 ms apart, others at the next try, and the wait is left out where the store doesn't answer. The list of upstreams is fetched in the same way.

--- a/src/relay/fleet/peer_sync.ts
+++ b/src/relay/fleet/peer_sync.ts
@@ -18,6 +18,7 @@
 import type {RoutingState} from '../routing_state.js';
 import type {AuxiliaryHandler} from '../front/auxiliary_server.js';
 import type {UpstreamSnapshot} from '../../core/upstream.js';
+import {startHedgedCall} from '../store/hedged_call.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {StoreTime} from '../accounts/store_time.js';
 
@@ -33,6 +34,8 @@
   peers(): readonly PeerSyncState[];
   /** Live hosts including this one. */
   members(): readonly Member[];
+  /** Whether the store answered this host's last call. */
+  isStoreReachable(): boolean;
   /** Age of this host's list of upstreams. */
   upstreamAgeMs(): number;
   /** A list of the given age was applied from a peer. */
@@ -56,6 +59,9 @@
  * The store is read every 0.7 s; an older list means that reads are failing.
  */
 const MAX_FRESH_AGE_MS = 1_300;
+/** Start of a request to the next peer if one does not answer. */
+const NEXT_PEER_DELAY_MS = 150;
+const MAX_PEERS_ASKED = 3;
 /**
  * Time for this host's own feed to deliver a version before a peer is asked.
  */
@@ -76,6 +82,8 @@
   let timer: TimerHandle | undefined;
   let isStopped = false;
   let behindSinceMs: number | undefined;
+  /** Moves on with each request, so that a silent peer is not asked again. */
+  let nextPeer = 0;
 
   async function fetch(
     peer: {readonly peerAddress: string},
@@ -95,24 +103,34 @@
     return head.status === 200 ? bytes?.toString('utf8') : undefined;
   }
 
+  /** Asks a few of the peers in rotation. */
+  function fetchFromAny(
+    peers: readonly PeerSyncState[],
+    target: string,
+  ): Promise<string | undefined> {
+    const attempts = peers.slice(0, MAX_PEERS_ASKED).map((_, i) => ({
+      startAfterMs: i * NEXT_PEER_DELAY_MS,
+      run: () => fetch(peers[nextPeer++ % peers.length], target),
+    }));
+    return startHedgedCall(clock, attempts).answer;
+  }
+
   async function fetchRouting(): Promise<void> {
-    const newest = host
-      .peers()
-      .reduce<PeerSyncState | undefined>(
-        (best, peer) =>
-          peer.routingVersion > (best?.routingVersion ?? routing.version())
-            ? peer
-            : best,
-        undefined,
-      );
-    if (!newest) {
+    const newestVersion = Math.max(
+      ...host.peers().map(each => each.routingVersion),
+    );
+    if (newestVersion <= routing.version()) {
       behindSinceMs = undefined;
       return;
     }
     behindSinceMs ??= clock.nowMs();
-    const isWaiting = clock.nowMs() - behindSinceMs < FEED_WAIT_MS;
+    const isWaiting =
+      host.isStoreReachable() && clock.nowMs() - behindSinceMs < FEED_WAIT_MS;
     if (isWaiting && routing.current()) return;
-    const text = await fetch(newest, ROUTING_PATH);
+    const newest = host
+      .peers()
+      .filter(each => each.routingVersion === newestVersion);
+    const text = await fetchFromAny(newest, ROUTING_PATH);
     const offered = text && host.routingSource.decode(text);
     if (offered) routing.applyIfNewer(offered, 'peer');
   }
@@ -126,10 +144,10 @@
         peer => peer.upstreamAges.ageMs < Math.min(MAX_FRESH_AGE_MS, ownAgeMs),
       )
       .sort((a, b) => compareRevisions(b.upstreamRevision, a.upstreamRevision))
-      .at(0);
-    if (!freshest) return;
+      .slice(0, MAX_PEERS_ASKED);
+    if (freshest.length === 0) return;
     const sentAt = host.storeTime.now();
-    const text = await fetch(freshest, UPSTREAMS_PATH);
+    const text = await fetchFromAny(freshest, UPSTREAMS_PATH);
     const response = text ? parseResponse<UpstreamsResponse>(text) : undefined;
     if (!response) return;
     if (response.storeNow) host.storeTime.note(sentAt, response.storeNow);
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -233,6 +233,7 @@
     storeTime: accounts.storeTime,
     peers: peers.peerSyncStates,
     members: peers.members,
+    isStoreReachable: watch.isStoreReachable,
     upstreamAgeMs: () => watch.listAgeMs(),
     onUpstreamsFetched: watch.noteFetchedList,
   });
