--- a/src/adapters/listen.ts
+++ b/src/adapters/listen.ts
@@ -1,6 +1,6 @@
 /** Parses `ip:port` addresses and starts servers on them. */
 
-import type {Server} from 'node:net';
+import {isIP, type Server} from 'node:net';
 
 export interface SplitAddress {
   readonly ip: string;
@@ -14,6 +14,16 @@
   return {ip, port: Number(address.slice(colon + 1))};
 }
 
+const MAX_PORT = 65_535;
+
+/** Whether `address` is `ip:port`, with a port that can be reached. */
+export function isSocketAddress(address: unknown): address is string {
+  if (typeof address !== 'string') return false;
+  const {ip, port} = splitAddress(address);
+  const isPort = /:\d{1,5}$/.test(address) && port > 0 && port <= MAX_PORT;
+  return isPort && isIP(ip) !== 0;
+}
+
 /** Resolves once `server` listens on `address`; rejects if it cannot. */
 export function listenOn(
   server: Pick<Server, 'once' | 'off' | 'listen'>,
--- a/src/adapters/udp_datagram.ts
+++ b/src/adapters/udp_datagram.ts
@@ -2,7 +2,7 @@
 
 import {createSocket} from 'node:dgram';
 import type {DatagramPort} from '../ports/datagram.js';
-import {splitAddress} from './listen.js';
+import {isSocketAddress, splitAddress} from './listen.js';
 
 /** Binds `address` (`ip:port`); rejects when that is not possible. */
 export async function createUdpDatagramPort(
@@ -22,7 +22,8 @@
   let isClosed = false;
   return {
     send(toAddress, payload) {
-      if (isClosed) return;
+      // A peer may pass on an address that its socket would throw at.
+      if (isClosed || !isSocketAddress(toAddress)) return;
       const to = splitAddress(toAddress);
       // Send errors are ignored: probes of an unreachable host time out.
       socket.send(payload, to.port, to.ip, () => undefined);
--- a/tests/platform/store_sources_test.ts
+++ b/tests/platform/store_sources_test.ts
@@ -7,6 +7,7 @@
   type WireRow,
 } from '../../platform/store_client.js';
 import {
+  createHostRegistry,
   createRoutingSource,
   createUpstreamSource,
 } from '../../platform/store_sources.js';
@@ -84,6 +85,66 @@
   return read.kind === 'read' ? read.value.upstreams : [];
 }
 
+test('a row whose key no header can carry is skipped', async () => {
+  // Guards against requests that fail as their upstream's name is no header.
+  const names = ['i-1\r\nX-Own: forged', 'i-\ud800', 'i-\u00fc', 'i 1', ''];
+  const rows = [...names, 'i-7f3a91c2'].map(name => upstreamRow(name, GOOD));
+  const upstreams = await readUpstreams(rows, silentLog);
+  assert.deepEqual(
+    upstreams.map(({name}) => name),
+    ['i-7f3a91c2'],
+  );
+});
+
+test('an entry that is too deep, or has numbers that are too large, hides no upstream', async () => {
+  // Guards against a process that ends, or stops reading, at one odd entry.
+  const odd = [
+    `{"service":${'['.repeat(200_000)}${']'.repeat(200_000)}}`,
+    JSON.stringify(GOOD).replace('"slots":16', '"slots":1e999'),
+    JSON.stringify(GOOD).replace('"slots":16', '"slots":1e300'),
+    JSON.stringify(GOOD).replace(String(GOOD.born), '1e300'),
+    JSON.stringify(GOOD).replace(':8080', ':65536'),
+  ].map((text, i) => ({
+    ...upstreamRow(`odd-${i}`, GOOD),
+    value: Buffer.from(text).toString('base64'),
+  }));
+  const rows = [...odd, upstreamRow('i-1', GOOD)];
+  const upstreams = await readUpstreams(rows, silentLog);
+  assert.deepEqual(
+    upstreams.map(({name}) => name),
+    ['i-1'],
+  );
+});
+
+test('rows of other programs describe no host', async () => {
+  // Guards against a process that ends as it sends to an address that is none.
+  const peers = [
+    undefined,
+    7,
+    {ip: '10.0.0.1'},
+    ['10.0.0.1:8151'],
+    'host-1',
+    '10.0.0.1',
+    '10.0.0.1:0',
+    '10.0.0.1:65536',
+    '10.0.0.1:8e3',
+    'peer.example:8151',
+    '10.0.0.1:8151',
+  ];
+  const rows = peers.map((peer, i) => ({
+    ...upstreamRow(`host-${i}`, {peer}),
+    table: 'hosts',
+  }));
+  const store = makeStore({rows, era: 1, ver: 9, now_ms: 0});
+  const read = await createHostRegistry({store, log: silentLog}).readAll(600);
+  assert.equal(read.kind, 'read');
+  if (read.kind !== 'read') return;
+  assert.deepEqual(
+    read.value.map(({peerAddress}) => peerAddress),
+    ['10.0.0.1:8151'],
+  );
+});
+
 test('rows of other programs are skipped and do not hide upstreams', async () => {
   // Guards against requests to an invalid address, against losing all engines
   // because of one unreadable row, and against logging the row at each read.
