Read the ledger of versions where no peer answers for a stream

Cause: a host without answers of its peers took its own list for current if the store had confirmed it within 2 s. A version can join and begin streams at other hosts within less, so 'the only version' was that of an older list.

Change: such a host goes by the ledger in the store, which has each version before any stream begins at it; it refuses if it can't read the ledger. A host that knows a stream of a service from which its route has moved asks its peers, as it does for streams that it doesn't know.

Evidence: 'a stream keeps its version at a host that was standing still' of out_of_step_test answered v1 for a stream of v2 before, and passes; the host that is cut off from its peers, with a current list, held before. 48 tests of resumption and of engines' versions pass.

--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -271,7 +271,6 @@
     peers: () => peers.alive(),
     isMesh: () => peers.isMesh(),
     archiverIds: findReadyReaderIds,
-    listAgeMs: () => watch.listAgeMs(),
     table: sources.leaseTable,
     storeEra: storeEra.current,
     isWriter: () => isPlanner(),
--- a/src/relay/resumption/resumption.ts
+++ b/src/relay/resumption/resumption.ts
@@ -37,7 +37,6 @@
   isMesh(): boolean;
   /** Hosts that write origins to the store, in the same order at all hosts. */
   archiverIds(): readonly string[];
-  listAgeMs(): number;
   /** The table of the store with the ledger of versions and the archive. */
   readonly table: TablePort;
   storeEra(): number;
--- a/src/relay/resumption/take_ups.ts
+++ b/src/relay/resumption/take_ups.ts
@@ -35,8 +35,6 @@
   readonly routing: Pick<RoutingState, 'service'>;
   /** Whether this host knows no other host. */
   isAlone(): boolean;
-  /** Time since the store confirmed this host's list of upstreams. */
-  listAgeMs(): number;
   /** No stream of the service is older. */
   maxStreamAgeMs(service: string): number;
 }
@@ -59,8 +57,6 @@
 /** How a take-up was decided, for the log and the counter. */
 type Basis = 'own' | 'peer' | 'archive' | 'single-version' | 'gone' | 'unknown';
 
-/** A list that the store confirmed within this time is current. */
-const CURRENT_LIST_MS = 2_000;
 /**
  * Peers may be suspended for a moment. A caller that is refused begins its
  * stream anew, which costs more than this wait.
@@ -115,11 +111,9 @@
     const own = history.seenWithin(service, windowMs);
     const seen = [own, ...atPeers];
     const versions = new Set(seen.flatMap(each => each.versions));
-    // A host that is cut off knows no versions that came since.
-    const isInTouch =
-      atPeers.length > 0 ||
-      host.isAlone() ||
-      host.listAgeMs() <= CURRENT_LIST_MS;
+    // A host that is out of step knows no versions that came since its list was
+    // made, but no stream begins at one that the ledger lacks.
+    const isInTouch = atPeers.length > 0 || host.isAlone();
     const isKnown = isInTouch && seen.some(isLongEnough);
     if (versions.size === 1 && isKnown) return [...versions][0];
     // Versions that are listed, but not in the ledger, have begun no stream.
@@ -214,9 +208,11 @@
       const query = toQuery(job);
       const own = origins.find(query.requestId);
       const basis = own ? 'own' : 'peer';
-      const first: OriginFindings = own
-        ? {origin: own, seen: [], silentIds: []}
+      const isDecisive = own && isOfCaller(own, job) && findService(own, job);
+      const asked: OriginFindings = isDecisive
+        ? {seen: [], silentIds: []}
         : await host.exchange.ask(query);
+      const first = own ? {...asked, origin: own} : asked;
       const takeUp =
         (await conclude(job, first, basis)) ??
         (await concludeFromArchive(job, query.requestId, first));
--- a/tests/relay/resumption/resumption_fleet.ts
+++ b/tests/relay/resumption/resumption_fleet.ts
@@ -112,7 +112,6 @@
           .map(each => ({hostId: each, state: 'ready'})),
       isMesh: () => hostCount <= MAX_MESH_HOSTS,
       archiverIds: () => ids.filter(each => !dead.has(each)).slice(0, 3),
-      listAgeMs: () => 0,
       table: ownTable,
       storeEra: () => 0,
       isWriter: () => hostId === 'host-0',
