Call a store that answers slowly again later

Change: the next attempt starts after twice the time of the last answer, at least 250 and at most 500 ms; an answer is forgotten after 3 s, before the bounds hold again for a store that was slow.

--- a/src/relay/store/hedged_call.ts
+++ b/src/relay/store/hedged_call.ts
@@ -78,3 +78,38 @@
     },
   };
 }
+
+const MIN_HEDGE_DELAY_MS = 250;
+const MAX_HEDGE_DELAY_MS = 500;
+/** An answer that took longer than usual is forgotten after this time. */
+const SLOW_ANSWER_TTL_MS = 3_000;
+
+export interface HedgeDelay {
+  /** An attempt was answered after this time. */
+  noteAnswer(durationMs: number): void;
+  /** Time without an answer after which the next attempt starts. */
+  currentMs(): number;
+}
+
+/**
+ * Calls to a server that answers slowly are made again later: a further call
+ * would be answered no sooner, and would add to its load.
+ */
+export function createHedgeDelay(clock: Clock): HedgeDelay {
+  let answerMs = 0;
+  let notedAtMs = Number.NEGATIVE_INFINITY;
+  return {
+    noteAnswer(durationMs) {
+      answerMs = durationMs;
+      notedAtMs = clock.nowMs();
+    },
+    currentMs() {
+      const isRecent = clock.nowMs() - notedAtMs < SLOW_ANSWER_TTL_MS;
+      const delayMs = isRecent ? 2 * answerMs : 0;
+      return Math.min(
+        Math.max(delayMs, MIN_HEDGE_DELAY_MS),
+        MAX_HEDGE_DELAY_MS,
+      );
+    },
+  };
+}
--- a/src/relay/store/list_watch.ts
+++ b/src/relay/store/list_watch.ts
@@ -19,7 +19,11 @@
 import type {Random} from '../../ports/random.js';
 import type {StoreConnection, UpstreamSource} from '../../ports/relay.js';
 import type {StoreSyncState} from '../fleet/store_readers.js';
-import {startHedgedCall, type HedgeAttempt} from './hedged_call.js';
+import {
+  createHedgeDelay,
+  startHedgedCall,
+  type HedgeAttempt,
+} from './hedged_call.js';
 import {createReadLoop, LOST_STORE_CHECK_MS} from './read_loop.js';
 import type {StoreCalls} from './store_calls.js';
 import {
@@ -64,8 +68,6 @@
 const READ_TIMEOUT_MS = 600;
 /** Allows for a slow store once reads have failed. */
 const RETRY_READ_TIMEOUT_MS = 1_000;
-/** Start of the next attempt if a call has no answer. */
-const HEDGE_DELAY_MS = 250;
 /** Minimum time between reads caused by successive changes. */
 const MIN_READ_INTERVAL_MS = 100;
 /**
@@ -83,6 +85,7 @@
 export function createListWatch(host: ListWatchHost): ListWatch {
   const {clock, log, calls, registry} = host;
   const confirmation = createStoreConfirmation(clock);
+  const hedgeDelay = createHedgeDelay(clock);
   /** The newest revision that peers announced. */
   let peerRevision = NO_REVISION;
   let behindSinceMs = 0;
@@ -128,7 +131,10 @@
         const sentAtMs = clock.nowMs();
         const read = await host.upstreamSource.readNow(timeoutMs, connection);
         calls.count('upstreams', read);
-        if (read.kind === 'read') return {snapshot: read.value, sentAtMs};
+        if (read.kind === 'read') {
+          hedgeDelay.noteAnswer(clock.nowMs() - sentAtMs);
+          return {snapshot: read.value, sentAtMs};
+        }
         registry.noteReadFailed();
         return undefined;
       },
@@ -140,6 +146,7 @@
     delayMs,
     startRead(failures) {
       readAtMs = clock.nowMs();
+      const hedgeMs = hedgeDelay.currentMs();
       const attempts =
         failures > 0
           ? [
@@ -148,8 +155,8 @@
             ]
           : [
               attemptRead(0, 'pooled'),
-              attemptRead(HEDGE_DELAY_MS, 'new'),
-              attemptRead(2 * HEDGE_DELAY_MS, 'new'),
+              attemptRead(hedgeMs, 'new'),
+              attemptRead(2 * hedgeMs, 'new'),
             ];
       return startHedgedCall(clock, attempts);
     },
--- a/src/relay/store/routing_watch.ts
+++ b/src/relay/store/routing_watch.ts
@@ -22,7 +22,11 @@
 import type {LocalInstant, StoreTime} from '../accounts/store_time.js';
 import type {StoreSyncState} from '../fleet/store_readers.js';
 import type {RoutingState} from '../routing_state.js';
-import {startHedgedCall, type HedgeAttempt} from './hedged_call.js';
+import {
+  createHedgeDelay,
+  startHedgedCall,
+  type HedgeAttempt,
+} from './hedged_call.js';
 import {createReadLoop} from './read_loop.js';
 import type {StoreCalls} from './store_calls.js';
 import {
@@ -81,8 +85,6 @@
 const READ_TIMEOUT_MS = 600;
 /** Allows for a slow store once reads have failed. */
 const RETRY_READ_TIMEOUT_MS = 1_000;
-/** Start of the next attempt if a call has no answer. */
-const HEDGE_DELAY_MS = 250;
 export const MAX_UNCONFIRMED_ROUTING_MS = 1_000;
 /** Minimum time between reads caused by successive changes. */
 const MIN_READ_INTERVAL_MS = 100;
@@ -108,6 +110,7 @@
   const {clock, random, log, calls, routing, storeEra, storeTime} = host;
   const {freshness, routingSource} = host;
   const confirmation = createStoreConfirmation(clock);
+  const hedgeDelay = createHedgeDelay(clock);
   /** Where to resume the feed; undefined if a full read has to come first. */
   let cursor: StoreRevision | undefined;
   /** The newest version this host has read; undefined if it was unreadable. */
@@ -169,7 +172,9 @@
         const sentAt = storeTime.now();
         const read = await routingSource.readNow(timeoutMs, connection);
         calls.count('configuration', read);
-        return read.kind === 'failed' ? undefined : {read, sentAt};
+        if (read.kind === 'failed') return undefined;
+        hedgeDelay.noteAnswer(clock.nowMs() - sentAt.steadyMs);
+        return {read, sentAt};
       },
     };
   }
@@ -201,10 +206,11 @@
     }
     const from = cursor?.era === storeEra.current() ? cursor : undefined;
     const firstDueMs = from ? FEED_WAIT_MS : 0;
+    const hedgeMs = hedgeDelay.currentMs();
     return [
       from ? attemptFeed(from) : attemptRead(0, 'pooled'),
-      attemptRead(firstDueMs + HEDGE_DELAY_MS, 'new'),
-      attemptRead(firstDueMs + 2 * HEDGE_DELAY_MS, 'new'),
+      attemptRead(firstDueMs + hedgeMs, 'new'),
+      attemptRead(firstDueMs + 2 * hedgeMs, 'new'),
     ];
   }
 
--- a/tests/relay/store/configuration_reach_test.ts
+++ b/tests/relay/store/configuration_reach_test.ts
@@ -133,3 +133,17 @@
   assert.equal(await host.watch.confirmConfiguration(true), true);
   assert.equal(host.routing.version(), 2);
 });
+
+test('a store that answers slowly gets few calls twice', async () => {
+  // Guards against three calls for each read of a store that is slow already.
+  const site = await startSite(SIZES[0]);
+  site.store.lateMs = 400;
+  await site.clock.advance(3_000);
+  const before = site.store.calls;
+  await site.clock.advance(5_000);
+  const perSecond = (site.store.calls - before) / 5;
+  assert.ok(
+    perSecond <= 2.5 * site.hosts.length,
+    `${perSecond} calls a second`,
+  );
+});
