Make a call to the store again only once without news

Change: a read without an answer is made once more, on a new connection; news may start one further read.

--- a/src/relay/store/list_watch.ts
+++ b/src/relay/store/list_watch.ts
@@ -156,7 +156,7 @@
           : [
               attemptRead(0, 'pooled'),
               attemptRead(hedgeMs, 'new'),
-              attemptRead(2 * hedgeMs, 'new'),
+              attemptRead(undefined, 'new'),
             ];
       return startHedgedCall(clock, attempts);
     },
--- a/src/relay/store/routing_watch.ts
+++ b/src/relay/store/routing_watch.ts
@@ -210,7 +210,7 @@
     return [
       from ? attemptFeed(from) : attemptRead(0, 'pooled'),
       attemptRead(firstDueMs + hedgeMs, 'new'),
-      attemptRead(firstDueMs + 2 * hedgeMs, 'new'),
+      attemptRead(undefined, 'new'),
     ];
   }
 
