Log what a request rests on that begins at a leaving host

The line has the time since the signal, the rest of the grace, the deadline, and the recent durations that were compared. No decision changes.

--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -16,10 +16,12 @@
 import type {CallDurations, RecentDurations} from './call_durations.js';
 
 /** What is known of a request when it is decided whether it may begin. */
-export type BeginningRequest = Pick<
+export interface BeginningRequest extends Pick<
   RelayJob,
   'route' | 'service' | 'deadlineAtMs'
->;
+> {
+  readonly request: Pick<RelayJob['request'], 'requestId'>;
+}
 
 export interface LeavingHost {
   readonly clock: Clock;
@@ -136,7 +138,7 @@
     return Math.max(longestMs, Math.min(longestMs * doubt, assumedMs));
   }
 
-  function refuse({
+  function findRefusal({
     route,
     service,
     deadlineAtMs,
@@ -155,6 +157,23 @@
     return canEnd ? undefined : toRefusal();
   }
 
+  function refuse(beginning: BeginningRequest): RequestError | undefined {
+    const refusal = findRefusal(beginning);
+    if (startedAtMs === undefined || refusal) return refusal;
+    const {request, route, service, deadlineAtMs} = beginning;
+    const nowMs = clock.nowMs();
+    log.info('Request begins while leaving.', {
+      request: request.requestId,
+      route: route.name,
+      service: service.name,
+      afterMs: Math.round(nowMs - startedAtMs),
+      restMs: Math.round(startedAtMs + answerAfterMs - nowMs),
+      deadlineInMs: Math.round(leftMs(deadlineAtMs, nowMs)),
+      ...host.durations.recent(service.name),
+    });
+    return undefined;
+  }
+
   function end(): void {
     const openRequests = host.openCount();
     log.info('Left.', {openRequests, afterMs: Math.round(sinceStartMs())});
@@ -174,7 +193,7 @@
     const nowMs = clock.nowMs();
     const sinceMs = sinceStartMs();
     if (sinceMs >= answerAfterMs) host.endUnanswered(toRefusal());
-    else host.refuseWaiting(refuse);
+    else host.refuseWaiting(findRefusal);
     const quietSinceMs = Math.max(runningSinceMs, host.lastRequestAtMs());
     const isQuiet = host.openCount() === 0 && nowMs - quietSinceMs >= QUIET_MS;
     const isDone = sinceMs >= MIN_LEAVE_MS && isQuiet;
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -91,7 +91,12 @@
     if (!service) return {kind: 'no-upstream', detail: 'No such service.'};
     const waitMs = Math.min(received.waitMs, route.timeoutMs);
     const deadlineAtMs = received.arrivedAtMs + waitMs;
-    const leaving = host.refuseForLeaving({route, service, deadlineAtMs});
+    const leaving = host.refuseForLeaving({
+      request: received,
+      route,
+      service,
+      deadlineAtMs,
+    });
     if (leaving) return leaving;
     const cancellation = createCancellation();
     caller.onDisconnect(() => cancellation.cancel());
--- a/tests/relay/front/leaving_test.ts
+++ b/tests/relay/front/leaving_test.ts
@@ -44,6 +44,7 @@
   };
   let isAnswerWritten = false;
   const toRequest = (kind: RouteKind, waitMs: number) => ({
+    request: {requestId: 'q1'},
     route: {kind} as Route,
     service: {name: 'ledger'} as Service,
     deadlineAtMs: clock.nowMs() + waitMs,
