Test: streams that become longer while hosts leave (fails)

Three of six hosts leave; 3, 4 and 5 s later streams take eight times as long as any that has ended.

--- a/tests/soak/leaving_hosts.ts
+++ b/tests/soak/leaving_hosts.ts
@@ -16,6 +16,7 @@
 import type {ExitedProcess} from './soak_checks.js';
 import {
   createSoakSite,
+  EVENT_EVERY_MS,
   LEAVE_GRACE_MS,
   STREAM_EVENTS,
   type SoakSite,
@@ -23,12 +24,16 @@
 
 export interface LeavingScenario {
   readonly hostCount: number;
+  /** How many of the hosts leave; all by default. */
+  readonly leavingCount?: number;
   /** Time between the SIGTERMs of two hosts. */
   readonly gapMs: number;
   /** How long calls to the plain service take. */
   readonly workMs: {readonly least: number; readonly most: number};
   /** Draws how long streams take; most take little more than the least. */
   readonly streamMs?: {readonly least: number; readonly most: number};
+  /** Streams that begin so long after the first SIGTERM take so long. */
+  readonly slowdown?: {readonly afterMs: number; readonly streamMs: number};
   readonly graceMs?: number;
   /** Time for which all hosts have served before the first SIGTERM. */
   readonly warmUpMs?: number;
@@ -138,6 +143,7 @@
   site: SoakSite,
   scenario: LeavingScenario,
   folder: string,
+  slowEngines: () => void,
 ): Promise<LeavingResult> {
   const {graceMs = LEAVE_GRACE_MS, deadlineMs = DEADLINE_MS} = scenario;
   const {warmUpMs = WARM_UP_MS} = scenario;
@@ -149,8 +155,8 @@
     if (now() > readyUntilMs) throw new Error('The hosts are not ready.');
     await wait(100);
   }
-  const playedMs =
-    warmUpMs + graceMs + scenario.gapMs * (scenario.hostCount - 1);
+  const {leavingCount = scenario.hostCount, slowdown} = scenario;
+  const playedMs = warmUpMs + graceMs + scenario.gapMs * (leavingCount - 1);
   const sending = callers.callEachHost(playedMs);
   await wait(warmUpMs);
   const endDisturbance = scenario.disturbEveryMs
@@ -158,8 +164,9 @@
     : () => undefined;
   const {suspension} = scenario;
   if (suspension) void suspend(site, graceMs, suspension);
+  if (slowdown) setTimeout(slowEngines, slowdown.afterMs);
   const exits = await Promise.all(
-    site.hosts.map(async ({child}, i) => {
+    site.hosts.slice(0, leavingCount).map(async ({child}, i) => {
       await wait(i * scenario.gapMs);
       return stop(child, graceMs);
     }),
@@ -212,18 +219,25 @@
   mkdirSync(logs, {recursive: true});
   const random = createSeededRandom(7);
   const {least, most} = scenario.workMs;
+  const {streamMs, slowdown} = scenario;
+  let isSlow = false;
+  const slowEngines = () => void (isSlow = true);
+  const drawUsualMs = streamMs && drawInterval(random, streamMs);
   const site = await createSoakSite({
     hostCount: scenario.hostCount,
     program,
     folder: logs,
     leaveGraceMs: scenario.graceMs,
     routeTimeoutMs: (scenario.deadlineMs ?? DEADLINE_MS) + TIMEOUT_SLACK_MS,
-    eventEveryMs: scenario.streamMs && drawInterval(random, scenario.streamMs),
+    eventEveryMs: () =>
+      isSlow && slowdown
+        ? slowdown.streamMs / STREAM_EVENTS
+        : (drawUsualMs?.() ?? EVENT_EVERY_MS),
     engineCounts: ENGINES,
     workMs: () => least + random.nextInt(most - least + 1),
   });
   try {
-    return await play(site, scenario, logs);
+    return await play(site, scenario, logs, slowEngines);
   } finally {
     await site.close();
   }
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -140,7 +140,7 @@
 export const RETRY_SLACK = 58;
 const ENGINE_COUNTS: EngineCounts = {prefill: 2, decode: 4};
 const ROUTE_TIMEOUT_MS = 5_000;
-const EVENT_EVERY_MS = 25;
+export const EVENT_EVERY_MS = 25;
 const HEARTBEAT_MS = 600;
 /** The store drops a row after three missed heartbeats. */
 const ROW_EXPIRY_MS = 3 * HEARTBEAT_MS;
