Begin a request at a leaving host only by a bound

A leaving host began a request if 1.2 times (calls: twice) the longest recent one of its service fitted into the rest of the grace. While hosts leave, their load moves to the same engines, so streams take longer than all that have ended; a forecast fails just when it is needed.

A request now begins if its deadline is before the end, or in the open part of the grace (3/8, at most 3 s), in which the users allow that a long one is cut. The recent durations only decide there whether another entry is used sooner.

--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -73,8 +73,13 @@
 const KILL_MARGIN_MS = 300;
 /** All answers are written this long before connections are closed. */
 const ANSWER_MARGIN_MS = 150;
-/** For this part of the grace, requests begin of whose length nothing is known. */
-const UNKNOWN_SHARE = 3 / 8;
+/**
+ * Until then, requests begin that may outlast the grace: most callers haven't
+ * refreshed the directory's answer, and most requests end long before their
+ * deadline. Later ones begin only if their deadline is before the end.
+ */
+const OPEN_SHARE = 3 / 8;
+const MAX_OPEN_MS = 3_000;
 /** Short, since a caller can connect to another entry right away. */
 const OTHER_ENTRY_RETRY_MS = 20;
 /** Time from the end of a process until its successor serves. */
@@ -105,7 +110,9 @@
   const {clock, log} = host;
   const closeAfterMs = options.graceMs - KILL_MARGIN_MS;
   const answerAfterMs = closeAfterMs - ANSWER_MARGIN_MS;
-  const assumedMs = answerAfterMs - options.graceMs * UNKNOWN_SHARE;
+  const openForMs = Math.min(options.graceMs * OPEN_SHARE, MAX_OPEN_MS);
+  /** Begins throughout the open time. */
+  const assumedMs = answerAfterMs - openForMs;
   let startedAtMs: number | undefined;
   /** Since when this host could read requests without a break. */
   let runningSinceMs = clock.nowMs();
@@ -138,23 +145,22 @@
     return Math.max(longestMs, Math.min(longestMs * doubt, assumedMs));
   }
 
-  function findRefusal({
-    route,
-    service,
-    deadlineAtMs,
-  }: BeginningRequest): RequestError | undefined {
-    if (startedAtMs === undefined) return undefined;
-    const nowMs = clock.nowMs();
+  /** An expectation, so it only decides whether to use another entry sooner. */
+  function isExpectedToEnd({route, service}: BeginningRequest): boolean {
     const recent = host.durations.recent(service.name);
     const expectedMs = toExpectedMs(recent, RESERVES[route.kind]);
-    // Without another entry, a refusal costs a caller more than the risk.
-    const isRiskTaken = expectedMs > assumedMs && !host.hasOtherEntry();
-    const neededMs = Math.min(
-      leftMs(deadlineAtMs, nowMs),
-      isRiskTaken ? assumedMs : expectedMs,
-    );
-    const canEnd = nowMs + neededMs < startedAtMs + answerAfterMs;
-    return canEnd ? undefined : toRefusal();
+    return sinceStartMs() + expectedMs <= answerAfterMs;
+  }
+
+  function findRefusal(beginning: BeginningRequest): RequestError | undefined {
+    if (startedAtMs === undefined) return undefined;
+    const latestEndAtMs = Math.max(beginning.deadlineAtMs, clock.nowMs());
+    if (latestEndAtMs <= startedAtMs + answerAfterMs) return undefined;
+    const mayOutlast =
+      sinceStartMs() < openForMs &&
+      // Without another entry, a refusal costs a caller more than the risk.
+      (!host.hasOtherEntry() || isExpectedToEnd(beginning));
+    return mayOutlast ? undefined : toRefusal();
   }
 
   function refuse(beginning: BeginningRequest): RequestError | undefined {
