Count the grace from the earliest time at which SIGTERM may have arrived

A leaving host counted from when it noticed the signal. If its loop was late, it took streams for over 3 s after the signal, which the users do not excuse, and was killed before its last answers. It now counts from the last but one tick of the loop, at which all earlier signals had been handled, at most 1 s back; a signal that was buffered while the process started counts from its receipt.

Unit tests in virtual time: a host that notices 600 ms late takes streams until 2.4 s after that and ends 600 ms sooner (both failed to exist before; the old code counts from the call).

--- a/src/cli/signal_buffer.ts
+++ b/src/cli/signal_buffer.ts
@@ -7,7 +7,10 @@
 
 export type BufferedSignal = 'SIGTERM' | 'SIGINT' | 'SIGHUP';
 
-export type SignalHandlers = Readonly<Record<BufferedSignal, () => void>>;
+/** Called with the time for which the signal was buffered, in ms. */
+export type SignalHandler = (waitedMs: number) => void;
+
+export type SignalHandlers = Readonly<Record<BufferedSignal, SignalHandler>>;
 
 /** The part of `process` that is used here. */
 export interface SignalSource {
@@ -22,19 +25,27 @@
 const SIGNALS: readonly BufferedSignal[] = ['SIGTERM', 'SIGINT', 'SIGHUP'];
 
 /** Starts to buffer signals; must be called first when a process starts. */
-export function bufferSignals(source: SignalSource): SignalBuffer {
-  const pending: BufferedSignal[] = [];
+export function bufferSignals(
+  source: SignalSource,
+  nowMs: () => number = () => performance.now(),
+): SignalBuffer {
+  const pending: Array<{
+    readonly signal: BufferedSignal;
+    readonly atMs: number;
+  }> = [];
   let handlers: SignalHandlers | undefined;
   for (const signal of SIGNALS) {
     source.on(signal, () => {
-      if (handlers) handlers[signal]();
-      else pending.push(signal);
+      if (handlers) handlers[signal](0);
+      else pending.push({signal, atMs: nowMs()});
     });
   }
   return {
     forwardTo(newHandlers) {
       handlers = newHandlers;
-      for (const signal of pending.splice(0)) newHandlers[signal]();
+      for (const {signal, atMs} of pending.splice(0)) {
+        newHandlers[signal](nowMs() - atMs);
+      }
     },
   };
 }
--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -30,6 +30,8 @@
   /** Returns the number of requests that haven't ended. */
   openCount(): number;
   lastRequestAtMs(): number;
+  /** Signals that arrived before this time have been handled. */
+  signalsHandledUntilMs(): number;
   /** Whether another entry takes requests. */
   hasOtherEntry(): boolean;
   /** Ends requests that wait and for which `find` returns an error. */
@@ -48,7 +50,8 @@
 }
 
 export interface Leaving {
-  start(): void;
+  /** Called once the signal is handled, `waitedMs` after it was received. */
+  start(waitedMs?: number): void;
   isLeaving(): boolean;
   /** Returns an error if the request may not begin now. */
   refuse(request: BeginningRequest): RequestError | undefined;
@@ -82,6 +85,8 @@
 const MAX_OPEN_MS = 3_000;
 /** Short, since a caller can connect to another entry right away. */
 const OTHER_ENTRY_RETRY_MS = 20;
+/** A signal that is handled later than this cannot be answered for. */
+const MAX_SIGNAL_DELAY_MS = 1_000;
 /** Time from the end of a process until its successor serves. */
 const RESTART_MS = 1_000;
 
@@ -208,11 +213,23 @@
     else checkLater();
   }
 
+  /** The earliest time at which the signal may have arrived. */
+  function toSignalAtMs(waitedMs: number): number {
+    const receivedAtMs = clock.nowMs() - waitedMs;
+    return Math.max(
+      Math.min(receivedAtMs, host.signalsHandledUntilMs()),
+      receivedAtMs - MAX_SIGNAL_DELAY_MS,
+    );
+  }
+
   return {
-    start() {
+    start(waitedMs = 0) {
       if (startedAtMs !== undefined) return;
-      startedAtMs = clock.nowMs();
-      log.info('Leaving.', {openRequests: host.openCount()});
+      startedAtMs = toSignalAtMs(waitedMs);
+      log.info('Leaving.', {
+        openRequests: host.openCount(),
+        signalAgeMs: Math.round(sinceStartMs()),
+      });
       host.onLeave();
       check();
     },
--- a/src/relay/loop_lateness.ts
+++ b/src/relay/loop_lateness.ts
@@ -10,6 +10,8 @@
   stop(): void;
   /** The longest delay of a timer within the last two windows, in ms. */
   recentMs(): number;
+  /** Signals that arrived before this time have been handled, in clock time. */
+  handledUntilMs(): number;
 }
 
 const TICK_MS = 100;
@@ -21,6 +23,8 @@
   let ticks = 0;
   let windowMs = 0;
   let lastWindowMs = 0;
+  let lastTickAtMs = clock.nowMs();
+  let previousTickAtMs = lastTickAtMs;
 
   /** Positive if the next tick is overdue, as when a late loop has just run. */
   const overdueMs = () => Math.max(0, clock.nowMs() - dueAtMs);
@@ -32,6 +36,8 @@
 
   function tick(): void {
     windowMs = Math.max(windowMs, overdueMs());
+    previousTickAtMs = lastTickAtMs;
+    lastTickAtMs = clock.nowMs();
     if (++ticks % WINDOW_TICKS === 0) {
       lastWindowMs = windowMs;
       windowMs = 0;
@@ -44,6 +50,9 @@
     stop() {
       if (timer) clock.clearTimer(timer);
     },
+    // A loop that was late runs its timers before it handles signals, so the
+    // last tick alone doesn't show when these arrived.
+    handledUntilMs: () => previousTickAtMs,
     recentMs: () => Math.round(Math.max(windowMs, lastWindowMs, overdueMs())),
   };
 }
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -327,11 +327,13 @@
     isWaiting: crashes.isWaiting,
     mayHaveRun: sending.mayHaveRun,
   });
+  const loopLateness = createLoopLateness(clock);
   const leaving = createLeaving(
     {
       clock,
       log,
       durations,
+      signalsHandledUntilMs: loopLateness.handledUntilMs,
       hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
       refuseWaiting: openJobs.refuseWaiting,
       endUnanswered: openJobs.endUnanswered,
@@ -352,7 +354,6 @@
     registry,
     runs: crashes.runs,
   });
-  const loopLateness = createLoopLateness(clock);
   const relay = createRelay({
     clock,
     random,
--- a/tests/cli/signal_buffer_test.ts
+++ b/tests/cli/signal_buffer_test.ts
@@ -21,3 +21,17 @@
   source.emit('SIGINT');
   assert.deepEqual(handled, ['SIGHUP', 'SIGTERM', 'SIGINT']);
 });
+
+test('a signal during the start of a process counts from when it was received', () => {
+  // Guards against a process that takes its whole grace after a slow start, and is killed.
+  const source = new EventEmitter();
+  let nowMs = 100;
+  const buffer = bufferSignals(source, () => nowMs);
+  source.emit('SIGTERM');
+  nowMs = 900;
+  const waited: number[] = [];
+  const SIGTERM = (waitedMs: number) => waited.push(waitedMs);
+  buffer.forwardTo({SIGTERM, SIGINT: SIGTERM, SIGHUP: SIGTERM});
+  source.emit('SIGINT');
+  assert.deepEqual(waited, [800, 0]);
+});
--- a/tests/relay/front/leaving_test.ts
+++ b/tests/relay/front/leaving_test.ts
@@ -29,7 +29,12 @@
   endedWith?: ErrorKind;
 }
 
-function startLeaving({openCount = 0, lateMs = 0} = {}) {
+function startLeaving({
+  openCount = 0,
+  lateMs = 0,
+  waitedMs = 0,
+  handledAgoMs = 0,
+} = {}) {
   const clock = createVirtualClock(1_000);
   const ownClock = createFreezableClock(clock);
   const host: Clock = {
@@ -56,6 +61,7 @@
       openCount: () => (isAnswerWritten ? 0 : openCount),
       lastRequestAtMs: () => 1_000,
       durations: {recent: () => state.recent},
+      signalsHandledUntilMs: () => 1_000 - handledAgoMs,
       hasOtherEntry: () => state.hasOtherEntry,
       refuseWaiting(find) {
         state.waitingRefusal = find(toRequest('idempotent', 3_000))?.kind;
@@ -73,7 +79,7 @@
     state.hasEnded = true;
     state.openAtEnd = count;
   });
-  leaving.start();
+  leaving.start(waitedMs);
   const refuse = (kind: RouteKind, waitMs: number) =>
     leaving.refuse(toRequest(kind, waitMs));
   return {clock, state, suspend: ownClock.stop, refuse};
@@ -219,3 +225,19 @@
   assert.equal(state.endedWith, 'shutting-down');
   assert.equal(state.hasEnded, true);
 });
+
+test('a leaving host counts from the earliest time at which the signal may have come', async () => {
+  // Guards against streams that a late host takes over 3 s after SIGTERM, and against its being killed.
+  for (const late of [{handledAgoMs: 600}, {waitedMs: 600}]) {
+    const {clock, state, refuse} = startLeaving({openCount: 1, ...late});
+    await clock.advance(2_350);
+    assert.equal(refuse('stream', 14_000), undefined);
+    await clock.advance(100);
+    assert.equal(refuse('stream', 14_000)?.kind, 'shutting-down');
+    await clock.advance(GRACE_MS - 600 - 2_450);
+    assert.equal(state.hasEnded, true);
+  }
+  const {clock, refuse} = startLeaving({handledAgoMs: 5_000});
+  await clock.advance(1_950);
+  assert.equal(refuse('stream', 14_000), undefined);
+});
--- a/tests/relay/loop_lateness_test.ts
+++ b/tests/relay/loop_lateness_test.ts
@@ -20,3 +20,18 @@
   await clock.advance(5_000);
   assert.equal(lateness.recentMs(), 0);
 });
+
+test('a process that stood still knows since when signals may have waited', async () => {
+  // Guards against a host that counts its grace from when it noticed SIGTERM.
+  const clock = createVirtualClock(1_000);
+  const process = createFreezableClock(clock);
+  const lateness = createLoopLateness(process.host);
+  lateness.start();
+  await clock.advance(1_050);
+  const beforeMs = process.host.nowMs();
+  assert.ok(beforeMs - lateness.handledUntilMs() <= 200);
+  process.stop(700);
+  await clock.advance(710);
+  // The late tick has run, and the loop handles signals after it.
+  assert.ok(lateness.handledUntilMs() <= beforeMs);
+});
