Count a signal during the start from its earliest arrival

A process that loads modules handles no signals meanwhile. The buffer of signals dated one from when its handler ran, so a host that got SIGTERM then counted its grace, and the time in which long requests may begin, from up to the length of the block too late. The buffer now dates a signal as a running host does: by the last tick of the loop before which all signals have been handled.

Test, loop blocked from 250 to 950 ms: 0 ms counted before, 750 ms now.

--- a/src/cli/signal_buffer.ts
+++ b/src/cli/signal_buffer.ts
@@ -5,9 +5,13 @@
  * failure.
  */
 
+import {createSystemClock} from '../adapters/system_clock.js';
+import type {Clock} from '../ports/clock.js';
+import {createLoopLateness} from '../relay/loop_lateness.js';
+
 export type BufferedSignal = 'SIGTERM' | 'SIGINT' | 'SIGHUP';
 
-/** Called with the time for which the signal was buffered, in ms. */
+/** Called with the longest time for which the signal may have waited, in ms. */
 export type SignalHandler = (waitedMs: number) => void;
 
 export type SignalHandlers = Readonly<Record<BufferedSignal, SignalHandler>>;
@@ -27,24 +31,29 @@
 /** Starts to buffer signals; must be called first when a process starts. */
 export function bufferSignals(
   source: SignalSource,
-  nowMs: () => number = () => performance.now(),
+  clock: Clock = createSystemClock(),
 ): SignalBuffer {
   const pending: Array<{
     readonly signal: BufferedSignal;
+    /** The earliest time at which it may have arrived. */
     readonly atMs: number;
   }> = [];
   let handlers: SignalHandlers | undefined;
+  // Loading modules blocks the loop, and signals that arrive meanwhile wait.
+  const lateness = createLoopLateness(clock);
+  lateness.start();
   for (const signal of SIGNALS) {
     source.on(signal, () => {
       if (handlers) handlers[signal](0);
-      else pending.push({signal, atMs: nowMs()});
+      else pending.push({signal, atMs: lateness.handledUntilMs()});
     });
   }
   return {
     forwardTo(newHandlers) {
       handlers = newHandlers;
+      lateness.stop();
       for (const {signal, atMs} of pending.splice(0)) {
-        newHandlers[signal](nowMs() - atMs);
+        newHandlers[signal](clock.nowMs() - atMs);
       }
     },
   };
