Test: calls that take longer than all before keep their slots (fails)

A keeper of slots frees one after 6 mean durations of a call, and doesn't measure calls that take longer, so a lasting change stays unseen.

--- a/tests/relay/plain/slot_upstreams.ts
+++ b/tests/relay/plain/slot_upstreams.ts
@@ -19,6 +19,8 @@
   readonly workMs?: number;
   /** Share of the seconds in which calls at an upstream take 2.5 times as long. */
   readonly slowShare?: number;
+  /** From this time on, all calls take this many times as long. */
+  readonly slowdown?: {readonly fromMs: number; readonly factor: number};
   /** Do no work in this time; connections to them are accepted. */
   readonly paused?: UpstreamFault;
   /** Close each new connection in this time, once the call was written. */
@@ -61,6 +63,10 @@
   const slowRandom = createSeededRandom(options.seed + 1_000);
   const slowSeconds = new Map<string, boolean>();
   function slowFactor(id: string): number {
+    const {slowdown} = options;
+    if (slowdown && clock.nowMs() - startMs >= slowdown.fromMs) {
+      return slowdown.factor;
+    }
     const key = `${id} ${Math.floor(clock.nowMs() / 1_000)}`;
     const isSlow =
       slowSeconds.get(key) ?? slowRandom.nextFloat() < (options.slowShare ?? 0);
