Count suspected ends of one moment once for a suspect with complete runs

Cause: an upstream that answers no probe for 1.5 s counts as ended, though it may only stand still. Upstreams that stood still together counted up to five times against a part that had completed runs all along, and the part was quarantined until the losses were void (12 sound requests refused in 6 s).

Change: losses carry whether they are only suspected. For a suspect of which a run has completed, suspected losses within 2.5 s of each other count as one; other evidence, or an entry that goes later, confirms them. Peers learn the number of suspected losses with the facts.

A part that turns bad is still found by upstreams that end 1.5 s apart, by closed ports and by entries that go.

--- a/bench/support/site_entry.ts
+++ b/bench/support/site_entry.ts
@@ -26,9 +26,9 @@
   createKeptAnswers,
   type KeptAnswers,
 } from '../../src/request/kept_answers.js';
+import type {LossFact} from '../../src/request/loss_fact.js';
 import {
   createQuarantine,
-  type LossFact,
   type Quarantine,
 } from '../../src/request/quarantine.js';
 import {
--- a/src/relay/crashes/crash_watch.ts
+++ b/src/relay/crashes/crash_watch.ts
@@ -12,12 +12,13 @@
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {RelayRequest, UpstreamPort} from '../../ports/relay.js';
+import type {LossFact} from '../../request/loss_fact.js';
 import {
   createQuarantine,
   defaultQuarantineOptions,
-  type LossFact,
 } from '../../request/quarantine.js';
-import {suspectKindOf, type SuspectKind} from '../../request/suspect_kinds.js';
+import {countOfKind, type SuspectKind} from '../../request/suspect_kinds.js';
+import type {EngineEnd} from '../../request/suspect_losses.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {createEndDetector, type EndEvidence} from './end_detector.js';
@@ -131,6 +132,10 @@
     endedAtMs: quarantine.lostAtMs,
     onEnded: ends.conclude,
     onAlive: upstreamId => noteAlive(upstreamId, clock.nowMs()),
+    onUnlisted(upstreamId) {
+      quarantine.confirmLoss(upstreamId);
+      judge();
+    },
   });
 
   /** Whether an upstream that answers nothing may pause, by its heartbeats. */
@@ -210,9 +215,10 @@
   function recordLosses(
     keys: ReadonlySet<string>,
     upstreamId: string,
-    endedAtMs: number,
+    end: EngineEnd,
   ): void {
-    quarantine.recordLosses(keys, upstreamId, endedAtMs);
+    quarantine.recordLosses(keys, upstreamId, end);
+    if (!end.isSuspected) quarantine.confirmLoss(upstreamId);
     for (const key of keys) {
       if (completions.has(key)) quarantine.noteCompleted(key);
     }
@@ -231,7 +237,13 @@
     }
     // Other ends cost the next call no time, or are known to the registry.
     if (evidence === 'no-answer') registry.markUnreachable(id);
-    recordLosses(new Set(suspects.flatMap(({keys}) => keys)), id, endedAtMs);
+    const isSuspected =
+      evidence === 'no-answer' ||
+      (evidence === 'peer' && quarantine.isSuspected(id));
+    recordLosses(new Set(suspects.flatMap(({keys}) => keys)), id, {
+      lostAtMs: endedAtMs,
+      isSuspected,
+    });
     judge();
     for (const {requestId, fingerprint, keys} of suspects) {
       log.warn('Upstream ended during a request.', {
@@ -384,6 +396,3 @@
       ),
   };
 }
-
-const countOfKind = (keys: readonly string[], kind?: SuspectKind): number =>
-  keys.filter(key => !kind || suspectKindOf(key) === kind).length;
--- a/src/relay/crashes/list_evidence.ts
+++ b/src/relay/crashes/list_evidence.ts
@@ -24,6 +24,8 @@
   onEnded(upstream: Upstream, evidence: EndEvidence): void;
   /** The upstream has sent a heartbeat although it counted as ended. */
   onAlive(upstreamId: string): void;
+  /** The entry of an upstream is gone that counted as ended. */
+  onUnlisted(upstreamId: string): void;
 }
 
 export interface ListEvidence {
@@ -91,10 +93,16 @@
       const ended = host
         .upstreamsWithRuns()
         .map(upstream => ({upstream, evidence: findEvidence(upstream, added)}));
+      const unlistedIds = [...listedIds].filter(
+        id => !registry.get(id) && !leavingIds.has(id),
+      );
       listedIds = new Set(upstreams.map(({id}) => id));
       for (const {upstream, evidence} of ended) {
         if (evidence) host.onEnded(upstream, evidence);
       }
+      for (const id of unlistedIds) {
+        if (host.endedAtMs(id) !== undefined) host.onUnlisted(id);
+      }
       for (const upstream of upstreams) checkHeartbeat(upstream, beatCount > 0);
     },
     isLeaving: upstreamId => leavingIds.has(upstreamId),
--- a/src/relay/crashes/loss_reports.ts
+++ b/src/relay/crashes/loss_reports.ts
@@ -6,7 +6,8 @@
  */
 
 import type {Clock} from '../../ports/clock.js';
-import type {LossFact, Quarantine} from '../../request/quarantine.js';
+import type {LossFact} from '../../request/loss_fact.js';
+import type {Quarantine} from '../../request/quarantine.js';
 import {suspectKindOf, type SuspectKind} from '../../request/suspect_kinds.js';
 
 export interface LossReports {
@@ -43,12 +44,19 @@
 /** Checks a fact that a peer sent. */
 export function isLossFact(value: unknown): value is LossFact {
   if (typeof value !== 'object' || value === null) return false;
-  const {fingerprint, lossIds, clearedCount, lossAgesMs, hasCompleted} =
-    value as Partial<LossFact>;
+  const {
+    fingerprint,
+    lossIds,
+    clearedCount,
+    suspectedCount,
+    lossAgesMs,
+    hasCompleted,
+  } = value as Partial<LossFact>;
   return (
     typeof fingerprint === 'string' &&
     isList(lossIds, 'string') &&
     Number.isInteger(clearedCount) &&
+    (suspectedCount === undefined || Number.isInteger(suspectedCount)) &&
     (lossAgesMs === undefined || isList(lossAgesMs, 'number')) &&
     (hasCompleted === undefined || typeof hasCompleted === 'boolean')
   );
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -3,7 +3,7 @@
 import type {PermitMessage} from '../backpressure/permit_messages.js';
 import type {LimitRecord} from '../backpressure/upstream_limits.js';
 import type {StoreMoment, StoreRevision} from '../../core/store_revision.js';
-import type {LossFact} from '../../request/quarantine.js';
+import type {LossFact} from '../../request/loss_fact.js';
 import type {HostLoad} from '../placement/host_load.js';
 import type {AccountLevel} from '../accounts/quota_rules.js';
 import type {QuotaMessage} from '../accounts/quota_messages.js';
--- a/src/request/blame.ts
+++ b/src/request/blame.ts
@@ -8,13 +8,15 @@
   SUSPECT_RULES,
   suspectKindOf,
   type SuspectKind,
+  type SuspectRule,
 } from './suspect_kinds.js';
+import type {EngineEnd} from './suspect_losses.js';
 
 /** A suspect and its losses that count. */
 export interface Accused {
   readonly key: string;
-  /** When each loss took place, by its id. */
-  readonly lostAtMs: ReadonlyMap<string, number>;
+  /** The losses by their ids. */
+  readonly losses: ReadonlyMap<string, EngineEnd>;
   /** Whether a run of it is known to have completed, at any time. */
   readonly hasCompleted: boolean;
 }
@@ -45,6 +47,14 @@
   ...Object.values(SUSPECT_RULES).map(({aloneLosses}) => aloneLosses),
 );
 
+type MomentRule = Pick<SuspectRule, 'momentMs' | 'maxLossesAMoment'>;
+
+/**
+ * Engines that stand still together look as if they had ended. Those that are
+ * alive answer within this time, and their losses are cleared.
+ */
+const SUSPECTED_ENDS: MomentRule = {momentMs: 2_500, maxLossesAMoment: 1};
+
 interface Remaining extends Accused {
   readonly kind: SuspectKind;
 }
@@ -65,13 +75,16 @@
   );
 }
 
-/** Number of losses, of which those of one moment count only in part. */
-function countLosses({kind, lostAtMs}: Remaining): number {
-  const {momentMs, maxLossesAMoment} = SUSPECT_RULES[kind];
+/** Number of ends, of which those of one moment count only in part. */
+function countMoments(
+  ends: readonly EngineEnd[],
+  {momentMs, maxLossesAMoment}: MomentRule,
+): number {
   let count = 0;
   let countOfMoment = 0;
   let momentFromMs = Number.NEGATIVE_INFINITY;
-  for (const atMs of [...lostAtMs.values()].sort((a, b) => a - b)) {
+  const times = ends.map(({lostAtMs}) => lostAtMs).sort((a, b) => a - b);
+  for (const atMs of times) {
     if (atMs - momentFromMs >= momentMs) {
       momentFromMs = atMs;
       countOfMoment = 0;
@@ -82,20 +95,31 @@
   return count;
 }
 
+/** Number of losses that count against the suspect. */
+function countLosses({kind, losses, hasCompleted}: Remaining): number {
+  const ends = [...losses.values()];
+  const weak = ends.filter(({isSuspected}) => isSuspected && hasCompleted);
+  const strong = ends.filter(each => !weak.includes(each));
+  return (
+    countMoments(strong, SUSPECT_RULES[kind]) +
+    countMoments(weak, SUSPECTED_ENDS)
+  );
+}
+
 /** Removes losses; undefined if too few are left. */
 function withoutLosses(
   accused: Remaining,
   explained: ReadonlyMap<string, unknown>,
 ): Remaining | undefined {
-  const {lostAtMs} = accused;
-  const left = [...lostAtMs].filter(([lossId]) => !explained.has(lossId));
-  if (left.length === lostAtMs.size) return accused;
+  const {losses} = accused;
+  const left = [...losses].filter(([lossId]) => !explained.has(lossId));
+  if (left.length === losses.size) return accused;
   if (left.length < MIN_LOSSES) return undefined;
-  return {...accused, lostAtMs: new Map(left)};
+  return {...accused, losses: new Map(left)};
 }
 
 const countShared = (a: Remaining, b: Remaining): number =>
-  [...a.lostAtMs.keys()].filter(lossId => b.lostAtMs.has(lossId)).length;
+  [...a.losses.keys()].filter(lossId => b.losses.has(lossId)).length;
 
 /** Removes the losses that few parts without a complete run explain. */
 function withoutExplained(
@@ -109,7 +133,7 @@
       .map(each => ({each, count: countShared(of, each)}))
       .sort((a, b) => b.count - a.count || (a.each.key < b.each.key ? -1 : 1));
     if (!best || best.count === 0) break;
-    left = withoutLosses(of, best.each.lostAtMs);
+    left = withoutLosses(of, best.each.losses);
   }
   return left;
 }
@@ -117,7 +141,7 @@
 /** By losses; of those with equally many, unproven ones come first. */
 function compareBlame(a: Remaining, b: Remaining): number {
   return (
-    b.lostAtMs.size - a.lostAtMs.size ||
+    b.losses.size - a.losses.size ||
     Number(a.hasCompleted) - Number(b.hasCompleted) ||
     (a.key < b.key ? -1 : 1)
   );
@@ -125,8 +149,8 @@
 
 function isSameLosses(a: Remaining, b: Remaining): boolean {
   return (
-    a.lostAtMs.size === b.lostAtMs.size &&
-    [...a.lostAtMs.keys()].every(lossId => b.lostAtMs.has(lossId))
+    a.losses.size === b.losses.size &&
+    [...a.losses.keys()].every(lossId => b.losses.has(lossId))
   );
 }
 
@@ -138,24 +162,24 @@
   isAlone: (lossId: string) => boolean,
 ): readonly Culprit[] {
   const all = accused
-    .filter(({lostAtMs}) => lostAtMs.size >= MIN_LOSSES)
+    .filter(({losses}) => losses.size >= MIN_LOSSES)
     .map(each => ({...each, kind: suspectKindOf(each.key)}));
   const unproven = all.filter(
     each =>
       each.kind === 'part' &&
       !each.hasCompleted &&
-      each.lostAtMs.size >= EXPLAINING_LOSSES,
+      each.losses.size >= EXPLAINING_LOSSES,
   );
   let remaining: readonly Remaining[] = all.flatMap(
     each => (each.hasCompleted ? withoutExplained(each, unproven) : each) ?? [],
   );
   const isCulprit = (each: Remaining): boolean => {
     const {sharedLosses, aloneLosses} = SUSPECT_RULES[each.kind];
-    const {lostAtMs} = each;
-    if (lostAtMs.size < aloneLosses) return false;
+    const {losses} = each;
+    if (losses.size < aloneLosses) return false;
     const count = countLosses(each);
     if (count >= sharedLosses) return true;
-    return count >= aloneLosses && [...lostAtMs.keys()].some(isAlone);
+    return count >= aloneLosses && [...losses.keys()].some(isAlone);
   };
   const culprits: Culprit[] = [];
   for (;;) {
@@ -164,11 +188,13 @@
     const tied = remaining.filter(each => isSameLosses(each, leader));
     culprits.push({
       keys: tied.map(({key}) => key).sort(),
-      count: leader.lostAtMs.size,
-      latestAtMs: Math.max(...leader.lostAtMs.values()),
+      count: leader.losses.size,
+      latestAtMs: Math.max(
+        ...Array.from(leader.losses.values(), ({lostAtMs}) => lostAtMs),
+      ),
     });
     remaining = remaining.flatMap(
-      each => withoutLosses(each, leader.lostAtMs) ?? [],
+      each => withoutLosses(each, leader.losses) ?? [],
     );
   }
 }
--- a/src/request/quarantine.ts
+++ b/src/request/quarantine.ts
@@ -18,38 +18,17 @@
   type Accused,
   type Culprit,
 } from './blame.js';
+import {readLosses, toLossFact, type LossFact} from './loss_fact.js';
 import {suspectKindOf} from './suspect_kinds.js';
 import {
   createSuspect,
   findLeastSuspect,
+  type EngineEnd,
   type Loss,
   type Suspect,
 } from './suspect_losses.js';
 import {createTrialTurns} from './trial_turns.js';
 
-/**
- * The losses of one suspect. Losses are only added and never become
- * uncleared again, so facts can be merged in any order.
- */
-export interface LossFact {
-  /** The key of the suspect; a request's is its fingerprint. */
-  readonly fingerprint: string;
-  /**
-   * Each identifies one engine death, equally at every entry that saw it.
-   * Cleared losses come first.
-   */
-  readonly lossIds: readonly string[];
-  /** Number of losses that no longer count, since a run completed later. */
-  readonly clearedCount: number;
-  /**
-   * Time since each loss. Absent where losses count from their arrival, as in
-   * facts of earlier builds.
-   */
-  readonly lossAgesMs?: readonly number[];
-  /** Whether a run is known to have completed, before its losses or after. */
-  readonly hasCompleted?: boolean;
-}
-
 export type QuarantineVerdict = 'clear' | 'suspect' | 'quarantined';
 
 export interface QuarantineOptions {
@@ -91,7 +70,7 @@
   recordLosses(
     fingerprints: Iterable<string>,
     engineId: string,
-    lostAtMs: number,
+    end: EngineEnd,
   ): void;
   /** Records a complete run. */
   clear(fingerprint: string): void;
@@ -104,6 +83,10 @@
   countedLosses(fingerprint: string): number;
   /** The engine turned out to be alive: the loss counts for no fingerprint. */
   clearLoss(lossId: string): void;
+  /** The engine is known to have ended, which was only suspected. */
+  confirmLoss(lossId: string): void;
+  /** Whether a loss that counts is only suspected. */
+  isSuspected(lossId: string): boolean;
   /**
    * Merges a fact of another entry. Returns the losses that this entry did not
    * know and that count.
@@ -214,13 +197,18 @@
     loss: Loss,
   ): boolean {
     const {losses} = suspect;
-    const known = losses.get(lossId);
-    if (known && (known.isCleared || !loss.isCleared)) return false;
-    if (!known && !makeRoom(fingerprint, suspect, loss)) return false;
-    losses.set(lossId, {
-      lostAtMs: known?.lostAtMs ?? loss.lostAtMs,
-      isCleared: loss.isCleared,
-    });
+    const known = losses.get(lossId) ?? loss;
+    const isCleared = known.isCleared || loss.isCleared;
+    const isSuspected = known.isSuspected && loss.isSuspected;
+    if (!losses.has(lossId)) {
+      if (!makeRoom(fingerprint, suspect, loss)) return false;
+    } else if (
+      isCleared === known.isCleared &&
+      isSuspected === known.isSuspected
+    ) {
+      return false;
+    }
+    losses.set(lossId, {lostAtMs: known.lostAtMs, isCleared, isSuspected});
     const fingerprints = fingerprintsByLoss.get(lossId) ?? new Set<string>();
     fingerprints.add(fingerprint);
     fingerprintsByLoss.set(lossId, fingerprints);
@@ -241,19 +229,24 @@
       : `${engineId}@${window}`;
   }
 
-  /** When each loss of the fingerprint that counts took place, by its id. */
-  function findCounted(fingerprint: string): ReadonlyMap<string, number> {
+  /** The losses of the fingerprint that count, by their ids. */
+  function findCounted(fingerprint: string): ReadonlyMap<string, EngineEnd> {
     const losses = [...(findSuspect(fingerprint)?.losses ?? [])];
-    const counted = losses.filter(([, {isCleared}]) => !isCleared);
-    return new Map(counted.map(([lossId, {lostAtMs}]) => [lossId, lostAtMs]));
+    return new Map(losses.filter(([, {isCleared}]) => !isCleared));
   }
 
   const findAccused = (): readonly Accused[] =>
     [...suspects]
       .map(([key, {hasCompleted}]) => {
-        return {key, lostAtMs: findCounted(key), hasCompleted};
+        return {key, losses: findCounted(key), hasCompleted};
       })
-      .filter(({lostAtMs}) => lostAtMs.size > 0);
+      .filter(({losses}) => losses.size > 0);
+
+  /** The losses that count at this id, one of each suspect. */
+  const findLosses = (lossId: string): readonly EngineEnd[] =>
+    [...(fingerprintsByLoss.get(lossId) ?? [])].flatMap(
+      fingerprint => findCounted(fingerprint).get(lossId) ?? [],
+    );
 
   function isAlone(lossId: string): boolean {
     let count = 0;
@@ -283,10 +276,10 @@
   function addLoss(
     fingerprint: string,
     engineId: string,
-    lostAtMs: number,
+    end: EngineEnd,
   ): void {
     const suspect = findSuspect(fingerprint) ?? createSuspect();
-    const loss = {lostAtMs, isCleared: false};
+    const loss = {...end, isCleared: false};
     const isNew = setLoss(fingerprint, suspect, lossIdOf(engineId), loss);
     if (isNew) noteChange(fingerprint, suspect);
     host.broadcast(toFact(fingerprint, suspect));
@@ -296,8 +289,8 @@
     const suspect = findSuspect(fingerprint);
     if (!suspect || lossIds.length === 0) return;
     for (const lossId of lossIds) {
-      const {lostAtMs = 0} = suspect.losses.get(lossId) ?? {};
-      suspect.losses.set(lossId, {lostAtMs, isCleared: true});
+      const loss = suspect.losses.get(lossId);
+      if (loss) suspect.losses.set(lossId, {...loss, isCleared: true});
     }
     noteChange(fingerprint, suspect);
     host.broadcast(toFact(fingerprint, suspect));
@@ -310,19 +303,8 @@
     return isNews;
   }
 
-  function toFact(fingerprint: string, suspect: Suspect): LossFact {
-    const nowMs = host.clock.nowMs();
-    const losses = [...suspect.losses].sort(
-      ([, a], [, b]) => Number(b.isCleared) - Number(a.isCleared),
-    );
-    return {
-      fingerprint,
-      lossIds: losses.map(([lossId]) => lossId),
-      clearedCount: losses.filter(([, {isCleared}]) => isCleared).length,
-      lossAgesMs: losses.map(([, {lostAtMs}]) => Math.round(nowMs - lostAtMs)),
-      hasCompleted: suspect.hasCompleted || undefined,
-    };
-  }
+  const toFact = (fingerprint: string, suspect: Suspect): LossFact =>
+    toLossFact(fingerprint, suspect, host.clock.nowMs());
 
   const turns = createTrialTurns({
     clock: host.clock,
@@ -333,11 +315,11 @@
   return {
     verdict,
     recordLoss(fingerprint, engineId, lostAtMs = host.clock.nowMs()) {
-      addLoss(fingerprint, engineId, lostAtMs);
+      addLoss(fingerprint, engineId, {lostAtMs, isSuspected: false});
       return verdict(fingerprint);
     },
-    recordLosses(fingerprints, engineId, lostAtMs) {
-      for (const each of fingerprints) addLoss(each, engineId, lostAtMs);
+    recordLosses(fingerprints, engineId, end) {
+      for (const each of fingerprints) addLoss(each, engineId, end);
     },
     clear(fingerprint) {
       const suspect = findSuspect(fingerprint);
@@ -359,17 +341,29 @@
           clearLosses(fingerprint, [lossId]);
       }
     },
+    confirmLoss(lossId) {
+      for (const fingerprint of [...(fingerprintsByLoss.get(lossId) ?? [])]) {
+        const end = findCounted(fingerprint).get(lossId);
+        const suspect = findSuspect(fingerprint);
+        if (!end?.isSuspected || !suspect) continue;
+        const loss = {...end, isCleared: false, isSuspected: false};
+        setLoss(fingerprint, suspect, lossId, loss);
+        noteChange(fingerprint, suspect);
+        host.broadcast(toFact(fingerprint, suspect));
+      }
+    },
+    isSuspected(lossId) {
+      const losses = findLosses(lossId);
+      return losses.length > 0 && losses.every(each => each.isSuspected);
+    },
     mergeFact(fact) {
-      const {fingerprint, lossIds, clearedCount, lossAgesMs = []} = fact;
+      const {fingerprint} = fact;
       const suspect = findSuspect(fingerprint) ?? createSuspect();
       const nowMs = host.clock.nowMs();
-      const news = lossIds.filter((lossId, i) => {
-        const ageMs = lossAgesMs[i] ?? 0;
-        if (ageMs >= options.forgetAfterMs) return false;
-        const isCleared = i < clearedCount;
-        const loss = {lostAtMs: nowMs - ageMs, isCleared};
-        return setLoss(fingerprint, suspect, lossId, loss);
-      });
+      const losses = readLosses(fact, nowMs, options.forgetAfterMs);
+      const news = losses
+        .filter(([lossId, loss]) => setLoss(fingerprint, suspect, lossId, loss))
+        .map(([lossId]) => lossId);
       const isProven = fact.hasCompleted === true && setCompleted(suspect);
       if (suspect.losses.size === 0) return [];
       if (news.length > 0 || isProven) noteChange(fingerprint, suspect);
@@ -378,10 +372,7 @@
       );
     },
     lostAtMs(lossId) {
-      const times = [...(fingerprintsByLoss.get(lossId) ?? [])]
-        .map(fingerprint => suspects.get(fingerprint)?.losses.get(lossId))
-        .filter(loss => loss?.isCleared === false)
-        .map(loss => loss?.lostAtMs ?? 0);
+      const times = findLosses(lossId).map(({lostAtMs}) => lostAtMs);
       return times.length > 0 ? Math.max(...times) : undefined;
     },
     lossCount: fingerprint => findSuspect(fingerprint)?.losses.size ?? 0,
--- a/src/request/suspect_kinds.ts
+++ b/src/request/suspect_kinds.ts
@@ -37,3 +37,9 @@
 
 export const suspectKindOf = (key: string): SuspectKind =>
   key.startsWith(PART_PREFIX) ? 'part' : 'request';
+
+/** Number of suspects of a kind, or of all. */
+export const countOfKind = (
+  keys: readonly string[],
+  kind?: SuspectKind,
+): number => keys.filter(key => !kind || suspectKindOf(key) === kind).length;
--- a/src/request/suspect_losses.ts
+++ b/src/request/suspect_losses.ts
@@ -3,8 +3,13 @@
 export interface Loss {
   readonly lostAtMs: number;
   readonly isCleared: boolean;
+  /** The death was inferred from silence, and nothing has confirmed it. */
+  readonly isSuspected: boolean;
 }
 
+/** An engine death, as this entry knows it. */
+export type EngineEnd = Pick<Loss, 'lostAtMs' | 'isSuspected'>;
+
 export interface Suspect {
   readonly losses: Map<string, Loss>;
   hasCompleted: boolean;
--- a/src/serve/quarantine_facts.ts
+++ b/src/serve/quarantine_facts.ts
@@ -3,7 +3,8 @@
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import type {FactStore} from '../coordination/facts.js';
 import {LossFactSchema} from '../generated/corianderbend/peer_pb.js';
-import type {LossFact, Quarantine} from '../request/quarantine.js';
+import type {LossFact} from '../request/loss_fact.js';
+import type {Quarantine} from '../request/quarantine.js';
 
 const KEY_PREFIX = 'loss/';
 const FACT_TTL_MS = 600_000;
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -11,7 +11,7 @@
 } from '../../../src/core/virtual_clock.js';
 import type {Clock, TimerHandle} from '../../../src/ports/clock.js';
 import type {DatagramPort} from '../../../src/ports/datagram.js';
-import type {LossFact} from '../../../src/request/quarantine.js';
+import type {LossFact} from '../../../src/request/loss_fact.js';
 import type {HostCapacity} from '../../../src/relay/fleet/host_capacity.js';
 import type {HostState} from '../../../src/relay/fleet/members.js';
 import type {
