Go over to an engine only once it has been awake for a moment

Cause: engines that paused together go on together, and the first that answers a probe was taken for the next run of a silent one at once. Its engine began the run while the silent run went on within some 60 ms, so a request was at two engines until the next run was closed.

Change: an engine that was silent until less than 250 ms ago is waited for that long before a run is sent there.

engine_silence_test: on the code before, the engine is taken 1 ms after its first answer; with the change not within 200 ms, but within 300.

--- a/src/relay/silence/engine_probes.ts
+++ b/src/relay/silence/engine_probes.ts
@@ -24,6 +24,8 @@
   hasAnsweredWithin(engineId: string, durationMs: number): boolean;
   /** Whether a probe that was sent later than `atMs` has been answered. */
   hasAnsweredSince(engineId: string, atMs: number): boolean;
+  /** Whether an answer arrived within this time that was waited for. */
+  hasWokenWithin(engineId: string, durationMs: number): boolean;
   /** How long recent probes have had no answer; undefined without such. */
   unansweredMs(engineId: string): number | undefined;
   /** Whether a probe since `atMs` found that the engine has ended. */
@@ -37,18 +39,23 @@
   /** When the latest answered probe was sent. */
   readonly answeredCallAtMs: number;
   readonly answeredAtMs: number;
+  /** When the latest answer arrived that was waited for. */
+  readonly wokenAtMs: number;
   readonly endedAtMs: number;
   /** Settles with the probe that is in progress. */
   readonly pending?: Promise<void>;
 }
 
 const ASK_INTERVAL_MS = 200;
+/** An answer after this time may be that of an engine which has just woken. */
+const LATE_ANSWER_MS = 100;
 /** What probes have shown is out of date after this time. */
 const VALID_MS = 2_000;
 const NOT_PROBED: ProbeRecord = {
   sentAtMs: Number.NEGATIVE_INFINITY,
   answeredCallAtMs: Number.NEGATIVE_INFINITY,
   answeredAtMs: Number.NEGATIVE_INFINITY,
+  wokenAtMs: Number.NEGATIVE_INFINITY,
   endedAtMs: Number.NEGATIVE_INFINITY,
 };
 
@@ -80,9 +87,15 @@
 
   async function send(engine: Upstream, sentAtMs: number): Promise<void> {
     const outcome = await upstreamPort.probe(engine);
+    const before = recordOf(engine.id);
+    const nowMs = clock.nowMs();
+    const {unansweredSinceMs = sentAtMs} = before;
+    const hasWoken =
+      outcome === 'answered' && nowMs - unansweredSinceMs >= LATE_ANSWER_MS;
     records.set(engine.id, {
-      ...recordOf(engine.id),
-      ...FINDINGS[outcome](sentAtMs, clock.nowMs()),
+      ...before,
+      ...FINDINGS[outcome](sentAtMs, nowMs),
+      wokenAtMs: hasWoken ? nowMs : before.wokenAtMs,
       pending: undefined,
     });
   }
@@ -113,6 +126,8 @@
     wasAskedWithin,
     hasAnsweredWithin: (engineId, durationMs) =>
       clock.nowMs() - recordOf(engineId).answeredAtMs < durationMs,
+    hasWokenWithin: (engineId, durationMs) =>
+      clock.nowMs() - recordOf(engineId).wokenAtMs < durationMs,
     hasAnsweredSince: (engineId, atMs) =>
       recordOf(engineId).answeredCallAtMs > atMs,
     unansweredMs(engineId) {
--- a/src/relay/silence/engine_silence.ts
+++ b/src/relay/silence/engine_silence.ts
@@ -29,7 +29,10 @@
   wasSilentSince(engineId: string, atMs: number): boolean;
   /** Whether most decode engines of the service are silent. */
   isCommon(service: string): boolean;
-  /** Resolves to whether the engine sends something or answers a probe. */
+  /**
+   * Resolves to whether the engine sends something or answers a probe, and has
+   * been awake for a moment.
+   */
   answers(engine: Upstream): Promise<boolean>;
 }
 
@@ -45,6 +48,11 @@
 const JUST_SEEN_MS = 250;
 /** Includes the way by a peer, which is asked if there is no answer at first. */
 const ANSWER_WAIT_MS = 600;
+/**
+ * Engines that paused together go on together, but one of them is heard first.
+ * It replaces none of the others before it has been awake for this time.
+ */
+const AWAKE_MS = 250;
 /** Events of runs that share a step of the engine arrive this close together. */
 const SAME_STEP_MS = 150;
 export function createEngineSilence(host: EngineSilenceHost): EngineSilence {
@@ -83,6 +91,27 @@
       .map(engine => ({engine, isSilent: isSilent(engine.id, openSilences)}));
   }
 
+  const delay = (ms: number) =>
+    new Promise<void>(resolve => {
+      clock.setTimer(ms, resolve);
+    });
+
+  /** Whether the engine was seen a moment ago, or answers a probe in time. */
+  async function isHeard(engine: Upstream): Promise<boolean> {
+    if (wasSeenWithin(engine.id, JUST_SEEN_MS)) return true;
+    const askedAtMs = clock.nowMs();
+    const isKnownSilent = isProbeSilent(engine.id);
+    const answer = probes.probe(engine);
+    if (isKnownSilent) return false;
+    await Promise.race([answer, delay(ANSWER_WAIT_MS)]);
+    return wasSeenWithin(engine.id, clock.nowMs() - askedAtMs + 1);
+  }
+
+  /** Whether the engine has sent nothing until a moment ago. */
+  const hasWoken = (engineId: string): boolean =>
+    probes.hasWokenWithin(engineId, AWAKE_MS) ||
+    runs.wasSilentSince(engineId, clock.nowMs() - AWAKE_MS);
+
   return {
     investigate(engine) {
       void probes.probe(engine);
@@ -109,15 +138,11 @@
       return silentCount >= MIN_COMMON && 2 * silentCount >= known.length;
     },
     async answers(engine) {
-      if (wasSeenWithin(engine.id, JUST_SEEN_MS)) return true;
+      if (!(await isHeard(engine))) return false;
+      if (!hasWoken(engine.id)) return true;
       const askedAtMs = clock.nowMs();
-      const isKnownSilent = isProbeSilent(engine.id);
-      const answer = probes.probe(engine);
-      if (isKnownSilent) return false;
-      const soon = new Promise<void>(resolve => {
-        clock.setTimer(ANSWER_WAIT_MS, resolve);
-      });
-      await Promise.race([answer, soon]);
+      void probes.probe(engine);
+      await delay(AWAKE_MS);
       return wasSeenWithin(engine.id, clock.nowMs() - askedAtMs + 1);
     },
   };
--- a/tests/relay/silence/engine_silence_test.ts
+++ b/tests/relay/silence/engine_silence_test.ts
@@ -135,3 +135,21 @@
   gone.add('d0');
   assert.ok(!(await silence.answers(engines[0])));
 });
+
+test('an engine that has just woken is no engine to go over to at once', async () => {
+  // Guards against runs at two engines that have paused and go on together.
+  const {clock, engines, paused, silence} = makeEngines(2);
+  paused.add('d1');
+  await clock.advance(1_000);
+  silence.investigate(engines[1]);
+  await clock.advance(900);
+  paused.delete('d1');
+  silence.investigate(engines[1]);
+  await clock.advance(1);
+  let isTaken: boolean | undefined;
+  void silence.answers(engines[1]).then(answers => (isTaken = answers));
+  await clock.advance(200);
+  assert.equal(isTaken, undefined);
+  await clock.advance(100);
+  assert.equal(isTaken, true);
+});
