Choose the attempts of a read in one place

The watches of the configuration and of the list each built the same list of attempts: pooled read, hedge, news, and the retry with its longer timeout. A change to one would have missed the other. No behaviour changes.

--- a/src/relay/store/list_watch.ts
+++ b/src/relay/store/list_watch.ts
@@ -17,13 +17,10 @@
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {Random} from '../../ports/random.js';
-import type {StoreConnection, UpstreamSource} from '../../ports/relay.js';
+import type {UpstreamSource} from '../../ports/relay.js';
 import type {StoreSyncState} from '../fleet/store_readers.js';
-import {
-  createHedgeDelay,
-  startHedgedCall,
-  type HedgeAttempt,
-} from './hedged_call.js';
+import {startHedgedCall} from './hedged_call.js';
+import {createReadAttempts} from './read_attempts.js';
 import {createReadLoop, LOST_STORE_CHECK_MS} from './read_loop.js';
 import type {StoreCalls} from './store_calls.js';
 import {
@@ -65,9 +62,6 @@
 /** At this interval, two failed reads in a row still meet the time limit. */
 export const LIST_READ_INTERVAL_MS = 700;
 export const MAX_UNCONFIRMED_LIST_MS = 1_000;
-const READ_TIMEOUT_MS = 600;
-/** Allows for a slow store once reads have failed. */
-const RETRY_READ_TIMEOUT_MS = 1_000;
 /** Minimum time between reads caused by successive changes. */
 const MIN_READ_INTERVAL_MS = 100;
 /**
@@ -85,7 +79,6 @@
 export function createListWatch(host: ListWatchHost): ListWatch {
   const {clock, log, calls, registry} = host;
   const confirmation = createStoreConfirmation(clock);
-  const hedgeDelay = createHedgeDelay(clock);
   /** The newest revision that peers announced. */
   let peerRevision = NO_REVISION;
   let behindSinceMs = 0;
@@ -120,45 +113,24 @@
     return Math.min(confirmationRestMs, LOST_STORE_CHECK_MS - sinceReadMs);
   }
 
-  function attemptRead(
-    startAfterMs: number | undefined,
-    connection: StoreConnection,
-    timeoutMs = READ_TIMEOUT_MS,
-  ): HedgeAttempt<ListAnswer> {
-    return {
-      startAfterMs,
-      async run() {
-        const sentAtMs = clock.nowMs();
-        const read = await host.upstreamSource.readNow(timeoutMs, connection);
-        calls.count('upstreams', read);
-        if (read.kind === 'read') {
-          hedgeDelay.noteAnswer(clock.nowMs() - sentAtMs);
-          return {snapshot: read.value, sentAtMs};
-        }
-        registry.noteReadFailed();
-        return undefined;
-      },
-    };
-  }
+  const attempts = createReadAttempts<ListAnswer>({
+    clock,
+    async read(connection, timeoutMs) {
+      const sentAtMs = clock.nowMs();
+      const read = await host.upstreamSource.readNow(timeoutMs, connection);
+      calls.count('upstreams', read);
+      if (read.kind === 'read') return {snapshot: read.value, sentAtMs};
+      registry.noteReadFailed();
+      return undefined;
+    },
+  });
 
   const loop = createReadLoop<ListAnswer>({
     ...host,
     delayMs,
     startRead(failures) {
       readAtMs = clock.nowMs();
-      const hedgeMs = hedgeDelay.currentMs();
-      const attempts =
-        failures > 0
-          ? [
-              attemptRead(0, 'new', RETRY_READ_TIMEOUT_MS),
-              attemptRead(undefined, 'new'),
-            ]
-          : [
-              attemptRead(0, 'pooled'),
-              attemptRead(hedgeMs, 'new'),
-              attemptRead(undefined, 'new'),
-            ];
-      return startHedgedCall(clock, attempts);
+      return startHedgedCall(clock, attempts.choose(failures));
     },
     onRead({snapshot, sentAtMs}) {
       calls.noteOutcome('upstreams', true);
--- a/src/relay/store/routing_watch.ts
+++ b/src/relay/store/routing_watch.ts
@@ -15,18 +15,14 @@
 import type {
   RoutingSource,
   RoutingUpdate,
-  StoreConnection,
   StoreRead,
 } from '../../ports/relay.js';
 import type {ConfigurationFreshness} from '../accounts/configuration_freshness.js';
 import type {LocalInstant, StoreTime} from '../accounts/store_time.js';
 import type {StoreSyncState} from '../fleet/store_readers.js';
 import type {RoutingState} from '../routing_state.js';
-import {
-  createHedgeDelay,
-  startHedgedCall,
-  type HedgeAttempt,
-} from './hedged_call.js';
+import {startHedgedCall} from './hedged_call.js';
+import {createReadAttempts, type FeedCall} from './read_attempts.js';
 import {createReadLoop} from './read_loop.js';
 import type {StoreCalls} from './store_calls.js';
 import {
@@ -82,9 +78,6 @@
 
 const FEED_WAIT_MS = 700;
 const FEED_TIMEOUT_MS = 1_300;
-const READ_TIMEOUT_MS = 600;
-/** Allows for a slow store once reads have failed. */
-const RETRY_READ_TIMEOUT_MS = 1_000;
 export const MAX_UNCONFIRMED_ROUTING_MS = 1_000;
 /** Minimum time between reads caused by successive changes. */
 const MIN_READ_INTERVAL_MS = 100;
@@ -110,7 +103,6 @@
   const {clock, random, log, calls, routing, storeEra, storeTime} = host;
   const {freshness, routingSource} = host;
   const confirmation = createStoreConfirmation(clock);
-  const hedgeDelay = createHedgeDelay(clock);
   /** Where to resume the feed; undefined if a full read has to come first. */
   let cursor: StoreRevision | undefined;
   /** The newest version this host has read; undefined if it was unreadable. */
@@ -161,57 +153,33 @@
     return isStoreTimeMissing() ? Math.min(restMs, timeRestMs) : restMs;
   }
 
-  function attemptRead(
-    startAfterMs: number | undefined,
-    connection: StoreConnection,
-    timeoutMs = READ_TIMEOUT_MS,
-  ): HedgeAttempt<RoutingAnswer> {
-    return {
-      startAfterMs,
-      async run() {
-        const sentAt = storeTime.now();
-        const read = await routingSource.readNow(timeoutMs, connection);
-        calls.count('configuration', read);
-        if (read.kind === 'failed') return undefined;
-        hedgeDelay.noteAnswer(clock.nowMs() - sentAt.steadyMs);
-        return {read, sentAt};
-      },
-    };
-  }
+  const attempts = createReadAttempts<RoutingAnswer>({
+    clock,
+    async read(connection, timeoutMs) {
+      const sentAt = storeTime.now();
+      const read = await routingSource.readNow(timeoutMs, connection);
+      calls.count('configuration', read);
+      return read.kind === 'failed' ? undefined : {read, sentAt};
+    },
+  });
 
-  function attemptFeed(from: StoreRevision): HedgeAttempt<RoutingAnswer> {
-    return {
-      startAfterMs: 0,
-      async run() {
-        const sentAt = storeTime.now();
-        const read = await routingSource.readNext(
-          from,
-          FEED_WAIT_MS,
-          FEED_TIMEOUT_MS,
-        );
-        calls.count('configuration-feed', read);
-        return read.kind === 'failed' ? undefined : {read, from, sentAt};
-      },
-    };
+  async function readFeed(
+    from: StoreRevision,
+  ): Promise<RoutingAnswer | undefined> {
+    const sentAt = storeTime.now();
+    const read = await routingSource.readNext(
+      from,
+      FEED_WAIT_MS,
+      FEED_TIMEOUT_MS,
+    );
+    calls.count('configuration-feed', read);
+    return read.kind === 'failed' ? undefined : {read, from, sentAt};
   }
 
-  function chooseAttempts(
-    failures: number,
-  ): ReadonlyArray<HedgeAttempt<RoutingAnswer>> {
-    if (failures > 0) {
-      return [
-        attemptRead(0, 'new', RETRY_READ_TIMEOUT_MS),
-        attemptRead(undefined, 'new'),
-      ];
-    }
-    const from = cursor?.era === storeEra.current() ? cursor : undefined;
-    const firstDueMs = from ? FEED_WAIT_MS : 0;
-    const hedgeMs = hedgeDelay.currentMs();
-    return [
-      from ? attemptFeed(from) : attemptRead(0, 'pooled'),
-      attemptRead(firstDueMs + hedgeMs, 'new'),
-      attemptRead(undefined, 'new'),
-    ];
+  function chooseFeed(): FeedCall<RoutingAnswer> | undefined {
+    const from = cursor;
+    if (from?.era !== storeEra.current()) return undefined;
+    return {waitMs: FEED_WAIT_MS, run: () => readFeed(from)};
   }
 
   /**
@@ -279,7 +247,7 @@
     },
     startRead(failures) {
       readAtMs = clock.nowMs();
-      return startHedgedCall(clock, chooseAttempts(failures));
+      return startHedgedCall(clock, attempts.choose(failures, chooseFeed()));
     },
     onRead,
     onFailed() {
