--- a/tests/soak/fault_proxy.ts
+++ b/tests/soak/fault_proxy.ts
@@ -13,6 +13,8 @@
   | 'delay'
   /** Accepts connections but drops all bytes. */
   | 'silent'
+  /** Keeps all bytes, and delivers them once the mode changes. */
+  | 'hold'
   /** Forwards requests but drops answers. */
   | 'one-way'
   /** Resets new connections. */
@@ -48,16 +50,19 @@
   cut(sources: ReadonlySet<string>, how: LinkCut | undefined): void;
   /** Resets all open connections. */
   resetAll(): void;
+  /** Drops all bytes of the open connections from now on. */
+  silenceOpen(): void;
   close(): void;
 }
 
 const DELAY_MS = 150;
-const WHOLE_MODES: ReadonlySet<ProxyMode> = new Set(['pass', 'delay']);
+const WHOLE_MODES: ReadonlySet<ProxyMode> = new Set(['pass', 'delay', 'hold']);
 
 interface ProxiedConnection {
   readonly source: string;
   readonly client: net.Socket;
   readonly server: net.Socket;
+  isSilenced: boolean;
 }
 
 /** Creates a proxy to `target` in the mode `pass`. */
@@ -71,38 +76,43 @@
 
   /** By source address. */
   const cuts = new Map<string, LinkCut>();
+  /** What the mode `hold` keeps, in order of arrival. */
+  let held: Array<() => void> = [];
 
-  function isBlocked(source: string, isAnswer: boolean): boolean {
+  function isBlocked(
+    {source, isSilenced}: ProxiedConnection,
+    isAnswer: boolean,
+  ): boolean {
     return (
+      isSilenced ||
       mode === 'silent' ||
       (mode === 'one-way' && isAnswer) ||
       cuts.get(source) === 'hang'
     );
   }
 
-  function forward(
-    source: string,
-    from: net.Socket,
-    to: net.Socket,
-    isAnswer: boolean,
-  ): void {
+  function pass(action: () => void): void {
+    if (mode === 'hold') held.push(action);
+    else if (mode === 'delay') setTimeout(action, DELAY_MS);
+    else action();
+  }
+
+  function forward(connection: ProxiedConnection, isAnswer: boolean): void {
+    const {client, server} = connection;
+    const [from, to] = isAnswer ? [server, client] : [client, server];
     from.on('data', bytes => {
       // Dropped bytes are never sent, not even when the mode changes.
-      if (isBlocked(source, isAnswer)) return;
-      const write = () => {
+      if (isBlocked(connection, isAnswer)) return;
+      pass(() => {
         if (to.writable) to.write(bytes);
-      };
-      if (mode === 'delay') setTimeout(write, DELAY_MS);
-      else write();
+      });
     });
-    const delayMs = () => (mode === 'delay' ? DELAY_MS : 0);
     from.on('end', () => {
-      if (!isBlocked(source, isAnswer)) setTimeout(() => to.end(), delayMs());
+      if (!isBlocked(connection, isAnswer)) pass(() => to.end());
     });
     from.on('error', () => resetSocket(to));
     from.on('close', hadError => {
-      if (hadError) return;
-      setTimeout(() => to.end(), delayMs());
+      if (!hadError) pass(() => to.end());
     });
   }
 
@@ -115,13 +125,13 @@
       return;
     }
     const server = net.connect({host, port: targetPort, allowHalfOpen: true});
-    const connection: ProxiedConnection = {source, client, server};
+    const connection = {source, client, server, isSilenced: false};
     connections.add(connection);
     client.on('close', () => connections.delete(connection));
     client.setNoDelay(true);
     server.setNoDelay(true);
-    forward(source, client, server, false);
-    forward(source, server, client, true);
+    forward(connection, false);
+    forward(connection, true);
   });
   await new Promise<void>(resolve => listener.listen(0, '127.0.0.1', resolve));
   const {port} = listener.address() as net.AddressInfo;
@@ -151,6 +161,9 @@
         disturbances.push({fromMs: nowMs, toMs: Infinity});
       }
       mode = next;
+      const released = next === 'hold' ? [] : held;
+      if (released.length > 0) held = [];
+      for (const action of released) action();
     },
     setListening(isListening) {
       if (isListening === listener.listening) return;
@@ -169,6 +182,9 @@
       if (how === 'reset') resetFrom(source => sources.has(source));
     },
     resetAll,
+    silenceOpen() {
+      for (const connection of connections) connection.isSilenced = true;
+    },
     close() {
       listener.close();
       resetAll();
--- a/tests/soak/relay_child.ts
+++ b/tests/soak/relay_child.ts
@@ -39,7 +39,10 @@
   readonly sourceAddress: string;
 }
 
-const SOURCE_HOOK = new URL('./source_address.js', import.meta.url).href;
+const HOOKS = ['./source_address.js', './held_datagrams.js'].flatMap(file => [
+  '--import',
+  new URL(file, import.meta.url).href,
+]);
 
 export function createRelayChild(options: RelayChildOptions): RelayChild {
   const {settings, program, folder, sourceAddress} = options;
@@ -63,7 +66,7 @@
       if (child) return;
       const started = spawn(
         process.execPath,
-        ['--import', SOURCE_HOOK, program, 'relay', '--host-file', hostFile],
+        [...HOOKS, program, 'relay', '--host-file', hostFile],
         {
           stdio: ['ignore', 'pipe', 'pipe'],
           env: {...process.env, [SOURCE_ADDRESS_VARIABLE]: sourceAddress},
