Date signals by the turns of the event loop

A leaving host counts its grace from the earliest time at which SIGTERM may have arrived, which was the last but one of ticks 100 ms apart: 100 to 200 ms ago on a host on time.

An immediate without a reference runs once in each turn of the loop, after the sockets and signals of that turn, and causes none. What is handled now arrived after the last but one of these.

--- a/src/relay/loop_lateness.ts
+++ b/src/relay/loop_lateness.ts
@@ -14,10 +14,17 @@
   handledUntilMs(): number;
 }
 
+/** Calls the listener in each turn of the loop; returns how to end this. */
+export type WatchTurns = (listener: () => void) => () => void;
+
 const TICK_MS = 100;
 const WINDOW_TICKS = 20;
 
-export function createLoopLateness(clock: Clock): LoopLateness {
+/** Without a watch for turns, the time of handled signals is less exact. */
+export function createLoopLateness(
+  clock: Clock,
+  watchTurns: WatchTurns = () => () => undefined,
+): LoopLateness {
   let timer: TimerHandle | undefined;
   let dueAtMs = Number.POSITIVE_INFINITY;
   let ticks = 0;
@@ -25,6 +32,9 @@
   let lastWindowMs = 0;
   let lastTickAtMs = clock.nowMs();
   let previousTickAtMs = lastTickAtMs;
+  let lastTurnAtMs = lastTickAtMs;
+  let previousTurnAtMs = lastTickAtMs;
+  let endTurns: (() => void) | undefined;
 
   /** Positive if the next tick is overdue, as when a late loop has just run. */
   const overdueMs = () => Math.max(0, clock.nowMs() - dueAtMs);
@@ -45,14 +55,24 @@
     schedule();
   }
 
+  function noteTurn(): void {
+    previousTurnAtMs = lastTurnAtMs;
+    lastTurnAtMs = clock.nowMs();
+  }
+
   return {
-    start: schedule,
+    start() {
+      schedule();
+      endTurns = watchTurns(noteTurn);
+    },
     stop() {
       if (timer) clock.clearTimer(timer);
+      endTurns?.();
     },
-    // A loop that was late runs its timers before it handles signals, so the
-    // last tick alone doesn't show when these arrived.
-    handledUntilMs: () => previousTickAtMs,
+    // A loop that was late runs its timers before it handles signals, and a
+    // signal may arrive just before the end of a turn. So neither the last tick
+    // nor the last turn shows when those that are handled now arrived.
+    handledUntilMs: () => Math.max(previousTickAtMs, previousTurnAtMs),
     recentMs: () => Math.round(Math.max(windowMs, lastWindowMs, overdueMs())),
   };
 }
--- a/tests/relay/loop_lateness_test.ts
+++ b/tests/relay/loop_lateness_test.ts
@@ -35,3 +35,28 @@
   // The late tick has run, and the loop handles signals after it.
   assert.ok(lateness.handledUntilMs() <= beforeMs);
 });
+
+test('turns of the loop show more exactly since when signals may have waited', async () => {
+  // Guards against a host on time that refuses requests early in its grace, as if
+  // its signal had waited for two ticks.
+  const clock = createVirtualClock(1_000);
+  let noteTurn = () => {};
+  const lateness = createLoopLateness(clock, listener => {
+    noteTurn = listener;
+    return () => (noteTurn = () => {});
+  });
+  lateness.start();
+  for (let i = 0; i < 5; i++) {
+    await clock.advance(10);
+    noteTurn();
+  }
+  assert.equal(lateness.handledUntilMs(), 1_040);
+  clock.standStill(700);
+  await clock.advance(0);
+  // A late tick has run, and no turn has ended since.
+  assert.equal(lateness.handledUntilMs(), 1_040);
+  lateness.stop();
+  noteTurn();
+  noteTurn();
+  assert.equal(lateness.handledUntilMs(), 1_040);
+});
