--- a/tests/soak/leaving_hosts.ts
+++ b/tests/soak/leaving_hosts.ts
@@ -19,6 +19,7 @@
   EVENT_EVERY_MS,
   LEAVE_GRACE_MS,
   STREAM_EVENTS,
+  type EngineCounts,
   type SoakSite,
 } from './soak_site.js';
 
@@ -34,6 +35,9 @@
   readonly streamMs?: {readonly least: number; readonly most: number};
   /** Streams that begin so long after the first SIGTERM take so long. */
   readonly slowdown?: {readonly afterMs: number; readonly streamMs: number};
+  readonly engines?: EngineCounts;
+  /** Two engines leave so long after the first SIGTERM. */
+  readonly engineLeaveAfterMs?: number;
   readonly graceMs?: number;
   /** Time for which all hosts have served before the first SIGTERM. */
   readonly warmUpMs?: number;
@@ -59,7 +63,7 @@
 const DEADLINE_MS = 4_000;
 const TIMEOUT_SLACK_MS = 1_000;
 const READY_WITHIN_MS = 15_000;
-const ENGINES = {prefill: 2, decode: 8};
+const ENGINES: EngineCounts = {prefill: 2, decode: 8};
 const SHARE_STEPS = 1_000;
 
 const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
@@ -89,6 +93,16 @@
   for (const {child} of site.hosts) child.signal('SIGCONT');
 }
 
+/** Lists two decode engines as draining. */
+function drainEngines({upstreams, writeRow}: SoakSite): void {
+  const engines = upstreams.filter(({service}) => service === 'drafts');
+  for (const engine of engines.slice(0, 2)) {
+    engine.state = 'draining';
+    engine.drainingSinceMs = performance.now();
+    writeRow(engine);
+  }
+}
+
 /** Returns a function that ends the disturbance. */
 function disturb(site: SoakSite, everyMs: number): () => void {
   let count = 0;
@@ -173,6 +187,10 @@
   const {suspension} = scenario;
   if (suspension) void suspend(site, graceMs, suspension);
   if (slowdown) setTimeout(slowEngines, slowdown.afterMs);
+  const {engineLeaveAfterMs} = scenario;
+  if (engineLeaveAfterMs !== undefined) {
+    setTimeout(() => drainEngines(site), engineLeaveAfterMs);
+  }
   const exits = await Promise.all(
     site.hosts.slice(0, leavingCount).map(async ({child}, i) => {
       await wait(i * scenario.gapMs);
@@ -249,7 +267,7 @@
       isSlow && slowdown
         ? slowdown.streamMs / STREAM_EVENTS
         : (drawUsualMs?.() ?? EVENT_EVERY_MS),
-    engineCounts: ENGINES,
+    engineCounts: scenario.engines ?? ENGINES,
     workMs: () => least + random.nextInt(most - least + 1),
   });
   try {
