--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -20,9 +20,9 @@
   StreamBreak,
 } from './engine_stand_in_types.js';
 
-function formatEvent(id: number, version?: string): string {
+function formatEvent(id: number, version?: string, bytes = 0): string {
   const suffix = version === undefined ? '' : ` ${version}`;
-  return `id: ${id}\ndata: token-${id}${suffix}\n\n`;
+  return `id: ${id}\ndata: token-${id}${suffix}${' '.repeat(bytes)}\n\n`;
 }
 
 const HANDLE_PATH = '/corianderbend/kv-handle/';
@@ -216,7 +216,7 @@
         response.write(`id: ${next}\ndata: to`, () => crash());
         return;
       }
-      response.write(formatEvent(next, version));
+      response.write(formatEvent(next, version, options.eventBytes));
       run.lastEventAtMs = performance.now();
       sentCount++;
       // A caller may resume after the last event, when nothing is left to send.
--- a/stand_ins/users_platform/engine_stand_in_types.ts
+++ b/stand_ins/users_platform/engine_stand_in_types.ts
@@ -75,6 +75,8 @@
   readonly service: string;
   readonly role?: 'prefill' | 'decode';
   readonly eventCount?: number;
+  /** Blanks that each event of a stream has beside its text. */
+  readonly eventBytes?: number;
   /** The interval of a stream's events, or how it is drawn for each stream. */
   readonly eventEveryMs?: number | (() => number);
   /** How long a call to a plain service takes; 0 if absent. */
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -132,6 +132,8 @@
   readonly retrySlack?: number;
   readonly leaveGraceMs?: number;
   readonly eventEveryMs?: EngineOptions['eventEveryMs'];
+  readonly eventBytes?: number;
+  readonly eventCount?: number;
   /** How long a call to the plain service takes. */
   readonly workMs?: () => number;
 }
@@ -202,8 +204,9 @@
       role,
       version,
       workMs: options.workMs,
-      eventCount: STREAM_EVENTS,
+      eventCount: options.eventCount ?? STREAM_EVENTS,
       eventEveryMs: options.eventEveryMs ?? EVENT_EVERY_MS,
+      eventBytes: options.eventBytes,
       crashOf: run => site.crash?.crashOf?.(run),
       onCrash: () => site.crash?.onCrash(upstream),
     });
