--- a/src/relay/loop_lateness.ts
+++ b/src/relay/loop_lateness.ts
@@ -14,17 +14,25 @@
   handledUntilMs(): number;
 }
 
-const TICK_MS = 100;
-const WINDOW_TICKS = 20;
+/** Calls back once the loop has read its sockets and handled signals. */
+export type AfterPoll = (callback: () => void) => unknown;
 
-export function createLoopLateness(clock: Clock): LoopLateness {
+/** Each tick wakes the process, so they are no more frequent. */
+const TICK_MS = 30;
+const WINDOW_TICKS = 67;
+
+/** Without `afterPoll`, the time of handled signals is less exact. */
+export function createLoopLateness(
+  clock: Clock,
+  afterPoll?: AfterPoll,
+): LoopLateness {
   let timer: TimerHandle | undefined;
   let dueAtMs = Number.POSITIVE_INFINITY;
   let ticks = 0;
   let windowMs = 0;
   let lastWindowMs = 0;
   let lastTickAtMs = clock.nowMs();
-  let previousTickAtMs = lastTickAtMs;
+  let handledUntilMs = lastTickAtMs;
 
   /** Positive if the next tick is overdue, as when a late loop has just run. */
   const overdueMs = () => Math.max(0, clock.nowMs() - dueAtMs);
@@ -36,8 +44,11 @@
 
   function tick(): void {
     windowMs = Math.max(windowMs, overdueMs());
-    previousTickAtMs = lastTickAtMs;
-    lastTickAtMs = clock.nowMs();
+    const nowMs = clock.nowMs();
+    // A loop that was late runs its timers before it handles signals.
+    if (afterPoll) afterPoll(() => (handledUntilMs = nowMs));
+    else handledUntilMs = lastTickAtMs;
+    lastTickAtMs = nowMs;
     if (++ticks % WINDOW_TICKS === 0) {
       lastWindowMs = windowMs;
       windowMs = 0;
@@ -50,9 +61,7 @@
     stop() {
       if (timer) clock.clearTimer(timer);
     },
-    // A loop that was late runs its timers before it handles signals, so the
-    // last tick alone doesn't show when these arrived.
-    handledUntilMs: () => previousTickAtMs,
+    handledUntilMs: () => handledUntilMs,
     recentMs: () => Math.round(Math.max(windowMs, lastWindowMs, overdueMs())),
   };
 }
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -327,7 +327,7 @@
     isWaiting: crashes.isWaiting,
     mayHaveRun: sending.mayHaveRun,
   });
-  const loopLateness = createLoopLateness(clock);
+  const loopLateness = createLoopLateness(clock, setImmediate);
   const leaving = createLeaving(
     {
       clock,
