--- a/src/relay/silence/engine_probes.ts
+++ b/src/relay/silence/engine_probes.ts
@@ -48,7 +48,7 @@
 
 const ASK_INTERVAL_MS = 200;
 /** An answer after this time may be that of an engine which has just woken. */
-const LATE_ANSWER_MS = 100;
+const LATE_ANSWER_MS = 25;
 /** What probes have shown is out of date after this time. */
 const VALID_MS = 2_000;
 const NOT_PROBED: ProbeRecord = {
