Send no next run once the engine of the silent one is heard again

Cause: between the decision to leave a silent run and the send of the next one lie a probe of the target and the prefill, some 100 ms.

Change: before each send of a next run it is checked whether the silent engine has sent a byte or answered a probe since the decision. Then nothing is sent, what was prepared is given back, and the run is judged anew. A run on a dead connection is left as before, since its engine answers all the while.

--- a/src/relay/silence/engine_silence.ts
+++ b/src/relay/silence/engine_silence.ts
@@ -25,6 +25,8 @@
   investigate(engine: Upstream): void;
   /** Whether the engine has sent anything, on any connection, since then. */
   wasAliveAfter(engineId: string, atMs: number): boolean;
+  /** Whether the engine has sent anything or answered a probe since then. */
+  wasHeardSince(engineId: string, atMs: number): boolean;
   /** Whether a long silence of the engine has ended since then. */
   wasSilentSince(engineId: string, atMs: number): boolean;
   /** Whether most decode engines of the service are silent. */
@@ -129,6 +131,9 @@
     wasAliveAfter: (engineId, atMs) =>
       probes.hasAnsweredSince(engineId, atMs) ||
       runs.lastSeenAtMs(engineId) > atMs + SAME_STEP_MS,
+    wasHeardSince: (engineId, atMs) =>
+      runs.lastSeenAtMs(engineId) > atMs ||
+      probes.hasAnsweredWithin(engineId, clock.nowMs() - atMs),
     wasSilentSince: runs.wasSilentSince,
     isCommon(service) {
       const known = readDecodeEngines(service).filter(
--- a/src/relay/streams/stream_start.ts
+++ b/src/relay/streams/stream_start.ts
@@ -165,9 +165,11 @@
 
   async function start(
     state: StreamState,
-    {maxSends = MAX_SENDS, onSent = () => undefined}: StartOptions = {},
+    options: StartOptions = {},
   ): Promise<StartOutcome> {
     const {job} = state;
+    const {maxSends = MAX_SENDS, onSent = () => undefined} = options;
+    const isWanted = options.isWanted ?? (() => true);
     let failure: RequestError = {kind: 'no-upstream', detail: 'None had room.'};
     for (let attempt = 1; attempt <= maxSends; attempt++) {
       if (job.cancellation.isCancelled) return {kind: 'cancelled'};
@@ -182,6 +184,7 @@
         if (prefill.kind === 'no-retries') return withoutRetry(prefill);
         if (prefill.kind === 'quarantined') return notRun(prefill.error);
       }
+      if (!isWanted()) return {kind: 'cancelled'};
       const {decode} = state.placement;
       // The engine may have started to drain during the prefill.
       const isOpen = registry
--- a/src/relay/streams/stream_start_types.ts
+++ b/src/relay/streams/stream_start_types.ts
@@ -50,6 +50,8 @@
 export interface StartOptions {
   /** Maximum number of sends in one start. */
   readonly maxSends?: number;
+  /** Asked before each send; the start is cancelled if it is not wanted. */
+  isWanted?(): boolean;
   /** Called with each send. */
   onSent?(): void;
 }
--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -30,7 +30,7 @@
   readonly upstreamPort: Pick<UpstreamPort, 'releasePrefill'>;
   readonly scheduler: EngineScheduler;
   readonly engineLoads: EngineLoads;
-  readonly silence: Pick<EngineSilence, 'answers'>;
+  readonly silence: Pick<EngineSilence, 'answers' | 'wasHeardSince'>;
   readonly calls: BudgetedCalls;
   start: StreamStart['start'];
 }
@@ -105,10 +105,14 @@
   }
 
   /** Starts the run; undefined if no engine accepts it. */
-  async function tryStart(next: StreamState): Promise<Successor | undefined> {
+  async function tryStart(
+    next: StreamState,
+    isWanted: () => boolean,
+  ): Promise<Successor | undefined> {
     const timer = createRefusalTimer(clock);
     const started = host.start(next, {
       maxSends: MAX_SENDS,
+      isWanted,
       onSent: timer.restart,
     });
     const outcome = await Promise.race([started, timer.over]);
@@ -141,6 +145,7 @@
     state: StreamState,
     placement: Placement,
     cancellation: Cancellation,
+    isWanted: () => boolean,
   ): Promise<Successor | Missing> {
     if (cancellation.isCancelled || !(await calls.reserveRun(state))) {
       endBookings(placement);
@@ -150,7 +155,7 @@
     const begunFrom = next.ran.length;
     const successor = cancellation.isCancelled
       ? undefined
-      : await tryStart(next);
+      : await tryStart(next, isWanted);
     if (successor && !cancellation.isCancelled) return successor;
     void successor?.started.then(endAnswer);
     release(state, next, begunFrom);
@@ -159,19 +164,26 @@
 
   async function tryPrepare(
     state: StreamState,
+    reason: LeaveReason,
     cancellation: Cancellation,
   ): Promise<Successor | Missing> {
+    const sinceMs = clock.nowMs();
+    const engineId = state.placement.decode.id;
+    // An engine that is heard again goes on with its runs in a moment.
+    const isWanted = () =>
+      reason === 'dead-connection' ||
+      !host.silence.wasHeardSince(engineId, sinceMs);
     if (!mayResume(state)) return 'attempt';
     if (state.events > 0 && state.need.version === undefined) return 'version';
     if (!calls.canRetryRun(state)) return 'retry';
     const placement = await placeAtAnswering(state);
     if (typeof placement === 'string') return placement;
-    return prepareAt(state, placement, cancellation);
+    return prepareAt(state, placement, cancellation, isWanted);
   }
 
   return {
     async prepare(state, reason, cancellation) {
-      const outcome = await tryPrepare(state, cancellation);
+      const outcome = await tryPrepare(state, reason, cancellation);
       if (typeof outcome !== 'string') return outcome;
       host.log.info('No other run for a silent one.', {
         request: state.job.request.requestId,
--- a/tests/relay/silence/fake_silence.ts
+++ b/tests/relay/silence/fake_silence.ts
@@ -8,6 +8,7 @@
   return {
     investigate: () => undefined,
     wasAliveAfter: () => false,
+    wasHeardSince: () => false,
     wasSilentSince: () => false,
     isCommon: () => false,
     answers: () => Promise.resolve(true),
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -67,6 +67,8 @@
   readonly prefillRejections?: number;
   /** All engines leave when the prompt is read for the second run. */
   readonly isLast?: boolean;
+  /** The silent engine is heard while the next run is prepared. */
+  readonly isHeard?: boolean;
   /** The engines paused during the start. */
   readonly hasPaused?: boolean;
 }
@@ -148,6 +150,7 @@
     silence: makeFakeSilence({
       wasAliveAfter: () => changes.isAlive ?? false,
       wasSilentSince: () => changes.hasPaused ?? false,
+      wasHeardSince: () => changes.isHeard ?? false,
     }),
     upstreamPort: upstreamPort as UpstreamPort,
     place: lone.scheduler.place,
@@ -241,6 +244,16 @@
     assert.equal(stream.bookedRuns(), 0);
   });
 
+  // Guards against a run at another engine as the engine before goes on.
+  test('is kept if its engine is heard before the next one is sent', async () => {
+    const {clock, runs, log, bookedRuns} = await startStream({isHeard: true});
+    await clock.advance(PREFILL_MS + 100);
+    assert.equal(runs.length, 1, log.join());
+    assert.ok(log.includes('release'));
+    assert.equal(bookedRuns(), 1);
+    assert.equal(runs[0].isClosed, false);
+  });
+
   // Guards against an answer that is cut since its next engine was just filled.
   test('that was left goes on where there is room, however often refused', async () => {
     const {clock, runs, log, send, outcome} = await startStream({
