Start a third attempt of a read before the first two have timed out

A host that got no news, and whose read was lost on a pooled and on a new connection, retried only after both had timed out: 1,000 ms unconfirmed, 250 to 500 ms to the hedge, 600 ms timeout, 300 ms to the retry, 2,150 to 2,400 ms.

A third attempt, on a new connection, starts 600 ms after the first whatever the hedge delay is: 1,600 ms and two transits.

Test in virtual time, slowest host over 8 phases: 2,000 ms, and 2,340 where the store had answered after 300 ms (9 and 68 hosts alike; both tests failed at "host-0 at 0, answers after 300"); now 1,450 and 1,540.

Cost, simulated calls to the store: none at answers of 300 to 550 ms (9 hosts: 18.6, 18.3, 34.8 a second, as before), 27.6 to 34.2 a second at 700 ms and to 33.0 at 900 ms. In 6 s of silence and the 2 s after: 9 hosts 135 to 162, 68 hosts 740 to 899; refused calls as before. A longer timeout of the third attempt was tried: 141 and 840 in a silence, but 39 a second at 700 ms.

--- a/src/relay/store/read_attempts.ts
+++ b/src/relay/store/read_attempts.ts
@@ -30,6 +30,11 @@
 const READ_TIMEOUT_MS = 600;
 /** Allows for a slow store once reads have failed. */
 const RETRY_READ_TIMEOUT_MS = 1_000;
+/**
+ * A new connection may be lost, too. A retry that waits for the timeouts of both
+ * reads would exceed the time limit for a configuration.
+ */
+const SECOND_HEDGE_MS = 600;
 
 export function createReadAttempts<T>(
   host: ReadAttemptsHost<T>,
@@ -67,6 +72,7 @@
       return [
         feed ? {startAfterMs: 0, run: feed.run} : attemptRead(0, 'pooled'),
         attemptRead(firstDueMs + hedgeDelay.currentMs(), 'new'),
+        attemptRead(firstDueMs + SECOND_HEDGE_MS, 'new'),
         attemptRead(undefined, 'new'),
       ];
     },
--- a/tests/relay/store/configuration_reach_test.ts
+++ b/tests/relay/store/configuration_reach_test.ts
@@ -10,6 +10,7 @@
 /** The tightest bound of the platforms, from the acknowledgement on. */
 const IN_FORCE_MS = 2_000;
 const SETTLED_MS = 5_000;
+const NO_NEWS_MS = 60_000;
 const OUTAGES_MS = [700, 1_900, 3_940, 6_090];
 const SIZES = [
   {hostCount: 9, timing: undefined},
@@ -74,6 +75,26 @@
   });
 }
 
+for (const size of SIZES) {
+  test(`${size.hostCount} hosts apply a version in time without news, with a read lost on a new connection`, async () => {
+    // Guards against a retry that comes after the timeouts of two lost reads.
+    for (const lateMs of [0, 300]) {
+      for (let phaseMs = 0; phaseMs < 1_200; phaseMs += 150) {
+        const site = await startSite(size);
+        site.store.lateMs = lateMs;
+        await site.clock.advance(2_000 + phaseMs);
+        site.store.lateMs = 0;
+        for (const {hostId} of site.hosts) {
+          site.heldMs.set(hostId, NO_NEWS_MS);
+          site.lostNewReads.set(hostId, 1);
+        }
+        site.silenceConnections(allIds(site));
+        await assertInForce(site, `at ${phaseMs}, answers after ${lateMs}`);
+      }
+    }
+  });
+}
+
 test('a confirmation is no younger than the answer of the store', async () => {
   // Guards against an older version that late answers confirm as the newest.
   const site = await startSite(SIZES[1]);
--- a/tests/relay/store/store_site.ts
+++ b/tests/relay/store/store_site.ts
@@ -98,6 +98,8 @@
   const hearsNoChanges = new Set<string>();
   /** By host: how long its incoming datagrams wait in its socket. */
   const heldMs = new Map<string, number>();
+  /** By host: how many reads of the configuration on new connections get lost. */
+  const lostNewReads = new Map<string, number>();
   /** By host: the era tracker, updated by each answer. */
   const eras = new Map<string, StoreEra>();
   const links = createStoreLinks({clock, store, cut, eras});
@@ -185,8 +187,15 @@
         isAlone: () => false,
         onHosts: () => undefined,
         routingSource: {
-          readNow: (timeoutMs, connection) =>
-            call(hostId, readRouting, timeoutMs, connection),
+          readNow(timeoutMs, connection) {
+            const lost = lostNewReads.get(hostId) ?? 0;
+            if (connection === 'pooled' || lost === 0) {
+              return call(hostId, readRouting, timeoutMs, connection);
+            }
+            lostNewReads.set(hostId, lost - 1);
+            const wait = () => undefined;
+            return call(hostId, readRouting, timeoutMs, connection, wait);
+          },
           readNext(cursor, waitMs, timeoutMs) {
             const {counter} = cursor;
             if (counter > store.revision) return answerLost();
@@ -284,6 +293,7 @@
     cut,
     hearsNoChanges,
     heldMs,
+    lostNewReads,
     silenceConnections: links.silenceConnections,
     callsOf: links.callsOf,
     /** Adds a host, or restarts one. */
