Tick each 100 ms, and allow for it in the check of early refusals

A host counts its grace from up to 120 ms before it handles the signal; the check of early refusals ends its bounds as much sooner.

--- a/src/relay/loop_lateness.ts
+++ b/src/relay/loop_lateness.ts
@@ -18,8 +18,8 @@
 export type AfterPoll = (callback: () => void) => unknown;
 
 /** Each tick wakes the process, so they are no more frequent. */
-const TICK_MS = 30;
-const WINDOW_TICKS = 67;
+const TICK_MS = 100;
+const WINDOW_TICKS = 20;
 
 /** Without `afterPoll`, the time of handled signals is less exact. */
 export function createLoopLateness(
