Test: hosts that leave within their first second

Four of six hosts are killed, start, and get SIGTERM 400, 600, 800 and 950 ms later, while callers go on at all and streams become eight times as long 3.5 s after the first signal.

--- a/tests/soak/leaving_hosts.ts
+++ b/tests/soak/leaving_hosts.ts
@@ -36,6 +36,8 @@
   /** Streams that begin so long after the first SIGTERM take so long. */
   readonly slowdown?: {readonly afterMs: number; readonly streamMs: number};
   readonly engines?: EngineCounts;
+  /** Each host is killed, and starts so long before its SIGTERM. */
+  readonly startedBeforeMs?: readonly number[];
   /** Two engines leave so long after the first SIGTERM. */
   readonly engineLeaveAfterMs?: number;
   readonly graceMs?: number;
@@ -82,6 +84,13 @@
   return {hostId, end, fromMs, toMs: performance.now()};
 }
 
+async function restart(child: RelayChild, forMs: number): Promise<void> {
+  child.signal('SIGKILL');
+  await child.ended();
+  child.start();
+  await wait(forMs);
+}
+
 async function suspend(
   site: SoakSite,
   graceMs: number,
@@ -194,6 +203,8 @@
   const exits = await Promise.all(
     site.hosts.slice(0, leavingCount).map(async ({child}, i) => {
       await wait(i * scenario.gapMs);
+      const startedBeforeMs = scenario.startedBeforeMs?.[i];
+      if (startedBeforeMs !== undefined) await restart(child, startedBeforeMs);
       return stop(child, graceMs);
     }),
   );
