Test: next runs at leaving hosts

Two of four engines end 5.3 s after the SIGTERM of two of four hosts, while these serve streams of 0.7 to 0.9 s with a deadline of 2.2 s.

--- a/tests/soak/leaving_hosts.ts
+++ b/tests/soak/leaving_hosts.ts
@@ -40,6 +40,8 @@
   readonly startedBeforeMs?: readonly number[];
   /** Two engines leave so long after the first SIGTERM. */
   readonly engineLeaveAfterMs?: number;
+  /** Two engines end without notice so long after the first SIGTERM. */
+  readonly engineCrashAfterMs?: number;
   readonly graceMs?: number;
   /** Time for which all hosts have served before the first SIGTERM. */
   readonly warmUpMs?: number;
@@ -102,16 +104,22 @@
   for (const {child} of site.hosts) child.signal('SIGCONT');
 }
 
+const twoEngines = ({upstreams}: SoakSite) =>
+  upstreams.filter(({service}) => service === 'drafts').slice(0, 2);
+
 /** Lists two decode engines as draining. */
-function drainEngines({upstreams, writeRow}: SoakSite): void {
-  const engines = upstreams.filter(({service}) => service === 'drafts');
-  for (const engine of engines.slice(0, 2)) {
+function drainEngines(site: SoakSite): void {
+  for (const engine of twoEngines(site)) {
     engine.state = 'draining';
     engine.drainingSinceMs = performance.now();
-    writeRow(engine);
+    site.writeRow(engine);
   }
 }
 
+function crashEngines(site: SoakSite): void {
+  for (const {standIn} of twoEngines(site)) standIn.crash();
+}
+
 /** Returns a function that ends the disturbance. */
 function disturb(site: SoakSite, everyMs: number): () => void {
   let count = 0;
@@ -200,6 +208,10 @@
   if (engineLeaveAfterMs !== undefined) {
     setTimeout(() => drainEngines(site), engineLeaveAfterMs);
   }
+  const {engineCrashAfterMs} = scenario;
+  if (engineCrashAfterMs !== undefined) {
+    setTimeout(() => crashEngines(site), engineCrashAfterMs);
+  }
   const exits = await Promise.all(
     site.hosts.slice(0, leavingCount).map(async ({child}, i) => {
       await wait(i * scenario.gapMs);
