--- a/tests/soak/leaving_hosts.ts
+++ b/tests/soak/leaving_hosts.ts
@@ -36,8 +36,12 @@
   /** Streams that begin so long after the first SIGTERM take so long. */
   readonly slowdown?: {readonly afterMs: number; readonly streamMs: number};
   readonly engines?: EngineCounts;
+  /** Each host is killed, and starts so long before its SIGTERM. */
+  readonly startedBeforeMs?: readonly number[];
   /** Two engines leave so long after the first SIGTERM. */
   readonly engineLeaveAfterMs?: number;
+  /** Two engines end without notice so long after the first SIGTERM. */
+  readonly engineCrashAfterMs?: number;
   readonly graceMs?: number;
   /** Time for which all hosts have served before the first SIGTERM. */
   readonly warmUpMs?: number;
@@ -82,6 +86,13 @@
   return {hostId, end, fromMs, toMs: performance.now()};
 }
 
+async function restart(child: RelayChild, forMs: number): Promise<void> {
+  child.signal('SIGKILL');
+  await child.ended();
+  child.start();
+  await wait(forMs);
+}
+
 async function suspend(
   site: SoakSite,
   graceMs: number,
@@ -93,16 +104,22 @@
   for (const {child} of site.hosts) child.signal('SIGCONT');
 }
 
+const twoEngines = ({upstreams}: SoakSite) =>
+  upstreams.filter(({service}) => service === 'drafts').slice(0, 2);
+
 /** Lists two decode engines as draining. */
-function drainEngines({upstreams, writeRow}: SoakSite): void {
-  const engines = upstreams.filter(({service}) => service === 'drafts');
-  for (const engine of engines.slice(0, 2)) {
+function drainEngines(site: SoakSite): void {
+  for (const engine of twoEngines(site)) {
     engine.state = 'draining';
     engine.drainingSinceMs = performance.now();
-    writeRow(engine);
+    site.writeRow(engine);
   }
 }
 
+function crashEngines(site: SoakSite): void {
+  for (const {standIn} of twoEngines(site)) standIn.crash();
+}
+
 /** Returns a function that ends the disturbance. */
 function disturb(site: SoakSite, everyMs: number): () => void {
   let count = 0;
@@ -191,9 +208,15 @@
   if (engineLeaveAfterMs !== undefined) {
     setTimeout(() => drainEngines(site), engineLeaveAfterMs);
   }
+  const {engineCrashAfterMs} = scenario;
+  if (engineCrashAfterMs !== undefined) {
+    setTimeout(() => crashEngines(site), engineCrashAfterMs);
+  }
   const exits = await Promise.all(
     site.hosts.slice(0, leavingCount).map(async ({child}, i) => {
       await wait(i * scenario.gapMs);
+      const startedBeforeMs = scenario.startedBeforeMs?.[i];
+      if (startedBeforeMs !== undefined) await restart(child, startedBeforeMs);
       return stop(child, graceMs);
     }),
   );
