Check: order the runs of a stream by their sends

Cause: the check took the run that began first for the engine before. A run that was sent to a paused engine begins only at the end of the pause, after the one that follows it elsewhere.

Rule TWICE counts the engine before that works on it 400 ms after the request goes on at another; the engine before is the one to which it was sent before. Runs are ordered by the time left that each send states; the bound of 400 ms and all else are as they were, and an engine before that goes on too long is reported in either order.

engine_pause_checks_test: on the check before, such a stream is reported (1 instead of 0); with the change it is not, and it is if the engine before works for 450 ms.

--- a/tests/soak/engine_pause_checks.ts
+++ b/tests/soak/engine_pause_checks.ts
@@ -200,6 +200,15 @@
   });
 }
 
+/**
+ * By the time left to the deadline, which each send states. An engine that has
+ * paused begins what was sent to it earlier after an engine that has not.
+ */
+function compareSent({run: a}: RunAt, {run: b}: RunAt): number {
+  const leftMs = ({headers}: EngineRun) => Number(headers['x-deadline-ms']);
+  return leftMs(b) - leftMs(a) || a.startedAtMs - b.startedAtMs;
+}
+
 /** Streams of which one run sent events after the next had begun. */
 function findAtTwoEngines(
   evidence: PauseEvidence,
@@ -207,9 +216,9 @@
 ): readonly string[] {
   return histories.flatMap(({record: {id, kind, hostId}, runs}) => {
     // The others had been left before their engines read them.
-    const begun = runs.filter(
-      ({run}) => run.disconnectedAtMs !== run.startedAtMs,
-    );
+    const begun = runs
+      .filter(({run}) => run.disconnectedAtMs !== run.startedAtMs)
+      .sort(compareSent);
     return begun.flatMap(({run, upstream}, i) => {
       const {startedAtMs: fromMs, lastEventAtMs: toMs = 0} = run;
       const next = begun.at(i + 1);
--- a/tests/soak/engine_pause_checks_test.ts
+++ b/tests/soak/engine_pause_checks_test.ts
@@ -134,6 +134,24 @@
   assert.equal(check({records, upstreams: upstreams(2_450)}), 1);
 });
 
+test('a run that its engine begins after the next one is still the one before', () => {
+  // Guards against a stream that is reported though the engine which it left
+  // stopped in time.
+  const records = [{...cutStream, isCut: false}];
+  const sentWith = (leftMs: string, startedAtMs: number, toMs: number) =>
+    runOf('q1', {
+      headers: {'x-deadline-ms': leftMs},
+      startedAtMs,
+      lastEventAtMs: toMs,
+    });
+  const upstreams = (leftAtMs: number) => [
+    upstreamOf('d1', [sentWith('3900', 2_020, leftAtMs)]),
+    upstreamOf('d2', [sentWith('1800', 2_000, 2_600)]),
+  ];
+  assert.equal(check({records, upstreams: upstreams(2_170)}), 0);
+  assert.equal(check({records, upstreams: upstreams(2_450)}), 1);
+});
+
 test('a run that was left before its engine read it is at no engine', () => {
   const records = [{...cutStream, isCut: false}];
   const unread = {startedAtMs: 2_000, disconnectedAtMs: 2_000};
