Ask whether a next run is wanted only until the silent one is left

Cause: a start that got no refusal in 350 ms is accepted and the silent run is left, but its next send, after a refusal that came later, still asked whether the engine before was heard. If so the start was cancelled, and the stream ended with neither run. Found by reading, not seen in a run.

--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -110,13 +110,15 @@
     isWanted: () => boolean,
   ): Promise<Successor | undefined> {
     const timer = createRefusalTimer(clock);
+    let isAccepted = false;
     const started = host.start(next, {
       maxSends: MAX_SENDS,
-      isWanted,
+      isWanted: () => isAccepted || isWanted(),
       onSent: timer.restart,
     });
     const outcome = await Promise.race([started, timer.over]);
     timer.stop();
+    isAccepted = outcome === undefined;
     if (!outcome) return {next, started};
     const isStreaming =
       outcome.kind === 'streaming' && outcome.answer.status === STATUS_OK;
