End the third attempt of a read with the second

With a timeout of its own, the third attempt kept a failed read open for up to 350 ms longer, and put off the retry by as much.

--- a/src/relay/store/read_attempts.ts
+++ b/src/relay/store/read_attempts.ts
@@ -34,7 +34,7 @@
  * A new connection may be lost, too. A retry that waits for the timeouts of both
  * reads would exceed the time limit for a configuration.
  */
-const SECOND_HEDGE_MS = 600;
+const SECOND_HEDGE_MS = READ_TIMEOUT_MS;
 
 export function createReadAttempts<T>(
   host: ReadAttemptsHost<T>,
@@ -69,10 +69,12 @@
         ];
       }
       const firstDueMs = feed?.waitMs ?? 0;
+      const hedgeMs = hedgeDelay.currentMs();
       return [
         feed ? {startAfterMs: 0, run: feed.run} : attemptRead(0, 'pooled'),
-        attemptRead(firstDueMs + hedgeDelay.currentMs(), 'new'),
-        attemptRead(firstDueMs + SECOND_HEDGE_MS, 'new'),
+        attemptRead(firstDueMs + hedgeMs, 'new'),
+        // Ends with the second attempt, so that it doesn't delay the retry.
+        attemptRead(firstDueMs + SECOND_HEDGE_MS, 'new', hedgeMs),
         attemptRead(undefined, 'new'),
       ];
     },
