Test: real processes that go by a dropped route (soak)

Requests for an added route make a host confirm its version, and so shorten what they measure. A request for a dropped route does not: its answer shows which version the host goes by.

--- a/tests/soak/configuration_hosts.ts
+++ b/tests/soak/configuration_hosts.ts
@@ -1,6 +1,7 @@
 /**
- * Plays how soon real relay processes serve a route that was added, beside
- * links that fail and processes that get too little processor time.
+ * Plays how soon real relay processes serve a route that was added, or refuse
+ * one that was dropped, beside links that fail and processes that get too little
+ * processor time.
  */
 
 import {readFileSync, mkdirSync, rmSync} from 'node:fs';
@@ -30,6 +31,8 @@
 
 export interface ReachScenario {
   readonly faults: readonly HostFault[];
+  /** The write drops a route; by default it adds one. */
+  readonly isDrop?: boolean;
   /** When the store applies the write. */
   readonly appliedAtMs?: number;
   readonly acknowledgedAtMs?: number;
@@ -38,18 +41,18 @@
 }
 
 export interface ReachRound {
-  /** By host, from the acknowledgement to the first request served. */
-  readonly servedAfterMs: ReadonlyMap<string, number>;
-  /** Requests sent over 2 s after the acknowledgement and refused with 404. */
-  readonly lateRefusals: readonly LateRefusal[];
-  /** Requests sent over 2 s after the acknowledgement and refused with 503. */
+  /** By host, from the acknowledgement to the first answer by the version. */
+  readonly inForceAfterMs: ReadonlyMap<string, number>;
+  /** Requests sent over 2 s after it and handled as an older version allows. */
+  readonly lateAnswers: readonly LateAnswer[];
+  /** Requests sent over 2 s after it and refused for want of a confirmation. */
   readonly lateUnconfirmed: number;
   /** How late the loop of the player itself ran. */
   readonly ownLatenessMs: number;
   readonly storeCalls: number;
 }
 
-export interface LateRefusal {
+export interface LateAnswer {
   readonly hostId: string;
   readonly sentAfterMs: number;
   readonly tookMs: number;
@@ -113,11 +116,19 @@
   }
 }
 
+type Outcome = 'served' | 'no-route' | 'unconfirmed' | 'other';
+
+function toOutcome(status: number | undefined, body: string): Outcome {
+  if (status === 200) return 'served';
+  if (status === 404) return 'no-route';
+  return body.includes('cannot tell') ? 'unconfirmed' : 'other';
+}
+
 function ask(
   agent: http.Agent,
   {child}: SoakHost,
   target: string,
-): Promise<number | undefined> {
+): Promise<Outcome> {
   const id = `reach-${++askCount}`;
   const [host, port] = child.settings.callerAddress.split(':');
   return new Promise(resolve => {
@@ -130,12 +141,13 @@
         headers: {Host: HOST, 'X-Request-Id': id},
       },
       response => {
-        response.resume();
-        response.on('end', () => resolve(response.statusCode));
-        response.on('error', () => resolve(undefined));
+        let body = '';
+        response.on('data', (bytes: Buffer) => (body += bytes.toString()));
+        response.on('end', () => resolve(toOutcome(response.statusCode, body)));
+        response.on('error', () => resolve('other'));
       },
     );
-    request.on('error', () => resolve(undefined));
+    request.on('error', () => resolve('other'));
   });
 }
 
@@ -163,6 +175,13 @@
   const {appliedAtMs = 0, acknowledgedAtMs = appliedAtMs} = scenario;
   const earliestMs = Math.min(0, ...scenario.faults.map(e => e.fromMs));
   const target = `${EXTRA_PREFIX}${routes - 1}/1`;
+  const {isDrop = false} = scenario;
+  const newer: Outcome = isDrop ? 'no-route' : 'served';
+  const older: Outcome = isDrop ? 'served' : 'no-route';
+  if (isDrop) {
+    site.publishConfiguration(routes);
+    await wait(CALM_MS);
+  }
   const callsBefore = site.store.callCount();
   const endLateness = measureOwnLateness();
   const sentAtMs = performance.now() - earliestMs;
@@ -172,32 +191,34 @@
     await playFault(site, fault, random);
   });
   await at(appliedAtMs);
-  site.publishConfiguration(routes);
+  site.publishConfiguration(isDrop ? routes - 1 : routes);
   await at(acknowledgedAtMs);
   const ackAtMs = performance.now();
   const afterMs = () => performance.now() - ackAtMs;
-  const servedAfterMs = new Map<string, number>();
-  const lateRefusals: LateRefusal[] = [];
+  const inForceAfterMs = new Map<string, number>();
+  const lateAnswers: LateAnswer[] = [];
   let lateUnconfirmed = 0;
   const asked = new Set<Promise<void>>();
 
   async function askHost(host: SoakHost): Promise<void> {
     const {hostId} = host.child.settings;
     const sentAfterMs = Math.round(afterMs());
-    const status = await ask(agent, host, target);
-    if (status === 200 && !servedAfterMs.has(hostId)) {
-      servedAfterMs.set(hostId, Math.round(afterMs()));
+    const outcome = await ask(agent, host, target);
+    // A host without the older version's route goes by the newer version.
+    const isNewer = outcome === newer || (isDrop && outcome === 'unconfirmed');
+    if (isNewer && !inForceAfterMs.has(hostId)) {
+      inForceAfterMs.set(hostId, Math.round(afterMs()));
     }
     if (sentAfterMs <= IN_FORCE_MS) return;
     const tookMs = Math.round(afterMs()) - sentAfterMs;
-    if (status === 404) lateRefusals.push({hostId, sentAfterMs, tookMs});
-    if (status === 503) lateUnconfirmed++;
+    if (outcome === older) lateAnswers.push({hostId, sentAfterMs, tookMs});
+    if (outcome === 'unconfirmed') lateUnconfirmed++;
   }
 
   await wait(scenario.askFromMs ?? 0);
-  while (afterMs() < ROUND_MS && servedAfterMs.size < site.hosts.length) {
+  while (afterMs() < ROUND_MS && inForceAfterMs.size < site.hosts.length) {
     for (const host of site.hosts) {
-      if (servedAfterMs.has(host.child.settings.hostId)) continue;
+      if (inForceAfterMs.has(host.child.settings.hostId)) continue;
       const asking = askHost(host).finally(() => asked.delete(asking));
       asked.add(asking);
     }
@@ -208,8 +229,8 @@
   const storeCalls = site.store.callCount() - callsBefore;
   const ownLatenessMs = endLateness();
   return {
-    servedAfterMs,
-    lateRefusals,
+    inForceAfterMs,
+    lateAnswers,
     lateUnconfirmed,
     ownLatenessMs,
     storeCalls,
@@ -248,7 +269,7 @@
   try {
     const readyUntilMs = performance.now() + READY_WITHIN_MS;
     for (const host of site.hosts) {
-      while ((await ask(agent, host, '/saldo/1')) !== 200) {
+      while ((await ask(agent, host, '/saldo/1')) !== 'served') {
         if (performance.now() > readyUntilMs) throw new Error('Not ready.');
         await wait(200);
       }
--- a/tests/soak/configuration_run.ts
+++ b/tests/soak/configuration_run.ts
@@ -1,7 +1,7 @@
 /**
  * `node scripts/run_compiled.mjs tests/soak/configuration_run.js [--hosts N]
  * [--rounds N] [--seed N] [--only TEXT] [--program FILE]`: prints how soon real
- * processes serve an added route in each scenario.
+ * processes go by a new version in each scenario.
  */
 
 import path from 'node:path';
@@ -30,16 +30,16 @@
     rounds: Number(values.rounds),
     seed: Number(values.seed),
     onRound(name, round) {
-      const times = [...round.servedAfterMs.values()].sort((a, b) => b - a);
-      const {lateRefusals, lateUnconfirmed, ownLatenessMs, storeCalls} = round;
+      const times = [...round.inForceAfterMs.values()].sort((a, b) => b - a);
+      const {lateAnswers, lateUnconfirmed, ownLatenessMs, storeCalls} = round;
       console.log(
         `${name}: slowest ${times.slice(0, 4).join(' ')} of ${times.length}; ` +
-          `late 404 ${lateRefusals.length}, 503 ${lateUnconfirmed}; ` +
+          `late by older ${lateAnswers.length}, unconfirmed ${lateUnconfirmed}; ` +
           `own lateness ${ownLatenessMs} ms, ${storeCalls} calls`,
       );
-      for (const {hostId, sentAfterMs, tookMs} of lateRefusals.slice(0, 2)) {
+      for (const {hostId, sentAfterMs, tookMs} of lateAnswers.slice(0, 2)) {
         console.log(`  ${hostId} at ${sentAfterMs}, took ${tookMs} ms`);
-        console.log(`  ${readRefusals(folder, hostId).at(-1)}`);
+        console.log(`  ${readRefusals(folder, hostId).at(-1) ?? ''}`);
       }
     },
   },
--- a/tests/soak/configuration_scenarios.ts
+++ b/tests/soak/configuration_scenarios.ts
@@ -91,4 +91,27 @@
       askFromMs: 2_000,
     },
   ],
+  ['dropped route, calm', {isDrop: true, faults: []}],
+  [
+    'dropped route, a third starved',
+    {isDrop: true, faults: [{...starved, share: 0.33}]},
+  ],
+  [
+    'dropped route, store away, applied at once',
+    {
+      isDrop: true,
+      faults: [{...away, link: 'silent'}],
+      acknowledgedAtMs: AWAY_MS,
+    },
+  ],
+  [
+    'dropped route, no datagrams, new connections silent until 1.5 s',
+    {
+      isDrop: true,
+      faults: [
+        {fromMs: -20, forMs: 3_500, holdsDatagrams: true},
+        {fromMs: -20, forMs: 1_520, link: 'silent', silencesOpen: true},
+      ],
+    },
+  ],
 ]);
