Soak: configurations beside all faults

Change: `--configurations` plays two series of versions, each of which adds a route and drops some, beside faults of all kinds, a slow store among them. Two callers per host ask it for an added and for a dropped route every 50 to 100 ms on kept connections until its process has ended. Checked: a request sent over 2 s after an acknowledgement to a host without any disruption within 3 s is not handled as only an older version allows (404, or run); no process goes back to a version older than one an engine saw in effect over 250 ms before, or 2 s for a suspended process.

--- a/tests/soak/fault_kinds.ts
+++ b/tests/soak/fault_kinds.ts
@@ -61,7 +61,15 @@
 /** All hosts receive SIGTERM at once, or in turn before the last has ended. */
 export const LEAVE_TOGETHER_KIND = 'leave-together';
 
+/** Configurations that add and drop routes, one after another. */
+export const CONFIGURATIONS_KIND = 'configurations';
+
+/** All answers of the store are late; its connections are then reset. */
+export const SLOW_STORE_KIND = 'store-slow';
+
 export type FaultKind =
+  | typeof SLOW_STORE_KIND
+  | typeof CONFIGURATIONS_KIND
   | typeof LEAVE_TOGETHER_KIND
   | (typeof FAULT_KINDS)[number]
   | (typeof BACKPRESSURE_KINDS)[number]
@@ -85,6 +93,13 @@
   ENGINE_PAUSE_KIND,
   SILENT_CONNECTIONS_KIND,
 ];
+/** Drawn beside series of configurations. */
+export const CONFIGURATIONS_SOAK_KINDS: readonly FaultKind[] = [
+  ...ALL_KINDS,
+  SLOW_STORE_KIND,
+  'store-down',
+];
+
 /**
  * Restores from an older copy, with faults whose writes the restore may lose.
  */
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,11 +1,13 @@
 /**
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
  * [--asks | --copies | --crashes | --parts | --streams | --cuts | --versions |
- * --pauses | --leaving | --part-table]`; of these, the first nine draw mostly backpressure of upstreams, restores of the store
- * from older copies, requests that crash upstreams, parts of prompts that do
- * so, streams that break off, hosts that are cut off from all upstreams,
- * engines of several versions, engines that pause, or hosts that leave together. The last one plays the
- * scenarios of such parts, each on its own, in turn by seed.
+ * --pauses | --leaving | --configurations | --part-table]`; of these, the first
+ * nine draw mostly backpressure of upstreams, restores of the store from older
+ * copies, requests that crash upstreams, parts of prompts that do so, streams
+ * that break off, hosts that are cut off from all upstreams, engines of several
+ * versions, engines that pause, or hosts that leave together.
+ * `--configurations` adds series of configurations to faults of all kinds. The
+ * last one plays the scenarios of such parts, each on its own, in turn by seed.
  */
 
 import path from 'node:path';
@@ -25,6 +27,7 @@
 } from './fault_kinds.js';
 import {toPartOptions} from './part_scenarios.js';
 import {toPauseOptions} from './engine_pauses.js';
+import {toConfigurationOptions} from './soak_faults.js';
 import {runSoak} from './soak_run.js';
 
 const {values} = parseArgs({
@@ -44,6 +47,7 @@
     pauses: {type: 'boolean', default: false},
     parts: {type: 'boolean', default: false},
     leaving: {type: 'boolean', default: false},
+    configurations: {type: 'boolean', default: false},
     'part-table': {type: 'boolean', default: false},
   },
 });
@@ -70,6 +74,9 @@
     callerCount: Number(values.callers),
     kinds: chooseKinds(),
     ...(values.pauses ? toPauseOptions(first + i) : {}),
+    ...(values.configurations
+      ? toConfigurationOptions(first + i, Number(values.seconds) * 1_000)
+      : {}),
     ...(values['part-table'] ? toPartOptions(first + i) : {}),
     program: path.resolve('target/main.mjs'),
     folder: values.folder,
--- a/tests/soak/soak_callers.ts
+++ b/tests/soak/soak_callers.ts
@@ -33,6 +33,10 @@
   readonly takeUp?: TakenUp;
   /** Ids of the shared parts of its prompt; absent for the usual prompt. */
   readonly sharedParts?: readonly string[];
+  /** The process of its host when it was sent. */
+  readonly processId?: number;
+  /** Set if it asks for a route that only some configurations have. */
+  readonly route?: string;
 }
 
 /** A stream that its caller takes up at any host. */
@@ -66,6 +70,8 @@
     kind: CallKind,
     sharedParts: readonly string[],
   ): Promise<CallRecord>;
+  /** Asks one host for a route that only some configurations have. */
+  callRoute(address: string, route: string): Promise<CallRecord>;
   /** Sends one request to any host, and does not take up its stream. */
   begin(kind: CallKind, patienceMs?: number): Promise<CallRecord>;
   /** Takes up a stream that broke off, with all that it brought, at any host. */
@@ -130,6 +136,7 @@
 /** One request in this many is abandoned early by its caller. */
 const DISCONNECT_ONE_IN = 12;
 const DISCONNECT_AFTER_MS = 120;
+const ROUTE_PATIENCE_MS = 1_500;
 
 export interface SoakCallersHost {
   readonly site: SoakSite;
@@ -204,7 +211,11 @@
     kind: CallKind,
     address: string,
     patienceMs?: number,
-    {takeUp, sharedParts}: Pick<CallRecord, 'takeUp' | 'sharedParts'> = {},
+    {
+      takeUp,
+      sharedParts,
+      route,
+    }: Pick<CallRecord, 'takeUp' | 'sharedParts' | 'route'> = {},
   ): Promise<CallRecord> {
     const owner = site.hosts.find(
       ({child}) => child.settings.callerAddress === address,
@@ -220,13 +231,16 @@
       hasDisconnected: false,
       takeUp,
       sharedParts,
+      processId: owner?.child.processId(),
+      route,
     };
     records.push(record);
     const isModel = MODEL_KINDS.has(kind);
     const isGet = GET_KINDS.has(kind);
     const {id} = takeUp?.first ?? record;
     const body = SENT_AGAIN_KINDS.has(kind) ? 'crash' : `body of ${id}`;
-    const target = sharedParts ? `${PATHS[kind]}-${id}` : PATHS[kind];
+    const path = route ? `${EXTRA_PREFIX}${route}/1` : PATHS[kind];
+    const target = sharedParts ? `${path}-${id}` : path;
     const disconnectsEarly =
       !sharedParts && random.nextInt(DISCONNECT_ONE_IN) === 0;
     const leavesAfterMs =
@@ -361,6 +375,8 @@
     servedShare: () => 1 - outageMs / callersMs,
     call,
     callWithParts,
+    callRoute: (address, route) =>
+      send('extra', address, ROUTE_PATIENCE_MS, {route}),
     begin(kind, patienceMs) {
       const {child} = site.hosts[random.nextInt(site.hosts.length)];
       return send(kind, child.settings.callerAddress, patienceMs);
--- a/tests/soak/soak_checks.ts
+++ b/tests/soak/soak_checks.ts
@@ -4,6 +4,7 @@
 
 import {findIgnoredSignals} from './backpressure_checks.js';
 import {isStreamKind} from './call_kinds.js';
+import {findOldConfigurations} from './configuration_checks.js';
 import {findUnstoppedParts, type PartFault} from './crashing_parts.js';
 import {findUnstoppedCrashes} from './crashing_requests.js';
 import {findPauseViolations} from './engine_pause_checks.js';
@@ -26,6 +27,7 @@
   STREAM_EVENTS,
   type RecordedCrash,
   type SoakUpstream,
+  type WrittenConfiguration,
 } from './soak_site.js';
 
 export interface ExitedProcess {
@@ -46,6 +48,9 @@
   readonly partFaults: readonly PartFault[];
   readonly disruptions: readonly DisruptedSpan[];
   readonly cuts: readonly HostCut[];
+  /** Disturbances of the store and of the hosts' links to it. */
+  readonly storeDisruptions: readonly DisruptedSpan[];
+  readonly configurations: readonly WrittenConfiguration[];
   /** Additional retries per service. */
   readonly retrySlack: number;
   /** Exits of processes that received SIGTERM. */
@@ -157,6 +162,15 @@
   );
 }
 
+/** All spans in which a host is not held to the bound of configurations. */
+export function withAllDisruptions(evidence: SoakEvidence): SoakEvidence {
+  const {disruptions, cuts, storeDisruptions} = evidence;
+  return {
+    ...evidence,
+    disruptions: [...disruptions, ...toSpans(cuts), ...storeDisruptions],
+  };
+}
+
 /** Returns one line for each violated guarantee. */
 export function findViolations(evidence: SoakEvidence): readonly string[] {
   const {records, upstreams, disruptions, left} = evidence;
@@ -179,6 +193,7 @@
     violations.push(...checkDraining(upstream, byId, disruptions));
   }
   violations.push(...findIgnoredSignals(upstreams, byId, disruptions));
+  violations.push(...findOldConfigurations(withAllDisruptions(evidence)));
   violations.push(...findUnstoppedCrashes(evidence));
   violations.push(...findUnstoppedParts(evidence));
   violations.push(...findUnservedCuts(records, evidence.cuts, disruptions));
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -1,10 +1,14 @@
 /** Faults drawn from a seed, and the handlers that inject and revert them. */
 
 import type {Random} from '../../src/ports/random.js';
+import {createSeededRandom} from '../../src/core/seeded_random.js';
+import {changeRoutes} from './configurations.js';
 import {sendCrashingParts} from './crashing_parts.js';
 import {sendCrashingRequests} from './crashing_requests.js';
 import {
   BROKEN_STREAMS_KIND,
+  CONFIGURATIONS_KIND,
+  CONFIGURATIONS_SOAK_KINDS,
   CRASHING_KIND,
   CRASHING_PARTS_KIND,
   ENGINE_PAUSE_KIND,
@@ -12,6 +16,7 @@
   HOST_CUT_KIND,
   LEAVE_TOGETHER_KIND,
   OLDER_COPY_KIND,
+  SLOW_STORE_KIND,
   SILENT_CONNECTIONS_KIND,
   type FaultContext,
   type FaultKind,
@@ -46,6 +51,18 @@
   })).sort((a, b) => a.atMs - b.atMs);
 }
 
+/** Plans faults of all kinds beside two series of configurations. */
+export function toConfigurationOptions(seed: number, durationMs: number) {
+  const random = createSeededRandom(seed);
+  const kind = CONFIGURATIONS_KIND;
+  const faults: readonly PlannedFault[] = [
+    {kind, atMs: 0, forMs: durationMs},
+    {kind, atMs: random.nextInt(durationMs), forMs: durationMs / 4},
+    ...planFaults(random, durationMs, CONFIGURATIONS_SOAK_KINDS),
+  ];
+  return {seed, durationMs, faults};
+}
+
 /**
  * Time from an upstream's first `leaving` answer until it drains in the store.
  */
@@ -243,10 +260,22 @@
       context.recordDisruption({hostId, fromMs, toMs, isOfProcess: false});
     }
   },
-  async 'store-lossy'({site}, {forMs}) {
+  async 'store-lossy'({site, now}, {forMs}) {
+    const fromMs = now();
     site.store.setMode('answers-lost');
     await wait(forMs);
     site.store.setMode('serving');
+    site.storeFaults.push({fromMs, toMs: now()});
+  },
+  async [SLOW_STORE_KIND]({site, now}, {forMs}) {
+    const fromMs = now();
+    const links = site.hosts.map(({storeLink}) => storeLink);
+    for (const link of links) link.setMode('delay');
+    await wait(forMs);
+    for (const link of links) link.setMode('pass');
+    // Bytes that are still delayed must not follow later ones.
+    for (const link of links) link.resetAll();
+    site.storeFaults.push({fromMs, toMs: now()});
   },
   async [OLDER_COPY_KIND](context, {forMs}) {
     const {site, random} = context;
@@ -362,6 +391,7 @@
     upstream.standIn.setBehaviour('answer');
     upstream.standIn.setRetryAfter(undefined);
   },
+  [CONFIGURATIONS_KIND]: changeRoutes,
   async configure(context) {
     context.site.publishConfiguration(context.random.nextInt(2));
   },
--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -4,11 +4,12 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import {createSeededRandom} from '../../src/core/seeded_random.js';
-import type {
-  DisruptedSpan,
-  FaultContext,
-  FaultKind,
-  PlannedFault,
+import {
+  CONFIGURATIONS_KIND,
+  type DisruptedSpan,
+  type FaultContext,
+  type FaultKind,
+  type PlannedFault,
 } from './fault_kinds.js';
 import {
   createSoakCallers,
@@ -17,8 +18,14 @@
 } from './soak_callers.js';
 import type {CallKind} from './call_kinds.js';
 import {describeParts} from './crashing_parts.js';
+import {describeConfigurations} from './configuration_checks.js';
+import {startRouteCallers} from './configurations.js';
 import type {HostCut} from './host_cuts.js';
-import {findViolations, type ExitedProcess} from './soak_checks.js';
+import {
+  findViolations,
+  withAllDisruptions,
+  type ExitedProcess,
+} from './soak_checks.js';
 import {FAULT_HANDLERS, planFaults} from './soak_faults.js';
 import {
   createSoakSite,
@@ -59,7 +66,10 @@
   readonly ends: Readonly<Record<string, number>>;
   /** One line for each violated guarantee. */
   readonly broken: readonly string[];
-  /** One line for each part of prompts that crashed upstreams. */
+  /**
+   * One line for each part of prompts that crashed upstreams, and one for the
+   * configurations.
+   */
   readonly measured: readonly string[];
 }
 
@@ -129,6 +139,16 @@
   return answered.length / counted.length;
 }
 
+function findStoreDisruptions(site: SoakSite): readonly DisruptedSpan[] {
+  return site.hosts.flatMap(({child, storeLink}) =>
+    [...site.storeFaults, ...storeLink.disturbances].map(span => ({
+      ...span,
+      hostId: child.settings.hostId,
+      isOfProcess: false,
+    })),
+  );
+}
+
 async function runOnSite(
   site: SoakSite,
   options: SoakOptions,
@@ -150,6 +170,12 @@
     problems.push(await waitUntilServed(callers, kind, READY_WITHIN_MS));
   }
   const startedAtMs = now();
+  const hasConfigurations = faults.some(
+    ({kind}) => kind === CONFIGURATIONS_KIND,
+  );
+  const routeCallers = hasConfigurations
+    ? startRouteCallers({site, random, now, callers})
+    : undefined;
   await injectFaults(faults, {
     site,
     random,
@@ -162,6 +188,7 @@
     recordExit: exit => left.push(exit),
   });
   await wait(Math.max(0, options.durationMs - (now() - startedAtMs)));
+  await routeCallers?.stop();
   for (const kind of CHECKED_KINDS) {
     problems.push(await waitUntilServed(callers, kind, RECOVER_WITHIN_MS));
   }
@@ -174,22 +201,28 @@
     partFaults: site.partFaults,
     disruptions,
     cuts,
+    storeDisruptions: findStoreDisruptions(site),
+    configurations: site.configurations,
     retrySlack: options.retrySlack ?? RETRY_SLACK,
     left,
   };
+  const usual = records.filter(({route}) => route === undefined);
   return {
     seed: options.seed,
     faults,
-    calls: records.length,
-    answered: records.filter(({status}) => status === STATUS_OK).length,
+    calls: usual.length,
+    answered: usual.filter(({status}) => status === STATUS_OK).length,
     servedShare: callers.servedShare(),
-    answeredShare: findAnsweredShare(records),
-    ends: countEnds(records),
+    answeredShare: findAnsweredShare(usual),
+    ends: countEnds(usual),
     broken: [
       ...problems.filter(each => each !== undefined),
       ...findViolations(evidence),
     ],
-    measured: describeParts(evidence),
+    measured: [
+      ...describeParts(evidence),
+      ...describeConfigurations(withAllDisruptions(evidence)),
+    ],
   };
 }
 
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -3,6 +3,7 @@
  * fault proxies. The store and the upstreams are stand-ins in this process.
  */
 
+import {performance} from 'node:perf_hooks';
 import {createEngineStandIn} from '../../stand_ins/users_platform/engine_stand_in.js';
 import type {
   EngineOptions,
@@ -17,7 +18,11 @@
 import {findFreeAddress} from '../support/free_address.js';
 import {EXTRA_PREFIX, type CallKind} from './call_kinds.js';
 import type {PartFault} from './crashing_parts.js';
-import {createFaultProxy, type FaultProxy} from './fault_proxy.js';
+import {
+  createFaultProxy,
+  type FaultProxy,
+  type LinkDisturbance,
+} from './fault_proxy.js';
 import {createRelayChild, type RelayChild} from './relay_child.js';
 
 export interface SoakHost {
@@ -71,6 +76,15 @@
   goneSinceMs?: number;
 }
 
+/** A version of the configuration that the operator wrote. */
+export interface WrittenConfiguration {
+  readonly version: number;
+  /** The routes that only some versions have. */
+  readonly routes: readonly string[];
+  readonly sentAtMs: number;
+  readonly acknowledgedAtMs: number;
+}
+
 /** An upstream ended while it ran the request. */
 export interface RecordedCrash {
   readonly kind: CallKind;
@@ -93,6 +107,10 @@
   /** Whether hosts are cut off from all upstreams. */
   isCut: boolean;
   readonly store: StoreStandIn;
+  /** Times in which the store lost answers or acknowledged writes. */
+  readonly storeFaults: LinkDisturbance[];
+  /** All versions so far, the oldest first. */
+  readonly configurations: readonly WrittenConfiguration[];
   readonly hosts: readonly SoakHost[];
   /** All upstreams so far, including those that are gone. */
   readonly upstreams: readonly SoakUpstream[];
@@ -109,9 +127,10 @@
    */
   restoreStore(copy: StoreCopy, awayAtMs: number, backAtMs: number): void;
   /**
-   * Writes the next configuration version, with this many additional routes.
+   * Writes the next configuration version, with this many additional routes,
+   * and with these others instead of those of the version before.
    */
-  publishConfiguration(extraRoutes: number): number;
+  publishConfiguration(extraRoutes: number, routes?: readonly string[]): number;
   nextUpstreamId(): string;
   /** Writes the upstream's row, as each heartbeat does. */
   writeRow(upstream: SoakUpstream): void;
@@ -172,6 +191,8 @@
   const hosts: SoakHost[] = [];
   let version = 0;
   let newest: object = {};
+  const storeFaults: LinkDisturbance[] = [];
+  const configurations: WrittenConfiguration[] = [];
   let startCount = 0;
 
   let versionCount = 1;
@@ -222,19 +243,31 @@
     return upstream;
   }
 
-  function publishConfiguration(extraRoutes: number): number {
+  function publishConfiguration(
+    extraRoutes: number,
+    changing = configurations.at(-1)?.routes ?? [],
+  ): number {
     const made = makeConfiguration() as {readonly routes: readonly object[]};
     const {routeTimeoutMs: timeout_ms = ROUTE_TIMEOUT_MS} = options;
     const routes = made.routes.map(each => ({...each, timeout_ms}));
     const base = {...made, routes};
-    const extra = Array.from({length: extraRoutes}, (_, i) => ({
+    const numbered = Array.from({length: extraRoutes}, (_, i) => String(i));
+    const extra = [...numbered, ...changing].map(each => ({
       ...base.routes[0],
-      name: `extra-${i}`,
-      prefix: `${EXTRA_PREFIX}${i}/`,
+      name: `extra-${each}`,
+      prefix: `${EXTRA_PREFIX}${each}/`,
     }));
     version += 3;
     newest = {...base, version, routes: [...routes, ...extra]};
+    const sentAtMs = performance.now();
     store.put('op', 'config', newest);
+    const acknowledgedAtMs = performance.now();
+    configurations.push({
+      version,
+      routes: changing,
+      sentAtMs,
+      acknowledgedAtMs,
+    });
     return version;
   }
 
@@ -244,6 +277,7 @@
     backAtMs: number,
   ): void {
     store.restore(copy);
+    storeFaults.push({fromMs: awayAtMs, toMs: backAtMs + REWRITE_DELAY_MS});
     setTimeout(() => store.put('op', 'config', newest), REWRITE_DELAY_MS);
     setTimeout(() => {
       for (const {state, standIn} of upstreams) {
@@ -292,6 +326,8 @@
     partFaults: [],
     isCut: false,
     store,
+    storeFaults,
+    configurations,
     hosts,
     upstreams,
     addUpstream,
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -11,6 +11,7 @@
   OLDER_COPY_SOAK_KINDS,
   FAULT_KINDS,
 } from './fault_kinds.js';
+import {toConfigurationOptions} from './soak_faults.js';
 import {runSoak, type SoakOptions} from './soak_run.js';
 
 const folder = path.resolve('build', 'soak');
@@ -91,6 +92,13 @@
   kinds: LEAVING_SOAK_KINDS,
 };
 
+/** Guards against hosts that go by an older configuration. */
+const configurations: SoakOptions = {
+  ...short,
+  ...toConfigurationOptions(8_100, 6_000),
+  hostCount: 4,
+};
+
 const RUNS = [
   short,
   ...REGRESSIONS,
@@ -100,6 +108,7 @@
   brokenStreams,
   engineVersions,
   leaving,
+  configurations,
 ];
 
 const MIN_SHARE = 0.5;
