--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -12,6 +12,7 @@
 
 import path from 'node:path';
 import {parseArgs} from 'node:util';
+import {toConfigurationOptions} from './configuration_options.js';
 import {
   ALL_KINDS,
   BACKPRESSURE_SOAK_KINDS,
@@ -27,7 +28,6 @@
 } from './fault_kinds.js';
 import {toPartOptions} from './part_scenarios.js';
 import {toPauseOptions} from './engine_pauses.js';
-import {toConfigurationOptions} from './soak_faults.js';
 import {runSoak} from './soak_run.js';
 
 const {values} = parseArgs({
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -1,14 +1,12 @@
 /** Faults drawn from a seed, and the handlers that inject and revert them. */
 
 import type {Random} from '../../src/ports/random.js';
-import {createSeededRandom} from '../../src/core/seeded_random.js';
 import {changeRoutes} from './configurations.js';
 import {sendCrashingParts} from './crashing_parts.js';
 import {sendCrashingRequests} from './crashing_requests.js';
 import {
   BROKEN_STREAMS_KIND,
   CONFIGURATIONS_KIND,
-  CONFIGURATIONS_SOAK_KINDS,
   CRASHING_KIND,
   CRASHING_PARTS_KIND,
   ENGINE_PAUSE_KIND,
@@ -51,18 +49,6 @@
   })).sort((a, b) => a.atMs - b.atMs);
 }
 
-/** Plans faults of all kinds beside two series of configurations. */
-export function toConfigurationOptions(seed: number, durationMs: number) {
-  const random = createSeededRandom(seed);
-  const kind = CONFIGURATIONS_KIND;
-  const faults: readonly PlannedFault[] = [
-    {kind, atMs: 0, forMs: durationMs},
-    {kind, atMs: random.nextInt(durationMs), forMs: durationMs / 4},
-    ...planFaults(random, durationMs, CONFIGURATIONS_SOAK_KINDS),
-  ];
-  return {seed, durationMs, faults};
-}
-
 /**
  * Time from an upstream's first `leaving` answer until it drains in the store.
  */
--- a/tests/soak/soak_test.ts
+++ b/tests/soak/soak_test.ts
@@ -2,6 +2,7 @@
 import {execFileSync} from 'node:child_process';
 import path from 'node:path';
 import {before, test} from 'node:test';
+import {toConfigurationOptions} from './configuration_options.js';
 import {
   BACKPRESSURE_SOAK_KINDS,
   BROKEN_STREAMS_SOAK_KINDS,
@@ -11,7 +12,6 @@
   OLDER_COPY_SOAK_KINDS,
   FAULT_KINDS,
 } from './fault_kinds.js';
-import {toConfigurationOptions} from './soak_faults.js';
 import {runSoak, type SoakOptions} from './soak_run.js';
 
 const folder = path.resolve('build', 'soak');
