--- a/src/relay/silence/engine_silence.ts
+++ b/src/relay/silence/engine_silence.ts
@@ -26,7 +26,7 @@
   /** Whether the engine has sent anything, on any connection, since then. */
   wasAliveAfter(engineId: string, atMs: number): boolean;
   /** Whether the engine has sent anything or answered a probe since then. */
-  wasHeardSince(engineId: string, atMs: number): boolean;
+  hasRespondedSince(engineId: string, atMs: number): boolean;
   /** Whether a long silence of the engine has ended since then. */
   wasSilentSince(engineId: string, atMs: number): boolean;
   /** Whether most decode engines of the service are silent. */
@@ -51,7 +51,7 @@
 /** Includes the way by a peer, which is asked if there is no answer at first. */
 const ANSWER_WAIT_MS = 600;
 /**
- * Engines that paused together go on together, but one of them is heard first.
+ * Engines that paused together go on together, but one of them answers first.
  * It replaces none of the others before it has been awake for this time.
  */
 const AWAKE_MS = 250;
@@ -99,7 +99,7 @@
     });
 
   /** Whether the engine was seen a moment ago, or answers a probe in time. */
-  async function isHeard(engine: Upstream): Promise<boolean> {
+  async function isResponsive(engine: Upstream): Promise<boolean> {
     if (wasSeenWithin(engine.id, JUST_SEEN_MS)) return true;
     const askedAtMs = clock.nowMs();
     const isKnownSilent = isProbeSilent(engine.id);
@@ -131,7 +131,7 @@
     wasAliveAfter: (engineId, atMs) =>
       probes.hasAnsweredSince(engineId, atMs) ||
       runs.lastSeenAtMs(engineId) > atMs + SAME_STEP_MS,
-    wasHeardSince: (engineId, atMs) =>
+    hasRespondedSince: (engineId, atMs) =>
       runs.lastSeenAtMs(engineId) > atMs ||
       probes.hasAnsweredWithin(engineId, clock.nowMs() - atMs),
     wasSilentSince: runs.wasSilentSince,
@@ -143,7 +143,7 @@
       return silentCount >= MIN_COMMON && 2 * silentCount >= known.length;
     },
     async answers(engine) {
-      if (!(await isHeard(engine))) return false;
+      if (!(await isResponsive(engine))) return false;
       if (!hasWoken(engine.id)) return true;
       const askedAtMs = clock.nowMs();
       void probes.probe(engine);
--- a/src/relay/streams/successors.ts
+++ b/src/relay/streams/successors.ts
@@ -30,7 +30,7 @@
   readonly upstreamPort: Pick<UpstreamPort, 'releasePrefill'>;
   readonly scheduler: EngineScheduler;
   readonly engineLoads: EngineLoads;
-  readonly silence: Pick<EngineSilence, 'answers' | 'wasHeardSince'>;
+  readonly silence: Pick<EngineSilence, 'answers' | 'hasRespondedSince'>;
   readonly calls: BudgetedCalls;
   start: StreamStart['start'];
 }
@@ -171,10 +171,10 @@
   ): Promise<Successor | Missing> {
     const sinceMs = clock.nowMs();
     const engineId = state.placement.decode.id;
-    // An engine that is heard again goes on with its runs in a moment.
+    // An engine that responds again continues its runs in a moment.
     const isWanted = () =>
       reason === 'dead-connection' ||
-      !host.silence.wasHeardSince(engineId, sinceMs);
+      !host.silence.hasRespondedSince(engineId, sinceMs);
     if (!mayResume(state)) return 'attempt';
     if (state.events > 0 && state.need.version === undefined) return 'version';
     if (!calls.canRetryRun(state)) return 'retry';
--- a/tests/relay/silence/fake_silence.ts
+++ b/tests/relay/silence/fake_silence.ts
@@ -8,7 +8,7 @@
   return {
     investigate: () => undefined,
     wasAliveAfter: () => false,
-    wasHeardSince: () => false,
+    hasRespondedSince: () => false,
     wasSilentSince: () => false,
     isCommon: () => false,
     answers: () => Promise.resolve(true),
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -67,7 +67,7 @@
   readonly prefillRejections?: number;
   /** All engines leave when the prompt is read for the second run. */
   readonly isLast?: boolean;
-  /** When the silent engine is heard, by what is done with the next run. */
+  /** When the silent engine responds, by what is done with the next run. */
   readonly heard?: 'while-prepared' | 'once-refused';
   /** How long rejections take. */
   readonly rejectedAfterMs?: number;
@@ -160,7 +160,7 @@
     silence: makeFakeSilence({
       wasAliveAfter: () => changes.isAlive ?? false,
       wasSilentSince: () => changes.hasPaused ?? false,
-      wasHeardSince: () =>
+      hasRespondedSince: () =>
         changes.heard === 'while-prepared' ||
         (changes.heard === 'once-refused' && refusedCount > 0),
     }),
@@ -256,7 +256,7 @@
   });
 
   // Guards against a run at another engine as the engine before goes on.
-  test('is kept if its engine is heard before the next one is sent', async () => {
+  test('is kept if its engine responds before the next one is sent', async () => {
     const stream = await startStream({heard: 'while-prepared'});
     const {clock, runs, log, bookedRuns} = stream;
     await clock.advance(PREFILL_MS + 100);
@@ -265,7 +265,7 @@
   });
 
   // Guards against a stream that ends with neither run, though none broke off.
-  test('that was left goes on though its engine is heard later', async () => {
+  test('that was left goes on though its engine responds later', async () => {
     const refusal = {rejections: 1, rejectedAfterMs: 500};
     const stream = await startStream({heard: 'once-refused', ...refusal});
     const {clock, runs, send, outcome} = stream;
