--- a/tests/soak/leaving_checks.ts
+++ b/tests/soak/leaving_checks.ts
@@ -73,16 +73,17 @@
 
 /** The last answers are written so long before the kill. */
 const ANSWER_MARGIN_MS = 450;
-/** A host counts from so long before it handles the signal. */
-const SIGNAL_AGE_MS = 120;
 /** Requests may take so much longer than the longest one so far. */
 const MAX_SLOW_FACTOR = 2;
 
 /** A request that was refused because its host leaves. */
 export interface LeavingRefusal {
-  /** Time from the SIGTERM until the request reached its host. */
+  /**
+   * Time from the earliest moment at which SIGTERM may have reached the host
+   * until the request did.
+   */
   readonly afterMs: number;
-  /** Time from the SIGTERM until the request was refused. */
+  /** Time from the same moment until the request was refused. */
   readonly refusedAfterMs: number;
   readonly deadlineMs: number;
   /** The longest whole answer to a request of its service until then. */
@@ -98,8 +99,8 @@
   {afterMs, refusedAfterMs, deadlineMs, longestMs}: LeavingRefusal,
   graceMs: number,
 ): boolean {
-  const endMs = graceMs - ANSWER_MARGIN_MS - TRANSIT_MS - SIGNAL_AGE_MS;
-  const openUntilMs = EXCUSED_SENT_SHARE * graceMs - TRANSIT_MS - SIGNAL_AGE_MS;
+  const endMs = graceMs - ANSWER_MARGIN_MS - TRANSIT_MS;
+  const openUntilMs = EXCUSED_SENT_SHARE * graceMs - TRANSIT_MS;
   const isUsualInTime = afterMs + MAX_SLOW_FACTOR * longestMs < endMs;
   return (
     afterMs + deadlineMs < endMs ||
--- a/tests/soak/leaving_hosts.ts
+++ b/tests/soak/leaving_hosts.ts
@@ -1,8 +1,10 @@
 /** Plays hosts that leave while all callers go on at the hosts they know. */
 
 import {mkdirSync, readFileSync, rmSync} from 'node:fs';
+import net from 'node:net';
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
+import {splitAddress} from '../../src/adapters/listen.js';
 import {createSeededRandom} from '../../src/core/seeded_random.js';
 import {isStreamKind} from './call_kinds.js';
 import {
@@ -36,7 +38,7 @@
   /** Streams that begin so long after the first SIGTERM take so long. */
   readonly slowdown?: {readonly afterMs: number; readonly streamMs: number};
   readonly engines?: EngineCounts;
-  /** Each host is killed, and starts so long before its SIGTERM. */
+  /** Each host is killed, and listens again so long before its SIGTERM. */
   readonly startedBeforeMs?: readonly number[];
   /** Two engines leave so long after the first SIGTERM. */
   readonly engineLeaveAfterMs?: number;
@@ -86,10 +88,23 @@
   return {hostId, end, fromMs, toMs: performance.now()};
 }
 
+/** Whether the address accepts connections. */
+function isListening(address: string): Promise<boolean> {
+  return new Promise(resolve => {
+    const {ip, port} = splitAddress(address);
+    const socket = net.connect(port, ip);
+    socket.on('error', () => resolve(false));
+    socket.on('connect', () => resolve(true));
+    socket.on('connect', () => socket.destroy());
+  });
+}
+
+/** Resolves so long after the next process listens. */
 async function restart(child: RelayChild, forMs: number): Promise<void> {
   child.signal('SIGKILL');
   await child.ended();
   child.start();
+  while (!(await isListening(child.settings.callerAddress))) await wait(5);
   await wait(forMs);
 }
 
@@ -139,31 +154,42 @@
   readonly refusedAtMs: number;
 }
 
+interface LeavingLog {
+  /** From when the host counts its grace. */
+  readonly leavingFromMs: number;
+  /** The requests that it refused, by id. */
+  readonly refusals: ReadonlyMap<string, LoggedRefusal>;
+}
+
+interface LogLine {
+  readonly time: string;
+  readonly message: string;
+  readonly signalAgeMs: number;
+  readonly end?: string;
+  readonly request: string;
+  readonly durationMs: number;
+}
+
 /**
- * When the requests that the host refused reached it, by its log: it may have
- * been suspended when they were sent.
+ * When requests reached the host, and since when it knows that it leaves, by
+ * its log: it may have been suspended when they or the signal were sent.
  */
-function readRefusals(
-  folder: string,
-  hostId: string,
-): ReadonlyMap<string, LoggedRefusal> {
+function readLog(folder: string, hostId: string): LeavingLog {
   const refusals = new Map<string, LoggedRefusal>();
+  let leavingFromMs = Number.POSITIVE_INFINITY;
   const log = readFileSync(path.join(folder, `${hostId}.log`), 'utf8');
-  for (const line of log.split('\n')) {
-    const isWhole = line.endsWith('}');
-    if (!isWhole || !line.includes('"end":"refused"')) continue;
-    const {time, request, durationMs} = JSON.parse(line) as {
-      readonly time: string;
-      readonly request: string;
-      readonly durationMs: number;
-    };
-    const refusedAtMs = Date.parse(time) - performance.timeOrigin;
-    refusals.set(request, {
-      arrivedAtMs: refusedAtMs - durationMs,
-      refusedAtMs,
+  for (const text of log.split('\n')) {
+    if (!text.endsWith('}')) continue;
+    const line = JSON.parse(text) as LogLine;
+    const atMs = Date.parse(line.time) - performance.timeOrigin;
+    if (line.message === 'Leaving.') leavingFromMs = atMs - line.signalAgeMs;
+    if (line.end !== 'refused') continue;
+    refusals.set(line.request, {
+      arrivedAtMs: atMs - line.durationMs,
+      refusedAtMs: atMs,
     });
   }
-  return refusals;
+  return {leavingFromMs, refusals};
 }
 
 function findLongestMs(
@@ -224,19 +250,18 @@
   await sending;
   await callers.stop();
   const {records} = callers;
-  const termOf = (hostId: string) =>
-    exits.find(each => each.hostId === hostId)?.fromMs ?? Infinity;
-  const logged = new Map(
-    exits.flatMap(({hostId}) => [...readRefusals(folder, hostId)]),
+  const logs = new Map(
+    exits.map(({hostId}) => [hostId, readLog(folder, hostId)]),
   );
 
   function toRefusal(refused: CallRecord): LeavingRefusal {
     const {id, hostId, sentAtMs, deadlineMs} = refused;
+    const {leavingFromMs = Infinity, refusals} = logs.get(hostId) ?? {};
     const {arrivedAtMs = sentAtMs, refusedAtMs = sentAtMs} =
-      logged.get(id) ?? {};
+      refusals?.get(id) ?? {};
     return {
-      afterMs: arrivedAtMs - termOf(hostId),
-      refusedAfterMs: refusedAtMs - termOf(hostId),
+      afterMs: arrivedAtMs - leavingFromMs,
+      refusedAfterMs: refusedAtMs - leavingFromMs,
       deadlineMs,
       longestMs: findLongestMs(refused, records),
     };
