--- a/tests/soak/configuration_hosts.ts
+++ b/tests/soak/configuration_hosts.ts
@@ -24,6 +24,8 @@
   readonly link?: ProxyMode;
   /** Connections to the store that are open at the start fall silent for good. */
   readonly silencesOpen?: boolean;
+  /** How many of the next connections to the store stay silent for good. */
+  readonly silencesNext?: number;
   readonly holdsDatagrams?: boolean;
   /** The process stands still for so much of each 100 ms. */
   readonly stopsMs?: number;
@@ -105,6 +107,7 @@
   const {link, stopsMs, forMs} = fault;
   for (const {storeLink, child} of hosts) {
     if (fault.silencesOpen) storeLink.silenceOpen();
+    storeLink.silenceNext(fault.silencesNext ?? 0);
     if (link) storeLink.setMode(link);
     if (fault.holdsDatagrams) child.signal('SIGUSR2');
   }
--- a/tests/soak/configuration_scenarios.ts
+++ b/tests/soak/configuration_scenarios.ts
@@ -114,4 +114,19 @@
       ],
     },
   ],
+  [
+    'dropped route, no datagrams, open and next connections silent',
+    {
+      isDrop: true,
+      faults: [
+        {
+          fromMs: -20,
+          forMs: 4_000,
+          silencesOpen: true,
+          silencesNext: 2,
+          holdsDatagrams: true,
+        },
+      ],
+    },
+  ],
 ]);
--- a/tests/soak/fault_proxy.ts
+++ b/tests/soak/fault_proxy.ts
@@ -52,6 +52,8 @@
   resetAll(): void;
   /** Drops all bytes of the open connections from now on. */
   silenceOpen(): void;
+  /** Drops all bytes of this many further connections. */
+  silenceNext(count: number): void;
   close(): void;
 }
 
@@ -78,6 +80,7 @@
   const cuts = new Map<string, LinkCut>();
   /** What the mode `hold` keeps, in order of arrival. */
   let held: Array<() => void> = [];
+  let silentCount = 0;
 
   function isBlocked(
     {source, isSilenced}: ProxiedConnection,
@@ -125,7 +128,9 @@
       return;
     }
     const server = net.connect({host, port: targetPort, allowHalfOpen: true});
-    const connection = {source, client, server, isSilenced: false};
+    const isSilenced = silentCount > 0;
+    if (isSilenced) silentCount--;
+    const connection = {source, client, server, isSilenced};
     connections.add(connection);
     client.on('close', () => connections.delete(connection));
     client.setNoDelay(true);
@@ -185,6 +190,9 @@
     silenceOpen() {
       for (const connection of connections) connection.isSilenced = true;
     },
+    silenceNext(count) {
+      silentCount = count;
+    },
     close() {
       listener.close();
       resetAll();
