--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -85,7 +85,7 @@
 const MAX_OPEN_MS = 3_000;
 /** Short, since a caller can connect to another entry right away. */
 const OTHER_ENTRY_RETRY_MS = 20;
-/** A signal that is handled later than this cannot be answered for. */
+/** The longest delay of the signal's handler that is accounted for. */
 const MAX_SIGNAL_DELAY_MS = 1_000;
 /** Time from the end of a process until its successor serves. */
 const RESTART_MS = 1_000;
