Account of what a process holds for its callers, with a bound over all

The settings know memory, but only callers that read slowly are bounded by it. Nothing holds through it yet. The front is split into http_caller.ts and body_reader.ts, unchanged.

--- a/src/core/error_kinds.ts
+++ b/src/core/error_kinds.ts
@@ -191,6 +191,13 @@
     title: 'The engines that can go on with this stream have gone.',
     retryable: true,
   },
+  'host-overloaded': {
+    code: 2015,
+    status: 503,
+    runState: 'not-run',
+    title: 'This entry has no room for the request.',
+    retryable: true,
+  },
   'outcome-unknown': {
     code: 3001,
     status: 504,
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -7,13 +7,14 @@
 import type {Socket} from 'node:net';
 import type {CallerLimits} from '../../core/routing_types.js';
 import {listenOn} from '../../adapters/listen.js';
-import {errorAnswers, type RequestError} from '../../core/error_kinds.js';
-import {createProblem} from '../../entry/problem.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
-import type {RawHeaders, RequestReader} from '../../ports/relay.js';
+import type {RequestReader} from '../../ports/relay.js';
 import type {Caller} from './caller.js';
-import type {CallerBuffers, CallerConnection} from './caller_buffers.js';
+import {readBody} from './body_reader.js';
+import type {CallerBuffers} from './caller_buffers.js';
+import {createHttpCaller} from './http_caller.js';
+import type {ResourceLimits} from '../limits/resource_limits.js';
 import type {Relay} from '../relay.js';
 
 export interface RelayFrontHost {
@@ -22,6 +23,7 @@
   readonly reader: RequestReader;
   readonly relay: Relay;
   readonly buffers: CallerBuffers;
+  readonly resources: ResourceLimits;
   limits(): CallerLimits | undefined;
   /** Returns whether connections are closed after the next answer. */
   isLeaving(): boolean;
@@ -46,7 +48,6 @@
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** How long a caller is assumed to wait if it sends no timeout. */
 const DEFAULT_WAIT_MS = 600_000;
-const MS_PER_SECOND = 1_000;
 
 /** A request that is being read, run or answered. */
 interface OpenRequest {
@@ -55,11 +56,6 @@
   readonly response: http.ServerResponse;
 }
 
-interface BodyResult {
-  readonly bytes?: Buffer;
-  readonly error?: RequestError;
-}
-
 export function createRelayFront(host: RelayFrontHost): RelayFront {
   const {clock, log, reader, relay} = host;
   const open = new Set<OpenRequest>();
@@ -91,27 +87,6 @@
     });
   }
 
-  function readBody(message: http.IncomingMessage): Promise<BodyResult> {
-    const maxBytes = host.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    return new Promise(resolve => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      message.on('data', (bytes: Buffer) => {
-        size += bytes.length;
-        if (size > maxBytes) {
-          resolve({
-            error: {kind: 'body-too-large', detail: `${maxBytes} bytes`},
-          });
-          return;
-        }
-        chunks.push(bytes);
-      });
-      message.on('end', () => resolve({bytes: Buffer.concat(chunks)}));
-      message.on('error', () => resolve({}));
-      message.on('close', () => resolve({}));
-    });
-  }
-
   async function handle(
     message: http.IncomingMessage,
     response: http.ServerResponse,
@@ -124,7 +99,9 @@
     open.add(request);
     response.once('close', () => open.delete(request));
     const caller = createCaller(response, requestId);
-    const body = await readBody(message);
+    const body = await readBody(message, {
+      maxBytes: host.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+    });
     if (body.error) return caller.refuse(body.error);
     // The caller disconnected before it had sent the whole request.
     if (!body.bytes) return;
@@ -192,90 +169,3 @@
     },
   };
 }
-
-interface HttpCallerHost {
-  readonly buffers: CallerBuffers;
-  /** Whether the connection closes after the answer that begins now. */
-  closeAfter(): boolean;
-}
-
-function createHttpCaller(
-  response: http.ServerResponse,
-  requestId: string,
-  {buffers, closeAfter}: HttpCallerHost,
-): Caller {
-  let hasLength = false;
-  const connection: CallerConnection = {
-    requestId,
-    isStream: () => !hasLength,
-    bufferedBytes: () => response.writableLength,
-    close: () => void response.destroy(),
-  };
-  const connectionHeader = (): string[] =>
-    closeAfter() ? ['Connection', 'close'] : [];
-  response.on('drain', () => buffers.noteFree(connection));
-  response.once('close', () => buffers.noteFree(connection));
-
-  function write(bytes: Buffer): boolean {
-    const isTaken = response.write(bytes);
-    if (!isTaken && !response.destroyed) buffers.noteBlocked(connection);
-    return isTaken;
-  }
-
-  function begin(
-    status: number,
-    headers: RawHeaders,
-    bodyLength?: number,
-  ): void {
-    hasLength = bodyLength !== undefined;
-    const length =
-      bodyLength === undefined ? [] : ['Content-Length', String(bodyLength)];
-    response.writeHead(status, [...headers, ...length, ...connectionHeader()]);
-  }
-
-  function cut(): void {
-    // Without chunks, a connection that closes is the end of the answer.
-    const hasChunks = response.req.httpVersion !== '1.0';
-    if (!hasChunks && !hasLength) response.socket?.resetAndDestroy();
-    response.destroy();
-  }
-
-  return {
-    get hasBegun() {
-      return response.headersSent;
-    },
-    begin,
-    write,
-    end: () => void response.end(),
-    cut,
-    refuse(error) {
-      if (response.headersSent || response.destroyed) return;
-      const problem = createProblem(error, requestId);
-      const body = Buffer.from(JSON.stringify(problem));
-      begin(
-        errorAnswers[error.kind].status,
-        [
-          'Content-Type',
-          'application/problem+json',
-          ...retryAfterHeader(error),
-        ],
-        body.length,
-      );
-      response.end(body);
-    },
-    onDisconnect(listener) {
-      response.once('close', () => {
-        if (!response.writableFinished) listener();
-      });
-    },
-    onWritable: listener => void response.on('drain', listener),
-  };
-}
-
-/**
- * Uses fractional seconds, since capacity is freed within tenths of a second.
- */
-function retryAfterHeader(error: RequestError): readonly string[] {
-  if (error.retryAfterMs === undefined) return [];
-  return ['Retry-After', (error.retryAfterMs / MS_PER_SECOND).toFixed(3)];
-}
--- /dev/null
+++ b/src/relay/limits/resource_limits.ts
@@ -0,0 +1,95 @@
+/**
+ * What a process may use, from its settings: memory, connections of callers and
+ * descriptors; and what is refused or ended before it uses more.
+ */
+
+import type {RequestError} from '../../core/error_kinds.js';
+import type {Clock} from '../../ports/clock.js';
+import type {Logger} from '../../ports/log.js';
+import type {RelayMetrics} from '../relay_metrics.js';
+import type {RelaySettings} from '../relay_settings.js';
+import {createMemoryBudget, type MemoryBudget} from './memory_budget.js';
+
+export interface ResourceLimitsHost {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: Pick<RelayMetrics, 'count'>;
+  /** Whether another entry takes requests. */
+  hasOtherEntry(): boolean;
+}
+
+export interface ResourceLimits {
+  readonly memory: MemoryBudget;
+  /** Connections of callers that may be open at once. */
+  readonly maxCallerConnections: number;
+  /** The refusal of a request for which there is no room. */
+  toRefusal(detail: string): RequestError;
+}
+
+const BYTES_PER_MB = 1024 * 1024;
+/** What the process uses itself, with what it needs for its own work. */
+const OWN_MEMORY_MB = 100;
+/**
+ * Of the rest, the part for what is held for callers. Garbage that has not been
+ * collected takes as much again.
+ */
+const HELD_SHARE = 1 / 2;
+const MIN_HELD_SHARE = 1 / 8;
+
+/** Descriptors for files, listening sockets and connections of this host. */
+const OWN_DESCRIPTORS = 200;
+/** Of the rest, the part for callers; calls to upstreams need the others. */
+const CALLER_SHARE = 1 / 2;
+
+/** Short, since a caller can connect to another entry right away. */
+const OTHER_ENTRY_RETRY_MS = 20;
+/** Requests end within about a second, and free what they hold. */
+const RETRY_MS = 1_000;
+
+function toMaxHeldBytes(memoryMb: number): number {
+  const heldMb = Math.max(
+    (memoryMb - OWN_MEMORY_MB) * HELD_SHARE,
+    memoryMb * MIN_HELD_SHARE,
+  );
+  return heldMb * BYTES_PER_MB;
+}
+
+function toMaxConnections(maxDescriptors: number): number {
+  const count = (maxDescriptors - OWN_DESCRIPTORS) * CALLER_SHARE;
+  return Math.max(1, Math.floor(count));
+}
+
+export function createResourceLimits(
+  host: ResourceLimitsHost,
+  settings: Pick<RelaySettings, 'memoryMb' | 'maxDescriptors'>,
+): ResourceLimits {
+  const {log, metrics} = host;
+  const {memoryMb, maxDescriptors} = settings;
+  const maxHeldBytes =
+    memoryMb === undefined ? Infinity : toMaxHeldBytes(memoryMb);
+  const memory = createMemoryBudget({
+    maxHeldBytes: () => maxHeldBytes,
+    onEnded({kind, requestId}, heldBytes) {
+      log.warn('A request was ended, as memory is scarce.', {
+        request: requestId,
+        kind,
+        heldBytes,
+        totalBytes: memory.heldBytes(),
+        maxBytes: maxHeldBytes,
+      });
+      metrics.count('memory_ends', `kind="${kind}"`);
+    },
+  });
+  return {
+    memory,
+    maxCallerConnections:
+      maxDescriptors === undefined
+        ? Infinity
+        : toMaxConnections(maxDescriptors),
+    toRefusal: detail => ({
+      kind: 'host-overloaded',
+      detail,
+      retryAfterMs: host.hasOtherEntry() ? OTHER_ENTRY_RETRY_MS : RETRY_MS,
+    }),
+  };
+}
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -20,6 +20,7 @@
 import {createLoopLateness} from './loop_lateness.js';
 import {toHostCapacity} from './fleet/host_capacity.js';
 import type {HostState} from './fleet/members.js';
+import {createResourceLimits} from './limits/resource_limits.js';
 import {rankOwners} from './fleet/owners.js';
 import {createPeerExchange} from './fleet/peer_exchange.js';
 import type {OwnState} from './fleet/peer_exchange_types.js';
@@ -388,6 +389,15 @@
     loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
+  const resources = createResourceLimits(
+    {
+      clock,
+      log: createLogger('limits'),
+      metrics,
+      hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
+    },
+    settings,
+  );
   const callerBuffers = createCallerBuffers(
     {clock, log: createLogger('front'), metrics},
     settings,
@@ -395,6 +405,7 @@
   const front = createRelayFront({
     clock,
     buffers: callerBuffers,
+    resources,
     log: createLogger('front'),
     reader: adapters.reader,
     relay,
--- a/src/relay/relay_settings.ts
+++ b/src/relay/relay_settings.ts
@@ -41,6 +41,8 @@
   readonly cpuShare?: number;
   readonly coreCount?: number;
   readonly memoryMb?: number;
+  /** Descriptors that the process may have open. */
+  readonly maxDescriptors?: number;
 }
 
 type FieldCheck = (value: unknown) => boolean;
@@ -74,6 +76,7 @@
   cpuShare: isAmountOrAbsent,
   coreCount: isAmountOrAbsent,
   memoryMb: isAmountOrAbsent,
+  maxDescriptors: isAmountOrAbsent,
 };
 
 /** Returns undefined if the text isn't JSON with all fields of valid types. */
--- a/src/relay/relay_settings_reader.ts
+++ b/src/relay/relay_settings_reader.ts
@@ -44,6 +44,9 @@
   cpuShare: amount.optional().describe('Share of each core for the process.'),
   coreCount: amount.optional().describe('Cores of the host.'),
   memoryMb: amount.optional().describe('Memory for the process.'),
+  maxDescriptors: amount
+    .optional()
+    .describe('Descriptors that the process may have open.'),
 });
 
 export interface RelaySettingsResult {
--- a/tests/relay/front/relay_front_test.ts
+++ b/tests/relay/front/relay_front_test.ts
@@ -7,6 +7,7 @@
   createRelayFront,
   type RelayFrontHost,
 } from '../../../src/relay/front/relay_front.js';
+import {createResourceLimits} from '../../../src/relay/limits/resource_limits.js';
 import {findFreeAddress} from '../../support/free_address.js';
 import {silentLog} from '../../support/silent_log.js';
 
@@ -23,6 +24,15 @@
     noteFree: () => undefined,
     bufferedBytes: () => 0,
   },
+  resources: createResourceLimits(
+    {
+      clock: createVirtualClock(),
+      log: silentLog,
+      metrics: {count: () => undefined},
+      hasOtherEntry: () => false,
+    },
+    {},
+  ),
   limits: () => undefined,
   isLeaving: () => false,
 };
