--- a/tests/soak/configuration_hosts.ts
+++ b/tests/soak/configuration_hosts.ts
@@ -155,7 +155,7 @@
 }
 
 /** Returns a function that ends the measurement. */
-function measureOwnLateness(): () => number {
+export function measureOwnLateness(): () => number {
   let mostMs = 0;
   let dueAtMs = performance.now() + 20;
   const timer = setInterval(() => {
--- a/tests/soak/relay_child.ts
+++ b/tests/soak/relay_child.ts
@@ -44,12 +44,30 @@
   new URL(file, import.meta.url).href,
 ]);
 
+/** Node raises the soft limit to the hard one, so both are set. */
+function withMaxDescriptors(
+  maxDescriptors: number | undefined,
+  command: readonly string[],
+): readonly string[] {
+  if (maxDescriptors === undefined) return command;
+  const script = 'ulimit -n "$0" && exec "$@"';
+  return ['bash', '-c', script, String(maxDescriptors), ...command];
+}
+
 export function createRelayChild(options: RelayChildOptions): RelayChild {
   const {settings, program, folder, sourceAddress} = options;
   const {hostId} = settings;
   const hostFile = path.join(folder, `${hostId}.yaml`);
   const logFile = path.join(folder, `${hostId}.log`);
   writeFileSync(hostFile, JSON.stringify(settings));
+  const [command, ...args] = withMaxDescriptors(settings.maxDescriptors, [
+    process.execPath,
+    ...HOOKS,
+    program,
+    'relay',
+    '--host-file',
+    hostFile,
+  ]);
   let child: ChildProcess | undefined;
   let end: Promise<ChildExit> = Promise.resolve({
     code: null,
@@ -64,14 +82,10 @@
     start() {
       // Two faults may wait for the same exit and both call `start`.
       if (child) return;
-      const started = spawn(
-        process.execPath,
-        [...HOOKS, program, 'relay', '--host-file', hostFile],
-        {
-          stdio: ['ignore', 'pipe', 'pipe'],
-          env: {...process.env, [SOURCE_ADDRESS_VARIABLE]: sourceAddress},
-        },
-      );
+      const started = spawn(command, args, {
+        stdio: ['ignore', 'pipe', 'pipe'],
+        env: {...process.env, [SOURCE_ADDRESS_VARIABLE]: sourceAddress},
+      });
       const log = createWriteStream(logFile, {flags: 'a'});
       started.stdout?.pipe(log, {end: false});
       started.stderr?.pipe(log, {end: false});
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -4,6 +4,7 @@
  */
 
 import {performance} from 'node:perf_hooks';
+import type {RelaySettings} from '../../src/relay/relay_settings.js';
 import {createEngineStandIn} from '../../stand_ins/users_platform/engine_stand_in.js';
 import type {
   EngineOptions,
@@ -155,6 +156,16 @@
   readonly eventCount?: number;
   /** How long a call to the plain service takes. */
   readonly workMs?: () => number;
+  /** Settings of all hosts that differ from the usual ones. */
+  readonly settings?: Partial<RelaySettings>;
+  readonly additions?: ConfigurationAdditions;
+}
+
+/** What every version of the configuration has in addition. */
+export interface ConfigurationAdditions {
+  readonly routes: readonly object[];
+  readonly services: readonly object[];
+  readonly limits: object;
 }
 
 export const STREAM_EVENTS = 20;
@@ -250,10 +261,15 @@
     extraRoutes: number,
     changing = configurations.at(-1)?.routes ?? [],
   ): number {
-    const made = makeConfiguration() as {readonly routes: readonly object[]};
-    const {routeTimeoutMs: timeout_ms = ROUTE_TIMEOUT_MS} = options;
+    const made = makeConfiguration() as ConfigurationAdditions;
+    const {routeTimeoutMs: timeout_ms = ROUTE_TIMEOUT_MS, additions} = options;
     const routes = made.routes.map(each => ({...each, timeout_ms}));
-    const base = {...made, routes};
+    const base = {
+      ...made,
+      routes,
+      services: [...made.services, ...(additions?.services ?? [])],
+      limits: {...made.limits, ...additions?.limits},
+    };
     const numbered = Array.from({length: extraRoutes}, (_, i) => String(i));
     const extra = [...numbered, ...changing].map(each => ({
       ...base.routes[0],
@@ -261,7 +277,8 @@
       prefix: `${EXTRA_PREFIX}${each}/`,
     }));
     version += 3;
-    newest = {...base, version, routes: [...routes, ...extra]};
+    const added = additions?.routes ?? [];
+    newest = {...base, version, routes: [...routes, ...extra, ...added]};
     const sentAtMs = performance.now();
     store.put('op', 'config', newest);
     const acknowledgedAtMs = performance.now();
@@ -317,6 +334,7 @@
         retrySlack: options.retrySlack ?? RETRY_SLACK,
         leaveGraceMs: options.leaveGraceMs ?? LEAVE_GRACE_MS,
         leaseMs: 3_000,
+        ...options.settings,
       },
     });
     const host = {child, storeLink, sourceAddress};
