--- a/tests/soak/pressure_callers.ts
+++ b/tests/soak/pressure_callers.ts
@@ -1,7 +1,9 @@
 /** Callers that press on hosts, each of them again as soon as it has ended. */
 
 import dgram from 'node:dgram';
+import {once} from 'node:events';
 import net from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {splitAddress} from '../../src/adapters/listen.js';
 import type {RelaySettings} from '../../src/relay/relay_settings.js';
 import {HOST, PROMPT_HEADERS} from '../platform/relay_site.js';
@@ -31,6 +33,10 @@
   /** The body stops so many bytes before its end. */
   readonly missingBytes?: number;
   readonly at?: AddressField;
+  /** Most bytes that a host may take from one connection. */
+  readonly maxSentBytes?: number;
+  /** How long a connection may stay open after its first answer began. */
+  readonly maxOpenMs?: number;
 }
 
 /** What became of the connections of some callers that press. */
@@ -44,6 +50,8 @@
   readonly answers: Record<string, number>;
   /** Most bytes that were written on one connection. */
   mostBytes: number;
+  /** Longest time that a connection was open after its first answer began. */
+  longestOpenMs: number;
 }
 
 export type PressingKind =
@@ -120,7 +128,8 @@
 };
 
 export interface PressingCallers {
-  stop(): readonly PressingResult[];
+  /** Resolves once all connections are closed. */
+  stop(): Promise<readonly PressingResult[]>;
 }
 
 /** Starts all callers of all kinds at all hosts. */
@@ -134,6 +143,7 @@
     closed: 0,
     answers: {},
     mostBytes: 0,
+    longestOpenMs: 0,
   }));
   const sockets = new Set<net.Socket>();
   const timers = new Set<NodeJS.Timeout>();
@@ -151,6 +161,7 @@
     const socket = net.connect(port, ip);
     sockets.add(socket);
     let answerCount = 0;
+    let answeredAtMs = Number.POSITIVE_INFINITY;
     let isOpen = false;
     socket.on('connect', () => {
       isOpen = true;
@@ -166,6 +177,7 @@
           .toString('latin1')
           .matchAll(STATUS_LINE)) {
           answerCount++;
+          answeredAtMs = Math.min(answeredAtMs, performance.now());
           result.answers[status] = (result.answers[status] ?? 0) + 1;
         }
         if (kind === 'ahead' && answerCount >= requests) socket.destroy();
@@ -174,6 +186,8 @@
     socket.on('error', () => undefined);
     socket.on('close', () => {
       sockets.delete(socket);
+      const openMs = performance.now() - answeredAtMs;
+      result.longestOpenMs = Math.max(result.longestOpenMs, openMs);
       result.mostBytes = Math.max(result.mostBytes, socket.bytesWritten);
       if (isStopped) return;
       if (isOpen) result.open--;
@@ -214,10 +228,12 @@
   }
 
   return {
-    stop() {
+    async stop() {
       isStopped = true;
       for (const timer of timers) clearTimeout(timer);
+      const closing = [...sockets].map(socket => once(socket, 'close'));
       for (const socket of sockets) socket.destroy();
+      await Promise.allSettled(closing);
       return results;
     },
   };
--- a/tests/soak/pressure_run.ts
+++ b/tests/soak/pressure_run.ts
@@ -6,9 +6,9 @@
 
 import path from 'node:path';
 import {parseArgs} from 'node:util';
+import {countEnds} from './pressure_checks.js';
 import {playPressure, type PressureResult} from './pressure_play.js';
 import {PRESSURE_SCENARIOS} from './pressure_scenarios.js';
-import type {SoundCall} from './pressure_sound.js';
 
 const {values} = parseArgs({
   options: {
@@ -22,17 +22,14 @@
   },
 });
 
-const countEnds = (calls: readonly SoundCall[], end: SoundCall['end']) =>
-  calls.filter(each => each.end === end).length;
-
 function describeResult(name: string, result: PressureResult): string {
   const {calls, ended, pressing} = result;
   const slowestMs = Math.max(0, ...calls.map(({tookMs}) => tookMs));
   const failed = calls.filter(({end}) => end === 'failed');
   const statuses = [...new Set(failed.map(({status}) => status))].join(' ');
   const lines = pressing.map(
-    ({opened, open, closed, answers, mostBytes}) =>
-      `    pressing: ${opened} opened, ${open} open, ${closed} closed, answers ${JSON.stringify(answers)}, at most ${Math.round(mostBytes / 1_000)} KB sent`,
+    ({opened, open, closed, answers, mostBytes, longestOpenMs}) =>
+      `    pressing: ${opened} opened, ${open} open, ${closed} closed, answers ${JSON.stringify(answers)}, at most ${Math.round(mostBytes / 1_000)} KB sent, open for up to ${Math.round(longestOpenMs)} ms`,
   );
   const ends = ended.map(({hostId, how}) => `${hostId} ended ${how}`);
   return [
--- a/tests/soak/pressure_scenarios.ts
+++ b/tests/soak/pressure_scenarios.ts
@@ -44,8 +44,22 @@
   at,
 });
 
-const chunks: Pressing = {kind: 'chunks', perHost: 30, service: 'slow'};
-const heads: Pressing = {kind: 'heads', perHost: 30};
+/** The largest body, and what the system may hold for both ends. */
+const MAX_SENT_BYTES = 4 * MB + 36 * MB;
+const MAX_OPEN_MS = 2_000;
+const chunks: Pressing = {
+  kind: 'chunks',
+  perHost: 30,
+  service: 'slow',
+  maxSentBytes: MAX_SENT_BYTES,
+  maxOpenMs: MAX_OPEN_MS,
+};
+const heads: Pressing = {
+  kind: 'heads',
+  perHost: 30,
+  maxSentBytes: MAX_SENT_BYTES,
+  maxOpenMs: MAX_OPEN_MS,
+};
 const unreadLarge = streams('large', 100, true);
 
 /** By name. */
--- a/tests/soak/pressure_worker.ts
+++ b/tests/soak/pressure_worker.ts
@@ -78,7 +78,9 @@
   port?.postMessage([]);
   port?.once('message', () => {
     const latenessMs = endLateness();
-    port.postMessage({results: callers.stop(), latenessMs});
+    void callers
+      .stop()
+      .then(results => port.postMessage({results, latenessMs}));
   });
 }
 
