Soak under overload: loads, signals and store trouble that overlap

The soaks had no process with limits and no load. In addition to the usual checks, each process that is ended at its limit or exits by itself, and each request without an answer from a process that lives, breaks the run. Exits by themselves now break every soak.

--- a/tests/soak/fault_kinds.ts
+++ b/tests/soak/fault_kinds.ts
@@ -67,7 +67,11 @@
 /** All answers of the store are late; its connections are then reset. */
 export const SLOW_STORE_KIND = 'store-slow';
 
+/** Load on all hosts that would take more than their processes may use. */
+export const OVERLOAD_KIND = 'overload';
+
 export type FaultKind =
+  | typeof OVERLOAD_KIND
   | typeof SLOW_STORE_KIND
   | typeof CONFIGURATIONS_KIND
   | typeof LEAVE_TOGETHER_KIND
@@ -220,6 +224,24 @@
   ENGINE_PAUSE_KIND,
 ];
 
+/** Load, with faults that stop hosts or keep them from the store meanwhile. */
+export const OVERLOAD_SOAK_KINDS: readonly FaultKind[] = [
+  OVERLOAD_KIND,
+  OVERLOAD_KIND,
+  OVERLOAD_KIND,
+  OVERLOAD_KIND,
+  LEAVE_TOGETHER_KIND,
+  'terminate',
+  'roll',
+  'hang-up',
+  'kill',
+  'configure',
+  'store-cut',
+  'store-down',
+  'history-lost',
+  SLOW_STORE_KIND,
+];
+
 export interface CrashScenario extends Crash {
   /** Absent if upstreams end for other reasons. */
   readonly kind?: CallKind;
--- a/tests/soak/pressure_callers.ts
+++ b/tests/soak/pressure_callers.ts
@@ -39,6 +39,13 @@
   readonly maxOpenMs?: number;
 }
 
+/** The services that callers of these kinds ask for. */
+export function toServices(
+  pressing: readonly Pressing[],
+): readonly PressingService[] {
+  return [...new Set(pressing.map(({service = 'quick'}) => service))];
+}
+
 /** What became of the connections of some callers that press. */
 export interface PressingResult {
   opened: number;
--- a/tests/soak/pressure_memory.ts
+++ b/tests/soak/pressure_memory.ts
@@ -32,6 +32,7 @@
 export function watchMemory(
   children: readonly RelayChild[],
   maxMb: number,
+  onEnd: (child: RelayChild) => unknown = () => undefined,
 ): MemoryWatch {
   const peakMb = new Map<string, number>();
   const ended: string[] = [];
@@ -48,6 +49,7 @@
       endedIds.add(processId);
       ended.push(hostId);
       child.signal('SIGKILL');
+      onEnd(child);
     }
   }, SAMPLE_EVERY_MS);
   return {peakMb, ended, stop: () => clearInterval(timer)};
--- a/tests/soak/pressure_play.ts
+++ b/tests/soak/pressure_play.ts
@@ -7,11 +7,8 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import {measureOwnLateness} from './configuration_hosts.js';
-import type {PressingResult} from './pressure_callers.js';
-import {
-  toPressingConfiguration,
-  type PressingService,
-} from './pressure_engines.js';
+import {toServices, type PressingResult} from './pressure_callers.js';
+import {toPressingConfiguration} from './pressure_engines.js';
 import {watchMemory} from './pressure_memory.js';
 import {
   USUAL_DESCRIPTORS,
@@ -128,9 +125,7 @@
   rmSync(folder, {recursive: true, force: true});
   mkdirSync(folder, {recursive: true});
   const {maxDescriptors = USUAL_DESCRIPTORS} = scenario;
-  const services = [
-    ...new Set(scenario.pressing.map(({service = 'quick'}) => service)),
-  ] as readonly PressingService[];
+  const services = toServices(scenario.pressing);
   const engines = await startPressureWorker({kind: 'engines', services});
   const site = await createSoakSite({
     hostCount: options.hostCount,
--- a/tests/soak/relay_child.ts
+++ b/tests/soak/relay_child.ts
@@ -27,6 +27,8 @@
   signal(name: NodeJS.Signals): void;
   /** Resolves when the current process has exited. */
   ended(): Promise<ChildExit>;
+  /** Exits of processes that had received no signal to end. */
+  readonly ownExits: readonly ChildExit[];
 }
 
 export interface RelayChildOptions {
@@ -39,6 +41,11 @@
   readonly sourceAddress: string;
 }
 
+const END_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set([
+  'SIGTERM',
+  'SIGKILL',
+]);
+
 const HOOKS = ['./source_address.js', './held_datagrams.js'].flatMap(file => [
   '--import',
   new URL(file, import.meta.url).href,
@@ -69,6 +76,8 @@
     hostFile,
   ]);
   let child: ChildProcess | undefined;
+  let isToEnd = false;
+  const ownExits: ChildExit[] = [];
   let end: Promise<ChildExit> = Promise.resolve({
     code: null,
     signal: null,
@@ -90,18 +99,25 @@
       started.stdout?.pipe(log, {end: false});
       started.stderr?.pipe(log, {end: false});
       child = started;
+      isToEnd = false;
       let hadOutput = false;
       started.stdout?.once('data', () => (hadOutput = true));
       end = new Promise(resolve => {
         started.on('exit', (code, signal) => {
+          const exit = {code, signal, hadOutput};
+          // Before the program itself has started, SIGHUP ends a process.
+          const isEarly = signal === 'SIGHUP' && !hadOutput;
+          if (!isToEnd && !isEarly) ownExits.push(exit);
           if (child === started) child = undefined;
-          resolve({code, signal, hadOutput});
+          resolve(exit);
         });
       });
     },
     signal(name) {
+      isToEnd ||= END_SIGNALS.has(name);
       child?.kill(name);
     },
+    ownExits,
     ended: () => end,
   };
 }
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,12 +1,13 @@
 /**
  * `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--hosts N]
  * [--asks | --copies | --crashes | --parts | --streams | --cuts | --versions |
- * --pauses | --leaving | --configurations | --part-table]`; of these, the first
+ * --pauses | --leaving | --configurations | --overload | --part-table]`; of these, the first
  * nine draw mostly backpressure of upstreams, restores of the store from older
  * copies, requests that crash upstreams, parts of prompts that do so, streams
  * that break off, hosts that are cut off from all upstreams, engines of several
  * versions, engines that pause, or hosts that leave together.
- * `--configurations` adds series of configurations to faults of all kinds. The
+ * `--configurations` adds series of configurations to faults of all kinds;
+ * `--overload` presses on hosts whose processes are ended at their limits. The
  * last one plays the scenarios of such parts, each on its own, in turn by seed.
  */
 
@@ -26,6 +27,7 @@
   PARTS_SOAK_KINDS,
   type FaultKind,
 } from './fault_kinds.js';
+import {toOverloadOptions} from './overload_options.js';
 import {toPartOptions} from './part_scenarios.js';
 import {toPauseOptions} from './engine_pauses.js';
 import {runSoak} from './soak_run.js';
@@ -48,6 +50,7 @@
     parts: {type: 'boolean', default: false},
     leaving: {type: 'boolean', default: false},
     configurations: {type: 'boolean', default: false},
+    overload: {type: 'boolean', default: false},
     'part-table': {type: 'boolean', default: false},
   },
 });
@@ -77,6 +80,9 @@
     ...(values.configurations
       ? toConfigurationOptions(first + i, Number(values.seconds) * 1_000)
       : {}),
+    ...(values.overload
+      ? toOverloadOptions(first + i, Number(values.seconds) * 1_000)
+      : {}),
     ...(values['part-table'] ? toPartOptions(first + i) : {}),
     program: path.resolve('target/main.mjs'),
     folder: values.folder,
--- a/tests/soak/soak_faults.ts
+++ b/tests/soak/soak_faults.ts
@@ -14,6 +14,7 @@
   HOST_CUT_KIND,
   LEAVE_TOGETHER_KIND,
   OLDER_COPY_KIND,
+  OVERLOAD_KIND,
   SLOW_STORE_KIND,
   SILENT_CONNECTIONS_KIND,
   type FaultContext,
@@ -24,6 +25,7 @@
 import {replaceEngines} from './engine_versions.js';
 import {cutHosts} from './host_cuts.js';
 import type {ProxyMode} from './fault_proxy.js';
+import {pressOnHosts} from './overload.js';
 import type {RelayChild} from './relay_child.js';
 import {
   STREAM_EVENTS,
@@ -378,6 +380,7 @@
     upstream.standIn.setRetryAfter(undefined);
   },
   [CONFIGURATIONS_KIND]: changeRoutes,
+  [OVERLOAD_KIND]: pressOnHosts,
   async configure(context) {
     context.site.publishConfiguration(context.random.nextInt(2));
   },
--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -4,6 +4,7 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import {createSeededRandom} from '../../src/core/seeded_random.js';
+import type {RelaySettings} from '../../src/relay/relay_settings.js';
 import {
   CONFIGURATIONS_KIND,
   type DisruptedSpan,
@@ -21,6 +22,12 @@
 import {describeConfigurations} from './configuration_checks.js';
 import {startRouteCallers} from './configurations.js';
 import type {HostCut} from './host_cuts.js';
+import {
+  createOverload,
+  findLostRequests,
+  findOwnExits,
+  type Overload,
+} from './overload.js';
 import {
   findViolations,
   withAllDisruptions,
@@ -34,6 +41,11 @@
   type SoakSite,
 } from './soak_site.js';
 
+/** A process is ended at its limit of memory. */
+export type ProcessLimits = Required<
+  Pick<RelaySettings, 'memoryMb' | 'maxDescriptors'>
+>;
+
 export interface SoakOptions {
   readonly seed: number;
   readonly durationMs: number;
@@ -47,6 +59,8 @@
   readonly kinds: readonly FaultKind[];
   /** Instead of drawn ones. */
   readonly faults?: readonly PlannedFault[];
+  /** Limits of each process, which loads press on. */
+  readonly limits?: ProcessLimits;
   /** The bundle's entry point. */
   readonly program: string;
   /** Process logs are written here, in a subfolder for each seed. */
@@ -152,6 +166,7 @@
 async function runOnSite(
   site: SoakSite,
   options: SoakOptions,
+  overload: Overload | undefined,
 ): Promise<SoakResult> {
   const random = createSeededRandom(options.seed);
   const {durationMs, kinds} = options;
@@ -169,7 +184,10 @@
   for (const kind of CHECKED_KINDS) {
     problems.push(await waitUntilServed(callers, kind, READY_WITHIN_MS));
   }
+  const {memoryMb = Infinity} = options.limits ?? {};
+  overload?.begin(site, memoryMb, span => disruptions.push(span));
   const startedAtMs = now();
+  const steadyCalls = overload && callers.callEachHost(durationMs);
   const hasConfigurations = faults.some(
     ({kind}) => kind === CONFIGURATIONS_KIND,
   );
@@ -189,6 +207,7 @@
   });
   await wait(Math.max(0, options.durationMs - (now() - startedAtMs)));
   await routeCallers?.stop();
+  await steadyCalls;
   for (const kind of CHECKED_KINDS) {
     problems.push(await waitUntilServed(callers, kind, RECOVER_WITHIN_MS));
   }
@@ -206,6 +225,7 @@
     retrySlack: options.retrySlack ?? RETRY_SLACK,
     left,
   };
+  const begun = records.filter(({sentAtMs}) => sentAtMs >= startedAtMs);
   const usual = records.filter(({route}) => route === undefined);
   return {
     seed: options.seed,
@@ -218,6 +238,9 @@
     broken: [
       ...problems.filter(each => each !== undefined),
       ...findViolations(evidence),
+      ...findOwnExits(site),
+      ...(overload ? findLostRequests(begun, disruptions) : []),
+      ...(overload?.findEnded() ?? []),
     ],
     measured: [
       ...describeParts(evidence),
@@ -229,7 +252,8 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const folder = path.join(options.folder, `seed-${options.seed}`);
   mkdirSync(folder, {recursive: true});
-  const {deadlineMs = DEADLINE_MS, retrySlack} = options;
+  const {deadlineMs = DEADLINE_MS, retrySlack, limits} = options;
+  const overload = limits && (await createOverload(() => performance.now()));
   const site = await createSoakSite({
     hostCount: options.hostCount,
     engineCounts: options.engineCounts,
@@ -237,10 +261,13 @@
     folder,
     routeTimeoutMs: deadlineMs + ROUTE_TIMEOUT_SLACK_MS,
     retrySlack,
+    settings: limits,
+    additions: overload?.additions,
   });
   try {
-    return await runOnSite(site, options);
+    return await runOnSite(site, options, overload);
   } finally {
+    await overload?.stop();
     await site.close();
   }
 }
