Watch the memory of the process and act before its limit

A process knew neither how much memory it uses nor its limit, and left no line when it was killed. Each 100 ms, and after each 2 MB that are newly held, the resident memory is compared with limits.memory_mb (else what the machine allows), the heap with the engine's own limit. From 70% on garbage is collected, young first, and again only after 4 MB of growth; above 85% what may be held shrinks by what is missing, at most once a collection, to a quarter of the bound at least. A change of level is logged with what is held by kind; gauges show use, limit and what is held.

Nothing holds through the account yet; the effect on real processes is measured with the holders.

--- a/src/relay/limits/held_kinds.ts
+++ b/src/relay/limits/held_kinds.ts
@@ -17,8 +17,10 @@
   'caller-buffer': {overheadBytes: 16 * KB, endRank: 1},
   /** The body of a request that has not been read fully. */
   upload: {overheadBytes: 8 * KB, endRank: 2},
-  /** A request that was read: its headers and its body. */
-  request: {overheadBytes: 8 * KB, endRank: 4},
+  /** A request that waits for those ahead of it on its connection. */
+  'waiting-request': {overheadBytes: 8 * KB},
+  /** A request that was read, with its body and the calls made for it. */
+  request: {overheadBytes: 48 * KB, endRank: 4},
   /** Read from an upstream and not yet forwarded. */
   answer: {overheadBytes: 8 * KB, endRank: 3},
   /** An open connection of a caller. */
--- a/src/relay/limits/memory_budget.ts
+++ b/src/relay/limits/memory_budget.ts
@@ -37,8 +37,13 @@
   /** Bytes that may be held now. */
   maxHeldBytes(): number;
   onEnded(holder: Holder, heldBytes: number): void;
+  /** Called each time that so many more bytes have been held. */
+  onGrowth(): void;
 }
 
+/** Between two measurements of the process, which take some 10 us. */
+const GROWTH_BYTES = 2 * 1024 * 1024;
+
 interface Entry {
   readonly holder: Holder;
   bytes: number;
@@ -55,6 +60,7 @@
   const entries = new Set<Entry>();
   const sums = new Map<HeldKind, Sum>();
   let totalBytes = 0;
+  let grownBytes = 0;
 
   function sumOf(kind: HeldKind): Sum {
     const known = sums.get(kind);
@@ -66,6 +72,7 @@
 
   function add(entry: Entry, bytes: number): void {
     entry.bytes += bytes;
+    grownBytes += Math.max(0, bytes);
     sumOf(entry.holder.kind).bytes += bytes;
     totalBytes += bytes;
   }
@@ -103,6 +110,12 @@
     }
   }
 
+  function checkGrowth(): void {
+    if (grownBytes < GROWTH_BYTES) return;
+    grownBytes = 0;
+    host.onGrowth();
+  }
+
   return {
     open(holder) {
       const entry: Entry = {holder, bytes: 0};
@@ -119,10 +132,12 @@
         resize(bytes) {
           if (!entries.has(entry)) return;
           add(entry, grow(bytes));
+          checkGrowth();
           makeRoom(0);
         },
         tryResize(bytes) {
           if (!entries.has(entry)) return false;
+          checkGrowth();
           const growth = grow(bytes);
           if (growth > 0 && growth > freeBytes()) return false;
           add(entry, growth);
--- a/src/relay/limits/resource_limits.ts
+++ b/src/relay/limits/resource_limits.ts
@@ -6,12 +6,15 @@
 import type {RequestError} from '../../core/error_kinds.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
+import type {ProcessMemory} from '../../ports/process_memory.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {RelaySettings} from '../relay_settings.js';
 import {createMemoryBudget, type MemoryBudget} from './memory_budget.js';
+import {createMemoryWatch, type MemoryWatch} from './memory_watch.js';
 
 export interface ResourceLimitsHost {
   readonly clock: Clock;
+  readonly processMemory: ProcessMemory;
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
   /** Whether another entry takes requests. */
@@ -20,6 +23,9 @@
 
 export interface ResourceLimits {
   readonly memory: MemoryBudget;
+  readonly watch: MemoryWatch;
+  /** The limit of the process in bytes. */
+  readonly maxMemoryBytes: number;
   /** Connections of callers that may be open at once. */
   readonly maxCallerConnections: number;
   /** The refusal of a request for which there is no room. */
@@ -63,25 +69,37 @@
   host: ResourceLimitsHost,
   settings: Pick<RelaySettings, 'memoryMb' | 'maxDescriptors'>,
 ): ResourceLimits {
-  const {log, metrics} = host;
+  const {log, metrics, processMemory} = host;
   const {memoryMb, maxDescriptors} = settings;
-  const maxHeldBytes =
-    memoryMb === undefined ? Infinity : toMaxHeldBytes(memoryMb);
+  const maxMemoryBytes =
+    memoryMb === undefined
+      ? processMemory.maxResidentBytes
+      : memoryMb * BYTES_PER_MB;
   const memory = createMemoryBudget({
-    maxHeldBytes: () => maxHeldBytes,
+    maxHeldBytes: () => watch.maxHeldBytes(),
+    onGrowth: () => watch.check(),
     onEnded({kind, requestId}, heldBytes) {
       log.warn('A request was ended, as memory is scarce.', {
         request: requestId,
         kind,
         heldBytes,
         totalBytes: memory.heldBytes(),
-        maxBytes: maxHeldBytes,
+        maxBytes: Math.round(watch.maxHeldBytes()),
       });
       metrics.count('memory_ends', `kind="${kind}"`);
     },
   });
+  const watch = createMemoryWatch(
+    {...host, memory: processMemory, budget: memory},
+    {
+      maxBytes: maxMemoryBytes,
+      maxHeldBytes: toMaxHeldBytes(maxMemoryBytes / BYTES_PER_MB),
+    },
+  );
   return {
     memory,
+    watch,
+    maxMemoryBytes,
     maxCallerConnections:
       maxDescriptors === undefined
         ? Infinity
--- a/src/relay/loop_lateness.ts
+++ b/src/relay/loop_lateness.ts
@@ -10,6 +10,8 @@
   stop(): void;
   /** The longest delay of a timer within the last two windows, in ms. */
   recentMs(): number;
+  /** Calls back each 100 ms, without waking the process once more. */
+  onTick(listener: () => void): void;
   /** Signals that arrived before this time have been handled, in clock time. */
   handledUntilMs(): number;
 }
@@ -26,6 +28,7 @@
   clock: Clock,
   afterPoll?: AfterPoll,
 ): LoopLateness {
+  const listeners: Array<() => void> = [];
   let timer: TimerHandle | undefined;
   let dueAtMs = Number.POSITIVE_INFINITY;
   let ticks = 0;
@@ -54,9 +57,11 @@
       windowMs = 0;
     }
     schedule();
+    for (const listener of listeners) listener();
   }
 
   return {
+    onTick: listener => void listeners.push(listener),
     start: schedule,
     stop() {
       if (timer) clock.clearTimer(timer);
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -6,6 +6,8 @@
 import type {Forwarding} from './forwarding/forwarding.js';
 import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
+import {heldKinds, type HeldKind} from './limits/held_kinds.js';
+import type {ResourceLimits} from './limits/resource_limits.js';
 import type {LoopLateness} from './loop_lateness.js';
 import type {PlainPlacement} from './plain/plain_placement.js';
 import type {Relay} from './relay.js';
@@ -31,6 +33,7 @@
   readonly plainPlaces: PlainPlacement;
   readonly limits: UpstreamLimits;
   readonly callerBuffers: CallerBuffers;
+  readonly resources: ResourceLimits;
   readonly crashes: CrashWatch;
   readonly forwarding: Forwarding;
   readonly resumption: Resumption;
@@ -188,6 +191,26 @@
     help: 'Bytes held for callers that read slowly.',
     read: ({callerBuffers}) => callerBuffers.bufferedBytes(),
   },
+  {
+    name: 'resident_memory_bytes',
+    help: 'Memory of the process, as last measured.',
+    read: ({resources}) => resources.watch.residentBytes(),
+  },
+  {
+    name: 'memory_limit_bytes',
+    help: 'Memory at which the process is ended.',
+    read: ({resources}) => resources.maxMemoryBytes,
+  },
+  {
+    name: 'held_limit_bytes',
+    help: 'What may be held for callers now.',
+    read: ({resources}) => resources.watch.maxHeldBytes(),
+  },
+  {
+    name: 'held_bytes',
+    help: 'What is held for callers.',
+    read: ({resources}) => resources.memory.heldBytes(),
+  },
   {
     name: 'uneven_engines',
     help: 'Engines whose measured speed is not that of the others.',
@@ -219,6 +242,14 @@
   metrics: RelayMetrics,
   sources: GaugeSources,
 ): void {
+  const {memory} = sources.resources;
+  for (const kind of Object.keys(heldKinds) as HeldKind[]) {
+    metrics.gauge(
+      `held_${kind.replace('-', '_')}_bytes`,
+      `What is held for callers as ${kind}.`,
+      () => memory.heldBytes(kind),
+    );
+  }
   for (const {name, help, read} of GAUGES) {
     metrics.gauge(name, help, () => read(sources));
   }
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -37,6 +37,7 @@
   slow_callers_closed:
     'Callers disconnected as they read too slowly, by cause.',
   memory_ends: 'Requests ended as memory was scarce, by what they held.',
+  memory_collections: 'Collections of garbage near the limit, by kind.',
   forwarded_calls: 'Calls to upstreams that peers were asked to make, by end.',
   served_calls: 'Calls to upstreams that peers asked for, by result.',
   runs_left: 'Runs left for another engine as they were silent, by reason.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -5,6 +5,7 @@
 
 import {createHttpExchange} from '../adapters/http_exchange.js';
 import {splitAddress} from '../adapters/listen.js';
+import {createProcessMemory} from '../adapters/process_memory.js';
 import {createSystemClock} from '../adapters/system_clock.js';
 import {createSystemRandom} from '../adapters/system_random.js';
 import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
@@ -392,6 +393,7 @@
   const resources = createResourceLimits(
     {
       clock,
+      processMemory: createProcessMemory(),
       log: createLogger('limits'),
       metrics,
       hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
@@ -522,6 +524,7 @@
     plainPlaces,
     limits: backpressure.limits,
     callerBuffers,
+    resources,
     crashes,
     forwarding,
     resumption,
@@ -533,6 +536,7 @@
   peers.start();
   watch.start();
   handover.start();
+  loopLateness.onTick(resources.watch.check);
   loopLateness.start();
   roleOrders.start();
   const {hostId, callerAddress, peerAddress} = settings;
--- a/tests/relay/front/relay_front_test.ts
+++ b/tests/relay/front/relay_front_test.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import {test} from 'node:test';
+import {createProcessMemory} from '../../../src/adapters/process_memory.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {
   createRelayFront,
@@ -27,6 +28,7 @@
   resources: createResourceLimits(
     {
       clock: createVirtualClock(),
+      processMemory: createProcessMemory(),
       log: silentLog,
       metrics: {count: () => undefined},
       hasOtherEntry: () => false,
