Requests sent ahead run a bounded number at a time and are all answered

(2) At a leaving host, requests behind a stream that is cut at the end of the grace get no answer although some of them ran. (3) A request behind others went on at its upstream after its caller had closed the connection, and was counted as open until the host ended.

Causes: all requests of a chunk were run at once; whether the connection closes was decided as an answer began, for seconds before it was sent, and what came then was dropped; a cut answer took along the answers of requests that ran behind it; Node emits 'close' only for the response that owns the socket.

A connection now has a pipeline (front/pipeline.ts): 64 of its requests run or have an answer that waits; behind a request whose answer may be cut (a stream, or a body that is passed on in parts) none runs until it is sent; what waits is neither read nor routed, counts from its arrival, is held in the account of memory, and is refused in its turn if there is no room. With 256 waiting the socket isn't read. An answer's head is written when it is its turn, so `Connection: close` is decided then, and in an answer that isn't whole only for a caller that never sent ahead. An answer of which nothing was sent is replaced by an error instead of a closed connection, at the end of the grace too. At a leaving host a stream of a caller that sends ahead begins only if its deadline is before the end.

--- a/src/relay/front/http_caller.ts
+++ b/src/relay/front/http_caller.ts
@@ -1,4 +1,7 @@
-/** The caller of a request over HTTP: writes its answer byte for byte. */
+/**
+ * The caller of a request over HTTP: writes its answer byte for byte, once the
+ * answers ahead of it on the connection have been sent.
+ */
 
 import type http from 'node:http';
 import {errorAnswers, type RequestError} from '../../core/error_kinds.js';
@@ -6,36 +9,89 @@
 import type {RawHeaders} from '../../ports/relay.js';
 import type {Caller} from './caller.js';
 import type {CallerBuffers, CallerConnection} from './caller_buffers.js';
+import type {AnswerShape, PipelinePlace} from './pipeline.js';
 
 const MS_PER_SECOND = 1_000;
 
 export interface HttpCallerHost {
   readonly buffers: CallerBuffers;
+  readonly place: Pick<PipelinePlace, 'noteShape' | 'isPipelined'>;
   /** Whether the connection closes after the answer that begins now. */
-  closeAfter(): boolean;
+  closeAfter(shape: AnswerShape): boolean;
 }
 
+export interface HttpCaller extends Caller {
+  /** The answer was sent, or the connection closed before. */
+  noteClosed(): void;
+  /**
+   * Frees what the answer holds in memory, and cancels the request: answers
+   * with an error or, if the answer has begun, closes the connection.
+   */
+  drop(): void;
+}
+
+/** An answer that waits for its turn on the connection. */
+interface HeldAnswer {
+  readonly status: number;
+  readonly headers: RawHeaders;
+  readonly parts: Buffer[];
+  sizeBytes: number;
+}
+
+const CUT: RequestError = {
+  kind: 'answer-cut',
+  detail: 'The answer broke off before it was sent.',
+};
+const DROPPED: RequestError = {
+  kind: 'outcome-unknown',
+  detail: 'This entry has no room for the answer.',
+};
+
 export function createHttpCaller(
   response: http.ServerResponse,
   requestId: string,
-  {buffers, closeAfter}: HttpCallerHost,
-): Caller {
-  let hasLength = false;
+  {buffers, place, closeAfter}: HttpCallerHost,
+): HttpCaller {
+  let shape: AnswerShape = 'in-parts';
+  let hasBegun = false;
+  let isComplete = false;
+  let isGone = false;
+  let held: HeldAnswer | undefined;
+  const onDisconnect: Array<() => void> = [];
+  const onWritable: Array<() => void> = [];
   const connection: CallerConnection = {
     requestId,
-    isStream: () => !hasLength,
-    bufferedBytes: () => response.writableLength,
-    close: () => void response.destroy(),
+    isStream: () => shape === 'in-parts',
+    bufferedBytes: () => (held?.sizeBytes ?? 0) + response.writableLength,
+    close: drop,
   };
-  const connectionHeader = (): string[] =>
-    closeAfter() ? ['Connection', 'close'] : [];
-  response.on('drain', () => buffers.noteFree(connection));
+
+  function noteWritable(): void {
+    buffers.noteFree(connection);
+    for (const listener of onWritable) listener();
+  }
+
+  response.on('drain', noteWritable);
   response.once('close', () => buffers.noteFree(connection));
+  if (!response.socket) response.once('socket', sendHeld);
 
-  function write(bytes: Buffer): boolean {
-    const isTaken = response.write(bytes);
-    if (!isTaken && !response.destroyed) buffers.noteBlocked(connection);
-    return isTaken;
+  function writeHead(status: number, headers: RawHeaders): void {
+    const isLast = closeAfter(shape);
+    const connectionHeader = isLast ? ['Connection', 'close'] : [];
+    response.writeHead(status, [...headers, ...connectionHeader]);
+  }
+
+  function sendHeld(): void {
+    if (!held) return;
+    const {status, headers, parts} = held;
+    held = undefined;
+    writeHead(status, headers);
+    if (isComplete) {
+      response.end(Buffer.concat(parts));
+      return buffers.noteFree(connection);
+    }
+    const areTaken = parts.map(bytes => response.write(bytes));
+    if (areTaken.at(-1) ?? true) noteWritable();
   }
 
   function begin(
@@ -43,48 +99,109 @@
     headers: RawHeaders,
     bodyLength?: number,
   ): void {
-    hasLength = bodyLength !== undefined;
+    if (isComplete || isGone) return;
+    hasBegun = true;
+    shape = bodyLength === undefined ? 'in-parts' : 'whole';
     const length =
       bodyLength === undefined ? [] : ['Content-Length', String(bodyLength)];
-    response.writeHead(status, [...headers, ...length, ...connectionHeader()]);
+    const all = [...headers, ...length];
+    if (response.socket) writeHead(status, all);
+    else held = {status, headers: all, parts: [], sizeBytes: 0};
+    place.noteShape(shape);
+  }
+
+  function write(bytes: Buffer): boolean {
+    if (isComplete || isGone) return true;
+    if (held) {
+      held.parts.push(bytes);
+      held.sizeBytes += bytes.length;
+      buffers.noteBlocked(connection);
+      return false;
+    }
+    const isTaken = response.write(bytes);
+    if (!isTaken && !response.destroyed) buffers.noteBlocked(connection);
+    return isTaken;
+  }
+
+  function end(): void {
+    if (isComplete || isGone) return;
+    isComplete = true;
+    // It is whole before anything of it has been sent.
+    if (held) place.noteShape('whole');
+    else response.end();
+  }
+
+  /** Answers with the error, also in place of an answer that is held. */
+  function replace(error: RequestError): void {
+    const body = Buffer.from(JSON.stringify(createProblem(error, requestId)));
+    held = undefined;
+    isComplete = false;
+    begin(
+      errorAnswers[error.kind].status,
+      ['Content-Type', 'application/problem+json', ...retryAfterHeader(error)],
+      body.length,
+    );
+    complete(body);
   }
 
-  function cut(): void {
+  function complete(bytes: Buffer): void {
+    isComplete = true;
+    if (!held) return void response.end(bytes);
+    held.parts.push(bytes);
+    held.sizeBytes += bytes.length;
+  }
+
+  function closeConnection(): void {
     // Without chunks, a connection that closes is the end of the answer.
     const hasChunks = response.req.httpVersion !== '1.0';
-    if (!hasChunks && !hasLength) response.socket?.resetAndDestroy();
+    const isWholeAtClose = !hasChunks && shape === 'in-parts';
+    if (isWholeAtClose) response.socket?.resetAndDestroy();
     response.destroy();
   }
 
+  function drop(): void {
+    if (isGone) return;
+    if (response.headersSent) return void response.destroy();
+    replace(DROPPED);
+    for (const listener of onDisconnect) listener();
+  }
+
   return {
     get hasBegun() {
-      return response.headersSent;
+      return hasBegun;
+    },
+    get isReplaceable() {
+      return held !== undefined && !isComplete;
+    },
+    noteShape: place.noteShape,
+    get isPipelined() {
+      return place.isPipelined();
     },
     begin,
     write,
-    end: () => void response.end(),
-    cut,
+    end,
+    cut() {
+      if (isComplete || isGone) return;
+      if (response.headersSent) closeConnection();
+      else replace(CUT);
+    },
     refuse(error) {
-      if (response.headersSent || response.destroyed) return;
-      const problem = createProblem(error, requestId);
-      const body = Buffer.from(JSON.stringify(problem));
-      begin(
-        errorAnswers[error.kind].status,
-        [
-          'Content-Type',
-          'application/problem+json',
-          ...retryAfterHeader(error),
-        ],
-        body.length,
-      );
-      response.end(body);
+      if (!isComplete && !isGone && !response.headersSent) replace(error);
     },
     onDisconnect(listener) {
-      response.once('close', () => {
-        if (!response.writableFinished) listener();
-      });
+      if (isGone && !response.writableFinished) listener();
+      else onDisconnect.push(listener);
+    },
+    onWritable: listener => void onWritable.push(listener),
+    noteClosed() {
+      if (isGone) return;
+      isGone = true;
+      held = undefined;
+      buffers.noteFree(connection);
+      if (response.writableFinished) return;
+      for (const listener of onDisconnect) listener();
     },
-    onWritable: listener => void response.on('drain', listener),
+    drop,
   };
 }
 
--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -21,6 +21,7 @@
   'route' | 'service' | 'deadlineAtMs'
 > {
   readonly request: Pick<RelayJob['request'], 'requestId'>;
+  readonly caller: Pick<RelayJob['caller'], 'isPipelined'>;
 }
 
 export interface LeavingHost {
@@ -161,8 +162,13 @@
     if (startedAtMs === undefined) return undefined;
     const latestEndAtMs = Math.max(beginning.deadlineAtMs, clock.nowMs());
     if (latestEndAtMs <= startedAtMs + answerAfterMs) return undefined;
+    const {route, caller} = beginning;
+    // A stream that is cut takes along the requests behind it; other requests
+    // are answered before the end.
+    const mayBeFollowed = route.kind === 'stream' && caller.isPipelined;
     const mayOutlast =
       sinceStartMs() < openForMs &&
+      !mayBeFollowed &&
       // Without another entry, a refusal costs a caller more than the risk.
       (!host.hasOtherEntry() || isExpectedToEnd(beginning));
     return mayOutlast ? undefined : toRefusal();
--- /dev/null
+++ b/src/relay/front/pipeline.ts
@@ -0,0 +1,134 @@
+/**
+ * The requests of one connection, which a caller may send without waiting for
+ * answers (HTTP pipelining). Answers are sent in the order of the requests, so
+ * a request runs only if the answers ahead of it are sure to be whole: an
+ * answer that is cut closes the connection, and those behind it are lost.
+ */
+
+import type {Socket} from 'node:net';
+
+/**
+ * Whether the bytes of an answer are all there before the first is sent, or it
+ * may be cut after its head.
+ */
+export type AnswerShape = 'whole' | 'in-parts';
+
+export interface PipelinedRequest {
+  /** Called once, in the order of the requests. */
+  start(place: PipelinePlace): void;
+  /** The connection closed before the answer was sent. */
+  onDisconnect(): void;
+}
+
+/** A request's place among those of its connection. */
+export interface PipelinePlace {
+  /** Whether no other request of the connection is open. */
+  isOnly(): boolean;
+  /** Whether the caller sends requests ahead of answers. */
+  isPipelined(): boolean;
+  /** Says how the request is answered, as soon as that is known. */
+  noteShape(shape: AnswerShape): void;
+  /** The answer has been sent. */
+  close(): void;
+}
+
+export interface Pipeline {
+  add(request: PipelinedRequest): void;
+}
+
+export interface PipelineOptions {
+  /** Requests of one connection that run, or whose answers wait to be sent. */
+  readonly maxRunning: number;
+  /**
+   * The connection isn't read while this many requests wait. What has been read
+   * with them is still added.
+   */
+  readonly maxWaiting: number;
+}
+
+export const PIPELINE_OPTIONS: PipelineOptions = {
+  maxRunning: 64,
+  maxWaiting: 256,
+};
+
+interface Entry {
+  readonly request: PipelinedRequest;
+  readonly place: PipelinePlace;
+}
+
+export function createPipeline(
+  socket: Pick<Socket, 'on' | 'once' | 'pause' | 'resume' | 'destroyed'>,
+  {maxRunning, maxWaiting}: PipelineOptions = PIPELINE_OPTIONS,
+): Pipeline {
+  /** All requests without a sent answer, in their order. */
+  const open = new Set<Entry>();
+  const waiting = new Set<Entry>();
+  /** Those that have started and hold back the ones behind them. */
+  const blocking = new Set<Entry>();
+  let hasSentAhead = false;
+  let isStarting = false;
+  let isPaused = false;
+
+  const mayStart = () =>
+    !socket.destroyed &&
+    blocking.size === 0 &&
+    open.size - waiting.size < maxRunning;
+
+  function startWaiting(): void {
+    if (isStarting) return;
+    isStarting = true;
+    for (const entry of waiting) {
+      if (!mayStart()) break;
+      waiting.delete(entry);
+      blocking.add(entry);
+      entry.request.start(entry.place);
+    }
+    isStarting = false;
+    setPaused(waiting.size >= maxWaiting);
+  }
+
+  function setPaused(paused: boolean): void {
+    if (paused === isPaused) return;
+    isPaused = paused;
+    if (paused) socket.pause();
+    else socket.resume();
+  }
+
+  // Reading the body of a message resumes its socket.
+  socket.on('resume', () => {
+    if (isPaused) socket.pause();
+  });
+  socket.once('close', () => {
+    for (const {request} of open) request.onDisconnect();
+    for (const each of [open, waiting, blocking]) each.clear();
+  });
+
+  function createEntry(request: PipelinedRequest): Entry {
+    const place: PipelinePlace = {
+      isOnly: () => open.size === 1 && open.has(entry),
+      isPipelined: () => hasSentAhead,
+      noteShape(shape) {
+        if (!open.has(entry)) return;
+        if (shape === 'in-parts') blocking.add(entry);
+        else if (blocking.delete(entry)) startWaiting();
+      },
+      close() {
+        open.delete(entry);
+        blocking.delete(entry);
+        startWaiting();
+      },
+    };
+    const entry = {request, place};
+    return entry;
+  }
+
+  return {
+    add(request) {
+      const entry = createEntry(request);
+      if (open.size > 0) hasSentAhead = true;
+      open.add(entry);
+      waiting.add(entry);
+      startWaiting();
+    },
+  };
+}
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -10,10 +10,17 @@
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {RequestReader} from '../../ports/relay.js';
-import type {Caller} from './caller.js';
 import {readBody} from './body_reader.js';
 import type {CallerBuffers} from './caller_buffers.js';
-import {createHttpCaller} from './http_caller.js';
+import {createHttpCaller, type HttpCaller} from './http_caller.js';
+import {
+  createPipeline,
+  type AnswerShape,
+  type Pipeline,
+  type PipelinePlace,
+} from './pipeline.js';
+import {heldKinds} from '../limits/held_kinds.js';
+import type {Holding} from '../limits/memory_budget.js';
 import type {ResourceLimits} from '../limits/resource_limits.js';
 import type {Relay} from '../relay.js';
 
@@ -49,62 +56,83 @@
 /** How long a caller is assumed to wait if it sends no timeout. */
 const DEFAULT_WAIT_MS = 600_000;
 
-/** A request that is being read, run or answered. */
+/** What a request that runs holds beside its body, measured with its call. */
+const RUNNING_BYTES = 32 * 1024;
+
+/** A request that waits, is being read, run or answered. */
 interface OpenRequest {
-  readonly requestId: string;
-  readonly arrivedAtMs: number;
+  readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
+  readonly arrivedAtMs: number;
+  requestId: string;
+  /** Absent until the request starts. */
+  caller?: HttpCaller;
 }
 
 export function createRelayFront(host: RelayFrontHost): RelayFront {
-  const {clock, log, reader, relay} = host;
+  const {clock, log, reader, relay, resources} = host;
   const open = new Set<OpenRequest>();
+  const pipelines = new WeakMap<Socket, Pipeline>();
   /** Connections that close after the answer that has begun on them. */
   const closing = new WeakSet<Socket>();
   let lastRequestAtMs = Number.NEGATIVE_INFINITY;
 
+  function pipelineOf(socket: Socket): Pipeline {
+    const known = pipelines.get(socket);
+    if (known) return known;
+    const pipeline = createPipeline(socket);
+    pipelines.set(socket, pipeline);
+    return pipeline;
+  }
+
   /**
-   * Whether the connection closes after the answer: not while another request
-   * on it, sent ahead of the answer, is to be answered, too.
+   * Whether the connection closes after the answer, whose head is sent now: not
+   * while another request is to be answered on it. A caller that sends requests
+   * ahead may send one until the whole answer is there.
    */
-  function closeAfter({req}: http.ServerResponse): boolean {
-    if (!host.isLeaving()) return false;
-    const {socket} = req;
-    const isLast = ![...open].some(
-      ({response}) => response.req !== req && response.req.socket === socket,
-    );
-    if (isLast) closing.add(socket);
-    return isLast;
+  function closeAfter(
+    {socket}: http.IncomingMessage,
+    place: PipelinePlace,
+    shape: AnswerShape,
+  ): boolean {
+    if (!host.isLeaving() || !place.isOnly()) return false;
+    if (shape === 'in-parts' && place.isPipelined()) return false;
+    closing.add(socket);
+    return true;
   }
 
   function createCaller(
-    response: http.ServerResponse,
-    requestId: string,
-  ): Caller {
+    {message, response, requestId}: OpenRequest,
+    place: PipelinePlace,
+  ): HttpCaller {
     return createHttpCaller(response, requestId, {
       buffers: host.buffers,
-      closeAfter: () => closeAfter(response),
+      place,
+      closeAfter: shape => closeAfter(message, place, shape),
     });
   }
 
   async function handle(
-    message: http.IncomingMessage,
-    response: http.ServerResponse,
+    request: OpenRequest,
+    place: PipelinePlace,
+    holding: Holding | undefined,
   ): Promise<void> {
-    const arrivedAtMs = clock.nowMs();
-    lastRequestAtMs = arrivedAtMs;
+    const {message, arrivedAtMs} = request;
     const facts = reader.read(message.rawHeaders);
     const {requestId} = facts;
-    const request: OpenRequest = {requestId, arrivedAtMs, response};
-    open.add(request);
-    response.once('close', () => open.delete(request));
-    const caller = createCaller(response, requestId);
+    request.requestId = requestId;
+    const caller = createCaller(request, place);
+    request.caller = caller;
+    const refuse = () =>
+      caller.refuse(resources.toRefusal('Too many requests are open.'));
+    if (!holding?.tryResize(RUNNING_BYTES)) return refuse();
     const body = await readBody(message, {
       maxBytes: host.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
     });
     if (body.error) return caller.refuse(body.error);
     // The caller disconnected before it had sent the whole request.
     if (!body.bytes) return;
+    if (!holding.tryResize(RUNNING_BYTES + body.bytes.length)) return refuse();
     await relay.handle(
       {
         requestId,
@@ -126,21 +154,62 @@
   }
 
   /** Ends a request that this host failed to handle. */
-  function endFailed(response: http.ServerResponse): void {
-    if (response.writableEnded) return;
-    const caller = createCaller(response, '');
+  function endFailed(request: OpenRequest, place: PipelinePlace): void {
+    if (request.response.writableEnded) return;
+    const caller = request.caller ?? createCaller(request, place);
     if (caller.hasBegun) caller.cut();
     else caller.refuse({kind: 'internal', detail: 'See the log.'});
   }
 
+  /** Returns undefined if there is no room; the request is then refused. */
+  function hold(request: OpenRequest): Holding | undefined {
+    const {memory} = resources;
+    if (memory.freeBytes() < heldKinds.request.overheadBytes) return undefined;
+    return memory.open({
+      kind: 'request',
+      get requestId() {
+        return request.requestId;
+      },
+      end: () => request.caller?.drop(),
+    });
+  }
+
+  function accept(request: OpenRequest): void {
+    const {message, response} = request;
+    const holding = hold(request);
+    const close = () => {
+      open.delete(request);
+      holding?.close();
+      request.caller?.noteClosed();
+    };
+    open.add(request);
+    pipelineOf(message.socket).add({
+      start(place) {
+        lastRequestAtMs = clock.nowMs();
+        response.once('close', () => {
+          close();
+          place.close();
+        });
+        handle(request, place, holding).catch(error => {
+          log.error('The request handler failed.', {reason: String(error)});
+          endFailed(request, place);
+        });
+      },
+      onDisconnect: close,
+    });
+  }
+
   const server = http.createServer(
     {maxHeaderSize: DEFAULT_MAX_HEADER_BYTES, requestTimeout: 0},
     (message, response) => {
       // Never answered, so it must not run.
       if (closing.has(message.socket)) return void message.resume();
-      handle(message, response).catch(error => {
-        log.error('The request handler failed.', {reason: String(error)});
-        endFailed(response);
+      lastRequestAtMs = clock.nowMs();
+      accept({
+        message,
+        response,
+        arrivedAtMs: lastRequestAtMs,
+        requestId: '',
       });
     },
   );
@@ -156,11 +225,12 @@
     lastRequestAtMs: () => lastRequestAtMs,
     closeIdle: () => server.closeIdleConnections(),
     close() {
-      for (const {requestId, arrivedAtMs, response} of open) {
+      for (const {requestId, arrivedAtMs, response, caller} of open) {
         log.warn('Connection closed with an open request.', {
           request: requestId,
           ageMs: Math.round(clock.nowMs() - arrivedAtMs),
           wasRead: response.req.complete,
+          hasStarted: caller !== undefined,
           hasBegun: response.headersSent,
         });
       }
--- a/src/relay/open_jobs.ts
+++ b/src/relay/open_jobs.ts
@@ -35,7 +35,7 @@
   /** Ends the jobs that wait and for which `find` returns an error. */
   refuseWaiting(find: (job: PendingJob) => RequestError | undefined): void;
   /**
-   * Ends all jobs whose answer has not begun: those that no upstream has run
+   * Ends all jobs of whose answer nothing has been sent, unless it is whole: those that no upstream has run
    * with the given error, the others with one that says so.
    */
   endUnanswered(notRun: RequestError): void;
@@ -67,7 +67,7 @@
       const entry: Entry = {
         job: pending,
         end(given) {
-          if (error || caller.hasBegun) return;
+          if (error || (caller.hasBegun && !caller.isReplaceable)) return;
           error = given;
           caller.refuse(given);
           cancellation.cancel();
--- a/src/relay/relay.ts
+++ b/src/relay/relay.ts
@@ -95,9 +95,11 @@
       request: received,
       route,
       service,
+      caller,
       deadlineAtMs,
     });
     if (leaving) return leaving;
+    caller.noteShape(service.engine ? 'in-parts' : 'whole');
     const cancellation = createCancellation();
     caller.onDisconnect(() => cancellation.cancel());
     return {
--- a/tests/relay/front/leaving_test.ts
+++ b/tests/relay/front/leaving_test.ts
@@ -48,8 +48,9 @@
     isAnswerSoon: false,
   };
   let isAnswerWritten = false;
-  const toRequest = (kind: RouteKind, waitMs: number) => ({
+  const toRequest = (kind: RouteKind, waitMs: number, isPipelined = false) => ({
     request: {requestId: 'q1'},
+    caller: {isPipelined},
     route: {kind} as Route,
     service: {name: 'ledger'} as Service,
     deadlineAtMs: clock.nowMs() + waitMs,
@@ -80,8 +81,8 @@
     state.openAtEnd = count;
   });
   leaving.start(waitedMs);
-  const refuse = (kind: RouteKind, waitMs: number) =>
-    leaving.refuse(toRequest(kind, waitMs));
+  const refuse = (kind: RouteKind, waitMs: number, isPipelined?: boolean) =>
+    leaving.refuse(toRequest(kind, waitMs, isPipelined));
   return {clock, state, suspend: ownClock.stop, refuse};
 }
 
@@ -131,6 +132,15 @@
   assert.equal(refuse('idempotent', 200)?.kind, 'shutting-down');
 });
 
+test('a leaving host begins a stream that others may follow only if it ends in time', async () => {
+  // Guards against requests behind a stream that is cut at the end.
+  const {refuse} = startLeaving();
+  assert.equal(refuse('stream', 14_000, true)?.kind, 'shutting-down');
+  assert.equal(refuse('stream', 7_000, true), undefined);
+  assert.equal(refuse('idempotent', 14_000, true), undefined);
+  assert.equal(refuse('stream', 14_000, false), undefined);
+});
+
 test('a leaving host begins no request late because recent ones were short', async () => {
   // Guards against streams that take longer than all before, and are cut at the end.
   const {clock, state, refuse} = startLeaving();
--- a/tests/relay/open_jobs_test.ts
+++ b/tests/relay/open_jobs_test.ts
@@ -23,10 +23,12 @@
   failures: readonly SendFailure[],
   {
     hasBegun = false,
+    isReplaceable = false,
     kind = 'non-idempotent',
     finish = jobs => jobs.endUnanswered(LEAVING),
   }: {
     readonly hasBegun?: boolean;
+    readonly isReplaceable?: boolean;
     readonly kind?: RouteKind;
     readonly finish?: (jobs: OpenJobs) => void;
   } = {},
@@ -53,6 +55,7 @@
   });
   const caller: Partial<Caller> = {
     hasBegun,
+    isReplaceable,
     refuse: error => (refusal = error.kind),
   };
   const job: Partial<CancellableJob> = {
@@ -82,6 +85,8 @@
   assert.equal(await endAfter([]), 'outcome-unknown');
   assert.equal(await endAfter([BROKEN, UNREACHABLE]), 'outcome-unknown');
   assert.equal(await endAfter([], {hasBegun: true}), undefined);
+  const held = {hasBegun: true, isReplaceable: true};
+  assert.equal(await endAfter([], held), 'outcome-unknown');
 });
 
 test('a call that its upstreams refused is ended like one that was never sent', async () => {
--- a/tests/relay/relay_test.ts
+++ b/tests/relay/relay_test.ts
@@ -57,6 +57,7 @@
   const refusals: string[] = [];
   const caller: Partial<Caller> = {
     hasBegun: false,
+    noteShape: () => undefined,
     refuse: ({kind}) => void refusals.push(kind),
     onDisconnect: () => undefined,
   };
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -178,6 +178,9 @@
   });
   const caller = {
     hasBegun: false,
+    isPipelined: false,
+    isReplaceable: false,
+    noteShape: () => undefined,
     begin: () => void (caller.hasBegun = true),
     write: (bytes: Buffer) => log.push(`event ${bytes.length}`) > 0,
     end: () => void log.push('end'),
