A start waits for an address that is in use

What operators saw: a process exited with EADDRINUSE 0.2 s after its start, and did not serve, because another socket had one of its addresses for a moment: a predecessor that is still leaving, or a connection whose local port the kernel chose among ours.

Cause: listenOn and the datagram socket gave up at the first error.

Now an opener (src/relay/start) tries each address again, after 20 ms growing to 250 ms, until the grace and 2 s have passed since the start: a predecessor holds its addresses no longer than its grace. One warning at the first failure, one line once the address is open. EADDRNOTAVAIL is tried again, too, since an interface may get its address late; EACCES and unknown errors fail at once. A process that gives up exits 1 with one line that names the address. SIGTERM while it tries ends it with 0. It serves without its metrics and goes on trying for them. Callers' connections are accepted last, so that no request arrives at a process that may still give up. The servers moved out of relay_process.ts. Errors of listening sockets after the start are logged by name.

--- a/src/adapters/listen.ts
+++ b/src/adapters/listen.ts
@@ -24,17 +24,29 @@
   return isPort && isIP(ip) !== 0;
 }
 
-/** Resolves once `server` listens on `address`; rejects if it cannot. */
+/**
+ * Resolves once `server` listens on `address`; rejects if it cannot. It may be
+ * called again after a failure. `onError` gets what fails afterwards, such as
+ * accepting a connection without a free descriptor.
+ */
 export function listenOn(
-  server: Pick<Server, 'once' | 'off' | 'listen'>,
+  server: Pick<Server, 'once' | 'on' | 'off' | 'listen'>,
   address: string,
+  onError?: (error: Error) => void,
 ): Promise<void> {
   const {ip, port} = splitAddress(address);
   return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, ip, () => {
-      server.off('error', reject);
+    const onListening = () => {
+      server.off('error', onFailed);
+      if (onError) server.on('error', onError);
       resolve();
-    });
+    };
+    const onFailed = (error: Error) => {
+      server.off('listening', onListening);
+      reject(error);
+    };
+    server.once('error', onFailed);
+    server.once('listening', onListening);
+    server.listen(port, ip);
   });
 }
--- a/src/adapters/udp_datagram.ts
+++ b/src/adapters/udp_datagram.ts
@@ -12,9 +12,13 @@
   const {ip, port} = splitAddress(address);
   const socket = createSocket(ip.includes(':') ? 'udp6' : 'udp4');
   await new Promise<void>((resolve, reject) => {
-    socket.once('error', reject);
+    const onFailed = (error: Error) => {
+      socket.close();
+      reject(error);
+    };
+    socket.once('error', onFailed);
     socket.bind(port, ip, () => {
-      socket.off('error', reject);
+      socket.off('error', onFailed);
       resolve();
     });
   });
--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -9,6 +9,7 @@
 import type {Logger, LogLevel} from '../../ports/log.js';
 import {createRelayMetrics} from '../../relay/relay_metrics.js';
 import {startRelay} from '../../relay/relay_process.js';
+import {StartError} from '../../relay/start/start_error.js';
 import {
   readJsonRelaySettings,
   type RelaySettings,
@@ -18,6 +19,7 @@
 const USAGE =
   'Usage: corianderbend relay --host-file FILE [--log-level LEVEL]\n';
 const EXIT_DONE = 0;
+const EXIT_FAILED = 1;
 const EXIT_REQUESTS_ABORTED = 1;
 const EXIT_USAGE = 2;
 const LEVELS: readonly string[] = ['error', 'warn', 'info', 'debug'];
@@ -86,7 +88,9 @@
     adapters: createPlatformAdapters(),
     metrics,
     createLogger,
-  });
+    isEnding: signalBuffer.isEnding,
+  }).catch((error: unknown) => reportFailedStart(error, log));
+  if (typeof relay === 'number') return relay;
   signalBuffer.forwardTo({
     SIGTERM: relay.leave,
     SIGINT: relay.leave,
@@ -96,6 +100,19 @@
   return abortedCount > 0 ? EXIT_REQUESTS_ABORTED : EXIT_DONE;
 }
 
+/** Returns the exit code; throws any error that has no words for operators. */
+function reportFailedStart(error: unknown, log: Logger): number {
+  if (!(error instanceof StartError)) throw error;
+  const {kind, message} = error;
+  if (kind === 'ended') {
+    log.info('Ended before it served.');
+    return EXIT_DONE;
+  }
+  log.error('Failed to start.', {reason: message});
+  process.stderr.write(`corianderbend: ${message}\n`);
+  return EXIT_FAILED;
+}
+
 /**
  * Logs uncaught errors instead of ending the process, which would abort the
  * requests of all other callers. Most are unexpected socket failures.
--- a/src/cli/signal_buffer.ts
+++ b/src/cli/signal_buffer.ts
@@ -24,6 +24,8 @@
 export interface SignalBuffer {
   /** Forwards the buffered signals and then all later ones to the handlers. */
   forwardTo(handlers: SignalHandlers): void;
+  /** Whether a signal that ends the process is buffered. */
+  isEnding(): boolean;
 }
 
 const SIGNALS: readonly BufferedSignal[] = ['SIGTERM', 'SIGINT', 'SIGHUP'];
@@ -49,6 +51,7 @@
     });
   }
   return {
+    isEnding: () => pending.some(({signal}) => signal !== 'SIGHUP'),
     forwardTo(newHandlers) {
       handlers = newHandlers;
       lateness.stop();
--- a/src/relay/front/auxiliary_server.ts
+++ b/src/relay/front/auxiliary_server.ts
@@ -16,7 +16,8 @@
 ) => AuxiliaryAnswer | undefined;
 
 export interface AuxiliaryServer {
-  listen(address: string): Promise<void>;
+  /** `onError` gets what fails once it listens. */
+  listen(address: string, onError?: (error: Error) => void): Promise<void>;
   close(): void;
 }
 
@@ -45,7 +46,7 @@
     response.end(body);
   });
   return {
-    listen: address => listenOn(server, address),
+    listen: (address, onError) => listenOn(server, address, onError),
     close() {
       server.close();
       server.closeAllConnections();
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -147,7 +147,10 @@
   server.on('connection', socket => socket.setNoDelay(true));
 
   return {
-    listen: address => listenOn(server, address),
+    listen: address =>
+      listenOn(server, address, error =>
+        log.warn('The listening socket failed.', {reason: error.message}),
+      ),
     applyLimits(limits) {
       server.keepAliveTimeout = limits.idleTimeoutMs;
       server.headersTimeout = limits.headerTimeoutMs;
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -43,7 +43,8 @@
 import {createRoleOrders} from './roles/role_orders.js';
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
-import {createAuxiliaryServer} from './front/auxiliary_server.js';
+import {createAddressOpener} from './start/address_opener.js';
+import {createProcessServers} from './start/process_servers.js';
 import {createEngineProbes} from './silence/engine_probes.js';
 import {createEngineSilence} from './silence/engine_silence.js';
 import {createStoreReaders} from './fleet/store_readers.js';
@@ -57,15 +58,19 @@
   readonly adapters: RelayAdapters;
   readonly metrics: RelayMetrics;
   readonly createLogger: (part: string) => Logger;
+  /** Whether the process was told to end before it served. */
+  isEnding?(): boolean;
 }
 
+const START_MARGIN_MS = 2_000;
+
 export interface RelayProcess {
   leave(): void;
   /** Resolves to the number of requests that were broken off, normally 0. */
   readonly ended: Promise<number>;
 }
 
-/** Resolves when the process accepts requests. */
+/** Resolves when the process accepts requests; rejects with a `StartError`. */
 export async function startRelay(
   options: RelayProcessOptions,
 ): Promise<RelayProcess> {
@@ -77,9 +82,20 @@
     clock,
     onConnect: () => metrics.count('upstream_connections'),
   });
-  const datagrams = await createUdpDatagramPort(settings.peerAddress, error =>
-    log.warn('The datagram socket failed.', {reason: error.message}),
+  // A predecessor holds its addresses until the end of its grace at most.
+  const giveUpAfterMs = settings.leaveGraceMs + START_MARGIN_MS;
+  const opener = createAddressOpener(
+    {clock, log, isEnding: options.isEnding ?? (() => false)},
+    {giveUpAfterMs},
   );
+  const datagrams = await opener.open({
+    what: 'peers over UDP',
+    address: settings.peerAddress,
+    open: () =>
+      createUdpDatagramPort(settings.peerAddress, error =>
+        log.warn('The datagram socket failed.', {reason: error.message}),
+      ),
+  });
 
   const routing = createRoutingState(createLogger('configuration'));
   const registry = createUpstreamRegistry({
@@ -455,31 +471,23 @@
     return isServing ? 'ready' : 'starting';
   }
 
-  const auxiliaryHandler = adapters.createAuxiliaryHandler({
+  const platformHandler = adapters.createAuxiliaryHandler({
     isReady: () => hostState() === 'ready',
     entries: () =>
       listEntries({clock, random, self: peers.self, peers: peers.alive}),
   });
-  const auxiliaryServers = [
-    {address: settings.readyAddress, handler: auxiliaryHandler},
-    {address: settings.directoryAddress, handler: auxiliaryHandler},
-    {
-      address: settings.peerAddress,
-      handler: handover.handler,
-      handleMessage: forwarding.server.handle,
-    },
+  const servers = createProcessServers(
     {
-      address: settings.metricsAddress,
-      handler: () => ({
-        status: 200,
-        contentType: 'text/plain; version=0.0.4',
-        body: metrics.render(),
-      }),
+      log,
+      opener,
+      front,
+      platformHandler,
+      peerHandler: handover.handler,
+      peerMessageHandler: forwarding.server.handle,
+      renderMetrics: metrics.render,
     },
-  ].map(({address, handler, handleMessage}) => ({
-    address,
-    server: createAuxiliaryServer(handler, handleMessage),
-  }));
+    settings,
+  );
 
   const applyUpstreams = () =>
     applyPlainUpstreams({routing, registry, balancer});
@@ -527,9 +535,7 @@
     resumption,
   });
 
-  await front.listen(settings.callerAddress);
-  for (const {address, server} of auxiliaryServers)
-    await server.listen(address);
+  await servers.listen();
   peers.start();
   watch.start();
   handover.start();
@@ -546,8 +552,7 @@
     forwarding.links.stop();
     watch.stop();
     peers.stop();
-    front.close();
-    for (const {server} of auxiliaryServers) server.close();
+    servers.close();
     exchange.close();
     datagrams.close();
     log.info('Stopped.', {hostId, openRequests: openCount});
--- /dev/null
+++ b/tests/cli/held_addresses_test.ts
@@ -0,0 +1,131 @@
+/** Starts while another socket has one of the process's addresses. */
+
+import assert from 'node:assert/strict';
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import net from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {after, before, describe, test, type TestContext} from 'node:test';
+import {
+  ask,
+  assertServes,
+  comesTrue,
+  createProgramFolder,
+  type ProgramFolder,
+  type RunningProgram,
+} from './relay_program.js';
+
+const HELD_MS = 600;
+const GRACE_MS = 1_000;
+/** The time within which a process gives up, as it starts and ends. */
+const GIVES_UP_WITHIN_MS = GRACE_MS + 3_500;
+
+type Release = () => void;
+
+/** Ends with the test, too. */
+async function holdTcp(address: string, t: TestContext): Promise<Release> {
+  const [host, port] = address.split(':');
+  const server = net.createServer(socket => socket.destroy());
+  server.listen(Number(port), host);
+  const release = () => void server.close();
+  t.after(release);
+  await once(server, 'listening');
+  return release;
+}
+
+/** Ends with the test, too. */
+async function holdUdp(address: string, t: TestContext): Promise<Release> {
+  const [host, port] = address.split(':');
+  const socket = createSocket('udp4').bind(Number(port), host);
+  let isOpen = true;
+  const release = () => {
+    if (isOpen) socket.close();
+    isOpen = false;
+  };
+  t.after(release);
+  await once(socket, 'listening');
+  return release;
+}
+
+/** Fails unless the process still runs some time after it met the address. */
+async function meetsHeldAddress(running: RunningProgram): Promise<void> {
+  const hasMet = () => running.output().includes('cannot be opened yet');
+  await comesTrue(() => hasMet() || running.hasEnded());
+  await new Promise(resolve => setTimeout(resolve, HELD_MS));
+  assert.equal(running.hasEnded(), false, running.output());
+}
+
+const HELD = {
+  callers: {key: 'callerAddress', hold: holdTcp},
+  readiness: {key: 'readyAddress', hold: holdTcp},
+  directory: {key: 'directoryAddress', hold: holdTcp},
+  'peers over TCP': {key: 'peerAddress', hold: holdTcp},
+  'peers over UDP': {key: 'peerAddress', hold: holdUdp},
+} as const;
+
+describe('a relay whose address is in use', {concurrency: true}, () => {
+  let folder: ProgramFolder;
+  before(() => {
+    folder = createProgramFolder();
+  });
+  after(() => folder.remove());
+
+  for (const [name, {key, hold}] of Object.entries(HELD)) {
+    test(`serves once it is free: ${name}`, async t => {
+      const settings = await folder.makeSettings();
+      const release = await hold(settings[key], t);
+      const running = folder.startRelay(settings);
+      await meetsHeldAddress(running);
+      release();
+      await assertServes(running);
+      assert.notEqual(await ask(settings[key]), undefined);
+      const lines = running.output().split('\n');
+      const mentions = lines.filter(line => line.includes('"what":'));
+      assert.deepEqual(
+        mentions.map(line => /"message":"([^"]*)"/.exec(line)?.[1]),
+        ['An address cannot be opened yet.', 'The address is open now.'],
+      );
+    });
+
+    test(`says which one as it gives up: ${name}`, async t => {
+      const settings = await folder.makeSettings({leaveGraceMs: GRACE_MS});
+      await hold(settings[key], t);
+      const running = folder.startRelay(settings);
+      const {code} = await running.ended;
+      const tookMs = performance.now() - running.startedAtMs;
+      assert.equal(code, 1);
+      assert.ok(tookMs < GIVES_UP_WITHIN_MS, `${tookMs} ms`);
+      const [reason] = running
+        .output()
+        .split('\n')
+        .filter(line => line.startsWith('corianderbend: '));
+      assert.ok(reason.includes(`${name}, ${settings[key]},`), reason);
+      assert.ok(!running.output().includes('    at '), running.output());
+    });
+  }
+
+  test('serves without its metrics, and with them later', async t => {
+    const settings = await folder.makeSettings();
+    const release = await holdTcp(settings.metricsAddress, t);
+    const running = folder.startRelay(settings);
+    await assertServes(running);
+    release();
+    const isThere = async () => (await ask(settings.metricsAddress)) === 200;
+    assert.ok(await comesTrue(isThere), running.output());
+  });
+
+  for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+    test(`ends in order while it tries again: ${signal}`, async t => {
+      const settings = await folder.makeSettings();
+      await holdTcp(settings.callerAddress, t);
+      const running = folder.startRelay(settings);
+      await meetsHeldAddress(running);
+      const sentAtMs = performance.now();
+      running.child.kill(signal);
+      const {code} = await running.ended;
+      const tookMs = performance.now() - sentAtMs;
+      assert.equal(code, 0, running.output());
+      assert.ok(tookMs < 1_000, `${tookMs} ms`);
+    });
+  }
+});
