A relay goes on when the reader of its output ends

What callers saw: all relay processes exited with 0 at the moment at which the reader of their standard output ended, and closed the connections of requests that were open (three real processes, 3 calls closed without an answer).

Cause: main.ts ended any command at EPIPE. At standard error an EPIPE was an uncaught exception. And a log that had failed once waited for `drain`, which a stream doesn't emit after an error, so it was silent for good.

Commands that serve (relay, serve) now ignore errors of both streams; all others still end with 0, as in `corianderbend help | head -1`. The log writes again after an error, so that a pipe with a new reader gets lines.

--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -154,10 +154,12 @@
 
 function createStandardOutput(): LineSink {
   const {stdout} = process;
-  // The process must keep running if the reader of its output ends.
-  stdout.on('error', () => undefined);
   return {
     write: line => stdout.write(line),
-    onWritable: listener => void stdout.on('drain', listener),
+    onWritable(listener) {
+      stdout.on('drain', listener);
+      // A stream that failed emits no `drain`, but a pipe may get a reader again.
+      stdout.on('error', listener);
+    },
   };
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,17 +9,28 @@
 const FLUSH_TIMEOUT_MS = 100;
 const EXIT_FAILED = 1;
 
-/** Exits if the reader closes the pipe, as in `corianderbend help | head -1`. */
-process.stdout.on('error', (error: NodeJS.ErrnoException) => {
-  if (error.code !== 'EPIPE') throw error;
-  process.exit(0);
-});
+/** Processes whose work goes on if nobody reads their output, or a disk is full. */
+const SERVING_COMMANDS: readonly string[] = ['relay', 'serve'];
+
+function handleOutputErrors(command: string): void {
+  const {stdout, stderr} = process;
+  if (SERVING_COMMANDS.includes(command)) {
+    for (const stream of [stdout, stderr]) stream.on('error', () => undefined);
+    return;
+  }
+  // As in `corianderbend help | head -1`.
+  stdout.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code !== 'EPIPE') throw error;
+    process.exit(0);
+  });
+}
 
 /**
  * Runs the command that the arguments name. Commands are imported lazily, so
  * that a relay process does not load the modules of all other commands.
  */
 async function run(words: readonly string[]): Promise<number> {
+  handleOutputErrors(words[0]);
   if (words[0] === 'relay') {
     const signalBuffer = bufferSignals(process);
     const {runRelayCommand} = await import('./commands/relay_command.js');
