--- a/tests/relay/front/pipeline_test.ts
+++ b/tests/relay/front/pipeline_test.ts
@@ -10,8 +10,8 @@
   type RelayFront,
   type RelayFrontHost,
 } from '../../../src/relay/front/relay_front.js';
-import {createResourceLimits} from '../../../src/relay/limits/resource_limits.js';
 import {findFreeAddress} from '../../support/free_address.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 import {silentLog} from '../../support/silent_log.js';
 
 interface Handled {
@@ -52,15 +52,7 @@
       noteFree: () => undefined,
       bufferedBytes: () => 0,
     },
-    resources: createResourceLimits(
-      {
-        clock,
-        log: silentLog,
-        metrics: {count: () => undefined},
-        hasOtherEntry: () => false,
-      },
-      {memoryMb},
-    ),
+    resources: makeResourceLimits({memoryMb}),
     limits: () => undefined,
     isLeaving: () => isLeaving,
   };
--- a/tests/relay/front/relay_front_test.ts
+++ b/tests/relay/front/relay_front_test.ts
@@ -2,14 +2,13 @@
 import http from 'node:http';
 import net from 'node:net';
 import {test} from 'node:test';
-import {createProcessMemory} from '../../../src/adapters/process_memory.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {
   createRelayFront,
   type RelayFrontHost,
 } from '../../../src/relay/front/relay_front.js';
-import {createResourceLimits} from '../../../src/relay/limits/resource_limits.js';
 import {findFreeAddress} from '../../support/free_address.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 import {silentLog} from '../../support/silent_log.js';
 
 const host: RelayFrontHost = {
@@ -25,16 +24,7 @@
     noteFree: () => undefined,
     bufferedBytes: () => 0,
   },
-  resources: createResourceLimits(
-    {
-      clock: createVirtualClock(),
-      processMemory: createProcessMemory(),
-      log: silentLog,
-      metrics: {count: () => undefined},
-      hasOtherEntry: () => false,
-    },
-    {},
-  ),
+  resources: makeResourceLimits(),
   limits: () => undefined,
   isLeaving: () => false,
 };
