--- a/tests/relay/front/relay_front_test.ts
+++ b/tests/relay/front/relay_front_test.ts
@@ -7,8 +7,8 @@
   createRelayFront,
   type RelayFrontHost,
 } from '../../../src/relay/front/relay_front.js';
-import {createResourceLimits} from '../../../src/relay/limits/resource_limits.js';
 import {findFreeAddress} from '../../support/free_address.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 import {silentLog} from '../../support/silent_log.js';
 
 const host: RelayFrontHost = {
@@ -24,15 +24,7 @@
     noteFree: () => undefined,
     bufferedBytes: () => 0,
   },
-  resources: createResourceLimits(
-    {
-      clock: createVirtualClock(),
-      log: silentLog,
-      metrics: {count: () => undefined},
-      hasOtherEntry: () => false,
-    },
-    {},
-  ),
+  resources: makeResourceLimits(),
   limits: () => undefined,
   isLeaving: () => false,
 };
