--- a/src/relay/limits/memory_watch.ts
+++ b/src/relay/limits/memory_watch.ts
@@ -117,8 +117,8 @@
   function note(next: MemoryLevel, share: number): void {
     if (next === level) return;
     const fields = {
-      level: next,
-      before: level,
+      memoryLevel: next,
+      levelBefore: level,
       residentMb: toMb(residentBytes),
       limitMb: toMb(maxBytes),
       usedShare: Number(share.toFixed(2)),
