Bodies of requests within the account of memory, and in time

Cause: each body was read fully before anything was decided, with no bound over all, no time-out, as chunks that are joined at the end (each chunk of a byte takes a buffer of its own), and the handler kept reading after the refusal.

A body is now held in the account before it is read: with a length all of it is asked for, in chunks as it grows. A body ends with 408 when the caller's wait is over or no byte came for the idle time-out; uploads that stood still for 1 s make room for others; the account's ends answer 503. At the end of a grace open uploads get the refusal, too. Whether a request begins at a leaving host is still decided after its body was read (Relay.handle). A body stays counted until its response closes.

Memory of real processes under load isn't measured in this commit.

--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -11,7 +11,7 @@
 import type {Logger} from '../../ports/log.js';
 import type {RequestReader} from '../../ports/relay.js';
 import type {Caller} from './caller.js';
-import {readBody} from './body_reader.js';
+import type {BodyReader} from './body_reader.js';
 import type {CallerBuffers} from './caller_buffers.js';
 import {createHttpCaller} from './http_caller.js';
 import type {ResourceLimits} from '../limits/resource_limits.js';
@@ -24,6 +24,7 @@
   readonly relay: Relay;
   readonly buffers: CallerBuffers;
   readonly resources: ResourceLimits;
+  readonly bodies: BodyReader;
   limits(): CallerLimits | undefined;
   /** Returns whether connections are closed after the next answer. */
   isLeaving(): boolean;
@@ -99,8 +100,12 @@
     open.add(request);
     response.once('close', () => open.delete(request));
     const caller = createCaller(response, requestId);
-    const body = await readBody(message, {
+    const waitMs = facts.waitMs ?? DEFAULT_WAIT_MS;
+    const body = await host.bodies.read(message, response, {
+      requestId,
+      waitMs,
       maxBytes: host.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      idleTimeoutMs: host.limits()?.idleTimeoutMs,
     });
     if (body.error) return caller.refuse(body.error);
     // The caller disconnected before it had sent the whole request.
@@ -115,7 +120,7 @@
         keyDigest: facts.keyDigest,
         body: body.bytes,
         arrivedAtMs,
-        waitMs: facts.waitMs ?? DEFAULT_WAIT_MS,
+        waitMs,
         prompt: facts.prompt,
         sharedParts: facts.sharedParts,
         lastEventId: facts.lastEventId,
@@ -133,17 +138,27 @@
     else caller.refuse({kind: 'internal', detail: 'See the log.'});
   }
 
+  function handleMessage(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    // Never answered, so it must not run.
+    if (closing.has(message.socket)) return void message.resume();
+    handle(message, response).catch(error => {
+      log.error('The request handler failed.', {reason: String(error)});
+      endFailed(response);
+    });
+  }
+
   const server = http.createServer(
-    {maxHeaderSize: DEFAULT_MAX_HEADER_BYTES, requestTimeout: 0},
-    (message, response) => {
-      // Never answered, so it must not run.
-      if (closing.has(message.socket)) return void message.resume();
-      handle(message, response).catch(error => {
-        log.error('The request handler failed.', {reason: String(error)});
-        endFailed(response);
-      });
+    {
+      maxHeaderSize: DEFAULT_MAX_HEADER_BYTES,
+      requestTimeout: 0,
     },
+    handleMessage,
   );
+  // The body reader sends the status 100.
+  server.on('checkContinue', handleMessage);
   server.on('connection', socket => socket.setNoDelay(true));
 
   return {
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -37,6 +37,7 @@
   slow_callers_closed:
     'Callers disconnected as they read too slowly, by cause.',
   memory_ends: 'Requests ended as memory was scarce, by what they held.',
+  bodies_refused: 'Requests refused before their body was read, by reason.',
   forwarded_calls: 'Calls to upstreams that peers were asked to make, by end.',
   served_calls: 'Calls to upstreams that peers asked for, by result.',
   runs_left: 'Runs left for another engine as they were silent, by reason.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -13,6 +13,7 @@
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createBackpressure} from './backpressure/backpressure.js';
+import {createBodyReader} from './front/body_reader.js';
 import {createCallDurations} from './front/call_durations.js';
 import {createCallerBuffers} from './front/caller_buffers.js';
 import {listEntries} from './front/host_directory.js';
@@ -278,6 +279,21 @@
     send: (hostId, message) => peers.sendMessage(hostId, message),
     onOpen: placement.scheduler.processQueue,
   });
+  const resources = createResourceLimits(
+    {
+      clock,
+      log: createLogger('limits'),
+      metrics,
+      hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
+    },
+    settings,
+  );
+  const bodies = createBodyReader({
+    clock,
+    log: createLogger('bodies'),
+    metrics,
+    resources,
+  });
   const sending = createRelayUpstreamPort({
     clock,
     random,
@@ -337,7 +353,10 @@
       signalsHandledUntilMs: loopLateness.handledUntilMs,
       hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
       refuseWaiting: openJobs.refuseWaiting,
-      endUnanswered: openJobs.endUnanswered,
+      endUnanswered(notRun) {
+        openJobs.endUnanswered(notRun);
+        bodies.refuseOpen(notRun);
+      },
       openCount: () => front.openCount() + forwarding.server.activeCount(),
       lastRequestAtMs: () => front.lastRequestAtMs(),
       onLeave() {
@@ -389,15 +408,6 @@
     loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
-  const resources = createResourceLimits(
-    {
-      clock,
-      log: createLogger('limits'),
-      metrics,
-      hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
-    },
-    settings,
-  );
   const callerBuffers = createCallerBuffers(
     {clock, log: createLogger('front'), metrics},
     settings,
@@ -406,6 +416,7 @@
     clock,
     buffers: callerBuffers,
     resources,
+    bodies,
     log: createLogger('front'),
     reader: adapters.reader,
     relay,
--- a/tests/relay/front/relay_front_test.ts
+++ b/tests/relay/front/relay_front_test.ts
@@ -7,9 +7,15 @@
   createRelayFront,
   type RelayFrontHost,
 } from '../../../src/relay/front/relay_front.js';
-import {createResourceLimits} from '../../../src/relay/limits/resource_limits.js';
+import {createBodyReader} from '../../../src/relay/front/body_reader.js';
 import {findFreeAddress} from '../../support/free_address.js';
 import {silentLog} from '../../support/silent_log.js';
+import {
+  createUnlimitedResources,
+  noMetrics,
+} from '../limits/resources_stand_in.js';
+
+const resources = createUnlimitedResources();
 
 const host: RelayFrontHost = {
   clock: createVirtualClock(),
@@ -24,15 +30,13 @@
     noteFree: () => undefined,
     bufferedBytes: () => 0,
   },
-  resources: createResourceLimits(
-    {
-      clock: createVirtualClock(),
-      log: silentLog,
-      metrics: {count: () => undefined},
-      hasOtherEntry: () => false,
-    },
-    {},
-  ),
+  resources,
+  bodies: createBodyReader({
+    clock: createVirtualClock(),
+    log: silentLog,
+    metrics: noMetrics,
+    resources,
+  }),
   limits: () => undefined,
   isLeaving: () => false,
 };
--- /dev/null
+++ b/tests/relay/limits/resources_stand_in.ts
@@ -0,0 +1,31 @@
+/** Limits of a process, for tests that give a few of them. */
+
+import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {
+  createMemoryBudget,
+  type MemoryBudget,
+} from '../../../src/relay/limits/memory_budget.js';
+import {
+  createResourceLimits,
+  type ResourceLimits,
+} from '../../../src/relay/limits/resource_limits.js';
+import {silentLog} from '../../support/silent_log.js';
+
+export const noMetrics = {count: () => undefined};
+
+export const createBudget = (maxBytes = Infinity): MemoryBudget =>
+  createMemoryBudget({
+    maxHeldBytes: () => maxBytes,
+    onEnded: () => undefined,
+  });
+
+export const createUnlimitedResources = (): ResourceLimits =>
+  createResourceLimits(
+    {
+      clock: createVirtualClock(),
+      log: silentLog,
+      metrics: noMetrics,
+      hasOtherEntry: () => false,
+    },
+    {},
+  );
