Connections of callers within the descriptors and the memory of a process

Cause: accepted connections had no bound, so that none were left for calls to upstreams, and headers that never came were noticed after up to 90 s (Node checks each 30 s, for 60 s until a configuration is known).

At most maxCallerConnections may be open, now also within a quarter of what may be held in memory. Header time-outs are checked each second. Gauges caller_connections and max_caller_connections, counter connections_ended by server and cause.

--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -14,6 +14,7 @@
 import type {BodyReader} from './body_reader.js';
 import type {CallerBuffers} from './caller_buffers.js';
 import {createHttpCaller} from './http_caller.js';
+import type {ConnectionLimit} from '../limits/connection_limit.js';
 import type {ResourceLimits} from '../limits/resource_limits.js';
 import type {Relay} from '../relay.js';
 
@@ -25,6 +26,7 @@
   readonly buffers: CallerBuffers;
   readonly resources: ResourceLimits;
   readonly bodies: BodyReader;
+  readonly connections: ConnectionLimit;
   limits(): CallerLimits | undefined;
   /** Returns whether connections are closed after the next answer. */
   isLeaving(): boolean;
@@ -46,9 +48,12 @@
  * afterwards.
  */
 const DEFAULT_MAX_HEADER_BYTES = 64 * 1024;
+const DEFAULT_HEADER_TIMEOUT_MS = 10_000;
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** How long a caller is assumed to wait if it sends no timeout. */
 const DEFAULT_WAIT_MS = 600_000;
+/** How often it is checked whether headers arrive in time. */
+const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
 /** A request that is being read, run or answered. */
 interface OpenRequest {
@@ -106,6 +111,9 @@
       waitMs,
       maxBytes: host.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       idleTimeoutMs: host.limits()?.idleTimeoutMs,
+      refusal: host.connections.isRefused(message.socket)
+        ? host.resources.toRefusal('Too many connections.')
+        : undefined,
     });
     if (body.error) return caller.refuse(body.error);
     // The caller disconnected before it had sent the whole request.
@@ -154,11 +162,14 @@
     {
       maxHeaderSize: DEFAULT_MAX_HEADER_BYTES,
       requestTimeout: 0,
+      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     },
     handleMessage,
   );
   // The body reader sends the status 100.
   server.on('checkContinue', handleMessage);
+  host.connections.watch(server);
   server.on('connection', socket => socket.setNoDelay(true));
 
   return {
--- a/src/relay/limits/resource_limits.ts
+++ b/src/relay/limits/resource_limits.ts
@@ -8,6 +8,7 @@
 import type {Logger} from '../../ports/log.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {RelaySettings} from '../relay_settings.js';
+import {heldKinds} from './held_kinds.js';
 import {createMemoryBudget, type MemoryBudget} from './memory_budget.js';
 
 export interface ResourceLimitsHost {
@@ -22,6 +23,8 @@
   readonly memory: MemoryBudget;
   /** Connections of callers that may be open at once. */
   readonly maxCallerConnections: number;
+  /** Connections of peers that may be open at once. */
+  readonly maxPeerConnections: number;
   /** The refusal of a request for which there is no room. */
   toRefusal(detail: string): RequestError;
 }
@@ -40,6 +43,11 @@
 const OWN_DESCRIPTORS = 200;
 /** Of the rest, the part for callers; calls to upstreams need the others. */
 const CALLER_SHARE = 1 / 2;
+/** Of what may be held, the part for connections by themselves. */
+const CONNECTION_MEMORY_SHARE = 1 / 4;
+/** Connections of peers, as a part of those of callers. */
+const PEER_SHARE = 1 / 4;
+const MAX_PEER_CONNECTIONS = 320;
 
 /** Short, since a caller can connect to another entry right away. */
 const OTHER_ENTRY_RETRY_MS = 20;
@@ -54,8 +62,15 @@
   return heldMb * BYTES_PER_MB;
 }
 
-function toMaxConnections(maxDescriptors: number): number {
-  const count = (maxDescriptors - OWN_DESCRIPTORS) * CALLER_SHARE;
+function toMaxConnections(
+  maxDescriptors: number,
+  maxHeldBytes: number,
+): number {
+  const count = Math.min(
+    (maxDescriptors - OWN_DESCRIPTORS) * CALLER_SHARE,
+    (maxHeldBytes * CONNECTION_MEMORY_SHARE) /
+      heldKinds.connection.overheadBytes,
+  );
   return Math.max(1, Math.floor(count));
 }
 
@@ -80,12 +95,17 @@
       metrics.count('memory_ends', `kind="${kind}"`);
     },
   });
+  const maxCallerConnections = toMaxConnections(
+    maxDescriptors ?? Infinity,
+    maxHeldBytes,
+  );
   return {
     memory,
-    maxCallerConnections:
-      maxDescriptors === undefined
-        ? Infinity
-        : toMaxConnections(maxDescriptors),
+    maxCallerConnections,
+    maxPeerConnections: Math.min(
+      MAX_PEER_CONNECTIONS,
+      Math.ceil(maxCallerConnections * PEER_SHARE),
+    ),
     toRefusal: detail => ({
       kind: 'host-overloaded',
       detail,
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -6,6 +6,7 @@
 import type {Forwarding} from './forwarding/forwarding.js';
 import type {PeerExchange} from './fleet/peer_exchange_types.js';
 import type {StoreReaders} from './fleet/store_readers.js';
+import type {ConnectionLimit} from './limits/connection_limit.js';
 import type {LoopLateness} from './loop_lateness.js';
 import type {PlainPlacement} from './plain/plain_placement.js';
 import type {Relay} from './relay.js';
@@ -31,6 +32,7 @@
   readonly plainPlaces: PlainPlacement;
   readonly limits: UpstreamLimits;
   readonly callerBuffers: CallerBuffers;
+  readonly connections: ConnectionLimit;
   readonly crashes: CrashWatch;
   readonly forwarding: Forwarding;
   readonly resumption: Resumption;
@@ -188,6 +190,16 @@
     help: 'Bytes held for callers that read slowly.',
     read: ({callerBuffers}) => callerBuffers.bufferedBytes(),
   },
+  {
+    name: 'caller_connections',
+    help: 'Open connections of callers.',
+    read: ({connections}) => connections.openCount(),
+  },
+  {
+    name: 'max_caller_connections',
+    help: 'Connections of callers that may be open at once.',
+    read: ({connections}) => connections.maxConnections,
+  },
   {
     name: 'uneven_engines',
     help: 'Engines whose measured speed is not that of the others.',
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -38,6 +38,7 @@
     'Callers disconnected as they read too slowly, by cause.',
   memory_ends: 'Requests ended as memory was scarce, by what they held.',
   bodies_refused: 'Requests refused before their body was read, by reason.',
+  connections_ended: 'Connections ended as there were too many, by cause.',
   forwarded_calls: 'Calls to upstreams that peers were asked to make, by end.',
   served_calls: 'Calls to upstreams that peers asked for, by result.',
   runs_left: 'Runs left for another engine as they were silent, by reason.',
@@ -63,6 +64,8 @@
   total: number;
 }
 
+const toText = (value: number) => (value === Infinity ? '+Inf' : String(value));
+
 export function createRelayMetrics(): RelayMetrics {
   const counters = new Map<CounterName, Map<string, number>>();
   const histograms = new Map<string, Histogram>();
@@ -139,7 +142,7 @@
         lines.push(
           `# HELP ${PREFIX}${name} ${help}`,
           `# TYPE ${PREFIX}${name} gauge`,
-          `${PREFIX}${name} ${read()}`,
+          `${PREFIX}${name} ${toText(read())}`,
         );
       }
       return `${lines.join('\n')}\n`;
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -21,6 +21,7 @@
 import {createLoopLateness} from './loop_lateness.js';
 import {toHostCapacity} from './fleet/host_capacity.js';
 import type {HostState} from './fleet/members.js';
+import {createConnectionLimit} from './limits/connection_limit.js';
 import {createResourceLimits} from './limits/resource_limits.js';
 import {rankOwners} from './fleet/owners.js';
 import {createPeerExchange} from './fleet/peer_exchange.js';
@@ -412,11 +413,26 @@
     {clock, log: createLogger('front'), metrics},
     settings,
   );
+  const limitConnections = (
+    server: string,
+    maxConnections: number,
+    headerTimeoutMs?: () => number | undefined,
+  ) =>
+    createConnectionLimit(
+      {clock, log: createLogger('limits'), metrics, memory: resources.memory},
+      {server, maxConnections, headerTimeoutMs},
+    );
+  const connections = limitConnections(
+    'callers',
+    resources.maxCallerConnections,
+    () => routing.current()?.limits.headerTimeoutMs,
+  );
   const front = createRelayFront({
     clock,
     buffers: callerBuffers,
     resources,
     bodies,
+    connections,
     log: createLogger('front'),
     reader: adapters.reader,
     relay,
@@ -533,6 +549,7 @@
     plainPlaces,
     limits: backpressure.limits,
     callerBuffers,
+    connections,
     crashes,
     forwarding,
     resumption,
--- a/tests/platform/relay_site.ts
+++ b/tests/platform/relay_site.ts
@@ -46,8 +46,10 @@
   list(upstream: EngineStandIn, state?: 'ready' | 'draining'): void;
   configure(configuration: object): number;
   addEntry(changes?: Partial<RelaySettings>): Promise<Entry>;
+  /** Settings for an entry that runs as a process of its own. */
+  makeSettings(changes: Partial<RelaySettings>): Promise<RelaySettings>;
   call(
-    entry: Entry,
+    entry: Pick<Entry, 'settings'>,
     path: string,
     options?: RequestOptions,
   ): Promise<SiteAnswer>;
@@ -147,6 +149,7 @@
       store.put('op', 'config', {version, ...configuration});
       return version;
     },
+    makeSettings,
     async addEntry(changes = {}) {
       const settings = await makeSettings(changes);
       const process = await startRelay({
--- a/tests/relay/front/raw_front.ts
+++ b/tests/relay/front/raw_front.ts
@@ -5,6 +5,7 @@
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createBodyReader} from '../../../src/relay/front/body_reader.js';
 import {createRelayFront} from '../../../src/relay/front/relay_front.js';
+import {createConnectionLimit} from '../../../src/relay/limits/connection_limit.js';
 import type {Relay} from '../../../src/relay/relay.js';
 import {findFreeAddress} from '../../support/free_address.js';
 import {silentLog} from '../../support/silent_log.js';
@@ -54,6 +55,7 @@
 export interface RawFrontOptions {
   readonly maxHeldBytes?: number;
   readonly maxBodyBytes?: number;
+  readonly maxConnections?: number;
   readonly waitMs?: number;
   readonly handle?: Relay['handle'];
 }
@@ -70,7 +72,8 @@
   const bodies: string[] = [];
   const resources = {
     memory,
-    maxCallerConnections: Infinity,
+    maxCallerConnections: options.maxConnections ?? Infinity,
+    maxPeerConnections: Infinity,
     toRefusal: (detail: string) =>
       ({kind: 'host-overloaded', detail, retryAfterMs: 20}) as const,
   };
@@ -97,6 +100,11 @@
       bufferedBytes: () => 0,
     },
     bodies: createBodyReader(shared),
+    connections: createConnectionLimit(shared, {
+      server: 'callers',
+      maxConnections: resources.maxCallerConnections,
+      headerTimeoutMs: () => 1_000,
+    }),
     limits: () => ({
       maxHeaderBytes: 4_096,
       maxBodyBytes: options.maxBodyBytes ?? 1024 * 1024,
--- a/tests/relay/front/relay_front_test.ts
+++ b/tests/relay/front/relay_front_test.ts
@@ -11,6 +11,7 @@
 import {findFreeAddress} from '../../support/free_address.js';
 import {silentLog} from '../../support/silent_log.js';
 import {
+  createUnlimitedConnections,
   createUnlimitedResources,
   noMetrics,
 } from '../limits/resources_stand_in.js';
@@ -37,6 +38,7 @@
     metrics: noMetrics,
     resources,
   }),
+  connections: createUnlimitedConnections(),
   limits: () => undefined,
   isLeaving: () => false,
 };
--- a/tests/relay/limits/resources_stand_in.ts
+++ b/tests/relay/limits/resources_stand_in.ts
@@ -1,6 +1,10 @@
 /** Limits of a process, for tests that give a few of them. */
 
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
+import {
+  createConnectionLimit,
+  type ConnectionLimit,
+} from '../../../src/relay/limits/connection_limit.js';
 import {
   createMemoryBudget,
   type MemoryBudget,
@@ -29,3 +33,14 @@
     },
     {},
   );
+
+export const createUnlimitedConnections = (): ConnectionLimit =>
+  createConnectionLimit(
+    {
+      clock: createVirtualClock(),
+      log: silentLog,
+      metrics: noMetrics,
+      memory: createBudget(),
+    },
+    {server: 'test', maxConnections: Infinity},
+  );
