--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -5,12 +5,13 @@
 
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import type {RequestError} from '../../core/error_kinds.js';
 import type {CallerLimits} from '../../core/routing_types.js';
 import {listenOn} from '../../adapters/listen.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {RequestReader} from '../../ports/relay.js';
-import {readBody} from './body_reader.js';
+import type {BodyReader} from './body_reader.js';
 import type {CallerBuffers} from './caller_buffers.js';
 import {createHttpCaller, type HttpCaller} from './http_caller.js';
 import {
@@ -19,6 +20,7 @@
   type Pipeline,
   type PipelinePlace,
 } from './pipeline.js';
+import type {ConnectionLimit} from '../limits/connection_limit.js';
 import {heldKinds} from '../limits/held_kinds.js';
 import type {Holding} from '../limits/memory_budget.js';
 import type {ResourceLimits} from '../limits/resource_limits.js';
@@ -30,7 +32,9 @@
   readonly reader: RequestReader;
   readonly relay: Relay;
   readonly buffers: CallerBuffers;
-  readonly resources: ResourceLimits;
+  readonly resources: Pick<ResourceLimits, 'memory' | 'toRefusal'>;
+  readonly bodies: BodyReader;
+  readonly connections: ConnectionLimit;
   limits(): CallerLimits | undefined;
   /** Returns whether connections are closed after the next answer. */
   isLeaving(): boolean;
@@ -52,12 +56,12 @@
  * afterwards.
  */
 const DEFAULT_MAX_HEADER_BYTES = 64 * 1024;
+const DEFAULT_HEADER_TIMEOUT_MS = 10_000;
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** How long a caller is assumed to wait if it sends no timeout. */
 const DEFAULT_WAIT_MS = 600_000;
-
-/** What a request that runs holds beside its body, measured with its call. */
-const RUNNING_BYTES = 32 * 1024;
+/** How often it is checked whether headers arrive in time. */
+const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
 /** A request that waits, is being read, run or answered. */
 interface OpenRequest {
@@ -115,24 +119,26 @@
   async function handle(
     request: OpenRequest,
     place: PipelinePlace,
-    holding: Holding | undefined,
+    hasRoom: boolean,
   ): Promise<void> {
-    const {message, arrivedAtMs} = request;
+    const {message, response, arrivedAtMs} = request;
     const facts = reader.read(message.rawHeaders);
     const {requestId} = facts;
     request.requestId = requestId;
     const caller = createCaller(request, place);
     request.caller = caller;
-    const refuse = () =>
-      caller.refuse(resources.toRefusal('Too many requests are open.'));
-    if (!holding?.tryResize(RUNNING_BYTES)) return refuse();
-    const body = await readBody(message, {
+    const waitMs = facts.waitMs ?? DEFAULT_WAIT_MS;
+    const body = await host.bodies.read(message, response, {
+      requestId,
+      waitMs,
+      end: caller.drop,
       maxBytes: host.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+      idleTimeoutMs: host.limits()?.idleTimeoutMs,
+      refusal: findRefusal(message, hasRoom),
     });
     if (body.error) return caller.refuse(body.error);
     // The caller disconnected before it had sent the whole request.
     if (!body.bytes) return;
-    if (!holding.tryResize(RUNNING_BYTES + body.bytes.length)) return refuse();
     await relay.handle(
       {
         requestId,
@@ -143,7 +149,7 @@
         keyDigest: facts.keyDigest,
         body: body.bytes,
         arrivedAtMs,
-        waitMs: facts.waitMs ?? DEFAULT_WAIT_MS,
+        waitMs,
         prompt: facts.prompt,
         sharedParts: facts.sharedParts,
         lastEventId: facts.lastEventId,
@@ -153,6 +159,16 @@
     );
   }
 
+  function findRefusal(
+    {socket}: http.IncomingMessage,
+    hasRoom: boolean,
+  ): RequestError | undefined {
+    if (!hasRoom) return resources.toRefusal('Too many requests are open.');
+    return host.connections.isRefused(socket)
+      ? resources.toRefusal('Too many connections.')
+      : undefined;
+  }
+
   /** Ends a request that this host failed to handle. */
   function endFailed(request: OpenRequest, place: PipelinePlace): void {
     if (request.response.writableEnded) return;
@@ -161,22 +177,23 @@
     else caller.refuse({kind: 'internal', detail: 'See the log.'});
   }
 
-  /** Returns undefined if there is no room; the request is then refused. */
-  function hold(request: OpenRequest): Holding | undefined {
+  /** Until it starts; returns undefined if there is no room. */
+  function holdWaiting(request: OpenRequest): Holding | undefined {
     const {memory} = resources;
-    if (memory.freeBytes() < heldKinds.request.overheadBytes) return undefined;
+    const {overheadBytes} = heldKinds['waiting-request'];
+    if (memory.freeBytes() < overheadBytes) return undefined;
     return memory.open({
-      kind: 'request',
+      kind: 'waiting-request',
       get requestId() {
         return request.requestId;
       },
-      end: () => request.caller?.drop(),
+      end: () => undefined,
     });
   }
 
   function accept(request: OpenRequest): void {
     const {message, response} = request;
-    const holding = hold(request);
+    const holding = holdWaiting(request);
     const close = () => {
       open.delete(request);
       holding?.close();
@@ -186,11 +203,12 @@
     pipelineOf(message.socket).add({
       start(place) {
         lastRequestAtMs = clock.nowMs();
+        holding?.close();
         response.once('close', () => {
           close();
           place.close();
         });
-        handle(request, place, holding).catch(error => {
+        handle(request, place, holding !== undefined).catch(error => {
           log.error('The request handler failed.', {reason: String(error)});
           endFailed(request, place);
         });
@@ -199,20 +217,29 @@
     });
   }
 
+  function handleMessage(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    // Never answered, so it must not run.
+    if (closing.has(message.socket)) return void message.resume();
+    const arrivedAtMs = clock.nowMs();
+    lastRequestAtMs = arrivedAtMs;
+    accept({message, response, arrivedAtMs, requestId: ''});
+  }
+
   const server = http.createServer(
-    {maxHeaderSize: DEFAULT_MAX_HEADER_BYTES, requestTimeout: 0},
-    (message, response) => {
-      // Never answered, so it must not run.
-      if (closing.has(message.socket)) return void message.resume();
-      lastRequestAtMs = clock.nowMs();
-      accept({
-        message,
-        response,
-        arrivedAtMs: lastRequestAtMs,
-        requestId: '',
-      });
+    {
+      maxHeaderSize: DEFAULT_MAX_HEADER_BYTES,
+      requestTimeout: 0,
+      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     },
+    handleMessage,
   );
+  // The body reader sends the status 100.
+  server.on('checkContinue', handleMessage);
+  host.connections.watch(server);
   server.on('connection', socket => socket.setNoDelay(true));
 
   return {
--- a/src/relay/relay_gauges.ts
+++ b/src/relay/relay_gauges.ts
@@ -8,6 +8,7 @@
 import type {StoreReaders} from './fleet/store_readers.js';
 import {heldKinds, type HeldKind} from './limits/held_kinds.js';
 import type {ResourceLimits} from './limits/resource_limits.js';
+import type {ConnectionLimit} from './limits/connection_limit.js';
 import type {LoopLateness} from './loop_lateness.js';
 import type {PlainPlacement} from './plain/plain_placement.js';
 import type {Relay} from './relay.js';
@@ -34,6 +35,7 @@
   readonly limits: UpstreamLimits;
   readonly callerBuffers: CallerBuffers;
   readonly resources: ResourceLimits;
+  readonly connections: ConnectionLimit;
   readonly crashes: CrashWatch;
   readonly forwarding: Forwarding;
   readonly resumption: Resumption;
@@ -211,6 +213,16 @@
     help: 'What is held for callers.',
     read: ({resources}) => resources.memory.heldBytes(),
   },
+  {
+    name: 'caller_connections',
+    help: 'Open connections of callers.',
+    read: ({connections}) => connections.openCount(),
+  },
+  {
+    name: 'max_caller_connections',
+    help: 'Connections of callers that may be open at once.',
+    read: ({connections}) => connections.maxConnections,
+  },
   {
     name: 'uneven_engines',
     help: 'Engines whose measured speed is not that of the others.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -14,6 +14,7 @@
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createBackpressure} from './backpressure/backpressure.js';
+import {createBodyReader} from './front/body_reader.js';
 import {createCallDurations} from './front/call_durations.js';
 import {createCallerBuffers} from './front/caller_buffers.js';
 import {listEntries} from './front/host_directory.js';
@@ -21,6 +22,7 @@
 import {createLoopLateness} from './loop_lateness.js';
 import {toHostCapacity} from './fleet/host_capacity.js';
 import type {HostState} from './fleet/members.js';
+import {createConnectionLimit} from './limits/connection_limit.js';
 import {createResourceLimits} from './limits/resource_limits.js';
 import {rankOwners} from './fleet/owners.js';
 import {createPeerExchange} from './fleet/peer_exchange.js';
@@ -295,6 +297,22 @@
     send: (hostId, message) => peers.sendMessage(hostId, message),
     onOpen: placement.scheduler.processQueue,
   });
+  const resources = createResourceLimits(
+    {
+      clock,
+      processMemory: createProcessMemory(),
+      log: createLogger('limits'),
+      metrics,
+      hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
+    },
+    settings,
+  );
+  const bodies = createBodyReader({
+    clock,
+    log: createLogger('bodies'),
+    metrics,
+    resources,
+  });
   const sending = createRelayUpstreamPort({
     clock,
     random,
@@ -354,7 +372,10 @@
       signalsHandledUntilMs: loopLateness.handledUntilMs,
       hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
       refuseWaiting: openJobs.refuseWaiting,
-      endUnanswered: openJobs.endUnanswered,
+      endUnanswered(notRun) {
+        openJobs.endUnanswered(notRun);
+        bodies.refuseOpen(notRun);
+      },
       openCount: () => front.openCount() + forwarding.server.activeCount(),
       lastRequestAtMs: () => front.lastRequestAtMs(),
       onLeave() {
@@ -406,24 +427,30 @@
     loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
-  const resources = createResourceLimits(
-    {
-      clock,
-      processMemory: createProcessMemory(),
-      log: createLogger('limits'),
-      metrics,
-      hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
-    },
-    settings,
-  );
   const callerBuffers = createCallerBuffers(
     {clock, log: createLogger('front'), metrics},
     settings,
   );
+  const limitConnections = (
+    server: string,
+    maxConnections: number,
+    headerTimeoutMs?: () => number | undefined,
+  ) =>
+    createConnectionLimit(
+      {clock, log: createLogger('limits'), metrics, memory: resources.memory},
+      {server, maxConnections, headerTimeoutMs},
+    );
+  const connections = limitConnections(
+    'callers',
+    resources.maxCallerConnections,
+    () => routing.current()?.limits.headerTimeoutMs,
+  );
   const front = createRelayFront({
     clock,
     buffers: callerBuffers,
     resources,
+    bodies,
+    connections,
     log: createLogger('front'),
     reader: adapters.reader,
     relay,
@@ -533,6 +560,7 @@
     limits: backpressure.limits,
     callerBuffers,
     resources,
+    connections,
     crashes,
     forwarding,
     resumption,
