Write what a chunk of a stream completes at once, and bound comments

Callers saw: comments without end from one of two engines, 20 streams a host, took three processes to 365 to 375 MB; with a kill at 200 MB all of them end.

Cause: each event, and each block of comments, was a write of its own: 21,845 for 64 KB of `:\n\n`, 19,815 of them after `write` had returned false, 8.5 MB of pending writes after a collection. Comments with blank lines counted as events, so such a stream was forwarded until its deadline, and its head was sent.

Fix: the framer counts events and gives the bytes up to the end of the last one as one buffer, without a buffer and a string for each event. Comments are no events: they are held until the first event, then forwarded as they arrive, and more than 256 KB without an event end the run as an event without end does: 502, or another run.

--- a/src/relay/streams/event_framer.ts
+++ b/src/relay/streams/event_framer.ts
@@ -1,64 +1,136 @@
 /**
- * Splits the bytes of an event stream into whole events.
+ * Splits the bytes of an event stream after whole events.
  *
  * An engine may fail in the middle of an event. A resumable stream forwards
  * only whole events, so that the first event of the next run doesn't follow a
  * truncated one.
+ *
+ * A blank line ends a block of lines. A block of comments is no event.
  */
 
-/** One whole event; `bytes` include the blank line at its end. */
-export interface StreamEvent {
-  /** The `id` field of the event, if it has one. */
-  readonly id?: string;
-  readonly bytes: Buffer;
+import {createByteQueue} from '../answers/byte_queue.js';
+
+/** What bytes have completed. */
+export interface FramedEvents {
+  readonly count: number;
+  /** The `id` field of the last event that has one. */
+  readonly lastId?: string;
 }
 
 export interface EventFramer {
-  /** Adds bytes and returns the events that they complete, in order. */
-  push(bytes: Buffer): readonly StreamEvent[];
-  /** Returns the bytes after the last whole event. */
-  rest(): Buffer;
+  /** Adds bytes and returns the events that they complete. */
+  push(bytes: Buffer): FramedEvents;
+  /** Takes the bytes of whole blocks; undefined if there are none. */
+  takeWhole(): Buffer | undefined;
+  /** Takes all bytes that were not taken. */
+  takeAll(): Buffer | undefined;
+  /** Size of what is held, whether or not it was taken. */
+  heldBytes(): number;
+  /** Size of what followed the last whole block. */
+  restBytes(): number;
+  /** Size of what followed the last whole event. */
+  bytesSinceEvent(): number;
 }
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_FIELD = /^id: ?(.*?)\r?$/m;
+const COLON = 0x3a;
+const ID_NAME = Buffer.from('id:');
+const ID_LINE = /^id: ?(.*?)\r?$/;
 
-/** Returns the index after the blank line that ends the event, or -1. */
-function findEventEnd(bytes: Buffer, from: number): number {
-  let lineStart = from;
-  for (;;) {
-    const lineEnd = bytes.indexOf(LINE_FEED, lineStart);
-    if (lineEnd < 0) return -1;
-    const isBlank =
-      lineEnd === lineStart ||
-      (lineEnd === lineStart + 1 && bytes[lineStart] === CARRIAGE_RETURN);
-    if (isBlank) return lineEnd + 1;
-    lineStart = lineEnd + 1;
-  }
+/** The place of a line in what is held. */
+interface Line {
+  readonly from: number;
+  readonly to: number;
+}
+
+function isBlank(bytes: Buffer, {from, to}: Line): boolean {
+  return from === to || (to === from + 1 && bytes[from] === CARRIAGE_RETURN);
+}
+
+function isId(bytes: Buffer, {from, to}: Line): boolean {
+  return (
+    to - from >= ID_NAME.length &&
+    ID_NAME.every((byte, i) => bytes[from + i] === byte)
+  );
 }
 
-function toEvent(bytes: Buffer): StreamEvent {
-  const id = ID_FIELD.exec(bytes.toString('latin1'))?.[1];
-  return {id, bytes};
+function readId(bytes: Buffer, {from, to}: Line): string | undefined {
+  return ID_LINE.exec(bytes.toString('latin1', from, to))?.[1];
 }
 
 export function createEventFramer(): EventFramer {
-  let pending: Buffer = Buffer.alloc(0);
+  /** What follows the last whole block that was taken. */
+  const held = createByteQueue();
+  /** Size of the whole blocks in what is held. */
+  let wholeBytes = 0;
+  /** Size of what was taken of the block that isn't whole. */
+  let takenBytes = 0;
+  let lineFrom = 0;
+  let scannedBytes = 0;
+  let hasFields = false;
+  let idLine: Line | undefined;
+  let bytesSinceEvent = 0;
+
+  function drop(bytes: number): void {
+    held.drop(bytes);
+    wholeBytes = 0;
+    lineFrom -= bytes;
+    scannedBytes -= bytes;
+    if (idLine) {
+      idLine = {from: idLine.from - bytes, to: idLine.to - bytes};
+    }
+  }
+
+  function take(from: number, to: number): Buffer | undefined {
+    return to > from ? held.copy(from, to) : undefined;
+  }
+
   return {
-    push(bytes) {
-      const all = pending.length > 0 ? Buffer.concat([pending, bytes]) : bytes;
-      const events: StreamEvent[] = [];
-      let from = 0;
-      for (;;) {
-        const end = findEventEnd(all, from);
-        if (end < 0) break;
-        events.push(toEvent(all.subarray(from, end)));
-        from = end;
+    push(added) {
+      held.push(added);
+      const bytes = held.bytes();
+      let count = 0;
+      let lastId: Line | undefined;
+      let eventEnd = -1;
+      for (let i = scannedBytes; i < bytes.length; i++) {
+        if (bytes[i] !== LINE_FEED) continue;
+        const line: Line = {from: lineFrom, to: i};
+        lineFrom = i + 1;
+        if (!isBlank(bytes, line)) {
+          if (bytes[line.from] !== COLON) hasFields = true;
+          if (!idLine && isId(bytes, line)) idLine = line;
+          continue;
+        }
+        wholeBytes = lineFrom;
+        if (!hasFields) continue;
+        count++;
+        lastId = idLine ?? lastId;
+        eventEnd = lineFrom;
+        hasFields = false;
+        idLine = undefined;
       }
-      pending = all.subarray(from);
-      return events;
+      scannedBytes = bytes.length;
+      bytesSinceEvent =
+        eventEnd < 0 ? bytesSinceEvent + added.length : bytes.length - eventEnd;
+      return {count, lastId: lastId && readId(bytes, lastId)};
+    },
+    takeWhole() {
+      const taken = take(takenBytes, wholeBytes);
+      if (!taken) return undefined;
+      takenBytes = 0;
+      drop(wholeBytes);
+      return taken;
+    },
+    takeAll() {
+      const size = held.bytes().length;
+      const taken = take(takenBytes, size);
+      takenBytes = size - wholeBytes;
+      drop(wholeBytes);
+      return taken;
     },
-    rest: () => pending,
+    heldBytes: () => held.bytes().length,
+    restBytes: () => held.bytes().length - wholeBytes,
+    bytesSinceEvent: () => bytesSinceEvent,
   };
 }
--- a/src/relay/streams/placed_streams.ts
+++ b/src/relay/streams/placed_streams.ts
@@ -97,13 +97,13 @@
         watch,
         deadlineAtMs: job.deadlineAtMs,
         onResume: pace.restart,
-        onEvent(event) {
-          pace.noteEvent();
+        onEvents({count, lastId}) {
+          pace.noteEvents(count);
           if (state.events === 0) bindToVersion(state);
-          state.events++;
+          state.events += count;
           state.lastEventAtMs = clock.nowMs();
-          eventsOfRun++;
-          state.lastEventId = event.id ?? state.lastEventId;
+          eventsOfRun += count;
+          state.lastEventId = lastId ?? state.lastEventId;
           engineLoads.setOutputTokens(
             placement.run,
             eventsOfRun * tokensPerEvent,
--- a/src/relay/streams/run_pace.ts
+++ b/src/relay/streams/run_pace.ts
@@ -9,7 +9,8 @@
 }
 
 export interface RunPaceMeter {
-  noteEvent(): void;
+  /** Events arrived at once. */
+  noteEvents(count: number): void;
   /**
    * Starts a new stretch after a pause that was not the engine's: events that
    * wait for a slow caller would make the engine look slow.
@@ -34,21 +35,23 @@
   let events = 0;
 
   return {
-    noteEvent() {
+    noteEvents(count) {
       const nowMs = clock.nowMs();
       const gapMs = nowMs - lastAtMs;
       lastAtMs = nowMs;
       if (startedAtMs === undefined || gapMs > MAX_GAP_MS) {
         startedAtMs = nowMs;
-        events = 0;
+        events = count - 1;
         return;
       }
-      events++;
       const durationMs = nowMs - startedAtMs;
-      if (durationMs < MIN_STRETCH_MS) return;
-      host.onMeasured(durationMs / events, durationMs);
+      if (durationMs < MIN_STRETCH_MS) {
+        events += count;
+        return;
+      }
+      host.onMeasured(durationMs / (events + 1), durationMs);
       startedAtMs = nowMs;
-      events = 0;
+      events = count - 1;
     },
     restart() {
       startedAtMs = undefined;
--- a/src/relay/streams/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -8,7 +8,7 @@
 } from '../../ports/relay.js';
 import type {Caller} from '../front/caller.js';
 import type {RunWatch} from '../silence/run_watch.js';
-import {createEventFramer, type StreamEvent} from './event_framer.js';
+import {createEventFramer, type FramedEvents} from './event_framer.js';
 
 export type StreamEnd =
   /** The last event was forwarded. */
@@ -37,7 +37,8 @@
     'leaving' | 'noteData' | 'pause' | 'resume' | 'end'
   >;
   readonly deadlineAtMs: number;
-  onEvent(event: StreamEvent): void;
+  /** Events are complete, at least one. */
+  onEvents(events: FramedEvents): void;
   /**
    * Reading from the engine continues after a pause for a caller that reads
    * slowly.
@@ -45,12 +46,17 @@
   onResume(): void;
 }
 
-/** An event of 18 tokens takes a few hundred bytes; one that never ends grows. */
+/**
+ * Most bytes from one event to the end of the next, with the comments between
+ * them. An event of 18 tokens takes a few hundred bytes; one that never ends
+ * grows.
+ */
 const MAX_EVENT_BYTES = 256 * 1024;
 
 /**
  * The head of the answer is sent with the first whole event: until then, an
- * error can still be sent instead.
+ * error can still be sent instead. What a chunk completes is written at once:
+ * a chunk may hold thousands of events.
  */
 export function relayEvents(
   host: {readonly clock: Clock},
@@ -80,7 +86,9 @@
     const begin = () => {
       if (!caller.hasBegun) caller.begin(answer.status, answer.headers);
     };
-    const write = (bytes: Buffer) => {
+    const take = options.wholeEventsOnly ? framer.takeWhole : framer.takeAll;
+    const write = (bytes: Buffer | undefined) => {
+      if (!bytes) return;
       begin();
       if (caller.write(bytes) || isDone) return;
       isPaused = true;
@@ -98,27 +106,22 @@
       chunk(bytes) {
         if (isDone) return;
         watch?.noteData();
-        const held = framer.rest();
         const events = framer.push(bytes);
-        if (!options.wholeEventsOnly) {
-          if (caller.hasBegun) write(bytes);
-          else if (events.length > 0) write(Buffer.concat([held, bytes]));
-        }
-        for (const event of events) {
-          options.onEvent(event);
-          if (options.wholeEventsOnly) write(event.bytes);
+        if (events.count > 0) options.onEvents(events);
+        if (events.count > 0 || caller.hasBegun) {
+          write(take());
         }
-        if (framer.rest().length <= MAX_EVENT_BYTES) return;
-        const detail = `an event of over ${MAX_EVENT_BYTES} bytes`;
+        if (framer.bytesSinceEvent() <= MAX_EVENT_BYTES) return;
+        const detail = `no whole event in ${MAX_EVENT_BYTES} bytes`;
         finish({kind: 'broken', detail});
       },
       end() {
         if (isDone) return;
-        const isHeld = options.wholeEventsOnly || !caller.hasBegun;
-        if (isHeld && framer.rest().length > 0) write(framer.rest());
+        const restBytes = framer.restBytes();
+        write(framer.takeAll());
         begin();
         caller.end();
-        finish({kind: 'whole', restBytes: framer.rest().length});
+        finish({kind: 'whole', restBytes});
       },
       broken: (detail, cause) => finish({kind: 'broken', detail, ...cause}),
     });
--- a/tests/relay/front/caller_buffers_test.ts
+++ b/tests/relay/front/caller_buffers_test.ts
@@ -103,7 +103,7 @@
         onKept: () => {},
       }),
       deadlineAtMs: 60_000,
-      onEvent: () => {},
+      onEvents: () => {},
       onResume: () => {},
     },
   ).then(given => void (end = given));
--- a/tests/relay/placement/speed_load.ts
+++ b/tests/relay/placement/speed_load.ts
@@ -189,7 +189,7 @@
       const load = (runs() / USUAL_RUNS) ** options.loadExponent;
       const eventMs = (TOKENS_PER_EVENT * MS_PER_TOKEN * load) / speed;
       await wait(spread(eventMs, 0.15));
-      meter.noteEvent();
+      meter.noteEvents(1);
       engineLoads.setOutputTokens(run, made * TOKENS_PER_EVENT);
     }
     scheduler.release(run);
--- a/tests/relay/streams/run_pace_test.ts
+++ b/tests/relay/streams/run_pace_test.ts
@@ -19,7 +19,7 @@
     }
     clock.advanceSync(time - nowMs);
     nowMs = time;
-    meter.noteEvent();
+    meter.noteEvents(1);
   }
   return measured;
 }
