Hold a collected answer once, and count what is held of answers

Callers saw: 100 callers a host that read nothing of an answer of 5 MB took its processes to 198 to 209 MB; with a limit of 200 MB they end, with all calls.

Cause: each such answer held 770 KB: the chunks that were collected (320 KB), the same joined, and what was read on although the caller had taken nothing. What is held of answers that are collected, or of an event that isn't complete, was bounded for each but not for all.

What is held of answers is part of the account of memory (kind `answer`). One that is ended for want of memory gets 504 (outcome unknown), or is cut if it has begun; its upstream isn't blamed.

--- a/src/relay/answers/answer_collector.ts
+++ b/src/relay/answers/answer_collector.ts
@@ -1,6 +1,6 @@
 /**
- * Buffers an answer before it is forwarded, so that another attempt can replace
- * one that breaks off. Large answers aren't buffered.
+ * Holds an answer back before it is forwarded, so that another attempt can
+ * replace one that breaks off. Large answers aren't held back.
  */
 
 import type {
@@ -8,6 +8,7 @@
   RawHeaders,
   UpstreamAnswer,
 } from '../../ports/relay.js';
+import {createChunkList} from './chunk_list.js';
 
 /** Larger answers are streamed; answers of plain services are a few kB. */
 const MAX_COLLECTED_BYTES = 256 * 1024;
@@ -16,12 +17,14 @@
   readonly kind: 'whole';
   readonly status: number;
   readonly headers: RawHeaders;
-  readonly body: Buffer;
+  readonly chunks: readonly Buffer[];
+  readonly sizeBytes: number;
 }
 
 /** The part of a large answer that was already read. */
 export interface PartialAnswer {
-  readonly bytes: Buffer;
+  /** Returns the chunks that were read, once. */
+  takeChunks(): readonly Buffer[];
   /** Sends the rest of the body to this sink. */
   continueWith(sink: AnswerBodySink): void;
 }
@@ -35,34 +38,38 @@
       readonly partial: PartialAnswer;
     };
 
-export function collectAnswer(answer: UpstreamAnswer): Promise<Collected> {
+/** `onHeld` is called with the size of what is held. */
+export function collectAnswer(
+  answer: UpstreamAnswer,
+  onHeld: (bytes: number) => void,
+): Promise<Collected> {
   const {status, headers, body} = answer;
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const chunks = createChunkList();
     let next: AnswerBodySink | undefined;
     body.read({
       chunk(bytes) {
         if (next) return next.chunk(bytes);
         chunks.push(bytes);
-        size += bytes.length;
-        if (size <= MAX_COLLECTED_BYTES) return;
+        onHeld(chunks.sizeBytes());
+        if (chunks.sizeBytes() <= MAX_COLLECTED_BYTES) return;
         body.pause();
         resolve({
           kind: 'large',
           answer,
           partial: {
-            bytes: Buffer.concat(chunks),
+            takeChunks: chunks.take,
             continueWith(sink) {
               next = sink;
-              body.resume();
             },
           },
         });
       },
       end() {
         if (next) return next.end();
-        resolve({kind: 'whole', status, headers, body: Buffer.concat(chunks)});
+        const sizeBytes = chunks.sizeBytes();
+        const whole = {status, headers, chunks: chunks.take(), sizeBytes};
+        resolve({kind: 'whole', ...whole});
       },
       broken(detail) {
         if (next) return next.broken(detail);
--- a/src/relay/answers/answer_delivery.ts
+++ b/src/relay/answers/answer_delivery.ts
@@ -11,8 +11,8 @@
   caller: Caller,
   answer: CollectedAnswer,
 ): void {
-  caller.begin(answer.status, answer.headers, answer.body.length);
-  if (answer.body.length > 0) caller.write(answer.body);
+  caller.begin(answer.status, answer.headers, answer.sizeBytes);
+  for (const bytes of answer.chunks) caller.write(bytes);
   caller.end();
 }
 
@@ -69,8 +69,9 @@
     });
     caller.begin(answer.status, answer.headers);
     if (partial) {
-      caller.write(partial.bytes);
       partial.continueWith(sink);
+      const areTaken = partial.takeChunks().map(each => caller.write(each));
+      if (areTaken.at(-1)) body.resume();
     } else {
       body.read(sink);
     }
--- a/src/relay/plain/plain_attempt.ts
+++ b/src/relay/plain/plain_attempt.ts
@@ -22,6 +22,8 @@
 import {deliverCollected, passThrough} from '../answers/answer_delivery.js';
 import {isGenuine} from '../answers/answer_rules.js';
 import {joinCancellations} from '../front/cancellation.js';
+import {createHeldAnswer, type HeldAnswer} from '../limits/held_answer.js';
+import type {MemoryBudget} from '../limits/memory_budget.js';
 import type {RelayJob} from '../relay_types.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {
@@ -52,6 +54,7 @@
   readonly upstreamPort: Pick<UpstreamPort, 'send'>;
   readonly registry: Pick<UpstreamRegistry, 'markReplaced' | 'markUnreachable'>;
   readonly silence: UpstreamSilence;
+  readonly memory: Pick<MemoryBudget, 'open'>;
   /** Whether the call can still be on time if it starts now. */
   canBeOnTime(job: RelayJob): boolean;
 }
@@ -68,6 +71,8 @@
   failure: RequestError;
   /** An upstream's error response, delivered if no other attempt succeeds. */
   fallback?: CollectedAnswer;
+  /** What is held of the fallback. */
+  held?: HeldAnswer;
 }
 
 export interface PlainAttempt {
@@ -112,6 +117,11 @@
 const UNREACHABLE_RETRY_MS = 300;
 const SERVER_ERROR = 500;
 
+const DROPPED: RequestError = {
+  kind: 'outcome-unknown',
+  detail: 'This entry has no room for the answer.',
+};
+
 function toRejected(detail: string): RequestError {
   return {kind: 'overloaded', detail, retryAfterMs: REJECTED_RETRY_MS};
 }
@@ -262,6 +272,11 @@
     }
     const collected = await collect(job, answer);
     if (collected === 'cancelled') return abandon(attempt, watched);
+    if (collected === 'dropped') {
+      slot.end('cancelled');
+      progress.failure = DROPPED;
+      return 'stop';
+    }
     if (collected.kind === 'large') {
       watched?.end();
       slot.end('ok');
@@ -285,22 +300,41 @@
   function collect(
     job: RelayJob,
     answer: UpstreamAnswer,
-  ): Promise<Collected | 'cancelled'> {
+  ): Promise<Collected | 'cancelled' | 'dropped'> {
     return new Promise(resolve => {
-      const timer = clock.setTimer(untilDeadlineMs(job, clock.nowMs()), () => {
-        answer.body.destroy();
-        resolve({kind: 'broken', detail: 'no whole answer in time'});
-      });
-      job.cancellation.onCancel(() => {
-        clock.clearTimer(timer);
-        answer.body.destroy();
-        resolve('cancelled');
-      });
-      void collectAnswer(answer).then(collected => {
+      const settle = (collected: Collected | 'cancelled' | 'dropped') => {
         clock.clearTimer(timer);
+        held.close();
         resolve(collected);
+      };
+      const giveUp = (collected: Parameters<typeof settle>[0]) => {
+        answer.body.destroy();
+        settle(collected);
+      };
+      const held = createHeldAnswer(host.memory, {
+        requestId: job.request.requestId,
+        end: () => giveUp('dropped'),
       });
+      const timer = clock.setTimer(untilDeadlineMs(job, clock.nowMs()), () =>
+        giveUp({kind: 'broken', detail: 'no whole answer in time'}),
+      );
+      job.cancellation.onCancel(() => giveUp('cancelled'));
+      void collectAnswer(answer, held.set).then(settle);
+    });
+  }
+
+  function keepFallback(
+    {request}: RelayJob,
+    progress: Progress,
+    answer: CollectedAnswer,
+  ): void {
+    progress.held?.close();
+    progress.fallback = answer;
+    progress.held = createHeldAnswer(host.memory, {
+      requestId: request.requestId,
+      end: () => void (progress.fallback = undefined),
     });
+    progress.held.set(answer.sizeBytes);
   }
 
   function handleCollected(
@@ -315,7 +349,7 @@
       return 'ran';
     }
     if (isFailure) {
-      progress.fallback = collected;
+      keepFallback(job, progress, collected);
       return 'ran';
     }
     deliverCollected(job.caller, collected);
--- a/src/relay/plain/plain_relay.ts
+++ b/src/relay/plain/plain_relay.ts
@@ -18,6 +18,7 @@
 import {deliverCollected} from '../answers/answer_delivery.js';
 import {toCallerError} from '../answers/answer_rules.js';
 import type {JobOutcome} from '../job_outcome.js';
+import type {MemoryBudget} from '../limits/memory_budget.js';
 import type {RequestPriorities} from '../placement/request_priority.js';
 import {KEY_WITHDRAWN, leftMs, type RelayJob} from '../relay_types.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
@@ -42,6 +43,7 @@
   readonly retryBudget: RetryAllowance;
   readonly priorities: RequestPriorities;
   readonly silence: UpstreamSilence;
+  readonly memory: Pick<MemoryBudget, 'open'>;
   /**
    * How long the upstream takes no more calls from this host; 0 if it takes
    * them.
@@ -301,8 +303,12 @@
       };
       const call: PlainCall = {job, progress};
       retryBudget.requestStarted(job.service.name);
-      if (!(await runAttempts(call))) return finishUnanswered(call);
-      return {end: 'answered', upstreams: [...progress.ran]};
+      const isAnswered = await runAttempts(call);
+      const outcome: JobOutcome = isAnswered
+        ? {end: 'answered', upstreams: [...progress.ran]}
+        : finishUnanswered(call);
+      progress.held?.close();
+      return outcome;
     },
   };
 }
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -372,6 +372,17 @@
     registry,
     runs: crashes.runs,
   });
+  const resources = createResourceLimits(
+    {
+      clock,
+      processMemory: createProcessMemory(),
+      log: createLogger('limits'),
+      metrics,
+      hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
+    },
+    settings,
+  );
+  const {memory} = resources;
   const relay = createRelay({
     clock,
     random,
@@ -380,6 +391,7 @@
     routing,
     plain: createPlainRelay({
       ...shared,
+      memory,
       priorities: placement.priorities,
       slots: plainPlaces.slots,
       log: createLogger('plain'),
@@ -389,6 +401,7 @@
     streams: createStreamRelay({
       ...placement,
       ...shared,
+      memory,
       metrics,
       probes,
       silence,
@@ -406,16 +419,6 @@
     loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
-  const resources = createResourceLimits(
-    {
-      clock,
-      processMemory: createProcessMemory(),
-      log: createLogger('limits'),
-      metrics,
-      hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
-    },
-    settings,
-  );
   const callerBuffers = createCallerBuffers(
     {clock, log: createLogger('front'), metrics},
     settings,
--- a/src/relay/streams/placed_streams.ts
+++ b/src/relay/streams/placed_streams.ts
@@ -12,6 +12,7 @@
 import {passThrough} from '../answers/answer_delivery.js';
 import {toCallerError} from '../answers/answer_rules.js';
 import type {JobOutcome} from '../job_outcome.js';
+import type {MemoryBudget} from '../limits/memory_budget.js';
 import type {EngineLoads} from '../placement/engine_loads.js';
 import type {EngineScheduler} from '../placement/engine_scheduler.js';
 import type {SharedStatistics} from '../placement/shared_statistics.js';
@@ -32,6 +33,7 @@
 
 export interface PlacedStreamsHost {
   readonly clock: Clock;
+  readonly memory: Pick<MemoryBudget, 'open'>;
   readonly scheduler: EngineScheduler;
   readonly engineLoads: EngineLoads;
   readonly statistics: SharedStatistics;
@@ -62,6 +64,10 @@
   | {readonly kind: 'left'; readonly departure: Departure<Successor>};
 
 const STATUS_OK = 200;
+const NO_ROOM: RequestError = {
+  kind: 'outcome-unknown',
+  detail: 'This entry has no room for the events.',
+};
 /** Engines that rejected a request have capacity again within this time. */
 const REJECTION_RETRY_MS = 400;
 
@@ -87,32 +93,30 @@
           durationMs,
         }),
     });
-    return relayEvents(
-      {clock},
-      {
-        answer,
-        caller: job.caller,
-        cancellation: job.cancellation,
-        wholeEventsOnly: job.route.isResumable,
-        watch,
-        deadlineAtMs: job.deadlineAtMs,
-        onResume: pace.restart,
-        onEvents({count, lastId}) {
-          pace.noteEvents(count);
-          if (state.events === 0) bindToVersion(state);
-          state.events += count;
-          state.lastEventAtMs = clock.nowMs();
-          eventsOfRun += count;
-          state.lastEventId = lastId ?? state.lastEventId;
-          engineLoads.setOutputTokens(
-            placement.run,
-            eventsOfRun * tokensPerEvent,
-          );
-          placement.prefillReservation.end();
-          state.firstByteAtMs ??= state.lastEventAtMs;
-        },
+    return relayEvents(host, {
+      requestId: job.request.requestId,
+      answer,
+      caller: job.caller,
+      cancellation: job.cancellation,
+      wholeEventsOnly: job.route.isResumable,
+      watch,
+      deadlineAtMs: job.deadlineAtMs,
+      onResume: pace.restart,
+      onEvents({count, lastId}) {
+        pace.noteEvents(count);
+        if (state.events === 0) bindToVersion(state);
+        state.events += count;
+        state.lastEventAtMs = clock.nowMs();
+        eventsOfRun += count;
+        state.lastEventId = lastId ?? state.lastEventId;
+        engineLoads.setOutputTokens(
+          placement.run,
+          eventsOfRun * tokensPerEvent,
+        );
+        placement.prefillReservation.end();
+        state.firstByteAtMs ??= state.lastEventAtMs;
       },
-    );
+    });
   }
 
   /** What one version has written, another can't go on with. */
@@ -206,6 +210,8 @@
         return ended(
           refuse(state, {kind: 'deadline-passed', detail: end.detail}),
         );
+      case 'dropped':
+        return ended(refuse(state, NO_ROOM));
       case 'broken': {
         const {decode} = state.placement;
         if (!end.isOfPeer) scheduler.recordFailure(decode.id);
--- a/src/relay/streams/stream_events.ts
+++ b/src/relay/streams/stream_events.ts
@@ -6,6 +6,8 @@
   Cancellation,
   UpstreamAnswer,
 } from '../../ports/relay.js';
+import {createHeldAnswer} from '../limits/held_answer.js';
+import type {MemoryBudget} from '../limits/memory_budget.js';
 import type {Caller} from '../front/caller.js';
 import type {RunWatch} from '../silence/run_watch.js';
 import {createEventFramer, type FramedEvents} from './event_framer.js';
@@ -20,12 +22,20 @@
   | {readonly kind: 'caller-gone'}
   /** The deadline of the request has passed. */
   | {readonly kind: 'timeout'; readonly detail: string}
+  /** This host has no room in memory for the event that has begun. */
+  | {readonly kind: 'dropped'}
   /** The run was left for its silence; another one is ready. */
   | {readonly kind: 'left'}
   /** The run broke off; the caller is still connected. */
   | ({readonly kind: 'broken'; readonly detail: string} & BreakCause);
 
+export interface StreamEventsHost {
+  readonly clock: Clock;
+  readonly memory: Pick<MemoryBudget, 'open'>;
+}
+
 export interface StreamEventsOptions {
+  readonly requestId: string;
   readonly answer: UpstreamAnswer;
   readonly caller: Caller;
   readonly cancellation: Cancellation;
@@ -59,7 +69,7 @@
  * a chunk may hold thousands of events.
  */
 export function relayEvents(
-  host: {readonly clock: Clock},
+  host: StreamEventsHost,
   options: StreamEventsOptions,
 ): Promise<StreamEnd> {
   const {clock} = host;
@@ -72,10 +82,15 @@
       if (isDone) return;
       isDone = true;
       watch?.end();
+      held.close();
       clock.clearTimer(deadlineTimer);
       if (end.kind !== 'whole') body.destroy();
       resolve(end);
     };
+    const held = createHeldAnswer(host.memory, {
+      requestId: options.requestId,
+      end: () => finish({kind: 'dropped'}),
+    });
     const deadlineTimer = clock.setTimer(
       Math.max(0, options.deadlineAtMs - clock.nowMs()),
       () => finish({kind: 'timeout', detail: 'the wait is over'}),
@@ -111,6 +126,8 @@
         if (events.count > 0 || caller.hasBegun) {
           write(take());
         }
+        if (isDone) return;
+        held.set(framer.heldBytes());
         if (framer.bytesSinceEvent() <= MAX_EVENT_BYTES) return;
         const detail = `no whole event in ${MAX_EVENT_BYTES} bytes`;
         finish({kind: 'broken', detail});
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -19,6 +19,7 @@
 import type {SharedStatistics} from '../placement/shared_statistics.js';
 import {createOutputForecast} from './output_forecast.js';
 import type {Resumption} from '../resumption/resumption.js';
+import type {MemoryBudget} from '../limits/memory_budget.js';
 import type {RetryAllowance} from '../retries/shared_retries.js';
 import {leftMs, type RelayJob} from '../relay_types.js';
 import type {JobOutcome} from '../job_outcome.js';
@@ -53,6 +54,7 @@
   readonly engineLoads: EngineLoads;
   readonly registry: UpstreamRegistry;
   readonly retryBudget: RetryAllowance;
+  readonly memory: Pick<MemoryBudget, 'open'>;
   readonly statistics: SharedStatistics;
   readonly resumption: Pick<Resumption, 'takeUps' | 'recordBegun'>;
 }
--- a/tests/relay/front/caller_buffers_test.ts
+++ b/tests/relay/front/caller_buffers_test.ts
@@ -10,6 +10,7 @@
   relayEvents,
   type StreamEnd,
 } from '../../../src/relay/streams/stream_events.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 import {silentLog} from '../../support/silent_log.js';
 import {makeEngine} from '../placement/lone_scheduler.js';
 import {makeFakeSilence} from '../silence/fake_silence.js';
@@ -83,8 +84,9 @@
     destroy: () => {},
   };
   void relayEvents(
-    {clock},
+    {clock, memory: makeResourceLimits().memory},
     {
+      requestId: 'r',
       answer: {
         kind: 'answered',
         status: 200,
--- a/tests/relay/plain/plain_relay_test.ts
+++ b/tests/relay/plain/plain_relay_test.ts
@@ -14,6 +14,7 @@
 import type {RelayJob} from '../../../src/relay/relay_types.js';
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {createRetryBudget} from '../../../src/request/retry_budget.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 import {silentLog} from '../../support/silent_log.js';
 import {revisionAt} from '../../support/store_revisions.js';
 import {makeUpstream} from '../store/store_site.js';
@@ -53,6 +54,7 @@
   };
   const relay = createPlainRelay({
     clock,
+    memory: makeResourceLimits().memory,
     log: silentLog,
     upstreamPort: port as UpstreamPort,
     registry,
--- a/tests/relay/plain/plain_site.ts
+++ b/tests/relay/plain/plain_site.ts
@@ -25,6 +25,7 @@
 import {createUpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
 import {createRetryBudget} from '../../../src/request/retry_budget.js';
 import {createPlainBalancer} from '../../../src/scheduling/plain_balancer.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 import {silentLog} from '../../support/silent_log.js';
 import {revisionAt} from '../../support/store_revisions.js';
 import {makeUpstream} from '../store/store_site.js';
@@ -157,6 +158,7 @@
   };
   const relay = createPlainRelay({
     clock,
+    memory: makeResourceLimits().memory,
     log: silentLog,
     upstreamPort: port as UpstreamPort,
     registry,
--- a/tests/relay/streams/engine_priority_test.ts
+++ b/tests/relay/streams/engine_priority_test.ts
@@ -9,6 +9,7 @@
 import {createEngineProbes} from '../../../src/relay/silence/engine_probes.js';
 import {createStreamRelay} from '../../../src/relay/streams/stream_relay.js';
 import {createRetryBudget} from '../../../src/request/retry_budget.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 import {silentLog} from '../../support/silent_log.js';
 import {makeLoneScheduler, makeService} from '../placement/lone_scheduler.js';
 import {makeFakeSilence} from '../silence/fake_silence.js';
@@ -59,6 +60,7 @@
   const relay = createStreamRelay({
     ...lone,
     clock,
+    memory: makeResourceLimits().memory,
     log: silentLog,
     metrics: {count: () => undefined},
     probes: createEngineProbes({
--- a/tests/relay/streams/silent_run_test.ts
+++ b/tests/relay/streams/silent_run_test.ts
@@ -16,6 +16,7 @@
 import {createEngineProbes} from '../../../src/relay/silence/engine_probes.js';
 import {createStreamRelay} from '../../../src/relay/streams/stream_relay.js';
 import {createRetryBudget} from '../../../src/request/retry_budget.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 import {silentLog} from '../../support/silent_log.js';
 import {revisionAt} from '../../support/store_revisions.js';
 import {
@@ -151,6 +152,7 @@
   const relay = createStreamRelay({
     ...lone,
     clock,
+    memory: makeResourceLimits().memory,
     log: silentLog,
     metrics: {count: () => undefined},
     probes: createEngineProbes({
--- a/tests/relay/streams/stream_events_test.ts
+++ b/tests/relay/streams/stream_events_test.ts
@@ -8,11 +8,16 @@
   relayEvents,
   type StreamEnd,
 } from '../../../src/relay/streams/stream_events.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 
 const READ_BYTES = 64 * 1024;
 
 /** Relays a run to a caller that takes all or nothing. */
-function relay({wholeEventsOnly = true, takes = true} = {}) {
+function relay({
+  wholeEventsOnly = true,
+  takes = true,
+  memory = makeResourceLimits().memory,
+} = {}) {
   const written: Buffer[] = [];
   let sink: AnswerBodySink | undefined;
   let events = 0;
@@ -28,8 +33,9 @@
     onWritable: () => {},
   };
   void relayEvents(
-    {clock: createVirtualClock()},
+    {clock: createVirtualClock(), memory},
     {
+      requestId: 'r',
       answer: {
         kind: 'answered',
         status: 200,
@@ -117,3 +123,13 @@
     });
   }
 });
+
+test('an event for which there is no room is given up', async () => {
+  const {memory} = makeResourceLimits({memoryMb: 1});
+  const {send, end} = relay({memory});
+  send(`data: ${'x'.repeat(READ_BYTES)}`);
+  assert.ok(memory.heldBytes('answer') > READ_BYTES);
+  send('x'.repeat(READ_BYTES));
+  assert.equal((await end())?.kind, 'dropped');
+  assert.equal(memory.heldBytes(), 0);
+});
