Callers that read slowly are part of the one account of memory

Two bounds stood beside each other: an eighth of the memory for callers that read slowly, and the account of what is held, which didn't know of them; both together exceed a process of 200 MB.

Now such a caller is a holder of the account: a stream as `caller-buffer`, which ends first, a complete answer that only has to be sent as `answer`. The bound of one connection (512 KB), the log line and the metrics stay as they were.

Test: caller_buffers_test, with the account instead of the share: as strict, as the same callers are closed and counted. It fails on the code before, which takes no account.

--- a/src/relay/front/caller_buffers.ts
+++ b/src/relay/front/caller_buffers.ts
@@ -6,6 +6,8 @@
 
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
+import {heldKinds, type HeldKind} from '../limits/held_kinds.js';
+import type {Holding, MemoryBudget} from '../limits/memory_budget.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 
 /** The connection of a caller whose request is being answered. */
@@ -20,8 +22,8 @@
 
 export interface CallerBuffers {
   /**
-   * The connection did not take all that was written. May close it, or the
-   * slowest other one.
+   * The connection did not take all that was written. May close it, or another
+   * one.
    */
   noteBlocked(connection: CallerConnection): void;
   /** The connection has taken everything, or is closed. */
@@ -34,11 +36,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
-}
-
-export interface CallerBuffersOptions {
-  /** Memory for the process; absent if not known, without a bound for all. */
-  readonly memoryMb?: number;
+  /** Bounds what is held for all callers. */
+  readonly memory: Pick<MemoryBudget, 'open'>;
 }
 
 /**
@@ -47,75 +46,70 @@
  * chunk.
  */
 const MAX_CONNECTION_BYTES = 512 * 1024;
-/**
- * Of the memory, the part for callers that read slowly. The process itself
- * takes 100 MB, so that three quarters must remain on a host with 180 MB.
- */
-const MAX_MEMORY_SHARE = 1 / 8;
-const BYTES_PER_MB = 1024 * 1024;
-
-/** What the body of an upstream's answer holds while it is paused. */
-const PAUSED_BODY_BYTES = 16 * 1024;
 
 type CloseCause = 'one-connection' | 'all-connections';
 
-export function createCallerBuffers(
-  host: CallerBuffersHost,
-  {memoryMb = 0}: CallerBuffersOptions,
-): CallerBuffers {
-  const {clock, log, metrics} = host;
-  /** Since when each connection has not taken everything; longest first. */
-  const blockedSinceMs = new Map<CallerConnection, number>();
-  const maxBytes =
-    memoryMb > 0 ? memoryMb * BYTES_PER_MB * MAX_MEMORY_SHARE : Infinity;
+/** A connection that has not taken all that was written. */
+interface Blocked {
+  readonly sinceMs: number;
+  readonly holding: Holding;
+}
+
+/** Other answers are complete and only have to be sent, so streams end first. */
+const toKind = (connection: CallerConnection): HeldKind =>
+  connection.isStream() ? 'caller-buffer' : 'answer';
+
+export function createCallerBuffers(host: CallerBuffersHost): CallerBuffers {
+  const {clock, log, metrics, memory} = host;
+  const blocked = new Map<CallerConnection, Blocked>();
 
   const bufferedBytes = () =>
-    [...blockedSinceMs.keys()].reduce((sum, connection) => {
-      const pausedBytes = connection.isStream() ? PAUSED_BODY_BYTES : 0;
+    [...blocked.keys()].reduce((sum, connection) => {
+      const {overheadBytes} = heldKinds['caller-buffer'];
+      const pausedBytes = connection.isStream() ? overheadBytes : 0;
       return sum + connection.bufferedBytes() + pausedBytes;
     }, 0);
 
+  function free(connection: CallerConnection): void {
+    blocked.get(connection)?.holding.close();
+    blocked.delete(connection);
+  }
+
   function close(connection: CallerConnection, cause: CloseCause): void {
-    const blockedMs =
-      clock.nowMs() - (blockedSinceMs.get(connection) ?? clock.nowMs());
+    const sinceMs = blocked.get(connection)?.sinceMs ?? clock.nowMs();
     log.warn('A caller that reads too slowly was disconnected.', {
       request: connection.requestId,
       cause,
       bufferedBytes: connection.bufferedBytes(),
       totalBytes: bufferedBytes(),
-      blockedMs: Math.round(blockedMs),
+      blockedMs: Math.round(clock.nowMs() - sinceMs),
     });
     metrics.count('slow_callers_closed', `cause="${cause}"`);
-    blockedSinceMs.delete(connection);
+    free(connection);
     connection.close();
   }
 
-  /** Streams first: other answers are complete and only have to be sent. */
-  function findSlowest(): CallerConnection | undefined {
-    const blocked = [...blockedSinceMs.keys()];
-    return blocked.find(each => each.isStream()) ?? blocked.at(0);
-  }
-
-  /** The connections are closed until the rest is within the bound. */
-  function enforceTotal(): void {
-    while (bufferedBytes() > maxBytes) {
-      const slowest = findSlowest();
-      if (!slowest) return;
-      close(slowest, 'all-connections');
-    }
+  function block(connection: CallerConnection): Blocked {
+    const holding = memory.open({
+      kind: toKind(connection),
+      requestId: connection.requestId,
+      end: () => close(connection, 'all-connections'),
+    });
+    const entry = {sinceMs: clock.nowMs(), holding};
+    blocked.set(connection, entry);
+    return entry;
   }
 
   return {
     noteBlocked(connection) {
-      if (!blockedSinceMs.has(connection)) {
-        blockedSinceMs.set(connection, clock.nowMs());
-      }
+      const {holding} = blocked.get(connection) ?? block(connection);
       if (connection.bufferedBytes() > MAX_CONNECTION_BYTES) {
         close(connection, 'one-connection');
+      } else {
+        holding.resize(connection.bufferedBytes());
       }
-      enforceTotal();
     },
-    noteFree: connection => void blockedSinceMs.delete(connection),
+    noteFree: free,
     bufferedBytes,
   };
 }
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -419,10 +419,12 @@
     loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
-  const callerBuffers = createCallerBuffers(
-    {clock, log: createLogger('front'), metrics},
-    settings,
-  );
+  const callerBuffers = createCallerBuffers({
+    clock,
+    log: createLogger('front'),
+    metrics,
+    memory,
+  });
   const front = createRelayFront({
     clock,
     buffers: callerBuffers,
--- a/tests/relay/front/caller_buffers_test.ts
+++ b/tests/relay/front/caller_buffers_test.ts
@@ -20,14 +20,12 @@
 function makeBuffers(memoryMb?: number) {
   const counted: string[] = [];
   const closed: string[] = [];
-  const buffers = createCallerBuffers(
-    {
-      clock: createVirtualClock(),
-      log: silentLog,
-      metrics: {count: (name, labels = '') => void counted.push(labels)},
-    },
-    {memoryMb},
-  );
+  const buffers = createCallerBuffers({
+    clock: createVirtualClock(),
+    log: silentLog,
+    metrics: {count: (name, labels = '') => void counted.push(labels)},
+    memory: makeResourceLimits({memoryMb}).memory,
+  });
   const block = (requestId: string, bufferedBytes: number, isStream = true) => {
     const connection = {
       requestId,
@@ -41,7 +39,7 @@
   return {buffers, block, closed, counted};
 }
 
-test('beyond an eighth of the memory the slowest stream is closed, and counted', () => {
+test('beyond what may be held for callers a stream that reads nothing is closed, and counted', () => {
   // Guards against a host that runs out of memory for callers that read nothing.
   const {buffers, block, closed, counted} = makeBuffers(8);
   block('plain', 200 * KB, false);
