--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -307,6 +307,7 @@
     },
     settings,
   );
+  const {memory} = resources;
   const bodies = createBodyReader({
     clock,
     log: createLogger('bodies'),
@@ -401,6 +402,7 @@
     routing,
     plain: createPlainRelay({
       ...shared,
+      memory,
       priorities: placement.priorities,
       slots: plainPlaces.slots,
       log: createLogger('plain'),
@@ -410,6 +412,7 @@
     streams: createStreamRelay({
       ...placement,
       ...shared,
+      memory,
       metrics,
       probes,
       silence,
@@ -427,17 +430,19 @@
     loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
-  const callerBuffers = createCallerBuffers(
-    {clock, log: createLogger('front'), metrics},
-    settings,
-  );
+  const callerBuffers = createCallerBuffers({
+    clock,
+    log: createLogger('front'),
+    metrics,
+    memory,
+  });
   const limitConnections = (
     server: string,
     maxConnections: number,
     headerTimeoutMs?: () => number | undefined,
   ) =>
     createConnectionLimit(
-      {clock, log: createLogger('limits'), metrics, memory: resources.memory},
+      {clock, log: createLogger('limits'), metrics, memory},
       {server, maxConnections, headerTimeoutMs},
     );
   const connections = limitConnections(
