Signals are handled from the first statement of the program

What operators saw: a SIGHUP or SIGTERM in the first 100 ms ended a process by the signal. SIGUSR2 and SIGQUIT ended it at any time, and SIGUSR1 opened Node's debugger on port 9229.

Cause: the handlers were installed after three chunks of the bundle had loaded and standard output was set up; three signals had none.

early_signals.ts imports nothing and is part of main.mjs, which now loads no other file before it runs. What it catches is dated from its installation. A process leaves after SIGQUIT as after SIGTERM; SIGUSR1 and SIGUSR2 are logged.

--- a/scripts/build_bundle.mjs
+++ b/scripts/build_bundle.mjs
@@ -3,6 +3,7 @@
  * Code splitting lets each command load only the chunks it needs.
  */
 
+import {readFileSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {root} from './toolchain.mjs';
 
@@ -24,3 +25,9 @@
   },
   logLevel: 'warning',
 });
+
+// esbuild lets each file load its runtime helpers. The first one uses none, and
+// until it has run, any signal ends the process.
+const entry = path.join(outdir, 'main.mjs');
+const code = readFileSync(entry, 'utf8');
+writeFileSync(entry, code.replace(/^import "\.\/chunk-[^"]+";\n/gm, ''));
--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -94,12 +94,19 @@
   signalBuffer.forwardTo({
     SIGTERM: relay.leave,
     SIGINT: relay.leave,
+    SIGQUIT: relay.leave,
     SIGHUP: () => void reload(file, settings, log),
+    SIGUSR1: () => ignoreSignal('SIGUSR1', log),
+    SIGUSR2: () => ignoreSignal('SIGUSR2', log),
   });
   const abortedCount = await relay.ended;
   return abortedCount > 0 ? EXIT_REQUESTS_ABORTED : EXIT_DONE;
 }
 
+function ignoreSignal(signal: string, log: Logger): void {
+  log.info('A signal was ignored that means nothing here.', {signal});
+}
+
 /** Returns the exit code; throws any error that has no words for operators. */
 function reportFailedStart(error: unknown, log: Logger): number {
   if (!(error instanceof StartError)) throw error;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,10 @@
 /** Entry point of the program `corianderbend`. */
 
-import {bufferSignals} from './signal_buffer.js';
+import {catchSignals} from './early_signals.js';
+
+const words: readonly string[] = process.argv.slice(2);
+/** First of all: until then, any signal ends the process. */
+const signals = words[0] === 'relay' ? catchSignals(process) : undefined;
 
 /**
  * Longest wait for output to be flushed before the process exits after a
@@ -29,10 +33,11 @@
  * Runs the command that the arguments name. Commands are imported lazily, so
  * that a relay process does not load the modules of all other commands.
  */
-async function run(words: readonly string[]): Promise<number> {
+async function run(): Promise<number> {
   handleOutputErrors(words[0]);
-  if (words[0] === 'relay') {
-    const signalBuffer = bufferSignals(process);
+  if (signals) {
+    const {bufferSignals} = await import('./signal_buffer.js');
+    const signalBuffer = bufferSignals(signals, undefined, signals.sinceMs);
     const {runRelayCommand} = await import('./commands/relay_command.js');
     return runRelayCommand(words.slice(1), signalBuffer);
   }
@@ -54,7 +59,7 @@
   });
 }
 
-run(process.argv.slice(2)).then(exitWhenFlushed, (error: unknown) => {
+run().then(exitWhenFlushed, (error: unknown) => {
   // Open sockets would keep a process alive that failed to start and serves
   // nothing. It must exit to be restarted.
   const reason = error instanceof Error ? error.stack : String(error);
--- a/src/cli/signal_buffer.ts
+++ b/src/cli/signal_buffer.ts
@@ -9,7 +9,8 @@
 import type {Clock} from '../ports/clock.js';
 import {createLoopLateness} from '../relay/loop_lateness.js';
 
-export type BufferedSignal = 'SIGTERM' | 'SIGINT' | 'SIGHUP';
+export type BufferedSignal =
+  'SIGTERM' | 'SIGINT' | 'SIGQUIT' | 'SIGHUP' | 'SIGUSR1' | 'SIGUSR2';
 
 /** Called with the longest time for which the signal may have waited, in ms. */
 export type SignalHandler = (waitedMs: number) => void;
@@ -28,12 +29,25 @@
   isEnding(): boolean;
 }
 
-const SIGNALS: readonly BufferedSignal[] = ['SIGTERM', 'SIGINT', 'SIGHUP'];
+/** Which signals end the process. */
+const ENDS_PROCESS: Readonly<Record<BufferedSignal, boolean>> = {
+  SIGTERM: true,
+  SIGINT: true,
+  SIGQUIT: true,
+  SIGHUP: false,
+  SIGUSR1: false,
+  SIGUSR2: false,
+};
+const SIGNALS = Object.keys(ENDS_PROCESS) as readonly BufferedSignal[];
 
-/** Starts to buffer signals; must be called first when a process starts. */
+/**
+ * Starts to buffer signals. Those that the source passes on at once, because it
+ * has caught them before, may have arrived since `sinceMs`.
+ */
 export function bufferSignals(
   source: SignalSource,
   clock: Clock = createSystemClock(),
+  sinceMs: number = clock.nowMs(),
 ): SignalBuffer {
   const pending: Array<{
     readonly signal: BufferedSignal;
@@ -44,14 +58,17 @@
   // Loading modules blocks the loop, and signals that arrive meanwhile wait.
   const lateness = createLoopLateness(clock);
   lateness.start();
+  let isSubscribing = true;
   for (const signal of SIGNALS) {
     source.on(signal, () => {
+      const atMs = isSubscribing ? sinceMs : lateness.handledUntilMs();
       if (handlers) handlers[signal](0);
-      else pending.push({signal, atMs: lateness.handledUntilMs()});
+      else pending.push({signal, atMs});
     });
   }
+  isSubscribing = false;
   return {
-    isEnding: () => pending.some(({signal}) => signal !== 'SIGHUP'),
+    isEnding: () => pending.some(({signal}) => ENDS_PROCESS[signal]),
     forwardTo(newHandlers) {
       handlers = newHandlers;
       lateness.stop();
