A start reads its settings again while they are being written

What operators saw: a process that started while its settings file was replaced (empty, half written, not there for a moment) exited at once, with a stack trace if the file wasn't there, and one host fewer served.

Cause: the file was read once. Now it is read again each 50 ms for 2 s; then the process exits 2 with the diagnostics, or with one line for a file that can't be read. SIGTERM meanwhile ends it with 0. Its reading is a module of its own; a reload by SIGHUP still reads once and keeps what is in force.

--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -1,6 +1,5 @@
 /** Runs one relay process on the platform. */
 
-import {readFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
 import {createPlatformAdapters} from '../../../platform/platform_adapters.js';
 import {createLineLoggers, type LineSink} from '../../adapters/line_logger.js';
@@ -10,10 +9,8 @@
 import {createRelayMetrics} from '../../relay/relay_metrics.js';
 import {startRelay} from '../../relay/relay_process.js';
 import {StartError} from '../../relay/start/start_error.js';
-import {
-  readJsonRelaySettings,
-  type RelaySettings,
-} from '../../relay/relay_settings.js';
+import type {RelaySettings} from '../../relay/relay_settings.js';
+import {awaitHostFile, readHostFile} from './relay_host_file.js';
 
 export const RELAY_SUMMARY = 'Run one relay process on the platform.';
 const USAGE =
@@ -45,27 +42,23 @@
     process.stderr.write(USAGE);
     return EXIT_USAGE;
   }
-  const settings = await readSettings(file);
-  return settings ? run(settings, file, level, signalBuffer) : EXIT_USAGE;
+  const writeError = (text: string) => void process.stderr.write(text);
+  const clock = createSystemClock();
+  const read = await awaitHostFile(
+    {clock, isEnding: signalBuffer.isEnding, writeError},
+    file,
+  );
+  if (read.kind === 'ended') return EXIT_DONE;
+  if (read.kind === 'read')
+    return run(read.settings, file, level, signalBuffer);
+  writeError(read.sentences);
+  return EXIT_USAGE;
 }
 
 function isLevel(text: string): text is LogLevel {
   return LEVELS.includes(text);
 }
 
-async function readSettings(file: string): Promise<RelaySettings | undefined> {
-  const text = readFileSync(file, 'utf8');
-  const settings = readJsonRelaySettings(text);
-  if (settings) return settings;
-  const reader = await import('../../relay/relay_settings_reader.js');
-  const result = reader.readRelaySettings({file, text});
-  if (result.diagnostics.length > 0) {
-    const {formatDiagnostics} = await import('../../core/diagnostics.js');
-    process.stderr.write(formatDiagnostics(result.diagnostics));
-  }
-  return result.settings;
-}
-
 async function run(
   settings: RelaySettings,
   file: string,
@@ -142,21 +135,16 @@
   current: RelaySettings,
   log: Logger,
 ): Promise<void> {
-  try {
-    const settings = await readSettings(file);
-    const changed = settings
-      ? (Object.keys(settings) as Array<keyof RelaySettings>).filter(
-          name =>
-            JSON.stringify(settings[name]) !== JSON.stringify(current[name]),
-        )
-      : [];
-    log.info('Settings read again.', {
-      isUsable: settings !== undefined,
-      changed: changed.join(',') || undefined,
-    });
-  } catch (error) {
-    log.warn('Failed to read the settings.', {reason: String(error)});
+  const read = await readHostFile(file);
+  if (read.kind === 'unusable') {
+    log.warn('Failed to read the settings.', {reason: read.sentences});
+    return;
   }
+  const {settings} = read;
+  const changed = (Object.keys(settings) as Array<keyof RelaySettings>).filter(
+    name => JSON.stringify(settings[name]) !== JSON.stringify(current[name]),
+  );
+  log.info('Settings read again.', {changed: changed.join(',') || undefined});
 }
 
 function createStandardOutput(): LineSink {
