Peers log that a host ended without leaving

What operators saw: a process that is killed leaves no line, and its next process knows nothing of it, so an end for its memory, at EPIPE or by a signal could not be told from an end in order.

Its peers keep the last state that they heard from each host. When a new incarnation of a host appears whose last one was not leaving, they log `A peer ended without leaving.` and for how long it was silent; `Peer lost.` names that state. The new process itself can't know without a new call: it overwrites its row in the store before it reads the registry, and the row also stays if the store was away as the process left.

--- a/src/relay/fleet/membership.ts
+++ b/src/relay/fleet/membership.ts
@@ -175,7 +175,7 @@
       if (!before) log.info('Peer found.', {peer: hostId, state, capacity});
     } else {
       changes.record({kind: 'down', hostId});
-      log.info('Peer lost.', {peer: hostId});
+      log.info('Peer lost.', {peer: hostId, state: before?.state});
     }
     coordinators = undefined;
     if (isGone) host.onGone(hostId);
@@ -316,6 +316,10 @@
       const last = directPeers.getLast(hostId);
       const isSameIncarnation = last?.member.incarnation === incarnation;
       if (isSameIncarnation && peer.sequence <= last.sequence) return false;
+      if (last && !isSameIncarnation && last.member.state !== 'leaving') {
+        const silentMs = Math.round(directPeers.silentMs(last));
+        log.warn('A peer ended without leaving.', {peer: hostId, silentMs});
+      }
       directPeers.set(peer);
       lostAtMs.delete(hostId);
       refresh(hostId);
--- a/tests/relay/fleet/few_hosts_test.ts
+++ b/tests/relay/fleet/few_hosts_test.ts
@@ -7,6 +7,7 @@
   encodeDatagram,
 } from '../../../src/relay/fleet/peer_codec.js';
 import {parseDatagram} from '../../../src/relay/fleet/peer_datagrams.js';
+import {createRecordingLog} from '../../support/recording_log.js';
 import {makeFleet} from './fleet_network.js';
 
 test('hosts find each other through one live seed although another is stale', async () => {
@@ -148,3 +149,21 @@
     assert.equal(a.lostCount(), 0, `suspended for ${durationMs} ms`);
   }
 });
+
+for (const state of ['ready', 'leaving'] as const) {
+  test(`a host logs how its peer ended, once it is back: ${state}`, async () => {
+    const log = createRecordingLog();
+    const {clock, kill, start} = makeFleet();
+    const a = start('a', []);
+    start('b', [a.address], 1, undefined, log);
+    await clock.advance(1_000);
+    a.setState(state);
+    await clock.advance(100);
+    kill(['a']);
+    await clock.advance(3_000);
+    start('a', ['b:1'], 2);
+    await clock.advance(1_000);
+    const lines = log.lines.filter(({message}) => /without/.test(message));
+    assert.equal(lines.length, state === 'leaving' ? 0 : 1);
+  });
+}
--- a/tests/relay/fleet/fleet_network.ts
+++ b/tests/relay/fleet/fleet_network.ts
@@ -11,6 +11,7 @@
 } from '../../../src/core/virtual_clock.js';
 import type {Clock, TimerHandle} from '../../../src/ports/clock.js';
 import type {DatagramPort} from '../../../src/ports/datagram.js';
+import type {Logger} from '../../../src/ports/log.js';
 import type {LossFact} from '../../../src/request/loss_fact.js';
 import type {HostCapacity} from '../../../src/relay/fleet/host_capacity.js';
 import type {HostState} from '../../../src/relay/fleet/members.js';
@@ -157,6 +158,7 @@
     seeds: readonly string[],
     life = 1,
     capacity?: HostCapacity,
+    log: Logger = silentLog,
   ): FleetHost {
     const address = `${name}:1`;
     const ownClock = createFreezableClock(clock);
@@ -194,7 +196,7 @@
     const exchange = createPeerExchange(
       {
         clock: ownClock.host,
-        log: silentLog,
+        log,
         datagrams: makePort(address),
         ownState,
         announcement(): Announcement {
