A failed start says what failed; the line Serving how long it took

What operators saw: an argument that can't be used printed a stack trace or the usage alone; a variable without a host file printed the usage alone; `Serving.` didn't say how long the start had taken nor which store it uses.

Each of them is now one sentence before the usage, exit code 2 as before (1 for an unknown option until now). `Serving.` has storeAddress and startMs.

--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -26,22 +26,12 @@
   words: readonly string[],
   signalBuffer: SignalBuffer,
 ): Promise<number> {
-  const {values} = parseArgs({
-    args: [...words],
-    options: {
-      'host-file': {type: 'string'},
-      'host-file-variable': {type: 'string'},
-      'log-level': {type: 'string', default: 'info'},
-    },
-  });
-  const level = values['log-level'];
-  const variable = values['host-file-variable'];
-  const file =
-    values['host-file'] ?? (variable ? process.env[variable] : undefined);
-  if (!file || !isLevel(level)) {
-    process.stderr.write(USAGE);
+  const args = readArguments(words);
+  if (typeof args === 'string') {
+    process.stderr.write(`corianderbend: ${args}\n${USAGE}`);
     return EXIT_USAGE;
   }
+  const {file, level} = args;
   const writeError = (text: string) => void process.stderr.write(text);
   const clock = createSystemClock();
   const read = await awaitHostFile(
@@ -55,6 +45,42 @@
   return EXIT_USAGE;
 }
 
+interface RelayArguments {
+  readonly file: string;
+  readonly level: LogLevel;
+}
+
+/** Returns a sentence if the arguments cannot be used. */
+function readArguments(words: readonly string[]): RelayArguments | string {
+  const read = parseWords(words);
+  if (read instanceof Error) return read.message;
+  const {values} = read;
+  const level = values['log-level'];
+  if (!isLevel(level)) return `There is no log level ${level}.`;
+  const variable = values['host-file-variable'];
+  const file =
+    values['host-file'] ?? (variable ? process.env[variable] : undefined);
+  if (file) return {file, level};
+  return variable
+    ? `The variable ${variable} names no host file.`
+    : 'No host file is named.';
+}
+
+function parseWords(words: readonly string[]) {
+  try {
+    return parseArgs({
+      args: [...words],
+      options: {
+        'host-file': {type: 'string'},
+        'host-file-variable': {type: 'string'},
+        'log-level': {type: 'string', default: 'info'},
+      },
+    });
+  } catch (error) {
+    return error as Error;
+  }
+}
+
 function isLevel(text: string): text is LogLevel {
   return LEVELS.includes(text);
 }
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -541,8 +541,15 @@
   handover.start();
   loopLateness.start();
   roleOrders.start();
-  const {hostId, callerAddress, peerAddress} = settings;
-  log.info('Serving.', {hostId, callerAddress, peerAddress});
+  const {hostId, callerAddress, peerAddress, storeAddress} = settings;
+  log.info('Serving.', {
+    hostId,
+    callerAddress,
+    peerAddress,
+    storeAddress,
+    // The system clock starts with the process.
+    startMs: Math.round(clock.nowMs()),
+  });
 
   async function stop(openCount: number): Promise<number> {
     handover.stop();
--- a/tests/cli/settings_file_test.ts
+++ b/tests/cli/settings_file_test.ts
@@ -23,6 +23,14 @@
   'is not there': () => undefined,
 };
 
+/** What a process says of its arguments. */
+const ARGUMENTS: Readonly<Record<string, RegExp>> = {
+  '': /No host file is named/,
+  '--host-file-variable CORIANDERBEND_NONE': /CORIANDERBEND_NONE names no/,
+  '--host-file x --log-level loud': /no log level loud/,
+  '--speed 3': /--speed/,
+};
+
 describe('a settings file at the start', {concurrency: 4}, () => {
   let folder: ProgramFolder;
   before(() => {
@@ -69,4 +77,16 @@
     running.child.kill('SIGTERM');
     assert.deepEqual(await running.ended, {code: 0, signal: null});
   });
+
+  for (const [words, reason] of Object.entries(ARGUMENTS)) {
+    test(`a process says what is wrong with its arguments: ${words}`, async () => {
+      const running = folder.start([
+        'relay',
+        ...words.split(' ').filter(Boolean),
+      ]);
+      assert.deepEqual(await running.ended, {code: 2, signal: null});
+      assert.match(running.output(), reason);
+      assert.ok(!running.output().includes('    at '), running.output());
+    });
+  }
 });
