--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -578,8 +578,15 @@
   loopLateness.onTick(resources.watch.check);
   loopLateness.start();
   roleOrders.start();
-  const {hostId, callerAddress, peerAddress} = settings;
-  log.info('Serving.', {hostId, callerAddress, peerAddress});
+  const {hostId, callerAddress, peerAddress, storeAddress} = settings;
+  log.info('Serving.', {
+    hostId,
+    callerAddress,
+    peerAddress,
+    storeAddress,
+    // The system clock starts with the process.
+    startMs: Math.round(clock.nowMs()),
+  });
 
   async function stop(openCount: number): Promise<number> {
     handover.stop();
