Real processes of the soak keep no closed connections to upstreams

The hook that gives a process its source address wrote localAddress into the options of Node's agent, which finds a closed connection by a name made of them. So each connection that wasn't reused stayed in the agent with its request: 2,995 closed ones after 3,000 calls, 25 KB each. The hook now copies the options; the agent then holds 1 connection after 3,000 calls.

--- a/tests/soak/source_address.ts
+++ b/tests/soak/source_address.ts
@@ -14,8 +14,9 @@
   const connect = net.Socket.prototype.connect as Connect;
   net.Socket.prototype.connect = function (this: net.Socket, ...args) {
     const [first] = args as unknown[];
-    const options = (Array.isArray(first) ? first[0] : first) as object;
-    Object.assign(options, {localAddress});
+    // Node's agent finds a closed connection by the options that it passed.
+    if (Array.isArray(first)) first[0] = {...first[0], localAddress};
+    else (args as unknown[])[0] = {...(first as object), localAddress};
     return connect.apply(this, args);
   } as typeof net.Socket.prototype.connect;
 }
