Requests are answered although what follows them on the connection is broken

Cause: without a `clientError` handler Node answers and closes at once, whatever is open on the connection. Now a late head is no error while the connection isn't read; after any other error nothing more is read, a request whose body can't be read any more gets 400 in its turn, and the connection closes after the last answer. Without an open request the answers are as before.

--- a/src/relay/front/pipeline.ts
+++ b/src/relay/front/pipeline.ts
@@ -34,6 +34,13 @@
 
 export interface Pipeline {
   add(request: PipelinedRequest): void;
+  /** Whether a request is open. */
+  isOpen(): boolean;
+  /** Whether the connection isn't read, as too many requests wait. */
+  isPaused(): boolean;
+  /** Reads nothing more; the connection closes once all open are answered. */
+  stop(): void;
+  isStopped(): boolean;
 }
 
 export interface PipelineOptions {
@@ -57,7 +64,10 @@
 }
 
 export function createPipeline(
-  socket: Pick<Socket, 'on' | 'once' | 'pause' | 'resume' | 'destroyed'>,
+  socket: Pick<
+    Socket,
+    'on' | 'once' | 'pause' | 'resume' | 'destroyed' | 'destroySoon'
+  >,
   {maxRunning, maxWaiting}: PipelineOptions = PIPELINE_OPTIONS,
 ): Pipeline {
   /** All requests without a sent answer, in their order. */
@@ -68,6 +78,7 @@
   let hasSentAhead = false;
   let isStarting = false;
   let isPaused = false;
+  let isStopped = false;
 
   const mayStart = () =>
     !socket.destroyed &&
@@ -84,7 +95,7 @@
       entry.request.start(entry.place);
     }
     isStarting = false;
-    setPaused(waiting.size >= maxWaiting);
+    setPaused(isStopped || waiting.size >= maxWaiting);
   }
 
   function setPaused(paused: boolean): void {
@@ -116,6 +127,7 @@
         open.delete(entry);
         blocking.delete(entry);
         startWaiting();
+        if (isStopped && open.size === 0) socket.destroySoon();
       },
     };
     const entry = {request, place};
@@ -130,5 +142,12 @@
       waiting.add(entry);
       startWaiting();
     },
+    isOpen: () => open.size > 0,
+    isPaused: () => isPaused,
+    stop() {
+      isStopped = true;
+      setPaused(true);
+    },
+    isStopped: () => isStopped,
   };
 }
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -6,10 +6,16 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
 import type {CallerLimits} from '../../core/routing_types.js';
+import type {RequestError} from '../../core/error_kinds.js';
 import {listenOn} from '../../adapters/listen.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {RequestReader} from '../../ports/relay.js';
+import {
+  answerClientError,
+  HEAD_TIMEOUT_CODE,
+  type ClientError,
+} from './client_errors.js';
 import {readBody} from './body_reader.js';
 import type {CallerBuffers} from './caller_buffers.js';
 import {createHttpCaller, type HttpCaller} from './http_caller.js';
@@ -65,6 +71,8 @@
   readonly response: http.ServerResponse;
   readonly arrivedAtMs: number;
   requestId: string;
+  /** Why the rest of its body can't be read. */
+  bodyError?: RequestError;
   /** Absent until the request starts. */
   caller?: HttpCaller;
 }
@@ -95,7 +103,9 @@
     place: PipelinePlace,
     shape: AnswerShape,
   ): boolean {
-    if (!host.isLeaving() || !place.isOnly()) return false;
+    if (!place.isOnly()) return false;
+    if (pipelineOf(socket).isStopped()) return true;
+    if (!host.isLeaving()) return false;
     if (shape === 'in-parts' && place.isPipelined()) return false;
     closing.add(socket);
     return true;
@@ -123,6 +133,7 @@
     request.requestId = requestId;
     const caller = createCaller(request, place);
     request.caller = caller;
+    if (request.bodyError) return caller.refuse(request.bodyError);
     const refuse = () =>
       caller.refuse(resources.toRefusal('Too many requests are open.'));
     if (!holding?.tryResize(RUNNING_BYTES)) return refuse();
@@ -213,6 +224,27 @@
       });
     },
   );
+  /** What follows can't be read; requests that were read are answered. */
+  function endReading(error: ClientError, socket: Socket): void {
+    const pipeline = pipelines.get(socket);
+    if (!pipeline?.isOpen()) return answerClientError(error, socket);
+    // The rest of the head is there, but isn't read.
+    if (error.code === HEAD_TIMEOUT_CODE && pipeline.isPaused()) return;
+    pipeline.stop();
+    for (const request of open) {
+      const {message, caller} = request;
+      if (message.socket !== socket || message.complete) continue;
+      request.bodyError = {
+        kind: 'malformed-request',
+        detail: error.code ?? '',
+      };
+      caller?.refuse(request.bodyError);
+    }
+  }
+
+  server.on('clientError', (error: ClientError, socket) =>
+    endReading(error, socket as Socket),
+  );
   server.on('connection', socket => socket.setNoDelay(true));
 
   return {
