--- a/src/relay/front/pipeline.ts
+++ b/src/relay/front/pipeline.ts
@@ -54,7 +54,7 @@
 }
 
 export const PIPELINE_OPTIONS: PipelineOptions = {
-  maxRunning: 64,
+  maxRunning: 16,
   maxWaiting: 256,
 };
 
