Requests are answered although CONNECT follows them on the connection

Node closes a connection at once on CONNECT if nothing listens for it; requests ahead of it that ran lost their answers. It now ends the reading, as other bytes that are no request do.

--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -245,6 +245,10 @@
   server.on('clientError', (error: ClientError, socket) =>
     endReading(error, socket as Socket),
   );
+  // Without a listener, Node closes the connection at once.
+  server.on('connect', (_, socket) =>
+    endReading(new Error("CONNECT isn't served."), socket as Socket),
+  );
   server.on('connection', socket => socket.setNoDelay(true));
 
   return {
--- a/tests/relay/front/pipeline_test.ts
+++ b/tests/relay/front/pipeline_test.ts
@@ -248,6 +248,7 @@
 
 for (const [what, bytes] of Object.entries({
   'no request': 'no request\r\n\r\n',
+  'a tunnel': 'CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n',
   'a broken body':
     'POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
 })) {
@@ -260,7 +261,10 @@
     handled.forEach(each => answer(each, 'whole'));
     await settle();
     assert.equal(countOf(received(), '\r\n\r\nwhole'), 2);
-    assert.equal(countOf(received(), ' 400 '), what === 'no request' ? 0 : 1);
+    assert.equal(
+      countOf(received(), ' 400 '),
+      what === 'a broken body' ? 1 : 0,
+    );
     assert.equal(isClosed(), true);
   });
 }
