--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -12,6 +12,11 @@
 import type {Logger} from '../../ports/log.js';
 import type {RequestReader} from '../../ports/relay.js';
 import type {BodyReader} from './body_reader.js';
+import {
+  answerClientError,
+  HEAD_TIMEOUT_CODE,
+  type ClientError,
+} from './client_errors.js';
 import type {CallerBuffers} from './caller_buffers.js';
 import {createHttpCaller, type HttpCaller} from './http_caller.js';
 import {
@@ -69,6 +74,8 @@
   readonly response: http.ServerResponse;
   readonly arrivedAtMs: number;
   requestId: string;
+  /** Why the rest of its body can't be read. */
+  bodyError?: RequestError;
   /** Absent until the request starts. */
   caller?: HttpCaller;
 }
@@ -99,7 +106,9 @@
     place: PipelinePlace,
     shape: AnswerShape,
   ): boolean {
-    if (!host.isLeaving() || !place.isOnly()) return false;
+    if (!place.isOnly()) return false;
+    if (pipelineOf(socket).isStopped()) return true;
+    if (!host.isLeaving()) return false;
     if (shape === 'in-parts' && place.isPipelined()) return false;
     closing.add(socket);
     return true;
@@ -127,6 +136,7 @@
     request.requestId = requestId;
     const caller = createCaller(request, place);
     request.caller = caller;
+    if (request.bodyError) return caller.refuse(request.bodyError);
     const waitMs = facts.waitMs ?? DEFAULT_WAIT_MS;
     const body = await host.bodies.read(message, response, {
       requestId,
@@ -240,6 +250,32 @@
   // The body reader sends the status 100.
   server.on('checkContinue', handleMessage);
   host.connections.watch(server);
+
+  /** What follows can't be read; requests that were read are answered. */
+  function endReading(error: ClientError, socket: Socket): void {
+    const pipeline = pipelines.get(socket);
+    if (!pipeline?.isOpen()) return answerClientError(error, socket);
+    // The rest of the head is there, but isn't read.
+    if (error.code === HEAD_TIMEOUT_CODE && pipeline.isPaused()) return;
+    pipeline.stop();
+    for (const request of open) {
+      const {message, caller} = request;
+      if (message.socket !== socket || message.complete) continue;
+      request.bodyError = {
+        kind: 'malformed-request',
+        detail: error.code ?? '',
+      };
+      caller?.refuse(request.bodyError);
+    }
+  }
+
+  server.on('clientError', (error: ClientError, socket) =>
+    endReading(error, socket as Socket),
+  );
+  // Without a listener, Node closes the connection at once.
+  server.on('connect', (_, socket) =>
+    endReading(new Error("CONNECT isn't served."), socket as Socket),
+  );
   server.on('connection', socket => socket.setNoDelay(true));
 
   return {
