What a peer sends at once is one chunk, and waits while its reader is paused

An upstream that sends a few bytes at a time makes a peer write as many frames. One read of the peer's connection held thousands of them, and each became a chunk and a write, also after the reader had paused the body. If the end came in the read that made an answer large (over 256 KB), it was delivered while the answer was paused and got lost: the caller waited until its deadline and was cut.

Now frames of a read are joined, those after a pause are held until the body is resumed, and a break is reported at once. A frame holds at most 1 MB (8 before): so much of a message that is no frame was collected.

Found by reading; not seen with real processes.

--- a/src/relay/forwarding/forward_client.ts
+++ b/src/relay/forwarding/forward_client.ts
@@ -11,6 +11,7 @@
 import {
   createFrameReader,
   encodeCall,
+  joinData,
   type ForwardCall,
   type ForwardedOptions,
   type ForwardOutcome,
@@ -90,6 +91,7 @@
 
 /** What arrives of an answer; `lost` if the peer broke off. */
 type AnswerEvent = Frame | {readonly kind: 'lost'};
+type BodyEvent = Exclude<AnswerEvent, {kind: 'outcome'}>;
 
 interface FramedAnswer {
   /** Undefined if the peer broke off. */
@@ -97,10 +99,7 @@
   readonly body: AnswerBody;
 }
 
-function deliver(
-  event: Exclude<AnswerEvent, {kind: 'outcome'}>,
-  sink: AnswerBodySink,
-): void {
+function deliver(event: BodyEvent, sink: AnswerBodySink): void {
   switch (event.kind) {
     case 'data':
       return sink.chunk(event.bytes);
@@ -113,12 +112,16 @@
   }
 }
 
-/** Reads frames and holds back those of the body until it is read. */
+/**
+ * Reads frames and holds back those of the body until it is read, and while it
+ * is paused; one read may bring many. That it broke off is told at once.
+ */
 function createFramedAnswer(body: AnswerBody, onEnd: () => void): FramedAnswer {
   const reader = createFrameReader();
-  let held: Array<Exclude<AnswerEvent, {kind: 'outcome'}>> = [];
+  let held: BodyEvent[] = [];
   let sink: AnswerBodySink | undefined;
   let hasEnded = false;
+  let isPaused = false;
   let isDestroyed = false;
   let onOutcome: (outcome: ForwardOutcome | undefined) => void = () => {};
 
@@ -133,26 +136,48 @@
     if (hasEnded) return;
     if (event.kind === 'outcome') return onOutcome(event.outcome);
     if (event.kind !== 'data') end();
-    if (sink) deliver(event, sink);
+    const isBreak = event.kind === 'broken' || event.kind === 'lost';
+    if (isBreak && isPaused) held = [event];
     else held.push(event);
   }
 
+  function deliverHeld(): void {
+    if (!sink) return;
+    if (held[0]?.kind === 'broken' || held[0]?.kind === 'lost') {
+      isPaused = false;
+    }
+    while (held.length > 0 && !isPaused && !isDestroyed) {
+      const [event] = held.splice(0, 1);
+      deliver(event, sink);
+    }
+  }
+
   function push(bytes: Buffer): void {
     try {
-      for (const frame of reader.push(bytes)) receive(frame);
+      for (const frame of joinData(reader.push(bytes))) receive(frame);
     } catch {
       body.destroy();
       receive({kind: 'lost'});
     }
+    deliverHeld();
     if (held.length > 0) body.pause();
   }
 
+  function resume(): void {
+    isPaused = false;
+    deliverHeld();
+    if (!isPaused && !hasEnded) body.resume();
+  }
+
   return {
     readOutcome() {
       const outcome = new Promise<ForwardOutcome | undefined>(resolve => {
         onOutcome = resolve;
       });
-      const lose = () => receive({kind: 'lost'});
+      const lose = () => {
+        receive({kind: 'lost'});
+        deliverHeld();
+      };
       body.read({chunk: push, end: lose, broken: lose});
       return outcome;
     },
@@ -160,16 +185,18 @@
       isUnframed: false,
       read(given) {
         sink = given;
-        for (const event of held) {
-          if (!isDestroyed) deliver(event, given);
-        }
-        held = [];
-        if (!hasEnded) body.resume();
+        resume();
+      },
+      pause() {
+        isPaused = true;
+        body.pause();
+      },
+      resume() {
+        if (isPaused) resume();
       },
-      pause: () => body.pause(),
-      resume: () => body.resume(),
       destroy() {
         isDestroyed = true;
+        held = [];
         end();
         body.destroy();
       },
--- a/src/relay/forwarding/forward_frames.ts
+++ b/src/relay/forwarding/forward_frames.ts
@@ -46,7 +46,8 @@
 
 const LENGTH_BYTES = 4;
 const FRAME_HEAD_BYTES = 1 + LENGTH_BYTES;
-const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+/** A frame holds a head, or what one read of an upstream brought. */
+const MAX_FRAME_BYTES = 1024 * 1024;
 
 const FRAME_CODES: Readonly<Record<Frame['kind'], number>> = {
   outcome: 1,
@@ -125,6 +126,28 @@
   };
 }
 
+/** Joins the bytes of frames that follow one another. */
+export function joinData(frames: readonly Frame[]): readonly Frame[] {
+  const joined: Frame[] = [];
+  let parts: Buffer[] = [];
+  const endParts = () => {
+    if (parts.length === 0) return;
+    const bytes = parts.length === 1 ? parts[0] : Buffer.concat(parts);
+    joined.push({kind: 'data', bytes});
+    parts = [];
+  };
+  for (const frame of frames) {
+    if (frame.kind === 'data') {
+      parts.push(frame.bytes);
+      continue;
+    }
+    endParts();
+    joined.push(frame);
+  }
+  endParts();
+  return joined;
+}
+
 /** The call as JSON with its length in front, then the body of the request. */
 export function encodeCall(call: ForwardCall, body?: Buffer): Buffer {
   const text = Buffer.from(JSON.stringify(call));
