Endless answers: comments with blank lines, and what answers hold in memory

The test of answers without end gets comments with blank lines, before and after the first event, for all kinds of calls: both ended with a cut at the deadline before, and end with 502 or are cut after 256 KB now.

--- a/tests/platform/endless_answers_test.ts
+++ b/tests/platform/endless_answers_test.ts
@@ -53,6 +53,14 @@
     head: `${OK}${EVENTS}\r\n`,
     repeated: ': comment\n'.repeat(6_000),
   },
+  'comments with blank lines': {
+    head: `${OK}${EVENTS}\r\n`,
+    repeated: ': comment\n\n'.repeat(6_000),
+  },
+  'comments with blank lines after an event': {
+    head: `${OK}${EVENTS}\r\nid: 1\ndata: token-1\n\n`,
+    repeated: ':\n\n'.repeat(20_000),
+  },
   'an event line': {head: `${OK}${EVENTS}\r\ndata: `, repeated: PART},
   'informational answers': INFORMATION,
   'informational answers, one at a time': {
@@ -117,6 +125,11 @@
   'a body in chunks': {...plainEnds('cut'), ...streamEnds(502)},
   'a body, a few bytes at a time': {...plainEnds(504), ...streamEnds(504)},
   'comments of an event stream': {...plainEnds('cut'), ...streamEnds(502)},
+  'comments with blank lines': {...plainEnds('cut'), ...streamEnds(502)},
+  'comments with blank lines after an event': {
+    ...plainEnds('cut'),
+    ...streamEnds('cut'),
+  },
   'an event line': {...plainEnds('cut'), ...streamEnds(502)},
   'informational answers': {...plainEnds(502), ...streamEnds(502)},
   'informational answers, one at a time': {
