--- a/src/adapters/received_body.ts
+++ b/src/adapters/received_body.ts
@@ -9,6 +9,12 @@
   return headers['content-length'] === undefined && !hasChunks;
 }
 
+/**
+ * A read in more parts than this takes milliseconds, and Node makes up to 32
+ * reads of a connection before it turns to the next one.
+ */
+const MAX_PARTS_AT_ONCE = 64;
+
 export interface ReceivedBody {
   readonly body: AnswerBody;
   /** Ends the body as broken and closes its connection. */
@@ -43,15 +49,29 @@
   let isPaused = false;
   /** What the current read of the connection has brought. */
   const read = createByteQueue();
+  let partCount = 0;
 
   function flush(): void {
     const size = read.sizeBytes();
     if (!sink || size === 0 || isPaused || isDestroyed) return;
     const bytes = read.copy(0, size);
     read.drop(size);
+    if (partCount > MAX_PARTS_AT_ONCE) letOthersRead();
+    partCount = 0;
     sink.chunk(bytes);
   }
 
+  /** Whether the connection still belongs to this answer. */
+  const isReading = () => !answer.complete && !isDestroyed;
+
+  function letOthersRead(): void {
+    if (!isReading()) return;
+    socket.pause();
+    setImmediate(() => {
+      if (!isPaused && isReading()) socket.resume();
+    });
+  }
+
   /** A paused body keeps its end, but not the news that it broke off. */
   function deliver(): void {
     flush();
@@ -67,6 +87,7 @@
     // Runs after the ticks in which Node's stream asks for the next read.
     if (read.sizeBytes() === 0) queueMicrotask(flush);
     read.push(bytes);
+    partCount++;
   }
 
   /**
