--- a/src/adapters/received_body.ts
+++ b/src/adapters/received_body.ts
@@ -1,6 +1,7 @@
 /** The body of an answer that Node's client receives. */
 
 import type http from 'node:http';
+import {createByteQueue} from '../core/byte_queue.js';
 import type {AnswerBody, AnswerBodySink} from '../ports/relay.js';
 
 function isUnframed({headers}: http.IncomingMessage): boolean {
@@ -8,6 +9,12 @@
   return headers['content-length'] === undefined && !hasChunks;
 }
 
+/**
+ * A read in more parts than this takes milliseconds, and Node makes up to 32
+ * reads of a connection before it turns to the next one.
+ */
+const MAX_PARTS_AT_ONCE = 64;
+
 export interface ReceivedBody {
   readonly body: AnswerBody;
   /** Ends the body as broken and closes its connection. */
@@ -17,10 +24,6 @@
 type Ending =
   {readonly kind: 'whole'} | {readonly kind: 'broken'; readonly detail: string};
 
-function join(parts: readonly Buffer[]): Buffer {
-  return parts.length === 1 ? parts[0] : Buffer.concat(parts);
-}
-
 /**
  * Passes on what one read of the connection brings as one chunk. An upstream
  * may send chunks of one byte, so that a read has thousands of them.
@@ -45,15 +48,30 @@
   let isDestroyed = false;
   let isPaused = false;
   /** What the current read of the connection has brought. */
-  let parts: Buffer[] = [];
+  const read = createByteQueue();
+  let partCount = 0;
 
   function flush(): void {
-    if (!sink || parts.length === 0 || isPaused || isDestroyed) return;
-    const bytes = join(parts);
-    parts = [];
+    const size = read.sizeBytes();
+    if (!sink || size === 0 || isPaused || isDestroyed) return;
+    const bytes = read.copy(0, size);
+    read.drop(size);
+    if (partCount > MAX_PARTS_AT_ONCE) letOthersRead();
+    partCount = 0;
     sink.chunk(bytes);
   }
 
+  /** Whether the connection still belongs to this answer. */
+  const isReading = () => !answer.complete && !isDestroyed;
+
+  function letOthersRead(): void {
+    if (!isReading()) return;
+    socket.pause();
+    setImmediate(() => {
+      if (!isPaused && isReading()) socket.resume();
+    });
+  }
+
   /** A paused body keeps its end, but not the news that it broke off. */
   function deliver(): void {
     flush();
@@ -67,8 +85,9 @@
 
   function add(bytes: Buffer): void {
     // Runs after the ticks in which Node's stream asks for the next read.
-    if (parts.length === 0) queueMicrotask(flush);
-    parts.push(bytes);
+    if (read.sizeBytes() === 0) queueMicrotask(flush);
+    read.push(bytes);
+    partCount++;
   }
 
   /**
@@ -118,7 +137,6 @@
       resume,
       destroy() {
         isDestroyed = true;
-        parts = [];
         onEnd();
         answer.destroy();
       },
