--- a/src/relay/front/body_buffer.ts
+++ b/src/relay/front/body_buffer.ts
@@ -6,8 +6,10 @@
   sizeBytes(): number;
   /** Memory that is used for them. */
   heldBytes(): number;
-  /** Returns the body; called once, at its end. */
+  /** Returns the body, and keeps nothing of it. */
   take(): Buffer;
+  /** Keeps nothing of the body; what is appended afterwards isn't kept. */
+  discard(): void;
 }
 
 /** Smaller parts are copied: each buffer takes about 200 bytes by itself. */
@@ -18,8 +20,16 @@
 export function createSizedBuffer(lengthBytes: number): BodyBuffer {
   let whole: Buffer | undefined;
   let size = 0;
+  let isDiscarded = false;
+
+  function discard(): void {
+    isDiscarded = true;
+    whole = undefined;
+  }
+
   return {
     append(bytes) {
+      if (isDiscarded) return;
       // Most bodies arrive in one part.
       if (bytes.length === lengthBytes) whole = bytes;
       else {
@@ -30,7 +40,12 @@
     },
     sizeBytes: () => size,
     heldBytes: () => lengthBytes,
-    take: () => whole ?? Buffer.alloc(0),
+    take() {
+      const taken = whole ?? Buffer.alloc(0);
+      discard();
+      return taken;
+    },
+    discard,
   };
 }
 
@@ -43,6 +58,14 @@
   /** The part of the block that is not in `parts`. */
   let begin = 0;
   let end = 0;
+  let isDiscarded = false;
+
+  function discard(): void {
+    isDiscarded = true;
+    parts.length = 0;
+    block = Buffer.alloc(0);
+    begin = end = 0;
+  }
 
   function closePart(): void {
     if (end > begin) parts.push(block.subarray(begin, end));
@@ -61,6 +84,7 @@
 
   return {
     append(bytes) {
+      if (isDiscarded) return;
       const isFirst = size === 0;
       size += bytes.length;
       if (!isFirst && bytes.length < MIN_PART_BYTES) return copy(bytes);
@@ -72,7 +96,10 @@
     heldBytes: () => held,
     take() {
       closePart();
-      return parts.length === 1 ? parts[0] : Buffer.concat(parts, size);
+      const taken = parts.length === 1 ? parts[0] : Buffer.concat(parts, size);
+      discard();
+      return taken;
     },
+    discard,
   };
 }
--- a/src/relay/front/body_reader.ts
+++ b/src/relay/front/body_reader.ts
@@ -164,6 +164,8 @@
         refuse(error) {
           const readBytes = buffer.sizeBytes();
           if (!end()) return;
+          // The connection, which stays open for a moment, refers to it.
+          buffer.discard();
           resolve(refuse(message, response, error, options, readBytes));
         },
       };
