--- a/src/relay/limits/connection_limit.ts
+++ b/src/relay/limits/connection_limit.ts
@@ -48,8 +48,7 @@
 /** Why a connection was ended. */
 type EndCause = 'idle' | 'refused' | 'too-many-refused';
 
-/** Of the bound, the part for connections whose requests are refused. */
-const REFUSED_SHARE = 1 / 2;
+/** They come on top of the bound, for a moment each. */
 const MAX_REFUSED = 256;
 /** How long one to be refused may take to send a request. */
 const REFUSED_WAIT_MS = 1_000;
@@ -62,9 +61,7 @@
 ): ConnectionLimit {
   const {clock, log, metrics} = host;
   const {server: serverName, maxConnections} = options;
-  const maxRefused = Math.ceil(
-    Math.min(MAX_REFUSED, maxConnections * REFUSED_SHARE),
-  );
+  const maxRefused = Math.min(MAX_REFUSED, maxConnections);
   const connections = new Map<Socket, Connection>();
   /** Longest idle first. */
   const idle = new Set<Connection>();
--- a/src/relay/limits/resource_limits.ts
+++ b/src/relay/limits/resource_limits.ts
@@ -48,8 +48,8 @@
 /** Descriptors for files, listening sockets and connections of this host. */
 const OWN_DESCRIPTORS = 200;
 /**
- * Of the rest, the part for callers. Calls to upstreams need as many, and
- * connections that are being refused half of it.
+ * Of the rest, the part for callers. Calls to upstreams need as many;
+ * connections that are being refused share what is left with the own ones.
  */
 const CALLER_SHARE = 2 / 5;
 /** Of what may be held, the part for connections by themselves. */
