What peers don't take of answers is part of the account of memory

A host that makes a call for a peer holds up to 80 KB of the answer if the peer's caller reads slowly, for up to 256 calls, and no bound over all knew of it.

Now the peer is a holder as a caller is, with the same bound, log line and metrics. Beyond the bound the call is cut, and the peer reports to its caller that the answer broke off.

--- a/src/relay/forwarding/forward_server.ts
+++ b/src/relay/forwarding/forward_server.ts
@@ -12,6 +12,7 @@
 import type {Clock} from '../../ports/clock.js';
 import type {UpstreamPort} from '../../ports/relay.js';
 import type {Member} from '../fleet/members.js';
+import type {CallerBuffers, CallerConnection} from '../front/caller_buffers.js';
 import {createCancellation} from '../front/cancellation.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {FORWARD_PATH, SENDER_HEADER} from './forward_client.js';
@@ -33,6 +34,8 @@
   /** Whether this host reaches the upstream and may send to it now. */
   mayCall(upstreamId: string): boolean;
   onServed(result: 'made' | 'declined'): void;
+  /** Holds what peers don't take of the answers to their calls. */
+  readonly buffers: Pick<CallerBuffers, 'noteBlocked' | 'noteFree'>;
   onOutcome(
     upstream: Upstream,
     sentAtMs: number,
@@ -92,6 +95,24 @@
     return isNewWork ? registry.getOpen(upstreamId) : registry.get(upstreamId);
   }
 
+  /** Writes an answer; a peer is slow where its caller is. */
+  function createWriter(requestId: string, response: http.ServerResponse) {
+    const connection: CallerConnection = {
+      requestId,
+      isStream: () => true,
+      bufferedBytes: () => response.writableLength,
+      close: () => void response.destroy(),
+    };
+    const noteFree = () => host.buffers.noteFree(connection);
+    response.on('drain', noteFree);
+    response.once('close', noteFree);
+    return (bytes: Buffer): boolean => {
+      const isTaken = response.write(bytes);
+      if (!isTaken && !response.destroyed) host.buffers.noteBlocked(connection);
+      return isTaken;
+    };
+  }
+
   async function make(
     call: ForwardCall,
     upstream: Upstream,
@@ -143,13 +164,10 @@
         }
         const {body: answerBody, ...head} = outcome;
         cancellation.onCancel(() => answerBody.destroy());
+        const write = createWriter(request.requestId, response);
         response.on('drain', () => answerBody.resume());
         handleOutcome(head);
-        writeBody(
-          answerBody,
-          bytes => response.write(bytes),
-          () => void response.end(),
-        );
+        writeBody(answerBody, write, () => void response.end());
         return;
       }
     }
--- a/src/relay/forwarding/forwarding.ts
+++ b/src/relay/forwarding/forwarding.ts
@@ -7,6 +7,7 @@
 import type {UpstreamPort} from '../../ports/relay.js';
 import type {Member} from '../fleet/members.js';
 import type {RelayMetrics} from '../relay_metrics.js';
+import type {CallerBuffers} from '../front/caller_buffers.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {createForwardClient} from './forward_client.js';
 import {createForwardPeers} from './forward_peers.js';
@@ -28,6 +29,7 @@
   peers(): readonly Member[];
   /** Whether this host takes new work. */
   isServing(): boolean;
+  readonly buffers: CallerBuffers;
   /** Whether the upstream wants no calls from this host now. */
   isBlocked(upstreamId: string): boolean;
 }
@@ -77,6 +79,7 @@
       links.pathTo(upstreamId) === 'direct' &&
       !host.isBlocked(upstreamId),
     onServed: result => metrics.count('served_calls', `result="${result}"`),
+    buffers: host.buffers,
     onOutcome: noteDirect,
   });
   return {port, server, links};
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -314,7 +314,14 @@
     metrics,
     resources,
   });
+  const callerBuffers = createCallerBuffers({
+    clock,
+    log: createLogger('front'),
+    metrics,
+    memory,
+  });
   const sending = createRelayUpstreamPort({
+    buffers: callerBuffers,
     clock,
     random,
     createLogger,
@@ -430,12 +437,6 @@
     loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
-  const callerBuffers = createCallerBuffers({
-    clock,
-    log: createLogger('front'),
-    metrics,
-    memory,
-  });
   const limitConnections = (
     server: string,
     maxConnections: number,
--- a/src/relay/relay_upstream_port.ts
+++ b/src/relay/relay_upstream_port.ts
@@ -29,6 +29,7 @@
 export interface RelayUpstreamPortHost
   extends
     Pick<CrashWatchHost, 'isTrialOwner' | 'onChange'>,
+    Pick<ForwardingHost, 'buffers'>,
     Pick<
       ForwardingHost,
       'metrics' | 'registry' | 'self' | 'peers' | 'isServing'
--- a/tests/relay/forwarding/forwarding_site.ts
+++ b/tests/relay/forwarding/forwarding_site.ts
@@ -30,7 +30,9 @@
   createAuxiliaryServer,
   type AuxiliaryServer,
 } from '../../../src/relay/front/auxiliary_server.js';
+import {createCallerBuffers} from '../../../src/relay/front/caller_buffers.js';
 import type {UpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {makeResourceLimits} from '../../support/resource_limits.js';
 import {silentLog} from '../../support/silent_log.js';
 
 /** How the connections of a host to upstreams behave. */
@@ -203,6 +205,12 @@
       peers: () => hosts.filter(each => each !== host).map(each => each.member),
       isServing: () => true,
       isBlocked: () => false,
+      buffers: createCallerBuffers({
+        clock,
+        log: silentLog,
+        metrics: {count: () => {}},
+        memory: makeResourceLimits().memory,
+      }),
     });
     hosts.push(Object.assign(host, {forwarding}));
     const server = createAuxiliaryServer(
