--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -78,6 +78,8 @@
   bodyError?: RequestError;
   /** Absent until the request starts. */
   caller?: HttpCaller;
+  /** Frees what the request holds beside its answer. */
+  release?: () => void;
 }
 
 export function createRelayFront(host: RelayFrontHost): RelayFront {
@@ -115,12 +117,19 @@
   }
 
   function createCaller(
-    {message, response, requestId}: OpenRequest,
+    request: OpenRequest,
     place: PipelinePlace,
   ): HttpCaller {
+    const {message, response, requestId} = request;
     return createHttpCaller(response, requestId, {
       buffers: host.buffers,
-      place,
+      place: {
+        ...place,
+        noteAnswered(heldBytes) {
+          request.release?.();
+          place.noteAnswered(heldBytes);
+        },
+      },
       closeAfter: shape => closeAfter(message, place, shape),
     });
   }
@@ -146,6 +155,7 @@
       idleTimeoutMs: host.limits()?.idleTimeoutMs,
       refusal: findRefusal(message, hasRoom),
     });
+    request.release = body.release;
     if (body.error) return caller.refuse(body.error);
     // The caller disconnected before it had sent the whole request.
     if (!body.bytes) return;
--- a/tests/relay/front/pipeline_test.ts
+++ b/tests/relay/front/pipeline_test.ts
@@ -155,6 +155,22 @@
   );
 });
 
+test('answers that wait for their turn leave room for other requests', async () => {
+  const {send, handled} = await startFront();
+  send(...Array.from({length: 3 * MAX_RUNNING}, () => '/a'));
+  await settle();
+  for (let i = 1; i < MAX_RUNNING; i++) answer(handled[i], 'waits');
+  await settle();
+  assert.equal(handled.length, 2 * MAX_RUNNING - 1);
+  const large = 'x'.repeat(PIPELINE_OPTIONS.maxHeldBytes);
+  answer(handled[MAX_RUNNING], large);
+  await settle();
+  assert.equal(handled.length, 2 * MAX_RUNNING - 1);
+  answer(handled[0], 'first');
+  await settle();
+  assert.equal(handled.length, 2 * MAX_RUNNING + 1);
+});
+
 test('a request behind a stream does not run until the stream has ended', async () => {
   // Guards against runs whose answer is lost as the stream ahead is cut.
   const {send, handled, clock} = await startFront();
