Bodies and connections at the other addresses, and of calls for peers

By reading: the process held up to 16 MB for each of 256 calls of peers, before it was checked who calls, and a metrics page for each request that is sent ahead.

Cause: auxiliary servers discarded bodies without end, had no bound on connections or on requests ahead of their answers, and read each call of a peer fully first.

As their requests end at once, a connection without an open request always makes room for a new one, so the ready address answers. Calls of peers go through the body reader: the account's room, 5 s without a byte, and the sender is checked first. A peer that is declined before it sends its body asks the next one, as with any declined call.

One commit for both, as the status 100 is now sent by who reads the body.

--- a/src/relay/forwarding/forward_server.ts
+++ b/src/relay/forwarding/forward_server.ts
@@ -12,6 +12,7 @@
 import type {Clock} from '../../ports/clock.js';
 import type {UpstreamPort} from '../../ports/relay.js';
 import type {Member} from '../fleet/members.js';
+import type {BodyReader} from '../front/body_reader.js';
 import {createCancellation} from '../front/cancellation.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {FORWARD_PATH, SENDER_HEADER} from './forward_client.js';
@@ -26,6 +27,7 @@
 export interface ForwardServerHost {
   readonly clock: Clock;
   readonly registry: Pick<UpstreamRegistry, 'get' | 'getOpen'>;
+  readonly bodies: Pick<BodyReader, 'read'>;
   /** Makes calls over connections of this host. */
   readonly port: UpstreamPort;
   /** Live hosts except this one. */
@@ -47,31 +49,22 @@
 }
 
 /** Why a call is not made. */
-type Declined = 'sender-unknown' | 'invalid' | 'not-open' | 'too-many';
+type Declined =
+  'sender-unknown' | 'invalid' | 'not-open' | 'too-many' | 'unread';
 
 const DECLINED_STATUSES: Readonly<Record<Declined, number>> = {
   'sender-unknown': 403,
   invalid: 400,
   'not-open': 409,
   'too-many': 429,
+  unread: 503,
 };
 const MAX_ACTIVE_CALLS = 256;
 const MAX_CALL_BYTES = 16 * 1024 * 1024;
 
-function readBody(message: http.IncomingMessage): Promise<Buffer | undefined> {
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    message.on('data', (bytes: Buffer) => {
-      size += bytes.length;
-      if (size > MAX_CALL_BYTES) message.destroy();
-      else chunks.push(bytes);
-    });
-    message.on('end', () => resolve(Buffer.concat(chunks)));
-    message.on('error', () => resolve(undefined));
-    message.on('close', () => resolve(undefined));
-  });
-}
+/** The longest time that a peer may take to send a call. */
+const READ_TIMEOUT_MS = 30_000;
+const READ_IDLE_TIMEOUT_MS = 5_000;
 
 export function createForwardServer(host: ForwardServerHost): ForwardServer {
   const {registry, port} = host;
@@ -87,6 +80,11 @@
     );
   }
 
+  function findRefusal(message: http.IncomingMessage): Declined | undefined {
+    if (!isFromPeer(message)) return 'sender-unknown';
+    return activeCount >= MAX_ACTIVE_CALLS ? 'too-many' : undefined;
+  }
+
   function findUpstream({kind, upstreamId}: ForwardCall): Upstream | undefined {
     const isNewWork = kind === 'send' || kind === 'prefill';
     return isNewWork ? registry.getOpen(upstreamId) : registry.get(upstreamId);
@@ -166,10 +164,16 @@
     message: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    // An unread body would reset the connection before the answer is read.
-    const bytes = await readBody(message);
+    const refused = findRefusal(message);
+    const {bytes, error} = await host.bodies.read(message, response, {
+      requestId: '',
+      maxBytes: MAX_CALL_BYTES,
+      waitMs: READ_TIMEOUT_MS,
+      idleTimeoutMs: READ_IDLE_TIMEOUT_MS,
+      refusal: refused && {kind: 'host-overloaded', detail: refused},
+    });
+    if (error) return decline(refused ?? 'unread', response);
     if (!bytes) return void response.destroy();
-    if (!isFromPeer(message)) return decline('sender-unknown', response);
     if (activeCount >= MAX_ACTIVE_CALLS) return decline('too-many', response);
     const decoded = decodeCall(bytes);
     if (!decoded) return decline('invalid', response);
--- a/src/relay/forwarding/forwarding.ts
+++ b/src/relay/forwarding/forwarding.ts
@@ -6,6 +6,7 @@
 import type {Random} from '../../ports/random.js';
 import type {UpstreamPort} from '../../ports/relay.js';
 import type {Member} from '../fleet/members.js';
+import type {BodyReader} from '../front/body_reader.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import {createForwardClient} from './forward_client.js';
@@ -21,6 +22,7 @@
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly exchange: HttpExchange;
   readonly registry: UpstreamRegistry;
+  readonly bodies: Pick<BodyReader, 'read'>;
   /** Makes calls over connections of this host. */
   readonly direct: UpstreamPort;
   readonly self: {readonly hostId: string; readonly failureDomain: string};
@@ -70,6 +72,7 @@
   const server = createForwardServer({
     clock,
     registry,
+    bodies: host.bodies,
     port: direct,
     peers: host.peers,
     mayCall: upstreamId =>
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -54,6 +54,9 @@
 import {createStreamRelay} from './streams/stream_relay.js';
 import {createUpstreamRegistry} from './store/upstream_registry.js';
 
+/** For each of the servers that answer at once. */
+const MAX_AUXILIARY_CONNECTIONS = 32;
+
 export interface RelayProcessOptions {
   readonly settings: RelaySettings;
   readonly adapters: RelayAdapters;
@@ -296,6 +299,7 @@
     resources,
   });
   const sending = createRelayUpstreamPort({
+    bodies,
     clock,
     random,
     createLogger,
@@ -488,14 +492,25 @@
       listEntries({clock, random, self: peers.self, peers: peers.alive}),
   });
   const auxiliaryServers = [
-    {address: settings.readyAddress, handler: auxiliaryHandler},
-    {address: settings.directoryAddress, handler: auxiliaryHandler},
     {
+      name: 'ready',
+      address: settings.readyAddress,
+      handler: auxiliaryHandler,
+    },
+    {
+      name: 'directory',
+      address: settings.directoryAddress,
+      handler: auxiliaryHandler,
+    },
+    {
+      name: 'peers',
       address: settings.peerAddress,
       handler: handover.handler,
       handleMessage: forwarding.server.handle,
+      maxConnections: resources.maxPeerConnections,
     },
     {
+      name: 'metrics',
       address: settings.metricsAddress,
       handler: () => ({
         status: 200,
@@ -503,10 +518,26 @@
         body: metrics.render(),
       }),
     },
-  ].map(({address, handler, handleMessage}) => ({
-    address,
-    server: createAuxiliaryServer(handler, handleMessage),
-  }));
+  ].map(
+    ({
+      name,
+      address,
+      handler,
+      handleMessage,
+      maxConnections = MAX_AUXILIARY_CONNECTIONS,
+    }) => ({
+      address,
+      server: createAuxiliaryServer(
+        {
+          clock,
+          // A request that has only begun may be closed for another one.
+          connections: limitConnections(name, maxConnections, () => 0),
+        },
+        handler,
+        handleMessage,
+      ),
+    }),
+  );
 
   const applyUpstreams = () =>
     applyPlainUpstreams({routing, registry, balancer});
--- a/src/relay/relay_upstream_port.ts
+++ b/src/relay/relay_upstream_port.ts
@@ -31,7 +31,7 @@
     Pick<CrashWatchHost, 'isTrialOwner' | 'onChange'>,
     Pick<
       ForwardingHost,
-      'metrics' | 'registry' | 'self' | 'peers' | 'isServing'
+      'metrics' | 'registry' | 'bodies' | 'self' | 'peers' | 'isServing'
     > {
   readonly clock: Clock;
   readonly random: Random;
--- a/tests/relay/forwarding/forwarding_site.ts
+++ b/tests/relay/forwarding/forwarding_site.ts
@@ -31,7 +31,13 @@
   type AuxiliaryServer,
 } from '../../../src/relay/front/auxiliary_server.js';
 import type {UpstreamRegistry} from '../../../src/relay/store/upstream_registry.js';
+import {createBodyReader} from '../../../src/relay/front/body_reader.js';
 import {silentLog} from '../../support/silent_log.js';
+import {
+  createUnlimitedConnections,
+  createUnlimitedResources,
+  noMetrics,
+} from '../limits/resources_stand_in.js';
 
 /** How the connections of a host to upstreams behave. */
 export type DirectBehaviour =
@@ -198,6 +204,12 @@
         get,
         getOpen: (id: string) => (closed.has(id) ? undefined : get(id)),
       } as Partial<UpstreamRegistry> as UpstreamRegistry,
+      bodies: createBodyReader({
+        clock,
+        log: silentLog,
+        metrics: noMetrics,
+        resources: createUnlimitedResources(),
+      }),
       direct: createDirectPort(host, clock, () => silentUntilMs),
       self: member,
       peers: () => hosts.filter(each => each !== host).map(each => each.member),
@@ -206,6 +218,7 @@
     });
     hosts.push(Object.assign(host, {forwarding}));
     const server = createAuxiliaryServer(
+      {clock, connections: createUnlimitedConnections()},
       () => undefined,
       forwarding.server.handle,
     );
