--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -1,6 +1,5 @@
 /** Runs one relay process on the platform. */
 
-import {readFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
 import {createPlatformAdapters} from '../../../platform/platform_adapters.js';
 import {createLineLoggers, type LineSink} from '../../adapters/line_logger.js';
@@ -9,15 +8,15 @@
 import type {Logger, LogLevel} from '../../ports/log.js';
 import {createRelayMetrics} from '../../relay/relay_metrics.js';
 import {startRelay} from '../../relay/relay_process.js';
-import {
-  readJsonRelaySettings,
-  type RelaySettings,
-} from '../../relay/relay_settings.js';
+import {StartError} from '../../relay/start/start_error.js';
+import type {RelaySettings} from '../../relay/relay_settings.js';
+import {awaitHostFile, readHostFile} from './relay_host_file.js';
 
 export const RELAY_SUMMARY = 'Run one relay process on the platform.';
 const USAGE =
   'Usage: corianderbend relay --host-file FILE [--log-level LEVEL]\n';
 const EXIT_DONE = 0;
+const EXIT_FAILED = 1;
 const EXIT_REQUESTS_ABORTED = 1;
 const EXIT_USAGE = 2;
 const LEVELS: readonly string[] = ['error', 'warn', 'info', 'debug'];
@@ -27,43 +26,65 @@
   words: readonly string[],
   signalBuffer: SignalBuffer,
 ): Promise<number> {
-  const {values} = parseArgs({
-    args: [...words],
-    options: {
-      'host-file': {type: 'string'},
-      'host-file-variable': {type: 'string'},
-      'log-level': {type: 'string', default: 'info'},
-    },
-  });
+  const args = readArguments(words);
+  if (typeof args === 'string') {
+    process.stderr.write(`corianderbend: ${args}\n${USAGE}`);
+    return EXIT_USAGE;
+  }
+  const {file, level} = args;
+  const writeError = (text: string) => void process.stderr.write(text);
+  const clock = createSystemClock();
+  const read = await awaitHostFile(
+    {clock, isEnding: signalBuffer.isEnding, writeError},
+    file,
+  );
+  if (read.kind === 'ended') return EXIT_DONE;
+  if (read.kind === 'read')
+    return run(read.settings, file, level, signalBuffer);
+  writeError(read.sentences);
+  return EXIT_USAGE;
+}
+
+interface RelayArguments {
+  readonly file: string;
+  readonly level: LogLevel;
+}
+
+/** Returns a sentence if the arguments cannot be used. */
+function readArguments(words: readonly string[]): RelayArguments | string {
+  const read = parseWords(words);
+  if (read instanceof Error) return read.message;
+  const {values} = read;
   const level = values['log-level'];
+  if (!isLevel(level)) return `There is no log level ${level}.`;
   const variable = values['host-file-variable'];
   const file =
     values['host-file'] ?? (variable ? process.env[variable] : undefined);
-  if (!file || !isLevel(level)) {
-    process.stderr.write(USAGE);
-    return EXIT_USAGE;
+  if (file) return {file, level};
+  return variable
+    ? `The variable ${variable} names no host file.`
+    : 'No host file is named.';
+}
+
+function parseWords(words: readonly string[]) {
+  try {
+    return parseArgs({
+      args: [...words],
+      options: {
+        'host-file': {type: 'string'},
+        'host-file-variable': {type: 'string'},
+        'log-level': {type: 'string', default: 'info'},
+      },
+    });
+  } catch (error) {
+    return error as Error;
   }
-  const settings = await readSettings(file);
-  return settings ? run(settings, file, level, signalBuffer) : EXIT_USAGE;
 }
 
 function isLevel(text: string): text is LogLevel {
   return LEVELS.includes(text);
 }
 
-async function readSettings(file: string): Promise<RelaySettings | undefined> {
-  const text = readFileSync(file, 'utf8');
-  const settings = readJsonRelaySettings(text);
-  if (settings) return settings;
-  const reader = await import('../../relay/relay_settings_reader.js');
-  const result = reader.readRelaySettings({file, text});
-  if (result.diagnostics.length > 0) {
-    const {formatDiagnostics} = await import('../../core/diagnostics.js');
-    process.stderr.write(formatDiagnostics(result.diagnostics));
-  }
-  return result.settings;
-}
-
 async function run(
   settings: RelaySettings,
   file: string,
@@ -86,16 +107,38 @@
     adapters: createPlatformAdapters(),
     metrics,
     createLogger,
-  });
+    isEnding: signalBuffer.isEnding,
+  }).catch((error: unknown) => reportFailedStart(error, log));
+  if (typeof relay === 'number') return relay;
   signalBuffer.forwardTo({
     SIGTERM: relay.leave,
     SIGINT: relay.leave,
+    SIGQUIT: relay.leave,
     SIGHUP: () => void reload(file, settings, log),
+    SIGUSR1: () => ignoreSignal('SIGUSR1', log),
+    SIGUSR2: () => ignoreSignal('SIGUSR2', log),
   });
   const abortedCount = await relay.ended;
   return abortedCount > 0 ? EXIT_REQUESTS_ABORTED : EXIT_DONE;
 }
 
+function ignoreSignal(signal: string, log: Logger): void {
+  log.info('A signal was ignored that means nothing here.', {signal});
+}
+
+/** Returns the exit code; throws any error that has no words for operators. */
+function reportFailedStart(error: unknown, log: Logger): number {
+  if (!(error instanceof StartError)) throw error;
+  const {kind, message} = error;
+  if (kind === 'ended') {
+    log.info('Ended before it served.');
+    return EXIT_DONE;
+  }
+  log.error('Failed to start.', {reason: message});
+  process.stderr.write(`corianderbend: ${message}\n`);
+  return EXIT_FAILED;
+}
+
 /**
  * Logs uncaught errors instead of ending the process, which would abort the
  * requests of all other callers. Most are unexpected socket failures.
@@ -118,29 +161,26 @@
   current: RelaySettings,
   log: Logger,
 ): Promise<void> {
-  try {
-    const settings = await readSettings(file);
-    const changed = settings
-      ? (Object.keys(settings) as Array<keyof RelaySettings>).filter(
-          name =>
-            JSON.stringify(settings[name]) !== JSON.stringify(current[name]),
-        )
-      : [];
-    log.info('Settings read again.', {
-      isUsable: settings !== undefined,
-      changed: changed.join(',') || undefined,
-    });
-  } catch (error) {
-    log.warn('Failed to read the settings.', {reason: String(error)});
+  const read = await readHostFile(file);
+  if (read.kind === 'unusable') {
+    log.warn('Failed to read the settings.', {reason: read.sentences});
+    return;
   }
+  const {settings} = read;
+  const changed = (Object.keys(settings) as Array<keyof RelaySettings>).filter(
+    name => JSON.stringify(settings[name]) !== JSON.stringify(current[name]),
+  );
+  log.info('Settings read again.', {changed: changed.join(',') || undefined});
 }
 
 function createStandardOutput(): LineSink {
   const {stdout} = process;
-  // The process must keep running if the reader of its output ends.
-  stdout.on('error', () => undefined);
   return {
     write: line => stdout.write(line),
-    onWritable: listener => void stdout.on('drain', listener),
+    onWritable(listener) {
+      stdout.on('drain', listener);
+      // A stream that failed emits no `drain`, but a pipe may get a reader again.
+      stdout.on('error', listener);
+    },
   };
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,10 @@
 /** Entry point of the program `corianderbend`. */
 
-import {bufferSignals} from './signal_buffer.js';
+import {catchSignals} from './early_signals.js';
+
+const words: readonly string[] = process.argv.slice(2);
+/** First of all: until then, any signal ends the process. */
+const signals = words[0] === 'relay' ? catchSignals(process) : undefined;
 
 /**
  * Longest wait for output to be flushed before the process exits after a
@@ -9,19 +13,31 @@
 const FLUSH_TIMEOUT_MS = 100;
 const EXIT_FAILED = 1;
 
-/** Exits if the reader closes the pipe, as in `corianderbend help | head -1`. */
-process.stdout.on('error', (error: NodeJS.ErrnoException) => {
-  if (error.code !== 'EPIPE') throw error;
-  process.exit(0);
-});
+/** Processes whose work goes on if nobody reads their output, or a disk is full. */
+const SERVING_COMMANDS: readonly string[] = ['relay', 'serve'];
+
+function handleOutputErrors(command: string): void {
+  const {stdout, stderr} = process;
+  if (SERVING_COMMANDS.includes(command)) {
+    for (const stream of [stdout, stderr]) stream.on('error', () => undefined);
+    return;
+  }
+  // As in `corianderbend help | head -1`.
+  stdout.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code !== 'EPIPE') throw error;
+    process.exit(0);
+  });
+}
 
 /**
  * Runs the command that the arguments name. Commands are imported lazily, so
  * that a relay process does not load the modules of all other commands.
  */
-async function run(words: readonly string[]): Promise<number> {
-  if (words[0] === 'relay') {
-    const signalBuffer = bufferSignals(process);
+async function run(): Promise<number> {
+  handleOutputErrors(words[0]);
+  if (signals) {
+    const {bufferSignals} = await import('./signal_buffer.js');
+    const signalBuffer = bufferSignals(signals, undefined, signals.sinceMs);
     const {runRelayCommand} = await import('./commands/relay_command.js');
     return runRelayCommand(words.slice(1), signalBuffer);
   }
@@ -43,7 +59,7 @@
   });
 }
 
-run(process.argv.slice(2)).then(exitWhenFlushed, (error: unknown) => {
+run().then(exitWhenFlushed, (error: unknown) => {
   // Open sockets would keep a process alive that failed to start and serves
   // nothing. It must exit to be restarted.
   const reason = error instanceof Error ? error.stack : String(error);
--- a/src/relay/forwarding/forward_server.ts
+++ b/src/relay/forwarding/forward_server.ts
@@ -168,6 +168,7 @@
     const {bytes, error} = await host.bodies.read(message, response, {
       requestId: '',
       maxBytes: MAX_CALL_BYTES,
+      end: () => void response.destroy(),
       waitMs: READ_TIMEOUT_MS,
       idleTimeoutMs: READ_IDLE_TIMEOUT_MS,
       refusal: refused && {kind: 'host-overloaded', detail: refused},
--- a/src/relay/front/auxiliary_server.ts
+++ b/src/relay/front/auxiliary_server.ts
@@ -24,7 +24,8 @@
 ) => AuxiliaryAnswer | undefined;
 
 export interface AuxiliaryServer {
-  listen(address: string): Promise<void>;
+  /** `onError` gets what fails once it listens. */
+  listen(address: string, onError?: (error: Error) => void): Promise<void>;
   close(): void;
 }
 
@@ -90,7 +91,7 @@
   server.on('checkContinue', handle);
   connections.watch(server);
   return {
-    listen: address => listenOn(server, address),
+    listen: (address, onError) => listenOn(server, address, onError),
     close() {
       server.close();
       server.closeAllConnections();
--- a/src/relay/front/body_reader.ts
+++ b/src/relay/front/body_reader.ts
@@ -29,6 +29,8 @@
   readonly waitMs: number;
   /** The longest time without a byte of the body. */
   readonly idleTimeoutMs?: number;
+  /** Ends the request once it was read, to free what it holds. */
+  end(): void;
   /** If set, nothing is read and this is the result. */
   readonly refusal?: RequestError;
 }
@@ -69,7 +71,7 @@
 /** Lets the process read what has arrived meanwhile. */
 const READ_DELAY_MS = 1;
 
-const OVERHEAD_BYTES = heldKinds.upload.overheadBytes;
+const OVERHEAD_BYTES = heldKinds.request.overheadBytes;
 const EMPTY = Buffer.alloc(0);
 
 const TIMED_OUT: RequestError = {
@@ -113,14 +115,10 @@
   /** Counts a request that was read, until its response closes. */
   function holdRequest(
     response: http.ServerResponse,
-    requestId: string,
+    {requestId, end}: BodyReaderOptions,
     bytes: number,
   ): void {
-    const holding = memory.open({
-      kind: 'request',
-      requestId,
-      end: () => void response.destroy(),
-    });
+    const holding = memory.open({kind: 'request', requestId, end});
     response.once('close', () => holding.close());
     holding.resize(bytes);
     if (response.destroyed) holding.close();
@@ -223,7 +221,7 @@
       message.once('end', () => {
         if (!end()) return;
         const bytes = buffer.take();
-        holdRequest(response, requestId, bytes.length);
+        holdRequest(response, options, bytes.length);
         resolve({bytes});
       });
       message.on('error', () => undefined);
@@ -235,7 +233,7 @@
 
   return {
     async read(message, response, options) {
-      const {requestId, maxBytes, refusal} = options;
+      const {maxBytes, refusal} = options;
       const lengthBytes = declaredBytes(message);
       const fail = (error: RequestError) =>
         refuse(message, response, error, options);
@@ -251,7 +249,7 @@
       if (lengthBytes !== 0) {
         return readAdmitted(message, response, options, lengthBytes);
       }
-      holdRequest(response, requestId, 0);
+      holdRequest(response, options, 0);
       message.resume();
       return {bytes: EMPTY};
     },
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -5,16 +5,24 @@
 
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import type {RequestError} from '../../core/error_kinds.js';
 import type {CallerLimits} from '../../core/routing_types.js';
 import {listenOn} from '../../adapters/listen.js';
 import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import type {RequestReader} from '../../ports/relay.js';
-import type {Caller} from './caller.js';
 import type {BodyReader} from './body_reader.js';
 import type {CallerBuffers} from './caller_buffers.js';
-import {createHttpCaller} from './http_caller.js';
+import {createHttpCaller, type HttpCaller} from './http_caller.js';
+import {
+  createPipeline,
+  type AnswerShape,
+  type Pipeline,
+  type PipelinePlace,
+} from './pipeline.js';
 import type {ConnectionLimit} from '../limits/connection_limit.js';
+import {heldKinds} from '../limits/held_kinds.js';
+import type {Holding} from '../limits/memory_budget.js';
 import type {ResourceLimits} from '../limits/resource_limits.js';
 import type {Relay} from '../relay.js';
 
@@ -24,7 +32,7 @@
   readonly reader: RequestReader;
   readonly relay: Relay;
   readonly buffers: CallerBuffers;
-  readonly resources: ResourceLimits;
+  readonly resources: Pick<ResourceLimits, 'memory' | 'toRefusal'>;
   readonly bodies: BodyReader;
   readonly connections: ConnectionLimit;
   limits(): CallerLimits | undefined;
@@ -55,65 +63,78 @@
 /** How often it is checked whether headers arrive in time. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
-/** A request that is being read, run or answered. */
+/** A request that waits, is being read, run or answered. */
 interface OpenRequest {
-  readonly requestId: string;
-  readonly arrivedAtMs: number;
+  readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
+  readonly arrivedAtMs: number;
+  requestId: string;
+  /** Absent until the request starts. */
+  caller?: HttpCaller;
 }
 
 export function createRelayFront(host: RelayFrontHost): RelayFront {
-  const {clock, log, reader, relay} = host;
+  const {clock, log, reader, relay, resources} = host;
   const open = new Set<OpenRequest>();
+  const pipelines = new WeakMap<Socket, Pipeline>();
   /** Connections that close after the answer that has begun on them. */
   const closing = new WeakSet<Socket>();
   let lastRequestAtMs = Number.NEGATIVE_INFINITY;
 
+  function pipelineOf(socket: Socket): Pipeline {
+    const known = pipelines.get(socket);
+    if (known) return known;
+    const pipeline = createPipeline(socket);
+    pipelines.set(socket, pipeline);
+    return pipeline;
+  }
+
   /**
-   * Whether the connection closes after the answer: not while another request
-   * on it, sent ahead of the answer, is to be answered, too.
+   * Whether the connection closes after the answer, whose head is sent now: not
+   * while another request is to be answered on it. A caller that sends requests
+   * ahead may send one until the whole answer is there.
    */
-  function closeAfter({req}: http.ServerResponse): boolean {
-    if (!host.isLeaving()) return false;
-    const {socket} = req;
-    const isLast = ![...open].some(
-      ({response}) => response.req !== req && response.req.socket === socket,
-    );
-    if (isLast) closing.add(socket);
-    return isLast;
+  function closeAfter(
+    {socket}: http.IncomingMessage,
+    place: PipelinePlace,
+    shape: AnswerShape,
+  ): boolean {
+    if (!host.isLeaving() || !place.isOnly()) return false;
+    if (shape === 'in-parts' && place.isPipelined()) return false;
+    closing.add(socket);
+    return true;
   }
 
   function createCaller(
-    response: http.ServerResponse,
-    requestId: string,
-  ): Caller {
+    {message, response, requestId}: OpenRequest,
+    place: PipelinePlace,
+  ): HttpCaller {
     return createHttpCaller(response, requestId, {
       buffers: host.buffers,
-      closeAfter: () => closeAfter(response),
+      place,
+      closeAfter: shape => closeAfter(message, place, shape),
     });
   }
 
   async function handle(
-    message: http.IncomingMessage,
-    response: http.ServerResponse,
+    request: OpenRequest,
+    place: PipelinePlace,
+    hasRoom: boolean,
   ): Promise<void> {
-    const arrivedAtMs = clock.nowMs();
-    lastRequestAtMs = arrivedAtMs;
+    const {message, response, arrivedAtMs} = request;
     const facts = reader.read(message.rawHeaders);
     const {requestId} = facts;
-    const request: OpenRequest = {requestId, arrivedAtMs, response};
-    open.add(request);
-    response.once('close', () => open.delete(request));
-    const caller = createCaller(response, requestId);
+    request.requestId = requestId;
+    const caller = createCaller(request, place);
+    request.caller = caller;
     const waitMs = facts.waitMs ?? DEFAULT_WAIT_MS;
     const body = await host.bodies.read(message, response, {
       requestId,
       waitMs,
+      end: caller.drop,
       maxBytes: host.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
       idleTimeoutMs: host.limits()?.idleTimeoutMs,
-      refusal: host.connections.isRefused(message.socket)
-        ? host.resources.toRefusal('Too many connections.')
-        : undefined,
+      refusal: findRefusal(message, hasRoom),
     });
     if (body.error) return caller.refuse(body.error);
     // The caller disconnected before it had sent the whole request.
@@ -138,24 +159,73 @@
     );
   }
 
+  function findRefusal(
+    {socket}: http.IncomingMessage,
+    hasRoom: boolean,
+  ): RequestError | undefined {
+    if (!hasRoom) return resources.toRefusal('Too many requests are open.');
+    return host.connections.isRefused(socket)
+      ? resources.toRefusal('Too many connections.')
+      : undefined;
+  }
+
   /** Ends a request that this host failed to handle. */
-  function endFailed(response: http.ServerResponse): void {
-    if (response.writableEnded) return;
-    const caller = createCaller(response, '');
+  function endFailed(request: OpenRequest, place: PipelinePlace): void {
+    if (request.response.writableEnded) return;
+    const caller = request.caller ?? createCaller(request, place);
     if (caller.hasBegun) caller.cut();
     else caller.refuse({kind: 'internal', detail: 'See the log.'});
   }
 
+  /** Until it starts; returns undefined if there is no room. */
+  function holdWaiting(request: OpenRequest): Holding | undefined {
+    const {memory} = resources;
+    const {overheadBytes} = heldKinds['waiting-request'];
+    if (memory.freeBytes() < overheadBytes) return undefined;
+    return memory.open({
+      kind: 'waiting-request',
+      get requestId() {
+        return request.requestId;
+      },
+      end: () => undefined,
+    });
+  }
+
+  function accept(request: OpenRequest): void {
+    const {message, response} = request;
+    const holding = holdWaiting(request);
+    const close = () => {
+      open.delete(request);
+      holding?.close();
+      request.caller?.noteClosed();
+    };
+    open.add(request);
+    pipelineOf(message.socket).add({
+      start(place) {
+        lastRequestAtMs = clock.nowMs();
+        holding?.close();
+        response.once('close', () => {
+          close();
+          place.close();
+        });
+        handle(request, place, holding !== undefined).catch(error => {
+          log.error('The request handler failed.', {reason: String(error)});
+          endFailed(request, place);
+        });
+      },
+      onDisconnect: close,
+    });
+  }
+
   function handleMessage(
     message: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
     // Never answered, so it must not run.
     if (closing.has(message.socket)) return void message.resume();
-    handle(message, response).catch(error => {
-      log.error('The request handler failed.', {reason: String(error)});
-      endFailed(response);
-    });
+    const arrivedAtMs = clock.nowMs();
+    lastRequestAtMs = arrivedAtMs;
+    accept({message, response, arrivedAtMs, requestId: ''});
   }
 
   const server = http.createServer(
@@ -173,7 +243,10 @@
   server.on('connection', socket => socket.setNoDelay(true));
 
   return {
-    listen: address => listenOn(server, address),
+    listen: address =>
+      listenOn(server, address, error =>
+        log.warn('The listening socket failed.', {reason: error.message}),
+      ),
     applyLimits(limits) {
       server.keepAliveTimeout = limits.idleTimeoutMs;
       server.headersTimeout = limits.headerTimeoutMs;
@@ -182,11 +255,12 @@
     lastRequestAtMs: () => lastRequestAtMs,
     closeIdle: () => server.closeIdleConnections(),
     close() {
-      for (const {requestId, arrivedAtMs, response} of open) {
+      for (const {requestId, arrivedAtMs, response, caller} of open) {
         log.warn('Connection closed with an open request.', {
           request: requestId,
           ageMs: Math.round(clock.nowMs() - arrivedAtMs),
           wasRead: response.req.complete,
+          hasStarted: caller !== undefined,
           hasBegun: response.headersSent,
         });
       }
--- a/src/relay/limits/connection_limit.ts
+++ b/src/relay/limits/connection_limit.ts
@@ -171,14 +171,6 @@
       // Before the handlers, which may end the response at once.
       server.prependListener('request', noteRequest);
       server.prependListener('checkContinue', noteRequest);
-      server.once('listening', () =>
-        server.on('error', error =>
-          log.warn('A connection was not accepted.', {
-            server: serverName,
-            reason: error.message,
-          }),
-        ),
-      );
     },
     isRefused: socket => refused.has(socket),
     openCount: () => connections.size + refused.size,
--- a/src/relay/relay_metrics.ts
+++ b/src/relay/relay_metrics.ts
@@ -37,6 +37,7 @@
   slow_callers_closed:
     'Callers disconnected as they read too slowly, by cause.',
   memory_ends: 'Requests ended as memory was scarce, by what they held.',
+  memory_collections: 'Collections of garbage near the limit, by kind.',
   bodies_refused: 'Requests refused before their body was read, by reason.',
   connections_ended: 'Connections ended as there were too many, by cause.',
   forwarded_calls: 'Calls to upstreams that peers were asked to make, by end.',
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -5,6 +5,7 @@
 
 import {createHttpExchange} from '../adapters/http_exchange.js';
 import {splitAddress} from '../adapters/listen.js';
+import {createProcessMemory} from '../adapters/process_memory.js';
 import {createSystemClock} from '../adapters/system_clock.js';
 import {createSystemRandom} from '../adapters/system_random.js';
 import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
@@ -45,7 +46,8 @@
 import {createRoleOrders} from './roles/role_orders.js';
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
-import {createAuxiliaryServer} from './front/auxiliary_server.js';
+import {createAddressOpener} from './start/address_opener.js';
+import {createProcessServers} from './start/process_servers.js';
 import {createEngineProbes} from './silence/engine_probes.js';
 import {createEngineSilence} from './silence/engine_silence.js';
 import {createStoreReaders} from './fleet/store_readers.js';
@@ -54,23 +56,24 @@
 import {createStreamRelay} from './streams/stream_relay.js';
 import {createUpstreamRegistry} from './store/upstream_registry.js';
 
-/** For each of the servers that answer at once. */
-const MAX_AUXILIARY_CONNECTIONS = 32;
-
 export interface RelayProcessOptions {
   readonly settings: RelaySettings;
   readonly adapters: RelayAdapters;
   readonly metrics: RelayMetrics;
   readonly createLogger: (part: string) => Logger;
+  /** Whether the process was told to end before it served. */
+  isEnding?(): boolean;
 }
 
+const START_MARGIN_MS = 2_000;
+
 export interface RelayProcess {
   leave(): void;
   /** Resolves to the number of requests that were broken off, normally 0. */
   readonly ended: Promise<number>;
 }
 
-/** Resolves when the process accepts requests. */
+/** Resolves when the process accepts requests; rejects with a `StartError`. */
 export async function startRelay(
   options: RelayProcessOptions,
 ): Promise<RelayProcess> {
@@ -82,9 +85,20 @@
     clock,
     onConnect: () => metrics.count('upstream_connections'),
   });
-  const datagrams = await createUdpDatagramPort(settings.peerAddress, error =>
-    log.warn('The datagram socket failed.', {reason: error.message}),
+  // A predecessor holds its addresses until the end of its grace at most.
+  const giveUpAfterMs = settings.leaveGraceMs + START_MARGIN_MS;
+  const opener = createAddressOpener(
+    {clock, log, isEnding: options.isEnding ?? (() => false)},
+    {giveUpAfterMs},
   );
+  const datagrams = await opener.open({
+    what: 'peers over UDP',
+    address: settings.peerAddress,
+    open: () =>
+      createUdpDatagramPort(settings.peerAddress, error =>
+        log.warn('The datagram socket failed.', {reason: error.message}),
+      ),
+  });
 
   const routing = createRoutingState(createLogger('configuration'));
   const registry = createUpstreamRegistry({
@@ -286,12 +300,14 @@
   const resources = createResourceLimits(
     {
       clock,
+      processMemory: createProcessMemory(),
       log: createLogger('limits'),
       metrics,
       hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
     },
     settings,
   );
+  const {memory} = resources;
   const bodies = createBodyReader({
     clock,
     log: createLogger('bodies'),
@@ -387,6 +403,7 @@
     routing,
     plain: createPlainRelay({
       ...shared,
+      memory,
       priorities: placement.priorities,
       slots: plainPlaces.slots,
       log: createLogger('plain'),
@@ -396,6 +413,7 @@
     streams: createStreamRelay({
       ...placement,
       ...shared,
+      memory,
       metrics,
       probes,
       silence,
@@ -413,17 +431,19 @@
     loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
-  const callerBuffers = createCallerBuffers(
-    {clock, log: createLogger('front'), metrics},
-    settings,
-  );
+  const callerBuffers = createCallerBuffers({
+    clock,
+    log: createLogger('front'),
+    metrics,
+    memory,
+  });
   const limitConnections = (
     server: string,
     maxConnections: number,
     headerTimeoutMs?: () => number | undefined,
   ) =>
     createConnectionLimit(
-      {clock, log: createLogger('limits'), metrics, memory: resources.memory},
+      {clock, log: createLogger('limits'), metrics, memory},
       {server, maxConnections, headerTimeoutMs},
     );
   const connections = limitConnections(
@@ -486,57 +506,27 @@
     return isServing ? 'ready' : 'starting';
   }
 
-  const auxiliaryHandler = adapters.createAuxiliaryHandler({
+  const platformHandler = adapters.createAuxiliaryHandler({
     isReady: () => hostState() === 'ready',
     entries: () =>
       listEntries({clock, random, self: peers.self, peers: peers.alive}),
   });
-  const auxiliaryServers = [
-    {
-      name: 'ready',
-      address: settings.readyAddress,
-      handler: auxiliaryHandler,
-    },
-    {
-      name: 'directory',
-      address: settings.directoryAddress,
-      handler: auxiliaryHandler,
-    },
+  const servers = createProcessServers(
     {
-      name: 'peers',
-      address: settings.peerAddress,
-      handler: handover.handler,
-      handleMessage: forwarding.server.handle,
-      maxConnections: resources.maxPeerConnections,
-    },
-    {
-      name: 'metrics',
-      address: settings.metricsAddress,
-      handler: () => ({
-        status: 200,
-        contentType: 'text/plain; version=0.0.4',
-        body: metrics.render(),
-      }),
+      clock,
+      log,
+      // A request that has only begun may be closed for another one.
+      limitConnections: (server, maxConnections) =>
+        limitConnections(server, maxConnections, () => 0),
+      maxPeerConnections: resources.maxPeerConnections,
+      opener,
+      front,
+      platformHandler,
+      peerHandler: handover.handler,
+      peerMessageHandler: forwarding.server.handle,
+      renderMetrics: metrics.render,
     },
-  ].map(
-    ({
-      name,
-      address,
-      handler,
-      handleMessage,
-      maxConnections = MAX_AUXILIARY_CONNECTIONS,
-    }) => ({
-      address,
-      server: createAuxiliaryServer(
-        {
-          clock,
-          // A request that has only begun may be closed for another one.
-          connections: limitConnections(name, maxConnections, () => 0),
-        },
-        handler,
-        handleMessage,
-      ),
-    }),
+    settings,
   );
 
   const applyUpstreams = () =>
@@ -580,22 +570,29 @@
     plainPlaces,
     limits: backpressure.limits,
     callerBuffers,
+    resources,
     connections,
     crashes,
     forwarding,
     resumption,
   });
 
-  await front.listen(settings.callerAddress);
-  for (const {address, server} of auxiliaryServers)
-    await server.listen(address);
+  await servers.listen();
   peers.start();
   watch.start();
   handover.start();
+  loopLateness.onTick(resources.watch.check);
   loopLateness.start();
   roleOrders.start();
-  const {hostId, callerAddress, peerAddress} = settings;
-  log.info('Serving.', {hostId, callerAddress, peerAddress});
+  const {hostId, callerAddress, peerAddress, storeAddress} = settings;
+  log.info('Serving.', {
+    hostId,
+    callerAddress,
+    peerAddress,
+    storeAddress,
+    // The system clock starts with the process.
+    startMs: Math.round(clock.nowMs()),
+  });
 
   async function stop(openCount: number): Promise<number> {
     handover.stop();
@@ -605,8 +602,7 @@
     forwarding.links.stop();
     watch.stop();
     peers.stop();
-    front.close();
-    for (const {server} of auxiliaryServers) server.close();
+    servers.close();
     exchange.close();
     datagrams.close();
     log.info('Stopped.', {hostId, openRequests: openCount});
