A refused or joined body is freed at once

Cause: the listeners of a message kept what was read of its body for as long as the message lives: a refused one for the second in which its connection lingers, no longer counted; one in chunks twice, as parts and joined, until its request ends.

The buffer of a body gives up its parts when it is taken or refused.

--- a/src/relay/front/body_buffer.ts
+++ b/src/relay/front/body_buffer.ts
@@ -6,8 +6,10 @@
   sizeBytes(): number;
   /** Memory that is used for them. */
   heldBytes(): number;
-  /** Returns the body; called once, at its end. */
+  /** Returns the body and frees the buffer, which is used no more. */
   take(): Buffer;
+  /** Frees the buffer without the cost of joining its parts. */
+  drop(): void;
 }
 
 /** Smaller parts are copied: each buffer takes about 200 bytes by itself. */
@@ -30,7 +32,12 @@
     },
     sizeBytes: () => size,
     heldBytes: () => lengthBytes,
-    take: () => whole ?? Buffer.alloc(0),
+    take() {
+      const bytes = whole ?? Buffer.alloc(0);
+      whole = undefined;
+      return bytes;
+    },
+    drop: () => void (whole = undefined),
   };
 }
 
@@ -59,6 +66,11 @@
     end += bytes.copy(block, end);
   }
 
+  function drop(): void {
+    parts.length = 0;
+    block = Buffer.alloc(0);
+  }
+
   return {
     append(bytes) {
       const isFirst = size === 0;
@@ -72,7 +84,10 @@
     heldBytes: () => held,
     take() {
       closePart();
-      return parts.length === 1 ? parts[0] : Buffer.concat(parts, size);
+      const bytes = parts.length === 1 ? parts[0] : Buffer.concat(parts, size);
+      drop();
+      return bytes;
     },
+    drop,
   };
 }
--- a/src/relay/front/body_reader.ts
+++ b/src/relay/front/body_reader.ts
@@ -164,6 +164,8 @@
         refuse(error) {
           const readBytes = buffer.sizeBytes();
           if (!end()) return;
+          // The listeners of the message keep it for as long as it lingers.
+          buffer.drop();
           resolve(refuse(message, response, error, options, readBytes));
         },
       };
