New connections are not closed before their first request is read

Cause: of many connections accepted at once none has been read, so all count as idle, and each further one closed the one before.

A connection without a request yet is spared for 100 ms, and a quarter of the bound (256) instead of an eighth may wait for a refusal. Servers that answer at once keep closing them, so that the ready address answers.

--- a/src/relay/limits/connection_limit.ts
+++ b/src/relay/limits/connection_limit.ts
@@ -49,10 +49,12 @@
 type EndCause = 'idle' | 'refused' | 'too-many-refused';
 
 /** Of the bound, the part for connections whose requests are refused. */
-const REFUSED_SHARE = 1 / 8;
-const MAX_REFUSED = 64;
+const REFUSED_SHARE = 1 / 4;
+const MAX_REFUSED = 256;
 /** How long one to be refused may take to send a request. */
 const REFUSED_WAIT_MS = 1_000;
+/** The request on a new connection may not have been read yet. */
+const FIRST_REQUEST_MS = 100;
 const DEFAULT_HEADER_TIMEOUT_MS = 5_000;
 const LOG_INTERVAL_MS = 1_000;
 
@@ -88,13 +90,17 @@
     });
   }
 
-  /** A request that has begun is given the time that its headers may take. */
-  function isUnused({socket, idleSinceMs, idleAtByte}: Connection): boolean {
-    const isBegun = socket.bytesRead > idleAtByte;
+  /** How long it may be idle before it is closed for another one. */
+  function toSpareMs({socket, idleAtByte}: Connection): number {
     const timeoutMs = options.headerTimeoutMs?.() ?? DEFAULT_HEADER_TIMEOUT_MS;
-    return !isBegun || clock.nowMs() - idleSinceMs > timeoutMs;
+    const isBegun = socket.bytesRead > idleAtByte;
+    if (isBegun) return timeoutMs;
+    return idleAtByte === 0 ? Math.min(FIRST_REQUEST_MS, timeoutMs) : 0;
   }
 
+  const isUnused = (connection: Connection) =>
+    clock.nowMs() - connection.idleSinceMs >= toSpareMs(connection);
+
   function remove(connection: Connection): void {
     connections.delete(connection.socket);
     idle.delete(connection);
