Large bodies leave an eighth of the room to other requests

Cause: uploads took the last byte of the room, for as long as their requests ran.

A body over 64 KiB is refused if less than an eighth of what may be held stays free.

Evidence: without it (scratch copy, trial) the new test gets 503 for a body of a byte.

--- a/src/relay/front/body_reader.ts
+++ b/src/relay/front/body_reader.ts
@@ -72,6 +72,9 @@
 const READ_DELAY_MS = 1;
 
 const OVERHEAD_BYTES = heldKinds.request.overheadBytes;
+/** Larger bodies leave a part of the room to other requests. */
+const SMALL_BODY_BYTES = 64 * 1024;
+const SMALL_BODY_SHARE = 1 / 8;
 const EMPTY = Buffer.alloc(0);
 
 const TIMED_OUT: RequestError = {
@@ -107,7 +110,14 @@
     }
   }
 
-  function hasRoom(bytes: number): boolean {
+  /** Free bytes that a body of this size leaves to requests without one. */
+  function toReservedBytes(bodyBytes: number): number {
+    if (bodyBytes <= SMALL_BODY_BYTES) return 0;
+    return (memory.freeBytes() + memory.heldBytes()) * SMALL_BODY_SHARE;
+  }
+
+  function hasRoom(growth: number, bodyBytes: number): boolean {
+    const bytes = growth + toReservedBytes(bodyBytes);
     if (memory.freeBytes() < bytes) endStalled(bytes);
     return memory.freeBytes() >= bytes;
   }
@@ -215,7 +225,9 @@
         if (lengthBytes !== undefined) return;
         const heldBytes = buffer.heldBytes();
         if (heldBytes === heldBefore) return;
-        if (!hasRoom(heldBytes - heldBefore)) return upload.refuse(noRoom());
+        if (!hasRoom(heldBytes - heldBefore, heldBytes)) {
+          return upload.refuse(noRoom());
+        }
         holding.resize(heldBytes);
       }
 
@@ -246,7 +258,10 @@
       }
       if (refusal) return fail(refusal);
       if ((lengthBytes ?? 0) > maxBytes) return fail(toTooLarge(maxBytes));
-      if (!hasRoom(OVERHEAD_BYTES + (lengthBytes ?? 0))) return fail(noRoom());
+      const bodyBytes = lengthBytes ?? 0;
+      if (!hasRoom(OVERHEAD_BYTES + bodyBytes, bodyBytes)) {
+        return fail(noRoom());
+      }
       if (expectsContinue(message)) response.writeContinue();
       if (lengthBytes !== 0) {
         return readAdmitted(message, response, options, lengthBytes);
--- a/tests/relay/front/body_reader_test.ts
+++ b/tests/relay/front/body_reader_test.ts
@@ -133,6 +133,18 @@
   assert.equal(front.memory.holderCount('request'), 0);
 });
 
+test('large bodies leave room for requests without one', async t => {
+  const front = await createRawFront(t, {maxHeldBytes: 1024 * KB});
+  const uploads = await Promise.all(
+    Array.from({length: 9}, () => front.connect(sized(105 * KB, 'x'))),
+  );
+  const isRefused = ({received}: RawConnection) =>
+    received().includes('host-overloaded');
+  await until(() => uploads.some(isRefused));
+  const small = await front.connect(sized(1, 'y'));
+  await small.receives('200 OK');
+});
+
 test('an upload that the account ends is refused', async t => {
   const front = await createRawFront(t, {maxHeldBytes: 128 * KB});
   const connection = await front.connect(sized(64 * KB, 'x'));
