--- a/src/relay/front/body_buffer.ts
+++ b/src/relay/front/body_buffer.ts
@@ -6,10 +6,10 @@
   sizeBytes(): number;
   /** Memory that is used for them. */
   heldBytes(): number;
-  /** Returns the body and frees the buffer, which is used no more. */
+  /** Returns the body, and keeps nothing of it. */
   take(): Buffer;
-  /** Frees the buffer without the cost of joining its parts. */
-  drop(): void;
+  /** Keeps nothing of the body; what is appended afterwards isn't kept. */
+  discard(): void;
 }
 
 /** Smaller parts are copied: each buffer takes about 200 bytes by itself. */
@@ -20,8 +20,16 @@
 export function createSizedBuffer(lengthBytes: number): BodyBuffer {
   let whole: Buffer | undefined;
   let size = 0;
+  let isDiscarded = false;
+
+  function discard(): void {
+    isDiscarded = true;
+    whole = undefined;
+  }
+
   return {
     append(bytes) {
+      if (isDiscarded) return;
       // Most bodies arrive in one part.
       if (bytes.length === lengthBytes) whole = bytes;
       else {
@@ -33,11 +41,11 @@
     sizeBytes: () => size,
     heldBytes: () => lengthBytes,
     take() {
-      const bytes = whole ?? Buffer.alloc(0);
-      whole = undefined;
-      return bytes;
+      const taken = whole ?? Buffer.alloc(0);
+      discard();
+      return taken;
     },
-    drop: () => void (whole = undefined),
+    discard,
   };
 }
 
@@ -50,6 +58,14 @@
   /** The part of the block that is not in `parts`. */
   let begin = 0;
   let end = 0;
+  let isDiscarded = false;
+
+  function discard(): void {
+    isDiscarded = true;
+    parts.length = 0;
+    block = Buffer.alloc(0);
+    begin = end = 0;
+  }
 
   function closePart(): void {
     if (end > begin) parts.push(block.subarray(begin, end));
@@ -66,13 +82,9 @@
     end += bytes.copy(block, end);
   }
 
-  function drop(): void {
-    parts.length = 0;
-    block = Buffer.alloc(0);
-  }
-
   return {
     append(bytes) {
+      if (isDiscarded) return;
       const isFirst = size === 0;
       size += bytes.length;
       if (!isFirst && bytes.length < MIN_PART_BYTES) return copy(bytes);
@@ -84,10 +96,10 @@
     heldBytes: () => held,
     take() {
       closePart();
-      const bytes = parts.length === 1 ? parts[0] : Buffer.concat(parts, size);
-      drop();
-      return bytes;
+      const taken = parts.length === 1 ? parts[0] : Buffer.concat(parts, size);
+      discard();
+      return taken;
     },
-    drop,
+    discard,
   };
 }
--- a/src/relay/front/body_reader.ts
+++ b/src/relay/front/body_reader.ts
@@ -174,8 +174,8 @@
         refuse(error) {
           const readBytes = buffer.sizeBytes();
           if (!end()) return;
-          // The listeners of the message keep it for as long as it lingers.
-          buffer.drop();
+          // The connection, which stays open for a moment, refers to it.
+          buffer.discard();
           resolve(refuse(message, response, error, options, readBytes));
         },
       };
