--- a/src/relay/front/body_reader.ts
+++ b/src/relay/front/body_reader.ts
@@ -40,8 +40,10 @@
  * the connection closes after the answer to an earlier request.
  */
 export interface BodyResult {
-  /** Counted as held until the response closes. */
+  /** Counted as held until it is released or the response closes. */
   readonly bytes?: Buffer;
+  /** Once the answer is whole, the request needs no more memory. */
+  release?(): void;
   /** The connection closes once the response with this error has ended. */
   readonly error?: RequestError;
 }
@@ -72,6 +74,9 @@
 const READ_DELAY_MS = 1;
 
 const OVERHEAD_BYTES = heldKinds.request.overheadBytes;
+/** Larger bodies leave a part of the room to other requests. */
+const SMALL_BODY_BYTES = 64 * 1024;
+const SMALL_BODY_SHARE = 1 / 8;
 const EMPTY = Buffer.alloc(0);
 
 const TIMED_OUT: RequestError = {
@@ -107,7 +112,14 @@
     }
   }
 
-  function hasRoom(bytes: number): boolean {
+  /** Free bytes that a body of this size leaves to requests without one. */
+  function toReservedBytes(bodyBytes: number): number {
+    if (bodyBytes <= SMALL_BODY_BYTES) return 0;
+    return (memory.freeBytes() + memory.heldBytes()) * SMALL_BODY_SHARE;
+  }
+
+  function hasRoom(growth: number, bodyBytes: number): boolean {
+    const bytes = growth + toReservedBytes(bodyBytes);
     if (memory.freeBytes() < bytes) endStalled(bytes);
     return memory.freeBytes() >= bytes;
   }
@@ -116,12 +128,13 @@
   function holdRequest(
     response: http.ServerResponse,
     {requestId, end}: BodyReaderOptions,
-    bytes: number,
-  ): void {
+    bytes: Buffer,
+  ): BodyResult {
     const holding = memory.open({kind: 'request', requestId, end});
-    response.once('close', () => holding.close());
-    holding.resize(bytes);
+    response.once('close', holding.close);
+    holding.resize(bytes.length);
     if (response.destroyed) holding.close();
+    return {bytes, release: holding.close};
   }
 
   function refuse(
@@ -215,7 +228,9 @@
         if (lengthBytes !== undefined) return;
         const heldBytes = buffer.heldBytes();
         if (heldBytes === heldBefore) return;
-        if (!hasRoom(heldBytes - heldBefore)) return upload.refuse(noRoom());
+        if (!hasRoom(heldBytes - heldBefore, heldBytes)) {
+          return upload.refuse(noRoom());
+        }
         holding.resize(heldBytes);
       }
 
@@ -223,8 +238,7 @@
       message.once('end', () => {
         if (!end()) return;
         const bytes = buffer.take();
-        holdRequest(response, options, bytes.length);
-        resolve({bytes});
+        resolve(holdRequest(response, options, bytes));
       });
       message.on('error', () => undefined);
       message.once('close', () => {
@@ -246,14 +260,16 @@
       }
       if (refusal) return fail(refusal);
       if ((lengthBytes ?? 0) > maxBytes) return fail(toTooLarge(maxBytes));
-      if (!hasRoom(OVERHEAD_BYTES + (lengthBytes ?? 0))) return fail(noRoom());
+      const bodyBytes = lengthBytes ?? 0;
+      if (!hasRoom(OVERHEAD_BYTES + bodyBytes, bodyBytes)) {
+        return fail(noRoom());
+      }
       if (expectsContinue(message)) response.writeContinue();
       if (lengthBytes !== 0) {
         return readAdmitted(message, response, options, lengthBytes);
       }
-      holdRequest(response, options, 0);
       message.resume();
-      return {bytes: EMPTY};
+      return holdRequest(response, options, EMPTY);
     },
     refuseOpen(error) {
       for (const upload of [...uploads]) upload.refuse(error);
--- a/src/relay/limits/connection_limit.ts
+++ b/src/relay/limits/connection_limit.ts
@@ -52,6 +52,8 @@
 const MAX_REFUSED = 256;
 /** How long one to be refused may take to send a request. */
 const REFUSED_WAIT_MS = 1_000;
+/** The request on a new connection may not have been read yet. */
+const FIRST_REQUEST_MS = 100;
 const DEFAULT_HEADER_TIMEOUT_MS = 5_000;
 const LOG_INTERVAL_MS = 1_000;
 
@@ -85,13 +87,17 @@
     });
   }
 
-  /** A request that has begun is given the time that its headers may take. */
-  function isUnused({socket, idleSinceMs, idleAtByte}: Connection): boolean {
-    const isBegun = socket.bytesRead > idleAtByte;
+  /** How long it may be idle before it is closed for another one. */
+  function toSpareMs({socket, idleAtByte}: Connection): number {
     const timeoutMs = options.headerTimeoutMs?.() ?? DEFAULT_HEADER_TIMEOUT_MS;
-    return !isBegun || clock.nowMs() - idleSinceMs > timeoutMs;
+    const isBegun = socket.bytesRead > idleAtByte;
+    if (isBegun) return timeoutMs;
+    return idleAtByte === 0 ? Math.min(FIRST_REQUEST_MS, timeoutMs) : 0;
   }
 
+  const isUnused = (connection: Connection) =>
+    clock.nowMs() - connection.idleSinceMs >= toSpareMs(connection);
+
   function remove(connection: Connection): void {
     connections.delete(connection.socket);
     idle.delete(connection);
@@ -168,14 +174,6 @@
       // Before the handlers, which may end the response at once.
       server.prependListener('request', noteRequest);
       server.prependListener('checkContinue', noteRequest);
-      server.once('listening', () =>
-        server.on('error', error =>
-          log.warn('A connection was not accepted.', {
-            server: serverName,
-            reason: error.message,
-          }),
-        ),
-      );
     },
     isRefused: socket => refused.has(socket),
     openCount: () => connections.size + refused.size,
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -322,6 +322,7 @@
   });
   const sending = createRelayUpstreamPort({
     buffers: callerBuffers,
+    bodies,
     clock,
     random,
     createLogger,
@@ -513,7 +514,12 @@
   });
   const servers = createProcessServers(
     {
+      clock,
       log,
+      // A request that has only begun may be closed for another one.
+      limitConnections: (server, maxConnections) =>
+        limitConnections(server, maxConnections, () => 0),
+      maxPeerConnections: resources.maxPeerConnections,
       opener,
       front,
       platformHandler,
--- a/src/relay/relay_upstream_port.ts
+++ b/src/relay/relay_upstream_port.ts
@@ -32,7 +32,7 @@
     Pick<ForwardingHost, 'buffers'>,
     Pick<
       ForwardingHost,
-      'metrics' | 'registry' | 'self' | 'peers' | 'isServing'
+      'metrics' | 'registry' | 'bodies' | 'self' | 'peers' | 'isServing'
     > {
   readonly clock: Clock;
   readonly random: Random;
--- a/src/relay/start/process_servers.ts
+++ b/src/relay/start/process_servers.ts
@@ -1,5 +1,6 @@
 /** The servers of a process: for callers, the platform, peers and metrics. */
 
+import type {Clock} from '../../ports/clock.js';
 import type {Logger} from '../../ports/log.js';
 import {
   createAuxiliaryServer,
@@ -7,10 +8,12 @@
   type MessageHandler,
 } from '../front/auxiliary_server.js';
 import type {RelayFront} from '../front/relay_front.js';
+import type {ConnectionLimit} from '../limits/connection_limit.js';
 import type {RelaySettings} from '../relay_settings.js';
 import type {AddressOpener} from './address_opener.js';
 
 export interface ProcessServersHost {
+  readonly clock: Clock;
   readonly log: Logger;
   readonly opener: AddressOpener;
   readonly front: Pick<RelayFront, 'listen' | 'close'>;
@@ -20,6 +23,8 @@
   /** Takes the calls of peers. */
   readonly peerMessageHandler: MessageHandler;
   renderMetrics(): string;
+  limitConnections(server: string, maxConnections: number): ConnectionLimit;
+  readonly maxPeerConnections: number;
 }
 
 export interface ProcessServers {
@@ -28,6 +33,9 @@
   close(): void;
 }
 
+/** For each of the servers that answer at once. */
+const MAX_CONNECTIONS = 32;
+
 export function createProcessServers(
   host: ProcessServersHost,
   settings: RelaySettings,
@@ -56,6 +64,7 @@
       address: settings.peerAddress,
       handler: peerHandler,
       handleMessage: host.peerMessageHandler,
+      maxConnections: host.maxPeerConnections,
       isNeeded: true,
     },
     {
@@ -64,8 +73,16 @@
       handler: metricsHandler,
       isNeeded: false,
     },
-  ].map(({what, address, handler, handleMessage, isNeeded}) => {
-    const server = createAuxiliaryServer(handler, handleMessage);
+  ].map(each => {
+    const {what, address, isNeeded, maxConnections = MAX_CONNECTIONS} = each;
+    const server = createAuxiliaryServer(
+      {
+        clock: host.clock,
+        connections: host.limitConnections(what, maxConnections),
+      },
+      each.handler,
+      each.handleMessage,
+    );
     const open = () =>
       server.listen(address, error =>
         host.log.warn('A listening socket failed.', {
