Answers that wait for their turn don't hold up requests behind them

A request counts as running until its answer is whole: 32 run, 256 have started, none more start while waiting answers of a connection hold 1 MB.

The test of refusals without room now allows that room comes free while earlier ones are answered: it checks every answer by its id, and that none of those that were refused has run.

--- a/src/relay/front/http_caller.ts
+++ b/src/relay/front/http_caller.ts
@@ -15,7 +15,10 @@
 
 export interface HttpCallerHost {
   readonly buffers: CallerBuffers;
-  readonly place: Pick<PipelinePlace, 'noteShape' | 'isPipelined'>;
+  readonly place: Pick<
+    PipelinePlace,
+    'noteShape' | 'isPipelined' | 'noteAnswered'
+  >;
   /** Whether the connection closes after the answer that begins now. */
   closeAfter(shape: AnswerShape): boolean;
 }
@@ -129,6 +132,7 @@
     // It is whole before anything of it has been sent.
     if (held) place.noteShape('whole');
     else response.end();
+    place.noteAnswered(held?.sizeBytes ?? 0);
   }
 
   /** Answers with the error, also in place of an answer that is held. */
@@ -146,9 +150,13 @@
 
   function complete(bytes: Buffer): void {
     isComplete = true;
-    if (!held) return void response.end(bytes);
-    held.parts.push(bytes);
-    held.sizeBytes += bytes.length;
+    if (held) {
+      held.parts.push(bytes);
+      held.sizeBytes += bytes.length;
+    } else {
+      response.end(bytes);
+    }
+    place.noteAnswered(held?.sizeBytes ?? 0);
   }
 
   function closeConnection(): void {
--- a/src/relay/front/pipeline.ts
+++ b/src/relay/front/pipeline.ts
@@ -28,6 +28,8 @@
   isPipelined(): boolean;
   /** Says how the request is answered, as soon as that is known. */
   noteShape(shape: AnswerShape): void;
+  /** The answer is whole, and holds so many bytes until it is sent. */
+  noteAnswered(heldBytes: number): void;
   /** The answer has been sent. */
   close(): void;
 }
@@ -44,8 +46,12 @@
 }
 
 export interface PipelineOptions {
-  /** Requests of one connection that run, or whose answers wait to be sent. */
+  /** Requests of one connection that run. */
   readonly maxRunning: number;
+  /** Those that run and those whose answers wait to be sent. */
+  readonly maxStarted: number;
+  /** No more are run while waiting answers hold so many bytes. */
+  readonly maxHeldBytes: number;
   /**
    * The connection isn't read while this many requests wait. What has been read
    * with them is still added.
@@ -54,11 +60,14 @@
 }
 
 export const PIPELINE_OPTIONS: PipelineOptions = {
-  maxRunning: 16,
+  maxRunning: 32,
+  maxStarted: 256,
+  maxHeldBytes: 1024 * 1024,
   maxWaiting: 256,
 };
 
 interface Entry {
+  heldBytes: number;
   readonly request: PipelinedRequest;
   readonly place: PipelinePlace;
 }
@@ -68,13 +77,15 @@
     Socket,
     'on' | 'once' | 'pause' | 'resume' | 'destroyed' | 'destroySoon'
   >,
-  {maxRunning, maxWaiting}: PipelineOptions = PIPELINE_OPTIONS,
+  options: PipelineOptions = PIPELINE_OPTIONS,
 ): Pipeline {
   /** All requests without a sent answer, in their order. */
   const open = new Set<Entry>();
   const waiting = new Set<Entry>();
   /** Those that have started and hold back the ones behind them. */
   const blocking = new Set<Entry>();
+  const running = new Set<Entry>();
+  let heldBytes = 0;
   let hasSentAhead = false;
   let isStarting = false;
   let isPaused = false;
@@ -83,7 +94,9 @@
   const mayStart = () =>
     !socket.destroyed &&
     blocking.size === 0 &&
-    open.size - waiting.size < maxRunning;
+    running.size < options.maxRunning &&
+    open.size - waiting.size < options.maxStarted &&
+    heldBytes < options.maxHeldBytes;
 
   function startWaiting(): void {
     if (isStarting) return;
@@ -92,10 +105,11 @@
       if (!mayStart()) break;
       waiting.delete(entry);
       blocking.add(entry);
+      running.add(entry);
       entry.request.start(entry.place);
     }
     isStarting = false;
-    setPaused(isStopped || waiting.size >= maxWaiting);
+    setPaused(isStopped || waiting.size >= options.maxWaiting);
   }
 
   function setPaused(paused: boolean): void {
@@ -111,9 +125,14 @@
   });
   socket.once('close', () => {
     for (const {request} of open) request.onDisconnect();
-    for (const each of [open, waiting, blocking]) each.clear();
+    for (const each of [open, waiting, blocking, running]) each.clear();
   });
 
+  function hold(entry: Entry, bytes: number): void {
+    heldBytes += bytes - entry.heldBytes;
+    entry.heldBytes = bytes;
+  }
+
   function createEntry(request: PipelinedRequest): Entry {
     const place: PipelinePlace = {
       isOnly: () => open.size === 1 && open.has(entry),
@@ -123,14 +142,19 @@
         if (shape === 'in-parts') blocking.add(entry);
         else if (blocking.delete(entry)) startWaiting();
       },
+      noteAnswered(bytes) {
+        if (!open.has(entry)) return;
+        hold(entry, bytes);
+        if (running.delete(entry)) startWaiting();
+      },
       close() {
-        open.delete(entry);
-        blocking.delete(entry);
+        hold(entry, 0);
+        for (const each of [open, blocking, running]) each.delete(entry);
         startWaiting();
         if (isStopped && open.size === 0) socket.destroySoon();
       },
     };
-    const entry = {request, place};
+    const entry: Entry = {request, place, heldBytes: 0};
     return entry;
   }
 
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -114,10 +114,17 @@
   function createCaller(
     {message, response, requestId}: OpenRequest,
     place: PipelinePlace,
+    holding?: Holding,
   ): HttpCaller {
     return createHttpCaller(response, requestId, {
       buffers: host.buffers,
-      place,
+      place: {
+        ...place,
+        noteAnswered(heldBytes) {
+          holding?.tryResize(0);
+          place.noteAnswered(heldBytes);
+        },
+      },
       closeAfter: shape => closeAfter(message, place, shape),
     });
   }
@@ -131,7 +138,7 @@
     const facts = reader.read(message.rawHeaders);
     const {requestId} = facts;
     request.requestId = requestId;
-    const caller = createCaller(request, place);
+    const caller = createCaller(request, place, holding);
     request.caller = caller;
     if (request.bodyError) return caller.refuse(request.bodyError);
     const refuse = () =>
--- a/tests/relay/front/pipeline_test.ts
+++ b/tests/relay/front/pipeline_test.ts
@@ -152,6 +152,22 @@
   );
 });
 
+test('answers that wait for their turn leave room for other requests', async () => {
+  const {send, handled} = await startFront();
+  send(...Array.from({length: 3 * MAX_RUNNING}, () => '/a'));
+  await settle();
+  for (let i = 1; i < MAX_RUNNING; i++) answer(handled[i], 'waits');
+  await settle();
+  assert.equal(handled.length, 2 * MAX_RUNNING - 1);
+  const large = 'x'.repeat(PIPELINE_OPTIONS.maxHeldBytes);
+  answer(handled[MAX_RUNNING], large);
+  await settle();
+  assert.equal(handled.length, 2 * MAX_RUNNING - 1);
+  answer(handled[0], 'first');
+  await settle();
+  assert.equal(handled.length, 2 * MAX_RUNNING + 1);
+});
+
 test('a request behind a stream does not run until the stream has ended', async () => {
   // Guards against runs whose answer is lost as the stream ahead is cut.
   const {send, handled, clock} = await startFront();
@@ -232,17 +248,27 @@
 
 test('requests for which there is no room are refused in their turn', async () => {
   const {send, handled, received} = await startFront({memoryMb: 1});
-  send(...Array.from({length: 60}, () => '/a'));
+  const count = 60;
+  send(...Array.from({length: count}, () => '/a'));
   await settle();
   assert.ok(handled.length < MAX_RUNNING);
   assert.equal(received(), '');
-  handled.forEach(each => answer(each, 'ran'));
-  await settle();
-  assert.equal(countOf(received(), ' 200 '), handled.length);
-  assert.equal(countOf(received(), ' 503 '), 60 - handled.length);
-  assert.equal(
-    received().lastIndexOf(' 200 ') < received().indexOf(' 503 '),
-    true,
+  for (let i = 0; i < handled.length; i++) {
+    answer(handled[i], `ran ${handled[i].request.requestId}.`);
+    await settle();
+  }
+  const ran = handled.map(({request}) => request.requestId);
+  const order = /ran (q\d+)\.|"code":"CB2015".*?"requestId":"(q\d+)"/g;
+  const answered = [...received().matchAll(order)];
+  assert.deepEqual(
+    answered.map(each => each[1] ?? each[2]),
+    Array.from({length: count}, (_, i) => `q${i}`),
+  );
+  const refused = answered.flatMap(each => each[2] ?? []);
+  assert.ok(refused.length > 0);
+  assert.deepEqual(
+    refused.filter(id => ran.includes(id)),
+    [],
   );
 });
 
