A connection closes after its last answer, and in stages

Causes, both shown by a caller that reads late ("a caller that sends on while its connection closes gets the last answers"; it fails on the commit before): (1) an answer that waited for its turn didn't count as the last one, since Node gives it the turn before the one ahead emits 'close', so the connection went on to run 3 of 3 later requests; (2) with that corrected, neither of the 2 answers arrived: bytes that reach a closed socket reset the connection, and the caller's unread answers are lost with it.

A place is now free at 'finish', before the next answer's turn, and the connection is half closed and read for a second more, or until the caller closes it.

--- a/src/relay/front/client_errors.ts
+++ b/src/relay/front/client_errors.ts
@@ -18,7 +18,9 @@
 
 /** Answers and closes; only allowed while no request of the socket is open. */
 export function answerClientError({code}: ClientError, socket: Duplex): void {
-  if (!socket.writable || code === 'ECONNRESET') return void socket.destroy();
+  if (code === 'ECONNRESET') return void socket.destroy();
+  // It is being closed.
+  if (!socket.writable) return;
   const status = STATUSES[code ?? ''] ?? DEFAULT_STATUS;
   socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`, () =>
     socket.destroy(),
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -18,6 +18,7 @@
 } from './client_errors.js';
 import {readBody} from './body_reader.js';
 import type {CallerBuffers} from './caller_buffers.js';
+import {lingerAtClose} from './lingering_close.js';
 import {createHttpCaller, type HttpCaller} from './http_caller.js';
 import {
   createPipeline,
@@ -204,6 +205,8 @@
     pipelineOf(message.socket).add({
       start(place) {
         lastRequestAtMs = clock.nowMs();
+        // Before Node gives the next answer its turn.
+        response.prependOnceListener('finish', place.close);
         response.once('close', () => {
           close();
           place.close();
@@ -256,7 +259,10 @@
   server.on('connect', (_, socket) =>
     endReading(new Error("CONNECT isn't served."), socket as Socket),
   );
-  server.on('connection', socket => socket.setNoDelay(true));
+  server.on('connection', socket => {
+    socket.setNoDelay(true);
+    lingerAtClose(socket, clock);
+  });
 
   return {
     listen: address => listenOn(server, address),
--- a/tests/relay/front/pipeline_test.ts
+++ b/tests/relay/front/pipeline_test.ts
@@ -208,6 +208,24 @@
   assert.equal(isClosed(), true);
 });
 
+test('a caller that sends on while its connection closes gets the last answers', async () => {
+  // Guards against a reset that discards answers that the caller has not read.
+  const {send, socket, handled, received} = await startFront({isLeaving: true});
+  send('/a', '/a');
+  await settle();
+  socket.pause();
+  handled.forEach(each => answer(each, 'whole'));
+  for (let i = 0; i < 3; i++) {
+    await settle();
+    send('/late');
+  }
+  await settle();
+  socket.resume();
+  await settle();
+  assert.equal(countOf(received(), 'whole'), 2);
+  assert.equal(handled.length, 2);
+});
+
 test('requests that are sent ahead are ended as their caller leaves', async () => {
   // Guards against upstreams at work for a caller that has gone, and against a
   // leaving host that waits for them.
