--- a/src/adapters/received_body.ts
+++ b/src/adapters/received_body.ts
@@ -10,10 +10,11 @@
 }
 
 /**
- * A read in more parts than this takes milliseconds, and Node makes up to 32
- * reads of a connection before it turns to the next one.
+ * Node makes up to 32 reads of a connection, of 64 KB each, before it turns to
+ * the next one. After a read in many parts or a large one, others go first.
  */
 const MAX_PARTS_AT_ONCE = 64;
+const LARGE_READ_BYTES = 32 * 1024;
 
 export interface ReceivedBody {
   readonly body: AnswerBody;
@@ -56,7 +57,8 @@
     if (!sink || size === 0 || isPaused || isDestroyed) return;
     const bytes = read.copy(0, size);
     read.drop(size);
-    if (partCount > MAX_PARTS_AT_ONCE) letOthersRead();
+    const isLarge = size >= LARGE_READ_BYTES;
+    if (isLarge || partCount > MAX_PARTS_AT_ONCE) letOthersRead();
     partCount = 0;
     sink.chunk(bytes);
   }
