--- a/src/relay/accounts/account_admission.ts
+++ b/src/relay/accounts/account_admission.ts
@@ -53,8 +53,8 @@
 
 export interface AccountAdmission {
   /**
-   * Returns a promise only if the key is unknown to this host or the owner of
-   * the account's bucket has to be asked.
+   * Returns a promise only if the key is unknown to this host or the account
+   * has a limit.
    */
   admit(
     request: RelayRequest,
@@ -141,6 +141,7 @@
     // them back would free no room for urgent requests.
     const priority = request.prompt && host.priorities.of(route);
     const charge: Charge = {account: name, quota, costUnits, priority};
+    const takeCharge = async () => limiter.take(charge);
     const toOutcome = (verdict: LimitVerdict): AccountAdmissionOutcome => {
       if (verdict.kind === 'limited') {
         return refuseOverLimit(request, charge, verdict, account);
@@ -148,10 +149,7 @@
       const refund = () => limiter.refund(name, costUnits);
       return {kind: 'admitted', account, refund, isWithdrawn};
     };
-    const verdict = limiter.take(charge);
-    return verdict instanceof Promise
-      ? verdict.then(toOutcome)
-      : toOutcome(verdict);
+    return takeCharge().then(toOutcome);
   }
 
   function refuseOverLimit(
@@ -160,7 +158,7 @@
     verdict: Extract<LimitVerdict, {kind: 'limited'}>,
     account: ClientAccount,
   ): RefusedAccount {
-    const {retryAfterMs, levelUnits, reserveUnits, source, ageMs} = verdict;
+    const {retryAfterMs, levelUnits, reserveUnits, owner, share} = verdict;
     if (priority !== undefined) {
       metrics.count('limit_refusals', `priority="${priority}"`);
     }
@@ -172,8 +170,8 @@
       levelUnits: Math.round(levelUnits),
       reserveUnits:
         priority === undefined ? undefined : Math.round(reserveUnits),
-      source,
-      ageMs: Math.round(ageMs),
+      owner,
+      share,
       retryAfterMs: Math.round(retryAfterMs),
     });
     const detail = 'The account has used up its limit.';
--- a/src/relay/accounts/account_limiter.ts
+++ b/src/relay/accounts/account_limiter.ts
@@ -1,7 +1,8 @@
 /**
  * Enforces the rate limits of client accounts. A limit covers the requests that
- * all hosts admit together. Requests aren't queued: each is admitted or refused
- * by the best information that this host has about the account's bucket.
+ * all hosts admit together. Requests aren't queued: the owner of the account's
+ * bucket admits or refuses each. A host that reaches no owner admits what its
+ * own part of the limit holds.
  */
 
 import type {AccountQuota} from '../../core/routing_types.js';
@@ -10,20 +11,11 @@
 import type {PeerRequestClient} from '../fleet/peer_request_client.js';
 import type {QuotaReply, QuotaRequest} from './quota_messages.js';
 import {createPriorityMix} from './priority_mix.js';
-import {
-  admissibleShare,
-  quotaRetryAfterMs,
-  type AccountLevel,
-} from './quota_rules.js';
-import {admissibleShareOf, reserveUnitsFor} from './reserve_rules.js';
-import type {
-  HostIncarnation,
-  SpendingLedger,
-  SpendingRecord,
-} from './spending_ledger.js';
-
-/** The information that a refusal is based on, for the log. */
-export type LimitSource = 'owner' | 'ledger' | 'coordinator' | 'own-share';
+import {createLimitParts, type CededTimes} from './limit_parts.js';
+import type {HostIncarnation} from './limit_pools.js';
+import {quotaRetryAfterMs, type AccountLevel} from './quota_rules.js';
+import {reserveUnitsFor} from './reserve_rules.js';
+import type {SpendingLedger, SpendingRecord} from './spending_ledger.js';
 
 export type LimitVerdict =
   | {readonly kind: 'allowed'}
@@ -31,9 +23,10 @@
       readonly kind: 'limited';
       readonly retryAfterMs: number;
       readonly levelUnits: number;
-      readonly source: LimitSource;
-      /** Time since a coordinator sent the level. */
-      readonly ageMs: number;
+      /** The host that refused the request; undefined if none answered. */
+      readonly owner?: string;
+      /** The share of the limit that the owner may grant, from 0 to 1. */
+      readonly share: number;
       /** Units kept for more urgent requests of the account. */
       readonly reserveUnits: number;
     };
@@ -52,11 +45,13 @@
 
 export interface AccountLimiter {
   /** Takes the cost from the account's bucket, unless it is limited. */
-  take(charge: Charge): LimitVerdict | Promise<LimitVerdict>;
+  take(charge: Charge): Promise<LimitVerdict>;
   /** Returns the cost of a request that was sent to no upstream. */
   refund(account: string, costUnits: number): void;
   /** Returns the totals of this host, which its peers need. */
   spending(): readonly SpendingRecord[];
+  /** Returns how long this host has ceded its parts of the limits. */
+  cededTimes(): CededTimes;
   /** Stores the accounts near their limit that a coordinator sent. */
   applyLevels(coordinatorId: string, levels: readonly AccountLevel[]): void;
 }
@@ -67,12 +62,9 @@
   readonly ledger: SpendingLedger;
   self(): HostIncarnation;
   readonly client: Pick<PeerRequestClient<QuotaRequest, QuotaReply>, 'ask'>;
-  /** Returns the host that owns the account's bucket, if one is known. */
-  ownerOf(account: string): string | undefined;
-  /** Returns whether this host receives the spending of all other hosts. */
-  hasAllSpending(): boolean;
-  /** Returns the number of hosts that share the limits, including this one. */
-  hostCount(): number;
+  readonly hostId: string;
+  /** Returns the hosts that may own buckets, by this host's information. */
+  ownerCandidates(): readonly string[];
 }
 
 /** Coordinators send the levels twice a second; some datagrams are lost. */
@@ -82,7 +74,8 @@
  * requests of an account near its limit in this time.
  */
 const MIX_DECAY_MS = 20_000;
-const MS_PER_SECOND = 1_000;
+/** Two owners may be lost at once; the third or this host itself answers. */
+const MAX_OWNERS_ASKED = 4;
 
 interface OwnTotals {
   offeredUnits: number;
@@ -90,29 +83,21 @@
   returnedUnits: number;
 }
 
-interface OwnShare {
-  levelUnits: number;
-  updatedAtMs: number;
-}
-
 interface ReportedLevels {
   readonly levels: ReadonlyMap<string, AccountLevel>;
   readonly heardAtMs: number;
 }
 
-/** The level of an account's bucket as far as this host knows it. */
-interface KnownLevel {
-  /** Undefined if the account isn't near its limit. */
-  readonly level?: AccountLevel;
-  readonly source: LimitSource;
-  readonly ageMs: number;
-}
-
 export function createAccountLimiter(host: AccountLimiterHost): AccountLimiter {
   const {clock, random, ledger} = host;
+  const parts = createLimitParts({
+    clock,
+    hostId: host.hostId,
+    ownerCandidates: host.ownerCandidates,
+    probe: ownerId => void probe(ownerId),
+  });
   const mix = createPriorityMix(clock, MIX_DECAY_MS);
   const totals = new Map<string, OwnTotals>();
-  const ownShares = new Map<string, OwnShare>();
   const levelsByCoordinator = new Map<string, ReportedLevels>();
 
   function totalsOf(account: string): OwnTotals {
@@ -133,88 +118,40 @@
       returnedUnits: Math.round(own.returnedUnits),
     }));
 
-  /**
-   * Returns the strictest of the coordinators' levels, since one of them may
-   * not have received the spending of all hosts yet.
-   */
-  function findReportedLevel(
-    account: string,
-    quota: AccountQuota,
-  ): KnownLevel | undefined {
-    const nowMs = clock.nowMs();
-    const source = 'coordinator';
-    let strictest: KnownLevel | undefined;
+  /** Returns the highest rate that this host or a coordinator knows. */
+  function offeredUnitsPerS(account: string): number {
+    let highest = ledger.level(account)?.offeredUnitsPerS ?? 0;
     for (const [coordinatorId, {levels, heardAtMs}] of levelsByCoordinator) {
-      const ageMs = nowMs - heardAtMs;
-      if (ageMs >= LEVELS_VALID_MS) {
+      if (clock.nowMs() - heardAtMs >= LEVELS_VALID_MS) {
         levelsByCoordinator.delete(coordinatorId);
-        continue;
       }
-      const level = levels.get(account);
-      const isStricter =
-        level &&
-        (!strictest?.level ||
-          admissibleShare(level, quota) <
-            admissibleShare(strictest.level, quota));
-      if (!strictest || isStricter) strictest = {level, source, ageMs};
-    }
-    return strictest;
-  }
-
-  /**
-   * Applies an even share of the limit, for a host that has no level from the
-   * ledger or from a coordinator.
-   */
-  function takeFromOwnShare(charge: Charge): LimitVerdict {
-    const {account, costUnits, priority} = charge;
-    const nowMs = clock.nowMs();
-    const quota = {
-      ...charge.quota,
-      unitsPerS: charge.quota.unitsPerS / host.hostCount(),
-      burstUnits: charge.quota.burstUnits / host.hostCount(),
-    };
-    const share = ownShares.get(account) ?? {
-      levelUnits: quota.burstUnits,
-      updatedAtMs: nowMs,
-    };
-    ownShares.set(account, share);
-    const elapsedMs = nowMs - share.updatedAtMs;
-    share.levelUnits = Math.min(
-      quota.burstUnits,
-      share.levelUnits + (quota.unitsPerS * elapsedMs) / MS_PER_SECOND,
-    );
-    share.updatedAtMs = nowMs;
-    const {levelUnits} = share;
-    const offeredUnitsPerS = mix.of(account)?.unitsPerS ?? 0;
-    const level = {account, levelUnits, offeredUnitsPerS};
-    // The share of a burst is often smaller than one request, so the bucket may
-    // go below zero, and a request needs no room besides the reserve.
-    const own = {account, quota, costUnits: 0, priority};
-    const reserveUnits = reserveOf(own, level);
-    if (levelUnits > reserveUnits) {
-      share.levelUnits -= costUnits;
-      return {kind: 'allowed'};
+      const reported = levels.get(account)?.offeredUnitsPerS ?? 0;
+      highest = Math.max(highest, reported);
     }
-    const known = {level, source: 'own-share' as const, ageMs: 0};
-    return refuse({...charge, quota}, known, reserveUnits);
+    return highest;
   }
 
   /** Returns the units to keep for more urgent requests of the account. */
-  function reserveOf(charge: Charge, level: AccountLevel): number {
-    const {account, quota, costUnits, priority} = charge;
+  function reserveOf({account, quota, costUnits, priority}: Charge): number {
     const known = priority === undefined ? undefined : mix.of(account);
     if (priority === undefined || !known) return 0;
+    const level = {
+      account,
+      levelUnits: 0,
+      offeredUnitsPerS: offeredUnitsPerS(account),
+    };
     return reserveUnitsFor(priority, known, level, quota, costUnits);
   }
 
   function refuse(
     {quota, costUnits}: Charge,
-    {level, source, ageMs}: Required<KnownLevel>,
-    reserveUnits: number,
+    owner: string | undefined,
+    answer: Partial<QuotaReply> = {},
   ): LimitVerdict {
-    const {levelUnits} = level;
+    const {levelUnits = 0, reserveUnits = 0, share = 1} = answer;
     const neededUnits = costUnits + reserveUnits;
     const draw = random.nextFloat();
+    // The whole limit counts: other hosts may be able to grant it.
     const retryAfterMs = quotaRetryAfterMs(
       levelUnits,
       neededUnits,
@@ -222,96 +159,58 @@
       draw,
     );
     const kind = 'limited';
-    return {kind, retryAfterMs, levelUnits, source, ageMs, reserveUnits};
+    return {kind, retryAfterMs, levelUnits, owner, share, reserveUnits};
   }
 
-  /**
-   * Admits a random share of the requests when no owner has decided, the share
-   * of urgent requests first.
-   */
-  function admitByShare(
-    charge: Charge,
-    known: Required<KnownLevel>,
-  ): LimitVerdict {
-    const {account, quota, priority} = charge;
-    const shareOfAll = admissibleShare(known.level, quota);
-    const knownMix = priority === undefined ? undefined : mix.of(account);
-    const share =
-      priority === undefined || !knownMix
-        ? shareOfAll
-        : admissibleShareOf(priority, knownMix, shareOfAll);
-    if (share >= 1 || random.nextFloat() < share) return {kind: 'allowed'};
-    return refuse(charge, known, 0);
+  /** Any account will do: the owner answers all questions alike. */
+  async function probe(ownerId: string): Promise<void> {
+    const probing = {kind: 'quota-ask', account: '', costUnits: 0} as const;
+    const answer = await host.client.ask(ownerId, probing);
+    if (answer) parts.noteAnswered(ownerId);
+    else parts.noteUnanswered(ownerId);
   }
 
-  async function requestFromOwner(
-    owner: string,
-    charge: Charge,
-    known: Required<KnownLevel>,
-  ): Promise<LimitVerdict> {
+  /** Asks the owners in their order until one answers. */
+  async function decide(charge: Charge): Promise<LimitVerdict> {
     const {account, costUnits, priority} = charge;
-    const reserveUnits = Math.round(reserveOf(charge, known.level));
-    const answer = await host.client.ask(owner, {
-      kind: 'quota-ask',
-      account,
-      costUnits,
-      ...(priority !== undefined && {priority}),
-      ...(reserveUnits > 0 && {reserveUnits}),
-    });
-    if (!answer) return admitByShare(charge, known);
-    if (answer.isGranted) return {kind: 'allowed'};
-    const level = {...known.level, levelUnits: answer.levelUnits};
-    const applied = answer.reserveUnits ?? 0;
-    return refuse(charge, {level, source: 'owner', ageMs: 0}, applied);
-  }
-
-  /** Returns undefined if this host has no current information. */
-  function findLevel({account, quota}: Charge): KnownLevel | undefined {
-    if (!host.hasAllSpending()) return findReportedLevel(account, quota);
-    const isNear = ledger.isNearLimit(account);
-    const level = isNear ? ledger.level(account) : undefined;
-    return {level, source: 'ledger', ageMs: 0};
-  }
-
-  function decide(charge: Charge): LimitVerdict | Promise<LimitVerdict> {
-    const known = findLevel(charge);
-    if (!known) return takeFromOwnShare(charge);
-    const {level} = known;
-    if (!level) return {kind: 'allowed'};
-    const near = {...known, level};
-    const owner = host.ownerOf(charge.account);
-    return owner === undefined
-      ? admitByShare(charge, near)
-      : requestFromOwner(owner, charge, near);
-  }
-
-  function countAdmitted(
-    verdict: LimitVerdict,
-    own: OwnTotals,
-    costUnits: number,
-  ): LimitVerdict {
-    if (verdict.kind === 'allowed') own.admittedUnits += costUnits;
-    return verdict;
+    const reserveUnits = Math.round(reserveOf(charge));
+    for (let i = 0; i < MAX_OWNERS_ASKED; i++) {
+      const owner = parts.ownerOf(account);
+      const answer = await host.client.ask(owner, {
+        kind: 'quota-ask',
+        account,
+        costUnits,
+        ...(priority !== undefined && {priority}),
+        ...(reserveUnits > 0 && {reserveUnits}),
+      });
+      if (!answer) {
+        parts.noteUnanswered(owner);
+        continue;
+      }
+      parts.noteAnswered(owner);
+      return answer.isGranted
+        ? {kind: 'allowed'}
+        : refuse(charge, owner, answer);
+    }
+    return refuse(charge, undefined);
   }
 
   return {
-    take(charge) {
+    async take(charge) {
       const {account, costUnits, priority} = charge;
       const own = totalsOf(account);
       own.offeredUnits += costUnits;
       mix.record(account, priority, costUnits);
-      ledger.record(host.self(), spending());
-      const verdict = decide(charge);
-      return verdict instanceof Promise
-        ? verdict.then(each => countAdmitted(each, own, costUnits))
-        : countAdmitted(verdict, own, costUnits);
+      ledger.record(host.self(), spending(), parts.cededTimes());
+      const verdict = await decide(charge);
+      if (verdict.kind === 'allowed') own.admittedUnits += costUnits;
+      return verdict;
     },
     refund(account, costUnits) {
       totalsOf(account).returnedUnits += costUnits;
-      const share = ownShares.get(account);
-      if (share) share.levelUnits += costUnits;
     },
     spending,
+    cededTimes: parts.cededTimes,
     applyLevels(coordinatorId, levels) {
       levelsByCoordinator.set(coordinatorId, {
         levels: new Map(levels.map(level => [level.account, level])),
--- a/src/relay/accounts/client_account.ts
+++ b/src/relay/accounts/client_account.ts
@@ -11,6 +11,7 @@
 export interface AccountTable {
   /** Whether requests need the key of an account. */
   readonly requiresKey: boolean;
+  readonly hasLimits: boolean;
   get(name: string): ClientAccount | undefined;
   findByKey(keyDigest: string): ClientAccount | undefined;
 }
@@ -27,6 +28,7 @@
   }
   return {
     requiresKey,
+    hasLimits: accounts.some(({quota}) => quota !== undefined),
     get: name => byName.get(name),
     findByKey: keyDigest => byKey.get(keyDigest),
   };
--- a/src/relay/accounts/quota_messages.ts
+++ b/src/relay/accounts/quota_messages.ts
@@ -28,6 +28,8 @@
   readonly levelUnits: number;
   /** Of a refusal: units that had to stay in the bucket; 0 if absent. */
   readonly reserveUnits?: number;
+  /** Of a refusal: share of the limit that the owner may grant; 1 if absent. */
+  readonly share?: number;
 }
 
 export type QuotaMessage = QuotaRequest | QuotaReply;
--- a/src/relay/accounts/quota_owner.ts
+++ b/src/relay/accounts/quota_owner.ts
@@ -1,16 +1,21 @@
 /** Handles quota requests for buckets that this host owns. */
 
-import type {AccountQuota} from '../../core/routing_types.js';
 import type {Clock} from '../../ports/clock.js';
+import type {LimitPools} from './limit_pools.js';
 import {createPriorityMix} from './priority_mix.js';
 import type {QuotaReply, QuotaRequest} from './quota_messages.js';
-import {maxReserveUnits, reserveUnitsFor} from './reserve_rules.js';
+import {
+  maxReserveUnits,
+  reserveUnitsBelow,
+  reserveUnitsFor,
+} from './reserve_rules.js';
 import type {SpendingLedger} from './spending_ledger.js';
 
 export interface QuotaOwnerHost {
   readonly clock: Clock;
   readonly ledger: Pick<SpendingLedger, 'grant' | 'level'>;
-  quotaOf(account: string): AccountQuota | undefined;
+  /** The part of the limits that this host may grant. */
+  readonly pools: Pick<LimitPools, 'quotaHere' | 'share'>;
   /** Called for each invalid field of a request, which is then ignored. */
   onInvalidField(): void;
 }
@@ -32,7 +37,7 @@
 const MIN_MIX_REQUESTS = 8;
 
 export function createQuotaOwner(host: QuotaOwnerHost): QuotaOwner {
-  const {clock, ledger} = host;
+  const {clock, ledger, pools} = host;
   const mix = createPriorityMix(clock, MIX_DECAY_MS);
 
   /** Returns undefined if the field of a datagram is absent or invalid. */
@@ -51,8 +56,11 @@
     mix.record(account, priority, costUnits);
     const known = mix.of(account);
     const level = ledger.level(account);
-    const quota = host.quotaOf(account);
+    const quota = pools.quotaHere(account);
     if (priority === undefined || !level || !quota) return 0;
+    if (known && costUnits > quota.burstUnits) {
+      return reserveUnitsBelow(priority, known, level, quota);
+    }
     const isLearned = known && known.requestCount >= MIN_MIX_REQUESTS;
     if (!isLearned) {
       return Math.min(askedUnits, maxReserveUnits(quota, costUnits));
@@ -75,6 +83,7 @@
         costUnits,
         reserveUnits,
       );
+      const share = Math.round(pools.share(account) * 100) / 100;
       const levelUnits = Math.round(ledger.level(account)?.levelUnits ?? 0);
       return {
         kind,
@@ -82,6 +91,7 @@
         isGranted,
         levelUnits,
         ...(!isGranted && reserveUnits > 0 && {reserveUnits}),
+        ...(!isGranted && share < 1 && {share}),
       };
     },
   };
--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -9,7 +9,6 @@
   FIRST_ASK_ID_RANGE,
 } from '../fleet/peer_request_client.js';
 import {createPeerRequestServer} from '../fleet/peer_request_server.js';
-import {rankOwners} from '../fleet/owners.js';
 import type {Peer, Summary} from '../fleet/peer_datagrams.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {RoutingState} from '../routing_state.js';
@@ -28,11 +27,9 @@
 } from './configuration_freshness.js';
 import type {AccountLevel} from './quota_rules.js';
 import {createRoutePriorities} from './route_priorities.js';
-import {
-  createSpendingLedger,
-  type HostIncarnation,
-  type SpendingRecord,
-} from './spending_ledger.js';
+import type {CededTimes} from './limit_parts.js';
+import {createLimitPools, type HostIncarnation} from './limit_pools.js';
+import {createSpendingLedger, type SpendingRecord} from './spending_ledger.js';
 import {createStoreTime, type StoreTime} from './store_time.js';
 
 export interface RelayAccountsHost {
@@ -42,12 +39,13 @@
   readonly metrics: RelayMetrics;
   readonly routing: RoutingState;
   readonly self: Omit<HostIncarnation, 'aliveMs'>;
-  /** Returns whether this host receives the spending of all other hosts. */
-  hasAllSpending(): boolean;
-  /** Returns the number of known hosts, including this one. */
+  /**
+   * Returns the number of hosts that share the limits, including this one and
+   * those out of reach. Infinite if unknown.
+   */
   hostCount(): number;
-  /** Returns the hosts that receive the spending of all hosts, in any order. */
-  hostsWithAllSpending(): readonly string[];
+  /** Returns the hosts that receive the reports of all hosts, in any order. */
+  ownerCandidates(): readonly string[];
   send(hostId: string, message: QuotaMessage): void;
 }
 
@@ -61,6 +59,8 @@
   aliveMs(): number;
   /** Returns the totals of this host, which its peers need. */
   spending(): readonly SpendingRecord[];
+  /** Undefined if no account has a limit. */
+  cededTimes(): CededTimes | undefined;
   /**
    * Returns the accounts near their limit, which a coordinator sends to all.
    */
@@ -70,11 +70,21 @@
   receive(fromHostId: string, message: QuotaMessage): void;
 }
 
+export interface RelayAccountsOptions extends AccountAdmissionOptions {
+  /** Units by which hosts may together exceed a limit; 0 if absent. */
+  readonly limitSlack?: number;
+}
+
+/**
+ * Hosts that are cut off share this part of the slack; the rest covers units
+ * that are on their way between hosts.
+ */
+const TOLERANCE_SHARE = 3 / 4;
 const NO_ROUTES: readonly Route[] = [];
 
 export function createRelayAccounts(
   host: RelayAccountsHost,
-  options: AccountAdmissionOptions,
+  options: RelayAccountsOptions,
 ): RelayAccounts {
   const {clock, random, createLogger, metrics, routing, self} = host;
   const startedAtMs = clock.nowMs();
@@ -82,11 +92,15 @@
   const storeTime = createStoreTime(clock);
   const freshness = createConfigurationFreshness({clock, storeTime});
   const quotaOf = (account: string) => routing.accounts().get(account)?.quota;
-  const ledger = createSpendingLedger({clock, quotaOf});
+  const pools = createLimitPools(
+    {clock, random, hostId: self.hostId, quotaOf, hostCount: host.hostCount},
+    {toleranceUnits: (options.limitSlack ?? 0) * TOLERANCE_SHARE},
+  );
+  const ledger = createSpendingLedger({clock, pools, quotaOf});
   const owner = createQuotaOwner({
     clock,
     ledger,
-    quotaOf,
+    pools,
     onInvalidField: () => metrics.count('quota_fields_ignored'),
   });
   /** Delivers a message without a datagram if this host is the receiver. */
@@ -100,9 +114,15 @@
     else client.receive(fromHostId, message);
   }
 
-  /** Returns the same owner on all hosts that know the same hosts. */
-  const ownerOf = (account: string) =>
-    rankOwners('quota', account, host.hostsWithAllSpending()).at(0);
+  const selfNow = () => ({...self, aliveMs: aliveMs()});
+
+  /** Records its own report, as the other owners do when they receive it. */
+  function reportCeded(): CededTimes | undefined {
+    if (!routing.accounts().hasLimits) return undefined;
+    const ceded = limiter.cededTimes();
+    ledger.record(selfNow(), limiter.spending(), ceded);
+    return ceded;
+  }
 
   const firstAskId = random.nextInt(FIRST_ASK_ID_RANGE);
   const client = createPeerRequestClient<QuotaRequest, QuotaReply>({
@@ -118,11 +138,10 @@
     clock,
     random,
     ledger,
-    self: () => ({...self, aliveMs: aliveMs()}),
+    self: selfNow,
     client,
-    ownerOf,
-    hasAllSpending: host.hasAllSpending,
-    hostCount: host.hostCount,
+    hostId: self.hostId,
+    ownerCandidates: host.ownerCandidates,
   });
   const admission = createAccountAdmission(
     {
@@ -152,9 +171,10 @@
     storeTime,
     freshness,
     spending: limiter.spending,
+    cededTimes: reportCeded,
     aliveMs,
     nearLimit: ledger.nearLimit,
-    applyPeerState: peer => ledger.record(peer, peer.spending),
+    applyPeerState: peer => ledger.record(peer, peer.spending, peer.cededMs),
     applySummary: (fromHostId, {accountLevels}) =>
       limiter.applyLevels(fromHostId, accountLevels),
     receive,
--- a/src/relay/accounts/reserve_rules.ts
+++ b/src/relay/accounts/reserve_rules.ts
@@ -33,6 +33,7 @@
   offeredUnitsPerS: number,
   quota: AccountQuota,
 ): number {
+  if (quota.unitsPerS <= 0) return 0;
   const rateShare = offeredUnitsPerS / quota.unitsPerS;
   const strength = (rateShare - 1) / (FULL_RESERVE_RATE_SHARE - 1);
   return Math.min(1, Math.max(0, strength));
@@ -69,18 +70,18 @@
 }
 
 /**
- * Returns which share of the requests of a priority to admit if a share of all
- * requests may be admitted and the more urgent ones come first.
+ * Returns the units to leave in a bucket that can't hold the request: the share
+ * that more urgent requests use.
  */
-export function admissibleShareOf(
+export function reserveUnitsBelow(
   priority: number,
   mix: AccountMix,
-  shareOfAll: number,
+  {offeredUnitsPerS}: AccountLevel,
+  quota: AccountQuota,
 ): number {
-  const own = mix.shares.find(each => each.priority === priority);
-  if (!own || own.share <= 0) return shareOfAll;
-  const leftShare = shareOfAll - shareBefore(mix, priority);
-  return Math.min(1, Math.max(0, leftShare / own.share));
+  const urgentShare = Math.min(MAX_RESERVE_SHARE, shareBefore(mix, priority));
+  const strength = reserveStrength(offeredUnitsPerS, quota);
+  return quota.burstUnits * urgentShare * strength;
 }
 
 /** Returns the part of the units that more urgent requests use. */
--- a/src/relay/accounts/spending_ledger.ts
+++ b/src/relay/accounts/spending_ledger.ts
@@ -1,14 +1,15 @@
 /**
- * Keeps the token buckets of all accounts from the spending that hosts report.
+ * Keeps what hosts report of client accounts: the rate at which requests are
+ * offered, and units to charge to the buckets of this host or to return to
+ * them.
  *
- * Hosts report running totals, so a lost datagram loses no units. A new ledger
- * doesn't know the recent spending. Its buckets start neither full, which would
- * admit a burst twice, nor empty, which would refuse accounts within their
- * rate.
+ * Hosts report running totals, so a lost datagram loses no units.
  */
 
 import type {AccountQuota} from '../../core/routing_types.js';
 import type {Clock} from '../../ports/clock.js';
+import type {CededTimes} from './limit_parts.js';
+import type {HostIncarnation, LimitPools} from './limit_pools.js';
 import {isNearLimit, type AccountLevel} from './quota_rules.js';
 
 /** Totals of one incarnation of a host for one account. */
@@ -22,26 +23,26 @@
   readonly returnedUnits: number;
 }
 
-/** One run of a host's process. */
-export interface HostIncarnation {
-  readonly hostId: string;
-  readonly incarnation: string;
-  /** Time since this process started. */
-  readonly aliveMs: number;
-}
-
 export interface SpendingLedgerHost {
   readonly clock: Clock;
+  readonly pools: LimitPools;
   quotaOf(account: string): AccountQuota | undefined;
 }
 
 export interface SpendingLedger {
-  /** Charges the buckets for the totals that a host reports. */
-  record(host: HostIncarnation, records: readonly SpendingRecord[]): void;
+  /**
+   * Records a host's totals. Hosts of earlier builds report no ceded times and
+   * admit some requests by themselves, which are charged here.
+   */
+  record(
+    host: HostIncarnation,
+    records: readonly SpendingRecord[],
+    ceded?: CededTimes,
+  ): void;
   /**
    * Charges the bucket for one request of the host, if it holds enough units
-   * and `reserveUnits` stay in it. The host's totals include the request later
-   * and aren't charged for it again.
+   * and `reserveUnits` stay in it. The totals of a host of an earlier build
+   * include the request later and aren't charged for it again.
    */
   grant(
     hostId: string,
@@ -51,15 +52,12 @@
   ): boolean;
   /** Returns undefined for an account without a limit. */
   level(account: string): AccountLevel | undefined;
-  isNearLimit(account: string): boolean;
-  /** Returns the accounts near their limit, for hosts without a full ledger. */
+  /** Returns the accounts near their limit of which this host owns a part. */
   nearLimit(): readonly AccountLevel[];
 }
 
-/** Share of a full bucket at the start, when past spending is unknown. */
-const INITIAL_LEVEL_SHARE = 0.5;
 /** Time constant for the offered rate; requests arrive in bursts. */
-const OFFERED_DECAY_MS = 1_000;
+const OFFERED_DECAY_MS = 2_000;
 /** All totals of a host that started within this time are recent. */
 const NEW_HOST_MS = 3_000;
 /**
@@ -67,21 +65,20 @@
  * gaps are lost datagrams.
  */
 const LONG_GAP_MS = 3_000;
-/** Mean time from the admission of a request to its host's report. */
-const MEAN_REPORT_DELAY_MS = 300;
 const MS_PER_SECOND = 1_000;
 
-interface Bucket {
-  levelUnits: number;
+interface OfferedUnits {
   /** Units offered, with exponential decay over `OFFERED_DECAY_MS`. */
-  offeredUnits: number;
+  units: number;
   updatedAtMs: number;
 }
 
 interface HostTotals {
   readonly incarnation: string;
   /** Age of the host's process at its last report. */
-  aliveMs: number;
+  readonly aliveMs: number;
+  /** Whether an owner grants all its requests; not of earlier builds. */
+  readonly isCeding: boolean;
   readonly byAccount: Map<string, SpendingRecord>;
   /** Units granted per account that the host's totals don't include yet. */
   readonly granted: Map<string, number>;
@@ -94,42 +91,18 @@
 };
 
 export function createSpendingLedger(host: SpendingLedgerHost): SpendingLedger {
-  const {clock} = host;
-  const buckets = new Map<string, Bucket>();
+  const {clock, pools} = host;
+  const offered = new Map<string, OfferedUnits>();
   const totals = new Map<string, HostTotals>();
 
-  /**
-   * Returns the units at which the bucket is full. Admitted units that no host
-   * has reported yet are still in the bucket. Without an allowance for them, a
-   * full bucket would lose as many units of its refill.
-   */
-  function capacityOf({offeredUnits}: Bucket, quota: AccountQuota): number {
-    const offeredUnitsPerS = (offeredUnits * MS_PER_SECOND) / OFFERED_DECAY_MS;
-    const unreportedUnitsPerS = Math.min(quota.unitsPerS, offeredUnitsPerS);
-    return (
-      quota.burstUnits +
-      (unreportedUnitsPerS * MEAN_REPORT_DELAY_MS) / MS_PER_SECOND
-    );
-  }
-
-  function refill(account: string, quota: AccountQuota): Bucket {
+  function offeredOf(account: string): OfferedUnits {
     const nowMs = clock.nowMs();
-    const bucket = buckets.get(account) ?? {
-      levelUnits: quota.burstUnits * INITIAL_LEVEL_SHARE,
-      offeredUnits: 0,
-      updatedAtMs: nowMs,
-    };
-    buckets.set(account, bucket);
-    const elapsedMs = nowMs - bucket.updatedAtMs;
-    const gainedUnits = (quota.unitsPerS * elapsedMs) / MS_PER_SECOND;
-    const capacityUnits = capacityOf(bucket, quota);
-    bucket.levelUnits = Math.min(
-      capacityUnits,
-      bucket.levelUnits + gainedUnits,
-    );
-    bucket.offeredUnits *= Math.exp(-elapsedMs / OFFERED_DECAY_MS);
-    bucket.updatedAtMs = nowMs;
-    return bucket;
+    const known = offered.get(account) ?? {units: 0, updatedAtMs: nowMs};
+    offered.set(account, known);
+    const elapsedMs = nowMs - known.updatedAtMs;
+    known.units *= Math.exp(-elapsedMs / OFFERED_DECAY_MS);
+    known.updatedAtMs = nowMs;
+    return known;
   }
 
   /**
@@ -143,81 +116,91 @@
     return spanMs <= LONG_GAP_MS ? 1 : Math.min(1, refillMs / spanMs);
   }
 
+  /** Returns the units of the record that an owner hasn't charged by a grant. */
+  function takeUncharged(
+    {account}: SpendingRecord,
+    admittedUnits: number,
+    {granted}: HostTotals,
+  ): number {
+    const grantedUnits = granted.get(account) ?? 0;
+    const chargedUnits = Math.max(0, Math.min(grantedUnits, admittedUnits));
+    granted.set(account, grantedUnits - chargedUnits);
+    return admittedUnits - chargedUnits;
+  }
+
   /** @param spanMs Time that the totals cover since those before. */
-  function charge(
+  function apply(
     record: SpendingRecord,
     before: typeof ZERO_TOTALS,
-    {granted}: HostTotals,
+    ofHost: HostTotals,
     spanMs: number,
   ): void {
     const {account} = record;
     const quota = host.quotaOf(account);
     if (!quota) return;
-    const bucket = refill(account, quota);
+    const share = chargeableShare(spanMs, quota);
     const admittedUnits = record.admittedUnits - before.admittedUnits;
-    const grantedUnits = granted.get(account) ?? 0;
-    const alreadyChargedUnits = Math.max(
-      0,
-      Math.min(grantedUnits, admittedUnits),
-    );
-    granted.set(account, grantedUnits - alreadyChargedUnits);
     const returnedUnits = record.returnedUnits - before.returnedUnits;
-    const share = chargeableShare(spanMs, quota);
-    const unchargedUnits = admittedUnits - alreadyChargedUnits - returnedUnits;
     const offeredUnits = record.offeredUnits - before.offeredUnits;
-    bucket.levelUnits -= unchargedUnits * share;
-    bucket.offeredUnits += offeredUnits * share;
+    offeredOf(account).units += offeredUnits * share;
+    const chargedUnits = ofHost.isCeding
+      ? 0
+      : takeUncharged(record, admittedUnits, ofHost);
+    const units = returnedUnits - chargedUnits;
+    if (units !== 0) pools.add(account, units * share);
   }
 
   function level(account: string): AccountLevel | undefined {
-    const quota = host.quotaOf(account);
-    if (!quota) return undefined;
-    const {levelUnits, offeredUnits} = refill(account, quota);
-    const offeredUnitsPerS = (offeredUnits * MS_PER_SECOND) / OFFERED_DECAY_MS;
+    const levelUnits = pools.levelUnits(account);
+    if (levelUnits === undefined) return undefined;
+    const {units} = offeredOf(account);
+    const offeredUnitsPerS = (units * MS_PER_SECOND) / OFFERED_DECAY_MS;
     return {account, levelUnits, offeredUnitsPerS};
   }
 
   function isLevelNearLimit(each: AccountLevel): boolean {
-    const quota = host.quotaOf(each.account);
+    const quota = pools.quotaHere(each.account);
     return !!quota && isNearLimit(each, quota);
   }
 
   return {
-    record({hostId, incarnation, aliveMs}, records) {
+    record(reporting, records, ceded) {
+      const {hostId, incarnation, aliveMs} = reporting;
+      pools.record(reporting, ceded);
       const known = totals.get(hostId);
       const isKnown = known?.incarnation === incarnation;
-      const ofHost: HostTotals = isKnown
-        ? known
-        : {incarnation, aliveMs: 0, byAccount: new Map(), granted: new Map()};
+      const ofHost: HostTotals = {
+        incarnation,
+        aliveMs,
+        isCeding: ceded !== undefined,
+        byAccount: isKnown ? known.byAccount : new Map(),
+        granted: isKnown ? known.granted : new Map(),
+      };
       const {byAccount} = ofHost;
-      const spanMs = aliveMs - ofHost.aliveMs;
-      ofHost.aliveMs = aliveMs;
+      const spanMs = aliveMs - (isKnown ? known.aliveMs : 0);
       totals.set(hostId, ofHost);
       // The first totals of a host may cover hours of spending.
       const isRecent = isKnown || aliveMs < NEW_HOST_MS;
       for (const record of records) {
         const before = byAccount.get(record.account);
-        if (isRecent) charge(record, before ?? ZERO_TOTALS, ofHost, spanMs);
+        if (isRecent) apply(record, before ?? ZERO_TOTALS, ofHost, spanMs);
         byAccount.set(record.account, record);
       }
     },
     grant(hostId, account, costUnits, reserveUnits = 0) {
-      const quota = host.quotaOf(account);
-      if (!quota) return true;
-      const bucket = refill(account, quota);
-      if (bucket.levelUnits < costUnits + reserveUnits) return false;
-      bucket.levelUnits -= costUnits;
-      const granted = totals.get(hostId)?.granted;
-      granted?.set(account, (granted.get(account) ?? 0) + costUnits);
+      if (!host.quotaOf(account)) return true;
+      if (!pools.grant(account, costUnits, reserveUnits)) return false;
+      const known = totals.get(hostId);
+      if (known && !known.isCeding) {
+        const {granted} = known;
+        granted.set(account, (granted.get(account) ?? 0) + costUnits);
+      }
       return true;
     },
     level,
-    isNearLimit(account) {
-      const known = level(account);
-      return known !== undefined && isLevelNearLimit(known);
-    },
     nearLimit: () =>
-      [...buckets.keys()]
+      [...offered.keys()]
+        .filter(account => pools.share(account) > 0)
         .map(level)
         .filter(each => each !== undefined)
         .filter(isLevelNearLimit),
--- a/src/relay/fleet/membership.ts
+++ b/src/relay/fleet/membership.ts
@@ -75,7 +75,7 @@
   list(): readonly Member[];
   /** A live host, or one whose datagrams were received earlier. */
   find(hostId: string): Member | undefined;
-  /** Number of peers ever seen, dead ones included. */
+  /** Number of peers ever seen that haven't left, dead ones included. */
   knownCount(): number;
   hasDirectPeer(hostId: string): boolean;
   /** The store state announced by each live peer that sends to this host. */
@@ -174,6 +174,7 @@
       const capacity = now.capacity?.join(' ');
       if (!before) log.info('Peer found.', {peer: hostId, state, capacity});
     } else {
+      if (before?.state === 'leaving') knownIds.delete(hostId);
       changes.record({kind: 'down', hostId});
       log.info('Peer lost.', {peer: hostId, state: before?.state});
     }
--- a/src/relay/fleet/peer_datagrams.ts
+++ b/src/relay/fleet/peer_datagrams.ts
@@ -6,6 +6,7 @@
 import type {LossFact} from '../../request/loss_fact.js';
 import type {HostLoad} from '../placement/host_load.js';
 import type {AccountLevel} from '../accounts/quota_rules.js';
+import type {CededTimes} from '../accounts/limit_parts.js';
 import type {QuotaMessage} from '../accounts/quota_messages.js';
 import type {SpendingRecord} from '../accounts/spending_ledger.js';
 import type {PlacementMessage} from '../placement/placement_messages.js';
@@ -76,6 +77,11 @@
   readonly adoptedAskIds: readonly number[];
   /** What this host admitted for client accounts. */
   readonly spending: readonly SpendingRecord[];
+  /**
+   * How long this host has ceded its parts of the accounts' limits. Absent if
+   * there are no limits, and from hosts of earlier builds.
+   */
+  readonly cededMs?: CededTimes;
   /** Time since the process started. */
   readonly aliveMs: number;
   /** Absent if not known. */
@@ -183,6 +189,10 @@
   );
 }
 
+function isCededTimes(value: unknown): value is CededTimes {
+  return isObject(value) && Object.values(value).every(Number.isFinite);
+}
+
 function isSyncAndFindings(value: Record<string, unknown>): boolean {
   const {suspects, unreachable, changing, losses, learned} = value;
   const {routingAges, upstreamAges, listDeltas, sequence} = value;
@@ -212,8 +222,8 @@
   },
   state(value) {
     const {known, missedIds, full, waiting, adoptedAskIds, load} = value;
-    const {spending, aliveMs} = value;
-    if (!Number.isFinite(aliveMs)) return false;
+    const {spending, aliveMs, cededMs = {}} = value;
+    if (!Number.isFinite(aliveMs) || !isCededTimes(cededMs)) return false;
     const lists = [known, missedIds, full, waiting, adoptedAskIds, spending];
     const hasLists = lists.every(list => Array.isArray(list));
     return hasLists && isObject(load) && isSyncAndFindings(value);
--- a/src/relay/peer_state.ts
+++ b/src/relay/peer_state.ts
@@ -107,6 +107,7 @@
         leaving: undefinedIfEmpty(registry.leaving('self')),
         adoptedAskIds: placement.adoptedAskIds(),
         spending: accounts.spending(),
+        cededMs: accounts.cededTimes(),
         aliveMs: accounts.aliveMs(),
         unusedRetries: parts().retries.report(),
       };
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -20,6 +20,7 @@
 import {listEntries} from './front/host_directory.js';
 import {createLeaving} from './front/leaving.js';
 import {createLoopLateness} from './loop_lateness.js';
+import {createFleetSize} from './fleet/fleet_size.js';
 import {toHostCapacity} from './fleet/host_capacity.js';
 import type {HostState} from './fleet/members.js';
 import {createConnectionLimit} from './limits/connection_limit.js';
@@ -114,6 +115,13 @@
   });
   const {port: peerPort} = splitAddress(settings.peerAddress);
   const self = {hostId: settings.hostId, incarnation: random.nextId()};
+  const fleetSize = createFleetSize({
+    hostId: settings.hostId,
+    hasSeeds: settings.seedAddresses.some(
+      seed => splitAddress(seed).ip !== splitAddress(settings.peerAddress).ip,
+    ),
+    knownPeerCount: () => peers.knownCount(),
+  });
   const accounts = createRelayAccounts(
     {
       clock,
@@ -122,12 +130,9 @@
       metrics,
       routing,
       self,
-      hasAllSpending: () => peers.isMesh() || peers.isCoordinator(),
-      hostCount: () => peers.knownCount() + 1,
-      hostsWithAllSpending: () =>
-        peers.isMesh()
-          ? peers.members().map(({hostId}) => hostId)
-          : peers.coordinatorIds(),
+      hostCount: () => fleetSize.count(),
+      ownerCandidates: () =>
+        peers.isMesh() ? remainingHostIds() : peers.coordinatorIds(),
       send: (hostId, message) => peers.sendMessage(hostId, message),
     },
     settings,
@@ -176,8 +181,10 @@
       isPlacing: () => placement.isPlacing(),
       isRegistrationNeeded: () => peers.isMesh() || peers.isCoordinator(),
       isAlone: () => peers.alive().length === 0,
-      onHosts: records =>
-        peers.addAddresses(records.map(({peerAddress}) => peerAddress)),
+      onHosts(records) {
+        fleetSize.noteListed(records);
+        peers.addAddresses(records.map(({peerAddress}) => peerAddress));
+      },
     },
     {hostId: settings.hostId, peerAddress: settings.peerAddress},
   );
--- a/src/relay/relay_settings.ts
+++ b/src/relay/relay_settings.ts
@@ -35,6 +35,11 @@
    * if hosts without a current configuration may go on accepting keys.
    */
   readonly keyWithdrawalMs?: number;
+  /**
+   * Units by which the hosts may together exceed the limit of a client account
+   * while some can't reach the others. Absent if they may not.
+   */
+  readonly limitSlack?: number;
   /** Rate of the host's link; absent if not known, as the following. */
   readonly linkMbps?: number;
   /** Share of each of the host's cores that this process may use. */
@@ -72,6 +77,7 @@
   leaveGraceMs: isAmount,
   leaseMs: isAmount,
   keyWithdrawalMs: isAmountOrAbsent,
+  limitSlack: isAmountOrAbsent,
   linkMbps: isAmountOrAbsent,
   cpuShare: isAmountOrAbsent,
   coreCount: isAmountOrAbsent,
--- a/src/relay/relay_settings_reader.ts
+++ b/src/relay/relay_settings_reader.ts
@@ -40,6 +40,11 @@
   keyWithdrawalMs: amount
     .optional()
     .describe('Longest time that a withdrawn key works anywhere.'),
+  limitSlack: amount
+    .optional()
+    .describe(
+      'Units by which hosts may exceed a limit while some are cut off.',
+    ),
   linkMbps: amount.optional().describe("Rate of the host's link."),
   cpuShare: amount.optional().describe('Share of each core for the process.'),
   coreCount: amount.optional().describe('Cores of the host.'),
--- a/tests/relay/accounts/quota_fleet.ts
+++ b/tests/relay/accounts/quota_fleet.ts
@@ -21,10 +21,14 @@
   QuotaMessage,
 } from '../../../src/relay/accounts/quota_messages.js';
 import {
-  createSpendingLedger,
+  createLimitPools,
   type HostIncarnation,
+} from '../../../src/relay/accounts/limit_pools.js';
+import {
+  createSpendingLedger,
   type SpendingLedger,
 } from '../../../src/relay/accounts/spending_ledger.js';
+import {rankOwners} from '../../../src/relay/fleet/owners.js';
 import {createPeerRequestClient} from '../../../src/relay/fleet/peer_request_client.js';
 import {createPeerRequestServer} from '../../../src/relay/fleet/peer_request_server.js';
 
@@ -42,6 +46,18 @@
 const STATE_INTERVAL_MS = 600;
 const LEVELS_INTERVAL_MS = 500;
 const LINK_DELAY_MS = 5;
+/** Time until hosts know which others they reach. */
+const DETECTION_MS = 2_000;
+export const LIMIT_SLACK = 140_000;
+/** As in `relay_accounts.ts`. */
+const TOLERANCE_UNITS = (LIMIT_SLACK * 3) / 4;
+const MAX_HOSTS = 300;
+/** The first one owns the account if all are candidates, and so on. */
+const HOST_IDS = rankOwners(
+  'quota',
+  ACCOUNT,
+  Array.from({length: MAX_HOSTS}, (_, i) => `host-${i}`),
+);
 
 interface QuotaHost {
   readonly hostId: string;
@@ -59,8 +75,11 @@
 }
 
 export interface QuotaFleetOptions {
-  /** Whether hosts ask an owner; true if absent. */
+  /** Whether the first coordinator answers hosts that ask; true if absent. */
   readonly isOwned?: boolean;
+  /** Of the account; `QUOTA` if absent. */
+  readonly quota?: AccountQuota;
+  readonly costUnits?: number;
   /** Shares of the priorities 0, 1, … of the streams; none if absent. */
   readonly priorityShares?: readonly number[];
   /** Replaces the reserve that the owner learned, to compare other rules. */
@@ -80,6 +99,10 @@
   changeCoordinators(): void;
   /** Partitions these hosts from all others; replaces earlier partitions. */
   cut(hostIndexes: readonly number[]): void;
+  /** Partitions the hosts by the side of each; replaces earlier partitions. */
+  split(sideOf: (hostIndex: number) => number): void;
+  /** Loses what passes from one host to another, in one direction. */
+  setLinkFilter(isLost: (from: number, to: number) => boolean): void;
   setLossShare(share: number): void;
   /** Lets every second host regard another coordinator as the owner. */
   setTwoOwners(hasTwo: boolean): void;
@@ -100,14 +123,17 @@
   options: QuotaFleetOptions = {},
 ): QuotaFleet {
   const {isOwned = true, priorityShares = [], oldHostCount = 0} = options;
+  const {costUnits = STREAM_TOKENS} = options;
   const clock = createVirtualClock(1_000);
   const random = createSeededRandom(seed);
   /** Separate, so that all rules for priorities get the same load. */
   const loadRandom =
     priorityShares.length > 0 ? createSeededRandom(seed + 1_000) : random;
   const arrivals: Arrival[] = [];
-  const cutHosts = new Set<number>();
-  let quota = QUOTA;
+  let sides: readonly number[] = Array.from({length: hostCount}, () => 0);
+  let splitAtMs = Number.NEGATIVE_INFINITY;
+  let isLinkLost: (from: number, to: number) => boolean = () => false;
+  let quota = options.quota ?? QUOTA;
   let lossShare = 0;
   let incarnationCount = 0;
   let firstCoordinator = 0;
@@ -115,7 +141,7 @@
   let askPriority: number | undefined;
 
   function makeHost(index: number): QuotaHost {
-    const hostId = `host-${index}`;
+    const hostId = HOST_IDS[index];
     const incarnation = `life-${incarnationCount++}`;
     const bornAtMs = clock.nowMs();
     const self = () => ({
@@ -124,7 +150,11 @@
       aliveMs: clock.nowMs() - bornAtMs,
     });
     const quotaOf = () => quota;
-    const ledger = createSpendingLedger({clock, quotaOf});
+    const pools = createLimitPools(
+      {clock, random, hostId, quotaOf, hostCount: () => hostCount},
+      {toleranceUnits: TOLERANCE_UNITS},
+    );
+    const ledger = createSpendingLedger({clock, pools, quotaOf});
     let asked: QuotaRequest | undefined;
     const grant: SpendingLedger['grant'] = (from, account, cost, reserve) => {
       const {reserveOf = () => reserve} = options;
@@ -133,12 +163,13 @@
     const owner = createQuotaOwner({
       clock,
       ledger: {...ledger, grant},
-      quotaOf,
+      pools,
       onInvalidField: () => undefined,
     });
     const tell = (toHostId: string, message: QuotaMessage) => {
       const to = hosts.findIndex(each => each.hostId === toHostId);
-      deliver(index, to, () => hosts[to].receive(hostId, message));
+      if (to === index) hosts[to].receive(hostId, message);
+      else deliver(index, to, () => hosts[to].receive(hostId, message));
     };
     const firstAskId = incarnationCount * 1_000_000;
     const client = createPeerRequestClient<QuotaRequest, QuotaReply>({
@@ -158,10 +189,9 @@
       random,
       ledger,
       self,
-      hasAllSpending: () => coordinators().includes(index),
-      hostCount: () => hostCount,
       client,
-      ownerOf: () => (isOwned ? hosts[ownerIndex(index)].hostId : undefined),
+      hostId,
+      ownerCandidates: () => candidates(index).map(each => HOST_IDS[each]),
     });
     return {
       hostId,
@@ -169,6 +199,8 @@
       ledger,
       self,
       receive(fromHostId, message) {
+        const isIgnored = !isOwned && index === firstCoordinator;
+        if (isIgnored && fromHostId !== hostId) return;
         if (message.kind === 'quota-ask') server.receive(fromHostId, message);
         else client.receive(fromHostId, message);
       },
@@ -181,11 +213,27 @@
   const coordinators = () =>
     Array.from({length: COORDINATOR_COUNT}, (_, i) => firstCoordinator + i);
 
-  const ownerIndex = (asker: number) =>
-    firstCoordinator + (hasTwoOwners ? asker % 2 : 0);
+  /** The hosts from which this one expects answers. */
+  function candidates(index: number): readonly number[] {
+    if (hasTwoOwners) return [firstCoordinator + (index % 2)];
+    if (clock.nowMs() - splitAtMs < DETECTION_MS) return coordinators();
+    const onSide = sides
+      .map((side, each) => (side === sides[index] ? each : -1))
+      .filter(each => each >= 0);
+    const ranked = [
+      ...onSide.filter(each => each >= firstCoordinator),
+      ...onSide,
+    ];
+    return ranked.slice(0, Math.min(COORDINATOR_COUNT, onSide.length));
+  }
+
+  function split(next: readonly number[]): void {
+    sides = next;
+    splitAtMs = clock.nowMs();
+  }
 
   function deliver(from: number, to: number, action: () => void): void {
-    if (cutHosts.has(from) || cutHosts.has(to)) return;
+    if (sides[from] !== sides[to] || isLinkLost(from, to)) return;
     if (random.nextFloat() < lossShare) return;
     clock.setTimer(LINK_DELAY_MS, action);
   }
@@ -193,9 +241,11 @@
   function sendState(from: number): void {
     const records = hosts[from].limiter.spending();
     const self = hosts[from].self();
-    for (const to of coordinators()) {
+    const ceded = hosts[from].limiter.cededTimes();
+    hosts[from].ledger.record(self, records, ceded);
+    for (const to of candidates(from)) {
       if (to === from) continue;
-      deliver(from, to, () => hosts[to].ledger.record(self, records));
+      deliver(from, to, () => hosts[to].ledger.record(self, records, ceded));
     }
     clock.setTimer(STATE_INTERVAL_MS, () => sendState(from));
   }
@@ -236,7 +286,7 @@
     const verdict = await limiter.take({
       account: ACCOUNT,
       quota,
-      costUnits: STREAM_TOKENS,
+      costUnits,
       priority: askPriority,
     });
     arrival.isAllowed = verdict.kind === 'allowed';
@@ -268,8 +318,13 @@
       firstCoordinator += COORDINATOR_COUNT;
     },
     cut(hostIndexes) {
-      cutHosts.clear();
-      for (const index of hostIndexes) cutHosts.add(index);
+      split(
+        sides.map((_, each) => (hostIndexes.includes(each) ? each + 1 : 0)),
+      );
+    },
+    split: sideOf => split(sides.map((_, index) => sideOf(index))),
+    setLinkFilter(isLost) {
+      isLinkLost = isLost;
     },
     setLossShare(share) {
       lossShare = share;
@@ -285,7 +340,7 @@
         while (allowed[last].atMs - allowed[first].atMs > windowMs) first++;
         most = Math.max(most, last - first + 1);
       }
-      return most * STREAM_TOKENS;
+      return most * costUnits;
     },
     idealShareSince(sinceMs) {
       let levelUnits = quota.burstUnits;
@@ -296,8 +351,8 @@
         const gained = ((atMs - updatedAtMs) * quota.unitsPerS) / 1_000;
         levelUnits = Math.min(quota.burstUnits, levelUnits + gained);
         updatedAtMs = atMs;
-        const isAllowed = levelUnits >= STREAM_TOKENS;
-        if (isAllowed) levelUnits -= STREAM_TOKENS;
+        const isAllowed = levelUnits >= costUnits;
+        if (isAllowed) levelUnits -= costUnits;
         if (atMs < sinceMs) continue;
         offered++;
         allowed += Number(isAllowed);
--- a/tests/relay/accounts/quota_owner_test.ts
+++ b/tests/relay/accounts/quota_owner_test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {createSeededRandom} from '../../../src/core/seeded_random.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import type {QuotaRequest} from '../../../src/relay/accounts/quota_messages.js';
 import {createQuotaOwner} from '../../../src/relay/accounts/quota_owner.js';
 import {createRoutePriorities} from '../../../src/relay/accounts/route_priorities.js';
 import {reserveUnitsFor} from '../../../src/relay/accounts/reserve_rules.js';
+import {createLimitPools} from '../../../src/relay/accounts/limit_pools.js';
 import {createSpendingLedger} from '../../../src/relay/accounts/spending_ledger.js';
 import {ACCOUNT, QUOTA} from './quota_fleet.js';
 import type {Route} from '../../../src/core/routing_types.js';
@@ -12,10 +14,26 @@
 function createOwner() {
   const clock = createVirtualClock(1_000);
   const quotaOf = () => QUOTA;
-  const ledger = createSpendingLedger({clock, quotaOf});
+  const hostId = 'host-1';
+  const pools = createLimitPools(
+    {
+      clock,
+      random: createSeededRandom(1),
+      hostId,
+      quotaOf,
+      hostCount: () => 2,
+    },
+    {toleranceUnits: 0},
+  );
+  const ledger = createSpendingLedger({clock, pools, quotaOf});
+  // The bucket begins half full.
+  for (const each of [hostId, 'host-2']) {
+    const reporting = {hostId: each, incarnation: 'a', aliveMs: 0};
+    ledger.record(reporting, [], {[hostId]: 0});
+  }
   const invalid = {count: 0};
   const onInvalidField = () => void invalid.count++;
-  const owner = createQuotaOwner({clock, ledger, quotaOf, onInvalidField});
+  const owner = createQuotaOwner({clock, ledger, pools, onInvalidField});
   let askId = 0;
   const ask = (costUnits: number, more: Partial<QuotaRequest> = {}) => {
     const kind = 'quota-ask';
@@ -27,7 +45,7 @@
     const offeredUnits = QUOTA.unitsPerS * 4;
     const totals = {offeredUnits, admittedUnits: 0, returnedUnits: 0};
     const self = {hostId: 'host-2', incarnation: 'a', aliveMs: 10};
-    ledger.record(self, [{account: ACCOUNT, ...totals}]);
+    ledger.record(self, [{account: ACCOUNT, ...totals}], {[hostId]: 0});
     for (let i = 0; i < 20; i++) ask(500, {priority: i % 2});
   };
   return {ask, overload, invalid};
