An early answer without a length is not whole because its connection ended

Cause: the reset is looked for when the connection ends, and it comes later. Node then closes this side, too, after which no reset can be seen. Nothing knew whether the request had been written to its end.

Change: a success without a length that ends while its upload is written counts as broken off. If the upload was written, the host keeps its side open for 150 ms and looks for a reset. Failures, and answers with a length or chunks, are unchanged.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -16,8 +16,14 @@
 import type {Clock} from '../ports/clock.js';
 import type {AnswerBody, Cancellation, RawHeaders} from '../ports/relay.js';
 import {createCallTimeouts} from './call_timeouts.js';
+import {isReset} from './connection_reset.js';
 import {splitAddress} from './listen.js';
-import {createReceivedBody, type ReceivedBody} from './received_body.js';
+import {
+  createReceivedBody,
+  isUnframed,
+  type ReceivedBody,
+} from './received_body.js';
+import {createUploadAnswer, type UploadAnswer} from './upload_answers.js';
 
 export interface HttpExchangeHost {
   readonly clock: Clock;
@@ -191,6 +197,7 @@
       let hasFailed = false;
       let isSettled = false;
       let received: ReceivedBody | undefined;
+      let upload: UploadAnswer | undefined;
       const settle = (outcome: HttpHead | HttpExchangeFailure) => {
         if (isSettled) return;
         isSettled = true;
@@ -237,12 +244,15 @@
       }
       cancellation?.onCancel(() => {
         settle({kind: 'cancelled'});
+        upload?.release();
         request.destroy();
       });
       request.on('socket', socket => {
         socket.setNoDelay(true);
         const markIfReset = () => {
-          if (isReset(socket)) hasFailed = true;
+          // Node keeps the first address that it finds, so it is asked once.
+          if (upload) upload.hold();
+          else if (isReset(socket)) hasFailed = true;
         };
         socket.prependOnceListener('end', markIfReset);
         // A pooled connection outlives the call.
@@ -275,14 +285,24 @@
       });
       request.on('response', answer => {
         const headers = answer.rawHeaders;
-        received = createReceivedBody(
-          answer,
-          () => hasFailed,
-          answerTimeout.clear,
-        );
+        const {statusCode: status = 0} = answer;
+        // The end of a failure is passed on: its status is what matters.
+        const mayEndEarly =
+          call.body &&
+          call.body.length > 0 &&
+          status < 300 &&
+          isUnframed(answer);
+        if (mayEndEarly) {
+          upload = createUploadAnswer(clock, request, () => hasFailed);
+        }
+        received = createReceivedBody(answer, {
+          hasFailed: () => hasFailed,
+          onEnd: answerTimeout.clear,
+          upload,
+        });
         settle({
           kind: 'answered',
-          status: answer.statusCode ?? 0,
+          status,
           headers,
           get: name => findHeader(headers, name),
           body: received.body,
@@ -305,16 +325,6 @@
   };
 }
 
-/**
- * Whether a connection that emitted `end` was reset. When the last bytes and
- * the reset arrive together, Node reports a normal end without an error. A
- * reset connection has no remote address any more; one that the peer closed
- * normally still has it.
- */
-function isReset(socket: Socket): boolean {
-  return socket.remoteAddress === undefined;
-}
-
 /** Node reports a connection that closed without an answer as reset, too. */
 function isResetError(error: NodeJS.ErrnoException): boolean {
   return error.code === 'ECONNRESET';
--- a/src/adapters/received_body.ts
+++ b/src/adapters/received_body.ts
@@ -3,8 +3,10 @@
 import type http from 'node:http';
 import {createByteQueue} from '../core/byte_queue.js';
 import type {AnswerBody, AnswerBodySink} from '../ports/relay.js';
+import type {UploadAnswer} from './upload_answers.js';
 
-function isUnframed({headers}: http.IncomingMessage): boolean {
+/** Whether the end of the connection is the only sign of the body's end. */
+export function isUnframed({headers}: http.IncomingMessage): boolean {
   const hasChunks = /\bchunked\b/i.test(headers['transfer-encoding'] ?? '');
   return headers['content-length'] === undefined && !hasChunks;
 }
@@ -22,6 +24,15 @@
   breakOff(detail: string): void;
 }
 
+export interface ReceivedBodyHost {
+  /** Whether the call or its connection has failed. */
+  hasFailed(): boolean;
+  /** Called once, when the body has ended or is given up. */
+  onEnd(): void;
+  /** Present if the answer may end before its upload was read. */
+  readonly upload?: UploadAnswer;
+}
+
 type Ending =
   {readonly kind: 'whole'} | {readonly kind: 'broken'; readonly detail: string};
 
@@ -37,8 +48,7 @@
  */
 export function createReceivedBody(
   answer: http.IncomingMessage,
-  hasFailed: () => boolean,
-  onEnd: () => void,
+  {hasFailed, onEnd, upload}: ReceivedBodyHost,
 ): ReceivedBody {
   const bodyIsUnframed = isUnframed(answer);
   const {socket} = answer;
@@ -48,6 +58,8 @@
   let isDelivered = false;
   let isDestroyed = false;
   let isPaused = false;
+  /** Set while it is found out whether the end was that of a whole answer. */
+  let isConfirming = false;
   /** What the current read of the connection has brought. */
   const read = createByteQueue();
   let partCount = 0;
@@ -115,6 +127,7 @@
   function end(given: Ending): void {
     if (ending || isDestroyed) return;
     ending = given;
+    upload?.release();
     if (given.kind === 'broken') onEnd();
     deliver();
   }
@@ -122,11 +135,22 @@
   answer.on('end', () => {
     // Node also emits `end` when the connection is lost.
     const isWhole = answer.complete && !(bodyIsUnframed && hasFailed());
-    if (isWhole) end({kind: 'whole'});
-    else fail('the answer ended early');
+    if (!isWhole) fail('the answer ended early');
+    else if (upload) void confirm(upload);
+    else end({kind: 'whole'});
   });
   answer.on('error', error => fail(error.message));
-  answer.on('close', () => fail('the connection closed'));
+  answer.on('close', () => {
+    if (!isConfirming) fail('the connection closed');
+  });
+
+  async function confirm(answered: UploadAnswer): Promise<void> {
+    isConfirming = true;
+    const fault = await answered.findFault();
+    answered.release();
+    if (fault) fail(fault);
+    else end({kind: 'whole'});
+  }
   return {
     body: {
       isUnframed: bodyIsUnframed,
@@ -139,6 +163,7 @@
       resume,
       destroy() {
         isDestroyed = true;
+        upload?.release();
         onEnd();
         answer.destroy();
       },
--- a/tests/adapters/http_exchange_test.ts
+++ b/tests/adapters/http_exchange_test.ts
@@ -77,6 +77,80 @@
   assert.equal(await readBody(makeExchange(), makeCall(address)), 'all of it');
 });
 
+/** Answers half of a body without a length before it reads the upload. */
+function answerEarly(end: (socket: net.Socket) => void): Behaviour {
+  return socket => {
+    socket.pause();
+    socket.removeAllListeners('data');
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+    end(socket);
+  };
+}
+
+/** Ends the answer, and resets the connection later. */
+const resetLater = (delayMs: number) => (socket: net.Socket) => {
+  socket.end();
+  setTimeout(() => socket.resetAndDestroy(), delayMs);
+};
+
+for (const size of [100_000, 4_000_000]) {
+  for (const delayMs of [5, 100]) {
+    test(`half an answer to an upload of ${size} bytes is not complete if its reset follows the end by ${delayMs} ms`, async () => {
+      // Guards against an upstream that answers, closes and reads nothing more.
+      const address = await listen(answerEarly(resetLater(delayMs)));
+      const call = makeCall(address, {
+        method: 'POST',
+        body: Buffer.alloc(size),
+      });
+      assert.equal(await readBody(makeExchange(), call), 'broken');
+    });
+  }
+}
+
+test('an early answer without a length that ends while its upload is written is not complete', async () => {
+  // Guards against taking the part that has arrived for the whole answer.
+  const address = await listen(answerEarly(socket => void socket.end()));
+  const call = makeCall(address, {method: 'POST', body: Buffer.alloc(4e6)});
+  assert.equal(await readBody(makeExchange(), call), 'broken');
+});
+
+test('an early answer whose framing shows its end is complete', async () => {
+  // Guards against failing sound answers to uploads that are not read.
+  const framings = [
+    'Content-Length: 3\r\n\r\nall',
+    'Transfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n',
+  ];
+  for (const framed of framings) {
+    const address = await listen(socket => {
+      socket.removeAllListeners('data');
+      socket.end(`HTTP/1.1 200 OK\r\n${framed}`);
+    });
+    const call = makeCall(address, {method: 'POST', body: Buffer.alloc(4e6)});
+    assert.equal(await readBody(makeExchange(), call), 'all');
+  }
+});
+
+test('an early failure without a length reaches the caller', async () => {
+  // Guards against replacing the reason for which an upload is rejected.
+  const address = await listen(socket => {
+    socket.pause();
+    socket.end('HTTP/1.1 413 Too Large\r\n\r\ntoo large');
+  });
+  const call = makeCall(address, {method: 'POST', body: Buffer.alloc(4e6)});
+  assert.equal(await readBody(makeExchange(), call), 'too large');
+});
+
+test('an answer without a length to an upload that was read is complete', async () => {
+  let sizeBytes = 0;
+  const address = await listen((socket, text) => {
+    sizeBytes += text.length;
+    if (sizeBytes < 4e6) return;
+    socket.end('HTTP/1.1 200 OK\r\n\r\nall of it');
+  });
+  const call = makeCall(address, {method: 'POST', body: Buffer.alloc(4e6)});
+  assert.equal(await readBody(makeExchange(), call), 'all of it');
+});
+
 test('an answer shorter than its length is not complete', async () => {
   const address = await listen(socket => {
     socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf');
