A status that is none fails the call

A caller's parser leaves HTTP at a 101.

Cause: Node's parser takes any three digits, and no check followed.

Change: a status outside 200 to 599 fails the call like an answer that breaks off.

The three new tests failed before.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -286,6 +286,10 @@
       request.on('response', answer => {
         const headers = answer.rawHeaders;
         const {statusCode: status = 0} = answer;
+        if (!isFinalStatus(status)) {
+          fail(`the status ${status} is not that of an answer`);
+          return;
+        }
         // The end of a failure is passed on: its status is what matters.
         const mayEndEarly =
           call.body &&
@@ -325,6 +329,11 @@
   };
 }
 
+/** Informational answers precede the answer; 101 needs a request for it. */
+function isFinalStatus(status: number): boolean {
+  return status >= 200 && status <= 599;
+}
+
 /** Node reports a connection that closed without an answer as reset, too. */
 function isResetError(error: NodeJS.ErrnoException): boolean {
   return error.code === 'ECONNRESET';
--- a/tests/adapters/http_exchange_test.ts
+++ b/tests/adapters/http_exchange_test.ts
@@ -151,6 +151,17 @@
   assert.equal(await readBody(makeExchange(), call), 'all of it');
 });
 
+for (const status of ['101', '600', '999']) {
+  test(`an answer with the status ${status} is not passed on`, async () => {
+    // Guards against numbers that no caller can take for an outcome.
+    const address = await listen(socket => {
+      const length = 'Content-Length: 2\r\n\r\nok';
+      socket.end(`HTTP/1.1 ${status} Odd\r\n${length}`);
+    });
+    assert.equal(await readBody(makeExchange(), makeCall(address)), 'broken');
+  });
+}
+
 test('an answer shorter than its length is not complete', async () => {
   const address = await listen(socket => {
     socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf');
