Requests that end early leave nothing in the account of memory

What callers saw (by tests, not reported): requests that were sent ahead and whose connection closed stayed in the account, until the host refused all requests; an answer over HTTP/1.0 that was ended for its memory looked whole; an upload that was ended as it was counted gave an error of the host in place of a refusal.

Cause: a response that waits for its turn on its connection emits no `close`, so its body was not released. A response that is ended for its memory was destroyed, which ends its connection without a reset. The bytes of an upload were counted before its reader was set up.

Change: the end of a request releases its body, whichever way it ends; a request that was dropped before it began doesn't run; heads of waiting requests count.

--- a/src/relay/front/auxiliary_server.ts
+++ b/src/relay/front/auxiliary_server.ts
@@ -67,7 +67,8 @@
     if (connections.openRequests(socket) > MAX_OPEN_REQUESTS) {
       return void socket.destroy();
     }
-    if (handleMessage(message, response)) return;
+    const isRefused = connections.isRefused(socket);
+    if (!isRefused && handleMessage(message, response)) return;
     if (declaredBytes(message) === 0) message.resume();
     else closeAfterAnswer(message, response, clock);
     const answer = findAnswer(message);
--- a/src/relay/front/body_reader.ts
+++ b/src/relay/front/body_reader.ts
@@ -188,7 +188,6 @@
         requestId,
         end: () => upload.refuse(noRoom()),
       });
-      holding.resize(lengthBytes ?? 0);
       let dueAtMs = 0;
       let timer = setDue(toDueAtMs());
 
@@ -244,6 +243,8 @@
       message.once('close', () => {
         if (end()) resolve({});
       });
+      // The last step, since it may end this upload.
+      holding.resize(lengthBytes ?? 0);
     });
   }
 
--- a/src/relay/front/http_caller.ts
+++ b/src/relay/front/http_caller.ts
@@ -24,6 +24,8 @@
 }
 
 export interface HttpCaller extends Caller {
+  /** Whether this host has cancelled the request, maybe before it has begun. */
+  readonly isDropped: boolean;
   /** The answer was sent, or the connection closed before. */
   noteClosed(): void;
   /**
@@ -59,6 +61,8 @@
   let hasBegun = false;
   let isComplete = false;
   let isGone = false;
+  /** Cancelled by this host, maybe before the request has begun. */
+  let isDropped = false;
   let held: HeldAnswer | undefined;
   const onDisconnect: Array<() => void> = [];
   const onWritable: Array<() => void> = [];
@@ -91,7 +95,8 @@
     writeHead(status, headers);
     if (isComplete) {
       response.end(Buffer.concat(parts));
-      return buffers.noteFree(connection);
+      // An ended response emits no `drain`; its `close` frees it.
+      return buffers.noteBlocked(connection);
     }
     const areTaken = parts.map(bytes => response.write(bytes));
     if (areTaken.at(-1) ?? true) noteWritable();
@@ -169,7 +174,8 @@
 
   function drop(): void {
     if (isGone) return;
-    if (response.headersSent) return void response.destroy();
+    isDropped = true;
+    if (response.headersSent) return closeConnection();
     replace(DROPPED);
     for (const listener of onDisconnect) listener();
   }
@@ -181,6 +187,9 @@
     get isReplaceable() {
       return held !== undefined && !isComplete;
     },
+    get isDropped() {
+      return isDropped;
+    },
     noteShape: place.noteShape,
     get isPipelined() {
       return place.isPipelined();
@@ -197,7 +206,8 @@
       if (!isComplete && !isGone && !response.headersSent) replace(error);
     },
     onDisconnect(listener) {
-      if (isGone && !response.writableFinished) listener();
+      const isLost = isGone && !response.writableFinished;
+      if (isLost || isDropped) listener();
       else onDisconnect.push(listener);
     },
     onWritable: listener => void onWritable.push(listener),
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -83,6 +83,10 @@
   release?: () => void;
 }
 
+function toHeadBytes({rawHeaders, url = ''}: http.IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length, url.length);
+}
+
 export function createRelayFront(host: RelayFrontHost): RelayFront {
   const {clock, log, reader, relay, resources} = host;
   const open = new Set<OpenRequest>();
@@ -157,9 +161,12 @@
       refusal: findRefusal(message, hasRoom),
     });
     request.release = body.release;
+    if (!open.has(request)) body.release?.();
     if (body.error) return caller.refuse(body.error);
     // The caller disconnected before it had sent the whole request.
     if (!body.bytes) return;
+    // It was answered already, as there is no room for it.
+    if (caller.isDropped) return;
     await relay.handle(
       {
         requestId,
@@ -202,14 +209,17 @@
   function holdWaiting(request: OpenRequest): Holding | undefined {
     const {memory} = resources;
     const {overheadBytes} = heldKinds['waiting-request'];
-    if (memory.freeBytes() < overheadBytes) return undefined;
-    return memory.open({
+    const headBytes = toHeadBytes(request.message);
+    if (memory.freeBytes() < overheadBytes + headBytes) return undefined;
+    const holding = memory.open({
       kind: 'waiting-request',
       get requestId() {
         return request.requestId;
       },
       end: () => undefined,
     });
+    holding.resize(headBytes);
+    return holding;
   }
 
   function accept(request: OpenRequest): void {
@@ -218,6 +228,8 @@
     const close = () => {
       open.delete(request);
       holding?.close();
+      // A response that waits for its turn emits no `close`.
+      request.release?.();
       request.caller?.noteClosed();
     };
     open.add(request);
