Hosts that start while they are cut off take no large part of the retries

Change: retries divide by the same number of hosts as limits do: those ever seen that haven't left, unknown for a host that has seen none and isn't listed alone. Such a host may repeat one request of a service at a time beyond the ratio.

--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -284,7 +284,16 @@
     send: (hostId, message) => peers.sendMessage(hostId, message),
   });
   const retries = createRelayRetries(
-    {clock, random, createLogger, metrics, self, peers, routing},
+    {
+      clock,
+      random,
+      createLogger,
+      metrics,
+      self,
+      peers,
+      hostCount: fleetSize.count,
+      routing,
+    },
     settings,
   );
   const resumption = createResumption({
--- a/src/relay/retries/relay_retries.ts
+++ b/src/relay/retries/relay_retries.ts
@@ -32,8 +32,6 @@
   isMesh(): boolean;
   members(): readonly Pick<Member, 'hostId' | 'state'>[];
   coordinatorIds(): readonly string[];
-  /** Number of peers ever seen, dead ones included. */
-  knownCount(): number;
   sendMessage(hostId: string, message: RetryMessage): void;
 }
 
@@ -44,6 +42,8 @@
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly self: ReportingHost;
   readonly peers: RetryPeers;
+  /** Number of hosts, including this one and those out of reach. */
+  hostCount(): number;
   readonly routing: Pick<RoutingState, 'service'>;
 }
 
@@ -79,7 +79,7 @@
   /** The same on all hosts that know the same hosts. */
   const ownerOf = (service: string) =>
     rankOwners('retries', service, candidates()).at(0);
-  const knownCount = () => peers.knownCount() + 1;
+  const knownCount = host.hostCount;
 
   /** Delivers a message without a datagram if this host is the receiver. */
   function deliver(toHostId: string, message: RetryMessage): void {
--- a/tests/relay/retries/retry_fleet.ts
+++ b/tests/relay/retries/retry_fleet.ts
@@ -130,12 +130,12 @@
         createLogger: () => silentLog,
         metrics: {count: () => undefined},
         self,
+        hostCount: () => hostCount,
         routing: {service: () => ({}) as Service},
         peers: {
           isMesh: () => false,
           members: () => [],
           coordinatorIds: () => coordinatorsOf(index).map(id => `h${id}`),
-          knownCount: () => hostCount - 1,
           sendMessage(to, message: RetryMessage) {
             const target = Number(to.slice(1));
             if (!transmit(index, target, message, MESSAGE_FRAME_BYTES)) return;
