--- a/src/relay/accounts/limit_pools.ts
+++ b/src/relay/accounts/limit_pools.ts
@@ -60,6 +60,8 @@
   share(account: string): number;
 }
 
+/** A bucket holds at least what it gains between two reports. */
+const REPORT_INTERVAL_MS = 600;
 /** A host that reported nothing for this time no longer cedes its part. */
 const REPORT_VALID_MS = 2_500;
 /** Share of a full bucket at a new owner, which may not know all grants. */
@@ -168,8 +170,12 @@
   const toleranceAt = (partShare: number) =>
     partShare <= 1 / 2 ? toleranceUnits : 0;
 
-  const toCapacity = ({burstUnits}: AccountQuota, partShare: number) =>
-    (burstUnits + toleranceAt(partShare)) * partShare;
+  function toCapacity(quota: AccountQuota, partShare: number): number {
+    const minBurstUnits =
+      (quota.unitsPerS * REPORT_INTERVAL_MS) / MS_PER_SECOND;
+    const burstUnits = Math.max(quota.burstUnits, minBurstUnits);
+    return (burstUnits + toleranceAt(partShare)) * partShare;
+  }
 
   function refill(account: string, quota: AccountQuota): Pool {
     const pool = pools.get(account) ?? {
--- a/tests/relay/accounts/limit_splits_test.ts
+++ b/tests/relay/accounts/limit_splits_test.ts
@@ -157,6 +157,17 @@
   }
 });
 
+test('an account whose limit has no burst is served at its rate', async () => {
+  // Guards against a bucket that can't hold what is ceded between two reports.
+  for (const hostCount of HOST_COUNTS) {
+    const quota = {...toQuota(RATES[1]), burstUnits: 0};
+    const fleet = makeQuotaFleet(hostCount, 4, {quota});
+    await fleet.offer(quota.unitsPerS / STREAM_TOKENS / 2, 10_000);
+    const share = fleet.allowedShareSince(2_000);
+    assert.ok(share > 0.95, `${hostCount} hosts: ${share}`);
+  }
+});
+
 test('a part is ceded to one owner at a time', async () => {
   // Guards against two owners that grant the same part, since one is silent.
   const clock = createVirtualClock(1_000);
