A leaving host owns no limits in a mesh; reports count no faster than they come

Found by reading the change of limits. In a full mesh a leaving host stayed its own candidate as owner, while the others had dropped it: it could grant only its part of the accounts that it ranks first for. It now uses the owners of the others, as for upstreams' limits. A report gains at most the time since the one before and 1 s.

--- a/src/relay/accounts/limit_pools.ts
+++ b/src/relay/accounts/limit_pools.ts
@@ -68,8 +68,8 @@
 const INITIAL_LEVEL_SHARE = 0.5;
 /** A host brings a share of the burst with its part only this often. */
 const BRING_INTERVAL_MS = 10_000;
-/** Longest time counted at once; a longer gap would fill the bucket anyway. */
-const MAX_GAIN_MS = 60_000;
+/** Reports that were held up may count more than the time between them. */
+const MAX_EXTRA_GAIN_MS = 1_000;
 const COUNT_INTERVAL_MS = 100;
 const MAX_VIEWS = 64;
 const MAX_CHANGES = 256;
@@ -239,12 +239,15 @@
         ? known
         : {before, after, totals: NO_TOTALS};
       changes.set(changeKey, change);
-      const gainedMs = isKnown ? Math.max(0, cededMs - last.cededMs) : 0;
+      const maxGainMs = nowMs - (last?.heardAtMs ?? nowMs) + MAX_EXTRA_GAIN_MS;
+      const gainedMs = isKnown
+        ? Math.min(maxGainMs, Math.max(0, cededMs - last.cededMs))
+        : 0;
       const broughtAtMs = last?.broughtAtMs ?? Number.NEGATIVE_INFINITY;
       const isBringing =
         before !== after && nowMs - broughtAtMs >= BRING_INTERVAL_MS;
       change.totals = {
-        gainedMs: change.totals.gainedMs + Math.min(MAX_GAIN_MS, gainedMs),
+        gainedMs: change.totals.gainedMs + gainedMs,
         broughtCount: change.totals.broughtCount + (isBringing ? 1 : 0),
       };
       hosts.set(hostId, {
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -132,7 +132,7 @@
       self,
       hostCount: () => fleetSize.count(),
       ownerCandidates: () =>
-        peers.isMesh() ? remainingHostIds() : peers.coordinatorIds(),
+        peers.isMesh() ? ownerIds() : peers.coordinatorIds(),
       send: (hostId, message) => peers.sendMessage(hostId, message),
     },
     settings,
@@ -146,6 +146,9 @@
     settings.hostId,
     ...ids,
   ]);
+  /** A leaving host owns no limits, not even for its own requests. */
+  const ownerIds = () =>
+    leaving.isLeaving() ? remainingPeerIds() : remainingHostIds();
   const backpressure = createBackpressure({
     clock,
     random,
@@ -153,9 +156,7 @@
     metrics,
     hostId: settings.hostId,
     registry,
-    // A leaving host owns no limits, not even for its own requests.
-    hostIds: () =>
-      leaving.isLeaving() ? remainingPeerIds() : remainingHostIds(),
+    hostIds: ownerIds,
     send: (hostId, message) => peers.sendMessage(hostId, message),
     onChange: () => peers.changed('coordinators'),
   });
