--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -179,7 +179,7 @@
  */
 export async function startUpstream(store, record, options) {
   const {id, service, stage, version = 'v1', slots = 8} = options;
-  const {events = 10, eventMs = 100, workMs = 20} = options;
+  const {events = 10, eventMs = 100, workMs = 20, endAfterMs = 0} = options;
   const runs = [];
   let handleCount = 0;
   let beats = 0;
@@ -215,20 +215,31 @@
 
   function stream(message, body, response) {
     const run = startRun(message, body);
+    let next = Number(message.headers['last-event-id'] ?? '0') + 1;
+    // Nothing is left of the stream: the answer by which servers of event
+    // streams tell that.
+    if (next > events) {
+      response.writeHead(204, headersOf(message));
+      response.end();
+      return endRun(run, 'complete, 204');
+    }
     response.writeHead(200, {
       ...headersOf(message),
       'Content-Type': 'text/event-stream',
     });
-    let next = Number(message.headers['last-event-id'] ?? '0') + 1;
+    let endTimer;
     const timer = setInterval(() => {
-      response.write(`id: ${next}\ndata: token-${next} of ${run.id}\n\n`);
+      response.write(`id: ${next}\ndata: token-${next}\n\n`);
       if (next++ < events) return;
       clearInterval(timer);
-      response.end();
-      endRun(run, 'complete');
+      endTimer = setTimeout(() => {
+        response.end();
+        endRun(run, 'complete');
+      }, endAfterMs);
     }, eventMs);
     response.on('close', () => {
       clearInterval(timer);
+      clearTimeout(endTimer);
       endRun(run, 'its connection closed');
     });
   }
@@ -558,6 +569,48 @@
   });
 }
 
+/**
+ * Passes connections on to a host. `resetAfter` names a text; the connection is
+ * reset once it has passed on its way back.
+ */
+export async function startProxy(record, target, {resetAfter} = {}) {
+  const [host, port] = target.split(':');
+  const sockets = new Set();
+  const server = net.createServer(client => {
+    const upstream = net.connect(Number(port), host);
+    for (const socket of [client, upstream]) {
+      sockets.add(socket);
+      socket.setNoDelay(true);
+      socket.on('error', () => undefined);
+      socket.on('close', () => sockets.delete(socket));
+    }
+    let seen = '';
+    upstream.on('data', bytes => {
+      client.write(bytes, () => {
+        if (!resetAfter) return;
+        seen = (seen + bytes.toString('latin1')).slice(-4_096);
+        if (!seen.includes(resetAfter) || client.destroyed) return;
+        record.note('the proxy resets a connection of a client');
+        client.resetAndDestroy();
+        upstream.resetAndDestroy();
+      });
+    });
+    client.on('data', bytes => upstream.write(bytes));
+    upstream.on('end', () => client.end());
+    client.on('end', () => upstream.end());
+    upstream.on('close', () => client.destroy());
+    client.on('close', () => upstream.destroy());
+  });
+  const proxyPort = await listen(server, '127.0.0.1');
+  return {
+    address: `127.0.0.1:${proxyPort}`,
+    close() {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
+}
+
 /** The configuration of a small deployment. */
 export function makeConfiguration(version, changes = {}) {
   const engine = {
