--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -175,11 +175,13 @@
 
 /**
  * An engine or a plain service. Each run is recorded with its end; streams have
- * `events` events, one each `eventMs`.
+ * `events` events, one each `eventMs`. `preempt` returns how long a run is set
+ * aside after its last event.
  */
 export async function startUpstream(store, record, options) {
   const {id, service, stage, version = 'v1', slots = 8} = options;
   const {events = 10, eventMs = 100, workMs = 20, endAfterMs = 0} = options;
+  const {preempt, dropsOnClose = true} = options;
   const runs = [];
   let handleCount = 0;
   let beats = 0;
@@ -227,19 +229,28 @@
       ...headersOf(message),
       'Content-Type': 'text/event-stream',
     });
-    let endTimer;
-    const timer = setInterval(() => {
+    let timer;
+    const wait = (ms, step) => {
+      timer = setTimeout(step, ms);
+    };
+    const finish = () => {
+      response.end();
+      endRun(run, 'complete');
+    };
+    const makeEvent = () => {
       response.write(`id: ${next}\ndata: token-${next}\n\n`);
-      if (next++ < events) return;
-      clearInterval(timer);
-      endTimer = setTimeout(() => {
-        response.end();
-        endRun(run, 'complete');
-      }, endAfterMs);
-    }, eventMs);
+      run.lastEvent = next;
+      if (next++ >= events) return wait(endAfterMs, finish);
+      const pauseMs = preempt?.(run) ?? 0;
+      if (pauseMs > 0) record.note(`engine ${id} preempts ${run.id}`);
+      return wait(pauseMs + eventMs, makeEvent);
+    };
+    wait(eventMs, makeEvent);
     response.on('close', () => {
-      clearInterval(timer);
-      clearTimeout(endTimer);
+      if (response.writableFinished) return;
+      record.note(`engine ${id}: the connection of ${run.id} closed`);
+      if (!dropsOnClose) return;
+      clearTimeout(timer);
       endRun(run, 'its connection closed');
     });
   }
@@ -287,9 +298,12 @@
       return sendJson(response, 200, {});
     if (url === `${BASE}/report`) {
       const models = [{name: 'm', version: 1, adapters: []}];
-      const load = {waiting: 0, running: 0, kv_used: 0, kv_total: 30_000};
+      const open = runs.filter(run => run.end === 'open');
+      const load = {running: open.length, kv_used: 0, kv_total: 30_000};
       return sendJson(response, 200, {
-        ...{stage, models, busy: false, seq: 0, ...load, kv_handles: 0},
+        ...{stage, models, busy: false, seq: 0, waiting: 0, ...load},
+        kv_handles: 0,
+        runs: open.map(run => [run.id, 100, run.lastEvent ?? 0, 5]),
       });
     }
     if (url === `${BASE}/order`) return sendJson(response, 409, {});
