A grace in seconds is converted by code, whatever its form

Cause: the template wrote three zeros behind the seconds, so that 7.5 became 7.5000, read as 7.5 ms. A successor read the same value and gave up on its predecessor's addresses after 2 s.

Change: the host file takes a duration in ms (leaveGraceMs) or in s (leaveGraceS), and relay_bounds.ts converts it. A bound that is missing or can't be used is replaced and reported at the start and at SIGHUP, and the host serves; a deployment without a bound rendered a file that wasn't well formed before.

The renderer of host_capacity_test moves to tests/support and knows sections within sections; its checks are the same.

--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -9,7 +9,11 @@
 import {createRelayMetrics} from '../../relay/relay_metrics.js';
 import {startRelay} from '../../relay/relay_process.js';
 import {StartError} from '../../relay/start/start_error.js';
-import type {RelaySettings} from '../../relay/relay_settings.js';
+import type {BoundIssue} from '../../relay/relay_bounds.js';
+import type {
+  RelaySettings,
+  UsableSettings,
+} from '../../relay/relay_settings.js';
 import {awaitHostFile, readHostFile} from './relay_host_file.js';
 
 export const RELAY_SUMMARY = 'Run one relay process on the platform.';
@@ -39,8 +43,7 @@
     file,
   );
   if (read.kind === 'ended') return EXIT_DONE;
-  if (read.kind === 'read')
-    return run(read.settings, file, level, signalBuffer);
+  if (read.kind === 'read') return run(read, file, level, signalBuffer);
   writeError(read.sentences);
   return EXIT_USAGE;
 }
@@ -86,7 +89,7 @@
 }
 
 async function run(
-  settings: RelaySettings,
+  {settings, issues}: UsableSettings,
   file: string,
   level: LogLevel,
   signalBuffer: SignalBuffer,
@@ -102,6 +105,7 @@
   );
   const log = createLogger('process');
   logUnhandledErrors(log);
+  logIssues(issues, log);
   const relay = await startRelay({
     settings,
     adapters: createPlatformAdapters(),
@@ -122,6 +126,18 @@
   return abortedCount > 0 ? EXIT_REQUESTS_ABORTED : EXIT_DONE;
 }
 
+/** Reports values that aren't used as they are given. */
+function logIssues(issues: readonly BoundIssue[], log: Logger): void {
+  for (const {setting, given, used, reason} of issues) {
+    log.warn('A setting is not usable as given.', {
+      setting,
+      given: given === undefined ? undefined : JSON.stringify(given),
+      used: used ?? 'none',
+      reason,
+    });
+  }
+}
+
 function ignoreSignal(signal: string, log: Logger): void {
   log.info('A signal was ignored that means nothing here.', {signal});
 }
@@ -166,7 +182,8 @@
     log.warn('Failed to read the settings.', {reason: read.sentences});
     return;
   }
-  const {settings} = read;
+  const {settings, issues} = read;
+  logIssues(issues, log);
   const changed = (Object.keys(settings) as Array<keyof RelaySettings>).filter(
     name => JSON.stringify(settings[name]) !== JSON.stringify(current[name]),
   );
--- a/src/cli/commands/relay_host_file.ts
+++ b/src/cli/commands/relay_host_file.ts
@@ -4,11 +4,11 @@
 import type {Clock} from '../../ports/clock.js';
 import {
   readJsonRelaySettings,
-  type RelaySettings,
+  type UsableSettings,
 } from '../../relay/relay_settings.js';
 
 export type HostFileRead =
-  | {readonly kind: 'read'; readonly settings: RelaySettings}
+  | ({readonly kind: 'read'} & UsableSettings)
   /** The sentences name the file. */
   | {readonly kind: 'unusable'; readonly sentences: string};
 
@@ -31,11 +31,11 @@
   } catch (error) {
     return {kind: 'unusable', sentences: `${file} cannot be read: ${error}\n`};
   }
-  const settings = readJsonRelaySettings(text);
-  if (settings) return {kind: 'read', settings};
+  const usable = readJsonRelaySettings(text);
+  if (usable) return {kind: 'read', ...usable};
   const reader = await import('../../relay/relay_settings_reader.js');
   const result = reader.readRelaySettings({file, text});
-  if (result.settings) return {kind: 'read', settings: result.settings};
+  if (result.usable) return {kind: 'read', ...result.usable};
   const {formatDiagnostics} = await import('../../core/diagnostics.js');
   return {kind: 'unusable', sentences: formatDiagnostics(result.diagnostics)};
 }
--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -77,6 +77,8 @@
 const KILL_MARGIN_MS = 300;
 /** All answers are written this long before connections are closed. */
 const ANSWER_MARGIN_MS = 150;
+/** A shorter grace leaves no time in which a request could end. */
+export const MIN_GRACE_MS = KILL_MARGIN_MS + ANSWER_MARGIN_MS + 50;
 /**
  * Until then, requests begin that may outlast the grace: most callers haven't
  * refreshed the directory's answer, and most requests end long before their
--- a/src/relay/relay_settings.ts
+++ b/src/relay/relay_settings.ts
@@ -7,7 +7,10 @@
  * position.
  */
 
-export interface RelaySettings {
+import {readBounds, type BoundIssue, type RelayBounds} from './relay_bounds.js';
+
+/** Names and addresses, without which a host can't start. */
+export interface RelayIdentity {
   readonly hostId: string;
   readonly failureDomain: string;
   /** Address that callers connect to, `ip:port`. */
@@ -22,32 +25,14 @@
   /** Addresses of other hosts; only the IP is used, not the port. */
   readonly seedAddresses: readonly string[];
   readonly storeAddress: string;
-  /** Retries allowed per request to a service. */
-  readonly retryRatio: number;
-  /** Additional retries per service in any window, for all hosts together. */
-  readonly retrySlack: number;
-  /** Time from the signal to leave until the process is killed. */
-  readonly leaveGraceMs: number;
-  /** Time for which the holder of a lease may act without a renewal. */
-  readonly leaseMs: number;
-  /**
-   * Maximum time for which a key works on any host after its withdrawal. Absent
-   * if hosts without a current configuration may go on accepting keys.
-   */
-  readonly keyWithdrawalMs?: number;
-  /**
-   * Units by which the hosts may together exceed the limit of a client account
-   * while some can't reach the others. Absent if they may not.
-   */
-  readonly limitSlack?: number;
-  /** Rate of the host's link; absent if not known, as the following. */
-  readonly linkMbps?: number;
-  /** Share of each of the host's cores that this process may use. */
-  readonly cpuShare?: number;
-  readonly coreCount?: number;
-  readonly memoryMb?: number;
-  /** Descriptors that the process may have open. */
-  readonly maxDescriptors?: number;
+}
+
+export interface RelaySettings extends RelayIdentity, RelayBounds {}
+
+export interface UsableSettings {
+  readonly settings: RelaySettings;
+  /** Values that were replaced. */
+  readonly issues: readonly BoundIssue[];
 }
 
 type FieldCheck = (value: unknown) => boolean;
@@ -55,14 +40,10 @@
 const isText: FieldCheck = value => typeof value === 'string' && value !== '';
 const isAddress: FieldCheck = value =>
   typeof value === 'string' && /^.+:\d{1,5}$/.test(value);
-const isAmount: FieldCheck = value =>
-  typeof value === 'number' && Number.isFinite(value) && value >= 0;
-const isAmountOrAbsent: FieldCheck = value =>
-  value === undefined || isAmount(value);
 const isAddressList: FieldCheck = value =>
   Array.isArray(value) && value.every(isAddress);
 
-const CHECKS: Readonly<Record<keyof RelaySettings, FieldCheck>> = {
+const CHECKS: Readonly<Record<keyof RelayIdentity, FieldCheck>> = {
   hostId: isText,
   failureDomain: isText,
   callerAddress: isAddress,
@@ -72,28 +53,32 @@
   peerAddress: isAddress,
   seedAddresses: isAddressList,
   storeAddress: isAddress,
-  retryRatio: isAmount,
-  retrySlack: isAmount,
-  leaveGraceMs: isAmount,
-  leaseMs: isAmount,
-  keyWithdrawalMs: isAmountOrAbsent,
-  limitSlack: isAmountOrAbsent,
-  linkMbps: isAmountOrAbsent,
-  cpuShare: isAmountOrAbsent,
-  coreCount: isAmountOrAbsent,
-  memoryMb: isAmountOrAbsent,
-  maxDescriptors: isAmountOrAbsent,
 };
 
-/** Returns undefined if the text isn't JSON with all fields of valid types. */
-export function readJsonRelaySettings(text: string): RelaySettings | undefined {
+const IDENTITY_NAMES = Object.keys(CHECKS) as ReadonlyArray<
+  keyof RelayIdentity
+>;
+
+/** Returns undefined if the text isn't JSON with all names and addresses. */
+export function readJsonRelaySettings(
+  text: string,
+): UsableSettings | undefined {
   const value = parseJson(text);
   if (typeof value !== 'object' || value === null) return undefined;
   const fields = value as Readonly<Record<string, unknown>>;
-  const isComplete = Object.entries(CHECKS).every(([name, check]) =>
-    check(fields[name]),
-  );
-  return isComplete ? (value as RelaySettings) : undefined;
+  const isComplete = IDENTITY_NAMES.every(name => CHECKS[name](fields[name]));
+  return isComplete ? toUsableSettings(fields) : undefined;
+}
+
+/** Joins the bounds to names and addresses that have been checked. */
+export function toUsableSettings(
+  fields: Readonly<Record<string, unknown>>,
+): UsableSettings {
+  const identity = Object.fromEntries(
+    IDENTITY_NAMES.map(name => [name, fields[name]]),
+  ) as unknown as RelayIdentity;
+  const {bounds, issues} = readBounds(fields);
+  return {settings: {...identity, ...bounds}, issues};
 }
 
 function parseJson(text: string): unknown {
--- a/src/relay/relay_settings_reader.ts
+++ b/src/relay/relay_settings_reader.ts
@@ -8,12 +8,22 @@
   toPlainData,
   type SourceText,
 } from '../core/settings_yaml.js';
-import type {RelaySettings} from './relay_settings.js';
+import {boundNames, boundRules, toSecondsName} from './relay_bounds.js';
+import {toUsableSettings, type UsableSettings} from './relay_settings.js';
 
 const address = z
   .string()
   .regex(/^.+:\d{1,5}$/, {error: 'an address like 10.0.0.1:7100'});
-const amount = z.number().min(0);
+
+/** Any value: `readBounds` replaces one that can't be used. */
+const boundFields = Object.fromEntries(
+  boundNames.flatMap(name => {
+    const field = z.unknown().describe(boundRules[name].description);
+    const secondsName = toSecondsName(name);
+    const names = secondsName ? [name, secondsName] : [name];
+    return names.map(each => [each, field.optional()]);
+  }),
+);
 
 /** Reports unknown keys, which the JSON reader ignores. */
 export const relaySettingsSchema = z.strictObject({
@@ -31,31 +41,11 @@
   ),
   seedAddresses: z.array(address).describe('Other hosts; some may be down.'),
   storeAddress: address.describe("The platform's store."),
-  retryRatio: amount.describe('Retries allowed for each request.'),
-  retrySlack: amount.describe('Additional retries, for all hosts together.'),
-  leaveGraceMs: amount.describe(
-    'Time from the signal to leave until the kill.',
-  ),
-  leaseMs: amount.describe('Time until a lease without renewal expires.'),
-  keyWithdrawalMs: amount
-    .optional()
-    .describe('Longest time that a withdrawn key works anywhere.'),
-  limitSlack: amount
-    .optional()
-    .describe(
-      'Units by which hosts may exceed a limit while some are cut off.',
-    ),
-  linkMbps: amount.optional().describe("Rate of the host's link."),
-  cpuShare: amount.optional().describe('Share of each core for the process.'),
-  coreCount: amount.optional().describe('Cores of the host.'),
-  memoryMb: amount.optional().describe('Memory for the process.'),
-  maxDescriptors: amount
-    .optional()
-    .describe('Descriptors that the process may have open.'),
+  ...boundFields,
 });
 
 export interface RelaySettingsResult {
-  readonly settings?: RelaySettings;
+  readonly usable?: UsableSettings;
   readonly diagnostics: readonly Diagnostic[];
 }
 
@@ -71,5 +61,8 @@
     ...read.diagnostics,
     ...shape.diagnostics,
   ]);
-  return {settings: shape.value, diagnostics};
+  return {
+    usable: shape.value && toUsableSettings(shape.value),
+    diagnostics,
+  };
 }
--- a/src/relay/roles/orders_lease.ts
+++ b/src/relay/roles/orders_lease.ts
@@ -16,7 +16,7 @@
 const USABLE_LEASE_SHARE = 0.3;
 /** An order is in transit for at most as long as its call may take. */
 const ORDER_SETTLE_MS = 800;
-const LEASE_CALL_TIMEOUT_MS = 600;
+export const LEASE_CALL_TIMEOUT_MS = 600;
 
 export interface OrdersLeaseOptions {
   readonly hostId: string;
--- a/tests/cli/held_addresses_test.ts
+++ b/tests/cli/held_addresses_test.ts
@@ -3,9 +3,11 @@
 import assert from 'node:assert/strict';
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
+import {writeFileSync} from 'node:fs';
 import net from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {after, before, describe, test, type TestContext} from 'node:test';
+import {renderHostFile} from '../support/host_file_template.js';
 import {
   ask,
   assertServes,
@@ -105,6 +107,27 @@
     });
   }
 
+  // Guards against a successor that ends while its predecessor still leaves.
+  test('tries until a predecessor with a grace of 2.5 s must have ended', async t => {
+    const settings = await folder.makeSettings();
+    await holdTcp(settings.callerAddress, t);
+    const file = folder.writeSettings(settings);
+    const {hostId, callerAddress, storeAddress} = settings;
+    writeFileSync(
+      file,
+      renderHostFile({
+        ...{node: hostId, ip: '127.0.0.1', 'port_range.0': '0'},
+        ...{'listen.front': callerAddress, 'platform.address': storeAddress},
+        'listen.ready': settings.readyAddress,
+        'listen.directory': settings.directoryAddress,
+        'bounds.grace_s': '2.5',
+      }).replace('127.0.0.1:0', settings.peerAddress),
+    );
+    const running = folder.start(['relay', '--host-file', file]);
+    await running.ended;
+    assert.match(running.output(), /gave up after [45] s\.$/m);
+  });
+
   test('serves without its metrics, and with them later', async t => {
     const settings = await folder.makeSettings();
     const release = await holdTcp(settings.metricsAddress, t);
--- a/tests/relay/fleet/host_capacity_test.ts
+++ b/tests/relay/fleet/host_capacity_test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {readFileSync} from 'node:fs';
 import {test} from 'node:test';
 import {
   toHostCapacity,
@@ -11,6 +10,10 @@
 import {createReportedMembers} from '../../../src/relay/fleet/reported_members.js';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {readJsonRelaySettings} from '../../../src/relay/relay_settings.js';
+import {
+  renderHostFile,
+  type TemplateValues,
+} from '../../support/host_file_template.js';
 import {makeFleet} from './fleet_network.js';
 
 const capacityOf = (name: string): HostCapacity => [
@@ -19,35 +22,18 @@
   200,
 ];
 
-/** Renders the template with values by path; those not given are missing. */
-function renderTemplate(values: Readonly<Record<string, string>>): string {
-  const text = readFileSync('deploy/relay.yaml.template', 'utf8');
-  return text
-    .replaceAll(/\{\{#seeds\}\}.*\{\{\/seeds\}\}/g, '"10.0.0.2:7100"')
-    .replaceAll(/\{\{#([\w.]+)\}\}([^]*?)\{\{\/\1\}\}/g, (_, path, inner) =>
-      path in values ? inner : '',
-    )
-    .replaceAll(/"\{\{[\w.]+\}\}(:\S+)?"/g, '"10.0.0.1:7100"')
-    .replaceAll(/\{\{([\w.]+)\}\}/g, (_, path) => values[path] ?? '7100');
-}
-
 test('the host file states the capacity where the deployment does, and nothing elsewhere', () => {
-  const bare = readJsonRelaySettings(renderTemplate({}));
-  assert.ok(bare);
-  assert.equal(toHostCapacity(bare), undefined);
-  const linkOnly = readJsonRelaySettings(
-    renderTemplate({'limits.link_mbps': '7'}),
-  );
-  assert.deepEqual(toHostCapacity(linkOnly!), [7, 0, 0]);
-  const complete = readJsonRelaySettings(
-    renderTemplate({
-      'limits.link_mbps': '14.5',
-      'limits.cpu_share': '0.27',
-      'limits.cores': '3',
-      'limits.memory_mb': '186',
-    }),
-  );
-  assert.deepEqual(toHostCapacity(complete!), [14.5, 0.81, 186]);
+  const readCapacity = (values: TemplateValues) =>
+    toHostCapacity(readJsonRelaySettings(renderHostFile(values))!.settings);
+  assert.equal(readCapacity({}), undefined);
+  assert.deepEqual(readCapacity({'limits.link_mbps': '7'}), [7, 0, 0]);
+  const complete = {
+    'limits.link_mbps': '14.5',
+    'limits.cpu_share': '0.27',
+    'limits.cores': '3',
+    'limits.memory_mb': '186',
+  };
+  assert.deepEqual(readCapacity(complete), [14.5, 0.81, 186]);
 });
 
 test('an invalid capacity is ignored and the rest of the datagram is used', async () => {
