An answer that may have no body ends with its head

Cause: an answer without a length and without chunks counted as one that ends with its connection.

Change: whether an answer is framed by its connection is asked only of one that may have a body, by method and status (RFC 9110, 6.4.1).

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -295,11 +295,12 @@
           call.body &&
           call.body.length > 0 &&
           status < 300 &&
-          isUnframed(answer);
+          isUnframed(answer, call.method);
         if (mayEndEarly) {
           upload = createUploadAnswer(clock, request, () => hasFailed);
         }
         received = createReceivedBody(answer, {
+          method: call.method,
           hasFailed: () => hasFailed,
           onEnd: answerTimeout.clear,
           upload,
--- a/src/adapters/received_body.ts
+++ b/src/adapters/received_body.ts
@@ -2,11 +2,19 @@
 
 import type http from 'node:http';
 import {createByteQueue} from '../core/byte_queue.js';
+import {mayHaveBody} from '../core/http_framing.js';
 import type {AnswerBody, AnswerBodySink} from '../ports/relay.js';
 import type {UploadAnswer} from './upload_answers.js';
 
-/** Whether the end of the connection is the only sign of the body's end. */
-export function isUnframed({headers}: http.IncomingMessage): boolean {
+/**
+ * Whether the end of the connection is the only sign of the body's end, for the
+ * answer to a request of the method.
+ */
+export function isUnframed(
+  {headers, statusCode = 0}: http.IncomingMessage,
+  method: string,
+): boolean {
+  if (!mayHaveBody(method, statusCode)) return false;
   const hasChunks = /\bchunked\b/i.test(headers['transfer-encoding'] ?? '');
   return headers['content-length'] === undefined && !hasChunks;
 }
@@ -25,6 +33,8 @@
 }
 
 export interface ReceivedBodyHost {
+  /** The method of the request. */
+  readonly method: string;
   /** Whether the call or its connection has failed. */
   hasFailed(): boolean;
   /** Called once, when the body has ended or is given up. */
@@ -48,9 +58,9 @@
  */
 export function createReceivedBody(
   answer: http.IncomingMessage,
-  {hasFailed, onEnd, upload}: ReceivedBodyHost,
+  {method, hasFailed, onEnd, upload}: ReceivedBodyHost,
 ): ReceivedBody {
-  const bodyIsUnframed = isUnframed(answer);
+  const bodyIsUnframed = isUnframed(answer, method);
   const {socket} = answer;
   let sink: AnswerBodySink | undefined;
   /** Set once the body has ended; the connection may close before it is read. */
--- a/tests/relay/forwarding/forwarding_site.ts
+++ b/tests/relay/forwarding/forwarding_site.ts
@@ -50,7 +50,9 @@
   /** Answers with the first bytes of a body that doesn't end. */
   | 'begin'
   /** Answers with the first bytes of a body, then breaks off. */
-  | 'break-off';
+  | 'break-off'
+  /** Answers without a body. */
+  | 'no-body';
 
 export interface ForwardingHostStandIn {
   readonly member: Member;
@@ -112,12 +114,13 @@
 ): UpstreamPort {
   const answer = (requestId: string): UpstreamAnswer => ({
     kind: 'answered',
-    status: 200,
+    status: host.behaviour === 'no-body' ? 204 : 200,
     headers: ['X-Answer', 'yes'],
     hasSignature: true,
     body: {
       isUnframed: true,
       read(sink: AnswerBodySink) {
+        if (host.behaviour === 'no-body') return sink.end();
         sink.chunk(Buffer.from('first '));
         if (host.behaviour === 'begin') return;
         if (host.behaviour === 'break-off') return sink.broken('it crashed');
--- a/tests/relay/forwarding/forwarding_test.ts
+++ b/tests/relay/forwarding/forwarding_test.ts
@@ -138,6 +138,14 @@
   assert.deepEqual(await send(cut), end);
 });
 
+test('an answer without a body behind a peer is whole', async () => {
+  // Guards against requests that ran at a peer and count as broken off.
+  const [cut, peer] = await createHosts(2);
+  cut.behaviour = 'refuse';
+  peer.behaviour = 'no-body';
+  assert.deepEqual(await send(cut), {text: '', end: 'whole'});
+});
+
 test('a dead peer is passed over', async () => {
   const [cut, dead, peer] = await createHosts(3);
   cut.behaviour = 'refuse';
