No length is written for an answer that has none

Callers saw: a 204 or 304 of an upstream bore Content-Length: 0, which RFC 9110, 8.6 forbids for 204 and which is false for 304 and HEAD.

Cause: a collected answer is written with the size of what was collected. Change: only where the answer may have a body.

--- a/src/relay/front/http_caller.ts
+++ b/src/relay/front/http_caller.ts
@@ -4,6 +4,7 @@
  */
 
 import type http from 'node:http';
+import {mayHaveBody} from '../../core/http_framing.js';
 import {errorAnswers, type RequestError} from '../../core/error_kinds.js';
 import {createProblem} from '../../entry/problem.js';
 import type {RawHeaders} from '../../ports/relay.js';
@@ -110,8 +111,10 @@
     if (isComplete || isGone) return;
     hasBegun = true;
     shape = bodyLength === undefined ? 'in-parts' : 'whole';
-    const length =
-      bodyLength === undefined ? [] : ['Content-Length', String(bodyLength)];
+    const hasLength =
+      bodyLength !== undefined &&
+      mayHaveBody(response.req.method ?? '', status);
+    const length = hasLength ? ['Content-Length', String(bodyLength)] : [];
     const all = [...headers, ...length];
     if (response.socket) writeHead(status, all);
     else held = {status, headers: all, parts: [], sizeBytes: 0};
--- a/tests/platform/bodiless_answers_test.ts
+++ b/tests/platform/bodiless_answers_test.ts
@@ -99,6 +99,8 @@
             assert.equal(got.status, status);
             assert.equal(got.headers['x-engine-stamp'], 's');
             assert.equal(got.isCut, false);
+            assert.equal(got.headers['content-length'], undefined);
+            assert.equal(got.headers['transfer-encoding'], undefined);
             assert.deepEqual([...runs.values()], [1]);
           }
         });
