The window of retries is read from the settings

What callers would see: on a deployment with a retry window longer than 10 s an owner grants the constant part once in each 10 s, so a service gets more retries than the bound allows (BUDGET).

Cause: retry_window.ts held the window as a constant.

--- a/src/relay/relay_bounds.ts
+++ b/src/relay/relay_bounds.ts
@@ -15,10 +15,16 @@
   readonly retryRatio: number;
   /** Additional retries per service in any window, for all hosts together. */
   readonly retrySlack: number;
+  /** The window in which retries are counted. */
+  readonly retryWindowMs: number;
   /** Time from the signal to leave until the process is killed. */
   readonly leaveGraceMs: number;
   /** Time for which the holder of a lease may act without a renewal. */
   readonly leaseMs: number;
+  /** Time in which a host must go by a new configuration; absent if unknown. */
+  readonly configurationReachMs?: number;
+  /** Time after which an upstream that leaves must get no more requests. */
+  readonly departureReachMs?: number;
   /**
    * Maximum time for which a key works on any host after its withdrawal. Absent
    * if hosts without a current configuration may go on accepting keys.
@@ -74,6 +80,19 @@
 const MS_PER_S = 1_000;
 const MS_PER_HOUR = 3_600_000;
 
+/** How soon a host learns of any change; see `configuration_reach.md`. */
+const STORE_REACH_MS = 1_700;
+
+const reach = (description: string): BoundRule => ({
+  description,
+  min: 0,
+  isOptional: true,
+  warn: reachMs =>
+    reachMs < STORE_REACH_MS
+      ? `A host may take up to ${STORE_REACH_MS} ms to learn of a change.`
+      : undefined,
+});
+
 const limit = (description: string): BoundRule => ({
   description,
   min: 0,
@@ -92,6 +111,13 @@
     min: 0,
     substitute: 0,
   },
+  retryWindowMs: {
+    description: 'The window in which retries are counted.',
+    min: 0,
+    excludesMin: true,
+    max: MS_PER_HOUR,
+    substitute: 10_000,
+  },
   leaveGraceMs: {
     description: 'Time from the signal to leave until the kill.',
     min: MIN_GRACE_MS,
@@ -108,6 +134,12 @@
         ? `It expires before a call to the store times out (${LEASE_CALL_TIMEOUT_MS} ms), so engines may get no role orders.`
         : undefined,
   },
+  configurationReachMs: reach(
+    'Time in which a host must go by a new configuration.',
+  ),
+  departureReachMs: reach(
+    'Time after which an upstream that leaves must get no more requests.',
+  ),
   keyWithdrawalMs: {
     description: 'Longest time that a withdrawn key works anywhere.',
     min: 0,
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -284,19 +284,17 @@
     leastUrgent: placement.priorities.leastUrgent,
     send: (hostId, message) => peers.sendMessage(hostId, message),
   });
-  const retries = createRelayRetries(
-    {
-      clock,
-      random,
-      createLogger,
-      metrics,
-      self,
-      peers,
-      hostCount: fleetSize.count,
-      routing,
-    },
-    settings,
-  );
+  const retries = createRelayRetries({
+    clock,
+    random,
+    createLogger,
+    metrics,
+    limits: () => settings,
+    self,
+    peers,
+    hostCount: fleetSize.count,
+    routing,
+  });
   const resumption = createResumption({
     clock,
     random,
--- a/src/relay/retries/relay_retries.ts
+++ b/src/relay/retries/relay_retries.ts
@@ -19,13 +19,9 @@
   type RetryRequest,
   type UnusedRetries,
 } from './retry_messages.js';
-import {isShared, reportIntervalMs} from './retry_rules.js';
+import {isShared, reportIntervalMs, type RetryLimits} from './retry_rules.js';
 import {createRetryOwner, type ReportingHost} from './retry_owner.js';
-import {
-  createSharedRetries,
-  type RetryAllowance,
-  type SharedRetriesOptions,
-} from './shared_retries.js';
+import {createSharedRetries, type RetryAllowance} from './shared_retries.js';
 
 /** What this part reads of the exchange with peers. */
 export interface RetryPeers {
@@ -42,6 +38,8 @@
   readonly metrics: Pick<RelayMetrics, 'count'>;
   readonly self: ReportingHost;
   readonly peers: RetryPeers;
+  /** May change while the process runs. */
+  limits(): RetryLimits;
   /** Number of hosts, including this one and those out of reach. */
   hostCount(): number;
   readonly routing: Pick<RoutingState, 'service'>;
@@ -62,11 +60,8 @@
 /** At least one state is sent within this time; they follow each 600 ms. */
 const REPORTED_FOR_MS = 700;
 
-export function createRelayRetries(
-  host: RelayRetriesHost,
-  options: SharedRetriesOptions,
-): RelayRetries {
-  const {clock, peers, self} = host;
+export function createRelayRetries(host: RelayRetriesHost): RelayRetries {
+  const {clock, peers, self, limits} = host;
   const log = host.createLogger('retries');
 
   /** The hosts that receive the states of all others. */
@@ -93,15 +88,15 @@
     maxAttempts: MAX_ATTEMPTS,
     tell: deliver,
   });
-  const shared = createSharedRetries(
-    {clock, log, metrics: host.metrics, client, knownCount, ownerOf},
-    options,
-  );
+  const shared = createSharedRetries({
+    ...{clock, log, metrics: host.metrics, limits},
+    ...{client, knownCount, ownerOf},
+  });
   const owner = createRetryOwner({
     hostId: self.hostId,
     clock,
     log,
-    retrySlack: options.retrySlack,
+    limits,
     knownCount,
     hasService: service => host.routing.service(service) !== undefined,
     isOwner: service => ownerOf(service) === self.hostId,
@@ -123,8 +118,9 @@
   return {
     allowance: shared,
     report() {
-      const hosts = {knownCount: knownCount()};
-      if (!isShared(options.retrySlack, hosts)) return undefined;
+      const {retrySlack, retryWindowMs} = limits();
+      const hosts = {knownCount: knownCount(), windowMs: retryWindowMs};
+      if (!isShared(retrySlack, hosts)) return undefined;
       const intervalMs = reportIntervalMs(hosts);
       const isDue = clock.nowMs() % intervalMs < REPORTED_FOR_MS;
       return isDue ? shared.unused() : undefined;
--- a/src/relay/retries/retry_owner.ts
+++ b/src/relay/retries/retry_owner.ts
@@ -13,6 +13,7 @@
   ownersPart,
   reportDelayMs,
   reportValidMs,
+  type RetryLimits,
 } from './retry_rules.js';
 import {createRetryWindow, type RetryWindow} from './retry_window.js';
 
@@ -26,7 +27,8 @@
   readonly hostId: string;
   readonly clock: Clock;
   readonly log: Logger;
-  readonly retrySlack: number;
+  /** May change while the process runs. */
+  limits(): RetryLimits;
   /** Hosts ever seen, including this one. */
   knownCount(): number;
   /** Whether the configuration has the service. */
@@ -55,18 +57,20 @@
 }
 
 export function createRetryOwner(host: RetryOwnerHost): RetryOwner {
-  const {clock, log, retrySlack} = host;
+  const {clock, log} = host;
   const reports = new Map<string, Report>();
   const services = new Map<string, OwnedService>();
   const ownTag = toOwnerTag(host.hostId);
-  const hosts = () => ({knownCount: host.knownCount()});
+  const windowMs = () => host.limits().retryWindowMs;
+  const hosts = () => ({knownCount: host.knownCount(), windowMs: windowMs()});
   const delayMs = () => reportDelayMs(hosts());
-  const part = () => ownersPart(retrySlack, hosts(), reports.size);
+  const part = () =>
+    ownersPart(host.limits().retrySlack, hosts(), reports.size);
 
   /** Begins without credits when this host becomes the owner. */
   function find(service: string): OwnedService {
     const owned = services.get(service) ?? {
-      window: createRetryWindow({clock, delayMs}),
+      window: createRetryWindow({clock, windowMs, delayMs}),
     };
     services.set(service, owned);
     if (!host.isOwner(service)) {
@@ -98,7 +102,7 @@
       before.entries.get(service) ?? [];
     if (tagBefore !== ownTag) return;
     const added = total - totalBefore;
-    // After a lost report it is not known what belongs to the last 10 s.
+    // After a lost report it is not known what belongs to the window.
     const isLate = clock.nowMs() - before.heardAtMs > delayMs();
     if (added > 0 && !isLate) window.credit(added, part() * MAX_ON_WAY_SHARE);
   }
@@ -123,7 +127,7 @@
       const limit = {
         restRetries: part(),
         ownerCount: MAX_OWNERS,
-        ownedShare: ownedShare(clock.nowMs() - ownedSinceMs),
+        ownedShare: ownedShare(clock.nowMs() - ownedSinceMs, hosts()),
       };
       if (window.tryGrant(limit)) return true;
       log.info('No retry is left to grant.', {
--- a/src/relay/retries/retry_rules.ts
+++ b/src/relay/retries/retry_rules.ts
@@ -4,7 +4,6 @@
  */
 
 import {isMeshSize} from '../fleet/coordinators.js';
-import {WINDOW_MS} from './retry_window.js';
 
 /**
  * A host that has just started or is partitioned knows few other hosts and must
@@ -19,12 +18,26 @@
  */
 export const MAX_ON_WAY_SHARE = 3 / 4;
 
-export interface RetryHosts {
+/** The bound on the retries of a service, for all hosts together. */
+export interface RetryLimits {
+  /** Retries allowed per request. */
+  readonly retryRatio: number;
+  /** Additional retries in any window. */
+  readonly retrySlack: number;
+  readonly retryWindowMs: number;
+}
+
+export interface HostCount {
   /** Hosts ever seen, including this one. */
   readonly knownCount: number;
 }
 
-const hostCount = ({knownCount}: RetryHosts) =>
+export interface RetryHosts extends HostCount {
+  /** The window in which retries are counted. */
+  readonly windowMs: number;
+}
+
+const hostCount = ({knownCount}: HostCount) =>
   Math.max(MIN_HOST_COUNT, knownCount);
 
 /**
@@ -46,7 +59,7 @@
  * is also left to the owners if it is needed there. Few hosts keep all: a host
  * that is alone would lose half of its part to an owner that has nothing yet.
  */
-function divide(retrySlack: number, hosts: RetryHosts): Division {
+function divide(retrySlack: number, hosts: HostCount): Division {
   const count = hostCount(hosts);
   const evenPart = retrySlack / count;
   const ownParts = evenPart >= 2 ? [Math.floor(evenPart)] : [1, 0];
@@ -58,24 +71,24 @@
     : {ownPart, leftPerHost: evenPart - ownPart};
 }
 
-export function ownPart(retrySlack: number, hosts: RetryHosts): number {
+export function ownPart(retrySlack: number, hosts: HostCount): number {
   return divide(retrySlack, hosts).ownPart;
 }
 
 /** Whether there is an owner; else each host has its part alone. */
-export function isShared(retrySlack: number, hosts: RetryHosts): boolean {
+export function isShared(retrySlack: number, hosts: HostCount): boolean {
   return divide(retrySlack, hosts).leftPerHost > 0;
 }
 
 /**
- * Additional retries that owners may grant in any 10 s.
+ * Additional retries that owners may grant in any window.
  *
  * Only the hosts that report to this owner count: the others use their whole
  * part alone (earlier builds) or ask another owner (partitions).
  */
 export function ownersPart(
   retrySlack: number,
-  hosts: RetryHosts,
+  hosts: HostCount,
   reportingCount: number,
 ): number {
   const {leftPerHost} = divide(retrySlack, hosts);
@@ -86,8 +99,8 @@
  * A new owner does not know what the one before it granted, so its part grows
  * from zero until that no longer counts.
  */
-export function ownedShare(ownedMs: number): number {
-  return Math.min(1, ownedMs / WINDOW_MS);
+export function ownedShare(ownedMs: number, {windowMs}: RetryHosts): number {
+  return Math.min(1, ownedMs / windowMs);
 }
 
 /**
@@ -97,12 +110,12 @@
 const REPORT_INTERVAL_PER_HOST_MS = 30;
 const MIN_REPORT_INTERVAL_MS = 2_000;
 /** What is reported later than the window is long is of no use. */
-const MAX_REPORT_INTERVAL_MS = 8_000;
+const MAX_REPORT_WINDOW_SHARE = 0.8;
 
-export function reportIntervalMs({knownCount}: RetryHosts): number {
+export function reportIntervalMs({knownCount, windowMs}: RetryHosts): number {
   const intervalMs = REPORT_INTERVAL_PER_HOST_MS * knownCount;
   return Math.min(
-    MAX_REPORT_INTERVAL_MS,
+    MAX_REPORT_WINDOW_SHARE * windowMs,
     Math.max(MIN_REPORT_INTERVAL_MS, intervalMs),
   );
 }
@@ -134,7 +147,7 @@
 export function refusedHoldMs(hosts: RetryHosts, refusals: number): number {
   const perHostMs = MIN_HOLD_PER_HOST_MS * 2 ** (refusals - 1);
   return Math.min(
-    WINDOW_MS,
+    hosts.windowMs,
     Math.min(MAX_HOLD_PER_HOST_MS, perHostMs) * hosts.knownCount,
   );
 }
--- a/src/relay/retries/retry_window.ts
+++ b/src/relay/retries/retry_window.ts
@@ -1,5 +1,5 @@
 /**
- * Counts the retries of one service that an owner grants, so that in any 10 s
+ * Counts the retries of one service that an owner grants, so that in any window
  * they stay within a constant plus what the requests of that time allowed.
  *
  * It checks each span of time that ends now and is at most that long. The owner
@@ -11,7 +11,7 @@
 import type {Clock} from '../../ports/clock.js';
 
 export interface GrantLimit {
-  /** What all owners together may grant in any 10 s beside the credits. */
+  /** What all owners together may grant in any window beside the credits. */
   readonly restRetries: number;
   /** Number of owners that there may be at a time. */
   readonly ownerCount: number;
@@ -29,23 +29,22 @@
   tryGrant(limit: GrantLimit): boolean;
   /** Forgets the credits, but not the grants. */
   clearCredits(): void;
-  /** Grants and credits within the last 10 s, for logs. */
+  /** Grants and credits within the last window, for logs. */
   counts(): {readonly grants: number; readonly credits: number};
 }
 
 export interface RetryWindowHost {
   readonly clock: Clock;
+  /** The bound holds for any period of this length, which may change. */
+  windowMs(): number;
   /** Longest time until a credit is reported. */
   delayMs(): number;
 }
 
-/** The bound holds for any period of this length. */
-export const WINDOW_MS = 10_000;
 /** Fine enough against the interval of reports (600 ms). */
 const SLOT_MS = 250;
 /** A grant is used or dropped within a slot, so one more slot is counted. */
 export const GRANT_VALID_MS = SLOT_MS;
-const SLOT_COUNT = WINDOW_MS / SLOT_MS + 2;
 /** A grant is used within a slot, and a span begins within another. */
 const DELAY_MARGIN_SLOTS = 2;
 
@@ -60,12 +59,13 @@
   const {clock} = host;
   /** By number of the slot since the start of the clock. */
   const slots = new Map<number, Slot>();
+  const slotCount = () => Math.ceil(host.windowMs() / SLOT_MS) + 2;
   const nowSlot = () => Math.floor(clock.nowMs() / SLOT_MS);
   const delaySlots = () =>
     Math.ceil(host.delayMs() / SLOT_MS) + DELAY_MARGIN_SLOTS;
 
   function dropOld(): void {
-    const oldest = nowSlot() - SLOT_COUNT;
+    const oldest = nowSlot() - slotCount();
     for (const index of slots.keys()) {
       if (index <= oldest) slots.delete(index);
     }
@@ -75,7 +75,7 @@
   function recent(): readonly Slot[] {
     const newest = nowSlot();
     return Array.from(
-      {length: SLOT_COUNT},
+      {length: slotCount()},
       (_, age) => slots.get(newest - age) ?? EMPTY_SLOT,
     );
   }
--- a/src/relay/retries/shared_retries.ts
+++ b/src/relay/retries/shared_retries.ts
@@ -14,7 +14,12 @@
   type RetryRequest,
   type UnusedRetries,
 } from './retry_messages.js';
-import {isShared, ownPart, refusedHoldMs} from './retry_rules.js';
+import {
+  isShared,
+  ownPart,
+  refusedHoldMs,
+  type RetryLimits,
+} from './retry_rules.js';
 import {GRANT_VALID_MS} from './retry_window.js';
 
 /** The retries as the code that sends requests uses them. */
@@ -38,6 +43,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
+  /** May change while the process runs. */
+  limits(): RetryLimits;
   readonly client: Pick<PeerRequestClient<RetryRequest, RetryReply>, 'ask'>;
   /** Hosts ever seen, including this one. */
   knownCount(): number;
@@ -45,11 +52,6 @@
   ownerOf(service: string): string | undefined;
 }
 
-export interface SharedRetriesOptions {
-  readonly retryRatio: number;
-  readonly retrySlack: number;
-}
-
 /** Who allowed or denied a retry. */
 type Decider = 'own-part' | 'owner' | 'returned';
 type Denial = 'refused' | 'no-answer' | 'held';
@@ -60,21 +62,22 @@
  */
 const SILENT_HOLD_MS = 250;
 
-export function createSharedRetries(
-  host: SharedRetriesHost,
-  {retryRatio, retrySlack}: SharedRetriesOptions,
-): SharedRetries {
+export function createSharedRetries(host: SharedRetriesHost): SharedRetries {
   const {clock, log, metrics} = host;
   const unused = new Map<string, number>();
   const heldUntilMs = new Map<string, number>();
   const refusalsInARow = new Map<string, number>();
   /** By service: until when retries that were not used may be used. */
   const returnedUntilMs = new Map<string, number[]>();
-  const hosts = () => ({knownCount: host.knownCount()});
-  const ownPartNow = () => ownPart(retrySlack, hosts());
+  const hosts = () => ({
+    knownCount: host.knownCount(),
+    windowMs: host.limits().retryWindowMs,
+  });
+  const ownPartNow = () => ownPart(host.limits().retrySlack, hosts());
+  const hasOwner = () => isShared(host.limits().retrySlack, hosts());
   const own = createRetryBudget({
     burst: ownPartNow,
-    ratioOf: () => retryRatio,
+    ratioOf: () => host.limits().retryRatio,
     onOverflow: (service, count) =>
       void unused.set(service, (unused.get(service) ?? 0) + count),
   });
@@ -136,8 +139,7 @@
   return {
     requestStarted: own.requestStarted,
     hasLeft: (service, count) =>
-      own.hasLeft(service, count) ||
-      (isShared(retrySlack, hosts()) && !isHeld(service)),
+      own.hasLeft(service, count) || (hasOwner() && !isHeld(service)),
     giveBack(service) {
       if (ownPartNow() >= 1) return own.giveBack(service);
       const untilMs = clock.nowMs() + GRANT_VALID_MS;
@@ -147,8 +149,7 @@
     tryTake(service, requestId) {
       if (own.tryTake(service)) return allow(service, 'own-part');
       if (takeReturned(service)) return allow(service, 'returned');
-      if (!isShared(retrySlack, hosts()) || isHeld(service))
-        return deny(service, 'held');
+      if (!hasOwner() || isHeld(service)) return deny(service, 'held');
       const owner = host.ownerOf(service);
       if (owner === undefined) return deny(service, 'no-answer');
       return askOwner(owner, service, requestId);
--- a/tests/cli/relay_program.ts
+++ b/tests/cli/relay_program.ts
@@ -139,6 +139,7 @@
         storeAddress: await findFreeAddress(),
         retryRatio: 0.2,
         retrySlack: 58,
+        retryWindowMs: 10_000,
         leaveGraceMs: 8_000,
         leaseMs: 3_000,
         ...changes,
--- a/tests/platform/relay_site.ts
+++ b/tests/platform/relay_site.ts
@@ -127,6 +127,7 @@
       storeAddress: store.address,
       retryRatio: 0.2,
       retrySlack: 58,
+      retryWindowMs: 10_000,
       leaveGraceMs: 8_000,
       leaseMs: 3_000,
       ...changes,
--- a/tests/relay/host_file_test.ts
+++ b/tests/relay/host_file_test.ts
@@ -20,7 +20,10 @@
   'bounds.lease_ms': ['leaseMs', 1],
   'bounds.retry_ratio': ['retryRatio', 1],
   'bounds.retry_slack': ['retrySlack', 1],
+  'bounds.retry_window_s': ['retryWindowMs', SECONDS],
   'bounds.quota_slack': ['limitSlack', 1],
+  'bounds.config_ms': ['configurationReachMs', 1],
+  'bounds.drain_ms': ['departureReachMs', 1],
 };
 
 const WHOLE: TemplateValues = {
@@ -28,6 +31,7 @@
   'bounds.lease_ms': '3000',
   'bounds.retry_ratio': '0.2',
   'bounds.retry_slack': '58',
+  'bounds.retry_window_s': '10',
 };
 
 /** The ways in which a platform may write a number. */
@@ -60,10 +64,8 @@
             const text = write(value);
             const {settings, issues} = read({...WHOLE, [path]: text});
             assert.equal(settings[name], Number(text) * factor);
-            assert.deepEqual(
-              issues.filter(({setting}) => setting !== 'leaseMs'),
-              [],
-            );
+            const replaced = issues.filter(({used}) => used !== settings[name]);
+            assert.deepEqual(replaced, []);
           },
         ),
         {seed: 84},
@@ -115,7 +117,10 @@
     ['bounds.grace_s', '"8 s"', 8_000],
     ['bounds.lease_ms', '0', 10_000],
     ['bounds.lease_ms', '250', 250],
+    ['bounds.config_ms', '1000', 1_000],
+    ['bounds.drain_ms', '400', 400],
     ['bounds.retry_ratio', '-0.2', 0.1],
+    ['bounds.retry_window_s', '0', 10_000],
     ['bounds.retry_slack', 'null', 0],
   ];
   for (const [path, text, used] of MEANINGLESS) {
--- a/tests/relay/retries/retry_fleet.ts
+++ b/tests/relay/retries/retry_fleet.ts
@@ -23,6 +23,8 @@
   readonly way: RetryWay;
   readonly hostCount: number;
   readonly retrySlack: number;
+  /** 10 s if absent. */
+  readonly retryWindowMs?: number;
   readonly requestsPerS: number;
   /** Share of the requests that fail at the time since the start. */
   failShare(elapsedMs: number): number;
@@ -40,7 +42,7 @@
   readonly requests: number;
   readonly allowed: number;
   readonly denied: number;
-  /** Most retries in any 10 s beyond slack and ratio; negative within. */
+  /** Most retries in any window beyond slack and ratio; negative within. */
   readonly worstExcess: number;
   /** Bytes a second that the busiest host sends and receives more. */
   readonly busiestBytesPerS: number;
@@ -72,6 +74,7 @@
   options: RetryFleetOptions,
 ): Promise<RetryFigures> {
   const {seed, way, hostCount, retrySlack} = options;
+  const {retryWindowMs = WINDOW_MS} = options;
   const clock = createVirtualClock(5_000);
   /** Draws for the requests, which are the same for each way. */
   const random = createSeededRandom(seed);
@@ -123,31 +126,29 @@
       });
       return {self, allowance, retries: undefined};
     }
-    const retries = createRelayRetries(
-      {
-        clock,
-        random: networkRandom,
-        createLogger: () => silentLog,
-        metrics: {count: () => undefined},
-        self,
-        hostCount: () => hostCount,
-        routing: {service: () => ({}) as Service},
-        peers: {
-          isMesh: () => false,
-          members: () => [],
-          coordinatorIds: () => coordinatorsOf(index).map(id => `h${id}`),
-          sendMessage(to, message: RetryMessage) {
-            const target = Number(to.slice(1));
-            if (!transmit(index, target, message, MESSAGE_FRAME_BYTES)) return;
-            clock.setTimer(LINK_MS, () => {
-              if (isAlive(target))
-                hosts[target].retries?.receive(hostId, message);
-            });
-          },
+    const retries = createRelayRetries({
+      clock,
+      limits: () => ({retryRatio: RATIO, retrySlack, retryWindowMs}),
+      random: networkRandom,
+      createLogger: () => silentLog,
+      metrics: {count: () => undefined},
+      self,
+      hostCount: () => hostCount,
+      routing: {service: () => ({}) as Service},
+      peers: {
+        isMesh: () => false,
+        members: () => [],
+        coordinatorIds: () => coordinatorsOf(index).map(id => `h${id}`),
+        sendMessage(to, message: RetryMessage) {
+          const target = Number(to.slice(1));
+          if (!transmit(index, target, message, MESSAGE_FRAME_BYTES)) return;
+          clock.setTimer(LINK_MS, () => {
+            if (isAlive(target))
+              hosts[target].retries?.receive(hostId, message);
+          });
         },
       },
-      {retryRatio: RATIO, retrySlack},
-    );
+    });
     return {self, allowance: retries.allowance, retries};
   }
 
@@ -201,11 +202,12 @@
   await clock.advance(200);
 
   const countIn = (times: readonly number[], fromMs: number) =>
-    times.filter(each => each >= fromMs && each <= fromMs + WINDOW_MS).length;
+    times.filter(each => each >= fromMs && each <= fromMs + retryWindowMs)
+      .length;
   const excessFrom = (fromMs: number) =>
     countIn(retryTimes, fromMs) -
     (retrySlack + RATIO * countIn(requestTimes, fromMs));
-  const starts = retryTimes.flatMap(each => [each, each - WINDOW_MS]);
+  const starts = retryTimes.flatMap(each => [each, each - retryWindowMs]);
   return {
     requests: requestTimes.length,
     allowed: retryTimes.length,
--- a/tests/relay/retries/retry_fleet_test.ts
+++ b/tests/relay/retries/retry_fleet_test.ts
@@ -142,3 +142,12 @@
     assert.equal(shared.allowed, even.allowed);
   }
 });
+
+// Guards against retries that use up the constant twice within a longer window,
+// and against reports that come later than a shorter one is long.
+for (const retryWindowMs of [5_000, 20_000]) {
+  test(`retries are bounded in a window of ${retryWindowMs} ms`, async () => {
+    await assertBounded({...fleet, retryWindowMs});
+    await assertBounded({...fleet, retryWindowMs, failShare: inBursts});
+  });
+}
--- a/tests/relay/retries/retry_owner_test.ts
+++ b/tests/relay/retries/retry_owner_test.ts
@@ -12,14 +12,20 @@
 const SLACK = 58;
 const SERVICE = 'drafts';
 
+const WINDOW_MS = 10_000;
+
 function makeOwners(...hostIds: readonly string[]) {
+  return makeOwnersFor(WINDOW_MS, hostIds);
+}
+
+function makeOwnersFor(retryWindowMs: number, hostIds: readonly string[]) {
   const clock = createVirtualClock(5_000);
   const owners = hostIds.map(hostId =>
     createRetryOwner({
       hostId,
       clock,
       log: silentLog,
-      retrySlack: SLACK,
+      limits: () => ({retryRatio: 0.1, retrySlack: SLACK, retryWindowMs}),
       knownCount: () => HOST_COUNT,
       hasService: service => service === SERVICE,
       isOwner: () => true,
@@ -93,3 +99,25 @@
     ['b', 1, 2],
   ]);
 });
+
+// Guards against retries that use up the constant several times in a longer
+// window than the usual one.
+for (const windowMs of [5_000, 10_000, 20_000, 60_000]) {
+  test(`an owner that is asked all the time keeps to a window of ${windowMs} ms`, async () => {
+    const stepMs = 500;
+    const {clock, reportAll, grantAll} = makeOwnersFor(windowMs, ['h0']);
+    const grants: number[] = [];
+    for (let i = 0; i < (3 * windowMs) / stepMs; i++) {
+      reportAll(0);
+      grants.push(grantAll()[0]);
+      await clock.advance(stepMs);
+    }
+    const windowSteps = windowMs / stepMs;
+    const sums = grants.map((_, i) =>
+      grants.slice(i, i + windowSteps).reduce((sum, count) => sum + count, 0),
+    );
+    // One owner grants half of what all hosts leave at most.
+    assert.ok(Math.max(...sums) <= SLACK / 2, `${sums}`);
+    assert.ok(Math.max(...sums) >= SLACK / 4, `${sums}`);
+  });
+}
--- a/tests/soak/soak_site.ts
+++ b/tests/soak/soak_site.ts
@@ -332,6 +332,7 @@
         storeAddress: storeLink.address,
         retryRatio: 0.2,
         retrySlack: options.retrySlack ?? RETRY_SLACK,
+        retryWindowMs: 10_000,
         leaveGraceMs: options.leaveGraceMs ?? LEAVE_GRACE_MS,
         leaseMs: 3_000,
         ...options.settings,
