Changed bounds take effect at SIGHUP, the grace also at SIGTERM

Cause: the changed file was read and logged, and each part had taken its values at the start.

Change: live_settings.ts holds the settings in use and says of each when a change takes effect. The file is read again at SIGTERM, since it may change without a signal. A host that leaves keeps the grace of its signal.

--- a/src/cli/commands/relay_command.ts
+++ b/src/cli/commands/relay_command.ts
@@ -7,13 +7,10 @@
 import type {SignalBuffer} from '../signal_buffer.js';
 import type {Logger, LogLevel} from '../../ports/log.js';
 import {createRelayMetrics} from '../../relay/relay_metrics.js';
-import {startRelay} from '../../relay/relay_process.js';
+import {startRelay, type RelayProcess} from '../../relay/relay_process.js';
 import {StartError} from '../../relay/start/start_error.js';
 import type {BoundIssue} from '../../relay/relay_bounds.js';
-import type {
-  RelaySettings,
-  UsableSettings,
-} from '../../relay/relay_settings.js';
+import type {UsableSettings} from '../../relay/relay_settings.js';
 import {awaitHostFile, readHostFile} from './relay_host_file.js';
 
 export const RELAY_SUMMARY = 'Run one relay process on the platform.';
@@ -95,9 +92,10 @@
   signalBuffer: SignalBuffer,
 ): Promise<number> {
   const metrics = createRelayMetrics();
+  const clock = createSystemClock();
   const createLogger = createLineLoggers(
     {
-      clock: createSystemClock(),
+      clock,
       sink: createStandardOutput(),
       onDropped: () => metrics.count('log_lines_dropped'),
     },
@@ -114,11 +112,21 @@
     isEnding: signalBuffer.isEnding,
   }).catch((error: unknown) => reportFailedStart(error, log));
   if (typeof relay === 'number') return relay;
+  const leave = async (waitedMs: number) => {
+    const sinceMs = clock.nowMs() - waitedMs;
+    // The file may have changed without a signal, and it says when the process
+    // will be killed.
+    try {
+      await reload(file, relay, log);
+    } finally {
+      relay.leave(clock.nowMs() - sinceMs);
+    }
+  };
   signalBuffer.forwardTo({
-    SIGTERM: relay.leave,
-    SIGINT: relay.leave,
-    SIGQUIT: relay.leave,
-    SIGHUP: () => void reload(file, settings, log),
+    SIGTERM: leave,
+    SIGINT: leave,
+    SIGQUIT: leave,
+    SIGHUP: () => void reload(file, relay, log),
     SIGUSR1: () => ignoreSignal('SIGUSR1', log),
     SIGUSR2: () => ignoreSignal('SIGUSR2', log),
   });
@@ -168,13 +176,10 @@
   process.on('unhandledRejection', report);
 }
 
-/**
- * Reads the settings again and logs which of them changed. The running process
- * keeps those in use, since its addresses and names cannot change.
- */
+/** Reads the settings again and uses those that take effect at once. */
 async function reload(
   file: string,
-  current: RelaySettings,
+  relay: Pick<RelayProcess, 'applySettings'>,
   log: Logger,
 ): Promise<void> {
   const read = await readHostFile(file);
@@ -182,12 +187,14 @@
     log.warn('Failed to read the settings.', {reason: read.sentences});
     return;
   }
-  const {settings, issues} = read;
-  logIssues(issues, log);
-  const changed = (Object.keys(settings) as Array<keyof RelaySettings>).filter(
-    name => JSON.stringify(settings[name]) !== JSON.stringify(current[name]),
-  );
-  log.info('Settings read again.', {changed: changed.join(',') || undefined});
+  logIssues(read.issues, log);
+  const changes = relay.applySettings(read.settings);
+  const changed = changes['at-once'];
+  const needsRestart = changes['at-start'];
+  log.info('Settings read again.', {
+    changed: changed.join(',') || undefined,
+    needsRestart: needsRestart.join(',') || undefined,
+  });
 }
 
 function createStandardOutput(): LineSink {
--- a/src/relay/accounts/account_admission.ts
+++ b/src/relay/accounts/account_admission.ts
@@ -22,15 +22,12 @@
   readonly priorities: RoutePriorities;
   /** Returns the accounts of the configuration in force. */
   accounts(): AccountTable;
-}
-
-export interface AccountAdmissionOptions {
   /**
    * Maximum time for which a key works on any host after its withdrawal.
    * Undefined if hosts without a current configuration may go on accepting
    * keys.
    */
-  readonly keyWithdrawalMs?: number;
+  keyWithdrawalMs(): number | undefined;
 }
 
 /** The request is accepted. */
@@ -72,13 +69,15 @@
 
 export function createAccountAdmission(
   host: AccountAdmissionHost,
-  options: AccountAdmissionOptions,
 ): AccountAdmission {
   const {log, metrics, freshness, limiter} = host;
-  const maxAgeMs =
-    options.keyWithdrawalMs === undefined
+
+  function maxAgeMs(): number {
+    const withdrawalMs = host.keyWithdrawalMs();
+    return withdrawalMs === undefined
       ? Number.POSITIVE_INFINITY
-      : options.keyWithdrawalMs - WITHDRAWAL_MARGIN_MS;
+      : withdrawalMs - WITHDRAWAL_MARGIN_MS;
+  }
 
   const findAccount = (request: RelayRequest) =>
     request.keyDigest === undefined
@@ -128,7 +127,7 @@
     route: Route,
     account: ClientAccount,
   ): AccountAdmissionOutcome | Promise<AccountAdmissionOutcome> {
-    if (!(freshness.ageMs() <= maxAgeMs)) {
+    if (!(freshness.ageMs() <= maxAgeMs())) {
       return refuseUnconfirmed(request, account);
     }
     const {name, quota} = account;
--- a/src/relay/accounts/limit_pools.ts
+++ b/src/relay/accounts/limit_pools.ts
@@ -32,14 +32,11 @@
    * those out of reach. Infinite if unknown.
    */
   hostCount(): number;
-}
-
-export interface LimitPoolsOptions {
   /**
    * Units by which hosts that reach less than half of all hosts may together
    * exceed the burst of an account.
    */
-  readonly toleranceUnits: number;
+  toleranceUnits(): number;
 }
 
 export interface LimitPools {
@@ -112,10 +109,7 @@
   readonly included: WeakMap<ViewChange, Totals>;
 }
 
-export function createLimitPools(
-  host: LimitPoolsHost,
-  {toleranceUnits}: LimitPoolsOptions,
-): LimitPools {
+export function createLimitPools(host: LimitPoolsHost): LimitPools {
   const {clock, random, hostId: ownId} = host;
   const hosts = new Map<string, ReportingHost>();
   const views = createBoundedMap<OwnersView>(MAX_VIEWS);
@@ -168,7 +162,7 @@
   }
 
   const toleranceAt = (partShare: number) =>
-    partShare <= 1 / 2 ? toleranceUnits : 0;
+    partShare <= 1 / 2 ? host.toleranceUnits() : 0;
 
   function toCapacity(quota: AccountQuota, partShare: number): number {
     const minBurstUnits =
--- a/src/relay/accounts/relay_accounts.ts
+++ b/src/relay/accounts/relay_accounts.ts
@@ -10,12 +10,12 @@
 } from '../fleet/peer_request_client.js';
 import {createPeerRequestServer} from '../fleet/peer_request_server.js';
 import type {Peer, Summary} from '../fleet/peer_datagrams.js';
+import type {RelayBounds} from '../relay_bounds.js';
 import type {RelayMetrics} from '../relay_metrics.js';
 import type {RoutingState} from '../routing_state.js';
 import {
   createAccountAdmission,
   type AccountAdmission,
-  type AccountAdmissionOptions,
 } from './account_admission.js';
 import {createServiceShares, type ServiceShares} from './service_shares.js';
 import {createAccountLimiter} from './account_limiter.js';
@@ -34,6 +34,8 @@
 
 export interface RelayAccountsHost {
   readonly clock: Clock;
+  /** The bounds in use, which may change while the process runs. */
+  bounds(): Pick<RelayBounds, 'limitSlack' | 'keyWithdrawalMs'>;
   readonly random: Random;
   readonly createLogger: (part: string) => Logger;
   readonly metrics: RelayMetrics;
@@ -70,11 +72,6 @@
   receive(fromHostId: string, message: QuotaMessage): void;
 }
 
-export interface RelayAccountsOptions extends AccountAdmissionOptions {
-  /** Units by which hosts may together exceed a limit; 0 if absent. */
-  readonly limitSlack?: number;
-}
-
 /**
  * Hosts that are cut off share this part of the slack; the rest covers units
  * that are on their way between hosts.
@@ -82,20 +79,18 @@
 const TOLERANCE_SHARE = 3 / 4;
 const NO_ROUTES: readonly Route[] = [];
 
-export function createRelayAccounts(
-  host: RelayAccountsHost,
-  options: RelayAccountsOptions,
-): RelayAccounts {
+export function createRelayAccounts(host: RelayAccountsHost): RelayAccounts {
   const {clock, random, createLogger, metrics, routing, self} = host;
   const startedAtMs = clock.nowMs();
   const aliveMs = () => Math.round(clock.nowMs() - startedAtMs);
   const storeTime = createStoreTime(clock);
   const freshness = createConfigurationFreshness({clock, storeTime});
   const quotaOf = (account: string) => routing.accounts().get(account)?.quota;
-  const pools = createLimitPools(
-    {clock, random, hostId: self.hostId, quotaOf, hostCount: host.hostCount},
-    {toleranceUnits: (options.limitSlack ?? 0) * TOLERANCE_SHARE},
-  );
+  const pools = createLimitPools({
+    ...{clock, random, hostId: self.hostId, quotaOf},
+    hostCount: host.hostCount,
+    toleranceUnits: () => (host.bounds().limitSlack ?? 0) * TOLERANCE_SHARE,
+  });
   const ledger = createSpendingLedger({clock, pools, quotaOf});
   const owner = createQuotaOwner({
     clock,
@@ -143,19 +138,17 @@
     hostId: self.hostId,
     ownerCandidates: host.ownerCandidates,
   });
-  const admission = createAccountAdmission(
-    {
-      log: createLogger('accounts'),
-      metrics,
-      freshness,
-      limiter,
-      priorities: createRoutePriorities(
-        () => routing.current()?.routes ?? NO_ROUTES,
-      ),
-      accounts: routing.accounts,
-    },
-    options,
-  );
+  const admission = createAccountAdmission({
+    log: createLogger('accounts'),
+    metrics,
+    freshness,
+    limiter,
+    priorities: createRoutePriorities(
+      () => routing.current()?.routes ?? NO_ROUTES,
+    ),
+    accounts: routing.accounts,
+    keyWithdrawalMs: () => host.bounds().keyWithdrawalMs,
+  });
   const shares = createServiceShares({
     clock,
     weightOf: account => quotaOf(account)?.unitsPerS ?? 1,
--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -28,6 +28,11 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly durations: Pick<CallDurations, 'recent'>;
+  /**
+   * Time from the signal until the process is killed. The one in force when
+   * leaving begins counts.
+   */
+  graceMs(): number;
   /** Returns the number of requests that haven't ended. */
   openCount(): number;
   lastRequestAtMs(): number;
@@ -45,11 +50,6 @@
   onLeave(): void;
 }
 
-export interface LeavingOptions {
-  /** Time from the signal until the process is killed. */
-  readonly graceMs: number;
-}
-
 export interface Leaving {
   /** Called once the signal is handled, `waitedMs` after it was received. */
   start(waitedMs?: number): void;
@@ -111,16 +111,30 @@
   stream: STREAM_RESERVE,
 };
 
-export function createLeaving(
-  host: LeavingHost,
-  options: LeavingOptions,
-): Leaving {
+/** Times since the signal, by the grace. */
+interface LeavingTimes {
+  readonly graceMs: number;
+  /** When connections are closed. */
+  readonly closeAfterMs: number;
+  /** When all answers have been written. */
+  readonly answerAfterMs: number;
+  /** Until when requests begin that may outlast the grace. */
+  readonly openForMs: number;
+}
+
+function toTimes(graceMs: number): LeavingTimes {
+  const closeAfterMs = graceMs - KILL_MARGIN_MS;
+  return {
+    graceMs,
+    closeAfterMs,
+    answerAfterMs: closeAfterMs - ANSWER_MARGIN_MS,
+    openForMs: Math.min(graceMs * OPEN_SHARE, MAX_OPEN_MS),
+  };
+}
+
+export function createLeaving(host: LeavingHost): Leaving {
   const {clock, log} = host;
-  const closeAfterMs = options.graceMs - KILL_MARGIN_MS;
-  const answerAfterMs = closeAfterMs - ANSWER_MARGIN_MS;
-  const openForMs = Math.min(options.graceMs * OPEN_SHARE, MAX_OPEN_MS);
-  /** Begins throughout the open time. */
-  const assumedMs = answerAfterMs - openForMs;
+  let times = toTimes(host.graceMs());
   let startedAtMs: number | undefined;
   /** Since when this host could read requests without a break. */
   let runningSinceMs = clock.nowMs();
@@ -138,7 +152,7 @@
       detail: 'Connect to another entry.',
       retryAfterMs: host.hasOtherEntry()
         ? OTHER_ENTRY_RETRY_MS
-        : leftMs(options.graceMs, sinceStartMs()) + RESTART_MS,
+        : leftMs(times.graceMs, sinceStartMs()) + RESTART_MS,
     };
   }
 
@@ -147,6 +161,9 @@
     recent: RecentDurations | undefined,
     {factor, manyRequests}: Reserve,
   ): number {
+    const {answerAfterMs, openForMs} = times;
+    // Such a request begins throughout the open time.
+    const assumedMs = answerAfterMs - openForMs;
     if (!recent) return assumedMs;
     const longestMs = recent.longestMs * factor;
     const doubt = Math.max(1, manyRequests / recent.count);
@@ -157,19 +174,19 @@
   function isExpectedToEnd({route, service}: BeginningRequest): boolean {
     const recent = host.durations.recent(service.name);
     const expectedMs = toExpectedMs(recent, RESERVES[route.kind]);
-    return sinceStartMs() + expectedMs <= answerAfterMs;
+    return sinceStartMs() + expectedMs <= times.answerAfterMs;
   }
 
   function findRefusal(beginning: BeginningRequest): RequestError | undefined {
     if (startedAtMs === undefined) return undefined;
     const latestEndAtMs = Math.max(beginning.deadlineAtMs, clock.nowMs());
-    if (latestEndAtMs <= startedAtMs + answerAfterMs) return undefined;
+    if (latestEndAtMs <= startedAtMs + times.answerAfterMs) return undefined;
     const {route, caller} = beginning;
     // A stream that is cut takes along the requests behind it; other requests
     // are answered before the end.
     const mayBeFollowed = route.kind === 'stream' && caller.isPipelined;
     const mayOutlast =
-      sinceStartMs() < openForMs &&
+      sinceStartMs() < times.openForMs &&
       !mayBeFollowed &&
       // Without another entry, a refusal costs a caller more than the risk.
       (!host.hasOtherEntry() || isExpectedToEnd(beginning));
@@ -186,7 +203,7 @@
       route: route.name,
       service: service.name,
       afterMs: Math.round(nowMs - startedAtMs),
-      restMs: Math.round(startedAtMs + answerAfterMs - nowMs),
+      restMs: Math.round(startedAtMs + times.answerAfterMs - nowMs),
       deadlineInMs: Math.round(leftMs(deadlineAtMs, nowMs)),
       ...host.durations.recent(service.name),
     });
@@ -211,13 +228,13 @@
   function check(): void {
     const nowMs = clock.nowMs();
     const sinceMs = sinceStartMs();
-    if (sinceMs >= answerAfterMs) host.endUnanswered(toRefusal());
+    if (sinceMs >= times.answerAfterMs) host.endUnanswered(toRefusal());
     else host.refuseWaiting(findRefusal);
     const quietSinceMs = Math.max(runningSinceMs, host.lastRequestAtMs());
     const isQuiet = host.openCount() === 0 && nowMs - quietSinceMs >= QUIET_MS;
     const isDone = sinceMs >= MIN_LEAVE_MS && isQuiet;
     if (isDone) end();
-    else if (sinceMs >= closeAfterMs) clock.setTimer(WRITE_DELAY_MS, end);
+    else if (sinceMs >= times.closeAfterMs) clock.setTimer(WRITE_DELAY_MS, end);
     else checkLater();
   }
 
@@ -234,7 +251,9 @@
     start(waitedMs = 0) {
       if (startedAtMs !== undefined) return;
       startedAtMs = toSignalAtMs(waitedMs);
+      times = toTimes(host.graceMs());
       log.info('Leaving.', {
+        graceMs: times.graceMs,
         openRequests: host.openCount(),
         signalAgeMs: Math.round(sinceStartMs()),
       });
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -45,6 +45,7 @@
 import {createRelayRetries} from './retries/relay_retries.js';
 import {createOrdersLease} from './roles/orders_lease.js';
 import {createRoleOrders} from './roles/role_orders.js';
+import {createLiveSettings, type SettingChanges} from './live_settings.js';
 import type {RelaySettings} from './relay_settings.js';
 import {createRoutingState} from './routing_state.js';
 import {createAddressOpener} from './start/address_opener.js';
@@ -69,7 +70,10 @@
 const START_MARGIN_MS = 2_000;
 
 export interface RelayProcess {
-  leave(): void;
+  /** Begins to leave, `waitedMs` after the signal for it was received. */
+  leave(waitedMs?: number): void;
+  /** Uses the new values of the settings that take effect at once. */
+  applySettings(next: RelaySettings): SettingChanges;
   /** Resolves to the number of requests that were broken off, normally 0. */
   readonly ended: Promise<number>;
 }
@@ -79,6 +83,7 @@
   options: RelayProcessOptions,
 ): Promise<RelayProcess> {
   const {settings, adapters, metrics, createLogger} = options;
+  const live = createLiveSettings(settings);
   const clock = createSystemClock();
   const random = createSystemRandom();
   const log = createLogger('relay');
@@ -122,21 +127,19 @@
     ),
     knownPeerCount: () => peers.knownCount(),
   });
-  const accounts = createRelayAccounts(
-    {
-      clock,
-      random,
-      createLogger,
-      metrics,
-      routing,
-      self,
-      hostCount: () => fleetSize.count(),
-      ownerCandidates: () =>
-        peers.isMesh() ? ownerIds() : peers.coordinatorIds(),
-      send: (hostId, message) => peers.sendMessage(hostId, message),
-    },
-    settings,
-  );
+  const accounts = createRelayAccounts({
+    clock,
+    bounds: live.current,
+    random,
+    createLogger,
+    metrics,
+    routing,
+    self,
+    hostCount: () => fleetSize.count(),
+    ownerCandidates: () =>
+      peers.isMesh() ? ownerIds() : peers.coordinatorIds(),
+    send: (hostId, message) => peers.sendMessage(hostId, message),
+  });
   const remainingPeerIds = createDerivedList(
     () => peers.alive(),
     alive =>
@@ -289,7 +292,7 @@
     random,
     createLogger,
     metrics,
-    limits: () => settings,
+    limits: live.current,
     self,
     peers,
     hostCount: fleetSize.count,
@@ -388,29 +391,27 @@
     mayHaveRun: sending.mayHaveRun,
   });
   const loopLateness = createLoopLateness(clock, setImmediate);
-  const leaving = createLeaving(
-    {
-      clock,
-      log,
-      durations,
-      signalsHandledUntilMs: loopLateness.handledUntilMs,
-      hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
-      refuseWaiting: openJobs.refuseWaiting,
-      endUnanswered(notRun) {
-        openJobs.endUnanswered(notRun);
-        bodies.refuseOpen(notRun);
-      },
-      openCount: () => front.openCount() + forwarding.server.activeCount(),
-      lastRequestAtMs: () => front.lastRequestAtMs(),
-      onLeave() {
-        placement.refresh();
-        peers.changed('coordinators');
-        resumption.handOver();
-        watch.unregister();
-      },
+  const leaving = createLeaving({
+    clock,
+    log,
+    durations,
+    graceMs: () => live.current().leaveGraceMs,
+    signalsHandledUntilMs: loopLateness.handledUntilMs,
+    hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
+    refuseWaiting: openJobs.refuseWaiting,
+    endUnanswered(notRun) {
+      openJobs.endUnanswered(notRun);
+      bodies.refuseOpen(notRun);
     },
-    {graceMs: settings.leaveGraceMs},
-  );
+    openCount: () => front.openCount() + forwarding.server.activeCount(),
+    lastRequestAtMs: () => front.lastRequestAtMs(),
+    onLeave() {
+      placement.refresh();
+      peers.changed('coordinators');
+      resumption.handOver();
+      watch.unregister();
+    },
+  });
   const silence = createEngineSilence({
     clock,
     probes,
@@ -512,7 +513,7 @@
       callerAddress: settings.callerAddress,
       failureDomain: settings.failureDomain,
       isStoreReachable: watch.isStoreReachable() || !readers.isCandidate(),
-      capacity: toHostCapacity(settings),
+      capacity: toHostCapacity(live.current()),
     };
   }
 
@@ -625,5 +626,9 @@
     return openCount;
   }
 
-  return {leave: leaving.start, ended: leaving.ended.then(stop)};
+  return {
+    leave: leaving.start,
+    applySettings: live.apply,
+    ended: leaving.ended.then(stop),
+  };
 }
--- a/tests/relay/accounts/account_admission_test.ts
+++ b/tests/relay/accounts/account_admission_test.ts
@@ -14,20 +14,18 @@
   // they hardly touch.
   const charges: Charge[] = [];
   const account = {name: 'a', keyDigests: ['k'], quota: QUOTA};
-  const admission = createAccountAdmission(
-    {
-      freshness: {ageMs: () => 0},
-      priorities: {of: ({priority}: Route) => priority},
-      accounts: () => ({requiresKey: true, findByKey: () => account}),
-      limiter: {
-        take(charge: Charge) {
-          charges.push(charge);
-          return {kind: 'allowed'};
-        },
+  const admission = createAccountAdmission({
+    freshness: {ageMs: () => 0},
+    priorities: {of: ({priority}: Route) => priority},
+    accounts: () => ({requiresKey: true, findByKey: () => account}),
+    limiter: {
+      take(charge: Charge) {
+        charges.push(charge);
+        return {kind: 'allowed'};
       },
-    } as unknown as AccountAdmissionHost,
-    {},
-  );
+    },
+    keyWithdrawalMs: () => undefined,
+  } as unknown as AccountAdmissionHost);
   const route = {priority: 2, isPublic: false} as Route;
   const prompt = {model: 'm', promptTokens: 3_200, maxOutputTokens: 1_000};
   const request = {requestId: 'r', keyDigest: 'k'} as RelayRequest;
--- a/tests/relay/accounts/quota_fleet.ts
+++ b/tests/relay/accounts/quota_fleet.ts
@@ -150,10 +150,10 @@
       aliveMs: clock.nowMs() - bornAtMs,
     });
     const quotaOf = () => quota;
-    const pools = createLimitPools(
-      {clock, random, hostId, quotaOf, hostCount: () => hostCount},
-      {toleranceUnits: TOLERANCE_UNITS},
-    );
+    const pools = createLimitPools({
+      ...{clock, random, hostId, quotaOf, hostCount: () => hostCount},
+      toleranceUnits: () => TOLERANCE_UNITS,
+    });
     const ledger = createSpendingLedger({clock, pools, quotaOf});
     let asked: QuotaRequest | undefined;
     const grant: SpendingLedger['grant'] = (from, account, cost, reserve) => {
--- a/tests/relay/accounts/quota_owner_test.ts
+++ b/tests/relay/accounts/quota_owner_test.ts
@@ -15,16 +15,14 @@
   const clock = createVirtualClock(1_000);
   const quotaOf = () => QUOTA;
   const hostId = 'host-1';
-  const pools = createLimitPools(
-    {
-      clock,
-      random: createSeededRandom(1),
-      hostId,
-      quotaOf,
-      hostCount: () => 2,
-    },
-    {toleranceUnits: 0},
-  );
+  const pools = createLimitPools({
+    clock,
+    random: createSeededRandom(1),
+    hostId,
+    quotaOf,
+    hostCount: () => 2,
+    toleranceUnits: () => 0,
+  });
   const ledger = createSpendingLedger({clock, pools, quotaOf});
   // The bucket begins half full.
   for (const each of [hostId, 'host-2']) {
--- a/tests/relay/front/leaving_test.ts
+++ b/tests/relay/front/leaving_test.ts
@@ -18,6 +18,7 @@
 interface LeavingState {
   hasEnded: boolean;
   hasOtherEntry: boolean;
+  graceMs: number;
   recent?: RecentDurations;
   /** The refusal of a waiting call, if it is refused. */
   waitingRefusal?: ErrorKind;
@@ -34,6 +35,7 @@
   lateMs = 0,
   waitedMs = 0,
   handledAgoMs = 0,
+  graceMs = GRACE_MS,
 } = {}) {
   const clock = createVirtualClock(1_000);
   const ownClock = createFreezableClock(clock);
@@ -45,6 +47,7 @@
   const state: LeavingState = {
     hasEnded: false,
     hasOtherEntry: true,
+    graceMs: GRACE_MS,
     isAnswerSoon: false,
   };
   let isAnswerWritten = false;
@@ -55,31 +58,30 @@
     service: {name: 'ledger'} as Service,
     deadlineAtMs: clock.nowMs() + waitMs,
   });
-  const leaving = createLeaving(
-    {
-      clock: host,
-      log: silentLog,
-      openCount: () => (isAnswerWritten ? 0 : openCount),
-      lastRequestAtMs: () => 1_000,
-      durations: {recent: () => state.recent},
-      signalsHandledUntilMs: () => 1_000 - handledAgoMs,
-      hasOtherEntry: () => state.hasOtherEntry,
-      refuseWaiting(find) {
-        state.waitingRefusal = find(toRequest('idempotent', 3_000))?.kind;
-      },
-      endUnanswered({kind}) {
-        state.endedWith ??= kind;
-        // An answer is written once the process gets to it.
-        clock.setTimer(0, () => (isAnswerWritten = state.isAnswerSoon));
-      },
-      onLeave: () => undefined,
+  const leaving = createLeaving({
+    clock: host,
+    log: silentLog,
+    graceMs: () => state.graceMs,
+    openCount: () => (isAnswerWritten ? 0 : openCount),
+    lastRequestAtMs: () => 1_000,
+    durations: {recent: () => state.recent},
+    signalsHandledUntilMs: () => 1_000 - handledAgoMs,
+    hasOtherEntry: () => state.hasOtherEntry,
+    refuseWaiting(find) {
+      state.waitingRefusal = find(toRequest('idempotent', 3_000))?.kind;
     },
-    {graceMs: GRACE_MS},
-  );
+    endUnanswered({kind}) {
+      state.endedWith ??= kind;
+      // An answer is written once the process gets to it.
+      clock.setTimer(0, () => (isAnswerWritten = state.isAnswerSoon));
+    },
+    onLeave: () => undefined,
+  });
   void leaving.ended.then(count => {
     state.hasEnded = true;
     state.openAtEnd = count;
   });
+  state.graceMs = graceMs;
   leaving.start(waitedMs);
   const refuse = (kind: RouteKind, waitMs: number, isPipelined?: boolean) =>
     leaving.refuse(toRequest(kind, waitMs, isPipelined));
@@ -251,3 +253,15 @@
   await clock.advance(1_950);
   assert.equal(refuse('stream', 14_000), undefined);
 });
+
+for (const graceMs of [4_000, 12_000]) {
+  test(`a host leaves by the grace in force at the signal, ${graceMs} ms, whatever it was before or is later`, async () => {
+    // Guards against requests that are cut as a host goes by an earlier grace.
+    const {clock, state} = startLeaving({openCount: 1, graceMs});
+    state.graceMs = GRACE_MS;
+    await clock.advance(graceMs - 400);
+    assert.equal(state.hasEnded, false);
+    await clock.advance(200);
+    assert.equal(state.hasEnded, true);
+  });
+}
