A run that its engine holds without progress is kept

Cause: an engine that answers probes while a run is silent was taken for proof that the run's connection is dead. A preempted run looks the same.

Change: reports are compared while a run is silent. It is left at a live engine if it makes events that don't arrive or if the engine doesn't have it; kept if it is held without progress, since closing its connection doesn't end it at every engine; kept up to the last start if it may be among those that wait. Engines without such reports and runs without an event: as before.

--- a/src/ports/relay.ts
+++ b/src/ports/relay.ts
@@ -209,6 +209,16 @@
   readonly orderCount: number;
   /** Unix time of the start, if the engine reports it. */
   readonly startedAtMs?: number;
+  /** Absent if the engine doesn't report its runs. */
+  readonly runs?: EngineRuns;
+}
+
+/** The work of an engine, as of some hundred ms before its report. */
+export interface EngineRuns {
+  /** Events made, by the id of the request. */
+  readonly eventCounts: ReadonlyMap<string, number>;
+  /** Number of requests that wait, those that were preempted included. */
+  readonly waitingCount: number;
 }
 
 export interface RoleOrder {
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -52,6 +52,7 @@
 import {createProcessServers} from './start/process_servers.js';
 import {createEngineProbes} from './silence/engine_probes.js';
 import {createEngineSilence} from './silence/engine_silence.js';
+import {createRunReports} from './silence/run_reports.js';
 import {createStoreReaders} from './fleet/store_readers.js';
 import {createStoreEra} from './store/store_era.js';
 import {createStoreWatch} from './store/store_watch.js';
@@ -415,6 +416,7 @@
   const silence = createEngineSilence({
     clock,
     probes,
+    reports: createRunReports({clock, upstreamPort}),
     registry,
     runs: crashes.runs,
   });
--- a/src/relay/silence/engine_silence.ts
+++ b/src/relay/silence/engine_silence.ts
@@ -9,10 +9,12 @@
 import type {RunLog} from '../crashes/run_log.js';
 import type {UpstreamRegistry} from '../store/upstream_registry.js';
 import type {EngineProbes} from './engine_probes.js';
+import type {RunReports} from './run_reports.js';
 
 export interface EngineSilenceHost {
   readonly clock: Clock;
   readonly probes: EngineProbes;
+  readonly reports: RunReports;
   readonly registry: Pick<UpstreamRegistry, 'open'>;
   readonly runs: Pick<
     RunLog,
@@ -21,6 +23,8 @@
 }
 
 export interface EngineSilence {
+  /** What engines report of silent runs. */
+  readonly reports: RunReports;
   /** Probes an engine whose run is silent, and some others of its service. */
   investigate(engine: Upstream): void;
   /** Whether the engine has sent anything, on any connection, since then. */
@@ -115,6 +119,7 @@
     runs.wasSilentSince(engineId, clock.nowMs() - AWAKE_MS);
 
   return {
+    reports: host.reports,
     investigate(engine) {
       void probes.probe(engine);
       const others = readDecodeEngines(engine.service).filter(
--- a/src/relay/silence/run_watch.ts
+++ b/src/relay/silence/run_watch.ts
@@ -12,11 +12,15 @@
   type CancellationSource,
 } from '../front/cancellation.js';
 import type {EngineSilence} from './engine_silence.js';
+import type {RunAtEngine} from './run_reports.js';
 import {findLeaveReason, type LeaveReason} from './silence_rules.js';
 
 export interface RunWatchHost<Successor> {
   readonly clock: Clock;
   readonly silence: EngineSilence;
+  readonly requestId: string;
+  /** Whether the run has sent an event. */
+  hasBegun(): boolean;
   /** Latest moment at which another run would start in time for the caller. */
   lastStartAtMs(): number;
   /**
@@ -94,6 +98,12 @@
     return silence.wasAliveAfter(engine.id, sinceMs);
   }
 
+  /** A request that has sent no event doesn't run yet, wherever it waits. */
+  function findAtEngine(): RunAtEngine {
+    if (!host.hasBegun()) return 'unreported';
+    return silence.reports.find(engine.id, host.requestId, silentSinceMs);
+  }
+
   function arm(delayMs: number): void {
     armedAtMs = clock.nowMs();
     armedForMs = delayMs;
@@ -110,6 +120,7 @@
     if (silentMs() < SUSPECT_MS) return arm(SUSPECT_MS - silentMs());
     arm(CHECK_INTERVAL_MS);
     if (!wasAliveWithin(PROBE_INTERVAL_MS)) silence.investigate(engine);
+    if (host.hasBegun()) silence.reports.ask(engine);
     if (!wasAliveWithin(ALIVE_VALID_MS)) aliveSinceMs = undefined;
     else aliveSinceMs ??= clock.nowMs();
     if (preparing || clock.nowMs() < nextTryAtMs) return;
@@ -117,6 +128,7 @@
       silentMs: silentMs(),
       aliveForMs:
         aliveSinceMs === undefined ? undefined : clock.nowMs() - aliveSinceMs,
+      atEngine: findAtEngine(),
       isCommon: silence.isCommon(engine.service),
       untilLastStartMs: host.lastStartAtMs() - clock.nowMs(),
     });
--- a/src/relay/streams/stream_relay.ts
+++ b/src/relay/streams/stream_relay.ts
@@ -91,6 +91,8 @@
     return createRunWatch<Successor>(state.placement.decode, {
       clock,
       silence: host.silence,
+      requestId: state.job.request.requestId,
+      hasBegun: () => state.events > 0,
       lastStartAtMs: () => toWaitingForNext(state).giveUpAtMs,
       prepare: (reason, cancellation) =>
         successors.prepare(state, reason, cancellation),
--- a/stand_ins/users_platform/engine_stand_in.ts
+++ b/stand_ins/users_platform/engine_stand_in.ts
@@ -10,6 +10,7 @@
 import {resetSocket} from '../reset_socket.js';
 import {createEngineOrders} from './engine_orders.js';
 import {createPauseGate} from './pause_gate.js';
+import {createRunProgress} from './run_progress.js';
 import type {
   CrashedPort,
   EngineArrival,
@@ -61,6 +62,7 @@
   let isUnframed = false;
   let breakOff: StreamBreak | undefined;
   const gate = createPauseGate();
+  const progress = createRunProgress(options.preemption);
   /** Open connections on which nothing is sent any more. */
   const silenced = new WeakSet<Socket>();
 
@@ -195,10 +197,17 @@
     const canBreakOff = !breakOff?.isFirstRunOnly || lastEventId === undefined;
     let next = Number(lastEventId ?? '0') + 1;
     let sentCount = 0;
+    progress.begin(run.requestId);
+    const endRun = () => {
+      clearInterval(timer);
+      progress.end(run.requestId);
+    };
     const timer = setInterval(() => {
-      if (gate.isPaused) return;
+      if (gate.isPaused || progress.isPreempted(run.requestId)) return;
       if (isSilenced(response)) {
         run.silencedAtMs ??= performance.now();
+        // What it makes is lost on the way.
+        progress.noteEvent(run.requestId);
         return;
       }
       if (sentCount >= stallAfter) {
@@ -218,16 +227,17 @@
       }
       response.write(formatEvent(next, version, options.eventBytes));
       run.lastEventAtMs = performance.now();
+      progress.noteEvent(run.requestId);
       sentCount++;
       // A caller may resume after the last event, when nothing is left to send.
       if (next >= eventCount) {
-        clearInterval(timer);
+        endRun();
         response.end();
       }
       next++;
     }, nextIntervalMs());
     response.on('close', () => {
-      clearInterval(timer);
+      if (!options.preemption?.keepsRuns) endRun();
       if (!response.writableFinished) markDisconnected(run);
     });
   }
@@ -310,9 +320,9 @@
       response.end();
     } else if (message.url === '/corianderbend/report') {
       response.writeHead(200, {'Content-Type': 'application/json'});
-      response.end(
-        JSON.stringify({stage: role, busy: false, seq: orders.taken.length}),
-      );
+      const state = {stage: role, busy: false, seq: orders.taken.length};
+      const runsOfStreams = options.reportsRuns && {runs: progress.report()};
+      response.end(JSON.stringify({...state, ...runsOfStreams}));
     } else if (message.url === '/corianderbend/order') {
       response.writeHead(orders.take(body));
       response.end();
--- a/stand_ins/users_platform/engine_stand_in_types.ts
+++ b/stand_ins/users_platform/engine_stand_in_types.ts
@@ -1,6 +1,7 @@
 /** Options, records and controls of the engine stand-in. */
 
 import type http from 'node:http';
+import type {Preemption} from './run_progress.js';
 
 /** How the upstream handles the following requests. */
 export type EngineBehaviour =
@@ -85,6 +86,9 @@
   readonly version?: string;
   /** Returns how the run crashes the upstream, or that it fails, if it does. */
   readonly crashOf?: (run: EngineRun) => Crash | 'fail' | undefined;
+  /** Whether the engine's report lists its runs. */
+  readonly reportsRuns?: boolean;
+  readonly preemption?: Preemption;
   /** A run has crashed the upstream. */
   readonly onCrash?: (upstream: EngineStandIn) => void;
 }
--- a/tests/relay/front/caller_buffers_test.ts
+++ b/tests/relay/front/caller_buffers_test.ts
@@ -98,6 +98,8 @@
       watch: createRunWatch(makeEngine('d1'), {
         clock,
         silence: makeFakeSilence(),
+        requestId: 'q1',
+        hasBegun: () => true,
         lastStartAtMs: () => 60_000,
         prepare: () => Promise.resolve('next'),
         onKept: () => {},
--- a/tests/relay/silence/engine_silence_test.ts
+++ b/tests/relay/silence/engine_silence_test.ts
@@ -1,3 +1,4 @@
+import {makeFakeSilence} from './fake_silence.js';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
@@ -27,6 +28,7 @@
   };
   const silence = createEngineSilence({
     clock,
+    reports: makeFakeSilence().reports,
     registry: {open: () => engines},
     runs: runLog,
     probes: createEngineProbes({clock, upstreamPort: {probe}}),
--- a/tests/relay/silence/fake_silence.ts
+++ b/tests/relay/silence/fake_silence.ts
@@ -6,6 +6,7 @@
   changes: Partial<EngineSilence> = {},
 ): EngineSilence {
   return {
+    reports: {ask: () => undefined, find: () => 'unreported'},
     investigate: () => undefined,
     wasAliveAfter: () => false,
     hasRespondedSince: () => false,
--- a/tests/relay/silence/run_watch_test.ts
+++ b/tests/relay/silence/run_watch_test.ts
@@ -3,6 +3,7 @@
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import type {Cancellation} from '../../../src/ports/relay.js';
 import type {EngineSilence} from '../../../src/relay/silence/engine_silence.js';
+import type {RunAtEngine} from '../../../src/relay/silence/run_reports.js';
 import {createRunWatch} from '../../../src/relay/silence/run_watch.js';
 import {makeEngine} from '../placement/lone_scheduler.js';
 import {makeFakeSilence} from './fake_silence.js';
@@ -12,6 +13,7 @@
 interface WatchChanges {
   readonly silence?: Partial<EngineSilence>;
   readonly lastStartAtMs?: number;
+  readonly hasBegun?: boolean;
   /** Preparations that find nothing. */
   readonly failureCount?: number;
 }
@@ -24,6 +26,8 @@
   const watch = createRunWatch<string>(makeEngine('d1'), {
     clock,
     silence: makeFakeSilence(changes.silence),
+    requestId: 'q1',
+    hasBegun: () => changes.hasBegun ?? true,
     lastStartAtMs: () => changes.lastStartAtMs ?? 3_000,
     async prepare(reason, cancellation) {
       prepared.push({atMs: clock.nowMs(), cancellation});
@@ -92,6 +96,40 @@
     assert.equal(watch.departure?.reason, 'dead-connection');
   });
 
+  // Guards against a request that two engines work on: one that has preempted a
+  // run goes on with it, and may do so although its connection has closed.
+  const KEPT_FOR_MS: Readonly<Record<RunAtEngine, number>> = {
+    unreported: 1_300,
+    undecided: Infinity,
+    advancing: 1_300,
+    held: Infinity,
+    waiting: 3_000,
+    absent: 1_300,
+  };
+  for (const [atEngine, keptForMs] of Object.entries(KEPT_FOR_MS)) {
+    test(`is left at a live engine after ${keptForMs} ms if it is ${atEngine} there`, async () => {
+      const silence = {
+        wasAliveAfter: () => true,
+        reports: {ask: () => undefined, find: () => atEngine as RunAtEngine},
+      };
+      const {clock, prepared} = watchRun({silence});
+      await clock.advance(8_000);
+      if (keptForMs === Infinity) return assert.deepEqual(prepared, []);
+      const [{atMs}] = prepared;
+      assert.ok(atMs >= keptForMs && atMs < keptForMs + 400, `${atMs}`);
+    });
+  }
+
+  test('that has sent no event is left although its engine holds it', async () => {
+    const silence = {
+      wasAliveAfter: () => true,
+      reports: {ask: () => undefined, find: () => 'held' as const},
+    };
+    const {clock, prepared} = watchRun({silence, hasBegun: false});
+    await clock.advance(1_700);
+    assert.equal(prepared.length, 1);
+  });
+
   // Guards against taking bytes from before a pause for a dead connection.
   test('is kept in a pause that begins after bytes of other runs', async () => {
     const lastSeenAtMs = 250;
