Uploads that a leaving host can't answer are refused at once and not counted as cut

Nothing had run, and its caller can tell; but the exit code said that work was lost. A leaving host also read such bodies after the time of its last answers, until its next check refused them.

Change: after that time a request is refused as its head arrives; the exit code counts requests that were read whole or whose answer has begun, and the line `Left.` names both numbers.

--- a/src/relay/front/leaving.ts
+++ b/src/relay/front/leaving.ts
@@ -35,6 +35,8 @@
   graceMs(): number;
   /** Returns the number of requests that haven't ended. */
   openCount(): number;
+  /** Of these, the number that was read whole or whose answer has begun. */
+  cutCount(): number;
   lastRequestAtMs(): number;
   /** Signals that arrived before this time have been handled. */
   signalsHandledUntilMs(): number;
@@ -56,7 +58,12 @@
   isLeaving(): boolean;
   /** Returns an error if the request may not begin now. */
   refuse(request: BeginningRequest): RequestError | undefined;
-  /** Resolves to the number of requests that hadn't ended. */
+  /** Returns an error if no request that arrives now can be answered. */
+  refuseArriving(): RequestError | undefined;
+  /**
+   * Resolves to the number of requests that are cut. One that wasn't read whole
+   * has not run, and its caller can tell.
+   */
   readonly ended: Promise<number>;
 }
 
@@ -138,7 +145,7 @@
   let startedAtMs: number | undefined;
   /** Since when this host could read requests without a break. */
   let runningSinceMs = clock.nowMs();
-  let resolveEnded: (openCount: number) => void = () => undefined;
+  let resolveEnded: (cutCount: number) => void = () => undefined;
   const ended = new Promise<number>(resolve => {
     resolveEnded = resolve;
   });
@@ -211,9 +218,13 @@
   }
 
   function end(): void {
-    const openRequests = host.openCount();
-    log.info('Left.', {openRequests, afterMs: Math.round(sinceStartMs())});
-    resolveEnded(openRequests);
+    const cutRequests = host.cutCount();
+    log.info('Left.', {
+      openRequests: host.openCount(),
+      cutRequests,
+      afterMs: Math.round(sinceStartMs()),
+    });
+    resolveEnded(cutRequests);
   }
 
   function checkLater(): void {
@@ -262,6 +273,10 @@
     },
     isLeaving: () => startedAtMs !== undefined,
     refuse,
+    refuseArriving: () =>
+      startedAtMs !== undefined && sinceStartMs() >= times.answerAfterMs
+        ? toRefusal()
+        : undefined,
     ended,
   };
 }
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -44,6 +44,8 @@
   limits(): CallerLimits | undefined;
   /** Returns whether connections are closed after the next answer. */
   isLeaving(): boolean;
+  /** Returns an error if no request that arrives now can be answered. */
+  refuseArriving(): RequestError | undefined;
 }
 
 export interface RelayFront {
@@ -51,6 +53,8 @@
   applyLimits(limits: CallerLimits): void;
   /** Returns the number of requests that are being read, run or answered. */
   openCount(): number;
+  /** Of these, the number that was read whole or whose answer has begun. */
+  cutCount(): number;
   /** Returns the time at which the last request arrived. */
   lastRequestAtMs(): number;
   closeIdle(): void;
@@ -194,7 +198,7 @@
     if (!hasRoom) return resources.toRefusal('Too many requests are open.');
     return host.connections.isRefused(socket)
       ? resources.toRefusal('Too many connections.')
-      : undefined;
+      : host.refuseArriving();
   }
 
   /** Ends a request that this host failed to handle. */
@@ -316,6 +320,10 @@
       server.headersTimeout = limits.headerTimeoutMs;
     },
     openCount: () => open.size,
+    cutCount: () =>
+      [...open].filter(
+        ({message, response}) => message.complete || response.headersSent,
+      ).length,
     lastRequestAtMs: () => lastRequestAtMs,
     closeIdle: () => server.closeIdleConnections(),
     close() {
--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -75,7 +75,7 @@
   leave(waitedMs?: number): void;
   /** Uses the new values of the settings that take effect at once. */
   applySettings(next: RelaySettings): SettingChanges;
-  /** Resolves to the number of requests that were broken off, normally 0. */
+  /** Resolves to the number of requests that were cut, normally 0. */
   readonly ended: Promise<number>;
 }
 
@@ -405,6 +405,7 @@
       bodies.refuseOpen(notRun);
     },
     openCount: () => front.openCount() + forwarding.server.activeCount(),
+    cutCount: () => front.cutCount() + forwarding.server.activeCount(),
     lastRequestAtMs: () => front.lastRequestAtMs(),
     onLeave() {
       placement.refresh();
@@ -481,6 +482,7 @@
     relay,
     limits: () => routing.current()?.limits,
     isLeaving: leaving.isLeaving,
+    refuseArriving: leaving.refuseArriving,
   });
 
   /** The store readers that stay, in the same order at all hosts. */
@@ -613,7 +615,7 @@
     startMs: Math.round(clock.nowMs()),
   });
 
-  async function stop(openCount: number): Promise<number> {
+  async function stop(cutCount: number): Promise<number> {
     handover.stop();
     loopLateness.stop();
     roleOrders.stop();
@@ -624,8 +626,8 @@
     servers.close();
     exchange.close();
     datagrams.close();
-    log.info('Stopped.', {hostId, openRequests: openCount});
-    return openCount;
+    log.info('Stopped.', {hostId, cutRequests: cutCount});
+    return cutCount;
   }
 
   return {
--- a/tests/relay/front/leaving_test.ts
+++ b/tests/relay/front/leaving_test.ts
@@ -63,6 +63,7 @@
     log: silentLog,
     graceMs: () => state.graceMs,
     openCount: () => (isAnswerWritten ? 0 : openCount),
+    cutCount: () => (isAnswerWritten ? 0 : openCount),
     lastRequestAtMs: () => 1_000,
     durations: {recent: () => state.recent},
     signalsHandledUntilMs: () => 1_000 - handledAgoMs,
--- a/tests/relay/front/pipeline_test.ts
+++ b/tests/relay/front/pipeline_test.ts
@@ -67,6 +67,7 @@
     },
     limits: () => undefined,
     isLeaving: () => isLeaving,
+    refuseArriving: () => undefined,
   };
   const front: RelayFront = createRelayFront(host);
   const address = await findFreeAddress();
--- a/tests/relay/front/raw_front.ts
+++ b/tests/relay/front/raw_front.ts
@@ -4,7 +4,10 @@
 import type {TestContext} from 'node:test';
 import {createVirtualClock} from '../../../src/core/virtual_clock.js';
 import {createBodyReader} from '../../../src/relay/front/body_reader.js';
-import {createRelayFront} from '../../../src/relay/front/relay_front.js';
+import {
+  createRelayFront,
+  type RelayFrontHost,
+} from '../../../src/relay/front/relay_front.js';
 import {createConnectionLimit} from '../../../src/relay/limits/connection_limit.js';
 import type {Relay} from '../../../src/relay/relay.js';
 import {findFreeAddress} from '../../support/free_address.js';
@@ -58,6 +61,7 @@
   readonly maxConnections?: number;
   readonly waitMs?: number;
   readonly handle?: Relay['handle'];
+  readonly refuseArriving?: RelayFrontHost['refuseArriving'];
 }
 
 const answer: Relay['handle'] = async (_, caller) => {
@@ -112,6 +116,7 @@
       idleTimeoutMs: 3_000,
     }),
     isLeaving: () => false,
+    refuseArriving: options.refuseArriving ?? (() => undefined),
   });
   const address = await findFreeAddress();
   await front.listen(address);
@@ -119,6 +124,8 @@
   return {
     clock,
     memory,
+    cutCount: front.cutCount,
+    openCount: front.openCount,
     /** The bodies of the requests that were run. */
     bodies,
     connect: (text?: string) => connectRaw(address, text),
--- a/tests/relay/front/relay_front_test.ts
+++ b/tests/relay/front/relay_front_test.ts
@@ -41,6 +41,7 @@
   connections: createUnlimitedConnections(),
   limits: () => undefined,
   isLeaving: () => false,
+  refuseArriving: () => undefined,
 };
 
 /** Resolves to the status of an answer, or to the error of the connection. */
