--- a/tests/soak/soak_run.ts
+++ b/tests/soak/soak_run.ts
@@ -28,6 +28,7 @@
   findOwnExits,
   type Overload,
 } from './overload.js';
+import {measureOwnLateness} from './configuration_hosts.js';
 import {
   findViolations,
   withAllDisruptions,
@@ -78,7 +79,10 @@
   readonly answeredShare: number;
   /** The number of calls by how they ended: a status, or `closed` or `left`. */
   readonly ends: Readonly<Record<string, number>>;
-  /** One line for each violated guarantee. */
+  /**
+   * One line for each violated guarantee; with any, another line if the player
+   * itself, which is also the store and the upstreams, stood still.
+   */
   readonly broken: readonly string[];
   /**
    * One line for each part of prompts that crashed upstreams, and one for the
@@ -100,6 +104,8 @@
 const SPAN_MS = 250;
 const DEADLINE_MS = 4_000;
 const ROUTE_TIMEOUT_SLACK_MS = 1_000;
+/** No host is in touch with a store that stands still for this long. */
+const OWN_STOP_MS = 500;
 
 const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -169,6 +175,7 @@
   overload: Overload | undefined,
 ): Promise<SoakResult> {
   const random = createSeededRandom(options.seed);
+  const endLateness = measureOwnLateness();
   const {durationMs, kinds} = options;
   const faults = options.faults ?? planFaults(random, durationMs, kinds);
   const now = () => performance.now();
@@ -225,6 +232,7 @@
     retrySlack: options.retrySlack ?? RETRY_SLACK,
     left,
   };
+  const ownLatenessMs = endLateness();
   const begun = records.filter(({sentAtMs}) => sentAtMs >= startedAtMs);
   const usual = records.filter(({route}) => route === undefined);
   return {
@@ -235,13 +243,13 @@
     servedShare: callers.servedShare(),
     answeredShare: findAnsweredShare(usual),
     ends: countEnds(usual),
-    broken: [
+    broken: withOwnStop(ownLatenessMs, [
       ...problems.filter(each => each !== undefined),
       ...findViolations(evidence),
       ...findOwnExits(site),
       ...(overload ? findLostRequests(begun, disruptions) : []),
       ...(overload?.findEnded() ?? []),
-    ],
+    ]),
     measured: [
       ...describeParts(evidence),
       ...describeConfigurations(withAllDisruptions(evidence)),
@@ -249,6 +257,16 @@
   };
 }
 
+/** Says whether the player stood still, so that the run shows nothing. */
+export function withOwnStop(
+  ownLatenessMs: number,
+  broken: readonly string[],
+): readonly string[] {
+  const hasStopped = ownLatenessMs >= OWN_STOP_MS;
+  if (broken.length === 0 || !hasStopped) return broken;
+  return [...broken, `void: the player stood still for ${ownLatenessMs} ms`];
+}
+
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const folder = path.join(options.folder, `seed-${options.seed}`);
   mkdirSync(folder, {recursive: true});
