--- a/src/relay/relay_process.ts
+++ b/src/relay/relay_process.ts
@@ -3,82 +3,46 @@
  * configuration and upstreams first, then the servers for callers.
  */
 
-import {createHttpExchange} from '../adapters/http_exchange.js';
-import {splitAddress} from '../adapters/listen.js';
-import {createProcessMemory} from '../adapters/process_memory.js';
 import {createSystemClock} from '../adapters/system_clock.js';
 import {createSystemRandom} from '../adapters/system_random.js';
-import {createUdpDatagramPort} from '../adapters/udp_datagram.js';
-import {createDerivedList} from '../core/derived_list.js';
-import type {Logger} from '../ports/log.js';
 import {createPlainBalancer} from '../scheduling/plain_balancer.js';
 import {createRelayAccounts} from './accounts/relay_accounts.js';
 import {createBackpressure} from './backpressure/backpressure.js';
-import {createBodyReader} from './front/body_reader.js';
-import {createCallDurations} from './front/call_durations.js';
-import {createCallerBuffers} from './front/caller_buffers.js';
-import {listEntries} from './front/host_directory.js';
-import {createLeaving} from './front/leaving.js';
-import {createLoopLateness} from './loop_lateness.js';
+import {createCallerResources} from './caller_resources.js';
+import {announceChanges} from './change_announcements.js';
 import {createFleetSize} from './fleet/fleet_size.js';
-import {toHostCapacity} from './fleet/host_capacity.js';
-import type {HostState} from './fleet/members.js';
-import {createConnectionLimit} from './limits/connection_limit.js';
-import {createResourceLimits} from './limits/resource_limits.js';
 import {rankOwners} from './fleet/owners.js';
+import type {PeerMessage} from './fleet/peer_datagrams.js';
 import {createPeerExchange} from './fleet/peer_exchange.js';
-import type {OwnState} from './fleet/peer_exchange_types.js';
 import {createPeerSync} from './fleet/peer_sync.js';
+import {createRemainingHosts} from './fleet/remaining_hosts.js';
+import {hasOtherSeeds, toSeedAddresses} from './fleet/seed_addresses.js';
+import {createStoreReaders} from './fleet/store_readers.js';
+import {createCallDurations} from './front/call_durations.js';
+import {listEntries} from './front/host_directory.js';
+import {createRelayFront} from './front/relay_front.js';
+import {createHostState} from './host_state.js';
+import {createLiveSettings} from './live_settings.js';
+import {createLoopLateness} from './loop_lateness.js';
 import {createOpenJobs} from './open_jobs.js';
 import {createPeerState} from './peer_state.js';
+import {createRelayPlacement} from './placement/relay_placement.js';
 import {createPlainPlacement} from './plain/plain_placement.js';
-import {createPlainRelay} from './plain/plain_relay.js';
-import {applyPlainUpstreams} from './plain/plain_upstreams.js';
-import {createRelay} from './relay.js';
-import {createRelayUpstreamPort} from './relay_upstream_port.js';
-import type {RelayAdapters} from './relay_adapters.js';
+import {createProcessLeaving} from './process_leaving.js';
 import {registerGauges} from './relay_gauges.js';
-import {createRelayPlacement} from './placement/relay_placement.js';
-import {createRelayFront} from './front/relay_front.js';
-import type {RelayMetrics} from './relay_metrics.js';
+import type {RelayProcess, RelayProcessOptions} from './relay_process_types.js';
+import {createRelayUpstreamPort} from './relay_upstream_port.js';
+import {createRequestRelays} from './request_relays.js';
 import {createResumption} from './resumption/resumption.js';
 import {createRelayRetries} from './retries/relay_retries.js';
-import {createOrdersLease} from './roles/orders_lease.js';
-import {createRoleOrders} from './roles/role_orders.js';
-import {createLiveSettings, type SettingChanges} from './live_settings.js';
-import type {RelaySettings} from './relay_settings.js';
+import {createPlannedRoleOrders} from './roles/planned_role_orders.js';
 import {createRoutingState} from './routing_state.js';
-import {createAddressOpener} from './start/address_opener.js';
+import {openProcessNetwork} from './start/process_network.js';
 import {createProcessServers} from './start/process_servers.js';
-import {createEngineProbes} from './silence/engine_probes.js';
-import {createEngineSilence} from './silence/engine_silence.js';
-import {createRunReports} from './silence/run_reports.js';
-import {createStoreReaders} from './fleet/store_readers.js';
 import {createStoreEra} from './store/store_era.js';
 import {createStoreWatch} from './store/store_watch.js';
-import {createStreamRelay} from './streams/stream_relay.js';
 import {createUpstreamRegistry} from './store/upstream_registry.js';
 
-export interface RelayProcessOptions {
-  readonly settings: RelaySettings;
-  readonly adapters: RelayAdapters;
-  readonly metrics: RelayMetrics;
-  readonly createLogger: (part: string) => Logger;
-  /** Whether the process was told to end before it served. */
-  isEnding?(): boolean;
-}
-
-const START_MARGIN_MS = 2_000;
-
-export interface RelayProcess {
-  /** Begins to leave, `waitedMs` after the signal for it was received. */
-  leave(waitedMs?: number): void;
-  /** Uses the new values of the settings that take effect at once. */
-  applySettings(next: RelaySettings): SettingChanges;
-  /** Resolves to the number of requests that were cut, normally 0. */
-  readonly ended: Promise<number>;
-}
-
 /** Resolves when the process accepts requests; rejects with a `StartError`. */
 export async function startRelay(
   options: RelayProcessOptions,
@@ -88,24 +52,11 @@
   const clock = createSystemClock();
   const random = createSystemRandom();
   const log = createLogger('relay');
-  const exchange = createHttpExchange({
-    clock,
-    onConnect: () => metrics.count('upstream_connections'),
-  });
-  // A predecessor holds its addresses until the end of its grace at most.
-  const giveUpAfterMs = settings.leaveGraceMs + START_MARGIN_MS;
-  const opener = createAddressOpener(
-    {clock, log, isEnding: options.isEnding ?? (() => false)},
-    {giveUpAfterMs},
+  const network = await openProcessNetwork(
+    {clock, log, metrics, isEnding: options.isEnding ?? (() => false)},
+    settings,
   );
-  const datagrams = await opener.open({
-    what: 'peers over UDP',
-    address: settings.peerAddress,
-    open: () =>
-      createUdpDatagramPort(settings.peerAddress, error =>
-        log.warn('The datagram socket failed.', {reason: error.message}),
-      ),
-  });
+  const {exchange, opener, datagrams} = network;
 
   const routing = createRoutingState(createLogger('configuration'));
   const registry = createUpstreamRegistry({
@@ -119,65 +70,53 @@
     log: createLogger('store'),
     onEra: storeEra.note,
   });
-  const {port: peerPort} = splitAddress(settings.peerAddress);
-  const self = {hostId: settings.hostId, incarnation: random.nextId()};
+  const {hostId} = settings;
+  const send = (toHostId: string, message: PeerMessage) =>
+    peers.sendMessage(toHostId, message);
+  const announceToCoordinators = () => peers.changed('coordinators');
+  const alivePeers = () => peers.alive();
+  /** What most parts need of the process. */
+  const base = {
+    ...{clock, random, metrics, createLogger},
+    ...{hostId, routing, registry},
+  };
+  const self = {hostId, incarnation: random.nextId()};
   const fleetSize = createFleetSize({
-    hostId: settings.hostId,
-    hasSeeds: settings.seedAddresses.some(
-      seed => splitAddress(seed).ip !== splitAddress(settings.peerAddress).ip,
-    ),
+    hostId,
+    hasSeeds: hasOtherSeeds(settings),
     knownPeerCount: () => peers.knownCount(),
   });
   const accounts = createRelayAccounts({
-    clock,
+    ...base,
     bounds: live.current,
-    random,
-    createLogger,
-    metrics,
-    routing,
     self,
     hostCount: () => fleetSize.count(),
     ownerCandidates: () =>
-      peers.isMesh() ? ownerIds() : peers.coordinatorIds(),
-    send: (hostId, message) => peers.sendMessage(hostId, message),
+      peers.isMesh() ? remaining.ownerIds() : peers.coordinatorIds(),
+    send,
+  });
+  const remaining = createRemainingHosts({
+    hostId,
+    peers: alivePeers,
+    isLeaving: () => leaving.isLeaving(),
   });
-  const remainingPeerIds = createDerivedList(
-    () => peers.alive(),
-    alive =>
-      alive.filter(({state}) => state !== 'leaving').map(({hostId}) => hostId),
-  );
-  const remainingHostIds = createDerivedList(remainingPeerIds, ids => [
-    settings.hostId,
-    ...ids,
-  ]);
-  /** A leaving host owns no limits, not even for its own requests. */
-  const ownerIds = () =>
-    leaving.isLeaving() ? remainingPeerIds() : remainingHostIds();
   const backpressure = createBackpressure({
-    clock,
-    random,
+    ...base,
     log: createLogger('backpressure'),
-    metrics,
-    hostId: settings.hostId,
-    registry,
-    hostIds: ownerIds,
-    send: (hostId, message) => peers.sendMessage(hostId, message),
-    onChange: () => peers.changed('coordinators'),
+    hostIds: remaining.ownerIds,
+    send,
+    onChange: announceToCoordinators,
   });
   const readers = createStoreReaders({
-    hostId: settings.hostId,
-    peers: () => peers.alive(),
+    hostId,
+    peers: alivePeers,
     isStoreReachable: () => watch.isStoreReachable(),
   });
   const watch = createStoreWatch(
     {
-      clock,
-      random,
-      log: createLogger('store'),
-      metrics,
+      ...base,
       ...sources,
-      routing,
-      registry,
+      log: createLogger('store'),
       storeEra,
       storeTime: accounts.storeTime,
       freshness: accounts.freshness,
@@ -191,49 +130,40 @@
         peers.addAddresses(records.map(({peerAddress}) => peerAddress));
       },
     },
-    {hostId: settings.hostId, peerAddress: settings.peerAddress},
+    settings,
   );
 
-  const placement = createRelayPlacement({
-    clock,
-    random,
-    createLogger,
-    hostId: settings.hostId,
-    capacity: () => ownState().capacity,
+  const hostState = createHostState({
+    live,
     routing,
     registry,
-    isReady: () => hostState() === 'ready',
+    readers,
+    watch,
+    peers: alivePeers,
+    isLeaving: () => leaving.isLeaving(),
+  });
+  const placement = createRelayPlacement({
+    ...base,
+    capacity: () => hostState.announced().capacity,
+    isReady: hostState.isReady,
     isChanging: engineId => roleOrders.changing().includes(engineId),
     isPaused: engineId => backpressure.gate.blockedForMs(engineId) > 0,
     mayBegin: engine => resumption.mayBegin(engine),
-    send: (hostId, message) => peers.sendMessage(hostId, message),
+    send,
     members: () => peers.alive(),
     isOverShare: accounts.shares.isOverShare,
     onPlaced: accounts.shares.record,
     onChange: () => peers.changed(),
   });
-  const {engineLoads, statistics} = placement;
   const peers = createPeerExchange(
     {
       clock,
       log: createLogger('peers'),
       datagrams,
-      ownState,
+      ownState: hostState.announced,
       ...createPeerState({
-        ownState,
-        parts: () => ({
-          watch,
-          placement,
-          plainPlaces,
-          accounts,
-          backpressure,
-          crashes,
-          forwarding,
-          registry,
-          roleOrders,
-          retries,
-          resumption,
-        }),
+        ownState: hostState.announced,
+        parts: () => parts,
       }),
       onMembersChange: placement.refresh,
       isNear: placement.isUpdatedAtOnce,
@@ -248,13 +178,9 @@
     {
       ...self,
       peerAddress: settings.peerAddress,
-      // All hosts use the same peer port, but a seed may contain another port.
-      seedAddresses: settings.seedAddresses.map(
-        seed => `${splitAddress(seed).ip}:${peerPort}`,
-      ),
+      seedAddresses: toSeedAddresses(settings),
     },
   );
-
   const handover = createPeerSync({
     clock,
     log: createLogger('handover'),
@@ -270,121 +196,77 @@
     onUpstreamsFetched: watch.noteFetchedList,
   });
 
-  const balancer = createPlainBalancer(
-    {clock, random},
-    {ownFailureDomain: settings.failureDomain},
-  );
+  const balancer = createPlainBalancer(base, {
+    ownFailureDomain: settings.failureDomain,
+  });
   const plainPlaces = createPlainPlacement({
-    clock,
-    random,
+    ...base,
     log: createLogger('slots'),
-    hostId: settings.hostId,
-    registry,
     balancer,
     keepers: placement.keepers,
     keeperCount: placement.groupCount,
-    hostCount: () => remainingHostIds().length,
+    hostCount: () => remaining.hostIds().length,
     shares: accounts.shares,
     leastUrgent: placement.priorities.leastUrgent,
-    send: (hostId, message) => peers.sendMessage(hostId, message),
+    send,
   });
   const retries = createRelayRetries({
-    clock,
-    random,
-    createLogger,
-    metrics,
+    ...base,
     limits: live.current,
     self,
     peers,
     hostCount: fleetSize.count,
-    routing,
   });
   const resumption = createResumption({
-    clock,
-    random,
+    ...base,
     log: createLogger('resumption'),
-    metrics,
-    hostId: settings.hostId,
-    registry,
-    routing,
-    peers: () => peers.alive(),
+    peers: alivePeers,
     isMesh: () => peers.isMesh(),
-    archiverIds: findReadyReaderIds,
+    archiverIds: hostState.readyReaderIds,
     table: sources.leaseTable,
     storeEra: storeEra.current,
-    isWriter: () => isPlanner(),
-    send: (hostId, message) => peers.sendMessage(hostId, message),
+    isWriter: hostState.isPlanner,
+    send,
     onOpen: placement.scheduler.processQueue,
   });
-  const resources = createResourceLimits(
-    {
-      clock,
-      processMemory: createProcessMemory(),
-      log: createLogger('limits'),
-      metrics,
-      hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
-    },
-    settings,
-  );
-  const {memory} = resources;
-  const bodies = createBodyReader({
-    clock,
-    log: createLogger('bodies'),
-    metrics,
-    resources,
-  });
-  const callerBuffers = createCallerBuffers({
-    clock,
-    log: createLogger('front'),
-    metrics,
-    memory,
-  });
+  const {resources, memory, bodies, callerBuffers, connections, ...limits} =
+    createCallerResources(
+      {
+        clock,
+        createLogger,
+        metrics,
+        hasOtherEntry: hostState.hasOtherEntry,
+        headerTimeoutMs: () => routing.current()?.limits.headerTimeoutMs,
+      },
+      settings,
+    );
   const sending = createRelayUpstreamPort({
+    ...base,
     buffers: callerBuffers,
     bodies,
-    clock,
-    random,
-    createLogger,
-    metrics,
     exchange,
     adapters,
     backpressure,
-    registry,
     self: settings,
-    peers: () => peers.alive(),
-    isServing: () => hostState() === 'ready',
+    peers: alivePeers,
+    isServing: hostState.isReady,
     isTrialOwner: fingerprint =>
-      rankOwners('trial', fingerprint, remainingHostIds()).at(0) ===
+      rankOwners('trial', fingerprint, remaining.hostIds()).at(0) ===
       settings.hostId,
-    onChange: () => peers.changed('coordinators'),
+    onChange: announceToCoordinators,
   });
   const {upstreamPort, crashes, forwarding} = sending;
-  const probes = createEngineProbes({clock, upstreamPort});
-  const retryBudget = retries.allowance;
-  const shared = {clock, upstreamPort, registry, retryBudget};
-  const roleOrders = createRoleOrders(
+  const roleOrders = createPlannedRoleOrders(
     {
-      clock,
-      log: createLogger('orders'),
-      metrics,
-      registry,
-      engineLoads,
+      ...base,
+      ...placement,
       upstreamPort,
-      statistics,
-      lease: createOrdersLease(
-        {
-          clock,
-          random,
-          table: sources.leaseTable,
-          log: createLogger('orders'),
-        },
-        settings,
-      ),
+      table: sources.leaseTable,
       services: () => routing.current()?.services ?? [],
-      isPlanner: () => !forwarding.links.isIsolated() && isPlanner(),
-      onChange: () => peers.changed('coordinators'),
+      isPlanner: () => !forwarding.links.isIsolated() && hostState.isPlanner(),
+      onChange: announceToCoordinators,
     },
-    {hostId: settings.hostId},
+    settings,
   );
   const durations = createCallDurations({clock});
   const openJobs = createOpenJobs({
@@ -392,60 +274,20 @@
     mayHaveRun: sending.mayHaveRun,
   });
   const loopLateness = createLoopLateness(clock, setImmediate);
-  const leaving = createLeaving({
-    clock,
-    log,
-    durations,
-    graceMs: () => live.current().leaveGraceMs,
-    signalsHandledUntilMs: loopLateness.handledUntilMs,
-    hasOtherEntry: () => peers.alive().some(({state}) => state === 'ready'),
-    refuseWaiting: openJobs.refuseWaiting,
-    endUnanswered(notRun) {
-      openJobs.endUnanswered(notRun);
-      bodies.refuseOpen(notRun);
-    },
-    openCount: () => front.openCount() + forwarding.server.activeCount(),
-    cutCount: () => front.cutCount() + forwarding.server.activeCount(),
-    lastRequestAtMs: () => front.lastRequestAtMs(),
-    onLeave() {
-      placement.refresh();
-      peers.changed('coordinators');
-      resumption.handOver();
-      watch.unregister();
-    },
-  });
-  const silence = createEngineSilence({
-    clock,
-    probes,
-    reports: createRunReports({clock, upstreamPort}),
-    registry,
-    runs: crashes.runs,
+  const leaving = createProcessLeaving({
+    ...{clock, log, live, durations, openJobs, bodies, loopLateness},
+    ...{hostState, forwarding, placement, peers, resumption, watch},
+    front: () => front,
   });
-  const relay = createRelay({
-    clock,
-    random,
-    log: createLogger('request'),
-    metrics,
-    routing,
-    plain: createPlainRelay({
-      ...shared,
-      memory,
-      priorities: placement.priorities,
-      slots: plainPlaces.slots,
-      log: createLogger('plain'),
-      pausedMs: backpressure.gate.blockedForMs,
-      silence,
-    }),
-    streams: createStreamRelay({
-      ...placement,
-      ...shared,
-      memory,
-      metrics,
-      probes,
-      silence,
-      resumption,
-      log: createLogger('stream'),
-    }),
+  const relay = createRequestRelays({
+    ...base,
+    upstreamPort,
+    retryBudget: retries.allowance,
+    memory,
+    placement,
+    plainPlaces,
+    backpressure,
+    resumption,
     crashes,
     accounts: accounts.admission,
     durations,
@@ -457,20 +299,6 @@
     loopLatenessMs: loopLateness.recentMs,
     refuseForLeaving: leaving.refuse,
   });
-  const limitConnections = (
-    server: string,
-    maxConnections: number,
-    headerTimeoutMs?: () => number | undefined,
-  ) =>
-    createConnectionLimit(
-      {clock, log: createLogger('limits'), metrics, memory},
-      {server, maxConnections, headerTimeoutMs},
-    );
-  const connections = limitConnections(
-    'callers',
-    resources.maxCallerConnections,
-    () => routing.current()?.limits.headerTimeoutMs,
-  );
   const front = createRelayFront({
     clock,
     buffers: callerBuffers,
@@ -485,50 +313,8 @@
     refuseArriving: leaving.refuseArriving,
   });
 
-  /** The store readers that stay, in the same order at all hosts. */
-  function findReadyReaderIds(): readonly string[] {
-    const ready = new Set(hostState() === 'ready' ? [settings.hostId] : []);
-    for (const {hostId, state} of peers.alive()) {
-      if (state === 'ready') ready.add(hostId);
-    }
-    return readers.readerIds().filter(hostId => ready.has(hostId));
-  }
-
-  /**
-   * Returns the host that plans role orders. It must be a store reader: it
-   * needs the store for the lease, and readers receive the state of all hosts.
-   * The last one is chosen, since the first ones usually place requests for
-   * other hosts.
-   */
-  const findPlannerId = () => findReadyReaderIds().at(-1);
-
-  /** Whether this host reads and writes the store on behalf of all. */
-  function isPlanner(): boolean {
-    return (
-      hostState() === 'ready' &&
-      watch.isStoreReachable() &&
-      findPlannerId() === settings.hostId
-    );
-  }
-
-  function ownState(): OwnState {
-    return {
-      state: hostState(),
-      callerAddress: settings.callerAddress,
-      failureDomain: settings.failureDomain,
-      isStoreReachable: watch.isStoreReachable() || !readers.isCandidate(),
-      capacity: toHostCapacity(live.current()),
-    };
-  }
-
-  function hostState(): HostState {
-    if (leaving.isLeaving()) return 'leaving';
-    const isServing = routing.current() !== undefined && registry.isKnown();
-    return isServing ? 'ready' : 'starting';
-  }
-
   const platformHandler = adapters.createAuxiliaryHandler({
-    isReady: () => hostState() === 'ready',
+    isReady: hostState.isReady,
     entries: () =>
       listEntries({clock, random, self: peers.self, peers: peers.alive}),
   });
@@ -536,9 +322,7 @@
     {
       clock,
       log,
-      // A request that has only begun may be closed for another one.
-      limitConnections: (server, maxConnections) =>
-        limitConnections(server, maxConnections, () => 0),
+      limitConnections: limits.limitConnections,
       maxPeerConnections: resources.maxPeerConnections,
       opener,
       front,
@@ -550,52 +334,32 @@
     settings,
   );
 
-  const applyUpstreams = () =>
-    applyPlainUpstreams({routing, registry, balancer});
-
-  routing.onChange(({limits}) => {
-    front.applyLimits(limits);
-    placement.refresh();
-    applyUpstreams();
-    // Readers and coordinators announce a new version to all hosts. Others
-    // announce it only to nearby hosts: many apply it at once, and the
-    // coordinators have it already.
-    const isHeardByAll = readers.isReader() || peers.isCoordinator();
-    peers.changed(isHeardByAll ? 'all' : 'near');
-  });
-  let announcedDigest: number | undefined;
-  let announcedLeaving = 0;
-  registry.onChange(() => {
-    applyUpstreams();
-    crashes.noteList();
-    resumption.noteList();
-    placement.onUpstreamsRead();
-    const leavingCount = registry.leaving('self').length;
-    if (leavingCount > announcedLeaving) peers.changed('coordinators');
-    announcedLeaving = leavingCount;
-    if (registry.digest() === announcedDigest) return;
-    announcedDigest = registry.digest();
-    if (readers.isReader()) peers.changed('coordinators');
-  });
-
+  const parts = {
+    watch,
+    placement,
+    plainPlaces,
+    accounts,
+    backpressure,
+    crashes,
+    forwarding,
+    registry,
+    roleOrders,
+    retries,
+    resumption,
+  };
+  announceChanges({...parts, routing, balancer, front, readers, peers});
   registerGauges(metrics, {
+    ...parts,
     relay,
     loopLateness,
     peers,
     readers,
     routing,
     storeEra,
-    watch,
-    registry,
-    placement,
-    plainPlaces,
     limits: backpressure.limits,
     callerBuffers,
     resources,
     connections,
-    crashes,
-    forwarding,
-    resumption,
   });
 
   await servers.listen();
@@ -605,7 +369,7 @@
   loopLateness.onTick(resources.watch.check);
   loopLateness.start();
   roleOrders.start();
-  const {hostId, callerAddress, peerAddress, storeAddress} = settings;
+  const {callerAddress, peerAddress, storeAddress} = settings;
   log.info('Serving.', {
     hostId,
     callerAddress,
@@ -616,16 +380,13 @@
   });
 
   async function stop(cutCount: number): Promise<number> {
-    handover.stop();
-    loopLateness.stop();
-    roleOrders.stop();
-    resumption.stop();
-    forwarding.links.stop();
-    watch.stop();
-    peers.stop();
+    const running = [
+      ...[handover, loopLateness, roleOrders, resumption],
+      ...[forwarding.links, watch, peers],
+    ];
+    for (const part of running) part.stop();
     servers.close();
-    exchange.close();
-    datagrams.close();
+    network.close();
     log.info('Stopped.', {hostId, cutRequests: cutCount});
     return cutCount;
   }
--- a/tests/platform/relay_site.ts
+++ b/tests/platform/relay_site.ts
@@ -3,7 +3,8 @@
 import http from 'node:http';
 import {createPlatformAdapters} from '../../platform/platform_adapters.js';
 import {createRelayMetrics} from '../../src/relay/relay_metrics.js';
-import {startRelay, type RelayProcess} from '../../src/relay/relay_process.js';
+import {startRelay} from '../../src/relay/relay_process.js';
+import type {RelayProcess} from '../../src/relay/relay_process_types.js';
 import type {RelaySettings} from '../../src/relay/relay_settings.js';
 import {createEngineStandIn} from '../../stand_ins/users_platform/engine_stand_in.js';
 import type {
