--- a/src/relay/relay_bounds.ts
+++ b/src/relay/relay_bounds.ts
@@ -47,7 +47,7 @@
 
 export type BoundName = keyof RelayBounds;
 
-/** A value that was replaced, or that has an effect nobody can want. */
+/** A value that was replaced, or whose effect is reported. */
 export interface BoundIssue {
   readonly setting: string;
   /** What the file contains; undefined if nothing. */
--- a/src/relay/relay_process_types.ts
+++ b/src/relay/relay_process_types.ts
@@ -11,7 +11,7 @@
   readonly adapters: RelayAdapters;
   readonly metrics: RelayMetrics;
   readonly createLogger: (part: string) => Logger;
-  /** Whether the process was told to end before it served. */
+  /** Whether a signal to end arrived before the process served. */
   isEnding?(): boolean;
 }
 
--- a/src/relay/silence/run_reports.ts
+++ b/src/relay/silence/run_reports.ts
@@ -1,6 +1,6 @@
 /**
  * What engines report of runs that send nothing, so that a run which its engine
- * has set aside is told from one whose connection is dead.
+ * has set aside can be distinguished from one whose connection is dead.
  *
  * An engine that goes on with a run whose connection is dead makes events that
  * don't arrive. One that has preempted the run makes none.
--- a/src/relay/start/process_network.ts
+++ b/src/relay/start/process_network.ts
@@ -16,7 +16,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: Pick<RelayMetrics, 'count'>;
-  /** Whether the process was told to end before it served. */
+  /** Whether a signal to end arrived before the process served. */
   isEnding(): boolean;
 }
 
