--- a/src/relay/silence/silence_rules.ts
+++ b/src/relay/silence/silence_rules.ts
@@ -4,8 +4,8 @@
  *
  * Silence alone doesn't show whether the engine has paused or is gone. If an
  * engine answers new calls, either it has set the run aside, which its reports
- * show, or the connection of the run is dead. Engines of one service that fall silent together have usually paused together
- * and go on together.
+ * show, or the connection of the run is dead. Engines of one service that fall
+ * silent together have usually paused together and go on together.
  */
 
 import type {RunAtEngine} from './run_reports.js';
