One name for the exit code of a host that has cut requests

leaving_scenarios.ts had a constant of its own beside that of soak_checks.ts, from which it is imported now.

--- a/tests/soak/leaving_scenarios.ts
+++ b/tests/soak/leaving_scenarios.ts
@@ -6,14 +6,12 @@
 import {before, test} from 'node:test';
 import {wasRefusedEarly} from './leaving_checks.js';
 import {playLeavingHosts, type LeavingScenario} from './leaving_hosts.js';
+import {EXIT_REQUESTS_ABORTED} from './soak_checks.js';
 import {LEAVE_GRACE_MS} from './soak_site.js';
 
 /** How long calls take that take no longer than usual, in ms. */
 export const SHORT_WORK_MS = {least: 20, most: 150};
 
-/** The exit code of a host that has cut streams. */
-const EXIT_REQUESTS_CUT = 1;
-
 export function testLeavingHosts(
   title: string,
   scenarios: Readonly<Record<string, LeavingScenario>>,
@@ -37,7 +35,9 @@
       const bad = result.exits.filter(
         ({hostId, end: {code, signal}}) =>
           code !== 0 &&
-          !(code === EXIT_REQUESTS_CUT && result.excusedHosts.has(hostId)) &&
+          !(
+            code === EXIT_REQUESTS_ABORTED && result.excusedHosts.has(hostId)
+          ) &&
           // A host that was suspended may have too little time left to exit.
           !(scenario.suspension && signal === 'SIGKILL'),
       );
--- a/tests/soak/soak_checks.ts
+++ b/tests/soak/soak_checks.ts
@@ -61,7 +61,7 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const SINGLE_RUN_KINDS: ReadonlySet<string> = new Set(['once', 'stream']);
 const MAX_RUNS = 2;
-const EXIT_REQUESTS_ABORTED = 1;
+export const EXIT_REQUESTS_ABORTED = 1;
 /** Hosts stop sending new work to a draining upstream within this time. */
 const DRAIN_MS = 2_000;
 /** Allows for delays on a busy machine; the bound itself is 2 s. */
