Answers are read by a strict parser, whatever the process was started with

Cause: the client of upstreams used the default parser of the process, and a lenient one joins or strips what is broken: ` X-Odd: 9` as the first line becomes `X-Odd: 9`, and as the line after `Transfer-Encoding: chunked` it makes that field `chunked X-Odd: 9`, so that the body is not decoded.

Each request asks for the strict parser now, which goes before the flag. Nothing behind a lenient parser could do the same: it hides the fault.

--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -177,6 +177,8 @@
       ] as unknown as http.OutgoingHttpHeaders,
       agent: call.mayReuseConnection ? agent : false,
       setHost: false,
+      // A lenient parser hides broken lines: it joins or strips them.
+      insecureHTTPParser: false,
     });
   }
 
