The head of an answer is checked where it is received

A plain service behind the product's own front that answered with the status 600 or 999 had it passed on to the caller, and the token stream of a model engine was read under such a status. Cause: the check of the status stood in the client of relays only; what undici's parser takes was taken as it was. On both ways no code of ours looked at the names and values of fields.

answer_head.ts checks a head: the status, and each field by Node's own rules for writing it, so that a head without a fault can be written again. Both HTTP clients ask it, whatever parser has read the head; one with a fault fails the call as broken.

Evidence: statuses 600 and 999 at the client of plain services, at the product's own front and in a token stream failed before (6 tests), and pass now; 000, 001, 099 and 101 passed before. Heads with bad names or values passed before at the own front, as undici refuses them.

The front of openai_client_test moved to front_site.ts for a second test.

--- a/src/adapters/http_caller.ts
+++ b/src/adapters/http_caller.ts
@@ -9,6 +9,7 @@
 
 import {Pool, type Dispatcher} from 'undici';
 import type {Clock} from '../ports/clock.js';
+import {findHeadFault} from './answer_head.js';
 import {createResetAwareConnector} from './reset_aware_connector.js';
 
 export interface HttpCallerHost {
@@ -95,6 +96,25 @@
   return failed('broken', code);
 }
 
+/** Undici's headers as alternating names and values. */
+function toRawHeaders(headers: HttpAnswer['headers']): readonly string[] {
+  return Object.entries(headers).flatMap(([name, values = []]) =>
+    [values].flat().flatMap(value => [name, value]),
+  );
+}
+
+/** Throws if the answer has begun with a head that no answer may have. */
+export function checkHead({
+  statusCode,
+  headers,
+  body,
+}: Dispatcher.ResponseData): void {
+  const fault = findHeadFault(statusCode, toRawHeaders(headers));
+  if (!fault) return;
+  body.on('error', () => undefined).destroy();
+  throw new Error(fault);
+}
+
 async function readWhole(
   body: AsyncIterable<Uint8Array>,
   maxBytes: number,
@@ -134,6 +154,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
+    checkHead(response);
     const body = await readWhole(response.body, options.maxAnswerBytes);
     return {
       kind: 'answered',
--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -15,6 +15,7 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '../ports/clock.js';
 import type {AnswerBody, Cancellation, RawHeaders} from '../ports/relay.js';
+import {findHeadFault} from './answer_head.js';
 import {createCallTimeouts} from './call_timeouts.js';
 import {isReset} from './connection_reset.js';
 import {splitAddress} from './listen.js';
@@ -288,10 +289,8 @@
       request.on('response', answer => {
         const headers = answer.rawHeaders;
         const {statusCode: status = 0} = answer;
-        if (!isFinalStatus(status)) {
-          fail(`the status ${status} is not that of an answer`);
-          return;
-        }
+        const fault = findHeadFault(status, headers);
+        if (fault) return fail(fault);
         // The end of a failure is passed on: its status is what matters.
         const mayEndEarly =
           call.body &&
@@ -332,11 +331,6 @@
   };
 }
 
-/** Informational answers precede the answer; 101 needs a request for it. */
-function isFinalStatus(status: number): boolean {
-  return status >= 200 && status <= 599;
-}
-
 /** Node reports a connection that closed without an answer as reset, too. */
 function isResetError(error: NodeJS.ErrnoException): boolean {
   return error.code === 'ECONNRESET';
--- a/tests/adapters/broken_heads_test.ts
+++ b/tests/adapters/broken_heads_test.ts
@@ -166,5 +166,17 @@
         await checkAnswers(client, answersWith(sound), BODY, SOUND_RUNS);
       });
     }
+
+    for (const status of ['000', '001', '099', '101', '600', '999']) {
+      test(`an answer with the status ${status} is broken`, async () => {
+        // Guards against numbers that no caller can take for an outcome.
+        const head = `HTTP/1.1 ${status} Odd\r\nContent-Length: ${BODY.length}`;
+        answer = {text: `${head}\r\n\r\n${BODY}`, closes: true};
+        splitAt = undefined;
+        for (const isReused of [false, true]) {
+          assert.equal(await client({method: 'GET', isReused}), 'broken');
+        }
+      });
+    }
   });
 }
--- a/tests/adapters/insecure_parser_test.ts
+++ b/tests/adapters/insecure_parser_test.ts
@@ -8,7 +8,10 @@
 import {test} from 'node:test';
 import {fileURLToPath} from 'node:url';
 
-const FILES = ['./broken_heads_test.js'] as const;
+const FILES = [
+  './broken_heads_test.js',
+  '../entry/plain_answers_test.js',
+] as const;
 
 async function runLenient(
   file: string,
--- a/tests/entry/openai_client_test.ts
+++ b/tests/entry/openai_client_test.ts
@@ -1,111 +1,54 @@
 import assert from 'node:assert/strict';
-import type {AddressInfo} from 'node:net';
 import {afterEach, test} from 'node:test';
 import OpenAI from 'openai';
-import {Registry} from 'prom-client';
-import {createMetrics} from '../../src/adapters/metrics.js';
-import {createSystemClock} from '../../src/adapters/system_clock.js';
-import {createAccountLimits} from '../../src/core/account_limits.js';
-import {createSeededRandom} from '../../src/core/seeded_random.js';
-import type {Settings} from '../../src/core/settings_types.js';
-import {digestCallerKey} from '../../src/core/caller_key.js';
-import {createCallerAuth} from '../../src/entry/caller_auth.js';
-import {createHttpFront, type HttpFront} from '../../src/entry/http_front.js';
+import type {ServiceSettings} from '../../src/core/settings_types.js';
 import type {
   ModelAnswerSink,
   ModelRequest,
   RequestRunner,
 } from '../../src/ports/answer_sink.js';
+import {
+  KEY,
+  OPERATOR_KEY,
+  startFrontSite,
+  type FrontSite,
+} from './front_site.js';
 
-const KEY = 'caller-key';
-const OPERATOR_KEY = 'operator-key';
 const WORDS = ['Members', ' met', ' four', ' times.'];
+const MAX_BODY_BYTES = 10_000;
 
-const settings: Settings = {
-  site: 'tartu-piirkond',
-  failureDomains: [{name: 'ylikool-saal'}],
-  services: [
-    {
-      kind: 'model',
-      name: 'aruande-koostaja',
-      models: ['aruande-koostaja'],
-      targets: {ttftMs: 5000, tokenIntervalMs: 100, waitMs: 60_000},
-      upstreams: [],
-      upstreamsFromHostList: true,
-      wasteWeight: 0.8,
-      maxQueued: 100,
-      retryBudget: 0.1,
-      enginesCheckFences: true,
-      keepAnswersMs: 0,
-    },
-  ],
-  accounts: [
-    {
-      name: 'raamatupidajad',
-      keySha256: [digestCallerKey(KEY)],
-      services: ['aruande-koostaja'],
-      requestsPerSecond: 100,
-      maxConcurrent: 10,
-      weight: 1,
-      requestClass: 'interactive',
-    },
-  ],
-  limits: {
-    maxBodyBytes: 10_000,
-    maxHeaderBytes: 8192,
-    maxConnections: 100,
-    maxStreams: 100,
-    bodyTimeoutMs: 5000,
-  },
-  coordination: {
-    leaseMs: 5000,
-    clockRateError: 0.01,
-    probeIntervalMs: 1000,
-    suspicionMs: 2000,
-    journalPartitions: 1,
-    journalFlushMs: 5,
-    tableWritesPerSecond: 300,
-    tableReadsPerSecond: 2000,
-    directoryTtlMs: 10_000,
-  },
+const service: ServiceSettings = {
+  kind: 'model',
+  name: 'aruande-koostaja',
+  models: ['aruande-koostaja'],
+  targets: {ttftMs: 5000, tokenIntervalMs: 100, waitMs: 60_000},
+  upstreams: [],
+  upstreamsFromHostList: true,
+  wasteWeight: 0.8,
+  maxQueued: 100,
+  retryBudget: 0.1,
+  enginesCheckFences: true,
+  keepAnswersMs: 0,
 };
 
 type RunModel = (request: ModelRequest, sink: ModelAnswerSink) => void;
 
-let front: HttpFront | undefined;
+let site: FrontSite | undefined;
 
 afterEach(async () => {
-  front?.server.closeAllConnections();
-  await front?.close();
-  front = undefined;
+  await site?.close();
+  site = undefined;
 });
 
 async function startFront(runModel: RunModel): Promise<string> {
-  const clock = createSystemClock();
-  const silent = () => {};
-  const runner: RequestRunner = {
+  const runner: Pick<RequestRunner, 'runModel'> = {
     runModel(request, sink) {
       runModel(request, sink);
-      return {callerGone: silent};
+      return {callerGone: () => undefined};
     },
-    runPlain: () => ({callerGone: silent}),
-    activeCount: () => 0,
   };
-  front = createHttpFront({
-    clock,
-    random: createSeededRandom(1),
-    log: {error: silent, warn: silent, info: silent, debug: silent},
-    runner,
-    limits: createAccountLimits({clock, entryCount: () => 1}),
-    metrics: createMetrics(new Registry()),
-    getSettings: () => ({settings, auth: createCallerAuth(settings)}),
-    getEntries: () => ({entries: [], ttlMs: 1000}),
-    isOperator: authorization => authorization === `Bearer ${OPERATOR_KEY}`,
-    isLeaving: () => false,
-  });
-  await front.listen('127.0.0.1:0');
-  const {port} = front.server.address() as AddressInfo;
-  return `http://127.0.0.1:${port}`;
+  site = await startFrontSite(runner, service, MAX_BODY_BYTES);
+  return site.origin;
 }
 
 function createCaller(origin: string): OpenAI {
