Answers that a peer passes on are checked like others

A host that has a peer make its calls took whatever head the peer passed on: the status 0 or 600, a blank or a control byte in a name, a control byte in a value. Cause: the outcome in a frame was cast to its type, so a peer of an older build could bring back what the client of this host refuses.

An outcome is taken only with the fields of its kind, and the head of an answer is checked by findHeadFault where it arrives. A faulty one is broken: the request may have run, no other peer makes the call, and the connection to the peer is closed.

--- a/src/relay/forwarding/forward_client.ts
+++ b/src/relay/forwarding/forward_client.ts
@@ -1,5 +1,6 @@
 /** Has peers make calls to upstreams that this host doesn't reach. */
 
+import {findHeadFault} from '../../adapters/answer_head.js';
 import type {HttpExchange, HttpHead} from '../../adapters/http_exchange.js';
 import type {Clock, TimerHandle} from '../../ports/clock.js';
 import type {
@@ -222,6 +223,13 @@
   }
 }
 
+/** An answer with a head that no answer may have counts as broken. */
+function checkHead(outcome: ForwardOutcome): ForwardOutcome {
+  if (outcome.kind !== 'answered') return outcome;
+  const fault = findHeadFault(outcome.status, outcome.headers);
+  return fault === undefined ? outcome : {kind: 'broken', detail: fault};
+}
+
 /** Whether another peer may make the call, since nothing was sent. */
 function isUnreached(forwarded: Forwarded): boolean {
   if (forwarded.kind !== 'outcome') return false;
@@ -247,10 +255,11 @@
         resolve(undefined),
       );
     });
-    const outcome = await Promise.race([answer.readOutcome(), timeout]);
+    const received = await Promise.race([answer.readOutcome(), timeout]);
     if (timer) clock.clearTimer(timer);
+    const outcome = received && checkHead(received);
+    if (!outcome || outcome !== received) answer.body.destroy();
     if (outcome) return {kind: 'outcome', outcome, body: answer.body};
-    answer.body.destroy();
     return cancellation?.isCancelled
       ? {kind: 'cancelled'}
       : {kind: 'lost', detail: PEER_BROKE_OFF};
--- a/src/relay/forwarding/forward_frames.ts
+++ b/src/relay/forwarding/forward_frames.ts
@@ -62,10 +62,7 @@
 >([
   [
     FRAME_CODES.outcome,
-    payload => ({
-      kind: 'outcome',
-      outcome: JSON.parse(payload.toString()) as ForwardOutcome,
-    }),
+    payload => ({kind: 'outcome', outcome: decodeOutcome(payload)}),
   ],
   [FRAME_CODES.data, bytes => ({kind: 'data', bytes})],
   [FRAME_CODES.end, () => ({kind: 'end'})],
@@ -75,6 +72,13 @@
   ],
 ]);
 
+/** Throws if the bytes are no outcome. */
+function decodeOutcome(payload: Buffer): ForwardOutcome {
+  const outcome: unknown = JSON.parse(payload.toString());
+  if (!isOutcome(outcome)) throw new Error('The peer sent no outcome.');
+  return outcome;
+}
+
 function payloadOf(frame: Frame): Buffer {
   switch (frame.kind) {
     case 'outcome':
@@ -177,6 +181,30 @@
   return Array.isArray(value) && value.every(each => typeof each === 'string');
 }
 
+const isAny = () => true;
+
+/** Whether an outcome of each kind has the fields that are used of it. */
+const OUTCOME_CHECKS: Readonly<
+  Record<ForwardOutcome['kind'], (fields: Record<string, unknown>) => boolean>
+> = {
+  answered: ({status, headers}) =>
+    typeof status === 'number' && isTextList(headers),
+  prefilled: ({handle}) => typeof handle === 'string',
+  probed: isAny,
+  unreachable: isAny,
+  withheld: isAny,
+  quarantined: isAny,
+  rejected: isAny,
+  broken: isAny,
+  cancelled: isAny,
+};
+
+function isOutcome(value: unknown): value is ForwardOutcome {
+  if (!isObject(value) || typeof value.kind !== 'string') return false;
+  if (!Object.hasOwn(OUTCOME_CHECKS, value.kind)) return false;
+  return OUTCOME_CHECKS[value.kind as ForwardOutcome['kind']](value);
+}
+
 function isCall(value: unknown): value is ForwardCall {
   if (!isObject(value)) return false;
   const {kind, upstreamId, request, options, place} = value;
--- a/tests/relay/forwarding/forward_frames_test.ts
+++ b/tests/relay/forwarding/forward_frames_test.ts
@@ -7,6 +7,7 @@
   encodeCall,
   encodeFrame,
   type ForwardCall,
+  type ForwardOutcome,
   type Frame,
 } from '../../../src/relay/forwarding/forward_frames.js';
 
@@ -60,3 +61,18 @@
   const body = Buffer.from('body');
   assert.deepEqual(decodeCall(encodeCall(probe, body)), {call: probe, body});
 });
+
+test('an outcome without the fields of its kind is rejected', () => {
+  // Guards against a peer of another build that fails the request of a caller.
+  const invalid = [
+    null,
+    {kind: 'toString'},
+    {kind: 'answered', status: '200', headers: []},
+    {kind: 'answered', status: 200, headers: [1, 2]},
+    {kind: 'prefilled'},
+  ] as unknown as readonly ForwardOutcome[];
+  for (const outcome of invalid) {
+    const bytes = encodeFrame({kind: 'outcome', outcome});
+    assert.throws(() => createFrameReader().push(bytes));
+  }
+});
--- a/tests/relay/forwarding/forwarding_test.ts
+++ b/tests/relay/forwarding/forwarding_test.ts
@@ -316,3 +316,41 @@
   assert.deepEqual(await answer, outcome);
   assert.deepEqual(next.sent, []);
 });
+
+// Guards against a peer of another build that passes on what no answer may have.
+for (const [name, head] of Object.entries({
+  'the status 0': {status: 0},
+  'the status 600': {status: 600},
+  'a blank in a name': {headers: ['X Odd', '1']},
+  'a control byte in a name': {headers: ['X\x01', '1']},
+  'a control byte in a value': {headers: ['X-Odd', '\x01']},
+  'a name without a value': {headers: ['X-Odd']},
+})) {
+  test(`an answer that a peer passes on with ${name} is broken`, async t => {
+    const hosts = await createHosts(3);
+    const [cut, , next] = hosts;
+    cut.behaviour = 'refuse';
+    const outcome = {
+      kind: 'answered',
+      status: 200,
+      headers: [],
+      hasSignature: true,
+      ...head,
+    } as const;
+    let isClosed = false;
+    const server = http.createServer((message, response) => {
+      response.once('close', () => (isClosed = true));
+      message.resume().on('end', () => {
+        response.write(encodeFrame({kind: 'outcome', outcome}));
+        response.write(encodeFrame({kind: 'data', bytes: Buffer.from('ok')}));
+        response.write(encodeFrame({kind: 'end'}));
+      });
+    });
+    await replacePeer(hosts, server, t);
+    const answer = await send(cut);
+    assert.ok('kind' in answer && answer.kind === 'broken');
+    assert.deepEqual(next.sent, []);
+    await untilTrue(() => isClosed);
+    assert.ok(isClosed);
+  });
+}
