A head that can't be written ends its answer with an error

Callers of resumable streams got an empty 200 without the engine's stamp, framed as complete, where Node doesn't write the head of the answer; those of other streams waited for their deadline. Cause: begin in front/http_caller.ts marked the answer as begun before writeHead, which throws. The next event was written all the same, and Node sent a head of its own before it.

begin marks the answer as begun once its head is written. A head that Node refuses is replaced by 502, and the request is cancelled, so that its engine stops; what is written later is ignored. The same holds for an answer that waited for its turn on the connection, where the error went to the process instead.

--- a/src/relay/front/http_caller.ts
+++ b/src/relay/front/http_caller.ts
@@ -7,6 +7,7 @@
 import {mayHaveBody} from '../../core/http_framing.js';
 import {errorAnswers, type RequestError} from '../../core/error_kinds.js';
 import {createProblem} from '../../entry/problem.js';
+import type {Logger} from '../../ports/log.js';
 import type {RawHeaders} from '../../ports/relay.js';
 import type {Caller} from './caller.js';
 import type {CallerBuffers, CallerConnection} from './caller_buffers.js';
@@ -15,6 +16,7 @@
 const MS_PER_SECOND = 1_000;
 
 export interface HttpCallerHost {
+  readonly log: Pick<Logger, 'error'>;
   readonly buffers: CallerBuffers;
   readonly place: Pick<
     PipelinePlace,
@@ -52,11 +54,15 @@
   kind: 'outcome-unknown',
   detail: 'This entry has no room for the answer.',
 };
+const UNWRITABLE: RequestError = {
+  kind: 'upstream-failed',
+  detail: "The head of the answer can't be written.",
+};
 
 export function createHttpCaller(
   response: http.ServerResponse,
   requestId: string,
-  {buffers, place, closeAfter}: HttpCallerHost,
+  {log, buffers, place, closeAfter}: HttpCallerHost,
 ): HttpCaller {
   let shape: AnswerShape = 'in-parts';
   let hasBegun = false;
@@ -83,17 +89,28 @@
   response.once('close', () => buffers.noteFree(connection));
   if (!response.socket) response.once('socket', sendHeld);
 
-  function writeHead(status: number, headers: RawHeaders): void {
+  /**
+   * Returns false if Node doesn't write the head. It would write one of its own
+   * before the body, so the answer ends with an error.
+   */
+  function writeHead(status: number, headers: RawHeaders): boolean {
     const isLast = closeAfter(shape);
     const connectionHeader = isLast ? ['Connection', 'close'] : [];
-    response.writeHead(status, [...headers, ...connectionHeader]);
+    try {
+      response.writeHead(status, [...headers, ...connectionHeader]);
+      return true;
+    } catch (error) {
+      log.error(UNWRITABLE.detail, {request: requestId, reason: String(error)});
+      cancel(UNWRITABLE);
+      return false;
+    }
   }
 
   function sendHeld(): void {
     if (!held) return;
     const {status, headers, parts} = held;
     held = undefined;
-    writeHead(status, headers);
+    if (!writeHead(status, headers)) return;
     if (isComplete) {
       response.end(Buffer.concat(parts));
       // An ended response emits no `drain`; its `close` frees it.
@@ -109,15 +126,18 @@
     bodyLength?: number,
   ): void {
     if (isComplete || isGone) return;
-    hasBegun = true;
     shape = bodyLength === undefined ? 'in-parts' : 'whole';
     const hasLength =
       bodyLength !== undefined &&
       mayHaveBody(response.req.method ?? '', status);
     const length = hasLength ? ['Content-Length', String(bodyLength)] : [];
     const all = [...headers, ...length];
-    if (response.socket) writeHead(status, all);
-    else held = {status, headers: all, parts: [], sizeBytes: 0};
+    if (!response.socket) {
+      held = {status, headers: all, parts: [], sizeBytes: 0};
+    } else if (!writeHead(status, all)) {
+      return;
+    }
+    hasBegun = true;
     place.noteShape(shape);
   }
 
@@ -175,12 +195,18 @@
     response.destroy();
   }
 
+  /** Cancels the request and answers it with the error. */
+  function cancel(error: RequestError): void {
+    isDropped = true;
+    replace(error);
+    for (const listener of onDisconnect) listener();
+  }
+
   function drop(): void {
     if (isGone) return;
+    if (!response.headersSent) return cancel(DROPPED);
     isDropped = true;
-    if (response.headersSent) return closeConnection();
-    replace(DROPPED);
-    for (const listener of onDisconnect) listener();
+    closeConnection();
   }
 
   return {
--- a/src/relay/front/relay_front.ts
+++ b/src/relay/front/relay_front.ts
@@ -131,6 +131,7 @@
   ): HttpCaller {
     const {message, response, requestId} = request;
     return createHttpCaller(response, requestId, {
+      log,
       buffers: host.buffers,
       place: {
         ...place,
