Half an early answer to an upload isn't whole at the product's own front

Callers of /services/... got half of an answer as a whole 200: an upstream answered an upload at once without a length, sent part of the body, ended its side and reset the connection 5 or 100 ms later, or ended its side while the upload was still being written. Cause: undici takes that end for the end of the answer and closes the connection, after which a reset can't be seen.

Where it may, the connector fails an end while the upload is written, and keeps its side open for 150 ms after any other end to see a reset.

--- a/src/adapters/http_caller.ts
+++ b/src/adapters/http_caller.ts
@@ -10,7 +10,7 @@
 import {Pool, type Dispatcher} from 'undici';
 import type {Clock} from '../ports/clock.js';
 import {findHeadFault} from './answer_head.js';
-import {createResetAwareConnector} from './reset_aware_connector.js';
+import {UploadClient} from './upload_client.js';
 
 export interface HttpCallerHost {
   readonly clock: Clock;
@@ -177,9 +177,9 @@
 ): HttpCaller {
   const createPool = (connections: number) =>
     new Pool(options.origin, {
-      connect: createResetAwareConnector(),
+      factory: (origin, clientOptions) =>
+        new UploadClient(host, origin, clientOptions),
       connections,
-      pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -21,10 +21,14 @@
 import {splitAddress} from './listen.js';
 import {
   createReceivedBody,
-  isUnframed,
+  endsWithConnection,
   type ReceivedBody,
 } from './received_body.js';
-import {createUploadAnswer, type UploadAnswer} from './upload_answers.js';
+import {
+  createUploadAnswer,
+  mayEndEarly,
+  type UploadAnswer,
+} from './upload_answers.js';
 
 export interface HttpExchangeHost {
   readonly clock: Clock;
@@ -291,13 +295,8 @@
         const {statusCode: status = 0} = answer;
         const fault = findHeadFault(status, headers);
         if (fault) return fail(fault);
-        // The end of a failure is passed on: its status is what matters.
-        const mayEndEarly =
-          call.body &&
-          call.body.length > 0 &&
-          status < 300 &&
-          isUnframed(answer, call.method);
-        if (mayEndEarly) {
+        const bodyIsUnframed = endsWithConnection(answer, call.method);
+        if (mayEndEarly(call.body?.length ?? 0, status, bodyIsUnframed)) {
           upload = createUploadAnswer(clock, request, () => hasFailed);
         }
         received = createReceivedBody(answer, {
--- a/src/adapters/http_plain_service.ts
+++ b/src/adapters/http_plain_service.ts
@@ -8,7 +8,6 @@
  * handshake proves that a new one works.
  */
 
-import {Client} from 'undici';
 import {hopHeaders} from '../core/hop_headers.js';
 import type {
   PlainAnswer,
@@ -25,7 +24,7 @@
   type HttpCallerHost,
   type HttpFailure,
 } from './http_caller.js';
-import {createResetAwareConnector} from './reset_aware_connector.js';
+import {UploadClient} from './upload_client.js';
 
 export interface HttpPlainServiceOptions {
   readonly maxConnections?: number;
@@ -48,7 +47,7 @@
 };
 
 interface ProvenConnection {
-  readonly client: Client;
+  readonly client: UploadClient;
   /** Time when it was opened or last answered. */
   aliveAtMs: number;
 }
@@ -127,9 +126,7 @@
   }
 
   function openConnection(): ProvenConnection {
-    const client = new Client(callerOptions.origin, {
-      connect: createResetAwareConnector(),
-      pipelining: 1,
+    const client = new UploadClient(host, callerOptions.origin, {
       headersTimeout: 0,
       bodyTimeout: 0,
     });
--- a/src/adapters/received_body.ts
+++ b/src/adapters/received_body.ts
@@ -2,21 +2,19 @@
 
 import type http from 'node:http';
 import {createByteQueue} from '../core/byte_queue.js';
-import {mayHaveBody} from '../core/http_framing.js';
+import {isUnframed} from '../core/http_framing.js';
 import type {AnswerBody, AnswerBodySink} from '../ports/relay.js';
 import type {UploadAnswer} from './upload_answers.js';
 
-/**
- * Whether the end of the connection is the only sign of the body's end, for the
- * answer to a request of the method.
- */
-export function isUnframed(
+/** Whether the answer to a request of the method ends with its connection. */
+export function endsWithConnection(
   {headers, statusCode = 0}: http.IncomingMessage,
   method: string,
 ): boolean {
-  if (!mayHaveBody(method, statusCode)) return false;
-  const hasChunks = /\bchunked\b/i.test(headers['transfer-encoding'] ?? '');
-  return headers['content-length'] === undefined && !hasChunks;
+  return isUnframed(method, statusCode, {
+    contentLength: headers['content-length'],
+    transferEncoding: headers['transfer-encoding'],
+  });
 }
 
 /**
@@ -60,7 +58,7 @@
   answer: http.IncomingMessage,
   {method, hasFailed, onEnd, upload}: ReceivedBodyHost,
 ): ReceivedBody {
-  const bodyIsUnframed = isUnframed(answer, method);
+  const bodyIsUnframed = endsWithConnection(answer, method);
   const {socket} = answer;
   let sink: AnswerBodySink | undefined;
   /** Set once the body has ended; the connection may close before it is read. */
--- a/src/adapters/reset_aware_connector.ts
+++ b/src/adapters/reset_aware_connector.ts
@@ -4,38 +4,68 @@
  * upstream had closed the connection.
  */
 
-import type {Socket} from 'node:net';
+import type {Socket, TcpNetConnectOpts} from 'node:net';
 import {buildConnector} from 'undici';
+import type {Clock} from '../ports/clock.js';
+import {isReset} from './connection_reset.js';
+import {EARLY_FAULTS, RESET_WAIT_MS} from './upload_answers.js';
+
+export interface ResetAwareConnectorHost {
+  readonly clock: Clock;
+  /**
+   * Whether the answer that the connection receives may end before it is whole,
+   * as its upstream may not have read the upload.
+   */
+  mayEndEarly(): boolean;
+}
 
 /** Not `ECONNRESET`, which undici ignores once an answer has begun. */
 const RESET_CODE = 'ECONNABORTED';
 
-/**
- * When the last bytes and a reset arrive together, Node emits `end` without an
- * error; the socket then has no remote address any more.
- */
-function failOnHiddenReset(socket: Socket): void {
+/** Once both sides have ended, a reset can't be seen any more. */
+const SOCKET_OPTIONS: Partial<TcpNetConnectOpts> = {allowHalfOpen: true};
+
+/** Has undici see the end of a connection only where it wasn't reset. */
+function guardEnd(
+  {clock, mayEndEarly}: ResetAwareConnectorHost,
+  socket: Socket,
+): void {
   const emit = socket.emit.bind(socket) as (...args: unknown[]) => boolean;
+  const fail = (detail: string) => {
+    socket.destroy(Object.assign(new Error(detail), {code: RESET_CODE}));
+  };
+  // When the last bytes and a reset arrive together, Node emits `end` without an
+  // error. It keeps the first address that it finds, so it is asked once.
+  const emitEnd = (detail: string) => {
+    if (isReset(socket)) fail(detail);
+    else emit('end');
+  };
   socket.emit = (...args: unknown[]) => {
-    const isReset = args[0] === 'end' && socket.remoteAddress === undefined;
-    if (!isReset) return emit(...args);
-    const error = new Error('The connection was reset.');
-    socket.destroy(Object.assign(error, {code: RESET_CODE}));
+    if (args[0] !== 'end') return emit(...args);
+    if (!mayEndEarly()) {
+      emitEnd('The connection was reset.');
+    } else if (socket.writableLength > 0) {
+      fail(EARLY_FAULTS.unwritten);
+    } else {
+      clock.setTimer(RESET_WAIT_MS, () => {
+        if (!socket.destroyed) emitEnd(EARLY_FAULTS.reset);
+      });
+    }
     return true;
   };
 }
 
 export function createResetAwareConnector(
-  options: buildConnector.BuildOptions = {},
+  host: ResetAwareConnectorHost,
 ): buildConnector.connector {
-  const connect = buildConnector(options);
+  const connect = buildConnector(SOCKET_OPTIONS as buildConnector.BuildOptions);
   return (target, callback) =>
     connect(target, (...result) => {
       const [, socket] = result;
       socket?.on('error', (error: NodeJS.ErrnoException) => {
         if (error.code === 'ECONNRESET') error.code = RESET_CODE;
       });
-      if (socket) failOnHiddenReset(socket);
+      if (socket) guardEnd(host, socket);
       callback(...result);
     });
 }
--- a/src/adapters/upload_answers.ts
+++ b/src/adapters/upload_answers.ts
@@ -23,13 +23,31 @@
 }
 
 /** An upstream that closes with unread bytes resets within this time. */
-const RESET_WAIT_MS = 150;
+export const RESET_WAIT_MS = 150;
+/** Why an early answer can't be whole. */
+export const EARLY_FAULTS = {
+  unwritten: 'the answer ended while its upload was written',
+  reset: 'the connection was reset after its end',
+} as const;
+const FIRST_REDIRECT = 300;
 /** How Node's client closes a connection; it expects that it can't write then. */
 const KEPT_OPEN: PropertyDescriptorMap = {
   destroy: {configurable: true, value: () => undefined},
   writable: {configurable: true, value: false},
 };
 
+/**
+ * Whether an answer to an upload may look whole although it broke off. The end
+ * of a failure is passed on: its status is what matters.
+ */
+export function mayEndEarly(
+  uploadBytes: number,
+  status: number,
+  bodyIsUnframed: boolean,
+): boolean {
+  return uploadBytes > 0 && status < FIRST_REDIRECT && bodyIsUnframed;
+}
+
 export function createUploadAnswer(
   clock: Clock,
   request: http.ClientRequest,
@@ -48,13 +66,13 @@
     },
     async findFault() {
       if (!wasWritten) {
-        return 'the answer ended while its upload was written';
+        return EARLY_FAULTS.unwritten;
       }
       await new Promise<void>(resolve => {
         clock.setTimer(RESET_WAIT_MS, resolve);
       });
       const isBroken = hasFailed() || !socket || isReset(socket);
-      return isBroken ? 'the connection was reset after its end' : undefined;
+      return isBroken ? EARLY_FAULTS.reset : undefined;
     },
     release() {
       if (!isHeld || !socket) return;
--- a/tests/entry/plain_answers_test.ts
+++ b/tests/entry/plain_answers_test.ts
@@ -131,3 +131,56 @@
     await assertFailed(await call(), status);
   });
 }
+
+/** Ways in which an upstream breaks off an answer to an upload. */
+const BREAKS: Readonly<Record<string, (socket: net.Socket) => void>> = {
+  'a reset': socket => setTimeout(() => socket.resetAndDestroy(), 5),
+  'an end and a reset at once': socket =>
+    socket.end(() => setTimeout(() => socket.resetAndDestroy(), 5)),
+  'an end and a later reset': socket =>
+    socket.end(() => setTimeout(() => socket.resetAndDestroy(), 100)),
+};
+const EARLY_HEAD = `HTTP/1.1 200 OK\r\n${STAMP}: s\r\n\r\n`;
+
+for (const [name, breakOff] of Object.entries(BREAKS)) {
+  for (const size of [100_000, 4_000_000]) {
+    test(`half an early answer to an upload of ${size} bytes that breaks off by ${name} does not reach the caller as whole`, async () => {
+      // Guards against an upstream that answers, closes and reads nothing more.
+      respond = socket => {
+        socket.pause().write(`${EARLY_HEAD}half`);
+        breakOff(socket);
+      };
+      await assertFailed(await call('x'.repeat(size)), name);
+    });
+  }
+}
+
+test('an answer that ends while its upload is written does not reach the caller as whole', async () => {
+  // Guards against taking the part that has arrived for the whole answer.
+  respond = socket => void socket.pause().end(`${EARLY_HEAD}half`);
+  await assertFailed(await call('x'.repeat(4_000_000)), 'unread');
+});
+
+test('an answer without a length to an upload that was read is whole', async () => {
+  // Guards against failing sound answers of services that frame by closing.
+  const size = 4_000_000;
+  respond = socket => {
+    const noteBytes = () => {
+      if (socket.bytesRead < size) return;
+      socket.off('data', noteBytes).end(`${EARLY_HEAD}${BODY}`);
+    };
+    socket.on('data', noteBytes);
+  };
+  const got = await call('x'.repeat(size));
+  assert.equal(got.headers.get(STAMP), 's');
+  assert.equal(await got.text(), BODY);
+});
+
+test('an early failure without a length reaches the caller', async () => {
+  // Guards against replacing the reason for which an upload is rejected.
+  respond = socket =>
+    void socket.pause().end('HTTP/1.1 413 Too Large\r\n\r\ntoo large');
+  const got = await call('x'.repeat(4_000_000));
+  assert.equal(got.status, 413);
+  assert.equal(await got.text(), 'too large');
+});
