Broken answers on each way of the relay: tests of the whole path

Heads with a byte that a name or value may not have, statuses that are none, and half early answers to uploads, for calls that run once or again and for streams, resumable or not: directly, through a peer of a host without links to upstreams, and in a prefill.

In a prefill the stream is whole by another way. Sound heads with unusual bytes are whole on each way.

RawEngine is what EndlessEngine had for answers as bytes.

--- a/tests/adapters/insecure_parser_test.ts
+++ b/tests/adapters/insecure_parser_test.ts
@@ -11,6 +11,7 @@
 const FILES = [
   './broken_heads_test.js',
   '../entry/plain_answers_test.js',
+  '../platform/broken_answers_test.js',
 ] as const;
 
 async function runLenient(
--- a/tests/entry/plain_answers_test.ts
+++ b/tests/entry/plain_answers_test.ts
@@ -23,6 +23,7 @@
 const RUNS = 100;
 const MAX_BODY_BYTES = 5_000_000;
 const STAMP = 'X-Engine-Stamp';
+const FIELDS = {fields: [`${STAMP}: s`]};
 
 const service: ServiceSettings = {
   kind: 'plain',
@@ -101,7 +102,7 @@
   // Guards against callers that get such a line, or a body framed by it.
   const lines = fc.oneof(nameLines.broken, valueLines.broken);
   await fc.assert(
-    fc.asyncProperty(answersWith(lines, [`${STAMP}: s`]), async answer => {
+    fc.asyncProperty(answersWith(lines, FIELDS), async answer => {
       sendWhole(answer);
       await assertFailed(await call(), JSON.stringify(answer.text));
     }),
@@ -113,7 +114,7 @@
   // Guards against failing sound answers.
   const lines = fc.oneof(nameLines.sound, valueLines.sound);
   await fc.assert(
-    fc.asyncProperty(answersWith(lines, [`${STAMP}: s`]), async answer => {
+    fc.asyncProperty(answersWith(lines, FIELDS), async answer => {
       sendWhole(answer);
       const got = await call();
       assert.equal(got.headers.get(STAMP), 's');
--- a/tests/platform/endless_answers_test.ts
+++ b/tests/platform/endless_answers_test.ts
@@ -10,12 +10,11 @@
 import type {UpstreamPort} from '../../src/ports/relay.js';
 import {
   createEndlessEngine,
-  OK,
-  type CallKind,
   type EndlessAnswer,
   type EndlessEngine,
   type EndlessEngineOptions,
 } from './endless_engine.js';
+import {OK, type CallKind} from './raw_engine.js';
 import {
   createSite,
   HOST,
--- a/tests/platform/endless_engine.ts
+++ b/tests/platform/endless_engine.ts
@@ -3,11 +3,8 @@
  * it answers the other calls soundly.
  */
 
-import net from 'node:net';
-import {ownLoopback} from '../support/free_address.js';
-
-export type CallKind =
-  'plain' | 'prefill' | 'decode' | 'report' | 'order' | 'release';
+import type net from 'node:net';
+import {createRawEngine, type CallKind} from './raw_engine.js';
 
 /** An answer that never ends. */
 export interface EndlessAnswer {
@@ -41,32 +38,6 @@
   readonly answer: EndlessAnswer;
 }
 
-const SIGNATURE = 'X-Engine-Stamp: endless\r\nX-Request-Id: {id}\r\n';
-export const OK = `HTTP/1.1 200 OK\r\n${SIGNATURE}`;
-
-const SOUND_BODIES: Readonly<Record<CallKind, string>> = {
-  plain: 'sound',
-  prefill: '{"kv_handle":"h1"}',
-  decode: 'id: 1\ndata: token-1\n\n',
-  report: '{"stage":"decode","busy":false,"seq":0}',
-  order: '{}',
-  release: '{}',
-};
-
-const KINDS_BY_TARGET: ReadonlyArray<[string, CallKind]> = [
-  ['/corianderbend/report', 'report'],
-  ['/corianderbend/order', 'order'],
-  ['/corianderbend/kv-handle/', 'release'],
-];
-
-function toCallKind(head: string, role: string | undefined): CallKind {
-  const target = head.split(' ', 2)[1];
-  const call = KINDS_BY_TARGET.find(([path]) => target.startsWith(path));
-  if (call) return call[1];
-  if (/^X-Stage: prefill/im.test(head)) return 'prefill';
-  return role ? 'decode' : 'plain';
-}
-
 function sendEndless(
   socket: net.Socket,
   {head, repeated, everyMs}: EndlessAnswer,
@@ -91,58 +62,25 @@
 ): Promise<EndlessEngine> {
   const {service, role, calls, answer} = options;
   const endless: net.Socket[] = [];
-  const sockets = new Set<net.Socket>();
-
-  function respond(socket: net.Socket, head: string): void {
-    const id = /^X-Request-Id: (\S+)/im.exec(head)?.[1] ?? '';
-    const kind = toCallKind(head, role);
-    if (kind === calls) {
+  const {address, row, sockets, close} = await createRawEngine({
+    service,
+    role,
+    respond({kind, id, socket}) {
+      if (kind !== calls) return false;
       endless.push(socket);
       sendEndless(socket, answer, id);
-      return;
-    }
-    const body = SOUND_BODIES[kind];
-    const length = `Content-Length: ${body.length}\r\n`;
-    socket.end(`${OK.replace('{id}', id)}${length}\r\n${body}`);
-  }
-
-  const server = net.createServer(socket => {
-    sockets.add(socket);
-    socket.once('close', () => sockets.delete(socket));
-    socket.on('error', () => undefined);
-    let received = '';
-    let hasResponded = false;
-    socket.on('data', bytes => {
-      if (hasResponded) return;
-      received += bytes.toString('latin1');
-      const end = received.indexOf('\r\n\r\n');
-      if (end < 0) return;
-      hasResponded = true;
-      respond(socket, received.slice(0, end));
-    });
+      return true;
+    },
   });
-  await new Promise<void>(resolve => server.listen(0, ownLoopback(), resolve));
-  const {port} = server.address() as net.AddressInfo;
-  const address = `${ownLoopback()}:${port}`;
 
   return {
     address,
-    row: {
-      service,
-      address,
-      zone: 'ylikool-saal',
-      slots: 8,
-      state: 'ready',
-      ...(role ? {stage: role} : {}),
-    },
+    row,
     startedCount: () => endless.length,
     openCount: () => endless.filter(socket => sockets.has(socket)).length,
     mostBytesTaken: () =>
       Math.max(0, ...endless.map(each => each.bytesWritten)),
     lastBytesTaken: () => endless.at(-1)?.bytesWritten ?? 0,
-    close() {
-      server.close();
-      for (const socket of sockets) socket.destroy();
-    },
+    close,
   };
 }
--- a/tests/platform/relay_site.ts
+++ b/tests/platform/relay_site.ts
@@ -2,6 +2,7 @@
 
 import http from 'node:http';
 import {createPlatformAdapters} from '../../platform/platform_adapters.js';
+import type {RelayAdapters} from '../../src/relay/relay_adapters.js';
 import {createRelayMetrics} from '../../src/relay/relay_metrics.js';
 import {startRelay} from '../../src/relay/relay_process.js';
 import type {RelayProcess} from '../../src/relay/relay_process_types.js';
@@ -46,7 +47,10 @@
   addUpstream(options: EngineOptions): Promise<EngineStandIn>;
   list(upstream: EngineStandIn, state?: 'ready' | 'draining'): void;
   configure(configuration: object): number;
-  addEntry(changes?: Partial<RelaySettings>): Promise<Entry>;
+  addEntry(
+    changes?: Partial<RelaySettings>,
+    adapters?: RelayAdapters,
+  ): Promise<Entry>;
   /** Settings for an entry that runs as a process of its own. */
   makeSettings(changes: Partial<RelaySettings>): Promise<RelaySettings>;
   call(
@@ -152,11 +156,11 @@
       return version;
     },
     makeSettings,
-    async addEntry(changes = {}) {
+    async addEntry(changes = {}, adapters = createPlatformAdapters()) {
       const settings = await makeSettings(changes);
       const process = await startRelay({
         settings,
-        adapters: createPlatformAdapters(),
+        adapters,
         metrics: createRelayMetrics(),
         createLogger: () => silentLog,
       });
--- a/tests/soak/pressure_engines.ts
+++ b/tests/soak/pressure_engines.ts
@@ -4,9 +4,9 @@
 import type {AddressInfo} from 'node:net';
 import {
   createEndlessEngine,
-  OK,
   type EndlessAnswer,
 } from '../platform/endless_engine.js';
+import {OK} from '../platform/raw_engine.js';
 import {HOST, makeConfiguration} from '../platform/relay_site.js';
 import {ownLoopback} from '../support/free_address.js';
 import type {ConfigurationAdditions} from './soak_site.js';
--- a/tests/support/broken_heads.ts
+++ b/tests/support/broken_heads.ts
@@ -25,19 +25,21 @@
 export const BODY = 'all of it';
 
 /** Fields that frame the body of an answer, and the body as it is sent. */
-const FRAMINGS = {
-  length: {
-    field: `Content-Length: ${BODY.length}`,
-    body: BODY,
-    closes: false,
-  },
-  chunks: {
-    field: 'Transfer-Encoding: chunked',
-    body: `4\r\n${BODY.slice(0, 4)}\r\n5\r\n${BODY.slice(4)}\r\n0\r\n\r\n`,
-    closes: false,
-  },
-  unframed: {field: 'Connection: close', body: BODY, closes: true},
-} as const;
+function toFramings(body: string) {
+  const half = Math.floor(body.length / 2);
+  const toChunk = (part: string) =>
+    `${part.length.toString(16)}\r\n${part}\r\n`;
+  const chunks = [body.slice(0, half), body.slice(half), ''].map(toChunk);
+  return [
+    {field: `Content-Length: ${body.length}`, sent: body, closes: false},
+    {
+      field: 'Transfer-Encoding: chunked',
+      sent: chunks.join(''),
+      closes: false,
+    },
+    {field: 'Connection: close', sent: body, closes: true},
+  ] as const;
+}
 
 /** An answer as bytes, each as one character. */
 export interface AnswerBytes {
@@ -78,16 +80,22 @@
   sound: fc.constantFrom('X-Odd: a\tb', 'X-Odd: a b', 'X-Odd: \xe9'),
 };
 
+export interface AnswerOptions {
+  /** Sound lines that the head has as well. */
+  readonly fields?: readonly string[];
+  readonly body?: string;
+}
+
 /** Answers with the line at the start, in the middle and at the end of a head. */
 export function answersWith(
   line: fc.Arbitrary<string>,
-  fields: readonly string[] = [],
+  {fields = [], body = BODY}: AnswerOptions = {},
 ): fc.Arbitrary<AnswerBytes> {
   return fc
     .record({
       line,
       place: fc.constantFrom(0, 0.5, 1),
-      framing: fc.constantFrom(...Object.values(FRAMINGS)),
+      framing: fc.constantFrom(...toFramings(body)),
       status: fc.constantFrom(200, 200, 404, 500),
       version: fc.constantFrom('HTTP/1.1', 'HTTP/1.1', 'HTTP/1.0'),
       first: fc.constantFrom('', '', 'HTTP/1.1 103 Early\r\n\r\n'),
@@ -98,6 +106,6 @@
       const lines = [...sound];
       lines.splice(Math.round(sound.length * place), 0, line);
       const head = `${version} ${status} Text\r\n${lines.join('\r\n')}\r\n\r\n`;
-      return {text: `${first}${head}${framing.body}`, closes: framing.closes};
+      return {text: `${first}${head}${framing.sent}`, closes: framing.closes};
     });
 }
