A prefill result that can't be sent on counts as broken

Callers of streams got 500 where a prefill engine answered 200 with a handle that holds a control byte, a line end or a character beyond Latin-1. Cause: the handle goes to the decode engine in a header, which Node refuses by throwing. Only the type of the handle was checked.

Such a result is malformed like one without a handle: the stream goes another way. The same is asked of a result that a peer passes on.

--- a/src/adapters/answer_head.ts
+++ b/src/adapters/answer_head.ts
@@ -23,6 +23,11 @@
   }
 }
 
+/** Whether a text of an answer can be sent on as the value of a field. */
+export function isFieldValue(text: unknown): text is string {
+  return typeof text === 'string' && isField('X', text);
+}
+
 /**
  * Returns why a head can't be that of an answer; undefined if it can. A head
  * without a fault can be written as it is.
--- a/src/relay/forwarding/forward_frames.ts
+++ b/src/relay/forwarding/forward_frames.ts
@@ -4,6 +4,7 @@
  * for an upstream that has answered.
  */
 
+import {isFieldValue} from '../../adapters/answer_head.js';
 import type {
   AnswerBody,
   PrefillOutcome,
@@ -189,7 +190,7 @@
 > = {
   answered: ({status, headers}) =>
     typeof status === 'number' && isTextList(headers),
-  prefilled: ({handle}) => typeof handle === 'string',
+  prefilled: ({handle}) => isFieldValue(handle),
   probed: isAny,
   unreachable: isAny,
   withheld: isAny,
--- a/tests/platform/broken_answers_test.ts
+++ b/tests/platform/broken_answers_test.ts
@@ -223,6 +223,20 @@
     );
   });
 
+  test("or a prefill result that can't be named to an engine leaves the stream whole", async () => {
+    // Guards against streams that fail by the text of a result.
+    odd = ['prefill'];
+    for (const handle of ['a\x01b', 'a\r\nX-Odd: 1', '\u{1f600}']) {
+      const body = JSON.stringify({kv_handle: handle});
+      sendBytes(
+        `${OK}Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+      );
+      for (const way of WAYS) {
+        for (const path of STREAMS) await assertWhole(way, path);
+      }
+    }
+  });
+
   test('differs from one with unusual bytes, which is whole', async () => {
     // Guards against failing sound answers.
     odd = ['plain', 'decode'];
--- a/tests/relay/forwarding/forward_frames_test.ts
+++ b/tests/relay/forwarding/forward_frames_test.ts
@@ -70,6 +70,7 @@
     {kind: 'answered', status: '200', headers: []},
     {kind: 'answered', status: 200, headers: [1, 2]},
     {kind: 'prefilled'},
+    {kind: 'prefilled', handle: 'a\x01b'},
   ] as unknown as readonly ForwardOutcome[];
   for (const outcome of invalid) {
     const bytes = encodeFrame({kind: 'outcome', outcome});
