Names and comments of the checks of heads

assertHead and checkHead are two functions now by name, too; what begin does with a head that can't be written stands at its declaration. No behaviour changes.

--- a/src/adapters/http_caller.ts
+++ b/src/adapters/http_caller.ts
@@ -103,8 +103,8 @@
   );
 }
 
-/** Throws if the answer has begun with a head that no answer may have. */
-export function checkHead({
+/** Throws, and closes the connection, if no answer may have the head. */
+export function assertHead({
   statusCode,
   headers,
   body,
@@ -154,7 +154,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    checkHead(response);
+    assertHead(response);
     const body = await readWhole(response.body, options.maxAnswerBytes);
     return {
       kind: 'answered',
--- a/src/adapters/http_engine_stream.ts
+++ b/src/adapters/http_engine_stream.ts
@@ -18,7 +18,7 @@
   EngineFailure,
 } from '../ports/engine.js';
 import type {Random} from '../ports/random.js';
-import {checkHead, isConnectError} from './http_caller.js';
+import {assertHead, isConnectError} from './http_caller.js';
 import {engineFailureSchema} from './http_engine_schema.js';
 
 export interface EngineStreamHost {
@@ -208,7 +208,7 @@
       headersTimeout: options.connectTimeoutMs,
       bodyTimeout: 0,
     });
-    checkHead(response);
+    assertHead(response);
     response.body.on('data', chunk =>
       handleBytes(getConnection(), chunk as Buffer),
     );
--- a/src/adapters/upload_client.ts
+++ b/src/adapters/upload_client.ts
@@ -19,7 +19,10 @@
   mayEndEarly: boolean;
 }
 
-function findValue(headers: readonly Buffer[], name: string) {
+function findValue(
+  headers: readonly Buffer[],
+  name: string,
+): string | undefined {
   const index = headers.findIndex(
     (each, i) => i % 2 === 0 && each.toString('latin1').toLowerCase() === name,
   );
@@ -31,7 +34,7 @@
   return isSized ? body.length : 0;
 }
 
-/** Passes all on to `handler`, and the heads of answers to `onHead` before. */
+/** Calls `onHead` with each head before `handler`, which gets all events. */
 function watchHeads(
   handler: Dispatcher.DispatchHandler,
   onHead: (status: number, headers: readonly Buffer[]) => void,
@@ -48,6 +51,10 @@
   };
 }
 
+/**
+ * Sends one request at a time, so that its connection receives one answer. For
+ * an upload, the body must be a text or bytes.
+ */
 export class UploadClient extends Client {
   private readonly received: ReceivedAnswer;
 
--- a/src/relay/forwarding/forward_client.ts
+++ b/src/relay/forwarding/forward_client.ts
@@ -223,7 +223,7 @@
   }
 }
 
-/** An answer with a head that no answer may have counts as broken. */
+/** An answer counts as broken if no answer may have its head. */
 function checkHead(outcome: ForwardOutcome): ForwardOutcome {
   if (outcome.kind !== 'answered') return outcome;
   const fault = findHeadFault(outcome.status, outcome.headers);
--- a/src/relay/front/caller.ts
+++ b/src/relay/front/caller.ts
@@ -9,7 +9,10 @@
 export interface Caller {
   /** Says how the request is answered, once that is known. */
   noteShape(shape: AnswerShape): void;
-  /** Sends the status and headers of an upstream's answer. */
+  /**
+   * Sends the status and headers of an upstream's answer. If they can't be
+   * written, the caller gets an error and the request is cancelled.
+   */
   begin(status: number, headers: RawHeaders, bodyLength?: number): void;
   /** Returns false if the caller should first wait for `onWritable`. */
   write(bytes: Buffer): boolean;
