Undici's answers are checked in the client of their connection

Two callers of undici each called assertHead after the head had come, on headers that undici had parsed and that were flattened again, while UploadClient saw the same head before. CheckedClient, its new name, does both checks there, and token streams use it as well; assertHead, toRawHeaders and a second search for a header by its name are gone. findField is the one that http_exchange.ts had. The framing of an answer in that file is found once instead of twice.

--- a/src/adapters/answer_head.ts
+++ b/src/adapters/answer_head.ts
@@ -1,4 +1,4 @@
-/** Checks the heads of answers, whatever has parsed them. */
+/** Reads and checks the heads of answers, whatever has parsed them. */
 
 import {validateHeaderName, validateHeaderValue} from 'node:http';
 import type {RawHeaders} from '../ports/relay.js';
@@ -23,6 +23,17 @@
   }
 }
 
+/** The first value of a field, whose name is given in lower case. */
+export function findField(
+  headers: RawHeaders,
+  name: string,
+): string | undefined {
+  for (let i = 0; i < headers.length; i += 2) {
+    if (headers[i].toLowerCase() === name) return headers[i + 1];
+  }
+  return undefined;
+}
+
 /** Whether a text of an answer can be sent on as the value of a field. */
 export function isFieldValue(text: unknown): text is string {
   return typeof text === 'string' && isField('X', text);
--- a/src/adapters/http_caller.ts
+++ b/src/adapters/http_caller.ts
@@ -9,8 +9,7 @@
 
 import {Pool, type Dispatcher} from 'undici';
 import type {Clock} from '../ports/clock.js';
-import {findHeadFault} from './answer_head.js';
-import {UploadClient} from './upload_client.js';
+import {CheckedClient} from './checked_client.js';
 
 export interface HttpCallerHost {
   readonly clock: Clock;
@@ -96,25 +95,6 @@
   return failed('broken', code);
 }
 
-/** Undici's headers as alternating names and values. */
-function toRawHeaders(headers: HttpAnswer['headers']): readonly string[] {
-  return Object.entries(headers).flatMap(([name, values = []]) =>
-    [values].flat().flatMap(value => [name, value]),
-  );
-}
-
-/** Throws, and closes the connection, if no answer may have the head. */
-export function assertHead({
-  statusCode,
-  headers,
-  body,
-}: Dispatcher.ResponseData): void {
-  const fault = findHeadFault(statusCode, toRawHeaders(headers));
-  if (!fault) return;
-  body.on('error', () => undefined).destroy();
-  throw new Error(fault);
-}
-
 async function readWhole(
   body: AsyncIterable<Uint8Array>,
   maxBytes: number,
@@ -154,7 +134,6 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    assertHead(response);
     const body = await readWhole(response.body, options.maxAnswerBytes);
     return {
       kind: 'answered',
@@ -178,7 +157,7 @@
   const createPool = (connections: number) =>
     new Pool(options.origin, {
       factory: (origin, clientOptions) =>
-        new UploadClient(host, origin, clientOptions),
+        new CheckedClient(host, origin, clientOptions),
       connections,
       keepAliveTimeout: KEEP_ALIVE_MS,
       headersTimeout: 0,
--- a/src/adapters/http_engine_stream.ts
+++ b/src/adapters/http_engine_stream.ts
@@ -9,7 +9,6 @@
  * stays open; whoever reads a decode may cancel it.
  */
 
-import {Client} from 'undici';
 import type {Clock, TimerHandle} from '../ports/clock.js';
 import type {
   DecodeCall,
@@ -18,7 +17,8 @@
   EngineFailure,
 } from '../ports/engine.js';
 import type {Random} from '../ports/random.js';
-import {assertHead, isConnectError} from './http_caller.js';
+import {CheckedClient} from './checked_client.js';
+import {isConnectError} from './http_caller.js';
 import {engineFailureSchema} from './http_engine_schema.js';
 
 export interface EngineStreamHost {
@@ -58,7 +58,7 @@
 /** One connection of the stream, with a name of its own. */
 interface Connection {
   readonly name: string;
-  readonly client: Client;
+  readonly client: CheckedClient;
   readonly running: Map<number, RunningDecode>;
   /** Resolves to undefined once open, or to the reason of the failure. */
   readonly opened: Promise<EngineFailure | undefined>;
@@ -208,7 +208,6 @@
       headersTimeout: options.connectTimeoutMs,
       bodyTimeout: 0,
     });
-    assertHead(response);
     response.body.on('data', chunk =>
       handleBytes(getConnection(), chunk as Buffer),
     );
@@ -220,9 +219,8 @@
   }
 
   function connect(): Connection {
-    const client = new Client(options.origin, {
+    const client = new CheckedClient(host, options.origin, {
       connectTimeout: options.connectTimeoutMs,
-      pipelining: 1,
     });
     const created: Connection = {
       name: host.random.nextId(),
--- a/src/adapters/http_exchange.ts
+++ b/src/adapters/http_exchange.ts
@@ -13,17 +13,14 @@
 
 import http from 'node:http';
 import type {Socket} from 'node:net';
+import {isUnframed} from '../core/http_framing.js';
 import type {Clock} from '../ports/clock.js';
 import type {AnswerBody, Cancellation, RawHeaders} from '../ports/relay.js';
-import {findHeadFault} from './answer_head.js';
+import {findField, findHeadFault} from './answer_head.js';
 import {createCallTimeouts} from './call_timeouts.js';
 import {isReset} from './connection_reset.js';
 import {splitAddress} from './listen.js';
-import {
-  createReceivedBody,
-  endsWithConnection,
-  type ReceivedBody,
-} from './received_body.js';
+import {createReceivedBody, type ReceivedBody} from './received_body.js';
 import {
   createUploadAnswer,
   mayEndEarly,
@@ -145,13 +142,6 @@
   }
 }
 
-function findHeader(headers: RawHeaders, name: string): string | undefined {
-  for (let i = 0; i < headers.length; i += 2) {
-    if (headers[i].toLowerCase() === name) return headers[i + 1];
-  }
-  return undefined;
-}
-
 export function createHttpExchange(host: HttpExchangeHost): HttpExchange {
   const {clock} = host;
   const agent = new GuardedAgent(clock);
@@ -295,12 +285,15 @@
         const {statusCode: status = 0} = answer;
         const fault = findHeadFault(status, headers);
         if (fault) return fail(fault);
-        const bodyIsUnframed = endsWithConnection(answer, call.method);
+        const bodyIsUnframed = isUnframed(call.method, status, {
+          contentLength: answer.headers['content-length'],
+          transferEncoding: answer.headers['transfer-encoding'],
+        });
         if (mayEndEarly(call.body?.length ?? 0, status, bodyIsUnframed)) {
           upload = createUploadAnswer(clock, request, () => hasFailed);
         }
         received = createReceivedBody(answer, {
-          method: call.method,
+          isUnframed: bodyIsUnframed,
           hasFailed: () => hasFailed,
           onEnd: answerTimeout.clear,
           upload,
@@ -309,7 +302,7 @@
           kind: 'answered',
           status,
           headers,
-          get: name => findHeader(headers, name),
+          get: name => findField(headers, name),
           body: received.body,
         });
         // Nobody reads the body of an answer that came after the timeout.
--- a/src/adapters/http_plain_service.ts
+++ b/src/adapters/http_plain_service.ts
@@ -16,6 +16,7 @@
   PlainServicePort,
   PlainServicePortFactory,
 } from '../ports/plain_service.js';
+import {CheckedClient} from './checked_client.js';
 import {
   callWithTimeout,
   createHttpCaller,
@@ -24,7 +25,6 @@
   type HttpCallerHost,
   type HttpFailure,
 } from './http_caller.js';
-import {UploadClient} from './upload_client.js';
 
 export interface HttpPlainServiceOptions {
   readonly maxConnections?: number;
@@ -47,7 +47,7 @@
 };
 
 interface ProvenConnection {
-  readonly client: UploadClient;
+  readonly client: CheckedClient;
   /** Time when it was opened or last answered. */
   aliveAtMs: number;
 }
@@ -126,7 +126,7 @@
   }
 
   function openConnection(): ProvenConnection {
-    const client = new UploadClient(host, callerOptions.origin, {
+    const client = new CheckedClient(host, callerOptions.origin, {
       headersTimeout: 0,
       bodyTimeout: 0,
     });
--- a/src/adapters/received_body.ts
+++ b/src/adapters/received_body.ts
@@ -2,21 +2,9 @@
 
 import type http from 'node:http';
 import {createByteQueue} from '../core/byte_queue.js';
-import {isUnframed} from '../core/http_framing.js';
 import type {AnswerBody, AnswerBodySink} from '../ports/relay.js';
 import type {UploadAnswer} from './upload_answers.js';
 
-/** Whether the answer to a request of the method ends with its connection. */
-export function endsWithConnection(
-  {headers, statusCode = 0}: http.IncomingMessage,
-  method: string,
-): boolean {
-  return isUnframed(method, statusCode, {
-    contentLength: headers['content-length'],
-    transferEncoding: headers['transfer-encoding'],
-  });
-}
-
 /**
  * Node makes up to 32 reads of a connection, of 64 KB each, before it turns to
  * the next one. After a read in many parts or a large one, others go first.
@@ -31,8 +19,7 @@
 }
 
 export interface ReceivedBodyHost {
-  /** The method of the request. */
-  readonly method: string;
+  readonly isUnframed: boolean;
   /** Whether the call or its connection has failed. */
   hasFailed(): boolean;
   /** Called once, when the body has ended or is given up. */
@@ -56,9 +43,8 @@
  */
 export function createReceivedBody(
   answer: http.IncomingMessage,
-  {method, hasFailed, onEnd, upload}: ReceivedBodyHost,
+  {isUnframed, hasFailed, onEnd, upload}: ReceivedBodyHost,
 ): ReceivedBody {
-  const bodyIsUnframed = endsWithConnection(answer, method);
   const {socket} = answer;
   let sink: AnswerBodySink | undefined;
   /** Set once the body has ended; the connection may close before it is read. */
@@ -142,7 +128,7 @@
   const fail = (detail: string) => end({kind: 'broken', detail});
   answer.on('end', () => {
     // Node also emits `end` when the connection is lost.
-    const isWhole = answer.complete && !(bodyIsUnframed && hasFailed());
+    const isWhole = answer.complete && !(isUnframed && hasFailed());
     if (!isWhole) fail('the answer ended early');
     else if (upload) void confirm(upload);
     else end({kind: 'whole'});
@@ -161,7 +147,7 @@
   }
   return {
     body: {
-      isUnframed: bodyIsUnframed,
+      isUnframed,
       read(given) {
         sink = given;
         if (ending) deliver();
--- a/src/adapters/reset_aware_connector.ts
+++ b/src/adapters/reset_aware_connector.ts
@@ -12,6 +12,8 @@
 
 export interface ResetAwareConnectorHost {
   readonly clock: Clock;
+  /** Absent for the default of undici. */
+  readonly connectTimeoutMs?: number;
   /**
    * Whether the answer that the connection receives may end before it is whole,
    * as its upstream may not have read the upload.
@@ -58,7 +60,8 @@
 export function createResetAwareConnector(
   host: ResetAwareConnectorHost,
 ): buildConnector.connector {
-  const connect = buildConnector(SOCKET_OPTIONS as buildConnector.BuildOptions);
+  const options = {...SOCKET_OPTIONS, timeout: host.connectTimeoutMs};
+  const connect = buildConnector(options as buildConnector.BuildOptions);
   return (target, callback) =>
     connect(target, (...result) => {
       const [, socket] = result;
