Tests of answers share what they wrote twice

Requests on a raw socket (answer_framing_test, broken_heads_test), the ways in which an upstream breaks off (broken_answers_test, plain_answers_test), the paths of the kinds of routes (bodiless_answers, broken_answers) and the list of all bytes each stand once. A comment of unwritable_head_test named a path that it doesn't use.

--- a/tests/adapters/answer_framing_test.ts
+++ b/tests/adapters/answer_framing_test.ts
@@ -8,6 +8,7 @@
   type HttpExchange,
 } from '../../src/adapters/http_exchange.js';
 import {createSystemClock} from '../../src/adapters/system_clock.js';
+import {takeRequests} from '../support/raw_requests.js';
 
 const RUNS = 300;
 const MAX_BYTES = 1_000_000;
@@ -41,24 +42,16 @@
 /** What the upstream writes, and whether it closes its side then. */
 let answer: {readonly text: string; readonly closes: boolean};
 
-function takeRequest(socket: net.Socket): void {
-  socket.on('error', () => undefined);
-  let received = '';
-  socket.on('data', bytes => {
-    received += bytes.toString('latin1');
-    const headEnd = received.indexOf('\r\n\r\n');
-    if (headEnd < 0) return;
-    const length = /^content-length: (\d+)/im.exec(received)?.[1] ?? '0';
-    if (received.length < headEnd + 4 + Number(length)) return;
-    received = '';
-    if (answer.closes) socket.end(answer.text);
-    else socket.write(answer.text);
-  });
+function sendAnswer(socket: net.Socket): void {
+  if (answer.closes) socket.end(answer.text);
+  else socket.write(answer.text);
 }
 
 before(async () => {
   exchange = createHttpExchange({clock: createSystemClock()});
-  server = net.createServer(takeRequest);
+  server = net.createServer(socket =>
+    takeRequests(socket, () => sendAnswer(socket)),
+  );
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
 });
--- a/tests/adapters/answer_head_test.ts
+++ b/tests/adapters/answer_head_test.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {findHeadFault} from '../../src/adapters/answer_head.js';
-import {NON_TOKEN_BYTES, NON_VALUE_BYTES} from '../support/broken_heads.js';
+import {
+  BYTES,
+  NON_TOKEN_BYTES,
+  NON_VALUE_BYTES,
+} from '../support/broken_heads.js';
 
-const BYTES = Array.from({length: 256}, (_, byte) => String.fromCharCode(byte));
 const NEWLINES = ['\r', '\n'];
 const OK = 200;
 
--- a/tests/adapters/broken_heads_test.ts
+++ b/tests/adapters/broken_heads_test.ts
@@ -23,6 +23,7 @@
   type AnswerBytes,
   type FieldLines,
 } from '../support/broken_heads.js';
+import {takeRequests} from '../support/raw_requests.js';
 
 const SEED = 87;
 const BROKEN_RUNS = 400;
@@ -60,22 +61,6 @@
   if (closes) socket.end();
 }
 
-function takeRequests(socket: net.Socket): void {
-  sockets.add(socket);
-  socket.once('close', () => sockets.delete(socket));
-  socket.on('error', () => undefined);
-  let received = '';
-  socket.on('data', bytes => {
-    received += bytes.toString('latin1');
-    const headEnd = received.indexOf('\r\n\r\n');
-    if (headEnd < 0) return;
-    const length = /^content-length: (\d+)/im.exec(received)?.[1] ?? '0';
-    if (received.length < headEnd + 4 + Number(length)) return;
-    received = '';
-    void sendAnswer(socket);
-  });
-}
-
 const CLIENTS: Readonly<Record<string, Client>> = {
   async 'the client of relays'({method, isReused}) {
     const head = await exchange.start({
@@ -113,7 +98,11 @@
 before(async () => {
   const clock = createSystemClock();
   exchange = createHttpExchange({clock});
-  server = net.createServer(takeRequests);
+  server = net.createServer(socket => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+    takeRequests(socket, () => void sendAnswer(socket));
+  });
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
   port = createHttpPlainServiceFactory({clock})(address);
--- a/tests/entry/plain_answers_test.ts
+++ b/tests/entry/plain_answers_test.ts
@@ -10,6 +10,11 @@
 import type {PlainServicePort} from '../../src/ports/plain_service.js';
 import type {RequestRunner} from '../../src/ports/answer_sink.js';
 import {storedAnswerOf} from '../../src/request/plain_calls.js';
+import {
+  endAndResetAfter,
+  resetAfter,
+  type BreakOff,
+} from '../support/break_off.js';
 import {
   answersWith,
   BODY,
@@ -133,13 +138,11 @@
   });
 }
 
-/** Ways in which an upstream breaks off an answer to an upload. */
-const BREAKS: Readonly<Record<string, (socket: net.Socket) => void>> = {
-  'a reset': socket => setTimeout(() => socket.resetAndDestroy(), 5),
-  'an end and a reset at once': socket =>
-    socket.end(() => setTimeout(() => socket.resetAndDestroy(), 5)),
-  'an end and a later reset': socket =>
-    socket.end(() => setTimeout(() => socket.resetAndDestroy(), 100)),
+/** How an upstream breaks off an answer to an upload. */
+const BREAKS: Readonly<Record<string, BreakOff>> = {
+  'a reset': resetAfter(5),
+  'an end and a reset at once': endAndResetAfter(5),
+  'an end and a later reset': endAndResetAfter(100),
 };
 const EARLY_HEAD = `HTTP/1.1 200 OK\r\n${STAMP}: s\r\n\r\n`;
 
--- a/tests/platform/bodiless_answers_test.ts
+++ b/tests/platform/bodiless_answers_test.ts
@@ -8,18 +8,13 @@
 import {
   createSite,
   makeConfiguration,
+  PATHS,
   PROMPT_HEADERS,
   untilReady,
   type Entry,
   type Site,
 } from './relay_site.js';
 
-const PATHS = {
-  'a call that runs once': '/makse/1',
-  'a call that may run again': '/saldo/1',
-  'a stream': '/mustand/1',
-  'a resumable stream': '/lisa/1',
-} as const;
 const METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE'] as const;
 const BODIES: Readonly<Record<string, string | undefined>> = {
   none: undefined,
--- a/tests/platform/broken_answers_test.ts
+++ b/tests/platform/broken_answers_test.ts
@@ -4,12 +4,16 @@
  */
 
 import assert from 'node:assert/strict';
-import type net from 'node:net';
 import {after, before, describe, test} from 'node:test';
 import fc from 'fast-check';
 import {createPlatformAdapters} from '../../platform/platform_adapters.js';
 import type {SendFailure} from '../../src/ports/relay.js';
 import type {RelayAdapters} from '../../src/relay/relay_adapters.js';
+import {
+  endAndResetAfter,
+  resetAfter,
+  type BreakOff,
+} from '../support/break_off.js';
 import {answersWith, nameLines, valueLines} from '../support/broken_heads.js';
 import {
   createRawEngine,
@@ -21,6 +25,7 @@
 import {
   createSite,
   makeConfiguration,
+  PATHS,
   PROMPT_HEADERS,
   until,
   untilReady,
@@ -38,12 +43,6 @@
 const MIN_PEER_PORT = 30_000;
 const PEER_PORT_COUNT = 2_500;
 
-const PATHS = {
-  'a call that runs once': '/makse/1',
-  'a call that may run again': '/saldo/1',
-  'a stream': '/mustand/1',
-  'a resumable stream': '/lisa/1',
-} as const;
 const WAYS = ['direct', 'through a peer'] as const;
 type Way = (typeof WAYS)[number];
 
@@ -182,15 +181,14 @@
 
 const SOUND_REST = `Content-Length: ${EVENT.length}\r\n\r\n${EVENT}`;
 
-/** Ways in which an upstream breaks off an answer to an upload. */
-const BREAKS: Readonly<Record<string, (socket: net.Socket) => void>> = {
-  'a reset': socket => setTimeout(() => socket.resetAndDestroy(), 5),
-  'a later reset': socket => setTimeout(() => socket.resetAndDestroy(), 50),
-  'an end and a reset': socket =>
-    socket.end(() => setTimeout(() => socket.resetAndDestroy(), 50)),
+/** How an upstream breaks off an answer to an upload. */
+const BREAKS: Readonly<Record<string, BreakOff>> = {
+  'a reset': resetAfter(5),
+  'a later reset': resetAfter(50),
+  'an end and a reset': endAndResetAfter(50),
 };
 
-function sendHalf(breakOff: (socket: net.Socket) => void): void {
+function sendHalf(breakOff: BreakOff): void {
   send = ({socket, id}) => {
     socket.pause().write(`${OK.replace('{id}', id)}\r\n${EVENT}half`);
     breakOff(socket);
--- a/tests/platform/relay_site.ts
+++ b/tests/platform/relay_site.ts
@@ -210,6 +210,14 @@
   return Promise.all(running);
 }
 
+/** A path for each kind of route of `makeConfiguration`. */
+export const PATHS = {
+  'a call that runs once': '/makse/1',
+  'a call that may run again': '/saldo/1',
+  'a stream': '/mustand/1',
+  'a resumable stream': '/lisa/1',
+} as const;
+
 /** A configuration with one plain and one model service. */
 export function makeConfiguration(changes: object = {}): object {
   const route = (prefix: string, kind: string, service: string, more = {}) => ({
--- a/tests/relay/front/unwritable_head_test.ts
+++ b/tests/relay/front/unwritable_head_test.ts
@@ -15,7 +15,7 @@
 
 type Begin = (caller: Caller) => void;
 
-/** Requests to `/stream` are answered in parts, others as a whole. */
+/** Requests to `/odd` begin by `begin`; the test answers the others. */
 async function startFront(t: TestContext, begin: Begin) {
   const callers: Caller[] = [];
   const disconnected: string[] = [];
--- a/tests/support/broken_heads.ts
+++ b/tests/support/broken_heads.ts
@@ -7,8 +7,10 @@
 const BYTE_COUNT = 256;
 const COLON = ':';
 
-const BYTES: readonly string[] = Array.from({length: BYTE_COUNT}, (_, byte) =>
-  String.fromCharCode(byte),
+/** All bytes, each as one character. */
+export const BYTES: readonly string[] = Array.from(
+  {length: BYTE_COUNT},
+  (_, byte) => String.fromCharCode(byte),
 );
 
 /** Bytes that no field name may have; a colon would end the name. */
